--- /dev/null
+++ b/cmd/petreltide/daemons.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"petreltide/internal/desk"
+	"petreltide/internal/fault"
+	"petreltide/internal/office"
+	"petreltide/internal/settings"
+	"petreltide/internal/spike"
+)
+
+func officeCommand() *cobra.Command {
+	set := settings.Office{}
+	var file string
+	cmd := &cobra.Command{
+		Use:   "office",
+		Short: "Run a core machine",
+		Long: `Run a core machine: one member of the chain that keeps the configuration, tickets,
+notices and epochs. Give it a settings file, flags, or both; a flag wins over the file.
+
+Settings file (YAML or JSON), with the same names as the flags:
+
+  name: core-a
+  listen: 10.0.1.5:7100
+  zone: a
+  seeds: [10.0.1.5:7100, 10.0.2.5:7100, 10.0.3.5:7100]
+  data: /var/lib/petreltide
+  platform: 10.0.9.1:8080
+  founding: 3
+
+founding is the number of empty offices that must meet before they begin a new chain. Leave it
+out (0) for an office that may only join a chain that exists, such as a replacement.`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			laid := set
+			if f := settings.Read(file, &set); f != nil {
+				return f
+			}
+			lay(cmd, "name", &set.Name, laid.Name)
+			lay(cmd, "listen", &set.Listen, laid.Listen)
+			lay(cmd, "zone", &set.Zone, laid.Zone)
+			lay(cmd, "seeds", &set.Seeds, laid.Seeds)
+			lay(cmd, "data", &set.Data, laid.Data)
+			lay(cmd, "platform", &set.Platform, laid.Platform)
+			lay(cmd, "founding", &set.Founding, laid.Founding)
+			if f := set.Check(); f != nil {
+				return f
+			}
+			ring := spike.NewRing(set.Data, os.Stderr)
+			host, err := office.Open(set, ring)
+			if err != nil {
+				return err
+			}
+			return run(cmd, ring, host.Run)
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&file, "settings", "", "settings file (YAML or JSON)")
+	flags.StringVar(&set.Name, "name", "", "this office's name, unique in the fleet; a replacement takes the lost one's name")
+	flags.StringVar(&set.Listen, "listen", "", "IP:port to listen on and be reached at")
+	flags.StringVar(&set.Zone, "zone", "", "zone this machine is in")
+	flags.StringSliceVar(&set.Seeds, "seeds", nil, "up to three IP:port of other processes, for first contact only")
+	flags.StringVar(&set.Data, "data", "", "data folder")
+	flags.StringVar(&set.Platform, "platform", "", "IP:port of the platform's replica list")
+	flags.IntVar(&set.Founding, "founding", 0, "how many empty offices begin a new chain together; 0: only join one")
+	return cmd
+}
+
+func deskCommand() *cobra.Command {
+	set := settings.Desk{BacklogMax: 512, BodyMaxKb: 1024, DrainMs: 30_000}
+	var file string
+	cmd := &cobra.Command{
+		Use:   "desk",
+		Short: "Run a front machine",
+		Long: `Run a front machine: it takes calls over HTTP, sends them to replicas under granted leg
+numbers, and streams the answers back. It keeps nothing on disk.
+
+  petreltide desk --name front-1 --listen 10.0.1.20:8000 --zone a \
+    --seeds 10.0.1.5:7100,10.0.2.5:7100,10.0.3.5:7100
+
+On SIGTERM it takes no new calls and gives those it has --drain-ms to end.`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			laid := set
+			if f := settings.Read(file, &set); f != nil {
+				return f
+			}
+			lay(cmd, "name", &set.Name, laid.Name)
+			lay(cmd, "listen", &set.Listen, laid.Listen)
+			lay(cmd, "zone", &set.Zone, laid.Zone)
+			lay(cmd, "seeds", &set.Seeds, laid.Seeds)
+			lay(cmd, "backlog-max", &set.BacklogMax, laid.BacklogMax)
+			lay(cmd, "body-max-kb", &set.BodyMaxKb, laid.BodyMaxKb)
+			lay(cmd, "drain-ms", &set.DrainMs, laid.DrainMs)
+			if f := set.Check(); f != nil {
+				return f
+			}
+			ring := spike.NewRing("", os.Stderr)
+			return run(cmd, ring, desk.Open(set, ring).Run)
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&file, "settings", "", "settings file (YAML or JSON)")
+	flags.StringVar(&set.Name, "name", "", "this desk's name, unique in the fleet")
+	flags.StringVar(&set.Listen, "listen", "", "IP:port to listen on and be reached at")
+	flags.StringVar(&set.Zone, "zone", "", "zone this machine is in")
+	flags.StringSliceVar(&set.Seeds, "seeds", nil, "up to three IP:port of other processes, for first contact only")
+	flags.IntVar(&set.BacklogMax, "backlog-max", set.BacklogMax, "most calls that may wait here")
+	flags.IntVar(&set.BodyMaxKb, "body-max-kb", set.BodyMaxKb, "largest call body taken, in KiB")
+	flags.Int64Var(&set.DrainMs, "drain-ms", set.DrainMs, "time for open calls to end after SIGTERM")
+	return cmd
+}
+
+func lay[T any](cmd *cobra.Command, flag string, into *T, given T) {
+	if cmd.Flags().Changed(flag) {
+		*into = given
+	}
+}
+
+func run(cmd *cobra.Command, ring *spike.Ring, serve func(contextOf) error) error {
+	defer func() {
+		if r := recover(); r != nil {
+			ring.Dump("panic")
+			panic(r)
+		}
+	}()
+	if err := serve(cmd.Context()); err != nil {
+		return fault.New(fault.NotServing, cmd.Name(), "%v", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/petreltide/main.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := root().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "petreltide:", err)
+		os.Exit(1)
+	}
+}
+
+func root() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:           "petreltide",
+		Short:         "Route calls to model replicas, place models on them, and compare placement policies",
+		Long:          "petreltide is one program; the role is a subcommand.\n\n  office   a core machine: chain of shared state, controller, operators' interface\n  desk     a front machine: takes calls and streams answers\n\nThe other subcommands are the operators'. They talk to any office.",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	cmd.AddCommand(officeCommand(), deskCommand(), applyCommand(), diffCommand(), zoneCommand(), statusCommand(), queryCommand())
+	return cmd
+}
--- /dev/null
+++ b/cmd/petreltide/operators.go
@@ -0,0 +1,318 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+	"sigs.k8s.io/yaml"
+
+	"petreltide/internal/fault"
+	"petreltide/internal/imposition"
+	"petreltide/internal/office"
+	"petreltide/internal/standing"
+)
+
+type contextOf = context.Context
+
+type offices struct {
+	addrs []string
+}
+
+func (o *offices) flag(cmd *cobra.Command) {
+	cmd.Flags().StringSliceVar(&o.addrs, "office", []string{"127.0.0.1:7100"}, "IP:port of offices to try in turn")
+}
+
+type answer struct {
+	status int
+	body   []byte
+}
+
+// ask tries each office in turn; only an office that could not be reached is passed over.
+func (o *offices) ask(ctx context.Context, method, path string, body []byte) (answer, error) {
+	var last error
+	for _, addr := range o.addrs {
+		a, err := askOne(ctx, method, "http://"+addr+path, body)
+		if err == nil {
+			return a, nil
+		}
+		last = err
+	}
+	return answer{}, errors.Annotate(last, "no office answered")
+}
+
+func askOne(ctx context.Context, method, url string, body []byte) (answer, error) {
+	ctx, done := context.WithTimeout(ctx, 15*time.Second)
+	defer done()
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return answer{}, errors.Trace(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{}, errors.Trace(err)
+	}
+	defer res.Body.Close()
+	raw, err := io.ReadAll(res.Body)
+	return answer{res.StatusCode, raw}, errors.Trace(err)
+}
+
+func (a answer) fault() error {
+	if a.status < 300 {
+		return nil
+	}
+	wrapped := struct {
+		Error *fault.Fault `json:"error"`
+	}{}
+	if json.Unmarshal(a.body, &wrapped) == nil && wrapped.Error != nil {
+		return wrapped.Error
+	}
+	return fault.New(fault.NotServing, "", "status %d: %s", a.status, a.body)
+}
+
+// readDeclaration takes YAML or JSON; a policy may name a program beside the file.
+func readDeclaration(path string) ([]byte, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	doc := map[string]any{}
+	if err := yaml.UnmarshalStrict(raw, &doc); err != nil {
+		return nil, fault.New(fault.BadJSON, path, "%v", err)
+	}
+	if err := inlinePolicies(filepath.Dir(path), doc); err != nil {
+		return nil, err
+	}
+	return json.Marshal(doc)
+}
+
+func inlinePolicies(folder string, doc map[string]any) error {
+	policies := []any{doc["policy"]}
+	if shadows, ok := doc["shadows"].([]any); ok {
+		policies = append(policies, shadows...)
+	}
+	for _, p := range policies {
+		policy, ok := p.(map[string]any)
+		if !ok {
+			continue
+		}
+		file, ok := policy["file"].(string)
+		if !ok {
+			continue
+		}
+		source, err := os.ReadFile(filepath.Join(folder, file))
+		if err != nil {
+			return errors.Trace(err)
+		}
+		delete(policy, "file")
+		policy["source"] = string(source)
+	}
+	return nil
+}
+
+func applyCommand() *cobra.Command {
+	o := &offices{}
+	var base, change string
+	var patch bool
+	cmd := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Send a whole declaration, or with --patch a merge patch",
+		Long: `Send a declaration (YAML or JSON) and wait until every desk works by it.
+
+Without --base the change is based on the revision the office has now; name it to be refused
+when another operator was faster. Give the same --change again to learn what became of a change
+whose answer was lost: it is never taken twice.`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			raw, err := readDeclaration(args[0])
+			if err != nil {
+				return err
+			}
+			if base == "" {
+				now, err := current(cmd.Context(), o)
+				if err != nil {
+					return err
+				}
+				base = fmt.Sprint(now.Revision)
+			}
+			method := http.MethodPut
+			if patch {
+				method = http.MethodPatch
+			}
+			a, err := o.ask(cmd.Context(), method, "/v1/config?base="+url.QueryEscape(base)+"&change="+url.QueryEscape(change), raw)
+			return show(cmd, a, err)
+		},
+	}
+	o.flag(cmd)
+	cmd.Flags().StringVar(&base, "base", "", "revision this change is based on")
+	cmd.Flags().StringVar(&change, "change", "", "change id, to send the same change again safely")
+	cmd.Flags().BoolVar(&patch, "patch", false, "FILE is a JSON merge patch")
+	return cmd
+}
+
+func show(cmd *cobra.Command, a answer, err error) error {
+	if err == nil {
+		err = a.fault()
+	}
+	if err != nil {
+		return err
+	}
+	_, err = cmd.OutOrStdout().Write(a.body)
+	return err
+}
+
+func current(ctx context.Context, o *offices) (office.ConfigNow, error) {
+	now := office.ConfigNow{}
+	a, err := o.ask(ctx, http.MethodGet, "/v1/config", nil)
+	if err == nil {
+		err = a.fault()
+	}
+	if err != nil {
+		return now, err
+	}
+	return now, errors.Trace(json.Unmarshal(a.body, &now))
+}
+
+func diffCommand() *cobra.Command {
+	o := &offices{}
+	cmd := &cobra.Command{
+		Use:   "diff FILE",
+		Short: "Check a declaration and show how it differs from the one in force",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			raw, err := readDeclaration(args[0])
+			if err != nil {
+				return err
+			}
+			doc, bad := standing.Parse(raw, imposition.Compile)
+			if bad != nil {
+				return bad
+			}
+			now, err := current(cmd.Context(), o)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "against revision %d\n", now.Revision)
+			diff := cmp.Diff(now.Declaration, doc)
+			if diff == "" {
+				diff = "no difference\n"
+			}
+			_, err = io.WriteString(cmd.OutOrStdout(), diff)
+			return err
+		},
+	}
+	o.flag(cmd)
+	return cmd
+}
+
+func zoneCommand() *cobra.Command {
+	o := &offices{}
+	cmd := &cobra.Command{Use: "zone", Short: "Empty a zone of calls, or take that back"}
+	for _, act := range []string{"empty", "restore"} {
+		var change string
+		sub := &cobra.Command{
+			Use:  act + " ZONE",
+			Args: cobra.ExactArgs(1),
+			RunE: func(cmd *cobra.Command, args []string) error {
+				a, err := o.ask(cmd.Context(), http.MethodPost, "/v1/zones/"+url.PathEscape(args[0])+"/"+act+"?change="+url.QueryEscape(change), nil)
+				return show(cmd, a, err)
+			},
+		}
+		sub.Short = map[string]string{"empty": "Send no new calls into a zone", "restore": "Send calls into a zone again"}[act]
+		sub.Flags().StringVar(&change, "change", "", "change id, to send the same change again safely")
+		o.flag(sub)
+		cmd.AddCommand(sub)
+	}
+	return cmd
+}
+
+func statusCommand() *cobra.Command {
+	o := &offices{}
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use:   "status",
+		Short: "Show the view, the controller, desks, replicas, pending tickets and the policy",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			a, err := o.ask(cmd.Context(), http.MethodGet, "/v1/status", nil)
+			if err == nil {
+				err = a.fault()
+			}
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				return show(cmd, a, nil)
+			}
+			st := office.Status{}
+			if err := json.Unmarshal(a.body, &st); err != nil {
+				return errors.Trace(err)
+			}
+			printStatus(cmd.OutOrStdout(), st)
+			return nil
+		},
+	}
+	o.flag(cmd)
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print the whole status as JSON")
+	return cmd
+}
+
+func printStatus(w io.Writer, st office.Status) {
+	seats := []string{}
+	for _, s := range st.View.Order {
+		seats = append(seats, s.ID)
+	}
+	fmt.Fprintf(w, "office    %s (%s), zone %s\n", st.Office.ID, st.Phase, st.Office.Zone)
+	fmt.Fprintf(w, "view      %d: %s\n", st.View.Number, strings.Join(seats, " > "))
+	if st.WaitsFor != "" {
+		fmt.Fprintf(w, "waits for %s\n", st.WaitsFor)
+	}
+	fmt.Fprintf(w, "duty      %s under epoch %d\n", st.Holder, st.Epoch)
+	fmt.Fprintf(w, "revision  %d, commit %d of %d\n", st.Revision, st.Commit, st.Last)
+	if len(st.Emptied) > 0 {
+		fmt.Fprintf(w, "emptied   %s\n", strings.Join(st.Emptied, ", "))
+	}
+	for _, p := range st.Partners {
+		fmt.Fprintf(w, "partner   %s %s, heard %d ms ago\n", p.Member.ID, p.Phase, p.AgoMs)
+	}
+	for _, d := range st.Desks {
+		fmt.Fprintf(w, "desk      %s zone %s, acked %d, lease %d ms\n", d.Desk, d.Zone, d.Acked, d.LeaseMs)
+	}
+	for _, r := range st.Replicas {
+		state := "ready"
+		if r.Leaving {
+			state = fmt.Sprintf("leaving (%d ms left when noticed)", r.LeftMs)
+		} else if r.Dark {
+			state = "dark"
+		}
+		var heldMb int64
+		for _, mb := range r.Holds {
+			heldMb += mb
+		}
+		fmt.Fprintf(w, "replica   %s zone %s %s: %d held, %d of %d MB\n", r.ID, r.Zone, state, len(r.Holds), heldMb, r.RoomMb)
+	}
+	for _, t := range st.Pending {
+		fmt.Fprintf(w, "pending   ticket %d epoch %d: %s %s at %s\n", t.Number, t.Epoch, t.Step, t.Unit, t.Replica)
+	}
+	if st.Policy.Name != "" {
+		fmt.Fprintf(w, "policy    %s: %d runs, %d faulted; last verdicts: %s\n", st.Policy.Name, st.Policy.Runs, st.Policy.Faulted, imposition.Summary(st.Policy.Verdicts))
+		if st.Policy.Fault != nil {
+			fmt.Fprintf(w, "          last fault: %v\n", st.Policy.Fault)
+		}
+	}
+	for code, n := range st.Faults {
+		fmt.Fprintf(w, "fault     %s: %d\n", code, n)
+	}
+}
--- /dev/null
+++ b/internal/castoff/castoff_test.go
@@ -0,0 +1,124 @@
+package castoff
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"petreltide/internal/standing"
+)
+
+func table(points ...float64) []standing.Point {
+	out := []standing.Point{}
+	for i := 0; i+1 < len(points); i += 2 {
+		out = append(out, standing.Point{Replicas: i/2 + 1, PerSecond: points[i], LatencyMs: int64(points[i+1])})
+	}
+	return out
+}
+
+func TestChooseFollowsTheSource(t *testing.T) {
+	long := table(10, 400, 20, 300, 30, 200, 40, 195)
+	for _, c := range []struct {
+		name    string
+		table   []standing.Point
+		rate    float64
+		most    int
+		similar int
+		want    int
+		covers  bool
+	}{
+		{"covers the rate at the lowest latency", long, 15, 9, 0, 4, true},
+		{"similar latency takes fewer", long, 15, 9, 5, 3, true},
+		{"a fast count that does not cover is passed over", table(10, 100, 20, 300), 15, 9, 0, 2, true},
+		{"nothing covers: most throughput", long, 900, 9, 0, 4, false},
+		{"nothing covers and throughput is level: fewer", table(10, 400, 10, 300), 900, 9, 0, 1, false},
+		{"fewer instances than the table", long, 15, 2, 0, 2, true},
+		{"similar but not covering does not count", table(10, 100, 20, 100), 15, 9, 50, 2, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p, covers := Choose(c.table, c.rate, c.most, c.similar)
+			if p.Replicas != c.want || covers != c.covers {
+				t.Fatalf("chose %d (covers %v), want %d (%v)", p.Replicas, covers, c.want, c.covers)
+			}
+		})
+	}
+	if _, ok := Choose(long, 1, 0, 0); ok {
+		t.Fatal("chose a count of no instances")
+	}
+}
+
+func fleetOf(models, replicas, spares int) Input {
+	in := Input{Doc: &standing.Declaration{Scaler: standing.Scaler{Spares: spares}}, Rates: map[string]float64{}, Waiting: map[string]int{}}
+	for i := 0; i < models; i++ {
+		in.Doc.Models = append(in.Doc.Models, standing.Model{
+			Name: fmt.Sprintf("m%d", i), SizeMb: 10, Weight: 1, Table: table(10, 400, 20, 300, 30, 200, 40, 195),
+		})
+	}
+	for i := 0; i < replicas; i++ {
+		in.Usable = append(in.Usable, Room{ID: fmt.Sprintf("r%d", i), RoomMb: 100})
+	}
+	return in
+}
+
+func counts(in Input) map[string]int {
+	out := map[string]int{}
+	for _, c := range Decide(in) {
+		out[c.Model] = c.Replicas
+	}
+	return out
+}
+
+func TestDecideKeepsSparesAndRoom(t *testing.T) {
+	in := fleetOf(1, 4, 2)
+	in.Rates["m0"] = 35
+	if diff := cmp.Diff(map[string]int{"m0": 2}, counts(in)); diff != "" {
+		t.Fatal("two of four are spares:", diff)
+	}
+	in = fleetOf(1, 6, 2)
+	in.Rates["m0"] = 35
+	if diff := cmp.Diff(map[string]int{"m0": 4}, counts(in)); diff != "" {
+		t.Fatal("new replicas are counted at once:", diff)
+	}
+	in.Usable = in.Usable[:3]
+	if diff := cmp.Diff(map[string]int{"m0": 1}, counts(in)); diff != "" {
+		t.Fatal("leaving ones are not:", diff)
+	}
+	in = fleetOf(12, 1, 0)
+	in.Rates["m11"] = 5
+	got := counts(in)
+	held := 0
+	for _, n := range got {
+		held += n
+	}
+	if held != 10 || got["m11"] != 1 {
+		t.Fatalf("room for ten, the one in demand among them, got %v", got)
+	}
+	in = fleetOf(1, 3, 0)
+	in.Doc.Models[0].Weight = 0
+	if diff := cmp.Diff(map[string]int{"m0": 0}, counts(in)); diff != "" {
+		t.Fatal("no weight, no demand, no copy:", diff)
+	}
+	in.Waiting["m0"] = 3
+	if counts(in)["m0"] == 0 {
+		t.Fatal("waiting calls are demand")
+	}
+}
+
+func TestDecideIsWellBelowASecond(t *testing.T) {
+	in := fleetOf(30, 9, 2)
+	for i := range in.Doc.Models {
+		in.Rates[in.Doc.Models[i].Name] = float64(i)
+	}
+	least := time.Hour
+	for i := 0; i < 20; i++ {
+		began := time.Now()
+		Decide(in)
+		least = min(least, time.Since(began))
+	}
+	t.Logf("30 models over 9 replicas: %v", least)
+	if least > time.Second/2 {
+		t.Fatalf("the search takes %v", least)
+	}
+}
--- /dev/null
+++ b/internal/chain/node.go
@@ -0,0 +1,610 @@
+package chain
+
+import (
+	"sort"
+	"strconv"
+
+	"petreltide/internal/ledger"
+)
+
+type partner struct {
+	hello   Hello
+	heardUs int64
+	sinceUs int64
+	deafUs  int64
+}
+
+type proposal struct {
+	number   uint64
+	ballot   Ballot
+	want     View
+	chosen   View
+	promises map[string]*Accepted
+	accepts  map[string]bool
+	asking   bool
+	startUs  int64
+}
+
+// Node is one office's part of the chain and of the agreement on its view.
+type Node struct {
+	opts Options
+
+	phase    Phase
+	view     View
+	promised Ballot
+	accepted *Accepted
+	compared bool
+
+	entries  []Entry
+	base     Copy
+	state    *ledger.State
+	commit   uint64
+	synced   uint64
+	queued   uint64
+	copyHeld uint64
+
+	nowUs     int64
+	bootUs    int64
+	lastUs    int64
+	helloUs   int64
+	saveSeq   uint64
+	saving    map[uint64]*saving
+	partners  map[string]*partner
+	learned   map[string]bool
+	founders  []Member
+	proposal  *proposal
+	round     uint64
+	quietUs   int64
+	held      *Msg
+	guardUs   int64
+	guardTail Seat
+
+	succLast   uint64
+	succSent   uint64
+	succAtUs   int64
+	succKnown  bool
+	openAt     uint64
+	openKnown  bool
+	leases     map[string]int64
+	leaseUs    int64
+	echoUs     int64
+	tailEchoUs int64
+	viewedUs   int64
+	joinAtUs   int64
+	effects    []Effect
+}
+
+type saving struct {
+	startUs int64
+	upto    uint64
+	then    []Send
+	after   func()
+}
+
+func NewNode(opts Options, records []Record, nowUs int64) (*Node, error) {
+	n := &Node{
+		opts: opts.filled(), phase: Fresh, state: ledger.NewState(), nowUs: nowUs, bootUs: nowUs, lastUs: nowUs,
+		saving: map[uint64]*saving{}, partners: map[string]*partner{}, learned: map[string]bool{}, leases: map[string]int64{},
+	}
+	n.guardUs = nowUs + n.opts.LeaseUs
+	for _, r := range records {
+		switch {
+		case r.View != nil:
+			if r.View.Number >= n.view.Number {
+				n.view, n.promised, n.accepted = *r.View, Ballot{}, nil
+			}
+		case r.Promised != nil:
+			n.promised = *r.Promised
+		case r.Accepted != nil:
+			n.accepted = r.Accepted
+			if n.promised.Less(r.Accepted.Ballot) {
+				n.promised = r.Accepted.Ballot
+			}
+		case r.Copy != nil:
+			n.base = *r.Copy
+			n.entries = nil
+			state, err := ledger.Decode(r.Copy.State)
+			if err != nil {
+				return nil, err
+			}
+			n.state, n.commit = state, r.Copy.Index
+		case r.Entry != nil:
+			n.keepEntry(*r.Entry)
+		}
+	}
+	if n.view.Number > 0 {
+		n.phase = Waking
+	}
+	n.compared = n.view.Number == 0 && len(n.view.Voters) > 0
+	n.synced, n.queued = n.lastIndex(), n.lastIndex()
+	n.round = n.promised.Round
+	return n, nil
+}
+
+func (n *Node) keepEntry(e Entry) {
+	if e.Index <= n.base.Index {
+		return
+	}
+	for len(n.entries) > 0 && n.entries[len(n.entries)-1].Index >= e.Index {
+		n.entries = n.entries[:len(n.entries)-1]
+	}
+	if e.Index == n.lastIndex()+1 {
+		n.entries = append(n.entries, e)
+	}
+}
+
+func (n *Node) lastIndex() uint64 {
+	if len(n.entries) == 0 {
+		return n.base.Index
+	}
+	return n.entries[len(n.entries)-1].Index
+}
+
+func (n *Node) lastView() uint64 {
+	if len(n.entries) == 0 {
+		return n.base.View
+	}
+	return n.entries[len(n.entries)-1].View
+}
+
+func (n *Node) entryAt(index uint64) (Entry, bool) {
+	if len(n.entries) == 0 || index < n.entries[0].Index || index > n.lastIndex() {
+		return Entry{}, false
+	}
+	return n.entries[index-n.entries[0].Index], true
+}
+
+func (n *Node) viewAt(index uint64) (uint64, bool) {
+	if index == n.base.Index {
+		return n.base.View, true
+	}
+	e, ok := n.entryAt(index)
+	return e.View, ok
+}
+
+func (n *Node) place() int { return n.view.Place(n.opts.Me.ID, n.opts.Inc) }
+
+func (n *Node) serving() bool { return n.phase == Serving && n.place() >= 0 }
+
+func (n *Node) IsHead() bool { return n.serving() && n.place() == 0 }
+
+func (n *Node) IsTail() bool { return n.serving() && n.place() == len(n.view.Order)-1 }
+
+// Open says whether this office may answer as the tail at this moment.
+func (n *Node) Open(nowUs int64) bool {
+	return n.IsTail() && n.openKnown && n.commit >= n.openAt && nowUs < n.leaseUs
+}
+
+// Fresh heads only give orders while the chain answered them lately.
+func (n *Node) HeadFresh(nowUs int64) bool {
+	if !n.IsHead() {
+		return false
+	}
+	if n.IsTail() {
+		return n.Open(nowUs)
+	}
+	return n.tailEchoUs > 0 && nowUs < n.tailEchoUs+n.opts.LeaseUs-n.opts.LeaseCutUs
+}
+
+func (n *Node) State() *ledger.State { return n.state }
+func (n *Node) View() View           { return n.view }
+func (n *Node) Phase() Phase         { return n.phase }
+func (n *Node) Commit() uint64       { return n.commit }
+func (n *Node) Last() uint64         { return n.lastIndex() }
+func (n *Node) Me() Member           { return n.opts.Me }
+func (n *Node) Inc() string          { return n.opts.Inc }
+
+// WritesTaken is false in a view of one: nothing is acknowledged on one copy.
+func (n *Node) WritesTaken() bool { return len(n.view.Order) >= 2 }
+
+func (n *Node) Hears(id string) bool {
+	p := n.partners[id]
+	return p != nil && n.nowUs-p.heardUs < n.opts.SuspectUs
+}
+
+type PartnerNote struct {
+	Member Member `json:"member"`
+	Phase  Phase  `json:"phase"`
+	Inc    string `json:"inc"`
+	Last   uint64 `json:"last"`
+	AgoMs  int64  `json:"agoMs"`
+	Sound  bool   `json:"sound"`
+}
+
+func (n *Node) Partners() []PartnerNote {
+	notes := []PartnerNote{}
+	for _, id := range n.partnerIDs() {
+		p := n.partners[id]
+		notes = append(notes, PartnerNote{
+			Member: p.hello.Me, Phase: p.hello.Phase, Inc: p.hello.Inc, Last: p.hello.Last,
+			AgoMs: (n.nowUs - p.heardUs) / 1000, Sound: n.Hears(id),
+		})
+	}
+	return notes
+}
+
+func (n *Node) partnerIDs() []string {
+	ids := make([]string, 0, len(n.partners))
+	for id := range n.partners {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+func (n *Node) Step(ev Event) []Effect {
+	n.effects = nil
+	gapUs := ev.NowUs - n.nowUs
+	n.nowUs = ev.NowUs
+	if gapUs > n.opts.SuspectUs {
+		n.dropLeases()
+	}
+	switch {
+	case ev.Got != nil:
+		n.got(*ev.Got)
+	case ev.Saved != 0:
+		n.saved(ev.Saved)
+	case ev.Submit != nil:
+		n.submit(*ev.Submit)
+	case ev.Learn != nil:
+		for _, addr := range ev.Learn {
+			n.learned[addr] = true
+		}
+	default:
+		n.tick()
+	}
+	n.flush()
+	return n.effects
+}
+
+func (n *Node) dropLeases() {
+	n.leaseUs, n.tailEchoUs = 0, 0
+	n.leases = map[string]int64{}
+	for _, p := range n.partners {
+		p.heardUs = max(p.heardUs, n.nowUs-n.opts.SuspectUs/2)
+	}
+}
+
+func (n *Node) send(to Member, m Msg) {
+	m.From, m.Inc, m.ToID = n.opts.Me, n.opts.Inc, to.ID
+	if to.ID == n.opts.Me.ID {
+		n.got(m)
+		return
+	}
+	n.effects = append(n.effects, Effect{Send: &Send{Addr: to.Addr, Msg: m}})
+}
+
+func (n *Node) save(records []Record, upto uint64, after func()) {
+	n.saveSeq++
+	n.saving[n.saveSeq] = &saving{startUs: n.nowUs, upto: upto, after: after}
+	n.effects = append(n.effects, Effect{Save: &Save{Seq: n.saveSeq, Records: records}})
+}
+
+func (n *Node) saved(seq uint64) {
+	s := n.saving[seq]
+	if s == nil {
+		return
+	}
+	delete(n.saving, seq)
+	if s.upto > n.synced {
+		n.synced = min(s.upto, n.lastIndex())
+		n.pushOn()
+	}
+	if s.after != nil {
+		s.after()
+	}
+}
+
+func (n *Node) stalled() bool {
+	for _, s := range n.saving {
+		if n.nowUs-s.startUs > n.opts.StallUs {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) flush() {
+	if n.queued >= n.lastIndex() || n.entrySaving() {
+		return
+	}
+	var records []Record
+	for i := range n.entries {
+		if n.entries[i].Index > n.queued {
+			e := n.entries[i]
+			records = append(records, Record{Entry: &e})
+		}
+	}
+	n.queued = n.lastIndex()
+	n.save(records, n.queued, nil)
+}
+
+func (n *Node) entrySaving() bool {
+	for _, s := range n.saving {
+		if s.upto > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) submit(c ledger.Change) {
+	switch {
+	case n.IsHead() && n.WritesTaken() && (c.Epoch == 0 || c.Claim != nil || c.Epoch >= n.state.Epoch):
+		n.entries = append(n.entries, Entry{Index: n.lastIndex() + 1, View: n.view.Number, Change: c})
+	case n.IsHead():
+		n.effects = append(n.effects, Effect{Refused: &Refused{ID: c.ID, Reason: "not taking this write"}})
+	case n.view.Number > 0 && n.view.Head().ID != n.opts.Me.ID:
+		n.send(n.view.Head().Member, Msg{Submit: &c})
+	default:
+		n.effects = append(n.effects, Effect{Refused: &Refused{ID: c.ID, Reason: "no chain yet"}})
+	}
+}
+
+func (n *Node) successor() (Seat, bool) {
+	at := n.place()
+	if at < 0 || at+1 >= len(n.view.Order) {
+		return Seat{}, false
+	}
+	return n.view.Order[at+1], true
+}
+
+func (n *Node) predecessor() (Seat, bool) {
+	at := n.place()
+	if at <= 0 {
+		return Seat{}, false
+	}
+	return n.view.Order[at-1], true
+}
+
+func (n *Node) pushOn() {
+	if !n.serving() {
+		return
+	}
+	if n.IsTail() {
+		n.commitTo(n.synced)
+		n.ackBack()
+		return
+	}
+	n.forward(false)
+	n.ackBack()
+}
+
+func (n *Node) forward(beat bool) {
+	next, ok := n.successor()
+	if !ok {
+		return
+	}
+	if beat && n.succKnown && n.succSent > n.succLast && n.nowUs-n.succAtUs > n.opts.ResendUs {
+		n.succSent = n.succLast
+	}
+	f := Forward{View: n.view.Number, Last: n.lastIndex(), SentUs: n.beatUs()}
+	if n.succKnown {
+		switch first := n.firstKept(); {
+		case n.succSent+1 < first:
+			f.Copy = n.copyNow()
+			f.Prev, f.PrevView = f.Copy.Index, f.Copy.View
+			n.succSent = f.Copy.Index
+			n.succAtUs = n.nowUs
+		case n.succSent < n.synced && n.succSent-n.succLast < uint64(4*n.opts.BatchMost):
+			f.Prev = n.succSent
+			f.PrevView, _ = n.viewAt(n.succSent)
+			upto := min(n.synced, n.succSent+uint64(n.opts.BatchMost))
+			for i := n.succSent + 1; i <= upto; i++ {
+				e, _ := n.entryAt(i)
+				f.Entries = append(f.Entries, e)
+			}
+			if n.succSent == n.succLast {
+				n.succAtUs = n.nowUs
+			}
+			n.succSent = upto
+		}
+	}
+	if beat || len(f.Entries) > 0 || f.Copy != nil {
+		n.send(next.Member, Msg{Forward: &f})
+	}
+}
+
+func (n *Node) beatUs() int64 {
+	if n.IsHead() {
+		return n.nowUs
+	}
+	return n.echoUs
+}
+
+func (n *Node) firstKept() uint64 {
+	if len(n.entries) == 0 {
+		return n.base.Index + 1
+	}
+	return n.entries[0].Index
+}
+
+func (n *Node) copyNow() *Copy {
+	view, _ := n.viewAt(n.commit)
+	return &Copy{Index: n.commit, View: view, State: n.state.Encode()}
+}
+
+func (n *Node) ackBack() {
+	prev, ok := n.predecessor()
+	if !ok {
+		return
+	}
+	echoUs := n.tailEchoUs
+	if n.IsTail() {
+		echoUs = 0
+		if n.nowUs < n.leaseUs {
+			echoUs = n.echoUs
+		}
+	}
+	n.send(prev.Member, Msg{Ack: &Ack{View: n.view.Number, Last: n.synced, Commit: n.commit, EchoUs: echoUs}})
+}
+
+func (n *Node) gotForward(m Msg, f Forward) {
+	prev, ok := n.predecessor()
+	if !ok || f.View != n.view.Number || m.From.ID != prev.ID || m.Inc != prev.Inc {
+		return
+	}
+	n.echoUs = max(n.echoUs, f.SentUs)
+	if !n.openKnown {
+		n.openKnown, n.openAt = true, f.Last
+	}
+	if f.Copy != nil && f.Copy.Index > n.lastIndex() {
+		n.takeCopy(*f.Copy)
+		return
+	}
+	if len(f.Entries) > 0 {
+		view, known := n.viewAt(f.Prev)
+		switch {
+		case f.Prev > n.lastIndex():
+		case known && view != f.PrevView && f.Prev > n.commit:
+			n.cutTo(n.commit)
+		default:
+			for _, e := range f.Entries {
+				n.takeEntry(e)
+			}
+		}
+	}
+	n.ackBack()
+}
+
+func (n *Node) takeEntry(e Entry) {
+	if have, ok := n.viewAt(e.Index); ok && have != e.View && e.Index > n.commit {
+		n.cutTo(e.Index - 1)
+	}
+	if e.Index == n.lastIndex()+1 {
+		n.entries = append(n.entries, e)
+	}
+}
+
+func (n *Node) cutTo(index uint64) {
+	for len(n.entries) > 0 && n.lastIndex() > index {
+		n.entries = n.entries[:len(n.entries)-1]
+	}
+	n.synced, n.queued = min(n.synced, index), min(n.queued, index)
+}
+
+func (n *Node) takeCopy(c Copy) {
+	state, err := ledger.Decode(c.State)
+	if err != nil {
+		return
+	}
+	n.base, n.entries, n.state, n.commit = c, nil, state, c.Index
+	n.synced, n.queued = 0, c.Index
+	held := c
+	n.save([]Record{{Copy: &held}}, c.Index, func() {
+		n.copyHeld = held.Index
+		n.ackBack()
+	})
+}
+
+func (n *Node) gotAck(m Msg, a Ack) {
+	next, ok := n.successor()
+	if !ok || a.View != n.view.Number || m.From.ID != next.ID || m.Inc != next.Inc {
+		return
+	}
+	if a.Last > n.succLast || !n.succKnown {
+		n.succAtUs = n.nowUs
+	}
+	if !n.succKnown {
+		n.succSent = a.Last
+	}
+	n.succKnown, n.succLast = true, a.Last
+	n.succSent = max(n.succSent, a.Last)
+	n.tailEchoUs = max(n.tailEchoUs, a.EchoUs)
+	if a.Commit > n.commit {
+		n.commitTo(min(a.Commit, n.synced))
+	}
+	n.forward(false)
+	n.ackBack()
+}
+
+func (n *Node) commitTo(index uint64) {
+	for n.commit < index {
+		e, ok := n.entryAt(n.commit + 1)
+		if !ok {
+			return
+		}
+		out := n.state.Apply(e.Index, e.Change)
+		n.commit = e.Index
+		n.effects = append(n.effects, Effect{Applied: &Applied{Entry: e, Outcome: out}})
+	}
+	n.compact()
+}
+
+func (n *Node) compact() {
+	if len(n.entries) < 2*n.opts.KeepMost || n.commit < n.firstKept()+uint64(n.opts.KeepMost) || len(n.saving) > 0 {
+		return
+	}
+	c := *n.copyNow()
+	keptFrom := n.commit - n.firstKept() + 1 - uint64(n.opts.KeepMost)/2
+	records := []Record{{View: &n.view}, {Promised: &n.promised}}
+	if n.accepted != nil {
+		records = append(records, Record{Accepted: n.accepted})
+	}
+	records = append(records, Record{Copy: &c})
+	for _, e := range n.entries {
+		if e.Index > c.Index && e.Index <= n.queued {
+			held := e
+			records = append(records, Record{Entry: &held})
+		}
+	}
+	prior := n.firstKept() + keptFrom - 1
+	priorView, _ := n.viewAt(prior)
+	n.entries = append([]Entry(nil), n.entries[keptFrom:]...)
+	n.base = Copy{Index: prior, View: priorView}
+	n.saveSeq++
+	n.saving[n.saveSeq] = &saving{startUs: n.nowUs, upto: n.queued}
+	n.effects = append(n.effects, Effect{Save: &Save{Seq: n.saveSeq, Records: records, Fresh: true}})
+}
+
+func (n *Node) got(m Msg) {
+	switch {
+	case m.Hello != nil:
+		n.gotHello(m, *m.Hello)
+	case m.Prepare != nil:
+		n.gotPrepare(m, *m.Prepare)
+	case m.Promise != nil:
+		n.gotPromise(m, *m.Promise)
+	case m.Accept != nil:
+		n.gotAccept(m, *m.Accept)
+	case m.Accepting != nil:
+		n.gotAccepting(m, *m.Accepting)
+	case m.Forward != nil:
+		n.gotForward(m, *m.Forward)
+	case m.Ack != nil:
+		n.gotAck(m, *m.Ack)
+	case m.Lease != nil:
+		n.gotLease(m, *m.Lease)
+	case m.Joining != nil:
+		n.gotJoining(m, *m.Joining)
+	case m.Submit != nil:
+		if n.IsHead() {
+			n.submit(*m.Submit)
+		}
+	}
+}
+
+// WaitsFor tells an operator, in words, what this office is waiting for.
+func (n *Node) WaitsFor() string {
+	switch {
+	case n.stalled():
+		return "its own disk: a sync has not come back"
+	case n.phase == Fresh && n.opts.Founding > 0:
+		return "founders: it must meet " + strconv.Itoa(n.opts.Founding) + " fresh offices, itself included, and knows " + strconv.Itoa(len(n.founders))
+	case n.phase == Fresh:
+		return "a chain to join through its seeds"
+	case n.phase == Waking && !n.compared:
+		return "the other voters, to compare promises and log"
+	case n.phase == Waking:
+		return "the other members of view " + strconv.FormatUint(n.view.Number, 10) + ", or a copy from its tail"
+	case n.phase == Outside:
+		return "a copy from the tail and a seat in the next view"
+	case !n.WritesTaken():
+		return "a second member: one copy alone takes no writes"
+	case n.IsTail() && !n.Open(n.nowUs):
+		return "its lease from a majority of voters"
+	}
+	return ""
+}
+
+func (n *Node) NowUs() int64 { return n.nowUs }
--- /dev/null
+++ b/internal/chain/types.go
@@ -0,0 +1,288 @@
+package chain
+
+import (
+	"petreltide/internal/clock"
+	"petreltide/internal/ledger"
+)
+
+type Member struct {
+	ID   string `json:"id"`
+	Name string `json:"name"`
+	Addr string `json:"addr"`
+	Zone string `json:"zone"`
+}
+
+type Seat struct {
+	Member
+	Inc string `json:"inc"`
+}
+
+type View struct {
+	Number uint64   `json:"number"`
+	Voters []Member `json:"voters"`
+	Order  []Seat   `json:"order"`
+}
+
+func (v View) Head() Seat {
+	if len(v.Order) == 0 {
+		return Seat{}
+	}
+	return v.Order[0]
+}
+
+func (v View) Tail() Seat {
+	if len(v.Order) == 0 {
+		return Seat{}
+	}
+	return v.Order[len(v.Order)-1]
+}
+
+func (v View) Place(id, inc string) int {
+	for i, s := range v.Order {
+		if s.ID == id && s.Inc == inc {
+			return i
+		}
+	}
+	return -1
+}
+
+func (v View) Seated(id string) bool {
+	for _, s := range v.Order {
+		if s.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (v View) Votes(id string) bool {
+	for _, m := range v.Voters {
+		if m.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Quorum of view 0, the founding, is everybody.
+func (v View) Quorum() int {
+	if v.Number == 0 {
+		return len(v.Voters)
+	}
+	return len(v.Voters)/2 + 1
+}
+
+type Ballot struct {
+	Round uint64 `json:"round"`
+	By    string `json:"by"`
+}
+
+func (b Ballot) Less(o Ballot) bool {
+	if b.Round != o.Round {
+		return b.Round < o.Round
+	}
+	return b.By < o.By
+}
+
+type Accepted struct {
+	Ballot Ballot `json:"ballot"`
+	View   View   `json:"view"`
+}
+
+type Entry struct {
+	Index  uint64        `json:"index"`
+	View   uint64        `json:"view"`
+	Change ledger.Change `json:"change"`
+}
+
+type Copy struct {
+	Index uint64 `json:"index"`
+	View  uint64 `json:"view"`
+	State []byte `json:"state"`
+}
+
+// Record is what the disk holds; the log is replayed from these in order.
+type Record struct {
+	Seal     *Seal     `json:"seal,omitempty"`
+	View     *View     `json:"view,omitempty"`
+	Promised *Ballot   `json:"promised,omitempty"`
+	Accepted *Accepted `json:"accepted,omitempty"`
+	Entry    *Entry    `json:"entry,omitempty"`
+	Copy     *Copy     `json:"copy,omitempty"`
+}
+
+type Seal struct {
+	Identity string `json:"identity"`
+	Name     string `json:"name"`
+}
+
+type Phase string
+
+const (
+	Fresh   Phase = "fresh"
+	Waking  Phase = "waking"
+	Serving Phase = "serving"
+	Outside Phase = "outside"
+)
+
+type Hello struct {
+	Me        Member    `json:"me"`
+	Inc       string    `json:"inc"`
+	Phase     Phase     `json:"phase"`
+	View      View      `json:"view"`
+	Last      uint64    `json:"last"`
+	LastView  uint64    `json:"lastView"`
+	Compared  bool      `json:"compared"`
+	Stalled   bool      `json:"stalled,omitempty"`
+	Promised  Ballot    `json:"promised"`
+	Accepted  *Accepted `json:"accepted,omitempty"`
+	Hears     []string  `json:"hears"`
+	Founders  []Member  `json:"founders,omitempty"`
+	CopyIndex uint64    `json:"copyIndex,omitempty"`
+}
+
+type Prepare struct {
+	Number uint64 `json:"number"`
+	Ballot Ballot `json:"ballot"`
+}
+
+type Promise struct {
+	Number   uint64    `json:"number"`
+	Ballot   Ballot    `json:"ballot"`
+	OK       bool      `json:"ok"`
+	Promised Ballot    `json:"promised"`
+	Accepted *Accepted `json:"accepted,omitempty"`
+}
+
+type Accept struct {
+	Number uint64 `json:"number"`
+	Ballot Ballot `json:"ballot"`
+	View   View   `json:"view"`
+}
+
+type Accepting struct {
+	Number uint64 `json:"number"`
+	Ballot Ballot `json:"ballot"`
+	OK     bool   `json:"ok"`
+}
+
+type Forward struct {
+	View     uint64  `json:"view"`
+	Prev     uint64  `json:"prev"`
+	PrevView uint64  `json:"prevView"`
+	Entries  []Entry `json:"entries,omitempty"`
+	Copy     *Copy   `json:"copy,omitempty"`
+	Last     uint64  `json:"last"`
+	SentUs   int64   `json:"sentUs"`
+}
+
+type Ack struct {
+	View   uint64 `json:"view"`
+	Last   uint64 `json:"last"`
+	Commit uint64 `json:"commit"`
+	EchoUs int64  `json:"echoUs"`
+}
+
+type Lease struct {
+	View   uint64 `json:"view"`
+	SentUs int64  `json:"sentUs"`
+	Given  bool   `json:"given,omitempty"`
+}
+
+type Joining struct {
+	View uint64 `json:"view"`
+	Inc  string `json:"inc"`
+	Copy Copy   `json:"copy"`
+}
+
+type Msg struct {
+	From      Member         `json:"from"`
+	Inc       string         `json:"inc"`
+	ToID      string         `json:"toId,omitempty"`
+	Hello     *Hello         `json:"hello,omitempty"`
+	Prepare   *Prepare       `json:"prepare,omitempty"`
+	Promise   *Promise       `json:"promise,omitempty"`
+	Accept    *Accept        `json:"accept,omitempty"`
+	Accepting *Accepting     `json:"accepting,omitempty"`
+	Forward   *Forward       `json:"forward,omitempty"`
+	Ack       *Ack           `json:"ack,omitempty"`
+	Lease     *Lease         `json:"lease,omitempty"`
+	Joining   *Joining       `json:"joining,omitempty"`
+	Submit    *ledger.Change `json:"submit,omitempty"`
+}
+
+type Event struct {
+	NowUs  int64
+	Got    *Msg
+	Saved  uint64
+	Submit *ledger.Change
+	Learn  []string
+}
+
+type Effect struct {
+	Send    *Send
+	Save    *Save
+	Applied *Applied
+	Viewed  *View
+	Refused *Refused
+}
+
+type Send struct {
+	Addr string
+	Msg  Msg
+}
+
+type Save struct {
+	Seq     uint64
+	Records []Record
+	Fresh   bool
+}
+
+type Applied struct {
+	Entry   Entry
+	Outcome ledger.Outcome
+}
+
+type Refused struct {
+	ID     string
+	Reason string
+}
+
+type Options struct {
+	Me         Member
+	Inc        string
+	Founding   int
+	HelloUs    int64
+	SuspectUs  int64
+	LeaseUs    int64
+	LeaseCutUs int64
+	StallUs    int64
+	CompareUs  int64
+	GatherUs   int64
+	ResendUs   int64
+	KeepMost   int
+	BatchMost  int
+}
+
+func (o Options) filled() Options {
+	set := func(v *int64, usual int64) {
+		if *v == 0 {
+			*v = usual
+		}
+	}
+	set(&o.HelloUs, 100*clock.Ms)
+	set(&o.SuspectUs, 700*clock.Ms)
+	set(&o.LeaseUs, 1000*clock.Ms)
+	set(&o.LeaseCutUs, 100*clock.Ms)
+	set(&o.StallUs, 600*clock.Ms)
+	set(&o.CompareUs, 1500*clock.Ms)
+	set(&o.GatherUs, 2000*clock.Ms)
+	set(&o.ResendUs, 150*clock.Ms)
+	if o.KeepMost == 0 {
+		o.KeepMost = 4096
+	}
+	if o.BatchMost == 0 {
+		o.BatchMost = 256
+	}
+	return o
+}
--- /dev/null
+++ b/internal/chain/view.go
@@ -0,0 +1,599 @@
+package chain
+
+import (
+	"sort"
+)
+
+func (n *Node) tick() {
+	if n.nowUs-n.helloUs >= n.opts.HelloUs {
+		n.helloUs = n.nowUs
+		n.sayHello()
+		if n.IsTail() {
+			n.askLease()
+		}
+	}
+	if n.serving() {
+		n.forward(true)
+		n.ackBack()
+	}
+	n.compareNotes()
+	n.retryHeld()
+	n.judge()
+	n.offerCopy()
+}
+
+func (n *Node) known() map[string]Member {
+	all := map[string]Member{}
+	for _, m := range n.view.Voters {
+		all[m.ID] = m
+	}
+	for _, s := range n.view.Order {
+		all[s.ID] = s.Member
+	}
+	for id, p := range n.partners {
+		if n.nowUs-p.heardUs < 30*n.opts.SuspectUs {
+			all[id] = p.hello.Me
+		}
+	}
+	delete(all, n.opts.Me.ID)
+	return all
+}
+
+func (n *Node) sayHello() {
+	h := Hello{
+		Me: n.opts.Me, Inc: n.opts.Inc, Phase: n.phase, View: n.view, Last: n.lastIndex(), LastView: n.lastView(),
+		Compared: n.compared, Stalled: n.stalled(), Promised: n.promised, Accepted: n.accepted,
+		Founders: n.founders, CopyIndex: n.copyHeld,
+	}
+	for _, id := range n.partnerIDs() {
+		if n.Hears(id) {
+			h.Hears = append(h.Hears, id)
+		}
+	}
+	reached := map[string]bool{n.opts.Me.Addr: true}
+	all := n.known()
+	ids := make([]string, 0, len(all))
+	for id := range all {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		reached[all[id].Addr] = true
+		n.send(all[id], Msg{Hello: &h})
+	}
+	addrs := make([]string, 0, len(n.learned))
+	for addr := range n.learned {
+		addrs = append(addrs, addr)
+	}
+	sort.Strings(addrs)
+	for _, addr := range addrs {
+		if !reached[addr] {
+			n.send(Member{Addr: addr}, Msg{Hello: &h})
+		}
+	}
+}
+
+func (n *Node) gotHello(m Msg, h Hello) {
+	if h.Me.ID == n.opts.Me.ID {
+		return
+	}
+	p := n.partners[h.Me.ID]
+	if p == nil || p.hello.Inc != h.Inc {
+		p = &partner{sinceUs: n.nowUs, deafUs: n.nowUs}
+		n.partners[h.Me.ID] = p
+	}
+	p.hello, p.heardUs = h, n.nowUs
+	for _, id := range h.Hears {
+		if id == n.opts.Me.ID {
+			p.deafUs = n.nowUs
+		}
+	}
+	if h.View.Number > n.view.Number {
+		n.install(h.View)
+	}
+	if n.phase == Waking && !n.compared && h.View.Number == n.view.Number {
+		if n.promised.Less(h.Promised) {
+			n.promised = h.Promised
+			n.round = max(n.round, h.Promised.Round)
+		}
+		if h.Accepted != nil && (n.accepted == nil || n.accepted.Ballot.Less(h.Accepted.Ballot)) && !h.Accepted.Ballot.Less(n.promised) {
+			n.accepted = h.Accepted
+			n.save([]Record{{Accepted: n.accepted}}, 0, nil)
+		}
+	}
+}
+
+// compareNotes lets a restarted office vote again only after it has heard the
+// other voters of this boot, or waited for those that do not come back.
+func (n *Node) compareNotes() {
+	if n.compared || n.phase == Fresh {
+		return
+	}
+	heard, wanted := 0, 0
+	for _, v := range n.view.Voters {
+		if v.ID == n.opts.Me.ID {
+			continue
+		}
+		wanted++
+		if n.Hears(v.ID) {
+			heard++
+		}
+	}
+	waited := n.nowUs-n.bootUs >= n.opts.CompareUs && heard+1 >= n.view.Quorum()
+	if heard == wanted || waited || n.view.Number == 0 {
+		n.compared = true
+	}
+}
+
+func (n *Node) sound(s Seat) bool {
+	if s.ID == n.opts.Me.ID {
+		return s.Inc == n.opts.Inc && !n.stalled()
+	}
+	p := n.partners[s.ID]
+	if p == nil {
+		return n.nowUs-n.viewedUs < n.opts.SuspectUs
+	}
+	if n.nowUs-p.heardUs >= n.opts.SuspectUs || p.hello.Inc != s.Inc || p.hello.Stalled {
+		return false
+	}
+	return n.nowUs-p.deafUs < 2*n.opts.SuspectUs
+}
+
+func (n *Node) judge() {
+	if n.proposal != nil && n.nowUs-n.proposal.startUs > 4*n.opts.SuspectUs {
+		n.proposal = nil
+	}
+	switch {
+	case n.phase == Fresh:
+		n.judgeFounding()
+	case n.serving():
+		n.judgeView()
+	case n.phase == Waking && n.compared:
+		n.judgeWaking()
+	}
+}
+
+func (n *Node) judgeFounding() {
+	if n.opts.Founding == 0 || n.stalled() {
+		return
+	}
+	founders := []Member{n.opts.Me}
+	for _, id := range n.partnerIDs() {
+		p := n.partners[id]
+		if p.hello.Phase != Fresh || p.hello.View.Number > 0 {
+			return
+		}
+		if n.Hears(id) {
+			founders = append(founders, p.hello.Me)
+		}
+	}
+	sort.Slice(founders, func(i, j int) bool { return founders[i].ID < founders[j].ID })
+	n.founders = founders
+	if len(founders) != n.opts.Founding {
+		return
+	}
+	order := make([]Seat, 0, len(founders))
+	for _, f := range founders {
+		inc := n.opts.Inc
+		if f.ID != n.opts.Me.ID {
+			h := n.partners[f.ID].hello
+			if !sameMembers(h.Founders, founders) {
+				return
+			}
+			inc = h.Inc
+		}
+		order = append(order, Seat{Member: f, Inc: inc})
+	}
+	if len(n.view.Voters) == 0 {
+		n.view = View{Voters: founders}
+		n.compared = true
+	}
+	if founders[0].ID == n.opts.Me.ID {
+		n.propose(View{Number: 1, Voters: founders, Order: order})
+	}
+}
+
+func sameMembers(a, b []Member) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].ID != b[i].ID {
+			return false
+		}
+	}
+	return true
+}
+
+// judgeView removes unsound seats, seats a joiner that holds a copy, and gives
+// the vote of a lost office to the empty one that came under its name.
+func (n *Node) judgeView() {
+	if n.stalled() {
+		return
+	}
+	want := View{Number: n.view.Number + 1, Voters: n.view.Voters}
+	var rank int64
+	for _, s := range n.view.Order {
+		if s.ID == n.opts.Me.ID {
+			break
+		}
+		if n.sound(s) {
+			rank++
+		}
+	}
+	for _, s := range n.view.Order {
+		if n.sound(s) {
+			want.Order = append(want.Order, s)
+		}
+	}
+	changed := len(want.Order) != len(n.view.Order)
+	if !changed {
+		if seat, ok := n.joiner(); ok {
+			want.Order = append(append([]Seat(nil), n.view.Order...), seat)
+			changed = true
+		}
+	}
+	if !changed {
+		if voters, ok := n.newVoters(); ok {
+			want.Voters = voters
+			changed = true
+		}
+	}
+	if !changed || len(want.Order) == 0 {
+		n.quietUs = n.nowUs
+		return
+	}
+	if n.nowUs-n.quietUs < rank*250_000 {
+		return
+	}
+	n.propose(want)
+}
+
+func (n *Node) joiner() (Seat, bool) {
+	for _, id := range n.partnerIDs() {
+		p := n.partners[id]
+		if n.view.Seated(id) || !n.Hears(id) || p.hello.Stalled || p.hello.View.Number != n.view.Number {
+			continue
+		}
+		if p.hello.Phase != Outside && p.hello.Phase != Waking {
+			continue
+		}
+		if p.hello.CopyIndex == 0 || p.hello.CopyIndex+uint64(n.opts.KeepMost) < n.commit || !n.hearsAll(p.hello) {
+			continue
+		}
+		if !n.view.Votes(id) && !n.standsIn(p.hello.Me) {
+			continue
+		}
+		return Seat{Member: p.hello.Me, Inc: p.hello.Inc}, true
+	}
+	return Seat{}, false
+}
+
+func (n *Node) hearsAll(h Hello) bool {
+	hears := map[string]bool{}
+	for _, id := range h.Hears {
+		hears[id] = true
+	}
+	for _, s := range n.view.Order {
+		if !hears[s.ID] {
+			return false
+		}
+	}
+	return true
+}
+
+// standsIn: an office of a new identity may take the vote of a silent one of the same name.
+func (n *Node) standsIn(m Member) bool {
+	for _, v := range n.view.Voters {
+		if v.Name == m.Name && v.ID != m.ID && !n.view.Seated(v.ID) && !n.hearsFor(v.ID, 3*n.opts.SuspectUs) && n.nowUs-n.viewedUs > n.opts.SuspectUs {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) hearsFor(id string, spanUs int64) bool {
+	p := n.partners[id]
+	return p != nil && n.nowUs-p.heardUs < spanUs
+}
+
+func (n *Node) newVoters() ([]Member, bool) {
+	for _, s := range n.view.Order {
+		if n.view.Votes(s.ID) {
+			for i, v := range n.view.Voters {
+				if v.ID == s.ID && v.Addr != s.Addr {
+					voters := append([]Member(nil), n.view.Voters...)
+					voters[i] = s.Member
+					return voters, true
+				}
+			}
+			continue
+		}
+		for i, v := range n.view.Voters {
+			if v.Name == s.Name && !n.view.Seated(v.ID) {
+				voters := append([]Member(nil), n.view.Voters...)
+				voters[i] = s.Member
+				return voters, true
+			}
+		}
+	}
+	return nil, false
+}
+
+// judgeWaking runs when nobody serves: the members of the newest view compare
+// their logs, and the longest intact one goes first.
+func (n *Node) judgeWaking() {
+	type candidate struct {
+		seat           Seat
+		last, lastView uint64
+	}
+	found := []candidate{}
+	heardVoters := 0
+	if n.view.Votes(n.opts.Me.ID) {
+		heardVoters = 1
+	}
+	for _, id := range n.partnerIDs() {
+		p := n.partners[id]
+		if !n.Hears(id) {
+			continue
+		}
+		if p.hello.Phase == Serving {
+			return
+		}
+		if n.view.Votes(id) {
+			heardVoters++
+		}
+		if n.view.Seated(id) && p.hello.Phase == Waking && p.hello.View.Number == n.view.Number {
+			found = append(found, candidate{Seat{p.hello.Me, p.hello.Inc}, p.hello.Last, p.hello.LastView})
+		}
+	}
+	if !n.view.Seated(n.opts.Me.ID) || n.stalled() {
+		return
+	}
+	found = append(found, candidate{Seat{n.opts.Me, n.opts.Inc}, n.lastIndex(), n.lastView()})
+	gathered := len(found) == len(n.view.Order)
+	if heardVoters < n.view.Quorum() || (!gathered && n.nowUs-n.bootUs < n.opts.GatherUs) {
+		return
+	}
+	sort.Slice(found, func(i, j int) bool {
+		a, b := found[i], found[j]
+		if a.lastView != b.lastView {
+			return a.lastView > b.lastView
+		}
+		if a.last != b.last {
+			return a.last > b.last
+		}
+		return a.seat.ID < b.seat.ID
+	})
+	if found[0].seat.ID != n.opts.Me.ID {
+		return
+	}
+	want := View{Number: n.view.Number + 1, Voters: n.view.Voters}
+	for _, c := range found {
+		want.Order = append(want.Order, c.seat)
+	}
+	n.propose(want)
+}
+
+func (n *Node) propose(want View) {
+	if n.proposal != nil && n.proposal.number == want.Number {
+		if n.nowUs-n.proposal.startUs < n.opts.SuspectUs+n.opts.LeaseUs {
+			return
+		}
+	}
+	n.round = max(n.round, n.promised.Round) + 1
+	n.proposal = &proposal{
+		number: want.Number, ballot: Ballot{Round: n.round, By: n.opts.Me.ID}, want: want,
+		promises: map[string]*Accepted{}, accepts: map[string]bool{}, asking: true, startUs: n.nowUs,
+	}
+	ballot := n.proposal.ballot
+	for _, v := range n.view.Voters {
+		n.send(v, Msg{Prepare: &Prepare{Number: want.Number, Ballot: ballot}})
+	}
+}
+
+func (n *Node) gotPrepare(m Msg, p Prepare) {
+	if p.Number != n.view.Number+1 || !n.compared || !n.view.Votes(n.opts.Me.ID) {
+		return
+	}
+	if !n.promised.Less(p.Ballot) {
+		n.send(m.From, Msg{Promise: &Promise{Number: p.Number, Ballot: p.Ballot, Promised: n.promised}})
+		return
+	}
+	n.promised = p.Ballot
+	n.round = max(n.round, p.Ballot.Round)
+	reply := Promise{Number: p.Number, Ballot: p.Ballot, OK: true, Promised: p.Ballot, Accepted: n.accepted}
+	records := []Record{{Promised: &reply.Promised}}
+	if n.view.Number == 0 {
+		records = append([]Record{{View: &View{Voters: n.view.Voters}}}, records...)
+	}
+	n.save(records, 0, func() { n.send(m.From, Msg{Promise: &reply}) })
+}
+
+func (n *Node) gotPromise(m Msg, p Promise) {
+	c := n.proposal
+	if c == nil || p.Number != c.number || p.Ballot != c.ballot || !c.asking {
+		return
+	}
+	if !p.OK {
+		n.round = max(n.round, p.Promised.Round)
+		n.proposal = nil
+		return
+	}
+	c.promises[m.From.ID] = p.Accepted
+	if len(c.promises) < n.view.Quorum() {
+		return
+	}
+	c.asking = false
+	c.chosen = c.want
+	var best *Accepted
+	for _, a := range c.promises {
+		if a != nil && (best == nil || best.Ballot.Less(a.Ballot)) {
+			best = a
+		}
+	}
+	if best != nil {
+		c.chosen = best.View
+	}
+	ballot, chosen := c.ballot, c.chosen
+	for _, v := range n.view.Voters {
+		n.send(v, Msg{Accept: &Accept{Number: p.Number, Ballot: ballot, View: chosen}})
+	}
+}
+
+func (n *Node) gotAccept(m Msg, a Accept) {
+	if a.Number != n.view.Number+1 || !n.compared || !n.view.Votes(n.opts.Me.ID) {
+		return
+	}
+	if a.Ballot.Less(n.promised) {
+		n.send(m.From, Msg{Accepting: &Accepting{Number: a.Number, Ballot: a.Ballot}})
+		return
+	}
+	n.promised = a.Ballot
+	oldTail, newTail := n.view.Tail(), a.View.Tail()
+	sameTail := oldTail.ID == newTail.ID && oldTail.Inc == newTail.Inc
+	if !sameTail && n.view.Number > 0 && n.nowUs < n.guardUs {
+		held := m
+		n.held = &held
+		return
+	}
+	n.held = nil
+	n.accepted = &Accepted{Ballot: a.Ballot, View: a.View}
+	n.save([]Record{{Accepted: n.accepted}}, 0, func() {
+		n.send(m.From, Msg{Accepting: &Accepting{Number: a.Number, Ballot: a.Ballot, OK: true}})
+	})
+}
+
+func (n *Node) retryHeld() {
+	if n.held == nil || n.nowUs < n.guardUs {
+		return
+	}
+	m := *n.held
+	n.held = nil
+	n.gotAccept(m, *m.Accept)
+}
+
+func (n *Node) gotAccepting(m Msg, a Accepting) {
+	c := n.proposal
+	if c == nil || a.Number != c.number || a.Ballot != c.ballot || c.asking {
+		return
+	}
+	if !a.OK {
+		n.proposal = nil
+		return
+	}
+	c.accepts[m.From.ID] = true
+	if len(c.accepts) >= n.view.Quorum() {
+		n.install(c.chosen)
+		n.sayHello()
+	}
+}
+
+func (n *Node) install(v View) {
+	if v.Number <= n.view.Number {
+		return
+	}
+	wasTail := n.IsTail()
+	leaseUs := n.leaseUs
+	n.view, n.promised, n.accepted, n.proposal, n.held = v, Ballot{}, nil, nil, nil
+	n.viewedUs, n.quietUs = n.nowUs, n.nowUs
+	n.succKnown, n.succLast, n.succSent = false, 0, 0
+	n.openKnown, n.openAt, n.leases, n.leaseUs = false, 0, map[string]int64{}, 0
+	n.echoUs, n.tailEchoUs = 0, 0
+	n.compared = n.compared || n.phase != Waking
+	n.copyHeld = 0
+	switch {
+	case n.place() >= 0:
+		n.phase = Serving
+	case n.phase != Waking || !v.Seated(n.opts.Me.ID):
+		n.phase = Outside
+	}
+	held := v
+	n.save([]Record{{View: &held}}, 0, nil)
+	n.effects = append(n.effects, Effect{Viewed: &held})
+	if n.IsTail() {
+		if wasTail {
+			n.leaseUs = leaseUs
+			n.openKnown, n.openAt = true, n.commit
+		}
+		if n.IsHead() {
+			n.openKnown, n.openAt = true, n.lastIndex()
+		}
+		n.commitTo(n.synced)
+		n.askLease()
+	}
+	if n.serving() {
+		n.forward(true)
+		n.ackBack()
+	}
+}
+
+func (n *Node) askLease() {
+	for _, v := range n.view.Voters {
+		n.send(v, Msg{Lease: &Lease{View: n.view.Number, SentUs: n.nowUs}})
+	}
+}
+
+func (n *Node) gotLease(m Msg, l Lease) {
+	if l.View != n.view.Number {
+		return
+	}
+	if l.Given {
+		if n.IsTail() {
+			n.leases[m.From.ID] = max(n.leases[m.From.ID], l.SentUs)
+			n.countLease()
+		}
+		return
+	}
+	tail := n.view.Tail()
+	if m.From.ID != tail.ID || m.Inc != tail.Inc || n.held != nil || !n.compared || !n.view.Votes(n.opts.Me.ID) {
+		return
+	}
+	n.guardUs = max(n.guardUs, n.nowUs+n.opts.LeaseUs)
+	n.send(m.From, Msg{Lease: &Lease{View: l.View, SentUs: l.SentUs, Given: true}})
+}
+
+func (n *Node) countLease() {
+	times := []int64{}
+	for _, v := range n.view.Voters {
+		if sentUs, ok := n.leases[v.ID]; ok {
+			times = append(times, sentUs)
+		}
+	}
+	if len(times) < n.view.Quorum() {
+		return
+	}
+	sort.Slice(times, func(i, j int) bool { return times[i] > times[j] })
+	n.leaseUs = max(n.leaseUs, times[n.view.Quorum()-1]+n.opts.LeaseUs-n.opts.LeaseCutUs)
+}
+
+// offerCopy is the tail's: it has applied everything that was ever acknowledged.
+func (n *Node) offerCopy() {
+	if !n.Open(n.nowUs) || n.nowUs-n.joinAtUs < 2*n.opts.HelloUs {
+		return
+	}
+	for _, id := range n.partnerIDs() {
+		p := n.partners[id]
+		if n.view.Seated(id) || !n.Hears(id) || p.hello.Phase == Serving || p.hello.Stalled {
+			continue
+		}
+		seated := n.view.Votes(id) || n.standsIn(p.hello.Me)
+		stale := p.hello.CopyIndex == 0 || p.hello.CopyIndex+uint64(n.opts.KeepMost)/2 < n.commit
+		if !seated || !stale || p.hello.View.Number != n.view.Number {
+			continue
+		}
+		n.joinAtUs = n.nowUs
+		n.send(p.hello.Me, Msg{Joining: &Joining{View: n.view.Number, Inc: p.hello.Inc, Copy: *n.copyNow()}})
+	}
+}
+
+func (n *Node) gotJoining(m Msg, j Joining) {
+	tail := n.view.Tail()
+	if n.serving() || j.View != n.view.Number || j.Inc != n.opts.Inc || m.From.ID != tail.ID || m.Inc != tail.Inc {
+		return
+	}
+	if n.phase == Waking {
+		n.phase = Outside
+	}
+	n.takeCopy(j.Copy)
+}
--- /dev/null
+++ b/internal/desk/calls.go
@@ -0,0 +1,509 @@
+package desk
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"petreltide/internal/clock"
+	"petreltide/internal/deskwork"
+	"petreltide/internal/fault"
+	"petreltide/internal/ledger"
+	"petreltide/internal/office"
+	"petreltide/internal/pipe"
+	"petreltide/internal/wire"
+)
+
+// CallAsk is what a caller sends.
+type CallAsk struct {
+	Kind     string   `json:"kind"`
+	Model    string   `json:"model"`
+	Adapter  string   `json:"adapter,omitempty"`
+	Prefix   []string `json:"prefix,omitempty"`
+	Prompt   string   `json:"prompt"`
+	ExpiryMs int64    `json:"expiryMs,omitempty"`
+	Resume   *bool    `json:"resumable,omitempty"`
+	Had      []string `json:"had,omitempty"`
+	MostOut  int      `json:"mostOut,omitempty"`
+}
+
+const (
+	prefixPartsMost = 64
+	keyMost         = 200
+)
+
+func (h *Host) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/calls", h.serveCall)
+	mux.HandleFunc("GET /v1/status", h.status)
+	mux.HandleFunc("GET /v1/log", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(h.ring.Bytes()) })
+	pipe.Serve(mux, pipe.WherePath, func(context.Context, *wire.WhereAsk) (*wire.Where, error) {
+		if w := h.where.Load(); w != nil {
+			return w, nil
+		}
+		return &wire.Where{}, nil
+	})
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		refuse(w, http.StatusNotFound, fault.New(fault.NotFound, "path", "%s %s", r.Method, r.URL.Path))
+	})
+	return mux
+}
+
+func (h *Host) status(w http.ResponseWriter, _ *http.Request) {
+	var note deskwork.Note
+	h.ask(func() { note = h.decider.Note() })
+	tail := h.tail()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{"desk": h.set.Name, "inc": h.inc, "zone": h.set.Zone, "tail": tail.ID, "work": note})
+}
+
+func refuse(w http.ResponseWriter, status int, f *fault.Fault) {
+	if f.Run == "" {
+		f.Run = fault.RunNone
+	}
+	if f.RetryMs > 0 {
+		w.Header().Set("Retry-After", strconv.FormatInt((f.RetryMs+999)/1000, 10))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(map[string]any{"error": f})
+}
+
+func statusOf(f *fault.Fault) int {
+	switch f.Code {
+	case fault.BadJSON, fault.BadField, fault.BadLastEventID, fault.PastExpiry:
+		return http.StatusBadRequest
+	case fault.UnknownKind, fault.UnknownModel, fault.UnknownAdapter:
+		return http.StatusNotFound
+	case fault.TooLarge:
+		return http.StatusRequestEntityTooLarge
+	case fault.KeyRunning, fault.KeyUnknown, fault.KeyEnded:
+		return http.StatusConflict
+	case fault.Expired:
+		return http.StatusGatewayTimeout
+	case fault.ReplicaFailed, fault.Unknown, fault.Broken:
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
+}
+
+// read checks everything that can be checked without asking the decider.
+func (h *Host) read(w http.ResponseWriter, r *http.Request) (*CallAsk, *deskwork.Call, *fault.Fault) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(h.set.BodyMaxKb)<<10))
+	if err != nil {
+		if _, ok := err.(*http.MaxBytesError); ok {
+			return nil, nil, fault.New(fault.TooLarge, "", "a body may have %d KiB", h.set.BodyMaxKb)
+		}
+		return nil, nil, fault.New(fault.BadJSON, "", "%v", err)
+	}
+	ask := &CallAsk{}
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(ask); err != nil {
+		field := ""
+		if e, ok := err.(*json.UnmarshalTypeError); ok {
+			field = e.Field
+		} else if _, name, found := strings.Cut(err.Error(), "unknown field "); found {
+			field = strings.Trim(name, `"`)
+		}
+		return nil, nil, fault.New(fault.BadJSON, field, "%v", err)
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return nil, nil, fault.New(fault.BadJSON, "", "more than one JSON value")
+	}
+	s := h.snap.Load()
+	if s == nil || s.Doc == nil {
+		f := fault.New(fault.NoLease, "", "this desk has no declaration yet")
+		f.RetryMs = 500
+		return nil, nil, f
+	}
+	kind := s.Doc.Kind(ask.Kind)
+	adapter := s.Doc.Adapter(ask.Adapter)
+	switch {
+	case kind == nil:
+		return nil, nil, fault.New(fault.UnknownKind, "kind", "no kind %q", ask.Kind)
+	case s.Doc.Model(ask.Model) == nil:
+		return nil, nil, fault.New(fault.UnknownModel, "model", "no model %q", ask.Model)
+	case ask.Adapter != "" && (adapter == nil || adapter.Model != ask.Model):
+		return nil, nil, fault.New(fault.UnknownAdapter, "adapter", "no adapter %q of model %q", ask.Adapter, ask.Model)
+	case ask.Prompt == "":
+		return nil, nil, fault.New(fault.BadField, "prompt", "it is empty")
+	case len(ask.Prefix) > prefixPartsMost:
+		return nil, nil, fault.New(fault.BadField, "prefix", "%d parts, at most %d", len(ask.Prefix), prefixPartsMost)
+	case ask.ExpiryMs < 0:
+		return nil, nil, fault.New(fault.PastExpiry, "expiryMs", "it is %d ms in the past", -ask.ExpiryMs)
+	case ask.MostOut < 0:
+		return nil, nil, fault.New(fault.BadField, "mostOut", "it is negative")
+	case len(r.Header.Get("Idempotency-Key")) > keyMost:
+		return nil, nil, fault.New(fault.BadField, "Idempotency-Key", "longer than %d bytes", keyMost)
+	}
+	expiryMs := kind.ExpiryMs
+	if ask.ExpiryMs > 0 {
+		expiryMs = min(ask.ExpiryMs, kind.ExpiryMs)
+	}
+	nowUs := clock.NowUs()
+	c := &deskwork.Call{
+		ID: h.set.Name + "-" + office.RandomID(8), Kind: kind.Name, Urgency: kind.Urgency, Model: ask.Model, Adapter: ask.Adapter,
+		Prefix: ask.Prefix, Resumable: kind.Resumable && (ask.Resume == nil || *ask.Resume), TakenUs: nowUs, ExpiryUs: nowUs + expiryMs*1000,
+	}
+	if f := resumeAt(r.Header.Get("Last-Event-Id"), ask, c); f != nil {
+		return nil, nil, f
+	}
+	return ask, c, nil
+}
+
+// resumeAt lets a caller go on at any desk: it names the last piece and sends all it holds.
+func resumeAt(last string, ask *CallAsk, c *deskwork.Call) *fault.Fault {
+	if last == "" {
+		if len(ask.Had) > 0 {
+			return fault.New(fault.BadLastEventID, "Last-Event-Id", "pieces are sent without it")
+		}
+		return nil
+	}
+	n, err := strconv.Atoi(last)
+	switch {
+	case err != nil || n < 0 || strconv.Itoa(n) != last:
+		return fault.New(fault.BadLastEventID, "Last-Event-Id", "%q is not a piece number", last)
+	case !c.Resumable:
+		return fault.New(fault.BadLastEventID, "Last-Event-Id", "calls of kind %q cannot be resumed", c.Kind)
+	case n != len(ask.Had):
+		return fault.New(fault.BadLastEventID, "had", "%d pieces are sent, the last one named is %d", len(ask.Had), n)
+	}
+	c.Had = n
+	c.Progress.Store(int64(n))
+	return nil
+}
+
+type stream struct {
+	w      http.ResponseWriter
+	flush  func() error
+	opened bool
+	failed bool
+	pieces []string
+}
+
+func (s *stream) open() {
+	if s.opened {
+		return
+	}
+	s.opened = true
+	s.w.Header().Set("Content-Type", "text/event-stream")
+	s.w.Header().Set("Cache-Control", "no-store")
+	s.w.WriteHeader(http.StatusOK)
+}
+
+func (s *stream) event(id int, name string, v any) {
+	s.open()
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	var b bytes.Buffer
+	if id > 0 {
+		b.WriteString("id: " + strconv.Itoa(id) + "\n")
+	}
+	b.WriteString("event: " + name + "\ndata: ")
+	b.Write(raw)
+	b.WriteString("\n\n")
+	if _, err := s.w.Write(b.Bytes()); err != nil {
+		s.failed = true
+		return
+	}
+	if err := s.flush(); err != nil {
+		s.failed = true
+	}
+}
+
+func (s *stream) fail(f *fault.Fault) {
+	if !s.opened {
+		refuse(s.w, statusOf(f), f)
+		return
+	}
+	s.event(0, "broken", map[string]any{"error": f, "pieces": len(s.pieces)})
+}
+
+func (h *Host) serveCall(w http.ResponseWriter, r *http.Request) {
+	h.calls.Add(1)
+	defer h.calls.Add(-1)
+	ask, c, bad := h.read(w, r)
+	if bad != nil {
+		refuse(w, statusOf(bad), bad)
+		return
+	}
+	key := r.Header.Get("Idempotency-Key")
+	keyed := key != "" && !c.Resumable
+	if keyed {
+		if f := h.claim(r.Context(), key, c); f != nil {
+			refuse(w, statusOf(f), f)
+			return
+		}
+	}
+	s := &stream{w: w, flush: http.NewResponseController(w).Flush, pieces: append([]string(nil), ask.Had...)}
+	end := h.follow1(r.Context(), ask, c, s)
+	if keyed {
+		h.endKey(key, c, end)
+	}
+}
+
+// follow1 takes one call through the decider and its legs to the one final answer.
+func (h *Host) follow1(ctx context.Context, ask *CallAsk, c *deskwork.Call, s *stream) string {
+	mine := &caller{next: make(chan deskwork.Effect, 4)}
+	if !h.ask(func() {
+		h.waiting[c.ID] = mine
+		h.step(deskwork.Event{Arrived: c})
+	}) {
+		s.fail(&fault.Fault{Code: fault.Draining, Run: fault.RunNone, RetryMs: 200})
+		return fault.RunNone
+	}
+	defer h.ask(func() { delete(h.waiting, c.ID) })
+	ran := fault.RunNone
+	for {
+		var e deskwork.Effect
+		select {
+		case e = <-mine.next:
+		case <-ctx.Done():
+			h.ask(func() { h.step(deskwork.Event{Gone: c.ID}) })
+			select {
+			case e = <-mine.next:
+			default:
+				return ran
+			}
+			if e.Start != nil {
+				h.tell(deskwork.Event{Ended: &deskwork.Ended{Call: c.ID, Leg: e.Start.Leg, Ending: deskwork.Unsent}})
+			}
+			return ran
+		}
+		if e.Give != nil {
+			if len(s.pieces) > len(ask.Had) {
+				e.Give.Fault.Run = fault.RunPartial
+			} else if ran != fault.RunNone {
+				e.Give.Fault.Run = ran
+			}
+			s.fail(e.Give.Fault)
+			return e.Give.Fault.Run
+		}
+		ending, why := h.runLeg(ctx, ask, c, *e.Start, mine, s)
+		h.tell(deskwork.Event{Ended: &deskwork.Ended{Call: c.ID, Leg: e.Start.Leg, Ending: ending}})
+		switch ending {
+		case deskwork.Done:
+			s.event(0, "end", map[string]any{"pieces": len(s.pieces)})
+			return fault.RunYes
+		case deskwork.Unsent, deskwork.Refused:
+			continue
+		}
+		ran = fault.RunUnknown
+		if c.Resumable && ctx.Err() == nil && !s.failed {
+			continue
+		}
+		if ctx.Err() != nil || s.failed {
+			return ran
+		}
+		f := fault.New(fault.Unknown, "", "%s", why)
+		f.Run = fault.RunUnknown
+		if ending == deskwork.Final {
+			f.Code = fault.Expired
+		} else if s.opened {
+			f.Code, f.Run = fault.Broken, fault.RunPartial
+		}
+		s.fail(f)
+		return f.Run
+	}
+}
+
+func legNumber(leg string) string { return leg[strings.LastIndexByte(leg, '/')+1:] }
+
+// runLeg obeys one decision. Only when no byte can have left, or the replica itself said that
+// it did not start, is the ending one that lets the call run elsewhere.
+func (h *Host) runLeg(ctx context.Context, ask *CallAsk, c *deskwork.Call, st deskwork.Start, mine *caller, s *stream) (deskwork.Ending, string) {
+	legCtx, cancel := context.WithDeadline(ctx, time.Now().Add(time.Duration(c.ExpiryUs-clock.NowUs())*time.Microsecond))
+	defer cancel()
+	h.ask(func() { mine.arm(cancel) })
+	defer h.ask(func() { mine.arm(nil) })
+	raw, err := json.Marshal(wire.Leg{
+		Leg: st.Leg, Ticket: st.Ticket, Inc: st.Inc, Call: c.ID, Model: c.Model, Adapter: c.Adapter,
+		Prefix: ask.Prefix, Prompt: ask.Prompt, Had: s.pieces, First: len(s.pieces) + 1, MostOut: ask.MostOut,
+	})
+	if err != nil {
+		panic(err)
+	}
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	body := &checked{h: h, st: st, c: c, r: bytes.NewReader(raw)}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(legCtx, trace), http.MethodPost, "http://"+st.Addr+"/v1/legs", io.NopCloser(body))
+	if err != nil {
+		return deskwork.Unsent, err.Error()
+	}
+	req.ContentLength = int64(len(raw))
+	req.Header.Set("Content-Type", "application/json")
+	if !h.maySend(st, c) {
+		return deskwork.Unsent, "the news changed before it was sent"
+	}
+	res, err := h.legs.Do(req)
+	if err != nil {
+		if !connected.Load() || body.held.Load() {
+			return deskwork.Unsent, err.Error()
+		}
+		h.settleLeg(st)
+		return h.endingOf(legCtx, ctx, c), err.Error()
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		refusal := wire.LegRefusal{Started: true}
+		answer, readErr := io.ReadAll(io.LimitReader(res.Body, 1<<16))
+		if readErr == nil && json.Unmarshal(answer, &refusal) == nil && refusal.Code != "" && !refusal.Started {
+			return deskwork.Refused, refusal.Code
+		}
+		return deskwork.Unknown, "the replica answered " + res.Status
+	}
+	ending, why := h.readPieces(c, st, s, res.Body)
+	if ending == deskwork.Done {
+		return ending, ""
+	}
+	stopped := legCtx.Err() != nil
+	cancel()
+	h.settleLeg(st)
+	if stopped {
+		return h.endingOf(legCtx, ctx, c), "the leg was stopped"
+	}
+	return ending, why
+}
+
+func (h *Host) endingOf(legCtx, ctx context.Context, c *deskwork.Call) deskwork.Ending {
+	switch {
+	case ctx.Err() != nil:
+		return deskwork.Unknown
+	case clock.NowUs() >= c.ExpiryUs:
+		return deskwork.Final
+	case legCtx.Err() != nil && c.Resumable:
+		return deskwork.Moved
+	}
+	return deskwork.Unknown
+}
+
+func (h *Host) maySend(st deskwork.Start, c *deskwork.Call) bool {
+	s := h.snap.Load()
+	return clock.NowUs() < h.leaseUs.Load() && s.Takes(st.Replica, st.Inc, c.Model, c.Adapter)
+}
+
+// checked looks at the lease and the newest news once more when the first byte is asked for.
+type checked struct {
+	h    *Host
+	st   deskwork.Start
+	c    *deskwork.Call
+	r    *bytes.Reader
+	seen bool
+	held atomic.Bool
+}
+
+func (b *checked) Read(p []byte) (int, error) {
+	if !b.seen {
+		b.seen = true
+		if !b.h.maySend(b.st, b.c) {
+			b.held.Store(true)
+			return 0, fault.New(fault.NoLease, "", "the news changed before it was sent")
+		}
+	}
+	return b.r.Read(p)
+}
+
+func (h *Host) readPieces(c *deskwork.Call, st deskwork.Start, s *stream, body io.Reader) (deskwork.Ending, string) {
+	dec := json.NewDecoder(body)
+	for {
+		var p wire.Piece
+		if err := dec.Decode(&p); err != nil {
+			return deskwork.Broken, "the replica's stream ended early: " + err.Error()
+		}
+		switch {
+		case p.Leg != st.Leg:
+			_ = h.log.Log("event", "foreign leg", "want", st.Leg, "got", p.Leg, "replica", st.Replica)
+			return deskwork.Broken, "the replica answered with another leg"
+		case p.Err != "":
+			return deskwork.Broken, "the replica failed: " + p.Err
+		case p.End:
+			if p.N != len(s.pieces) {
+				return deskwork.Broken, "the end names a wrong number of pieces"
+			}
+			return deskwork.Done, ""
+		case p.N != len(s.pieces)+1:
+			return deskwork.Broken, "a piece is missing or repeated"
+		}
+		s.pieces = append(s.pieces, p.Text)
+		c.Progress.Store(int64(len(s.pieces)))
+		s.event(len(s.pieces), "piece", map[string]any{"text": p.Text})
+		if s.failed {
+			return deskwork.Broken, "the caller is gone"
+		}
+	}
+}
+
+// settleLeg tells the replica that nobody waits any more and returns when it says the leg is
+// over, so that the slot is free when it is counted free.
+func (h *Host) settleLeg(st deskwork.Start) {
+	ctx, done := context.WithTimeout(h.ctx, cancelWait)
+	defer done()
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+st.Addr+"/v1/legs/"+legNumber(st.Leg)+"?inc="+st.Inc, nil)
+	if err != nil {
+		return
+	}
+	res, err := h.inner.Do(req)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, 1<<12))
+	_ = res.Body.Close()
+}
+
+func (h *Host) claim(ctx context.Context, key string, c *deskwork.Call) *fault.Fault {
+	change := ledger.Change{ID: "key-" + c.ID, Key: &ledger.KeyChange{Key: key, Desk: h.set.Name, DeskInc: h.inc, Call: c.ID}}
+	result, err := h.Submit(ctx, change)
+	if err != nil {
+		f := fault.New(fault.Overloaded, "Idempotency-Key", "the key could not be claimed in time")
+		f.Run, f.RetryMs = fault.RunNone, 1000
+		h.free(key, c)
+		return f
+	}
+	out := result.Outcome
+	if out.Fault != nil {
+		out.Fault.Run, out.Fault.RetryMs = fault.RunNone, 2000
+		return out.Fault
+	}
+	if out.Key == nil || !out.Again {
+		return nil
+	}
+	f := fault.New(fault.KeyRunning, "Idempotency-Key", "a call with this key was taken by desk %s", out.Key.Desk)
+	f.Run = fault.RunUnknown
+	if out.Key.Ended != "" {
+		f.Code, f.Run = fault.KeyEnded, out.Key.Ended
+		f.Detail = "the call with this key has ended"
+	} else if out.Key.Desk == h.set.Name && out.Key.DeskInc != h.inc {
+		f.Code, f.Detail = fault.KeyUnknown, "the desk that took it went down; what it did is not known"
+	}
+	return f
+}
+
+func (h *Host) keyChange(key string, c *deskwork.Call, end string) {
+	change := ledger.Change{ID: "key-" + end + "-" + c.ID, Key: &ledger.KeyChange{Key: key, Desk: h.set.Name, DeskInc: h.inc, Call: c.ID, End: end, Free: end == ""}}
+	h.calls.Add(1)
+	h.spawn(func() {
+		defer h.calls.Add(-1)
+		if _, err := h.Submit(h.ctx, change); err != nil {
+			_ = h.log.Log("event", "key end not recorded", "call", c.ID, "end", end, "err", err)
+		}
+	})
+}
+
+func (h *Host) free(key string, c *deskwork.Call) { h.keyChange(key, c, "") }
+
+func (h *Host) endKey(key string, c *deskwork.Call, end string) {
+	if end == fault.RunNone {
+		end = ""
+	}
+	h.keyChange(key, c, end)
+}
--- /dev/null
+++ b/internal/deskwork/decider.go
@@ -0,0 +1,756 @@
+package deskwork
+
+import (
+	"fmt"
+	"hash/fnv"
+	"sort"
+	"sync/atomic"
+
+	"petreltide/internal/clock"
+	"petreltide/internal/fault"
+	"petreltide/internal/ledger"
+	"petreltide/internal/standing"
+	"petreltide/internal/wire"
+)
+
+const (
+	legsMost     = 8
+	prefixMost   = 4096
+	shyUs        = 400 * clock.Ms
+	rateSlots    = 6
+	decisionMost = 512
+	arrivalUs    = 1 * clock.Sec
+)
+
+// Snapshot is what the newest news said; it is swapped whole and never changed.
+type Snapshot struct {
+	Number   uint64
+	View     uint64
+	Revision uint64
+	Doc      *standing.Declaration
+	Replicas map[string]*wire.ReplicaNews
+	IDs      []string
+	Grants   map[string]ledger.Grant
+	AtUs     int64
+}
+
+func Fold(prior *Snapshot, n wire.News, nowUs int64) *Snapshot {
+	s := &Snapshot{Number: n.Number, View: n.View, Revision: n.Revision, Doc: n.Doc,
+		Replicas: map[string]*wire.ReplicaNews{}, Grants: map[string]ledger.Grant{}, AtUs: nowUs}
+	if s.Doc == nil && prior != nil {
+		s.Doc = prior.Doc
+	}
+	for i := range n.Replicas {
+		r := n.Replicas[i]
+		s.Replicas[r.ID] = &r
+		s.IDs = append(s.IDs, r.ID)
+	}
+	for _, g := range n.Grants {
+		s.Grants[g.Replica+"|"+g.Model] = g
+	}
+	return s
+}
+
+// Takes says whether a replica may get a new leg for this model and adapter under the newest news.
+func (s *Snapshot) Takes(replica, inc, model, adapter string) bool {
+	r := s.Replicas[replica]
+	if r == nil || r.Inc != inc || r.Leaving || r.Dark || s.Doc == nil || s.Doc.IsEmptied(r.Zone) {
+		return false
+	}
+	if r.Unloading == model || (adapter != "" && r.Unloading == adapter) || s.Doc.Model(model) == nil {
+		return false
+	}
+	return holds(r, model) && (adapter == "" || holds(r, adapter))
+}
+
+func holds(r *wire.ReplicaNews, unit string) bool {
+	i := sort.SearchStrings(r.Holds, unit)
+	return i < len(r.Holds) && r.Holds[i] == unit
+}
+
+type Call struct {
+	ID        string
+	Kind      string
+	Urgency   int
+	Model     string
+	Adapter   string
+	Prefix    []string
+	Resumable bool
+	TakenUs   int64
+	ExpiryUs  int64
+	Had       int
+	Progress  atomic.Int64
+
+	legs    int
+	prints  []uint64
+	on      string
+	leg     string
+	moving  bool
+	gone    bool
+	firstUs int64
+}
+
+func (c *Call) fingerprints() []uint64 {
+	if c.prints == nil {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(c.Model + "\x00" + c.Adapter))
+		c.prints = []uint64{}
+		for _, part := range c.Prefix {
+			_, _ = h.Write([]byte("\x00" + part))
+			c.prints = append(c.prints, h.Sum64())
+		}
+	}
+	return c.prints
+}
+
+type Ending string
+
+const (
+	Done    Ending = "done"
+	Refused Ending = "refused"
+	Unsent  Ending = "unsent"
+	Broken  Ending = "broken"
+	Unknown Ending = "unknown"
+	Moved   Ending = "moved"
+	Final   Ending = "final"
+)
+
+type Event struct {
+	NowUs    int64
+	Arrived  *Call
+	Ended    *Ended
+	Gone     string
+	Snapshot *Snapshot
+	LeaseUs  int64
+	Drain    bool
+}
+
+type Ended struct {
+	Call   string
+	Leg    string
+	Ending Ending
+}
+
+type Effect struct {
+	Start  *Start
+	Give   *Give
+	Cancel string
+}
+
+type Start struct {
+	Call     *Call
+	Leg      string
+	Ticket   uint64
+	Replica  string
+	Addr     string
+	Inc      string
+	Revision uint64
+}
+
+type Give struct {
+	Call  *Call
+	Fault *fault.Fault
+}
+
+type Decision struct {
+	AtUs    int64  `json:"atUs"`
+	Call    string `json:"call"`
+	Kind    string `json:"kind"`
+	Model   string `json:"model"`
+	What    string `json:"what"`
+	Replica string `json:"replica,omitempty"`
+	Why     string `json:"why"`
+}
+
+type place struct {
+	inFlight map[string]bool
+	shyUs    int64
+	prefixes map[uint64]int64
+}
+
+type run struct {
+	ticket uint64
+	next   uint64
+	to     uint64
+}
+
+type kindRow struct {
+	waiting []*Call
+	pass    float64
+	arrived uint64
+	given   map[fault.Code]uint64
+	done    uint64
+}
+
+type Options struct {
+	Desk       string
+	Inc        string
+	BacklogMax int
+}
+
+// Decider is asked; the executor obeys. It owns the backlog, the slots and the leg numbers.
+type Decider struct {
+	opts      Options
+	nowUs     int64
+	snap      *Snapshot
+	leaseUs   int64
+	drain     bool
+	calls     map[string]*Call
+	kinds     map[string]*kindRow
+	places    map[string]*place
+	runs      map[string]*run
+	waiting   int
+	passNow   float64
+	slots     [rateSlots]map[string]int
+	slotAtUs  int64
+	slotNow   int
+	slotsSeen int
+	serviceUs float64
+	Decisions []Decision
+	effects   []Effect
+}
+
+func New(opts Options) *Decider {
+	d := &Decider{opts: opts, calls: map[string]*Call{}, kinds: map[string]*kindRow{}, places: map[string]*place{}, runs: map[string]*run{}}
+	for i := range d.slots {
+		d.slots[i] = map[string]int{}
+	}
+	return d
+}
+
+func (d *Decider) Step(ev Event) []Effect {
+	d.effects = nil
+	d.nowUs = ev.NowUs
+	d.turnSlots()
+	switch {
+	case ev.Arrived != nil:
+		d.arrived(ev.Arrived)
+	case ev.Ended != nil:
+		d.ended(*ev.Ended)
+	case ev.Gone != "":
+		d.left(ev.Gone)
+	case ev.Snapshot != nil:
+		d.taken(ev.Snapshot)
+	case ev.LeaseUs != 0:
+		d.leaseUs = max(d.leaseUs, ev.LeaseUs)
+	case ev.Drain:
+		d.drain = true
+	}
+	d.expire()
+	d.dispatch()
+	d.moveOff()
+	return d.effects
+}
+
+func (d *Decider) do(e Effect) { d.effects = append(d.effects, e) }
+
+func (d *Decider) note(c *Call, what, replica, why string) {
+	if len(d.Decisions) >= decisionMost {
+		d.Decisions = append(d.Decisions[:0], d.Decisions[decisionMost/2:]...)
+	}
+	d.Decisions = append(d.Decisions, Decision{d.nowUs, c.ID, c.Kind, c.Model, what, replica, why})
+}
+
+func (d *Decider) kind(name string) *kindRow {
+	k := d.kinds[name]
+	if k == nil {
+		k = &kindRow{given: map[fault.Code]uint64{}, pass: d.passNow}
+		d.kinds[name] = k
+	}
+	return k
+}
+
+func (d *Decider) turnSlots() {
+	if d.slotAtUs == 0 {
+		d.slotAtUs = d.nowUs
+	}
+	for n := 0; d.nowUs-d.slotAtUs >= arrivalUs; n++ {
+		d.slotAtUs += arrivalUs
+		if n >= rateSlots {
+			d.slotAtUs = d.nowUs
+		}
+		d.slotNow = (d.slotNow + 1) % rateSlots
+		d.slots[d.slotNow] = map[string]int{}
+		d.slotsSeen = min(d.slotsSeen+1, rateSlots-1)
+	}
+}
+
+// Arrivals per second over the last whole seconds, by model and by adapter.
+func (d *Decider) Arrivals() map[string]float64 {
+	rates := map[string]float64{}
+	span := float64(max(d.slotsSeen, 1))
+	for i, slot := range d.slots {
+		if i == d.slotNow && d.slotsSeen > 0 {
+			continue
+		}
+		for unit, n := range slot {
+			rates[unit] += float64(n) / span
+		}
+	}
+	return rates
+}
+
+func (d *Decider) arrived(c *Call) {
+	k := d.kind(c.Kind)
+	k.arrived++
+	d.slots[d.slotNow][c.Model]++
+	if c.Adapter != "" {
+		d.slots[d.slotNow][c.Adapter]++
+	}
+	d.calls[c.ID] = c
+	if c.TakenUs == 0 {
+		c.TakenUs = d.nowUs
+	}
+	if d.drain {
+		d.give(c, fault.Draining, "this desk is going down", 200)
+		return
+	}
+	if d.waiting >= d.opts.BacklogMax && !d.makeRoom(c) {
+		d.give(c, fault.Overloaded, "the backlog is full", d.RetryMs())
+		return
+	}
+	d.enqueue(c)
+}
+
+// makeRoom gives up the latest-expiring call of the kind that most exceeds its share, if the
+// newcomer's kind is below its own.
+func (d *Decider) makeRoom(c *Call) bool {
+	share := d.opts.BacklogMax / max(1, d.waitingKinds(c.Kind))
+	if len(d.kind(c.Kind).waiting) >= share {
+		return false
+	}
+	var most *kindRow
+	for _, name := range d.kindNames() {
+		if k := d.kinds[name]; name != c.Kind && len(k.waiting) > share && (most == nil || len(k.waiting) > len(most.waiting)) {
+			most = k
+		}
+	}
+	if most == nil {
+		return false
+	}
+	last := most.waiting[len(most.waiting)-1]
+	d.give(last, fault.Overloaded, "gave way to a kind below its share of the backlog", d.RetryMs())
+	return true
+}
+
+func (d *Decider) waitingKinds(with string) int {
+	n := 1
+	for name, k := range d.kinds {
+		if name != with && len(k.waiting) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+func (d *Decider) kindNames() []string {
+	names := make([]string, 0, len(d.kinds))
+	for n := range d.kinds {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func (d *Decider) enqueue(c *Call) {
+	k := d.kind(c.Kind)
+	if len(k.waiting) == 0 {
+		k.pass = max(k.pass, d.passNow)
+	}
+	at := sort.Search(len(k.waiting), func(i int) bool {
+		w := k.waiting[i]
+		if (w.Had > 0) != (c.Had > 0) {
+			return c.Had > 0
+		}
+		return w.ExpiryUs > c.ExpiryUs
+	})
+	k.waiting = append(k.waiting, nil)
+	copy(k.waiting[at+1:], k.waiting[at:])
+	k.waiting[at] = c
+	d.waiting++
+}
+
+func (d *Decider) dequeue(c *Call) bool {
+	k := d.kind(c.Kind)
+	for i, w := range k.waiting {
+		if w == c {
+			k.waiting = append(k.waiting[:i], k.waiting[i+1:]...)
+			d.waiting--
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Decider) RetryMs() int64 {
+	share := 0
+	if d.snap != nil {
+		for _, r := range d.snap.Replicas {
+			share += r.Share
+		}
+	}
+	perCallMs := d.serviceUs / 1000
+	if perCallMs == 0 {
+		perCallMs = 500
+	}
+	return int64(min(max(float64(d.waiting)*perCallMs/float64(max(share, 1)), 250), 15_000))
+}
+
+// give is a final answer told at once: the call has no leg and can get none any more.
+func (d *Decider) give(c *Call, code fault.Code, why string, retryMs int64) {
+	d.dequeue(c)
+	delete(d.calls, c.ID)
+	f := fault.New(code, "", "%s", why)
+	f.Run, f.RetryMs = fault.RunNone, retryMs
+	if c.Had > 0 || c.Progress.Load() > 0 {
+		f.Run = fault.RunPartial
+	}
+	d.kind(c.Kind).given[code]++
+	d.note(c, "given up", "", string(code)+": "+why)
+	d.do(Effect{Give: &Give{Call: c, Fault: f}})
+}
+
+func (d *Decider) left(id string) {
+	c := d.calls[id]
+	if c == nil {
+		return
+	}
+	c.gone = true
+	if c.leg == "" {
+		d.dequeue(c)
+		delete(d.calls, id)
+		return
+	}
+	d.do(Effect{Cancel: c.ID})
+}
+
+func (d *Decider) taken(s *Snapshot) {
+	if d.snap != nil && (s.View < d.snap.View || s.Number < d.snap.Number) {
+		return
+	}
+	d.snap = s
+	for key, g := range s.Grants {
+		r := d.runs[key]
+		if r == nil || r.ticket < g.Ticket {
+			d.runs[key] = &run{ticket: g.Ticket, next: g.From, to: g.To}
+		}
+	}
+	for key := range d.runs {
+		if _, ok := s.Grants[key]; !ok {
+			delete(d.runs, key)
+		}
+	}
+	for id, p := range d.places {
+		if _, ok := s.Replicas[id]; !ok && len(p.inFlight) == 0 {
+			delete(d.places, id)
+		}
+	}
+	for _, c := range d.waitingCalls() {
+		if s.Doc == nil {
+			continue
+		}
+		switch {
+		case s.Doc.Kind(c.Kind) == nil:
+			d.give(c, fault.UnknownKind, "the kind was taken out of the declaration", 0)
+		case s.Doc.Model(c.Model) == nil:
+			d.give(c, fault.UnknownModel, "the model was taken out of the declaration", 0)
+		case c.Adapter != "" && (s.Doc.Adapter(c.Adapter) == nil || s.Doc.Adapter(c.Adapter).Model != c.Model):
+			d.give(c, fault.UnknownAdapter, "the adapter was taken out of the declaration", 0)
+		}
+	}
+}
+
+func (d *Decider) waitingCalls() []*Call {
+	calls := []*Call{}
+	for _, name := range d.kindNames() {
+		calls = append(calls, d.kinds[name].waiting...)
+	}
+	return calls
+}
+
+func (d *Decider) expire() {
+	for _, name := range d.kindNames() {
+		k := d.kinds[name]
+		for i := 0; i < len(k.waiting); {
+			c := k.waiting[i]
+			if c.ExpiryUs <= d.nowUs {
+				d.give(c, fault.Expired, "no replica could take it before its expiry", d.RetryMs())
+				continue
+			}
+			i++
+		}
+	}
+}
+
+func (d *Decider) placeOf(id string) *place {
+	p := d.places[id]
+	if p == nil {
+		p = &place{inFlight: map[string]bool{}, prefixes: map[uint64]int64{}}
+		d.places[id] = p
+	}
+	return p
+}
+
+// dispatch shares the free slots between kinds by stride: urgency is the weight, and a kind
+// that waits always comes round, however rare it is.
+func (d *Decider) dispatch() {
+	if d.waiting == 0 || d.snap == nil || d.snap.Doc == nil || d.nowUs >= d.leaseUs {
+		return
+	}
+	hopeless := map[string]bool{}
+	for {
+		names := d.kindNames()
+		sort.SliceStable(names, func(i, j int) bool { return d.kinds[names[i]].pass < d.kinds[names[j]].pass })
+		started := false
+		for _, name := range names {
+			k := d.kinds[name]
+			if c, replica, why := d.placeable(k, hopeless); c != nil {
+				d.start(c, replica, why)
+				d.passNow = max(d.passNow, k.pass)
+				k.pass += 1 / float64(max(1, c.Urgency))
+				started = true
+				break
+			}
+		}
+		if !started {
+			return
+		}
+	}
+}
+
+func (d *Decider) placeable(k *kindRow, hopeless map[string]bool) (*Call, *wire.ReplicaNews, string) {
+	for _, c := range k.waiting {
+		unit := c.Model + "|" + c.Adapter
+		if hopeless[unit] {
+			continue
+		}
+		if r, why := d.selectFor(c); r != nil {
+			return c, r, why
+		}
+		hopeless[unit] = true
+	}
+	return nil, nil, ""
+}
+
+// selectFor weighs a shared prefix against demand on the replica.
+func (d *Decider) selectFor(c *Call) (*wire.ReplicaNews, string) {
+	var best *wire.ReplicaNews
+	bestScore, why := 0.0, ""
+	for _, id := range d.snap.IDs {
+		r := d.snap.Replicas[id]
+		if !d.snap.Takes(id, r.Inc, c.Model, c.Adapter) {
+			continue
+		}
+		p := d.placeOf(id)
+		grant := d.runs[id+"|"+c.Model]
+		if r.Share <= len(p.inFlight) || grant == nil || grant.next >= grant.to || d.nowUs < p.shyUs {
+			continue
+		}
+		matched := 0
+		for i, print := range c.fingerprints() {
+			if _, ok := p.prefixes[print]; ok {
+				matched = i + 1
+			}
+		}
+		busy := float64(len(p.inFlight)) / float64(r.Share)
+		score := 1 - busy
+		if len(c.Prefix) > 0 {
+			score += 0.75 * float64(matched) / float64(len(c.Prefix))
+		}
+		if best == nil || score > bestScore {
+			best, bestScore = r, score
+			why = fmt.Sprintf("score %.2f: %d of %d prefix parts seen there, %d of %d slots busy", score, matched, len(c.Prefix), len(p.inFlight), r.Share)
+		}
+	}
+	return best, why
+}
+
+func (d *Decider) start(c *Call, r *wire.ReplicaNews, why string) {
+	d.dequeue(c)
+	grant := d.runs[r.ID+"|"+c.Model]
+	c.leg = fmt.Sprintf("%s/%s/%d", r.ID, r.Inc, grant.next)
+	grant.next++
+	c.on, c.moving = r.ID, false
+	c.legs++
+	c.firstUs = d.nowUs
+	p := d.placeOf(r.ID)
+	p.inFlight[c.leg] = true
+	if len(p.prefixes) > prefixMost {
+		d.forget(p)
+	}
+	for _, print := range c.fingerprints() {
+		p.prefixes[print] = d.nowUs
+	}
+	d.note(c, "leg", r.ID, why)
+	d.do(Effect{Start: &Start{Call: c, Leg: c.leg, Ticket: grant.ticket, Replica: r.ID, Addr: r.Addr, Inc: r.Inc, Revision: d.snap.Revision}})
+}
+
+func (d *Decider) forget(p *place) {
+	times := make([]int64, 0, len(p.prefixes))
+	for _, atUs := range p.prefixes {
+		times = append(times, atUs)
+	}
+	sort.Slice(times, func(i, j int) bool { return times[i] < times[j] })
+	limitUs := times[len(times)/2]
+	for print, atUs := range p.prefixes {
+		if atUs <= limitUs {
+			delete(p.prefixes, print)
+		}
+	}
+}
+
+func (d *Decider) ended(e Ended) {
+	c := d.calls[e.Call]
+	for _, p := range d.places {
+		delete(p.inFlight, e.Leg)
+	}
+	if c == nil || c.leg != e.Leg {
+		return
+	}
+	on := c.on
+	c.leg, c.on = "", ""
+	if e.Ending == Unsent || e.Ending == Refused {
+		d.placeOf(on).shyUs = d.nowUs + shyUs
+	}
+	if e.Ending == Done {
+		spentUs := float64(d.nowUs - c.firstUs)
+		d.serviceUs += (spentUs - d.serviceUs) / 16
+	}
+	again := e.Ending == Unsent || e.Ending == Refused || (c.Resumable && (e.Ending == Broken || e.Ending == Unknown || e.Ending == Moved))
+	if c.gone || !again {
+		delete(d.calls, c.ID)
+		if e.Ending == Done {
+			d.kind(c.Kind).done++
+		} else {
+			d.kind(c.Kind).given[fault.Code(e.Ending)]++
+		}
+		d.note(c, "ended", on, string(e.Ending))
+		return
+	}
+	c.Had = int(c.Progress.Load())
+	if c.legs >= legsMost {
+		d.give(c, fault.Overloaded, "its legs were refused or lost too often", d.RetryMs())
+		return
+	}
+	d.note(c, "waits again", on, string(e.Ending))
+	d.enqueue(c)
+}
+
+// moveOff takes resumable legs off leaving replicas and emptied zones, most progress first,
+// only while a survivor has a free slot for them.
+func (d *Decider) moveOff() {
+	if d.snap == nil || d.snap.Doc == nil || d.nowUs >= d.leaseUs {
+		return
+	}
+	legs := []*Call{}
+	for _, c := range d.calls {
+		if c.leg == "" || !c.Resumable || c.moving || c.gone {
+			continue
+		}
+		r := d.snap.Replicas[c.on]
+		if r != nil && (r.Leaving || d.snap.Doc.IsEmptied(r.Zone)) {
+			legs = append(legs, c)
+		}
+	}
+	if len(legs) == 0 {
+		return
+	}
+	sort.Slice(legs, func(i, j int) bool {
+		a, b := legs[i].Progress.Load(), legs[j].Progress.Load()
+		if a != b {
+			return a > b
+		}
+		return legs[i].ID < legs[j].ID
+	})
+	reserved := map[string]int{}
+	for _, c := range d.calls {
+		if c.moving {
+			reserved[c.Model]++
+		}
+	}
+	for _, c := range legs {
+		free := 0
+		for _, id := range d.snap.IDs {
+			r := d.snap.Replicas[id]
+			if d.snap.Takes(id, r.Inc, c.Model, c.Adapter) {
+				free += max(0, r.Share-len(d.placeOf(id).inFlight))
+			}
+		}
+		if free > reserved[c.Model] {
+			reserved[c.Model]++
+			c.moving = true
+			d.note(c, "moves", c.on, fmt.Sprintf("leaving, %d pieces so far", c.Progress.Load()))
+			d.do(Effect{Cancel: c.ID})
+		}
+	}
+}
+
+func (d *Decider) Report(nowUs int64) wire.Report {
+	rep := wire.Report{
+		Desk: d.opts.Desk, Inc: d.opts.Inc, SentUs: nowUs, Arrivals: d.Arrivals(), Draining: d.drain,
+		Waiting: map[string]int{}, InFlight: map[string]int{}, Left: map[string]wire.Left{},
+	}
+	if d.snap != nil {
+		rep.Number, rep.View = d.snap.Number, d.snap.View
+	}
+	for _, k := range d.kinds {
+		for _, c := range k.waiting {
+			rep.Waiting[c.Model]++
+			if c.Adapter != "" {
+				rep.Waiting[c.Adapter]++
+			}
+		}
+	}
+	for id, p := range d.places {
+		if len(p.inFlight) > 0 {
+			rep.InFlight[id] = len(p.inFlight)
+		}
+	}
+	for key, r := range d.runs {
+		rep.Left[key] = wire.Left{Ticket: r.ticket, Left: r.to - r.next}
+	}
+	return rep
+}
+
+type KindNote struct {
+	Kind    string                `json:"kind"`
+	Arrived uint64                `json:"arrived"`
+	Waiting int                   `json:"waiting"`
+	Done    uint64                `json:"done"`
+	Given   map[fault.Code]uint64 `json:"given,omitempty"`
+}
+
+type Note struct {
+	Kinds    []KindNote     `json:"kinds"`
+	Waiting  int            `json:"waiting"`
+	Calls    int            `json:"calls"`
+	InFlight map[string]int `json:"inFlight"`
+	LeaseMs  int64          `json:"leaseMs"`
+	Number   uint64         `json:"number"`
+	View     uint64         `json:"view"`
+	Revision uint64         `json:"revision"`
+	Draining bool           `json:"draining"`
+	Recent   []Decision     `json:"recent,omitempty"`
+}
+
+func (d *Decider) Note() Note {
+	n := Note{Waiting: d.waiting, Calls: len(d.calls), InFlight: map[string]int{}, LeaseMs: max(0, d.leaseUs-d.nowUs) / 1000, Draining: d.drain, Kinds: []KindNote{}}
+	if d.snap != nil {
+		n.Number, n.View, n.Revision = d.snap.Number, d.snap.View, d.snap.Revision
+	}
+	for _, name := range d.kindNames() {
+		k := d.kinds[name]
+		given := map[fault.Code]uint64{}
+		for code, count := range k.given {
+			given[code] = count
+		}
+		n.Kinds = append(n.Kinds, KindNote{name, k.arrived, len(k.waiting), k.done, given})
+	}
+	for id, p := range d.places {
+		n.InFlight[id] = len(p.inFlight)
+	}
+	n.Recent = append(n.Recent, d.Decisions...)
+	return n
+}
+
+func (d *Decider) Busy() int { return len(d.calls) }
--- /dev/null
+++ b/internal/fault/fault.go
@@ -0,0 +1,116 @@
+package fault
+
+import (
+	"fmt"
+	"strings"
+)
+
+type Code string
+
+const (
+	BadJSON        Code = "bad_json"
+	TooLarge       Code = "too_large"
+	BadField       Code = "bad_field"
+	UnknownKind    Code = "unknown_kind"
+	UnknownModel   Code = "unknown_model"
+	UnknownAdapter Code = "unknown_adapter"
+	PastExpiry     Code = "past_expiry"
+	BadLastEventID Code = "bad_last_event_id"
+	Overloaded     Code = "overloaded"
+	NoLease        Code = "no_lease"
+	Expired        Code = "expired"
+	ReplicaFailed  Code = "replica_failed"
+	Unknown        Code = "unknown"
+	Broken         Code = "broken"
+	KeyRunning     Code = "key_running"
+	KeyUnknown     Code = "key_unknown"
+	KeyEnded       Code = "key_ended"
+	KeysFull       Code = "keys_full"
+	Draining       Code = "draining"
+
+	InvalidConfig   Code = "invalid_config"
+	StaleBase       Code = "stale_base"
+	NotEverywhere   Code = "committed_not_everywhere"
+	InDoubt         Code = "in_doubt"
+	NotServing      Code = "not_serving"
+	NoSuchZone      Code = "no_such_zone"
+	StaleEpoch      Code = "stale_epoch"
+	StaleView       Code = "stale_view"
+	TicketRefused   Code = "ticket_refused"
+	NoRoom          Code = "no_room"
+	StoreRate       Code = "store_rate"
+	ReplicaBusy     Code = "replica_busy"
+	ReplicaUnknown  Code = "replica_unknown"
+	ReplicaLeaving  Code = "replica_leaving"
+	NotHeld         Code = "not_held"
+	AlreadyHeld     Code = "already_held"
+	PolicyCompile   Code = "policy_compile"
+	PolicyFailed    Code = "policy_failed"
+	PolicyLimit     Code = "policy_limit"
+	PolicyNonsense  Code = "policy_nonsense"
+	BadSettings     Code = "bad_settings"
+	DamagedData     Code = "damaged_data"
+	ForeignData     Code = "foreign_data"
+	DataUnwritable  Code = "data_unwritable"
+	PlatformBad     Code = "platform_bad"
+	MembershipUnfit Code = "membership_unfit"
+	NotFound        Code = "not_found"
+)
+
+const (
+	RunNone    = "none"
+	RunUnknown = "unknown"
+	RunYes     = "yes"
+	RunPartial = "partial"
+)
+
+type Fault struct {
+	Code     Code    `json:"code"`
+	Field    string  `json:"field,omitempty"`
+	Detail   string  `json:"detail,omitempty"`
+	Run      string  `json:"run,omitempty"`
+	RetryMs  int64   `json:"retryMs,omitempty"`
+	Revision uint64  `json:"revision,omitempty"`
+	Faults   []Fault `json:"faults,omitempty"`
+}
+
+func (f *Fault) Error() string {
+	text := string(f.Code)
+	if f.Field != "" {
+		text += " at " + f.Field
+	}
+	if f.Detail != "" {
+		text += ": " + f.Detail
+	}
+	for _, sub := range f.Faults {
+		text += "\n  " + strings.ReplaceAll(sub.Error(), "\n", "\n  ")
+	}
+	return text
+}
+
+func New(code Code, field, format string, args ...any) *Fault {
+	return &Fault{Code: code, Field: field, Detail: fmt.Sprintf(format, args...)}
+}
+
+type Sheet struct {
+	Faults []Fault
+}
+
+func (s *Sheet) Add(f *Fault) {
+	if f != nil {
+		s.Faults = append(s.Faults, *f)
+	}
+}
+
+func (s *Sheet) Note(code Code, field, format string, args ...any) {
+	s.Add(New(code, field, format, args...))
+}
+
+func (s *Sheet) Seen() bool { return len(s.Faults) > 0 }
+
+func (s *Sheet) As(code Code) *Fault {
+	if !s.Seen() {
+		return nil
+	}
+	return &Fault{Code: code, Detail: fmt.Sprintf("%d fault(s)", len(s.Faults)), Faults: s.Faults}
+}
--- /dev/null
+++ b/internal/foreman/foreman.go
@@ -0,0 +1,727 @@
+package foreman
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"petreltide/internal/castoff"
+	"petreltide/internal/clock"
+	"petreltide/internal/fault"
+	"petreltide/internal/imposition"
+	"petreltide/internal/ledger"
+	"petreltide/internal/standing"
+	"petreltide/internal/wire"
+)
+
+const (
+	listEveryUs   = 400 * clock.Ms
+	askEveryUs    = 250 * clock.Ms
+	orderEveryUs  = 600 * clock.Ms
+	policyEveryUs = 500 * clock.Ms
+	policyLostUs  = 5 * clock.Sec
+	shareEveryUs  = 400 * clock.Ms
+	darkAfterUs   = 1500 * clock.Ms
+	deskLiveUs    = 2500 * clock.Ms
+	deskGoneUs    = 15 * clock.Sec
+	writeLostUs   = 2 * clock.Sec
+	emptyListMost = 8
+	keyMarkUs     = 3600 * clock.Sec
+	keyMarks      = 24
+	legsLeast     = 24
+	legsMost      = 4096
+	legSeconds    = 5
+)
+
+type Event struct {
+	NowUs  int64
+	Listed *Listed
+	Told   *Told
+	Report *wire.Report
+	Policy *PolicyDone
+	Wrote  *ledger.Outcome
+}
+
+type Listed struct {
+	List *wire.List
+	Err  string
+}
+
+type Told struct {
+	AskedUs int64
+	Replica string
+	Addr    string
+	State   *wire.ReplicaState
+	Err     string
+}
+
+type PolicyDone struct {
+	Run     uint64
+	Live    imposition.Answer
+	Shadows []imposition.Answer
+}
+
+type Effect struct {
+	PollList bool
+	Ask      *Ask
+	Order    *Order
+	Write    *ledger.Change
+	Run      *Run
+	Note     string
+}
+
+type Ask struct {
+	AskedUs int64
+	Replica string
+	Addr    string
+}
+
+type Order struct {
+	Addr  string
+	Order wire.Order
+}
+
+type Run struct {
+	Number  uint64
+	Live    standing.Policy
+	Shadows []standing.Policy
+	Fleet   imposition.Fleet
+}
+
+type Seen struct {
+	NowUs  int64
+	State  *ledger.State
+	Head   bool
+	Fresh  bool
+	Writes bool
+}
+
+type told struct {
+	addr    string
+	state   wire.ReplicaState
+	atUs    int64
+	askedUs int64
+	heardUs int64
+	movedUs int64
+}
+
+type deskRow struct {
+	report wire.Report
+	atUs   int64
+}
+
+// Foreman holds the duty of the one controller: it reads the ledger and what replicas,
+// platform and desks told it, and answers with ledger writes and orders.
+type Foreman struct {
+	me       string
+	claimed  uint64
+	claimUs  int64
+	writing  string
+	writeUs  int64
+	writes   uint64
+	listUs   int64
+	list     *wire.List
+	listAtUs int64
+	empties  int
+	stales   int
+	replicas map[string]*told
+	desks    map[string]*deskRow
+	bucket   imposition.Bucket
+	orderUs  map[uint64]int64
+	policyUs int64
+	runUs    int64
+	run      uint64
+	proposed []imposition.Proposal
+	shareUs  int64
+	counted  []castoff.Count
+	marks    []uint64
+	markUs   int64
+	Faults   map[fault.Code]uint64
+	Verdicts []imposition.Verdict
+	Policy   PolicyNote
+	Shadows  []PolicyNote
+	effects  []Effect
+}
+
+type PolicyNote struct {
+	Name     string               `json:"name"`
+	Runs     uint64               `json:"runs"`
+	Steps    uint64               `json:"steps"`
+	Fault    *fault.Fault         `json:"fault,omitempty"`
+	Faulted  uint64               `json:"faulted"`
+	Verdicts []imposition.Verdict `json:"verdicts,omitempty"`
+}
+
+func New(me string) *Foreman {
+	return &Foreman{
+		me: me, replicas: map[string]*told{}, desks: map[string]*deskRow{},
+		orderUs: map[uint64]int64{}, Faults: map[fault.Code]uint64{},
+	}
+}
+
+func (f *Foreman) Counts() []castoff.Count { return f.counted }
+
+func (f *Foreman) OnDuty(s *ledger.State) bool {
+	return f.claimed > 0 && s.Epoch == f.claimed && s.Holder == f.me
+}
+
+type DeskNote struct {
+	Desk     string             `json:"desk"`
+	Zone     string             `json:"zone"`
+	Addr     string             `json:"addr"`
+	AgoMs    int64              `json:"agoMs"`
+	Arrivals map[string]float64 `json:"arrivals,omitempty"`
+	Waiting  map[string]int     `json:"waiting,omitempty"`
+}
+
+func (f *Foreman) Desks(nowUs int64) []DeskNote {
+	notes := []DeskNote{}
+	for _, id := range sorted(f.desks) {
+		d := f.desks[id]
+		notes = append(notes, DeskNote{id, d.report.Zone, d.report.Addr, (nowUs - d.atUs) / 1000, d.report.Arrivals, d.report.Waiting})
+	}
+	return notes
+}
+
+func sorted[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func (f *Foreman) Step(seen Seen, ev Event) []Effect {
+	f.effects = nil
+	switch {
+	case ev.Report != nil:
+		f.desks[ev.Report.Desk] = &deskRow{report: *ev.Report, atUs: ev.NowUs}
+	case ev.Listed != nil:
+		f.listed(ev.NowUs, *ev.Listed)
+	case ev.Told != nil:
+		f.told(ev.NowUs, *ev.Told)
+	case ev.Policy != nil:
+		f.ran(seen, *ev.Policy)
+	case ev.Wrote != nil:
+		f.wrote(seen, *ev.Wrote)
+	default:
+		f.tick(seen)
+	}
+	return f.effects
+}
+
+func (f *Foreman) do(e Effect) { f.effects = append(f.effects, e) }
+
+func (f *Foreman) count(code fault.Code) { f.Faults[code]++ }
+
+func (f *Foreman) listed(nowUs int64, l Listed) {
+	switch {
+	case l.List == nil:
+		f.count(fault.PlatformBad)
+	case f.list != nil && l.List.Version < f.list.Version && f.stales < emptyListMost:
+		f.stales++
+		f.count(fault.PlatformBad)
+	case len(l.List.Replicas) == 0 && f.list != nil && len(f.list.Replicas) > 0 && f.empties < emptyListMost:
+		f.empties++
+		f.count(fault.PlatformBad)
+	default:
+		for _, r := range l.List.Replicas {
+			if r.ID == "" || r.Addr == "" || r.RoomMb <= 0 || r.Slots <= 0 {
+				f.count(fault.PlatformBad)
+				return
+			}
+		}
+		f.empties, f.stales = 0, 0
+		f.list, f.listAtUs = l.List, nowUs
+	}
+}
+
+func (f *Foreman) told(nowUs int64, t Told) {
+	row := f.replicas[t.Replica]
+	if row == nil || row.addr != t.Addr {
+		row = &told{addr: t.Addr, askedUs: nowUs}
+		f.replicas[t.Replica] = row
+	}
+	if t.State == nil || t.State.ID != t.Replica || t.State.Inc == "" {
+		f.count(fault.ReplicaFailed)
+		return
+	}
+	if t.AskedUs < row.heardUs {
+		return
+	}
+	row.state, row.atUs, row.heardUs = *t.State, nowUs, t.AskedUs
+}
+
+func (f *Foreman) tick(seen Seen) {
+	if !seen.Head {
+		f.leave()
+		return
+	}
+	s := seen.State
+	if !f.OnDuty(s) {
+		if f.claimUs == 0 || seen.NowUs-f.claimUs > writeLostUs {
+			f.leave()
+			f.claimUs = seen.NowUs
+			f.claimed = s.Epoch + 1
+			f.do(Effect{Write: &ledger.Change{ID: fmt.Sprintf("claim-%s-%d", f.me, f.claimed), Epoch: f.claimed, Claim: &ledger.Claim{Holder: f.me}}})
+		}
+		return
+	}
+	if !seen.Fresh {
+		f.bucket.Empty()
+		return
+	}
+	if s.Doc != nil {
+		f.bucket.Fill(seen.NowUs, s.Doc.Store)
+	}
+	if seen.NowUs-f.listUs >= listEveryUs {
+		f.listUs = seen.NowUs
+		f.do(Effect{PollList: true})
+	}
+	f.askReplicas(seen.NowUs)
+	f.orders(seen)
+	f.startPolicy(seen)
+	f.write(seen)
+}
+
+func (f *Foreman) leave() {
+	fresh := New(f.me)
+	fresh.Faults, fresh.writes, fresh.desks, fresh.Policy = f.Faults, f.writes, f.desks, f.Policy
+	fresh.run = f.run
+	effects := f.effects
+	*f = *fresh
+	f.effects = effects
+}
+
+func (f *Foreman) askReplicas(nowUs int64) {
+	if f.list == nil {
+		return
+	}
+	for _, l := range f.list.Replicas {
+		row := f.replicas[l.ID]
+		if row == nil || row.addr != l.Addr {
+			row = &told{addr: l.Addr}
+			f.replicas[l.ID] = row
+		}
+		if nowUs-row.askedUs >= askEveryUs {
+			row.askedUs = nowUs
+			f.do(Effect{Ask: &Ask{AskedUs: nowUs, Replica: l.ID, Addr: l.Addr}})
+		}
+	}
+}
+
+// orders sends what the ledger holds and the replica has not seen yet. The ticket keeps its
+// number, so a replica that did see it answers with its state instead of doing it again.
+func (f *Foreman) orders(seen Seen) {
+	s := seen.State
+	for _, id := range sorted(s.Pending) {
+		t := s.Pending[id]
+		row := f.replicas[id]
+		if row == nil || row.atUs == 0 || row.state.Inc != t.Inc {
+			continue
+		}
+		if last := row.state.Last; last != nil && last.Number >= t.Number {
+			continue
+		}
+		sentUs, sent := f.orderUs[t.Number]
+		if sent && seen.NowUs-sentUs < orderEveryUs {
+			continue
+		}
+		if t.Step == ledger.Load && (t.Epoch != s.Epoch || sent) {
+			if !f.bucket.Has(t.SizeMb) {
+				continue
+			}
+			f.bucket.Spend(t.SizeMb)
+		}
+		f.orderUs[t.Number] = seen.NowUs
+		f.do(Effect{Order: &Order{Addr: row.addr, Order: wire.Order{Ticket: t, Epoch: s.Epoch}}})
+	}
+}
+
+func (f *Foreman) write(seen Seen) {
+	if !seen.Writes || (f.writing != "" && seen.NowUs-f.writeUs < writeLostUs) {
+		return
+	}
+	s := seen.State
+	duty := &ledger.Duty{}
+	f.noteFleet(seen, duty)
+	f.settle(seen.NowUs, s, duty)
+	f.dropDesks(seen, duty)
+	if s.Doc != nil {
+		f.grant(seen, duty)
+		f.share(seen, duty)
+		if f.proposed != nil {
+			tickets, verdicts := imposition.Check(s, f.bucket.TokensMb, f.proposed)
+			f.proposed, f.Verdicts = nil, verdicts
+			f.Policy.Verdicts = verdicts
+			for _, v := range verdicts {
+				if v.Fault != nil {
+					f.count(v.Fault.Code)
+				}
+			}
+			for _, t := range tickets {
+				if t.Step == ledger.Load {
+					f.bucket.Spend(t.SizeMb)
+				}
+			}
+			duty.Tickets = tickets
+		}
+	}
+	f.markKeys(seen, duty)
+	if duty.Blank() {
+		return
+	}
+	f.writes++
+	f.writing = fmt.Sprintf("duty-%s-%d-%d", f.me, f.claimed, f.writes)
+	f.writeUs = seen.NowUs
+	f.do(Effect{Write: &ledger.Change{ID: f.writing, Epoch: f.claimed, Duty: duty}})
+}
+
+func (f *Foreman) wrote(seen Seen, out ledger.Outcome) {
+	if out.ID != f.writing {
+		return
+	}
+	f.writing = ""
+	for _, bad := range out.Faults {
+		f.count(bad.Code)
+	}
+	if f.OnDuty(seen.State) && seen.Fresh {
+		f.orders(seen)
+	}
+}
+
+func (f *Foreman) noteFleet(seen Seen, duty *ledger.Duty) {
+	if f.list == nil {
+		return
+	}
+	s := seen.State
+	listed := map[string]bool{}
+	for _, l := range f.list.Replicas {
+		listed[l.ID] = true
+		row, have := f.replicas[l.ID], s.Replicas[l.ID]
+		n := ledger.ReplicaNote{
+			ID: l.ID, Addr: l.Addr, Zone: l.Zone, RoomMb: l.RoomMb, Slots: l.Slots,
+			Leaving: l.State != wire.ListedReady, LeftMs: l.LeftMs,
+		}
+		spoke := row != nil && row.atUs > 0
+		n.Dark = spoke && seen.NowUs-row.atUs > darkAfterUs
+		switch {
+		case spoke && !n.Dark:
+			n.Inc = row.state.Inc
+		case have != nil && have.Addr == l.Addr:
+			n.Inc = have.Inc
+		}
+		if have == nil && n.Inc == "" {
+			continue
+		}
+		if have != nil && n.Inc == "" {
+			n.Inc = have.Inc
+			n.Dark = true
+		}
+		if have != nil && have.Leaving && n.Leaving {
+			n.LeftMs = have.LeftMs
+		}
+		if have != nil && !spoke {
+			n.Dark = have.Dark
+		}
+		if spoke && !n.Dark {
+			n.Told, n.Holds = f.retold(s, have, row)
+		}
+		if have == nil || have.Inc != n.Inc || have.Addr != n.Addr || have.Zone != n.Zone || have.RoomMb != n.RoomMb ||
+			have.Slots != n.Slots || have.Leaving != n.Leaving || have.Dark != n.Dark || n.Told {
+			duty.Fleet = append(duty.Fleet, n)
+		}
+	}
+	for _, id := range s.ReplicaIDs() {
+		if !listed[id] {
+			duty.Gone = append(duty.Gone, id)
+			delete(f.replicas, id)
+		}
+	}
+}
+
+// retold takes a replica's own word for its holdings, but only while no order is pending and
+// its last order is the one the ledger settled, so that an old report undoes nothing.
+func (f *Foreman) retold(s *ledger.State, have *ledger.Replica, row *told) (bool, []ledger.Holding) {
+	if have == nil || have.Inc != row.state.Inc {
+		return true, row.state.Holds
+	}
+	if _, pending := s.Pending[have.ID]; pending || row.heardUs <= row.movedUs {
+		return false, nil
+	}
+	same := len(row.state.Holds) == len(have.Holds)
+	for _, h := range row.state.Holds {
+		if have.Holds[h.Unit] != h.SizeMb {
+			same = false
+		}
+	}
+	if same || (row.state.Last != nil && row.state.Last.State == wire.OrderRunning) {
+		return false, nil
+	}
+	return true, row.state.Holds
+}
+
+func (f *Foreman) settle(nowUs int64, s *ledger.State, duty *ledger.Duty) {
+	for _, id := range sorted(s.Pending) {
+		t := s.Pending[id]
+		row := f.replicas[id]
+		if row == nil || row.atUs == 0 || row.state.Inc != t.Inc || row.state.Last == nil {
+			continue
+		}
+		last := row.state.Last
+		switch {
+		case last.Number == t.Number && last.State == wire.OrderDone:
+			duty.Settled = append(duty.Settled, ledger.Settled{Number: t.Number, Done: true})
+		case last.Number == t.Number && last.State == wire.OrderFailed:
+			f.count(fault.ReplicaFailed)
+			duty.Settled = append(duty.Settled, ledger.Settled{Number: t.Number, Why: last.Why})
+		case last.Number > t.Number:
+			duty.Settled = append(duty.Settled, ledger.Settled{Number: t.Number, Why: "voided by a newer order"})
+		default:
+			continue
+		}
+		delete(f.orderUs, t.Number)
+		row.movedUs = nowUs
+	}
+}
+
+func (f *Foreman) dropDesks(seen Seen, duty *ledger.Duty) {
+	for _, id := range sorted(f.desks) {
+		if seen.NowUs-f.desks[id].atUs > deskGoneUs {
+			duty.Desks = append(duty.Desks, id)
+			delete(f.desks, id)
+		}
+	}
+}
+
+func (f *Foreman) live(nowUs int64) []string {
+	ids := []string{}
+	for _, id := range sorted(f.desks) {
+		if d := f.desks[id]; nowUs-d.atUs < deskLiveUs && !d.report.Draining {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func (f *Foreman) grant(seen Seen, duty *ledger.Duty) {
+	s := seen.State
+	desks := f.live(seen.NowUs)
+	for _, id := range s.ReplicaIDs() {
+		r := s.Replicas[id]
+		if r.Leaving || r.Dark || r.Inc == "" {
+			continue
+		}
+		for _, unit := range sorted(r.Holds) {
+			if s.Doc.Model(unit) == nil {
+				continue
+			}
+			for _, desk := range desks {
+				report := f.desks[desk].report
+				g := ledger.Grant{Desk: desk, Replica: id, Model: unit}
+				want := min(max(uint64(report.Arrivals[unit]*2*legSeconds), legsLeast), legsMost)
+				have, ok := s.Grants[g.Key()]
+				if ok && have.DeskInc == report.Inc && have.Inc == r.Inc {
+					left, told := report.Left[id+"|"+unit]
+					if !told || left.Ticket != have.Ticket || left.Left*2 > want {
+						continue
+					}
+				}
+				duty.Grants = append(duty.Grants, ledger.GrantAsk{
+					Desk: desk, DeskInc: report.Inc, Replica: id, Inc: r.Inc, Model: unit, Count: want,
+				})
+			}
+		}
+	}
+}
+
+// share divides a replica's slots by what each desk has there and what waits for its models.
+func (f *Foreman) share(seen Seen, duty *ledger.Duty) {
+	if seen.NowUs-f.shareUs < shareEveryUs {
+		return
+	}
+	f.shareUs = seen.NowUs
+	s := seen.State
+	desks := f.live(seen.NowUs)
+	if len(desks) == 0 {
+		return
+	}
+	for _, id := range s.ReplicaIDs() {
+		r := s.Replicas[id]
+		if r.Leaving || r.Dark {
+			continue
+		}
+		weights := make([]float64, len(desks))
+		var whole float64
+		for i, desk := range desks {
+			report := f.desks[desk].report
+			weights[i] = 0.5 + float64(report.InFlight[id])
+			for unit := range r.Holds {
+				weights[i] += float64(report.Waiting[unit]) * 0.5
+				weights[i] += report.Arrivals[unit] * 0.1
+			}
+			whole += weights[i]
+		}
+		shares := map[string]int{}
+		spare := r.Slots
+		if spare >= len(desks) {
+			for _, desk := range desks {
+				shares[desk] = 1
+			}
+			spare -= len(desks)
+		}
+		given := 0
+		for i, desk := range desks {
+			n := int(float64(spare) * weights[i] / whole)
+			shares[desk] += n
+			given += n
+		}
+		order := make([]int, len(desks))
+		for i := range order {
+			order[i] = i
+		}
+		sort.SliceStable(order, func(a, b int) bool { return weights[order[a]] > weights[order[b]] })
+		for i := 0; given < spare; i = (i + 1) % len(order) {
+			shares[desks[order[i]]]++
+			given++
+		}
+		if f.worthwhile(r, shares) {
+			if duty.Shares == nil {
+				duty.Shares = map[string]map[string]int{}
+			}
+			duty.Shares[id] = shares
+		}
+	}
+}
+
+func (f *Foreman) worthwhile(r *ledger.Replica, shares map[string]int) bool {
+	if len(r.Shares) != len(shares) {
+		return true
+	}
+	moved := 0
+	for desk, n := range shares {
+		had, ok := r.Shares[desk]
+		if !ok {
+			return true
+		}
+		row := f.desks[desk]
+		if n > had && row != nil && row.report.InFlight[r.ID] >= had {
+			return true
+		}
+		moved += max(n-had, had-n)
+	}
+	return moved*3 > r.Slots*2
+}
+
+func (f *Foreman) markKeys(seen Seen, duty *ledger.Duty) {
+	if f.markUs == 0 {
+		f.markUs = seen.NowUs
+	}
+	if seen.NowUs-f.markUs < keyMarkUs {
+		return
+	}
+	f.markUs = seen.NowUs
+	f.marks = append(f.marks, seen.State.Index)
+	if len(f.marks) > keyMarks {
+		duty.Forget = f.marks[0]
+		f.marks = f.marks[1:]
+	}
+}
+
+func (f *Foreman) demand(nowUs int64) (rates map[string]float64, waiting map[string]int) {
+	rates, waiting = map[string]float64{}, map[string]int{}
+	for _, id := range sorted(f.desks) {
+		d := f.desks[id]
+		if nowUs-d.atUs > deskLiveUs {
+			continue
+		}
+		for unit, rate := range d.report.Arrivals {
+			rates[unit] += rate
+		}
+		for unit, n := range d.report.Waiting {
+			waiting[unit] += n
+		}
+	}
+	return rates, waiting
+}
+
+func (f *Foreman) startPolicy(seen Seen) {
+	s := seen.State
+	if s.Doc == nil || f.list == nil || f.proposed != nil || seen.NowUs-f.policyUs < policyEveryUs {
+		return
+	}
+	if f.runUs != 0 && seen.NowUs-f.runUs < policyLostUs {
+		return
+	}
+	f.policyUs, f.runUs = seen.NowUs, seen.NowUs
+	f.run++
+	rates, waiting := f.demand(seen.NowUs)
+	usable := []castoff.Room{}
+	fleet := imposition.Fleet{Doc: s.Doc, Rates: rates, Waiting: waiting}
+	for _, id := range s.ReplicaIDs() {
+		r := s.Replicas[id]
+		row := imposition.Replica{
+			ID: id, Zone: r.Zone, RoomMb: r.RoomMb, FreeMb: r.RoomMb - s.TakenMb(id), Slots: r.Slots,
+			Holds: sorted(r.Holds), Usable: r.Usable(s.Doc),
+		}
+		if t, pending := s.Pending[id]; pending {
+			row.Busy = true
+			if t.Step == ledger.Load {
+				row.Loading = t.Unit
+			}
+		}
+		for _, d := range f.desks {
+			row.InFlight += d.report.InFlight[id]
+		}
+		if row.Usable {
+			usable = append(usable, castoff.Room{ID: id, RoomMb: r.RoomMb})
+		}
+		fleet.Replicas = append(fleet.Replicas, row)
+	}
+	f.counted = castoff.Decide(castoff.Input{Doc: s.Doc, Rates: rates, Waiting: waiting, Usable: usable})
+	fleet.Counts = f.counted
+	f.do(Effect{Run: &Run{Number: f.run, Live: s.Doc.Policy, Shadows: s.Doc.Shadows, Fleet: fleet}})
+}
+
+func (f *Foreman) ran(seen Seen, p PolicyDone) {
+	if p.Run != f.run {
+		return
+	}
+	f.runUs = 0
+	if !f.OnDuty(seen.State) || seen.State.Doc == nil {
+		return
+	}
+	f.Policy = noted(f.Policy, p.Live)
+	if p.Live.Fault != nil {
+		f.count(p.Live.Fault.Code)
+	} else if len(p.Live.Proposals) > 0 && strings.EqualFold(p.Live.Policy, seen.State.Doc.Policy.Name) {
+		f.proposed = p.Live.Proposals
+	}
+	shadows := []PolicyNote{}
+	for i, a := range p.Shadows {
+		note := PolicyNote{}
+		if i < len(f.Shadows) && f.Shadows[i].Name == a.Policy {
+			note = f.Shadows[i]
+		}
+		note = noted(note, a)
+		if a.Fault == nil {
+			_, note.Verdicts = imposition.Check(seen.State, f.bucket.TokensMb, a.Proposals)
+		}
+		shadows = append(shadows, note)
+	}
+	f.Shadows = shadows
+}
+
+func noted(note PolicyNote, a imposition.Answer) PolicyNote {
+	if note.Name != a.Policy {
+		note = PolicyNote{Name: a.Policy}
+	}
+	note.Runs++
+	note.Steps = a.Steps
+	note.Fault = a.Fault
+	if a.Fault != nil {
+		note.Faulted++
+	}
+	return note
+}
--- /dev/null
+++ b/internal/imposition/imposition.go
@@ -0,0 +1,324 @@
+package imposition
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"go.starlark.net/starlark"
+	"go.starlark.net/syntax"
+
+	"petreltide/internal/castoff"
+	"petreltide/internal/fault"
+	"petreltide/internal/ledger"
+	"petreltide/internal/standing"
+)
+
+const (
+	StepsMost     = 3_000_000
+	ProposalsMost = 64
+	TimeMost      = 400 * time.Millisecond
+)
+
+type Proposal struct {
+	Step    ledger.Step `json:"step"`
+	Replica string      `json:"replica"`
+	Unit    string      `json:"unit"`
+	Why     string      `json:"why,omitempty"`
+}
+
+type Replica struct {
+	ID       string
+	Zone     string
+	RoomMb   int64
+	FreeMb   int64
+	Slots    int
+	Holds    []string
+	Loading  string
+	Usable   bool
+	Busy     bool
+	InFlight int
+}
+
+type Fleet struct {
+	Doc      *standing.Declaration
+	Counts   []castoff.Count
+	Rates    map[string]float64
+	Waiting  map[string]int
+	Replicas []Replica
+}
+
+type Answer struct {
+	Policy    string
+	Proposals []Proposal
+	Fault     *fault.Fault
+	Steps     uint64
+}
+
+var dialect = &syntax.FileOptions{Set: true, While: true, TopLevelControl: true, GlobalReassign: true}
+
+func thread(name string) *starlark.Thread {
+	t := &starlark.Thread{Name: name, Print: func(*starlark.Thread, string) {}}
+	t.SetMaxExecutionSteps(StepsMost)
+	return t
+}
+
+func Compile(name, source string) *fault.Fault {
+	_, program, err := starlark.SourceProgramOptions(dialect, name+".star", source, func(string) bool { return false })
+	if err != nil {
+		return fault.New(fault.PolicyCompile, name, "%v", err)
+	}
+	globals, err := program.Init(thread(name), nil)
+	if err != nil {
+		return fault.New(fault.PolicyCompile, name, "%v", err)
+	}
+	fn, ok := globals["propose"].(*starlark.Function)
+	if !ok {
+		return fault.New(fault.PolicyCompile, name, "it defines no function propose(fleet)")
+	}
+	if fn.NumParams() != 1 {
+		return fault.New(fault.PolicyCompile, name, "propose takes %d parameters, wants 1", fn.NumParams())
+	}
+	return nil
+}
+
+// Run asks a policy for proposals. It is deterministic but for the time cap, which only ever
+// turns an answer into a typed fault.
+func Run(p standing.Policy, fleet Fleet) (answer Answer) {
+	answer.Policy = p.Name
+	t := thread(p.Name)
+	wakeup := time.AfterFunc(TimeMost, func() { t.Cancel("time cap") })
+	defer wakeup.Stop()
+	defer func() {
+		answer.Steps = t.ExecutionSteps()
+		if r := recover(); r != nil {
+			answer.Fault = fault.New(fault.PolicyFailed, p.Name, "%v", r)
+		}
+	}()
+	globals, err := starlark.ExecFileOptions(dialect, t, p.Name+".star", p.Source, nil)
+	if err != nil {
+		answer.Fault = runFault(p.Name, err)
+		return answer
+	}
+	propose, ok := globals["propose"]
+	if !ok {
+		answer.Fault = fault.New(fault.PolicyCompile, p.Name, "it defines no function propose(fleet)")
+		return answer
+	}
+	view := fleet.starlark()
+	view.Freeze()
+	result, err := starlark.Call(t, propose, starlark.Tuple{view}, nil)
+	if err != nil {
+		answer.Fault = runFault(p.Name, err)
+		return answer
+	}
+	answer.Proposals, answer.Fault = read(p.Name, result)
+	return answer
+}
+
+func runFault(name string, err error) *fault.Fault {
+	text := err.Error()
+	if strings.Contains(text, "too many steps") || strings.Contains(text, "time cap") {
+		return fault.New(fault.PolicyLimit, name, "%s", text)
+	}
+	return fault.New(fault.PolicyFailed, name, "%s", text)
+}
+
+func read(name string, result starlark.Value) ([]Proposal, *fault.Fault) {
+	list, ok := result.(*starlark.List)
+	if !ok {
+		return nil, fault.New(fault.PolicyNonsense, name, "propose returned %s, wants a list", result.Type())
+	}
+	if list.Len() > ProposalsMost {
+		return nil, fault.New(fault.PolicyLimit, name, "%d proposals, at most %d", list.Len(), ProposalsMost)
+	}
+	proposals := []Proposal{}
+	for i := 0; i < list.Len(); i++ {
+		d, ok := list.Index(i).(*starlark.Dict)
+		if !ok {
+			return nil, fault.New(fault.PolicyNonsense, name, "proposal %d is %s, wants a dict", i, list.Index(i).Type())
+		}
+		p := Proposal{}
+		for _, item := range d.Items() {
+			key, okKey := starlark.AsString(item[0])
+			value, okValue := starlark.AsString(item[1])
+			if !okKey || !okValue {
+				return nil, fault.New(fault.PolicyNonsense, name, "proposal %d: keys and values are strings", i)
+			}
+			switch key {
+			case "step":
+				p.Step = ledger.Step(value)
+			case "replica":
+				p.Replica = value
+			case "unit":
+				p.Unit = value
+			case "why":
+				p.Why = value[:min(len(value), 200)]
+			default:
+				return nil, fault.New(fault.PolicyNonsense, name, "proposal %d: unknown key %q", i, key)
+			}
+		}
+		proposals = append(proposals, p)
+	}
+	return proposals, nil
+}
+
+func (f Fleet) starlark() *starlark.Dict {
+	str := func(s string) starlark.Value { return starlark.String(s) }
+	num := func(n int64) starlark.Value { return starlark.MakeInt64(n) }
+	counts, models, adapters := starlark.NewDict(0), starlark.NewDict(0), starlark.NewDict(0)
+	for _, c := range f.Counts {
+		_ = counts.SetKey(str(c.Model), num(int64(c.Replicas)))
+	}
+	for _, m := range f.Doc.Models {
+		_ = models.SetKey(str(m.Name), dict("size", num(m.SizeMb), "load_ms", num(m.LoadMs), "weight", num(int64(m.Weight)),
+			"rate", starlark.Float(f.Rates[m.Name]), "waiting", num(int64(f.Waiting[m.Name]))))
+	}
+	for _, a := range f.Doc.Adapters {
+		_ = adapters.SetKey(str(a.Name), dict("model", str(a.Model), "size", num(a.SizeMb), "load_ms", num(a.LoadMs),
+			"rate", starlark.Float(f.Rates[a.Name]), "waiting", num(int64(f.Waiting[a.Name]))))
+	}
+	replicas := []starlark.Value{}
+	for _, r := range f.Replicas {
+		holds := []starlark.Value{}
+		for _, h := range r.Holds {
+			holds = append(holds, str(h))
+		}
+		replicas = append(replicas, dict("id", str(r.ID), "zone", str(r.Zone), "room", num(r.RoomMb), "free", num(r.FreeMb),
+			"slots", num(int64(r.Slots)), "holds", starlark.NewList(holds), "loading", str(r.Loading),
+			"usable", starlark.Bool(r.Usable), "busy", starlark.Bool(r.Busy), "in_flight", num(int64(r.InFlight))))
+	}
+	return dict("counts", counts, "models", models, "adapters", adapters, "replicas", starlark.NewList(replicas))
+}
+
+func dict(pairs ...any) *starlark.Dict {
+	d := starlark.NewDict(len(pairs) / 2)
+	for i := 0; i < len(pairs); i += 2 {
+		_ = d.SetKey(starlark.String(pairs[i].(string)), pairs[i+1].(starlark.Value))
+	}
+	return d
+}
+
+// Bucket is the weight store's rate. It starts empty after a takeover or a gap.
+type Bucket struct {
+	TokensMb float64 `json:"tokensMb"`
+	atUs     int64
+}
+
+func (b *Bucket) Fill(nowUs int64, store standing.Store) {
+	if b.atUs != 0 && nowUs > b.atUs {
+		b.TokensMb += float64(nowUs-b.atUs) / 1e6 * float64(store.MbPerSecond) * 0.9
+	}
+	b.TokensMb = min(b.TokensMb, float64(store.BurstMb))
+	b.atUs = nowUs
+}
+
+func (b *Bucket) Empty() { *b = Bucket{} }
+
+func (b *Bucket) Has(mb int64) bool { return b.TokensMb >= float64(mb) }
+
+func (b *Bucket) Spend(mb int64) { b.TokensMb -= float64(mb) }
+
+type Verdict struct {
+	Proposal Proposal     `json:"proposal"`
+	Fault    *fault.Fault `json:"fault,omitempty"`
+}
+
+// Check takes or refuses each proposal against a running account of room, rate and pending
+// orders, so that two proposals of one answer cannot both use the same room.
+func Check(s *ledger.State, freeTokensMb float64, proposals []Proposal) (tickets []ledger.Ticket, verdicts []Verdict) {
+	addedMb := map[string]int64{}
+	taken := map[string]bool{}
+	loads := s.PendingLoads()
+	for _, p := range proposals {
+		t, f := checkOne(s, p, taken, addedMb, loads, &freeTokensMb)
+		verdicts = append(verdicts, Verdict{Proposal: p, Fault: f})
+		if f != nil {
+			continue
+		}
+		taken[p.Replica] = true
+		if p.Step == ledger.Load {
+			loads++
+			addedMb[p.Replica] += t.SizeMb
+		}
+		tickets = append(tickets, t)
+	}
+	return tickets, verdicts
+}
+
+func checkOne(s *ledger.State, p Proposal, taken map[string]bool, addedMb map[string]int64, loads int, tokensMb *float64) (ledger.Ticket, *fault.Fault) {
+	none := ledger.Ticket{}
+	r := s.Replicas[p.Replica]
+	if r == nil {
+		return none, fault.New(fault.ReplicaUnknown, p.Replica, "no such replica")
+	}
+	sizeMb, _, known := s.Doc.UnitMb(p.Unit)
+	if _, pending := s.Pending[p.Replica]; pending || taken[p.Replica] {
+		return none, fault.New(fault.ReplicaBusy, p.Replica, "an order is pending")
+	}
+	_, held := r.Holds[p.Unit]
+	t := ledger.Ticket{Replica: r.ID, Inc: r.Inc, Step: p.Step, Unit: p.Unit, SizeMb: sizeMb, Why: p.Why}
+	switch p.Step {
+	case ledger.Unload:
+		if !held {
+			return none, fault.New(fault.NotHeld, p.Replica, "%s is not held", p.Unit)
+		}
+		for unit := range r.Holds {
+			if a := s.Doc.Adapter(unit); a != nil && a.Model == p.Unit {
+				return none, fault.New(fault.TicketRefused, p.Replica, "adapter %s of %s is still held", unit, p.Unit)
+			}
+		}
+		t.SizeMb = r.Holds[p.Unit]
+		return t, nil
+	case ledger.Load:
+	default:
+		return none, fault.New(fault.PolicyNonsense, p.Replica, "no such step %q", p.Step)
+	}
+	if !known {
+		return none, fault.New(fault.PolicyNonsense, p.Unit, "no such model or adapter")
+	}
+	if !r.Usable(s.Doc) {
+		return none, fault.New(fault.ReplicaLeaving, p.Replica, "it is leaving, dark or in an emptied zone")
+	}
+	if held {
+		return none, fault.New(fault.AlreadyHeld, p.Replica, "%s is already held", p.Unit)
+	}
+	if a := s.Doc.Adapter(p.Unit); a != nil {
+		if _, base := r.Holds[a.Model]; !base {
+			return none, fault.New(fault.NotHeld, p.Replica, "adapter %s needs model %s there", a.Name, a.Model)
+		}
+	}
+	if takenMb := s.TakenMb(r.ID) + addedMb[r.ID]; takenMb+sizeMb > r.RoomMb {
+		return none, fault.New(fault.NoRoom, p.Replica, "%s takes %d MB, %d of %d MB are taken", p.Unit, sizeMb, takenMb, r.RoomMb)
+	}
+	if loads >= s.Doc.Store.Loads {
+		return none, fault.New(fault.StoreRate, p.Replica, "%d loads are running", loads)
+	}
+	if *tokensMb < float64(sizeMb) {
+		return none, fault.New(fault.StoreRate, p.Replica, "%.0f MB may be loaded now, %s takes %d", *tokensMb, p.Unit, sizeMb)
+	}
+	*tokensMb -= float64(sizeMb)
+	return t, nil
+}
+
+func Summary(verdicts []Verdict) string {
+	byCode := map[string]int{}
+	for _, v := range verdicts {
+		code := "taken"
+		if v.Fault != nil {
+			code = string(v.Fault.Code)
+		}
+		byCode[code]++
+	}
+	codes := make([]string, 0, len(byCode))
+	for c := range byCode {
+		codes = append(codes, c)
+	}
+	sort.Strings(codes)
+	parts := []string{}
+	for _, c := range codes {
+		parts = append(parts, fmt.Sprintf("%s %d", c, byCode[c]))
+	}
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,532 @@
+package ledger
+
+import (
+	"encoding/json"
+	"sort"
+
+	"petreltide/internal/fault"
+	"petreltide/internal/standing"
+)
+
+const (
+	KeysMost    = 200_000
+	ChangesMost = 2_048
+)
+
+type Step string
+
+const (
+	Load   Step = "load"
+	Unload Step = "unload"
+)
+
+type Ticket struct {
+	Number  uint64 `json:"number"`
+	Epoch   uint64 `json:"epoch"`
+	Replica string `json:"replica"`
+	Inc     string `json:"inc"`
+	Step    Step   `json:"step"`
+	Unit    string `json:"unit"`
+	SizeMb  int64  `json:"sizeMb"`
+	Why     string `json:"why,omitempty"`
+}
+
+type Grant struct {
+	Ticket  uint64 `json:"ticket"`
+	Epoch   uint64 `json:"epoch"`
+	Desk    string `json:"desk"`
+	DeskInc string `json:"deskInc"`
+	Replica string `json:"replica"`
+	Inc     string `json:"inc"`
+	Model   string `json:"model"`
+	From    uint64 `json:"from"`
+	To      uint64 `json:"to"`
+}
+
+func (g Grant) Key() string { return g.Desk + "|" + g.Replica + "|" + g.Model }
+
+type GrantAsk struct {
+	Desk    string `json:"desk"`
+	DeskInc string `json:"deskInc"`
+	Replica string `json:"replica"`
+	Inc     string `json:"inc"`
+	Model   string `json:"model"`
+	Count   uint64 `json:"count"`
+}
+
+type Replica struct {
+	ID      string           `json:"id"`
+	Inc     string           `json:"inc"`
+	Addr    string           `json:"addr"`
+	Zone    string           `json:"zone"`
+	RoomMb  int64            `json:"roomMb"`
+	Slots   int              `json:"slots"`
+	Leaving bool             `json:"leaving,omitempty"`
+	LeftMs  int64            `json:"leftMs,omitempty"`
+	Dark    bool             `json:"dark,omitempty"`
+	Holds   map[string]int64 `json:"holds"`
+	NextLeg uint64           `json:"nextLeg"`
+	Shares  map[string]int   `json:"shares,omitempty"`
+}
+
+func (r *Replica) Usable(d *standing.Declaration) bool {
+	return !r.Leaving && !r.Dark && r.Inc != "" && (d == nil || !d.IsEmptied(r.Zone))
+}
+
+type KeyRow struct {
+	Desk    string `json:"desk"`
+	DeskInc string `json:"deskInc"`
+	Call    string `json:"call"`
+	Ended   string `json:"ended,omitempty"`
+	Index   uint64 `json:"index"`
+}
+
+type Change struct {
+	ID     string        `json:"id"`
+	Origin string        `json:"origin,omitempty"`
+	Epoch  uint64        `json:"epoch,omitempty"`
+	Config *ConfigChange `json:"config,omitempty"`
+	Claim  *Claim        `json:"claim,omitempty"`
+	Duty   *Duty         `json:"duty,omitempty"`
+	Key    *KeyChange    `json:"key,omitempty"`
+}
+
+type ConfigChange struct {
+	Base uint64                `json:"base"`
+	Doc  *standing.Declaration `json:"doc"`
+}
+
+type Claim struct {
+	Holder string `json:"holder"`
+}
+
+type Duty struct {
+	Fleet   []ReplicaNote             `json:"fleet,omitempty"`
+	Gone    []string                  `json:"gone,omitempty"`
+	Tickets []Ticket                  `json:"tickets,omitempty"`
+	Settled []Settled                 `json:"settled,omitempty"`
+	Grants  []GrantAsk                `json:"grants,omitempty"`
+	Shares  map[string]map[string]int `json:"shares,omitempty"`
+	Desks   []string                  `json:"goneDesks,omitempty"`
+	Forget  uint64                    `json:"forgetKeysBefore,omitempty"`
+}
+
+func (d *Duty) Blank() bool {
+	return len(d.Fleet)+len(d.Gone)+len(d.Tickets)+len(d.Settled)+len(d.Grants)+len(d.Shares)+len(d.Desks) == 0 && d.Forget == 0
+}
+
+type ReplicaNote struct {
+	ID      string    `json:"id"`
+	Inc     string    `json:"inc"`
+	Addr    string    `json:"addr"`
+	Zone    string    `json:"zone"`
+	RoomMb  int64     `json:"roomMb"`
+	Slots   int       `json:"slots"`
+	Leaving bool      `json:"leaving,omitempty"`
+	LeftMs  int64     `json:"leftMs,omitempty"`
+	Dark    bool      `json:"dark,omitempty"`
+	Told    bool      `json:"told,omitempty"`
+	Holds   []Holding `json:"holds,omitempty"`
+}
+
+type Holding struct {
+	Unit   string `json:"unit"`
+	SizeMb int64  `json:"sizeMb"`
+}
+
+type Settled struct {
+	Number uint64 `json:"number"`
+	Done   bool   `json:"done"`
+	Why    string `json:"why,omitempty"`
+}
+
+type KeyChange struct {
+	Key     string `json:"key"`
+	Desk    string `json:"desk"`
+	DeskInc string `json:"deskInc"`
+	Call    string `json:"call"`
+	End     string `json:"end,omitempty"`
+	Free    bool   `json:"free,omitempty"`
+}
+
+type Outcome struct {
+	ID       string        `json:"id"`
+	Index    uint64        `json:"index"`
+	Revision uint64        `json:"revision,omitempty"`
+	Fault    *fault.Fault  `json:"fault,omitempty"`
+	Key      *KeyRow       `json:"key,omitempty"`
+	Again    bool          `json:"again,omitempty"`
+	Faults   []fault.Fault `json:"faults,omitempty"`
+}
+
+type State struct {
+	Index      uint64                `json:"index"`
+	NewsIndex  uint64                `json:"newsIndex"`
+	Epoch      uint64                `json:"epoch"`
+	Holder     string                `json:"holder"`
+	Revision   uint64                `json:"revision"`
+	Doc        *standing.Declaration `json:"doc,omitempty"`
+	Replicas   map[string]*Replica   `json:"replicas"`
+	Pending    map[string]Ticket     `json:"pending"`
+	NextTicket uint64                `json:"nextTicket"`
+	Grants     map[string]Grant      `json:"grants"`
+	Keys       map[string]KeyRow     `json:"keys"`
+	KeyOrder   []string              `json:"keyOrder"`
+	Changes    map[string]Outcome    `json:"changes"`
+	ChangeIDs  []string              `json:"changeIds"`
+	Refused    map[fault.Code]uint64 `json:"refused"`
+}
+
+func NewState() *State {
+	return &State{
+		NextTicket: 1, Replicas: map[string]*Replica{}, Pending: map[string]Ticket{},
+		Grants: map[string]Grant{}, Keys: map[string]KeyRow{}, Changes: map[string]Outcome{},
+		Refused: map[fault.Code]uint64{},
+	}
+}
+
+func (s *State) Encode() []byte {
+	raw, err := json.Marshal(s)
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
+func Decode(raw []byte) (*State, error) {
+	s := NewState()
+	if err := json.Unmarshal(raw, s); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *State) ReplicaIDs() []string {
+	ids := make([]string, 0, len(s.Replicas))
+	for id := range s.Replicas {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// TakenMb counts what is held and what may be held: a load in doubt keeps its room,
+// and an unload gives its room back only once it is settled.
+func (s *State) TakenMb(replica string) int64 {
+	r := s.Replicas[replica]
+	if r == nil {
+		return 0
+	}
+	var sumMb int64
+	for _, mb := range r.Holds {
+		sumMb += mb
+	}
+	if t, ok := s.Pending[replica]; ok && t.Step == Load {
+		if _, held := r.Holds[t.Unit]; !held {
+			sumMb += t.SizeMb
+		}
+	}
+	return sumMb
+}
+
+func (s *State) PendingLoads() int {
+	n := 0
+	for _, t := range s.Pending {
+		if t.Step == Load {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *State) Apply(index uint64, c Change) Outcome {
+	s.Index = index
+	out := Outcome{ID: c.ID, Index: index}
+	switch {
+	case c.Config != nil:
+		out = s.applyConfig(out, c)
+	case c.Claim != nil:
+		s.applyClaim(&out, c)
+	case c.Duty != nil:
+		s.applyDuty(&out, c)
+	case c.Key != nil:
+		s.applyKey(&out, c)
+	}
+	if out.Fault != nil {
+		s.Refused[out.Fault.Code]++
+	}
+	for _, f := range out.Faults {
+		s.Refused[f.Code]++
+	}
+	return out
+}
+
+func (s *State) applyConfig(out Outcome, c Change) Outcome {
+	if first, seen := s.Changes[c.ID]; seen {
+		first.Again = true
+		return first
+	}
+	if c.Config.Base != s.Revision {
+		out.Fault = fault.New(fault.StaleBase, "base", "based on %d, current is %d", c.Config.Base, s.Revision)
+		out.Fault.Revision = s.Revision
+	} else if f := s.fits(c.Config.Doc); f != nil {
+		out.Fault = f
+	} else {
+		s.Revision++
+		s.Doc = c.Config.Doc
+		s.NewsIndex = s.Index
+	}
+	out.Revision = s.Revision
+	s.Changes[c.ID] = out
+	s.ChangeIDs = append(s.ChangeIDs, c.ID)
+	if len(s.ChangeIDs) > ChangesMost {
+		delete(s.Changes, s.ChangeIDs[0])
+		s.ChangeIDs = s.ChangeIDs[1:]
+	}
+	return out
+}
+
+func (s *State) fits(d *standing.Declaration) *fault.Fault {
+	var mostMb int64
+	for _, r := range s.Replicas {
+		mostMb = max(mostMb, r.RoomMb)
+	}
+	sheet := &fault.Sheet{}
+	if mostMb > 0 {
+		for _, m := range d.Models {
+			if m.SizeMb > mostMb {
+				sheet.Note(fault.InvalidConfig, "models."+m.Name+".sizeMb", "%d MB fits no listed replica (largest %d MB)", m.SizeMb, mostMb)
+			}
+		}
+	}
+	return sheet.As(fault.InvalidConfig)
+}
+
+func (s *State) applyClaim(out *Outcome, c Change) {
+	if c.Epoch != s.Epoch+1 {
+		out.Fault = fault.New(fault.StaleEpoch, "epoch", "claims %d, current is %d", c.Epoch, s.Epoch)
+		return
+	}
+	s.Epoch = c.Epoch
+	s.Holder = c.Claim.Holder
+}
+
+func (s *State) applyDuty(out *Outcome, c Change) {
+	if c.Epoch != s.Epoch {
+		out.Fault = fault.New(fault.StaleEpoch, "epoch", "written under %d, current is %d", c.Epoch, s.Epoch)
+		return
+	}
+	sheet := &fault.Sheet{}
+	news := false
+	for _, n := range c.Duty.Fleet {
+		s.noteReplica(n)
+		news = true
+	}
+	for _, id := range c.Duty.Gone {
+		s.dropReplica(id)
+		news = true
+	}
+	for _, d := range c.Duty.Settled {
+		news = s.settle(d) || news
+	}
+	for _, t := range c.Duty.Tickets {
+		if f := s.issue(c.Epoch, t); f != nil {
+			sheet.Add(f)
+		}
+	}
+	s.forgetKeys(c.Duty.Forget)
+	for _, desk := range c.Duty.Desks {
+		s.dropDesk(desk)
+	}
+	for _, g := range c.Duty.Grants {
+		if f := s.grant(c.Epoch, g); f != nil {
+			sheet.Add(f)
+			continue
+		}
+		news = true
+	}
+	for id, shares := range c.Duty.Shares {
+		if r := s.Replicas[id]; r != nil && sumOf(shares) <= r.Slots {
+			r.Shares = shares
+			news = true
+		}
+	}
+	if news {
+		s.NewsIndex = s.Index
+	}
+	out.Faults = sheet.Faults
+}
+
+func sumOf(shares map[string]int) int {
+	sum := 0
+	for _, n := range shares {
+		sum += n
+	}
+	return sum
+}
+
+func (s *State) noteReplica(n ReplicaNote) {
+	r := s.Replicas[n.ID]
+	if r == nil {
+		r = &Replica{ID: n.ID, Holds: map[string]int64{}, NextLeg: 1}
+		s.Replicas[n.ID] = r
+	}
+	if n.Inc != r.Inc {
+		s.dropReplica(n.ID)
+		r = &Replica{ID: n.ID, Inc: n.Inc, Holds: map[string]int64{}, NextLeg: 1}
+		s.Replicas[n.ID] = r
+	}
+	r.Addr, r.Zone, r.RoomMb, r.Slots = n.Addr, n.Zone, n.RoomMb, n.Slots
+	r.Leaving, r.LeftMs, r.Dark = n.Leaving, n.LeftMs, n.Dark
+	if n.Told {
+		r.Holds = map[string]int64{}
+		for _, h := range n.Holds {
+			r.Holds[h.Unit] = h.SizeMb
+		}
+	}
+}
+
+func (s *State) dropReplica(id string) {
+	delete(s.Replicas, id)
+	delete(s.Pending, id)
+	for key, g := range s.Grants {
+		if g.Replica == id {
+			delete(s.Grants, key)
+		}
+	}
+}
+
+func (s *State) dropDesk(id string) {
+	for key, g := range s.Grants {
+		if g.Desk == id {
+			delete(s.Grants, key)
+		}
+	}
+	for _, r := range s.Replicas {
+		delete(r.Shares, id)
+	}
+}
+
+func (s *State) settle(d Settled) bool {
+	for id, t := range s.Pending {
+		if t.Number != d.Number {
+			continue
+		}
+		delete(s.Pending, id)
+		r := s.Replicas[id]
+		if r == nil || r.Inc != t.Inc || !d.Done {
+			return false
+		}
+		if t.Step == Load {
+			r.Holds[t.Unit] = t.SizeMb
+		} else {
+			delete(r.Holds, t.Unit)
+		}
+		return true
+	}
+	return false
+}
+
+func (s *State) issue(epoch uint64, t Ticket) *fault.Fault {
+	r := s.Replicas[t.Replica]
+	if r == nil || r.Inc != t.Inc {
+		return fault.New(fault.ReplicaUnknown, t.Replica, "no such replica or another incarnation")
+	}
+	if _, busy := s.Pending[t.Replica]; busy {
+		return fault.New(fault.ReplicaBusy, t.Replica, "an order is pending")
+	}
+	_, held := r.Holds[t.Unit]
+	switch t.Step {
+	case Load:
+		if held {
+			return fault.New(fault.AlreadyHeld, t.Replica, "%s is already held", t.Unit)
+		}
+		if s.Doc == nil {
+			return fault.New(fault.PolicyNonsense, t.Unit, "no declaration yet")
+		}
+		sizeMb, _, known := s.Doc.UnitMb(t.Unit)
+		if !known {
+			return fault.New(fault.PolicyNonsense, t.Unit, "no such model or adapter")
+		}
+		t.SizeMb = sizeMb
+		if takenMb := s.TakenMb(t.Replica); takenMb+sizeMb > r.RoomMb {
+			return fault.New(fault.NoRoom, t.Replica, "%s takes %d MB, %d of %d MB are taken", t.Unit, sizeMb, takenMb, r.RoomMb)
+		}
+		if s.PendingLoads() >= s.Doc.Store.Loads {
+			return fault.New(fault.StoreRate, t.Replica, "%d loads are running", s.PendingLoads())
+		}
+	case Unload:
+		if !held {
+			return fault.New(fault.NotHeld, t.Replica, "%s is not held", t.Unit)
+		}
+		t.SizeMb = r.Holds[t.Unit]
+	default:
+		return fault.New(fault.PolicyNonsense, t.Replica, "no such step %q", t.Step)
+	}
+	t.Number, t.Epoch = s.NextTicket, epoch
+	s.NextTicket++
+	s.Pending[t.Replica] = t
+	if t.Step == Unload {
+		s.NewsIndex = s.Index
+	}
+	return nil
+}
+
+func (s *State) grant(epoch uint64, a GrantAsk) *fault.Fault {
+	r := s.Replicas[a.Replica]
+	if r == nil || r.Inc != a.Inc {
+		return fault.New(fault.ReplicaUnknown, a.Replica, "no such replica or another incarnation")
+	}
+	if a.Count == 0 || a.Count > 1<<20 {
+		return fault.New(fault.TicketRefused, a.Replica, "count %d", a.Count)
+	}
+	g := Grant{
+		Ticket: s.NextTicket, Epoch: epoch, Desk: a.Desk, DeskInc: a.DeskInc,
+		Replica: a.Replica, Inc: a.Inc, Model: a.Model, From: r.NextLeg, To: r.NextLeg + a.Count,
+	}
+	s.NextTicket++
+	r.NextLeg = g.To
+	s.Grants[g.Key()] = g
+	return nil
+}
+
+func (s *State) applyKey(out *Outcome, c Change) {
+	k := c.Key
+	row, seen := s.Keys[k.Key]
+	mine := seen && row.DeskInc == k.DeskInc && row.Call == k.Call
+	switch {
+	case k.Free:
+		if mine && row.Ended == "" {
+			delete(s.Keys, k.Key)
+		}
+	case k.End != "":
+		if mine && row.Ended == "" {
+			row.Ended = k.End
+			s.Keys[k.Key] = row
+		}
+	case seen:
+		held := row
+		out.Key = &held
+		out.Again = !mine
+	default:
+		if len(s.Keys) >= KeysMost {
+			out.Fault = fault.New(fault.KeysFull, "key", "%d keys are kept", len(s.Keys))
+			return
+		}
+		row = KeyRow{Desk: k.Desk, DeskInc: k.DeskInc, Call: k.Call, Index: s.Index}
+		s.Keys[k.Key] = row
+		s.KeyOrder = append(s.KeyOrder, k.Key)
+		out.Key = &row
+	}
+}
+
+func (s *State) forgetKeys(before uint64) {
+	for len(s.KeyOrder) > 0 {
+		row, kept := s.Keys[s.KeyOrder[0]]
+		if kept && row.Index >= before {
+			return
+		}
+		delete(s.Keys, s.KeyOrder[0])
+		s.KeyOrder = s.KeyOrder[1:]
+	}
+}
--- /dev/null
+++ b/internal/newsroom/newsroom.go
@@ -0,0 +1,226 @@
+package newsroom
+
+import (
+	"sort"
+
+	"petreltide/internal/chain"
+	"petreltide/internal/clock"
+	"petreltide/internal/ledger"
+	"petreltide/internal/wire"
+)
+
+const (
+	DeskLeaseUs = 1200 * clock.Ms
+	behindUs    = 600 * clock.Ms
+	forgetUs    = 30 * clock.Sec
+	backlogMost = 256
+)
+
+type row struct {
+	inc       string
+	zone      string
+	addr      string
+	following bool
+	acked     uint64
+	revision  uint64
+	pushed    uint64
+	behindUs  int64
+	lapseUs   int64
+	seenUs    int64
+}
+
+type waiting struct {
+	origin string
+	result wire.Result
+	number uint64
+}
+
+// Room is the tail's: it pushes numbered news to desks, gives their leases, and holds an
+// operator's answer until every desk has acknowledged or its lease has run out.
+type Room struct {
+	open    bool
+	openUs  int64
+	desks   map[string]*row
+	backlog []waiting
+}
+
+type Push struct {
+	Desk string
+	News wire.News
+}
+
+type Answer struct {
+	Origin string
+	Result wire.Result
+}
+
+func New() *Room { return &Room{desks: map[string]*row{}} }
+
+func (r *Room) Gate(nowUs int64, open bool) {
+	if open == r.open {
+		return
+	}
+	r.open = open
+	if open {
+		r.openUs = nowUs
+		return
+	}
+	r.backlog = nil
+	r.desks = map[string]*row{}
+}
+
+func (r *Room) Follow(nowUs int64, f wire.Follow) bool {
+	if !r.open {
+		return false
+	}
+	d := r.desks[f.Desk]
+	if d == nil || d.inc != f.Inc {
+		lapseUs := nowUs + DeskLeaseUs
+		if d != nil {
+			lapseUs = max(lapseUs, d.lapseUs)
+		}
+		d = &row{inc: f.Inc, lapseUs: lapseUs}
+		r.desks[f.Desk] = d
+	}
+	d.following, d.revision, d.pushed, d.acked = true, f.Revision, 0, 0
+	d.zone, d.addr, d.seenUs = f.Zone, f.Addr, nowUs
+	return true
+}
+
+func (r *Room) Report(nowUs int64, view uint64, newest uint64, p wire.Report) wire.Lease {
+	no := wire.Lease{View: view}
+	if !r.open {
+		return no
+	}
+	d := r.desks[p.Desk]
+	if d == nil || d.inc != p.Inc {
+		return no
+	}
+	d.seenUs = nowUs
+	d.acked = max(d.acked, p.Number)
+	if d.acked >= newest {
+		d.behindUs = 0
+	} else if d.behindUs == 0 {
+		d.behindUs = nowUs
+	}
+	if !d.following || d.acked == 0 || (d.behindUs > 0 && nowUs-d.behindUs > behindUs) {
+		return no
+	}
+	d.lapseUs = nowUs + DeskLeaseUs
+	return wire.Lease{OK: true, View: view, SentUs: p.SentUs, LeaseUs: DeskLeaseUs, Number: newest}
+}
+
+func (r *Room) Pushes(s *ledger.State, view chain.View) []Push {
+	if !r.open {
+		return nil
+	}
+	pushes := []Push{}
+	for _, id := range r.deskIDs() {
+		d := r.desks[id]
+		if !d.following || (d.pushed >= s.NewsIndex && d.pushed > 0) {
+			continue
+		}
+		news := Write(s, view.Number, id, d.inc, d.revision)
+		d.pushed = max(news.Number, 1)
+		d.revision = s.Revision
+		pushes = append(pushes, Push{Desk: id, News: news})
+	}
+	return pushes
+}
+
+func Write(s *ledger.State, view uint64, desk, inc string, revision uint64) wire.News {
+	news := wire.News{Number: max(s.NewsIndex, 1), View: view, Epoch: s.Epoch, Revision: s.Revision}
+	if s.Revision > revision {
+		news.Doc = s.Doc
+	}
+	for _, id := range s.ReplicaIDs() {
+		r := s.Replicas[id]
+		row := wire.ReplicaNews{
+			ID: r.ID, Inc: r.Inc, Addr: r.Addr, Zone: r.Zone, Leaving: r.Leaving, LeftMs: r.LeftMs, Dark: r.Dark, Share: r.Shares[desk],
+		}
+		for unit := range r.Holds {
+			row.Holds = append(row.Holds, unit)
+		}
+		sort.Strings(row.Holds)
+		if t, ok := s.Pending[id]; ok && t.Step == ledger.Unload {
+			row.Unloading = t.Unit
+		}
+		news.Replicas = append(news.Replicas, row)
+		for unit := range r.Holds {
+			g, ok := s.Grants[ledger.Grant{Desk: desk, Replica: id, Model: unit}.Key()]
+			if ok && g.DeskInc == inc && g.Inc == r.Inc {
+				news.Grants = append(news.Grants, g)
+			}
+		}
+	}
+	sort.Slice(news.Grants, func(i, j int) bool { return news.Grants[i].Ticket < news.Grants[j].Ticket })
+	return news
+}
+
+func (r *Room) Hold(origin string, out ledger.Outcome, number uint64) {
+	if !r.open || len(r.backlog) >= backlogMost {
+		return
+	}
+	r.backlog = append(r.backlog, waiting{origin: origin, result: wire.Result{Outcome: out, Everywhere: true}, number: number})
+}
+
+func (r *Room) Answers(nowUs int64) []Answer {
+	if !r.open {
+		return nil
+	}
+	answers := []Answer{}
+	kept := r.backlog[:0]
+	for _, w := range r.backlog {
+		if r.everywhere(nowUs, w.number) {
+			answers = append(answers, Answer{Origin: w.origin, Result: w.result})
+		} else {
+			kept = append(kept, w)
+		}
+	}
+	r.backlog = kept
+	for id, d := range r.desks {
+		if nowUs-d.seenUs > forgetUs && nowUs > d.lapseUs {
+			delete(r.desks, id)
+		}
+	}
+	return answers
+}
+
+func (r *Room) everywhere(nowUs int64, number uint64) bool {
+	if nowUs-r.openUs < DeskLeaseUs {
+		return false
+	}
+	for _, d := range r.desks {
+		if d.acked < number && nowUs < d.lapseUs {
+			return false
+		}
+	}
+	return true
+}
+
+type DeskNote struct {
+	Desk      string `json:"desk"`
+	Zone      string `json:"zone"`
+	Addr      string `json:"addr"`
+	Following bool   `json:"following"`
+	Acked     uint64 `json:"acked"`
+	LeaseMs   int64  `json:"leaseMs"`
+}
+
+func (r *Room) Desks(nowUs int64) []DeskNote {
+	notes := []DeskNote{}
+	for _, id := range r.deskIDs() {
+		d := r.desks[id]
+		notes = append(notes, DeskNote{id, d.zone, d.addr, d.following, d.acked, max(0, d.lapseUs-nowUs) / 1000})
+	}
+	return notes
+}
+
+func (r *Room) deskIDs() []string {
+	ids := make([]string, 0, len(r.desks))
+	for id := range r.desks {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
--- /dev/null
+++ b/internal/office/core.go
@@ -0,0 +1,260 @@
+package office
+
+import (
+	"sort"
+
+	"petreltide/internal/chain"
+	"petreltide/internal/fault"
+	"petreltide/internal/foreman"
+	"petreltide/internal/ledger"
+	"petreltide/internal/newsroom"
+	"petreltide/internal/wire"
+)
+
+type Event struct {
+	NowUs   int64
+	Letter  *wire.Letter
+	Saved   uint64
+	Submit  *ledger.Change
+	Learn   []string
+	Follow  *wire.Follow
+	Report  *Reported
+	Foreman *foreman.Event
+}
+
+type Reported struct {
+	Report wire.Report
+	Reply  uint64
+}
+
+type Effect struct {
+	Letter  *Letter
+	Save    *chain.Save
+	Push    *newsroom.Push
+	Result  *wire.Result
+	Lease   *Leased
+	Foreman *foreman.Effect
+	Trouble string
+	Note    string
+}
+
+type Letter struct {
+	Addr   string
+	Letter wire.Letter
+}
+
+type Leased struct {
+	Reply uint64
+	Lease wire.Lease
+}
+
+// Core is an office's whole reducer: the chain, the tail's newsroom and the head's foreman.
+type Core struct {
+	Node    *chain.Node
+	Room    *newsroom.Room
+	Foreman *foreman.Foreman
+	effects []Effect
+	headUs  int64
+}
+
+func NewCore(node *chain.Node) *Core {
+	return &Core{Node: node, Room: newsroom.New(), Foreman: foreman.New(node.Me().ID)}
+}
+
+func (c *Core) Step(ev Event) []Effect {
+	c.effects = nil
+	switch {
+	case ev.Letter != nil:
+		c.letter(ev.NowUs, *ev.Letter)
+	case ev.Saved != 0:
+		c.chain(chain.Event{NowUs: ev.NowUs, Saved: ev.Saved})
+	case ev.Submit != nil:
+		c.chain(chain.Event{NowUs: ev.NowUs, Submit: ev.Submit})
+	case ev.Learn != nil:
+		c.chain(chain.Event{NowUs: ev.NowUs, Learn: ev.Learn})
+	case ev.Follow != nil:
+		c.Room.Gate(ev.NowUs, c.Node.Open(ev.NowUs))
+		c.Room.Follow(ev.NowUs, *ev.Follow)
+	case ev.Report != nil:
+		c.report(ev.NowUs, *ev.Report)
+	case ev.Foreman != nil:
+		c.foreman(*ev.Foreman)
+	default:
+		c.chain(chain.Event{NowUs: ev.NowUs})
+		c.foreman(foreman.Event{NowUs: ev.NowUs})
+	}
+	c.Room.Gate(ev.NowUs, c.Node.Open(ev.NowUs))
+	for _, p := range c.Room.Pushes(c.Node.State(), c.Node.View()) {
+		push := p
+		c.effects = append(c.effects, Effect{Push: &push})
+	}
+	for _, a := range c.Room.Answers(ev.NowUs) {
+		c.answer(a.Origin, a.Result)
+	}
+	return c.effects
+}
+
+func (c *Core) letter(nowUs int64, l wire.Letter) {
+	switch {
+	case l.Chain != nil:
+		c.chain(chain.Event{NowUs: nowUs, Got: l.Chain})
+	case l.Result != nil:
+		c.effects = append(c.effects, Effect{Result: l.Result})
+	case l.Report != nil:
+		c.foreman(foreman.Event{NowUs: nowUs, Report: l.Report})
+	}
+}
+
+func (c *Core) report(nowUs int64, r Reported) {
+	c.Room.Gate(nowUs, c.Node.Open(nowUs))
+	lease := c.Room.Report(nowUs, c.Node.View().Number, c.Node.State().NewsIndex, r.Report)
+	c.effects = append(c.effects, Effect{Lease: &Leased{Reply: r.Reply, Lease: lease}})
+	if !c.Node.Open(nowUs) {
+		return
+	}
+	if c.Node.IsHead() {
+		c.foreman(foreman.Event{NowUs: nowUs, Report: &r.Report})
+		return
+	}
+	report := r.Report
+	c.post(c.Node.View().Head().Addr, wire.Letter{Report: &report})
+}
+
+func (c *Core) post(addr string, l wire.Letter) {
+	c.effects = append(c.effects, Effect{Letter: &Letter{Addr: addr, Letter: l}})
+}
+
+func (c *Core) chain(ev chain.Event) {
+	for _, e := range c.Node.Step(ev) {
+		switch {
+		case e.Send != nil:
+			msg := e.Send.Msg
+			c.post(e.Send.Addr, wire.Letter{Chain: &msg})
+		case e.Save != nil:
+			c.effects = append(c.effects, Effect{Save: e.Save})
+		case e.Applied != nil:
+			c.applied(ev.NowUs, *e.Applied)
+		case e.Viewed != nil:
+			c.Room.Gate(ev.NowUs, c.Node.Open(ev.NowUs))
+			c.effects = append(c.effects, Effect{Note: "view", Trouble: viewText(*e.Viewed)})
+		case e.Refused != nil:
+			c.effects = append(c.effects, Effect{Result: &wire.Result{Outcome: ledger.Outcome{
+				ID: e.Refused.ID, Fault: fault.New(fault.NotServing, "", "%s", e.Refused.Reason),
+			}}})
+		}
+	}
+}
+
+func (c *Core) applied(nowUs int64, a chain.Applied) {
+	change := a.Entry.Change
+	if change.Duty != nil && change.Epoch == c.Node.State().Epoch {
+		out := a.Outcome
+		c.foreman(foreman.Event{NowUs: nowUs, Wrote: &out})
+	}
+	if !c.Node.IsTail() || change.Origin == "" || !c.Node.WritesTaken() {
+		return
+	}
+	if change.Config != nil && a.Outcome.Fault == nil {
+		c.Room.Gate(nowUs, c.Node.Open(nowUs))
+		c.Room.Hold(change.Origin, a.Outcome, c.Node.State().NewsIndex)
+		return
+	}
+	c.answer(change.Origin, wire.Result{Outcome: a.Outcome, Everywhere: true})
+}
+
+func (c *Core) answer(origin string, r wire.Result) {
+	if origin == c.Node.Me().Addr {
+		c.effects = append(c.effects, Effect{Result: &r})
+		return
+	}
+	c.post(origin, wire.Letter{Result: &r})
+}
+
+func (c *Core) foreman(ev foreman.Event) {
+	seen := foreman.Seen{
+		NowUs: ev.NowUs, State: c.Node.State(), Head: c.Node.IsHead(),
+		Fresh: c.Node.HeadFresh(ev.NowUs), Writes: c.Node.WritesTaken(),
+	}
+	if !seen.Writes {
+		seen.Fresh = false
+	}
+	for _, e := range c.Foreman.Step(seen, ev) {
+		if e.Write != nil {
+			c.chain(chain.Event{NowUs: ev.NowUs, Submit: e.Write})
+			continue
+		}
+		held := e
+		c.effects = append(c.effects, Effect{Foreman: &held})
+	}
+}
+
+func viewText(v chain.View) string {
+	text := ""
+	for i, s := range v.Order {
+		if i > 0 {
+			text += " > "
+		}
+		text += s.ID
+	}
+	return text
+}
+
+type Status struct {
+	Office   chain.Member          `json:"office"`
+	Phase    chain.Phase           `json:"phase"`
+	View     chain.View            `json:"view"`
+	Open     bool                  `json:"open"`
+	WaitsFor string                `json:"waitsFor,omitempty"`
+	Commit   uint64                `json:"commit"`
+	Last     uint64                `json:"last"`
+	Epoch    uint64                `json:"epoch"`
+	Holder   string                `json:"holder"`
+	OnDuty   bool                  `json:"onDuty"`
+	Revision uint64                `json:"revision"`
+	Emptied  []string              `json:"emptied,omitempty"`
+	Partners []chain.PartnerNote   `json:"partners"`
+	Desks    []newsroom.DeskNote   `json:"desks,omitempty"`
+	Demand   []foreman.DeskNote    `json:"demand,omitempty"`
+	Replicas []ledger.Replica      `json:"replicas"`
+	Pending  []ledger.Ticket       `json:"pending"`
+	Counts   any                   `json:"counts,omitempty"`
+	Policy   foreman.PolicyNote    `json:"policy"`
+	Shadows  []foreman.PolicyNote  `json:"shadows,omitempty"`
+	Faults   map[fault.Code]uint64 `json:"faults,omitempty"`
+	Refused  map[fault.Code]uint64 `json:"refused,omitempty"`
+	Keys     int                   `json:"keys"`
+	Grants   int                   `json:"grants"`
+}
+
+func (c *Core) Status(nowUs int64) Status {
+	s := c.Node.State()
+	st := Status{
+		Office: c.Node.Me(), Phase: c.Node.Phase(), View: c.Node.View(), Open: c.Node.Open(nowUs), WaitsFor: c.Node.WaitsFor(),
+		Commit: c.Node.Commit(), Last: c.Node.Last(), Epoch: s.Epoch, Holder: s.Holder, OnDuty: c.Foreman.OnDuty(s),
+		Revision: s.Revision, Partners: c.Node.Partners(), Desks: c.Room.Desks(nowUs), Demand: c.Foreman.Desks(nowUs),
+		Counts: c.Foreman.Counts(), Policy: c.Foreman.Policy, Shadows: c.Foreman.Shadows,
+		Faults: copyOf(c.Foreman.Faults), Refused: copyOf(s.Refused), Keys: len(s.Keys), Grants: len(s.Grants),
+		Pending: []ledger.Ticket{}, Replicas: []ledger.Replica{},
+	}
+	if s.Doc != nil {
+		st.Emptied = s.Doc.Emptied
+	}
+	for _, id := range s.ReplicaIDs() {
+		r := *s.Replicas[id]
+		r.Holds, r.Shares = copyOf(r.Holds), copyOf(r.Shares)
+		st.Replicas = append(st.Replicas, r)
+	}
+	for _, t := range s.Pending {
+		st.Pending = append(st.Pending, t)
+	}
+	sort.Slice(st.Pending, func(i, j int) bool { return st.Pending[i].Number < st.Pending[j].Number })
+	return st
+}
+
+func copyOf[K comparable, V any](m map[K]V) map[K]V {
+	out := make(map[K]V, len(m))
+	for k, v := range m {
+		out[k] = v
+	}
+	return out
+}
--- /dev/null
+++ b/internal/office/host.go
@@ -0,0 +1,482 @@
+package office
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/juju/errors"
+
+	"petreltide/internal/chain"
+	"petreltide/internal/clock"
+	"petreltide/internal/fault"
+	"petreltide/internal/foreman"
+	"petreltide/internal/imposition"
+	"petreltide/internal/ledger"
+	"petreltide/internal/pipe"
+	"petreltide/internal/settings"
+	"petreltide/internal/shelf"
+	"petreltide/internal/spike"
+	"petreltide/internal/wire"
+)
+
+const (
+	tickEvery    = 25 * time.Millisecond
+	mailboxMost  = 8192
+	partnerMost  = 1024
+	answerWait   = 8 * time.Second
+	keyWait      = 2 * time.Second
+	resubmit     = 400 * time.Millisecond
+	replicaWait  = 900 * time.Millisecond
+	platformWait = 800 * time.Millisecond
+)
+
+func RandomID(bytes int) string {
+	raw := make([]byte, bytes)
+	if _, err := rand.Read(raw); err != nil {
+		panic(err)
+	}
+	return hex.EncodeToString(raw)
+}
+
+type Host struct {
+	set   settings.Office
+	core  *Core
+	disk  *shelf.Shelf
+	ring  *spike.Ring
+	log   log.Logger
+	web   *http.Client
+	inner *http.Client
+
+	mailbox  chan func()
+	saves    chan chain.Save
+	partners map[string]chan wire.Letter
+	waiters  map[string]chan wire.Result
+	replies  map[uint64]chan wire.Lease
+	replySeq uint64
+	follows  map[string]*followed
+	met      map[string]bool
+	ctx      context.Context
+	stop     context.CancelFunc
+	group    sync.WaitGroup
+	failed   chan error
+}
+
+type followed struct {
+	latest chan wire.News
+}
+
+// Open reads the data folder. Damaged data is set aside under a name that says so and the
+// office comes back as a new member; it never votes on what it can no longer know.
+func Open(set settings.Office, ring *spike.Ring) (*Host, error) {
+	logger := ring.Logger("office", set.Name)
+	seal := chain.Seal{Identity: set.Name + "-" + RandomID(4), Name: set.Name}
+	opened, err := shelf.Open(set.Data, seal)
+	var bad *fault.Fault
+	if errors.As(err, &bad) && bad.Code == fault.DamagedData {
+		kept, moveErr := shelf.SetAside(set.Data, RandomID(4))
+		if moveErr != nil {
+			return nil, errors.Trace(moveErr)
+		}
+		_ = logger.Log("event", "damaged data set aside", "kept", kept, "why", bad.Error())
+		ring.Dump("stored data is damaged (" + bad.Error() + "); it is kept in " + kept + " and will be copied from partners")
+		opened, err = shelf.Open(set.Data, seal)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if opened.Cut > 0 {
+		_ = logger.Log("event", "cut a torn last record", "bytes", opened.Cut)
+	}
+	me := chain.Member{ID: opened.Shelf.Seal().Identity, Name: set.Name, Addr: set.Listen, Zone: set.Zone}
+	founding := set.Founding
+	node, err := chain.NewNode(chain.Options{Me: me, Inc: RandomID(6), Founding: founding}, opened.Records, clock.NowUs())
+	if err != nil {
+		return nil, fault.New(fault.DamagedData, set.Data, "%v", err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	return &Host{
+		set: set, core: NewCore(node), disk: opened.Shelf, ring: ring, log: logger,
+		web: pipe.Client(500), inner: pipe.Client(500),
+		mailbox: make(chan func(), mailboxMost), saves: make(chan chain.Save, 1024),
+		partners: map[string]chan wire.Letter{}, waiters: map[string]chan wire.Result{}, replies: map[uint64]chan wire.Lease{},
+		follows: map[string]*followed{}, met: map[string]bool{}, ctx: ctx, stop: stop, failed: make(chan error, 1),
+	}, nil
+}
+
+// Run serves until ctx ends or the disk fails.
+func (h *Host) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", h.set.Listen)
+	if err != nil {
+		return fault.New(fault.BadSettings, "listen", "%v", err)
+	}
+	server := &http.Server{Handler: h.handler(), ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = server.Serve(listener) }()
+	h.spawn(h.loop)
+	h.spawn(h.saver)
+	h.spawn(h.seeker)
+	_ = h.log.Log("event", "started", "id", h.core.Node.Me().ID, "phase", string(h.core.Node.Phase()))
+	var failure error
+	select {
+	case <-ctx.Done():
+	case failure = <-h.failed:
+		h.ring.Dump("stopping: " + failure.Error())
+	}
+	h.stop()
+	closing, done := context.WithTimeout(context.Background(), time.Second)
+	defer done()
+	_ = server.Shutdown(closing)
+	_ = server.Close()
+	h.group.Wait()
+	return errors.Trace(first(failure, h.disk.Close()))
+}
+
+func first(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (h *Host) spawn(run func()) {
+	h.group.Add(1)
+	go func() {
+		defer h.group.Done()
+		run()
+	}()
+}
+
+func (h *Host) loop() {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-h.ctx.Done():
+			return
+		case act := <-h.mailbox:
+			act()
+		case <-ticker.C:
+			h.step(Event{})
+		}
+	}
+}
+
+// ask runs act on the actor and waits for it.
+func (h *Host) ask(ctx context.Context, act func()) bool {
+	done := make(chan struct{})
+	select {
+	case h.mailbox <- func() { act(); close(done) }:
+	case <-ctx.Done():
+		return false
+	case <-h.ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-h.ctx.Done():
+		return false
+	}
+}
+
+func (h *Host) tell(ev Event) {
+	select {
+	case h.mailbox <- func() { h.step(ev) }:
+	case <-h.ctx.Done():
+	}
+}
+
+func (h *Host) step(ev Event) {
+	ev.NowUs = clock.NowUs()
+	if ev.Foreman != nil {
+		ev.Foreman.NowUs = ev.NowUs
+	}
+	for _, e := range h.core.Step(ev) {
+		switch {
+		case e.Letter != nil:
+			h.post(e.Letter.Addr, e.Letter.Letter)
+		case e.Save != nil:
+			h.saves <- *e.Save
+		case e.Push != nil:
+			h.push(e.Push.Desk, e.Push.News)
+		case e.Result != nil:
+			if waiter := h.waiters[e.Result.Outcome.ID]; waiter != nil {
+				select {
+				case waiter <- *e.Result:
+				default:
+				}
+			}
+		case e.Lease != nil:
+			if reply := h.replies[e.Lease.Reply]; reply != nil {
+				reply <- e.Lease.Lease
+				delete(h.replies, e.Lease.Reply)
+			}
+		case e.Foreman != nil:
+			h.foreman(*e.Foreman)
+		case e.Note != "":
+			_ = h.log.Log("event", e.Note, "what", e.Trouble, "number", h.core.Node.View().Number)
+		}
+	}
+}
+
+func (h *Host) saver() {
+	for {
+		var s chain.Save
+		select {
+		case <-h.ctx.Done():
+			return
+		case s = <-h.saves:
+		}
+		if err := h.disk.Write(s.Records, s.Fresh); err != nil {
+			select {
+			case h.failed <- fault.New(fault.DataUnwritable, h.set.Data, "%v", err):
+			default:
+			}
+			return
+		}
+		h.tell(Event{Saved: s.Seq})
+	}
+}
+
+func (h *Host) post(addr string, l wire.Letter) {
+	if addr == "" || addr == h.set.Listen {
+		return
+	}
+	box := h.partners[addr]
+	if box == nil {
+		box = make(chan wire.Letter, partnerMost)
+		h.partners[addr] = box
+		h.spawn(func() { h.carry(addr, box) })
+	}
+	select {
+	case box <- l:
+	default:
+	}
+}
+
+func (h *Host) carry(addr string, box chan wire.Letter) {
+	caller := pipe.NewCaller[wire.Post, wire.Receipt](h.inner, addr, pipe.PostPath)
+	for {
+		post := wire.Post{}
+		select {
+		case <-h.ctx.Done():
+			return
+		case l := <-box:
+			post.Letters = append(post.Letters, l)
+		}
+		for more := true; more && len(post.Letters) < 128; {
+			select {
+			case l := <-box:
+				post.Letters = append(post.Letters, l)
+			default:
+				more = false
+			}
+		}
+		ctx, done := context.WithTimeout(h.ctx, time.Second)
+		_, _ = caller.Call(ctx, &post)
+		done()
+	}
+}
+
+func (h *Host) push(desk string, news wire.News) {
+	f := h.follows[desk]
+	if f == nil {
+		return
+	}
+	for {
+		select {
+		case f.latest <- news:
+			return
+		default:
+		}
+		select {
+		case older := <-f.latest:
+			if news.Doc == nil {
+				news.Doc = older.Doc
+			}
+		default:
+		}
+	}
+}
+
+// seeker keeps asking the seeds, first contacts only, until the offices know each other.
+func (h *Host) seeker() {
+	for {
+		for _, seed := range h.set.Seeds {
+			if seed == h.set.Listen {
+				continue
+			}
+			ctx, done := context.WithTimeout(h.ctx, 500*time.Millisecond)
+			where, err := pipe.NewCaller[wire.WhereAsk, wire.Where](h.inner, seed, pipe.WherePath).Call(ctx, &wire.WhereAsk{From: h.core.Node.Me()})
+			done()
+			if err != nil {
+				continue
+			}
+			learned := []string{}
+			for _, m := range where.Offices {
+				if m.Addr != h.set.Listen {
+					learned = append(learned, m.Addr)
+				}
+			}
+			h.tell(Event{Learn: learned})
+		}
+		span := time.Second
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-time.After(span):
+		}
+	}
+}
+
+func (h *Host) where() wire.Where {
+	w := wire.Where{View: h.core.Node.View()}
+	seen := map[string]bool{}
+	add := func(m chain.Member) {
+		if m.Addr != "" && !seen[m.Addr] {
+			seen[m.Addr] = true
+			w.Offices = append(w.Offices, m)
+		}
+	}
+	add(h.core.Node.Me())
+	for _, s := range w.View.Order {
+		add(s.Member)
+	}
+	for _, p := range h.core.Node.Partners() {
+		if p.Sound {
+			add(p.Member)
+		}
+	}
+	return w
+}
+
+func (h *Host) foreman(e foreman.Effect) {
+	switch {
+	case e.PollList:
+		h.spawn(h.pollList)
+	case e.Ask != nil:
+		ask := *e.Ask
+		h.spawn(func() { h.askReplica(ask) })
+	case e.Order != nil:
+		order := *e.Order
+		_ = h.log.Log("event", "order", "ticket", order.Order.Ticket.Number, "step", string(order.Order.Ticket.Step),
+			"unit", order.Order.Ticket.Unit, "replica", order.Order.Ticket.Replica, "epoch", order.Order.Epoch)
+		h.spawn(func() { h.order(order) })
+	case e.Run != nil:
+		run := *e.Run
+		h.spawn(func() {
+			done := foreman.PolicyDone{Run: run.Number, Live: imposition.Run(run.Live, run.Fleet)}
+			for _, s := range run.Shadows {
+				done.Shadows = append(done.Shadows, imposition.Run(s, run.Fleet))
+			}
+			h.tell(Event{Foreman: &foreman.Event{Policy: &done}})
+		})
+	}
+}
+
+func (h *Host) pollList() {
+	listed := foreman.Listed{List: &wire.List{}}
+	if err := h.getJSON("http://"+h.set.Platform+"/v1/replicas", platformWait, listed.List); err != nil {
+		listed = foreman.Listed{Err: err.Error()}
+	}
+	h.tell(Event{Foreman: &foreman.Event{Listed: &listed}})
+}
+
+func (h *Host) askReplica(a foreman.Ask) {
+	told := foreman.Told{AskedUs: a.AskedUs, Replica: a.Replica, Addr: a.Addr, State: &wire.ReplicaState{}}
+	if err := h.getJSON("http://"+a.Addr+"/v1/state", replicaWait, told.State); err != nil {
+		told.State, told.Err = nil, err.Error()
+	}
+	h.tell(Event{Foreman: &foreman.Event{Told: &told}})
+}
+
+func (h *Host) order(o foreman.Order) {
+	raw, err := json.Marshal(o.Order)
+	if err != nil {
+		panic(err)
+	}
+	ctx, done := context.WithTimeout(h.ctx, replicaWait)
+	defer done()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+o.Addr+"/v1/orders", io.NopCloser(bytes.NewReader(raw)))
+	if err != nil {
+		return
+	}
+	req.ContentLength = int64(len(raw))
+	req.Header.Set("Content-Type", "application/json")
+	res, err := h.web.Do(req)
+	if err != nil {
+		return
+	}
+	defer res.Body.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, 1<<16))
+}
+
+func (h *Host) getJSON(url string, wait time.Duration, into any) error {
+	ctx, done := context.WithTimeout(h.ctx, wait)
+	defer done()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	res, err := h.web.Do(req)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return fault.New(fault.ReplicaFailed, url, "status %d", res.StatusCode)
+	}
+	raw, err := io.ReadAll(io.LimitReader(res.Body, 4<<20))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(json.Unmarshal(raw, into))
+}
+
+// Submit carries a change to the head and waits for the tail's result.
+func (h *Host) Submit(ctx context.Context, c ledger.Change, wait time.Duration) (wire.Result, bool) {
+	c.Origin = h.set.Listen
+	waiter := make(chan wire.Result, 4)
+	if !h.ask(ctx, func() { h.waiters[c.ID] = waiter }) {
+		return wire.Result{}, false
+	}
+	defer h.ask(h.ctx, func() {
+		if h.waiters[c.ID] == waiter {
+			delete(h.waiters, c.ID)
+		}
+	})
+	expiry := time.NewTimer(wait)
+	defer expiry.Stop()
+	again := time.NewTicker(resubmit)
+	defer again.Stop()
+	h.tell(Event{Submit: &c})
+	for {
+		select {
+		case r := <-waiter:
+			if r.Outcome.Fault != nil && r.Outcome.Fault.Code == fault.NotServing {
+				continue
+			}
+			return r, true
+		case <-again.C:
+			h.tell(Event{Submit: &c})
+		case <-expiry.C:
+			return wire.Result{}, false
+		case <-ctx.Done():
+			return wire.Result{}, false
+		case <-h.ctx.Done():
+			return wire.Result{}, false
+		}
+	}
+}
--- /dev/null
+++ b/internal/office/web.go
@@ -0,0 +1,373 @@
+package office
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"petreltide/internal/fault"
+	"petreltide/internal/imposition"
+	"petreltide/internal/ledger"
+	"petreltide/internal/pipe"
+	"petreltide/internal/standing"
+	"petreltide/internal/wire"
+)
+
+const bodyMost = 4 << 20
+
+type ConfigNow struct {
+	Revision    uint64                `json:"revision"`
+	Index       uint64                `json:"index"`
+	Declaration *standing.Declaration `json:"declaration"`
+}
+
+type Applied struct {
+	Change   string `json:"change"`
+	Revision uint64 `json:"revision"`
+	Again    bool   `json:"again,omitempty"`
+	State    string `json:"state"`
+}
+
+func (h *Host) handler() http.Handler {
+	mux := http.NewServeMux()
+	pipe.Serve(mux, pipe.PostPath, func(_ context.Context, p *wire.Post) (*wire.Receipt, error) {
+		for i := range p.Letters {
+			h.tell(Event{Letter: &p.Letters[i]})
+		}
+		return &wire.Receipt{}, nil
+	})
+	pipe.Serve(mux, pipe.WherePath, func(ctx context.Context, ask *wire.WhereAsk) (*wire.Where, error) {
+		var where wire.Where
+		if !h.ask(ctx, func() { where = h.where() }) {
+			return nil, fault.New(fault.NotServing, "", "stopping")
+		}
+		return &where, nil
+	})
+	pipe.Serve(mux, pipe.SubmitPath, func(ctx context.Context, c *ledger.Change) (*wire.Result, error) {
+		result, ok := h.Submit(ctx, *c, keyWait)
+		if !ok {
+			return nil, fault.New(fault.InDoubt, "", "no result in time")
+		}
+		return &result, nil
+	})
+	pipe.Serve(mux, pipe.AckPath, func(ctx context.Context, r *wire.Report) (*wire.Lease, error) {
+		reply := make(chan wire.Lease, 1)
+		if !h.ask(ctx, func() {
+			h.replySeq++
+			h.replies[h.replySeq] = reply
+			h.step(Event{Report: &Reported{Report: *r, Reply: h.replySeq}})
+		}) {
+			return nil, fault.New(fault.NotServing, "", "stopping")
+		}
+		lease := <-reply
+		return &lease, nil
+	})
+	pipe.ServeStream(mux, pipe.FollowPath, h.follow)
+	mux.HandleFunc("GET /v1/config", h.getConfig)
+	mux.HandleFunc("PUT /v1/config", h.putConfig)
+	mux.HandleFunc("PATCH /v1/config", h.patchConfig)
+	mux.HandleFunc("POST /v1/zones/{zone}/{act}", h.zone)
+	mux.HandleFunc("GET /v1/status", h.status)
+	mux.HandleFunc("GET /v1/state", h.state)
+	mux.HandleFunc("GET /v1/log", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(h.ring.Bytes()) })
+	return mux
+}
+
+func (h *Host) follow(ctx context.Context, f *wire.Follow, send func(*wire.News) error) error {
+	mine := &followed{latest: make(chan wire.News, 1)}
+	open := false
+	h.ask(ctx, func() {
+		open = h.core.Node.Open(h.core.Node.NowUs())
+		if open {
+			h.follows[f.Desk] = mine
+			h.step(Event{Follow: f})
+		}
+	})
+	if !open {
+		return fault.New(fault.NotServing, "", "not the open tail")
+	}
+	view := uint64(0)
+	h.ask(ctx, func() { view = h.core.Node.View().Number })
+	defer h.ask(h.ctx, func() {
+		if h.follows[f.Desk] == mine {
+			delete(h.follows, f.Desk)
+		}
+	})
+	still := time.NewTicker(300 * time.Millisecond)
+	defer still.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-h.ctx.Done():
+			return nil
+		case news := <-mine.latest:
+			if err := send(&news); err != nil {
+				return err
+			}
+		case <-still.C:
+			gone := false
+			h.ask(ctx, func() {
+				gone = h.follows[f.Desk] != mine || !h.core.Node.IsTail() || h.core.Node.View().Number < view
+			})
+			if gone {
+				return fault.New(fault.NotServing, "", "no longer the tail")
+			}
+		}
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	enc := json.NewEncoder(w)
+	enc.SetEscapeHTML(false)
+	_ = enc.Encode(v)
+}
+
+func writeFault(w http.ResponseWriter, f *fault.Fault) {
+	status := http.StatusUnprocessableEntity
+	switch f.Code {
+	case fault.BadJSON, fault.BadField:
+		status = http.StatusBadRequest
+	case fault.TooLarge:
+		status = http.StatusRequestEntityTooLarge
+	case fault.StaleBase:
+		status = http.StatusConflict
+	case fault.NotServing, fault.InDoubt:
+		status = http.StatusServiceUnavailable
+	case fault.NoSuchZone, fault.NotFound:
+		status = http.StatusNotFound
+	}
+	writeJSON(w, status, map[string]any{"error": f})
+}
+
+func (h *Host) config(ctx context.Context) ConfigNow {
+	now := ConfigNow{}
+	h.ask(ctx, func() {
+		s := h.core.Node.State()
+		now = ConfigNow{Revision: s.Revision, Index: s.Index, Declaration: s.Doc}
+	})
+	return now
+}
+
+// configAt waits a little for a revision the operator already knows of.
+func (h *Host) configAt(ctx context.Context, base uint64) ConfigNow {
+	for wait := 0; ; wait++ {
+		now := h.config(ctx)
+		if now.Revision >= base || wait >= 20 {
+			return now
+		}
+		select {
+		case <-time.After(50 * time.Millisecond):
+		case <-ctx.Done():
+			return now
+		}
+	}
+}
+
+func (h *Host) getConfig(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, http.StatusOK, h.config(r.Context()))
+}
+
+func (h *Host) read(w http.ResponseWriter, r *http.Request) ([]byte, *fault.Fault) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
+	if err != nil {
+		return nil, fault.New(fault.TooLarge, "", "%v", err)
+	}
+	return raw, nil
+}
+
+func baseOf(r *http.Request) (uint64, bool, *fault.Fault) {
+	text := r.URL.Query().Get("base")
+	if text == "" {
+		return 0, false, nil
+	}
+	base, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, false, fault.New(fault.BadField, "base", "%q is not a revision number", text)
+	}
+	return base, true, nil
+}
+
+func changeOf(r *http.Request) (string, *fault.Fault) {
+	id := r.URL.Query().Get("change")
+	if id == "" {
+		return "op-" + RandomID(8), nil
+	}
+	if len(id) > 128 {
+		return "", fault.New(fault.BadField, "change", "longer than 128 bytes")
+	}
+	return "op-" + id, nil
+}
+
+func (h *Host) putConfig(w http.ResponseWriter, r *http.Request) {
+	raw, f := h.read(w, r)
+	base, given, badBase := baseOf(r)
+	id, badID := changeOf(r)
+	for _, bad := range []*fault.Fault{f, badBase, badID} {
+		if bad != nil {
+			writeFault(w, bad)
+			return
+		}
+	}
+	if !given {
+		writeFault(w, fault.New(fault.BadField, "base", "name the revision this is based on (0 for the first)"))
+		return
+	}
+	doc, bad := standing.Parse(raw, imposition.Compile)
+	if bad != nil {
+		writeFault(w, bad)
+		return
+	}
+	h.change(w, r, ledger.Change{ID: id, Config: &ledger.ConfigChange{Base: base, Doc: doc}})
+}
+
+func (h *Host) patchConfig(w http.ResponseWriter, r *http.Request) {
+	raw, f := h.read(w, r)
+	base, given, badBase := baseOf(r)
+	id, badID := changeOf(r)
+	for _, bad := range []*fault.Fault{f, badBase, badID} {
+		if bad != nil {
+			writeFault(w, bad)
+			return
+		}
+	}
+	if !given {
+		writeFault(w, fault.New(fault.BadField, "base", "name the revision this patch is based on"))
+		return
+	}
+	now := h.configAt(r.Context(), base)
+	if first, seen := h.seen(r.Context(), id); seen {
+		h.reply(w, id, wire.Result{Outcome: first, Everywhere: true})
+		return
+	}
+	if now.Revision != base || now.Declaration == nil {
+		stale := fault.New(fault.StaleBase, "base", "based on %d, current is %d", base, now.Revision)
+		stale.Revision = now.Revision
+		writeFault(w, stale)
+		return
+	}
+	merged, bad := standing.Merge(now.Declaration, raw)
+	if bad != nil {
+		writeFault(w, bad)
+		return
+	}
+	doc, bad := standing.Parse(merged, imposition.Compile)
+	if bad != nil {
+		writeFault(w, bad)
+		return
+	}
+	h.change(w, r, ledger.Change{ID: id, Config: &ledger.ConfigChange{Base: base, Doc: doc}})
+}
+
+func (h *Host) seen(ctx context.Context, id string) (ledger.Outcome, bool) {
+	var first ledger.Outcome
+	seen := false
+	h.ask(ctx, func() {
+		first, seen = h.core.Node.State().Changes[id]
+		first.Again = true
+	})
+	return first, seen
+}
+
+func (h *Host) change(w http.ResponseWriter, r *http.Request, c ledger.Change) {
+	result, ok := h.Submit(r.Context(), c, answerWait)
+	if ok {
+		h.reply(w, c.ID, result)
+		return
+	}
+	if out, seen := h.seen(r.Context(), c.ID); seen {
+		out.Again = false
+		h.reply(w, c.ID, wire.Result{Outcome: out})
+		return
+	}
+	doubt := fault.New(fault.InDoubt, "", "no answer from the chain in time; send the same change id %q again to learn what became of it", c.ID[3:])
+	doubt.RetryMs = 2000
+	writeFault(w, doubt)
+}
+
+func (h *Host) reply(w http.ResponseWriter, id string, r wire.Result) {
+	if r.Outcome.Fault != nil {
+		writeFault(w, r.Outcome.Fault)
+		return
+	}
+	a := Applied{Change: id[3:], Revision: r.Outcome.Revision, Again: r.Outcome.Again, State: "everywhere"}
+	status := http.StatusOK
+	if !r.Everywhere {
+		a.State = string(fault.NotEverywhere)
+		status = http.StatusAccepted
+	}
+	writeJSON(w, status, a)
+}
+
+// zone is a read, a merge and a write; it loses to another operator's change at most a few
+// times before it says so.
+func (h *Host) zone(w http.ResponseWriter, r *http.Request) {
+	zone, act := r.PathValue("zone"), r.PathValue("act")
+	id, bad := changeOf(r)
+	if bad == nil && act != "empty" && act != "restore" {
+		bad = fault.New(fault.NotFound, "act", "%q: want empty or restore", act)
+	}
+	if bad != nil {
+		writeFault(w, bad)
+		return
+	}
+	for try := 0; ; try++ {
+		now := h.config(r.Context())
+		if now.Declaration == nil {
+			writeFault(w, fault.New(fault.NoSuchZone, "zone", "no declaration yet"))
+			return
+		}
+		if !now.Declaration.HasZone(zone) {
+			writeFault(w, fault.New(fault.NoSuchZone, "zone", "%q is not declared", zone))
+			return
+		}
+		doc := *now.Declaration
+		doc.Emptied = nil
+		for _, z := range now.Declaration.Emptied {
+			if z != zone {
+				doc.Emptied = append(doc.Emptied, z)
+			}
+		}
+		if act == "empty" {
+			doc.Emptied = append(doc.Emptied, zone)
+		}
+		c := ledger.Change{ID: id, Config: &ledger.ConfigChange{Base: now.Revision, Doc: &doc}}
+		if try > 0 {
+			c.ID = id + "-" + strconv.Itoa(try)
+		}
+		result, ok := h.Submit(r.Context(), c, answerWait)
+		if ok && result.Outcome.Fault != nil && result.Outcome.Fault.Code == fault.StaleBase && try < 8 {
+			h.configAt(r.Context(), result.Outcome.Fault.Revision)
+			continue
+		}
+		if !ok {
+			if out, seen := h.seen(r.Context(), c.ID); seen {
+				h.reply(w, c.ID, wire.Result{Outcome: out})
+				return
+			}
+			writeFault(w, fault.New(fault.InDoubt, "", "no answer from the chain in time; ask status, or send the same change id again"))
+			return
+		}
+		h.reply(w, id, result)
+		return
+	}
+}
+
+func (h *Host) status(w http.ResponseWriter, r *http.Request) {
+	var raw []byte
+	h.ask(r.Context(), func() { raw, _ = json.Marshal(h.core.Status(h.core.Node.NowUs())) })
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(append(raw, '\n'))
+}
+
+func (h *Host) state(w http.ResponseWriter, r *http.Request) {
+	var raw []byte
+	h.ask(r.Context(), func() { raw = h.core.Node.State().Encode() })
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(append(raw, '\n'))
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,98 @@
+package settings
+
+import (
+	"net"
+	"os"
+	"path/filepath"
+
+	"sigs.k8s.io/yaml"
+
+	"petreltide/internal/fault"
+	"petreltide/internal/standing"
+)
+
+type Office struct {
+	Name     string   `json:"name" validate:"required,max=64,hostname_rfc1123"`
+	Listen   string   `json:"listen" validate:"required"`
+	Zone     string   `json:"zone" validate:"required,max=32"`
+	Seeds    []string `json:"seeds" validate:"required,min=1,max=3,dive,required"`
+	Data     string   `json:"data" validate:"required"`
+	Platform string   `json:"platform" validate:"required"`
+	Founding int      `json:"founding" validate:"min=0,max=7"`
+}
+
+type Desk struct {
+	Name       string   `json:"name" validate:"required,max=64,hostname_rfc1123"`
+	Listen     string   `json:"listen" validate:"required"`
+	Zone       string   `json:"zone" validate:"required,max=32"`
+	Seeds      []string `json:"seeds" validate:"required,min=1,max=3,dive,required"`
+	BacklogMax int      `json:"backlogMax" validate:"min=1,max=100000"`
+	BodyMaxKb  int      `json:"bodyMaxKb" validate:"min=1,max=65536"`
+	DrainMs    int64    `json:"drainMs" validate:"min=0,max=3600000"`
+}
+
+// Read lays a settings file over what v holds; a flag given on the command line is laid on later.
+func Read(path string, v any) *fault.Fault {
+	if path == "" {
+		return nil
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return fault.New(fault.BadSettings, path, "%v", err)
+	}
+	if err := yaml.UnmarshalStrict(raw, v); err != nil {
+		return fault.New(fault.BadSettings, path, "%v", err)
+	}
+	return nil
+}
+
+func (o *Office) Check() *fault.Fault {
+	sheet := standing.Struct(fault.BadSettings, o)
+	addresses(sheet, o.Listen, o.Seeds)
+	address(sheet, "platform", o.Platform)
+	if o.Founding == 1 || o.Founding == 2 {
+		sheet.Note(fault.BadSettings, "founding", "a chain acknowledges on two copies and must survive a loss: found it with 3 or more")
+	}
+	if o.Data != "" {
+		writable(sheet, o.Data)
+	}
+	return sheet.As(fault.BadSettings)
+}
+
+func (d *Desk) Check() *fault.Fault {
+	sheet := standing.Struct(fault.BadSettings, d)
+	addresses(sheet, d.Listen, d.Seeds)
+	return sheet.As(fault.BadSettings)
+}
+
+func addresses(sheet *fault.Sheet, listen string, seeds []string) {
+	address(sheet, "listen", listen)
+	for _, s := range seeds {
+		address(sheet, "seeds", s)
+	}
+}
+
+func address(sheet *fault.Sheet, field, addr string) {
+	if addr == "" {
+		return
+	}
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil || net.ParseIP(host) == nil || port == "" {
+		sheet.Note(fault.BadSettings, field, "%q is not IP:port", addr)
+	}
+}
+
+func writable(sheet *fault.Sheet, folder string) {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		sheet.Note(fault.DataUnwritable, "data", "%v", err)
+		return
+	}
+	probe := filepath.Join(folder, ".writable")
+	if err := os.WriteFile(probe, nil, 0o644); err != nil {
+		sheet.Note(fault.DataUnwritable, "data", "%v", err)
+		return
+	}
+	if err := os.Remove(probe); err != nil {
+		sheet.Note(fault.DataUnwritable, "data", "%v", err)
+	}
+}
--- /dev/null
+++ b/internal/standing/standing.go
@@ -0,0 +1,287 @@
+package standing
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+	"github.com/go-playground/validator/v10"
+
+	"petreltide/internal/fault"
+)
+
+type Declaration struct {
+	Name     string    `json:"name" validate:"required,max=64"`
+	Zones    []string  `json:"zones" validate:"required,min=1,max=16,unique,dive,required,max=32"`
+	Emptied  []string  `json:"emptied,omitempty" validate:"max=16,unique,dive,required"`
+	Replica  Replica   `json:"replica"`
+	Store    Store     `json:"store"`
+	Scaler   Scaler    `json:"scaler"`
+	Policy   Policy    `json:"policy"`
+	Shadows  []Policy  `json:"shadows,omitempty" validate:"max=4,unique=Name,dive"`
+	Kinds    []Kind    `json:"kinds" validate:"required,min=1,max=16,unique=Name,dive"`
+	Models   []Model   `json:"models" validate:"required,min=1,max=256,unique=Name,dive"`
+	Adapters []Adapter `json:"adapters,omitempty" validate:"max=1024,unique=Name,dive"`
+}
+
+type Replica struct {
+	RoomMb int64 `json:"roomMb" validate:"required,min=1"`
+}
+
+type Store struct {
+	Loads       int   `json:"loads" validate:"required,min=1,max=64"`
+	MbPerSecond int64 `json:"mbPerSecond" validate:"required,min=1"`
+	BurstMb     int64 `json:"burstMb" validate:"required,min=1"`
+}
+
+type Scaler struct {
+	Spares     int `json:"spares" validate:"min=0,max=64"`
+	SimilarPct int `json:"similarPct" validate:"min=0,max=100"`
+	WindowMs   int `json:"windowMs" validate:"required,min=500,max=600000"`
+}
+
+type Policy struct {
+	Name   string `json:"name" validate:"required,max=64"`
+	Source string `json:"source" validate:"required,max=65536"`
+}
+
+type Kind struct {
+	Name      string `json:"name" validate:"required,max=64"`
+	Urgency   int    `json:"urgency" validate:"required,min=1,max=9"`
+	Resumable bool   `json:"resumable"`
+	ExpiryMs  int64  `json:"expiryMs" validate:"required,min=100,max=86400000"`
+}
+
+type Model struct {
+	Name   string  `json:"name" validate:"required,max=64"`
+	SizeMb int64   `json:"sizeMb" validate:"required,min=1"`
+	LoadMs int64   `json:"loadMs" validate:"required,min=1"`
+	Weight int     `json:"weight" validate:"min=0,max=100"`
+	Table  []Point `json:"table" validate:"required,min=1,max=64,dive"`
+}
+
+type Point struct {
+	Replicas  int     `json:"replicas" validate:"required,min=1"`
+	PerSecond float64 `json:"perSecond" validate:"required,gt=0"`
+	LatencyMs int64   `json:"latencyMs" validate:"required,min=1"`
+}
+
+type Adapter struct {
+	Name   string `json:"name" validate:"required,max=64"`
+	Model  string `json:"model" validate:"required"`
+	SizeMb int64  `json:"sizeMb" validate:"required,min=1"`
+	LoadMs int64  `json:"loadMs" validate:"required,min=1"`
+}
+
+func (d *Declaration) Model(name string) *Model {
+	for i := range d.Models {
+		if d.Models[i].Name == name {
+			return &d.Models[i]
+		}
+	}
+	return nil
+}
+
+func (d *Declaration) Adapter(name string) *Adapter {
+	for i := range d.Adapters {
+		if d.Adapters[i].Name == name {
+			return &d.Adapters[i]
+		}
+	}
+	return nil
+}
+
+func (d *Declaration) Kind(name string) *Kind {
+	for i := range d.Kinds {
+		if d.Kinds[i].Name == name {
+			return &d.Kinds[i]
+		}
+	}
+	return nil
+}
+
+func (d *Declaration) IsEmptied(zone string) bool {
+	for _, z := range d.Emptied {
+		if z == zone {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Declaration) HasZone(zone string) bool {
+	for _, z := range d.Zones {
+		if z == zone {
+			return true
+		}
+	}
+	return false
+}
+
+// UnitMb is the room a model or an adapter takes; ok is false for an unknown name.
+func (d *Declaration) UnitMb(unit string) (sizeMb, loadMs int64, ok bool) {
+	if m := d.Model(unit); m != nil {
+		return m.SizeMb, m.LoadMs, true
+	}
+	if a := d.Adapter(unit); a != nil {
+		return a.SizeMb, a.LoadMs, true
+	}
+	return 0, 0, false
+}
+
+var checker = newChecker()
+
+func newChecker() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		return strings.Split(f.Tag.Get("json"), ",")[0]
+	})
+	return v
+}
+
+// Struct runs the tags over any tagged struct and collects all faults with their paths.
+func Struct(code fault.Code, v any) *fault.Sheet {
+	sheet := &fault.Sheet{}
+	err := checker.Struct(v)
+	if err == nil {
+		return sheet
+	}
+	var faults validator.ValidationErrors
+	if list, ok := err.(validator.ValidationErrors); ok {
+		faults = list
+	} else {
+		sheet.Note(code, "", "%v", err)
+	}
+	for _, e := range faults {
+		path := e.Namespace()
+		if i := strings.IndexByte(path, '.'); i >= 0 {
+			path = path[i+1:]
+		}
+		rule := e.Tag()
+		if e.Param() != "" {
+			rule += " " + e.Param()
+		}
+		sheet.Note(code, path, "must satisfy %q, has %v", rule, brief(e.Value()))
+	}
+	return sheet
+}
+
+func brief(v any) string {
+	text := fmt.Sprintf("%v", v)
+	if len(text) > 60 {
+		text = text[:60] + "…"
+	}
+	return text
+}
+
+// PolicyCheck compiles a policy source; it is handed in so that this package needs no interpreter.
+type PolicyCheck func(name, source string) *fault.Fault
+
+func Decode(raw []byte) (*Declaration, *fault.Fault) {
+	d := &Declaration{}
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(d); err != nil {
+		return nil, fault.New(fault.BadJSON, fieldOf(err), "%v", err)
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return nil, fault.New(fault.BadJSON, "", "more than one JSON value")
+	}
+	return d, nil
+}
+
+func fieldOf(err error) string {
+	if e, ok := err.(*json.UnmarshalTypeError); ok {
+		return e.Field
+	}
+	if _, name, found := strings.Cut(err.Error(), "unknown field "); found {
+		return strings.Trim(name, `"`)
+	}
+	return ""
+}
+
+func Check(d *Declaration, policy PolicyCheck) *fault.Fault {
+	sheet := Struct(fault.InvalidConfig, d)
+	for i, z := range d.Emptied {
+		if !d.HasZone(z) {
+			sheet.Note(fault.InvalidConfig, fmt.Sprintf("emptied[%d]", i), "zone %q is not declared", z)
+		}
+	}
+	names := map[string]string{}
+	for i, m := range d.Models {
+		path := fmt.Sprintf("models[%d]", i)
+		names[m.Name] = path
+		if m.SizeMb > d.Replica.RoomMb {
+			sheet.Note(fault.InvalidConfig, path+".sizeMb", "%d MB fits no replica of %d MB", m.SizeMb, d.Replica.RoomMb)
+		}
+		if m.SizeMb > d.Store.BurstMb {
+			sheet.Note(fault.InvalidConfig, path+".sizeMb", "%d MB can never be loaded within a burst of %d MB", m.SizeMb, d.Store.BurstMb)
+		}
+		checkTable(sheet, path, m.Table)
+	}
+	for i, a := range d.Adapters {
+		path := fmt.Sprintf("adapters[%d]", i)
+		if other, taken := names[a.Name]; taken {
+			sheet.Note(fault.InvalidConfig, path+".name", "%q is already the name of %s", a.Name, other)
+		}
+		names[a.Name] = path
+		base := d.Model(a.Model)
+		if base == nil {
+			sheet.Note(fault.InvalidConfig, path+".model", "no model %q", a.Model)
+		} else if base.SizeMb+a.SizeMb > d.Replica.RoomMb {
+			sheet.Note(fault.InvalidConfig, path+".sizeMb", "with its model %d MB fits no replica of %d MB", base.SizeMb+a.SizeMb, d.Replica.RoomMb)
+		}
+	}
+	if policy != nil {
+		if f := policy(d.Policy.Name, d.Policy.Source); f != nil {
+			f.Field = "policy.source"
+			sheet.Add(f)
+		}
+		for i, p := range d.Shadows {
+			if f := policy(p.Name, p.Source); f != nil {
+				f.Field = fmt.Sprintf("shadows[%d].source", i)
+				sheet.Add(f)
+			}
+		}
+	}
+	return sheet.As(fault.InvalidConfig)
+}
+
+func checkTable(sheet *fault.Sheet, path string, table []Point) {
+	for i, p := range table {
+		at := fmt.Sprintf("%s.table[%d]", path, i)
+		if p.Replicas != i+1 {
+			sheet.Note(fault.InvalidConfig, at+".replicas", "the table has a gap: want %d, has %d", i+1, p.Replicas)
+		}
+		if i > 0 && p.PerSecond < table[i-1].PerSecond {
+			sheet.Note(fault.InvalidConfig, at+".perSecond", "throughput falls as replicas grow")
+		}
+	}
+}
+
+func Parse(raw []byte, policy PolicyCheck) (*Declaration, *fault.Fault) {
+	d, f := Decode(raw)
+	if f != nil {
+		return nil, f
+	}
+	if f := Check(d, policy); f != nil {
+		return nil, f
+	}
+	return d, nil
+}
+
+func Merge(base *Declaration, patch []byte) ([]byte, *fault.Fault) {
+	raw, err := json.Marshal(base)
+	if err != nil {
+		return nil, fault.New(fault.BadJSON, "", "%v", err)
+	}
+	merged, err := jsonpatch.MergePatch(raw, patch)
+	if err != nil {
+		return nil, fault.New(fault.BadJSON, "", "%v", err)
+	}
+	return merged, nil
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,172 @@
+package wire
+
+import (
+	"petreltide/internal/chain"
+	"petreltide/internal/ledger"
+	"petreltide/internal/standing"
+)
+
+// News is numbered by the ledger index that last touched what desks act on.
+type News struct {
+	Number   uint64                `json:"number"`
+	View     uint64                `json:"view"`
+	Epoch    uint64                `json:"epoch"`
+	Revision uint64                `json:"revision"`
+	Doc      *standing.Declaration `json:"doc,omitempty"`
+	Replicas []ReplicaNews         `json:"replicas"`
+	Grants   []ledger.Grant        `json:"grants"`
+}
+
+type ReplicaNews struct {
+	ID        string   `json:"id"`
+	Inc       string   `json:"inc"`
+	Addr      string   `json:"addr"`
+	Zone      string   `json:"zone"`
+	Leaving   bool     `json:"leaving,omitempty"`
+	LeftMs    int64    `json:"leftMs,omitempty"`
+	Dark      bool     `json:"dark,omitempty"`
+	Holds     []string `json:"holds"`
+	Unloading string   `json:"unloading,omitempty"`
+	Share     int      `json:"share"`
+}
+
+type Follow struct {
+	Desk     string `json:"desk"`
+	Inc      string `json:"inc"`
+	Addr     string `json:"addr"`
+	Zone     string `json:"zone"`
+	Revision uint64 `json:"revision"`
+	Number   uint64 `json:"number"`
+}
+
+type Report struct {
+	Desk     string             `json:"desk"`
+	Inc      string             `json:"inc"`
+	Addr     string             `json:"addr"`
+	Zone     string             `json:"zone"`
+	Number   uint64             `json:"number"`
+	SentUs   int64              `json:"sentUs"`
+	View     uint64             `json:"view"`
+	Arrivals map[string]float64 `json:"arrivals,omitempty"`
+	Waiting  map[string]int     `json:"waiting,omitempty"`
+	InFlight map[string]int     `json:"inFlight,omitempty"`
+	Left     map[string]Left    `json:"left,omitempty"`
+	Draining bool               `json:"draining,omitempty"`
+}
+
+type Left struct {
+	Ticket uint64 `json:"ticket"`
+	Left   uint64 `json:"left"`
+}
+
+type Lease struct {
+	OK      bool   `json:"ok"`
+	View    uint64 `json:"view"`
+	SentUs  int64  `json:"sentUs"`
+	LeaseUs int64  `json:"leaseUs"`
+	Number  uint64 `json:"number"`
+}
+
+type WhereAsk struct {
+	From chain.Member `json:"from"`
+}
+
+type Where struct {
+	View    chain.View     `json:"view"`
+	Offices []chain.Member `json:"offices"`
+}
+
+type Result struct {
+	Outcome    ledger.Outcome `json:"outcome"`
+	Everywhere bool           `json:"everywhere"`
+}
+
+// Post is a batch of one-way messages from one office to another.
+type Post struct {
+	Letters []Letter `json:"letters"`
+}
+
+type Letter struct {
+	Chain  *chain.Msg `json:"chain,omitempty"`
+	Result *Result    `json:"result,omitempty"`
+	Report *Report    `json:"report,omitempty"`
+}
+
+type Receipt struct{}
+
+// Replica and platform interfaces, outward.
+
+type ReplicaState struct {
+	ID     string           `json:"id"`
+	Inc    string           `json:"inc"`
+	Holds  []ledger.Holding `json:"holds"`
+	Last   *OrderState      `json:"last,omitempty"`
+	Active int              `json:"active"`
+}
+
+type Order struct {
+	Ticket ledger.Ticket `json:"ticket"`
+	Epoch  uint64        `json:"epoch"`
+}
+
+const (
+	OrderRunning = "running"
+	OrderDone    = "done"
+	OrderFailed  = "failed"
+)
+
+type OrderState struct {
+	Number uint64 `json:"number"`
+	Epoch  uint64 `json:"epoch"`
+	State  string `json:"state"`
+	Why    string `json:"why,omitempty"`
+}
+
+type List struct {
+	Version  uint64   `json:"version"`
+	Replicas []Listed `json:"replicas"`
+}
+
+const (
+	ListedReady    = "ready"
+	ListedDraining = "draining"
+)
+
+type Listed struct {
+	ID     string `json:"id"`
+	Addr   string `json:"addr"`
+	Zone   string `json:"zone"`
+	RoomMb int64  `json:"roomMb"`
+	Slots  int    `json:"slots"`
+	State  string `json:"state"`
+	LeftMs int64  `json:"leftMs,omitempty"`
+}
+
+type Leg struct {
+	Leg     string   `json:"leg"`
+	Ticket  uint64   `json:"ticket"`
+	Inc     string   `json:"inc"`
+	Call    string   `json:"call"`
+	Model   string   `json:"model"`
+	Adapter string   `json:"adapter,omitempty"`
+	Prefix  []string `json:"prefix,omitempty"`
+	Prompt  string   `json:"prompt"`
+	Had     []string `json:"had,omitempty"`
+	First   int      `json:"first"`
+	MostOut int      `json:"mostOut,omitempty"`
+}
+
+// Piece is one line of a replica's answer.
+type Piece struct {
+	Leg  string `json:"leg"`
+	N    int    `json:"n,omitempty"`
+	Text string `json:"text,omitempty"`
+	End  bool   `json:"end,omitempty"`
+	Err  string `json:"err,omitempty"`
+}
+
+type LegRefusal struct {
+	Code    string `json:"code"`
+	Started bool   `json:"started"`
+	Detail  string `json:"detail,omitempty"`
+}
--- /dev/null
+++ b/proofs/callers/callers.go
@@ -0,0 +1,115 @@
+package callers
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"petreltide/internal/clock"
+	"petreltide/internal/desk"
+	"petreltide/internal/fault"
+	"petreltide/proofs/rules"
+)
+
+// Ask sends one attempt to one desk and notes all the caller sees.
+func Ask(ctx context.Context, client *http.Client, addr string, ask desk.CallAsk, key string, t rules.Told) rules.Told {
+	t.Desk, t.StartUs, t.Key = addr, clock.NowUs(), key
+	t.Kind, t.Model, t.Adapter, t.Prompt, t.MostOut, t.Had = ask.Kind, ask.Model, ask.Adapter, ask.Prompt, ask.MostOut, len(ask.Had)
+	raw, err := json.Marshal(ask)
+	if err != nil {
+		panic(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/calls", bytes.NewReader(raw))
+	if err != nil {
+		panic(err)
+	}
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	if len(ask.Had) > 0 {
+		req.Header.Set("Last-Event-Id", strconv.Itoa(len(ask.Had)))
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		t.Code, t.Run = "caller: "+err.Error(), fault.RunUnknown
+		t.EndUs = clock.NowUs()
+		return t
+	}
+	defer res.Body.Close()
+	t.Status = res.StatusCode
+	if res.StatusCode != http.StatusOK {
+		readFault(res, &t)
+		t.EndUs = clock.NowUs()
+		return t
+	}
+	readEvents(res, &t)
+	t.EndUs = clock.NowUs()
+	return t
+}
+
+func readFault(res *http.Response, t *rules.Told) {
+	wrapped := struct {
+		Error *fault.Fault `json:"error"`
+	}{}
+	if err := json.NewDecoder(res.Body).Decode(&wrapped); err != nil || wrapped.Error == nil {
+		t.Code, t.Run = "untyped", fault.RunUnknown
+		return
+	}
+	t.Code, t.Run, t.RetryMs = string(wrapped.Error.Code), wrapped.Error.Run, wrapped.Error.RetryMs
+}
+
+func readEvents(res *http.Response, t *rules.Told) {
+	lines := bufio.NewScanner(res.Body)
+	lines.Buffer(nil, 1<<20)
+	id, name, data := 0, "", ""
+	for lines.Scan() {
+		line := lines.Text()
+		field, value, _ := strings.Cut(line, ": ")
+		switch field {
+		case "id":
+			id, _ = strconv.Atoi(value)
+		case "event":
+			name = value
+		case "data":
+			data = value
+		case "":
+			takeEvent(t, id, name, data)
+			id, name, data = 0, "", ""
+		}
+	}
+	if !t.Ended && !t.Broken {
+		t.Broken, t.Code, t.Run = true, "cut", fault.RunUnknown
+	}
+}
+
+func takeEvent(t *rules.Told, id int, name, data string) {
+	var v struct {
+		Text   string       `json:"text"`
+		Pieces int          `json:"pieces"`
+		Error  *fault.Fault `json:"error"`
+	}
+	if json.Unmarshal([]byte(data), &v) != nil {
+		return
+	}
+	switch name {
+	case "piece":
+		if t.FirstUs == 0 {
+			t.FirstUs = clock.NowUs()
+		}
+		t.Pieces = append(t.Pieces, v.Text)
+		t.IDs = append(t.IDs, id)
+	case "end":
+		t.Ended, t.EndCount = true, v.Pieces
+	case "broken":
+		t.Broken = true
+		if v.Error != nil {
+			t.Code, t.Run = string(v.Error.Code), v.Error.Run
+		}
+	}
+}
