--- /dev/null
+++ b/proofs/cmd/fleet/main.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+	"sigs.k8s.io/yaml"
+
+	"petreltide/internal/standing"
+	"petreltide/proofs/fleet"
+	"petreltide/proofs/press"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	root := &cobra.Command{Use: "fleet", Short: "Run the real processes with stand-ins around them", SilenceUsage: true}
+	root.AddCommand(pressCommand(), runCommand())
+	if err := root.ExecuteContext(ctx); err != nil {
+		os.Exit(1)
+	}
+}
+
+func pressCommand() *cobra.Command {
+	o := press.Options{}
+	var listen, store, journal string
+	cmd := &cobra.Command{
+		Use:   "press",
+		Short: "A stand-in model replica",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			l, err := net.Listen("tcp", listen)
+			if err != nil {
+				return errors.Trace(err)
+			}
+			o.LoadUs = func(sizeMb int64) int64 { return 60_000 + sizeMb*100 }
+			o.Fetch = store != ""
+			if journal != "" {
+				file, err := os.OpenFile(journal, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+				if err != nil {
+					return errors.Trace(err)
+				}
+				o.Journal = func(line press.Line) {
+					raw, err := json.Marshal(line)
+					if err != nil {
+						panic(err)
+					}
+					if _, err := file.Write(append(raw, '\n')); err != nil {
+						panic(err)
+					}
+				}
+			}
+			return press.NewHost(press.NewCore(o), store).Serve(cmd.Context(), l)
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&o.ID, "id", "", "replica id")
+	flags.StringVar(&o.Inc, "inc", "", "incarnation")
+	flags.StringVar(&o.Zone, "zone", "", "zone")
+	flags.StringVar(&listen, "listen", "", "IP:port")
+	flags.Int64Var(&o.RoomMb, "room", 81920, "room in MB")
+	flags.IntVar(&o.Slots, "slots", 16, "legs at once")
+	flags.Int64Var(&o.FirstUs, "first-us", 20_000, "time to a first piece with a warm prefix")
+	flags.Int64Var(&o.PartUs, "part-us", 15_000, "time more for each cold prefix part")
+	flags.Int64Var(&o.PieceUs, "piece-us", 8_000, "time between pieces")
+	flags.StringVar(&store, "store", "", "IP:port of the weight store")
+	flags.StringVar(&journal, "journal", "", "file that notes every run and order")
+	return cmd
+}
+
+// Declaration reads an example as `petreltide apply` does.
+func declaration(path string) (*standing.Declaration, string, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, "", errors.Trace(err)
+	}
+	doc := map[string]any{}
+	if err := yaml.UnmarshalStrict(raw, &doc); err != nil {
+		return nil, "", errors.Trace(err)
+	}
+	policy, _ := doc["policy"].(map[string]any)
+	if file, ok := policy["file"].(string); ok {
+		source, err := os.ReadFile(filepath.Join(filepath.Dir(path), file))
+		if err != nil {
+			return nil, "", errors.Trace(err)
+		}
+		delete(policy, "file")
+		policy["source"] = string(source)
+	}
+	raw, err = json.Marshal(doc)
+	if err != nil {
+		return nil, "", errors.Trace(err)
+	}
+	d, bad := standing.Decode(raw)
+	if bad != nil {
+		return nil, "", bad
+	}
+	return d, string(raw), nil
+}
+
+func runCommand() *cobra.Command {
+	var deployment, examples, binary, folder, faults string
+	var rate float64
+	var seconds int
+	var seed int64
+	var keep bool
+	cmd := &cobra.Command{
+		Use:   "run",
+		Short: "Bring up a deployment, send demand, and check the rules",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			doc, raw, err := declaration(filepath.Join(examples, deployment+".yaml"))
+			if err != nil {
+				return err
+			}
+			if folder == "" {
+				if folder, err = os.MkdirTemp("", "petreltide-fleet-"); err != nil {
+					return errors.Trace(err)
+				}
+			}
+			self, err := os.Executable()
+			if err != nil {
+				return errors.Trace(err)
+			}
+			plan := fleet.PlanFor(deployment, doc)
+			plan.Petreltide, plan.Self, plan.Folder = binary, self, folder
+			f, err := fleet.New(plan)
+			if err != nil {
+				return err
+			}
+			defer f.Stop()
+			report, err := fleet.Day(cmd.Context(), f, doc, raw, fleet.DayPlan{
+				PerSecond: rate, Span: time.Duration(seconds) * time.Second, Seed: seed, Faults: strings.Fields(strings.ReplaceAll(faults, ",", " ")),
+			}, cmd.OutOrStdout())
+			if err != nil {
+				keep = true
+				fmt.Fprintf(cmd.OutOrStdout(), "folder kept: %s\n", folder)
+				return err
+			}
+			for _, b := range report {
+				fmt.Fprintf(cmd.OutOrStdout(), "BROKEN %s\n", b)
+			}
+			if len(report) > 0 {
+				keep = true
+				fmt.Fprintf(cmd.OutOrStdout(), "folder kept: %s\n", folder)
+				return errors.Errorf("%d rule(s) broken, first: %s", len(report), report[0].Rule)
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), "no rule broken")
+			if !keep {
+				return os.RemoveAll(folder)
+			}
+			return nil
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&deployment, "deployment", "vasilev", "vasilev or kaardilind")
+	flags.StringVar(&examples, "examples", "examples", "folder of example declarations")
+	flags.StringVar(&binary, "petreltide", "bin/petreltide", "the program")
+	flags.StringVar(&folder, "folder", "", "where data and logs go; default: a temporary folder")
+	flags.StringVar(&faults, "faults", "", "faults to cause in turn: "+strings.Join(fleet.FaultNames(), ", "))
+	flags.Float64Var(&rate, "rate", 60, "calls per second")
+	flags.IntVar(&seconds, "seconds", 20, "time under demand")
+	flags.Int64Var(&seed, "seed", 1, "seed of the demand")
+	flags.BoolVar(&keep, "keep", false, "keep the folder")
+	return cmd
+}
--- /dev/null
+++ b/proofs/fleet/day.go
@@ -0,0 +1,328 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"petreltide/internal/standing"
+	"petreltide/proofs/rules"
+)
+
+func PlanFor(deployment string, doc *standing.Declaration) Plan {
+	p := Plan{Offices: 3, Desks: 8, Replicas: 9, Zones: doc.Zones, RoomMb: doc.Replica.RoomMb, Slots: 16,
+		PieceUs: 8_000, FirstUs: 20_000, PartUs: 12_000, Store: doc.Store}
+	if deployment == "kaardilind" {
+		p.Desks = 7
+	}
+	return p
+}
+
+type DayPlan struct {
+	PerSecond float64
+	Span      time.Duration
+	Seed      int64
+	Faults    []string
+}
+
+// Begin starts the processes, sends the declaration and waits until the layout stands.
+func Begin(ctx context.Context, f *Fleet, raw string) error {
+	if err := f.Start(); err != nil {
+		return err
+	}
+	ctx, done := context.WithTimeout(ctx, 60*time.Second)
+	defer done()
+	if err := f.Until(ctx, "the chain is open", func() bool { _, ok := f.Tail(ctx); return ok }); err != nil {
+		return err
+	}
+	r, err := f.AskAny(ctx, http.MethodPut, "/v1/config?base=0&change=first", raw)
+	if err != nil {
+		return errors.Annotate(err, "first declaration")
+	}
+	if r.Status != http.StatusOK {
+		return errors.Errorf("first declaration: status %d: %s", r.Status, r.Body)
+	}
+	return f.Until(ctx, "every model is held and every desk has a lease", func() bool { return f.Settled(ctx) })
+}
+
+// Settled: every counted model has its first holder and every desk holds a lease.
+func (f *Fleet) Settled(ctx context.Context) bool {
+	tail, ok := f.Tail(ctx)
+	if !ok || len(tail.Desks) < len(f.Names("desk")) {
+		return false
+	}
+	for _, d := range tail.Desks {
+		if d.LeaseMs == 0 {
+			return false
+		}
+	}
+	head, ok := f.Head(ctx)
+	if !ok {
+		return false
+	}
+	raw, err := json.Marshal(head.Counts)
+	if err != nil {
+		return false
+	}
+	var counts []struct {
+		Model    string `json:"model"`
+		Replicas int    `json:"replicas"`
+	}
+	if json.Unmarshal(raw, &counts) != nil || len(counts) == 0 {
+		return false
+	}
+	for _, c := range counts {
+		held := 0
+		for _, r := range head.Replicas {
+			if _, ok := r.Holds[c.Model]; ok && !r.Leaving && !r.Dark {
+				held++
+			}
+		}
+		if c.Replicas > 0 && held == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *Fleet) Head(ctx context.Context) (st officeStatus, ok bool) {
+	for _, name := range f.Names("office") {
+		if st, ok = f.Status(ctx, name); ok && st.OnDuty {
+			return st, true
+		}
+	}
+	return st, false
+}
+
+var faults = map[string]func(context.Context, *Fleet) error{
+	"kill-tail":       killOffice(func(ctx context.Context, f *Fleet) string { return f.seat(ctx, -1) }),
+	"kill-middle":     killOffice(func(ctx context.Context, f *Fleet) string { return f.seat(ctx, 1) }),
+	"kill-head":       killOffice(func(ctx context.Context, f *Fleet) string { return f.seat(ctx, 0) }),
+	"freeze-head":     freeze(func(ctx context.Context, f *Fleet) string { return f.seat(ctx, 0) }),
+	"freeze-tail":     freeze(func(ctx context.Context, f *Fleet) string { return f.seat(ctx, -1) }),
+	"freeze-desk":     freeze(func(_ context.Context, f *Fleet) string { return f.Names("desk")[0] }),
+	"kill-desk":       killAgain(func(_ context.Context, f *Fleet) string { return f.Names("desk")[1] }),
+	"kill-replica":    replace(0),
+	"notice-replica":  replace(2500),
+	"kill-offices":    killOffices,
+	"kill-everything": killEverything,
+	"empty-zone":      emptyZone,
+}
+
+func FaultNames() []string {
+	names := []string{}
+	for n := range faults {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func (f *Fleet) seat(ctx context.Context, place int) string {
+	tail, ok := f.Tail(ctx)
+	if !ok || len(tail.View.Order) == 0 {
+		return ""
+	}
+	if place < 0 {
+		place = len(tail.View.Order) - 1
+	}
+	return tail.View.Order[min(place, len(tail.View.Order)-1)].Name
+}
+
+func pause(ctx context.Context, span time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(span):
+	}
+}
+
+func killOffice(who func(context.Context, *Fleet) string) func(context.Context, *Fleet) error {
+	return func(ctx context.Context, f *Fleet) error {
+		name := who(ctx, f)
+		if name == "" {
+			return errors.New("no open tail to choose by")
+		}
+		f.Kill(name)
+		pause(ctx, 2*time.Second)
+		return f.Again(name)
+	}
+}
+
+func killAgain(who func(context.Context, *Fleet) string) func(context.Context, *Fleet) error {
+	return func(ctx context.Context, f *Fleet) error {
+		name := who(ctx, f)
+		f.Kill(name)
+		pause(ctx, time.Second)
+		return f.Again(name)
+	}
+}
+
+func freeze(who func(context.Context, *Fleet) string) func(context.Context, *Fleet) error {
+	return func(ctx context.Context, f *Fleet) error {
+		name := who(ctx, f)
+		f.Signal(name, syscall.SIGSTOP)
+		pause(ctx, 4*time.Second)
+		f.Signal(name, syscall.SIGCONT)
+		return nil
+	}
+}
+
+func replace(leftMs int64) func(context.Context, *Fleet) error {
+	return func(ctx context.Context, f *Fleet) error {
+		name := f.Names("replica")[0]
+		zone := f.Proc(name).Zone
+		if leftMs > 0 {
+			f.Notice(name, leftMs)
+			pause(ctx, time.Duration(leftMs)*time.Millisecond)
+		}
+		f.Take(name)
+		pause(ctx, 500*time.Millisecond)
+		return f.AddReplica(name, zone)
+	}
+}
+
+func killOffices(ctx context.Context, f *Fleet) error { return killRoles(ctx, f, "office") }
+
+func killEverything(ctx context.Context, f *Fleet) error {
+	return killRoles(ctx, f, "office", "desk", "replica")
+}
+
+func killRoles(ctx context.Context, f *Fleet, roles ...string) error {
+	for _, role := range roles {
+		for _, name := range f.Names(role) {
+			f.Signal(name, syscall.SIGKILL)
+		}
+	}
+	for _, role := range roles {
+		for _, name := range f.Names(role) {
+			f.Kill(name)
+		}
+	}
+	pause(ctx, 500*time.Millisecond)
+	for _, role := range roles {
+		for _, name := range f.Names(role) {
+			if role == "replica" {
+				zone := f.Proc(name).Zone
+				f.Platform.Drop(name)
+				if err := f.AddReplica(name, zone); err != nil {
+					return err
+				}
+				continue
+			}
+			if err := f.Again(name); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func emptyZone(ctx context.Context, f *Fleet) error {
+	zone := f.Plan.Zones[len(f.Plan.Zones)-1]
+	r, err := f.AskAny(ctx, http.MethodPost, "/v1/zones/"+zone+"/empty", "")
+	if err != nil || r.Status >= 300 {
+		return errors.Errorf("emptying: %v %s", err, r.Body)
+	}
+	span := rules.Span{ID: zone, FromUs: NowUs()}
+	pause(ctx, 7*time.Second)
+	span.ToUs = NowUs()
+	f.mu.Lock()
+	f.Emptied = append(f.Emptied, span)
+	f.mu.Unlock()
+	r, err = f.AskAny(ctx, http.MethodPost, "/v1/zones/"+zone+"/restore", "")
+	if err != nil || r.Status >= 300 {
+		return errors.Errorf("restoring: %v %s", err, r.Body)
+	}
+	return nil
+}
+
+// Day runs demand with faults in turn and ends with usual service, or says why not.
+func Day(ctx context.Context, f *Fleet, doc *standing.Declaration, raw string, plan DayPlan, out io.Writer) ([]rules.Breach, error) {
+	beganUs := NowUs()
+	if err := Begin(ctx, f, raw); err != nil {
+		return nil, err
+	}
+	fmt.Fprintf(out, "up and settled after %d ms: %d offices, %d desks, %d replicas\n", (NowUs()-beganUs)/1000,
+		len(f.Names("office")), len(f.Names("desk")), len(f.Names("replica")))
+	loaded, stop := context.WithCancel(ctx)
+	defer stop()
+	over := make(chan struct{})
+	go func() {
+		f.Run(loaded, Demand{Doc: doc, PerSecond: plan.PerSecond, Seed: plan.Seed, Label: "day"})
+		close(over)
+	}()
+	var breaches []rules.Breach
+	pause(ctx, plan.Span)
+	for _, name := range plan.Faults {
+		cause, known := faults[name]
+		if !known {
+			return nil, errors.Errorf("no fault %q; there are %s", name, strings.Join(FaultNames(), ", "))
+		}
+		startUs := NowUs()
+		if err := cause(ctx, f); err != nil {
+			return nil, errors.Annotate(err, name)
+		}
+		backUs := NowUs()
+		pause(ctx, 14*time.Second)
+		f.mu.Lock()
+		during, calls := EndedShare(f.Told, startUs, backUs)
+		after, callsAfter := EndedShare(f.Told, backUs+rules.RecoverUs, backUs+14_000_000)
+		f.mu.Unlock()
+		fmt.Fprintf(out, "fault %-16s ended well: %5.1f%% of %d while it lasted, %5.1f%% of %d from 12 s after\n", name, during*100, calls, after*100, callsAfter)
+		if callsAfter > 10 && after < 0.95 {
+			breaches = append(breaches, rules.Breach{Rule: rules.PoorService, Detail: fmt.Sprintf("%s: %.1f%% of %d calls ended well", name, after*100, callsAfter)})
+		}
+	}
+	stop()
+	<-over
+	seen, err := f.Seen()
+	if err != nil {
+		return nil, err
+	}
+	breaches = append(breaches, f.configKept(ctx, doc)...)
+	f.print(out, seen)
+	return append(breaches, rules.Check(seen)...), nil
+}
+
+func (f *Fleet) configKept(ctx context.Context, doc *standing.Declaration) []rules.Breach {
+	ctx, done := context.WithTimeout(ctx, 10*time.Second)
+	defer done()
+	r, err := f.AskAny(ctx, http.MethodGet, "/v1/config", "")
+	var now struct {
+		Revision    uint64                `json:"revision"`
+		Declaration *standing.Declaration `json:"declaration"`
+	}
+	if err != nil || json.Unmarshal(r.Body, &now) != nil || now.Declaration == nil || now.Declaration.Name != doc.Name {
+		return []rules.Breach{{Rule: rules.ConfigLost, Detail: fmt.Sprintf("config is %s (%v)", r.Body[:min(len(r.Body), 200)], err)}}
+	}
+	return nil
+}
+
+func (f *Fleet) print(out io.Writer, seen rules.Seen) {
+	fmt.Fprintf(out, "%-14s %7s %7s %9s %9s %9s %9s  others\n", "kind", "calls", "ended", "first p50", "p95", "p99", "whole p50")
+	for _, row := range Rows(seen.Told) {
+		codes := []string{}
+		for c, n := range row.Codes {
+			codes = append(codes, fmt.Sprintf("%s %d", c, n))
+		}
+		sort.Strings(codes)
+		fmt.Fprintf(out, "%-14s %7d %7d %7.0fms %7.0fms %7.0fms %7.0fms  %s\n", row.Kind, row.Calls, row.Ended, row.FirstP50, row.FirstP95, row.FirstP99, row.WholeP50, strings.Join(codes, ", "))
+	}
+	loads, unloads := 0, 0
+	for _, o := range seen.Orders {
+		if o.Taken && o.Step == "load" {
+			loads++
+		} else if o.Taken {
+			unloads++
+		}
+	}
+	fmt.Fprintf(out, "legs run %d, loads %d, unloads %d\n", len(seen.Runs), loads, unloads)
+}
--- /dev/null
+++ b/proofs/fleet/fleet.go
@@ -0,0 +1,394 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sort"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"petreltide/internal/clock"
+	"petreltide/internal/office"
+	"petreltide/internal/standing"
+	"petreltide/internal/wire"
+	"petreltide/proofs/platform"
+	"petreltide/proofs/press"
+	"petreltide/proofs/rules"
+)
+
+type Plan struct {
+	Petreltide string
+	Self       string
+	Folder     string
+	Offices    int
+	Desks      int
+	Replicas   int
+	Zones      []string
+	RoomMb     int64
+	Slots      int
+	PieceUs    int64
+	FirstUs    int64
+	PartUs     int64
+	Store      standing.Store
+}
+
+type Proc struct {
+	Name string
+	Role string
+	Addr string
+	Zone string
+	Args []string
+	bin  string
+	cmd  *exec.Cmd
+	gone chan struct{}
+	out  string
+}
+
+// Fleet starts real processes and is the only one that does.
+type Fleet struct {
+	Plan     Plan
+	Platform *platform.Platform
+	platAddr string
+	server   *http.Server
+	mu       sync.Mutex
+	procs    map[string]*Proc
+	Told     []rules.Told
+	Notices  []rules.Span
+	Emptied  []rules.Span
+	Old      []rules.Span
+	journals []string
+	presses  int
+}
+
+func FreeAddr() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func New(plan Plan) (*Fleet, error) {
+	f := &Fleet{Plan: plan, procs: map[string]*Proc{}}
+	f.Platform = platform.New(platform.NewStore(plan.Store.Loads, plan.Store.MbPerSecond, plan.Store.BurstMb))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	f.platAddr = l.Addr().String()
+	f.server = &http.Server{Handler: f.Platform.Handler()}
+	go func() { _ = f.server.Serve(l) }()
+	return f, os.MkdirAll(plan.Folder, 0o755)
+}
+
+func (f *Fleet) zone(i int) string { return f.Plan.Zones[i%len(f.Plan.Zones)] }
+
+// Start brings up offices, replicas and desks.
+func (f *Fleet) Start() error {
+	seeds := []string{}
+	for i := 0; i < f.Plan.Offices; i++ {
+		seeds = append(seeds, FreeAddr())
+	}
+	for i, addr := range seeds {
+		if err := f.AddOffice(fmt.Sprintf("core-%d", i+1), addr, f.zone(i), seeds, f.Plan.Offices); err != nil {
+			return err
+		}
+	}
+	for i := 0; i < f.Plan.Replicas; i++ {
+		if err := f.AddReplica(fmt.Sprintf("gpu-%d", i+1), f.zone(i)); err != nil {
+			return err
+		}
+	}
+	for i := 0; i < f.Plan.Desks; i++ {
+		if err := f.AddDesk(fmt.Sprintf("front-%d", i+1), f.zone(i), seeds); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) AddOffice(name, addr, zone string, seeds []string, founding int) error {
+	return f.run(&Proc{Name: name, Role: "office", Addr: addr, Zone: zone, bin: f.Plan.Petreltide, Args: []string{
+		"office", "--name", name, "--listen", addr, "--zone", zone, "--seeds", strings.Join(seeds, ","),
+		"--data", filepath.Join(f.Plan.Folder, name), "--platform", f.platAddr, "--founding", fmt.Sprint(founding),
+	}})
+}
+
+func (f *Fleet) AddDesk(name, zone string, seeds []string) error {
+	addr := FreeAddr()
+	return f.run(&Proc{Name: name, Role: "desk", Addr: addr, Zone: zone, bin: f.Plan.Petreltide, Args: []string{
+		"desk", "--name", name, "--listen", addr, "--zone", zone, "--seeds", strings.Join(seeds, ","), "--drain-ms", "5000",
+	}})
+}
+
+func (f *Fleet) AddReplica(name, zone string) error {
+	addr := FreeAddr()
+	f.mu.Lock()
+	f.presses++
+	n := f.presses
+	journal := filepath.Join(f.Plan.Folder, fmt.Sprintf("%s.%d.journal", name, n))
+	f.journals = append(f.journals, journal)
+	f.mu.Unlock()
+	if err := f.run(&Proc{Name: name, Role: "replica", Addr: addr, Zone: zone, bin: f.Plan.Self, Args: []string{
+		"press", "--id", name, "--inc", fmt.Sprintf("%s-%d", name, n), "--listen", addr, "--zone", zone, "--room", fmt.Sprint(f.Plan.RoomMb),
+		"--slots", fmt.Sprint(f.Plan.Slots), "--piece-us", fmt.Sprint(f.Plan.PieceUs), "--first-us", fmt.Sprint(f.Plan.FirstUs),
+		"--part-us", fmt.Sprint(f.Plan.PartUs), "--store", f.platAddr, "--journal", journal,
+	}}); err != nil {
+		return err
+	}
+	f.Platform.Set(wire.Listed{ID: name, Addr: addr, Zone: zone, RoomMb: f.Plan.RoomMb, Slots: f.Plan.Slots, State: wire.ListedReady})
+	return nil
+}
+
+func (f *Fleet) run(p *Proc) error {
+	p.out = filepath.Join(f.Plan.Folder, p.Name+".out")
+	out, err := os.OpenFile(p.out, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer out.Close()
+	p.cmd = exec.Command(p.bin, p.Args...)
+	p.cmd.Stdout, p.cmd.Stderr = out, out
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		return errors.Trace(err)
+	}
+	gone := make(chan struct{})
+	p.gone = gone
+	cmd := p.cmd
+	go func() {
+		_ = cmd.Wait()
+		close(gone)
+	}()
+	f.mu.Lock()
+	f.procs[p.Name] = p
+	f.mu.Unlock()
+	return nil
+}
+
+func (f *Fleet) Proc(name string) *Proc {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.procs[name]
+}
+
+func (f *Fleet) Names(role string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	names := []string{}
+	for n, p := range f.procs {
+		if p.Role == role {
+			names = append(names, n)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+func (f *Fleet) Addrs(role string) []string {
+	addrs := []string{}
+	for _, n := range f.Names(role) {
+		addrs = append(addrs, f.Proc(n).Addr)
+	}
+	return addrs
+}
+
+func (f *Fleet) Signal(name string, sig syscall.Signal) {
+	if p := f.Proc(name); p != nil {
+		_ = p.cmd.Process.Signal(sig)
+	}
+}
+
+func (f *Fleet) Kill(name string) {
+	p := f.Proc(name)
+	if p == nil {
+		return
+	}
+	_ = p.cmd.Process.Kill()
+	<-p.gone
+}
+
+func (f *Fleet) Again(name string) error {
+	p := f.Proc(name)
+	return f.run(&Proc{Name: p.Name, Role: p.Role, Addr: p.Addr, Zone: p.Zone, bin: p.bin, Args: p.Args})
+}
+
+func (f *Fleet) Stop() {
+	f.mu.Lock()
+	procs := []*Proc{}
+	for _, p := range f.procs {
+		procs = append(procs, p)
+	}
+	f.mu.Unlock()
+	for _, p := range procs {
+		_ = p.cmd.Process.Kill()
+	}
+	for _, p := range procs {
+		<-p.gone
+	}
+	_ = f.server.Close()
+}
+
+// Notice shows a replica as leaving on the platform's list.
+func (f *Fleet) Notice(name string, leftMs int64) {
+	p := f.Proc(name)
+	f.Platform.Set(wire.Listed{ID: name, Addr: p.Addr, Zone: p.Zone, RoomMb: f.Plan.RoomMb, Slots: f.Plan.Slots, State: wire.ListedDraining, LeftMs: leftMs})
+	f.mu.Lock()
+	f.Notices = append(f.Notices, rules.Span{ID: name, FromUs: clock.NowUs() + 1_000_000, ToUs: 1 << 62})
+	f.mu.Unlock()
+}
+
+// Take ends a replica and drops it from the list.
+func (f *Fleet) Take(name string) {
+	f.Kill(name)
+	f.Platform.Drop(name)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.Notices {
+		if f.Notices[i].ID == name && f.Notices[i].ToUs == 1<<62 {
+			f.Notices[i].ToUs = clock.NowUs()
+		}
+	}
+}
+
+type Reply struct {
+	Status int
+	Body   []byte
+}
+
+func (f *Fleet) Ask(ctx context.Context, office, method, path, body string) (Reply, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+office+path, strings.NewReader(body))
+	if err != nil {
+		return Reply{}, err
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer res.Body.Close()
+	raw := new(strings.Builder)
+	_, err = bufio.NewReader(res.Body).WriteTo(raw)
+	return Reply{res.StatusCode, []byte(raw.String())}, err
+}
+
+// AskAny tries the offices until one answers below 500, and gives up at ctx's end.
+func (f *Fleet) AskAny(ctx context.Context, method, path, body string) (Reply, error) {
+	for {
+		for _, addr := range f.Addrs("office") {
+			short, done := context.WithTimeout(ctx, 10*time.Second)
+			r, err := f.Ask(short, addr, method, path, body)
+			done()
+			if err == nil && r.Status < 500 {
+				return r, nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return Reply{}, ctx.Err()
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+// Tail asks every office and returns the status of the open tail.
+func (f *Fleet) Tail(ctx context.Context) (office.Status, bool) {
+	for _, addr := range f.Addrs("office") {
+		short, done := context.WithTimeout(ctx, time.Second)
+		r, err := f.Ask(short, addr, http.MethodGet, "/v1/status", "")
+		done()
+		var st office.Status
+		if err == nil && json.Unmarshal(r.Body, &st) == nil && st.Open {
+			return st, true
+		}
+	}
+	return office.Status{}, false
+}
+
+func (f *Fleet) Status(ctx context.Context, name string) (office.Status, bool) {
+	short, done := context.WithTimeout(ctx, time.Second)
+	defer done()
+	r, err := f.Ask(short, f.Proc(name).Addr, http.MethodGet, "/v1/status", "")
+	var st office.Status
+	if err != nil || json.Unmarshal(r.Body, &st) != nil {
+		return st, false
+	}
+	return st, true
+}
+
+// Until polls a condition on the running fleet.
+func (f *Fleet) Until(ctx context.Context, what string, holds func() bool) error {
+	for !holds() {
+		select {
+		case <-ctx.Done():
+			return errors.Errorf("gave up waiting until %s", what)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+// Seen gathers what everybody saw, for the rules.
+func (f *Fleet) Seen() (rules.Seen, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	seen := rules.Seen{Told: append([]rules.Told(nil), f.Told...), Notices: f.Notices, Emptied: f.Emptied, OldModels: f.Old}
+	seen.StoreBroke, _ = f.Platform.StoreBroken()
+	for _, path := range f.journals {
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			if os.IsNotExist(err) {
+				continue
+			}
+			return seen, errors.Trace(err)
+		}
+		runs, orders := ReadJournal(string(raw))
+		seen.Runs = append(seen.Runs, runs...)
+		seen.Orders = append(seen.Orders, orders...)
+	}
+	return seen, nil
+}
+
+func ReadJournal(text string) ([]press.Run, []press.OrderSeen) {
+	byLeg := map[string]int{}
+	runs := []press.Run{}
+	orders := []press.OrderSeen{}
+	for _, line := range strings.Split(text, "\n") {
+		var l press.Line
+		if json.Unmarshal([]byte(line), &l) != nil {
+			continue
+		}
+		switch {
+		case l.Run != nil:
+			byLeg[l.Run.Leg] = len(runs)
+			runs = append(runs, *l.Run)
+		case l.End != nil:
+			if i, ok := byLeg[l.End.Leg]; ok {
+				runs[i].Ended = runs[i].Ended || l.End.Ended
+				runs[i].Sent = l.End.Sent
+			}
+		case l.Order != nil:
+			orders = append(orders, *l.Order)
+		}
+	}
+	return runs, orders
+}
+
+func (f *Fleet) Note(t rules.Told) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Told = append(f.Told, t)
+}
+
+type officeStatus = office.Status
--- /dev/null
+++ b/proofs/press/core.go
@@ -0,0 +1,270 @@
+package press
+
+import (
+	"fmt"
+	"hash/fnv"
+	"sort"
+	"strings"
+
+	"petreltide/internal/ledger"
+	"petreltide/internal/wire"
+)
+
+// Run is what a replica really did for one leg; the rules are checked against it.
+type Run struct {
+	Replica string `json:"replica"`
+	Inc     string `json:"inc"`
+	Zone    string `json:"zone"`
+	Leg     string `json:"leg"`
+	Tag     string `json:"tag"`
+	Model   string `json:"model"`
+	Adapter string `json:"adapter"`
+	Nonce   string `json:"nonce"`
+	StartUs int64  `json:"startUs"`
+	First   int    `json:"first"`
+	Total   int    `json:"total"`
+	Sent    int    `json:"sent"`
+	Ended   bool   `json:"ended"`
+	Warm    int    `json:"warm"`
+}
+
+// Line is one entry of a replica's own journal, kept outside it so that its death loses nothing.
+type Line struct {
+	Run   *Run       `json:"run,omitempty"`
+	End   *Run       `json:"end,omitempty"`
+	Order *OrderSeen `json:"order,omitempty"`
+}
+
+type OrderSeen struct {
+	Replica string      `json:"replica"`
+	Inc     string      `json:"inc"`
+	Number  uint64      `json:"number"`
+	Epoch   uint64      `json:"epoch"`
+	Under   uint64      `json:"under"`
+	Step    ledger.Step `json:"step"`
+	Unit    string      `json:"unit"`
+	AtUs    int64       `json:"atUs"`
+	Taken   bool        `json:"taken"`
+	Why     string      `json:"why,omitempty"`
+	Over    bool        `json:"over,omitempty"`
+}
+
+type Options struct {
+	ID      string
+	Inc     string
+	Zone    string
+	RoomMb  int64
+	Slots   int
+	FirstUs int64
+	PartUs  int64
+	PieceUs int64
+	LoadUs  func(sizeMb int64) int64
+	Fetch   bool
+	Journal func(Line)
+}
+
+// Core is a replica without its sockets: it holds models, takes one order at a time and runs legs.
+type Core struct {
+	opts     Options
+	holds    map[string]int64
+	last     *wire.OrderState
+	order    *ledger.Ticket
+	doneUs   int64
+	fetched  bool
+	legs     map[string]*Run
+	seenLegs map[string]bool
+	prefixes map[string]bool
+	nonces   int
+	Runs     []*Run
+	Orders   []OrderSeen
+}
+
+func NewCore(opts Options) *Core {
+	return &Core{opts: opts, holds: map[string]int64{}, legs: map[string]*Run{}, seenLegs: map[string]bool{}, prefixes: map[string]bool{}}
+}
+
+func (c *Core) State() wire.ReplicaState {
+	st := wire.ReplicaState{ID: c.opts.ID, Inc: c.opts.Inc, Active: len(c.legs), Holds: []ledger.Holding{}}
+	units := make([]string, 0, len(c.holds))
+	for u := range c.holds {
+		units = append(units, u)
+	}
+	sort.Strings(units)
+	for _, u := range units {
+		st.Holds = append(st.Holds, ledger.Holding{Unit: u, SizeMb: c.holds[u]})
+	}
+	if c.last != nil {
+		last := *c.last
+		st.Last = &last
+	}
+	return st
+}
+
+func (c *Core) takenMb() int64 {
+	var sumMb int64
+	for _, mb := range c.holds {
+		sumMb += mb
+	}
+	return sumMb
+}
+
+// Take judges an order. fetch is true when the weights must come from the store.
+func (c *Core) Take(nowUs int64, o wire.Order) (st wire.OrderState, fetch bool) {
+	t := o.Ticket
+	seen := OrderSeen{Replica: c.opts.ID, Inc: c.opts.Inc, Number: t.Number, Epoch: t.Epoch, Under: o.Epoch, Step: t.Step, Unit: t.Unit, AtUs: nowUs}
+	defer func() {
+		c.Orders = append(c.Orders, seen)
+		c.journal(Line{Order: &seen})
+	}()
+	refuse := func(why string) wire.OrderState {
+		seen.Why = why
+		return wire.OrderState{Number: t.Number, Epoch: t.Epoch, State: wire.OrderFailed, Why: why}
+	}
+	switch {
+	case t.Inc != c.opts.Inc:
+		return refuse("another incarnation"), false
+	case c.last != nil && t.Number == c.last.Number:
+		seen.Why = "again"
+		return *c.last, false
+	case c.last != nil && t.Number < c.last.Number:
+		return refuse("older than the last order"), false
+	case c.order != nil:
+		return refuse("an order is running"), false
+	}
+	seen.Taken = true
+	c.last = &wire.OrderState{Number: t.Number, Epoch: t.Epoch, State: wire.OrderRunning}
+	switch t.Step {
+	case ledger.Load:
+		if c.takenMb()+t.SizeMb > c.opts.RoomMb {
+			seen.Over = true
+			c.last.State, c.last.Why = wire.OrderFailed, "no room"
+			return *c.last, false
+		}
+		held := t
+		c.order, c.doneUs, c.fetched = &held, nowUs+c.opts.LoadUs(t.SizeMb), !c.opts.Fetch
+		return *c.last, true
+	case ledger.Unload:
+		held := t
+		c.order, c.doneUs, c.fetched = &held, nowUs, true
+	}
+	c.Tick(nowUs)
+	return *c.last, false
+}
+
+func (c *Core) Tick(nowUs int64) {
+	if c.order == nil || nowUs < c.doneUs || !c.fetched {
+		return
+	}
+	if c.order.Step == ledger.Unload {
+		for _, r := range c.legs {
+			if r.Model == c.order.Unit || r.Adapter == c.order.Unit {
+				return
+			}
+		}
+		delete(c.holds, c.order.Unit)
+	} else {
+		c.holds[c.order.Unit] = c.order.SizeMb
+	}
+	c.last.State = wire.OrderDone
+	c.order = nil
+}
+
+func (c *Core) FailOrder(why string) {
+	if c.order != nil {
+		c.last.State, c.last.Why = wire.OrderFailed, why
+		c.order = nil
+	}
+}
+
+func (c *Core) Fetched(nowUs int64, number uint64) {
+	if c.order != nil && c.order.Number == number {
+		c.fetched = true
+		c.Tick(nowUs)
+	}
+}
+
+func (c *Core) LoadUs(sizeMb int64) int64 { return c.opts.LoadUs(sizeMb) }
+
+func TagOf(prompt string) string {
+	tag, _, _ := strings.Cut(prompt, " ")
+	return tag
+}
+
+// Total is how many pieces an answer to this prompt has, whoever gives it.
+func Total(prompt string, mostOut int) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(prompt))
+	total := 4 + int(h.Sum32()%12)
+	if mostOut > 0 {
+		total = min(total*4, mostOut)
+	}
+	return total
+}
+
+// Text is a piece that can only belong to this prompt, model, adapter and place in the answer.
+func Text(prompt, model, adapter string, n int, nonce string) string {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(prompt + "\x00" + model + "\x00" + adapter + "\x00" + fmt.Sprint(n)))
+	return fmt.Sprintf("%016x~%s", h.Sum64(), nonce)
+}
+
+func (c *Core) StartLeg(nowUs int64, l wire.Leg) (*Run, *wire.LegRefusal, int64) {
+	refuse := func(code string) (*Run, *wire.LegRefusal, int64) {
+		return nil, &wire.LegRefusal{Code: code, Started: false}, 0
+	}
+	_, model := c.holds[l.Model]
+	_, adapter := c.holds[l.Adapter]
+	unloading := c.order != nil && c.order.Step == ledger.Unload && (c.order.Unit == l.Model || c.order.Unit == l.Adapter)
+	switch {
+	case l.Inc != c.opts.Inc:
+		return refuse("another_incarnation")
+	case c.seenLegs[l.Leg]:
+		return refuse("leg_seen")
+	case !model || unloading || (l.Adapter != "" && !adapter):
+		return refuse("not_held")
+	case len(c.legs) >= c.opts.Slots:
+		return refuse("busy")
+	}
+	c.seenLegs[l.Leg] = true
+	c.nonces++
+	r := &Run{
+		Replica: c.opts.ID, Inc: c.opts.Inc, Zone: c.opts.Zone, Leg: l.Leg, Tag: TagOf(l.Prompt), Model: l.Model, Adapter: l.Adapter,
+		Nonce: fmt.Sprintf("%s.%s.%d", c.opts.ID, c.opts.Inc, c.nonces), StartUs: nowUs, First: l.First, Total: Total(l.Prompt, l.MostOut),
+	}
+	cold := 0
+	key := l.Model + "|" + l.Adapter
+	for _, part := range l.Prefix {
+		key += "|" + part
+		if c.prefixes[key] {
+			r.Warm++
+			continue
+		}
+		cold++
+		if len(c.prefixes) < 20000 {
+			c.prefixes[key] = true
+		}
+	}
+	c.legs[l.Leg] = r
+	c.Runs = append(c.Runs, r)
+	c.journal(Line{Run: r})
+	return r, nil, c.opts.FirstUs + int64(cold+len(l.Had)/16)*c.opts.PartUs
+}
+
+func (c *Core) EndLeg(nowUs int64, r *Run, whole bool) {
+	r.Ended = whole
+	delete(c.legs, r.Leg)
+	c.journal(Line{End: r})
+	c.Tick(nowUs)
+}
+
+func (c *Core) journal(l Line) {
+	if c.opts.Journal != nil {
+		c.opts.Journal(l)
+	}
+}
+
+func (c *Core) Running(leg string) bool { return c.legs[leg] != nil }
+
+func (c *Core) PieceUs() int64 { return c.opts.PieceUs }
+
+func (c *Core) ID() (string, string) { return c.opts.ID, c.opts.Inc }
