--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -334,20 +334,24 @@
 		panic(err)
 	}
 	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	body := &checked{h: h, st: st, c: c, r: bytes.NewReader(raw)}
+	body := &checked{h: h, st: st, r: bytes.NewReader(raw)}
+	trace := &httptrace.ClientTrace{
+		GotConn:        func(httptrace.GotConnInfo) { connected.Store(true) },
+		Got100Continue: func() { body.asked.Store(true) },
+	}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(legCtx, trace), http.MethodPost, "http://"+st.Addr+"/v1/legs", io.NopCloser(body))
 	if err != nil {
 		return deskwork.Unsent, err.Error()
 	}
 	req.ContentLength = int64(len(raw))
 	req.Header.Set("Content-Type", "application/json")
-	if !h.maySend(st, c) {
+	req.Header.Set("Expect", "100-continue")
+	if !h.maySend(st) {
 		return deskwork.Unsent, "the news changed before it was sent"
 	}
 	res, err := h.legs.Do(req)
 	if err != nil {
-		if !connected.Load() || body.held.Load() {
+		if !connected.Load() || !body.left.Load() {
 			return deskwork.Unsent, err.Error()
 		}
 		h.settleLeg(st)
@@ -387,28 +391,29 @@
 	return deskwork.Unknown
 }
 
-func (h *Host) maySend(st deskwork.Start, c *deskwork.Call) bool {
-	s := h.snap.Load()
-	return clock.NowUs() < h.leaseUs.Load() && s.Takes(st.Replica, st.Inc, c.Model, c.Adapter)
+func (h *Host) maySend(st deskwork.Start) bool {
+	return st.MaySend(h.snap.Load(), clock.NowUs(), h.leaseUs.Load())
 }
 
-// checked looks at the lease and the newest news once more when the first byte is asked for.
+// checked is a leg's body. It leaves only after the replica has asked for it, so that none waits
+// in the socket of a frozen one, and after one more look at the lease and the newest news.
 type checked struct {
-	h    *Host
-	st   deskwork.Start
-	c    *deskwork.Call
-	r    *bytes.Reader
-	seen bool
-	held atomic.Bool
+	h     *Host
+	st    deskwork.Start
+	r     *bytes.Reader
+	left  atomic.Bool
+	asked atomic.Bool
 }
 
 func (b *checked) Read(p []byte) (int, error) {
-	if !b.seen {
-		b.seen = true
-		if !b.h.maySend(b.st, b.c) {
-			b.held.Store(true)
+	if !b.left.Load() {
+		if !b.asked.Load() {
+			return 0, fault.New(fault.ReplicaFailed, "", "the replica did not ask for the leg")
+		}
+		if !b.h.maySend(b.st) {
 			return 0, fault.New(fault.NoLease, "", "the news changed before it was sent")
 		}
+		b.left.Store(true)
 	}
 	return b.r.Read(p)
 }
@@ -420,19 +425,12 @@
 		if err := dec.Decode(&p); err != nil {
 			return deskwork.Broken, "the replica's stream ended early: " + err.Error()
 		}
-		switch {
-		case p.Leg != st.Leg:
-			_ = h.log.Log("event", "foreign leg", "want", st.Leg, "got", p.Leg, "replica", st.Replica)
-			return deskwork.Broken, "the replica answered with another leg"
-		case p.Err != "":
-			return deskwork.Broken, "the replica failed: " + p.Err
-		case p.End:
-			if p.N != len(s.pieces) {
-				return deskwork.Broken, "the end names a wrong number of pieces"
+		ending, why := deskwork.Judge(st.Leg, len(s.pieces), p)
+		if ending != "" {
+			if ending == deskwork.Broken {
+				_ = h.log.Log("event", "stream broken", "leg", st.Leg, "why", why)
 			}
-			return deskwork.Done, ""
-		case p.N != len(s.pieces)+1:
-			return deskwork.Broken, "a piece is missing or repeated"
+			return ending, why
 		}
 		s.pieces = append(s.pieces, p.Text)
 		c.Progress.Store(int64(len(s.pieces)))
--- a/internal/desk/host.go
+++ b/internal/desk/host.go
@@ -16,6 +16,7 @@
 	"petreltide/internal/deskwork"
 	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
+	"petreltide/internal/liaison"
 	"petreltide/internal/office"
 	"petreltide/internal/pipe"
 	"petreltide/internal/settings"
@@ -25,11 +26,10 @@
 
 const (
 	tickEvery   = 20 * time.Millisecond
-	ackEvery    = 200 * time.Millisecond
 	gapUs       = 500 * clock.Ms
-	leaseCutUs  = 50 * clock.Ms
 	keyWait     = 2500 * time.Millisecond
 	cancelWait  = 2 * time.Second
+	askedWait   = time.Second
 	mailboxMost = 16384
 )
 
@@ -47,13 +47,14 @@
 	drain   atomic.Bool
 	calls   atomic.Int64
 
-	mailbox chan func()
-	waiting map[string]*caller
-	where   atomic.Pointer[wire.Where]
-	ackNow  chan struct{}
-	ctx     context.Context
-	stop    context.CancelFunc
-	group   sync.WaitGroup
+	mailbox  chan func()
+	waiting  map[string]*caller
+	where    atomic.Pointer[wire.Where]
+	liaison  *liaison.Liaison
+	unfollow context.CancelFunc
+	ctx      context.Context
+	stop     context.CancelFunc
+	group    sync.WaitGroup
 }
 
 type caller struct {
@@ -83,11 +84,13 @@
 	ctx, stop := context.WithCancel(context.Background())
 	legs := pipe.Client(400)
 	legs.Transport.(*http.Transport).DisableKeepAlives = true
+	legs.Transport.(*http.Transport).ExpectContinueTimeout = askedWait
 	return &Host{
 		set: set, inc: inc, ring: ring, log: ring.Logger("desk", set.Name), inner: pipe.Client(400), legs: legs,
 		decider: deskwork.New(deskwork.Options{Desk: set.Name, Inc: inc, BacklogMax: set.BacklogMax}),
-		mailbox: make(chan func(), mailboxMost), waiting: map[string]*caller{}, ackNow: make(chan struct{}, 1),
-		ctx: ctx, stop: stop,
+		mailbox: make(chan func(), mailboxMost), waiting: map[string]*caller{},
+		liaison: liaison.New(liaison.Options{Desk: set.Name, Inc: inc, Addr: set.Listen, Zone: set.Zone, Seeds: set.Seeds}),
+		ctx:     ctx, stop: stop,
 	}
 }
 
@@ -100,9 +103,6 @@
 	server := &http.Server{Handler: h.handler(), ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = server.Serve(listener) }()
 	h.spawn(h.loop)
-	h.spawn(h.seeker)
-	h.spawn(h.follower)
-	h.spawn(h.acker)
 	<-ctx.Done()
 	h.drain.Store(true)
 	h.tell(deskwork.Event{Drain: true})
@@ -151,6 +151,7 @@
 			act()
 		case <-ticker.C:
 			h.step(deskwork.Event{})
+			h.liaise(liaison.Event{})
 		}
 		nowUs := clock.NowUs()
 		if nowUs-lastUs > gapUs {
@@ -209,162 +210,84 @@
 	c.next <- e
 }
 
-func (h *Host) seeker() {
-	for {
-		var best *wire.Where
-		for _, addr := range h.knownOffices() {
-			ctx, done := context.WithTimeout(h.ctx, 400*time.Millisecond)
-			w, err := pipe.NewCaller[wire.WhereAsk, wire.Where](h.inner, addr, pipe.WherePath).Call(ctx, &wire.WhereAsk{})
-			done()
-			if err == nil && (best == nil || w.View.Number > best.View.Number) {
-				best = w
+func (h *Host) liaise(ev liaison.Event) {
+	ev.NowUs = clock.NowUs()
+	for _, e := range h.liaison.Step(ev) {
+		switch {
+		case e.AskWhere != nil:
+			for _, addr := range e.AskWhere {
+				h.spawn(func() { h.askWhere(addr) })
 			}
-		}
-		if best != nil {
-			h.learn(*best)
-		}
-		span := 250 * time.Millisecond
-		if clock.NowUs() < h.leaseUs.Load() {
-			span = time.Second
-		}
-		select {
-		case <-h.ctx.Done():
-			return
-		case <-time.After(span):
-		}
-	}
-}
-
-func (h *Host) learn(w wire.Where) {
-	old := h.where.Load()
-	if old != nil && (w.View.Number < old.View.Number || len(w.Offices) == 0) {
-		return
-	}
-	h.where.Store(&w)
-}
-
-func (h *Host) knownOffices() []string {
-	addrs := []string{}
-	seen := map[string]bool{h.set.Listen: true}
-	if w := h.where.Load(); w != nil {
-		for _, m := range w.Offices {
-			if !seen[m.Addr] {
-				seen[m.Addr] = true
-				addrs = append(addrs, m.Addr)
+		case e.Follow != nil:
+			if h.unfollow != nil {
+				h.unfollow()
 			}
+			ctx, done := context.WithCancel(h.ctx)
+			h.unfollow = done
+			follow := *e.Follow
+			h.spawn(func() { h.follow(ctx, follow) })
+		case e.Report != nil:
+			report := h.decider.Report(ev.NowUs)
+			report.Addr, report.Zone = h.set.Listen, h.set.Zone
+			tail := *e.Report
+			h.spawn(func() { h.report(tail, report) })
+		case e.Snapshot != nil:
+			h.snap.Store(e.Snapshot)
+			h.step(deskwork.Event{Snapshot: e.Snapshot})
+		case e.LeaseUs != 0:
+			h.leaseUs.Store(e.LeaseUs)
+			h.step(deskwork.Event{LeaseUs: e.LeaseUs})
 		}
 	}
-	for _, s := range h.set.Seeds {
-		if !seen[s] {
-			seen[s] = true
-			addrs = append(addrs, s)
-		}
-	}
-	return addrs
+	where := h.liaison.Where()
+	h.where.Store(&where)
 }
 
-func (h *Host) tail() chain.Seat {
-	if w := h.where.Load(); w != nil {
-		return w.View.Tail()
+func (h *Host) tellLiaison(ev liaison.Event) {
+	select {
+	case h.mailbox <- func() { h.liaise(ev) }:
+	case <-h.ctx.Done():
 	}
-	return chain.Seat{}
 }
 
-// follower holds the pipe down which the tail pushes news.
-func (h *Host) follower() {
-	for h.ctx.Err() == nil {
-		tail := h.tail()
-		if tail.Addr != "" {
-			h.followTail(tail)
-		}
-		select {
-		case <-h.ctx.Done():
-		case <-time.After(80 * time.Millisecond):
-		}
+func (h *Host) askWhere(addr string) {
+	ctx, done := context.WithTimeout(h.ctx, 400*time.Millisecond)
+	defer done()
+	w, err := pipe.NewCaller[wire.WhereAsk, wire.Where](h.inner, addr, pipe.WherePath).Call(ctx, &wire.WhereAsk{})
+	if err == nil {
+		h.tellLiaison(liaison.Event{Where: w})
 	}
 }
 
-func (h *Host) followTail(tail chain.Seat) {
-	ctx, done := context.WithCancel(h.ctx)
-	defer done()
-	ask := &wire.Follow{Desk: h.set.Name, Inc: h.inc, Addr: h.set.Listen, Zone: h.set.Zone}
-	if s := h.snap.Load(); s != nil {
-		ask.Revision, ask.Number = s.Revision, s.Number
-	}
-	stream, err := pipe.NewCaller[wire.Follow, wire.News](h.inner, tail.Addr, pipe.FollowPath).Stream(ctx, ask)
+// follow holds the pipe down which the tail pushes news.
+func (h *Host) follow(ctx context.Context, f liaison.Follow) {
+	defer h.tellLiaison(liaison.Event{Closed: f.Number})
+	stream, err := pipe.NewCaller[wire.Follow, wire.News](h.inner, f.Tail.Addr, pipe.FollowPath).Stream(ctx, &f.Ask)
 	if err != nil {
 		return
 	}
-	watch := time.AfterFunc(time.Hour, done)
-	defer watch.Stop()
-	go func() {
-		look := time.NewTicker(200 * time.Millisecond)
-		defer look.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-look.C:
-				if now := h.tail(); now.ID != tail.ID || now.Inc != tail.Inc {
-					done()
-					return
-				}
-			}
-		}
-	}()
 	for stream.Receive() {
-		h.takeNews(*stream.Msg())
+		news := *stream.Msg()
+		h.tellLiaison(liaison.Event{News: &news})
 	}
 	_ = stream.Close()
 }
 
-func (h *Host) takeNews(n wire.News) {
-	prior := h.snap.Load()
-	if prior != nil && (n.View < prior.View || n.Number < prior.Number) {
-		return
-	}
-	s := deskwork.Fold(prior, n, clock.NowUs())
-	h.snap.Store(s)
-	h.ask(func() { h.step(deskwork.Event{Snapshot: s}) })
-	select {
-	case h.ackNow <- struct{}{}:
-	default:
+// report tells the tail what this desk has taken and what it holds, and brings back the lease.
+func (h *Host) report(tail chain.Seat, report wire.Report) {
+	ctx, done := context.WithTimeout(h.ctx, 600*time.Millisecond)
+	defer done()
+	lease, err := pipe.NewCaller[wire.Report, wire.Lease](h.inner, tail.Addr, pipe.AckPath).Call(ctx, &report)
+	if err == nil && lease.SentUs == report.SentUs {
+		h.tellLiaison(liaison.Event{Lease: lease})
 	}
 }
 
-// acker tells the tail what this desk has taken and what it holds, and brings back the lease.
-func (h *Host) acker() {
-	ticker := time.NewTicker(ackEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-h.ctx.Done():
-			return
-		case <-ticker.C:
-		case <-h.ackNow:
-		}
-		tail := h.tail()
-		if tail.Addr == "" || h.snap.Load() == nil {
-			continue
-		}
-		var report wire.Report
-		if !h.ask(func() { report = h.decider.Report(clock.NowUs()) }) {
-			return
-		}
-		report.Addr, report.Zone = h.set.Listen, h.set.Zone
-		ctx, done := context.WithTimeout(h.ctx, 400*time.Millisecond)
-		lease, err := pipe.NewCaller[wire.Report, wire.Lease](h.inner, tail.Addr, pipe.AckPath).Call(ctx, &report)
-		done()
-		if err != nil || !lease.OK || lease.SentUs != report.SentUs {
-			continue
-		}
-		if s := h.snap.Load(); lease.View < s.View {
-			continue
-		}
-		untilUs := report.SentUs + lease.LeaseUs - leaseCutUs
-		h.leaseUs.Store(untilUs)
-		h.tell(deskwork.Event{LeaseUs: untilUs})
+func (h *Host) tail() chain.Seat {
+	if w := h.where.Load(); w != nil {
+		return w.View.Tail()
 	}
+	return chain.Seat{}
 }
 
 // Submit carries a change through any office that answers.
@@ -372,7 +295,11 @@
 	ctx, done := context.WithTimeout(ctx, keyWait)
 	defer done()
 	var last error
-	for _, addr := range h.knownOffices() {
+	var offices []string
+	if !h.ask(func() { offices = h.liaison.Offices() }) {
+		return nil, fault.New(fault.Draining, "", "stopping")
+	}
+	for _, addr := range offices {
 		result, err := pipe.NewCaller[ledger.Change, wire.Result](h.inner, addr, pipe.SubmitPath).Call(ctx, &c)
 		if err == nil {
 			return result, nil
--- a/internal/deskwork/decider.go
+++ b/internal/deskwork/decider.go
@@ -147,6 +147,28 @@
 	Revision uint64
 }
 
+// MaySend is asked once more right before the first byte leaves.
+func (st Start) MaySend(s *Snapshot, nowUs, leaseUs int64) bool {
+	return s != nil && nowUs < leaseUs && s.Takes(st.Replica, st.Inc, st.Call.Model, st.Call.Adapter)
+}
+
+// Judge looks at a replica's next line; an empty ending means it is the next piece.
+func Judge(leg string, had int, p wire.Piece) (Ending, string) {
+	switch {
+	case p.Leg != leg:
+		return Broken, "the replica answered with another leg"
+	case p.Err != "":
+		return Broken, "the replica failed: " + p.Err
+	case p.End && p.N != had:
+		return Broken, "the end names a wrong number of pieces"
+	case p.End:
+		return Done, ""
+	case p.N != had+1:
+		return Broken, "a piece is missing or repeated"
+	}
+	return "", ""
+}
+
 type Give struct {
 	Call  *Call
 	Fault *fault.Fault
@@ -691,7 +713,7 @@
 		Waiting: map[string]int{}, InFlight: map[string]int{}, Left: map[string]wire.Left{},
 	}
 	if d.snap != nil {
-		rep.Number, rep.View = d.snap.Number, d.snap.View
+		rep.Number, rep.View, rep.Revision = d.snap.Number, d.snap.View, d.snap.Revision
 	}
 	for _, k := range d.kinds {
 		for _, c := range k.waiting {
--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -34,12 +34,13 @@
 )
 
 type Event struct {
-	NowUs  int64
-	Listed *Listed
-	Told   *Told
-	Report *wire.Report
-	Policy *PolicyDone
-	Wrote  *ledger.Outcome
+	NowUs   int64
+	Listed  *Listed
+	Told    *Told
+	Ordered *Ordered
+	Report  *wire.Report
+	Policy  *PolicyDone
+	Wrote   *ledger.Outcome
 }
 
 type Listed struct {
@@ -55,6 +56,13 @@
 	Err     string
 }
 
+// Ordered is a replica's own answer to an order; only its word that it has it counts.
+type Ordered struct {
+	Replica string
+	Inc     string
+	State   wire.OrderState
+}
+
 type PolicyDone struct {
 	Run     uint64
 	Live    imposition.Answer
@@ -113,34 +121,35 @@
 // Foreman holds the duty of the one controller: it reads the ledger and what replicas,
 // platform and desks told it, and answers with ledger writes and orders.
 type Foreman struct {
-	me       string
-	claimed  uint64
-	claimUs  int64
-	writing  string
-	writeUs  int64
-	writes   uint64
-	listUs   int64
-	list     *wire.List
-	listAtUs int64
-	empties  int
-	stales   int
-	replicas map[string]*told
-	desks    map[string]*deskRow
-	bucket   imposition.Bucket
-	orderUs  map[uint64]int64
-	policyUs int64
-	runUs    int64
-	run      uint64
-	proposed []imposition.Proposal
-	shareUs  int64
-	counted  []castoff.Count
-	marks    []uint64
-	markUs   int64
-	Faults   map[fault.Code]uint64
-	Verdicts []imposition.Verdict
-	Policy   PolicyNote
-	Shadows  []PolicyNote
-	effects  []Effect
+	me        string
+	claimed   uint64
+	claimUs   int64
+	writing   string
+	writeUs   int64
+	writes    uint64
+	listUs    int64
+	list      *wire.List
+	listAtUs  int64
+	empties   int
+	stales    int
+	replicas  map[string]*told
+	desks     map[string]*deskRow
+	bucket    imposition.Bucket
+	issuingMb int64
+	orderUs   map[uint64]int64
+	policyUs  int64
+	runUs     int64
+	run       uint64
+	proposed  []imposition.Proposal
+	shareUs   int64
+	counted   []castoff.Count
+	marks     []uint64
+	markUs    int64
+	Faults    map[fault.Code]uint64
+	Verdicts  []imposition.Verdict
+	Policy    PolicyNote
+	Shadows   []PolicyNote
+	effects   []Effect
 }
 
 type PolicyNote struct {
@@ -201,6 +210,8 @@
 		f.listed(ev.NowUs, *ev.Listed)
 	case ev.Told != nil:
 		f.told(ev.NowUs, *ev.Told)
+	case ev.Ordered != nil:
+		f.ordered(*ev.Ordered)
 	case ev.Policy != nil:
 		f.ran(seen, *ev.Policy)
 	case ev.Wrote != nil:
@@ -253,6 +264,17 @@
 	row.state, row.atUs, row.heardUs = *t.State, nowUs, t.AskedUs
 }
 
+func (f *Foreman) ordered(o Ordered) {
+	row := f.replicas[o.Replica]
+	if row == nil || row.state.Inc != o.Inc || o.State.State == wire.OrderFailed {
+		return
+	}
+	if last := row.state.Last; last == nil || last.Number < o.State.Number {
+		state := o.State
+		row.state.Last = &state
+	}
+}
+
 func (f *Foreman) tick(seen Seen) {
 	if !seen.Head {
 		f.leave()
@@ -273,7 +295,7 @@
 		return
 	}
 	if s.Doc != nil {
-		f.bucket.Fill(seen.NowUs, s.Doc.Store)
+		f.bucket.Fill(seen.NowUs, s.Doc.Store, f.unconfirmedMb(s))
 	}
 	if seen.NowUs-f.listUs >= listEveryUs {
 		f.listUs = seen.NowUs
@@ -328,22 +350,29 @@
 		if sent && seen.NowUs-sentUs < orderEveryUs {
 			continue
 		}
-		if t.Step == ledger.Load && (t.Epoch != s.Epoch || sent) {
-			if !f.bucket.Has(t.SizeMb) {
-				continue
-			}
-			f.bucket.Spend(t.SizeMb)
-		}
 		f.orderUs[t.Number] = seen.NowUs
 		f.do(Effect{Order: &Order{Addr: row.addr, Order: wire.Order{Ticket: t, Epoch: s.Epoch}}})
 	}
 }
 
+func (f *Foreman) unconfirmedMb(s *ledger.State) int64 {
+	sumMb := f.issuingMb
+	for _, t := range s.Pending {
+		row := f.replicas[t.Replica]
+		seen := row != nil && row.atUs > 0 && row.state.Inc == t.Inc && row.state.Last != nil && row.state.Last.Number >= t.Number
+		if t.Step == ledger.Load && !seen {
+			sumMb += t.SizeMb
+		}
+	}
+	return sumMb
+}
+
 func (f *Foreman) write(seen Seen) {
 	if !seen.Writes || (f.writing != "" && seen.NowUs-f.writeUs < writeLostUs) {
 		return
 	}
 	s := seen.State
+	f.issuingMb = 0
 	duty := &ledger.Duty{}
 	f.noteFleet(seen, duty)
 	f.settle(seen.NowUs, s, duty)
@@ -363,6 +392,7 @@
 			for _, t := range tickets {
 				if t.Step == ledger.Load {
 					f.bucket.Spend(t.SizeMb)
+					f.issuingMb += t.SizeMb
 				}
 			}
 			duty.Tickets = tickets
@@ -382,7 +412,7 @@
 	if out.ID != f.writing {
 		return
 	}
-	f.writing = ""
+	f.writing, f.issuingMb = "", 0
 	for _, bad := range out.Faults {
 		f.count(bad.Code)
 	}
@@ -557,7 +587,7 @@
 		for i, desk := range desks {
 			report := f.desks[desk].report
 			weights[i] = 0.5 + float64(report.InFlight[id])
-			for unit := range r.Holds {
+			for _, unit := range sorted(r.Holds) {
 				weights[i] += float64(report.Waiting[unit]) * 0.5
 				weights[i] += report.Arrivals[unit] * 0.1
 			}
--- a/internal/imposition/imposition.go
+++ b/internal/imposition/imposition.go
@@ -200,24 +200,23 @@
 	return d
 }
 
-// Bucket is the weight store's rate. It starts empty after a takeover or a gap.
+// Bucket is the weight store's rate. It starts empty after a takeover or a gap. An order that
+// may still reach its replica at any time keeps its size out of the burst until it is confirmed.
 type Bucket struct {
 	TokensMb float64 `json:"tokensMb"`
 	atUs     int64
 }
 
-func (b *Bucket) Fill(nowUs int64, store standing.Store) {
+func (b *Bucket) Fill(nowUs int64, store standing.Store, unconfirmedMb int64) {
 	if b.atUs != 0 && nowUs > b.atUs {
-		b.TokensMb += float64(nowUs-b.atUs) / 1e6 * float64(store.MbPerSecond) * 0.9
+		b.TokensMb += float64(nowUs-b.atUs) / 1e6 * float64(store.MbPerSecond) * 0.98
 	}
-	b.TokensMb = min(b.TokensMb, float64(store.BurstMb))
+	b.TokensMb = min(b.TokensMb, float64(store.BurstMb-unconfirmedMb))
 	b.atUs = nowUs
 }
 
 func (b *Bucket) Empty() { *b = Bucket{} }
 
-func (b *Bucket) Has(mb int64) bool { return b.TokensMb >= float64(mb) }
-
 func (b *Bucket) Spend(mb int64) { b.TokensMb -= float64(mb) }
 
 type Verdict struct {
--- /dev/null
+++ b/internal/liaison/liaison.go
@@ -0,0 +1,167 @@
+package liaison
+
+import (
+	"petreltide/internal/chain"
+	"petreltide/internal/clock"
+	"petreltide/internal/deskwork"
+	"petreltide/internal/wire"
+)
+
+const (
+	seekUs     = 250 * clock.Ms
+	seekIdleUs = 1000 * clock.Ms
+	ackUs      = 200 * clock.Ms
+	followUs   = 300 * clock.Ms
+	quietUs    = 2500 * clock.Ms
+	leaseCutUs = 50 * clock.Ms
+)
+
+type Event struct {
+	NowUs  int64
+	Where  *wire.Where
+	News   *wire.News
+	Lease  *wire.Lease
+	From   string
+	Closed uint64
+}
+
+type Effect struct {
+	AskWhere []string
+	Follow   *Follow
+	Report   *chain.Seat
+	Snapshot *deskwork.Snapshot
+	LeaseUs  int64
+}
+
+type Follow struct {
+	Number uint64
+	Tail   chain.Seat
+	Ask    wire.Follow
+}
+
+type Options struct {
+	Desk  string
+	Inc   string
+	Addr  string
+	Zone  string
+	Seeds []string
+}
+
+// Liaison finds the open tail, follows its news and keeps the desk's lease. Seeds are only a
+// first contact: from then on it asks the offices it has met.
+type Liaison struct {
+	opts     Options
+	where    wire.Where
+	snap     *deskwork.Snapshot
+	leaseUs  int64
+	seekUs   int64
+	ackUs    int64
+	follow   uint64
+	tail     chain.Seat
+	open     bool
+	triedUs  int64
+	leasedUs int64
+	effects  []Effect
+}
+
+func New(opts Options) *Liaison { return &Liaison{opts: opts} }
+
+func (l *Liaison) Where() wire.Where { return l.where }
+
+func (l *Liaison) Tail() chain.Seat { return l.where.View.Tail() }
+
+func (l *Liaison) Offices() []string {
+	addrs := []string{}
+	seen := map[string]bool{l.opts.Addr: true}
+	for _, m := range l.where.Offices {
+		if !seen[m.Addr] {
+			seen[m.Addr] = true
+			addrs = append(addrs, m.Addr)
+		}
+	}
+	for _, s := range l.opts.Seeds {
+		if !seen[s] {
+			seen[s] = true
+			addrs = append(addrs, s)
+		}
+	}
+	return addrs
+}
+
+func (l *Liaison) Step(ev Event) []Effect {
+	l.effects = nil
+	switch {
+	case ev.Where != nil:
+		l.met(*ev.Where)
+	case ev.News != nil:
+		l.news(ev.NowUs, *ev.News)
+	case ev.Lease != nil:
+		l.lease(ev.NowUs, *ev.Lease)
+	case ev.Closed != 0:
+		if ev.Closed == l.follow {
+			l.open = false
+		}
+	}
+	l.tick(ev.NowUs)
+	return l.effects
+}
+
+func (l *Liaison) met(w wire.Where) {
+	if len(w.Offices) == 0 || w.View.Number < l.where.View.Number {
+		return
+	}
+	l.where = w
+}
+
+func (l *Liaison) news(nowUs int64, n wire.News) {
+	if l.snap != nil && (n.View < l.snap.View || n.Number < l.snap.Number) {
+		return
+	}
+	if n.Doc == nil && n.Revision > 0 && (l.snap == nil || l.snap.Revision != n.Revision) {
+		l.open = false
+		return
+	}
+	l.snap = deskwork.Fold(l.snap, n, nowUs)
+	l.effects = append(l.effects, Effect{Snapshot: l.snap})
+	l.ackUs = 0
+}
+
+func (l *Liaison) lease(nowUs int64, g wire.Lease) {
+	if !g.OK || l.snap == nil || g.View < l.snap.View {
+		return
+	}
+	l.leasedUs = nowUs
+	if untilUs := g.SentUs + g.LeaseUs - leaseCutUs; untilUs > l.leaseUs {
+		l.leaseUs = untilUs
+		l.effects = append(l.effects, Effect{LeaseUs: untilUs})
+	}
+}
+
+func (l *Liaison) tick(nowUs int64) {
+	spanUs := seekUs
+	if nowUs < l.leaseUs {
+		spanUs = seekIdleUs
+	}
+	if nowUs-l.seekUs >= spanUs {
+		l.seekUs = nowUs
+		l.effects = append(l.effects, Effect{AskWhere: l.Offices()})
+	}
+	tail := l.Tail()
+	if tail.ID != l.tail.ID || tail.Inc != l.tail.Inc || (l.open && nowUs-max(l.leasedUs, l.triedUs) > quietUs) {
+		l.open = false
+	}
+	if tail.Addr != "" && !l.open && nowUs-l.triedUs >= followUs {
+		l.triedUs, l.tail, l.open = nowUs, tail, true
+		l.follow++
+		ask := wire.Follow{Desk: l.opts.Desk, Inc: l.opts.Inc, Addr: l.opts.Addr, Zone: l.opts.Zone}
+		if l.snap != nil {
+			ask.Revision, ask.Number = l.snap.Revision, l.snap.Number
+		}
+		l.effects = append(l.effects, Effect{Follow: &Follow{Number: l.follow, Tail: tail, Ask: ask}})
+	}
+	if l.snap != nil && l.open && nowUs-l.ackUs >= ackUs {
+		l.ackUs = nowUs
+		held := l.tail
+		l.effects = append(l.effects, Effect{Report: &held})
+	}
+}
--- a/internal/newsroom/newsroom.go
+++ b/internal/newsroom/newsroom.go
@@ -98,12 +98,14 @@
 	}
 	d.seenUs = nowUs
 	d.acked = max(d.acked, p.Number)
+	d.revision = p.Revision
 	if d.acked >= newest {
 		d.behindUs = 0
 	} else if d.behindUs == 0 {
 		d.behindUs = nowUs
 	}
-	if !d.following || d.acked == 0 || (d.behindUs > 0 && nowUs-d.behindUs > behindUs) {
+	behind := d.behindUs > 0 && (nowUs >= d.lapseUs || nowUs-d.behindUs > behindUs)
+	if !d.following || d.acked == 0 || behind {
 		return no
 	}
 	d.lapseUs = nowUs + DeskLeaseUs
@@ -122,7 +124,6 @@
 		}
 		news := Write(s, view.Number, id, d.inc, d.revision)
 		d.pushed = max(news.Number, 1)
-		d.revision = s.Revision
 		pushes = append(pushes, Push{Desk: id, News: news})
 	}
 	return pushes
--- a/internal/office/core.go
+++ b/internal/office/core.go
@@ -34,6 +34,7 @@
 	Result  *wire.Result
 	Lease   *Leased
 	Foreman *foreman.Effect
+	Applied *chain.Applied
 	Trouble string
 	Note    string
 }
@@ -147,6 +148,7 @@
 
 func (c *Core) applied(nowUs int64, a chain.Applied) {
 	change := a.Entry.Change
+	c.effects = append(c.effects, Effect{Applied: &a})
 	if change.Duty != nil && change.Epoch == c.Node.State().Epoch {
 		out := a.Outcome
 		c.foreman(foreman.Event{NowUs: nowUs, Wrote: &out})
--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -420,7 +420,11 @@
 		return
 	}
 	defer res.Body.Close()
-	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, 1<<16))
+	ordered := foreman.Ordered{Replica: o.Order.Ticket.Replica, Inc: o.Order.Ticket.Inc}
+	answer, err := io.ReadAll(io.LimitReader(res.Body, 1<<16))
+	if err == nil && json.Unmarshal(answer, &ordered.State) == nil && ordered.State.Number == o.Order.Ticket.Number {
+		h.tell(Event{Foreman: &foreman.Event{Ordered: &ordered}})
+	}
 }
 
 func (h *Host) getJSON(url string, wait time.Duration, into any) error {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -45,6 +45,7 @@
 	Addr     string             `json:"addr"`
 	Zone     string             `json:"zone"`
 	Number   uint64             `json:"number"`
+	Revision uint64             `json:"revision"`
 	SentUs   int64              `json:"sentUs"`
 	View     uint64             `json:"view"`
 	Arrivals map[string]float64 `json:"arrivals,omitempty"`
--- a/proofs/fleet/fleet.go
+++ b/proofs/fleet/fleet.go
@@ -246,7 +246,7 @@
 	p := f.Proc(name)
 	f.Platform.Set(wire.Listed{ID: name, Addr: p.Addr, Zone: p.Zone, RoomMb: f.Plan.RoomMb, Slots: f.Plan.Slots, State: wire.ListedDraining, LeftMs: leftMs})
 	f.mu.Lock()
-	f.Notices = append(f.Notices, rules.Span{ID: name, FromUs: clock.NowUs() + 1_000_000, ToUs: 1 << 62})
+	f.Notices = append(f.Notices, rules.Span{ID: name, FromUs: clock.NowUs() + 1_000_000, ToUs: rules.Open})
 	f.mu.Unlock()
 }
 
@@ -256,11 +256,7 @@
 	f.Platform.Drop(name)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for i := range f.Notices {
-		if f.Notices[i].ID == name && f.Notices[i].ToUs == 1<<62 {
-			f.Notices[i].ToUs = clock.NowUs()
-		}
-	}
+	rules.Over(f.Notices, name, clock.NowUs())
 }
 
 type Reply struct {
--- a/proofs/rules/rules.go
+++ b/proofs/rules/rules.go
@@ -28,6 +28,7 @@
 	ChangeUs  = 2_000_000
 	EmptyUs   = 5_000_000
 	RecoverUs = 12_000_000
+	Open      = int64(1) << 62
 )
 
 // Told is what one attempt of a caller saw.
@@ -79,137 +80,202 @@
 
 func (b Breach) String() string { return b.Rule + ": " + b.Detail }
 
-// Check looks only at what callers, replicas, the store and operators saw.
-func Check(s Seen) []Breach {
-	var breaches []Breach
-	add := func(rule, format string, args ...any) {
-		breaches = append(breaches, Breach{rule, fmt.Sprintf(format, args...)})
-	}
-	byTag := map[string][]press.Run{}
-	for _, r := range s.Runs {
-		byTag[r.Tag] = append(byTag[r.Tag], r)
+// Watch is told what callers, replicas, the store and operators see, one thing at a time, and
+// never what the reducers say of themselves.
+type Watch struct {
+	runs     map[string][]*press.Run
+	byLeg    map[string]*press.Run
+	told     map[string]Told
+	keys     map[string]map[string]bool
+	keyOf    map[string]string
+	order    map[uint64]ticket
+	taken    map[uint64]int
+	last     map[string]uint64
+	notices  []Span
+	emptied  []Span
+	old      []Span
+	Breaches []Breach
+}
+
+type ticket struct {
+	replica, inc, step, unit string
+}
+
+func NewWatch() *Watch {
+	return &Watch{
+		runs: map[string][]*press.Run{}, byLeg: map[string]*press.Run{}, told: map[string]Told{}, keys: map[string]map[string]bool{},
+		keyOf: map[string]string{}, order: map[uint64]ticket{}, taken: map[uint64]int{}, last: map[string]uint64{},
 	}
-	byKey := map[string]map[string]bool{}
-	for _, t := range s.Told {
-		runs := byTag[t.Tag]
-		if !t.Resumable && len(runs) > 1 {
-			add(RunsTwice, "%s ran as %s and %s", t.Tag, runs[0].Leg, runs[1].Leg)
-		}
-		if t.Key != "" && !t.Resumable {
-			if byKey[t.Key] == nil {
-				byKey[t.Key] = map[string]bool{}
-			}
-			for _, r := range runs {
-				byKey[t.Key][r.Leg] = true
-			}
-		}
-		if t.Run == "none" && len(runs) > 0 && t.Had == 0 {
-			add(NotRunLie, "%s was told %s/none and ran as %s", t.Tag, t.Code, runs[0].Leg)
+}
+
+func (w *Watch) Break(rule, format string, args ...any) {
+	w.Breaches = append(w.Breaches, Breach{rule, fmt.Sprintf(format, args...)})
+}
+
+func (w *Watch) Notice(s Span)  { w.notices = append(w.notices, s) }
+func (w *Watch) Emptied(s Span) { w.emptied = append(w.emptied, s) }
+func (w *Watch) Old(s Span)     { w.old = append(w.old, s) }
+
+// Over ends the newest open span of this name.
+func Over(spans []Span, id string, atUs int64) {
+	for i := len(spans) - 1; i >= 0; i-- {
+		if spans[i].ID == id && spans[i].ToUs == Open {
+			spans[i].ToUs = atUs
+			return
 		}
-		checkStream(add, t, runs)
 	}
-	for key, legs := range byKey {
-		if len(legs) > 1 {
-			add(RunsTwice, "key %s ran as %v", key, names(legs))
+}
+
+func (w *Watch) NoticeOver(id string, atUs int64)  { Over(w.notices, id, atUs) }
+func (w *Watch) EmptiedOver(id string, atUs int64) { Over(w.emptied, id, atUs) }
+func (w *Watch) OldOver(id string, atUs int64)     { Over(w.old, id, atUs) }
+
+// Asked tells of a keyed attempt before anything is known of it.
+func (w *Watch) Asked(tag, key string) {
+	if key != "" {
+		w.keyOf[tag] = key
+	}
+}
+
+func (w *Watch) Run(r press.Run) {
+	run := r
+	w.byLeg[r.Leg] = &run
+	w.runs[r.Tag] = append(w.runs[r.Tag], &run)
+	if t, known := w.told[r.Tag]; known {
+		w.counted(t)
+	}
+	if key := w.keyOf[r.Tag]; key != "" {
+		if w.keys[key] == nil {
+			w.keys[key] = map[string]bool{}
+		}
+		w.keys[key][r.Leg] = true
+		if len(w.keys[key]) > 1 {
+			w.Break(RunsTwice, "key %s ran as %v", key, names(w.keys[key]))
 		}
 	}
-	for _, n := range s.Notices {
-		for _, r := range s.Runs {
-			if r.Replica == n.ID && r.StartUs > n.FromUs+NoticeUs && r.StartUs < n.ToUs {
-				add(AfterNotice, "%s reached %s %d ms after", r.Tag, n.ID, (r.StartUs-n.FromUs)/1000)
-			}
+	for _, n := range w.notices {
+		if r.Replica == n.ID && r.StartUs > n.FromUs+NoticeUs && r.StartUs < n.ToUs {
+			w.Break(AfterNotice, "%s reached %s %d ms after", r.Tag, n.ID, (r.StartUs-n.FromUs)/1000)
 		}
 	}
-	for _, e := range s.Emptied {
-		for _, r := range s.Runs {
-			if r.Zone == e.ID && r.StartUs > e.FromUs+EmptyUs && r.StartUs < e.ToUs {
-				add(IntoEmptied, "%s reached zone %s %d ms after", r.Tag, e.ID, (r.StartUs-e.FromUs)/1000)
-			}
+	for _, e := range w.emptied {
+		if r.Zone == e.ID && r.StartUs > e.FromUs+EmptyUs && r.StartUs < e.ToUs {
+			w.Break(IntoEmptied, "%s reached zone %s %d ms after", r.Tag, e.ID, (r.StartUs-e.FromUs)/1000)
 		}
 	}
-	for _, o := range s.OldModels {
-		for _, r := range s.Runs {
-			if (r.Model == o.ID || r.Adapter == o.ID) && r.StartUs > o.FromUs+ChangeUs && r.StartUs < o.ToUs {
-				add(OldWay, "%s ran %s %d ms after it was taken out", r.Tag, o.ID, (r.StartUs-o.FromUs)/1000)
-			}
+	for _, o := range w.old {
+		if (r.Model == o.ID || r.Adapter == o.ID) && r.StartUs > o.FromUs+ChangeUs && r.StartUs < o.ToUs {
+			w.Break(OldWay, "%s ran %s %d ms after it was taken out", r.Tag, o.ID, (r.StartUs-o.FromUs)/1000)
 		}
 	}
-	checkOrders(add, s.Orders)
-	for _, b := range s.StoreBroke {
-		add(OverStore, "%s", b)
+}
+
+// Ended tells that a replica gave a whole answer.
+func (w *Watch) Ended(leg string) {
+	if r := w.byLeg[leg]; r != nil {
+		r.Ended = true
 	}
-	sort.SliceStable(breaches, func(i, j int) bool { return breaches[i].Rule < breaches[j].Rule })
-	return breaches
 }
 
-func names(set map[string]bool) []string {
-	list := []string{}
-	for n := range set {
-		list = append(list, n)
+func (w *Watch) Told(t Told) {
+	w.told[t.Tag] = t
+	w.counted(t)
+	w.stream(t)
+}
+
+func (w *Watch) counted(t Told) {
+	runs := w.runs[t.Tag]
+	if !t.Resumable && len(runs) > 1 {
+		w.Break(RunsTwice, "%s ran as %s and %s", t.Tag, runs[0].Leg, runs[1].Leg)
+	}
+	if t.Run == "none" && len(runs) > 0 && t.Had == 0 {
+		w.Break(NotRunLie, "%s was told %s/none and ran as %s", t.Tag, t.Code, runs[0].Leg)
 	}
-	sort.Strings(list)
-	return list
 }
 
-func checkStream(add func(string, string, ...any), t Told, runs []press.Run) {
+func (w *Watch) stream(t Told) {
 	nonces := map[string]bool{}
 	for i, p := range t.Pieces {
 		n := t.Had + i + 1
 		if i < len(t.IDs) && t.IDs[i] != n {
-			add(StreamBroken, "%s: piece %d has id %d", t.Tag, n, t.IDs[i])
+			w.Break(StreamBroken, "%s: piece %d has id %d", t.Tag, n, t.IDs[i])
 		}
 		text, nonce, _ := strings.Cut(p, "~")
 		want, _, _ := strings.Cut(press.Text(t.Prompt, t.Model, t.Adapter, n, ""), "~")
 		if text != want {
-			add(ForeignEnd, "%s: piece %d is not of this request", t.Tag, n)
+			w.Break(ForeignEnd, "%s: piece %d is not of this request", t.Tag, n)
 		}
 		nonces[nonce] = true
 	}
 	if !t.Resumable && len(nonces) > 1 {
-		add(StreamBroken, "%s joins %d runs", t.Tag, len(nonces))
+		w.Break(StreamBroken, "%s joins %d runs", t.Tag, len(nonces))
 	}
 	if !t.Ended {
 		return
 	}
 	total := press.Total(t.Prompt, t.MostOut)
 	if t.Had+len(t.Pieces) != total || t.EndCount != total {
-		add(StreamBroken, "%s looked complete with %d of %d pieces (end said %d)", t.Tag, t.Had+len(t.Pieces), total, t.EndCount)
+		w.Break(StreamBroken, "%s looked complete with %d of %d pieces (end said %d)", t.Tag, t.Had+len(t.Pieces), total, t.EndCount)
 	}
-	for _, r := range runs {
+	for _, r := range w.runs[t.Tag] {
 		if r.Ended {
 			return
 		}
 	}
-	add(ForeignEnd, "%s was told success, no replica ended it", t.Tag)
+	w.Break(ForeignEnd, "%s was told success, no replica ended it", t.Tag)
 }
 
-func checkOrders(add func(string, string, ...any), orders []press.OrderSeen) {
-	type ticket struct {
-		replica, inc, step, unit string
+func (w *Watch) Order(o press.OrderSeen) {
+	this := ticket{o.Replica, o.Inc, string(o.Step), o.Unit}
+	if before, seen := w.order[o.Number]; seen && before != this {
+		w.Break(TicketClash, "ticket %d orders both %v and %v", o.Number, before, this)
 	}
-	byNumber := map[uint64]ticket{}
-	taken := map[uint64]int{}
-	last := map[string]uint64{}
-	for _, o := range orders {
-		this := ticket{o.Replica, o.Inc, string(o.Step), o.Unit}
-		if before, seen := byNumber[o.Number]; seen && before != this {
-			add(TicketClash, "ticket %d orders both %v and %v", o.Number, before, this)
-		}
-		byNumber[o.Number] = this
-		if o.Over {
-			add(OverRoom, "ticket %d: %s at %s", o.Number, o.Unit, o.Replica)
-		}
-		if !o.Taken {
-			continue
-		}
-		taken[o.Number]++
-		if taken[o.Number] > 1 {
-			add(TicketClash, "ticket %d was done twice at %s", o.Number, o.Replica)
-		}
-		at := o.Replica + "/" + o.Inc
-		if o.Number < last[at] {
-			add(TicketClash, "ticket %d won over %d at %s", o.Number, last[at], o.Replica)
-		}
-		last[at] = o.Number
+	w.order[o.Number] = this
+	if o.Over {
+		w.Break(OverRoom, "ticket %d: %s at %s", o.Number, o.Unit, o.Replica)
+	}
+	if !o.Taken {
+		return
+	}
+	w.taken[o.Number]++
+	if w.taken[o.Number] > 1 {
+		w.Break(TicketClash, "ticket %d was done twice at %s", o.Number, o.Replica)
+	}
+	at := o.Replica + "/" + o.Inc
+	if o.Number < w.last[at] {
+		w.Break(TicketClash, "ticket %d won over %d at %s", o.Number, w.last[at], o.Replica)
+	}
+	w.last[at] = o.Number
+}
+
+// Check replays everything that was gathered through a Watch.
+func Check(s Seen) []Breach {
+	w := NewWatch()
+	w.notices, w.emptied, w.old = s.Notices, s.Emptied, s.OldModels
+	for _, t := range s.Told {
+		w.Asked(t.Tag, t.Key)
 	}
+	for _, r := range s.Runs {
+		w.Run(r)
+	}
+	for _, t := range s.Told {
+		w.Told(t)
+	}
+	for _, o := range s.Orders {
+		w.Order(o)
+	}
+	for _, b := range s.StoreBroke {
+		w.Break(OverStore, "%s", b)
+	}
+	sort.SliceStable(w.Breaches, func(i, j int) bool { return w.Breaches[i].Rule < w.Breaches[j].Rule })
+	return w.Breaches
+}
+
+func names(set map[string]bool) []string {
+	list := []string{}
+	for n := range set {
+		list = append(list, n)
+	}
+	sort.Strings(list)
+	return list
 }
--- /dev/null
+++ b/proofs/sim/desks.go
@@ -0,0 +1,546 @@
+package sim
+
+import (
+	"fmt"
+	"math/rand"
+	"sort"
+
+	"petreltide/internal/desk"
+	"petreltide/internal/deskwork"
+	"petreltide/internal/fault"
+	"petreltide/internal/ledger"
+	"petreltide/internal/liaison"
+	"petreltide/internal/office"
+	"petreltide/internal/wire"
+	"petreltide/proofs/press"
+	"petreltide/proofs/rules"
+)
+
+type deskNode struct {
+	machine
+	zone    string
+	inc     string
+	decider *deskwork.Decider
+	liaison *liaison.Liaison
+	snap    *deskwork.Snapshot
+	leaseUs int64
+	calls   map[string]*callState
+}
+
+type callState struct {
+	call   *deskwork.Call
+	ask    desk.CallAsk
+	told   rules.Told
+	leg    string
+	stop   func()
+	keyed  bool
+	ranRun string
+	done   func(rules.Told)
+}
+
+func newDesk(s *Sim, name, zone string) *deskNode {
+	d := &deskNode{machine: machine{sim: s, name: name, addr: name + ":1"}, zone: zone}
+	d.start()
+	return d
+}
+
+func (d *deskNode) start() {
+	d.boot++
+	d.up, d.thawUs = true, 0
+	d.inc = d.sim.newInc()
+	d.skewUs = d.sim.r.Int63n(1000) * sec
+	d.decider = deskwork.New(deskwork.Options{Desk: d.name, Inc: d.inc, BacklogMax: 200})
+	d.liaison = liaison.New(liaison.Options{Desk: d.name, Inc: d.inc, Addr: d.addr, Zone: d.zone, Seeds: d.sim.seeds})
+	d.snap, d.leaseUs, d.calls = nil, 0, map[string]*callState{}
+	d.tick()
+}
+
+func (d *deskNode) tick() {
+	d.later(20*ms, func() {
+		d.step(deskwork.Event{})
+		d.liaise(liaison.Event{})
+		d.tick()
+	})
+}
+
+// crash: every open call is cut off for its caller, and the replicas see their pipes close.
+func (d *deskNode) crash() {
+	d.up = false
+	ids := make([]string, 0, len(d.calls))
+	for id := range d.calls {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		c := d.calls[id]
+		if c.stop != nil {
+			c.stop()
+		}
+		c.told.Broken, c.told.Code, c.told.Run = true, "cut", fault.RunUnknown
+		d.sim.finish(c)
+	}
+	d.calls = map[string]*callState{}
+}
+
+func (d *deskNode) news(n wire.News) { d.liaise(liaison.Event{News: &n}) }
+
+func (d *deskNode) liaise(ev liaison.Event) {
+	s := d.sim
+	ev.NowUs = d.clock()
+	for _, e := range d.liaison.Step(ev) {
+		switch {
+		case e.AskWhere != nil:
+			for _, addr := range e.AskWhere {
+				if o := s.officeAt(addr); o != nil {
+					s.send(&d.machine, &o.machine, func() {
+						where := o.where()
+						s.send(&o.machine, &d.machine, func() { d.liaise(liaison.Event{Where: &where}) })
+					})
+				}
+			}
+		case e.Follow != nil:
+			d.follow(*e.Follow)
+		case e.Report != nil:
+			d.report(e.Report.Addr)
+		case e.Snapshot != nil:
+			d.snap = e.Snapshot
+			s.ops.sawDoc(d.name, e.Snapshot)
+			d.step(deskwork.Event{Snapshot: e.Snapshot})
+		case e.LeaseUs != 0:
+			d.leaseUs = e.LeaseUs
+			d.step(deskwork.Event{LeaseUs: e.LeaseUs})
+		}
+	}
+}
+
+func (d *deskNode) follow(f liaison.Follow) {
+	s := d.sim
+	o := s.officeAt(f.Tail.Addr)
+	if o == nil {
+		d.later(5*ms, func() { d.liaise(liaison.Event{Closed: f.Number}) })
+		return
+	}
+	s.send(&d.machine, &o.machine, func() {
+		if !o.core.Node.Open(o.clock()) {
+			s.send(&o.machine, &d.machine, func() { d.liaise(liaison.Event{Closed: f.Number}) })
+			return
+		}
+		o.follows[d.name] = d
+		ask := f.Ask
+		o.step(office.Event{Follow: &ask})
+	})
+}
+
+func (d *deskNode) report(addr string) {
+	s := d.sim
+	o := s.officeAt(addr)
+	if o == nil {
+		return
+	}
+	report := clone(d.decider.Report(d.clock()))
+	report.Addr, report.Zone = d.addr, d.zone
+	s.send(&d.machine, &o.machine, func() {
+		o.replySeq++
+		o.replies[o.replySeq] = func(l wire.Lease) {
+			s.send(&o.machine, &d.machine, func() { d.liaise(liaison.Event{Lease: &l}) })
+		}
+		o.step(office.Event{Report: &office.Reported{Report: report, Reply: o.replySeq}})
+	})
+}
+
+func (d *deskNode) step(ev deskwork.Event) {
+	ev.NowUs = d.clock()
+	for _, e := range d.decider.Step(ev) {
+		switch {
+		case e.Start != nil:
+			d.leg(*e.Start)
+		case e.Give != nil:
+			if c := d.calls[e.Give.Call.ID]; c != nil {
+				d.give(c, e.Give.Fault)
+			}
+		case e.Cancel != "":
+			if c := d.calls[e.Cancel]; c != nil && c.stop != nil {
+				c.stop()
+			}
+		}
+	}
+}
+
+func (d *deskNode) give(c *callState, f *fault.Fault) {
+	c.told.Code, c.told.Run, c.told.RetryMs = string(f.Code), f.Run, f.RetryMs
+	if len(c.told.Pieces) > 0 {
+		c.told.Run = fault.RunPartial
+	} else if c.ranRun != "" {
+		c.told.Run = c.ranRun
+	}
+	d.over(c)
+}
+
+func (d *deskNode) over(c *callState) {
+	delete(d.calls, c.call.ID)
+	if c.keyed {
+		end := c.told.Run
+		if c.told.Ended {
+			end = fault.RunYes
+		}
+		d.keyChange(c, end)
+	}
+	d.sim.finish(c)
+}
+
+func (d *deskNode) keyChange(c *callState, end string) {
+	change := ledger.Change{ID: "keyend-" + c.call.ID, Key: &ledger.KeyChange{Key: c.told.Key, Desk: d.name, DeskInc: d.inc, Call: c.call.ID, End: end, Free: end == fault.RunNone}}
+	if end == fault.RunNone {
+		change.Key.End = ""
+	}
+	d.submit(change, func(wire.Result, bool) {})
+}
+
+func (d *deskNode) submit(c ledger.Change, done func(wire.Result, bool)) {
+	s := d.sim
+	over := false
+	finish := func(r wire.Result, ok bool) {
+		if !over {
+			over = true
+			done(r, ok)
+		}
+	}
+	d.later(2500*ms, func() { finish(wire.Result{}, false) })
+	var o *officeNode
+	for _, addr := range d.liaison.Offices() {
+		if at := s.officeAt(addr); o == nil && at != nil && !s.isCut(d.name, at.name) && !s.isCut(at.name, d.name) {
+			o = at
+		}
+	}
+	if o == nil {
+		return
+	}
+	s.send(&d.machine, &o.machine, func() {
+		o.submit(c, 2*sec, func(r wire.Result, ok bool) {
+			if ok {
+				s.send(&o.machine, &d.machine, func() { finish(r, true) })
+			}
+		})
+	})
+}
+
+// leg is the executor: it obeys one decision against the simulated network and replica.
+func (d *deskNode) leg(st deskwork.Start) {
+	s := d.sim
+	c := d.calls[st.Call.ID]
+	ended := func(e deskwork.Ending) {
+		d.step(deskwork.Event{Ended: &deskwork.Ended{Call: st.Call.ID, Leg: st.Leg, Ending: e}})
+	}
+	if c == nil || !st.MaySend(d.snap, d.clock(), d.leaseUs) {
+		d.later(10, func() { ended(deskwork.Unsent) })
+		return
+	}
+	c.leg = st.Leg
+	p := s.presses[st.Replica]
+	if p == nil || !p.up || p.addr != st.Addr || s.isCut(d.name, p.name) || s.isCut(p.name, d.name) {
+		d.later(400*ms, func() { ended(deskwork.Unsent) })
+		return
+	}
+	over := false
+	finish := func(e deskwork.Ending, why string) {
+		if over {
+			return
+		}
+		over = true
+		c.stop = nil
+		d.legEnded(c, st, e, why, ended)
+	}
+	var run *press.Run
+	close := func() {
+		if run != nil && p.core.Running(run.Leg) {
+			p.core.EndLeg(s.nowUs, run, false)
+		}
+	}
+	c.stop = func() {
+		if over {
+			return
+		}
+		over = true
+		c.stop = nil
+		boot := d.boot
+		s.at(s.nowUs+2*ms, func() {
+			close()
+			d.now(boot, func() { d.legEnded(c, st, deskwork.Moved, "moved", ended) })
+		})
+	}
+	d.later(max(1, st.Call.ExpiryUs-d.clock()), func() {
+		if !over {
+			close()
+			finish(deskwork.Final, "expired while it ran")
+		}
+	})
+	leg := wire.Leg{Leg: st.Leg, Ticket: st.Ticket, Inc: st.Inc, Call: st.Call.ID, Model: c.ask.Model, Adapter: c.ask.Adapter,
+		Prefix: c.ask.Prefix, Prompt: c.ask.Prompt, Had: append([]string(nil), c.told.Pieces...), First: c.told.Had + len(c.told.Pieces) + 1, MostOut: c.ask.MostOut}
+	boot := d.boot
+	asked := false
+	d.later(sec, func() {
+		if !asked {
+			finish(deskwork.Unsent, "the replica did not ask for the leg")
+		}
+	})
+	wait := func() int64 { return 200 + s.r.Int63n(1500) }
+	start := func() {
+		if over {
+			return
+		}
+		started, refusal, firstUs := p.core.StartLeg(s.nowUs, leg)
+		if refusal != nil {
+			d.now(boot, func() { finish(deskwork.Refused, refusal.Code) })
+			return
+		}
+		run = started
+		p.alive[leg.Leg] = true
+		d.pieces(p, c, run, leg, firstUs, boot, func() bool { return over }, finish)
+	}
+	body := func() {
+		if over {
+			return
+		}
+		asked = true
+		if !st.MaySend(d.snap, d.clock(), d.leaseUs) {
+			finish(deskwork.Unsent, "the news changed before it was sent")
+			return
+		}
+		s.at(s.nowUs+wait(), func() {
+			if !p.up {
+				d.now(boot, func() { finish(deskwork.Unknown, "the pipe broke") })
+				return
+			}
+			p.now(p.boot, start)
+		})
+	}
+	s.at(s.nowUs+wait(), func() {
+		if !p.up {
+			d.now(boot, func() { finish(deskwork.Unsent, "the pipe broke before the leg was asked for") })
+			return
+		}
+		p.now(p.boot, func() { s.at(s.nowUs+wait(), func() { d.now(boot, body) }) })
+	})
+}
+
+func (d *deskNode) pieces(p *pressNode, c *callState, run *press.Run, leg wire.Leg, firstUs int64, boot int, over func() bool, finish func(deskwork.Ending, string)) {
+	s := d.sim
+	n := leg.First
+	pressBoot := p.boot
+	deliver := func(piece wire.Piece) {
+		d.now(boot, func() {
+			if over() {
+				return
+			}
+			ending, why := deskwork.Judge(leg.Leg, c.told.Had+len(c.told.Pieces), piece)
+			if ending != "" {
+				finish(ending, why)
+				return
+			}
+			if c.told.FirstUs == 0 {
+				c.told.FirstUs = s.nowUs
+			}
+			c.told.Pieces = append(c.told.Pieces, piece.Text)
+			c.told.IDs = append(c.told.IDs, c.told.Had+len(c.told.Pieces))
+			c.call.Progress.Store(int64(c.told.Had + len(c.told.Pieces)))
+		})
+	}
+	var next func()
+	next = func() {
+		if over() {
+			return
+		}
+		if !p.up || p.boot != pressBoot {
+			s.at(s.nowUs+ms, func() { d.now(boot, func() { finish(deskwork.Broken, "the replica's stream ended early") }) })
+			return
+		}
+		if p.thawUs > s.nowUs {
+			s.at(p.thawUs, next)
+			return
+		}
+		if s.isCut(p.name, d.name) {
+			s.at(s.nowUs+50*ms, next)
+			return
+		}
+		if n > run.Total {
+			run.Ended = true
+			p.core.EndLeg(s.nowUs, run, true)
+			s.at(s.nowUs+300, func() { deliver(wire.Piece{Leg: leg.Leg, End: true, N: run.Total}) })
+			return
+		}
+		piece := wire.Piece{Leg: leg.Leg, N: n, Text: press.Text(leg.Prompt, leg.Model, leg.Adapter, n, run.Nonce)}
+		if s.plan.Plant == "gap" && n == 3 {
+			piece.N = 4
+		}
+		s.at(s.nowUs+300, func() { deliver(piece) })
+		n++
+		s.at(s.nowUs+p.core.PieceUs(), next)
+	}
+	s.at(s.nowUs+firstUs, next)
+}
+
+func (d *deskNode) legEnded(c *callState, st deskwork.Start, e deskwork.Ending, why string, ended func(deskwork.Ending)) {
+	if e == deskwork.Moved && !c.call.Resumable {
+		e = deskwork.Unknown
+	}
+	final := false
+	switch e {
+	case deskwork.Done:
+		c.told.Ended, c.told.EndCount = true, c.told.Had+len(c.told.Pieces)
+		final = true
+	case deskwork.Unsent, deskwork.Refused:
+	default:
+		c.ranRun = fault.RunUnknown
+		if !c.call.Resumable || e == deskwork.Final {
+			final = true
+			c.told.Code, c.told.Run, c.told.Broken = string(fault.Unknown), fault.RunUnknown, len(c.told.Pieces) > 0
+			if len(c.told.Pieces) > 0 {
+				c.told.Code, c.told.Run = string(fault.Broken), fault.RunPartial
+			}
+		}
+	}
+	if final {
+		d.over(c)
+	}
+	ended(e)
+}
+
+// take is a call reaching this desk.
+func (d *deskNode) take(ask desk.CallAsk, t rules.Told, done func(rules.Told)) {
+	s := d.sim
+	c := &callState{ask: ask, told: t, done: done}
+	refuse := func(f *fault.Fault) {
+		c.told.Code, c.told.Run, c.told.RetryMs = string(f.Code), f.Run, f.RetryMs
+		if c.told.Run == "" {
+			c.told.Run = fault.RunNone
+		}
+		s.finish(c)
+	}
+	if d.snap == nil || d.snap.Doc == nil {
+		refuse(&fault.Fault{Code: fault.NoLease, RetryMs: 500})
+		return
+	}
+	kind := d.snap.Doc.Kind(ask.Kind)
+	if kind == nil || d.snap.Doc.Model(ask.Model) == nil || (ask.Adapter != "" && d.snap.Doc.Adapter(ask.Adapter) == nil) {
+		refuse(&fault.Fault{Code: fault.UnknownModel})
+		return
+	}
+	s.calls++
+	c.call = &deskwork.Call{
+		ID: fmt.Sprintf("%s-%d", d.name, s.calls), Kind: kind.Name, Urgency: kind.Urgency, Model: ask.Model, Adapter: ask.Adapter, Prefix: ask.Prefix,
+		Resumable: kind.Resumable, TakenUs: d.clock(), ExpiryUs: d.clock() + kind.ExpiryMs*1000,
+	}
+	enter := func() {
+		d.calls[c.call.ID] = c
+		d.step(deskwork.Event{Arrived: c.call})
+	}
+	if t.Key == "" || kind.Resumable {
+		enter()
+		return
+	}
+	change := ledger.Change{ID: "key-" + c.call.ID, Key: &ledger.KeyChange{Key: t.Key, Desk: d.name, DeskInc: d.inc, Call: c.call.ID}}
+	d.calls[c.call.ID] = c
+	d.submit(change, func(r wire.Result, ok bool) {
+		delete(d.calls, c.call.ID)
+		switch {
+		case !ok:
+			d.keyChange(c, fault.RunNone)
+			refuse(&fault.Fault{Code: fault.Overloaded, RetryMs: 1000})
+		case r.Outcome.Fault != nil:
+			refuse(&fault.Fault{Code: r.Outcome.Fault.Code, RetryMs: 2000})
+		case r.Outcome.Again && s.plan.Plant != "keys":
+			c.told.Code, c.told.Run = string(fault.KeyRunning), fault.RunUnknown
+			s.finish(c)
+		default:
+			c.keyed = true
+			enter()
+		}
+	})
+}
+
+func (s *Sim) finish(c *callState) {
+	c.told.EndUs = s.nowUs
+	s.told = append(s.told, c.told)
+	s.watch.Told(c.told)
+	if c.done != nil {
+		c.done(c.told)
+	}
+}
+
+// demand sends seeded calls until a time; a keyed call whose fate is not known is asked for
+// again, with its key, at another desk.
+func (s *Sim) demand(untilUs int64) {
+	r := rand.New(rand.NewSource(s.plan.Seed*7 + s.nowUs))
+	label := fmt.Sprintf("t%d", s.nowUs/1000)
+	n := 0
+	var next func()
+	next = func() {
+		if s.nowUs >= untilUs {
+			return
+		}
+		n++
+		ask := s.draw(r, label, n)
+		key := ""
+		if r.Intn(4) == 0 {
+			key = "key-" + ask.Prompt
+		}
+		s.call(ask, key, r.Intn(len(s.desks)), 0)
+		s.at(s.nowUs+int64(r.ExpFloat64()/s.plan.PerSec*1e6), next)
+	}
+	next()
+}
+
+func (s *Sim) draw(r *rand.Rand, label string, n int) desk.CallAsk {
+	d := s.plan.Doc
+	kind := d.Kinds[[]int{0, 1, 1, 2, 2, 2, 2}[r.Intn(7)]%len(d.Kinds)]
+	m := d.Models[min(int(r.ExpFloat64()*2), len(d.Models)-1)]
+	ask := desk.CallAsk{Kind: kind.Name, Model: m.Name, Prefix: []string{"house", fmt.Sprintf("school %d", r.Intn(4))}, Prompt: fmt.Sprintf("%s.%d go", label, n)}
+	if r.Intn(4) == 0 {
+		for _, a := range d.Adapters {
+			if a.Model == m.Name {
+				ask.Adapter = a.Name
+			}
+		}
+	}
+	return ask
+}
+
+func (s *Sim) call(ask desk.CallAsk, key string, at, try int) {
+	d := s.desks[at%len(s.desks)]
+	t := rules.Told{Tag: press.TagOf(ask.Prompt), Key: key, Kind: ask.Kind, Model: ask.Model, Adapter: ask.Adapter, Prompt: ask.Prompt, Desk: d.name, StartUs: s.nowUs}
+	if k := s.plan.Doc.Kind(ask.Kind); k != nil {
+		t.Resumable = k.Resumable
+	}
+	if !t.Resumable {
+		s.watch.Asked(t.Tag, key)
+	}
+	done := func(t rules.Told) {
+		again := t.Run == fault.RunNone && t.RetryMs > 0
+		if key != "" && !t.Resumable && !t.Ended && t.Run != fault.RunNone {
+			again = true
+		}
+		if t.Run == fault.RunNone && t.Code == "down" {
+			again = true
+		}
+		if !again || try >= 4 {
+			return
+		}
+		ask.Prompt = fmt.Sprintf("%s.r%d go", press.TagOf(ask.Prompt), try+1)
+		s.at(s.nowUs+max(t.RetryMs, 200)*ms, func() { s.call(ask, key, at+1, try+1) })
+	}
+	if !d.up {
+		t.Code, t.Run, t.EndUs = "down", fault.RunNone, s.nowUs
+		s.told = append(s.told, t)
+		done(t)
+		return
+	}
+	boot := d.boot
+	s.at(s.nowUs+500, func() {
+		if !d.up || d.boot != boot {
+			t.Code, t.Run, t.EndUs = "cut", fault.RunUnknown, s.nowUs
+			s.told = append(s.told, t)
+			return
+		}
+		d.now(boot, func() { d.take(ask, t, done) })
+	})
+}
--- /dev/null
+++ b/proofs/sim/offices.go
@@ -0,0 +1,299 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"petreltide/internal/chain"
+	"petreltide/internal/foreman"
+	"petreltide/internal/imposition"
+	"petreltide/internal/ledger"
+	"petreltide/internal/office"
+	"petreltide/internal/wire"
+	"petreltide/proofs/rules"
+)
+
+type disk struct {
+	identity string
+	records  []chain.Record
+	freeUs   int64
+	stallUs  int64
+	slowUs   int64
+}
+
+type officeNode struct {
+	machine
+	core     *office.Core
+	disk     disk
+	zone     string
+	founding int
+	waiters  map[string]func(wire.Result)
+	replies  map[uint64]func(wire.Lease)
+	replySeq uint64
+	follows  map[string]*deskNode
+	pending  []pendingSave
+}
+
+type pendingSave struct {
+	seq     uint64
+	records []chain.Record
+	fresh   bool
+}
+
+func newOffice(s *Sim, name, addr, zone string, founding int) *officeNode {
+	o := &officeNode{machine: machine{sim: s, name: name, addr: addr}, zone: zone, founding: founding}
+	o.disk.identity = name + "-" + s.newInc()
+	o.start()
+	return o
+}
+
+func (o *officeNode) start() {
+	o.boot++
+	o.up, o.thawUs = true, 0
+	o.skewUs = o.sim.r.Int63n(1000) * sec
+	o.waiters, o.replies, o.follows = map[string]func(wire.Result){}, map[uint64]func(wire.Lease){}, map[string]*deskNode{}
+	o.pending, o.disk.freeUs = nil, 0
+	me := chain.Member{ID: o.disk.identity, Name: o.name, Addr: o.addr, Zone: o.zone}
+	node, err := chain.NewNode(chain.Options{Me: me, Inc: o.sim.newInc(), Founding: o.founding}, clone(o.disk.records), o.clock())
+	if err != nil {
+		panic(err)
+	}
+	o.core = office.NewCore(node)
+	o.tick()
+	o.seek()
+}
+
+func (o *officeNode) tick() {
+	o.later(25*ms, func() {
+		o.step(office.Event{})
+		o.tick()
+	})
+}
+
+func (o *officeNode) seek() {
+	for _, seed := range o.sim.seeds {
+		to := o.sim.officeAt(seed)
+		if to == nil || to == o {
+			continue
+		}
+		o.sim.send(&o.machine, &to.machine, func() {
+			where := to.where()
+			o.sim.send(&to.machine, &o.machine, func() {
+				learned := []string{}
+				for _, m := range where.Offices {
+					if m.Addr != o.addr {
+						learned = append(learned, m.Addr)
+					}
+				}
+				o.step(office.Event{Learn: learned})
+			})
+		})
+	}
+	o.later(sec, o.seek)
+}
+
+func (o *officeNode) where() wire.Where {
+	n := o.core.Node
+	w := wire.Where{View: n.View(), Offices: []chain.Member{n.Me()}}
+	for _, p := range n.Partners() {
+		if p.Sound {
+			w.Offices = append(w.Offices, p.Member)
+		}
+	}
+	return clone(w)
+}
+
+func (s *Sim) officeAt(addr string) *officeNode {
+	for _, o := range s.offices {
+		if o.addr == addr && o.up {
+			return o
+		}
+	}
+	return nil
+}
+
+func (o *officeNode) crash(lossy, torn int) {
+	o.up = false
+	for _, p := range o.pending {
+		if torn == 0 {
+			break
+		}
+		n := min(torn, len(p.records))
+		o.disk.write(p.records[:n], false)
+		torn -= n
+	}
+	if lossy > 0 {
+		o.disk.records = o.disk.records[:max(0, len(o.disk.records)-lossy)]
+	}
+}
+
+func (d *disk) write(records []chain.Record, fresh bool) {
+	if fresh {
+		d.records = nil
+	}
+	d.records = append(d.records, clone(records)...)
+}
+
+func (o *officeNode) step(ev office.Event) {
+	s := o.sim
+	ev.NowUs = o.clock()
+	if ev.Foreman != nil {
+		ev.Foreman.NowUs = ev.NowUs
+	}
+	for _, e := range o.core.Step(ev) {
+		switch {
+		case e.Letter != nil:
+			to := s.officeAt(e.Letter.Addr)
+			if to == nil {
+				continue
+			}
+			letter := clone(e.Letter.Letter)
+			s.send(&o.machine, &to.machine, func() { to.step(office.Event{Letter: &letter}) })
+		case e.Save != nil:
+			o.save(*e.Save)
+		case e.Push != nil:
+			if d := o.follows[e.Push.Desk]; d != nil {
+				news := clone(e.Push.News)
+				s.send(&o.machine, &d.machine, func() { d.news(news) })
+			}
+		case e.Result != nil:
+			if w := o.waiters[e.Result.Outcome.ID]; w != nil {
+				w(*e.Result)
+			}
+		case e.Lease != nil:
+			if reply := o.replies[e.Lease.Reply]; reply != nil {
+				delete(o.replies, e.Lease.Reply)
+				reply(e.Lease.Lease)
+			}
+		case e.Foreman != nil:
+			o.foreman(*e.Foreman)
+		case e.Applied != nil:
+			s.applied(o, *e.Applied)
+		case e.Note != "":
+			s.note("%s: %s %d %s", o.name, e.Note, o.core.Node.View().Number, e.Trouble)
+		}
+	}
+}
+
+func (o *officeNode) save(save chain.Save) {
+	s := o.sim
+	delayUs := 300 + s.r.Int63n(1500) + o.disk.slowUs
+	doneUs := max(s.nowUs, o.disk.freeUs) + delayUs
+	doneUs = max(doneUs, o.disk.stallUs)
+	o.disk.freeUs = doneUs
+	o.pending = append(o.pending, pendingSave{save.Seq, save.Records, save.Fresh})
+	boot := o.boot
+	s.at(doneUs, func() {
+		if !o.up || o.boot != boot {
+			return
+		}
+		o.disk.write(save.Records, save.Fresh)
+		o.pending = o.pending[1:]
+		o.now(boot, func() { o.step(office.Event{Saved: save.Seq}) })
+	})
+}
+
+// applied checks that all offices apply the same change at the same place, whatever they are told.
+func (s *Sim) applied(o *officeNode, a chain.Applied) {
+	raw, err := json.Marshal(a.Entry.Change)
+	if err != nil {
+		panic(err)
+	}
+	if before, seen := s.agreed[a.Entry.Index]; seen && before != string(raw) {
+		s.watch.Break(rules.ConfigLost, "%s applies another change at %d", o.name, a.Entry.Index)
+	}
+	s.agreed[a.Entry.Index] = string(raw)
+	if c := a.Entry.Change.Config; c != nil && a.Outcome.Fault == nil && !a.Outcome.Again {
+		s.ops.byRevision[a.Outcome.Revision] = c.Doc.Name
+	}
+}
+
+// submit does for a change what an office's host does: send it on until a result comes.
+func (o *officeNode) submit(c ledger.Change, waitUs int64, done func(wire.Result, bool)) {
+	c.Origin = o.addr
+	endUs := o.sim.nowUs + waitUs
+	over := false
+	finish := func(r wire.Result, ok bool) {
+		if over {
+			return
+		}
+		over = true
+		delete(o.waiters, c.ID)
+		done(r, ok)
+	}
+	o.waiters[c.ID] = func(r wire.Result) {
+		if r.Outcome.Fault == nil || r.Outcome.Fault.Code != "not_serving" {
+			finish(clone(r), true)
+		}
+	}
+	var again func()
+	again = func() {
+		if over {
+			return
+		}
+		if o.sim.nowUs >= endUs {
+			finish(wire.Result{}, false)
+			return
+		}
+		held := clone(c)
+		o.step(office.Event{Submit: &held})
+		o.later(400*ms, again)
+	}
+	again()
+}
+
+func (o *officeNode) tell(ev foreman.Event) { o.step(office.Event{Foreman: &ev}) }
+
+func (o *officeNode) foreman(e foreman.Effect) {
+	s := o.sim
+	wait := func() int64 { return 200 + s.r.Int63n(2000) }
+	switch {
+	case e.PollList:
+		mood := s.platMood
+		o.later(wait(), func() {
+			listed := foreman.Listed{Err: mood}
+			switch mood {
+			case "":
+				list := s.plat.List(s.nowUs)
+				listed.List = &list
+			case "empty":
+				listed.List = &wire.List{Version: s.plat.List(s.nowUs).Version}
+			case "stale":
+				listed.List = &wire.List{Version: 0}
+			}
+			o.tell(foreman.Event{Listed: &listed})
+		})
+	case e.Ask != nil:
+		ask := *e.Ask
+		p := s.presses[ask.Replica]
+		if p == nil || p.addr != ask.Addr || !p.up {
+			return
+		}
+		s.send(&o.machine, &p.machine, func() {
+			st := clone(p.core.State())
+			s.send(&p.machine, &o.machine, func() {
+				o.tell(foreman.Event{Told: &foreman.Told{AskedUs: ask.AskedUs, Replica: ask.Replica, Addr: ask.Addr, State: &st}})
+			})
+		})
+	case e.Order != nil:
+		order := clone(e.Order.Order)
+		p := s.presses[order.Ticket.Replica]
+		if p == nil || p.addr != e.Order.Addr || !p.up {
+			return
+		}
+		s.send(&o.machine, &p.machine, func() {
+			state := p.take(order)
+			s.send(&p.machine, &o.machine, func() {
+				o.tell(foreman.Event{Ordered: &foreman.Ordered{Replica: order.Ticket.Replica, Inc: order.Ticket.Inc, State: state}})
+			})
+		})
+	case e.Run != nil:
+		done := foreman.PolicyDone{Run: e.Run.Number, Live: imposition.Run(e.Run.Live, e.Run.Fleet)}
+		for _, p := range e.Run.Shadows {
+			done.Shadows = append(done.Shadows, imposition.Run(p, e.Run.Fleet))
+		}
+		o.later(2*ms, func() { o.tell(foreman.Event{Policy: &done}) })
+	}
+}
+
+func (o *officeNode) String() string { return fmt.Sprintf("%s@%s", o.name, o.addr) }
--- /dev/null
+++ b/proofs/sim/sim.go
@@ -0,0 +1,433 @@
+package sim
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"sort"
+
+	"petreltide/internal/standing"
+	"petreltide/internal/wire"
+	"petreltide/proofs/platform"
+	"petreltide/proofs/press"
+	"petreltide/proofs/rules"
+)
+
+const (
+	ms  = int64(1_000)
+	sec = int64(1_000_000)
+)
+
+type Plan struct {
+	Seed     int64
+	Offices  int
+	Desks    int
+	Replicas int
+	SpanUs   int64
+	PerSec   float64
+	Loss     float64
+	Faults   []Fault
+	Changes  bool
+	Doc      *standing.Declaration
+	Plant    string
+	NoMoves  bool
+}
+
+type item struct {
+	atUs int64
+	seq  uint64
+	act  func()
+}
+
+type queue []*item
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	if q[i].atUs != q[j].atUs {
+		return q[i].atUs < q[j].atUs
+	}
+	return q[i].seq < q[j].seq
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(*item)) }
+func (q *queue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// Sim drives the reducers of every role under one virtual clock.
+type Sim struct {
+	plan     Plan
+	r        *rand.Rand
+	nowUs    int64
+	q        queue
+	seq      uint64
+	cuts     map[[2]string]int
+	loss     float64
+	offices  []*officeNode
+	desks    []*deskNode
+	presses  map[string]*pressNode
+	plat     *platform.Platform
+	platMood string
+	watch    *rules.Watch
+	agreed   map[uint64]string
+	ops      *operators
+	told     []rules.Told
+	calls    int
+	seeds    []string
+	incs     int
+	events   int
+	Log      []string
+}
+
+type machine struct {
+	sim    *Sim
+	name   string
+	addr   string
+	up     bool
+	boot   int
+	thawUs int64
+	skewUs int64
+}
+
+func (m *machine) clock() int64 { return m.sim.nowUs + m.skewUs }
+
+// later runs act on this machine if the same process is still there; a frozen one runs it on waking.
+func (m *machine) later(afterUs int64, act func()) {
+	boot := m.boot
+	m.sim.at(m.sim.nowUs+afterUs, func() { m.now(boot, act) })
+}
+
+func (m *machine) now(boot int, act func()) {
+	if !m.up || m.boot != boot {
+		return
+	}
+	if m.thawUs > m.sim.nowUs {
+		m.sim.at(m.thawUs, func() { m.now(boot, act) })
+		return
+	}
+	act()
+}
+
+func (s *Sim) at(us int64, act func()) {
+	s.seq++
+	heap.Push(&s.q, &item{us, s.seq, act})
+}
+
+func (s *Sim) note(format string, args ...any) {
+	if len(s.Log) < 4000 {
+		s.Log = append(s.Log, fmt.Sprintf("%9.3f ", float64(s.nowUs)/1e6)+fmt.Sprintf(format, args...))
+	}
+}
+
+func (s *Sim) newInc() string {
+	s.incs++
+	return fmt.Sprintf("i%d", s.incs)
+}
+
+func (s *Sim) isCut(from, to string) bool { return s.cuts[[2]string{from, to}] > 0 }
+
+// send carries act from one machine to another: cut, lost, late or out of order.
+func (s *Sim) send(from, to *machine, act func()) {
+	if s.isCut(from.name, to.name) || s.r.Float64() < s.loss {
+		return
+	}
+	delayUs := 100 + s.r.Int63n(2000)
+	if s.r.Intn(200) == 0 {
+		delayUs += s.r.Int63n(80 * ms)
+	}
+	s.at(s.nowUs+delayUs, func() {
+		if s.isCut(from.name, to.name) {
+			return
+		}
+		to.now(to.boot, act)
+	})
+}
+
+// Doc is a small deployment with three kinds, eight models and four adapters.
+func Doc() *standing.Declaration {
+	d := &standing.Declaration{
+		Name: "sim", Zones: []string{"a", "b", "c"}, Replica: standing.Replica{RoomMb: 4000},
+		Store: standing.Store{Loads: 3, MbPerSecond: 4000, BurstMb: 2000}, Scaler: standing.Scaler{Spares: 1, SimilarPct: 10, WindowMs: 5000},
+		Kinds: []standing.Kind{
+			{Name: "pages", Urgency: 3, Resumable: true, ExpiryMs: 20_000},
+			{Name: "letters", Urgency: 5, ExpiryMs: 15_000},
+			{Name: "fixes", Urgency: 8, ExpiryMs: 8_000},
+		},
+		Policy: standing.Policy{Name: "steady", Source: steady},
+	}
+	for i := 0; i < 8; i++ {
+		m := standing.Model{Name: fmt.Sprintf("m%d", i), SizeMb: 300 + int64(i)*100, LoadMs: 300, Weight: 8 - i}
+		for n := 1; n <= 4; n++ {
+			m.Table = append(m.Table, standing.Point{Replicas: n, PerSecond: float64(20 * n), LatencyMs: int64(200 - 10*n)})
+		}
+		d.Models = append(d.Models, m)
+		if i < 4 {
+			d.Adapters = append(d.Adapters, standing.Adapter{Name: "a-" + m.Name, Model: m.Name, SizeMb: 60, LoadMs: 60})
+		}
+	}
+	return d
+}
+
+func New(plan Plan) *Sim {
+	s := &Sim{
+		plan: plan, r: rand.New(rand.NewSource(plan.Seed)), cuts: map[[2]string]int{}, loss: plan.Loss,
+		presses: map[string]*pressNode{}, watch: rules.NewWatch(), agreed: map[uint64]string{}, nowUs: sec,
+	}
+	if plan.Doc == nil {
+		s.plan.Doc = Doc()
+	}
+	d := s.plan.Doc
+	s.plat = platform.New(platform.NewStore(d.Store.Loads, d.Store.MbPerSecond, d.Store.BurstMb))
+	for i := 0; i < plan.Offices; i++ {
+		s.seeds = append(s.seeds, fmt.Sprintf("core-%d:1", i))
+	}
+	for i := 0; i < plan.Offices; i++ {
+		s.offices = append(s.offices, newOffice(s, fmt.Sprintf("core-%d", i), s.seeds[i], d.Zones[i%len(d.Zones)], plan.Offices))
+	}
+	for i := 0; i < plan.Replicas; i++ {
+		s.addPress(fmt.Sprintf("gpu-%d", i), d.Zones[i%len(d.Zones)])
+	}
+	for i := 0; i < plan.Desks; i++ {
+		s.desks = append(s.desks, newDesk(s, fmt.Sprintf("front-%d", i), d.Zones[i%len(d.Zones)]))
+	}
+	s.ops = &operators{sim: s, refused: map[string]bool{}, acked: map[uint64]string{}, byRevision: map[uint64]string{}}
+	return s
+}
+
+func (s *Sim) step() bool {
+	if len(s.q) == 0 {
+		return false
+	}
+	it := heap.Pop(&s.q).(*item)
+	s.nowUs = max(s.nowUs, it.atUs)
+	it.act()
+	s.events++
+	return len(s.watch.Breaches) == 0
+}
+
+func (s *Sim) runUntil(us int64) bool {
+	for len(s.q) > 0 && s.q[0].atUs <= us {
+		if !s.step() {
+			return false
+		}
+	}
+	s.nowUs = max(s.nowUs, us)
+	return true
+}
+
+type Outcome struct {
+	Breaches []rules.Breach
+	Calls    int
+	Ended    int
+	Told     []rules.Told
+	Loads    int
+	LoadMb   int64
+	Events   int
+	Log      []string
+	Codes    map[string]int
+}
+
+// Run plays the whole plan: bring-up, demand with faults, healing, and the return to usual service.
+func Run(plan Plan) Outcome {
+	s := New(plan)
+	s.ops.first()
+	up := func() bool { return s.settled() }
+	ok := true
+	for limitUs := s.nowUs + 40*sec; ok && !up(); {
+		ok = s.runUntil(s.nowUs + 100*ms)
+		if s.nowUs > limitUs {
+			s.watch.Break(rules.PoorService, "the fleet did not come up: %s", s.why())
+			ok = false
+		}
+	}
+	startUs := s.nowUs
+	endUs := startUs + plan.SpanUs
+	if ok {
+		s.note("up")
+		s.demand(endUs + 14*sec)
+		if plan.Changes {
+			s.ops.play(endUs)
+		}
+		lastUs := endUs
+		for _, f := range plan.Faults {
+			fault := f
+			s.at(startUs+fault.AtUs, func() { s.cause(fault) })
+			lastUs = max(lastUs, startUs+fault.AtUs+fault.ForUs)
+		}
+		ok = s.runUntil(lastUs)
+		if ok {
+			s.heal()
+			healedUs := s.nowUs
+			ok = s.runUntil(healedUs + rules.RecoverUs)
+			fromUs := s.nowUs
+			s.demand(fromUs + 3*sec)
+			ok = ok && s.runUntil(fromUs+3*sec+400*ms)
+			ok = ok && s.runUntil(fromUs+12*sec)
+			if ok {
+				s.judgeService(fromUs, fromUs+3*sec)
+				s.ops.judge()
+			}
+		}
+	}
+	out := Outcome{Breaches: s.watch.Breaches, Calls: len(s.told), Told: s.told, Events: s.events, Log: s.Log, Codes: map[string]int{}}
+	for _, f := range s.plat.Store.Fetches {
+		out.Loads++
+		out.LoadMb += f.SizeMb
+	}
+	for _, t := range s.told {
+		if t.Ended {
+			out.Ended++
+		} else {
+			out.Codes[t.Code]++
+		}
+	}
+	return out
+}
+
+func (s *Sim) judgeService(fromUs, toUs int64) {
+	all, well := 0, 0
+	codes := map[string]int{}
+	for _, t := range s.told {
+		if t.StartUs >= fromUs && t.StartUs < toUs {
+			all++
+			if t.Ended {
+				well++
+			} else {
+				codes[t.Code]++
+			}
+		}
+	}
+	if all == 0 || float64(well)/float64(all) < 0.9 {
+		s.watch.Break(rules.PoorService, "%d of %d calls ended well 12 s after healing %v: %s", well, all, codes, s.why())
+	}
+}
+
+func (s *Sim) settled() bool {
+	held := map[string]bool{}
+	for _, p := range s.presses {
+		for _, h := range p.core.State().Holds {
+			held[h.Unit] = true
+		}
+	}
+	for _, m := range s.plan.Doc.Models {
+		if !held[m.Name] {
+			return false
+		}
+	}
+	for _, d := range s.desks {
+		if d.up && d.clock() >= d.leaseUs {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Sim) why() string {
+	text := ""
+	for _, o := range s.offices {
+		if !o.up {
+			text += fmt.Sprintf("[%s down] ", o.name)
+			continue
+		}
+		n := o.core.Node
+		text += fmt.Sprintf("[%s %s view %d head %v open %v commit %d/%d waits %q duty %v] ", o.name, n.Phase(), n.View().Number, n.IsHead(),
+			n.Open(o.clock()), n.Commit(), n.Last(), n.WaitsFor(), o.core.Foreman.OnDuty(n.State()))
+	}
+	for _, d := range s.desks {
+		text += fmt.Sprintf("[%s lease %dms waiting %d] ", d.name, (d.leaseUs-d.clock())/1000, d.decider.Note().Waiting)
+	}
+	return text
+}
+
+func (s *Sim) pressIDs() []string {
+	ids := make([]string, 0, len(s.presses))
+	for id := range s.presses {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+func clone[T any](v T) T {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	var out T
+	if err := json.Unmarshal(raw, &out); err != nil {
+		panic(err)
+	}
+	return out
+}
+
+type pressNode struct {
+	machine
+	core  *press.Core
+	zone  string
+	inc   string
+	alive map[string]bool
+}
+
+func (s *Sim) addPress(id, zone string) *pressNode {
+	p := s.presses[id]
+	boot := 1
+	if p != nil {
+		p.up = false
+		boot = p.boot + 1
+	}
+	p = &pressNode{machine: machine{sim: s, name: id, addr: fmt.Sprintf("%s:%d", id, boot), up: true, boot: boot}, zone: zone, inc: s.newInc(), alive: map[string]bool{}}
+	p.core = press.NewCore(press.Options{
+		ID: id, Inc: p.inc, Zone: zone, RoomMb: s.plan.Doc.Replica.RoomMb, Slots: 8, FirstUs: 15 * ms, PartUs: 8 * ms, PieceUs: 6 * ms, Fetch: true,
+		LoadUs: func(sizeMb int64) int64 { return 50*ms + sizeMb*300 },
+		Journal: func(l press.Line) {
+			switch {
+			case l.Run != nil:
+				s.watch.Run(*l.Run)
+			case l.End != nil && l.End.Ended:
+				s.watch.Ended(l.End.Leg)
+			case l.Order != nil:
+				s.watch.Order(*l.Order)
+			}
+		},
+	})
+	s.presses[id] = p
+	s.plat.Set(wire.Listed{ID: id, Addr: p.addr, Zone: zone, RoomMb: s.plan.Doc.Replica.RoomMb, Slots: 8, State: wire.ListedReady})
+	p.beat()
+	return p
+}
+
+func (p *pressNode) beat() {
+	p.later(10*ms, func() {
+		p.core.Tick(p.sim.nowUs)
+		p.beat()
+	})
+}
+
+func (p *pressNode) take(o wire.Order) wire.OrderState {
+	s := p.sim
+	state, fetch := p.core.Take(s.nowUs, o)
+	if !fetch {
+		return state
+	}
+	before := len(s.plat.Store.Broken)
+	s.plat.Store.Fetch(s.nowUs, platform.Fetch{Replica: p.addr, Unit: o.Ticket.Unit, SizeMb: o.Ticket.SizeMb})
+	for _, b := range s.plat.Store.Broken[before:] {
+		s.watch.Break(rules.OverStore, "%s", b)
+	}
+	holdUs := p.core.LoadUs(o.Ticket.SizeMb)
+	boot := p.boot
+	s.at(s.nowUs+holdUs, func() {
+		s.plat.Store.Done(p.addr)
+		p.now(boot, func() { p.core.Fetched(s.nowUs, o.Ticket.Number) })
+	})
+	return state
+}
+
+func (p *pressNode) kill() {
+	p.up = false
+	p.sim.plat.Store.Done(p.addr)
+}
