Plant breaks that every rule must catch; test every interface with bad input

Cause: a checker that cannot fail proves nothing, and bad input was untested. Ruled out: a race in the offices' actor but for one early read, now moved. Before: no plant, no input test.

--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -120,10 +120,10 @@
 	}
 	server := &http.Server{Handler: h.handler(), ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = server.Serve(listener) }()
+	_ = h.log.Log("event", "started", "id", h.core.Node.Me().ID, "phase", string(h.core.Node.Phase()))
 	h.spawn(h.loop)
 	h.spawn(h.saver)
 	h.spawn(h.seeker)
-	_ = h.log.Log("event", "started", "id", h.core.Node.Me().ID, "phase", string(h.core.Node.Phase()))
 	var failure error
 	select {
 	case <-ctx.Done():
--- a/proofs/rules/rules.go
+++ b/proofs/rules/rules.go
@@ -201,9 +201,10 @@
 			w.Break(StreamBroken, "%s: piece %d has id %d", t.Tag, n, t.IDs[i])
 		}
 		text, nonce, _ := strings.Cut(p, "~")
-		want, _, _ := strings.Cut(press.Text(t.Prompt, t.Model, t.Adapter, n, ""), "~")
-		if text != want {
+		if at := placeOf(t, text); at == 0 {
 			w.Break(ForeignEnd, "%s: piece %d is not of this request", t.Tag, n)
+		} else if at != n {
+			w.Break(StreamBroken, "%s: piece %d stands where %d belongs", t.Tag, at, n)
 		}
 		nonces[nonce] = true
 	}
@@ -225,6 +226,15 @@
 	w.Break(ForeignEnd, "%s was told success, no replica ended it", t.Tag)
 }
 
+func placeOf(t Told, text string) int {
+	for n := 1; n <= press.Total(t.Prompt, t.MostOut); n++ {
+		if want, _, _ := strings.Cut(press.Text(t.Prompt, t.Model, t.Adapter, n, ""), "~"); want == text {
+			return n
+		}
+	}
+	return 0
+}
+
 func (w *Watch) Order(o press.OrderSeen) {
 	this := ticket{o.Replica, o.Inc, string(o.Step), o.Unit}
 	if before, seen := w.order[o.Number]; seen && before != this {
--- /dev/null
+++ b/proofs/shop/input_test.go
@@ -0,0 +1,279 @@
+package shop
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"petreltide/internal/fault"
+	"petreltide/internal/standing"
+	"petreltide/proofs/sim"
+)
+
+func open(t *testing.T) *Shop {
+	t.Helper()
+	doc := sim.Doc()
+	s, err := Open(Plan{Folder: t.TempDir(), Offices: 3, Desks: 2, Replicas: 3, Slots: 8, FirstUs: 2000, PartUs: 500, PieceUs: 1000, RoomMb: doc.Replica.RoomMb, Store: doc.Store})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	if err := s.Begin(doc); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func faultIn(t *testing.T, body string) *fault.Fault {
+	t.Helper()
+	var wrapped struct {
+		Error *fault.Fault `json:"error"`
+	}
+	if err := json.Unmarshal([]byte(body), &wrapped); err != nil || wrapped.Error == nil {
+		t.Fatalf("no typed error in %q", body)
+	}
+	return wrapped.Error
+}
+
+func TestInterfacesAndBadInput(t *testing.T) {
+	s := open(t)
+	t.Run("callers", func(t *testing.T) { callersInput(t, s) })
+	t.Run("replicas", func(t *testing.T) { replicaInput(t, s) })
+	t.Run("platform", func(t *testing.T) { platformInput(t, s) })
+	t.Run("keys", func(t *testing.T) { keysInput(t, s) })
+	t.Run("operators", func(t *testing.T) { operatorInput(t, s) })
+	t.Run("policies", func(t *testing.T) { policyInput(t, s) })
+}
+
+func callersInput(t *testing.T, s *Shop) {
+	url := "http://" + s.Desks[0] + "/v1/calls"
+	for _, c := range []struct {
+		name, body, field string
+		headers           []string
+		status            int
+		code              fault.Code
+	}{
+		{"malformed", `{"kind":`, "", nil, 400, fault.BadJSON},
+		{"two values", `{} {}`, "", nil, 400, fault.BadJSON},
+		{"wrong type", `{"kind":7}`, "kind", nil, 400, fault.BadJSON},
+		{"unknown field", `{"knid":"fixes"}`, "knid", nil, 400, fault.BadJSON},
+		{"oversized", `{"prompt":"` + strings.Repeat("x", 70<<10) + `"}`, "", nil, 413, fault.TooLarge},
+		{"unknown kind", `{"kind":"poems","model":"m0","prompt":"p"}`, "kind", nil, 404, fault.UnknownKind},
+		{"unknown model", `{"kind":"fixes","model":"m99","prompt":"p"}`, "model", nil, 404, fault.UnknownModel},
+		{"adapter of another model", `{"kind":"fixes","model":"m0","adapter":"a-m1","prompt":"p"}`, "adapter", nil, 404, fault.UnknownAdapter},
+		{"empty prompt", `{"kind":"fixes","model":"m0"}`, "prompt", nil, 400, fault.BadField},
+		{"past expiry", `{"kind":"fixes","model":"m0","prompt":"p","expiryMs":-5}`, "expiryMs", nil, 400, fault.PastExpiry},
+		{"bad last id", `{"kind":"pages","model":"m0","prompt":"p"}`, "Last-Event-Id", []string{"Last-Event-Id", "three"}, 400, fault.BadLastEventID},
+		{"last id of what cannot be resumed", `{"kind":"fixes","model":"m0","prompt":"p","had":["a"]}`, "Last-Event-Id", []string{"Last-Event-Id", "1"}, 400, fault.BadLastEventID},
+		{"last id and pieces differ", `{"kind":"pages","model":"m0","prompt":"p","had":["a"]}`, "had", []string{"Last-Event-Id", "2"}, 400, fault.BadLastEventID},
+		{"long key", `{"kind":"fixes","model":"m0","prompt":"p"}`, "Idempotency-Key", []string{"Idempotency-Key", strings.Repeat("k", 300)}, 400, fault.BadField},
+	} {
+		status, _, body, err := Do(http.MethodPost, url, c.body, c.headers...)
+		if err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		f := faultIn(t, body)
+		if status != c.status || f.Code != c.code || f.Field != c.field || f.Run != fault.RunNone {
+			t.Errorf("%s: %d %+v, want %d %s at %q and run none", c.name, status, f, c.status, c.code, c.field)
+		}
+	}
+	status, header, body, err := Do(http.MethodPost, url, `{"kind":"pages","model":"m0","prompt":"hello there"}`)
+	if err != nil || status != 200 || header.Get("Content-Type") != "text/event-stream" || !strings.Contains(body, "event: end") || !strings.HasPrefix(body, "id: 1\n") {
+		t.Fatalf("a good call got %d %v %q %v", status, header, body, err)
+	}
+	texts := []string{}
+	for _, line := range strings.Split(body, "\n") {
+		if data, ok := strings.CutPrefix(line, `data: {"text":`); ok {
+			texts = append(texts, strings.TrimSuffix(data, "}"))
+		}
+	}
+	status, _, rest, err := Do(http.MethodPost, "http://"+s.Desks[1]+"/v1/calls", fmt.Sprintf(`{"kind":"pages","model":"m0","prompt":"hello there","had":[%s]}`, strings.Join(texts[:2], ",")), "Last-Event-Id", "2")
+	if err != nil || status != 200 || !strings.HasPrefix(rest, "id: 3\n") || strings.Count(rest, "event: piece") != len(texts)-2 {
+		t.Fatalf("resuming at another desk after 2 of %d got %d %q %v", len(texts), status, rest, err)
+	}
+}
+
+func replicaInput(t *testing.T, s *Shop) {
+	naughty := func(what string) {
+		for _, addr := range s.Presses {
+			if _, _, _, err := Do(http.MethodPost, "http://"+addr+"/proof/naughty/"+what, ""); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	defer naughty("none")
+	for _, what := range []string{"foreign", "gap", "repeat", "close", "garbage", "noend"} {
+		naughty(what)
+		status, _, body, err := Do(http.MethodPost, "http://"+s.Desks[0]+"/v1/calls", `{"kind":"fixes","model":"m0","prompt":"naughty `+what+`"}`)
+		if err != nil || status != 200 || !strings.Contains(body, "event: broken") || strings.Contains(body, "event: end") || !strings.Contains(body, `"run":"partial"`) {
+			t.Errorf("%s: %d %q %v", what, status, body, err)
+		}
+	}
+	naughty("none")
+	status, _, body, err := Do(http.MethodGet, "http://"+s.Desks[0]+"/v1/status", "")
+	if err != nil || status != 200 || !strings.Contains(body, `"broken":6`) {
+		t.Errorf("broken streams are not counted: %s", body)
+	}
+}
+
+func platformInput(t *testing.T, s *Shop) {
+	for _, mood := range []string{"garbage", "down", "stale"} {
+		before, ok := s.Duty()
+		if !ok {
+			t.Fatal("nobody is on duty")
+		}
+		s.Platform.SetMood(mood)
+		if err := Until("the bad list is counted", func() bool {
+			now, ok := s.Duty()
+			return ok && now.Faults[fault.PlatformBad] > before.Faults[fault.PlatformBad]+1
+		}); err != nil {
+			t.Fatal(mood, err)
+		}
+		s.Platform.SetMood("")
+		if now, ok := s.Duty(); !ok || len(now.Replicas) != 3 {
+			t.Errorf("%s: replicas are %v", mood, now.Replicas)
+		}
+	}
+}
+
+func keysInput(t *testing.T, s *Shop) {
+	body := `{"kind":"letters","model":"m0","prompt":"one letter"}`
+	status, _, first, err := Do(http.MethodPost, "http://"+s.Desks[0]+"/v1/calls", body, "Idempotency-Key", "letter-1")
+	if err != nil || status != 200 || !strings.Contains(first, "event: end") {
+		t.Fatalf("%d %q %v", status, first, err)
+	}
+	if err := Until("the key's end is recorded", func() bool {
+		status, _, again, err := Do(http.MethodPost, "http://"+s.Desks[1]+"/v1/calls", body, "Idempotency-Key", "letter-1")
+		if err != nil || status != http.StatusConflict {
+			t.Fatalf("the second sight of a key got %d %q %v", status, again, err)
+		}
+		f := faultIn(t, again)
+		return f.Code == fault.KeyEnded && f.Run == fault.RunYes
+	}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func operatorInput(t *testing.T, s *Shop) {
+	url := "http://" + s.Offices[1] + "/v1/config"
+	good, err := json.Marshal(sim.Doc())
+	if err != nil {
+		t.Fatal(err)
+	}
+	change := func(edit func(*standing.Declaration)) string {
+		d := sim.Doc()
+		edit(d)
+		raw, err := json.Marshal(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(raw)
+	}
+	for _, c := range []struct {
+		name, body string
+		paths      []string
+	}{
+		{"unknown field", strings.Replace(string(good), `"name"`, `"nmae"`, 1), []string{"nmae"}},
+		{"duplicate names", change(func(d *standing.Declaration) { d.Models[1].Name = "m0" }), []string{"models"}},
+		{"dangling reference", change(func(d *standing.Declaration) { d.Adapters[2].Model = "gone" }), []string{"adapters[2].model"}},
+		{"negative size", change(func(d *standing.Declaration) { d.Models[3].SizeMb = -4 }), []string{"models[3].sizeMb"}},
+		{"fits no replica", change(func(d *standing.Declaration) { d.Models[0].SizeMb = 9000; d.Store.BurstMb = 9000 }), []string{"models[0].sizeMb"}},
+		{"gap in a table", change(func(d *standing.Declaration) { d.Models[0].Table[2].Replicas = 5 }), []string{"models[0].table[2].replicas"}},
+		{"policy does not compile", change(func(d *standing.Declaration) { d.Policy.Source = "def propose(fleet:" }), []string{"policy.source"}},
+		{"no propose", change(func(d *standing.Declaration) { d.Policy.Source = "x = 1" }), []string{"policy.source"}},
+		{"unknown zone emptied", change(func(d *standing.Declaration) { d.Emptied = []string{"z"} }), []string{"emptied[0]"}},
+		{"several at once", change(func(d *standing.Declaration) {
+			d.Models[2].LoadMs = 0
+			d.Kinds[0].Urgency = 12
+			d.Adapters[0].Model = "q"
+		}), []string{"models[2].loadMs", "kinds[0].urgency", "adapters[0].model"}},
+	} {
+		status, _, body, err := Do(http.MethodPut, url+"?base=1", c.body)
+		if err != nil || (status != 422 && status != 400) {
+			t.Errorf("%s: %d %q %v", c.name, status, body, err)
+			continue
+		}
+		for _, path := range c.paths {
+			if !strings.Contains(body, path) {
+				t.Errorf("%s: %s is not named in %s", c.name, path, body)
+			}
+		}
+	}
+	revision := func() uint64 {
+		_, _, body, err := Do(http.MethodGet, url, "")
+		var now struct {
+			Revision uint64 `json:"revision"`
+		}
+		if err != nil || json.Unmarshal([]byte(body), &now) != nil {
+			t.Fatal(body, err)
+		}
+		return now.Revision
+	}
+	if revision() != 1 {
+		t.Fatalf("a refused declaration took effect: revision %d", revision())
+	}
+	status, _, body, err := Do(http.MethodPatch, url+"?base=0", `{"scaler":{"spares":0}}`)
+	if f := faultIn(t, body); err != nil || status != http.StatusConflict || f.Revision != 1 {
+		t.Errorf("stale base: %d %s %v", status, body, err)
+	}
+	status, _, first, err := Do(http.MethodPatch, url+"?base=1&change=spares", `{"scaler":{"spares":0}}`)
+	if err != nil || status != 200 || !strings.Contains(first, `"revision":2`) {
+		t.Fatalf("a good patch got %d %s %v", status, first, err)
+	}
+	status, _, again, err := Do(http.MethodPatch, "http://"+s.Offices[2]+"/v1/config?base=1&change=spares", `{"scaler":{"spares":0}}`)
+	if err != nil || status != 200 || !strings.Contains(again, `"revision":2`) || !strings.Contains(again, `"again":true`) {
+		t.Errorf("the same change again got %d %s %v", status, again, err)
+	}
+	if status, _, body, _ := Do(http.MethodPost, "http://"+s.Offices[0]+"/v1/zones/nowhere/empty", ""); status != http.StatusNotFound {
+		t.Errorf("an unknown zone got %d %s", status, body)
+	}
+	if status, _, body, _ := Do(http.MethodPost, "http://"+s.Offices[0]+"/v1/zones/c/empty", ""); status != 200 {
+		t.Errorf("emptying got %d %s", status, body)
+	}
+	if status, _, body, _ := Do(http.MethodPost, "http://"+s.Offices[0]+"/v1/zones/c/restore", ""); status != 200 {
+		t.Errorf("restoring got %d %s", status, body)
+	}
+}
+
+func policyInput(t *testing.T, s *Shop) {
+	_, _, body, err := Do(http.MethodGet, "http://"+s.Offices[0]+"/v1/config", "")
+	var now struct {
+		Revision uint64 `json:"revision"`
+	}
+	if err != nil || json.Unmarshal([]byte(body), &now) != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name, source string
+		code         fault.Code
+	}{
+		{"loops", "def propose(fleet):\n  while True:\n    pass", fault.PolicyLimit},
+		{"fails", "def propose(fleet):\n  return fleet['nothing']", fault.PolicyFailed},
+		{"writes", "def propose(fleet):\n  fleet['counts']['m0'] = 1\n  return []", fault.PolicyFailed},
+		{"babbles", "def propose(fleet):\n  return 'load all'", fault.PolicyNonsense},
+		{"names-nobody", "def propose(fleet):\n  return [{'step': 'load', 'replica': 'gpu-77', 'unit': 'm0'}]", fault.ReplicaUnknown},
+		{"beyond-room", "def propose(fleet):\n  return [{'step': 'load', 'replica': r['id'], 'unit': m} for r in fleet['replicas'] for m in fleet['models'] if m not in r['holds']]", fault.NoRoom},
+	} {
+		patch, err := json.Marshal(map[string]any{"policy": map[string]string{"name": c.name, "source": c.source}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		status, _, body, err := Do(http.MethodPatch, fmt.Sprintf("http://%s/v1/config?base=%d", s.Offices[0], now.Revision), string(patch))
+		if err != nil || status != 200 {
+			t.Fatalf("%s: %d %s %v", c.name, status, body, err)
+		}
+		now.Revision++
+		if err := Until("the refusal shows in status", func() bool {
+			st, ok := s.Duty()
+			return ok && st.Policy.Name == c.name && st.Faults[c.code] > 0
+		}); err != nil {
+			st, _ := s.Duty()
+			t.Errorf("%s: no %s in %+v %v", c.name, c.code, st.Policy, st.Faults)
+		}
+		if status, _, body, err := Do(http.MethodPost, "http://"+s.Desks[0]+"/v1/calls", `{"kind":"fixes","model":"m0","prompt":"still served"}`); err != nil || status != 200 || !strings.Contains(body, "event: end") {
+			t.Errorf("%s: the layout does not stand: %d %s %v", c.name, status, body, err)
+		}
+	}
+}
--- /dev/null
+++ b/proofs/shop/shop.go
@@ -0,0 +1,239 @@
+package shop
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"petreltide/internal/desk"
+	"petreltide/internal/office"
+	"petreltide/internal/settings"
+	"petreltide/internal/spike"
+	"petreltide/internal/standing"
+	"petreltide/internal/wire"
+	"petreltide/proofs/platform"
+	"petreltide/proofs/press"
+)
+
+// Shop runs a few real hosts inside one process, sockets and disks included, for tests that need
+// no kills: bad input, interfaces, measurements.
+type Shop struct {
+	Offices  []string
+	Desks    []string
+	Presses  []string
+	Hosts    []*press.Host
+	Platform *platform.Platform
+	folder   string
+	cancel   context.CancelFunc
+	group    sync.WaitGroup
+	stops    []context.CancelFunc
+}
+
+type Plan struct {
+	Folder   string
+	Offices  int
+	Desks    int
+	Replicas int
+	Slots    int
+	FirstUs  int64
+	PartUs   int64
+	PieceUs  int64
+	RoomMb   int64
+	Store    standing.Store
+}
+
+func listen() (net.Listener, string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", errors.Trace(err)
+	}
+	return l, l.Addr().String(), nil
+}
+
+func free() (string, error) {
+	l, addr, err := listen()
+	if err != nil {
+		return "", err
+	}
+	return addr, l.Close()
+}
+
+func Open(plan Plan) (*Shop, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Shop{folder: plan.Folder, cancel: cancel, Platform: platform.New(platform.NewStore(plan.Store.Loads, plan.Store.MbPerSecond, plan.Store.BurstMb))}
+	platListener, platAddr, err := listen()
+	if err != nil {
+		return nil, err
+	}
+	plat := &http.Server{Handler: s.Platform.Handler()}
+	s.spawn(func() { _ = plat.Serve(platListener) })
+	context.AfterFunc(ctx, func() { _ = plat.Close() })
+	for i := 0; i < plan.Offices; i++ {
+		addr, err := free()
+		if err != nil {
+			return nil, err
+		}
+		s.Offices = append(s.Offices, addr)
+	}
+	for i, addr := range s.Offices {
+		name := fmt.Sprintf("core-%d", i+1)
+		folder := filepath.Join(plan.Folder, name)
+		if err := os.MkdirAll(folder, 0o755); err != nil {
+			return nil, errors.Trace(err)
+		}
+		host, err := office.Open(settings.Office{Name: name, Listen: addr, Zone: string(rune('a' + i%3)), Seeds: s.Offices, Data: folder, Platform: platAddr, Founding: plan.Offices},
+			spike.NewRing(folder, io.Discard))
+		if err != nil {
+			return nil, err
+		}
+		s.run(ctx, host.Run)
+	}
+	for i := 0; i < plan.Replicas; i++ {
+		l, addr, err := listen()
+		if err != nil {
+			return nil, err
+		}
+		id := fmt.Sprintf("gpu-%d", i+1)
+		zone := string(rune('a' + i%3))
+		host := press.NewHost(press.NewCore(press.Options{
+			ID: id, Inc: id + "-1", Zone: zone, RoomMb: plan.RoomMb, Slots: plan.Slots, FirstUs: plan.FirstUs, PartUs: plan.PartUs, PieceUs: plan.PieceUs,
+			LoadUs: func(sizeMb int64) int64 { return 20_000 + sizeMb*10 },
+		}), "")
+		s.Hosts, s.Presses = append(s.Hosts, host), append(s.Presses, addr)
+		s.run(ctx, func(ctx context.Context) error { return host.Serve(ctx, l) })
+		s.Platform.Set(wire.Listed{ID: id, Addr: addr, Zone: zone, RoomMb: plan.RoomMb, Slots: plan.Slots, State: wire.ListedReady})
+	}
+	for i := 0; i < plan.Desks; i++ {
+		addr, err := free()
+		if err != nil {
+			return nil, err
+		}
+		host := desk.Open(settings.Desk{Name: fmt.Sprintf("front-%d", i+1), Listen: addr, Zone: string(rune('a' + i%3)), Seeds: s.Offices, BacklogMax: 64, BodyMaxKb: 64, DrainMs: 2000},
+			spike.NewRing("", io.Discard))
+		s.Desks = append(s.Desks, addr)
+		s.run(ctx, host.Run)
+	}
+	return s, nil
+}
+
+func (s *Shop) spawn(act func()) {
+	s.group.Add(1)
+	go func() {
+		defer s.group.Done()
+		act()
+	}()
+}
+
+func (s *Shop) run(ctx context.Context, serve func(context.Context) error) {
+	own, stop := context.WithCancel(ctx)
+	s.stops = append(s.stops, stop)
+	s.spawn(func() { _ = serve(own) })
+}
+
+func (s *Shop) Close() {
+	s.cancel()
+	s.group.Wait()
+}
+
+// Do sends one request and reads the whole answer.
+func Do(method, url, body string, headers ...string) (int, http.Header, string, error) {
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return 0, nil, "", errors.Trace(err)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	client := &http.Client{Timeout: 20 * time.Second}
+	res, err := client.Do(req)
+	if err != nil {
+		return 0, nil, "", errors.Trace(err)
+	}
+	defer res.Body.Close()
+	raw, err := io.ReadAll(res.Body)
+	return res.StatusCode, res.Header, string(raw), errors.Trace(err)
+}
+
+// Until asks again until the condition holds; the wait is bounded by tries, not by a speed.
+func Until(what string, holds func() bool) error {
+	for try := 0; try < 1200; try++ {
+		if holds() {
+			return nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return errors.Errorf("gave up waiting until %s", what)
+}
+
+// Begin sends the first declaration and waits until every model has a holder.
+func (s *Shop) Begin(doc *standing.Declaration) error {
+	raw, err := json.Marshal(doc)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	last := ""
+	if err := Until("the first declaration is taken", func() bool {
+		status, _, body, err := Do(http.MethodPut, "http://"+s.Offices[0]+"/v1/config?base=0&change=first", string(raw))
+		last = body
+		return err == nil && status == http.StatusOK
+	}); err != nil {
+		return errors.Annotate(err, last)
+	}
+	return Until("every model is held", func() bool {
+		held := map[string]bool{}
+		for _, addr := range s.Presses {
+			_, _, body, err := Do(http.MethodGet, "http://"+addr+"/v1/state", "")
+			var st wire.ReplicaState
+			if err != nil || json.Unmarshal([]byte(body), &st) != nil {
+				return false
+			}
+			for _, h := range st.Holds {
+				held[h.Unit] = true
+			}
+		}
+		for _, m := range doc.Models {
+			if !held[m.Name] {
+				return false
+			}
+		}
+		return s.leased()
+	})
+}
+
+func (s *Shop) leased() bool {
+	for _, addr := range s.Desks {
+		var st struct {
+			Work struct {
+				LeaseMs  int64  `json:"leaseMs"`
+				Revision uint64 `json:"revision"`
+			} `json:"work"`
+		}
+		_, _, body, err := Do(http.MethodGet, "http://"+addr+"/v1/status", "")
+		if err != nil || json.Unmarshal([]byte(body), &st) != nil || st.Work.LeaseMs == 0 || st.Work.Revision == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Status asks each office until one is on duty.
+func (s *Shop) Duty() (office.Status, bool) {
+	for _, addr := range s.Offices {
+		_, _, body, err := Do(http.MethodGet, "http://"+addr+"/v1/status", "")
+		var st office.Status
+		if err == nil && json.Unmarshal([]byte(body), &st) == nil && st.OnDuty {
+			return st, true
+		}
+	}
+	return office.Status{}, false
+}
--- a/proofs/sim/desks.go
+++ b/proofs/sim/desks.go
@@ -103,6 +103,11 @@
 		case e.Report != nil:
 			d.report(e.Report.Addr)
 		case e.Snapshot != nil:
+			if s.plan.Plant == "deaf" && d.snap != nil && d.snap.Doc != nil && d.snap.Grants["gpu-0|m7"].To+d.snap.Grants["gpu-1|m7"].To+d.snap.Grants["gpu-2|m7"].To+d.snap.Grants["gpu-3|m7"].To+d.snap.Grants["gpu-4|m7"].To > 0 {
+				fresh := *d.snap
+				fresh.Number, fresh.View, fresh.Grants = e.Snapshot.Number, e.Snapshot.View, e.Snapshot.Grants
+				e.Snapshot = &fresh
+			}
 			d.snap = e.Snapshot
 			s.ops.sawDoc(d.name, e.Snapshot)
 			d.step(deskwork.Event{Snapshot: e.Snapshot})
@@ -224,6 +229,10 @@
 	})
 }
 
+func (d *deskNode) maySend(st deskwork.Start) bool {
+	return st.MaySend(d.snap, d.clock(), d.leaseUs) || d.sim.plan.Plant == "deaf"
+}
+
 // leg is the executor: it obeys one decision against the simulated network and replica.
 func (d *deskNode) leg(st deskwork.Start) {
 	s := d.sim
@@ -231,7 +240,7 @@
 	ended := func(e deskwork.Ending) {
 		d.step(deskwork.Event{Ended: &deskwork.Ended{Call: st.Call.ID, Leg: st.Leg, Ending: e}})
 	}
-	if c == nil || !st.MaySend(d.snap, d.clock(), d.leaseUs) {
+	if c == nil || !d.maySend(st) {
 		d.later(10, func() { ended(deskwork.Unsent) })
 		return
 	}
@@ -302,7 +311,7 @@
 			return
 		}
 		asked = true
-		if !st.MaySend(d.snap, d.clock(), d.leaseUs) {
+		if !d.maySend(st) {
 			finish(deskwork.Unsent, "the news changed before it was sent")
 			return
 		}
@@ -333,6 +342,14 @@
 				return
 			}
 			ending, why := deskwork.Judge(leg.Leg, c.told.Had+len(c.told.Pieces), piece)
+			switch {
+			case s.plan.Plant == "blind" && piece.N != c.told.Had+len(c.told.Pieces)+1 && !piece.End:
+				ending = ""
+			case s.plan.Plant == "hasty" && len(c.told.Pieces) == 3:
+				ending = deskwork.Done
+			case s.plan.Plant == "mixed" && len(c.told.Pieces) == 2:
+				piece.Text = "0000000000000000~" + run.Nonce
+			}
 			if ending != "" {
 				finish(ending, why)
 				return
@@ -369,8 +386,9 @@
 			return
 		}
 		piece := wire.Piece{Leg: leg.Leg, N: n, Text: press.Text(leg.Prompt, leg.Model, leg.Adapter, n, run.Nonce)}
-		if s.plan.Plant == "gap" && n == 3 {
-			piece.N = 4
+		if s.plan.Plant == "blind" && n == 3 {
+			n++
+			piece.N, piece.Text = n, press.Text(leg.Prompt, leg.Model, leg.Adapter, n, run.Nonce)
 		}
 		s.at(s.nowUs+300, func() { deliver(piece) })
 		n++
@@ -383,6 +401,9 @@
 	if e == deskwork.Moved && !c.call.Resumable {
 		e = deskwork.Unknown
 	}
+	if d.sim.plan.Plant == "again" && (e == deskwork.Unknown || e == deskwork.Broken) && len(c.told.Pieces) == 0 {
+		e = deskwork.Unsent
+	}
 	final := false
 	switch e {
 	case deskwork.Done:
@@ -394,7 +415,10 @@
 		if !c.call.Resumable || e == deskwork.Final {
 			final = true
 			c.told.Code, c.told.Run, c.told.Broken = string(fault.Unknown), fault.RunUnknown, len(c.told.Pieces) > 0
-			if len(c.told.Pieces) > 0 {
+			if d.sim.plan.Plant == "lie" {
+				c.told.Run = fault.RunNone
+			}
+			if len(c.told.Pieces) > 0 && d.sim.plan.Plant != "lie" {
 				c.told.Code, c.told.Run = string(fault.Broken), fault.RunPartial
 			}
 		}
--- a/proofs/sim/faults.go
+++ b/proofs/sim/faults.go
@@ -174,7 +174,11 @@
 		d.skewUs += int64(f.B) * 100 * ms
 	case "kill-offices":
 		for _, o := range s.offices {
-			s.crashOffice(o, 0, f.N, f.ForUs/2)
+			lossy := 0
+			if s.plan.Plant == "amnesia" {
+				lossy = 10_000
+			}
+			s.crashOffice(o, lossy, f.N, f.ForUs/2)
 		}
 	case "kill-everything":
 		for i, o := range s.offices {
--- a/proofs/sim/offices.go
+++ b/proofs/sim/offices.go
@@ -281,6 +281,9 @@
 		if p == nil || p.addr != e.Order.Addr || !p.up {
 			return
 		}
+		if s.plan.Plant == "forger" && order.Ticket.Number%5 == 0 {
+			order.Ticket.Number--
+		}
 		s.send(&o.machine, &p.machine, func() {
 			state := p.take(order)
 			s.send(&p.machine, &o.machine, func() {
--- a/proofs/sim/operators.go
+++ b/proofs/sim/operators.go
@@ -115,7 +115,11 @@
 	p.changes++
 	d := clone(*p.doc)
 	base := p.revision
-	switch p.changes % 4 {
+	op := p.changes % 4
+	if len(s.plan.Ops) > 0 {
+		op = s.plan.Ops[p.changes%len(s.plan.Ops)]
+	}
+	switch op {
 	case 0:
 		d.Policy = standing.Policy{Name: "chaser", Source: chaser}
 		if p.doc.Policy.Name == "chaser" {
--- /dev/null
+++ b/proofs/sim/plant_test.go
@@ -0,0 +1,51 @@
+package sim
+
+import (
+	"testing"
+
+	"petreltide/proofs/rules"
+)
+
+// Every rule must be able to fail: the code is broken on purpose, and the rule must say so.
+func TestPlantedBreaksAreCaught(t *testing.T) {
+	crash := []Fault{{Kind: "crash-replica", AtUs: 2 * sec, ForUs: sec, A: 0}, {Kind: "crash-replica", AtUs: 6 * sec, ForUs: sec, A: 1}, {Kind: "crash-replica", AtUs: 9 * sec, ForUs: sec, A: 2}}
+	notices := []Fault{{Kind: "notice", AtUs: 2 * sec, ForUs: 6 * sec, A: 0}, {Kind: "notice", AtUs: 3 * sec, ForUs: 6 * sec, A: 1}}
+	for _, c := range []struct {
+		plant  string
+		rule   string
+		faults []Fault
+	}{
+		{"keys", rules.RunsTwice, []Fault{{Kind: "crash-desk", AtUs: 2 * sec, ForUs: sec, A: 0}, {Kind: "crash-desk", AtUs: 6 * sec, ForUs: sec, A: 1}, {Kind: "crash-desk", AtUs: 9 * sec, ForUs: sec, A: 2}}},
+		{"again", rules.RunsTwice, crash},
+		{"lie", rules.NotRunLie, crash},
+		{"blind", rules.StreamBroken, nil},
+		{"hasty", rules.StreamBroken, nil},
+		{"mixed", rules.ForeignEnd, nil},
+		{"deaf", rules.AfterNotice, notices},
+		{"deaf", rules.IntoEmptied, nil},
+		{"deaf", rules.OldWay, nil},
+		{"forger", rules.TicketClash, nil},
+		{"narrow", rules.OverRoom, nil},
+		{"strict-store", rules.OverStore, nil},
+		{"amnesia", rules.ConfigLost, []Fault{{Kind: "kill-offices", AtUs: 5 * sec, ForUs: sec, N: 1}}},
+		{"sluggish", rules.PoorService, []Fault{{Kind: "kill-everything", AtUs: 20 * sec, ForUs: sec, N: 1}}},
+	} {
+		t.Run(c.plant+"/"+c.rule, func(t *testing.T) {
+			t.Parallel()
+			for seed := int64(1); seed <= 12; seed++ {
+				p := plan(seed, 0)
+				p.Plant, p.Faults, p.PerSec = c.plant, c.faults, 40
+				p.Changes = c.rule == rules.IntoEmptied || c.rule == rules.OldWay || c.plant == "amnesia"
+				if c.rule == rules.OldWay {
+					p.Ops = []int{2}
+				}
+				for _, b := range Run(p).Breaches {
+					if b.Rule == c.rule {
+						return
+					}
+				}
+			}
+			t.Fatalf("plant %q was not caught as %q", c.plant, c.rule)
+		})
+	}
+}
--- a/proofs/sim/sim.go
+++ b/proofs/sim/sim.go
@@ -29,6 +29,7 @@
 	Loss     float64
 	Faults   []Fault
 	Changes  bool
+	Ops      []int
 	Doc      *standing.Declaration
 	Plant    string
 	NoMoves  bool
@@ -182,6 +183,9 @@
 	}
 	d := s.plan.Doc
 	s.plat = platform.New(platform.NewStore(d.Store.Loads, d.Store.MbPerSecond, d.Store.BurstMb))
+	if plan.Plant == "strict-store" {
+		s.plat.Store.BurstMb /= 2
+	}
 	for i := 0; i < plan.Offices; i++ {
 		s.seeds = append(s.seeds, fmt.Sprintf("core-%d:1", i))
 	}
@@ -379,9 +383,13 @@
 		p.up = false
 		boot = p.boot + 1
 	}
+	roomMb := s.plan.Doc.Replica.RoomMb
+	if s.plan.Plant == "narrow" {
+		roomMb /= 3
+	}
 	p = &pressNode{machine: machine{sim: s, name: id, addr: fmt.Sprintf("%s:%d", id, boot), up: true, boot: boot}, zone: zone, inc: s.newInc(), alive: map[string]bool{}}
 	p.core = press.NewCore(press.Options{
-		ID: id, Inc: p.inc, Zone: zone, RoomMb: s.plan.Doc.Replica.RoomMb, Slots: 8, FirstUs: 15 * ms, PartUs: 8 * ms, PieceUs: 6 * ms, Fetch: true,
+		ID: id, Inc: p.inc, Zone: zone, RoomMb: roomMb, Slots: 8, FirstUs: 15 * ms, PartUs: 8 * ms, PieceUs: 6 * ms, Fetch: true,
 		LoadUs: func(sizeMb int64) int64 { return 50*ms + sizeMb*300 },
 		Journal: func(l press.Line) {
 			switch {
@@ -419,6 +427,9 @@
 		s.watch.Break(rules.OverStore, "%s", b)
 	}
 	holdUs := p.core.LoadUs(o.Ticket.SizeMb)
+	if s.plan.Plant == "sluggish" && s.nowUs > 20*sec {
+		holdUs = 60 * sec
+	}
 	boot := p.boot
 	s.at(s.nowUs+holdUs, func() {
 		s.plat.Store.Done(p.addr)
