--- a/examples/policies/steady.star
+++ b/examples/policies/steady.star
@@ -1,5 +1,5 @@
 # steady: bring every model to the count the scaler gave it, on replicas in different zones with
-# the most free room, and unload what is over its count only where room is wanted.
+# the most free room, first copies before second ones, and unload what is over its count only where room is wanted.
 
 def holders(fleet, unit):
     return [r for r in fleet["replicas"] if r["usable"] and (unit in r["holds"] or r["loading"] == unit)]
@@ -47,7 +47,7 @@
     taken = {}
     short = sorted(
         [m for m in fleet["models"] if len(holders(fleet, m)) < fleet["counts"].get(m, 0)],
-        key = lambda m: need(fleet, m),
+        key = lambda m: (not holders(fleet, m), need(fleet, m)),
         reverse = True,
     )
     for model in short:
--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -17,8 +17,10 @@
 const (
 	listEveryUs   = 400 * clock.Ms
 	askEveryUs    = 250 * clock.Ms
+	askBusyUs     = 50 * clock.Ms
 	orderEveryUs  = 600 * clock.Ms
 	policyEveryUs = 500 * clock.Ms
+	policyLeastUs = 60 * clock.Ms
 	policyLostUs  = 5 * clock.Sec
 	shareEveryUs  = 400 * clock.Ms
 	darkAfterUs   = 1500 * clock.Ms
@@ -138,6 +140,7 @@
 	issuingMb int64
 	orderUs   map[uint64]int64
 	policyUs  int64
+	moved     bool
 	runUs     int64
 	run       uint64
 	proposed  []imposition.Proposal
@@ -301,7 +304,7 @@
 		f.listUs = seen.NowUs
 		f.do(Effect{PollList: true})
 	}
-	f.askReplicas(seen.NowUs)
+	f.askReplicas(seen.NowUs, s)
 	f.orders(seen)
 	f.startPolicy(seen)
 	f.write(seen)
@@ -316,7 +319,7 @@
 	f.effects = effects
 }
 
-func (f *Foreman) askReplicas(nowUs int64) {
+func (f *Foreman) askReplicas(nowUs int64, s *ledger.State) {
 	if f.list == nil {
 		return
 	}
@@ -326,7 +329,11 @@
 			row = &told{addr: l.Addr}
 			f.replicas[l.ID] = row
 		}
-		if nowUs-row.askedUs >= askEveryUs {
+		spanUs := askEveryUs
+		if _, pending := s.Pending[l.ID]; pending {
+			spanUs = askBusyUs
+		}
+		if nowUs-row.askedUs >= spanUs {
 			row.askedUs = nowUs
 			f.do(Effect{Ask: &Ask{AskedUs: nowUs, Replica: l.ID, Addr: l.Addr}})
 		}
@@ -402,6 +409,7 @@
 	if duty.Blank() {
 		return
 	}
+	f.moved = f.moved || len(duty.Settled)+len(duty.Fleet)+len(duty.Gone) > 0
 	f.writes++
 	f.writing = fmt.Sprintf("duty-%s-%d-%d", f.me, f.claimed, f.writes)
 	f.writeUs = seen.NowUs
@@ -678,13 +686,17 @@
 
 func (f *Foreman) startPolicy(seen Seen) {
 	s := seen.State
-	if s.Doc == nil || f.list == nil || f.proposed != nil || seen.NowUs-f.policyUs < policyEveryUs {
+	spanUs := policyEveryUs
+	if f.moved {
+		spanUs = policyLeastUs
+	}
+	if s.Doc == nil || f.list == nil || f.proposed != nil || seen.NowUs-f.policyUs < spanUs {
 		return
 	}
 	if f.runUs != 0 && seen.NowUs-f.runUs < policyLostUs {
 		return
 	}
-	f.policyUs, f.runUs = seen.NowUs, seen.NowUs
+	f.policyUs, f.runUs, f.moved = seen.NowUs, seen.NowUs, false
 	f.run++
 	rates, waiting := f.demand(seen.NowUs)
 	usable := []castoff.Room{}
--- a/proofs/callers/callers.go
+++ b/proofs/callers/callers.go
@@ -37,7 +37,10 @@
 	}
 	res, err := client.Do(req)
 	if err != nil {
-		t.Code, t.Run = "caller: "+err.Error(), fault.RunUnknown
+		t.Code, t.Run = "cut", fault.RunUnknown
+		if strings.Contains(err.Error(), "refused") {
+			t.Code = "unreached"
+		}
 		t.EndUs = clock.NowUs()
 		return t
 	}
