--- a/cmd/petreltide/query.go
+++ b/cmd/petreltide/query.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sort"
 	"strings"
 
 	"github.com/juju/errors"
@@ -149,12 +148,3 @@
 	_, err = fmt.Fprintln(w, string(raw))
 	return err
 }
-
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	return keys
-}
--- a/proofs/cmd/fleet/main.go
+++ b/proofs/cmd/fleet/main.go
@@ -25,7 +25,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	root := &cobra.Command{Use: "fleet", Short: "Run the real processes with stand-ins around them", SilenceUsage: true}
-	root.AddCommand(pressCommand(), runCommand())
+	root.AddCommand(pressCommand(), runCommand(), measureCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		os.Exit(1)
 	}
@@ -107,8 +107,62 @@
 	return d, string(raw), nil
 }
 
+type setting struct {
+	deployment, examples, binary, folder string
+}
+
+func (s *setting) flags(cmd *cobra.Command) {
+	flags := cmd.Flags()
+	flags.StringVar(&s.deployment, "deployment", "vasilev", "vasilev or kaardilind")
+	flags.StringVar(&s.examples, "examples", "examples", "folder of example declarations")
+	flags.StringVar(&s.binary, "petreltide", "bin/petreltide", "the program")
+	flags.StringVar(&s.folder, "folder", "", "where data and logs go; default: a temporary folder")
+}
+
+func (s *setting) open() (*fleet.Fleet, *standing.Declaration, string, error) {
+	doc, raw, err := declaration(filepath.Join(s.examples, s.deployment+".yaml"))
+	if err != nil {
+		return nil, nil, "", err
+	}
+	if s.folder == "" {
+		if s.folder, err = os.MkdirTemp("", "petreltide-fleet-"); err != nil {
+			return nil, nil, "", errors.Trace(err)
+		}
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return nil, nil, "", errors.Trace(err)
+	}
+	plan := fleet.PlanFor(s.deployment, doc)
+	plan.Petreltide, plan.Self, plan.Folder = s.binary, self, s.folder
+	f, err := fleet.New(plan)
+	return f, doc, raw, err
+}
+
+func measureCommand() *cobra.Command {
+	var s setting
+	var only []string
+	cmd := &cobra.Command{
+		Use:   "measure",
+		Short: "Measure added latency, rate, fail-over, notices and changes in one run",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			f, doc, raw, err := s.open()
+			if err != nil {
+				return err
+			}
+			defer os.RemoveAll(s.folder)
+			defer f.Stop()
+			return fleet.Measure(cmd.Context(), f, doc, raw, only, cmd.OutOrStdout())
+		},
+	}
+	s.flags(cmd)
+	cmd.Flags().StringSliceVar(&only, "only", nil, "just these: added, rate, notice, change, failover")
+	return cmd
+}
+
 func runCommand() *cobra.Command {
-	var deployment, examples, binary, folder, faults string
+	var s setting
+	var faults string
 	var rate float64
 	var seconds int
 	var seed int64
@@ -117,54 +171,30 @@
 		Use:   "run",
 		Short: "Bring up a deployment, send demand, and check the rules",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			doc, raw, err := declaration(filepath.Join(examples, deployment+".yaml"))
-			if err != nil {
-				return err
-			}
-			if folder == "" {
-				if folder, err = os.MkdirTemp("", "petreltide-fleet-"); err != nil {
-					return errors.Trace(err)
-				}
-			}
-			self, err := os.Executable()
-			if err != nil {
-				return errors.Trace(err)
-			}
-			plan := fleet.PlanFor(deployment, doc)
-			plan.Petreltide, plan.Self, plan.Folder = binary, self, folder
-			f, err := fleet.New(plan)
+			f, doc, raw, err := s.open()
 			if err != nil {
 				return err
 			}
 			defer f.Stop()
-			report, err := fleet.Day(cmd.Context(), f, doc, raw, fleet.DayPlan{
+			breaches, err := fleet.Day(cmd.Context(), f, doc, raw, fleet.DayPlan{
 				PerSecond: rate, Span: time.Duration(seconds) * time.Second, Seed: seed, Faults: strings.Fields(strings.ReplaceAll(faults, ",", " ")),
 			}, cmd.OutOrStdout())
-			if err != nil {
-				keep = true
-				fmt.Fprintf(cmd.OutOrStdout(), "folder kept: %s\n", folder)
-				return err
-			}
-			for _, b := range report {
+			for _, b := range breaches {
 				fmt.Fprintf(cmd.OutOrStdout(), "BROKEN %s\n", b)
 			}
-			if len(report) > 0 {
-				keep = true
-				fmt.Fprintf(cmd.OutOrStdout(), "folder kept: %s\n", folder)
-				return errors.Errorf("%d rule(s) broken, first: %s", len(report), report[0].Rule)
+			if err == nil && len(breaches) > 0 {
+				err = errors.Errorf("%d rule(s) broken, first: %s", len(breaches), breaches[0].Rule)
 			}
-			fmt.Fprintln(cmd.OutOrStdout(), "no rule broken")
-			if !keep {
-				return os.RemoveAll(folder)
+			if err != nil || keep {
+				fmt.Fprintf(cmd.OutOrStdout(), "folder kept: %s\n", s.folder)
+				return err
 			}
-			return nil
+			fmt.Fprintln(cmd.OutOrStdout(), "no rule broken")
+			return os.RemoveAll(s.folder)
 		},
 	}
+	s.flags(cmd)
 	flags := cmd.Flags()
-	flags.StringVar(&deployment, "deployment", "vasilev", "vasilev or kaardilind")
-	flags.StringVar(&examples, "examples", "examples", "folder of example declarations")
-	flags.StringVar(&binary, "petreltide", "bin/petreltide", "the program")
-	flags.StringVar(&folder, "folder", "", "where data and logs go; default: a temporary folder")
 	flags.StringVar(&faults, "faults", "", "faults to cause in turn: "+strings.Join(fleet.FaultNames(), ", "))
 	flags.Float64Var(&rate, "rate", 60, "calls per second")
 	flags.IntVar(&seconds, "seconds", 20, "time under demand")
