Free a desk's slot when its caller hangs up during a leg

Cause: after 64 callers hung up at once, front-1 held 64 legs that had long ended; the reducer was not told that the caller was gone, gave the resumable call another leg, and nobody was there to run it. Ruled out: the replicas (active 0) and the shares (they followed the phantom legs). Conclusion: the executor says Gone before Ended, and a leg with no caller ends unsent.

--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -290,6 +290,9 @@
 			return e.Give.Fault.Run
 		}
 		ending, why := h.runLeg(ctx, ask, c, *e.Start, mine, s)
+		if ctx.Err() != nil || s.failed {
+			h.tell(deskwork.Event{Gone: c.ID})
+		}
 		h.tell(deskwork.Event{Ended: &deskwork.Ended{Call: c.ID, Leg: e.Start.Leg, Ending: ending}})
 		switch ending {
 		case deskwork.Done:
--- a/internal/desk/host.go
+++ b/internal/desk/host.go
@@ -202,6 +202,10 @@
 func (h *Host) hand(id string, e deskwork.Effect) {
 	c := h.waiting[id]
 	if c == nil {
+		if e.Start != nil {
+			h.step(deskwork.Event{Gone: id})
+			h.step(deskwork.Event{Ended: &deskwork.Ended{Call: id, Leg: e.Start.Leg, Ending: deskwork.Unsent}})
+		}
 		return
 	}
 	if e.Give != nil {
--- a/proofs/shop/input_test.go
+++ b/proofs/shop/input_test.go
@@ -1,11 +1,15 @@
 package shop
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"petreltide/internal/fault"
 	"petreltide/internal/standing"
@@ -40,6 +44,7 @@
 func TestInterfacesAndBadInput(t *testing.T) {
 	s := open(t)
 	t.Run("callers", func(t *testing.T) { callersInput(t, s) })
+	t.Run("hang-ups", func(t *testing.T) { hangUps(t, s) })
 	t.Run("replicas", func(t *testing.T) { replicaInput(t, s) })
 	t.Run("platform", func(t *testing.T) { platformInput(t, s) })
 	t.Run("keys", func(t *testing.T) { keysInput(t, s) })
@@ -95,6 +100,53 @@
 	}
 }
 
+// Callers that hang up, waiting or in the middle, leave no slot taken: 64 that did so at once
+// once took every share of a desk for good.
+func hangUps(t *testing.T, s *Shop) {
+	var group sync.WaitGroup
+	for i := 0; i < 60; i++ {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			ctx, done := context.WithTimeout(context.Background(), time.Duration(1+i/2)*time.Millisecond)
+			defer done()
+			body := fmt.Sprintf(`{"kind":"%s","model":"m%d","prompt":"hang up %d","mostOut":40}`, []string{"pages", "letters", "fixes"}[i%3], i%4, i)
+			req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Desks[i%2]+"/v1/calls", strings.NewReader(body))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			if res, err := http.DefaultClient.Do(req); err == nil {
+				_, _ = io.Copy(io.Discard, res.Body)
+				_ = res.Body.Close()
+			}
+		}()
+	}
+	group.Wait()
+	for _, addr := range s.Desks {
+		last := ""
+		if err := Until("every slot is free", func() bool {
+			var st struct {
+				Work struct {
+					Calls    int            `json:"calls"`
+					InFlight map[string]int `json:"inFlight"`
+				} `json:"work"`
+			}
+			_, _, body, err := Do(http.MethodGet, "http://"+addr+"/v1/status", "")
+			if err != nil || json.Unmarshal([]byte(body), &st) != nil {
+				return false
+			}
+			last = fmt.Sprint(st.Work)
+			for _, n := range st.Work.InFlight {
+				st.Work.Calls += n
+			}
+			return st.Work.Calls == 0
+		}); err != nil {
+			t.Error(err, last)
+		}
+	}
+}
+
 func replicaInput(t *testing.T, s *Shop) {
 	naughty := func(what string) {
 		for _, addr := range s.Presses {
