--- /dev/null
+++ b/internal/liaison/liaison_test.go
@@ -0,0 +1,63 @@
+package liaison
+
+import (
+	"testing"
+
+	"petreltide/internal/chain"
+	"petreltide/internal/clock"
+	"petreltide/internal/standing"
+	"petreltide/internal/wire"
+)
+
+func met(t *testing.T) (*Liaison, int64) {
+	t.Helper()
+	l := New(Options{Desk: "d", Inc: "i", Addr: "d:1", Seeds: []string{"s1:1", "s2:1"}})
+	seat := chain.Seat{Member: chain.Member{ID: "o1", Addr: "o1:1"}, Inc: "x"}
+	follows := 0
+	for _, e := range l.Step(Event{NowUs: clock.Sec, Where: &wire.Where{View: chain.View{Number: 1, Order: []chain.Seat{seat}}, Offices: []chain.Member{seat.Member}}}) {
+		if e.Follow != nil {
+			follows++
+		}
+	}
+	if follows != 1 {
+		t.Fatal("the tail is not followed once it is known")
+	}
+	return l, clock.Sec
+}
+
+func TestNewsThatSkipsADeclarationIsNotTaken(t *testing.T) {
+	l, now := met(t)
+	l.Step(Event{NowUs: now + 1, News: &wire.News{Number: 5, Revision: 1, Doc: &standing.Declaration{Name: "one"}}})
+	took, again := false, false
+	for _, e := range l.Step(Event{NowUs: now + clock.Sec, News: &wire.News{Number: 6, Revision: 2}}) {
+		took = took || e.Snapshot != nil
+		again = again || e.Follow != nil
+	}
+	if took || !again {
+		t.Fatalf("took %v, followed anew %v", took, again)
+	}
+}
+
+func TestLeaseIsCountedFromWhenItWasAskedFor(t *testing.T) {
+	l, now := met(t)
+	l.Step(Event{NowUs: now + 1, News: &wire.News{Number: 5, View: 3}})
+	var untilUs int64
+	for _, e := range l.Step(Event{NowUs: now + clock.Sec, Lease: &wire.Lease{OK: true, View: 3, SentUs: now, LeaseUs: 1_200_000}}) {
+		untilUs = max(untilUs, e.LeaseUs)
+	}
+	if untilUs != now+1_200_000-leaseCutUs {
+		t.Fatalf("until %d", untilUs)
+	}
+	for _, e := range l.Step(Event{NowUs: now + clock.Sec, Lease: &wire.Lease{OK: true, View: 2, SentUs: now + clock.Sec, LeaseUs: 1_200_000}}) {
+		if e.LeaseUs != 0 {
+			t.Fatal("a lease of a lower view was taken")
+		}
+	}
+}
+
+func TestSeedsAreOnlyAFirstContact(t *testing.T) {
+	l, _ := met(t)
+	if got := l.Offices(); got[0] != "o1:1" {
+		t.Fatalf("asks %v first", got)
+	}
+}
--- a/proofs/sim/desks.go
+++ b/proofs/sim/desks.go
@@ -34,6 +34,7 @@
 	leg    string
 	stop   func()
 	keyed  bool
+	hung   bool
 	ranRun string
 	done   func(rules.Told)
 }
@@ -76,6 +77,9 @@
 		if c.stop != nil {
 			c.stop()
 		}
+		if c.hung {
+			continue
+		}
 		c.told.Broken, c.told.Code, c.told.Run = true, "cut", fault.RunUnknown
 		d.sim.finish(c)
 	}
@@ -190,7 +194,25 @@
 		}
 		d.keyChange(c, end)
 	}
+	if !c.hung {
+		d.sim.finish(c)
+	}
+}
+
+// hangUp is a caller that goes away, waiting or in the middle of a stream.
+func (d *deskNode) hangUp(c *callState) {
+	if d.calls[c.call.ID] != c || c.hung {
+		return
+	}
+	c.hung = true
+	c.told.Broken, c.told.Code, c.told.Run = true, "hung up", fault.RunUnknown
+	c.done = nil
 	d.sim.finish(c)
+	running := c.leg != "" && c.stop != nil
+	d.step(deskwork.Event{Gone: c.call.ID})
+	if !running {
+		d.over(c)
+	}
 }
 
 func (d *deskNode) keyChange(c *callState, end string) {
@@ -405,6 +427,11 @@
 		e = deskwork.Unsent
 	}
 	final := false
+	if c.hung {
+		d.over(c)
+		ended(e)
+		return
+	}
 	switch e {
 	case deskwork.Done:
 		c.told.Ended, c.told.EndCount = true, c.told.Had+len(c.told.Pieces)
@@ -456,6 +483,9 @@
 	}
 	enter := func() {
 		d.calls[c.call.ID] = c
+		if s.r.Intn(40) == 0 {
+			d.later(s.r.Int63n(600*ms), func() { d.hangUp(c) })
+		}
 		d.step(deskwork.Event{Arrived: c.call})
 	}
 	if t.Key == "" || kind.Resumable {
--- a/proofs/sim/sim.go
+++ b/proofs/sim/sim.go
@@ -273,6 +273,7 @@
 			ok = ok && s.runUntil(fromUs+12*sec)
 			if ok {
 				s.judgeService(fromUs, fromUs+3*sec)
+				s.judgeSlots()
 				s.ops.judge()
 			}
 		}
@@ -300,6 +301,8 @@
 			all++
 			if t.Ended {
 				well++
+			} else if t.Code == "hung up" {
+				all--
 			} else {
 				codes[t.Code]++
 			}
@@ -310,6 +313,19 @@
 	}
 }
 
+// judgeSlots: when every caller has had its answer, no desk may think that a leg still runs.
+func (s *Sim) judgeSlots() {
+	for _, d := range s.desks {
+		busy := 0
+		for _, n := range d.decider.Note().InFlight {
+			busy += n
+		}
+		if busy > 0 && len(d.calls) == 0 {
+			s.watch.Break(rules.PoorService, "%s keeps %d slots for nobody", d.name, busy)
+		}
+	}
+}
+
 func (s *Sim) settled() bool {
 	held := map[string]bool{}
 	for _, p := range s.presses {
