Compare policies in the simulator, paired by seed, with honest spreads

Cause: the testbed's own purpose was missing; two policies could only be swapped. Ruled out: comparing on a live run alone, where demand and faults never repeat. Before: none. Conclusion: compare stands; live windows are still to come.

--- /dev/null
+++ b/proofs/sim/compare.go
@@ -0,0 +1,161 @@
+package sim
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"sync"
+
+	"petreltide/internal/standing"
+	"petreltide/proofs/rules"
+	"petreltide/proofs/weigh"
+)
+
+type Contest struct {
+	Doc      *standing.Declaration
+	Policies []standing.Policy
+	Seeds    []int64
+	SpanUs   int64
+	PerSec   float64
+	Faults   int
+	Desks    int
+	Replicas int
+}
+
+type Figure struct {
+	Kind   string
+	What   string
+	Unit   string
+	Values map[string][]float64
+}
+
+// Hold plays every policy on the same demand and faults, seed by seed, and returns each figure
+// in the order of the seeds.
+func Hold(c Contest) ([]Figure, []rules.Breach) {
+	type cell struct {
+		policy string
+		seed   int
+		out    Outcome
+	}
+	cells := make([]cell, 0, len(c.Policies)*len(c.Seeds))
+	for _, p := range c.Policies {
+		for i := range c.Seeds {
+			cells = append(cells, cell{policy: p.Name, seed: i})
+		}
+	}
+	var group sync.WaitGroup
+	slots := make(chan struct{}, 8)
+	for i := range cells {
+		policy := c.Policies[i/len(c.Seeds)]
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			doc := clone(*c.Doc)
+			doc.Policy, doc.Shadows = policy, nil
+			seed := c.Seeds[cells[i].seed]
+			cells[i].out = Play(Plan{Seed: seed, Offices: 3, Desks: c.Desks, Replicas: c.Replicas, SpanUs: c.SpanUs, PerSec: c.PerSec,
+				Faults: contestFaults(seed, c.Faults, c.SpanUs), Doc: &doc, Declared: true})
+		}()
+	}
+	group.Wait()
+	var breaches []rules.Breach
+	byKey := map[string]*Figure{}
+	keys := []string{}
+	put := func(kind, what, unit, policy string, seed int, value float64) {
+		key := kind + "|" + what
+		f := byKey[key]
+		if f == nil {
+			f = &Figure{Kind: kind, What: what, Unit: unit, Values: map[string][]float64{}}
+			byKey[key] = f
+			keys = append(keys, key)
+		}
+		if f.Values[policy] == nil {
+			f.Values[policy] = make([]float64, len(c.Seeds))
+		}
+		f.Values[policy][seed] = value
+	}
+	for _, cell := range cells {
+		breaches = append(breaches, cell.out.Breaches...)
+		for _, k := range c.Doc.Kinds {
+			firsts := []float64{}
+			counts := map[string]float64{}
+			for _, t := range cell.out.Told {
+				if t.Kind != k.Name || t.Code == "hung up" {
+					continue
+				}
+				counts["calls"]++
+				switch {
+				case t.Ended:
+					counts["ended"]++
+					firsts = append(firsts, float64(t.FirstUs-t.StartUs)/1000)
+				case t.Code == "expired":
+					counts["expired"]++
+				case t.Run == "none":
+					counts["refused"]++
+				default:
+					counts["broken"]++
+				}
+			}
+			sort.Float64s(firsts)
+			at := func(p float64) float64 {
+				if len(firsts) == 0 {
+					return 0
+				}
+				return firsts[min(len(firsts)-1, int(float64(len(firsts))*p))]
+			}
+			put(k.Name, "first piece p50", "ms", cell.policy, cell.seed, at(0.5))
+			put(k.Name, "first piece p95", "ms", cell.policy, cell.seed, at(0.95))
+			for _, what := range []string{"ended", "expired", "refused", "broken"} {
+				put(k.Name, what, "% of calls", cell.policy, cell.seed, 100*counts[what]/max(1, counts["calls"]))
+			}
+		}
+		put("layout", "loads", "", cell.policy, cell.seed, float64(cell.out.Loads))
+		put("layout", "loaded", "GB", cell.policy, cell.seed, float64(cell.out.LoadMb)/1024)
+	}
+	figures := []Figure{}
+	for _, key := range keys {
+		figures = append(figures, *byKey[key])
+	}
+	return figures, breaches
+}
+
+// contestFaults are those a policy can answer: replicas lost, noticed and replaced, and crowds.
+func contestFaults(seed int64, count int, spanUs int64) []Fault {
+	faults := []Fault{}
+	if count == 0 {
+		return faults
+	}
+	for _, f := range Draw(seed, count, spanUs) {
+		f.Kind = []string{"crash-replica", "notice", "crowd", "notice"}[f.B%4]
+		faults = append(faults, f)
+	}
+	return faults
+}
+
+// Report writes the figures of each policy beside the first one's, and says where the spread of
+// the paired differences leaves no difference to be seen.
+func Report(w io.Writer, c Contest, figures []Figure) {
+	first := c.Policies[0].Name
+	for _, p := range c.Policies[1:] {
+		fmt.Fprintf(w, "%s against %s, %d paired seeds\n", p.Name, first, len(c.Seeds))
+		fmt.Fprintf(w, "%-16s %-16s %10s %10s   %s\n", "kind", "figure", first, p.Name, "difference (19 times in 20)")
+		for _, f := range figures {
+			d := weigh.Paired(f.Values[first], f.Values[p.Name])
+			said := "no difference seen"
+			if d.Seen() {
+				said = fmt.Sprintf("%+.1f (%+.1f to %+.1f) %s", d.Mean, d.Low, d.High, f.Unit)
+			}
+			fmt.Fprintf(w, "%-16s %-16s %10.1f %10.1f   %s\n", f.Kind, f.What, mean(f.Values[first]), mean(f.Values[p.Name]), said)
+		}
+	}
+}
+
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += v / float64(len(values))
+	}
+	return sum
+}
--- /dev/null
+++ b/proofs/sim/compare_test.go
@@ -0,0 +1,66 @@
+package sim
+
+import (
+	"strings"
+	"testing"
+
+	"petreltide/examples"
+	"petreltide/internal/standing"
+	"petreltide/proofs/weigh"
+)
+
+const drowsy = `
+def propose(fleet):
+    for m in fleet["models"]:
+        if fleet["models"][m]["waiting"] > 6 and not [r for r in fleet["replicas"] if m in r["holds"] or r["loading"] == m]:
+            for r in fleet["replicas"]:
+                if r["usable"] and not r["busy"] and r["free"] >= fleet["models"][m]["size"]:
+                    return [{"step": "load", "replica": r["id"], "unit": m}]
+    return []
+`
+
+func contest(policies ...standing.Policy) Contest {
+	return Contest{Doc: Doc(), Policies: policies, Seeds: []int64{1, 2, 3, 4, 5}, SpanUs: 15 * sec, PerSec: 30, Faults: 2, Desks: 2, Replicas: 5}
+}
+
+func seen(figures []Figure, a, b string) []string {
+	found := []string{}
+	for _, f := range figures {
+		if weigh.Paired(f.Values[a], f.Values[b]).Seen() {
+			found = append(found, f.Kind+" "+f.What)
+		}
+	}
+	return found
+}
+
+func TestAPolicyDoesNotDifferFromItself(t *testing.T) {
+	c := contest(standing.Policy{Name: "steady", Source: examples.Steady}, standing.Policy{Name: "steady-again", Source: examples.Steady})
+	figures, breaches := Hold(c)
+	if len(breaches) > 0 {
+		t.Fatal(breaches)
+	}
+	if found := seen(figures, "steady", "steady-again"); len(found) > 0 {
+		t.Fatalf("differs from itself in %v", found)
+	}
+	var text strings.Builder
+	Report(&text, c, figures)
+	if n := strings.Count(text.String(), "no difference seen"); n != len(figures) {
+		t.Fatalf("%d of %d figures say so:\n%s", n, len(figures), text.String())
+	}
+}
+
+func TestAPlantedWorsePolicyIsFound(t *testing.T) {
+	c := contest(standing.Policy{Name: "steady", Source: examples.Steady}, standing.Policy{Name: "drowsy", Source: drowsy})
+	figures, breaches := Hold(c)
+	if len(breaches) > 0 {
+		t.Fatal(breaches)
+	}
+	for _, f := range figures {
+		if f.What != "first piece p95" || f.Kind != "fixes" {
+			continue
+		}
+		if d := weigh.Paired(f.Values["steady"], f.Values["drowsy"]); !d.Seen() || d.Mean <= 0 {
+			t.Fatalf("a policy that loads only under a backlog is not found: %+v", d)
+		}
+	}
+}
--- a/proofs/sim/faults.go
+++ b/proofs/sim/faults.go
@@ -148,7 +148,7 @@
 		s.endPress(p)
 		fresh := s.addPress(id, zone)
 		fresh.addr = addr
-		s.plat.Set(wire.Listed{ID: id, Addr: addr, Zone: zone, RoomMb: s.plan.Doc.Replica.RoomMb, Slots: 8, State: wire.ListedReady})
+		s.plat.Set(wire.Listed{ID: id, Addr: addr, Zone: zone, RoomMb: s.plan.Doc.Replica.RoomMb, Slots: s.slots(), State: wire.ListedReady})
 	case "dark-replica":
 		for _, name := range s.names() {
 			if name != p.name {
@@ -253,7 +253,7 @@
 	if !p.up {
 		return
 	}
-	s.plat.Set(wire.Listed{ID: p.name, Addr: p.addr, Zone: p.zone, RoomMb: s.plan.Doc.Replica.RoomMb, Slots: 8, State: wire.ListedDraining, LeftMs: leftUs / 1000})
+	s.plat.Set(wire.Listed{ID: p.name, Addr: p.addr, Zone: p.zone, RoomMb: s.plan.Doc.Replica.RoomMb, Slots: s.slots(), State: wire.ListedDraining, LeftMs: leftUs / 1000})
 	var learned func()
 	learned = func() {
 		if toldUs := s.plat.ToldUs()[p.name]; toldUs != 0 {
--- a/proofs/sim/operators.go
+++ b/proofs/sim/operators.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
-	"os"
 
+	"petreltide/examples"
 	"petreltide/internal/deskwork"
 	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
@@ -12,18 +12,6 @@
 	"petreltide/proofs/rules"
 )
 
-var steady = readPolicy("steady")
-var chaser = readPolicy("chaser")
-
-func readPolicy(name string) string {
-	for _, folder := range []string{"../../examples/policies/", "../examples/policies/", "examples/policies/"} {
-		if raw, err := os.ReadFile(folder + name + ".star"); err == nil {
-			return string(raw)
-		}
-	}
-	panic("no policy " + name)
-}
-
 // operators send whole configurations, some racing each other, and remember what they were told.
 type operators struct {
 	sim        *Sim
@@ -121,9 +109,9 @@
 	}
 	switch op {
 	case 0:
-		d.Policy = standing.Policy{Name: "chaser", Source: chaser}
+		d.Policy = standing.Policy{Name: "chaser", Source: examples.Chaser}
 		if p.doc.Policy.Name == "chaser" {
-			d.Policy = standing.Policy{Name: "steady", Source: steady}
+			d.Policy = standing.Policy{Name: "steady", Source: examples.Steady}
 		}
 		p.send(base, &d, func(wire.Result, bool) {})
 	case 1:
--- a/proofs/sim/sim.go
+++ b/proofs/sim/sim.go
@@ -7,6 +7,7 @@
 	"math/rand"
 	"sort"
 
+	"petreltide/examples"
 	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 	"petreltide/proofs/platform"
@@ -32,7 +33,7 @@
 	Ops      []int
 	Doc      *standing.Declaration
 	Plant    string
-	NoMoves  bool
+	Declared bool
 }
 
 type item struct {
@@ -158,7 +159,7 @@
 			{Name: "letters", Urgency: 5, ExpiryMs: 15_000},
 			{Name: "fixes", Urgency: 8, ExpiryMs: 8_000},
 		},
-		Policy: standing.Policy{Name: "steady", Source: steady},
+		Policy: standing.Policy{Name: "steady", Source: examples.Steady},
 	}
 	for i := 0; i < 8; i++ {
 		m := standing.Model{Name: fmt.Sprintf("m%d", i), SizeMb: 300 + int64(i)*100, LoadMs: 300, Weight: 8 - i}
@@ -278,8 +279,15 @@
 			}
 		}
 	}
+	return s.outcome()
+}
+
+func (s *Sim) outcome() Outcome {
 	out := Outcome{Breaches: s.watch.Breaches, Calls: len(s.told), Told: s.told, Events: s.events, Log: s.Log, Codes: map[string]int{}}
 	for _, f := range s.plat.Store.Fetches {
+		if s.plan.Declared && f.AtUs < warmUs {
+			continue
+		}
 		out.Loads++
 		out.LoadMb += f.SizeMb
 	}
@@ -293,6 +301,25 @@
 	return out
 }
 
+const warmUs = 25 * sec
+
+// Play runs demand over faults from a fixed moment on, for comparing: the same seed gives every
+// policy the same calls at the same times, whatever the policy does with them.
+func Play(plan Plan) Outcome {
+	s := New(plan)
+	s.ops.first()
+	ok := s.runUntil(warmUs)
+	s.demand(warmUs + plan.SpanUs)
+	for _, f := range plan.Faults {
+		fault := f
+		s.at(warmUs+fault.AtUs, func() { s.cause(fault) })
+	}
+	if ok {
+		s.runUntil(warmUs + plan.SpanUs + 20*sec)
+	}
+	return s.outcome()
+}
+
 func (s *Sim) judgeService(fromUs, toUs int64) {
 	all, well := 0, 0
 	codes := map[string]int{}
@@ -392,6 +419,13 @@
 	alive map[string]bool
 }
 
+func (s *Sim) slots() int {
+	if s.plan.Declared {
+		return 16
+	}
+	return 8
+}
+
 func (s *Sim) addPress(id, zone string) *pressNode {
 	p := s.presses[id]
 	boot := 1
@@ -403,10 +437,15 @@
 	if s.plan.Plant == "narrow" {
 		roomMb /= 3
 	}
+	firstUs, partUs, pieceUs, slots := 15*ms, 8*ms, 6*ms, s.slots()
+	loadUs := func(sizeMb int64) int64 { return 50*ms + sizeMb*300 }
+	if s.plan.Declared {
+		firstUs, partUs, pieceUs = 60*ms, 40*ms, 25*ms
+		loadUs = func(int64) int64 { return 0 }
+	}
 	p = &pressNode{machine: machine{sim: s, name: id, addr: fmt.Sprintf("%s:%d", id, boot), up: true, boot: boot}, zone: zone, inc: s.newInc(), alive: map[string]bool{}}
 	p.core = press.NewCore(press.Options{
-		ID: id, Inc: p.inc, Zone: zone, RoomMb: roomMb, Slots: 8, FirstUs: 15 * ms, PartUs: 8 * ms, PieceUs: 6 * ms, Fetch: true,
-		LoadUs: func(sizeMb int64) int64 { return 50*ms + sizeMb*300 },
+		ID: id, Inc: p.inc, Zone: zone, RoomMb: roomMb, Slots: slots, FirstUs: firstUs, PartUs: partUs, PieceUs: pieceUs, Fetch: true, LoadUs: loadUs,
 		Journal: func(l press.Line) {
 			switch {
 			case l.Run != nil:
@@ -419,7 +458,7 @@
 		},
 	})
 	s.presses[id] = p
-	s.plat.Set(wire.Listed{ID: id, Addr: p.addr, Zone: zone, RoomMb: s.plan.Doc.Replica.RoomMb, Slots: 8, State: wire.ListedReady})
+	s.plat.Set(wire.Listed{ID: id, Addr: p.addr, Zone: zone, RoomMb: s.plan.Doc.Replica.RoomMb, Slots: slots, State: wire.ListedReady})
 	p.beat()
 	return p
 }
@@ -443,6 +482,9 @@
 		s.watch.Break(rules.OverStore, "%s", b)
 	}
 	holdUs := p.core.LoadUs(o.Ticket.SizeMb)
+	if _, loadMs, known := s.plan.Doc.UnitMb(o.Ticket.Unit); known && s.plan.Declared {
+		holdUs = loadMs * ms
+	}
 	if s.plan.Plant == "sluggish" && s.nowUs > 20*sec {
 		holdUs = 60 * sec
 	}
--- /dev/null
+++ b/proofs/weigh/weigh.go
@@ -0,0 +1,43 @@
+package weigh
+
+import "math"
+
+// Diff is the mean of paired differences b-a with the interval that holds it nineteen times in twenty.
+type Diff struct {
+	Mean, Low, High float64
+	Pairs           int
+}
+
+// Seen: the interval leaves zero out.
+func (d Diff) Seen() bool { return d.Pairs > 1 && (d.Low > 0 || d.High < 0) }
+
+// Student's t for 97.5% by degrees of freedom; beyond the list the normal value is near enough.
+var quantile = []float64{0, 12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228, 2.201, 2.179, 2.160, 2.145, 2.131,
+	2.120, 2.110, 2.101, 2.093, 2.086, 2.080, 2.074, 2.069, 2.064, 2.060, 2.056, 2.052, 2.048, 2.045, 2.042}
+
+func Paired(a, b []float64) Diff {
+	n := min(len(a), len(b))
+	d := Diff{Pairs: n}
+	if n == 0 {
+		return d
+	}
+	for i := 0; i < n; i++ {
+		d.Mean += (b[i] - a[i]) / float64(n)
+	}
+	if n == 1 {
+		d.Low, d.High = math.Inf(-1), math.Inf(1)
+		return d
+	}
+	sum := 0.0
+	for i := 0; i < n; i++ {
+		off := b[i] - a[i] - d.Mean
+		sum += off * off
+	}
+	t := 1.96
+	if n-1 < len(quantile) {
+		t = quantile[n-1]
+	}
+	half := t * math.Sqrt(sum/float64(n-1)/float64(n))
+	d.Low, d.High = d.Mean-half, d.Mean+half
+	return d
+}
--- /dev/null
+++ b/proofs/weigh/weigh_test.go
@@ -0,0 +1,36 @@
+package weigh
+
+import (
+	"math"
+	"math/rand"
+	"testing"
+)
+
+func TestPairedIntervalHoldsTheTruthAboutNineteenTimesInTwenty(t *testing.T) {
+	r := rand.New(rand.NewSource(7))
+	held, nothing := 0, 0
+	const rounds = 2000
+	for i := 0; i < rounds; i++ {
+		var a, b, c []float64
+		for j := 0; j < 8; j++ {
+			base := r.NormFloat64() * 50
+			a = append(a, base+r.NormFloat64())
+			b = append(b, base+2+r.NormFloat64())
+			c = append(c, base+r.NormFloat64())
+		}
+		if d := Paired(a, b); d.Low <= 2 && d.High >= 2 {
+			held++
+		}
+		if !Paired(a, c).Seen() {
+			nothing++
+		}
+	}
+	for _, n := range []int{held, nothing} {
+		if share := float64(n) / rounds; math.Abs(share-0.95) > 0.02 {
+			t.Fatalf("share %.3f, want about 0.95", share)
+		}
+	}
+	if Paired([]float64{1, 2, 3}, []float64{1, 2, 3}).Seen() || Paired([]float64{1}, []float64{9}).Seen() {
+		t.Fatal("a difference is seen where there is none, or only one pair")
+	}
+}
