Watch desks by ring-named nodes; refuse hopeless calls at once; one actor for both hosts

Cause: a dead desk kept its share of slots for 2.5 s; calls that could not be served waited for their expiry; desk and office repeated the same actor loop. Ruled out: shortening the report span alone (it accuses desks when the tail is slow). Before: 2.5 s to a dead desk's share.

--- a/cmd/petreltide/operators.go
+++ b/cmd/petreltide/operators.go
@@ -49,7 +49,7 @@
 		}
 		last = err
 	}
-	return answer{}, errors.Annotate(last, "no office answered")
+	return answer{}, fault.New(fault.NotServing, "office", "no office answered: %v", last)
 }
 
 func askOne(ctx context.Context, method, url string, body []byte) (answer, error) {
--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -16,8 +16,10 @@
 	"petreltide/internal/deskwork"
 	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
+	"petreltide/internal/liaison"
 	"petreltide/internal/office"
 	"petreltide/internal/pipe"
+	"petreltide/internal/watch"
 	"petreltide/internal/wire"
 )
 
@@ -50,6 +52,10 @@
 		}
 		return &wire.Where{}, nil
 	})
+	pipe.Serve(mux, pipe.BeatPath, func(_ context.Context, b *watch.Beat) (*wire.Receipt, error) {
+		h.tellLiaison(liaison.Event{Beat: b})
+		return &wire.Receipt{}, nil
+	})
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		refuse(w, http.StatusNotFound, fault.New(fault.NotFound, "path", "%s %s", r.Method, r.URL.Path))
 	})
@@ -447,7 +453,7 @@
 // settleLeg tells the replica that nobody waits any more and returns when it says the leg is
 // over, so that the slot is free when it is counted free.
 func (h *Host) settleLeg(st deskwork.Start) {
-	ctx, done := context.WithTimeout(h.ctx, cancelWait)
+	ctx, done := context.WithTimeout(h.act.Ctx, cancelWait)
 	defer done()
 	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+st.Addr+"/v1/legs/"+legNumber(st.Leg)+"?inc="+st.Inc, nil)
 	if err != nil {
@@ -492,9 +498,9 @@
 func (h *Host) keyChange(key string, c *deskwork.Call, end string) {
 	change := ledger.Change{ID: "key-" + end + "-" + c.ID, Key: &ledger.KeyChange{Key: key, Desk: h.set.Name, DeskInc: h.inc, Call: c.ID, End: end, Free: end == ""}}
 	h.calls.Add(1)
-	h.spawn(func() {
+	h.act.Spawn(func() {
 		defer h.calls.Add(-1)
-		if _, err := h.Submit(h.ctx, change); err != nil {
+		if _, err := h.Submit(h.act.Ctx, change); err != nil {
 			_ = h.log.Log("event", "key end not recorded", "call", c.ID, "end", end, "err", err)
 		}
 	})
--- a/internal/desk/host.go
+++ b/internal/desk/host.go
@@ -4,13 +4,13 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/juju/errors"
 
+	"petreltide/internal/actor"
 	"petreltide/internal/chain"
 	"petreltide/internal/clock"
 	"petreltide/internal/deskwork"
@@ -21,6 +21,7 @@
 	"petreltide/internal/pipe"
 	"petreltide/internal/settings"
 	"petreltide/internal/spike"
+	"petreltide/internal/watch"
 	"petreltide/internal/wire"
 )
 
@@ -47,14 +48,12 @@
 	drain   atomic.Bool
 	calls   atomic.Int64
 
-	mailbox  chan func()
+	act      *actor.Actor
+	lastUs   int64
 	waiting  map[string]*caller
 	where    atomic.Pointer[wire.Where]
 	liaison  *liaison.Liaison
 	unfollow context.CancelFunc
-	ctx      context.Context
-	stop     context.CancelFunc
-	group    sync.WaitGroup
 }
 
 type caller struct {
@@ -81,16 +80,14 @@
 
 func Open(set settings.Desk, ring *spike.Ring) *Host {
 	inc := office.RandomID(6)
-	ctx, stop := context.WithCancel(context.Background())
 	legs := pipe.Client(400)
 	legs.Transport.(*http.Transport).DisableKeepAlives = true
 	legs.Transport.(*http.Transport).ExpectContinueTimeout = askedWait
 	return &Host{
 		set: set, inc: inc, ring: ring, log: ring.Logger("desk", set.Name), inner: pipe.Client(400), legs: legs,
 		decider: deskwork.New(deskwork.Options{Desk: set.Name, Inc: inc, BacklogMax: set.BacklogMax}),
-		mailbox: make(chan func(), mailboxMost), waiting: map[string]*caller{},
+		act:     actor.New(mailboxMost), waiting: map[string]*caller{},
 		liaison: liaison.New(liaison.Options{Desk: set.Name, Inc: inc, Addr: set.Listen, Zone: set.Zone, Seeds: set.Seeds}),
-		ctx:     ctx, stop: stop,
 	}
 }
 
@@ -102,7 +99,7 @@
 	}
 	server := &http.Server{Handler: h.handler(), ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = server.Serve(listener) }()
-	h.spawn(h.loop)
+	h.act.Spawn(func() { h.act.Loop(tickEvery, h.tick) })
 	<-ctx.Done()
 	h.drain.Store(true)
 	h.tell(deskwork.Event{Drain: true})
@@ -122,66 +119,28 @@
 	closing, done := context.WithTimeout(context.Background(), 2*time.Second)
 	defer done()
 	err = server.Shutdown(closing)
-	h.stop()
 	_ = server.Close()
-	h.group.Wait()
+	h.act.End()
 	if err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return errors.Trace(err)
 	}
 	return nil
 }
 
-func (h *Host) spawn(run func()) {
-	h.group.Add(1)
-	go func() {
-		defer h.group.Done()
-		run()
-	}()
-}
-
-func (h *Host) loop() {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	lastUs := clock.NowUs()
-	for {
-		select {
-		case <-h.ctx.Done():
-			return
-		case act := <-h.mailbox:
-			act()
-		case <-ticker.C:
-			h.step(deskwork.Event{})
-			h.liaise(liaison.Event{})
-		}
-		nowUs := clock.NowUs()
-		if nowUs-lastUs > gapUs {
-			_ = h.log.Log("event", "woke after a gap", "gapMs", (nowUs-lastUs)/1000)
-		}
-		lastUs = nowUs
+// tick also notes when this process woke after a gap: its lease has run out by itself.
+func (h *Host) tick() {
+	nowUs := clock.NowUs()
+	if h.lastUs > 0 && nowUs-h.lastUs > gapUs {
+		_ = h.log.Log("event", "woke after a gap", "gapMs", (nowUs-h.lastUs)/1000)
 	}
+	h.lastUs = nowUs
+	h.step(deskwork.Event{})
+	h.liaise(liaison.Event{})
 }
 
-func (h *Host) tell(ev deskwork.Event) {
-	select {
-	case h.mailbox <- func() { h.step(ev) }:
-	case <-h.ctx.Done():
-	}
-}
+func (h *Host) tell(ev deskwork.Event) { h.act.Tell(func() { h.step(ev) }) }
 
-func (h *Host) ask(act func()) bool {
-	done := make(chan struct{})
-	select {
-	case h.mailbox <- func() { act(); close(done) }:
-	case <-h.ctx.Done():
-		return false
-	}
-	select {
-	case <-done:
-		return true
-	case <-h.ctx.Done():
-		return false
-	}
-}
+func (h *Host) ask(act func()) bool { return h.act.Ask(h.act.Ctx, act) }
 
 func (h *Host) step(ev deskwork.Event) {
 	ev.NowUs = clock.NowUs()
@@ -220,21 +179,28 @@
 		switch {
 		case e.AskWhere != nil:
 			for _, addr := range e.AskWhere {
-				h.spawn(func() { h.askWhere(addr) })
+				h.act.Spawn(func() { h.askWhere(addr) })
 			}
 		case e.Follow != nil:
 			if h.unfollow != nil {
 				h.unfollow()
 			}
-			ctx, done := context.WithCancel(h.ctx)
+			ctx, done := context.WithCancel(h.act.Ctx)
 			h.unfollow = done
 			follow := *e.Follow
-			h.spawn(func() { h.follow(ctx, follow) })
+			h.act.Spawn(func() { h.follow(ctx, follow) })
 		case e.Report != nil:
 			report := h.decider.Report(ev.NowUs)
-			report.Addr, report.Zone = h.set.Listen, h.set.Zone
+			report.Addr, report.Zone, report.Silent = h.set.Listen, h.set.Zone, h.liaison.Silent(ev.NowUs)
 			tail := *e.Report
-			h.spawn(func() { h.report(tail, report) })
+			h.act.Spawn(func() { h.report(tail, report) })
+		case e.Beats != nil:
+			for _, n := range e.Beats {
+				h.act.Spawn(func() { h.beat(n.Addr, watch.Beat{ID: h.set.Name}) })
+			}
+			for _, n := range e.Farewells {
+				h.act.Spawn(func() { h.beat(n.Addr, watch.Beat{ID: h.set.Name, Last: true}) })
+			}
 		case e.Snapshot != nil:
 			h.snap.Store(e.Snapshot)
 			h.step(deskwork.Event{Snapshot: e.Snapshot})
@@ -247,15 +213,16 @@
 	h.where.Store(&where)
 }
 
-func (h *Host) tellLiaison(ev liaison.Event) {
-	select {
-	case h.mailbox <- func() { h.liaise(ev) }:
-	case <-h.ctx.Done():
-	}
+func (h *Host) tellLiaison(ev liaison.Event) { h.act.Tell(func() { h.liaise(ev) }) }
+
+func (h *Host) beat(addr string, b watch.Beat) {
+	ctx, done := context.WithTimeout(h.act.Ctx, time.Duration(watch.BeatUs)*time.Microsecond)
+	defer done()
+	_, _ = pipe.NewCaller[watch.Beat, wire.Receipt](h.inner, addr, pipe.BeatPath).Call(ctx, &b)
 }
 
 func (h *Host) askWhere(addr string) {
-	ctx, done := context.WithTimeout(h.ctx, 400*time.Millisecond)
+	ctx, done := context.WithTimeout(h.act.Ctx, 400*time.Millisecond)
 	defer done()
 	w, err := pipe.NewCaller[wire.WhereAsk, wire.Where](h.inner, addr, pipe.WherePath).Call(ctx, &wire.WhereAsk{})
 	if err == nil {
@@ -279,7 +246,7 @@
 
 // report tells the tail what this desk has taken and what it holds, and brings back the lease.
 func (h *Host) report(tail chain.Seat, report wire.Report) {
-	ctx, done := context.WithTimeout(h.ctx, 600*time.Millisecond)
+	ctx, done := context.WithTimeout(h.act.Ctx, 600*time.Millisecond)
 	defer done()
 	lease, err := pipe.NewCaller[wire.Report, wire.Lease](h.inner, tail.Addr, pipe.AckPath).Call(ctx, &report)
 	if err == nil && lease.SentUs == report.SentUs {
--- a/internal/deskwork/decider.go
+++ b/internal/deskwork/decider.go
@@ -331,9 +331,35 @@
 		d.give(c, fault.Overloaded, "the backlog is full", d.RetryMs())
 		return
 	}
+	if waitUs := d.waitUs(c); d.nowUs+waitUs > c.ExpiryUs {
+		d.give(c, fault.Overloaded, fmt.Sprintf("about %d ms of waiting lie before its expiry", waitUs/1000), d.RetryMs())
+		return
+	}
 	d.enqueue(c)
 }
 
+// waitUs is how long a call of this kind may wait: the calls of its kind before it, at the pace
+// its kind's weight gets of all slots while others wait too.
+func (d *Decider) waitUs(c *Call) int64 {
+	ahead := len(d.kind(c.Kind).waiting)
+	if ahead == 0 || d.serviceUs == 0 || d.snap == nil {
+		return 0
+	}
+	slots := 0
+	for _, r := range d.snap.Replicas {
+		slots += r.Share
+	}
+	whole := 0
+	for _, k := range d.kinds {
+		if len(k.waiting) > 0 {
+			whole += weight(k.waiting[0])
+		}
+	}
+	return int64(float64(ahead) * d.serviceUs / float64(max(slots, 1)) * float64(whole) / float64(weight(c)))
+}
+
+func weight(c *Call) int { return max(1, c.Urgency*c.Urgency) }
+
 // makeRoom gives up the latest-expiring call of the kind that most exceeds its share, if the
 // newcomer's kind is below its own.
 func (d *Decider) makeRoom(c *Call) bool {
@@ -513,7 +539,7 @@
 	return p
 }
 
-// dispatch shares the free slots between kinds by stride: urgency is the weight, and a kind
+// dispatch shares the free slots between kinds by stride: urgency squared is the weight, and a kind
 // that waits always comes round, however rare it is.
 func (d *Decider) dispatch() {
 	if d.waiting == 0 || d.snap == nil || d.snap.Doc == nil || d.nowUs >= d.leaseUs {
@@ -529,7 +555,7 @@
 			if c, replica, why := d.placeable(k, hopeless); c != nil {
 				d.start(c, replica, why)
 				d.passNow = max(d.passNow, k.pass)
-				k.pass += 1 / float64(max(1, c.Urgency))
+				k.pass += 1 / float64(weight(c))
 				started = true
 				break
 			}
--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -11,6 +11,7 @@
 	"petreltide/internal/imposition"
 	"petreltide/internal/ledger"
 	"petreltide/internal/standing"
+	"petreltide/internal/watch"
 	"petreltide/internal/wire"
 )
 
@@ -25,6 +26,7 @@
 	shareEveryUs  = 400 * clock.Ms
 	darkAfterUs   = 1500 * clock.Ms
 	deskLiveUs    = 2500 * clock.Ms
+	reportLateUs  = 600 * clock.Ms
 	deskGoneUs    = 15 * clock.Sec
 	writeLostUs   = 2 * clock.Sec
 	emptyListMost = 8
@@ -41,6 +43,7 @@
 	Told    *Told
 	Ordered *Ordered
 	Report  *wire.Report
+	Silence *watch.Silence
 	Policy  *PolicyDone
 	Wrote   *ledger.Outcome
 }
@@ -136,6 +139,7 @@
 	stales    int
 	replicas  map[string]*told
 	desks     map[string]*deskRow
+	jury      *watch.Jury
 	bucket    imposition.Bucket
 	issuingMb int64
 	orderUs   map[uint64]int64
@@ -167,7 +171,7 @@
 func New(me string) *Foreman {
 	return &Foreman{
 		me: me, replicas: map[string]*told{}, desks: map[string]*deskRow{},
-		orderUs: map[uint64]int64{}, Faults: map[fault.Code]uint64{},
+		jury: watch.NewJury(), orderUs: map[uint64]int64{}, Faults: map[fault.Code]uint64{},
 	}
 }
 
@@ -178,6 +182,7 @@
 }
 
 type DeskNote struct {
+	Silent   bool               `json:"silent,omitempty"`
 	Desk     string             `json:"desk"`
 	Zone     string             `json:"zone"`
 	Addr     string             `json:"addr"`
@@ -190,7 +195,7 @@
 	notes := []DeskNote{}
 	for _, id := range sorted(f.desks) {
 		d := f.desks[id]
-		notes = append(notes, DeskNote{id, d.report.Zone, d.report.Addr, (nowUs - d.atUs) / 1000, d.report.Arrivals, d.report.Waiting})
+		notes = append(notes, DeskNote{f.silent(nowUs, id), id, d.report.Zone, d.report.Addr, (nowUs - d.atUs) / 1000, d.report.Arrivals, d.report.Waiting})
 	}
 	return notes
 }
@@ -209,6 +214,9 @@
 	switch {
 	case ev.Report != nil:
 		f.desks[ev.Report.Desk] = &deskRow{report: *ev.Report, atUs: ev.NowUs}
+		f.jury.Say(ev.NowUs, watch.Silence{By: ev.Report.Desk, Silent: ev.Report.Silent})
+	case ev.Silence != nil:
+		f.jury.Say(ev.NowUs, *ev.Silence)
 	case ev.Listed != nil:
 		f.listed(ev.NowUs, *ev.Listed)
 	case ev.Told != nil:
@@ -317,7 +325,7 @@
 func (f *Foreman) leave() {
 	fresh := New(f.me)
 	fresh.Faults, fresh.writes, fresh.desks, fresh.Policy = f.Faults, f.writes, f.desks, f.Policy
-	fresh.run = f.run
+	fresh.run, fresh.jury = f.run, f.jury
 	effects := f.effects
 	*f = *fresh
 	f.effects = effects
@@ -537,10 +545,15 @@
 	}
 }
 
+// silent: both watchers that the ring names miss its beats, and its own reports have stopped too.
+func (f *Foreman) silent(nowUs int64, id string) bool {
+	return nowUs-f.desks[id].atUs > reportLateUs && f.jury.Gone(nowUs, id)
+}
+
 func (f *Foreman) live(nowUs int64) []string {
 	ids := []string{}
 	for _, id := range sorted(f.desks) {
-		if d := f.desks[id]; nowUs-d.atUs < deskLiveUs && !d.report.Draining {
+		if d := f.desks[id]; nowUs-d.atUs < deskLiveUs && !d.report.Draining && !f.silent(nowUs, id) {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/liaison/liaison.go
+++ b/internal/liaison/liaison.go
@@ -4,6 +4,7 @@
 	"petreltide/internal/chain"
 	"petreltide/internal/clock"
 	"petreltide/internal/deskwork"
+	"petreltide/internal/watch"
 	"petreltide/internal/wire"
 )
 
@@ -21,16 +22,18 @@
 	Where  *wire.Where
 	News   *wire.News
 	Lease  *wire.Lease
-	From   string
+	Beat   *watch.Beat
 	Closed uint64
 }
 
 type Effect struct {
-	AskWhere []string
-	Follow   *Follow
-	Report   *chain.Seat
-	Snapshot *deskwork.Snapshot
-	LeaseUs  int64
+	AskWhere  []string
+	Follow    *Follow
+	Report    *chain.Seat
+	Snapshot  *deskwork.Snapshot
+	LeaseUs   int64
+	Beats     []watch.Node
+	Farewells []watch.Node
 }
 
 type Follow struct {
@@ -61,10 +64,16 @@
 	open     bool
 	triedUs  int64
 	leasedUs int64
+	ring     []watch.Node
+	named    []watch.Node
+	watch    *watch.Watch
+	beatUs   int64
 	effects  []Effect
 }
 
-func New(opts Options) *Liaison { return &Liaison{opts: opts} }
+func New(opts Options) *Liaison { return &Liaison{opts: opts, watch: watch.New()} }
+
+func (l *Liaison) Silent(nowUs int64) []string { return l.watch.Silent(nowUs) }
 
 func (l *Liaison) Where() wire.Where { return l.where }
 
@@ -97,6 +106,8 @@
 		l.news(ev.NowUs, *ev.News)
 	case ev.Lease != nil:
 		l.lease(ev.NowUs, *ev.Lease)
+	case ev.Beat != nil:
+		l.watch.Heard(ev.NowUs, *ev.Beat)
 	case ev.Closed != 0:
 		if ev.Closed == l.follow {
 			l.open = false
@@ -127,6 +138,9 @@
 }
 
 func (l *Liaison) lease(nowUs int64, g wire.Lease) {
+	if len(g.Ring) > 0 {
+		l.ring = g.Ring
+	}
 	if !g.OK || l.snap == nil || g.View < l.snap.View {
 		return
 	}
@@ -146,6 +160,12 @@
 		l.seekUs = nowUs
 		l.effects = append(l.effects, Effect{AskWhere: l.Offices()})
 	}
+	if nowUs-l.beatUs >= watch.BeatUs && len(l.ring) > 0 {
+		l.beatUs = nowUs
+		named := watch.Named(l.ring, l.opts.Desk)
+		l.effects = append(l.effects, Effect{Beats: named, Farewells: watch.Left(l.named, named)})
+		l.named = named
+	}
 	tail := l.Tail()
 	if tail.ID != l.tail.ID || tail.Inc != l.tail.Inc || (l.open && nowUs-max(l.leasedUs, l.triedUs) > quietUs) {
 		l.open = false
--- a/internal/newsroom/newsroom.go
+++ b/internal/newsroom/newsroom.go
@@ -6,6 +6,7 @@
 	"petreltide/internal/chain"
 	"petreltide/internal/clock"
 	"petreltide/internal/ledger"
+	"petreltide/internal/watch"
 	"petreltide/internal/wire"
 )
 
@@ -112,6 +113,20 @@
 	return wire.Lease{OK: true, View: view, SentUs: p.SentUs, LeaseUs: DeskLeaseUs, Number: newest}
 }
 
+// Ring is every node that is watched or watches: the offices seated and the desks that report.
+func (r *Room) Ring(nowUs int64, view chain.View) []watch.Node {
+	ring := []watch.Node{}
+	for _, s := range view.Order {
+		ring = append(ring, watch.Node{ID: s.ID, Addr: s.Addr})
+	}
+	for _, id := range r.deskIDs() {
+		if d := r.desks[id]; nowUs-d.seenUs < forgetUs/10 {
+			ring = append(ring, watch.Node{ID: id, Addr: d.addr})
+		}
+	}
+	return ring
+}
+
 func (r *Room) Pushes(s *ledger.State, view chain.View) []Push {
 	if !r.open {
 		return nil
--- a/internal/office/core.go
+++ b/internal/office/core.go
@@ -8,6 +8,7 @@
 	"petreltide/internal/foreman"
 	"petreltide/internal/ledger"
 	"petreltide/internal/newsroom"
+	"petreltide/internal/watch"
 	"petreltide/internal/wire"
 )
 
@@ -20,6 +21,7 @@
 	Follow  *wire.Follow
 	Report  *Reported
 	Foreman *foreman.Event
+	Beat    *watch.Beat
 }
 
 type Reported struct {
@@ -51,15 +53,16 @@
 
 // Core is an office's whole reducer: the chain, the tail's newsroom and the head's foreman.
 type Core struct {
-	Node    *chain.Node
-	Room    *newsroom.Room
-	Foreman *foreman.Foreman
-	effects []Effect
-	headUs  int64
+	Node     *chain.Node
+	Room     *newsroom.Room
+	Foreman  *foreman.Foreman
+	effects  []Effect
+	Watch    *watch.Watch
+	silentUs int64
 }
 
 func NewCore(node *chain.Node) *Core {
-	return &Core{Node: node, Room: newsroom.New(), Foreman: foreman.New(node.Me().ID)}
+	return &Core{Node: node, Room: newsroom.New(), Foreman: foreman.New(node.Me().ID), Watch: watch.New()}
 }
 
 func (c *Core) Step(ev Event) []Effect {
@@ -80,9 +83,12 @@
 		c.report(ev.NowUs, *ev.Report)
 	case ev.Foreman != nil:
 		c.foreman(*ev.Foreman)
+	case ev.Beat != nil:
+		c.Watch.Heard(ev.NowUs, *ev.Beat)
 	default:
 		c.chain(chain.Event{NowUs: ev.NowUs})
 		c.foreman(foreman.Event{NowUs: ev.NowUs})
+		c.saySilence(ev.NowUs)
 	}
 	c.Room.Gate(ev.NowUs, c.Node.Open(ev.NowUs))
 	for _, p := range c.Room.Pushes(c.Node.State(), c.Node.View()) {
@@ -103,12 +109,28 @@
 		c.effects = append(c.effects, Effect{Result: l.Result})
 	case l.Report != nil:
 		c.foreman(foreman.Event{NowUs: nowUs, Report: l.Report})
+	case l.Silence != nil:
+		c.foreman(foreman.Event{NowUs: nowUs, Silence: l.Silence})
+	}
+}
+
+func (c *Core) saySilence(nowUs int64) {
+	if nowUs-c.silentUs < watch.BeatUs {
+		return
+	}
+	c.silentUs = nowUs
+	s := &watch.Silence{By: c.Node.Me().ID, Silent: c.Watch.Silent(nowUs)}
+	if c.Node.IsHead() {
+		c.foreman(foreman.Event{NowUs: nowUs, Silence: s})
+	} else if head := c.Node.View().Head(); head.Addr != "" {
+		c.post(head.Addr, wire.Letter{Silence: s})
 	}
 }
 
 func (c *Core) report(nowUs int64, r Reported) {
 	c.Room.Gate(nowUs, c.Node.Open(nowUs))
 	lease := c.Room.Report(nowUs, c.Node.View().Number, c.Node.State().NewsIndex, r.Report)
+	lease.Ring = c.Room.Ring(nowUs, c.Node.View())
 	c.effects = append(c.effects, Effect{Lease: &Leased{Reply: r.Reply, Lease: lease}})
 	if !c.Node.Open(nowUs) {
 		return
--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -10,12 +10,12 @@
 	"net"
 	"net/http"
 	"path/filepath"
-	"sync"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/juju/errors"
 
+	"petreltide/internal/actor"
 	"petreltide/internal/chain"
 	"petreltide/internal/clock"
 	"petreltide/internal/fault"
@@ -58,7 +58,7 @@
 	web   *http.Client
 	inner *http.Client
 
-	mailbox  chan func()
+	act      *actor.Actor
 	saves    chan chain.Save
 	partners map[string]chan wire.Letter
 	waiters  map[string]chan wire.Result
@@ -66,9 +66,6 @@
 	replySeq uint64
 	follows  map[string]*followed
 	rebuilds bool
-	ctx      context.Context
-	stop     context.CancelFunc
-	group    sync.WaitGroup
 	failed   chan error
 }
 
@@ -107,13 +104,12 @@
 	if err != nil {
 		return nil, fault.New(fault.DamagedData, set.Data, "%v", err)
 	}
-	ctx, stop := context.WithCancel(context.Background())
 	return &Host{
 		set: set, core: NewCore(node), disk: opened.Shelf, ring: ring, log: logger,
 		web: pipe.Client(500), inner: pipe.Client(500),
-		mailbox: make(chan func(), mailboxMost), saves: make(chan chain.Save, 1024),
+		act: actor.New(mailboxMost), saves: make(chan chain.Save, 1024),
 		partners: map[string]chan wire.Letter{}, waiters: map[string]chan wire.Result{}, replies: map[uint64]chan wire.Lease{},
-		follows: map[string]*followed{}, rebuilds: opened.Fresh && founding == 0, ctx: ctx, stop: stop, failed: make(chan error, 1),
+		follows: map[string]*followed{}, rebuilds: opened.Fresh && founding == 0, failed: make(chan error, 1),
 	}, nil
 }
 
@@ -126,11 +122,11 @@
 	server := &http.Server{Handler: h.handler(), ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = server.Serve(listener) }()
 	_ = h.log.Log("event", "started", "id", h.core.Node.Me().ID, "phase", string(h.core.Node.Phase()))
-	h.spawn(h.loop)
-	h.spawn(h.saver)
-	h.spawn(h.seeker)
+	h.act.Spawn(func() { h.act.Loop(tickEvery, func() { h.step(Event{}) }) })
+	h.act.Spawn(h.saver)
+	h.act.Spawn(h.seeker)
 	if h.rebuilds {
-		h.spawn(h.waitForPartner)
+		h.act.Spawn(h.waitForPartner)
 	}
 	var failure error
 	select {
@@ -138,12 +134,12 @@
 	case failure = <-h.failed:
 		h.ring.Dump("stopping: " + failure.Error())
 	}
-	h.stop()
+	h.act.Stop()
 	closing, done := context.WithTimeout(context.Background(), time.Second)
 	defer done()
 	_ = server.Shutdown(closing)
 	_ = server.Close()
-	h.group.Wait()
+	h.act.End()
 	return errors.Trace(first(failure, h.disk.Close()))
 }
 
@@ -156,55 +152,7 @@
 	return nil
 }
 
-func (h *Host) spawn(run func()) {
-	h.group.Add(1)
-	go func() {
-		defer h.group.Done()
-		run()
-	}()
-}
-
-func (h *Host) loop() {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-h.ctx.Done():
-			return
-		case act := <-h.mailbox:
-			act()
-		case <-ticker.C:
-			h.step(Event{})
-		}
-	}
-}
-
-// ask runs act on the actor and waits for it.
-func (h *Host) ask(ctx context.Context, act func()) bool {
-	done := make(chan struct{})
-	select {
-	case h.mailbox <- func() { act(); close(done) }:
-	case <-ctx.Done():
-		return false
-	case <-h.ctx.Done():
-		return false
-	}
-	select {
-	case <-done:
-		return true
-	case <-ctx.Done():
-		return false
-	case <-h.ctx.Done():
-		return false
-	}
-}
-
-func (h *Host) tell(ev Event) {
-	select {
-	case h.mailbox <- func() { h.step(ev) }:
-	case <-h.ctx.Done():
-	}
-}
+func (h *Host) tell(ev Event) { h.act.Tell(func() { h.step(ev) }) }
 
 func (h *Host) step(ev Event) {
 	ev.NowUs = clock.NowUs()
@@ -243,7 +191,7 @@
 	for {
 		var s chain.Save
 		select {
-		case <-h.ctx.Done():
+		case <-h.act.Ctx.Done():
 			return
 		case s = <-h.saves:
 		}
@@ -266,7 +214,7 @@
 	if box == nil {
 		box = make(chan wire.Letter, partnerMost)
 		h.partners[addr] = box
-		h.spawn(func() { h.carry(addr, box) })
+		h.act.Spawn(func() { h.carry(addr, box) })
 	}
 	select {
 	case box <- l:
@@ -279,7 +227,7 @@
 	for {
 		post := wire.Post{}
 		select {
-		case <-h.ctx.Done():
+		case <-h.act.Ctx.Done():
 			return
 		case l := <-box:
 			post.Letters = append(post.Letters, l)
@@ -292,7 +240,7 @@
 				more = false
 			}
 		}
-		ctx, done := context.WithTimeout(h.ctx, time.Second)
+		ctx, done := context.WithTimeout(h.act.Ctx, time.Second)
 		_, _ = caller.Call(ctx, &post)
 		done()
 	}
@@ -322,12 +270,12 @@
 // waitForPartner stops an office that holds nothing, may found nothing, and meets no chain.
 func (h *Host) waitForPartner() {
 	select {
-	case <-h.ctx.Done():
+	case <-h.act.Ctx.Done():
 		return
 	case <-time.After(partnerWait):
 	}
 	alone := false
-	h.ask(h.ctx, func() { alone = h.core.Node.Phase() == chain.Fresh })
+	h.act.Ask(h.act.Ctx, func() { alone = h.core.Node.Phase() == chain.Fresh })
 	if alone {
 		select {
 		case h.failed <- fault.New(fault.DamagedData, h.set.Data, "it holds no chain, and no partner was met within %v to copy one from; kept folders are untouched", partnerWait):
@@ -343,7 +291,7 @@
 			if seed == h.set.Listen {
 				continue
 			}
-			ctx, done := context.WithTimeout(h.ctx, 500*time.Millisecond)
+			ctx, done := context.WithTimeout(h.act.Ctx, 500*time.Millisecond)
 			where, err := pipe.NewCaller[wire.WhereAsk, wire.Where](h.inner, seed, pipe.WherePath).Call(ctx, &wire.WhereAsk{From: h.core.Node.Me()})
 			done()
 			if err != nil {
@@ -359,7 +307,7 @@
 		}
 		span := time.Second
 		select {
-		case <-h.ctx.Done():
+		case <-h.act.Ctx.Done():
 			return
 		case <-time.After(span):
 		}
@@ -390,18 +338,18 @@
 func (h *Host) foreman(e foreman.Effect) {
 	switch {
 	case e.PollList:
-		h.spawn(h.pollList)
+		h.act.Spawn(h.pollList)
 	case e.Ask != nil:
 		ask := *e.Ask
-		h.spawn(func() { h.askReplica(ask) })
+		h.act.Spawn(func() { h.askReplica(ask) })
 	case e.Order != nil:
 		order := *e.Order
 		_ = h.log.Log("event", "order", "ticket", order.Order.Ticket.Number, "step", string(order.Order.Ticket.Step),
 			"unit", order.Order.Ticket.Unit, "replica", order.Order.Ticket.Replica, "epoch", order.Order.Epoch)
-		h.spawn(func() { h.order(order) })
+		h.act.Spawn(func() { h.order(order) })
 	case e.Run != nil:
 		run := *e.Run
-		h.spawn(func() {
+		h.act.Spawn(func() {
 			done := foreman.PolicyDone{Run: run.Number, Live: imposition.Run(run.Live, run.Fleet)}
 			for _, s := range run.Shadows {
 				done.Shadows = append(done.Shadows, imposition.Run(s, run.Fleet))
@@ -432,7 +380,7 @@
 	if err != nil {
 		panic(err)
 	}
-	ctx, done := context.WithTimeout(h.ctx, replicaWait)
+	ctx, done := context.WithTimeout(h.act.Ctx, replicaWait)
 	defer done()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+o.Addr+"/v1/orders", io.NopCloser(bytes.NewReader(raw)))
 	if err != nil {
@@ -454,7 +402,7 @@
 }
 
 func (h *Host) getJSON(url string, wait time.Duration, into any) error {
-	ctx, done := context.WithTimeout(h.ctx, wait)
+	ctx, done := context.WithTimeout(h.act.Ctx, wait)
 	defer done()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -479,10 +427,10 @@
 func (h *Host) Submit(ctx context.Context, c ledger.Change, wait time.Duration) (wire.Result, bool) {
 	c.Origin = h.set.Listen
 	waiter := make(chan wire.Result, 4)
-	if !h.ask(ctx, func() { h.waiters[c.ID] = waiter }) {
+	if !h.act.Ask(ctx, func() { h.waiters[c.ID] = waiter }) {
 		return wire.Result{}, false
 	}
-	defer h.ask(h.ctx, func() {
+	defer h.act.Ask(h.act.Ctx, func() {
 		if h.waiters[c.ID] == waiter {
 			delete(h.waiters, c.ID)
 		}
@@ -505,7 +453,7 @@
 			return wire.Result{}, false
 		case <-ctx.Done():
 			return wire.Result{}, false
-		case <-h.ctx.Done():
+		case <-h.act.Ctx.Done():
 			return wire.Result{}, false
 		}
 	}
--- a/internal/office/web.go
+++ b/internal/office/web.go
@@ -13,6 +13,7 @@
 	"petreltide/internal/ledger"
 	"petreltide/internal/pipe"
 	"petreltide/internal/standing"
+	"petreltide/internal/watch"
 	"petreltide/internal/wire"
 )
 
@@ -41,7 +42,7 @@
 	})
 	pipe.Serve(mux, pipe.WherePath, func(ctx context.Context, ask *wire.WhereAsk) (*wire.Where, error) {
 		var where wire.Where
-		if !h.ask(ctx, func() { where = h.where() }) {
+		if !h.act.Ask(ctx, func() { where = h.where() }) {
 			return nil, fault.New(fault.NotServing, "", "stopping")
 		}
 		return &where, nil
@@ -55,7 +56,7 @@
 	})
 	pipe.Serve(mux, pipe.AckPath, func(ctx context.Context, r *wire.Report) (*wire.Lease, error) {
 		reply := make(chan wire.Lease, 1)
-		if !h.ask(ctx, func() {
+		if !h.act.Ask(ctx, func() {
 			h.replySeq++
 			h.replies[h.replySeq] = reply
 			h.step(Event{Report: &Reported{Report: *r, Reply: h.replySeq}})
@@ -65,6 +66,10 @@
 		lease := <-reply
 		return &lease, nil
 	})
+	pipe.Serve(mux, pipe.BeatPath, func(_ context.Context, b *watch.Beat) (*wire.Receipt, error) {
+		h.tell(Event{Beat: b})
+		return &wire.Receipt{}, nil
+	})
 	pipe.ServeStream(mux, pipe.FollowPath, h.follow)
 	mux.HandleFunc("GET /v1/config", h.getConfig)
 	mux.HandleFunc("PUT /v1/config", h.putConfig)
@@ -79,7 +84,7 @@
 func (h *Host) follow(ctx context.Context, f *wire.Follow, send func(*wire.News) error) error {
 	mine := &followed{latest: make(chan wire.News, 1)}
 	open := false
-	h.ask(ctx, func() {
+	h.act.Ask(ctx, func() {
 		open = h.core.Node.Open(h.core.Node.NowUs())
 		if open {
 			h.follows[f.Desk] = mine
@@ -90,8 +95,8 @@
 		return fault.New(fault.NotServing, "", "not the open tail")
 	}
 	view := uint64(0)
-	h.ask(ctx, func() { view = h.core.Node.View().Number })
-	defer h.ask(h.ctx, func() {
+	h.act.Ask(ctx, func() { view = h.core.Node.View().Number })
+	defer h.act.Ask(h.act.Ctx, func() {
 		if h.follows[f.Desk] == mine {
 			delete(h.follows, f.Desk)
 		}
@@ -102,7 +107,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-h.ctx.Done():
+		case <-h.act.Ctx.Done():
 			return nil
 		case news := <-mine.latest:
 			if err := send(&news); err != nil {
@@ -110,7 +115,7 @@
 			}
 		case <-still.C:
 			gone := false
-			h.ask(ctx, func() {
+			h.act.Ask(ctx, func() {
 				gone = h.follows[f.Desk] != mine || !h.core.Node.IsTail() || h.core.Node.View().Number < view
 			})
 			if gone {
@@ -147,7 +152,7 @@
 
 func (h *Host) config(ctx context.Context) ConfigNow {
 	now := ConfigNow{}
-	h.ask(ctx, func() {
+	h.act.Ask(ctx, func() {
 		s := h.core.Node.State()
 		now = ConfigNow{Revision: s.Revision, Index: s.Index, Declaration: s.Doc}
 	})
@@ -204,70 +209,73 @@
 	return "op-" + id, nil
 }
 
-func (h *Host) putConfig(w http.ResponseWriter, r *http.Request) {
-	raw, f := h.read(w, r)
+type asked struct {
+	raw  []byte
+	base uint64
+	id   string
+}
+
+// asked reads what a whole declaration and a patch have in common.
+func (h *Host) asked(w http.ResponseWriter, r *http.Request) (asked, bool) {
+	raw, badBody := h.read(w, r)
 	base, given, badBase := baseOf(r)
 	id, badID := changeOf(r)
-	for _, bad := range []*fault.Fault{f, badBase, badID} {
+	if badBase == nil && !given {
+		badBase = fault.New(fault.BadField, "base", "name the revision this is based on (0 for the first)")
+	}
+	for _, bad := range []*fault.Fault{badBody, badBase, badID} {
 		if bad != nil {
 			writeFault(w, bad)
-			return
+			return asked{}, false
 		}
 	}
-	if !given {
-		writeFault(w, fault.New(fault.BadField, "base", "name the revision this is based on (0 for the first)"))
-		return
+	return asked{raw, base, id}, true
+}
+
+func (h *Host) putConfig(w http.ResponseWriter, r *http.Request) {
+	if a, ok := h.asked(w, r); ok {
+		h.take(w, r, a)
 	}
-	doc, bad := standing.Parse(raw, imposition.Compile)
+}
+
+func (h *Host) take(w http.ResponseWriter, r *http.Request, a asked) {
+	doc, bad := standing.Parse(a.raw, imposition.Compile)
 	if bad != nil {
 		writeFault(w, bad)
 		return
 	}
-	h.change(w, r, ledger.Change{ID: id, Config: &ledger.ConfigChange{Base: base, Doc: doc}})
+	h.change(w, r, ledger.Change{ID: a.id, Config: &ledger.ConfigChange{Base: a.base, Doc: doc}})
 }
 
 func (h *Host) patchConfig(w http.ResponseWriter, r *http.Request) {
-	raw, f := h.read(w, r)
-	base, given, badBase := baseOf(r)
-	id, badID := changeOf(r)
-	for _, bad := range []*fault.Fault{f, badBase, badID} {
-		if bad != nil {
-			writeFault(w, bad)
-			return
-		}
-	}
-	if !given {
-		writeFault(w, fault.New(fault.BadField, "base", "name the revision this patch is based on"))
+	a, ok := h.asked(w, r)
+	if !ok {
 		return
 	}
-	now := h.configAt(r.Context(), base)
-	if first, seen := h.seen(r.Context(), id); seen {
-		h.reply(w, id, wire.Result{Outcome: first, Everywhere: true})
+	now := h.configAt(r.Context(), a.base)
+	if first, seen := h.seen(r.Context(), a.id); seen {
+		h.reply(w, a.id, wire.Result{Outcome: first, Everywhere: true})
 		return
 	}
-	if now.Revision != base || now.Declaration == nil {
-		stale := fault.New(fault.StaleBase, "base", "based on %d, current is %d", base, now.Revision)
+	if now.Revision != a.base || now.Declaration == nil {
+		stale := fault.New(fault.StaleBase, "base", "based on %d, current is %d", a.base, now.Revision)
 		stale.Revision = now.Revision
 		writeFault(w, stale)
 		return
 	}
-	merged, bad := standing.Merge(now.Declaration, raw)
-	if bad != nil {
-		writeFault(w, bad)
-		return
-	}
-	doc, bad := standing.Parse(merged, imposition.Compile)
+	merged, bad := standing.Merge(now.Declaration, a.raw)
 	if bad != nil {
 		writeFault(w, bad)
 		return
 	}
-	h.change(w, r, ledger.Change{ID: id, Config: &ledger.ConfigChange{Base: base, Doc: doc}})
+	a.raw = merged
+	h.take(w, r, a)
 }
 
 func (h *Host) seen(ctx context.Context, id string) (ledger.Outcome, bool) {
 	var first ledger.Outcome
 	seen := false
-	h.ask(ctx, func() {
+	h.act.Ask(ctx, func() {
 		first, seen = h.core.Node.State().Changes[id]
 		first.Again = true
 	})
@@ -360,14 +368,14 @@
 
 func (h *Host) status(w http.ResponseWriter, r *http.Request) {
 	var raw []byte
-	h.ask(r.Context(), func() { raw, _ = json.Marshal(h.core.Status(h.core.Node.NowUs())) })
+	h.act.Ask(r.Context(), func() { raw, _ = json.Marshal(h.core.Status(h.core.Node.NowUs())) })
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(append(raw, '\n'))
 }
 
 func (h *Host) state(w http.ResponseWriter, r *http.Request) {
 	var raw []byte
-	h.ask(r.Context(), func() { raw = h.core.Node.State().Encode() })
+	h.act.Ask(r.Context(), func() { raw = h.core.Node.State().Encode() })
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(append(raw, '\n'))
 }
--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -23,6 +23,7 @@
 	SubmitPath = "/petreltide.Office/Submit"
 	FollowPath = "/petreltide.Office/Follow"
 	AckPath    = "/petreltide.Office/Ack"
+	BeatPath   = "/petreltide.Node/Beat"
 	readMost   = 64 << 20
 )
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -4,6 +4,7 @@
 	"petreltide/internal/chain"
 	"petreltide/internal/ledger"
 	"petreltide/internal/standing"
+	"petreltide/internal/watch"
 )
 
 // News is numbered by the ledger index that last touched what desks act on.
@@ -53,6 +54,7 @@
 	InFlight map[string]int     `json:"inFlight,omitempty"`
 	Left     map[string]Left    `json:"left,omitempty"`
 	Draining bool               `json:"draining,omitempty"`
+	Silent   []string           `json:"silent,omitempty"`
 }
 
 type Left struct {
@@ -61,11 +63,12 @@
 }
 
 type Lease struct {
-	OK      bool   `json:"ok"`
-	View    uint64 `json:"view"`
-	SentUs  int64  `json:"sentUs"`
-	LeaseUs int64  `json:"leaseUs"`
-	Number  uint64 `json:"number"`
+	OK      bool         `json:"ok"`
+	View    uint64       `json:"view"`
+	SentUs  int64        `json:"sentUs"`
+	LeaseUs int64        `json:"leaseUs"`
+	Number  uint64       `json:"number"`
+	Ring    []watch.Node `json:"ring,omitempty"`
 }
 
 type WhereAsk struct {
@@ -88,9 +91,10 @@
 }
 
 type Letter struct {
-	Chain  *chain.Msg `json:"chain,omitempty"`
-	Result *Result    `json:"result,omitempty"`
-	Report *Report    `json:"report,omitempty"`
+	Chain   *chain.Msg     `json:"chain,omitempty"`
+	Result  *Result        `json:"result,omitempty"`
+	Report  *Report        `json:"report,omitempty"`
+	Silence *watch.Silence `json:"silence,omitempty"`
 }
 
 type Receipt struct{}
--- a/proofs/sim/desks.go
+++ b/proofs/sim/desks.go
@@ -11,6 +11,7 @@
 	"petreltide/internal/ledger"
 	"petreltide/internal/liaison"
 	"petreltide/internal/office"
+	"petreltide/internal/watch"
 	"petreltide/internal/wire"
 	"petreltide/proofs/press"
 	"petreltide/proofs/rules"
@@ -106,6 +107,13 @@
 			d.follow(*e.Follow)
 		case e.Report != nil:
 			d.report(e.Report.Addr)
+		case e.Beats != nil:
+			for _, n := range e.Beats {
+				d.beat(n.Addr, false)
+			}
+			for _, n := range e.Farewells {
+				d.beat(n.Addr, true)
+			}
 		case e.Snapshot != nil:
 			if s.plan.Plant == "deaf" && d.snap != nil && d.snap.Doc != nil && d.snap.Grants["gpu-0|m7"].To+d.snap.Grants["gpu-1|m7"].To+d.snap.Grants["gpu-2|m7"].To+d.snap.Grants["gpu-3|m7"].To+d.snap.Grants["gpu-4|m7"].To > 0 {
 				fresh := *d.snap
@@ -122,6 +130,19 @@
 	}
 }
 
+func (d *deskNode) beat(addr string, last bool) {
+	s := d.sim
+	b := watch.Beat{ID: d.name, Last: last}
+	if o := s.officeAt(addr); o != nil {
+		s.send(&d.machine, &o.machine, func() { o.step(office.Event{Beat: &b}) })
+	}
+	for _, to := range s.desks {
+		if to.addr == addr {
+			s.send(&d.machine, &to.machine, func() { to.liaise(liaison.Event{Beat: &b}) })
+		}
+	}
+}
+
 func (d *deskNode) follow(f liaison.Follow) {
 	s := d.sim
 	o := s.officeAt(f.Tail.Addr)
@@ -147,7 +168,7 @@
 		return
 	}
 	report := clone(d.decider.Report(d.clock()))
-	report.Addr, report.Zone = d.addr, d.zone
+	report.Addr, report.Zone, report.Silent = d.addr, d.zone, d.liaison.Silent(d.clock())
 	s.send(&d.machine, &o.machine, func() {
 		o.replySeq++
 		o.replies[o.replySeq] = func(l wire.Lease) {
--- /dev/null
+++ b/proofs/sim/watch_test.go
@@ -0,0 +1,60 @@
+package sim
+
+import "testing"
+
+// Detection and false suspicion of desks by their ring-named watchers, under loss and freezes.
+func TestWatchersFindADeadDeskAndSpareLiveOnes(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		loss     float64
+		freezeUs int64
+	}{{"quiet", 0, 0}, {"loss 5%", 0.05, 0}, {"loss 15%", 0.15, 0}, {"freezes of 400 ms", 0, 400 * ms}} {
+		var mostUs, sumUs int64
+		found, wrong, looks := 0, 0, 0
+		for seed := int64(1); seed <= 6; seed++ {
+			s := New(Plan{Seed: seed, Offices: 3, Desks: 5, Replicas: 3, PerSec: 5})
+			s.ops.first()
+			s.runUntil(12 * sec)
+			s.loss = c.loss
+			silent := func(name string) bool {
+				for _, o := range s.offices {
+					if !o.core.Node.IsHead() {
+						continue
+					}
+					for _, d := range o.core.Foreman.Desks(o.clock()) {
+						if d.Desk == name {
+							return d.Silent
+						}
+					}
+				}
+				return false
+			}
+			for s.nowUs < 32*sec {
+				s.runUntil(s.nowUs + 50*ms)
+				if c.freezeUs > 0 && s.nowUs%(2*sec) == 0 {
+					s.desks[s.r.Intn(5)].thawUs = s.nowUs + c.freezeUs
+				}
+				for _, d := range s.desks {
+					looks++
+					if silent(d.name) {
+						wrong++
+					}
+				}
+			}
+			deadUs := s.nowUs
+			s.desks[2].crash()
+			for s.nowUs < deadUs+5*sec && !silent(s.desks[2].name) {
+				s.runUntil(s.nowUs + 10*ms)
+			}
+			if silent(s.desks[2].name) {
+				found++
+			}
+			mostUs = max(mostUs, s.nowUs-deadUs)
+			sumUs += s.nowUs - deadUs
+		}
+		t.Logf("%s: found %d of 6, mean %d ms, most %d ms; %d of %d looks wrong", c.name, found, sumUs/6/1000, mostUs/1000, wrong, looks)
+		if found != 6 || wrong*1000 > looks {
+			t.Errorf("%s: found %d of 6, %d of %d looks suspected a live desk", c.name, found, wrong, looks)
+		}
+	}
+}
