Only members that hold the whole log speak for the chain

Ruled out: the ballots (one value was chosen) and the disks (both logs were intact). Conclusion: a member is whole once it has its predecessor's log of the view's start; only whole ones propose, come first, or are counted when everybody has restarted.

--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -34,6 +34,7 @@
 	promised Ballot
 	accepted *Accepted
 	compared bool
+	whole    bool
 
 	entries  []Entry
 	base     Copy
@@ -91,7 +92,7 @@
 		switch {
 		case r.View != nil:
 			if r.View.Number >= n.view.Number {
-				n.view, n.promised, n.accepted = *r.View, Ballot{}, nil
+				n.view, n.promised, n.accepted, n.whole = *r.View, Ballot{}, nil, false
 			}
 		case r.Promised != nil:
 			n.promised = *r.Promised
@@ -107,7 +108,9 @@
 			if err != nil {
 				return nil, err
 			}
-			n.state, n.commit = state, r.Copy.Index
+			n.state, n.commit, n.whole = state, r.Copy.Index, false
+		case r.Whole != 0:
+			n.whole = r.Whole == n.view.Number
 		case r.Entry != nil:
 			n.keepEntry(*r.Entry)
 		}
@@ -116,6 +119,7 @@
 		n.phase = Waking
 	}
 	n.compared = n.view.Number == 0 && len(n.view.Voters) > 0
+	n.whole = n.whole || (n.view.Number == 0 && n.lastIndex() == 0)
 	n.synced, n.queued = n.lastIndex(), n.lastIndex()
 	n.round = n.promised.Round
 	return n, nil
@@ -288,6 +292,7 @@
 	delete(n.saving, seq)
 	if s.upto > n.synced {
 		n.synced = min(s.upto, n.lastIndex())
+		n.madeWhole()
 		n.pushOn()
 	}
 	if s.after != nil {
@@ -448,6 +453,7 @@
 	if !n.openKnown {
 		n.openKnown, n.openAt = true, f.Last
 	}
+	n.madeWhole()
 	if f.Copy != nil && f.Copy.Index > n.lastIndex() {
 		n.takeCopy(*f.Copy)
 		return
@@ -467,6 +473,16 @@
 	n.ackBack()
 }
 
+// madeWhole: this member now has all that was in its predecessor's log when the view began, and
+// with it everything that was ever acknowledged. Until then it may not speak for the chain.
+func (n *Node) madeWhole() {
+	if n.whole || !n.serving() || !n.openKnown || n.synced < n.openAt {
+		return
+	}
+	n.whole = true
+	n.save([]Record{{Whole: n.view.Number}}, 0, nil)
+}
+
 func (n *Node) takeEntry(e Entry) {
 	if have, ok := n.viewAt(e.Index); ok && have != e.View && e.Index > n.commit {
 		n.cutTo(e.Index - 1)
@@ -488,7 +504,7 @@
 	if err != nil {
 		return
 	}
-	n.base, n.entries, n.state, n.commit = c, nil, state, c.Index
+	n.base, n.entries, n.state, n.commit, n.whole = c, nil, state, c.Index, false
 	n.synced, n.queued = 0, c.Index
 	held := c
 	n.save([]Record{{Copy: &held}}, c.Index, func() {
@@ -542,6 +558,9 @@
 		records = append(records, Record{Accepted: n.accepted})
 	}
 	records = append(records, Record{Copy: &c})
+	if n.whole {
+		records = append(records, Record{Whole: n.view.Number})
+	}
 	for _, e := range n.entries {
 		if e.Index > c.Index && e.Index <= n.queued {
 			held := e
@@ -599,6 +618,8 @@
 		return "the other members of view " + strconv.FormatUint(n.view.Number, 10) + ", or a copy from its tail"
 	case n.phase == Outside:
 		return "a copy from the tail and a seat in the next view"
+	case n.serving() && !n.whole:
+		return "the rest of the log from its predecessor"
 	case !n.WritesTaken():
 		return "a second member: one copy alone takes no writes"
 	case n.IsTail() && !n.Open(n.nowUs):
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -109,6 +109,7 @@
 	Accepted *Accepted `json:"accepted,omitempty"`
 	Entry    *Entry    `json:"entry,omitempty"`
 	Copy     *Copy     `json:"copy,omitempty"`
+	Whole    uint64    `json:"whole,omitempty"`
 }
 
 type Seal struct {
@@ -133,6 +134,7 @@
 	Last      uint64    `json:"last"`
 	LastView  uint64    `json:"lastView"`
 	Compared  bool      `json:"compared"`
+	Whole     bool      `json:"whole,omitempty"`
 	Stalled   bool      `json:"stalled,omitempty"`
 	Promised  Ballot    `json:"promised"`
 	Accepted  *Accepted `json:"accepted,omitempty"`
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -42,7 +42,7 @@
 func (n *Node) sayHello() {
 	h := Hello{
 		Me: n.opts.Me, Inc: n.opts.Inc, Phase: n.phase, View: n.view, Last: n.lastIndex(), LastView: n.lastView(),
-		Compared: n.compared, Stalled: n.stalled(), Promised: n.promised, Accepted: n.accepted,
+		Compared: n.compared, Whole: n.whole, Stalled: n.stalled(), Promised: n.promised, Accepted: n.accepted,
 		Founders: n.founders, CopyIndex: n.copyHeld,
 	}
 	for _, id := range n.partnerIDs() {
@@ -139,6 +139,18 @@
 	return n.nowUs-p.deafUs < 2*n.opts.SuspectUs
 }
 
+// wholeSeat: only a member that has everything may come first.
+func (n *Node) wholeSeat(s Seat) bool {
+	if s.ID == n.opts.Me.ID {
+		return n.whole
+	}
+	p := n.partners[s.ID]
+	if p == nil || p.hello.View.Number != n.view.Number {
+		return s.ID == n.view.Head().ID && s.Inc == n.view.Head().Inc
+	}
+	return p.hello.Whole
+}
+
 func (n *Node) judge() {
 	if n.proposal != nil && n.nowUs-n.proposal.startUs > 4*n.opts.SuspectUs {
 		n.proposal = nil
@@ -208,7 +220,7 @@
 // judgeView removes unsound seats, seats a joiner that holds a copy, and gives
 // the vote of a lost office to the empty one that came under its name.
 func (n *Node) judgeView() {
-	if n.stalled() {
+	if n.stalled() || !n.whole {
 		return
 	}
 	want := View{Number: n.view.Number + 1, Voters: n.view.Voters}
@@ -222,7 +234,7 @@
 		}
 	}
 	for _, s := range n.view.Order {
-		if n.sound(s) {
+		if n.sound(s) && (len(want.Order) > 0 || n.wholeSeat(s)) {
 			want.Order = append(want.Order, s)
 		}
 	}
@@ -337,17 +349,17 @@
 		if !n.Hears(id) {
 			continue
 		}
-		if p.hello.Phase == Serving {
+		if p.hello.Phase == Serving && p.hello.Whole {
 			return
 		}
 		if n.view.Votes(id) {
 			heardVoters++
 		}
-		if n.view.Seated(id) && p.hello.Phase == Waking && p.hello.View.Number == n.view.Number {
+		if n.view.Seated(id) && p.hello.Phase == Waking && p.hello.Whole && p.hello.View.Number == n.view.Number {
 			found = append(found, candidate{Seat{p.hello.Me, p.hello.Inc}, p.hello.Last, p.hello.LastView})
 		}
 	}
-	if !n.view.Seated(n.opts.Me.ID) || n.stalled() {
+	if !n.view.Seated(n.opts.Me.ID) || n.stalled() || !n.whole {
 		return
 	}
 	found = append(found, candidate{Seat{n.opts.Me, n.opts.Inc}, n.lastIndex(), n.lastView()})
@@ -493,7 +505,7 @@
 	if v.Number <= n.view.Number {
 		return
 	}
-	wasTail := n.IsTail()
+	wasTail, wasServing := n.IsTail(), n.serving() || (n.phase == Fresh && v.Number == 1)
 	leaseUs := n.leaseUs
 	n.view, n.promised, n.accepted, n.proposal, n.held = v, Ballot{}, nil, nil, nil
 	n.viewedUs, n.quietUs = n.nowUs, n.nowUs
@@ -508,8 +520,18 @@
 	case n.phase != Waking || !v.Seated(n.opts.Me.ID):
 		n.phase = Outside
 	}
+	if !wasServing && n.phase == Serving && n.place() > 0 {
+		p := n.partners[v.Head().ID]
+		n.whole = n.whole && p != nil && p.hello.Last == n.lastIndex() && p.hello.LastView == n.lastView()
+	}
 	held := v
-	n.save([]Record{{View: &held}}, 0, nil)
+	records := []Record{{View: &held}}
+	if n.whole && n.phase != Outside {
+		records = append(records, Record{Whole: v.Number})
+	} else {
+		n.whole = false
+	}
+	n.save(records, 0, nil)
 	n.effects = append(n.effects, Effect{Viewed: &held})
 	if n.IsTail() {
 		if wasTail {
