New tails wait for the controller's look at the list; a clock gap empties the bucket

Ruled out: the desks (their leases had run out) and the poll span. Conclusion: kept; the wait is at most a second, so a platform that is down costs no more.

--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -28,6 +28,7 @@
 	deskLiveUs    = 2500 * clock.Ms
 	reportLateUs  = 600 * clock.Ms
 	deskGoneUs    = 15 * clock.Sec
+	gapMostUs     = 500 * clock.Ms
 	writeLostUs   = 2 * clock.Sec
 	emptyListMost = 8
 	keyMarkUs     = 3600 * clock.Sec
@@ -107,6 +108,7 @@
 	Head   bool
 	Fresh  bool
 	Writes bool
+	View   uint64
 }
 
 type told struct {
@@ -133,12 +135,16 @@
 	writeUs   int64
 	writes    uint64
 	listUs    int64
+	tickUs    int64
 	list      *wire.List
 	listAtUs  int64
 	empties   int
 	stales    int
 	replicas  map[string]*told
 	desks     map[string]*deskRow
+	view      uint64
+	viewUs    int64
+	checked   bool
 	jury      *watch.Jury
 	bucket    imposition.Bucket
 	issuingMb int64
@@ -305,13 +311,20 @@
 		}
 		return
 	}
-	if !seen.Fresh {
+	gapUs := seen.NowUs - f.tickUs
+	f.tickUs = seen.NowUs
+	if !seen.Fresh || gapUs > gapMostUs {
 		f.bucket.Empty()
+	}
+	if !seen.Fresh {
 		return
 	}
 	if s.Doc != nil {
 		f.bucket.Fill(seen.NowUs, s.Doc.Store, f.unconfirmedMb(s))
 	}
+	if seen.View != f.view {
+		f.view, f.viewUs, f.checked, f.listUs = seen.View, seen.NowUs, false, 0
+	}
 	if seen.NowUs-f.listUs >= listEveryUs {
 		f.listUs = seen.NowUs
 		f.do(Effect{PollList: true})
@@ -418,6 +431,10 @@
 		}
 	}
 	f.markKeys(seen, duty)
+	if !f.checked && f.list != nil && f.listAtUs > f.viewUs {
+		duty.Checked = f.view
+		f.checked = true
+	}
 	if duty.Blank() {
 		return
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -109,10 +109,11 @@
 	Shares  map[string]map[string]int `json:"shares,omitempty"`
 	Desks   []string                  `json:"goneDesks,omitempty"`
 	Forget  uint64                    `json:"forgetKeysBefore,omitempty"`
+	Checked uint64                    `json:"checkedInView,omitempty"`
 }
 
 func (d *Duty) Blank() bool {
-	return len(d.Fleet)+len(d.Gone)+len(d.Tickets)+len(d.Settled)+len(d.Grants)+len(d.Shares)+len(d.Desks) == 0 && d.Forget == 0
+	return len(d.Fleet)+len(d.Gone)+len(d.Tickets)+len(d.Settled)+len(d.Grants)+len(d.Shares)+len(d.Desks) == 0 && d.Forget+d.Checked == 0
 }
 
 type ReplicaNote struct {
--- a/internal/newsroom/newsroom.go
+++ b/internal/newsroom/newsroom.go
@@ -13,6 +13,7 @@
 const (
 	DeskLeaseUs = 1200 * clock.Ms
 	behindUs    = 600 * clock.Ms
+	checkUs     = 1000 * clock.Ms
 	forgetUs    = 30 * clock.Sec
 	backlogMost = 256
 )
@@ -88,7 +89,9 @@
 	return true
 }
 
-func (r *Room) Report(nowUs int64, view uint64, newest uint64, p wire.Report) wire.Lease {
+// Report gives a lease. checked says that the controller has looked at the platform's list in this
+// view; a new tail waits a little for it, so that no desk sends by notices that went unseen meanwhile.
+func (r *Room) Report(nowUs int64, view uint64, newest uint64, checked bool, p wire.Report) wire.Lease {
 	no := wire.Lease{View: view}
 	if !r.open {
 		return no
@@ -106,7 +109,8 @@
 		d.behindUs = nowUs
 	}
 	behind := d.behindUs > 0 && (nowUs >= d.lapseUs || nowUs-d.behindUs > behindUs)
-	if !d.following || d.acked == 0 || behind {
+	unseen := !checked && nowUs-r.openUs < checkUs
+	if !d.following || d.acked == 0 || behind || unseen {
 		return no
 	}
 	d.lapseUs = nowUs + DeskLeaseUs
--- a/internal/newsroom/newsroom_test.go
+++ b/internal/newsroom/newsroom_test.go
@@ -38,7 +38,7 @@
 	if p := r.Pushes(s, chain.View{}); len(p) != 1 || p[0].News.Doc == nil {
 		t.Fatal("the declaration was left out though nobody acknowledged it")
 	}
-	r.Report(10, 1, s.NewsIndex, report(31, 3))
+	r.Report(10, 1, s.NewsIndex, true, report(31, 3))
 	s.NewsIndex = 32
 	if p := r.Pushes(s, chain.View{}); len(p) != 1 || p[0].News.Doc != nil {
 		t.Fatal("an acknowledged declaration is sent again")
@@ -49,20 +49,20 @@
 func TestLapsedDeskNeedsTheNewestNewsForALease(t *testing.T) {
 	s := stateAt(1, 10)
 	r := opened(s)
-	if !r.Report(100, 1, 10, report(10, 1)).OK {
+	if !r.Report(100, 1, 10, true, report(10, 1)).OK {
 		t.Fatal("an up-to-date desk gets no lease")
 	}
-	if !r.Report(200_000, 1, 11, report(10, 1)).OK {
+	if !r.Report(200_000, 1, 11, true, report(10, 1)).OK {
 		t.Fatal("a desk a moment behind loses its lease at once")
 	}
-	if r.Report(200_000+behindUs+1, 1, 11, report(10, 1)).OK {
+	if r.Report(200_000+behindUs+1, 1, 11, true, report(10, 1)).OK {
 		t.Fatal("a desk that stays behind keeps its lease")
 	}
 	lapsedUs := 200_000 + DeskLeaseUs + 1
-	if r.Report(lapsedUs, 1, 12, report(11, 1)).OK {
+	if r.Report(lapsedUs, 1, 12, true, report(11, 1)).OK {
 		t.Fatal("a lapsed desk that is behind got a lease")
 	}
-	if !r.Report(lapsedUs+1, 1, 12, report(12, 1)).OK {
+	if !r.Report(lapsedUs+1, 1, 12, true, report(12, 1)).OK {
 		t.Fatal("a lapsed desk with the newest news gets no lease")
 	}
 }
@@ -71,7 +71,7 @@
 	s := stateAt(1, 10)
 	r := opened(s)
 	startUs := 2 * DeskLeaseUs
-	r.Report(startUs, 1, 10, report(10, 1))
+	r.Report(startUs, 1, 10, true, report(10, 1))
 	r.Hold("op", ledger.Outcome{ID: "c"}, 11)
 	if a := r.Answers(startUs + 10); len(a) != 0 {
 		t.Fatal("answered before the desk acknowledged")
@@ -82,9 +82,9 @@
 	if a := r.Answers(startUs + DeskLeaseUs); len(a) != 1 {
 		t.Fatal("not answered though the lease ran out")
 	}
-	r.Report(startUs+DeskLeaseUs+1, 1, 11, report(11, 1))
+	r.Report(startUs+DeskLeaseUs+1, 1, 11, true, report(11, 1))
 	r.Hold("op", ledger.Outcome{ID: "d"}, 12)
-	r.Report(startUs+DeskLeaseUs+2, 1, 12, report(12, 1))
+	r.Report(startUs+DeskLeaseUs+2, 1, 12, true, report(12, 1))
 	if a := r.Answers(startUs + DeskLeaseUs + 3); len(a) != 1 {
 		t.Fatal("not answered though every desk acknowledged")
 	}
@@ -101,3 +101,17 @@
 		t.Fatal("never answered")
 	}
 }
+
+func TestANewTailWaitsForTheControllersLookAtTheList(t *testing.T) {
+	s := stateAt(1, 10)
+	r := opened(s)
+	if r.Report(100, 1, 10, false, report(10, 1)).OK {
+		t.Fatal("a lease before the list was looked at in this view")
+	}
+	if !r.Report(200, 1, 10, true, report(10, 1)).OK {
+		t.Fatal("no lease after it was")
+	}
+	if !r.Report(checkUs+10, 1, 10, false, report(10, 1)).OK {
+		t.Fatal("no lease although the platform may be down")
+	}
+}
--- a/internal/office/core.go
+++ b/internal/office/core.go
@@ -59,6 +59,7 @@
 	effects  []Effect
 	Watch    *watch.Watch
 	silentUs int64
+	checked  uint64
 }
 
 func NewCore(node *chain.Node) *Core {
@@ -129,7 +130,8 @@
 
 func (c *Core) report(nowUs int64, r Reported) {
 	c.Room.Gate(nowUs, c.Node.Open(nowUs))
-	lease := c.Room.Report(nowUs, c.Node.View().Number, c.Node.State().NewsIndex, r.Report)
+	view := c.Node.View().Number
+	lease := c.Room.Report(nowUs, view, c.Node.State().NewsIndex, c.checked == view, r.Report)
 	lease.Ring = c.Room.Ring(nowUs, c.Node.View())
 	c.effects = append(c.effects, Effect{Lease: &Leased{Reply: r.Reply, Lease: lease}})
 	if !c.Node.Open(nowUs) {
@@ -170,6 +172,9 @@
 
 func (c *Core) applied(nowUs int64, a chain.Applied) {
 	change := a.Entry.Change
+	if change.Duty != nil && change.Duty.Checked > 0 {
+		c.checked = change.Duty.Checked
+	}
 	c.effects = append(c.effects, Effect{Applied: &a})
 	if change.Duty != nil && change.Epoch == c.Node.State().Epoch {
 		out := a.Outcome
@@ -197,7 +202,7 @@
 func (c *Core) foreman(ev foreman.Event) {
 	seen := foreman.Seen{
 		NowUs: ev.NowUs, State: c.Node.State(), Head: c.Node.IsHead(),
-		Fresh: c.Node.HeadFresh(ev.NowUs), Writes: c.Node.WritesTaken(),
+		Fresh: c.Node.HeadFresh(ev.NowUs), Writes: c.Node.WritesTaken(), View: c.Node.View().Number,
 	}
 	if !seen.Writes {
 		seen.Fresh = false
