--- /dev/null
+++ b/internal/standing/fuzz_test.go
@@ -0,0 +1,39 @@
+package standing
+
+import (
+	"encoding/json"
+	"testing"
+
+	"petreltide/internal/fault"
+)
+
+func FuzzDeclarationsAndPatches(f *testing.F) {
+	good := `{"name":"n","zones":["a"],"replica":{"roomMb":9},"store":{"loads":1,"mbPerSecond":1,"burstMb":9},"scaler":{"windowMs":500},"policy":{"name":"p","source":"s"},"kinds":[{"name":"k","urgency":1,"expiryMs":100}],"models":[{"name":"m","sizeMb":3,"loadMs":1,"table":[{"replicas":1,"perSecond":1,"latencyMs":1}]}]}`
+	f.Add([]byte(good), []byte(`{"models":null}`))
+	f.Add([]byte(`{"name":7}`), []byte(`[]`))
+	f.Add([]byte(good+good), []byte(`{"zones":["a","a"]}`))
+	f.Fuzz(func(t *testing.T, raw, patch []byte) {
+		d, bad := Parse(raw, nil)
+		if bad != nil {
+			if bad.Code == "" {
+				t.Fatal("an untyped refusal")
+			}
+			return
+		}
+		again, err := json.Marshal(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, bad := Parse(again, nil); bad != nil {
+			t.Fatalf("what was taken is refused when sent again: %v", bad)
+		}
+		merged, bad := Merge(d, patch)
+		if bad != nil {
+			if bad.Code != fault.BadJSON {
+				t.Fatal(bad)
+			}
+			return
+		}
+		_, _ = Parse(merged, nil)
+	})
+}
