Read declarations in one place, sort keys by the library, drop dead state

Cause: a reading of the whole change. Before and after: behaviour, bounds and tests are the same. Conclusion: standing.ReadFile and slices.Sorted serve all.

--- a/cmd/petreltide/compare.go
+++ b/cmd/petreltide/compare.go
@@ -33,14 +33,10 @@
     --policy examples/policies/chaser.star --seeds 8`,
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			raw, err := readDeclaration(args[0])
+			doc, err := parseFile(args[0])
 			if err != nil {
 				return err
 			}
-			doc, bad := standing.Parse(raw, imposition.Compile)
-			if bad != nil {
-				return bad
-			}
 			if len(files) < 2 {
 				return fault.New(fault.BadField, "policy", "name two policies or more")
 			}
--- a/cmd/petreltide/operators.go
+++ b/cmd/petreltide/operators.go
@@ -8,15 +8,12 @@
 	"io"
 	"net/http"
 	"net/url"
-	"os"
-	"path/filepath"
 	"strings"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/juju/errors"
 	"github.com/spf13/cobra"
-	"sigs.k8s.io/yaml"
 
 	"petreltide/internal/fault"
 	"petreltide/internal/imposition"
@@ -82,44 +79,17 @@
 	return fault.New(fault.NotServing, "", "status %d: %s", a.status, a.body)
 }
 
-// readDeclaration takes YAML or JSON; a policy may name a program beside the file.
-func readDeclaration(path string) ([]byte, error) {
-	raw, err := os.ReadFile(path)
+// parseFile reads a declaration and checks it as an office would.
+func parseFile(path string) (*standing.Declaration, error) {
+	raw, err := standing.ReadFile(path)
 	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	doc := map[string]any{}
-	if err := yaml.UnmarshalStrict(raw, &doc); err != nil {
-		return nil, fault.New(fault.BadJSON, path, "%v", err)
-	}
-	if err := inlinePolicies(filepath.Dir(path), doc); err != nil {
 		return nil, err
 	}
-	return json.Marshal(doc)
-}
-
-func inlinePolicies(folder string, doc map[string]any) error {
-	policies := []any{doc["policy"]}
-	if shadows, ok := doc["shadows"].([]any); ok {
-		policies = append(policies, shadows...)
+	doc, bad := standing.Parse(raw, imposition.Compile)
+	if bad != nil {
+		return nil, bad
 	}
-	for _, p := range policies {
-		policy, ok := p.(map[string]any)
-		if !ok {
-			continue
-		}
-		file, ok := policy["file"].(string)
-		if !ok {
-			continue
-		}
-		source, err := os.ReadFile(filepath.Join(folder, file))
-		if err != nil {
-			return errors.Trace(err)
-		}
-		delete(policy, "file")
-		policy["source"] = string(source)
-	}
-	return nil
+	return doc, nil
 }
 
 func applyCommand() *cobra.Command {
@@ -136,7 +106,7 @@
 whose answer was lost: it is never taken twice.`,
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			raw, err := readDeclaration(args[0])
+			raw, err := standing.ReadFile(args[0])
 			if err != nil {
 				return err
 			}
@@ -192,14 +162,10 @@
 		Short: "Check a declaration and show how it differs from the one in force",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			raw, err := readDeclaration(args[0])
+			doc, err := parseFile(args[0])
 			if err != nil {
 				return err
 			}
-			doc, bad := standing.Parse(raw, imposition.Compile)
-			if bad != nil {
-				return bad
-			}
 			now, err := current(cmd.Context(), o)
 			if err != nil {
 				return err
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -1,7 +1,8 @@
 package chain
 
 import (
-	"sort"
+	"maps"
+	"slices"
 	"strconv"
 
 	"petreltide/internal/ledger"
@@ -228,12 +229,7 @@
 }
 
 func (n *Node) partnerIDs() []string {
-	ids := make([]string, 0, len(n.partners))
-	for id := range n.partners {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	return ids
+	return slices.Sorted(maps.Keys(n.partners))
 }
 
 func (n *Node) Step(ev Event) []Effect {
--- a/internal/desk/host.go
+++ b/internal/desk/host.go
@@ -45,7 +45,6 @@
 
 	snap    atomic.Pointer[deskwork.Snapshot]
 	leaseUs atomic.Int64
-	drain   atomic.Bool
 	calls   atomic.Int64
 
 	act      *actor.Actor
@@ -101,7 +100,6 @@
 	go func() { _ = server.Serve(listener) }()
 	h.act.Spawn(func() { h.act.Loop(tickEvery, h.tick) })
 	<-ctx.Done()
-	h.drain.Store(true)
 	h.tell(deskwork.Event{Drain: true})
 	expiry := time.NewTimer(time.Duration(h.set.DrainMs) * time.Millisecond)
 	defer expiry.Stop()
@@ -209,8 +207,10 @@
 			h.step(deskwork.Event{LeaseUs: e.LeaseUs})
 		}
 	}
-	where := h.liaison.Where()
-	h.where.Store(&where)
+	if ev.Where != nil {
+		where := h.liaison.Where()
+		h.where.Store(&where)
+	}
 }
 
 func (h *Host) tellLiaison(ev liaison.Event) { h.act.Tell(func() { h.liaise(ev) }) }
--- a/internal/deskwork/decider.go
+++ b/internal/deskwork/decider.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"maps"
+	"slices"
 	"sort"
 	"sync/atomic"
 
@@ -392,12 +394,7 @@
 }
 
 func (d *Decider) kindNames() []string {
-	names := make([]string, 0, len(d.kinds))
-	for n := range d.kinds {
-		names = append(names, n)
-	}
-	sort.Strings(names)
-	return names
+	return slices.Sorted(maps.Keys(d.kinds))
 }
 
 func (d *Decider) enqueue(c *Call) {
--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 
@@ -159,7 +161,6 @@
 	marks     []uint64
 	markUs    int64
 	Faults    map[fault.Code]uint64
-	Verdicts  []imposition.Verdict
 	Policy    PolicyNote
 	Shadows   []PolicyNote
 	effects   []Effect
@@ -207,12 +208,7 @@
 }
 
 func sorted[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	return keys
+	return slices.Sorted(maps.Keys(m))
 }
 
 func (f *Foreman) Step(seen Seen, ev Event) []Effect {
@@ -414,8 +410,7 @@
 		f.share(seen, duty)
 		if f.proposed != nil {
 			tickets, verdicts := imposition.Check(s, f.bucket.TokensMb, f.proposed)
-			f.proposed, f.Verdicts = nil, verdicts
-			f.Policy.Verdicts = verdicts
+			f.proposed, f.Policy.Verdicts = nil, verdicts
 			for _, v := range verdicts {
 				if v.Fault != nil {
 					f.count(v.Fault.Code)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -2,7 +2,8 @@
 
 import (
 	"encoding/json"
-	"sort"
+	"maps"
+	"slices"
 
 	"petreltide/internal/fault"
 	"petreltide/internal/standing"
@@ -203,12 +204,7 @@
 }
 
 func (s *State) ReplicaIDs() []string {
-	ids := make([]string, 0, len(s.Replicas))
-	for id := range s.Replicas {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	return ids
+	return slices.Sorted(maps.Keys(s.Replicas))
 }
 
 // TakenMb counts what is held and what may be held: a load in doubt keeps its room,
--- a/internal/newsroom/newsroom.go
+++ b/internal/newsroom/newsroom.go
@@ -1,6 +1,8 @@
 package newsroom
 
 import (
+	"maps"
+	"slices"
 	"sort"
 
 	"petreltide/internal/chain"
@@ -237,10 +239,5 @@
 }
 
 func (r *Room) deskIDs() []string {
-	ids := make([]string, 0, len(r.desks))
-	for id := range r.desks {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	return ids
+	return slices.Sorted(maps.Keys(r.desks))
 }
--- /dev/null
+++ b/internal/standing/file.go
@@ -0,0 +1,52 @@
+package standing
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"github.com/juju/errors"
+	"sigs.k8s.io/yaml"
+
+	"petreltide/internal/fault"
+)
+
+// ReadFile takes YAML or JSON; a policy may name a program beside the file, which is put in.
+func ReadFile(path string) ([]byte, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	doc := map[string]any{}
+	if err := yaml.UnmarshalStrict(raw, &doc); err != nil {
+		return nil, fault.New(fault.BadJSON, path, "%v", err)
+	}
+	if err := inlinePolicies(filepath.Dir(path), doc); err != nil {
+		return nil, err
+	}
+	return json.Marshal(doc)
+}
+
+func inlinePolicies(folder string, doc map[string]any) error {
+	policies := []any{doc["policy"]}
+	if shadows, ok := doc["shadows"].([]any); ok {
+		policies = append(policies, shadows...)
+	}
+	for _, p := range policies {
+		policy, ok := p.(map[string]any)
+		if !ok {
+			continue
+		}
+		file, ok := policy["file"].(string)
+		if !ok {
+			continue
+		}
+		source, err := os.ReadFile(filepath.Join(folder, file))
+		if err != nil {
+			return errors.Trace(err)
+		}
+		delete(policy, "file")
+		policy["source"] = string(source)
+	}
+	return nil
+}
--- a/proofs/cmd/fleet/main.go
+++ b/proofs/cmd/fleet/main.go
@@ -14,7 +14,6 @@
 
 	"github.com/juju/errors"
 	"github.com/spf13/cobra"
-	"sigs.k8s.io/yaml"
 
 	"petreltide/internal/standing"
 	"petreltide/proofs/fleet"
@@ -77,28 +76,10 @@
 	return cmd
 }
 
-// Declaration reads an example as `petreltide apply` does.
 func declaration(path string) (*standing.Declaration, string, error) {
-	raw, err := os.ReadFile(path)
+	raw, err := standing.ReadFile(path)
 	if err != nil {
-		return nil, "", errors.Trace(err)
-	}
-	doc := map[string]any{}
-	if err := yaml.UnmarshalStrict(raw, &doc); err != nil {
-		return nil, "", errors.Trace(err)
-	}
-	policy, _ := doc["policy"].(map[string]any)
-	if file, ok := policy["file"].(string); ok {
-		source, err := os.ReadFile(filepath.Join(filepath.Dir(path), file))
-		if err != nil {
-			return nil, "", errors.Trace(err)
-		}
-		delete(policy, "file")
-		policy["source"] = string(source)
-	}
-	raw, err = json.Marshal(doc)
-	if err != nil {
-		return nil, "", errors.Trace(err)
+		return nil, "", err
 	}
 	d, bad := standing.Decode(raw)
 	if bad != nil {
--- a/proofs/rules/rules.go
+++ b/proofs/rules/rules.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 
@@ -282,10 +284,5 @@
 }
 
 func names(set map[string]bool) []string {
-	list := []string{}
-	for n := range set {
-		list = append(list, n)
-	}
-	sort.Strings(list)
-	return list
+	return slices.Sorted(maps.Keys(set))
 }
--- a/proofs/shop/shop.go
+++ b/proofs/shop/shop.go
@@ -31,12 +31,9 @@
 	Offices  []string
 	Desks    []string
 	Presses  []string
-	Hosts    []*press.Host
 	Platform *platform.Platform
-	folder   string
 	cancel   context.CancelFunc
 	group    sync.WaitGroup
-	stops    []context.CancelFunc
 }
 
 type Plan struct {
@@ -70,7 +67,7 @@
 
 func Open(plan Plan) (*Shop, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Shop{folder: plan.Folder, cancel: cancel, Platform: platform.New(platform.NewStore(plan.Store.Loads, plan.Store.MbPerSecond, plan.Store.BurstMb))}
+	s := &Shop{cancel: cancel, Platform: platform.New(platform.NewStore(plan.Store.Loads, plan.Store.MbPerSecond, plan.Store.BurstMb))}
 	platListener, platAddr, err := listen()
 	if err != nil {
 		return nil, err
@@ -109,7 +106,7 @@
 			ID: id, Inc: id + "-1", Zone: zone, RoomMb: plan.RoomMb, Slots: plan.Slots, FirstUs: plan.FirstUs, PartUs: plan.PartUs, PieceUs: plan.PieceUs,
 			LoadUs: func(sizeMb int64) int64 { return 20_000 + sizeMb*10 },
 		}), "")
-		s.Hosts, s.Presses = append(s.Hosts, host), append(s.Presses, addr)
+		s.Presses = append(s.Presses, addr)
 		s.run(ctx, func(ctx context.Context) error { return host.Serve(ctx, l) })
 		s.Platform.Set(wire.Listed{ID: id, Addr: addr, Zone: zone, RoomMb: plan.RoomMb, Slots: plan.Slots, State: wire.ListedReady})
 	}
@@ -135,9 +132,7 @@
 }
 
 func (s *Shop) run(ctx context.Context, serve func(context.Context) error) {
-	own, stop := context.WithCancel(ctx)
-	s.stops = append(s.stops, stop)
-	s.spawn(func() { _ = serve(own) })
+	s.spawn(func() { _ = serve(ctx) })
 }
 
 func (s *Shop) Close() {
--- a/proofs/sim/desks.go
+++ b/proofs/sim/desks.go
@@ -346,7 +346,6 @@
 			return
 		}
 		run = started
-		p.alive[leg.Leg] = true
 		d.pieces(p, c, run, leg, firstUs, boot, func() bool { return over }, finish)
 	}
 	body := func() {
--- a/proofs/sim/offices.go
+++ b/proofs/sim/offices.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 
 	"petreltide/internal/chain"
 	"petreltide/internal/foreman"
@@ -298,5 +297,3 @@
 		o.later(2*ms, func() { o.tell(foreman.Event{Policy: &done}) })
 	}
 }
-
-func (o *officeNode) String() string { return fmt.Sprintf("%s@%s", o.name, o.addr) }
--- a/proofs/sim/sim.go
+++ b/proofs/sim/sim.go
@@ -4,8 +4,9 @@
 	"container/heap"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand"
-	"sort"
+	"slices"
 
 	"petreltide/examples"
 	"petreltide/internal/standing"
@@ -391,12 +392,7 @@
 }
 
 func (s *Sim) pressIDs() []string {
-	ids := make([]string, 0, len(s.presses))
-	for id := range s.presses {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	return ids
+	return slices.Sorted(maps.Keys(s.presses))
 }
 
 func clone[T any](v T) T {
@@ -413,10 +409,9 @@
 
 type pressNode struct {
 	machine
-	core  *press.Core
-	zone  string
-	inc   string
-	alive map[string]bool
+	core *press.Core
+	zone string
+	inc  string
 }
 
 func (s *Sim) slots() int {
@@ -443,7 +438,7 @@
 		firstUs, partUs, pieceUs = 60*ms, 40*ms, 25*ms
 		loadUs = func(int64) int64 { return 0 }
 	}
-	p = &pressNode{machine: machine{sim: s, name: id, addr: fmt.Sprintf("%s:%d", id, boot), up: true, boot: boot}, zone: zone, inc: s.newInc(), alive: map[string]bool{}}
+	p = &pressNode{machine: machine{sim: s, name: id, addr: fmt.Sprintf("%s:%d", id, boot), up: true, boot: boot}, zone: zone, inc: s.newInc()}
 	p.core = press.NewCore(press.Options{
 		ID: id, Inc: p.inc, Zone: zone, RoomMb: roomMb, Slots: slots, FirstUs: firstUs, PartUs: partUs, PieceUs: pieceUs, Fetch: true, LoadUs: loadUs,
 		Journal: func(l press.Line) {
