Compare policies live: alternated windows, told apart by revision, restored at the end

Cause: policies could be compared only in the simulator. Desks keep histograms by the revision that took the call; a change that touches only the revision begins a window, so the settling gap and calls that span a swap are told apart exactly. Ruled out: timing windows at the client (desks take a swap at different moments), state in the control plane. Shadows count where they part from the live one.

--- /dev/null
+++ b/cmd/petreltide/compare.go
@@ -0,0 +1,214 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+
+	"petreltide/internal/collation"
+	"petreltide/internal/desk"
+	"petreltide/internal/fault"
+	"petreltide/internal/imposition"
+	"petreltide/internal/office"
+	"petreltide/internal/standing"
+)
+
+func compareCommand() *cobra.Command {
+	o := &offices{}
+	opts := collation.Options{}
+	var live bool
+	var files []string
+	cmd := &cobra.Command{
+		Use:   "compare --live --policy A --policy B",
+		Short: "Swap two policies on the live fleet in turns and compare what callers got",
+		Long: `Swap two policies on the live fleet in windows, in a seeded order balanced over pairs (AB or BA),
+and say where the calls of the windows differ.
+
+Each swap is an ordinary change, built on the last one this comparison made. After a settling gap
+that is left out, a change that touches nothing but the revision begins the window; desks count
+each call under the revision that took it. A call that ends under a later revision is reported
+apart. It stops when anybody else changes the configuration, or when a fault spoils a window: a
+replica or desk lost, come or marked as leaving, another controller (--go-on leaves the spoilt
+pair out instead). The policy in force before is put back at the end and on interrupt; where that
+fails, the command that does it is printed.
+
+  petreltide compare --live --office 10.0.1.5:7100 --policy steady.star --policy chaser.star \
+    --windows 12 --window 2m --settle 20s`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if !live {
+				return fault.New(fault.BadField, "live", "this compares on the live fleet: say --live (the simulator's comparison is the proofs' command, fleet compare)")
+			}
+			if len(files) != 2 {
+				return fault.New(fault.BadField, "policy", "name two policies")
+			}
+			if bad := opts.Check(); bad != nil {
+				return bad
+			}
+			var bad *fault.Fault
+			if opts.First, bad = readPolicy(files[0]); bad != nil {
+				return bad
+			}
+			if opts.Second, bad = readPolicy(files[1]); bad != nil {
+				return bad
+			}
+			if opts.Second.Name == opts.First.Name {
+				opts.Second.Name += "-again"
+			}
+			result, err := collation.Hold(cmd.Context(), live1{o}, opts, cmd.OutOrStdout())
+			if len(result.Windows) > 0 {
+				collation.Report(cmd.OutOrStdout(), result)
+			}
+			if err != nil {
+				return restoreHint(cmd, o, err)
+			}
+			if result.Stopped != nil {
+				return result.Stopped
+			}
+			return nil
+		},
+	}
+	o.flag(cmd)
+	flags := cmd.Flags()
+	flags.BoolVar(&live, "live", false, "compare on the live fleet")
+	flags.StringArrayVar(&files, "policy", nil, "policy program; given twice, the second is held against the first")
+	flags.IntVar(&opts.Windows, "windows", 12, "windows in all, an even number")
+	flags.DurationVar(&opts.Window, "window", 2*time.Minute, "length of a window")
+	flags.DurationVar(&opts.Settle, "settle", 20*time.Second, "gap after a swap that is left out")
+	flags.Int64Var(&opts.Seed, "seed", 1, "seed of the order of the windows")
+	flags.BoolVar(&opts.GoOn, "go-on", false, "leave spoilt pairs out instead of stopping")
+	return cmd
+}
+
+func readPolicy(file string) (standing.Policy, *fault.Fault) {
+	source, err := os.ReadFile(file)
+	if err != nil {
+		return standing.Policy{}, fault.New(fault.NotFound, "policy", "%v", err)
+	}
+	p := standing.Policy{Name: strings.TrimSuffix(filepath.Base(file), ".star"), Source: string(source)}
+	return p, imposition.Compile(p.Name, p.Source)
+}
+
+// restoreHint leaves the first policy in a file and prints the command that puts it back.
+func restoreHint(cmd *cobra.Command, o *offices, err error) error {
+	var bad *collation.Unrestored
+	if !errors.As(err, &bad) {
+		return err
+	}
+	raw, encodeErr := json.Marshal(map[string]any{"policy": bad.Policy})
+	if encodeErr != nil {
+		return errors.Trace(encodeErr)
+	}
+	file, createErr := os.CreateTemp("", "petreltide-policy-*.json")
+	if createErr != nil {
+		return errors.Trace(createErr)
+	}
+	defer file.Close()
+	if _, writeErr := file.Write(raw); writeErr != nil {
+		return errors.Trace(writeErr)
+	}
+	fmt.Fprintf(cmd.ErrOrStderr(), "to put policy %s back:\n  petreltide apply --patch %s --office %s\n", bad.Policy.Name, file.Name(), strings.Join(o.addrs, ","))
+	return err
+}
+
+// live1 reaches a fleet through its offices and desks.
+type live1 struct{ o *offices }
+
+func (l live1) Config(ctx context.Context) (office.ConfigNow, error) { return current(ctx, l.o) }
+
+func (l live1) Apply(ctx context.Context, base uint64, change string, doc *standing.Declaration) (office.Applied, error) {
+	applied := office.Applied{}
+	raw, err := json.Marshal(doc)
+	if err != nil {
+		return applied, errors.Trace(err)
+	}
+	a, err := l.o.ask(ctx, http.MethodPut, fmt.Sprintf("/v1/config?base=%d&change=%s", base, url.QueryEscape(change)), raw)
+	if err == nil {
+		err = a.fault()
+	}
+	if err != nil {
+		return applied, err
+	}
+	return applied, errors.Trace(json.Unmarshal(a.body, &applied))
+}
+
+func (l live1) Pause(ctx context.Context, span time.Duration) error {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+func (l live1) status(ctx context.Context) (office.Status, error) {
+	st := office.Status{}
+	a, err := l.o.ask(ctx, http.MethodGet, "/v1/status", nil)
+	if err == nil {
+		err = a.fault()
+	}
+	if err != nil {
+		return st, err
+	}
+	if err := json.Unmarshal(a.body, &st); err != nil {
+		return st, errors.Trace(err)
+	}
+	tail := st.View.Tail()
+	if tail.ID == st.Office.ID || tail.Addr == "" {
+		return st, nil
+	}
+	atTail := &offices{addrs: []string{tail.Addr}}
+	if a, err = atTail.ask(ctx, http.MethodGet, "/v1/status", nil); err == nil {
+		err = a.fault()
+	}
+	if err != nil {
+		return st, err
+	}
+	st = office.Status{}
+	return st, errors.Trace(json.Unmarshal(a.body, &st))
+}
+
+func (l live1) Look(ctx context.Context) (collation.Look, error) {
+	look := collation.Look{Replicas: map[string]string{}, Desks: map[string]string{}}
+	st, err := l.status(ctx)
+	if err != nil {
+		return look, err
+	}
+	if !st.Open {
+		return look, fault.New(fault.NotServing, st.Office.ID, "the tail has no lease now")
+	}
+	look.Revision, look.Loads, look.LoadedMb = st.Revision, st.Loads, st.LoadedMb
+	look.Duty = fmt.Sprintf("%s under epoch %d", st.Holder, st.Epoch)
+	for _, r := range st.Replicas {
+		look.Replicas[r.ID] = fmt.Sprintf("%s (leaving %v, dark %v)", r.Inc, r.Leaving, r.Dark)
+	}
+	for _, d := range st.Desks {
+		at := &offices{addrs: []string{d.Addr}}
+		a, err := at.ask(ctx, http.MethodGet, "/v1/status", nil)
+		if err == nil {
+			err = a.fault()
+		}
+		if err != nil {
+			look.Desks[d.Desk] = "out of reach"
+			continue
+		}
+		ds := desk.Status{}
+		if err := json.Unmarshal(a.body, &ds); err != nil {
+			return look, errors.Trace(err)
+		}
+		look.Desks[d.Desk] = ds.Inc
+		look.Gauges = append(look.Gauges, ds.Gauges...)
+	}
+	return look, nil
+}
--- a/cmd/petreltide/operators.go
+++ b/cmd/petreltide/operators.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
@@ -235,6 +237,21 @@
 	return cmd
 }
 
+// most names the three steps that came up most often.
+func most(intro string, steps map[string]uint64) string {
+	names := slices.SortedFunc(maps.Keys(steps), func(a, b string) int {
+		if steps[a] != steps[b] {
+			return int(int64(steps[b]) - int64(steps[a]))
+		}
+		return strings.Compare(a, b)
+	})
+	text := ""
+	for i, name := range names[:min(3, len(names))] {
+		text += fmt.Sprintf("%s %s (%d)", map[bool]string{true: intro, false: ","}[i == 0], name, steps[name])
+	}
+	return text
+}
+
 func printStatus(w io.Writer, st office.Status) {
 	seats := []string{}
 	for _, s := range st.View.Order {
@@ -278,6 +295,14 @@
 			fmt.Fprintf(w, "          last fault: %v\n", st.Policy.Fault)
 		}
 	}
+	for _, s := range st.Shadows {
+		fmt.Fprintf(w, "shadow    %s: %d runs, %d faulted", s.Name, s.Runs, s.Faulted)
+		if s.Parted != nil {
+			fmt.Fprintf(w, "; parted from %s in %d of %d%s%s", st.Policy.Name, s.Parted.Runs-s.Parted.Same, s.Parted.Runs,
+				most("; it alone would", s.Parted.Only), most("; it would not", s.Parted.Left))
+		}
+		fmt.Fprintln(w)
+	}
 	for code, n := range st.Faults {
 		fmt.Fprintf(w, "fault     %s: %d\n", code, n)
 	}
--- /dev/null
+++ b/internal/collation/collation_test.go
@@ -0,0 +1,237 @@
+package collation
+
+import (
+	"context"
+	"io"
+	"math/rand"
+	"strings"
+	"testing"
+	"time"
+
+	"petreltide/internal/deskwork"
+	"petreltide/internal/fault"
+	"petreltide/internal/office"
+	"petreltide/internal/standing"
+	"petreltide/internal/weigh"
+)
+
+// stage is a fleet whose calls take as long as the policy in force says.
+type stage struct {
+	r        *rand.Rand
+	revision uint64
+	doc      *standing.Declaration
+	gauges   []deskwork.Gauge
+	replicas map[string]string
+	nowUs    int64
+	slowUs   map[string]int64
+	at       map[int64]func(*stage)
+	doubt    int
+	seen     map[string]uint64
+	deaf     bool
+	policies []string
+}
+
+func newStage(seed int64) *stage {
+	return &stage{r: rand.New(rand.NewSource(seed)), revision: 3, doc: &standing.Declaration{Policy: standing.Policy{Name: "before", Source: "b"}},
+		replicas: map[string]string{"r1": "i"}, slowUs: map[string]int64{}, at: map[int64]func(*stage){}, seen: map[string]uint64{}}
+}
+
+func (s *stage) Config(context.Context) (office.ConfigNow, error) {
+	if s.deaf {
+		return office.ConfigNow{}, fault.New(fault.NotServing, "", "deaf")
+	}
+	return office.ConfigNow{Revision: s.revision, Declaration: s.doc}, nil
+}
+
+func (s *stage) Apply(_ context.Context, base uint64, change string, doc *standing.Declaration) (office.Applied, error) {
+	if s.deaf {
+		return office.Applied{}, fault.New(fault.NotServing, "", "deaf")
+	}
+	if revision, again := s.seen[change]; again {
+		return office.Applied{Revision: revision, State: "everywhere"}, nil
+	}
+	if base != s.revision {
+		f := fault.New(fault.StaleBase, "base", "")
+		f.Revision = s.revision
+		return office.Applied{}, f
+	}
+	s.change(doc)
+	s.seen[change] = s.revision
+	if s.doubt > 0 {
+		s.doubt--
+		return office.Applied{}, fault.New(fault.InDoubt, "", "")
+	}
+	return office.Applied{Revision: s.revision, State: "everywhere"}, nil
+}
+
+func (s *stage) change(doc *standing.Declaration) {
+	s.revision++
+	s.doc = doc
+	s.policies = append(s.policies, doc.Policy.Name)
+	s.gauges = append(s.gauges, deskwork.Gauge{Revision: s.revision, Kinds: map[string]*deskwork.KindGauge{"fixes": {First: weigh.Spread{}}}})
+}
+
+func (s *stage) Look(context.Context) (Look, error) {
+	replicas := map[string]string{}
+	for id, state := range s.replicas {
+		replicas[id] = state
+	}
+	return Look{Revision: s.revision, Duty: "one", Replicas: replicas, Desks: map[string]string{"d": "i"}, Gauges: s.gauges}, nil
+}
+
+func (s *stage) Pause(ctx context.Context, span time.Duration) error {
+	for ms := int64(0); ms < span.Milliseconds(); ms += 10 {
+		s.nowUs += 10_000
+		if act := s.at[s.nowUs]; act != nil {
+			act(s)
+		}
+		if len(s.gauges) > 0 {
+			k := s.gauges[len(s.gauges)-1].Kinds["fixes"]
+			k.Taken++
+			k.Ended++
+			k.First.Add(20_000 + s.slowUs[s.doc.Policy.Name] + s.r.Int63n(20_000))
+		}
+	}
+	return ctx.Err()
+}
+
+func opts(windows int) Options {
+	return Options{First: standing.Policy{Name: "a", Source: "a"}, Second: standing.Policy{Name: "b", Source: "b2"}, Windows: windows, Window: 4 * time.Second, Settle: time.Second, Seed: 5}
+}
+
+func (s *stage) restored(t *testing.T) {
+	t.Helper()
+	if s.doc.Policy.Name != "before" {
+		t.Errorf("policy %s stands at the end", s.doc.Policy.Name)
+	}
+}
+
+func seenIn(r Result) []string {
+	found := []string{}
+	for _, row := range r.Rows() {
+		if row.Diff().Seen() {
+			found = append(found, row.Kind+" "+row.What)
+		}
+	}
+	return found
+}
+
+func TestTurnsAreSeededAndBalancedOverPairs(t *testing.T) {
+	orders := map[string]bool{}
+	for seed := int64(1); seed <= 20; seed++ {
+		turns := Turns(12, seed)
+		ab, text := 0, ""
+		for i := 0; i < 12; i += 2 {
+			if turns[i] == turns[i+1] {
+				t.Fatalf("seed %d: pair %d is not a pair", seed, i/2)
+			}
+			ab += 1 - turns[i]
+			text += string(rune('a' + turns[i]))
+		}
+		if ab != 3 {
+			t.Fatalf("seed %d: %d of 6 pairs begin with the first policy", seed, ab)
+		}
+		orders[text] = true
+	}
+	if len(orders) < 5 {
+		t.Fatalf("only %d orders in 20 seeds", len(orders))
+	}
+}
+
+func TestEqualPoliciesShowNoneAndAWorseOneIsFound(t *testing.T) {
+	s := newStage(1)
+	result, err := Hold(context.Background(), s, opts(10), io.Discard)
+	if err != nil || result.Stopped != nil || len(result.Pairs()) != 5 {
+		t.Fatal(err, result.Stopped, len(result.Pairs()))
+	}
+	if found := seenIn(result); len(found) > 0 {
+		t.Errorf("equal policies differ in %v", found)
+	}
+	s.restored(t)
+	for _, w := range result.Windows {
+		if n := w.Kinds["fixes"].Taken; n != 400 {
+			t.Errorf("window %d counts %d calls, 400 fell into it: the settling gap is not left out", w.Number, n)
+		}
+	}
+	s = newStage(2)
+	s.slowUs["b"] = 15_000
+	if result, err = Hold(context.Background(), s, opts(10), io.Discard); err != nil {
+		t.Fatal(err)
+	}
+	if found := seenIn(result); len(found) != 2 {
+		t.Errorf("a policy 15 ms slower is seen in %v", found)
+	}
+}
+
+func TestAForeignChangeAFaultAndAnInterruptEndItHonestly(t *testing.T) {
+	amid := int64(7_000_000)
+	for name, c := range map[string]struct {
+		act   func(*stage, context.CancelFunc)
+		goOn  bool
+		code  fault.Code
+		stays string
+		pairs int
+	}{
+		"foreign change, other policy": {act: func(s *stage, _ context.CancelFunc) {
+			doc := *s.doc
+			doc.Policy = standing.Policy{Name: "theirs"}
+			s.change(&doc)
+		}, code: fault.ForeignChange, stays: "theirs"},
+		"foreign change, same policy": {act: func(s *stage, _ context.CancelFunc) {
+			doc := *s.doc
+			doc.Name = "theirs"
+			s.change(&doc)
+		}, code: fault.ForeignChange, stays: "before"},
+		"replica lost":            {act: func(s *stage, _ context.CancelFunc) { delete(s.replicas, "r1") }, code: fault.WindowSpoilt, stays: "before"},
+		"replica lost, and go on": {act: func(s *stage, _ context.CancelFunc) { delete(s.replicas, "r1") }, goOn: true, stays: "before", pairs: 3},
+		"interrupt":               {act: func(_ *stage, stop context.CancelFunc) { stop() }, code: fault.Interrupted, stays: "before"},
+		"an answer in doubt":      {act: func(s *stage, _ context.CancelFunc) { s.doubt = 3 }, stays: "before", pairs: 4},
+	} {
+		s := newStage(3)
+		ctx, stop := context.WithCancel(context.Background())
+		s.at[amid] = func(s *stage) { c.act(s, stop) }
+		o := opts(8)
+		o.GoOn = c.goOn
+		var text strings.Builder
+		result, err := Hold(ctx, s, o, &text)
+		stop()
+		var code fault.Code
+		if result.Stopped != nil {
+			code = result.Stopped.Code
+		}
+		if err != nil || code != c.code || s.doc.Policy.Name != c.stays {
+			t.Errorf("%s: err %v, stopped by %q, policy %s stands\n%s", name, err, code, s.doc.Policy.Name, text.String())
+		}
+		if c.pairs > 0 && len(result.Pairs()) != c.pairs {
+			t.Errorf("%s: %d clean pairs", name, len(result.Pairs()))
+		}
+		if strings.HasPrefix(name, "replica") && !strings.Contains(text.String(), "replica r1 went away") {
+			t.Errorf("%s: the fault is not named: %s", name, text.String())
+		}
+	}
+}
+
+func TestAPolicyThatCannotBePutBackIsNamed(t *testing.T) {
+	s := newStage(4)
+	s.at[6_000_000] = func(s *stage) { s.deaf = true }
+	_, err := Hold(context.Background(), s, opts(2), io.Discard)
+	if bad, ok := err.(*Unrestored); !ok || bad.Policy.Name != "before" {
+		t.Fatalf("%v", err)
+	}
+}
+
+func TestOddAndEmptyComparisonsAreRefusedBeforeAnythingChanges(t *testing.T) {
+	for name, edit := range map[string]func(*Options){
+		"odd":       func(o *Options) { o.Windows = 3 },
+		"zero":      func(o *Options) { o.Windows = 0 },
+		"negative":  func(o *Options) { o.Windows = -2 },
+		"no window": func(o *Options) { o.Window = 0 },
+		"settle":    func(o *Options) { o.Settle = -time.Second },
+	} {
+		s, o := newStage(5), opts(4)
+		edit(&o)
+		if _, err := Hold(context.Background(), s, o, io.Discard); err == nil || s.revision != 3 {
+			t.Errorf("%s: %v, revision %d", name, err, s.revision)
+		}
+	}
+}
--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -41,6 +41,15 @@
 	keyMost         = 200
 )
 
+type Status struct {
+	Desk   string           `json:"desk"`
+	Inc    string           `json:"inc"`
+	Zone   string           `json:"zone"`
+	Tail   string           `json:"tail"`
+	Work   deskwork.Note    `json:"work"`
+	Gauges []deskwork.Gauge `json:"gauges"`
+}
+
 func (h *Host) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/calls", h.serveCall)
@@ -63,11 +72,10 @@
 }
 
 func (h *Host) status(w http.ResponseWriter, _ *http.Request) {
-	var note deskwork.Note
-	h.ask(func() { note = h.decider.Note() })
-	tail := h.tail()
+	st := Status{Desk: h.set.Name, Inc: h.inc, Zone: h.set.Zone, Tail: h.tail().ID}
+	h.ask(func() { st.Work, st.Gauges = h.decider.Note(), h.decider.Gauges() })
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{"desk": h.set.Name, "inc": h.inc, "zone": h.set.Zone, "tail": tail.ID, "work": note})
+	_ = json.NewEncoder(w).Encode(st)
 }
 
 func refuse(w http.ResponseWriter, status int, f *fault.Fault) {
@@ -426,6 +434,7 @@
 			}
 			return ending, why
 		}
+		c.FirstUs.CompareAndSwap(0, clock.NowUs())
 		s.pieces = append(s.pieces, p.Text)
 		c.Progress.Store(int64(len(s.pieces)))
 		s.event(len(s.pieces), "piece", map[string]any{"text": p.Text})
--- a/internal/deskwork/decider.go
+++ b/internal/deskwork/decider.go
@@ -129,7 +129,9 @@
 	TakenUs  int64
 	Had      int
 	Progress atomic.Int64
+	FirstUs  atomic.Int64
 
+	takenAt  uint64
 	urgency  int
 	expiryUs int64
 	resume   bool
@@ -289,6 +291,7 @@
 	slotNow   int
 	slotsSeen int
 	serviceUs float64
+	gauges    []*Gauge
 	Decisions []Decision
 	effects   []Effect
 }
@@ -381,6 +384,7 @@
 		d.slots[d.slotNow][c.Adapter]++
 	}
 	d.calls[c.ID] = c
+	d.gaugeTaken(c)
 	if c.TakenUs == 0 {
 		c.TakenUs = d.nowUs
 	}
@@ -516,6 +520,7 @@
 		f.Run = fault.RunUnknown
 	}
 	d.kind(c.Kind).given[code]++
+	d.gaugeOver(c, "", code)
 	d.note(c, "given up", "", string(code)+": "+why)
 	d.do(Effect{Give: &Give{Call: c, Fault: f}})
 }
@@ -529,6 +534,7 @@
 	if c.leg == "" {
 		d.dequeue(c)
 		delete(d.calls, id)
+		d.gaugeOver(c, "", "")
 		return
 	}
 	d.do(Effect{Cancel: c.ID})
@@ -777,6 +783,7 @@
 		} else {
 			d.kind(c.Kind).given[fault.Code(e.Ending)]++
 		}
+		d.gaugeOver(c, e.Ending, "")
 		d.note(c, "ended", on, string(e.Ending))
 		d.do(Effect{Over: &Over{Call: c, Ending: e.Ending}})
 		return
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -55,6 +55,10 @@
 	PlatformBad     Code = "platform_bad"
 	MembershipUnfit Code = "membership_unfit"
 	NotFound        Code = "not_found"
+	ForeignChange   Code = "foreign_change"
+	WindowSpoilt    Code = "window_spoilt"
+	Interrupted     Code = "interrupted"
+	NotRestored     Code = "not_restored"
 )
 
 const (
--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -175,6 +175,7 @@
 	Fault    *fault.Fault         `json:"fault,omitempty"`
 	Faulted  uint64               `json:"faulted"`
 	Verdicts []imposition.Verdict `json:"verdicts,omitempty"`
+	Parted   *Parted              `json:"parted,omitempty"`
 }
 
 func New(me string) *Foreman {
@@ -784,6 +785,7 @@
 		if a.Fault == nil {
 			_, note.Verdicts = imposition.Check(seen.State, f.bucket.TokensMb, a.Proposals)
 		}
+		note.Parted = note.Parted.add(p.Live.Proposals, a.Proposals)
 		shadows = append(shadows, note)
 	}
 	f.Shadows = shadows
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -178,6 +178,8 @@
 	Changes    map[string]Outcome    `json:"changes"`
 	ChangeIDs  []string              `json:"changeIds"`
 	Refused    map[fault.Code]uint64 `json:"refused"`
+	Loads      uint64                `json:"loads"`
+	LoadedMb   int64                 `json:"loadedMb"`
 }
 
 func NewState() *State {
@@ -417,6 +419,8 @@
 		}
 		if t.Step == Load {
 			r.Holds[t.Unit] = t.SizeMb
+			s.Loads++
+			s.LoadedMb += t.SizeMb
 		} else {
 			delete(r.Holds, t.Unit)
 		}
--- a/internal/office/core.go
+++ b/internal/office/core.go
@@ -253,6 +253,8 @@
 	Refused  map[fault.Code]uint64 `json:"refused,omitempty"`
 	Keys     int                   `json:"keys"`
 	Grants   int                   `json:"grants"`
+	Loads    uint64                `json:"loads"`
+	LoadedMb int64                 `json:"loadedMb"`
 }
 
 func (c *Core) Status(nowUs int64) Status {
@@ -262,7 +264,7 @@
 		Commit: c.Node.Commit(), Last: c.Node.Last(), Epoch: s.Epoch, Holder: s.Holder, OnDuty: c.Foreman.OnDuty(s),
 		Revision: s.Revision, Partners: c.Node.Partners(), Desks: c.Room.Desks(nowUs), Demand: c.Foreman.Desks(nowUs),
 		Counts: c.Foreman.Counts(), Policy: c.Foreman.Policy, Shadows: c.Foreman.Shadows,
-		Faults: copyOf(c.Foreman.Faults), Refused: copyOf(s.Refused), Keys: len(s.Keys), Grants: len(s.Grants),
+		Faults: copyOf(c.Foreman.Faults), Refused: copyOf(s.Refused), Keys: len(s.Keys), Grants: len(s.Grants), Loads: s.Loads, LoadedMb: s.LoadedMb,
 		Pending: []ledger.Ticket{}, Replicas: []ledger.Replica{},
 	}
 	if s.Doc != nil {
--- /dev/null
+++ b/internal/weigh/spread.go
@@ -0,0 +1,49 @@
+package weigh
+
+import "math"
+
+const (
+	bucketStep = 1.1
+	bucketMost = 160
+)
+
+// Spread counts times in buckets, each a tenth wider than the one before.
+type Spread map[int]uint64
+
+func (s Spread) Add(spanUs int64) {
+	at := 0
+	if spanUs > 100 {
+		at = min(bucketMost, int(math.Log(float64(spanUs)/100)/math.Log(bucketStep))+1)
+	}
+	s[at]++
+}
+
+func (s Spread) Join(o Spread) {
+	for at, n := range o {
+		s[at] += n
+	}
+}
+
+func (s Spread) Count() uint64 {
+	var sum uint64
+	for _, n := range s {
+		sum += n
+	}
+	return sum
+}
+
+// QuantileMs is the middle of the bucket that holds this part of all times.
+func (s Spread) QuantileMs(part float64) float64 {
+	whole := s.Count()
+	if whole == 0 {
+		return 0
+	}
+	before := uint64(0)
+	for at := 0; at <= bucketMost; at++ {
+		before += s[at]
+		if s[at] > 0 && float64(before) >= part*float64(whole) {
+			return 0.1 * math.Pow(bucketStep, float64(at)-0.5)
+		}
+	}
+	return 0.1 * math.Pow(bucketStep, bucketMost)
+}
--- a/proofs/weigh/weigh.go
+++ b/internal/weigh/weigh.go
@@ -41,3 +41,11 @@
 	d.Low, d.High = d.Mean-half, d.Mean+half
 	return d
 }
+
+func Mean(values []float64) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += v / float64(len(values))
+	}
+	return sum
+}
--- /dev/null
+++ b/proofs/fleet/compare_test.go
@@ -0,0 +1,142 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"petreltide/examples"
+	"petreltide/internal/office"
+)
+
+func policies(t *testing.T) (steady, chaser, broken string) {
+	t.Helper()
+	folder := t.TempDir()
+	write := func(name, source string) string {
+		path := filepath.Join(folder, name+".star")
+		if err := os.WriteFile(path, []byte(source), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	return write("other", examples.Steady), write("chaser", examples.Chaser), write("broken", "def propose(fleet:\n")
+}
+
+func (f *Fleet) now(t *testing.T, ctx context.Context) office.ConfigNow {
+	t.Helper()
+	r, err := f.AskAny(ctx, http.MethodGet, "/v1/config", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := office.ConfigNow{}
+	if err := json.Unmarshal(r.Body, &now); err != nil {
+		t.Fatal(err)
+	}
+	return now
+}
+
+// amid runs a comparison and acts once its first window is over.
+func amid(t *testing.T, act func(*exec.Cmd), args ...string) (string, error) {
+	t.Helper()
+	cmd := exec.Command(petreltide, args...)
+	pipe, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd.Stderr = cmd.Stdout
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	var text strings.Builder
+	lines := bufio.NewScanner(pipe)
+	for lines.Scan() {
+		text.WriteString(lines.Text() + "\n")
+		if act != nil && strings.HasPrefix(lines.Text(), "window 1 ") {
+			act(cmd)
+			act = nil
+		}
+	}
+	return text.String(), cmd.Wait()
+}
+
+func TestCompareLiveOnRealProcesses(t *testing.T) {
+	f, doc, ctx := small(t)
+	raw, err := json.Marshal(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := Begin(ctx, f, string(raw)); err != nil {
+		t.Fatal(err)
+	}
+	loaded, stop := context.WithCancel(ctx)
+	over := make(chan struct{})
+	go func() {
+		f.Run(loaded, Demand{Doc: doc, PerSecond: 40, Seed: 1, Label: "compare"})
+		close(over)
+	}()
+	defer func() {
+		stop()
+		<-over
+	}()
+	offices := strings.Join(f.Addrs("office"), ",")
+	other, chaser, broken := policies(t)
+	args := func(a, b string, more ...string) []string {
+		return append([]string{"compare", "--live", "--office", offices, "--policy", a, "--policy", b, "--windows", "4", "--window", "3s", "--settle", "300ms"}, more...)
+	}
+
+	before := f.now(t, ctx).Revision
+	for name, bad := range map[string][]string{
+		"odd windows": args(other, chaser, "--windows", "3"), "no windows": args(other, chaser, "--windows", "0"),
+		"an unknown file": args(other, chaser+"x"), "one that does not compile": args(other, broken),
+		"one policy":        {"compare", "--live", "--office", offices, "--policy", other},
+		"no office reached": {"compare", "--live", "--office", FreeAddr(), "--policy", other, "--policy", chaser, "--windows", "2"},
+	} {
+		if out, err := run(t, bad...); err == nil {
+			t.Errorf("%s: taken: %s", name, out)
+		}
+	}
+	if now := f.now(t, ctx).Revision; now != before {
+		t.Fatalf("refused comparisons moved the revision from %d to %d", before, now)
+	}
+
+	back := func(what string) {
+		t.Helper()
+		if now := f.now(t, ctx); now.Declaration.Policy != doc.Policy {
+			t.Errorf("%s: policy %s stands", what, now.Declaration.Policy.Name)
+		}
+	}
+	out, err := amid(t, nil, args(other, chaser)...)
+	want(t, out, err, "2 clean pairs of 2", "policy steady is back", "fixes", "first piece p95")
+	back("played to its end")
+
+	out, err = amid(t, func(cmd *exec.Cmd) { _ = cmd.Process.Signal(syscall.SIGINT) }, args(other, chaser)...)
+	if err == nil || !strings.Contains(out, "interrupted") {
+		t.Errorf("an interrupt: %v\n%s", err, out)
+	}
+	back("an interrupt")
+
+	out, err = amid(t, func(*exec.Cmd) {
+		zone := f.Plan.Zones[0]
+		if r, err := f.AskAny(ctx, http.MethodPost, "/v1/zones/"+zone+"/restore", ""); err != nil || r.Status != http.StatusOK {
+			t.Errorf("%v %s", err, r.Body)
+		}
+	}, args(other, chaser)...)
+	if err == nil || !strings.Contains(out, "foreign_change") {
+		t.Errorf("a foreign change: %v\n%s", err, out)
+	}
+	back("a foreign change of something else")
+
+	name := f.Names("replica")[0]
+	out, err = amid(t, func(*exec.Cmd) { f.Take(name) }, args(other, chaser, "--settle", "0s")...)
+	if err == nil || !strings.Contains(out, "window_spoilt") || !strings.Contains(out, name) {
+		t.Errorf("a replica lost: %v\n%s", err, out)
+	}
+	back("a replica lost")
+}
--- a/proofs/fleet/day.go
+++ b/proofs/fleet/day.go
@@ -252,6 +252,7 @@
 	}
 	fmt.Fprintf(out, "up and settled after %d ms: %d offices, %d desks, %d replicas\n", (NowUs()-beganUs)/1000,
 		len(f.Names("office")), len(f.Names("desk")), len(f.Names("replica")))
+	fmt.Fprintf(out, "offices at %s, desks at %s\n", strings.Join(f.Addrs("office"), ","), strings.Join(f.Addrs("desk"), ","))
 	loaded, stop := context.WithCancel(ctx)
 	defer stop()
 	over := make(chan struct{})
--- a/proofs/sim/compare.go
+++ b/proofs/sim/compare.go
@@ -7,8 +7,8 @@
 	"sync"
 
 	"petreltide/internal/standing"
+	"petreltide/internal/weigh"
 	"petreltide/proofs/rules"
-	"petreltide/proofs/weigh"
 )
 
 type Contest struct {
@@ -147,15 +147,7 @@
 			if d.Seen() {
 				said = fmt.Sprintf("%+.1f (%+.1f to %+.1f) %s", d.Mean, d.Low, d.High, f.Unit)
 			}
-			fmt.Fprintf(w, "%-16s %-16s %10.1f %10.1f   %s\n", f.Kind, f.What, mean(f.Values[first]), mean(f.Values[p.Name]), said)
+			fmt.Fprintf(w, "%-16s %-16s %10.1f %10.1f   %s\n", f.Kind, f.What, weigh.Mean(f.Values[first]), weigh.Mean(f.Values[p.Name]), said)
 		}
 	}
 }
-
-func mean(values []float64) float64 {
-	sum := 0.0
-	for _, v := range values {
-		sum += v / float64(len(values))
-	}
-	return sum
-}
--- a/proofs/sim/compare_test.go
+++ b/proofs/sim/compare_test.go
@@ -6,7 +6,7 @@
 
 	"petreltide/examples"
 	"petreltide/internal/standing"
-	"petreltide/proofs/weigh"
+	"petreltide/internal/weigh"
 )
 
 const drowsy = `
--- a/proofs/sim/desks.go
+++ b/proofs/sim/desks.go
@@ -421,6 +421,7 @@
 			if c.told.FirstUs == 0 {
 				c.told.FirstUs = s.nowUs
 			}
+			c.call.FirstUs.CompareAndSwap(0, d.clock())
 			c.told.Pieces = append(c.told.Pieces, piece.Text)
 			c.told.IDs = append(c.told.IDs, c.told.Had+len(c.told.Pieces))
 			c.call.Progress.Store(int64(c.told.Had + len(c.told.Pieces)))
