--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -79,8 +79,14 @@
 type saving struct {
 	startUs int64
 	upto    uint64
-	then    []Send
-	after   func()
+	then    *reply
+	copied  uint64
+}
+
+// reply is what a member owes another once a record is synced.
+type reply struct {
+	to  Member
+	msg Msg
 }
 
 func NewNode(opts Options, records []Record, nowUs int64) (*Node, error) {
@@ -274,9 +280,9 @@
 	n.effects = append(n.effects, Effect{Send: &Send{Addr: to.Addr, Msg: m}})
 }
 
-func (n *Node) save(records []Record, upto uint64, after func()) {
+func (n *Node) save(records []Record, upto uint64, then *reply) {
 	n.saveSeq++
-	n.saving[n.saveSeq] = &saving{startUs: n.nowUs, upto: upto, after: after}
+	n.saving[n.saveSeq] = &saving{startUs: n.nowUs, upto: upto, then: then}
 	n.effects = append(n.effects, Effect{Save: &Save{Seq: n.saveSeq, Records: records}})
 }
 
@@ -291,8 +297,12 @@
 		n.madeWhole()
 		n.pushOn()
 	}
-	if s.after != nil {
-		s.after()
+	if s.copied > 0 {
+		n.copyHeld = s.copied
+		n.ackBack()
+	}
+	if s.then != nil {
+		n.send(s.then.to, s.then.msg)
 	}
 }
 
@@ -505,10 +515,8 @@
 	n.base, n.entries, n.state, n.commit, n.whole = c, nil, state, c.Index, false
 	n.synced, n.queued = 0, c.Index
 	held := c
-	n.save([]Record{{Copy: &held}}, c.Index, func() {
-		n.copyHeld = held.Index
-		n.ackBack()
-	})
+	n.save([]Record{{Copy: &held}}, c.Index, nil)
+	n.saving[n.saveSeq].copied = held.Index
 }
 
 func (n *Node) gotAck(m Msg, a Ack) {
--- /dev/null
+++ b/internal/chain/unraced_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package chain
+
+const raced = false
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -414,12 +414,12 @@
 	}
 	n.promised = p.Ballot
 	n.round = max(n.round, p.Ballot.Round)
-	reply := Promise{Number: p.Number, Ballot: p.Ballot, OK: true, Promised: p.Ballot, Accepted: n.accepted}
-	records := []Record{{Promised: &reply.Promised}}
+	promise := Promise{Number: p.Number, Ballot: p.Ballot, OK: true, Promised: p.Ballot, Accepted: n.accepted}
+	records := []Record{{Promised: &promise.Promised}}
 	if n.view.Number == 0 {
 		records = append([]Record{{View: &View{Voters: n.view.Voters}}}, records...)
 	}
-	n.save(records, 0, func() { n.send(m.From, Msg{Promise: &reply}) })
+	n.save(records, 0, &reply{m.From, Msg{Promise: &promise}})
 }
 
 func (n *Node) gotPromise(m Msg, p Promise) {
@@ -471,9 +471,7 @@
 	}
 	n.held = nil
 	n.accepted = &Accepted{Ballot: a.Ballot, View: a.View}
-	n.save([]Record{{Accepted: n.accepted}}, 0, func() {
-		n.send(m.From, Msg{Accepting: &Accepting{Number: a.Number, Ballot: a.Ballot, OK: true}})
-	})
+	n.save([]Record{{Accepted: n.accepted}}, 0, &reply{m.From, Msg{Accepting: &Accepting{Number: a.Number, Ballot: a.Ballot, OK: true}}})
 }
 
 func (n *Node) retryHeld() {
@@ -506,7 +504,7 @@
 		return
 	}
 	wasTail, wasServing := n.IsTail(), n.serving() || (n.phase == Fresh && v.Number == 1)
-	leaseUs := n.leaseUs
+	leaseUs, openAt, openKnown := n.leaseUs, n.openAt, n.openKnown
 	n.view, n.promised, n.accepted, n.proposal, n.held = v, Ballot{}, nil, nil, nil
 	n.viewedUs, n.quietUs = n.nowUs, n.nowUs
 	n.succKnown, n.succLast, n.succSent = false, 0, 0
@@ -535,8 +533,7 @@
 	n.effects = append(n.effects, Effect{Viewed: &held})
 	if n.IsTail() {
 		if wasTail {
-			n.leaseUs = leaseUs
-			n.openKnown, n.openAt = true, n.commit
+			n.leaseUs, n.openAt, n.openKnown = leaseUs, openAt, openKnown
 		}
 		if n.IsHead() {
 			n.openKnown, n.openAt = true, n.lastIndex()
