Count calls left waiting against the policy that left them

Cause: a live comparison against a policy that unloads every adapter showed no difference in calls and fewer loads: calls that waited beyond the window were left out, so those it did serve made it look quick. Calls without a first piece by the end of their window now count as slow as the window is long, and the share that stands apart is a figure of its own.

--- a/internal/collation/collation_test.go
+++ b/internal/collation/collation_test.go
@@ -28,7 +28,7 @@
 	doubt    int
 	seen     map[string]uint64
 	deaf     bool
-	policies []string
+	starved  string
 }
 
 func newStage(seed int64) *stage {
@@ -67,7 +67,6 @@
 func (s *stage) change(doc *standing.Declaration) {
 	s.revision++
 	s.doc = doc
-	s.policies = append(s.policies, doc.Policy.Name)
 	s.gauges = append(s.gauges, deskwork.Gauge{Revision: s.revision, Kinds: map[string]*deskwork.KindGauge{"fixes": {First: weigh.Spread{}}}})
 }
 
@@ -88,6 +87,9 @@
 		if len(s.gauges) > 0 {
 			k := s.gauges[len(s.gauges)-1].Kinds["fixes"]
 			k.Taken++
+			if s.starved == s.doc.Policy.Name && k.Taken%5 == 0 {
+				continue
+			}
 			k.Ended++
 			k.First.Add(20_000 + s.slowUs[s.doc.Policy.Name] + s.r.Int63n(20_000))
 		}
@@ -163,6 +165,22 @@
 	}
 }
 
+// A policy that leaves calls waiting beyond the window must not look quick by those it did serve.
+func TestCallsLeftWaitingAreHeldAgainstTheirPolicy(t *testing.T) {
+	s := newStage(6)
+	s.starved = "b"
+	result, err := Hold(context.Background(), s, opts(10), io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := strings.Join(seenIn(result), ", ")
+	for _, want := range []string{"fixes apart", "fixes first piece p95"} {
+		if !strings.Contains(found, want) {
+			t.Errorf("%s is not among what was seen: %s", want, found)
+		}
+	}
+}
+
 func TestAForeignChangeAFaultAndAnInterruptEndItHonestly(t *testing.T) {
 	amid := int64(7_000_000)
 	for name, c := range map[string]struct {
--- a/internal/collation/report.go
+++ b/internal/collation/report.go
@@ -16,22 +16,32 @@
 type figure struct {
 	name string
 	unit string
-	of   func(*deskwork.KindGauge) float64
+	of   func(k *deskwork.KindGauge, mostMs float64) float64
 }
 
-func share(part func(*deskwork.KindGauge) uint64) func(*deskwork.KindGauge) float64 {
-	return func(k *deskwork.KindGauge) float64 {
+func share(part func(*deskwork.KindGauge) uint64) func(*deskwork.KindGauge, float64) float64 {
+	return func(k *deskwork.KindGauge, _ float64) float64 {
 		return 100 * float64(part(k)) / float64(max(1, k.Ended+k.Expired+k.Refused+k.Broken))
 	}
 }
 
 var figures = []figure{
-	{"first piece p50", "ms", func(k *deskwork.KindGauge) float64 { return k.First.QuantileMs(0.5) }},
-	{"first piece p95", "ms", func(k *deskwork.KindGauge) float64 { return k.First.QuantileMs(0.95) }},
+	{"first piece p50", "ms", first(0.5)},
+	{"first piece p95", "ms", first(0.95)},
 	{"ended", "% of calls", share(func(k *deskwork.KindGauge) uint64 { return k.Ended })},
 	{"expired", "% of calls", share(func(k *deskwork.KindGauge) uint64 { return k.Expired })},
 	{"refused", "% of calls", share(func(k *deskwork.KindGauge) uint64 { return k.Refused })},
 	{"broken", "% of calls", share(func(k *deskwork.KindGauge) uint64 { return k.Broken })},
+	{"apart", "% of taken", func(k *deskwork.KindGauge, _ float64) float64 {
+		return 100 * float64(k.Spanned+k.Open()) / float64(max(1, k.Taken))
+	}},
+}
+
+// first holds a call without a first piece by the end of its window to be as slow as the window is long.
+func first(part float64) func(*deskwork.KindGauge, float64) float64 {
+	return func(k *deskwork.KindGauge, mostMs float64) float64 {
+		return k.First.QuantileMs(part, k.Unanswered+k.Open(), mostMs)
+	}
 }
 
 // Row is one figure of one kind, its values in the order of the clean pairs.
@@ -73,10 +83,11 @@
 			row := Row{Kind: kind, What: f.name, Unit: f.unit}
 			for _, p := range pairs {
 				a, b := p[0].Kinds[kind], p[1].Kinds[kind]
-				if a == nil || b == nil || a.Ended+a.Expired+a.Refused+a.Broken == 0 || b.Ended+b.Expired+b.Refused+b.Broken == 0 {
+				if a == nil || b == nil || a.Taken == 0 || b.Taken == 0 {
 					continue
 				}
-				row.First, row.Second = append(row.First, f.of(a)), append(row.Second, f.of(b))
+				mostMs := r.Options.Window.Seconds() * 1000
+				row.First, row.Second = append(row.First, f.of(a, mostMs)), append(row.Second, f.of(b, mostMs))
 			}
 			rows = append(rows, row)
 		}
--- a/internal/deskwork/decider.go
+++ b/internal/deskwork/decider.go
@@ -545,6 +545,7 @@
 		return
 	}
 	d.snap = s
+	d.gaugeUntil(s.Revision)
 	for key, g := range s.Grants {
 		r := d.runs[key]
 		if r == nil || r.ticket < g.Ticket {
--- a/internal/deskwork/gauge.go
+++ b/internal/deskwork/gauge.go
@@ -11,18 +11,21 @@
 type Gauge struct {
 	Revision uint64                `json:"revision"`
 	Kinds    map[string]*KindGauge `json:"kinds"`
+	untilUs  int64
 }
 
-// KindGauge: a call that ended under another revision than the one that took it has spanned a change.
+// KindGauge: a call that ended under another revision than the one that took it has spanned a change;
+// it is unanswered where its first piece did not come before that change.
 type KindGauge struct {
-	Taken   uint64       `json:"taken"`
-	Ended   uint64       `json:"ended"`
-	Expired uint64       `json:"expired"`
-	Refused uint64       `json:"refused"`
-	Broken  uint64       `json:"broken"`
-	Gone    uint64       `json:"gone"`
-	Spanned uint64       `json:"spanned"`
-	First   weigh.Spread `json:"first"`
+	Taken      uint64       `json:"taken"`
+	Ended      uint64       `json:"ended"`
+	Expired    uint64       `json:"expired"`
+	Refused    uint64       `json:"refused"`
+	Broken     uint64       `json:"broken"`
+	Gone       uint64       `json:"gone"`
+	Spanned    uint64       `json:"spanned"`
+	Unanswered uint64       `json:"unanswered"`
+	First      weigh.Spread `json:"first"`
 }
 
 func (k *KindGauge) Open() uint64 {
@@ -37,6 +40,7 @@
 	k.Broken += o.Broken
 	k.Gone += o.Gone
 	k.Spanned += o.Spanned
+	k.Unanswered += o.Unanswered
 	if k.First == nil {
 		k.First = weigh.Spread{}
 	}
@@ -72,6 +76,15 @@
 	return k
 }
 
+// gaugeUntil ends the time of every gauge of an older revision.
+func (d *Decider) gaugeUntil(revision uint64) {
+	for _, g := range d.gauges {
+		if g.Revision < revision && g.untilUs == 0 {
+			g.untilUs = d.nowUs
+		}
+	}
+}
+
 func (d *Decider) gaugeTaken(c *Call) {
 	c.takenAt = d.revision()
 	d.gaugeOf(c.takenAt, c.Kind).Taken++
@@ -84,6 +97,12 @@
 			continue
 		}
 		k := kept.Kinds[c.Kind]
+		firstUs := c.FirstUs.Load()
+		if firstUs > 0 && (kept.untilUs == 0 || firstUs < kept.untilUs) {
+			k.First.Add(firstUs - c.TakenUs)
+		} else if c.takenAt != d.revision() {
+			k.Unanswered++
+		}
 		switch {
 		case c.takenAt != d.revision():
 			k.Spanned++
@@ -91,7 +110,6 @@
 			k.Gone++
 		case ending == Done:
 			k.Ended++
-			k.First.Add(c.FirstUs.Load() - c.TakenUs)
 		case ending == Final || code == fault.Expired:
 			k.Expired++
 		case ending != "" || c.ran:
--- a/internal/weigh/spread.go
+++ b/internal/weigh/spread.go
@@ -32,9 +32,10 @@
 	return sum
 }
 
-// QuantileMs is the middle of the bucket that holds this part of all times.
-func (s Spread) QuantileMs(part float64) float64 {
-	whole := s.Count()
+// QuantileMs is the middle of the bucket that holds this part of all times. Those never seen to end
+// count as mostMs: left out, they would make what serves nobody look quick.
+func (s Spread) QuantileMs(part float64, unseen uint64, mostMs float64) float64 {
+	whole := s.Count() + unseen
 	if whole == 0 {
 		return 0
 	}
@@ -42,8 +43,8 @@
 	for at := 0; at <= bucketMost; at++ {
 		before += s[at]
 		if s[at] > 0 && float64(before) >= part*float64(whole) {
-			return 0.1 * math.Pow(bucketStep, float64(at)-0.5)
+			return min(mostMs, 0.1*math.Pow(bucketStep, float64(at)-0.5))
 		}
 	}
-	return 0.1 * math.Pow(bucketStep, bucketMost)
+	return mostMs
 }
--- a/proofs/fleet/faults.go
+++ b/proofs/fleet/faults.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 	"github.com/tidwall/wal"
 
+	"petreltide/internal/chain"
 	"petreltide/internal/pipe"
 	"petreltide/proofs/callers"
 	"petreltide/proofs/rules"
@@ -99,8 +100,9 @@
 		if !ok || len(tail.View.Order) != f.Plan.Offices {
 			return false
 		}
-		for _, v := range tail.View.Voters {
-			if !tail.View.Seated(v.ID) {
+		for _, name := range f.Names("office") {
+			mine, ok := f.Status(ctx, name)
+			if !ok || mine.Phase != chain.Serving || !tail.View.Seated(mine.Office.ID) || !tail.View.Votes(mine.Office.ID) {
 				return false
 			}
 		}
