Keep copies beside the log, frozen by the map, and sent beside the letters

Cause: at 200,000 keys a copy of the ledger took 330 to 500 ms to encode and 860 ms to decode on the actor, every 4,096 writes, went through the log in line with claims, and to a joiner within a post of 1 s, over and over. Ruled out: rarer copies (the stall stays), a smaller encoding (still linear on the actor). Now a copy is frozen (24 ms at that size), written to a file beside the log by another goroutine, and the log is let go of only once it is kept; copies to a partner go beside the other letters with 30 s.

--- a/internal/chain/explore_test.go
+++ b/internal/chain/explore_test.go
@@ -41,11 +41,7 @@
 func (n *Node) clone() *Node {
 	c := *n
 	c.entries = slices.Clone(n.entries)
-	state, err := ledger.Decode(n.state.Encode())
-	if err != nil {
-		panic(err)
-	}
-	c.state = state
+	c.state = n.state.Freeze()
 	c.saving = map[uint64]*saving{}
 	for seq, s := range n.saving {
 		held := *s
@@ -335,6 +331,9 @@
 	if s.Fresh {
 		p.disk = nil
 	}
+	if s.Copy != nil {
+		p.disk = append(slices.Clip(p.disk), Record{Copy: s.Copy})
+	}
 	p.disk = append(slices.Clip(p.disk), s.Records...)
 	b.step(i, Event{Saved: s.Seq})
 }
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -5,9 +5,12 @@
 	"slices"
 	"strconv"
 
+	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
 )
 
+const bulkKeyUs = 25
+
 type partner struct {
 	hello   Hello
 	heardUs int64
@@ -63,6 +66,7 @@
 
 	succLast   uint64
 	succSent   uint64
+	succCopied uint64
 	succAtUs   int64
 	succKnown  bool
 	openAt     uint64
@@ -81,6 +85,7 @@
 	upto    uint64
 	then    *reply
 	copied  uint64
+	bulk    bool
 }
 
 // reply is what a member owes another once a record is synced.
@@ -109,13 +114,12 @@
 				n.promised = r.Accepted.Ballot
 			}
 		case r.Copy != nil:
-			n.base = *r.Copy
-			n.entries = nil
-			state, err := ledger.Decode(r.Copy.State)
-			if err != nil {
-				return nil, err
+			if r.Copy.State == nil {
+				return nil, fault.New(fault.DamagedData, "copy", "the copy at %d holds no state", r.Copy.Index)
 			}
-			n.state, n.commit, n.whole = state, r.Copy.Index, false
+			n.base = Copy{Index: r.Copy.Index, View: r.Copy.View}
+			n.entries = nil
+			n.state, n.commit, n.whole = r.Copy.State.Freeze(), r.Copy.Index, false
 		case r.Whole != 0:
 			n.whole = r.Whole == n.view.Number
 		case r.Entry != nil:
@@ -308,13 +312,26 @@
 
 func (n *Node) stalled() bool {
 	for _, s := range n.saving {
-		if n.nowUs-s.startUs > n.opts.StallUs {
+		if !s.bulk && n.nowUs-s.startUs > n.opts.StallUs {
 			return true
 		}
 	}
 	return false
 }
 
+// keeping: a copy is on its way to the disk, beside the log.
+func (n *Node) keeping() bool {
+	for _, s := range n.saving {
+		if s.bulk {
+			return true
+		}
+	}
+	return false
+}
+
+// bulkUs is how long a copy of this size may be under way before it is sent again.
+func (n *Node) bulkUs() int64 { return int64(len(n.state.Keys)) * bulkKeyUs }
+
 func (n *Node) flush() {
 	if n.queued >= n.lastIndex() || n.entrySaving() {
 		return
@@ -388,7 +405,11 @@
 	if !ok {
 		return
 	}
-	if beat && n.succKnown && n.succSent > n.succLast && n.nowUs-n.succAtUs > n.opts.ResendUs {
+	resendUs := n.opts.ResendUs
+	if n.succCopied > n.succLast {
+		resendUs += n.bulkUs()
+	}
+	if beat && n.succKnown && n.succSent > n.succLast && n.nowUs-n.succAtUs > resendUs {
 		n.succSent = n.succLast
 	}
 	f := Forward{View: n.view.Number, Last: n.lastIndex(), SentUs: n.beatUs()}
@@ -397,7 +418,7 @@
 		case n.succSent+1 < first:
 			f.Copy = n.copyNow()
 			f.Prev, f.PrevView = f.Copy.Index, f.Copy.View
-			n.succSent = f.Copy.Index
+			n.succSent, n.succCopied = f.Copy.Index, f.Copy.Index
 			n.succAtUs = n.nowUs
 		case n.succSent < n.synced && n.succSent-n.succLast < uint64(4*n.opts.BatchMost):
 			f.Prev = n.succSent
@@ -434,7 +455,7 @@
 
 func (n *Node) copyNow() *Copy {
 	view, _ := n.viewAt(n.commit)
-	return &Copy{Index: n.commit, View: view, State: n.state.Encode()}
+	return &Copy{Index: n.commit, View: view, State: n.state.Freeze()}
 }
 
 func (n *Node) ackBack() {
@@ -508,15 +529,14 @@
 }
 
 func (n *Node) takeCopy(c Copy) {
-	state, err := ledger.Decode(c.State)
-	if err != nil {
+	if c.State == nil {
 		return
 	}
-	n.base, n.entries, n.state, n.commit, n.whole = c, nil, state, c.Index, false
+	n.base, n.entries, n.state, n.commit, n.whole = Copy{Index: c.Index, View: c.View}, nil, c.State.Freeze(), c.Index, false
 	n.synced, n.queued = 0, c.Index
-	held := c
-	n.save([]Record{{Copy: &held}}, c.Index, nil)
-	n.saving[n.saveSeq].copied = held.Index
+	n.saveSeq++
+	n.saving[n.saveSeq] = &saving{startUs: n.nowUs, upto: c.Index, copied: c.Index, bulk: true}
+	n.effects = append(n.effects, Effect{Save: &Save{Seq: n.saveSeq, Copy: &c}})
 }
 
 func (n *Node) gotAck(m Msg, a Ack) {
@@ -554,7 +574,7 @@
 }
 
 func (n *Node) compact() {
-	if len(n.entries) < 2*n.opts.KeepMost || n.commit < n.firstKept()+uint64(n.opts.KeepMost) || len(n.saving) > 0 {
+	if len(n.entries) < 2*n.opts.KeepMost || n.commit < n.firstKept()+uint64(n.opts.KeepMost) || n.keeping() {
 		return
 	}
 	c := *n.copyNow()
@@ -563,7 +583,6 @@
 	if n.accepted != nil {
 		records = append(records, Record{Accepted: n.accepted})
 	}
-	records = append(records, Record{Copy: &c})
 	if n.whole {
 		records = append(records, Record{Whole: n.view.Number})
 	}
@@ -578,8 +597,8 @@
 	n.entries = append([]Entry(nil), n.entries[keptFrom:]...)
 	n.base = Copy{Index: prior, View: priorView}
 	n.saveSeq++
-	n.saving[n.saveSeq] = &saving{startUs: n.nowUs, upto: n.queued}
-	n.effects = append(n.effects, Effect{Save: &Save{Seq: n.saveSeq, Records: records, Fresh: true}})
+	n.saving[n.saveSeq] = &saving{startUs: n.nowUs, bulk: true}
+	n.effects = append(n.effects, Effect{Save: &Save{Seq: n.saveSeq, Records: records, Copy: &c, Fresh: true}})
 }
 
 func (n *Node) got(m Msg) {
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -95,10 +95,16 @@
 	Change ledger.Change `json:"change"`
 }
 
+// Copy is the state at an index. Its state is never changed once it is in a copy.
 type Copy struct {
-	Index uint64 `json:"index"`
-	View  uint64 `json:"view"`
-	State []byte `json:"state"`
+	Index uint64        `json:"index"`
+	View  uint64        `json:"view"`
+	State *ledger.State `json:"state,omitempty"`
+}
+
+// Bulk says that a message carries a whole state and must not hold up others.
+func (m *Msg) Bulk() bool {
+	return m != nil && (m.Joining != nil || (m.Forward != nil && m.Forward.Copy != nil))
 }
 
 // Record is what the disk holds; the log is replayed from these in order.
@@ -234,9 +240,12 @@
 	Msg  Msg
 }
 
+// Save is synced as a whole before it is reported. A copy is kept beside the log while the log goes
+// on; once kept, a fresh one takes the place of all records before this save.
 type Save struct {
 	Seq     uint64
 	Records []Record
+	Copy    *Copy
 	Fresh   bool
 }
 
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -507,7 +507,7 @@
 	leaseUs, openAt, openKnown := n.leaseUs, n.openAt, n.openKnown
 	n.view, n.promised, n.accepted, n.proposal, n.held = v, Ballot{}, nil, nil, nil
 	n.viewedUs, n.quietUs = n.nowUs, n.nowUs
-	n.succKnown, n.succLast, n.succSent = false, 0, 0
+	n.succKnown, n.succLast, n.succSent, n.succCopied = false, 0, 0, 0
 	n.openKnown, n.openAt, n.leases, n.leaseUs = false, 0, map[string]int64{}, 0
 	n.echoUs, n.tailEchoUs = 0, 0
 	n.compared = n.compared || n.phase != Waking
@@ -588,7 +588,7 @@
 
 // offerCopy is the tail's: it has applied everything that was ever acknowledged.
 func (n *Node) offerCopy() {
-	if !n.Open(n.nowUs) || n.nowUs-n.joinAtUs < 2*n.opts.HelloUs {
+	if !n.Open(n.nowUs) || n.nowUs-n.joinAtUs < 2*n.opts.HelloUs+n.bulkUs() {
 		return
 	}
 	for _, id := range n.partnerIDs() {
--- /dev/null
+++ b/internal/ledger/bounds_test.go
@@ -0,0 +1,105 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"petreltide/internal/fault"
+	"petreltide/internal/standing"
+)
+
+func claim(i int) Change {
+	return Change{ID: fmt.Sprint("key-", i), Key: &KeyChange{Key: fmt.Sprintf("family-%032d", i), Desk: "front-3", DeskInc: "0123456789ab", Call: fmt.Sprintf("front-3-%016d", i)}}
+}
+
+// Full is a ledger with every key it may keep.
+func full(t testing.TB, keys int) *State {
+	s := NewState()
+	for i := 0; i < keys; i++ {
+		if out := s.Apply(s.Index+1, claim(i)); out.Fault != nil {
+			t.Fatal(out.Fault)
+		}
+	}
+	return s
+}
+
+// A full table refuses; it never forgets a key before its time, and an old key still answers.
+func TestAFullTableOfKeysRefusesAndForgetsNothing(t *testing.T) {
+	s := full(t, KeysMost)
+	if out := s.Apply(s.Index+1, claim(KeysMost)); out.Fault == nil || out.Fault.Code != fault.KeysFull {
+		t.Fatalf("%+v", out)
+	}
+	for _, i := range []int{0, 1, KeysMost / 2, KeysMost - 1} {
+		again := claim(i)
+		again.Key.Call = "another"
+		if out := s.Apply(s.Index+1, again); !out.Again || out.Key == nil {
+			t.Fatalf("key %d: %+v", i, out)
+		}
+	}
+	if len(s.Keys) != KeysMost || len(s.KeyOrder) != KeysMost {
+		t.Fatalf("%d keys, %d in order", len(s.Keys), len(s.KeyOrder))
+	}
+	s.Apply(s.Index+1, Change{ID: "claim", Epoch: 1, Claim: &Claim{Holder: "one"}})
+	s.Apply(s.Index+1, Change{ID: "forget", Epoch: 1, Duty: &Duty{Forget: s.Keys[s.KeyOrder[100]].Index}})
+	if len(s.Keys) != KeysMost-100 {
+		t.Fatalf("%d keys after 100 were forgotten", len(s.Keys))
+	}
+	if out := s.Apply(s.Index+1, claim(KeysMost)); out.Fault != nil {
+		t.Fatal(out.Fault)
+	}
+}
+
+// The history of changes answers for the last ChangesMost; an older change sent again is refused as
+// stale and never taken a second time.
+func TestAChangeOlderThanTheHistoryIsNotTakenTwice(t *testing.T) {
+	s := NewState()
+	doc := &standing.Declaration{}
+	first := Change{ID: "c0", Config: &ConfigChange{Base: 0, Doc: doc}}
+	for i := 0; i <= ChangesMost; i++ {
+		s.Apply(s.Index+1, Change{ID: fmt.Sprint("c", i), Config: &ConfigChange{Base: uint64(i), Doc: doc}})
+	}
+	if len(s.Changes) != ChangesMost || s.Revision != ChangesMost+1 {
+		t.Fatalf("%d changes kept at revision %d", len(s.Changes), s.Revision)
+	}
+	if out := s.Apply(s.Index+1, first); out.Fault == nil || out.Fault.Code != fault.StaleBase || s.Revision != ChangesMost+1 {
+		t.Fatalf("%+v at revision %d", out, s.Revision)
+	}
+}
+
+func TestAFrozenStateStandsWhileTheOtherGoesOn(t *testing.T) {
+	s := ready(t)
+	must(t, s, load("r0", "a"))
+	must(t, s, claim(1))
+	before := string(s.Encode())
+	frozen := s.Freeze()
+	if diff := cmp.Diff(before, string(frozen.Encode())); diff != "" {
+		t.Fatal(diff)
+	}
+	must(t, s, Change{ID: "s", Epoch: 1, Duty: &Duty{Settled: []Settled{{Number: 1, Done: true}}, Shares: map[string]map[string]int{"r1": {"d": 2}},
+		Grants: []GrantAsk{{Desk: "d", DeskInc: "i", Replica: "r1", Inc: "i", Model: "a", Count: 9}}, Gone: []string{"r2"}}})
+	for i := 2; i < 40; i++ {
+		must(t, s, claim(i))
+	}
+	must(t, s, Change{ID: "end", Key: &KeyChange{Key: claim(1).Key.Key, Desk: "front-3", DeskInc: "0123456789ab", Call: claim(1).Key.Call, End: "yes"}})
+	must(t, s, Change{ID: "f", Epoch: 1, Duty: &Duty{Forget: s.Index}})
+	must(t, s, Change{ID: "c2", Config: &ConfigChange{Base: 1, Doc: &standing.Declaration{Name: "next"}}})
+	if diff := cmp.Diff(before, string(frozen.Encode())); diff != "" {
+		t.Fatalf("what went on changed the frozen one: %s", diff)
+	}
+}
+
+func BenchmarkFreezeFull(b *testing.B) {
+	s := full(b, KeysMost)
+	for b.Loop() {
+		s.Freeze()
+	}
+}
+
+func BenchmarkEncodeFull(b *testing.B) {
+	s := full(b, KeysMost)
+	for b.Loop() {
+		s.Encode()
+	}
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -198,6 +198,21 @@
 	return raw
 }
 
+// Freeze is this state as it stands, for others to read while this one goes on. What is large is
+// copied by the map, not by the row; rows never change in place, nor does the order of the keys.
+func (s *State) Freeze() *State {
+	c := *s
+	c.Replicas = make(map[string]*Replica, len(s.Replicas))
+	for id, r := range s.Replicas {
+		held := *r
+		held.Holds, held.Shares = maps.Clone(r.Holds), maps.Clone(r.Shares)
+		c.Replicas[id] = &held
+	}
+	c.Pending, c.Grants, c.Keys, c.Changes, c.Refused = maps.Clone(s.Pending), maps.Clone(s.Grants), maps.Clone(s.Keys), maps.Clone(s.Changes), maps.Clone(s.Refused)
+	c.KeyOrder, c.ChangeIDs = slices.Clip(s.KeyOrder), slices.Clip(s.ChangeIDs)
+	return &c
+}
+
 func Decode(raw []byte) (*State, error) {
 	s := NewState()
 	if err := json.Unmarshal(raw, s); err != nil {
--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -36,6 +36,7 @@
 	answerWait   = 8 * time.Second
 	partnerWait  = 15 * time.Second
 	keyWait      = 2 * time.Second
+	bulkWait     = 30 * time.Second
 	resubmit     = 400 * time.Millisecond
 	replicaWait  = 900 * time.Millisecond
 	platformWait = 800 * time.Millisecond
@@ -61,6 +62,7 @@
 	act      *actor.Actor
 	saves    chan chain.Save
 	partners map[string]chan wire.Letter
+	bulk     map[string]bool
 	waiters  map[string]chan wire.Result
 	replies  map[uint64]chan wire.Lease
 	replySeq uint64
@@ -108,7 +110,7 @@
 		set: set, core: NewCore(node), disk: opened.Shelf, ring: ring, log: logger,
 		web: pipe.Client(500, set.Listen), inner: pipe.Client(500, set.Listen),
 		act: actor.New(mailboxMost), saves: make(chan chain.Save, 1024),
-		partners: map[string]chan wire.Letter{}, waiters: map[string]chan wire.Result{}, replies: map[uint64]chan wire.Lease{},
+		partners: map[string]chan wire.Letter{}, bulk: map[string]bool{}, waiters: map[string]chan wire.Result{}, replies: map[uint64]chan wire.Lease{},
 		follows: map[string]*followed{}, rebuilds: opened.Fresh && founding == 0, failed: make(chan error, 1),
 	}, nil
 }
@@ -195,21 +197,48 @@
 			return
 		case s = <-h.saves:
 		}
-		if err := h.disk.Write(s.Records, s.Fresh); err != nil {
-			select {
-			case h.failed <- fault.New(fault.DataUnwritable, h.set.Data, "%v", err):
-			default:
-			}
+		from, err := h.disk.Write(s.Records, s.Fresh)
+		if err != nil {
+			h.fail(err)
 			return
 		}
+		if s.Copy != nil {
+			held := s
+			h.act.Spawn(func() { h.keep(held, from) })
+			continue
+		}
 		h.tell(Event{Saved: s.Seq})
 	}
 }
 
+func (h *Host) fail(err error) {
+	select {
+	case h.failed <- fault.New(fault.DataUnwritable, h.set.Data, "%v", err):
+	default:
+	}
+}
+
+// keep writes a copy while the log goes on, and only then lets go of what it stands for.
+func (h *Host) keep(s chain.Save, from uint64) {
+	err := h.disk.Keep(*s.Copy)
+	if err == nil && s.Fresh {
+		err = h.disk.Forget(from)
+	}
+	if err != nil {
+		h.fail(err)
+		return
+	}
+	h.tell(Event{Saved: s.Seq})
+}
+
 func (h *Host) post(addr string, l wire.Letter) {
 	if addr == "" || addr == h.set.Advertise {
 		return
 	}
+	if l.Chain.Bulk() {
+		h.postBulk(addr, l)
+		return
+	}
 	box := h.partners[addr]
 	if box == nil {
 		box = make(chan wire.Letter, partnerMost)
@@ -222,6 +251,20 @@
 	}
 }
 
+// postBulk sends a whole state beside the other letters, one at a time to each partner.
+func (h *Host) postBulk(addr string, l wire.Letter) {
+	if h.bulk[addr] {
+		return
+	}
+	h.bulk[addr] = true
+	h.act.Spawn(func() {
+		ctx, done := context.WithTimeout(h.act.Ctx, bulkWait)
+		defer done()
+		_, _ = pipe.NewCaller[wire.Post, wire.Receipt](h.inner, addr, pipe.PostPath).Call(ctx, &wire.Post{Letters: []wire.Letter{l}})
+		h.act.Tell(func() { delete(h.bulk, addr) })
+	})
+}
+
 func (h *Host) carry(addr string, box chan wire.Letter) {
 	caller := pipe.NewCaller[wire.Post, wire.Receipt](h.inner, addr, pipe.PostPath)
 	for {
--- a/internal/office/web.go
+++ b/internal/office/web.go
@@ -374,8 +374,12 @@
 }
 
 func (h *Host) state(w http.ResponseWriter, r *http.Request) {
-	var raw []byte
-	h.act.Ask(r.Context(), func() { raw = h.core.Node.State().Encode() })
+	var frozen *ledger.State
+	if !h.act.Ask(r.Context(), func() { frozen = h.core.Node.State().Freeze() }) {
+		writeFault(w, fault.New(fault.NotServing, "", "stopping"))
+		return
+	}
+	raw := frozen.Encode()
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(append(raw, '\n'))
 }
--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -24,7 +24,7 @@
 	FollowPath = "/petreltide.Office/Follow"
 	AckPath    = "/petreltide.Office/Ack"
 	BeatPath   = "/petreltide.Node/Beat"
-	readMost   = 64 << 20
+	readMost   = 256 << 20
 )
 
 // Client dials from the IP that this process listens on, so that partners see the address they know.
--- a/internal/shelf/shelf.go
+++ b/internal/shelf/shelf.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"sort"
+	"sync"
 
 	"github.com/juju/errors"
 	"github.com/tidwall/wal"
@@ -36,9 +37,12 @@
 	return payload, nil
 }
 
+// Shelf keeps the log and, beside it, the newest copy of the state. One goroutine writes the log;
+// a copy is kept by another meanwhile.
 type Shelf struct {
 	dir  string
 	log  *wal.Log
+	mu   sync.Mutex
 	last uint64
 	seal chain.Seal
 }
@@ -50,7 +54,10 @@
 	Cut     int
 }
 
-const logDir = "chain"
+const (
+	logDir   = "chain"
+	copyName = "copy"
+)
 
 // Open reads all records. A torn last record is cut, since its sync cannot have
 // returned; damage anywhere before it is a fault for the caller to name.
@@ -79,6 +86,14 @@
 		return nil, errors.Trace(err)
 	}
 	opened := &Opened{Shelf: s, Cut: cut}
+	kept, bad := s.readCopy()
+	if bad != nil {
+		log.Close()
+		return nil, bad
+	}
+	if kept != nil {
+		opened.Records = append(opened.Records, chain.Record{Copy: kept})
+	}
 	for i := first; i > 0 && i <= s.last; i++ {
 		framed, err := log.Read(i)
 		if err != nil {
@@ -108,7 +123,8 @@
 		}
 		opened.Fresh = true
 		s.seal = seal
-		return opened, s.Write([]chain.Record{{Seal: &seal}}, false)
+		_, err := s.Write([]chain.Record{{Seal: &seal}}, false)
+		return opened, err
 	}
 	if s.seal.Name != seal.Name {
 		log.Close()
@@ -119,33 +135,94 @@
 
 func (s *Shelf) Seal() chain.Seal { return s.seal }
 
-// Write returns once the records are synced. fresh puts them in place of all before them.
-func (s *Shelf) Write(records []chain.Record, fresh bool) error {
+// Write returns once the records are synced, with the place of the first of them in the log. fresh
+// begins them with what a log needs, so that all before them can go once a copy is kept.
+func (s *Shelf) Write(records []chain.Record, fresh bool) (from uint64, err error) {
 	if fresh {
 		records = append([]chain.Record{{Seal: &s.seal}}, records...)
 	}
-	from := s.last + 1
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	from = s.last + 1
+	if len(records) == 0 {
+		return from, nil
+	}
 	batch := &wal.Batch{}
 	for i := range records {
 		raw, err := json.Marshal(records[i])
 		if err != nil {
-			return errors.Trace(err)
+			return from, errors.Trace(err)
 		}
 		s.last++
 		batch.Write(s.last, Frame(raw))
 	}
+	if err := s.beforeSync(); err != nil {
+		return from, errors.Trace(err)
+	}
+	return from, errors.Trace(s.log.WriteBatch(batch))
+}
+
+// Keep puts a copy in the place of the one before. It returns once the copy would outlast a loss of
+// power; until then the older one and the log stand.
+func (s *Shelf) Keep(c chain.Copy) error {
+	raw, err := json.Marshal(c)
+	if err != nil {
+		return errors.Trace(err)
+	}
 	if err := s.beforeSync(); err != nil {
 		return errors.Trace(err)
 	}
-	if err := s.log.WriteBatch(batch); err != nil {
+	at := filepath.Join(s.dir, copyName)
+	file, err := os.Create(at + ".new")
+	if err != nil {
 		return errors.Trace(err)
 	}
-	if fresh && from > 1 {
-		if err := s.log.TruncateFront(from); err != nil {
-			return errors.Trace(err)
-		}
+	defer file.Close()
+	if _, err := file.Write(Frame(raw)); err != nil {
+		return errors.Trace(err)
+	}
+	if err := file.Sync(); err != nil {
+		return errors.Trace(err)
+	}
+	if err := os.Rename(at+".new", at); err != nil {
+		return errors.Trace(err)
+	}
+	folder, err := os.Open(s.dir)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer folder.Close()
+	return errors.Trace(folder.Sync())
+}
+
+// Forget drops the log before a place, once a copy stands for it.
+func (s *Shelf) Forget(before uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if before <= 1 {
+		return nil
+	}
+	return errors.Trace(s.log.TruncateFront(before))
+}
+
+func (s *Shelf) readCopy() (*chain.Copy, *fault.Fault) {
+	framed, err := os.ReadFile(filepath.Join(s.dir, copyName))
+	if os.IsNotExist(err) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, fault.New(fault.DataUnwritable, s.dir, "%v", err)
+	}
+	payload, bad := Unframe(framed)
+	if bad != nil {
+		bad.Field, bad.Detail = s.dir, "the copy: "+bad.Detail
+		return nil, bad
+	}
+	c := &chain.Copy{}
+	if err := json.Unmarshal(payload, c); err != nil {
+		return nil, fault.New(fault.DamagedData, s.dir, "the copy: %v", err)
 	}
-	return nil
+	return c, nil
 }
 
 func (s *Shelf) Close() error { return s.log.Close() }
--- a/internal/shelf/shelf_test.go
+++ b/internal/shelf/shelf_test.go
@@ -27,7 +27,7 @@
 		t.Fatal(err)
 	}
 	for i := uint64(1); i <= n; i++ {
-		if err := o.Shelf.Write([]chain.Record{entry(i)}, false); err != nil {
+		if _, err := o.Shelf.Write([]chain.Record{entry(i)}, false); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -82,7 +82,7 @@
 		if len(o.Records) != 5 || o.Cut == 0 {
 			t.Fatalf("cut %d: %d records", cut, len(o.Records))
 		}
-		if err := o.Shelf.Write([]chain.Record{entry(5)}, false); err != nil {
+		if _, err := o.Shelf.Write([]chain.Record{entry(5)}, false); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -129,21 +129,78 @@
 	}
 }
 
-func TestFreshRecordsReplaceOldOnes(t *testing.T) {
-	dir := filled(t, 50)
+// A copy stands for the log before it only once it is kept; killed at any point between, nothing is lost.
+func TestACopyTakesTheLogsPlaceOnlyOnceItIsKept(t *testing.T) {
+	for at, want := range map[string]struct{ records, copied int }{
+		"written": {50 + 1 + 2, 0}, "half kept": {50 + 1 + 2, 0}, "kept": {50 + 1 + 2 + 1, 1}, "forgotten": {3, 1},
+	} {
+		dir := filled(t, 50)
+		o, err := Open(dir, mine)
+		if err != nil {
+			t.Fatal(err)
+		}
+		from, err := o.Shelf.Write([]chain.Record{entry(51)}, true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if at == "half kept" {
+			if err := os.WriteFile(filepath.Join(dir, logDir, copyName+".new"), []byte("half"), 0o644); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if at == "kept" || at == "forgotten" {
+			if err := o.Shelf.Keep(chain.Copy{Index: 50, View: 2, State: ledger.NewState()}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if at == "forgotten" {
+			if err := o.Shelf.Forget(from); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := o.Shelf.Close(); err != nil {
+			t.Fatal(err)
+		}
+		o, err = reopened(t, dir)
+		if err != nil {
+			t.Fatal(at, err)
+		}
+		copied := 0
+		for _, r := range o.Records {
+			if r.Copy != nil {
+				copied++
+			}
+		}
+		if len(o.Records) != want.records || copied != want.copied || o.Shelf.Seal() != mine {
+			t.Errorf("%s: %d records, %d copies, want %+v", at, len(o.Records), copied, want)
+		}
+	}
+}
+
+func TestADamagedCopyIsNeverTaken(t *testing.T) {
+	dir := filled(t, 3)
 	o, err := Open(dir, mine)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := o.Shelf.Write([]chain.Record{{Copy: &chain.Copy{Index: 50, State: []byte("{}")}}, entry(51)}, true); err != nil {
+	if err := o.Shelf.Keep(chain.Copy{Index: 2, View: 2, State: ledger.NewState()}); err != nil {
 		t.Fatal(err)
 	}
 	if err := o.Shelf.Close(); err != nil {
 		t.Fatal(err)
 	}
-	o, err = reopened(t, dir)
-	if err != nil || len(o.Records) != 3 || o.Shelf.Seal() != mine {
-		t.Fatalf("%d records %v", len(o.Records), err)
+	at := filepath.Join(dir, logDir, copyName)
+	raw, err := os.ReadFile(at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw[len(raw)/2] ^= 4
+	if err := os.WriteFile(at, raw, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	var bad *fault.Fault
+	if _, err := reopened(t, dir); !errors.As(err, &bad) || bad.Code != fault.DamagedData {
+		t.Fatalf("got %v", err)
 	}
 }
 
--- a/proofs/cmd/fleet/main.go
+++ b/proofs/cmd/fleet/main.go
@@ -139,7 +139,7 @@
 		},
 	}
 	s.flags(cmd)
-	cmd.Flags().StringSliceVar(&only, "only", nil, "just these: added, rate, notice, change, failover")
+	cmd.Flags().StringSliceVar(&only, "only", nil, "just these: added, rate, notice, change, failover, or bounds, which is long")
 	return cmd
 }
 
--- a/proofs/fleet/measure.go
+++ b/proofs/fleet/measure.go
@@ -32,8 +32,8 @@
 	for _, step := range []struct {
 		name string
 		run  func(context.Context, *Fleet, *standing.Declaration, io.Writer) error
-	}{{"added", measureAdded}, {"rate", measureRate}, {"notice", measureNotice}, {"change", measureOldWay}, {"failover", measureFailover}} {
-		if len(only) > 0 && !slices.Contains(only, step.name) {
+	}{{"added", measureAdded}, {"rate", measureRate}, {"notice", measureNotice}, {"change", measureOldWay}, {"failover", measureFailover}, {"bounds", measureBounds}} {
+		if (len(only) == 0 && step.name == "bounds") || (len(only) > 0 && !slices.Contains(only, step.name)) {
 			continue
 		}
 		if err := step.run(ctx, f, doc, out); err != nil {
--- a/proofs/sim/offices.go
+++ b/proofs/sim/offices.go
@@ -41,6 +41,14 @@
 	fresh   bool
 }
 
+// recordsOf is what a save leaves on the disk; a copy stands before what came with it.
+func recordsOf(s chain.Save) []chain.Record {
+	if s.Copy == nil {
+		return s.Records
+	}
+	return append([]chain.Record{{Copy: s.Copy}}, s.Records...)
+}
+
 func newOffice(s *Sim, name, addr, zone string, founding int) *officeNode {
 	o := &officeNode{machine: machine{sim: s, name: name, addr: addr}, named: name, zone: zone, founding: founding}
 	o.disk.identity = name + "-" + s.newInc()
@@ -193,13 +201,13 @@
 	doneUs := max(s.nowUs, o.disk.freeUs) + delayUs
 	doneUs = max(doneUs, o.disk.stallUs)
 	o.disk.freeUs = doneUs
-	o.pending = append(o.pending, pendingSave{save.Seq, save.Records, save.Fresh})
+	o.pending = append(o.pending, pendingSave{save.Seq, recordsOf(save), save.Fresh})
 	boot := o.boot
 	s.at(doneUs, func() {
 		if !o.up || o.boot != boot {
 			return
 		}
-		o.disk.write(save.Records, save.Fresh)
+		o.disk.write(recordsOf(save), save.Fresh)
 		o.pending = o.pending[1:]
 		o.now(boot, func() { o.step(office.Event{Saved: save.Seq}) })
 	})
