Write and ask the policy on events, not ticks; measure recovery under a crowd

Cause: between a load's end and the next order up to three ticks of 25 ms went by, and a load refused by the store's rate waited for the next round of the policy, 500 ms. Found by a timeline of fetches after killing everything under a crowd four times as large.

--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -226,10 +226,14 @@
 		f.listed(ev.NowUs, *ev.Listed)
 	case ev.Told != nil:
 		f.told(ev.NowUs, *ev.Told)
+		if f.settles(seen.State, ev.Told.Replica) {
+			f.act(seen)
+		}
 	case ev.Ordered != nil:
 		f.ordered(*ev.Ordered)
 	case ev.Policy != nil:
 		f.ran(seen, *ev.Policy)
+		f.act(seen)
 	case ev.Wrote != nil:
 		f.wrote(seen, *ev.Wrote)
 	default:
@@ -334,6 +338,21 @@
 	f.write(seen)
 }
 
+// act writes and asks the policy at once where an event has made it worthwhile, not at the next tick.
+func (f *Foreman) act(seen Seen) {
+	if seen.Head && seen.Fresh && f.OnDuty(seen.State) {
+		f.startPolicy(seen)
+		f.write(seen)
+	}
+}
+
+// settles: the replica's word for its last order ends what the ledger holds as pending.
+func (f *Foreman) settles(s *ledger.State, replica string) bool {
+	t, pending := s.Pending[replica]
+	row := f.replicas[replica]
+	return pending && row != nil && row.state.Last != nil && row.state.Inc == t.Inc && row.state.Last.Number >= t.Number && row.state.Last.State != wire.OrderRunning
+}
+
 func (f *Foreman) leave() {
 	fresh := New(f.me)
 	fresh.Faults, fresh.writes, fresh.desks, fresh.Policy = f.Faults, f.writes, f.desks, f.Policy
@@ -420,6 +439,7 @@
 			for _, v := range verdicts {
 				if v.Fault != nil {
 					f.count(v.Fault.Code)
+					f.moved = f.moved || (v.Fault.Code == fault.StoreRate && s.PendingLoads()+len(tickets) < s.Doc.Store.Loads)
 				}
 			}
 			for _, t := range tickets {
@@ -456,6 +476,7 @@
 	}
 	if f.OnDuty(seen.State) && seen.Fresh {
 		f.orders(seen)
+		f.act(seen)
 	}
 }
 
--- a/proofs/fleet/faults.go
+++ b/proofs/fleet/faults.go
@@ -179,7 +179,26 @@
 	if err := os.RemoveAll(f.folder(name)); err != nil {
 		return errors.Trace(err)
 	}
-	return f.AddOffice(name, zone, f.reaches("office", name), 0)
+	if err := f.AddOffice(name, zone, f.reaches("office", name), 0); err != nil {
+		return err
+	}
+	f.newSeeds()
+	return nil
+}
+
+// newSeeds is what an operator writes into every settings file once an office has another address; a
+// process reads it when it starts again.
+func (f *Fleet) newSeeds() {
+	seeds := strings.Join(f.reaches("office", ""), ",")
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.procs {
+		for i, arg := range p.Args {
+			if arg == "--seeds" {
+				p.Args[i+1] = seeds
+			}
+		}
+	}
 }
 
 func (f *Fleet) reaches(role, but string) []string {
