Tell the platform when a desk is ready; replay HAR files against a desk

Cause: the platform that hands out clients had nothing to ask, and replay was not built. GET /v1/ready is 200 only with a lease, a declaration and room, and says draining at once after SIGTERM. Ruled out for HAR: martian (a proxy), hargo (not served).

--- /dev/null
+++ b/cmd/petreltide/replay.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"petreltide/internal/fault"
+	"petreltide/internal/pipe"
+	"petreltide/internal/reprint"
+)
+
+func replayCommand() *cobra.Command {
+	var desk string
+	var pace float64
+	cmd := &cobra.Command{
+		Use:   "replay FILE.har --desk IP:port",
+		Short: "Send the calls recorded in a HAR file to a desk and sum what became of them",
+		Long: `Send every POST to /v1/calls that a HAR file holds to a desk, at the pace at which they were
+recorded or a factor of it, and sum the outcomes by kind. Idempotency keys are not sent again.`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if pace <= 0 || desk == "" {
+				return fault.New(fault.BadField, "", "name a --desk, and a --pace above 0")
+			}
+			raw, err := os.ReadFile(args[0])
+			if err != nil {
+				return fault.New(fault.NotFound, "har", "%v", err)
+			}
+			calls, bad := reprint.Read(raw)
+			if bad != nil {
+				return bad
+			}
+			out := cmd.OutOrStdout()
+			fmt.Fprintf(out, "%-16s %7s %7s %10s %10s  others\n", "kind", "calls", "ended", "first p50", "p95")
+			for _, row := range reprint.Play(cmd.Context(), pipe.Client(1000, ""), desk, calls, pace) {
+				codes := []string{}
+				for code, n := range row.Codes {
+					codes = append(codes, fmt.Sprintf("%s %d", code, n))
+				}
+				sort.Strings(codes)
+				fmt.Fprintf(out, "%-16s %7d %7d %8.0fms %8.0fms  %s\n", row.Kind, row.Calls, row.Ended, row.FirstMs(0.5), row.FirstMs(0.95), strings.Join(codes, ", "))
+			}
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&desk, "desk", "", "IP:port of the desk")
+	cmd.Flags().Float64Var(&pace, "pace", 1, "2 is twice as fast as recorded")
+	return cmd
+}
--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -54,6 +54,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/calls", h.serveCall)
 	mux.HandleFunc("GET /v1/status", h.status)
+	mux.HandleFunc("GET /v1/ready", h.ready)
 	mux.HandleFunc("GET /v1/log", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(h.ring.Bytes()) })
 	pipe.Serve(mux, pipe.WherePath, func(context.Context, *wire.WhereAsk) (*wire.Where, error) {
 		if w := h.where.Load(); w != nil {
@@ -78,6 +79,18 @@
 	_ = json.NewEncoder(w).Encode(st)
 }
 
+// ready is for whoever hands clients to this desk.
+func (h *Host) ready(w http.ResponseWriter, _ *http.Request) {
+	f := fault.New(fault.Draining, "", "stopping")
+	h.ask(func() { f = h.decider.Ready(clock.NowUs()) })
+	if f != nil {
+		refuse(w, http.StatusServiceUnavailable, f)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]bool{"ready": true})
+}
+
 func refuse(w http.ResponseWriter, status int, f *fault.Fault) {
 	if f.Run == "" {
 		f.Run = fault.RunNone
--- a/internal/deskwork/decider.go
+++ b/internal/deskwork/decider.go
@@ -918,4 +918,26 @@
 	return n
 }
 
+// Ready is nil when this desk can take calls now, or says why it cannot.
+func (d *Decider) Ready(nowUs int64) *fault.Fault {
+	var f *fault.Fault
+	switch {
+	case d.drain:
+		f = fault.New(fault.Draining, "", "this desk is going down")
+	case d.snap == nil || d.snap.Doc == nil:
+		f = fault.New(fault.NoLease, "", "this desk has no declaration yet")
+	case nowUs >= d.leaseUs:
+		f = fault.New(fault.NoLease, "", "this desk is cut off from the core")
+	case d.waiting >= d.opts.BacklogMax:
+		f = fault.New(fault.Overloaded, "", "the backlog is full")
+	default:
+		return nil
+	}
+	f.RetryMs = noLeaseMs
+	if f.Code == fault.Overloaded {
+		f.RetryMs = d.RetryMs()
+	}
+	return f
+}
+
 func (d *Decider) Busy() int { return len(d.calls) }
--- a/internal/deskwork/decider_test.go
+++ b/internal/deskwork/decider_test.go
@@ -346,3 +346,39 @@
 		}
 	}
 }
+
+func TestADeskIsReadyOnlyWithALeaseADeclarationAndRoom(t *testing.T) {
+	code := func(d *Decider, nowUs int64) fault.Code {
+		if f := d.Ready(nowUs); f != nil {
+			if f.RetryMs <= 0 {
+				t.Errorf("%s without a time to come back", f.Code)
+			}
+			return f.Code
+		}
+		return ""
+	}
+	d := New(Options{Desk: "d", BacklogMax: 2})
+	if got := code(d, 1); got != fault.NoLease {
+		t.Errorf("without a declaration: %q", got)
+	}
+	d.Step(Event{NowUs: 1, Snapshot: snapshot(1, 0, nil)})
+	if got := code(d, 1); got != fault.NoLease {
+		t.Errorf("without a lease: %q", got)
+	}
+	d.Step(Event{NowUs: 1, LeaseUs: 100})
+	if got := code(d, 99); got != "" {
+		t.Errorf("with all: %q", got)
+	}
+	if got := code(d, 100); got != fault.NoLease {
+		t.Errorf("with a lapsed lease: %q", got)
+	}
+	d.Step(Event{NowUs: 2, Arrived: call(1, "fixes")})
+	d.Step(Event{NowUs: 2, Arrived: call(2, "fixes")})
+	if got := code(d, 3); got != fault.Overloaded {
+		t.Errorf("with a full backlog: %q", got)
+	}
+	d.Step(Event{NowUs: 3, Drain: true})
+	if got := code(d, 3); got != fault.Draining {
+		t.Errorf("while draining: %q", got)
+	}
+}
--- a/proofs/fleet/fleet_test.go
+++ b/proofs/fleet/fleet_test.go
@@ -118,18 +118,31 @@
 	if out, err = run(t, "apply", file, "--office", offices, "--base", "1"); err == nil || !strings.Contains(out, "stale_base") {
 		t.Fatalf("a stale base got %v: %s", err, out)
 	}
+	replays(t, f)
 	drains(t, f, ctx)
 	refusesBadSettings(t)
 	damagedFolder(t, f, ctx)
 }
 
+func replays(t *testing.T, f *Fleet) {
+	body := `{\"kind\":\"fixes\",\"model\":\"m0\",\"prompt\":\"recorded\"}`
+	entry := `{"startedDateTime":"2026-11-01T08:00:00.%03dZ","time":1,"request":{"method":"POST","url":"http://front/v1/calls","httpVersion":"HTTP/1.1","headers":[],"postData":{"mimeType":"application/json","text":"` + body + `"}}}`
+	file := filepath.Join(t.TempDir(), "calls.har")
+	har := `{"log":{"version":"1.2","entries":[` + fmt.Sprintf(entry, 0) + "," + fmt.Sprintf(entry, 90) + `]}}`
+	if err := os.WriteFile(file, []byte(har), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	out, err := run(t, "replay", file, "--desk", f.Addrs("desk")[0], "--pace", "2")
+	want(t, out, err, "fixes", "      2       2")
+}
+
 // drains: SIGTERM lets a streaming call end, and refuses the next with where it stands.
 func drains(t *testing.T, f *Fleet, ctx context.Context) {
 	name := f.Names("desk")[0]
 	addr := f.Proc(name).Addr
 	got := make(chan rules.Told, 1)
 	go func() {
-		got <- callers.Ask(ctx, pipe.Client(500, ""), addr, desk.CallAsk{Kind: "letters", Model: "m0", Prompt: "drain me", MostOut: 30}, "", rules.Told{Tag: "drain"})
+		got <- callers.Ask(ctx, pipe.Client(500, ""), addr, desk.CallAsk{Kind: "letters", Model: "m0", Prompt: "drain me", MostOut: 60}, "", rules.Told{Tag: "drain"})
 	}()
 	if err := f.Until(ctx, "the call streams", func() bool {
 		var st struct {
@@ -142,7 +155,16 @@
 	}); err != nil {
 		t.Fatal(err)
 	}
+	if r, err := f.Ask(ctx, addr, http.MethodGet, "/v1/ready", ""); err != nil || r.Status != http.StatusOK {
+		t.Errorf("a working desk is not ready: %d %s %v", r.Status, r.Body, err)
+	}
 	f.Signal(name, syscall.SIGTERM)
+	if err := f.Until(ctx, "a draining desk says so to those who hand out clients", func() bool {
+		r, err := f.Ask(ctx, addr, http.MethodGet, "/v1/ready", "")
+		return err == nil && r.Status == http.StatusServiceUnavailable && strings.Contains(string(r.Body), "draining")
+	}); err != nil {
+		t.Error(err)
+	}
 	told := <-got
 	if !told.Ended {
 		t.Fatalf("a drained call ended with %+v", told)
