Add, replace and remove offices by command, one order at a time, kept in the chain

Cause: a lost office could be replaced by an empty one under its name; growing, shrinking and replacing a living one had no way. An order stands in the ledger until the view has carried it out; votes change one at a time, never below three, and a member goes only while two others hold the whole log. On real processes: refusals, the same order again, a second beside the first, four votes, and three again.

--- a/cmd/petreltide/main.go
+++ b/cmd/petreltide/main.go
@@ -27,6 +27,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(officeCommand(), deskCommand(), applyCommand(), diffCommand(), zoneCommand(), statusCommand(), queryCommand(), compareCommand(), replayCommand())
+	cmd.AddCommand(officeCommand(), deskCommand(), applyCommand(), diffCommand(), zoneCommand(), statusCommand(), queryCommand(), compareCommand(), replayCommand(), memberCommand())
 	return cmd
 }
--- /dev/null
+++ b/cmd/petreltide/member.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+
+	"petreltide/internal/office"
+)
+
+func memberCommand() *cobra.Command {
+	o := &offices{}
+	cmd := &cobra.Command{
+		Use:   "member",
+		Short: "See, add, replace and remove offices",
+		Long: `See who holds votes and copies, and order changes of members. One order stands at a time; it is kept
+in the chain, outlives whoever took it, and waits until it can be carried out safely. The same
+--change sent again is never taken twice.
+
+  petreltide member list
+  petreltide member add core-4        then start an empty office --name core-4 --founding 0
+  petreltide member replace core-2    of a lost office: start an empty one under its name, no order needed
+  petreltide member replace core-2 --even-alive
+  petreltide member remove core-4
+  petreltide member cancel`,
+	}
+	list := &cobra.Command{
+		Use: "list", Short: "Who holds votes, seats and copies, and what a change waits for", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			a, err := o.ask(cmd.Context(), http.MethodGet, "/v1/status", nil)
+			if err == nil {
+				err = a.fault()
+			}
+			if err != nil {
+				return err
+			}
+			st := office.Status{}
+			if err := json.Unmarshal(a.body, &st); err != nil {
+				return errors.Trace(err)
+			}
+			printMembers(cmd, st)
+			return nil
+		},
+	}
+	o.flag(list)
+	cmd.AddCommand(list)
+	for act, about := range map[string]string{"add": "Take in one office more", "replace": "Let an empty office of the same name take an office's place",
+		"remove": "Take an office's vote and seat", "cancel": "Take back the order that waits"} {
+		var change string
+		var evenAlive bool
+		sub := &cobra.Command{Use: act + " NAME", Short: about, Args: cobra.ExactArgs(1)}
+		if act == "cancel" {
+			sub.Use, sub.Args = act, cobra.NoArgs
+		}
+		sub.RunE = func(cmd *cobra.Command, args []string) error {
+			path := "/v1/members/" + url.PathEscape(append(args, "-")[0]) + "/" + act + "?change=" + url.QueryEscape(change)
+			if evenAlive {
+				path += "&even-alive=true"
+			}
+			a, err := o.ask(cmd.Context(), http.MethodPost, path, nil)
+			return show(cmd, a, err)
+		}
+		o.flag(sub)
+		sub.Flags().StringVar(&change, "change", "", "change id, to send the same order again safely")
+		if act == "replace" {
+			sub.Flags().BoolVar(&evenAlive, "even-alive", false, "also if the office is alive and has its seat")
+		}
+		cmd.AddCommand(sub)
+	}
+	return cmd
+}
+
+func printMembers(cmd *cobra.Command, st office.Status) {
+	out := cmd.OutOrStdout()
+	fmt.Fprintf(out, "view %d, seen by %s\n", st.View.Number, st.Office.ID)
+	heard := map[string]string{st.Office.ID: fmt.Sprintf("%s, log up to %d", st.Phase, st.Last)}
+	for _, p := range st.Partners {
+		heard[p.Member.ID] = fmt.Sprintf("%s, log up to %d, heard %d ms ago", p.Phase, p.Last, p.AgoMs)
+	}
+	for _, v := range st.View.Voters {
+		seat := "no seat"
+		for i, s := range st.View.Order {
+			if s.ID == v.ID {
+				seat = fmt.Sprintf("seat %d of %d", i+1, len(st.View.Order))
+			}
+		}
+		state := heard[v.ID]
+		if state == "" {
+			state = "not heard"
+		}
+		fmt.Fprintf(out, "vote   %-10s %-22s %s, zone %s, %s: %s\n", v.Name, v.ID, v.Addr, v.Zone, seat, state)
+		delete(heard, v.ID)
+	}
+	for _, p := range st.Partners {
+		if _, left := heard[p.Member.ID]; left {
+			fmt.Fprintf(out, "other  %-10s %-22s %s: %s\n", p.Member.Name, p.Member.ID, p.Member.Addr, heard[p.Member.ID])
+		}
+	}
+	if st.Member != nil {
+		waits := st.MemberOn
+		if waits == "" {
+			waits = "nothing: it is being written off"
+		}
+		fmt.Fprintf(out, "order  %s %s %s waits for %s\n", st.Member.Act, st.Member.Name, st.Member.ID, waits)
+	}
+}
--- /dev/null
+++ b/internal/chain/member.go
@@ -0,0 +1,174 @@
+package chain
+
+import (
+	"petreltide/internal/fault"
+	"petreltide/internal/ledger"
+)
+
+// votersLeast: with fewer, the loss of one would stop the chain.
+const votersLeast = 3
+
+func (n *Node) order(act ledger.MemberAct) *ledger.MemberChange {
+	if m := n.state.Member; m != nil && m.Act == act {
+		return m
+	}
+	return nil
+}
+
+// replaced is the identity whose vote a newcomer of the same name is ordered to take.
+func (n *Node) replaced(m Member) string {
+	if o := n.order(ledger.ReplaceMember); o != nil && o.Name == m.Name && o.ID != m.ID {
+		return o.ID
+	}
+	return ""
+}
+
+// added: the operators ordered an office of this name to be taken in, and none of it votes yet.
+func (n *Node) added(m Member) bool {
+	if o := n.order(ledger.AddMember); o == nil || o.Name != m.Name {
+		return false
+	}
+	for _, v := range n.view.Voters {
+		if v.Name == m.Name {
+			return false
+		}
+	}
+	return true
+}
+
+// dropped: an identity that is ordered out gets no seat again.
+func (n *Node) dropped(id string) bool {
+	o := n.order(ledger.RemoveMember)
+	return o != nil && o.ID == id
+}
+
+// mayDrop: the one ordered out can go without leaving too few votes or too few copies.
+func (n *Node) mayDrop() bool {
+	o := n.order(ledger.RemoveMember)
+	if o == nil || (!n.view.Votes(o.ID) && !n.view.Seated(o.ID)) {
+		return false
+	}
+	if n.view.Votes(o.ID) && len(n.view.Voters) <= votersLeast {
+		return false
+	}
+	whole := 0
+	for _, s := range n.view.Order {
+		if s.ID != o.ID && n.sound(s) && n.wholeSeat(s) {
+			whole++
+		}
+	}
+	return whole >= 2 && n.firstWithout(o.ID)
+}
+
+// firstWithout: a member that has everything comes first also once this one is gone.
+func (n *Node) firstWithout(id string) bool {
+	order := without(n.view.Order, id)
+	return len(order) > 0 && n.wholeSeat(order[0])
+}
+
+// MemberCarried says that the order about members that stands is carried out in this view.
+func (n *Node) MemberCarried() bool {
+	o := n.state.Member
+	if o == nil || !n.serving() {
+		return false
+	}
+	named := false
+	for _, v := range n.view.Voters {
+		named = named || (v.Name == o.Name && v.ID != o.ID && n.view.Seated(v.ID))
+	}
+	switch o.Act {
+	case ledger.AddMember, ledger.ReplaceMember:
+		return named && !n.view.Votes(o.ID)
+	}
+	return !n.view.Votes(o.ID) && !n.view.Seated(o.ID)
+}
+
+// MemberWaits says, in words, what the order about members waits for.
+func (n *Node) MemberWaits() string {
+	o := n.state.Member
+	switch {
+	case o == nil || n.MemberCarried():
+		return ""
+	case o.Act == ledger.AddMember:
+		return "an empty office named " + o.Name + " that holds a copy and hears every member"
+	case o.Act == ledger.ReplaceMember:
+		return "an empty office named " + o.Name + ", beside or in place of " + o.ID + ", that holds a copy and hears every member"
+	case len(n.view.Voters) <= votersLeast:
+		return "another vote: without " + o.ID + " fewer than three would be left"
+	}
+	return "two other members that hold the whole log"
+}
+
+// FitMember finds the identity an order is about, or the reason for which it must not be taken.
+func (n *Node) FitMember(m *ledger.MemberChange, evenAlive bool) *fault.Fault {
+	unfit := func(format string, args ...any) *fault.Fault {
+		return fault.New(fault.MembershipUnfit, "name", format, args...)
+	}
+	if n.view.Number == 0 || n.phase != Serving {
+		return fault.New(fault.NotServing, "", "this office has no seat now: ask another")
+	}
+	var voter *Member
+	for i, v := range n.view.Voters {
+		if v.Name == m.Name {
+			voter = &n.view.Voters[i]
+		}
+	}
+	switch m.Act {
+	case ledger.CancelMember:
+		return nil
+	case ledger.AddMember:
+		if voter != nil {
+			return unfit("an office named %q has a vote already, as %s", m.Name, voter.ID)
+		}
+		if m.Name == "" || len(m.Name) > 64 {
+			return unfit("%q is no name for an office", m.Name)
+		}
+		return nil
+	case ledger.ReplaceMember, ledger.RemoveMember:
+		if voter == nil {
+			return unfit("no office named %q has a vote", m.Name)
+		}
+		m.ID = voter.ID
+	default:
+		return fault.New(fault.NotFound, "act", "%q: want add, replace, remove or cancel", m.Act)
+	}
+	if m.Act == ledger.ReplaceMember {
+		if n.view.Seated(voter.ID) && !evenAlive {
+			return unfit("%s is alive and has its seat: say --even-alive to replace it all the same", voter.ID)
+		}
+		return nil
+	}
+	if len(n.view.Voters) <= votersLeast {
+		return unfit("fewer than three votes would be left: add an office first")
+	}
+	others := 0
+	for _, s := range n.view.Order {
+		if s.ID != voter.ID && n.sound(s) && n.wholeSeat(s) {
+			others++
+		}
+	}
+	if others < 2 {
+		return unfit("%s holds one of the last two safe copies", voter.ID)
+	}
+	return nil
+}
+
+func without(order []Seat, id string) []Seat {
+	kept := []Seat{}
+	for _, s := range order {
+		if s.ID != id {
+			kept = append(kept, s)
+		}
+	}
+	return kept
+}
+
+func withoutVote(voters []Member, id string) []Member {
+	kept := []Member{}
+	for _, v := range voters {
+		if v.ID != id {
+			kept = append(kept, v)
+		}
+	}
+	return kept
+}
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -241,7 +241,15 @@
 	changed := len(want.Order) != len(n.view.Order)
 	if !changed {
 		if seat, ok := n.joiner(); ok {
-			want.Order = append(append([]Seat(nil), n.view.Order...), seat)
+			want.Order = append(without(n.view.Order, n.replaced(seat.Member)), seat)
+			changed = true
+		} else if n.mayDrop() {
+			want.Order = without(n.view.Order, n.state.Member.ID)
+			for _, v := range n.view.Voters {
+				if v.ID == n.state.Member.ID {
+					want.Voters = withoutVote(n.view.Voters, v.ID)
+				}
+			}
 			changed = true
 		}
 		if voters, ok := n.newVoters(want.Order); ok {
@@ -271,7 +279,7 @@
 		if p.hello.CopyIndex == 0 || p.hello.CopyIndex+uint64(n.opts.KeepMost) < n.commit || !n.hearsAll(p.hello) {
 			continue
 		}
-		if !n.view.Votes(id) && !n.standsIn(p.hello.Me) {
+		if n.dropped(id) || (!n.view.Votes(id) && !n.standsIn(p.hello.Me) && !n.added(p.hello.Me)) {
 			continue
 		}
 		return Seat{Member: p.hello.Me, Inc: p.hello.Inc}, true
@@ -295,6 +303,9 @@
 // standsIn: an office of a new identity may take the vote of a silent one of the same name.
 func (n *Node) standsIn(m Member) bool {
 	for _, v := range n.view.Voters {
+		if n.replaced(m) == v.ID && v.ID != m.ID {
+			return true
+		}
 		if v.Name == m.Name && v.ID != m.ID && !n.view.Seated(v.ID) && !n.hearsFor(v.ID, 3*n.opts.SuspectUs) && n.nowUs-n.viewedUs > n.opts.SuspectUs {
 			return true
 		}
@@ -322,12 +333,15 @@
 			continue
 		}
 		for i, v := range n.view.Voters {
-			if v.Name == s.Name && !n.view.Seated(v.ID) {
+			if v.Name == s.Name && (!n.view.Seated(v.ID) || n.replaced(s.Member) == v.ID) {
 				voters := append([]Member(nil), n.view.Voters...)
 				voters[i] = s.Member
 				return voters, true
 			}
 		}
+		if n.added(s.Member) {
+			return append(append([]Member(nil), n.view.Voters...), s.Member), true
+		}
 	}
 	return nil, false
 }
@@ -596,7 +610,7 @@
 		if n.view.Seated(id) || !n.Hears(id) || p.hello.Phase == Serving || p.hello.Stalled {
 			continue
 		}
-		seated := n.view.Votes(id) || n.standsIn(p.hello.Me)
+		seated := !n.dropped(id) && (n.view.Votes(id) || n.standsIn(p.hello.Me) || n.added(p.hello.Me))
 		stale := p.hello.CopyIndex == 0 || p.hello.CopyIndex+uint64(n.opts.KeepMost)/2 < n.commit
 		if !seated || !stale || p.hello.View.Number != n.view.Number {
 			continue
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -91,6 +91,25 @@
 	Claim  *Claim        `json:"claim,omitempty"`
 	Duty   *Duty         `json:"duty,omitempty"`
 	Key    *KeyChange    `json:"key,omitempty"`
+	Member *MemberChange `json:"member,omitempty"`
+}
+
+type MemberAct string
+
+const (
+	AddMember     MemberAct = "add"
+	ReplaceMember MemberAct = "replace"
+	RemoveMember  MemberAct = "remove"
+	CancelMember  MemberAct = "cancel"
+	MemberDone    MemberAct = "done"
+)
+
+// MemberChange is an operator's order about one office; ID is the identity that has to go. One at a
+// time stands in the ledger until the view has carried it out.
+type MemberChange struct {
+	Act  MemberAct `json:"act"`
+	Name string    `json:"name"`
+	ID   string    `json:"id,omitempty"`
 }
 
 type ConfigChange struct {
@@ -159,6 +178,7 @@
 	Fault    *fault.Fault  `json:"fault,omitempty"`
 	Key      *KeyRow       `json:"key,omitempty"`
 	Again    bool          `json:"again,omitempty"`
+	Member   bool          `json:"member,omitempty"`
 	Faults   []fault.Fault `json:"faults,omitempty"`
 }
 
@@ -178,6 +198,8 @@
 	Changes    map[string]Outcome    `json:"changes"`
 	ChangeIDs  []string              `json:"changeIds"`
 	Refused    map[fault.Code]uint64 `json:"refused"`
+	Member     *MemberChange         `json:"member,omitempty"`
+	MemberID   string                `json:"memberId,omitempty"`
 	Loads      uint64                `json:"loads"`
 	LoadedMb   int64                 `json:"loadedMb"`
 }
@@ -266,6 +288,8 @@
 		s.applyDuty(&out, c)
 	case c.Key != nil:
 		s.applyKey(&out, c)
+	case c.Member != nil:
+		out = s.applyMember(out, c)
 	}
 	if out.Fault != nil {
 		s.Refused[out.Fault.Code]++
@@ -292,12 +316,7 @@
 		s.NewsIndex = s.Index
 	}
 	out.Revision = s.Revision
-	s.Changes[c.ID] = out
-	s.ChangeIDs = append(s.ChangeIDs, c.ID)
-	if len(s.ChangeIDs) > ChangesMost {
-		delete(s.Changes, s.ChangeIDs[0])
-		s.ChangeIDs = s.ChangeIDs[1:]
-	}
+	s.remember(out)
 	return out
 }
 
@@ -510,6 +529,43 @@
 	return nil
 }
 
+// applyMember keeps one order about members at a time, and remembers each like a configuration.
+func (s *State) applyMember(out Outcome, c Change) Outcome {
+	m := *c.Member
+	if m.Act == MemberDone {
+		if s.Member != nil && m.Name == s.MemberID {
+			s.Member, s.MemberID = nil, ""
+		}
+		return out
+	}
+	if first, seen := s.Changes[c.ID]; seen {
+		first.Again = true
+		return first
+	}
+	switch {
+	case m.Act == CancelMember && s.Member == nil:
+		out.Fault = fault.New(fault.MembershipUnfit, "act", "no change of members is under way")
+	case m.Act == CancelMember:
+		s.Member, s.MemberID = nil, ""
+	case s.Member != nil:
+		out.Fault = fault.New(fault.MembershipUnfit, "act", "%s %s is under way; one change of members at a time", s.Member.Act, s.Member.Name)
+	default:
+		s.Member, s.MemberID = &m, c.ID
+	}
+	out.Revision, out.Member = s.Revision, true
+	s.remember(out)
+	return out
+}
+
+func (s *State) remember(out Outcome) {
+	s.Changes[out.ID] = out
+	s.ChangeIDs = append(s.ChangeIDs, out.ID)
+	if len(s.ChangeIDs) > ChangesMost {
+		delete(s.Changes, s.ChangeIDs[0])
+		s.ChangeIDs = s.ChangeIDs[1:]
+	}
+}
+
 func (s *State) applyKey(out *Outcome, c Change) {
 	k := c.Key
 	row, seen := s.Keys[k.Key]
--- a/internal/office/core.go
+++ b/internal/office/core.go
@@ -4,6 +4,7 @@
 	"sort"
 
 	"petreltide/internal/chain"
+	"petreltide/internal/clock"
 	"petreltide/internal/fault"
 	"petreltide/internal/foreman"
 	"petreltide/internal/ledger"
@@ -12,6 +13,8 @@
 	"petreltide/internal/wire"
 )
 
+const memberEveryUs = 500 * clock.Ms
+
 type Event struct {
 	NowUs   int64
 	Letter  *wire.Letter
@@ -59,6 +62,7 @@
 	effects  []Effect
 	Watch    *watch.Watch
 	silentUs int64
+	memberUs int64
 	checked  uint64
 }
 
@@ -90,6 +94,7 @@
 		c.chain(chain.Event{NowUs: ev.NowUs})
 		c.foreman(foreman.Event{NowUs: ev.NowUs})
 		c.saySilence(ev.NowUs)
+		c.memberDone(ev.NowUs)
 	}
 	c.Room.Gate(ev.NowUs, c.Node.Open(ev.NowUs))
 	for _, p := range c.Room.Pushes(c.Node.State(), c.Node.View()) {
@@ -115,6 +120,16 @@
 	}
 }
 
+// memberDone is the head's: it takes an order about members out of the ledger once the view has it.
+func (c *Core) memberDone(nowUs int64) {
+	if nowUs-c.memberUs < memberEveryUs || !c.Node.IsHead() || !c.Node.MemberCarried() {
+		return
+	}
+	c.memberUs = nowUs
+	id := c.Node.State().MemberID
+	c.chain(chain.Event{NowUs: nowUs, Submit: &ledger.Change{ID: "done-" + id, Member: &ledger.MemberChange{Act: ledger.MemberDone, Name: id}}})
+}
+
 func (c *Core) saySilence(nowUs int64) {
 	if nowUs-c.silentUs < watch.BeatUs {
 		return
@@ -252,6 +267,8 @@
 	Faults   map[fault.Code]uint64 `json:"faults,omitempty"`
 	Refused  map[fault.Code]uint64 `json:"refused,omitempty"`
 	Keys     int                   `json:"keys"`
+	Member   *ledger.MemberChange  `json:"member,omitempty"`
+	MemberOn string                `json:"memberWaitsFor,omitempty"`
 	Grants   int                   `json:"grants"`
 	Loads    uint64                `json:"loads"`
 	LoadedMb int64                 `json:"loadedMb"`
@@ -264,7 +281,7 @@
 		Commit: c.Node.Commit(), Last: c.Node.Last(), Epoch: s.Epoch, Holder: s.Holder, OnDuty: c.Foreman.OnDuty(s),
 		Revision: s.Revision, Partners: c.Node.Partners(), Desks: c.Room.Desks(nowUs), Demand: c.Foreman.Desks(nowUs),
 		Counts: c.Foreman.Counts(), Policy: c.Foreman.Policy, Shadows: c.Foreman.Shadows,
-		Faults: copyOf(c.Foreman.Faults), Refused: copyOf(s.Refused), Keys: len(s.Keys), Grants: len(s.Grants), Loads: s.Loads, LoadedMb: s.LoadedMb,
+		Faults: copyOf(c.Foreman.Faults), Refused: copyOf(s.Refused), Keys: len(s.Keys), Member: s.Member, MemberOn: c.Node.MemberWaits(), Grants: len(s.Grants), Loads: s.Loads, LoadedMb: s.LoadedMb,
 		Pending: []ledger.Ticket{}, Replicas: []ledger.Replica{},
 	}
 	if s.Doc != nil {
--- /dev/null
+++ b/internal/office/members.go
@@ -0,0 +1,32 @@
+package office
+
+import (
+	"net/http"
+
+	"petreltide/internal/fault"
+	"petreltide/internal/ledger"
+	"petreltide/internal/wire"
+)
+
+// member takes an operator's order about one office. It is refused here where this office can see that
+// it must not be carried out; what was taken waits until it is safe.
+func (h *Host) member(w http.ResponseWriter, r *http.Request) {
+	id, bad := changeOf(r)
+	m := ledger.MemberChange{Act: ledger.MemberAct(r.PathValue("act")), Name: r.PathValue("name")}
+	if bad == nil {
+		var seen bool
+		var first ledger.Outcome
+		if first, seen = h.seen(r.Context(), id); seen {
+			h.reply(w, id, wire.Result{Outcome: first, Everywhere: true})
+			return
+		}
+		if !h.act.Ask(r.Context(), func() { bad = h.core.Node.FitMember(&m, r.URL.Query().Get("even-alive") == "true") }) {
+			bad = fault.New(fault.NotServing, "", "stopping")
+		}
+	}
+	if bad != nil {
+		writeFault(w, bad)
+		return
+	}
+	h.change(w, r, ledger.Change{ID: id, Member: &m})
+}
--- a/internal/office/web.go
+++ b/internal/office/web.go
@@ -75,6 +75,7 @@
 	mux.HandleFunc("PUT /v1/config", h.putConfig)
 	mux.HandleFunc("PATCH /v1/config", h.patchConfig)
 	mux.HandleFunc("POST /v1/zones/{zone}/{act}", h.zone)
+	mux.HandleFunc("POST /v1/members/{name}/{act}", h.member)
 	mux.HandleFunc("GET /v1/status", h.status)
 	mux.HandleFunc("GET /v1/state", h.state)
 	mux.HandleFunc("GET /v1/log", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(h.ring.Bytes()) })
@@ -305,7 +306,9 @@
 	}
 	a := Applied{Change: id[3:], Revision: r.Outcome.Revision, Again: r.Outcome.Again, State: "everywhere"}
 	status := http.StatusOK
-	if !r.Everywhere {
+	if r.Outcome.Member {
+		a.State = "ordered"
+	} else if !r.Everywhere {
 		a.State = string(fault.NotEverywhere)
 		status = http.StatusAccepted
 	}
--- a/proofs/fleet/compare_test.go
+++ b/proofs/fleet/compare_test.go
@@ -140,3 +140,64 @@
 	}
 	back("a replica lost")
 }
+
+func TestMembersByCommandOnRealProcesses(t *testing.T) {
+	f, doc, ctx := small(t)
+	raw, err := json.Marshal(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := Begin(ctx, f, string(raw)); err != nil {
+		t.Fatal(err)
+	}
+	offices := strings.Join(f.Addrs("office"), ",")
+	member := func(args ...string) (string, error) {
+		return run(t, append(append([]string{"member"}, args...), "--office", offices)...)
+	}
+	for _, c := range []struct {
+		args []string
+		why  string
+	}{
+		{[]string{"add", "core-1"}, "has a vote already"},
+		{[]string{"replace", "core-1"}, "is alive"},
+		{[]string{"replace", "core-9"}, "no office named"},
+		{[]string{"remove", "core-1"}, "fewer than three"},
+		{[]string{"cancel"}, "no change of members"},
+	} {
+		if out, err := member(c.args...); err == nil || !strings.Contains(out, c.why) {
+			t.Errorf("%v: %v %s", c.args, err, out)
+		}
+	}
+	out, err := member("add", "core-4", "--change", "four")
+	want(t, out, err, `"state":"ordered"`)
+	out, err = member("add", "core-4", "--change", "four")
+	want(t, out, err, `"again":true`)
+	if out, err = member("add", "core-5"); err == nil || !strings.Contains(out, "under way") {
+		t.Errorf("a second order beside the first: %v %s", err, out)
+	}
+	out, err = member("list")
+	want(t, out, err, "order  add core-4", "an empty office named core-4", "vote   core-1")
+	if err := f.AddOffice("core-4", "a", f.reaches("office", ""), 0); err != nil {
+		t.Fatal(err)
+	}
+	votes := func(n int) func() bool {
+		return func() bool {
+			tail, ok := f.Tail(ctx)
+			return ok && len(tail.View.Voters) == n && len(tail.View.Order) == n && tail.Member == nil
+		}
+	}
+	if err := f.Until(ctx, "four offices vote", votes(4)); err != nil {
+		t.Fatal(err)
+	}
+	out, err = member("remove", "core-2")
+	want(t, out, err, `"state":"ordered"`)
+	if err := f.Until(ctx, "three are left", votes(3)); err != nil {
+		t.Fatal(err)
+	}
+	f.Kill("core-2")
+	out, err = member("list")
+	want(t, out, err, "vote   core-4", "seat 3 of 3")
+	if strings.Contains(out, "vote   core-2") {
+		t.Errorf("the removed one still votes:\n%s", out)
+	}
+}
--- /dev/null
+++ b/proofs/sim/member_test.go
@@ -0,0 +1,144 @@
+package sim
+
+import (
+	"fmt"
+	"testing"
+
+	"petreltide/internal/ledger"
+	"petreltide/internal/wire"
+	"petreltide/proofs/rules"
+)
+
+// order sends an order about members until it is answered, at any office that is up, and once more after
+// that, as an operator may who lost the answer.
+func (p *operators) order(id string, m ledger.MemberChange) {
+	s := p.sim
+	o := p.office()
+	again := func() { s.at(s.nowUs+300*ms, func() { p.order(id, m) }) }
+	if o == nil {
+		again()
+		return
+	}
+	held := m
+	if bad := o.core.Node.FitMember(&held, true); bad != nil && bad.Code == "not_serving" {
+		again()
+		return
+	}
+	sent := held
+	o.submit(ledger.Change{ID: id, Member: &sent}, 2*sec, func(r wire.Result, ok bool) {
+		switch {
+		case !ok:
+			again()
+		case r.Outcome.Fault != nil:
+			s.watch.Break(rules.ConfigLost, "%s was refused: %v", id, r.Outcome.Fault)
+		case !r.Outcome.Again:
+			again()
+		}
+	})
+}
+
+func (s *Sim) empty(name, zone string) *officeNode {
+	o := newOffice(s, name, fmt.Sprintf("%s:new%s", name, s.newInc()), zone, 0)
+	s.offices = append(s.offices, o)
+	return o
+}
+
+func (s *Sim) until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for limitUs := s.nowUs + 30*sec; !holds(); {
+		if !s.runUntil(s.nowUs+50*ms) || s.nowUs > limitUs {
+			t.Fatalf("not %s: %v %s", what, s.watch.Breaches, s.why())
+		}
+	}
+}
+
+// votes are the names that vote in the newest view any office has, whether all are seated, and the order
+// that stands.
+func (s *Sim) votes() (names map[string]string, seated bool, order *ledger.MemberChange) {
+	var newest *officeNode
+	for _, o := range s.offices {
+		if o.up && (newest == nil || o.core.Node.View().Number > newest.core.Node.View().Number) {
+			newest = o
+		}
+	}
+	names, seated = map[string]string{}, true
+	view := newest.core.Node.View()
+	for _, v := range view.Voters {
+		names[v.Name] = v.ID
+		seated = seated && view.Seated(v.ID)
+	}
+	for _, o := range s.offices {
+		if o.up && o.core.Node.Open(o.clock()) {
+			return names, seated, o.core.Node.State().Member
+		}
+	}
+	return names, false, nil
+}
+
+// An office is added, one replaced beside its living self, one removed; whichever office is killed at
+// whichever step, each order is carried out once and service holds.
+func TestMembershipByCommandWithKillsAtEachStep(t *testing.T) {
+	from, count := seeds(12)
+	for seed := from; seed < from+count; seed++ {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			t.Parallel()
+			p := plan(int64(seed), 0)
+			p.Changes = false
+			s := New(p)
+			s.ops.begin()
+			s.until(t, "up", func() bool { return s.ops.grown && s.settled() })
+			s.demand(s.nowUs + 90*sec)
+			kill := func() {
+				s.at(s.nowUs+s.r.Int63n(2500*ms), func() {
+					if !s.damaged() {
+						s.crashOffice(s.offices[s.r.Intn(len(s.offices))], 0, s.r.Intn(4), 300*ms+s.r.Int63n(1500*ms))
+					}
+				})
+			}
+			step := func(what string, m ledger.MemberChange, done func(names map[string]string) bool) {
+				s.ops.order("member-"+what, m)
+				kill()
+				s.until(t, what, func() bool {
+					names, seated, order := s.votes()
+					return seated && order == nil && done(names) && !s.damagedBut()
+				})
+			}
+			s.empty("core-3", "a")
+			s.runUntil(s.nowUs + 2*sec)
+			if names, _, _ := s.votes(); names["core-3"] != "" {
+				t.Fatal("an office nobody ordered votes")
+			}
+			step("added", ledger.MemberChange{Act: ledger.AddMember, Name: "core-3"}, func(n map[string]string) bool { return len(n) == 4 && n["core-3"] != "" })
+			old := s.offices[1]
+			oldID := old.core.Node.Me().ID
+			s.empty(old.name, old.zone)
+			s.runUntil(s.nowUs + 2*sec)
+			if names, _, _ := s.votes(); names[old.name] != oldID {
+				t.Fatal("a living office was replaced without an order")
+			}
+			step("replaced", ledger.MemberChange{Act: ledger.ReplaceMember, Name: old.name}, func(n map[string]string) bool { return len(n) == 4 && n[old.name] != oldID })
+			old.crash(0, 0)
+			s.offices = append(s.offices[:1:1], s.offices[2:]...)
+			step("removed", ledger.MemberChange{Act: ledger.RemoveMember, Name: "core-3"}, func(n map[string]string) bool { return len(n) == 3 && n["core-3"] == "" })
+			s.until(t, "usual again", func() bool { return s.settled() })
+			fromUs := s.nowUs
+			if !s.runUntil(fromUs + 8*sec) {
+				t.Fatal(s.watch.Breaches)
+			}
+			if row := s.service(fromUs, fromUs+4*sec)["all"]; row == nil || row.share() < 0.95 {
+				t.Fatalf("%+v", row)
+			}
+		})
+	}
+}
+
+// damagedBut: an office that votes is down or not yet serving.
+func (s *Sim) damagedBut() bool {
+	names, _, _ := s.votes()
+	for _, o := range s.offices {
+		if id := names[o.named]; id == o.disk.identity && (!o.up || o.core.Node.Phase() != "serving") {
+			return true
+		}
+	}
+	return false
+}
