--- /dev/null
+++ b/proofs/brief/brief_test.go
@@ -0,0 +1,94 @@
+package brief
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"petreltide/proofs/fleet"
+	"petreltide/proofs/rules"
+	"petreltide/proofs/sim"
+)
+
+// checked finds what a page names that is not there, and what is there that it does not name.
+func checked(page string, tests map[string]bool, day, real []string) (unknown, unnamed []string) {
+	for _, name := range regexp.MustCompile(`\bTest[A-Z]\w+`).FindAllString(page, -1) {
+		if !tests[name] {
+			unknown = append(unknown, name)
+		}
+	}
+	for prefix, known := range map[string][]string{"day:": day, "real:": real} {
+		named := map[string]bool{}
+		for _, name := range regexp.MustCompile(prefix+`[a-z-]+`).FindAllString(page, -1) {
+			fault := strings.TrimPrefix(name, prefix)
+			named[fault] = true
+			if !slices.Contains(known, fault) {
+				unknown = append(unknown, name)
+			}
+		}
+		for _, fault := range known {
+			if !named[fault] {
+				unnamed = append(unnamed, prefix+fault)
+			}
+		}
+	}
+	slices.Sort(unknown)
+	slices.Sort(unnamed)
+	return unknown, slices.Compact(unnamed)
+}
+
+func testsUnder(t *testing.T, root string) map[string]bool {
+	t.Helper()
+	tests := map[string]bool{}
+	name := regexp.MustCompile(`(?m)^func (Test[A-Z]\w+)\(`)
+	if err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		raw, err := os.ReadFile(path)
+		for _, m := range name.FindAllStringSubmatch(string(raw), -1) {
+			tests[m[1]] = true
+		}
+		return err
+	}); err != nil {
+		t.Fatal(err)
+	}
+	return tests
+}
+
+func TestThePageNamesOnlyWhatIsThereAndAllFaults(t *testing.T) {
+	tests := testsUnder(t, "../..")
+	for _, page := range []string{"brief.md", "faults.md"} {
+		raw, err := os.ReadFile(filepath.Join("../../docs", page))
+		if err != nil {
+			t.Fatal(err)
+		}
+		unknown, unnamed := checked(string(raw), tests, sim.FaultNames(), fleet.FaultNames())
+		if len(unknown) > 0 {
+			t.Errorf("%s names what does not exist: %v", page, unknown)
+		}
+		if page == "brief.md" && len(unnamed) > 0 {
+			t.Errorf("%s leaves out %v", page, unnamed)
+		}
+	}
+	raw, err := os.ReadFile("../../docs/brief.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, never, _ := strings.Cut(string(raw), "## What must never happen")
+	never, _, _ = strings.Cut(never, "\n## ")
+	if rows := strings.Count(never, "\n| ") - 2; rows != len(rules.All) {
+		t.Errorf("%d lines must never happen, the page has %d", len(rules.All), rows)
+	}
+}
+
+func TestTheReaderOfThePageCanFail(t *testing.T) {
+	unknown, unnamed := checked("`TestGone`, day:nothing, day:notice, real:kill-desk", map[string]bool{"TestHere": true}, []string{"notice", "crowd"}, []string{"kill-desk", "kill-head"})
+	if strings.Join(unknown, " ") != "TestGone day:nothing" || strings.Join(unnamed, " ") != "day:crowd real:kill-head" {
+		t.Fatal(unknown, unnamed)
+	}
+}
--- a/proofs/press/core.go
+++ b/proofs/press/core.go
@@ -265,11 +265,13 @@
 	}
 }
 
-// Lost names every leg that was running when the replica went.
-func (c *Core) Lost(each func(Run)) {
+// Legs are the runs going on now.
+func (c *Core) Legs() []Run {
+	runs := []Run{}
 	for _, leg := range slices.Sorted(maps.Keys(c.legs)) {
-		each(*c.legs[leg])
+		runs = append(runs, *c.legs[leg])
 	}
+	return runs
 }
 
 func (c *Core) Running(leg string) bool { return c.legs[leg] != nil }
--- a/proofs/sim/desks.go
+++ b/proofs/sim/desks.go
@@ -185,6 +185,7 @@
 }
 
 func (d *deskNode) step(ev deskwork.Event) {
+	s := d.sim
 	ev.NowUs = d.clock()
 	for _, e := range d.decider.Step(ev) {
 		switch {
@@ -199,7 +200,7 @@
 				d.cut(c, e.Over.Ending)
 			}
 		case e.Cancel != "":
-			if c := d.calls[e.Cancel]; c != nil && c.stop != nil {
+			if c := d.calls[e.Cancel]; c != nil && c.stop != nil && (c.hung || s.plan.Plant != "still") {
 				c.stop()
 			}
 		}
@@ -594,7 +595,7 @@
 func (s *Sim) call(ask desk.CallAsk, key string, at, try int) {
 	d := s.desks[at%len(s.desks)]
 	t := rules.Told{Tag: press.TagOf(ask.Prompt), Key: key, Kind: ask.Kind, Model: ask.Model, Adapter: ask.Adapter, Prompt: ask.Prompt, Desk: d.name,
-		StartUs: s.nowUs, Had: len(ask.Had), Resumable: s.ops.mayResume(ask.Kind)}
+		StartUs: s.nowUs, Had: len(ask.Had), MostOut: ask.MostOut, Resumable: s.ops.mayResume(ask.Kind)}
 	s.watch.Asked(t)
 	done := func(t rules.Told) { s.askAgain(t, ask, key, at, try) }
 	if !d.up {
--- a/proofs/sim/faults.go
+++ b/proofs/sim/faults.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 
 	"petreltide/internal/wire"
 	"petreltide/proofs/rules"
@@ -480,3 +481,10 @@
 		}
 	}
 }
+
+// FaultNames lists every fault that seeded days are dealt.
+func FaultNames() []string {
+	names := slices.Clone(kinds)
+	slices.Sort(names)
+	return slices.Compact(names)
+}
--- a/proofs/sim/sim.go
+++ b/proofs/sim/sim.go
@@ -596,6 +596,8 @@
 
 func (p *pressNode) kill() {
 	p.up = false
-	p.core.Lost(func(r press.Run) { p.sim.watch.Cut(r) })
+	for _, r := range p.core.Legs() {
+		p.sim.watch.Cut(r)
+	}
 	p.sim.plat.Store.Done(p.addr)
 }
