--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -39,6 +39,8 @@
 const (
 	prefixPartsMost = 64
 	keyMost         = 200
+	pieceMost       = 1 << 20
+	streamMost      = 64 << 20
 )
 
 type Status struct {
@@ -434,12 +436,18 @@
 }
 
 func (h *Host) readPieces(c *deskwork.Call, st deskwork.Start, s *stream, body io.Reader) (deskwork.Ending, string) {
-	dec := json.NewDecoder(body)
+	bounded := &io.LimitedReader{R: body, N: pieceMost}
+	dec := json.NewDecoder(bounded)
+	held := 0
 	for {
 		var p wire.Piece
 		if err := dec.Decode(&p); err != nil {
 			return deskwork.Broken, "the replica's stream ended early: " + err.Error()
 		}
+		bounded.N = pieceMost
+		if held += len(p.Text); held > streamMost {
+			return deskwork.Broken, "the replica's stream is too long"
+		}
 		ending, why := deskwork.Judge(st.Leg, len(s.pieces), p)
 		if ending != "" {
 			if ending == deskwork.Broken {
--- /dev/null
+++ b/internal/desk/fuzz_test.go
@@ -0,0 +1,109 @@
+package desk
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"petreltide/internal/deskwork"
+	"petreltide/internal/settings"
+	"petreltide/internal/spike"
+	"petreltide/internal/standing"
+	"petreltide/internal/wire"
+)
+
+func host() *Host {
+	h := Open(settings.Desk{Name: "front", Listen: "127.0.0.1:1", Advertise: "127.0.0.1:1", BacklogMax: 4, BodyMaxKb: 64}, spike.NewRing("", io.Discard))
+	doc := &standing.Declaration{Kinds: []standing.Kind{{Name: "pages", Urgency: 3, Resumable: true, ExpiryMs: 1000}, {Name: "fixes", Urgency: 8, ExpiryMs: 1000}},
+		Models: []standing.Model{{Name: "m"}}, Adapters: []standing.Adapter{{Name: "a", Model: "m"}}}
+	h.snap.Store(deskwork.Fold(nil, wire.News{Number: 1, Revision: 1, Doc: doc}, 1))
+	h.leaseUs.Store(1 << 60)
+	return h
+}
+
+// Whatever a caller sends is a call that names what is declared, or a fault with a code.
+func FuzzWhatCallersSend(f *testing.F) {
+	f.Add([]byte(`{"kind":"fixes","model":"m","prompt":"x"}`), "", "")
+	f.Add([]byte(`{"kind":"pages","model":"m","adapter":"a","prompt":"x","had":["1","2"],"mostOut":-1}`), "2", "key")
+	f.Add([]byte(`{"kind":"pages","model":"m","prompt":"x","expiryMs":-9223372036854775808}`), "-0", strings.Repeat("k", 300))
+	f.Add([]byte(`{"prefix":[],"kind":null}{}`), "1e3", "")
+	h := host()
+	f.Fuzz(func(t *testing.T, body []byte, last, key string) {
+		r := httptest.NewRequest(http.MethodPost, "/v1/calls", bytes.NewReader(body))
+		r.Header["Last-Event-Id"], r.Header["Idempotency-Key"] = []string{last}, []string{key}
+		ask, c, _, bad := h.read(httptest.NewRecorder(), r)
+		if bad != nil {
+			if bad.Code == "" || statusOf(bad) < 400 {
+				t.Fatalf("%+v", bad)
+			}
+			return
+		}
+		if c.Model != "m" || (c.Kind != "pages" && c.Kind != "fixes") || ask.Prompt == "" || c.Had != len(ask.Had) || c.MostMs < 0 || (c.Had > 0 && c.Kind != "pages") {
+			t.Fatalf("%+v taken as %+v", ask, c)
+		}
+	})
+}
+
+// Whatever a replica streams, only whole pieces of this leg in their order go on, and only its own end is one.
+func FuzzWhatReplicasStream(f *testing.F) {
+	f.Add([]byte("{\"leg\":\"r/i/1\",\"n\":1,\"text\":\"a\"}\n{\"leg\":\"r/i/1\",\"end\":true,\"n\":1}"))
+	f.Add([]byte("{\"leg\":\"r/i/1\",\"n\":2}"))
+	f.Add([]byte("{\"leg\":\"r/i/1\",\"end\":true,\"n\":0}{\"leg\":\"r/i/1\",\"n\":1}"))
+	f.Add([]byte("[[[[[{\"leg\":"))
+	h := host()
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		rec := httptest.NewRecorder()
+		s := &stream{w: rec, flush: func() error { return nil }}
+		c := &deskwork.Call{ID: "c"}
+		ending, _ := h.readPieces(c, deskwork.Start{Call: c, Leg: "r/i/1"}, s, bytes.NewReader(raw))
+		dec := json.NewDecoder(bytes.NewReader(raw))
+		whole := 0
+		for {
+			var p wire.Piece
+			if dec.Decode(&p) != nil || p.Leg != "r/i/1" || p.Err != "" {
+				break
+			}
+			if p.End {
+				if (ending == deskwork.Done) != (p.N == whole) {
+					t.Fatalf("%s with an end at %d of %d", ending, p.N, whole)
+				}
+				break
+			}
+			if p.N != whole+1 {
+				break
+			}
+			whole++
+		}
+		if len(s.pieces) != whole || strings.Count(rec.Body.String(), "event: piece") != whole {
+			t.Fatalf("%d pieces went on, %d were whole", len(s.pieces), whole)
+		}
+	})
+}
+
+type endless struct{ n int }
+
+func (e *endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	if e.n == 0 {
+		copy(p, `{"leg":"r/i/1","n":1,"text":"`)
+	}
+	e.n += len(p)
+	return len(p), nil
+}
+
+func TestAPieceWithoutEndIsGivenUpOnAtABound(t *testing.T) {
+	s := &stream{w: httptest.NewRecorder(), flush: func() error { return nil }}
+	c := &deskwork.Call{ID: "c"}
+	e := &endless{}
+	ending, why := host().readPieces(c, deskwork.Start{Call: c, Leg: "r/i/1"}, s, e)
+	if ending != deskwork.Broken || e.n > 4*pieceMost || len(s.pieces) != 0 {
+		t.Fatal(ending, why, fmt.Sprint(e.n))
+	}
+}
--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -257,24 +257,46 @@
 		f.empties++
 		f.count(fault.PlatformBad)
 	default:
-		for _, r := range l.List.Replicas {
-			if r.ID == "" || r.Addr == "" || r.RoomMb <= 0 || r.Slots <= 0 {
-				f.count(fault.PlatformBad)
-				return
-			}
+		if !fitList(l.List) {
+			f.count(fault.PlatformBad)
+			return
 		}
 		f.empties, f.stales = 0, 0
 		f.list, f.listAtUs = l.List, nowUs
 	}
 }
 
+// fitList: a list in which anything is odd is not taken at all.
+func fitList(list *wire.List) bool {
+	seen := map[string]bool{}
+	for _, r := range list.Replicas {
+		if r.ID == "" || r.Addr == "" || r.RoomMb <= 0 || r.Slots <= 0 || seen[r.ID] {
+			return false
+		}
+		seen[r.ID] = true
+	}
+	return true
+}
+
+// fitHoldings: what takes less than no room would make room for too much.
+func fitHoldings(holds []ledger.Holding) bool {
+	seen := map[string]bool{}
+	for _, h := range holds {
+		if h.Unit == "" || h.SizeMb < 0 || seen[h.Unit] {
+			return false
+		}
+		seen[h.Unit] = true
+	}
+	return true
+}
+
 func (f *Foreman) told(nowUs int64, t Told) {
 	row := f.replicas[t.Replica]
 	if row == nil || row.addr != t.Addr {
 		row = &told{addr: t.Addr, askedUs: nowUs}
 		f.replicas[t.Replica] = row
 	}
-	if t.State == nil || t.State.ID != t.Replica || t.State.Inc == "" {
+	if t.State == nil || t.State.ID != t.Replica || t.State.Inc == "" || !fitHoldings(t.State.Holds) {
 		f.count(fault.ReplicaFailed)
 		return
 	}
--- a/internal/foreman/foreman_test.go
+++ b/internal/foreman/foreman_test.go
@@ -52,7 +52,11 @@
 			list := r.list
 			r.feed(Event{Listed: &Listed{List: &list}})
 		case e.Ask != nil:
-			st := *r.states[e.Ask.Replica]
+			known := r.states[e.Ask.Replica]
+			if known == nil {
+				continue
+			}
+			st := *known
 			r.feed(Event{Told: &Told{AskedUs: e.Ask.AskedUs, Replica: e.Ask.Replica, Addr: e.Ask.Addr, State: &st}})
 		case e.Order != nil:
 			r.orders = append(r.orders, e.Order.Order)
