--- /dev/null
+++ b/internal/chain/copy.go
@@ -0,0 +1,93 @@
+package chain
+
+func (n *Node) keepEntry(e Entry) {
+	if e.Index <= n.base.Index {
+		return
+	}
+	for len(n.entries) > 0 && n.entries[len(n.entries)-1].Index >= e.Index {
+		n.entries = n.entries[:len(n.entries)-1]
+	}
+	if e.Index == n.lastIndex()+1 {
+		n.entries = append(n.entries, e)
+	}
+}
+
+// keeping: a copy is on its way to the disk, beside the log.
+func (n *Node) keeping() bool {
+	for _, s := range n.saving {
+		if s.bulk {
+			return true
+		}
+	}
+	return false
+}
+
+// bulkUs is how long a copy of this size may be under way before it is sent again.
+func (n *Node) bulkUs() int64 { return int64(len(n.state.Keys)) * bulkKeyUs }
+
+func (n *Node) firstKept() uint64 {
+	if len(n.entries) == 0 {
+		return n.base.Index + 1
+	}
+	return n.entries[0].Index
+}
+
+func (n *Node) copyNow() *Copy {
+	view, _ := n.viewAt(n.commit)
+	return &Copy{Index: n.commit, View: view, State: n.state.Freeze()}
+}
+
+func (n *Node) takeEntry(e Entry) {
+	if have, ok := n.viewAt(e.Index); ok && have != e.View && e.Index > n.commit {
+		n.cutTo(e.Index - 1)
+	}
+	if e.Index == n.lastIndex()+1 {
+		n.entries = append(n.entries, e)
+	}
+}
+
+func (n *Node) cutTo(index uint64) {
+	for len(n.entries) > 0 && n.lastIndex() > index {
+		n.entries = n.entries[:len(n.entries)-1]
+	}
+	n.synced, n.queued = min(n.synced, index), min(n.queued, index)
+}
+
+func (n *Node) takeCopy(c Copy) {
+	if c.State == nil {
+		return
+	}
+	n.base, n.entries, n.state, n.commit, n.whole = Copy{Index: c.Index, View: c.View}, nil, c.State.Freeze(), c.Index, false
+	n.synced, n.queued = 0, c.Index
+	n.saveSeq++
+	n.saving[n.saveSeq] = &saving{startUs: n.nowUs, upto: c.Index, copied: c.Index, bulk: true}
+	n.effects = append(n.effects, Effect{Save: &Save{Seq: n.saveSeq, Copy: &c}})
+}
+
+func (n *Node) compact() {
+	if len(n.entries) < 2*n.opts.KeepMost || n.commit < n.firstKept()+uint64(n.opts.KeepMost) || n.keeping() {
+		return
+	}
+	c := *n.copyNow()
+	keptFrom := n.commit - n.firstKept() + 1 - uint64(n.opts.KeepMost)/2
+	records := []Record{{View: &n.view}, {Promised: &n.promised}}
+	if n.accepted != nil {
+		records = append(records, Record{Accepted: n.accepted})
+	}
+	if n.whole {
+		records = append(records, Record{Whole: n.view.Number})
+	}
+	for _, e := range n.entries {
+		if e.Index > c.Index && e.Index <= n.queued {
+			held := e
+			records = append(records, Record{Entry: &held})
+		}
+	}
+	prior := n.firstKept() + keptFrom - 1
+	priorView, _ := n.viewAt(prior)
+	n.entries = append([]Entry(nil), n.entries[keptFrom:]...)
+	n.base = Copy{Index: prior, View: priorView}
+	n.saveSeq++
+	n.saving[n.saveSeq] = &saving{startUs: n.nowUs, bulk: true}
+	n.effects = append(n.effects, Effect{Save: &Save{Seq: n.saveSeq, Records: records, Copy: &c, Fresh: true}})
+}
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -267,85 +267,6 @@
 	n.propose(want)
 }
 
-func (n *Node) joiner() (Seat, bool) {
-	for _, id := range n.partnerIDs() {
-		p := n.partners[id]
-		if n.view.Seated(id) || !n.Hears(id) || p.hello.Stalled || p.hello.View.Number != n.view.Number {
-			continue
-		}
-		if p.hello.Phase != Outside && p.hello.Phase != Waking {
-			continue
-		}
-		if p.hello.CopyIndex == 0 || p.hello.CopyIndex+uint64(n.opts.KeepMost) < n.commit || !n.hearsAll(p.hello) {
-			continue
-		}
-		if n.dropped(id) || (!n.view.Votes(id) && !n.standsIn(p.hello.Me) && !n.added(p.hello.Me)) {
-			continue
-		}
-		return Seat{Member: p.hello.Me, Inc: p.hello.Inc}, true
-	}
-	return Seat{}, false
-}
-
-func (n *Node) hearsAll(h Hello) bool {
-	hears := map[string]bool{}
-	for _, id := range h.Hears {
-		hears[id] = true
-	}
-	for _, s := range n.view.Order {
-		if !hears[s.ID] {
-			return false
-		}
-	}
-	return true
-}
-
-// standsIn: an office of a new identity may take the vote of a silent one of the same name.
-func (n *Node) standsIn(m Member) bool {
-	for _, v := range n.view.Voters {
-		if n.replaced(m) == v.ID && v.ID != m.ID {
-			return true
-		}
-		if v.Name == m.Name && v.ID != m.ID && !n.view.Seated(v.ID) && !n.hearsFor(v.ID, 3*n.opts.SuspectUs) && n.nowUs-n.viewedUs > n.opts.SuspectUs {
-			return true
-		}
-	}
-	return false
-}
-
-func (n *Node) hearsFor(id string, spanUs int64) bool {
-	p := n.partners[id]
-	return p != nil && n.nowUs-p.heardUs < spanUs
-}
-
-// newVoters changes at most one vote. One that joins in a lost office's place gets its vote with
-// its seat: between the two no second office could be spared.
-func (n *Node) newVoters(order []Seat) ([]Member, bool) {
-	for _, s := range order {
-		if n.view.Votes(s.ID) {
-			for i, v := range n.view.Voters {
-				if v.ID == s.ID && v.Addr != s.Addr {
-					voters := append([]Member(nil), n.view.Voters...)
-					voters[i] = s.Member
-					return voters, true
-				}
-			}
-			continue
-		}
-		for i, v := range n.view.Voters {
-			if v.Name == s.Name && (!n.view.Seated(v.ID) || n.replaced(s.Member) == v.ID) {
-				voters := append([]Member(nil), n.view.Voters...)
-				voters[i] = s.Member
-				return voters, true
-			}
-		}
-		if n.added(s.Member) {
-			return append(append([]Member(nil), n.view.Voters...), s.Member), true
-		}
-	}
-	return nil, false
-}
-
 // judgeWaking runs when nobody serves: the members of the newest view compare
 // their logs, and the longest intact one goes first.
 func (n *Node) judgeWaking() {
@@ -488,15 +409,6 @@
 	n.save([]Record{{Accepted: n.accepted}}, 0, &reply{m.From, Msg{Accepting: &Accepting{Number: a.Number, Ballot: a.Ballot, OK: true}}})
 }
 
-func (n *Node) retryHeld() {
-	if n.held == nil || n.nowUs < n.guardUs {
-		return
-	}
-	m := *n.held
-	n.held = nil
-	n.gotAccept(m, *m.Accept)
-}
-
 func (n *Node) gotAccepting(m Msg, a Accepting) {
 	c := n.proposal
 	if c == nil || a.Number != c.number || a.Ballot != c.ballot || c.asking {
@@ -560,73 +472,3 @@
 		n.ackBack()
 	}
 }
-
-func (n *Node) askLease() {
-	for _, v := range n.view.Voters {
-		n.send(v, Msg{Lease: &Lease{View: n.view.Number, SentUs: n.nowUs}})
-	}
-}
-
-func (n *Node) gotLease(m Msg, l Lease) {
-	if l.View != n.view.Number {
-		return
-	}
-	if l.Given {
-		if n.IsTail() {
-			n.leases[m.From.ID] = max(n.leases[m.From.ID], l.SentUs)
-			n.countLease()
-		}
-		return
-	}
-	tail := n.view.Tail()
-	if m.From.ID != tail.ID || m.Inc != tail.Inc || n.held != nil || !n.compared || !n.view.Votes(n.opts.Me.ID) {
-		return
-	}
-	n.guardUs = max(n.guardUs, n.nowUs+n.opts.LeaseUs)
-	n.send(m.From, Msg{Lease: &Lease{View: l.View, SentUs: l.SentUs, Given: true}})
-}
-
-func (n *Node) countLease() {
-	times := []int64{}
-	for _, v := range n.view.Voters {
-		if sentUs, ok := n.leases[v.ID]; ok {
-			times = append(times, sentUs)
-		}
-	}
-	if len(times) < n.view.Quorum() {
-		return
-	}
-	sort.Slice(times, func(i, j int) bool { return times[i] > times[j] })
-	n.leaseUs = max(n.leaseUs, times[n.view.Quorum()-1]+n.opts.LeaseUs-n.opts.LeaseCutUs)
-}
-
-// offerCopy is the tail's: it has applied everything that was ever acknowledged.
-func (n *Node) offerCopy() {
-	if !n.Open(n.nowUs) || n.nowUs-n.joinAtUs < 2*n.opts.HelloUs+n.bulkUs() {
-		return
-	}
-	for _, id := range n.partnerIDs() {
-		p := n.partners[id]
-		if n.view.Seated(id) || !n.Hears(id) || p.hello.Phase == Serving || p.hello.Stalled {
-			continue
-		}
-		seated := !n.dropped(id) && (n.view.Votes(id) || n.standsIn(p.hello.Me) || n.added(p.hello.Me))
-		stale := p.hello.CopyIndex == 0 || p.hello.CopyIndex+uint64(n.opts.KeepMost)/2 < n.commit
-		if !seated || !stale || p.hello.View.Number != n.view.Number {
-			continue
-		}
-		n.joinAtUs = n.nowUs
-		n.send(p.hello.Me, Msg{Joining: &Joining{View: n.view.Number, Inc: p.hello.Inc, Copy: *n.copyNow()}})
-	}
-}
-
-func (n *Node) gotJoining(m Msg, j Joining) {
-	tail := n.view.Tail()
-	if n.serving() || j.View != n.view.Number || j.Inc != n.opts.Inc || m.From.ID != tail.ID || m.Inc != tail.Inc {
-		return
-	}
-	if n.phase == Waking {
-		n.phase = Outside
-	}
-	n.takeCopy(j.Copy)
-}
--- a/internal/deskwork/decider.go
+++ b/internal/deskwork/decider.go
@@ -10,8 +10,6 @@
 
 	"petreltide/internal/clock"
 	"petreltide/internal/fault"
-	"petreltide/internal/ledger"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
@@ -25,97 +23,6 @@
 	noLeaseMs    = 500
 )
 
-// Snapshot is what the newest news said; it is swapped whole and never changed.
-type Snapshot struct {
-	Number   uint64
-	View     uint64
-	Revision uint64
-	Doc      *standing.Declaration
-	Replicas map[string]*wire.ReplicaNews
-	IDs      []string
-	Grants   map[string]ledger.Grant
-	AtUs     int64
-}
-
-func Fold(prior *Snapshot, n wire.News, nowUs int64) *Snapshot {
-	s := &Snapshot{Number: n.Number, View: n.View, Revision: n.Revision, Doc: n.Doc,
-		Replicas: map[string]*wire.ReplicaNews{}, Grants: map[string]ledger.Grant{}, AtUs: nowUs}
-	if s.Doc == nil && prior != nil {
-		s.Doc = prior.Doc
-	}
-	for i := range n.Replicas {
-		r := n.Replicas[i]
-		s.Replicas[r.ID] = &r
-		s.IDs = append(s.IDs, r.ID)
-	}
-	for _, g := range n.Grants {
-		s.Grants[g.Replica+"|"+g.Model] = g
-	}
-	return s
-}
-
-// Takes says whether a replica may get a new leg for this model and adapter under the newest news.
-func (s *Snapshot) Takes(replica, inc, model, adapter string) bool {
-	r := s.Replicas[replica]
-	if r == nil || r.Inc != inc || r.Leaving || r.Dark || s.Doc == nil || s.Doc.IsEmptied(r.Zone) {
-		return false
-	}
-	if r.Unloading == model || (adapter != "" && r.Unloading == adapter) || s.unknown(model, adapter) != "" {
-		return false
-	}
-	return holds(r, model) && (adapter == "" || holds(r, adapter))
-}
-
-type Asked struct {
-	Kind    string
-	Model   string
-	Adapter string
-	Once    bool
-	Had     bool
-}
-
-// Lookup finds a call's kind, or the fault that refuses it. Without a lease there may be newer news
-// that knows what this snapshot does not: then only a later try can tell.
-func (s *Snapshot) Lookup(a Asked, nowUs, leaseUs int64) (*standing.Kind, *fault.Fault) {
-	kind := s.Doc.Kind(a.Kind)
-	var bad *fault.Fault
-	switch code := s.unknown(a.Model, a.Adapter); {
-	case kind == nil:
-		bad = fault.New(fault.UnknownKind, "kind", "no kind %q", a.Kind)
-	case code == fault.UnknownModel:
-		bad = fault.New(code, "model", "no model %q", a.Model)
-	case code != "":
-		bad = fault.New(code, "adapter", "no adapter %q of model %q", a.Adapter, a.Model)
-	case a.Had && (a.Once || !kind.Resumable):
-		bad = fault.New(fault.BadLastEventID, "Last-Event-Id", "calls of kind %q cannot be resumed", a.Kind)
-	default:
-		return kind, nil
-	}
-	if nowUs >= leaseUs {
-		bad = fault.New(fault.NoLease, bad.Field, "%s when this desk last heard; it is cut off from the core", bad.Detail)
-		bad.RetryMs = noLeaseMs
-	}
-	return nil, bad
-}
-
-func (s *Snapshot) unknown(model, adapter string) fault.Code {
-	if s.Doc.Model(model) == nil {
-		return fault.UnknownModel
-	}
-	if adapter == "" {
-		return ""
-	}
-	if a := s.Doc.Adapter(adapter); a == nil || a.Model != model {
-		return fault.UnknownAdapter
-	}
-	return ""
-}
-
-func holds(r *wire.ReplicaNews, unit string) bool {
-	i := sort.SearchStrings(r.Holds, unit)
-	return i < len(r.Holds) && r.Holds[i] == unit
-}
-
 // Call is what a caller asked for. Its urgency, its expiry and whether it may be resumed are its
 // kind's, as the newest news has it, until a leg starts.
 type Call struct {
@@ -210,43 +117,11 @@
 	ExpiryUs int64
 }
 
-// MaySend is asked once more right before the first byte of a leg leaves.
-func (st Start) MaySend(s *Snapshot, nowUs, leaseUs int64) bool {
-	return s != nil && nowUs < leaseUs && nowUs < st.ExpiryUs && s.Takes(st.Replica, st.Inc, st.Call.Model, st.Call.Adapter) && s.Doc.Kind(st.Call.Kind) != nil
-}
-
-// Judge looks at a replica's next line; an empty ending means it is the next piece.
-func Judge(leg string, had int, p wire.Piece) (Ending, string) {
-	switch {
-	case p.Leg != leg:
-		return Broken, "the replica answered with another leg"
-	case p.Err != "":
-		return Broken, "the replica failed: " + p.Err
-	case p.End && p.N != had:
-		return Broken, "the end names a wrong number of pieces"
-	case p.End:
-		return Done, ""
-	case p.N != had+1:
-		return Broken, "a piece is missing or repeated"
-	}
-	return "", ""
-}
-
 type Give struct {
 	Call  *Call
 	Fault *fault.Fault
 }
 
-type Decision struct {
-	AtUs    int64  `json:"atUs"`
-	Call    string `json:"call"`
-	Kind    string `json:"kind"`
-	Model   string `json:"model"`
-	What    string `json:"what"`
-	Replica string `json:"replica,omitempty"`
-	Why     string `json:"why"`
-}
-
 type place struct {
 	inFlight map[string]bool
 	shyUs    int64
@@ -330,13 +205,6 @@
 
 func (d *Decider) do(e Effect) { d.effects = append(d.effects, e) }
 
-func (d *Decider) note(c *Call, what, replica, why string) {
-	if len(d.Decisions) >= decisionMost {
-		d.Decisions = append(d.Decisions[:0], d.Decisions[decisionMost/2:]...)
-	}
-	d.Decisions = append(d.Decisions, Decision{d.nowUs, c.ID, c.Kind, c.Model, what, replica, why})
-}
-
 func (d *Decider) kind(name string) *kindRow {
 	k := d.kinds[name]
 	if k == nil {
@@ -346,36 +214,6 @@
 	return k
 }
 
-func (d *Decider) turnSlots() {
-	if d.slotAtUs == 0 {
-		d.slotAtUs = d.nowUs
-	}
-	for n := 0; d.nowUs-d.slotAtUs >= arrivalUs; n++ {
-		d.slotAtUs += arrivalUs
-		if n >= rateSlots {
-			d.slotAtUs = d.nowUs
-		}
-		d.slotNow = (d.slotNow + 1) % rateSlots
-		d.slots[d.slotNow] = map[string]int{}
-		d.slotsSeen = min(d.slotsSeen+1, rateSlots-1)
-	}
-}
-
-// Arrivals per second over the last whole seconds, by model and by adapter.
-func (d *Decider) Arrivals() map[string]float64 {
-	rates := map[string]float64{}
-	span := float64(max(d.slotsSeen, 1))
-	for i, slot := range d.slots {
-		if i == d.slotNow && d.slotsSeen > 0 {
-			continue
-		}
-		for unit, n := range slot {
-			rates[unit] += float64(n) / span
-		}
-	}
-	return rates
-}
-
 func (d *Decider) arrived(c *Call) {
 	k := d.kind(c.Kind)
 	k.arrived++
@@ -540,92 +378,6 @@
 	d.do(Effect{Cancel: c.ID})
 }
 
-func (d *Decider) taken(s *Snapshot) {
-	if d.snap != nil && (s.View < d.snap.View || s.Number < d.snap.Number) {
-		return
-	}
-	d.snap = s
-	d.gaugeUntil(s.Revision)
-	for key, g := range s.Grants {
-		r := d.runs[key]
-		if r == nil || r.ticket < g.Ticket {
-			d.runs[key] = &run{ticket: g.Ticket, next: g.From, to: g.To}
-		}
-	}
-	for key := range d.runs {
-		if _, ok := s.Grants[key]; !ok {
-			delete(d.runs, key)
-		}
-	}
-	for id, p := range d.places {
-		if _, ok := s.Replicas[id]; !ok && len(p.inFlight) == 0 {
-			delete(d.places, id)
-		}
-	}
-	waiting := d.waitingCalls()
-	for _, c := range waiting {
-		d.dequeue(c)
-	}
-	for _, c := range waiting {
-		if d.termed(c) {
-			d.enqueue(c)
-		}
-	}
-	for _, c := range d.calls {
-		if c.leg != "" {
-			d.terms(c)
-		}
-	}
-}
-
-// termed lays the newest declaration's terms on a call that has no leg, and gives it up where
-// they leave it no way to be served.
-func (d *Decider) termed(c *Call) bool {
-	if d.snap == nil || d.snap.Doc == nil {
-		d.give(c, fault.NoLease, "this desk has no declaration yet", noLeaseMs)
-		return false
-	}
-	code := d.terms(c)
-	switch {
-	case code == "" && !c.resume && (c.ran || c.Had > 0):
-		d.give(c, fault.Broken, "its kind may no longer be resumed", 0)
-	case code != "":
-		d.give(c, code, "it was taken out of the declaration", 0)
-	case c.expiryUs <= d.nowUs:
-		d.give(c, fault.Expired, "no replica could take it before its expiry", d.RetryMs())
-	default:
-		return true
-	}
-	return false
-}
-
-func (d *Decider) terms(c *Call) fault.Code {
-	doc := d.snap.Doc
-	if doc == nil {
-		return ""
-	}
-	kind := doc.Kind(c.Kind)
-	if kind == nil {
-		c.resume = false
-		return fault.UnknownKind
-	}
-	c.urgency, c.resume = kind.Urgency, kind.Resumable && !c.Once
-	mostMs := kind.ExpiryMs
-	if c.MostMs > 0 {
-		mostMs = min(mostMs, c.MostMs)
-	}
-	c.expiryUs = c.TakenUs + mostMs*1000
-	return d.snap.unknown(c.Model, c.Adapter)
-}
-
-func (d *Decider) waitingCalls() []*Call {
-	calls := []*Call{}
-	for _, name := range d.kindNames() {
-		calls = append(calls, d.kinds[name].waiting...)
-	}
-	return calls
-}
-
 func (d *Decider) expire() {
 	for _, name := range d.kindNames() {
 		k := d.kinds[name]
@@ -800,144 +552,3 @@
 	d.note(c, "waits again", on, string(e.Ending))
 	d.enqueue(c)
 }
-
-// moveOff takes resumable legs off leaving replicas and emptied zones, most progress first,
-// only while a survivor has a free slot for them.
-func (d *Decider) moveOff() {
-	if d.snap == nil || d.snap.Doc == nil || d.nowUs >= d.leaseUs {
-		return
-	}
-	legs := []*Call{}
-	for _, c := range d.calls {
-		if c.leg == "" || !c.resume || c.moving || c.gone {
-			continue
-		}
-		r := d.snap.Replicas[c.on]
-		if r != nil && (r.Leaving || d.snap.Doc.IsEmptied(r.Zone)) {
-			legs = append(legs, c)
-		}
-	}
-	if len(legs) == 0 {
-		return
-	}
-	sort.Slice(legs, func(i, j int) bool {
-		a, b := legs[i].Progress.Load(), legs[j].Progress.Load()
-		if a != b {
-			return a > b
-		}
-		return legs[i].ID < legs[j].ID
-	})
-	reserved := map[string]int{}
-	for _, c := range d.calls {
-		if c.moving {
-			reserved[c.Model]++
-		}
-	}
-	for _, c := range legs {
-		free := 0
-		for _, id := range d.snap.IDs {
-			r := d.snap.Replicas[id]
-			if d.snap.Takes(id, r.Inc, c.Model, c.Adapter) {
-				free += max(0, r.Share-len(d.placeOf(id).inFlight))
-			}
-		}
-		if free > reserved[c.Model] {
-			reserved[c.Model]++
-			c.moving = true
-			d.note(c, "moves", c.on, fmt.Sprintf("leaving, %d pieces so far", c.Progress.Load()))
-			d.do(Effect{Cancel: c.ID})
-		}
-	}
-}
-
-func (d *Decider) Report(nowUs int64) wire.Report {
-	rep := wire.Report{
-		Desk: d.opts.Desk, Inc: d.opts.Inc, SentUs: nowUs, Arrivals: d.Arrivals(), Draining: d.drain,
-		Waiting: map[string]int{}, InFlight: map[string]int{}, Left: map[string]wire.Left{},
-	}
-	if d.snap != nil {
-		rep.Number, rep.View, rep.Revision = d.snap.Number, d.snap.View, d.snap.Revision
-	}
-	for _, k := range d.kinds {
-		for _, c := range k.waiting {
-			rep.Waiting[c.Model]++
-			if c.Adapter != "" {
-				rep.Waiting[c.Adapter]++
-			}
-		}
-	}
-	for id, p := range d.places {
-		if len(p.inFlight) > 0 {
-			rep.InFlight[id] = len(p.inFlight)
-		}
-	}
-	for key, r := range d.runs {
-		rep.Left[key] = wire.Left{Ticket: r.ticket, Left: r.to - r.next}
-	}
-	return rep
-}
-
-type KindNote struct {
-	Kind    string                `json:"kind"`
-	Arrived uint64                `json:"arrived"`
-	Waiting int                   `json:"waiting"`
-	Done    uint64                `json:"done"`
-	Given   map[fault.Code]uint64 `json:"given,omitempty"`
-}
-
-type Note struct {
-	Kinds    []KindNote     `json:"kinds"`
-	Waiting  int            `json:"waiting"`
-	Calls    int            `json:"calls"`
-	InFlight map[string]int `json:"inFlight"`
-	LeaseMs  int64          `json:"leaseMs"`
-	Number   uint64         `json:"number"`
-	View     uint64         `json:"view"`
-	Revision uint64         `json:"revision"`
-	Draining bool           `json:"draining"`
-	Recent   []Decision     `json:"recent,omitempty"`
-}
-
-func (d *Decider) Note() Note {
-	n := Note{Waiting: d.waiting, Calls: len(d.calls), InFlight: map[string]int{}, LeaseMs: max(0, d.leaseUs-d.nowUs) / 1000, Draining: d.drain, Kinds: []KindNote{}}
-	if d.snap != nil {
-		n.Number, n.View, n.Revision = d.snap.Number, d.snap.View, d.snap.Revision
-	}
-	for _, name := range d.kindNames() {
-		k := d.kinds[name]
-		given := map[fault.Code]uint64{}
-		for code, count := range k.given {
-			given[code] = count
-		}
-		n.Kinds = append(n.Kinds, KindNote{name, k.arrived, len(k.waiting), k.done, given})
-	}
-	for id, p := range d.places {
-		n.InFlight[id] = len(p.inFlight)
-	}
-	n.Recent = append(n.Recent, d.Decisions...)
-	return n
-}
-
-// Ready is nil when this desk can take calls now, or says why it cannot.
-func (d *Decider) Ready(nowUs int64) *fault.Fault {
-	var f *fault.Fault
-	switch {
-	case d.drain:
-		f = fault.New(fault.Draining, "", "this desk is going down")
-	case d.snap == nil || d.snap.Doc == nil:
-		f = fault.New(fault.NoLease, "", "this desk has no declaration yet")
-	case nowUs >= d.leaseUs:
-		f = fault.New(fault.NoLease, "", "this desk is cut off from the core")
-	case d.waiting >= d.opts.BacklogMax:
-		f = fault.New(fault.Overloaded, "", "the backlog is full")
-	default:
-		return nil
-	}
-	f.RetryMs = noLeaseMs
-	if f.Code == fault.Overloaded {
-		f.RetryMs = d.RetryMs()
-	}
-	return f
-}
-
-func (d *Decider) Busy() int { return len(d.calls) }
--- /dev/null
+++ b/internal/deskwork/snapshot.go
@@ -0,0 +1,122 @@
+package deskwork
+
+import (
+	"petreltide/internal/fault"
+	"petreltide/internal/ledger"
+	"petreltide/internal/standing"
+	"petreltide/internal/wire"
+	"sort"
+)
+
+// Snapshot is what the newest news said; it is swapped whole and never changed.
+type Snapshot struct {
+	Number   uint64
+	View     uint64
+	Revision uint64
+	Doc      *standing.Declaration
+	Replicas map[string]*wire.ReplicaNews
+	IDs      []string
+	Grants   map[string]ledger.Grant
+	AtUs     int64
+}
+
+func Fold(prior *Snapshot, n wire.News, nowUs int64) *Snapshot {
+	s := &Snapshot{Number: n.Number, View: n.View, Revision: n.Revision, Doc: n.Doc,
+		Replicas: map[string]*wire.ReplicaNews{}, Grants: map[string]ledger.Grant{}, AtUs: nowUs}
+	if s.Doc == nil && prior != nil {
+		s.Doc = prior.Doc
+	}
+	for i := range n.Replicas {
+		r := n.Replicas[i]
+		s.Replicas[r.ID] = &r
+		s.IDs = append(s.IDs, r.ID)
+	}
+	for _, g := range n.Grants {
+		s.Grants[g.Replica+"|"+g.Model] = g
+	}
+	return s
+}
+
+// Takes says whether a replica may get a new leg for this model and adapter under the newest news.
+func (s *Snapshot) Takes(replica, inc, model, adapter string) bool {
+	r := s.Replicas[replica]
+	if r == nil || r.Inc != inc || r.Leaving || r.Dark || s.Doc == nil || s.Doc.IsEmptied(r.Zone) {
+		return false
+	}
+	if r.Unloading == model || (adapter != "" && r.Unloading == adapter) || s.unknown(model, adapter) != "" {
+		return false
+	}
+	return holds(r, model) && (adapter == "" || holds(r, adapter))
+}
+
+type Asked struct {
+	Kind    string
+	Model   string
+	Adapter string
+	Once    bool
+	Had     bool
+}
+
+// Lookup finds a call's kind, or the fault that refuses it. Without a lease there may be newer news
+// that knows what this snapshot does not: then only a later try can tell.
+func (s *Snapshot) Lookup(a Asked, nowUs, leaseUs int64) (*standing.Kind, *fault.Fault) {
+	kind := s.Doc.Kind(a.Kind)
+	var bad *fault.Fault
+	switch code := s.unknown(a.Model, a.Adapter); {
+	case kind == nil:
+		bad = fault.New(fault.UnknownKind, "kind", "no kind %q", a.Kind)
+	case code == fault.UnknownModel:
+		bad = fault.New(code, "model", "no model %q", a.Model)
+	case code != "":
+		bad = fault.New(code, "adapter", "no adapter %q of model %q", a.Adapter, a.Model)
+	case a.Had && (a.Once || !kind.Resumable):
+		bad = fault.New(fault.BadLastEventID, "Last-Event-Id", "calls of kind %q cannot be resumed", a.Kind)
+	default:
+		return kind, nil
+	}
+	if nowUs >= leaseUs {
+		bad = fault.New(fault.NoLease, bad.Field, "%s when this desk last heard; it is cut off from the core", bad.Detail)
+		bad.RetryMs = noLeaseMs
+	}
+	return nil, bad
+}
+
+func (s *Snapshot) unknown(model, adapter string) fault.Code {
+	if s.Doc.Model(model) == nil {
+		return fault.UnknownModel
+	}
+	if adapter == "" {
+		return ""
+	}
+	if a := s.Doc.Adapter(adapter); a == nil || a.Model != model {
+		return fault.UnknownAdapter
+	}
+	return ""
+}
+
+func holds(r *wire.ReplicaNews, unit string) bool {
+	i := sort.SearchStrings(r.Holds, unit)
+	return i < len(r.Holds) && r.Holds[i] == unit
+}
+
+// MaySend is asked once more right before the first byte of a leg leaves.
+func (st Start) MaySend(s *Snapshot, nowUs, leaseUs int64) bool {
+	return s != nil && nowUs < leaseUs && nowUs < st.ExpiryUs && s.Takes(st.Replica, st.Inc, st.Call.Model, st.Call.Adapter) && s.Doc.Kind(st.Call.Kind) != nil
+}
+
+// Judge looks at a replica's next line; an empty ending means it is the next piece.
+func Judge(leg string, had int, p wire.Piece) (Ending, string) {
+	switch {
+	case p.Leg != leg:
+		return Broken, "the replica answered with another leg"
+	case p.Err != "":
+		return Broken, "the replica failed: " + p.Err
+	case p.End && p.N != had:
+		return Broken, "the end names a wrong number of pieces"
+	case p.End:
+		return Done, ""
+	case p.N != had+1:
+		return Broken, "a piece is missing or repeated"
+	}
+	return "", ""
+}
--- /dev/null
+++ b/internal/deskwork/terms.go
@@ -0,0 +1,142 @@
+package deskwork
+
+import (
+	"fmt"
+	"petreltide/internal/fault"
+	"sort"
+)
+
+func (d *Decider) taken(s *Snapshot) {
+	if d.snap != nil && (s.View < d.snap.View || s.Number < d.snap.Number) {
+		return
+	}
+	d.snap = s
+	d.gaugeUntil(s.Revision)
+	for key, g := range s.Grants {
+		r := d.runs[key]
+		if r == nil || r.ticket < g.Ticket {
+			d.runs[key] = &run{ticket: g.Ticket, next: g.From, to: g.To}
+		}
+	}
+	for key := range d.runs {
+		if _, ok := s.Grants[key]; !ok {
+			delete(d.runs, key)
+		}
+	}
+	for id, p := range d.places {
+		if _, ok := s.Replicas[id]; !ok && len(p.inFlight) == 0 {
+			delete(d.places, id)
+		}
+	}
+	waiting := d.waitingCalls()
+	for _, c := range waiting {
+		d.dequeue(c)
+	}
+	for _, c := range waiting {
+		if d.termed(c) {
+			d.enqueue(c)
+		}
+	}
+	for _, c := range d.calls {
+		if c.leg != "" {
+			d.terms(c)
+		}
+	}
+}
+
+// termed lays the newest declaration's terms on a call that has no leg, and gives it up where
+// they leave it no way to be served.
+func (d *Decider) termed(c *Call) bool {
+	if d.snap == nil || d.snap.Doc == nil {
+		d.give(c, fault.NoLease, "this desk has no declaration yet", noLeaseMs)
+		return false
+	}
+	code := d.terms(c)
+	switch {
+	case code == "" && !c.resume && (c.ran || c.Had > 0):
+		d.give(c, fault.Broken, "its kind may no longer be resumed", 0)
+	case code != "":
+		d.give(c, code, "it was taken out of the declaration", 0)
+	case c.expiryUs <= d.nowUs:
+		d.give(c, fault.Expired, "no replica could take it before its expiry", d.RetryMs())
+	default:
+		return true
+	}
+	return false
+}
+
+func (d *Decider) terms(c *Call) fault.Code {
+	doc := d.snap.Doc
+	if doc == nil {
+		return ""
+	}
+	kind := doc.Kind(c.Kind)
+	if kind == nil {
+		c.resume = false
+		return fault.UnknownKind
+	}
+	c.urgency, c.resume = kind.Urgency, kind.Resumable && !c.Once
+	mostMs := kind.ExpiryMs
+	if c.MostMs > 0 {
+		mostMs = min(mostMs, c.MostMs)
+	}
+	c.expiryUs = c.TakenUs + mostMs*1000
+	return d.snap.unknown(c.Model, c.Adapter)
+}
+
+func (d *Decider) waitingCalls() []*Call {
+	calls := []*Call{}
+	for _, name := range d.kindNames() {
+		calls = append(calls, d.kinds[name].waiting...)
+	}
+	return calls
+}
+
+// moveOff takes resumable legs off leaving replicas and emptied zones, most progress first,
+// only while a survivor has a free slot for them.
+func (d *Decider) moveOff() {
+	if d.snap == nil || d.snap.Doc == nil || d.nowUs >= d.leaseUs {
+		return
+	}
+	legs := []*Call{}
+	for _, c := range d.calls {
+		if c.leg == "" || !c.resume || c.moving || c.gone {
+			continue
+		}
+		r := d.snap.Replicas[c.on]
+		if r != nil && (r.Leaving || d.snap.Doc.IsEmptied(r.Zone)) {
+			legs = append(legs, c)
+		}
+	}
+	if len(legs) == 0 {
+		return
+	}
+	sort.Slice(legs, func(i, j int) bool {
+		a, b := legs[i].Progress.Load(), legs[j].Progress.Load()
+		if a != b {
+			return a > b
+		}
+		return legs[i].ID < legs[j].ID
+	})
+	reserved := map[string]int{}
+	for _, c := range d.calls {
+		if c.moving {
+			reserved[c.Model]++
+		}
+	}
+	for _, c := range legs {
+		free := 0
+		for _, id := range d.snap.IDs {
+			r := d.snap.Replicas[id]
+			if d.snap.Takes(id, r.Inc, c.Model, c.Adapter) {
+				free += max(0, r.Share-len(d.placeOf(id).inFlight))
+			}
+		}
+		if free > reserved[c.Model] {
+			reserved[c.Model]++
+			c.moving = true
+			d.note(c, "moves", c.on, fmt.Sprintf("leaving, %d pieces so far", c.Progress.Load()))
+			d.do(Effect{Cancel: c.ID})
+		}
+	}
+}
--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"sort"
 
 	"petreltide/internal/castoff"
 	"petreltide/internal/clock"
@@ -246,50 +245,6 @@
 
 func (f *Foreman) count(code fault.Code) { f.Faults[code]++ }
 
-func (f *Foreman) listed(nowUs int64, l Listed) {
-	switch {
-	case l.List == nil:
-		f.count(fault.PlatformBad)
-	case f.list != nil && l.List.Version < f.list.Version && f.stales < emptyListMost:
-		f.stales++
-		f.count(fault.PlatformBad)
-	case len(l.List.Replicas) == 0 && f.list != nil && len(f.list.Replicas) > 0 && f.empties < emptyListMost:
-		f.empties++
-		f.count(fault.PlatformBad)
-	default:
-		if !fitList(l.List) {
-			f.count(fault.PlatformBad)
-			return
-		}
-		f.empties, f.stales = 0, 0
-		f.list, f.listAtUs = l.List, nowUs
-	}
-}
-
-// fitList: a list in which anything is odd is not taken at all.
-func fitList(list *wire.List) bool {
-	seen := map[string]bool{}
-	for _, r := range list.Replicas {
-		if r.ID == "" || r.Addr == "" || r.RoomMb <= 0 || r.Slots <= 0 || seen[r.ID] {
-			return false
-		}
-		seen[r.ID] = true
-	}
-	return true
-}
-
-// fitHoldings: what takes less than no room would make room for too much.
-func fitHoldings(holds []ledger.Holding) bool {
-	seen := map[string]bool{}
-	for _, h := range holds {
-		if h.Unit == "" || h.SizeMb < 0 || seen[h.Unit] {
-			return false
-		}
-		seen[h.Unit] = true
-	}
-	return true
-}
-
 func (f *Foreman) told(nowUs int64, t Told) {
 	row := f.replicas[t.Replica]
 	if row == nil || row.addr != t.Addr {
@@ -306,21 +261,6 @@
 	row.state, row.atUs, row.heardUs = *t.State, nowUs, t.AskedUs
 }
 
-func (f *Foreman) ordered(o Ordered) {
-	row := f.replicas[o.Replica]
-	if o.State.State == wire.OrderFailed {
-		f.count(fault.TicketRefused)
-		return
-	}
-	if row == nil || row.state.Inc != o.Inc {
-		return
-	}
-	if last := row.state.Last; last == nil || last.Number < o.State.Number {
-		state := o.State
-		row.state.Last = &state
-	}
-}
-
 func (f *Foreman) tick(seen Seen) {
 	if !seen.Head {
 		f.leave()
@@ -368,13 +308,6 @@
 	}
 }
 
-// settles: the replica's word for its last order ends what the ledger holds as pending.
-func (f *Foreman) settles(s *ledger.State, replica string) bool {
-	t, pending := s.Pending[replica]
-	row := f.replicas[replica]
-	return pending && row != nil && row.state.Last != nil && row.state.Inc == t.Inc && row.state.Last.Number >= t.Number && row.state.Last.State != wire.OrderRunning
-}
-
 func (f *Foreman) leave() {
 	fresh := New(f.me)
 	fresh.Faults, fresh.writes, fresh.desks, fresh.Policy = f.Faults, f.writes, f.desks, f.Policy
@@ -384,27 +317,6 @@
 	f.effects = effects
 }
 
-func (f *Foreman) askReplicas(nowUs int64, s *ledger.State) {
-	if f.list == nil {
-		return
-	}
-	for _, l := range f.list.Replicas {
-		row := f.replicas[l.ID]
-		if row == nil || row.addr != l.Addr {
-			row = &told{addr: l.Addr}
-			f.replicas[l.ID] = row
-		}
-		spanUs := askEveryUs
-		if _, pending := s.Pending[l.ID]; pending {
-			spanUs = askBusyUs
-		}
-		if nowUs-row.askedUs >= spanUs {
-			row.askedUs = nowUs
-			f.do(Effect{Ask: &Ask{AskedUs: nowUs, Replica: l.ID, Addr: l.Addr}})
-		}
-	}
-}
-
 // orders sends what the ledger holds and the replica has not seen yet. The ticket keeps its
 // number, so a replica that did see it answers with its state instead of doing it again.
 func (f *Foreman) orders(seen Seen) {
@@ -502,266 +414,6 @@
 	}
 }
 
-func (f *Foreman) noteFleet(seen Seen, duty *ledger.Duty) {
-	if f.list == nil {
-		return
-	}
-	s := seen.State
-	listed := map[string]bool{}
-	for _, l := range f.list.Replicas {
-		listed[l.ID] = true
-		row, have := f.replicas[l.ID], s.Replicas[l.ID]
-		n := ledger.ReplicaNote{
-			ID: l.ID, Addr: l.Addr, Zone: l.Zone, RoomMb: l.RoomMb, Slots: l.Slots,
-			Leaving: l.State != wire.ListedReady, LeftMs: l.LeftMs,
-		}
-		spoke := row != nil && row.atUs > 0
-		n.Dark = spoke && seen.NowUs-row.atUs > darkAfterUs
-		switch {
-		case spoke && !n.Dark:
-			n.Inc = row.state.Inc
-		case have != nil && have.Addr == l.Addr:
-			n.Inc = have.Inc
-		}
-		if have == nil && n.Inc == "" {
-			continue
-		}
-		if have != nil && n.Inc == "" {
-			n.Inc = have.Inc
-			n.Dark = true
-		}
-		if have != nil && have.Leaving && n.Leaving {
-			n.LeftMs = have.LeftMs
-		}
-		if have != nil && !spoke {
-			n.Dark = have.Dark
-		}
-		if spoke && !n.Dark {
-			n.Told, n.Holds = f.retold(s, have, row)
-		}
-		if have == nil || have.Inc != n.Inc || have.Addr != n.Addr || have.Zone != n.Zone || have.RoomMb != n.RoomMb ||
-			have.Slots != n.Slots || have.Leaving != n.Leaving || have.Dark != n.Dark || n.Told {
-			duty.Fleet = append(duty.Fleet, n)
-		}
-	}
-	for _, id := range s.ReplicaIDs() {
-		if !listed[id] {
-			duty.Gone = append(duty.Gone, id)
-			delete(f.replicas, id)
-		}
-	}
-}
-
-// retold takes a replica's own word for its holdings, but only while no order is pending and
-// its last order is the one the ledger settled, so that an old report undoes nothing.
-func (f *Foreman) retold(s *ledger.State, have *ledger.Replica, row *told) (bool, []ledger.Holding) {
-	if have == nil || have.Inc != row.state.Inc {
-		return true, row.state.Holds
-	}
-	if _, pending := s.Pending[have.ID]; pending || row.heardUs <= row.movedUs {
-		return false, nil
-	}
-	same := len(row.state.Holds) == len(have.Holds)
-	for _, h := range row.state.Holds {
-		if have.Holds[h.Unit] != h.SizeMb {
-			same = false
-		}
-	}
-	if same || (row.state.Last != nil && row.state.Last.State == wire.OrderRunning) {
-		return false, nil
-	}
-	return true, row.state.Holds
-}
-
-func (f *Foreman) settle(nowUs int64, s *ledger.State, duty *ledger.Duty) {
-	for _, id := range sorted(s.Pending) {
-		t := s.Pending[id]
-		row := f.replicas[id]
-		if row == nil || row.atUs == 0 || row.state.Inc != t.Inc || row.state.Last == nil {
-			continue
-		}
-		last := row.state.Last
-		switch {
-		case last.Number == t.Number && last.State == wire.OrderDone:
-			duty.Settled = append(duty.Settled, ledger.Settled{Number: t.Number, Done: true})
-		case last.Number == t.Number && last.State == wire.OrderFailed:
-			f.count(fault.ReplicaFailed)
-			duty.Settled = append(duty.Settled, ledger.Settled{Number: t.Number, Why: last.Why})
-		case last.Number > t.Number:
-			duty.Settled = append(duty.Settled, ledger.Settled{Number: t.Number, Why: "voided by a newer order"})
-		default:
-			continue
-		}
-		delete(f.orderUs, t.Number)
-		row.movedUs = nowUs
-	}
-}
-
-func (f *Foreman) dropDesks(seen Seen, duty *ledger.Duty) {
-	for _, id := range sorted(f.desks) {
-		if seen.NowUs-f.desks[id].atUs > deskGoneUs {
-			duty.Desks = append(duty.Desks, id)
-			delete(f.desks, id)
-		}
-	}
-}
-
-// silent: both watchers that the ring names miss its beats, and its own reports have stopped too.
-func (f *Foreman) silent(nowUs int64, id string) bool {
-	return nowUs-f.desks[id].atUs > reportLateUs && f.jury.Gone(nowUs, id)
-}
-
-func (f *Foreman) live(nowUs int64) []string {
-	ids := []string{}
-	for _, id := range sorted(f.desks) {
-		if d := f.desks[id]; nowUs-d.atUs < deskLiveUs && !d.report.Draining && !f.silent(nowUs, id) {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
-func (f *Foreman) grant(seen Seen, duty *ledger.Duty) {
-	s := seen.State
-	desks := f.live(seen.NowUs)
-	for _, id := range s.ReplicaIDs() {
-		r := s.Replicas[id]
-		if r.Leaving || r.Dark || r.Inc == "" {
-			continue
-		}
-		for _, unit := range sorted(r.Holds) {
-			if s.Doc.Model(unit) == nil {
-				continue
-			}
-			for _, desk := range desks {
-				report := f.desks[desk].report
-				g := ledger.Grant{Desk: desk, Replica: id, Model: unit}
-				want := min(max(uint64(report.Arrivals[unit]*2*legSeconds), legsLeast), legsMost)
-				have, ok := s.Grants[g.Key()]
-				if ok && have.DeskInc == report.Inc && have.Inc == r.Inc {
-					left, told := report.Left[id+"|"+unit]
-					if !told || left.Ticket != have.Ticket || left.Left*2 > want {
-						continue
-					}
-				}
-				duty.Grants = append(duty.Grants, ledger.GrantAsk{
-					Desk: desk, DeskInc: report.Inc, Replica: id, Inc: r.Inc, Model: unit, Count: want,
-				})
-			}
-		}
-	}
-}
-
-// share divides a replica's slots by what each desk has there and what waits for its models.
-func (f *Foreman) share(seen Seen, duty *ledger.Duty) {
-	if seen.NowUs-f.shareUs < shareEveryUs {
-		return
-	}
-	f.shareUs = seen.NowUs
-	s := seen.State
-	desks := f.live(seen.NowUs)
-	if len(desks) == 0 {
-		return
-	}
-	for _, id := range s.ReplicaIDs() {
-		r := s.Replicas[id]
-		if r.Leaving || r.Dark {
-			continue
-		}
-		weights := make([]float64, len(desks))
-		var whole float64
-		for i, desk := range desks {
-			report := f.desks[desk].report
-			weights[i] = 0.5 + float64(report.InFlight[id])
-			for _, unit := range sorted(r.Holds) {
-				weights[i] += float64(report.Waiting[unit]) * 0.5
-				weights[i] += report.Arrivals[unit] * 0.1
-			}
-			whole += weights[i]
-		}
-		shares := map[string]int{}
-		spare := r.Slots
-		if spare >= len(desks) {
-			for _, desk := range desks {
-				shares[desk] = 1
-			}
-			spare -= len(desks)
-		}
-		given := 0
-		for i, desk := range desks {
-			n := int(float64(spare) * weights[i] / whole)
-			shares[desk] += n
-			given += n
-		}
-		order := make([]int, len(desks))
-		for i := range order {
-			order[i] = i
-		}
-		sort.SliceStable(order, func(a, b int) bool { return weights[order[a]] > weights[order[b]] })
-		for i := 0; given < spare; i = (i + 1) % len(order) {
-			shares[desks[order[i]]]++
-			given++
-		}
-		if f.worthwhile(r, shares) {
-			if duty.Shares == nil {
-				duty.Shares = map[string]map[string]int{}
-			}
-			duty.Shares[id] = shares
-		}
-	}
-}
-
-func (f *Foreman) worthwhile(r *ledger.Replica, shares map[string]int) bool {
-	if len(r.Shares) != len(shares) {
-		return true
-	}
-	moved := 0
-	for desk, n := range shares {
-		had, ok := r.Shares[desk]
-		if !ok {
-			return true
-		}
-		row := f.desks[desk]
-		if n > had && row != nil && row.report.InFlight[r.ID] >= had {
-			return true
-		}
-		moved += max(n-had, had-n)
-	}
-	return moved*3 > r.Slots*2
-}
-
-func (f *Foreman) markKeys(seen Seen, duty *ledger.Duty) {
-	if f.markUs == 0 {
-		f.markUs = seen.NowUs
-	}
-	if seen.NowUs-f.markUs < keyMarkUs {
-		return
-	}
-	f.markUs = seen.NowUs
-	f.marks = append(f.marks, seen.State.Index)
-	if len(f.marks) > keyMarks {
-		duty.Forget = f.marks[0]
-		f.marks = f.marks[1:]
-	}
-}
-
-func (f *Foreman) demand(nowUs int64) (rates map[string]float64, waiting map[string]int) {
-	rates, waiting = map[string]float64{}, map[string]int{}
-	for _, id := range sorted(f.desks) {
-		d := f.desks[id]
-		if nowUs-d.atUs > deskLiveUs {
-			continue
-		}
-		for unit, rate := range d.report.Arrivals {
-			rates[unit] += rate
-		}
-		for unit, n := range d.report.Waiting {
-			waiting[unit] += n
-		}
-	}
-	return rates, waiting
-}
-
 func (f *Foreman) startPolicy(seen Seen) {
 	s := seen.State
 	spanUs := policyEveryUs
--- /dev/null
+++ b/internal/foreman/hear.go
@@ -0,0 +1,189 @@
+package foreman
+
+import (
+	"petreltide/internal/fault"
+	"petreltide/internal/ledger"
+	"petreltide/internal/wire"
+)
+
+func (f *Foreman) listed(nowUs int64, l Listed) {
+	switch {
+	case l.List == nil:
+		f.count(fault.PlatformBad)
+	case f.list != nil && l.List.Version < f.list.Version && f.stales < emptyListMost:
+		f.stales++
+		f.count(fault.PlatformBad)
+	case len(l.List.Replicas) == 0 && f.list != nil && len(f.list.Replicas) > 0 && f.empties < emptyListMost:
+		f.empties++
+		f.count(fault.PlatformBad)
+	default:
+		if !fitList(l.List) {
+			f.count(fault.PlatformBad)
+			return
+		}
+		f.empties, f.stales = 0, 0
+		f.list, f.listAtUs = l.List, nowUs
+	}
+}
+
+// fitList: a list in which anything is odd is not taken at all.
+func fitList(list *wire.List) bool {
+	seen := map[string]bool{}
+	for _, r := range list.Replicas {
+		if r.ID == "" || r.Addr == "" || r.RoomMb <= 0 || r.Slots <= 0 || seen[r.ID] {
+			return false
+		}
+		seen[r.ID] = true
+	}
+	return true
+}
+
+// fitHoldings: what takes less than no room would make room for too much.
+func fitHoldings(holds []ledger.Holding) bool {
+	seen := map[string]bool{}
+	for _, h := range holds {
+		if h.Unit == "" || h.SizeMb < 0 || seen[h.Unit] {
+			return false
+		}
+		seen[h.Unit] = true
+	}
+	return true
+}
+
+func (f *Foreman) ordered(o Ordered) {
+	row := f.replicas[o.Replica]
+	if o.State.State == wire.OrderFailed {
+		f.count(fault.TicketRefused)
+		return
+	}
+	if row == nil || row.state.Inc != o.Inc {
+		return
+	}
+	if last := row.state.Last; last == nil || last.Number < o.State.Number {
+		state := o.State
+		row.state.Last = &state
+	}
+}
+
+// settles: the replica's word for its last order ends what the ledger holds as pending.
+func (f *Foreman) settles(s *ledger.State, replica string) bool {
+	t, pending := s.Pending[replica]
+	row := f.replicas[replica]
+	return pending && row != nil && row.state.Last != nil && row.state.Inc == t.Inc && row.state.Last.Number >= t.Number && row.state.Last.State != wire.OrderRunning
+}
+
+func (f *Foreman) askReplicas(nowUs int64, s *ledger.State) {
+	if f.list == nil {
+		return
+	}
+	for _, l := range f.list.Replicas {
+		row := f.replicas[l.ID]
+		if row == nil || row.addr != l.Addr {
+			row = &told{addr: l.Addr}
+			f.replicas[l.ID] = row
+		}
+		spanUs := askEveryUs
+		if _, pending := s.Pending[l.ID]; pending {
+			spanUs = askBusyUs
+		}
+		if nowUs-row.askedUs >= spanUs {
+			row.askedUs = nowUs
+			f.do(Effect{Ask: &Ask{AskedUs: nowUs, Replica: l.ID, Addr: l.Addr}})
+		}
+	}
+}
+
+func (f *Foreman) noteFleet(seen Seen, duty *ledger.Duty) {
+	if f.list == nil {
+		return
+	}
+	s := seen.State
+	listed := map[string]bool{}
+	for _, l := range f.list.Replicas {
+		listed[l.ID] = true
+		row, have := f.replicas[l.ID], s.Replicas[l.ID]
+		n := ledger.ReplicaNote{
+			ID: l.ID, Addr: l.Addr, Zone: l.Zone, RoomMb: l.RoomMb, Slots: l.Slots,
+			Leaving: l.State != wire.ListedReady, LeftMs: l.LeftMs,
+		}
+		spoke := row != nil && row.atUs > 0
+		n.Dark = spoke && seen.NowUs-row.atUs > darkAfterUs
+		switch {
+		case spoke && !n.Dark:
+			n.Inc = row.state.Inc
+		case have != nil && have.Addr == l.Addr:
+			n.Inc = have.Inc
+		}
+		if have == nil && n.Inc == "" {
+			continue
+		}
+		if have != nil && n.Inc == "" {
+			n.Inc = have.Inc
+			n.Dark = true
+		}
+		if have != nil && have.Leaving && n.Leaving {
+			n.LeftMs = have.LeftMs
+		}
+		if have != nil && !spoke {
+			n.Dark = have.Dark
+		}
+		if spoke && !n.Dark {
+			n.Told, n.Holds = f.retold(s, have, row)
+		}
+		if have == nil || have.Inc != n.Inc || have.Addr != n.Addr || have.Zone != n.Zone || have.RoomMb != n.RoomMb ||
+			have.Slots != n.Slots || have.Leaving != n.Leaving || have.Dark != n.Dark || n.Told {
+			duty.Fleet = append(duty.Fleet, n)
+		}
+	}
+	for _, id := range s.ReplicaIDs() {
+		if !listed[id] {
+			duty.Gone = append(duty.Gone, id)
+			delete(f.replicas, id)
+		}
+	}
+}
+
+// retold takes a replica's own word for its holdings, but only while no order is pending and
+// its last order is the one the ledger settled, so that an old report undoes nothing.
+func (f *Foreman) retold(s *ledger.State, have *ledger.Replica, row *told) (bool, []ledger.Holding) {
+	if have == nil || have.Inc != row.state.Inc {
+		return true, row.state.Holds
+	}
+	if _, pending := s.Pending[have.ID]; pending || row.heardUs <= row.movedUs {
+		return false, nil
+	}
+	same := len(row.state.Holds) == len(have.Holds)
+	for _, h := range row.state.Holds {
+		if have.Holds[h.Unit] != h.SizeMb {
+			same = false
+		}
+	}
+	if same || (row.state.Last != nil && row.state.Last.State == wire.OrderRunning) {
+		return false, nil
+	}
+	return true, row.state.Holds
+}
+
+func (f *Foreman) settle(nowUs int64, s *ledger.State, duty *ledger.Duty) {
+	for _, id := range sorted(s.Pending) {
+		t := s.Pending[id]
+		row := f.replicas[id]
+		if row == nil || row.atUs == 0 || row.state.Inc != t.Inc || row.state.Last == nil {
+			continue
+		}
+		last := row.state.Last
+		switch {
+		case last.Number == t.Number && last.State == wire.OrderDone:
+			duty.Settled = append(duty.Settled, ledger.Settled{Number: t.Number, Done: true})
+		case last.Number == t.Number && last.State == wire.OrderFailed:
+			f.count(fault.ReplicaFailed)
+			duty.Settled = append(duty.Settled, ledger.Settled{Number: t.Number, Why: last.Why})
+		case last.Number > t.Number:
+			duty.Settled = append(duty.Settled, ledger.Settled{Number: t.Number, Why: "voided by a newer order"})
+		default:
+			continue
+		}
+		delete(f.orderUs, t.Number)
+		row.movedUs = nowUs
+	}
+}
