--- a/internal/deskwork/snapshot.go
+++ b/internal/deskwork/snapshot.go
@@ -1,11 +1,12 @@
 package deskwork
 
 import (
+	"sort"
+
 	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
 	"petreltide/internal/standing"
 	"petreltide/internal/wire"
-	"sort"
 )
 
 // Snapshot is what the newest news said; it is swapped whole and never changed.
--- a/internal/deskwork/terms.go
+++ b/internal/deskwork/terms.go
@@ -2,8 +2,9 @@
 
 import (
 	"fmt"
-	"petreltide/internal/fault"
 	"sort"
+
+	"petreltide/internal/fault"
 )
 
 func (d *Decider) taken(s *Snapshot) {
--- a/internal/foreman/share.go
+++ b/internal/foreman/share.go
@@ -1,8 +1,9 @@
 package foreman
 
 import (
-	"petreltide/internal/ledger"
 	"sort"
+
+	"petreltide/internal/ledger"
 )
 
 func (f *Foreman) dropDesks(seen Seen, duty *ledger.Duty) {
