Fill the store's bucket before it is spent from between two ticks

Ruled out: the stand-in's own reckoning of narrowed limits, which was wrong too and is mended, and orders in doubt.

--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -284,9 +284,7 @@
 	if !seen.Fresh {
 		return
 	}
-	if s.Doc != nil {
-		f.bucket.Fill(seen.NowUs, s.Doc.Store, f.unconfirmedMb(s))
-	}
+	f.fill(seen)
 	if seen.View != f.view {
 		f.view, f.viewUs, f.checked, f.listUs = seen.View, seen.NowUs, false, 0
 	}
@@ -303,11 +301,19 @@
 // act writes and asks the policy at once where an event has made it worthwhile, not at the next tick.
 func (f *Foreman) act(seen Seen) {
 	if seen.Head && seen.Fresh && f.OnDuty(seen.State) {
+		f.fill(seen)
 		f.startPolicy(seen)
 		f.write(seen)
 	}
 }
 
+// fill brings the bucket up to now; what it may not hold any more must be gone before it is spent from.
+func (f *Foreman) fill(seen Seen) {
+	if seen.State.Doc != nil {
+		f.bucket.Fill(seen.NowUs, seen.State.Doc.Store, f.unconfirmedMb(seen.State))
+	}
+}
+
 func (f *Foreman) leave() {
 	fresh := New(f.me)
 	fresh.Faults, fresh.writes, fresh.desks, fresh.Policy = f.Faults, f.writes, f.desks, f.Policy
--- a/internal/foreman/foreman_test.go
+++ b/internal/foreman/foreman_test.go
@@ -214,3 +214,23 @@
 		t.Fatal("a replica missing from a good list stays")
 	}
 }
+
+// A load between two ticks is spent from a bucket that is full now, not from what it would have held by
+// the next tick had it gone on filling (found by seeded day 2321).
+func TestTheBucketIsFullBeforeItIsSpentFromBetweenTicks(t *testing.T) {
+	r := newRig(t, "one", freshState())
+	r.mute = true
+	r.pass(2 * clock.Sec)
+	full := r.f.bucket.TokensMb
+	if full != float64(r.s.Doc.Store.BurstMb) {
+		t.Fatalf("%v of %d", full, r.s.Doc.Store.BurstMb)
+	}
+	r.nowUs += 20 * clock.Ms
+	r.propose("r1")
+	spent := full - r.f.bucket.TokensMb
+	r.nowUs += clock.Ms
+	r.feed(Event{})
+	if most := full - spent + 2; r.f.bucket.TokensMb > most {
+		t.Fatalf("%v tokens a millisecond after spending %v of %v", r.f.bucket.TokensMb, spent, full)
+	}
+}
--- a/proofs/platform/platform.go
+++ b/proofs/platform/platform.go
@@ -55,6 +55,12 @@
 	return max(0, s.level-float64(nowUs-s.atUs)/1e6*float64(s.PerSecMb))
 }
 
+// Limit changes what the store allows from now on; what went before is reckoned by the older rate.
+func (s *Store) Limit(nowUs int64, loads int, perSecMb int64) {
+	s.level, s.atUs = s.LevelMb(nowUs), nowUs
+	s.Loads, s.PerSecMb = loads, perSecMb
+}
+
 func (s *Store) Done(replica string) { delete(s.running, replica) }
 
 // Platform keeps the replica list and serves it with the weight store.
--- a/proofs/sim/faults.go
+++ b/proofs/sim/faults.go
@@ -301,6 +301,17 @@
 	o.addr = fmt.Sprintf("%s:%d", o.name, o.boot+1)
 	o.founding = 0
 	o.start()
+	o.sim.newSeeds()
+}
+
+// newSeeds is what an operator writes into every settings file once an office has another address.
+func (s *Sim) newSeeds() {
+	s.seeds = nil
+	for _, o := range s.offices {
+		if o.name == o.named {
+			s.seeds = append(s.seeds, o.addr)
+		}
+	}
 }
 
 // oldReturns starts the machine that was replaced, with its old disk, name and address.
@@ -327,10 +338,6 @@
 func (s *Sim) rollOffices(f Fault, at int) {
 	untilUs := s.nowUs + 8*sec
 	if at == len(s.offices) {
-		s.seeds = nil
-		for _, o := range s.offices {
-			s.seeds = append(s.seeds, o.addr)
-		}
 		s.restartDesk(s.desks[f.A%len(s.desks)], 300*ms)
 		s.count(f)
 		return
--- a/proofs/sim/sim.go
+++ b/proofs/sim/sim.go
@@ -243,6 +243,7 @@
 	Log      []string
 	Codes    map[string]int
 	Caused   map[string]int
+	Fetches  []platform.Fetch
 	Stakes   map[string]int
 }
 
@@ -298,7 +299,7 @@
 }
 
 func (s *Sim) outcome() Outcome {
-	out := Outcome{Breaches: s.watch.Breaches, Calls: len(s.told), Told: s.told, Events: s.events, Log: s.Log, Codes: map[string]int{}, Caused: s.caused, Stakes: s.watch.Stakes}
+	out := Outcome{Breaches: s.watch.Breaches, Calls: len(s.told), Told: s.told, Events: s.events, Log: s.Log, Codes: map[string]int{}, Fetches: s.plat.Store.Fetches, Caused: s.caused, Stakes: s.watch.Stakes}
 	for _, f := range s.plat.Store.Fetches {
 		if s.plan.Declared && f.AtUs < warmUs {
 			continue
@@ -555,7 +556,7 @@
 }
 
 func (s *Sim) setStore(store standing.Store) {
-	s.plat.Store.Loads, s.plat.Store.PerSecMb = store.Loads, store.MbPerSecond
+	s.plat.Store.Limit(s.nowUs, store.Loads, store.MbPerSecond)
 }
 
 func (p *pressNode) beat() {
