--- a/internal/deskwork/decider.go
+++ b/internal/deskwork/decider.go
@@ -350,7 +350,7 @@
 	d.dequeue(c)
 	delete(d.calls, c.ID)
 	f := fault.New(code, "", "%s", why)
-	f.Run, f.RetryMs = fault.RunNone, retryMs
+	f.Run, f.RetryMs = fault.RunNone, apart(c.ID, retryMs)
 	switch {
 	case c.Had > 0 || c.Progress.Load() > 0:
 		f.Run = fault.RunPartial
@@ -363,6 +363,17 @@
 	d.do(Effect{Give: &Give{Call: c, Fault: f}})
 }
 
+// apart spreads the times at which callers that were refused together come back: half to one and a half
+// of what was meant, or the crowd would stand before the door again as one.
+func apart(id string, retryMs int64) int64 {
+	if retryMs <= 1 {
+		return retryMs
+	}
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id))
+	return retryMs/2 + int64(h.Sum64()%uint64(retryMs)) + 1
+}
+
 func (d *Decider) left(id string) {
 	c := d.calls[id]
 	if c == nil {
--- a/internal/deskwork/decider_test.go
+++ b/internal/deskwork/decider_test.go
@@ -382,3 +382,21 @@
 		t.Errorf("while draining: %q", got)
 	}
 }
+
+// Callers refused together must not come back together (seeded day 1482: a desk woke, refused a crowd, and
+// had it before the door again 15 s later, all in the same millisecond).
+func TestThoseRefusedTogetherComeBackApart(t *testing.T) {
+	d := leased(0, 200)
+	for i := 0; i < 200; i++ {
+		d.Step(Event{NowUs: 5, Arrived: call(i, "fixes")})
+	}
+	seen := map[int64]int{}
+	var leastMs, mostMs int64 = 1 << 40, 0
+	for _, e := range d.Step(Event{NowUs: 60 * clock.Sec}) {
+		seen[e.Give.Fault.RetryMs]++
+		leastMs, mostMs = min(leastMs, e.Give.Fault.RetryMs), max(mostMs, e.Give.Fault.RetryMs)
+	}
+	if len(seen) < 100 || leastMs <= 0 || mostMs < 2*leastMs {
+		t.Fatalf("200 calls come back at %d times from %d to %d ms", len(seen), leastMs, mostMs)
+	}
+}
