Read offices' pages and begin test fleets in one place

Cause: status, member and compare each asked for and decoded a status of their own, and three tests began a fleet alike.

--- a/cmd/petreltide/compare.go
+++ b/cmd/petreltide/compare.go
@@ -64,7 +64,7 @@
 			if opts.Second.Name == opts.First.Name {
 				opts.Second.Name += "-again"
 			}
-			result, err := collation.Hold(cmd.Context(), live1{o}, opts, cmd.OutOrStdout())
+			result, err := collation.Hold(cmd.Context(), liveFleet{o}, opts, cmd.OutOrStdout())
 			if len(result.Windows) > 0 {
 				collation.Report(cmd.OutOrStdout(), result)
 			}
@@ -120,12 +120,12 @@
 	return err
 }
 
-// live1 reaches a fleet through its offices and desks.
-type live1 struct{ o *offices }
+// liveFleet reaches a fleet through its offices and desks.
+type liveFleet struct{ o *offices }
 
-func (l live1) Config(ctx context.Context) (office.ConfigNow, error) { return current(ctx, l.o) }
+func (l liveFleet) Config(ctx context.Context) (office.ConfigNow, error) { return current(ctx, l.o) }
 
-func (l live1) Apply(ctx context.Context, base uint64, change string, doc *standing.Declaration) (office.Applied, error) {
+func (l liveFleet) Apply(ctx context.Context, base uint64, change string, doc *standing.Declaration) (office.Applied, error) {
 	applied := office.Applied{}
 	raw, err := json.Marshal(doc)
 	if err != nil {
@@ -141,7 +141,7 @@
 	return applied, errors.Trace(json.Unmarshal(a.body, &applied))
 }
 
-func (l live1) Pause(ctx context.Context, span time.Duration) error {
+func (l liveFleet) Pause(ctx context.Context, span time.Duration) error {
 	timer := time.NewTimer(span)
 	defer timer.Stop()
 	select {
@@ -152,34 +152,19 @@
 	}
 }
 
-func (l live1) status(ctx context.Context) (office.Status, error) {
+func (l liveFleet) status(ctx context.Context) (office.Status, error) {
 	st := office.Status{}
-	a, err := l.o.ask(ctx, http.MethodGet, "/v1/status", nil)
-	if err == nil {
-		err = a.fault()
-	}
-	if err != nil {
-		return st, err
-	}
-	if err := json.Unmarshal(a.body, &st); err != nil {
-		return st, errors.Trace(err)
-	}
+	_, err := read(ctx, l.o, "/v1/status", &st)
 	tail := st.View.Tail()
-	if tail.ID == st.Office.ID || tail.Addr == "" {
-		return st, nil
-	}
-	atTail := &offices{addrs: []string{tail.Addr}}
-	if a, err = atTail.ask(ctx, http.MethodGet, "/v1/status", nil); err == nil {
-		err = a.fault()
-	}
-	if err != nil {
+	if err != nil || tail.ID == st.Office.ID || tail.Addr == "" {
 		return st, err
 	}
 	st = office.Status{}
-	return st, errors.Trace(json.Unmarshal(a.body, &st))
+	_, err = read(ctx, &offices{addrs: []string{tail.Addr}}, "/v1/status", &st)
+	return st, err
 }
 
-func (l live1) Look(ctx context.Context) (collation.Look, error) {
+func (l liveFleet) Look(ctx context.Context) (collation.Look, error) {
 	look := collation.Look{Replicas: map[string]string{}, Desks: map[string]string{}}
 	st, err := l.status(ctx)
 	if err != nil {
@@ -194,19 +179,11 @@
 		look.Replicas[r.ID] = fmt.Sprintf("%s (leaving %v, dark %v)", r.Inc, r.Leaving, r.Dark)
 	}
 	for _, d := range st.Desks {
-		at := &offices{addrs: []string{d.Addr}}
-		a, err := at.ask(ctx, http.MethodGet, "/v1/status", nil)
-		if err == nil {
-			err = a.fault()
-		}
-		if err != nil {
+		ds := desk.Status{}
+		if _, err := read(ctx, &offices{addrs: []string{d.Addr}}, "/v1/status", &ds); err != nil {
 			look.Desks[d.Desk] = "out of reach"
 			continue
 		}
-		ds := desk.Status{}
-		if err := json.Unmarshal(a.body, &ds); err != nil {
-			return look, errors.Trace(err)
-		}
 		look.Desks[d.Desk] = ds.Inc
 		look.Gauges = append(look.Gauges, ds.Gauges...)
 	}
--- a/cmd/petreltide/member.go
+++ b/cmd/petreltide/member.go
@@ -1,12 +1,10 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/url"
 
-	"github.com/juju/errors"
 	"github.com/spf13/cobra"
 
 	"petreltide/internal/office"
@@ -31,16 +29,9 @@
 	list := &cobra.Command{
 		Use: "list", Short: "Who holds votes, seats and copies, and what a change waits for", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			a, err := o.ask(cmd.Context(), http.MethodGet, "/v1/status", nil)
-			if err == nil {
-				err = a.fault()
-			}
-			if err != nil {
-				return err
-			}
 			st := office.Status{}
-			if err := json.Unmarshal(a.body, &st); err != nil {
-				return errors.Trace(err)
+			if _, err := read(cmd.Context(), o, "/v1/status", &st); err != nil {
+				return err
 			}
 			printMembers(cmd, st)
 			return nil
--- a/cmd/petreltide/operators.go
+++ b/cmd/petreltide/operators.go
@@ -147,14 +147,20 @@
 
 func current(ctx context.Context, o *offices) (office.ConfigNow, error) {
 	now := office.ConfigNow{}
-	a, err := o.ask(ctx, http.MethodGet, "/v1/config", nil)
+	_, err := read(ctx, o, "/v1/config", &now)
+	return now, err
+}
+
+// read asks for a page and decodes it.
+func read(ctx context.Context, o *offices, path string, into any) (answer, error) {
+	a, err := o.ask(ctx, http.MethodGet, path, nil)
 	if err == nil {
 		err = a.fault()
 	}
 	if err != nil {
-		return now, err
+		return a, err
 	}
-	return now, errors.Trace(json.Unmarshal(a.body, &now))
+	return a, errors.Trace(json.Unmarshal(a.body, into))
 }
 
 func diffCommand() *cobra.Command {
@@ -214,20 +220,14 @@
 		Short: "Show the view, the controller, desks, replicas, pending tickets and the policy",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			a, err := o.ask(cmd.Context(), http.MethodGet, "/v1/status", nil)
-			if err == nil {
-				err = a.fault()
-			}
+			st := office.Status{}
+			a, err := read(cmd.Context(), o, "/v1/status", &st)
 			if err != nil {
 				return err
 			}
 			if asJSON {
 				return show(cmd, a, nil)
 			}
-			st := office.Status{}
-			if err := json.Unmarshal(a.body, &st); err != nil {
-				return errors.Trace(err)
-			}
 			printStatus(cmd.OutOrStdout(), st)
 			return nil
 		},
--- a/proofs/fleet/compare_test.go
+++ b/proofs/fleet/compare_test.go
@@ -67,14 +67,7 @@
 }
 
 func TestCompareLiveOnRealProcesses(t *testing.T) {
-	f, doc, ctx := small(t)
-	raw, err := json.Marshal(doc)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := Begin(ctx, f, string(raw)); err != nil {
-		t.Fatal(err)
-	}
+	f, doc, ctx := begun(t)
 	loaded, stop := context.WithCancel(ctx)
 	over := make(chan struct{})
 	go func() {
@@ -142,14 +135,7 @@
 }
 
 func TestMembersByCommandOnRealProcesses(t *testing.T) {
-	f, doc, ctx := small(t)
-	raw, err := json.Marshal(doc)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := Begin(ctx, f, string(raw)); err != nil {
-		t.Fatal(err)
-	}
+	f, _, ctx := begun(t)
 	offices := strings.Join(f.Addrs("office"), ",")
 	member := func(args ...string) (string, error) {
 		return run(t, append(append([]string{"member"}, args...), "--office", offices)...)
--- a/proofs/fleet/fleet_test.go
+++ b/proofs/fleet/fleet_test.go
@@ -55,6 +55,20 @@
 	return f, doc, ctx
 }
 
+// begun is a small fleet whose layout stands.
+func begun(t *testing.T) (*Fleet, *standing.Declaration, context.Context) {
+	t.Helper()
+	f, doc, ctx := small(t)
+	raw, err := json.Marshal(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := Begin(ctx, f, string(raw)); err != nil {
+		t.Fatal(err)
+	}
+	return f, doc, ctx
+}
+
 func run(t *testing.T, args ...string) (string, error) {
 	t.Helper()
 	out, err := exec.Command(petreltide, args...).CombinedOutput()
@@ -279,14 +293,7 @@
 
 // Killed offices, the controller and a replaced empty one, with demand running: the rules hold.
 func TestKillsUnderDemandOnRealProcesses(t *testing.T) {
-	f, doc, ctx := small(t)
-	raw, err := json.Marshal(doc)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := Begin(ctx, f, string(raw)); err != nil {
-		t.Fatal(err)
-	}
+	f, doc, ctx := begun(t)
 	if err := f.under(ctx, doc, 30, func() error {
 		for _, place := range []int{0, 1, -1} {
 			name := f.seat(ctx, place)
