Lay terms on waiting calls only when the declaration changed

Cause: each piece of news, most of which changes only grants and replicas, took every waiting call out of its backlog and put it back; that is work on a desk's actor that grows with the square of the backlog. Behaviour stays as it is; an unused method went.

--- a/internal/deskwork/report.go
+++ b/internal/deskwork/report.go
@@ -141,5 +141,3 @@
 	}
 	return f
 }
-
-func (d *Decider) Busy() int { return len(d.calls) }
--- a/internal/deskwork/terms.go
+++ b/internal/deskwork/terms.go
@@ -11,6 +11,7 @@
 	if d.snap != nil && (s.View < d.snap.View || s.Number < d.snap.Number) {
 		return
 	}
+	same := d.snap != nil && d.snap.Doc == s.Doc
 	d.snap = s
 	d.gaugeUntil(s.Revision)
 	for key, g := range s.Grants {
@@ -29,6 +30,13 @@
 			delete(d.places, id)
 		}
 	}
+	if !same {
+		d.layTerms()
+	}
+}
+
+// layTerms lays a changed declaration on every call; most news changes only grants and replicas.
+func (d *Decider) layTerms() {
 	waiting := d.waitingCalls()
 	for _, c := range waiting {
 		d.dequeue(c)
