--- a/cmd/petreltide/compare.go
+++ b/cmd/petreltide/compare.go
@@ -14,17 +14,17 @@
 	"github.com/juju/errors"
 	"github.com/spf13/cobra"
 
-	"petreltide/internal/collation"
+	"petreltide/internal/comparison"
 	"petreltide/internal/desk"
 	"petreltide/internal/fault"
-	"petreltide/internal/imposition"
 	"petreltide/internal/office"
+	"petreltide/internal/placement"
 	"petreltide/internal/standing"
 )
 
 func compareCommand() *cobra.Command {
 	o := &offices{}
-	opts := collation.Options{}
+	opts := comparison.Options{}
 	var live bool
 	var files []string
 	cmd := &cobra.Command{
@@ -64,9 +64,9 @@
 			if opts.Second.Name == opts.First.Name {
 				opts.Second.Name += "-again"
 			}
-			result, err := collation.Hold(cmd.Context(), liveFleet{o}, opts, cmd.OutOrStdout())
+			result, err := comparison.Hold(cmd.Context(), liveFleet{o}, opts, cmd.OutOrStdout())
 			if len(result.Windows) > 0 {
-				collation.Report(cmd.OutOrStdout(), result)
+				comparison.Report(cmd.OutOrStdout(), result)
 			}
 			if err != nil {
 				return restoreHint(cmd, o, err)
@@ -95,12 +95,12 @@
 		return standing.Policy{}, fault.New(fault.NotFound, "policy", "%v", err)
 	}
 	p := standing.Policy{Name: strings.TrimSuffix(filepath.Base(file), ".star"), Source: string(source)}
-	return p, imposition.Compile(p.Name, p.Source)
+	return p, placement.Compile(p.Name, p.Source)
 }
 
 // restoreHint leaves the first policy in a file and prints the command that puts it back.
 func restoreHint(cmd *cobra.Command, o *offices, err error) error {
-	var bad *collation.Unrestored
+	var bad *comparison.Unrestored
 	if !errors.As(err, &bad) {
 		return err
 	}
@@ -164,8 +164,8 @@
 	return st, err
 }
 
-func (l liveFleet) Look(ctx context.Context) (collation.Look, error) {
-	look := collation.Look{Replicas: map[string]string{}, Desks: map[string]string{}}
+func (l liveFleet) Look(ctx context.Context) (comparison.Look, error) {
+	look := comparison.Look{Replicas: map[string]string{}, Desks: map[string]string{}}
 	st, err := l.status(ctx)
 	if err != nil {
 		return look, err
--- a/cmd/petreltide/daemons.go
+++ b/cmd/petreltide/daemons.go
@@ -7,9 +7,9 @@
 
 	"petreltide/internal/desk"
 	"petreltide/internal/fault"
+	"petreltide/internal/logring"
 	"petreltide/internal/office"
 	"petreltide/internal/settings"
-	"petreltide/internal/spike"
 )
 
 func officeCommand() *cobra.Command {
@@ -50,7 +50,7 @@
 			if f := set.Check(); f != nil {
 				return f
 			}
-			ring := spike.NewRing(set.Data, os.Stderr)
+			ring := logring.NewRing(set.Data, os.Stderr)
 			host, err := office.Open(set, ring)
 			if err != nil {
 				return err
@@ -101,7 +101,7 @@
 			if f := set.Check(); f != nil {
 				return f
 			}
-			ring := spike.NewRing("", os.Stderr)
+			ring := logring.NewRing("", os.Stderr)
 			return run(cmd, ring, desk.Open(set, ring).Run)
 		},
 	}
@@ -124,7 +124,7 @@
 	}
 }
 
-func run(cmd *cobra.Command, ring *spike.Ring, serve func(contextOf) error) error {
+func run(cmd *cobra.Command, ring *logring.Ring, serve func(contextOf) error) error {
 	defer func() {
 		if r := recover(); r != nil {
 			ring.Dump("panic")
--- a/cmd/petreltide/operators.go
+++ b/cmd/petreltide/operators.go
@@ -18,8 +18,8 @@
 	"github.com/spf13/cobra"
 
 	"petreltide/internal/fault"
-	"petreltide/internal/imposition"
 	"petreltide/internal/office"
+	"petreltide/internal/placement"
 	"petreltide/internal/standing"
 )
 
@@ -87,7 +87,7 @@
 	if err != nil {
 		return nil, err
 	}
-	doc, bad := standing.Parse(raw, imposition.Compile)
+	doc, bad := standing.Parse(raw, placement.Compile)
 	if bad != nil {
 		return nil, bad
 	}
@@ -290,7 +290,7 @@
 		fmt.Fprintf(w, "pending   ticket %d epoch %d: %s %s at %s\n", t.Number, t.Epoch, t.Step, t.Unit, t.Replica)
 	}
 	if st.Policy.Name != "" {
-		fmt.Fprintf(w, "policy    %s: %d runs, %d faulted; last verdicts: %s\n", st.Policy.Name, st.Policy.Runs, st.Policy.Faulted, imposition.Summary(st.Policy.Verdicts))
+		fmt.Fprintf(w, "policy    %s: %d runs, %d faulted; last verdicts: %s\n", st.Policy.Name, st.Policy.Runs, st.Policy.Faulted, placement.Summary(st.Policy.Verdicts))
 		if st.Policy.Fault != nil {
 			fmt.Fprintf(w, "          last fault: %v\n", st.Policy.Fault)
 		}
--- a/cmd/petreltide/replay.go
+++ b/cmd/petreltide/replay.go
@@ -9,8 +9,8 @@
 	"github.com/spf13/cobra"
 
 	"petreltide/internal/fault"
-	"petreltide/internal/pipe"
-	"petreltide/internal/reprint"
+	"petreltide/internal/replay"
+	"petreltide/internal/rpc"
 )
 
 func replayCommand() *cobra.Command {
@@ -30,13 +30,13 @@
 			if err != nil {
 				return fault.New(fault.NotFound, "har", "%v", err)
 			}
-			calls, bad := reprint.Read(raw)
+			calls, bad := replay.Read(raw)
 			if bad != nil {
 				return bad
 			}
 			out := cmd.OutOrStdout()
 			fmt.Fprintf(out, "%-16s %7s %7s %10s %10s  others\n", "kind", "calls", "ended", "first p50", "p95")
-			for _, row := range reprint.Play(cmd.Context(), pipe.Client(1000, ""), desk, calls, pace) {
+			for _, row := range replay.Play(cmd.Context(), rpc.Client(1000, ""), desk, calls, pace) {
 				codes := []string{}
 				for code, n := range row.Codes {
 					codes = append(codes, fmt.Sprintf("%s %d", code, n))
--- a/internal/collation/collation.go
+++ b/internal/comparison/comparison.go
@@ -1,4 +1,4 @@
-package collation
+package comparison
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 	"math/rand"
 	"time"
 
-	"petreltide/internal/deskwork"
+	"petreltide/internal/dispatch"
 	"petreltide/internal/fault"
 	"petreltide/internal/office"
 	"petreltide/internal/standing"
@@ -34,7 +34,7 @@
 	Duty     string
 	Replicas map[string]string
 	Desks    map[string]string
-	Gauges   []deskwork.Gauge
+	Gauges   []dispatch.Gauge
 	Loads    uint64
 	LoadedMb int64
 }
@@ -92,7 +92,7 @@
 	Number   int
 	Policy   int
 	Revision uint64
-	Kinds    map[string]*deskwork.KindGauge
+	Kinds    map[string]*dispatch.KindGauge
 	Loads    uint64
 	LoadedMb int64
 	Spoilt   string
@@ -266,14 +266,14 @@
 	if err != nil {
 		return asFault(err)
 	}
-	w.read, w.Kinds = true, map[string]*deskwork.KindGauge{}
+	w.read, w.Kinds = true, map[string]*dispatch.KindGauge{}
 	for _, g := range look.Gauges {
 		if g.Revision != w.Revision {
 			continue
 		}
 		for kind, k := range g.Kinds {
 			if w.Kinds[kind] == nil {
-				w.Kinds[kind] = &deskwork.KindGauge{}
+				w.Kinds[kind] = &dispatch.KindGauge{}
 			}
 			w.Kinds[kind].Join(k)
 		}
--- a/internal/collation/collation_test.go
+++ b/internal/comparison/comparison_test.go
@@ -1,4 +1,4 @@
-package collation
+package comparison
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"petreltide/internal/deskwork"
+	"petreltide/internal/dispatch"
 	"petreltide/internal/fault"
 	"petreltide/internal/office"
 	"petreltide/internal/standing"
@@ -20,7 +20,7 @@
 	r        *rand.Rand
 	revision uint64
 	doc      *standing.Declaration
-	gauges   []deskwork.Gauge
+	gauges   []dispatch.Gauge
 	replicas map[string]string
 	nowUs    int64
 	slowUs   map[string]int64
@@ -67,7 +67,7 @@
 func (s *stage) change(doc *standing.Declaration) {
 	s.revision++
 	s.doc = doc
-	s.gauges = append(s.gauges, deskwork.Gauge{Revision: s.revision, Kinds: map[string]*deskwork.KindGauge{"fixes": {First: weigh.Spread{}}}})
+	s.gauges = append(s.gauges, dispatch.Gauge{Revision: s.revision, Kinds: map[string]*dispatch.KindGauge{"fixes": {First: weigh.Spread{}}}})
 }
 
 func (s *stage) Look(context.Context) (Look, error) {
--- a/internal/collation/report.go
+++ b/internal/comparison/report.go
@@ -1,4 +1,4 @@
-package collation
+package comparison
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 	"slices"
 	"strings"
 
-	"petreltide/internal/deskwork"
+	"petreltide/internal/dispatch"
 	"petreltide/internal/weigh"
 )
 
@@ -16,11 +16,11 @@
 type figure struct {
 	name string
 	unit string
-	of   func(k *deskwork.KindGauge, mostMs float64) float64
+	of   func(k *dispatch.KindGauge, mostMs float64) float64
 }
 
-func share(part func(*deskwork.KindGauge) uint64) func(*deskwork.KindGauge, float64) float64 {
-	return func(k *deskwork.KindGauge, _ float64) float64 {
+func share(part func(*dispatch.KindGauge) uint64) func(*dispatch.KindGauge, float64) float64 {
+	return func(k *dispatch.KindGauge, _ float64) float64 {
 		return 100 * float64(part(k)) / float64(max(1, k.Ended+k.Expired+k.Refused+k.Broken))
 	}
 }
@@ -28,18 +28,18 @@
 var figures = []figure{
 	{"first piece p50", "ms", first(0.5)},
 	{"first piece p95", "ms", first(0.95)},
-	{"ended", "% of calls", share(func(k *deskwork.KindGauge) uint64 { return k.Ended })},
-	{"expired", "% of calls", share(func(k *deskwork.KindGauge) uint64 { return k.Expired })},
-	{"refused", "% of calls", share(func(k *deskwork.KindGauge) uint64 { return k.Refused })},
-	{"broken", "% of calls", share(func(k *deskwork.KindGauge) uint64 { return k.Broken })},
-	{"apart", "% of taken", func(k *deskwork.KindGauge, _ float64) float64 {
+	{"ended", "% of calls", share(func(k *dispatch.KindGauge) uint64 { return k.Ended })},
+	{"expired", "% of calls", share(func(k *dispatch.KindGauge) uint64 { return k.Expired })},
+	{"refused", "% of calls", share(func(k *dispatch.KindGauge) uint64 { return k.Refused })},
+	{"broken", "% of calls", share(func(k *dispatch.KindGauge) uint64 { return k.Broken })},
+	{"apart", "% of taken", func(k *dispatch.KindGauge, _ float64) float64 {
 		return 100 * float64(k.Spanned+k.Open()) / float64(max(1, k.Taken))
 	}},
 }
 
 // first holds a call without a first piece by the end of its window to be as slow as the window is long.
-func first(part float64) func(*deskwork.KindGauge, float64) float64 {
-	return func(k *deskwork.KindGauge, mostMs float64) float64 {
+func first(part float64) func(*dispatch.KindGauge, float64) float64 {
+	return func(k *dispatch.KindGauge, mostMs float64) float64 {
 		return k.First.QuantileMs(part, k.Unanswered+k.Open(), mostMs)
 	}
 }
--- a/internal/foreman/foreman.go
+++ b/internal/controller/controller.go
@@ -1,15 +1,15 @@
-package foreman
+package controller
 
 import (
 	"fmt"
 	"maps"
 	"slices"
 
-	"petreltide/internal/castoff"
 	"petreltide/internal/clock"
 	"petreltide/internal/fault"
-	"petreltide/internal/imposition"
 	"petreltide/internal/ledger"
+	"petreltide/internal/placement"
+	"petreltide/internal/scaler"
 	"petreltide/internal/standing"
 	"petreltide/internal/watch"
 	"petreltide/internal/wire"
@@ -72,8 +72,8 @@
 type PolicyDone struct {
 	Run      uint64
 	Revision uint64
-	Live     imposition.Answer
-	Shadows  []imposition.Answer
+	Live     placement.Answer
+	Shadows  []placement.Answer
 }
 
 type Effect struct {
@@ -101,7 +101,7 @@
 	Revision uint64
 	Live     standing.Policy
 	Shadows  []standing.Policy
-	Fleet    imposition.Fleet
+	Fleet    placement.Fleet
 }
 
 type Seen struct {
@@ -127,9 +127,9 @@
 	atUs   int64
 }
 
-// Foreman holds the duty of the one controller: it reads the ledger and what replicas,
+// Controller holds the duty of the one controller: it reads the ledger and what replicas,
 // platform and desks told it, and answers with ledger writes and orders.
-type Foreman struct {
+type Controller struct {
 	me         string
 	claimed    uint64
 	claimUs    int64
@@ -148,17 +148,17 @@
 	viewUs     int64
 	checked    bool
 	jury       *watch.Jury
-	bucket     imposition.Bucket
+	bucket     placement.Bucket
 	issuingMb  int64
 	orderUs    map[uint64]int64
 	policyUs   int64
 	moved      bool
 	runUs      int64
 	run        uint64
-	proposed   []imposition.Proposal
+	proposed   []placement.Proposal
 	proposedAt uint64
 	shareUs    int64
-	counted    []castoff.Count
+	counted    []scaler.Count
 	marks      []uint64
 	markUs     int64
 	Faults     map[fault.Code]uint64
@@ -168,25 +168,25 @@
 }
 
 type PolicyNote struct {
-	Name     string               `json:"name"`
-	Runs     uint64               `json:"runs"`
-	Steps    uint64               `json:"steps"`
-	Fault    *fault.Fault         `json:"fault,omitempty"`
-	Faulted  uint64               `json:"faulted"`
-	Verdicts []imposition.Verdict `json:"verdicts,omitempty"`
-	Parted   *Parted              `json:"parted,omitempty"`
+	Name     string              `json:"name"`
+	Runs     uint64              `json:"runs"`
+	Steps    uint64              `json:"steps"`
+	Fault    *fault.Fault        `json:"fault,omitempty"`
+	Faulted  uint64              `json:"faulted"`
+	Verdicts []placement.Verdict `json:"verdicts,omitempty"`
+	Parted   *Parted             `json:"parted,omitempty"`
 }
 
-func New(me string) *Foreman {
-	return &Foreman{
+func New(me string) *Controller {
+	return &Controller{
 		me: me, replicas: map[string]*told{}, desks: map[string]*deskRow{},
 		jury: watch.NewJury(), orderUs: map[uint64]int64{}, Faults: map[fault.Code]uint64{},
 	}
 }
 
-func (f *Foreman) Counts() []castoff.Count { return f.counted }
+func (f *Controller) Counts() []scaler.Count { return f.counted }
 
-func (f *Foreman) OnDuty(s *ledger.State) bool {
+func (f *Controller) OnDuty(s *ledger.State) bool {
 	return f.claimed > 0 && s.Epoch == f.claimed && s.Holder == f.me
 }
 
@@ -200,7 +200,7 @@
 	Waiting  map[string]int     `json:"waiting,omitempty"`
 }
 
-func (f *Foreman) Desks(nowUs int64) []DeskNote {
+func (f *Controller) Desks(nowUs int64) []DeskNote {
 	notes := []DeskNote{}
 	for _, id := range sorted(f.desks) {
 		d := f.desks[id]
@@ -213,7 +213,7 @@
 	return slices.Sorted(maps.Keys(m))
 }
 
-func (f *Foreman) Step(seen Seen, ev Event) []Effect {
+func (f *Controller) Step(seen Seen, ev Event) []Effect {
 	f.effects = nil
 	switch {
 	case ev.Report != nil:
@@ -241,11 +241,11 @@
 	return f.effects
 }
 
-func (f *Foreman) do(e Effect) { f.effects = append(f.effects, e) }
+func (f *Controller) do(e Effect) { f.effects = append(f.effects, e) }
 
-func (f *Foreman) count(code fault.Code) { f.Faults[code]++ }
+func (f *Controller) count(code fault.Code) { f.Faults[code]++ }
 
-func (f *Foreman) told(nowUs int64, t Told) {
+func (f *Controller) told(nowUs int64, t Told) {
 	row := f.replicas[t.Replica]
 	if row == nil || row.addr != t.Addr {
 		row = &told{addr: t.Addr, askedUs: nowUs}
@@ -261,7 +261,7 @@
 	row.state, row.atUs, row.heardUs = *t.State, nowUs, t.AskedUs
 }
 
-func (f *Foreman) tick(seen Seen) {
+func (f *Controller) tick(seen Seen) {
 	if !seen.Head {
 		f.leave()
 		return
@@ -299,7 +299,7 @@
 }
 
 // act writes and asks the policy at once where an event has made it worthwhile, not at the next tick.
-func (f *Foreman) act(seen Seen) {
+func (f *Controller) act(seen Seen) {
 	if seen.Head && seen.Fresh && f.OnDuty(seen.State) {
 		f.fill(seen)
 		f.startPolicy(seen)
@@ -308,13 +308,13 @@
 }
 
 // fill brings the bucket up to now; what it may not hold any more must be gone before it is spent from.
-func (f *Foreman) fill(seen Seen) {
+func (f *Controller) fill(seen Seen) {
 	if seen.State.Doc != nil {
 		f.bucket.Fill(seen.NowUs, seen.State.Doc.Store, f.unconfirmedMb(seen.State))
 	}
 }
 
-func (f *Foreman) leave() {
+func (f *Controller) leave() {
 	fresh := New(f.me)
 	fresh.Faults, fresh.writes, fresh.desks, fresh.Policy = f.Faults, f.writes, f.desks, f.Policy
 	fresh.run, fresh.jury = f.run, f.jury
@@ -325,7 +325,7 @@
 
 // orders sends what the ledger holds and the replica has not seen yet. The ticket keeps its
 // number, so a replica that did see it answers with its state instead of doing it again.
-func (f *Foreman) orders(seen Seen) {
+func (f *Controller) orders(seen Seen) {
 	s := seen.State
 	for _, id := range sorted(s.Pending) {
 		t := s.Pending[id]
@@ -345,7 +345,7 @@
 	}
 }
 
-func (f *Foreman) unconfirmedMb(s *ledger.State) int64 {
+func (f *Controller) unconfirmedMb(s *ledger.State) int64 {
 	sumMb := f.issuingMb
 	for _, t := range s.Pending {
 		row := f.replicas[t.Replica]
@@ -357,7 +357,7 @@
 	return sumMb
 }
 
-func (f *Foreman) write(seen Seen) {
+func (f *Controller) write(seen Seen) {
 	if !seen.Writes || (f.writing != "" && seen.NowUs-f.writeUs < writeLostUs) {
 		return
 	}
@@ -374,7 +374,7 @@
 			f.proposed = nil
 		}
 		if f.proposed != nil {
-			tickets, verdicts := imposition.Check(s, f.bucket.TokensMb, f.proposed)
+			tickets, verdicts := placement.Check(s, f.bucket.TokensMb, f.proposed)
 			f.proposed, f.Policy.Verdicts = nil, verdicts
 			for _, v := range verdicts {
 				if v.Fault != nil {
@@ -406,7 +406,7 @@
 	f.do(Effect{Write: &ledger.Change{ID: f.writing, Epoch: f.claimed, Duty: duty}})
 }
 
-func (f *Foreman) wrote(seen Seen, out ledger.Outcome) {
+func (f *Controller) wrote(seen Seen, out ledger.Outcome) {
 	if out.ID != f.writing {
 		return
 	}
@@ -420,7 +420,7 @@
 	}
 }
 
-func (f *Foreman) startPolicy(seen Seen) {
+func (f *Controller) startPolicy(seen Seen) {
 	s := seen.State
 	spanUs := policyEveryUs
 	if f.moved {
@@ -435,11 +435,11 @@
 	f.policyUs, f.runUs, f.moved = seen.NowUs, seen.NowUs, false
 	f.run++
 	rates, waiting := f.demand(seen.NowUs)
-	usable := []castoff.Room{}
-	fleet := imposition.Fleet{Doc: s.Doc, Rates: rates, Waiting: waiting}
+	usable := []scaler.Room{}
+	fleet := placement.Fleet{Doc: s.Doc, Rates: rates, Waiting: waiting}
 	for _, id := range s.ReplicaIDs() {
 		r := s.Replicas[id]
-		row := imposition.Replica{
+		row := placement.Replica{
 			ID: id, Zone: r.Zone, RoomMb: r.RoomMb, FreeMb: r.RoomMb - s.TakenMb(id), Slots: r.Slots,
 			Holds: sorted(r.Holds), Usable: r.Usable(s.Doc),
 		}
@@ -453,16 +453,16 @@
 			row.InFlight += d.report.InFlight[id]
 		}
 		if row.Usable {
-			usable = append(usable, castoff.Room{ID: id, RoomMb: r.RoomMb})
+			usable = append(usable, scaler.Room{ID: id, RoomMb: r.RoomMb})
 		}
 		fleet.Replicas = append(fleet.Replicas, row)
 	}
-	f.counted = castoff.Decide(castoff.Input{Doc: s.Doc, Rates: rates, Waiting: waiting, Usable: usable})
+	f.counted = scaler.Decide(scaler.Input{Doc: s.Doc, Rates: rates, Waiting: waiting, Usable: usable})
 	fleet.Counts = f.counted
 	f.do(Effect{Run: &Run{Number: f.run, Revision: s.Revision, Live: s.Doc.Policy, Shadows: s.Doc.Shadows, Fleet: fleet}})
 }
 
-func (f *Foreman) ran(seen Seen, p PolicyDone) {
+func (f *Controller) ran(seen Seen, p PolicyDone) {
 	if p.Run != f.run {
 		return
 	}
@@ -484,7 +484,7 @@
 		}
 		note = noted(note, a)
 		if a.Fault == nil {
-			_, note.Verdicts = imposition.Check(seen.State, f.bucket.TokensMb, a.Proposals)
+			_, note.Verdicts = placement.Check(seen.State, f.bucket.TokensMb, a.Proposals)
 		}
 		note.Parted = note.Parted.add(p.Live.Proposals, a.Proposals)
 		shadows = append(shadows, note)
@@ -492,7 +492,7 @@
 	f.Shadows = shadows
 }
 
-func noted(note PolicyNote, a imposition.Answer) PolicyNote {
+func noted(note PolicyNote, a placement.Answer) PolicyNote {
 	if note.Name != a.Policy {
 		note = PolicyNote{Name: a.Policy}
 	}
--- a/internal/foreman/foreman_test.go
+++ b/internal/controller/controller_test.go
@@ -1,19 +1,19 @@
-package foreman
+package controller
 
 import (
 	"testing"
 
 	"petreltide/internal/clock"
-	"petreltide/internal/imposition"
 	"petreltide/internal/ledger"
+	"petreltide/internal/placement"
 	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
-// rig plays ledger, platform and replicas for one foreman, all in step.
+// rig plays ledger, platform and replicas for one controller, all in step.
 type rig struct {
 	t      *testing.T
-	f      *Foreman
+	f      *Controller
 	s      *ledger.State
 	nowUs  int64
 	list   wire.List
@@ -82,7 +82,7 @@
 
 func (r *rig) propose(replica string) {
 	last := r.runs[len(r.runs)-1]
-	r.feed(Event{Policy: &PolicyDone{Run: last.Number, Revision: last.Revision, Live: imposition.Answer{Proposals: []imposition.Proposal{{Step: ledger.Load, Replica: replica, Unit: "m"}}}}})
+	r.feed(Event{Policy: &PolicyDone{Run: last.Number, Revision: last.Revision, Live: placement.Answer{Proposals: []placement.Proposal{{Step: ledger.Load, Replica: replica, Unit: "m"}}}}})
 	r.pass(200 * clock.Ms)
 }
 
--- a/internal/foreman/fuzz_test.go
+++ b/internal/controller/fuzz_test.go
@@ -1,4 +1,4 @@
-package foreman
+package controller
 
 import (
 	"encoding/json"
--- a/internal/foreman/hear.go
+++ b/internal/controller/hear.go
@@ -1,4 +1,4 @@
-package foreman
+package controller
 
 import (
 	"petreltide/internal/fault"
@@ -6,7 +6,7 @@
 	"petreltide/internal/wire"
 )
 
-func (f *Foreman) listed(nowUs int64, l Listed) {
+func (f *Controller) listed(nowUs int64, l Listed) {
 	switch {
 	case l.List == nil:
 		f.count(fault.PlatformBad)
@@ -50,7 +50,7 @@
 	return true
 }
 
-func (f *Foreman) ordered(o Ordered) {
+func (f *Controller) ordered(o Ordered) {
 	row := f.replicas[o.Replica]
 	if o.State.State == wire.OrderFailed {
 		f.count(fault.TicketRefused)
@@ -66,13 +66,13 @@
 }
 
 // settles: the replica's word for its last order ends what the ledger holds as pending.
-func (f *Foreman) settles(s *ledger.State, replica string) bool {
+func (f *Controller) settles(s *ledger.State, replica string) bool {
 	t, pending := s.Pending[replica]
 	row := f.replicas[replica]
 	return pending && row != nil && row.state.Last != nil && row.state.Inc == t.Inc && row.state.Last.Number >= t.Number && row.state.Last.State != wire.OrderRunning
 }
 
-func (f *Foreman) askReplicas(nowUs int64, s *ledger.State) {
+func (f *Controller) askReplicas(nowUs int64, s *ledger.State) {
 	if f.list == nil {
 		return
 	}
@@ -93,7 +93,7 @@
 	}
 }
 
-func (f *Foreman) noteFleet(seen Seen, duty *ledger.Duty) {
+func (f *Controller) noteFleet(seen Seen, duty *ledger.Duty) {
 	if f.list == nil {
 		return
 	}
@@ -145,7 +145,7 @@
 
 // retold takes a replica's own word for its holdings, but only while no order is pending and
 // its last order is the one the ledger settled, so that an old report undoes nothing.
-func (f *Foreman) retold(s *ledger.State, have *ledger.Replica, row *told) (bool, []ledger.Holding) {
+func (f *Controller) retold(s *ledger.State, have *ledger.Replica, row *told) (bool, []ledger.Holding) {
 	if have == nil || have.Inc != row.state.Inc {
 		return true, row.state.Holds
 	}
@@ -164,7 +164,7 @@
 	return true, row.state.Holds
 }
 
-func (f *Foreman) settle(nowUs int64, s *ledger.State, duty *ledger.Duty) {
+func (f *Controller) settle(nowUs int64, s *ledger.State, duty *ledger.Duty) {
 	for _, id := range sorted(s.Pending) {
 		t := s.Pending[id]
 		row := f.replicas[id]
--- a/internal/foreman/parted.go
+++ b/internal/controller/parted.go
@@ -1,7 +1,7 @@
-package foreman
+package controller
 
 import (
-	"petreltide/internal/imposition"
+	"petreltide/internal/placement"
 )
 
 const partedMost = 64
@@ -14,9 +14,9 @@
 	Left map[string]uint64 `json:"left"`
 }
 
-func step(p imposition.Proposal) string { return string(p.Step) + " " + p.Unit + " at " + p.Replica }
+func step(p placement.Proposal) string { return string(p.Step) + " " + p.Unit + " at " + p.Replica }
 
-func (p *Parted) add(live, shadow []imposition.Proposal) *Parted {
+func (p *Parted) add(live, shadow []placement.Proposal) *Parted {
 	if p == nil {
 		p = &Parted{Only: map[string]uint64{}, Left: map[string]uint64{}}
 	}
@@ -31,7 +31,7 @@
 }
 
 // apart lists the steps of one list that the other does not have.
-func apart(of, from []imposition.Proposal) []string {
+func apart(of, from []placement.Proposal) []string {
 	has := map[string]bool{}
 	for _, q := range from {
 		has[step(q)] = true
--- a/internal/foreman/share.go
+++ b/internal/controller/share.go
@@ -1,4 +1,4 @@
-package foreman
+package controller
 
 import (
 	"sort"
@@ -6,7 +6,7 @@
 	"petreltide/internal/ledger"
 )
 
-func (f *Foreman) dropDesks(seen Seen, duty *ledger.Duty) {
+func (f *Controller) dropDesks(seen Seen, duty *ledger.Duty) {
 	for _, id := range sorted(f.desks) {
 		if seen.NowUs-f.desks[id].atUs > deskGoneUs {
 			duty.Desks = append(duty.Desks, id)
@@ -16,11 +16,11 @@
 }
 
 // silent: both watchers that the ring names miss its beats, and its own reports have stopped too.
-func (f *Foreman) silent(nowUs int64, id string) bool {
+func (f *Controller) silent(nowUs int64, id string) bool {
 	return nowUs-f.desks[id].atUs > reportLateUs && f.jury.Gone(nowUs, id)
 }
 
-func (f *Foreman) live(nowUs int64) []string {
+func (f *Controller) live(nowUs int64) []string {
 	ids := []string{}
 	for _, id := range sorted(f.desks) {
 		if d := f.desks[id]; nowUs-d.atUs < deskLiveUs && !d.report.Draining && !f.silent(nowUs, id) {
@@ -30,7 +30,7 @@
 	return ids
 }
 
-func (f *Foreman) grant(seen Seen, duty *ledger.Duty) {
+func (f *Controller) grant(seen Seen, duty *ledger.Duty) {
 	s := seen.State
 	desks := f.live(seen.NowUs)
 	for _, id := range s.ReplicaIDs() {
@@ -62,7 +62,7 @@
 }
 
 // share divides a replica's slots by what each desk has there and what waits for its models.
-func (f *Foreman) share(seen Seen, duty *ledger.Duty) {
+func (f *Controller) share(seen Seen, duty *ledger.Duty) {
 	if seen.NowUs-f.shareUs < shareEveryUs {
 		return
 	}
@@ -120,7 +120,7 @@
 	}
 }
 
-func (f *Foreman) worthwhile(r *ledger.Replica, shares map[string]int) bool {
+func (f *Controller) worthwhile(r *ledger.Replica, shares map[string]int) bool {
 	if len(r.Shares) != len(shares) {
 		return true
 	}
@@ -139,7 +139,7 @@
 	return moved*3 > r.Slots*2
 }
 
-func (f *Foreman) markKeys(seen Seen, duty *ledger.Duty) {
+func (f *Controller) markKeys(seen Seen, duty *ledger.Duty) {
 	if f.markUs == 0 {
 		f.markUs = seen.NowUs
 	}
@@ -154,7 +154,7 @@
 	}
 }
 
-func (f *Foreman) demand(nowUs int64) (rates map[string]float64, waiting map[string]int) {
+func (f *Controller) demand(nowUs int64) (rates map[string]float64, waiting map[string]int) {
 	rates, waiting = map[string]float64{}, map[string]int{}
 	for _, id := range sorted(f.desks) {
 		d := f.desks[id]
--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -13,12 +13,12 @@
 	"time"
 
 	"petreltide/internal/clock"
-	"petreltide/internal/deskwork"
+	"petreltide/internal/dispatch"
 	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
-	"petreltide/internal/liaison"
 	"petreltide/internal/office"
-	"petreltide/internal/pipe"
+	"petreltide/internal/rpc"
+	"petreltide/internal/subscriber"
 	"petreltide/internal/watch"
 	"petreltide/internal/wire"
 )
@@ -48,8 +48,8 @@
 	Inc    string           `json:"inc"`
 	Zone   string           `json:"zone"`
 	Tail   string           `json:"tail"`
-	Work   deskwork.Note    `json:"work"`
-	Gauges []deskwork.Gauge `json:"gauges"`
+	Work   dispatch.Note    `json:"work"`
+	Gauges []dispatch.Gauge `json:"gauges"`
 }
 
 func (h *Host) handler() http.Handler {
@@ -58,14 +58,14 @@
 	mux.HandleFunc("GET /v1/status", h.status)
 	mux.HandleFunc("GET /v1/ready", h.ready)
 	mux.HandleFunc("GET /v1/log", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(h.ring.Bytes()) })
-	pipe.Serve(mux, pipe.WherePath, func(context.Context, *wire.WhereAsk) (*wire.Where, error) {
+	rpc.Serve(mux, rpc.WherePath, func(context.Context, *wire.WhereAsk) (*wire.Where, error) {
 		if w := h.where.Load(); w != nil {
 			return w, nil
 		}
 		return &wire.Where{}, nil
 	})
-	pipe.Serve(mux, pipe.BeatPath, func(_ context.Context, b *watch.Beat) (*wire.Receipt, error) {
-		h.tellLiaison(liaison.Event{Beat: b})
+	rpc.Serve(mux, rpc.BeatPath, func(_ context.Context, b *watch.Beat) (*wire.Receipt, error) {
+		h.tellSubscriber(subscriber.Event{Beat: b})
 		return &wire.Receipt{}, nil
 	})
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
@@ -124,7 +124,7 @@
 }
 
 // read checks everything that can be checked without asking the decider.
-func (h *Host) read(w http.ResponseWriter, r *http.Request) (*CallAsk, *deskwork.Call, bool, *fault.Fault) {
+func (h *Host) read(w http.ResponseWriter, r *http.Request) (*CallAsk, *dispatch.Call, bool, *fault.Fault) {
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(h.set.BodyMaxKb)<<10))
 	if err != nil {
 		if _, ok := err.(*http.MaxBytesError); ok {
@@ -155,7 +155,7 @@
 	}
 	last := r.Header.Get("Last-Event-Id")
 	once := ask.Resume != nil && !*ask.Resume
-	kind, bad := s.Lookup(deskwork.Asked{Kind: ask.Kind, Model: ask.Model, Adapter: ask.Adapter, Once: once, Had: last != ""}, clock.NowUs(), h.leaseUs.Load())
+	kind, bad := s.Lookup(dispatch.Asked{Kind: ask.Kind, Model: ask.Model, Adapter: ask.Adapter, Once: once, Had: last != ""}, clock.NowUs(), h.leaseUs.Load())
 	switch {
 	case bad != nil:
 		return nil, nil, false, bad
@@ -170,7 +170,7 @@
 	case len(r.Header.Get("Idempotency-Key")) > keyMost:
 		return nil, nil, false, fault.New(fault.BadField, "Idempotency-Key", "longer than %d bytes", keyMost)
 	}
-	c := &deskwork.Call{
+	c := &dispatch.Call{
 		ID: h.set.Name + "-" + office.RandomID(8), Kind: kind.Name, Model: ask.Model, Adapter: ask.Adapter,
 		Prefix: ask.Prefix, Once: once, MostMs: ask.ExpiryMs, TakenUs: clock.NowUs(),
 	}
@@ -181,7 +181,7 @@
 }
 
 // resumeAt lets a caller go on at any desk: it names the last piece and sends all it holds.
-func resumeAt(last string, ask *CallAsk, c *deskwork.Call) *fault.Fault {
+func resumeAt(last string, ask *CallAsk, c *dispatch.Call) *fault.Fault {
 	if last == "" {
 		if len(ask.Had) > 0 {
 			return fault.New(fault.BadLastEventID, "Last-Event-Id", "pieces are sent without it")
@@ -272,11 +272,11 @@
 }
 
 // follow1 takes one call through the decider and its legs to the one final answer.
-func (h *Host) follow1(ctx context.Context, ask *CallAsk, c *deskwork.Call, s *stream) string {
-	mine := &caller{next: make(chan deskwork.Effect, 4)}
+func (h *Host) follow1(ctx context.Context, ask *CallAsk, c *dispatch.Call, s *stream) string {
+	mine := &caller{next: make(chan dispatch.Effect, 4)}
 	if !h.ask(func() {
 		h.waiting[c.ID] = mine
-		h.step(deskwork.Event{Arrived: c})
+		h.step(dispatch.Event{Arrived: c})
 	}) {
 		s.fail(&fault.Fault{Code: fault.Draining, Run: fault.RunNone, RetryMs: 200})
 		return fault.RunNone
@@ -284,18 +284,18 @@
 	defer h.ask(func() { delete(h.waiting, c.ID) })
 	ran, why := fault.RunNone, ""
 	for {
-		var e deskwork.Effect
+		var e dispatch.Effect
 		select {
 		case e = <-mine.next:
 		case <-ctx.Done():
-			h.ask(func() { h.step(deskwork.Event{Gone: c.ID}) })
+			h.ask(func() { h.step(dispatch.Event{Gone: c.ID}) })
 			select {
 			case e = <-mine.next:
 			default:
 				return ran
 			}
 			if e.Start != nil {
-				h.tell(deskwork.Event{Ended: &deskwork.Ended{Call: c.ID, Leg: e.Start.Leg, Ending: deskwork.Unsent}})
+				h.tell(dispatch.Event{Ended: &dispatch.Ended{Call: c.ID, Leg: e.Start.Leg, Ending: dispatch.Unsent}})
 			}
 			return ran
 		}
@@ -306,7 +306,7 @@
 		if e.Over != nil {
 			f := fault.New(fault.Unknown, "", "%s", why)
 			f.Run = fault.RunUnknown
-			if e.Over.Ending == deskwork.Final {
+			if e.Over.Ending == dispatch.Final {
 				f.Code = fault.Expired
 			} else if s.opened {
 				f.Code, f.Run = fault.Broken, fault.RunPartial
@@ -317,14 +317,14 @@
 		ending, said := h.runLeg(ctx, ask, c, *e.Start, mine, s)
 		why = said
 		if ctx.Err() != nil || s.failed {
-			h.tell(deskwork.Event{Gone: c.ID})
+			h.tell(dispatch.Event{Gone: c.ID})
 		}
-		h.tell(deskwork.Event{Ended: &deskwork.Ended{Call: c.ID, Leg: e.Start.Leg, Ending: ending}})
+		h.tell(dispatch.Event{Ended: &dispatch.Ended{Call: c.ID, Leg: e.Start.Leg, Ending: ending}})
 		switch ending {
-		case deskwork.Done:
+		case dispatch.Done:
 			s.event(0, "end", map[string]any{"pieces": len(s.pieces)})
 			return fault.RunYes
-		case deskwork.Unsent, deskwork.Refused:
+		case dispatch.Unsent, dispatch.Refused:
 		default:
 			ran = fault.RunUnknown
 		}
@@ -338,7 +338,7 @@
 
 // runLeg obeys one decision. Only when no byte can have left, or the replica itself said that
 // it did not start, is the ending one that lets the call run elsewhere.
-func (h *Host) runLeg(ctx context.Context, ask *CallAsk, c *deskwork.Call, st deskwork.Start, mine *caller, s *stream) (deskwork.Ending, string) {
+func (h *Host) runLeg(ctx context.Context, ask *CallAsk, c *dispatch.Call, st dispatch.Start, mine *caller, s *stream) (dispatch.Ending, string) {
 	legCtx, cancel := context.WithDeadline(ctx, time.Now().Add(time.Duration(st.ExpiryUs-clock.NowUs())*time.Microsecond))
 	defer cancel()
 	h.ask(func() { mine.arm(cancel) })
@@ -358,18 +358,18 @@
 	}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(legCtx, trace), http.MethodPost, "http://"+st.Addr+"/v1/legs", io.NopCloser(body))
 	if err != nil {
-		return deskwork.Unsent, err.Error()
+		return dispatch.Unsent, err.Error()
 	}
 	req.ContentLength = int64(len(raw))
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Expect", "100-continue")
 	if !h.maySend(st) {
-		return deskwork.Unsent, "the news changed before it was sent"
+		return dispatch.Unsent, "the news changed before it was sent"
 	}
 	res, err := h.legs.Do(req)
 	if err != nil {
 		if !connected.Load() || !body.left.Load() {
-			return deskwork.Unsent, err.Error()
+			return dispatch.Unsent, err.Error()
 		}
 		h.settleLeg(st)
 		return endingOf(legCtx, ctx, st), err.Error()
@@ -379,12 +379,12 @@
 		refusal := wire.LegRefusal{Started: true}
 		answer, readErr := io.ReadAll(io.LimitReader(res.Body, 1<<16))
 		if readErr == nil && json.Unmarshal(answer, &refusal) == nil && refusal.Code != "" && !refusal.Started {
-			return deskwork.Refused, refusal.Code
+			return dispatch.Refused, refusal.Code
 		}
-		return deskwork.Unknown, "the replica answered " + res.Status
+		return dispatch.Unknown, "the replica answered " + res.Status
 	}
 	ending, why := h.readPieces(c, st, s, res.Body)
-	if ending == deskwork.Done {
+	if ending == dispatch.Done {
 		return ending, ""
 	}
 	stopped := legCtx.Err() != nil
@@ -396,19 +396,19 @@
 	return ending, why
 }
 
-func endingOf(legCtx, ctx context.Context, st deskwork.Start) deskwork.Ending {
+func endingOf(legCtx, ctx context.Context, st dispatch.Start) dispatch.Ending {
 	switch {
 	case ctx.Err() != nil:
-		return deskwork.Unknown
+		return dispatch.Unknown
 	case clock.NowUs() >= st.ExpiryUs:
-		return deskwork.Final
+		return dispatch.Final
 	case legCtx.Err() != nil:
-		return deskwork.Moved
+		return dispatch.Moved
 	}
-	return deskwork.Unknown
+	return dispatch.Unknown
 }
 
-func (h *Host) maySend(st deskwork.Start) bool {
+func (h *Host) maySend(st dispatch.Start) bool {
 	return st.MaySend(h.snap.Load(), clock.NowUs(), h.leaseUs.Load())
 }
 
@@ -416,7 +416,7 @@
 // in the socket of a frozen one, and after one more look at the lease and the newest news.
 type checked struct {
 	h     *Host
-	st    deskwork.Start
+	st    dispatch.Start
 	r     *bytes.Reader
 	left  atomic.Bool
 	asked atomic.Bool
@@ -435,22 +435,22 @@
 	return b.r.Read(p)
 }
 
-func (h *Host) readPieces(c *deskwork.Call, st deskwork.Start, s *stream, body io.Reader) (deskwork.Ending, string) {
+func (h *Host) readPieces(c *dispatch.Call, st dispatch.Start, s *stream, body io.Reader) (dispatch.Ending, string) {
 	bounded := &io.LimitedReader{R: body, N: pieceMost}
 	dec := json.NewDecoder(bounded)
 	held := 0
 	for {
 		var p wire.Piece
 		if err := dec.Decode(&p); err != nil {
-			return deskwork.Broken, "the replica's stream ended early: " + err.Error()
+			return dispatch.Broken, "the replica's stream ended early: " + err.Error()
 		}
 		bounded.N = pieceMost
 		if held += len(p.Text); held > streamMost {
-			return deskwork.Broken, "the replica's stream is too long"
+			return dispatch.Broken, "the replica's stream is too long"
 		}
-		ending, why := deskwork.Judge(st.Leg, len(s.pieces), p)
+		ending, why := dispatch.Judge(st.Leg, len(s.pieces), p)
 		if ending != "" {
-			if ending == deskwork.Broken {
+			if ending == dispatch.Broken {
 				_ = h.log.Log("event", "stream broken", "leg", st.Leg, "why", why)
 			}
 			return ending, why
@@ -460,14 +460,14 @@
 		c.Progress.Store(int64(len(s.pieces)))
 		s.event(len(s.pieces), "piece", map[string]any{"text": p.Text})
 		if s.failed {
-			return deskwork.Broken, "the caller is gone"
+			return dispatch.Broken, "the caller is gone"
 		}
 	}
 }
 
 // settleLeg tells the replica that nobody waits any more and returns when it says the leg is
 // over, so that the slot is free when it is counted free.
-func (h *Host) settleLeg(st deskwork.Start) {
+func (h *Host) settleLeg(st dispatch.Start) {
 	ctx, done := context.WithTimeout(h.act.Ctx, cancelWait)
 	defer done()
 	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+st.Addr+"/v1/legs/"+legNumber(st.Leg)+"?inc="+st.Inc, nil)
@@ -482,7 +482,7 @@
 	_ = res.Body.Close()
 }
 
-func (h *Host) claim(ctx context.Context, key string, c *deskwork.Call) *fault.Fault {
+func (h *Host) claim(ctx context.Context, key string, c *dispatch.Call) *fault.Fault {
 	change := ledger.Change{ID: "key-" + c.ID, Key: &ledger.KeyChange{Key: key, Desk: h.set.Name, DeskInc: h.inc, Call: c.ID}}
 	result, err := h.Submit(ctx, change)
 	if err != nil {
@@ -510,7 +510,7 @@
 	return f
 }
 
-func (h *Host) keyChange(key string, c *deskwork.Call, end string) {
+func (h *Host) keyChange(key string, c *dispatch.Call, end string) {
 	change := ledger.Change{ID: "key-" + end + "-" + c.ID, Key: &ledger.KeyChange{Key: key, Desk: h.set.Name, DeskInc: h.inc, Call: c.ID, End: end, Free: end == ""}}
 	h.calls.Add(1)
 	h.act.Spawn(func() {
@@ -521,9 +521,9 @@
 	})
 }
 
-func (h *Host) free(key string, c *deskwork.Call) { h.keyChange(key, c, "") }
+func (h *Host) free(key string, c *dispatch.Call) { h.keyChange(key, c, "") }
 
-func (h *Host) endKey(key string, c *deskwork.Call, end string) {
+func (h *Host) endKey(key string, c *dispatch.Call, end string) {
 	if end == fault.RunNone {
 		end = ""
 	}
--- a/internal/desk/host.go
+++ b/internal/desk/host.go
@@ -13,14 +13,14 @@
 	"petreltide/internal/actor"
 	"petreltide/internal/chain"
 	"petreltide/internal/clock"
-	"petreltide/internal/deskwork"
+	"petreltide/internal/dispatch"
 	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
-	"petreltide/internal/liaison"
+	"petreltide/internal/logring"
 	"petreltide/internal/office"
-	"petreltide/internal/pipe"
+	"petreltide/internal/rpc"
 	"petreltide/internal/settings"
-	"petreltide/internal/spike"
+	"petreltide/internal/subscriber"
 	"petreltide/internal/watch"
 	"petreltide/internal/wire"
 )
@@ -37,26 +37,26 @@
 type Host struct {
 	set     settings.Desk
 	inc     string
-	decider *deskwork.Decider
-	ring    *spike.Ring
+	decider *dispatch.Decider
+	ring    *logring.Ring
 	log     log.Logger
 	inner   *http.Client
 	legs    *http.Client
 
-	snap    atomic.Pointer[deskwork.Snapshot]
+	snap    atomic.Pointer[dispatch.Snapshot]
 	leaseUs atomic.Int64
 	calls   atomic.Int64
 
-	act      *actor.Actor
-	lastUs   int64
-	waiting  map[string]*caller
-	where    atomic.Pointer[wire.Where]
-	liaison  *liaison.Liaison
-	unfollow context.CancelFunc
+	act        *actor.Actor
+	lastUs     int64
+	waiting    map[string]*caller
+	where      atomic.Pointer[wire.Where]
+	subscriber *subscriber.Subscriber
+	unfollow   context.CancelFunc
 }
 
 type caller struct {
-	next   chan deskwork.Effect
+	next   chan dispatch.Effect
 	cancel context.CancelFunc
 	wanted bool
 }
@@ -77,16 +77,16 @@
 	c.cancel()
 }
 
-func Open(set settings.Desk, ring *spike.Ring) *Host {
+func Open(set settings.Desk, ring *logring.Ring) *Host {
 	inc := office.RandomID(6)
-	legs := pipe.Client(400, set.Listen)
+	legs := rpc.Client(400, set.Listen)
 	legs.Transport.(*http.Transport).DisableKeepAlives = true
 	legs.Transport.(*http.Transport).ExpectContinueTimeout = askedWait
 	return &Host{
-		set: set, inc: inc, ring: ring, log: ring.Logger("desk", set.Name), inner: pipe.Client(400, set.Listen), legs: legs,
-		decider: deskwork.New(deskwork.Options{Desk: set.Name, Inc: inc, BacklogMax: set.BacklogMax}),
+		set: set, inc: inc, ring: ring, log: ring.Logger("desk", set.Name), inner: rpc.Client(400, set.Listen), legs: legs,
+		decider: dispatch.New(dispatch.Options{Desk: set.Name, Inc: inc, BacklogMax: set.BacklogMax}),
 		act:     actor.New(mailboxMost), waiting: map[string]*caller{},
-		liaison: liaison.New(liaison.Options{Desk: set.Name, Inc: inc, Addr: set.Advertise, Zone: set.Zone, Seeds: set.Seeds}),
+		subscriber: subscriber.New(subscriber.Options{Desk: set.Name, Inc: inc, Addr: set.Advertise, Zone: set.Zone, Seeds: set.Seeds}),
 	}
 }
 
@@ -100,7 +100,7 @@
 	go func() { _ = server.Serve(listener) }()
 	h.act.Spawn(func() { h.act.Loop(tickEvery, h.tick) })
 	<-ctx.Done()
-	h.tell(deskwork.Event{Drain: true})
+	h.tell(dispatch.Event{Drain: true})
 	expiry := time.NewTimer(time.Duration(h.set.DrainMs) * time.Millisecond)
 	defer expiry.Stop()
 	look := time.NewTicker(20 * time.Millisecond)
@@ -132,15 +132,15 @@
 		_ = h.log.Log("event", "woke after a gap", "gapMs", (nowUs-h.lastUs)/1000)
 	}
 	h.lastUs = nowUs
-	h.step(deskwork.Event{})
-	h.liaise(liaison.Event{})
+	h.step(dispatch.Event{})
+	h.subscribe(subscriber.Event{})
 }
 
-func (h *Host) tell(ev deskwork.Event) { h.act.Tell(func() { h.step(ev) }) }
+func (h *Host) tell(ev dispatch.Event) { h.act.Tell(func() { h.step(ev) }) }
 
 func (h *Host) ask(act func()) bool { return h.act.Ask(h.act.Ctx, act) }
 
-func (h *Host) step(ev deskwork.Event) {
+func (h *Host) step(ev dispatch.Event) {
 	ev.NowUs = clock.NowUs()
 	for _, e := range h.decider.Step(ev) {
 		switch {
@@ -158,12 +158,12 @@
 	}
 }
 
-func (h *Host) hand(id string, e deskwork.Effect) {
+func (h *Host) hand(id string, e dispatch.Effect) {
 	c := h.waiting[id]
 	if c == nil {
 		if e.Start != nil {
-			h.step(deskwork.Event{Gone: id})
-			h.step(deskwork.Event{Ended: &deskwork.Ended{Call: id, Leg: e.Start.Leg, Ending: deskwork.Unsent}})
+			h.step(dispatch.Event{Gone: id})
+			h.step(dispatch.Event{Ended: &dispatch.Ended{Call: id, Leg: e.Start.Leg, Ending: dispatch.Unsent}})
 		}
 		return
 	}
@@ -173,9 +173,9 @@
 	c.next <- e
 }
 
-func (h *Host) liaise(ev liaison.Event) {
+func (h *Host) subscribe(ev subscriber.Event) {
 	ev.NowUs = clock.NowUs()
-	for _, e := range h.liaison.Step(ev) {
+	for _, e := range h.subscriber.Step(ev) {
 		switch {
 		case e.AskWhere != nil:
 			for _, addr := range e.AskWhere {
@@ -191,7 +191,7 @@
 			h.act.Spawn(func() { h.follow(ctx, follow) })
 		case e.Report != nil:
 			report := h.decider.Report(ev.NowUs)
-			report.Addr, report.Zone, report.Silent = h.set.Advertise, h.set.Zone, h.liaison.Silent(ev.NowUs)
+			report.Addr, report.Zone, report.Silent = h.set.Advertise, h.set.Zone, h.subscriber.Silent(ev.NowUs)
 			tail := *e.Report
 			h.act.Spawn(func() { h.report(tail, report) })
 		case e.Beats != nil:
@@ -203,45 +203,45 @@
 			}
 		case e.Snapshot != nil:
 			h.snap.Store(e.Snapshot)
-			h.step(deskwork.Event{Snapshot: e.Snapshot})
+			h.step(dispatch.Event{Snapshot: e.Snapshot})
 		case e.LeaseUs != 0:
 			h.leaseUs.Store(e.LeaseUs)
-			h.step(deskwork.Event{LeaseUs: e.LeaseUs})
+			h.step(dispatch.Event{LeaseUs: e.LeaseUs})
 		}
 	}
 	if ev.Where != nil {
-		where := h.liaison.Where()
+		where := h.subscriber.Where()
 		h.where.Store(&where)
 	}
 }
 
-func (h *Host) tellLiaison(ev liaison.Event) { h.act.Tell(func() { h.liaise(ev) }) }
+func (h *Host) tellSubscriber(ev subscriber.Event) { h.act.Tell(func() { h.subscribe(ev) }) }
 
 func (h *Host) beat(addr string, b watch.Beat) {
 	ctx, done := context.WithTimeout(h.act.Ctx, time.Duration(watch.BeatUs)*time.Microsecond)
 	defer done()
-	_, _ = pipe.NewCaller[watch.Beat, wire.Receipt](h.inner, addr, pipe.BeatPath).Call(ctx, &b)
+	_, _ = rpc.NewCaller[watch.Beat, wire.Receipt](h.inner, addr, rpc.BeatPath).Call(ctx, &b)
 }
 
 func (h *Host) askWhere(addr string) {
 	ctx, done := context.WithTimeout(h.act.Ctx, 400*time.Millisecond)
 	defer done()
-	w, err := pipe.NewCaller[wire.WhereAsk, wire.Where](h.inner, addr, pipe.WherePath).Call(ctx, &wire.WhereAsk{})
+	w, err := rpc.NewCaller[wire.WhereAsk, wire.Where](h.inner, addr, rpc.WherePath).Call(ctx, &wire.WhereAsk{})
 	if err == nil {
-		h.tellLiaison(liaison.Event{Where: w})
+		h.tellSubscriber(subscriber.Event{Where: w})
 	}
 }
 
 // follow holds the pipe down which the tail pushes news.
-func (h *Host) follow(ctx context.Context, f liaison.Follow) {
-	defer h.tellLiaison(liaison.Event{Closed: f.Number})
-	stream, err := pipe.NewCaller[wire.Follow, wire.News](h.inner, f.Tail.Addr, pipe.FollowPath).Stream(ctx, &f.Ask)
+func (h *Host) follow(ctx context.Context, f subscriber.Follow) {
+	defer h.tellSubscriber(subscriber.Event{Closed: f.Number})
+	stream, err := rpc.NewCaller[wire.Follow, wire.News](h.inner, f.Tail.Addr, rpc.FollowPath).Stream(ctx, &f.Ask)
 	if err != nil {
 		return
 	}
 	for stream.Receive() {
 		news := *stream.Msg()
-		h.tellLiaison(liaison.Event{News: &news})
+		h.tellSubscriber(subscriber.Event{News: &news})
 	}
 	_ = stream.Close()
 }
@@ -250,9 +250,9 @@
 func (h *Host) report(tail chain.Seat, report wire.Report) {
 	ctx, done := context.WithTimeout(h.act.Ctx, 600*time.Millisecond)
 	defer done()
-	lease, err := pipe.NewCaller[wire.Report, wire.Lease](h.inner, tail.Addr, pipe.AckPath).Call(ctx, &report)
+	lease, err := rpc.NewCaller[wire.Report, wire.Lease](h.inner, tail.Addr, rpc.AckPath).Call(ctx, &report)
 	if err == nil && lease.SentUs == report.SentUs {
-		h.tellLiaison(liaison.Event{Lease: lease})
+		h.tellSubscriber(subscriber.Event{Lease: lease})
 	}
 }
 
@@ -269,11 +269,11 @@
 	defer done()
 	var last error
 	var offices []string
-	if !h.ask(func() { offices = h.liaison.Offices() }) {
+	if !h.ask(func() { offices = h.subscriber.Offices() }) {
 		return nil, fault.New(fault.Draining, "", "stopping")
 	}
 	for _, addr := range offices {
-		result, err := pipe.NewCaller[ledger.Change, wire.Result](h.inner, addr, pipe.SubmitPath).Call(ctx, &c)
+		result, err := rpc.NewCaller[ledger.Change, wire.Result](h.inner, addr, rpc.SubmitPath).Call(ctx, &c)
 		if err == nil {
 			return result, nil
 		}
--- a/internal/deskwork/gauge.go
+++ b/internal/dispatch/gauge.go
@@ -1,4 +1,4 @@
-package deskwork
+package dispatch
 
 import (
 	"petreltide/internal/fault"
--- a/internal/newsroom/newsroom.go
+++ b/internal/feed/feed.go
@@ -1,4 +1,4 @@
-package newsroom
+package feed
 
 import (
 	"maps"
--- a/internal/spike/spike.go
+++ b/internal/logring/logring.go
@@ -1,4 +1,4 @@
-package spike
+package logring
 
 import (
 	"bytes"
--- a/internal/office/core.go
+++ b/internal/office/core.go
@@ -5,10 +5,10 @@
 
 	"petreltide/internal/chain"
 	"petreltide/internal/clock"
+	"petreltide/internal/controller"
 	"petreltide/internal/fault"
-	"petreltide/internal/foreman"
+	"petreltide/internal/feed"
 	"petreltide/internal/ledger"
-	"petreltide/internal/newsroom"
 	"petreltide/internal/watch"
 	"petreltide/internal/wire"
 )
@@ -16,15 +16,15 @@
 const memberEveryUs = 500 * clock.Ms
 
 type Event struct {
-	NowUs   int64
-	Letter  *wire.Letter
-	Saved   uint64
-	Submit  *ledger.Change
-	Learn   []string
-	Follow  *wire.Follow
-	Report  *Reported
-	Foreman *foreman.Event
-	Beat    *watch.Beat
+	NowUs      int64
+	Letter     *wire.Letter
+	Saved      uint64
+	Submit     *ledger.Change
+	Learn      []string
+	Follow     *wire.Follow
+	Report     *Reported
+	Controller *controller.Event
+	Beat       *watch.Beat
 }
 
 type Reported struct {
@@ -33,15 +33,15 @@
 }
 
 type Effect struct {
-	Letter  *Letter
-	Save    *chain.Save
-	Push    *newsroom.Push
-	Result  *wire.Result
-	Lease   *Leased
-	Foreman *foreman.Effect
-	Applied *chain.Applied
-	Trouble string
-	Note    string
+	Letter     *Letter
+	Save       *chain.Save
+	Push       *feed.Push
+	Result     *wire.Result
+	Lease      *Leased
+	Controller *controller.Effect
+	Applied    *chain.Applied
+	Trouble    string
+	Note       string
 }
 
 type Letter struct {
@@ -54,20 +54,20 @@
 	Lease wire.Lease
 }
 
-// Core is an office's whole reducer: the chain, the tail's newsroom and the head's foreman.
+// Core is an office's whole reducer: the chain, the tail's feed and the head's controller.
 type Core struct {
-	Node     *chain.Node
-	Room     *newsroom.Room
-	Foreman  *foreman.Foreman
-	effects  []Effect
-	Watch    *watch.Watch
-	silentUs int64
-	memberUs int64
-	checked  uint64
+	Node       *chain.Node
+	Room       *feed.Room
+	Controller *controller.Controller
+	effects    []Effect
+	Watch      *watch.Watch
+	silentUs   int64
+	memberUs   int64
+	checked    uint64
 }
 
 func NewCore(node *chain.Node) *Core {
-	return &Core{Node: node, Room: newsroom.New(), Foreman: foreman.New(node.Me().ID), Watch: watch.New()}
+	return &Core{Node: node, Room: feed.New(), Controller: controller.New(node.Me().ID), Watch: watch.New()}
 }
 
 func (c *Core) Step(ev Event) []Effect {
@@ -86,13 +86,13 @@
 		c.Room.Follow(ev.NowUs, *ev.Follow)
 	case ev.Report != nil:
 		c.report(ev.NowUs, *ev.Report)
-	case ev.Foreman != nil:
-		c.foreman(*ev.Foreman)
+	case ev.Controller != nil:
+		c.controller(*ev.Controller)
 	case ev.Beat != nil:
 		c.Watch.Heard(ev.NowUs, *ev.Beat)
 	default:
 		c.chain(chain.Event{NowUs: ev.NowUs})
-		c.foreman(foreman.Event{NowUs: ev.NowUs})
+		c.controller(controller.Event{NowUs: ev.NowUs})
 		c.saySilence(ev.NowUs)
 		c.memberDone(ev.NowUs)
 	}
@@ -114,9 +114,9 @@
 	case l.Result != nil:
 		c.effects = append(c.effects, Effect{Result: l.Result})
 	case l.Report != nil:
-		c.foreman(foreman.Event{NowUs: nowUs, Report: l.Report})
+		c.controller(controller.Event{NowUs: nowUs, Report: l.Report})
 	case l.Silence != nil:
-		c.foreman(foreman.Event{NowUs: nowUs, Silence: l.Silence})
+		c.controller(controller.Event{NowUs: nowUs, Silence: l.Silence})
 	}
 }
 
@@ -137,7 +137,7 @@
 	c.silentUs = nowUs
 	s := &watch.Silence{By: c.Node.Me().ID, Silent: c.Watch.Silent(nowUs)}
 	if c.Node.IsHead() {
-		c.foreman(foreman.Event{NowUs: nowUs, Silence: s})
+		c.controller(controller.Event{NowUs: nowUs, Silence: s})
 	} else if head := c.Node.View().Head(); head.Addr != "" {
 		c.post(head.Addr, wire.Letter{Silence: s})
 	}
@@ -153,7 +153,7 @@
 		return
 	}
 	if c.Node.IsHead() {
-		c.foreman(foreman.Event{NowUs: nowUs, Report: &r.Report})
+		c.controller(controller.Event{NowUs: nowUs, Report: &r.Report})
 		return
 	}
 	report := r.Report
@@ -193,7 +193,7 @@
 	c.effects = append(c.effects, Effect{Applied: &a})
 	if change.Duty != nil && change.Epoch == c.Node.State().Epoch {
 		out := a.Outcome
-		c.foreman(foreman.Event{NowUs: nowUs, Wrote: &out})
+		c.controller(controller.Event{NowUs: nowUs, Wrote: &out})
 	}
 	if !c.Node.IsTail() || change.Origin == "" || !c.Node.WritesTaken() {
 		return
@@ -214,21 +214,21 @@
 	c.post(origin, wire.Letter{Result: &r})
 }
 
-func (c *Core) foreman(ev foreman.Event) {
-	seen := foreman.Seen{
+func (c *Core) controller(ev controller.Event) {
+	seen := controller.Seen{
 		NowUs: ev.NowUs, State: c.Node.State(), Head: c.Node.IsHead(),
 		Fresh: c.Node.HeadFresh(ev.NowUs), Writes: c.Node.WritesTaken(), View: c.Node.View().Number,
 	}
 	if !seen.Writes {
 		seen.Fresh = false
 	}
-	for _, e := range c.Foreman.Step(seen, ev) {
+	for _, e := range c.Controller.Step(seen, ev) {
 		if e.Write != nil {
 			c.chain(chain.Event{NowUs: ev.NowUs, Submit: e.Write})
 			continue
 		}
 		held := e
-		c.effects = append(c.effects, Effect{Foreman: &held})
+		c.effects = append(c.effects, Effect{Controller: &held})
 	}
 }
 
@@ -244,44 +244,44 @@
 }
 
 type Status struct {
-	Office   chain.Member          `json:"office"`
-	Phase    chain.Phase           `json:"phase"`
-	View     chain.View            `json:"view"`
-	Open     bool                  `json:"open"`
-	WaitsFor string                `json:"waitsFor,omitempty"`
-	Commit   uint64                `json:"commit"`
-	Last     uint64                `json:"last"`
-	Epoch    uint64                `json:"epoch"`
-	Holder   string                `json:"holder"`
-	OnDuty   bool                  `json:"onDuty"`
-	Revision uint64                `json:"revision"`
-	Emptied  []string              `json:"emptied,omitempty"`
-	Partners []chain.PartnerNote   `json:"partners"`
-	Desks    []newsroom.DeskNote   `json:"desks,omitempty"`
-	Demand   []foreman.DeskNote    `json:"demand,omitempty"`
-	Replicas []ledger.Replica      `json:"replicas"`
-	Pending  []ledger.Ticket       `json:"pending"`
-	Counts   any                   `json:"counts,omitempty"`
-	Policy   foreman.PolicyNote    `json:"policy"`
-	Shadows  []foreman.PolicyNote  `json:"shadows,omitempty"`
-	Faults   map[fault.Code]uint64 `json:"faults,omitempty"`
-	Refused  map[fault.Code]uint64 `json:"refused,omitempty"`
-	Keys     int                   `json:"keys"`
-	Member   *ledger.MemberChange  `json:"member,omitempty"`
-	MemberOn string                `json:"memberWaitsFor,omitempty"`
-	Grants   int                   `json:"grants"`
-	Loads    uint64                `json:"loads"`
-	LoadedMb int64                 `json:"loadedMb"`
+	Office   chain.Member            `json:"office"`
+	Phase    chain.Phase             `json:"phase"`
+	View     chain.View              `json:"view"`
+	Open     bool                    `json:"open"`
+	WaitsFor string                  `json:"waitsFor,omitempty"`
+	Commit   uint64                  `json:"commit"`
+	Last     uint64                  `json:"last"`
+	Epoch    uint64                  `json:"epoch"`
+	Holder   string                  `json:"holder"`
+	OnDuty   bool                    `json:"onDuty"`
+	Revision uint64                  `json:"revision"`
+	Emptied  []string                `json:"emptied,omitempty"`
+	Partners []chain.PartnerNote     `json:"partners"`
+	Desks    []feed.DeskNote         `json:"desks,omitempty"`
+	Demand   []controller.DeskNote   `json:"demand,omitempty"`
+	Replicas []ledger.Replica        `json:"replicas"`
+	Pending  []ledger.Ticket         `json:"pending"`
+	Counts   any                     `json:"counts,omitempty"`
+	Policy   controller.PolicyNote   `json:"policy"`
+	Shadows  []controller.PolicyNote `json:"shadows,omitempty"`
+	Faults   map[fault.Code]uint64   `json:"faults,omitempty"`
+	Refused  map[fault.Code]uint64   `json:"refused,omitempty"`
+	Keys     int                     `json:"keys"`
+	Member   *ledger.MemberChange    `json:"member,omitempty"`
+	MemberOn string                  `json:"memberWaitsFor,omitempty"`
+	Grants   int                     `json:"grants"`
+	Loads    uint64                  `json:"loads"`
+	LoadedMb int64                   `json:"loadedMb"`
 }
 
 func (c *Core) Status(nowUs int64) Status {
 	s := c.Node.State()
 	st := Status{
 		Office: c.Node.Me(), Phase: c.Node.Phase(), View: c.Node.View(), Open: c.Node.Open(nowUs), WaitsFor: c.Node.WaitsFor(),
-		Commit: c.Node.Commit(), Last: c.Node.Last(), Epoch: s.Epoch, Holder: s.Holder, OnDuty: c.Foreman.OnDuty(s),
-		Revision: s.Revision, Partners: c.Node.Partners(), Desks: c.Room.Desks(nowUs), Demand: c.Foreman.Desks(nowUs),
-		Counts: c.Foreman.Counts(), Policy: c.Foreman.Policy, Shadows: c.Foreman.Shadows,
-		Faults: copyOf(c.Foreman.Faults), Refused: copyOf(s.Refused), Keys: len(s.Keys), Member: s.Member, MemberOn: c.Node.MemberWaits(), Grants: len(s.Grants), Loads: s.Loads, LoadedMb: s.LoadedMb,
+		Commit: c.Node.Commit(), Last: c.Node.Last(), Epoch: s.Epoch, Holder: s.Holder, OnDuty: c.Controller.OnDuty(s),
+		Revision: s.Revision, Partners: c.Node.Partners(), Desks: c.Room.Desks(nowUs), Demand: c.Controller.Desks(nowUs),
+		Counts: c.Controller.Counts(), Policy: c.Controller.Policy, Shadows: c.Controller.Shadows,
+		Faults: copyOf(c.Controller.Faults), Refused: copyOf(s.Refused), Keys: len(s.Keys), Member: s.Member, MemberOn: c.Node.MemberWaits(), Grants: len(s.Grants), Loads: s.Loads, LoadedMb: s.LoadedMb,
 		Pending: []ledger.Ticket{}, Replicas: []ledger.Replica{},
 	}
 	if s.Doc != nil {
--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -18,14 +18,14 @@
 	"petreltide/internal/actor"
 	"petreltide/internal/chain"
 	"petreltide/internal/clock"
+	"petreltide/internal/controller"
 	"petreltide/internal/fault"
-	"petreltide/internal/foreman"
-	"petreltide/internal/imposition"
 	"petreltide/internal/ledger"
-	"petreltide/internal/pipe"
+	"petreltide/internal/logring"
+	"petreltide/internal/placement"
+	"petreltide/internal/rpc"
 	"petreltide/internal/settings"
-	"petreltide/internal/shelf"
-	"petreltide/internal/spike"
+	"petreltide/internal/storage"
 	"petreltide/internal/wire"
 )
 
@@ -53,8 +53,8 @@
 type Host struct {
 	set   settings.Office
 	core  *Core
-	disk  *shelf.Shelf
-	ring  *spike.Ring
+	disk  *storage.Store
+	ring  *logring.Ring
 	log   log.Logger
 	web   *http.Client
 	inner *http.Client
@@ -77,20 +77,20 @@
 
 // Open reads the data folder. Damaged data is set aside under a name that says so and the
 // office comes back as a new member; it never votes on what it can no longer know.
-func Open(set settings.Office, ring *spike.Ring) (*Host, error) {
+func Open(set settings.Office, ring *logring.Ring) (*Host, error) {
 	logger := ring.Logger("office", set.Name)
 	seal := chain.Seal{Identity: set.Name + "-" + RandomID(4), Name: set.Name}
-	opened, err := shelf.Open(set.Data, seal)
+	opened, err := storage.Open(set.Data, seal)
 	var bad *fault.Fault
 	founding := set.Founding
 	if errors.As(err, &bad) && bad.Code == fault.DamagedData {
-		kept, moveErr := shelf.SetAside(set.Data, RandomID(4))
+		kept, moveErr := storage.SetAside(set.Data, RandomID(4))
 		if moveErr != nil {
 			return nil, errors.Trace(moveErr)
 		}
 		_ = logger.Log("event", "damaged data set aside", "kept", kept, "why", bad.Error())
 		ring.Dump("stored data is damaged (" + bad.Error() + "); it is kept in " + kept + " and will be copied from partners")
-		opened, err = shelf.Open(set.Data, seal)
+		opened, err = storage.Open(set.Data, seal)
 	}
 	if err != nil {
 		return nil, err
@@ -98,7 +98,7 @@
 	if opened.Cut > 0 {
 		_ = logger.Log("event", "cut a torn last record", "bytes", opened.Cut)
 	}
-	me := chain.Member{ID: opened.Shelf.Seal().Identity, Name: set.Name, Addr: set.Advertise, Zone: set.Zone}
+	me := chain.Member{ID: opened.Store.Seal().Identity, Name: set.Name, Addr: set.Advertise, Zone: set.Zone}
 	if kept, _ := filepath.Glob(filepath.Join(set.Data, "chain.damaged-*")); opened.Fresh && len(kept) > 0 {
 		founding = 0
 	}
@@ -107,8 +107,8 @@
 		return nil, fault.New(fault.DamagedData, set.Data, "%v", err)
 	}
 	return &Host{
-		set: set, core: NewCore(node), disk: opened.Shelf, ring: ring, log: logger,
-		web: pipe.Client(500, set.Listen), inner: pipe.Client(500, set.Listen),
+		set: set, core: NewCore(node), disk: opened.Store, ring: ring, log: logger,
+		web: rpc.Client(500, set.Listen), inner: rpc.Client(500, set.Listen),
 		act: actor.New(mailboxMost), saves: make(chan chain.Save, 1024),
 		partners: map[string]chan wire.Letter{}, bulk: map[string]bool{}, waiters: map[string]chan wire.Result{}, replies: map[uint64]chan wire.Lease{},
 		follows: map[string]*followed{}, rebuilds: opened.Fresh && founding == 0, failed: make(chan error, 1),
@@ -158,8 +158,8 @@
 
 func (h *Host) step(ev Event) {
 	ev.NowUs = clock.NowUs()
-	if ev.Foreman != nil {
-		ev.Foreman.NowUs = ev.NowUs
+	if ev.Controller != nil {
+		ev.Controller.NowUs = ev.NowUs
 	}
 	for _, e := range h.core.Step(ev) {
 		switch {
@@ -181,8 +181,8 @@
 				reply <- e.Lease.Lease
 				delete(h.replies, e.Lease.Reply)
 			}
-		case e.Foreman != nil:
-			h.foreman(*e.Foreman)
+		case e.Controller != nil:
+			h.controller(*e.Controller)
 		case e.Note != "":
 			_ = h.log.Log("event", e.Note, "what", e.Trouble, "number", h.core.Node.View().Number)
 		}
@@ -260,13 +260,13 @@
 	h.act.Spawn(func() {
 		ctx, done := context.WithTimeout(h.act.Ctx, bulkWait)
 		defer done()
-		_, _ = pipe.NewCaller[wire.Post, wire.Receipt](h.inner, addr, pipe.PostPath).Call(ctx, &wire.Post{Letters: []wire.Letter{l}})
+		_, _ = rpc.NewCaller[wire.Post, wire.Receipt](h.inner, addr, rpc.PostPath).Call(ctx, &wire.Post{Letters: []wire.Letter{l}})
 		h.act.Tell(func() { delete(h.bulk, addr) })
 	})
 }
 
 func (h *Host) carry(addr string, box chan wire.Letter) {
-	caller := pipe.NewCaller[wire.Post, wire.Receipt](h.inner, addr, pipe.PostPath)
+	caller := rpc.NewCaller[wire.Post, wire.Receipt](h.inner, addr, rpc.PostPath)
 	for {
 		post := wire.Post{}
 		select {
@@ -335,7 +335,7 @@
 				continue
 			}
 			ctx, done := context.WithTimeout(h.act.Ctx, 500*time.Millisecond)
-			where, err := pipe.NewCaller[wire.WhereAsk, wire.Where](h.inner, seed, pipe.WherePath).Call(ctx, &wire.WhereAsk{From: h.core.Node.Me()})
+			where, err := rpc.NewCaller[wire.WhereAsk, wire.Where](h.inner, seed, rpc.WherePath).Call(ctx, &wire.WhereAsk{From: h.core.Node.Me()})
 			done()
 			if err != nil {
 				continue
@@ -378,7 +378,7 @@
 	return w
 }
 
-func (h *Host) foreman(e foreman.Effect) {
+func (h *Host) controller(e controller.Effect) {
 	switch {
 	case e.PollList:
 		h.act.Spawn(h.pollList)
@@ -393,32 +393,32 @@
 	case e.Run != nil:
 		run := *e.Run
 		h.act.Spawn(func() {
-			done := foreman.PolicyDone{Run: run.Number, Revision: run.Revision, Live: imposition.Run(run.Live, run.Fleet)}
+			done := controller.PolicyDone{Run: run.Number, Revision: run.Revision, Live: placement.Run(run.Live, run.Fleet)}
 			for _, s := range run.Shadows {
-				done.Shadows = append(done.Shadows, imposition.Run(s, run.Fleet))
+				done.Shadows = append(done.Shadows, placement.Run(s, run.Fleet))
 			}
-			h.tell(Event{Foreman: &foreman.Event{Policy: &done}})
+			h.tell(Event{Controller: &controller.Event{Policy: &done}})
 		})
 	}
 }
 
 func (h *Host) pollList() {
-	listed := foreman.Listed{List: &wire.List{}}
+	listed := controller.Listed{List: &wire.List{}}
 	if err := h.getJSON("http://"+h.set.Platform+"/v1/replicas", platformWait, listed.List); err != nil {
-		listed = foreman.Listed{Err: err.Error()}
+		listed = controller.Listed{Err: err.Error()}
 	}
-	h.tell(Event{Foreman: &foreman.Event{Listed: &listed}})
+	h.tell(Event{Controller: &controller.Event{Listed: &listed}})
 }
 
-func (h *Host) askReplica(a foreman.Ask) {
-	told := foreman.Told{AskedUs: a.AskedUs, Replica: a.Replica, Addr: a.Addr, State: &wire.ReplicaState{}}
+func (h *Host) askReplica(a controller.Ask) {
+	told := controller.Told{AskedUs: a.AskedUs, Replica: a.Replica, Addr: a.Addr, State: &wire.ReplicaState{}}
 	if err := h.getJSON("http://"+a.Addr+"/v1/state", replicaWait, told.State); err != nil {
 		told.State, told.Err = nil, err.Error()
 	}
-	h.tell(Event{Foreman: &foreman.Event{Told: &told}})
+	h.tell(Event{Controller: &controller.Event{Told: &told}})
 }
 
-func (h *Host) order(o foreman.Order) {
+func (h *Host) order(o controller.Order) {
 	raw, err := json.Marshal(o.Order)
 	if err != nil {
 		panic(err)
@@ -436,12 +436,12 @@
 		return
 	}
 	defer res.Body.Close()
-	ordered := foreman.Ordered{Replica: o.Order.Ticket.Replica, Inc: o.Order.Ticket.Inc}
+	ordered := controller.Ordered{Replica: o.Order.Ticket.Replica, Inc: o.Order.Ticket.Inc}
 	answer, err := io.ReadAll(io.LimitReader(res.Body, 1<<16))
 	if err != nil || res.StatusCode != http.StatusOK || json.Unmarshal(answer, &ordered.State) != nil || ordered.State.Number != o.Order.Ticket.Number {
 		ordered.State = wire.OrderState{State: wire.OrderFailed, Why: res.Status}
 	}
-	h.tell(Event{Foreman: &foreman.Event{Ordered: &ordered}})
+	h.tell(Event{Controller: &controller.Event{Ordered: &ordered}})
 }
 
 func (h *Host) getJSON(url string, wait time.Duration, into any) error {
--- a/internal/office/web.go
+++ b/internal/office/web.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"petreltide/internal/fault"
-	"petreltide/internal/imposition"
 	"petreltide/internal/ledger"
-	"petreltide/internal/pipe"
+	"petreltide/internal/placement"
+	"petreltide/internal/rpc"
 	"petreltide/internal/standing"
 	"petreltide/internal/watch"
 	"petreltide/internal/wire"
@@ -34,27 +34,27 @@
 
 func (h *Host) handler() http.Handler {
 	mux := http.NewServeMux()
-	pipe.Serve(mux, pipe.PostPath, func(_ context.Context, p *wire.Post) (*wire.Receipt, error) {
+	rpc.Serve(mux, rpc.PostPath, func(_ context.Context, p *wire.Post) (*wire.Receipt, error) {
 		for i := range p.Letters {
 			h.tell(Event{Letter: &p.Letters[i]})
 		}
 		return &wire.Receipt{}, nil
 	})
-	pipe.Serve(mux, pipe.WherePath, func(ctx context.Context, ask *wire.WhereAsk) (*wire.Where, error) {
+	rpc.Serve(mux, rpc.WherePath, func(ctx context.Context, ask *wire.WhereAsk) (*wire.Where, error) {
 		var where wire.Where
 		if !h.act.Ask(ctx, func() { where = h.where() }) {
 			return nil, fault.New(fault.NotServing, "", "stopping")
 		}
 		return &where, nil
 	})
-	pipe.Serve(mux, pipe.SubmitPath, func(ctx context.Context, c *ledger.Change) (*wire.Result, error) {
+	rpc.Serve(mux, rpc.SubmitPath, func(ctx context.Context, c *ledger.Change) (*wire.Result, error) {
 		result, ok := h.Submit(ctx, *c, keyWait)
 		if !ok {
 			return nil, fault.New(fault.InDoubt, "", "no result in time")
 		}
 		return &result, nil
 	})
-	pipe.Serve(mux, pipe.AckPath, func(ctx context.Context, r *wire.Report) (*wire.Lease, error) {
+	rpc.Serve(mux, rpc.AckPath, func(ctx context.Context, r *wire.Report) (*wire.Lease, error) {
 		reply := make(chan wire.Lease, 1)
 		if !h.act.Ask(ctx, func() {
 			h.replySeq++
@@ -66,11 +66,11 @@
 		lease := <-reply
 		return &lease, nil
 	})
-	pipe.Serve(mux, pipe.BeatPath, func(_ context.Context, b *watch.Beat) (*wire.Receipt, error) {
+	rpc.Serve(mux, rpc.BeatPath, func(_ context.Context, b *watch.Beat) (*wire.Receipt, error) {
 		h.tell(Event{Beat: b})
 		return &wire.Receipt{}, nil
 	})
-	pipe.ServeStream(mux, pipe.FollowPath, h.follow)
+	rpc.ServeStream(mux, rpc.FollowPath, h.follow)
 	mux.HandleFunc("GET /v1/config", h.getConfig)
 	mux.HandleFunc("PUT /v1/config", h.putConfig)
 	mux.HandleFunc("PATCH /v1/config", h.patchConfig)
@@ -240,7 +240,7 @@
 }
 
 func (h *Host) take(w http.ResponseWriter, r *http.Request, a asked) {
-	doc, bad := standing.Parse(a.raw, imposition.Compile)
+	doc, bad := standing.Parse(a.raw, placement.Compile)
 	if bad != nil {
 		writeFault(w, bad)
 		return
--- a/internal/imposition/imposition.go
+++ b/internal/placement/placement.go
@@ -1,4 +1,4 @@
-package imposition
+package placement
 
 import (
 	"fmt"
@@ -9,9 +9,9 @@
 	"go.starlark.net/starlark"
 	"go.starlark.net/syntax"
 
-	"petreltide/internal/castoff"
 	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
+	"petreltide/internal/scaler"
 	"petreltide/internal/standing"
 )
 
@@ -43,7 +43,7 @@
 
 type Fleet struct {
 	Doc      *standing.Declaration
-	Counts   []castoff.Count
+	Counts   []scaler.Count
 	Rates    map[string]float64
 	Waiting  map[string]int
 	Replicas []Replica
--- a/internal/imposition/imposition_test.go
+++ b/internal/placement/placement_test.go
@@ -1,4 +1,4 @@
-package imposition
+package placement
 
 import (
 	"testing"
--- a/internal/reprint/reprint.go
+++ b/internal/replay/replay.go
@@ -1,4 +1,4 @@
-package reprint
+package replay
 
 import (
 	"bufio"
--- a/internal/pipe/pipe.go
+++ b/internal/rpc/pipe.go
@@ -1,4 +1,4 @@
-package pipe
+package rpc
 
 import (
 	"context"
--- a/internal/castoff/castoff.go
+++ b/internal/scaler/scaler.go
@@ -1,4 +1,4 @@
-package castoff
+package scaler
 
 import (
 	"sort"
--- a/internal/shelf/fault_none.go
+++ /dev/null
@@ -1,5 +0,0 @@
-//go:build !diskfaults
-
-package shelf
-
-func (s *Shelf) beforeSync() error { return nil }
--- a/internal/shelf/fault_disk.go
+++ b/internal/storage/fault_disk.go
@@ -1,6 +1,6 @@
 //go:build diskfaults
 
-package shelf
+package storage
 
 import (
 	"os"
@@ -13,7 +13,7 @@
 
 // beforeSync lets a test slow, stall or fill this disk by files beside the log. It is not part of the
 // product: only a build with the tag diskfaults has it.
-func (s *Shelf) beforeSync() error {
+func (s *Store) beforeSync() error {
 	folder := filepath.Dir(s.dir)
 	_ = os.WriteFile(filepath.Join(folder, "diskfaults"), nil, 0o644)
 	if raw, err := os.ReadFile(filepath.Join(folder, "slow-ms")); err == nil {
--- /dev/null
+++ b/internal/storage/fault_none.go
@@ -0,0 +1,5 @@
+//go:build !diskfaults
+
+package storage
+
+func (s *Store) beforeSync() error { return nil }
--- a/internal/shelf/shelf.go
+++ b/internal/storage/storage.go
@@ -1,4 +1,4 @@
-package shelf
+package storage
 
 import (
 	"encoding/binary"
@@ -37,9 +37,9 @@
 	return payload, nil
 }
 
-// Shelf keeps the log and, beside it, the newest copy of the state. One goroutine writes the log;
+// Store keeps the log and, beside it, the newest copy of the state. One goroutine writes the log;
 // a copy is kept by another meanwhile.
-type Shelf struct {
+type Store struct {
 	dir  string
 	log  *wal.Log
 	mu   sync.Mutex
@@ -48,7 +48,7 @@
 }
 
 type Opened struct {
-	Shelf   *Shelf
+	Store   *Store
 	Records []chain.Record
 	Fresh   bool
 	Cut     int
@@ -77,7 +77,7 @@
 		}
 		return nil, fault.New(fault.DamagedData, dir, "%v", err)
 	}
-	s := &Shelf{dir: dir, log: log}
+	s := &Store{dir: dir, log: log}
 	first, err := log.FirstIndex()
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -85,7 +85,7 @@
 	if s.last, err = log.LastIndex(); err != nil {
 		return nil, errors.Trace(err)
 	}
-	opened := &Opened{Shelf: s, Cut: cut}
+	opened := &Opened{Store: s, Cut: cut}
 	kept, bad := s.readCopy()
 	if bad != nil {
 		log.Close()
@@ -133,11 +133,11 @@
 	return opened, nil
 }
 
-func (s *Shelf) Seal() chain.Seal { return s.seal }
+func (s *Store) Seal() chain.Seal { return s.seal }
 
 // Write returns once the records are synced, with the place of the first of them in the log. fresh
 // begins them with what a log needs, so that all before them can go once a copy is kept.
-func (s *Shelf) Write(records []chain.Record, fresh bool) (from uint64, err error) {
+func (s *Store) Write(records []chain.Record, fresh bool) (from uint64, err error) {
 	if fresh {
 		records = append([]chain.Record{{Seal: &s.seal}}, records...)
 	}
@@ -164,7 +164,7 @@
 
 // Keep puts a copy in the place of the one before. It returns once the copy would outlast a loss of
 // power; until then the older one and the log stand.
-func (s *Shelf) Keep(c chain.Copy) error {
+func (s *Store) Keep(c chain.Copy) error {
 	raw, err := json.Marshal(c)
 	if err != nil {
 		return errors.Trace(err)
@@ -196,7 +196,7 @@
 }
 
 // Forget drops the log before a place, once a copy stands for it.
-func (s *Shelf) Forget(before uint64) error {
+func (s *Store) Forget(before uint64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if before <= 1 {
@@ -205,7 +205,7 @@
 	return errors.Trace(s.log.TruncateFront(before))
 }
 
-func (s *Shelf) readCopy() (*chain.Copy, *fault.Fault) {
+func (s *Store) readCopy() (*chain.Copy, *fault.Fault) {
 	framed, err := os.ReadFile(filepath.Join(s.dir, copyName))
 	if os.IsNotExist(err) {
 		return nil, nil
@@ -225,7 +225,7 @@
 	return c, nil
 }
 
-func (s *Shelf) Close() error { return s.log.Close() }
+func (s *Store) Close() error { return s.log.Close() }
 
 // SetAside keeps a damaged folder under another name, so that nothing is erased.
 func SetAside(folder, mark string) (string, error) {
--- a/internal/shelf/shelf_test.go
+++ b/internal/storage/storage_test.go
@@ -1,4 +1,4 @@
-package shelf
+package storage
 
 import (
 	"encoding/binary"
@@ -27,11 +27,11 @@
 		t.Fatal(err)
 	}
 	for i := uint64(1); i <= n; i++ {
-		if _, err := o.Shelf.Write([]chain.Record{entry(i)}, false); err != nil {
+		if _, err := o.Store.Write([]chain.Record{entry(i)}, false); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if err := o.Shelf.Close(); err != nil {
+	if err := o.Store.Close(); err != nil {
 		t.Fatal(err)
 	}
 	return dir
@@ -50,7 +50,7 @@
 	t.Helper()
 	o, err := Open(dir, chain.Seal{Identity: "core-1-bb", Name: "core-1"})
 	if err == nil {
-		t.Cleanup(func() { _ = o.Shelf.Close() })
+		t.Cleanup(func() { _ = o.Store.Close() })
 	}
 	return o, err
 }
@@ -60,8 +60,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(o.Records) != 6 || o.Fresh || o.Shelf.Seal() != mine || o.Records[5].Entry.Index != 5 {
-		t.Fatalf("%d records, fresh %v, %+v", len(o.Records), o.Fresh, o.Shelf.Seal())
+	if len(o.Records) != 6 || o.Fresh || o.Store.Seal() != mine || o.Records[5].Entry.Index != 5 {
+		t.Fatalf("%d records, fresh %v, %+v", len(o.Records), o.Fresh, o.Store.Seal())
 	}
 }
 
@@ -82,7 +82,7 @@
 		if len(o.Records) != 5 || o.Cut == 0 {
 			t.Fatalf("cut %d: %d records", cut, len(o.Records))
 		}
-		if _, err := o.Shelf.Write([]chain.Record{entry(5)}, false); err != nil {
+		if _, err := o.Store.Write([]chain.Record{entry(5)}, false); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -115,7 +115,7 @@
 	if _, err := os.Stat(kept); err != nil {
 		t.Fatal(err)
 	}
-	if o, err := reopened(t, dir); err != nil || !o.Fresh || o.Shelf.Seal().Identity == mine.Identity {
+	if o, err := reopened(t, dir); err != nil || !o.Fresh || o.Store.Seal().Identity == mine.Identity {
 		t.Fatal("a set-aside folder must come back as a new member", err)
 	}
 }
@@ -139,7 +139,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		from, err := o.Shelf.Write([]chain.Record{entry(51)}, true)
+		from, err := o.Store.Write([]chain.Record{entry(51)}, true)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -149,16 +149,16 @@
 			}
 		}
 		if at == "kept" || at == "forgotten" {
-			if err := o.Shelf.Keep(chain.Copy{Index: 50, View: 2, State: ledger.NewState()}); err != nil {
+			if err := o.Store.Keep(chain.Copy{Index: 50, View: 2, State: ledger.NewState()}); err != nil {
 				t.Fatal(err)
 			}
 		}
 		if at == "forgotten" {
-			if err := o.Shelf.Forget(from); err != nil {
+			if err := o.Store.Forget(from); err != nil {
 				t.Fatal(err)
 			}
 		}
-		if err := o.Shelf.Close(); err != nil {
+		if err := o.Store.Close(); err != nil {
 			t.Fatal(err)
 		}
 		o, err = reopened(t, dir)
@@ -171,7 +171,7 @@
 				copied++
 			}
 		}
-		if len(o.Records) != want.records || copied != want.copied || o.Shelf.Seal() != mine {
+		if len(o.Records) != want.records || copied != want.copied || o.Store.Seal() != mine {
 			t.Errorf("%s: %d records, %d copies, want %+v", at, len(o.Records), copied, want)
 		}
 	}
@@ -183,10 +183,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := o.Shelf.Keep(chain.Copy{Index: 2, View: 2, State: ledger.NewState()}); err != nil {
+	if err := o.Store.Keep(chain.Copy{Index: 2, View: 2, State: ledger.NewState()}); err != nil {
 		t.Fatal(err)
 	}
-	if err := o.Shelf.Close(); err != nil {
+	if err := o.Store.Close(); err != nil {
 		t.Fatal(err)
 	}
 	at := filepath.Join(dir, logDir, copyName)
--- a/internal/liaison/liaison.go
+++ b/internal/subscriber/subscriber.go
@@ -1,9 +1,9 @@
-package liaison
+package subscriber
 
 import (
 	"petreltide/internal/chain"
 	"petreltide/internal/clock"
-	"petreltide/internal/deskwork"
+	"petreltide/internal/dispatch"
 	"petreltide/internal/watch"
 	"petreltide/internal/wire"
 )
@@ -30,7 +30,7 @@
 	AskWhere  []string
 	Follow    *Follow
 	Report    *chain.Seat
-	Snapshot  *deskwork.Snapshot
+	Snapshot  *dispatch.Snapshot
 	LeaseUs   int64
 	Beats     []watch.Node
 	Farewells []watch.Node
@@ -50,12 +50,12 @@
 	Seeds []string
 }
 
-// Liaison finds the open tail, follows its news and keeps the desk's lease. Seeds are only a
+// Subscriber finds the open tail, follows its news and keeps the desk's lease. Seeds are only a
 // first contact: from then on it asks the offices it has met.
-type Liaison struct {
+type Subscriber struct {
 	opts     Options
 	where    wire.Where
-	snap     *deskwork.Snapshot
+	snap     *dispatch.Snapshot
 	leaseUs  int64
 	seekUs   int64
 	ackUs    int64
@@ -71,15 +71,15 @@
 	effects  []Effect
 }
 
-func New(opts Options) *Liaison { return &Liaison{opts: opts, watch: watch.New()} }
+func New(opts Options) *Subscriber { return &Subscriber{opts: opts, watch: watch.New()} }
 
-func (l *Liaison) Silent(nowUs int64) []string { return l.watch.Silent(nowUs) }
+func (l *Subscriber) Silent(nowUs int64) []string { return l.watch.Silent(nowUs) }
 
-func (l *Liaison) Where() wire.Where { return l.where }
+func (l *Subscriber) Where() wire.Where { return l.where }
 
-func (l *Liaison) Tail() chain.Seat { return l.where.View.Tail() }
+func (l *Subscriber) Tail() chain.Seat { return l.where.View.Tail() }
 
-func (l *Liaison) Offices() []string {
+func (l *Subscriber) Offices() []string {
 	addrs := []string{}
 	seen := map[string]bool{l.opts.Addr: true}
 	for _, m := range l.where.Offices {
@@ -97,7 +97,7 @@
 	return addrs
 }
 
-func (l *Liaison) Step(ev Event) []Effect {
+func (l *Subscriber) Step(ev Event) []Effect {
 	l.effects = nil
 	switch {
 	case ev.Where != nil:
@@ -117,14 +117,14 @@
 	return l.effects
 }
 
-func (l *Liaison) met(w wire.Where) {
+func (l *Subscriber) met(w wire.Where) {
 	if len(w.Offices) == 0 || w.View.Number < l.where.View.Number {
 		return
 	}
 	l.where = w
 }
 
-func (l *Liaison) news(nowUs int64, n wire.News) {
+func (l *Subscriber) news(nowUs int64, n wire.News) {
 	if l.snap != nil && (n.View < l.snap.View || n.Number < l.snap.Number) {
 		return
 	}
@@ -132,12 +132,12 @@
 		l.open = false
 		return
 	}
-	l.snap = deskwork.Fold(l.snap, n, nowUs)
+	l.snap = dispatch.Fold(l.snap, n, nowUs)
 	l.effects = append(l.effects, Effect{Snapshot: l.snap})
 	l.ackUs = 0
 }
 
-func (l *Liaison) lease(nowUs int64, g wire.Lease) {
+func (l *Subscriber) lease(nowUs int64, g wire.Lease) {
 	if len(g.Ring) > 0 {
 		l.ring = g.Ring
 	}
@@ -151,7 +151,7 @@
 	}
 }
 
-func (l *Liaison) tick(nowUs int64) {
+func (l *Subscriber) tick(nowUs int64) {
 	spanUs := seekUs
 	if nowUs < l.leaseUs {
 		spanUs = seekIdleUs
--- a/internal/liaison/liaison_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -1,4 +1,4 @@
-package liaison
+package subscriber
 
 import (
 	"testing"
@@ -9,7 +9,7 @@
 	"petreltide/internal/wire"
 )
 
-func met(t *testing.T) (*Liaison, int64) {
+func met(t *testing.T) (*Subscriber, int64) {
 	t.Helper()
 	l := New(Options{Desk: "d", Inc: "i", Addr: "d:1", Seeds: []string{"s1:1", "s2:1"}})
 	seat := chain.Seat{Member: chain.Member{ID: "o1", Addr: "o1:1"}, Inc: "x"}
--- a/proofs/cmd/fleet/compare.go
+++ b/proofs/cmd/fleet/compare.go
@@ -11,7 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"petreltide/internal/fault"
-	"petreltide/internal/imposition"
+	"petreltide/internal/placement"
 	"petreltide/internal/standing"
 	"petreltide/proofs/sim"
 )
@@ -37,7 +37,7 @@
 			if err != nil {
 				return err
 			}
-			doc, bad := standing.Parse(raw, imposition.Compile)
+			doc, bad := standing.Parse(raw, placement.Compile)
 			if bad != nil {
 				return bad
 			}
@@ -59,7 +59,7 @@
 						name = fmt.Sprintf("%s-%d", name, i+1)
 					}
 				}
-				if bad := imposition.Compile(name, string(source)); bad != nil {
+				if bad := placement.Compile(name, string(source)); bad != nil {
 					return bad
 				}
 				contest.Policies = append(contest.Policies, standing.Policy{Name: name, Source: string(source)})
--- a/proofs/cmd/fleet/main.go
+++ b/proofs/cmd/fleet/main.go
@@ -17,7 +17,7 @@
 
 	"petreltide/internal/standing"
 	"petreltide/proofs/fleet"
-	"petreltide/proofs/press"
+	"petreltide/proofs/modelserver"
 )
 
 func main() {
@@ -31,7 +31,7 @@
 }
 
 func pressCommand() *cobra.Command {
-	o := press.Options{}
+	o := modelserver.Options{}
 	var listen, store, journal string
 	cmd := &cobra.Command{
 		Use:   "press",
@@ -48,7 +48,7 @@
 				if err != nil {
 					return errors.Trace(err)
 				}
-				o.Journal = func(line press.Line) {
+				o.Journal = func(line modelserver.Line) {
 					raw, err := json.Marshal(line)
 					if err != nil {
 						panic(err)
@@ -58,7 +58,7 @@
 					}
 				}
 			}
-			return press.NewHost(press.NewCore(o), store).Serve(cmd.Context(), l)
+			return modelserver.NewHost(modelserver.NewCore(o), store).Serve(cmd.Context(), l)
 		},
 	}
 	flags := cmd.Flags()
--- a/proofs/fleet/bounds.go
+++ b/proofs/fleet/bounds.go
@@ -14,7 +14,7 @@
 
 	"petreltide/internal/desk"
 	"petreltide/internal/ledger"
-	"petreltide/internal/pipe"
+	"petreltide/internal/rpc"
 	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
@@ -37,7 +37,7 @@
 		Key: fmt.Sprintf("family-%032d", n), Desk: "front-1", DeskInc: "bounds", Call: fmt.Sprintf("front-1-%016d", n)}}
 	began := NowUs()
 	short, done := context.WithTimeout(ctx, 5*time.Second)
-	res, err := pipe.NewCaller[ledger.Change, wire.Result](c.client, offices[int(n)%len(offices)], pipe.SubmitPath).Call(short, &change)
+	res, err := rpc.NewCaller[ledger.Change, wire.Result](c.client, offices[int(n)%len(offices)], rpc.SubmitPath).Call(short, &change)
 	done()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -98,7 +98,7 @@
 // measureBounds fills the table of keys, goes on claiming beside a member that joins empty, and
 // watches the desks' leases all the while.
 func measureBounds(ctx context.Context, f *Fleet, _ *standing.Declaration, out io.Writer) error {
-	c := &claimer{f: f, client: pipe.Client(500, "")}
+	c := &claimer{f: f, client: rpc.Client(500, "")}
 	watched := func(what string, act func() error) error {
 		looking, stop := context.WithCancel(ctx)
 		var leastMs int64
--- a/proofs/fleet/demand.go
+++ b/proofs/fleet/demand.go
@@ -13,7 +13,7 @@
 
 	"petreltide/internal/clock"
 	"petreltide/internal/desk"
-	"petreltide/internal/pipe"
+	"petreltide/internal/rpc"
 	"petreltide/internal/standing"
 	"petreltide/proofs/callers"
 	"petreltide/proofs/rules"
@@ -72,7 +72,7 @@
 // Run sends seeded demand at the desks until ctx ends, then waits for what is open.
 func (f *Fleet) Run(ctx context.Context, d Demand) {
 	r := rand.New(rand.NewSource(d.Seed))
-	client := pipe.Client(500, "")
+	client := rpc.Client(500, "")
 	var open sync.WaitGroup
 	next := time.Now()
 	for n := 0; ctx.Err() == nil; n++ {
--- a/proofs/fleet/faults.go
+++ b/proofs/fleet/faults.go
@@ -14,7 +14,7 @@
 	"github.com/tidwall/wal"
 
 	"petreltide/internal/chain"
-	"petreltide/internal/pipe"
+	"petreltide/internal/rpc"
 	"petreltide/proofs/callers"
 	"petreltide/proofs/rules"
 )
@@ -303,7 +303,7 @@
 
 // hangUps: callers that go away at every point of their calls.
 func hangUps(ctx context.Context, f *Fleet) error {
-	client := pipe.Client(500, "")
+	client := rpc.Client(500, "")
 	for n := 0; n < 60 && ctx.Err() == nil; n++ {
 		f.mu.Lock()
 		ask := Next(f.r, Demand{Doc: f.Doc, Label: "hang", Seed: NowUs()}, n)
--- a/proofs/fleet/fleet.go
+++ b/proofs/fleet/fleet.go
@@ -23,8 +23,8 @@
 	"petreltide/internal/office"
 	"petreltide/internal/standing"
 	"petreltide/internal/wire"
+	"petreltide/proofs/modelserver"
 	"petreltide/proofs/platform"
-	"petreltide/proofs/press"
 	"petreltide/proofs/relay"
 	"petreltide/proofs/rules"
 )
@@ -412,12 +412,12 @@
 	return seen, nil
 }
 
-func ReadJournal(text string) ([]press.Run, []press.OrderSeen) {
+func ReadJournal(text string) ([]modelserver.Run, []modelserver.OrderSeen) {
 	byLeg := map[string]int{}
-	runs := []press.Run{}
-	orders := []press.OrderSeen{}
+	runs := []modelserver.Run{}
+	orders := []modelserver.OrderSeen{}
 	for _, line := range strings.Split(text, "\n") {
-		var l press.Line
+		var l modelserver.Line
 		if json.Unmarshal([]byte(line), &l) != nil {
 			continue
 		}
--- a/proofs/fleet/fleet_test.go
+++ b/proofs/fleet/fleet_test.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"petreltide/internal/desk"
-	"petreltide/internal/pipe"
+	"petreltide/internal/rpc"
 	"petreltide/internal/standing"
 	"petreltide/proofs/callers"
 	"petreltide/proofs/rules"
@@ -156,7 +156,7 @@
 	addr := f.Proc(name).Addr
 	got := make(chan rules.Told, 1)
 	go func() {
-		got <- callers.Ask(ctx, pipe.Client(500, ""), addr, desk.CallAsk{Kind: "letters", Model: "m0", Prompt: "drain me", MostOut: 60}, "", rules.Told{Tag: "drain"})
+		got <- callers.Ask(ctx, rpc.Client(500, ""), addr, desk.CallAsk{Kind: "letters", Model: "m0", Prompt: "drain me", MostOut: 60}, "", rules.Told{Tag: "drain"})
 	}()
 	if err := f.Until(ctx, "the call streams", func() bool {
 		var st struct {
--- a/proofs/fleet/measure.go
+++ b/proofs/fleet/measure.go
@@ -16,11 +16,11 @@
 	"github.com/juju/errors"
 
 	"petreltide/internal/desk"
-	"petreltide/internal/pipe"
+	"petreltide/internal/rpc"
 	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 	"petreltide/proofs/callers"
-	"petreltide/proofs/press"
+	"petreltide/proofs/modelserver"
 	"petreltide/proofs/rules"
 )
 
@@ -79,7 +79,7 @@
 		return err
 	}
 	fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	kept := pipe.Client(500, "")
+	kept := rpc.Client(500, "")
 	addr := f.Addrs("desk")[0]
 	var straight, through []float64
 	for n := 0; n < 300 && ctx.Err() == nil; n++ {
@@ -102,7 +102,7 @@
 }
 
 func measureRate(ctx context.Context, f *Fleet, doc *standing.Declaration, out io.Writer) error {
-	client := pipe.Client(500, "")
+	client := rpc.Client(500, "")
 	client.Transport.(*http.Transport).MaxIdleConnsPerHost = 256
 	addr := f.Addrs("desk")[0]
 	ctx, done := context.WithTimeout(ctx, 8*time.Second)
@@ -149,7 +149,7 @@
 	return err
 }
 
-func (f *Fleet) lastRun(match func(press.Run) bool) (int64, error) {
+func (f *Fleet) lastRun(match func(modelserver.Run) bool) (int64, error) {
 	seen, err := f.Seen()
 	if err != nil {
 		return 0, err
@@ -172,7 +172,7 @@
 			f.Notice(name, 3000)
 			listedUs := NowUs()
 			pause(ctx, 3*time.Second)
-			lastUs, err := f.lastRun(func(r press.Run) bool { return r.Replica == name })
+			lastUs, err := f.lastRun(func(r modelserver.Run) bool { return r.Replica == name })
 			spans = append(spans, float64(lastUs-listedUs)/1000)
 			return err
 		})
@@ -240,7 +240,7 @@
 			}
 			answers = append(answers, float64(ackUs-beganUs)/1000)
 			pause(ctx, 2*time.Second)
-			lastUs, err := f.lastRun(func(r press.Run) bool { return r.Model == model.Name })
+			lastUs, err := f.lastRun(func(r modelserver.Run) bool { return r.Model == model.Name })
 			spans = append(spans, float64(lastUs-ackUs)/1000)
 			return err
 		})
@@ -332,7 +332,7 @@
 		return err
 	}
 	beganUs := NowUs()
-	client := pipe.Client(200, "")
+	client := rpc.Client(200, "")
 	for {
 		t := callers.Ask(ctx, client, f.Proc(deskName).Addr, desk.CallAsk{Kind: doc.Kinds[0].Name, Model: doc.Models[0].Name, Prompt: fmt.Sprintf("again-%d", NowUs()), MostOut: 1}, "", rules.Told{})
 		if t.Ended {
--- a/proofs/fleet/turns.go
+++ b/proofs/fleet/turns.go
@@ -11,7 +11,7 @@
 	"petreltide/internal/fault"
 	"petreltide/internal/office"
 	"petreltide/internal/standing"
-	"petreltide/proofs/press"
+	"petreltide/proofs/modelserver"
 	"petreltide/proofs/rules"
 )
 
@@ -55,7 +55,9 @@
 		if k.Resumable {
 			ofKind := func(t rules.Told) bool { return t.Kind == k.Name }
 			list = append(list, turn{id: "resumable " + k.Name,
-				gone: rules.Change{Concerns: ofKind, Runs: func(r press.Run, ask rules.Told, nth int) bool { return ask.Kind == k.Name && (nth > 1 || r.First > 1) }},
+				gone: rules.Change{Concerns: ofKind, Runs: func(r modelserver.Run, ask rules.Told, nth int) bool {
+					return ask.Kind == k.Name && (nth > 1 || r.First > 1)
+				}},
 				back: refused(fault.BadLastEventID, ofKind),
 				away: func(d *standing.Declaration) {
 					kinds := append([]standing.Kind(nil), d.Kinds...)
--- a/proofs/press/edge.go
+++ b/proofs/modelserver/edge.go
@@ -1,4 +1,4 @@
-package press
+package modelserver
 
 import (
 	"bufio"
--- a/proofs/rules/rules.go
+++ b/proofs/rules/rules.go
@@ -7,7 +7,7 @@
 	"sort"
 	"strings"
 
-	"petreltide/proofs/press"
+	"petreltide/proofs/modelserver"
 )
 
 const (
@@ -73,7 +73,7 @@
 // runs and which answers would be the old way.
 type Change struct {
 	Span
-	Runs     func(r press.Run, ask Told, nth int) bool
+	Runs     func(r modelserver.Run, ask Told, nth int) bool
 	Told     func(t Told) bool
 	Concerns func(t Told) bool
 }
@@ -82,14 +82,14 @@
 func TakenOut(s Span) Change {
 	return Change{
 		Span:     s,
-		Runs:     func(r press.Run, _ Told, _ int) bool { return r.Model == s.ID || r.Adapter == s.ID },
+		Runs:     func(r modelserver.Run, _ Told, _ int) bool { return r.Model == s.ID || r.Adapter == s.ID },
 		Concerns: func(t Told) bool { return t.Model == s.ID || t.Adapter == s.ID },
 	}
 }
 
 type Seen struct {
-	Runs       []press.Run
-	Orders     []press.OrderSeen
+	Runs       []modelserver.Run
+	Orders     []modelserver.OrderSeen
 	Told       []Told
 	Notices    []Span
 	Emptied    []Span
@@ -107,8 +107,8 @@
 // Watch is told what callers, replicas, the store and operators see, one thing at a time, and
 // never what the reducers say of themselves.
 type Watch struct {
-	runs     map[string][]*press.Run
-	byLeg    map[string]*press.Run
+	runs     map[string][]*modelserver.Run
+	byLeg    map[string]*modelserver.Run
 	told     map[string]Told
 	asks     map[string]Told
 	keys     map[string]map[string]bool
@@ -129,7 +129,7 @@
 
 func NewWatch() *Watch {
 	return &Watch{
-		runs: map[string][]*press.Run{}, byLeg: map[string]*press.Run{}, told: map[string]Told{}, asks: map[string]Told{}, Stakes: map[string]int{}, keys: map[string]map[string]bool{},
+		runs: map[string][]*modelserver.Run{}, byLeg: map[string]*modelserver.Run{}, told: map[string]Told{}, asks: map[string]Told{}, Stakes: map[string]int{}, keys: map[string]map[string]bool{},
 		keyOf: map[string]string{}, order: map[uint64]ticket{}, taken: map[uint64]int{}, last: map[string]uint64{},
 	}
 }
@@ -193,7 +193,7 @@
 	}
 }
 
-func (w *Watch) Run(r press.Run) {
+func (w *Watch) Run(r modelserver.Run) {
 	run := r
 	w.byLeg[r.Leg] = &run
 	w.runs[r.Tag] = append(w.runs[r.Tag], &run)
@@ -234,7 +234,7 @@
 }
 
 // Cut tells that a replica's answer stopped before its end.
-func (w *Watch) Cut(r press.Run) {
+func (w *Watch) Cut(r modelserver.Run) {
 	w.Stake(ForeignEnd)
 	w.Stake(RunsTwice)
 	if r.Sent > 0 {
@@ -300,7 +300,7 @@
 	if !t.Ended {
 		return
 	}
-	total := press.Total(t.Prompt, t.MostOut)
+	total := modelserver.Total(t.Prompt, t.MostOut)
 	if t.Had+len(t.Pieces) != total || t.EndCount != total {
 		w.Break(StreamBroken, "%s looked complete with %d of %d pieces (end said %d)", t.Tag, t.Had+len(t.Pieces), total, t.EndCount)
 	}
@@ -313,15 +313,15 @@
 }
 
 func placeOf(t Told, text string) int {
-	for n := 1; n <= press.Total(t.Prompt, t.MostOut); n++ {
-		if want, _, _ := strings.Cut(press.Text(t.Prompt, t.Model, t.Adapter, n, ""), "~"); want == text {
+	for n := 1; n <= modelserver.Total(t.Prompt, t.MostOut); n++ {
+		if want, _, _ := strings.Cut(modelserver.Text(t.Prompt, t.Model, t.Adapter, n, ""), "~"); want == text {
 			return n
 		}
 	}
 	return 0
 }
 
-func (w *Watch) Order(o press.OrderSeen) {
+func (w *Watch) Order(o modelserver.OrderSeen) {
 	this := ticket{o.Replica, o.Inc, string(o.Step), o.Unit}
 	if before, seen := w.order[o.Number]; seen && before != this {
 		w.Break(TicketClash, "ticket %d orders both %v and %v", o.Number, before, this)
--- a/proofs/sim/desks.go
+++ b/proofs/sim/desks.go
@@ -6,30 +6,30 @@
 	"sort"
 
 	"petreltide/internal/desk"
-	"petreltide/internal/deskwork"
+	"petreltide/internal/dispatch"
 	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
-	"petreltide/internal/liaison"
 	"petreltide/internal/office"
+	"petreltide/internal/subscriber"
 	"petreltide/internal/watch"
 	"petreltide/internal/wire"
-	"petreltide/proofs/press"
+	"petreltide/proofs/modelserver"
 	"petreltide/proofs/rules"
 )
 
 type deskNode struct {
 	machine
-	zone    string
-	inc     string
-	decider *deskwork.Decider
-	liaison *liaison.Liaison
-	snap    *deskwork.Snapshot
-	leaseUs int64
-	calls   map[string]*callState
+	zone       string
+	inc        string
+	decider    *dispatch.Decider
+	subscriber *subscriber.Subscriber
+	snap       *dispatch.Snapshot
+	leaseUs    int64
+	calls      map[string]*callState
 }
 
 type callState struct {
-	call  *deskwork.Call
+	call  *dispatch.Call
 	ask   desk.CallAsk
 	told  rules.Told
 	leg   string
@@ -50,16 +50,16 @@
 	d.up, d.thawUs = true, 0
 	d.inc = d.sim.newInc()
 	d.skewUs = d.sim.r.Int63n(1000) * sec
-	d.decider = deskwork.New(deskwork.Options{Desk: d.name, Inc: d.inc, BacklogMax: 200})
-	d.liaison = liaison.New(liaison.Options{Desk: d.name, Inc: d.inc, Addr: d.addr, Zone: d.zone, Seeds: d.sim.seeds})
+	d.decider = dispatch.New(dispatch.Options{Desk: d.name, Inc: d.inc, BacklogMax: 200})
+	d.subscriber = subscriber.New(subscriber.Options{Desk: d.name, Inc: d.inc, Addr: d.addr, Zone: d.zone, Seeds: d.sim.seeds})
 	d.snap, d.leaseUs, d.calls = nil, 0, map[string]*callState{}
 	d.tick()
 }
 
 func (d *deskNode) tick() {
 	d.later(20*ms, func() {
-		d.step(deskwork.Event{})
-		d.liaise(liaison.Event{})
+		d.step(dispatch.Event{})
+		d.subscribe(subscriber.Event{})
 		d.tick()
 	})
 }
@@ -86,19 +86,19 @@
 	d.calls = map[string]*callState{}
 }
 
-func (d *deskNode) news(n wire.News) { d.liaise(liaison.Event{News: &n}) }
+func (d *deskNode) news(n wire.News) { d.subscribe(subscriber.Event{News: &n}) }
 
-func (d *deskNode) liaise(ev liaison.Event) {
+func (d *deskNode) subscribe(ev subscriber.Event) {
 	s := d.sim
 	ev.NowUs = d.clock()
-	for _, e := range d.liaison.Step(ev) {
+	for _, e := range d.subscriber.Step(ev) {
 		switch {
 		case e.AskWhere != nil:
 			for _, addr := range e.AskWhere {
 				if o := s.officeAt(addr); o != nil {
 					s.send(&d.machine, &o.machine, func() {
 						where := o.where()
-						s.send(&o.machine, &d.machine, func() { d.liaise(liaison.Event{Where: &where}) })
+						s.send(&o.machine, &d.machine, func() { d.subscribe(subscriber.Event{Where: &where}) })
 					})
 				}
 			}
@@ -125,10 +125,10 @@
 			}
 			d.snap = e.Snapshot
 			s.ops.sawDoc(d.name, e.Snapshot)
-			d.step(deskwork.Event{Snapshot: e.Snapshot})
+			d.step(dispatch.Event{Snapshot: e.Snapshot})
 		case e.LeaseUs != 0:
 			d.leaseUs = e.LeaseUs
-			d.step(deskwork.Event{LeaseUs: e.LeaseUs})
+			d.step(dispatch.Event{LeaseUs: e.LeaseUs})
 		}
 	}
 }
@@ -141,21 +141,21 @@
 	}
 	for _, to := range s.desks {
 		if to.addr == addr {
-			s.send(&d.machine, &to.machine, func() { to.liaise(liaison.Event{Beat: &b}) })
+			s.send(&d.machine, &to.machine, func() { to.subscribe(subscriber.Event{Beat: &b}) })
 		}
 	}
 }
 
-func (d *deskNode) follow(f liaison.Follow) {
+func (d *deskNode) follow(f subscriber.Follow) {
 	s := d.sim
 	o := s.officeAt(f.Tail.Addr)
 	if o == nil {
-		d.later(5*ms, func() { d.liaise(liaison.Event{Closed: f.Number}) })
+		d.later(5*ms, func() { d.subscribe(subscriber.Event{Closed: f.Number}) })
 		return
 	}
 	s.send(&d.machine, &o.machine, func() {
 		if !o.core.Node.Open(o.clock()) {
-			s.send(&o.machine, &d.machine, func() { d.liaise(liaison.Event{Closed: f.Number}) })
+			s.send(&o.machine, &d.machine, func() { d.subscribe(subscriber.Event{Closed: f.Number}) })
 			return
 		}
 		o.follows[d.name] = d
@@ -171,11 +171,11 @@
 		return
 	}
 	report := clone(d.decider.Report(d.clock()))
-	report.Addr, report.Zone, report.Silent = d.addr, d.zone, d.liaison.Silent(d.clock())
+	report.Addr, report.Zone, report.Silent = d.addr, d.zone, d.subscriber.Silent(d.clock())
 	s.send(&d.machine, &o.machine, func() {
 		o.replySeq++
 		o.replies[o.replySeq] = func(l wire.Lease) {
-			s.send(&o.machine, &d.machine, func() { d.liaise(liaison.Event{Lease: &l}) })
+			s.send(&o.machine, &d.machine, func() { d.subscribe(subscriber.Event{Lease: &l}) })
 			if l.OK {
 				s.spring("lease", o)
 			}
@@ -184,7 +184,7 @@
 	})
 }
 
-func (d *deskNode) step(ev deskwork.Event) {
+func (d *deskNode) step(ev dispatch.Event) {
 	s := d.sim
 	ev.NowUs = d.clock()
 	for _, e := range d.decider.Step(ev) {
@@ -213,12 +213,12 @@
 }
 
 // cut is a call whose last leg did not end well.
-func (d *deskNode) cut(c *callState, e deskwork.Ending) {
+func (d *deskNode) cut(c *callState, e dispatch.Ending) {
 	c.told.Code, c.told.Run, c.told.Broken = string(fault.Unknown), fault.RunUnknown, len(c.told.Pieces) > 0
 	switch {
 	case d.sim.plan.Plant == "lie":
 		c.told.Run = fault.RunNone
-	case e == deskwork.Final:
+	case e == dispatch.Final:
 		c.told.Code = string(fault.Expired)
 	case len(c.told.Pieces) > 0:
 		c.told.Code, c.told.Run = string(fault.Broken), fault.RunPartial
@@ -250,7 +250,7 @@
 	c.done = nil
 	d.sim.finish(c)
 	running := c.leg != "" && c.stop != nil
-	d.step(deskwork.Event{Gone: c.call.ID})
+	d.step(dispatch.Event{Gone: c.call.ID})
 	if !running {
 		d.over(c)
 	}
@@ -275,7 +275,7 @@
 	}
 	d.later(2500*ms, func() { finish(wire.Result{}, false) })
 	var o *officeNode
-	for _, addr := range d.liaison.Offices() {
+	for _, addr := range d.subscriber.Offices() {
 		if at := s.officeAt(addr); o == nil && at != nil && !s.isCut(d.name, at.name) && !s.isCut(at.name, d.name) {
 			o = at
 		}
@@ -293,29 +293,29 @@
 	})
 }
 
-func (d *deskNode) maySend(st deskwork.Start) bool {
+func (d *deskNode) maySend(st dispatch.Start) bool {
 	return st.MaySend(d.snap, d.clock(), d.leaseUs) || d.sim.plan.Plant == "deaf"
 }
 
 // leg is the executor: it obeys one decision against the simulated network and replica.
-func (d *deskNode) leg(st deskwork.Start) {
+func (d *deskNode) leg(st dispatch.Start) {
 	s := d.sim
 	c := d.calls[st.Call.ID]
-	ended := func(e deskwork.Ending) {
-		d.step(deskwork.Event{Ended: &deskwork.Ended{Call: st.Call.ID, Leg: st.Leg, Ending: e}})
+	ended := func(e dispatch.Ending) {
+		d.step(dispatch.Event{Ended: &dispatch.Ended{Call: st.Call.ID, Leg: st.Leg, Ending: e}})
 	}
 	if c == nil || !d.maySend(st) {
-		d.later(10, func() { ended(deskwork.Unsent) })
+		d.later(10, func() { ended(dispatch.Unsent) })
 		return
 	}
 	c.leg = st.Leg
 	p := s.presses[st.Replica]
 	if p == nil || !p.up || p.addr != st.Addr || s.isCut(d.name, p.name) || s.isCut(p.name, d.name) {
-		d.later(400*ms, func() { ended(deskwork.Unsent) })
+		d.later(400*ms, func() { ended(dispatch.Unsent) })
 		return
 	}
 	over := false
-	finish := func(e deskwork.Ending, why string) {
+	finish := func(e dispatch.Ending, why string) {
 		if over {
 			return
 		}
@@ -323,7 +323,7 @@
 		c.stop = nil
 		d.legEnded(c, st, e, why, ended)
 	}
-	var run *press.Run
+	var run *modelserver.Run
 	close := func() {
 		if run != nil && p.core.Running(run.Leg) {
 			p.core.EndLeg(s.nowUs, run, false)
@@ -338,13 +338,13 @@
 		boot := d.boot
 		s.at(s.nowUs+2*ms, func() {
 			close()
-			d.now(boot, func() { d.legEnded(c, st, deskwork.Moved, "moved", ended) })
+			d.now(boot, func() { d.legEnded(c, st, dispatch.Moved, "moved", ended) })
 		})
 	}
 	d.later(max(1, st.ExpiryUs-d.clock()), func() {
 		if !over {
 			close()
-			finish(deskwork.Final, "expired while it ran")
+			finish(dispatch.Final, "expired while it ran")
 		}
 	})
 	leg := wire.Leg{Leg: st.Leg, Ticket: st.Ticket, Inc: st.Inc, Call: st.Call.ID, Model: c.ask.Model, Adapter: c.ask.Adapter,
@@ -353,14 +353,14 @@
 	asked := false
 	d.later(sec, func() {
 		if !asked {
-			finish(deskwork.Unsent, "the replica did not ask for the leg")
+			finish(dispatch.Unsent, "the replica did not ask for the leg")
 		}
 	})
 	wait := func() int64 { return 200 + s.r.Int63n(1500) }
 	start := func(reachedUs int64) {
 		started, refusal, firstUs := p.core.StartLeg(reachedUs, leg)
 		if refusal != nil {
-			d.now(boot, func() { finish(deskwork.Refused, refusal.Code) })
+			d.now(boot, func() { finish(dispatch.Refused, refusal.Code) })
 			return
 		}
 		run = started
@@ -376,12 +376,12 @@
 		}
 		asked = true
 		if !d.maySend(st) {
-			finish(deskwork.Unsent, "the news changed before it was sent")
+			finish(dispatch.Unsent, "the news changed before it was sent")
 			return
 		}
 		s.at(s.nowUs+wait(), func() {
 			if !p.up {
-				d.now(boot, func() { finish(deskwork.Unknown, "the pipe broke") })
+				d.now(boot, func() { finish(dispatch.Unknown, "the pipe broke") })
 				return
 			}
 			reachedUs := s.nowUs
@@ -390,14 +390,14 @@
 	}
 	s.at(s.nowUs+wait(), func() {
 		if !p.up {
-			d.now(boot, func() { finish(deskwork.Unsent, "the pipe broke before the leg was asked for") })
+			d.now(boot, func() { finish(dispatch.Unsent, "the pipe broke before the leg was asked for") })
 			return
 		}
 		p.now(p.boot, func() { s.at(s.nowUs+wait(), func() { d.now(boot, body) }) })
 	})
 }
 
-func (d *deskNode) pieces(p *pressNode, c *callState, run *press.Run, leg wire.Leg, firstUs int64, boot int, over func() bool, finish func(deskwork.Ending, string)) {
+func (d *deskNode) pieces(p *pressNode, c *callState, run *modelserver.Run, leg wire.Leg, firstUs int64, boot int, over func() bool, finish func(dispatch.Ending, string)) {
 	s := d.sim
 	n := leg.First
 	pressBoot := p.boot
@@ -406,12 +406,12 @@
 			if over() {
 				return
 			}
-			ending, why := deskwork.Judge(leg.Leg, c.told.Had+len(c.told.Pieces), piece)
+			ending, why := dispatch.Judge(leg.Leg, c.told.Had+len(c.told.Pieces), piece)
 			switch {
 			case s.plan.Plant == "blind" && piece.N != c.told.Had+len(c.told.Pieces)+1 && !piece.End:
 				ending = ""
 			case s.plan.Plant == "hasty" && len(c.told.Pieces) == 3:
-				ending = deskwork.Done
+				ending = dispatch.Done
 			case s.plan.Plant == "mixed" && len(c.told.Pieces) == 2:
 				piece.Text = "0000000000000000~" + run.Nonce
 			}
@@ -434,7 +434,7 @@
 			return
 		}
 		if !p.up || p.boot != pressBoot {
-			s.at(s.nowUs+ms, func() { d.now(boot, func() { finish(deskwork.Broken, "the replica's stream ended early") }) })
+			s.at(s.nowUs+ms, func() { d.now(boot, func() { finish(dispatch.Broken, "the replica's stream ended early") }) })
 			return
 		}
 		if p.thawUs > s.nowUs {
@@ -451,10 +451,10 @@
 			s.at(s.nowUs+300, func() { deliver(wire.Piece{Leg: leg.Leg, End: true, N: run.Total}) })
 			return
 		}
-		piece := wire.Piece{Leg: leg.Leg, N: n, Text: press.Text(leg.Prompt, leg.Model, leg.Adapter, n, run.Nonce)}
+		piece := wire.Piece{Leg: leg.Leg, N: n, Text: modelserver.Text(leg.Prompt, leg.Model, leg.Adapter, n, run.Nonce)}
 		if s.plan.Plant == "blind" && n == 3 {
 			n++
-			piece.N, piece.Text = n, press.Text(leg.Prompt, leg.Model, leg.Adapter, n, run.Nonce)
+			piece.N, piece.Text = n, modelserver.Text(leg.Prompt, leg.Model, leg.Adapter, n, run.Nonce)
 		}
 		s.at(s.nowUs+300, func() { deliver(piece) })
 		run.Sent = n
@@ -464,16 +464,16 @@
 	s.at(s.nowUs+firstUs, next)
 }
 
-func (d *deskNode) legEnded(c *callState, st deskwork.Start, e deskwork.Ending, why string, ended func(deskwork.Ending)) {
-	if d.sim.plan.Plant == "again" && (e == deskwork.Unknown || e == deskwork.Broken) && len(c.told.Pieces) == 0 {
-		e = deskwork.Unsent
+func (d *deskNode) legEnded(c *callState, st dispatch.Start, e dispatch.Ending, why string, ended func(dispatch.Ending)) {
+	if d.sim.plan.Plant == "again" && (e == dispatch.Unknown || e == dispatch.Broken) && len(c.told.Pieces) == 0 {
+		e = dispatch.Unsent
 	}
 	if c.hung {
 		d.over(c)
 		ended(e)
 		return
 	}
-	if e == deskwork.Done {
+	if e == dispatch.Done {
 		c.told.Ended, c.told.EndCount = true, c.told.Had+len(c.told.Pieces)
 		d.over(c)
 	}
@@ -497,13 +497,13 @@
 		refuse(&fault.Fault{Code: fault.NoLease, RetryMs: 500})
 		return
 	}
-	kind, bad := d.snap.Lookup(deskwork.Asked{Kind: ask.Kind, Model: ask.Model, Adapter: ask.Adapter, Had: t.Had > 0}, d.clock(), d.leaseUs)
+	kind, bad := d.snap.Lookup(dispatch.Asked{Kind: ask.Kind, Model: ask.Model, Adapter: ask.Adapter, Had: t.Had > 0}, d.clock(), d.leaseUs)
 	if bad != nil {
 		refuse(bad)
 		return
 	}
 	s.calls++
-	c.call = &deskwork.Call{
+	c.call = &dispatch.Call{
 		ID: fmt.Sprintf("%s-%d", d.name, s.calls), Kind: kind.Name, Model: ask.Model, Adapter: ask.Adapter, Prefix: ask.Prefix, TakenUs: d.clock(), Had: t.Had,
 	}
 	c.call.Progress.Store(int64(t.Had))
@@ -512,7 +512,7 @@
 		if s.r.Intn(40) == 0 {
 			d.later(s.r.Int63n(600*ms), func() { d.hangUp(c) })
 		}
-		d.step(deskwork.Event{Arrived: c.call})
+		d.step(dispatch.Event{Arrived: c.call})
 	}
 	if t.Key == "" || kind.Resumable {
 		enter()
@@ -594,7 +594,7 @@
 
 func (s *Sim) call(ask desk.CallAsk, key string, at, try int) {
 	d := s.desks[at%len(s.desks)]
-	t := rules.Told{Tag: press.TagOf(ask.Prompt), Key: key, Kind: ask.Kind, Model: ask.Model, Adapter: ask.Adapter, Prompt: ask.Prompt, Desk: d.name,
+	t := rules.Told{Tag: modelserver.TagOf(ask.Prompt), Key: key, Kind: ask.Kind, Model: ask.Model, Adapter: ask.Adapter, Prompt: ask.Prompt, Desk: d.name,
 		StartUs: s.nowUs, Had: len(ask.Had), MostOut: ask.MostOut, Resumable: s.ops.mayResume(ask.Kind)}
 	s.watch.Asked(t)
 	done := func(t rules.Told) { s.askAgain(t, ask, key, at, try) }
@@ -625,7 +625,7 @@
 	case t.Resumable && t.Broken && t.Had+len(t.Pieces) > 0:
 		ask.Had = append(append([]string(nil), ask.Had...), t.Pieces...)
 	case t.Run == fault.RunNone && (t.RetryMs > 0 || t.Code == "down"), key != "" && !t.Resumable && t.Run != fault.RunNone:
-		ask.Prompt = fmt.Sprintf("%s.r%d go", press.TagOf(ask.Prompt), try+1)
+		ask.Prompt = fmt.Sprintf("%s.r%d go", modelserver.TagOf(ask.Prompt), try+1)
 	default:
 		return
 	}
--- a/proofs/sim/offices.go
+++ b/proofs/sim/offices.go
@@ -4,10 +4,10 @@
 	"encoding/json"
 
 	"petreltide/internal/chain"
-	"petreltide/internal/foreman"
-	"petreltide/internal/imposition"
+	"petreltide/internal/controller"
 	"petreltide/internal/ledger"
 	"petreltide/internal/office"
+	"petreltide/internal/placement"
 	"petreltide/internal/wire"
 	"petreltide/proofs/rules"
 )
@@ -153,8 +153,8 @@
 func (o *officeNode) step(ev office.Event) {
 	s := o.sim
 	ev.NowUs = o.clock()
-	if ev.Foreman != nil {
-		ev.Foreman.NowUs = ev.NowUs
+	if ev.Controller != nil {
+		ev.Controller.NowUs = ev.NowUs
 	}
 	for _, e := range o.core.Step(ev) {
 		switch {
@@ -181,8 +181,8 @@
 				delete(o.replies, e.Lease.Reply)
 				reply(e.Lease.Lease)
 			}
-		case e.Foreman != nil:
-			o.foreman(*e.Foreman)
+		case e.Controller != nil:
+			o.controller(*e.Controller)
 		case e.Applied != nil:
 			s.applied(o, *e.Applied)
 		case e.Note != "":
@@ -265,16 +265,16 @@
 	again()
 }
 
-func (o *officeNode) tell(ev foreman.Event) { o.step(office.Event{Foreman: &ev}) }
+func (o *officeNode) tell(ev controller.Event) { o.step(office.Event{Controller: &ev}) }
 
-func (o *officeNode) foreman(e foreman.Effect) {
+func (o *officeNode) controller(e controller.Effect) {
 	s := o.sim
 	wait := func() int64 { return 200 + s.r.Int63n(2000) }
 	switch {
 	case e.PollList:
 		mood := s.platMood
 		o.later(wait(), func() {
-			listed := foreman.Listed{Err: mood}
+			listed := controller.Listed{Err: mood}
 			switch mood {
 			case "":
 				list := s.plat.List(s.nowUs)
@@ -284,7 +284,7 @@
 			case "stale":
 				listed.List = &wire.List{Version: 0}
 			}
-			o.tell(foreman.Event{Listed: &listed})
+			o.tell(controller.Event{Listed: &listed})
 		})
 	case e.Ask != nil:
 		ask := *e.Ask
@@ -295,7 +295,7 @@
 		s.send(&o.machine, &p.machine, func() {
 			st := clone(p.core.State())
 			s.send(&p.machine, &o.machine, func() {
-				o.tell(foreman.Event{Told: &foreman.Told{AskedUs: ask.AskedUs, Replica: ask.Replica, Addr: ask.Addr, State: &st}})
+				o.tell(controller.Event{Told: &controller.Told{AskedUs: ask.AskedUs, Replica: ask.Replica, Addr: ask.Addr, State: &st}})
 			})
 		})
 	case e.Order != nil:
@@ -311,14 +311,14 @@
 			state := p.take(order)
 			s.spring("ticket", o)
 			s.send(&p.machine, &o.machine, func() {
-				o.tell(foreman.Event{Ordered: &foreman.Ordered{Replica: order.Ticket.Replica, Inc: order.Ticket.Inc, State: state}})
+				o.tell(controller.Event{Ordered: &controller.Ordered{Replica: order.Ticket.Replica, Inc: order.Ticket.Inc, State: state}})
 			})
 		})
 	case e.Run != nil:
-		done := foreman.PolicyDone{Run: e.Run.Number, Revision: e.Run.Revision, Live: imposition.Run(e.Run.Live, e.Run.Fleet)}
+		done := controller.PolicyDone{Run: e.Run.Number, Revision: e.Run.Revision, Live: placement.Run(e.Run.Live, e.Run.Fleet)}
 		for _, p := range e.Run.Shadows {
-			done.Shadows = append(done.Shadows, imposition.Run(p, e.Run.Fleet))
+			done.Shadows = append(done.Shadows, placement.Run(p, e.Run.Fleet))
 		}
-		o.later(2*ms, func() { o.tell(foreman.Event{Policy: &done}) })
+		o.later(2*ms, func() { o.tell(controller.Event{Policy: &done}) })
 	}
 }
--- a/proofs/sim/operators.go
+++ b/proofs/sim/operators.go
@@ -6,12 +6,12 @@
 	"strings"
 
 	"petreltide/examples"
-	"petreltide/internal/deskwork"
+	"petreltide/internal/dispatch"
 	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
 	"petreltide/internal/standing"
 	"petreltide/internal/wire"
-	"petreltide/proofs/press"
+	"petreltide/proofs/modelserver"
 	"petreltide/proofs/rules"
 )
 
@@ -144,7 +144,7 @@
 	s.note("acknowledged %s as revision %d, everywhere %v", doc.Name, r.Outcome.Revision, r.Everywhere)
 }
 
-func (p *operators) sawOrder(o press.OrderSeen) {
+func (p *operators) sawOrder(o modelserver.OrderSeen) {
 	if strings.HasPrefix(o.Unit, ghost) {
 		p.ordered[o.Unit] = true
 		p.judgeOrder(o.Unit)
@@ -195,7 +195,7 @@
 	})
 }
 
-func (p *operators) sawDoc(desk string, snap *deskwork.Snapshot) {
+func (p *operators) sawDoc(desk string, snap *dispatch.Snapshot) {
 	if snap.Doc != nil && p.refused[snap.Doc.Name] {
 		p.sim.watch.Break(rules.ConfigLost, "%s works by refused %s", desk, snap.Doc.Name)
 	}
@@ -310,22 +310,26 @@
 			away: func(d *standing.Declaration) { moveTo(d, moved.Name, elsewhere) },
 			old:  func(d *standing.Declaration) { moveTo(d, moved.Name, moved.Model) },
 			gone: rules.Change{Concerns: ofMoved(elsewhere), Told: told(fault.UnknownAdapter, ofMoved(elsewhere)),
-				Runs: func(r press.Run, _ rules.Told, _ int) bool { return r.Adapter == moved.Name && r.Model == moved.Model }},
+				Runs: func(r modelserver.Run, _ rules.Told, _ int) bool {
+					return r.Adapter == moved.Name && r.Model == moved.Model
+				}},
 			back: rules.Change{Concerns: ofMoved(moved.Model), Told: told(fault.UnknownAdapter, ofMoved(moved.Model)),
-				Runs: func(r press.Run, _ rules.Told, _ int) bool { return r.Adapter == moved.Name && r.Model == elsewhere }}},
+				Runs: func(r modelserver.Run, _ rules.Told, _ int) bool {
+					return r.Adapter == moved.Name && r.Model == elsewhere
+				}}},
 		{id: "kind " + rare.Name,
 			away: func(d *standing.Declaration) {
 				d.Kinds = without(d.Kinds, func(k standing.Kind) bool { return k.Name == rare.Name })
 			},
 			old: func(d *standing.Declaration) { d.Kinds = append(d.Kinds, rare) },
 			gone: rules.Change{Concerns: ofKind(rare.Name),
-				Runs: func(_ press.Run, ask rules.Told, _ int) bool { return ask.Kind == rare.Name }},
+				Runs: func(_ modelserver.Run, ask rules.Told, _ int) bool { return ask.Kind == rare.Name }},
 			back: rules.Change{Concerns: ofKind(rare.Name), Told: told(fault.UnknownKind, ofKind(rare.Name))}},
 		{id: "resumable " + resumed.Name,
 			away: func(d *standing.Declaration) { resumeAs(d, resumed.Name, false) },
 			old:  func(d *standing.Declaration) { resumeAs(d, resumed.Name, true) },
 			gone: rules.Change{Concerns: ofKind(resumed.Name),
-				Runs: func(r press.Run, ask rules.Told, nth int) bool {
+				Runs: func(r modelserver.Run, ask rules.Told, nth int) bool {
 					return ask.Kind == resumed.Name && (nth > 1 || r.First > 1)
 				}},
 			back: rules.Change{Concerns: ofKind(resumed.Name),
@@ -336,7 +340,7 @@
 			away: func(d *standing.Declaration) { expireAs(d, often.Name, shortMs) },
 			old:  func(d *standing.Declaration) { expireAs(d, often.Name, often.ExpiryMs) },
 			gone: rules.Change{Concerns: ofKind(often.Name),
-				Runs: func(r press.Run, ask rules.Told, _ int) bool {
+				Runs: func(r modelserver.Run, ask rules.Told, _ int) bool {
 					return ask.Kind == often.Name && ask.Had == 0 && r.StartUs > ask.TakenUs+shortMs*ms+slackUs
 				}},
 			back: rules.Change{Concerns: ofKind(often.Name),
--- a/proofs/sim/sim.go
+++ b/proofs/sim/sim.go
@@ -12,8 +12,8 @@
 	"petreltide/examples"
 	"petreltide/internal/standing"
 	"petreltide/internal/wire"
+	"petreltide/proofs/modelserver"
 	"petreltide/proofs/platform"
-	"petreltide/proofs/press"
 	"petreltide/proofs/rules"
 )
 
@@ -460,7 +460,7 @@
 		}
 		n := o.core.Node
 		text += fmt.Sprintf("[%s %s view %d head %v open %v commit %d/%d waits %q duty %v] ", o.name, n.Phase(), n.View().Number, n.IsHead(),
-			n.Open(o.clock()), n.Commit(), n.Last(), n.WaitsFor(), o.core.Foreman.OnDuty(n.State()))
+			n.Open(o.clock()), n.Commit(), n.Last(), n.WaitsFor(), o.core.Controller.OnDuty(n.State()))
 	}
 	for _, d := range s.desks {
 		text += fmt.Sprintf("[%s lease %dms waiting %d] ", d.name, (d.leaseUs-d.clock())/1000, d.decider.Note().Waiting)
@@ -486,7 +486,7 @@
 
 type pressNode struct {
 	machine
-	core    *press.Core
+	core    *modelserver.Core
 	zone    string
 	inc     string
 	leaving bool
@@ -517,9 +517,9 @@
 		loadUs = func(int64) int64 { return 0 }
 	}
 	p = &pressNode{machine: machine{sim: s, name: id, addr: fmt.Sprintf("%s:%d", id, boot), up: true, boot: boot}, zone: zone, inc: s.newInc()}
-	p.core = press.NewCore(press.Options{
+	p.core = modelserver.NewCore(modelserver.Options{
 		ID: id, Inc: p.inc, Zone: zone, RoomMb: roomMb, Slots: slots, FirstUs: firstUs, PartUs: partUs, PieceUs: pieceUs, Fetch: true, LoadUs: loadUs,
-		Journal: func(l press.Line) {
+		Journal: func(l modelserver.Line) {
 			switch {
 			case l.Run != nil:
 				s.watch.Run(*l.Run)
@@ -541,7 +541,7 @@
 }
 
 // stakeRoom: a load was at stake when the smallest model would not have fitted beside it.
-func (s *Sim) stakeRoom(p *pressNode, o press.OrderSeen) {
+func (s *Sim) stakeRoom(p *pressNode, o modelserver.OrderSeen) {
 	if !o.Taken || o.Step != "load" {
 		return
 	}
--- a/proofs/sim/watch_test.go
+++ b/proofs/sim/watch_test.go
@@ -21,7 +21,7 @@
 					if !o.core.Node.IsHead() {
 						continue
 					}
-					for _, d := range o.core.Foreman.Desks(o.clock()) {
+					for _, d := range o.core.Controller.Desks(o.clock()) {
 						if d.Desk == name {
 							return d.Silent
 						}
--- a/proofs/shop/input_test.go
+++ b/proofs/testbed/input_test.go
@@ -1,4 +1,4 @@
-package shop
+package testbed
 
 import (
 	"context"
@@ -16,7 +16,7 @@
 	"petreltide/internal/fault"
 	"petreltide/internal/standing"
 	"petreltide/proofs/callers"
-	"petreltide/proofs/press"
+	"petreltide/proofs/modelserver"
 	"petreltide/proofs/rules"
 	"petreltide/proofs/sim"
 )
@@ -186,7 +186,7 @@
 	defer naughty(t, s, "none")
 	told := map[string]string{}
 	var mu sync.Mutex
-	for name := range press.Edges {
+	for name := range modelserver.Edges {
 		naughty(t, s, "edge "+name)
 		var group sync.WaitGroup
 		for i := 0; i < 12; i++ {
@@ -222,7 +222,7 @@
 		all := 0
 		for _, addr := range s.Presses {
 			var seen struct {
-				Runs []press.Run `json:"runs"`
+				Runs []modelserver.Run `json:"runs"`
 			}
 			_, _, body, err := Do(http.MethodGet, "http://"+addr+"/proof/runs", "")
 			if err != nil || json.Unmarshal([]byte(body), &seen) != nil {
@@ -264,7 +264,7 @@
 	if ran < 20 || unrun < 20 {
 		t.Errorf("%d ran and %d were told not run of %d: the edges prove little", ran, unrun, len(told))
 	}
-	t.Logf("%d calls over %d edges: %d ran, %d were told not run", len(told), len(press.Edges), ran, unrun)
+	t.Logf("%d calls over %d edges: %d ran, %d were told not run", len(told), len(modelserver.Edges), ran, unrun)
 }
 
 func platformInput(t *testing.T, s *Shop) {
--- a/proofs/shop/shop.go
+++ b/proofs/testbed/testbed.go
@@ -1,4 +1,4 @@
-package shop
+package testbed
 
 import (
 	"context"
@@ -16,13 +16,13 @@
 	"github.com/juju/errors"
 
 	"petreltide/internal/desk"
+	"petreltide/internal/logring"
 	"petreltide/internal/office"
 	"petreltide/internal/settings"
-	"petreltide/internal/spike"
 	"petreltide/internal/standing"
 	"petreltide/internal/wire"
+	"petreltide/proofs/modelserver"
 	"petreltide/proofs/platform"
-	"petreltide/proofs/press"
 )
 
 // Shop runs a few real hosts inside one process, sockets and disks included, for tests that need
@@ -89,7 +89,7 @@
 			return nil, errors.Trace(err)
 		}
 		host, err := office.Open(settings.Office{Name: name, Listen: addr, Advertise: addr, Zone: string(rune('a' + i%3)), Seeds: s.Offices, Data: folder, Platform: platAddr, Founding: plan.Offices},
-			spike.NewRing(folder, io.Discard))
+			logring.NewRing(folder, io.Discard))
 		if err != nil {
 			return nil, err
 		}
@@ -102,7 +102,7 @@
 		}
 		id := fmt.Sprintf("gpu-%d", i+1)
 		zone := string(rune('a' + i%3))
-		host := press.NewHost(press.NewCore(press.Options{
+		host := modelserver.NewHost(modelserver.NewCore(modelserver.Options{
 			ID: id, Inc: id + "-1", Zone: zone, RoomMb: plan.RoomMb, Slots: plan.Slots, FirstUs: plan.FirstUs, PartUs: plan.PartUs, PieceUs: plan.PieceUs,
 			LoadUs: func(sizeMb int64) int64 { return 20_000 + sizeMb*10 },
 		}), "")
@@ -116,7 +116,7 @@
 			return nil, err
 		}
 		host := desk.Open(settings.Desk{Name: fmt.Sprintf("front-%d", i+1), Listen: addr, Advertise: addr, Zone: string(rune('a' + i%3)), Seeds: s.Offices, BacklogMax: 64, BodyMaxKb: 64, DrainMs: 2000},
-			spike.NewRing("", io.Discard))
+			logring.NewRing("", io.Discard))
 		s.Desks = append(s.Desks, addr)
 		s.run(ctx, host.Run)
 	}
