Bring an actor's answer back through a channel, never through a shared variable

Ruled out: guarding the one reader in follow: eleven other callers had the same shape. Change: Ask is generic and hands its value over a channel of its own; Do brings nothing back. No caller shares a variable with the actor any more; a wait for a lease ends with its asker; an office that is stopping says so instead of showing revision 0. Conclusion: the mechanism cannot be misused in this way any more.

--- a/internal/actor/actor.go
+++ b/internal/actor/actor.go
@@ -50,26 +50,35 @@
 	}
 }
 
-// Ask runs act on the actor and waits for it; false means that it may not have run.
-func (a *Actor) Ask(ctx context.Context, act func()) bool {
-	done := make(chan struct{})
+// Ask runs act on the actor and brings back what it returned. False means that it may not have run, or
+// may run later; what it returns then is never seen, so nobody reads what the actor still writes.
+func Ask[T any](ctx context.Context, a *Actor, act func() T) (T, bool) {
+	var none T
+	answer := make(chan T, 1)
 	select {
-	case a.mailbox <- func() { act(); close(done) }:
+	case a.mailbox <- func() { answer <- act() }:
 	case <-ctx.Done():
-		return false
+		return none, false
 	case <-a.Ctx.Done():
-		return false
+		return none, false
 	}
 	select {
-	case <-done:
-		return true
+	case got := <-answer:
+		return got, true
 	case <-ctx.Done():
-		return false
+		return none, false
 	case <-a.Ctx.Done():
-		return false
+		return none, false
 	}
 }
 
+// Do runs act on the actor and waits for it. It returns nothing that act could have written: only Ask
+// brings a value back.
+func (a *Actor) Do(ctx context.Context, act func()) bool {
+	_, ran := Ask(ctx, a, func() struct{} { act(); return struct{}{} })
+	return ran
+}
+
 // Stop ends the loop and every helper that watches Ctx; End waits for them too.
 func (a *Actor) Stop() { a.stop() }
 
--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"petreltide/internal/actor"
 	"petreltide/internal/clock"
 	"petreltide/internal/dispatch"
 	"petreltide/internal/fault"
@@ -76,15 +77,19 @@
 
 func (h *Host) status(w http.ResponseWriter, _ *http.Request) {
 	st := Status{Desk: h.set.Name, Inc: h.inc, Zone: h.set.Zone, Tail: h.tail().ID}
-	h.ask(func() { st.Work, st.Gauges = h.decider.Note(), h.decider.Gauges() })
+	if now, ran := actor.Ask(h.act.Ctx, h.act, func() Status { return Status{Work: h.decider.Note(), Gauges: h.decider.Gauges()} }); ran {
+		st.Work, st.Gauges = now.Work, now.Gauges
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(st)
 }
 
 // ready is for whoever hands clients to this desk.
 func (h *Host) ready(w http.ResponseWriter, _ *http.Request) {
-	f := fault.New(fault.Draining, "", "stopping")
-	h.ask(func() { f = h.decider.Ready(clock.NowUs()) })
+	f, ran := actor.Ask(h.act.Ctx, h.act, func() *fault.Fault { return h.decider.Ready(clock.NowUs()) })
+	if !ran {
+		f = fault.New(fault.Draining, "", "stopping")
+	}
 	if f != nil {
 		refuse(w, http.StatusServiceUnavailable, f)
 		return
@@ -274,21 +279,21 @@
 // follow1 takes one call through the decider and its legs to the one final answer.
 func (h *Host) follow1(ctx context.Context, ask *CallAsk, c *dispatch.Call, s *stream) string {
 	mine := &caller{next: make(chan dispatch.Effect, 4)}
-	if !h.ask(func() {
+	if !h.do(func() {
 		h.waiting[c.ID] = mine
 		h.step(dispatch.Event{Arrived: c})
 	}) {
 		s.fail(&fault.Fault{Code: fault.Draining, Run: fault.RunNone, RetryMs: 200})
 		return fault.RunNone
 	}
-	defer h.ask(func() { delete(h.waiting, c.ID) })
+	defer h.do(func() { delete(h.waiting, c.ID) })
 	ran, why := fault.RunNone, ""
 	for {
 		var e dispatch.Effect
 		select {
 		case e = <-mine.next:
 		case <-ctx.Done():
-			h.ask(func() { h.step(dispatch.Event{Gone: c.ID}) })
+			h.do(func() { h.step(dispatch.Event{Gone: c.ID}) })
 			select {
 			case e = <-mine.next:
 			default:
@@ -341,8 +346,8 @@
 func (h *Host) runLeg(ctx context.Context, ask *CallAsk, c *dispatch.Call, st dispatch.Start, mine *caller, s *stream) (dispatch.Ending, string) {
 	legCtx, cancel := context.WithDeadline(ctx, time.Now().Add(time.Duration(st.ExpiryUs-clock.NowUs())*time.Microsecond))
 	defer cancel()
-	h.ask(func() { mine.arm(cancel) })
-	defer h.ask(func() { mine.arm(nil) })
+	h.do(func() { mine.arm(cancel) })
+	defer h.do(func() { mine.arm(nil) })
 	raw, err := json.Marshal(wire.Leg{
 		Leg: st.Leg, Ticket: st.Ticket, Inc: st.Inc, Call: c.ID, Model: c.Model, Adapter: c.Adapter,
 		Prefix: ask.Prefix, Prompt: ask.Prompt, Had: s.pieces, First: len(s.pieces) + 1, MostOut: ask.MostOut,
--- a/internal/desk/host.go
+++ b/internal/desk/host.go
@@ -138,7 +138,7 @@
 
 func (h *Host) tell(ev dispatch.Event) { h.act.Tell(func() { h.step(ev) }) }
 
-func (h *Host) ask(act func()) bool { return h.act.Ask(h.act.Ctx, act) }
+func (h *Host) do(act func()) bool { return h.act.Do(h.act.Ctx, act) }
 
 func (h *Host) step(ev dispatch.Event) {
 	ev.NowUs = clock.NowUs()
@@ -268,8 +268,8 @@
 	ctx, done := context.WithTimeout(ctx, keyWait)
 	defer done()
 	var last error
-	var offices []string
-	if !h.ask(func() { offices = h.subscriber.Offices() }) {
+	offices, ran := actor.Ask(h.act.Ctx, h.act, h.subscriber.Offices)
+	if !ran {
 		return nil, fault.New(fault.Draining, "", "stopping")
 	}
 	for _, addr := range offices {
--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -317,9 +317,7 @@
 		return
 	case <-time.After(partnerWait):
 	}
-	alone := false
-	h.act.Ask(h.act.Ctx, func() { alone = h.core.Node.Phase() == chain.Fresh })
-	if alone {
+	if alone, ran := actor.Ask(h.act.Ctx, h.act, func() bool { return h.core.Node.Phase() == chain.Fresh }); ran && alone {
 		select {
 		case h.failed <- fault.New(fault.DamagedData, h.set.Data, "it holds no chain, and no partner was met within %v to copy one from; kept folders are untouched", partnerWait):
 		default:
@@ -470,14 +468,14 @@
 func (h *Host) Submit(ctx context.Context, c ledger.Change, wait time.Duration) (wire.Result, bool) {
 	c.Origin = h.set.Advertise
 	waiter := make(chan wire.Result, 4)
-	if !h.act.Ask(ctx, func() { h.waiters[c.ID] = waiter }) {
-		return wire.Result{}, false
-	}
-	defer h.act.Ask(h.act.Ctx, func() {
+	defer h.act.Tell(func() {
 		if h.waiters[c.ID] == waiter {
 			delete(h.waiters, c.ID)
 		}
 	})
+	if !h.act.Do(ctx, func() { h.waiters[c.ID] = waiter }) {
+		return wire.Result{}, false
+	}
 	expiry := time.NewTimer(wait)
 	defer expiry.Stop()
 	again := time.NewTicker(resubmit)
--- a/internal/office/members.go
+++ b/internal/office/members.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"petreltide/internal/actor"
 	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
 	"petreltide/internal/wire"
@@ -20,7 +21,19 @@
 			h.reply(w, id, wire.Result{Outcome: first, Everywhere: true})
 			return
 		}
-		if !h.act.Ask(r.Context(), func() { bad = h.core.Node.FitMember(&m, r.URL.Query().Get("even-alive") == "true") }) {
+		evenAlive := r.URL.Query().Get("even-alive") == "true"
+		type fit struct {
+			change ledger.MemberChange
+			bad    *fault.Fault
+		}
+		asked := m
+		got, ran := actor.Ask(r.Context(), h.act, func() fit {
+			f := fit{change: asked}
+			f.bad = h.core.Node.FitMember(&f.change, evenAlive)
+			return f
+		})
+		m, bad = got.change, got.bad
+		if !ran {
 			bad = fault.New(fault.NotServing, "", "stopping")
 		}
 	}
--- a/internal/office/web.go
+++ b/internal/office/web.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"petreltide/internal/actor"
 	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
 	"petreltide/internal/placement"
@@ -41,8 +42,8 @@
 		return &wire.Receipt{}, nil
 	})
 	rpc.Serve(mux, rpc.WherePath, func(ctx context.Context, ask *wire.WhereAsk) (*wire.Where, error) {
-		var where wire.Where
-		if !h.act.Ask(ctx, func() { where = h.where() }) {
+		where, ran := actor.Ask(ctx, h.act, h.where)
+		if !ran {
 			return nil, fault.New(fault.NotServing, "", "stopping")
 		}
 		return &where, nil
@@ -56,15 +57,20 @@
 	})
 	rpc.Serve(mux, rpc.AckPath, func(ctx context.Context, r *wire.Report) (*wire.Lease, error) {
 		reply := make(chan wire.Lease, 1)
-		if !h.act.Ask(ctx, func() {
+		if !h.act.Do(ctx, func() {
 			h.replySeq++
 			h.replies[h.replySeq] = reply
 			h.step(Event{Report: &Reported{Report: *r, Reply: h.replySeq}})
 		}) {
 			return nil, fault.New(fault.NotServing, "", "stopping")
 		}
-		lease := <-reply
-		return &lease, nil
+		select {
+		case lease := <-reply:
+			return &lease, nil
+		case <-ctx.Done():
+		case <-h.act.Ctx.Done():
+		}
+		return nil, fault.New(fault.NotServing, "", "stopping")
 	})
 	rpc.Serve(mux, rpc.BeatPath, func(_ context.Context, b *watch.Beat) (*wire.Receipt, error) {
 		h.tell(Event{Beat: b})
@@ -84,24 +90,22 @@
 
 func (h *Host) follow(ctx context.Context, f *wire.Follow, send func(*wire.News) error) error {
 	mine := &followed{latest: make(chan wire.News, 1)}
-	open := false
-	h.act.Ask(ctx, func() {
-		open = h.core.Node.Open(h.core.Node.NowUs())
-		if open {
-			h.follows[f.Desk] = mine
-			h.step(Event{Follow: f})
-		}
-	})
-	if !open {
-		return fault.New(fault.NotServing, "", "not the open tail")
-	}
-	view := uint64(0)
-	h.act.Ask(ctx, func() { view = h.core.Node.View().Number })
-	defer h.act.Ask(h.act.Ctx, func() {
+	defer h.act.Tell(func() {
 		if h.follows[f.Desk] == mine {
 			delete(h.follows, f.Desk)
 		}
 	})
+	view, ran := actor.Ask(ctx, h.act, func() uint64 {
+		if !h.core.Node.Open(h.core.Node.NowUs()) {
+			return 0
+		}
+		h.follows[f.Desk] = mine
+		h.step(Event{Follow: f})
+		return h.core.Node.View().Number
+	})
+	if !ran || view == 0 {
+		return fault.New(fault.NotServing, "", "not the open tail")
+	}
 	still := time.NewTicker(300 * time.Millisecond)
 	defer still.Stop()
 	for {
@@ -115,11 +119,10 @@
 				return err
 			}
 		case <-still.C:
-			gone := false
-			h.act.Ask(ctx, func() {
-				gone = h.follows[f.Desk] != mine || !h.core.Node.IsTail() || h.core.Node.View().Number < view
+			gone, ran := actor.Ask(ctx, h.act, func() bool {
+				return h.follows[f.Desk] != mine || !h.core.Node.IsTail() || h.core.Node.View().Number < view
 			})
-			if gone {
+			if gone || !ran {
 				return fault.New(fault.NotServing, "", "no longer the tail")
 			}
 		}
@@ -151,20 +154,18 @@
 	writeJSON(w, status, map[string]any{"error": f})
 }
 
-func (h *Host) config(ctx context.Context) ConfigNow {
-	now := ConfigNow{}
-	h.act.Ask(ctx, func() {
+func (h *Host) config(ctx context.Context) (ConfigNow, bool) {
+	return actor.Ask(ctx, h.act, func() ConfigNow {
 		s := h.core.Node.State()
-		now = ConfigNow{Revision: s.Revision, Index: s.Index, Declaration: s.Doc}
+		return ConfigNow{Revision: s.Revision, Index: s.Index, Declaration: s.Doc}
 	})
-	return now
 }
 
 // configAt waits a little for a revision the operator already knows of.
 func (h *Host) configAt(ctx context.Context, base uint64) ConfigNow {
 	for wait := 0; ; wait++ {
-		now := h.config(ctx)
-		if now.Revision >= base || wait >= 20 {
+		now, ran := h.config(ctx)
+		if !ran || now.Revision >= base || wait >= 20 {
 			return now
 		}
 		select {
@@ -176,7 +177,12 @@
 }
 
 func (h *Host) getConfig(w http.ResponseWriter, r *http.Request) {
-	writeJSON(w, http.StatusOK, h.config(r.Context()))
+	now, ran := h.config(r.Context())
+	if !ran {
+		writeFault(w, fault.New(fault.NotServing, "", "stopping"))
+		return
+	}
+	writeJSON(w, http.StatusOK, now)
 }
 
 func (h *Host) read(w http.ResponseWriter, r *http.Request) ([]byte, *fault.Fault) {
@@ -274,13 +280,18 @@
 }
 
 func (h *Host) seen(ctx context.Context, id string) (ledger.Outcome, bool) {
-	var first ledger.Outcome
-	seen := false
-	h.act.Ask(ctx, func() {
-		first, seen = h.core.Node.State().Changes[id]
-		first.Again = true
+	first, ran := actor.Ask(ctx, h.act, func() *ledger.Outcome {
+		out, seen := h.core.Node.State().Changes[id]
+		if !seen {
+			return nil
+		}
+		out.Again = true
+		return &out
 	})
-	return first, seen
+	if !ran || first == nil {
+		return ledger.Outcome{}, false
+	}
+	return *first, true
 }
 
 func (h *Host) change(w http.ResponseWriter, r *http.Request, c ledger.Change) {
@@ -328,7 +339,11 @@
 		return
 	}
 	for try := 0; ; try++ {
-		now := h.config(r.Context())
+		now, ran := h.config(r.Context())
+		if !ran {
+			writeFault(w, fault.New(fault.NotServing, "", "stopping"))
+			return
+		}
 		if now.Declaration == nil {
 			writeFault(w, fault.New(fault.NoSuchZone, "zone", "no declaration yet"))
 			return
@@ -370,15 +385,21 @@
 }
 
 func (h *Host) status(w http.ResponseWriter, r *http.Request) {
-	var raw []byte
-	h.act.Ask(r.Context(), func() { raw, _ = json.Marshal(h.core.Status(h.core.Node.NowUs())) })
+	raw, ran := actor.Ask(r.Context(), h.act, func() []byte {
+		raw, _ := json.Marshal(h.core.Status(h.core.Node.NowUs()))
+		return raw
+	})
+	if !ran {
+		writeFault(w, fault.New(fault.NotServing, "", "stopping"))
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(append(raw, '\n'))
 }
 
 func (h *Host) state(w http.ResponseWriter, r *http.Request) {
-	var frozen *ledger.State
-	if !h.act.Ask(r.Context(), func() { frozen = h.core.Node.State().Freeze() }) {
+	frozen, ran := actor.Ask(r.Context(), h.act, func() *ledger.State { return h.core.Node.State().Freeze() })
+	if !ran {
 		writeFault(w, fault.New(fault.NotServing, "", "stopping"))
 		return
 	}
