--- a/cmd/petreltide/main.go
+++ b/cmd/petreltide/main.go
@@ -8,6 +8,8 @@
 	"syscall"
 
 	"github.com/spf13/cobra"
+
+	"petreltide/platform"
 )
 
 func main() {
@@ -27,6 +29,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(officeCommand(), deskCommand(), applyCommand(), diffCommand(), zoneCommand(), statusCommand(), queryCommand(), compareCommand(), replayCommand(), memberCommand())
+	cmd.AddCommand(officeCommand(), deskCommand(), applyCommand(), diffCommand(), zoneCommand(), statusCommand(), queryCommand(), compareCommand(), replayCommand(), memberCommand(), platform.Command())
 	return cmd
 }
--- a/internal/chain/join.go
+++ b/internal/chain/join.go
@@ -12,7 +12,7 @@
 		if p.hello.CopyIndex == 0 || p.hello.CopyIndex+uint64(n.opts.KeepMost) < n.commit || !n.hearsAll(p.hello) {
 			continue
 		}
-		if n.dropped(id) || (!n.view.Votes(id) && !n.standsIn(p.hello.Me) && !n.added(p.hello.Me)) {
+		if !n.mayJoin(p.hello.Me) {
 			continue
 		}
 		return Seat{Member: p.hello.Me, Inc: p.hello.Inc}, true
@@ -20,6 +20,13 @@
 	return Seat{}, false
 }
 
+func (n *Node) mayJoin(m Member) bool {
+	if n.dropped(m.ID) {
+		return false
+	}
+	return n.view.Votes(m.ID) || n.standsIn(m) || n.added(m) || n.opts.SelfMembers
+}
+
 func (n *Node) hearsAll(h Hello) bool {
 	hears := map[string]bool{}
 	for _, id := range h.Hears {
@@ -53,14 +60,14 @@
 
 // newVoters changes at most one vote. One that joins in a lost office's place gets its vote with
 // its seat: between the two no second office could be spared.
-func (n *Node) newVoters(order []Seat) ([]Member, bool) {
+func (n *Node) newVoters(order []Seat) (voters []Member, extra int, changed bool) {
 	for _, s := range order {
 		if n.view.Votes(s.ID) {
 			for i, v := range n.view.Voters {
 				if v.ID == s.ID && v.Addr != s.Addr {
 					voters := append([]Member(nil), n.view.Voters...)
 					voters[i] = s.Member
-					return voters, true
+					return voters, 0, true
 				}
 			}
 			continue
@@ -69,14 +76,61 @@
 			if v.Name == s.Name && (!n.view.Seated(v.ID) || n.replaced(s.Member) == v.ID) {
 				voters := append([]Member(nil), n.view.Voters...)
 				voters[i] = s.Member
-				return voters, true
+				return voters, 0, true
 			}
 		}
 		if n.added(s.Member) {
-			return append(append([]Member(nil), n.view.Voters...), s.Member), true
+			return append(append([]Member(nil), n.view.Voters...), s.Member), 0, true
+		}
+		if n.opts.SelfMembers {
+			return n.selfVoters(s.Member)
+		}
+	}
+	return nil, 0, false
+}
+
+// selfVoters gives a newcomer the vote of one that is silent for good, or one of its own. A voter that
+// has fallen silent only now is waited for.
+func (n *Node) selfVoters(m Member) (voters []Member, extra int, changed bool) {
+	if n.nowUs-n.bootUs < 3*n.opts.SuspectUs {
+		return nil, 0, false
+	}
+	p := n.partners[m.ID]
+	first := p != nil && p.hello.First
+	waits := false
+	for i, v := range n.view.Voters {
+		if n.view.Seated(v.ID) || first {
+			continue
+		}
+		if n.hearsFor(v.ID, 3*n.opts.SuspectUs) {
+			waits = waits || !n.Hears(v.ID)
+			continue
+		}
+		voters := append([]Member(nil), n.view.Voters...)
+		voters[i] = m
+		return voters, 0, true
+	}
+	if waits {
+		return nil, 0, false
+	}
+	extra = 1
+	if first {
+		extra = 0
+	}
+	return append(append([]Member(nil), n.view.Voters...), m), extra, true
+}
+
+// silentExtra is a silent voter whose vote may go, as another was taken in beside it.
+func (n *Node) silentExtra() string {
+	if !n.opts.SelfMembers || n.nowUs-n.bootUs < 3*n.opts.SuspectUs || n.view.Extra <= 0 || len(n.view.Voters) <= votersLeast {
+		return ""
+	}
+	for _, v := range n.view.Voters {
+		if !n.view.Seated(v.ID) && !n.hearsFor(v.ID, 3*n.opts.SuspectUs) && n.nowUs-n.viewedUs > n.opts.SuspectUs {
+			return v.ID
 		}
 	}
-	return nil, false
+	return ""
 }
 
 // offerCopy is the tail's: it has applied everything that was ever acknowledged.
@@ -89,7 +143,7 @@
 		if n.view.Seated(id) || !n.Hears(id) || p.hello.Phase == Serving || p.hello.Stalled {
 			continue
 		}
-		seated := !n.dropped(id) && (n.view.Votes(id) || n.standsIn(p.hello.Me) || n.added(p.hello.Me))
+		seated := n.mayJoin(p.hello.Me)
 		stale := p.hello.CopyIndex == 0 || p.hello.CopyIndex+uint64(n.opts.KeepMost)/2 < n.commit
 		if !seated || !stale || p.hello.View.Number != n.view.Number {
 			continue
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 
 	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
@@ -64,20 +65,22 @@
 	guardUs   int64
 	guardTail Seat
 
-	succLast   uint64
-	succSent   uint64
-	succCopied uint64
-	succAtUs   int64
-	succKnown  bool
-	openAt     uint64
-	openKnown  bool
-	leases     map[string]int64
-	leaseUs    int64
-	echoUs     int64
-	tailEchoUs int64
-	viewedUs   int64
-	joinAtUs   int64
-	effects    []Effect
+	succLast    uint64
+	succSent    uint64
+	succCopied  uint64
+	succAtUs    int64
+	succKnown   bool
+	openAt      uint64
+	openKnown   bool
+	leases      map[string]int64
+	leaseUs     int64
+	echoUs      int64
+	tailEchoUs  int64
+	viewedUs    int64
+	joinAtUs    int64
+	settledOnce bool
+	settleAt    uint64
+	effects     []Effect
 }
 
 type saving struct {
@@ -197,8 +200,17 @@
 func (n *Node) Me() Member           { return n.opts.Me }
 func (n *Node) Inc() string          { return n.opts.Inc }
 
-// WritesTaken is false in a view of one: nothing is acknowledged on one copy.
-func (n *Node) WritesTaken() bool { return len(n.view.Order) >= 2 }
+// Settled says that the state of this office is the chain's: it has had a seat in this life and holds
+// all that was committed before it.
+func (n *Node) Settled() bool {
+	if n.settledOnce {
+		return true
+	}
+	return n.serving() && n.whole && (n.openKnown || n.IsHead()) && n.commit >= max(n.openAt, n.settleAt)
+}
+
+// WritesTaken is false in a view of too few: nothing is acknowledged on one copy.
+func (n *Node) WritesTaken() bool { return len(n.view.Order) >= n.opts.CopiesLeast }
 
 func (n *Node) Hears(id string) bool {
 	p := n.partners[id]
@@ -252,6 +264,7 @@
 		n.tick()
 	}
 	n.flush()
+	n.settledOnce = n.Settled()
 	return n.effects
 }
 
@@ -543,6 +556,8 @@
 		return "its own disk: a sync has not come back"
 	case n.phase == Fresh && n.opts.Founding > 0:
 		return "founders: it must meet " + strconv.Itoa(n.opts.Founding) + " fresh offices, itself included, and knows " + strconv.Itoa(len(n.founders))
+	case n.phase == Fresh && n.mayFound():
+		return "founders: it must meet the fresh offices at " + strings.Join(n.opts.Founders, ", ") + ", and knows " + strconv.Itoa(len(n.founders))
 	case n.phase == Fresh:
 		return "a chain to join through its seeds"
 	case n.phase == Waking && !n.compared:
@@ -554,7 +569,7 @@
 	case n.serving() && !n.whole:
 		return "the rest of the log from its predecessor"
 	case !n.WritesTaken():
-		return "a second member: one copy alone takes no writes"
+		return "more members: an acknowledgement needs " + strconv.Itoa(n.opts.CopiesLeast) + " copies"
 	case n.IsTail() && !n.Open(n.nowUs):
 		return "its lease from a majority of voters"
 	}
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -21,6 +21,9 @@
 	Number uint64   `json:"number"`
 	Voters []Member `json:"voters"`
 	Order  []Seat   `json:"order"`
+	// Extra counts the voters that offices took in by themselves beside those that were there: as many
+	// votes of silent ones may be dropped.
+	Extra int `json:"extra,omitempty"`
 }
 
 func (v View) Head() Seat {
@@ -147,6 +150,7 @@
 	Hears     []string  `json:"hears"`
 	Founders  []Member  `json:"founders,omitempty"`
 	CopyIndex uint64    `json:"copyIndex,omitempty"`
+	First     bool      `json:"first,omitempty"`
 }
 
 type Prepare struct {
@@ -260,20 +264,28 @@
 }
 
 type Options struct {
-	Me         Member
-	Inc        string
-	Founding   int
-	HelloUs    int64
-	SuspectUs  int64
-	LeaseUs    int64
-	LeaseCutUs int64
-	StallUs    int64
-	CompareUs  int64
-	GatherUs   int64
-	ResendUs   int64
-	KeepMost   int
-	BatchMost  int
-	WaitMost   int
+	Me       Member
+	Inc      string
+	Founding int
+	// Founders are the addresses of the offices that begin a chain together, in place of Founding.
+	Founders []string
+	// First says that the whole fleet starts for the first time: this office belongs to it from the start.
+	First bool
+	// SelfMembers lets the offices take in and drop each other without an operator's order.
+	SelfMembers bool
+	// CopiesLeast is how many synced copies an acknowledgement needs; at least two.
+	CopiesLeast int
+	HelloUs     int64
+	SuspectUs   int64
+	LeaseUs     int64
+	LeaseCutUs  int64
+	StallUs     int64
+	CompareUs   int64
+	GatherUs    int64
+	ResendUs    int64
+	KeepMost    int
+	BatchMost   int
+	WaitMost    int
 }
 
 func (o Options) filled() Options {
@@ -290,6 +302,7 @@
 	set(&o.CompareUs, 1500*clock.Ms)
 	set(&o.GatherUs, 2000*clock.Ms)
 	set(&o.ResendUs, 150*clock.Ms)
+	o.CopiesLeast = max(o.CopiesLeast, 2)
 	if o.KeepMost == 0 {
 		o.KeepMost = 4096
 	}
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -1,6 +1,7 @@
 package chain
 
 import (
+	"slices"
 	"sort"
 )
 
@@ -43,7 +44,7 @@
 	h := Hello{
 		Me: n.opts.Me, Inc: n.opts.Inc, Phase: n.phase, View: n.view, Last: n.lastIndex(), LastView: n.lastView(),
 		Compared: n.compared, Whole: n.whole, Stalled: n.stalled(), Promised: n.promised, Accepted: n.accepted,
-		Founders: n.founders, CopyIndex: n.copyHeld,
+		Founders: n.founders, CopyIndex: n.copyHeld, First: n.opts.First,
 	}
 	for _, id := range n.partnerIDs() {
 		if n.Hears(id) {
@@ -165,23 +166,35 @@
 	}
 }
 
+// mayFound: this office is one of those that begin a chain together.
+func (n *Node) mayFound() bool {
+	if len(n.opts.Founders) > 0 {
+		return slices.Contains(n.opts.Founders, n.opts.Me.Addr)
+	}
+	return n.opts.Founding > 0
+}
+
 func (n *Node) judgeFounding() {
-	if n.opts.Founding == 0 || n.stalled() {
+	if !n.mayFound() || n.stalled() {
 		return
 	}
+	most := n.opts.Founding
+	if len(n.opts.Founders) > 0 {
+		most = len(n.opts.Founders)
+	}
 	founders := []Member{n.opts.Me}
 	for _, id := range n.partnerIDs() {
 		p := n.partners[id]
 		if p.hello.Phase != Fresh || p.hello.View.Number > 0 {
 			return
 		}
-		if n.Hears(id) {
+		if n.Hears(id) && (len(n.opts.Founders) == 0 || slices.Contains(n.opts.Founders, p.hello.Me.Addr)) {
 			founders = append(founders, p.hello.Me)
 		}
 	}
 	sort.Slice(founders, func(i, j int) bool { return founders[i].ID < founders[j].ID })
 	n.founders = founders
-	if len(founders) != n.opts.Founding {
+	if len(founders) != most {
 		return
 	}
 	order := make([]Seat, 0, len(founders))
@@ -223,7 +236,7 @@
 	if n.stalled() || !n.whole {
 		return
 	}
-	want := View{Number: n.view.Number + 1, Voters: n.view.Voters}
+	want := View{Number: n.view.Number + 1, Voters: n.view.Voters, Extra: n.view.Extra}
 	var rank int64
 	for _, s := range n.view.Order {
 		if s.ID == n.opts.Me.ID {
@@ -252,8 +265,11 @@
 			}
 			changed = true
 		}
-		if voters, ok := n.newVoters(want.Order); ok {
-			want.Voters = voters
+		if voters, extra, ok := n.newVoters(want.Order); ok {
+			want.Voters, want.Extra = voters, want.Extra+extra
+			changed = true
+		} else if id := n.silentExtra(); !changed && id != "" {
+			want.Voters, want.Extra = withoutVote(n.view.Voters, id), want.Extra-1
 			changed = true
 		}
 	}
@@ -315,7 +331,7 @@
 	if found[0].seat.ID != n.opts.Me.ID {
 		return
 	}
-	want := View{Number: n.view.Number + 1, Voters: n.view.Voters}
+	want := View{Number: n.view.Number + 1, Voters: n.view.Voters, Extra: n.view.Extra}
 	for _, c := range found {
 		want.Order = append(want.Order, c.seat)
 	}
@@ -437,7 +453,7 @@
 	n.openKnown, n.openAt, n.leases, n.leaseUs = false, 0, map[string]int64{}, 0
 	n.echoUs, n.tailEchoUs = 0, 0
 	n.compared = n.compared || n.phase != Waking
-	n.copyHeld = 0
+	n.copyHeld, n.settleAt = 0, n.lastIndex()
 	switch {
 	case n.place() >= 0:
 		n.phase = Serving
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -9,6 +9,7 @@
 	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
 	"petreltide/internal/placement"
+	"petreltide/internal/roster"
 	"petreltide/internal/scaler"
 	"petreltide/internal/standing"
 	"petreltide/internal/watch"
@@ -111,6 +112,7 @@
 	Fresh  bool
 	Writes bool
 	View   uint64
+	Roster *roster.Roster
 }
 
 type told struct {
@@ -130,6 +132,7 @@
 // Controller holds the duty of the one controller: it reads the ledger and what replicas,
 // platform and desks told it, and answers with ledger writes and orders.
 type Controller struct {
+	opts       Options
 	me         string
 	claimed    uint64
 	claimUs    int64
@@ -177,9 +180,19 @@
 	Parted   *Parted             `json:"parted,omitempty"`
 }
 
-func New(me string) *Controller {
+// Options hold for replicas that make themselves known. LeaseUs is how long they hold to one who orders
+// them; StoreWindowUs and StoreOvershoot bound how far loads may go beyond the store's rate.
+type Options struct {
+	LeaseUs        int64
+	StoreWindowUs  int64
+	StoreOvershoot float64
+}
+
+func New(me string) *Controller { return NewWith(me, Options{}) }
+
+func NewWith(me string, opts Options) *Controller {
 	return &Controller{
-		me: me, replicas: map[string]*told{}, desks: map[string]*deskRow{},
+		me: me, opts: opts, replicas: map[string]*told{}, desks: map[string]*deskRow{},
 		jury: watch.NewJury(), orderUs: map[uint64]int64{}, Faults: map[fault.Code]uint64{},
 	}
 }
@@ -315,7 +328,7 @@
 }
 
 func (f *Controller) leave() {
-	fresh := New(f.me)
+	fresh := NewWith(f.me, f.opts)
 	fresh.Faults, fresh.writes, fresh.desks, fresh.Policy = f.Faults, f.writes, f.desks, f.Policy
 	fresh.run, fresh.jury = f.run, f.jury
 	effects := f.effects
--- a/internal/controller/hear.go
+++ b/internal/controller/hear.go
@@ -52,6 +52,9 @@
 
 func (f *Controller) ordered(o Ordered) {
 	row := f.replicas[o.Replica]
+	if o.State.State == wire.OrderInDoubt || o.State.State == wire.OrderBusy {
+		return
+	}
 	if o.State.State == wire.OrderFailed {
 		f.count(fault.TicketRefused)
 		return
--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -270,23 +270,23 @@
 		}
 	}
 	s := &stream{w: w, flush: http.NewResponseController(w).Flush, pieces: append([]string(nil), ask.Had...)}
-	end := h.follow1(r.Context(), ask, c, s)
+	end := h.carry(r.Context(), c, &legsEdge{h: h, ask: ask, call: c, s: s})
 	if keyed {
 		h.endKey(key, c, end)
 	}
 }
 
-// follow1 takes one call through the decider and its legs to the one final answer.
-func (h *Host) follow1(ctx context.Context, ask *CallAsk, c *dispatch.Call, s *stream) string {
+// carry takes one call through the decider and its legs to the one final answer.
+func (h *Host) carry(ctx context.Context, c *dispatch.Call, edge Edge) string {
 	mine := &caller{next: make(chan dispatch.Effect, 4)}
 	if !h.do(func() {
 		h.waiting[c.ID] = mine
 		h.step(dispatch.Event{Arrived: c})
 	}) {
-		s.fail(&fault.Fault{Code: fault.Draining, Run: fault.RunNone, RetryMs: 200})
+		edge.Fail(&fault.Fault{Code: fault.Draining, Run: fault.RunNone, RetryMs: 200})
 		return fault.RunNone
 	}
-	defer h.do(func() { delete(h.waiting, c.ID) })
+	defer h.act.Tell(func() { delete(h.waiting, c.ID) })
 	ran, why := fault.RunNone, ""
 	for {
 		var e dispatch.Effect
@@ -305,7 +305,7 @@
 			return ran
 		}
 		if e.Give != nil {
-			s.fail(e.Give.Fault)
+			edge.Fail(e.Give.Fault)
 			return e.Give.Fault.Run
 		}
 		if e.Over != nil {
@@ -313,41 +313,73 @@
 			f.Run = fault.RunUnknown
 			if e.Over.Ending == dispatch.Final {
 				f.Code = fault.Expired
-			} else if s.opened {
+			} else if edge.Opened() {
 				f.Code, f.Run = fault.Broken, fault.RunPartial
 			}
-			s.fail(f)
+			edge.Fail(f)
 			return f.Run
 		}
-		ending, said := h.runLeg(ctx, ask, c, *e.Start, mine, s)
+		ending, said := h.leg(ctx, *e.Start, mine, edge)
 		why = said
-		if ctx.Err() != nil || s.failed {
+		if ctx.Err() != nil {
 			h.tell(dispatch.Event{Gone: c.ID})
 		}
 		h.tell(dispatch.Event{Ended: &dispatch.Ended{Call: c.ID, Leg: e.Start.Leg, Ending: ending}})
 		switch ending {
 		case dispatch.Done:
-			s.event(0, "end", map[string]any{"pieces": len(s.pieces)})
 			return fault.RunYes
-		case dispatch.Unsent, dispatch.Refused:
+		case dispatch.Failed:
+			return fault.RunUnknown
+		case dispatch.Unsent, dispatch.Refused, dispatch.Missing, dispatch.Elsewhere:
 		default:
 			ran = fault.RunUnknown
 		}
-		if ctx.Err() != nil || s.failed {
+		if ctx.Err() != nil {
 			return ran
 		}
 	}
 }
 
-func legNumber(leg string) string { return leg[strings.LastIndexByte(leg, '/')+1:] }
-
-// runLeg obeys one decision. Only when no byte can have left, or the replica itself said that
-// it did not start, is the ending one that lets the call run elsewhere.
-func (h *Host) runLeg(ctx context.Context, ask *CallAsk, c *dispatch.Call, st dispatch.Start, mine *caller, s *stream) (dispatch.Ending, string) {
+// leg runs one leg. Those under granted numbers run under a context that the decider can end.
+func (h *Host) leg(ctx context.Context, st dispatch.Start, mine *caller, edge Edge) (dispatch.Ending, string) {
+	if st.Call.Routed != nil {
+		return edge.Leg(ctx, st)
+	}
 	legCtx, cancel := context.WithDeadline(ctx, time.Now().Add(time.Duration(st.ExpiryUs-clock.NowUs())*time.Microsecond))
 	defer cancel()
 	h.do(func() { mine.arm(cancel) })
 	defer h.do(func() { mine.arm(nil) })
+	return edge.Leg(legCtx, st)
+}
+
+// legsEdge is this product's own interface: JSON calls, server-sent events, JSON legs.
+type legsEdge struct {
+	h    *Host
+	ask  *CallAsk
+	call *dispatch.Call
+	s    *stream
+}
+
+func (e *legsEdge) Fail(f *fault.Fault) { e.s.fail(f) }
+
+func (e *legsEdge) Opened() bool { return e.s.opened }
+
+func (e *legsEdge) Leg(ctx context.Context, st dispatch.Start) (dispatch.Ending, string) {
+	ending, why := e.h.runLeg(ctx, e.ask, e.call, st, e.s)
+	if e.s.failed {
+		e.h.tell(dispatch.Event{Gone: e.call.ID})
+	}
+	if ending == dispatch.Done {
+		e.s.event(0, "end", map[string]any{"pieces": len(e.s.pieces)})
+	}
+	return ending, why
+}
+
+func legNumber(leg string) string { return leg[strings.LastIndexByte(leg, '/')+1:] }
+
+// runLeg obeys one decision. Only when no byte can have left, or the replica itself said that
+// it did not start, is the ending one that lets the call run elsewhere.
+func (h *Host) runLeg(legCtx context.Context, ask *CallAsk, c *dispatch.Call, st dispatch.Start, s *stream) (dispatch.Ending, string) {
 	raw, err := json.Marshal(wire.Leg{
 		Leg: st.Leg, Ticket: st.Ticket, Inc: st.Inc, Call: c.ID, Model: c.Model, Adapter: c.Adapter,
 		Prefix: ask.Prefix, Prompt: ask.Prompt, Had: s.pieces, First: len(s.pieces) + 1, MostOut: ask.MostOut,
@@ -377,7 +409,7 @@
 			return dispatch.Unsent, err.Error()
 		}
 		h.settleLeg(st)
-		return endingOf(legCtx, ctx, st), err.Error()
+		return endingOf(legCtx, st), err.Error()
 	}
 	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK {
@@ -393,18 +425,16 @@
 		return ending, ""
 	}
 	stopped := legCtx.Err() != nil
-	cancel()
+	_ = res.Body.Close()
 	h.settleLeg(st)
 	if stopped {
-		return endingOf(legCtx, ctx, st), "the leg was stopped"
+		return endingOf(legCtx, st), "the leg was stopped"
 	}
 	return ending, why
 }
 
-func endingOf(legCtx, ctx context.Context, st dispatch.Start) dispatch.Ending {
+func endingOf(legCtx context.Context, st dispatch.Start) dispatch.Ending {
 	switch {
-	case ctx.Err() != nil:
-		return dispatch.Unknown
 	case clock.NowUs() >= st.ExpiryUs:
 		return dispatch.Final
 	case legCtx.Err() != nil:
--- a/internal/desk/host.go
+++ b/internal/desk/host.go
@@ -27,6 +27,7 @@
 
 const (
 	tickEvery   = 20 * time.Millisecond
+	mirrorTick  = 50 * time.Millisecond
 	gapUs       = 500 * clock.Ms
 	keyWait     = 2500 * time.Millisecond
 	cancelWait  = 2 * time.Second
@@ -46,6 +47,7 @@
 	snap    atomic.Pointer[dispatch.Snapshot]
 	leaseUs atomic.Int64
 	calls   atomic.Int64
+	callSeq atomic.Int64
 
 	act        *actor.Actor
 	lastUs     int64
@@ -53,6 +55,18 @@
 	where      atomic.Pointer[wire.Where]
 	subscriber *subscriber.Subscriber
 	unfollow   context.CancelFunc
+
+	mirror  *subscriber.Mirror
+	streams map[uint64]context.CancelFunc
+	doors   []Door
+}
+
+// Door is a listener of another interface than this one's own: it takes calls and hands them to Serve.
+type Door interface {
+	Serve() error
+	// Linger says that no new callers are wanted; those that come are served.
+	Linger()
+	Shutdown(ctx context.Context) error
 }
 
 type caller struct {
@@ -82,14 +96,26 @@
 	legs := rpc.Client(400, set.Listen)
 	legs.Transport.(*http.Transport).DisableKeepAlives = true
 	legs.Transport.(*http.Transport).ExpectContinueTimeout = askedWait
-	return &Host{
+	h := &Host{
 		set: set, inc: inc, ring: ring, log: ring.Logger("desk", set.Name), inner: rpc.Client(400, set.Listen), legs: legs,
-		decider: dispatch.New(dispatch.Options{Desk: set.Name, Inc: inc, BacklogMax: set.BacklogMax}),
-		act:     actor.New(mailboxMost), waiting: map[string]*caller{},
-		subscriber: subscriber.New(subscriber.Options{Desk: set.Name, Inc: inc, Addr: set.Advertise, Zone: set.Zone, Seeds: set.Seeds}),
+		decider: dispatch.New(dispatch.Options{
+			Desk: set.Name, Inc: inc, Zone: set.Zone, BacklogMax: set.BacklogMax,
+			Budget: dispatch.BudgetOptions{Ratio: set.Budget.Ratio, Slack: set.Budget.Slack, WindowUs: set.Budget.WindowMs * clock.Ms},
+		}),
+		act: actor.New(mailboxMost), waiting: map[string]*caller{},
+		streams: map[uint64]context.CancelFunc{},
 	}
+	opts := subscriber.Options{Desk: set.Name, Inc: inc, Addr: set.Advertise, Zone: set.Zone, Seeds: set.Seeds}
+	h.subscriber = subscriber.New(opts)
+	if set.Legs == settings.DeclaredLegs {
+		h.mirror = subscriber.NewMirror(opts)
+	}
+	return h
 }
 
+// Enter adds a door before Run.
+func (h *Host) Enter(d Door) { h.doors = append(h.doors, d) }
+
 // Run serves until ctx ends, then drains: what waits and what streams is given its time.
 func (h *Host) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", h.set.Listen)
@@ -98,9 +124,28 @@
 	}
 	server := &http.Server{Handler: h.handler(), ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = server.Serve(listener) }()
-	h.act.Spawn(func() { h.act.Loop(tickEvery, h.tick) })
-	<-ctx.Done()
+	every := tickEvery
+	if h.mirror != nil {
+		every = mirrorTick
+	}
+	h.act.Spawn(func() { h.act.Loop(every, h.tick) })
+	failed := make(chan error, len(h.doors))
+	for _, d := range h.doors {
+		go func() {
+			if err := d.Serve(); err != nil {
+				failed <- err
+			}
+		}()
+	}
+	select {
+	case <-ctx.Done():
+	case err := <-failed:
+		_ = server.Close()
+		h.act.End()
+		return errors.Trace(err)
+	}
 	h.tell(dispatch.Event{Drain: true})
+	h.leaveDoors()
 	expiry := time.NewTimer(time.Duration(h.set.DrainMs) * time.Millisecond)
 	defer expiry.Stop()
 	look := time.NewTicker(20 * time.Millisecond)
@@ -125,6 +170,24 @@
 	return nil
 }
 
+// leaveDoors lets those in who were on their way, then takes nobody new and waits for those inside.
+func (h *Host) leaveDoors() {
+	if len(h.doors) == 0 {
+		return
+	}
+	for _, d := range h.doors {
+		d.Linger()
+	}
+	linger := time.NewTimer(time.Duration(h.set.LingerMs) * time.Millisecond)
+	defer linger.Stop()
+	<-linger.C
+	closing, done := context.WithTimeout(context.Background(), time.Duration(max(h.set.DrainMs-h.set.LingerMs, 100))*time.Millisecond)
+	defer done()
+	for _, d := range h.doors {
+		_ = d.Shutdown(closing)
+	}
+}
+
 // tick also notes when this process woke after a gap: its lease has run out by itself.
 func (h *Host) tick() {
 	nowUs := clock.NowUs()
@@ -133,6 +196,10 @@
 	}
 	h.lastUs = nowUs
 	h.step(dispatch.Event{})
+	if h.mirror != nil {
+		h.reflect(subscriber.MirrorEvent{})
+		return
+	}
 	h.subscribe(subscriber.Event{})
 }
 
--- /dev/null
+++ b/internal/desk/mirror.go
@@ -0,0 +1,135 @@
+package desk
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"petreltide/internal/actor"
+	"petreltide/internal/clock"
+	"petreltide/internal/dispatch"
+	"petreltide/internal/fault"
+	"petreltide/internal/rpc"
+	"petreltide/internal/subscriber"
+	"petreltide/internal/wire"
+)
+
+// Edge is the side of a call that faces its caller, in whatever interface it came by.
+type Edge interface {
+	// Leg sends the call to one replica and passes its answer on as it comes.
+	Leg(ctx context.Context, st dispatch.Start) (dispatch.Ending, string)
+	// Fail is the one final answer of the product's own.
+	Fail(f *fault.Fault)
+	// Opened says that an answer has begun.
+	Opened() bool
+}
+
+// Snapshot is the newest news; it is never changed.
+func (h *Host) Snapshot() *dispatch.Snapshot { return h.snap.Load() }
+
+// MaySend is asked once more right before the first byte of a leg leaves.
+func (h *Host) MaySend(st dispatch.Start) bool { return h.maySend(st) }
+
+// Ready is nil when this desk can take calls now, or says why it cannot.
+func (h *Host) Ready() *fault.Fault {
+	f, ran := actor.Ask(h.act.Ctx, h.act, func() *fault.Fault { return h.decider.Ready(clock.NowUs()) })
+	if !ran {
+		return fault.New(fault.Draining, "", "stopping")
+	}
+	return f
+}
+
+// Seeds are other offices for first contact, where the ones in the settings have changed.
+func (h *Host) Seeds(addrs []string) {
+	h.act.Tell(func() {
+		if h.mirror != nil {
+			h.reflect(subscriber.MirrorEvent{Seeds: addrs})
+		}
+	})
+}
+
+// Serve takes one call through the decider and its legs to its one final answer, and says what ran.
+func (h *Host) Serve(ctx context.Context, c *dispatch.Call, e Edge) string {
+	h.calls.Add(1)
+	defer h.calls.Add(-1)
+	if c.ID == "" {
+		c.ID = h.inc + "-" + strconv.FormatInt(h.callSeq.Add(1), 36)
+	}
+	if c.TakenUs == 0 {
+		c.TakenUs = clock.NowUs()
+	}
+	return h.carry(ctx, c, e)
+}
+
+func (h *Host) reflect(ev subscriber.MirrorEvent) {
+	ev.NowUs = clock.NowUs()
+	for _, e := range h.mirror.Step(ev) {
+		switch {
+		case e.Open != nil:
+			ctx, done := context.WithCancel(h.act.Ctx)
+			h.streams[e.Open.Number] = done
+			stream := *e.Open
+			h.act.Spawn(func() { h.frames(ctx, stream) })
+		case e.Close != 0:
+			if done := h.streams[e.Close]; done != nil {
+				done()
+			}
+			delete(h.streams, e.Close)
+		case e.Report != "":
+			report := h.decider.Report(ev.NowUs)
+			report.Addr, report.Zone = h.set.Advertise, h.set.Zone
+			addr := e.Report
+			h.act.Spawn(func() { h.tellOffice(addr, report) })
+		case e.Snapshot != nil:
+			h.snap.Store(e.Snapshot)
+			h.step(dispatch.Event{Snapshot: e.Snapshot})
+		}
+	}
+}
+
+// frames holds one office's stream.
+func (h *Host) frames(ctx context.Context, s subscriber.Stream) {
+	defer h.act.Tell(func() {
+		delete(h.streams, s.Number)
+		h.reflect(subscriber.MirrorEvent{Closed: s.Number})
+	})
+	stream, err := rpc.NewCaller[wire.Follow, wire.Frame](h.inner, s.Addr, rpc.FramesPath).Stream(ctx, &s.Ask)
+	if err != nil {
+		return
+	}
+	for stream.Receive() {
+		frame := *stream.Msg()
+		h.act.Tell(func() { h.reflect(subscriber.MirrorEvent{Frame: &frame, Stream: s.Number}) })
+	}
+	_ = stream.Close()
+}
+
+func (h *Host) tellOffice(addr string, report wire.Report) {
+	ctx, done := context.WithTimeout(h.act.Ctx, 600*time.Millisecond)
+	defer done()
+	_, _ = rpc.NewCaller[wire.Report, wire.Receipt](h.inner, addr, rpc.TellPath).Call(ctx, &report)
+}
+
+// ConnectionShare is how many connections this desk may have to a replica: its share of what the replica
+// takes from all desks together, within what this process may open.
+func (h *Host) ConnectionShare(replica string) int {
+	snap := h.snap.Load()
+	if snap == nil || snap.Doc == nil {
+		return shareLeast
+	}
+	most := shareMost
+	if h.set.ConnectionsMost > 0 {
+		most = min(most, h.set.ConnectionsMost/max(1, len(snap.Replicas)))
+	}
+	if r := snap.Replicas[replica]; r != nil {
+		if svc := snap.Doc.Service(r.Service); svc != nil && svc.ConnectionsMost > 0 {
+			most = min(most, svc.ConnectionsMost*9/10/max(snap.Desks, 1))
+		}
+	}
+	return max(most, shareLeast)
+}
+
+const (
+	shareLeast = 2
+	shareMost  = 256
+)
--- a/internal/dispatch/decider.go
+++ b/internal/dispatch/decider.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"encoding/binary"
 	"fmt"
 	"hash/fnv"
 	"maps"
@@ -37,6 +38,7 @@
 	Had      int
 	Progress atomic.Int64
 	FirstUs  atomic.Int64
+	Routed   *Routed
 
 	takenAt  uint64
 	urgency  int
@@ -47,6 +49,7 @@
 	prints   []uint64
 	on       string
 	leg      string
+	tried    []string
 	moving   bool
 	gone     bool
 	firstUs  int64
@@ -57,6 +60,15 @@
 		h := fnv.New64a()
 		_, _ = h.Write([]byte(c.Model + "\x00" + c.Adapter))
 		c.prints = []uint64{}
+		if c.Routed != nil {
+			for _, part := range c.Routed.Parts {
+				var raw [8]byte
+				binary.LittleEndian.PutUint64(raw[:], part.ID)
+				_, _ = h.Write(raw[:])
+				c.prints = append(c.prints, h.Sum64())
+			}
+			return c.prints
+		}
 		for _, part := range c.Prefix {
 			_, _ = h.Write([]byte("\x00" + part))
 			c.prints = append(c.prints, h.Sum64())
@@ -70,11 +82,15 @@
 const (
 	Done    Ending = "done"
 	Refused Ending = "refused"
-	Unsent  Ending = "unsent"
-	Broken  Ending = "broken"
-	Unknown Ending = "unknown"
-	Moved   Ending = "moved"
-	Final   Ending = "final"
+	Missing Ending = "missing"
+	// Elsewhere: the address answers for another life or another replica.
+	Elsewhere Ending = "elsewhere"
+	Failed    Ending = "failed"
+	Unsent    Ending = "unsent"
+	Broken    Ending = "broken"
+	Unknown   Ending = "unknown"
+	Moved     Ending = "moved"
+	Final     Ending = "final"
 )
 
 type Event struct {
@@ -145,7 +161,9 @@
 type Options struct {
 	Desk       string
 	Inc        string
+	Zone       string
 	BacklogMax int
+	Budget     BudgetOptions
 }
 
 // Decider is asked; the executor obeys. It owns the backlog, the slots and the leg numbers.
@@ -168,11 +186,15 @@
 	serviceUs float64
 	gauges    []*Gauge
 	Decisions []Decision
+	sites     map[string]*site
+	budgets   map[string]*budget
+	legSeq    uint64
 	effects   []Effect
 }
 
 func New(opts Options) *Decider {
-	d := &Decider{opts: opts, calls: map[string]*Call{}, kinds: map[string]*kindRow{}, places: map[string]*place{}, runs: map[string]*run{}}
+	d := &Decider{opts: opts, calls: map[string]*Call{}, kinds: map[string]*kindRow{}, places: map[string]*place{}, runs: map[string]*run{},
+		sites: map[string]*site{}, budgets: map[string]*budget{}}
 	for i := range d.slots {
 		d.slots[i] = map[string]int{}
 	}
@@ -217,9 +239,11 @@
 func (d *Decider) arrived(c *Call) {
 	k := d.kind(c.Kind)
 	k.arrived++
-	d.slots[d.slotNow][c.Model]++
+	if c.Model != "" {
+		d.slots[d.slotNow][c.Model]++
+	}
 	if c.Adapter != "" {
-		d.slots[d.slotNow][c.Adapter]++
+		d.slots[d.slotNow][c.adapterUnit()]++
 	}
 	d.calls[c.ID] = c
 	d.gaugeTaken(c)
@@ -229,6 +253,10 @@
 	if !d.termed(c) {
 		return
 	}
+	if c.Routed != nil {
+		d.arrivedRouted(c)
+		return
+	}
 	if d.drain {
 		d.give(c, fault.Draining, "this desk is going down", 200)
 		return
@@ -415,7 +443,7 @@
 // dispatch shares the free slots between kinds by stride: urgency squared is the weight, and a kind
 // that waits always comes round, however rare it is.
 func (d *Decider) dispatch() {
-	if d.waiting == 0 || d.snap == nil || d.snap.Doc == nil || d.nowUs >= d.leaseUs {
+	if d.waiting == 0 || d.snap == nil || d.snap.Doc == nil || (!d.routed() && d.nowUs >= d.leaseUs) {
 		return
 	}
 	hopeless := map[string]bool{}
@@ -426,7 +454,9 @@
 		for _, name := range names {
 			k := d.kinds[name]
 			if c, replica, why := d.placeable(k, hopeless); c != nil {
-				d.start(c, replica, why)
+				if c.Routed == nil {
+					d.start(c, replica, why)
+				}
 				d.passNow = max(d.passNow, k.pass)
 				k.pass += 1 / float64(weight(c))
 				started = true
@@ -442,9 +472,20 @@
 func (d *Decider) placeable(k *kindRow, hopeless map[string]bool) (*Call, *wire.ReplicaNews, string) {
 	for _, c := range k.waiting {
 		unit := c.Model + "|" + c.Adapter
+		if c.Routed != nil {
+			unit = c.Routed.Service + "|" + unit
+		}
 		if hopeless[unit] {
 			continue
 		}
+		if c.Routed != nil {
+			if r, ms := d.selectRouted(c); r != nil {
+				d.launch(c, r, ms)
+				return c, r, ""
+			}
+			hopeless[unit] = len(c.tried) == 0
+			continue
+		}
 		if r, why := d.selectFor(c); r != nil {
 			return c, r, why
 		}
@@ -526,10 +567,17 @@
 		delete(p.inFlight, e.Leg)
 	}
 	if c == nil || c.leg != e.Leg {
+		for _, st := range d.sites {
+			delete(st.flights, e.Leg)
+		}
 		return
 	}
 	on := c.on
 	c.leg, c.on = "", ""
+	if c.Routed != nil {
+		d.endedRouted(c, e, on)
+		return
+	}
 	if e.Ending == Unsent || e.Ending == Refused {
 		d.placeOf(on).shyUs = d.nowUs + shyUs
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -62,9 +62,11 @@
 	}
 	for _, k := range d.kinds {
 		for _, c := range k.waiting {
-			rep.Waiting[c.Model]++
+			if c.Model != "" {
+				rep.Waiting[c.Model]++
+			}
 			if c.Adapter != "" {
-				rep.Waiting[c.Adapter]++
+				rep.Waiting[c.adapterUnit()]++
 			}
 		}
 	}
@@ -73,6 +75,7 @@
 			rep.InFlight[id] = len(p.inFlight)
 		}
 	}
+	d.reportRouted(&rep)
 	for key, r := range d.runs {
 		rep.Left[key] = wire.Left{Ticket: r.ticket, Left: r.to - r.next}
 	}
@@ -128,7 +131,9 @@
 		f = fault.New(fault.Draining, "", "this desk is going down")
 	case d.snap == nil || d.snap.Doc == nil:
 		f = fault.New(fault.NoLease, "", "this desk has no declaration yet")
-	case nowUs >= d.leaseUs:
+	case d.routed() && len(d.snap.Replicas) == 0:
+		f = fault.New(fault.NoLease, "", "this desk knows no replica yet")
+	case !d.routed() && nowUs >= d.leaseUs:
 		f = fault.New(fault.NoLease, "", "this desk is cut off from the core")
 	case d.waiting >= d.opts.BacklogMax:
 		f = fault.New(fault.Overloaded, "", "the backlog is full")
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -19,6 +19,12 @@
 	IDs      []string
 	Grants   map[string]ledger.Grant
 	AtUs     int64
+
+	// Of a routed declaration: replicas by service in order of their ids, how many desks live, and what
+	// the other desks have at replicas.
+	ByService map[string][]*wire.ReplicaNews
+	Desks     int
+	Demand    map[string]wire.Demand
 }
 
 func Fold(prior *Snapshot, n wire.News, nowUs int64) *Snapshot {
@@ -102,6 +108,9 @@
 
 // MaySend is asked once more right before the first byte of a leg leaves.
 func (st Start) MaySend(s *Snapshot, nowUs, leaseUs int64) bool {
+	if st.Call.Routed != nil {
+		return s.maySendRouted(st, nowUs)
+	}
 	return s != nil && nowUs < leaseUs && nowUs < st.ExpiryUs && s.Takes(st.Replica, st.Inc, st.Call.Model, st.Call.Adapter) && s.Doc.Kind(st.Call.Kind) != nil
 }
 
--- a/internal/dispatch/terms.go
+++ b/internal/dispatch/terms.go
@@ -79,6 +79,9 @@
 	if doc == nil {
 		return ""
 	}
+	if c.Routed != nil {
+		return d.routedTerms(c)
+	}
 	kind := doc.Kind(c.Kind)
 	if kind == nil {
 		c.resume = false
@@ -109,7 +112,7 @@
 	}
 	legs := []*Call{}
 	for _, c := range d.calls {
-		if c.leg == "" || !c.resume || c.moving || c.gone {
+		if c.leg == "" || !c.resume || c.moving || c.gone || c.Routed != nil {
 			continue
 		}
 		r := d.snap.Replicas[c.on]
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"strings"
 
 	"petreltide/internal/fault"
 	"petreltide/internal/standing"
@@ -66,9 +67,13 @@
 	Leaving bool             `json:"leaving,omitempty"`
 	LeftMs  int64            `json:"leftMs,omitempty"`
 	Dark    bool             `json:"dark,omitempty"`
+	Service string           `json:"service,omitempty"`
 	Holds   map[string]int64 `json:"holds"`
-	NextLeg uint64           `json:"nextLeg"`
-	Shares  map[string]int   `json:"shares,omitempty"`
+	Index   uint64           `json:"index,omitempty"`
+	// Had are the models that this life has held at some time: they come back from its own disk.
+	Had     map[string]bool `json:"had,omitempty"`
+	NextLeg uint64          `json:"nextLeg"`
+	Shares  map[string]int  `json:"shares,omitempty"`
 }
 
 func (r *Replica) Usable(d *standing.Declaration) bool {
@@ -112,9 +117,13 @@
 	ID   string    `json:"id,omitempty"`
 }
 
+// ConfigChange is a whole declaration, or an edit of the one in force. With a version of the operators'
+// own, Base is the version it builds on, and the same order sent again is known by the change's id.
 type ConfigChange struct {
-	Base uint64                `json:"base"`
-	Doc  *standing.Declaration `json:"doc"`
+	Base    uint64                `json:"base"`
+	Version uint64                `json:"version,omitempty"`
+	Doc     *standing.Declaration `json:"doc,omitempty"`
+	Edit    *standing.Edit        `json:"edit,omitempty"`
 }
 
 type Claim struct {
@@ -147,6 +156,7 @@
 	Leaving bool      `json:"leaving,omitempty"`
 	LeftMs  int64     `json:"leftMs,omitempty"`
 	Dark    bool      `json:"dark,omitempty"`
+	Service string    `json:"service,omitempty"`
 	Told    bool      `json:"told,omitempty"`
 	Holds   []Holding `json:"holds,omitempty"`
 }
@@ -183,8 +193,12 @@
 }
 
 type State struct {
-	Index      uint64                `json:"index"`
-	NewsIndex  uint64                `json:"newsIndex"`
+	Index     uint64 `json:"index"`
+	NewsIndex uint64 `json:"newsIndex"`
+	// OrdersIndex is the entry that last changed which orders stand.
+	OrdersIndex uint64 `json:"ordersIndex,omitempty"`
+	// HoldsIndex is the entry that last changed a replica's row.
+	HoldsIndex uint64                `json:"holdsIndex,omitempty"`
 	Epoch      uint64                `json:"epoch"`
 	Holder     string                `json:"holder"`
 	Revision   uint64                `json:"revision"`
@@ -198,6 +212,7 @@
 	Changes    map[string]Outcome    `json:"changes"`
 	ChangeIDs  []string              `json:"changeIds"`
 	Refused    map[fault.Code]uint64 `json:"refused"`
+	Edits      []Edited              `json:"edits,omitempty"`
 	Member     *MemberChange         `json:"member,omitempty"`
 	MemberID   string                `json:"memberId,omitempty"`
 	Loads      uint64                `json:"loads"`
@@ -223,11 +238,14 @@
 // Freeze is this state as it stands, for others to read while this one goes on. What is large is
 // copied by the map, not by the row; rows never change in place, nor does the order of the keys.
 func (s *State) Freeze() *State {
+	if s.Doc != nil && s.Doc.Routed() {
+		s.Doc.Indexed()
+	}
 	c := *s
 	c.Replicas = make(map[string]*Replica, len(s.Replicas))
 	for id, r := range s.Replicas {
 		held := *r
-		held.Holds, held.Shares = maps.Clone(r.Holds), maps.Clone(r.Shares)
+		held.Holds, held.Shares, held.Had = maps.Clone(r.Holds), maps.Clone(r.Shares), maps.Clone(r.Had)
 		c.Replicas[id] = &held
 	}
 	c.Pending, c.Grants, c.Keys, c.Changes, c.Refused = maps.Clone(s.Pending), maps.Clone(s.Grants), maps.Clone(s.Keys), maps.Clone(s.Changes), maps.Clone(s.Refused)
@@ -305,6 +323,9 @@
 		first.Again = true
 		return first
 	}
+	if c.Config.Version > 0 {
+		return s.applyVersion(out, c)
+	}
 	if c.Config.Base != s.Revision {
 		out.Fault = fault.New(fault.StaleBase, "base", "based on %d, current is %d", c.Config.Base, s.Revision)
 		out.Fault.Revision = s.Revision
@@ -320,6 +341,77 @@
 	return out
 }
 
+// Version is the operators' own number of the declaration in force.
+func (s *State) Version() uint64 {
+	if s.Doc == nil {
+		return 0
+	}
+	return s.Doc.Version
+}
+
+// applyVersion takes an operator's numbered version. Only what was taken is remembered: what was refused
+// is judged anew, against what is in force by then.
+func (s *State) applyVersion(out Outcome, c Change) Outcome {
+	out.Revision = s.Version()
+	doc := c.Config.Doc
+	var bad *fault.Fault
+	switch {
+	case c.Config.Base != s.Version():
+		bad = fault.New(fault.StaleBase, "base", "based on %d, current is %d", c.Config.Base, s.Version())
+		bad.Revision = s.Version()
+	case c.Config.Version <= s.Version():
+		bad = fault.New(fault.InvalidConfig, "version", "%d is not above %d", c.Config.Version, s.Version())
+	case c.Config.Edit != nil && s.Doc == nil:
+		bad = fault.New(fault.InvalidConfig, "", "nothing is in force that could be edited")
+	case c.Config.Edit != nil:
+		doc, bad = s.Doc.Edited(c.Config.Edit)
+	case doc == nil:
+		bad = fault.New(fault.InvalidConfig, "", "neither a declaration nor an edit")
+	}
+	if bad == nil {
+		bad = doc.CheckRoutes()
+	}
+	if bad != nil {
+		out.Fault = bad
+		return out
+	}
+	if c.Config.Edit != nil {
+		s.keepEdit(Edited{From: s.Revision, Edit: c.Config.Edit})
+	} else {
+		s.Edits = nil
+	}
+	s.Revision++
+	s.Doc = doc.Indexed()
+	s.NewsIndex = s.Index
+	out.Revision = s.Version()
+	s.remember(out)
+	return out
+}
+
+const editsMost = 32
+
+// Edited is the edit that led from one revision to the next.
+type Edited struct {
+	From uint64         `json:"from"`
+	Edit *standing.Edit `json:"edit"`
+}
+
+func (s *State) keepEdit(e Edited) {
+	kept := append([]Edited(nil), s.Edits[max(0, len(s.Edits)-editsMost+1):]...)
+	s.Edits = append(kept, e)
+}
+
+// EditsSince are the edits that lead from a revision to the one in force; false where they are not kept.
+func (s *State) EditsSince(revision uint64) ([]*standing.Edit, bool) {
+	edits := []*standing.Edit{}
+	for _, e := range s.Edits {
+		if e.From >= revision {
+			edits = append(edits, e.Edit)
+		}
+	}
+	return edits, revision <= s.Revision && uint64(len(edits)) == s.Revision-revision
+}
+
 func (s *State) fits(d *standing.Declaration) *fault.Fault {
 	var mostMb int64
 	for _, r := range s.Replicas {
@@ -411,17 +503,32 @@
 		s.Replicas[n.ID] = r
 	}
 	r.Addr, r.Zone, r.RoomMb, r.Slots = n.Addr, n.Zone, n.RoomMb, n.Slots
-	r.Leaving, r.LeftMs, r.Dark = n.Leaving, n.LeftMs, n.Dark
+	r.Leaving, r.LeftMs, r.Dark, r.Service = n.Leaving, n.LeftMs, n.Dark, n.Service
+	r.Index, s.HoldsIndex = s.Index, s.Index
 	if n.Told {
 		r.Holds = map[string]int64{}
 		for _, h := range n.Holds {
 			r.Holds[h.Unit] = h.SizeMb
+			r.had(h.Unit)
 		}
 	}
 }
 
+func (r *Replica) had(unit string) {
+	if r.Service == "" || strings.Contains(unit, "/") {
+		return
+	}
+	if r.Had == nil {
+		r.Had = map[string]bool{}
+	}
+	r.Had[unit] = true
+}
+
 func (s *State) dropReplica(id string) {
 	delete(s.Replicas, id)
+	if _, pending := s.Pending[id]; pending {
+		s.OrdersIndex = s.Index
+	}
 	delete(s.Pending, id)
 	for key, g := range s.Grants {
 		if g.Replica == id {
@@ -447,16 +554,24 @@
 			continue
 		}
 		delete(s.Pending, id)
+		s.OrdersIndex = s.Index
 		r := s.Replicas[id]
 		if r == nil || r.Inc != t.Inc || !d.Done {
 			return false
 		}
+		r.Index, s.HoldsIndex = s.Index, s.Index
 		if t.Step == Load {
 			r.Holds[t.Unit] = t.SizeMb
+			r.had(t.Unit)
 			s.Loads++
 			s.LoadedMb += t.SizeMb
 		} else {
 			delete(r.Holds, t.Unit)
+			for unit := range r.Holds {
+				if r.Service != "" && strings.HasPrefix(unit, t.Unit+"/") {
+					delete(r.Holds, unit)
+				}
+			}
 		}
 		return true
 	}
@@ -483,15 +598,18 @@
 		if s.Doc == nil {
 			return fault.New(fault.PolicyNonsense, t.Unit, "no declaration yet")
 		}
-		sizeMb, _, known := s.Doc.UnitMb(t.Unit)
+		sizeMb, known := s.unitMb(r, t.Unit)
 		if !known {
 			return fault.New(fault.PolicyNonsense, t.Unit, "no such model or adapter")
 		}
 		t.SizeMb = sizeMb
+		if f := s.adapterFits(r, t.Unit); f != nil {
+			return f
+		}
 		if takenMb := s.TakenMb(t.Replica); takenMb+sizeMb > r.RoomMb {
 			return fault.New(fault.NoRoom, t.Replica, "%s takes %d MB, %d of %d MB are taken", t.Unit, sizeMb, takenMb, r.RoomMb)
 		}
-		if s.PendingLoads() >= s.Doc.Store.Loads {
+		if !s.Doc.Routed() && s.PendingLoads() >= s.Doc.Store.Loads {
 			return fault.New(fault.StoreRate, t.Replica, "%d loads are running", s.PendingLoads())
 		}
 	case Unload:
@@ -505,12 +623,46 @@
 	t.Number, t.Epoch = s.NextTicket, epoch
 	s.NextTicket++
 	s.Pending[t.Replica] = t
+	s.OrdersIndex = s.Index
 	if t.Step == Unload {
 		s.NewsIndex = s.Index
 	}
 	return nil
 }
 
+func (s *State) unitMb(r *Replica, unit string) (int64, bool) {
+	if r.Service != "" {
+		sizeMb, _, known := s.Doc.EngineUnitMb(r.Service, unit)
+		return sizeMb, known
+	}
+	sizeMb, _, known := s.Doc.UnitMb(unit)
+	return sizeMb, known
+}
+
+// adapterFits: an adapter of a service's model needs the model there, and one of the replica's places.
+func (s *State) adapterFits(r *Replica, unit string) *fault.Fault {
+	model, adapter := standing.Units(unit)
+	if r.Service == "" || adapter == "" {
+		return nil
+	}
+	if _, held := r.Holds[model]; !held {
+		return fault.New(fault.NotHeld, r.ID, "adapter %s needs model %s there", adapter, model)
+	}
+	most, n := 0, 0
+	if svc := s.Doc.Service(r.Service); svc != nil && svc.Engine != nil {
+		most = svc.Engine.AdaptersMost
+	}
+	for held := range r.Holds {
+		if strings.Contains(held, "/") {
+			n++
+		}
+	}
+	if n >= most {
+		return fault.New(fault.NoRoom, r.ID, "%d of %d places for adapters are taken", n, most)
+	}
+	return nil
+}
+
 func (s *State) grant(epoch uint64, a GrantAsk) *fault.Fault {
 	r := s.Replicas[a.Replica]
 	if r == nil || r.Inc != a.Inc {
--- a/internal/office/core.go
+++ b/internal/office/core.go
@@ -9,6 +9,7 @@
 	"petreltide/internal/fault"
 	"petreltide/internal/feed"
 	"petreltide/internal/ledger"
+	"petreltide/internal/roster"
 	"petreltide/internal/watch"
 	"petreltide/internal/wire"
 )
@@ -25,6 +26,11 @@
 	Report     *Reported
 	Controller *controller.Event
 	Beat       *watch.Beat
+	Heard      *roster.Row
+	Left       string
+	Subscribe  *wire.Follow
+	Unfollow   *Unfollow
+	DeskReport *wire.Report
 }
 
 type Reported struct {
@@ -36,6 +42,7 @@
 	Letter     *Letter
 	Save       *chain.Save
 	Push       *feed.Push
+	Frame      *feed.FramePush
 	Result     *wire.Result
 	Lease      *Leased
 	Controller *controller.Effect
@@ -64,10 +71,21 @@
 	silentUs   int64
 	memberUs   int64
 	checked    uint64
+	soft       soft
 }
 
-func NewCore(node *chain.Node) *Core {
-	return &Core{Node: node, Room: feed.New(), Controller: controller.New(node.Me().ID), Watch: watch.New()}
+// CoreOptions are what an office knows of replicas that make themselves known; all may be left out.
+type CoreOptions struct {
+	DarkUs     int64
+	Controller controller.Options
+}
+
+func NewCore(node *chain.Node) *Core { return NewCoreWith(node, CoreOptions{}) }
+
+func NewCoreWith(node *chain.Node, opts CoreOptions) *Core {
+	return &Core{
+		Node: node, Room: feed.New(), Controller: controller.NewWith(node.Me().ID, opts.Controller), Watch: watch.New(), soft: newSoft(opts.DarkUs),
+	}
 }
 
 func (c *Core) Step(ev Event) []Effect {
@@ -90,6 +108,16 @@
 		c.controller(*ev.Controller)
 	case ev.Beat != nil:
 		c.Watch.Heard(ev.NowUs, *ev.Beat)
+	case ev.Heard != nil:
+		c.heard(ev.NowUs, *ev.Heard)
+	case ev.Left != "":
+		c.gone(ev.NowUs, ev.Left)
+	case ev.Subscribe != nil:
+		c.soft.Hub.Follow(ev.NowUs, *ev.Subscribe)
+	case ev.Unfollow != nil:
+		c.soft.Hub.Unfollow(ev.Unfollow.Desk, ev.Unfollow.Inc)
+	case ev.DeskReport != nil:
+		c.routedReport(ev.NowUs, *ev.DeskReport)
 	default:
 		c.chain(chain.Event{NowUs: ev.NowUs})
 		c.controller(controller.Event{NowUs: ev.NowUs})
@@ -104,6 +132,8 @@
 	for _, a := range c.Room.Answers(ev.NowUs) {
 		c.answer(a.Origin, a.Result)
 	}
+	c.tellOffices(ev.NowUs)
+	c.frames(ev.NowUs)
 	return c.effects
 }
 
@@ -117,6 +147,8 @@
 		c.controller(controller.Event{NowUs: nowUs, Report: l.Report})
 	case l.Silence != nil:
 		c.controller(controller.Event{NowUs: nowUs, Silence: l.Silence})
+	case l.Heard != nil:
+		c.heardFrom(nowUs, *l.Heard)
 	}
 }
 
@@ -191,6 +223,9 @@
 		c.checked = change.Duty.Checked
 	}
 	c.effects = append(c.effects, Effect{Applied: &a})
+	if change.Duty != nil && len(change.Duty.Tickets)+len(change.Duty.Settled) > 0 {
+		c.Controller.Saw(nowUs, change.Epoch, *change.Duty, c.Node.State())
+	}
 	if change.Duty != nil && change.Epoch == c.Node.State().Epoch {
 		out := a.Outcome
 		c.controller(controller.Event{NowUs: nowUs, Wrote: &out})
@@ -198,7 +233,7 @@
 	if !c.Node.IsTail() || change.Origin == "" || !c.Node.WritesTaken() {
 		return
 	}
-	if change.Config != nil && a.Outcome.Fault == nil {
+	if change.Config != nil && a.Outcome.Fault == nil && change.Config.Version == 0 {
 		c.Room.Gate(nowUs, c.Node.Open(nowUs))
 		c.Room.Hold(change.Origin, a.Outcome, c.Node.State().NewsIndex)
 		return
@@ -218,6 +253,7 @@
 	seen := controller.Seen{
 		NowUs: ev.NowUs, State: c.Node.State(), Head: c.Node.IsHead(),
 		Fresh: c.Node.HeadFresh(ev.NowUs), Writes: c.Node.WritesTaken(), View: c.Node.View().Number,
+		Roster: c.soft.Roster,
 	}
 	if !seen.Writes {
 		seen.Fresh = false
--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -69,8 +70,36 @@
 	follows  map[string]*followed
 	rebuilds bool
 	failed   chan error
+
+	seeds    atomic.Pointer[[]string]
+	replicas Replicas
+	frames   map[string]*framed
+	doors    []Door
+}
+
+// Replicas is how the controller reaches replicas and learns which there are.
+type Replicas interface {
+	// List is the platform's list; nil where replicas make themselves known.
+	List(ctx context.Context) (*wire.List, error)
+	State(ctx context.Context, replica, addr string) (*wire.ReplicaState, error)
+	Order(ctx context.Context, addr string, o wire.Order) (wire.OrderState, error)
+}
+
+// Door is a listener of another interface than this one's own.
+type Door interface {
+	Serve() error
+	Shutdown(ctx context.Context) error
 }
 
+// Reach replaces how replicas are reached, before Run.
+func (h *Host) Reach(r Replicas) { h.replicas = r }
+
+// Seeds are other offices for first contact, where the ones in the settings have changed.
+func (h *Host) Seeds(addrs []string) { h.seeds.Store(&addrs) }
+
+// Enter adds a door before Run.
+func (h *Host) Enter(d Door) { h.doors = append(h.doors, d) }
+
 type followed struct {
 	latest chan wire.News
 }
@@ -102,17 +131,33 @@
 	if kept, _ := filepath.Glob(filepath.Join(set.Data, "chain.damaged-*")); opened.Fresh && len(kept) > 0 {
 		founding = 0
 	}
-	node, err := chain.NewNode(chain.Options{Me: me, Inc: RandomID(6), Founding: founding}, opened.Records, clock.NowUs())
+	opts := chain.Options{
+		Me: me, Inc: RandomID(6), Founding: founding, CopiesLeast: set.CopiesLeast, SelfMembers: set.Members == settings.SelfMembers,
+	}
+	if opened.Fresh {
+		opts.Founders, opts.First = set.Founders, len(set.Founders) > 0
+	}
+	node, err := chain.NewNode(opts, opened.Records, clock.NowUs())
 	if err != nil {
 		return nil, fault.New(fault.DamagedData, set.Data, "%v", err)
 	}
-	return &Host{
-		set: set, core: NewCore(node), disk: opened.Store, ring: ring, log: logger,
+	core := NewCoreWith(node, CoreOptions{
+		DarkUs: set.HeartbeatMs * 5 / 2 * clock.Ms,
+		Controller: controller.Options{
+			LeaseUs: set.LeaseMs * clock.Ms, StoreWindowUs: set.StoreWindowMs * clock.Ms, StoreOvershoot: set.StoreOvershoot,
+		},
+	})
+	h := &Host{
+		set: set, core: core, disk: opened.Store, ring: ring, log: logger,
 		web: rpc.Client(500, set.Listen), inner: rpc.Client(500, set.Listen),
 		act: actor.New(mailboxMost), saves: make(chan chain.Save, 1024),
 		partners: map[string]chan wire.Letter{}, bulk: map[string]bool{}, waiters: map[string]chan wire.Result{}, replies: map[uint64]chan wire.Lease{},
-		follows: map[string]*followed{}, rebuilds: opened.Fresh && founding == 0, failed: make(chan error, 1),
-	}, nil
+		follows: map[string]*followed{}, rebuilds: opened.Fresh && founding == 0 && len(set.Founders) == 0, failed: make(chan error, 1),
+		frames: map[string]*framed{},
+	}
+	h.replicas = &listed{h}
+	h.seeds.Store(&set.Seeds)
+	return h, nil
 }
 
 // Run serves until ctx ends or the disk fails.
@@ -127,6 +172,16 @@
 	h.act.Spawn(func() { h.act.Loop(tickEvery, func() { h.step(Event{}) }) })
 	h.act.Spawn(h.saver)
 	h.act.Spawn(h.seeker)
+	for _, d := range h.doors {
+		go func() {
+			if err := d.Serve(); err != nil {
+				select {
+				case h.failed <- err:
+				default:
+				}
+			}
+		}()
+	}
 	if h.rebuilds {
 		h.act.Spawn(h.waitForPartner)
 	}
@@ -139,6 +194,9 @@
 	h.act.Stop()
 	closing, done := context.WithTimeout(context.Background(), time.Second)
 	defer done()
+	for _, d := range h.doors {
+		_ = d.Shutdown(closing)
+	}
 	_ = server.Shutdown(closing)
 	_ = server.Close()
 	h.act.End()
@@ -169,6 +227,8 @@
 			h.saves <- *e.Save
 		case e.Push != nil:
 			h.push(e.Push.Desk, e.Push.News)
+		case e.Frame != nil:
+			h.frame(e.Frame.Desk, e.Frame.Frame)
 		case e.Result != nil:
 			if waiter := h.waiters[e.Result.Outcome.ID]; waiter != nil {
 				select {
@@ -328,7 +388,7 @@
 // seeker keeps asking the seeds, first contacts only, until the offices know each other.
 func (h *Host) seeker() {
 	for {
-		for _, seed := range h.set.Seeds {
+		for _, seed := range *h.seeds.Load() {
 			if seed == h.set.Advertise {
 				continue
 			}
@@ -401,55 +461,80 @@
 }
 
 func (h *Host) pollList() {
-	listed := controller.Listed{List: &wire.List{}}
-	if err := h.getJSON("http://"+h.set.Platform+"/v1/replicas", platformWait, listed.List); err != nil {
+	ctx, done := context.WithTimeout(h.act.Ctx, platformWait)
+	defer done()
+	listed := controller.Listed{}
+	var err error
+	if listed.List, err = h.replicas.List(ctx); err != nil {
 		listed = controller.Listed{Err: err.Error()}
 	}
 	h.tell(Event{Controller: &controller.Event{Listed: &listed}})
 }
 
 func (h *Host) askReplica(a controller.Ask) {
-	told := controller.Told{AskedUs: a.AskedUs, Replica: a.Replica, Addr: a.Addr, State: &wire.ReplicaState{}}
-	if err := h.getJSON("http://"+a.Addr+"/v1/state", replicaWait, told.State); err != nil {
+	ctx, done := context.WithTimeout(h.act.Ctx, replicaWait)
+	defer done()
+	told := controller.Told{AskedUs: a.AskedUs, Replica: a.Replica, Addr: a.Addr}
+	var err error
+	if told.State, err = h.replicas.State(ctx, a.Replica, a.Addr); err != nil {
 		told.State, told.Err = nil, err.Error()
 	}
 	h.tell(Event{Controller: &controller.Event{Told: &told}})
 }
 
 func (h *Host) order(o controller.Order) {
-	raw, err := json.Marshal(o.Order)
+	ctx, done := context.WithTimeout(h.act.Ctx, replicaWait)
+	defer done()
+	state, err := h.replicas.Order(ctx, o.Addr, o.Order)
+	if err != nil {
+		state = wire.OrderState{Number: o.Order.Ticket.Number, State: wire.OrderInDoubt, Why: err.Error()}
+	}
+	h.tell(Event{Controller: &controller.Event{Ordered: &controller.Ordered{Replica: o.Order.Ticket.Replica, Inc: o.Order.Ticket.Inc, State: state}}})
+}
+
+// listed is this product's own interface to the platform's list and to replicas.
+type listed struct{ h *Host }
+
+func (l *listed) List(ctx context.Context) (*wire.List, error) {
+	list := &wire.List{}
+	return list, l.get(ctx, "http://"+l.h.set.Platform+"/v1/replicas", list)
+}
+
+func (l *listed) State(ctx context.Context, _, addr string) (*wire.ReplicaState, error) {
+	state := &wire.ReplicaState{}
+	return state, l.get(ctx, "http://"+addr+"/v1/state", state)
+}
+
+func (l *listed) Order(ctx context.Context, addr string, o wire.Order) (wire.OrderState, error) {
+	raw, err := json.Marshal(o)
 	if err != nil {
 		panic(err)
 	}
-	ctx, done := context.WithTimeout(h.act.Ctx, replicaWait)
-	defer done()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+o.Addr+"/v1/orders", io.NopCloser(bytes.NewReader(raw)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/orders", io.NopCloser(bytes.NewReader(raw)))
 	if err != nil {
-		return
+		return wire.OrderState{}, errors.Trace(err)
 	}
 	req.ContentLength = int64(len(raw))
 	req.Header.Set("Content-Type", "application/json")
-	res, err := h.web.Do(req)
+	res, err := l.h.web.Do(req)
 	if err != nil {
-		return
+		return wire.OrderState{}, errors.Trace(err)
 	}
 	defer res.Body.Close()
-	ordered := controller.Ordered{Replica: o.Order.Ticket.Replica, Inc: o.Order.Ticket.Inc}
+	state := wire.OrderState{}
 	answer, err := io.ReadAll(io.LimitReader(res.Body, 1<<16))
-	if err != nil || res.StatusCode != http.StatusOK || json.Unmarshal(answer, &ordered.State) != nil || ordered.State.Number != o.Order.Ticket.Number {
-		ordered.State = wire.OrderState{State: wire.OrderFailed, Why: res.Status}
+	if err != nil || res.StatusCode != http.StatusOK || json.Unmarshal(answer, &state) != nil || state.Number != o.Ticket.Number {
+		return wire.OrderState{Number: o.Ticket.Number, State: wire.OrderFailed, Why: res.Status}, nil
 	}
-	h.tell(Event{Controller: &controller.Event{Ordered: &ordered}})
+	return state, nil
 }
 
-func (h *Host) getJSON(url string, wait time.Duration, into any) error {
-	ctx, done := context.WithTimeout(h.act.Ctx, wait)
-	defer done()
+func (l *listed) get(ctx context.Context, url string, into any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	res, err := h.web.Do(req)
+	res, err := l.h.web.Do(req)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- /dev/null
+++ b/internal/office/replicas.go
@@ -0,0 +1,148 @@
+package office
+
+import (
+	"slices"
+
+	"petreltide/internal/chain"
+	"petreltide/internal/clock"
+	"petreltide/internal/controller"
+	"petreltide/internal/feed"
+	"petreltide/internal/roster"
+	"petreltide/internal/wire"
+)
+
+const (
+	tellEveryUs   = 250 * clock.Ms
+	darkDefaultUs = 3000 * clock.Ms
+)
+
+// Unfollow ends a desk's stream of frames.
+type Unfollow struct {
+	Desk string
+	Inc  string
+}
+
+// told is how far another office has been told of replicas.
+type told struct {
+	inc   string
+	since uint64
+}
+
+// soft is an office's soft state: the replicas it has heard of, the desks that follow it, and what the
+// other offices have been told.
+type soft struct {
+	Roster *roster.Roster
+	Hub    *feed.Hub
+	told   map[string]*told
+	tellUs int64
+	urgent bool
+	wants  bool
+}
+
+func newSoft(darkUs int64) soft {
+	if darkUs == 0 {
+		darkUs = darkDefaultUs
+	}
+	return soft{Roster: roster.New(darkUs), Hub: feed.NewHub(), told: map[string]*told{}}
+}
+
+// heard takes a replica's own word.
+func (c *Core) heard(nowUs int64, row roster.Row) {
+	if c.soft.Roster.Hear(nowUs, row) {
+		c.soft.urgent = true
+	}
+}
+
+func (c *Core) gone(nowUs int64, id string) {
+	if c.soft.Roster.Leave(nowUs, id) {
+		c.soft.urgent = true
+	}
+}
+
+// heardFrom takes what another office has heard.
+func (c *Core) heardFrom(nowUs int64, h wire.Heard) {
+	c.soft.Roster.Merge(nowUs, h.Notes)
+	if c.soft.Roster.Wants() {
+		c.soft.wants = true
+	}
+	if h.Wants {
+		delete(c.soft.told, h.By)
+		c.soft.urgent = true
+	}
+	c.soft.Hub.HeardOffice(nowUs, h.By, h.Desks, h.Demand)
+}
+
+// tellOffices sends the other offices what changed at once, and signs of life now and then.
+func (c *Core) tellOffices(nowUs int64) {
+	due := nowUs-c.soft.tellUs >= tellEveryUs
+	if !due && !c.soft.urgent && !c.soft.wants {
+		return
+	}
+	if due {
+		c.soft.tellUs = nowUs
+		c.soft.Roster.Sweep(nowUs)
+	}
+	desks, demand := []string(nil), map[string]wire.Demand(nil)
+	if due {
+		desks, demand = c.soft.Hub.Own(nowUs)
+	}
+	for _, p := range c.Node.Partners() {
+		if !p.Sound {
+			continue
+		}
+		t := c.soft.told[p.Member.ID]
+		if t == nil || t.inc != p.Inc {
+			t = &told{inc: p.Inc}
+			c.soft.told[p.Member.ID] = t
+		}
+		notes := c.soft.Roster.Notes(nowUs, t.since)
+		if !due {
+			notes = slices.DeleteFunc(notes, func(n roster.Note) bool { return n.Row == nil })
+		}
+		t.since = c.soft.Roster.Rev
+		if len(notes) == 0 && !due && !c.soft.wants {
+			continue
+		}
+		c.post(p.Member.Addr, wire.Letter{Heard: &wire.Heard{
+			By: c.Node.Me().ID, Inc: c.Node.Inc(), Notes: notes, Wants: c.soft.wants, Desks: desks, Demand: demand,
+		}})
+	}
+	c.soft.urgent, c.soft.wants = false, false
+}
+
+// settled: what this office knows as committed is the chain's, not what a disk alone remembers.
+func (c *Core) settled() bool { return c.Node.Settled() }
+
+func (c *Core) frames(nowUs int64) {
+	for _, p := range c.soft.Hub.Frames(feed.Seen{
+		NowUs: nowUs, State: c.Node.State(), View: c.Node.View(), Offices: c.offices(), Settled: c.settled(), Roster: c.soft.Roster,
+	}) {
+		push := p
+		c.effects = append(c.effects, Effect{Frame: &push})
+	}
+}
+
+func (c *Core) offices() []chain.Member {
+	all := []chain.Member{c.Node.Me()}
+	for _, p := range c.Node.Partners() {
+		if p.Sound {
+			all = append(all, p.Member)
+		}
+	}
+	return all
+}
+
+// routedReport passes a desk's report on to the controller, whoever it came to.
+func (c *Core) routedReport(nowUs int64, r wire.Report) {
+	demand := r.Demand
+	if demand == nil {
+		demand = map[string]wire.Demand{}
+	}
+	c.soft.Hub.Heard(nowUs, r.Desk, demand)
+	if c.Node.IsHead() {
+		c.controller(controller.Event{NowUs: nowUs, Report: &r})
+	} else if head := c.Node.View().Head(); head.Addr != "" && head.ID != c.Node.Me().ID {
+		r.Demand = nil
+		c.post(head.Addr, wire.Letter{Report: &r})
+	}
+}
--- a/internal/office/web.go
+++ b/internal/office/web.go
@@ -77,6 +77,12 @@
 		return &wire.Receipt{}, nil
 	})
 	rpc.ServeStream(mux, rpc.FollowPath, h.follow)
+	rpc.ServeStream(mux, rpc.FramesPath, h.serveFrames)
+	rpc.Serve(mux, rpc.ReadPath, h.serveRead)
+	rpc.Serve(mux, rpc.TellPath, func(_ context.Context, r *wire.Report) (*wire.Receipt, error) {
+		h.tell(Event{DeskReport: r})
+		return &wire.Receipt{}, nil
+	})
 	mux.HandleFunc("GET /v1/config", h.getConfig)
 	mux.HandleFunc("PUT /v1/config", h.putConfig)
 	mux.HandleFunc("PATCH /v1/config", h.patchConfig)
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,223 @@
+package roster
+
+import (
+	"maps"
+	"slices"
+
+	"petreltide/internal/clock"
+)
+
+const (
+	rowsMost = 20_000
+	forgetUs = 60 * clock.Sec
+)
+
+// Row is what a replica says of itself. ID names one life of it; Seq rises with each thing it says.
+// Units are the models it holds, and their adapters as "model/adapter", in order.
+type Row struct {
+	ID       string   `json:"id"`
+	Service  string   `json:"service"`
+	Addr     string   `json:"addr"`
+	Zone     string   `json:"zone,omitempty"`
+	Release  string   `json:"release,omitempty"`
+	Slots    int      `json:"slots,omitempty"`
+	Draining bool     `json:"draining,omitempty"`
+	LeftMs   int64    `json:"leftMs,omitempty"`
+	ColdMs   int64    `json:"coldMs,omitempty"`
+	Units    []string `json:"units,omitempty"`
+	Seq      uint64   `json:"seq"`
+	Gone     bool     `json:"gone,omitempty"`
+}
+
+func (r *Row) same(o *Row) bool {
+	return r.Service == o.Service && r.Addr == o.Addr && r.Zone == o.Zone && r.Release == o.Release && r.Slots == o.Slots &&
+		r.Draining == o.Draining && (r.LeftMs > 0) == (o.LeftMs > 0) && (r.ColdMs > 0) == (o.ColdMs > 0) && r.Gone == o.Gone && slices.Equal(r.Units, o.Units)
+}
+
+func (r *Row) Holds(unit string) bool {
+	_, ok := slices.BinarySearch(r.Units, unit)
+	return ok
+}
+
+// Note is what one office tells another of a replica: the whole row where it may be news, else only
+// that it was heard.
+type Note struct {
+	ID    string `json:"id"`
+	Seq   uint64 `json:"seq"`
+	Since uint64 `json:"since"`
+	AgoMs int64  `json:"agoMs"`
+	Row   *Row   `json:"row,omitempty"`
+}
+
+type Entry struct {
+	Row
+	HeardUs int64
+	Since   uint64
+	Rev     uint64
+	Dark    bool
+	seen    uint64
+}
+
+// Roster is one office's soft state of all replicas: heard from them directly or from other offices.
+// It is never written to disk; who is heard last, by Seq, is right.
+type Roster struct {
+	Rev     uint64
+	DarkUs  int64
+	rows    map[string]*Entry
+	sweepUs int64
+	want    bool
+}
+
+func New(darkUs int64) *Roster { return &Roster{DarkUs: darkUs, rows: map[string]*Entry{}} }
+
+func (r *Roster) touch(e *Entry) {
+	r.Rev++
+	e.Rev = r.Rev
+}
+
+// Hear takes what a replica said; changed is true where others must learn of it.
+func (r *Roster) Hear(nowUs int64, row Row) (changed bool) {
+	return r.hear(nowUs, nowUs, row)
+}
+
+func (r *Roster) hear(nowUs, heardUs int64, row Row) bool {
+	e := r.rows[row.ID]
+	if e == nil {
+		if len(r.rows) >= rowsMost || row.ID == "" {
+			return false
+		}
+		for _, old := range r.rows {
+			if old.Addr == row.Addr && !old.Gone {
+				r.Leave(nowUs, old.ID)
+			}
+		}
+		e = &Entry{Row: row, HeardUs: heardUs, Since: row.Seq, seen: row.Seq}
+		r.rows[row.ID] = e
+		r.touch(e)
+		return true
+	}
+	if e.Gone {
+		return false
+	}
+	if row.Seq <= e.seen && !row.Gone {
+		return false
+	}
+	e.seen = max(e.seen, row.Seq)
+	e.HeardUs = max(e.HeardUs, heardUs)
+	changed := !e.same(&row)
+	if e.Dark && nowUs-heardUs < r.DarkUs {
+		e.Dark, changed = false, true
+	}
+	leftMs, draining := e.LeftMs, e.Draining
+	e.Row = row
+	if draining && row.Draining && leftMs > 0 && row.LeftMs == 0 {
+		e.LeftMs = leftMs
+	}
+	if changed {
+		e.Since = row.Seq
+		r.touch(e)
+	}
+	return changed
+}
+
+// Leave notes that a life of a replica has ended; no later word of it counts.
+func (r *Roster) Leave(nowUs int64, id string) bool {
+	e := r.rows[id]
+	if e == nil {
+		e = &Entry{Row: Row{ID: id}}
+		r.rows[id] = e
+	}
+	if e.Gone {
+		return false
+	}
+	e.Gone, e.HeardUs = true, nowUs
+	e.Seq++
+	e.seen, e.Since = e.Seq, e.Seq
+	r.touch(e)
+	return true
+}
+
+// Merge takes another office's notes. Where one tells of a row that this office does not have as new,
+// it asks for all rows.
+func (r *Roster) Merge(nowUs int64, notes []Note) (changed bool) {
+	for _, n := range notes {
+		heardUs := nowUs - n.AgoMs*1000
+		if n.Row != nil {
+			if n.Row.Gone {
+				if e := r.rows[n.ID]; e == nil || !e.Gone {
+					changed = r.Leave(nowUs, n.ID) || changed
+				}
+				continue
+			}
+			changed = r.hear(nowUs, heardUs, *n.Row) || changed
+			continue
+		}
+		e := r.rows[n.ID]
+		if e == nil || (e.Since < n.Since && e.seen < n.Since) {
+			r.want = true
+			continue
+		}
+		if !e.Gone && n.Seq >= e.seen {
+			e.seen = n.Seq
+			e.HeardUs = max(e.HeardUs, heardUs)
+			if e.Dark && nowUs-heardUs < r.DarkUs {
+				e.Dark, changed = false, true
+				r.touch(e)
+			}
+		}
+	}
+	return changed
+}
+
+// Wants is true once after a note told of something this office has missed.
+func (r *Roster) Wants() bool {
+	w := r.want
+	r.want = false
+	return w
+}
+
+// Notes are for another office that has had everything up to a revision of this roster.
+func (r *Roster) Notes(nowUs int64, since uint64) []Note {
+	notes := make([]Note, 0, len(r.rows))
+	for _, id := range r.IDs() {
+		e := r.rows[id]
+		n := Note{ID: id, Seq: e.seen, Since: e.Since, AgoMs: (nowUs - e.HeardUs) / 1000}
+		if e.Rev > since {
+			row := e.Row
+			row.Seq = e.seen
+			n.Row = &row
+		} else if e.Gone || e.Dark {
+			continue
+		}
+		notes = append(notes, n)
+	}
+	return notes
+}
+
+// Sweep marks those not heard for too long as dark and forgets those long gone.
+func (r *Roster) Sweep(nowUs int64) {
+	if nowUs-r.sweepUs > r.DarkUs/2 && r.sweepUs > 0 {
+		for _, e := range r.rows {
+			e.HeardUs += nowUs - r.sweepUs
+		}
+	}
+	r.sweepUs = nowUs
+	for id, e := range r.rows {
+		switch {
+		case nowUs-e.HeardUs > forgetUs:
+			if !e.Gone {
+				r.Rev++
+			}
+			delete(r.rows, id)
+		case !e.Gone && !e.Dark && nowUs-e.HeardUs > r.DarkUs:
+			e.Dark = true
+			r.touch(e)
+		}
+	}
+}
+
+func (r *Roster) IDs() []string { return slices.Sorted(maps.Keys(r.rows)) }
+
+func (r *Roster) Row(id string) *Entry { return r.rows[id] }
+
+func (r *Roster) Len() int { return len(r.rows) }
--- a/internal/rpc/pipe.go
+++ b/internal/rpc/rpc.go
@@ -24,6 +24,9 @@
 	FollowPath = "/petreltide.Office/Follow"
 	AckPath    = "/petreltide.Office/Ack"
 	BeatPath   = "/petreltide.Node/Beat"
+	FramesPath = "/petreltide.Office/Frames"
+	TellPath   = "/petreltide.Office/Tell"
+	ReadPath   = "/petreltide.Office/Read"
 	readMost   = 256 << 20
 )
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,8 +18,46 @@
 	Zone      string   `json:"zone" validate:"required,max=32"`
 	Seeds     []string `json:"seeds" validate:"required,min=1,max=3,dive,required"`
 	Data      string   `json:"data" validate:"required"`
-	Platform  string   `json:"platform" validate:"required"`
+	Platform  string   `json:"platform"`
 	Founding  int      `json:"founding" validate:"min=0,max=7"`
+
+	// Founders are the offices that begin a new chain together, by address; in place of Founding.
+	Founders []string `json:"founders,omitempty" validate:"max=7"`
+	// CopiesLeast is how many synced copies an acknowledgement needs.
+	CopiesLeast int `json:"copiesLeast,omitempty" validate:"min=0,max=7"`
+	// Members says who changes the offices: operators by command, or the offices themselves, that take in
+	// an empty one in the place of one that is silent.
+	Members Members `json:"members,omitempty" validate:"omitempty,oneof=command self"`
+	// LeaseMs is how long replicas hold to one who orders them after its last order.
+	LeaseMs        int64   `json:"leaseMs,omitempty" validate:"min=0,max=3600000"`
+	HeartbeatMs    int64   `json:"heartbeatMs,omitempty" validate:"min=0,max=3600000"`
+	StoreWindowMs  int64   `json:"storeWindowMs,omitempty" validate:"min=0,max=3600000"`
+	StoreOvershoot float64 `json:"storeOvershoot,omitempty" validate:"min=0,max=10"`
+	MemoryMb       int     `json:"memoryMb,omitempty" validate:"min=0"`
+}
+
+type Members string
+
+const (
+	CommandMembers Members = "command"
+	SelfMembers    Members = "self"
+)
+
+// Legs says by which ticket a desk sends: numbers that the controller granted under a lease, or the
+// declaration in force as a standing ticket, which a desk cut off from the core goes on with.
+type Legs string
+
+const (
+	GrantedLegs  Legs = "granted"
+	DeclaredLegs Legs = "declared"
+)
+
+// Budget bounds the further legs of all desks together, for each service: Ratio of its calls plus Slack in
+// every span of WindowMs.
+type Budget struct {
+	Ratio    float64 `json:"ratio,omitempty" validate:"min=0,max=10"`
+	Slack    float64 `json:"slack,omitempty" validate:"min=0"`
+	WindowMs int64   `json:"windowMs,omitempty" validate:"min=0,max=3600000"`
 }
 
 type Desk struct {
@@ -31,6 +69,14 @@
 	BacklogMax int      `json:"backlogMax" validate:"min=1,max=100000"`
 	BodyMaxKb  int      `json:"bodyMaxKb" validate:"min=1,max=65536"`
 	DrainMs    int64    `json:"drainMs" validate:"min=0,max=3600000"`
+
+	Legs   Legs   `json:"legs,omitempty" validate:"omitempty,oneof=granted declared"`
+	Budget Budget `json:"budget,omitempty"`
+	// LingerMs is how long new connections are still taken after SIGTERM, until nobody sends them here.
+	LingerMs int64 `json:"lingerMs,omitempty" validate:"min=0,max=3600000"`
+	// ConnectionsMost bounds this desk's connections to all replicas together.
+	ConnectionsMost int `json:"connectionsMost,omitempty" validate:"min=0"`
+	MemoryMb        int `json:"memoryMb,omitempty" validate:"min=0"`
 }
 
 // Read lays a settings file over what v holds; a flag given on the command line is laid on later.
@@ -52,6 +98,9 @@
 	sheet := standing.Struct(fault.BadSettings, o)
 	o.Advertise = reached(sheet, o.Listen, o.Advertise)
 	addresses(sheet, o.Listen, o.Seeds)
+	if o.Platform == "" && o.HeartbeatMs == 0 {
+		sheet.Note(fault.BadSettings, "platform", "name the platform that lists replicas, or heartbeatMs where they make themselves known")
+	}
 	address(sheet, "platform", o.Platform)
 	if o.Founding == 1 || o.Founding == 2 {
 		sheet.Note(fault.BadSettings, "founding", "a chain acknowledges on two copies and must survive a loss: found it with 3 or more")
--- a/internal/standing/standing.go
+++ b/internal/standing/standing.go
@@ -26,8 +26,20 @@
 	Kinds    []Kind    `json:"kinds" validate:"required,min=1,max=16,unique=Name,dive"`
 	Models   []Model   `json:"models" validate:"required,min=1,max=1024,unique=Name,dive"`
 	Adapters []Adapter `json:"adapters,omitempty" validate:"max=4096,unique=Name,dive"`
+
+	// Version is the operators' own number of it. A declaration with routes is checked by CheckRoutes:
+	// its services' engines stand for replica, store, models and adapters, its routes for kinds.
+	Version  uint64    `json:"version,omitempty" validate:"-"`
+	Routes   []Route   `json:"routes,omitempty" validate:"-"`
+	Services []Service `json:"services,omitempty" validate:"-"`
+	Limits   *Limits   `json:"limits,omitempty" validate:"-"`
+
+	Index *Index `json:"-" validate:"-"`
 }
 
+// Routed declarations send by routes to services.
+func (d *Declaration) Routed() bool { return d.Version > 0 }
+
 type Replica struct {
 	RoomMb int64 `json:"roomMb" validate:"required,min=1"`
 }
@@ -96,6 +108,12 @@
 }
 
 func (d *Declaration) Kind(name string) *Kind {
+	if d.Routed() {
+		if r := d.Route(name); r != nil {
+			return &Kind{Name: r.Name, Urgency: max(1, 9-r.Priority), Resumable: r.Repeatable(), ExpiryMs: r.TimeoutMs}
+		}
+		return nil
+	}
 	for i := range d.Kinds {
 		if d.Kinds[i].Name == name {
 			return &d.Kinds[i]
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,186 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"petreltide/internal/clock"
+	"petreltide/internal/fault"
+)
+
+// Options bound the kept connections of one desk. IdleUs is how long one may lie idle where the replica
+// does not say; PerReplicaMost is asked for each replica, as shares change with the number of desks.
+type Options struct {
+	Local          net.IP
+	DialUs         int64
+	IdleUs         int64
+	PerReplicaMost func(replica string) int
+}
+
+// Conn is a connection to one life of a replica.
+type Conn struct {
+	net.Conn
+	Reader *bufio.Reader
+	Reused bool
+
+	replica string
+	untilUs int64
+}
+
+// Pool keeps connections to replicas between calls; the one used last is taken first, so that the
+// others lapse by themselves.
+type Pool struct {
+	opts   Options
+	dialer net.Dialer
+	mu     sync.Mutex
+	idle   map[string][]*Conn
+	open   map[string]int
+	Dialed int64
+}
+
+func New(opts Options) *Pool {
+	p := &Pool{opts: opts, idle: map[string][]*Conn{}, open: map[string]int{}}
+	p.dialer = net.Dialer{Timeout: time.Duration(opts.DialUs) * time.Microsecond, KeepAlive: -1}
+	if opts.Local != nil && !opts.Local.IsUnspecified() {
+		p.dialer.LocalAddr = &net.TCPAddr{IP: opts.Local}
+	}
+	return p
+}
+
+// Take gives a connection that was sound a moment ago, or a new one.
+func (p *Pool) Take(ctx context.Context, replica, addr string) (*Conn, error) {
+	for {
+		c := p.pop(replica)
+		if c == nil {
+			break
+		}
+		if clock.NowUs() < c.untilUs && quiet(c) {
+			c.Reused = true
+			return c, nil
+		}
+		p.Drop(c)
+	}
+	p.mu.Lock()
+	most := p.opts.PerReplicaMost(replica)
+	if p.open[replica] >= most {
+		p.mu.Unlock()
+		return nil, fault.New(fault.Overloaded, replica, "all %d connections are taken", most)
+	}
+	p.open[replica]++
+	p.Dialed++
+	p.mu.Unlock()
+	conn, err := p.dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		p.release(replica)
+		return nil, fault.New(fault.ReplicaFailed, replica, "%v", err)
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetNoDelay(true)
+	}
+	return &Conn{Conn: conn, Reader: bufio.NewReaderSize(conn, 4096), replica: replica}, nil
+}
+
+func (p *Pool) pop(replica string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	free := p.idle[replica]
+	if len(free) == 0 {
+		return nil
+	}
+	c := free[len(free)-1]
+	p.idle[replica] = free[:len(free)-1]
+	return c
+}
+
+func (p *Pool) release(replica string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[replica]--; p.open[replica] <= 0 {
+		delete(p.open, replica)
+	}
+}
+
+// Give back a connection on which an answer was read whole; idleUs 0 means that the replica did not say
+// how long it keeps it.
+func (p *Pool) Give(c *Conn, idleUs int64) {
+	if idleUs == 0 {
+		idleUs = p.opts.IdleUs
+	}
+	if c.Reader.Buffered() > 0 || idleUs < 0 {
+		p.Drop(c)
+		return
+	}
+	_ = c.SetDeadline(time.Time{})
+	c.untilUs = clock.NowUs() + idleUs
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[c.replica] = append(p.idle[c.replica], c)
+}
+
+func (p *Pool) Drop(c *Conn) {
+	_ = c.Close()
+	p.release(c.replica)
+}
+
+// Sweep closes what has lain idle for too long, and everything to replicas that are gone.
+func (p *Pool) Sweep(nowUs int64, known func(replica string) bool) {
+	p.mu.Lock()
+	lapsed := []*Conn{}
+	for replica, free := range p.idle {
+		kept := free[:0]
+		for _, c := range free {
+			if nowUs >= c.untilUs || !known(replica) {
+				lapsed = append(lapsed, c)
+			} else {
+				kept = append(kept, c)
+			}
+		}
+		if len(kept) == 0 {
+			delete(p.idle, replica)
+		} else {
+			p.idle[replica] = kept
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range lapsed {
+		p.Drop(c)
+	}
+}
+
+// Counts are the open connections by replica.
+func (p *Pool) Counts() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := make(map[string]int, len(p.open))
+	for r, c := range p.open {
+		n[r] = c
+	}
+	return n
+}
+
+// quiet: nothing has come on an idle connection, neither its end nor bytes that belong to no call.
+func quiet(c *Conn) bool {
+	tcp, isTCP := c.Conn.(*net.TCPConn)
+	if !isTCP {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	still := false
+	if err := raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, got := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		still = got == unix.EAGAIN
+		return true
+	}); err != nil {
+		return false
+	}
+	return still
+}
--- /dev/null
+++ b/internal/wire/frame.go
@@ -0,0 +1,52 @@
+package wire
+
+import (
+	"petreltide/internal/chain"
+	"petreltide/internal/roster"
+	"petreltide/internal/standing"
+)
+
+// Frame is one push of differences from an office down a desk's stream. The first of a stream is whole.
+// Revision and the declaration or the edits that lead to it come together; From is where the edits begin.
+type Frame struct {
+	Office   string                `json:"office"`
+	Whole    bool                  `json:"whole,omitempty"`
+	Settled  bool                  `json:"settled,omitempty"`
+	View     *chain.View           `json:"view,omitempty"`
+	Offices  []chain.Member        `json:"offices,omitempty"`
+	Revision uint64                `json:"revision,omitempty"`
+	From     uint64                `json:"from,omitempty"`
+	Doc      *standing.Declaration `json:"doc,omitempty"`
+	Edits    []*standing.Edit      `json:"edits,omitempty"`
+	Replicas []ReplicaRow          `json:"replicas,omitempty"`
+	Orders   *Orders               `json:"orders,omitempty"`
+	Desks    int                   `json:"desks,omitempty"`
+	Demand   map[string]Demand     `json:"demand,omitempty"`
+}
+
+// ReplicaRow is a replica's own word and what the office makes of its silence.
+type ReplicaRow struct {
+	roster.Row
+	Dark bool `json:"dark,omitempty"`
+	// Stale rows come from the ledger: they are where a replica was before the offices came back.
+	Stale bool `json:"stale,omitempty"`
+}
+
+// Orders are all that stand at replicas, numbered by the ledger entry that last touched them.
+type Orders struct {
+	Number uint64       `json:"number"`
+	Rows   []OrderAhead `json:"rows"`
+}
+
+// OrderAhead is an order that stands: what will be there, or will not be any more.
+type OrderAhead struct {
+	Replica string `json:"replica"`
+	Unit    string `json:"unit"`
+	Unload  bool   `json:"unload,omitempty"`
+}
+
+// Demand is what all desks have at a replica.
+type Demand struct {
+	Running int   `json:"running,omitempty"`
+	Tokens  int64 `json:"tokens,omitempty"`
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -3,6 +3,7 @@
 import (
 	"petreltide/internal/chain"
 	"petreltide/internal/ledger"
+	"petreltide/internal/roster"
 	"petreltide/internal/standing"
 	"petreltide/internal/watch"
 )
@@ -29,6 +30,10 @@
 	Holds     []string `json:"holds"`
 	Unloading string   `json:"unloading,omitempty"`
 	Share     int      `json:"share"`
+	Service   string   `json:"service,omitempty"`
+	Slots     int      `json:"slots,omitempty"`
+	Stale     bool     `json:"stale,omitempty"`
+	Loading   string   `json:"loading,omitempty"`
 }
 
 type Follow struct {
@@ -55,6 +60,7 @@
 	Left     map[string]Left    `json:"left,omitempty"`
 	Draining bool               `json:"draining,omitempty"`
 	Silent   []string           `json:"silent,omitempty"`
+	Demand   map[string]Demand  `json:"demand,omitempty"`
 }
 
 type Left struct {
@@ -95,6 +101,18 @@
 	Result  *Result        `json:"result,omitempty"`
 	Report  *Report        `json:"report,omitempty"`
 	Silence *watch.Silence `json:"silence,omitempty"`
+	Heard   *Heard         `json:"heard,omitempty"`
+}
+
+// Heard is what an office has heard of replicas and desks, told to the other offices. Wants asks for
+// all rows again.
+type Heard struct {
+	By     string            `json:"by"`
+	Inc    string            `json:"inc"`
+	Notes  []roster.Note     `json:"notes,omitempty"`
+	Wants  bool              `json:"wants,omitempty"`
+	Desks  []string          `json:"desks,omitempty"`
+	Demand map[string]Demand `json:"demand,omitempty"`
 }
 
 type Receipt struct{}
@@ -107,17 +125,30 @@
 	Holds  []ledger.Holding `json:"holds"`
 	Last   *OrderState      `json:"last,omitempty"`
 	Active int              `json:"active"`
+
+	// Of replicas that do not name their last order: whether one is under way, how many they took, and
+	// which units they hold.
+	Busy   bool     `json:"busy,omitempty"`
+	Orders uint64   `json:"orders,omitempty"`
+	Units  []string `json:"units,omitempty"`
 }
 
 type Order struct {
 	Ticket ledger.Ticket `json:"ticket"`
 	Epoch  uint64        `json:"epoch"`
+	// Holder is who holds the duty; Expected is how many orders the replica has taken, where it is known.
+	Holder   string  `json:"holder,omitempty"`
+	Expected *uint64 `json:"expected,omitempty"`
 }
 
 const (
 	OrderRunning = "running"
 	OrderDone    = "done"
 	OrderFailed  = "failed"
+	// OrderInDoubt: no answer came; it may have been taken.
+	OrderInDoubt = "in_doubt"
+	// OrderBusy: another order is under way there, or this one was counted wrong.
+	OrderBusy = "busy"
 )
 
 type OrderState struct {
