Order loads as tickets: the resident policy, quiet before unloads, and store by window

Cause: no load was ordered; rare models and adapters that no replica held were never served. Change: the controller writes lives, room and holdings of engines' replicas, keeps needs smoothed from desks' counts, asks the built-in resident policy, checks its proposals, and sends orders under holder and fence; a successor waits out the lease; loads from the store are counted in the sliding window. An unload waits until desks have stopped.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -103,6 +103,7 @@
 	Live     standing.Policy
 	Shadows  []standing.Policy
 	Fleet    placement.Fleet
+	Services []placement.Service
 }
 
 type Seen struct {
@@ -164,6 +165,7 @@
 	counted    []scaler.Count
 	marks      []uint64
 	markUs     int64
+	routed     routed
 	Faults     map[fault.Code]uint64
 	Policy     PolicyNote
 	Shadows    []PolicyNote
@@ -193,7 +195,7 @@
 func NewWith(me string, opts Options) *Controller {
 	return &Controller{
 		me: me, opts: opts, replicas: map[string]*told{}, desks: map[string]*deskRow{},
-		jury: watch.NewJury(), orderUs: map[uint64]int64{}, Faults: map[fault.Code]uint64{},
+		jury: watch.NewJury(), orderUs: map[uint64]int64{}, Faults: map[fault.Code]uint64{}, routed: newRouted(),
 	}
 }
 
@@ -232,10 +234,20 @@
 	case ev.Report != nil:
 		f.desks[ev.Report.Desk] = &deskRow{report: *ev.Report, atUs: ev.NowUs}
 		f.jury.Say(ev.NowUs, watch.Silence{By: ev.Report.Desk, Silent: ev.Report.Silent})
+		if seen.isRouted() && f.unplaced(seen, ev.Report) {
+			f.moved = true
+			f.act(seen)
+		}
 	case ev.Silence != nil:
 		f.jury.Say(ev.NowUs, *ev.Silence)
 	case ev.Listed != nil:
 		f.listed(ev.NowUs, *ev.Listed)
+	case ev.Told != nil && seen.isRouted():
+		f.routedTold(seen, *ev.Told)
+		f.act(seen)
+	case ev.Ordered != nil && seen.isRouted():
+		f.routedOrdered(seen, *ev.Ordered)
+		f.act(seen)
 	case ev.Told != nil:
 		f.told(ev.NowUs, *ev.Told)
 		if f.settles(seen.State, ev.Told.Replica) {
@@ -274,7 +286,25 @@
 	row.state, row.atUs, row.heardUs = *t.State, nowUs, t.AskedUs
 }
 
+// isRouted: replicas make themselves known, and what is in force sends by routes.
+func (s Seen) isRouted() bool {
+	return s.Roster != nil && s.State.Doc != nil && s.State.Doc.Routed()
+}
+
+// unplaced: calls wait at a desk for a model or an adapter, more than a moment ago.
+func (f *Controller) unplaced(seen Seen, r *wire.Report) bool {
+	for unit := range r.Waiting {
+		if seen.NowUs-f.policyUs > routedUrgentUs && r.Waiting[unit] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (f *Controller) tick(seen Seen) {
+	if f.routed.bornUs == 0 {
+		f.routed.bornUs = seen.NowUs
+	}
 	if !seen.Head {
 		f.leave()
 		return
@@ -297,6 +327,10 @@
 	if !seen.Fresh {
 		return
 	}
+	if seen.isRouted() {
+		f.routedTick(seen)
+		return
+	}
 	f.fill(seen)
 	if seen.View != f.view {
 		f.view, f.viewUs, f.checked, f.listUs = seen.View, seen.NowUs, false, 0
@@ -313,6 +347,12 @@
 
 // act writes and asks the policy at once where an event has made it worthwhile, not at the next tick.
 func (f *Controller) act(seen Seen) {
+	if seen.Head && seen.Fresh && f.OnDuty(seen.State) && seen.isRouted() {
+		f.routedOrders(seen)
+		f.startResident(seen)
+		f.write(seen)
+		return
+	}
 	if seen.Head && seen.Fresh && f.OnDuty(seen.State) {
 		f.fill(seen)
 		f.startPolicy(seen)
@@ -331,6 +371,7 @@
 	fresh := NewWith(f.me, f.opts)
 	fresh.Faults, fresh.writes, fresh.desks, fresh.Policy = f.Faults, f.writes, f.desks, f.Policy
 	fresh.run, fresh.jury = f.run, f.jury
+	fresh.routed.foreignUs, fresh.routed.bornUs, fresh.routed.loadsUs = f.routed.foreignUs, f.routed.bornUs, f.routed.loadsUs
 	effects := f.effects
 	*f = *fresh
 	f.effects = effects
@@ -377,8 +418,17 @@
 	s := seen.State
 	f.issuingMb = 0
 	duty := &ledger.Duty{}
-	f.noteFleet(seen, duty)
+	if seen.isRouted() {
+		f.noteRoster(seen, duty)
+	} else {
+		f.noteFleet(seen, duty)
+	}
 	f.settle(seen.NowUs, s, duty)
+	if seen.isRouted() {
+		f.forgetDesks(seen.NowUs)
+		f.writeRouted(seen, duty)
+		return
+	}
 	f.dropDesks(seen, duty)
 	if s.Doc != nil {
 		f.grant(seen, duty)
@@ -405,7 +455,30 @@
 		}
 	}
 	f.markKeys(seen, duty)
-	if !f.checked && f.list != nil && f.listAtUs > f.viewUs {
+	f.writeDuty(seen, duty)
+}
+
+// writeRouted adds the tickets that the policy proposed and the checker took.
+func (f *Controller) writeRouted(seen Seen, duty *ledger.Duty) {
+	s := seen.State
+	if f.proposedAt != s.Revision || !f.mayOrder(seen.NowUs) {
+		f.proposed = nil
+	}
+	if f.proposed != nil {
+		tickets, verdicts := placement.CheckRouted(s, f.leftFor(seen.NowUs, s), f.proposed)
+		f.proposed, f.Policy.Verdicts = nil, verdicts
+		for _, v := range verdicts {
+			if v.Fault != nil {
+				f.count(v.Fault.Code)
+			}
+		}
+		duty.Tickets = tickets
+	}
+	f.writeDuty(seen, duty)
+}
+
+func (f *Controller) writeDuty(seen Seen, duty *ledger.Duty) {
+	if !seen.isRouted() && !f.checked && f.list != nil && f.listAtUs > f.viewUs {
 		duty.Checked = f.view
 		f.checked = true
 	}
@@ -428,7 +501,9 @@
 		f.count(bad.Code)
 	}
 	if f.OnDuty(seen.State) && seen.Fresh {
-		f.orders(seen)
+		if !seen.isRouted() {
+			f.orders(seen)
+		}
 		f.act(seen)
 	}
 }
--- a/internal/controller/hear.go
+++ b/internal/controller/hear.go
@@ -188,5 +188,6 @@
 		}
 		delete(f.orderUs, t.Number)
 		row.movedUs = nowUs
+		f.came(nowUs, t)
 	}
 }
--- a/internal/controller/routed.go
+++ b/internal/controller/routed.go
@@ -1,6 +1,604 @@
 package controller
 
-import "petreltide/internal/ledger"
+import (
+	"maps"
+	"slices"
+	"strings"
 
-// Saw notes the tickets and settled orders of whoever holds the duty, as they are applied.
-func (f *Controller) Saw(nowUs int64, epoch uint64, d ledger.Duty, s *ledger.State) {}
+	"petreltide/internal/clock"
+	"petreltide/internal/ledger"
+	"petreltide/internal/placement"
+	"petreltide/internal/roster"
+	"petreltide/internal/standing"
+	"petreltide/internal/wire"
+)
+
+const (
+	routedPolicyUs  = 500 * clock.Ms
+	routedUrgentUs  = 30 * clock.Ms
+	holderFreshUs   = 1100 * clock.Ms
+	leaseSlackUs    = 250 * clock.Ms
+	askLateUs       = 300 * clock.Ms
+	askAgainUs      = 200 * clock.Ms
+	orderAgainUs    = 700 * clock.Ms
+	orderVoidUs     = 1200 * clock.Ms
+	adapterDoneUs   = 25 * clock.Ms
+	quietLeastUs    = 40 * clock.Ms
+	quietMostUs     = 700 * clock.Ms
+	warmFirstUs     = 420 * clock.Ms
+	unloadFirstUs   = 60 * clock.Ms
+	forgottenUs     = 15 * clock.Sec
+	storeCut        = 1
+	recentLeast     = 3.0
+	recentCut       = 0.85
+	tokensUnknown   = 1500.0
+	tokensPerMs     = 20.0
+	decodeMsPerCall = 25.0
+)
+
+// standingOrder is what this controller knows of one order that stands: when it was sent, what the replica
+// said to it, and when to look again.
+type standingOrder struct {
+	seenUs  int64
+	sentUs  int64
+	saidUs  int64
+	said    string
+	askUs   int64
+	askedUs int64
+	asked   bool
+}
+
+// need is how often a unit was called for, smoothed, and when last.
+type need struct {
+	rate   float64
+	tokens float64
+	lastUs int64
+}
+
+// routed is the controller's memory for replicas that make themselves known.
+type routed struct {
+	dutyUs    int64
+	foreignUs int64
+	bornUs    int64
+	loadsUs   []int64
+	orders    map[uint64]*standingOrder
+	needs     map[string]*need
+	cameUs    map[string]int64
+	unseenUs  map[string]int64
+	demandUs  int64
+}
+
+func newRouted() routed {
+	return routed{orders: map[uint64]*standingOrder{}, needs: map[string]*need{}, cameUs: map[string]int64{}, unseenUs: map[string]int64{}}
+}
+
+// Saw notes the tickets and settled orders of whoever holds the duty, as they are applied: a successor
+// waits out their lease, and counts their loads.
+func (f *Controller) Saw(nowUs int64, epoch uint64, d ledger.Duty, s *ledger.State) {
+	if s.Doc == nil || !s.Doc.Routed() {
+		return
+	}
+	if epoch != f.claimed || !f.OnDuty(s) {
+		f.routed.foreignUs = nowUs
+	}
+	for _, t := range d.Tickets {
+		f.routed.noteLoad(nowUs, s, t)
+	}
+	for _, done := range d.Settled {
+		delete(f.routed.orders, done.Number)
+	}
+}
+
+func (r *routed) noteLoad(nowUs int64, s *ledger.State, t ledger.Ticket) {
+	have := s.Replicas[t.Replica]
+	if t.Step != ledger.Load || strings.Contains(t.Unit, "/") || (have != nil && have.Had[t.Unit]) {
+		return
+	}
+	r.loadsUs = append(r.loadsUs, nowUs)
+	if len(r.loadsUs) > 4096 {
+		r.loadsUs = append([]int64(nil), r.loadsUs[2048:]...)
+	}
+}
+
+// storeLeft is how many loads from the store may begin now: what the sliding window still allows, and no
+// more at once than the store bears at full speed.
+func (f *Controller) storeLeft(nowUs int64, s *ledger.State, service *standing.Service) int {
+	e := service.Engine
+	windowUs := f.opts.StoreWindowUs
+	if windowUs == 0 {
+		windowUs = 5 * clock.Sec
+	}
+	overshoot := max(f.opts.StoreOvershoot, 1)
+	most := int(e.LoadsPerS*float64(windowUs)/1e6*overshoot+3) - storeCut
+	spent := 0
+	for _, atUs := range f.routed.loadsUs {
+		if nowUs-atUs < windowUs+400*clock.Ms {
+			spent++
+		}
+	}
+	if s.NextTicket > 1 && nowUs-f.routed.bornUs < windowUs+400*clock.Ms {
+		spent += most
+	}
+	running := 0
+	for _, t := range s.Pending {
+		if have := s.Replicas[t.Replica]; t.Step == ledger.Load && have != nil && have.Service == service.Name && !have.Had[t.Unit] && !strings.Contains(t.Unit, "/") {
+			running++
+		}
+	}
+	return max(0, min(most-spent, e.StoreAtOnce()-running))
+}
+
+// mayOrder: what a predecessor may still have ordered lies a lease behind.
+func (f *Controller) mayOrder(nowUs int64) bool {
+	return nowUs >= f.routed.foreignUs+f.opts.LeaseUs+leaseSlackUs
+}
+
+func (f *Controller) routedTick(seen Seen) {
+	r := &f.routed
+	if r.dutyUs == 0 {
+		r.dutyUs = seen.NowUs
+		for _, t := range seen.State.Pending {
+			if t.Epoch != f.claimed {
+				r.foreignUs = max(r.foreignUs, seen.NowUs+holderFreshUs)
+			}
+		}
+	}
+	f.countNeeds(seen.NowUs)
+	f.routedOrders(seen)
+	f.startResident(seen)
+	f.write(seen)
+}
+
+// routedOrders sends what the ledger holds, looks what became of what was sent, and sends again only what
+// the replica does not have.
+func (f *Controller) routedOrders(seen Seen) {
+	s, nowUs := seen.State, seen.NowUs
+	for number := range f.routed.orders {
+		if !slices.ContainsFunc(slices.Collect(maps.Values(s.Pending)), func(t ledger.Ticket) bool { return t.Number == number }) {
+			delete(f.routed.orders, number)
+		}
+	}
+	for _, id := range sorted(s.Pending) {
+		t := s.Pending[id]
+		e := seen.Roster.Row(id)
+		if e == nil || e.Gone {
+			continue
+		}
+		o := f.routed.orders[t.Number]
+		if o == nil {
+			o = &standingOrder{}
+			f.routed.orders[t.Number] = o
+			if t.Epoch != f.claimed {
+				o.askUs = nowUs
+			}
+		}
+		switch {
+		case o.said == wire.OrderRunning && o.askUs > 0 && nowUs >= o.askUs && f.known(s, t):
+			f.settled(id, t, wire.OrderDone, "")
+			o.askUs, o.said = 0, wire.OrderDone
+		case o.askUs > 0:
+			if nowUs >= o.askUs && !o.asked {
+				o.asked, o.askedUs = true, nowUs
+				f.do(Effect{Ask: &Ask{AskedUs: nowUs, Replica: id, Addr: e.Addr}})
+			} else if o.asked && nowUs-o.askedUs > 1200*clock.Ms {
+				o.asked, o.askUs = false, nowUs
+			}
+		case o.sentUs == 0 && f.mayOrder(nowUs):
+			if o.seenUs == 0 {
+				o.seenUs = nowUs
+			}
+			if t.Step == ledger.Unload && !f.quiet(nowUs, t, o.seenUs) {
+				continue
+			}
+			f.sendOrder(seen, t, e, o)
+		case o.sentUs > 0 && o.said == "" && nowUs-o.sentUs > orderAgainUs:
+			o.askUs = nowUs
+		}
+	}
+}
+
+// quiet: every desk has had time to hear that a unit is to go, and none has calls there that have not begun;
+// a replica would turn them away.
+func (f *Controller) quiet(nowUs int64, t ledger.Ticket, sinceUs int64) bool {
+	if nowUs-sinceUs < quietLeastUs {
+		return false
+	}
+	if nowUs-sinceUs > quietMostUs {
+		return true
+	}
+	model, _ := standing.Units(t.Unit)
+	for _, d := range f.desks {
+		if nowUs-d.atUs < deskLiveUs && d.report.Unread[t.Replica+"|"+model] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *Controller) sendOrder(seen Seen, t ledger.Ticket, e *roster.Entry, o *standingOrder) {
+	if o.saidUs > 0 || t.Epoch != f.claimed {
+		f.routed.noteLoad(seen.NowUs, seen.State, t)
+	}
+	o.sentUs, o.said = seen.NowUs, ""
+	f.do(Effect{Order: &Order{Addr: e.Addr, Order: wire.Order{Ticket: t, Epoch: f.claimed, Holder: f.me}}})
+}
+
+// routedOrdered takes a replica's answer to an order; what it means in the end is seen by what it holds.
+func (f *Controller) routedOrdered(seen Seen, a Ordered) {
+	t, pending := seen.State.Pending[a.Replica]
+	o := f.routed.orders[a.State.Number]
+	if !pending || t.Number != a.State.Number || o == nil {
+		return
+	}
+	nowUs := seen.NowUs
+	o.saidUs, o.said = nowUs, a.State.State
+	switch a.State.State {
+	case wire.OrderRunning:
+		o.askUs = nowUs + f.lookUs(seen.State, t)
+	case wire.OrderDone:
+		f.settled(a.Replica, t, wire.OrderDone, "")
+	case wire.OrderFailed:
+		f.settled(a.Replica, t, wire.OrderFailed, a.State.Why)
+	default:
+		o.askUs = nowUs + askLateUs
+	}
+}
+
+// known: an order that was taken ends after a time that the configuration states; what the replica says of
+// itself soon after would show it if it had not.
+func (f *Controller) known(s *ledger.State, t ledger.Ticket) bool {
+	return strings.Contains(t.Unit, "/") && t.Step == ledger.Load
+}
+
+// lookUs is how long after an order was taken its end may be seen.
+func (f *Controller) lookUs(s *ledger.State, t ledger.Ticket) int64 {
+	have := s.Replicas[t.Replica]
+	switch {
+	case t.Step == ledger.Unload:
+		return unloadFirstUs
+	case strings.Contains(t.Unit, "/"):
+		return adapterDoneUs
+	case have != nil && have.Had[t.Unit]:
+		return warmFirstUs
+	}
+	if _, loadMs, ok := s.Doc.EngineUnitMb(have.Service, t.Unit); ok {
+		return loadMs*1000 + 30*clock.Ms
+	}
+	return clock.Sec
+}
+
+// settled gives the ledger's way of settling what it needs: the replica's last order.
+func (f *Controller) settled(replica string, t ledger.Ticket, state, why string) {
+	row := f.replicas[replica]
+	if row == nil {
+		row = &told{}
+		f.replicas[replica] = row
+	}
+	row.state.Inc, row.state.ID, row.atUs = t.Inc, replica, 1
+	row.state.Last = &wire.OrderState{Number: t.Number, Epoch: t.Epoch, State: state, Why: why}
+	f.moved = true
+}
+
+// routedTold takes a replica's report while an order stands there.
+func (f *Controller) routedTold(seen Seen, a Told) {
+	t, pending := seen.State.Pending[a.Replica]
+	if !pending {
+		return
+	}
+	o := f.routed.orders[t.Number]
+	if o == nil {
+		return
+	}
+	o.asked = false
+	if a.State == nil {
+		o.askUs = seen.NowUs + askAgainUs
+		return
+	}
+	f.look(seen, t, o, a.State.Units, a.State.Busy)
+}
+
+// look judges an order by what the replica holds. A report lags a little, so that it ends an order only
+// by what it shows, or by showing nothing for long enough.
+func (f *Controller) look(seen Seen, t ledger.Ticket, o *standingOrder, units []string, busy bool) {
+	_, holds := slices.BinarySearch(units, t.Unit)
+	nowUs := seen.NowUs
+	switch {
+	case holds == (t.Step == ledger.Load):
+		f.settled(t.Replica, t, wire.OrderDone, "")
+		o.askUs = 0
+		o.said = wire.OrderDone
+	case o.said == wire.OrderRunning && (busy || nowUs-o.saidUs < orderVoidUs):
+		o.askUs = nowUs + askAgainUs
+	case o.said == wire.OrderRunning:
+		f.settled(t.Replica, t, wire.OrderFailed, "it was taken and is not there")
+		o.askUs = 0
+	case busy:
+		o.askUs = nowUs + askAgainUs
+	default:
+		o.askUs, o.sentUs = 0, 0
+		if o.said != "" && nowUs-o.saidUs < orderAgainUs {
+			o.askUs = nowUs + askAgainUs
+		}
+	}
+}
+
+// noteRoster writes down what tickets need to know of replicas: their lives, their room and what they hold.
+// It changes with notices, lives and loads, not with heartbeats.
+func (f *Controller) noteRoster(seen Seen, duty *ledger.Duty) {
+	s := seen.State
+	for _, id := range seen.Roster.IDs() {
+		e := seen.Roster.Row(id)
+		have := s.Replicas[id]
+		svc := s.Doc.Service(e.Service)
+		if e.Gone || svc == nil || svc.Engine == nil {
+			if have != nil {
+				duty.Gone = append(duty.Gone, id)
+			}
+			continue
+		}
+		n := ledger.ReplicaNote{
+			ID: id, Inc: id, Addr: e.Addr, Zone: e.Zone, RoomMb: svc.Engine.RoomMb, Slots: e.Slots, Leaving: e.Draining, LeftMs: e.LeftMs,
+			Dark: e.Dark, Service: e.Service,
+		}
+		if have != nil && have.Leaving && n.Leaving {
+			n.LeftMs = have.LeftMs
+		}
+		_, pending := s.Pending[id]
+		if have == nil || (!pending && e.HeardUs > f.routed.cameUs[id]+askAgainUs && !sameUnits(have, e.Units)) {
+			n.Told, n.Holds = true, holdings(s.Doc, svc, e.Units)
+		}
+		if have == nil || have.Addr != n.Addr || have.Zone != n.Zone || have.RoomMb != n.RoomMb || have.Slots != n.Slots ||
+			have.Leaving != n.Leaving || have.Dark != n.Dark || n.Told {
+			duty.Fleet = append(duty.Fleet, n)
+		}
+	}
+	for _, id := range s.ReplicaIDs() {
+		if seen.Roster.Row(id) != nil {
+			delete(f.routed.unseenUs, id)
+			continue
+		}
+		since, known := f.routed.unseenUs[id]
+		if !known {
+			f.routed.unseenUs[id] = seen.NowUs
+		} else if seen.NowUs-since > forgottenUs {
+			duty.Gone = append(duty.Gone, id)
+			delete(f.routed.unseenUs, id)
+		}
+	}
+}
+
+func sameUnits(have *ledger.Replica, units []string) bool {
+	if len(have.Holds) != len(units) {
+		return false
+	}
+	for _, u := range units {
+		if _, holds := have.Holds[u]; !holds {
+			return false
+		}
+	}
+	return true
+}
+
+// holdings gives each unit its size; one that no engine names is taken to fill what is left.
+func holdings(doc *standing.Declaration, svc *standing.Service, units []string) []ledger.Holding {
+	all := []ledger.Holding{}
+	for _, u := range units {
+		sizeMb, _, ok := doc.EngineUnitMb(svc.Name, u)
+		if !ok {
+			sizeMb = svc.Engine.RoomMb / 2
+		}
+		all = append(all, ledger.Holding{Unit: u, SizeMb: sizeMb})
+	}
+	return all
+}
+
+// countNeeds smooths what desks count: a rise is believed at once, a fall over some seconds.
+func (f *Controller) countNeeds(nowUs int64) {
+	r := &f.routed
+	if nowUs-r.demandUs < 200*clock.Ms {
+		return
+	}
+	spanS := min(float64(nowUs-r.demandUs)/1e6, 2)
+	r.demandUs = nowUs
+	rates, tokens, recent := map[string]float64{}, map[string]float64{}, map[string]float64{}
+	for _, id := range sorted(f.desks) {
+		d := f.desks[id]
+		if nowUs-d.atUs > deskLiveUs {
+			continue
+		}
+		for unit, rate := range d.report.Arrivals {
+			rates[unit] += rate
+		}
+		for unit, n := range d.report.Tokens {
+			tokens[unit] += n
+		}
+		for unit, n := range d.report.Recent {
+			recent[unit] += n
+		}
+		for unit, n := range d.report.Waiting {
+			if n > 0 {
+				r.need(unit).lastUs = nowUs
+			}
+		}
+	}
+	for unit, fast := range recent {
+		if slow := rates[unit]; fast > recentLeast && fast*recentCut > slow {
+			tokens[unit] *= fast * recentCut / max(slow, 0.2)
+			if slow < 0.2 {
+				tokens[unit] = fast * recentCut * tokensUnknown
+			}
+			rates[unit] = fast * recentCut
+		}
+	}
+	for unit, rate := range rates {
+		n := r.need(unit)
+		if rate > 0 {
+			n.lastUs = nowUs
+		}
+		n.rate = max(rate, n.rate)
+		n.tokens = max(tokens[unit], n.tokens)
+	}
+	for unit, n := range r.needs {
+		keep := 1 - spanS/6
+		n.rate += (rates[unit] - n.rate) * (1 - keep)
+		n.tokens += (tokens[unit] - n.tokens) * (1 - keep)
+		if n.rate < 0.01 && nowUs-n.lastUs > 120*clock.Sec {
+			delete(r.needs, unit)
+		}
+	}
+}
+
+func (r *routed) need(unit string) *need {
+	n := r.needs[unit]
+	if n == nil {
+		n = &need{}
+		r.needs[unit] = n
+	}
+	return n
+}
+
+// startResident asks the policy for each service with an engine, at once where calls wait for a model that
+// nobody has.
+func (f *Controller) startResident(seen Seen) {
+	s := seen.State
+	spanUs := routedPolicyUs
+	if f.moved {
+		spanUs = routedUrgentUs
+	}
+	if f.proposed != nil || seen.NowUs-f.policyUs < spanUs || !f.mayOrder(seen.NowUs) {
+		return
+	}
+	if f.runUs != 0 && seen.NowUs-f.runUs < policyLostUs {
+		return
+	}
+	services := f.services(seen)
+	if len(services) == 0 {
+		return
+	}
+	f.policyUs, f.runUs, f.moved = seen.NowUs, seen.NowUs, false
+	f.run++
+	f.do(Effect{Run: &Run{Number: f.run, Revision: s.Revision, Services: services}})
+}
+
+func (f *Controller) services(seen Seen) []placement.Service {
+	s := seen.State
+	all := []placement.Service{}
+	waiting, runs, unread, unreadAt := map[string]int{}, map[string]map[string]int{}, map[string]map[string]int{}, map[string]int{}
+	for _, id := range sorted(f.desks) {
+		d := f.desks[id]
+		if seen.NowUs-d.atUs > deskLiveUs {
+			continue
+		}
+		for unit, n := range d.report.Waiting {
+			waiting[unit] += n
+		}
+		for key, n := range d.report.Runs {
+			replica, unit, _ := strings.Cut(key, "|")
+			if runs[replica] == nil {
+				runs[replica] = map[string]int{}
+			}
+			runs[replica][unit] += n
+		}
+		for key, n := range d.report.Unread {
+			replica, unit, _ := strings.Cut(key, "|")
+			if unread[replica] == nil {
+				unread[replica] = map[string]int{}
+			}
+			unread[replica][unit] += n
+			unreadAt[unit] += n
+		}
+	}
+	for i := range s.Doc.Services {
+		svc := &s.Doc.Services[i]
+		if svc.Engine == nil {
+			continue
+		}
+		in := placement.Service{
+			Name: svc.Name, Engine: svc.Engine, Models: map[string]placement.Need{}, Adapters: map[string]placement.Need{},
+			StoreLeft: f.storeLeft(seen.NowUs, s, svc),
+		}
+		for _, id := range s.ReplicaIDs() {
+			if r := s.Replicas[id]; r.Service == svc.Name {
+				in.Homes = append(in.Homes, f.home(seen, r, runs[id], unread[id]))
+			}
+		}
+		units := map[string]bool{}
+		for unit := range f.routed.needs {
+			units[unit] = true
+		}
+		for unit := range waiting {
+			units[unit] = true
+		}
+		for unit := range units {
+			n := f.routed.needs[unit]
+			if n == nil {
+				n = &need{}
+			}
+			model, adapter := standing.Units(unit)
+			m := s.Doc.EngineModel(svc.Name, model)
+			if m == nil {
+				continue
+			}
+			row := placement.Need{
+				Rate: n.rate, Demand: (n.tokens/tokensPerMs + n.rate*decodeMsPerCall) / 1000, Waiting: waiting[unit], Unread: unreadAt[unit], IdleMs: (seen.NowUs - n.lastUs) / 1000,
+			}
+			if adapter != "" {
+				in.Adapters[unit] = row
+			} else {
+				in.Models[unit] = row
+			}
+		}
+		all = append(all, in)
+	}
+	return all
+}
+
+func (f *Controller) home(seen Seen, r *ledger.Replica, runs, unread map[string]int) placement.Home {
+	h := placement.Home{
+		ID: r.ID, Usable: !r.Leaving && !r.Dark, FreeMb: r.RoomMb - seen.State.TakenMb(r.ID), Holds: maps.Clone(r.Holds), Had: maps.Clone(r.Had),
+		Runs: runs, Unread: unread, AgeMs: map[string]int64{},
+	}
+	for unit := range r.Holds {
+		if atUs, ok := f.routed.cameUs[r.ID+"|"+unit]; ok {
+			h.AgeMs[unit] = (seen.NowUs - atUs) / 1000
+		}
+	}
+	if t, pending := seen.State.Pending[r.ID]; pending {
+		h.Busy = true
+		if t.Step == ledger.Load {
+			h.Coming = t.Unit
+		} else {
+			h.Going = t.Unit
+		}
+	}
+	return h
+}
+
+// RunResident is the policy's part of a run, beside the controller.
+func RunResident(services []placement.Service) placement.Answer {
+	a := placement.Answer{Policy: placement.ResidentName}
+	for _, in := range services {
+		a.Proposals = append(a.Proposals, placement.Resident(in)...)
+	}
+	return a
+}
+
+// leftFor sums what the store still gives over all services; each is checked by its own account as well.
+func (f *Controller) leftFor(nowUs int64, s *ledger.State) int {
+	left := 0
+	for i := range s.Doc.Services {
+		if s.Doc.Services[i].Engine != nil {
+			left += f.storeLeft(nowUs, s, &s.Doc.Services[i])
+		}
+	}
+	return left
+}
+
+// came remembers when a unit came to a replica, and until when older words of the replica count less.
+func (f *Controller) came(nowUs int64, t ledger.Ticket) {
+	f.routed.cameUs[t.Replica] = nowUs
+	f.routed.cameUs[t.Replica+"|"+t.Unit] = nowUs
+	if len(f.routed.cameUs) > 20000 {
+		f.routed.cameUs = map[string]int64{}
+	}
+}
--- a/internal/controller/share.go
+++ b/internal/controller/share.go
@@ -15,6 +15,14 @@
 	}
 }
 
+func (f *Controller) forgetDesks(nowUs int64) {
+	for id, d := range f.desks {
+		if nowUs-d.atUs > deskGoneUs {
+			delete(f.desks, id)
+		}
+	}
+}
+
 // silent: both watchers that the ring names miss its beats, and its own reports have stopped too.
 func (f *Controller) silent(nowUs int64, id string) bool {
 	return nowUs-f.desks[id].atUs > reportLateUs && f.jury.Gone(nowUs, id)
--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -343,7 +343,15 @@
 // leg runs one leg. Those under granted numbers run under a context that the decider can end.
 func (h *Host) leg(ctx context.Context, st dispatch.Start, mine *caller, edge Edge) (dispatch.Ending, string) {
 	if st.Call.Routed != nil {
-		return edge.Leg(ctx, st)
+		fromUs := clock.NowUs()
+		ending, why := edge.Leg(ctx, st)
+		firstMs := int64(-1)
+		if firstUs := st.Call.FirstUs.Load(); firstUs >= fromUs {
+			firstMs = (firstUs - fromUs) / 1000
+		}
+		_ = h.log.Log("event", "leg", "path", st.Call.Kind, "model", st.Call.Model, "adapter", st.Call.Adapter, "replica", st.Replica, "tokens", st.Call.Routed.PromptIn,
+			"waitedMs", (fromUs-st.Call.TakenUs)/1000, "guessMs", int64(st.GuessMs), "firstMs", firstMs, "allMs", (clock.NowUs()-fromUs)/1000, "running", st.Running, "ending", ending, "why", why)
+		return ending, why
 	}
 	legCtx, cancel := context.WithDeadline(ctx, time.Now().Add(time.Duration(st.ExpiryUs-clock.NowUs())*time.Microsecond))
 	defer cancel()
--- a/internal/desk/host.go
+++ b/internal/desk/host.go
@@ -209,6 +209,12 @@
 
 func (h *Host) step(ev dispatch.Event) {
 	ev.NowUs = clock.NowUs()
+	urgent := false
+	defer func() {
+		if urgent && h.mirror != nil {
+			h.reflect(subscriber.MirrorEvent{Urgent: true})
+		}
+	}()
 	for _, e := range h.decider.Step(ev) {
 		switch {
 		case e.Start != nil:
@@ -217,6 +223,8 @@
 			h.hand(e.Give.Call.ID, e)
 		case e.Over != nil:
 			h.hand(e.Over.Call.ID, e)
+		case e.Unplaced:
+			urgent = true
 		case e.Cancel != "":
 			if c := h.waiting[e.Cancel]; c != nil {
 				c.stop()
--- a/internal/dispatch/decider.go
+++ b/internal/dispatch/decider.go
@@ -114,6 +114,8 @@
 	Give   *Give
 	Over   *Over
 	Cancel string
+	// Unplaced: a call has begun to wait for what no replica holds.
+	Unplaced bool
 }
 
 // Over says that a leg was the last one; only a call that may be resumed gets another.
@@ -131,6 +133,9 @@
 	Inc      string
 	Revision uint64
 	ExpiryUs int64
+	// GuessMs is when the first piece was expected, Running what was known to run there.
+	GuessMs float64
+	Running int
 }
 
 type Give struct {
@@ -180,6 +185,7 @@
 	waiting   int
 	passNow   float64
 	slots     [rateSlots]map[string]int
+	tokens    [rateSlots]map[string]int64
 	slotAtUs  int64
 	slotNow   int
 	slotsSeen int
@@ -197,6 +203,7 @@
 		sites: map[string]*site{}, budgets: map[string]*budget{}}
 	for i := range d.slots {
 		d.slots[i] = map[string]int{}
+		d.tokens[i] = map[string]int64{}
 	}
 	return d
 }
@@ -222,6 +229,9 @@
 	d.expire()
 	d.dispatch()
 	d.moveOff()
+	if ev.Arrived != nil && ev.Arrived.Routed != nil && ev.Arrived.leg == "" && d.calls[ev.Arrived.ID] != nil {
+		d.do(Effect{Unplaced: true})
+	}
 	return d.effects
 }
 
@@ -241,6 +251,9 @@
 	k.arrived++
 	if c.Model != "" {
 		d.slots[d.slotNow][c.Model]++
+		if c.Routed != nil {
+			d.tokens[d.slotNow][c.Model] += c.Routed.PromptIn
+		}
 	}
 	if c.Adapter != "" {
 		d.slots[d.slotNow][c.adapterUnit()]++
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -33,6 +33,7 @@
 		}
 		d.slotNow = (d.slotNow + 1) % rateSlots
 		d.slots[d.slotNow] = map[string]int{}
+		d.tokens[d.slotNow] = map[string]int64{}
 		d.slotsSeen = min(d.slotsSeen+1, rateSlots-1)
 	}
 }
@@ -52,6 +53,34 @@
 	return rates
 }
 
+// tokenRates are tokens of prompts a second over the same seconds, by model.
+func (d *Decider) tokenRates() map[string]float64 {
+	rates := map[string]float64{}
+	span := float64(max(d.slotsSeen, 1))
+	for i, slot := range d.tokens {
+		if i == d.slotNow && d.slotsSeen > 0 {
+			continue
+		}
+		for unit, n := range slot {
+			rates[unit] += float64(n) / span
+		}
+	}
+	return rates
+}
+
+// recent are arrivals a second over the last whole second and the one that has begun.
+func (d *Decider) recent() map[string]float64 {
+	rates := map[string]float64{}
+	spanS := 1 + float64(d.nowUs-d.slotAtUs)/1e6
+	last := (d.slotNow + rateSlots - 1) % rateSlots
+	for _, slot := range []map[string]int{d.slots[d.slotNow], d.slots[last]} {
+		for unit, n := range slot {
+			rates[unit] += float64(n) / spanS
+		}
+	}
+	return rates
+}
+
 func (d *Decider) Report(nowUs int64) wire.Report {
 	rep := wire.Report{
 		Desk: d.opts.Desk, Inc: d.opts.Inc, SentUs: nowUs, Arrivals: d.Arrivals(), Draining: d.drain,
@@ -76,6 +105,9 @@
 		}
 	}
 	d.reportRouted(&rep)
+	if d.routed() {
+		rep.Tokens, rep.Recent = d.tokenRates(), d.recent()
+	}
 	for key, r := range d.runs {
 		rep.Left[key] = wire.Left{Ticket: r.ticket, Left: r.to - r.next}
 	}
--- a/internal/dispatch/routed.go
+++ b/internal/dispatch/routed.go
@@ -232,9 +232,10 @@
 			s.parts[print] = d.nowUs
 		}
 	}
+	running, _ := d.standsAt(r, s)
 	c.FirstUs.Store(0)
 	d.note(c, "leg", r.ID, "")
-	d.do(Effect{Start: &Start{Call: c, Leg: c.leg, Replica: r.ID, Addr: r.Addr, Inc: r.Inc, Revision: d.snap.Revision, ExpiryUs: c.expiryUs}})
+	d.do(Effect{Start: &Start{GuessMs: predictedMs, Running: running, Call: c, Leg: c.leg, Replica: r.ID, Addr: r.Addr, Inc: r.Inc, Revision: d.snap.Revision, ExpiryUs: c.expiryUs}})
 }
 
 func itoa(n uint64) string {
@@ -383,8 +384,20 @@
 		}
 		n := wire.Demand{Running: len(s.flights)}
 		for _, f := range s.flights {
+			if f.call.Model != "" {
+				if rep.Runs == nil {
+					rep.Runs = map[string]int{}
+				}
+				rep.Runs[id+"|"+f.call.Model]++
+			}
 			if f.call.FirstUs.Load() < f.startUs {
 				n.Tokens += f.tokens
+				if f.call.Model != "" {
+					if rep.Unread == nil {
+						rep.Unread = map[string]int{}
+					}
+					rep.Unread[id+"|"+f.call.Model]++
+				}
 			}
 		}
 		rep.Demand[id] = n
--- a/internal/logring/logring.go
+++ b/internal/logring/logring.go
@@ -21,6 +21,8 @@
 	folder string
 	dumps  int
 	out    io.Writer
+	// Aloud writes every line out as it comes, beside keeping it.
+	Aloud bool
 }
 
 func NewRing(folder string, out io.Writer) *Ring {
@@ -35,6 +37,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	kept := append([]byte(nil), line...)
+	if r.Aloud {
+		_, _ = r.out.Write(kept)
+	}
 	if len(r.lines) < linesMost {
 		r.lines = append(r.lines, kept)
 	} else {
--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -451,7 +451,12 @@
 	case e.Run != nil:
 		run := *e.Run
 		h.act.Spawn(func() {
-			done := controller.PolicyDone{Run: run.Number, Revision: run.Revision, Live: placement.Run(run.Live, run.Fleet)}
+			done := controller.PolicyDone{Run: run.Number, Revision: run.Revision}
+			if run.Services != nil {
+				done.Live = controller.RunResident(run.Services)
+			} else {
+				done.Live = placement.Run(run.Live, run.Fleet)
+			}
 			for _, s := range run.Shadows {
 				done.Shadows = append(done.Shadows, placement.Run(s, run.Fleet))
 			}
@@ -486,6 +491,7 @@
 	ctx, done := context.WithTimeout(h.act.Ctx, replicaWait)
 	defer done()
 	state, err := h.replicas.Order(ctx, o.Addr, o.Order)
+	_ = h.log.Log("event", "ordered", "ticket", o.Order.Ticket.Number, "state", state.State, "why", state.Why, "err", err)
 	if err != nil {
 		state = wire.OrderState{Number: o.Order.Ticket.Number, State: wire.OrderInDoubt, Why: err.Error()}
 	}
--- /dev/null
+++ b/internal/placement/resident.go
@@ -0,0 +1,363 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"petreltide/internal/ledger"
+	"petreltide/internal/standing"
+)
+
+// ResidentName is the policy that is built in for services with an engine: it treats the replicas' room as
+// a cache of models. Others are written as programs; every proposal is checked alike.
+const ResidentName = "resident"
+
+// Need is what calls ask of a model or an adapter. Rate is calls a second, Demand the share of one
+// replica's time that they take; Waiting calls find no replica that has it.
+type Need struct {
+	Rate    float64
+	Demand  float64
+	Waiting int
+	// Unread calls are at replicas and have no first piece yet.
+	Unread int
+	IdleMs int64
+}
+
+// Home is one replica of a service with an engine.
+type Home struct {
+	ID     string
+	Usable bool
+	Busy   bool
+	FreeMb int64
+	Holds  map[string]int64
+	Had    map[string]bool
+	Coming string
+	Going  string
+	Runs   map[string]int
+	Unread map[string]int
+	AgeMs  map[string]int64
+}
+
+// Service is one service's part of the fleet, as the resident policy reads it. StoreLeft is how many loads
+// from the store may begin now.
+type Service struct {
+	Name      string
+	Engine    *standing.Engine
+	Homes     []Home
+	Models    map[string]Need
+	Adapters  map[string]Need
+	StoreLeft int
+}
+
+const (
+	demandMost     = 0.22
+	unreadMost     = 2.5
+	secondRate     = 0.6
+	warmMs         = 600
+	unloadMs       = 150
+	youngMs        = 1500
+	adapterYoungMs = 800
+	homesMost      = 64
+)
+
+type resident struct {
+	in     Service
+	sizes  map[string]*standing.EngineModel
+	free   []int64
+	taken  []bool
+	demand []float64
+	held   map[string]int
+	want   map[string]int
+	store  int
+	out    []Proposal
+}
+
+// Resident proposes loads for models that calls wait for, then for adapters, then copies of models whose
+// calls take more than their replicas should give, and unloads what is worth least to make room for them.
+func Resident(in Service) []Proposal {
+	p := &resident{in: in, sizes: map[string]*standing.EngineModel{}, held: map[string]int{}, want: map[string]int{}, store: in.StoreLeft}
+	for i := range in.Engine.Models {
+		p.sizes[in.Engine.Models[i].Name] = &in.Engine.Models[i]
+	}
+	p.free, p.taken, p.demand = make([]int64, len(in.Homes)), make([]bool, len(in.Homes)), make([]float64, len(in.Homes))
+	usable := 0
+	for i := range in.Homes {
+		h := &in.Homes[i]
+		p.free[i], p.taken[i] = h.FreeMb, h.Busy
+		if !h.Usable {
+			continue
+		}
+		usable++
+		for unit := range h.Holds {
+			if p.sizes[unit] != nil && unit != h.Going {
+				p.held[unit]++
+			}
+		}
+		if p.sizes[h.Coming] != nil {
+			p.held[h.Coming]++
+		}
+	}
+	for name, n := range in.Models {
+		if p.sizes[name] != nil {
+			p.want[name] = min(p.wanted(name, n), usable)
+		}
+	}
+	for i := range in.Homes {
+		for unit := range in.Homes[i].Holds {
+			if p.held[unit] > 0 {
+				p.demand[i] += in.Models[unit].Demand / float64(p.held[unit])
+			}
+		}
+	}
+	p.models(true)
+	p.adapters()
+	p.models(false)
+	return p.out
+}
+
+// wanted is how many replicas should hold a model that is called for so: by how much of a replica's time
+// its calls take, and more than now where calls pile up at those that have it.
+func (p *resident) wanted(name string, n Need) int {
+	switch {
+	case n.Rate <= 0 && n.Waiting == 0:
+		return 0
+	case n.Rate < secondRate:
+		return 1
+	}
+	want := max(2, int(math.Ceil(n.Demand/demandMost)))
+	if held := p.held[name]; held > 0 && float64(n.Unread)/float64(held) > unreadMost {
+		want = max(want, held+1)
+	}
+	return want
+}
+
+// models places those that nobody holds though calls wait, or those that are held by too few.
+func (p *resident) models(absent bool) {
+	names := []string{}
+	for name, want := range p.want {
+		if absent == (p.held[name] == 0) && want > p.held[name] && (!absent || p.in.Models[name].Waiting > 0) {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		if c := cmp.Compare(p.urgency(b), p.urgency(a)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	})
+	for _, name := range names {
+		p.place(name)
+	}
+}
+
+func (p *resident) urgency(name string) float64 {
+	n := p.in.Models[name]
+	if p.held[name] == 0 {
+		return float64(n.Waiting) + n.Rate
+	}
+	return n.Demand / float64(p.held[name])
+}
+
+// place finds the replica at which a model is soonest there at the least harm, and proposes the first
+// step towards it.
+func (p *resident) place(name string) {
+	m := p.sizes[name]
+	best, bestCost := -1, 0.0
+	var victims []string
+	for i := range p.in.Homes {
+		h := &p.in.Homes[i]
+		if !h.Usable || p.taken[i] {
+			continue
+		}
+		if _, has := h.Holds[name]; has {
+			continue
+		}
+		if !h.Had[name] && p.store <= 0 {
+			continue
+		}
+		out, harm, ok := p.makeRoom(i, m.SizeMb, name)
+		if !ok {
+			continue
+		}
+		cost := float64(m.LoadMs)
+		if h.Had[name] {
+			cost = min(warmMs, cost)
+		}
+		cost += unloadMs*float64(len(out)) + 4000*harm + 1500*p.demand[i]
+		if best < 0 || cost < bestCost {
+			best, bestCost, victims = i, cost, out
+		}
+	}
+	if best < 0 {
+		return
+	}
+	h := &p.in.Homes[best]
+	p.taken[best] = true
+	if len(victims) > 0 {
+		p.out = append(p.out, Proposal{Step: ledger.Unload, Replica: h.ID, Unit: victims[0], Why: "room for " + name})
+		return
+	}
+	if !h.Had[name] {
+		p.store--
+	}
+	p.held[name]++
+	p.out = append(p.out, Proposal{Step: ledger.Load, Replica: h.ID, Unit: name, Why: "asked for"})
+}
+
+// makeRoom names what would have to go for a model of this size, least worth first; an adapter goes with
+// its model.
+func (p *resident) makeRoom(i int, sizeMb int64, name string) (victims []string, harm float64, ok bool) {
+	h := &p.in.Homes[i]
+	freeMb := p.free[i]
+	if freeMb >= sizeMb {
+		return nil, 0, true
+	}
+	type victim struct {
+		unit  string
+		mb    int64
+		worth float64
+	}
+	all := []victim{}
+	for unit, mb := range h.Holds {
+		if p.sizes[unit] == nil {
+			if model, adapter := standing.Units(unit); adapter == "" || p.sizes[model] == nil {
+				all = append(all, victim{unit, mb, 0})
+			}
+			continue
+		}
+		if worth, may := p.worth(i, unit); may {
+			all = append(all, victim{unit, mb + p.adaptersMb(h, unit), worth})
+		}
+	}
+	slices.SortFunc(all, func(a, b victim) int {
+		if c := cmp.Compare(a.worth, b.worth); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.unit, b.unit)
+	})
+	for _, v := range all {
+		if freeMb >= sizeMb {
+			break
+		}
+		victims = append(victims, v.unit)
+		harm += v.worth
+		freeMb += v.mb
+	}
+	return victims, harm, freeMb >= sizeMb
+}
+
+func (p *resident) adaptersMb(h *Home, model string) int64 {
+	var sumMb int64
+	for unit, mb := range h.Holds {
+		if of, adapter := standing.Units(unit); adapter != "" && of == model {
+			sumMb += mb
+		}
+	}
+	return sumMb
+}
+
+// worth is what is lost if a model goes from a replica: little while more than enough others hold it, else
+// by how often and how lately it was called for. Copies of what is called for often, what is wanted at
+// once, what has only just come and what calls have not begun on stays.
+func (p *resident) worth(i int, unit string) (worth float64, may bool) {
+	h, n := &p.in.Homes[i], p.in.Models[unit]
+	held := max(p.held[unit], 1)
+	if n.Waiting > 0 && held <= 1 {
+		return 0, false
+	}
+	if age, known := h.AgeMs[unit]; known && age < youngMs {
+		return 0, false
+	}
+	if h.Unread[unit] > 0 {
+		return 0, false
+	}
+	often := n.Rate >= secondRate/2
+	if often && held <= p.want[unit] {
+		return 0, false
+	}
+	worth = n.Rate/float64(held) + 0.05*math.Exp(-float64(n.IdleMs)/15000)
+	if held > p.want[unit] {
+		worth *= 0.2
+	}
+	worth += 0.2 * float64(h.Runs[unit])
+	return worth, true
+}
+
+// adapters gives each adapter that calls wait for a place beside its model.
+func (p *resident) adapters() {
+	units := []string{}
+	for unit, n := range p.in.Adapters {
+		if n.Waiting > 0 {
+			units = append(units, unit)
+		}
+	}
+	slices.SortFunc(units, func(a, b string) int {
+		if c := cmp.Compare(p.in.Adapters[b].Waiting, p.in.Adapters[a].Waiting); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	})
+	for _, unit := range units {
+		p.adapter(unit)
+	}
+}
+
+func (p *resident) adapter(unit string) {
+	model, adapter := standing.Units(unit)
+	m := p.sizes[model]
+	if m == nil || !m.HasAdapter(adapter) {
+		return
+	}
+	best, bestCost, victim := -1, 0.0, ""
+	for i := range p.in.Homes {
+		h := &p.in.Homes[i]
+		if !h.Usable {
+			continue
+		}
+		if _, has := h.Holds[unit]; has || h.Coming == unit {
+			return
+		}
+		if _, has := h.Holds[model]; !has || p.taken[i] || h.Going == model {
+			continue
+		}
+		places, least, leastWorth := 0, "", 0.0
+		for other := range h.Holds {
+			if _, a := standing.Units(other); a == "" {
+				continue
+			}
+			places++
+			if age, known := h.AgeMs[other]; known && age < adapterYoungMs {
+				continue
+			}
+			n := p.in.Adapters[other]
+			worth := n.Rate + math.Exp(-float64(n.IdleMs)/5000)
+			if least == "" || worth < leastWorth || (worth == leastWorth && other < least) {
+				least, leastWorth = other, worth
+			}
+		}
+		cost := p.demand[i] + 0.02*float64(places)
+		full := places >= p.in.Engine.AdaptersMost || p.free[i] < m.AdapterMb
+		if full {
+			if least == "" {
+				continue
+			}
+			cost += 0.5 + leastWorth
+		} else {
+			least = ""
+		}
+		if best < 0 || cost < bestCost {
+			best, bestCost, victim = i, cost, least
+		}
+	}
+	if best < 0 {
+		return
+	}
+	h := &p.in.Homes[best]
+	p.taken[best] = true
+	if victim != "" {
+		p.out = append(p.out, Proposal{Step: ledger.Unload, Replica: h.ID, Unit: victim, Why: "a place for " + unit})
+		return
+	}
+	p.out = append(p.out, Proposal{Step: ledger.Load, Replica: h.ID, Unit: unit, Why: "asked for"})
+}
