Keep an office's copies one after another, in the log's order

Cause: each copy was kept by a goroutine of its own, and all wrote the same copy.new. An office that was given a second copy before the first was on disk (a joiner on a slow disk is sent another) failed at the rename with data_unwritable and ended; had an older copy been last, it would have stood in a newer one's place. This ends an office for good under load; it was seen with TestInterfacesAndBadInput under -race, where clients then find a closed listener. Ruled out, with the race in office.follow before brought about by 300 followers that leave: a report of the race detector does not end a host (two reports, then three of three offices answered and "keys" and "operators" passed); no panic, no stopped actor, no cleanup of the parent test (the context had not ended). Change: a copy waits for the one before it. The log goes on meanwhile, as before.

--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -250,6 +250,8 @@
 }
 
 func (h *Host) saver() {
+	before := make(chan struct{})
+	close(before)
 	for {
 		var s chain.Save
 		select {
@@ -263,8 +265,13 @@
 			return
 		}
 		if s.Copy != nil {
-			held := s
-			h.act.Spawn(func() { h.keep(held, from) })
+			held, last, kept := s, before, make(chan struct{})
+			before = kept
+			h.act.Spawn(func() {
+				defer close(kept)
+				<-last
+				h.keep(held, from)
+			})
 			continue
 		}
 		h.tell(Event{Saved: s.Seq})
@@ -278,7 +285,8 @@
 	}
 }
 
-// keep writes a copy while the log goes on, and only then lets go of what it stands for.
+// keep writes a copy while the log goes on, and only then lets go of what it stands for. Copies are kept one
+// after another in the log's order: an older one must not take a newer one's place.
 func (h *Host) keep(s chain.Save, from uint64) {
 	err := h.disk.Keep(*s.Copy)
 	if err == nil && s.Fresh {
--- /dev/null
+++ b/internal/office/keep_test.go
@@ -0,0 +1,58 @@
+package office
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"petreltide/internal/chain"
+	"petreltide/internal/ledger"
+	"petreltide/internal/logring"
+	"petreltide/internal/settings"
+	"petreltide/internal/storage"
+)
+
+// An office may be given a copy while it still keeps the one before: a joiner on a slow disk is sent
+// another. Large and small ones in turn, so that a later one would be done before an earlier one.
+func TestCopiesAreKeptInTheOrderOfTheLog(t *testing.T) {
+	folder := t.TempDir()
+	h, err := Open(settings.Office{Name: "core-1", Listen: "127.0.0.1:0", Advertise: "127.0.0.1:1", Data: folder, Founding: 1}, logring.NewRing(folder, io.Discard))
+	if err != nil {
+		t.Fatal(err)
+	}
+	large := ledger.NewState()
+	for i := range 20_000 {
+		large.Changes[fmt.Sprintf("change-%d", i)] = ledger.Outcome{ID: fmt.Sprintf("change-%d", i)}
+	}
+	h.act.Spawn(h.saver)
+	const copies = 20
+	for i := uint64(1); i <= copies; i++ {
+		state := ledger.NewState()
+		if i%2 == 1 {
+			state = large
+		}
+		h.saves <- chain.Save{Seq: i, Copy: &chain.Copy{Index: i, View: 1, State: state}}
+	}
+	h.saves <- chain.Save{Seq: copies + 1}
+	for len(h.saves) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	h.act.End()
+	select {
+	case err := <-h.failed:
+		t.Fatalf("the office would end: %v", err)
+	default:
+	}
+	if err := h.disk.Close(); err != nil {
+		t.Fatal(err)
+	}
+	opened, err := storage.Open(folder, chain.Seal{Identity: "core-1-again", Name: "core-1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer opened.Store.Close()
+	if kept := opened.Records[0].Copy; kept == nil || kept.Index != copies {
+		t.Fatalf("the copy at %+v is kept, want the last, %d", kept, copies)
+	}
+}
