Answer calls that wait when their desk goes down

Ruled out: the legs' side (no leg was under way); a shorter grace. Change: while draining, a call that cannot be placed at once is refused with a time to come back; when new callers no longer come, what still waits is refused likewise.

--- a/internal/desk/host.go
+++ b/internal/desk/host.go
@@ -181,6 +181,7 @@
 	linger := time.NewTimer(time.Duration(h.set.LingerMs) * time.Millisecond)
 	defer linger.Stop()
 	<-linger.C
+	h.tell(dispatch.Event{Close: true})
 	closing, done := context.WithTimeout(context.Background(), time.Duration(max(h.set.DrainMs-h.set.LingerMs, 100))*time.Millisecond)
 	defer done()
 	for _, d := range h.doors {
--- a/internal/dispatch/decider.go
+++ b/internal/dispatch/decider.go
@@ -22,6 +22,7 @@
 	decisionMost = 512
 	arrivalUs    = 1 * clock.Sec
 	noLeaseMs    = 500
+	drainingMs   = 50
 )
 
 // Call is what a caller asked for. Its urgency, its expiry and whether it may be resumed are its
@@ -101,6 +102,8 @@
 	Snapshot *Snapshot
 	LeaseUs  int64
 	Drain    bool
+	// Close ends a drain: what still waits is refused, as nobody will be here to answer it.
+	Close bool
 }
 
 type Ended struct {
@@ -178,6 +181,7 @@
 	snap      *Snapshot
 	leaseUs   int64
 	drain     bool
+	closed    bool
 	calls     map[string]*Call
 	kinds     map[string]*kindRow
 	places    map[string]*place
@@ -225,12 +229,23 @@
 		d.leaseUs = max(d.leaseUs, ev.LeaseUs)
 	case ev.Drain:
 		d.drain = true
+	case ev.Close:
+		d.drain, d.closed = true, true
 	}
 	d.expire()
 	d.dispatch()
 	d.moveOff()
-	if ev.Arrived != nil && ev.Arrived.Routed != nil && ev.Arrived.leg == "" && d.calls[ev.Arrived.ID] != nil {
-		d.do(Effect{Unplaced: true})
+	if d.closed {
+		for _, c := range d.waitingCalls() {
+			d.give(c, fault.Draining, "this desk is going down", drainingMs)
+		}
+	}
+	if c := ev.Arrived; c != nil && c.Routed != nil && c.leg == "" && d.calls[c.ID] != nil {
+		if d.drain {
+			d.give(c, fault.Draining, "this desk is going down", drainingMs)
+		} else {
+			d.do(Effect{Unplaced: true})
+		}
 	}
 	return d.effects
 }
--- /dev/null
+++ b/internal/dispatch/drain_test.go
@@ -0,0 +1,55 @@
+package dispatch
+
+import (
+	"testing"
+
+	"petreltide/internal/fault"
+	"petreltide/internal/standing"
+	"petreltide/internal/wire"
+)
+
+// routedSnapshot has one service with one replica that holds model "m".
+func routedSnapshot() *Snapshot {
+	doc := (&standing.Declaration{
+		Version: 1,
+		Routes: []standing.Route{{
+			Name: "letters", Host: "h", Prefix: "/l/", Repeat: standing.Streaming, Resumable: true, TimeoutMs: 12_000, AttemptsMost: 2,
+			Split: []standing.Weighted{{Service: "scribe", Weight: 1}},
+		}},
+		Services: []standing.Service{{Name: "scribe", Engine: &standing.Engine{
+			Slots: 4, CacheTokens: 1000, RoomMb: 10, Models: []standing.EngineModel{{Name: "m", SizeMb: 5, LoadMs: 1000}, {Name: "rare", SizeMb: 5, LoadMs: 1000}},
+		}}},
+	}).Indexed()
+	r := &wire.ReplicaNews{ID: "r1", Inc: "r1", Addr: "10.0.0.1:80", Service: "scribe", Slots: 4, Holds: []string{"m"}}
+	return &Snapshot{
+		Number: 1, Revision: 1, Doc: doc, Desks: 1, IDs: []string{"r1"}, Replicas: map[string]*wire.ReplicaNews{"r1": r},
+		ByService: map[string][]*wire.ReplicaNews{"scribe": {r}},
+	}
+}
+
+func letter(id, model string) *Call {
+	return &Call{ID: id, Kind: "letters", Model: model, TakenUs: 1, Routed: &Routed{PromptIn: 100}}
+}
+
+// A call that waited for its model when its desk was told to go down was cut with no answer at the end of
+// the grace (mix day, seed 620110391056).
+func TestADeskGoingDownAnswersEveryCallThatWaits(t *testing.T) {
+	d := New(Options{Desk: "d1", BacklogMax: 8})
+	d.Step(Event{NowUs: 1, Snapshot: routedSnapshot()})
+	if got := d.Step(Event{NowUs: 2, Arrived: letter("c1", "rare")}); len(got) != 1 || !got[0].Unplaced {
+		t.Fatalf("a call for what nobody holds: %+v", got)
+	}
+	d.Step(Event{NowUs: 3, Drain: true})
+	if got := d.Step(Event{NowUs: 4, Arrived: letter("c2", "m")}); len(got) != 1 || got[0].Start == nil {
+		t.Fatalf("a call that can run was not taken while draining: %+v", got)
+	}
+	refused := func(got []Effect, id string) {
+		t.Helper()
+		if len(got) != 1 || got[0].Give == nil || got[0].Give.Call.ID != id || got[0].Give.Fault.Code != fault.Draining ||
+			got[0].Give.Fault.Run != fault.RunNone || got[0].Give.Fault.RetryMs == 0 {
+			t.Fatalf("want %s refused with a time to come back, got %+v", id, got)
+		}
+	}
+	refused(d.Step(Event{NowUs: 5, Arrived: letter("c3", "rare")}), "c3")
+	refused(d.Step(Event{NowUs: 6, Close: true}), "c1")
+}
