Expect newly called models, keep spares, prefetch while the store idles, share copies by relief

Cause: in a shift the model that rises had one copy until its calls already waited; rare models waited for another to be unloaded first; wants beyond the room protected every copy, so that nothing could be loaded for 2 s. Ruled out: a lost duty write (orders of adapters went on meanwhile). Change: a model newly called on a route is expected to be called like the route's others for 5 s; wants are cut to 0.7 of the room, one copy at a time where it relieves most; room for one model stays free on two replicas; models that no replica ever held are fetched while the store has nothing to do; adapters and loads whose time the configuration states are settled when it has passed.

--- a/internal/controller/routed.go
+++ b/internal/controller/routed.go
@@ -19,19 +19,23 @@
 	holderFreshUs   = 1100 * clock.Ms
 	leaseSlackUs    = 250 * clock.Ms
 	askLateUs       = 300 * clock.Ms
-	askAgainUs      = 200 * clock.Ms
+	askAgainUs      = 90 * clock.Ms
 	orderAgainUs    = 700 * clock.Ms
 	orderVoidUs     = 1200 * clock.Ms
 	adapterDoneUs   = 25 * clock.Ms
 	quietLeastUs    = 40 * clock.Ms
 	quietMostUs     = 700 * clock.Ms
-	warmFirstUs     = 420 * clock.Ms
-	unloadFirstUs   = 60 * clock.Ms
+	warmFirstUs     = 620 * clock.Ms
+	unloadFirstUs   = 215 * clock.Ms
+	sparesUsual     = 2
 	forgottenUs     = 15 * clock.Sec
 	storeCut        = 1
 	recentLeast     = 3.0
 	recentCut       = 0.85
 	tokensUnknown   = 1500.0
+	expectCut       = 0.8
+	expectLeast     = 0.5
+	expectUs        = 5 * clock.Sec
 	tokensPerMs     = 20.0
 	decodeMsPerCall = 25.0
 )
@@ -66,6 +70,7 @@
 	cameUs    map[string]int64
 	unseenUs  map[string]int64
 	demandUs  int64
+	begunUs   map[string]int64
 }
 
 func newRouted() routed {
@@ -247,7 +252,8 @@
 // known: an order that was taken ends after a time that the configuration states; what the replica says of
 // itself soon after would show it if it had not.
 func (f *Controller) known(s *ledger.State, t ledger.Ticket) bool {
-	return strings.Contains(t.Unit, "/") && t.Step == ledger.Load
+	have := s.Replicas[t.Replica]
+	return t.Step == ledger.Load && (strings.Contains(t.Unit, "/") || have == nil || !have.Had[t.Unit])
 }
 
 // lookUs is how long after an order was taken its end may be seen.
@@ -262,7 +268,7 @@
 		return warmFirstUs
 	}
 	if _, loadMs, ok := s.Doc.EngineUnitMb(have.Service, t.Unit); ok {
-		return loadMs*1000 + 30*clock.Ms
+		return loadMs*1000 + 15*clock.Ms
 	}
 	return clock.Sec
 }
@@ -421,6 +427,7 @@
 			}
 		}
 	}
+	f.expect(nowUs, rates, tokens)
 	for unit, fast := range recent {
 		if slow := rates[unit]; fast > recentLeast && fast*recentCut > slow {
 			tokens[unit] *= fast * recentCut / max(slow, 0.2)
@@ -448,6 +455,51 @@
 	}
 }
 
+// expect raises a model that has only begun to be called on a route to what the other models of that route
+// are called: by the time it shows in the counts, its calls would already wait.
+func (f *Controller) expect(nowUs int64, rates, tokens map[string]float64) {
+	type path struct {
+		rate   float64
+		models map[string]float64
+	}
+	paths := map[string]*path{}
+	for _, id := range sorted(f.desks) {
+		for key, rate := range f.desks[id].report.Paths {
+			name, model, _ := strings.Cut(key, "|")
+			p := paths[name]
+			if p == nil {
+				p = &path{models: map[string]float64{}}
+				paths[name] = p
+			}
+			p.rate += rate
+			p.models[model] += rate
+		}
+	}
+	most, mostTokens := map[string]float64{}, map[string]float64{}
+	begun := map[string]int64{}
+	for name, p := range paths {
+		even := p.rate / float64(len(p.models)) * expectCut
+		for model, rate := range p.models {
+			sinceUs, known := f.routed.begunUs[name+"|"+model]
+			if !known {
+				sinceUs = nowUs
+			}
+			begun[name+"|"+model] = sinceUs
+			if rate < even && nowUs-sinceUs < expectUs {
+				most[model] += even - rate
+				mostTokens[model] += (even - rate) * tokensUnknown
+			}
+		}
+	}
+	f.routed.begunUs = begun
+	for model, rate := range most {
+		if rate > expectLeast {
+			rates[model] += rate
+			tokens[model] += mostTokens[model]
+		}
+	}
+}
+
 func (r *routed) need(unit string) *need {
 	n := r.needs[unit]
 	if n == nil {
@@ -515,7 +567,7 @@
 		}
 		in := placement.Service{
 			Name: svc.Name, Engine: svc.Engine, Models: map[string]placement.Need{}, Adapters: map[string]placement.Need{},
-			StoreLeft: f.storeLeft(seen.NowUs, s, svc),
+			StoreLeft: f.storeLeft(seen.NowUs, s, svc), Spares: sparesUsual,
 		}
 		for _, id := range s.ReplicaIDs() {
 			if r := s.Replicas[id]; r.Service == svc.Name {
--- a/internal/dispatch/decider.go
+++ b/internal/dispatch/decider.go
@@ -190,6 +190,7 @@
 	passNow   float64
 	slots     [rateSlots]map[string]int
 	tokens    [rateSlots]map[string]int64
+	paths     [rateSlots]map[string]int
 	slotAtUs  int64
 	slotNow   int
 	slotsSeen int
@@ -208,6 +209,7 @@
 	for i := range d.slots {
 		d.slots[i] = map[string]int{}
 		d.tokens[i] = map[string]int64{}
+		d.paths[i] = map[string]int{}
 	}
 	return d
 }
@@ -268,6 +270,7 @@
 		d.slots[d.slotNow][c.Model]++
 		if c.Routed != nil {
 			d.tokens[d.slotNow][c.Model] += c.Routed.PromptIn
+			d.paths[d.slotNow][c.Kind+"|"+c.Model]++
 		}
 	}
 	if c.Adapter != "" {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -34,6 +34,7 @@
 		d.slotNow = (d.slotNow + 1) % rateSlots
 		d.slots[d.slotNow] = map[string]int{}
 		d.tokens[d.slotNow] = map[string]int64{}
+		d.paths[d.slotNow] = map[string]int{}
 		d.slotsSeen = min(d.slotsSeen+1, rateSlots-1)
 	}
 }
@@ -107,6 +108,12 @@
 	d.reportRouted(&rep)
 	if d.routed() {
 		rep.Tokens, rep.Recent = d.tokenRates(), d.recent()
+		rep.Paths = map[string]float64{}
+		for _, slot := range d.paths {
+			for key, n := range slot {
+				rep.Paths[key] += float64(n) / rateSlots
+			}
+		}
 	}
 	for key, r := range d.runs {
 		rep.Left[key] = wire.Left{Ticket: r.ticket, Left: r.to - r.next}
--- a/internal/placement/resident.go
+++ b/internal/placement/resident.go
@@ -48,6 +48,7 @@
 	Models    map[string]Need
 	Adapters  map[string]Need
 	StoreLeft int
+	Spares    int
 }
 
 const (
@@ -58,7 +59,10 @@
 	unloadMs       = 150
 	youngMs        = 1500
 	adapterYoungMs = 800
-	homesMost      = 64
+	spareHarmMost  = 0.4
+	spareIdleMs    = 4000
+	prefetchLeast  = 2
+	copiesMost     = 0.7
 )
 
 type resident struct {
@@ -71,6 +75,8 @@
 	want   map[string]int
 	store  int
 	out    []Proposal
+
+	prefetching bool
 }
 
 // Resident proposes loads for models that calls wait for, then for adapters, then copies of models whose
@@ -103,6 +109,7 @@
 			p.want[name] = min(p.wanted(name, n), usable)
 		}
 	}
+	p.share(usable)
 	for i := range in.Homes {
 		for unit := range in.Homes[i].Holds {
 			if p.held[unit] > 0 {
@@ -113,9 +120,104 @@
 	p.models(true)
 	p.adapters()
 	p.models(false)
+	p.spares()
+	p.prefetch()
 	return p.out
 }
 
+// prefetch brings models that no replica has ever held while the store has nothing else to do: from then
+// on they come back from a replica's own disk.
+func (p *resident) prefetch() {
+	if p.store < prefetchLeast {
+		return
+	}
+	had := map[string]bool{}
+	for i := range p.in.Homes {
+		h := &p.in.Homes[i]
+		if !h.Usable {
+			continue
+		}
+		if h.Coming != "" && !h.Had[h.Coming] && p.sizes[h.Coming] != nil {
+			return
+		}
+		for name := range h.Had {
+			had[name] = true
+		}
+	}
+	names := []string{}
+	for name := range p.sizes {
+		if !had[name] {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
+		return
+	}
+	slices.Sort(names)
+	p.prefetching = true
+	p.place(names[0])
+}
+
+// spares keeps room for one more model free on a few replicas, and a place for one more adapter on those
+// that are full, so that what is asked for next need not wait for something to go first.
+func (p *resident) spares() {
+	var largestMb int64
+	for _, m := range p.sizes {
+		largestMb = max(largestMb, m.SizeMb)
+	}
+	free, best, bestHarm := 0, -1, 0.0
+	var first string
+	for i := range p.in.Homes {
+		h := &p.in.Homes[i]
+		if !h.Usable {
+			continue
+		}
+		if h.Going != "" && p.sizes[h.Going] != nil || p.free[i] >= largestMb && !p.taken[i] {
+			free++
+			continue
+		}
+		if p.taken[i] {
+			continue
+		}
+		if victims, harm, ok := p.makeRoom(i, largestMb, ""); ok && harm < spareHarmMost && (best < 0 || harm < bestHarm) {
+			best, bestHarm, first = i, harm, victims[0]
+		}
+	}
+	if free < p.in.Spares && best >= 0 {
+		p.taken[best] = true
+		p.out = append(p.out, Proposal{Step: ledger.Unload, Replica: p.in.Homes[best].ID, Unit: first, Why: "a spare"})
+	}
+	for i := range p.in.Homes {
+		p.spareAdapter(i)
+	}
+}
+
+func (p *resident) spareAdapter(i int) {
+	h := &p.in.Homes[i]
+	if !h.Usable || p.taken[i] {
+		return
+	}
+	places, least, leastMs := 0, "", int64(spareIdleMs)
+	for unit := range h.Holds {
+		if _, adapter := standing.Units(unit); adapter == "" {
+			continue
+		}
+		places++
+		n, known := p.in.Adapters[unit]
+		idleMs := n.IdleMs
+		if !known {
+			idleMs = 1 << 40
+		}
+		if idleMs > leastMs || (idleMs == leastMs && unit < least) {
+			least, leastMs = unit, idleMs
+		}
+	}
+	if places >= p.in.Engine.AdaptersMost && least != "" {
+		p.taken[i] = true
+		p.out = append(p.out, Proposal{Step: ledger.Unload, Replica: h.ID, Unit: least, Why: "a spare place"})
+	}
+}
+
 // wanted is how many replicas should hold a model that is called for so: by how much of a replica's time
 // its calls take, and more than now where calls pile up at those that have it.
 func (p *resident) wanted(name string, n Need) int {
@@ -127,11 +229,45 @@
 	}
 	want := max(2, int(math.Ceil(n.Demand/demandMost)))
 	if held := p.held[name]; held > 0 && float64(n.Unread)/float64(held) > unreadMost {
-		want = max(want, held+1)
+		want = max(want, held+1, min(2*held, int(math.Ceil(float64(n.Unread)/unreadMost))))
 	}
 	return want
 }
 
+// share cuts what is wanted to the room there is: one copy of each model first, then one more at a time
+// where a copy relieves most, until the part of the room that copies may take is spent.
+func (p *resident) share(usable int) {
+	leftMb := int64(float64(usable) * float64(p.in.Engine.RoomMb) * copiesMost)
+	got := map[string]int{}
+	names := []string{}
+	for name, want := range p.want {
+		if want > 1 {
+			names = append(names, name)
+			got[name] = 1
+			leftMb -= p.sizes[name].SizeMb
+		}
+	}
+	slices.Sort(names)
+	for {
+		best, relief := "", 0.0
+		for _, name := range names {
+			n := float64(got[name])
+			r := p.in.Models[name].Demand / (n * (n + 1))
+			if got[name] < p.want[name] && p.sizes[name].SizeMb <= leftMb && r > relief {
+				best, relief = name, r
+			}
+		}
+		if best == "" {
+			break
+		}
+		got[best]++
+		leftMb -= p.sizes[best].SizeMb
+	}
+	for _, name := range names {
+		p.want[name] = got[name]
+	}
+}
+
 // models places those that nobody holds though calls wait, or those that are held by too few.
 func (p *resident) models(absent bool) {
 	names := []string{}
@@ -266,6 +402,9 @@
 	if n.Waiting > 0 && held <= 1 {
 		return 0, false
 	}
+	if p.prefetching && (held > 1 || n.Waiting > 0 || h.Runs[unit] > 0) {
+		return 0, false
+	}
 	if age, known := h.AgeMs[unit]; known && age < youngMs {
 		return 0, false
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -61,10 +61,11 @@
 	Draining bool               `json:"draining,omitempty"`
 	Silent   []string           `json:"silent,omitempty"`
 	Demand   map[string]Demand  `json:"demand,omitempty"`
-	// Tokens of prompts a second, by model; Recent are arrivals of the last second or two; Runs are legs
-	// under way and Unread those without a first piece, by "replica|model".
+	// Tokens of prompts a second, by model; Recent are arrivals of the last second or two; Paths are
+	// arrivals a second by "route|model"; Runs are legs under way and Unread those without a first piece, by "replica|model".
 	Tokens map[string]float64 `json:"tokens,omitempty"`
 	Recent map[string]float64 `json:"recent,omitempty"`
+	Paths  map[string]float64 `json:"paths,omitempty"`
 	Runs   map[string]int     `json:"runs,omitempty"`
 	Unread map[string]int     `json:"unread,omitempty"`
 }
