Give each host of the testbed its own loopback IP, and name a host that ended early

Cause: the testbed chose ports, let go of them, and started hosts on them later; on one shared IP a client's socket or another process may be given such a port first. Open passed over what a host's Run returned, so an office that could not listen, or that ended, went unseen as long as two of three were enough. Ruled out: passing listeners in (office and desk listen by themselves, as in the field). Change: an IP of its own for each office and desk, also between processes; Close names hosts that ended before it, and the tests fail on that. No test asks for less than before. Conclusion: an office that dies in this test now fails it, whatever the test asks of it.

--- a/proofs/testbed/input_test.go
+++ b/proofs/testbed/input_test.go
@@ -28,7 +28,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(s.Close)
+	t.Cleanup(func() {
+		if err := s.Close(); err != nil {
+			t.Error(err)
+		}
+	})
 	if err := s.Begin(doc); err != nil {
 		t.Fatal(err)
 	}
--- a/proofs/testbed/testbed.go
+++ b/proofs/testbed/testbed.go
@@ -25,6 +25,8 @@
 	"petreltide/proofs/platform"
 )
 
+const hostsMost = 16
+
 // Shop runs a few real hosts inside one process, sockets and disks included, for tests that need
 // no kills: bad input, interfaces, measurements.
 type Shop struct {
@@ -34,6 +36,9 @@
 	Platform *platform.Platform
 	cancel   context.CancelFunc
 	group    sync.WaitGroup
+	hosts    int
+	mu       sync.Mutex
+	ended    []string
 }
 
 type Plan struct {
@@ -49,16 +54,20 @@
 	Store    standing.Store
 }
 
-func listen() (net.Listener, string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func listen(ip string) (net.Listener, string, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return nil, "", errors.Trace(err)
 	}
 	return l, l.Addr().String(), nil
 }
 
-func free() (string, error) {
-	l, addr, err := listen()
+// free chooses a port that is not kept until its host listens there, so each host has an IP of its own,
+// also beside other processes of this kind: on a shared one, a client's socket may be given that port first.
+func (s *Shop) free() (string, error) {
+	s.hosts++
+	n := os.Getpid()*hostsMost + s.hosts%hostsMost
+	l, addr, err := listen(fmt.Sprintf("127.%d.%d.%d", 2+(n>>16)%250, n>>8&255, n&255))
 	if err != nil {
 		return "", err
 	}
@@ -68,7 +77,7 @@
 func Open(plan Plan) (*Shop, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Shop{cancel: cancel, Platform: platform.New(platform.NewStore(plan.Store.Loads, plan.Store.MbPerSecond, plan.Store.BurstMb))}
-	platListener, platAddr, err := listen()
+	platListener, platAddr, err := listen("127.0.0.1")
 	if err != nil {
 		return nil, err
 	}
@@ -76,7 +85,7 @@
 	s.spawn(func() { _ = plat.Serve(platListener) })
 	context.AfterFunc(ctx, func() { _ = plat.Close() })
 	for i := 0; i < plan.Offices; i++ {
-		addr, err := free()
+		addr, err := s.free()
 		if err != nil {
 			return nil, err
 		}
@@ -93,10 +102,10 @@
 		if err != nil {
 			return nil, err
 		}
-		s.run(ctx, host.Run)
+		s.run(ctx, addr, host.Run)
 	}
 	for i := 0; i < plan.Replicas; i++ {
-		l, addr, err := listen()
+		l, addr, err := listen("127.0.0.1")
 		if err != nil {
 			return nil, err
 		}
@@ -107,18 +116,18 @@
 			LoadUs: func(sizeMb int64) int64 { return 20_000 + sizeMb*10 },
 		}), "")
 		s.Presses = append(s.Presses, addr)
-		s.run(ctx, func(ctx context.Context) error { return host.Serve(ctx, l) })
+		s.run(ctx, addr, func(ctx context.Context) error { return host.Serve(ctx, l) })
 		s.Platform.Set(wire.Listed{ID: id, Addr: addr, Zone: zone, RoomMb: plan.RoomMb, Slots: plan.Slots, State: wire.ListedReady})
 	}
 	for i := 0; i < plan.Desks; i++ {
-		addr, err := free()
+		addr, err := s.free()
 		if err != nil {
 			return nil, err
 		}
 		host := desk.Open(settings.Desk{Name: fmt.Sprintf("front-%d", i+1), Listen: addr, Advertise: addr, Zone: string(rune('a' + i%3)), Seeds: s.Offices, BacklogMax: 64, BodyMaxKb: 64, DrainMs: 2000},
 			logring.NewRing("", io.Discard))
 		s.Desks = append(s.Desks, addr)
-		s.run(ctx, host.Run)
+		s.run(ctx, addr, host.Run)
 	}
 	return s, nil
 }
@@ -131,13 +140,26 @@
 	}()
 }
 
-func (s *Shop) run(ctx context.Context, serve func(context.Context) error) {
-	s.spawn(func() { _ = serve(ctx) })
+// run notes a host that ends before its time, since the others may well do without it.
+func (s *Shop) run(ctx context.Context, addr string, serve func(context.Context) error) {
+	s.spawn(func() {
+		err := serve(ctx)
+		if ctx.Err() == nil {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.ended = append(s.ended, fmt.Sprintf("%s: %v", addr, err))
+		}
+	})
 }
 
-func (s *Shop) Close() {
+// Close ends all hosts and names those that had ended by themselves.
+func (s *Shop) Close() error {
 	s.cancel()
 	s.group.Wait()
+	if len(s.ended) > 0 {
+		return errors.Errorf("ended before their time: %s", strings.Join(s.ended, "; "))
+	}
+	return nil
 }
 
 // Do sends one request and reads the whole answer.
