Send a call again to its only replica rather than let it wait for nobody

Cause: a replica that turned a call away, or broke it off, was never given that call again. Where no other replica could take it, the call waited for its whole time-out and was then refused: a model that stands on one replica lost each call that came while its slots were full for a moment, and held it for seconds. Ruled out: giving such calls up at once; a slot is mostly free again after the pause that follows a refusal. Change: a replica that had the call is passed over only while another one could take it that has not. Attempts, budget and pauses bound it as before. Tests: tables for what replicas say, for routes that change under a call and for the last attempt; 300 seeded histories; the budget of up to 9 desks over every span, with replicas that go dark. Conclusion: a call goes on while it may, and is answered at once when it may not.

--- a/internal/dispatch/routed.go
+++ b/internal/dispatch/routed.go
@@ -132,12 +132,13 @@
 	unit := c.unit()
 	svc := d.snap.Doc.Service(c.Routed.Service)
 	engine := svc != nil && svc.Engine != nil && c.Model != ""
+	others := d.untried(c)
 	for _, r := range d.snap.ByService[c.Routed.Service] {
 		if !d.snap.takesRouted(r, c.Model, c.Adapter) {
 			continue
 		}
 		s := d.siteOf(r.ID)
-		if d.nowUs < s.shyUs || d.nowUs < s.missing[unit] || slices.Contains(c.tried, r.ID) {
+		if d.nowUs < s.shyUs || d.nowUs < s.missing[unit] || (others && slices.Contains(c.tried, r.ID)) {
 			continue
 		}
 		running, waitMs := d.standsAt(r, s)
@@ -162,6 +163,17 @@
 	return best, bestMs
 }
 
+// untried: some replica that takes this call has not had it yet. Where none is left, one that had it may
+// have it again, rather than that the call waits for nobody.
+func (d *Decider) untried(c *Call) bool {
+	for _, r := range d.snap.ByService[c.Routed.Service] {
+		if d.snap.takesRouted(r, c.Model, c.Adapter) && !slices.Contains(c.tried, r.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 func hashOf(s string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(s))
--- /dev/null
+++ b/internal/dispatch/routed_test.go
@@ -0,0 +1,460 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+
+	"petreltide/internal/clock"
+	"petreltide/internal/fault"
+	"petreltide/internal/standing"
+	"petreltide/internal/wire"
+)
+
+type declared struct {
+	name   string
+	repeat standing.Repeat
+	most   int
+	split  []standing.Weighted
+	resume bool
+}
+
+func one(service string) []standing.Weighted {
+	return []standing.Weighted{{Service: service, Weight: 1}}
+}
+
+func declaration(routes ...declared) *standing.Declaration {
+	doc := &standing.Declaration{Version: 1, Services: []standing.Service{
+		{Name: "s"}, {Name: "other"},
+		{Name: "engine", Engine: &standing.Engine{Slots: 4, RoomMb: 10, Models: []standing.EngineModel{{Name: "m", SizeMb: 1, LoadMs: 1}, {Name: "n", SizeMb: 1, LoadMs: 1}}}},
+	}}
+	for _, r := range routes {
+		doc.Routes = append(doc.Routes, standing.Route{
+			Name: r.name, Host: "h", Prefix: "/" + r.name + "/", Repeat: r.repeat, Resumable: r.resume, TimeoutMs: 20_000, AttemptsMost: r.most, Split: r.split,
+		})
+	}
+	return doc.Indexed()
+}
+
+var snaps uint64
+
+func stands(doc *standing.Declaration, desks int, rows ...wire.ReplicaNews) *Snapshot {
+	snaps++
+	s := &Snapshot{Number: snaps, Revision: snaps, Doc: doc, Desks: desks, Replicas: map[string]*wire.ReplicaNews{}, ByService: map[string][]*wire.ReplicaNews{}}
+	for _, r := range rows {
+		r.Inc, r.Addr = r.ID, r.ID
+		if r.Slots == 0 {
+			r.Slots = 4
+		}
+		s.Replicas[r.ID] = &r
+		s.IDs = append(s.IDs, r.ID)
+		s.ByService[r.Service] = append(s.ByService[r.Service], &r)
+	}
+	return s
+}
+
+func at(service string, ids ...string) []wire.ReplicaNews {
+	rows := []wire.ReplicaNews{}
+	for _, id := range ids {
+		rows = append(rows, wire.ReplicaNews{ID: id, Service: service, Holds: []string{"m"}})
+	}
+	return rows
+}
+
+// clerk drives one decider and holds what it did with each call.
+type clerk struct {
+	d     *Decider
+	nowUs int64
+	legs  map[string][]*Start
+	fin   map[string]*Effect
+	told  int
+}
+
+func newClerk(opts Options, s *Snapshot) *clerk {
+	if opts.BacklogMax == 0 {
+		opts.BacklogMax = 1000
+	}
+	k := &clerk{d: New(opts), nowUs: clock.Sec, legs: map[string][]*Start{}, fin: map[string]*Effect{}}
+	k.step(Event{Snapshot: s})
+	return k
+}
+
+func (k *clerk) step(ev Event) []Effect {
+	ev.NowUs = k.nowUs
+	effects := k.d.Step(ev)
+	for _, e := range effects {
+		held := e
+		switch {
+		case e.Start != nil:
+			k.legs[e.Start.Call.ID] = append(k.legs[e.Start.Call.ID], e.Start)
+		case e.Give != nil:
+			k.fin[e.Give.Call.ID] = &held
+			k.told++
+		case e.Over != nil:
+			k.fin[e.Over.Call.ID] = &held
+			k.told++
+		}
+	}
+	return effects
+}
+
+func (k *clerk) call(id, route, model string) *Call {
+	c := &Call{ID: id, Kind: route, Model: model, Routed: &Routed{PromptIn: 100}}
+	k.step(Event{Arrived: c})
+	return c
+}
+
+// end ends the newest leg of a call.
+func (k *clerk) end(id string, e Ending) []Effect {
+	legs := k.legs[id]
+	return k.step(Event{Ended: &Ended{Call: id, Leg: legs[len(legs)-1].Leg, Ending: e}})
+}
+
+func (k *clerk) after(us int64) {
+	k.nowUs += us
+	k.step(Event{})
+}
+
+func TestACallThatItsOnlyReplicaDidNotRunIsSentThereAgain(t *testing.T) {
+	for _, c := range []struct {
+		ending  Ending
+		afterUs int64
+	}{{Refused, fullUs}, {Missing, missingUs}, {Unsent, shyLeastUs}} {
+		k := newClerk(Options{}, stands(declaration(declared{"once", standing.NonIdempotent, 2, one("engine"), false}), 1, at("engine", "r1")...))
+		k.call("c", "once", "m")
+		k.end("c", c.ending)
+		k.after(c.afterUs - clock.Ms)
+		if n := len(k.legs["c"]); n != 1 {
+			t.Errorf("%s: it was sent %d times before its pause", c.ending, n)
+		}
+		k.after(2 * clock.Ms)
+		if n := len(k.legs["c"]); n != 2 {
+			t.Fatalf("%s: it waits for a replica that does not come, sent %d times", c.ending, n)
+		}
+		k.end("c", Done)
+		if f := k.fin["c"]; f == nil || f.Over == nil || f.Over.Ending != Done {
+			t.Errorf("%s: %+v", c.ending, f)
+		}
+	}
+}
+
+func TestAnotherReplicaComesBeforeOneThatHadTheCall(t *testing.T) {
+	k := newClerk(Options{}, stands(declaration(declared{"once", standing.NonIdempotent, 3, one("s"), false}), 1, at("s", "r1", "r2")...))
+	k.call("c", "once", "")
+	k.end("c", Refused)
+	if legs := k.legs["c"]; len(legs) != 2 || legs[0].Replica == legs[1].Replica {
+		t.Fatalf("%v", legs)
+	}
+}
+
+func TestTheLastAttemptIsAnsweredAtOnceWithATime(t *testing.T) {
+	for _, c := range []struct {
+		repeat  standing.Repeat
+		endings []Ending
+		run     string
+		given   bool
+	}{
+		{standing.NonIdempotent, []Ending{Refused, Missing}, fault.RunNone, true},
+		{standing.NonIdempotent, []Ending{Refused, Unknown}, "", false},
+		{standing.NonIdempotent, []Ending{Unknown}, "", false},
+		{standing.NonIdempotent, []Ending{Failed}, "", false},
+		{standing.Idempotent, []Ending{Unknown, Broken}, "", false},
+		{standing.Idempotent, []Ending{Broken, Refused}, "", false},
+	} {
+		k := newClerk(Options{}, stands(declaration(declared{"r", c.repeat, 2, one("s"), false}), 1, at("s", "r1", "r2", "r3")...))
+		k.call("c", "r", "")
+		for i, e := range c.endings {
+			if len(k.legs["c"]) != i+1 {
+				t.Fatalf("%v: %d legs before the ending %d", c.endings, len(k.legs["c"]), i)
+			}
+			k.end("c", e)
+		}
+		f := k.fin["c"]
+		switch {
+		case f == nil:
+			t.Errorf("%s %v: no answer at once", c.repeat, c.endings)
+		case c.given && (f.Give == nil || f.Give.Fault.Run != c.run || f.Give.Fault.RetryMs <= 0):
+			t.Errorf("%s %v: %+v", c.repeat, c.endings, f.Give)
+		case !c.given && f.Over == nil:
+			t.Errorf("%s %v: %+v", c.repeat, c.endings, f.Give.Fault)
+		}
+	}
+}
+
+// What the declaration changes while a call waits or runs.
+func TestRoutesThatChangeUnderACall(t *testing.T) {
+	base := declared{"r", standing.NonIdempotent, 3, one("s"), false}
+	moved := declared{"r", standing.NonIdempotent, 3, one("other"), false}
+	rows := append(at("s", "r1"), at("other", "o1")...)
+	waiting := func(next *standing.Declaration) *clerk {
+		full := append([]wire.ReplicaNews(nil), rows...)
+		full[0].Dark, full[1].Dark = true, true
+		k := newClerk(Options{}, stands(declaration(base), 1, full...))
+		k.call("c", "r", "")
+		k.step(Event{Snapshot: stands(next, 1, rows...)})
+		return k
+	}
+	if k := waiting(declaration()); k.fin["c"] == nil || k.fin["c"].Give == nil || k.fin["c"].Give.Fault.Code != fault.UnknownKind || k.fin["c"].Give.Fault.Run != fault.RunNone {
+		t.Errorf("dropped while it waits: %+v", k.fin["c"])
+	}
+	if k := waiting(declaration(moved)); len(k.legs["c"]) != 1 || k.legs["c"][0].Replica != "o1" {
+		t.Errorf("moved while it waits: %v", k.legs["c"])
+	}
+	if k := waiting(declaration(declared{"r", standing.NonIdempotent, 3, []standing.Weighted{{Service: "s", Weight: 0}, {Service: "other", Weight: 1}}, false})); len(k.legs["c"]) != 1 || k.legs["c"][0].Replica != "o1" {
+		t.Errorf("weighed down to 0 while it waits: %v", k.legs["c"])
+	}
+
+	running := func(next *standing.Declaration, e Ending) *clerk {
+		k := newClerk(Options{}, stands(declaration(base), 1, rows...))
+		k.call("c", "r", "")
+		k.step(Event{Snapshot: stands(next, 1, rows...)})
+		k.end("c", e)
+		return k
+	}
+	if k := running(declaration(), Done); k.fin["c"].Over == nil || k.fin["c"].Over.Ending != Done {
+		t.Errorf("dropped while it runs: %+v", k.fin["c"])
+	}
+	if k := running(declaration(), Refused); k.fin["c"] == nil || k.fin["c"].Give == nil || k.fin["c"].Give.Fault.Run != fault.RunNone || len(k.legs["c"]) != 1 {
+		t.Errorf("dropped while it runs, then refused: %+v", k.fin["c"])
+	}
+	if k := running(declaration(moved), Refused); len(k.legs["c"]) != 2 || k.legs["c"][1].Replica != "o1" {
+		t.Errorf("moved while it runs, then refused: %v", k.legs["c"])
+	}
+	if k := running(declaration(moved), Unknown); len(k.legs["c"]) != 1 || k.fin["c"].Over == nil {
+		t.Errorf("moved while it runs, then in doubt: %v", k.legs["c"])
+	}
+	k := newClerk(Options{}, stands(declaration(declared{"r", standing.Idempotent, 3, one("s"), false}), 1, rows...))
+	k.call("c", "r", "")
+	k.step(Event{Snapshot: stands(declaration(base), 1, rows...)})
+	if k.end("c", Unknown); len(k.legs["c"]) != 1 {
+		t.Errorf("no longer repeatable, then in doubt: %v", k.legs["c"])
+	}
+
+	for name, now := range map[string]*Snapshot{
+		"a route dropped":   stands(declaration(), 1, rows...),
+		"a route moved":     stands(declaration(moved), 1, rows...),
+		"a replica gone":    stands(declaration(base), 1, rows[1:]...),
+		"a replica leaving": stands(declaration(base), 1, wire.ReplicaNews{ID: "r1", Service: "s", Leaving: true}),
+		"another service":   stands(declaration(base), 1, at("other", "r1")...),
+	} {
+		k := newClerk(Options{}, stands(declaration(base), 1, rows...))
+		k.call("c", "r", "")
+		st := *k.legs["c"][0]
+		if !st.MaySend(k.d.snap, k.nowUs, 0) || st.MaySend(now, k.nowUs, 0) || st.MaySend(k.d.snap, st.ExpiryUs, 0) {
+			t.Errorf("%s between the decision and the first byte", name)
+		}
+	}
+}
+
+// How long a replica is left alone hangs on what it said.
+func TestWhatAReplicaSaidHoldsForWhatItConcerns(t *testing.T) {
+	doc := declaration(declared{"r", standing.NonIdempotent, 3, one("engine"), false})
+	row := wire.ReplicaNews{ID: "r1", Service: "engine", Holds: []string{"m", "n"}}
+	for _, c := range []struct {
+		ending       Ending
+		same, beside bool
+		backUs       int64
+	}{{Missing, false, true, missingUs}, {Refused, false, false, fullUs}, {Elsewhere, false, false, elsewhereUs}, {Done, true, true, 0}} {
+		k := newClerk(Options{}, stands(doc, 1, row))
+		k.call("first", "r", "m")
+		k.end("first", c.ending)
+		k.call("same", "r", "m")
+		k.call("beside", "r", "n")
+		if same, beside := len(k.legs["same"]) > 0, len(k.legs["beside"]) > 0; same != c.same || beside != c.beside {
+			t.Errorf("%s: the same model is sent there %v, another %v", c.ending, same, beside)
+		}
+		if k.after(c.backUs + clock.Ms); c.backUs < 15*clock.Sec && len(k.legs["same"]) == 0 {
+			t.Errorf("%s: never asked again", c.ending)
+		}
+	}
+}
+
+// Whatever comes in whatever order: a call that is not repeatable is never sent again after anything but a
+// sure word that it has not run; a refusal that says so is true; each call is answered once; legs go only
+// where the newest declaration sends them, to replicas that are there and not leaving; attempts hold.
+func TestSeededCallsUnderChangingRoutes(t *testing.T) {
+	endings := []Ending{Done, Done, Failed, Refused, Refused, Missing, Elsewhere, Unsent, Broken, Unknown, Final}
+	repeats, given, answered := 0, 0, 0
+	for seed := int64(0); seed < 300; seed++ {
+		r := rand.New(rand.NewSource(seed))
+		names := []string{"a", "b", "c"}
+		draw := func() *Snapshot {
+			routes := []declared{}
+			for _, n := range names {
+				if r.Intn(8) == 0 {
+					continue
+				}
+				split := [][]standing.Weighted{one("s"), one("other"), {{Service: "s", Weight: r.Intn(3)}, {Service: "other", Weight: 1}}}[r.Intn(3)]
+				repeat := []standing.Repeat{standing.Idempotent, standing.NonIdempotent, standing.Streaming}[r.Intn(3)]
+				routes = append(routes, declared{n, repeat, 1 + r.Intn(3), split, r.Intn(2) == 0})
+			}
+			rows := []wire.ReplicaNews{}
+			for i := range 5 {
+				if r.Intn(4) > 0 {
+					rows = append(rows, wire.ReplicaNews{ID: fmt.Sprint("r", i), Service: []string{"s", "other"}[i%2], Leaving: r.Intn(6) == 0, Dark: r.Intn(6) == 0, Slots: 1 + r.Intn(3)})
+				}
+			}
+			return stands(declaration(routes...), 1+r.Intn(4), rows...)
+		}
+		k := newClerk(Options{BacklogMax: 6}, draw())
+		ran, open := map[string]bool{}, map[string]bool{}
+		look := func(effects []Effect) {
+			for _, e := range effects {
+				switch {
+				case e.Start != nil:
+					id, route, row := e.Start.Call.ID, k.d.snap.Doc.Route(e.Start.Call.Kind), k.d.snap.Replicas[e.Start.Replica]
+					if route == nil || row == nil || row.Leaving || row.Dark || !route.May(row.Service) || e.Start.Inc != row.Inc {
+						t.Fatalf("seed %d: %s goes to %+v by %+v", seed, id, row, route)
+					}
+					if ran[id] {
+						if repeats++; !route.Repeatable() {
+							t.Fatalf("seed %d: %s may have run and is sent again", seed, id)
+						}
+					}
+					if open[id] {
+						t.Fatalf("seed %d: %s has two legs at once", seed, id)
+					}
+					open[id] = true
+				case e.Give != nil:
+					if given++; e.Give.Fault.Run == fault.RunNone && ran[e.Give.Call.ID] {
+						t.Fatalf("seed %d: %s may have run and is told that it has not: %+v", seed, e.Give.Call.ID, e.Give.Fault)
+					}
+				}
+			}
+		}
+		calls := 0
+		for n := 0; n < 250; n++ {
+			k.nowUs += r.Int63n(200 * clock.Ms)
+			switch r.Intn(6) {
+			case 0, 1:
+				calls++
+				c := &Call{ID: fmt.Sprint("c", calls), Kind: names[r.Intn(3)], Routed: &Routed{}}
+				look(k.step(Event{Arrived: c}))
+			case 2:
+				look(k.step(Event{Snapshot: draw()}))
+			default:
+				for id := range open {
+					if open[id] {
+						legs := k.legs[id]
+						e := endings[r.Intn(len(endings))]
+						ran[id], open[id] = ran[id] || !unrun(e), false
+						look(k.step(Event{Ended: &Ended{Call: id, Leg: legs[len(legs)-1].Leg, Ending: e}}))
+						break
+					}
+				}
+			}
+		}
+		for round := 0; round < 20 && len(k.fin) < calls; round++ {
+			for id := range open {
+				if open[id] {
+					legs := k.legs[id]
+					open[id], ran[id] = false, true
+					look(k.step(Event{Ended: &Ended{Call: id, Leg: legs[len(legs)-1].Leg, Ending: Final}}))
+				}
+			}
+			k.nowUs += 21 * clock.Sec
+			look(k.step(Event{}))
+		}
+		if len(k.fin) != calls || k.told != calls || len(k.d.calls) != 0 || k.d.waiting != 0 {
+			t.Fatalf("seed %d: %d calls, %d of them answered with %d answers, %d left over", seed, calls, len(k.fin), k.told, len(k.d.calls))
+		}
+		answered += calls
+		for id, legs := range k.legs {
+			if len(legs) > legsMost {
+				t.Fatalf("seed %d: %s had %d legs", seed, id, len(legs))
+			}
+		}
+	}
+	t.Logf("%d calls, %d given up on, %d repeats", answered, given, repeats)
+	if repeats < 100 || given < 100 {
+		t.Errorf("%d repeats and %d given up on: it proves little", repeats, given)
+	}
+}
+
+// All desks together hold to the budget in every span, whatever fails and however long calls wait between.
+func TestSeededBudgetOfManyDesks(t *testing.T) {
+	const windowUs, ratio, slack = 10 * clock.Sec, 0.2, 58.0
+	tight := 0.0
+	for seed := int64(0); seed < 20; seed++ {
+		r := rand.New(rand.NewSource(seed))
+		desks := 1 + r.Intn(9)
+		doc := declaration(declared{"many", standing.Idempotent, 3, one("s"), false})
+		opts := Options{Budget: BudgetOptions{Ratio: ratio, Slack: slack, WindowUs: windowUs}}
+		var all []*clerk
+		rows := at("s", "r1", "r2", "r3", "r4")
+		for i := range rows {
+			rows[i].Slots = 1000
+		}
+		for range desks {
+			all = append(all, newClerk(opts, stands(doc, desks, rows...)))
+		}
+		rate, bad := 5+r.Intn(60), 0
+		var calls, extra []int64
+		open := make([][]string, desks)
+		for ms := int64(0); ms < 60_000; ms += 20 {
+			dark, turns := false, ms%2_000 == 0
+			if ms%5_000 == 0 {
+				rate, bad = 1+r.Intn(80), r.Intn(101)
+			}
+			if turns {
+				dark = r.Intn(3) == 0
+				for i := range rows {
+					rows[i].Dark = dark
+				}
+			}
+			for i, k := range all {
+				k.nowUs = clock.Sec + ms*clock.Ms
+				note := func(effects []Effect) {
+					for _, e := range effects {
+						if e.Start != nil {
+							open[i] = append(open[i], e.Start.Call.ID)
+							if len(k.legs[e.Start.Call.ID]) > 1 {
+								extra = append(extra, k.nowUs)
+							}
+						}
+					}
+				}
+				if turns {
+					note(k.step(Event{Snapshot: stands(doc, desks, rows...)}))
+				}
+				note(k.step(Event{}))
+				if r.Intn(50*desks) < rate {
+					calls = append(calls, k.nowUs)
+					id := fmt.Sprint("c", ms)
+					note(k.step(Event{Arrived: &Call{ID: id, Kind: "many", Routed: &Routed{}}}))
+				}
+				ended := open[i]
+				open[i] = nil
+				for _, id := range ended {
+					legs := k.legs[id]
+					e := Done
+					if r.Intn(100) < bad {
+						e = []Ending{Refused, Broken, Unknown}[r.Intn(3)]
+					}
+					note(k.step(Event{Ended: &Ended{Call: id, Leg: legs[len(legs)-1].Leg, Ending: e}}))
+				}
+			}
+		}
+		within := func(times []int64, fromUs int64) (n int) {
+			for _, us := range times {
+				if us >= fromUs && us < fromUs+windowUs {
+					n++
+				}
+			}
+			return n
+		}
+		for fromUs := int64(0); fromUs < 62*clock.Sec; fromUs += 500 * clock.Ms {
+			spent := within(extra, fromUs)
+			most := max(within(calls, fromUs), within(calls, fromUs-windowUs), within(calls, fromUs-windowUs/2))
+			may := ratio*float64(most) + slack
+			tight = max(tight, float64(spent)/may)
+			if float64(spent) > may {
+				t.Fatalf("seed %d: %d desks sent %d further legs within a window of %d calls", seed, desks, spent, most)
+			}
+		}
+	}
+	t.Logf("at most %.2f of the budget was used", tight)
+	if tight < 0.5 {
+		t.Errorf("at most %.2f of the budget was used: it proves little", tight)
+	}
+}
