Measure roles against hollow desks and replicas: first slopes for docs/CAPACITY.md

Cause: nothing said what a role needs at the target size, or whether today's design reaches it. Change: `fleet capacity` runs real offices and desks, each with one core, against hollow desks and replicas in one process; CSV, plots, fits with errors, faults, and `fleet capacity page`, which writes the page's tables.

--- /dev/null
+++ b/proofs/capacity/fault.go
@@ -0,0 +1,259 @@
+package capacity
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"petreltide/internal/fault"
+)
+
+const (
+	recoverMost  = 40 * time.Second
+	settleSpan   = 5 * time.Second
+	awayChanges  = 4
+	awayGap      = 700 * time.Millisecond
+	killOne      = "controller-killed"
+	loseZone     = "zone-lost"
+	killAll      = "all-offices-killed"
+	regionAway   = "region-away"
+	notRecovered = "not recovered"
+)
+
+// FaultNames are the faults that a run can cause.
+func FaultNames() []string { return []string{regionAway, killOne, loseZone, killAll} }
+
+// CheckFaults refuses names that are none.
+func CheckFaults(names []string) *fault.Fault {
+	for _, n := range names {
+		if !slices.Contains(FaultNames(), n) {
+			return fault.New(fault.BadField, "faults", "%q is none of %v", n, FaultNames())
+		}
+	}
+	return nil
+}
+
+func (f *fleet) cause(ctx context.Context, run *Run, name string) error {
+	pause(ctx, settleSpan)
+	switch name {
+	case killOne:
+		return f.killOffices(ctx, run, name, func(_ *process, role string) bool { return role == "controller" }, nil)
+	case loseZone:
+		zone := f.zones[1]
+		return f.killOffices(ctx, run, name, func(p *process, _ string) bool { return p.zone == zone }, func(z string) bool { return z == zone })
+	case killAll:
+		return f.killOffices(ctx, run, name, func(*process, string) bool { return true }, nil)
+	case regionAway:
+		return f.region(ctx, run, name)
+	}
+	return errors.Errorf("no such fault %q", name)
+}
+
+// darken takes hollow desks and replicas of some zones out of touch, or brings them back.
+func (f *fleet) darken(of func(zone string) bool, dead bool) {
+	for _, d := range f.world.desks {
+		if of(d.zone) {
+			d.dead.Store(dead)
+		}
+	}
+	for _, r := range f.world.replicas {
+		if of(r.zone) {
+			r.mu.Lock()
+			r.dead = dead
+			r.mu.Unlock()
+		}
+	}
+}
+
+// region stops every process of one region and looks how long changes take for the others, and then how long
+// until the region has them too.
+func (f *fleet) region(ctx context.Context, run *Run, name string) error {
+	region := f.regions[f.zones[1]]
+	of := func(zone string) bool { return f.regions[zone] == region }
+	f.darken(of, true)
+	stopped := []*process{}
+	for _, p := range append(slices.Clone(f.offices), f.desks...) {
+		if of(p.zone) {
+			p.signal(syscall.SIGSTOP)
+			stopped = append(stopped, p)
+		}
+	}
+	began := time.Now()
+	back := func() {
+		for _, p := range stopped {
+			p.signal(syscall.SIGCONT)
+		}
+		f.darken(of, false)
+	}
+	var changes []change
+	for range awayChanges {
+		limited, done := context.WithTimeout(ctx, recoverMost)
+		c, err := f.op.edit(limited)
+		done()
+		if err != nil {
+			back()
+			run.add(name, notRecovered, "0 or 1", 1)
+			return err
+		}
+		if len(changes) == 0 {
+			run.add(name, "first change acknowledged", "s", c.acked.Sub(began).Seconds())
+		}
+		changes = append(changes, c)
+		pause(ctx, awayGap)
+	}
+	pause(ctx, 2*time.Second)
+	last, each := 0.0, []float64{}
+	for _, c := range changes {
+		for _, at := range f.world.track.times(c.revision) {
+			ms := max(0, float64(at.Sub(c.acked))/1e6)
+			each = append(each, ms)
+			last = max(last, ms)
+		}
+	}
+	slices.Sort(each)
+	run.add(name, "in force at a desk after acknowledgement, half", "ms", quantile(each, 0.5))
+	run.add(name, "in force at a desk after acknowledgement, 99 in 100", "ms", quantile(each, 0.99))
+	run.add(name, "in force at the last desk, longest", "ms", last)
+	began = time.Now()
+	back()
+	if s, ok := f.until(ctx, began, f.desksWhole); ok {
+		run.add(name, "region back until its desks have the newest", "s", s)
+	} else {
+		run.add(name, notRecovered, "0 or 1", 1)
+	}
+	return nil
+}
+
+func (f *fleet) killOffices(ctx context.Context, run *Run, name string, which func(*process, string) bool, zones func(string) bool) error {
+	roles, err := f.roles(ctx)
+	if err != nil {
+		return err
+	}
+	if zones != nil {
+		f.darken(zones, true)
+	}
+	killed := []*process{}
+	for _, p := range f.offices {
+		if which(p, roles[p.name]) {
+			p.kill()
+			killed = append(killed, p)
+		}
+	}
+	began := time.Now()
+	f.world.mark(began)
+	again := func() error {
+		for _, p := range killed {
+			if err := p.place(f.plan.Folder, f.seeds(), f.regions, false, f.plan.HeartbeatMs); err != nil {
+				return err
+			}
+			if err := p.start(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	if len(killed) == len(f.offices) {
+		if err := again(); err != nil {
+			return err
+		}
+		killed = nil
+	}
+	looks := []struct {
+		what string
+		ok   func() bool
+	}{
+		{"orders sent again", f.world.orderedSinceMark},
+		{"every desk follows two offices and has the newest", f.desksWhole},
+		{"every heartbeat acknowledged again", func() bool { return f.world.beaten(began) }},
+	}
+	rows := make([]Row, len(looks)+1)
+	var group sync.WaitGroup
+	for i, look := range looks {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			if s, ok := f.until(ctx, began, look.ok); ok {
+				rows[i+1] = Row{name, look.what, "s", s}
+			} else {
+				rows[i+1] = Row{name, "not within 40 s: " + look.what, "0 or 1", 1}
+			}
+		}()
+	}
+	limited, done := context.WithTimeout(ctx, recoverMost)
+	c, err := f.op.edit(limited)
+	done()
+	if err == nil {
+		rows[0] = Row{name, "changes taken again", "s", c.acked.Sub(began).Seconds()}
+	} else {
+		rows[0] = Row{name, "not within 40 s: changes taken again", "0 or 1", 1}
+	}
+	group.Wait()
+	run.Rows = append(run.Rows, rows...)
+	if err := again(); err != nil {
+		return err
+	}
+	if zones != nil {
+		f.darken(zones, false)
+	}
+	back := time.Now()
+	f.until(ctx, back, func() bool { return f.seated(ctx) == len(f.offices) && f.desksWhole() })
+	return ctx.Err()
+}
+
+func (f *fleet) seeds() []string {
+	all := []string{}
+	for _, p := range f.offices[:3] {
+		all = append(all, p.ip)
+	}
+	return all
+}
+
+func (f *fleet) until(ctx context.Context, began time.Time, ok func() bool) (seconds float64, reached bool) {
+	for time.Since(began) < recoverMost && ctx.Err() == nil {
+		if ok() {
+			return time.Since(began).Seconds(), true
+		}
+		pause(ctx, 20*time.Millisecond)
+	}
+	return time.Since(began).Seconds(), false
+}
+
+// desksWhole: every hollow desk that is in touch follows two offices and has the newest revision.
+func (f *fleet) desksWhole() bool {
+	for _, d := range f.world.desks {
+		if !d.dead.Load() && (d.streams.Load() < 2 || d.revision.Load() < f.op.revision.Load()) {
+			return false
+		}
+	}
+	return true
+}
+
+// mark begins to look for the first order after a time.
+func (w *world) mark(at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ordersAtMark = w.orders
+}
+
+func (w *world) orderedSinceMark() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.orders > w.ordersAtMark
+}
+
+// beaten: every replica in touch has had a heartbeat acknowledged since a time.
+func (w *world) beaten(since time.Time) bool {
+	for _, r := range w.replicas {
+		r.mu.Lock()
+		late := !r.dead && r.acked.Before(since)
+		r.mu.Unlock()
+		if late {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/proofs/capacity/page.go
@@ -0,0 +1,376 @@
+package capacity
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"petreltide/internal/fault"
+)
+
+// CSVFile is where the page's figures are, beside the page.
+const CSVFile = "capacity/capacity.csv"
+
+// formula says which terms may explain a quantity, and what the target allows.
+type formula struct {
+	role, quantity, unit string
+	terms                []string
+	floor                float64
+	allowed              float64
+}
+
+// What a node may spend for control, of the target; what an office's machine is, of the pages' core machines.
+const (
+	nodeCores       = 0.023
+	nodeMb          = 256
+	nodeBytes       = 4_096
+	officeCores     = 0.96
+	officeMb        = 280
+	officeFds       = 4_096 - 200
+	officeBytes     = 125_000_000
+	heartbeatMsMost = 1_000
+	inForceMsMost   = 11_000
+)
+
+func officeFormulas(role string, more ...string) []formula {
+	with := func(terms ...string) []string { return append(terms, more...) }
+	return []formula{
+		{role, "processor", "cores", with("1", "B/O", "P·R", "R", "N·K/O", "F·D", "F·R", "C·F", "L·F"), 0.01, officeCores},
+		{role, "memory", "MB", with("1", "R", "R·P", "F·R", "F·D", "N/O", "M"), 10, officeMb},
+		{role, "descriptors", "open", []string{"1", "R/O", "N/O", "P"}, 10, officeFds},
+		{role, "bytes in", "B/s", with("1", "B/O", "P·R", "P", "N·K/O", "N/O", "P·E"), 1_000, officeBytes},
+		{role, "bytes out", "B/s", []string{"1", "B/O", "P·R", "P", "F·D", "F", "F·L", "C·F", "P·E", "N·K/O"}, 1_000, officeBytes},
+		{role, "reads", "1/s", with("1", "B/O", "P", "N/O"), 10, 0},
+		{role, "writes", "1/s", []string{"1", "B/O", "P", "F", "F·L", "N/O", "C·F"}, 10, 0},
+		{role, "disk writes", "B/s", []string{"1", "C", "L"}, 100, 0},
+	}
+}
+
+func formulas() []formula {
+	all := []formula{
+		{"desk's side", "frames in", "1/s", []string{"1", "L", "C"}, 0.1, 0},
+		{"desk's side", "bytes in", "B/s", []string{"1", "D", "L", "C", "P"}, 100, 0},
+		{"desk's side", "reports out", "1/s", []string{"1"}, 0.1, 0},
+		{"desk's side", "bytes out", "B/s", []string{"1", "S", "K"}, 100, 0},
+		{"desk's side", "bytes both ways", "B/s", []string{"1", "D", "S", "K", "L", "C", "P"}, 100, nodeBytes},
+		{"desk's side", "bytes in of a start", "bytes", []string{"1", "R", "M", "D"}, 1_000, 0},
+		{"desk", "processor", "cores", []string{"1", "R", "D", "L", "L·R", "C·R"}, 0.002, nodeCores},
+		{"desk", "memory", "MB", []string{"1", "R", "D", "M"}, 5, nodeMb},
+		{"desk", "descriptors", "open", []string{"1", "P"}, 5, 0},
+	}
+	all = append(all, officeFormulas("member")...)
+	all = append(all, officeFormulas("tail")...)
+	all = append(all, officeFormulas("controller", "N·K", "N·R")...)
+	return append(all, []formula{
+		{"member", "replicated state", "bytes", []string{"1", "R", "M", "A", "C"}, 1_000, 0},
+		{"replica's side", "heartbeats out", "1/s", []string{"B/R"}, 0.01, 0},
+		{"replica's side", "heartbeat bytes out", "B/s", []string{"B/R"}, 10, 0},
+		{"replica's side", "heartbeat bytes in", "B/s", []string{"B/R"}, 10, 0},
+		{"replica's side", "orders and questions in", "1/s", []string{"L/R"}, 0.001, 0},
+		{"replica's side", "heartbeat answered, 99 in 100", "ms", []string{"1", "B/O", "R", "P·R", "F·R"}, 1, heartbeatMsMost},
+		{"operator", "first configuration", "bytes", []string{"1", "M"}, 1_000, 0},
+		{"operator", "acknowledged, half", "ms", []string{"1", "P", "R", "F·R", "C"}, 1, 0},
+		{"operator", "in force at the last desk, longest", "ms", []string{"1", "P", "R", "F", "F·R", "N·R"}, 1, inForceMsMost},
+	}...)
+}
+
+// clear are the runs that formulas are fitted to: every desk knew every replica, and no office was at its processor's
+// end. The others are where today's design stops.
+func clear(runs []*Run) (fit, beyond []*Run) {
+	for _, r := range runs {
+		whole, _ := r.value("fleet", "all knew all")
+		most := 0.0
+		for _, role := range []string{"controller", "member", "tail"} {
+			v, _ := r.value(role, "processor")
+			most = max(most, v)
+		}
+		if whole == 1 && most < 0.85 {
+			fit = append(fit, r)
+		} else {
+			beyond = append(beyond, r)
+		}
+	}
+	return fit, beyond
+}
+
+func targetWith(offices int) (Size, float64) {
+	z := Target
+	z.Offices = offices
+	return z, float64(z.Replicas) * 1000 / float64(z.HeartbeatMs)
+}
+
+// reach is the part of the target, in everything but the offices, at which a limit is met.
+func reach(f *Fit, limit float64, offices int) float64 {
+	at := func(share float64) float64 {
+		z := Target
+		z.Offices = offices
+		z.Desks, z.Replicas = int(float64(z.Desks)*share+0.5), int(float64(z.Replicas)*share+0.5)
+		z.Models, z.Adapters = int(float64(z.Models)*share+0.5), int(float64(z.Adapters)*share+0.5)
+		z.Desks, z.Replicas, z.Models = max(1, z.Desks), max(1, z.Replicas), max(1, z.Models)
+		z.ChangesPerS, z.LoadsPerS = z.ChangesPerS*share, z.LoadsPerS*share
+		v, _ := f.At(z, float64(z.Replicas)*1000/float64(z.HeartbeatMs))
+		return v
+	}
+	low, high := 0.002, 10.0
+	if at(low) > limit {
+		return 0
+	}
+	if at(high) <= limit {
+		return math.Inf(1)
+	}
+	for range 40 {
+		if mid := math.Sqrt(low * high); at(mid) > limit {
+			high = mid
+		} else {
+			low = mid
+		}
+	}
+	return low
+}
+
+var roleNames = map[string]string{
+	"desk's side": "Desk, what goes over its connections (hollow desks with calls under way)", "desk": "Desk, the process (real, without calls)", "member": "Office as member",
+	"tail": "Office as tail", "controller": "Office as controller, the head of the chain", "replica's side": "Replica's side of heartbeats and orders", "operator": "Operator's side",
+}
+
+const officesFew, officesEach = 5, 11
+
+func formulaTable(runs []*Run) string {
+	fit, _ := clear(runs)
+	b := &strings.Builder{}
+	last := ""
+	for _, q := range formulas() {
+		f, bad := FitTo(fit, q.role, q.quantity, q.unit, q.terms, q.floor)
+		if bad != nil {
+			panic(bad)
+		}
+		if f.Runs == 0 {
+			continue
+		}
+		if q.role != last {
+			fmt.Fprintf(b, "\n**%s**\n\n| quantity | formula | runs | error, worst | target, %d offices | %d | %d | allowed | |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n", roleNames[q.role], officesFew, officesEach, Target.Offices)
+			last = q.role
+		}
+		values, fits := []string{}, 0
+		for _, offices := range []int{officesFew, officesEach, Target.Offices} {
+			v, e := f.At(targetWith(offices))
+			text := figure(v)
+			if e > 0.005*v {
+				text += " ± " + figure(e)
+			}
+			values = append(values, text)
+			if v <= q.allowed {
+				fits++
+			}
+		}
+		allowed, sign := "", ""
+		if q.allowed > 0 {
+			allowed = figure(q.allowed)
+			switch share := reach(f, q.allowed, officesFew); {
+			case fits == 3:
+				sign = "✓"
+			case fits > 0:
+				sign = "✓ with some, ✗ with others"
+			case share == 0:
+				sign = "✗ from the smallest size on"
+			default:
+				sign = fmt.Sprintf("✗ from %.2g of the target on", share)
+			}
+		}
+		fmt.Fprintf(b, "| %s, %s | %s | %d | %.0f %%, %.0f %% | %s | %s | %s |\n", q.quantity, q.unit, f, f.Runs, f.RMS*100, f.Worst*100, strings.Join(values, " | "), allowed, sign)
+	}
+	return b.String()
+}
+
+func axesOf(runs []*Run) []string {
+	axes := []string{}
+	for _, r := range runs {
+		if !slices.Contains(axes, r.Axis) {
+			axes = append(axes, r.Axis)
+		}
+	}
+	return axes
+}
+
+func runsTable(runs []*Run) string {
+	fit, beyond := clear(runs)
+	b := &strings.Builder{}
+	fmt.Fprintf(b, "\n| axis | sizes | in the fits | beyond what an office can do |\n| --- | --- | --- | --- |\n")
+	for _, axis := range axesOf(runs) {
+		sizes, over, n := []string{}, []string{}, 0
+		for _, r := range runs {
+			if r.Axis == axis {
+				sizes = append(sizes, figure(along(r)))
+			}
+		}
+		for _, r := range fit {
+			if r.Axis == axis {
+				n++
+			}
+		}
+		for _, r := range beyond {
+			if r.Axis == axis {
+				over = append(over, figure(along(r)))
+			}
+		}
+		fmt.Fprintf(b, "| %s | %s %s | %d | %s |\n", axis, strings.Join(sizes, ", "), unitOf(axis), n, strings.Join(over, ", "))
+	}
+	return b.String()
+}
+
+func cell(r *Run, role, quantity string) string {
+	if v, ok := r.value(role, quantity); ok {
+		return figure(v)
+	}
+	return "–"
+}
+
+func sizeText(r *Run) string {
+	z := r.Size
+	return fmt.Sprintf("%d desks, %d replicas, %d models, %d offices", z.Desks, z.Replicas, z.Models, z.Offices)
+}
+
+var forceAxes = []string{"together", "replicas", "desks", "offices"}
+
+func forceTable(runs []*Run) string {
+	b := &strings.Builder{}
+	fmt.Fprintf(b, "\n| size | acknowledged, half, ms | 99 in 100 | after it at a desk, half, ms | 99 in 100 | at the last hollow desk, longest | at a real desk, longest | a region away: first change acknowledged, s | at the last desk in touch, ms | back until its desks have the newest, s |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, axis := range forceAxes {
+		for _, r := range runs {
+			if r.Axis != axis {
+				continue
+			}
+			fmt.Fprintf(b, "| %s", sizeText(r))
+			for _, q := range []string{
+				"acknowledged, half", "acknowledged, 99 in 100", "in force at a desk after acknowledgement, half", "in force at a desk after acknowledgement, 99 in 100",
+				"in force at the last desk, longest", "in force at a real desk, longest",
+			} {
+				fmt.Fprintf(b, " | %s", cell(r, "operator", q))
+			}
+			for _, q := range []string{"first change acknowledged", "in force at the last desk, longest", "region back until its desks have the newest"} {
+				fmt.Fprintf(b, " | %s", cell(r, regionAway, q))
+			}
+			fmt.Fprintf(b, " |\n")
+		}
+	}
+	return b.String()
+}
+
+func recoveryTable(runs []*Run) string {
+	b := &strings.Builder{}
+	fmt.Fprintf(b, "\n| size | what happened | changes taken again, s | orders sent again, s | every desk in touch follows two offices and has the newest, s | every heartbeat acknowledged again, s |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, r := range runs {
+		for _, name := range []string{killOne, loseZone, killAll} {
+			any := false
+			line := []string{}
+			for _, q := range []string{"changes taken again", "orders sent again", "every desk follows two offices and has the newest", "every heartbeat acknowledged again"} {
+				v, ok := r.value(name, q)
+				any = any || ok
+				text := "not in 40"
+				if ok {
+					text = figure(v)
+				}
+				line = append(line, text)
+			}
+			if any {
+				fmt.Fprintf(b, "| %s | %s | %s |\n", sizeText(r), strings.ReplaceAll(name, "-", " "), strings.Join(line, " | "))
+			}
+		}
+	}
+	return b.String()
+}
+
+func lettersTable([]*Run) string {
+	b := &strings.Builder{}
+	fmt.Fprintf(b, "\n| letter | what | at the target |\n| --- | --- | --- |\n")
+	z, beatS := targetWith(Target.Offices)
+	for _, l := range Letters {
+		v, _ := letter([]rune(l.Letter)[0], z, beatS)
+		fmt.Fprintf(b, "| %s | %s | %s |\n", l.Letter, l.Meaning, figure(v))
+	}
+	return b.String()
+}
+
+var tables = []struct {
+	name  string
+	write func([]*Run) string
+}{
+	{"letters", lettersTable}, {"runs", runsTable}, {"formulas", formulaTable}, {"in-force", forceTable}, {"recovery", recoveryTable},
+}
+
+// TableNames are the tables that the page must have.
+func TableNames() []string {
+	names := []string{}
+	for _, t := range tables {
+		names = append(names, t.name)
+	}
+	return append(names, "sweeps")
+}
+
+// sweepText is what the users' bench printed at the end of its sweeps, as it was kept beside the CSV.
+func sweepText(folder string) string {
+	names, _ := filepath.Glob(filepath.Join(folder, "sweep-*.txt"))
+	b := &strings.Builder{}
+	for _, name := range names {
+		raw, err := os.ReadFile(name)
+		if err != nil {
+			continue
+		}
+		_, figures, ok := strings.Cut(string(raw), "\nday  ")
+		if !ok {
+			continue
+		}
+		fmt.Fprintf(b, "\n`%s`:\n\n```\nday  %s\n```\n", filepath.Base(name), strings.TrimSpace(figures))
+	}
+	return b.String()
+}
+
+// Filled is the page with its tables as the runs give them, and the sweeps as the folder has them.
+func Filled(page string, runs []*Run, folder string) (string, *fault.Fault) {
+	put := func(name, text string) *fault.Fault {
+		begin, end := "<!-- table "+name+" -->", "<!-- end "+name+" -->"
+		head, rest, ok := strings.Cut(page, begin)
+		_, tail, ended := strings.Cut(rest, end)
+		if !ok || !ended {
+			return fault.New(fault.BadField, name, "the page has no %s … %s", begin, end)
+		}
+		page = head + begin + "\n" + text + "\n" + end + tail
+		return nil
+	}
+	for _, t := range tables {
+		if bad := put(t.name, t.write(runs)); bad != nil {
+			return "", bad
+		}
+	}
+	if bad := put("sweeps", sweepText(folder)); bad != nil {
+		return "", bad
+	}
+	return page, nil
+}
+
+// WritePage writes the tables of a page anew from the CSV beside it.
+func WritePage(path string) (changed bool, err error) {
+	file := filepath.Join(filepath.Dir(path), CSVFile)
+	runs, err := LoadCSV(file)
+	if err != nil {
+		return false, err
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return false, fault.New(fault.NotFound, path, "%v", err)
+	}
+	filled, bad := Filled(string(raw), runs, filepath.Dir(file))
+	if bad != nil {
+		return false, bad
+	}
+	if filled == string(raw) {
+		return false, nil
+	}
+	if err := os.WriteFile(path, []byte(filled), 0o644); err != nil {
+		return false, fault.New(fault.DataUnwritable, path, "%v", err)
+	}
+	return true, nil
+}
