Let a stale replica go with the ledger's row, and test frames against the whole

Cause: a desk that follows an office just restarted is told of replicas that only the ledger knows. When the ledger let such a one go, nobody told the desk, and it kept sending calls to its address as long as the stream stood. Ruled out: calling stale rows dark after a while; replicas whose heartbeats go elsewhere at that moment would be dark too. Change: the hub remembers which stale rows a stream was given and takes them back; a row of one's own hearing stays. Tests: 150 seeded histories of two offices that lag, restart and lose streams, whose differences must fold to what a whole frame says, with revisions, versions and views that never fall; edits that are missed; where two offices differ. Conclusion: differences say what the whole says.

--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -43,6 +43,7 @@
 	rosterAt uint64
 	holdsAt  uint64
 	orders   uint64
+	stale    map[string]bool
 	view     uint64
 	offices  uint64
 	desks    int
@@ -235,7 +236,21 @@
 		news = news || len(f.Replicas) > 0
 	}
 	if !s.whole {
-		f.Replicas = append(f.Replicas, stale(seen)...)
+		s.stale = map[string]bool{}
+		for _, row := range stale(seen) {
+			s.stale[row.ID] = true
+			f.Replicas = append(f.Replicas, row)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.stale)) {
+		switch {
+		case seen.Roster.Row(id) != nil:
+			delete(s.stale, id)
+		case seen.State.Replicas[id] == nil:
+			delete(s.stale, id)
+			f.Replicas = append(f.Replicas, wire.ReplicaRow{Stale: true, Row: roster.Row{ID: id, Gone: true}})
+			news = true
+		}
 	}
 	if seen.Settled && (s.orders != h.orders.Number || !s.whole) {
 		held := h.orders
--- a/internal/subscriber/mirror.go
+++ b/internal/subscriber/mirror.go
@@ -162,8 +162,8 @@
 		m.offices = map[string]chain.Member{}
 	}
 	for _, r := range f.Replicas {
-		if r.Gone {
-			s.rows[r.ID] = r
+		if r.Stale && r.Gone {
+			delete(s.rows, r.ID)
 			continue
 		}
 		s.rows[r.ID] = r
--- /dev/null
+++ b/internal/subscriber/mirror_test.go
@@ -0,0 +1,477 @@
+package subscriber
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"petreltide/internal/chain"
+	"petreltide/internal/clock"
+	"petreltide/internal/dispatch"
+	"petreltide/internal/feed"
+	"petreltide/internal/ledger"
+	"petreltide/internal/roster"
+	"petreltide/internal/standing"
+	"petreltide/internal/wire"
+)
+
+// core is one office as desks see it: its ledger, which may lag, its roster and its hub.
+type core struct {
+	addr    string
+	state   *ledger.State
+	applied int
+	roster  *roster.Roster
+	hub     *feed.Hub
+	settled bool
+	view    uint64
+}
+
+func newCore(addr string) *core {
+	return &core{addr: addr, state: ledger.NewState(), roster: roster.New(3 * clock.Sec), hub: feed.NewHub(), settled: true, view: 1}
+}
+
+func (c *core) seen(nowUs int64) feed.Seen {
+	return feed.Seen{NowUs: nowUs, State: c.state, View: chain.View{Number: c.view}, Settled: c.settled, Roster: c.roster,
+		Offices: []chain.Member{{ID: "one", Addr: "one"}, {ID: "two", Addr: "two"}}}
+}
+
+func (c *core) apply(log []ledger.Change, upto int) {
+	for ; c.applied < upto; c.applied++ {
+		c.state.Apply(uint64(c.applied+1), log[c.applied])
+	}
+}
+
+// restart forgets all that is not on disk, and what the disk has is not yet known to be the chain's.
+func (c *core) restart() {
+	back, err := ledger.Decode(c.state.Encode())
+	if err != nil {
+		panic(err)
+	}
+	*c = core{addr: c.addr, state: back, applied: c.applied, roster: roster.New(3 * clock.Sec), hub: feed.NewHub(), view: c.view}
+}
+
+// screen is a desk's mirror with its streams to the offices; frames travel as JSON.
+type screen struct {
+	t       *testing.T
+	m       *Mirror
+	cores   map[string]*core
+	streams map[uint64]*core
+	down    map[string]bool
+	snap    *dispatch.Snapshot
+	opened  int
+	asked   uint64
+	fell    string
+}
+
+func newScreen(t *testing.T, desk string, cores ...*core) *screen {
+	s := &screen{t: t, cores: map[string]*core{}, streams: map[uint64]*core{}, down: map[string]bool{}}
+	addrs := []string{}
+	for _, c := range cores {
+		s.cores[c.addr] = c
+		addrs = append(addrs, c.addr)
+	}
+	s.m = NewMirror(Options{Desk: desk, Inc: "i", Seeds: addrs})
+	return s
+}
+
+func (s *screen) step(nowUs int64, ev MirrorEvent) {
+	ev.NowUs = nowUs
+	for _, e := range s.m.Step(ev) {
+		switch {
+		case e.Open != nil:
+			s.opened++
+			s.asked = e.Open.Ask.Revision
+			if c := s.cores[e.Open.Addr]; c != nil && !s.down[e.Open.Addr] {
+				c.hub.Follow(nowUs, e.Open.Ask)
+				s.streams[e.Open.Number] = c
+			} else {
+				s.step(nowUs, MirrorEvent{Closed: e.Open.Number})
+			}
+		case e.Close != 0:
+			s.hangUp(e.Close)
+		case e.Snapshot != nil:
+			if p := s.snap; p != nil && (e.Snapshot.Revision < p.Revision || e.Snapshot.View < p.View || e.Snapshot.Number <= p.Number || (p.Doc != nil && e.Snapshot.Doc.Version < p.Doc.Version)) {
+				s.fell = fmt.Sprintf("after revision %d, view %d, number %d came %d, %d, %d", p.Revision, p.View, p.Number, e.Snapshot.Revision, e.Snapshot.View, e.Snapshot.Number)
+			}
+			s.snap = e.Snapshot
+		}
+	}
+}
+
+func (s *screen) hangUp(stream uint64) {
+	if c := s.streams[stream]; c != nil {
+		c.hub.Unfollow(s.m.opts.Desk, "i")
+		delete(s.streams, stream)
+	}
+}
+
+func (s *screen) lose(nowUs int64, stream uint64) {
+	s.hangUp(stream)
+	s.step(nowUs, MirrorEvent{Closed: stream})
+}
+
+// carry brings what each office has to tell; lose in 100 frames are lost, each with its stream.
+func (s *screen) carry(nowUs int64, r *rand.Rand, lose int) {
+	for _, stream := range s.open() {
+		c := s.streams[stream]
+		if c == nil {
+			continue
+		}
+		for _, p := range c.hub.Frames(c.seen(nowUs)) {
+			if r.Intn(100) < lose {
+				s.lose(nowUs, stream)
+				break
+			}
+			raw, err := json.Marshal(p.Frame)
+			if err != nil {
+				s.t.Fatal(err)
+			}
+			var f wire.Frame
+			if err := json.Unmarshal(raw, &f); err != nil {
+				s.t.Fatal(err)
+			}
+			f.Office = c.addr
+			s.step(nowUs, MirrorEvent{Frame: &f, Stream: stream})
+		}
+	}
+	s.step(nowUs, MirrorEvent{})
+}
+
+func (s *screen) open() []uint64 {
+	all := []uint64{}
+	for n := range s.streams {
+		all = append(all, n)
+	}
+	slices.Sort(all)
+	return all
+}
+
+func service(models ...string) standing.Service {
+	e := &standing.Engine{Slots: 4, CacheTokens: 1, RoomMb: 100, AdaptersMost: 2, LoadsPerS: 1}
+	for _, m := range models {
+		e.Models = append(e.Models, standing.EngineModel{Name: m, SizeMb: 10, LoadMs: 100, Adapters: 2, AdapterMb: 1})
+	}
+	return standing.Service{Name: "s", Engine: e, Source: json.RawMessage(`{"own":"text"}`)}
+}
+
+func route(name string, timeoutMs int64) standing.Route {
+	return standing.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Repeat: standing.Idempotent, TimeoutMs: timeoutMs, AttemptsMost: 1,
+		Split: []standing.Weighted{{Service: "s", Weight: 1}}, Source: json.RawMessage(`{"own":"text"}`)}
+}
+
+// chronicle writes changes as the head would, against a state that has them all.
+type chronicle struct {
+	r       *rand.Rand
+	head    *ledger.State
+	log     []ledger.Change
+	version uint64
+}
+
+func (c *chronicle) write(change ledger.Change) {
+	change.ID = fmt.Sprint("c", len(c.log))
+	c.log = append(c.log, change)
+	c.head.Apply(uint64(len(c.log)), change)
+}
+
+func (c *chronicle) config() {
+	base := c.version
+	c.version += 1 + uint64(c.r.Intn(3))
+	if base == 0 || c.r.Intn(6) == 0 {
+		doc := &standing.Declaration{Version: c.version, Services: []standing.Service{service("m1", "m2", "m3")}, Routes: []standing.Route{route("a", 100), route("b", 100)}}
+		c.write(ledger.Change{Config: &ledger.ConfigChange{Base: base, Version: c.version, Doc: doc}})
+		return
+	}
+	e := &standing.Edit{Version: c.version}
+	if c.r.Intn(3) == 0 {
+		e.RemoveRoutes = []string{[]string{"a", "b", "c", "d"}[c.r.Intn(4)]}
+	} else {
+		e.Routes = []standing.Route{route([]string{"a", "b", "c", "d"}[c.r.Intn(4)], 1+c.r.Int63n(5000))}
+	}
+	c.write(ledger.Change{Config: &ledger.ConfigChange{Base: base, Version: c.version, Edit: e}})
+}
+
+func (c *chronicle) duty(id string) {
+	have, t := c.head.Replicas[id], ledger.Ticket{}
+	if pending, is := c.head.Pending[id]; is {
+		c.write(ledger.Change{Duty: &ledger.Duty{Settled: []ledger.Settled{{Number: pending.Number, Done: c.r.Intn(5) > 0}}}})
+		return
+	}
+	if have == nil {
+		c.write(ledger.Change{Duty: &ledger.Duty{Fleet: []ledger.ReplicaNote{{ID: id, Inc: id, Addr: id, Zone: "a", RoomMb: 100, Slots: 4, Service: "s", Told: true}}}})
+		return
+	}
+	t = ledger.Ticket{Replica: id, Inc: id, Revision: c.head.Revision, Step: ledger.Load, Unit: []string{"m1", "m2", "m3", "m1/a1"}[c.r.Intn(4)]}
+	if _, held := have.Holds[t.Unit]; held {
+		t.Step = ledger.Unload
+	}
+	c.write(ledger.Change{Duty: &ledger.Duty{Tickets: []ledger.Ticket{t}}})
+}
+
+var asDesksSee = cmp.Options{cmpopts.IgnoreFields(dispatch.Snapshot{}, "Number", "AtUs", "Demand"), cmpopts.IgnoreFields(standing.Declaration{}, "Index"), cmpopts.EquateEmpty()}
+
+// Differences fold to what a whole frame says, whichever streams are lost, however far an office lags
+// and whenever one restarts; what a desk goes by never goes back.
+func TestSeededFramesFoldToTheWhole(t *testing.T) {
+	frames, opened, edits := 0, 0, 0
+	for seed := int64(0); seed < 150; seed++ {
+		r := rand.New(rand.NewSource(seed))
+		one, two := newCore("one"), newCore("two")
+		cores := []*core{one, two}
+		s := newScreen(t, "desk", one, two)
+		c := &chronicle{r: r, head: ledger.NewState()}
+		seqs := map[string]uint64{}
+		since := map[[2]int]uint64{}
+		gossip := func(nowUs int64) {
+			for i, from := range cores {
+				for j, to := range cores {
+					if i != j {
+						to.roster.Merge(nowUs, from.roster.Notes(nowUs, since[[2]int{i, j}]))
+						since[[2]int{i, j}] = from.roster.Rev
+						if to.roster.Wants() {
+							since[[2]int{i, j}] = 0
+						}
+					}
+				}
+			}
+		}
+		// r0 falls silent midway, and what the ledger knows of it goes: it may be known as stale by then.
+		nowUs := clock.Sec
+		for n := 0; n < 200; n++ {
+			nowUs += 20*clock.Ms + r.Int63n(60*clock.Ms)
+			id := fmt.Sprint("r", r.Intn(4))
+			if n > 100 && id == "r0" {
+				id = "r1"
+			}
+			switch r.Intn(9) {
+			case 0:
+				c.config()
+			case 1, 2:
+				if c.version > 0 {
+					c.duty(id)
+				}
+			case 3, 4:
+				seqs[id]++
+				cores[r.Intn(2)].roster.Hear(nowUs, roster.Row{ID: id, Service: "s", Addr: id, Zone: "a", Slots: 4, Seq: seqs[id], Draining: r.Intn(5) == 0, Units: []string{"m1", "m2"}[:r.Intn(3)]})
+			case 5:
+				if n%5 == 0 {
+					cores[r.Intn(2)].roster.Leave(nowUs, id)
+				}
+			case 6:
+				if n%10 == 0 {
+					i := r.Intn(2)
+					for _, stream := range s.open() {
+						if s.streams[stream] == cores[i] {
+							s.lose(nowUs, stream)
+						}
+					}
+					cores[i].restart()
+					since = map[[2]int]uint64{}
+				}
+			case 7:
+				cores[r.Intn(2)].view += uint64(r.Intn(2))
+			case 8:
+				if id := "r0"; c.head.Replicas[id] != nil && n > 100 {
+					c.write(ledger.Change{Duty: &ledger.Duty{Gone: []string{id}}})
+				}
+			}
+			for _, o := range cores {
+				if r.Intn(4) > 0 {
+					o.apply(c.log, o.applied+r.Intn(len(c.log)-o.applied+1))
+					o.settled = o.settled || o.applied == len(c.log)
+				}
+				o.roster.Sweep(nowUs)
+			}
+			gossip(nowUs)
+			s.carry(nowUs, r, 8)
+			if frames++; s.fell != "" {
+				t.Fatalf("seed %d: %s", seed, s.fell)
+			}
+		}
+		for range 120 {
+			nowUs += 30 * clock.Ms
+			for _, o := range cores {
+				o.apply(c.log, len(c.log))
+				o.settled, o.view = true, 1000
+				for id, seq := range seqs {
+					if e := o.roster.Row(id); e != nil && !e.Gone {
+						row := e.Row
+						row.Seq = seq + uint64(nowUs)
+						o.roster.Hear(nowUs, row)
+					}
+				}
+			}
+			gossip(nowUs)
+			s.carry(nowUs, r, 0)
+		}
+		fresh := newScreen(t, "fresh", one)
+		for range 3 {
+			nowUs += 100 * clock.Ms
+			fresh.carry(nowUs, r, 0)
+		}
+		if s.m.Live() != 2 || fresh.snap == nil {
+			t.Fatalf("seed %d: %d streams are live", seed, s.m.Live())
+		}
+		fresh.snap.Desks = s.snap.Desks
+		if diff := cmp.Diff(fresh.snap, s.snap, asDesksSee...); diff != "" {
+			t.Fatalf("seed %d: whole and in parts differ: %s", seed, diff)
+		}
+		if s.snap.Revision != c.head.Revision || s.snap.Doc.Version != c.version {
+			t.Fatalf("seed %d: revision %d of %d", seed, s.snap.Revision, c.head.Revision)
+		}
+		opened += s.opened
+		edits += len(c.head.Edits)
+	}
+	t.Logf("%d rounds, %d streams, %d edits kept at the end", frames, opened, edits)
+	if opened < 1000 || edits < 150 {
+		t.Errorf("%d streams, %d edits: it proves little", opened, edits)
+	}
+}
+
+// What only the ledger knows of a replica goes with it, and what one office knows of it by itself stays.
+func TestAStaleReplicaGoesWhenTheLedgerLetsItGo(t *testing.T) {
+	r := rand.New(rand.NewSource(1))
+	c := &chronicle{r: r, head: ledger.NewState()}
+	c.config()
+	c.duty("silent")
+	c.duty("heard")
+	one, two := newCore("one"), newCore("two")
+	for _, o := range []*core{one, two} {
+		o.apply(c.log, len(c.log))
+		o.restart()
+		o.settled = true
+	}
+	two.roster.Hear(clock.Sec, roster.Row{ID: "heard", Service: "s", Addr: "heard", Zone: "a", Slots: 4, Seq: 1})
+	s := newScreen(t, "desk", one, two)
+	pass := func(fromUs int64) []string {
+		for us := fromUs; us < fromUs+clock.Sec; us += 100 * clock.Ms {
+			s.carry(us, r, 0)
+		}
+		return s.snap.IDs
+	}
+	if ids := pass(clock.Sec); !slices.Equal(ids, []string{"heard", "silent"}) || !s.snap.Replicas["silent"].Stale || s.snap.Replicas["heard"].Stale {
+		t.Fatal(ids)
+	}
+	c.write(ledger.Change{Duty: &ledger.Duty{Gone: []string{"silent", "heard"}}})
+	for _, o := range []*core{one, two} {
+		o.apply(c.log, len(c.log))
+	}
+	if ids := pass(3 * clock.Sec); !slices.Equal(ids, []string{"heard"}) {
+		t.Errorf("%v are left", ids)
+	}
+}
+
+// An office that lags never takes back what another one told, and edits that do not fit end the stream.
+func TestEditsThatAreMissedEndTheStreamAndNothingElse(t *testing.T) {
+	doc := &standing.Declaration{Version: 7, Routes: []standing.Route{route("a", 1)}, Services: []standing.Service{service("m1")}}
+	edit := func(ms int64) *standing.Edit {
+		return &standing.Edit{Version: 9, Routes: []standing.Route{route("a", ms)}}
+	}
+	for name, c := range map[string]struct {
+		frame    wire.Frame
+		revision uint64
+		ms       int64
+		dropped  bool
+	}{
+		"the next edit":           {wire.Frame{Revision: 6, From: 5, Edits: []*standing.Edit{edit(2)}}, 6, 2, false},
+		"two, one known":          {wire.Frame{Revision: 6, From: 4, Edits: []*standing.Edit{edit(1), edit(2)}}, 6, 2, false},
+		"an older office's edits": {wire.Frame{Revision: 4, From: 3, Edits: []*standing.Edit{edit(3)}}, 5, 1, false},
+		"an older office's whole": {wire.Frame{Revision: 4, Doc: doc}, 5, 1, false},
+		"one missed":              {wire.Frame{Revision: 7, From: 6, Edits: []*standing.Edit{edit(3)}}, 5, 1, true},
+		"too few":                 {wire.Frame{Revision: 7, From: 5, Edits: []*standing.Edit{edit(3)}}, 5, 1, true},
+		"none":                    {wire.Frame{Revision: 7, From: 5}, 5, 1, true},
+		"one that does not fit":   {wire.Frame{Revision: 6, From: 5, Edits: []*standing.Edit{{Version: 9, Routes: []standing.Route{route("a", 2), route("a", 3)}}}}, 5, 1, true},
+		"a whole one instead":     {wire.Frame{Revision: 9, Doc: &standing.Declaration{Version: 9, Routes: []standing.Route{route("a", 4)}}}, 9, 4, false},
+	} {
+		m := NewMirror(Options{Desk: "d", Seeds: []string{"one"}})
+		stream := uint64(0)
+		closed := false
+		step := func(ev MirrorEvent) {
+			for _, e := range m.Step(ev) {
+				if e.Open != nil {
+					stream = e.Open.Number
+				}
+				closed = closed || e.Close != 0
+			}
+		}
+		step(MirrorEvent{NowUs: clock.Sec})
+		step(MirrorEvent{NowUs: clock.Sec, Stream: stream, Frame: &wire.Frame{Whole: true, Revision: 5, Doc: doc}})
+		c.frame.Replicas = []wire.ReplicaRow{{Row: roster.Row{ID: "r", Seq: 1}}}
+		step(MirrorEvent{NowUs: clock.Sec + 1, Stream: stream, Frame: &c.frame})
+		if m.revision != c.revision || m.doc.Route("a").TimeoutMs != c.ms || closed != c.dropped {
+			t.Errorf("%s: revision %d, %d ms, dropped %v", name, m.revision, m.doc.Route("a").TimeoutMs, closed)
+		}
+	}
+}
+
+func TestWhereTwoOfficesDiffer(t *testing.T) {
+	row := func(seq uint64, edit func(*wire.ReplicaRow)) wire.ReplicaRow {
+		r := wire.ReplicaRow{Row: roster.Row{ID: "r", Service: "s", Addr: "r", Slots: 4, Seq: seq, Units: []string{fmt.Sprint("held at ", seq)}}}
+		if edit != nil {
+			edit(&r)
+		}
+		return r
+	}
+	dark := func(r *wire.ReplicaRow) { r.Dark = true }
+	stale := func(r *wire.ReplicaRow) { r.Stale = true }
+	gone := func(r *wire.ReplicaRow) { r.Gone = true }
+	leaving := func(r *wire.ReplicaRow) { r.Draining = true }
+	at := func(seq uint64, edit func(*wire.ReplicaNews)) *wire.ReplicaNews {
+		n := &wire.ReplicaNews{ID: "r", Inc: "r", Addr: "r", Service: "s", Slots: 4, Share: 4, Holds: []string{fmt.Sprint("held at ", seq)}}
+		if edit != nil {
+			edit(n)
+		}
+		return n
+	}
+	for name, c := range map[string]struct {
+		a, b wire.ReplicaRow
+		want *wire.ReplicaNews
+	}{
+		"the later word":                  {row(2, leaving), row(1, nil), at(2, func(n *wire.ReplicaNews) { n.Leaving = true })},
+		"dark at one":                     {row(2, dark), row(1, nil), at(2, nil)},
+		"dark at both":                    {row(2, dark), row(1, dark), at(2, func(n *wire.ReplicaNews) { n.Dark = true })},
+		"gone at one":                     {row(2, nil), row(1, gone), nil},
+		"stale at one":                    {row(0, stale), row(1, nil), at(1, nil)},
+		"stale at one and dark elsewhere": {row(9, stale), row(1, dark), at(1, func(n *wire.ReplicaNews) { n.Dark = true })},
+		"stale at both":                   {row(0, stale), row(0, stale), at(0, func(n *wire.ReplicaNews) { n.Stale = true })},
+	} {
+		for turn := range 2 {
+			m := NewMirror(Options{Desk: "d", Seeds: []string{"one", "two"}})
+			streams := []uint64{}
+			var snap *dispatch.Snapshot
+			step := func(ev MirrorEvent) {
+				ev.NowUs = clock.Sec
+				for _, e := range m.Step(ev) {
+					if e.Open != nil {
+						streams = append(streams, e.Open.Number)
+					}
+					if e.Snapshot != nil {
+						snap = e.Snapshot
+					}
+				}
+			}
+			step(MirrorEvent{})
+			rows, orders := []wire.ReplicaRow{c.a, c.b}, []wire.Orders{{Number: 4, Rows: []wire.OrderAhead{{Replica: "r", Unit: "new"}}}, {Number: 3, Rows: []wire.OrderAhead{{Replica: "r", Unit: "old", Unload: true}}}}
+			if turn == 1 {
+				slices.Reverse(rows)
+				slices.Reverse(orders)
+			}
+			for i, stream := range streams {
+				step(MirrorEvent{Stream: stream, Frame: &wire.Frame{Whole: true, Replicas: []wire.ReplicaRow{rows[i]}, Orders: &orders[i]}})
+			}
+			want := c.want
+			if want != nil {
+				held := *want
+				held.Loading = "new"
+				want = &held
+			}
+			if diff := cmp.Diff(want, snap.Replicas["r"]); diff != "" {
+				t.Errorf("%s, turn %d: %s", name, turn, diff)
+			}
+		}
+	}
+}
