Take back what nobody waits for any more, so that Ask tells whether it ran

A caller who was told false could not know whether its waiter, its follow or its call was in the actor's books. Ruled out: leaving it to each caller to clean up after itself, as Submit and follow do; the next caller forgets. Change: the actor and the caller decide by one compare-and-swap who has the function. A caller whose context ends first takes it back: false means that it has not run and never will. Once it has begun Ask waits for its end, also past the context; functions on an actor are short. Conclusion: what Ask tells is what happened.

--- a/internal/actor/actor.go
+++ b/internal/actor/actor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -50,26 +51,34 @@
 	}
 }
 
-// Ask runs act on the actor and brings back what it returned. False means that it may not have run, or
-// may run later; what it returns then is never seen, so nobody reads what the actor still writes.
+// Ask runs act on the actor and waits for its value. False, with the zero value, means that act has not
+// run and never will: whoever stops waiting takes it back. Once act has begun Ask waits for its end, also
+// past ctx, so that nobody goes on beside a function that still runs.
 func Ask[T any](ctx context.Context, a *Actor, act func() T) (T, bool) {
 	var none T
-	answer := make(chan T, 1)
+	var taken atomic.Bool // by the actor, to run it, or by the caller, who no longer wants it
+	value := make(chan T, 1)
 	select {
-	case a.mailbox <- func() { answer <- act() }:
+	case a.mailbox <- func() {
+		if taken.CompareAndSwap(false, true) {
+			value <- act()
+		}
+	}:
 	case <-ctx.Done():
 		return none, false
 	case <-a.Ctx.Done():
 		return none, false
 	}
 	select {
-	case got := <-answer:
-		return got, true
+	case v := <-value:
+		return v, true
 	case <-ctx.Done():
-		return none, false
 	case <-a.Ctx.Done():
+	}
+	if taken.CompareAndSwap(false, true) {
 		return none, false
 	}
+	return <-value, true
 }
 
 // Do runs act on the actor and waits for it. It returns nothing that act could have written: only Ask
