Let the actor of an office never wait for its disk

Cause: the actor handed saves over a channel of 1024 and waited when it was full; the saver tells the actor what is saved through a mailbox of 8192 and waits when that is full. A write that stalls long enough fills both, and then each waits for the other: the office stands still for ever, with its listener open. Ruled out: larger queues (the same, later); a second goroutine for what is saved (answers could change places). Change: what the saver has no room for stays with the actor and is passed on at its next step, in order. Before: the new test, with three times as many saves as the channel holds and no disk at work, failed: the actor took nothing more within 10 s. After: it passes under -race, and the log holds every save in its place. Conclusion: a slow disk makes an office slow to acknowledge, not deaf.

--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -62,6 +62,7 @@
 
 	act      *actor.Actor
 	saves    chan chain.Save
+	unsaved  []chain.Save
 	partners map[string]chan wire.Letter
 	bulk     map[string]bool
 	waiters  map[string]chan wire.Result
@@ -215,6 +216,7 @@
 func (h *Host) tell(ev Event) { h.act.Tell(func() { h.step(ev) }) }
 
 func (h *Host) step(ev Event) {
+	h.passSaves()
 	ev.NowUs = clock.NowUs()
 	if ev.Controller != nil {
 		ev.Controller.NowUs = ev.NowUs
@@ -224,7 +226,7 @@
 		case e.Letter != nil:
 			h.post(e.Letter.Addr, e.Letter.Letter)
 		case e.Save != nil:
-			h.saves <- *e.Save
+			h.save(*e.Save)
 		case e.Push != nil:
 			h.push(e.Push.Desk, e.Push.News)
 		case e.Frame != nil:
@@ -249,6 +251,26 @@
 	}
 }
 
+// save never waits for the disk. An actor that did, while the disk waited to tell it through a full mailbox
+// what is saved, would wait for ever.
+func (h *Host) save(s chain.Save) {
+	h.unsaved = append(h.unsaved, s)
+	h.passSaves()
+}
+
+// passSaves hands the saver what it has room for. Each step does, so the rest waits for a tick at most.
+func (h *Host) passSaves() {
+	for len(h.unsaved) > 0 {
+		select {
+		case h.saves <- h.unsaved[0]:
+			h.unsaved = h.unsaved[1:]
+		default:
+			return
+		}
+	}
+	h.unsaved = nil
+}
+
 func (h *Host) saver() {
 	before := make(chan struct{})
 	close(before)
--- /dev/null
+++ b/internal/office/save_test.go
@@ -0,0 +1,64 @@
+package office
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"petreltide/internal/actor"
+	"petreltide/internal/chain"
+	"petreltide/internal/ledger"
+	"petreltide/internal/logring"
+	"petreltide/internal/settings"
+	"petreltide/internal/storage"
+)
+
+// An actor that waited for a slow disk could not hear what the disk had saved; once both queues were full
+// the office stood still for ever.
+func TestTheActorNeverWaitsForTheDisk(t *testing.T) {
+	folder := t.TempDir()
+	h, err := Open(settings.Office{Name: "core-1", Listen: "127.0.0.1:0", Advertise: "127.0.0.1:1", Data: folder, Founding: 3}, logring.NewRing(folder, io.Discard))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.act.Spawn(func() { h.act.Loop(time.Millisecond, func() { h.step(Event{}) }) })
+	saves := uint64(3 * cap(h.saves))
+	h.act.Tell(func() {
+		for i := uint64(1); i <= saves; i++ {
+			h.save(chain.Save{Seq: 1 << 40, Records: []chain.Record{{Entry: &chain.Entry{Index: i, View: 1, Change: ledger.Change{ID: "c"}}}}})
+		}
+	})
+	soon, done := context.WithTimeout(t.Context(), 10*time.Second)
+	defer done()
+	if !h.act.Do(soon, func() {}) {
+		t.Fatal("with no disk at work the actor stands still")
+	}
+	h.act.Spawn(h.saver)
+	for left, ran := 1, true; left > 0; {
+		if left, ran = actor.Ask(t.Context(), h.act, func() int { return len(h.unsaved) + len(h.saves) }); !ran {
+			t.Fatal("the actor ended")
+		}
+	}
+	h.act.End()
+	if err := h.disk.Close(); err != nil {
+		t.Fatal(err)
+	}
+	opened, err := storage.Open(folder, chain.Seal{Identity: "core-1-again", Name: "core-1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer opened.Store.Close()
+	at := uint64(0)
+	for _, r := range opened.Records {
+		if r.Entry == nil {
+			continue
+		}
+		if at++; r.Entry.Index != at {
+			t.Fatalf("the log holds %d where %d belongs", r.Entry.Index, at)
+		}
+	}
+	if at != saves {
+		t.Fatalf("%d of %d saves are in the log", at, saves)
+	}
+}
