Wait out the lease also where an office remembers nothing of who ordered last

Cause: a controller knows how long its predecessor's orders count by the tickets it saw applied. An office that came back without its log, by a copy or with an empty disk, and got the duty within seconds had seen none; where no order stood any more it ordered at once, while replicas still held to the other. Ruled out: keeping the time in the ledger; clocks differ from office to office. Change: where tickets were ever written, the duty's first orders wait a lease from the start of this life, if nothing later was seen. Tests: two controllers that take turns over one ledger, with replicas that are ordered, answers and orders that are lost, lives that end and offices that restart, held against the store's window, room and places, one holder within a lease, fences that never fall, and no order sent again before it was looked at; and how long an unload waits for quiet. Conclusion: a successor that remembers nothing waits as long as one that remembers.

--- a/internal/controller/routed.go
+++ b/internal/controller/routed.go
@@ -142,6 +142,9 @@
 	r := &f.routed
 	if r.dutyUs == 0 {
 		r.dutyUs = seen.NowUs
+		if seen.State.NextTicket > 1 {
+			r.foreignUs = max(r.foreignUs, r.bornUs)
+		}
 		for _, t := range seen.State.Pending {
 			if t.Epoch != f.claimed {
 				r.foreignUs = max(r.foreignUs, seen.NowUs+holderFreshUs)
--- /dev/null
+++ b/internal/controller/routed_test.go
@@ -0,0 +1,451 @@
+package controller
+
+import (
+	"fmt"
+	"maps"
+	"math/rand"
+	"slices"
+	"strings"
+	"testing"
+
+	"petreltide/internal/clock"
+	"petreltide/internal/ledger"
+	"petreltide/internal/roster"
+	"petreltide/internal/standing"
+	"petreltide/internal/wire"
+)
+
+const (
+	fleetLeaseUs  = 3 * clock.Sec
+	fleetWindowUs = 5 * clock.Sec
+	fleetPerS     = 2.0
+	fleetOver     = 1.1
+	fleetRoomMb   = 100
+	fleetPlaces   = 2
+)
+
+// machine is a replica as it is, whatever anybody believes of it. Its disk keeps what it ever held.
+type machine struct {
+	id, addr string
+	holds    map[string]int64
+	disk     map[string]bool
+	busy     ledger.Ticket
+	doneUs   int64
+	seq      uint64
+	beatUs   int64
+	silent   bool
+}
+
+func (m *machine) units() []string { return slices.Sorted(maps.Keys(m.holds)) }
+
+type timed struct {
+	atUs int64
+	act  func()
+}
+
+type sent struct {
+	atUs   int64
+	holder string
+	epoch  uint64
+	t      ledger.Ticket
+	asked  bool
+}
+
+// fleet is two controllers that take turns over one ledger, replicas that are ordered, and one desk's demand.
+type fleet struct {
+	t        *testing.T
+	r        *rand.Rand
+	nowUs    int64
+	s        *ledger.State
+	index    uint64
+	fs       [2]*Controller
+	rosters  [2]*roster.Roster
+	head     int
+	old      int
+	oldUs    int64
+	machines map[string]*machine
+	queue    []timed
+	loadsUs  []int64
+	orders   map[string][]sent
+	doubt    map[uint64]bool
+	lose     int
+	births   int
+	broken   string
+	loads    int
+	repeats  int
+}
+
+func fleetDoc() *standing.Declaration {
+	e := &standing.Engine{Slots: 8, CacheTokens: 1, RoomMb: fleetRoomMb, AdaptersMost: fleetPlaces, LoadsPerS: fleetPerS}
+	for i := range 9 {
+		e.Models = append(e.Models, standing.EngineModel{Name: fmt.Sprint("m", i), SizeMb: int64(15 + 5*i), LoadMs: 1500, Adapters: 4, AdapterMb: 2})
+	}
+	return &standing.Declaration{Version: 1, Services: []standing.Service{{Name: "s", Engine: e}}, Routes: []standing.Route{{
+		Name: "r", Host: "h", Prefix: "/", Repeat: standing.Idempotent, TimeoutMs: 1000, AttemptsMost: 1, Split: []standing.Weighted{{Service: "s", Weight: 1}}}}}
+}
+
+func newFleet(t *testing.T, seed int64, machines int) *fleet {
+	f := &fleet{t: t, r: rand.New(rand.NewSource(seed)), nowUs: clock.Sec, s: ledger.NewState(), machines: map[string]*machine{}, orders: map[string][]sent{}, doubt: map[uint64]bool{}, old: -1}
+	f.apply(ledger.Change{ID: "c", Config: &ledger.ConfigChange{Version: 1, Doc: fleetDoc()}})
+	for i := range f.fs {
+		f.restart(i)
+	}
+	for i := range machines {
+		f.birth(fmt.Sprint("a", i), map[string]bool{})
+	}
+	return f
+}
+
+func (f *fleet) restart(i int) {
+	f.fs[i] = NewWith(fmt.Sprint("office", i), Options{LeaseUs: fleetLeaseUs, StoreWindowUs: fleetWindowUs, StoreOvershoot: fleetOver})
+	if f.rosters[i] == nil {
+		f.rosters[i] = roster.New(3 * clock.Sec)
+	}
+}
+
+func (f *fleet) birth(addr string, disk map[string]bool) {
+	f.births++
+	id := fmt.Sprintf("%s-%d", addr, f.births)
+	f.machines[id] = &machine{id: id, addr: addr, holds: map[string]int64{}, disk: disk}
+}
+
+func (f *fleet) later(us int64, act func()) {
+	f.queue = append(f.queue, timed{f.nowUs + us, act})
+}
+
+func (f *fleet) apply(c ledger.Change) ledger.Outcome {
+	f.index++
+	out := f.s.Apply(f.index, c)
+	if c.Duty != nil && len(c.Duty.Tickets)+len(c.Duty.Settled) > 0 {
+		for i := range f.fs {
+			if f.fs[i] != nil {
+				f.fs[i].Saw(f.nowUs, c.Epoch, *c.Duty, f.s)
+			}
+		}
+	}
+	return out
+}
+
+func (f *fleet) step(i int, ev Event) {
+	ev.NowUs = f.nowUs
+	leads := i == f.head || (i == f.old && f.nowUs < f.oldUs)
+	seen := Seen{NowUs: f.nowUs, State: f.s, Head: leads, Fresh: leads, Writes: true, Roster: f.rosters[i]}
+	for _, e := range f.fs[i].Step(seen, ev) {
+		me := f.fs[i]
+		back := func(ev Event) {
+			if f.fs[i] == me {
+				f.step(i, ev)
+			}
+		}
+		switch {
+		case e.Write != nil:
+			change := *e.Write
+			f.later(1+f.r.Int63n(30*clock.Ms), func() {
+				if i != f.head {
+					return
+				}
+				out := f.apply(change)
+				if change.Duty != nil {
+					back(Event{Wrote: &out})
+				}
+			})
+		case e.Run != nil:
+			run := *e.Run
+			f.later(1+f.r.Int63n(10*clock.Ms), func() {
+				back(Event{Policy: &PolicyDone{Run: run.Number, Revision: run.Revision, Live: RunResident(run.Services)}})
+			})
+		case e.Ask != nil:
+			ask := *e.Ask
+			f.later(1+f.r.Int63n(20*clock.Ms), func() {
+				told := Told{AskedUs: ask.AskedUs, Replica: ask.Replica, Addr: ask.Addr}
+				if m := f.machines[ask.Replica]; m != nil && f.r.Intn(100) >= f.lose {
+					told.State = &wire.ReplicaState{ID: m.id, Inc: m.id, Busy: m.busy.Unit != "", Units: m.units()}
+					for n := range f.orders[ask.Replica] {
+						f.orders[ask.Replica][n].asked = true
+					}
+				}
+				back(Event{Told: &told})
+			})
+		case e.Order != nil:
+			o := e.Order.Order
+			all := f.orders[o.Ticket.Replica]
+			for _, before := range all {
+				if before.t.Number == o.Ticket.Number {
+					if f.repeats++; !before.asked {
+						f.broken = fmt.Sprintf("ticket %d is sent again and nobody looked what became of it", o.Ticket.Number)
+					}
+				}
+			}
+			f.orders[o.Ticket.Replica] = append(all, sent{t: o.Ticket})
+			f.later(1+f.r.Int63n(25*clock.Ms), func() {
+				state := ""
+				if f.r.Intn(200) >= f.lose {
+					state = f.arrive(o)
+				}
+				if state != "" && f.r.Intn(100) >= f.lose {
+					f.later(1+f.r.Int63n(25*clock.Ms), func() {
+						back(Event{Ordered: &Ordered{Replica: o.Ticket.Replica, Inc: o.Ticket.Inc, State: wire.OrderState{Number: o.Ticket.Number, Epoch: o.Epoch, State: state}}})
+					})
+				} else {
+					f.later(900*clock.Ms, func() {
+						back(Event{Ordered: &Ordered{Replica: o.Ticket.Replica, Inc: o.Ticket.Inc, State: wire.OrderState{Number: o.Ticket.Number, Epoch: o.Epoch, State: wire.OrderInDoubt}}})
+					})
+				}
+			})
+		}
+	}
+}
+
+// arrive is an order at a replica, which judges it by what it holds, and the fleet by the rules.
+func (f *fleet) arrive(o wire.Order) string {
+	m := f.machines[o.Ticket.Replica]
+	if m == nil || m.id != o.Ticket.Inc {
+		return wire.OrderFailed
+	}
+	f.holder(m.id, o)
+	t := o.Ticket
+	model, adapter := standing.Units(t.Unit)
+	_, held := m.holds[t.Unit]
+	switch {
+	case m.busy.Unit != "":
+		return wire.OrderBusy
+	case held == (t.Step == ledger.Load):
+		return wire.OrderDone
+	case t.Step == ledger.Unload:
+		m.busy, m.doneUs = t, f.nowUs+f.r.Int63n(300*clock.Ms)
+		return wire.OrderRunning
+	}
+	sum, places := t.SizeMb, 0
+	for unit, mb := range m.holds {
+		sum += mb
+		places += strings.Count(unit, "/")
+	}
+	if _, there := m.holds[model]; adapter != "" && !there {
+		return wire.OrderFailed
+	}
+	if sum > fleetRoomMb || (adapter != "" && places >= fleetPlaces) {
+		f.broken = fmt.Sprintf("%s is ordered to hold %d MB and %d adapters with %s", m.id, sum, places, t.Unit)
+	}
+	m.busy, m.doneUs = t, f.nowUs+1500*clock.Ms
+	switch {
+	case adapter != "":
+		m.doneUs = f.nowUs + 20*clock.Ms
+	case m.disk[t.Unit]:
+		m.doneUs = f.nowUs + 300*clock.Ms
+	default:
+		f.loads++
+		f.loadsUs = append(f.loadsUs, f.nowUs)
+		n := 0
+		for _, us := range f.loadsUs {
+			if f.nowUs-us < fleetWindowUs {
+				n++
+			}
+		}
+		if most := fleetPerS*float64(fleetWindowUs)/1e6*fleetOver + 3; float64(n) > most {
+			f.broken = fmt.Sprintf("%d loads within the store's window, %.1f are allowed", n, most)
+		}
+	}
+	return wire.OrderRunning
+}
+
+// holder: those who order one replica never take turns within the lease, and a fence never falls.
+func (f *fleet) holder(id string, o wire.Order) {
+	key := "at " + id
+	if all := f.orders[key]; len(all) > 0 {
+		last := all[len(all)-1]
+		switch {
+		case o.Epoch < last.epoch:
+			f.broken = fmt.Sprintf("fence %d after %d at %s", o.Epoch, last.epoch, id)
+		case o.Holder != last.holder && o.Epoch == last.epoch:
+			f.broken = fmt.Sprintf("%s and %s with fence %d", o.Holder, last.holder, o.Epoch)
+		case o.Holder != last.holder && f.nowUs-last.atUs < fleetLeaseUs:
+			f.broken = fmt.Sprintf("%s orders %s %d ms after %s", o.Holder, id, (f.nowUs-last.atUs)/1000, last.holder)
+		}
+	}
+	f.orders[key] = append(f.orders[key], sent{atUs: f.nowUs, holder: o.Holder, epoch: o.Epoch})
+}
+
+func (f *fleet) pass(us int64) {
+	for endUs := f.nowUs + us; f.nowUs < endUs && f.broken == ""; {
+		f.nowUs += 25 * clock.Ms
+		due := []timed{}
+		f.queue = slices.DeleteFunc(f.queue, func(q timed) bool {
+			if q.atUs <= f.nowUs {
+				due = append(due, q)
+				return true
+			}
+			return false
+		})
+		for _, q := range due {
+			q.act()
+		}
+		for _, id := range slices.Sorted(maps.Keys(f.machines)) {
+			m := f.machines[id]
+			if m.busy.Unit != "" && f.nowUs >= m.doneUs {
+				if m.busy.Step == ledger.Load {
+					m.holds[m.busy.Unit] = m.busy.SizeMb
+					m.disk[m.busy.Unit] = true
+				} else {
+					for unit := range m.holds {
+						if unit == m.busy.Unit || strings.HasPrefix(unit, m.busy.Unit+"/") {
+							delete(m.holds, unit)
+						}
+					}
+				}
+				m.busy = ledger.Ticket{}
+			}
+			if f.nowUs-m.beatUs >= 200*clock.Ms && !m.silent {
+				m.beatUs = f.nowUs
+				m.seq++
+				for _, r := range f.rosters {
+					r.Hear(f.nowUs, roster.Row{ID: m.id, Service: "s", Addr: m.addr, Zone: "a", Slots: 8, Seq: m.seq, Units: m.units()})
+				}
+			}
+		}
+		for i := range f.fs {
+			f.rosters[i].Sweep(f.nowUs)
+			f.step(i, Event{})
+		}
+	}
+	if f.broken != "" {
+		f.t.Fatalf("at %d ms: %s", f.nowUs/1000, f.broken)
+	}
+}
+
+func (f *fleet) demand(waiting map[string]int, rates map[string]float64) {
+	for i := range f.fs {
+		f.step(i, Event{Report: &wire.Report{Desk: "d", Waiting: waiting, Arrivals: rates, Recent: rates, Tokens: rates}})
+	}
+}
+
+// replace ends one replica's life; the next one at its address begins with this disk, or its own.
+func (f *fleet) replace(disk map[string]bool) {
+	ids := slices.Sorted(maps.Keys(f.machines))
+	m := f.machines[ids[f.r.Intn(len(ids))]]
+	delete(f.machines, m.id)
+	if disk == nil {
+		disk = m.disk
+	}
+	f.birth(m.addr, disk)
+}
+
+// take makes the other office the head; the old one goes on for a moment, as its lease allows.
+func (f *fleet) take() {
+	f.old, f.oldUs = f.head, f.nowUs+400*clock.Ms
+	f.head = 1 - f.head
+}
+
+// Whatever is called for, whoever holds the duty, whichever answers are lost and replicas come back: the
+// store's window holds, no replica is ordered beyond its room or places, holders keep the lease, fences never
+// fall, and nothing is sent again before it was looked at.
+func TestSeededOrdersOverTakeovers(t *testing.T) {
+	loads, repeats, takes := 0, 0, 0
+	for seed := int64(0); seed < 40; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			f := newFleet(t, seed, 4+int(seed%2)*4+int(seed%5))
+			churn := seed%2 == 1
+			for n := 0; n < 90; n++ {
+				f.lose = []int{0, 0, 10, 40}[f.r.Intn(4)]
+				waiting, rates := map[string]int{}, map[string]float64{}
+				for range 1 + f.r.Intn(6) {
+					unit := fmt.Sprint("m", f.r.Intn(9))
+					rates[unit] = f.r.Float64() * 20
+					if f.r.Intn(2) == 0 {
+						waiting[unit] = 1 + f.r.Intn(5)
+					}
+					if f.r.Intn(3) == 0 {
+						waiting[unit+"/a"+fmt.Sprint(1+f.r.Intn(4))] = 1
+					}
+				}
+				f.demand(waiting, rates)
+				switch f.r.Intn(25) {
+				case 0:
+					f.take()
+					takes++
+				case 1:
+					f.restart(1 - f.head)
+				case 2:
+					f.restart(f.head)
+					takes++
+				}
+				switch {
+				case churn:
+					for range 4 {
+						f.replace(map[string]bool{})
+					}
+				case f.r.Intn(20) == 0:
+					f.replace(nil)
+				}
+				longest := 700 * clock.Ms
+				if churn {
+					longest = 250 * clock.Ms
+				}
+				f.pass(100*clock.Ms + f.r.Int63n(longest))
+			}
+			loads, repeats = loads+f.loads, repeats+f.repeats
+		})
+	}
+	t.Logf("%d loads from the store, %d orders sent again, %d takeovers", loads, repeats, takes)
+	if loads < 500 || repeats < 20 || takes < 100 {
+		t.Errorf("%d loads, %d sent again, %d takeovers: it proves little", loads, repeats, takes)
+	}
+}
+
+// An unload is sent once every desk has had time to hear of it and none has calls there that have not begun,
+// and in the end all the same.
+func TestAnUnloadWaitsForQuiet(t *testing.T) {
+	for name, c := range map[string]struct {
+		unread   func(ms int64) map[string]int
+		from, to int64
+	}{
+		"nothing there":       {func(int64) map[string]int { return nil }, quietLeastUs, quietLeastUs + 60*clock.Ms},
+		"calls that begin":    {func(ms int64) map[string]int { return map[string]int{"r|m0": max(0, int(300-ms))} }, 300 * clock.Ms, 400 * clock.Ms},
+		"calls that never do": {func(int64) map[string]int { return map[string]int{"r|m0": 1} }, quietMostUs, quietMostUs + 60*clock.Ms},
+		"calls elsewhere":     {func(int64) map[string]int { return map[string]int{"q|m0": 9, "r|m1": 9} }, quietLeastUs, quietLeastUs + 60*clock.Ms},
+		"an adapter's own":    {func(int64) map[string]int { return map[string]int{"r|m0/a1": 9} }, quietLeastUs, quietLeastUs + 60*clock.Ms},
+	} {
+		s := ledger.NewState()
+		s.Apply(1, ledger.Change{ID: "c", Config: &ledger.ConfigChange{Version: 1, Doc: fleetDoc()}})
+		f, ros, index := New("one"), roster.New(3*clock.Sec), uint64(1)
+		row := roster.Row{ID: "r", Service: "s", Addr: "r", Slots: 8, Seq: 1, Units: []string{"m0"}}
+		nowUs := clock.Sec
+		sentUs := int64(0)
+		var step func(ev Event)
+		step = func(ev Event) {
+			ev.NowUs = nowUs
+			for _, e := range f.Step(Seen{NowUs: nowUs, State: s, Head: true, Fresh: true, Writes: true, Roster: ros}, ev) {
+				switch {
+				case e.Write != nil:
+					index++
+					out := s.Apply(index, *e.Write)
+					step(Event{Wrote: &out})
+				case e.Order != nil && sentUs == 0:
+					sentUs = nowUs
+				}
+			}
+		}
+		for range 8 {
+			nowUs += 25 * clock.Ms
+			ros.Hear(nowUs, row)
+			row.Seq++
+			step(Event{})
+		}
+		if s.Replicas["r"] == nil {
+			t.Fatalf("%s: the replica is not written down", name)
+		}
+		index++
+		out := s.Apply(index, ledger.Change{ID: "t", Epoch: s.Epoch, Duty: &ledger.Duty{Tickets: []ledger.Ticket{{Replica: "r", Inc: "r", Revision: s.Revision, Step: ledger.Unload, Unit: "m0"}}}})
+		if len(out.Faults) > 0 {
+			t.Fatal(out.Faults)
+		}
+		begunUs := nowUs
+		for ; nowUs < begunUs+1200*clock.Ms; nowUs += 5 * clock.Ms {
+			ms := (nowUs - begunUs) / 1000
+			step(Event{Report: &wire.Report{Desk: "d", Unread: c.unread(ms)}})
+			step(Event{})
+		}
+		if waited := sentUs - begunUs; sentUs == 0 || waited < c.from || waited > c.to {
+			t.Errorf("%s: sent after %d ms, want %d to %d", name, waited/1000, c.from/1000, c.to/1000)
+		}
+	}
+}
