Count a copy out as soon as its unload is proposed, and test the resident policy

Cause: the policy counted the copies of a model once, at the start of a run. A run that unloaded one to make room and a second one to have a spare took both for one of two, and left none of a model that calls wait for. Ruled out: one unload in a run; a burst needs several. Change: each proposed unload counts. Tests: 1,500 random fleets over four runs each, where the checker and the ledger take all that is proposed (room, places, the store's account), the last copy of what is waited for or called often stays, what has only just come or has calls not begun stays, and what is waited for goes first; 400 fleets whose needs stand still, where the policy comes to rest and holds what was waited for. Conclusion: what is proposed is taken, and what is needed stays.

--- a/internal/placement/resident.go
+++ b/internal/placement/resident.go
@@ -184,8 +184,7 @@
 		}
 	}
 	if free < p.in.Spares && best >= 0 {
-		p.taken[best] = true
-		p.out = append(p.out, Proposal{Step: ledger.Unload, Replica: p.in.Homes[best].ID, Unit: first, Why: "a spare"})
+		p.unload(best, first, "a spare")
 	}
 	for i := range p.in.Homes {
 		p.spareAdapter(i)
@@ -329,11 +328,11 @@
 		return
 	}
 	h := &p.in.Homes[best]
-	p.taken[best] = true
 	if len(victims) > 0 {
-		p.out = append(p.out, Proposal{Step: ledger.Unload, Replica: h.ID, Unit: victims[0], Why: "room for " + name})
+		p.unload(best, victims[0], "room for "+name)
 		return
 	}
+	p.taken[best] = true
 	if !h.Had[name] {
 		p.store--
 	}
@@ -341,6 +340,13 @@
 	p.out = append(p.out, Proposal{Step: ledger.Load, Replica: h.ID, Unit: name, Why: "asked for"})
 }
 
+// unload counts a copy out at once, so that no second one of it goes for the same reason.
+func (p *resident) unload(i int, unit, why string) {
+	p.taken[i] = true
+	p.held[unit]--
+	p.out = append(p.out, Proposal{Step: ledger.Unload, Replica: p.in.Homes[i].ID, Unit: unit, Why: why})
+}
+
 // makeRoom names what would have to go for a model of this size, least worth first; an adapter goes with
 // its model.
 func (p *resident) makeRoom(i int, sizeMb int64, name string) (victims []string, harm float64, ok bool) {
--- /dev/null
+++ b/internal/placement/resident_test.go
@@ -0,0 +1,269 @@
+package placement
+
+import (
+	"fmt"
+	"maps"
+	"math/rand"
+	"slices"
+	"strings"
+	"testing"
+
+	"petreltide/internal/ledger"
+	"petreltide/internal/standing"
+)
+
+// hall is a random fleet: a ledger with replicas of one service, and what calls ask of it.
+type hall struct {
+	r     *rand.Rand
+	s     *ledger.State
+	in    Service
+	ages  map[string]map[string]int64
+	index uint64
+}
+
+func (h *hall) apply(c ledger.Change) ledger.Outcome {
+	h.index++
+	return h.s.Apply(h.index, c)
+}
+
+func newHall(t *testing.T, seed int64) *hall {
+	t.Helper()
+	r := rand.New(rand.NewSource(seed))
+	h := &hall{r: r, s: ledger.NewState(), ages: map[string]map[string]int64{}}
+	e := &standing.Engine{Slots: 8, CacheTokens: 1, RoomMb: 100, AdaptersMost: r.Intn(5), LoadsPerS: 2}
+	for i := range 3 + r.Intn(18) {
+		e.Models = append(e.Models, standing.EngineModel{Name: fmt.Sprint("m", i), SizeMb: 5 + r.Int63n(60), LoadMs: 500 + r.Int63n(2000), Adapters: r.Intn(4), AdapterMb: 1 + r.Int63n(4)})
+	}
+	doc := &standing.Declaration{Version: 1, Services: []standing.Service{{Name: "s", Engine: e}}}
+	if out := h.apply(ledger.Change{ID: "c", Config: &ledger.ConfigChange{Version: 1, Doc: doc}}); out.Fault != nil {
+		t.Fatal(out.Fault)
+	}
+	for i := range 1 + r.Intn(9) {
+		n := ledger.ReplicaNote{ID: fmt.Sprint("r", i), Inc: "i", Addr: "a", Zone: "z", RoomMb: 100, Slots: 8, Service: "s", Told: true, Leaving: r.Intn(10) == 0, Dark: r.Intn(10) == 0}
+		left, places := int64(100), e.AdaptersMost
+		for _, m := range r.Perm(len(e.Models)) {
+			if m := e.Models[m]; m.SizeMb <= left && r.Intn(3) > 0 {
+				n.Holds = append(n.Holds, ledger.Holding{Unit: m.Name, SizeMb: m.SizeMb})
+				left -= m.SizeMb
+				for a := 1; a <= m.Adapters; a++ {
+					if places > 0 && m.AdapterMb <= left && r.Intn(2) == 0 {
+						n.Holds = append(n.Holds, ledger.Holding{Unit: fmt.Sprint(m.Name, "/a", a), SizeMb: m.AdapterMb})
+						places, left = places-1, left-m.AdapterMb
+					}
+				}
+			}
+		}
+		if r.Intn(20) == 0 && left > 3 {
+			n.Holds = append(n.Holds, ledger.Holding{Unit: "of an older configuration", SizeMb: 3})
+		}
+		h.apply(ledger.Change{Duty: &ledger.Duty{Fleet: []ledger.ReplicaNote{n}}})
+		h.ages[n.ID] = map[string]int64{}
+	}
+	h.in = Service{Name: "s", Engine: e, Models: map[string]Need{}, Adapters: map[string]Need{}, StoreLeft: r.Intn(4), Spares: r.Intn(3)}
+	for _, m := range e.Models {
+		if r.Intn(3) > 0 {
+			n := Need{Rate: []float64{0, 0.2, 0.5, 2, 20}[r.Intn(5)], IdleMs: r.Int63n(30_000)}
+			n.Demand = n.Rate * 0.06
+			if r.Intn(3) == 0 {
+				n.Waiting = r.Intn(6)
+			}
+			h.in.Models[m.Name] = n
+			for a := 1; a <= m.Adapters; a++ {
+				h.in.Adapters[fmt.Sprint(m.Name, "/a", a)] = Need{Rate: r.Float64(), Waiting: r.Intn(3), IdleMs: r.Int63n(9000)}
+			}
+		}
+	}
+	return h
+}
+
+// homes reads the ledger as the controller does.
+func (h *hall) homes(fresh bool) {
+	h.in.Homes = nil
+	for _, id := range h.s.ReplicaIDs() {
+		r := h.s.Replicas[id]
+		home := Home{ID: id, Usable: !r.Leaving && !r.Dark, FreeMb: r.RoomMb - h.s.TakenMb(id), Holds: maps.Clone(r.Holds), Had: maps.Clone(r.Had),
+			Runs: map[string]int{}, Unread: map[string]int{}, AgeMs: h.ages[id]}
+		if t, pending := h.s.Pending[id]; pending {
+			home.Busy = true
+			if home.Coming = t.Unit; t.Step == ledger.Unload {
+				home.Coming, home.Going = "", t.Unit
+			}
+		}
+		for unit := range r.Holds {
+			if fresh {
+				home.Runs[unit], home.Unread[unit] = h.r.Intn(3), max(0, h.r.Intn(4)-2)
+				h.ages[id][unit] = h.r.Int63n(4000)
+			}
+		}
+		h.in.Homes = append(h.in.Homes, home)
+	}
+}
+
+func (h *hall) held(model string) (n int) {
+	for _, home := range h.in.Homes {
+		if _, has := home.Holds[model]; (has && home.Going != model || home.Coming == model) && home.Usable {
+			n++
+		}
+	}
+	return n
+}
+
+func (h *hall) home(id string) *Home {
+	for i := range h.in.Homes {
+		if h.in.Homes[i].ID == id {
+			return &h.in.Homes[i]
+		}
+	}
+	return nil
+}
+
+// What the policy proposes is what the checker and the ledger take, in any fleet; what calls need stays.
+func TestSeededProposalsAreTakenAndKeepWhatIsNeeded(t *testing.T) {
+	loads, unloads := 0, 0
+	for seed := int64(0); seed < 1500; seed++ {
+		h := newHall(t, seed)
+		for round := 0; round < 4; round++ {
+			h.homes(true)
+			proposals := Resident(h.in)
+			tickets, verdicts := CheckRouted(h.s, h.in.StoreLeft, proposals)
+			for _, v := range verdicts {
+				if v.Fault != nil {
+					t.Fatalf("seed %d: the checker refuses %+v: %v", seed, v.Proposal, v.Fault)
+				}
+			}
+			out := h.apply(ledger.Change{Duty: &ledger.Duty{Tickets: tickets}})
+			if len(out.Faults) > 0 {
+				t.Fatalf("seed %d: the ledger refuses: %v", seed, out.Faults)
+			}
+			fromStore := 0
+			gone := map[string]int{}
+			for _, p := range proposals {
+				home, n := h.home(p.Replica), h.in.Models[p.Unit]
+				switch {
+				case !home.Usable || home.Busy:
+					t.Fatalf("seed %d: %+v at a replica that is not free for it", seed, p)
+				case p.Step == ledger.Load:
+					if loads++; !strings.Contains(p.Unit, "/") && !home.Had[p.Unit] {
+						fromStore++
+					}
+				case strings.Contains(p.Unit, "/") || h.s.Doc.EngineModel("s", p.Unit) == nil:
+					unloads++
+				default:
+					unloads++
+					gone[p.Unit]++
+					if n.Waiting > 0 && h.held(p.Unit) <= gone[p.Unit] {
+						t.Fatalf("seed %d: %+v, and calls wait for it", seed, p)
+					}
+					if n.Rate >= secondRate && h.held(p.Unit) <= gone[p.Unit] {
+						t.Fatalf("seed %d: %+v, the last copy of what is called %.1f times a second", seed, p, n.Rate)
+					}
+					if home.Unread[p.Unit] > 0 || (home.AgeMs[p.Unit] > 0 && home.AgeMs[p.Unit] < youngMs) {
+						t.Fatalf("seed %d: %+v, with calls that have not begun or only just there", seed, p)
+					}
+				}
+			}
+			if fromStore > h.in.StoreLeft {
+				t.Fatalf("seed %d: %d loads from the store, %d are left", seed, fromStore, h.in.StoreLeft)
+			}
+			h.waitingFirst(t, seed, proposals)
+			for _, id := range slices.Sorted(maps.Keys(h.s.Pending)) {
+				if h.r.Intn(2) == 0 {
+					h.apply(ledger.Change{Duty: &ledger.Duty{Settled: []ledger.Settled{{Number: h.s.Pending[id].Number, Done: h.r.Intn(4) > 0}}}})
+				}
+			}
+		}
+	}
+	t.Logf("%d loads, %d unloads", loads, unloads)
+	if loads < 1000 || unloads < 500 {
+		t.Errorf("%d loads, %d unloads: it proves little", loads, unloads)
+	}
+}
+
+// waitingFirst: nothing is fetched that no call waits for while a model that calls wait for, and nobody has,
+// would fit at a replica that is free.
+func (h *hall) waitingFirst(t *testing.T, seed int64, proposals []Proposal) {
+	served, other := map[string]bool{}, ""
+	for _, p := range proposals {
+		if p.Step == ledger.Load && !strings.Contains(p.Unit, "/") {
+			if served[p.Unit] = true; h.in.Models[p.Unit].Waiting == 0 {
+				other = p.Unit
+			}
+		}
+		if name, found := strings.CutPrefix(p.Why, "room for "); found {
+			served[name] = true
+		}
+	}
+	for name, n := range h.in.Models {
+		if n.Waiting == 0 || h.held(name) > 0 || served[name] || other == "" {
+			continue
+		}
+		for _, home := range h.in.Homes {
+			if taken := slices.ContainsFunc(proposals, func(p Proposal) bool { return p.Replica == home.ID && p.Unit != other }); taken || home.Busy || !home.Usable {
+				continue
+			}
+			if _, has := home.Holds[name]; !has && home.FreeMb >= h.s.Doc.EngineModel("s", name).SizeMb && (home.Had[name] || h.in.StoreLeft > 0) {
+				t.Fatalf("seed %d: %s is fetched, and calls wait for %s, which fits at %s", seed, other, name, home.ID)
+			}
+		}
+	}
+}
+
+// With needs that stay as they are the policy comes to rest, and a model that calls wait for is there by then
+// if every other could go.
+func TestSeededPolicyComesToRest(t *testing.T) {
+	rounds := 0
+	for seed := int64(0); seed < 400; seed++ {
+		h := newHall(t, seed)
+		h.in.StoreLeft = 3
+		wanted := ""
+		for _, m := range h.in.Engine.Models {
+			n := h.in.Models[m.Name]
+			n.Waiting = 0
+			if seed%2 == 0 {
+				n.Rate, n.Demand, n.IdleMs = 0, 0, 1<<30
+			}
+			h.in.Models[m.Name] = n
+			wanted = m.Name
+		}
+		for unit, n := range h.in.Adapters {
+			n.Waiting = 0
+			h.in.Adapters[unit] = n
+		}
+		usable := false
+		for _, id := range h.s.ReplicaIDs() {
+			r := h.s.Replicas[id]
+			usable = usable || (!r.Leaving && !r.Dark)
+		}
+		quiet := 0
+		said := []Proposal{}
+		for round := 0; quiet < 3; round++ {
+			if round > 200 {
+				t.Fatalf("seed %d: it never comes to rest; the last it proposed: %+v", seed, said[len(said)-6:])
+			}
+			h.homes(false)
+			if n := h.in.Models[wanted]; seed%2 == 0 && usable {
+				n.Rate, n.IdleMs, n.Waiting = 0.5, 0, 1
+				if h.held(wanted) > 0 {
+					n.Waiting = 0
+				}
+				h.in.Models[wanted] = n
+			}
+			proposals := Resident(h.in)
+			said = append(said, proposals...)
+			tickets, _ := CheckRouted(h.s, h.in.StoreLeft, proposals)
+			h.apply(ledger.Change{Duty: &ledger.Duty{Tickets: tickets}})
+			for _, id := range slices.Sorted(maps.Keys(h.s.Pending)) {
+				h.apply(ledger.Change{Duty: &ledger.Duty{Settled: []ledger.Settled{{Number: h.s.Pending[id].Number, Done: true}}}})
+			}
+			quiet++
+			if len(tickets) > 0 {
+				quiet = 0
+			}
+			rounds++
+		}
+		if h.homes(false); seed%2 == 0 && usable && h.held(wanted) == 0 {
+			t.Fatalf("seed %d: it rests, and calls wait for %s", seed, wanted)
+		}
+	}
+	t.Logf("%d rounds", rounds)
+}
