Try a higher ballot after 0.2 s where promises do not come

Change: a ballot that still gathers promises gives way to a higher one after AskUs, 0.2 s for self-governed offices.

--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -283,9 +283,11 @@
 	CompareUs   int64
 	GatherUs    int64
 	ResendUs    int64
-	KeepMost    int
-	BatchMost   int
-	WaitMost    int
+	// AskUs is how long a ballot may gather promises before a higher one is tried.
+	AskUs     int64
+	KeepMost  int
+	BatchMost int
+	WaitMost  int
 }
 
 func (o Options) filled() Options {
@@ -302,6 +304,7 @@
 	set(&o.CompareUs, 1500*clock.Ms)
 	set(&o.GatherUs, 2000*clock.Ms)
 	set(&o.ResendUs, 150*clock.Ms)
+	set(&o.AskUs, o.SuspectUs+o.LeaseUs)
 	o.CopiesLeast = max(o.CopiesLeast, 2)
 	if o.KeepMost == 0 {
 		o.KeepMost = 4096
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -340,7 +340,8 @@
 
 func (n *Node) propose(want View) {
 	if n.proposal != nil && n.proposal.number == want.Number {
-		if n.nowUs-n.proposal.startUs < n.opts.SuspectUs+n.opts.LeaseUs {
+		ageUs := n.nowUs - n.proposal.startUs
+		if ageUs < n.opts.SuspectUs+n.opts.LeaseUs && (!n.proposal.asking || ageUs < n.opts.AskUs) {
 			return
 		}
 	}
--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -46,6 +46,7 @@
 	selfLeaseUs   = 500 * clock.Ms
 	selfCompareUs = 900 * clock.Ms
 	selfGatherUs  = 1300 * clock.Ms
+	selfAskUs     = 200 * clock.Ms
 )
 
 func RandomID(bytes int) string {
@@ -141,7 +142,7 @@
 		Me: me, Inc: RandomID(6), Founding: founding, CopiesLeast: set.CopiesLeast, SelfMembers: set.Members == settings.SelfMembers,
 	}
 	if opts.SelfMembers {
-		opts.LeaseUs, opts.CompareUs, opts.GatherUs = selfLeaseUs, selfCompareUs, selfGatherUs
+		opts.LeaseUs, opts.CompareUs, opts.GatherUs, opts.AskUs = selfLeaseUs, selfCompareUs, selfGatherUs, selfAskUs
 	}
 	if opened.Fresh {
 		opts.Founders, opts.First = set.Founders, len(set.Founders) > 0
