Test operators' versions, edits and the tickets of services in the ledger

Cause: numbered versions, edits kept for desks and tickets for replicas with engines came without tests of the ledger's own. Ruled out: nothing was found wrong; no mend. Change: a table of orders in their places (again at once and after later versions, rivals, numbers, bases, what is invalid), 12 seeded histories of three rivals each, whose kept edits must lead to what is in force and whose state must go on alike when read back, and tickets against room, places, lives and revisions. Conclusion: what the ledger says of versions and tickets holds as written.

--- /dev/null
+++ b/internal/ledger/version_test.go
@@ -0,0 +1,244 @@
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"petreltide/internal/fault"
+	"petreltide/internal/standing"
+)
+
+func versionRoute(name string, timeoutMs int64, service string) standing.Route {
+	return standing.Route{
+		Name: name, Host: "h", Prefix: "/" + name + "/", Repeat: standing.Idempotent, TimeoutMs: timeoutMs, AttemptsMost: 1,
+		Split: []standing.Weighted{{Service: service, Weight: 1}}, Source: json.RawMessage(fmt.Sprintf(`{"name":%q,"ms":%d}`, name, timeoutMs)),
+	}
+}
+
+func versionDoc(version uint64, routes ...standing.Route) *standing.Declaration {
+	return &standing.Declaration{Version: version, Routes: routes, Services: []standing.Service{{Name: "s"}, {Name: "t"}}}
+}
+
+// order is an operator's: its id stands for all that it says.
+func order(base, version uint64, doc *standing.Declaration, edit *standing.Edit) Change {
+	raw, err := json.Marshal([]any{base, version, doc, edit})
+	if err != nil {
+		panic(err)
+	}
+	return Change{ID: "op-" + standing.Mark(raw), Config: &ConfigChange{Base: base, Version: version, Doc: doc, Edit: edit}}
+}
+
+func TestOperatorsVersions(t *testing.T) {
+	a, b := versionRoute("a", 100, "s"), versionRoute("b", 200, "s")
+	first := order(0, 5, versionDoc(5, a), nil)
+	second := order(5, 8, nil, &standing.Edit{Version: 8, Routes: []standing.Route{b}})
+	type act struct {
+		name    string
+		c       Change
+		code    fault.Code
+		again   bool
+		version uint64
+	}
+	s := NewState()
+	for i, c := range []act{
+		{"an edit of nothing", order(0, 4, nil, &standing.Edit{Version: 4}), fault.InvalidConfig, false, 0},
+		{"the first", first, "", false, 5},
+		{"the first again", first, "", true, 5},
+		{"another with its number", order(0, 5, versionDoc(5, b), nil), fault.StaleBase, false, 5},
+		{"the same number on top", order(5, 5, versionDoc(5, b), nil), fault.InvalidConfig, false, 5},
+		{"a lower number on top", order(5, 4, versionDoc(4, b), nil), fault.InvalidConfig, false, 5},
+		{"a base that never was", order(6, 9, versionDoc(9, b), nil), fault.StaleBase, false, 5},
+		{"an edit that names a service that is not there", order(5, 8, nil, &standing.Edit{Version: 8, Routes: []standing.Route{versionRoute("b", 1, "none")}}), fault.InvalidConfig, false, 5},
+		{"an edit that takes a service in use", order(5, 8, nil, &standing.Edit{Version: 8, RemoveServices: []string{"s"}}), fault.InvalidConfig, false, 5},
+		{"an edit that names one route twice", order(5, 8, nil, &standing.Edit{Version: 8, Routes: []standing.Route{b, b}}), fault.InvalidConfig, false, 5},
+		{"neither a whole one nor an edit", order(5, 8, nil, nil), fault.InvalidConfig, false, 5},
+		{"the second", second, "", false, 8},
+		{"its rival", order(5, 8, nil, &standing.Edit{Version: 8, RemoveRoutes: []string{"a"}}), fault.StaleBase, false, 8},
+		{"its rival with a higher number", order(5, 9, nil, &standing.Edit{Version: 9, RemoveRoutes: []string{"a"}}), fault.StaleBase, false, 8},
+		{"the first again, two versions later", first, "", true, 8},
+		{"the second again", second, "", true, 8},
+		{"a third", order(8, 20, versionDoc(20, b), nil), "", false, 20},
+		{"the second again, later", second, "", true, 20},
+	} {
+		before, taken := s.Encode(), s.Revision
+		out := s.Apply(uint64(i+1), c.c)
+		code := fault.Code("")
+		if out.Fault != nil {
+			code = out.Fault.Code
+		}
+		if code != c.code || out.Again != c.again || s.Version() != c.version {
+			t.Errorf("%s: %q %v, again %v, version %d in force", c.name, code, out.Fault, out.Again, s.Version())
+		}
+		if changed := s.Revision > taken; changed != (c.code == "" && !c.again) {
+			t.Errorf("%s: it changed what is in force: %v", c.name, changed)
+		}
+		if c.code != "" {
+			was, err := Decode(before)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(was.Doc, s.Doc, cmpopts.IgnoreFields(standing.Declaration{}, "Index")); diff != "" {
+				t.Errorf("%s: refused, and yet %s", c.name, diff)
+			}
+		}
+		if c.again && out.Revision == 0 {
+			t.Errorf("%s: it is not said which version it was", c.name)
+		}
+	}
+}
+
+// Any edits that are kept lead from their revision to what is in force, a state read back goes on as the one that
+// was written, and of all that build on one version one is taken.
+func TestSeededVersionsFoldAndRaceOnce(t *testing.T) {
+	ignored := cmp.Options{cmpopts.IgnoreFields(standing.Declaration{}, "Index"), cmpopts.EquateEmpty()}
+	folds, races := 0, 0
+	for seed := int64(0); seed < 12; seed++ {
+		r := rand.New(rand.NewSource(seed))
+		s, index := NewState(), uint64(0)
+		was := map[uint64]*standing.Declaration{}
+		draw := func(base uint64) Change {
+			version := base + 1 + uint64(r.Intn(4))
+			routes := []standing.Route{}
+			for _, name := range []string{"a", "b", "c", "d", "e"} {
+				if r.Intn(3) == 0 {
+					routes = append(routes, versionRoute(name, 1+r.Int63n(1000), []string{"s", "t"}[r.Intn(2)]))
+				}
+			}
+			if base == 0 || r.Intn(15) == 0 {
+				return order(base, version, versionDoc(version, routes...), nil)
+			}
+			e := &standing.Edit{Version: version, Routes: routes}
+			for _, name := range []string{"a", "b", "c", "d", "e", "none"} {
+				if r.Intn(4) == 0 {
+					e.RemoveRoutes = append(e.RemoveRoutes, name)
+				}
+			}
+			if r.Intn(5) == 0 {
+				e.Limits = &standing.Limits{BodyBytesMost: r.Int63n(100)}
+			}
+			return order(base, version, nil, e)
+		}
+		for n := 0; n < 60; n++ {
+			base, taken := s.Version(), 0
+			rivals := []Change{draw(base), draw(base), draw(base)}
+			back, err := Decode(s.Encode())
+			if err != nil {
+				t.Fatal(err)
+			}
+			seen := map[string]bool{}
+			for _, c := range rivals {
+				index++
+				out, other := s.Apply(index, c), back.Apply(index, c)
+				if diff := cmp.Diff(out, other); diff != "" {
+					t.Fatalf("seed %d: a state that was read back judges otherwise: %s", seed, diff)
+				}
+				if out.Fault == nil && !seen[c.ID] {
+					taken++
+				}
+				seen[c.ID] = true
+			}
+			if n%10 == 0 {
+				if diff := cmp.Diff(s, back, ignored...); diff != "" {
+					t.Fatalf("seed %d: a state that was read back differs: %s", seed, diff)
+				}
+			}
+			if races++; taken != 1 {
+				t.Fatalf("seed %d: %d of three on top of version %d were taken", seed, taken, base)
+			}
+			was[s.Revision] = s.Doc
+			for from := range was {
+				edits, ok := s.EditsSince(from)
+				if !ok || (from+s.Revision)%5 > 0 {
+					continue
+				}
+				doc := was[from]
+				for _, e := range edits {
+					next, bad := doc.Edited(e)
+					if bad != nil {
+						t.Fatal(bad)
+					}
+					doc = next
+				}
+				if folds++; len(edits) > editsMost {
+					t.Fatalf("seed %d: %d edits are kept", seed, len(edits))
+				}
+				if diff := cmp.Diff(s.Doc, doc, ignored...); diff != "" {
+					t.Fatalf("seed %d: the edits since revision %d lead elsewhere: %s", seed, from, diff)
+				}
+			}
+		}
+	}
+	t.Logf("%d races, %d folds", races, folds)
+	if folds < 500 {
+		t.Errorf("%d folds: it proves little", folds)
+	}
+}
+
+// Orders at replicas of a service: room and places count what stands, a unit that goes takes its adapters
+// with it, and what a life has held once comes back from its own disk.
+func TestTicketsOfServices(t *testing.T) {
+	s, index := NewState(), uint64(0)
+	do := func(d Duty) []fault.Fault {
+		index++
+		return s.Apply(index, Change{Duty: &d}).Faults
+	}
+	doc := versionDoc(1, versionRoute("a", 1, "s"))
+	doc.Services[0].Engine = &standing.Engine{Slots: 1, CacheTokens: 1, RoomMb: 100, AdaptersMost: 2, LoadsPerS: 1, Models: []standing.EngineModel{
+		{Name: "m", SizeMb: 60, LoadMs: 1, Adapters: 3, AdapterMb: 5}, {Name: "n", SizeMb: 35, LoadMs: 1, Adapters: 1, AdapterMb: 5}, {Name: "o", SizeMb: 30, LoadMs: 1}}}
+	index++
+	if out := s.Apply(index, order(0, 1, doc, nil)); out.Fault != nil {
+		t.Fatal(out.Fault)
+	}
+	do(Duty{Fleet: []ReplicaNote{{ID: "r", Inc: "r", RoomMb: 100, Slots: 1, Service: "s", Told: true}}})
+	ticket := func(step Step, unit string) Ticket {
+		return Ticket{Replica: "r", Inc: "r", Revision: s.Revision, Step: step, Unit: unit}
+	}
+	for _, c := range []struct {
+		step Step
+		unit string
+		code fault.Code
+		done bool
+	}{
+		{Load, "m/a1", fault.NotHeld, false}, {Load, "m", "", true}, {Load, "m", fault.AlreadyHeld, false}, {Load, "what", fault.PolicyNonsense, false},
+		{Load, "m/a9", fault.PolicyNonsense, false}, {Load, "m/a1", "", true}, {Load, "n", "", false}, {Load, "n", "", true}, {Load, "m/a2", fault.NoRoom, false},
+		{Unload, "n", "", true}, {Load, "m/a2", "", true}, {Load, "m/a3", fault.NoRoom, false}, {Unload, "m/a1", "", true}, {Load, "m/a3", "", true},
+		{Unload, "m", "", true}, {Unload, "m/a3", fault.NotHeld, false}, {Load, "o", "", true},
+	} {
+		faults := do(Duty{Tickets: []Ticket{ticket(c.step, c.unit)}})
+		code := fault.Code("")
+		if len(faults) > 0 {
+			code = faults[0].Code
+		}
+		if code != c.code {
+			t.Fatalf("%s %s: %v, want %q", c.step, c.unit, faults, c.code)
+		}
+		if code != "" {
+			continue
+		}
+		stands := s.Pending["r"]
+		if c.step == Load && s.TakenMb("r") < s.Replicas["r"].Holds["m"]+stands.SizeMb {
+			t.Errorf("%s in doubt has lost its room", c.unit)
+		}
+		if busy := do(Duty{Tickets: []Ticket{ticket(Load, "o")}}); len(busy) != 1 || busy[0].Code != fault.ReplicaBusy {
+			t.Errorf("two orders at once: %v", busy)
+		}
+		do(Duty{Settled: []Settled{{Number: stands.Number, Done: c.done}}})
+	}
+	want := &Replica{ID: "r", Inc: "r", RoomMb: 100, Slots: 1, Service: "s", Holds: map[string]int64{"o": 30}, Had: map[string]bool{"m": true, "n": true, "o": true}, NextLeg: 1}
+	if diff := cmp.Diff(want, s.Replicas["r"], cmpopts.IgnoreFields(Replica{}, "Index")); diff != "" {
+		t.Error(diff)
+	}
+	stale := ticket(Load, "n")
+	stale.Revision--
+	if faults := do(Duty{Tickets: []Ticket{stale}}); len(faults) != 1 || faults[0].Code != fault.StaleBase {
+		t.Errorf("proposed under an older revision: %v", faults)
+	}
+	if faults := do(Duty{Fleet: []ReplicaNote{{ID: "r", Inc: "r2", RoomMb: 100, Slots: 1, Service: "s"}}, Tickets: []Ticket{ticket(Load, "n")}}); len(faults) != 1 || faults[0].Code != fault.ReplicaUnknown || len(s.Replicas["r"].Had) != 0 {
+		t.Errorf("for a life that has ended: %v", faults)
+	}
+}
