Beat less, send views once, and let a desk's main stream stay in its zone

Ruled out: frames and reports (3.7 of 25 MB); gzip (memory is dear there). Change: members beat on BeatUs, not on ticks; a greeting carries the whole view only to one that does not have it (one that comes back with less still gets it whole: the explorer found that case); seeds are asked every 5 s once settled; one of a desk's two streams is a spare without demand, the main one is in its own zone where it can be.

--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -49,21 +49,22 @@
 	queued   uint64
 	copyHeld uint64
 
-	nowUs     int64
-	bootUs    int64
-	lastUs    int64
-	helloUs   int64
-	saveSeq   uint64
-	saving    map[uint64]*saving
-	partners  map[string]*partner
-	learned   map[string]bool
-	founders  []Member
-	proposal  *proposal
-	round     uint64
-	quietUs   int64
-	held      *Msg
-	guardUs   int64
-	guardTail Seat
+	nowUs      int64
+	bootUs     int64
+	lastUs     int64
+	helloUs    int64
+	beatSentUs int64
+	saveSeq    uint64
+	saving     map[uint64]*saving
+	partners   map[string]*partner
+	learned    map[string]bool
+	founders   []Member
+	proposal   *proposal
+	round      uint64
+	quietUs    int64
+	held       *Msg
+	guardUs    int64
+	guardTail  Seat
 
 	succLast    uint64
 	succSent    uint64
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -283,6 +283,8 @@
 	CompareUs   int64
 	GatherUs    int64
 	ResendUs    int64
+	// BeatUs is how often a member tells its neighbours where it stands while nothing happens.
+	BeatUs int64
 	// AskUs is how long a ballot may gather promises before a higher one is tried.
 	AskUs     int64
 	KeepMost  int
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -13,7 +13,8 @@
 			n.askLease()
 		}
 	}
-	if n.serving() {
+	if n.serving() && n.nowUs-n.beatSentUs >= n.opts.BeatUs {
+		n.beatSentUs = n.nowUs
 		n.forward(true)
 		n.ackBack()
 	}
@@ -60,7 +61,11 @@
 	sort.Strings(ids)
 	for _, id := range ids {
 		reached[all[id].Addr] = true
-		n.send(all[id], Msg{Hello: &h})
+		told := h
+		if p := n.partners[id]; p != nil && n.Hears(id) && p.hello.View.Number == n.view.Number {
+			told.View = View{Number: n.view.Number}
+		}
+		n.send(all[id], Msg{Hello: &told})
 	}
 	addrs := make([]string, 0, len(n.learned))
 	for addr := range n.learned {
@@ -89,7 +94,7 @@
 			p.deafUs = n.nowUs
 		}
 	}
-	if h.View.Number > n.view.Number {
+	if h.View.Number > n.view.Number && len(h.View.Voters) > 0 {
 		n.install(h.View)
 	}
 	if n.phase == Waking && !n.compared && h.View.Number == n.view.Number {
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -37,6 +37,7 @@
 
 type sub struct {
 	inc      string
+	spare    bool
 	whole    bool
 	settled  bool
 	revision uint64
@@ -87,7 +88,7 @@
 	if len(h.subs) >= subsMost && h.subs[f.Desk] == nil {
 		return false
 	}
-	h.subs[f.Desk] = &sub{inc: f.Inc, revision: f.Revision}
+	h.subs[f.Desk] = &sub{inc: f.Inc, revision: f.Revision, spare: f.Spare}
 	h.Heard(nowUs, f.Desk, nil)
 	h.lastRev = [6]uint64{}
 	return true
@@ -263,7 +264,7 @@
 		news = true
 	}
 	f.Desks = h.live
-	if seen.NowUs-s.demandUs >= demandUs {
+	if !s.spare && seen.NowUs-s.demandUs >= demandUs {
 		if f.Demand = h.demandBut(desk, true); len(f.Demand) > 0 {
 			s.demandUs = seen.NowUs
 			news = true
--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -42,8 +42,11 @@
 	replicaWait  = 900 * time.Millisecond
 	platformWait = 800 * time.Millisecond
 
+	seekSettled   = 5 * time.Second
 	innerDialMs   = 250
-	selfLeaseUs   = 500 * clock.Ms
+	selfBeatUs    = 200 * clock.Ms
+	selfSuspectUs = 800 * clock.Ms
+	selfLeaseUs   = 700 * clock.Ms
 	selfCompareUs = 900 * clock.Ms
 	selfGatherUs  = 1300 * clock.Ms
 	selfAskUs     = 200 * clock.Ms
@@ -142,6 +145,7 @@
 		Me: me, Inc: RandomID(6), Founding: founding, CopiesLeast: set.CopiesLeast, SelfMembers: set.Members == settings.SelfMembers,
 	}
 	if opts.SelfMembers {
+		opts.HelloUs, opts.BeatUs, opts.SuspectUs = selfBeatUs, selfBeatUs, selfSuspectUs
 		opts.LeaseUs, opts.CompareUs, opts.GatherUs, opts.AskUs = selfLeaseUs, selfCompareUs, selfGatherUs, selfAskUs
 	}
 	if opened.Fresh {
@@ -446,6 +450,9 @@
 			h.tell(Event{Learn: learned})
 		}
 		span := time.Second
+		if settled, ran := actor.Ask(h.act.Ctx, h.act, h.core.settled); ran && settled {
+			span = seekSettled
+		}
 		select {
 		case <-h.act.Ctx.Done():
 			return
--- a/internal/subscriber/mirror.go
+++ b/internal/subscriber/mirror.go
@@ -48,6 +48,7 @@
 
 type source struct {
 	stream  uint64
+	spare   bool
 	addr    string
 	heardUs int64
 	live    bool
@@ -284,6 +285,7 @@
 			m.drop(nowUs, s)
 		}
 	}
+	m.nearer(nowUs)
 	if len(m.sources) < mirrorStreams && nowUs-m.triedUs >= mirrorTryUs {
 		m.open(nowUs)
 	}
@@ -304,16 +306,69 @@
 		}
 	}
 	slices.SortStableFunc(free, func(a, b string) int { return cmp.Compare(m.rank(a), m.rank(b)) })
+	main, own := false, m.own(nowUs)
+	for _, s := range m.sources {
+		main = main || (!s.spare && (own == "" || s.addr == own))
+	}
 	for _, addr := range free[:min(len(free), mirrorStreams-len(m.sources))] {
 		m.streams++
-		m.sources[m.streams] = &source{stream: m.streams, addr: addr, heardUs: nowUs, rows: map[string]wire.ReplicaRow{}}
+		spare := main
+		main = true
+		m.sources[m.streams] = &source{stream: m.streams, addr: addr, spare: spare, heardUs: nowUs, rows: map[string]wire.ReplicaRow{}}
 		m.do(MirrorEffect{Open: &Stream{Number: m.streams, Addr: addr, Ask: wire.Follow{
-			Desk: m.opts.Desk, Inc: m.opts.Inc, Addr: m.opts.Addr, Zone: m.opts.Zone, Revision: m.revision,
+			Desk: m.opts.Desk, Inc: m.opts.Inc, Addr: m.opts.Addr, Zone: m.opts.Zone, Revision: m.revision, Spare: spare,
 		}}})
 	}
 }
 
+// own is the office of this desk's own zone, if one is known that may be asked.
+func (m *Mirror) own(nowUs int64) string {
+	for _, id := range slices.Sorted(maps.Keys(m.offices)) {
+		if o := m.offices[id]; o.Zone != "" && o.Zone == m.opts.Zone && nowUs >= m.shyUs[o.Addr] {
+			return o.Addr
+		}
+	}
+	return ""
+}
+
+// nearer lets the office of this desk's own zone be the main one, a stream at a time: what goes over a
+// spare stream is little, and the rest then need not cross zones.
+func (m *Mirror) nearer(nowUs int64) {
+	own := m.own(nowUs)
+	if own == "" || len(m.sources) < mirrorStreams || m.Live() < mirrorStreams {
+		return
+	}
+	var main, spare *source
+	for _, n := range slices.Sorted(maps.Keys(m.sources)) {
+		switch s := m.sources[n]; {
+		case s.addr == own && !s.spare:
+			main = s
+		case s.addr == own:
+			spare = s
+		}
+	}
+	var drop *source
+	for _, n := range slices.Sorted(maps.Keys(m.sources)) {
+		s := m.sources[n]
+		switch {
+		case main != nil && s != main && !s.spare, main == nil && spare != nil && s == spare, main == nil && spare == nil && s.spare:
+			drop = s
+		}
+	}
+	if drop != nil {
+		m.do(MirrorEffect{Close: drop.stream})
+		delete(m.sources, drop.stream)
+		m.open(nowUs)
+	}
+}
+
+// rank is this desk's own order of the offices: those of its zone, then by lot.
 func (m *Mirror) rank(addr string) uint64 {
+	for _, o := range m.offices {
+		if o.Addr == addr && o.Zone == m.opts.Zone {
+			return 0
+		}
+	}
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(m.opts.Desk + "|" + addr))
 	x := h.Sum64()
@@ -335,7 +390,8 @@
 	}
 	var to *source
 	for _, n := range slices.Sorted(maps.Keys(m.sources)) {
-		if s := m.sources[n]; s.whole && (to == nil || s.heardUs > to.heardUs+300*clock.Ms) {
+		s := m.sources[n]
+		if s.whole && (to == nil || (to.spare && !s.spare) || s.heardUs > to.heardUs+500*clock.Ms) {
 			to = s
 		}
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -43,6 +43,8 @@
 	Zone     string `json:"zone"`
 	Revision uint64 `json:"revision"`
 	Number   uint64 `json:"number"`
+	// Spare streams stand by beside another one: they carry no demand.
+	Spare bool `json:"spare,omitempty"`
 }
 
 type Report struct {
