Keep to what room was made for, and place by what presses most

Change: an unload says what it makes room for, and the replica is kept for that for 2 s; absent models and missing copies are placed in one order, by waiting and unread calls; copies may take 0.6 of the room.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -473,10 +473,24 @@
 			}
 		}
 		duty.Tickets = tickets
+		f.intend(seen.NowUs, verdicts)
 	}
 	f.writeDuty(seen, duty)
 }
 
+// intend remembers what room is made for, until it has come or too long after.
+func (f *Controller) intend(nowUs int64, verdicts []placement.Verdict) {
+	for _, v := range verdicts {
+		if v.Fault != nil {
+			continue
+		}
+		delete(f.routed.intents, v.Proposal.Replica)
+		if v.Proposal.For != "" {
+			f.routed.intents[v.Proposal.Replica] = intent{v.Proposal.For, nowUs}
+		}
+	}
+}
+
 func (f *Controller) writeDuty(seen Seen, duty *ledger.Duty) {
 	if !seen.isRouted() && !f.checked && f.list != nil && f.listAtUs > f.viewUs {
 		duty.Checked = f.view
--- a/internal/controller/routed.go
+++ b/internal/controller/routed.go
@@ -28,6 +28,7 @@
 	warmFirstUs     = 620 * clock.Ms
 	unloadFirstUs   = 215 * clock.Ms
 	sparesUsual     = 2
+	intentUs        = 2 * clock.Sec
 	forgottenUs     = 15 * clock.Sec
 	storeCut        = 1
 	recentLeast     = 3.0
@@ -71,10 +72,17 @@
 	unseenUs  map[string]int64
 	demandUs  int64
 	begunUs   map[string]int64
+	intents   map[string]intent
+}
+
+// intent is the model that room is being made for at a replica.
+type intent struct {
+	unit string
+	atUs int64
 }
 
 func newRouted() routed {
-	return routed{orders: map[uint64]*standingOrder{}, needs: map[string]*need{}, cameUs: map[string]int64{}, unseenUs: map[string]int64{}}
+	return routed{orders: map[uint64]*standingOrder{}, needs: map[string]*need{}, cameUs: map[string]int64{}, unseenUs: map[string]int64{}, intents: map[string]intent{}}
 }
 
 // Saw notes the tickets and settled orders of whoever holds the duty, as they are applied: a successor
@@ -618,6 +626,9 @@
 			h.AgeMs[unit] = (seen.NowUs - atUs) / 1000
 		}
 	}
+	if in, ok := f.routed.intents[r.ID]; ok && seen.NowUs-in.atUs < intentUs {
+		h.Intended = in.unit
+	}
 	if t, pending := seen.State.Pending[r.ID]; pending {
 		h.Busy = true
 		if t.Step == ledger.Load {
--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -350,7 +350,7 @@
 			firstMs = (firstUs - fromUs) / 1000
 		}
 		_ = h.log.Log("event", "leg", "path", st.Call.Kind, "model", st.Call.Model, "adapter", st.Call.Adapter, "replica", st.Replica, "tokens", st.Call.Routed.PromptIn,
-			"waitedMs", (fromUs-st.Call.TakenUs)/1000, "guessMs", int64(st.GuessMs), "firstMs", firstMs, "allMs", (clock.NowUs()-fromUs)/1000, "running", st.Running, "ending", ending, "why", why)
+			"waitedMs", (fromUs-st.Call.TakenUs)/1000, "guessMs", int64(st.GuessMs), "firstMs", firstMs, "allMs", (clock.NowUs()-fromUs)/1000, "running", st.Running, "aimMs", st.Call.Routed.Route.AimMs, "ending", ending, "why", why)
 		return ending, why
 	}
 	legCtx, cancel := context.WithDeadline(ctx, time.Now().Add(time.Duration(st.ExpiryUs-clock.NowUs())*time.Microsecond))
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -26,6 +26,8 @@
 	Replica string      `json:"replica"`
 	Unit    string      `json:"unit"`
 	Why     string      `json:"why,omitempty"`
+	// For is the unit that an unload makes room for.
+	For string `json:"for,omitempty"`
 }
 
 type Replica struct {
--- a/internal/placement/resident.go
+++ b/internal/placement/resident.go
@@ -34,9 +34,11 @@
 	Had    map[string]bool
 	Coming string
 	Going  string
-	Runs   map[string]int
-	Unread map[string]int
-	AgeMs  map[string]int64
+	// Intended is the model that room was made for here a moment ago.
+	Intended string
+	Runs     map[string]int
+	Unread   map[string]int
+	AgeMs    map[string]int64
 }
 
 // Service is one service's part of the fleet, as the resident policy reads it. StoreLeft is how many loads
@@ -56,13 +58,13 @@
 	unreadMost     = 2.5
 	secondRate     = 0.6
 	warmMs         = 600
-	unloadMs       = 150
+	unloadMs       = 300
 	youngMs        = 1500
 	adapterYoungMs = 800
 	spareHarmMost  = 0.4
 	spareIdleMs    = 4000
 	prefetchLeast  = 2
-	copiesMost     = 0.7
+	copiesMost     = 0.6
 )
 
 type resident struct {
@@ -77,12 +79,14 @@
 	out    []Proposal
 
 	prefetching bool
+	coming      map[string]bool
+	unplaced    []string
 }
 
 // Resident proposes loads for models that calls wait for, then for adapters, then copies of models whose
 // calls take more than their replicas should give, and unloads what is worth least to make room for them.
 func Resident(in Service) []Proposal {
-	p := &resident{in: in, sizes: map[string]*standing.EngineModel{}, held: map[string]int{}, want: map[string]int{}, store: in.StoreLeft}
+	p := &resident{in: in, sizes: map[string]*standing.EngineModel{}, held: map[string]int{}, want: map[string]int{}, store: in.StoreLeft, coming: map[string]bool{}}
 	for i := range in.Engine.Models {
 		p.sizes[in.Engine.Models[i].Name] = &in.Engine.Models[i]
 	}
@@ -117,9 +121,9 @@
 			}
 		}
 	}
-	p.models(true)
+	p.intended()
+	p.models()
 	p.adapters()
-	p.models(false)
 	p.spares()
 	p.prefetch()
 	return p.out
@@ -179,7 +183,7 @@
 		if p.taken[i] {
 			continue
 		}
-		if victims, harm, ok := p.makeRoom(i, largestMb, ""); ok && harm < spareHarmMost && (best < 0 || harm < bestHarm) {
+		if victims, harm, ok := p.makeRoom(i, largestMb); ok && harm < spareHarmMost && (best < 0 || harm < bestHarm) {
 			best, bestHarm, first = i, harm, victims[0]
 		}
 	}
@@ -267,11 +271,32 @@
 	}
 }
 
-// models places those that nobody holds though calls wait, or those that are held by too few.
-func (p *resident) models(absent bool) {
+// intended goes on with what room was made for, at the replica where it was made.
+func (p *resident) intended() {
+	for i := range p.in.Homes {
+		h := &p.in.Homes[i]
+		if h.Intended == "" {
+			continue
+		}
+		if m := p.sizes[h.Intended]; m != nil && h.Usable && p.wants(h.Intended) {
+			p.coming[h.Intended] = true
+			p.placeAt(i, h.Intended)
+			p.taken[i] = true
+		}
+	}
+}
+
+// wants: calls wait for a model that nobody has, or too few have it.
+func (p *resident) wants(name string) bool {
+	return p.held[name] < p.want[name] && (p.held[name] > 0 || p.in.Models[name].Waiting > 0)
+}
+
+// models places those that nobody holds though calls wait, and those that are held by too few, as it
+// presses most.
+func (p *resident) models() {
 	names := []string{}
-	for name, want := range p.want {
-		if absent == (p.held[name] == 0) && want > p.held[name] && (!absent || p.in.Models[name].Waiting > 0) {
+	for name := range p.want {
+		if p.wants(name) && !p.coming[name] {
 			names = append(names, name)
 		}
 	}
@@ -289,9 +314,9 @@
 func (p *resident) urgency(name string) float64 {
 	n := p.in.Models[name]
 	if p.held[name] == 0 {
-		return float64(n.Waiting) + n.Rate
+		return 3 + float64(n.Waiting) + n.Rate
 	}
-	return n.Demand / float64(p.held[name])
+	return (float64(n.Unread) + 2*n.Demand) / float64(p.held[name])
 }
 
 // place finds the replica at which a model is soonest there at the least harm, and proposes the first
@@ -299,7 +324,6 @@
 func (p *resident) place(name string) {
 	m := p.sizes[name]
 	best, bestCost := -1, 0.0
-	var victims []string
 	for i := range p.in.Homes {
 		h := &p.in.Homes[i]
 		if !h.Usable || p.taken[i] {
@@ -311,7 +335,7 @@
 		if !h.Had[name] && p.store <= 0 {
 			continue
 		}
-		out, harm, ok := p.makeRoom(i, m.SizeMb, name)
+		out, harm, ok := p.makeRoom(i, m.SizeMb)
 		if !ok {
 			continue
 		}
@@ -321,18 +345,32 @@
 		}
 		cost += unloadMs*float64(len(out)) + 4000*harm + 1500*p.demand[i]
 		if best < 0 || cost < bestCost {
-			best, bestCost, victims = i, cost, out
+			best, bestCost = i, cost
 		}
 	}
 	if best < 0 {
+		p.unplaced = append(p.unplaced, name)
 		return
 	}
-	h := &p.in.Homes[best]
-	if len(victims) > 0 {
-		p.unload(best, victims[0], "room for "+name)
+	p.placeAt(best, name)
+}
+
+// placeAt proposes the next step by which a model comes to a replica.
+func (p *resident) placeAt(i int, name string) {
+	h := &p.in.Homes[i]
+	if p.taken[i] {
 		return
 	}
-	p.taken[best] = true
+	victims, _, ok := p.makeRoom(i, p.sizes[name].SizeMb)
+	switch {
+	case !ok, len(victims) == 0 && !h.Had[name] && p.store <= 0:
+		return
+	case len(victims) > 0:
+		p.unload(i, victims[0], "room for "+name)
+		p.out[len(p.out)-1].For = name
+		return
+	}
+	p.taken[i] = true
 	if !h.Had[name] {
 		p.store--
 	}
@@ -349,7 +387,7 @@
 
 // makeRoom names what would have to go for a model of this size, least worth first; an adapter goes with
 // its model.
-func (p *resident) makeRoom(i int, sizeMb int64, name string) (victims []string, harm float64, ok bool) {
+func (p *resident) makeRoom(i int, sizeMb int64) (victims []string, harm float64, ok bool) {
 	h := &p.in.Homes[i]
 	freeMb := p.free[i]
 	if freeMb >= sizeMb {
