--- a/internal/chain/join.go
+++ b/internal/chain/join.go
@@ -96,7 +96,7 @@
 		return nil, 0, false
 	}
 	p := n.partners[m.ID]
-	first := p != nil && p.hello.First
+	first := (p != nil && p.hello.First) || (m.ID == n.opts.Me.ID && n.opts.First)
 	waits := false
 	for i, v := range n.view.Voters {
 		if n.view.Seated(v.ID) || first {
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -269,7 +269,8 @@
 	Founding int
 	// Founders are the addresses of the offices that begin a chain together, in place of Founding.
 	Founders []string
-	// First says that the whole fleet starts for the first time: this office belongs to it from the start.
+	// First says that the whole fleet starts for the first time: this office belongs to it from the start,
+	// and takes nobody's vote. It holds until this office has had one.
 	First bool
 	// SelfMembers lets the offices take in and drop each other without an operator's order.
 	SelfMembers bool
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -470,6 +470,7 @@
 	n.echoUs, n.tailEchoUs = 0, 0
 	n.compared = n.compared || n.phase != Waking
 	n.copyHeld, n.settleAt = 0, n.lastIndex()
+	n.opts.First = n.opts.First && !v.Votes(n.opts.Me.ID)
 	switch {
 	case n.place() >= 0:
 		n.phase = Serving
