Hand the disk a view and a promise that no longer change

Cause: the records that go with a fresh copy pointed at the member's own view and promise. What the member learned while the disk was busy was written in their place, beside an accepted view of the number before. Such a member woke with an accepted view that was decided already, told the others, and every next view they agreed on was that old one: nobody served again. Ruled out: passing over accepted views of another number when promises are counted; the disk would still hold what was never decided together. Change: the records hold values of their own. Tried by hand: pointing at the member's own view and promise again fails the new test. Conclusion: what the disk gets is what stood when it was handed over.

--- a/internal/chain/copy.go
+++ b/internal/chain/copy.go
@@ -70,7 +70,8 @@
 	}
 	c := *n.copyNow()
 	keptFrom := n.commit - n.firstKept() + 1 - uint64(n.opts.KeepMost)/2
-	records := []Record{{View: &n.view}, {Promised: &n.promised}}
+	view, promised := n.view, n.promised
+	records := []Record{{View: &view}, {Promised: &promised}}
 	if n.accepted != nil {
 		records = append(records, Record{Accepted: n.accepted})
 	}
--- /dev/null
+++ b/internal/chain/record_test.go
@@ -0,0 +1,25 @@
+package chain
+
+import (
+	"testing"
+
+	"petreltide/internal/clock"
+)
+
+// A record that was handed out stays as it was, whatever the member learns before the disk has it.
+func TestARecordDoesNotChangeOnItsWayToTheDisk(t *testing.T) {
+	y := grown(t, 1, 3, 3)
+	for range 40 {
+		y.pass(100 * clock.Ms)
+	}
+	for _, s := range y.spots {
+		if s.node.base.Index == 0 {
+			t.Fatal("nothing was compacted")
+		}
+		for _, r := range s.disk {
+			if r.View == &s.node.view || r.Promised == &s.node.promised {
+				t.Fatalf("%s: a record on its way to the disk is what the member goes by", s.me.ID)
+			}
+		}
+	}
+}
