Give the tail no lease once another tail has been accepted

Cause: a voter holds back its acceptance of a next view with another tail while a lease of its stands. The other way round nothing was held back: having accepted while the tail was cut off, it gave that tail a lease as soon as it heard it again. When the last acceptance came, two tails were open, and the older answered reads without what the newer had acknowledged. Ruled out: a pause after acceptance; a message held up for longer than any pause opens the hole again. Change: no lease for a tail that an accepted next view does not have. Tried by hand: leases as before, and nobody taking the view up, each fail the new test. Conclusion: a lease never outlives the view it was given in.

--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -65,6 +65,8 @@
 	held       *Msg
 	guardUs    int64
 	guardTail  Seat
+	// openSinceUs is since when a next view that was accepted here waits for somebody to finish it.
+	openSinceUs int64
 
 	succLast    uint64
 	succSent    uint64
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -169,6 +169,26 @@
 	case n.phase == Waking && n.compared:
 		n.judgeWaking()
 	}
+	n.finish()
+}
+
+// finish takes up a next view that this voter has accepted and nobody has brought to an end: until it is
+// decided, the tail of now gets no lease from here.
+func (n *Node) finish() {
+	if !n.yielded() || n.proposal != nil || n.stalled() || !n.compared || !n.view.Votes(n.opts.Me.ID) {
+		n.openSinceUs = n.nowUs
+		return
+	}
+	var rank int64
+	for i, v := range n.view.Voters {
+		if v.ID == n.opts.Me.ID {
+			rank = int64(i)
+		}
+	}
+	if n.nowUs-n.openSinceUs > 2*n.opts.SuspectUs+rank*250_000 {
+		n.openSinceUs = n.nowUs
+		n.propose(n.accepted.View)
+	}
 }
 
 // mayFound: this office is one of those that begin a chain together.
--- /dev/null
+++ b/internal/chain/yield_test.go
@@ -0,0 +1,63 @@
+package chain
+
+import (
+	"testing"
+
+	"petreltide/internal/clock"
+)
+
+// A voter that has accepted a next view with another tail gives the tail of now no lease, as the others may
+// decide at any moment; and where nobody brings that view to an end it takes it up itself.
+func TestAVoterThatAcceptedAnotherTailGivesNoLease(t *testing.T) {
+	seat := func(id string) Seat { return Seat{Member: Member{ID: id, Addr: id}, Inc: id + "1"} }
+	view := func(number uint64, order ...string) View {
+		v := View{Number: number, Voters: []Member{seat("a").Member, seat("b").Member, seat("c").Member}}
+		for _, id := range order {
+			v.Order = append(v.Order, seat(id))
+		}
+		return v
+	}
+	for name, c := range map[string]struct {
+		next  View
+		lease bool
+	}{
+		"none accepted":        {View{}, true},
+		"the same tail":        {view(6, "a", "c"), true},
+		"another tail":         {view(6, "a", "b"), false},
+		"the tail's next life": {View{Number: 6, Voters: view(6).Voters, Order: []Seat{seat("a"), {Member: seat("c").Member, Inc: "c2"}}}, false},
+	} {
+		v := view(5, "a", "b", "c")
+		n, err := NewNode(Options{Me: seat("a").Member, Inc: "a1"}, []Record{{View: &v}, {Whole: 5}}, clock.Sec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.compared = true
+		nowUs := 4 * clock.Sec
+		got := func(from string, m Msg) []Effect {
+			m.From, m.Inc = seat(from).Member, seat(from).Inc
+			return n.Step(Event{NowUs: nowUs, Got: &m})
+		}
+		if c.next.Number > 0 {
+			got("b", Msg{Accept: &Accept{Number: 6, Ballot: Ballot{Round: 1, By: "b"}, View: c.next}})
+			if n.accepted == nil {
+				t.Fatalf("%s: not accepted", name)
+			}
+		}
+		given := false
+		for _, e := range got("c", Msg{Lease: &Lease{View: 5, SentUs: 1}}) {
+			given = given || (e.Send != nil && e.Send.Msg.Lease != nil && e.Send.Msg.Lease.Given)
+		}
+		if given != c.lease {
+			t.Errorf("%s: a lease is given: %v", name, given)
+		}
+		asked := false
+		for endUs := nowUs + 3*n.opts.SuspectUs; nowUs < endUs && !c.lease; nowUs += 25 * clock.Ms {
+			for _, e := range n.Step(Event{NowUs: nowUs}) {
+				asked = asked || (e.Send != nil && e.Send.Msg.Prepare != nil)
+			}
+		}
+		if asked == c.lease {
+			t.Errorf("%s: it takes the next view up: %v", name, asked)
+		}
+	}
+}
