Take a seat for ended only by a life that came after it

Cause: a voter need not wait out a tail's lease where it knows that the tail's process has ended. It took any other incarnation of that office for the proof of it, also the one before, which it had heard last where it was cut off from the new one. Ruled out: keeping which incarnations were heard in which order; letters of a life that has ended may come last. Change: the other incarnation must know the view in which the seat stands, which no life before the seat's does. Tried by hand: leaving the comparison out again fails the table. Conclusion: only a later life ends a seat.

--- /dev/null
+++ b/internal/chain/ended_test.go
@@ -0,0 +1,35 @@
+package chain
+
+import (
+	"testing"
+
+	"petreltide/internal/clock"
+)
+
+// A voter knows of a tail's end by a life of its office that came after. One that it heard before, and has not
+// heard from since, says nothing of the tail.
+func TestOnlyALaterLifeEndsASeat(t *testing.T) {
+	for name, c := range map[string]struct {
+		heard string
+		view  uint64
+		want  bool
+	}{
+		"the seat's own life":           {"now", 5, false},
+		"a life that knows this view":   {"later", 5, true},
+		"a life that knows a newer one": {"later", 6, true},
+		"a life before this view":       {"before", 4, false},
+		"nobody":                        {"", 0, false},
+	} {
+		tail := Seat{Member: Member{ID: "b", Addr: "b"}, Inc: "now"}
+		n, err := NewNode(Options{Me: Member{ID: "a", Addr: "a"}, Inc: "a1"}, []Record{{View: &View{Number: 5, Voters: []Member{{ID: "a"}, tail.Member}, Order: []Seat{tail}}}}, clock.Sec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.heard != "" {
+			n.partners["b"] = &partner{hello: Hello{Me: tail.Member, Inc: c.heard, View: View{Number: c.view}}}
+		}
+		if got := n.ended(tail); got != c.want {
+			t.Errorf("%s: ended %v", name, got)
+		}
+	}
+}
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -452,13 +452,13 @@
 }
 
 // ended: the process that held this seat is known to have gone, as its office has come back as another
-// incarnation; no lease of its outlives it.
+// incarnation; no lease of its outlives it. One that does not know this view may be the incarnation before.
 func (n *Node) ended(s Seat) bool {
 	if s.ID == n.opts.Me.ID {
 		return s.Inc != n.opts.Inc
 	}
 	p := n.partners[s.ID]
-	return p != nil && p.hello.Inc != s.Inc
+	return p != nil && p.hello.Inc != s.Inc && p.hello.View.Number >= n.view.Number
 }
 
 func (n *Node) gotAccepting(m Msg, a Accepting) {
