Learn how long each model takes to a first piece as a line over its prompt's tokens

Change: each desk learns a fixed part and a part for each token, by model, from legs that found nothing before them.

--- a/internal/dispatch/decider.go
+++ b/internal/dispatch/decider.go
@@ -199,13 +199,14 @@
 	Decisions []Decision
 	sites     map[string]*site
 	budgets   map[string]*budget
+	readings  map[string]*reading
 	legSeq    uint64
 	effects   []Effect
 }
 
 func New(opts Options) *Decider {
 	d := &Decider{opts: opts, calls: map[string]*Call{}, kinds: map[string]*kindRow{}, places: map[string]*place{}, runs: map[string]*run{},
-		sites: map[string]*site{}, budgets: map[string]*budget{}}
+		sites: map[string]*site{}, budgets: map[string]*budget{}, readings: map[string]*reading{}}
 	for i := range d.slots {
 		d.slots[i] = map[string]int{}
 		d.tokens[i] = map[string]int64{}
--- a/internal/dispatch/routed.go
+++ b/internal/dispatch/routed.go
@@ -36,6 +36,9 @@
 	fullUs       = 60 * clock.Ms
 	elsewhereUs  = 30 * clock.Sec
 	tokensPerMs  = 20.0
+	runningMs    = 0.4
+	aloneMs      = 1.0
+	aloneMost    = 3
 	paceLeast    = 0.25
 	paceMost     = 6.0
 	crossZoneMs  = 1.5
@@ -50,6 +53,7 @@
 	startUs     int64
 	tokens      int64
 	predictedMs float64
+	alone       bool
 }
 
 // site is what this desk knows of one replica from its own legs there.
@@ -133,6 +137,10 @@
 	svc := d.snap.Doc.Service(c.Routed.Service)
 	engine := svc != nil && svc.Engine != nil && c.Model != ""
 	others := d.untried(c)
+	baseMs, perToken := 0.0, 1/tokensPerMs
+	if engine {
+		baseMs, perToken = d.reading(c).line()
+	}
 	for _, r := range d.snap.ByService[c.Routed.Service] {
 		if !d.snap.takesRouted(r, c.Model, c.Adapter) {
 			continue
@@ -141,14 +149,14 @@
 		if d.nowUs < s.shyUs || d.nowUs < s.missing[unit] || (others && slices.Contains(c.tried, r.ID)) {
 			continue
 		}
-		running, waitMs := d.standsAt(r, s)
+		running, waitMs := d.standsAt(r, s, perToken)
 		if r.Slots > 0 && running >= r.Slots {
 			continue
 		}
 		ms := waitMs
 		if engine {
-			ms += s.pace * float64(d.unread(c, r, s)) / d.tokensPerMs(r.Service, c.Model)
-			ms += 0.4 * float64(running)
+			ms += s.pace * (baseMs + perToken*float64(d.unread(c, r, s)))
+			ms += runningMs * float64(running)
 		} else {
 			ms += s.workMs * (1 + float64(running)/4)
 		}
@@ -180,18 +188,9 @@
 	return h.Sum64()
 }
 
-// tokensPerMs is how fast a prompt is read before anything was measured: larger models run slower.
-func (d *Decider) tokensPerMs(service, model string) float64 {
-	m := d.snap.Doc.EngineModel(service, model)
-	if m == nil || m.SizeMb <= 0 {
-		return tokensPerMs
-	}
-	return tokensPerMs
-}
-
 // standsAt counts what runs at a replica and how long what waits there will take, in ms: this desk's own
 // legs that have no first piece yet, and what the other desks said they have there.
-func (d *Decider) standsAt(r *wire.ReplicaNews, s *site) (running int, waitMs float64) {
+func (d *Decider) standsAt(r *wire.ReplicaNews, s *site, perToken float64) (running int, waitMs float64) {
 	var tokens int64
 	lateMs := 0.0
 	for _, f := range s.flights {
@@ -208,7 +207,7 @@
 		running += others.Running
 		tokens += others.Tokens
 	}
-	return running, s.pace*float64(tokens)/tokensPerMs + lateMs
+	return running, s.pace*float64(tokens)*perToken + lateMs
 }
 
 // unread are the tokens of a prompt that the replica is likely to read anew: all after the first part
@@ -235,7 +234,8 @@
 	c.legs++
 	c.firstUs = d.nowUs
 	s := d.siteOf(r.ID)
-	s.flights[c.leg] = &flight{call: c, startUs: d.nowUs, tokens: d.unread(c, r, s), predictedMs: predictedMs}
+	running, waitMs := d.standsAt(r, s, 1/tokensPerMs)
+	s.flights[c.leg] = &flight{call: c, startUs: d.nowUs, tokens: d.unread(c, r, s), predictedMs: predictedMs, alone: waitMs < aloneMs && running <= aloneMost}
 	if len(s.parts) > partsKept {
 		s.parts = map[uint64]int64{}
 	}
@@ -244,7 +244,6 @@
 			s.parts[print] = d.nowUs
 		}
 	}
-	running, _ := d.standsAt(r, s)
 	c.FirstUs.Store(0)
 	d.note(c, "leg", r.ID, "")
 	d.do(Effect{Start: &Start{GuessMs: predictedMs, Running: running, Call: c, Leg: c.leg, Replica: r.ID, Addr: r.Addr, Inc: r.Inc, Revision: d.snap.Revision, ExpiryUs: c.expiryUs}})
@@ -287,9 +286,12 @@
 		if firstUs := f.call.FirstUs.Load(); firstUs >= f.startUs {
 			s.failures = 0
 			tookMs := float64(firstUs-f.startUs) / 1000
+			if f.alone && c.Model != "" {
+				d.reading(c).learn(f.tokens, tookMs/s.pace)
+			}
 			if f.predictedMs > 0 {
 				ratio := min(max(tookMs/f.predictedMs, paceLeast), paceMost)
-				s.pace += (min(max(s.pace*ratio, paceLeast), paceMost) - s.pace) / 16
+				s.pace += (min(max(s.pace*ratio, paceLeast), paceMost) - s.pace) / 32
 			}
 			s.workMs += (tookMs - s.workMs) / 16
 		} else {
