Join offices' words of holdings by the ledger's entry; fetch nothing ahead; one spare

Cause: a desk that follows two offices took what a replica holds from the one whose frame was older, together with the newest orders from the other: after an unload it sent three calls to a replica that had just lost the model. Calls for an adapter waited 3 s for a home whose model was going (an unload waits for its runs, here 6.2 s). Ruled out: the unload being taken for failed (it was settled as done). Change: holdings follow the greatest ledger entry; a home that loses the model or the adapter counts as none; what runs weighs more against a victim; a load that room is being made for keeps its place at the store. Conclusion: evict on demand, keep one spare.

--- a/internal/controller/routed.go
+++ b/internal/controller/routed.go
@@ -27,7 +27,7 @@
 	quietMostUs     = 700 * clock.Ms
 	warmFirstUs     = 620 * clock.Ms
 	unloadFirstUs   = 215 * clock.Ms
-	sparesUsual     = 2
+	sparesUsual     = 1
 	intentUs        = 2 * clock.Sec
 	forgottenUs     = 15 * clock.Sec
 	storeCut        = 1
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -229,7 +229,7 @@
 			}
 			row := wire.ReplicaRow{Row: e.Row, Dark: e.Dark}
 			if kept != nil && kept.Service != "" {
-				row.Units = sortedUnits(kept.Holds)
+				row.Units, row.Index = sortedUnits(kept.Holds), kept.Index
 			}
 			f.Replicas = append(f.Replicas, row)
 		}
--- a/internal/placement/resident.go
+++ b/internal/placement/resident.go
@@ -63,8 +63,8 @@
 	adapterYoungMs = 800
 	spareHarmMost  = 0.4
 	spareIdleMs    = 4000
-	prefetchLeast  = 2
 	copiesMost     = 0.6
+	runsWorth      = 0.5
 )
 
 type resident struct {
@@ -78,9 +78,8 @@
 	store  int
 	out    []Proposal
 
-	prefetching bool
-	coming      map[string]bool
-	unplaced    []string
+	coming   map[string]bool
+	unplaced []string
 }
 
 // Resident proposes loads for models that calls wait for, then for adapters, then copies of models whose
@@ -125,43 +124,9 @@
 	p.models()
 	p.adapters()
 	p.spares()
-	p.prefetch()
 	return p.out
 }
 
-// prefetch brings models that no replica has ever held while the store has nothing else to do: from then
-// on they come back from a replica's own disk.
-func (p *resident) prefetch() {
-	if p.store < prefetchLeast {
-		return
-	}
-	had := map[string]bool{}
-	for i := range p.in.Homes {
-		h := &p.in.Homes[i]
-		if !h.Usable {
-			continue
-		}
-		if h.Coming != "" && !h.Had[h.Coming] && p.sizes[h.Coming] != nil {
-			return
-		}
-		for name := range h.Had {
-			had[name] = true
-		}
-	}
-	names := []string{}
-	for name := range p.sizes {
-		if !had[name] {
-			names = append(names, name)
-		}
-	}
-	if len(names) == 0 {
-		return
-	}
-	slices.Sort(names)
-	p.prefetching = true
-	p.place(names[0])
-}
-
 // spares keeps room for one more model free on a few replicas, and a place for one more adapter on those
 // that are full, so that what is asked for next need not wait for something to go first.
 func (p *resident) spares() {
@@ -281,6 +246,9 @@
 		if m := p.sizes[h.Intended]; m != nil && h.Usable && p.wants(h.Intended) {
 			p.coming[h.Intended] = true
 			p.placeAt(i, h.Intended)
+			if !p.taken[i] && !h.Had[h.Intended] {
+				p.store--
+			}
 			p.taken[i] = true
 		}
 	}
@@ -446,9 +414,6 @@
 	if n.Waiting > 0 && held <= 1 {
 		return 0, false
 	}
-	if p.prefetching && (held > 1 || n.Waiting > 0 || h.Runs[unit] > 0) {
-		return 0, false
-	}
 	if age, known := h.AgeMs[unit]; known && age < youngMs {
 		return 0, false
 	}
@@ -463,7 +428,9 @@
 	if held > p.want[unit] {
 		worth *= 0.2
 	}
-	worth += 0.2 * float64(h.Runs[unit])
+	if runs := h.Runs[unit]; runs > 0 {
+		worth += runsWorth + 0.3*float64(runs)
+	}
 	return worth, true
 }
 
@@ -498,10 +465,13 @@
 		if !h.Usable {
 			continue
 		}
-		if _, has := h.Holds[unit]; has || h.Coming == unit {
+		if h.Going == model {
+			continue
+		}
+		if _, has := h.Holds[unit]; (has && h.Going != unit) || h.Coming == unit {
 			return
 		}
-		if _, has := h.Holds[model]; !has || p.taken[i] || h.Going == model {
+		if _, has := h.Holds[model]; !has || p.taken[i] {
 			continue
 		}
 		places, least, leastWorth := 0, "", 0.0
--- a/internal/subscriber/mirror.go
+++ b/internal/subscriber/mirror.go
@@ -236,12 +236,7 @@
 				best[id] = r
 			case have.Gone || (r.Stale && !have.Stale):
 			default:
-				dark := have.Dark && r.Dark
-				if r.Seq > have.Seq {
-					have = r
-				}
-				have.Dark = dark
-				best[id] = have
+				best[id] = newer(have, r)
 			}
 		}
 		if s.orders.Number >= orders.Number {
@@ -279,6 +274,19 @@
 	m.do(MirrorEffect{Snapshot: snap})
 }
 
+// newer joins two offices' words of one life: its own by Seq, what it holds by the ledger's entry.
+func newer(a, b wire.ReplicaRow) wire.ReplicaRow {
+	dark := a.Dark && b.Dark
+	if b.Seq > a.Seq {
+		a, b = b, a
+	}
+	if b.Index > a.Index {
+		a.Units, a.Index = b.Units, b.Index
+	}
+	a.Dark = dark
+	return a
+}
+
 func (m *Mirror) tick(nowUs int64, urgent bool) {
 	for _, n := range slices.Sorted(maps.Keys(m.sources)) {
 		if s := m.sources[n]; nowUs-s.heardUs > mirrorSilentUs {
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -28,6 +28,8 @@
 type ReplicaRow struct {
 	roster.Row
 	Dark bool `json:"dark,omitempty"`
+	// Index is the ledger entry that last said what it holds; Units follow the greatest.
+	Index uint64 `json:"index,omitempty"`
 	// Stale rows come from the ledger: they are where a replica was before the offices came back. One that
 	// is gone says no more than that the ledger has let it go.
 	Stale bool `json:"stale,omitempty"`
