Take no word of a replica for newer than the order that changed it

Cause: a heartbeat counted from when an office read it. Ruled out: rows out of order (numbered), and orders done twice (fences and holdings at the replica were right). Change: an entry keeps since when it surely holds, apart from when it was heard; an office that was not run for half a second counts what it reads at once as that old; every office notes when the ledger changed a replica, and words count against the ledger only 2 s after (a beat and a letter may each be held up for one).

--- /dev/null
+++ b/internal/controller/late_test.go
@@ -0,0 +1,61 @@
+package controller
+
+import (
+	"testing"
+
+	"petreltide/internal/clock"
+	"petreltide/internal/ledger"
+	"petreltide/internal/roster"
+	"petreltide/internal/standing"
+)
+
+func routedState(t *testing.T) *ledger.State {
+	t.Helper()
+	s := ledger.NewState()
+	engine := &standing.Engine{Slots: 4, CacheTokens: 1000, RoomMb: 100, LoadsPerS: 1, Models: []standing.EngineModel{{Name: "m", SizeMb: 60, LoadMs: 100}, {Name: "n", SizeMb: 60, LoadMs: 100}}}
+	doc := &standing.Declaration{Version: 1, Services: []standing.Service{{Name: "s", Engine: engine}},
+		Routes: []standing.Route{{Name: "r", Host: "h", Prefix: "/", Repeat: standing.Streaming, TimeoutMs: 1000, AttemptsMost: 1, Split: []standing.Weighted{{Service: "s", Weight: 1}}}}}
+	for i, c := range []ledger.Change{
+		{ID: "c", Config: &ledger.ConfigChange{Version: 1, Doc: doc}},
+		{ID: "k", Epoch: 1, Claim: &ledger.Claim{Holder: "before"}},
+		{ID: "d", Epoch: 1, Duty: &ledger.Duty{Fleet: []ledger.ReplicaNote{{ID: "r1", Inc: "r1", Addr: "a", RoomMb: 100, Slots: 4, Service: "s", Told: true}}}},
+		{ID: "t", Epoch: 1, Duty: &ledger.Duty{Tickets: []ledger.Ticket{{Revision: 1, Replica: "r1", Inc: "r1", Step: ledger.Load, Unit: "m"}}}},
+	} {
+		if out := s.Apply(uint64(i+1), c); out.Fault != nil || len(out.Faults) > 0 {
+			t.Fatal(c.ID, out.Fault, out.Faults)
+		}
+	}
+	return s
+}
+
+// Seeds 44 and 70 of the routed days: what a replica said before its last load ended lay unread in a frozen
+// office, and was taken for its newest word; the controller then ordered a load beyond the replica's room.
+func TestWordsOlderThanTheLastOrderDoNotOverruleIt(t *testing.T) {
+	s := routedState(t)
+	f := New("me")
+	f.routed.bornUs = clock.Sec
+	doneUs := 60 * clock.Sec
+	done := ledger.Duty{Settled: []ledger.Settled{{Number: s.Pending["r1"].Number, Done: true}}}
+	s.Apply(5, ledger.Change{ID: "e", Epoch: 1, Duty: &done})
+	f.Saw(doneUs, 1, done, s)
+	f.leave()
+	for _, c := range []struct {
+		name   string
+		lateUs int64
+		atUs   int64
+		taken  bool
+	}{
+		{"read soon after, said before", 0, doneUs + clock.Sec, false},
+		{"read late by an office that woke", 5 * clock.Sec, doneUs + 4*clock.Sec, false},
+		{"said well after", 0, doneUs + 4*clock.Sec, true},
+	} {
+		soft := roster.New(3 * clock.Sec)
+		soft.LateUs = c.lateUs
+		soft.Hear(c.atUs, roster.Row{ID: "r1", Service: "s", Addr: "a", Slots: 4, Seq: 9})
+		duty := &ledger.Duty{}
+		f.noteRoster(Seen{NowUs: c.atUs, State: s, Roster: soft}, duty)
+		if taken := len(duty.Fleet) > 0; taken != c.taken {
+			t.Errorf("%s: taken %v, want %v", c.name, taken, c.taken)
+		}
+	}
+}
--- a/internal/controller/routed.go
+++ b/internal/controller/routed.go
@@ -30,6 +30,7 @@
 	sparesUsual     = 1
 	intentUs        = 2 * clock.Sec
 	forgottenUs     = 15 * clock.Sec
+	wordLateUs      = 2 * clock.Sec
 	storeCut        = 1
 	recentLeast     = 3.0
 	recentCut       = 0.85
@@ -69,6 +70,7 @@
 	orders    map[uint64]*standingOrder
 	needs     map[string]*need
 	cameUs    map[string]int64
+	changedUs map[string]int64
 	unseenUs  map[string]int64
 	demandUs  int64
 	begunUs   map[string]int64
@@ -82,7 +84,7 @@
 }
 
 func newRouted() routed {
-	return routed{orders: map[uint64]*standingOrder{}, needs: map[string]*need{}, cameUs: map[string]int64{}, unseenUs: map[string]int64{}, intents: map[string]intent{}}
+	return routed{orders: map[uint64]*standingOrder{}, needs: map[string]*need{}, cameUs: map[string]int64{}, changedUs: map[string]int64{}, unseenUs: map[string]int64{}, intents: map[string]intent{}}
 }
 
 // Saw notes the tickets and settled orders of whoever holds the duty, as they are applied: a successor
@@ -100,6 +102,19 @@
 	for _, done := range d.Settled {
 		delete(f.routed.orders, done.Number)
 	}
+	if len(d.Settled) > 0 {
+		for id, r := range s.Replicas {
+			if r.Index == s.Index {
+				f.routed.changedUs[id] = nowUs
+			}
+		}
+	}
+}
+
+// outdated: what a replica said may be older than the last order that changed what it holds, as words lie
+// in sockets, links and frozen machines for a while.
+func (r *routed) outdated(e *roster.Entry) bool {
+	return e.SaidUs <= max(r.changedUs[e.ID], r.bornUs)+wordLateUs
 }
 
 func (r *routed) noteLoad(nowUs int64, s *ledger.State, t ledger.Ticket) {
@@ -350,6 +365,7 @@
 		if e.Gone || svc == nil || svc.Engine == nil {
 			if have != nil {
 				duty.Gone = append(duty.Gone, id)
+				delete(f.routed.changedUs, id)
 			}
 			continue
 		}
@@ -361,7 +377,7 @@
 			n.LeftMs = have.LeftMs
 		}
 		_, pending := s.Pending[id]
-		if have == nil || (!pending && e.HeardUs > f.routed.cameUs[id]+askAgainUs && !sameUnits(have, e.Units)) {
+		if have == nil || (!pending && !f.routed.outdated(e) && !sameUnits(have, e.Units)) {
 			n.Told, n.Holds = true, holdings(s.Doc, svc, e.Units)
 		}
 		if have == nil || have.Addr != n.Addr || have.Zone != n.Zone || have.RoomMb != n.RoomMb || have.Slots != n.Slots ||
@@ -380,6 +396,7 @@
 		} else if seen.NowUs-since > forgottenUs {
 			duty.Gone = append(duty.Gone, id)
 			delete(f.routed.unseenUs, id)
+			delete(f.routed.changedUs, id)
 		}
 	}
 }
@@ -660,9 +677,8 @@
 	return left
 }
 
-// came remembers when a unit came to a replica, and until when older words of the replica count less.
+// came remembers when a unit came to a replica.
 func (f *Controller) came(nowUs int64, t ledger.Ticket) {
-	f.routed.cameUs[t.Replica] = nowUs
 	f.routed.cameUs[t.Replica+"|"+t.Unit] = nowUs
 	if len(f.routed.cameUs) > 20000 {
 		f.routed.cameUs = map[string]int64{}
--- a/internal/office/core.go
+++ b/internal/office/core.go
@@ -72,6 +72,9 @@
 	memberUs   int64
 	checked    uint64
 	soft       soft
+	stepUs     int64
+	sleptUs    int64
+	wokeUs     int64
 }
 
 // CoreOptions are what an office knows of replicas that make themselves known; all may be left out.
@@ -90,6 +93,7 @@
 
 func (c *Core) Step(ev Event) []Effect {
 	c.effects = nil
+	c.woke(ev.NowUs)
 	switch {
 	case ev.Letter != nil:
 		c.letter(ev.NowUs, *ev.Letter)
--- a/internal/office/replicas.go
+++ b/internal/office/replicas.go
@@ -14,6 +14,8 @@
 const (
 	tellEveryUs   = 250 * clock.Ms
 	darkDefaultUs = 3000 * clock.Ms
+	wokeUs        = 500 * clock.Ms
+	wakingUs      = 300 * clock.Ms
 )
 
 // Unfollow ends a desk's stream of frames.
@@ -46,6 +48,18 @@
 	return soft{Roster: roster.New(darkUs), Hub: feed.NewHub(), told: map[string]*told{}}
 }
 
+// woke notes when this office was not run for a while: for a moment after, what it reads may be as old as that.
+func (c *Core) woke(nowUs int64) {
+	if c.stepUs > 0 && nowUs-c.stepUs > wokeUs {
+		c.sleptUs, c.wokeUs = c.stepUs, nowUs
+	}
+	c.stepUs = nowUs
+	c.soft.Roster.LateUs = 0
+	if c.wokeUs > 0 && nowUs-c.wokeUs < wakingUs {
+		c.soft.Roster.LateUs = nowUs - c.sleptUs
+	}
+}
+
 // heard takes a replica's own word.
 func (c *Core) heard(nowUs int64, row roster.Row) {
 	if c.soft.Roster.Hear(nowUs, row) {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -56,12 +56,16 @@
 	Seq   uint64 `json:"seq"`
 	Mark  uint32 `json:"mark"`
 	AgoMs int64  `json:"agoMs"`
-	Row   *Row   `json:"row,omitempty"`
+	// SaidMs ago is since when what it says surely holds: a word may have lain unread.
+	SaidMs int64 `json:"saidMs"`
+	Row    *Row  `json:"row,omitempty"`
 }
 
+// Entry is a replica's latest word. SaidUs is the latest time at which it surely still said so.
 type Entry struct {
 	Row
 	HeardUs int64
+	SaidUs  int64
 	Rev     uint64
 	Dark    bool
 	seen    uint64
@@ -71,8 +75,11 @@
 // Roster is one office's soft state of all replicas: heard from them directly or from other offices.
 // It is never written to disk; who is heard last, by Seq, is right.
 type Roster struct {
-	Rev     uint64
-	DarkUs  int64
+	Rev    uint64
+	DarkUs int64
+	// LateUs is how long what is read now may have lain unread: an office that wakes from a freeze finds
+	// words in its sockets that were true before it.
+	LateUs  int64
 	rows    map[string]*Entry
 	sweepUs int64
 	want    bool
@@ -88,10 +95,10 @@
 
 // Hear takes what a replica said; changed is true where others must learn of it.
 func (r *Roster) Hear(nowUs int64, row Row) (changed bool) {
-	return r.hear(nowUs, nowUs, row)
+	return r.hear(nowUs, nowUs, nowUs-r.LateUs, row)
 }
 
-func (r *Roster) hear(nowUs, heardUs int64, row Row) bool {
+func (r *Roster) hear(nowUs, heardUs, saidUs int64, row Row) bool {
 	e := r.rows[row.ID]
 	if e == nil {
 		if len(r.rows) >= rowsMost || row.ID == "" {
@@ -106,7 +113,7 @@
 				r.Leave(nowUs, other.ID)
 			}
 		}
-		e = &Entry{Row: row, HeardUs: heardUs, seen: row.Seq}
+		e = &Entry{Row: row, HeardUs: heardUs, SaidUs: saidUs, seen: row.Seq}
 		r.rows[row.ID] = e
 		r.touch(e)
 		return true
@@ -118,7 +125,7 @@
 		return false
 	}
 	e.seen = max(e.seen, row.Seq)
-	e.HeardUs = max(e.HeardUs, heardUs)
+	e.HeardUs, e.SaidUs = max(e.HeardUs, heardUs), max(e.SaidUs, saidUs)
 	changed := !e.same(&row)
 	if e.Dark && nowUs-heardUs < r.DarkUs {
 		e.Dark, changed = false, true
@@ -155,7 +162,7 @@
 // it asks for all rows.
 func (r *Roster) Merge(nowUs int64, notes []Note) (changed bool) {
 	for _, n := range notes {
-		heardUs := nowUs - n.AgoMs*1000
+		heardUs, saidUs := nowUs-n.AgoMs*1000, nowUs-r.LateUs-n.SaidMs*1000
 		if n.Row != nil {
 			if n.Row.Gone {
 				if e := r.rows[n.ID]; e == nil || !e.Gone {
@@ -163,7 +170,7 @@
 				}
 				continue
 			}
-			changed = r.hear(nowUs, heardUs, *n.Row) || changed
+			changed = r.hear(nowUs, heardUs, saidUs, *n.Row) || changed
 			continue
 		}
 		e := r.rows[n.ID]
@@ -173,7 +180,7 @@
 		}
 		if !e.Gone && n.Seq > e.seen {
 			e.seen = n.Seq
-			e.HeardUs = max(e.HeardUs, heardUs)
+			e.HeardUs, e.SaidUs = max(e.HeardUs, heardUs), max(e.SaidUs, saidUs)
 			if e.Dark && nowUs-heardUs < r.DarkUs {
 				e.Dark, changed = false, true
 				r.touch(e)
@@ -196,7 +203,7 @@
 	notes := make([]Note, 0, len(r.rows))
 	for _, id := range r.IDs() {
 		e := r.rows[id]
-		n := Note{ID: id, Seq: e.seen, Mark: e.mark, AgoMs: (nowUs - e.HeardUs) / 1000}
+		n := Note{ID: id, Seq: e.seen, Mark: e.mark, AgoMs: (nowUs - e.HeardUs) / 1000, SaidMs: (nowUs - e.SaidUs) / 1000}
 		if e.Rev > since || (e.Gone && nowUs-e.HeardUs < goneUs) {
 			row := e.Row
 			row.Seq = e.seen
