Live on while the disk refuses a write, outside the view, and come back by copy

Ruled out: counting the office as stalled by time alone (it would promise for a disk that takes nothing, and each promise would wait in memory); taking it out of the comparison after all have restarted (its log may be the longest). Change: the same write is tried every 250 ms, and what follows waits behind it in one queue that never holds up the actor. The chain is told: such a member says at once that it is stalled, is put out of the view, takes no writes as head, promises and accepts nothing, and of logs that are equal goes last. A second copy from a partner waits for the first. When the disk takes bytes again it comes back by a copy and a seat. Only a disk that has lost what it had synced ends the office. Settings no longer take a full disk for a mistake. An office that ends itself, one that tries once, and one that says it synced what it did not are each seen. Conclusion: a full disk costs a seat for as long as it lasts, and nothing else.

--- a/internal/chain/copy.go
+++ b/internal/chain/copy.go
@@ -12,6 +12,16 @@
 	}
 }
 
+// copying: a partner's copy is on its way to the disk. Another would have to wait for it.
+func (n *Node) copying() bool {
+	for _, s := range n.saving {
+		if s.copied > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // keeping: a copy is on its way to the disk, beside the log.
 func (n *Node) keeping() bool {
 	for _, s := range n.saving {
@@ -54,7 +64,7 @@
 }
 
 func (n *Node) takeCopy(c Copy) {
-	if c.State == nil {
+	if c.State == nil || n.copying() {
 		return
 	}
 	n.base, n.entries, n.state, n.commit, n.whole = Copy{Index: c.Index, View: c.View}, nil, c.State.Freeze(), c.Index, false
--- a/internal/chain/explore_test.go
+++ b/internal/chain/explore_test.go
@@ -27,6 +27,7 @@
 	crashes int
 	ticks   int
 	writes  int
+	fills   int
 	incs    int
 	broken  string
 }
@@ -36,6 +37,7 @@
 	node  *Node
 	disk  []Record
 	saves []Save
+	full  bool
 }
 
 func (n *Node) clone() *Node {
@@ -74,12 +76,12 @@
 	for _, id := range n.partnerIDs() {
 		p := n.partners[id]
 		h := p.hello
-		partners = append(partners, fmt.Sprint(id, h.Inc, h.Phase, h.View.Number, h.Last, h.LastView, h.Compared, h.Whole, h.Promised, h.Hears, h.CopyIndex, h.Accepted != nil, ago(p.heardUs), ago(p.deafUs)))
+		partners = append(partners, fmt.Sprint(id, h.Inc, h.Phase, h.View.Number, h.Last, h.LastView, h.Compared, h.Whole, h.Promised, h.Hears, h.CopyIndex, h.Accepted != nil, h.Stalled, ago(p.heardUs), ago(p.deafUs)))
 	}
 	saving := []string{}
 	for _, seq := range slices.Sorted(maps.Keys(n.saving)) {
 		s := n.saving[seq]
-		saving = append(saving, fmt.Sprint(ago(s.startUs), s.upto, s.copied, s.then != nil))
+		saving = append(saving, fmt.Sprint(ago(s.startUs), s.upto, s.copied, s.then != nil, s.refused))
 	}
 	leases := []string{}
 	for _, id := range slices.Sorted(maps.Keys(n.leases)) {
@@ -104,7 +106,7 @@
 		if p.node != nil {
 			text.WriteString(p.node.key(b.nowUs))
 		}
-		fmt.Fprint(&text, "|", len(p.saves), len(p.disk), ";")
+		fmt.Fprint(&text, "|", len(p.saves), len(p.disk), p.full, ";")
 	}
 	for i := range b.members {
 		for j := range b.members {
@@ -113,7 +115,7 @@
 			}
 		}
 	}
-	fmt.Fprint(&text, b.crashes, b.ticks, b.writes, len(b.acked))
+	fmt.Fprint(&text, b.crashes, b.ticks, b.writes, b.fills, len(b.acked))
 	return text.String()
 }
 
@@ -168,7 +170,7 @@
 	c := *b
 	c.members = nil
 	for _, p := range b.members {
-		held := &place{me: p.me, disk: slices.Clip(p.disk), saves: slices.Clone(p.saves)}
+		held := &place{me: p.me, disk: slices.Clip(p.disk), saves: slices.Clone(p.saves), full: p.full}
 		if p.node != nil {
 			held.node = p.node.clone()
 		}
@@ -218,7 +220,7 @@
 
 func (b *box) crash(i int) {
 	p := b.members[i]
-	p.node, p.saves = nil, nil
+	p.node, p.saves, p.full = nil, nil, false
 	for way := range b.pipes {
 		if way[0] == i || way[1] == i {
 			delete(b.pipes, way)
@@ -324,6 +326,17 @@
 	}
 }
 
+// ready: the next save of this member may be synced.
+func (p *place) ready() bool { return len(p.saves) > 0 && !p.full }
+
+// fill makes a disk refuse its next save, and all until it takes bytes again.
+func (b *box) fill(i int) {
+	b.fills++
+	p := b.members[i]
+	p.full = true
+	b.step(i, Event{Refused: p.saves[0].Seq})
+}
+
 func (b *box) synced(i int) {
 	p := b.members[i]
 	s := p.saves[0]
@@ -349,7 +362,7 @@
 	for n := 0; n < 400; n++ {
 		moved := false
 		for i := range b.members {
-			if len(b.members[i].saves) > 0 {
+			if b.members[i].ready() {
 				b.synced(i)
 				moved = true
 			}
@@ -377,7 +390,7 @@
 	}
 }
 
-type limits struct{ crashes, ticks, writes int }
+type limits struct{ crashes, ticks, writes, fills int }
 
 // next lists every state one action away.
 func (b *box) next(l limits) []*box {
@@ -389,8 +402,14 @@
 		out = append(out, c)
 	}
 	for i := range b.members {
-		if len(b.members[i].saves) > 0 {
+		if b.members[i].ready() {
 			try(func(c *box) { c.synced(i) })
+			if b.fills < l.fills && b.crashes == 0 {
+				try(func(c *box) { c.fill(i) })
+			}
+		}
+		if b.members[i].full {
+			try(func(c *box) { c.members[i].full = false })
 		}
 		for j := range b.members {
 			if way := [2]int{i, j}; len(b.pipes[way]) > 0 {
@@ -399,7 +418,7 @@
 		}
 		if b.members[i].node == nil {
 			try(func(c *box) { c.start(i, 0) })
-		} else if b.crashes < l.crashes {
+		} else if b.crashes < l.crashes && b.fills == 0 {
 			try(func(c *box) {
 				c.crashes++
 				c.crash(i)
@@ -529,7 +548,7 @@
 // onward takes the one action that comes first in a fixed order, or a tick where nothing is under way.
 func (b *box) onward() {
 	for i := range b.members {
-		if len(b.members[i].saves) > 0 {
+		if b.members[i].ready() {
 			b.synced(i)
 			return
 		}
@@ -560,7 +579,7 @@
 			states, views, acked, starts := 0, 0, 0, 0
 			for n := 0; n < pathMost; n++ {
 				if n%stride == 0 {
-					s, v, a := explore(t, b.clone(), depth, limits{crashes: 1, ticks: 2, writes: b.writes + 1})
+					s, v, a := explore(t, b.clone(), depth, limits{crashes: 1, ticks: 2, writes: b.writes + 1, fills: 1})
 					states, views, acked, starts = states+s, max(views, v), max(acked, a), starts+1
 				}
 				b.onward()
@@ -623,8 +642,14 @@
 	acts := []func(*box){}
 	down := 0
 	for i := range b.members {
-		if len(b.members[i].saves) > 0 {
+		if b.members[i].ready() {
 			acts = append(acts, func(c *box) { c.synced(i) })
+			if r%40 == 7 {
+				acts = append(acts, func(c *box) { c.fill(i) })
+			}
+		}
+		if b.members[i].full && r%12 == 5 {
+			acts = append(acts, func(c *box) { c.members[i].full = false })
 		}
 		for j := range b.members {
 			if way := [2]int{i, j}; len(b.pipes[way]) > 0 {
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -92,6 +92,7 @@
 	then    *reply
 	copied  uint64
 	bulk    bool
+	refused bool
 }
 
 // reply is what a member owes another once a record is synced.
@@ -257,6 +258,8 @@
 		n.got(*ev.Got)
 	case ev.Saved != 0:
 		n.saved(ev.Saved)
+	case ev.Refused != 0:
+		n.refused(ev.Refused)
 	case ev.Submit != nil:
 		n.submit(*ev.Submit)
 	case ev.Learn != nil:
@@ -314,15 +317,40 @@
 	}
 }
 
+// refused: the disk does not take a save. This member says so at once, and is put out of the view.
+func (n *Node) refused(seq uint64) {
+	s := n.saving[seq]
+	if s == nil || s.refused {
+		return
+	}
+	s.refused = true
+	n.sayHello()
+}
+
 func (n *Node) stalled() bool {
 	for _, s := range n.saving {
-		if !s.bulk && n.nowUs-s.startUs > n.opts.StallUs {
+		if s.refused || (!s.bulk && n.nowUs-s.startUs > n.opts.StallUs) {
+			return true
+		}
+	}
+	return false
+}
+
+// savingMost bounds what waits for a disk that hangs.
+const savingMost = 64
+
+func (n *Node) refusing() bool {
+	for _, s := range n.saving {
+		if s.refused {
 			return true
 		}
 	}
 	return false
 }
 
+// mute: this member takes no part in a decision, as it could not keep its word.
+func (n *Node) mute() bool { return n.refusing() || len(n.saving) >= savingMost }
+
 func (n *Node) flush() {
 	if n.queued >= n.lastIndex() || n.entrySaving() {
 		return
@@ -349,6 +377,8 @@
 
 func (n *Node) submit(c ledger.Change) {
 	switch {
+	case n.IsHead() && n.stalled():
+		n.effects = append(n.effects, Effect{Refused: &Refused{ID: c.ID, Reason: "its own disk: a sync has not come back"}})
 	case n.IsHead() && n.lastIndex()-n.commit >= uint64(n.opts.WaitMost):
 		n.effects = append(n.effects, Effect{Refused: &Refused{ID: c.ID, Reason: "too many writes wait to be committed"}})
 	case n.IsHead() && n.WritesTaken() && (c.Epoch == 0 || c.Claim != nil || c.Epoch >= n.state.Epoch):
@@ -555,6 +585,8 @@
 // WaitsFor tells an operator, in words, what this office is waiting for.
 func (n *Node) WaitsFor() string {
 	switch {
+	case n.refusing():
+		return "its own disk: it takes no bytes; the same write is tried again and again"
 	case n.stalled():
 		return "its own disk: a sync has not come back"
 	case n.phase == Fresh && n.opts.Founding > 0:
--- /dev/null
+++ b/internal/chain/refusal_test.go
@@ -0,0 +1,104 @@
+package chain
+
+import (
+	"fmt"
+	"testing"
+)
+
+// A member whose disk refuses a write lives on, is put out of the view by the others, promises and accepts
+// nothing it cannot keep, and comes back by a copy once its disk takes bytes again.
+func TestAMemberWhoseDiskRefusesIsPutOutAndComesBack(t *testing.T) {
+	for i := range 3 {
+		t.Run(fmt.Sprint("member ", i), func(t *testing.T) {
+			b := newBox()
+			b.write()
+			b.settle()
+			if len(b.acked) != 1 {
+				t.Fatal(b.acked)
+			}
+			p := b.members[i]
+			id := p.me.ID
+			b.tick()
+			b.write()
+			for n := 0; n < 40 && !p.ready(); n++ {
+				b.onward()
+			}
+			b.fill(i)
+			if !p.node.stalled() || !p.node.refusing() || p.node.WaitsFor() == "" {
+				t.Fatal("it does not say that its disk refuses")
+			}
+			kept := len(p.disk)
+			before, index := p.node.promised, p.node.commit
+			b.pass(4)
+			for j, other := range b.members {
+				if j != i && (other.node.view.Seated(id) || !other.node.WritesTaken()) {
+					t.Fatalf("%s has %+v", other.me.ID, other.node.view.Order)
+				}
+			}
+			b.write()
+			b.pass(2)
+			if len(b.acked) < 2 {
+				t.Fatalf("%d acknowledged while one disk of three is full", len(b.acked))
+			}
+			if len(p.disk) != kept || p.node.commit != index || (before != p.node.promised && p.node.promised != Ballot{}) {
+				t.Fatalf("it has gone on: %d records, commit %d, promised %+v", len(p.disk), p.node.commit, p.node.promised)
+			}
+			p.full = false
+			b.pass(12)
+			last := uint64(0)
+			for index := range b.acked {
+				last = max(last, index)
+			}
+			if !p.node.serving() || !p.node.whole || p.node.commit < last || p.node.stalled() {
+				t.Fatalf("it is %s, whole %v, at %d of %d, waits for %q", p.node.phase, p.node.whole, p.node.commit, last, p.node.WaitsFor())
+			}
+			b.judge()
+			if b.broken != "" {
+				t.Fatal(b.broken)
+			}
+		})
+	}
+}
+
+// All restart, and the disk of the one that would go first refuses: another of the same length goes first.
+func TestAFullDiskDoesNotHoldUpARestartOfAll(t *testing.T) {
+	b := newBox()
+	b.write()
+	b.settle()
+	for i := range b.members {
+		b.crash(i)
+	}
+	for i := range b.members {
+		b.start(i, 0)
+	}
+	first := b.members[0]
+	first.node.save([]Record{{Promised: &first.node.promised}}, 0, nil)
+	first.saves = append(first.saves, Save{Seq: first.node.saveSeq, Records: []Record{{Promised: &first.node.promised}}})
+	b.fill(0)
+	b.pass(12)
+	if b.broken != "" {
+		t.Fatal(b.broken)
+	}
+	head := b.members[1].node.View().Head()
+	if b.members[1].node.Phase() != Serving || head.ID == b.members[0].me.ID {
+		t.Fatalf("phase %s, head %s, waits for %q", b.members[1].node.Phase(), head.ID, b.members[1].node.WaitsFor())
+	}
+	b.write()
+	b.settle()
+	if len(b.acked) < 2 {
+		t.Fatal("nothing is acknowledged")
+	}
+}
+
+// What waits for a disk that hangs is bounded: a member that owes much promises no more.
+func TestAMemberThatOwesMuchPromisesNoMore(t *testing.T) {
+	b := newBox()
+	p := b.members[1]
+	for n := range 10 * savingMost {
+		b.step(1, Event{Got: &Msg{From: b.members[0].me, Inc: b.members[0].node.opts.Inc,
+			Prepare: &Prepare{Number: p.node.view.Number + 1, Ballot: Ballot{Round: uint64(n + 10), By: b.members[0].me.ID}}}})
+	}
+	if len(p.saves) == 0 || len(p.saves) > savingMost {
+		t.Fatalf("%d saves wait", len(p.saves))
+	}
+}
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -224,11 +224,13 @@
 }
 
 type Event struct {
-	NowUs  int64
-	Got    *Msg
-	Saved  uint64
-	Submit *ledger.Change
-	Learn  []string
+	NowUs int64
+	Got   *Msg
+	Saved uint64
+	// Refused is a save that the disk does not take now. It is tried again until it is saved.
+	Refused uint64
+	Submit  *ledger.Change
+	Learn   []string
 }
 
 type Effect struct {
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -314,6 +314,7 @@
 	type candidate struct {
 		seat           Seat
 		last, lastView uint64
+		stalled        bool
 	}
 	found := []candidate{}
 	heardVoters := 0
@@ -332,13 +333,13 @@
 			heardVoters++
 		}
 		if n.view.Seated(id) && p.hello.Phase == Waking && p.hello.Whole && p.hello.View.Number == n.view.Number {
-			found = append(found, candidate{Seat{p.hello.Me, p.hello.Inc}, p.hello.Last, p.hello.LastView})
+			found = append(found, candidate{Seat{p.hello.Me, p.hello.Inc}, p.hello.Last, p.hello.LastView, p.hello.Stalled})
 		}
 	}
 	if !n.view.Seated(n.opts.Me.ID) || n.stalled() || !n.whole {
 		return
 	}
-	found = append(found, candidate{Seat{n.opts.Me, n.opts.Inc}, n.lastIndex(), n.lastView()})
+	found = append(found, candidate{Seat{n.opts.Me, n.opts.Inc}, n.lastIndex(), n.lastView(), n.stalled()})
 	gathered := len(found) == len(n.view.Order)
 	if heardVoters < n.view.Quorum() || (!gathered && n.nowUs-n.bootUs < n.opts.GatherUs) {
 		return
@@ -351,6 +352,9 @@
 		if a.last != b.last {
 			return a.last > b.last
 		}
+		if a.stalled != b.stalled {
+			return b.stalled
+		}
 		return a.seat.ID < b.seat.ID
 	})
 	if found[0].seat.ID != n.opts.Me.ID {
@@ -382,7 +386,7 @@
 }
 
 func (n *Node) gotPrepare(m Msg, p Prepare) {
-	if p.Number != n.view.Number+1 || !n.compared || !n.view.Votes(n.opts.Me.ID) {
+	if p.Number != n.view.Number+1 || !n.compared || !n.view.Votes(n.opts.Me.ID) || n.mute() {
 		return
 	}
 	if !n.promised.Less(p.Ballot) {
@@ -431,7 +435,7 @@
 }
 
 func (n *Node) gotAccept(m Msg, a Accept) {
-	if a.Number != n.view.Number+1 || !n.compared || !n.view.Votes(n.opts.Me.ID) {
+	if a.Number != n.view.Number+1 || !n.compared || !n.view.Votes(n.opts.Me.ID) || n.mute() {
 		return
 	}
 	if a.Ballot.Less(n.promised) {
--- a/internal/office/core.go
+++ b/internal/office/core.go
@@ -20,6 +20,7 @@
 	NowUs      int64
 	Letter     *wire.Letter
 	Saved      uint64
+	Refused    uint64
 	Submit     *ledger.Change
 	Learn      []string
 	Follow     *wire.Follow
@@ -99,6 +100,8 @@
 		c.letter(ev.NowUs, *ev.Letter)
 	case ev.Saved != 0:
 		c.chain(chain.Event{NowUs: ev.NowUs, Saved: ev.Saved})
+	case ev.Refused != 0:
+		c.chain(chain.Event{NowUs: ev.NowUs, Refused: ev.Refused})
 	case ev.Submit != nil:
 		c.chain(chain.Event{NowUs: ev.NowUs, Submit: ev.Submit})
 	case ev.Learn != nil:
--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -63,15 +63,15 @@
 type Host struct {
 	set   settings.Office
 	core  *Core
-	disk  *storage.Store
+	disk  disk
 	ring  *logring.Ring
 	log   log.Logger
 	web   *http.Client
 	inner *http.Client
 
 	act      *actor.Actor
-	saves    chan chain.Save
-	unsaved  []chain.Save
+	saves    *saves
+	pace     func() <-chan time.Time
 	partners map[string]chan wire.Letter
 	bulk     map[string]bool
 	waiters  map[string]chan wire.Result
@@ -137,6 +137,9 @@
 	if opened.Cut > 0 {
 		_ = logger.Log("event", "cut a torn last record", "bytes", opened.Cut)
 	}
+	if opened.Refused != nil {
+		_ = logger.Log("event", "the disk takes no bytes", "err", opened.Refused)
+	}
 	me := chain.Member{ID: opened.Store.Seal().Identity, Name: set.Name, Addr: set.Advertise, Zone: set.Zone}
 	if kept, _ := filepath.Glob(filepath.Join(set.Data, "chain.damaged-*")); opened.Fresh && len(kept) > 0 {
 		founding = 0
@@ -164,7 +167,7 @@
 	h := &Host{
 		set: set, core: core, disk: opened.Store, ring: ring, log: logger,
 		web: rpc.Client(500, set.Listen), inner: rpc.Client(innerDialMs, set.Listen),
-		act: actor.New(mailboxMost), saves: make(chan chain.Save, 1024),
+		act: actor.New(mailboxMost), saves: newSaves(), pace: func() <-chan time.Time { return time.After(retryEvery) },
 		partners: map[string]chan wire.Letter{}, bulk: map[string]bool{}, waiters: map[string]chan wire.Result{}, replies: map[uint64]chan wire.Lease{},
 		follows: map[string]*followed{}, rebuilds: opened.Fresh && founding == 0 && len(set.Founders) == 0, failed: make(chan error, 1),
 		frames: map[string]*framed{},
@@ -174,7 +177,7 @@
 	return h, nil
 }
 
-// Run serves until ctx ends or the disk fails.
+// Run serves until ctx ends. A disk that refuses or hangs does not end it.
 func (h *Host) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", h.set.Listen)
 	if err != nil {
@@ -229,7 +232,6 @@
 func (h *Host) tell(ev Event) { h.act.Tell(func() { h.step(ev) }) }
 
 func (h *Host) step(ev Event) {
-	h.passSaves()
 	ev.NowUs = clock.NowUs()
 	if ev.Controller != nil {
 		ev.Controller.NowUs = ev.NowUs
@@ -239,7 +241,7 @@
 		case e.Letter != nil:
 			h.post(e.Letter.Addr, e.Letter.Letter)
 		case e.Save != nil:
-			h.save(*e.Save)
+			h.saves.put(*e.Save)
 		case e.Push != nil:
 			h.push(e.Push.Desk, e.Push.News)
 		case e.Frame != nil:
@@ -264,76 +266,6 @@
 	}
 }
 
-// save never waits for the disk. An actor that did, while the disk waited to tell it through a full mailbox
-// what is saved, would wait for ever.
-func (h *Host) save(s chain.Save) {
-	h.unsaved = append(h.unsaved, s)
-	h.passSaves()
-}
-
-// passSaves hands the saver what it has room for. Each step does, so the rest waits for a tick at most.
-func (h *Host) passSaves() {
-	for len(h.unsaved) > 0 {
-		select {
-		case h.saves <- h.unsaved[0]:
-			h.unsaved = h.unsaved[1:]
-		default:
-			return
-		}
-	}
-	h.unsaved = nil
-}
-
-func (h *Host) saver() {
-	before := make(chan struct{})
-	close(before)
-	for {
-		var s chain.Save
-		select {
-		case <-h.act.Ctx.Done():
-			return
-		case s = <-h.saves:
-		}
-		from, err := h.disk.Write(s.Records, s.Fresh)
-		if err != nil {
-			h.fail(err)
-			return
-		}
-		if s.Copy != nil {
-			held, last, kept := s, before, make(chan struct{})
-			before = kept
-			h.act.Spawn(func() {
-				defer close(kept)
-				<-last
-				h.keep(held, from)
-			})
-			continue
-		}
-		h.tell(Event{Saved: s.Seq})
-	}
-}
-
-func (h *Host) fail(err error) {
-	select {
-	case h.failed <- fault.New(fault.DataUnwritable, h.set.Data, "%v", err):
-	default:
-	}
-}
-
-// keep writes a copy while the log goes on, and only then lets go of what it stands for. Copies are kept one
-// after another in the log's order: an older one must not take a newer one's place.
-func (h *Host) keep(s chain.Save, from uint64) {
-	err := h.disk.Keep(*s.Copy)
-	if err == nil && s.Fresh {
-		err = h.disk.Forget(from)
-	}
-	if err != nil {
-		h.fail(err)
-		return
-	}
-	h.tell(Event{Saved: s.Seq})
-}
-
 func (h *Host) post(addr string, l wire.Letter) {
 	if addr == "" || addr == h.set.Advertise {
 		return
--- a/internal/office/keep_test.go
+++ b/internal/office/keep_test.go
@@ -32,10 +32,10 @@
 		if i%2 == 1 {
 			state = large
 		}
-		h.saves <- chain.Save{Seq: i, Copy: &chain.Copy{Index: i, View: 1, State: state}}
+		h.saves.put(chain.Save{Seq: i, Copy: &chain.Copy{Index: i, View: 1, State: state}})
 	}
-	h.saves <- chain.Save{Seq: copies + 1}
-	for len(h.saves) > 0 {
+	h.saves.put(chain.Save{Seq: copies + 1})
+	for h.saves.waiting() > 0 {
 		time.Sleep(time.Millisecond)
 	}
 	h.act.End()
--- a/internal/office/save_test.go
+++ b/internal/office/save_test.go
@@ -23,10 +23,10 @@
 		t.Fatal(err)
 	}
 	h.act.Spawn(func() { h.act.Loop(time.Millisecond, func() { h.step(Event{}) }) })
-	saves := uint64(3 * cap(h.saves))
+	const saves = uint64(3 * 1024)
 	h.act.Tell(func() {
 		for i := uint64(1); i <= saves; i++ {
-			h.save(chain.Save{Seq: 1 << 40, Records: []chain.Record{{Entry: &chain.Entry{Index: i, View: 1, Change: ledger.Change{ID: "c"}}}}})
+			h.saves.put(chain.Save{Seq: 1 << 40, Records: []chain.Record{{Entry: &chain.Entry{Index: i, View: 1, Change: ledger.Change{ID: "c"}}}}})
 		}
 	})
 	soon, done := context.WithTimeout(t.Context(), 10*time.Second)
@@ -36,7 +36,7 @@
 	}
 	h.act.Spawn(h.saver)
 	for left, ran := 1, true; left > 0; {
-		if left, ran = actor.Ask(t.Context(), h.act, func() int { return len(h.unsaved) + len(h.saves) }); !ran {
+		if left, ran = actor.Ask(t.Context(), h.act, h.saves.waiting); !ran {
 			t.Fatal("the actor ended")
 		}
 	}
--- /dev/null
+++ b/internal/office/saver.go
@@ -0,0 +1,166 @@
+package office
+
+import (
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"petreltide/internal/chain"
+	"petreltide/internal/fault"
+)
+
+const (
+	retryEvery = 250 * time.Millisecond
+	sayEvery   = 40
+)
+
+// disk is where the chain's records and copies are kept; after an error the same may be tried again.
+type disk interface {
+	Write(records []chain.Record, fresh bool) (from uint64, err error)
+	Keep(c chain.Copy) error
+	Forget(before uint64) error
+	Close() error
+}
+
+// saves are what the chain wants on the disk, in order. Whoever adds one never waits for the disk; the
+// chain bounds how many there are.
+type saves struct {
+	mu   sync.Mutex
+	list []chain.Save
+	more chan struct{}
+}
+
+func newSaves() *saves { return &saves{more: make(chan struct{}, 1)} }
+
+func (q *saves) put(s chain.Save) {
+	q.mu.Lock()
+	q.list = append(q.list, s)
+	q.mu.Unlock()
+	select {
+	case q.more <- struct{}{}:
+	default:
+	}
+}
+
+func (q *saves) waiting() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.list)
+}
+
+// take waits for the next one; false once over is closed.
+func (q *saves) take(over <-chan struct{}) (chain.Save, bool) {
+	for {
+		select {
+		case <-over:
+			return chain.Save{}, false
+		default:
+		}
+		q.mu.Lock()
+		if len(q.list) > 0 {
+			s := q.list[0]
+			q.list = q.list[1:]
+			q.mu.Unlock()
+			return s, true
+		}
+		q.mu.Unlock()
+		select {
+		case <-over:
+			return chain.Save{}, false
+		case <-q.more:
+		}
+	}
+}
+
+// insist tries the same until the disk takes it. Until then the office stands still where it needs the
+// disk, and goes on elsewhere. False means that the office is ending.
+func (h *Host) insist(seq uint64, try func() error) bool {
+	since := time.Now()
+	for tries := 0; ; tries++ {
+		err := try()
+		var bad *fault.Fault
+		switch {
+		case err == nil && tries == 0:
+			return true
+		case err == nil:
+			_ = h.log.Log("event", "the disk takes bytes again", "after", time.Since(since).Round(time.Millisecond))
+			return true
+		case errors.As(err, &bad) && bad.Code == fault.DamagedData:
+			h.fail(bad)
+			return false
+		case tries%sayEvery == 0:
+			_ = h.log.Log("event", "the disk takes no bytes; the same is tried again", "every", retryEvery, "err", err)
+		}
+		if seq != 0 && tries == 0 {
+			h.tell(Event{Refused: seq})
+		}
+		select {
+		case <-h.act.Ctx.Done():
+			return false
+		case <-h.pace():
+		}
+	}
+}
+
+// write brings a save's records to the log and tells where they are.
+func (h *Host) write(s chain.Save) (from uint64, done bool) {
+	done = h.insist(s.Seq, func() (err error) {
+		from, err = h.disk.Write(s.Records, s.Fresh)
+		return err
+	})
+	return from, done
+}
+
+func (h *Host) saver() {
+	if _, done := h.write(chain.Save{}); !done {
+		return
+	}
+	before := make(chan struct{})
+	close(before)
+	for {
+		s, more := h.saves.take(h.act.Ctx.Done())
+		if !more {
+			return
+		}
+		from, done := h.write(s)
+		if !done {
+			return
+		}
+		if s.Copy != nil {
+			held, last, kept := s, before, make(chan struct{})
+			before = kept
+			h.act.Spawn(func() {
+				defer close(kept)
+				<-last
+				h.keep(held, from)
+			})
+			continue
+		}
+		h.tell(Event{Saved: s.Seq})
+	}
+}
+
+func (h *Host) fail(err error) {
+	select {
+	case h.failed <- err:
+	default:
+	}
+}
+
+// keep writes a copy while the log goes on, and only then lets go of what it stands for. Copies are kept one
+// after another in the log's order: an older one must not take a newer one's place. Nobody waits for a copy
+// that only stands for the log; without a partner's copy, though, an office is none.
+func (h *Host) keep(s chain.Save, from uint64) {
+	waited := s.Seq
+	if s.Fresh {
+		waited = 0
+	}
+	if !h.insist(waited, func() error { return h.disk.Keep(*s.Copy) }) {
+		return
+	}
+	if s.Fresh && !h.insist(0, func() error { return h.disk.Forget(from) }) {
+		return
+	}
+	h.tell(Event{Saved: s.Seq})
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,9 +1,11 @@
 package settings
 
 import (
+	"errors"
 	"net"
 	"os"
 	"path/filepath"
+	"syscall"
 
 	"sigs.k8s.io/yaml"
 
@@ -147,17 +149,21 @@
 	}
 }
 
+// waits: the disk takes nothing now, which is no fault of the settings and may pass.
+func waits(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, syscall.EIO)
+}
+
 func writable(sheet *fault.Sheet, folder string) {
-	if err := os.MkdirAll(folder, 0o755); err != nil {
-		sheet.Note(fault.DataUnwritable, "data", "%v", err)
-		return
-	}
+	err := os.MkdirAll(folder, 0o755)
 	probe := filepath.Join(folder, ".writable")
-	if err := os.WriteFile(probe, nil, 0o644); err != nil {
-		sheet.Note(fault.DataUnwritable, "data", "%v", err)
-		return
+	if err == nil {
+		err = os.WriteFile(probe, nil, 0o644)
+	}
+	if err == nil {
+		err = os.Remove(probe)
 	}
-	if err := os.Remove(probe); err != nil {
+	if err != nil && !waits(err) {
 		sheet.Note(fault.DataUnwritable, "data", "%v", err)
 	}
 }
--- a/proofs/fleet/faults.go
+++ b/proofs/fleet/faults.go
@@ -119,7 +119,8 @@
 		if _, err := os.Stat(filepath.Join(f.folder(name), "diskfaults")); err != nil {
 			return leftOut{"petreltide is not built with the tag diskfaults"}
 		}
-		at := filepath.Join(f.folder(name), file)
+		at, refused := filepath.Join(f.folder(name), file), filepath.Join(f.folder(name), "refused")
+		_ = os.Remove(refused)
 		if err := os.WriteFile(at, []byte(text), 0o644); err != nil {
 			return errors.Trace(err)
 		}
@@ -130,13 +131,13 @@
 		}
 		select {
 		case <-gone:
-			return f.Again(name)
+			return errors.Errorf("%s ended itself when its disk was in trouble (%s)", name, file)
 		default:
-			if file == "full" {
-				return leftOut{"the office wrote nothing meanwhile"}
-			}
-			return nil
 		}
+		if _, err := os.Stat(refused); file == "full" && err != nil {
+			return leftOut{"the office wrote nothing meanwhile"}
+		}
+		return nil
 	}
 }
 
--- a/proofs/rules/rules.go
+++ b/proofs/rules/rules.go
@@ -22,6 +22,7 @@
 	OverRoom     = "a replica was ordered to hold more than its room"
 	OverStore    = "loads outran the weight store"
 	ConfigLost   = "a refused configuration took effect, or an acknowledged one was lost"
+	UnsyncedCopy = "an acknowledgement counted a disk that did not hold it"
 	PoorService  = "service was still poor 12 s after the machines came back"
 )
 
--- /dev/null
+++ b/proofs/sim/disk.go
@@ -0,0 +1,122 @@
+package sim
+
+import (
+	"petreltide/internal/chain"
+	"petreltide/internal/office"
+)
+
+const retryUs = 250 * ms
+
+// disk is what an office has written. A full one refuses.
+type disk struct {
+	full     bool
+	refused  int
+	identity string
+	records  []chain.Record
+	held     uint64
+	stallUs  int64
+	slowUs   int64
+}
+
+// fill takes all room from a disk for a while. An empty machine that takes its place has a disk of its own.
+func (d *disk) fill(s *Sim, forUs int64) {
+	identity := d.identity
+	d.full = true
+	s.at(s.nowUs+forUs, func() {
+		if d.identity == identity {
+			d.full = false
+		}
+	})
+}
+
+func (d *disk) write(records []chain.Record, fresh bool) {
+	if fresh {
+		d.records = nil
+	}
+	d.records = append(d.records, clone(records)...)
+	for _, r := range records {
+		switch {
+		case r.Copy != nil:
+			d.held = r.Copy.Index
+		case r.Entry != nil:
+			d.held = r.Entry.Index
+		}
+	}
+}
+
+// recordsOf is what a save leaves on the disk; a copy stands before what came with it.
+func recordsOf(s chain.Save) []chain.Record {
+	if s.Copy == nil {
+		return s.Records
+	}
+	return append([]chain.Record{{Copy: s.Copy}}, s.Records...)
+}
+
+// saver does with an office's saves what its host does: in order, one at a time, and again until the disk
+// takes it.
+type saver struct {
+	on      *machine
+	disk    *disk
+	step    func(office.Event)
+	end     func()
+	pending []chain.Save
+	writing bool
+}
+
+func (w *saver) put(save chain.Save) {
+	w.pending = append(w.pending, save)
+	w.write()
+}
+
+func (w *saver) write() {
+	s := w.on.sim
+	if w.writing || len(w.pending) == 0 {
+		return
+	}
+	w.writing = true
+	save, boot := w.pending[0], w.on.boot
+	doneUs := max(s.nowUs+300+s.r.Int63n(1500)+w.disk.slowUs, w.disk.stallUs)
+	var try func()
+	try = func() {
+		if !w.on.up || w.on.boot != boot {
+			return
+		}
+		if w.disk.full && s.plan.Plant != "rash-disk" {
+			w.refuse(save.Seq, try)
+			return
+		}
+		if !w.disk.full {
+			w.disk.write(recordsOf(save), save.Fresh)
+		}
+		w.pending, w.writing = w.pending[1:], false
+		w.write()
+		w.on.now(boot, func() { w.step(office.Event{Saved: save.Seq}) })
+	}
+	s.at(doneUs, try)
+}
+
+func (w *saver) refuse(seq uint64, again func()) {
+	s := w.on.sim
+	w.disk.refused++
+	if s.plan.Plant == "frail-office" {
+		w.end()
+		return
+	}
+	w.on.now(w.on.boot, func() { w.step(office.Event{Refused: seq}) })
+	if s.plan.Plant != "one-try" {
+		s.at(s.nowUs+retryUs, again)
+	}
+}
+
+// torn leaves the first records that wait on the disk, as a loss of power may.
+func (w *saver) torn(records int) {
+	for _, p := range w.pending {
+		if records <= 0 {
+			return
+		}
+		all := recordsOf(p)
+		n := min(records, len(all))
+		w.disk.write(all[:n], false)
+		records -= n
+	}
+}
--- a/proofs/sim/faults.go
+++ b/proofs/sim/faults.go
@@ -150,13 +150,7 @@
 		return
 	case "full-disk":
 		done = o.up
-		o.disk.full = true
-		s.at(s.nowUs+f.ForUs, func() {
-			o.disk.full = false
-			if !o.up {
-				o.start()
-			}
-		})
+		o.disk.fill(s, f.ForUs)
 	case "power-config", "power-key", "power-ticket", "power-lease":
 		s.traps = append(s.traps, trap{f, f.Kind[len("power-"):], s.nowUs + f.ForUs + 4*sec})
 		return
@@ -409,7 +403,7 @@
 	}
 	o.crash(lossy, torn)
 	s.at(s.nowUs+forUs, func() {
-		if !o.up && !o.disk.full {
+		if !o.up {
 			o.start()
 		}
 	})
--- a/proofs/sim/offices.go
+++ b/proofs/sim/offices.go
@@ -12,15 +12,6 @@
 	"petreltide/proofs/rules"
 )
 
-type disk struct {
-	full     bool
-	identity string
-	records  []chain.Record
-	freeUs   int64
-	stallUs  int64
-	slowUs   int64
-}
-
 type officeNode struct {
 	machine
 	core     *office.Core
@@ -32,21 +23,7 @@
 	replies  map[uint64]func(wire.Lease)
 	replySeq uint64
 	follows  map[string]*deskNode
-	pending  []pendingSave
-}
-
-type pendingSave struct {
-	seq     uint64
-	records []chain.Record
-	fresh   bool
-}
-
-// recordsOf is what a save leaves on the disk; a copy stands before what came with it.
-func recordsOf(s chain.Save) []chain.Record {
-	if s.Copy == nil {
-		return s.Records
-	}
-	return append([]chain.Record{{Copy: s.Copy}}, s.Records...)
+	saver    saver
 }
 
 func newOffice(s *Sim, name, addr, zone string, founding int) *officeNode {
@@ -58,14 +35,10 @@
 
 func (o *officeNode) start() {
 	o.boot++
-	if o.disk.full {
-		o.boot--
-		return
-	}
 	o.up, o.thawUs = true, 0
 	o.skewUs = o.sim.r.Int63n(1000) * sec
 	o.waiters, o.replies, o.follows = map[string]func(wire.Result){}, map[uint64]func(wire.Lease){}, map[string]*deskNode{}
-	o.pending, o.disk.freeUs = nil, 0
+	o.saver = saver{on: &o.machine, disk: &o.disk, step: o.step, end: func() { o.crash(0, 0) }}
 	me := chain.Member{ID: o.disk.identity, Name: o.named, Addr: o.addr, Zone: o.zone}
 	node, err := chain.NewNode(chain.Options{Me: me, Inc: o.sim.newInc(), Founding: o.founding}, clone(o.disk.records), o.clock())
 	if err != nil {
@@ -130,26 +103,12 @@
 		return
 	}
 	o.up = false
-	for _, p := range o.pending {
-		if torn == 0 {
-			break
-		}
-		n := min(torn, len(p.records))
-		o.disk.write(p.records[:n], false)
-		torn -= n
-	}
+	o.saver.torn(torn)
 	if lossy > 0 {
 		o.disk.records = o.disk.records[:max(0, len(o.disk.records)-lossy)]
 	}
 }
 
-func (d *disk) write(records []chain.Record, fresh bool) {
-	if fresh {
-		d.records = nil
-	}
-	d.records = append(d.records, clone(records)...)
-}
-
 func (o *officeNode) step(ev office.Event) {
 	s := o.sim
 	ev.NowUs = o.clock()
@@ -166,7 +125,7 @@
 			letter := clone(e.Letter.Letter)
 			s.send(&o.machine, &to.machine, func() { to.step(office.Event{Letter: &letter}) })
 		case e.Save != nil:
-			o.save(*e.Save)
+			o.saver.put(*e.Save)
 		case e.Push != nil:
 			if d := o.follows[e.Push.Desk]; d != nil {
 				news := clone(e.Push.News)
@@ -191,26 +150,19 @@
 	}
 }
 
-func (o *officeNode) save(save chain.Save) {
-	s := o.sim
-	if o.disk.full {
-		s.at(s.nowUs+ms, func() { o.crash(0, 0) })
-		return
-	}
-	delayUs := 300 + s.r.Int63n(1500) + o.disk.slowUs
-	doneUs := max(s.nowUs, o.disk.freeUs) + delayUs
-	doneUs = max(doneUs, o.disk.stallUs)
-	o.disk.freeUs = doneUs
-	o.pending = append(o.pending, pendingSave{save.Seq, recordsOf(save), save.Fresh})
-	boot := o.boot
-	s.at(doneUs, func() {
-		if !o.up || o.boot != boot {
-			return
+// counted checks that every member a tail counts for an acknowledgement has it on its disk.
+func (s *Sim) counted(tail *officeNode, index uint64) {
+	for _, o := range s.offices {
+		if o.up && o.disk.full {
+			s.watch.Stake(rules.UnsyncedCopy)
 		}
-		o.disk.write(recordsOf(save), save.Fresh)
-		o.pending = o.pending[1:]
-		o.now(boot, func() { o.step(office.Event{Saved: save.Seq}) })
-	})
+		if !o.up || tail.core.Node.View().Place(o.core.Node.Me().ID, o.core.Node.Inc()) < 0 {
+			continue
+		}
+		if o.disk.held < index {
+			s.watch.Break(rules.UnsyncedCopy, "%s acknowledges %d in view %d, %s holds %d", tail.name, index, tail.core.Node.View().Number, o.name, o.disk.held)
+		}
+	}
 }
 
 // applied checks that all offices apply the same change at the same place, whatever they are told.
@@ -226,6 +178,9 @@
 		s.watch.Break(rules.ConfigLost, "%s applies another change at %d", o.name, a.Entry.Index)
 	}
 	s.agreed[a.Entry.Index] = string(raw)
+	if n := o.core.Node; n.IsTail() && n.WritesTaken() {
+		s.counted(o, a.Entry.Index)
+	}
 	if c := a.Entry.Change.Config; c != nil && a.Outcome.Fault == nil && !a.Outcome.Again {
 		s.ops.byRevision[a.Outcome.Revision] = c.Doc.Name
 	}
--- a/proofs/sim/plant_test.go
+++ b/proofs/sim/plant_test.go
@@ -50,6 +50,7 @@
 		{"narrow", rules.OverRoom, nil},
 		{"strict-store", rules.OverStore, nil},
 		{"amnesia", rules.ConfigLost, []Fault{{Kind: "kill-offices", AtUs: 5 * sec, ForUs: sec, N: 1}}},
+		{"rash-disk", rules.UnsyncedCopy, []Fault{{Kind: "full-disk", AtUs: 5 * sec, ForUs: 4 * sec, A: 1}}},
 		{"sluggish", rules.PoorService, []Fault{{Kind: "kill-everything", AtUs: 20 * sec, ForUs: sec, N: 1}}},
 	} {
 		t.Run(c.plant+"/"+c.rule, func(t *testing.T) {
--- a/proofs/sim/routed_faults.go
+++ b/proofs/sim/routed_faults.go
@@ -9,7 +9,7 @@
 )
 
 var routedKinds = []string{
-	"kill-office", "kill-holder", "power-office", "freeze-office", "freeze-holder", "stall-disk", "slow-disk", "replace-office", "wipe-after-ack", "power-after-ack",
+	"kill-office", "kill-holder", "power-office", "freeze-office", "freeze-holder", "stall-disk", "slow-disk", "full-disk", "replace-office", "wipe-after-ack", "power-after-ack",
 	"cut-office", "one-way", "split-core", "cut-desk", "kill-desk", "herd-kill", "kill-offices", "roll-desks", "freeze-desk", "clock-step", "swap-seeds", "loss",
 	"crash-replica", "lose-replica", "dark-replica", "reuse-address", "notice", "notice-race", "release", "scale-in", "failing-replica", "turning-replica", "breaking-replica",
 	"config-change", "config-storm", "config-race", "bad-config", "big-config", "burst", "burst-rare", "model-shift",
@@ -118,7 +118,7 @@
 		}
 	}
 	switch f.Kind {
-	case "kill-office", "kill-holder", "power-office", "freeze-office", "freeze-holder", "stall-disk", "slow-disk", "replace-office", "cut-office", "one-way", "split-core", "kill-offices":
+	case "kill-office", "kill-holder", "power-office", "freeze-office", "freeze-holder", "stall-disk", "slow-disk", "full-disk", "replace-office", "cut-office", "one-way", "split-core", "kill-offices":
 		return haveOffice && d.officeFault(f, o)
 	case "wipe-after-ack", "power-after-ack":
 		return d.afterAck(f)
@@ -191,6 +191,9 @@
 		o.disk.slowUs = int64(f.N) * 5 * ms
 		d.seen.Troubles = append(d.seen.Troubles, rules.Trouble{Machine: o.name, Kind: f.Kind, FromUs: d.nowUs, ToUs: d.nowUs + f.ForUs, Slow: true})
 		d.at(d.nowUs+f.ForUs, func() { o.disk.slowUs = 0 })
+	case "full-disk":
+		o.disk.fill(d.Sim, f.ForUs)
+		d.seen.Troubles = append(d.seen.Troubles, rules.Trouble{Machine: o.name, Kind: f.Kind, FromUs: d.nowUs, ToUs: d.nowUs + f.ForUs, Slow: true})
 	case "replace-office":
 		return d.replace(o, f)
 	case "cut-office":
@@ -416,7 +419,7 @@
 	d.loss, d.clients.perSec, d.clients.rareX = 0, d.plan.PerSec, 1
 	for _, o := range d.offices {
 		o.thawUs = min(o.thawUs, d.nowUs)
-		o.disk.stallUs, o.disk.slowUs = min(o.disk.stallUs, d.nowUs), 0
+		o.disk.stallUs, o.disk.slowUs, o.disk.full = min(o.disk.stallUs, d.nowUs), 0, false
 		o.start()
 	}
 	for _, t := range d.desks {
--- a/proofs/sim/routed_offices.go
+++ b/proofs/sim/routed_offices.go
@@ -26,7 +26,7 @@
 	removed  bool
 	waiters  map[string]func(wire.Result)
 	streams  map[string]*frameStream
-	pending  []pendingSave
+	saver    saver
 	sinceUs  int64
 }
 
@@ -62,7 +62,7 @@
 	o.up, o.thawUs, o.sinceUs = true, 0, o.day.nowUs
 	o.skewUs = o.sim.r.Int63n(1000) * sec
 	o.waiters, o.streams = map[string]func(wire.Result){}, map[string]*frameStream{}
-	o.pending, o.disk.freeUs = nil, 0
+	o.saver = saver{on: &o.machine, disk: &o.disk, step: o.step, end: func() { o.crash(0) }}
 	opts := chain.Options{
 		Me: chain.Member{ID: o.disk.identity, Name: o.name, Addr: o.addr, Zone: o.zone}, Inc: o.sim.newInc(), CopiesLeast: 2, SelfMembers: true,
 	}
@@ -94,14 +94,7 @@
 	o.up = false
 	o.day.over(o.name, "freeze")
 	o.day.trouble(rules.Trouble{Machine: o.name, Kind: "down", Down: true})
-	for _, p := range o.pending {
-		if torn <= 0 {
-			break
-		}
-		n := min(torn, len(p.records))
-		o.disk.write(p.records[:n], false)
-		torn -= n
-	}
+	o.saver.torn(torn)
 	if o.day.plan.Plant == "amnesia" && o.day.nowUs > bootUs {
 		o.disk.records = o.disk.records[:len(o.disk.records)/3]
 	}
@@ -178,7 +171,7 @@
 			letter := clone(e.Letter.Letter)
 			d.send(&o.machine, &to.machine, func() { to.step(office.Event{Letter: &letter}) })
 		case e.Save != nil:
-			o.save(*e.Save)
+			o.saver.put(*e.Save)
 		case e.Frame != nil:
 			o.frame(e.Frame.Desk, e.Frame.Frame)
 		case e.Result != nil:
@@ -193,23 +186,6 @@
 	}
 }
 
-func (o *routedOffice) save(save chain.Save) {
-	d := o.day
-	doneUs := max(d.nowUs, o.disk.freeUs) + 300 + d.r.Int63n(1500) + o.disk.slowUs
-	doneUs = max(doneUs, o.disk.stallUs)
-	o.disk.freeUs = doneUs
-	o.pending = append(o.pending, pendingSave{save.Seq, recordsOf(save), save.Fresh})
-	boot := o.boot
-	d.at(doneUs, func() {
-		if !o.up || o.boot != boot {
-			return
-		}
-		o.disk.write(recordsOf(save), save.Fresh)
-		o.pending = o.pending[1:]
-		o.now(boot, func() { o.step(office.Event{Saved: save.Seq}) })
-	})
-}
-
 func (o *routedOffice) frame(desk string, f wire.Frame) {
 	s := o.streams[desk]
 	if s == nil {
--- a/proofs/sim/sim_test.go
+++ b/proofs/sim/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -96,7 +97,7 @@
 // judge fails where a fault was never caused or a rule never at stake: such runs prove nothing of it.
 func (o *occasions) judge(t *testing.T) {
 	t.Helper()
-	o.judgeOf(t, kinds, rules.All)
+	o.judgeOf(t, kinds, append(slices.Clone(rules.All), rules.UnsyncedCopy))
 }
 
 func (o *occasions) judgeOf(t *testing.T, kinds, all []string) {
