--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -103,7 +103,6 @@
 	Live     standing.Policy
 	Shadows  []standing.Policy
 	Fleet    placement.Fleet
-	Services []placement.Service
 }
 
 type Seen struct {
@@ -291,16 +290,6 @@
 	return s.Roster != nil && s.State.Doc != nil && s.State.Doc.Routed()
 }
 
-// unplaced: calls wait at a desk for a model or an adapter, more than a moment ago.
-func (f *Controller) unplaced(seen Seen, r *wire.Report) bool {
-	for unit := range r.Waiting {
-		if seen.NowUs-f.policyUs > routedUrgentUs && r.Waiting[unit] > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 func (f *Controller) tick(seen Seen) {
 	if f.routed.bornUs == 0 {
 		f.routed.bornUs = seen.NowUs
--- a/internal/controller/routed.go
+++ b/internal/controller/routed.go
@@ -32,6 +32,7 @@
 	forgottenUs     = 15 * clock.Sec
 	wordLateUs      = 2 * clock.Sec
 	storeCut        = 1
+	noteEveryUs     = 250 * clock.Ms
 	trustSpans      = 3
 	recentLeast     = 3.0
 	recentCut       = 0.85
@@ -77,6 +78,14 @@
 	demandUs  int64
 	begunUs   map[string]int64
 	intents   map[string]intent
+	unplaced  map[string]bool
+	noted     notedAt
+}
+
+// notedAt is what the ledger was last compared with.
+type notedAt struct {
+	roster, holds, index uint64
+	atUs                 int64
 }
 
 // intent is the model that room is being made for at a replica.
@@ -86,7 +95,7 @@
 }
 
 func newRouted() routed {
-	return routed{orders: map[uint64]*standingOrder{}, needs: map[string]*need{}, cameUs: map[string]int64{}, trustedUs: map[string]int64{}, changedUs: map[string]int64{}, unseenUs: map[string]int64{}, intents: map[string]intent{}}
+	return routed{orders: map[uint64]*standingOrder{}, needs: map[string]*need{}, cameUs: map[string]int64{}, trustedUs: map[string]int64{}, changedUs: map[string]int64{}, unseenUs: map[string]int64{}, intents: map[string]intent{}, unplaced: map[string]bool{}}
 }
 
 // Saw notes the tickets and settled orders of whoever holds the duty, as they are applied: a successor
@@ -186,10 +195,12 @@
 // the replica does not have.
 func (f *Controller) routedOrders(seen Seen) {
 	s, nowUs := seen.State, seen.NowUs
-	for number := range f.routed.orders {
-		if !slices.ContainsFunc(slices.Collect(maps.Values(s.Pending)), func(t ledger.Ticket) bool { return t.Number == number }) {
-			delete(f.routed.orders, number)
+	if len(f.routed.orders) > len(s.Pending) {
+		stand := map[uint64]bool{}
+		for _, t := range s.Pending {
+			stand[t.Number] = true
 		}
+		maps.DeleteFunc(f.routed.orders, func(number uint64, _ *standingOrder) bool { return !stand[number] })
 	}
 	for _, id := range sorted(s.Pending) {
 		t := s.Pending[id]
@@ -361,6 +372,12 @@
 // It changes with notices, lives and loads, not with heartbeats.
 func (f *Controller) noteRoster(seen Seen, duty *ledger.Duty) {
 	s := seen.State
+	now := notedAt{seen.Roster.Rev, s.HoldsIndex, s.Revision, f.routed.noted.atUs}
+	if now == f.routed.noted && seen.NowUs-now.atUs < noteEveryUs {
+		return
+	}
+	now.atUs = seen.NowUs
+	f.routed.noted = now
 	for _, id := range seen.Roster.IDs() {
 		e := seen.Roster.Row(id)
 		have := s.Replicas[id]
@@ -381,8 +398,10 @@
 		}
 		_, pending := s.Pending[id]
 		units := f.routed.withTrusted(seen.NowUs, have, e.Units)
-		if have == nil || (!pending && !f.routed.outdated(e) && !sameUnits(have, units)) {
+		if differs := have == nil || (!pending && !sameUnits(have, units)); differs && (have == nil || !f.routed.outdated(e)) {
 			n.Told, n.Holds = true, holdings(s.Doc, svc, units)
+		} else if differs {
+			f.routed.noted = notedAt{}
 		}
 		if have == nil || have.Addr != n.Addr || have.Zone != n.Zone || have.RoomMb != n.RoomMb || have.Slots != n.Slots ||
 			have.Leaving != n.Leaving || have.Dark != n.Dark || n.Told {
@@ -573,16 +592,50 @@
 	if f.proposed != nil || seen.NowUs-f.policyUs < spanUs || !f.mayOrder(seen.NowUs) {
 		return
 	}
-	if f.runUs != 0 && seen.NowUs-f.runUs < policyLostUs {
-		return
-	}
 	services := f.services(seen)
 	if len(services) == 0 {
 		return
 	}
-	f.policyUs, f.runUs, f.moved = seen.NowUs, seen.NowUs, false
+	f.policyUs, f.moved = seen.NowUs, false
 	f.run++
-	f.do(Effect{Run: &Run{Number: f.run, Revision: s.Revision, Services: services}})
+	answer := placement.Answer{Policy: placement.ResidentName}
+	clear(f.routed.unplaced)
+	for _, in := range services {
+		proposals, unplaced := placement.Resident(in)
+		answer.Proposals = append(answer.Proposals, proposals...)
+		for _, unit := range unplaced {
+			f.routed.unplaced[unit] = true
+		}
+	}
+	f.Policy = noted(f.Policy, answer)
+	if len(answer.Proposals) > 0 {
+		f.proposed, f.proposedAt = answer.Proposals, s.Revision
+	}
+}
+
+// unplaced: calls wait at a desk for a model or an adapter that no replica holds, that is on its way to
+// none, and of which the policy does not know already that it has no place now.
+func (f *Controller) unplaced(seen Seen, r *wire.Report) bool {
+	for unit, n := range r.Waiting {
+		if n > 0 && !f.routed.unplaced[unit] && !placed(seen.State, unit) {
+			return true
+		}
+	}
+	return false
+}
+
+func placed(s *ledger.State, unit string) bool {
+	for _, t := range s.Pending {
+		if t.Unit == unit && t.Step == ledger.Load {
+			return true
+		}
+	}
+	for id, r := range s.Replicas {
+		if _, holds := r.Holds[unit]; holds && !r.Leaving && !r.Dark && s.Pending[id].Unit != unit {
+			return true
+		}
+	}
+	return false
 }
 
 func (f *Controller) services(seen Seen) []placement.Service {
@@ -660,7 +713,7 @@
 
 func (f *Controller) home(seen Seen, r *ledger.Replica, runs, unread map[string]int) placement.Home {
 	h := placement.Home{
-		ID: r.ID, Usable: !r.Leaving && !r.Dark, FreeMb: r.RoomMb - seen.State.TakenMb(r.ID), Holds: maps.Clone(r.Holds), Had: maps.Clone(r.Had),
+		ID: r.ID, Usable: !r.Leaving && !r.Dark, FreeMb: r.RoomMb - seen.State.TakenMb(r.ID), Holds: r.Holds, Had: r.Had,
 		Runs: runs, Unread: unread, AgeMs: map[string]int64{},
 	}
 	for unit := range r.Holds {
@@ -682,15 +735,6 @@
 	return h
 }
 
-// RunResident is the policy's part of a run, beside the controller.
-func RunResident(services []placement.Service) placement.Answer {
-	a := placement.Answer{Policy: placement.ResidentName}
-	for _, in := range services {
-		a.Proposals = append(a.Proposals, placement.Resident(in)...)
-	}
-	return a
-}
-
 // leftFor sums what the store still gives over all services; each is checked by its own account as well.
 func (f *Controller) leftFor(nowUs int64, s *ledger.State) int {
 	left := 0
--- a/internal/controller/routed_test.go
+++ b/internal/controller/routed_test.go
@@ -149,11 +149,6 @@
 					back(Event{Wrote: &out})
 				}
 			})
-		case e.Run != nil:
-			run := *e.Run
-			f.later(1+f.r.Int63n(10*clock.Ms), func() {
-				back(Event{Policy: &PolicyDone{Run: run.Number, Revision: run.Revision, Live: RunResident(run.Services)}})
-			})
 		case e.Ask != nil:
 			ask := *e.Ask
 			f.later(1+f.r.Int63n(20*clock.Ms), func() {
--- a/internal/desk/mirror.go
+++ b/internal/desk/mirror.go
@@ -98,8 +98,8 @@
 		return
 	}
 	for stream.Receive() {
-		frame := *stream.Msg()
-		h.act.Tell(func() { h.reflect(subscriber.MirrorEvent{Frame: &frame, Stream: s.Number}) })
+		frame := stream.Msg()
+		h.act.Tell(func() { h.reflect(subscriber.MirrorEvent{Frame: frame, Stream: s.Number}) })
 	}
 	_ = stream.Close()
 }
@@ -107,7 +107,9 @@
 func (h *Host) tellOffice(addr string, report wire.Report) {
 	ctx, done := context.WithTimeout(h.act.Ctx, 600*time.Millisecond)
 	defer done()
-	_, _ = rpc.NewCaller[wire.Report, wire.Receipt](h.inner, addr, rpc.TellPath).Call(ctx, &report)
+	if _, err := rpc.NewCaller[wire.Report, wire.Receipt](h.inner, addr, rpc.TellPath).Call(ctx, &report); err != nil && h.act.Ctx.Err() == nil {
+		h.act.Tell(func() { h.reflect(subscriber.MirrorEvent{Unreached: addr}) })
+	}
 }
 
 // ConnectionShare is how many connections this desk may have to a replica: its share of what the replica
--- a/internal/dispatch/routed.go
+++ b/internal/dispatch/routed.go
@@ -189,7 +189,8 @@
 }
 
 // standsAt counts what runs at a replica and how long what waits there will take, in ms: this desk's own
-// legs that have no first piece yet, and what the other desks said they have there.
+// legs that have no first piece yet. What other desks have there shows only in how long those take: news
+// of it that is a quarter of a second old made no day better (docs/design-platform.md).
 func (d *Decider) standsAt(r *wire.ReplicaNews, s *site, perToken float64) (running int, waitMs float64) {
 	var tokens int64
 	lateMs := 0.0
@@ -203,10 +204,6 @@
 			lateMs = over
 		}
 	}
-	if others, ok := d.snap.Demand[r.ID]; ok {
-		running += others.Running
-		tokens += others.Tokens
-	}
 	return running, s.pace*float64(tokens)*perToken + lateMs
 }
 
@@ -393,10 +390,6 @@
 		if len(s.flights) == 0 {
 			continue
 		}
-		if rep.Demand == nil {
-			rep.Demand = map[string]wire.Demand{}
-		}
-		n := wire.Demand{Running: len(s.flights)}
 		for _, f := range s.flights {
 			if f.call.Model != "" {
 				if rep.Runs == nil {
@@ -405,7 +398,6 @@
 				rep.Runs[id+"|"+f.call.Model]++
 			}
 			if f.call.FirstUs.Load() < f.startUs {
-				n.Tokens += f.tokens
 				if f.call.Model != "" {
 					if rep.Unread == nil {
 						rep.Unread = map[string]int{}
@@ -414,7 +406,6 @@
 				}
 			}
 		}
-		rep.Demand[id] = n
 		rep.InFlight[id] = len(s.flights)
 	}
 }
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -20,11 +20,9 @@
 	Grants   map[string]ledger.Grant
 	AtUs     int64
 
-	// Of a routed declaration: replicas by service in order of their ids, how many desks live, and what
-	// the other desks have at replicas.
+	// Of a routed declaration: replicas by service in order of their ids, and how many desks live.
 	ByService map[string][]*wire.ReplicaNews
 	Desks     int
-	Demand    map[string]wire.Demand
 }
 
 func Fold(prior *Snapshot, n wire.News, nowUs int64) *Snapshot {
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -15,7 +15,8 @@
 
 const (
 	frameIdleUs  = 400 * clock.Ms
-	demandUs     = 250 * clock.Ms
+	gapEachUs    = 2 * clock.Ms
+	gapMostUs    = 100 * clock.Ms
 	subsMost     = 4096
 	deskForgetUs = 3 * clock.Sec
 )
@@ -23,6 +24,7 @@
 // Seen is what an office knows when it writes frames.
 type Seen struct {
 	NowUs   int64
+	Me      string
 	State   *ledger.State
 	View    chain.View
 	Offices []chain.Member
@@ -30,67 +32,52 @@
 	Roster  *roster.Roster
 }
 
+// FramePush is a frame for one desk; desks that know the same share one.
 type FramePush struct {
 	Desk  string
-	Frame wire.Frame
+	Frame *wire.Frame
 }
 
 type sub struct {
 	inc      string
 	spare    bool
 	whole    bool
-	settled  bool
 	revision uint64
-	rosterAt uint64
-	holdsAt  uint64
-	orders   uint64
-	stale    map[string]bool
-	view     uint64
-	offices  uint64
-	desks    int
-	sentUs   int64
-	demandUs int64
 }
 
-type deskRow struct {
-	heardUs int64
-	demand  map[string]wire.Demand
-}
-
-// others is what another office's desks have at replicas, summed up.
-type others struct {
-	heardUs int64
-	demand  map[string]wire.Demand
-}
-
-// Hub is any office's: it pushes differences to the desks that follow this office. Each frame brings a
-// desk from what it was last sent to what this office knows now.
+// Hub is any office's: it pushes differences to the desks that follow this office. All that have had a
+// whole frame are brought on together, by one frame that is written once.
 type Hub struct {
-	subs     map[string]*sub
-	desks    map[string]*deskRow
-	offices  map[string]others
+	subs  map[string]*sub
+	desks map[string]int64
+
+	settled  bool
+	revision uint64
+	rosterAt uint64
+	holdsAt  uint64
 	orders   wire.Orders
-	bare     *standing.Declaration
-	bareOf   *standing.Declaration
-	knownRev uint64
+	view     uint64
 	known    []chain.Member
 	live     int
-	lastRev  [6]uint64
-	pollUs   int64
+	stale    map[string]bool
+	sentUs   int64
+	liveUs   int64
+
+	bare   *standing.Declaration
+	bareOf *standing.Declaration
 }
 
 func NewHub() *Hub {
-	return &Hub{subs: map[string]*sub{}, desks: map[string]*deskRow{}, offices: map[string]others{}}
+	return &Hub{subs: map[string]*sub{}, desks: map[string]int64{}, stale: map[string]bool{}}
 }
 
-// Follow begins a stream; what the desk already has is not sent again.
+// Follow begins a stream; a declaration that the desk already has is not sent again.
 func (h *Hub) Follow(nowUs int64, f wire.Follow) bool {
 	if len(h.subs) >= subsMost && h.subs[f.Desk] == nil {
 		return false
 	}
 	h.subs[f.Desk] = &sub{inc: f.Inc, revision: f.Revision, spare: f.Spare}
-	h.Heard(nowUs, f.Desk, nil)
-	h.lastRev = [6]uint64{}
+	h.Heard(nowUs, f.Desk)
 	return true
 }
 
@@ -100,46 +87,29 @@
 	}
 }
 
-// Heard notes a living desk, and what it has at replicas where it reports to this office.
-func (h *Hub) Heard(nowUs int64, desk string, demand map[string]wire.Demand) {
-	d := h.desks[desk]
-	if d == nil {
-		d = &deskRow{}
-		h.desks[desk] = d
-	}
-	d.heardUs = nowUs
-	if demand != nil {
-		d.demand = demand
-	}
-}
+// Heard notes a living desk.
+func (h *Hub) Heard(nowUs int64, desk string) { h.desks[desk] = nowUs }
 
-// HeardOffice notes the desks that another office has heard, and their demand as a sum.
-func (h *Hub) HeardOffice(nowUs int64, by string, desks []string, demand map[string]wire.Demand) {
-	for _, desk := range desks {
-		if d := h.desks[desk]; d == nil {
-			h.desks[desk] = &deskRow{heardUs: nowUs}
-		} else if d.demand == nil {
-			d.heardUs = nowUs
-		}
-	}
-	h.offices[by] = others{nowUs, demand}
-}
-
-// Own are the desks that report to this office and what they have at replicas, as other offices are told.
-func (h *Hub) Own(nowUs int64) (desks []string, demand map[string]wire.Demand) {
-	for id, d := range h.desks {
-		if d.demand != nil && nowUs-d.heardUs < deskForgetUs {
+// Main are the desks whose main stream comes from this office, as other offices are told.
+func (h *Hub) Main() []string {
+	desks := []string{}
+	for id, s := range h.subs {
+		if !s.spare {
 			desks = append(desks, id)
 		}
 	}
 	sort.Strings(desks)
-	return desks, h.demandBut("", false)
+	return desks
 }
 
+// Desks are all that live, as far as this office knows.
 func (h *Hub) Desks(nowUs int64) []string {
 	ids := []string{}
-	for id, d := range h.desks {
-		if nowUs-d.heardUs < deskForgetUs {
+	for id := range h.subs {
+		h.desks[id] = nowUs
+	}
+	for id, heardUs := range h.desks {
+		if nowUs-heardUs < deskForgetUs {
 			ids = append(ids, id)
 		} else {
 			delete(h.desks, id)
@@ -151,148 +121,165 @@
 
 func (h *Hub) Subscribed() []string { return slices.Sorted(maps.Keys(h.subs)) }
 
-func (h *Hub) noteOrders(s *ledger.State) {
-	if s.OrdersIndex == h.orders.Number && h.orders.Rows != nil {
-		return
-	}
-	h.orders = wire.Orders{Number: s.OrdersIndex, Rows: []wire.OrderAhead{}}
-	for _, id := range slices.Sorted(maps.Keys(s.Pending)) {
-		t := s.Pending[id]
-		h.orders.Rows = append(h.orders.Rows, wire.OrderAhead{Replica: id, Unit: t.Unit, Unload: t.Step == ledger.Unload})
-	}
-}
-
-// Frames are what has changed for each desk since its last; a desk with nothing new gets a sign of life
-// now and then.
+// Frames are what has changed since the last; where nothing has, a sign of life now and then. Changes
+// are gathered for a moment that grows with the desks, but for a declaration, which goes at once.
 func (h *Hub) Frames(seen Seen) []FramePush {
 	if len(h.subs) == 0 {
 		return nil
 	}
-	settled := uint64(0)
-	if seen.Settled {
-		settled = 1
-	}
-	rev := [6]uint64{seen.State.Revision, seen.Roster.Rev, seen.State.OrdersIndex, seen.View.Number, settled, seen.State.HoldsIndex}
-	if rev == h.lastRev && seen.NowUs-h.pollUs < 50*clock.Ms {
-		return nil
-	}
-	h.lastRev, h.pollUs = rev, seen.NowUs
-	if seen.Settled {
-		h.noteOrders(seen.State)
-	}
-	if !slices.Equal(h.known, seen.Offices) {
-		h.known = slices.Clone(seen.Offices)
-		h.knownRev++
-	}
-	h.live = len(h.Desks(seen.NowUs))
-	for by, o := range h.offices {
-		if seen.NowUs-o.heardUs > deskForgetUs {
-			delete(h.offices, by)
+	pushes := []FramePush{}
+	sinceUs := seen.NowUs - h.sentUs
+	urgent := seen.Settled && seen.State.Revision != h.revision
+	if urgent || sinceUs >= min(gapEachUs*int64(len(h.subs)), gapMostUs) {
+		if f, news := h.difference(seen); news || sinceUs >= frameIdleUs {
+			h.sentUs = seen.NowUs
+			for _, id := range slices.Sorted(maps.Keys(h.subs)) {
+				if s := h.subs[id]; s.whole {
+					s.revision = max(s.revision, f.Revision)
+					pushes = append(pushes, FramePush{Desk: id, Frame: f})
+				}
+			}
 		}
 	}
-	pushes := []FramePush{}
 	for _, id := range slices.Sorted(maps.Keys(h.subs)) {
-		if f, ok := h.frame(seen, id, h.subs[id]); ok {
-			pushes = append(pushes, FramePush{Desk: id, Frame: f})
+		if s := h.subs[id]; !s.whole {
+			s.whole = true
+			pushes = append(pushes, FramePush{Desk: id, Frame: h.wholeFor(seen, s)})
 		}
 	}
 	return pushes
 }
 
-func (h *Hub) frame(seen Seen, desk string, s *sub) (wire.Frame, bool) {
-	f := wire.Frame{Settled: seen.Settled, Whole: !s.whole}
-	news := !s.whole || s.settled != seen.Settled
-	if seen.Settled && seen.State.Doc != nil && seen.State.Revision > s.revision {
-		f.Revision = seen.State.Revision
-		if edits, ok := seen.State.EditsSince(s.revision); ok && s.revision > 0 && len(edits) > 0 {
-			f.From = s.revision
-			for _, e := range edits {
-				f.Edits = append(f.Edits, e.Bare())
-			}
-		} else {
-			f.Doc = h.bareDoc(seen.State.Doc)
-		}
-		s.revision = f.Revision
+// difference is from what was last sent to what is known now.
+func (h *Hub) difference(seen Seen) (*wire.Frame, bool) {
+	f := &wire.Frame{Office: seen.Me, Settled: seen.Settled}
+	news := h.settled != seen.Settled
+	h.settled = seen.Settled
+	if seen.Settled && seen.State.Doc != nil && seen.State.Revision > h.revision {
+		h.configure(f, seen.State, h.revision)
+		h.revision = f.Revision
 		news = true
 	}
-	if s.view != seen.View.Number || s.offices != h.knownRev {
+	if h.view != seen.View.Number || !slices.Equal(h.known, seen.Offices) {
 		view := seen.View
+		h.view, h.known = view.Number, slices.Clone(seen.Offices)
 		f.View, f.Offices = &view, h.known
-		s.view, s.offices = seen.View.Number, h.knownRev
 		news = true
 	}
-	if s.rosterAt != seen.Roster.Rev || s.holdsAt != seen.State.HoldsIndex {
-		for _, id := range seen.Roster.IDs() {
-			e, kept := seen.Roster.Row(id), seen.State.Replicas[id]
-			if e.Rev <= s.rosterAt && (kept == nil || kept.Index <= s.holdsAt) {
-				continue
-			}
-			row := wire.ReplicaRow{Row: e.Row, Dark: e.Dark}
-			if kept != nil && kept.Service != "" {
-				row.Units, row.Index = sortedUnits(kept.Holds), kept.Index
+	f.Replicas = h.changed(seen)
+	news = news || len(f.Replicas) > 0
+	if seen.Settled && (seen.State.OrdersIndex != h.orders.Number || h.orders.Rows == nil) {
+		h.orders = ordersOf(seen.State)
+		held := h.orders
+		f.Orders = &held
+		news = true
+	}
+	if seen.NowUs-h.liveUs >= frameIdleUs {
+		h.liveUs = seen.NowUs
+		live := len(h.Desks(seen.NowUs))
+		news = news || live != h.live
+		h.live = live
+	}
+	f.Desks = h.live
+	return f, news
+}
+
+// changed are the rows that another word of the replica or of the ledger has touched.
+func (h *Hub) changed(seen Seen) []wire.ReplicaRow {
+	rows := []wire.ReplicaRow(nil)
+	ids := []string{}
+	if h.rosterAt != seen.Roster.Rev {
+		ids = append(ids, seen.Roster.Since(h.rosterAt)...)
+	}
+	if h.holdsAt != seen.State.HoldsIndex {
+		for id, r := range seen.State.Replicas {
+			if r.Index > h.holdsAt && seen.Roster.Row(id) != nil {
+				ids = append(ids, id)
 			}
-			f.Replicas = append(f.Replicas, row)
 		}
-		s.rosterAt, s.holdsAt = seen.Roster.Rev, seen.State.HoldsIndex
-		news = news || len(f.Replicas) > 0
 	}
-	if !s.whole {
-		s.stale = map[string]bool{}
-		for _, row := range stale(seen) {
-			s.stale[row.ID] = true
-			f.Replicas = append(f.Replicas, row)
-		}
+	h.rosterAt, h.holdsAt = seen.Roster.Rev, seen.State.HoldsIndex
+	slices.Sort(ids)
+	for _, id := range slices.Compact(ids) {
+		rows = append(rows, rowOf(seen, id))
+		delete(h.stale, id)
 	}
-	for _, id := range slices.Sorted(maps.Keys(s.stale)) {
+	for _, id := range slices.Sorted(maps.Keys(h.stale)) {
 		switch {
 		case seen.Roster.Row(id) != nil:
-			delete(s.stale, id)
+			delete(h.stale, id)
 		case seen.State.Replicas[id] == nil:
-			delete(s.stale, id)
-			f.Replicas = append(f.Replicas, wire.ReplicaRow{Stale: true, Row: roster.Row{ID: id, Gone: true}})
-			news = true
+			delete(h.stale, id)
+			rows = append(rows, wire.ReplicaRow{Stale: true, Row: roster.Row{ID: id, Gone: true}})
 		}
 	}
-	if seen.Settled && (s.orders != h.orders.Number || !s.whole) {
-		held := h.orders
-		f.Orders = &held
-		s.orders = h.orders.Number
-		news = true
+	return rows
+}
+
+func rowOf(seen Seen, id string) wire.ReplicaRow {
+	e, kept := seen.Roster.Row(id), seen.State.Replicas[id]
+	row := wire.ReplicaRow{Row: e.Row, Dark: e.Dark}
+	if kept != nil && kept.Service != "" {
+		row.Units, row.Index = sortedUnits(kept.Holds), kept.Index
 	}
-	if s.desks != h.live {
-		s.desks = h.live
-		news = true
+	return row
+}
+
+// wholeFor is all that this office knows, as of the last difference or later; what comes twice does no harm.
+func (h *Hub) wholeFor(seen Seen, s *sub) *wire.Frame {
+	view := seen.View
+	f := &wire.Frame{Office: seen.Me, Whole: true, Settled: seen.Settled, View: &view, Offices: slices.Clone(seen.Offices), Desks: len(h.Desks(seen.NowUs))}
+	if seen.Settled && seen.State.Doc != nil && seen.State.Revision > s.revision {
+		h.configure(f, seen.State, s.revision)
+		s.revision = f.Revision
 	}
-	f.Desks = h.live
-	if !s.spare && seen.NowUs-s.demandUs >= demandUs {
-		if f.Demand = h.demandBut(desk, true); len(f.Demand) > 0 {
-			s.demandUs = seen.NowUs
-			news = true
+	for _, id := range seen.Roster.IDs() {
+		f.Replicas = append(f.Replicas, rowOf(seen, id))
+	}
+	for _, row := range staleRows(seen) {
+		h.stale[row.ID] = true
+		f.Replicas = append(f.Replicas, row)
+	}
+	if seen.Settled {
+		orders := ordersOf(seen.State)
+		f.Orders = &orders
+	}
+	return f
+}
+
+func (h *Hub) configure(f *wire.Frame, s *ledger.State, since uint64) {
+	f.Revision = s.Revision
+	if edits, ok := s.EditsSince(since); ok && since > 0 && len(edits) > 0 {
+		f.From = since
+		for _, e := range edits {
+			f.Edits = append(f.Edits, e.Bare())
 		}
+		return
 	}
-	if !news && seen.NowUs-s.sentUs < frameIdleUs {
-		return f, false
+	if h.bareOf != s.Doc {
+		h.bareOf, h.bare = s.Doc, s.Doc.Bare()
 	}
-	s.whole, s.settled, s.sentUs = true, seen.Settled, seen.NowUs
-	return f, true
+	f.Doc = h.bare
 }
 
-func (h *Hub) bareDoc(d *standing.Declaration) *standing.Declaration {
-	if h.bareOf != d {
-		h.bareOf, h.bare = d, d.Bare()
+func ordersOf(s *ledger.State) wire.Orders {
+	o := wire.Orders{Number: s.OrdersIndex, Rows: []wire.OrderAhead{}}
+	for _, id := range slices.Sorted(maps.Keys(s.Pending)) {
+		t := s.Pending[id]
+		o.Rows = append(o.Rows, wire.OrderAhead{Replica: id, Unit: t.Unit, Unload: t.Step == ledger.Unload})
 	}
-	return h.bare
+	return o
 }
 
-// stale are the replicas that the ledger knows and nobody has told of since this office came back.
-func stale(seen Seen) []wire.ReplicaRow {
+// staleRows are the replicas that the ledger knows and nobody has told of since this office came back.
+func staleRows(seen Seen) []wire.ReplicaRow {
 	rows := []wire.ReplicaRow{}
 	for _, id := range seen.State.ReplicaIDs() {
 		r := seen.State.Replicas[id]
 		if seen.Roster.Row(id) != nil || r.Service == "" {
 			continue
 		}
-		rows = append(rows, wire.ReplicaRow{Stale: true, Row: roster.Row{
+		rows = append(rows, wire.ReplicaRow{Stale: true, Index: r.Index, Row: roster.Row{
 			ID: id, Service: r.Service, Addr: r.Addr, Zone: r.Zone, Slots: r.Slots, Draining: r.Leaving, LeftMs: r.LeftMs, Units: sortedUnits(r.Holds),
 		}})
 	}
@@ -300,27 +287,3 @@
 }
 
 func sortedUnits(holds map[string]int64) []string { return slices.Sorted(maps.Keys(holds)) }
-
-// demandBut is what the other desks have at replicas, those of other offices too where asked.
-func (h *Hub) demandBut(desk string, everywhere bool) map[string]wire.Demand {
-	sum := map[string]wire.Demand{}
-	add := func(demand map[string]wire.Demand) {
-		for replica, n := range demand {
-			have := sum[replica]
-			have.Running += n.Running
-			have.Tokens += n.Tokens
-			sum[replica] = have
-		}
-	}
-	for id, d := range h.desks {
-		if id != desk {
-			add(d.demand)
-		}
-	}
-	if everywhere {
-		for _, o := range h.offices {
-			add(o.demand)
-		}
-	}
-	return sum
-}
--- a/internal/office/core.go
+++ b/internal/office/core.go
@@ -74,6 +74,8 @@
 	memberUs   int64
 	checked    uint64
 	soft       soft
+	officesUs  int64
+	known      []chain.Member
 	stepUs     int64
 	sleptUs    int64
 	wokeUs     int64
--- a/internal/office/frames.go
+++ b/internal/office/frames.go
@@ -22,11 +22,11 @@
 // framed is one desk's stream; one that does not keep up is ended, and the desk follows anew.
 type framed struct {
 	inc    string
-	frames chan wire.Frame
+	frames chan *wire.Frame
 	over   chan struct{}
 }
 
-func (h *Host) frame(desk string, f wire.Frame) {
+func (h *Host) frame(desk string, f *wire.Frame) {
 	s := h.frames[desk]
 	if s == nil {
 		return
@@ -40,7 +40,7 @@
 }
 
 func (h *Host) serveFrames(ctx context.Context, f *wire.Follow, send func(*wire.Frame) error) error {
-	mine := &framed{inc: f.Inc, frames: make(chan wire.Frame, framesMost), over: make(chan struct{})}
+	mine := &framed{inc: f.Inc, frames: make(chan *wire.Frame, framesMost), over: make(chan struct{})}
 	defer h.act.Tell(func() {
 		if h.frames[f.Desk] == mine {
 			delete(h.frames, f.Desk)
@@ -65,8 +65,7 @@
 		case <-mine.over:
 			return fault.New(fault.NotServing, "", "followed anew, or too slow")
 		case frame := <-mine.frames:
-			frame.Office = h.core.Node.Me().ID
-			if err := send(&frame); err != nil {
+			if err := send(frame); err != nil {
 				return err
 			}
 		}
--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -430,11 +430,7 @@
 		run := *e.Run
 		h.act.Spawn(func() {
 			done := controller.PolicyDone{Run: run.Number, Revision: run.Revision}
-			if run.Services != nil {
-				done.Live = controller.RunResident(run.Services)
-			} else {
-				done.Live = placement.Run(run.Live, run.Fleet)
-			}
+			done.Live = placement.Run(run.Live, run.Fleet)
 			for _, s := range run.Shadows {
 				done.Shadows = append(done.Shadows, placement.Run(s, run.Fleet))
 			}
--- a/internal/office/replicas.go
+++ b/internal/office/replicas.go
@@ -1,8 +1,6 @@
 package office
 
 import (
-	"slices"
-
 	"petreltide/internal/chain"
 	"petreltide/internal/clock"
 	"petreltide/internal/controller"
@@ -12,10 +10,12 @@
 )
 
 const (
-	tellEveryUs   = 250 * clock.Ms
-	darkDefaultUs = 3000 * clock.Ms
-	wokeUs        = 500 * clock.Ms
-	wakingUs      = 300 * clock.Ms
+	tellEveryUs    = 250 * clock.Ms
+	tellEachUs     = 3 * clock.Ms
+	officesEveryUs = 100 * clock.Ms
+	darkDefaultUs  = 3000 * clock.Ms
+	wokeUs         = 500 * clock.Ms
+	wakingUs       = 300 * clock.Ms
 )
 
 // Unfollow ends a desk's stream of frames.
@@ -83,22 +83,22 @@
 		delete(c.soft.told, h.By)
 		c.soft.urgent = true
 	}
-	c.soft.Hub.HeardOffice(nowUs, h.By, h.Desks, h.Demand)
+	for _, desk := range h.Desks {
+		c.soft.Hub.Heard(nowUs, desk)
+	}
 }
 
 // tellOffices sends the other offices what changed at once, and signs of life now and then.
 func (c *Core) tellOffices(nowUs int64) {
-	due := nowUs-c.soft.tellUs >= tellEveryUs
+	due := nowUs-c.soft.tellUs >= tellEveryUs+tellEachUs*int64(c.soft.Roster.Len())
 	if !due && !c.soft.urgent && !c.soft.wants {
 		return
 	}
+	heard := wire.Heard{By: c.Node.Me().ID, Inc: c.Node.Inc(), Wants: c.soft.wants}
 	if due {
 		c.soft.tellUs = nowUs
 		c.soft.Roster.Sweep(nowUs)
-	}
-	desks, demand := []string(nil), map[string]wire.Demand(nil)
-	if due {
-		desks, demand = c.soft.Hub.Own(nowUs)
+		heard.Desks = c.soft.Hub.Main()
 	}
 	for _, p := range c.Node.Partners() {
 		if !p.Sound {
@@ -109,17 +109,15 @@
 			t = &told{inc: p.Inc}
 			c.soft.told[p.Member.ID] = t
 		}
-		notes := c.soft.Roster.Notes(nowUs, t.since)
-		if !due {
-			notes = slices.DeleteFunc(notes, func(n roster.Note) bool { return n.Row == nil })
-		}
+		mine := heard
+		mine.Notes = c.soft.Roster.Notes(nowUs, t.since, due)
 		t.since = c.soft.Roster.Rev
-		if len(notes) == 0 && !due && !c.soft.wants {
-			continue
+		if len(mine.Notes) > 0 || due || c.soft.wants {
+			c.post(p.Member.Addr, wire.Letter{Heard: &mine})
 		}
-		c.post(p.Member.Addr, wire.Letter{Heard: &wire.Heard{
-			By: c.Node.Me().ID, Inc: c.Node.Inc(), Notes: notes, Wants: c.soft.wants, Desks: desks, Demand: demand,
-		}})
+	}
+	if due {
+		c.soft.Roster.Told(nowUs)
 	}
 	c.soft.urgent, c.soft.wants = false, false
 }
@@ -128,8 +126,11 @@
 func (c *Core) settled() bool { return c.Node.Settled() }
 
 func (c *Core) frames(nowUs int64) {
+	if nowUs-c.officesUs >= officesEveryUs {
+		c.officesUs, c.known = nowUs, c.offices()
+	}
 	for _, p := range c.soft.Hub.Frames(feed.Seen{
-		NowUs: nowUs, State: c.Node.State(), View: c.Node.View(), Offices: c.offices(), Settled: c.settled(), Roster: c.soft.Roster,
+		NowUs: nowUs, Me: c.Node.Me().ID, State: c.Node.State(), View: c.Node.View(), Offices: c.known, Settled: c.settled(), Roster: c.soft.Roster,
 	}) {
 		push := p
 		c.effects = append(c.effects, Effect{Frame: &push})
@@ -146,17 +147,12 @@
 	return all
 }
 
-// routedReport passes a desk's report on to the controller, whoever it came to.
+// routedReport takes a desk's report, or passes it on to the controller where it came to another office.
 func (c *Core) routedReport(nowUs int64, r wire.Report) {
-	demand := r.Demand
-	if demand == nil {
-		demand = map[string]wire.Demand{}
-	}
-	c.soft.Hub.Heard(nowUs, r.Desk, demand)
+	c.soft.Hub.Heard(nowUs, r.Desk)
 	if c.Node.IsHead() {
 		c.controller(controller.Event{NowUs: nowUs, Report: &r})
 	} else if head := c.Node.View().Head(); head.Addr != "" && head.ID != c.Node.Me().ID {
-		r.Demand = nil
 		c.post(head.Addr, wire.Letter{Report: &r})
 	}
 }
--- a/internal/placement/resident.go
+++ b/internal/placement/resident.go
@@ -80,12 +80,20 @@
 
 	coming   map[string]bool
 	unplaced []string
+	victims  [][]victim
+}
+
+// victim is a unit that may go from a replica, and what would be lost.
+type victim struct {
+	unit  string
+	mb    int64
+	worth float64
 }
 
 // Resident proposes loads for models that calls wait for, then for adapters, then copies of models whose
 // calls take more than their replicas should give, and unloads what is worth least to make room for them.
-func Resident(in Service) []Proposal {
-	p := &resident{in: in, sizes: map[string]*standing.EngineModel{}, held: map[string]int{}, want: map[string]int{}, store: in.StoreLeft, coming: map[string]bool{}}
+func Resident(in Service) (proposals []Proposal, unplaced []string) {
+	p := &resident{in: in, sizes: map[string]*standing.EngineModel{}, held: map[string]int{}, want: map[string]int{}, store: in.StoreLeft, coming: map[string]bool{}, victims: make([][]victim, len(in.Homes))}
 	for i := range in.Engine.Models {
 		p.sizes[in.Engine.Models[i].Name] = &in.Engine.Models[i]
 	}
@@ -124,7 +132,7 @@
 	p.models()
 	p.adapters()
 	p.spares()
-	return p.out
+	return p.out, p.unplaced
 }
 
 // spares keeps room for one more model free on a few replicas, and a place for one more adapter on those
@@ -356,16 +364,34 @@
 // makeRoom names what would have to go for a model of this size, least worth first; an adapter goes with
 // its model.
 func (p *resident) makeRoom(i int, sizeMb int64) (victims []string, harm float64, ok bool) {
-	h := &p.in.Homes[i]
 	freeMb := p.free[i]
 	if freeMb >= sizeMb {
 		return nil, 0, true
 	}
-	type victim struct {
-		unit  string
-		mb    int64
-		worth float64
+	for _, v := range p.victimsOf(i) {
+		if freeMb >= sizeMb {
+			break
+		}
+		if p.sizes[v.unit] != nil {
+			worth, may := p.worth(i, v.unit)
+			if !may {
+				continue
+			}
+			v.worth = worth
+		}
+		victims = append(victims, v.unit)
+		harm += v.worth
+		freeMb += v.mb
 	}
+	return victims, harm, freeMb >= sizeMb
+}
+
+// victimsOf are a replica's units, least worth first; they are put in order once a run.
+func (p *resident) victimsOf(i int) []victim {
+	if p.victims[i] != nil {
+		return p.victims[i]
+	}
+	h := &p.in.Homes[i]
 	all := []victim{}
 	for unit, mb := range h.Holds {
 		if p.sizes[unit] == nil {
@@ -384,15 +410,8 @@
 		}
 		return cmp.Compare(a.unit, b.unit)
 	})
-	for _, v := range all {
-		if freeMb >= sizeMb {
-			break
-		}
-		victims = append(victims, v.unit)
-		harm += v.worth
-		freeMb += v.mb
-	}
-	return victims, harm, freeMb >= sizeMb
+	p.victims[i] = all
+	return all
 }
 
 func (p *resident) adaptersMb(h *Home, model string) int64 {
@@ -504,6 +523,7 @@
 		}
 	}
 	if best < 0 {
+		p.unplaced = append(p.unplaced, unit)
 		return
 	}
 	h := &p.in.Homes[best]
--- a/internal/placement/resident_test.go
+++ b/internal/placement/resident_test.go
@@ -124,7 +124,7 @@
 		h := newHall(t, seed)
 		for round := 0; round < 4; round++ {
 			h.homes(true)
-			proposals := Resident(h.in)
+			proposals, _ := Resident(h.in)
 			tickets, verdicts := CheckRouted(h.s, h.in.StoreLeft, proposals)
 			for _, v := range verdicts {
 				if v.Fault != nil {
@@ -248,7 +248,7 @@
 				}
 				h.in.Models[wanted] = n
 			}
-			proposals := Resident(h.in)
+			proposals, _ := Resident(h.in)
 			said = append(said, proposals...)
 			tickets, _ := CheckRouted(h.s, h.in.StoreLeft, proposals)
 			h.apply(ledger.Change{Duty: &ledger.Duty{Tickets: tickets}})
--- a/internal/roster/late_test.go
+++ b/internal/roster/late_test.go
@@ -18,7 +18,7 @@
 		t.Fatalf("heard at %d, said at %d", e.HeardUs, e.SaidUs)
 	}
 	woken.LateUs = 0
-	other.Merge(at+clock.Ms, woken.Notes(at+clock.Ms, 0))
+	other.Merge(at+clock.Ms, woken.Notes(at+clock.Ms, 0, true))
 	if e := other.Row("r"); e.SaidUs != at-4*clock.Sec || e.HeardUs != at {
 		t.Fatalf("told on: heard at %d, said at %d", e.HeardUs, e.SaidUs)
 	}
@@ -26,7 +26,7 @@
 	if e := other.Row("r"); e.SaidUs != at+clock.Sec {
 		t.Fatalf("a fresh word holds since %d", e.SaidUs)
 	}
-	woken.Merge(at+clock.Sec, other.Notes(at+clock.Sec, woken.Rev))
+	woken.Merge(at+clock.Sec, other.Notes(at+clock.Sec, woken.Rev, true))
 	if e := woken.Row("r"); e.SaidUs != at+clock.Sec {
 		t.Fatalf("a sign of life holds since %d", e.SaidUs)
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"maps"
 	"slices"
+	"sort"
 
 	"petreltide/internal/clock"
 )
@@ -64,12 +65,14 @@
 // Entry is a replica's latest word. SaidUs is the latest time at which it surely still said so.
 type Entry struct {
 	Row
-	HeardUs int64
-	SaidUs  int64
-	Rev     uint64
-	Dark    bool
-	seen    uint64
-	mark    uint32
+	toldUs   int64
+	directUs int64
+	HeardUs  int64
+	SaidUs   int64
+	Rev      uint64
+	Dark     bool
+	seen     uint64
+	mark     uint32
 }
 
 // Roster is one office's soft state of all replicas: heard from them directly or from other offices.
@@ -83,19 +86,59 @@
 	rows    map[string]*Entry
 	sweepUs int64
 	want    bool
+	log     []touched
+	sorted  []string
 }
 
+// touched is one entry of the list of what changed, kept so that nobody need look through all rows.
+type touched struct {
+	rev uint64
+	id  string
+}
+
+const logMost = 8192
+
 func New(darkUs int64) *Roster { return &Roster{DarkUs: darkUs, rows: map[string]*Entry{}} }
 
 func (r *Roster) touch(e *Entry) {
 	e.mark = e.Row.mark()
 	r.Rev++
 	e.Rev = r.Rev
+	r.log = append(r.log, touched{r.Rev, e.ID})
+	if len(r.log) > logMost {
+		r.log = append([]touched(nil), r.log[logMost/2:]...)
+	}
+}
+
+// Since are the rows that changed after a revision, each once, in no order.
+func (r *Roster) Since(rev uint64) []string {
+	if len(r.log) == 0 || r.log[0].rev > rev+1 {
+		ids := []string{}
+		for id, e := range r.rows {
+			if e.Rev > rev {
+				ids = append(ids, id)
+			}
+		}
+		return ids
+	}
+	at := sort.Search(len(r.log), func(i int) bool { return r.log[i].rev > rev })
+	seen, ids := map[string]bool{}, []string{}
+	for _, t := range r.log[at:] {
+		if !seen[t.id] && r.rows[t.id] != nil {
+			seen[t.id] = true
+			ids = append(ids, t.id)
+		}
+	}
+	return ids
 }
 
 // Hear takes what a replica said; changed is true where others must learn of it.
 func (r *Roster) Hear(nowUs int64, row Row) (changed bool) {
-	return r.hear(nowUs, nowUs, nowUs-r.LateUs, row)
+	changed = r.hear(nowUs, nowUs, nowUs-r.LateUs, row)
+	if e := r.rows[row.ID]; e != nil {
+		e.directUs = nowUs
+	}
+	return changed
 }
 
 func (r *Roster) hear(nowUs, heardUs, saidUs int64, row Row) bool {
@@ -114,7 +157,7 @@
 			}
 		}
 		e = &Entry{Row: row, HeardUs: heardUs, SaidUs: saidUs, seen: row.Seq}
-		r.rows[row.ID] = e
+		r.rows[row.ID], r.sorted = e, nil
 		r.touch(e)
 		return true
 	}
@@ -146,7 +189,7 @@
 	e := r.rows[id]
 	if e == nil {
 		e = &Entry{Row: Row{ID: id}}
-		r.rows[id] = e
+		r.rows[id], r.sorted = e, nil
 	}
 	if e.Gone {
 		return false
@@ -197,25 +240,35 @@
 	return w
 }
 
-// Notes are for another office that has had everything up to a revision of this roster. What has ended is told
-// for some seconds: no later word would show that it was missed.
-func (r *Roster) Notes(nowUs int64, since uint64) []Note {
-	notes := make([]Note, 0, len(r.rows))
+// Notes are for other offices that have had everything up to a revision of this roster, or who ask for all
+// with 0: rows that changed, and a sign of life of those that this office itself heard since it last told.
+// What has ended is told for some seconds: no later word would show that it was missed.
+func (r *Roster) Notes(nowUs int64, since uint64, alive bool) []Note {
+	notes := []Note{}
 	for _, id := range r.IDs() {
 		e := r.rows[id]
+		news := e.Rev > since || (alive && e.Gone && nowUs-e.HeardUs < goneUs)
+		if !news && (!alive || e.Gone || e.Dark || e.directUs <= e.toldUs) {
+			continue
+		}
 		n := Note{ID: id, Seq: e.seen, Mark: e.mark, AgoMs: (nowUs - e.HeardUs) / 1000, SaidMs: (nowUs - e.SaidUs) / 1000}
-		if e.Rev > since || (e.Gone && nowUs-e.HeardUs < goneUs) {
+		if news {
 			row := e.Row
 			row.Seq = e.seen
 			n.Row = &row
-		} else if e.Gone || e.Dark {
-			continue
 		}
 		notes = append(notes, n)
 	}
 	return notes
 }
 
+// Told ends one telling of signs of life to all other offices.
+func (r *Roster) Told(nowUs int64) {
+	for _, e := range r.rows {
+		e.toldUs = nowUs
+	}
+}
+
 // Sweep marks those not heard for too long as dark and forgets those long gone.
 func (r *Roster) Sweep(nowUs int64) {
 	if nowUs-r.sweepUs > r.DarkUs/2 && r.sweepUs > 0 {
@@ -231,6 +284,7 @@
 				r.Rev++
 			}
 			delete(r.rows, id)
+			r.sorted = nil
 		case !e.Gone && !e.Dark && nowUs-e.HeardUs > r.DarkUs:
 			e.Dark = true
 			r.touch(e)
@@ -238,7 +292,13 @@
 	}
 }
 
-func (r *Roster) IDs() []string { return slices.Sorted(maps.Keys(r.rows)) }
+// IDs are all lives in order; the list must not be changed.
+func (r *Roster) IDs() []string {
+	if r.sorted == nil {
+		r.sorted = slices.Sorted(maps.Keys(r.rows))
+	}
+	return r.sorted
+}
 
 func (r *Roster) Row(id string) *Entry { return r.rows[id] }
 
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -59,7 +59,7 @@
 func TestALifeThatEndedStaysEnded(t *testing.T) {
 	r, other := New(darkUs), New(darkUs)
 	r.Hear(1, word("r", "1", 3))
-	other.Merge(1, r.Notes(1, 0))
+	other.Merge(1, r.Notes(1, 0, true))
 	if !r.Leave(2, "r") || r.Leave(3, "r") {
 		t.Fatal("it ends once")
 	}
@@ -67,7 +67,7 @@
 		t.Error("a late word brought it back")
 	}
 	other.Hear(3, word("r", "1", 4))
-	if !other.Merge(4, r.Notes(4, 0)) || !other.Row("r").Gone {
+	if !other.Merge(4, r.Notes(4, 0, true)) || !other.Row("r").Gone {
 		t.Error("the other office does not learn of its end")
 	}
 	if other.Merge(5, []Note{{ID: "r", Seq: 9, Row: &Row{ID: "r", Addr: "1", Seq: 9}}}) || !other.Row("r").Gone {
@@ -101,14 +101,14 @@
 	lagging, back := New(darkUs), New(darkUs)
 	lagging.Hear(0, word("old", "1", 7))
 	back.Hear(3*clock.Sec, word("new", "1", 1))
-	back.Merge(3*clock.Sec, lagging.Notes(3*clock.Sec, 0))
+	back.Merge(3*clock.Sec, lagging.Notes(3*clock.Sec, 0, true))
 	if back.Row("new").Gone {
 		t.Fatal("a late word of the life before ended the one that came after")
 	}
 	if e := back.Row("old"); e == nil || !e.Gone {
 		t.Fatal("the life before counts as there")
 	}
-	lagging.Merge(3*clock.Sec, back.Notes(3*clock.Sec, 0))
+	lagging.Merge(3*clock.Sec, back.Notes(3*clock.Sec, 0, true))
 	if lagging.Row("new") == nil || lagging.Row("new").Gone || !lagging.Row("old").Gone {
 		t.Fatal("the other office does not learn of the new life")
 	}
@@ -132,14 +132,14 @@
 	if !awake.Row("died").Dark || awake.Row("lives").Dark {
 		t.Fatal("silence is not seen")
 	}
-	if notes := awake.Notes(12*clock.Sec, since); len(notes) != 2 || notes[0].ID != "died" || notes[0].Row == nil || notes[1].Row != nil {
+	if notes := awake.Notes(12*clock.Sec, since, true); len(notes) != 2 || notes[0].ID != "died" || notes[0].Row == nil || notes[1].Row != nil {
 		t.Errorf("%+v", notes)
 	}
 	frozen.Sweep(12 * clock.Sec)
 	if frozen.Row("lives").Dark || frozen.Row("died").Dark {
 		t.Error("it was the office that was silent")
 	}
-	awake.Merge(12*clock.Sec, frozen.Notes(12*clock.Sec, frozen.Rev))
+	awake.Merge(12*clock.Sec, frozen.Notes(12*clock.Sec, frozen.Rev, true))
 	if !awake.Row("died").Dark {
 		t.Error("an office that was frozen tells of a replica as heard lately")
 	}
@@ -170,7 +170,7 @@
 					if i == j {
 						continue
 					}
-					notes, wanted := from.Notes(nowUs, since[[2]int{i, j}]), wants[i]
+					notes, wanted := from.Notes(nowUs, since[[2]int{i, j}], true), wants[i]
 					since[[2]int{i, j}] = from.Rev
 					if r.Intn(100) < lose {
 						lost++
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -13,8 +13,14 @@
 // plain carries ordinary structs as JSON between our own processes.
 type plain struct{}
 
-func (plain) Name() string                      { return "json" }
-func (plain) Marshal(v any) ([]byte, error)     { return json.Marshal(v) }
+func (plain) Name() string { return "json" }
+func (plain) Marshal(v any) ([]byte, error) {
+	if e, once := v.(interface{ Encoded() ([]byte, error) }); once {
+		return e.Encoded()
+	}
+	return json.Marshal(v)
+}
+
 func (plain) Unmarshal(raw []byte, v any) error { return json.Unmarshal(raw, v) }
 
 const (
--- a/internal/subscriber/mirror.go
+++ b/internal/subscriber/mirror.go
@@ -18,6 +18,7 @@
 	mirrorTryUs    = 300 * clock.Ms
 	mirrorShyUs    = 1000 * clock.Ms
 	mirrorReportUs = 250 * clock.Ms
+	mirrorEachUs   = 8 * clock.Ms
 	mirrorIdleUs   = 1000 * clock.Ms
 	mirrorStreams  = 2
 )
@@ -30,6 +31,8 @@
 	Closed uint64
 	Seeds  []string
 	Urgent bool
+	// Unreached is where a report did not arrive.
+	Unreached string
 }
 
 type MirrorEffect struct {
@@ -56,7 +59,6 @@
 	office  string
 	rows    map[string]wire.ReplicaRow
 	orders  wire.Orders
-	demand  map[string]wire.Demand
 	desks   int
 }
 
@@ -66,6 +68,7 @@
 	opts     Options
 	sources  map[uint64]*source
 	shyUs    map[string]int64
+	deafUs   map[string]int64
 	offices  map[string]chain.Member
 	view     chain.View
 	doc      *standing.Declaration
@@ -76,12 +79,16 @@
 	reportUs int64
 	urgentUs int64
 	last     *source
+	best     map[string]wire.ReplicaRow
+	orders   wire.Orders
+	desks    int
+	ids      []string
 	snap     *dispatch.Snapshot
 	effects  []MirrorEffect
 }
 
 func NewMirror(opts Options) *Mirror {
-	return &Mirror{opts: opts, sources: map[uint64]*source{}, shyUs: map[string]int64{}, offices: map[string]chain.Member{}}
+	return &Mirror{opts: opts, sources: map[uint64]*source{}, shyUs: map[string]int64{}, deafUs: map[string]int64{}, best: map[string]wire.ReplicaRow{}, offices: map[string]chain.Member{}}
 }
 
 func (m *Mirror) do(e MirrorEffect) { m.effects = append(m.effects, e) }
@@ -117,11 +124,14 @@
 	m.effects = nil
 	switch {
 	case ev.Frame != nil:
-		m.frame(ev.NowUs, ev.Stream, *ev.Frame)
+		m.frame(ev.NowUs, ev.Stream, ev.Frame)
 	case ev.Closed != 0:
 		m.closed(ev.NowUs, ev.Closed)
 	case ev.Seeds != nil:
 		m.opts.Seeds = ev.Seeds
+	case ev.Unreached != "":
+		m.deafUs[ev.Unreached] = ev.NowUs + mirrorShyUs
+		m.urgentUs = ev.NowUs
 	}
 	m.tick(ev.NowUs, ev.Urgent)
 	return m.effects
@@ -137,6 +147,9 @@
 	if s.whole && m.Live() == 0 {
 		m.last = s
 	}
+	if m.snap != nil && m.foldAll() {
+		m.publish(nowUs)
+	}
 }
 
 func (m *Mirror) drop(nowUs int64, s *source) {
@@ -144,7 +157,7 @@
 	m.closed(nowUs, s.stream)
 }
 
-func (m *Mirror) frame(nowUs int64, stream uint64, f wire.Frame) {
+func (m *Mirror) frame(nowUs int64, stream uint64, f *wire.Frame) {
 	s := m.sources[stream]
 	if s == nil {
 		return
@@ -163,30 +176,38 @@
 		m.offices = map[string]chain.Member{}
 	}
 	for _, r := range f.Replicas {
-		if r.Stale && r.Gone {
-			delete(s.rows, r.ID)
-			continue
-		}
 		s.rows[r.ID] = r
 	}
 	if f.Orders != nil {
 		s.orders = *f.Orders
 	}
-	if f.Demand != nil {
-		s.demand = f.Demand
-	}
 	s.desks = f.Desks
+	revision := m.revision
 	if !m.configured(f) {
 		m.drop(nowUs, s)
 		return
 	}
-	if f.Whole || f.Revision > 0 || len(f.Replicas) > 0 || f.Orders != nil || f.Demand != nil || f.View != nil {
-		m.fold(nowUs)
+	news := revision != m.revision || m.snap == nil || f.View != nil
+	if f.Whole {
+		news = m.foldAll() || news
+	} else if len(f.Replicas) > 0 {
+		changed := false
+		for _, r := range f.Replicas {
+			changed = m.foldRow(r.ID) || changed
+		}
+		if changed {
+			m.ids = nil
+		}
+		news = changed || news
+	}
+	news = m.foldRest() || news
+	if news {
+		m.publish(nowUs)
 	}
 }
 
 // configured lays a frame's declaration or edits on what this desk has; false where some are missing.
-func (m *Mirror) configured(f wire.Frame) bool {
+func (m *Mirror) configured(f *wire.Frame) bool {
 	if f.Revision <= m.revision {
 		return true
 	}
@@ -209,9 +230,8 @@
 	return true
 }
 
-// fold joins what the offices say: a replica's latest word counts, and it is dark only where every
-// office that knows it says so.
-func (m *Mirror) fold(nowUs int64) {
+// whole are the sources that have told all they know; without any, the last one that had.
+func (m *Mirror) wholeSources() []*source {
 	sources := []*source{}
 	for _, n := range slices.Sorted(maps.Keys(m.sources)) {
 		if s := m.sources[n]; s.whole {
@@ -221,42 +241,92 @@
 	if len(sources) == 0 && m.last != nil {
 		sources = append(sources, m.last)
 	}
-	m.number++
-	snap := &dispatch.Snapshot{
-		Number: m.number, View: m.view.Number, Revision: m.revision, Doc: m.doc, AtUs: nowUs,
-		Replicas: map[string]*wire.ReplicaNews{}, ByService: map[string][]*wire.ReplicaNews{},
-	}
-	best := map[string]wire.ReplicaRow{}
-	var orders wire.Orders
-	for _, s := range sources {
-		for id, r := range s.rows {
-			have, ok := best[id]
-			switch {
-			case !ok, have.Stale && !r.Stale, r.Gone && !have.Gone:
-				best[id] = r
-			case have.Gone || (r.Stale && !have.Stale):
-			default:
-				best[id] = newer(have, r)
-			}
-		}
-		if s.orders.Number >= orders.Number {
-			orders = s.orders
+	return sources
+}
+
+// foldRow joins what the offices say of one life: its latest word counts, and it is dark only where every
+// office that knows it says so.
+func (m *Mirror) foldRow(id string) (changed bool) {
+	var best wire.ReplicaRow
+	known := false
+	for _, s := range m.wholeSources() {
+		r, ok := s.rows[id]
+		switch {
+		case !ok:
+		case !known, best.Stale && !r.Stale, r.Gone && !r.Stale && !best.Gone:
+			best, known = r, true
+		case best.Gone || (r.Stale && !best.Stale):
+		default:
+			best = newer(best, r)
 		}
-		snap.Desks = max(snap.Desks, s.desks)
-		if len(s.demand) > 0 && snap.Demand == nil {
-			snap.Demand = s.demand
+	}
+	have, had := m.best[id]
+	if !known || best.Gone {
+		delete(m.best, id)
+		return had
+	}
+	m.best[id] = best
+	return !had || !sameRow(have, best)
+}
+
+func sameRow(a, b wire.ReplicaRow) bool {
+	return a.Service == b.Service && a.Addr == b.Addr && a.Zone == b.Zone && a.Slots == b.Slots && a.Draining == b.Draining && a.LeftMs == b.LeftMs &&
+		a.Dark == b.Dark && a.Stale == b.Stale && slices.Equal(a.Units, b.Units)
+}
+
+func (m *Mirror) foldAll() (changed bool) {
+	ids := map[string]bool{}
+	for id := range m.best {
+		ids[id] = true
+	}
+	for _, s := range m.wholeSources() {
+		for id := range s.rows {
+			ids[id] = true
 		}
 	}
-	for id, r := range best {
-		if r.Gone {
-			continue
+	for id := range ids {
+		changed = m.foldRow(id) || changed
+	}
+	if changed {
+		m.ids = nil
+	}
+	return changed
+}
+
+func (m *Mirror) foldRest() (changed bool) {
+	desks := 0
+	for _, s := range m.wholeSources() {
+		if s.orders.Number > m.orders.Number || (m.orders.Rows == nil && s.orders.Rows != nil) {
+			m.orders, changed = s.orders, true
 		}
-		snap.Replicas[id] = &wire.ReplicaNews{
+		desks = max(desks, s.desks)
+	}
+	changed = changed || desks != m.desks
+	m.desks = desks
+	return changed
+}
+
+// publish writes what was folded as a snapshot that never changes.
+func (m *Mirror) publish(nowUs int64) {
+	m.number++
+	snap := &dispatch.Snapshot{
+		Number: m.number, View: m.view.Number, Revision: m.revision, Doc: m.doc, AtUs: nowUs, Desks: m.desks,
+		Replicas: make(map[string]*wire.ReplicaNews, len(m.best)), ByService: map[string][]*wire.ReplicaNews{},
+	}
+	if m.ids == nil {
+		m.ids = slices.Sorted(maps.Keys(m.best))
+	}
+	snap.IDs = m.ids
+	for _, id := range m.ids {
+		r := m.best[id]
+		news := &wire.ReplicaNews{
 			ID: id, Inc: id, Addr: r.Addr, Zone: r.Zone, Service: r.Service, Slots: r.Slots, Leaving: r.Draining, LeftMs: r.LeftMs,
 			Dark: r.Dark, Stale: r.Stale, Holds: r.Units, Share: r.Slots,
 		}
+		snap.Replicas[id] = news
+		snap.ByService[r.Service] = append(snap.ByService[r.Service], news)
 	}
-	for _, o := range orders.Rows {
+	for _, o := range m.orders.Rows {
 		if r := snap.Replicas[o.Replica]; r != nil {
 			if o.Unload {
 				r.Unloading = o.Unit
@@ -265,11 +335,6 @@
 			}
 		}
 	}
-	snap.IDs = slices.Sorted(maps.Keys(snap.Replicas))
-	for _, id := range snap.IDs {
-		r := snap.Replicas[id]
-		snap.ByService[r.Service] = append(snap.ByService[r.Service], r)
-	}
 	m.snap = snap
 	m.do(MirrorEffect{Snapshot: snap})
 }
@@ -389,7 +454,7 @@
 	if urgent {
 		m.urgentUs = nowUs
 	}
-	spanUs := mirrorReportUs
+	spanUs := mirrorReportUs + mirrorEachUs*int64(m.desks)
 	if m.urgentUs > m.reportUs {
 		spanUs = 20 * clock.Ms
 	}
@@ -406,6 +471,10 @@
 	if to == nil {
 		return
 	}
+	addr := to.addr
+	if head := m.view.Head(); head.Addr != "" && nowUs >= m.deafUs[head.Addr] {
+		addr = head.Addr
+	}
 	m.reportUs = nowUs
-	m.do(MirrorEffect{Report: to.addr})
+	m.do(MirrorEffect{Report: addr})
 }
--- a/internal/subscriber/mirror_test.go
+++ b/internal/subscriber/mirror_test.go
@@ -212,7 +212,7 @@
 	c.write(ledger.Change{Duty: &ledger.Duty{Tickets: []ledger.Ticket{t}}})
 }
 
-var asDesksSee = cmp.Options{cmpopts.IgnoreFields(dispatch.Snapshot{}, "Number", "AtUs", "Demand"), cmpopts.IgnoreFields(standing.Declaration{}, "Index"), cmpopts.EquateEmpty()}
+var asDesksSee = cmp.Options{cmpopts.IgnoreFields(dispatch.Snapshot{}, "Number", "AtUs"), cmpopts.IgnoreFields(standing.Declaration{}, "Index"), cmpopts.EquateEmpty()}
 
 // Differences fold to what a whole frame says, whichever streams are lost, however far an office lags
 // and whenever one restarts; what a desk goes by never goes back.
@@ -230,7 +230,7 @@
 			for i, from := range cores {
 				for j, to := range cores {
 					if i != j {
-						to.roster.Merge(nowUs, from.roster.Notes(nowUs, since[[2]int{i, j}]))
+						to.roster.Merge(nowUs, from.roster.Notes(nowUs, since[[2]int{i, j}], true))
 						since[[2]int{i, j}] = from.roster.Rev
 						if to.roster.Wants() {
 							since[[2]int{i, j}] = 0
@@ -372,20 +372,20 @@
 		return &standing.Edit{Version: 9, Routes: []standing.Route{route("a", ms)}}
 	}
 	for name, c := range map[string]struct {
-		frame    wire.Frame
+		frame    *wire.Frame
 		revision uint64
 		ms       int64
 		dropped  bool
 	}{
-		"the next edit":           {wire.Frame{Revision: 6, From: 5, Edits: []*standing.Edit{edit(2)}}, 6, 2, false},
-		"two, one known":          {wire.Frame{Revision: 6, From: 4, Edits: []*standing.Edit{edit(1), edit(2)}}, 6, 2, false},
-		"an older office's edits": {wire.Frame{Revision: 4, From: 3, Edits: []*standing.Edit{edit(3)}}, 5, 1, false},
-		"an older office's whole": {wire.Frame{Revision: 4, Doc: doc}, 5, 1, false},
-		"one missed":              {wire.Frame{Revision: 7, From: 6, Edits: []*standing.Edit{edit(3)}}, 5, 1, true},
-		"too few":                 {wire.Frame{Revision: 7, From: 5, Edits: []*standing.Edit{edit(3)}}, 5, 1, true},
-		"none":                    {wire.Frame{Revision: 7, From: 5}, 5, 1, true},
-		"one that does not fit":   {wire.Frame{Revision: 6, From: 5, Edits: []*standing.Edit{{Version: 9, Routes: []standing.Route{route("a", 2), route("a", 3)}}}}, 5, 1, true},
-		"a whole one instead":     {wire.Frame{Revision: 9, Doc: &standing.Declaration{Version: 9, Routes: []standing.Route{route("a", 4)}}}, 9, 4, false},
+		"the next edit":           {&wire.Frame{Revision: 6, From: 5, Edits: []*standing.Edit{edit(2)}}, 6, 2, false},
+		"two, one known":          {&wire.Frame{Revision: 6, From: 4, Edits: []*standing.Edit{edit(1), edit(2)}}, 6, 2, false},
+		"an older office's edits": {&wire.Frame{Revision: 4, From: 3, Edits: []*standing.Edit{edit(3)}}, 5, 1, false},
+		"an older office's whole": {&wire.Frame{Revision: 4, Doc: doc}, 5, 1, false},
+		"one missed":              {&wire.Frame{Revision: 7, From: 6, Edits: []*standing.Edit{edit(3)}}, 5, 1, true},
+		"too few":                 {&wire.Frame{Revision: 7, From: 5, Edits: []*standing.Edit{edit(3)}}, 5, 1, true},
+		"none":                    {&wire.Frame{Revision: 7, From: 5}, 5, 1, true},
+		"one that does not fit":   {&wire.Frame{Revision: 6, From: 5, Edits: []*standing.Edit{{Version: 9, Routes: []standing.Route{route("a", 2), route("a", 3)}}}}, 5, 1, true},
+		"a whole one instead":     {&wire.Frame{Revision: 9, Doc: &standing.Declaration{Version: 9, Routes: []standing.Route{route("a", 4)}}}, 9, 4, false},
 	} {
 		m := NewMirror(Options{Desk: "d", Seeds: []string{"one"}})
 		stream := uint64(0)
@@ -401,7 +401,7 @@
 		step(MirrorEvent{NowUs: clock.Sec})
 		step(MirrorEvent{NowUs: clock.Sec, Stream: stream, Frame: &wire.Frame{Whole: true, Revision: 5, Doc: doc}})
 		c.frame.Replicas = []wire.ReplicaRow{{Row: roster.Row{ID: "r", Seq: 1}}}
-		step(MirrorEvent{NowUs: clock.Sec + 1, Stream: stream, Frame: &c.frame})
+		step(MirrorEvent{NowUs: clock.Sec + 1, Stream: stream, Frame: c.frame})
 		if m.revision != c.revision || m.doc.Route("a").TimeoutMs != c.ms || closed != c.dropped {
 			t.Errorf("%s: revision %d, %d ms, dropped %v", name, m.revision, m.doc.Route("a").TimeoutMs, closed)
 		}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -1,6 +1,9 @@
 package wire
 
 import (
+	"encoding/json"
+	"sync"
+
 	"petreltide/internal/chain"
 	"petreltide/internal/roster"
 	"petreltide/internal/standing"
@@ -21,7 +24,10 @@
 	Replicas []ReplicaRow          `json:"replicas,omitempty"`
 	Orders   *Orders               `json:"orders,omitempty"`
 	Desks    int                   `json:"desks,omitempty"`
-	Demand   map[string]Demand     `json:"demand,omitempty"`
+
+	encode sync.Once
+	raw    []byte
+	err    error
 }
 
 // ReplicaRow is a replica's own word and what the office makes of its silence.
@@ -48,8 +54,11 @@
 	Unload  bool   `json:"unload,omitempty"`
 }
 
-// Demand is what all desks have at a replica.
-type Demand struct {
-	Running int   `json:"running,omitempty"`
-	Tokens  int64 `json:"tokens,omitempty"`
+// Encoded is the frame as JSON, written once however many desks it goes to; it must not change after.
+func (f *Frame) Encoded() ([]byte, error) {
+	f.encode.Do(func() {
+		type bare Frame
+		f.raw, f.err = json.Marshal((*bare)(f))
+	})
+	return f.raw, f.err
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -62,7 +62,6 @@
 	Left     map[string]Left    `json:"left,omitempty"`
 	Draining bool               `json:"draining,omitempty"`
 	Silent   []string           `json:"silent,omitempty"`
-	Demand   map[string]Demand  `json:"demand,omitempty"`
 	// Tokens of prompts a second, by model; Recent are arrivals of the last second or two; Paths are
 	// arrivals a second by "route|model"; Runs are legs under way and Unread those without a first piece, by "replica|model".
 	Tokens map[string]float64 `json:"tokens,omitempty"`
@@ -116,12 +115,11 @@
 // Heard is what an office has heard of replicas and desks, told to the other offices. Wants asks for
 // all rows again.
 type Heard struct {
-	By     string            `json:"by"`
-	Inc    string            `json:"inc"`
-	Notes  []roster.Note     `json:"notes,omitempty"`
-	Wants  bool              `json:"wants,omitempty"`
-	Desks  []string          `json:"desks,omitempty"`
-	Demand map[string]Demand `json:"demand,omitempty"`
+	By    string        `json:"by"`
+	Inc   string        `json:"inc"`
+	Notes []roster.Note `json:"notes,omitempty"`
+	Wants bool          `json:"wants,omitempty"`
+	Desks []string      `json:"desks,omitempty"`
 }
 
 type Receipt struct{}
--- a/proofs/capacity/hollow.go
+++ b/proofs/capacity/hollow.go
@@ -232,7 +232,7 @@
 	rep := &wire.Report{
 		Desk: d.name, Inc: d.inc, Addr: platform.Desk(d.ip), Zone: d.zone, Arrivals: map[string]float64{}, Tokens: map[string]float64{},
 		Recent: map[string]float64{}, Waiting: map[string]int{}, InFlight: map[string]int{}, Left: map[string]wire.Left{},
-		Demand: map[string]wire.Demand{}, Runs: map[string]int{}, Unread: map[string]int{},
+		Runs: map[string]int{}, Unread: map[string]int{},
 	}
 	for n := range w.size.Running {
 		r := w.replicas[d.r.Intn(len(w.replicas))]
@@ -241,8 +241,6 @@
 			continue
 		}
 		rep.InFlight[id]++
-		have := rep.Demand[id]
-		rep.Demand[id] = wire.Demand{Running: have.Running + 1, Tokens: have.Tokens + tokensEach}
 		rep.Runs[id+"|"+unit]++
 		if n%unreadShare == 0 {
 			rep.Unread[id+"|"+unit]++
--- a/proofs/sim/routed_desks.go
+++ b/proofs/sim/routed_desks.go
@@ -222,8 +222,8 @@
 	t.reflect(subscriber.MirrorEvent{Closed: number})
 }
 
-func (t *routedDesk) frame(number uint64, f wire.Frame) {
-	t.reflect(subscriber.MirrorEvent{Frame: &f, Stream: number})
+func (t *routedDesk) frame(number uint64, f *wire.Frame) {
+	t.reflect(subscriber.MirrorEvent{Frame: f, Stream: number})
 }
 
 func (t *routedDesk) step(ev dispatch.Event) {
--- a/proofs/sim/routed_offices.go
+++ b/proofs/sim/routed_offices.go
@@ -186,13 +186,12 @@
 	}
 }
 
-func (o *routedOffice) frame(desk string, f wire.Frame) {
+func (o *routedOffice) frame(desk string, f *wire.Frame) {
 	s := o.streams[desk]
 	if s == nil {
 		return
 	}
 	f = clone(f)
-	f.Office = o.core.Node.Me().ID
 	number := s.number
 	s.down.send(func() { s.desk.frame(number, f) })
 }
@@ -335,9 +334,6 @@
 		}, fail)
 	case e.Order != nil:
 		o.order(clone(e.Order.Order), e.Order.Addr)
-	case e.Run != nil:
-		done := controller.PolicyDone{Run: e.Run.Number, Revision: e.Run.Revision, Live: controller.RunResident(e.Run.Services)}
-		o.later(2*ms, func() { o.tell(controller.Event{Policy: &done}) })
 	}
 }
 
