--- a/proofs/sim/sim_test.go
+++ b/proofs/sim/sim_test.go
@@ -37,13 +37,14 @@
 	if len(out.Breaches) == 0 {
 		return out
 	}
-	p = shorten(p, out.Breaches[0].Rule)
+	first := out.Breaches
+	p = shorten(p, first[0].Rule)
 	out = Run(p)
 	lines := out.Log
 	if len(lines) > 60 {
 		lines = lines[len(lines)-60:]
 	}
-	t.Fatalf("seed %d broke: %v\nshortened faults: %v\n%s", p.Seed, out.Breaches, p.Faults, strings.Join(lines, "\n"))
+	t.Fatalf("seed %d broke: %v\nshortened faults: %v: %v\n%s", p.Seed, first, p.Faults, out.Breaches, strings.Join(lines, "\n"))
 	return out
 }
 
