Keep the stand-ins that speak the platform's dialect under proofs/platform

Change: both packages move under proofs/platform (replica, fleet); the check stays as it was. Before: 52 finds. After: none, go test ./platform -run TestNothingOutside, go vet in both modules.

--- a/proofs/brief/brief_test.go
+++ b/proofs/brief/brief_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"petreltide/proofs/fleet"
+	platformfleet "petreltide/proofs/platform/fleet"
 	"petreltide/proofs/rules"
 	"petreltide/proofs/sim"
 )
@@ -68,7 +69,7 @@
 			t.Fatal(err)
 		}
 		unknown, unnamed := checked(string(raw), tests, map[string][]string{
-			"day:": sim.FaultNames(), "real:": fleet.FaultNames(), "routed:": sim.RoutedFaultNames(), "platform:": fleet.RoutedFaultNames(),
+			"day:": sim.FaultNames(), "real:": fleet.FaultNames(), "routed:": sim.RoutedFaultNames(), "platform:": platformfleet.FaultNames(),
 		})
 		if len(unknown) > 0 {
 			t.Errorf("%s names what does not exist: %v", page, unknown)
--- a/proofs/cmd/fleet/platform.go
+++ b/proofs/cmd/fleet/platform.go
@@ -9,12 +9,12 @@
 	"github.com/juju/errors"
 	"github.com/spf13/cobra"
 
-	"petreltide/proofs/fleet"
+	"petreltide/proofs/platform/fleet"
 )
 
 // platformCommand plays a day of real processes on the users' platform.
 func platformCommand() *cobra.Command {
-	plan := fleet.RoutedPlan{Offices: 3, Desks: 3, Cards: 4, Logs: 2}
+	plan := fleet.Plan{Offices: 3, Desks: 3, Cards: 4, Logs: 2}
 	var faults string
 	var seconds int
 	var keep bool
@@ -28,7 +28,7 @@
 			}
 			plan.Folder, plan.Span = folder, time.Duration(seconds)*time.Second
 			plan.Faults = strings.Fields(strings.ReplaceAll(faults, ",", " "))
-			f, err := fleet.NewRouted(plan)
+			f, err := fleet.New(plan)
 			if err != nil {
 				return err
 			}
@@ -51,7 +51,7 @@
 	}
 	flags := cmd.Flags()
 	flags.StringVar(&plan.Petreltide, "petreltide", "bin/petreltide", "the program")
-	flags.StringVar(&faults, "faults", "", "faults to cause in turn: "+strings.Join(fleet.RoutedFaultNames(), ", "))
+	flags.StringVar(&faults, "faults", "", "faults to cause in turn: "+strings.Join(fleet.FaultNames(), ", "))
 	flags.Float64Var(&plan.PerSecond, "rate", 40, "requests per second")
 	flags.IntVar(&seconds, "seconds", 15, "time under demand")
 	flags.Int64Var(&plan.Seed, "seed", 1, "seed of the demand and of whom faults befall")
--- a/proofs/fleet/day.go
+++ b/proofs/fleet/day.go
@@ -183,7 +183,7 @@
 	return func(ctx context.Context, f *Fleet) error {
 		name := who(ctx, f)
 		if name == "" {
-			return leftOut{"no open tail to choose by"}
+			return LeftOut{"no open tail to choose by"}
 		}
 		f.Kill(name)
 		pause(ctx, 2*time.Second)
@@ -204,7 +204,7 @@
 	return func(ctx context.Context, f *Fleet) error {
 		name := who(ctx, f)
 		if name == "" {
-			return leftOut{"no open tail to choose by"}
+			return LeftOut{"no open tail to choose by"}
 		}
 		f.Signal(name, syscall.SIGSTOP)
 		pause(ctx, 4*time.Second)
@@ -310,7 +310,7 @@
 		}
 		caused, err := f.Under(ctx, name, pick)
 		if !caused {
-			if _, out := err.(leftOut); !out || plan.Soak == 0 {
+			if _, out := err.(LeftOut); !out || plan.Soak == 0 {
 				return nil, errors.Annotate(err, name)
 			}
 			fmt.Fprintf(out, "fault %-16s left out: %v\n", name, err)
--- a/proofs/fleet/faults.go
+++ b/proofs/fleet/faults.go
@@ -23,10 +23,10 @@
 
 type cause func(context.Context, *Fleet) error
 
-// leftOut says that a fault could not truly be caused; it is not counted.
-type leftOut struct{ why string }
+// LeftOut says that a fault could not truly be caused; it is not counted.
+type LeftOut struct{ Why string }
 
-func (l leftOut) Error() string { return l.why }
+func (l LeftOut) Error() string { return l.Why }
 
 func (f *Fleet) choose(role string) string {
 	names := f.Names(role)
@@ -43,7 +43,7 @@
 func cut(ways func(*Fleet) [][2]string) cause {
 	return func(ctx context.Context, f *Fleet) error {
 		if !f.Plan.Relays {
-			return leftOut{"the fleet runs without relays"}
+			return LeftOut{"the fleet runs without relays"}
 		}
 		cuts := ways(f)
 		before := 0
@@ -58,7 +58,7 @@
 			f.net.Mend(w[0], w[1])
 		}
 		if held == 0 {
-			return leftOut{"nothing was held back"}
+			return LeftOut{"nothing was held back"}
 		}
 		return nil
 	}
@@ -117,7 +117,7 @@
 	return func(ctx context.Context, f *Fleet) error {
 		name := f.choose("office")
 		if _, err := os.Stat(filepath.Join(f.folder(name), "diskfaults")); err != nil {
-			return leftOut{"petreltide is not built with the tag diskfaults"}
+			return LeftOut{"petreltide is not built with the tag diskfaults"}
 		}
 		at, refused := filepath.Join(f.folder(name), file), filepath.Join(f.folder(name), "refused")
 		_ = os.Remove(refused)
@@ -135,7 +135,7 @@
 		default:
 		}
 		if _, err := os.Stat(refused); file == "full" && err != nil {
-			return leftOut{"the office wrote nothing meanwhile"}
+			return LeftOut{"the office wrote nothing meanwhile"}
 		}
 		return nil
 	}
@@ -374,7 +374,7 @@
 		return false, errors.Errorf("no fault %q; there are %s", name, strings.Join(FaultNames(), ", "))
 	}
 	err = c(ctx, f)
-	if _, out := err.(leftOut); out {
+	if _, out := err.(LeftOut); out {
 		return false, err
 	}
 	if err != nil {
--- a/proofs/fleet/routed_day.go
+++ b/proofs/platform/fleet/day.go
@@ -18,7 +18,8 @@
 	"github.com/juju/errors"
 
 	"petreltide/internal/clock"
-	"petreltide/proofs/replica"
+	"petreltide/proofs/fleet"
+	"petreltide/proofs/platform/replica"
 	"petreltide/proofs/rules"
 )
 
@@ -47,7 +48,7 @@
 
 // routedOps is the operator: it numbers versions and keeps its own account of what each would put in force.
 type routedOps struct {
-	f      *Routed
+	f      *Fleet
 	r      *rand.Rand
 	mu     sync.Mutex
 	number uint64
@@ -338,7 +339,7 @@
 }
 
 // demand sends seeded requests until the context ends, and waits for those under way.
-func (f *Routed) demand(ctx context.Context) {
+func (f *Fleet) demand(ctx context.Context) {
 	r := rand.New(rand.NewSource(f.plan.Seed * 7))
 	healthy := map[string]bool{}
 	var mu sync.Mutex
@@ -389,7 +390,7 @@
 }
 
 // client is one request, and one more try where the pages allow it.
-func (f *Routed) client(r *rand.Rand, n int, pick func() *machineProc) {
+func (f *Fleet) client(r *rand.Rand, n int, pick func() *machineProc) {
 	x, k := r.Float64(), &routedClasses[0]
 	for i := range routedClasses {
 		k = &routedClasses[i]
@@ -452,13 +453,13 @@
 	return model
 }
 
-func (f *Routed) probe(r *rand.Rand, n int, p *machineProc) {
+func (f *Fleet) probe(r *rand.Rand, n int, p *machineProc) {
 	t := &rules.Try{ID: fmt.Sprintf("p%d", n), Class: "probe", Method: "POST", Host: opsHost, Path: f.ops.probed(r) + "1f", Body: fmt.Sprintf("p%d/1", n), Probe: true, AimUs: 1e6, LimitUs: 2e6}
 	f.try(t, p, nil, 2*time.Second, 0)
 }
 
 // try sends one request on a connection of its own and notes all that comes back on it.
-func (f *Routed) try(t *rules.Try, p *machineProc, headers map[string]string, left, hang time.Duration) (retry time.Duration) {
+func (f *Fleet) try(t *rules.Try, p *machineProc, headers map[string]string, left, hang time.Duration) (retry time.Duration) {
 	t.Machine, t.Life, t.SentUs = p.name, f.lifeOf(p.name), clock.NowUs()
 	f.note(func(d *rules.Day) { d.Tries = append(d.Tries, t) })
 	seen := *t
@@ -551,28 +552,28 @@
 }
 
 // routedCauses are the faults of real processes on the platform.
-var routedCauses = map[string]func(ctx context.Context, f *Routed) error{
-	"kill-office":     func(_ context.Context, f *Routed) error { return f.kill(f.any("office"), 800*time.Millisecond) },
-	"kill-holder":     func(_ context.Context, f *Routed) error { return f.kill(f.holder(), 800*time.Millisecond) },
-	"kill-desk":       func(_ context.Context, f *Routed) error { return f.kill(f.any("desk"), 500*time.Millisecond) },
-	"freeze-office":   func(_ context.Context, f *Routed) error { f.freeze(f.any("office"), 2*time.Second); return nil },
-	"freeze-holder":   func(_ context.Context, f *Routed) error { f.freeze(f.holder(), 3500*time.Millisecond); return nil },
-	"freeze-desk":     func(_ context.Context, f *Routed) error { f.freeze(f.any("desk"), 2*time.Second); return nil },
-	"term-desk":       func(_ context.Context, f *Routed) error { return f.term(f.any("desk")) },
-	"term-office":     func(_ context.Context, f *Routed) error { return f.term(f.any("office")) },
-	"wipe-office":     func(_ context.Context, f *Routed) error { return f.wipe(f.any("office")) },
-	"kill-offices":    func(_ context.Context, f *Routed) error { return f.killRole("office") },
-	"kill-everything": func(_ context.Context, f *Routed) error { return f.killRole("office", "desk") },
-	"crash-replica":   func(_ context.Context, f *Routed) error { return f.crash(f.anyCard()) },
-	"notice-replica":  func(_ context.Context, f *Routed) error { return f.leave(f.anyCard(), 1500*time.Millisecond) },
-	"release-replica": func(_ context.Context, f *Routed) error { return f.leave(f.anyCard(), 0) },
-	"config-race":     func(ctx context.Context, f *Routed) error { f.ops.race(ctx); return nil },
-	"bad-config":      func(ctx context.Context, f *Routed) error { f.ops.bad(ctx); return nil },
-	"ill-replica":     func(_ context.Context, f *Routed) error { f.ill(); return nil },
-}
-
-// RoutedFaultNames lists the faults of real processes on the platform.
-func RoutedFaultNames() []string {
+var routedCauses = map[string]func(ctx context.Context, f *Fleet) error{
+	"kill-office":     func(_ context.Context, f *Fleet) error { return f.kill(f.any("office"), 800*time.Millisecond) },
+	"kill-holder":     func(_ context.Context, f *Fleet) error { return f.kill(f.holder(), 800*time.Millisecond) },
+	"kill-desk":       func(_ context.Context, f *Fleet) error { return f.kill(f.any("desk"), 500*time.Millisecond) },
+	"freeze-office":   func(_ context.Context, f *Fleet) error { f.freeze(f.any("office"), 2*time.Second); return nil },
+	"freeze-holder":   func(_ context.Context, f *Fleet) error { f.freeze(f.holder(), 3500*time.Millisecond); return nil },
+	"freeze-desk":     func(_ context.Context, f *Fleet) error { f.freeze(f.any("desk"), 2*time.Second); return nil },
+	"term-desk":       func(_ context.Context, f *Fleet) error { return f.term(f.any("desk")) },
+	"term-office":     func(_ context.Context, f *Fleet) error { return f.term(f.any("office")) },
+	"wipe-office":     func(_ context.Context, f *Fleet) error { return f.wipe(f.any("office")) },
+	"kill-offices":    func(_ context.Context, f *Fleet) error { return f.killRole("office") },
+	"kill-everything": func(_ context.Context, f *Fleet) error { return f.killRole("office", "desk") },
+	"crash-replica":   func(_ context.Context, f *Fleet) error { return f.crash(f.anyCard()) },
+	"notice-replica":  func(_ context.Context, f *Fleet) error { return f.leave(f.anyCard(), 1500*time.Millisecond) },
+	"release-replica": func(_ context.Context, f *Fleet) error { return f.leave(f.anyCard(), 0) },
+	"config-race":     func(ctx context.Context, f *Fleet) error { f.ops.race(ctx); return nil },
+	"bad-config":      func(ctx context.Context, f *Fleet) error { f.ops.bad(ctx); return nil },
+	"ill-replica":     func(_ context.Context, f *Fleet) error { f.ill(); return nil },
+}
+
+// FaultNames lists the faults of real processes on the platform.
+func FaultNames() []string {
 	names := []string{}
 	for name := range routedCauses {
 		names = append(names, name)
@@ -581,24 +582,24 @@
 	return names
 }
 
-func (f *Routed) any(role string) *machineProc {
+func (f *Fleet) any(role string) *machineProc {
 	all := f.of(role)
 	return all[f.draw(len(all))]
 }
 
-func (f *Routed) draw(n int) int {
+func (f *Fleet) draw(n int) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.r.Intn(n)
 }
 
-func (f *Routed) anyCard() *replica.Host {
+func (f *Fleet) anyCard() *replica.Host {
 	all := f.cards()
 	return all[f.draw(len(all))]
 }
 
 // holder is whoever gave the last order, as the replicas saw it.
-func (f *Routed) holder() *machineProc {
+func (f *Fleet) holder() *machineProc {
 	f.mu.Lock()
 	from := ""
 	if n := len(f.day.Orders); n > 0 {
@@ -612,7 +613,7 @@
 }
 
 // ill makes a replica turn requests away and break answers off for a while.
-func (f *Routed) ill() {
+func (f *Fleet) ill() {
 	h := f.anyCard()
 	over := f.trouble(rules.Trouble{Machine: h.ID(), Kind: "ill"})
 	h.Ill(func(n int) bool { return n%5 < 2 }, func(n int) bool { return n%7 == 0 })
@@ -622,7 +623,7 @@
 }
 
 // Play runs a whole day and judges it.
-func (f *Routed) Play(ctx context.Context, out io.Writer) ([]rules.Breach, map[string]int, error) {
+func (f *Fleet) Play(ctx context.Context, out io.Writer) ([]rules.Breach, map[string]int, error) {
 	if err := f.Start(); err != nil {
 		return nil, nil, err
 	}
@@ -700,7 +701,7 @@
 	return breaches, stakes, nil
 }
 
-func (f *Routed) allReady(ctx context.Context, most time.Duration) error {
+func (f *Fleet) allReady(ctx context.Context, most time.Duration) error {
 	for end := time.Now().Add(most); ctx.Err() == nil; time.Sleep(50 * time.Millisecond) {
 		missing := ""
 		for _, p := range f.of("desk") {
@@ -719,7 +720,7 @@
 }
 
 // faults spreads the faults over the span; those of operators wait for their turn among the changes.
-func (f *Routed) faults(ctx context.Context, changes chan<- func()) error {
+func (f *Fleet) faults(ctx context.Context, changes chan<- func()) error {
 	end := time.Now().Add(f.plan.Span)
 	time.Sleep(min(f.plan.Span/6, 4*time.Second))
 	gap := f.plan.Span * 4 / 6 / time.Duration(max(len(f.plan.Faults), 1))
@@ -729,11 +730,11 @@
 	for _, name := range f.plan.Faults {
 		act := routedCauses[name]
 		if act == nil {
-			return errors.Errorf("no fault %q; there are %s", name, strings.Join(RoutedFaultNames(), ", "))
+			return errors.Errorf("no fault %q; there are %s", name, strings.Join(FaultNames(), ", "))
 		}
 		run := func() {
 			err := act(ctx, f)
-			if _, left := err.(leftOut); left {
+			if _, left := err.(fleet.LeftOut); left {
 				return
 			}
 			if err != nil {
--- a/proofs/fleet/routed.go
+++ b/proofs/platform/fleet/fleet.go
@@ -20,7 +20,8 @@
 
 	"petreltide/internal/clock"
 	"petreltide/internal/standing"
-	"petreltide/proofs/replica"
+	"petreltide/proofs/fleet"
+	"petreltide/proofs/platform/replica"
 	"petreltide/proofs/rules"
 )
 
@@ -34,8 +35,8 @@
 	beatUs      = 1_200_000
 )
 
-// RoutedPlan is a day of real processes on the users' platform, with stand-ins for all that is not ours.
-type RoutedPlan struct {
+// Plan is a day of real processes on the users' platform, with stand-ins for all that is not ours.
+type Plan struct {
 	Petreltide string
 	Folder     string
 	Offices    int
@@ -66,9 +67,9 @@
 	mu sync.Mutex
 }
 
-// Routed runs the processes and gathers what clients, replicas and operators see on their sockets.
-type Routed struct {
-	plan   RoutedPlan
+// Fleet runs the processes and gathers what clients, replicas and operators see on their sockets.
+type Fleet struct {
+	plan   Plan
 	r      *rand.Rand
 	net    string
 	ips    int
@@ -89,9 +90,9 @@
 	narrow bool
 }
 
-// NewRouted begins nothing yet. Machines get loopback IPs of their own in a net drawn from the process's id.
-func NewRouted(plan RoutedPlan) (*Routed, error) {
-	f := &Routed{
+// New begins nothing yet. Machines get loopback IPs of their own in a net drawn from the process's id.
+func New(plan Plan) (*Fleet, error) {
+	f := &Fleet{
 		plan: plan, r: rand.New(rand.NewSource(plan.Seed)), net: fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, plan.Seed%250), day: &rules.Day{}, names: map[string]string{},
 		procs: map[string]*machineProc{}, hosts: map[string]*replica.Host{}, Caused: map[string]int{},
 	}
@@ -109,7 +110,7 @@
 	return f, os.MkdirAll(plan.Folder, 0o755)
 }
 
-func (f *Routed) ip(name string) string {
+func (f *Fleet) ip(name string) string {
 	f.ips++
 	ip := fmt.Sprintf("%s.%d", f.net, f.ips)
 	f.names[ip] = name
@@ -117,7 +118,7 @@
 }
 
 // who names a machine by its IP.
-func (f *Routed) who(ip string) string {
+func (f *Fleet) who(ip string) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.names[ip]
@@ -126,7 +127,7 @@
 func zoneOf(i int) string { return []string{"a", "b", "c"}[i%3] }
 
 // Start brings up everything at once, as the platform does.
-func (f *Routed) Start() error {
+func (f *Fleet) Start() error {
 	for i := range f.plan.Offices {
 		f.addMachine("office", fmt.Sprintf("core-%s-%d", zoneOf(i), i), zoneOf(i))
 	}
@@ -159,7 +160,7 @@
 	return nil
 }
 
-func (f *Routed) addMachine(role, name, zone string) *machineProc {
+func (f *Fleet) addMachine(role, name, zone string) *machineProc {
 	p := &machineProc{name: name, role: role, zone: zone, ip: f.ip(name)}
 	p.settings = filepath.Join(f.plan.Folder, name+".json")
 	if role == "office" {
@@ -171,7 +172,7 @@
 	return p
 }
 
-func (f *Routed) of(role string) []*machineProc {
+func (f *Fleet) of(role string) []*machineProc {
 	out := []*machineProc{}
 	for _, name := range f.order {
 		if p := f.procs[name]; p.role == role {
@@ -182,7 +183,7 @@
 }
 
 // control are the addresses that the platform lists for replicas and operators.
-func (f *Routed) control() []string {
+func (f *Fleet) control() []string {
 	addrs := []string{}
 	for _, p := range f.of("office") {
 		addrs = append(addrs, fmt.Sprintf("%s:%d", p.ip, controlPort))
@@ -191,7 +192,7 @@
 }
 
 // settingsOf is the file that the platform writes for a process.
-func (f *Routed) settingsOf(p *machineProc, first bool) map[string]any {
+func (f *Fleet) settingsOf(p *machineProc, first bool) map[string]any {
 	b := f.day.Bounds
 	seconds := func(us int64) float64 { return float64(us) / 1e6 }
 	listen := map[string]any{"frontHttp": fmt.Sprintf("%s:%d", p.ip, frontPort), "readiness": fmt.Sprintf("%s:%d", p.ip, readyPort)}
@@ -214,7 +215,7 @@
 	}
 }
 
-func (f *Routed) begin(p *machineProc, first bool) error {
+func (f *Fleet) begin(p *machineProc, first bool) error {
 	raw, err := json.Marshal(f.settingsOf(p, first))
 	if err != nil {
 		return errors.Trace(err)
@@ -249,14 +250,14 @@
 }
 
 // lifeOf tells which of its processes a machine runs now.
-func (f *Routed) lifeOf(name string) int {
+func (f *Fleet) lifeOf(name string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.procs[name].lives
 }
 
 // trouble notes what is done to a machine, and returns what ends it.
-func (f *Routed) trouble(t rules.Trouble) (over func()) {
+func (f *Fleet) trouble(t rules.Trouble) (over func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t.FromUs, t.ToUs = clock.NowUs(), rules.Open
@@ -270,7 +271,7 @@
 }
 
 // kill ends a process at once and starts it again after a time.
-func (f *Routed) kill(p *machineProc, down time.Duration) error {
+func (f *Fleet) kill(p *machineProc, down time.Duration) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	over := f.trouble(rules.Trouble{Machine: p.name, Kind: "down", Down: true})
@@ -284,7 +285,7 @@
 }
 
 // freeze stops a process and lets it go on.
-func (f *Routed) freeze(p *machineProc, span time.Duration) {
+func (f *Fleet) freeze(p *machineProc, span time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	over := f.trouble(rules.Trouble{Machine: p.name, Kind: "freeze", Down: true})
@@ -295,7 +296,7 @@
 }
 
 // term is planned work: SIGTERM, SIGKILL after the grace period, and a start.
-func (f *Routed) term(p *machineProc) error {
+func (f *Fleet) term(p *machineProc) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	f.mu.Lock()
@@ -317,7 +318,7 @@
 }
 
 // newLife starts a replica; each has a machine of its own.
-func (f *Routed) newLife(service, zone string, held []string) error {
+func (f *Fleet) newLife(service, zone string, held []string) error {
 	f.mu.Lock()
 	f.lives++
 	id := fmt.Sprintf("i-%d", f.lives)
@@ -349,13 +350,13 @@
 	return nil
 }
 
-func (f *Routed) note(act func(*rules.Day)) {
+func (f *Fleet) note(act func(*rules.Day)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	act(f.day)
 }
 
-func (f *Routed) acknowledged(id, by string) {
+func (f *Fleet) acknowledged(id, by string) {
 	f.note(func(d *rules.Day) {
 		for _, l := range d.Leaves {
 			if l.Replica == id && l.AckedUs == 0 {
@@ -366,7 +367,7 @@
 }
 
 // cards are the lives that hold models, in order.
-func (f *Routed) cards() []*replica.Host {
+func (f *Fleet) cards() []*replica.Host {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := []*replica.Host{}
@@ -379,14 +380,14 @@
 	return out
 }
 
-func (f *Routed) drop(h *replica.Host) {
+func (f *Fleet) drop(h *replica.Host) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.hosts, h.ID())
 }
 
 // leave takes a replica away: in order, or at short notice; another takes its place.
-func (f *Routed) leave(h *replica.Host, left time.Duration) error {
+func (f *Fleet) leave(h *replica.Host, left time.Duration) error {
 	l := &rules.Leave{Replica: h.ID(), SaidUs: clock.NowUs()}
 	f.note(func(d *rules.Day) { d.Leaves = append(d.Leaves, l) })
 	if err := f.newLife("cards", h.Zone(), nil); err != nil {
@@ -410,7 +411,7 @@
 }
 
 // crash ends a replica without a word; another life comes back empty.
-func (f *Routed) crash(h *replica.Host) error {
+func (f *Fleet) crash(h *replica.Host) error {
 	f.note(func(d *rules.Day) {
 		d.Troubles = append(d.Troubles, rules.Trouble{Machine: h.ID(), Kind: "crash", FromUs: clock.NowUs(), ToUs: rules.Open, Down: true})
 	})
@@ -421,7 +422,7 @@
 }
 
 // Stop ends all that was started.
-func (f *Routed) Stop() {
+func (f *Fleet) Stop() {
 	for _, name := range f.order {
 		p := f.procs[name]
 		if p.cmd == nil || p.cmd.Process == nil {
@@ -440,7 +441,7 @@
 }
 
 // Ready asks each desk as the platform does.
-func (f *Routed) ready(p *machineProc) bool {
+func (f *Fleet) ready(p *machineProc) bool {
 	client := &http.Client{Timeout: 900 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 	res, err := client.Get(fmt.Sprintf("http://%s:%d/readiness", p.ip, readyPort))
 	if err != nil {
@@ -452,7 +453,7 @@
 }
 
 // busy notes when this box itself was too busy to judge by: then nobody counts as in touch.
-func (f *Routed) busy(ctx context.Context) {
+func (f *Fleet) busy(ctx context.Context) {
 	const look, most = 20 * time.Millisecond, 150 * time.Millisecond
 	for last := time.Now(); ctx.Err() == nil; {
 		time.Sleep(look)
@@ -471,7 +472,7 @@
 }
 
 // spare says whether the other offices have been well for as long as a machine counts as lost after its return.
-func (f *Routed) spare(p *machineProc) bool {
+func (f *Fleet) spare(p *machineProc) bool {
 	const catchUpUs = 4_000_000
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -485,11 +486,11 @@
 
 // wipe takes an office's disk away; it comes back at its address, with an empty one. It is left out where
 // that would be more than the platform says is to be borne at once.
-func (f *Routed) wipe(p *machineProc) error {
+func (f *Fleet) wipe(p *machineProc) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !f.spare(p) {
-		return leftOut{"another office is not back for long enough"}
+		return fleet.LeftOut{Why: "another office is not back for long enough"}
 	}
 	over := f.trouble(rules.Trouble{Machine: p.name, Kind: "down", Down: true})
 	_ = p.cmd.Process.Kill()
@@ -505,7 +506,7 @@
 }
 
 // killRole kills all of some roles at one moment, and starts them again within a second.
-func (f *Routed) killRole(roles ...string) error {
+func (f *Fleet) killRole(roles ...string) error {
 	overs := []func(){}
 	for _, role := range roles {
 		for _, p := range f.of(role) {
--- a/proofs/fleet/routed_test.go
+++ b/proofs/platform/fleet/fleet_test.go
@@ -20,11 +20,11 @@
 	return path
 }
 
-func playRouted(t *testing.T, plan RoutedPlan, breaks func(*Routed)) []rules.Breach {
+func playRouted(t *testing.T, plan Plan, breaks func(*Fleet)) []rules.Breach {
 	t.Helper()
 	plan.Petreltide, plan.Folder = program(t), t.TempDir()
 	plan.Offices, plan.Desks, plan.Cards, plan.Logs, plan.PerSecond = 3, 3, 4, 2, 30
-	f, err := NewRouted(plan)
+	f, err := New(plan)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -45,7 +45,7 @@
 	if testing.Short() {
 		t.Skip("it starts processes")
 	}
-	for _, b := range playRouted(t, RoutedPlan{Seed: 3, Span: 9 * time.Second, Faults: []string{"kill-holder", "term-desk", "notice-replica"}}, nil) {
+	for _, b := range playRouted(t, Plan{Seed: 3, Span: 9 * time.Second, Faults: []string{"kill-holder", "term-desk", "notice-replica"}}, nil) {
 		t.Error(b)
 	}
 }
@@ -55,7 +55,7 @@
 	if testing.Short() {
 		t.Skip("it starts processes")
 	}
-	breaches := playRouted(t, RoutedPlan{Seed: 4, Span: 8 * time.Second}, func(f *Routed) { f.narrow = true })
+	breaches := playRouted(t, Plan{Seed: 4, Span: 8 * time.Second}, func(f *Fleet) { f.narrow = true })
 	for _, b := range breaches {
 		if b.Rule == rules.Limit {
 			return
--- a/proofs/rules/routed.go
+++ b/proofs/rules/routed.go
@@ -7,7 +7,7 @@
 	"sort"
 	"strings"
 
-	"petreltide/proofs/replica"
+	"petreltide/proofs/platform/replica"
 )
 
 // The rules of the users' platform, by the names that its pages give them. Starved and Acks are its gate.
--- a/proofs/rules/routed_config.go
+++ b/proofs/rules/routed_config.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"petreltide/proofs/replica"
+	"petreltide/proofs/platform/replica"
 )
 
 // fate is what the operators' sockets say of a version.
--- a/proofs/rules/routed_test.go
+++ b/proofs/rules/routed_test.go
@@ -5,7 +5,7 @@
 	"slices"
 	"testing"
 
-	"petreltide/proofs/replica"
+	"petreltide/proofs/platform/replica"
 )
 
 const second = int64(1_000_000)
--- a/proofs/sim/routed.go
+++ b/proofs/sim/routed.go
@@ -8,7 +8,7 @@
 	"slices"
 
 	"petreltide/internal/standing"
-	"petreltide/proofs/replica"
+	"petreltide/proofs/platform/replica"
 	"petreltide/proofs/rules"
 )
 
--- a/proofs/sim/routed_clients.go
+++ b/proofs/sim/routed_clients.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"slices"
 
-	"petreltide/proofs/replica"
+	"petreltide/proofs/platform/replica"
 	"petreltide/proofs/rules"
 )
 
--- a/proofs/sim/routed_desks.go
+++ b/proofs/sim/routed_desks.go
@@ -11,7 +11,7 @@
 	"petreltide/internal/office"
 	"petreltide/internal/subscriber"
 	"petreltide/internal/wire"
-	"petreltide/proofs/replica"
+	"petreltide/proofs/platform/replica"
 	"petreltide/proofs/rules"
 )
 
--- a/proofs/sim/routed_offices.go
+++ b/proofs/sim/routed_offices.go
@@ -12,7 +12,7 @@
 	"petreltide/internal/roster"
 	"petreltide/internal/standing"
 	"petreltide/internal/wire"
-	"petreltide/proofs/replica"
+	"petreltide/proofs/platform/replica"
 	"petreltide/proofs/rules"
 )
 
--- a/proofs/sim/routed_replicas.go
+++ b/proofs/sim/routed_replicas.go
@@ -6,7 +6,7 @@
 
 	"petreltide/internal/office"
 	"petreltide/internal/roster"
-	"petreltide/proofs/replica"
+	"petreltide/proofs/platform/replica"
 	"petreltide/proofs/rules"
 )
 
