Give up on what a replica sends without end, and on an answer too large to pass on whole

Ruled out: events, which had their bound. The roster keeps when a replica's time is up, and its stage where it was heard.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -31,6 +31,8 @@
 	Units    []string `json:"units,omitempty"`
 	Seq      uint64   `json:"seq"`
 	Gone     bool     `json:"gone,omitempty"`
+	// Stage is what it says that it does; only who heard it itself knows, as nothing hangs on it.
+	Stage string `json:"-"`
 }
 
 func (r *Row) same(o *Row) bool {
@@ -69,10 +71,12 @@
 	directUs int64
 	HeardUs  int64
 	SaidUs   int64
-	Rev      uint64
-	Dark     bool
-	seen     uint64
-	mark     uint32
+	// EndUs is when it said that its time is up; 0 where it named none.
+	EndUs int64
+	Rev   uint64
+	Dark  bool
+	seen  uint64
+	mark  uint32
 }
 
 // Roster is one office's soft state of all replicas: heard from them directly or from other offices.
@@ -157,6 +161,7 @@
 			}
 		}
 		e = &Entry{Row: row, HeardUs: heardUs, SaidUs: saidUs, seen: row.Seq}
+		e.ends(heardUs, row.LeftMs)
 		r.rows[row.ID], r.sorted = e, nil
 		r.touch(e)
 		return true
@@ -173,8 +178,12 @@
 	if e.Dark && nowUs-heardUs < r.DarkUs {
 		e.Dark, changed = false, true
 	}
-	leftMs, draining := e.LeftMs, e.Draining
+	leftMs, draining, stage := e.LeftMs, e.Draining, e.Stage
 	e.Row = row
+	e.ends(heardUs, row.LeftMs)
+	if row.Stage == "" {
+		e.Stage = stage
+	}
 	if draining && row.Draining && leftMs > 0 && row.LeftMs == 0 {
 		e.LeftMs = leftMs
 	}
@@ -184,10 +193,20 @@
 	return changed
 }
 
+// ends notes when a replica that named its time left is taken away.
+func (e *Entry) ends(heardUs, leftMs int64) {
+	if leftMs > 0 {
+		e.EndUs = heardUs + leftMs*clock.Ms
+	}
+}
+
 // Leave notes that a life of a replica has ended; no later word of it counts.
 func (r *Roster) Leave(nowUs int64, id string) bool {
 	e := r.rows[id]
 	if e == nil {
+		if len(r.rows) >= rowsMost || id == "" {
+			return false
+		}
 		e = &Entry{Row: Row{ID: id}}
 		r.rows[id], r.sorted = e, nil
 	}
@@ -255,6 +274,9 @@
 		if news {
 			row := e.Row
 			row.Seq = e.seen
+			if e.EndUs > 0 && row.LeftMs > 0 {
+				row.LeftMs = max(1, (e.EndUs-e.HeardUs)/clock.Ms)
+			}
 			n.Row = &row
 		}
 		notes = append(notes, n)
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -251,3 +251,27 @@
 		t.Errorf("%d letters lost, %d times asked: it proves little", lost, asked)
 	}
 }
+
+// The time that a replica has left runs on between its words, and what nobody heard of takes no room without end.
+func TestTheTimeLeftRunsOnAndEndsAreBounded(t *testing.T) {
+	r, other := New(darkUs), New(darkUs)
+	r.Hear(clock.Sec, word("r", "1", 1, draining(900), func(r *Row) { r.Stage = "decode" }))
+	r.Hear(2*clock.Sec, word("r", "1", 2, draining(0)))
+	other.Merge(2*clock.Sec, r.Notes(2*clock.Sec, 0, true))
+	if e := r.Row("r"); e.EndUs != clock.Sec+900*clock.Ms || e.Stage != "decode" {
+		t.Errorf("it ends at %d us in stage %q", e.EndUs, e.Stage)
+	}
+	if e := other.Row("r"); e.EndUs > 2*clock.Sec+clock.Ms {
+		t.Errorf("elsewhere it ends at %d us", e.EndUs)
+	}
+	r.Hear(3*clock.Sec, word("r", "1", 3, draining(500)))
+	if e := r.Row("r"); e.EndUs != 3*clock.Sec+500*clock.Ms {
+		t.Errorf("a later word says %d us", e.EndUs)
+	}
+	for i := range rowsMost + 10 {
+		r.Leave(4*clock.Sec, fmt.Sprint("x", i))
+	}
+	if r.Len() > rowsMost || r.Leave(4*clock.Sec, "") {
+		t.Errorf("%d rows", r.Len())
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -28,10 +28,33 @@
 	Reader *bufio.Reader
 	Reused bool
 
+	bound   *bounded
 	replica string
 	untilUs int64
 }
 
+// Bound lets no more than so many bytes be read from here on, beside those that are buffered; a read beyond
+// is a fault. 0 lifts it.
+func (c *Conn) Bound(bytes int64) { c.bound.most, c.bound.left = bytes, bytes }
+
+// bounded reads a connection up to a bound, so that what never ends takes no memory without end.
+type bounded struct {
+	from       net.Conn
+	most, left int64
+}
+
+func (b *bounded) Read(into []byte) (int, error) {
+	if b.most == 0 {
+		return b.from.Read(into)
+	}
+	if b.left <= 0 {
+		return 0, fault.New(fault.TooLarge, "", "more than %d bytes", b.most)
+	}
+	n, err := b.from.Read(into[:min(int64(len(into)), b.left)])
+	b.left -= int64(n)
+	return n, err
+}
+
 // Pool keeps connections to replicas between calls; the one used last is taken first, so that the
 // others lapse by themselves.
 type Pool struct {
@@ -82,7 +105,8 @@
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetNoDelay(true)
 	}
-	return &Conn{Conn: conn, Reader: bufio.NewReaderSize(conn, 4096), replica: replica}, nil
+	bound := &bounded{from: conn}
+	return &Conn{Conn: conn, Reader: bufio.NewReaderSize(bound, 4096), bound: bound, replica: replica}, nil
 }
 
 func (p *Pool) pop(replica string) *Conn {
