Read nothing on top of a partner's copy that the log held before it

Found by reading. The store gave a copy back before all records of the log, whatever stood there when the copy came. An office put out of the view with entries that nobody else had (a head that was cut off, frozen or whose disk hung) takes the tail's copy and drops them in memory; after a restart it read them again behind the copy. As the last of a view made by restarted members it committed what it found: configurations that were never acknowledged, or that had been refused, at places where others hold other entries.

Ruled out: the order of saves (a copy is kept after the records written before it), and compaction, whose copy stands for all that is before it.

A copy is now put away with the place of the record it stands before, and read back there. The test restarts an office with 15 entries, a copy at 12 and nothing behind it: last entry 15 before, 12 after. The test of copies kept in order looked at the first record alone; it now finds the one copy among all records and wants it to be alone.

--- a/internal/office/keep_test.go
+++ b/internal/office/keep_test.go
@@ -52,7 +52,13 @@
 		t.Fatal(err)
 	}
 	defer opened.Store.Close()
-	if kept := opened.Records[0].Copy; kept == nil || kept.Index != copies {
-		t.Fatalf("the copy at %+v is kept, want the last, %d", kept, copies)
+	kept := []uint64{}
+	for _, r := range opened.Records {
+		if r.Copy != nil {
+			kept = append(kept, r.Copy.Index)
+		}
+	}
+	if len(kept) != 1 || kept[0] != copies {
+		t.Fatalf("the copies at %v are kept, want the last alone, %d", kept, copies)
 	}
 }
--- a/internal/office/saver.go
+++ b/internal/office/saver.go
@@ -18,7 +18,7 @@
 // disk is where the chain's records and copies are kept; after an error the same may be tried again.
 type disk interface {
 	Write(records []chain.Record, fresh bool) (from uint64, err error)
-	Keep(c chain.Copy) error
+	Keep(c chain.Copy, from uint64) error
 	Forget(before uint64) error
 	LogBytes() int64
 	Close() error
@@ -157,7 +157,7 @@
 	if s.Fresh {
 		waited = 0
 	}
-	if !h.insist(waited, func() error { return h.disk.Keep(*s.Copy) }) {
+	if !h.insist(waited, func() error { return h.disk.Keep(*s.Copy, from) }) {
 		return
 	}
 	if s.Fresh && !h.insist(0, func() error { return h.disk.Forget(from) }) {
--- a/internal/office/saver_test.go
+++ b/internal/office/saver_test.go
@@ -40,7 +40,7 @@
 	return 7, nil
 }
 
-func (d *moody) Keep(c chain.Copy) error {
+func (d *moody) Keep(c chain.Copy, _ uint64) error {
 	if err := <-d.copies; err != nil {
 		return err
 	}
--- a/internal/storage/bounds_test.go
+++ b/internal/storage/bounds_test.go
@@ -76,7 +76,7 @@
 				}
 				if e.Save.Copy != nil {
 					b.copies++
-					if err := b.store.Keep(*e.Save.Copy); err != nil {
+					if err := b.store.Keep(*e.Save.Copy, from); err != nil {
 						t.Fatal(err)
 					}
 				}
--- a/internal/storage/refusal_test.go
+++ b/internal/storage/refusal_test.go
@@ -329,7 +329,7 @@
 		upto := next
 		from, err := c.write(true, some(2)...)
 		step(err)
-		step(c.insist(func() error { return c.store.Keep(chain.Copy{Index: upto, State: ledger.NewState()}) }))
+		step(c.insist(func() error { return c.store.Keep(chain.Copy{Index: upto, State: ledger.NewState()}, from) }))
 		c.copied = upto
 		step(c.insist(func() error { return c.store.Forget(from) }))
 		step(func() error { _, err := c.write(false, some(3)...); return err }())
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -59,6 +59,13 @@
 	Refused error
 }
 
+// kept is a copy as it is put away, with the place of the log's record that it stands before: what is in the
+// log before that place came before the copy.
+type kept struct {
+	chain.Copy
+	From uint64 `json:"from"`
+}
+
 const (
 	logDir   = "chain"
 	copyName = "copy"
@@ -73,14 +80,18 @@
 	dir := filepath.Join(folder, logDir)
 	s := &Store{dir: dir, fs: fs, log: &wal{fs: fs, dir: dir, most: segmentMost}}
 	opened := &Opened{Store: s}
-	kept, err := s.readCopy()
+	held, err := s.readCopy()
 	if err != nil {
 		return nil, err
 	}
-	if kept != nil {
-		opened.Records = append(opened.Records, chain.Record{Copy: kept})
+	lay := func() {
+		opened.Records = append(opened.Records, chain.Record{Copy: &held.Copy})
+		held = nil
 	}
 	opened.Cut, err = s.log.load(func(payload []byte) error {
+		if held != nil && s.log.next >= held.From {
+			lay()
+		}
 		var batch []chain.Record
 		if err := json.Unmarshal(payload, &batch); err != nil {
 			return fault.New(fault.DamagedData, dir, "record %d: %v", s.log.next, err)
@@ -100,6 +111,9 @@
 	if err != nil {
 		return nil, fault.New(fault.DataUnwritable, dir, "%v", err)
 	}
+	if held != nil {
+		lay()
+	}
 	switch {
 	case s.seal.Identity == "" && len(opened.Records) > 0:
 		return nil, fault.New(fault.ForeignData, dir, "records without a seal")
@@ -156,10 +170,11 @@
 	return s.log.bytes()
 }
 
-// Keep puts a copy in the place of the one before. It returns once the copy would outlast a loss of
+// Keep puts a copy in the place of the one before; from is the place of the record that it stands before, and
+// nothing in the log before that is read on top of it. It returns once the copy would outlast a loss of
 // power; until then the older one and the log stand.
-func (s *Store) Keep(c chain.Copy) error {
-	framed, err := packed(c)
+func (s *Store) Keep(c chain.Copy, from uint64) error {
+	framed, err := packed(kept{c, from})
 	if err != nil {
 		return err
 	}
@@ -187,7 +202,7 @@
 }
 
 // packed is a copy as it lies on the disk, where for a while there are two of it beside the log.
-func packed(c chain.Copy) ([]byte, error) {
+func packed(c kept) ([]byte, error) {
 	var buf bytes.Buffer
 	buf.Write(make([]byte, frameBytes))
 	zip, err := gzip.NewWriterLevel(&buf, gzip.BestSpeed)
@@ -212,7 +227,7 @@
 	return s.log.forget(before)
 }
 
-func (s *Store) readCopy() (*chain.Copy, error) {
+func (s *Store) readCopy() (*kept, error) {
 	framed, err := s.fs.ReadFile(filepath.Join(s.dir, copyName))
 	if os.IsNotExist(err) {
 		return nil, nil
@@ -229,7 +244,7 @@
 	if err != nil {
 		return nil, damaged(err.Error())
 	}
-	c := &chain.Copy{}
+	c := &kept{}
 	if err := json.NewDecoder(zip).Decode(c); err != nil {
 		return nil, damaged(err.Error())
 	}
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"petreltide/internal/chain"
+	"petreltide/internal/clock"
 	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
 )
@@ -150,7 +151,7 @@
 			}
 		}
 		if at == "kept" || at == "forgotten" {
-			if err := o.Store.Keep(chain.Copy{Index: 50, View: 2, State: ledger.NewState()}); err != nil {
+			if err := o.Store.Keep(chain.Copy{Index: 50, View: 2, State: ledger.NewState()}, from); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -178,13 +179,57 @@
 	}
 }
 
+// An office that was put out of the view with entries nobody else had takes a partner's copy. Restarted, it
+// must not find those entries again behind the copy.
+func TestACopyStandsWhereInTheLogItWasTaken(t *testing.T) {
+	dir := filled(t, 15)
+	o, err := Open(dir, mine)
+	if err != nil {
+		t.Fatal(err)
+	}
+	from, err := o.Store.Write(nil, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := o.Store.Write([]chain.Record{{View: &chain.View{Number: 2}}}, false); err != nil {
+		t.Fatal(err)
+	}
+	if err := o.Store.Keep(chain.Copy{Index: 12, View: 2, State: ledger.NewState()}, from); err != nil {
+		t.Fatal(err)
+	}
+	last := func() uint64 {
+		t.Helper()
+		o, err := reopened(t, dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		node, err := chain.NewNode(chain.Options{Me: chain.Member{ID: mine.Identity}, Inc: "x"}, o.Records, clock.Sec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return node.Last()
+	}
+	if got := last(); got != 12 {
+		t.Errorf("after the copy at 12 the last entry is %d", got)
+	}
+	if _, err := o.Store.Write([]chain.Record{{Entry: &chain.Entry{Index: 13, View: 2}}}, false); err != nil {
+		t.Fatal(err)
+	}
+	if got := last(); got != 13 {
+		t.Errorf("with one entry behind the copy at 12 the last is %d", got)
+	}
+	if err := o.Store.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func TestADamagedCopyIsNeverTaken(t *testing.T) {
 	dir := filled(t, 3)
 	o, err := Open(dir, mine)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := o.Store.Keep(chain.Copy{Index: 2, View: 2, State: ledger.NewState()}); err != nil {
+	if err := o.Store.Keep(chain.Copy{Index: 2, View: 2, State: ledger.NewState()}, 1); err != nil {
 		t.Fatal(err)
 	}
 	if err := o.Store.Close(); err != nil {
