Sync the data folder when the log's folder is made or set aside

Found by reading: the folder of the log was made, its files synced and its own names too, but not the folder above it; a new folder's name lasts only once that is synced. The same for a damaged folder that is set aside, which could have come back under its old name in place of the new member's records. Now both are synced. The test of refused writes goes through the added operation as it does through all others; what a loss of power does to folders is not modelled.

--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -262,5 +262,8 @@
 // SetAside keeps a damaged folder under another name, so that nothing is erased.
 func SetAside(folder, mark string) (string, error) {
 	to := filepath.Join(folder, logDir+".damaged-"+mark)
-	return to, os.Rename(filepath.Join(folder, logDir), to)
+	if err := os.Rename(filepath.Join(folder, logDir), to); err != nil {
+		return to, err
+	}
+	return to, osFiles{}.SyncFolder(folder)
 }
--- a/internal/storage/wal.go
+++ b/internal/storage/wal.go
@@ -161,9 +161,14 @@
 	if err != nil {
 		return err
 	}
-	if err := w.fs.SyncFolder(w.dir); err != nil {
+	// A folder's own name lasts once the one above it is synced.
+	synced := w.fs.SyncFolder(w.dir)
+	if synced == nil && len(w.segments) == 0 {
+		synced = w.fs.SyncFolder(filepath.Dir(w.dir))
+	}
+	if synced != nil {
 		_ = tail.Close()
-		return err
+		return synced
 	}
 	w.segments, w.tail, w.torn = append(w.segments, s), tail, false
 	return nil
