Send a first try back early where its model cannot be there within its aim

Change: a desk follows loads from their order to the replica's word and learns how long they take. A waiting first try whose model cannot be there within its aim is refused while that is early, with the time at which the model is likely to be there, and counts as waiting until then. Who has come back, seen by less time left than others on the route give, is held. Ruled out: refusing every call that finds no replica, at once and again; the models are then never asked for.

--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -319,6 +319,9 @@
 			return ran
 		}
 		if e.Give != nil {
+			if c.Routed != nil {
+				_ = h.log.Log("event", "given up", "path", c.Kind, "model", c.Model, "adapter", c.Adapter, "waitedMs", (clock.NowUs()-c.TakenUs)/1000, "mostMs", c.MostMs, "retryMs", e.Give.Fault.RetryMs, "why", e.Give.Fault.Detail)
+			}
 			edge.Fail(e.Give.Fault)
 			return e.Give.Fault.Run
 		}
@@ -364,7 +367,7 @@
 			firstMs = (firstUs - fromUs) / 1000
 		}
 		_ = h.log.Log("event", "leg", "path", st.Call.Kind, "model", st.Call.Model, "adapter", st.Call.Adapter, "replica", st.Replica, "tokens", st.Call.Routed.PromptIn,
-			"waitedMs", (fromUs-st.Call.TakenUs)/1000, "guessMs", int64(st.GuessMs), "firstMs", firstMs, "allMs", (clock.NowUs()-fromUs)/1000, "running", st.Running, "aimMs", st.Call.Routed.Route.AimMs, "ending", ending, "why", why)
+			"waitedMs", (fromUs-st.Call.TakenUs)/1000, "guessMs", int64(st.GuessMs), "firstMs", firstMs, "allMs", (clock.NowUs()-fromUs)/1000, "running", st.Running, "aimMs", st.Call.Routed.Route.AimMs, "mostMs", st.Call.MostMs, "ending", ending, "why", why)
 		return ending, why
 	}
 	legCtx, cancel := context.WithDeadline(ctx, time.Now().Add(time.Duration(st.ExpiryUs-clock.NowUs())*time.Microsecond))
--- a/internal/desk/host.go
+++ b/internal/desk/host.go
@@ -101,7 +101,8 @@
 		set: set, inc: inc, ring: ring, log: ring.Logger("desk", set.Name), inner: rpc.Client(400, set.Listen), legs: legs,
 		decider: dispatch.New(dispatch.Options{
 			Desk: set.Name, Inc: inc, Zone: set.Zone, BacklogMax: set.BacklogMax,
-			Budget: dispatch.BudgetOptions{Ratio: set.Budget.Ratio, Slack: set.Budget.Slack, WindowUs: set.Budget.WindowMs * clock.Ms},
+			Budget:   dispatch.BudgetOptions{Ratio: set.Budget.Ratio, Slack: set.Budget.Slack, WindowUs: set.Budget.WindowMs * clock.Ms},
+			Patience: dispatch.PatienceOptions{LeastMs: set.Patience.LeastMs, Aims: set.Patience.Aims, Gaps: set.Patience.Gaps},
 		}),
 		act: actor.New(mailboxMost), waiting: map[string]*caller{},
 		streams: map[uint64]context.CancelFunc{},
--- a/internal/dispatch/decider.go
+++ b/internal/dispatch/decider.go
@@ -172,6 +172,7 @@
 	Zone       string
 	BacklogMax int
 	Budget     BudgetOptions
+	Patience   PatienceOptions
 }
 
 // Decider is asked; the executor obeys. It owns the backlog, the slots and the leg numbers.
@@ -200,13 +201,14 @@
 	sites     map[string]*site
 	budgets   map[string]*budget
 	readings  map[string]*reading
+	prospects *prospects
 	legSeq    uint64
 	effects   []Effect
 }
 
 func New(opts Options) *Decider {
 	d := &Decider{opts: opts, calls: map[string]*Call{}, kinds: map[string]*kindRow{}, places: map[string]*place{}, runs: map[string]*run{},
-		sites: map[string]*site{}, budgets: map[string]*budget{}, readings: map[string]*reading{}}
+		sites: map[string]*site{}, budgets: map[string]*budget{}, readings: map[string]*reading{}, prospects: newProspects()}
 	for i := range d.slots {
 		d.slots[i] = map[string]int{}
 		d.tokens[i] = map[string]int64{}
@@ -237,6 +239,7 @@
 	}
 	d.expire()
 	d.dispatch()
+	d.weighProspects()
 	d.moveOff()
 	if d.closed {
 		for _, c := range d.waitingCalls() {
@@ -407,10 +410,14 @@
 
 // give is a final answer told at once: the call has no leg and can get none any more.
 func (d *Decider) give(c *Call, code fault.Code, why string, retryMs int64) {
+	d.giveAt(c, code, why, apart(c.ID, retryMs))
+}
+
+func (d *Decider) giveAt(c *Call, code fault.Code, why string, retryMs int64) {
 	d.dequeue(c)
 	delete(d.calls, c.ID)
 	f := fault.New(code, "", "%s", why)
-	f.Run, f.RetryMs = fault.RunNone, apart(c.ID, retryMs)
+	f.Run, f.RetryMs = fault.RunNone, retryMs
 	switch {
 	case c.Had > 0 || c.Progress.Load() > 0:
 		f.Run = fault.RunPartial
--- /dev/null
+++ b/internal/dispatch/prospect_test.go
@@ -0,0 +1,116 @@
+package dispatch
+
+import (
+	"testing"
+
+	"petreltide/internal/clock"
+	"petreltide/internal/fault"
+	"petreltide/internal/standing"
+	"petreltide/internal/wire"
+)
+
+// aimed is a declaration whose one route aims at aimMs and whose models take loadMs to load.
+func aimed(aimMs, loadMs int64) *standing.Declaration {
+	doc := &standing.Declaration{Version: 1, Services: []standing.Service{{Name: "engine", Engine: &standing.Engine{
+		Slots: 4, RoomMb: 10, Models: []standing.EngineModel{{Name: "m", SizeMb: 1, LoadMs: loadMs}, {Name: "n", SizeMb: 1, LoadMs: loadMs}},
+	}}}, Routes: []standing.Route{{
+		Name: "page", Host: "h", Prefix: "/page/", Repeat: standing.Streaming, TimeoutMs: 20_000, AimMs: aimMs, AttemptsMost: 1, Split: one("engine"),
+	}}}
+	return doc.Indexed()
+}
+
+// patient asks as a caller who has mostMs left; a route's first few callers cannot be told from ones that came back.
+func (k *clerk) patient(id, model string, mostMs int64) *Call {
+	c := &Call{ID: id, Kind: "page", Model: model, MostMs: mostMs, Routed: &Routed{PromptIn: 100}}
+	k.step(Event{Arrived: c})
+	return c
+}
+
+func prospecting(s *Snapshot) *clerk {
+	k := newClerk(Options{}, s)
+	for _, id := range []string{"w", "x", "y", "z"} {
+		k.patient(id, "m", 5000)
+		k.end(id, Done)
+	}
+	return k
+}
+
+func loading(unit string) []wire.ReplicaNews {
+	rows := at("engine", "r1")
+	rows[0].Loading = unit
+	return rows
+}
+
+func TestAFirstTryWhoseModelComesTooLateIsSentBackAndStillCountsAsDemand(t *testing.T) {
+	doc := aimed(1000, 2000)
+	k := prospecting(stands(doc, 1, loading("n")...))
+	k.patient("first", "n", 5000)
+	e := k.fin["first"]
+	if e == nil || e.Give == nil || e.Give.Fault.Run != fault.RunNone || e.Give.Fault.Code != fault.Overloaded {
+		t.Fatalf("a call whose model comes after its aim is not sent back at once: %+v", e)
+	}
+	retryMs := e.Give.Fault.RetryMs
+	if retryMs < 1500 || retryMs > 5000/3 {
+		t.Errorf("it is to come back after %d ms, while the load takes more than 2000 ms and it waits 1666 ms at most", retryMs)
+	}
+	if n := k.d.Report(k.nowUs).Waiting["n"]; n != 1 {
+		t.Errorf("%d calls wait for the model by the report, want the one that will come back", n)
+	}
+	k.after(retryMs * clock.Ms)
+	if n := k.d.Report(k.nowUs).Waiting["n"]; n != 0 {
+		t.Errorf("%d calls wait for the model by the report after their time to come back", n)
+	}
+	k.patient("again", "n", 3200)
+	k.after(900 * clock.Ms)
+	if k.fin["again"] != nil {
+		t.Fatalf("a call that came back is sent back once more: %+v", k.fin["again"].Give)
+	}
+	held := at("engine", "r1")
+	held[0].Holds = []string{"m", "n"}
+	k.step(Event{Snapshot: stands(doc, 1, held...)})
+	if len(k.legs["again"]) != 1 {
+		t.Error("a call that came back was not sent once its model was there")
+	}
+}
+
+func TestAFirstTryIsHeldWhereItsModelComesInTime(t *testing.T) {
+	doc := aimed(3000, 1000)
+	k := prospecting(stands(doc, 1, loading("n")...))
+	k.patient("c", "n", 10_000)
+	k.after(600 * clock.Ms)
+	if k.fin["c"] != nil {
+		t.Fatalf("it is refused though its model comes in time: %+v", k.fin["c"].Give)
+	}
+	held := at("engine", "r1")
+	held[0].Holds = []string{"m", "n"}
+	k.step(Event{Snapshot: stands(doc, 1, held...)})
+	if len(k.legs["c"]) != 1 {
+		t.Error("it was not sent once its model was there")
+	}
+}
+
+func TestAFirstTryWaitsForAnOrderWhileARefusalIsStillEarly(t *testing.T) {
+	k := prospecting(stands(aimed(1000, 2000), 1, at("engine", "r1")...))
+	k.patient("c", "n", 5000)
+	k.after(100 * clock.Ms)
+	if k.fin["c"] != nil {
+		t.Fatalf("it is refused before anybody could order its model: %+v", k.fin["c"].Give)
+	}
+	k.after(100 * clock.Ms)
+	if k.fin["c"] == nil || k.fin["c"].Give == nil {
+		t.Error("it is held beyond a quarter of its aim with no order in sight")
+	}
+}
+
+func TestACallWhoseModelIsHeldIsNeverSentBackForIt(t *testing.T) {
+	k := prospecting(stands(aimed(1000, 2000), 1, at("engine", "r1")...))
+	for _, id := range []string{"1", "2", "3", "4", "5", "6"} {
+		k.patient(id, "m", 5000)
+	}
+	k.after(300 * clock.Ms)
+	for id, e := range k.fin {
+		if e.Give != nil {
+			t.Errorf("%s: %+v", id, e.Give.Fault)
+		}
+	}
+}
--- a/internal/dispatch/routed.go
+++ b/internal/dispatch/routed.go
@@ -27,6 +27,7 @@
 
 	arrivals int
 	draw     uint64
+	returned bool
 }
 
 const (
@@ -326,6 +327,7 @@
 func (d *Decider) arrivedRouted(c *Call) {
 	b := d.budgetOf(c.Routed.Service)
 	b.calls[b.now]++
+	d.prospects.arrived(c)
 	if d.waiting >= d.opts.BacklogMax && !d.makeRoom(c) {
 		d.give(c, fault.Overloaded, "the backlog is full", d.RetryMs())
 		return
@@ -382,6 +384,7 @@
 // reportRouted tells what this desk has at replicas: what runs, and the tokens of prompts that no first
 // piece has come for.
 func (d *Decider) reportRouted(rep *wire.Report) {
+	d.promised(rep)
 	for id, s := range d.sites {
 		if d.snap != nil && d.snap.Replicas[id] == nil && len(s.flights) == 0 {
 			delete(d.sites, id)
--- a/internal/dispatch/terms.go
+++ b/internal/dispatch/terms.go
@@ -13,6 +13,9 @@
 	}
 	same := d.snap != nil && d.snap.Doc == s.Doc
 	d.snap = s
+	if d.routed() {
+		d.prospects.noted(s, d.nowUs)
+	}
 	d.gaugeUntil(s.Revision)
 	for key, g := range s.Grants {
 		r := d.runs[key]
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -62,6 +62,14 @@
 	WindowMs int64   `json:"windowMs,omitempty" validate:"min=0,max=3600000"`
 }
 
+// Patience is how long callers of streaming routes wait for a first piece: the longest of LeastMs, Aims times
+// the route's aim and Gaps times its longest gap.
+type Patience struct {
+	LeastMs int64 `json:"leastMs,omitempty" validate:"min=0,max=3600000"`
+	Aims    int64 `json:"aims,omitempty" validate:"min=0,max=1000"`
+	Gaps    int64 `json:"gaps,omitempty" validate:"min=0,max=1000"`
+}
+
 type Desk struct {
 	Name       string   `json:"name" validate:"required,max=64,hostname_rfc1123"`
 	Listen     string   `json:"listen" validate:"required"`
@@ -74,6 +82,8 @@
 
 	Legs   Legs   `json:"legs,omitempty" validate:"omitempty,oneof=granted declared"`
 	Budget Budget `json:"budget,omitempty"`
+	// Patience is how long callers of streaming routes wait for a first piece.
+	Patience Patience `json:"patience,omitempty"`
 	// LingerMs is how long new connections are still taken after SIGTERM, until nobody sends them here.
 	LingerMs int64 `json:"lingerMs,omitempty" validate:"min=0,max=3600000"`
 	// ConnectionsMost bounds this desk's connections to all replicas together.
