--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -148,8 +148,7 @@
 		Me: me, Inc: RandomID(6), Founding: founding, CopiesLeast: set.CopiesLeast, SelfMembers: set.Members == settings.SelfMembers,
 	}
 	if opts.SelfMembers {
-		opts.HelloUs, opts.BeatUs, opts.SuspectUs = selfBeatUs, selfBeatUs, selfSuspectUs
-		opts.LeaseUs, opts.CompareUs, opts.GatherUs, opts.AskUs = selfLeaseUs, selfCompareUs, selfGatherUs, selfAskUs
+		opts = SelfPaced(opts)
 	}
 	if opened.Fresh {
 		opts.Founders, opts.First = set.Founders, len(set.Founders) > 0
@@ -177,6 +176,13 @@
 	return h, nil
 }
 
+// SelfPaced gives a chain whose offices take in and drop each other the times that they keep to.
+func SelfPaced(o chain.Options) chain.Options {
+	o.HelloUs, o.BeatUs, o.SuspectUs = selfBeatUs, selfBeatUs, selfSuspectUs
+	o.LeaseUs, o.CompareUs, o.GatherUs, o.AskUs = selfLeaseUs, selfCompareUs, selfGatherUs, selfAskUs
+	return o
+}
+
 // Run serves until ctx ends. A disk that refuses or hangs does not end it.
 func (h *Host) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", h.set.Listen)
--- a/proofs/platform/replica/core.go
+++ b/proofs/platform/replica/core.go
@@ -82,10 +82,28 @@
 	Fail  func(n int) bool
 	Turn  func(n int) bool
 	Break func(n int) bool
+	// Ail says of a request, by its life's own count and its caller, how the replica fails it while it calls
+	// itself well; Slow is how many times as long all work takes.
+	Ail  func(n int, from string) Ailment
+	Slow func() int64
 	// Anyone takes requests for other lives as well, as no replica should.
 	Anyone bool
 }
 
+// Ailment is one way in which a replica fails a request while its word of itself is good.
+type Ailment int
+
+const (
+	Sound  Ailment = iota
+	Errs           // it runs and gets a 500
+	Sheds          // it is turned away as if the replica were full
+	Busies         // it is turned away with 429
+	Hangs          // it is taken, never begun and never answered
+	Resets         // its connection is reset before it began
+	Mutes          // it runs, and nothing is sent
+	Loses          // it runs, and the connection ends in place of the answer
+)
+
 // Part is one piece of a prompt.
 type Part struct {
 	ID     string
@@ -151,6 +169,7 @@
 	next     int
 	doneUs   int64
 	count    int
+	ailment  Ailment
 }
 
 func (w *work) unit() string { return standing.Unit(w.ask.Model, w.ask.Adapter) }
@@ -190,10 +209,11 @@
 	LeavesUs int64
 	Fallen   bool
 	effects  []Effect
+	muted    map[uint64]*work
 }
 
 func NewCore(o Options) *Core {
-	c := &Core{opts: o, held: map[string]bool{}, kept: map[string]int64{}, keptUs: map[string]int64{}, reading: map[*work]int64{}}
+	c := &Core{opts: o, held: map[string]bool{}, kept: map[string]int64{}, keptUs: map[string]int64{}, reading: map[*work]int64{}, muted: map[uint64]*work{}}
 	if c.opts.Disk == nil {
 		c.opts.Disk = map[string]bool{}
 	}
@@ -213,7 +233,28 @@
 // Units are what it holds, in order.
 func (c *Core) Units() []string { return slices.Sorted(maps.Keys(c.held)) }
 
-func (c *Core) do(e Effect) { c.effects = append(c.effects, e) }
+func (c *Core) do(e Effect) {
+	if w := c.muted[e.Conn]; w != nil {
+		if !e.End && !e.Broken {
+			return
+		}
+		delete(c.muted, e.Conn)
+		if w.ailment == Mutes && !e.Broken {
+			return
+		}
+		w.arrival.BrokeOff = true
+		e = Effect{Conn: e.Conn, Broken: true}
+	}
+	c.effects = append(c.effects, e)
+}
+
+// slow is how many times as long work takes.
+func (c *Core) slow() int64 {
+	if c.opts.Slow == nil {
+		return 1
+	}
+	return max(1, c.opts.Slow())
+}
 
 func (c *Core) flush() []Effect {
 	out := c.effects
@@ -288,6 +329,22 @@
 		c.turn(nowUs, w, status)
 		return c.flush()
 	}
+	if c.opts.Ail != nil {
+		w.ailment = c.opts.Ail(w.count, ask.From)
+	}
+	switch w.ailment {
+	case Sheds, Busies:
+		c.turn(nowUs, w, map[Ailment]int{Sheds: http.StatusServiceUnavailable, Busies: http.StatusTooManyRequests}[w.ailment])
+		return c.flush()
+	case Resets:
+		a.BrokeOff, a.EndUs = true, nowUs
+		c.do(Effect{Conn: conn, Broken: true})
+		return c.flush()
+	case Hangs:
+		return c.flush()
+	case Mutes, Loses:
+		c.muted[conn] = w
+	}
 	c.waiting = append(c.waiting, w)
 	c.admit(nowUs)
 	return c.flush()
@@ -335,6 +392,7 @@
 		})
 	}
 	c.waiting, c.running = drop(c.waiting), drop(c.running)
+	delete(c.muted, conn)
 	c.admit(nowUs)
 	return c.flush()
 }
@@ -452,7 +510,7 @@
 			w.unread = max(w.ask.In+w.produced-c.cached(w), 1)
 		default:
 			c.begin(nowUs, w)
-			w.doneUs = nowUs + c.opts.WorkUs
+			w.doneUs = nowUs + c.opts.WorkUs*c.slow()
 		}
 	}
 	c.start(nowUs)
@@ -530,7 +588,7 @@
 		return
 	}
 	e := c.opts.Engine
-	c.stepUs = nowUs + e.StepUs + int64(streams)*e.SlotUs + int64(float64(chunkTokens-left)/e.TokensPerMs*1000)
+	c.stepUs = nowUs + (e.StepUs+int64(streams)*e.SlotUs+int64(float64(chunkTokens-left)/e.TokensPerMs*1000))*c.slow()
 }
 
 func (c *Core) stepped(nowUs int64) {
@@ -572,7 +630,7 @@
 func (c *Core) emit(nowUs int64, w *work) {
 	e := c.opts.Engine
 	if !w.headed {
-		if c.opts.Fail != nil && c.opts.Fail(w.count) {
+		if w.ailment == Errs || (c.opts.Fail != nil && c.opts.Fail(w.count)) {
 			c.remove(w)
 			c.finish(nowUs, w, http.StatusInternalServerError)
 			return
@@ -600,7 +658,7 @@
 // answer ends a short request with its whole body.
 func (c *Core) answer(w *work, nowUs int64) {
 	c.remove(w)
-	if c.opts.Fail != nil && c.opts.Fail(w.count) {
+	if w.ailment == Errs || (c.opts.Fail != nil && c.opts.Fail(w.count)) {
 		c.finish(nowUs, w, http.StatusInternalServerError)
 		return
 	}
--- a/proofs/sim/routed.go
+++ b/proofs/sim/routed.go
@@ -33,6 +33,7 @@
 	seedLagUs   = 3 * sec
 	reuseUs     = 2 * sec
 	routedJudge = 6 * sec
+	seedsMost   = 3
 )
 
 // routedDay drives the reducers of every role, by routes, under one virtual clock.
@@ -53,6 +54,7 @@
 	clients  *clients
 	ops      *routedOperators
 	springs  []*spring
+	taking   []func(t *routedDesk)
 	handed   bool
 }
 
@@ -100,11 +102,11 @@
 		d.seen.Bounds.LoadsPerS /= 4
 	}
 	zones := []string{"a", "b", "c"}
-	for i := range plan.Offices {
+	for i := range min(plan.Offices, seedsMost) {
 		d.seeds = append(d.seeds, fmt.Sprintf("core-%d:1", i))
 	}
 	for i := range plan.Offices {
-		d.addOffice(fmt.Sprintf("core-%d", i), d.seeds[i], zones[i%3], true)
+		d.addOffice(fmt.Sprintf("core-%d", i), fmt.Sprintf("core-%d:1", i), zones[i%3], true)
 	}
 	d.list()
 	for i := range plan.Desks {
@@ -122,6 +124,17 @@
 	return d
 }
 
+// tolerated is how many offices may lose their disks at once; an acknowledgement needs one copy more.
+func (d *routedDay) tolerated() int { return max(1, (d.plan.Offices-1)/2) }
+
+// catchUpUs is how long after its return the platform counts a machine as lost.
+func (d *routedDay) catchUpUs() int64 {
+	if d.tolerated() > 1 {
+		return 6 * sec
+	}
+	return 4 * sec
+}
+
 // placed is what a replica holds at the start: busy models on many, the others on one each.
 func (d *routedDay) placed(i int) []string {
 	held := []string{}
--- a/proofs/sim/routed_desks.go
+++ b/proofs/sim/routed_desks.go
@@ -67,6 +67,7 @@
 	seal  string
 	head  bool
 	ended bool
+	kept  bool
 }
 
 func newRoutedDesk(d *routedDay, name, zone string) *routedDesk {
@@ -292,6 +293,11 @@
 	}
 	t.open[x.call.ID] = x
 	t.step(dispatch.Event{Arrived: x.call})
+	if len(d.taking) > 0 {
+		strike := d.taking[0]
+		d.taking = d.taking[1:]
+		d.at(d.nowUs+d.r.Int63n(4*ms), func() { strike(t) })
+	}
 	return x
 }
 
@@ -377,6 +383,7 @@
 	case l.to == nil:
 		t.later(ms, func() { l.finish(dispatch.Unsent) })
 	case reused:
+		l.kept = true
 		t.later(1, l.write)
 	case d.isCut(t.name, l.to.name) || d.isCut(l.to.name, t.name) || l.to.thawUs > d.nowUs:
 		t.later(dialUs, func() { l.finish(dispatch.Unsent) })
@@ -404,6 +411,13 @@
 		ask.ID += "x"
 	}
 	l.up, l.down = d.pipe(&t.machine, &l.to.machine), d.pipe(&l.to.machine, &t.machine)
+	if drops := l.to.dropsIdle; drops != nil && l.kept {
+		drops()
+		delete(t.kept, st.Inc)
+		l.up.closed = true
+		l.reset()
+		return
+	}
 	l.up.send(func() { l.to.take(l, ask) })
 	boot := l.to.boot
 	d.at(d.nowUs+3*ms, func() { l.watch(boot) })
--- a/proofs/sim/routed_faults.go
+++ b/proofs/sim/routed_faults.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"petreltide/proofs/replica"
 	"petreltide/proofs/rules"
 )
 
@@ -13,15 +14,34 @@
 	"cut-office", "one-way", "split-core", "cut-desk", "kill-desk", "herd-kill", "kill-offices", "roll-desks", "freeze-desk", "clock-step", "swap-seeds", "loss",
 	"crash-replica", "lose-replica", "dark-replica", "reuse-address", "notice", "notice-race", "release", "scale-in", "failing-replica", "turning-replica", "breaking-replica",
 	"config-change", "config-storm", "config-race", "bad-config", "big-config", "burst", "burst-rare", "model-shift",
+	"grey-errors", "grey-shed", "grey-busy", "grey-hang", "grey-reset", "grey-mute", "grey-slow", "grey-one-zone", "lying-errors", "lying-hang", "lying-reset",
+	"answer-lost", "flap", "drop-idle", "unheard-leave", "kill-zone", "roll-offices", "replace-planned", "power-after-taking",
+}
+
+// pairKinds strike two offices at once, where the fleet is made to bear that.
+var pairKinds = []string{"kill-pair", "power-pair", "freeze-pair", "cut-pair", "replace-pair", "wipe-pair-after-ack"}
+
+// ailments are the ways in which replicas fail some requests, or all, while they call themselves well.
+var ailments = map[string]replica.Ailment{
+	"grey-errors": replica.Errs, "grey-shed": replica.Sheds, "grey-busy": replica.Busies, "grey-hang": replica.Hangs, "grey-reset": replica.Resets, "grey-mute": replica.Mutes,
+	"grey-one-zone": replica.Errs, "lying-errors": replica.Errs, "lying-hang": replica.Hangs, "lying-reset": replica.Resets, "answer-lost": replica.Loses,
+}
+
+// countsItself: such a fault is counted where it first had an effect.
+func countsItself(kind string) bool {
+	return strings.HasSuffix(kind, "-after-ack") || ailments[kind] != replica.Sound || slices.Contains([]string{"drop-idle", "unheard-leave", "power-after-taking", "replace-planned"}, kind)
 }
 
 // RoutedFaultNames lists every fault that routed days are dealt.
 func RoutedFaultNames() []string {
-	names := slices.Clone(routedKinds)
+	names := append(slices.Clone(routedKinds), pairKinds...)
 	slices.Sort(names)
 	return names
 }
 
+// pairsEvery: every such seed is a day with five offices, two of which may be lost at once.
+const pairsEvery = 5
+
 // Closings are the faults that end a day.
 var Closings = []string{"", "kill-all", "power-off-all", "wipe-after-ack-all"}
 
@@ -46,6 +66,17 @@
 	return faults
 }
 
+// DrawPairs is DrawRouted with every second fault one that strikes two offices.
+func DrawPairs(seed int64, count int, spanUs int64) []Fault {
+	faults := DrawRouted(seed, count, spanUs)
+	for i := range faults {
+		if i%2 == 0 {
+			faults[i].Kind = pairKinds[(int(seed)/pairsEvery+i/2)%len(pairKinds)]
+		}
+	}
+	return faults
+}
+
 // spring waits for an acknowledged change, and strikes whoever acknowledged it.
 type spring struct {
 	fault Fault
@@ -62,19 +93,23 @@
 	d.at(d.nowUs+d.r.Int63n(4*ms), func() { t.act(o) })
 }
 
-// spare says whether all other offices serve and have for long enough that this one's disk may be lost.
-func (d *routedDay) spare(o *routedOffice) bool {
-	there := 0
-	for _, other := range d.offices {
-		if other.removed {
-			continue
-		}
-		there++
-		if other != o && !other.caughtUp() {
-			return false
+// spare says whether so many other offices serve, and have for long enough, that these may lose their disks.
+func (d *routedDay) spare(lost ...*routedOffice) bool {
+	sound := 0
+	for _, o := range d.offices {
+		if !slices.Contains(lost, o) && !o.removed && o.caughtUp() {
+			sound++
 		}
 	}
-	return o.up && there >= d.plan.Offices
+	up := !slices.ContainsFunc(lost, func(o *routedOffice) bool { return !o.up })
+	return up && sound >= d.plan.Offices-d.tolerated()
+}
+
+// mate is the office that is struck together with another.
+func (d *routedDay) mate(o *routedOffice, n int) *routedOffice {
+	others := slices.DeleteFunc(d.upOffices(), func(other *routedOffice) bool { return other == o })
+	other, _ := pickOf(others, n)
+	return other
 }
 
 func (d *routedDay) upOffices() []*routedOffice {
@@ -101,7 +136,7 @@
 		d.note("left out %s: it cannot be caused now", f.Kind)
 		return
 	}
-	if !strings.HasSuffix(f.Kind, "-after-ack") {
+	if !countsItself(f.Kind) {
 		d.count(f)
 	}
 }
@@ -118,10 +153,23 @@
 		}
 	}
 	switch f.Kind {
-	case "kill-office", "kill-holder", "power-office", "freeze-office", "freeze-holder", "stall-disk", "slow-disk", "full-disk", "replace-office", "cut-office", "one-way", "split-core", "kill-offices":
+	case "kill-office", "kill-holder", "power-office", "freeze-office", "freeze-holder", "stall-disk", "slow-disk", "full-disk", "replace-office", "replace-planned", "cut-office", "one-way", "split-core",
+		"kill-offices", "roll-offices":
 		return haveOffice && d.officeFault(f, o)
-	case "wipe-after-ack", "power-after-ack":
+	case "kill-pair", "power-pair", "freeze-pair", "cut-pair", "replace-pair":
+		return haveOffice && d.pairFault(f, o, d.mate(o, f.B))
+	case "wipe-after-ack", "power-after-ack", "wipe-pair-after-ack":
 		return d.afterAck(f)
+	case "power-after-taking":
+		d.taking = append(d.taking, func(t *routedDesk) {
+			if t.up {
+				d.count(f)
+				t.crash(false)
+				d.at(d.nowUs+f.ForUs, t.start)
+			}
+		})
+	case "kill-zone":
+		d.killZone([]string{"a", "b", "c"}[f.A%3], f)
 	case "cut-desk", "kill-desk", "herd-kill", "roll-desks", "freeze-desk", "clock-step":
 		return d.deskFault(f, t)
 	case "config-change":
@@ -149,6 +197,7 @@
 	case "swap-seeds":
 		d.seeds = slices.Clone(d.listedNow())
 		slices.Reverse(d.seeds)
+		d.seeds = d.seeds[:min(len(d.seeds), seedsMost)]
 		for _, t := range d.desks {
 			t.now(t.boot, func() { t.seeded() })
 		}
@@ -195,7 +244,17 @@
 		o.disk.fill(d.Sim, f.ForUs)
 		d.seen.Troubles = append(d.seen.Troubles, rules.Trouble{Machine: o.name, Kind: f.Kind, FromUs: d.nowUs, ToUs: d.nowUs + f.ForUs, Slow: true})
 	case "replace-office":
-		return d.replace(o, f)
+		return d.replace(f, o)
+	case "replace-planned":
+		return d.replacePlanned(f, o)
+	case "roll-offices":
+		for i, o := range d.offices {
+			d.at(d.nowUs+int64(i)*(d.catchUpUs()+sec), func() {
+				if d.spare(o) {
+					d.killOffice(o, 0, 400*ms)
+				}
+			})
+		}
 	case "cut-office":
 		for _, other := range d.offices {
 			if other != o && !other.removed {
@@ -226,11 +285,8 @@
 	d.at(d.nowUs+forUs, o.start)
 }
 
-// replace removes an office for good and puts an empty one at a new address beside the others.
-func (d *routedDay) replace(o *routedOffice, f Fault) bool {
-	if !d.spare(o) || len(d.springs) > 0 {
-		return false
-	}
+// remove takes an office away for good.
+func (d *routedDay) remove(o *routedOffice) {
 	o.crash(0)
 	o.removed = true
 	for i := range d.seen.Core {
@@ -238,32 +294,128 @@
 			d.seen.Core[i].ToUs = d.nowUs
 		}
 	}
-	d.at(d.nowUs+min(f.ForUs, 2*sec), func() {
-		d.ports++
-		fresh := d.addOffice("core-"+d.newInc(), "core-new:"+d.newInc(), o.zone, false)
-		d.trouble(rules.Trouble{Machine: fresh.name, Kind: "start", ToUs: d.nowUs + 1})
-		d.list()
-	})
+}
+
+// empty puts an empty office at a new address beside the others.
+func (d *routedDay) empty(zone string) *routedOffice {
+	d.ports++
+	fresh := d.addOffice("core-"+d.newInc(), "core-new:"+d.newInc(), zone, false)
+	d.trouble(rules.Trouble{Machine: fresh.name, Kind: "start", ToUs: d.nowUs + 1})
+	d.list()
+	return fresh
+}
+
+// replace removes offices for good and puts as many empty ones beside the others.
+func (d *routedDay) replace(f Fault, gone ...*routedOffice) bool {
+	if !d.spare(gone...) || len(d.springs) > 0 {
+		return false
+	}
+	for _, o := range gone {
+		d.remove(o)
+		d.at(d.nowUs+min(f.ForUs, 2*sec), func() { d.empty(o.zone) })
+	}
 	return true
 }
 
+// replacePlanned starts the empty office first, and stops the old one once the new one has caught up.
+func (d *routedDay) replacePlanned(f Fault, o *routedOffice) bool {
+	if !d.spare(o) || len(d.springs) > 0 {
+		return false
+	}
+	fresh := d.empty(o.zone)
+	var look func()
+	look = func() {
+		switch {
+		case d.handed || !fresh.up || !o.up:
+		case !fresh.caughtUp() || !d.spare(o):
+			d.at(d.nowUs+200*ms, look)
+		default:
+			d.count(f)
+			d.remove(o)
+			d.list()
+		}
+	}
+	d.at(d.nowUs+2*sec, look)
+	return true
+}
+
+func (d *routedDay) pairFault(f Fault, a, b *routedOffice) bool {
+	if b == nil || d.tolerated() < 2 {
+		return false
+	}
+	switch f.Kind {
+	case "kill-pair", "power-pair":
+		for _, o := range []*routedOffice{a, b} {
+			torn := 0
+			if f.Kind == "power-pair" {
+				torn = f.N % 4
+			}
+			d.killOffice(o, torn, f.ForUs)
+		}
+	case "freeze-pair":
+		d.freeze(&a.machine, f.ForUs)
+		d.freeze(&b.machine, f.ForUs)
+	case "cut-pair":
+		for _, other := range d.offices {
+			if other == a || other == b || other.removed {
+				continue
+			}
+			for _, o := range []*routedOffice{a, b} {
+				d.cut(o.name, other.name, f.ForUs)
+				d.cut(other.name, o.name, f.ForUs)
+			}
+		}
+	case "replace-pair":
+		return d.replace(f, a, b)
+	}
+	return true
+}
+
+// killZone takes every machine of a zone at once; their disks last.
+func (d *routedDay) killZone(zone string, f Fault) {
+	for _, o := range d.upOffices() {
+		if o.zone == zone {
+			d.killOffice(o, f.N%3, f.ForUs)
+		}
+	}
+	for _, t := range d.desks {
+		if t.zone == zone && t.up {
+			t.crash(false)
+			d.at(d.nowUs+f.ForUs, t.start)
+		}
+	}
+	for _, p := range d.running("") {
+		if p.core.Zone() == zone {
+			p.end(true)
+			d.at(d.nowUs+f.ForUs, func() { d.successor(p, "") })
+		}
+	}
+}
+
 // afterAck waits for the next acknowledged change: power is lost there, or the disk.
 func (d *routedDay) afterAck(f Fault) bool {
-	wipe := f.Kind == "wipe-after-ack"
-	if len(d.springs) > 0 {
+	wipe := strings.HasPrefix(f.Kind, "wipe-")
+	pair := f.Kind == "wipe-pair-after-ack"
+	if len(d.springs) > 0 || (pair && d.tolerated() < 2) {
 		return false
 	}
 	d.springs = append(d.springs, &spring{fault: f, wipe: wipe, act: func(o *routedOffice) {
-		if !o.up || (wipe && !d.spare(o)) {
+		struck := []*routedOffice{o}
+		if other := d.mate(o, f.B); pair && other != nil {
+			struck = append(struck, other)
+		}
+		if !o.up || (wipe && !d.spare(struck...)) {
 			return
 		}
-		d.note("%s at %s", f.Kind, o.name)
 		d.count(f)
-		o.crash(f.N % 4)
-		if wipe {
-			o.disk = disk{identity: o.name + "-" + d.newInc()}
+		for _, o := range struck {
+			d.note("%s at %s", f.Kind, o.name)
+			o.crash(f.N % 4)
+			if wipe {
+				o.disk = disk{identity: o.name + "-" + d.newInc()}
+			}
+			d.at(d.nowUs+f.ForUs, o.start)
 		}
-		d.at(d.nowUs+f.ForUs, o.start)
 	}})
 	d.ops.do(d.ops.change)
 	return true
@@ -362,6 +514,16 @@
 		d.ill(p, f, func(p *replicaNode) { p.turning = func(n int) bool { return n%5 < 3 } })
 	case "breaking-replica":
 		d.ill(p, f, func(p *replicaNode) { p.breaking = func(n int) bool { return n%3 == 0 } })
+	case "grey-errors", "grey-shed", "grey-busy", "grey-hang", "grey-reset", "grey-mute", "grey-one-zone", "lying-errors", "lying-hang", "lying-reset", "answer-lost":
+		d.ill(p, f, func(p *replicaNode) { p.ail = d.ailing(f) })
+	case "grey-slow":
+		d.ill(p, f, func(p *replicaNode) { p.slowX = 8 })
+	case "drop-idle":
+		d.ill(p, f, func(p *replicaNode) { p.dropsIdle = d.once(f) })
+	case "flap":
+		d.flap(p, f)
+	case "unheard-leave":
+		d.unheard(p, f)
 	default:
 		panic("no fault " + f.Kind)
 	}
@@ -381,7 +543,68 @@
 	}
 	d.at(d.nowUs+f.ForUs, func() {
 		for _, p := range sick {
-			p.failing, p.turning, p.breaking = nil, nil, nil
+			p.well()
+		}
+	})
+}
+
+// once counts a fault the first time it has an effect.
+func (d *routedDay) once(f Fault) func() {
+	counted := false
+	return func() {
+		if !counted {
+			counted = true
+			d.count(f)
+		}
+	}
+}
+
+// ailing is how a replica fails the requests that it is dealt: two in five, or all where it lies, or those of
+// one zone's desks.
+func (d *routedDay) ailing(f Fault) func(n int, from string) replica.Ailment {
+	struck := d.once(f)
+	zone := d.desks[f.B%len(d.desks)].zone
+	return func(n int, from string) replica.Ailment {
+		switch {
+		case f.Kind == "grey-one-zone" && !slices.ContainsFunc(d.desks, func(t *routedDesk) bool { return t.name == from && t.zone == zone }),
+			strings.HasPrefix(f.Kind, "grey-") && f.Kind != "grey-one-zone" && n%5 > 1,
+			f.Kind == "answer-lost" && n%6 > 0:
+			return replica.Sound
+		}
+		struck()
+		return ailments[f.Kind]
+	}
+}
+
+// flap takes a replica down and up by turns: each time a new life, or the same one that was not to be reached.
+func (d *routedDay) flap(p *replicaNode, f Fault) {
+	turnUs := 300*ms + int64(f.N)*80*ms
+	for i := range 4 {
+		d.at(d.nowUs+int64(2*i)*turnUs, func() {
+			if f.B%2 == 0 {
+				for _, m := range d.machines() {
+					d.cut(m, p.name, turnUs)
+					d.cut(p.name, m, turnUs)
+				}
+				return
+			}
+			if p.up {
+				p.end(true)
+				d.at(d.nowUs+turnUs, func() { p = d.successor(p, p.addr) })
+			}
+		})
+	}
+}
+
+// unheard is a replica that leaves, whose word arrives and that hears no answer to it.
+func (d *routedDay) unheard(p *replicaNode, f Fault) {
+	for _, o := range d.offices {
+		d.cut(o.name, p.name, 10*sec)
+	}
+	p.drain()
+	d.at(d.nowUs+9500*ms, func() {
+		if p.leave.AckedUs == 0 && !p.up {
+			d.count(f)
 		}
 	})
 }
@@ -406,7 +629,7 @@
 // heal ends every fault: all machines are back and every link is whole.
 func (d *routedDay) heal() {
 	d.note("healed")
-	d.springs = nil
+	d.springs, d.taking, d.handed = nil, nil, true
 	for i := range d.seen.Cuts {
 		d.seen.Cuts[i].ToUs = min(d.seen.Cuts[i].ToUs, d.nowUs)
 	}
@@ -432,7 +655,7 @@
 		d.newLife("gpu-more-"+d.newInc(), "cards", "a", "", nil)
 	}
 	for _, p := range d.running("") {
-		p.failing, p.turning, p.breaking = nil, nil, nil
+		p.well()
 	}
 }
 
@@ -448,10 +671,15 @@
 		d.seen.Closing = &rules.Closing{AtUs: d.nowUs, BackUs: d.nowUs + downUs, Most: true}
 		d.note("closing fault %s after an acknowledgement by %s", kind, o.name)
 		d.count(Fault{Kind: "closing-" + kind})
-		wiped := o
-		if kind == "wipe-after-ack-all" && d.spare(o) {
-			wiped.crash(0)
-			wiped.disk = disk{identity: o.name + "-" + d.newInc()}
+		wiped := []*routedOffice{o}
+		if other := d.mate(o, d.r.Intn(100)); d.tolerated() > 1 && other != nil {
+			wiped = append(wiped, other)
+		}
+		if kind == "wipe-after-ack-all" && d.spare(wiped...) {
+			for _, o := range wiped {
+				o.crash(0)
+				o.disk = disk{identity: o.name + "-" + d.newInc()}
+			}
 		}
 		for _, o := range d.offices {
 			torn := 0
--- a/proofs/sim/routed_offices.go
+++ b/proofs/sim/routed_offices.go
@@ -5,7 +5,6 @@
 	"net/http"
 
 	"petreltide/internal/chain"
-	"petreltide/internal/clock"
 	"petreltide/internal/controller"
 	"petreltide/internal/ledger"
 	"petreltide/internal/office"
@@ -64,8 +63,9 @@
 	o.waiters, o.streams = map[string]func(wire.Result){}, map[string]*frameStream{}
 	o.saver = saver{on: &o.machine, disk: &o.disk, step: o.step, end: func() { o.crash(0) }}
 	opts := chain.Options{
-		Me: chain.Member{ID: o.disk.identity, Name: o.name, Addr: o.addr, Zone: o.zone}, Inc: o.sim.newInc(), CopiesLeast: 2, SelfMembers: true,
+		Me: chain.Member{ID: o.disk.identity, Name: o.name, Addr: o.addr, Zone: o.zone}, Inc: o.sim.newInc(), CopiesLeast: o.day.tolerated() + 1, SelfMembers: true,
 	}
+	opts = office.SelfPaced(opts)
 	opts.Founders, opts.First = o.founders, len(o.founders) > 0
 	o.founders = nil
 	node, err := chain.NewNode(opts, clone(o.disk.records), o.clock())
@@ -392,5 +392,5 @@
 
 // caughtUp: it serves, and has for as long as the platform counts a machine as lost after its return.
 func (o *routedOffice) caughtUp() bool {
-	return o.up && o.thawUs <= o.sim.nowUs && o.core.Node.Phase() == chain.Serving && o.sim.nowUs-o.sinceUs > 4*clock.Sec
+	return o.up && o.thawUs <= o.sim.nowUs && o.core.Node.Phase() == chain.Serving && o.sim.nowUs-o.sinceUs > o.day.catchUpUs()
 }
--- a/proofs/sim/routed_replicas.go
+++ b/proofs/sim/routed_replicas.go
@@ -24,6 +24,10 @@
 	failing  func(int) bool
 	turning  func(int) bool
 	breaking func(int) bool
+	ail      func(n int, from string) replica.Ailment
+	slowX    int64
+	// dropsIdle is called when something is sent on an idle connection that the replica discarded in silence.
+	dropsIdle func()
 }
 
 // newLife starts a replica under an address of its own, or under one that was another's.
@@ -44,6 +48,13 @@
 		Fail:   func(n int) bool { return p.failing != nil && p.failing(n) },
 		Turn:   func(n int) bool { return p.turning != nil && p.turning(n) },
 		Break:  func(n int) bool { return p.breaking != nil && p.breaking(n) },
+		Ail: func(n int, from string) replica.Ailment {
+			if p.ail == nil {
+				return replica.Sound
+			}
+			return p.ail(n, from)
+		},
+		Slow: func() int64 { return p.slowX },
 		Journal: replica.Journal{
 			Arrived: func(a *replica.Arrival) { d.seen.Arrivals = append(d.seen.Arrivals, a) },
 			Ordered: func(o replica.OrderSeen) { d.seen.Orders = append(d.seen.Orders, o) },
@@ -224,6 +235,11 @@
 	p.wake()
 }
 
+// well ends all that ails a replica.
+func (p *replicaNode) well() {
+	p.failing, p.turning, p.breaking, p.ail, p.slowX, p.dropsIdle = nil, nil, nil, nil, 0, nil
+}
+
 // ordered takes an order; one beyond what it can hold fells it.
 func (p *replicaNode) ordered(o replica.Order) int {
 	status := p.core.Order(p.day.nowUs, o)
--- a/proofs/sim/routed_test.go
+++ b/proofs/sim/routed_test.go
@@ -9,8 +9,12 @@
 )
 
 func routedPlan(seed int64, count int) RoutedPlan {
-	return RoutedPlan{Seed: seed, Offices: 3, Desks: 4, Cards: 6, Logs: 2, PerSec: 25, CalmUs: 6 * sec, SpanUs: 24 * sec,
+	p := RoutedPlan{Seed: seed, Offices: 3, Desks: 4, Cards: 6, Logs: 2, PerSec: 25, CalmUs: 6 * sec, SpanUs: 24 * sec,
 		Faults: DrawRouted(seed, count, 24*sec), Closing: Closings[int(seed)%len(Closings)]}
+	if seed%pairsEvery == 0 {
+		p.Offices, p.Faults, p.Closing = 5, DrawPairs(seed, count, 24*sec), Closings[int(seed/pairsEvery)%len(Closings)]
+	}
+	return p
 }
 
 // shortenRouted drops faults one at a time while the same rule still breaks.
@@ -83,6 +87,14 @@
 		}
 	})
 	if !t.Failed() && count >= 32 {
-		sum.judgeOf(t, routedKinds, rules.Routed)
+		sum.judgeOf(t, append(RoutedFaultNames(), closingNames()...), rules.Routed)
+	}
+}
+
+func closingNames() []string {
+	names := []string{}
+	for _, kind := range Closings[1:] {
+		names = append(names, "closing-"+kind)
 	}
+	return names
 }
