--- a/proofs/rules/routed_config.go
+++ b/proofs/rules/routed_config.go
@@ -393,3 +393,68 @@
 		j.breach(Acks, "%d of %d replicas that left in calm times had no acknowledgement in time", late, all)
 	}
 }
+
+// added: in calm times, requests on routes that came later are served about as often as those on the first.
+func (j *judge) added() {
+	var first *Version
+	for _, v := range j.sorted {
+		if v.AckedUs > 0 {
+			first = v
+			break
+		}
+	}
+	if first == nil {
+		return
+	}
+	var old, fresh struct{ asked, served int }
+	for _, t := range j.Tries {
+		if (t.HungUp && !t.Probe) || !j.t.within(t.Machine, t.SentUs, t.EndUs) {
+			continue
+		}
+		r := j.stands(t)
+		if r == nil {
+			continue
+		}
+		row := &fresh
+		if slices.ContainsFunc(first.Routes, func(o RouteSeen) bool { return o.Name == r.Name }) {
+			row = &old
+		}
+		row.asked++
+		if t.Served() {
+			row.served++
+		}
+	}
+	if fresh.asked < 20 || old.asked == 0 {
+		return
+	}
+	j.stake(ConfigNew)
+	if 4*fresh.served*old.asked < old.served*fresh.asked {
+		j.breach(ConfigNew, "%d of %d requests on routes added later were served, %d of %d on the first ones", fresh.served, fresh.asked, old.served, old.asked)
+	}
+}
+
+// stands is the route of a request where every version that may be in force for it has it.
+func (j *judge) stands(t *Try) *RouteSeen {
+	var lo *Version
+	for _, v := range j.sorted {
+		if v.AckedUs > 0 && t.SentUs > v.AckedUs+j.Bounds.ConfigApplyUs {
+			lo = v
+		}
+	}
+	if lo == nil {
+		return nil
+	}
+	r := lo.match(t.Host, t.Path)
+	for _, v := range j.sorted {
+		if r == nil {
+			return nil
+		}
+		if v.Number <= lo.Number || v.SentUs > t.EndUs || !j.mayStand(v) {
+			continue
+		}
+		if o := v.match(t.Host, t.Path); o == nil || o.Name != r.Name {
+			return nil
+		}
+	}
+	return r
+}
--- a/proofs/rules/routed_test.go
+++ b/proofs/rules/routed_test.go
@@ -80,6 +80,15 @@
 		d.Tries = append(d.Tries, try)
 		d.Arrivals = append(d.Arrivals, ran(try, service))
 	}
+	streamed := func(d *Day, pieces ...int) {
+		served(d, "1", "/r/x", 14*second, "z")
+		t := d.Tries[0]
+		t.Stream, t.Body, d.Arrivals[0].Body = true, "b/3", "b/3"
+		for _, n := range pieces {
+			t.Events = append(t.Events, EventSeen{N: n, Text: replica.Text("b/3", n, "1")})
+		}
+	}
+	seen := map[string]bool{}
 	order := func(atUs int64, holder string, fence uint64) replica.OrderSeen {
 		return replica.OrderSeen{Replica: "i", From: holder, Holder: holder, Fence: fence, Operation: "loading", AtUs: atUs, Status: 202}
 	}
@@ -165,7 +174,195 @@
 		{"no acknowledgement in calm times", Acks, func(d *Day) {
 			d.Versions = append(d.Versions, &Version{Number: 3, Base: 2, Valid: true, Routes: mark(3, "z"), SentUs: 12 * second})
 		}},
+		{"an answer with no replica's seal", Mixed, func(d *Day) {
+			served(d, "1", "/r/x", 14*second, "z")
+			d.Tries[0].Seal = "x"
+		}},
+		{"another request's answer", Mixed, func(d *Day) {
+			served(d, "1", "/r/x", 14*second, "z")
+			d.Tries[0].AnswerID = "2"
+		}},
+		{"a success where the replica had failed", Mixed, func(d *Day) {
+			served(d, "1", "/r/x", 14*second, "z")
+			d.Arrivals[0].Status = 500
+		}},
+		{"a body that is cut and looks whole", Mixed, func(d *Day) {
+			served(d, "1", "/r/x", 14*second, "z")
+			d.Tries[0].Answer = d.Tries[0].Answer[:5]
+		}},
+		{"bytes on a connection where nothing waits", Mixed, func(d *Day) {
+			served(d, "1", "/r/x", 14*second, "z")
+			d.Tries[0].Unordered = "bytes that belong to no request"
+		}},
+		{"a request that nobody sent", Unasked, func(d *Day) {
+			served(d, "1", "/r/x", 14*second, "z")
+			d.Arrivals[0].Request = "7"
+			d.Tries[0].Status = 0
+		}},
+		{"a request with another body", Unasked, func(d *Day) {
+			served(d, "1", "/r/x", 14*second, "z")
+			d.Arrivals[0].Body = "changed"
+		}},
+		{"two runs", Twice, func(d *Day) {
+			served(d, "1", "/r/x", 14*second, "z")
+			d.Arrivals = append(d.Arrivals, ran(d.Tries[0], "z"))
+		}},
+		{"two runs of what may be repeated", "", func(d *Day) {
+			for _, v := range d.Versions {
+				v.Routes[0].Repeatable = true
+			}
+			served(d, "1", "/r/x", 14*second, "z")
+			d.Arrivals = append(d.Arrivals, ran(d.Tries[0], "z"))
+		}},
+		{"a second arrival that was turned away", "", func(d *Day) {
+			served(d, "1", "/r/x", 14*second, "z")
+			a := *d.Arrivals[0]
+			a.RanUs, a.Turned, a.Status, a.Nonce = 0, 503, 503, "none"
+			d.Arrivals = append(d.Arrivals, &a)
+		}},
+		{"a refusal of what has run", Refused, func(d *Day) {
+			served(d, "1", "/r/x", 14*second, "z")
+			d.Tries[0].Status = 503
+		}},
+		{"a refusal of what runs later", Refused, func(d *Day) {
+			served(d, "1", "/r/x", 14*second, "z")
+			d.Tries[0].Status, d.Arrivals[0].RanUs = 429, 16*second
+		}},
+		{"a 502 for what has run", "", func(d *Day) {
+			served(d, "1", "/r/x", 14*second, "z")
+			d.Tries[0].Status = 502
+		}},
+		{"proper requests ended with a 400", Denied, func(d *Day) {
+			for i := range 8 {
+				try := asked(fmt.Sprint(i), "/r/x", 14*second+int64(i))
+				try.Status = 400
+				d.Tries = append(d.Tries, try)
+			}
+		}},
+		{"a request cut after SIGTERM", LostWork, func(d *Day) {
+			d.Terms = []Term{{Machine: "front", AtUs: 14*second + 50_000}}
+			served(d, "1", "/r/x", 14*second, "z")
+			d.Tries[0].Status, d.Tries[0].Complete = 0, false
+		}},
+		{"... by a replica that broke off", "", func(d *Day) {
+			d.Terms = []Term{{Machine: "front", AtUs: 14*second + 50_000}}
+			served(d, "1", "/r/x", 14*second, "z")
+			d.Tries[0].Status, d.Tries[0].Complete, d.Arrivals[0].BrokeOff = 0, false, true
+		}},
+		{"a request cut after SIGHUP", LostWork, func(d *Day) {
+			d.Terms = []Term{{Machine: "front", AtUs: 14*second + 50_000, Hup: true}}
+			served(d, "1", "/r/x", 14*second, "z")
+			d.Tries[0].Status, d.Tries[0].Complete = 0, false
+		}},
+		{"requests cut while configurations change", LostWork, func(d *Day) {
+			for i := range 4 {
+				served(d, fmt.Sprint(i), "/v2/x", 12*second+int64(i), "s")
+				d.Tries[i].Status, d.Tries[i].Complete = 0, false
+			}
+		}},
+		{"a stream without a piece", Order, func(d *Day) { streamed(d, 1, 3) }},
+		{"a stream with a piece twice", Order, func(d *Day) { streamed(d, 1, 1, 2, 3) }},
+		{"a stream that ends early as if complete", Order, func(d *Day) { streamed(d, 1, 2) }},
+		{"a whole stream", "", func(d *Day) { streamed(d, 1, 2, 3) }},
+		{"a stream of two runs", Order, func(d *Day) {
+			streamed(d, 1, 2, 3)
+			a := *d.Arrivals[0]
+			a.Nonce, a.Last, a.RanUs = "other", 2, 0
+			d.Arrivals = append(d.Arrivals, &a)
+			d.Tries[0].Events[2].Text = replica.Text("b/3", 3, "other")
+		}},
+		{"... on a route that lets it be taken up", "", func(d *Day) {
+			for _, v := range d.Versions {
+				v.Routes[0].Resumable, v.Routes[0].Repeatable = true, true
+			}
+			streamed(d, 1, 2, 3)
+			a := *d.Arrivals[0]
+			a.Nonce, a.Last = "other", 2
+			d.Arrivals = append(d.Arrivals, &a)
+			d.Tries[0].Events[2].Text = replica.Text("b/3", 3, "other")
+		}},
+		{"a piece of another request", Mixed, func(d *Day) {
+			streamed(d, 1, 2, 3)
+			d.Tries[0].Events[1].Text = replica.Text("c/3", 2, "1")
+		}},
+		{"little is served after the closing fault", Recover, func(d *Day) {
+			d.Closing = &Closing{AtUs: 16 * second, BackUs: 17 * second}
+			served(d, "1", "/r/x", 14*second, "z")
+			served(d, "2", "/r/x", 30*second, "z")
+			d.Tries[1].Status = 502
+		}},
+		{"... within the time that it may take", "", func(d *Day) {
+			d.Closing = &Closing{AtUs: 16 * second, BackUs: 17 * second}
+			served(d, "1", "/r/x", 14*second, "z")
+			served(d, "2", "/r/x", 28*second, "z")
+			d.Tries[1].Status = 502
+		}},
+		{"an order to hold more than there is room", Limit, func(d *Day) {
+			o := order(second, "a", 1)
+			o.Over = true
+			d.Orders = []replica.OrderSeen{o}
+		}},
+		{"routes added later are hardly served", ConfigNew, func(d *Day) {
+			for i := range 20 {
+				served(d, fmt.Sprint("old", i), "/r/x", 14*second+int64(i), "z")
+				served(d, fmt.Sprint("new", i), "/v2/x", 14*second+int64(i), "s")
+				d.Tries[len(d.Tries)-1].Status = 502
+			}
+		}},
+		{"... on a machine out of touch", "", func(d *Day) {
+			d.Troubles = []Trouble{{Machine: "front", FromUs: 13 * second, ToUs: 13 * second}}
+			for i := range 20 {
+				served(d, fmt.Sprint("old", i), "/r/x", 14*second+int64(i), "z")
+				served(d, fmt.Sprint("new", i), "/v2/x", 14*second+int64(i), "s")
+				d.Tries[len(d.Tries)-1].Status = 502
+			}
+		}},
+		{"replicas that leave unheard", Acks, func(d *Day) {
+			d.Leaves = []*Leave{{Replica: "i", Machine: "a", SaidUs: 12 * second, GoneUs: 20 * second}}
+		}},
+		{"... while links were in trouble", "", func(d *Day) {
+			d.Cuts = bothWays("a", "i", 11*second, 21*second)
+			d.Leaves = []*Leave{{Replica: "i", Machine: "a", SaidUs: 12 * second, GoneUs: 20 * second}}
+		}},
+		{"a class that is hardly served", Starved, func(d *Day) {
+			for i := range 80 {
+				served(d, fmt.Sprint(i), "/r/x", 14*second+int64(i), "z")
+				d.Tries[i].Class = []string{"much", "none"}[i%2]
+				if i%2 == 1 {
+					d.Tries[i].Status = 502
+				}
+			}
+		}},
+		{"models, adapters or subjects that are never served", Starved, func(d *Day) {
+			for i := range 64 {
+				served(d, fmt.Sprint(i), "/r/x", 14*second+int64(i/8)*2*second, "z")
+				d.Tries[i].Class, d.Tries[i].Subject = "k", fmt.Sprint(i%8)
+				if i%8 < 4 {
+					d.Tries[i].Status = 502
+				}
+			}
+		}},
+		{"the largest are hardly served", Sizes, func(d *Day) {
+			for i := range 60 {
+				served(d, fmt.Sprint(i), "/r/x", 14*second+int64(i), "z")
+				d.Tries[i].Class, d.Tries[i].Size = "k", int64(i+1)
+				if i >= 54 {
+					d.Tries[i].Status = 502
+				}
+			}
+		}},
+		{"... but a trouble broke them off", "", func(d *Day) {
+			d.Troubles = []Trouble{{Machine: "other", FromUs: 14 * second, ToUs: 15 * second, Down: true}}
+			for i := range 60 {
+				served(d, fmt.Sprint(i), "/r/x", 14*second+int64(i), "z")
+				d.Tries[i].Class, d.Tries[i].Size = "k", int64(i+1)
+				if i >= 54 {
+					d.Tries[i].Status, d.Tries[i].Machine = 502, "other"
+				}
+			}
+		}},
 	} {
+		seen[c.want] = true
 		d := &Day{Bounds: SmallBounds(1), Core: core("a", "b", "c"), Versions: versions(), EndUs: 30 * second}
 		c.play(d)
 		breaches, _ := Judge(d)
@@ -177,4 +374,9 @@
 			t.Errorf("%s: %v, want %q", c.name, breaches, c.want)
 		}
 	}
+	for _, rule := range Routed {
+		if !seen[rule] {
+			t.Errorf("no small day breaks %s", rule)
+		}
+	}
 }
--- a/proofs/sim/plant_routed_test.go
+++ b/proofs/sim/plant_routed_test.go
@@ -47,6 +47,10 @@
 		{"mute", rules.Acks, at("scale-in", "release")},
 		{"silent", rules.Acks, nil},
 		{"snob", rules.Starved, nil},
+		{"no-subjects", rules.Starved, nil},
+		{"no-adapters", rules.Starved, nil},
+		{"small-only", rules.Sizes, nil},
+		{"no-newcomers", rules.ConfigNew, at("big-config", "config-storm", "big-config", "config-storm", "big-config")},
 	} {
 		t.Run(c.plant+"/"+c.rule, func(t *testing.T) {
 			t.Parallel()
--- a/proofs/sim/routed_clients.go
+++ b/proofs/sim/routed_clients.go
@@ -190,6 +190,22 @@
 	s.send()
 }
 
+// subject is the last shared part of the prompt.
+func (s *seat) subject() string {
+	if len(s.parts) < 2 {
+		return ""
+	}
+	return s.parts[len(s.parts)-2].ID
+}
+
+// size weighs a generation: its prompt, and ten times the tokens of its answer.
+func (s *seat) size() int64 {
+	if !s.class.stream {
+		return 0
+	}
+	return s.in + 10*int64(replica.Total(s.body)*s.c.day.engine.Stride)
+}
+
 // send is one try, with an id of its own.
 func (s *seat) send() {
 	c, d := s.c, s.c.day
@@ -197,7 +213,7 @@
 	s.desk, s.x, s.over = c.pick(zone), nil, false
 	c.n++
 	t := &rules.Try{
-		ID: fmt.Sprintf("r%d", c.n), Class: s.class.name, Model: s.model, Nth: s.nth, Method: "POST", Host: "cards.example", Path: "/" + s.class.route + "/1f", Body: s.body, Machine: s.desk.name,
+		ID: fmt.Sprintf("r%d", c.n), Class: s.class.name, Model: s.model, Adapter: s.adapter, Subject: s.subject(), Size: s.size(), Nth: s.nth, Method: "POST", Host: "cards.example", Path: "/" + s.class.route + "/1f", Body: s.body, Machine: s.desk.name,
 		Stream: s.class.stream, Had: s.had, AimUs: s.class.aimUs, LimitUs: s.class.limitUs, SentUs: d.nowUs,
 	}
 	if d.plan.Plant == "" && c.r.Intn(40) == 0 {
--- a/proofs/sim/routed_operators.go
+++ b/proofs/sim/routed_operators.go
@@ -25,6 +25,7 @@
 	marks  []string
 	sent   map[uint64]*opVersion
 	shadow []string
+	grown  []string
 }
 
 // opVersion is one change: a whole configuration, or an update of the one before.
@@ -283,6 +284,8 @@
 	switch n := r.Intn(10); {
 	case n == 0 || len(p.marks) == 0:
 		return "/never/"
+	case n >= 8 && len(p.grown) > 0:
+		return p.grown[r.Intn(len(p.grown))]
 	case n <= 2 && len(p.shadow) > 0:
 		return p.shadow[max(0, len(p.shadow)-1-r.Intn(4))]
 	default:
@@ -324,7 +327,7 @@
 		remove = marks[:len(marks)-4]
 	}
 	for n := range extra {
-		upsert = append(upsert, routeOf(fmt.Sprintf("big-%d-%d", number, n), opsHost, fmt.Sprintf("/big/%d/%d/", number, n), standing.Idempotent, to("log")))
+		upsert = append(upsert, routeOf(fmt.Sprintf("big-%d-%d", number, n), opsHost, bigPrefix(number, n), standing.Idempotent, to("log")))
 	}
 	return upsert, remove
 }
@@ -355,10 +358,21 @@
 	return func(done func()) {
 		v := p.next(p.tip, extra)
 		p.mark(v)
-		p.send(v, func(status int) { p.settle(v, status, done) })
+		p.send(v, func(status int) {
+			p.settle(v, status, func() {
+				if v.seen.AckedUs > 0 {
+					for n := range extra {
+						p.grown = append(p.grown, bigPrefix(v.seen.Number, n))
+					}
+				}
+				done()
+			})
+		})
 	}
 }
 
+func bigPrefix(number uint64, n int) string { return fmt.Sprintf("/big/%d/%d/", number, n) }
+
 // race sends two versions on one base at once; at most one may win.
 func (p *routedOperators) race(done func()) {
 	base := p.tip
