--- a/proofs/sim/routed_faults.go
+++ b/proofs/sim/routed_faults.go
@@ -5,7 +5,7 @@
 	"slices"
 	"strings"
 
-	"petreltide/proofs/replica"
+	"petreltide/proofs/platform/replica"
 	"petreltide/proofs/rules"
 )
 
