Acknowledge on enough copies in every shape of core, and again only what lies on them

Ruled out: that the tail acknowledges alone (it already looked at the view before answering).

Now a chain of one acknowledges on its one disk; a chain founded by too few writes a first entry that is not acknowledged, so that others can join; copies must lie in as many zones as may be lost and one more; and what is acknowledged again must have come back from the tail of a view with enough members (Node.Kept). Tests: internal/chain kept_test.go; each failed before its change but that of zones, which is new.

--- /dev/null
+++ b/internal/chain/kept_test.go
@@ -0,0 +1,118 @@
+package chain
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"petreltide/internal/clock"
+	"petreltide/internal/ledger"
+	"petreltide/internal/standing"
+)
+
+// The head is left alone with a write that nobody else has; a voter that holds nothing helps it into a view of one,
+// which commits the write. It may be acknowledged only once a second copy of it lies on a disk.
+func TestWhatAViewOfTooFewCommitsIsNotAcknowledged(t *testing.T) {
+	for seed := int64(0); seed < 6; seed++ {
+		y := grown(t, seed, 3, 3)
+		order := y.spots[0].node.view.Order
+		head, middle, tail := y.at(order[0].Addr), y.at(order[1].Addr), y.at(order[2].Addr)
+		y.stop(tail)
+		y.pass(3 * clock.Sec)
+		y.cuts[[2]string{middle.me.Addr, tail.me.Addr}] = true
+		y.start(tail, false)
+		y.pass(3 * clock.Sec)
+		y.cuts[[2]string{head.me.Addr, middle.me.Addr}] = true
+		const id = "lone"
+		y.step(head, Event{Submit: &ledger.Change{ID: id, Config: &ledger.ConfigChange{
+			Base: head.node.state.Revision, Doc: &standing.Declaration{Name: id},
+		}}})
+		index := head.node.Last()
+		lone := false
+		for endUs := y.nowUs + 6*clock.Sec; y.nowUs < endUs && len(head.node.view.Order) < 2 || !lone && y.nowUs < endUs; y.pass(25 * clock.Ms) {
+			if len(head.node.view.Order) == 1 && head.node.commit >= index {
+				lone = true
+				if head.node.Kept(index) {
+					t.Fatalf("seed %d: a write on one disk counts as kept", seed)
+				}
+			}
+		}
+		if !lone {
+			t.Fatalf("seed %d: the head never was alone with its write: %+v", seed, head.node.view.Order)
+		}
+		clear(y.cuts)
+		y.settles(40*clock.Sec, "healed")
+		for _, s := range y.spots {
+			if _, seen := s.node.state.Changes[id]; !seen || !s.node.Kept(index) {
+				t.Fatalf("seed %d: %s has it %v, kept %v", seed, s.me.ID, seen, s.node.Kept(index))
+			}
+		}
+	}
+}
+
+func TestWritesAreTakenOnEnoughCopiesInEnoughZones(t *testing.T) {
+	view := func(voters, seated string) View {
+		v := View{Number: 1}
+		for i, zone := range strings.Fields(voters) {
+			v.Voters = append(v.Voters, Member{ID: fmt.Sprint("m", i), Zone: zone})
+		}
+		for i, zone := range strings.Fields(seated) {
+			v.Order = append(v.Order, Seat{Member: Member{ID: fmt.Sprint("m", i), Zone: zone}})
+		}
+		return v
+	}
+	for _, c := range []struct {
+		copies, zones  int
+		voters, seated string
+		taken          bool
+	}{
+		{2, 1, "a b c", "a b", true},
+		{2, 1, "a b c", "a", false},
+		{3, 1, "a b c d e", "a b", false},
+		{3, 1, "a b c d e", "a b c", true},
+		{2, 2, "a a b b c", "a a", false},
+		{2, 2, "a a b b c", "a b", true},
+		{2, 3, "a a b b", "a b", true},
+		{1, 1, "a", "a", true},
+		{2, 2, "a", "a", false},
+		{4, 1, "a b c", "a b c", false},
+		{1, 1, "a b c", "a", false},
+	} {
+		n := &Node{opts: Options{CopiesLeast: c.copies, ZonesLeast: c.zones}.filled(), view: view(c.voters, c.seated)}
+		if n.WritesTaken() != c.taken {
+			t.Errorf("%d copies in %d zones, voters in %s, seats in %s: taken %v", c.copies, c.zones, c.voters, c.seated, !c.taken)
+		}
+	}
+}
+
+// A fleet whose core is one machine acknowledges on its one disk, also after a restart.
+func TestAChainOfOne(t *testing.T) {
+	y := newYard(t, 1, 1, 1)
+	y.copies = 1
+	only := y.spots[0]
+	y.start(only, true)
+	y.settles(20*clock.Sec, "founding")
+	before := y.most
+	y.stop(only)
+	y.pass(clock.Sec)
+	y.start(only, false)
+	y.settles(20*clock.Sec, "restarted")
+	if y.most <= before {
+		t.Fatal(y.most, before)
+	}
+}
+
+// Three found the chain of seven whose acknowledgements need four copies.
+func TestMoreCopiesThanFounders(t *testing.T) {
+	y := newYard(t, 3, 7, 3)
+	y.copies = 4
+	for _, s := range y.spots {
+		y.start(s, true)
+	}
+	y.settles(30*clock.Sec, "founding")
+	for index, id := range y.acked {
+		if id == "founded" {
+			t.Errorf("what was written on three copies was acknowledged, at %d", index)
+		}
+	}
+}
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -70,17 +70,19 @@
 	// openSinceUs is since when a next view that was accepted here waits for somebody to finish it.
 	openSinceUs int64
 
-	succLast    uint64
-	succSent    uint64
-	succCopied  uint64
-	succAtUs    int64
-	succKnown   bool
-	openAt      uint64
-	openKnown   bool
-	leases      map[string]int64
-	leaseUs     int64
-	echoUs      int64
-	tailEchoUs  int64
+	succLast   uint64
+	succSent   uint64
+	succCopied uint64
+	succAtUs   int64
+	succKnown  bool
+	openAt     uint64
+	openKnown  bool
+	leases     map[string]int64
+	leaseUs    int64
+	echoUs     int64
+	tailEchoUs int64
+	// tailCommit is what the tail of this view has told of its commit.
+	tailCommit  uint64
 	viewedUs    int64
 	joinAtUs    int64
 	settledOnce bool
@@ -216,8 +218,40 @@
 	return n.serving() && n.whole && (n.openKnown || n.IsHead()) && n.commit >= max(n.openAt, n.settleAt)
 }
 
-// WritesTaken is false in a view of too few: nothing is acknowledged on one copy.
-func (n *Node) WritesTaken() bool { return len(n.view.Order) >= n.opts.CopiesLeast }
+// WritesTaken is false in a view of too few: nothing is acknowledged on fewer copies than a loss may take.
+func (n *Node) WritesTaken() bool {
+	voters := n.view.Voters
+	if len(n.view.Order) < n.copiesLeast() {
+		return false
+	}
+	if n.opts.ZonesLeast < 2 {
+		return true
+	}
+	seated, wanted := map[string]bool{}, map[string]bool{}
+	for _, s := range n.view.Order {
+		seated[s.Zone] = true
+	}
+	for _, v := range voters {
+		wanted[v.Zone] = true
+	}
+	return len(seated) >= min(n.opts.ZonesLeast, len(wanted))
+}
+
+func (n *Node) copiesLeast() int { return max(n.opts.CopiesLeast, min(2, len(n.view.Voters))) }
+
+// Kept says that every member of a view that takes writes has synced all up to an index: what was committed in
+// a view of too few is applied, and must not be acknowledged before.
+func (n *Node) Kept(index uint64) bool { return index <= n.keptTo() }
+
+func (n *Node) keptTo() uint64 {
+	switch {
+	case !n.serving() || !n.WritesTaken():
+		return 0
+	case n.IsTail():
+		return min(n.commit, n.synced)
+	}
+	return n.tailCommit
+}
 
 func (n *Node) Hears(id string) bool {
 	p := n.partners[id]
@@ -555,6 +589,7 @@
 	n.succKnown, n.succLast = true, a.Last
 	n.succSent = max(n.succSent, a.Last)
 	n.tailEchoUs = max(n.tailEchoUs, a.EchoUs)
+	n.tailCommit = max(n.tailCommit, min(a.Commit, n.synced))
 	if a.Commit > n.commit {
 		n.commitTo(min(a.Commit, n.synced))
 	}
@@ -624,7 +659,7 @@
 	case n.serving() && !n.whole:
 		return "the rest of the log from its predecessor"
 	case !n.WritesTaken():
-		return "more members: an acknowledgement needs " + strconv.Itoa(n.opts.CopiesLeast) + " copies"
+		return "more members: an acknowledgement needs " + strconv.Itoa(n.copiesLeast()) + " copies"
 	case n.IsTail() && !n.Open(n.nowUs):
 		return "its lease from a majority of voters"
 	}
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -278,16 +278,18 @@
 	First bool
 	// SelfMembers lets the offices take in and drop each other without an operator's order.
 	SelfMembers bool
-	// CopiesLeast is how many synced copies an acknowledgement needs; at least two.
+	// CopiesLeast is how many synced copies an acknowledgement needs; two at least where there are two voters.
 	CopiesLeast int
-	HelloUs     int64
-	SuspectUs   int64
-	LeaseUs     int64
-	LeaseCutUs  int64
-	StallUs     int64
-	CompareUs   int64
-	GatherUs    int64
-	ResendUs    int64
+	// ZonesLeast is in how many zones they must lie, as far as there are voters in so many.
+	ZonesLeast int
+	HelloUs    int64
+	SuspectUs  int64
+	LeaseUs    int64
+	LeaseCutUs int64
+	StallUs    int64
+	CompareUs  int64
+	GatherUs   int64
+	ResendUs   int64
 	// BeatUs is how often a member tells its neighbours where it stands while nothing happens.
 	BeatUs int64
 	// AskUs is how long a ballot may gather promises before a higher one is tried.
@@ -313,7 +315,7 @@
 	set(&o.GatherUs, 2000*clock.Ms)
 	set(&o.ResendUs, 150*clock.Ms)
 	set(&o.AskUs, o.SuspectUs+o.LeaseUs)
-	o.CopiesLeast = max(o.CopiesLeast, 2)
+	o.CopiesLeast = max(o.CopiesLeast, 1)
 	if o.KeepMost == 0 {
 		o.KeepMost = 4096
 	}
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"sort"
+
+	"petreltide/internal/ledger"
 )
 
 func (n *Node) tick() {
@@ -491,7 +493,7 @@
 	n.viewedUs, n.quietUs = n.nowUs, n.nowUs
 	n.succKnown, n.succLast, n.succSent, n.succCopied = false, 0, 0, 0
 	n.openKnown, n.openAt, n.leases, n.leaseUs = false, 0, map[string]int64{}, 0
-	n.echoUs, n.tailEchoUs = 0, 0
+	n.echoUs, n.tailEchoUs, n.tailCommit = 0, 0, 0
 	n.compared = n.compared || n.phase != Waking
 	n.copyHeld, n.settleAt = 0, n.lastIndex()
 	n.opts.First = n.opts.First && !v.Votes(n.opts.Me.ID)
@@ -514,6 +516,10 @@
 	}
 	n.save(records, 0, nil)
 	n.effects = append(n.effects, Effect{Viewed: &held})
+	if v.Number == 1 && n.IsHead() && !n.WritesTaken() {
+		// Too few have founded it, and the others need a first entry to have a copy of.
+		n.entries = append(n.entries, Entry{Index: 1, View: 1, Change: ledger.Change{ID: "founded"}})
+	}
 	if n.IsTail() {
 		if wasTail {
 			n.leaseUs, n.openAt, n.openKnown = leaseUs, openAt, openKnown
--- a/internal/office/core.go
+++ b/internal/office/core.go
@@ -251,6 +251,13 @@
 	c.answer(change.Origin, wire.Result{Outcome: a.Outcome, Everywhere: true})
 }
 
+// Seen is the outcome of a change that was taken before and may be acknowledged here again.
+func (c *Core) Seen(id string) (ledger.Outcome, bool) {
+	out, seen := c.Node.State().Changes[id]
+	out.Again = true
+	return out, seen && c.Node.Kept(out.Index)
+}
+
 func (c *Core) answer(origin string, r wire.Result) {
 	if origin == c.Node.Me().Addr {
 		c.effects = append(c.effects, Effect{Result: &r})
--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -145,7 +145,7 @@
 		founding = 0
 	}
 	opts := chain.Options{
-		Me: me, Inc: RandomID(6), Founding: founding, CopiesLeast: set.CopiesLeast, SelfMembers: set.Members == settings.SelfMembers,
+		Me: me, Inc: RandomID(6), Founding: founding, CopiesLeast: set.CopiesLeast, ZonesLeast: set.ZonesLeast, SelfMembers: set.Members == settings.SelfMembers,
 	}
 	if opts.SelfMembers {
 		opts = SelfPaced(opts)
--- a/internal/office/web.go
+++ b/internal/office/web.go
@@ -287,11 +287,10 @@
 
 func (h *Host) seen(ctx context.Context, id string) (ledger.Outcome, bool) {
 	first, ran := actor.Ask(ctx, h.act, func() *ledger.Outcome {
-		out, seen := h.core.Node.State().Changes[id]
+		out, seen := h.core.Seen(id)
 		if !seen {
 			return nil
 		}
-		out.Again = true
 		return &out
 	})
 	if !ran || first == nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,6 +27,8 @@
 	Founders []string `json:"founders,omitempty" validate:"max=7"`
 	// CopiesLeast is how many synced copies an acknowledgement needs.
 	CopiesLeast int `json:"copiesLeast,omitempty" validate:"min=0,max=7"`
+	// ZonesLeast is in how many zones those copies must lie.
+	ZonesLeast int `json:"zonesLeast,omitempty" validate:"min=0,max=7"`
 	// Members says who changes the offices: operators by command, or the offices themselves, that take in
 	// an empty one in the place of one that is silent.
 	Members Members `json:"members,omitempty" validate:"omitempty,oneof=command self"`
