--- a/internal/desk/host.go
+++ b/internal/desk/host.go
@@ -313,7 +313,7 @@
 	}
 }
 
-// follow holds the pipe down which the tail pushes news.
+// follow holds the connection down which the tail pushes news.
 func (h *Host) follow(ctx context.Context, f subscriber.Follow) {
 	defer h.tellSubscriber(subscriber.Event{Closed: f.Number})
 	stream, err := rpc.NewCaller[wire.Follow, wire.News](h.inner, f.Tail.Addr, rpc.FollowPath).Stream(ctx, &f.Ask)
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -27,7 +27,7 @@
 	return wire.Report{Desk: "front", Inc: "i1", Number: number, Revision: revision, SentUs: 7}
 }
 
-// A pushed declaration may be lost with its pipe: seed 218 served an emptied zone that way.
+// A pushed declaration may be lost with its connection: seed 218 served an emptied zone that way.
 func TestDeclarationIsPushedUntilItIsAcknowledged(t *testing.T) {
 	s := stateAt(3, 30)
 	r := opened(s)
--- a/internal/standing/routes.go
+++ b/internal/standing/routes.go
@@ -78,7 +78,7 @@
 
 type Service struct {
 	Name            string          `json:"name" validate:"required,max=256"`
-	SoundnessPath   string          `json:"soundnessPath,omitempty"`
+	HealthPath      string          `json:"health,omitempty"`
 	ConnectionsMost int             `json:"connectionsMost,omitempty" validate:"min=0"`
 	Engine          *Engine         `json:"engine,omitempty"`
 	Source          json.RawMessage `json:"source,omitempty" validate:"-"`
--- a/internal/subscriber/mirror.go
+++ b/internal/subscriber/mirror.go
@@ -42,7 +42,7 @@
 	Snapshot *dispatch.Snapshot
 }
 
-// Stream is one pipe to one office.
+// Stream is one held connection to one office.
 type Stream struct {
 	Number uint64
 	Addr   string
--- a/proofs/cmd/fleet/main.go
+++ b/proofs/cmd/fleet/main.go
@@ -24,17 +24,17 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	root := &cobra.Command{Use: "fleet", Short: "Run the real processes with stand-ins around them", SilenceUsage: true}
-	root.AddCommand(pressCommand(), runCommand(), soakCommand(), measureCommand(), compareCommand(), platformCommand(), capacityCommand())
+	root.AddCommand(modelServerCommand(), runCommand(), soakCommand(), measureCommand(), compareCommand(), platformCommand(), capacityCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		os.Exit(1)
 	}
 }
 
-func pressCommand() *cobra.Command {
+func modelServerCommand() *cobra.Command {
 	o := modelserver.Options{}
 	var listen, store, journal string
 	cmd := &cobra.Command{
-		Use:   "press",
+		Use:   "model-server",
 		Short: "A stand-in model replica",
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			l, err := net.Listen("tcp", listen)
--- a/proofs/fleet/fleet.go
+++ b/proofs/fleet/fleet.go
@@ -78,7 +78,7 @@
 	Emptied  []rules.Span
 	Changes  []rules.Change
 	journals []string
-	presses  int
+	lives    int
 }
 
 func FreeAddr() string {
@@ -191,13 +191,13 @@
 		return err
 	}
 	f.mu.Lock()
-	f.presses++
-	n := f.presses
+	f.lives++
+	n := f.lives
 	journal := filepath.Join(f.Plan.Folder, fmt.Sprintf("%s.%d.journal", name, n))
 	f.journals = append(f.journals, journal)
 	f.mu.Unlock()
 	if err := f.run(&Proc{Name: name, Role: "replica", Addr: addr, Reach: reach, Zone: zone, bin: f.Plan.Self, Args: []string{
-		"press", "--id", name, "--inc", fmt.Sprintf("%s-%d", name, n), "--listen", addr, "--zone", zone, "--room", fmt.Sprint(f.Plan.RoomMb),
+		"model-server", "--id", name, "--inc", fmt.Sprintf("%s-%d", name, n), "--listen", addr, "--zone", zone, "--room", fmt.Sprint(f.Plan.RoomMb),
 		"--slots", fmt.Sprint(f.Plan.Slots), "--piece-us", fmt.Sprint(f.Plan.PieceUs), "--first-us", fmt.Sprint(f.Plan.FirstUs),
 		"--part-us", fmt.Sprint(f.Plan.PartUs), "--store", f.platAddr, "--journal", journal,
 	}}); err != nil {
--- a/proofs/sim/desks.go
+++ b/proofs/sim/desks.go
@@ -309,7 +309,7 @@
 		return
 	}
 	c.leg = st.Leg
-	p := s.presses[st.Replica]
+	p := s.servers[st.Replica]
 	if p == nil || !p.up || p.addr != st.Addr || s.isCut(d.name, p.name) || s.isCut(p.name, d.name) {
 		d.later(400*ms, func() { ended(dispatch.Unsent) })
 		return
@@ -397,10 +397,10 @@
 	})
 }
 
-func (d *deskNode) pieces(p *pressNode, c *callState, run *modelserver.Run, leg wire.Leg, firstUs int64, boot int, over func() bool, finish func(dispatch.Ending, string)) {
+func (d *deskNode) pieces(p *serverNode, c *callState, run *modelserver.Run, leg wire.Leg, firstUs int64, boot int, over func() bool, finish func(dispatch.Ending, string)) {
 	s := d.sim
 	n := leg.First
-	pressBoot := p.boot
+	serverBoot := p.boot
 	deliver := func(piece wire.Piece) {
 		d.now(boot, func() {
 			if over() {
@@ -433,7 +433,7 @@
 		if over() {
 			return
 		}
-		if !p.up || p.boot != pressBoot {
+		if !p.up || p.boot != serverBoot {
 			s.at(s.nowUs+ms, func() { d.now(boot, func() { finish(dispatch.Broken, "the replica's stream ended early") }) })
 			return
 		}
--- a/proofs/sim/faults.go
+++ b/proofs/sim/faults.go
@@ -115,7 +115,7 @@
 	for _, d := range s.desks {
 		names = append(names, d.name)
 	}
-	return append(names, s.pressIDs()...)
+	return append(names, s.serverIDs()...)
 }
 
 func (s *Sim) damaged() bool {
@@ -132,8 +132,8 @@
 	s.note("fault %s", f)
 	o := s.offices[f.A%len(s.offices)]
 	d := s.desks[f.A%len(s.desks)]
-	ids := s.pressIDs()
-	p := s.presses[ids[f.A%len(ids)]]
+	ids := s.serverIDs()
+	p := s.servers[ids[f.A%len(ids)]]
 	done := true
 	switch f.Kind {
 	case "crash-office", "torn-office", "lossy-office":
@@ -173,13 +173,13 @@
 		done = s.retire(p, f.ForUs)
 	case "same-address":
 		addr, zone, id := p.addr, p.zone, p.name
-		s.endPress(p)
-		fresh := s.addPress(id, zone)
+		s.endServer(p)
+		fresh := s.addServer(id, zone)
 		fresh.addr = addr
 		s.plat.Set(wire.Listed{ID: id, Addr: addr, Zone: zone, RoomMb: s.plan.Doc.Replica.RoomMb, Slots: s.slots(), State: wire.ListedReady})
 	case "roll-replicas":
 		for i, id := range ids {
-			s.at(s.nowUs+f.ForUs*int64(i)/int64(len(ids)), func() { s.retire(s.presses[id], 300*ms) })
+			s.at(s.nowUs+f.ForUs*int64(i)/int64(len(ids)), func() { s.retire(s.servers[id], 300*ms) })
 		}
 	case "freeze-replica":
 		done = p.up
@@ -250,7 +250,7 @@
 	return s.crashOffice(o, lossy, torn, f.ForUs)
 }
 
-func (s *Sim) cutFault(f Fault, o *officeNode, d *deskNode, p *pressNode) {
+func (s *Sim) cutFault(f Fault, o *officeNode, d *deskNode, p *serverNode) {
 	apart := func(name string) {
 		for _, other := range s.names() {
 			if other != name {
@@ -375,7 +375,7 @@
 		s.restartDesk(d, f.ForUs/3)
 	}
 	for _, id := range ids {
-		s.retire(s.presses[id], f.ForUs/3)
+		s.retire(s.servers[id], f.ForUs/3)
 	}
 }
 
@@ -390,8 +390,8 @@
 			s.restartDesk(d, f.ForUs)
 		}
 	}
-	for _, id := range s.pressIDs() {
-		if p := s.presses[id]; p.zone == zone {
+	for _, id := range s.serverIDs() {
+		if p := s.servers[id]; p.zone == zone {
 			s.retire(p, f.ForUs)
 		}
 	}
@@ -410,27 +410,27 @@
 	return true
 }
 
-func (s *Sim) endPress(p *pressNode) {
+func (s *Sim) endServer(p *serverNode) {
 	p.kill()
 	s.plat.Drop(p.name)
 	s.watch.NoticeOver(p.name, s.nowUs)
 }
 
-func (s *Sim) retire(p *pressNode, forUs int64) bool {
+func (s *Sim) retire(p *serverNode, forUs int64) bool {
 	if !p.up {
 		return false
 	}
-	s.endPress(p)
+	s.endServer(p)
 	s.at(s.nowUs+forUs, func() {
-		if s.presses[p.name] == p {
-			s.addPress(p.name, p.zone)
+		if s.servers[p.name] == p {
+			s.addServer(p.name, p.zone)
 		}
 	})
 	return true
 }
 
 // noticeReplica shows it as leaving, and takes it away when its time is over.
-func (s *Sim) noticeReplica(p *pressNode, leftUs int64) bool {
+func (s *Sim) noticeReplica(p *serverNode, leftUs int64) bool {
 	if !p.up || p.leaving {
 		return false
 	}
@@ -448,7 +448,7 @@
 	}
 	learned()
 	s.at(s.nowUs+leftUs, func() {
-		if s.presses[p.name] == p {
+		if s.servers[p.name] == p {
 			s.retire(p, 400*ms)
 		}
 	})
@@ -474,11 +474,11 @@
 			d.start()
 		}
 	}
-	for _, id := range s.pressIDs() {
-		p := s.presses[id]
+	for _, id := range s.serverIDs() {
+		p := s.servers[id]
 		p.thawUs = min(p.thawUs, s.nowUs)
 		if !p.up {
-			s.addPress(id, p.zone)
+			s.addServer(id, p.zone)
 		}
 	}
 }
--- a/proofs/sim/moves_test.go
+++ b/proofs/sim/moves_test.go
@@ -23,7 +23,7 @@
 		s.at(fromUs+int64(n)*25*ms, func() { s.call(ask, "", n, 0) })
 	}
 	s.runUntil(fromUs + 2500*ms)
-	gpu := s.presses["gpu-0"]
+	gpu := s.servers["gpu-0"]
 	running := map[string]bool{}
 	for _, leg := range gpu.core.Legs() {
 		running[leg.Leg] = true
--- a/proofs/sim/offices.go
+++ b/proofs/sim/offices.go
@@ -243,7 +243,7 @@
 		})
 	case e.Ask != nil:
 		ask := *e.Ask
-		p := s.presses[ask.Replica]
+		p := s.servers[ask.Replica]
 		if p == nil || p.addr != ask.Addr || !p.up {
 			return
 		}
@@ -255,7 +255,7 @@
 		})
 	case e.Order != nil:
 		order := clone(e.Order.Order)
-		p := s.presses[order.Ticket.Replica]
+		p := s.servers[order.Ticket.Replica]
 		if p == nil || p.addr != e.Order.Addr || !p.up {
 			return
 		}
--- a/proofs/sim/sim.go
+++ b/proofs/sim/sim.go
@@ -75,7 +75,7 @@
 	loss     float64
 	offices  []*officeNode
 	desks    []*deskNode
-	presses  map[string]*pressNode
+	servers  map[string]*serverNode
 	plat     *platform.Platform
 	platMood string
 	watch    *rules.Watch
@@ -185,7 +185,7 @@
 func New(plan Plan) *Sim {
 	s := &Sim{
 		plan: plan, r: rand.New(rand.NewSource(plan.Seed)), cuts: map[[2]string]int{}, loss: plan.Loss,
-		presses: map[string]*pressNode{}, watch: rules.NewWatch(), agreed: map[uint64]string{}, nowUs: sec, caused: map[string]int{},
+		servers: map[string]*serverNode{}, watch: rules.NewWatch(), agreed: map[uint64]string{}, nowUs: sec, caused: map[string]int{},
 	}
 	if plan.Doc == nil {
 		s.plan.Doc = Doc()
@@ -202,7 +202,7 @@
 		s.offices = append(s.offices, newOffice(s, fmt.Sprintf("core-%d", i), s.seeds[i], d.Zones[i%len(d.Zones)], plan.Offices))
 	}
 	for i := 0; i < plan.Replicas; i++ {
-		s.addPress(fmt.Sprintf("gpu-%d", i), d.Zones[i%len(d.Zones)])
+		s.addServer(fmt.Sprintf("gpu-%d", i), d.Zones[i%len(d.Zones)])
 	}
 	for i := 0; i < plan.Desks; i++ {
 		s.desks = append(s.desks, newDesk(s, fmt.Sprintf("front-%d", i), d.Zones[i%len(d.Zones)]))
@@ -433,7 +433,7 @@
 
 func (s *Sim) settled() bool {
 	held := map[string]bool{}
-	for _, p := range s.presses {
+	for _, p := range s.servers {
 		for _, h := range p.core.State().Holds {
 			held[h.Unit] = true
 		}
@@ -468,8 +468,8 @@
 	return text
 }
 
-func (s *Sim) pressIDs() []string {
-	return slices.Sorted(maps.Keys(s.presses))
+func (s *Sim) serverIDs() []string {
+	return slices.Sorted(maps.Keys(s.servers))
 }
 
 func clone[T any](v T) T {
@@ -484,7 +484,7 @@
 	return out
 }
 
-type pressNode struct {
+type serverNode struct {
 	machine
 	core    *modelserver.Core
 	zone    string
@@ -499,8 +499,8 @@
 	return 8
 }
 
-func (s *Sim) addPress(id, zone string) *pressNode {
-	p := s.presses[id]
+func (s *Sim) addServer(id, zone string) *serverNode {
+	p := s.servers[id]
 	boot := 1
 	if p != nil {
 		p.up = false
@@ -516,7 +516,7 @@
 		firstUs, partUs, pieceUs = 60*ms, 40*ms, 25*ms
 		loadUs = func(int64) int64 { return 0 }
 	}
-	p = &pressNode{machine: machine{sim: s, name: id, addr: fmt.Sprintf("%s:%d", id, boot), up: true, boot: boot}, zone: zone, inc: s.newInc()}
+	p = &serverNode{machine: machine{sim: s, name: id, addr: fmt.Sprintf("%s:%d", id, boot), up: true, boot: boot}, zone: zone, inc: s.newInc()}
 	p.core = modelserver.NewCore(modelserver.Options{
 		ID: id, Inc: p.inc, Zone: zone, RoomMb: roomMb, Slots: slots, FirstUs: firstUs, PartUs: partUs, PieceUs: pieceUs, Fetch: true, LoadUs: loadUs,
 		Journal: func(l modelserver.Line) {
@@ -534,14 +534,14 @@
 			}
 		},
 	})
-	s.presses[id] = p
+	s.servers[id] = p
 	s.plat.Set(wire.Listed{ID: id, Addr: p.addr, Zone: zone, RoomMb: s.plan.Doc.Replica.RoomMb, Slots: slots, State: wire.ListedReady})
 	p.beat()
 	return p
 }
 
 // stakeRoom: a load was at stake when the smallest model would not have fitted beside it.
-func (s *Sim) stakeRoom(p *pressNode, o modelserver.OrderSeen) {
+func (s *Sim) stakeRoom(p *serverNode, o modelserver.OrderSeen) {
 	if !o.Taken || o.Step != "load" {
 		return
 	}
@@ -559,14 +559,14 @@
 	s.plat.Store.Limit(s.nowUs, store.Loads, store.MbPerSecond)
 }
 
-func (p *pressNode) beat() {
+func (p *serverNode) beat() {
 	p.later(10*ms, func() {
 		p.core.Tick(p.sim.nowUs)
 		p.beat()
 	})
 }
 
-func (p *pressNode) take(o wire.Order) wire.OrderState {
+func (p *serverNode) take(o wire.Order) wire.OrderState {
 	s := p.sim
 	state, fetch := p.core.Take(s.nowUs, o)
 	if !fetch {
@@ -595,7 +595,7 @@
 	return state
 }
 
-func (p *pressNode) kill() {
+func (p *serverNode) kill() {
 	p.up = false
 	for _, r := range p.core.Legs() {
 		p.sim.watch.Cut(r)
--- a/proofs/testbed/input_test.go
+++ b/proofs/testbed/input_test.go
@@ -21,7 +21,7 @@
 	"petreltide/proofs/sim"
 )
 
-func open(t *testing.T) *Shop {
+func open(t *testing.T) *Fleet {
 	t.Helper()
 	doc := sim.Doc()
 	s, err := Open(Plan{Folder: t.TempDir(), Offices: 3, Desks: 2, Replicas: 3, Slots: 8, FirstUs: 2000, PartUs: 500, PieceUs: 1000, RoomMb: doc.Replica.RoomMb, Store: doc.Store})
@@ -65,7 +65,7 @@
 	t.Run("crowd", func(t *testing.T) { overload(t, s) })
 }
 
-func callersInput(t *testing.T, s *Shop) {
+func callersInput(t *testing.T, s *Fleet) {
 	url := "http://" + s.Desks[0] + "/v1/calls"
 	for _, c := range []struct {
 		name, body, field string
@@ -115,7 +115,7 @@
 
 // Callers that hang up, waiting or in the middle, leave no slot taken: 64 that did so at once
 // once took every share of a desk for good.
-func hangUps(t *testing.T, s *Shop) {
+func hangUps(t *testing.T, s *Fleet) {
 	var group sync.WaitGroup
 	for i := 0; i < 60; i++ {
 		group.Add(1)
@@ -160,16 +160,16 @@
 	}
 }
 
-func naughty(t *testing.T, s *Shop, what string) {
+func naughty(t *testing.T, s *Fleet, what string) {
 	t.Helper()
-	for _, addr := range s.Presses {
+	for _, addr := range s.Replicas {
 		if _, _, _, err := Do(http.MethodPost, "http://"+addr+"/proof/naughty/"+url.PathEscape(what), ""); err != nil {
 			t.Fatal(err)
 		}
 	}
 }
 
-func replicaInput(t *testing.T, s *Shop) {
+func replicaInput(t *testing.T, s *Fleet) {
 	defer naughty(t, s, "none")
 	for _, what := range []string{"foreign", "gap", "repeat", "close", "garbage", "noend"} {
 		naughty(t, s, what)
@@ -187,7 +187,7 @@
 
 // At every point of a leg: never two runs of what may not be resumed, and never "not run" for one that
 // ran, however late. Callers that stay and callers that hang up alike.
-func edges(t *testing.T, s *Shop) {
+func edges(t *testing.T, s *Fleet) {
 	defer naughty(t, s, "none")
 	told := map[string]string{}
 	var mu sync.Mutex
@@ -225,7 +225,7 @@
 	count := func() int {
 		runs = map[string]int{}
 		all := 0
-		for _, addr := range s.Presses {
+		for _, addr := range s.Replicas {
 			var seen struct {
 				Runs []modelserver.Run `json:"runs"`
 			}
@@ -272,7 +272,7 @@
 	t.Logf("%d calls over %d edges: %d ran, %d were told not run", len(told), len(modelserver.Edges), ran, unrun)
 }
 
-func platformInput(t *testing.T, s *Shop) {
+func platformInput(t *testing.T, s *Fleet) {
 	for _, mood := range []string{"garbage", "down", "stale", "empty"} {
 		before, ok := s.Duty()
 		if !ok {
@@ -293,7 +293,7 @@
 }
 
 // A replica that refuses orders is counted, and the layout comes right once it takes them.
-func orderRefused(t *testing.T, s *Shop) {
+func orderRefused(t *testing.T, s *Fleet) {
 	naughty(t, s, "order")
 	url := "http://" + s.Offices[0] + "/v1/config"
 	patch := func(body string) {
@@ -333,7 +333,7 @@
 }
 
 // More calls than slots and backlog: each is answered, and who is refused is told when to come back.
-func overload(t *testing.T, s *Shop) {
+func overload(t *testing.T, s *Fleet) {
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	ended, refused := 0, 0
@@ -364,7 +364,7 @@
 	}
 }
 
-func keysInput(t *testing.T, s *Shop) {
+func keysInput(t *testing.T, s *Fleet) {
 	body := `{"kind":"letters","model":"m0","prompt":"one letter"}`
 	status, _, first, err := Do(http.MethodPost, "http://"+s.Desks[0]+"/v1/calls", body, "Idempotency-Key", "letter-1")
 	if err != nil || status != 200 || !strings.Contains(first, "event: end") {
@@ -382,7 +382,7 @@
 	}
 }
 
-func operatorInput(t *testing.T, s *Shop) {
+func operatorInput(t *testing.T, s *Fleet) {
 	url := "http://" + s.Offices[1] + "/v1/config"
 	good, err := json.Marshal(sim.Doc())
 	if err != nil {
@@ -465,7 +465,7 @@
 
 // An office that answered a change shows it: the tail answers before the offices ahead of it have heard
 // that the change is committed.
-func ownChanges(t *testing.T, s *Shop) {
+func ownChanges(t *testing.T, s *Fleet) {
 	for i := range 24 {
 		url := "http://" + s.Offices[i%len(s.Offices)]
 		act := []string{"empty", "restore"}[i%2]
@@ -486,7 +486,7 @@
 	}
 }
 
-func policyInput(t *testing.T, s *Shop) {
+func policyInput(t *testing.T, s *Fleet) {
 	_, _, body, err := Do(http.MethodGet, "http://"+s.Offices[0]+"/v1/config", "")
 	var now struct {
 		Revision uint64 `json:"revision"`
--- a/proofs/testbed/testbed.go
+++ b/proofs/testbed/testbed.go
@@ -27,12 +27,12 @@
 
 const hostsMost = 16
 
-// Shop runs a few real hosts inside one process, sockets and disks included, for tests that need
+// Fleet runs a few real hosts inside one process, sockets and disks included, for tests that need
 // no kills: bad input, interfaces, measurements.
-type Shop struct {
+type Fleet struct {
 	Offices  []string
 	Desks    []string
-	Presses  []string
+	Replicas []string
 	Platform *platform.Platform
 	cancel   context.CancelFunc
 	group    sync.WaitGroup
@@ -64,7 +64,7 @@
 
 // free chooses a port that is not kept until its host listens there, so each host has an IP of its own,
 // also beside other processes of this kind: on a shared one, a client's socket may be given that port first.
-func (s *Shop) free() (string, error) {
+func (s *Fleet) free() (string, error) {
 	s.hosts++
 	n := os.Getpid()*hostsMost + s.hosts%hostsMost
 	l, addr, err := listen(fmt.Sprintf("127.%d.%d.%d", 2+(n>>16)%250, n>>8&255, n&255))
@@ -74,9 +74,9 @@
 	return addr, l.Close()
 }
 
-func Open(plan Plan) (*Shop, error) {
+func Open(plan Plan) (*Fleet, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Shop{cancel: cancel, Platform: platform.New(platform.NewStore(plan.Store.Loads, plan.Store.MbPerSecond, plan.Store.BurstMb))}
+	s := &Fleet{cancel: cancel, Platform: platform.New(platform.NewStore(plan.Store.Loads, plan.Store.MbPerSecond, plan.Store.BurstMb))}
 	platListener, platAddr, err := listen("127.0.0.1")
 	if err != nil {
 		return nil, err
@@ -115,7 +115,7 @@
 			ID: id, Inc: id + "-1", Zone: zone, RoomMb: plan.RoomMb, Slots: plan.Slots, FirstUs: plan.FirstUs, PartUs: plan.PartUs, PieceUs: plan.PieceUs,
 			LoadUs: func(sizeMb int64) int64 { return 20_000 + sizeMb*10 },
 		}), "")
-		s.Presses = append(s.Presses, addr)
+		s.Replicas = append(s.Replicas, addr)
 		s.run(ctx, addr, func(ctx context.Context) error { return host.Serve(ctx, l) })
 		s.Platform.Set(wire.Listed{ID: id, Addr: addr, Zone: zone, RoomMb: plan.RoomMb, Slots: plan.Slots, State: wire.ListedReady})
 	}
@@ -132,7 +132,7 @@
 	return s, nil
 }
 
-func (s *Shop) spawn(act func()) {
+func (s *Fleet) spawn(act func()) {
 	s.group.Add(1)
 	go func() {
 		defer s.group.Done()
@@ -141,7 +141,7 @@
 }
 
 // run notes a host that ends before its time, since the others may well do without it.
-func (s *Shop) run(ctx context.Context, addr string, serve func(context.Context) error) {
+func (s *Fleet) run(ctx context.Context, addr string, serve func(context.Context) error) {
 	s.spawn(func() {
 		err := serve(ctx)
 		if ctx.Err() == nil {
@@ -153,7 +153,7 @@
 }
 
 // Close ends all hosts and names those that had ended by themselves.
-func (s *Shop) Close() error {
+func (s *Fleet) Close() error {
 	s.cancel()
 	s.group.Wait()
 	if len(s.ended) > 0 {
@@ -193,7 +193,7 @@
 }
 
 // Begin sends the first declaration and waits until every model has a holder.
-func (s *Shop) Begin(doc *standing.Declaration) error {
+func (s *Fleet) Begin(doc *standing.Declaration) error {
 	raw, err := json.Marshal(doc)
 	if err != nil {
 		return errors.Trace(err)
@@ -208,7 +208,7 @@
 	}
 	return Until("every model is held", func() bool {
 		held := map[string]bool{}
-		for _, addr := range s.Presses {
+		for _, addr := range s.Replicas {
 			_, _, body, err := Do(http.MethodGet, "http://"+addr+"/v1/state", "")
 			var st wire.ReplicaState
 			if err != nil || json.Unmarshal([]byte(body), &st) != nil {
@@ -227,7 +227,7 @@
 	})
 }
 
-func (s *Shop) leased() bool {
+func (s *Fleet) leased() bool {
 	for _, addr := range s.Desks {
 		var st struct {
 			Work struct {
@@ -244,7 +244,7 @@
 }
 
 // Status asks each office until one is on duty.
-func (s *Shop) Duty() (office.Status, bool) {
+func (s *Fleet) Duty() (office.Status, bool) {
 	for _, addr := range s.Offices {
 		_, _, body, err := Do(http.MethodGet, "http://"+addr+"/v1/status", "")
 		var st office.Status
--- a/proofs/testbed/testbed_test.go
+++ b/proofs/testbed/testbed_test.go
@@ -36,7 +36,7 @@
 
 func TestAHostThatEndsBeforeItsTimeIsNamed(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Shop{cancel: cancel}
+	s := &Fleet{cancel: cancel}
 	s.run(ctx, "gone:1", func(context.Context) error { return errors.New("no disk") })
 	s.run(ctx, "stays:1", func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() })
 	for noted := 0; noted == 0; time.Sleep(time.Millisecond) {
