--- a/cmd/petreltide/daemons.go
+++ b/cmd/petreltide/daemons.go
@@ -14,6 +14,7 @@
 
 func officeCommand() *cobra.Command {
 	set := settings.Office{}
+	place := place{&set.Name, &set.Listen, &set.Advertise, &set.Zone, &set.Seeds}
 	var file string
 	cmd := &cobra.Command{
 		Use:   "office",
@@ -36,14 +37,11 @@
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			laid := set
+			given := place.given()
 			if f := settings.Read(file, &set); f != nil {
 				return f
 			}
-			lay(cmd, "name", &set.Name, laid.Name)
-			lay(cmd, "listen", &set.Listen, laid.Listen)
-			lay(cmd, "advertise", &set.Advertise, laid.Advertise)
-			lay(cmd, "zone", &set.Zone, laid.Zone)
-			lay(cmd, "seeds", &set.Seeds, laid.Seeds)
+			given(cmd)
 			lay(cmd, "data", &set.Data, laid.Data)
 			lay(cmd, "platform", &set.Platform, laid.Platform)
 			lay(cmd, "founding", &set.Founding, laid.Founding)
@@ -60,11 +58,7 @@
 	}
 	flags := cmd.Flags()
 	flags.StringVar(&file, "settings", "", "settings file (YAML or JSON)")
-	flags.StringVar(&set.Name, "name", "", "this office's name, unique in the fleet; a replacement takes the lost one's name")
-	flags.StringVar(&set.Listen, "listen", "", "IP:port to listen on")
-	flags.StringVar(&set.Advertise, "advertise", "", "IP:port that others reach this process at, where it is not the one it listens on")
-	flags.StringVar(&set.Zone, "zone", "", "zone this machine is in")
-	flags.StringSliceVar(&set.Seeds, "seeds", nil, "up to three IP:port of other processes, for first contact only")
+	place.flags(cmd, "this office's name, unique in the fleet; a replacement takes the lost one's name")
 	flags.StringVar(&set.Data, "data", "", "data folder")
 	flags.StringVar(&set.Platform, "platform", "", "IP:port of the platform's replica list")
 	flags.IntVar(&set.Founding, "founding", 0, "how many empty offices begin a new chain together; 0: only join one")
@@ -73,6 +67,7 @@
 
 func deskCommand() *cobra.Command {
 	set := settings.Desk{BacklogMax: 512, BodyMaxKb: 1024, DrainMs: 30_000}
+	place := place{&set.Name, &set.Listen, &set.Advertise, &set.Zone, &set.Seeds}
 	var file string
 	cmd := &cobra.Command{
 		Use:   "desk",
@@ -87,14 +82,11 @@
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			laid := set
+			given := place.given()
 			if f := settings.Read(file, &set); f != nil {
 				return f
 			}
-			lay(cmd, "name", &set.Name, laid.Name)
-			lay(cmd, "listen", &set.Listen, laid.Listen)
-			lay(cmd, "advertise", &set.Advertise, laid.Advertise)
-			lay(cmd, "zone", &set.Zone, laid.Zone)
-			lay(cmd, "seeds", &set.Seeds, laid.Seeds)
+			given(cmd)
 			lay(cmd, "backlog-max", &set.BacklogMax, laid.BacklogMax)
 			lay(cmd, "body-max-kb", &set.BodyMaxKb, laid.BodyMaxKb)
 			lay(cmd, "drain-ms", &set.DrainMs, laid.DrainMs)
@@ -107,17 +99,40 @@
 	}
 	flags := cmd.Flags()
 	flags.StringVar(&file, "settings", "", "settings file (YAML or JSON)")
-	flags.StringVar(&set.Name, "name", "", "this desk's name, unique in the fleet")
-	flags.StringVar(&set.Listen, "listen", "", "IP:port to listen on")
-	flags.StringVar(&set.Advertise, "advertise", "", "IP:port that others reach this process at, where it is not the one it listens on")
-	flags.StringVar(&set.Zone, "zone", "", "zone this machine is in")
-	flags.StringSliceVar(&set.Seeds, "seeds", nil, "up to three IP:port of other processes, for first contact only")
+	place.flags(cmd, "this desk's name, unique in the fleet")
 	flags.IntVar(&set.BacklogMax, "backlog-max", set.BacklogMax, "most calls that may wait here")
 	flags.IntVar(&set.BodyMaxKb, "body-max-kb", set.BodyMaxKb, "largest call body taken, in KiB")
 	flags.Int64Var(&set.DrainMs, "drain-ms", set.DrainMs, "time for open calls to end after SIGTERM")
 	return cmd
 }
 
+// place is what every process is told of where it is.
+type place struct {
+	name, listen, advertise, zone *string
+	seeds                         *[]string
+}
+
+func (p place) flags(cmd *cobra.Command, unique string) {
+	flags := cmd.Flags()
+	flags.StringVar(p.name, "name", "", unique)
+	flags.StringVar(p.listen, "listen", "", "IP:port to listen on")
+	flags.StringVar(p.advertise, "advertise", "", "IP:port that others reach this process at, where it is not the one it listens on")
+	flags.StringVar(p.zone, "zone", "", "zone this machine is in")
+	flags.StringSliceVar(p.seeds, "seeds", nil, "up to three IP:port of other processes, for first contact only")
+}
+
+// given keeps what the flags said before a file is read, to be laid on it after.
+func (p place) given() func(cmd *cobra.Command) {
+	name, listen, advertise, zone, seeds := *p.name, *p.listen, *p.advertise, *p.zone, *p.seeds
+	return func(cmd *cobra.Command) {
+		lay(cmd, "name", p.name, name)
+		lay(cmd, "listen", p.listen, listen)
+		lay(cmd, "advertise", p.advertise, advertise)
+		lay(cmd, "zone", p.zone, zone)
+		lay(cmd, "seeds", p.seeds, seeds)
+	}
+}
+
 func lay[T any](cmd *cobra.Command, flag string, into *T, given T) {
 	if cmd.Flags().Changed(flag) {
 		*into = given
--- a/internal/standing/routes.go
+++ b/internal/standing/routes.go
@@ -280,9 +280,14 @@
 	if d.Index != nil {
 		return d.Index.routes[name]
 	}
-	for i := range d.Routes {
-		if d.Routes[i].Name == name {
-			return &d.Routes[i]
+	return named(d.Routes, name, func(r *Route) string { return r.Name })
+}
+
+// named finds the first item of a name; nil where there is none.
+func named[T any](all []T, name string, of func(*T) string) *T {
+	for i := range all {
+		if of(&all[i]) == name {
+			return &all[i]
 		}
 	}
 	return nil
@@ -292,12 +297,7 @@
 	if d.Index != nil {
 		return d.Index.services[name]
 	}
-	for i := range d.Services {
-		if d.Services[i].Name == name {
-			return &d.Services[i]
-		}
-	}
-	return nil
+	return named(d.Services, name, func(s *Service) string { return s.Name })
 }
 
 // EngineModel is a model as a service's engine names it; nil where it does not.
@@ -309,12 +309,7 @@
 	if s == nil || s.Engine == nil {
 		return nil
 	}
-	for i := range s.Engine.Models {
-		if s.Engine.Models[i].Name == model {
-			return &s.Engine.Models[i]
-		}
-	}
-	return nil
+	return named(s.Engine.Models, model, func(m *EngineModel) string { return m.Name })
 }
 
 // Match finds the route with the longest prefix that begins the path; every prefix ends with a slash.
--- a/internal/standing/standing.go
+++ b/internal/standing/standing.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"reflect"
+	"slices"
 	"strings"
 
 	jsonpatch "github.com/evanphx/json-patch/v5"
@@ -90,21 +91,11 @@
 }
 
 func (d *Declaration) Model(name string) *Model {
-	for i := range d.Models {
-		if d.Models[i].Name == name {
-			return &d.Models[i]
-		}
-	}
-	return nil
+	return named(d.Models, name, func(m *Model) string { return m.Name })
 }
 
 func (d *Declaration) Adapter(name string) *Adapter {
-	for i := range d.Adapters {
-		if d.Adapters[i].Name == name {
-			return &d.Adapters[i]
-		}
-	}
-	return nil
+	return named(d.Adapters, name, func(a *Adapter) string { return a.Name })
 }
 
 func (d *Declaration) Kind(name string) *Kind {
@@ -114,31 +105,12 @@
 		}
 		return nil
 	}
-	for i := range d.Kinds {
-		if d.Kinds[i].Name == name {
-			return &d.Kinds[i]
-		}
-	}
-	return nil
+	return named(d.Kinds, name, func(k *Kind) string { return k.Name })
 }
 
-func (d *Declaration) IsEmptied(zone string) bool {
-	for _, z := range d.Emptied {
-		if z == zone {
-			return true
-		}
-	}
-	return false
-}
+func (d *Declaration) IsEmptied(zone string) bool { return slices.Contains(d.Emptied, zone) }
 
-func (d *Declaration) HasZone(zone string) bool {
-	for _, z := range d.Zones {
-		if z == zone {
-			return true
-		}
-	}
-	return false
-}
+func (d *Declaration) HasZone(zone string) bool { return slices.Contains(d.Zones, zone) }
 
 // UnitMb is the room a model or an adapter takes; ok is false for an unknown name.
 func (d *Declaration) UnitMb(unit string) (sizeMb, loadMs int64, ok bool) {
