Keep what stood from the start longer; a copy for a third of a replica

Cause: in the seconds of a shift of demand the next busy model (one of those that stood once from the start) had gone to make room for models called once: a single call counts 0.2 a second for seconds, and single copies that nobody had called counted as surplus. Before traffic one unload closed the store for 5.4 s, as if a predecessor's loads were unknown. Change: what stood from the start and was not called weighs 0.1, a call now and then a tenth of its rate; a single copy is never surplus; a copy is wanted for each 0.33 of a replica's time, in half of the room; a controller that saw every ticket from the first on knows what was loaded.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -361,7 +361,7 @@
 	fresh.Faults, fresh.writes, fresh.desks, fresh.Policy = f.Faults, f.writes, f.desks, f.Policy
 	fresh.run, fresh.jury = f.run, f.jury
 	fresh.routed.foreignUs, fresh.routed.bornUs, fresh.routed.loadsUs = f.routed.foreignUs, f.routed.bornUs, f.routed.loadsUs
-	fresh.routed.changedUs = f.routed.changedUs
+	fresh.routed.changedUs, fresh.routed.known, fresh.routed.missedUs = f.routed.changedUs, f.routed.known, f.routed.missedUs
 	effects := f.effects
 	*f = *fresh
 	f.effects = effects
--- a/internal/controller/routed.go
+++ b/internal/controller/routed.go
@@ -69,6 +69,8 @@
 	foreignUs int64
 	bornUs    int64
 	loadsUs   []int64
+	known     uint64
+	missedUs  int64
 	orders    map[uint64]*standingOrder
 	needs     map[string]*need
 	cameUs    map[string]int64
@@ -107,6 +109,7 @@
 	if epoch != f.claimed || !f.OnDuty(s) {
 		f.routed.foreignUs = nowUs
 	}
+	f.routed.missed(nowUs, s, len(d.Tickets))
 	for _, t := range d.Tickets {
 		f.routed.noteLoad(nowUs, s, t)
 	}
@@ -128,6 +131,18 @@
 	return e.SaidUs <= max(r.changedUs[e.ID], r.bornUs)+wordLateUs
 }
 
+// missed notes that tickets were issued which this controller did not see one by one: as many loads may lie
+// behind them as the store's window bears. Numbers rise by one, so that a gap shows.
+func (r *routed) missed(nowUs int64, s *ledger.State, news int) {
+	if r.known == 0 {
+		r.known = 1
+	}
+	if s.NextTicket > r.known+uint64(news) {
+		r.missedUs = nowUs
+	}
+	r.known = s.NextTicket
+}
+
 func (r *routed) noteLoad(nowUs int64, s *ledger.State, t ledger.Ticket) {
 	have := s.Replicas[t.Replica]
 	if t.Step != ledger.Load || strings.Contains(t.Unit, "/") || (have != nil && have.Had[t.Unit]) {
@@ -160,7 +175,7 @@
 			spent++
 		}
 	}
-	if s.NextTicket > 1 && nowUs-f.routed.bornUs < windowUs+400*clock.Ms {
+	if f.routed.missed(nowUs, s, 0); f.routed.missedUs > 0 && nowUs-f.routed.missedUs < windowUs+400*clock.Ms {
 		spent += most
 	}
 	running := 0
--- a/internal/controller/routed_test.go
+++ b/internal/controller/routed_test.go
@@ -444,3 +444,44 @@
 		}
 	}
 }
+
+// A controller that saw every ticket from the first one on knows what was loaded; one that comes to a ledger
+// with tickets it did not see takes the store's window for spent.
+func TestOnlyTicketsThatWereNotSeenCloseTheStore(t *testing.T) {
+	s := ledger.NewState()
+	s.Apply(1, ledger.Change{ID: "c", Config: &ledger.ConfigChange{Version: 1, Doc: fleetDoc()}})
+	s.Apply(2, ledger.Change{ID: "k", Epoch: 1, Claim: &ledger.Claim{Holder: "one"}})
+	opts := Options{LeaseUs: fleetLeaseUs, StoreWindowUs: fleetWindowUs, StoreOvershoot: fleetOver}
+	from, late := NewWith("one", opts), NewWith("two", opts)
+	svc := s.Doc.Service("s")
+	index := uint64(2)
+	load := func(nowUs int64, id string) {
+		index++
+		duty := ledger.Duty{Fleet: []ledger.ReplicaNote{{ID: id, Inc: id, RoomMb: fleetRoomMb, Slots: 8, Service: "s"}},
+			Tickets: []ledger.Ticket{{Replica: id, Inc: id, Revision: s.Revision, Step: ledger.Load, Unit: "m0"}}}
+		if out := s.Apply(index, ledger.Change{ID: fmt.Sprint("d", index), Epoch: s.Epoch, Duty: &duty}); len(out.Faults) > 0 {
+			t.Fatal(out.Faults)
+		}
+		from.Saw(nowUs, s.Epoch, duty, s)
+	}
+	most := svc.Engine.StoreAtOnce()
+	load(clock.Sec, "r0")
+	if left := from.storeLeft(clock.Sec, s, svc); left != most-1 {
+		t.Errorf("%d loads are left to who saw the only ticket, want %d", left, most-1)
+	}
+	if left := late.storeLeft(clock.Sec, s, svc); left != 0 {
+		t.Errorf("%d loads are left to who did not see the ticket", left)
+	}
+	if left := late.storeLeft(7*clock.Sec, s, svc); left != most-1 {
+		t.Errorf("%d loads are left a window later, want %d", left, most-1)
+	}
+	load(8*clock.Sec, "r1")
+	late.Saw(8*clock.Sec, s.Epoch, ledger.Duty{Tickets: make([]ledger.Ticket, 1)}, s)
+	if late.routed.missedUs >= 8*clock.Sec {
+		t.Error("a ticket that was seen counts as missed")
+	}
+	load(9*clock.Sec, "r2")
+	if late.storeLeft(9*clock.Sec, s, svc); late.routed.missedUs != 9*clock.Sec {
+		t.Error("a ticket that was not seen is not missed")
+	}
+}
--- a/internal/placement/resident.go
+++ b/internal/placement/resident.go
@@ -54,7 +54,7 @@
 }
 
 const (
-	demandMost     = 0.22
+	demandMost     = 0.33
 	unreadMost     = 2.5
 	secondRate     = 0.6
 	warmMs         = 600
@@ -63,8 +63,10 @@
 	adapterYoungMs = 800
 	spareHarmMost  = 0.4
 	spareIdleMs    = 4000
-	copiesMost     = 0.6
+	copiesMost     = 0.5
 	runsWorth      = 0.5
+	foundingWorth  = 0.1
+	seldomPart     = 0.1
 )
 
 type resident struct {
@@ -346,12 +348,17 @@
 		p.out[len(p.out)-1].For = name
 		return
 	}
+	p.load(i, name, "asked for")
+}
+
+func (p *resident) load(i int, name, why string) {
+	h := &p.in.Homes[i]
 	p.taken[i] = true
 	if !h.Had[name] {
 		p.store--
 	}
 	p.held[name]++
-	p.out = append(p.out, Proposal{Step: ledger.Load, Replica: h.ID, Unit: name, Why: "asked for"})
+	p.out = append(p.out, Proposal{Step: ledger.Load, Replica: h.ID, Unit: name, Why: why})
 }
 
 // unload counts a copy out at once, so that no second one of it goes for the same reason.
@@ -443,8 +450,20 @@
 	if often && held <= p.want[unit] {
 		return 0, false
 	}
-	worth = n.Rate/float64(held) + 0.05*math.Exp(-float64(n.IdleMs)/15000)
-	if held > p.want[unit] {
+	_, called := p.in.Models[unit]
+	_, came := h.AgeMs[unit]
+	switch {
+	case !called && !came:
+		worth = foundingWorth / float64(held)
+	case often:
+		worth = n.Rate / float64(held)
+	default:
+		worth = seldomPart * n.Rate / float64(held)
+	}
+	if called {
+		worth += 0.05 * math.Exp(-float64(n.IdleMs)/15000)
+	}
+	if held > max(p.want[unit], 1) {
 		worth *= 0.2
 	}
 	if runs := h.Runs[unit]; runs > 0 {
--- a/internal/placement/resident_test.go
+++ b/internal/placement/resident_test.go
@@ -267,3 +267,24 @@
 	}
 	t.Logf("%d rounds", rounds)
 }
+
+// What was called once gives way before what has stood there from the start: the platform put that there, and
+// the next models to be called for are among them.
+func TestWhatStoodFromTheStartStaysLonger(t *testing.T) {
+	e := &standing.Engine{Slots: 8, RoomMb: 100, LoadsPerS: 2}
+	for i := range 4 {
+		e.Models = append(e.Models, standing.EngineModel{Name: fmt.Sprint("m", i), SizeMb: 45, LoadMs: 1000})
+	}
+	in := Service{Name: "s", Engine: e, StoreLeft: 2, Adapters: map[string]Need{},
+		Homes:  []Home{{ID: "r", Usable: true, FreeMb: 10, Holds: map[string]int64{"m0": 45, "m1": 45}, AgeMs: map[string]int64{"m1": 5000}}},
+		Models: map[string]Need{"m1": {Rate: 0.2, IdleMs: 3000}, "m2": {Rate: 0.1, Waiting: 1}},
+	}
+	proposals, _ := Resident(in)
+	if len(proposals) != 1 || proposals[0].Unit != "m1" || proposals[0].For != "m2" {
+		t.Errorf("%+v, want m1 to make room for m2", proposals)
+	}
+	in.Models["m1"] = Need{Rate: 2, Demand: 0.2}
+	if proposals, _ = Resident(in); len(proposals) != 1 || proposals[0].Unit != "m0" {
+		t.Errorf("%+v, want m0 to make room for m2 while m1 is called often", proposals)
+	}
+}
