Send an order again only on the count of orders that the look before it showed

Cause: expectedCount was never sent. An order without an answer is looked after before it is sent again, but one that lay in a link or socket until after that look could be taken, and the second one after it: the replica had no means to tell that it had been ordered meanwhile. Ruled out: sending the count with first orders; it is known only after a look, which is priced as a probe, and a report lags by some hundred ms. Change: what a look finds not there is sent again under the count that the look showed; a successor's look does the same for its predecessor's orders. Test: the seeded orders over takeovers fail on a repeat without a count, and their replicas refuse a wrong one; it fails on the code before.

--- a/internal/controller/routed.go
+++ b/internal/controller/routed.go
@@ -54,6 +54,9 @@
 	askUs   int64
 	askedUs int64
 	asked   bool
+	// taken is how many orders the replica said it had taken when this one was not there; it is sent again
+	// on that count alone, so that the first, if it still comes, and the second never both stand.
+	taken *uint64
 }
 
 // need is how often a unit was called for, smoothed, and when last.
@@ -285,7 +288,7 @@
 		f.routed.noteLoad(seen.NowUs, seen.State, t)
 	}
 	o.sentUs, o.said = seen.NowUs, ""
-	f.do(Effect{Order: &Order{Addr: e.Addr, Order: wire.Order{Ticket: t, Epoch: f.claimed, Holder: f.me}}})
+	f.do(Effect{Order: &Order{Addr: e.Addr, Order: wire.Order{Ticket: t, Epoch: f.claimed, Holder: f.me, Expected: o.taken}}})
 }
 
 // routedOrdered takes a replica's answer to an order; what it means in the end is seen by what it holds.
@@ -360,14 +363,14 @@
 		o.askUs = seen.NowUs + askAgainUs
 		return
 	}
-	f.look(seen, t, o, a.State.Units, a.State.Busy)
+	f.look(seen, t, o, a.State)
 }
 
 // look judges an order by what the replica holds. A report lags a little, so that it ends an order only
 // by what it shows, or by showing nothing for long enough.
-func (f *Controller) look(seen Seen, t ledger.Ticket, o *standingOrder, units []string, busy bool) {
-	_, holds := slices.BinarySearch(units, t.Unit)
-	nowUs := seen.NowUs
+func (f *Controller) look(seen Seen, t ledger.Ticket, o *standingOrder, told *wire.ReplicaState) {
+	_, holds := slices.BinarySearch(told.Units, t.Unit)
+	nowUs, busy := seen.NowUs, told.Busy
 	switch {
 	case holds == (t.Step == ledger.Load):
 		f.settled(t.Replica, t, wire.OrderDone, "")
@@ -381,7 +384,8 @@
 	case busy:
 		o.askUs = nowUs + askAgainUs
 	default:
-		o.askUs, o.sentUs = 0, 0
+		taken := told.Orders
+		o.askUs, o.sentUs, o.taken = 0, 0, &taken
 		if o.said != "" && nowUs-o.saidUs < orderAgainUs {
 			o.askUs = nowUs + askAgainUs
 		}
--- a/internal/controller/routed_test.go
+++ b/internal/controller/routed_test.go
@@ -32,6 +32,7 @@
 	busy     ledger.Ticket
 	doneUs   int64
 	seq      uint64
+	taken    uint64
 	beatUs   int64
 	silent   bool
 }
@@ -154,7 +155,7 @@
 			f.later(1+f.r.Int63n(20*clock.Ms), func() {
 				told := Told{AskedUs: ask.AskedUs, Replica: ask.Replica, Addr: ask.Addr}
 				if m := f.machines[ask.Replica]; m != nil && f.r.Intn(100) >= f.lose {
-					told.State = &wire.ReplicaState{ID: m.id, Inc: m.id, Busy: m.busy.Unit != "", Units: m.units()}
+					told.State = &wire.ReplicaState{ID: m.id, Inc: m.id, Busy: m.busy.Unit != "", Orders: m.taken, Units: m.units()}
 					for n := range f.orders[ask.Replica] {
 						f.orders[ask.Replica][n].asked = true
 					}
@@ -166,8 +167,8 @@
 			all := f.orders[o.Ticket.Replica]
 			for _, before := range all {
 				if before.t.Number == o.Ticket.Number {
-					if f.repeats++; !before.asked {
-						f.broken = fmt.Sprintf("ticket %d is sent again and nobody looked what became of it", o.Ticket.Number)
+					if f.repeats++; !before.asked || o.Expected == nil {
+						f.broken = fmt.Sprintf("ticket %d is sent again on count %v, looked at: %v", o.Ticket.Number, o.Expected, before.asked)
 					}
 				}
 			}
@@ -202,11 +203,12 @@
 	model, adapter := standing.Units(t.Unit)
 	_, held := m.holds[t.Unit]
 	switch {
-	case m.busy.Unit != "":
+	case m.busy.Unit != "", o.Expected != nil && *o.Expected != m.taken:
 		return wire.OrderBusy
 	case held == (t.Step == ledger.Load):
 		return wire.OrderDone
 	case t.Step == ledger.Unload:
+		m.taken++
 		m.busy, m.doneUs = t, f.nowUs+f.r.Int63n(300*clock.Ms)
 		return wire.OrderRunning
 	}
@@ -221,6 +223,7 @@
 	if sum > fleetRoomMb || (adapter != "" && places >= fleetPlaces) {
 		f.broken = fmt.Sprintf("%s is ordered to hold %d MB and %d adapters with %s", m.id, sum, places, t.Unit)
 	}
+	m.taken++
 	m.busy, m.doneUs = t, f.nowUs+1500*clock.Ms
 	switch {
 	case adapter != "":
@@ -332,7 +335,8 @@
 
 // Whatever is called for, whoever holds the duty, whichever answers are lost and replicas come back: the
 // store's window holds, no replica is ordered beyond its room or places, holders keep the lease, fences never
-// fall, and nothing is sent again before it was looked at.
+// fall, and nothing is sent again before it was looked at, nor but on the count of
+// orders that was seen then.
 func TestSeededOrdersOverTakeovers(t *testing.T) {
 	loads, repeats, takes := 0, 0, 0
 	for seed := int64(0); seed < 40; seed++ {
