Wait out a lease by replica, and at all replicas where orders were missed

Cause: a new holder waited a lease and the predecessor's freshness (4.35 s) at every replica, also at those that had had no order for long. The rule is about orders to one replica, and an order is only sent under a ticket that the ledger shows.

Ruled out: the view change, the claim, the store's window.

Now each replica has its own time (turns): when a ticket of somebody else was applied or settled there; a ticket that still stands counts as ordered up to the predecessor's last freshness. And a hole the other way, found while reading: an office that came back by a copy has not seen the tickets in it, and if it took over soon after, it held replicas that had been ordered a moment before for left alone (it only waited after its own start). A gap in the numbers of tickets is now noticed, and the lease is waited out at all.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -165,6 +165,7 @@
 	marks      []uint64
 	markUs     int64
 	routed     routed
+	turns      turns
 	Faults     map[fault.Code]uint64
 	Policy     PolicyNote
 	Shadows    []PolicyNote
@@ -293,6 +294,7 @@
 func (f *Controller) tick(seen Seen) {
 	if f.routed.bornUs == 0 {
 		f.routed.bornUs = seen.NowUs
+		f.turns.follow(seen.State)
 	}
 	if !seen.Head {
 		f.leave()
@@ -359,6 +361,7 @@
 func (f *Controller) leave() {
 	fresh := NewWith(f.me, f.opts)
 	fresh.Faults, fresh.writes, fresh.desks, fresh.Policy = f.Faults, f.writes, f.desks, f.Policy
+	fresh.turns = f.turns
 	fresh.run, fresh.jury = f.run, f.jury
 	fresh.routed.foreignUs, fresh.routed.bornUs, fresh.routed.loadsUs = f.routed.foreignUs, f.routed.bornUs, f.routed.loadsUs
 	fresh.routed.changedUs, fresh.routed.known, fresh.routed.missedUs = f.routed.changedUs, f.routed.known, f.routed.missedUs
@@ -451,7 +454,7 @@
 // writeRouted adds the tickets that the policy proposed and the checker took.
 func (f *Controller) writeRouted(seen Seen, duty *ledger.Duty) {
 	s := seen.State
-	if f.proposedAt != s.Revision || !f.mayOrder(seen.NowUs) {
+	if f.proposedAt != s.Revision || !f.mayPlan(seen.NowUs) {
 		f.proposed = nil
 	}
 	if f.proposed != nil {
--- a/internal/controller/note.go
+++ b/internal/controller/note.go
@@ -33,7 +33,7 @@
 }
 
 // Note is what the office that holds the duty knows of replicas that make themselves known, beyond the
-// ledger. OrdersInMs is how long it still waits out its predecessor before it orders anything.
+// ledger. OrdersInMs is how long it still waits out its predecessor before it orders every replica.
 type Note struct {
 	Holder     string              `json:"holder"`
 	Fence      uint64              `json:"fence"`
@@ -49,8 +49,8 @@
 		return nil
 	}
 	n := &Note{Holder: s.Holder, Fence: s.Epoch, Orders: []OrderNote{}, Store: []StoreNote{}, Needs: map[string]NeedNote{}}
-	if !f.mayOrder(nowUs) {
-		n.OrdersInMs = (f.routed.foreignUs + f.opts.LeaseUs + leaseSlackUs - nowUs + 999) / 1000
+	if lastUs := f.lastTurnUs(nowUs, s); lastUs > 0 {
+		n.OrdersInMs = (lastUs + 999) / 1000
 	}
 	for _, id := range sorted(s.Pending) {
 		row := OrderNote{Ticket: s.Pending[id], SentAgoMs: -1}
--- a/internal/controller/routed.go
+++ b/internal/controller/routed.go
@@ -109,7 +109,7 @@
 	if s.Doc == nil || !s.Doc.Routed() {
 		return
 	}
-	if epoch != f.claimed || !f.OnDuty(s) {
+	if foreign := epoch != f.claimed || !f.OnDuty(s); !f.turns.saw(nowUs, foreign, d, s) {
 		f.routed.foreignUs = nowUs
 	}
 	f.routed.missed(nowUs, s, len(d.Tickets))
@@ -190,11 +190,6 @@
 	return max(0, min(most-spent, e.StoreAtOnce()-running))
 }
 
-// mayOrder: what a predecessor may still have ordered lies a lease behind.
-func (f *Controller) mayOrder(nowUs int64) bool {
-	return nowUs >= f.routed.foreignUs+f.opts.LeaseUs+leaseSlackUs
-}
-
 func (f *Controller) routedTick(seen Seen) {
 	r := &f.routed
 	if r.dutyUs == 0 {
@@ -202,9 +197,13 @@
 		if seen.State.NextTicket > 1 {
 			r.foreignUs = max(r.foreignUs, r.bornUs)
 		}
-		for _, t := range seen.State.Pending {
+		if f.turns.next != seen.State.NextTicket {
+			f.turns.follow(seen.State)
+			r.foreignUs = seen.NowUs
+		}
+		for id, t := range seen.State.Pending {
 			if t.Epoch != f.claimed {
-				r.foreignUs = max(r.foreignUs, seen.NowUs+holderFreshUs)
+				f.turns.atUs[id] = max(f.turns.atUs[id], seen.NowUs+holderFreshUs)
 			}
 		}
 	}
@@ -251,7 +250,7 @@
 			} else if o.asked && nowUs-o.askedUs > 1200*clock.Ms {
 				o.asked, o.askUs = false, nowUs
 			}
-		case o.sentUs == 0 && f.mayOrder(nowUs):
+		case o.sentUs == 0 && f.mayOrder(nowUs, id):
 			if o.seenUs == 0 {
 				o.seenUs = nowUs
 			}
@@ -613,7 +612,7 @@
 	if f.moved {
 		spanUs = routedUrgentUs
 	}
-	if f.proposed != nil || seen.NowUs-f.policyUs < spanUs || !f.mayOrder(seen.NowUs) {
+	if f.proposed != nil || seen.NowUs-f.policyUs < spanUs || !f.mayPlan(seen.NowUs) {
 		return
 	}
 	services := f.services(seen)
@@ -748,6 +747,7 @@
 	if in, ok := f.routed.intents[r.ID]; ok && seen.NowUs-in.atUs < intentUs {
 		h.Intended = in.unit
 	}
+	h.Busy = !f.mayOrder(seen.NowUs, r.ID)
 	if t, pending := seen.State.Pending[r.ID]; pending {
 		h.Busy = true
 		if t.Step == ledger.Load {
