Let copies that keep replicas from falling behind take most of the room

Change: copies go first where a copy would have more than 0.8 of a replica's time, up to 0.85 of the room; those beyond that stay in half of it.

--- a/internal/placement/resident.go
+++ b/internal/placement/resident.go
@@ -64,6 +64,8 @@
 	spareHarmMost  = 0.4
 	spareIdleMs    = 4000
 	copiesMost     = 0.5
+	coverMost      = 0.85
+	coverLoad      = 0.8
 	runsWorth      = 0.5
 	foundingWorth  = 0.1
 	seldomPart     = 0.1
@@ -212,34 +214,40 @@
 }
 
 // share cuts what is wanted to the room there is: one copy of each model first, then one more at a time
-// where a copy relieves most, until the part of the room that copies may take is spent.
+// where a copy relieves most. What keeps replicas from falling behind goes first and may take most of the
+// room, copies beyond that no more than their part of it.
 func (p *resident) share(usable int) {
-	leftMb := int64(float64(usable) * float64(p.in.Engine.RoomMb) * copiesMost)
+	roomMb := float64(usable) * float64(p.in.Engine.RoomMb)
 	got := map[string]int{}
 	names := []string{}
+	var spentMb int64
 	for name, want := range p.want {
 		if want > 1 {
 			names = append(names, name)
 			got[name] = 1
-			leftMb -= p.sizes[name].SizeMb
+			spentMb += p.sizes[name].SizeMb
 		}
 	}
 	slices.Sort(names)
-	for {
-		best, relief := "", 0.0
-		for _, name := range names {
-			n := float64(got[name])
-			r := p.in.Models[name].Demand / (n * (n + 1))
-			if got[name] < p.want[name] && p.sizes[name].SizeMb <= leftMb && r > relief {
-				best, relief = name, r
+	add := func(mostMb int64, loadLeast float64) {
+		for {
+			best, relief := "", 0.0
+			for _, name := range names {
+				n := float64(got[name])
+				demand := p.in.Models[name].Demand
+				if got[name] < p.want[name] && demand/n > loadLeast && spentMb+p.sizes[name].SizeMb <= mostMb && demand/(n*(n+1)) > relief {
+					best, relief = name, demand/(n*(n+1))
+				}
 			}
+			if best == "" {
+				return
+			}
+			got[best]++
+			spentMb += p.sizes[best].SizeMb
 		}
-		if best == "" {
-			break
-		}
-		got[best]++
-		leftMb -= p.sizes[best].SizeMb
 	}
+	add(int64(roomMb*coverMost), coverLoad)
+	add(int64(roomMb*copiesMost), 0)
 	for _, name := range names {
 		p.want[name] = got[name]
 	}
