--- a/cmd/petreltide/daemons.go
+++ b/cmd/petreltide/daemons.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 
 	"github.com/spf13/cobra"
 
@@ -123,7 +124,7 @@
 
 // given keeps what the flags said before a file is read, to be laid on it after.
 func (p place) given() func(cmd *cobra.Command) {
-	name, listen, advertise, zone, seeds := *p.name, *p.listen, *p.advertise, *p.zone, *p.seeds
+	name, listen, advertise, zone, seeds := *p.name, *p.listen, *p.advertise, *p.zone, slices.Clone(*p.seeds)
 	return func(cmd *cobra.Command) {
 		lay(cmd, "name", p.name, name)
 		lay(cmd, "listen", p.listen, listen)
--- a/cmd/petreltide/daemons_test.go
+++ b/cmd/petreltide/daemons_test.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -40,7 +42,10 @@
 		"office, platform by flag too":     {officeCommand(), []string{"--settings", write(whole), "--data", t.TempDir(), "--platform", "there"}, `at platform: "there"`},
 		"office, nothing but a short name": {officeCommand(), []string{"--name", "n"}, "at listen"},
 	} {
+		ctx, done := context.WithTimeout(t.Context(), 10*time.Second)
+		c.cmd.SetContext(ctx)
 		_, err := runCommand(t, c.cmd, c.args...)
+		done()
 		var bad *fault.Fault
 		if !errors.As(err, &bad) || !strings.Contains(bad.Error(), c.names) {
 			t.Errorf("%s: %v does not name %s", name, err, c.names)
--- a/cmd/petreltide/status_test.go
+++ b/cmd/petreltide/status_test.go
@@ -63,7 +63,11 @@
 	cmd.SetErr(io.Discard)
 	cmd.SilenceErrors, cmd.SilenceUsage = true, true
 	cmd.SetArgs(args)
-	err := cmd.ExecuteContext(t.Context())
+	ctx := cmd.Context()
+	if ctx == nil {
+		ctx = t.Context()
+	}
+	err := cmd.ExecuteContext(ctx)
 	return out.String(), err
 }
 
