Bound what a desk's bodies and answers take in memory together

Cause: each body was bounded (the configuration's maxBodyBytes, 64 MiB for an answer), their sum was not: 60 bodies of 4 MiB under way are more than the memory limit of a front machine, and a process over it is killed with all it carries. Change: all calls of a desk hold at most a sixth of limits.memoryMb.

--- a/internal/desk/host.go
+++ b/internal/desk/host.go
@@ -60,6 +60,8 @@
 	streams map[uint64]context.CancelFunc
 	doors   []Door
 	open    func() map[string]int
+	// Room is shared by all doors.
+	Room *Room
 }
 
 // Door is a listener of another interface than this one's own: it takes calls and hands them to Serve.
@@ -105,7 +107,7 @@
 			Patience: dispatch.PatienceOptions{LeastMs: set.Patience.LeastMs, Aims: set.Patience.Aims, Gaps: set.Patience.Gaps},
 		}),
 		act: actor.New(mailboxMost), waiting: map[string]*caller{},
-		streams: map[uint64]context.CancelFunc{},
+		streams: map[uint64]context.CancelFunc{}, Room: &Room{Most: int64(set.MemoryMb) << 20 / roomShare},
 	}
 	opts := subscriber.Options{Desk: set.Name, Inc: inc, Addr: set.Advertise, Zone: set.Zone, Seeds: set.Seeds}
 	h.subscriber = subscriber.New(opts)
