Count a predecessor's lease from this life's start for what the log held then

After a restart of all, an office applies its log anew, and took every order in it for one of this moment: the lease was waited out from when the view stood again. What a log held at the start and shows as settled was ordered before the start; orders that still stand are waited for as before, and what came later as well.

--- a/internal/office/core.go
+++ b/internal/office/core.go
@@ -79,6 +79,10 @@
 	stepUs     int64
 	sleptUs    int64
 	wokeUs     int64
+	// bornUs and bornLast are when this life began, and what its log held then: whatever was settled in there was
+	// ordered before.
+	bornUs   int64
+	bornLast uint64
 }
 
 // CoreOptions are what an office knows of replicas that make themselves known; all may be left out.
@@ -92,6 +96,7 @@
 func NewCoreWith(node *chain.Node, opts CoreOptions) *Core {
 	return &Core{
 		Node: node, Room: feed.New(), Controller: controller.NewWith(node.Me().ID, opts.Controller), Watch: watch.New(), soft: newSoft(opts.DarkUs),
+		bornUs: node.NowUs(), bornLast: node.Last(),
 	}
 }
 
@@ -234,7 +239,11 @@
 	}
 	c.effects = append(c.effects, Effect{Applied: &a})
 	if change.Duty != nil && len(change.Duty.Tickets)+len(change.Duty.Settled) > 0 {
-		c.Controller.Saw(nowUs, change.Epoch, *change.Duty, c.Node.State())
+		sawUs := nowUs
+		if a.Entry.Index <= c.bornLast {
+			sawUs = c.bornUs
+		}
+		c.Controller.Saw(sawUs, change.Epoch, *change.Duty, c.Node.State())
 	}
 	if change.Duty != nil && change.Epoch == c.Node.State().Epoch {
 		out := a.Outcome
--- /dev/null
+++ b/internal/office/life_test.go
@@ -0,0 +1,126 @@
+package office
+
+import (
+	"fmt"
+	"testing"
+
+	"petreltide/internal/chain"
+	"petreltide/internal/clock"
+	"petreltide/internal/controller"
+	"petreltide/internal/ledger"
+	"petreltide/internal/standing"
+)
+
+// pair is two offices with disks that sync at once, and letters that arrive at once.
+type pair struct {
+	t     *testing.T
+	nowUs int64
+	cores [2]*Core
+	disks [2][]chain.Record
+	lives int
+}
+
+const pairLeaseMs = 3000
+
+func (p *pair) start(i int) {
+	p.lives++
+	addr := fmt.Sprint("a", i)
+	node, err := chain.NewNode(chain.Options{
+		Me: chain.Member{ID: "o" + addr, Name: "o" + addr, Addr: addr}, Inc: fmt.Sprint(p.lives), Founders: []string{"a0", "a1"}, SelfMembers: true, CopiesLeast: 2,
+	}, p.disks[i], p.nowUs)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.cores[i] = NewCoreWith(node, CoreOptions{Controller: controller.Options{LeaseUs: pairLeaseMs * clock.Ms}})
+	p.step(i, Event{Learn: []string{"a0", "a1"}})
+}
+
+func (p *pair) step(i int, ev Event) {
+	if p.cores[i] == nil {
+		return
+	}
+	ev.NowUs = p.nowUs
+	for _, e := range p.cores[i].Step(ev) {
+		switch {
+		case e.Save != nil:
+			if e.Save.Copy != nil {
+				p.disks[i] = append(p.disks[i], chain.Record{Copy: e.Save.Copy})
+			}
+			p.disks[i] = append(p.disks[i], e.Save.Records...)
+			p.step(i, Event{Saved: e.Save.Seq})
+		case e.Letter != nil && e.Letter.Addr == fmt.Sprint("a", 1-i):
+			letter := e.Letter.Letter
+			p.step(1-i, Event{Letter: &letter})
+		}
+	}
+}
+
+func (p *pair) pass(us int64) {
+	for endUs := p.nowUs + us; p.nowUs < endUs; {
+		p.nowUs += 25 * clock.Ms
+		for i := range p.cores {
+			p.step(i, Event{})
+		}
+	}
+}
+
+func (p *pair) head() *Core {
+	for _, c := range p.cores {
+		if c != nil && c.Node.IsHead() {
+			return c
+		}
+	}
+	p.t.Fatal("nobody is the head")
+	return nil
+}
+
+func (p *pair) write(c ledger.Change) {
+	for i := range p.cores {
+		if p.cores[i].Node.IsHead() {
+			p.step(i, Event{Submit: &c})
+			return
+		}
+	}
+}
+
+// After a restart of all, the log is applied anew. Orders that were settled in it went out before this life began,
+// and their lease is counted from there, not from when the last office was back.
+func TestTheLeaseAfterARestartOfAllIsCountedFromTheStart(t *testing.T) {
+	p := &pair{t: t, nowUs: clock.Sec}
+	p.start(0)
+	p.start(1)
+	p.pass(3 * clock.Sec)
+	doc := &standing.Declaration{Version: 1,
+		Services: []standing.Service{{Name: "s", Engine: &standing.Engine{Slots: 4, CacheTokens: 1, RoomMb: 100, LoadsPerS: 1, Models: []standing.EngineModel{{Name: "m", SizeMb: 30, LoadMs: 1000}}}}},
+		Routes:   []standing.Route{{Name: "r", Host: "h", Prefix: "/", Repeat: standing.Idempotent, TimeoutMs: 1, AttemptsMost: 1, Split: []standing.Weighted{{Service: "s", Weight: 1}}}},
+	}
+	p.write(ledger.Change{ID: "c", Config: &ledger.ConfigChange{Version: 1, Doc: doc}})
+	p.pass(clock.Sec)
+	s := p.head().Node.State()
+	p.write(ledger.Change{ID: "d1", Epoch: s.Epoch, Duty: &ledger.Duty{
+		Fleet:   []ledger.ReplicaNote{{ID: "r", Inc: "r", RoomMb: 100, Slots: 4, Service: "s"}},
+		Tickets: []ledger.Ticket{{Replica: "r", Inc: "r", Revision: s.Revision, Step: ledger.Load, Unit: "m"}},
+	}})
+	p.write(ledger.Change{ID: "d2", Epoch: s.Epoch, Duty: &ledger.Duty{Settled: []ledger.Settled{{Number: s.NextTicket - 1, Done: true}}}})
+	p.pass(clock.Sec)
+	if s := p.head().Node.State(); s.NextTicket < 2 || len(s.Pending) > 0 || s.Replicas["r"] == nil {
+		t.Fatalf("next ticket %d, pending %v", s.NextTicket, s.Pending)
+	}
+	p.cores = [2]*Core{}
+	p.pass(2 * clock.Sec)
+	bornUs := p.nowUs
+	p.start(0)
+	p.pass(1500 * clock.Ms)
+	p.start(1)
+	for n := 0; n < 400 && (p.cores[0].Controller.Note(p.nowUs, p.cores[0].Node.State()) == nil); n++ {
+		p.pass(25 * clock.Ms)
+	}
+	note := p.cores[0].Controller.Note(p.nowUs, p.cores[0].Node.State())
+	if note == nil {
+		t.Fatal("the first office does not hold the duty")
+	}
+	agoMs := (p.nowUs - bornUs) / 1000
+	if most := pairLeaseMs + 300 - agoMs; note.OrdersInMs > most || agoMs < 1500 || agoMs > pairLeaseMs {
+		t.Errorf("%d ms after its start it waits %d ms more, want %d at most", agoMs, note.OrdersInMs, most)
+	}
+}
