--- a/internal/desk/host.go
+++ b/internal/desk/host.go
@@ -59,7 +59,9 @@
 	mirror  *subscriber.Mirror
 	streams map[uint64]context.CancelFunc
 	doors   []Door
-	open    func() map[string]int
+	// declared is closed once this desk has a declaration.
+	declared chan struct{}
+	open     func() map[string]int
 	// Room is shared by all doors.
 	Room *Room
 }
@@ -107,7 +109,7 @@
 			Patience: dispatch.PatienceOptions{LeastMs: set.Patience.LeastMs, Aims: set.Patience.Aims, Gaps: set.Patience.Gaps},
 		}),
 		act: actor.New(mailboxMost), waiting: map[string]*caller{},
-		streams: map[uint64]context.CancelFunc{}, Room: &Room{Most: int64(set.MemoryMb) << 20 / roomShare},
+		streams: map[uint64]context.CancelFunc{}, declared: make(chan struct{}), Room: &Room{Most: int64(set.MemoryMb) << 20 / roomShare},
 	}
 	opts := subscriber.Options{Desk: set.Name, Inc: inc, Addr: set.Advertise, Zone: set.Zone, Seeds: set.Seeds}
 	h.subscriber = subscriber.New(opts)
@@ -136,6 +138,7 @@
 		every = mirrorTick
 	}
 	h.act.Spawn(func() { h.act.Loop(every, h.tick) })
+	_ = h.log.Log("event", "started", "inc", h.inc)
 	failed := make(chan error, len(h.doors))
 	for _, d := range h.doors {
 		go func() {
--- a/internal/desk/mirror.go
+++ b/internal/desk/mirror.go
@@ -27,6 +27,15 @@
 // Snapshot is the newest news; it is never changed.
 func (h *Host) Snapshot() *dispatch.Snapshot { return h.snap.Load() }
 
+// AwaitDeclaration waits until this desk has one, or for as long as ctx lasts.
+func (h *Host) AwaitDeclaration(ctx context.Context) {
+	select {
+	case <-h.declared:
+	case <-ctx.Done():
+	case <-h.act.Ctx.Done():
+	}
+}
+
 // MaySend is asked once more right before the first byte of a leg leaves.
 func (h *Host) MaySend(st dispatch.Start) bool { return h.maySend(st) }
 
@@ -81,8 +90,13 @@
 			addr := e.Report
 			h.act.Spawn(func() { h.tellOffice(addr, report) })
 		case e.Snapshot != nil:
+			first := e.Snapshot.Doc != nil && (h.snap.Load() == nil || h.snap.Load().Doc == nil)
 			h.snap.Store(e.Snapshot)
 			h.step(dispatch.Event{Snapshot: e.Snapshot})
+			if first {
+				close(h.declared)
+				_ = h.log.Log("event", "declared", "revision", e.Snapshot.Revision, "replicas", len(e.Snapshot.Replicas))
+			}
 		}
 	}
 }
