--- a/internal/placement/resident_test.go
+++ b/internal/placement/resident_test.go
@@ -316,7 +316,7 @@
 	if len(begun) != 2 || begun["r3"] != 1 {
 		t.Errorf("begun at %v: want r3, where there is room by now, and one more beside it", begun)
 	}
-	in.Models["hot"] = Need{Rate: 4, Demand: 0.8}
+	in.Models["hot"] = Need{Rate: 4, Demand: 1.2}
 	if out, _ := Resident(in); slices.ContainsFunc(out, func(p Proposal) bool { return p.For == "hot" }) {
 		t.Errorf("%v: four copies are wanted, and four are held or on their way", out)
 	}
