--- a/cmd/petreltide/operators.go
+++ b/cmd/petreltide/operators.go
@@ -294,6 +294,9 @@
 	if st.Fleet != nil {
 		printFleet(w, st)
 	}
+	for _, r := range st.Outliers {
+		fmt.Fprintf(w, "outlier   %s\n", r)
+	}
 	for _, r := range st.Replicas {
 		if st.Fleet != nil {
 			break
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -8,6 +8,7 @@
 	"petreltide/internal/clock"
 	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
+	"petreltide/internal/outlier"
 	"petreltide/internal/placement"
 	"petreltide/internal/roster"
 	"petreltide/internal/scaler"
@@ -84,6 +85,8 @@
 	Write    *ledger.Change
 	Run      *Run
 	Note     string
+	// Outliers are the verdicts on replicas, where they have changed.
+	Outliers *outlier.Table
 }
 
 type Ask struct {
@@ -113,6 +116,8 @@
 	Writes bool
 	View   uint64
 	Roster *roster.Roster
+	// Outliers are the newest verdicts of whoever judged last.
+	Outliers outlier.Table
 }
 
 type told struct {
@@ -166,6 +171,8 @@
 	markUs     int64
 	routed     routed
 	turns      turns
+	outliers   *outlier.Fleet
+	judges     uint64
 	Faults     map[fault.Code]uint64
 	Policy     PolicyNote
 	Shadows    []PolicyNote
@@ -188,6 +195,7 @@
 	LeaseUs        int64
 	StoreWindowUs  int64
 	StoreOvershoot float64
+	Outlier        outlier.Options
 }
 
 func New(me string) *Controller { return NewWith(me, Options{}) }
@@ -195,7 +203,7 @@
 func NewWith(me string, opts Options) *Controller {
 	return &Controller{
 		me: me, opts: opts, replicas: map[string]*told{}, desks: map[string]*deskRow{},
-		jury: watch.NewJury(), orderUs: map[uint64]int64{}, Faults: map[fault.Code]uint64{}, routed: newRouted(),
+		jury: watch.NewJury(), orderUs: map[uint64]int64{}, Faults: map[fault.Code]uint64{}, routed: newRouted(), outliers: outlier.NewFleet(opts.Outlier),
 	}
 }
 
@@ -234,6 +242,7 @@
 	case ev.Report != nil:
 		f.desks[ev.Report.Desk] = &deskRow{report: *ev.Report, atUs: ev.NowUs}
 		f.jury.Say(ev.NowUs, watch.Silence{By: ev.Report.Desk, Silent: ev.Report.Silent})
+		f.hearOutcomes(seen, ev.Report)
 		if seen.isRouted() && f.unplaced(seen, ev.Report) {
 			f.moved = true
 			f.act(seen)
--- /dev/null
+++ b/internal/controller/outliers.go
@@ -0,0 +1,41 @@
+package controller
+
+import (
+	"petreltide/internal/outlier"
+	"petreltide/internal/wire"
+)
+
+// serviceOf is the service of a life of a replica, "" where it is not known or has ended.
+func (s Seen) serviceOf(id string) string {
+	if e := s.Roster.Row(id); e != nil && !e.Gone {
+		return e.Service
+	}
+	return ""
+}
+
+func (f *Controller) hearOutcomes(seen Seen, r *wire.Report) {
+	if seen.isRouted() && (len(r.Legs) > 0 || len(r.Outcomes) > 0) {
+		f.outliers.Hear(seen.NowUs, outlier.Report{Desk: r.Desk, Zone: r.Zone, Legs: r.Legs, Counts: r.Outcomes}, seen.serviceOf)
+	}
+}
+
+// judgeOutliers works out the verdicts; a new holder of the duty goes on from those of the one before.
+func (f *Controller) judgeOutliers(seen Seen) {
+	if f.judges != f.claimed {
+		f.judges = f.claimed
+		f.outliers.Inherit(seen.NowUs, f.claimed, seen.Outliers, seen.serviceOf)
+	}
+	if !f.outliers.Due(seen.NowUs) {
+		return
+	}
+	replicas := map[string]int{}
+	for _, id := range seen.Roster.IDs() {
+		if e := seen.Roster.Row(id); !e.Gone && !e.Dark && !e.Draining {
+			replicas[e.Service]++
+		}
+	}
+	if f.outliers.Judge(seen.NowUs, f.claimed, replicas, func(id string) bool { return seen.serviceOf(id) != "" }) {
+		table := f.outliers.Table()
+		f.do(Effect{Outliers: &table})
+	}
+}
--- /dev/null
+++ b/internal/controller/outliers_test.go
@@ -0,0 +1,56 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+
+	"petreltide/internal/clock"
+	"petreltide/internal/ledger"
+	"petreltide/internal/outlier"
+	"petreltide/internal/roster"
+	"petreltide/internal/wire"
+)
+
+// What desks tell of a replica that fails becomes a verdict, and what it holds is wanted elsewhere; with the
+// detector switched off neither does.
+func TestWhatDesksTellOfAReplicaBecomesAVerdict(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		f := NewWith("me", Options{Outlier: outlier.Options{Off: off}})
+		f.claimed = 1
+		s := ledger.NewState()
+		s.Epoch, s.Holder, s.Doc = 1, "me", fleetDoc()
+		seen := Seen{NowUs: clock.Sec, State: s, Roster: roster.New(3 * clock.Sec)}
+		service := s.Doc.Services[0].Name
+		for i := range 8 {
+			seen.Roster.Hear(seen.NowUs, roster.Row{ID: fmt.Sprint("r", i), Service: service, Addr: fmt.Sprint("r", i), Zone: "a", Slots: 4, Seq: 1})
+		}
+		s.Replicas["r0"] = &ledger.Replica{ID: "r0", Service: service, Holds: map[string]int64{"m0": 1}}
+		var table *outlier.Table
+		for i := range 20 {
+			seen.NowUs += 200 * clock.Ms
+			for _, desk := range []string{"d1", "d2"} {
+				rep := wire.Report{Desk: desk, Zone: "a", Legs: map[string]int{service: 8}}
+				if i >= 5 {
+					rep.Outcomes = []outlier.Counts{{Replica: "r0", Bad: map[string]int{outlier.ErrorAnswer.String(): 1}}, {Replica: "unknown", Bad: map[string]int{"silence": 9, "nonsense": 9}}}
+				}
+				f.Step(seen, Event{NowUs: seen.NowUs, Report: &rep})
+			}
+			f.effects = nil
+			f.judgeOutliers(seen)
+			for _, e := range f.effects {
+				if e.Outliers != nil {
+					table = e.Outliers
+				}
+			}
+		}
+		held := f.home(seen, s.Replicas["r0"], nil, nil).Usable && f.placed(s, "m0")
+		switch {
+		case off && (table != nil || !held):
+			t.Errorf("it is off: %v, used %t", table, held)
+		case !off && (table == nil || len(table.Rows) != 1 || table.Rows[0].Replica != "r0" || !table.Rows[0].Dead):
+			t.Errorf("every leg at r0 fails: %v", table)
+		case !off && held:
+			t.Error("its models are not wanted elsewhere")
+		}
+	}
+}
--- a/internal/controller/routed.go
+++ b/internal/controller/routed.go
@@ -208,6 +208,7 @@
 		}
 	}
 	f.countNeeds(seen.NowUs)
+	f.judgeOutliers(seen)
 	f.routedOrders(seen)
 	f.startResident(seen)
 	f.write(seen)
@@ -640,21 +641,21 @@
 // none, and of which the policy does not know already that it has no place now.
 func (f *Controller) unplaced(seen Seen, r *wire.Report) bool {
 	for unit, n := range r.Waiting {
-		if n > 0 && !f.routed.unplaced[unit] && !placed(seen.State, unit) {
+		if n > 0 && !f.routed.unplaced[unit] && !f.placed(seen.State, unit) {
 			return true
 		}
 	}
 	return false
 }
 
-func placed(s *ledger.State, unit string) bool {
+func (f *Controller) placed(s *ledger.State, unit string) bool {
 	for _, t := range s.Pending {
 		if t.Unit == unit && t.Step == ledger.Load {
 			return true
 		}
 	}
 	for id, r := range s.Replicas {
-		if _, holds := r.Holds[unit]; holds && !r.Leaving && !r.Dark && s.Pending[id].Unit != unit {
+		if _, holds := r.Holds[unit]; holds && !r.Leaving && !r.Dark && !f.outliers.Kept(id) && s.Pending[id].Unit != unit {
 			return true
 		}
 	}
@@ -736,7 +737,7 @@
 
 func (f *Controller) home(seen Seen, r *ledger.Replica, runs, unread map[string]int) placement.Home {
 	h := placement.Home{
-		ID: r.ID, Usable: !r.Leaving && !r.Dark, FreeMb: r.RoomMb - seen.State.TakenMb(r.ID), Holds: r.Holds, Had: r.Had,
+		ID: r.ID, Usable: !r.Leaving && !r.Dark && !f.outliers.Kept(r.ID), FreeMb: r.RoomMb - seen.State.TakenMb(r.ID), Holds: r.Holds, Had: r.Had,
 		Runs: runs, Unread: unread, AgeMs: map[string]int64{},
 	}
 	for unit := range r.Holds {
--- a/internal/desk/host.go
+++ b/internal/desk/host.go
@@ -107,6 +107,7 @@
 			Desk: set.Name, Inc: inc, Zone: set.Zone, BacklogMax: set.BacklogMax,
 			Budget:   dispatch.BudgetOptions{Ratio: set.Budget.Ratio, Slack: set.Budget.Slack, WindowUs: set.Budget.WindowMs * clock.Ms},
 			Patience: dispatch.PatienceOptions{LeastMs: set.Patience.LeastMs, Aims: set.Patience.Aims, Gaps: set.Patience.Gaps},
+			Outlier:  set.Outlier.Options(),
 		}),
 		act: actor.New(mailboxMost), waiting: map[string]*caller{},
 		streams: map[uint64]context.CancelFunc{}, declared: make(chan struct{}), Room: &Room{Most: int64(set.MemoryMb) << 20 / roomShare},
--- a/internal/desk/mirror.go
+++ b/internal/desk/mirror.go
@@ -72,6 +72,7 @@
 
 func (h *Host) reflect(ev subscriber.MirrorEvent) {
 	ev.NowUs = clock.NowUs()
+	ev.Failing = h.decider.Failing()
 	for _, e := range h.mirror.Step(ev) {
 		switch {
 		case e.Open != nil:
--- a/internal/dispatch/decider.go
+++ b/internal/dispatch/decider.go
@@ -11,6 +11,7 @@
 
 	"petreltide/internal/clock"
 	"petreltide/internal/fault"
+	"petreltide/internal/outlier"
 	"petreltide/internal/wire"
 )
 
@@ -40,6 +41,8 @@
 	Progress atomic.Int64
 	FirstUs  atomic.Int64
 	Routed   *Routed
+	// Outcome is the class of the last leg's, an outlier.Class, where whoever ran it can tell.
+	Outcome atomic.Int32
 
 	takenAt  uint64
 	urgency  int
@@ -173,6 +176,7 @@
 	BacklogMax int
 	Budget     BudgetOptions
 	Patience   PatienceOptions
+	Outlier    outlier.Options
 }
 
 // Decider is asked; the executor obeys. It owns the backlog, the slots and the leg numbers.
@@ -202,13 +206,14 @@
 	budgets   map[string]*budget
 	readings  map[string]*reading
 	prospects *prospects
+	outliers  *outlier.Local
 	legSeq    uint64
 	effects   []Effect
 }
 
 func New(opts Options) *Decider {
 	d := &Decider{opts: opts, calls: map[string]*Call{}, kinds: map[string]*kindRow{}, places: map[string]*place{}, runs: map[string]*run{},
-		sites: map[string]*site{}, budgets: map[string]*budget{}, readings: map[string]*reading{}, prospects: newProspects()}
+		sites: map[string]*site{}, budgets: map[string]*budget{}, readings: map[string]*reading{}, prospects: newProspects(), outliers: outlier.NewLocal(opts.Outlier)}
 	for i := range d.slots {
 		d.slots[i] = map[string]int{}
 		d.tokens[i] = map[string]int64{}
--- /dev/null
+++ b/internal/dispatch/outcome_test.go
@@ -0,0 +1,145 @@
+package dispatch
+
+import (
+	"testing"
+
+	"petreltide/internal/clock"
+	"petreltide/internal/outlier"
+	"petreltide/internal/standing"
+)
+
+func tried(rows ...outlier.Row) map[string]outlier.Row {
+	all := map[string]outlier.Row{}
+	for _, r := range rows {
+		all[r.Replica] = r
+	}
+	return all
+}
+
+func TestCallsGoWhereTheyAreTrusted(t *testing.T) {
+	doc := declaration(declared{"plain", standing.Idempotent, 2, one("s"), false}, declared{"model", standing.Idempotent, 2, one("engine"), false})
+	for _, c := range []struct {
+		what    string
+		route   string
+		model   string
+		at      []string
+		verdict []outlier.Row
+		least   int
+		most    int
+	}{
+		{"both are well", "model", "m", []string{"r1", "r2"}, nil, 30, 170},
+		{"the other is well", "model", "m", []string{"r1", "r2"}, []outlier.Row{{Replica: "r1"}}, 0, 0},
+		{"a trial", "model", "m", []string{"r1", "r2"}, []outlier.Row{{Replica: "r1", Share: 12}}, 1, 40},
+		{"nobody else has it", "model", "m", []string{"r1"}, []outlier.Row{{Replica: "r1"}}, 200, 200},
+		{"it is dead, and can be loaded elsewhere", "model", "m", []string{"r1"}, []outlier.Row{{Replica: "r1", Dead: true}}, 0, 0},
+		{"it is dead, and there is no elsewhere", "plain", "", []string{"r1"}, []outlier.Row{{Replica: "r1", Dead: true}}, 200, 200},
+	} {
+		service := "s"
+		if c.route == "model" {
+			service = "engine"
+		}
+		rows := at(service, c.at...)
+		for i := range rows {
+			rows[i].Slots = 1000
+		}
+		s := stands(doc, 1, rows...)
+		s.Trials = tried(c.verdict...)
+		k := newClerk(Options{}, s)
+		got := 0
+		for i := range 200 {
+			id := "c" + itoa(uint64(i))
+			k.call(id, c.route, c.model)
+			if legs := k.legs[id]; len(legs) > 0 {
+				if legs[0].Replica == "r1" {
+					got++
+				}
+				k.end(id, Done)
+			}
+		}
+		if got < c.least || got > c.most {
+			t.Errorf("%s: %d of 200 went to r1, want %d to %d", c.what, got, c.least, c.most)
+		}
+	}
+}
+
+// A call is not sent again at once to the replica that has just failed it, though nobody else has its model.
+func TestACallThatFailedIsNotSentThereAgainAtOnce(t *testing.T) {
+	k := newClerk(Options{}, stands(declaration(declared{"many", standing.Idempotent, 3, one("engine"), false}), 1, at("engine", "r1", "r2")...))
+	k.d.snap.Replicas["r2"].Holds = nil
+	k.call("c", "many", "m").Outcome.Store(int32(outlier.ResetFresh))
+	k.end("c", Unknown)
+	if n := len(k.legs["c"]); n != 1 {
+		t.Errorf("%d legs at once", n)
+	}
+	k.after(clock.Sec + clock.Ms)
+	if n := len(k.legs["c"]); n != 2 {
+		t.Errorf("%d legs a second later", n)
+	}
+}
+
+func TestWhatReportsTellOfLegs(t *testing.T) {
+	doc := declaration(declared{"many", standing.Idempotent, 3, one("engine"), false})
+	for _, c := range []struct {
+		what   string
+		class  outlier.Class
+		ending Ending
+		firstMs,
+		endMs int64
+		want outlier.Class
+	}{
+		{"an answer", outlier.None, Done, 20, 30, outlier.Good},
+		{"an answer that was long in coming", outlier.None, Done, 900, 950, outlier.Slow},
+		{"its own error", outlier.ErrorAnswer, Broken, 20, 20, outlier.ErrorAnswer},
+		{"an error in the request", outlier.Good, Failed, 20, 20, outlier.Good},
+		{"a connection that had died", outlier.ResetReused, Unknown, 0, 5, outlier.None},
+		{"a new one that was reset", outlier.ResetFresh, Unknown, 0, 5, outlier.ResetFresh},
+		{"its client left at once", outlier.None, Unknown, 0, 5, outlier.None},
+		{"its client left after a long silence", outlier.None, Unknown, 0, 2000, outlier.Silence},
+		{"its client left in the middle", outlier.Inconclusive, Broken, 20, 30, outlier.None},
+		{"it was full", outlier.None, Refused, 0, 5, outlier.Shed},
+	} {
+		k := newClerk(Options{}, stands(doc, 1, at("engine", "r1")...))
+		call := k.call("c", "many", "m")
+		startUs := k.nowUs
+		if c.firstMs > 0 {
+			call.FirstUs.Store(startUs + c.firstMs*clock.Ms)
+		}
+		call.Outcome.Store(int32(c.class))
+		k.nowUs += c.endMs * clock.Ms
+		k.end("c", c.ending)
+		rep := k.d.Report(k.nowUs)
+		got := outlier.None
+		if rep.Legs["engine"] > 0 {
+			got = outlier.Good
+		}
+		for _, o := range rep.Outcomes {
+			for name := range o.Bad {
+				got = outlier.ClassOf(name)
+			}
+		}
+		if got != c.want {
+			t.Errorf("%s: told as %q, want %q", c.what, got, c.want)
+		}
+	}
+}
+
+// A leg that shows nothing is told of while it still hangs, once.
+func TestAHangingLegIsToldOfBeforeItEnds(t *testing.T) {
+	k := newClerk(Options{}, stands(declaration(declared{"many", standing.Idempotent, 3, one("engine"), false}), 1, at("engine", "r1")...))
+	k.call("c", "many", "m")
+	k.after(clock.Sec)
+	told := 0
+	for range 3 {
+		for _, o := range k.d.Report(k.nowUs).Outcomes {
+			told += o.Bad[outlier.Silence.String()]
+		}
+		k.after(clock.Sec)
+	}
+	k.end("c", Unknown)
+	for _, o := range k.d.Report(k.nowUs).Outcomes {
+		told += o.Bad[outlier.Silence.String()]
+	}
+	if told != 1 {
+		t.Errorf("told %d times", told)
+	}
+}
--- a/internal/dispatch/routed.go
+++ b/internal/dispatch/routed.go
@@ -55,6 +55,7 @@
 	tokens      int64
 	predictedMs float64
 	alone       bool
+	late        bool
 }
 
 // site is what this desk knows of one replica from its own legs there.
@@ -123,6 +124,9 @@
 	if svc == nil || svc.Engine == nil || model == "" {
 		return true
 	}
+	if s.Trials[r.ID].Dead {
+		return false
+	}
 	if r.Unloading == model || (adapter != "" && r.Unloading == model+"/"+adapter) {
 		return false
 	}
@@ -137,7 +141,7 @@
 	unit := c.unit()
 	svc := d.snap.Doc.Service(c.Routed.Service)
 	engine := svc != nil && svc.Engine != nil && c.Model != ""
-	others := d.untried(c)
+	others, well := d.untried(c), d.wellPlaced(c)
 	baseMs, perToken := 0.0, 1/tokensPerMs
 	if engine {
 		baseMs, perToken = d.reading(c).line()
@@ -147,6 +151,9 @@
 			continue
 		}
 		s := d.siteOf(r.ID)
+		if (well || slices.Contains(c.tried, r.ID)) && !d.trusts(c, r.ID) {
+			continue
+		}
 		if d.nowUs < s.shyUs || d.nowUs < s.missing[unit] || (others && slices.Contains(c.tried, r.ID)) {
 			continue
 		}
@@ -267,6 +274,7 @@
 	if f == nil {
 		return
 	}
+	d.judge(c, f, on, e)
 	switch e {
 	case Unsent:
 		s.failures++
@@ -385,6 +393,7 @@
 // piece has come for.
 func (d *Decider) reportRouted(rep *wire.Report) {
 	d.promised(rep)
+	d.reportOutcomes(rep)
 	for id, s := range d.sites {
 		if d.snap != nil && d.snap.Replicas[id] == nil && len(s.flights) == 0 {
 			delete(d.sites, id)
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -5,6 +5,7 @@
 
 	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
+	"petreltide/internal/outlier"
 	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
@@ -23,6 +24,8 @@
 	// Of a routed declaration: replicas by service in order of their ids, and how many desks live.
 	ByService map[string][]*wire.ReplicaNews
 	Desks     int
+	// Trials are the verdicts on replicas that are not well, as they hold for this desk.
+	Trials map[string]outlier.Row
 }
 
 func Fold(prior *Snapshot, n wire.News, nowUs int64) *Snapshot {
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -20,6 +20,7 @@
 	NoLease        Code = "no_lease"
 	Expired        Code = "expired"
 	ReplicaFailed  Code = "replica_failed"
+	ReplicaRefuses Code = "replica_refuses"
 	Unknown        Code = "unknown"
 	Broken         Code = "broken"
 	KeyRunning     Code = "key_running"
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -8,6 +8,7 @@
 	"petreltide/internal/chain"
 	"petreltide/internal/clock"
 	"petreltide/internal/ledger"
+	"petreltide/internal/outlier"
 	"petreltide/internal/roster"
 	"petreltide/internal/standing"
 	"petreltide/internal/wire"
@@ -31,6 +32,8 @@
 	Offices []chain.Member
 	Settled bool
 	Roster  *roster.Roster
+	// Outliers are the newest verdicts that this office knows.
+	Outliers outlier.Table
 }
 
 // FramePush is a frame for one desk; desks that know the same share one.
@@ -64,6 +67,7 @@
 
 // told is how far the streams of one kind have been brought on.
 type told struct {
+	outliers outlier.Table
 	settled  bool
 	revision uint64
 	rosterAt uint64
@@ -207,6 +211,11 @@
 	if seen.Settled && (seen.State.OrdersIndex != t.ordersAt || t.orders == nil) {
 		f.Orders = t.ordersSince(seen.State)
 	}
+	if seen.Outliers.After(t.outliers) {
+		t.outliers = seen.Outliers
+		f.Outliers = &seen.Outliers
+		news = true
+	}
 	return f, news || len(f.Replicas) > 0 || f.Orders != nil
 }
 
@@ -295,6 +304,9 @@
 		h.configure(f, seen.State, s.revision)
 		s.revision = f.Revision
 	}
+	if seen.Outliers.Epoch > 0 {
+		f.Outliers = &seen.Outliers
+	}
 	for _, id := range seen.Roster.IDs() {
 		f.Replicas = append(f.Replicas, rowOf(seen, id))
 	}
--- a/internal/office/core.go
+++ b/internal/office/core.go
@@ -9,6 +9,7 @@
 	"petreltide/internal/fault"
 	"petreltide/internal/feed"
 	"petreltide/internal/ledger"
+	"petreltide/internal/outlier"
 	"petreltide/internal/roster"
 	"petreltide/internal/watch"
 	"petreltide/internal/wire"
@@ -164,6 +165,8 @@
 		c.controller(controller.Event{NowUs: nowUs, Silence: l.Silence})
 	case l.Heard != nil:
 		c.heardFrom(nowUs, *l.Heard)
+	case l.Outlier != nil && l.Outlier.After(c.soft.Outliers):
+		c.soft.Outliers = *l.Outlier
 	}
 }
 
@@ -279,7 +282,7 @@
 	seen := controller.Seen{
 		NowUs: ev.NowUs, State: c.Node.State(), Head: c.Node.IsHead(),
 		Fresh: c.Node.HeadFresh(ev.NowUs), Writes: c.Node.WritesTaken(), View: c.Node.View().Number,
-		Roster: c.soft.Roster,
+		Roster: c.soft.Roster, Outliers: c.soft.Outliers,
 	}
 	if !seen.Writes {
 		seen.Fresh = false
@@ -289,6 +292,10 @@
 			c.chain(chain.Event{NowUs: ev.NowUs, Submit: e.Write})
 			continue
 		}
+		if e.Outliers != nil {
+			c.judged(*e.Outliers)
+			continue
+		}
 		held := e
 		c.effects = append(c.effects, Effect{Controller: &held})
 	}
@@ -335,6 +342,8 @@
 	Loads    uint64                  `json:"loads"`
 	LoadedMb int64                   `json:"loadedMb"`
 	Fleet    *Fleet                  `json:"fleet,omitempty"`
+	// Outliers are the replicas that desks are kept from, wholly or in part.
+	Outliers []outlier.Row `json:"outliers,omitempty"`
 }
 
 func (c *Core) Status(nowUs int64) Status {
@@ -345,7 +354,7 @@
 		Revision: s.Revision, Partners: c.Node.Partners(), Desks: c.Room.Desks(nowUs), Demand: c.Controller.Desks(nowUs),
 		Counts: c.Controller.Counts(), Policy: c.Controller.Policy, Shadows: c.Controller.Shadows,
 		Faults: copyOf(c.Controller.Faults), Refused: copyOf(s.Refused), Keys: len(s.Keys), Member: s.Member, MemberOn: c.Node.MemberWaits(), Grants: len(s.Grants), Loads: s.Loads, LoadedMb: s.LoadedMb,
-		Pending: []ledger.Ticket{}, Replicas: []ledger.Replica{}, Fleet: c.fleet(nowUs),
+		Pending: []ledger.Ticket{}, Replicas: []ledger.Replica{}, Fleet: c.fleet(nowUs), Outliers: c.soft.Outliers.Rows,
 	}
 	if s.Doc != nil {
 		st.Emptied = s.Doc.Emptied
--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -161,6 +161,7 @@
 		DarkUs: set.HeartbeatMs * 5 / 2 * clock.Ms,
 		Controller: controller.Options{
 			LeaseUs: set.LeaseMs * clock.Ms, StoreWindowUs: set.StoreWindowMs * clock.Ms, StoreOvershoot: set.StoreOvershoot,
+			Outlier: set.Outlier.Options(),
 		},
 	})
 	h := &Host{
--- a/internal/office/replicas.go
+++ b/internal/office/replicas.go
@@ -5,6 +5,7 @@
 	"petreltide/internal/clock"
 	"petreltide/internal/controller"
 	"petreltide/internal/feed"
+	"petreltide/internal/outlier"
 	"petreltide/internal/roster"
 	"petreltide/internal/wire"
 )
@@ -35,10 +36,12 @@
 type soft struct {
 	Roster *roster.Roster
 	Hub    *feed.Hub
-	told   map[string]*told
-	tellUs int64
-	urgent bool
-	wants  bool
+	// Outliers are the newest verdicts on replicas, this office's own or the head's.
+	Outliers outlier.Table
+	told     map[string]*told
+	tellUs   int64
+	urgent   bool
+	wants    bool
 }
 
 func newSoft(darkUs int64) soft {
@@ -122,6 +125,21 @@
 	c.soft.urgent, c.soft.wants = false, false
 }
 
+// judged takes this office's own verdicts and tells them the others.
+func (c *Core) judged(t outlier.Table) {
+	if !t.After(c.soft.Outliers) {
+		return
+	}
+	c.soft.Outliers = t
+	c.effects = append(c.effects, Effect{Note: "outliers", Trouble: t.String()})
+	for _, p := range c.Node.Partners() {
+		if p.Sound {
+			table := t
+			c.post(p.Member.Addr, wire.Letter{Outlier: &table})
+		}
+	}
+}
+
 // settled: what this office knows as committed is the chain's, not what a disk alone remembers.
 func (c *Core) settled() bool { return c.Node.Settled() }
 
@@ -130,7 +148,7 @@
 		c.officesUs, c.known = nowUs, c.offices()
 	}
 	for _, p := range c.soft.Hub.Frames(feed.Seen{
-		NowUs: nowUs, Me: c.Node.Me().ID, State: c.Node.State(), View: c.Node.View(), Offices: c.known, Settled: c.settled(), Roster: c.soft.Roster,
+		NowUs: nowUs, Me: c.Node.Me().ID, State: c.Node.State(), View: c.Node.View(), Offices: c.known, Settled: c.settled(), Roster: c.soft.Roster, Outliers: c.soft.Outliers,
 	}) {
 		push := p
 		c.effects = append(c.effects, Effect{Frame: &push})
--- /dev/null
+++ b/internal/outlier/local.go
@@ -0,0 +1,153 @@
+package outlier
+
+import (
+	"maps"
+	"math"
+	"slices"
+
+	"petreltide/internal/clock"
+)
+
+const (
+	localFalse    = 60 * clock.Sec
+	localOutUs    = 1 * clock.Sec
+	localOutMost  = 8 * clock.Sec
+	localLeast    = 2.0
+	localMemory   = 512.0
+	localTold     = 128
+	localForgetUs = 30 * clock.Sec
+)
+
+// local is one replica as one desk sees it.
+type local struct {
+	service string
+	sum     float64
+	untilUs int64
+	times   int
+	atUs    int64
+	counts  Counts
+}
+
+// Local is one desk's own sight of replicas: it keeps off those that failed it for a moment, whatever the
+// cause, and counts what the controller is told.
+type Local struct {
+	opts     Options
+	replicas map[string]*local
+	legs     map[string]int
+	// share is of each service's classes over about localMemory legs, all replicas together.
+	share  map[string]*[classes]float64
+	rateUs map[string]float64
+	lastUs map[string]int64
+	bad    bool
+	offUs  int64
+}
+
+func NewLocal(opts Options) *Local {
+	return &Local{
+		opts: opts.filled(), replicas: map[string]*local{}, legs: map[string]int{}, share: map[string]*[classes]float64{},
+		rateUs: map[string]float64{}, lastUs: map[string]int64{},
+	}
+}
+
+// Note takes what became of a leg. Of is how many replicas the service has; repeated evidence against one
+// keeps this desk off it for a time that doubles, and a good leg ends it.
+func (l *Local) Note(nowUs int64, service, replica string, class Class, of int) {
+	if class != Good && !class.Bad() {
+		return
+	}
+	r := l.replicas[replica]
+	if r == nil {
+		r = &local{service: service, counts: Counts{Replica: replica}}
+		l.replicas[replica] = r
+	}
+	r.atUs = nowUs
+	l.legs[service]++
+	mean := l.share[service]
+	if mean == nil {
+		mean = &[classes]float64{}
+		l.share[service] = mean
+	}
+	// Every class is weighed against the mean as it was before this leg.
+	gain := weight(class, mean[class])
+	for c := Good; c < Inconclusive; c++ {
+		hit := 0.0
+		if c == class {
+			hit = 1
+		}
+		mean[c] += (hit - mean[c]) / localMemory
+	}
+	if lastUs := l.lastUs[service]; lastUs > 0 {
+		l.rateUs[service] += (float64(nowUs-lastUs) - l.rateUs[service]) / 64
+	}
+	l.lastUs[service] = nowUs
+	r.sum = max(0, r.sum+gain)
+	if class == Good {
+		r.counts.Good = min(r.counts.Good+1, localTold)
+		if nowUs >= r.untilUs {
+			r.times, r.untilUs = 0, 0
+		}
+		return
+	}
+	if r.counts.Bad == nil {
+		r.counts.Bad = map[string]int{}
+	}
+	r.counts.Bad[class.String()]++
+	if class == Shed || class == Slow || l.opts.Off {
+		return
+	}
+	l.bad = true
+	limit := localLeast
+	if every := l.rateUs[service]; every > 0 {
+		limit = max(limit, math.Log(float64(localFalse)/(every*float64(max(of, 1)))))
+	}
+	if r.sum >= limit && (nowUs < r.untilUs || l.out(nowUs, service) < max(1, int(l.opts.MostShare*float64(of)))) && of > 1 {
+		r.untilUs = nowUs + min(localOutUs<<min(r.times, 4), localOutMost)
+		r.times++
+		r.sum = limit / 2
+		l.offUs = max(l.offUs, r.untilUs)
+	}
+}
+
+// Off says that this desk keeps off a replica now.
+func (l *Local) Off(nowUs int64, replica string) bool {
+	if nowUs >= l.offUs {
+		return false
+	}
+	r := l.replicas[replica]
+	return r != nil && nowUs < r.untilUs
+}
+
+// AnyOff says that this desk keeps off some replica now.
+func (l *Local) AnyOff(nowUs int64) bool { return nowUs < l.offUs }
+
+func (l *Local) out(nowUs int64, service string) int {
+	n := 0
+	for _, r := range l.replicas {
+		if r.service == service && nowUs < r.untilUs {
+			n++
+		}
+	}
+	return n
+}
+
+// News is true where something failed outright that has not been told.
+func (l *Local) News() bool { return l.bad }
+
+// Tell gives what has been counted since it was last asked: legs by service, and the counts of replicas where
+// something failed or that are on trial.
+func (l *Local) Tell(nowUs int64, onTrial func(replica string) bool) (legs map[string]int, counts []Counts) {
+	legs, l.legs, l.bad = l.legs, map[string]int{}, false
+	for _, id := range slices.Sorted(maps.Keys(l.replicas)) {
+		r := l.replicas[id]
+		if len(r.counts.Bad) > 0 || (r.counts.Good > 0 && onTrial(id)) {
+			counts = append(counts, r.counts)
+		}
+		if len(r.counts.Bad) > 0 || onTrial(id) {
+			r.counts = Counts{Replica: id}
+		}
+		if nowUs-r.atUs > localForgetUs {
+			delete(l.replicas, id)
+		}
+	}
+	return legs, counts
+}
--- /dev/null
+++ b/internal/outlier/outlier_test.go
@@ -0,0 +1,351 @@
+package outlier
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+
+	"petreltide/internal/clock"
+)
+
+const (
+	stepUs    = 10 * clock.Ms
+	reportUs  = 750 * clock.Ms
+	hurriedUs = 250 * clock.Ms
+	newsUs    = 120 * clock.Ms
+)
+
+// illness is how one replica treats legs for a while: Part of those of desks in Zone, "" for all, or of one
+// Desk, end as Class.
+type illness struct {
+	replica      int
+	class        Class
+	part         float64
+	zone, desk   string
+	fromUs, toUs int64
+}
+
+type seat struct {
+	id, zone string
+	local    *Local
+	toldUs   int64
+	rows     map[string]Row
+}
+
+// world is desks that send legs at an even rate to the replicas of one service, and one controller.
+type world struct {
+	r        *rand.Rand
+	opts     Options
+	replicas []string
+	ills     []illness
+	perS     float64
+	common   map[Class]float64
+
+	nowUs   int64
+	seats   []*seat
+	fleet   *Fleet
+	tables  []Table
+	news    []int64
+	sent    map[int]int
+	failed  map[int]int
+	outMost int
+	outUs   map[string]int64
+	tellers int
+	told    int
+}
+
+func newWorld(seed int64, desks, replicas int, perS float64, opts Options) *world {
+	w := &world{r: rand.New(rand.NewSource(seed)), opts: opts, perS: perS, common: map[Class]float64{}, fleet: NewFleet(opts), outUs: map[string]int64{}}
+	for i := range replicas {
+		w.replicas = append(w.replicas, fmt.Sprintf("r%03d", i))
+	}
+	for i := range desks {
+		w.seats = append(w.seats, &seat{id: fmt.Sprintf("d%02d", i), zone: string(rune('a' + i%3)), local: NewLocal(opts), toldUs: int64(i) * 10 * clock.Ms})
+	}
+	return w
+}
+
+func (w *world) lives(string) string { return "s" }
+
+// run plays until an hour of the day; from then on sent and failed count anew.
+func (w *world) run(untilUs int64) {
+	w.sent, w.failed = map[int]int{}, map[int]int{}
+	for w.nowUs < untilUs {
+		w.nowUs += stepUs
+		legs := w.perS * float64(stepUs) / 1e6
+		n := int(legs)
+		if w.r.Float64() < legs-float64(n) {
+			n++
+		}
+		for range n {
+			w.leg(w.seats[w.r.Intn(len(w.seats))])
+		}
+		for _, s := range w.seats {
+			for len(w.news) > 0 && w.nowUs >= w.news[0] {
+				for _, to := range w.seats {
+					to.rows = w.tables[0].In(to.zone)
+				}
+				w.news, w.tables = w.news[1:], w.tables[1:]
+			}
+			if spanUs := w.nowUs - s.toldUs; spanUs >= reportUs || (s.local.News() && spanUs >= hurriedUs) {
+				s.toldUs = w.nowUs
+				legs, counts := s.local.Tell(w.nowUs, func(id string) bool { row, on := s.rows[id]; return on && row.Share > 0 })
+				w.told++
+				if len(counts) > 0 {
+					w.tellers++
+				}
+				w.fleet.Hear(w.nowUs, Report{Desk: s.id, Zone: s.zone, Legs: legs, Counts: counts}, w.lives)
+			}
+		}
+		if w.fleet.Judge(w.nowUs, 1, map[string]int{"s": len(w.replicas)}, func(string) bool { return true }) {
+			w.tables, w.news = append(w.tables, w.fleet.Table()), append(w.news, w.nowUs+newsUs)
+		}
+		if w.nowUs%judgeUs == 0 {
+			w.look()
+		}
+	}
+}
+
+// look notes who is kept off, and for how long the desks of how many zones.
+func (w *world) look() {
+	for _, zone := range []string{"a", "b", "c"} {
+		out := w.fleet.Table().In(zone)
+		w.outMost = max(w.outMost, len(out))
+		for id, row := range out {
+			if row.Share == 0 {
+				w.outUs[id] += judgeUs / 3
+			}
+		}
+	}
+}
+
+func (w *world) leg(s *seat) {
+	at := w.r.Intn(len(w.replicas))
+	for range 20 {
+		row, on := s.rows[w.replicas[at]]
+		if !s.local.Off(w.nowUs, w.replicas[at]) && (!on || w.r.Intn(100) < row.Share) {
+			break
+		}
+		at = w.r.Intn(len(w.replicas))
+	}
+	class, draw := Good, w.r.Float64()
+	for c := ConnectRefused; c < Inconclusive; c++ {
+		if draw < w.common[c] {
+			class = c
+			break
+		}
+		draw -= w.common[c]
+	}
+	for _, ill := range w.ills {
+		if ill.replica == at && w.nowUs >= ill.fromUs && w.nowUs < ill.toUs && (ill.zone == "" || ill.zone == s.zone) && (ill.desk == "" || ill.desk == s.id) && w.r.Float64() < ill.part {
+			class = ill.class
+		}
+	}
+	w.sent[at]++
+	if class != Good {
+		w.failed[at]++
+	}
+	s.local.Note(w.nowUs, "s", w.replicas[at], class, len(w.replicas))
+}
+
+func (w *world) failures() (n int) {
+	for _, f := range w.failed {
+		n += f
+	}
+	return n
+}
+
+func sum(m map[int]int) (n int) {
+	for _, v := range m {
+		n += v
+	}
+	return n
+}
+
+// sizes are a small deployment and two large ones: desks, replicas, legs a second.
+var sizes = []struct {
+	desks, replicas int
+	perS            float64
+}{{3, 9, 60}, {8, 12, 150}, {58, 60, 183}, {63, 140, 850}}
+
+// checkIll says what is wrong with how a seventh of the replicas is dealt with that fails in one way from
+// 10 s to 25 s: what fails of all legs in the last 10 s of that, who is out that is well, and who still
+// is 17 s after its end.
+func checkIll(seed int64, desks, replicas int, perS float64, class Class, part float64, opts Options) (string, float64) {
+	w := newWorld(seed, desks, replicas, perS, opts)
+	ill := max(1, replicas/7)
+	for i := range ill {
+		w.ills = append(w.ills, illness{replica: i, class: class, part: part, fromUs: 10 * clock.Sec, toUs: 25 * clock.Sec})
+	}
+	w.run(15 * clock.Sec)
+	w.run(25 * clock.Sec)
+	share := float64(w.failures()) / float64(sum(w.sent))
+	alone := part * float64(ill) / float64(replicas)
+	w.run(42 * clock.Sec)
+	most := max(1, int(mostShareUsual*float64(replicas)))
+	switch {
+	case share > alone/3:
+		return fmt.Sprintf("%.1f%% of all legs failed, %.1f%% would without any verdict", 100*share, 100*alone), share
+	case w.outMost > most:
+		return fmt.Sprintf("%d of %d replicas were kept off at once, %d may", w.outMost, replicas, most), share
+	case len(w.fleet.Table().Rows) > 0:
+		return fmt.Sprintf("17 s after they are well again: %v", w.fleet.Table().Rows), share
+	}
+	for i := ill; i < replicas; i++ {
+		if us := w.outUs[w.replicas[i]]; us > 0 {
+			return fmt.Sprintf("%s was out for %d ms and is well", w.replicas[i], us/1000), share
+		}
+	}
+	return "", share
+}
+
+func TestSeededIllReplicasAreTakenOutAndComeBack(t *testing.T) {
+	for _, size := range sizes {
+		for _, c := range []struct {
+			class Class
+			part  float64
+		}{{ErrorAnswer, 0.4}, {Silence, 1}, {Slow, 1}} {
+			for seed := range int64(2) {
+				wrong, share := checkIll(seed, size.desks, size.replicas, size.perS, c.class, c.part, Options{})
+				if wrong != "" {
+					t.Errorf("%d desks, %d replicas, %s, seed %d: %s", size.desks, size.replicas, c.class, seed, wrong)
+				}
+				if seed == 0 {
+					t.Logf("%d desks, %d replicas, %s for %.0f%%: %.2f%% of all legs failed, %.2f%% without", size.desks, size.replicas, c.class, 100*c.part, 100*share,
+						100*c.part*float64(max(1, size.replicas/7))/float64(size.replicas))
+				}
+			}
+		}
+	}
+}
+
+func TestPlantedBreaksOfTheDetectorAreCaught(t *testing.T) {
+	for _, c := range []struct {
+		what string
+		opts Options
+		part float64
+	}{
+		{"it judges nobody", Options{Off: true}, 0.4},
+		{"a replica that is out stays out", Options{OutUs: 3600 * clock.Sec, OutMostUs: 3600 * clock.Sec}, 0.4},
+		{"it suspects on anything", Options{FalseUs: 1, MostShare: 1}, 0.01},
+	} {
+		caught := 0
+		for seed := range int64(3) {
+			if wrong, _ := checkIll(seed, 8, 12, 150, ErrorAnswer, c.part, c.opts); wrong != "" {
+				caught++
+			}
+		}
+		if caught == 0 {
+			t.Errorf("%s: no seed shows it", c.what)
+		}
+	}
+}
+
+func TestOneBadLinkCondemnsNobody(t *testing.T) {
+	for _, size := range sizes {
+		w := newWorld(5, size.desks, size.replicas, size.perS, Options{})
+		for i := range w.replicas {
+			w.ills = append(w.ills, illness{replica: i, class: Silence, part: 1, desk: "d01", toUs: 60 * clock.Sec})
+		}
+		w.run(60 * clock.Sec)
+		if w.outMost > 0 {
+			t.Errorf("%d desks: one desk that reaches nobody had %d replicas taken out", size.desks, w.outMost)
+		}
+	}
+}
+
+func TestWhatFailsForOneZoneIsKeptFromThatZone(t *testing.T) {
+	for _, size := range sizes[2:] {
+		w := newWorld(6, size.desks, size.replicas, size.perS, Options{})
+		w.ills = append(w.ills, illness{replica: 0, class: ErrorAnswer, part: 0.5, zone: "b", toUs: 60 * clock.Sec})
+		w.run(20 * clock.Sec)
+		seen := map[string]bool{}
+		for range 100 {
+			w.run(w.nowUs + 100*clock.Ms)
+			for _, r := range w.fleet.Table().Rows {
+				seen[r.Replica+" "+r.Zone] = true
+			}
+		}
+		if len(seen) != 1 || !seen["r000 b"] {
+			t.Errorf("%d desks: verdicts on %v, want r000 for zone b alone", size.desks, seen)
+		}
+	}
+}
+
+// Where most look ill, the cause is not theirs: whatever is held against them, the share holds.
+func TestTheFleetIsNotEmptied(t *testing.T) {
+	for _, size := range sizes {
+		for _, part := range []float64{0.3, 1} {
+			w := newWorld(7, size.desks, size.replicas, size.perS, Options{})
+			for i := range w.replicas[:size.replicas*4/5] {
+				w.ills = append(w.ills, illness{replica: i, class: Silence, part: part, fromUs: 10 * clock.Sec, toUs: 40 * clock.Sec})
+			}
+			w.run(60 * clock.Sec)
+			if most := max(1, int(mostShareUsual*float64(size.replicas))); w.outMost > most {
+				t.Errorf("%d of %d were kept off at once", w.outMost, size.replicas)
+			}
+			if rows := w.fleet.Table().Rows; len(rows) > 0 {
+				t.Errorf("%d replicas: 20 s after its end: %v", size.replicas, rows)
+			}
+		}
+	}
+}
+
+// The false alarms that docs/design-outlier.md gives: every replica fails alike, at rates up to a fifth.
+func TestSeededFalseAlarms(t *testing.T) {
+	for _, size := range sizes {
+		for _, c := range []struct {
+			class Class
+			part  float64
+		}{{ErrorAnswer, 0.002}, {ErrorAnswer, 0.02}, {Shed, 0.2}, {Silence, 0.05}, {ResetReused, 0.05}} {
+			outUs := int64(0)
+			ms := 0
+			const spanUs = 60 * clock.Sec
+			w := newWorld(8, size.desks, size.replicas, size.perS, Options{})
+			w.common[c.class] = c.part
+			w.run(spanUs)
+			for _, us := range w.outUs {
+				outUs += us
+				ms++
+			}
+			part := float64(outUs) / float64(spanUs) / float64(size.replicas)
+			t.Logf("%d desks, %d replicas, all fail %.1f%% by %s: %d were out, %.3f%% of their time; %d of %d reports told of it", size.desks, size.replicas, 100*c.part, c.class, ms, 100*part, w.tellers, w.told)
+			if part > 0.01 {
+				t.Errorf("%d replicas, %s in %.1f%%: sound ones were out for %.2f%% of their time", size.replicas, c.class, 100*c.part, 100*part)
+			}
+		}
+	}
+}
+
+func TestASuccessorGoesOnFromTheVerdicts(t *testing.T) {
+	f := NewFleet(Options{})
+	had := Table{Epoch: 4, Number: 9, Rows: []Row{{"r1", "", 0, true}, {"r2", "b", 12, false}}}
+	lives := func(string) string { return "s" }
+	f.Inherit(clock.Sec, 5, had, lives)
+	f.Judge(clock.Sec, 5, map[string]int{"s": 9}, func(string) bool { return true })
+	now := f.Table()
+	if !now.After(had) || !slices.Equal(now.Rows, []Row{{"r1", "", 0, false}, {"r2", "b", 0, false}}) {
+		t.Errorf("it goes on with %+v", now)
+	}
+	f.Judge(clock.Sec+outUsual+judgeUs, 5, map[string]int{"s": 9}, func(string) bool { return true })
+	if rows := f.Table().Rows; len(rows) != 2 || rows[0].Share != trials[0] {
+		t.Errorf("after their time out: %v", rows)
+	}
+}
+
+func TestWeights(t *testing.T) {
+	for _, c := range []struct {
+		class     Class
+		share     float64
+		least     float64
+		mostBelow float64
+	}{
+		{Good, 0, -0.23, -0.22}, {None, 0, 0, 0.001}, {ResetReused, 0, 0, 0.001}, {Inconclusive, 0, 0, 0.001},
+		{ErrorAnswer, 0, 2.4, 2.7}, {ErrorAnswer, 0.5, -0.3, 0}, {Silence, 0.025, 0, 0.7}, {Silence, 0, 1.7, 1.8},
+	} {
+		if got := weight(c.class, c.share); got < c.least || got >= c.mostBelow {
+			t.Errorf("%s where the service shows it in %.1f%%: %.3f, want %.2f to %.2f", c.class, 100*c.share, got, c.least, c.mostBelow)
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -9,7 +9,9 @@
 
 	"sigs.k8s.io/yaml"
 
+	"petreltide/internal/clock"
 	"petreltide/internal/fault"
+	"petreltide/internal/outlier"
 	"petreltide/internal/standing"
 )
 
@@ -38,6 +40,23 @@
 	StoreWindowMs  int64   `json:"storeWindowMs,omitempty" validate:"min=0,max=3600000"`
 	StoreOvershoot float64 `json:"storeOvershoot,omitempty" validate:"min=0,max=10"`
 	MemoryMb       int     `json:"memoryMb,omitempty" validate:"min=0"`
+	Outlier        Outlier `json:"outlier,omitempty"`
+}
+
+// Outlier bounds the verdicts on replicas by what became of their legs; what is left out is as usual.
+// MostShare of a service's replicas may be kept off at once; FalseMs is the time in which a sound one may be
+// suspected once; OutMs is its first time out, which doubles up to OutMostMs. Off only counts.
+type Outlier struct {
+	MostShare float64 `json:"mostShare,omitempty" validate:"min=0,max=1"`
+	FalseMs   int64   `json:"falseMs,omitempty" validate:"min=0,max=86400000"`
+	OutMs     int64   `json:"outMs,omitempty" validate:"min=0,max=3600000"`
+	OutMostMs int64   `json:"outMostMs,omitempty" validate:"min=0,max=3600000"`
+	Off       bool    `json:"off,omitempty"`
+}
+
+// Options are these bounds in microseconds.
+func (o Outlier) Options() outlier.Options {
+	return outlier.Options{MostShare: o.MostShare, FalseUs: o.FalseMs * clock.Ms, OutUs: o.OutMs * clock.Ms, OutMostUs: o.OutMostMs * clock.Ms, Off: o.Off}
 }
 
 type Members string
@@ -89,8 +108,9 @@
 	// LingerMs is how long new connections are still taken after SIGTERM, until nobody sends them here.
 	LingerMs int64 `json:"lingerMs,omitempty" validate:"min=0,max=3600000"`
 	// ConnectionsMost bounds this desk's connections to all replicas together.
-	ConnectionsMost int `json:"connectionsMost,omitempty" validate:"min=0"`
-	MemoryMb        int `json:"memoryMb,omitempty" validate:"min=0"`
+	ConnectionsMost int     `json:"connectionsMost,omitempty" validate:"min=0"`
+	MemoryMb        int     `json:"memoryMb,omitempty" validate:"min=0"`
+	Outlier         Outlier `json:"outlier,omitempty"`
 }
 
 // Read lays a settings file over what v holds; a flag given on the command line is laid on later.
--- a/internal/subscriber/mirror.go
+++ b/internal/subscriber/mirror.go
@@ -9,6 +9,7 @@
 	"petreltide/internal/chain"
 	"petreltide/internal/clock"
 	"petreltide/internal/dispatch"
+	"petreltide/internal/outlier"
 	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
@@ -21,6 +22,8 @@
 	mirrorEachUs   = 8 * clock.Ms
 	mirrorIdleUs   = 1000 * clock.Ms
 	mirrorStreams  = 2
+	mirrorFailUs   = 250 * clock.Ms
+	verdictLostUs  = 30 * clock.Sec
 )
 
 // MirrorEvent brings a frame of a stream, or its end, or seeds that changed.
@@ -31,6 +34,8 @@
 	Closed uint64
 	Seeds  []string
 	Urgent bool
+	// Failing: legs have failed that no report has told yet.
+	Failing bool
 	// Unreached is where a report did not arrive.
 	Unreached string
 }
@@ -80,11 +85,14 @@
 	triedUs  int64
 	reportUs int64
 	urgentUs int64
+	judgedUs int64
+	failing  bool
 	last     *source
 	best     map[string]wire.ReplicaRow
 	orders   map[string]wire.OrderAhead
 	ordersAt uint64
 	desks    int
+	outliers outlier.Table
 	ids      []string
 	snap     *dispatch.Snapshot
 	// touched are the replicas that the next snapshot shows otherwise than the last.
@@ -138,6 +146,7 @@
 		m.deafUs[ev.Unreached] = ev.NowUs + mirrorShyUs
 		m.urgentUs = ev.NowUs
 	}
+	m.failing = ev.Failing
 	m.tick(ev.NowUs, ev.Urgent)
 	return m.effects
 }
@@ -201,6 +210,10 @@
 		}
 	}
 	news = m.foldRest() || news
+	if f.Outliers != nil && f.Outliers.After(m.outliers) {
+		m.outliers, news = *f.Outliers, true
+		m.judgedUs = nowUs
+	}
 	if news {
 		m.publish(nowUs)
 	}
@@ -345,6 +358,7 @@
 	m.number++
 	snap := &dispatch.Snapshot{
 		Number: m.number, View: m.view.Number, Revision: m.revision, Doc: m.doc, AtUs: nowUs, Desks: m.desks,
+		Trials: m.outliers.In(m.opts.Zone),
 	}
 	last := m.snap
 	if last == nil {
@@ -433,6 +447,13 @@
 			m.drop(nowUs, s)
 		}
 	}
+	if len(m.outliers.Rows) > 0 && nowUs-m.judgedUs > verdictLostUs {
+		// Nobody upholds these verdicts any more: this desk goes by its own sight.
+		m.outliers.Rows = nil
+		if m.snap != nil {
+			m.publish(nowUs)
+		}
+	}
 	m.nearer(nowUs)
 	if len(m.sources) < mirrorStreams && nowUs-m.triedUs >= mirrorTryUs {
 		m.open(nowUs)
@@ -530,6 +551,9 @@
 		m.urgentUs = nowUs
 	}
 	spanUs := mirrorReportUs + mirrorEachUs*int64(m.desks)
+	if m.failing {
+		spanUs = min(spanUs, mirrorFailUs)
+	}
 	if m.urgentUs > m.reportUs {
 		spanUs = 20 * clock.Ms
 	}
--- a/internal/subscriber/mirror_test.go
+++ b/internal/subscriber/mirror_test.go
@@ -15,6 +15,7 @@
 	"petreltide/internal/dispatch"
 	"petreltide/internal/feed"
 	"petreltide/internal/ledger"
+	"petreltide/internal/outlier"
 	"petreltide/internal/roster"
 	"petreltide/internal/standing"
 	"petreltide/internal/wire"
@@ -29,6 +30,8 @@
 	hub     *feed.Hub
 	settled bool
 	view    uint64
+
+	outliers outlier.Table
 }
 
 func newCore(addr string) *core {
@@ -36,7 +39,7 @@
 }
 
 func (c *core) seen(nowUs int64) feed.Seen {
-	return feed.Seen{NowUs: nowUs, State: c.state, View: chain.View{Number: c.view}, Settled: c.settled, Roster: c.roster,
+	return feed.Seen{NowUs: nowUs, State: c.state, View: chain.View{Number: c.view}, Settled: c.settled, Roster: c.roster, Outliers: c.outliers,
 		Offices: []chain.Member{{ID: "one", Addr: "one"}, {ID: "two", Addr: "two"}}}
 }
 
--- /dev/null
+++ b/internal/subscriber/verdict_test.go
@@ -0,0 +1,58 @@
+package subscriber
+
+import (
+	"math/rand"
+	"testing"
+
+	"petreltide/internal/clock"
+	"petreltide/internal/ledger"
+	"petreltide/internal/outlier"
+	"petreltide/internal/roster"
+)
+
+// A verdict reaches a desk with the next frame and goes only when it is taken back, or when nobody upholds
+// it; an office that lags undoes nothing.
+func TestVerdictsOnReplicasReachDesksInOrder(t *testing.T) {
+	r := rand.New(rand.NewSource(3))
+	c := &chronicle{r: r, head: ledger.NewState()}
+	c.config()
+	one, two := newCore("one"), newCore("two")
+	for _, o := range []*core{one, two} {
+		o.apply(c.log, len(c.log))
+		o.roster.Hear(clock.Sec, roster.Row{ID: "r1", Service: "s", Addr: "r1", Zone: "a", Slots: 4, Seq: 1})
+	}
+	s := newScreen(t, "desk", one, two)
+	nowUs := clock.Sec
+	pass := func(us int64) map[string]outlier.Row {
+		for untilUs := nowUs + us; nowUs < untilUs; nowUs += 100 * clock.Ms {
+			for _, o := range []*core{one, two} {
+				o.roster.Hear(nowUs, roster.Row{ID: "r1", Service: "s", Addr: "r1", Zone: "a", Slots: 4, Seq: uint64(nowUs)})
+			}
+			s.carry(nowUs, r, 0)
+		}
+		return s.snap.Trials
+	}
+	if rows := pass(clock.Sec); len(rows) > 0 {
+		t.Fatalf("before any verdict: %v", rows)
+	}
+	out := outlier.Row{Replica: "r1", Share: 0}
+	one.outliers = outlier.Table{Epoch: 2, Number: 1, Rows: []outlier.Row{out, {Replica: "r2", Zone: "elsewhere"}}}
+	if rows := pass(clock.Sec); len(rows) != 1 || rows["r1"] != out {
+		t.Errorf("after a verdict for all and one for another zone: %v", rows)
+	}
+	two.outliers = outlier.Table{Epoch: 1, Number: 9}
+	if rows := pass(clock.Sec); len(rows) != 1 {
+		t.Errorf("an older table from the other office undid it: %v", rows)
+	}
+	if rows := pass(verdictLostUs + clock.Sec); len(rows) != 0 {
+		t.Errorf("long after anybody upheld it: %v", rows)
+	}
+	one.outliers = outlier.Table{Epoch: 2, Number: 2, Rows: []outlier.Row{out}}
+	if rows := pass(clock.Sec); len(rows) != 1 {
+		t.Errorf("upheld again: %v", rows)
+	}
+	one.outliers = outlier.Table{Epoch: 2, Number: 3}
+	if rows := pass(clock.Sec); len(rows) != 0 {
+		t.Errorf("taken back: %v", rows)
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -20,6 +21,8 @@
 	DialUs         int64
 	IdleUs         int64
 	PerReplicaMost func(replica string) int
+	// Service is that of a replica: its connections are taken to be kept alike. May be left out.
+	Service func(replica string) string
 }
 
 // Conn is a connection to one life of a replica.
@@ -31,6 +34,8 @@
 	bound   *bounded
 	replica string
 	untilUs int64
+	givenUs int64
+	ageUs   int64
 }
 
 // Bound lets no more than so many bytes be read from here on, beside those that are buffered; a read beyond
@@ -63,11 +68,12 @@
 	mu     sync.Mutex
 	idle   map[string][]*Conn
 	open   map[string]int
+	limits map[string]*idleLimit
 	Dialed int64
 }
 
 func New(opts Options) *Pool {
-	p := &Pool{opts: opts, idle: map[string][]*Conn{}, open: map[string]int{}}
+	p := &Pool{opts: opts, idle: map[string][]*Conn{}, open: map[string]int{}, limits: map[string]*idleLimit{}}
 	p.dialer = net.Dialer{Timeout: time.Duration(opts.DialUs) * time.Microsecond, KeepAlive: -1}
 	if opts.Local != nil && !opts.Local.IsUnspecified() {
 		p.dialer.LocalAddr = &net.TCPAddr{IP: opts.Local}
@@ -82,7 +88,9 @@
 		if c == nil {
 			break
 		}
-		if clock.NowUs() < c.untilUs && quiet(c) {
+		nowUs := clock.NowUs()
+		c.ageUs = nowUs - c.givenUs
+		if nowUs < c.untilUs && c.ageUs < p.mostIdleUs(nowUs, replica) && quiet(c) {
 			c.Reused = true
 			return c, nil
 		}
@@ -100,6 +108,9 @@
 	conn, err := p.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		p.release(replica)
+		if errors.Is(err, unix.ECONNREFUSED) || errors.Is(err, unix.ECONNRESET) {
+			return nil, fault.New(fault.ReplicaRefuses, replica, "%v", err)
+		}
 		return nil, fault.New(fault.ReplicaFailed, replica, "%v", err)
 	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
@@ -140,12 +151,61 @@
 		return
 	}
 	_ = c.SetDeadline(time.Time{})
-	c.untilUs = clock.NowUs() + idleUs
+	c.givenUs = clock.NowUs()
+	c.untilUs = c.givenUs + idleUs
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[c.replica] = append(p.idle[c.replica], c)
 }
 
+func (p *Pool) service(replica string) string {
+	if p.opts.Service == nil {
+		return replica
+	}
+	return p.opts.Service(replica)
+}
+
+func (p *Pool) mostIdleUs(nowUs int64, replica string) int64 {
+	service := p.service(replica)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limits[service].most(nowUs)
+}
+
+// Died takes a connection on which a request was sent and that ended before the first byte of an answer. It
+// is true where the connection itself may have been dead before: it was reused, and lay idle for a while.
+// All others to that replica that have lain idle as long go with it.
+func (p *Pool) Died(c *Conn) bool {
+	if !c.Reused {
+		return false
+	}
+	service, nowUs := p.service(c.replica), clock.NowUs()
+	p.mu.Lock()
+	l := p.limits[service]
+	if l == nil {
+		l = &idleLimit{deaths: map[string]death{}}
+		p.limits[service] = l
+	}
+	short := l.died(nowUs, c.replica, c.ageUs)
+	dead := []*Conn{}
+	if !short {
+		kept := []*Conn{}
+		for _, other := range p.idle[c.replica] {
+			if nowUs-other.givenUs >= c.ageUs/2 {
+				dead = append(dead, other)
+			} else {
+				kept = append(kept, other)
+			}
+		}
+		p.idle[c.replica] = kept
+	}
+	p.mu.Unlock()
+	for _, other := range dead {
+		p.Drop(other)
+	}
+	return !short
+}
+
 func (p *Pool) Drop(c *Conn) {
 	_ = c.Close()
 	p.release(c.replica)
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"petreltide/internal/chain"
+	"petreltide/internal/outlier"
 	"petreltide/internal/roster"
 	"petreltide/internal/standing"
 )
@@ -26,6 +27,8 @@
 	Replicas []ReplicaRow          `json:"replicas,omitempty"`
 	Orders   *Orders               `json:"orders,omitempty"`
 	Desks    int                   `json:"desks,omitempty"`
+	// Outliers are the verdicts on replicas, where they have changed.
+	Outliers *outlier.Table `json:"outliers,omitempty"`
 
 	encode sync.Once
 	raw    []byte
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -3,6 +3,7 @@
 import (
 	"petreltide/internal/chain"
 	"petreltide/internal/ledger"
+	"petreltide/internal/outlier"
 	"petreltide/internal/roster"
 	"petreltide/internal/standing"
 	"petreltide/internal/watch"
@@ -69,6 +70,9 @@
 	Paths  map[string]float64 `json:"paths,omitempty"`
 	Runs   map[string]int     `json:"runs,omitempty"`
 	Unread map[string]int     `json:"unread,omitempty"`
+	// Legs ended since the last report, by service; Outcomes at replicas where one failed or that are on trial.
+	Legs     map[string]int   `json:"legs,omitempty"`
+	Outcomes []outlier.Counts `json:"outcomes,omitempty"`
 }
 
 type Left struct {
@@ -110,6 +114,7 @@
 	Report  *Report        `json:"report,omitempty"`
 	Silence *watch.Silence `json:"silence,omitempty"`
 	Heard   *Heard         `json:"heard,omitempty"`
+	Outlier *outlier.Table `json:"outlier,omitempty"`
 }
 
 // Heard is what an office has heard of replicas and desks, told to the other offices. Wants asks for
