Cause the capacity page's faults at four sizes, and set later runs beside the fitted ones

Cause: the axis that grows everything together had never been played, so the page's table of recovery was empty and its column of a region away had dashes. What did not come back left an empty cell or no row at all. The operator of `fleet capacity` waited nine seconds for a silent office, where the users' platform waits one: a stopped office alone delayed the first change by that. Two fleets at once could meet on one loopback network: five of seven sizes of the axis of desks ended with "address already in use".

Change: silence is given up after 1 s and 10 ms a KB; what is not there in 40 s stands in the tables as such; a fleet claims its networks; fits take the runs of the commit with most of them, others stand in tables of their own; the check wants each fault at four sizes. Ruled out: formulas from the new runs.

--- a/proofs/capacity/capacity_test.go
+++ b/proofs/capacity/capacity_test.go
@@ -6,9 +6,13 @@
 	"errors"
 	"io"
 	"math"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -169,6 +173,22 @@
 			t.Errorf("%s: %d sizes from %v to %v; wanted are four that span ten times", axis, sizes, low, high)
 		}
 	}
+	if len(runs) == 0 {
+		t.Fatal("no runs")
+	}
+	recovered := map[string]int{}
+	for _, r := range runs {
+		for _, name := range FaultNames() {
+			if slices.ContainsFunc(r.Rows, func(row Row) bool { return row.Role == name }) {
+				recovered[name]++
+			}
+		}
+	}
+	for _, name := range FaultNames() {
+		if recovered[name] < 4 {
+			t.Errorf("%s: caused at %d sizes; wanted are four", name, recovered[name])
+		}
+	}
 	if _, bad := Filled(strings.Replace(string(raw), "<!-- end runs -->", "", 1), runs, "../../docs/capacity"); bad == nil {
 		t.Error("a page without the end of a table is taken")
 	}
@@ -245,3 +265,51 @@
 		}
 	}
 }
+
+// What never came back stands in the tables as such, and is no empty cell.
+func TestWhatDidNotComeBackIsNamed(t *testing.T) {
+	r := &Run{Axis: "together", Size: Small, BeatS: 1}
+	r.add(regionAway, notRecovered, "0 or 1", 1)
+	if text := forceTable([]*Run{r}); !strings.Contains(text, "not in 40 s") {
+		t.Error(text)
+	}
+	for _, q := range recoveries {
+		r.add(killAll, tooLate+q, "0 or 1", 1)
+	}
+	if text := recoveryTable([]*Run{r}); strings.Count(text, "not in 40") != len(recoveries) {
+		t.Error(text)
+	}
+}
+
+// An office that is silent costs the operator a second or a little more, as on the users' platform.
+func TestTheOperatorGoesOnAfterASecondOfSilence(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	answers := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer answers.Close()
+	o := newOperator(&world{base: 0}, []string{strings.TrimPrefix(answers.URL, "http://"), silent.Addr().String()})
+	ctx, done := context.WithTimeout(context.Background(), 8*time.Second)
+	defer done()
+	if c, err := o.edit(ctx); err != nil || c.acked.Sub(c.sent) < silentMost {
+		t.Fatal(err, c)
+	}
+}
+
+func TestFleetsThatRunAtOnceTakeOtherAddresses(t *testing.T) {
+	a, first, err := claim()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	b, second, err := claim()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.Close()
+	if a == b {
+		t.Fatal(a, b)
+	}
+}
--- a/proofs/capacity/fault.go
+++ b/proofs/capacity/fault.go
@@ -22,6 +22,7 @@
 	killAll      = "all-offices-killed"
 	regionAway   = "region-away"
 	notRecovered = "not recovered"
+	tooLate      = "not within 40 s: "
 )
 
 // FaultNames are the faults that a run can cause.
@@ -179,7 +180,7 @@
 			if s, ok := f.until(ctx, began, look.ok); ok {
 				rows[i+1] = Row{name, look.what, "s", s}
 			} else {
-				rows[i+1] = Row{name, "not within 40 s: " + look.what, "0 or 1", 1}
+				rows[i+1] = Row{name, tooLate + look.what, "0 or 1", 1}
 			}
 		}()
 	}
@@ -189,7 +190,7 @@
 	if err == nil {
 		rows[0] = Row{name, "changes taken again", "s", c.acked.Sub(began).Seconds()}
 	} else {
-		rows[0] = Row{name, "not within 40 s: changes taken again", "0 or 1", 1}
+		rows[0] = Row{name, tooLate + "changes taken again", "0 or 1", 1}
 	}
 	group.Wait()
 	run.Rows = append(run.Rows, rows...)
--- a/proofs/capacity/operator.go
+++ b/proofs/capacity/operator.go
@@ -36,11 +36,15 @@
 
 func newOperator(w *world, offices []string) *operator {
 	o := &operator{offices: offices, world: w}
-	o.client = &http.Client{Timeout: 9 * time.Second, Transport: &http.Transport{DialContext: dialFrom(fmt.Sprintf("127.%d.0.250", w.base), &o.by)}}
+	o.client = &http.Client{Transport: &http.Transport{DialContext: dialFrom(fmt.Sprintf("127.%d.0.250", w.base), &o.by)}}
 	return o
 }
 
-const routes = 24
+const (
+	routes      = 24
+	silentMost  = time.Second
+	silentPerKb = 10 * time.Millisecond
+)
 
 func (o *operator) replace(ctx context.Context) (change, error) {
 	z := o.world.size
@@ -78,6 +82,8 @@
 }
 
 func (o *operator) post(ctx context.Context, office, path string, raw []byte) (int, string, error) {
+	ctx, done := context.WithTimeout(ctx, silentMost+time.Duration(len(raw)/1024)*silentPerKb)
+	defer done()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+office+path, bytes.NewReader(raw))
 	if err != nil {
 		return 0, "", errors.Trace(err)
--- a/proofs/capacity/page.go
+++ b/proofs/capacity/page.go
@@ -78,13 +78,33 @@
 	}...)
 }
 
-// clear are the runs that formulas are fitted to: every desk knew every replica, and no more than one heartbeat in
-// fifty went unanswered. The others are where today's design stops.
+// bears: every desk knew every replica, and no more than one heartbeat in fifty went unanswered.
+func bears(r *Run) bool {
+	whole, _ := r.value("fleet", "all knew all")
+	unanswered, measured := r.value("replica's side", "heartbeats unanswered")
+	return whole == 1 && measured && unanswered < 0.02
+}
+
+// codesOf are the commits measured, the one with most runs first: formulas are fitted to that one alone.
+func codesOf(runs []*Run) []string {
+	codes, count := []string{}, map[string]int{}
+	for _, r := range runs {
+		if count[r.code()]++; count[r.code()] == 1 {
+			codes = append(codes, r.code())
+		}
+	}
+	slices.SortStableFunc(codes, func(a, b string) int { return cmp.Compare(count[b], count[a]) })
+	return codes
+}
+
+// clear are the runs that formulas are fitted to, of one commit. The others are where its design stops.
 func clear(runs []*Run) (fit, beyond []*Run) {
+	codes := codesOf(runs)
 	for _, r := range runs {
-		whole, _ := r.value("fleet", "all knew all")
-		unanswered, measured := r.value("replica's side", "heartbeats unanswered")
-		if whole == 1 && measured && unanswered < 0.02 {
+		if r.code() != codes[0] {
+			continue
+		}
+		if bears(r) {
 			fit = append(fit, r)
 		} else {
 			beyond = append(beyond, r)
@@ -232,30 +252,60 @@
 }
 
 func runsTable(runs []*Run) string {
-	fit, beyond := clear(runs)
 	b := &strings.Builder{}
-	fmt.Fprintf(b, "\n| axis | code | sizes | in the fits | beyond what an office can do |\n| --- | --- | --- | --- | --- |\n")
-	for _, axis := range axesOf(runs) {
-		sizes, over, codes, n := []string{}, []string{}, []string{}, 0
-		for _, r := range runs {
-			if r.Axis == axis {
+	fmt.Fprintf(b, "\n| axis | code | sizes | borne | beyond what an office can do |\n| --- | --- | --- | --- | --- |\n")
+	for _, code := range codesOf(runs) {
+		for _, axis := range axesOf(runs) {
+			sizes, over, n := []string{}, []string{}, 0
+			for _, r := range runs {
+				if r.Axis != axis || r.code() != code {
+					continue
+				}
 				sizes = append(sizes, figure(along(r)))
-				if c := r.code(); !slices.Contains(codes, c) {
-					codes = append(codes, c)
+				if bears(r) {
+					n++
+				} else {
+					over = append(over, beyondText(r))
 				}
 			}
-		}
-		for _, r := range fit {
-			if r.Axis == axis {
-				n++
+			if len(sizes) > 0 {
+				fmt.Fprintf(b, "| %s | %s | %s %s | %d | %s |\n", axis, code, strings.Join(sizes, ", "), unitOf(axis), n, strings.Join(over, ", "))
 			}
 		}
-		for _, r := range beyond {
-			if r.Axis == axis {
-				over = append(over, beyondText(r))
+	}
+	return b.String()
+}
+
+var compared = []struct{ role, quantity, unit string }{
+	{"desk's side", "bytes in", "B/s"}, {"desk's side", "bytes out", "B/s"}, {"desk", "processor", "cores"}, {"controller", "processor", "cores"}, {"controller", "bytes out", "B/s"},
+	{"member", "processor", "cores"}, {"member", "bytes out", "B/s"}, {"controller", "memory", "MB"},
+	{"desk's side", "reports out", "1/s"}, {"replica's side", "heartbeats unanswered", "share"},
+}
+
+// sinceTable sets runs of later commits beside those of the same size that the formulas are fitted to.
+func sinceTable(runs []*Run) string {
+	b := &strings.Builder{}
+	codes := codesOf(runs)
+	fmt.Fprintf(b, "\n| size | code |")
+	for _, c := range compared {
+		fmt.Fprintf(b, " %s: %s, %s |", c.role, c.quantity, c.unit)
+	}
+	fmt.Fprintf(b, "\n| --- | --- |%s\n", strings.Repeat(" --- |", len(compared)))
+	line := func(r *Run) {
+		fmt.Fprintf(b, "| %s | %s |", sizeText(r), r.code())
+		for _, c := range compared {
+			fmt.Fprintf(b, " %s |", cell(r, c.role, c.quantity))
+		}
+		fmt.Fprintln(b)
+	}
+	for _, was := range runs {
+		for _, is := range runs {
+			if was.code() == codes[0] && is.code() != codes[0] && was.Axis == is.Axis && (was.Axis == "replicas" || was.Axis == "desks") && bears(was) && bears(is) &&
+				was.Size.Replicas == is.Size.Replicas && was.Size.Desks == is.Size.Desks {
+				line(was)
+				line(is)
 			}
 		}
-		fmt.Fprintf(b, "| %s | %s | %s %s | %d | %s |\n", axis, strings.Join(codes, ", "), strings.Join(sizes, ", "), unitOf(axis), n, strings.Join(over, ", "))
 	}
 	return b.String()
 }
@@ -298,13 +348,13 @@
 
 func forceTable(runs []*Run) string {
 	b := &strings.Builder{}
-	fmt.Fprintf(b, "\n| size | acknowledged, half, ms | 99 in 100 | after it at a desk, half, ms | 99 in 100 | at the last hollow desk, longest | at a real desk, longest | a region away: first change acknowledged, s | at the last desk in touch, ms | back until its desks have the newest, s |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
+	fmt.Fprintf(b, "\n| size | code | acknowledged, half, ms | 99 in 100 | after it at a desk, half, ms | 99 in 100 | at the last hollow desk, longest | at a real desk, longest | a region away: first change acknowledged, s | at the last desk in touch, ms | back until its desks have the newest, s |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
 	for _, axis := range forceAxes {
 		for _, r := range runs {
 			if r.Axis != axis {
 				continue
 			}
-			fmt.Fprintf(b, "| %s", sizeText(r))
+			fmt.Fprintf(b, "| %s | %s", sizeText(r), r.code())
 			for _, q := range []string{
 				"acknowledged, half", "acknowledged, 99 in 100", "in force at a desk after acknowledgement, half", "in force at a desk after acknowledgement, 99 in 100",
 				"in force at the last desk, longest", "in force at a real desk, longest",
@@ -312,7 +362,11 @@
 				fmt.Fprintf(b, " | %s", cell(r, "operator", q))
 			}
 			for _, q := range []string{"first change acknowledged", "in force at the last desk, longest", "region back until its desks have the newest"} {
-				fmt.Fprintf(b, " | %s", cell(r, regionAway, q))
+				text := cell(r, regionAway, q)
+				if _, stuck := r.value(regionAway, notRecovered); stuck && text == "–" {
+					text = "not in 40 s"
+				}
+				fmt.Fprintf(b, " | %s", text)
 			}
 			fmt.Fprintf(b, " |\n")
 		}
@@ -320,16 +374,20 @@
 	return b.String()
 }
 
+// recoveries are what a fleet does again after a fault.
+var recoveries = []string{"changes taken again", "orders sent again", "every desk follows two offices and has the newest", "every heartbeat acknowledged again"}
+
 func recoveryTable(runs []*Run) string {
 	b := &strings.Builder{}
-	fmt.Fprintf(b, "\n| size | what happened | changes taken again, s | orders sent again, s | every desk in touch follows two offices and has the newest, s | every heartbeat acknowledged again, s |\n| --- | --- | --- | --- | --- | --- |\n")
+	fmt.Fprintf(b, "\n| size | code | what happened | changes taken again, s | orders sent again, s | every desk in touch follows two offices and has the newest, s | every heartbeat acknowledged again, s |\n| --- | --- | --- | --- | --- | --- | --- |\n")
 	for _, r := range runs {
 		for _, name := range []string{killOne, loseZone, killAll} {
 			any := false
 			line := []string{}
-			for _, q := range []string{"changes taken again", "orders sent again", "every desk follows two offices and has the newest", "every heartbeat acknowledged again"} {
+			for _, q := range recoveries {
 				v, ok := r.value(name, q)
-				any = any || ok
+				_, late := r.value(name, tooLate+q)
+				any = any || ok || late
 				text := "not in 40"
 				if ok {
 					text = figure(v)
@@ -337,7 +395,7 @@
 				line = append(line, text)
 			}
 			if any {
-				fmt.Fprintf(b, "| %s | %s | %s |\n", sizeText(r), strings.ReplaceAll(name, "-", " "), strings.Join(line, " | "))
+				fmt.Fprintf(b, "| %s | %s | %s | %s |\n", sizeText(r), r.code(), strings.ReplaceAll(name, "-", " "), strings.Join(line, " | "))
 			}
 		}
 	}
@@ -359,7 +417,7 @@
 	name  string
 	write func([]*Run) string
 }{
-	{"letters", lettersTable}, {"runs", runsTable}, {"limits", limitsTable}, {"formulas", formulaTable}, {"in-force", forceTable}, {"recovery", recoveryTable},
+	{"letters", lettersTable}, {"runs", runsTable}, {"limits", limitsTable}, {"formulas", formulaTable}, {"since", sinceTable}, {"in-force", forceTable}, {"recovery", recoveryTable},
 }
 
 // TableNames are the tables that the page must have.
--- a/proofs/capacity/plot.go
+++ b/proofs/capacity/plot.go
@@ -70,7 +70,14 @@
 			axes = append(axes, r.Axis)
 		}
 	}
+	first := codesOf(runs)
 	for _, axis := range axes {
+		code := ""
+		for _, c := range slices.Backward(first) {
+			if slices.ContainsFunc(runs, func(r *Run) bool { return r.Axis == axis && r.code() == c }) {
+				code = c
+			}
+		}
 		for _, d := range drawn {
 			p := plot.New()
 			p.Title.Text = d.quantity + " of each role"
@@ -83,7 +90,7 @@
 			for _, role := range d.roles {
 				points := plotter.XYs{}
 				for _, r := range runs {
-					if r.Axis != axis {
+					if r.Axis != axis || r.code() != code {
 						continue
 					}
 					if v, ok := r.value(role, d.quantity); ok && v > 0 && along(r) > 0 {
--- a/proofs/capacity/run.go
+++ b/proofs/capacity/run.go
@@ -187,7 +187,11 @@
 		f.zones = append(f.zones, zone)
 		f.regions[zone] = fmt.Sprintf("region%02d", i%regions)
 	}
-	base := 16 + os.Getpid()%100*2
+	base, held, err := claim()
+	if err != nil {
+		return err
+	}
+	context.AfterFunc(ctx, func() { _ = held.Close() })
 	for i := range z.Offices {
 		f.offices = append(f.offices, &process{name: fmt.Sprintf("office-%02d", i), role: "office", ip: fmt.Sprintf("127.%d.0.%d", base, 1+i), zone: f.zones[i], bin: f.plan.Petreltide})
 	}
@@ -209,7 +213,7 @@
 			return err
 		}
 	}
-	f.world = newWorld(z, controls, f.zones)
+	f.world = newWorld(z, base, controls, f.zones)
 	f.op = newOperator(f.world, controls)
 	if err := f.world.serve(ctx); err != nil {
 		return err
--- a/proofs/capacity/world.go
+++ b/proofs/capacity/world.go
@@ -14,6 +14,7 @@
 
 	"github.com/juju/errors"
 
+	"petreltide/internal/fault"
 	"petreltide/internal/wire"
 	"petreltide/proofs/capacity/platform"
 )
@@ -26,6 +27,7 @@
 	roomMb      = 83_000
 	hotModels   = 5
 	turnEvery   = 12 * time.Second
+	claimPort   = 7_640
 	// replicasPerS is how many replicas a second start.
 	replicasPerS = 100
 )
@@ -63,9 +65,21 @@
 	return n
 }
 
-func newWorld(size Size, offices, zones []string) *world {
+// claim takes two of the loopback's networks for one fleet until it is closed, so that fleets that run at once
+// don't meet.
+func claim() (base int, held net.Listener, err error) {
+	for try := range 100 {
+		base = 16 + (os.Getpid()+try)%100*2
+		if held, err = net.Listen("tcp4", fmt.Sprintf("127.%d.0.249:%d", base, claimPort)); err == nil {
+			return base, held, nil
+		}
+	}
+	return 0, nil, fault.New(fault.BadField, "loopback", "every network is taken by another fleet: %v", err)
+}
+
+func newWorld(size Size, base int, offices, zones []string) *world {
 	w := &world{
-		size: size, base: 16 + os.Getpid()%100*2, port: 20_000 + os.Getpid()%10_000, byIP: map[string]*hollowReplica{}, began: time.Now(),
+		size: size, base: base, port: 20_000 + os.Getpid()%10_000, byIP: map[string]*hollowReplica{}, began: time.Now(),
 	}
 	w.track = newTracker()
 	for i := range size.Models {
