--- a/proofs/brief/brief_test.go
+++ b/proofs/brief/brief_test.go
@@ -63,7 +63,7 @@
 
 func TestThePageNamesOnlyWhatIsThereAndAllFaults(t *testing.T) {
 	tests := testsUnder(t, "../..")
-	for _, page := range []string{"brief.md", "faults.md"} {
+	for _, page := range []string{"brief.md", "faults.md", "design-platform.md", "operators-platform.md", "spotserve.md"} {
 		raw, err := os.ReadFile(filepath.Join("../../docs", page))
 		if err != nil {
 			t.Fatal(err)
@@ -89,6 +89,46 @@
 	}
 }
 
+// strayed are the links of a page to files that are not there.
+func strayed(folder, page string) []string {
+	found := []string{}
+	for _, m := range regexp.MustCompile(`\]\(([^)#:]+)[^):]*\)`).FindAllStringSubmatch(page, -1) {
+		if _, err := os.Stat(filepath.Join(folder, m[1])); err != nil {
+			found = append(found, m[1])
+		}
+	}
+	return found
+}
+
+func TestPagesLinkToWhatIsThereAndAreAllInTheIndex(t *testing.T) {
+	index, err := os.ReadFile("../../README.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if lost := strayed("../..", string(index)); len(lost) > 0 {
+		t.Errorf("README.md links to %v", lost)
+	}
+	pages, err := filepath.Glob("../../docs/*.md")
+	if err != nil || len(pages) == 0 {
+		t.Fatal(pages, err)
+	}
+	for _, path := range pages {
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if lost := strayed("../../docs", string(raw)); len(lost) > 0 {
+			t.Errorf("%s links to %v", path, lost)
+		}
+		if !strings.Contains(string(index), "(docs/"+filepath.Base(path)+")") {
+			t.Errorf("%s is not in the index", path)
+		}
+	}
+	if lost := strayed("../../docs", "[a](glossary.md) [b](gone.md#x) [c](#here) [d](https://example.org/x)"); strings.Join(lost, " ") != "gone.md" {
+		t.Errorf("of what was planted it finds %v", lost)
+	}
+}
+
 func TestTheReaderOfThePageCanFail(t *testing.T) {
 	unknown, unnamed := checked("`TestGone`, day:nothing, day:notice, real:kill-desk", map[string]bool{"TestHere": true}, map[string][]string{"day:": {"notice", "crowd"}, "real:": {"kill-desk", "kill-head"}})
 	if strings.Join(unknown, " ") != "TestGone day:nothing" || strings.Join(unnamed, " ") != "day:crowd real:kill-head" {
