--- a/internal/outlier/fleet.go
+++ b/internal/outlier/fleet.go
@@ -482,7 +482,8 @@
 		most = limit
 	}
 	whole, bads, legs := 0.0, 0.0, 0.0
-	for zone, e := range sus.zones {
+	for _, zone := range slices.Sorted(maps.Keys(sus.zones)) {
+		e := sus.zones[zone]
 		e.fade(svc, zone)
 		if e.total == 0 {
 			delete(sus.zones, zone)
