--- a/internal/dispatch/decider.go
+++ b/internal/dispatch/decider.go
@@ -633,15 +633,7 @@
 	c.ran = c.ran || !unrun
 	again := unrun || (c.resume && (e.Ending == Broken || e.Ending == Unknown || e.Ending == Moved))
 	if c.gone || !again {
-		delete(d.calls, c.ID)
-		if e.Ending == Done {
-			d.kind(c.Kind).done++
-		} else {
-			d.kind(c.Kind).given[fault.Code(e.Ending)]++
-		}
-		d.gaugeOver(c, e.Ending, "")
-		d.note(c, "ended", on, string(e.Ending))
-		d.do(Effect{Over: &Over{Call: c, Ending: e.Ending}})
+		d.over(c, e.Ending, on)
 		return
 	}
 	c.Had = int(c.Progress.Load())
@@ -655,3 +647,16 @@
 	d.note(c, "waits again", on, string(e.Ending))
 	d.enqueue(c)
 }
+
+// over takes a leg's ending for that of its call.
+func (d *Decider) over(c *Call, e Ending, on string) {
+	delete(d.calls, c.ID)
+	if e == Done {
+		d.kind(c.Kind).done++
+	} else {
+		d.kind(c.Kind).given[fault.Code(e)]++
+	}
+	d.gaugeOver(c, e, "")
+	d.note(c, "ended", on, string(e))
+	d.do(Effect{Over: &Over{Call: c, Ending: e}})
+}
--- a/internal/dispatch/prospect.go
+++ b/internal/dispatch/prospect.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 
 	"petreltide/internal/clock"
 	"petreltide/internal/fault"
@@ -101,7 +102,7 @@
 			continue
 		}
 		delete(p.loads, key)
-		id, unit := cutKey(key)
+		id, unit, _ := strings.Cut(key, "|")
 		r := s.Replicas[id]
 		if r == nil || !holds(r, unit) {
 			continue
@@ -112,15 +113,6 @@
 	}
 }
 
-func cutKey(key string) (id, rest string) {
-	for i := range key {
-		if key[i] == '|' {
-			return key[:i], key[i+1:]
-		}
-	}
-	return key, ""
-}
-
 // aheadMs is in how long some replica is likely to have what a call names; known is false where nothing has
 // been ordered yet.
 func (d *Decider) aheadMs(c *Call) (ms float64, known bool) {
@@ -250,7 +242,7 @@
 		}
 		w.untilUs = kept
 		if len(kept) > 0 {
-			_, unit := cutKey(key)
+			_, unit, _ := strings.Cut(key, "|")
 			rep.Waiting[unit] += len(kept)
 		}
 	}
--- a/internal/dispatch/routed.go
+++ b/internal/dispatch/routed.go
@@ -357,15 +357,7 @@
 			d.give(c, fault.Overloaded, "no further replica may be tried", 30)
 			return
 		}
-		delete(d.calls, c.ID)
-		if e.Ending == Done {
-			d.kind(c.Kind).done++
-		} else {
-			d.kind(c.Kind).given[fault.Code(e.Ending)]++
-		}
-		d.gaugeOver(c, e.Ending, "")
-		d.note(c, "ended", on, string(e.Ending))
-		d.do(Effect{Over: &Over{Call: c, Ending: e.Ending}})
+		d.over(c, e.Ending, on)
 		return
 	}
 	if !d.termed(c) {
