Give the store and the disks that stand-in replicas share locks of their own

Cause: TestPlatformDayOnRealProcesses failed at times under -race. Replicas on real sockets advance under a lock of their own each, and all of them count their loads in one store: loadUs of one read the count while advance of another counted down. A disk is shared in the same way by the lives of one machine.

Change: Store and Disk are types with a lock each, in a file of their own; Kill ends a core for good: what comes later is broken off and noted nowhere.

--- a/proofs/platform/replica/core.go
+++ b/proofs/platform/replica/core.go
@@ -55,13 +55,8 @@
 	return out
 }
 
-// Store is the store of weights that all replicas share: past AtOnce loads each takes longer.
-type Store struct {
-	AtOnce  int
-	running int
-}
-
-// Options hold for one life of a replica. Disk are the models that the machine has held before.
+// Options hold for one life of a replica. Store and Disk may be shared with other replicas; without a Disk
+// the life has an empty one of its own.
 type Options struct {
 	ID      string
 	Service string
@@ -72,7 +67,7 @@
 	Queue   int
 	Engine  *Engine
 	Store   *Store
-	Disk    map[string]bool
+	Disk    *Disk
 	Holds   []string
 	Fenced  bool
 	WorkUs  int64
@@ -208,18 +203,20 @@
 	Draining bool
 	LeavesUs int64
 	Fallen   bool
-	effects  []Effect
-	muted    map[uint64]*work
+	// ended is set by Kill: nothing that reaches this life later is taken.
+	ended   bool
+	effects []Effect
+	muted   map[uint64]*work
 }
 
 func NewCore(o Options) *Core {
 	c := &Core{opts: o, held: map[string]bool{}, kept: map[string]int64{}, keptUs: map[string]int64{}, reading: map[*work]int64{}, muted: map[uint64]*work{}}
 	if c.opts.Disk == nil {
-		c.opts.Disk = map[string]bool{}
+		c.opts.Disk = NewDisk()
 	}
 	for _, u := range o.Holds {
 		c.held[u] = true
-		c.opts.Disk[u] = true
+		c.opts.Disk.Put(u)
 	}
 	return c
 }
@@ -311,8 +308,11 @@
 	return m.SizeMb
 }
 
-// Take is a request that has arrived whole.
+// Take is a request that has arrived whole. A life that has ended breaks the connection off.
 func (c *Core) Take(nowUs int64, conn uint64, ask Ask) []Effect {
+	if c.ended {
+		return []Effect{{Conn: conn, Broken: true}}
+	}
 	c.advance(nowUs)
 	c.arrivals++
 	c.nonces++
@@ -666,8 +666,11 @@
 	c.do(Effect{Conn: w.conn, Head: true, Status: http.StatusOK, Seal: Seal(c.opts.ID, w.arrival.Nonce), Body: Text(w.ask.Body, 1, w.arrival.Nonce), End: true})
 }
 
-// Order takes an order and answers with its status.
+// Order takes an order and answers with its status, 0 for no answer where its life has ended.
 func (c *Core) Order(nowUs int64, o Order) int {
+	if c.ended {
+		return 0
+	}
 	c.advance(nowUs)
 	seen := OrderSeen{Replica: c.opts.ID, From: o.From, Holder: o.Holder, Fence: o.Fence, Operation: o.Operation, Unit: o.unit(), AtUs: nowUs}
 	seen.Status, seen.Over = c.ordered(nowUs, o)
@@ -730,16 +733,14 @@
 	switch {
 	case u.order.Adapter != "":
 		return m.AdapterUs
-	case c.opts.Disk[u.unit]:
+	case c.opts.Disk.Has(u.unit):
 		return m.WarmUs
 	}
 	u.fromStore = true
 	if c.opts.Store == nil {
 		return m.LoadUs
 	}
-	c.opts.Store.running++
-	over := float64(c.opts.Store.running) / float64(max(c.opts.Store.AtOnce, 1))
-	return int64(float64(m.LoadUs) * max(over, 1))
+	return int64(float64(m.LoadUs) * c.opts.Store.begin())
 }
 
 // carryOrder ends a load whose time has come, and an unload once nothing runs on what is to go.
@@ -775,12 +776,12 @@
 	}
 	c.order = nil
 	if u.fromStore && c.opts.Store != nil {
-		c.opts.Store.running--
+		c.opts.Store.end()
 	}
 	if u.order.Operation == "loading" {
 		c.held[u.unit] = true
 		if u.order.Adapter == "" {
-			c.opts.Disk[u.unit] = true
+			c.opts.Disk.Put(u.unit)
 		}
 	} else {
 		maps.DeleteFunc(c.held, func(held string, _ bool) bool { return held == u.unit || strings.HasPrefix(held, u.unit+"/") })
@@ -802,8 +803,9 @@
 	}
 	c.running, c.waiting, c.stepUs = nil, nil, 0
 	if c.order != nil && c.order.fromStore && c.opts.Store != nil {
-		c.opts.Store.running--
+		c.opts.Store.end()
 	}
 	c.order = nil
+	c.ended = true
 	return c.flush()
 }
--- a/proofs/platform/replica/host.go
+++ b/proofs/platform/replica/host.go
@@ -187,6 +187,9 @@
 		fallen = h.core.Fallen
 		return h.core.flush()
 	})
+	if status == 0 {
+		panic(http.ErrAbortHandler)
+	}
 	w.WriteHeader(status)
 	if fallen {
 		go h.Kill(false)
--- a/proofs/sim/routed.go
+++ b/proofs/sim/routed.go
@@ -43,7 +43,7 @@
 	seen     *rules.Day
 	engine   *standing.Engine
 	store    *replica.Store
-	disks    map[string]map[string]bool
+	disks    map[string]*replica.Disk
 	offices  []*routedOffice
 	desks    []*routedDesk
 	replicas map[string]*replicaNode
@@ -93,7 +93,7 @@
 
 func newRoutedDay(plan RoutedPlan) *routedDay {
 	d := &routedDay{
-		plan: plan, engine: routedEngine(), disks: map[string]map[string]bool{}, replicas: map[string]*replicaNode{}, ports: 8000,
+		plan: plan, engine: routedEngine(), disks: map[string]*replica.Disk{}, replicas: map[string]*replicaNode{}, ports: 8000,
 		Sim: &Sim{r: rand.New(rand.NewSource(plan.Seed)), cuts: map[[2]string]int{}, nowUs: sec, caused: map[string]int{}},
 	}
 	d.store = &replica.Store{AtOnce: d.engine.StoreAtOnce()}
--- a/proofs/sim/routed_replicas.go
+++ b/proofs/sim/routed_replicas.go
@@ -40,7 +40,7 @@
 	id := fmt.Sprintf("i-%d", d.lives)
 	p := &replicaNode{machine: machine{sim: d.Sim, name: id, addr: addr, up: true, boot: 1}, day: d, host: host, conns: map[uint64]*leg{}}
 	if d.disks[host] == nil {
-		d.disks[host] = map[string]bool{}
+		d.disks[host] = replica.NewDisk()
 	}
 	opts := replica.Options{
 		ID: id, Service: service, Addr: addr, Zone: zone, Release: "v1", Slots: 6, Queue: 24, WorkUs: 60 * ms, Store: d.store, Disk: d.disks[host], Holds: holds,
