Keep a refused order refused, and a taken one unrefused, also past the memory

Two holes in how the ledger judges an order that was sent before.

An order that builds on a version still to come was refused with 412 and not remembered. A copy of it that was still under way (the office sends an order on every 400 ms until it has an answer; an operator sends it to other machines) was judged anew once that version was in force, and taken: refused, then in force.

The ledger now keeps the highest number it has forgotten: an order at or below it gets no clear answer. So the bound of the memory costs no soundness at any rate of changes. All other refusals are final by themselves: versions only rise.

A declaration without a number is refused while a numbered one is in force, as it would set the numbers back.

Ruled out: remembering every refusal (orders that are refused all the time would push out those that were taken).

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -211,12 +211,16 @@
 	KeyOrder   []string              `json:"keyOrder"`
 	Changes    map[string]Outcome    `json:"changes"`
 	ChangeIDs  []string              `json:"changeIds"`
-	Refused    map[fault.Code]uint64 `json:"refused"`
-	Edits      []Edited              `json:"edits,omitempty"`
-	Member     *MemberChange         `json:"member,omitempty"`
-	MemberID   string                `json:"memberId,omitempty"`
-	Loads      uint64                `json:"loads"`
-	LoadedMb   int64                 `json:"loadedMb"`
+	// Forgotten is the highest number among taken changes whose outcome is not remembered any more.
+	Forgotten uint64 `json:"forgotten,omitempty"`
+	// Ahead are refusals of orders that build on a version which may still come.
+	Ahead    []RefusedAhead        `json:"ahead,omitempty"`
+	Refused  map[fault.Code]uint64 `json:"refused"`
+	Edits    []Edited              `json:"edits,omitempty"`
+	Member   *MemberChange         `json:"member,omitempty"`
+	MemberID string                `json:"memberId,omitempty"`
+	Loads    uint64                `json:"loads"`
+	LoadedMb int64                 `json:"loadedMb"`
 }
 
 func NewState() *State {
@@ -319,22 +323,25 @@
 }
 
 func (s *State) applyConfig(out Outcome, c Change) Outcome {
-	if first, seen := s.Changes[c.ID]; seen {
-		first.Again = true
+	if first, seen := s.earlierOutcome(c.ID); seen {
 		return first
 	}
 	if c.Config.Version > 0 {
 		return s.applyVersion(out, c)
 	}
-	if c.Config.Base != s.Revision {
-		out.Fault = fault.New(fault.StaleBase, "base", "based on %d, current is %d", c.Config.Base, s.Revision)
-		out.Fault.Revision = s.Revision
+	if s.Version() > 0 {
+		out.Fault = fault.New(fault.InvalidConfig, "version", "version %d is in force: send a numbered one", s.Version())
+	} else if c.Config.Base != s.Revision {
+		if out = s.staleBase(out, c.Config.Base, s.Revision, c.Config.Base+1); out.Fault.Code == fault.InDoubt {
+			return out
+		}
 	} else if f := s.fits(c.Config.Doc); f != nil {
 		out.Fault = f
 	} else {
 		s.Revision++
 		s.Doc = c.Config.Doc
 		s.NewsIndex = s.Index
+		s.dropPassed(s.Revision)
 	}
 	out.Revision = s.Revision
 	s.remember(out)
@@ -349,16 +356,17 @@
 	return s.Doc.Version
 }
 
-// applyVersion takes an operator's numbered version. Only what was taken is remembered: what was refused
-// is judged anew, against what is in force by then.
+// applyVersion takes an operator's numbered version. What was taken is remembered, and so is a refusal that would not
+// be given again (see staleBase). Any other refusal is judged anew, and found again: versions only rise, and what is
+// invalid on top of one version stays invalid on top of it.
 func (s *State) applyVersion(out Outcome, c Change) Outcome {
 	out.Revision = s.Version()
 	doc := c.Config.Doc
+	if c.Config.Base != s.Version() {
+		return s.staleBase(out, c.Config.Base, s.Version(), c.Config.Version)
+	}
 	var bad *fault.Fault
 	switch {
-	case c.Config.Base != s.Version():
-		bad = fault.New(fault.StaleBase, "base", "based on %d, current is %d", c.Config.Base, s.Version())
-		bad.Revision = s.Version()
 	case c.Config.Version <= s.Version():
 		bad = fault.New(fault.InvalidConfig, "version", "%d is not above %d", c.Config.Version, s.Version())
 	case c.Config.Edit != nil && s.Doc == nil:
@@ -384,6 +392,7 @@
 	s.Doc = doc.Indexed()
 	s.NewsIndex = s.Index
 	out.Revision = s.Version()
+	s.dropPassed(s.Version())
 	s.remember(out)
 	return out
 }
@@ -734,10 +743,7 @@
 	}
 	s.Changes[out.ID] = out
 	s.ChangeIDs = append(s.ChangeIDs, out.ID)
-	if len(s.ChangeIDs) > ChangesMost {
-		delete(s.Changes, s.ChangeIDs[0])
-		s.ChangeIDs = s.ChangeIDs[1:]
-	}
+	s.forgetOldest()
 }
 
 func (s *State) applyKey(out *Outcome, c Change) {
--- /dev/null
+++ b/internal/ledger/repeat_test.go
@@ -0,0 +1,151 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"petreltide/internal/fault"
+)
+
+// apply hands one change to the state as the next entry of the log.
+func apply(s *State, c Change) Outcome { return s.Apply(s.Index+1, c) }
+
+// numbered takes versions up to a number, one on top of the other, and returns the orders.
+func numbered(t *testing.T, s *State, upto uint64) []Change {
+	t.Helper()
+	orders := []Change{}
+	for version := s.Version() + 1; version <= upto; version++ {
+		c := order(version-1, version, versionDoc(version, versionRoute("a", int64(version), "s")), nil)
+		if out := apply(s, c); out.Fault != nil {
+			t.Fatal(out.Fault)
+		}
+		orders = append(orders, c)
+	}
+	return orders
+}
+
+// An order that was taken and is sent again is acknowledged again, or left without a clear answer where it is older
+// than what is remembered; it is never refused. An order that was never taken gets a refusal only while the memory
+// reaches back to its number.
+func TestATakenOrderIsNotRefusedHoweverManyCameAfterIt(t *testing.T) {
+	s := NewState()
+	const forgotten = 100
+	orders := numbered(t, s, ChangesMost+forgotten)
+	version := s.Version()
+	for i, c := range orders {
+		want := fault.Code("")
+		if i < forgotten {
+			want = fault.InDoubt
+		}
+		out := apply(s, c)
+		if code(out) != want || out.Again != (want == "") {
+			t.Fatalf("order %d of %d sent again: %+v", i+1, len(orders), out)
+		}
+	}
+	for _, rival := range []struct {
+		version uint64
+		want    fault.Code
+	}{{1, fault.InDoubt}, {forgotten, fault.InDoubt}, {forgotten + 1, fault.StaleBase}, {version, fault.StaleBase}, {version + 1, fault.StaleBase}} {
+		c := order(rival.version-1, rival.version, versionDoc(rival.version, versionRoute("b", 1, "t")), nil)
+		if rival.version == version+1 {
+			c = order(version-1, rival.version, versionDoc(rival.version, versionRoute("b", 1, "t")), nil)
+		}
+		if out := apply(s, c); code(out) != rival.want {
+			t.Errorf("another order under number %d: %+v, want %q", rival.version, out, rival.want)
+		}
+	}
+	if s.Version() != version || len(s.Changes) > ChangesMost {
+		t.Errorf("version %d, %d outcomes", s.Version(), len(s.Changes))
+	}
+	back, err := Decode(s.Encode())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if out := apply(back, orders[0]); code(out) != fault.InDoubt {
+		t.Errorf("after it was read back: %+v", out)
+	}
+}
+
+// An order that builds on a version which is still to come is refused for good: a copy of it that is still under way
+// must not be taken once that version is in force.
+func TestAnOrderRefusedAheadOfItsBaseIsNeverTaken(t *testing.T) {
+	s := NewState()
+	numbered(t, s, 5)
+	early := order(6, 7, versionDoc(7, versionRoute("b", 1, "s")), nil)
+	if out := apply(s, early); code(out) != fault.StaleBase {
+		t.Fatalf("ahead of its base: %+v", out)
+	}
+	numbered(t, s, 6)
+	back, err := Decode(s.Encode())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, state := range map[string]*State{"the state": s, "the state read back": back} {
+		if out := apply(state, early); code(out) != fault.StaleBase || state.Version() != 6 {
+			t.Errorf("%s: refused before, and now %+v, version %d in force", name, out, state.Version())
+		}
+	}
+	anew := order(6, 8, versionDoc(8, versionRoute("b", 1, "s")), nil)
+	if out := apply(s, anew); out.Fault != nil {
+		t.Errorf("the same under another number: %+v", out)
+	}
+}
+
+// What is remembered of refusals ahead of their base is bounded, and dropped once the base is passed. Beyond the
+// bound there is no clear answer, as the order may yet be taken.
+func TestRefusalsAheadOfTheirBaseAreBounded(t *testing.T) {
+	s := NewState()
+	numbered(t, s, 1)
+	early := func(n int) Change {
+		version := uint64(10 + n)
+		return order(2, version, versionDoc(version, versionRoute("b", 1, "s")), nil)
+	}
+	for n := range AheadMost {
+		if out := apply(s, early(n)); code(out) != fault.StaleBase {
+			t.Fatalf("refusal %d: %+v", n, out)
+		}
+	}
+	frozen := s.Freeze()
+	if out := apply(s, early(AheadMost)); code(out) != fault.InDoubt {
+		t.Fatalf("beyond the bound: %+v", out)
+	}
+	if out := apply(s, early(0)); code(out) != fault.StaleBase || !out.Again {
+		t.Fatalf("refused again: %+v", out)
+	}
+	senseless := order(9, 9, versionDoc(9, versionRoute("b", 1, "s")), nil)
+	if out := apply(s, senseless); code(out) != fault.StaleBase {
+		t.Fatalf("a number that is not above its base can never be taken: %+v", out)
+	}
+	numbered(t, s, 2)
+	for n := range AheadMost {
+		if out := apply(s, early(n)); code(out) != fault.StaleBase {
+			t.Fatalf("refused, and now %d: %+v", n, out)
+		}
+	}
+	if out := apply(s, early(AheadMost)); out.Fault != nil {
+		t.Fatalf("it was left without a clear answer and is fit now: %+v", out)
+	}
+	if diff := cmp.Diff(0, len(s.Ahead)); diff != "" {
+		t.Errorf("refusals that stand for themselves are kept: %s", diff)
+	}
+	if len(frozen.Ahead) != AheadMost || frozen.Ahead[0].Base != 2 {
+		t.Errorf("a frozen state has changed: %d refusals", len(frozen.Ahead))
+	}
+}
+
+// Once numbered versions are in force, a declaration without a number would set the numbers back.
+func TestADeclarationWithoutANumberDoesNotReplaceANumberedOne(t *testing.T) {
+	s := NewState()
+	orders := numbered(t, s, 3)
+	out := apply(s, Change{ID: "op-whole", Config: &ConfigChange{Base: s.Revision, Doc: versionDoc(0)}})
+	if code(out) != fault.InvalidConfig || s.Version() != 3 {
+		t.Fatalf("%+v, version %d in force", out, s.Version())
+	}
+	for i, c := range orders {
+		if out := apply(s, c); out.Fault != nil || !out.Again {
+			t.Errorf("order %s sent again: %+v", fmt.Sprint(i+1), out)
+		}
+	}
+}
