Give an order's outcome to every caller that waits, and leave a patch to the chain

Two callers that wait at one office for one order (an operator's first call is still held while it sends the order again) shared one place: the second took it, and when it gave up the first heard nothing for 8 s. Each has its own place now.

PATCH was refused with 409 by what the office itself held: one that lagged behind the base, or one that had the order but could not vouch for it yet, would refuse what had been taken elsewhere. An office behind the base answers 503; past the base the chain judges, which remembers what was taken.

--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -74,7 +75,8 @@
 	pace     func() <-chan time.Time
 	partners map[string]chan wire.Letter
 	bulk     map[string]bool
-	waiters  map[string]chan wire.Result
+	// waiters are the callers that wait for the outcome of a change, by its id.
+	waiters  map[string][]chan wire.Result
 	replies  map[uint64]chan wire.Lease
 	replySeq uint64
 	follows  map[string]*followed
@@ -168,7 +170,7 @@
 		set: set, core: core, disk: opened.Store, ring: ring, log: logger,
 		web: rpc.Client(500, set.Listen), inner: rpc.Client(innerDialMs, set.Listen),
 		act: actor.New(mailboxMost), saves: newSaves(), pace: func() <-chan time.Time { return time.After(retryEvery) },
-		partners: map[string]chan wire.Letter{}, bulk: map[string]bool{}, waiters: map[string]chan wire.Result{}, replies: map[uint64]chan wire.Lease{},
+		partners: map[string]chan wire.Letter{}, bulk: map[string]bool{}, waiters: map[string][]chan wire.Result{}, replies: map[uint64]chan wire.Lease{},
 		follows: map[string]*followed{}, rebuilds: opened.Fresh && founding == 0 && len(set.Founders) == 0, failed: make(chan error, 1),
 		frames: map[string]*framed{},
 	}
@@ -254,12 +256,7 @@
 		case e.Frame != nil:
 			h.frame(e.Frame.Desk, e.Frame.Frame)
 		case e.Result != nil:
-			if waiter := h.waiters[e.Result.Outcome.ID]; waiter != nil {
-				select {
-				case waiter <- *e.Result:
-				default:
-				}
-			}
+			h.answer(*e.Result)
 		case e.Lease != nil:
 			if reply := h.replies[e.Lease.Reply]; reply != nil {
 				reply <- e.Lease.Lease
@@ -536,16 +533,32 @@
 	return errors.Trace(json.Unmarshal(raw, into))
 }
 
+// answer gives a result to every caller that waits for it.
+func (h *Host) answer(r wire.Result) {
+	for _, waiter := range h.waiters[r.Outcome.ID] {
+		select {
+		case waiter <- r:
+		default:
+		}
+	}
+}
+
+// stopWaiting takes one caller off those that wait for a change.
+func (h *Host) stopWaiting(id string, waiter chan wire.Result) {
+	left := slices.DeleteFunc(h.waiters[id], func(w chan wire.Result) bool { return w == waiter })
+	if len(left) == 0 {
+		delete(h.waiters, id)
+		return
+	}
+	h.waiters[id] = left
+}
+
 // Submit carries a change to the head and waits for the tail's result.
 func (h *Host) Submit(ctx context.Context, c ledger.Change, wait time.Duration) (wire.Result, bool) {
 	c.Origin = h.set.Advertise
 	waiter := make(chan wire.Result, 4)
-	defer h.act.Tell(func() {
-		if h.waiters[c.ID] == waiter {
-			delete(h.waiters, c.ID)
-		}
-	})
-	if !h.act.Do(ctx, func() { h.waiters[c.ID] = waiter }) {
+	defer h.act.Tell(func() { h.stopWaiting(c.ID, waiter) })
+	if !h.act.Do(ctx, func() { h.waiters[c.ID] = append(h.waiters[c.ID], waiter) }) {
 		return wire.Result{}, false
 	}
 	expiry := time.NewTimer(wait)
--- a/internal/office/web.go
+++ b/internal/office/web.go
@@ -260,6 +260,35 @@
 	h.change(w, r, ledger.Change{ID: a.id, Config: &ledger.ConfigChange{Base: a.base, Doc: doc}})
 }
 
+// patchStep is what becomes of a patch at this office.
+type patchStep int
+
+const (
+	// mergeHere: this office holds the declaration that the patch builds on.
+	mergeHere patchStep = iota
+	// baseUnknown: the chain may be further on than this office, which can say nothing.
+	baseUnknown
+	// leaveToChain: the base has been passed. The patch can't be taken any more, but it may have been taken before,
+	// and only the chain knows for sure.
+	leaveToChain
+	// nothingToPatch: no patch can build on the empty state.
+	nothingToPatch
+)
+
+func nextPatchStep(now ConfigNow, base uint64) patchStep {
+	switch {
+	case base == 0 && now.Declaration == nil:
+		return nothingToPatch
+	case now.Revision < base:
+		return baseUnknown
+	case now.Revision > base:
+		return leaveToChain
+	case now.Declaration == nil:
+		return baseUnknown
+	}
+	return mergeHere
+}
+
 func (h *Host) patchConfig(w http.ResponseWriter, r *http.Request) {
 	a, ok := h.asked(w, r)
 	if !ok {
@@ -270,10 +299,15 @@
 		h.reply(r.Context(), w, a.id, wire.Result{Outcome: first, Everywhere: true})
 		return
 	}
-	if now.Revision != a.base || now.Declaration == nil {
-		stale := fault.New(fault.StaleBase, "base", "based on %d, current is %d", a.base, now.Revision)
-		stale.Revision = now.Revision
-		writeFault(w, stale)
+	switch nextPatchStep(now, a.base) {
+	case baseUnknown:
+		writeFault(w, fault.New(fault.NotServing, "base", "revision %d is not known here yet, only %d", a.base, now.Revision))
+		return
+	case nothingToPatch:
+		writeFault(w, fault.New(fault.StaleBase, "base", "there is no declaration yet"))
+		return
+	case leaveToChain:
+		h.change(w, r, ledger.Change{ID: a.id, Config: &ledger.ConfigChange{Base: a.base, Doc: now.Declaration}})
 		return
 	}
 	merged, bad := standing.Merge(now.Declaration, a.raw)
