A member that is told to end hands over its seat and vote first

Cause: an office that got SIGTERM went at once. Where its successor had been started before it (a planned replacement) there are four votes for three machines and a quorum of three. Until the silent one's vote was dropped (2.4 s of silence, and a view), the loss of one more machine left two of four: no view could be decided any more, and no newcomer could be taken in, for good. The platform counts a removed machine as lost no longer once its successor has had catchUpS, so that loss may come at that moment.

Change: an office tells the others that it is leaving and serves on. They take its seat out where enough others hold the whole log, and with the seat its vote where votes are to spare, or give the vote to the newcomer. While a vote is to spare, the vote of one whose seat goes for silence goes in the same view, not 2.4 s later. The wait is bounded by leaveMs (the platform's grace less 2.5 s). An office whose fellows are all leaving does not wait.

--- a/cmd/petreltide/daemons.go
+++ b/cmd/petreltide/daemons.go
@@ -14,7 +14,7 @@
 )
 
 func officeCommand() *cobra.Command {
-	set := settings.Office{}
+	set := settings.Office{LeaveMs: 3000}
 	place := place{&set.Name, &set.Listen, &set.Advertise, &set.Zone, &set.Seeds}
 	var file string
 	cmd := &cobra.Command{
--- a/internal/chain/join.go
+++ b/internal/chain/join.go
@@ -3,7 +3,7 @@
 func (n *Node) joiner() (Seat, bool) {
 	for _, id := range n.partnerIDs() {
 		p := n.partners[id]
-		if n.view.Seated(id) || !n.Hears(id) || p.hello.Stalled || p.hello.View.Number != n.view.Number {
+		if n.view.Seated(id) || !n.Hears(id) || p.hello.Stalled || p.hello.Leaving || p.hello.View.Number != n.view.Number {
 			continue
 		}
 		if p.hello.Phase != Outside && p.hello.Phase != Waking {
@@ -99,10 +99,10 @@
 	first := (p != nil && p.hello.First) || (m.ID == n.opts.Me.ID && n.opts.First)
 	waits := false
 	for i, v := range n.view.Voters {
-		if n.view.Seated(v.ID) || first {
+		if first || (n.view.Seated(v.ID) && !n.memberLeaves(v.ID)) {
 			continue
 		}
-		if n.hearsFor(v.ID, 3*n.opts.SuspectUs) {
+		if !n.memberLeaves(v.ID) && n.hearsFor(v.ID, 3*n.opts.SuspectUs) {
 			waits = waits || !n.Hears(v.ID)
 			continue
 		}
@@ -140,7 +140,7 @@
 	}
 	for _, id := range n.partnerIDs() {
 		p := n.partners[id]
-		if n.view.Seated(id) || !n.Hears(id) || p.hello.Phase == Serving || p.hello.Stalled {
+		if n.view.Seated(id) || !n.Hears(id) || p.hello.Phase == Serving || p.hello.Stalled || p.hello.Leaving {
 			continue
 		}
 		seated := n.mayJoin(p.hello.Me)
--- a/internal/chain/member.go
+++ b/internal/chain/member.go
@@ -53,7 +53,7 @@
 	}
 	whole := 0
 	for _, s := range n.view.Order {
-		if s.ID != o.ID && n.sound(s) && n.wholeSeat(s) {
+		if s.ID != o.ID && n.sound(s) && !n.leaves(s) && n.wholeSeat(s) {
 			whole++
 		}
 	}
@@ -143,7 +143,7 @@
 	}
 	others := 0
 	for _, s := range n.view.Order {
-		if s.ID != voter.ID && n.sound(s) && n.wholeSeat(s) {
+		if s.ID != voter.ID && n.sound(s) && !n.leaves(s) && n.wholeSeat(s) {
 			others++
 		}
 	}
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -40,6 +40,8 @@
 	accepted *Accepted
 	compared bool
 	whole    bool
+	// leaving is set once this process has been told to end.
+	leaving bool
 
 	entries  []Entry
 	base     Copy
@@ -219,19 +221,20 @@
 }
 
 // WritesTaken is false in a view of too few: nothing is acknowledged on fewer copies than a loss may take.
-func (n *Node) WritesTaken() bool {
-	voters := n.view.Voters
-	if len(n.view.Order) < n.copiesLeast() {
+func (n *Node) WritesTaken() bool { return n.takesWrites(n.view) }
+
+func (n *Node) takesWrites(v View) bool {
+	if len(v.Order) < n.copiesLeast() {
 		return false
 	}
 	if n.opts.ZonesLeast < 2 {
 		return true
 	}
 	seated, wanted := map[string]bool{}, map[string]bool{}
-	for _, s := range n.view.Order {
+	for _, s := range v.Order {
 		seated[s.Zone] = true
 	}
-	for _, v := range voters {
+	for _, v := range v.Voters {
 		wanted[v.Zone] = true
 	}
 	return len(seated) >= min(n.opts.ZonesLeast, len(wanted))
@@ -303,6 +306,8 @@
 		for _, addr := range ev.Learn {
 			n.learned[addr] = true
 		}
+	case ev.Leave:
+		n.leave()
 	default:
 		n.tick()
 	}
@@ -640,6 +645,8 @@
 // WaitsFor tells an operator, in words, what this office is waiting for.
 func (n *Node) WaitsFor() string {
 	switch {
+	case n.leaving && !n.Left():
+		return "other members to take its seat and vote over before it ends"
 	case n.refusing():
 		return "its own disk: it takes no bytes; the same write is tried again and again"
 	case n.stalled():
--- a/internal/chain/self_test.go
+++ b/internal/chain/self_test.go
@@ -29,6 +29,7 @@
 	broken  string
 	founder []string
 	copies  int
+	paced   bool
 }
 
 type spot struct {
@@ -39,6 +40,8 @@
 	slow  bool
 	gone  bool
 	opts  Options
+	// bornUs is since when its disk has lasted.
+	bornUs int64
 }
 
 type synced struct {
@@ -67,9 +70,15 @@
 func (y *yard) start(s *spot, first bool) {
 	y.incs++
 	s.opts = Options{Me: s.me, Inc: fmt.Sprintf("%s/%d", s.me.ID, y.incs), SelfMembers: true, CopiesLeast: y.copies, KeepMost: 30}
+	if y.paced {
+		s.opts = paced(s.opts)
+	}
 	if first {
 		s.opts.Founders, s.opts.First = y.founder, true
 	}
+	if len(s.disk) == 0 {
+		s.bornUs = y.nowUs
+	}
 	node, err := NewNode(s.opts, s.disk, y.nowUs)
 	if err != nil {
 		y.t.Fatal(err)
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -151,6 +151,8 @@
 	Founders  []Member  `json:"founders,omitempty"`
 	CopyIndex uint64    `json:"copyIndex,omitempty"`
 	First     bool      `json:"first,omitempty"`
+	// Leaving says that this process has been told to end.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 type Prepare struct {
@@ -233,6 +235,8 @@
 	Refused uint64
 	Submit  *ledger.Change
 	Learn   []string
+	// Leave says that this process is to end: it hands over its seat and its vote first.
+	Leave bool
 }
 
 type Effect struct {
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -47,7 +47,7 @@
 	h := Hello{
 		Me: n.opts.Me, Inc: n.opts.Inc, Phase: n.phase, View: n.view, Last: n.lastIndex(), LastView: n.lastView(),
 		Compared: n.compared, Whole: n.whole, Stalled: n.stalled(), Promised: n.promised, Accepted: n.accepted,
-		Founders: n.founders, CopyIndex: n.copyHeld, First: n.opts.First,
+		Founders: n.founders, CopyIndex: n.copyHeld, First: n.opts.First, Leaving: n.leaving,
 	}
 	for _, id := range n.partnerIDs() {
 		if n.Hears(id) {
@@ -278,8 +278,12 @@
 			want.Order = append(want.Order, s)
 		}
 	}
+	want.Order = n.withoutLeaving(want.Order)
 	changed := len(want.Order) != len(n.view.Order)
-	if !changed {
+	if id := n.departedExtra(want.Order); id != "" {
+		want.Voters, want.Extra = withoutVote(n.view.Voters, id), want.Extra-1
+		changed = true
+	} else if !changed {
 		if seat, ok := n.joiner(); ok {
 			want.Order = append(without(n.view.Order, n.replaced(seat.Member)), seat)
 			changed = true
@@ -300,7 +304,7 @@
 			changed = true
 		}
 	}
-	if !changed || len(want.Order) == 0 {
+	if !changed || len(want.Order) == 0 || (n.leaving && !want.Seated(n.opts.Me.ID)) {
 		n.quietUs = n.nowUs
 		return
 	}
--- a/internal/office/core.go
+++ b/internal/office/core.go
@@ -25,6 +25,7 @@
 	Refused    uint64
 	Submit     *ledger.Change
 	Learn      []string
+	Leave      bool
 	Follow     *wire.Follow
 	Report     *Reported
 	Controller *controller.Event
@@ -115,6 +116,8 @@
 		c.chain(chain.Event{NowUs: ev.NowUs, Submit: ev.Submit})
 	case ev.Learn != nil:
 		c.chain(chain.Event{NowUs: ev.NowUs, Learn: ev.Learn})
+	case ev.Leave:
+		c.chain(chain.Event{NowUs: ev.NowUs, Leave: true})
 	case ev.Follow != nil:
 		c.Room.Gate(ev.NowUs, c.Node.Open(ev.NowUs))
 		c.Room.Follow(ev.NowUs, *ev.Follow)
--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -212,6 +212,7 @@
 	var failure error
 	select {
 	case <-ctx.Done():
+		h.handOver()
 	case failure = <-h.failed:
 		h.ring.Dump("stopping: " + failure.Error())
 	}
--- /dev/null
+++ b/internal/office/leave.go
@@ -0,0 +1,35 @@
+package office
+
+import (
+	"time"
+
+	"petreltide/internal/actor"
+	"petreltide/internal/clock"
+)
+
+// leaveCheckEvery is how often a process that is to end asks whether it may.
+const leaveCheckEvery = 25 * time.Millisecond
+
+// handOver gives the other offices the time that the settings allow to take over this one's seat, its vote and
+// what only it holds. The office serves on meanwhile.
+func (h *Host) handOver() {
+	if h.set.LeaveMs <= 0 {
+		return
+	}
+	h.tell(Event{Leave: true})
+	fromUs := clock.NowUs()
+	expiry := time.NewTimer(time.Duration(h.set.LeaveMs) * time.Millisecond)
+	defer expiry.Stop()
+	check := time.NewTicker(leaveCheckEvery)
+	defer check.Stop()
+	left := false
+	for waiting := true; waiting && !left; {
+		select {
+		case <-check.C:
+			left, _ = actor.Ask(h.act.Ctx, h.act, h.core.Node.Left)
+		case <-expiry.C:
+			waiting = false
+		}
+	}
+	_ = h.log.Log("event", "leaving", "handed over", left, "ms", (clock.NowUs()-fromUs)/clock.Ms)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,7 +40,9 @@
 	StoreWindowMs  int64   `json:"storeWindowMs,omitempty" validate:"min=0,max=3600000"`
 	StoreOvershoot float64 `json:"storeOvershoot,omitempty" validate:"min=0,max=10"`
 	MemoryMb       int     `json:"memoryMb,omitempty" validate:"min=0"`
-	Outlier        Outlier `json:"outlier,omitempty"`
+	// LeaveMs is how long an office that is told to end waits for others to take its seat and vote over.
+	LeaveMs int64   `json:"leaveMs,omitempty" validate:"min=0,max=3600000"`
+	Outlier Outlier `json:"outlier,omitempty"`
 }
 
 // Outlier bounds the verdicts on replicas by what became of their legs; what is left out is as usual.
