Acknowledge a replica's leaving only once a quorum of offices knows of it

A core machine acknowledged every heartbeat by itself. One that is cut off from the others for twenty seconds, and that leaving replicas report to, acknowledged their leaving alone: the replicas served on for drainMs and ended, and the desks that follow the other offices sent to them until then. It also took the signs of life of the others, which then went dark everywhere else.

A new directed test in the simulator cuts the head, the middle, the tail, the controller and a joiner off for 20 s (silent, mute, deaf, reset, also from desks and from other zones, frozen, with a clock that jumps; two of five; two in a row), with leaving replicas and operators led there first, and judges every answer given.

Now a heartbeat gets a 2xx only from an office that hears a quorum of voters and is heard by it, and the word that a replica leaves or has left only once a quorum of voters has confirmed that it knows. Without, the answer is 503 after 0.7 s at most; what was said is known here all the same. Planted and caught: an office that acknowledges all the same, contact instead of confirmation, a tail that reads without its lease, a refusal by an office's own state.

--- /dev/null
+++ b/internal/chain/contact.go
@@ -0,0 +1,26 @@
+package chain
+
+// InContact says whether this office and a quorum of the voters of the newest view it knows hear each other,
+// itself counted where it votes. An office out of contact may be cut off: it cannot hand on what it is told,
+// and what it knows may be old.
+func (n *Node) InContact(nowUs int64) bool {
+	if len(n.view.Voters) == 0 {
+		return false
+	}
+	return n.Quorum(func(id string) bool {
+		p := n.partners[id]
+		return p != nil && nowUs-p.heardUs < n.opts.SuspectUs && nowUs-p.deafUs < 2*n.opts.SuspectUs
+	})
+}
+
+// Quorum says whether something holds for a quorum of the voters of the newest view this office knows. It is
+// taken to hold for this office itself.
+func (n *Node) Quorum(holds func(id string) bool) bool {
+	count := 0
+	for _, v := range n.view.Voters {
+		if v.ID == n.opts.Me.ID || holds(v.ID) {
+			count++
+		}
+	}
+	return count > 0 && count >= n.view.Quorum()
+}
--- a/internal/office/core.go
+++ b/internal/office/core.go
@@ -31,6 +31,8 @@
 	Beat       *watch.Beat
 	Heard      *roster.Row
 	Left       string
+	// Reply names the answer that is owed for Heard or Left; 0 where nobody waits.
+	Reply      uint64
 	Subscribe  *wire.Follow
 	Unfollow   *Unfollow
 	DeskReport *wire.Report
@@ -48,6 +50,7 @@
 	Frame      *feed.FramePush
 	Result     *wire.Result
 	Lease      *Leased
+	Word       *WordReply
 	Controller *controller.Effect
 	Applied    *chain.Applied
 	Trouble    string
@@ -125,9 +128,9 @@
 	case ev.Beat != nil:
 		c.Watch.Heard(ev.NowUs, *ev.Beat)
 	case ev.Heard != nil:
-		c.heard(ev.NowUs, *ev.Heard)
+		c.word(ev.NowUs, *ev.Heard, ev.Reply)
 	case ev.Left != "":
-		c.gone(ev.NowUs, ev.Left)
+		c.left(ev.NowUs, ev.Left, ev.Reply)
 	case ev.Subscribe != nil:
 		c.soft.Hub.Follow(ev.NowUs, *ev.Subscribe)
 	case ev.Unfollow != nil:
@@ -139,6 +142,7 @@
 		c.controller(controller.Event{NowUs: ev.NowUs})
 		c.saySilence(ev.NowUs)
 		c.memberDone(ev.NowUs)
+		c.settleDepartures(ev.NowUs)
 	}
 	c.Room.Gate(ev.NowUs, c.Node.Open(ev.NowUs))
 	for _, p := range c.Room.Pushes(c.Node.State(), c.Node.View()) {
@@ -165,6 +169,8 @@
 		c.controller(controller.Event{NowUs: nowUs, Silence: l.Silence})
 	case l.Heard != nil:
 		c.heardFrom(nowUs, *l.Heard)
+	case l.Confirmed != nil:
+		c.confirmed(nowUs, *l.Confirmed)
 	case l.Outlier != nil && l.Outlier.After(c.soft.Outliers):
 		c.soft.Outliers = *l.Outlier
 	}
--- a/internal/office/frames.go
+++ b/internal/office/frames.go
@@ -72,14 +72,33 @@
 	}
 }
 
-// Heard takes what a replica says of itself; it is known here once this returns true.
+// Heard takes what a replica says of itself; true acknowledges it. It is known here all the same where this
+// office is out of contact and cannot acknowledge it.
 func (h *Host) Heard(ctx context.Context, row roster.Row) bool {
-	return h.act.Do(ctx, func() { h.step(Event{Heard: &row}) })
+	return h.word(ctx, Event{Heard: &row})
 }
 
-// Left takes the word that a replica's life has ended.
-func (h *Host) Left(ctx context.Context, id string) bool {
-	return h.act.Do(ctx, func() { h.step(Event{Left: id}) })
+// Left takes the word that a replica's life has ended; true acknowledges it.
+func (h *Host) Left(ctx context.Context, id string) bool { return h.word(ctx, Event{Left: id}) }
+
+func (h *Host) word(ctx context.Context, ev Event) bool {
+	reply := make(chan bool, 1)
+	var number uint64
+	if !h.act.Do(ctx, func() {
+		h.replySeq++
+		number, ev.Reply = h.replySeq, h.replySeq
+		h.words[number] = reply
+		h.step(ev)
+	}) {
+		return false
+	}
+	select {
+	case ok := <-reply:
+		return ok
+	case <-ctx.Done():
+	case <-h.act.Ctx.Done():
+	}
+	return false
 }
 
 // Configure carries an operator's numbered version to the chain. The same mark is the same order, and is
--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -76,6 +76,7 @@
 	bulk     map[string]bool
 	waiters  map[string]chan wire.Result
 	replies  map[uint64]chan wire.Lease
+	words    map[uint64]chan bool
 	replySeq uint64
 	follows  map[string]*followed
 	rebuilds bool
@@ -168,7 +169,7 @@
 		set: set, core: core, disk: opened.Store, ring: ring, log: logger,
 		web: rpc.Client(500, set.Listen), inner: rpc.Client(innerDialMs, set.Listen),
 		act: actor.New(mailboxMost), saves: newSaves(), pace: func() <-chan time.Time { return time.After(retryEvery) },
-		partners: map[string]chan wire.Letter{}, bulk: map[string]bool{}, waiters: map[string]chan wire.Result{}, replies: map[uint64]chan wire.Lease{},
+		partners: map[string]chan wire.Letter{}, bulk: map[string]bool{}, waiters: map[string]chan wire.Result{}, replies: map[uint64]chan wire.Lease{}, words: map[uint64]chan bool{},
 		follows: map[string]*followed{}, rebuilds: opened.Fresh && founding == 0 && len(set.Founders) == 0, failed: make(chan error, 1),
 		frames: map[string]*framed{},
 	}
@@ -265,6 +266,11 @@
 				reply <- e.Lease.Lease
 				delete(h.replies, e.Lease.Reply)
 			}
+		case e.Word != nil:
+			if reply := h.words[e.Word.Reply]; reply != nil {
+				reply <- e.Word.OK
+				delete(h.words, e.Word.Reply)
+			}
 		case e.Controller != nil:
 			h.controller(*e.Controller)
 		case e.Note != "":
--- /dev/null
+++ b/internal/office/leaving.go
@@ -0,0 +1,156 @@
+package office
+
+import (
+	"maps"
+	"slices"
+
+	"petreltide/internal/clock"
+	"petreltide/internal/roster"
+	"petreltide/internal/wire"
+)
+
+const (
+	// leaveWaitUs is how long a replica's word that it leaves may wait for a quorum; the replica itself goes on
+	// to another office after a second.
+	leaveWaitUs  = 700 * clock.Ms
+	leaveAgainUs = 150 * clock.Ms
+)
+
+// WordReply answers what a replica said of itself. OK acknowledges it; without, the replica goes on to another
+// office, though what it said is known here.
+type WordReply struct {
+	Reply uint64
+	OK    bool
+}
+
+// departure is a replica's word that it leaves, or has left, until a quorum of offices knows of it. A replica
+// whose leaving was acknowledged soon ends, so an office that is cut off must not acknowledge it alone.
+type departure struct {
+	gone    bool
+	sinceUs int64
+	askedUs int64
+	replies []uint64
+	knownBy map[string]bool
+}
+
+// word takes what a replica says of itself. That it is there is acknowledged by an office in contact with a
+// quorum; that it leaves, only once a quorum knows.
+func (c *Core) word(nowUs int64, row roster.Row, reply uint64) {
+	c.heard(nowUs, row)
+	if row.Draining || row.LeftMs > 0 {
+		c.departs(nowUs, row.ID, false, reply)
+		return
+	}
+	c.reply(reply, c.Node.InContact(nowUs))
+}
+
+// left takes the word that a replica's life has ended.
+func (c *Core) left(nowUs int64, id string, reply uint64) {
+	c.gone(nowUs, id)
+	c.departs(nowUs, id, true, reply)
+}
+
+func (c *Core) reply(reply uint64, ok bool) {
+	if reply != 0 {
+		c.effects = append(c.effects, Effect{Word: &WordReply{Reply: reply, OK: ok}})
+	}
+}
+
+func (c *Core) departs(nowUs int64, id string, gone bool, reply uint64) {
+	if reply == 0 {
+		return
+	}
+	d := c.soft.departures[id]
+	if d == nil {
+		d = &departure{}
+		c.soft.departures[id] = d
+	}
+	if gone && !d.gone || d.knownBy == nil {
+		d.gone, d.knownBy = d.gone || gone, map[string]bool{}
+	}
+	d.sinceUs, d.askedUs = nowUs, 0
+	d.replies = append(d.replies, reply)
+	c.settleDeparture(nowUs, id)
+}
+
+// departuresDue: other offices must be asked, or asked again, whether they know of a leaving.
+func (c *Core) departuresDue(nowUs int64) bool {
+	for _, d := range c.soft.departures {
+		if nowUs-d.askedUs >= leaveAgainUs {
+			return true
+		}
+	}
+	return false
+}
+
+// askAbout adds to a letter the leavings that a partner has not confirmed.
+func (c *Core) askAbout(nowUs int64, partner string, letter *wire.Heard) {
+	for _, id := range slices.Sorted(maps.Keys(c.soft.departures)) {
+		d := c.soft.departures[id]
+		if d.knownBy[partner] || nowUs-d.askedUs < leaveAgainUs {
+			continue
+		}
+		letter.Confirm = append(letter.Confirm, id)
+		if !slices.ContainsFunc(letter.Notes, func(n roster.Note) bool { return n.ID == id }) {
+			letter.Notes = append(letter.Notes, c.soft.Roster.NotesOf(nowUs, id)...)
+		}
+	}
+}
+
+func (c *Core) askedAbout(nowUs int64) {
+	for _, d := range c.soft.departures {
+		if nowUs-d.askedUs >= leaveAgainUs {
+			d.askedUs = nowUs
+		}
+	}
+}
+
+// confirm tells another office which of the leavings that it asks about are known here.
+func (c *Core) confirm(h wire.Heard) {
+	known := wire.Confirmed{By: c.Node.Me().ID, Inc: h.Inc}
+	for _, id := range h.Confirm {
+		if e := c.soft.Roster.Row(id); e != nil && (e.Gone || e.Draining) {
+			known.Leaving = append(known.Leaving, wire.KnownLeaving{ID: id, Gone: e.Gone})
+		}
+	}
+	if len(known.Leaving) == 0 {
+		return
+	}
+	for _, p := range c.Node.Partners() {
+		if p.Member.ID == h.By {
+			c.post(p.Member.Addr, wire.Letter{Confirmed: &known})
+		}
+	}
+}
+
+// confirmed takes another office's word that it knows of leavings.
+func (c *Core) confirmed(nowUs int64, known wire.Confirmed) {
+	if known.Inc != c.Node.Inc() {
+		return
+	}
+	for _, l := range known.Leaving {
+		if d := c.soft.departures[l.ID]; d != nil && (l.Gone || !d.gone) {
+			d.knownBy[known.By] = true
+			c.settleDeparture(nowUs, l.ID)
+		}
+	}
+}
+
+// settleDepartures ends the waits that have lasted too long.
+func (c *Core) settleDepartures(nowUs int64) {
+	for _, id := range slices.Sorted(maps.Keys(c.soft.departures)) {
+		c.settleDeparture(nowUs, id)
+	}
+}
+
+func (c *Core) settleDeparture(nowUs int64, id string) {
+	d := c.soft.departures[id]
+	known := c.Node.Quorum(func(voter string) bool { return d.knownBy[voter] })
+	if !known && nowUs-d.sinceUs < leaveWaitUs {
+		return
+	}
+	delete(c.soft.departures, id)
+	for _, reply := range d.replies {
+		c.reply(reply, known)
+	}
+}
--- /dev/null
+++ b/internal/office/leaving_test.go
@@ -0,0 +1,156 @@
+package office
+
+import (
+	"fmt"
+	"testing"
+
+	"petreltide/internal/chain"
+	"petreltide/internal/clock"
+	"petreltide/internal/roster"
+)
+
+// trio is three offices with disks that sync at once, letters that arrive at once, and links that can be cut.
+type trio struct {
+	t     *testing.T
+	nowUs int64
+	cores [3]*Core
+	cuts  map[[2]int]bool
+	words map[uint64]bool
+	asked uint64
+}
+
+func newTrio(t *testing.T) *trio {
+	t.Helper()
+	tr := &trio{t: t, nowUs: clock.Sec, cuts: map[[2]int]bool{}, words: map[uint64]bool{}}
+	addrs := []string{"a0", "a1", "a2"}
+	for i, addr := range addrs {
+		node, err := chain.NewNode(SelfPaced(chain.Options{
+			Me: chain.Member{ID: "o" + addr, Name: "o" + addr, Addr: addr}, Inc: fmt.Sprint(i), Founders: addrs, SelfMembers: true, CopiesLeast: 2,
+		}), nil, tr.nowUs)
+		if err != nil {
+			t.Fatal(err)
+		}
+		tr.cores[i] = NewCoreWith(node, CoreOptions{DarkUs: 3 * clock.Sec})
+		tr.step(i, Event{Learn: addrs})
+	}
+	tr.pass(3 * clock.Sec)
+	for i, c := range tr.cores {
+		if c.Node.Phase() != chain.Serving {
+			t.Fatalf("office %d is %s", i, c.Node.Phase())
+		}
+	}
+	return tr
+}
+
+func (tr *trio) step(i int, ev Event) {
+	ev.NowUs = tr.nowUs
+	for _, e := range tr.cores[i].Step(ev) {
+		switch {
+		case e.Save != nil:
+			tr.step(i, Event{Saved: e.Save.Seq})
+		case e.Word != nil:
+			tr.words[e.Word.Reply] = e.Word.OK
+		case e.Letter != nil:
+			var to int
+			if _, err := fmt.Sscanf(e.Letter.Addr, "a%d", &to); err == nil && !tr.cuts[[2]int{i, to}] {
+				letter := e.Letter.Letter
+				tr.step(to, Event{Letter: &letter})
+			}
+		}
+	}
+}
+
+func (tr *trio) pass(us int64) {
+	for endUs := tr.nowUs + us; tr.nowUs < endUs; {
+		tr.nowUs += 25 * clock.Ms
+		for i := range tr.cores {
+			tr.step(i, Event{})
+		}
+	}
+}
+
+// cutOff takes away what an office says, what is said to it, or both.
+func (tr *trio) cutOff(struck int, says, hears bool) {
+	for other := range tr.cores {
+		if other != struck {
+			tr.cuts[[2]int{struck, other}], tr.cuts[[2]int{other, struck}] = says, hears
+		}
+	}
+}
+
+// say brings an office a replica's word, and returns whether it was answered within a second, and how.
+func (tr *trio) say(i int, ev Event) (ok, answered bool) {
+	tr.asked++
+	ev.Reply = tr.asked
+	tr.step(i, ev)
+	tr.pass(clock.Sec)
+	ok, answered = tr.words[ev.Reply]
+	return ok, answered
+}
+
+func beatOf(id string, seq uint64, draining bool) Event {
+	return Event{Heard: &roster.Row{ID: id, Service: "s", Addr: id, Slots: 4, Seq: seq, Draining: draining}}
+}
+
+// An office that is cut off acknowledges no replica: not that it is there, not that it leaves, not that it has left.
+func TestAnOfficeCutOffAcknowledgesNoReplica(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		says, hears bool
+	}{{"both ways", true, true}, {"it is not heard", true, false}, {"it hears nothing", false, true}} {
+		for struck := range 3 {
+			t.Run(fmt.Sprintf("%s/%d", c.name, struck), func(t *testing.T) {
+				tr := newTrio(t)
+				for name, ev := range map[string]Event{"ready": beatOf("r", 1, false), "draining": beatOf("d", 1, true), "gone": {Left: "g"}} {
+					if ok, answered := tr.say(struck, ev); !ok || !answered {
+						t.Fatalf("in contact, %s: acknowledged %v, answered %v", name, ok, answered)
+					}
+				}
+				tr.cutOff(struck, c.says, c.hears)
+				for name, ev := range map[string]Event{"draining": beatOf("r", 2, true), "gone": {Left: "d"}} {
+					if ok, answered := tr.say(struck, ev); ok || !answered {
+						t.Errorf("just cut off, %s: acknowledged %v, answered %v", name, ok, answered)
+					}
+				}
+				tr.pass(2 * clock.Sec)
+				if ok, answered := tr.say(struck, beatOf("n", 1, false)); ok || !answered {
+					t.Errorf("cut off, ready: acknowledged %v, answered %v", ok, answered)
+				}
+				other := (struck + 1) % 3
+				if ok, _ := tr.say(other, beatOf("r", 3, true)); !ok {
+					t.Error("the others do not acknowledge a leaving")
+				}
+				tr.cutOff(struck, false, false)
+				tr.pass(2 * clock.Sec)
+				if ok, _ := tr.say(struck, beatOf("r", 4, true)); !ok {
+					t.Error("back in contact, it does not acknowledge a leaving")
+				}
+			})
+		}
+	}
+}
+
+// What is acknowledged is known to a quorum at that moment, whatever happens to the office that was told.
+func TestALeavingIsAcknowledgedOnceAQuorumKnows(t *testing.T) {
+	for _, ev := range []Event{beatOf("r", 2, true), {Left: "r"}} {
+		tr := newTrio(t)
+		if ok, _ := tr.say(0, beatOf("r", 1, false)); !ok {
+			t.Fatal("not acknowledged")
+		}
+		tr.asked++
+		ev.Reply = tr.asked
+		tr.step(0, ev)
+		if !tr.words[ev.Reply] {
+			t.Fatal("not acknowledged while every letter arrives at once")
+		}
+		know := 0
+		for _, c := range tr.cores {
+			if e := c.soft.Roster.Row("r"); e != nil && (e.Draining || e.Gone) && e.Gone == (ev.Left != "") {
+				know++
+			}
+		}
+		if know < 2 {
+			t.Errorf("%d of 3 know of it", know)
+		}
+	}
+}
--- a/internal/office/replicas.go
+++ b/internal/office/replicas.go
@@ -39,16 +39,18 @@
 	// Outliers are the newest verdicts on replicas, this office's own or the head's.
 	Outliers outlier.Table
 	told     map[string]*told
-	tellUs   int64
-	urgent   bool
-	wants    bool
+	// departures are the leavings that this office has been told of and a quorum does not know yet.
+	departures map[string]*departure
+	tellUs     int64
+	urgent     bool
+	wants      bool
 }
 
 func newSoft(darkUs int64) soft {
 	if darkUs == 0 {
 		darkUs = darkDefaultUs
 	}
-	return soft{Roster: roster.New(darkUs), Hub: feed.NewHub(), told: map[string]*told{}}
+	return soft{Roster: roster.New(darkUs), Hub: feed.NewHub(), told: map[string]*told{}, departures: map[string]*departure{}}
 }
 
 // woke notes when this office was not run for a while: for a moment after, what it reads may be as old as that.
@@ -79,6 +81,7 @@
 // heardFrom takes what another office has heard.
 func (c *Core) heardFrom(nowUs int64, h wire.Heard) {
 	c.soft.Roster.Merge(nowUs, h.Notes)
+	c.confirm(h)
 	if c.soft.Roster.Wants() {
 		c.soft.wants = true
 	}
@@ -94,7 +97,8 @@
 // tellOffices sends the other offices what changed at once, and signs of life now and then.
 func (c *Core) tellOffices(nowUs int64) {
 	due := nowUs-c.soft.tellUs >= tellEveryUs+tellEachUs*int64(c.soft.Roster.Len())
-	if !due && !c.soft.urgent && !c.soft.wants {
+	asks := c.departuresDue(nowUs)
+	if !due && !asks && !c.soft.urgent && !c.soft.wants {
 		return
 	}
 	heard := wire.Heard{By: c.Node.Me().ID, Inc: c.Node.Inc(), Wants: c.soft.wants}
@@ -115,6 +119,9 @@
 		mine := heard
 		mine.Notes = c.soft.Roster.Notes(nowUs, t.since, due)
 		t.since = c.soft.Roster.Rev
+		if asks {
+			c.askAbout(nowUs, p.Member.ID, &mine)
+		}
 		if len(mine.Notes) > 0 || due || c.soft.wants {
 			c.post(p.Member.Addr, wire.Letter{Heard: &mine})
 		}
@@ -122,6 +129,9 @@
 	if due {
 		c.soft.Roster.Told(nowUs)
 	}
+	if asks {
+		c.askedAbout(nowUs)
+	}
 	c.soft.urgent, c.soft.wants = false, false
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -270,20 +270,40 @@
 		if !news && (!alive || e.Gone || e.Dark || e.directUs <= e.toldUs) {
 			continue
 		}
-		n := Note{ID: id, Seq: e.seen, Mark: e.mark, AgoMs: (nowUs - e.HeardUs) / 1000, SaidMs: (nowUs - e.SaidUs) / 1000}
+		n := e.note(nowUs)
 		if news {
-			row := e.Row
-			row.Seq = e.seen
-			if e.EndUs > 0 && row.LeftMs > 0 {
-				row.LeftMs = max(1, (e.EndUs-e.HeardUs)/clock.Ms)
-			}
-			n.Row = &row
+			n.Row = e.told()
 		}
 		notes = append(notes, n)
 	}
 	return notes
 }
 
+// NotesOf is the whole row of one replica, if it is known.
+func (r *Roster) NotesOf(nowUs int64, id string) []Note {
+	e := r.rows[id]
+	if e == nil {
+		return nil
+	}
+	n := e.note(nowUs)
+	n.Row = e.told()
+	return []Note{n}
+}
+
+func (e *Entry) note(nowUs int64) Note {
+	return Note{ID: e.ID, Seq: e.seen, Mark: e.mark, AgoMs: (nowUs - e.HeardUs) / 1000, SaidMs: (nowUs - e.SaidUs) / 1000}
+}
+
+// told is the row as other offices are told it.
+func (e *Entry) told() *Row {
+	row := e.Row
+	row.Seq = e.seen
+	if e.EndUs > 0 && row.LeftMs > 0 {
+		row.LeftMs = max(1, (e.EndUs-e.HeardUs)/clock.Ms)
+	}
+	return &row
+}
+
 // Told ends one telling of signs of life to all other offices.
 func (r *Roster) Told(nowUs int64) {
 	for _, e := range r.rows {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -109,12 +109,13 @@
 }
 
 type Letter struct {
-	Chain   *chain.Msg     `json:"chain,omitempty"`
-	Result  *Result        `json:"result,omitempty"`
-	Report  *Report        `json:"report,omitempty"`
-	Silence *watch.Silence `json:"silence,omitempty"`
-	Heard   *Heard         `json:"heard,omitempty"`
-	Outlier *outlier.Table `json:"outlier,omitempty"`
+	Chain     *chain.Msg     `json:"chain,omitempty"`
+	Result    *Result        `json:"result,omitempty"`
+	Report    *Report        `json:"report,omitempty"`
+	Silence   *watch.Silence `json:"silence,omitempty"`
+	Heard     *Heard         `json:"heard,omitempty"`
+	Confirmed *Confirmed     `json:"confirmed,omitempty"`
+	Outlier   *outlier.Table `json:"outlier,omitempty"`
 }
 
 // Heard is what an office has heard of replicas and desks, told to the other offices. Wants asks for
@@ -125,6 +126,21 @@
 	Notes []roster.Note `json:"notes,omitempty"`
 	Wants bool          `json:"wants,omitempty"`
 	Desks []string      `json:"desks,omitempty"`
+	// Confirm names replicas that leave: whoever knows of it says so.
+	Confirm []string `json:"confirm,omitempty"`
+}
+
+// Confirmed answers Confirm. Inc is the life of the office that asked.
+type Confirmed struct {
+	By      string         `json:"by"`
+	Inc     string         `json:"inc"`
+	Leaving []KnownLeaving `json:"leaving"`
+}
+
+// KnownLeaving is a replica that an office knows to be leaving, or to be gone.
+type KnownLeaving struct {
+	ID   string `json:"id"`
+	Gone bool   `json:"gone,omitempty"`
 }
 
 type Receipt struct{}
--- a/proofs/rules/routed.go
+++ b/proofs/rules/routed.go
@@ -41,7 +41,7 @@
 // Routed are all rules that routed days are judged by.
 var Routed = []string{
 	Mixed, Unasked, Twice, Refused, Denied, Route, Drain, LostWork, ConfigOld, ConfigBck, ConfigTwo, ConfigNot, ConfigGon, ConfigNew,
-	Budget, Order, Recover, One, Limit, Ceiling, Acks, Starved, Sizes,
+	Budget, Order, Recover, One, Limit, Ceiling, Acks, Starved, Sizes, ReadOld, RefusedAs, LeaveLost,
 }
 
 // Bounds are the figures of the platform's settings file.
@@ -208,6 +208,8 @@
 	Loads    []replica.LoadSeen
 	Versions []*Version
 	Leaves   []*Leave
+	Reads    []ControlRead
+	Refusals []ControlRefusal
 	Read     *Read
 	EndUs    int64
 }
@@ -251,6 +253,7 @@
 	j.config()
 	j.routes()
 	j.drain()
+	j.answers()
 	j.planned()
 	j.budget()
 	j.recovered()
--- a/proofs/rules/routed_config.go
+++ b/proofs/rules/routed_config.go
@@ -230,9 +230,14 @@
 
 // drain: what machines in touch send reaches no replica that has left for longer than it may.
 func (j *judge) drain() {
+	j.drained(Drain, func(l *Leave) bool { return l.AckedUs > 0 && j.t.itself(l.Machine, l.AckedUs) })
+}
+
+// drained holds every leaving that counts to drainMs, by the rule that is named.
+func (j *judge) drained(rule string, counts func(*Leave) bool) {
 	since := map[string]int64{}
 	for _, l := range j.Leaves {
-		if l.AckedUs == 0 || !j.t.itself(l.Machine, l.AckedUs) {
+		if !counts(l) {
 			continue
 		}
 		fromUs := l.AckedUs
@@ -244,7 +249,7 @@
 		}
 		for _, t := range j.Tries {
 			if t.SentUs > fromUs+j.Bounds.DrainUs && t.SentUs < l.GoneUs {
-				j.stake(Drain)
+				j.stake(rule)
 			}
 		}
 	}
@@ -257,7 +262,7 @@
 		if a.AtUs <= fromUs+j.Bounds.DrainUs || a.Turned == 421 || !j.t.within(t.Machine, min(t.SentUs, a.AtUs), a.AtUs) || j.heldUp(t.Machine, a.Replica, a.AtUs) {
 			continue
 		}
-		j.breach(Drain, "%s reached %s at %.3f from %s, %.0f ms after its leaving was acknowledged", a.Request, a.Replica, sec(a.AtUs), t.Machine, float64(a.AtUs-fromUs)/1000)
+		j.breach(rule, "%s reached %s at %.3f from %s, %.0f ms after its leaving was acknowledged", a.Request, a.Replica, sec(a.AtUs), t.Machine, float64(a.AtUs-fromUs)/1000)
 	}
 }
 
--- a/proofs/rules/routed_test.go
+++ b/proofs/rules/routed_test.go
@@ -98,6 +98,34 @@
 		play func(d *Day)
 	}{
 		{"the new service runs it", "", func(d *Day) { served(d, "1", "/r/x", 14*second, "z") }},
+		{"an old version is read as the newest, at a machine that is cut off", ReadOld, func(d *Day) {
+			d.Cuts = append(bothWays("a", "b", 10*second, 20*second), bothWays("a", "c", 10*second, 20*second)...)
+			d.Reads = []ControlRead{{Machine: "a", AskedUs: 12 * second, AtUs: 12*second + 1, Number: 1}}
+		}},
+		{"... asked before the newer one was acknowledged", "", func(d *Day) {
+			d.Reads = []ControlRead{{Machine: "a", AskedUs: 11 * second, AtUs: 12 * second, Number: 1}}
+		}},
+		{"a change on the newest version is refused as if another were current", RefusedAs, func(d *Day) {
+			v := &Version{Number: 3, Base: 2, Valid: true, Routes: mark(3, "z"), SentUs: 12 * second, RefusedUs: 13 * second, Status: 412}
+			d.Versions = append(d.Versions, v)
+			d.Refusals = []ControlRefusal{{Machine: "a", AtUs: 13 * second, Version: v, Status: 412}}
+		}},
+		{"... and another may have come before it", "", func(d *Day) {
+			v := &Version{Number: 3, Base: 2, Valid: true, Routes: mark(3, "z"), SentUs: 12 * second, RefusedUs: 13 * second, Status: 412}
+			d.EndUs = 15 * second
+			d.Versions = append(d.Versions, v, &Version{Number: 4, Base: 2, Valid: true, Routes: mark(4, "z"), SentUs: 12 * second})
+			d.Refusals = []ControlRefusal{{Machine: "a", AtUs: 13 * second, Version: v, Status: 412}}
+		}},
+		{"a valid change is refused as invalid", RefusedAs, func(d *Day) {
+			v := &Version{Number: 3, Base: 2, Valid: true, Routes: mark(3, "z"), SentUs: 12 * second, RefusedUs: 13 * second, Status: 400}
+			d.Versions = append(d.Versions, v)
+			d.Refusals = []ControlRefusal{{Machine: "a", AtUs: 13 * second, Version: v, Status: 400}}
+		}},
+		{"a machine that is cut off acknowledges a leaving, and nobody else hears of it", LeaveLost, func(d *Day) {
+			d.Cuts = append(bothWays("a", "b", 5*second, 29*second), bothWays("a", "c", 5*second, 29*second)...)
+			d.Leaves = []*Leave{{Replica: "i", Machine: "a", SaidUs: 14 * second, AckedUs: 14 * second, GoneUs: 25 * second}}
+			served(d, "1", "/r/x", 17*second, "z")
+		}},
 		{"the old service runs it within the bound", "", func(d *Day) { served(d, "1", "/r/x", 12*second, "s") }},
 		{"the old service runs it after the bound", ConfigOld, func(d *Day) { served(d, "1", "/r/x", 14*second, "s") }},
 		{"... while the core is unsettled", "", func(d *Day) {
--- /dev/null
+++ b/proofs/sim/cutoff_test.go
@@ -0,0 +1,112 @@
+package sim
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"petreltide/proofs/rules"
+)
+
+const cutOffUs = 20 * sec
+
+func cutOffPlan(seed int64, offices int, cuts ...CutOff) RoutedPlan {
+	p := routedPlan(seed, 0)
+	p.Offices, p.Closing, p.CutOffs, p.SpanUs = offices, "", cuts, 24*sec
+	for i := range p.CutOffs {
+		c := &p.CutOffs[i]
+		if c.AtUs == 0 {
+			c.AtUs = sec
+		}
+		if c.ForUs == 0 {
+			c.ForUs = cutOffUs
+		}
+		if c.Way == "" {
+			c.Way = SilentWay
+		}
+	}
+	return p
+}
+
+// cutOffDays strike each role in each way, with all that others may do meanwhile.
+func cutOffDays() map[string]RoutedPlan {
+	days := map[string]RoutedPlan{}
+	seed := int64(1)
+	add := func(name string, offices int, cuts ...CutOff) {
+		days[name] = cutOffPlan(seed, offices, cuts...)
+		seed++
+	}
+	for _, role := range []Role{HeadRole, MiddleRole, TailRole, ControllerRole, JoinerRole} {
+		for _, way := range []Way{SilentWay, MuteWay, DeafWay, ResetWay} {
+			add(fmt.Sprintf("%s-%s", role, way), 3, CutOff{Role: role, Way: way, Lure: true, Meet: true, Race: true, Drain: true})
+		}
+		add(string(role)+"-all", 3, CutOff{Role: role, All: true, Meet: true, Race: true, Drain: true, Lure: true})
+		add(string(role)+"-near", 3, CutOff{Role: role, Near: true, Meet: true, Race: true, Drain: true, Lure: true})
+		add(string(role)+"-freeze", 3, CutOff{Role: role, FreezeUs: 6 * sec, Meet: true, Race: true, Drain: true, Lure: true})
+		add(string(role)+"-step", 3, CutOff{Role: role, StepUs: 4 * sec, Meet: true, Race: true, Drain: true, Lure: true})
+	}
+	for _, way := range []Way{SilentWay, MuteWay, DeafWay, ResetWay} {
+		add("pair-"+string(way), 5, CutOff{Role: TailRole, Count: 2, Way: way, Lure: true, Meet: true, Race: true, Drain: true})
+		add("turns-"+string(way), 3, CutOff{Role: HeadRole, Way: way, ForUs: 12 * sec, Lure: true, Meet: true, Race: true}, CutOff{Role: TailRole, Way: way, AtUs: 18 * sec, ForUs: 12 * sec, Lure: true, Meet: true, Race: true})
+	}
+	return days
+}
+
+// A control machine that is cut off for twenty seconds answers nothing that only the newest state can say,
+// and leaves nobody in use who has told it that they leave.
+func TestCutOffForTwentySeconds(t *testing.T) {
+	sum := &occasions{}
+	kinds := []string{}
+	t.Run("days", func(t *testing.T) {
+		for name, p := range cutOffDays() {
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				out := RunRouted(p)
+				sum.add(Outcome{Caused: out.Caused, Stakes: out.Stakes})
+				if len(out.Breaches) > 0 {
+					t.Fatalf("%v\n%s", out.Breaches, strings.Join(last(out.Log, 60), "\n"))
+				}
+			})
+		}
+	})
+	for _, role := range []Role{HeadRole, MiddleRole, TailRole, ControllerRole, JoinerRole} {
+		kinds = append(kinds, "cut-off-"+string(role))
+	}
+	for _, way := range []Way{SilentWay, MuteWay, DeafWay, ResetWay} {
+		kinds = append(kinds, "cut-off-"+string(way))
+	}
+	if !t.Failed() {
+		sum.judgeOf(t, kinds, []string{rules.ReadOld, rules.RefusedAs, rules.LeaveLost, rules.Drain, rules.ConfigTwo, rules.ConfigOld})
+	}
+}
+
+// Each rule on the answers of machines that are cut off must be able to fail.
+func TestPlantedAnswersWhileCutOffAreCaught(t *testing.T) {
+	heavy(t)
+	for _, c := range []struct {
+		plant string
+		rule  string
+		way   Way
+	}{
+		{"credulous", rules.LeaveLost, SilentWay},
+		{"credulous", rules.LeaveLost, MuteWay},
+		{"unleased", rules.ReadOld, SilentWay},
+		{"own-state", rules.RefusedAs, SilentWay},
+	} {
+		t.Run(c.plant+"/"+string(c.way), func(t *testing.T) {
+			t.Parallel()
+			for seed := int64(1); seed <= 6; seed++ {
+				for _, role := range []Role{HeadRole, TailRole} {
+					p := cutOffPlan(seed, 3, CutOff{Role: role, Way: c.way, Lure: true, Meet: true, Race: true, Drain: true})
+					p.Plant = c.plant
+					for _, b := range RunRouted(p).Breaches {
+						if b.Rule == c.rule {
+							return
+						}
+					}
+				}
+			}
+			t.Fatalf("plant %q was not caught as %q", c.plant, c.rule)
+		})
+	}
+}
--- a/proofs/sim/routed.go
+++ b/proofs/sim/routed.go
@@ -23,6 +23,7 @@
 	CalmUs  int64
 	SpanUs  int64
 	Faults  []Fault
+	CutOffs []CutOff
 	Closing string
 	Plant   string
 }
@@ -56,6 +57,7 @@
 	springs  []*spring
 	taking   []func(t *routedDesk)
 	handed   bool
+	cutOff   cutOffState
 }
 
 // listing is the operators' list of machines that serve control, from a moment on.
@@ -215,6 +217,8 @@
 		switch {
 		case d.nowUs > endUs:
 			failed()
+		case d.isCut(from.name, to.name) && d.cutOff.refuses(from.name, to.name):
+			failed()
 		case d.isCut(from.name, to.name):
 			d.at(d.nowUs+10*ms, arrive)
 		case !to.up || to.boot != toBoot:
@@ -283,6 +287,10 @@
 		d.at(startUs+f.AtUs, func() { d.cause(f) })
 		lastUs = max(lastUs, startUs+f.AtUs+f.ForUs)
 	}
+	for _, c := range plan.CutOffs {
+		d.at(startUs+c.AtUs, func() { d.cutOffNow(c, startUs+c.AtUs+8*sec) })
+		lastUs = max(lastUs, startUs+c.AtUs+c.ForUs)
+	}
 	d.runUntil(lastUs)
 	d.heal()
 	d.runUntil(d.nowUs + 5*sec)
--- a/proofs/sim/routed_offices.go
+++ b/proofs/sim/routed_offices.go
@@ -25,6 +25,8 @@
 	removed  bool
 	waiters  map[string]func(wire.Result)
 	streams  map[string]*frameStream
+	words    map[uint64]func(ok bool)
+	wordSeq  uint64
 	saver    saver
 	sinceUs  int64
 }
@@ -60,7 +62,7 @@
 	o.boot++
 	o.up, o.thawUs, o.sinceUs = true, 0, o.day.nowUs
 	o.skewUs = o.sim.r.Int63n(1000) * sec
-	o.waiters, o.streams = map[string]func(wire.Result){}, map[string]*frameStream{}
+	o.waiters, o.streams, o.words = map[string]func(wire.Result){}, map[string]*frameStream{}, map[uint64]func(bool){}
 	o.saver = saver{on: &o.machine, disk: &o.disk, step: o.step, end: func() { o.crash(0) }}
 	opts := chain.Options{
 		Me: chain.Member{ID: o.disk.identity, Name: o.name, Addr: o.addr, Zone: o.zone}, Inc: o.sim.newInc(), CopiesLeast: o.day.tolerated() + 1, SelfMembers: true,
@@ -178,6 +180,8 @@
 			if w := o.waiters[e.Result.Outcome.ID]; w != nil {
 				w(clone(*e.Result))
 			}
+		case e.Word != nil:
+			o.answered(*e.Word)
 		case e.Controller != nil:
 			o.controller(*e.Controller)
 		case e.Note != "":
@@ -213,7 +217,26 @@
 	}
 }
 
-func (o *routedOffice) heard(row roster.Row) { o.step(office.Event{Heard: &row}) }
+// heard takes what a replica says of itself, and answers whether it is acknowledged.
+func (o *routedOffice) heard(row roster.Row, answer func(ok bool)) {
+	o.word(office.Event{Heard: &row}, answer)
+}
+
+func (o *routedOffice) word(ev office.Event, answer func(ok bool)) {
+	o.wordSeq++
+	ev.Reply = o.wordSeq
+	o.words[ev.Reply] = answer
+	o.step(ev)
+}
+
+// answered passes on the answer to a replica's word; a plant acknowledges whatever was said.
+func (o *routedOffice) answered(r office.WordReply) {
+	answer := o.words[r.Reply]
+	delete(o.words, r.Reply)
+	if answer != nil {
+		answer(r.OK || o.day.plan.Plant == "credulous")
+	}
+}
 
 // submit does for a change what an office's host does: send it on until a result comes or nobody asks any more.
 func (o *routedOffice) submit(c ledger.Change, wanted func() bool, done func(ledger.Outcome, bool)) {
@@ -264,6 +287,10 @@
 			return
 		}
 	}
+	if base := o.core.Node.State().Version(); o.day.plan.Plant == "own-state" && base != c.Base {
+		answer(http.StatusPreconditionFailed)
+		return
+	}
 	if o.day.plan.Plant == "silent" && o.day.nowUs > bootUs {
 		return
 	}
@@ -291,7 +318,7 @@
 // read is the declaration that was acknowledged last, where this office can say.
 func (o *routedOffice) read(answer func(*standing.Declaration, bool)) {
 	n := o.core.Node
-	if n.Open(o.clock()) {
+	if n.Open(o.clock()) || o.day.plan.Plant == "unleased" && n.IsTail() {
 		answer(n.State().Doc, true)
 		return
 	}
--- a/proofs/sim/routed_operators.go
+++ b/proofs/sim/routed_operators.go
@@ -149,6 +149,7 @@
 	mark := fmt.Sprintf("%d-%d", v.seen.Base, v.seen.Number)
 	endUs := d.nowUs + 14*sec
 	pauseUs := 50 * ms
+	first := true
 	var try func()
 	try = func() {
 		if d.nowUs > endUs {
@@ -164,8 +165,8 @@
 				p.later(pauseUs, try)
 			}
 		}
-		addrs := d.listedNow()
-		o := d.officeAt(addrs[p.r.Intn(len(addrs))])
+		o := p.officeFor(first)
+		first = false
 		if o == nil {
 			next()
 			return
@@ -192,6 +193,7 @@
 						return
 					default:
 						v.seen.RefusedUs, v.seen.Status = d.nowUs, status
+						d.seen.Refusals = append(d.seen.Refusals, rules.ControlRefusal{Machine: o.name, AtUs: d.nowUs, Version: v.seen, Status: status})
 					}
 					if !over {
 						over = true
@@ -429,7 +431,6 @@
 
 // ask reads what is in force from any machine that can say.
 func (p *routedOperators) ask(done func(*standing.Declaration, bool), tries int) {
-	d := p.day
 	if tries == 0 {
 		done(nil, false)
 		return
@@ -442,26 +443,39 @@
 		}
 	}
 	p.later(sec, again)
-	addrs := d.listedNow()
-	o := d.officeAt(addrs[p.r.Intn(len(addrs))])
+	o := p.officeFor(false)
 	if o == nil {
 		return
 	}
+	p.readAt(o, func(doc *standing.Declaration, ok bool) {
+		if !over && ok {
+			over = true
+			done(doc, true)
+		} else if !ok {
+			again()
+		}
+	})
+}
+
+// readAt asks one machine for the newest configuration, and notes what it answers.
+func (p *routedOperators) readAt(o *routedOffice, done func(*standing.Declaration, bool)) {
+	d := p.day
+	askedUs := d.nowUs
+	fail := func() { done(nil, false) }
 	d.carry(&p.machine, &o.machine, sec, func() {
 		o.read(func(doc *standing.Declaration, ok bool) {
-			if !ok {
-				d.carry(&o.machine, &p.machine, sec, again, again)
-				return
-			}
-			held := doc
 			d.carry(&o.machine, &p.machine, sec, func() {
-				if !over {
-					over = true
-					done(held, true)
+				if ok {
+					read := rules.ControlRead{Machine: o.name, AskedUs: askedUs, AtUs: d.nowUs}
+					if doc != nil {
+						read.Number = doc.Version
+					}
+					d.seen.Reads = append(d.seen.Reads, read)
 				}
-			}, again)
+				done(doc, ok)
+			}, fail)
 		})
-	}, again)
+	}, fail)
 }
 
 // read is the end of the day: the newest configuration, asked for as long as the platform does.
--- a/proofs/sim/routed_replicas.go
+++ b/proofs/sim/routed_replicas.go
@@ -108,9 +108,13 @@
 // say calls one machine that serves control, and the next where no acknowledgement comes.
 func (p *replicaNode) say(try int) {
 	d := p.day
-	addrs := d.listedNow()
-	o := d.officeAt(addrs[(d.r.Intn(len(addrs)))])
+	o := d.officeFor(p, try)
+	over := false
 	again := func() {
+		if over {
+			return
+		}
+		over = true
 		p.later(ms, func() {
 			if try < 6 {
 				p.say(try + 1)
@@ -125,19 +129,34 @@
 		return
 	}
 	row := p.row()
+	p.later(sec, again)
 	d.carry(&p.machine, &o.machine, sec, func() {
-		o.heard(row)
-		d.carry(&o.machine, &p.machine, sec, func() {
-			if row.Draining && p.leave != nil && p.leave.AckedUs == 0 {
-				p.leave.AckedUs, p.leave.Machine = d.nowUs, o.name
-				if p.leavesUs == 0 {
-					p.later(d.seen.Bounds.DrainUs+300*ms, p.deregister)
+		o.heard(row, func(ok bool) {
+			d.carry(&o.machine, &p.machine, sec, func() {
+				switch {
+				case over:
+				case !ok:
+					again()
+				default:
+					over = true
+					p.acknowledged(row, o)
 				}
-			}
-		}, again)
+			}, again)
+		})
 	}, again)
 }
 
+// acknowledged is an office's 2xx to a heartbeat.
+func (p *replicaNode) acknowledged(row roster.Row, o *routedOffice) {
+	if !row.Draining || p.leave == nil || p.leave.AckedUs > 0 {
+		return
+	}
+	p.leave.AckedUs, p.leave.Machine = p.day.nowUs, o.name
+	if p.leavesUs == 0 {
+		p.later(p.day.seen.Bounds.DrainUs+300*ms, p.deregister)
+	}
+}
+
 // drain is a planned end: it says so, serves on for a while after the acknowledgement, and ends.
 func (p *replicaNode) drain() {
 	if p.core.Draining || !p.up {
@@ -161,7 +180,7 @@
 	d := p.day
 	addrs := d.listedNow()
 	if o := d.officeAt(addrs[(d.r.Intn(len(addrs)))]); o != nil {
-		d.carry(&p.machine, &o.machine, sec, func() { o.step(office.Event{Left: p.name}) }, func() {})
+		d.carry(&p.machine, &o.machine, sec, func() { o.word(office.Event{Left: p.name}, func(bool) {}) }, func() {})
 	}
 	p.later(5*ms, func() { p.end(false) })
 }
