--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -78,6 +78,7 @@
 	// waiters are the callers that wait for the outcome of a change, by its id.
 	waiters  map[string][]chan wire.Result
 	replies  map[uint64]chan wire.Lease
+	words    map[uint64]chan bool
 	replySeq uint64
 	follows  map[string]*followed
 	rebuilds bool
@@ -170,7 +171,7 @@
 		set: set, core: core, disk: opened.Store, ring: ring, log: logger,
 		web: rpc.Client(500, set.Listen), inner: rpc.Client(innerDialMs, set.Listen),
 		act: actor.New(mailboxMost), saves: newSaves(), pace: func() <-chan time.Time { return time.After(retryEvery) },
-		partners: map[string]chan wire.Letter{}, bulk: map[string]bool{}, waiters: map[string][]chan wire.Result{}, replies: map[uint64]chan wire.Lease{},
+		partners: map[string]chan wire.Letter{}, bulk: map[string]bool{}, waiters: map[string][]chan wire.Result{}, replies: map[uint64]chan wire.Lease{}, words: map[uint64]chan bool{},
 		follows: map[string]*followed{}, rebuilds: opened.Fresh && founding == 0 && len(set.Founders) == 0, failed: make(chan error, 1),
 		frames: map[string]*framed{},
 	}
@@ -263,6 +264,11 @@
 				reply <- e.Lease.Lease
 				delete(h.replies, e.Lease.Reply)
 			}
+		case e.Word != nil:
+			if reply := h.words[e.Word.Reply]; reply != nil {
+				reply <- e.Word.OK
+				delete(h.words, e.Word.Reply)
+			}
 		case e.Controller != nil:
 			h.controller(*e.Controller)
 		case e.Note != "":
