--- /dev/null
+++ b/internal/desk/control.go
@@ -0,0 +1,131 @@
+package desk
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"petreltide/internal/actor"
+	"petreltide/internal/chain"
+	"petreltide/internal/clock"
+	"petreltide/internal/dispatch"
+	"petreltide/internal/fault"
+	"petreltide/internal/ledger"
+	"petreltide/internal/rpc"
+	"petreltide/internal/subscriber"
+	"petreltide/internal/watch"
+	"petreltide/internal/wire"
+)
+
+func (h *Host) subscribe(ev subscriber.Event) {
+	ev.NowUs = clock.NowUs()
+	for _, e := range h.subscriber.Step(ev) {
+		switch {
+		case e.AskWhere != nil:
+			for _, addr := range e.AskWhere {
+				h.act.Spawn(func() { h.askWhere(addr) })
+			}
+		case e.Follow != nil:
+			if h.unfollow != nil {
+				h.unfollow()
+			}
+			ctx, done := context.WithCancel(h.act.Ctx)
+			h.unfollow = done
+			follow := *e.Follow
+			h.act.Spawn(func() { h.follow(ctx, follow) })
+		case e.Report != nil:
+			report := h.decider.Report(ev.NowUs)
+			report.Addr, report.Zone, report.Silent = h.set.Advertise, h.set.Zone, h.subscriber.Silent(ev.NowUs)
+			tail := *e.Report
+			h.act.Spawn(func() { h.report(tail, report) })
+		case e.Beats != nil:
+			for _, n := range e.Beats {
+				h.act.Spawn(func() { h.beat(n.Addr, watch.Beat{ID: h.set.Name}) })
+			}
+			for _, n := range e.Farewells {
+				h.act.Spawn(func() { h.beat(n.Addr, watch.Beat{ID: h.set.Name, Last: true}) })
+			}
+		case e.Snapshot != nil:
+			h.snap.Store(e.Snapshot)
+			h.step(dispatch.Event{Snapshot: e.Snapshot})
+		case e.LeaseUs != 0:
+			h.leaseUs.Store(e.LeaseUs)
+			h.step(dispatch.Event{LeaseUs: e.LeaseUs})
+		}
+	}
+	if ev.Where != nil {
+		where := h.subscriber.Where()
+		h.where.Store(&where)
+	}
+}
+
+func (h *Host) tellSubscriber(ev subscriber.Event) { h.act.Tell(func() { h.subscribe(ev) }) }
+
+func (h *Host) beat(addr string, b watch.Beat) {
+	ctx, done := context.WithTimeout(h.act.Ctx, time.Duration(watch.BeatUs)*time.Microsecond)
+	defer done()
+	_, _ = rpc.NewCaller[watch.Beat, wire.Receipt](h.inner, addr, rpc.BeatPath).Call(ctx, &b)
+}
+
+func (h *Host) askWhere(addr string) {
+	ctx, done := context.WithTimeout(h.act.Ctx, 400*time.Millisecond)
+	defer done()
+	w, err := rpc.NewCaller[wire.WhereAsk, wire.Where](h.inner, addr, rpc.WherePath).Call(ctx, &wire.WhereAsk{})
+	if err == nil {
+		h.tellSubscriber(subscriber.Event{Where: w})
+	}
+}
+
+// follow holds the connection down which the tail pushes news.
+func (h *Host) follow(ctx context.Context, f subscriber.Follow) {
+	defer h.tellSubscriber(subscriber.Event{Closed: f.Number})
+	stream, err := rpc.NewCaller[wire.Follow, wire.News](h.inner, f.Tail.Addr, rpc.FollowPath).Stream(ctx, &f.Ask)
+	if err != nil {
+		return
+	}
+	for stream.Receive() {
+		news := *stream.Msg()
+		h.tellSubscriber(subscriber.Event{News: &news})
+	}
+	_ = stream.Close()
+}
+
+// report tells the tail what this desk has taken and what it holds, and brings back the lease.
+func (h *Host) report(tail chain.Seat, report wire.Report) {
+	ctx, done := context.WithTimeout(h.act.Ctx, 600*time.Millisecond)
+	defer done()
+	lease, err := rpc.NewCaller[wire.Report, wire.Lease](h.inner, tail.Addr, rpc.AckPath).Call(ctx, &report)
+	if err == nil && lease.SentUs == report.SentUs {
+		h.tellSubscriber(subscriber.Event{Lease: lease})
+	}
+}
+
+func (h *Host) tail() chain.Seat {
+	if w := h.where.Load(); w != nil {
+		return w.View.Tail()
+	}
+	return chain.Seat{}
+}
+
+// Submit carries a change through any office that answers.
+func (h *Host) Submit(ctx context.Context, c ledger.Change) (*wire.Result, error) {
+	ctx, done := context.WithTimeout(ctx, keyWait)
+	defer done()
+	var last error
+	offices, ran := actor.Ask(h.act.Ctx, h.act, h.subscriber.Offices)
+	if !ran {
+		return nil, fault.New(fault.Draining, "", "stopping")
+	}
+	for _, addr := range offices {
+		result, err := rpc.NewCaller[ledger.Change, wire.Result](h.inner, addr, rpc.SubmitPath).Call(ctx, &c)
+		if err == nil {
+			return result, nil
+		}
+		last = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, errors.Trace(last)
+}
--- /dev/null
+++ b/internal/desk/handler.go
@@ -0,0 +1,115 @@
+package desk
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"petreltide/internal/actor"
+	"petreltide/internal/clock"
+	"petreltide/internal/dispatch"
+	"petreltide/internal/fault"
+	"petreltide/internal/rpc"
+	"petreltide/internal/subscriber"
+	"petreltide/internal/watch"
+	"petreltide/internal/wire"
+)
+
+type Status struct {
+	Desk   string           `json:"desk"`
+	Inc    string           `json:"inc"`
+	Zone   string           `json:"zone"`
+	Tail   string           `json:"tail"`
+	Work   dispatch.Note    `json:"work"`
+	Gauges []dispatch.Gauge `json:"gauges"`
+	// Connections are those to replicas, by the replica, where they are kept.
+	Connections map[string]Connections `json:"connections,omitempty"`
+}
+
+// Connections are how many a desk has open to one replica, and its share of what the replica takes.
+type Connections struct {
+	Open int `json:"open"`
+	Most int `json:"most"`
+}
+
+func (h *Host) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/calls", h.serveCall)
+	mux.HandleFunc("GET /v1/status", h.status)
+	mux.HandleFunc("GET /v1/ready", h.ready)
+	mux.HandleFunc("GET /v1/log", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(h.ring.Bytes()) })
+	rpc.Serve(mux, rpc.WherePath, func(context.Context, *wire.WhereAsk) (*wire.Where, error) {
+		if w := h.where.Load(); w != nil {
+			return w, nil
+		}
+		return &wire.Where{}, nil
+	})
+	rpc.Serve(mux, rpc.BeatPath, func(_ context.Context, b *watch.Beat) (*wire.Receipt, error) {
+		h.tellSubscriber(subscriber.Event{Beat: b})
+		return &wire.Receipt{}, nil
+	})
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		refuse(w, http.StatusNotFound, fault.New(fault.NotFound, "path", "%s %s", r.Method, r.URL.Path))
+	})
+	return mux
+}
+
+func (h *Host) status(w http.ResponseWriter, _ *http.Request) {
+	st := Status{Desk: h.set.Name, Inc: h.inc, Zone: h.set.Zone, Tail: h.tail().ID}
+	if now, ran := actor.Ask(h.act.Ctx, h.act, func() Status { return Status{Work: h.decider.Note(), Gauges: h.decider.Gauges()} }); ran {
+		st.Work, st.Gauges = now.Work, now.Gauges
+	}
+	if h.open != nil {
+		st.Connections = map[string]Connections{}
+		for replica, n := range h.open() {
+			st.Connections[replica] = Connections{Open: n, Most: h.ConnectionShare(replica)}
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(st)
+}
+
+// ready is for whoever hands clients to this desk.
+func (h *Host) ready(w http.ResponseWriter, _ *http.Request) {
+	f, ran := actor.Ask(h.act.Ctx, h.act, func() *fault.Fault { return h.decider.Ready(clock.NowUs()) })
+	if !ran {
+		f = fault.New(fault.Draining, "", "stopping")
+	}
+	if f != nil {
+		refuse(w, http.StatusServiceUnavailable, f)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]bool{"ready": true})
+}
+
+func refuse(w http.ResponseWriter, status int, f *fault.Fault) {
+	if f.Run == "" {
+		f.Run = fault.RunNone
+	}
+	if f.RetryMs > 0 {
+		w.Header().Set("Retry-After", strconv.FormatInt((f.RetryMs+999)/1000, 10))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(map[string]any{"error": f})
+}
+
+func statusOf(f *fault.Fault) int {
+	switch f.Code {
+	case fault.BadJSON, fault.BadField, fault.BadLastEventID, fault.PastExpiry:
+		return http.StatusBadRequest
+	case fault.UnknownKind, fault.UnknownModel, fault.UnknownAdapter:
+		return http.StatusNotFound
+	case fault.TooLarge:
+		return http.StatusRequestEntityTooLarge
+	case fault.KeyRunning, fault.KeyUnknown, fault.KeyEnded:
+		return http.StatusConflict
+	case fault.Expired:
+		return http.StatusGatewayTimeout
+	case fault.ReplicaFailed, fault.Unknown, fault.Broken:
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/internal/desk/keys.go
@@ -0,0 +1,57 @@
+package desk
+
+import (
+	"context"
+
+	"petreltide/internal/dispatch"
+	"petreltide/internal/fault"
+	"petreltide/internal/ledger"
+)
+
+func (h *Host) claim(ctx context.Context, key string, c *dispatch.Call) *fault.Fault {
+	change := ledger.Change{ID: "key-" + c.ID, Key: &ledger.KeyChange{Key: key, Desk: h.set.Name, DeskInc: h.inc, Call: c.ID}}
+	result, err := h.Submit(ctx, change)
+	if err != nil {
+		f := fault.New(fault.Overloaded, "Idempotency-Key", "the key could not be claimed in time")
+		f.Run, f.RetryMs = fault.RunNone, 1000
+		h.free(key, c)
+		return f
+	}
+	out := result.Outcome
+	if out.Fault != nil {
+		out.Fault.Run, out.Fault.RetryMs = fault.RunNone, 2000
+		return out.Fault
+	}
+	if out.Key == nil || !out.Again {
+		return nil
+	}
+	f := fault.New(fault.KeyRunning, "Idempotency-Key", "a call with this key was taken by desk %s", out.Key.Desk)
+	f.Run = fault.RunUnknown
+	if out.Key.Ended != "" {
+		f.Code, f.Run = fault.KeyEnded, out.Key.Ended
+		f.Detail = "the call with this key has ended"
+	} else if out.Key.Desk == h.set.Name && out.Key.DeskInc != h.inc {
+		f.Code, f.Detail = fault.KeyUnknown, "the desk that took it went down; what it did is not known"
+	}
+	return f
+}
+
+func (h *Host) keyChange(key string, c *dispatch.Call, end string) {
+	change := ledger.Change{ID: "key-" + end + "-" + c.ID, Key: &ledger.KeyChange{Key: key, Desk: h.set.Name, DeskInc: h.inc, Call: c.ID, End: end, Free: end == ""}}
+	h.calls.Add(1)
+	h.act.Spawn(func() {
+		defer h.calls.Add(-1)
+		if _, err := h.Submit(h.act.Ctx, change); err != nil {
+			_ = h.log.Log("event", "key end not recorded", "call", c.ID, "end", end, "err", err)
+		}
+	})
+}
+
+func (h *Host) free(key string, c *dispatch.Call) { h.keyChange(key, c, "") }
+
+func (h *Host) endKey(key string, c *dispatch.Call, end string) {
+	if end == fault.RunNone {
+		end = ""
+	}
+	h.keyChange(key, c, end)
+}
--- /dev/null
+++ b/internal/desk/legs.go
@@ -0,0 +1,182 @@
+package desk
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+
+	"petreltide/internal/clock"
+	"petreltide/internal/dispatch"
+	"petreltide/internal/fault"
+	"petreltide/internal/wire"
+)
+
+// legsEdge is this product's own interface: JSON calls, server-sent events, JSON legs.
+type legsEdge struct {
+	h    *Host
+	ask  *CallAsk
+	call *dispatch.Call
+	s    *stream
+}
+
+func (e *legsEdge) Fail(f *fault.Fault) { e.s.fail(f) }
+
+func (e *legsEdge) Opened() bool { return e.s.opened }
+
+func (e *legsEdge) Leg(ctx context.Context, st dispatch.Start) (dispatch.Ending, string) {
+	ending, why := e.h.runLeg(ctx, e.ask, e.call, st, e.s)
+	if e.s.failed {
+		e.h.tell(dispatch.Event{Gone: e.call.ID})
+	}
+	if ending == dispatch.Done {
+		e.s.event(0, "end", map[string]any{"pieces": len(e.s.pieces)})
+	}
+	return ending, why
+}
+
+func legNumber(leg string) string { return leg[strings.LastIndexByte(leg, '/')+1:] }
+
+// runLeg obeys one decision. Only when no byte can have left, or the replica itself said that
+// it did not start, is the ending one that lets the call run elsewhere.
+func (h *Host) runLeg(legCtx context.Context, ask *CallAsk, c *dispatch.Call, st dispatch.Start, s *stream) (dispatch.Ending, string) {
+	raw, err := json.Marshal(wire.Leg{
+		Leg: st.Leg, Ticket: st.Ticket, Inc: st.Inc, Call: c.ID, Model: c.Model, Adapter: c.Adapter,
+		Prefix: ask.Prefix, Prompt: ask.Prompt, Had: s.pieces, First: len(s.pieces) + 1, MostOut: ask.MostOut,
+	})
+	if err != nil {
+		panic(err)
+	}
+	var connected atomic.Bool
+	body := &checked{h: h, st: st, r: bytes.NewReader(raw)}
+	trace := &httptrace.ClientTrace{
+		GotConn:        func(httptrace.GotConnInfo) { connected.Store(true) },
+		Got100Continue: func() { body.asked.Store(true) },
+	}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(legCtx, trace), http.MethodPost, "http://"+st.Addr+"/v1/legs", io.NopCloser(body))
+	if err != nil {
+		return dispatch.Unsent, err.Error()
+	}
+	req.ContentLength = int64(len(raw))
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Expect", "100-continue")
+	if !h.maySend(st) {
+		return dispatch.Unsent, "the news changed before it was sent"
+	}
+	res, err := h.legs.Do(req)
+	if err != nil {
+		if !connected.Load() || !body.left.Load() {
+			return dispatch.Unsent, err.Error()
+		}
+		h.settleLeg(st)
+		return endingOf(legCtx, st), err.Error()
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		refusal := wire.LegRefusal{Started: true}
+		answer, readErr := io.ReadAll(io.LimitReader(res.Body, 1<<16))
+		if readErr == nil && json.Unmarshal(answer, &refusal) == nil && refusal.Code != "" && !refusal.Started {
+			return dispatch.Refused, refusal.Code
+		}
+		return dispatch.Unknown, "the replica answered " + res.Status
+	}
+	ending, why := h.readPieces(c, st, s, res.Body)
+	if ending == dispatch.Done {
+		return ending, ""
+	}
+	stopped := legCtx.Err() != nil
+	_ = res.Body.Close()
+	h.settleLeg(st)
+	if stopped {
+		return endingOf(legCtx, st), "the leg was stopped"
+	}
+	return ending, why
+}
+
+func endingOf(legCtx context.Context, st dispatch.Start) dispatch.Ending {
+	switch {
+	case clock.NowUs() >= st.ExpiryUs:
+		return dispatch.Final
+	case legCtx.Err() != nil:
+		return dispatch.Moved
+	}
+	return dispatch.Unknown
+}
+
+func (h *Host) maySend(st dispatch.Start) bool {
+	return st.MaySend(h.snap.Load(), clock.NowUs(), h.leaseUs.Load())
+}
+
+// checked is a leg's body. It leaves only after the replica has asked for it, so that none waits
+// in the socket of a frozen one, and after one more look at the lease and the newest news.
+type checked struct {
+	h     *Host
+	st    dispatch.Start
+	r     *bytes.Reader
+	left  atomic.Bool
+	asked atomic.Bool
+}
+
+func (b *checked) Read(p []byte) (int, error) {
+	if !b.left.Load() {
+		if !b.asked.Load() {
+			return 0, fault.New(fault.ReplicaFailed, "", "the replica did not ask for the leg")
+		}
+		if !b.h.maySend(b.st) {
+			return 0, fault.New(fault.NoLease, "", "the news changed before it was sent")
+		}
+		b.left.Store(true)
+	}
+	return b.r.Read(p)
+}
+
+func (h *Host) readPieces(c *dispatch.Call, st dispatch.Start, s *stream, body io.Reader) (dispatch.Ending, string) {
+	bounded := &io.LimitedReader{R: body, N: pieceMost}
+	dec := json.NewDecoder(bounded)
+	held := 0
+	for {
+		var p wire.Piece
+		if err := dec.Decode(&p); err != nil {
+			return dispatch.Broken, "the replica's stream ended early: " + err.Error()
+		}
+		bounded.N = pieceMost
+		if held += len(p.Text); held > streamMost {
+			return dispatch.Broken, "the replica's stream is too long"
+		}
+		ending, why := dispatch.Judge(st.Leg, len(s.pieces), p)
+		if ending != "" {
+			if ending == dispatch.Broken {
+				_ = h.log.Log("event", "stream broken", "leg", st.Leg, "why", why)
+			}
+			return ending, why
+		}
+		c.FirstUs.CompareAndSwap(0, clock.NowUs())
+		s.pieces = append(s.pieces, p.Text)
+		c.Progress.Store(int64(len(s.pieces)))
+		s.event(len(s.pieces), "piece", map[string]any{"text": p.Text})
+		if s.failed {
+			return dispatch.Broken, "the caller is gone"
+		}
+	}
+}
+
+// settleLeg tells the replica that nobody waits any more and returns when it says the leg is
+// over, so that the slot is free when it is counted free.
+func (h *Host) settleLeg(st dispatch.Start) {
+	ctx, done := context.WithTimeout(h.act.Ctx, cancelWait)
+	defer done()
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+st.Addr+"/v1/legs/"+legNumber(st.Leg)+"?inc="+st.Inc, nil)
+	if err != nil {
+		return
+	}
+	res, err := h.inner.Do(req)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, 1<<12))
+	_ = res.Body.Close()
+}
--- /dev/null
+++ b/internal/dispatch/call.go
@@ -0,0 +1,78 @@
+package dispatch
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"sync/atomic"
+)
+
+// Call is what a caller asked for. Its urgency, its expiry and whether it may be resumed are its
+// kind's, as the newest news has it, until a leg starts.
+type Call struct {
+	ID       string
+	Kind     string
+	Model    string
+	Adapter  string
+	Prefix   []string
+	Once     bool
+	MostMs   int64
+	TakenUs  int64
+	Had      int
+	Progress atomic.Int64
+	FirstUs  atomic.Int64
+	Routed   *Routed
+	// Outcome is the class of the last leg's, an outlier.Class, where whoever ran it can tell.
+	Outcome atomic.Int32
+
+	takenAt  uint64
+	urgency  int
+	expiryUs int64
+	resume   bool
+	ran      bool
+	legs     int
+	prints   []uint64
+	on       string
+	leg      string
+	tried    []string
+	moving   bool
+	gone     bool
+	firstUs  int64
+}
+
+func (c *Call) fingerprints() []uint64 {
+	if c.prints == nil {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(c.Model + "\x00" + c.Adapter))
+		c.prints = []uint64{}
+		if c.Routed != nil {
+			for _, part := range c.Routed.Parts {
+				var raw [8]byte
+				binary.LittleEndian.PutUint64(raw[:], part.ID)
+				_, _ = h.Write(raw[:])
+				c.prints = append(c.prints, h.Sum64())
+			}
+			return c.prints
+		}
+		for _, part := range c.Prefix {
+			_, _ = h.Write([]byte("\x00" + part))
+			c.prints = append(c.prints, h.Sum64())
+		}
+	}
+	return c.prints
+}
+
+type Ending string
+
+const (
+	Done    Ending = "done"
+	Refused Ending = "refused"
+	Missing Ending = "missing"
+	// Elsewhere: the address answers for another life or another replica.
+	Elsewhere Ending = "elsewhere"
+	Failed    Ending = "failed"
+	Unsent    Ending = "unsent"
+	Broken    Ending = "broken"
+	Unknown   Ending = "unknown"
+	Moved     Ending = "moved"
+	Final     Ending = "final"
+)
--- /dev/null
+++ b/internal/dispatch/events.go
@@ -0,0 +1,57 @@
+package dispatch
+
+import (
+	"petreltide/internal/fault"
+)
+
+type Event struct {
+	NowUs    int64
+	Arrived  *Call
+	Ended    *Ended
+	Gone     string
+	Snapshot *Snapshot
+	LeaseUs  int64
+	Drain    bool
+	// Close ends a drain: what still waits is refused, as nobody will be here to answer it.
+	Close bool
+}
+
+type Ended struct {
+	Call   string
+	Leg    string
+	Ending Ending
+}
+
+type Effect struct {
+	Start  *Start
+	Give   *Give
+	Over   *Over
+	Cancel string
+	// Unplaced: a call has begun to wait for what no replica holds.
+	Unplaced bool
+}
+
+// Over says that a leg was the last one; only a call that may be resumed gets another.
+type Over struct {
+	Call   *Call
+	Ending Ending
+}
+
+type Start struct {
+	Call     *Call
+	Leg      string
+	Ticket   uint64
+	Replica  string
+	Addr     string
+	Inc      string
+	Revision uint64
+	ExpiryUs int64
+	// GuessMs is when the first piece was expected, Running what was known to run there.
+	GuessMs float64
+	Running int
+}
+
+type Give struct {
+	Call  *Call
+	Fault *fault.Fault
+}
--- /dev/null
+++ b/internal/dispatch/finish.go
@@ -0,0 +1,111 @@
+package dispatch
+
+import (
+	"hash/fnv"
+
+	"petreltide/internal/fault"
+)
+
+// give is a final answer told at once: the call has no leg and can get none any more.
+func (d *Decider) give(c *Call, code fault.Code, why string, retryMs int64) {
+	d.giveAt(c, code, why, apart(c.ID, retryMs))
+}
+
+func (d *Decider) giveAt(c *Call, code fault.Code, why string, retryMs int64) {
+	d.dequeue(c)
+	delete(d.calls, c.ID)
+	f := fault.New(code, "", "%s", why)
+	f.Run, f.RetryMs = fault.RunNone, retryMs
+	switch {
+	case c.Had > 0 || c.Progress.Load() > 0:
+		f.Run = fault.RunPartial
+	case c.ran:
+		f.Run = fault.RunUnknown
+	}
+	d.kind(c.Kind).given[code]++
+	d.gaugeOver(c, "", code)
+	d.note(c, "given up", "", string(code)+": "+why)
+	d.do(Effect{Give: &Give{Call: c, Fault: f}})
+}
+
+// apart spreads the times at which callers that were refused together come back: half to one and a half
+// of what was meant, or the crowd would stand before the door again as one.
+func apart(id string, retryMs int64) int64 {
+	if retryMs <= 1 {
+		return retryMs
+	}
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id))
+	return retryMs/2 + int64(h.Sum64()%uint64(retryMs)) + 1
+}
+
+func (d *Decider) left(id string) {
+	c := d.calls[id]
+	if c == nil {
+		return
+	}
+	c.gone = true
+	if c.leg == "" {
+		d.dequeue(c)
+		delete(d.calls, id)
+		d.gaugeOver(c, "", "")
+		return
+	}
+	d.do(Effect{Cancel: c.ID})
+}
+
+func (d *Decider) ended(e Ended) {
+	c := d.calls[e.Call]
+	for _, p := range d.places {
+		delete(p.inFlight, e.Leg)
+	}
+	if c == nil || c.leg != e.Leg {
+		for _, st := range d.sites {
+			delete(st.flights, e.Leg)
+		}
+		return
+	}
+	on := c.on
+	c.leg, c.on = "", ""
+	if c.Routed != nil {
+		d.endedRouted(c, e, on)
+		return
+	}
+	if e.Ending == Unsent || e.Ending == Refused {
+		d.placeOf(on).shyUs = d.nowUs + shyUs
+	}
+	if e.Ending == Done {
+		spentUs := float64(d.nowUs - c.firstUs)
+		d.serviceUs += (spentUs - d.serviceUs) / 16
+	}
+	unrun := e.Ending == Unsent || e.Ending == Refused
+	c.ran = c.ran || !unrun
+	again := unrun || (c.resume && (e.Ending == Broken || e.Ending == Unknown || e.Ending == Moved))
+	if c.gone || !again {
+		d.over(c, e.Ending, on)
+		return
+	}
+	c.Had = int(c.Progress.Load())
+	if !d.termed(c) {
+		return
+	}
+	if c.legs >= legsMost {
+		d.give(c, fault.Overloaded, "its legs were refused or lost too often", d.RetryMs())
+		return
+	}
+	d.note(c, "waits again", on, string(e.Ending))
+	d.enqueue(c)
+}
+
+// over takes a leg's ending for that of its call.
+func (d *Decider) over(c *Call, e Ending, on string) {
+	delete(d.calls, c.ID)
+	if e == Done {
+		d.kind(c.Kind).done++
+	} else {
+		d.kind(c.Kind).given[fault.Code(e)]++
+	}
+	d.gaugeOver(c, e, "")
+	d.note(c, "ended", on, string(e))
+	d.do(Effect{Over: &Over{Call: c, Ending: e}})
+}
--- /dev/null
+++ b/internal/dispatch/routed_site.go
@@ -0,0 +1,130 @@
+package dispatch
+
+import (
+	"petreltide/internal/wire"
+)
+
+// flight is a leg that is under way at a place.
+type flight struct {
+	call        *Call
+	startUs     int64
+	tokens      int64
+	predictedMs float64
+	alone       bool
+	late        bool
+}
+
+// site is what this desk knows of one replica from its own legs there.
+type site struct {
+	flights  map[string]*flight
+	missing  map[string]int64
+	parts    map[uint64]int64
+	pace     float64
+	workMs   float64
+	shyUs    int64
+	failures int
+}
+
+func (d *Decider) siteOf(id string) *site {
+	s := d.sites[id]
+	if s == nil {
+		s = &site{flights: map[string]*flight{}, missing: map[string]int64{}, parts: map[uint64]int64{}, pace: 1, workMs: plainWorkMs}
+		d.sites[id] = s
+	}
+	return s
+}
+
+// standsAt counts what runs at a replica and how long what waits there will take, in ms: this desk's own
+// legs that have no first piece yet. What other desks have there shows only in how long those take: news
+// of it that is a quarter of a second old made no day better (docs/design-platform.md).
+func (d *Decider) standsAt(r *wire.ReplicaNews, s *site, perToken float64) (running int, waitMs float64) {
+	var tokens int64
+	lateMs := 0.0
+	for _, f := range s.flights {
+		running++
+		if f.call.FirstUs.Load() >= f.startUs {
+			continue
+		}
+		tokens += f.tokens
+		if over := float64(d.nowUs-f.startUs)/1000 - 2*f.predictedMs - 150; over > lateMs {
+			lateMs = over
+		}
+	}
+	return running, s.pace*float64(tokens)*perToken + lateMs
+}
+
+// launch begins a leg; every leg names the one life of the replica it is for.
+func (d *Decider) launch(c *Call, r *wire.ReplicaNews, predictedMs float64) {
+	d.dequeue(c)
+	d.legSeq++
+	c.leg = r.ID + "/" + itoa(d.legSeq)
+	c.on, c.moving = r.ID, false
+	c.legs++
+	c.firstUs = d.nowUs
+	s := d.siteOf(r.ID)
+	running, waitMs := d.standsAt(r, s, 1/tokensPerMs)
+	s.flights[c.leg] = &flight{call: c, startUs: d.nowUs, tokens: d.unread(c, r, s), predictedMs: predictedMs, alone: waitMs < aloneMs && running <= aloneMost}
+	if len(s.parts) > partsKept {
+		s.parts = map[uint64]int64{}
+	}
+	for i, print := range c.fingerprints() {
+		if i < len(c.Routed.Parts)-1 || len(c.Routed.Parts) == 1 {
+			s.parts[print] = d.nowUs
+		}
+	}
+	c.FirstUs.Store(0)
+	d.note(c, "leg", r.ID, "")
+	d.do(Effect{Start: &Start{GuessMs: predictedMs, Running: running, Call: c, Leg: c.leg, Replica: r.ID, Addr: r.Addr, Inc: r.Inc, Revision: d.snap.Revision, ExpiryUs: c.expiryUs}})
+}
+
+func itoa(n uint64) string {
+	var b [20]byte
+	i := len(b)
+	for {
+		i--
+		b[i] = byte('0' + n%10)
+		if n /= 10; n == 0 {
+			return string(b[i:])
+		}
+	}
+}
+
+// landed learns from how a leg ended.
+func (d *Decider) landed(c *Call, leg string, on string, e Ending) {
+	s := d.siteOf(on)
+	f := s.flights[leg]
+	delete(s.flights, leg)
+	if f == nil {
+		return
+	}
+	d.judge(c, f, on, e)
+	switch e {
+	case Unsent:
+		s.failures++
+		s.shyUs = d.nowUs + min(shyLeastUs<<min(s.failures-1, 3), shyMostUs)
+	case Elsewhere:
+		s.shyUs = d.nowUs + elsewhereUs
+		c.tried = append(c.tried, on)
+	case Missing:
+		s.missing[c.unit()] = d.nowUs + missingUs
+		c.tried = append(c.tried, on)
+	case Refused:
+		s.shyUs = max(s.shyUs, d.nowUs+fullUs)
+		c.tried = append(c.tried, on)
+	default:
+		if firstUs := f.call.FirstUs.Load(); firstUs >= f.startUs {
+			s.failures = 0
+			tookMs := float64(firstUs-f.startUs) / 1000
+			if f.alone && c.Model != "" {
+				d.reading(c).learn(f.tokens, tookMs/s.pace)
+			}
+			if f.predictedMs > 0 {
+				ratio := min(max(tookMs/f.predictedMs, paceLeast), paceMost)
+				s.pace += (min(max(s.pace*ratio, paceLeast), paceMost) - s.pace) / 32
+			}
+			s.workMs += (tookMs - s.workMs) / 16
+		} else {
+			c.tried = append(c.tried, on)
+		}
+	}
+}
