Let a late word of a former life not end the one that lives

Cause: an office that had never heard of a life took its first word for a newer life at that address and ended the other for good, and told all offices. A heartbeat may come seconds late, also one of the life before, and an office that came back empty has never heard of that life. The same from the other side: its late word, heard a moment later than the new life elsewhere, ended the new one.

Change: of two lives heard within one and a half heartbeats at one address none ends the other; the one that goes on speaking is taken once the other is silent. Ends among another office's notes are read before its rows.

Shown: TestALateWordOfTheLifeBeforeDoesNotEndTheOneThatLives failed in two of its four cases before the change and passes with it; roster, office, feed and subscriber pass with -race.

--- a/internal/roster/late_test.go
+++ b/internal/roster/late_test.go
@@ -31,3 +31,60 @@
 		t.Fatalf("a sign of life holds since %d", e.SaidUs)
 	}
 }
+
+// A word may come seconds late, also one of the life before, and to an office that never heard of that life.
+func TestALateWordOfTheLifeBeforeDoesNotEndTheOneThatLives(t *testing.T) {
+	at := 20 * clock.Sec
+	lives := func(t *testing.T, r *Roster) {
+		t.Helper()
+		if e := r.Row("new"); e == nil || e.Gone {
+			t.Fatalf("the life that speaks has ended: %+v", e)
+		}
+	}
+	t.Run("heard by an office that knows the new life alone", func(t *testing.T) {
+		r := New(darkUs)
+		r.Hear(at, word("new", "1", 3))
+		r.Hear(at+200*clock.Ms, word("old", "1", 90))
+		lives(t, r)
+		r.Hear(at+1200*clock.Ms, word("new", "1", 4))
+		lives(t, r)
+	})
+	t.Run("heard first by an office that came back empty", func(t *testing.T) {
+		back, other := New(darkUs), New(darkUs)
+		other.Hear(at, word("new", "1", 3))
+		back.Hear(at+200*clock.Ms, word("old", "1", 90))
+		for us := at + 300*clock.Ms; us < at+4*clock.Sec; us += 300 * clock.Ms {
+			other.Hear(us, word("new", "1", uint64(us)))
+			back.Merge(us, other.Notes(us, 0, true))
+			other.Merge(us, back.Notes(us, 0, true))
+		}
+		for _, r := range []*Roster{back, other} {
+			lives(t, r)
+			if e := r.Row("old"); e != nil && !e.Gone {
+				t.Fatalf("the life before counts as there: %+v", e)
+			}
+		}
+	})
+	t.Run("two lives heard by two offices at the same time", func(t *testing.T) {
+		back, other := New(darkUs), New(darkUs)
+		back.Hear(at, word("old", "1", 90))
+		other.Hear(at-100*clock.Ms, word("new", "1", 3))
+		back.Merge(at, other.Notes(at, 0, true))
+		other.Merge(at, back.Notes(at, 0, true))
+		if e := back.Row("new"); e != nil && e.Gone {
+			t.Fatal("the life that speaks has ended at the office that heard the late word")
+		}
+		lives(t, other)
+	})
+	t.Run("a new life is taken once the one before is silent", func(t *testing.T) {
+		r := New(darkUs)
+		r.Hear(at, word("old", "1", 90))
+		for us := at + 300*clock.Ms; us <= at+2*clock.Sec; us += 300 * clock.Ms {
+			r.Hear(us, word("new", "1", uint64(us)))
+		}
+		lives(t, r)
+		if !r.Row("old").Gone {
+			t.Fatal("two lives at one address")
+		}
+	})
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -151,12 +151,14 @@
 		if len(r.rows) >= rowsMost || row.ID == "" {
 			return false
 		}
+		switch r.contest(&row, heardUs) {
+		case undecided:
+			return false
+		case earlier:
+			row.Gone, heardUs = true, nowUs
+		}
 		for _, other := range r.rows {
-			switch {
-			case other.Addr != row.Addr || other.Gone:
-			case heardUs < other.HeardUs:
-				row.Gone, heardUs = true, nowUs
-			default:
+			if other.Addr == row.Addr && !other.Gone && !row.Gone {
 				r.Leave(nowUs, other.ID)
 			}
 		}
@@ -193,6 +195,38 @@
 	return changed
 }
 
+// order is how a life that was never heard of stands to the one at its address.
+type order int
+
+const (
+	// later: nobody else speaks from its address, or has not for a while.
+	later order = iota
+	// earlier: the one that is known was heard well after it.
+	earlier
+	// undecided: both were heard at about the same time. A word may come seconds late, also one of the life
+	// before, so that the one that goes on speaking is right; the other falls silent.
+	undecided
+)
+
+// contestShare is the part of DarkUs, in tenths, within which two lives were heard at about the same time: one
+// and a half heartbeats where a life is dark after two and a half.
+const contestShare = 6
+
+func (r *Roster) contest(row *Row, heardUs int64) order {
+	withinUs := r.DarkUs * contestShare / 10
+	result := later
+	for _, other := range r.rows {
+		switch {
+		case other.Addr != row.Addr || other.Gone:
+		case heardUs < other.HeardUs-withinUs:
+			result = earlier
+		case heardUs < other.HeardUs+withinUs:
+			return undecided
+		}
+	}
+	return result
+}
+
 // ends notes when a replica that named its time left is taken away.
 func (e *Entry) ends(heardUs, leftMs int64) {
 	if leftMs > 0 {
@@ -221,15 +255,17 @@
 }
 
 // Merge takes another office's notes. Where one tells of a row that this office does not have as new,
-// it asks for all rows.
+// it asks for all rows. Ends come first, as another life may have its address by now.
 func (r *Roster) Merge(nowUs int64, notes []Note) (changed bool) {
+	for _, n := range notes {
+		if n.Row != nil && n.Row.Gone {
+			changed = r.Leave(nowUs, n.ID) || changed
+		}
+	}
 	for _, n := range notes {
 		heardUs, saidUs := nowUs-n.AgoMs*1000, nowUs-r.LateUs-n.SaidMs*1000
 		if n.Row != nil {
 			if n.Row.Gone {
-				if e := r.rows[n.ID]; e == nil || !e.Gone {
-					changed = r.Leave(nowUs, n.ID) || changed
-				}
 				continue
 			}
 			changed = r.hear(nowUs, heardUs, saidUs, *n.Row) || changed
