--- /dev/null
+++ b/proofs/systempackages/debian.go
@@ -0,0 +1,124 @@
+package systempackages
+
+import (
+	"os/exec"
+	"path/filepath"
+	"strings"
+
+	"github.com/juju/errors"
+)
+
+// Package is an installed package. Depends are the names of those that it cannot be installed without, virtual ones
+// and every alternative among them.
+type Package struct {
+	Name      string
+	Essential bool
+	Depends   []string
+}
+
+// Database is the package database of the machine.
+type Database struct {
+	packages map[string]Package
+	// providers are the packages that stand for a virtual one.
+	providers map[string][]string
+}
+
+// queryFormat is one line for each package, its fields separated by tabs.
+const (
+	queryFormat = "${db:Status-Status}\t${Package}\t${Essential}\t${Pre-Depends}, ${Depends}\t${Provides}\n"
+	queryFields = 5
+)
+
+// ReadDatabase reads the installed packages. Where dpkg is not installed the error is errors.NotFound.
+func ReadDatabase() (*Database, error) {
+	if _, err := exec.LookPath("dpkg-query"); err != nil {
+		return nil, errors.NewNotFound(err, "no Debian package database")
+	}
+	raw, err := exec.Command("dpkg-query", "--show", "--showformat="+queryFormat).Output()
+	if err != nil {
+		return nil, errors.Annotate(err, "dpkg-query")
+	}
+	return parseDatabase(string(raw)), nil
+}
+
+func parseDatabase(text string) *Database {
+	db := &Database{packages: map[string]Package{}, providers: map[string][]string{}}
+	for _, line := range strings.Split(text, "\n") {
+		fields := strings.Split(line, "\t")
+		if len(fields) != queryFields || fields[0] != "installed" {
+			continue
+		}
+		p := Package{Name: fields[1], Essential: fields[2] == "yes", Depends: packageNames(fields[3])}
+		db.packages[p.Name] = p
+		for _, virtual := range packageNames(fields[4]) {
+			db.providers[virtual] = append(db.providers[virtual], p.Name)
+		}
+	}
+	return db
+}
+
+// packageNames are the names in a list such as "libc6 (>= 2.36), cpp:any | cpp-12".
+func packageNames(list string) []string {
+	names := []string{}
+	for _, item := range strings.FieldsFunc(list, func(r rune) bool { return r == ',' || r == '|' }) {
+		item = strings.TrimSpace(item)
+		name, _, _ := strings.Cut(item, " ")
+		if name, _, _ = strings.Cut(name, ":"); name != "" {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// pulledIn are all installed packages that come with one, itself not among them unless it needs itself.
+func (db *Database) pulledIn(name string) map[string]bool {
+	seen := map[string]bool{}
+	var visit func(string)
+	visit = func(of string) {
+		for _, needed := range db.packages[of].Depends {
+			for _, real := range append([]string{needed}, db.providers[needed]...) {
+				if _, installed := db.packages[real]; installed && !seen[real] {
+					seen[real] = true
+					visit(real)
+				}
+			}
+		}
+	}
+	visit(name)
+	return seen
+}
+
+// Owners names the package of each file, and the files that no package has.
+func (db *Database) Owners(files []string) (owners map[string]string, strays []string) {
+	owners = map[string]string{}
+	for _, file := range files {
+		if owner := ownerOf(file); owner != "" {
+			owners[file] = owner
+			continue
+		}
+		strays = append(strays, file)
+	}
+	return owners, strays
+}
+
+// ownerOf asks for a file by every name that it may have been packed under: /lib may be a link to /usr/lib.
+func ownerOf(file string) string {
+	names := []string{file, "/usr" + file, strings.TrimPrefix(file, "/usr")}
+	if real, err := filepath.EvalSymlinks(file); err == nil {
+		names = append(names, real, strings.TrimPrefix(real, "/usr"))
+	}
+	for _, name := range names {
+		raw, err := exec.Command("dpkg-query", "--search", name).Output()
+		if err != nil {
+			continue
+		}
+		for _, line := range strings.Split(string(raw), "\n") {
+			owner, path, found := strings.Cut(line, ": ")
+			if found && path == name && !strings.HasPrefix(owner, "diversion by ") {
+				owner, _, _ = strings.Cut(owner, ":")
+				return owner
+			}
+		}
+	}
+	return ""
+}
