--- a/internal/chain/copy.go
+++ b/internal/chain/copy.go
@@ -119,7 +119,7 @@
 
 // compact begins the log anew on a copy of the state.
 func (n *Node) compact() {
-	if n.keeping() || !(n.crowded() || n.heavy()) {
+	if n.keeping() || (!n.crowded() && !n.heavy()) {
 		return
 	}
 	c := *n.copyNow()
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -66,7 +66,6 @@
 	quietUs    int64
 	held       *Msg
 	guardUs    int64
-	guardTail  Seat
 	// openSinceUs is since when a next view that was accepted here waits for somebody to finish it.
 	openSinceUs int64
 
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -19,12 +19,10 @@
 
 // budget counts one service's calls and further legs over the last window, in slots.
 type budget struct {
-	calls  [budgetSlots]int
-	spent  [budgetSlots]int
-	atUs   int64
-	now    int
-	desks  int
-	whence int64
+	calls [budgetSlots]int
+	spent [budgetSlots]int
+	atUs  int64
+	now   int
 }
 
 func (b *budget) turn(nowUs, spanUs int64) {
--- a/proofs/capacity/world.go
+++ b/proofs/capacity/world.go
@@ -221,10 +221,9 @@
 
 // tracker notes when followers have a revision.
 type tracker struct {
-	mu     sync.Mutex
-	have   map[string]uint64
-	when   map[uint64]map[string]time.Time
-	newest uint64
+	mu   sync.Mutex
+	have map[string]uint64
+	when map[uint64]map[string]time.Time
 }
 
 func newTracker() *tracker {
--- a/proofs/cmd/fleet/capacity.go
+++ b/proofs/cmd/fleet/capacity.go
@@ -71,7 +71,7 @@
 			if err != nil {
 				return errors.Trace(err)
 			}
-			defer os.RemoveAll(folder)
+			defer func() { _ = os.RemoveAll(folder) }()
 			for i := range plans {
 				plans[i].Folder = folder
 			}
--- a/proofs/cmd/fleet/main.go
+++ b/proofs/cmd/fleet/main.go
@@ -133,7 +133,7 @@
 			if err != nil {
 				return err
 			}
-			defer os.RemoveAll(s.folder)
+			defer func() { _ = os.RemoveAll(s.folder) }()
 			defer f.Stop()
 			return fleet.Measure(cmd.Context(), f, doc, raw, only, cmd.OutOrStdout())
 		},
--- a/proofs/cmd/known-red/main.go
+++ b/proofs/cmd/known-red/main.go
@@ -134,7 +134,7 @@
 			return nil, errors.Trace(err)
 		}
 		s, err := ReadStream(filepath.Base(path), file)
-		file.Close()
+		_ = file.Close()
 		if err != nil {
 			return nil, err
 		}
