Walk operators through offices with faults, and judge each history

Three offices (the real reducers of office, chain and ledger) on a network that delays, loses and doubles; up to eight orders under way, in twos under one number, on top of what is in force, under way, past or never was; sent again to other machines; read back; answers lost; offices crash, freeze, are cut off one way and both.

--- /dev/null
+++ b/proofs/history/raced_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package history
+
+const raced = true
--- /dev/null
+++ b/proofs/history/walk_test.go
@@ -0,0 +1,304 @@
+package history
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+
+	"petreltide/internal/chain"
+	"petreltide/internal/clock"
+	"petreltide/internal/controller"
+	"petreltide/internal/fault"
+	"petreltide/internal/ledger"
+	"petreltide/internal/office"
+	"petreltide/internal/standing"
+	"petreltide/internal/wire"
+)
+
+// A walk plays three offices (the real reducers of office, chain and ledger) and operators on a network that delays,
+// loses and doubles, with offices that crash, freeze and are cut off, all drawn from one seed.
+
+const (
+	offices      = 3
+	tickUs       = 25 * clock.Ms
+	callWaitUs   = clock.Sec
+	resubmitUs   = 400 * clock.Ms
+	answerWaitUs = 8 * clock.Sec
+	underWayMost = 8
+)
+
+type timed struct {
+	atUs, number int64
+	run          func()
+}
+
+type timeline []timed
+
+func (q timeline) Len() int { return len(q) }
+func (q timeline) Less(i, j int) bool {
+	return q[i].atUs < q[j].atUs || q[i].atUs == q[j].atUs && q[i].number < q[j].number
+}
+func (q timeline) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *timeline) Push(v any)   { *q = append(*q, v.(timed)) }
+func (q *timeline) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+type walk struct {
+	r       *rand.Rand
+	nowUs   int64
+	queue   timeline
+	number  int64
+	offices []*walkOffice
+	cuts    map[[2]int]bool
+	slowUs  int64
+	plant   string
+	rec     *Recorder
+
+	orders   []*sentOrder
+	tip      uint64
+	underWay int
+	counts   map[string]int
+}
+
+// sentOrder is an order and what the operators know of it.
+type sentOrder struct {
+	order  *Order
+	change ledger.ConfigChange
+	answer Answer
+}
+
+func newWalk(seed int64, plant string) *walk {
+	w := &walk{r: rand.New(rand.NewSource(seed)), nowUs: clock.Sec, cuts: map[[2]int]bool{}, plant: plant, rec: &Recorder{}, counts: map[string]int{}}
+	for i := range offices {
+		w.offices = append(w.offices, &walkOffice{walk: w, number: i, addr: fmt.Sprint("a", i)})
+	}
+	for _, o := range w.offices {
+		o.start(true)
+	}
+	return w
+}
+
+func (w *walk) after(us int64, run func()) {
+	w.number++
+	heap.Push(&w.queue, timed{w.nowUs + us, w.number, run})
+}
+
+func (w *walk) pass(us int64) {
+	endUs := w.nowUs + us
+	for len(w.queue) > 0 && w.queue[0].atUs <= endUs {
+		next := heap.Pop(&w.queue).(timed)
+		w.nowUs = max(w.nowUs, next.atUs)
+		next.run()
+	}
+	w.nowUs = endUs
+}
+
+// walkOffice is one office: its reducer, what its disk has synced, and the callers that wait at it.
+type walkOffice struct {
+	walk    *walk
+	number  int
+	addr    string
+	core    *office.Core
+	life    int
+	thawUs  int64
+	records []chain.Record
+	waiters map[string][]func(ledger.Outcome)
+}
+
+func (o *walkOffice) start(first bool) {
+	o.life++
+	o.waiters = map[string][]func(ledger.Outcome){}
+	opts := office.SelfPaced(chain.Options{
+		Me: chain.Member{ID: "o" + o.addr, Name: "o" + o.addr, Addr: o.addr, Zone: "z"}, Inc: fmt.Sprint(o.addr, "/", o.life), CopiesLeast: 2, SelfMembers: true,
+	})
+	if first {
+		opts.Founders, opts.First = []string{"a0", "a1", "a2"}, true
+	}
+	node, err := chain.NewNode(opts, o.records, o.walk.nowUs)
+	if err != nil {
+		panic(err)
+	}
+	o.core = office.NewCoreWith(node, office.CoreOptions{Controller: controller.Options{LeaseUs: 3 * clock.Sec}})
+	o.step(office.Event{Learn: []string{"a0", "a1", "a2"}})
+	o.tick()
+}
+
+func (o *walkOffice) crash() {
+	o.life++
+	o.core = nil
+}
+
+// later runs in this life of the office, once it is not frozen.
+func (o *walkOffice) later(us int64, run func()) {
+	life := o.life
+	var due func()
+	due = func() {
+		switch {
+		case o.core == nil || o.life != life:
+		case o.walk.nowUs < o.thawUs:
+			o.walk.after(o.thawUs-o.walk.nowUs, due)
+		default:
+			run()
+		}
+	}
+	o.walk.after(us, due)
+}
+
+func (o *walkOffice) tick() {
+	o.later(tickUs, func() {
+		o.step(office.Event{})
+		o.tick()
+	})
+}
+
+func (o *walkOffice) step(ev office.Event) {
+	ev.NowUs = o.walk.nowUs
+	for _, e := range o.core.Step(ev) {
+		switch {
+		case e.Letter != nil:
+			o.post(e.Letter.Addr, e.Letter.Letter)
+		case e.Save != nil:
+			o.sync(*e.Save)
+		case e.Result != nil:
+			o.answer(e.Result.Outcome)
+		case e.Controller != nil && e.Controller.PollList:
+			o.later(clock.Ms, func() {
+				o.step(office.Event{Controller: &controller.Event{NowUs: o.walk.nowUs, Listed: &controller.Listed{}}})
+			})
+		}
+	}
+	o.damage()
+}
+
+// damage plants what an office with a fault would have lost.
+func (o *walkOffice) damage() {
+	s := o.core.Node.State()
+	switch o.walk.plant {
+	case "forgetful":
+		clear(s.Changes)
+		s.ChangeIDs = nil
+	case "forgets-refusals":
+		s.Ahead = nil
+	}
+}
+
+func (o *walkOffice) sync(s chain.Save) {
+	o.later(clock.Ms+o.walk.r.Int63n(15*clock.Ms), func() {
+		if s.Fresh {
+			o.records = nil
+		}
+		if s.Copy != nil {
+			o.records = append(o.records, chain.Record{Copy: s.Copy})
+		}
+		o.records = append(o.records, s.Records...)
+		o.step(office.Event{Saved: s.Seq})
+	})
+}
+
+func (o *walkOffice) post(addr string, l wire.Letter) {
+	w := o.walk
+	for _, to := range w.offices {
+		if to.addr != addr || to == o || w.cuts[[2]int{o.number, to.number}] || w.r.Intn(50) == 0 {
+			continue
+		}
+		copies := 1
+		if w.r.Intn(20) == 0 {
+			copies = 2
+		}
+		for range copies {
+			delayUs := clock.Ms + w.r.Int63n(10*clock.Ms)
+			if l.Chain != nil && l.Chain.Submit != nil && w.r.Intn(4) == 0 {
+				// An order that waited at a frozen or slow machine on its way.
+				delayUs += w.r.Int63n(4 * clock.Sec)
+			}
+			w.after(delayUs+w.r.Int63n(w.slowUs+1), func() {
+				to.later(0, func() { to.step(office.Event{Letter: &l}) })
+			})
+		}
+	}
+}
+
+// configure does for an order what an office's host does: it asks the reducer, sends the order on until an outcome
+// comes, and gives up when nobody waits any more.
+func (o *walkOffice) configure(sent *sentOrder, wanted func() bool, answer func(Answer)) {
+	id := "op-" + sent.order.ID
+	if o.walk.plant == "own-state" && sent.order.Base != o.core.Node.State().Version() {
+		answer(Refused)
+		return
+	}
+	if out, seen := o.core.Seen(id); seen {
+		answer(o.answerOf(out))
+		return
+	}
+	if doc := sent.change.Doc; doc != nil && doc.CheckRoutes() != nil {
+		answer(Invalid)
+		return
+	}
+	over := false
+	o.waiters[id] = append(o.waiters[id], func(out ledger.Outcome) {
+		if !over && (out.Fault == nil || out.Fault.Code != fault.NotServing) {
+			over = true
+			answer(o.answerOf(out))
+		}
+	})
+	endUs := o.walk.nowUs + answerWaitUs
+	var again func()
+	again = func() {
+		if over || o.walk.nowUs > endUs || !wanted() {
+			over = true
+			return
+		}
+		change := sent.change
+		o.step(office.Event{Submit: &ledger.Change{ID: id, Origin: o.addr, Config: &change}})
+		o.later(resubmitUs, again)
+	}
+	again()
+}
+
+func (o *walkOffice) answer(out ledger.Outcome) {
+	for _, waiter := range o.waiters[out.ID] {
+		waiter(out)
+	}
+}
+
+func (o *walkOffice) answerOf(out ledger.Outcome) Answer {
+	switch {
+	case out.Fault == nil && o.walk.plant == "denies-winners" && o.walk.r.Intn(4) == 0:
+		return Refused
+	case out.Fault == nil:
+		return Acknowledged
+	case out.Fault.Code == fault.StaleBase && o.walk.plant == "two-winners" && o.walk.r.Intn(4) == 0:
+		return Acknowledged
+	case out.Fault.Code == fault.StaleBase:
+		return Refused
+	case out.Fault.Code == fault.InvalidConfig:
+		return Invalid
+	}
+	return Unclear
+}
+
+// read gives the declaration in force to done, where this office or the tail it knows can say.
+func (o *walkOffice) read(done func(*standing.Declaration)) {
+	node := o.core.Node
+	if node.Open(o.walk.nowUs) || o.walk.plant == "reads-old" {
+		done(node.State().Doc)
+		return
+	}
+	for _, tail := range o.walk.offices {
+		if tail == o || tail.addr != node.View().Tail().Addr || o.walk.cuts[[2]int{o.number, tail.number}] {
+			continue
+		}
+		o.walk.after(clock.Ms+o.walk.r.Int63n(20*clock.Ms), func() {
+			tail.later(0, func() {
+				if tail.core.Node.Open(o.walk.nowUs) {
+					doc := tail.core.Node.State().Doc
+					o.walk.after(clock.Ms, func() { done(doc) })
+				}
+			})
+		})
+	}
+}
