Reach a member where it was heard last, not where the view has it

Cause: votes and leases were asked for at the address that the view names. Where a majority of the voters had come back at other addresses with their disks (or one had, and the others restarted), they heard each other and still could reach no majority: every proposal went to addresses where nobody listens, for good.

The test that brings it about for 1 to 5 of 3 and 5 offices failed first at 3 of 3 moved, and passes now.

--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -330,7 +330,16 @@
 		n.got(m)
 		return
 	}
-	n.effects = append(n.effects, Effect{Send: &Send{Addr: to.Addr, Msg: m}})
+	n.effects = append(n.effects, Effect{Send: &Send{Addr: n.addressOf(to), Msg: m}})
+}
+
+// addressOf is where a member was heard from last in this life, or else the address that is known of it: a view
+// names the address that a member had when it got its seat.
+func (n *Node) addressOf(m Member) string {
+	if p := n.partners[m.ID]; p != nil && m.ID != "" && p.hello.Me.Addr != "" {
+		return p.hello.Me.Addr
+	}
+	return m.Addr
 }
 
 func (n *Node) save(records []Record, upto uint64, then *reply) {
--- a/internal/chain/repair_test.go
+++ b/internal/chain/repair_test.go
@@ -232,3 +232,32 @@
 		})
 	}
 }
+
+// All restart, and some or all of them are at other addresses than the view says: they find each other by what they
+// hear, and agree on.
+func TestMembersThatMovedTogetherFindEachOther(t *testing.T) {
+	for _, offices := range []int{3, 5} {
+		for moved := 1; moved <= offices; moved++ {
+			for seed := range int64(3) {
+				y := pacedYard(t, seed, offices)
+				live := y.living()
+				for _, s := range live {
+					y.stop(s)
+				}
+				y.r.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+				for _, s := range live[:moved] {
+					y.incs++
+					s.me.Addr = fmt.Sprintf("%s-%d", s.me.Name, y.incs)
+				}
+				y.seeds = nil
+				for _, s := range y.living()[:3] {
+					y.seeds = append(y.seeds, s.me.Addr)
+				}
+				for _, s := range y.living() {
+					y.start(s, false)
+				}
+				y.settles(20*clock.Sec, fmt.Sprintf("seed %d: %d of %d moved", seed, moved, offices))
+			}
+		}
+	}
+}
