Let the explorer join, replace, move, terminate and empty machines

A box whose members take each other in, with the platform's account of which losses count (one of three, two of five; a machine counts until catchUp after its start). Long walks: losses of every kind as soon as they may come, processes told to end (for good with the successor first, or to come back), hellos lost for a tick, everything killed at once with one machine late. Held against: one decision for a number; at most one open tail, never behind what was acknowledged; what is acknowledged lies on one disk more than may still be lost; one vote at most from view to view; after the faults writes are acknowledged within the time to catch up.

Plants, each found in a test of its own: a newcomer's disk without the copy, two votes in one view, a process told to end that goes at once, a promise that is forgotten (view decided twice). PETRELTIDE_EXPLORE=N goes N times as far.

--- /dev/null
+++ b/internal/chain/explore_members_test.go
@@ -0,0 +1,642 @@
+package chain
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+
+	"petreltide/internal/clock"
+)
+
+// machines is a box whose members take each other in, with machines that are lost, replaced, terminated and
+// brought back. It keeps the platform's account of which losses count: at most one machine at a time (two of five) is
+// down or has run for less than its time to catch up.
+type machines struct {
+	*box
+	// plant is a defect that the harness brings about.
+	plant plant
+	// losses counts the losses so far, of lossesMost.
+	losses, lossesMost int
+	// leaving is the machine that was told to end, -1 if none; goes says that it is removed for good.
+	leaving int
+	goes    bool
+}
+
+type plant string
+
+const (
+	soundPlant      plant = ""
+	voteWithoutCopy plant = "a newcomer's seat and vote without a copy"
+	twoVotes        plant = "two votes change in one view"
+	abruptHolder    plant = "one that was told to end goes at once"
+	forgotPromise   plant = "a promise is forgotten"
+)
+
+// caughtUpTicks is the time to catch up, in ticks.
+func (m *machines) caughtUpTicks() int {
+	if m.tolerated() > 1 {
+		return int(catchUpTwoUs/tickUs) + 1
+	}
+	return int(catchUpOneUs/tickUs) + 1
+}
+
+// tolerated is how many machines may be lost at once.
+func (m *machines) tolerated() int { return m.copies - 1 }
+
+func newMachines(count int) *machines {
+	b := &box{nowUs: clock.Sec, pipes: map[[2]int][]Msg{}, views: map[uint64]View{}, acked: map[uint64]string{}, self: true, copies: (count-1)/2 + 1}
+	for i := range count {
+		name := fmt.Sprintf("m%d", i)
+		b.members = append(b.members, &place{me: Member{ID: name + "-1", Name: name, Addr: name}})
+	}
+	m := &machines{box: b, leaving: -1, lossesMost: 1}
+	for i := range b.members {
+		b.start(i, count)
+	}
+	m.rest(m.caughtUpTicks() + 4)
+	m.write()
+	m.settle()
+	return m
+}
+
+func (m *machines) clone() *machines {
+	c := *m
+	c.box = m.box.clone()
+	return &c
+}
+
+func (m *machines) key() string {
+	text := m.box.key()
+	for _, p := range m.members {
+		text += fmt.Sprint(p.gone, min(p.sinceTicks, m.caughtUpTicks()))
+	}
+	return text + fmt.Sprint(m.losses, m.leaving, m.goes)
+}
+
+// elapse is a tick; those that run are a tick nearer to having caught up.
+func (m *machines) elapse() {
+	for _, p := range m.members {
+		if p.node != nil {
+			p.sinceTicks++
+		}
+	}
+	m.tick()
+	m.hushed = false
+	m.plantOnDisks()
+}
+
+// rest lets time go by with all links and disks in order.
+func (m *machines) rest(ticks int) {
+	for range ticks {
+		m.elapse()
+		m.settleAll()
+	}
+	m.ticks = 0
+}
+
+func (m *machines) settleAll() {
+	m.tamper()
+	m.settle()
+	m.mayEnd()
+}
+
+// outstanding counts the machines that are down, or back for less than their time to catch up.
+func (m *machines) outstanding() int {
+	n := 0
+	for _, p := range m.members {
+		if !p.gone && (p.node == nil || p.sinceTicks < m.caughtUpTicks()) {
+			n++
+		}
+	}
+	return n
+}
+
+// there counts the machines that have not gone for good.
+func (m *machines) there() int {
+	n := 0
+	for _, p := range m.members {
+		if !p.gone {
+			n++
+		}
+	}
+	return n
+}
+
+// mayLose: the platform may take one more machine now.
+func (m *machines) mayLose() bool {
+	return m.losses < m.lossesMost && m.leaving < 0 && m.outstanding() < m.tolerated() && m.there() > 2*m.tolerated()
+}
+
+// fresh is an empty machine beside the others.
+func (m *machines) fresh() int {
+	m.incs++
+	name := fmt.Sprintf("m%d", 10+m.incs)
+	m.members = append(m.members, &place{me: Member{ID: name + "-1", Name: name, Addr: name}})
+	i := len(m.members) - 1
+	m.start(i, 0)
+	return i
+}
+
+func (m *machines) lose(i int, how repair) {
+	m.losses++
+	p := m.members[i]
+	m.crash(i)
+	p.sinceTicks = 0
+	switch how {
+	case replaced:
+		p.gone = true
+		m.fresh()
+	case emptied:
+		m.incs++
+		p.disk, p.me.ID = nil, fmt.Sprintf("%s-%d", p.me.Name, m.incs)
+	case readdressed:
+		m.incs++
+		p.me.Addr = fmt.Sprintf("%s-%d", p.me.Name, m.incs)
+	}
+}
+
+// terminate tells a process to end; it ends for good, or comes back with its disk.
+func (m *machines) terminate(i int, forGood bool) {
+	m.leaving, m.goes = i, forGood
+	m.step(i, Event{Leave: true})
+	m.mayEnd()
+}
+
+// mayEnd ends the process that was told to, once it says that it may.
+func (m *machines) mayEnd() {
+	i := m.leaving
+	if i < 0 || m.members[i].node == nil || (!m.members[i].node.Left() && m.plant != abruptHolder) {
+		return
+	}
+	m.crash(i)
+	m.members[i].sinceTicks = 0
+	m.members[i].gone = m.goes
+	m.leaving = -1
+}
+
+// tamper plants a second change of votes beside one that is proposed.
+func (m *machines) tamper() {
+	if m.plant != twoVotes {
+		return
+	}
+	for _, p := range m.members {
+		if p.node == nil || p.node.proposal == nil || !p.node.proposal.asking {
+			continue
+		}
+		want, view := &p.node.proposal.want, p.node.view
+		if votesMoved(view, *want) != 1 {
+			continue
+		}
+		for i, v := range want.Voters {
+			if view.Votes(v.ID) {
+				want.Voters = slices.Clone(want.Voters)
+				want.Voters[i] = Member{ID: v.ID + "-planted", Name: v.Name, Addr: v.Addr}
+				break
+			}
+		}
+	}
+}
+
+// plantOnDisks takes from disks what the planted defect does not keep there: promises, or what a newcomer should have
+// copied before it was seated.
+func (m *machines) plantOnDisks() {
+	for i, p := range m.members {
+		switch {
+		case m.plant == forgotPromise:
+			p.disk = slices.DeleteFunc(slices.Clone(p.disk), func(r Record) bool { return r.Promised != nil || r.Accepted != nil })
+		case m.plant == voteWithoutCopy && i >= 3:
+			p.disk = slices.DeleteFunc(slices.Clone(p.disk), func(r Record) bool { return r.Copy != nil || r.Entry != nil })
+		}
+	}
+}
+
+// judgeMachines holds the account of losses against what lies on the disks.
+func (m *machines) judgeMachines() {
+	m.judge()
+	if m.broken != "" {
+		return
+	}
+	spare := m.tolerated() - m.outstanding()
+	if m.leaving >= 0 {
+		spare--
+	}
+	spare = max(0, spare)
+	for index, id := range m.acked {
+		holders := 0
+		for _, p := range m.members {
+			if !p.gone && holds(p.disk, index) {
+				holders++
+			}
+		}
+		if holders < spare+1 {
+			m.broken = fmt.Sprintf("%s, acknowledged at %d, lies on %d disks when %d may be lost", id, index, holders, spare)
+		}
+	}
+	for number, v := range m.views {
+		if prior, seen := m.views[number-1]; seen && number > 1 && votesMoved(prior, v) > 1 {
+			m.broken = fmt.Sprintf("more than one vote changed from %v to %v", prior, v)
+		}
+	}
+}
+
+// votesMoved counts the votes that came or went, whichever are more.
+func votesMoved(a, b View) int {
+	came, went := 0, 0
+	for _, v := range b.Voters {
+		if !a.Votes(v.ID) {
+			came++
+		}
+	}
+	for _, v := range a.Voters {
+		if !b.Votes(v.ID) {
+			went++
+		}
+	}
+	return max(came, went)
+}
+
+// holds: what was acknowledged at an index is read back from this disk.
+func holds(disk []Record, index uint64) bool {
+	for _, r := range disk {
+		if (r.Entry != nil && r.Entry.Index == index) || (r.Copy != nil && r.Copy.Index >= index) {
+			return true
+		}
+	}
+	return false
+}
+
+// recovers: once all that is down has come back and nothing more is lost, all have seat and vote within the time to
+// catch up, and a write is acknowledged.
+func (m *machines) recovers() string {
+	c := m.clone()
+	for i, p := range c.members {
+		if p.node == nil && !p.gone {
+			c.start(i, 0)
+		}
+		p.full = false
+	}
+	c.rest(c.caughtUpTicks())
+	before := len(c.acked)
+	c.write()
+	c.settleAll()
+	c.rest(2)
+	if c.judgeMachines(); c.broken != "" {
+		return c.broken
+	}
+	if len(c.acked) <= before {
+		state := ""
+		for _, p := range c.members {
+			if p.node != nil {
+				state += fmt.Sprintf("; %s is %s in view %d of %d votes, leaving %v, waits for %q", p.me.ID, p.node.phase, p.node.view.Number, len(p.node.view.Voters), p.node.leaving, p.node.WaitsFor())
+			}
+		}
+		return "nothing is acknowledged after the repair" + state
+	}
+	return ""
+}
+
+// hush loses all hellos until time goes by: all machines count as cut off.
+func (m *machines) hush() {
+	m.hushed = true
+	for _, p := range m.members {
+		p.sinceTicks = 0
+	}
+}
+
+// killAll ends every process at once; disks remain, and one machine comes back later than the others.
+func (m *machines) killAll(late int, lateTicks int64) {
+	m.leaving = -1
+	for i, p := range m.members {
+		if p.gone {
+			continue
+		}
+		m.crash(i)
+		p.sinceTicks, p.backUs = 0, m.nowUs
+		if i == late {
+			p.backUs += lateTicks * tickUs
+		}
+	}
+}
+
+// memberActs are the changes of machines that may come now.
+func (m *machines) memberActs() []func(*machines) {
+	acts := []func(*machines){}
+	if !m.mayLose() {
+		return acts
+	}
+	for i, p := range m.members {
+		if p.node == nil || p.gone {
+			continue
+		}
+		for _, how := range []repair{replaced, emptied, restarted, readdressed} {
+			acts = append(acts, func(c *machines) { c.lose(i, how) })
+		}
+	}
+	return acts
+}
+
+// flowActs are deliveries, syncs and starts.
+func (m *machines) flowActs() []func(*machines) {
+	acts := []func(*machines){}
+	for i, p := range m.members {
+		if p.ready() {
+			acts = append(acts, func(c *machines) { c.synced(i) })
+		}
+		if p.node == nil && !p.gone && m.nowUs >= p.backUs {
+			acts = append(acts, func(c *machines) { c.start(i, 0) })
+		}
+		for j := range m.members {
+			if way := [2]int{i, j}; len(m.pipes[way]) > 0 {
+				acts = append(acts, func(c *machines) { c.deliver(way) })
+			}
+		}
+	}
+	return acts
+}
+
+func (m *machines) do(act func(*machines)) {
+	m.tamper()
+	act(m)
+	m.mayEnd()
+	m.judgeMachines()
+}
+
+// memberScenarios begin where one machine's repair is under way or has just ended.
+func memberScenarios() map[string]func() *machines {
+	return map[string]func() *machines{
+		"replaced for good, the next lost": func() *machines {
+			m := newMachines(3)
+			m.lose(0, replaced)
+			m.rest(m.caughtUpTicks())
+			m.losses = 0
+			return m
+		},
+		"replaced for good, and the next lost at once when the successor has caught up": func() *machines {
+			m := newMachines(3)
+			m.lose(0, replaced)
+			m.rest(m.caughtUpTicks())
+			m.lose(1, replaced)
+			m.rest(2)
+			return m
+		},
+		"the successor came first, the old one is told to end": func() *machines {
+			m := newMachines(3)
+			m.fresh()
+			m.rest(m.caughtUpTicks())
+			m.terminate(0, true)
+			return m
+		},
+		"the old head of four is told to end and comes back": func() *machines {
+			m := newMachines(3)
+			m.fresh()
+			m.rest(m.caughtUpTicks())
+			m.terminate(1, false)
+			return m
+		},
+		"an empty one joins as another is told to end": func() *machines {
+			m := newMachines(3)
+			m.lose(1, emptied)
+			m.rest(2)
+			m.start(1, 0)
+			m.elapse()
+			m.terminate(2, true)
+			return m
+		},
+		"a newcomer beside one that has fallen silent": func() *machines {
+			m := newMachines(3)
+			m.lose(2, replaced)
+			m.rest(2)
+			return m
+		},
+		"one that was removed comes back with its old disk": func() *machines {
+			m := newMachines(3)
+			disk, me := m.members[2].disk, m.members[2].me
+			m.lose(2, replaced)
+			m.rest(m.caughtUpTicks())
+			m.members[2].gone, m.members[2].disk, m.members[2].me = false, disk, me
+			m.start(2, 0)
+			m.losses = 0
+			m.elapse()
+			return m
+		},
+	}
+}
+
+// exploreFactor multiplies how far the explorer goes, by PETRELTIDE_EXPLORE.
+func exploreFactor() int {
+	if n, err := strconv.Atoi(os.Getenv("PETRELTIDE_EXPLORE")); err == nil && n > 1 {
+		return n
+	}
+	return 1
+}
+
+type explored struct {
+	states, recoveries, views, acked, losses int
+}
+
+func (e *explored) add(o explored) {
+	e.states, e.recoveries = e.states+o.states, e.recoveries+o.recoveries
+	e.views, e.acked, e.losses = max(e.views, o.views), max(e.acked, o.acked), max(e.losses, o.losses)
+}
+
+// exploreMachines goes through every state within a depth, each once; of every stride-th of those at the edge it asks
+// whether the chain recovers.
+func exploreMachines(from *machines, depth, ticks, stride int) (e explored, broken string) {
+	seen := map[string]bool{from.key(): true}
+	edge := []*machines{from}
+	for d := range depth {
+		var beyond []*machines
+		for _, m := range edge {
+			acts := append(m.flowActs(), m.memberActs()...)
+			if m.ticks < ticks {
+				acts = append(acts, (*machines).elapse)
+			}
+			for _, act := range acts {
+				c := m.clone()
+				c.do(act)
+				if c.broken != "" {
+					return e, fmt.Sprintf("depth %d: %s", d+1, c.broken)
+				}
+				if k := c.key(); !seen[k] {
+					seen[k] = true
+					beyond = append(beyond, c)
+				}
+				e.views, e.acked, e.losses = max(e.views, len(c.views)), max(e.acked, len(c.acked)), max(e.losses, c.losses)
+			}
+		}
+		edge = beyond
+	}
+	for i := 0; i < len(edge); i += stride {
+		e.recoveries++
+		if why := edge[i].recovers(); why != "" {
+			return e, why
+		}
+	}
+	e.states = len(seen)
+	return e, ""
+}
+
+// forward takes the next action in a fixed order, or a tick.
+func (m *machines) forward() {
+	if acts := m.flowActs(); len(acts) > 0 {
+		m.do(acts[0])
+		return
+	}
+	m.do((*machines).elapse)
+	m.ticks = 0
+}
+
+const (
+	memberDepth        = 4
+	memberPathMost     = 60
+	memberPathStride   = 5
+	recoveryStride     = 40
+	memberWalks        = 180
+	memberWalkActs     = 1500
+	memberRacedWalks   = 4
+	memberRacedStrides = 4
+)
+
+// Repairs of machines in the small: every interleaving of deliveries, syncs, ticks, starts and one more loss up to a
+// depth, from states all along the way through joining, leaving, replacing and coming back.
+func TestEveryInterleavingOfRepairs(t *testing.T) {
+	depth, stride := memberDepth, memberPathStride
+	if raced {
+		depth, stride = memberDepth-1, memberRacedStrides*memberPathStride
+	} else if exploreFactor() > 1 {
+		depth, stride = memberDepth+1, max(1, memberPathStride/exploreFactor())
+	}
+	all := memberScenarios()
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			m := all[name]()
+			first := len(m.views)
+			sum := explored{}
+			for n := range memberPathMost {
+				if n%stride == 0 {
+					e, broken := exploreMachines(m.clone(), depth, 2, recoveryStride)
+					if broken != "" {
+						t.Fatalf("from state %d: %s", n, broken)
+					}
+					sum.add(e)
+				}
+				if m.forward(); m.broken != "" {
+					t.Fatal(m.broken)
+				}
+			}
+			t.Logf("%d states within %d actions, %d of them asked to recover, up to %d losses, %d view changes, %d acknowledged", sum.states, depth, sum.recoveries, sum.losses, sum.views-first, sum.acked)
+			if sum.states < 200 || sum.recoveries < 5 {
+				t.Errorf("%+v: it proves little", sum)
+			}
+		})
+	}
+}
+
+// walkMachines goes on at random for long: losses of every kind, each as soon as the platform may bring it, and
+// processes that are told to end, for good with their successor started first or to come back.
+func walkMachines(seed uint64, count, acts int, p plant) (m *machines, broken string) {
+	m = newMachines(count)
+	m.plant, m.lossesMost = p, 1<<30
+	r := seed*2654435761 + 1
+	next := func(n int) int {
+		r ^= r << 13
+		r ^= r >> 7
+		r ^= r << 17
+		return int(r>>8) % n
+	}
+	for n := range acts {
+		if next(150) == 0 {
+			m.hush()
+		}
+		switch flow := m.flowActs(); {
+		case next(150) == 0:
+			late, ticks := next(len(m.members)), int64(next(10))
+			m.do(func(c *machines) { c.killAll(late, ticks) })
+		case len(flow) > 0 && next(12) > 0:
+			m.do(flow[next(len(flow))])
+		case m.mayLose() && next(3) == 0:
+			m.disturb(next)
+		case next(6) == 0:
+			m.do(func(c *machines) { c.write() })
+		default:
+			// Time goes by only with what is under way carried out: links and disks are in order.
+			m.settleAll()
+			m.do((*machines).elapse)
+			m.ticks = 0
+		}
+		if m.broken == "" && n%400 == 399 {
+			m.broken = m.recovers()
+		}
+		if m.broken != "" {
+			return m, fmt.Sprintf("action %d: %s", n, m.broken)
+		}
+	}
+	return m, ""
+}
+
+// disturb loses a machine, or tells one to end, with or without a successor that came first.
+func (m *machines) disturb(next func(int) int) {
+	if next(3) > 0 {
+		acts := m.memberActs()
+		m.do(acts[next(len(acts))])
+		return
+	}
+	live := []int{}
+	for i, p := range m.members {
+		if p.node != nil && !p.gone {
+			live = append(live, i)
+		}
+	}
+	i, forGood := live[next(len(live))], next(2) == 0
+	m.losses++
+	if forGood {
+		m.fresh()
+		m.rest(m.caughtUpTicks())
+	}
+	m.do(func(c *machines) { c.terminate(i, forGood) })
+}
+
+func TestLongWalksThroughRepairs(t *testing.T) {
+	walks := memberWalks * exploreFactor()
+	if raced {
+		walks = memberRacedWalks
+	}
+	const lanes = 6
+	for lane := range lanes {
+		t.Run(fmt.Sprint("lane ", lane), func(t *testing.T) {
+			t.Parallel()
+			views, losses, acked := 0, 0, 0
+			for seed := lane; seed < walks; seed += lanes {
+				m, broken := walkMachines(uint64(seed), []int{3, 3, 5}[seed/lanes%3], memberWalkActs, soundPlant)
+				if broken != "" {
+					t.Fatalf("walk %d: %s", seed, broken)
+				}
+				views, losses, acked = views+len(m.views), losses+m.losses, acked+len(m.acked)
+			}
+			t.Logf("%d actions a walk, %d views, %d losses, %d acknowledged", memberWalkActs, views, losses, acked)
+			if losses < walks/lanes || acked < walks/lanes {
+				t.Errorf("%d losses, %d acknowledged: the walks prove little", losses, acked)
+			}
+		})
+	}
+}
+
+// Each rule of the explorer must be able to fail: a defect is planted, and a walk must find it.
+func TestPlantedDefectsOfMembershipAreFound(t *testing.T) {
+	for _, p := range []plant{voteWithoutCopy, twoVotes, abruptHolder, forgotPromise} {
+		t.Run(string(p), func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(40) {
+				if _, broken := walkMachines(seed, 3, memberWalkActs, p); broken != "" {
+					t.Logf("walk %d: %s", seed, broken)
+					return
+				}
+			}
+			t.Fatal("not found")
+		})
+	}
+}
--- a/internal/chain/explore_test.go
+++ b/internal/chain/explore_test.go
@@ -30,6 +30,12 @@
 	fills   int
 	incs    int
 	broken  string
+	// self: the members take each other in and drop each other without orders.
+	self bool
+	// copies is how many synced copies an acknowledgement needs there.
+	copies int
+	// hushed: hellos are lost on their way.
+	hushed bool
 }
 
 type place struct {
@@ -38,6 +44,11 @@
 	disk  []Record
 	saves []Save
 	full  bool
+	// gone: this machine never comes back. sinceTicks is how many ticks its process has run for.
+	gone       bool
+	sinceTicks int
+	// backUs is when it may start again.
+	backUs int64
 }
 
 func (n *Node) clone() *Node {
@@ -76,7 +87,7 @@
 	for _, id := range n.partnerIDs() {
 		p := n.partners[id]
 		h := p.hello
-		partners = append(partners, fmt.Sprint(id, h.Inc, h.Phase, h.View.Number, h.Last, h.LastView, h.Compared, h.Whole, h.Promised, h.Hears, h.CopyIndex, h.Accepted != nil, h.Stalled, ago(p.heardUs), ago(p.deafUs)))
+		partners = append(partners, fmt.Sprint(id, h.Inc, h.Phase, h.View.Number, h.Last, h.LastView, h.Compared, h.Whole, h.Promised, h.Hears, h.CopyIndex, h.Accepted != nil, h.Stalled, h.Leaving, ago(p.heardUs), ago(p.deafUs)))
 	}
 	saving := []string{}
 	for _, seq := range slices.Sorted(maps.Keys(n.saving)) {
@@ -95,7 +106,7 @@
 	if n.accepted != nil {
 		accepted = fmt.Sprint(*n.accepted)
 	}
-	return fmt.Sprint(n.opts.Inc, n.phase, n.view, n.promised, accepted, n.compared, n.whole, n.base.Index, n.lastIndex(), n.lastView(), n.commit, n.synced, n.queued,
+	return fmt.Sprint(n.opts.Inc, n.phase, n.view, n.promised, accepted, n.compared, n.whole, n.leaving, n.base.Index, n.lastIndex(), n.lastView(), n.commit, n.synced, n.queued,
 		n.copyHeld, proposal, n.round, ago(n.quietUs), n.held != nil, ago(n.guardUs), n.succLast, n.succSent, n.succKnown, n.openAt, n.openKnown,
 		leases, n.tailCommit, ago(n.leaseUs), ago(n.viewedUs), ago(n.bootUs), partners, saving)
 }
@@ -170,7 +181,7 @@
 	c := *b
 	c.members = nil
 	for _, p := range b.members {
-		held := &place{me: p.me, disk: slices.Clip(p.disk), saves: slices.Clone(p.saves), full: p.full}
+		held := &place{me: p.me, disk: slices.Clip(p.disk), saves: slices.Clone(p.saves), full: p.full, gone: p.gone, sinceTicks: p.sinceTicks, backUs: p.backUs}
 		if p.node != nil {
 			held.node = p.node.clone()
 		}
@@ -206,13 +217,18 @@
 func (b *box) start(i, founding int) {
 	b.incs++
 	p := b.members[i]
-	node, err := NewNode(Options{Me: p.me, Inc: fmt.Sprintf("%s/%d", p.me.ID, b.incs), Founding: founding}, p.disk, b.nowUs)
+	opts := Options{Me: p.me, Inc: fmt.Sprintf("%s/%d", p.me.ID, b.incs), Founding: founding}
+	if b.self {
+		opts.SelfMembers, opts.CopiesLeast = true, b.copies
+		opts = paced(opts)
+	}
+	node, err := NewNode(opts, p.disk, b.nowUs)
 	if err != nil {
 		panic(err)
 	}
 	p.node = node
 	for j, other := range b.members {
-		if j != i {
+		if j != i && !other.gone {
 			node.learned[other.me.Addr] = true
 		}
 	}
@@ -253,6 +269,9 @@
 				continue
 			}
 			m := e.Send.Msg
+			if m.Hello != nil && b.hushed {
+				continue
+			}
 			if m.Hello != nil {
 				b.step(j, Event{Got: &m})
 				continue
