Let a desk leave core machines that are cut off

A core machine went on calling its state settled for as long as it lived.

Now an office whose state is not confirmed by an echo of the chain within 1.2 s, or that has no seat, says in its frames that it may be behind. A desk follows another office in its place after half a second; as long as none that it follows is current it follows a third one beside the two, so nothing is lost where all are behind.

Planted and caught: frames that never say it.

--- a/internal/chain/contact.go
+++ b/internal/chain/contact.go
@@ -13,6 +13,18 @@
 	})
 }
 
+// Current says whether what this office knows as committed was the newest a moment ago: it has its seat, and
+// within currentUs a word of the head has gone through the chain to a tail with its lease, and come back here.
+func (n *Node) Current(nowUs int64) bool {
+	switch {
+	case !n.serving() || !n.whole:
+		return false
+	case n.IsTail():
+		return n.Open(nowUs)
+	}
+	return n.echoedUs > 0 && nowUs-n.echoedUs < n.opts.SuspectUs+2*n.opts.BeatUs
+}
+
 // Quorum says whether something holds for a quorum of the voters of the newest view this office knows. It is
 // taken to hold for this office itself.
 func (n *Node) Quorum(holds func(id string) bool) bool {
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -81,6 +81,8 @@
 	leaseUs    int64
 	echoUs     int64
 	tailEchoUs int64
+	// echoedUs is when the tail's echo last rose here.
+	echoedUs int64
 	// tailCommit is what the tail of this view has told of its commit.
 	tailCommit  uint64
 	viewedUs    int64
@@ -312,7 +314,7 @@
 }
 
 func (n *Node) dropLeases() {
-	n.leaseUs, n.tailEchoUs = 0, 0
+	n.leaseUs, n.tailEchoUs, n.echoedUs = 0, 0, 0
 	n.leases = map[string]int64{}
 	for _, p := range n.partners {
 		p.heardUs = max(p.heardUs, n.nowUs-n.opts.SuspectUs/2)
@@ -588,7 +590,9 @@
 	}
 	n.succKnown, n.succLast = true, a.Last
 	n.succSent = max(n.succSent, a.Last)
-	n.tailEchoUs = max(n.tailEchoUs, a.EchoUs)
+	if a.EchoUs > n.tailEchoUs {
+		n.tailEchoUs, n.echoedUs = a.EchoUs, n.nowUs
+	}
 	n.tailCommit = max(n.tailCommit, min(a.Commit, n.synced))
 	if a.Commit > n.commit {
 		n.commitTo(min(a.Commit, n.synced))
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -493,7 +493,7 @@
 	n.viewedUs, n.quietUs = n.nowUs, n.nowUs
 	n.succKnown, n.succLast, n.succSent, n.succCopied = false, 0, 0, 0
 	n.openKnown, n.openAt, n.leases, n.leaseUs = false, 0, map[string]int64{}, 0
-	n.echoUs, n.tailEchoUs, n.tailCommit = 0, 0, 0
+	n.echoUs, n.tailEchoUs, n.echoedUs, n.tailCommit = 0, 0, 0, 0
 	n.compared = n.compared || n.phase != Waking
 	n.copyHeld, n.settleAt = 0, n.lastIndex()
 	n.opts.First = n.opts.First && !v.Votes(n.opts.Me.ID)
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -31,7 +31,9 @@
 	View    chain.View
 	Offices []chain.Member
 	Settled bool
-	Roster  *roster.Roster
+	// Behind: newer state than this may have been committed, as this office has no word of the chain.
+	Behind bool
+	Roster *roster.Roster
 	// Outliers are the newest verdicts that this office knows.
 	Outliers outlier.Table
 }
@@ -69,6 +71,7 @@
 type told struct {
 	outliers outlier.Table
 	settled  bool
+	behind   bool
 	revision uint64
 	rosterAt uint64
 	holdsAt  uint64
@@ -193,9 +196,9 @@
 
 // difference is from what was last sent to what is known now.
 func (h *Hub) difference(seen Seen, t *told) (*wire.Frame, bool) {
-	f := &wire.Frame{Office: seen.Me, Settled: seen.Settled, Desks: h.live}
-	news := t.settled != seen.Settled || t.live != h.live
-	t.settled, t.live = seen.Settled, h.live
+	f := &wire.Frame{Office: seen.Me, Settled: seen.Settled, Behind: seen.Behind, Desks: h.live}
+	news := t.settled != seen.Settled || t.behind != seen.Behind || t.live != h.live
+	t.settled, t.behind, t.live = seen.Settled, seen.Behind, h.live
 	if seen.Settled && seen.State.Doc != nil && seen.State.Revision > t.revision {
 		h.configure(f, seen.State, t.revision)
 		t.revision = f.Revision
@@ -299,7 +302,7 @@
 // wholeFor is all that this office knows, as of the difference that the others have just had.
 func (h *Hub) wholeFor(seen Seen, t *told, s *sub) *wire.Frame {
 	view := seen.View
-	f := &wire.Frame{Office: seen.Me, Whole: true, Settled: seen.Settled, View: &view, Offices: slices.Clone(seen.Offices), Desks: len(h.Desks(seen.NowUs))}
+	f := &wire.Frame{Office: seen.Me, Whole: true, Settled: seen.Settled, Behind: seen.Behind, View: &view, Offices: slices.Clone(seen.Offices), Desks: len(h.Desks(seen.NowUs))}
 	if seen.Settled && seen.State.Doc != nil && seen.State.Revision > s.revision {
 		h.configure(f, seen.State, s.revision)
 		s.revision = f.Revision
--- a/internal/office/leaving_test.go
+++ b/internal/office/leaving_test.go
@@ -154,3 +154,43 @@
 		}
 	}
 }
+
+// An office that is cut off tells the desks that it may be behind, before they are held to what the others decide.
+func TestAnOfficeCutOffSaysThatItIsBehind(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		says, hears bool
+	}{{"both ways", true, true}, {"it is not heard", true, false}, {"it hears nothing", false, true}} {
+		for struck := range 3 {
+			t.Run(fmt.Sprintf("%s/%d", c.name, struck), func(t *testing.T) {
+				tr := newTrio(t)
+				for range 40 {
+					tr.pass(25 * clock.Ms)
+					for i, core := range tr.cores {
+						if !core.Node.Current(tr.nowUs) {
+							t.Fatalf("in contact, office %d says that it is behind", i)
+						}
+					}
+				}
+				tr.cutOff(struck, c.says, c.hears)
+				tr.pass(2 * clock.Sec)
+				for range 400 {
+					tr.pass(25 * clock.Ms)
+					if tr.cores[struck].Node.Current(tr.nowUs) {
+						t.Fatal("cut off, it says that it is current")
+					}
+				}
+				for i, core := range tr.cores {
+					if i != struck && !core.Node.Current(tr.nowUs) {
+						t.Errorf("office %d, of the quorum, says that it is behind", i)
+					}
+				}
+				tr.cutOff(struck, false, false)
+				tr.pass(4 * clock.Sec)
+				if !tr.cores[struck].Node.Current(tr.nowUs) {
+					t.Error("back in contact, it says that it is behind")
+				}
+			})
+		}
+	}
+}
--- a/internal/office/replicas.go
+++ b/internal/office/replicas.go
@@ -158,7 +158,7 @@
 		c.officesUs, c.known = nowUs, c.offices()
 	}
 	for _, p := range c.soft.Hub.Frames(feed.Seen{
-		NowUs: nowUs, Me: c.Node.Me().ID, State: c.Node.State(), View: c.Node.View(), Offices: c.known, Settled: c.settled(), Roster: c.soft.Roster, Outliers: c.soft.Outliers,
+		NowUs: nowUs, Me: c.Node.Me().ID, State: c.Node.State(), View: c.Node.View(), Offices: c.known, Settled: c.settled(), Behind: !c.Node.Current(nowUs), Roster: c.soft.Roster, Outliers: c.soft.Outliers,
 	}) {
 		push := p
 		c.effects = append(c.effects, Effect{Frame: &push})
--- a/internal/subscriber/mirror.go
+++ b/internal/subscriber/mirror.go
@@ -61,8 +61,10 @@
 	heardUs int64
 	live    bool
 	whole   bool
-	office  string
-	rows    map[string]wire.ReplicaRow
+	// behindUs is since when the office says that it may be behind; 0 where it does not.
+	behindUs int64
+	office   string
+	rows     map[string]wire.ReplicaRow
 	// orders by replica; the map is replaced, never changed.
 	orders   map[string]wire.OrderAhead
 	ordersAt uint64
@@ -72,10 +74,12 @@
 // Mirror keeps what a desk knows by the frames of two offices at once, so that the loss of one costs no
 // time. Without any it goes on with what it last knew. Revisions only rise.
 type Mirror struct {
-	opts     Options
-	sources  map[uint64]*source
-	shyUs    map[string]int64
-	deafUs   map[string]int64
+	opts    Options
+	sources map[uint64]*source
+	shyUs   map[string]int64
+	deafUs  map[string]int64
+	// behindUs is when an office last was behind for too long.
+	behindUs map[string]int64
 	offices  map[string]chain.Member
 	view     chain.View
 	doc      *standing.Declaration
@@ -101,7 +105,7 @@
 }
 
 func NewMirror(opts Options) *Mirror {
-	return &Mirror{opts: opts, sources: map[uint64]*source{}, shyUs: map[string]int64{}, deafUs: map[string]int64{}, best: map[string]wire.ReplicaRow{}, touched: map[string]bool{}, offices: map[string]chain.Member{}}
+	return &Mirror{opts: opts, sources: map[uint64]*source{}, shyUs: map[string]int64{}, deafUs: map[string]int64{}, behindUs: map[string]int64{}, best: map[string]wire.ReplicaRow{}, touched: map[string]bool{}, offices: map[string]chain.Member{}}
 }
 
 func (m *Mirror) do(e MirrorEffect) { m.effects = append(m.effects, e) }
@@ -177,6 +181,7 @@
 		return
 	}
 	s.heardUs, s.live, s.office = nowUs, true, f.Office
+	m.noteBehind(nowUs, s, f.Behind)
 	if f.Whole {
 		s.whole, s.rows = true, map[string]wire.ReplicaRow{}
 	}
@@ -455,6 +460,7 @@
 		}
 	}
 	m.nearer(nowUs)
+	m.leaveBehind(nowUs)
 	if len(m.sources) < mirrorStreams && nowUs-m.triedUs >= mirrorTryUs {
 		m.open(nowUs)
 	}
@@ -474,12 +480,14 @@
 			free = append(free, addr)
 		}
 	}
-	slices.SortStableFunc(free, func(a, b string) int { return cmp.Compare(m.rank(a), m.rank(b)) })
+	slices.SortStableFunc(free, func(a, b string) int {
+		return cmp.Or(m.compareBehind(nowUs, a, b), cmp.Compare(m.rank(a), m.rank(b)))
+	})
 	main, own := false, m.own(nowUs)
 	for _, s := range m.sources {
 		main = main || (!s.spare && (own == "" || s.addr == own))
 	}
-	for _, addr := range free[:min(len(free), mirrorStreams-len(m.sources))] {
+	for _, addr := range free[:min(len(free), max(1, mirrorStreams-len(m.sources)))] {
 		m.streams++
 		spare := main
 		main = true
@@ -493,7 +501,7 @@
 // own is the office of this desk's own zone, if one is known that may be asked.
 func (m *Mirror) own(nowUs int64) string {
 	for _, id := range slices.Sorted(maps.Keys(m.offices)) {
-		if o := m.offices[id]; o.Zone != "" && o.Zone == m.opts.Zone && nowUs >= m.shyUs[o.Addr] {
+		if o := m.offices[id]; o.Zone != "" && o.Zone == m.opts.Zone && nowUs >= m.shyUs[o.Addr] && !m.wasBehind(nowUs, o.Addr, mirrorBehindNearUs) {
 			return o.Addr
 		}
 	}
@@ -504,7 +512,7 @@
 // spare stream is little, and the rest then need not cross zones.
 func (m *Mirror) nearer(nowUs int64) {
 	own := m.own(nowUs)
-	if own == "" || len(m.sources) < mirrorStreams || m.Live() < mirrorStreams {
+	if own == "" || len(m.sources) != mirrorStreams || m.Live() < mirrorStreams {
 		return
 	}
 	var main, spare *source
--- a/internal/subscriber/mirror_test.go
+++ b/internal/subscriber/mirror_test.go
@@ -29,6 +29,7 @@
 	roster  *roster.Roster
 	hub     *feed.Hub
 	settled bool
+	behind  bool
 	view    uint64
 
 	outliers outlier.Table
@@ -39,7 +40,7 @@
 }
 
 func (c *core) seen(nowUs int64) feed.Seen {
-	return feed.Seen{NowUs: nowUs, State: c.state, View: chain.View{Number: c.view}, Settled: c.settled, Roster: c.roster, Outliers: c.outliers,
+	return feed.Seen{NowUs: nowUs, State: c.state, View: chain.View{Number: c.view}, Settled: c.settled, Behind: c.behind, Roster: c.roster, Outliers: c.outliers,
 		Offices: []chain.Member{{ID: "one", Addr: "one"}, {ID: "two", Addr: "two"}}}
 }
 
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -15,9 +15,11 @@
 // Frame is one push of differences from an office down a desk's stream. The first of a stream is whole.
 // Revision and the declaration or the edits that lead to it come together; From is where the edits begin.
 type Frame struct {
-	Office   string                `json:"office"`
-	Whole    bool                  `json:"whole,omitempty"`
-	Settled  bool                  `json:"settled,omitempty"`
+	Office  string `json:"office"`
+	Whole   bool   `json:"whole,omitempty"`
+	Settled bool   `json:"settled,omitempty"`
+	// Behind says that the office may be cut off: newer declarations may be in force than it knows.
+	Behind   bool                  `json:"behind,omitempty"`
 	View     *chain.View           `json:"view,omitempty"`
 	Offices  []chain.Member        `json:"offices,omitempty"`
 	Revision uint64                `json:"revision,omitempty"`
--- a/proofs/sim/cutoff_test.go
+++ b/proofs/sim/cutoff_test.go
@@ -47,6 +47,7 @@
 	}
 	for _, way := range []Way{SilentWay, MuteWay, DeafWay, ResetWay} {
 		add("pair-"+string(way), 5, CutOff{Role: TailRole, Count: 2, Way: way, Lure: true, Meet: true, Race: true, Drain: true})
+		add("followed-"+string(way), 5, CutOff{Role: FollowedRole, Count: 2, Way: way, Lure: true, Race: true, Drain: true})
 		add("turns-"+string(way), 3, CutOff{Role: HeadRole, Way: way, ForUs: 12 * sec, Lure: true, Meet: true, Race: true}, CutOff{Role: TailRole, Way: way, AtUs: 18 * sec, ForUs: 12 * sec, Lure: true, Meet: true, Race: true})
 	}
 	return days
@@ -92,12 +93,17 @@
 		{"credulous", rules.LeaveLost, MuteWay},
 		{"unleased", rules.ReadOld, SilentWay},
 		{"own-state", rules.RefusedAs, SilentWay},
+		{"sure", rules.ConfigOld, SilentWay},
+		{"sure", rules.ConfigOld, DeafWay},
 	} {
 		t.Run(c.plant+"/"+string(c.way), func(t *testing.T) {
 			t.Parallel()
 			for seed := int64(1); seed <= 6; seed++ {
 				for _, role := range []Role{HeadRole, TailRole} {
 					p := cutOffPlan(seed, 3, CutOff{Role: role, Way: c.way, Lure: true, Meet: true, Race: true, Drain: true})
+					if c.plant == "sure" {
+						p = cutOffPlan(seed, 5, CutOff{Role: FollowedRole, Count: 2, Way: c.way, Race: true})
+					}
 					p.Plant = c.plant
 					for _, b := range RunRouted(p).Breaches {
 						if b.Rule == c.rule {
--- a/proofs/sim/routed_cutoff.go
+++ b/proofs/sim/routed_cutoff.go
@@ -40,6 +40,8 @@
 	TailRole       Role = "tail"
 	ControllerRole Role = "controller"
 	JoinerRole     Role = "joiner"
+	// FollowedRole are the machines that the first desk follows.
+	FollowedRole Role = "followed"
 )
 
 // Way is how a cut shows at the ends.
@@ -122,6 +124,8 @@
 		return o.onDuty()
 	case JoinerRole:
 		return n.Phase() == chain.Outside && n.Last() > 0
+	case FollowedRole:
+		return o.streams[o.day.desks[0].name] != nil
 	}
 	return false
 }
--- a/proofs/sim/routed_offices.go
+++ b/proofs/sim/routed_offices.go
@@ -196,6 +196,9 @@
 		return
 	}
 	f = clone(f)
+	if o.day.plan.Plant == "sure" {
+		f.Behind = false
+	}
 	number := s.number
 	s.down.send(func() { s.desk.frame(number, f) })
 }
