Refuse and show nothing by an office's own old state on our own interface

GET and PATCH /v1/config, the orders about zones and those about members were answered from the state of whichever office was asked. One that is cut off, or has just come back with an old disk, showed its old declaration as the one in force, and refused a change as stale (409), as not fitting (400), a zone as unknown (404) and an order about members as unfit (422). The platform's interface was sound: it asks the open tail, and leaves judging to the chain.

These now go by the newest state, asked of the tail under its lease, and answer 503 where nobody can say. What no state could make right (no base, no such act, unreadable) is refused anywhere as before. Seen to fail before: the first four lines of TestAnOfficeOutOfContactRefusesNothingByItsOwnState; the order about members with the check taken out.

--- a/internal/office/frames.go
+++ b/internal/office/frames.go
@@ -117,43 +117,52 @@
 
 // Newest answers Read.
 type Newest struct {
-	Doc *standing.Declaration `json:"doc,omitempty"`
+	Doc      *standing.Declaration `json:"doc,omitempty"`
+	Revision uint64                `json:"revision,omitempty"`
+	Index    uint64                `json:"index,omitempty"`
 }
 
-// open is the declaration where this office is the open tail, whose word is the newest there is.
-func (h *Host) open(ctx context.Context) (*standing.Declaration, bool) {
+// ownNewest is this office's state where it is the open tail, whose word is the newest there is.
+func (h *Host) ownNewest(ctx context.Context) (Newest, bool) {
 	type known struct {
-		doc  *standing.Declaration
-		open bool
+		newest Newest
+		open   bool
 	}
 	now, ran := actor.Ask(ctx, h.act, func() known {
-		return known{h.core.Node.State().Doc, h.core.Node.Open(clock.NowUs())}
+		s := h.core.Node.State()
+		return known{Newest{Doc: s.Doc, Revision: s.Revision, Index: s.Index}, h.core.Node.Open(clock.NowUs())}
 	})
-	return now.doc, ran && now.open
+	return now.newest, ran && now.open
 }
 
-// Declaration is the newest one that was acknowledged, asked of the tail; false where nobody can say.
-func (h *Host) Declaration(ctx context.Context) (*standing.Declaration, bool) {
-	if doc, open := h.open(ctx); open {
-		return doc, true
+// Newest is the newest state that was acknowledged, asked of the tail; false where nobody can say.
+func (h *Host) Newest(ctx context.Context) (Newest, bool) {
+	if own, open := h.ownNewest(ctx); open {
+		return own, true
 	}
 	tail, ran := actor.Ask(ctx, h.act, func() string { return h.core.Node.View().Tail().Addr })
 	if !ran || tail == "" || tail == h.set.Advertise {
-		return nil, false
+		return Newest{}, false
 	}
 	ctx, done := context.WithTimeout(ctx, readWait)
 	defer done()
 	got, err := rpc.NewCaller[Read, Newest](h.inner, tail, rpc.ReadPath).Call(ctx, &Read{})
 	if err != nil {
-		return nil, false
+		return Newest{}, false
 	}
-	return got.Doc, true
+	return *got, true
+}
+
+// Declaration is the newest one that was acknowledged; false where nobody can say.
+func (h *Host) Declaration(ctx context.Context) (*standing.Declaration, bool) {
+	newest, known := h.Newest(ctx)
+	return newest.Doc, known
 }
 
 func (h *Host) serveRead(ctx context.Context, _ *Read) (*Newest, error) {
-	doc, open := h.open(ctx)
+	newest, open := h.ownNewest(ctx)
 	if !open {
 		return nil, fault.New(fault.NotServing, "", "not the open tail")
 	}
-	return &Newest{Doc: doc}, nil
+	return &newest, nil
 }
--- a/internal/office/leaving_test.go
+++ b/internal/office/leaving_test.go
@@ -6,6 +6,8 @@
 
 	"petreltide/internal/chain"
 	"petreltide/internal/clock"
+	"petreltide/internal/fault"
+	"petreltide/internal/ledger"
 	"petreltide/internal/roster"
 )
 
@@ -194,3 +196,28 @@
 		}
 	}
 }
+
+// An order about members is refused for what it asks only by an office that has word of the chain.
+func TestAnOfficeCutOffRefusesNoOrderAboutMembers(t *testing.T) {
+	tr := newTrio(t)
+	ask := func(i int) fault.Code {
+		bad := tr.cores[i].fitMember(tr.nowUs, &ledger.MemberChange{Act: ledger.AddMember, Name: "oa1"}, false)
+		if bad == nil {
+			return ""
+		}
+		return bad.Code
+	}
+	for i := range tr.cores {
+		if got := ask(i); got != fault.MembershipUnfit {
+			t.Errorf("in contact, office %d says %q", i, got)
+		}
+	}
+	tr.cutOff(0, true, true)
+	tr.pass(2 * clock.Sec)
+	if got := ask(0); got != fault.NotServing {
+		t.Errorf("cut off, it says %q", got)
+	}
+	if got := ask(1); got != fault.MembershipUnfit {
+		t.Errorf("an office of the quorum says %q", got)
+	}
+}
--- a/internal/office/members.go
+++ b/internal/office/members.go
@@ -9,6 +9,15 @@
 	"petreltide/internal/wire"
 )
 
+// fitMember finds the identity that an order is about, or why it must not be taken. Only an office whose view
+// and state are the chain's of now may refuse it.
+func (c *Core) fitMember(nowUs int64, m *ledger.MemberChange, evenAlive bool) *fault.Fault {
+	if !c.Node.Current(nowUs) {
+		return fault.New(fault.NotServing, "", "this office has no word of the chain: ask another")
+	}
+	return c.Node.FitMember(m, evenAlive)
+}
+
 // member takes an operator's order about one office. It is refused here where this office can see that
 // it must not be carried out; what was taken waits until it is safe.
 func (h *Host) member(w http.ResponseWriter, r *http.Request) {
@@ -29,7 +38,7 @@
 		asked := m
 		got, ran := actor.Ask(r.Context(), h.act, func() fit {
 			f := fit{change: asked}
-			f.bad = h.core.Node.FitMember(&f.change, evenAlive)
+			f.bad = h.core.fitMember(h.core.Node.NowUs(), &f.change, evenAlive)
 			return f
 		})
 		m, bad = got.change, got.bad
--- /dev/null
+++ b/internal/office/unsure_test.go
@@ -0,0 +1,93 @@
+package office
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"petreltide/internal/chain"
+	"petreltide/internal/ledger"
+	"petreltide/internal/logring"
+	"petreltide/internal/settings"
+	"petreltide/internal/standing"
+	"petreltide/internal/storage"
+)
+
+// cutOffHost is an office that comes back with an old state on its disk, and reaches none of the others.
+func cutOffHost(t *testing.T) *Host {
+	t.Helper()
+	folder := t.TempDir()
+	seal := chain.Seal{Identity: "core-1", Name: "core-1"}
+	opened, err := storage.Open(folder, seal)
+	if err != nil {
+		t.Fatal(err)
+	}
+	members := []chain.Member{
+		{ID: "core-1", Name: "core-1", Addr: "127.0.0.1:1"}, {ID: "core-2", Name: "core-2", Addr: "127.0.0.1:2"}, {ID: "core-3", Name: "core-3", Addr: "127.0.0.1:3"},
+	}
+	view := chain.View{Number: 4, Voters: members}
+	for _, m := range members {
+		view.Order = append(view.Order, chain.Seat{Member: m, Inc: "before"})
+	}
+	state := ledger.NewState()
+	state.Apply(1, ledger.Change{ID: "op-first", Config: &ledger.ConfigChange{Doc: &standing.Declaration{Name: "old", Zones: []string{"a"}}}})
+	state.Revision, state.Doc = 1, &standing.Declaration{Name: "old", Zones: []string{"a"}}
+	from, err := opened.Store.Write([]chain.Record{{View: &view}, {Whole: 4}}, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := opened.Store.Keep(chain.Copy{Index: 1, View: 4, State: state}, from); err != nil {
+		t.Fatal(err)
+	}
+	if err := opened.Store.Close(); err != nil {
+		t.Fatal(err)
+	}
+	h, err := Open(settings.Office{Name: "core-1", Listen: "127.0.0.1:0", Advertise: "127.0.0.1:1", Data: folder}, logring.NewRing(folder, io.Discard))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.act.Spawn(func() { h.act.Loop(tickEvery, func() { h.step(Event{}) }) })
+	h.act.Spawn(h.saver)
+	t.Cleanup(func() {
+		h.act.Stop()
+		h.act.End()
+		_ = h.disk.Close()
+	})
+	if h.core.Node.State().Revision != 1 {
+		t.Fatalf("it holds revision %d", h.core.Node.State().Revision)
+	}
+	return h
+}
+
+// An office that cannot know whether its state is the newest neither shows it as that nor refuses by it.
+func TestAnOfficeOutOfContactRefusesNothingByItsOwnState(t *testing.T) {
+	h := cutOffHost(t)
+	handler := h.handler()
+	for _, c := range []struct {
+		method, path, body string
+		want               int
+	}{
+		{http.MethodGet, "/v1/config", "", http.StatusServiceUnavailable},
+		{http.MethodPatch, "/v1/config?base=0", `{"name":"x"}`, http.StatusServiceUnavailable},
+		{http.MethodPatch, "/v1/config?base=1", `{"zones":"none"}`, http.StatusServiceUnavailable},
+		{http.MethodPost, "/v1/zones/b/empty", "", http.StatusServiceUnavailable},
+		{http.MethodPost, "/v1/zones/a/empty", "", http.StatusServiceUnavailable},
+		{http.MethodPost, "/v1/members/core-9/remove", "", http.StatusServiceUnavailable},
+		{http.MethodPost, "/v1/members/core-2/add", "", http.StatusServiceUnavailable},
+		// What no state could make right is refused anywhere.
+		{http.MethodPut, "/v1/config?base=none", "{}", http.StatusBadRequest},
+		{http.MethodPost, "/v1/zones/a/burn", "", http.StatusNotFound},
+	} {
+		ctx, done := context.WithTimeout(context.Background(), 3*time.Second)
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, httptest.NewRequestWithContext(ctx, c.method, c.path, strings.NewReader(c.body)))
+		done()
+		if w.Code != c.want {
+			t.Errorf("%s %s: %d, want %d: %s", c.method, c.path, w.Code, c.want, w.Body)
+		}
+	}
+}
--- a/internal/office/web.go
+++ b/internal/office/web.go
@@ -183,14 +183,25 @@
 }
 
 func (h *Host) getConfig(w http.ResponseWriter, r *http.Request) {
-	now, ran := h.config(r.Context())
-	if !ran {
-		writeFault(w, fault.New(fault.NotServing, "", "stopping"))
+	now, known := h.newestConfig(r.Context())
+	if !known {
+		writeFault(w, newestUnknown())
 		return
 	}
 	writeJSON(w, http.StatusOK, now)
 }
 
+// newestConfig is what an operator's change is judged by before it goes to the chain; false where nobody can
+// say what is in force.
+func (h *Host) newestConfig(ctx context.Context) (ConfigNow, bool) {
+	newest, known := h.Newest(ctx)
+	return ConfigNow{Revision: newest.Revision, Index: newest.Index, Declaration: newest.Doc}, known
+}
+
+func newestUnknown() *fault.Fault {
+	return fault.New(fault.NotServing, "", "this office cannot say what is in force: ask another")
+}
+
 func (h *Host) read(w http.ResponseWriter, r *http.Request) ([]byte, *fault.Fault) {
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
 	if err != nil {
@@ -265,11 +276,15 @@
 	if !ok {
 		return
 	}
-	now := h.configAt(r.Context(), a.base)
 	if first, seen := h.seen(r.Context(), a.id); seen {
 		h.reply(r.Context(), w, a.id, wire.Result{Outcome: first, Everywhere: true})
 		return
 	}
+	now, known := h.newestConfig(r.Context())
+	if !known {
+		writeFault(w, newestUnknown())
+		return
+	}
 	if now.Revision != a.base || now.Declaration == nil {
 		stale := fault.New(fault.StaleBase, "base", "based on %d, current is %d", a.base, now.Revision)
 		stale.Revision = now.Revision
@@ -347,9 +362,9 @@
 		return
 	}
 	for try := 0; ; try++ {
-		now, ran := h.config(r.Context())
-		if !ran {
-			writeFault(w, fault.New(fault.NotServing, "", "stopping"))
+		now, known := h.newestConfig(r.Context())
+		if !known {
+			writeFault(w, newestUnknown())
 			return
 		}
 		if now.Declaration == nil {
@@ -376,7 +391,6 @@
 		}
 		result, ok := h.Submit(r.Context(), c, answerWait)
 		if ok && result.Outcome.Fault != nil && result.Outcome.Fault.Code == fault.StaleBase && try < 8 {
-			h.configAt(r.Context(), result.Outcome.Fault.Revision)
 			continue
 		}
 		if !ok {
