Decide by one table what is sent again, and close eight ways to a wrong or doubled answer

dispatch.Decide is the table, request kind by observation; the decider, the platform's legs and the simulator's use it. A start carries its route, service and kind. A try at a life that was asked before takes a new connection. TestSeededCallsUnderChangingRoutes judged with the product's own unrun(); it has its own list of endings now.

--- a/internal/desk/carry.go
+++ b/internal/desk/carry.go
@@ -61,13 +61,12 @@
 			h.tell(dispatch.Event{Gone: c.ID})
 		}
 		h.tell(dispatch.Event{Ended: &dispatch.Ended{Call: c.ID, Leg: e.Start.Leg, Ending: ending}})
-		switch ending {
-		case dispatch.Done:
+		switch {
+		case ending == dispatch.Done:
 			return fault.RunYes
-		case dispatch.Failed:
+		case ending == dispatch.Failed:
 			return fault.RunUnknown
-		case dispatch.Unsent, dispatch.Refused, dispatch.Missing, dispatch.Elsewhere:
-		default:
+		case dispatch.MayHaveRun(ending):
 			ran = fault.RunUnknown
 		}
 		if ctx.Err() != nil {
@@ -86,7 +85,7 @@
 			firstMs = (firstUs - fromUs) / 1000
 		}
 		_ = h.log.Log("event", "leg", "path", st.Call.Kind, "model", st.Call.Model, "adapter", st.Call.Adapter, "replica", st.Replica, "tokens", st.Call.Routed.PromptIn,
-			"waitedMs", (fromUs-st.Call.TakenUs)/1000, "guessMs", int64(st.GuessMs), "firstMs", firstMs, "allMs", (clock.NowUs()-fromUs)/1000, "running", st.Running, "aimMs", st.Call.Routed.Route.AimMs, "mostMs", st.Call.MostMs, "ending", ending, "why", why)
+			"waitedMs", (fromUs-st.Call.TakenUs)/1000, "guessMs", int64(st.GuessMs), "firstMs", firstMs, "allMs", (clock.NowUs()-fromUs)/1000, "running", st.Running, "aimMs", st.Route.AimMs, "mostMs", st.Call.MostMs, "ending", ending, "why", why)
 		return ending, why
 	}
 	legCtx, cancel := context.WithDeadline(ctx, time.Now().Add(time.Duration(st.ExpiryUs-clock.NowUs())*time.Microsecond))
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -27,16 +27,19 @@
 	takenAt  uint64
 	urgency  int
 	expiryUs int64
-	resume   bool
-	ran      bool
-	legs     int
-	prints   []uint64
-	on       string
-	leg      string
-	tried    []string
-	moving   bool
-	gone     bool
-	firstUs  int64
+	// resume: every declaration under which the call was taken or sent lets it run more than once.
+	resume bool
+	// once: some declaration of its time did not.
+	once    bool
+	ran     bool
+	legs    int
+	prints  []uint64
+	on      string
+	leg     string
+	tried   []string
+	moving  bool
+	gone    bool
+	firstUs int64
 }
 
 func (c *Call) fingerprints() []uint64 {
@@ -61,6 +64,7 @@
 	return c.prints
 }
 
+// Ending is how a leg counts: for its call, for its replica and for the retry budget.
 type Ending string
 
 const (
@@ -75,4 +79,6 @@
 	Unknown   Ending = "unknown"
 	Moved     Ending = "moved"
 	Final     Ending = "final"
+	// Stopped: the caller is gone, or has had a part of an answer that nothing can go on with.
+	Stopped Ending = "stopped"
 )
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"petreltide/internal/fault"
+	"petreltide/internal/standing"
 )
 
 type Event struct {
@@ -46,6 +47,10 @@
 	Inc      string
 	Revision uint64
 	ExpiryUs int64
+	// Route and Service are those of the decision; a later declaration changes those of the call, not these.
+	Route   *standing.Route
+	Service string
+	Kind    RequestKind
 	// GuessMs is when the first piece was expected, Running what was known to run there.
 	GuessMs float64
 	Running int
--- a/internal/dispatch/finish.go
+++ b/internal/dispatch/finish.go
@@ -78,10 +78,8 @@
 		spentUs := float64(d.nowUs - c.firstUs)
 		d.serviceUs += (spentUs - d.serviceUs) / 16
 	}
-	unrun := e.Ending == Unsent || e.Ending == Refused
-	c.ran = c.ran || !unrun
-	again := unrun || (c.resume && (e.Ending == Broken || e.Ending == Unknown || e.Ending == Moved))
-	if c.gone || !again {
+	c.ran = c.ran || MayHaveRun(e.Ending)
+	if c.gone || !again(c.requestKind(), e.Ending) {
 		d.over(c, e.Ending, on)
 		return
 	}
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -45,7 +45,7 @@
 		return outlier.Good
 	case Failed:
 		return outlier.ErrorAnswer
-	case Broken:
+	case Broken, Stopped:
 		return outlier.BrokenStream
 	case Refused:
 		return outlier.Shed
--- a/internal/dispatch/routed.go
+++ b/internal/dispatch/routed.go
@@ -59,40 +59,61 @@
 		return fault.UnknownKind
 	}
 	c.Routed.Route = r
-	c.urgency, c.resume = max(1, 9-r.Priority), r.Repeatable()
+	c.urgency = max(1, 9-r.Priority)
+	c.once = c.once || !r.Repeatable()
+	c.resume = !c.once
 	mostMs := r.TimeoutMs
 	if c.MostMs > 0 {
 		mostMs = min(mostMs, c.MostMs)
 	}
 	c.expiryUs = c.TakenUs + mostMs*1000
-	if c.Routed.Service == "" || !r.May(c.Routed.Service) {
+	if c.leg == "" && (c.Routed.Service == "" || !r.May(c.Routed.Service)) {
 		if c.Routed.draw == 0 {
 			h := fnv.New64a()
 			_, _ = h.Write([]byte(c.ID))
 			c.Routed.draw = mix(h.Sum64())
 		}
 		c.Routed.Service = r.Service(c.Routed.draw)
+		if c.Routed.arrivals > 0 && !d.budget(c.Routed.Service) {
+			return fault.Overloaded
+		}
 	}
 	return ""
 }
 
-// again says whether a call whose leg ended so may get another.
-func (d *Decider) routedAgain(c *Call, e Ending) bool {
-	switch e {
-	case Unsent:
-		return true
-	case Refused, Missing, Elsewhere, Broken, Unknown, Moved:
-		if e != Refused && e != Missing && e != Elsewhere && !c.resume {
-			return false
-		}
-		return c.Routed.arrivals < c.Routed.Route.AttemptsMost && d.budget(c.Routed.Service)
+// requestKind is how often a call may run, by all declarations that it has seen.
+func (c *Call) requestKind() RequestKind {
+	switch {
+	case c.Routed == nil && c.resume:
+		return ResumableStreaming
+	case c.Routed == nil:
+		return Streaming
+	}
+	k := KindOf(c.Routed.Route)
+	switch {
+	case c.resume:
+		return k
+	case k == ResumableStreaming:
+		return Streaming
+	case k == Idempotent:
+		return NonIdempotent
 	}
-	return false
+	return k
 }
 
-// unrun endings are those of legs that surely have not run and never will.
-func unrun(e Ending) bool {
-	return e == Unsent || e == Refused || e == Missing || e == Elsewhere
+// routedAgain says whether a call whose leg ended so may have another: by what it is and what was seen, by the
+// attempts that its route allows, and by the retry budget. A leg that was not sent costs neither.
+func (d *Decider) routedAgain(c *Call, e Ending) bool {
+	k := c.requestKind()
+	switch {
+	case !again(k, e):
+		return false
+	case e == Unsent:
+		return true
+	case c.Had > 0 && k != ResumableStreaming && MayHaveRun(e):
+		return false
+	}
+	return c.Routed.arrivals < c.Routed.Route.AttemptsMost && d.budget(c.Routed.Service)
 }
 
 func (c *Call) adapterUnit() string {
@@ -118,12 +139,10 @@
 	if e.Ending != Unsent {
 		c.Routed.arrivals++
 	}
-	if !unrun(e.Ending) {
-		c.ran = true
-	}
+	c.ran = c.ran || MayHaveRun(e.Ending)
 	c.Had = int(c.Progress.Load())
-	if c.gone || (e.Ending == Done || e.Ending == Failed) || !d.routedAgain(c, e.Ending) {
-		if !c.gone && unrun(e.Ending) && !c.ran && c.Had == 0 {
+	if c.gone || !d.routedAgain(c, e.Ending) {
+		if !c.gone && !c.ran && c.Had == 0 {
 			d.give(c, fault.Overloaded, "no further replica may be tried", 30)
 			return
 		}
--- a/internal/dispatch/routed_test.go
+++ b/internal/dispatch/routed_test.go
@@ -337,7 +337,7 @@
 					if open[id] {
 						legs := k.legs[id]
 						e := endings[r.Intn(len(endings))]
-						ran[id], open[id] = ran[id] || !unrun(e), false
+						ran[id], open[id] = ran[id] || !notRun(e), false
 						look(k.step(Event{Ended: &Ended{Call: id, Leg: legs[len(legs)-1].Leg, Ending: e}}))
 						break
 					}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -83,19 +83,45 @@
 
 // Take gives a connection that was sound a moment ago, or a new one.
 func (p *Pool) Take(ctx context.Context, replica, addr string) (*Conn, error) {
+	if c := p.sound(replica); c != nil {
+		return c, nil
+	}
+	return p.dial(ctx, replica, addr)
+}
+
+// TakeNew gives a connection that has carried nothing; where there may be no more of them, an idle one gives way.
+func (p *Pool) TakeNew(ctx context.Context, replica, addr string) (*Conn, error) {
+	c, err := p.dial(ctx, replica, addr)
+	var f *fault.Fault
+	if !errors.As(err, &f) || f.Code != fault.Overloaded {
+		return c, err
+	}
+	idle := p.pop(replica)
+	if idle == nil {
+		return nil, err
+	}
+	p.Drop(idle)
+	return p.dial(ctx, replica, addr)
+}
+
+// sound is an idle connection that may be used again, or nil.
+func (p *Pool) sound(replica string) *Conn {
 	for {
 		c := p.pop(replica)
 		if c == nil {
-			break
+			return nil
 		}
 		nowUs := clock.NowUs()
 		c.ageUs = nowUs - c.givenUs
 		if nowUs < c.untilUs && c.ageUs < p.mostIdleUs(nowUs, replica) && quiet(c) {
 			c.Reused = true
-			return c, nil
+			return c
 		}
 		p.Drop(c)
 	}
+}
+
+func (p *Pool) dial(ctx context.Context, replica, addr string) (*Conn, error) {
 	p.mu.Lock()
 	most := p.opts.PerReplicaMost(replica)
 	if p.open[replica] >= most {
--- a/proofs/sim/routed_desks.go
+++ b/proofs/sim/routed_desks.go
@@ -423,7 +423,7 @@
 	}
 	ask := l.x.ask
 	ask.From, ask.Expect, ask.Last = t.name, st.Inc, l.x.last
-	ask.Priority = l.x.call.Routed.Route.Priority
+	ask.Priority = l.st.Route.Priority
 	ask.DeadlineUs = d.nowUs + max(1, (st.ExpiryUs-t.clock()-deadlineUs)/1000)*ms
 	if d.plan.Plant == "smuggler" && d.r.Intn(50) == 0 {
 		ask.ID += "x"
@@ -479,18 +479,26 @@
 func (l *leg) lost(late bool) {
 	switch {
 	case late && !l.x.gone:
-		l.finish(dispatch.Final)
+		l.finish(dispatch.Decide(l.st.Kind, dispatch.SilentUntilExpiry).Ending)
 	case l.head:
-		l.finish(dispatch.Broken)
+		l.finish(dispatch.Decide(l.st.Kind, l.broke()).Ending)
 	default:
 		if l.x.desk.day.plan.Plant == "again" {
 			l.finish(dispatch.Unsent)
 			return
 		}
-		l.finish(dispatch.Unknown)
+		l.finish(dispatch.Decide(l.st.Kind, dispatch.ClosedUnanswered).Ending)
 	}
 }
 
+// broke is a stream that cannot be read on, by what of it has reached the client.
+func (l *leg) broke() dispatch.Observation {
+	if l.x.opened {
+		return dispatch.StreamCut
+	}
+	return dispatch.CutShort
+}
+
 // cancel ends a leg whose client is gone.
 func (l *leg) cancel() {
 	boot := l.x.desk.boot
@@ -575,7 +583,7 @@
 		l.finish(dispatch.Done)
 	default:
 		if int64(e.N) <= x.call.Progress.Load() && x.call.Progress.Load() > 0 {
-			l.finish(dispatch.Broken)
+			l.finish(dispatch.Decide(l.st.Kind, l.broke()).Ending)
 			return
 		}
 		if d.plan.Plant == "skips" && e.N == 3 {
@@ -607,17 +615,10 @@
 func (l *leg) whole(e replica.Effect) {
 	x := l.x
 	l.first()
-	route := x.call.Routed.Route
-	switch {
-	case x.opened:
-		l.finish(dispatch.Broken)
-		return
-	case e.Status/100 != 2 && route.Repeatable() && route.AttemptsMost > 1 && !x.retried:
-		x.retried = true
-		l.finish(dispatch.Broken)
-		return
-	case e.Status == http.StatusServiceUnavailable || e.Status == http.StatusTooManyRequests || e.Status == http.StatusRequestTimeout:
-		l.finish(dispatch.Unknown)
+	decided := dispatch.Decide(l.st.Kind, l.classify(e.Status))
+	if decided.Answer != dispatch.PassOn {
+		x.retried = x.retried || e.Status/100 != 2
+		l.finish(decided.Ending)
 		return
 	}
 	x.opened = true
@@ -626,11 +627,22 @@
 		seal = ""
 	}
 	x.back.send(func() { x.seat.answered(x.try, e.Status, seal, e.Body, 0) })
-	if e.Status/100 != 2 {
-		l.finish(dispatch.Failed)
-		return
-	}
-	l.finish(dispatch.Done)
+	l.finish(decided.Ending)
+}
+
+// classify is what a whole answer is to this request, as the platform's side of a desk has it.
+func (l *leg) classify(status int) dispatch.Observation {
+	switch {
+	case l.x.opened:
+		return dispatch.AnswerInStream
+	case status/100 == 2:
+		return dispatch.WholeAnswer
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout:
+		return dispatch.UnprovenRefusal
+	case l.x.retried || l.st.Route.AttemptsMost <= 1:
+		return dispatch.FailureRepeated
+	}
+	return dispatch.FailureAnswer
 }
 
 func (l *leg) first() { l.x.call.FirstUs.CompareAndSwap(0, l.x.desk.clock()) }
