--- /dev/null
+++ b/internal/dispatch/expiry_test.go
@@ -0,0 +1,55 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+
+	"petreltide/internal/clock"
+	"petreltide/internal/fault"
+	"petreltide/internal/standing"
+)
+
+// Each try of a call ends at the same moment: at the client's own time or at its route's, whichever comes first.
+func TestEveryTryOfACallEndsAtTheSameMoment(t *testing.T) {
+	const timeoutMs, pauseUs = 20_000, 700 * clock.Ms
+	for _, clientMs := range []int64{0, 1500, timeoutMs - 1, timeoutMs, 90_000} {
+		for _, repeat := range []standing.Repeat{standing.Idempotent, standing.NonIdempotent, standing.Streaming} {
+			name := fmt.Sprintf("%s, the client waits %d ms", repeat, clientMs)
+			k := newClerk(Options{}, stands(declaration(declared{"r", repeat, 3, one("s"), false}), 1, at("s", "r1", "r2", "r3")...))
+			wantUs := k.nowUs + timeoutMs*clock.Ms
+			if clientMs > 0 {
+				wantUs = min(wantUs, k.nowUs+clientMs*clock.Ms)
+			}
+			k.step(Event{Arrived: &Call{ID: "c", Kind: "r", MostMs: clientMs, Routed: &Routed{PromptIn: 100}}})
+			for range 2 {
+				k.nowUs += pauseUs
+				k.end("c", Refused)
+			}
+			legs := k.legs["c"]
+			if len(legs) < 2 {
+				t.Fatalf("%s: sent %d times", name, len(legs))
+			}
+			for i, st := range legs {
+				if st.ExpiryUs != wantUs {
+					t.Errorf("%s: try %d ends at %d us, want %d", name, i+1, st.ExpiryUs, wantUs)
+				}
+			}
+		}
+	}
+}
+
+// A call that nobody takes is refused as its time is up, and no later.
+func TestACallThatWaitsIsAnsweredAtItsRoutesTime(t *testing.T) {
+	const timeoutMs = 20_000
+	row := at("s", "r1")
+	row[0].Dark = true
+	k := newClerk(Options{}, stands(declaration(declared{"r", standing.Streaming, 3, one("s"), true}), 1, row...))
+	k.step(Event{Arrived: &Call{ID: "c", Kind: "r", MostMs: 90_000, Routed: &Routed{PromptIn: 100}}})
+	if k.after(timeoutMs*clock.Ms - 1); k.fin["c"] != nil {
+		t.Fatalf("answered before its time: %+v", k.fin["c"])
+	}
+	k.after(1)
+	if f := k.fin["c"]; f == nil || f.Give == nil || f.Give.Fault.Code != fault.Expired || f.Give.Fault.Run != fault.RunNone {
+		t.Errorf("at its time: %+v", f)
+	}
+}
