--- a/proofs/brief/brief_test.go
+++ b/proofs/brief/brief_test.go
@@ -43,9 +43,19 @@
 }
 
 func testsUnder(t *testing.T, root string) map[string]bool {
+	t.Helper()
+	return namedUnder(t, root, regexp.MustCompile(`(?m)^func (Test[A-Z]\w+)\(`))
+}
+
+func fuzzTestsUnder(t *testing.T, root string) map[string]bool {
+	t.Helper()
+	return namedUnder(t, root, regexp.MustCompile(`(?m)^func (Fuzz[A-Z]\w+)\(`))
+}
+
+// namedUnder are the functions of test files that a pattern names.
+func namedUnder(t *testing.T, root string, name *regexp.Regexp) map[string]bool {
 	t.Helper()
 	tests := map[string]bool{}
-	name := regexp.MustCompile(`(?m)^func (Test[A-Z]\w+)\(`)
 	if err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
 		if err != nil || d.IsDir() || !strings.HasSuffix(path, "_test.go") {
 			return err
