--- a/internal/chain/unsynced_test.go
+++ b/internal/chain/unsynced_test.go
@@ -7,9 +7,9 @@
 	"petreltide/internal/ledger"
 )
 
-// restarted is a member of three with one entry in its log, restarted from its disk and told of the next view, where
+// restartedMember is a member of three with one entry in its log, restarted from its disk and told of the next view, where
 // it is the second of three.
-func restarted(t *testing.T, unsynced bool) *Node {
+func restartedMember(t *testing.T, unsynced bool) *Node {
 	t.Helper()
 	seats := []Seat{}
 	for _, id := range []string{"a", "b", "c"} {
@@ -45,10 +45,10 @@
 // stands still, reports nothing as synced and takes part in no vote.
 func TestALogThatWasNotSyncedDoesNotCount(t *testing.T) {
 	beat := Event{NowUs: clock.Sec + 30*clock.Ms, Got: &Msg{From: Member{ID: "a", Addr: "a"}, Inc: "a/2", Forward: &Forward{View: 2, Last: 1, SentUs: 1}}}
-	if n := restarted(t, false); acked(n, beat) != 1 || n.stalled() {
+	if n := restartedMember(t, false); acked(n, beat) != 1 || n.stalled() {
 		t.Fatal("a synced log does not count")
 	}
-	n := restarted(t, true)
+	n := restartedMember(t, true)
 	if last := acked(n, beat); last != 0 || !n.stalled() || !n.mute() {
 		t.Fatalf("acknowledges %d, stalled %v, mute %v", last, n.stalled(), n.mute())
 	}
