--- a/proofs/rules/routed.go
+++ b/proofs/rules/routed.go
@@ -8,6 +8,7 @@
 	"sort"
 	"strings"
 
+	"petreltide/proofs/history"
 	"petreltide/proofs/platform/replica"
 )
 
@@ -41,7 +42,7 @@
 // Routed are all rules that routed days are judged by.
 var Routed = []string{
 	Mixed, Unasked, Twice, Refused, Denied, Route, Drain, LostWork, ConfigOld, ConfigBck, ConfigTwo, ConfigNot, ConfigGon, ConfigNew,
-	Budget, Order, Recover, One, Limit, Ceiling, Acks, Starved, Sizes, ReadOld, RefusedAs, LeaveLost,
+	Budget, Order, Recover, One, Limit, Ceiling, Acks, Starved, Sizes, ReadOld, RefusedAs, LeaveLost, ConfigHistory,
 }
 
 // Bounds are the figures of the platform's settings file.
@@ -210,8 +211,10 @@
 	Leaves   []*Leave
 	Reads    []ControlRead
 	Refusals []ControlRefusal
-	Read     *Read
-	EndUs    int64
+	// Calls are all calls of operators about the configuration.
+	Calls []history.Call
+	Read  *Read
+	EndUs int64
 }
 
 type judge struct {
@@ -251,6 +254,7 @@
 		j.ran(t)
 	}
 	j.config()
+	j.answersFitOneRegister()
 	j.routes()
 	j.drain()
 	j.answers()
--- a/proofs/rules/routed_config.go
+++ b/proofs/rules/routed_config.go
@@ -21,13 +21,28 @@
 		return true
 	}
 	for _, o := range j.Versions {
-		if o.Number == v.Base {
-			return j.mayStand(o)
+		if o.Number == v.Base && j.mayStand(o) {
+			return true
 		}
 	}
 	return false
 }
 
+// readVersion is the version of this number that was read back; two may bear one number, and where neither was sent
+// as it was read, any of them.
+func (j *judge) readVersion() *Version {
+	var found *Version
+	for _, v := range j.Versions {
+		if v.Number != j.Read.Number {
+			continue
+		}
+		if found == nil || v.Sent == j.Read.Sent {
+			found = v
+		}
+	}
+	return found
+}
+
 // config: what operators are told must hold together, and with what is read back.
 func (j *judge) config() {
 	bases := map[uint64][]*Version{}
@@ -79,18 +94,17 @@
 		j.breach(ConfigGon, "version %d was read back, %d was acknowledged at %.3f", j.Read.Number, newest.Number, sec(newest.AckedUs))
 		return
 	}
-	for _, v := range j.Versions {
-		if v.Number == j.Read.Number {
-			if v.Sent != j.Read.Sent {
-				j.breach(ConfigGon, "version %d was read back otherwise than it was sent:\n%s\n%s", v.Number, j.Read.Sent, v.Sent)
-			}
-			if !j.mayStand(v) {
-				j.breach(ConfigNot, "version %d was read back, though it was refused, invalid or lost its race", v.Number)
-			}
-			return
-		}
+	v := j.readVersion()
+	if v == nil {
+		j.breach(ConfigGon, "version %d was read back, which nobody sent", j.Read.Number)
+		return
+	}
+	if v.Sent != j.Read.Sent {
+		j.breach(ConfigGon, "version %d was read back otherwise than it was sent:\n%s\n%s", v.Number, j.Read.Sent, v.Sent)
+	}
+	if !j.mayStand(v) {
+		j.breach(ConfigNot, "version %d was read back, though it was refused, invalid or lost its race", v.Number)
 	}
-	j.breach(ConfigGon, "version %d was read back, which nobody sent", j.Read.Number)
 }
 
 // handling is one thing done with a request: a service ran it, or a 404 denied that there is a route.
--- a/proofs/rules/routed_test.go
+++ b/proofs/rules/routed_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"testing"
 
+	"petreltide/proofs/history"
 	"petreltide/proofs/platform/replica"
 )
 
@@ -126,6 +127,27 @@
 			d.Leaves = []*Leave{{Replica: "i", Machine: "a", SaidUs: 14 * second, AckedUs: 14 * second, GoneUs: 25 * second}}
 			served(d, "1", "/r/x", 17*second, "z")
 		}},
+		{"one of two under one number is read back", "", func(d *Day) {
+			for _, v := range d.Versions {
+				v.Sent = fmt.Sprint(v.Number)
+			}
+			loser := &Version{Number: 2, Base: 1, Valid: true, Routes: mark(2, "q"), SentUs: 10 * second, RefusedUs: 11 * second, Status: 412, Sent: "the loser"}
+			d.Versions = append([]*Version{loser}, d.Versions...)
+			d.Read = &Read{Came: true, Number: 2, Sent: "2"}
+		}},
+		{"the loser of two under one number is read back", ConfigNot, func(d *Day) {
+			loser := &Version{Number: 2, Base: 1, Valid: true, Routes: mark(2, "q"), SentUs: 10 * second, RefusedUs: 11 * second, Status: 412, Sent: "the loser"}
+			d.Versions = append(d.Versions, loser)
+			d.Read = &Read{Came: true, Number: 2, Sent: "the loser"}
+		}},
+		{"an order that was acknowledged is sent again and refused", ConfigHistory, func(d *Day) {
+			order := &history.Order{ID: "o", Version: 1, Content: "o"}
+			d.Calls = []history.Call{{Order: order, FromUs: 1, ToUs: 2, Answer: history.Acknowledged}, {Order: order, FromUs: 3, ToUs: 4, Answer: history.Refused}}
+		}},
+		{"... and acknowledged", "", func(d *Day) {
+			order := &history.Order{ID: "o", Version: 1, Content: "o"}
+			d.Calls = []history.Call{{Order: order, FromUs: 1, ToUs: 2, Answer: history.Acknowledged}, {Order: order, FromUs: 3, ToUs: 4, Answer: history.Acknowledged}}
+		}},
 		{"the old service runs it within the bound", "", func(d *Day) { served(d, "1", "/r/x", 12*second, "s") }},
 		{"the old service runs it after the bound", ConfigOld, func(d *Day) { served(d, "1", "/r/x", 14*second, "s") }},
 		{"... while the core is unsettled", "", func(d *Day) {
--- a/proofs/sim/routed.go
+++ b/proofs/sim/routed.go
@@ -328,6 +328,7 @@
 			d.seen.Core[i].ToUs = rules.Open
 		}
 	}
+	d.seen.Calls = d.ops.calls.Calls()
 	breaches, stakes := rules.Judge(d.seen)
 	out := RoutedOutcome{Breaches: breaches, Stakes: stakes, Caused: d.caused, Events: d.events, Log: d.Log, Statuses: map[string]int{}, Seen: d.seen, Loads: len(d.seen.Loads)}
 	for _, t := range d.seen.Tries {
--- a/proofs/sim/routed_changes.go
+++ b/proofs/sim/routed_changes.go
@@ -1,7 +1,9 @@
 package sim
 
 import (
+	"fmt"
 	"net/http"
+	"slices"
 
 	"petreltide/internal/ledger"
 	"petreltide/internal/standing"
@@ -92,6 +94,71 @@
 	}
 }
 
+const (
+	// underWayMost is how many orders operators have under way at once.
+	underWayMost = 8
+	// againMost is how far back they go for an order to send once more.
+	againMost = 12
+)
+
+// rivals sends up to eight versions at once, under one number and on one base, that all differ; one may win.
+func (p *routedOperators) rivals(done func()) {
+	base, number := p.tip, p.draw()
+	left := 2 + p.r.Intn(underWayMost-1)
+	p.day.caused["rivals"] += left
+	versions := []*opVersion{}
+	for n := range left {
+		shown := routeOf(fmt.Sprintf("mark-%d-%d", number, n), opsHost, rivalMark(number, n), standing.Idempotent, to("log"))
+		versions = append(versions, p.nextAs(base, number, 0, shown))
+	}
+	for n, v := range versions {
+		p.marks = append(p.marks, rivalMark(number, n))
+		p.send(v, func(status int) {
+			p.settle(v, status, func() {
+				if left--; left == 0 {
+					done()
+				}
+			})
+		})
+	}
+}
+
+func rivalMark(number uint64, n int) string { return fmt.Sprintf("/v%d-%d/", number, n) }
+
+// again sends one of the orders that had a clear answer once more, as it was, to any machine; that answer must stand.
+func (p *routedOperators) again(done func()) {
+	clear := slices.DeleteFunc(slices.Clone(p.sent[max(0, len(p.sent)-againMost):]), func(v *opVersion) bool { return v.seen.AckedUs+v.seen.RefusedUs == 0 })
+	if len(clear) == 0 {
+		done()
+		return
+	}
+	v := clear[p.r.Intn(len(clear))]
+	d := p.day
+	call := p.calls.Send(v.order(), d.nowUs)
+	over := false
+	end := func() {
+		if !over {
+			over = true
+			done()
+		}
+	}
+	p.later(sec, end)
+	o := p.officeFor(false)
+	if o == nil {
+		return
+	}
+	change := clone(v.change())
+	d.carry(&p.machine, &o.machine, sec, func() {
+		o.configure(call.Order.ID, change, func() bool { return !over }, func(status int) {
+			d.carry(&o.machine, &p.machine, sec, func() {
+				p.calls.Answered(call, answerOf(status), d.nowUs)
+				d.caused["again "+string(answerOf(status))]++
+				end()
+			}, func() {})
+		})
+	}, func() {})
+}
+
 // bad sends a version that wants a refusal: spoiled in its last route, or not above the one in force.
 func (p *routedOperators) bad(done func()) {
 	base, number := p.tip, p.draw()
--- a/proofs/sim/routed_faults.go
+++ b/proofs/sim/routed_faults.go
@@ -13,7 +13,7 @@
 	"kill-office", "kill-holder", "power-office", "freeze-office", "freeze-holder", "stall-disk", "slow-disk", "full-disk", "replace-office", "wipe-after-ack", "power-after-ack",
 	"cut-office", "one-way", "split-core", "cut-desk", "kill-desk", "herd-kill", "kill-offices", "roll-desks", "freeze-desk", "clock-step", "swap-seeds", "loss",
 	"crash-replica", "lose-replica", "dark-replica", "reuse-address", "notice", "notice-race", "release", "scale-in", "failing-replica", "turning-replica", "breaking-replica",
-	"config-change", "config-storm", "config-race", "bad-config", "big-config", "burst", "burst-rare", "model-shift",
+	"config-change", "config-storm", "config-race", "config-rivals", "config-again", "bad-config", "big-config", "burst", "burst-rare", "model-shift",
 	"grey-errors", "grey-shed", "grey-busy", "grey-hang", "grey-reset", "grey-mute", "grey-slow", "grey-one-zone", "lying-errors", "lying-hang", "lying-reset",
 	"answer-lost", "flap", "drop-idle", "unheard-leave", "kill-zone", "roll-offices", "replace-planned", "power-after-taking",
 }
@@ -185,6 +185,14 @@
 		}
 	case "config-race":
 		d.ops.do(d.ops.race)
+	case "config-rivals":
+		for range 1 + f.N%3 {
+			d.ops.do(d.ops.rivals)
+		}
+	case "config-again":
+		for range 2 + f.N%5 {
+			d.ops.do(d.ops.again)
+		}
 	case "bad-config":
 		for range 1 + f.N%3 {
 			d.ops.do(d.ops.bad)
--- a/proofs/sim/routed_offices.go
+++ b/proofs/sim/routed_offices.go
@@ -163,6 +163,10 @@
 	if ev.Controller != nil {
 		ev.Controller.NowUs = ev.NowUs
 	}
+	if d.plan.Plant == "forgets-orders" {
+		clear(o.core.Node.State().Changes)
+		o.core.Node.State().ChangeIDs = nil
+	}
 	for _, e := range o.core.Step(ev) {
 		switch {
 		case e.Letter != nil:
@@ -273,6 +277,10 @@
 // configure is what the platform's side of an office does with an operator's order.
 func (o *routedOffice) configure(mark string, c ledger.ConfigChange, wanted func() bool, answer func(status int)) {
 	id := "op-" + mark
+	if o.day.plan.Plant == "own-state" && c.Base != o.core.Node.State().Version() {
+		answer(http.StatusPreconditionFailed)
+		return
+	}
 	if out, seen := o.core.Seen(id); seen {
 		answer(statusOf(out, true))
 		return
@@ -299,6 +307,9 @@
 		if o.day.plan.Plant == "two-winners" && status == http.StatusPreconditionFailed {
 			status = http.StatusOK
 		}
+		if o.day.plan.Plant == "denies-winners" && status == http.StatusOK && c.Version%3 == 0 {
+			status = http.StatusPreconditionFailed
+		}
 		answer(status)
 	})
 }
--- a/proofs/sim/routed_operators.go
+++ b/proofs/sim/routed_operators.go
@@ -1,11 +1,11 @@
 package sim
 
 import (
-	"fmt"
 	"math/rand"
 	"net/http"
 
 	"petreltide/internal/standing"
+	"petreltide/proofs/history"
 	"petreltide/proofs/rules"
 )
 
@@ -19,13 +19,28 @@
 	busy   bool
 	queue  []func(done func())
 	marks  []string
-	sent   map[uint64]*opVersion
+	sent   []*opVersion
 	shadow []string
 	grown  []string
+	// calls is what they sent, were answered and read.
+	calls history.Recorder
 }
 
 func newRoutedOperators(d *routedDay) *routedOperators {
-	return &routedOperators{machine: machine{sim: d.Sim, name: "operators", up: true, boot: 1}, day: d, r: rand.New(rand.NewSource(d.plan.Seed * 11)), sent: map[uint64]*opVersion{}}
+	return &routedOperators{machine: machine{sim: d.Sim, name: "operators", up: true, boot: 1}, day: d, r: rand.New(rand.NewSource(d.plan.Seed * 11))}
+}
+
+// answerOf is what a status says to an operator.
+func answerOf(status int) history.Answer {
+	switch status {
+	case http.StatusOK:
+		return history.Acknowledged
+	case http.StatusPreconditionFailed:
+		return history.Refused
+	case http.StatusBadRequest:
+		return history.Invalid
+	}
+	return history.Unclear
 }
 
 // send carries a version to any machine that serves control until its answer is clear, or too long.
@@ -33,7 +48,7 @@
 	d := p.day
 	v.seen.SentUs = d.nowUs
 	d.seen.Versions = append(d.seen.Versions, v.seen)
-	mark := fmt.Sprintf("%d-%d", v.seen.Base, v.seen.Number)
+	order := v.order()
 	endUs := d.nowUs + 14*sec
 	pauseUs := 50 * ms
 	first := true
@@ -52,6 +67,7 @@
 				p.later(pauseUs, try)
 			}
 		}
+		call := p.calls.Send(order, d.nowUs)
 		o := p.officeFor(first)
 		first = false
 		if o == nil {
@@ -61,7 +77,7 @@
 		p.later(sec+int64(len(v.routes))*5*ms, next)
 		change := clone(v.change())
 		d.carry(&p.machine, &o.machine, sec, func() {
-			o.configure(mark, change, func() bool { return !over }, func(status int) {
+			o.configure(order.ID, change, func() bool { return !over }, func(status int) {
 				if status == http.StatusOK {
 					d.spring("config", o)
 				}
@@ -69,6 +85,7 @@
 					return
 				}
 				d.carry(&o.machine, &p.machine, sec, func() {
+					p.calls.Answered(call, answerOf(status), d.nowUs)
 					switch status {
 					case http.StatusOK:
 						if v.seen.AckedUs == 0 {
@@ -122,7 +139,7 @@
 	}
 	p.ask(func(doc *standing.Declaration, ok bool) {
 		if ok && doc != nil {
-			if known := p.sent[doc.Version]; known != nil && known.seen.Number >= p.tip.seen.Number {
+			if known := p.known(doc); known != nil && known.seen.Number >= p.tip.seen.Number {
 				p.tip = known
 			}
 		}
@@ -183,15 +200,18 @@
 func (p *routedOperators) readAt(o *routedOffice, done func(*standing.Declaration, bool)) {
 	d := p.day
 	askedUs := d.nowUs
+	call := p.calls.Read(askedUs)
 	fail := func() { done(nil, false) }
 	d.carry(&p.machine, &o.machine, sec, func() {
 		o.read(func(doc *standing.Declaration, ok bool) {
 			d.carry(&o.machine, &p.machine, sec, func() {
 				if ok {
 					read := rules.ControlRead{Machine: o.name, AskedUs: askedUs, AtUs: d.nowUs}
+					content := ""
 					if doc != nil {
-						read.Number = doc.Version
+						read.Number, content = doc.Version, canonical(doc.Version, doc.Routes, doc.Services)
 					}
+					p.calls.Saw(call, read.Number, content, d.nowUs)
 					d.seen.Reads = append(d.seen.Reads, read)
 				}
 				done(doc, ok)
--- a/proofs/sim/routed_versions.go
+++ b/proofs/sim/routed_versions.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"petreltide/internal/standing"
+	"petreltide/proofs/history"
 	"petreltide/proofs/rules"
 )
 
@@ -16,7 +17,10 @@
 	services []standing.Service
 	edit     *standing.Edit
 	seen     *rules.Version
-	low      uint64
+	// low is the number it is sent under where that is not above its base's.
+	low uint64
+	// serial tells it from others of its number.
+	serial int
 }
 
 func routeOf(name, host, prefix string, repeat standing.Repeat, split ...standing.Weighted) standing.Route {
@@ -77,6 +81,25 @@
 	return fmt.Sprintf("%d\n%s", number, strings.Join(lines, "\n"))
 }
 
+// order is this version as the judges of histories know it.
+func (v *opVersion) order() *history.Order {
+	c := v.change()
+	return &history.Order{
+		ID: fmt.Sprintf("%d-%d-%d", c.Base, c.Version, v.serial), Base: c.Base, Version: c.Version, Content: v.seen.Sent, Spoiled: !v.seen.Valid,
+	}
+}
+
+// known is the version that a declaration was sent as; nil where it is none of these operators'.
+func (p *routedOperators) known(doc *standing.Declaration) *opVersion {
+	content := canonical(doc.Version, doc.Routes, doc.Services)
+	for _, v := range p.sent {
+		if v.seen.Sent == content {
+			return v
+		}
+	}
+	return nil
+}
+
 // draw takes the next number; they rise in uneven steps.
 func (p *routedOperators) draw() uint64 {
 	p.number += 1 + uint64(p.r.Intn(3))
@@ -104,15 +127,21 @@
 		edit.Version = number
 		edit.Routes, _ = sourced(edit.Routes, nil)
 	}
-	p.sent[number] = v
+	p.sent = append(p.sent, v)
+	v.serial = len(p.sent)
 	return v
 }
 
 // next is a version on top of another that may be in force: as an update, or whole.
 func (p *routedOperators) next(base *opVersion, extra int) *opVersion {
 	number := p.draw()
+	return p.nextAs(base, number, extra, markRoute(number))
+}
+
+// nextAs is next under a number of the caller's, with a route that shows it.
+func (p *routedOperators) nextAs(base *opVersion, number uint64, extra int, shown standing.Route) *opVersion {
 	upsert, remove := p.moved(base, number, extra)
-	upsert = append(upsert, markRoute(number))
+	upsert = append(upsert, shown)
 	var edit *standing.Edit
 	if p.r.Intn(3) > 0 {
 		edit = &standing.Edit{Routes: upsert, RemoveRoutes: remove}
