Judge the operators of real processes as one history too

Real processes get config-rivals (two to eight orders at once under one number, all different) and config-again (orders that had a clear answer are sent again).

--- a/proofs/platform/fleet/day.go
+++ b/proofs/platform/fleet/day.go
@@ -275,6 +275,8 @@
 	"notice-replica":  func(_ context.Context, f *Fleet) error { return f.leave(f.anyCard(), 1500*time.Millisecond) },
 	"release-replica": func(_ context.Context, f *Fleet) error { return f.leave(f.anyCard(), 0) },
 	"config-race":     func(ctx context.Context, f *Fleet) error { f.ops.race(ctx); return nil },
+	"config-rivals":   func(ctx context.Context, f *Fleet) error { f.ops.rivals(ctx); return nil },
+	"config-again":    func(ctx context.Context, f *Fleet) error { f.ops.again(ctx); return nil },
 	"bad-config":      func(ctx context.Context, f *Fleet) error { f.ops.bad(ctx); return nil },
 	"ill-replica":     func(_ context.Context, f *Fleet) error { f.ill(); return nil },
 }
@@ -402,6 +404,7 @@
 			}
 		}
 	}
+	f.day.Calls = f.calls.Calls()
 	breaches, stakes := rules.Judge(f.day)
 	fmt.Fprintf(out, "%d tries, %d of %d served, %d orders, %d versions; at stake %v; faults %v; this box was late by %v at most\n",
 		len(f.day.Tries), f.served, f.owed, len(f.day.Orders), len(f.day.Versions), stakes, f.Caused, f.Late.Round(time.Millisecond))
@@ -453,7 +456,7 @@
 			f.note(func(*rules.Day) { f.Caused[name]++ })
 		}
 		wg.Add(1)
-		if name == "config-race" || name == "bad-config" {
+		if strings.Contains(name, "config") {
 			changes <- func() {
 				defer wg.Done()
 				run()
--- a/proofs/platform/fleet/fleet.go
+++ b/proofs/platform/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"petreltide/internal/clock"
 	"petreltide/internal/standing"
 	"petreltide/proofs/fleet"
+	"petreltide/proofs/history"
 	"petreltide/proofs/platform/replica"
 	"petreltide/proofs/rules"
 )
@@ -85,6 +86,8 @@
 	served int
 	owed   int
 	ops    *routedOps
+	// calls is what operators sent, were answered and read.
+	calls  history.Recorder
 	Caused map[string]int
 	Late   time.Duration
 	narrow bool
--- a/proofs/platform/fleet/fleet_test.go
+++ b/proofs/platform/fleet/fleet_test.go
@@ -50,6 +50,18 @@
 	}
 }
 
+// Operators send up to eight orders under one number at once, and send orders again, while the holder of the duty is
+// killed and an office freezes. All that they are answered and read back fits one register.
+func TestOperatorsOfRealProcessesSeeOneRegister(t *testing.T) {
+	if testing.Short() {
+		t.Skip("it starts processes")
+	}
+	plan := Plan{Seed: 6, Span: 12 * time.Second, Faults: []string{"config-rivals", "kill-holder", "config-again", "config-rivals", "freeze-office", "config-race", "config-again"}}
+	for _, b := range playRouted(t, plan, nil) {
+		t.Error(b)
+	}
+}
+
 // What the sockets saw must be able to condemn: replicas smaller than declared fall, and the rule says so.
 func TestPlantedBreakOnRealProcessesIsCaught(t *testing.T) {
 	if testing.Short() {
--- a/proofs/platform/fleet/operators.go
+++ b/proofs/platform/fleet/operators.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -14,6 +15,7 @@
 	"time"
 
 	"petreltide/internal/clock"
+	"petreltide/proofs/history"
 	"petreltide/proofs/rules"
 )
 
@@ -26,13 +28,14 @@
 	tip    *opsVersion
 	marks  []string
 	shadow []string
-	sent   map[uint64]*opsVersion
+	sent   []*opsVersion
 }
 
 type opsRoute map[string]any
 
 type opsVersion struct {
 	seen   *rules.Version
+	order  *history.Order
 	routes []opsRoute
 	path   string
 	body   []byte
@@ -134,17 +137,22 @@
 			"version": number, "routes": routes, "services": p.services(), "limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		})
 	}
-	if p.sent == nil {
-		p.sent = map[uint64]*opsVersion{}
+	p.sent = append(p.sent, v)
+	v.order = &history.Order{
+		ID: fmt.Sprint(number, "-", len(p.sent)), Base: v.seen.Base, Version: number, Content: v.seen.Sent, Spoiled: !valid,
 	}
-	p.sent[number] = v
 	return v
 }
 
 // next moves where requests go, adds a route that shows the version, and takes old ones away.
 func (p *routedOps) next(base *opsVersion) *opsVersion {
 	number := p.draw()
-	upsert := []opsRoute{p.mark(number)}
+	return p.nextAs(base, number, p.mark(number))
+}
+
+// nextAs is next under a number of the caller's, with a route that shows it.
+func (p *routedOps) nextAs(base *opsVersion, number uint64, shown opsRoute) *opsVersion {
+	upsert := []opsRoute{shown}
 	remove := []string{}
 	marks := []string{}
 	for _, r := range base.routes {
@@ -190,29 +198,15 @@
 		p.shadow = append(p.shadow, fmt.Sprintf("/v%d/", v.seen.Number))
 	}
 	p.mu.Unlock()
-	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	pause := 50 * time.Millisecond
 	for end := time.Now().Add(most); time.Now().Before(end) && ctx.Err() == nil; {
-		addrs := p.f.control()
-		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addrs[p.r.Intn(len(addrs))]+v.path, strings.NewReader(string(v.body)))
-		if err != nil {
-			return 0
-		}
-		req.Header.Set("Content-Type", "application/json")
-		req.Header.Set("Based-On-Version", strconv.FormatUint(v.seen.Base, 10))
-		res, err := client.Do(req)
-		if err == nil {
-			_, _ = io.Copy(io.Discard, res.Body)
-			_ = res.Body.Close()
-			switch {
-			case p.r.Intn(10) == 0:
-			case res.StatusCode == http.StatusOK:
-				p.f.note(func(*rules.Day) { v.seen.AckedUs = clock.NowUs() })
-				return res.StatusCode
-			case res.StatusCode/100 == 4 && res.StatusCode != http.StatusTooManyRequests && res.StatusCode != http.StatusRequestTimeout:
-				p.f.note(func(*rules.Day) { v.seen.RefusedUs, v.seen.Status = clock.NowUs(), res.StatusCode })
-				return res.StatusCode
-			}
+		switch status := p.call(ctx, v); answerOf(status) {
+		case history.Acknowledged:
+			p.f.note(func(*rules.Day) { v.seen.AckedUs = clock.NowUs() })
+			return status
+		case history.Refused, history.Invalid:
+			p.f.note(func(*rules.Day) { v.seen.RefusedUs, v.seen.Status = clock.NowUs(), status })
+			return status
 		}
 		time.Sleep(pause)
 		pause = min(2*pause, 500*time.Millisecond)
@@ -220,6 +214,48 @@
 	return 0
 }
 
+// answerOf is what a status says to an operator.
+func answerOf(status int) history.Answer {
+	switch {
+	case status == http.StatusOK:
+		return history.Acknowledged
+	case status == http.StatusPreconditionFailed:
+		return history.Refused
+	case status/100 == 4 && status != http.StatusTooManyRequests && status != http.StatusRequestTimeout:
+		return history.Invalid
+	}
+	return history.Unclear
+}
+
+// call sends an order once to any machine that serves control. Every tenth answer is lost on its way: it gives 0, as
+// no answer does.
+func (p *routedOps) call(ctx context.Context, v *opsVersion) int {
+	addrs := p.f.control()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addrs[p.r.Intn(len(addrs))]+v.path, bytes.NewReader(v.body))
+	if err != nil {
+		return 0
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Based-On-Version", strconv.FormatUint(v.seen.Base, 10))
+	call := p.f.calls.Send(v.order, clock.NowUs())
+	res, err := operatorClient().Do(req)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, res.Body)
+	_ = res.Body.Close()
+	if p.r.Intn(10) == 0 {
+		return 0
+	}
+	p.f.calls.Answered(call, answerOf(res.StatusCode), clock.NowUs())
+	return res.StatusCode
+}
+
+// operatorClient waits a second for an answer, and keeps no connection.
+func operatorClient() *http.Client {
+	return &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+}
+
 // change sends one version on top of the newest, and reads what is in force where the answer was not clear.
 func (p *routedOps) change(ctx context.Context) {
 	v := p.next(p.tip)
@@ -227,16 +263,55 @@
 		p.tip = v
 		return
 	}
-	if number, _, ok := p.read(ctx); ok && p.sent[number] != nil {
-		p.tip = p.sent[number]
+	p.reread(ctx)
+}
+
+// reread takes what is in force as the version to build on.
+func (p *routedOps) reread(ctx context.Context) {
+	_, text, ok := p.read(ctx)
+	if !ok {
+		return
+	}
+	for _, v := range p.sent {
+		if v.seen.Sent == text {
+			p.tip = v
+		}
 	}
 }
 
 // race sends two on one base at once.
 func (p *routedOps) race(ctx context.Context) {
-	a, b := p.next(p.tip), p.next(p.tip)
+	p.atOnce(ctx, p.next(p.tip), p.next(p.tip))
+}
+
+// rivalsMost is how many orders operators have under way at once.
+const rivalsMost = 8
+
+// rivals sends up to eight at once, under one number and on one base, that all differ.
+func (p *routedOps) rivals(ctx context.Context) {
+	number := p.draw()
+	versions := []*opsVersion{}
+	for n := range 2 + p.r.Intn(rivalsMost-1) {
+		shown := p.routeOf(fmt.Sprintf("mark-%d-%d", number, n), opsHost, fmt.Sprintf("/v%d-%d/", number, n), "idempotent", 2*time.Second, 2, "log")
+		versions = append(versions, p.nextAs(p.tip, number, shown))
+	}
+	p.atOnce(ctx, versions...)
+}
+
+// again sends orders that had a clear answer once more, as they were; that answer must stand.
+func (p *routedOps) again(ctx context.Context) {
+	for range 4 {
+		v := p.sent[max(0, len(p.sent)-1-p.r.Intn(12))]
+		if v.seen.AckedUs+v.seen.RefusedUs > 0 {
+			p.call(ctx, v)
+		}
+	}
+}
+
+// atOnce sends versions side by side, and reads what came of it.
+func (p *routedOps) atOnce(ctx context.Context, versions ...*opsVersion) {
 	var wg sync.WaitGroup
-	for _, v := range []*opsVersion{a, b} {
+	for _, v := range versions {
 		wg.Add(1)
 		other := &routedOps{f: p.f, r: rand.New(rand.NewSource(p.r.Int63()))}
 		go func() {
@@ -248,9 +323,7 @@
 		}()
 	}
 	wg.Wait()
-	if number, _, ok := p.read(ctx); ok && p.sent[number] != nil {
-		p.tip = p.sent[number]
-	}
+	p.reread(ctx)
 }
 
 // bad sends what wants a refusal.
@@ -272,14 +345,14 @@
 
 // read asks for what is in force.
 func (p *routedOps) read(ctx context.Context) (number uint64, text string, ok bool) {
-	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for range 30 {
 		addrs := p.f.control()
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addrs[p.r.Intn(len(addrs))]+"/configuration/read", nil)
 		if err != nil {
 			return 0, "", false
 		}
-		if res, err := client.Do(req); err == nil {
+		call := p.f.calls.Read(clock.NowUs())
+		if res, err := operatorClient().Do(req); err == nil {
 			raw, bad := io.ReadAll(res.Body)
 			_ = res.Body.Close()
 			doc := struct {
@@ -288,7 +361,9 @@
 				Services []json.RawMessage `json:"services"`
 			}{}
 			if bad == nil && res.StatusCode == http.StatusOK && json.Unmarshal(raw, &doc) == nil {
-				return doc.Version, account(doc.Version, append(doc.Routes, doc.Services...)), true
+				text = account(doc.Version, append(doc.Routes, doc.Services...))
+				p.f.calls.Saw(call, doc.Version, text, clock.NowUs())
+				return doc.Version, text, true
 			}
 		}
 		time.Sleep(150 * time.Millisecond)
