--- /dev/null
+++ b/internal/standing/index.go
@@ -0,0 +1,111 @@
+package standing
+
+import (
+	"strings"
+)
+
+// Index finds what a declaration names without walking it.
+type Index struct {
+	models   map[string]int
+	adapters map[string]int
+	routes   map[string]*Route
+	services map[string]*Service
+	units    map[string]*EngineModel
+	hosts    map[string]map[string]*Route
+}
+
+// Indexed builds the index of a declaration that will not change any more, once.
+func (d *Declaration) Indexed() *Declaration {
+	if d.Index != nil {
+		return d
+	}
+	x := &Index{
+		models: make(map[string]int, len(d.Models)), adapters: make(map[string]int, len(d.Adapters)),
+		routes: make(map[string]*Route, len(d.Routes)), services: make(map[string]*Service, len(d.Services)),
+		units: map[string]*EngineModel{}, hosts: map[string]map[string]*Route{},
+	}
+	for i := range d.Models {
+		x.models[d.Models[i].Name] = i
+	}
+	for i := range d.Adapters {
+		x.adapters[d.Adapters[i].Name] = i
+	}
+	for i := range d.Services {
+		s := &d.Services[i]
+		x.services[s.Name] = s
+		if s.Engine != nil {
+			for j := range s.Engine.Models {
+				x.units[s.Name+"\x00"+s.Engine.Models[j].Name] = &s.Engine.Models[j]
+			}
+		}
+	}
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		x.routes[r.Name] = r
+		host := strings.ToLower(r.Host)
+		if x.hosts[host] == nil {
+			x.hosts[host] = map[string]*Route{}
+		}
+		x.hosts[host][r.Prefix] = r
+	}
+	d.Index = x
+	return d
+}
+
+// named finds the first item of a name; nil where there is none.
+func named[T any](all []T, name string, of func(*T) string) *T {
+	for i := range all {
+		if of(&all[i]) == name {
+			return &all[i]
+		}
+	}
+	return nil
+}
+
+func (d *Declaration) Route(name string) *Route {
+	if d.Index != nil {
+		return d.Index.routes[name]
+	}
+	return named(d.Routes, name, func(r *Route) string { return r.Name })
+}
+
+func (d *Declaration) Service(name string) *Service {
+	if d.Index != nil {
+		return d.Index.services[name]
+	}
+	return named(d.Services, name, func(s *Service) string { return s.Name })
+}
+
+// EngineModel is a model as a service's engine names it; nil where it does not.
+func (d *Declaration) EngineModel(service, model string) *EngineModel {
+	if d.Index != nil {
+		return d.Index.units[service+"\x00"+model]
+	}
+	s := d.Service(service)
+	if s == nil || s.Engine == nil {
+		return nil
+	}
+	return named(s.Engine.Models, model, func(m *EngineModel) string { return m.Name })
+}
+
+// Match finds the route with the longest prefix that begins the path; every prefix ends with a slash.
+func (d *Declaration) Match(host, path string) *Route {
+	if d.Index == nil {
+		return nil
+	}
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.Contains(host[i:], "]") {
+		host = host[:i]
+	}
+	places := d.Index.hosts[host]
+	if places == nil {
+		if places = d.Index.hosts[strings.ToLower(host)]; places == nil {
+			return nil
+		}
+	}
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r := places[path[:end+1]]; r != nil {
+			return r
+		}
+	}
+	return nil
+}
