Say the checks and edits of routes in short steps, in the field's words

What stood twice (taking the operators' text off routes, services and limits) stands once. An edit of a list is a type of its own. No behaviour changes; the tests of both packages pass with the race detector.

--- a/internal/standing/bare.go
+++ b/internal/standing/bare.go
@@ -6,7 +6,7 @@
 	"slices"
 )
 
-// Mark is a short name for what an operator sent, so that the same order is known again.
+// Mark is a hash of what an operator sent, so that the same order is known when it is sent again.
 func Mark(raw []byte) string {
 	h := fnv.New128a()
 	_, _ = h.Write(raw)
@@ -17,35 +17,42 @@
 func (d *Declaration) Bare() *Declaration {
 	n := *d
 	n.Index = nil
-	n.Routes = slices.Clone(d.Routes)
-	for i := range n.Routes {
-		n.Routes[i].Source = nil
-	}
-	n.Services = slices.Clone(d.Services)
-	for i := range n.Services {
-		n.Services[i].Source = nil
-	}
-	if d.Limits != nil {
-		l := *d.Limits
-		l.Source = nil
-		n.Limits = &l
-	}
+	n.Routes = routesWithoutSource(d.Routes)
+	n.Services = servicesWithoutSource(d.Services)
+	n.Limits = d.Limits.withoutSource()
 	return n.Indexed()
 }
 
+// Bare is the edit without the operator's own text, as desks need it.
 func (e *Edit) Bare() *Edit {
 	n := *e
-	n.Routes, n.Services = slices.Clone(e.Routes), slices.Clone(e.Services)
-	for i := range n.Routes {
-		n.Routes[i].Source = nil
+	n.Routes = routesWithoutSource(e.Routes)
+	n.Services = servicesWithoutSource(e.Services)
+	n.Limits = e.Limits.withoutSource()
+	return &n
+}
+
+func routesWithoutSource(routes []Route) []Route {
+	bare := slices.Clone(routes)
+	for i := range bare {
+		bare[i].Source = nil
 	}
-	for i := range n.Services {
-		n.Services[i].Source = nil
+	return bare
+}
+
+func servicesWithoutSource(services []Service) []Service {
+	bare := slices.Clone(services)
+	for i := range bare {
+		bare[i].Source = nil
 	}
-	if e.Limits != nil {
-		l := *e.Limits
-		l.Source = nil
-		n.Limits = &l
+	return bare
+}
+
+func (l *Limits) withoutSource() *Limits {
+	if l == nil {
+		return nil
 	}
-	return &n
+	bare := *l
+	bare.Source = nil
+	return &bare
 }
--- a/internal/standing/edit.go
+++ b/internal/standing/edit.go
@@ -14,49 +14,66 @@
 	Limits         *Limits   `json:"limits,omitempty"`
 }
 
-// Edited is the declaration with the edit laid on it; the old one stays as it is.
+// Edited is the declaration with an edit applied; the old one stays as it is.
 func (d *Declaration) Edited(e *Edit) (*Declaration, *fault.Fault) {
 	sheet := &fault.Sheet{}
 	n := *d
 	n.Index = nil
 	n.Version = e.Version
-	n.Routes = laid(sheet, "routes", d.Routes, e.Routes, e.RemoveRoutes, func(r *Route) string { return r.Name })
-	n.Services = laid(sheet, "services", d.Services, e.Services, e.RemoveServices, func(s *Service) string { return s.Name })
+	routes := itemsEdit[Route]{field: "routes", upsert: e.Routes, remove: e.RemoveRoutes, name: func(r *Route) string { return r.Name }}
+	n.Routes = routes.apply(sheet, d.Routes)
+	services := itemsEdit[Service]{field: "services", upsert: e.Services, remove: e.RemoveServices, name: func(s *Service) string { return s.Name }}
+	n.Services = services.apply(sheet, d.Services)
 	if e.Limits != nil {
 		n.Limits = e.Limits
 	}
 	return &n, sheet.As(fault.InvalidConfig)
 }
 
-func laid[T any](sheet *fault.Sheet, field string, have, upsert []T, remove []string, name func(*T) string) []T {
-	gone := map[string]bool{}
-	for _, r := range remove {
-		gone[r] = true
+// itemsEdit changes a list of named items: those in upsert take the place of the item of their name or come last,
+// those in remove go. What is in both stays.
+type itemsEdit[T any] struct {
+	field  string
+	upsert []T
+	remove []string
+	name   func(*T) string
+}
+
+func (e *itemsEdit[T]) apply(sheet *fault.Sheet, current []T) []T {
+	removed := map[string]bool{}
+	for _, name := range e.remove {
+		removed[name] = true
 	}
-	at := map[string]int{}
-	for i := range upsert {
-		n := name(&upsert[i])
-		if _, twice := at[n]; twice {
-			sheet.Note(fault.InvalidConfig, field, "%q is named twice", n)
+	upserts := e.byName(sheet)
+	placed := make(map[string]bool, len(e.upsert))
+	edited := make([]T, 0, len(current)+len(e.upsert))
+	for i := range current {
+		name := e.name(&current[i])
+		if at, ok := upserts[name]; ok {
+			edited = append(edited, e.upsert[at])
+			placed[name] = true
+		} else if !removed[name] {
+			edited = append(edited, current[i])
 		}
-		at[n] = i
 	}
-	placed := make(map[string]bool, len(upsert))
-	kept := make([]T, 0, len(have)+len(upsert))
-	for i := range have {
-		n := name(&have[i])
-		if j, ok := at[n]; ok {
-			kept = append(kept, upsert[j])
-			placed[n] = true
-		} else if !gone[n] {
-			kept = append(kept, have[i])
+	for i := range e.upsert {
+		if name := e.name(&e.upsert[i]); !placed[name] {
+			edited = append(edited, e.upsert[i])
+			placed[name] = true
 		}
 	}
-	for i := range upsert {
-		if n := name(&upsert[i]); !placed[n] {
-			kept = append(kept, upsert[i])
-			placed[n] = true
+	return edited
+}
+
+// byName finds the items to place by their names, and notes a name that comes twice.
+func (e *itemsEdit[T]) byName(sheet *fault.Sheet) map[string]int {
+	at := map[string]int{}
+	for i := range e.upsert {
+		name := e.name(&e.upsert[i])
+		if _, twice := at[name]; twice {
+			sheet.Note(fault.InvalidConfig, e.field, "%q is named twice", name)
 		}
+		at[name] = i
 	}
-	return kept
+	return at
 }
--- a/internal/standing/engine.go
+++ b/internal/standing/engine.go
@@ -5,6 +5,9 @@
 	"strings"
 )
 
+// adapterLoadMs is how long an adapter's load is reckoned to take.
+const adapterLoadMs = 50
+
 // Engine is what a model service's replicas can hold and bear. Sizes are MB, rounded up for what is
 // held and down for the room; Stride is the tokens in one event of a stream.
 type Engine struct {
@@ -17,6 +20,7 @@
 	Models       []EngineModel `json:"models" validate:"max=8192,unique=Name,dive"`
 }
 
+// EngineModel is a model that a service's replicas may load, with adapters a1 to a<Adapters>.
 type EngineModel struct {
 	Name      string `json:"name" validate:"required,max=256"`
 	SizeMb    int64  `json:"sizeMb" validate:"min=1"`
@@ -31,6 +35,7 @@
 	return model, adapter
 }
 
+// Unit is the name under which a model, or an adapter of it, is loaded.
 func Unit(model, adapter string) string {
 	if adapter == "" {
 		return model
@@ -51,7 +56,7 @@
 	if !m.HasAdapter(adapter) {
 		return 0, 0, false
 	}
-	return m.AdapterMb, 50, true
+	return m.AdapterMb, adapterLoadMs, true
 }
 
 // HasAdapter: adapters are named a1, a2 and so on.
--- a/internal/standing/index.go
+++ b/internal/standing/index.go
@@ -62,6 +62,7 @@
 	return nil
 }
 
+// Route is the route of a name; nil where there is none.
 func (d *Declaration) Route(name string) *Route {
 	if d.Index != nil {
 		return d.Index.routes[name]
@@ -69,6 +70,7 @@
 	return named(d.Routes, name, func(r *Route) string { return r.Name })
 }
 
+// Service is the service of a name; nil where there is none.
 func (d *Declaration) Service(name string) *Service {
 	if d.Index != nil {
 		return d.Index.services[name]
--- a/internal/standing/routes.go
+++ b/internal/standing/routes.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 )
 
+// Repeat says what may be sent to a second replica once a first may have run it.
 type Repeat string
 
+// The kinds of routes. A streaming route may be repeated only where it is resumable.
 const (
 	Streaming     Repeat = "streaming"
 	Idempotent    Repeat = "idempotent"
@@ -30,6 +32,7 @@
 	Source       json.RawMessage `json:"source,omitempty" validate:"-"`
 }
 
+// Weighted is a service's share of a route.
 type Weighted struct {
 	Service string `json:"service" validate:"required"`
 	Weight  int    `json:"weight" validate:"min=0,max=1000000"`
@@ -69,6 +72,7 @@
 	return false
 }
 
+// Service is a set of replicas that routes send to. Source is the operator's own text of it.
 type Service struct {
 	Name            string          `json:"name" validate:"required,max=256"`
 	HealthPath      string          `json:"health,omitempty"`
--- a/internal/standing/standing.go
+++ b/internal/standing/standing.go
@@ -1,3 +1,4 @@
+// Package standing holds what operators declare: the declaration in force, edits of it, and the checks that both must pass.
 package standing
 
 import (
@@ -15,6 +16,7 @@
 	"petreltide/internal/fault"
 )
 
+// Declaration is all that operators have declared.
 type Declaration struct {
 	Name     string    `json:"name" validate:"required,max=64"`
 	Zones    []string  `json:"zones" validate:"required,min=1,max=16,unique,dive,required,max=32"`
