--- /dev/null
+++ b/internal/standing/edit.go
@@ -0,0 +1,79 @@
+package standing
+
+import (
+	"petreltide/internal/fault"
+)
+
+// Edit changes named routes and services and leaves the rest.
+type Edit struct {
+	Version        uint64    `json:"version"`
+	Routes         []Route   `json:"routes,omitempty"`
+	Services       []Service `json:"services,omitempty"`
+	RemoveRoutes   []string  `json:"removeRoutes,omitempty"`
+	RemoveServices []string  `json:"removeServices,omitempty"`
+	Limits         *Limits   `json:"limits,omitempty"`
+}
+
+// Edited is the declaration with an edit applied; the old one stays as it is.
+func (d *Declaration) Edited(e *Edit) (*Declaration, *fault.Fault) {
+	sheet := &fault.Sheet{}
+	n := *d
+	n.Index = nil
+	n.Version = e.Version
+	routes := itemsEdit[Route]{field: "routes", upsert: e.Routes, remove: e.RemoveRoutes, name: func(r *Route) string { return r.Name }}
+	n.Routes = routes.apply(sheet, d.Routes)
+	services := itemsEdit[Service]{field: "services", upsert: e.Services, remove: e.RemoveServices, name: func(s *Service) string { return s.Name }}
+	n.Services = services.apply(sheet, d.Services)
+	if e.Limits != nil {
+		n.Limits = e.Limits
+	}
+	return &n, sheet.As(fault.InvalidConfig)
+}
+
+// itemsEdit changes a list of named items: those in upsert take the place of the item of their name or come last,
+// those in remove go. What is in both stays.
+type itemsEdit[T any] struct {
+	field  string
+	upsert []T
+	remove []string
+	name   func(*T) string
+}
+
+func (e *itemsEdit[T]) apply(sheet *fault.Sheet, current []T) []T {
+	removed := map[string]bool{}
+	for _, name := range e.remove {
+		removed[name] = true
+	}
+	upserts := e.byName(sheet)
+	placed := make(map[string]bool, len(e.upsert))
+	edited := make([]T, 0, len(current)+len(e.upsert))
+	for i := range current {
+		name := e.name(&current[i])
+		if at, ok := upserts[name]; ok {
+			edited = append(edited, e.upsert[at])
+			placed[name] = true
+		} else if !removed[name] {
+			edited = append(edited, current[i])
+		}
+	}
+	for i := range e.upsert {
+		if name := e.name(&e.upsert[i]); !placed[name] {
+			edited = append(edited, e.upsert[i])
+			placed[name] = true
+		}
+	}
+	return edited
+}
+
+// byName finds the items to place by their names, and notes a name that comes twice.
+func (e *itemsEdit[T]) byName(sheet *fault.Sheet) map[string]int {
+	at := map[string]int{}
+	for i := range e.upsert {
+		name := e.name(&e.upsert[i])
+		if _, twice := at[name]; twice {
+			sheet.Note(fault.InvalidConfig, e.field, "%q is named twice", name)
+		}
+		at[name] = i
+	}
+	return at
+}
