Send each order to a replica on the count of the state it was decided on

Cause: the room for a load was decided on what the ledger believed a replica to hold, and the order went out with no count, or with the count of the newest report, whatever the ledger had been told meanwhile. A load is settled by its stated time; where the store is slow it is still under way. Whatever took it from the ledger before it had come then gave its room out twice.

Change: a row of the ledger keeps after how many orders its replica held just what the row says (optional field). Each order carries that count, and a replica refuses any other, so that an order is carried out in the state that room was counted in or not at all: late, doubled and stale messages, takeovers and copies cannot part the two. Where the count is not known, the replica's report is asked for first, and a load is sent only if what that report shows leaves room. A settled order takes the new count and holdings to the ledger; a heartbeat that changes a row clears the count. Reports with a lower count than an order that was taken are known as old by it and not by time. An unload is no longer settled by a report of a busy replica unless it was taken itself. An answer to an order with another count is not mistaken for that of the one sent last. A load sent long after its ticket counts against the store's window once more.

--- /dev/null
+++ b/internal/controller/basis.go
@@ -0,0 +1,100 @@
+package controller
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"petreltide/internal/ledger"
+	"petreltide/internal/standing"
+	"petreltide/internal/wire"
+)
+
+// basis is a state of a replica named by its order count: after so many orders, none of them under way, it holds
+// just these units. A replica refuses an order whose expected count is not its own, or while another order is
+// under way. An order sent on a basis is therefore carried out in that state or not at all, however long it or
+// what the controller heard of the replica was on its way, and whoever holds the duty by then.
+type basis struct {
+	orders uint64
+	units  []string
+}
+
+// recordedBasis is the basis that the ledger keeps of a replica; nil where its count is not known.
+func recordedBasis(r *ledger.Replica) *basis {
+	if r == nil || r.Orders == nil {
+		return nil
+	}
+	return &basis{orders: *r.Orders, units: slices.Sorted(maps.Keys(r.Holds))}
+}
+
+// reportedBasis is what a report shows; nil while an order is under way, as what is held will change.
+func reportedBasis(report *wire.ReplicaState) *basis {
+	if report.Busy {
+		return nil
+	}
+	return &basis{orders: report.Orders, units: slices.Clone(report.Units)}
+}
+
+// after is the state once an order that was taken on this basis is done.
+func (b *basis) after(t ledger.Ticket) *basis {
+	if b == nil {
+		return nil
+	}
+	units := slices.DeleteFunc(slices.Clone(b.units), func(unit string) bool {
+		return unit == t.Unit || (t.Step == ledger.Unload && strings.HasPrefix(unit, t.Unit+"/"))
+	})
+	if t.Step == ledger.Load {
+		units = append(units, t.Unit)
+	}
+	slices.Sort(units)
+	return &basis{orders: b.orders + 1, units: units}
+}
+
+// admits says whether an order may be sent on this basis: a load must find room, a place, and its model.
+func (b *basis) admits(doc *standing.Declaration, r *ledger.Replica, t ledger.Ticket) bool {
+	svc := doc.Service(r.Service)
+	if t.Step != ledger.Load || svc == nil || svc.Engine == nil {
+		return true
+	}
+	model, adapter := standing.Units(t.Unit)
+	sumMb, adapters := t.SizeMb, 0
+	for _, held := range holdings(doc, svc, b.units) {
+		sumMb += held.SizeMb
+		if strings.Contains(held.Unit, "/") {
+			adapters++
+		}
+	}
+	if adapter != "" && (adapters >= svc.Engine.AdaptersMost || !slices.Contains(b.units, model)) {
+		return false
+	}
+	return sumMb <= r.RoomMb
+}
+
+// outdatedReport says whether a report shows a state from before an order that the replica is known to have taken.
+func (o *standingOrder) outdatedReport(r *ledger.Replica, report *wire.ReplicaState) bool {
+	if known := recordedBasis(r); known != nil && report.Orders < known.orders {
+		return true
+	}
+	if o.basis == nil {
+		return false
+	}
+	if o.said == wire.OrderRunning {
+		return report.Orders <= o.basis.orders
+	}
+	return report.Orders < o.basis.orders
+}
+
+// withResult adds to a settled order what the replica holds after it, where that is known.
+func (f *Controller) withResult(s *ledger.State, t ledger.Ticket, settled ledger.Settled) ledger.Settled {
+	o, r := f.routed.orders[t.Number], s.Replicas[t.Replica]
+	if o == nil || o.result == nil || r == nil {
+		return settled
+	}
+	svc := s.Doc.Service(r.Service)
+	if svc == nil || svc.Engine == nil {
+		return settled
+	}
+	orders := o.result.orders
+	settled.Orders, settled.Holds = &orders, holdings(s.Doc, svc, o.result.units)
+	return settled
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -64,11 +64,13 @@
 	Err     string
 }
 
-// Ordered is a replica's own answer to an order; only its word that it has it counts.
+// Ordered is a replica's own answer to an order; only its word that it has it counts. Expected is the count that
+// the order carried.
 type Ordered struct {
-	Replica string
-	Inc     string
-	State   wire.OrderState
+	Replica  string
+	Inc      string
+	Expected *uint64
+	State    wire.OrderState
 }
 
 type PolicyDone struct {
--- a/internal/controller/hear.go
+++ b/internal/controller/hear.go
@@ -177,10 +177,10 @@
 		last := row.state.Last
 		switch {
 		case last.Number == t.Number && last.State == wire.OrderDone:
-			duty.Settled = append(duty.Settled, ledger.Settled{Number: t.Number, Done: true})
+			duty.Settled = append(duty.Settled, f.withResult(s, t, ledger.Settled{Number: t.Number, Done: true}))
 		case last.Number == t.Number && last.State == wire.OrderFailed:
 			f.count(fault.ReplicaFailed)
-			duty.Settled = append(duty.Settled, ledger.Settled{Number: t.Number, Why: last.Why})
+			duty.Settled = append(duty.Settled, f.withResult(s, t, ledger.Settled{Number: t.Number, Why: last.Why}))
 		case last.Number > t.Number:
 			duty.Settled = append(duty.Settled, ledger.Settled{Number: t.Number, Why: "voided by a newer order"})
 		default:
--- /dev/null
+++ b/internal/controller/orders_model_test.go
@@ -0,0 +1,608 @@
+package controller
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"petreltide/internal/clock"
+	"petreltide/internal/ledger"
+	"petreltide/internal/placement"
+	"petreltide/internal/roster"
+	"petreltide/internal/standing"
+	"petreltide/internal/wire"
+)
+
+const (
+	modelTickUs       = 50 * clock.Ms
+	modelBeatUs       = 200 * clock.Ms
+	modelReportLagUs  = 250 * clock.Ms
+	modelAnswerWaitUs = 900 * clock.Ms
+	modelHeadLeaseUs  = 400 * clock.Ms
+	modelLeaseUs      = 3 * clock.Sec
+	modelWindowUs     = 5 * clock.Sec
+	modelLoadMs       = 2000
+	modelRushLoadMs   = 400
+	modelSlowFactor   = 3
+	modelUnloadUs     = 100 * clock.Ms
+	modelCalmUs       = 30 * clock.Sec
+	modelLongUnloadUs = 3 * clock.Sec
+	modelRoomMb       = 100
+	modelPlaces       = 2
+	modelLoadsPerS    = 1.0
+	modelService      = "s"
+)
+
+// modelUnits are the weights of the model's engine: two of the large ones do not fit one replica.
+var modelUnits = []string{"large1", "large2", "small1", "small2"}
+
+// modelDeclaration is one service with an engine of modelUnits.
+func modelDeclaration(loadMs int64) *standing.Declaration {
+	engine := &standing.Engine{Slots: 8, CacheTokens: 1, RoomMb: modelRoomMb, AdaptersMost: modelPlaces, LoadsPerS: modelLoadsPerS}
+	for _, unit := range modelUnits {
+		sizeMb := int64(60)
+		if strings.HasPrefix(unit, "small") {
+			sizeMb = 30
+		}
+		engine.Models = append(engine.Models, standing.EngineModel{Name: unit, SizeMb: sizeMb, LoadMs: loadMs, Adapters: 4, AdapterMb: 2})
+	}
+	route := standing.Route{Name: "r", Host: "h", Prefix: "/", Repeat: standing.Idempotent, TimeoutMs: 1000, AttemptsMost: 1, Split: []standing.Weighted{{Service: modelService, Weight: 1}}}
+	return &standing.Declaration{Version: 1, Services: []standing.Service{{Name: modelService, Engine: engine}}, Routes: []standing.Route{route}}
+}
+
+// orderPlant is a defect put between the controllers and the replicas, to show that a checker sees it.
+type orderPlant string
+
+const (
+	noOrderPlant     orderPlant = ""
+	plantUncounted   orderPlant = "orders carry no count"
+	plantNoLease     orderPlant = "a successor does not wait for the lease"
+	plantOldFence    orderPlant = "an order carries an older fence"
+	plantNoWindow    orderPlant = "the store's window is not kept"
+	plantLostReports orderPlant = "no report of one replica arrives"
+)
+
+// modelSetting is what a run begins with: how many replicas, how long a load takes as it is stated, and a defect.
+type modelSetting struct {
+	replicas int
+	loadMs   int64
+	plant    orderPlant
+}
+
+// modelReplica is one life of a replica as it truly is. Its history is what its report shows a little later.
+type modelReplica struct {
+	id, addr string
+	holds    map[string]int64
+	disk     map[string]bool
+	taken    uint64
+	underway *ledger.Ticket
+	doneUs   int64
+	beatUs   int64
+	sequence uint64
+	history  []modelReport
+	// lastHolder, lastFence and lastOrderUs are of the newest order that arrived.
+	lastHolder  string
+	lastFence   uint64
+	lastOrderUs int64
+}
+
+// modelReport is the state that a report of a replica shows.
+type modelReport struct {
+	atUs  int64
+	state wire.ReplicaState
+}
+
+// delivery is something that arrives at a moment.
+type delivery struct {
+	atUs int64
+	act  func()
+}
+
+// modelOffice is one control node: its controller, and what it has heard of replicas.
+type modelOffice struct {
+	controller *Controller
+	roster     *roster.Roster
+	// frozen is the ledger as this office had it when it was cut off from the others, nil while it is not.
+	frozen   *ledger.State
+	cutUs    int64
+	holdBeat bool
+	beats    []roster.Row
+}
+
+// orderModel runs two real controllers over one real ledger against model replicas and a model network. Every
+// choice is drawn from choose, so that a sequence of choices plays again as it was.
+type orderModel struct {
+	modelSetting
+	choose  func(n int) int
+	nowUs   int64
+	state   *ledger.State
+	index   uint64
+	offices [2]*modelOffice
+	head    int
+	old     int
+	oldUs   int64
+	lives   map[string]*modelReplica
+	births  int
+	flights []delivery
+	// held are orders that lie in the network until they are released.
+	held        []func(healed bool)
+	holdOrders  bool
+	loseAnswers bool
+	double      bool
+	slow        bool
+	longUnload  bool
+	loadsUs     []int64
+	broken      string
+	trace       []string
+	taken       int
+	settled     int
+}
+
+func newOrderModel(choose func(n int) int, setting modelSetting) *orderModel {
+	m := &orderModel{modelSetting: setting, choose: choose, nowUs: clock.Sec, state: ledger.NewState(), lives: map[string]*modelReplica{}, old: -1}
+	m.apply(ledger.Change{ID: "configuration", Config: &ledger.ConfigChange{Version: 1, Doc: modelDeclaration(setting.loadMs)}})
+	for i := range m.offices {
+		m.restartOffice(i)
+	}
+	for i := range setting.replicas {
+		m.birth(fmt.Sprint("address", i), map[string]bool{})
+	}
+	m.pass(modelLeaseUs + clock.Sec)
+	m.trace = nil
+	return m
+}
+
+// restartOffice begins a new life of a control node: its controller remembers nothing.
+func (m *orderModel) restartOffice(i int) {
+	opts := Options{LeaseUs: modelLeaseUs, StoreWindowUs: modelWindowUs, StoreOvershoot: 1}
+	switch m.plant {
+	case plantNoLease:
+		opts.LeaseUs = -leaseSlackUs
+	case plantNoWindow:
+		opts.StoreOvershoot = 10
+	}
+	m.offices[i] = &modelOffice{controller: NewWith(fmt.Sprint("office", i), opts), roster: roster.New(3 * clock.Sec)}
+}
+
+// birth begins a new life of a replica, with nothing held and this disk.
+func (m *orderModel) birth(addr string, disk map[string]bool) {
+	m.births++
+	id := fmt.Sprintf("%s-life%d", addr, m.births)
+	m.lives[id] = &modelReplica{id: id, addr: addr, holds: map[string]int64{}, disk: disk}
+}
+
+func (m *orderModel) note(format string, args ...any) {
+	m.trace = append(m.trace, fmt.Sprintf("%6d ms  ", m.nowUs/1000)+fmt.Sprintf(format, args...))
+}
+
+func (m *orderModel) fail(format string, args ...any) {
+	if m.broken == "" {
+		m.broken = fmt.Sprintf(format, args...)
+		m.note("BROKEN: %s", m.broken)
+	}
+}
+
+func (m *orderModel) later(us int64, act func()) {
+	m.flights = append(m.flights, delivery{m.nowUs + us, act})
+}
+
+// apply brings one change to the ledger; every office that is not cut off sees it applied.
+func (m *orderModel) apply(c ledger.Change) ledger.Outcome {
+	m.index++
+	out := m.state.Apply(m.index, c)
+	if c.Duty == nil || len(c.Duty.Tickets)+len(c.Duty.Settled) == 0 {
+		return out
+	}
+	if out.Fault == nil {
+		m.settled += len(c.Duty.Settled)
+	}
+	for _, o := range m.offices {
+		if o.frozen == nil {
+			o.controller.Saw(m.nowUs, c.Epoch, *c.Duty, m.state)
+		}
+	}
+	return out
+}
+
+// leads says whether an office takes itself for the head: one that lost the place does for as long as its lease.
+func (m *orderModel) leads(i int) bool {
+	o := m.offices[i]
+	if o.frozen != nil {
+		return o.cutUs > 0 && m.nowUs < o.cutUs+modelHeadLeaseUs
+	}
+	return i == m.head || (i == m.old && m.nowUs < m.oldUs)
+}
+
+// step lets one controller take an event, and carries its effects.
+func (m *orderModel) step(i int, ev Event) {
+	o := m.offices[i]
+	ev.NowUs = m.nowUs
+	state := m.state
+	if o.frozen != nil {
+		state = o.frozen
+	}
+	leads := m.leads(i)
+	seen := Seen{NowUs: m.nowUs, State: state, Head: leads, Fresh: leads, Writes: true, Roster: o.roster}
+	for _, effect := range o.controller.Step(seen, ev) {
+		switch {
+		case effect.Write != nil:
+			m.write(i, *effect.Write)
+		case effect.Ask != nil:
+			m.ask(i, *effect.Ask)
+		case effect.Order != nil:
+			m.send(i, *effect.Order)
+		}
+	}
+}
+
+// back brings an event to the controller that waits for it, unless that has restarted meanwhile.
+func (m *orderModel) back(i int, to *Controller, ev Event) {
+	if m.offices[i].controller == to {
+		m.step(i, ev)
+	}
+}
+
+// write carries a change to the ledger; what an office that is cut off writes is lost.
+func (m *orderModel) write(i int, change ledger.Change) {
+	from := m.offices[i].controller
+	m.later(modelTickUs, func() {
+		if m.offices[i].frozen != nil || m.offices[i].controller != from || i != m.head {
+			return
+		}
+		out := m.apply(change)
+		if change.Duty != nil {
+			m.back(i, from, Event{Wrote: &out})
+		}
+	})
+}
+
+// ask brings a replica's report: its state of a little while ago.
+func (m *orderModel) ask(i int, ask Ask) {
+	from := m.offices[i].controller
+	m.later(modelTickUs, func() {
+		told := Told{AskedUs: ask.AskedUs, Replica: ask.Replica, Addr: ask.Addr}
+		if r := m.at(ask.Addr); r != nil && !(m.plant == plantLostReports && r.addr == "address0") {
+			state := r.report(m.nowUs - modelReportLagUs)
+			state.ID, state.Inc = ask.Replica, ask.Replica
+			told.State = &state
+		}
+		m.later(modelTickUs, func() { m.back(i, from, Event{Told: &told}) })
+	})
+}
+
+// at is the life that answers at an address now.
+func (m *orderModel) at(addr string) *modelReplica {
+	for _, id := range slices.Sorted(maps.Keys(m.lives)) {
+		if m.lives[id].addr == addr {
+			return m.lives[id]
+		}
+	}
+	return nil
+}
+
+// send puts an order into the network: it may lie there, come twice, or its answer may be lost.
+func (m *orderModel) send(i int, effect Order) {
+	from, order := m.offices[i].controller, effect.Order
+	if m.plant == plantUncounted {
+		order.Expected = nil
+	}
+	if m.plant == plantOldFence && m.taken%3 == 2 {
+		order.Epoch--
+	}
+	m.note("office%d sends %s", i, orderText(order))
+	answered := false
+	answer := func(state string) {
+		if answered {
+			return
+		}
+		answered = true
+		ordered := Ordered{Replica: order.Ticket.Replica, Inc: order.Ticket.Inc, Expected: order.Expected, State: wire.OrderState{Number: order.Ticket.Number, Epoch: order.Epoch, State: state}}
+		m.back(i, from, Event{Ordered: &ordered})
+	}
+	arrive := func(healed bool) {
+		state := m.arrive(effect.Addr, order, healed)
+		if !m.loseAnswers {
+			m.later(modelTickUs, func() { answer(state) })
+		}
+	}
+	m.later(modelAnswerWaitUs, func() { answer(wire.OrderInDoubt) })
+	if m.holdOrders || m.offices[i].frozen != nil {
+		m.held = append(m.held, arrive)
+		return
+	}
+	m.later(modelTickUs, func() { arrive(false) })
+	if m.double {
+		m.held = append(m.held, arrive)
+	}
+}
+
+func orderText(o wire.Order) string {
+	count := "any count"
+	if o.Expected != nil {
+		count = fmt.Sprintf("count %d", *o.Expected)
+	}
+	return fmt.Sprintf("ticket %d: %s %s at %s, fence %d, %s", o.Ticket.Number, o.Ticket.Step, o.Ticket.Unit, o.Ticket.Replica, o.Epoch, count)
+}
+
+// arrive is an order at a replica: it answers by what it holds, and the checkers judge what was asked of it.
+func (m *orderModel) arrive(addr string, order wire.Order, healed bool) string {
+	r := m.at(addr)
+	if r == nil {
+		return wire.OrderInDoubt
+	}
+	if r.id != order.Ticket.Inc {
+		return wire.OrderFailed
+	}
+	m.checkHolder(r, order, healed)
+	t := order.Ticket
+	_, held := r.holds[t.Unit]
+	switch {
+	case r.underway != nil, order.Expected != nil && *order.Expected != r.taken:
+		return wire.OrderBusy
+	case held == (t.Step == ledger.Load):
+		return wire.OrderDone
+	case t.Step == ledger.Load && !m.checkRoom(r, t):
+		return wire.OrderFailed
+	}
+	r.taken++
+	m.taken++
+	r.underway = &t
+	r.doneUs = m.nowUs + m.spanUs(r, t)
+	m.note("%s takes %s %s as its order %d", r.id, t.Step, t.Unit, r.taken)
+	return wire.OrderRunning
+}
+
+// spanUs is how long an order takes; a load from the store counts against its window.
+func (m *orderModel) spanUs(r *modelReplica, t ledger.Ticket) int64 {
+	switch {
+	case t.Step == ledger.Unload && m.longUnload:
+		return modelLongUnloadUs
+	case t.Step == ledger.Unload:
+		return modelUnloadUs
+	case strings.Contains(t.Unit, "/"):
+		return 20 * clock.Ms
+	case r.disk[t.Unit]:
+		return 300 * clock.Ms
+	}
+	m.checkStore()
+	if m.slow {
+		return modelSlowFactor * m.loadMs * clock.Ms
+	}
+	return m.loadMs * clock.Ms
+}
+
+// checkHolder is ONE: fences never fall, and two holders never take turns within the lease. An order that lay
+// in a cut link is not judged.
+func (m *orderModel) checkHolder(r *modelReplica, o wire.Order, healed bool) {
+	if healed {
+		return
+	}
+	if r.lastHolder != "" {
+		switch sinceUs := m.nowUs - r.lastOrderUs; {
+		case o.Epoch < r.lastFence:
+			m.fail("ONE: fence %d after %d at %s", o.Epoch, r.lastFence, r.id)
+		case o.Holder != r.lastHolder && o.Epoch == r.lastFence:
+			m.fail("ONE: %s and %s have fence %d at %s", o.Holder, r.lastHolder, o.Epoch, r.id)
+		case o.Holder != r.lastHolder && sinceUs < modelLeaseUs:
+			m.fail("ONE: %s orders %s %d ms after %s", o.Holder, r.id, sinceUs/1000, r.lastHolder)
+		}
+	}
+	r.lastHolder, r.lastFence, r.lastOrderUs = o.Holder, o.Epoch, m.nowUs
+}
+
+// checkRoom is LIMIT: no replica is ordered to load beyond its room or its places. False where an adapter's
+// model is not there, which a replica refuses.
+func (m *orderModel) checkRoom(r *modelReplica, t ledger.Ticket) bool {
+	model, adapter := standing.Units(t.Unit)
+	if _, there := r.holds[model]; adapter != "" && !there {
+		return false
+	}
+	sumMb, places := t.SizeMb, strings.Count(t.Unit, "/")
+	for unit, sizeMb := range r.holds {
+		sumMb += sizeMb
+		places += strings.Count(unit, "/")
+	}
+	if sumMb > modelRoomMb || places > modelPlaces {
+		m.fail("LIMIT: %s holds %v and is ordered to load %s: %d of %d MB, %d of %d places", r.id, r.units(), t.Unit, sumMb, modelRoomMb, places, modelPlaces)
+	}
+	return true
+}
+
+// checkStore is CEILING: no more loads from the store begin within its window than it allows.
+func (m *orderModel) checkStore() {
+	m.loadsUs = append(m.loadsUs, m.nowUs)
+	began := 0
+	for _, atUs := range m.loadsUs {
+		if m.nowUs-atUs < modelWindowUs {
+			began++
+		}
+	}
+	if most := modelLoadsPerS*float64(modelWindowUs)/1e6 + 3; float64(began) > most {
+		m.fail("CEILING: %d loads began within %d ms, %.1f are allowed", began, modelWindowUs/1000, most)
+	}
+}
+
+func (r *modelReplica) units() []string { return slices.Sorted(maps.Keys(r.holds)) }
+
+// report is the newest state that is not younger than a moment.
+func (r *modelReplica) report(atUs int64) wire.ReplicaState {
+	state := wire.ReplicaState{Units: []string{}}
+	for _, h := range r.history {
+		if h.atUs <= atUs {
+			state = h.state
+		}
+	}
+	return state
+}
+
+// advance ends an order whose time has come, and notes what a report shows.
+func (r *modelReplica) advance(nowUs int64) {
+	if t := r.underway; t != nil && nowUs >= r.doneUs {
+		r.underway = nil
+		if t.Step == ledger.Load {
+			r.holds[t.Unit] = t.SizeMb
+			r.disk[t.Unit] = true
+		} else {
+			maps.DeleteFunc(r.holds, func(unit string, _ int64) bool { return unit == t.Unit || strings.HasPrefix(unit, t.Unit+"/") })
+		}
+	}
+	r.history = append(r.history, modelReport{nowUs, wire.ReplicaState{Busy: r.underway != nil, Orders: r.taken, Units: r.units()}})
+	if len(r.history) > 16 {
+		r.history = slices.Clone(r.history[8:])
+	}
+}
+
+// pass lets time go by: what is due arrives, replicas go on and say so, and each controller ticks.
+func (m *orderModel) pass(us int64) {
+	for endUs := m.nowUs + us; m.nowUs < endUs && m.broken == ""; {
+		m.nowUs += modelTickUs
+		m.deliver()
+		for _, id := range slices.Sorted(maps.Keys(m.lives)) {
+			r := m.lives[id]
+			r.advance(m.nowUs)
+			if m.nowUs-r.beatUs >= modelBeatUs {
+				m.beat(r)
+			}
+		}
+		for i := range m.offices {
+			m.hear(i)
+			m.offices[i].roster.Sweep(m.nowUs)
+			m.step(i, Event{})
+		}
+	}
+}
+
+func (m *orderModel) deliver() {
+	due := []delivery{}
+	m.flights = slices.DeleteFunc(m.flights, func(d delivery) bool {
+		if d.atUs <= m.nowUs {
+			due = append(due, d)
+			return true
+		}
+		return false
+	})
+	for _, d := range due {
+		d.act()
+	}
+}
+
+// beat is a heartbeat, which every office hears or finds in its links later.
+func (m *orderModel) beat(r *modelReplica) {
+	r.beatUs = m.nowUs
+	r.sequence++
+	row := roster.Row{ID: r.id, Service: modelService, Addr: r.addr, Zone: "a", Slots: 8, Seq: r.sequence, Units: r.units()}
+	for _, o := range m.offices {
+		o.beats = append(o.beats, row)
+	}
+}
+
+// hear gives an office its heartbeats. What lay in its links comes a few at a time, as if it had just been said.
+func (m *orderModel) hear(i int) {
+	o := m.offices[i]
+	if o.frozen != nil || o.holdBeat {
+		return
+	}
+	n := min(len(o.beats), 2+len(m.lives))
+	for _, row := range o.beats[:n] {
+		o.roster.Hear(m.nowUs, row)
+	}
+	o.beats = slices.Clone(o.beats[n:])
+}
+
+// propose asks the head for an order that the ledger takes for fitting: the policy may be any.
+func (m *orderModel) propose(step ledger.Step, replica int, unit string) {
+	ids := m.state.ReplicaIDs()
+	if len(ids) == 0 {
+		return
+	}
+	m.proposeAt(step, ids[replica%len(ids)], unit)
+}
+
+func (m *orderModel) proposeAt(step ledger.Step, replica, unit string) {
+	p := placement.Proposal{Step: step, Replica: replica, Unit: unit}
+	m.note("propose %s %s at %s", p.Step, p.Unit, p.Replica)
+	c := m.offices[m.head].controller
+	c.proposed, c.proposedAt = append(slices.Clone(c.proposed), p), m.state.Revision
+}
+
+// takeOver makes the other office the head; the old one goes on for as long as its lease.
+func (m *orderModel) takeOver() {
+	if m.offices[1-m.head].frozen != nil {
+		m.heal()
+	}
+	m.note("office%d takes over", 1-m.head)
+	m.old, m.oldUs = m.head, m.nowUs+modelHeadLeaseUs
+	m.head = 1 - m.head
+}
+
+// cutHead cuts the head off from the other office and from replicas; the other takes over.
+func (m *orderModel) cutHead() {
+	if m.offices[1-m.head].frozen != nil {
+		m.heal()
+	}
+	m.note("office%d is cut off", m.head)
+	o := m.offices[m.head]
+	o.frozen, o.cutUs = m.state.Freeze(), m.nowUs
+	m.old, m.head = -1, 1-m.head
+}
+
+// cutOther cuts off the office that is not the head.
+func (m *orderModel) cutOther() {
+	if o := m.offices[1-m.head]; o.frozen == nil {
+		m.note("office%d is cut off", 1-m.head)
+		o.frozen, o.cutUs = m.state.Freeze(), 0
+	}
+}
+
+// heal joins an office that was cut off: it takes a copy of the ledger, and what lay in its links arrives.
+func (m *orderModel) heal() {
+	for i, o := range m.offices {
+		if o.frozen != nil {
+			m.note("office%d is joined again", i)
+			o.frozen = nil
+		}
+	}
+	m.release()
+}
+
+// release lets the orders that lie in the network arrive.
+func (m *orderModel) release() {
+	held := m.held
+	m.held, m.holdOrders = nil, false
+	for _, arrive := range held {
+		m.later(modelTickUs, func() { arrive(true) })
+	}
+}
+
+// calm ends every fault and lets all settle; then no order may stand, and the ledger shows what replicas hold.
+func (m *orderModel) calm() {
+	m.loseAnswers, m.double, m.slow, m.longUnload = false, false, false, false
+	for _, o := range m.offices {
+		o.holdBeat = false
+		o.controller.proposed = nil
+	}
+	m.heal()
+	m.pass(2 * clock.Sec)
+	for endUs := m.nowUs + modelCalmUs; m.nowUs < endUs && m.broken == "" && m.unsettled() != ""; {
+		m.pass(clock.Sec)
+	}
+	if open := m.unsettled(); open != "" {
+		m.fail("LOST: %d s after the last fault %s", modelCalmUs/clock.Sec, open)
+	}
+}
+
+// unsettled says what stands, or in what the ledger and the replicas differ; empty where all is settled.
+func (m *orderModel) unsettled() string {
+	for _, id := range sorted(m.state.Pending) {
+		t := m.state.Pending[id]
+		return fmt.Sprintf("ticket %d stands (%s %s at %s)", t.Number, t.Step, t.Unit, id)
+	}
+	for _, id := range slices.Sorted(maps.Keys(m.lives)) {
+		row, r := m.state.Replicas[id], m.lives[id]
+		if row == nil || r.underway != nil || !maps.Equal(row.Holds, r.holds) {
+			return fmt.Sprintf("the ledger has %+v of %s, which holds %v", row, id, r.holds)
+		}
+	}
+	return ""
+}
--- a/internal/controller/routed.go
+++ b/internal/controller/routed.go
@@ -22,6 +22,8 @@
 	askAgainUs      = 90 * clock.Ms
 	orderAgainUs    = 700 * clock.Ms
 	orderVoidUs     = 1200 * clock.Ms
+	outdatedMostUs  = 10 * clock.Sec
+	sendLateUs      = 300 * clock.Ms
 	adapterDoneUs   = 25 * clock.Ms
 	quietLeastUs    = 40 * clock.Ms
 	quietMostUs     = 700 * clock.Ms
@@ -54,9 +56,12 @@
 	askUs   int64
 	askedUs int64
 	asked   bool
-	// taken is how many orders the replica said it had taken when this one was not there; it is sent again
-	// on that count alone, so that the first, if it still comes, and the second never both stand.
-	taken *uint64
+	// notedUs is when this order was last counted against the store's window.
+	notedUs int64
+	// outdatedUs is since when reports have shown nothing but older states; 0 while they do not.
+	outdatedUs int64
+	// basis is the state of the replica that the order is sent on; result is its state once the order is settled.
+	basis, result *basis
 }
 
 // need is how often a unit was called for, smoothed, and when last.
@@ -233,15 +238,16 @@
 		}
 		o := f.routed.orders[t.Number]
 		if o == nil {
-			o = &standingOrder{}
+			o = &standingOrder{notedUs: nowUs}
 			f.routed.orders[t.Number] = o
 			if t.Epoch != f.claimed {
-				o.askUs = nowUs
+				o.askUs, o.notedUs = nowUs, 0
 			}
 		}
 		switch {
 		case o.said == wire.OrderRunning && o.askUs > 0 && nowUs >= o.askUs && f.known(s, t):
 			f.routed.trustedUs[id+"|"+t.Unit] = nowUs + trustSpans*f.lookUs(s, t) + wordLateUs
+			o.result = o.basis.after(t)
 			f.settled(id, t, wire.OrderDone, "")
 			o.askUs, o.said = 0, wire.OrderDone
 		case o.askUs > 0:
@@ -258,6 +264,13 @@
 			if t.Step == ledger.Unload && !f.quiet(nowUs, t, o.seenUs) {
 				continue
 			}
+			if o.basis == nil {
+				o.basis = recordedBasis(s.Replicas[id])
+			}
+			if o.basis == nil {
+				o.askUs = nowUs
+				continue
+			}
 			f.sendOrder(seen, t, e, o)
 		case o.sentUs > 0 && o.said == "" && nowUs-o.sentUs > orderAgainUs:
 			o.askUs = nowUs
@@ -283,12 +296,16 @@
 	return true
 }
 
+// sendOrder sends an order on its basis. A load that is sent again, or long after its ticket, is counted
+// against the store's window once more.
 func (f *Controller) sendOrder(seen Seen, t ledger.Ticket, e *roster.Entry, o *standingOrder) {
-	if o.saidUs > 0 || t.Epoch != f.claimed {
+	if o.saidUs > 0 || seen.NowUs-o.notedUs > sendLateUs {
 		f.routed.noteLoad(seen.NowUs, seen.State, t)
+		o.notedUs = seen.NowUs
 	}
 	o.sentUs, o.said = seen.NowUs, ""
-	f.do(Effect{Order: &Order{Addr: e.Addr, Order: wire.Order{Ticket: t, Epoch: f.claimed, Holder: f.me, Expected: o.taken}}})
+	expected := o.basis.orders
+	f.do(Effect{Order: &Order{Addr: e.Addr, Order: wire.Order{Ticket: t, Epoch: f.claimed, Holder: f.me, Expected: &expected}}})
 }
 
 // routedOrdered takes a replica's answer to an order; what it means in the end is seen by what it holds.
@@ -298,6 +315,9 @@
 	if !pending || t.Number != a.State.Number || o == nil {
 		return
 	}
+	if a.Expected != nil && o.basis != nil && *a.Expected != o.basis.orders {
+		return
+	}
 	nowUs := seen.NowUs
 	o.saidUs, o.said = nowUs, a.State.State
 	switch a.State.State {
@@ -370,28 +390,56 @@
 // by what it shows, or by showing nothing for long enough.
 func (f *Controller) look(seen Seen, t ledger.Ticket, o *standingOrder, told *wire.ReplicaState) {
 	_, holds := slices.BinarySearch(told.Units, t.Unit)
-	nowUs, busy := seen.NowUs, told.Busy
+	nowUs, have := seen.NowUs, seen.State.Replicas[t.Replica]
+	if have == nil {
+		return
+	}
+	if o.outdatedReport(have, told) {
+		f.lookAgain(nowUs, t, o)
+		return
+	}
+	o.outdatedUs = 0
+	reported := reportedBasis(told)
 	switch {
-	case holds == (t.Step == ledger.Load):
-		f.settled(t.Replica, t, wire.OrderDone, "")
-		o.askUs = 0
-		o.said = wire.OrderDone
-	case o.said == wire.OrderRunning && (busy || nowUs-o.saidUs < orderVoidUs):
+	case holds && t.Step == ledger.Load:
+		f.conclude(t, o, wire.OrderDone, "", reported)
+	case !holds && t.Step == ledger.Unload && (!told.Busy || o.said == wire.OrderRunning):
+		f.conclude(t, o, wire.OrderDone, "", reported)
+	case o.said == wire.OrderRunning && (told.Busy || nowUs-o.saidUs < orderVoidUs):
 		o.askUs = nowUs + askAgainUs
 	case o.said == wire.OrderRunning:
-		f.settled(t.Replica, t, wire.OrderFailed, "it was taken and is not there")
-		o.askUs = 0
-	case busy:
+		f.conclude(t, o, wire.OrderFailed, "it was taken and is not there", reported)
+	case told.Busy:
 		o.askUs = nowUs + askAgainUs
+	case !reported.admits(seen.State.Doc, have, t):
+		f.conclude(t, o, wire.OrderFailed, "what the replica holds leaves no room", reported)
 	default:
-		taken := told.Orders
-		o.askUs, o.sentUs, o.taken = 0, 0, &taken
+		o.askUs, o.sentUs, o.basis = 0, 0, reported
 		if o.said != "" && nowUs-o.saidUs < orderAgainUs {
 			o.askUs = nowUs + askAgainUs
 		}
 	}
 }
 
+// lookAgain waits for a report that is new enough. One that never comes ends the order: its replica's count will
+// be asked for before the next one.
+func (f *Controller) lookAgain(nowUs int64, t ledger.Ticket, o *standingOrder) {
+	if o.outdatedUs == 0 {
+		o.outdatedUs = nowUs
+	}
+	if nowUs-o.outdatedUs > outdatedMostUs {
+		f.conclude(t, o, wire.OrderFailed, "its reports are older than its orders", nil)
+		return
+	}
+	o.askUs = nowUs + askAgainUs
+}
+
+// conclude settles an order with what the replica holds after it, where that is known.
+func (f *Controller) conclude(t ledger.Ticket, o *standingOrder, state, why string, result *basis) {
+	o.askUs, o.said, o.result = 0, state, result
+	f.settled(t.Replica, t, state, why)
+}
+
 // noteRoster writes down what tickets need to know of replicas: their lives, their room and what they hold.
 // It changes with notices, lives and loads, not with heartbeats.
 func (f *Controller) noteRoster(seen Seen, duty *ledger.Duty) {
@@ -424,6 +472,9 @@
 		units := f.routed.withTrusted(seen.NowUs, have, e.Units)
 		if differs := have == nil || (!pending && !sameUnits(have, units)); differs && (have == nil || !f.routed.outdated(e)) {
 			n.Told, n.Holds = true, holdings(s.Doc, svc, units)
+			if have == nil {
+				n.Orders = new(uint64)
+			}
 		} else if differs {
 			f.routed.noted = notedAt{}
 		}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -70,6 +70,8 @@
 	Service string           `json:"service,omitempty"`
 	Holds   map[string]int64 `json:"holds"`
 	Index   uint64           `json:"index,omitempty"`
+	// Orders is how many orders this life had taken when it held just Holds; nil where that is not known.
+	Orders *uint64 `json:"orders,omitempty"`
 	// Had are the models that this life has held at some time: they come back from its own disk.
 	Had     map[string]bool `json:"had,omitempty"`
 	NextLeg uint64          `json:"nextLeg"`
@@ -159,6 +161,8 @@
 	Service string    `json:"service,omitempty"`
 	Told    bool      `json:"told,omitempty"`
 	Holds   []Holding `json:"holds,omitempty"`
+	// Orders is how many orders it had taken when it held just Holds, where that is known.
+	Orders *uint64 `json:"orders,omitempty"`
 }
 
 type Holding struct {
@@ -166,10 +170,14 @@
 	SizeMb int64  `json:"sizeMb"`
 }
 
+// Settled ends a ticket. With Orders, Holds is all that the replica holds once it has taken that many orders;
+// without, nothing is known but that the ticket was done or was not.
 type Settled struct {
-	Number uint64 `json:"number"`
-	Done   bool   `json:"done"`
-	Why    string `json:"why,omitempty"`
+	Number uint64    `json:"number"`
+	Done   bool      `json:"done"`
+	Why    string    `json:"why,omitempty"`
+	Orders *uint64   `json:"orders,omitempty"`
+	Holds  []Holding `json:"holds,omitempty"`
 }
 
 type KeyChange struct {
@@ -531,11 +539,16 @@
 	r.Leaving, r.LeftMs, r.Dark, r.Service = n.Leaving, n.LeftMs, n.Dark, n.Service
 	r.Index, s.HoldsIndex = s.Index, s.Index
 	if n.Told {
-		r.Holds = map[string]int64{}
-		for _, h := range n.Holds {
-			r.Holds[h.Unit] = h.SizeMb
-			r.had(h.Unit)
-		}
+		r.hold(n.Holds, n.Orders)
+	}
+}
+
+// hold sets all that a replica holds, and after how many orders, where that is known.
+func (r *Replica) hold(all []Holding, orders *uint64) {
+	r.Holds, r.Orders = map[string]int64{}, orders
+	for _, h := range all {
+		r.Holds[h.Unit] = h.SizeMb
+		r.had(h.Unit)
 	}
 }
 
@@ -581,28 +594,42 @@
 		delete(s.Pending, id)
 		s.OrdersIndex = s.Index
 		r := s.Replicas[id]
-		if r == nil || r.Inc != t.Inc || !d.Done {
+		if r == nil || r.Inc != t.Inc {
 			return false
 		}
-		r.Index, s.HoldsIndex = s.Index, s.Index
-		if t.Step == Load {
-			r.Holds[t.Unit] = t.SizeMb
-			r.had(t.Unit)
-			s.Loads++
-			s.LoadedMb += t.SizeMb
-		} else {
-			delete(r.Holds, t.Unit)
-			for unit := range r.Holds {
-				if r.Service != "" && strings.HasPrefix(unit, t.Unit+"/") {
-					delete(r.Holds, unit)
-				}
-			}
+		if d.Done {
+			s.carryOut(r, t)
 		}
+		r.Orders = nil
+		if d.Orders != nil {
+			r.hold(d.Holds, d.Orders)
+		}
+		if !d.Done && d.Orders == nil {
+			return false
+		}
+		r.Index, s.HoldsIndex = s.Index, s.Index
 		return true
 	}
 	return false
 }
 
+// carryOut changes what a replica holds as a ticket says.
+func (s *State) carryOut(r *Replica, t Ticket) {
+	if t.Step == Load {
+		r.Holds[t.Unit] = t.SizeMb
+		r.had(t.Unit)
+		s.Loads++
+		s.LoadedMb += t.SizeMb
+		return
+	}
+	delete(r.Holds, t.Unit)
+	for unit := range r.Holds {
+		if r.Service != "" && strings.HasPrefix(unit, t.Unit+"/") {
+			delete(r.Holds, unit)
+		}
+	}
+}
+
 func (s *State) issue(epoch uint64, t Ticket) *fault.Fault {
 	r := s.Replicas[t.Replica]
 	if r == nil || r.Inc != t.Inc {
--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -481,7 +481,7 @@
 	if err != nil {
 		state = wire.OrderState{Number: o.Order.Ticket.Number, State: wire.OrderInDoubt, Why: err.Error()}
 	}
-	h.tell(Event{Controller: &controller.Event{Ordered: &controller.Ordered{Replica: o.Order.Ticket.Replica, Inc: o.Order.Ticket.Inc, State: state}}})
+	h.tell(Event{Controller: &controller.Event{Ordered: &controller.Ordered{Replica: o.Order.Ticket.Replica, Inc: o.Order.Ticket.Inc, Expected: o.Order.Expected, State: state}}})
 }
 
 // listed is this product's own interface to the platform's list and to replicas.
--- a/proofs/sim/routed_offices.go
+++ b/proofs/sim/routed_offices.go
@@ -376,7 +376,7 @@
 	t := w.Ticket
 	state := wire.OrderState{Number: t.Number, Epoch: w.Epoch}
 	tell := func() {
-		o.tell(controller.Event{Ordered: &controller.Ordered{Replica: t.Replica, Inc: t.Inc, State: state}})
+		o.tell(controller.Event{Ordered: &controller.Ordered{Replica: t.Replica, Inc: t.Inc, Expected: w.Expected, State: state}})
 	}
 	doubt := func() {
 		o.later(ms, func() {
