Wait out the lease where a ticket that stood was settled unseen

Cause: an office that had a ticket as pending, was cut off while another holder sent it again and settled it, and joined from a copy saw no new ticket and no settlement. It took itself for the last to have ordered that replica and did not wait. Change: at the beginning of a duty, tickets that stood when this office last looked and are gone without a settlement that it saw count as another's order up to now.

--- a/internal/controller/late_test.go
+++ b/internal/controller/late_test.go
@@ -59,3 +59,31 @@
 		}
 	}
 }
+
+// A holder that took a ticket over and sent it again issued no ticket of its own. An office that had the ticket as
+// pending, was cut off meanwhile and begins from a copy in which it is settled saw neither; it waits the lease out.
+func TestASettlementThatWasNotSeenIsSomebodysOrder(t *testing.T) {
+	s := routedState(t)
+	f := NewWith("me", Options{LeaseUs: 3 * clock.Sec})
+	f.Step(Seen{NowUs: clock.Sec, State: s, Roster: roster.New(clock.Sec)}, Event{NowUs: clock.Sec})
+
+	number := s.Pending["r1"].Number
+	s.Apply(5, ledger.Change{ID: "before", Epoch: 2, Claim: &ledger.Claim{Holder: "other"}})
+	s.Apply(6, ledger.Change{ID: "settled", Epoch: 2, Duty: &ledger.Duty{Settled: []ledger.Settled{{Number: number, Done: true}}}})
+	nowUs := 60 * clock.Sec
+	head := func() {
+		f.Step(Seen{NowUs: nowUs, State: s, Head: true, Fresh: true, Writes: true, Roster: roster.New(clock.Sec)}, Event{NowUs: nowUs})
+	}
+	head()
+	s.Apply(7, ledger.Change{ID: "mine", Epoch: 3, Claim: &ledger.Claim{Holder: "me"}})
+	head()
+	if !f.OnDuty(s) {
+		t.Fatal("it does not hold the duty")
+	}
+	if f.mayOrder(nowUs+2*clock.Sec, "r1") {
+		t.Error("it orders the replica within the lease of a holder whose order it did not see")
+	}
+	if !f.mayOrder(nowUs+4*clock.Sec, "r1") {
+		t.Error("it waits longer than the lease")
+	}
+}
--- a/internal/controller/routed.go
+++ b/internal/controller/routed.go
@@ -202,6 +202,7 @@
 		if seen.State.NextTicket > 1 {
 			r.foreignUs = max(r.foreignUs, r.bornUs)
 		}
+		f.turns.unseen(seen.NowUs, seen.State)
 		if f.turns.next != seen.State.NextTicket {
 			f.turns.follow(seen.State)
 			r.foreignUs = seen.NowUs
--- a/internal/controller/turns.go
+++ b/internal/controller/turns.go
@@ -68,6 +68,17 @@
 	return whole
 }
 
+// unseen notes the replicas of tickets that stood when this controller last looked and do not any more, though it
+// saw none of them settled: whoever held the duty meanwhile may have sent them again up to now.
+func (t *turns) unseen(nowUs int64, s *ledger.State) {
+	for number, id := range t.replicas {
+		if s.Pending[id].Number != number {
+			t.atUs[id] = max(t.atUs[id], nowUs)
+			delete(t.replicas, number)
+		}
+	}
+}
+
 // mayPlan: what a predecessor may have ordered of which nothing is known lies a lease behind.
 func (f *Controller) mayPlan(nowUs int64) bool { return f.ordersInUs(nowUs, "") <= 0 }
 
