Let the replicas of the takeover tests say that they end

Since the first word of a life at the address of another is not believed for six tenths of darkUs. Replicas whose end is planned (those that come back with another disk) now say so, as planned ends do; crashes stay silent. The rush on the store of the order model does the same; its plant is caught again.

--- a/internal/controller/orders_explore_test.go
+++ b/internal/controller/orders_explore_test.go
@@ -132,7 +132,7 @@
 		case 1:
 			m.restartOfficeUncut(r.Intn(2))
 		case 2, 3, 4, 5, 6, 7, 8, 9, 10, 11:
-			m.replaceReplica()
+			m.renewReplica()
 		}
 		m.pass(modelTickUs * 2)
 	}
@@ -207,6 +207,17 @@
 	m.note("%s ends, another life begins at %s", r.id, r.addr)
 }
 
+// renewReplica ends a life as planned, which it says, and begins another at its address with an empty disk.
+func (m *orderModel) renewReplica() {
+	ids := slices.Sorted(maps.Keys(m.lives))
+	r := m.lives[ids[m.choose(len(ids))]]
+	delete(m.lives, r.id)
+	for _, o := range m.offices {
+		o.roster.Leave(m.nowUs, r.id)
+	}
+	m.birth(r.addr, map[string]bool{})
+}
+
 // Long seeded walks over every fault at once.
 func TestOrdersOverLongWalks(t *testing.T) {
 	taken, settled := 0, 0
--- a/internal/controller/routed_test.go
+++ b/internal/controller/routed_test.go
@@ -316,13 +316,18 @@
 	}
 }
 
-// replace ends one replica's life; the next one at its address begins with this disk, or its own.
+// replace ends one replica's life; the next one at its address begins with this disk, or its own. Where the disk is
+// another, the end was planned, and the life says so: else the next one is not believed at once.
 func (f *fleet) replace(disk map[string]bool) {
 	ids := slices.Sorted(maps.Keys(f.machines))
 	m := f.machines[ids[f.r.Intn(len(ids))]]
 	delete(f.machines, m.id)
 	if disk == nil {
-		disk = m.disk
+		f.birth(m.addr, m.disk)
+		return
+	}
+	for _, r := range f.rosters {
+		r.Leave(f.nowUs, m.id)
 	}
 	f.birth(m.addr, disk)
 }
