Seat a joiner behind a tail that holds the whole log only

Cause: a member opens by what its predecessor held as the view began. Since a joiner's copy lasts from view to view, it could be seated behind a joiner of the view before that had not yet got the rest of its log, and take too little for all that was acknowledged. Before, the copy had to come from an open tail of the same view, which ruled this out without saying so.

Ruled out in a trial: to seat all joiners in one view, so that each does not wait for another lease.

--- a/internal/chain/join.go
+++ b/internal/chain/join.go
@@ -1,6 +1,11 @@
 package chain
 
+// joiner is an office that may be seated now, behind a tail that holds the whole log: a member opens by what its
+// predecessor held as the view began.
 func (n *Node) joiner() (Seat, bool) {
+	if !n.wholeSeat(n.view.Tail()) {
+		return Seat{}, false
+	}
 	for _, id := range n.partnerIDs() {
 		p := n.partners[id]
 		if n.view.Seated(id) || !n.Hears(id) || p.hello.Stalled || p.hello.Leaving || p.hello.View.Number != n.view.Number {
--- a/internal/chain/repair_test.go
+++ b/internal/chain/repair_test.go
@@ -100,6 +100,14 @@
 		}
 		return successors
 	}
+	successors = y.takeAway(lost, how)
+	y.waitTakeover(successors)
+	return successors
+}
+
+// takeAway loses machines at once, and starts what comes in their place.
+func (y *yard) takeAway(lost []*spot, how repair) []*spot {
+	successors := []*spot{}
 	for _, s := range lost {
 		y.stop(s)
 	}
@@ -121,6 +129,11 @@
 	for _, s := range successors {
 		y.start(s, false)
 	}
+	return successors
+}
+
+// waitTakeover waits for the time to catch up, and notes when all had taken over for good.
+func (y *yard) waitTakeover(successors []*spot) {
 	fromUs, tookUs := y.nowUs, int64(0)
 	for endUs := fromUs + y.catchUpUs(); y.nowUs < endUs; y.pass(yardStepUs) {
 		if tookUs == 0 && !slices.ContainsFunc(successors, func(s *spot) bool { return y.tookOver(s) != "" }) {
@@ -128,7 +141,6 @@
 		}
 	}
 	y.slowestUs = max(y.slowestUs, tookUs)
-	return successors
 }
 
 // tookOver: a successor has seat, vote and the whole log, in the view of all others.
@@ -270,3 +282,40 @@
 		}
 	}
 }
+
+// All processes are killed while a lost machine's successor is being taken in. When the time to catch up is over after
+// the last of them has come back, all of it is taken over, and the next loss may come.
+func TestARepairThatAKillOfAllCutsShort(t *testing.T) {
+	for _, offices := range []int{3, 5} {
+		for _, how := range []repair{replaced, emptied} {
+			t.Run(fmt.Sprintf("%d offices/%s", offices, how), func(t *testing.T) {
+				t.Parallel()
+				slowestUs := int64(0)
+				for seed := range int64(12) {
+					y := pacedYard(t, seed, offices)
+					for turn := range 3 {
+						successors := y.takeAway(y.picks(turn+int(seed)), how)
+						y.pass(y.r.Int63n(4 * clock.Sec))
+						for _, s := range y.living() {
+							y.stop(s)
+						}
+						y.pass(clock.Sec / 2)
+						for _, s := range y.living() {
+							y.start(s, false)
+							y.pass(y.r.Int63n(300 * clock.Ms))
+						}
+						y.waitTakeover(successors)
+						for _, s := range successors {
+							if why := y.tookOver(s); why != "" {
+								t.Fatalf("seed %d, loss %d: when the next loss may come, %s", seed, turn, why)
+							}
+						}
+					}
+					slowestUs = max(slowestUs, y.slowestUs)
+					y.losesAtTheEnd(seed)
+				}
+				t.Logf("the slowest takeover: %d ms after the last start", slowestUs/clock.Ms)
+			})
+		}
+	}
+}
