--- a/internal/chain/copy.go
+++ b/internal/chain/copy.go
@@ -2,6 +2,8 @@
 
 import "encoding/json"
 
+const bulkKeyUs = 25
+
 func (n *Node) keepEntry(e Entry) {
 	if e.Index <= n.base.Index {
 		return
