Name the chain's parts by the field's terms, and say what its exported types are

partner is peer, sound healthy, whole caughtUp, mute refusesVotes, yielded acceptedOtherTail, finish finishAccepted and a few more, in the package only; JSON names on disk and on the wire stay. Names and comments only.

--- a/internal/chain/agree.go
+++ b/internal/chain/agree.go
@@ -4,10 +4,10 @@
 	"petreltide/internal/ledger"
 )
 
-// finish takes up a next view that this voter has accepted and nobody has brought to an end: until it is
+// finishAccepted takes up a next view that this voter has accepted and nobody has brought to an end: until it is
 // decided, the tail of now gets no lease from here.
-func (n *Node) finish() {
-	if !n.yielded() || n.proposal != nil || n.stalled() || !n.compared || !n.view.Votes(n.opts.Me.ID) {
+func (n *Node) finishAccepted() {
+	if !n.acceptedOtherTail() || n.proposal != nil || n.stalled() || !n.compared || !n.view.Votes(n.opts.Me.ID) {
 		n.openSinceUs = n.nowUs
 		return
 	}
@@ -42,7 +42,7 @@
 }
 
 func (n *Node) gotPrepare(m Msg, p Prepare) {
-	if p.Number != n.view.Number+1 || !n.compared || !n.view.Votes(n.opts.Me.ID) || n.mute() {
+	if p.Number != n.view.Number+1 || !n.compared || !n.view.Votes(n.opts.Me.ID) || n.refusesVotes() {
 		return
 	}
 	if !n.promised.Less(p.Ballot) {
@@ -91,7 +91,7 @@
 }
 
 func (n *Node) gotAccept(m Msg, a Accept) {
-	if a.Number != n.view.Number+1 || !n.compared || !n.view.Votes(n.opts.Me.ID) || n.mute() {
+	if a.Number != n.view.Number+1 || !n.compared || !n.view.Votes(n.opts.Me.ID) || n.refusesVotes() {
 		return
 	}
 	if a.Ballot.Less(n.promised) {
@@ -117,7 +117,7 @@
 	if s.ID == n.opts.Me.ID {
 		return s.Inc != n.opts.Inc
 	}
-	p := n.partners[s.ID]
+	p := n.peers[s.ID]
 	return p != nil && p.hello.Inc != s.Inc && p.hello.View.Number >= n.view.Number
 }
 
@@ -164,15 +164,15 @@
 		n.copyHeld = 0
 	}
 	if !wasServing && n.phase == Serving && n.place() > 0 {
-		p := n.partners[v.Head().ID]
-		n.whole = n.whole && p != nil && p.hello.Last == n.lastIndex() && p.hello.LastView == n.lastView()
+		p := n.peers[v.Head().ID]
+		n.caughtUp = n.caughtUp && p != nil && p.hello.Last == n.lastIndex() && p.hello.LastView == n.lastView()
 	}
 	held := v
 	records := []Record{{View: &held}}
-	if n.whole && n.phase != Outside {
+	if n.caughtUp && n.phase != Outside {
 		records = append(records, Record{Whole: v.Number})
 	} else {
-		n.whole = false
+		n.caughtUp = false
 	}
 	n.save(records, 0, nil)
 	n.effects = append(n.effects, Effect{Viewed: &held})
--- a/internal/chain/contact.go
+++ b/internal/chain/contact.go
@@ -8,7 +8,7 @@
 		return false
 	}
 	return n.Quorum(func(id string) bool {
-		p := n.partners[id]
+		p := n.peers[id]
 		return p != nil && nowUs-p.heardUs < n.opts.SuspectUs && nowUs-p.deafUs < 2*n.opts.SuspectUs
 	})
 }
@@ -17,7 +17,7 @@
 // within currentUs a word of the head has gone through the chain to a tail with its lease, and come back here.
 func (n *Node) Current(nowUs int64) bool {
 	switch {
-	case !n.serving() || !n.whole:
+	case !n.serving() || !n.caughtUp:
 		return false
 	case n.IsTail():
 		return n.Open(nowUs)
--- a/internal/chain/copy.go
+++ b/internal/chain/copy.go
@@ -16,7 +16,7 @@
 	}
 }
 
-// copying: a partner's copy is on its way to the disk. Another would have to wait for it.
+// copying: a peer's copy is on its way to the disk. Another would have to wait for it.
 func (n *Node) copying() bool {
 	for _, s := range n.saving {
 		if s.copied > 0 {
@@ -71,20 +71,20 @@
 	if c.State == nil || n.copying() {
 		return
 	}
-	n.base, n.entries, n.state, n.commit, n.whole = Copy{Index: c.Index, View: c.View}, nil, c.State.Freeze(), c.Index, false
+	n.base, n.entries, n.state, n.commit, n.caughtUp = Copy{Index: c.Index, View: c.View}, nil, c.State.Freeze(), c.Index, false
 	n.synced, n.queued = 0, c.Index
 	n.saveSeq++
 	n.saving[n.saveSeq] = &saving{startUs: n.nowUs, upto: c.Index, copied: c.Index, bulk: true}
 	n.effects = append(n.effects, Effect{Save: &Save{Seq: n.saveSeq, Copy: &c}})
 }
 
-// crowded: there are enough entries, and enough of them committed, to let go of most.
-func (n *Node) crowded() bool {
+// manyEntries: there are enough entries, and enough of them committed, to let go of most.
+func (n *Node) manyEntries() bool {
 	return len(n.entries) >= 2*n.opts.KeepMost && n.commit >= n.firstKept()+uint64(n.opts.KeepMost)
 }
 
-// heavy: the log takes much of the disk, and much more than when it was last begun anew.
-func (n *Node) heavy() bool {
+// largeLog: the log takes much of the disk, and much more than when it was last begun anew.
+func (n *Node) largeLog() bool {
 	return n.logBytes >= n.opts.LogMost && n.logBytes >= 2*n.leastLog
 }
 
@@ -121,7 +121,7 @@
 
 // compact begins the log anew on a copy of the state.
 func (n *Node) compact() {
-	if n.keeping() || (!n.crowded() && !n.heavy()) {
+	if n.keeping() || (!n.manyEntries() && !n.largeLog()) {
 		return
 	}
 	c := *n.copyNow()
@@ -131,7 +131,7 @@
 	if n.accepted != nil {
 		records = append(records, Record{Accepted: n.accepted})
 	}
-	if n.whole {
+	if n.caughtUp {
 		records = append(records, Record{Whole: n.view.Number})
 	}
 	for _, e := range n.entries {
--- a/internal/chain/ended_test.go
+++ b/internal/chain/ended_test.go
@@ -26,7 +26,7 @@
 			t.Fatal(err)
 		}
 		if c.heard != "" {
-			n.partners["b"] = &partner{hello: Hello{Me: tail.Member, Inc: c.heard, View: View{Number: c.view}}}
+			n.peers["b"] = &peer{hello: Hello{Me: tail.Member, Inc: c.heard, View: View{Number: c.view}}}
 		}
 		if got := n.ended(tail); got != c.want {
 			t.Errorf("%s: ended %v", name, got)
--- a/internal/chain/explore_test.go
+++ b/internal/chain/explore_test.go
@@ -62,10 +62,10 @@
 		held := *s
 		c.saving[seq] = &held
 	}
-	c.partners = map[string]*partner{}
-	for id, p := range n.partners {
+	c.peers = map[string]*peer{}
+	for id, p := range n.peers {
 		held := *p
-		c.partners[id] = &held
+		c.peers[id] = &held
 	}
 	c.learned, c.leases = maps.Clone(n.learned), maps.Clone(n.leases)
 	if n.proposal != nil {
@@ -85,11 +85,11 @@
 		}
 		return max(-2_000_000, min(nowUs-us, 4_000_000))
 	}
-	partners := []string{}
-	for _, id := range n.partnerIDs() {
-		p := n.partners[id]
+	peers := []string{}
+	for _, id := range n.peerIDs() {
+		p := n.peers[id]
 		h := p.hello
-		partners = append(partners, fmt.Sprint(id, h.Inc, h.Phase, h.View.Number, h.Last, h.LastView, h.Compared, h.Whole, h.Promised, h.Hears, h.CopyIndex, h.Accepted != nil, h.Stalled, h.Leaving, ago(p.heardUs), ago(p.deafUs)))
+		peers = append(peers, fmt.Sprint(id, h.Inc, h.Phase, h.View.Number, h.Last, h.LastView, h.Compared, h.Whole, h.Promised, h.Hears, h.CopyIndex, h.Accepted != nil, h.Stalled, h.Leaving, ago(p.heardUs), ago(p.deafUs)))
 	}
 	saving := []string{}
 	for _, seq := range slices.Sorted(maps.Keys(n.saving)) {
@@ -108,9 +108,9 @@
 	if n.accepted != nil {
 		accepted = fmt.Sprint(*n.accepted)
 	}
-	return fmt.Sprint(n.opts.Inc, n.phase, n.view, n.promised, accepted, n.compared, n.whole, n.leaving, n.base.Index, n.lastIndex(), n.lastView(), n.commit, n.synced, n.queued,
+	return fmt.Sprint(n.opts.Inc, n.phase, n.view, n.promised, accepted, n.compared, n.caughtUp, n.leaving, n.base.Index, n.lastIndex(), n.lastView(), n.commit, n.synced, n.queued,
 		n.copyHeld, proposal, n.round, ago(n.quietUs), n.held != nil, ago(n.guardUs), n.succLast, n.succSent, n.succKnown, n.openAt, n.openKnown,
-		leases, n.tailCommit, ago(n.leaseUs), ago(n.viewedUs), ago(n.bootUs), partners, saving)
+		leases, n.tailCommit, ago(n.leaseUs), ago(n.viewedUs), ago(n.bootUs), peers, saving)
 }
 
 func (b *box) key() string {
--- a/internal/chain/founding.go
+++ b/internal/chain/founding.go
@@ -22,8 +22,8 @@
 		most = len(n.opts.Founders)
 	}
 	founders := []Member{n.opts.Me}
-	for _, id := range n.partnerIDs() {
-		p := n.partners[id]
+	for _, id := range n.peerIDs() {
+		p := n.peers[id]
 		if p.hello.Phase != Fresh || p.hello.View.Number > 0 {
 			return
 		}
@@ -40,7 +40,7 @@
 	for _, f := range founders {
 		inc := n.opts.Inc
 		if f.ID != n.opts.Me.ID {
-			h := n.partners[f.ID].hello
+			h := n.peers[f.ID].hello
 			if !sameMembers(h.Founders, founders) {
 				return
 			}
--- a/internal/chain/hello.go
+++ b/internal/chain/hello.go
@@ -12,7 +12,7 @@
 	for _, s := range n.view.Order {
 		all[s.ID] = s.Member
 	}
-	for id, p := range n.partners {
+	for id, p := range n.peers {
 		if n.nowUs-p.heardUs < 30*n.opts.SuspectUs {
 			all[id] = p.hello.Me
 		}
@@ -24,10 +24,10 @@
 func (n *Node) sayHello() {
 	h := Hello{
 		Me: n.opts.Me, Inc: n.opts.Inc, Phase: n.phase, View: n.view, Last: n.lastIndex(), LastView: n.lastView(),
-		Compared: n.compared, Whole: n.whole, Stalled: n.stalled(), Promised: n.promised, Accepted: n.accepted,
+		Compared: n.compared, Whole: n.caughtUp, Stalled: n.stalled(), Promised: n.promised, Accepted: n.accepted,
 		Founders: n.founders, CopyIndex: n.copyHeld, First: n.opts.First, Leaving: n.leaving,
 	}
-	for _, id := range n.partnerIDs() {
+	for _, id := range n.peerIDs() {
 		if n.Hears(id) {
 			h.Hears = append(h.Hears, id)
 		}
@@ -42,7 +42,7 @@
 	for _, id := range ids {
 		reached[all[id].Addr] = true
 		told := h
-		if p := n.partners[id]; p != nil && n.Hears(id) && p.hello.View.Number == n.view.Number {
+		if p := n.peers[id]; p != nil && n.Hears(id) && p.hello.View.Number == n.view.Number {
 			told.View = View{Number: n.view.Number}
 		}
 		n.send(all[id], Msg{Hello: &told})
@@ -63,10 +63,10 @@
 	if h.Me.ID == n.opts.Me.ID {
 		return
 	}
-	p := n.partners[h.Me.ID]
+	p := n.peers[h.Me.ID]
 	if p == nil || p.hello.Inc != h.Inc {
-		p = &partner{sinceUs: n.nowUs, deafUs: n.nowUs}
-		n.partners[h.Me.ID] = p
+		p = &peer{sinceUs: n.nowUs, deafUs: n.nowUs}
+		n.peers[h.Me.ID] = p
 	}
 	p.hello, p.heardUs = h, n.nowUs
 	for _, id := range h.Hears {
--- a/internal/chain/join.go
+++ b/internal/chain/join.go
@@ -3,11 +3,11 @@
 // joiner is an office that may be seated now, behind a tail that holds the whole log: a member opens by what its
 // predecessor held as the view began.
 func (n *Node) joiner() (Seat, bool) {
-	if !n.wholeSeat(n.view.Tail()) {
+	if !n.seatCaughtUp(n.view.Tail()) {
 		return Seat{}, false
 	}
-	for _, id := range n.partnerIDs() {
-		p := n.partners[id]
+	for _, id := range n.peerIDs() {
+		p := n.peers[id]
 		if n.view.Seated(id) || !n.Hears(id) || p.hello.Stalled || p.hello.Leaving || p.hello.View.Number != n.view.Number {
 			continue
 		}
@@ -26,10 +26,10 @@
 }
 
 func (n *Node) mayJoin(m Member) bool {
-	if n.dropped(m.ID) {
+	if n.orderedOut(m.ID) {
 		return false
 	}
-	return n.view.Votes(m.ID) || n.standsIn(m) || n.added(m) || n.opts.SelfMembers
+	return n.view.Votes(m.ID) || n.mayStandIn(m) || n.orderedIn(m) || n.opts.SelfMembers
 }
 
 func (n *Node) hearsAll(h Hello) bool {
@@ -45,10 +45,10 @@
 	return true
 }
 
-// standsIn: an office of a new identity may take the vote of a silent one of the same name.
-func (n *Node) standsIn(m Member) bool {
+// mayStandIn: an office of a new identity may take the vote of a silent one of the same name.
+func (n *Node) mayStandIn(m Member) bool {
 	for _, v := range n.view.Voters {
-		if n.replaced(m) == v.ID && v.ID != m.ID {
+		if n.replacedBy(m) == v.ID && v.ID != m.ID {
 			return true
 		}
 		if v.Name == m.Name && v.ID != m.ID && !n.view.Seated(v.ID) && !n.hearsFor(v.ID, 3*n.opts.SuspectUs) && n.nowUs-n.viewedUs > n.opts.SuspectUs {
@@ -59,7 +59,7 @@
 }
 
 func (n *Node) hearsFor(id string, spanUs int64) bool {
-	p := n.partners[id]
+	p := n.peers[id]
 	return p != nil && n.nowUs-p.heardUs < spanUs
 }
 
@@ -78,13 +78,13 @@
 			continue
 		}
 		for i, v := range n.view.Voters {
-			if v.Name == s.Name && (!n.view.Seated(v.ID) || n.replaced(s.Member) == v.ID) {
+			if v.Name == s.Name && (!n.view.Seated(v.ID) || n.replacedBy(s.Member) == v.ID) {
 				voters := append([]Member(nil), n.view.Voters...)
 				voters[i] = s.Member
 				return voters, 0, true
 			}
 		}
-		if n.added(s.Member) {
+		if n.orderedIn(s.Member) {
 			return append(append([]Member(nil), n.view.Voters...), s.Member), 0, true
 		}
 		if n.opts.SelfMembers {
@@ -100,7 +100,7 @@
 	if n.nowUs-n.bootUs < 3*n.opts.SuspectUs {
 		return nil, 0, false
 	}
-	p := n.partners[m.ID]
+	p := n.peers[m.ID]
 	first := (p != nil && p.hello.First) || (m.ID == n.opts.Me.ID && n.opts.First)
 	waits := false
 	for i, v := range n.view.Voters {
@@ -143,8 +143,8 @@
 	if !n.Open(n.nowUs) || n.nowUs-n.joinAtUs < 2*n.opts.HelloUs+n.bulkUs() {
 		return
 	}
-	for _, id := range n.partnerIDs() {
-		p := n.partners[id]
+	for _, id := range n.peerIDs() {
+		p := n.peers[id]
 		if n.view.Seated(id) || !n.Hears(id) || p.hello.Phase == Serving || p.hello.Stalled || p.hello.Leaving {
 			continue
 		}
--- a/internal/chain/lease.go
+++ b/internal/chain/lease.go
@@ -29,16 +29,16 @@
 		return
 	}
 	tail := n.view.Tail()
-	if m.From.ID != tail.ID || m.Inc != tail.Inc || n.held != nil || n.yielded() || !n.compared || !n.view.Votes(n.opts.Me.ID) {
+	if m.From.ID != tail.ID || m.Inc != tail.Inc || n.held != nil || n.acceptedOtherTail() || !n.compared || !n.view.Votes(n.opts.Me.ID) {
 		return
 	}
 	n.guardUs = max(n.guardUs, n.nowUs+n.opts.LeaseUs)
 	n.send(m.From, Msg{Lease: &Lease{View: l.View, SentUs: l.SentUs, Given: true}})
 }
 
-// yielded: this voter has accepted a next view with another tail, which may be decided at any moment; a lease
+// acceptedOtherTail: this voter has accepted a next view with another tail, which may be decided at any moment; a lease
 // for the tail of now would outlive it.
-func (n *Node) yielded() bool {
+func (n *Node) acceptedOtherTail() bool {
 	if n.accepted == nil || n.accepted.View.Number != n.view.Number+1 {
 		return false
 	}
--- a/internal/chain/leave.go
+++ b/internal/chain/leave.go
@@ -15,7 +15,7 @@
 	if s.ID == n.opts.Me.ID {
 		return n.leaving && s.Inc == n.opts.Inc
 	}
-	p := n.partners[s.ID]
+	p := n.peers[s.ID]
 	return p != nil && p.hello.Leaving && p.hello.Inc == s.Inc
 }
 
@@ -24,7 +24,7 @@
 	if id == n.opts.Me.ID {
 		return n.leaving
 	}
-	p := n.partners[id]
+	p := n.peers[id]
 	return p != nil && p.hello.Leaving
 }
 
@@ -44,7 +44,7 @@
 func (n *Node) enoughHolders(order []Seat) bool {
 	holders := View{Voters: n.view.Voters}
 	for _, s := range order {
-		if n.sound(s) && n.wholeSeat(s) {
+		if n.healthy(s) && n.seatCaughtUp(s) {
 			holders.Order = append(holders.Order, s)
 		}
 	}
@@ -77,7 +77,7 @@
 			continue
 		}
 		others++
-		p := n.partners[v.ID]
+		p := n.peers[v.ID]
 		switch {
 		case p != nil && p.hello.View.Number >= n.view.Number:
 			know++
@@ -108,7 +108,7 @@
 	if n.view.Extra > 0 && len(n.view.Voters) > votersLeast {
 		return true
 	}
-	for _, id := range n.partnerIDs() {
+	for _, id := range n.peerIDs() {
 		if n.Hears(id) && !n.view.Votes(id) && !n.memberLeaves(id) {
 			return true
 		}
--- a/internal/chain/member.go
+++ b/internal/chain/member.go
@@ -15,16 +15,16 @@
 	return nil
 }
 
-// replaced is the identity whose vote a newcomer of the same name is ordered to take.
-func (n *Node) replaced(m Member) string {
+// replacedBy is the identity whose vote a newcomer of the same name is ordered to take.
+func (n *Node) replacedBy(m Member) string {
 	if o := n.order(ledger.ReplaceMember); o != nil && o.Name == m.Name && o.ID != m.ID {
 		return o.ID
 	}
 	return ""
 }
 
-// added: the operators ordered an office of this name to be taken in, and none of it votes yet.
-func (n *Node) added(m Member) bool {
+// orderedIn: the operators ordered an office of this name to be taken in, and none of it votes yet.
+func (n *Node) orderedIn(m Member) bool {
 	if o := n.order(ledger.AddMember); o == nil || o.Name != m.Name {
 		return false
 	}
@@ -36,14 +36,14 @@
 	return true
 }
 
-// dropped: an identity that is ordered out gets no seat again.
-func (n *Node) dropped(id string) bool {
+// orderedOut: an identity that is ordered out gets no seat again.
+func (n *Node) orderedOut(id string) bool {
 	o := n.order(ledger.RemoveMember)
 	return o != nil && o.ID == id
 }
 
-// mayDrop: the one ordered out can go without leaving too few votes or too few copies.
-func (n *Node) mayDrop() bool {
+// mayRemove: the one ordered out can go without leaving too few votes or too few copies.
+func (n *Node) mayRemove() bool {
 	o := n.order(ledger.RemoveMember)
 	if o == nil || (!n.view.Votes(o.ID) && !n.view.Seated(o.ID)) {
 		return false
@@ -51,19 +51,19 @@
 	if n.view.Votes(o.ID) && len(n.view.Voters) <= votersLeast {
 		return false
 	}
-	whole := 0
+	holders := 0
 	for _, s := range n.view.Order {
-		if s.ID != o.ID && n.sound(s) && !n.leaves(s) && n.wholeSeat(s) {
-			whole++
+		if s.ID != o.ID && n.healthy(s) && !n.leaves(s) && n.seatCaughtUp(s) {
+			holders++
 		}
 	}
-	return whole >= 2 && n.firstWithout(o.ID)
+	return holders >= 2 && n.firstWithout(o.ID)
 }
 
 // firstWithout: a member that has everything comes first also once this one is gone.
 func (n *Node) firstWithout(id string) bool {
 	order := without(n.view.Order, id)
-	return len(order) > 0 && n.wholeSeat(order[0])
+	return len(order) > 0 && n.seatCaughtUp(order[0])
 }
 
 // MemberCarried says that the order about members that stands is carried out in this view.
@@ -143,7 +143,7 @@
 	}
 	others := 0
 	for _, s := range n.view.Order {
-		if s.ID != voter.ID && n.sound(s) && !n.leaves(s) && n.wholeSeat(s) {
+		if s.ID != voter.ID && n.healthy(s) && !n.leaves(s) && n.seatCaughtUp(s) {
 			others++
 		}
 	}
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -5,13 +5,16 @@
 	"petreltide/internal/ledger"
 )
 
-type partner struct {
+// peer is what is known of another office: its last hello, when it came, since when it is heard, and when it last heard
+// this one.
+type peer struct {
 	hello   Hello
 	heardUs int64
 	sinceUs int64
 	deafUs  int64
 }
 
+// proposal is an attempt of this member to have the next view decided.
 type proposal struct {
 	number   uint64
 	ballot   Ballot
@@ -32,7 +35,7 @@
 	promised Ballot
 	accepted *Accepted
 	compared bool
-	whole    bool
+	caughtUp bool
 	// leaving is set once this process has been told to end.
 	leaving bool
 
@@ -53,7 +56,7 @@
 	beatSentUs int64
 	saveSeq    uint64
 	saving     map[uint64]*saving
-	partners   map[string]*partner
+	peers      map[string]*peer
 	learned    map[string]bool
 	founders   []Member
 	proposal   *proposal
@@ -86,17 +89,18 @@
 	effects     []Effect
 }
 
+// NewNode begins with what the disk holds.
 func NewNode(opts Options, records []Record, nowUs int64) (*Node, error) {
 	n := &Node{
 		opts: opts.filled(), phase: Fresh, state: ledger.NewState(), nowUs: nowUs, bootUs: nowUs, lastUs: nowUs,
-		saving: map[uint64]*saving{}, partners: map[string]*partner{}, learned: map[string]bool{}, leases: map[string]int64{},
+		saving: map[uint64]*saving{}, peers: map[string]*peer{}, learned: map[string]bool{}, leases: map[string]int64{},
 	}
 	n.guardUs = nowUs + n.opts.LeaseUs
 	for _, r := range records {
 		switch {
 		case r.View != nil:
 			if r.View.Number >= n.view.Number {
-				n.view, n.promised, n.accepted, n.whole = *r.View, Ballot{}, nil, false
+				n.view, n.promised, n.accepted, n.caughtUp = *r.View, Ballot{}, nil, false
 			}
 		case r.Promised != nil:
 			n.promised = *r.Promised
@@ -111,9 +115,9 @@
 			}
 			n.base = Copy{Index: r.Copy.Index, View: r.Copy.View}
 			n.entries = nil
-			n.state, n.commit, n.whole = r.Copy.State.Freeze(), r.Copy.Index, false
+			n.state, n.commit, n.caughtUp = r.Copy.State.Freeze(), r.Copy.Index, false
 		case r.Whole != 0:
-			n.whole = r.Whole == n.view.Number
+			n.caughtUp = r.Whole == n.view.Number
 		case r.Entry != nil:
 			n.keepEntry(*r.Entry)
 		}
@@ -122,7 +126,7 @@
 		n.phase = Waking
 	}
 	n.compared = n.view.Number == 0 && len(n.view.Voters) > 0
-	n.whole = n.whole || (n.view.Number == 0 && n.lastIndex() == 0)
+	n.caughtUp = n.caughtUp || (n.view.Number == 0 && n.lastIndex() == 0)
 	n.synced, n.queued = n.lastIndex(), n.lastIndex()
 	n.round = n.promised.Round
 	n.saveSeq = OpeningSave
@@ -133,6 +137,7 @@
 	return n, nil
 }
 
+// Step takes one event and returns what is to be done about it, in order.
 func (n *Node) Step(ev Event) []Effect {
 	n.effects = nil
 	gapUs := ev.NowUs - n.nowUs
@@ -163,10 +168,11 @@
 	return n.effects
 }
 
+// dropLeases is for a process that has stood still: it cannot tell how long its leases last.
 func (n *Node) dropLeases() {
 	n.leaseUs, n.tailEchoUs, n.echoedUs = 0, 0, 0
 	n.leases = map[string]int64{}
-	for _, p := range n.partners {
+	for _, p := range n.peers {
 		p.heardUs = max(p.heardUs, n.nowUs-n.opts.SuspectUs/2)
 	}
 }
@@ -183,7 +189,7 @@
 // addressOf is where a member was heard from last in this life, or else the address that is known of it: a view
 // names the address that a member had when it got its seat.
 func (n *Node) addressOf(m Member) string {
-	if p := n.partners[m.ID]; p != nil && m.ID != "" && p.hello.Me.Addr != "" {
+	if p := n.peers[m.ID]; p != nil && m.ID != "" && p.hello.Me.Addr != "" {
 		return p.hello.Me.Addr
 	}
 	return m.Addr
--- a/internal/chain/refusal_test.go
+++ b/internal/chain/refusal_test.go
@@ -52,8 +52,8 @@
 			for index := range b.acked {
 				last = max(last, index)
 			}
-			if !p.node.serving() || !p.node.whole || p.node.commit < last || p.node.stalled() {
-				t.Fatalf("it is %s, whole %v, at %d of %d, waits for %q", p.node.phase, p.node.whole, p.node.commit, last, p.node.WaitsFor())
+			if !p.node.serving() || !p.node.caughtUp || p.node.commit < last || p.node.stalled() {
+				t.Fatalf("it is %s, whole %v, at %d of %d, waits for %q", p.node.phase, p.node.caughtUp, p.node.commit, last, p.node.WaitsFor())
 			}
 			b.judge()
 			if b.broken != "" {
@@ -120,7 +120,7 @@
 	}
 }
 
-// A log that is heavy is begun anew, and only as many entries stay as are small enough for those behind.
+// A log that is largeLog is begun anew, and only as many entries stay as are small enough for those behind.
 func TestEntriesThatStayAreBoundedByBytes(t *testing.T) {
 	b := newBox()
 	for range 10 {
@@ -140,7 +140,7 @@
 	}
 	seq := n.saveSeq
 	n.Step(Event{NowUs: b.nowUs, Saved: seq, LogBytes: n.opts.LogMost})
-	if n.keeping() || n.heavy() {
+	if n.keeping() || n.largeLog() {
 		t.Fatal("a log that is no smaller when begun anew is begun anew again and again")
 	}
 }
--- a/internal/chain/repair_test.go
+++ b/internal/chain/repair_test.go
@@ -150,7 +150,7 @@
 		return fmt.Sprintf("%s has no seat: %s, waits for %q", s.me.ID, n.Phase(), n.WaitsFor())
 	case !n.view.Votes(s.me.ID):
 		return fmt.Sprintf("%s has no vote in %v", s.me.ID, n.view.Voters)
-	case !n.whole:
+	case !n.caughtUp:
 		return fmt.Sprintf("%s has not the whole log", s.me.ID)
 	}
 	for _, o := range y.living() {
--- a/internal/chain/replicate.go
+++ b/internal/chain/replicate.go
@@ -156,7 +156,7 @@
 	if !n.openKnown {
 		n.openKnown, n.openAt = true, f.Last
 	}
-	n.madeWhole()
+	n.noteCaughtUp()
 	if f.Copy != nil && f.Copy.Index > n.lastIndex() {
 		n.takeCopy(*f.Copy)
 		return
@@ -176,13 +176,13 @@
 	n.ackBack()
 }
 
-// madeWhole: this member now has all that was in its predecessor's log when the view began, and
+// noteCaughtUp: this member now has all that was in its predecessor's log when the view began, and
 // with it everything that was ever acknowledged. Until then it may not speak for the chain.
-func (n *Node) madeWhole() {
-	if n.whole || !n.serving() || !n.openKnown || n.synced < n.openAt {
+func (n *Node) noteCaughtUp() {
+	if n.caughtUp || !n.serving() || !n.openKnown || n.synced < n.openAt {
 		return
 	}
-	n.whole = true
+	n.caughtUp = true
 	n.save([]Record{{Whole: n.view.Number}}, 0, nil)
 }
 
--- a/internal/chain/save.go
+++ b/internal/chain/save.go
@@ -34,7 +34,7 @@
 	}
 	if s.upto > n.synced {
 		n.synced = min(s.upto, n.lastIndex())
-		n.madeWhole()
+		n.noteCaughtUp()
 		n.pushOn()
 	}
 	if s.copied > 0 {
@@ -78,5 +78,5 @@
 	return false
 }
 
-// mute: this member takes no part in a decision, as it could not keep its word.
-func (n *Node) mute() bool { return n.refusing() || len(n.saving) >= savingMost }
+// refusesVotes: this member takes no part in a decision, as it could not keep its word.
+func (n *Node) refusesVotes() bool { return n.refusing() || len(n.saving) >= savingMost }
--- a/internal/chain/self_test.go
+++ b/internal/chain/self_test.go
@@ -294,7 +294,7 @@
 func (y *yard) settled() string {
 	var view View
 	for _, s := range y.living() {
-		if s.node == nil || !s.node.serving() || !s.node.whole {
+		if s.node == nil || !s.node.serving() || !s.node.caughtUp {
 			return fmt.Sprintf("%s has no seat: %v", s.me.ID, s.node != nil)
 		}
 		if view.Number > 0 && s.node.view.Number != view.Number {
--- a/internal/chain/status.go
+++ b/internal/chain/status.go
@@ -13,8 +13,10 @@
 
 func (n *Node) serving() bool { return n.phase == Serving && n.place() >= 0 }
 
+// IsHead says that this process has the first seat.
 func (n *Node) IsHead() bool { return n.serving() && n.place() == 0 }
 
+// IsTail says that this process has the last seat.
 func (n *Node) IsTail() bool { return n.serving() && n.place() == len(n.view.Order)-1 }
 
 // Open says whether this office may answer as the tail at this moment.
@@ -22,7 +24,7 @@
 	return n.IsTail() && n.openKnown && n.commit >= n.openAt && nowUs < n.leaseUs
 }
 
-// Fresh heads only give orders while the chain answered them lately.
+// HeadFresh: a head only gives orders while the chain answered it lately.
 func (n *Node) HeadFresh(nowUs int64) bool {
 	if !n.IsHead() {
 		return false
@@ -33,6 +35,7 @@
 	return n.tailEchoUs > 0 && nowUs < n.tailEchoUs+n.opts.LeaseUs-n.opts.LeaseCutUs
 }
 
+// The state, the view and the place of this process, as of its last step.
 func (n *Node) State() *ledger.State { return n.state }
 func (n *Node) View() View           { return n.view }
 func (n *Node) Phase() Phase         { return n.phase }
@@ -47,7 +50,7 @@
 	if n.settledOnce {
 		return true
 	}
-	return n.serving() && n.whole && (n.openKnown || n.IsHead()) && n.commit >= max(n.openAt, n.settleAt)
+	return n.serving() && n.caughtUp && (n.openKnown || n.IsHead()) && n.commit >= max(n.openAt, n.settleAt)
 }
 
 // WritesTaken is false in a view of too few: nothing is acknowledged on fewer copies than a loss may take.
@@ -86,11 +89,13 @@
 	return n.tailCommit
 }
 
+// Hears says that a member has been heard lately.
 func (n *Node) Hears(id string) bool {
-	p := n.partners[id]
+	p := n.peers[id]
 	return p != nil && n.nowUs-p.heardUs < n.opts.SuspectUs
 }
 
+// PartnerNote is what this office knows of another.
 type PartnerNote struct {
 	Member Member `json:"member"`
 	Phase  Phase  `json:"phase"`
@@ -100,10 +105,11 @@
 	Sound  bool   `json:"sound"`
 }
 
+// Partners are all other offices that were heard in this life.
 func (n *Node) Partners() []PartnerNote {
 	notes := []PartnerNote{}
-	for _, id := range n.partnerIDs() {
-		p := n.partners[id]
+	for _, id := range n.peerIDs() {
+		p := n.peers[id]
 		notes = append(notes, PartnerNote{
 			Member: p.hello.Me, Phase: p.hello.Phase, Inc: p.hello.Inc, Last: p.hello.Last,
 			AgoMs: (n.nowUs - p.heardUs) / 1000, Sound: n.Hears(id),
@@ -112,8 +118,8 @@
 	return notes
 }
 
-func (n *Node) partnerIDs() []string {
-	return slices.Sorted(maps.Keys(n.partners))
+func (n *Node) peerIDs() []string {
+	return slices.Sorted(maps.Keys(n.peers))
 }
 
 // WaitsFor tells an operator, in words, what this office is waiting for.
@@ -137,7 +143,7 @@
 		return "the other members of view " + strconv.FormatUint(n.view.Number, 10) + ", or a copy from its tail"
 	case n.phase == Outside:
 		return "a copy from the tail and a seat in the next view"
-	case n.serving() && !n.whole:
+	case n.serving() && !n.caughtUp:
 		return "the rest of the log from its predecessor"
 	case !n.WritesTaken():
 		return "more members: an acknowledgement needs " + strconv.Itoa(n.copiesLeast()) + " copies"
@@ -147,4 +153,5 @@
 	return ""
 }
 
+// NowUs is the time of the last step.
 func (n *Node) NowUs() int64 { return n.nowUs }
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -5,6 +5,7 @@
 	"petreltide/internal/ledger"
 )
 
+// Member is an office by the identity that its disk holds; a new disk is another member.
 type Member struct {
 	ID   string `json:"id"`
 	Name string `json:"name"`
@@ -12,11 +13,13 @@
 	Zone string `json:"zone"`
 }
 
+// Seat is a place in the order of a view, held by one process of a member: one that restarts has lost it.
 type Seat struct {
 	Member
 	Inc string `json:"inc"`
 }
 
+// View says, under a number, who votes on the next view and which processes hold the log, head first.
 type View struct {
 	Number uint64   `json:"number"`
 	Voters []Member `json:"voters"`
@@ -26,6 +29,7 @@
 	Extra int `json:"extra,omitempty"`
 }
 
+// Head is the seat that takes writes; a zero one where the view has no seats.
 func (v View) Head() Seat {
 	if len(v.Order) == 0 {
 		return Seat{}
@@ -33,6 +37,7 @@
 	return v.Order[0]
 }
 
+// Tail is the seat that acknowledges and answers; a zero one where the view has no seats.
 func (v View) Tail() Seat {
 	if len(v.Order) == 0 {
 		return Seat{}
@@ -40,6 +45,7 @@
 	return v.Order[len(v.Order)-1]
 }
 
+// Place is where in the order a process has its seat, -1 if it has none.
 func (v View) Place(id, inc string) int {
 	for i, s := range v.Order {
 		if s.ID == id && s.Inc == inc {
@@ -49,6 +55,7 @@
 	return -1
 }
 
+// Seated says that some process of this member has a seat.
 func (v View) Seated(id string) bool {
 	for _, s := range v.Order {
 		if s.ID == id {
@@ -58,6 +65,7 @@
 	return false
 }
 
+// Votes says that this member is a voter of the view.
 func (v View) Votes(id string) bool {
 	for _, m := range v.Voters {
 		if m.ID == id {
@@ -75,11 +83,13 @@
 	return len(v.Voters)/2 + 1
 }
 
+// Ballot orders the attempts to decide the next view.
 type Ballot struct {
 	Round uint64 `json:"round"`
 	By    string `json:"by"`
 }
 
+// Less orders ballots by round, then by who began them.
 func (b Ballot) Less(o Ballot) bool {
 	if b.Round != o.Round {
 		return b.Round < o.Round
@@ -87,11 +97,13 @@
 	return b.By < o.By
 }
 
+// Accepted is the next view that a voter has accepted, and the ballot under which it did.
 type Accepted struct {
 	Ballot Ballot `json:"ballot"`
 	View   View   `json:"view"`
 }
 
+// Entry is one change in the log, with the view whose head numbered it.
 type Entry struct {
 	Index  uint64        `json:"index"`
 	View   uint64        `json:"view"`
@@ -121,20 +133,27 @@
 	Whole    uint64    `json:"whole,omitempty"`
 }
 
+// Seal marks a disk with the identity of the member that it belongs to.
 type Seal struct {
 	Identity string `json:"identity"`
 	Name     string `json:"name"`
 }
 
+// Phase is where a process stands towards the chain.
 type Phase string
 
 const (
-	Fresh   Phase = "fresh"
-	Waking  Phase = "waking"
+	// Fresh knows of no chain.
+	Fresh Phase = "fresh"
+	// Waking has restarted with its disk and has no seat yet.
+	Waking Phase = "waking"
+	// Serving has a seat.
 	Serving Phase = "serving"
+	// Outside knows the chain and has no seat in it.
 	Outside Phase = "outside"
 )
 
+// Hello is what a process tells all others of itself at a steady pace.
 type Hello struct {
 	Me        Member    `json:"me"`
 	Inc       string    `json:"inc"`
@@ -155,11 +174,13 @@
 	Leaving bool `json:"leaving,omitempty"`
 }
 
+// Prepare asks a voter to promise that it accepts nothing under a lower ballot for the view of this number.
 type Prepare struct {
 	Number uint64 `json:"number"`
 	Ballot Ballot `json:"ballot"`
 }
 
+// Promise answers a Prepare, with what the voter has accepted before.
 type Promise struct {
 	Number   uint64    `json:"number"`
 	Ballot   Ballot    `json:"ballot"`
@@ -168,18 +189,21 @@
 	Accepted *Accepted `json:"accepted,omitempty"`
 }
 
+// Accept asks a voter to accept a view under a ballot.
 type Accept struct {
 	Number uint64 `json:"number"`
 	Ballot Ballot `json:"ballot"`
 	View   View   `json:"view"`
 }
 
+// Accepting answers an Accept.
 type Accepting struct {
 	Number uint64 `json:"number"`
 	Ballot Ballot `json:"ballot"`
 	OK     bool   `json:"ok"`
 }
 
+// Forward carries entries, or a copy of the state, from a member to its successor; without either it is a heartbeat.
 type Forward struct {
 	View     uint64  `json:"view"`
 	Prev     uint64  `json:"prev"`
@@ -190,6 +214,7 @@
 	SentUs   int64   `json:"sentUs"`
 }
 
+// Ack tells the predecessor what is synced here and what the tail has committed.
 type Ack struct {
 	View   uint64 `json:"view"`
 	Last   uint64 `json:"last"`
@@ -197,18 +222,21 @@
 	EchoUs int64  `json:"echoUs"`
 }
 
+// Lease asks a voter for the tail's lease, or grants it.
 type Lease struct {
 	View   uint64 `json:"view"`
 	SentUs int64  `json:"sentUs"`
 	Given  bool   `json:"given,omitempty"`
 }
 
+// Joining carries a copy of the state from the tail to an office that has no seat.
 type Joining struct {
 	View uint64 `json:"view"`
 	Inc  string `json:"inc"`
 	Copy Copy   `json:"copy"`
 }
 
+// Msg is one message between offices; exactly one of its pointers after ToID is set.
 type Msg struct {
 	From      Member         `json:"from"`
 	Inc       string         `json:"inc"`
@@ -225,6 +253,7 @@
 	Submit    *ledger.Change `json:"submit,omitempty"`
 }
 
+// Event is one input of a Node; with nothing but NowUs set it is a tick.
 type Event struct {
 	NowUs int64
 	Got   *Msg
@@ -239,6 +268,7 @@
 	Leave bool
 }
 
+// Effect is one thing that a Node wants done; exactly one of its fields is set.
 type Effect struct {
 	Send    *Send
 	Save    *Save
@@ -247,6 +277,7 @@
 	Refused *Refused
 }
 
+// Send is a message to be sent to an address. It may be lost.
 type Send struct {
 	Addr string
 	Msg  Msg
@@ -261,11 +292,13 @@
 	Fresh   bool
 }
 
+// Applied is an entry that has been committed, and what came of it.
 type Applied struct {
 	Entry   Entry
 	Outcome ledger.Outcome
 }
 
+// Refused is a change that is not taken, with the reason in words.
 type Refused struct {
 	ID     string
 	Reason string
@@ -274,6 +307,7 @@
 // OpeningSave is the number of the save with which what the disk gave back is synced; those of a node come after it.
 const OpeningSave uint64 = 1
 
+// Options are what a Node goes by; times that are 0 are as usual.
 type Options struct {
 	Me       Member
 	Inc      string
--- a/internal/chain/unsynced_test.go
+++ b/internal/chain/unsynced_test.go
@@ -49,8 +49,8 @@
 		t.Fatal("a synced log does not count")
 	}
 	n := restartedMember(t, true)
-	if last := acked(n, beat); last != 0 || !n.stalled() || !n.mute() {
-		t.Fatalf("acknowledges %d, stalled %v, mute %v", last, n.stalled(), n.mute())
+	if last := acked(n, beat); last != 0 || !n.stalled() || !n.refusesVotes() {
+		t.Fatalf("acknowledges %d, stalled %v, mute %v", last, n.stalled(), n.refusesVotes())
 	}
 	if last := acked(n, Event{NowUs: clock.Sec + 40*clock.Ms, Saved: OpeningSave}); last != 1 || n.stalled() {
 		t.Fatalf("synced it acknowledges %d, stalled %v", last, n.stalled())
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -19,11 +19,11 @@
 	n.offerCopy()
 }
 
-func (n *Node) sound(s Seat) bool {
+func (n *Node) healthy(s Seat) bool {
 	if s.ID == n.opts.Me.ID {
 		return s.Inc == n.opts.Inc && !n.stalled()
 	}
-	p := n.partners[s.ID]
+	p := n.peers[s.ID]
 	if p == nil {
 		return n.nowUs-n.viewedUs < n.opts.SuspectUs
 	}
@@ -33,12 +33,12 @@
 	return n.nowUs-p.deafUs < 2*n.opts.SuspectUs
 }
 
-// wholeSeat: only a member that has everything may come first.
-func (n *Node) wholeSeat(s Seat) bool {
+// seatCaughtUp: only a member that has everything may come first.
+func (n *Node) seatCaughtUp(s Seat) bool {
 	if s.ID == n.opts.Me.ID {
-		return n.whole
+		return n.caughtUp
 	}
-	p := n.partners[s.ID]
+	p := n.peers[s.ID]
 	if p == nil || p.hello.View.Number != n.view.Number {
 		return s.ID == n.view.Head().ID && s.Inc == n.view.Head().Inc
 	}
@@ -57,13 +57,13 @@
 	case n.phase == Waking && n.compared:
 		n.judgeWaking()
 	}
-	n.finish()
+	n.finishAccepted()
 }
 
-// judgeView removes unsound seats, seats a joiner that holds a copy, and gives
+// judgeView removes the seats of members that are not healthy, seats a joiner that holds a copy, and gives
 // the vote of a lost office to the empty one that came under its name.
 func (n *Node) judgeView() {
-	if n.stalled() || !n.whole {
+	if n.stalled() || !n.caughtUp {
 		return
 	}
 	want := View{Number: n.view.Number + 1, Voters: n.view.Voters, Extra: n.view.Extra}
@@ -72,12 +72,12 @@
 		if s.ID == n.opts.Me.ID {
 			break
 		}
-		if n.sound(s) {
+		if n.healthy(s) {
 			rank++
 		}
 	}
 	for _, s := range n.view.Order {
-		if n.sound(s) && (len(want.Order) > 0 || n.wholeSeat(s)) {
+		if n.healthy(s) && (len(want.Order) > 0 || n.seatCaughtUp(s)) {
 			want.Order = append(want.Order, s)
 		}
 	}
@@ -88,9 +88,9 @@
 		changed = true
 	} else if !changed {
 		if seat, ok := n.joiner(); ok {
-			want.Order = append(without(n.view.Order, n.replaced(seat.Member)), seat)
+			want.Order = append(without(n.view.Order, n.replacedBy(seat.Member)), seat)
 			changed = true
-		} else if n.mayDrop() {
+		} else if n.mayRemove() {
 			want.Order = without(n.view.Order, n.state.Member.ID)
 			for _, v := range n.view.Voters {
 				if v.ID == n.state.Member.ID {
--- a/internal/chain/waking.go
+++ b/internal/chain/waking.go
@@ -17,8 +17,8 @@
 	if n.view.Votes(n.opts.Me.ID) {
 		heardVoters = 1
 	}
-	for _, id := range n.partnerIDs() {
-		p := n.partners[id]
+	for _, id := range n.peerIDs() {
+		p := n.peers[id]
 		if !n.Hears(id) {
 			continue
 		}
@@ -32,7 +32,7 @@
 			found = append(found, candidate{Seat{p.hello.Me, p.hello.Inc}, p.hello.Last, p.hello.LastView, p.hello.Stalled})
 		}
 	}
-	if !n.view.Seated(n.opts.Me.ID) || n.stalled() || !n.whole {
+	if !n.view.Seated(n.opts.Me.ID) || n.stalled() || !n.caughtUp {
 		return
 	}
 	found = append(found, candidate{Seat{n.opts.Me, n.opts.Inc}, n.lastIndex(), n.lastView(), n.stalled()})
