--- a/proofs/sim/routed_repairs.go
+++ b/proofs/sim/routed_repairs.go
@@ -45,6 +45,7 @@
 		}
 	}
 	change()
+	d.reseed()
 	d.repairRound(r, 0)
 }
 
@@ -68,7 +69,7 @@
 		if how == repairReplace {
 			d.remove(o)
 			d.list()
-			d.at(d.nowUs+successorAfterUs, func() { d.newcomer(o.zone) })
+			d.at(d.nowUs+successorAfterUs, func() { d.empty(o.zone) })
 			continue
 		}
 		o.crash(0)
@@ -79,12 +80,12 @@
 	d.at(d.nowUs+successorAfterUs+d.catchUpUs(), next)
 }
 
-// newcomer is an empty office that is told of those that the operators' list names.
-func (d *routedDay) newcomer(zone string) {
+// reseed keeps the seeds that a process is told at its start to what the operators' list names by then.
+func (d *routedDay) reseed() {
 	d.seeds = slices.Clone(d.listedNow())
 	d.r.Shuffle(len(d.seeds), func(i, j int) { d.seeds[i], d.seeds[j] = d.seeds[j], d.seeds[i] })
 	d.seeds = d.seeds[:min(len(d.seeds), seedsMost)]
-	d.empty(zone)
+	d.at(d.nowUs+500*ms, d.reseed)
 }
 
 // struckNow are as many machines as may be lost at once.
@@ -102,7 +103,7 @@
 // moment that the last of these has ended.
 func (d *routedDay) replaceInTurn(old []*routedOffice, done func()) {
 	for _, o := range old {
-		d.newcomer(o.zone)
+		d.empty(o.zone)
 	}
 	d.at(d.nowUs+d.catchUpUs(), func() {
 		left := len(old)
