--- a/proofs/sim/cutoff_test.go
+++ b/proofs/sim/cutoff_test.go
@@ -77,7 +77,7 @@
 		kinds = append(kinds, "cut-off-"+string(way))
 	}
 	if !t.Failed() {
-		sum.judgeOf(t, kinds, []string{rules.ReadOld, rules.RefusedAs, rules.LeaveLost, rules.Drain, rules.ConfigTwo, rules.ConfigOld})
+		sum.judgeOf(t, kinds, []string{rules.ReadOld, rules.RefusedAs, rules.LeaveLost, rules.Drain, rules.ConfigTwo, rules.ConfigOld, rules.One})
 	}
 }
 
--- a/proofs/sim/routed_cutoff.go
+++ b/proofs/sim/routed_cutoff.go
@@ -63,6 +63,7 @@
 	lure  []*routedOffice
 	meet  []*routedOffice
 	joins bool
+	left  int
 }
 
 func (c *cutOffState) refuses(from, to string) bool { return c.reset[[2]string{from, to}] }
@@ -248,15 +249,22 @@
 	}
 }
 
-// drainOne lets a replica leave and another come in its place.
+// drainOne lets a replica of each service leave and another come in its place. One says that it drains, the
+// other that it is gone; which is which goes by turns.
 func (d *routedDay) drainOne() {
-	for _, service := range []string{"cards", "log"} {
+	d.cutOff.left++
+	for i, service := range []string{"cards", "log"} {
 		for _, p := range d.running(service) {
-			if !p.core.Draining {
-				d.fresh(p)
+			if p.core.Draining {
+				continue
+			}
+			d.fresh(p)
+			if (d.cutOff.left+i)%2 == 0 {
+				p.withdraw()
+			} else {
 				p.drain()
-				break
 			}
+			break
 		}
 	}
 }
--- a/proofs/sim/routed_replicas.go
+++ b/proofs/sim/routed_replicas.go
@@ -21,11 +21,13 @@
 	conns    map[uint64]*leg
 	leave    *rules.Leave
 	leavesUs int64
-	failing  func(int) bool
-	turning  func(int) bool
-	breaking func(int) bool
-	ail      func(n int, from string) replica.Ailment
-	slowX    int64
+	// withdrawn replicas have said that they are gone, and serve on for a while.
+	withdrawn bool
+	failing   func(int) bool
+	turning   func(int) bool
+	breaking  func(int) bool
+	ail       func(n int, from string) replica.Ailment
+	slowX     int64
 	// dropsIdle is called when something is sent on an idle connection that the replica discarded in silence.
 	dropsIdle func()
 }
@@ -101,6 +103,9 @@
 }
 
 func (p *replicaNode) beat() {
+	if p.withdrawn {
+		return
+	}
 	p.say(0)
 	p.later(heartbeatUs-100*ms+p.day.r.Int63n(200*ms), p.beat)
 }
@@ -176,6 +181,55 @@
 	p.later(leftUs, func() { p.end(false) })
 }
 
+// withdraw is a planned end without a word of draining: the replica says first that it is gone, serves on for a
+// while after the acknowledgement, and ends.
+func (p *replicaNode) withdraw() {
+	if p.core.Draining || !p.up {
+		return
+	}
+	p.core.Draining, p.withdrawn = true, true
+	p.leave = &rules.Leave{Replica: p.name, SaidUs: p.day.nowUs}
+	p.day.seen.Leaves = append(p.day.seen.Leaves, p.leave)
+	p.sayGone(0)
+	p.later(9*sec, func() { p.end(false) })
+}
+
+// sayGone calls one machine that serves control, and the next where no acknowledgement comes within a second.
+func (p *replicaNode) sayGone(try int) {
+	d := p.day
+	over := false
+	again := func() {
+		if !over {
+			over = true
+			p.later(ms, func() {
+				if try < 6 {
+					p.sayGone(try + 1)
+				}
+			})
+		}
+	}
+	p.later(sec, again)
+	o := d.officeFor(p, try)
+	if o == nil {
+		return
+	}
+	d.carry(&p.machine, &o.machine, sec, func() {
+		o.word(office.Event{Left: p.name}, func(ok bool) {
+			d.carry(&o.machine, &p.machine, sec, func() {
+				switch {
+				case over:
+				case !ok:
+					again()
+				default:
+					over = true
+					p.leave.AckedUs, p.leave.Machine = d.nowUs, o.name
+					p.later(d.seen.Bounds.DrainUs+300*ms, func() { p.end(false) })
+				}
+			}, again)
+		})
+	}, again)
+}
+
 func (p *replicaNode) deregister() {
 	d := p.day
 	addrs := d.listedNow()
