--- a/proofs/sim/routed_faults.go
+++ b/proofs/sim/routed_faults.go
@@ -16,6 +16,7 @@
 	"config-change", "config-storm", "config-race", "bad-config", "big-config", "burst", "burst-rare", "model-shift",
 	"grey-errors", "grey-shed", "grey-busy", "grey-hang", "grey-reset", "grey-mute", "grey-slow", "grey-one-zone", "lying-errors", "lying-hang", "lying-reset",
 	"answer-lost", "flap", "drop-idle", "unheard-leave", "kill-zone", "roll-offices", "replace-planned", "power-after-taking",
+	"withdraw", "cut-lured",
 }
 
 // pairKinds strike two offices at once, where the fleet is made to bear that.
@@ -158,7 +159,7 @@
 		}
 	}
 	switch f.Kind {
-	case "kill-office", "kill-holder", "power-office", "freeze-office", "freeze-holder", "stall-disk", "slow-disk", "full-disk", "replace-office", "replace-planned", "cut-office", "one-way", "split-core",
+	case "kill-office", "kill-holder", "power-office", "freeze-office", "freeze-holder", "stall-disk", "slow-disk", "full-disk", "replace-office", "replace-planned", "cut-office", "cut-lured", "one-way", "split-core",
 		"kill-offices", "roll-offices":
 		return haveOffice && d.officeFault(f, o)
 	case "kill-pair", "power-pair", "freeze-pair", "cut-pair", "replace-pair":
@@ -267,6 +268,8 @@
 				d.cut(other.name, o.name, f.ForUs)
 			}
 		}
+	case "cut-lured":
+		d.cutOffNow(CutOff{Role: []Role{HeadRole, MiddleRole, TailRole}[f.B%3], ForUs: f.ForUs + 3*sec, Way: []Way{SilentWay, MuteWay, DeafWay, ResetWay}[f.A%4], Lure: true, Meet: true, Drain: true}, d.nowUs)
 	case "one-way", "split-core":
 		other := d.offices[(f.B)%len(d.offices)]
 		if other == o || other.removed {
@@ -498,6 +501,9 @@
 				d.killOffice(o, 0, f.ForUs)
 			}
 		}
+	case "withdraw":
+		d.fresh(p)
+		p.withdraw()
 	case "scale-in":
 		if len(cards) <= d.plan.Cards-1 {
 			return false
