--- a/internal/chain/explore_test.go
+++ b/internal/chain/explore_test.go
@@ -36,6 +36,8 @@
 	copies int
 	// hushed: hellos are lost on their way.
 	hushed bool
+	// cuts are the ways on which nothing arrives.
+	cuts map[[2]int]bool
 }
 
 type place struct {
@@ -126,7 +128,7 @@
 			}
 		}
 	}
-	fmt.Fprint(&text, b.crashes, b.ticks, b.writes, b.fills, len(b.acked))
+	fmt.Fprint(&text, len(b.cuts), b.crashes, b.ticks, b.writes, b.fills, len(b.acked))
 	return text.String()
 }
 
@@ -269,7 +271,7 @@
 				continue
 			}
 			m := e.Send.Msg
-			if m.Hello != nil && b.hushed {
+			if b.cuts[[2]int{i, j}] || (m.Hello != nil && b.hushed) {
 				continue
 			}
 			if m.Hello != nil {
@@ -414,7 +416,11 @@
 	}
 }
 
-type limits struct{ crashes, ticks, writes, fills int }
+type limits struct {
+	crashes, ticks, writes, fills int
+	// heals: links that are cut may be whole again.
+	heals bool
+}
 
 // next lists every state one action away.
 func (b *box) next(l limits) []*box {
@@ -449,6 +455,9 @@
 			})
 		}
 	}
+	if l.heals && len(b.cuts) > 0 {
+		try(func(c *box) { c.cuts = nil })
+	}
 	if b.ticks < l.ticks {
 		try(func(c *box) { c.tick() })
 	}
@@ -661,6 +670,8 @@
 	}
 }
 
+const crashEvery = 50
+
 // choices are the actions open at a moment, crashes and ticks kept rarer than deliveries.
 func (b *box) choices(r uint64) []func(*box) {
 	acts := []func(*box){}
@@ -687,7 +698,7 @@
 			}
 		}
 	}
-	if r%50 == 1 && down == 0 {
+	if r%crashEvery == 1 && down == 0 {
 		acts = append(acts, func(c *box) { c.crash(int(r/64) % 3) })
 	}
 	if r%20 == 3 {
