--- a/internal/actor/actor.go
+++ b/internal/actor/actor.go
@@ -15,11 +15,13 @@
 	group   sync.WaitGroup
 }
 
+// New makes an actor whose mailbox holds so many functions before Tell and Ask wait. It runs nothing until Loop is called.
 func New(mailboxMost int) *Actor {
 	ctx, stop := context.WithCancel(context.Background())
 	return &Actor{mailbox: make(chan func(), mailboxMost), Ctx: ctx, stop: stop}
 }
 
+// Spawn runs a helper on a goroutine of its own; End waits for it.
 func (a *Actor) Spawn(run func()) {
 	a.group.Add(1)
 	go func() {
@@ -44,6 +46,7 @@
 	}
 }
 
+// Tell puts a function into the mailbox and does not wait until it has run. Once the actor has ended it is dropped.
 func (a *Actor) Tell(act func()) {
 	select {
 	case a.mailbox <- act:
@@ -91,6 +94,7 @@
 // Stop ends the loop and every helper that watches Ctx; End waits for them too.
 func (a *Actor) Stop() { a.stop() }
 
+// End ends the loop as Stop does, and waits until every helper has returned.
 func (a *Actor) End() {
 	a.stop()
 	a.group.Wait()
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -11,6 +11,7 @@
 	return ts.Sec*1_000_000 + ts.Nsec/1_000
 }
 
+// Ms and Sec are a millisecond and a second in microseconds, the unit of all times in the product.
 const (
 	Ms  int64 = 1_000
 	Sec int64 = 1_000_000
--- a/internal/comparison/comparison.go
+++ b/internal/comparison/comparison.go
@@ -39,6 +39,8 @@
 	LoadedMb int64
 }
 
+// Options say what is compared: the two policies, an even number of windows, how long each is and how long the fleet
+// settles before it, and the seed of their order. With GoOn a spoilt window does not end the comparison.
 type Options struct {
 	First   standing.Policy
 	Second  standing.Policy
@@ -49,6 +51,7 @@
 	GoOn    bool
 }
 
+// Check returns all that is wrong with the options, nil for nothing.
 func (o Options) Check() *fault.Fault {
 	sheet := &fault.Sheet{}
 	if o.Windows < 2 || o.Windows > 1000 || o.Windows%2 != 0 {
@@ -88,6 +91,8 @@
 	return turns
 }
 
+// Window is what was measured under one policy; Policy is 0 for the first and 1 for the second. Spoilt says why it does
+// not count, and is empty where it does.
 type Window struct {
 	Number   int
 	Policy   int
@@ -99,6 +104,7 @@
 	read     bool
 }
 
+// Result is what became of a comparison; Stopped is why it ended early, nil where it did not.
 type Result struct {
 	Options Options
 	Windows []Window
@@ -353,7 +359,7 @@
 	return &Unrestored{Policy: r.first, Last: last}
 }
 
-// Unrestored: the policy that was in force before could not be put back.
+// Unrestored is the error where the policy that was in force before could not be put back.
 type Unrestored struct {
 	Policy standing.Policy
 	Last   *fault.Fault
--- a/internal/comparison/report.go
+++ b/internal/comparison/report.go
@@ -50,6 +50,7 @@
 	First, Second    []float64
 }
 
+// Diff is the second policy's figure less the first's, over the pairs.
 func (r Row) Diff() weigh.Diff { return weigh.Paired(r.First, r.Second) }
 
 // Pairs are the pairs of windows of which neither is spoilt or unread, first policy first.
@@ -67,6 +68,7 @@
 	return pairs
 }
 
+// Rows are all figures of all kinds of request, and the loads, over the clean pairs.
 func (r Result) Rows() []Row {
 	pairs := r.Pairs()
 	kinds := map[string]bool{}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -5,8 +5,11 @@
 	"strings"
 )
 
+// Code names what went wrong. It is what callers and operators see, so that a code keeps its name.
 type Code string
 
+// Codes of requests, which callers see, and below them those of orders, policies, settings and data, which operators
+// see.
 const (
 	BadJSON        Code = "bad_json"
 	TooLarge       Code = "too_large"
@@ -62,6 +65,7 @@
 	NotRestored     Code = "not_restored"
 )
 
+// Whether a replica ran a request: not at all, perhaps, to its end, in part.
 const (
 	RunNone    = "none"
 	RunUnknown = "unknown"
@@ -69,6 +73,8 @@
 	RunPartial = "partial"
 )
 
+// Fault is one thing that went wrong, or a list of them under one code. Run is set for requests alone; RetryMs is how
+// long to wait before trying again, 0 for no advice; Revision is the configuration in force where an order was refused.
 type Fault struct {
 	Code     Code    `json:"code"`
 	Field    string  `json:"field,omitempty"`
@@ -93,26 +99,32 @@
 	return text
 }
 
+// New makes a fault; the detail is formatted as fmt.Sprintf does. Field may be empty.
 func New(code Code, field, format string, args ...any) *Fault {
 	return &Fault{Code: code, Field: field, Detail: fmt.Sprintf(format, args...)}
 }
 
+// Sheet collects faults, so that all of an input are told at once. Its zero value is ready to use.
 type Sheet struct {
 	Faults []Fault
 }
 
+// Add puts a fault on the sheet; nil is passed over.
 func (s *Sheet) Add(f *Fault) {
 	if f != nil {
 		s.Faults = append(s.Faults, *f)
 	}
 }
 
+// Note makes a fault as New does and puts it on the sheet.
 func (s *Sheet) Note(code Code, field, format string, args ...any) {
 	s.Add(New(code, field, format, args...))
 }
 
+// Seen says whether anything is on the sheet.
 func (s *Sheet) Seen() bool { return len(s.Faults) > 0 }
 
+// As is one fault with all of the sheet inside, or nil where the sheet is empty.
 func (s *Sheet) As(code Code) *Fault {
 	if !s.Seen() {
 		return nil
--- a/internal/logring/logring.go
+++ b/internal/logring/logring.go
@@ -28,14 +28,17 @@
 	Aloud bool
 }
 
+// NewRing makes a ring that is dumped into files of a folder, or to out where the folder is empty.
 func NewRing(folder string, out io.Writer) *Ring {
 	return &Ring{lines: make([][]byte, 0, linesMost), folder: folder, out: out}
 }
 
+// Logger writes lines in the logfmt form to the ring, each with its time and the process's role and name.
 func (r *Ring) Logger(role, name string) log.Logger {
 	return log.With(log.NewLogfmtLogger(r), "at", log.DefaultTimestampUTC, "role", role, "name", name)
 }
 
+// Write keeps one line and drops the oldest where the ring is full. It never fails.
 func (r *Ring) Write(line []byte) (int, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -52,6 +55,7 @@
 	return len(line), nil
 }
 
+// Bytes are all lines that are kept, oldest first.
 func (r *Ring) Bytes() []byte {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/outlier/fleet.go
+++ b/internal/outlier/fleet.go
@@ -170,6 +170,7 @@
 	Wide      uint64
 }
 
+// NewFleet is a fleet of which nothing has been told.
 func NewFleet(opts Options) *Fleet {
 	return &Fleet{opts: opts.filled(), services: map[string]*service{}, suspects: map[string]*suspect{}, desks: map[string]int64{}}
 }
@@ -188,6 +189,7 @@
 	}
 }
 
+// Table are the verdicts that stand, as Judge left them.
 func (f *Fleet) Table() Table { return f.table }
 
 // Kept says that a replica is kept from the desks of all zones, wholly or in part.
--- a/internal/outlier/local.go
+++ b/internal/outlier/local.go
@@ -42,6 +42,7 @@
 	offUs  int64
 }
 
+// NewLocal is the sight of a gateway that has sent nothing.
 func NewLocal(opts Options) *Local {
 	return &Local{
 		opts: opts.filled(), replicas: map[string]*local{}, legs: map[string]int{}, share: map[string]*[classes]float64{},
--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -11,24 +11,26 @@
 // Class is what became of one leg, as far as it tells of the replica.
 type Class int32
 
+// What became of a leg.
 const (
-	// None: nobody has told.
+	// None means that nobody has told.
 	None Class = iota
+	// Good is a whole answer.
 	Good
-	// ConnectRefused and ConnectTimeout: no connection came about.
+	// ConnectRefused and ConnectTimeout mean that no connection came about.
 	ConnectRefused
 	ConnectTimeout
-	// ResetFresh: a new connection ended before the first byte of an answer.
+	// ResetFresh means that a new connection ended before the first byte of an answer.
 	ResetFresh
-	// ResetReused: a kept connection did; it may have been dead before, so that it says nothing of the replica.
+	// ResetReused means that a kept connection did; it may have been dead before, so that it says nothing of the replica.
 	ResetReused
 	Silence
 	ErrorAnswer
 	BrokenStream
-	// Shed: the replica turned the leg away unrun.
+	// Shed means that the replica turned the leg away unrun.
 	Shed
 	Slow
-	// Inconclusive: it ended for a reason that is not the replica's.
+	// Inconclusive means that it ended for a reason that is not the replica's.
 	Inconclusive
 	classes
 )
@@ -119,6 +121,7 @@
 	Rows   []Row  `json:"rows"`
 }
 
+// After says whether this table is newer than another.
 func (t Table) After(o Table) bool {
 	return t.Epoch > o.Epoch || (t.Epoch == o.Epoch && t.Number > o.Number)
 }
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -92,6 +92,7 @@
 	firstUs []int64
 }
 
+// FirstMs is the quantile of the times to a first piece, in milliseconds, 0 where none came.
 func (r Row) FirstMs(part float64) float64 {
 	if len(r.firstUs) == 0 {
 		return 0
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -48,6 +48,7 @@
 
 var unzippers = sync.Pool{New: func() any { return new(gzip.Reader) }}
 
+// Paths of the procedures that core nodes and gateways serve to each other.
 const (
 	PostPath   = "/petreltide.Office/Post"
 	WherePath  = "/petreltide.Office/Where"
@@ -81,15 +82,18 @@
 	}}
 }
 
+// Caller calls one procedure at one address. It is safe for use by several goroutines.
 type Caller[Req, Res any] struct {
 	client *connect.Client[Req, Res]
 }
 
+// NewCaller makes a caller of the procedure at a path; h bounds how long dialling may take.
 func NewCaller[Req, Res any](h *http.Client, addr, path string) *Caller[Req, Res] {
 	return &Caller[Req, Res]{client: connect.NewClient[Req, Res](h, "http://"+addr+path,
 		connect.WithCodec(plain{}), connect.WithReadMaxBytes(readMost))}
 }
 
+// Call sends one request and waits for its answer. It is sent once: whether to send again is for who calls.
 func (c *Caller[Req, Res]) Call(ctx context.Context, req *Req) (*Res, error) {
 	res, err := c.client.CallUnary(ctx, connect.NewRequest(req))
 	if err != nil {
@@ -98,10 +102,12 @@
 	return res.Msg, nil
 }
 
+// Stream sends one request and returns the stream of its answers, which ends with ctx.
 func (c *Caller[Req, Res]) Stream(ctx context.Context, req *Req) (*connect.ServerStreamForClient[Res], error) {
 	return c.client.CallServerStream(ctx, connect.NewRequest(req))
 }
 
+// Serve answers a procedure of one request and one answer at a path; an error reaches the caller as unavailable.
 func Serve[Req, Res any](mux *http.ServeMux, path string, serve func(context.Context, *Req) (*Res, error)) {
 	mux.Handle(path, connect.NewUnaryHandler(path, func(ctx context.Context, req *connect.Request[Req]) (*connect.Response[Res], error) {
 		res, err := serve(ctx, req.Msg)
@@ -112,6 +118,7 @@
 	}, connect.WithCodec(plain{}), connect.WithReadMaxBytes(readMost), connect.WithCompressMinBytes(zipLeast)))
 }
 
+// ServeStream answers a procedure whose answers are sent one by one, until serve returns.
 func ServeStream[Req, Res any](mux *http.ServeMux, path string, serve func(context.Context, *Req, func(*Res) error) error, opts ...connect.HandlerOption) {
 	mux.Handle(path, connect.NewServerStreamHandler(path, func(ctx context.Context, req *connect.Request[Req], stream *connect.ServerStream[Res]) error {
 		if err := serve(ctx, req.Msg, stream.Send); err != nil {
--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -6,11 +6,13 @@
 	"petreltide/internal/standing"
 )
 
+// Room is one replica and how much it holds.
 type Room struct {
 	ID     string
 	RoomMb int64
 }
 
+// Input is what the counts depend on: calls a second and calls waiting by model, and the replicas that can be used.
 type Input struct {
 	Doc     *standing.Declaration
 	Rates   map[string]float64
@@ -18,6 +20,8 @@
 	Usable  []Room
 }
 
+// Count is how many replicas a model gets, and Wanted how many it would get if there were room. PerSecond and LatencyMs
+// are those of the table at Replicas; Covers says that they bear the rate.
 type Count struct {
 	Model     string  `json:"model"`
 	Replicas  int     `json:"replicas"`
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,6 +15,7 @@
 	"petreltide/internal/standing"
 )
 
+// Office are the settings of a core node. Times are milliseconds, addresses IP:port.
 type Office struct {
 	Name      string   `json:"name" validate:"required,max=64,hostname_rfc1123"`
 	Listen    string   `json:"listen" validate:"required"`
@@ -61,8 +62,10 @@
 	return outlier.Options{MostShare: o.MostShare, FalseUs: o.FalseMs * clock.Ms, OutUs: o.OutMs * clock.Ms, OutMostUs: o.OutMostMs * clock.Ms, Off: o.Off}
 }
 
+// Members says who changes the members of the chain.
 type Members string
 
+// CommandMembers leaves it to operators, SelfMembers to the core nodes themselves.
 const (
 	CommandMembers Members = "command"
 	SelfMembers    Members = "self"
@@ -72,6 +75,7 @@
 // declaration in force as a standing ticket, which a desk cut off from the core goes on with.
 type Legs string
 
+// GrantedLegs want a lease, DeclaredLegs only a configuration.
 const (
 	GrantedLegs  Legs = "granted"
 	DeclaredLegs Legs = "declared"
@@ -93,6 +97,7 @@
 	Gaps    int64 `json:"gaps,omitempty" validate:"min=0,max=1000"`
 }
 
+// Desk are the settings of a gateway. Times are milliseconds, addresses IP:port.
 type Desk struct {
 	Name       string   `json:"name" validate:"required,max=64,hostname_rfc1123"`
 	Listen     string   `json:"listen" validate:"required"`
@@ -130,6 +135,8 @@
 	return nil
 }
 
+// Check fills in the advertised address and returns all that is wrong, nil for nothing. It tries whether the data folder
+// takes a file.
 func (o *Office) Check() *fault.Fault {
 	sheet := standing.Struct(fault.BadSettings, o)
 	o.Advertise = reached(sheet, o.Listen, o.Advertise)
@@ -147,6 +154,7 @@
 	return sheet.As(fault.BadSettings)
 }
 
+// Check fills in the advertised address and returns all that is wrong, nil for nothing.
 func (d *Desk) Check() *fault.Fault {
 	sheet := standing.Struct(fault.BadSettings, d)
 	d.Advertise = reached(sheet, d.Listen, d.Advertise)
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -7,23 +7,29 @@
 	"petreltide/internal/clock"
 )
 
+// How nodes watch each other.
 const (
+	// Watchers is how many nodes watch each one; all of them must report silence before it counts as failed.
 	Watchers = 2
+	// BeatUs is the time between two heartbeats, SilentUs how long none may come, and ForgetUs when a silent node is let go.
 	BeatUs   = 200 * clock.Ms
 	SilentUs = 900 * clock.Ms
 	ForgetUs = 20 * clock.Sec
 )
 
+// Node is one place on the ring. ID tells processes apart that followed each other at one address.
 type Node struct {
 	ID   string `json:"id"`
 	Addr string `json:"addr"`
 }
 
+// Beat is a heartbeat; Last says that no more will come, since the node ends in order.
 type Beat struct {
 	ID   string `json:"id"`
 	Last bool   `json:"last,omitempty"`
 }
 
+// Silence is what one watcher reports: who has fallen silent, as it sees it.
 type Silence struct {
 	By     string   `json:"by"`
 	Silent []string `json:"silent"`
@@ -79,8 +85,10 @@
 	lastUs  int64
 }
 
+// New is a watch that has heard nobody.
 func New() *Watch { return &Watch{heardUs: map[string]int64{}} }
 
+// Heard takes a heartbeat.
 func (w *Watch) Heard(nowUs int64, b Beat) {
 	w.awake(nowUs)
 	if b.Last {
@@ -100,6 +108,7 @@
 	w.lastUs = nowUs
 }
 
+// Silent are the nodes that were heard once and not for SilentUs, in order.
 func (w *Watch) Silent(nowUs int64) []string {
 	w.awake(nowUs)
 	silent := []string{}
@@ -125,10 +134,13 @@
 	atUs   int64
 }
 
+// NewJury is a jury to which nobody has spoken.
 func NewJury() *Jury { return &Jury{said: map[string]said{}} }
 
+// Say takes a watcher's newest report in the place of its last.
 func (j *Jury) Say(nowUs int64, s Silence) { j.said[s.By] = said{s.Silent, nowUs} }
 
+// Gone says whether enough watchers have lately reported a node as silent.
 func (j *Jury) Gone(nowUs int64, id string) bool {
 	votes := 0
 	for by, s := range j.said {
--- a/internal/weigh/spread.go
+++ b/internal/weigh/spread.go
@@ -10,6 +10,7 @@
 // Spread counts times in buckets, each a tenth wider than the one before.
 type Spread map[int]uint64
 
+// Add counts one time.
 func (s Spread) Add(spanUs int64) {
 	at := 0
 	if spanUs > 100 {
@@ -18,12 +19,14 @@
 	s[at]++
 }
 
+// Join adds the counts of another spread.
 func (s Spread) Join(o Spread) {
 	for at, n := range o {
 		s[at] += n
 	}
 }
 
+// Count is how many times were counted.
 func (s Spread) Count() uint64 {
 	var sum uint64
 	for _, n := range s {
--- a/internal/weigh/weigh.go
+++ b/internal/weigh/weigh.go
@@ -8,13 +8,14 @@
 	Pairs           int
 }
 
-// Seen: the interval leaves zero out.
+// Seen says that the interval leaves zero out.
 func (d Diff) Seen() bool { return d.Pairs > 1 && (d.Low > 0 || d.High < 0) }
 
 // Student's t for 97.5% by degrees of freedom; beyond the list the normal value is near enough.
 var quantile = []float64{0, 12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228, 2.201, 2.179, 2.160, 2.145, 2.131,
 	2.120, 2.110, 2.101, 2.093, 2.086, 2.080, 2.074, 2.069, 2.064, 2.060, 2.056, 2.052, 2.048, 2.045, 2.042}
 
+// Paired compares two series, pair by pair; what is longer in one of them is left out.
 func Paired(a, b []float64) Diff {
 	n := min(len(a), len(b))
 	d := Diff{Pairs: n}
@@ -42,6 +43,7 @@
 	return d
 }
 
+// Mean is the arithmetic mean, 0 of no values.
 func Mean(values []float64) float64 {
 	sum := 0.0
 	for _, v := range values {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -20,6 +20,9 @@
 	Grants   []ledger.Grant        `json:"grants"`
 }
 
+// ReplicaNews is one replica as a gateway needs it. Share is how many requests this gateway may have there at once;
+// LeftMs is how long a leaving replica stays; Stale says that the row comes from
+// the ledger, from before the core nodes came back.
 type ReplicaNews struct {
 	ID        string   `json:"id"`
 	Inc       string   `json:"inc"`
@@ -37,6 +40,7 @@
 	Loading   string   `json:"loading,omitempty"`
 }
 
+// Follow asks a core node for a stream. Revision and Number are what the gateway knows already.
 type Follow struct {
 	Desk     string `json:"desk"`
 	Inc      string `json:"inc"`
@@ -48,6 +52,8 @@
 	Spare bool `json:"spare,omitempty"`
 }
 
+// Report is what a gateway tells a core node, and asks a lease with. Arrivals (a second) and Waiting are by unit, InFlight
+// by replica and Left by "replica|unit"; SentUs is by the gateway's own clock.
 type Report struct {
 	Desk     string             `json:"desk"`
 	Inc      string             `json:"inc"`
@@ -75,11 +81,13 @@
 	Outcomes []outlier.Counts `json:"outcomes,omitempty"`
 }
 
+// Left is how much of a grant a gateway has not used.
 type Left struct {
 	Ticket uint64 `json:"ticket"`
 	Left   uint64 `json:"left"`
 }
 
+// Lease answers a report. SentUs is the report's own, so that the gateway counts LeaseUs from when it sent it.
 type Lease struct {
 	OK      bool         `json:"ok"`
 	View    uint64       `json:"view"`
@@ -89,15 +97,18 @@
 	Ring    []watch.Node `json:"ring,omitempty"`
 }
 
+// WhereAsk asks a core node for the members that it knows.
 type WhereAsk struct {
 	From chain.Member `json:"from"`
 }
 
+// Where answers WhereAsk with the chain's view and all core nodes known.
 type Where struct {
 	View    chain.View     `json:"view"`
 	Offices []chain.Member `json:"offices"`
 }
 
+// Result is what became of a change, told to the core node that took it. Everywhere says that all gateways have it.
 type Result struct {
 	Outcome    ledger.Outcome `json:"outcome"`
 	Everywhere bool           `json:"everywhere"`
@@ -108,6 +119,7 @@
 	Letters []Letter `json:"letters"`
 }
 
+// Letter is one message between core nodes; exactly one field is set.
 type Letter struct {
 	Chain     *chain.Msg     `json:"chain,omitempty"`
 	Result    *Result        `json:"result,omitempty"`
@@ -143,10 +155,12 @@
 	Gone bool   `json:"gone,omitempty"`
 }
 
+// Receipt says no more than that a message has arrived.
 type Receipt struct{}
 
 // Replica and platform interfaces, outward.
 
+// ReplicaState is what a replica answers when it is asked what it holds and does.
 type ReplicaState struct {
 	ID     string           `json:"id"`
 	Inc    string           `json:"inc"`
@@ -161,6 +175,7 @@
 	Units  []string `json:"units,omitempty"`
 }
 
+// Order is one order to a replica: a ticket of the ledger, under the epoch of the controller that sends it.
 type Order struct {
 	Ticket ledger.Ticket `json:"ticket"`
 	Epoch  uint64        `json:"epoch"`
@@ -169,16 +184,18 @@
 	Expected *uint64 `json:"expected,omitempty"`
 }
 
+// What is known of an order. OrderRunning, OrderDone and OrderFailed are what a replica says of one that it has taken.
 const (
 	OrderRunning = "running"
 	OrderDone    = "done"
 	OrderFailed  = "failed"
-	// OrderInDoubt: no answer came; it may have been taken.
+	// OrderInDoubt means that no answer came; the order may have been taken.
 	OrderInDoubt = "in_doubt"
-	// OrderBusy: another order is under way there, or this one was counted wrong.
+	// OrderBusy means that another order is under way there, or that this one was counted wrong.
 	OrderBusy = "busy"
 )
 
+// OrderState is what is known of an order; State is one of the constants above.
 type OrderState struct {
 	Number uint64 `json:"number"`
 	Epoch  uint64 `json:"epoch"`
@@ -186,16 +203,19 @@
 	Why    string `json:"why,omitempty"`
 }
 
+// List is the platform's list of replicas; a greater Version is newer.
 type List struct {
 	Version  uint64   `json:"version"`
 	Replicas []Listed `json:"replicas"`
 }
 
+// ListedReady and ListedDraining are the states of a replica on the platform's list.
 const (
 	ListedReady    = "ready"
 	ListedDraining = "draining"
 )
 
+// Listed is a replica on the platform's list; LeftMs is how long one that is draining stays.
 type Listed struct {
 	ID     string `json:"id"`
 	Addr   string `json:"addr"`
@@ -206,6 +226,7 @@
 	LeftMs int64  `json:"leftMs,omitempty"`
 }
 
+// Leg is one attempt of a call at a replica. Had are the pieces that the caller has, and First the number of the next.
 type Leg struct {
 	Leg     string   `json:"leg"`
 	Ticket  uint64   `json:"ticket"`
@@ -229,6 +250,7 @@
 	Err  string `json:"err,omitempty"`
 }
 
+// LegRefusal is why a replica did not give an answer; Started says whether the leg may have run.
 type LegRefusal struct {
 	Code    string `json:"code"`
 	Started bool   `json:"started"`
