--- a/internal/standing/routes.go
+++ b/internal/standing/routes.go
@@ -11,8 +11,10 @@
 	"petreltide/internal/fault"
 )
 
+// Repeat says what may be done with a route's requests when one is lost.
 type Repeat string
 
+// The repeats of routes: a stream of events, a request that may run more than once, and one that may not.
 const (
 	Streaming     Repeat = "streaming"
 	Idempotent    Repeat = "idempotent"
@@ -37,6 +39,7 @@
 	Source       json.RawMessage `json:"source,omitempty" validate:"-"`
 }
 
+// Weighted is a service and its weight in a route's split.
 type Weighted struct {
 	Service string `json:"service" validate:"required"`
 	Weight  int    `json:"weight" validate:"min=0,max=1000000"`
@@ -76,6 +79,8 @@
 	return false
 }
 
+// Service is a group of replicas that serve the same. ConnectionsMost bounds each gateway's connections to one replica;
+// Engine is nil for services that hold no models.
 type Service struct {
 	Name            string          `json:"name" validate:"required,max=256"`
 	HealthPath      string          `json:"health,omitempty"`
@@ -96,6 +101,7 @@
 	Models       []EngineModel `json:"models" validate:"max=8192,unique=Name,dive"`
 }
 
+// EngineModel is a model that a service's replicas may hold; its adapters are named a1 to a<Adapters>.
 type EngineModel struct {
 	Name      string `json:"name" validate:"required,max=256"`
 	SizeMb    int64  `json:"sizeMb" validate:"min=1"`
@@ -276,6 +282,7 @@
 	return d
 }
 
+// Route finds a route by name; nil where there is none.
 func (d *Declaration) Route(name string) *Route {
 	if d.Index != nil {
 		return d.Index.routes[name]
@@ -293,6 +300,7 @@
 	return nil
 }
 
+// Service finds a service by name; nil where there is none.
 func (d *Declaration) Service(name string) *Service {
 	if d.Index != nil {
 		return d.Index.services[name]
@@ -340,6 +348,7 @@
 	return model, adapter
 }
 
+// Unit joins a model and an adapter to one name; adapter may be empty.
 func Unit(model, adapter string) string {
 	if adapter == "" {
 		return model
@@ -363,7 +372,7 @@
 	return m.AdapterMb, 50, true
 }
 
-// HasAdapter: adapters are named a1, a2 and so on.
+// HasAdapter says whether the model has an adapter of a name; they are named a1, a2 and so on.
 func (m *EngineModel) HasAdapter(name string) bool {
 	if len(name) < 2 || name[0] != 'a' || name[1] == '0' {
 		return false
@@ -418,6 +427,7 @@
 	return n.Indexed()
 }
 
+// Bare is the edit without the operator's own text, as gateways need it.
 func (e *Edit) Bare() *Edit {
 	n := *e
 	n.Routes, n.Services = slices.Clone(e.Routes), slices.Clone(e.Services)
--- a/proofs/capacity/platform/dialect.go
+++ b/proofs/capacity/platform/dialect.go
@@ -192,8 +192,8 @@
 	}
 }
 
+// ReplacePath and UpdatePath take configurations.
 const (
-	// ReplacePath and UpdatePath take configurations.
 	ReplacePath = "/configuration/replace"
 	UpdatePath  = "/configuration/update"
 	// BasedOn names the version that an order builds on.
--- a/proofs/fleet/day.go
+++ b/proofs/fleet/day.go
@@ -18,6 +18,7 @@
 	"petreltide/proofs/rules"
 )
 
+// PlanFor is the plan of an example deployment.
 func PlanFor(deployment string, doc *standing.Declaration) Plan {
 	p := Plan{Offices: 3, Desks: 8, Replicas: 9, Zones: doc.Zones, RoomMb: doc.Replica.RoomMb, Slots: 16,
 		PieceUs: 8_000, FirstUs: 20_000, PartUs: 12_000, Store: doc.Store}
@@ -27,6 +28,7 @@
 	return p
 }
 
+// DayPlan is the demand and the faults of a day. With Soak, faults are drawn until so much time is over.
 type DayPlan struct {
 	PerSecond float64
 	Span      time.Duration
@@ -81,7 +83,7 @@
 	return f.Until(ctx, "every model is held and every desk has a lease", func() bool { return f.Settled(ctx) })
 }
 
-// Settled: every counted model has its first holder and every desk holds a lease.
+// Settled says that every counted model has its first holder and every desk holds a lease.
 func (f *Fleet) Settled(ctx context.Context) bool {
 	tail, ok := f.Tail(ctx)
 	if !ok || len(tail.Desks) < len(f.Names("desk")) {
@@ -121,6 +123,7 @@
 	return true
 }
 
+// Head is the status of the core node that leads; ok is false where none does.
 func (f *Fleet) Head(ctx context.Context) (st officeStatus, ok bool) {
 	for _, name := range f.Names("office") {
 		if st, ok = f.Status(ctx, name); ok && st.OnDuty {
--- a/proofs/fleet/demand.go
+++ b/proofs/fleet/demand.go
@@ -19,6 +19,7 @@
 	"petreltide/proofs/rules"
 )
 
+// Demand is seeded calls at a rate; Rare asks for the less popular half of the models.
 type Demand struct {
 	Doc       *standing.Declaration
 	PerSecond float64
@@ -114,6 +115,7 @@
 	}
 }
 
+// KindRow sums what became of the calls of one kind; times are milliseconds.
 type KindRow struct {
 	Kind     string
 	Calls    int
@@ -125,6 +127,7 @@
 	WholeP50 float64
 }
 
+// Rows sums calls by kind, in order of the kinds' names.
 func Rows(told []rules.Told) []KindRow {
 	byKind := map[string][]rules.Told{}
 	for _, t := range told {
@@ -151,6 +154,7 @@
 	return rows
 }
 
+// Percentile is the value below which p in 100 of the list lie, 0 of an empty one.
 func Percentile(list []float64, p float64) float64 {
 	if len(list) == 0 {
 		return 0
@@ -177,4 +181,5 @@
 	return float64(ended) / float64(all), all
 }
 
+// NowUs reads the machine's clock.
 func NowUs() int64 { return clock.NowUs() }
--- a/proofs/fleet/fleet.go
+++ b/proofs/fleet/fleet.go
@@ -29,6 +29,8 @@
 	"petreltide/proofs/rules"
 )
 
+// Plan says which processes there are, and how the stand-in replicas among them work. Petreltide and Self are paths of the
+// product and of the fleet command.
 type Plan struct {
 	Petreltide string
 	Self       string
@@ -47,6 +49,7 @@
 	Seed       int64
 }
 
+// Proc is one process: Addr is where it listens and Reach where others reach it.
 type Proc struct {
 	Name  string
 	Role  string
@@ -81,6 +84,7 @@
 	lives    int
 }
 
+// FreeAddr is a loopback address that nobody listens on now.
 func FreeAddr() string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -90,6 +94,7 @@
 	return l.Addr().String()
 }
 
+// New serves the platform's side; Start starts the processes.
 func New(plan Plan) (*Fleet, error) {
 	f := &Fleet{Plan: plan, procs: map[string]*Proc{}, net: relay.New(), Caused: map[string]int{}, r: rand.New(rand.NewSource(plan.Seed))}
 	f.Platform = platform.New(platform.NewStore(plan.Store.Loads, plan.Store.MbPerSecond, plan.Store.BurstMb))
@@ -160,6 +165,7 @@
 	return nil
 }
 
+// AddOffice starts one more core node.
 func (f *Fleet) AddOffice(name, zone string, seeds []string, founding int) error {
 	addr, reach, err := f.place(name)
 	if err != nil {
@@ -175,6 +181,7 @@
 	}})
 }
 
+// AddDesk starts one more gateway.
 func (f *Fleet) AddDesk(name, zone string, seeds []string) error {
 	addr, reach, err := f.place(name)
 	if err != nil {
@@ -185,6 +192,7 @@
 	}})
 }
 
+// AddReplica starts a replica and puts it on the platform's list.
 func (f *Fleet) AddReplica(name, zone string) error {
 	addr, reach, err := f.place(name)
 	if err != nil {
@@ -233,12 +241,14 @@
 	return nil
 }
 
+// Proc is the newest process of a name, nil for none.
 func (f *Fleet) Proc(name string) *Proc {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.procs[name]
 }
 
+// Names are the processes of a role, in order.
 func (f *Fleet) Names(role string) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -252,6 +262,7 @@
 	return names
 }
 
+// Addrs are where the processes of a role listen, in order of their names.
 func (f *Fleet) Addrs(role string) []string {
 	addrs := []string{}
 	for _, n := range f.Names(role) {
@@ -260,12 +271,14 @@
 	return addrs
 }
 
+// Signal sends a signal to a process of this fleet.
 func (f *Fleet) Signal(name string, sig syscall.Signal) {
 	if p := f.Proc(name); p != nil {
 		_ = p.cmd.Process.Signal(sig)
 	}
 }
 
+// Kill ends a process of this fleet at once and waits for its end.
 func (f *Fleet) Kill(name string) {
 	p := f.Proc(name)
 	if p == nil {
@@ -275,11 +288,13 @@
 	<-p.gone
 }
 
+// Again starts an ended process with the arguments that it had.
 func (f *Fleet) Again(name string) error {
 	p := f.Proc(name)
 	return f.run(&Proc{Name: p.Name, Role: p.Role, Addr: p.Addr, Reach: p.Reach, Zone: p.Zone, bin: p.bin, Args: p.Args})
 }
 
+// Stop ends all processes of this fleet and what it serves itself.
 func (f *Fleet) Stop() {
 	f.mu.Lock()
 	procs := []*Proc{}
@@ -315,11 +330,13 @@
 	rules.Over(f.Notices, name, clock.NowUs())
 }
 
+// Reply is the whole answer to one request.
 type Reply struct {
 	Status int
 	Body   []byte
 }
 
+// Ask sends one request to one address.
 func (f *Fleet) Ask(ctx context.Context, office, method, path, body string) (Reply, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+office+path, strings.NewReader(body))
 	if err != nil {
@@ -368,6 +385,7 @@
 	return office.Status{}, false
 }
 
+// Status asks one core node for its status.
 func (f *Fleet) Status(ctx context.Context, name string) (office.Status, bool) {
 	short, done := context.WithTimeout(ctx, time.Second)
 	defer done()
@@ -412,6 +430,7 @@
 	return seen, nil
 }
 
+// ReadJournal reads what a replica noted; a last line that was cut off is passed over.
 func ReadJournal(text string) ([]modelserver.Run, []modelserver.OrderSeen) {
 	byLeg := map[string]int{}
 	runs := []modelserver.Run{}
@@ -437,6 +456,7 @@
 	return runs, orders
 }
 
+// Note keeps what one caller saw.
 func (f *Fleet) Note(t rules.Told) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/proofs/modelserver/core.go
+++ b/proofs/modelserver/core.go
@@ -37,6 +37,8 @@
 	Order *OrderSeen `json:"order,omitempty"`
 }
 
+// OrderSeen is one order as the replica saw it; Why says why it was not taken, and Over that it asked for more than the
+// room there is.
 type OrderSeen struct {
 	Replica string      `json:"replica"`
 	Inc     string      `json:"inc"`
@@ -51,6 +53,7 @@
 	Over    bool        `json:"over,omitempty"`
 }
 
+// Options are one life of a replica. With Fetch a load also waits for Fetched; Journal may be nil.
 type Options struct {
 	ID      string
 	Inc     string
@@ -81,10 +84,12 @@
 	Orders   []OrderSeen
 }
 
+// NewCore is a replica that holds nothing.
 func NewCore(opts Options) *Core {
 	return &Core{opts: opts, holds: map[string]int64{}, legs: map[string]*Run{}, seenLegs: map[string]bool{}, prefixes: map[string]bool{}}
 }
 
+// State is what the replica says when it is asked.
 func (c *Core) State() wire.ReplicaState {
 	st := wire.ReplicaState{ID: c.opts.ID, Inc: c.opts.Inc, Active: len(c.legs), Holds: []ledger.Holding{}}
 	units := make([]string, 0, len(c.holds))
@@ -102,6 +107,7 @@
 	return st
 }
 
+// TakenMb is the room of all that it holds.
 func (c *Core) TakenMb() int64 {
 	var sumMb int64
 	for _, mb := range c.holds {
@@ -153,6 +159,7 @@
 	return *c.last, false
 }
 
+// Tick ends the order under way where its time has come.
 func (c *Core) Tick(nowUs int64) {
 	if c.order == nil || nowUs < c.doneUs || !c.fetched {
 		return
@@ -171,6 +178,7 @@
 	c.order = nil
 }
 
+// FailOrder ends the order under way without effect.
 func (c *Core) FailOrder(why string) {
 	if c.order != nil {
 		c.last.State, c.last.Why = wire.OrderFailed, why
@@ -178,6 +186,7 @@
 	}
 }
 
+// Fetched says that the weights for an order have come.
 func (c *Core) Fetched(nowUs int64, number uint64) {
 	if c.order != nil && c.order.Number == number {
 		c.fetched = true
@@ -185,8 +194,10 @@
 	}
 }
 
+// LoadUs is how long a load of some size takes.
 func (c *Core) LoadUs(sizeMb int64) int64 { return c.opts.LoadUs(sizeMb) }
 
+// TagOf is the first word of a prompt, by which proofs know a call again.
 func TagOf(prompt string) string {
 	tag, _, _ := strings.Cut(prompt, " ")
 	return tag
@@ -210,6 +221,7 @@
 	return fmt.Sprintf("%016x~%s", h.Sum64(), nonce)
 }
 
+// StartLeg begins a run and returns it with the time to its first piece, or says why not.
 func (c *Core) StartLeg(nowUs int64, l wire.Leg) (*Run, *wire.LegRefusal, int64) {
 	refuse := func(code string) (*Run, *wire.LegRefusal, int64) {
 		return nil, &wire.LegRefusal{Code: code, Started: false}, 0
@@ -252,6 +264,7 @@
 	return r, nil, c.opts.FirstUs + int64(cold+len(l.Had)/16)*c.opts.PartUs
 }
 
+// EndLeg ends a run; whole says that all of the answer was sent.
 func (c *Core) EndLeg(nowUs int64, r *Run, whole bool) {
 	r.Ended = whole
 	delete(c.legs, r.Leg)
@@ -274,8 +287,11 @@
 	return runs
 }
 
+// Running says whether a leg runs now.
 func (c *Core) Running(leg string) bool { return c.legs[leg] != nil }
 
+// PieceUs is the time between two pieces.
 func (c *Core) PieceUs() int64 { return c.opts.PieceUs }
 
+// ID names the replica and this life of it.
 func (c *Core) ID() (string, string) { return c.opts.ID, c.opts.Inc }
--- a/proofs/modelserver/host.go
+++ b/proofs/modelserver/host.go
@@ -23,10 +23,12 @@
 	Naughty string
 }
 
+// NewHost serves a core; store is the address of the weight store, empty for none.
 func NewHost(core *Core, store string) *Host {
 	return &Host{core: core, stops: map[string]chan struct{}{}, store: store}
 }
 
+// Serve answers on a listener until ctx ends.
 func (h *Host) Serve(ctx context.Context, l net.Listener) error {
 	server := &http.Server{Handler: h.handler()}
 	go func() {
--- a/proofs/platform/platform.go
+++ b/proofs/platform/platform.go
@@ -11,6 +11,7 @@
 	"petreltide/internal/wire"
 )
 
+// Fetch is one load from the store of weights, which lasts HoldUs.
 type Fetch struct {
 	Replica string `json:"replica"`
 	Unit    string `json:"unit"`
@@ -31,10 +32,12 @@
 	Broken   []string
 }
 
+// NewStore is a store that allows so many loads at once, and MB a second with a burst.
 func NewStore(loads int, perSecMb, burstMb int64) *Store {
 	return &Store{Loads: loads, PerSecMb: perSecMb, BurstMb: burstMb, running: map[string]bool{}}
 }
 
+// Fetch begins a load and notes where it is more than the store allows.
 func (s *Store) Fetch(nowUs int64, f Fetch) {
 	f.AtUs = nowUs
 	s.level = max(0, s.level-float64(nowUs-s.atUs)/1e6*float64(s.PerSecMb)) + float64(f.SizeMb)
@@ -49,8 +52,10 @@
 	}
 }
 
+// Running is how many replicas load now.
 func (s *Store) Running() int { return len(s.running) }
 
+// LevelMb is how much of the burst is used.
 func (s *Store) LevelMb(nowUs int64) float64 {
 	return max(0, s.level-float64(nowUs-s.atUs)/1e6*float64(s.PerSecMb))
 }
@@ -61,6 +66,7 @@
 	s.Loads, s.PerSecMb = loads, perSecMb
 }
 
+// Done ends a replica's load.
 func (s *Store) Done(replica string) { delete(s.running, replica) }
 
 // Platform keeps the replica list and serves it with the weight store.
@@ -73,10 +79,12 @@
 	Mood    string
 }
 
+// New is a platform with an empty list.
 func New(store *Store) *Platform {
 	return &Platform{rows: map[string]wire.Listed{}, toldUs: map[string]int64{}, Store: store, version: 1}
 }
 
+// Set puts a replica on the list in the place of what stood there for it.
 func (p *Platform) Set(l wire.Listed) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -87,6 +95,7 @@
 	}
 }
 
+// Drop takes a replica off the list.
 func (p *Platform) Drop(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -94,6 +103,7 @@
 	delete(p.rows, id)
 }
 
+// SetMood says how the list is served from now on: "down", "garbage", "empty", "stale", or well where it is "".
 func (p *Platform) SetMood(mood string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -115,6 +125,7 @@
 	return list
 }
 
+// ToldUs is when each leaving replica was first shown as leaving.
 func (p *Platform) ToldUs() map[string]int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -125,12 +136,14 @@
 	return told
 }
 
+// StoreBroken is what was noted against the loads, and how many there were.
 func (p *Platform) StoreBroken() ([]string, int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return append([]string(nil), p.Store.Broken...), len(p.Store.Fetches)
 }
 
+// Handler serves the list and the store.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/replicas", func(w http.ResponseWriter, _ *http.Request) {
--- a/proofs/platform/replica/core.go
+++ b/proofs/platform/replica/core.go
@@ -88,6 +88,7 @@
 // Ailment is one way in which a replica fails a request while its word of itself is good.
 type Ailment int
 
+// The ailments. Sound is none.
 const (
 	Sound  Ailment = iota
 	Errs           // it runs and gets a 500
@@ -209,6 +210,7 @@
 	muted   map[uint64]*work
 }
 
+// NewCore begins a life that holds what its options say.
 func NewCore(o Options) *Core {
 	c := &Core{opts: o, held: map[string]bool{}, kept: map[string]int64{}, keptUs: map[string]int64{}, reading: map[*work]int64{}, muted: map[uint64]*work{}}
 	if c.opts.Disk == nil {
@@ -221,11 +223,20 @@
 	return c
 }
 
-func (c *Core) ID() string      { return c.opts.ID }
+// ID names this life.
+func (c *Core) ID() string { return c.opts.ID }
+
+// Service is the one that it serves.
 func (c *Core) Service() string { return c.opts.Service }
-func (c *Core) Addr() string    { return c.opts.Addr }
-func (c *Core) Zone() string    { return c.opts.Zone }
-func (c *Core) Busy() bool      { return len(c.running)+len(c.waiting) > 0 }
+
+// Addr is where it listens.
+func (c *Core) Addr() string { return c.opts.Addr }
+
+// Zone is where its machine is.
+func (c *Core) Zone() string { return c.opts.Zone }
+
+// Busy says that requests wait or run.
+func (c *Core) Busy() bool { return len(c.running)+len(c.waiting) > 0 }
 
 // Units are what it holds, in order.
 func (c *Core) Units() []string { return slices.Sorted(maps.Keys(c.held)) }
@@ -275,6 +286,7 @@
 	Running int
 }
 
+// Report is what it says of itself at a time; what it holds is told as it was reportLagUs earlier.
 func (c *Core) Report(nowUs int64) Report {
 	r := Report{Units: c.Units(), Busy: c.order != nil, Orders: c.orders, Waiting: len(c.waiting), Running: len(c.running)}
 	for i := len(c.past) - 1; i >= 0; i-- {
--- a/proofs/platform/replica/host.go
+++ b/proofs/platform/replica/host.go
@@ -71,6 +71,7 @@
 	return h, nil
 }
 
+// ID names this life.
 func (h *Host) ID() string { return h.opts.Core.ID }
 
 // Ill makes this life turn requests away or break them off from now on, or no more.
@@ -355,5 +356,8 @@
 	return ""
 }
 
+// Service is the one that it serves.
 func (h *Host) Service() string { return h.opts.Core.Service }
-func (h *Host) Zone() string    { return h.opts.Core.Zone }
+
+// Zone is where its machine is.
+func (h *Host) Zone() string { return h.opts.Core.Zone }
--- a/proofs/relay/relay.go
+++ b/proofs/relay/relay.go
@@ -25,6 +25,7 @@
 	listener net.Listener
 }
 
+// New is a switch without relays; nothing is cut.
 func New() *Switch {
 	s := &Switch{names: map[string]string{}, cuts: map[[2]string]int{}, held: map[[2]string]int{}}
 	s.change = sync.NewCond(&s.mu)
@@ -120,6 +121,7 @@
 // Cut stops all that goes from one to the other; Mend lets it go on.
 func (s *Switch) Cut(from, to string) { s.turn(from, to, 1) }
 
+// Mend lets what goes from one to the other go on, once it has been called as often as Cut.
 func (s *Switch) Mend(from, to string) { s.turn(from, to, -1) }
 
 func (s *Switch) turn(from, to string, by int) {
@@ -137,6 +139,7 @@
 	return s.held[[2]string{from, to}]
 }
 
+// Close ends all relays and lets go of what was held back.
 func (s *Switch) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/proofs/rules/routed.go
+++ b/proofs/rules/routed.go
@@ -160,7 +160,7 @@
 	Unordered string
 }
 
-// Served: the client got the whole of a success.
+// Served says that the client got the whole of a success.
 func (t *Try) Served() bool { return t.Complete && t.Status/100 == 2 }
 
 // Leave is a replica's leaving as a machine acknowledged it; SaidUs is when it was first said.
--- a/proofs/rules/rules.go
+++ b/proofs/rules/rules.go
@@ -10,6 +10,7 @@
 	"petreltide/proofs/modelserver"
 )
 
+// What must never happen, as the brief words it.
 const (
 	RunsTwice    = "a request that cannot be resumed ran twice"
 	NotRunLie    = "a client was told not run, but it ran"
@@ -29,6 +30,8 @@
 // All are the lines of the brief that must never happen.
 var All = []string{RunsTwice, NotRunLie, StreamBroken, ForeignEnd, AfterNotice, OldWay, IntoEmptied, TicketClash, OverRoom, OverStore, ConfigLost, PoorService}
 
+// How long after a notice, a change, an emptying and a return the rules begin to hold. Open is the end of what has none
+// yet.
 const (
 	NoticeUs  = 3_000_000
 	ChangeUs  = 2_000_000
@@ -64,6 +67,7 @@
 	EndUs     int64
 }
 
+// Span is the time in which something stood.
 type Span struct {
 	ID     string
 	FromUs int64
@@ -88,6 +92,7 @@
 	}
 }
 
+// Seen is all that a run left to be judged.
 type Seen struct {
 	Runs       []modelserver.Run
 	Orders     []modelserver.OrderSeen
@@ -98,6 +103,7 @@
 	StoreBroke []string
 }
 
+// Breach is one rule broken, and how.
 type Breach struct {
 	Rule   string
 	Detail string
@@ -128,6 +134,7 @@
 	replica, inc, step, unit string
 }
 
+// NewWatch is a watch that has been told nothing.
 func NewWatch() *Watch {
 	return &Watch{
 		runs: map[string][]*modelserver.Run{}, byLeg: map[string]*modelserver.Run{}, told: map[string]Told{}, asks: map[string]Told{}, Stakes: map[string]int{}, keys: map[string]map[string]bool{},
@@ -135,13 +142,19 @@
 	}
 }
 
+// Break notes a breach; the detail is formatted as fmt.Sprintf does.
 func (w *Watch) Break(rule, format string, args ...any) {
 	w.Breaches = append(w.Breaches, Breach{rule, fmt.Sprintf(format, args...)})
 }
 
-func (w *Watch) Notice(s Span)  { w.notices = append(w.notices, s) }
+// Notice begins a replica's notice.
+func (w *Watch) Notice(s Span) { w.notices = append(w.notices, s) }
+
+// Emptied begins the time in which a zone is to be empty.
 func (w *Watch) Emptied(s Span) { w.emptied = append(w.emptied, s) }
-func (w *Watch) Old(c Change)   { w.old = append(w.old, c) }
+
+// Old begins the time in which something is the old way.
+func (w *Watch) Old(c Change) { w.old = append(w.old, c) }
 
 // Stake counts an occasion on which a rule could have been broken.
 func (w *Watch) Stake(rule string) { w.Stakes[rule]++ }
@@ -156,8 +169,13 @@
 	}
 }
 
-func (w *Watch) NoticeOver(id string, atUs int64)  { Over(w.notices, id, atUs) }
+// NoticeOver ends a replica's notice.
+func (w *Watch) NoticeOver(id string, atUs int64) { Over(w.notices, id, atUs) }
+
+// EmptiedOver ends the time in which a zone is to be empty.
 func (w *Watch) EmptiedOver(id string, atUs int64) { Over(w.emptied, id, atUs) }
+
+// OldOver ends all that stands of a change.
 func (w *Watch) OldOver(id string, atUs int64) {
 	for i := range w.old {
 		if c := &w.old[i]; c.ID == id && c.ToUs == Open {
@@ -194,6 +212,7 @@
 	}
 }
 
+// Run is told of a run as a replica began it.
 func (w *Watch) Run(r modelserver.Run) {
 	run := r
 	w.byLeg[r.Leg] = &run
@@ -251,6 +270,7 @@
 	}
 }
 
+// Told is told what one attempt of a caller saw.
 func (w *Watch) Told(t Told) {
 	w.told[t.Tag] = t
 	w.counted(t)
@@ -322,6 +342,7 @@
 	return 0
 }
 
+// Order is told of an order as a replica saw it.
 func (w *Watch) Order(o modelserver.OrderSeen) {
 	this := ticket{o.Replica, o.Inc, string(o.Step), o.Unit}
 	if before, seen := w.order[o.Number]; seen && before != this {
--- a/proofs/sim/compare.go
+++ b/proofs/sim/compare.go
@@ -11,6 +11,7 @@
 	"petreltide/proofs/rules"
 )
 
+// Contest is what Hold plays: policies on the same seeds of demand and faults.
 type Contest struct {
 	Doc      *standing.Declaration
 	Policies []standing.Policy
@@ -22,6 +23,7 @@
 	Replicas int
 }
 
+// Figure is one measurement of one kind of call; Values are by policy, in the order of the seeds.
 type Figure struct {
 	Kind   string
 	What   string
--- a/proofs/sim/faults.go
+++ b/proofs/sim/faults.go
@@ -9,6 +9,7 @@
 	"petreltide/proofs/rules"
 )
 
+// Fault is one fault of a day. What A, B and N mean depends on its kind.
 type Fault struct {
 	Kind  string
 	AtUs  int64
--- a/proofs/sim/routed_cutoff.go
+++ b/proofs/sim/routed_cutoff.go
@@ -34,6 +34,7 @@
 // Role says which control machine is struck, by what it does at that moment.
 type Role string
 
+// The roles: by place in the chain, the machine that leads, and one that is being taken in.
 const (
 	HeadRole       Role = "head"
 	MiddleRole     Role = "middle"
@@ -47,13 +48,14 @@
 // Way is how a cut shows at the ends.
 type Way string
 
+// The ways of a cut.
 const (
-	// SilentWay: packets vanish in both directions.
+	// SilentWay means that packets vanish in both directions.
 	SilentWay Way = "silent"
-	// MuteWay: what they say vanishes, what is said to them arrives. DeafWay is the other direction.
+	// MuteWay means that what they say vanishes, and what is said to them arrives. DeafWay is the other direction.
 	MuteWay Way = "mute"
 	DeafWay Way = "deaf"
-	// ResetWay: calls fail at once, and connections that are open end.
+	// ResetWay means that calls fail at once, and connections that are open end.
 	ResetWay Way = "reset"
 )
 
--- a/proofs/sim/sim.go
+++ b/proofs/sim/sim.go
@@ -22,6 +22,7 @@
 	sec = int64(1_000_000)
 )
 
+// Plan is a day: its machines, its demand in calls a second, its faults, and a defect to plant, if any.
 type Plan struct {
 	Seed     int64
 	Offices  int
@@ -182,6 +183,7 @@
 	return d
 }
 
+// New sets up a day; Run plays it.
 func New(plan Plan) *Sim {
 	s := &Sim{
 		plan: plan, r: rand.New(rand.NewSource(plan.Seed)), cuts: map[[2]string]int{}, loss: plan.Loss,
@@ -232,6 +234,7 @@
 	return true
 }
 
+// Outcome is what became of a day.
 type Outcome struct {
 	Breaches []rules.Breach
 	Calls    int
--- a/proofs/testbed/testbed.go
+++ b/proofs/testbed/testbed.go
@@ -41,6 +41,7 @@
 	ended    []string
 }
 
+// Plan says how many hosts of each role there are and how fast the stand-in replicas work, in microseconds.
 type Plan struct {
 	Folder   string
 	Offices  int
@@ -74,6 +75,7 @@
 	return addr, l.Close()
 }
 
+// Open starts all hosts; Close ends them.
 func Open(plan Plan) (*Fleet, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Fleet{cancel: cancel, Platform: platform.New(platform.NewStore(plan.Store.Loads, plan.Store.MbPerSecond, plan.Store.BurstMb))}
@@ -243,7 +245,7 @@
 	return true
 }
 
-// Status asks each office until one is on duty.
+// Duty asks each core node for its status until one leads.
 func (s *Fleet) Duty() (office.Status, bool) {
 	for _, addr := range s.Offices {
 		_, _, body, err := Do(http.MethodGet, "http://"+addr+"/v1/status", "")
