--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -13,6 +13,7 @@
 )
 
 const (
+	// DeskLeaseUs is how long a gateway may send by news after it asked for the lease.
 	DeskLeaseUs = 1200 * clock.Ms
 	behindUs    = 600 * clock.Ms
 	checkUs     = 1000 * clock.Ms
@@ -48,18 +49,22 @@
 	backlog []waiting
 }
 
+// Push is news for one gateway.
 type Push struct {
 	Desk string
 	News wire.News
 }
 
+// Answer is an operator's answer that may go out now; Origin is who waits for it.
 type Answer struct {
 	Origin string
 	Result wire.Result
 }
 
+// New is a room that is closed, until Gate opens it.
 func New() *Room { return &Room{desks: map[string]*row{}} }
 
+// Gate opens the room on the chain's tail and closes it elsewhere; a closed one forgets its gateways and answers.
 func (r *Room) Gate(nowUs int64, open bool) {
 	if open == r.open {
 		return
@@ -73,6 +78,7 @@
 	r.desks = map[string]*row{}
 }
 
+// Follow begins a gateway's stream. False means that this core node is not the tail.
 func (r *Room) Follow(nowUs int64, f wire.Follow) bool {
 	if !r.open {
 		return false
@@ -133,6 +139,7 @@
 	return ring
 }
 
+// Pushes are the news that gateways do not have yet, each once.
 func (r *Room) Pushes(s *ledger.State, view chain.View) []Push {
 	if !r.open {
 		return nil
@@ -150,6 +157,7 @@
 	return pushes
 }
 
+// Write is the whole news for one gateway; a declaration of at most this revision is left out, as the gateway has it.
 func Write(s *ledger.State, view uint64, desk, inc string, revision uint64) wire.News {
 	news := wire.News{Number: max(s.NewsIndex, 1), View: view, Epoch: s.Epoch, Revision: s.Revision}
 	if s.Revision > revision {
@@ -179,6 +187,8 @@
 	return news
 }
 
+// Hold keeps an operator's answer until every gateway has the news of a number. Beyond a bound it is dropped, and whoever
+// waits hears nothing.
 func (r *Room) Hold(origin string, out ledger.Outcome, number uint64) {
 	if !r.open || len(r.backlog) >= backlogMost {
 		return
@@ -186,6 +196,7 @@
 	r.backlog = append(r.backlog, waiting{origin: origin, result: wire.Result{Outcome: out, Everywhere: true}, number: number})
 }
 
+// Answers are those that every gateway has, or whose gateways' leases have run out. They are not kept.
 func (r *Room) Answers(nowUs int64) []Answer {
 	if !r.open {
 		return nil
@@ -220,6 +231,7 @@
 	return true
 }
 
+// DeskNote is one gateway as the status shows it.
 type DeskNote struct {
 	Desk      string `json:"desk"`
 	Zone      string `json:"zone"`
@@ -229,6 +241,7 @@
 	LeaseMs   int64  `json:"leaseMs"`
 }
 
+// Desks are all gateways that reported lately, in order.
 func (r *Room) Desks(nowUs int64) []DeskNote {
 	notes := []DeskNote{}
 	for _, id := range r.deskIDs() {
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -89,6 +89,7 @@
 	return told{rows: map[string]wire.ReplicaRow{}, stale: map[string]bool{}}
 }
 
+// NewHub is a hub that nobody follows.
 func NewHub() *Hub {
 	return &Hub{subs: map[string]*sub{}, desks: map[string]int64{}, main: newTold(), spare: newTold()}
 }
@@ -103,6 +104,7 @@
 	return true
 }
 
+// Unfollow ends the stream of a gateway's process; a newer process's stays.
 func (h *Hub) Unfollow(desk, inc string) {
 	if s := h.subs[desk]; s != nil && s.inc == inc {
 		delete(h.subs, desk)
@@ -141,6 +143,7 @@
 	return ids
 }
 
+// Subscribed are the gateways with a stream from here, in order.
 func (h *Hub) Subscribed() []string { return slices.Sorted(maps.Keys(h.subs)) }
 
 // Frames are what has changed since the last; where nothing has, a sign of life now and then. Changes
