Let the build under observation take two processors

It runs beside tests of real processes, which a build on all processors would slow. 164 s under -race on a machine with 50 runnable tasks on 12 processors.

--- a/proofs/systempackages/deploy.go
+++ b/proofs/systempackages/deploy.go
@@ -27,6 +27,8 @@
 	outputOption  = "-o"
 	// traceLdflags make the Go linker print how it calls the system's, and that one every file it reads.
 	traceLdflags = " -v -extldflags=-Wl,--trace"
+	// atOnce bounds how much of the machine the build takes: tests of real processes run beside it.
+	atOnce = "-p=2"
 )
 
 // traced is the build command with a trace of what it runs, and its output in another folder. It knows only
@@ -36,7 +38,7 @@
 	if len(words) < 2 || words[0] != "go" || words[1] != "build" {
 		return nil, errors.NotSupportedf("a build command other than go build: %q", build)
 	}
-	args := []string{"build", "-x"}
+	args := []string{"build", "-x", atOnce}
 	linker, output := false, false
 	for i, word := range words[2:] {
 		switch {
--- a/proofs/systempackages/systempackages_test.go
+++ b/proofs/systempackages/systempackages_test.go
@@ -148,7 +148,7 @@
 		}
 	}
 	got, err := traced("go build -ldflags=-linkmode=external -o target/ ./cmd/...", "/out/")
-	want := []string{"build", "-x", "-ldflags=-linkmode=external -v -extldflags=-Wl,--trace", "-o", "/out/", "./cmd/..."}
+	want := []string{"build", "-x", "-p=2", "-ldflags=-linkmode=external -v -extldflags=-Wl,--trace", "-o", "/out/", "./cmd/..."}
 	if diff := cmp.Diff(want, got); err != nil || diff != "" {
 		t.Errorf("%v %s", err, diff)
 	}
