--- a/proofs/history/explore_test.go
+++ b/proofs/history/explore_test.go
@@ -31,7 +31,7 @@
 	t.Logf("%d walks: %v", most, counts)
 	for _, name := range []string{
 		string(Acknowledged), string(Refused), string(Invalid), "answers lost", "again acknowledged", "again refused", "same number",
-		"ahead of its base", "reads", "crash", "freeze", "cut", "one-way cut", "slow",
+		"ahead of its base", "reads", "crash", "all crash", "wipe", "freeze", "cut", "one-way cut", "slow",
 	} {
 		if counts[name] == 0 {
 			t.Errorf("%q never came: it proves little", name)
--- a/proofs/history/operators_test.go
+++ b/proofs/history/operators_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"petreltide/internal/chain"
 	"petreltide/internal/clock"
 	"petreltide/internal/ledger"
 	"petreltide/internal/standing"
@@ -155,14 +156,40 @@
 	s.change = ledger.ConfigChange{Base: s.order.Base, Version: s.order.Version, Doc: doc}
 }
 
-// trouble crashes, freezes or cuts off one office at a time, or slows all, until a time.
+// whole: all offices serve, so that one may lose its disk.
+func (w *walk) whole() bool {
+	for _, o := range w.offices {
+		if o.core == nil || w.nowUs < o.thawUs || o.core.Node.Phase() != chain.Serving || len(o.core.Node.View().Order) < offices {
+			return false
+		}
+	}
+	return true
+}
+
+// trouble crashes, wipes, freezes or cuts off one office at a time, or slows or crashes all, until a time.
 func (w *walk) trouble(untilUs int64) {
 	if w.nowUs >= untilUs {
 		return
 	}
 	spanUs := 200*clock.Ms + w.r.Int63n(2500*clock.Ms)
 	o := w.offices[w.r.Intn(offices)]
-	switch w.r.Intn(5) {
+	switch w.r.Intn(7) {
+	case 5:
+		w.counts["all crash"]++
+		for _, each := range w.offices {
+			if each.core == nil {
+				continue
+			}
+			each.crash()
+			w.after(spanUs+w.r.Int63n(300*clock.Ms), func() { each.start(false) })
+		}
+	case 6:
+		if !w.whole() {
+			break
+		}
+		w.counts["wipe"]++
+		o.wipe()
+		w.after(spanUs, func() { o.start(false) })
 	case 0:
 		w.counts["crash"]++
 		o.crash()
--- a/proofs/history/walk_test.go
+++ b/proofs/history/walk_test.go
@@ -104,6 +104,7 @@
 	addr    string
 	core    *office.Core
 	life    int
+	wipes   int
 	thawUs  int64
 	records []chain.Record
 	waiters map[string][]func(ledger.Outcome)
@@ -113,7 +114,7 @@
 	o.life++
 	o.waiters = map[string][]func(ledger.Outcome){}
 	opts := office.SelfPaced(chain.Options{
-		Me: chain.Member{ID: "o" + o.addr, Name: "o" + o.addr, Addr: o.addr, Zone: "z"}, Inc: fmt.Sprint(o.addr, "/", o.life), CopiesLeast: 2, SelfMembers: true,
+		Me: chain.Member{ID: fmt.Sprint("o", o.addr, "-", o.wipes), Name: "o" + o.addr, Addr: o.addr, Zone: "z"}, Inc: fmt.Sprint(o.addr, "/", o.life), CopiesLeast: 2, SelfMembers: true,
 	})
 	if first {
 		opts.Founders, opts.First = []string{"a0", "a1", "a2"}, true
@@ -132,6 +133,13 @@
 	o.core = nil
 }
 
+// wipe takes the disk's content too: the office comes back as another member under its name.
+func (o *walkOffice) wipe() {
+	o.crash()
+	o.records = nil
+	o.wipes++
+}
+
 // later runs in this life of the office, once it is not frozen.
 func (o *walkOffice) later(us int64, run func()) {
 	life := o.life
