--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -68,7 +68,6 @@
 	quietUs    int64
 	held       *Msg
 	guardUs    int64
-	guardTail  Seat
 	// openSinceUs is since when a next view that was accepted here waits for somebody to finish it.
 	openSinceUs int64
 
@@ -83,6 +82,8 @@
 	leaseUs    int64
 	echoUs     int64
 	tailEchoUs int64
+	// echoedUs is when the tail's echo last rose here.
+	echoedUs int64
 	// tailCommit is what the tail of this view has told of its commit.
 	tailCommit  uint64
 	viewedUs    int64
@@ -147,6 +148,11 @@
 	n.whole = n.whole || (n.view.Number == 0 && n.lastIndex() == 0)
 	n.synced, n.queued = n.lastIndex(), n.lastIndex()
 	n.round = n.promised.Round
+	n.saveSeq = OpeningSave
+	if n.opts.Unsynced {
+		n.saving[OpeningSave] = &saving{startUs: nowUs, upto: n.lastIndex(), refused: true}
+		n.synced = 0
+	}
 	return n, nil
 }
 
@@ -317,7 +323,7 @@
 }
 
 func (n *Node) dropLeases() {
-	n.leaseUs, n.tailEchoUs = 0, 0
+	n.leaseUs, n.tailEchoUs, n.echoedUs = 0, 0, 0
 	n.leases = map[string]int64{}
 	for _, p := range n.partners {
 		p.heardUs = max(p.heardUs, n.nowUs-n.opts.SuspectUs/2)
@@ -330,7 +336,16 @@
 		n.got(m)
 		return
 	}
-	n.effects = append(n.effects, Effect{Send: &Send{Addr: to.Addr, Msg: m}})
+	n.effects = append(n.effects, Effect{Send: &Send{Addr: n.addressOf(to), Msg: m}})
+}
+
+// addressOf is where a member was heard from last in this life, or else the address that is known of it: a view
+// names the address that a member had when it got its seat.
+func (n *Node) addressOf(m Member) string {
+	if p := n.partners[m.ID]; p != nil && m.ID != "" && p.hello.Me.Addr != "" {
+		return p.hello.Me.Addr
+	}
+	return m.Addr
 }
 
 func (n *Node) save(records []Record, upto uint64, then *reply) {
@@ -593,7 +608,9 @@
 	}
 	n.succKnown, n.succLast = true, a.Last
 	n.succSent = max(n.succSent, a.Last)
-	n.tailEchoUs = max(n.tailEchoUs, a.EchoUs)
+	if a.EchoUs > n.tailEchoUs {
+		n.tailEchoUs, n.echoedUs = a.EchoUs, n.nowUs
+	}
 	n.tailCommit = max(n.tailCommit, min(a.Commit, n.synced))
 	if a.Commit > n.commit {
 		n.commitTo(min(a.Commit, n.synced))
--- a/internal/chain/repair_test.go
+++ b/internal/chain/repair_test.go
@@ -121,7 +121,13 @@
 	for _, s := range successors {
 		y.start(s, false)
 	}
-	y.pass(y.catchUpUs())
+	fromUs, tookUs := y.nowUs, int64(0)
+	for endUs := fromUs + y.catchUpUs(); y.nowUs < endUs; y.pass(yardStepUs) {
+		if tookUs == 0 && !slices.ContainsFunc(successors, func(s *spot) bool { return y.tookOver(s) != "" }) {
+			tookUs = y.nowUs - fromUs
+		}
+	}
+	y.slowestUs = max(y.slowestUs, tookUs)
 	return successors
 }
 
@@ -172,6 +178,7 @@
 				if raced {
 					seeds = 2
 				}
+				slowestUs := int64(0)
 				for seed := range seeds {
 					y := pacedYard(t, seed, offices)
 					for turn := range 5 {
@@ -185,8 +192,10 @@
 							t.Fatalf("seed %d, loss %d: nothing was acknowledged meanwhile", seed, turn)
 						}
 					}
+					slowestUs = max(slowestUs, y.slowestUs)
 					y.losesAtTheEnd(seed)
 				}
+				t.Logf("the slowest takeover: %d ms after the successor's start", slowestUs/clock.Ms)
 			})
 		}
 	}
@@ -232,3 +241,32 @@
 		})
 	}
 }
+
+// All restart, and some or all of them are at other addresses than the view says: they find each other by what they
+// hear, and agree on.
+func TestMembersThatMovedTogetherFindEachOther(t *testing.T) {
+	for _, offices := range []int{3, 5} {
+		for moved := 1; moved <= offices; moved++ {
+			for seed := range int64(3) {
+				y := pacedYard(t, seed, offices)
+				live := y.living()
+				for _, s := range live {
+					y.stop(s)
+				}
+				y.r.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+				for _, s := range live[:moved] {
+					y.incs++
+					s.me.Addr = fmt.Sprintf("%s-%d", s.me.Name, y.incs)
+				}
+				y.seeds = nil
+				for _, s := range y.living()[:3] {
+					y.seeds = append(y.seeds, s.me.Addr)
+				}
+				for _, s := range y.living() {
+					y.start(s, false)
+				}
+				y.settles(20*clock.Sec, fmt.Sprintf("seed %d: %d of %d moved", seed, moved, offices))
+			}
+		}
+	}
+}
--- a/internal/office/leaving_test.go
+++ b/internal/office/leaving_test.go
@@ -6,6 +6,8 @@
 
 	"petreltide/internal/chain"
 	"petreltide/internal/clock"
+	"petreltide/internal/fault"
+	"petreltide/internal/ledger"
 	"petreltide/internal/roster"
 )
 
@@ -154,3 +156,68 @@
 		}
 	}
 }
+
+// An office that is cut off tells the desks that it may be behind, before they are held to what the others decide.
+func TestAnOfficeCutOffSaysThatItIsBehind(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		says, hears bool
+	}{{"both ways", true, true}, {"it is not heard", true, false}, {"it hears nothing", false, true}} {
+		for struck := range 3 {
+			t.Run(fmt.Sprintf("%s/%d", c.name, struck), func(t *testing.T) {
+				tr := newTrio(t)
+				for range 40 {
+					tr.pass(25 * clock.Ms)
+					for i, core := range tr.cores {
+						if !core.Node.Current(tr.nowUs) {
+							t.Fatalf("in contact, office %d says that it is behind", i)
+						}
+					}
+				}
+				tr.cutOff(struck, c.says, c.hears)
+				tr.pass(2 * clock.Sec)
+				for range 400 {
+					tr.pass(25 * clock.Ms)
+					if tr.cores[struck].Node.Current(tr.nowUs) {
+						t.Fatal("cut off, it says that it is current")
+					}
+				}
+				for i, core := range tr.cores {
+					if i != struck && !core.Node.Current(tr.nowUs) {
+						t.Errorf("office %d, of the quorum, says that it is behind", i)
+					}
+				}
+				tr.cutOff(struck, false, false)
+				tr.pass(4 * clock.Sec)
+				if !tr.cores[struck].Node.Current(tr.nowUs) {
+					t.Error("back in contact, it says that it is behind")
+				}
+			})
+		}
+	}
+}
+
+// An order about members is refused for what it asks only by an office that has word of the chain.
+func TestAnOfficeCutOffRefusesNoOrderAboutMembers(t *testing.T) {
+	tr := newTrio(t)
+	ask := func(i int) fault.Code {
+		bad := tr.cores[i].fitMember(tr.nowUs, &ledger.MemberChange{Act: ledger.AddMember, Name: "oa1"}, false)
+		if bad == nil {
+			return ""
+		}
+		return bad.Code
+	}
+	for i := range tr.cores {
+		if got := ask(i); got != fault.MembershipUnfit {
+			t.Errorf("in contact, office %d says %q", i, got)
+		}
+	}
+	tr.cutOff(0, true, true)
+	tr.pass(2 * clock.Sec)
+	if got := ask(0); got != fault.NotServing {
+		t.Errorf("cut off, it says %q", got)
+	}
+	if got := ask(1); got != fault.MembershipUnfit {
+		t.Errorf("an office of the quorum says %q", got)
+	}
+}
