Sync what a store finds when it opens, and count nothing of it before

Cause: a process that is killed between a write and its sync, or between a new or renamed file and the sync of its folder, leaves them in the system's memory. Its successor read them, took them for synced and acknowledged on them; a loss of power then took them away (or left a hole: a segment that is not the last one, cut short, is damage).

Found by TestPowerLostAtEveryStep: a file system in memory that keeps or loses every unsynced name and write one by one, all subsets, before every change that the store makes; each disk left is opened again, goes on writing, and loses power again, also after kills. Failing before: 'before change 3 killed, then power lost before change 5: found "", want second-1'.

Change: opening syncs the log's folder, the one above it and the last segment, and cuts what is torn; where the disk refuses that, the chain is told (Unsynced) and counts nothing as synced, calls itself stalled and casts no vote until it is done. A segment cut after a refused write is synced also if the sync alone was refused.

--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -147,6 +147,11 @@
 	n.whole = n.whole || (n.view.Number == 0 && n.lastIndex() == 0)
 	n.synced, n.queued = n.lastIndex(), n.lastIndex()
 	n.round = n.promised.Round
+	n.saveSeq = OpeningSave
+	if n.opts.Unsynced {
+		n.saving[OpeningSave] = &saving{startUs: nowUs, upto: n.lastIndex(), refused: true}
+		n.synced = 0
+	}
 	return n, nil
 }
 
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -271,6 +271,9 @@
 	Reason string
 }
 
+// OpeningSave is the number of the save with which what the disk gave back is synced; those of a node come after it.
+const OpeningSave uint64 = 1
+
 type Options struct {
 	Me       Member
 	Inc      string
@@ -282,6 +285,9 @@
 	First bool
 	// SelfMembers lets the offices take in and drop each other without an operator's order.
 	SelfMembers bool
+	// Unsynced says that the disk has refused to sync the records that it gave back: they count as synced only once
+	// save OpeningSave is reported.
+	Unsynced bool
 	// CopiesLeast is how many synced copies an acknowledgement needs; two at least where there are two voters.
 	CopiesLeast int
 	// ZonesLeast is in how many zones they must lie, as far as there are voters in so many.
--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -149,6 +149,7 @@
 	}
 	opts := chain.Options{
 		Me: me, Inc: RandomID(6), Founding: founding, CopiesLeast: set.CopiesLeast, ZonesLeast: set.ZonesLeast, SelfMembers: set.Members == settings.SelfMembers,
+		Unsynced: opened.Refused != nil,
 	}
 	if opts.SelfMembers {
 		opts = SelfPaced(opts)
--- a/internal/office/saver.go
+++ b/internal/office/saver.go
@@ -113,10 +113,14 @@
 	return from, done
 }
 
+// saver brings what the chain wants on the disk there, in order. It begins with what was found there and may not
+// have been synced.
 func (h *Host) saver() {
-	if _, done := h.write(chain.Save{}); !done {
+	opening := chain.Save{Seq: chain.OpeningSave}
+	if _, done := h.write(opening); !done {
 		return
 	}
+	h.tell(Event{Saved: opening.Seq, LogBytes: h.disk.LogBytes()})
 	before := make(chan struct{})
 	close(before)
 	for {
--- a/internal/storage/wal.go
+++ b/internal/storage/wal.go
@@ -33,8 +33,8 @@
 	segments []segment
 	next     uint64
 	tail     file
-	// torn: the files may hold more than was synced.
-	torn bool
+	// unsure: the files may hold more than was synced, and the folders names that a loss of power would take.
+	unsure bool
 	// removed: names that are gone may come back until the folder is synced.
 	removed bool
 	// most is the size at which a segment is full.
@@ -64,7 +64,8 @@
 }
 
 // load reads the records that are there and says how many bytes of a torn last one are not among them.
-// It changes nothing.
+// It changes nothing: a process that was killed may have left records and names without a sync, and they last only
+// once mend has returned.
 func (w *wal) load(each func(payload []byte) error) (cut int, err error) {
 	firsts, err := w.names()
 	if err != nil {
@@ -103,7 +104,7 @@
 		}
 		w.segments = append(w.segments, s)
 	}
-	w.torn = cut > 0
+	w.unsure = len(firsts) > 0
 	return cut, nil
 }
 
@@ -118,7 +119,7 @@
 		}
 	}
 	last := &w.segments[len(w.segments)-1]
-	w.torn = true
+	w.unsure = true
 	if w.tail == nil {
 		var err error
 		if w.tail, err = w.fs.Append(w.path(*last)); err != nil {
@@ -134,7 +135,7 @@
 	}
 	last.size += int64(len(raw))
 	w.next++
-	w.torn = false
+	w.unsure = false
 	return nil
 }
 
@@ -152,7 +153,7 @@
 // begin starts a segment: a record never goes on in another file than it began in.
 func (w *wal) begin() error {
 	w.leave()
-	w.torn = true
+	w.unsure = true
 	if err := w.fs.MkdirAll(w.dir); err != nil {
 		return err
 	}
@@ -161,19 +162,23 @@
 	if err != nil {
 		return err
 	}
-	// A folder's own name lasts once the one above it is synced.
-	synced := w.fs.SyncFolder(w.dir)
-	if synced == nil && len(w.segments) == 0 {
-		synced = w.fs.SyncFolder(filepath.Dir(w.dir))
-	}
+	synced := w.syncNewNames()
 	if synced != nil {
 		_ = tail.Close()
 		return synced
 	}
-	w.segments, w.tail, w.torn = append(w.segments, s), tail, false
+	w.segments, w.tail, w.unsure = append(w.segments, s), tail, false
 	return nil
 }
 
+// syncNewNames makes a new segment's name last, and with the first one the folder's own.
+func (w *wal) syncNewNames() error {
+	if len(w.segments) == 0 {
+		return w.syncFolders()
+	}
+	return w.fs.SyncFolder(w.dir)
+}
+
 // leave lets go of the open file. What a failed sync left in it is never relied on: the system may have
 // dropped those pages, and would show them all the same.
 func (w *wal) leave() {
@@ -183,50 +188,72 @@
 	}
 }
 
-// mend takes away what a write that failed has left beyond the last synced record.
+// mend takes away what a write that failed has left beyond the last record, and makes all that is left last.
 func (w *wal) mend() error {
-	if !w.torn {
+	if !w.unsure {
 		return nil
 	}
 	w.leave()
-	firsts, err := w.names()
-	if err != nil {
+	if err := w.fs.MkdirAll(w.dir); err != nil {
 		return err
 	}
-	for _, first := range firsts {
-		if !slices.ContainsFunc(w.segments, func(s segment) bool { return s.first == first }) {
-			if err := w.fs.Remove(w.path(segment{first: first})); err != nil {
-				return err
-			}
-			w.removed = true
-		}
+	if err := w.removeStrays(); err != nil {
+		return err
 	}
-	if err := w.syncRemoved(); err != nil {
+	if err := w.syncFolders(); err != nil {
 		return err
 	}
+	w.removed = false
 	if last := len(w.segments) - 1; last >= 0 {
-		s := w.segments[last]
-		size, err := w.fs.Size(w.path(s))
-		if errors.Is(err, os.ErrNotExist) || (err == nil && size < s.size) {
-			return fault.New(fault.DamagedData, w.dir, "segment %d held %d synced bytes and holds %d", s.first, s.size, size)
-		}
-		if err != nil {
+		if err := w.settle(w.segments[last]); err != nil {
 			return err
 		}
-		if size > s.size {
-			if err := w.cut(s); err != nil {
-				return err
-			}
+	}
+	w.unsure = false
+	return nil
+}
+
+// removeStrays removes segments that were made for a record which never came.
+func (w *wal) removeStrays() error {
+	firsts, err := w.names()
+	if err != nil {
+		return err
+	}
+	for _, first := range firsts {
+		if slices.ContainsFunc(w.segments, func(s segment) bool { return s.first == first }) {
+			continue
+		}
+		if err := w.fs.Remove(w.path(segment{first: first})); err != nil {
+			return err
 		}
+		w.removed = true
 	}
-	w.torn = false
 	return nil
 }
 
-func (w *wal) cut(s segment) error {
-	if err := w.fs.Truncate(w.path(s), s.size); err != nil {
+// syncFolders makes the names of the segments and of the log's own folder last.
+func (w *wal) syncFolders() error {
+	if err := w.fs.SyncFolder(w.dir); err != nil {
+		return err
+	}
+	return w.fs.SyncFolder(filepath.Dir(w.dir))
+}
+
+// settle gives a segment the length that it should have and syncs it. Bytes that were synced and are gone are a
+// fault that no later write mends.
+func (w *wal) settle(s segment) error {
+	size, err := w.fs.Size(w.path(s))
+	if errors.Is(err, os.ErrNotExist) || (err == nil && size < s.size) {
+		return fault.New(fault.DamagedData, w.dir, "segment %d held %d synced bytes and holds %d", s.first, s.size, size)
+	}
+	if err != nil {
 		return err
 	}
+	if size > s.size {
+		if err := w.fs.Truncate(w.path(s), s.size); err != nil {
+			return err
+		}
+	}
 	f, err := w.fs.Append(w.path(s))
 	if err != nil {
 		return err
