--- /dev/null
+++ b/internal/storage/cluster_test.go
@@ -0,0 +1,457 @@
+package storage
+
+import (
+	"container/heap"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+
+	"petreltide/internal/chain"
+	"petreltide/internal/clock"
+	"petreltide/internal/fault"
+	"petreltide/internal/ledger"
+)
+
+// What things cost in a cluster. A core encodes and decodes JSON and packs a copy at about these rates (a state of
+// 488 KB took 9.5, 11.5 and 10.7 ms on one machine; twice that is charged), and a change takes its time to apply
+// with each route (5.7 ms at 900).
+const (
+	linkDelayUs     = 500
+	linkNsPerByte   = 8
+	syncUs          = 1000
+	retrySaveUs     = 250 * clock.Ms
+	codeNsPerByte   = 50
+	applyUs         = 200
+	applyPerRouteUs = 7
+	handleUs        = 50
+	tickUs          = 25 * clock.Ms
+	resubmitUs      = 400 * clock.Ms
+)
+
+// cluster is a chain with the store's own code on disks in memory, under simulated time: links with a delay and a
+// bandwidth, disks that take a millisecond for a sync, and one core for each member, which is charged for what it
+// encodes, decodes and applies.
+type cluster struct {
+	t       *testing.T
+	nowUs   int64
+	queue   eventQueue
+	events  int
+	members []*member
+	routes  int
+	starts  int
+	// copyCosts are those of a whole state; the others always cost the same.
+	copyCosts costs
+
+	change   *ledger.Change
+	sentUs   int64
+	next     func(version uint64) *ledger.ConfigChange
+	changes  uint64
+	gapUs    int64
+	worstUs  int64
+	slowest  uint64
+	newest   uint64
+	mostDisk int64
+	// logMost is the size of a log that is begun anew, keepMost the number of entries kept; 0 for the usual ones.
+	logMost  int64
+	keepMost int
+	// wrong is the first rule that was broken.
+	wrong string
+}
+
+// costs are what a byte of a copy costs on a link and on a core.
+type costs struct{ linkNs, codeNs int64 }
+
+// member is one machine: its process while it lives, its disk, core and link.
+type member struct {
+	cluster *cluster
+	me      chain.Member
+	node    *chain.Node
+	store   *Store
+	disk    *powerDisk
+	boot    int
+	coreUs  int64
+	diskUs  int64
+	linkUs  int64
+	// received counts the bytes of messages from others, and copies those of them that carried a whole state.
+	received, copies int64
+	saves            []chain.Save
+	// losesPowerIn counts down the changes of the disk that a copy takes; before the last one power is lost, and
+	// leaves one of the disks that it may leave.
+	losesPowerIn int
+	leaves       func(all []*powerDisk) *powerDisk
+}
+
+type event struct {
+	atUs  int64
+	order int
+	run   func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].atUs < q[j].atUs || q[i].atUs == q[j].atUs && q[i].order < q[j].order
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(e any)   { *q = append(*q, e.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+func (c *cluster) at(us int64, run func()) {
+	c.events++
+	heap.Push(&c.queue, event{max(us, c.nowUs), c.events, run})
+}
+
+// pass lets time go on until the moment, or until done says so.
+func (c *cluster) pass(us int64, done func() bool) bool {
+	endUs := c.nowUs + us
+	for len(c.queue) > 0 && c.queue[0].atUs <= endUs {
+		e := heap.Pop(&c.queue).(event)
+		c.nowUs = e.atUs
+		e.run()
+		if done != nil && done() {
+			return true
+		}
+	}
+	c.nowUs = endUs
+	return false
+}
+
+func newCluster(t *testing.T, routes int, next func(version uint64) *ledger.ConfigChange) *cluster {
+	return newBoundedCluster(t, routes, next, 0, 0)
+}
+
+func newBoundedCluster(t *testing.T, routes int, next func(version uint64) *ledger.ConfigChange, logMost int64, keepMost int) *cluster {
+	c := &cluster{t: t, nowUs: clock.Sec, routes: routes, next: next, gapUs: 20 * clock.Ms, logMost: logMost, keepMost: keepMost, copyCosts: costs{linkNsPerByte, codeNsPerByte}}
+	for _, name := range []string{"a", "b", "c"} {
+		c.members = append(c.members, &member{cluster: c, me: chain.Member{ID: name + "-1", Name: name, Addr: name, Zone: name}, disk: newPowerDisk()})
+	}
+	for _, m := range c.members {
+		m.start(true)
+	}
+	if !c.pass(20*clock.Sec, func() bool { return c.whole() }) {
+		t.Fatal("it was not founded")
+	}
+	c.submitNext()
+	return c
+}
+
+func (m *member) start(first bool) {
+	c := m.cluster
+	c.starts++
+	m.boot++
+	m.coreUs, m.diskUs, m.linkUs, m.saves = 0, 0, 0, nil
+	opened, err := open(m.disk, "/data", chain.Seal{Identity: m.me.ID, Name: m.me.Name})
+	if err != nil {
+		c.fail("%s does not open: %v", m.me.Name, err)
+		m.loseDisk()
+		m.start(false)
+		return
+	}
+	m.store = opened.Store
+	m.me.ID = m.store.Seal().Identity
+	opts := chain.Options{
+		Me: m.me, Inc: fmt.Sprint(m.me.ID, "/", c.starts), SelfMembers: true,
+		HelloUs: 200 * clock.Ms, BeatUs: 200 * clock.Ms, SuspectUs: 800 * clock.Ms, LeaseUs: 700 * clock.Ms,
+		CompareUs: 900 * clock.Ms, GatherUs: 1300 * clock.Ms, AskUs: 200 * clock.Ms,
+		LogMost: c.logMost, KeepMost: c.keepMost, Unsynced: opened.Refused != nil,
+	}
+	if first {
+		opts.Founders, opts.First = []string{"a", "b", "c"}, true
+	}
+	if m.node, err = chain.NewNode(opts, opened.Records, c.nowUs); err != nil {
+		c.t.Fatal(err)
+	}
+	addrs := []string{}
+	for _, other := range c.members {
+		addrs = append(addrs, other.me.Addr)
+	}
+	m.handle(handleUs, chain.Event{Learn: addrs})
+	m.insist(chain.OpeningSave, c.nowUs+syncUs, func() error {
+		if _, err := m.store.Write(nil, false); err != nil {
+			return err
+		}
+		m.step(chain.Event{Saved: chain.OpeningSave, LogBytes: m.store.LogBytes()})
+		return nil
+	})
+	m.tick()
+}
+
+// loseDisk gives the machine an empty disk, with which it is another member.
+func (m *member) loseDisk() {
+	m.disk = newPowerDisk()
+	m.me.ID = fmt.Sprint(m.me.Name, "-", m.cluster.starts+10)
+}
+
+func (m *member) stop() { m.node, m.boot = nil, m.boot+1 }
+
+// later runs something at a moment, if the process still lives by then.
+func (m *member) later(us int64, run func()) {
+	boot := m.boot
+	m.cluster.at(us, func() {
+		if m.node != nil && m.boot == boot {
+			run()
+		}
+	})
+}
+
+func (m *member) tick() {
+	m.handle(handleUs, chain.Event{})
+	m.later(m.cluster.nowUs+tickUs, m.tick)
+}
+
+// handle gives the member an event once its core has come to it.
+func (m *member) handle(costUs int64, ev chain.Event) {
+	m.coreUs = max(m.coreUs, m.cluster.nowUs) + costUs
+	m.later(m.coreUs, func() { m.step(ev) })
+}
+
+func (m *member) step(ev chain.Event) {
+	c := m.cluster
+	ev.NowUs = c.nowUs
+	for _, e := range m.node.Step(ev) {
+		switch {
+		case e.Send != nil:
+			m.send(e.Send.Addr, e.Send.Msg)
+		case e.Save != nil:
+			if m.saves = append(m.saves, *e.Save); len(m.saves) == 1 {
+				m.save()
+			}
+		case e.Applied != nil && e.Applied.Entry.Change.Config != nil:
+			m.coreUs = max(m.coreUs, c.nowUs) + applyUs + int64(c.routes)*applyPerRouteUs
+		}
+	}
+	c.judge(m)
+}
+
+func (m *member) send(addr string, msg chain.Msg) {
+	c := m.cluster
+	raw, err := json.Marshal(msg)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	size, bulk := int64(len(raw)), msg.Bulk()
+	cost := costs{linkNsPerByte, codeNsPerByte}
+	if bulk {
+		cost = c.copyCosts
+	}
+	codeUs := size * cost.codeNs / 1000
+	m.coreUs = max(m.coreUs, c.nowUs) + codeUs
+	m.linkUs = max(m.linkUs, m.coreUs) + size*cost.linkNs/1000
+	for _, to := range c.members {
+		if to.me.Addr != addr || to == m {
+			continue
+		}
+		c.at(m.linkUs+linkDelayUs, func() {
+			if to.node == nil {
+				return
+			}
+			to.received += size
+			if bulk {
+				to.copies += size
+			}
+			held := chain.Msg{}
+			if err := json.Unmarshal(raw, &held); err != nil {
+				c.t.Fatal(err)
+			}
+			to.handle(handleUs+codeUs, chain.Event{Got: &held})
+		})
+	}
+}
+
+// save writes the oldest save that waits, as an office does: one at a time, copies beside the log.
+func (m *member) save() {
+	c := m.cluster
+	s := m.saves[0]
+	m.diskUs = max(m.diskUs, c.nowUs) + syncUs
+	if s.Fresh {
+		m.diskUs += syncUs
+	}
+	m.insist(s.Seq, m.diskUs, func() error {
+		from, err := m.store.Write(s.Records, s.Fresh)
+		if err != nil {
+			return err
+		}
+		if s.Copy != nil {
+			m.insist(s.Seq, c.nowUs+3*syncUs, func() error { return m.keep(s, from) })
+		} else {
+			m.step(chain.Event{Saved: s.Seq, LogBytes: m.store.LogBytes()})
+		}
+		c.weigh(m)
+		if m.saves = m.saves[1:]; len(m.saves) > 0 {
+			m.save()
+		}
+		return nil
+	})
+}
+
+// insist tries the same again until the disk takes it; the chain hears of the first refusal.
+func (m *member) insist(seq uint64, us int64, try func() error) {
+	m.later(us, func() {
+		err := try()
+		var bad *fault.Fault
+		switch {
+		case errors.As(err, &bad):
+			m.cluster.t.Fatal(err)
+		case err != nil:
+			m.step(chain.Event{Refused: seq})
+			m.insist(seq, m.cluster.nowUs+retrySaveUs, try)
+		}
+	})
+}
+
+func (m *member) keep(s chain.Save, from uint64) error {
+	left := m.powerLostWhile(func() error { return m.store.Keep(*s.Copy, from) })
+	if left.disk != nil {
+		m.stop()
+		m.disk = left.disk.settled()
+		return nil
+	}
+	m.cluster.weigh(m)
+	if left.err == nil && s.Fresh {
+		left.err = m.store.Forget(from)
+	}
+	if left.err == nil {
+		m.step(chain.Event{Saved: s.Seq, LogBytes: m.store.LogBytes()})
+	}
+	return left.err
+}
+
+// leftOver is how a piece of work ended: with an error or none, or with a loss of power that left a disk.
+type leftOver struct {
+	disk *powerDisk
+	err  error
+}
+
+func (m *member) powerLostWhile(work func() error) (left leftOver) {
+	if m.losesPowerIn == 0 {
+		return leftOver{err: work()}
+	}
+	m.disk.before = func() {
+		if m.losesPowerIn--; m.losesPowerIn == 0 {
+			left.disk = m.leaves(m.disk.afterPowerLoss())
+		}
+	}
+	left.err = work()
+	m.disk.before = nil
+	if left.disk == nil && m.losesPowerIn == 1 {
+		m.losesPowerIn, left.disk = 0, m.leaves(m.disk.afterPowerLoss())
+	}
+	return left
+}
+
+// weigh notes the most that a disk has held.
+func (c *cluster) weigh(m *member) {
+	sum := int64(0)
+	for _, f := range m.disk.names {
+		sum += int64(len(f.data))
+	}
+	c.mostDisk = max(c.mostDisk, sum)
+}
+
+func (c *cluster) head() *member {
+	for _, m := range c.members {
+		if m.node != nil && m.node.IsHead() {
+			return m
+		}
+	}
+	return nil
+}
+
+// place finds the member at a place of the newest view.
+func (c *cluster) place(at int) *member {
+	order := c.head().node.View().Order
+	for _, m := range c.members {
+		if m.me.ID == order[at].ID {
+			return m
+		}
+	}
+	return nil
+}
+
+// whole: every member that lives has a seat, a vote and all that was acknowledged.
+func (c *cluster) whole() bool {
+	for _, m := range c.members {
+		if m.node == nil || !m.caughtUp() {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *member) caughtUp() bool {
+	n := m.node
+	view := n.View()
+	return n.Phase() == chain.Serving && n.WaitsFor() == "" && view.Votes(m.me.ID) && len(view.Order) == 3 && n.Commit()+2 >= m.cluster.newest
+}
+
+// submitNext begins the next change; it is sent again until it is acknowledged.
+func (c *cluster) submitNext() {
+	c.changes++
+	c.sentUs = c.nowUs
+	c.change = &ledger.Change{ID: fmt.Sprint("change-", c.changes), Config: c.next(c.changes)}
+	c.submit(c.change)
+}
+
+func (c *cluster) submit(change *ledger.Change) {
+	if c.change != change {
+		return
+	}
+	if h := c.head(); h != nil {
+		held := *change
+		h.handle(handleUs, chain.Event{Submit: &held})
+	}
+	c.at(c.nowUs+resubmitUs, func() { c.submit(change) })
+}
+
+// judge holds what a member may say against what was acknowledged, and takes the acknowledgement of the change that
+// is under way.
+func (c *cluster) judge(m *member) {
+	n := m.node
+	if n.Open(c.nowUs) && n.Commit() < c.newest {
+		c.fail("%s answers as tail at %d, %d was acknowledged", m.me.ID, n.Commit(), c.newest)
+	}
+	if n.HeadFresh(c.nowUs) && n.Last() < c.newest {
+		c.fail("%s gives orders at %d, %d was acknowledged", m.me.ID, n.Last(), c.newest)
+	}
+	if c.change == nil {
+		return
+	}
+	out, seen := n.State().Changes[c.change.ID]
+	if !seen || !n.Kept(out.Index) {
+		return
+	}
+	if out.Fault != nil {
+		c.fail("change %d: %v", c.changes, out.Fault)
+	}
+	c.acknowledged(out.Index)
+}
+
+func (c *cluster) acknowledged(index uint64) {
+	if tookUs := c.nowUs - c.sentUs; tookUs > c.worstUs {
+		c.worstUs, c.slowest = tookUs, c.changes
+	}
+	c.newest = index
+	c.change = nil
+	c.at(c.nowUs+c.gapUs, c.submitNext)
+}
+
+func (c *cluster) fail(format string, args ...any) {
+	if c.wrong == "" {
+		c.wrong = fmt.Sprintf("at %d ms: ", c.nowUs/clock.Ms) + fmt.Sprintf(format, args...)
+	}
+}
+
+// acknowledge lets so many changes be acknowledged, within a time for each.
+func (c *cluster) acknowledge(count int) {
+	want := c.changes + uint64(count)
+	c.pass(int64(count)*2*clock.Sec+20*clock.Sec, func() bool { return c.changes >= want || c.wrong != "" })
+	if c.changes < want {
+		c.fail("%d changes of %d", c.changes, want)
+	}
+}
--- a/internal/storage/power_test.go
+++ b/internal/storage/power_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand"
 	"os"
 	"path/filepath"
 	"slices"
@@ -234,7 +236,7 @@
 	if h.disk.lie == copiesAreUnsynced && isCopy || h.disk.lie == logIsUnsynced && !isCopy {
 		return nil
 	}
-	h.of.synced, h.of.pending = slices.Clone(h.of.data), nil
+	h.of.synced, h.of.pending = slices.Clip(h.of.data), nil
 	return nil
 }
 
@@ -242,6 +244,9 @@
 
 // put is a file's bytes with some more at a place; what lies between its end and there reads as zeros.
 func put(data []byte, at int, more []byte) []byte {
+	if at == len(data) {
+		return append(data, more...)
+	}
 	out := make([]byte, max(len(data), at+len(more)))
 	copy(out, data)
 	copy(out[at:], more)
@@ -263,7 +268,7 @@
 			half := w.bytes[:(len(w.bytes)+1)/2]
 			zeros := make([]byte, len(w.bytes)-len(half))
 			for _, left := range [][]byte{w.bytes, w.bytes[:1], half, append(slices.Clone(half), zeros...)} {
-				more = append(more, put(data, w.at, left))
+				more = append(more, put(slices.Clip(data), w.at, left))
 			}
 		}
 		all = more
@@ -289,6 +294,38 @@
 	return left
 }
 
+// afterOnePowerLoss draws one of the disks that a loss of power may leave, where there are too many to list.
+func (d *powerDisk) afterOnePowerLoss(r *rand.Rand) *powerDisk {
+	names := map[string]*content{}
+	for path, f := range d.lasting {
+		names[path] = f
+	}
+	for _, c := range d.pending {
+		if r.Intn(2) == 0 {
+			c.apply(names)
+		}
+	}
+	left := &powerDisk{names: map[string]*content{}, lie: d.lie}
+	for _, path := range slices.Sorted(maps.Keys(names)) {
+		if reachable(names, path) {
+			f := names[path]
+			data := f.oneRemains(r)
+			left.names[path] = &content{folder: f.folder, data: data, synced: data}
+		}
+	}
+	return left
+}
+
+// oneRemains draws what of a file's bytes is left.
+func (f *content) oneRemains(r *rand.Rand) []byte {
+	data := f.synced
+	for _, w := range f.pending {
+		all := (&content{synced: data, pending: []write{w}}).remains()
+		data = all[r.Intn(len(all))]
+	}
+	return data
+}
+
 // spread gives one disk for each choice of what remains of each file.
 func spread(names map[string]*content) []*powerDisk {
 	paths := []string{}
