--- /dev/null
+++ b/internal/controller/orders.go
@@ -0,0 +1,252 @@
+package controller
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"petreltide/internal/clock"
+	"petreltide/internal/ledger"
+	"petreltide/internal/roster"
+	"petreltide/internal/standing"
+	"petreltide/internal/wire"
+)
+
+// standingOrder is what this controller knows of one order that stands: when it was sent, what the replica
+// said to it, and when to look again.
+type standingOrder struct {
+	seenUs  int64
+	sentUs  int64
+	saidUs  int64
+	said    string
+	askUs   int64
+	askedUs int64
+	asked   bool
+	// notedUs is when this order was last counted against the store's window.
+	notedUs int64
+	// outdatedUs is since when reports have shown nothing but older states; 0 while they do not.
+	outdatedUs int64
+	// basis is the state of the replica that the order is sent on; result is its state once the order is settled.
+	basis, result *basis
+}
+
+// routedOrders sends what the ledger holds, looks what became of what was sent, and sends again only what
+// the replica does not have.
+func (f *Controller) routedOrders(seen Seen) {
+	s, nowUs := seen.State, seen.NowUs
+	if len(f.routed.orders) > len(s.Pending) {
+		stand := map[uint64]bool{}
+		for _, t := range s.Pending {
+			stand[t.Number] = true
+		}
+		maps.DeleteFunc(f.routed.orders, func(number uint64, _ *standingOrder) bool { return !stand[number] })
+	}
+	for _, id := range sorted(s.Pending) {
+		t := s.Pending[id]
+		e := seen.Roster.Row(id)
+		if e == nil || e.Gone {
+			continue
+		}
+		o := f.routed.orders[t.Number]
+		if o == nil {
+			o = &standingOrder{notedUs: nowUs}
+			f.routed.orders[t.Number] = o
+			if t.Epoch != f.claimed {
+				o.askUs, o.notedUs = nowUs, 0
+			}
+		}
+		switch {
+		case o.said == wire.OrderRunning && o.askUs > 0 && nowUs >= o.askUs && f.known(s, t):
+			f.routed.trustedUs[id+"|"+t.Unit] = nowUs + trustSpans*f.lookUs(s, t) + wordLateUs
+			o.result = o.basis.after(t)
+			f.settled(id, t, wire.OrderDone, "")
+			o.askUs, o.said = 0, wire.OrderDone
+		case o.askUs > 0:
+			if nowUs >= o.askUs && !o.asked {
+				o.asked, o.askedUs = true, nowUs
+				f.do(Effect{Ask: &Ask{AskedUs: nowUs, Replica: id, Addr: e.Addr}})
+			} else if o.asked && nowUs-o.askedUs > 1200*clock.Ms {
+				o.asked, o.askUs = false, nowUs
+			}
+		case o.sentUs == 0 && f.mayOrder(nowUs, id):
+			if o.seenUs == 0 {
+				o.seenUs = nowUs
+			}
+			if t.Step == ledger.Unload && !f.quiet(nowUs, t, o.seenUs) {
+				continue
+			}
+			if o.basis == nil {
+				o.basis = recordedBasis(s.Replicas[id])
+			}
+			if o.basis == nil {
+				o.askUs = nowUs
+				continue
+			}
+			f.sendOrder(seen, t, e, o)
+		case o.sentUs > 0 && o.said == "" && nowUs-o.sentUs > orderAgainUs:
+			o.askUs = nowUs
+		}
+	}
+}
+
+// quiet: every desk has had time to hear that a unit is to go, and none has calls there that have not begun;
+// a replica would turn them away.
+func (f *Controller) quiet(nowUs int64, t ledger.Ticket, sinceUs int64) bool {
+	if nowUs-sinceUs < quietLeastUs {
+		return false
+	}
+	if nowUs-sinceUs > quietMostUs {
+		return true
+	}
+	model, _ := standing.Units(t.Unit)
+	for _, d := range f.desks {
+		if nowUs-d.atUs < deskLiveUs && d.report.Unread[t.Replica+"|"+model] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// sendOrder sends an order on its basis. A load that is sent again, or long after its ticket, is counted
+// against the store's window once more.
+func (f *Controller) sendOrder(seen Seen, t ledger.Ticket, e *roster.Entry, o *standingOrder) {
+	if o.saidUs > 0 || seen.NowUs-o.notedUs > sendLateUs {
+		f.routed.noteLoad(seen.NowUs, seen.State, t)
+		o.notedUs = seen.NowUs
+	}
+	o.sentUs, o.said = seen.NowUs, ""
+	expected := o.basis.orders
+	f.do(Effect{Order: &Order{Addr: e.Addr, Order: wire.Order{Ticket: t, Epoch: f.claimed, Holder: f.me, Expected: &expected}}})
+}
+
+// routedOrdered takes a replica's answer to an order; what it means in the end is seen by what it holds.
+func (f *Controller) routedOrdered(seen Seen, a Ordered) {
+	t, pending := seen.State.Pending[a.Replica]
+	o := f.routed.orders[a.State.Number]
+	if !pending || t.Number != a.State.Number || o == nil {
+		return
+	}
+	if a.Expected != nil && o.basis != nil && *a.Expected != o.basis.orders {
+		return
+	}
+	nowUs := seen.NowUs
+	o.saidUs, o.said = nowUs, a.State.State
+	switch a.State.State {
+	case wire.OrderRunning:
+		o.askUs = nowUs + f.lookUs(seen.State, t)
+	case wire.OrderDone:
+		f.settled(a.Replica, t, wire.OrderDone, "")
+	case wire.OrderFailed:
+		f.settled(a.Replica, t, wire.OrderFailed, a.State.Why)
+	default:
+		o.askUs = nowUs + askLateUs
+	}
+}
+
+// known: an order that was taken ends after a time that the configuration states; what the replica says of
+// itself soon after would show it if it had not.
+func (f *Controller) known(s *ledger.State, t ledger.Ticket) bool {
+	have := s.Replicas[t.Replica]
+	return t.Step == ledger.Load && (strings.Contains(t.Unit, "/") || have == nil || !have.Had[t.Unit])
+}
+
+// lookUs is how long after an order was taken its end may be seen.
+func (f *Controller) lookUs(s *ledger.State, t ledger.Ticket) int64 {
+	have := s.Replicas[t.Replica]
+	switch {
+	case t.Step == ledger.Unload:
+		return unloadFirstUs
+	case strings.Contains(t.Unit, "/"):
+		return adapterDoneUs
+	case have != nil && have.Had[t.Unit]:
+		return warmFirstUs
+	}
+	if _, loadMs, ok := s.Doc.EngineUnitMb(have.Service, t.Unit); ok {
+		return loadMs*1000 + 15*clock.Ms
+	}
+	return clock.Sec
+}
+
+// settled gives the ledger's way of settling what it needs: the replica's last order.
+func (f *Controller) settled(replica string, t ledger.Ticket, state, why string) {
+	row := f.replicas[replica]
+	if row == nil {
+		row = &told{}
+		f.replicas[replica] = row
+	}
+	row.state.Inc, row.state.ID, row.atUs = t.Inc, replica, 1
+	row.state.Last = &wire.OrderState{Number: t.Number, Epoch: t.Epoch, State: state, Why: why}
+	f.moved = true
+}
+
+// routedTold takes a replica's report while an order stands there.
+func (f *Controller) routedTold(seen Seen, a Told) {
+	t, pending := seen.State.Pending[a.Replica]
+	if !pending {
+		return
+	}
+	o := f.routed.orders[t.Number]
+	if o == nil {
+		return
+	}
+	o.asked = false
+	if a.State == nil {
+		o.askUs = seen.NowUs + askAgainUs
+		return
+	}
+	f.look(seen, t, o, a.State)
+}
+
+// look judges an order by what the replica holds. A report lags a little, so that it ends an order only
+// by what it shows, or by showing nothing for long enough.
+func (f *Controller) look(seen Seen, t ledger.Ticket, o *standingOrder, told *wire.ReplicaState) {
+	_, holds := slices.BinarySearch(told.Units, t.Unit)
+	nowUs, have := seen.NowUs, seen.State.Replicas[t.Replica]
+	if have == nil {
+		return
+	}
+	if o.outdatedReport(have, told) {
+		f.lookAgain(nowUs, t, o)
+		return
+	}
+	o.outdatedUs = 0
+	reported := reportedBasis(told)
+	switch {
+	case holds && t.Step == ledger.Load:
+		f.conclude(t, o, wire.OrderDone, "", reported)
+	case !holds && t.Step == ledger.Unload && (!told.Busy || o.said == wire.OrderRunning):
+		f.conclude(t, o, wire.OrderDone, "", reported)
+	case o.said == wire.OrderRunning && (told.Busy || nowUs-o.saidUs < orderVoidUs):
+		o.askUs = nowUs + askAgainUs
+	case o.said == wire.OrderRunning:
+		f.conclude(t, o, wire.OrderFailed, "it was taken and is not there", reported)
+	case told.Busy:
+		o.askUs = nowUs + askAgainUs
+	case !reported.admits(seen.State.Doc, have, t):
+		f.conclude(t, o, wire.OrderFailed, "what the replica holds leaves no room", reported)
+	default:
+		o.askUs, o.sentUs, o.basis = 0, 0, reported
+		if o.said != "" && nowUs-o.saidUs < orderAgainUs {
+			o.askUs = nowUs + askAgainUs
+		}
+	}
+}
+
+// lookAgain waits for a report that is new enough. One that never comes ends the order: its replica's count will
+// be asked for before the next one.
+func (f *Controller) lookAgain(nowUs int64, t ledger.Ticket, o *standingOrder) {
+	if o.outdatedUs == 0 {
+		o.outdatedUs = nowUs
+	}
+	if nowUs-o.outdatedUs > outdatedMostUs {
+		f.conclude(t, o, wire.OrderFailed, "its reports are older than its orders", nil)
+		return
+	}
+	o.askUs = nowUs + askAgainUs
+}
+
+// conclude settles an order with what the replica holds after it, where that is known.
+func (f *Controller) conclude(t ledger.Ticket, o *standingOrder, state, why string, result *basis) {
+	o.askUs, o.said, o.result = 0, state, result
+	f.settled(t.Replica, t, state, why)
+}
--- /dev/null
+++ b/internal/ledger/grants.go
@@ -0,0 +1,55 @@
+package ledger
+
+import "petreltide/internal/fault"
+
+type Grant struct {
+	Ticket  uint64 `json:"ticket"`
+	Epoch   uint64 `json:"epoch"`
+	Desk    string `json:"desk"`
+	DeskInc string `json:"deskInc"`
+	Replica string `json:"replica"`
+	Inc     string `json:"inc"`
+	Model   string `json:"model"`
+	From    uint64 `json:"from"`
+	To      uint64 `json:"to"`
+}
+
+func (g Grant) Key() string { return g.Desk + "|" + g.Replica + "|" + g.Model }
+
+type GrantAsk struct {
+	Desk    string `json:"desk"`
+	DeskInc string `json:"deskInc"`
+	Replica string `json:"replica"`
+	Inc     string `json:"inc"`
+	Model   string `json:"model"`
+	Count   uint64 `json:"count"`
+}
+
+func (s *State) dropDesk(id string) {
+	for key, g := range s.Grants {
+		if g.Desk == id {
+			delete(s.Grants, key)
+		}
+	}
+	for _, r := range s.Replicas {
+		delete(r.Shares, id)
+	}
+}
+
+func (s *State) grant(epoch uint64, a GrantAsk) *fault.Fault {
+	r := s.Replicas[a.Replica]
+	if r == nil || r.Inc != a.Inc {
+		return fault.New(fault.ReplicaUnknown, a.Replica, "no such replica or another incarnation")
+	}
+	if a.Count == 0 || a.Count > 1<<20 {
+		return fault.New(fault.TicketRefused, a.Replica, "count %d", a.Count)
+	}
+	g := Grant{
+		Ticket: s.NextTicket, Epoch: epoch, Desk: a.Desk, DeskInc: a.DeskInc,
+		Replica: a.Replica, Inc: a.Inc, Model: a.Model, From: r.NextLeg, To: r.NextLeg + a.Count,
+	}
+	s.NextTicket++
+	r.NextLeg = g.To
+	s.Grants[g.Key()] = g
+	return nil
+}
--- /dev/null
+++ b/internal/ledger/keys.go
@@ -0,0 +1,61 @@
+package ledger
+
+import "petreltide/internal/fault"
+
+type KeyRow struct {
+	Desk    string `json:"desk"`
+	DeskInc string `json:"deskInc"`
+	Call    string `json:"call"`
+	Ended   string `json:"ended,omitempty"`
+	Index   uint64 `json:"index"`
+}
+
+type KeyChange struct {
+	Key     string `json:"key"`
+	Desk    string `json:"desk"`
+	DeskInc string `json:"deskInc"`
+	Call    string `json:"call"`
+	End     string `json:"end,omitempty"`
+	Free    bool   `json:"free,omitempty"`
+}
+
+func (s *State) applyKey(out *Outcome, c Change) {
+	k := c.Key
+	row, seen := s.Keys[k.Key]
+	mine := seen && row.DeskInc == k.DeskInc && row.Call == k.Call
+	switch {
+	case k.Free:
+		if mine && row.Ended == "" {
+			delete(s.Keys, k.Key)
+		}
+	case k.End != "":
+		if mine && row.Ended == "" {
+			row.Ended = k.End
+			s.Keys[k.Key] = row
+		}
+	case seen:
+		held := row
+		out.Key = &held
+		out.Again = !mine
+	default:
+		if len(s.Keys) >= KeysMost {
+			out.Fault = fault.New(fault.KeysFull, "key", "%d keys are kept", len(s.Keys))
+			return
+		}
+		row = KeyRow{Desk: k.Desk, DeskInc: k.DeskInc, Call: k.Call, Index: s.Index}
+		s.Keys[k.Key] = row
+		s.KeyOrder = append(s.KeyOrder, k.Key)
+		out.Key = &row
+	}
+}
+
+func (s *State) forgetKeys(before uint64) {
+	for len(s.KeyOrder) > 0 {
+		row, kept := s.Keys[s.KeyOrder[0]]
+		if kept && row.Index >= before {
+			return
+		}
+		delete(s.Keys, s.KeyOrder[0])
+		s.KeyOrder = s.KeyOrder[1:]
+	}
+}
--- /dev/null
+++ b/internal/ledger/replicas.go
@@ -0,0 +1,130 @@
+package ledger
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"petreltide/internal/standing"
+)
+
+type Replica struct {
+	ID      string           `json:"id"`
+	Inc     string           `json:"inc"`
+	Addr    string           `json:"addr"`
+	Zone    string           `json:"zone"`
+	RoomMb  int64            `json:"roomMb"`
+	Slots   int              `json:"slots"`
+	Leaving bool             `json:"leaving,omitempty"`
+	LeftMs  int64            `json:"leftMs,omitempty"`
+	Dark    bool             `json:"dark,omitempty"`
+	Service string           `json:"service,omitempty"`
+	Holds   map[string]int64 `json:"holds"`
+	Index   uint64           `json:"index,omitempty"`
+	// Orders is how many orders this life had taken when it held just Holds; nil where that is not known.
+	Orders *uint64 `json:"orders,omitempty"`
+	// Had are the models that this life has held at some time: they come back from its own disk.
+	Had     map[string]bool `json:"had,omitempty"`
+	NextLeg uint64          `json:"nextLeg"`
+	Shares  map[string]int  `json:"shares,omitempty"`
+}
+
+func (r *Replica) Usable(d *standing.Declaration) bool {
+	return !r.Leaving && !r.Dark && r.Inc != "" && (d == nil || !d.IsEmptied(r.Zone))
+}
+
+type ReplicaNote struct {
+	ID      string    `json:"id"`
+	Inc     string    `json:"inc"`
+	Addr    string    `json:"addr"`
+	Zone    string    `json:"zone"`
+	RoomMb  int64     `json:"roomMb"`
+	Slots   int       `json:"slots"`
+	Leaving bool      `json:"leaving,omitempty"`
+	LeftMs  int64     `json:"leftMs,omitempty"`
+	Dark    bool      `json:"dark,omitempty"`
+	Service string    `json:"service,omitempty"`
+	Told    bool      `json:"told,omitempty"`
+	Holds   []Holding `json:"holds,omitempty"`
+	// Orders is how many orders it had taken when it held just Holds, where that is known.
+	Orders *uint64 `json:"orders,omitempty"`
+}
+
+type Holding struct {
+	Unit   string `json:"unit"`
+	SizeMb int64  `json:"sizeMb"`
+}
+
+func (s *State) ReplicaIDs() []string {
+	return slices.Sorted(maps.Keys(s.Replicas))
+}
+
+// TakenMb counts what is held and what may be held: a load in doubt keeps its room,
+// and an unload gives its room back only once it is settled.
+func (s *State) TakenMb(replica string) int64 {
+	r := s.Replicas[replica]
+	if r == nil {
+		return 0
+	}
+	var sumMb int64
+	for _, mb := range r.Holds {
+		sumMb += mb
+	}
+	if t, ok := s.Pending[replica]; ok && t.Step == Load {
+		if _, held := r.Holds[t.Unit]; !held {
+			sumMb += t.SizeMb
+		}
+	}
+	return sumMb
+}
+
+func (s *State) noteReplica(n ReplicaNote) {
+	r := s.Replicas[n.ID]
+	if r == nil {
+		r = &Replica{ID: n.ID, Holds: map[string]int64{}, NextLeg: 1}
+		s.Replicas[n.ID] = r
+	}
+	if n.Inc != r.Inc {
+		s.dropReplica(n.ID)
+		r = &Replica{ID: n.ID, Inc: n.Inc, Holds: map[string]int64{}, NextLeg: 1}
+		s.Replicas[n.ID] = r
+	}
+	r.Addr, r.Zone, r.RoomMb, r.Slots = n.Addr, n.Zone, n.RoomMb, n.Slots
+	r.Leaving, r.LeftMs, r.Dark, r.Service = n.Leaving, n.LeftMs, n.Dark, n.Service
+	r.Index, s.HoldsIndex = s.Index, s.Index
+	if n.Told {
+		r.hold(n.Holds, n.Orders)
+	}
+}
+
+// hold sets all that a replica holds, and after how many orders, where that is known.
+func (r *Replica) hold(all []Holding, orders *uint64) {
+	r.Holds, r.Orders = map[string]int64{}, orders
+	for _, h := range all {
+		r.Holds[h.Unit] = h.SizeMb
+		r.had(h.Unit)
+	}
+}
+
+func (r *Replica) had(unit string) {
+	if r.Service == "" || strings.Contains(unit, "/") {
+		return
+	}
+	if r.Had == nil {
+		r.Had = map[string]bool{}
+	}
+	r.Had[unit] = true
+}
+
+func (s *State) dropReplica(id string) {
+	delete(s.Replicas, id)
+	if _, pending := s.Pending[id]; pending {
+		s.OrdersIndex = s.Index
+	}
+	delete(s.Pending, id)
+	for key, g := range s.Grants {
+		if g.Replica == id {
+			delete(s.Grants, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/ledger/versions.go
@@ -0,0 +1,149 @@
+package ledger
+
+import (
+	"encoding/json"
+	"slices"
+
+	"petreltide/internal/fault"
+	"petreltide/internal/standing"
+)
+
+// ConfigChange is a whole declaration, or an edit of the one in force. With a version of the operators'
+// own, Base is the version it builds on, and the same order sent again is known by the change's id.
+type ConfigChange struct {
+	Base    uint64                `json:"base"`
+	Version uint64                `json:"version,omitempty"`
+	Doc     *standing.Declaration `json:"doc,omitempty"`
+	Edit    *standing.Edit        `json:"edit,omitempty"`
+}
+
+func (s *State) applyConfig(out Outcome, c Change) Outcome {
+	if first, seen := s.earlierOutcome(c.ID); seen {
+		return first
+	}
+	if c.Config.Version > 0 {
+		return s.applyVersion(out, c)
+	}
+	if s.Version() > 0 {
+		out.Fault = fault.New(fault.InvalidConfig, "version", "version %d is in force: send a numbered one", s.Version())
+	} else if c.Config.Base != s.Revision {
+		if out = s.staleBase(out, c.Config.Base, s.Revision, c.Config.Base+1); out.Fault.Code == fault.InDoubt {
+			return out
+		}
+	} else if f := s.fits(c.Config.Doc); f != nil {
+		out.Fault = f
+	} else {
+		s.Revision++
+		s.Doc = c.Config.Doc
+		s.NewsIndex = s.Index
+		s.dropPassed(s.Revision)
+	}
+	out.Revision = s.Revision
+	s.remember(out)
+	return out
+}
+
+// Version is the operators' own number of the declaration in force.
+func (s *State) Version() uint64 {
+	if s.Doc == nil {
+		return 0
+	}
+	return s.Doc.Version
+}
+
+// applyVersion takes an operator's numbered version. What was taken is remembered, and so is a refusal that would not
+// be given again (see staleBase). Any other refusal is judged anew, and found again: versions only rise, and what is
+// invalid on top of one version stays invalid on top of it.
+func (s *State) applyVersion(out Outcome, c Change) Outcome {
+	out.Revision = s.Version()
+	doc := c.Config.Doc
+	if c.Config.Base != s.Version() {
+		return s.staleBase(out, c.Config.Base, s.Version(), c.Config.Version)
+	}
+	var bad *fault.Fault
+	switch {
+	case c.Config.Version <= s.Version():
+		bad = fault.New(fault.InvalidConfig, "version", "%d is not above %d", c.Config.Version, s.Version())
+	case c.Config.Edit != nil && s.Doc == nil:
+		bad = fault.New(fault.InvalidConfig, "", "nothing is in force that could be edited")
+	case c.Config.Edit != nil:
+		doc, bad = s.Doc.Edited(c.Config.Edit)
+	case doc == nil:
+		bad = fault.New(fault.InvalidConfig, "", "neither a declaration nor an edit")
+	}
+	if bad == nil {
+		bad = doc.CheckRoutes()
+	}
+	if bad != nil {
+		out.Fault = bad
+		return out
+	}
+	if c.Config.Edit != nil {
+		s.keepEdit(Edited{From: s.Revision, Edit: c.Config.Edit})
+	} else {
+		s.Edits = nil
+	}
+	s.Revision++
+	s.Doc = doc.Indexed()
+	s.NewsIndex = s.Index
+	out.Revision = s.Version()
+	s.dropPassed(s.Version())
+	s.remember(out)
+	return out
+}
+
+const (
+	editsMost     = 32
+	editBytesMost = 1 << 20
+	faultsMost    = 16
+)
+
+// Edited is the edit that led from one revision to the next, and what it takes in a copy.
+type Edited struct {
+	From  uint64         `json:"from"`
+	Edit  *standing.Edit `json:"edit"`
+	Bytes int            `json:"bytes"`
+}
+
+// keepEdit keeps the newest edits, as many as there is room for.
+func (s *State) keepEdit(e Edited) {
+	raw, err := json.Marshal(e.Edit)
+	if err != nil {
+		panic(err)
+	}
+	e.Bytes = len(raw)
+	all := append(slices.Clone(s.Edits), e)
+	from, bytes := len(all), 0
+	for from > 0 && len(all)-from < editsMost && bytes+all[from-1].Bytes <= editBytesMost {
+		from--
+		bytes += all[from].Bytes
+	}
+	s.Edits = slices.Clone(all[from:])
+}
+
+// EditsSince are the edits that lead from a revision to the one in force; false where they are not kept.
+func (s *State) EditsSince(revision uint64) ([]*standing.Edit, bool) {
+	edits := []*standing.Edit{}
+	for _, e := range s.Edits {
+		if e.From >= revision {
+			edits = append(edits, e.Edit)
+		}
+	}
+	return edits, revision <= s.Revision && uint64(len(edits)) == s.Revision-revision
+}
+
+func (s *State) fits(d *standing.Declaration) *fault.Fault {
+	var mostMb int64
+	for _, r := range s.Replicas {
+		mostMb = max(mostMb, r.RoomMb)
+	}
+	sheet := &fault.Sheet{}
+	if mostMb > 0 {
+		for _, m := range d.Models {
+			if m.SizeMb > mostMb {
+				sheet.Note(fault.InvalidConfig, "models."+m.Name+".sizeMb", "%d MB fits no listed replica (largest %d MB)", m.SizeMb, mostMb)
+			}
+		}
+	}
+	return sheet.As(fault.InvalidConfig)
+}
