--- a/proofs/platform/replica/shared.go
+++ b/proofs/platform/replica/shared.go
@@ -9,6 +9,14 @@
 
 	mu      sync.Mutex
 	running int
+	slowX   float64
+}
+
+// Slow makes every load that begins from now on take so many times as long; 1 or less ends that.
+func (s *Store) Slow(times float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slowX = times
 }
 
 // begin counts one more load and returns how many times as long as usual it takes, at least 1.
@@ -16,7 +24,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running++
-	return max(float64(s.running)/float64(max(s.AtOnce, 1)), 1)
+	return max(float64(s.running)/float64(max(s.AtOnce, 1)), 1) * max(s.slowX, 1)
 }
 
 // end counts a load out again that begin has counted.
--- a/proofs/sim/routed_faults.go
+++ b/proofs/sim/routed_faults.go
@@ -208,6 +208,9 @@
 		d.at(d.nowUs+f.ForUs, func() { d.clients.rareX = 1 })
 	case "model-shift":
 		d.clients.shift += 2 + f.N%6
+	case "slow-store":
+		d.store.Slow(float64(2 + f.N))
+		d.at(d.nowUs+f.ForUs, func() { d.store.Slow(1) })
 	case "swap-seeds":
 		d.seeds = slices.Clone(d.listedNow())
 		slices.Reverse(d.seeds)
