--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -40,6 +40,7 @@
 	legSeconds    = 5
 )
 
+// Event is one thing that the controller hears of; without any of its fields it is a tick of the clock.
 type Event struct {
 	NowUs   int64
 	Listed  *Listed
@@ -51,11 +52,13 @@
 	Wrote   *ledger.Outcome
 }
 
+// Listed is the platform's list of replicas, or why it could not be read.
 type Listed struct {
 	List *wire.List
 	Err  string
 }
 
+// Told is a replica's report, asked for at AskedUs; State is nil where none came.
 type Told struct {
 	AskedUs int64
 	Replica string
@@ -73,6 +76,7 @@
 	State    wire.OrderState
 }
 
+// PolicyDone is what the live placement policy and its shadows proposed in one run.
 type PolicyDone struct {
 	Run      uint64
 	Revision uint64
@@ -80,6 +84,7 @@
 	Shadows  []placement.Answer
 }
 
+// Effect is one thing that the controller wants done; one of its fields is set.
 type Effect struct {
 	PollList bool
 	Ask      *Ask
@@ -91,17 +96,20 @@
 	Outliers *outlier.Table
 }
 
+// Ask asks one replica for its report.
 type Ask struct {
 	AskedUs int64
 	Replica string
 	Addr    string
 }
 
+// Order sends one order to a replica.
 type Order struct {
 	Addr  string
 	Order wire.Order
 }
 
+// Run lets the placement policies propose for the fleet as it is.
 type Run struct {
 	Number   uint64
 	Revision uint64
@@ -110,6 +118,7 @@
 	Fleet    placement.Fleet
 }
 
+// Seen is what the office knows as an event is taken: the ledger, whether it leads and may write, and its replicas.
 type Seen struct {
 	NowUs  int64
 	State  *ledger.State
@@ -181,6 +190,7 @@
 	effects    []Effect
 }
 
+// PolicyNote is what is shown of a placement policy: how often it ran, failed, and differed from the live one.
 type PolicyNote struct {
 	Name     string              `json:"name"`
 	Runs     uint64              `json:"runs"`
@@ -200,8 +210,10 @@
 	Outlier        outlier.Options
 }
 
+// New makes a controller with the usual options.
 func New(me string) *Controller { return NewWith(me, Options{}) }
 
+// NewWith makes a controller that remembers nothing yet.
 func NewWith(me string, opts Options) *Controller {
 	return &Controller{
 		me: me, opts: opts, replicas: map[string]*told{}, desks: map[string]*deskRow{},
@@ -209,12 +221,15 @@
 	}
 }
 
+// Counts are how many replicas of each model the scaler wants.
 func (f *Controller) Counts() []scaler.Count { return f.counted }
 
+// OnDuty says whether this controller holds the duty, by its own claim in the ledger.
 func (f *Controller) OnDuty(s *ledger.State) bool {
 	return f.claimed > 0 && s.Epoch == f.claimed && s.Holder == f.me
 }
 
+// DeskNote is what is shown of a desk: when it last reported, and what is called for and waits there.
 type DeskNote struct {
 	Silent   bool               `json:"silent,omitempty"`
 	Desk     string             `json:"desk"`
@@ -225,6 +240,7 @@
 	Waiting  map[string]int     `json:"waiting,omitempty"`
 }
 
+// Desks shows every desk that has reported.
 func (f *Controller) Desks(nowUs int64) []DeskNote {
 	notes := []DeskNote{}
 	for _, id := range sorted(f.desks) {
@@ -238,6 +254,7 @@
 	return slices.Sorted(maps.Keys(m))
 }
 
+// Step takes one event and returns what is to be done.
 func (f *Controller) Step(seen Seen, ev Event) []Effect {
 	f.effects = nil
 	switch {
--- a/internal/ledger/duty.go
+++ b/internal/ledger/duty.go
@@ -2,10 +2,12 @@
 
 import "petreltide/internal/fault"
 
+// Claim takes the duty of the controller under the next epoch.
 type Claim struct {
 	Holder string `json:"holder"`
 }
 
+// Duty is one write of the controller that holds the duty: what it knows of replicas, and the orders it issues and settles.
 type Duty struct {
 	Fleet   []ReplicaNote             `json:"fleet,omitempty"`
 	Gone    []string                  `json:"gone,omitempty"`
@@ -18,6 +20,7 @@
 	Checked uint64                    `json:"checkedInView,omitempty"`
 }
 
+// Blank says whether a duty would change nothing.
 func (d *Duty) Blank() bool {
 	return len(d.Fleet)+len(d.Gone)+len(d.Tickets)+len(d.Settled)+len(d.Grants)+len(d.Shares)+len(d.Desks) == 0 && d.Forget+d.Checked == 0
 }
--- a/internal/ledger/grants.go
+++ b/internal/ledger/grants.go
@@ -2,6 +2,7 @@
 
 import "petreltide/internal/fault"
 
+// Grant lets a desk number its calls to a replica from From up to, not including, To.
 type Grant struct {
 	Ticket  uint64 `json:"ticket"`
 	Epoch   uint64 `json:"epoch"`
@@ -14,8 +15,10 @@
 	To      uint64 `json:"to"`
 }
 
+// Key names the one grant that a desk has for a model at a replica.
 func (g Grant) Key() string { return g.Desk + "|" + g.Replica + "|" + g.Model }
 
+// GrantAsk asks for the next Count numbers.
 type GrantAsk struct {
 	Desk    string `json:"desk"`
 	DeskInc string `json:"deskInc"`
--- a/internal/ledger/keys.go
+++ b/internal/ledger/keys.go
@@ -2,6 +2,7 @@
 
 import "petreltide/internal/fault"
 
+// KeyRow is who first used a caller's idempotency key, and how that call ended.
 type KeyRow struct {
 	Desk    string `json:"desk"`
 	DeskInc string `json:"deskInc"`
@@ -10,6 +11,7 @@
 	Index   uint64 `json:"index"`
 }
 
+// KeyChange takes an idempotency key for a call, ends it, or frees it.
 type KeyChange struct {
 	Key     string `json:"key"`
 	Desk    string `json:"desk"`
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -9,11 +9,13 @@
 	"petreltide/internal/standing"
 )
 
+// What is kept at most: idempotency keys, and outcomes of changes.
 const (
 	KeysMost    = 200_000
 	ChangesMost = 2_048
 )
 
+// Change is one entry of the log; one of its pointers is set.
 type Change struct {
 	ID     string        `json:"id"`
 	Origin string        `json:"origin,omitempty"`
@@ -25,6 +27,7 @@
 	Member *MemberChange `json:"member,omitempty"`
 }
 
+// Outcome is what became of a change.
 type Outcome struct {
 	ID       string        `json:"id"`
 	Index    uint64        `json:"index"`
@@ -36,6 +39,7 @@
 	Faults   []fault.Fault `json:"faults,omitempty"`
 }
 
+// State is all that the log has made so far.
 type State struct {
 	Index     uint64 `json:"index"`
 	NewsIndex uint64 `json:"newsIndex"`
@@ -67,6 +71,7 @@
 	LoadedMb int64                 `json:"loadedMb"`
 }
 
+// NewState is the state before the first entry.
 func NewState() *State {
 	return &State{
 		NextTicket: 1, Replicas: map[string]*Replica{}, Pending: map[string]Ticket{},
@@ -75,6 +80,7 @@
 	}
 }
 
+// Encode is the state as snapshots hold it.
 func (s *State) Encode() []byte {
 	raw, err := json.Marshal(s)
 	if err != nil {
@@ -101,6 +107,7 @@
 	return &c
 }
 
+// Decode reads what Encode wrote.
 func Decode(raw []byte) (*State, error) {
 	s := NewState()
 	if err := json.Unmarshal(raw, s); err != nil {
@@ -109,6 +116,7 @@
 	return s, nil
 }
 
+// Apply takes the entry with an index and says what became of it.
 func (s *State) Apply(index uint64, c Change) Outcome {
 	s.Index = index
 	out := Outcome{ID: c.ID, Index: index}
--- a/internal/ledger/members.go
+++ b/internal/ledger/members.go
@@ -2,8 +2,10 @@
 
 import "petreltide/internal/fault"
 
+// MemberAct is what is to happen to a member.
 type MemberAct string
 
+// The acts of a MemberChange.
 const (
 	AddMember     MemberAct = "add"
 	ReplaceMember MemberAct = "replace"
--- a/internal/ledger/replicas.go
+++ b/internal/ledger/replicas.go
@@ -8,6 +8,7 @@
 	"petreltide/internal/standing"
 )
 
+// Replica is the row of one life of a replica: where it is, its room, and what it holds.
 type Replica struct {
 	ID      string           `json:"id"`
 	Inc     string           `json:"inc"`
@@ -29,10 +30,12 @@
 	Shares  map[string]int  `json:"shares,omitempty"`
 }
 
+// Usable says whether a replica may be given more to hold.
 func (r *Replica) Usable(d *standing.Declaration) bool {
 	return !r.Leaving && !r.Dark && r.Inc != "" && (d == nil || !d.IsEmptied(r.Zone))
 }
 
+// ReplicaNote writes down what a replica says of itself; Holds counts only with Told.
 type ReplicaNote struct {
 	ID      string    `json:"id"`
 	Inc     string    `json:"inc"`
@@ -50,11 +53,13 @@
 	Orders *uint64 `json:"orders,omitempty"`
 }
 
+// Holding is a model or an adapter at a replica, and the room it takes.
 type Holding struct {
 	Unit   string `json:"unit"`
 	SizeMb int64  `json:"sizeMb"`
 }
 
+// ReplicaIDs are all replicas in order.
 func (s *State) ReplicaIDs() []string {
 	return slices.Sorted(maps.Keys(s.Replicas))
 }
--- a/internal/ledger/tickets.go
+++ b/internal/ledger/tickets.go
@@ -7,13 +7,16 @@
 	"petreltide/internal/standing"
 )
 
+// Step is what an order asks of a replica.
 type Step string
 
+// The steps of an order.
 const (
 	Load   Step = "load"
 	Unload Step = "unload"
 )
 
+// Ticket is an order that stands: at most one for each replica, numbered without gaps, fenced by its epoch.
 type Ticket struct {
 	Number   uint64 `json:"number"`
 	Epoch    uint64 `json:"epoch"`
@@ -36,6 +39,7 @@
 	Holds  []Holding `json:"holds,omitempty"`
 }
 
+// PendingLoads is how many loads stand.
 func (s *State) PendingLoads() int {
 	n := 0
 	for _, t := range s.Pending {
