--- a/internal/office/web.go
+++ b/internal/office/web.go
@@ -275,9 +275,9 @@
 type patchStep int
 
 const (
-	// mergeHere: this office holds the declaration that the patch builds on.
+	// mergeHere: the newest declaration is the one that the patch builds on.
 	mergeHere patchStep = iota
-	// baseUnknown: the chain may be further on than this office, which can say nothing.
+	// baseUnknown: the chain may be further on than what was read, which can say nothing.
 	baseUnknown
 	// leaveToChain: the base has been passed. The patch can't be taken any more, but it may have been taken before,
 	// and only the chain knows for sure.
@@ -305,11 +305,15 @@
 	if !ok {
 		return
 	}
-	now := h.configAt(r.Context(), a.base)
 	if first, seen := h.seen(r.Context(), a.id); seen {
 		h.reply(r.Context(), w, a.id, wire.Result{Outcome: first, Everywhere: true})
 		return
 	}
+	now, known := h.newestConfig(r.Context())
+	if !known {
+		writeFault(w, newestUnknown())
+		return
+	}
 	switch nextPatchStep(now, a.base) {
 	case baseUnknown:
 		writeFault(w, fault.New(fault.NotServing, "base", "revision %d is not known here yet, only %d", a.base, now.Revision))
