--- a/proofs/systempackages/debian.go
+++ b/proofs/systempackages/debian.go
@@ -3,6 +3,7 @@
 import (
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 
 	"github.com/juju/errors"
@@ -90,35 +91,46 @@
 
 // Owners names the package of each file, and the files that no package has.
 func (db *Database) Owners(files []string) (owners map[string]string, strays []string) {
+	names := []string{}
+	for _, file := range files {
+		names = append(names, packedNames(file)...)
+	}
+	packedIn := search(names)
 	owners = map[string]string{}
 	for _, file := range files {
-		if owner := ownerOf(file); owner != "" {
-			owners[file] = owner
+		known := slices.IndexFunc(packedNames(file), func(name string) bool { return packedIn[name] != "" })
+		if known < 0 {
+			strays = append(strays, file)
 			continue
 		}
-		strays = append(strays, file)
+		owners[file] = packedIn[packedNames(file)[known]]
 	}
 	return owners, strays
 }
 
-// ownerOf asks for a file by every name that it may have been packed under: /lib may be a link to /usr/lib.
-func ownerOf(file string) string {
+// packedNames are the names under which a file may have been packed: /lib may be a link to /usr/lib.
+func packedNames(file string) []string {
 	names := []string{file, "/usr" + file, strings.TrimPrefix(file, "/usr")}
 	if real, err := filepath.EvalSymlinks(file); err == nil {
 		names = append(names, real, strings.TrimPrefix(real, "/usr"))
 	}
-	for _, name := range names {
-		raw, err := exec.Command("dpkg-query", "--search", name).Output()
-		if err != nil {
+	return names
+}
+
+// search names the package of each path that one has. dpkg-query fails where it knows one of them not, and has
+// printed all others by then.
+func search(paths []string) map[string]string {
+	packedIn := map[string]string{}
+	if len(paths) == 0 {
+		return packedIn
+	}
+	raw, _ := exec.Command("dpkg-query", append([]string{"--search"}, paths...)...).Output()
+	for _, line := range strings.Split(string(raw), "\n") {
+		owner, path, found := strings.Cut(line, ": ")
+		if !found || strings.HasPrefix(owner, "diversion by ") {
 			continue
 		}
-		for _, line := range strings.Split(string(raw), "\n") {
-			owner, path, found := strings.Cut(line, ": ")
-			if found && path == name && !strings.HasPrefix(owner, "diversion by ") {
-				owner, _, _ = strings.Cut(owner, ":")
-				return owner
-			}
-		}
+		packedIn[path], _, _ = strings.Cut(owner, ":")
 	}
-	return ""
+	return packedIn
 }
--- a/proofs/systempackages/systempackages_test.go
+++ b/proofs/systempackages/systempackages_test.go
@@ -153,3 +153,18 @@
 		t.Errorf("%v %s", err, diff)
 	}
 }
+
+// A file that came from nowhere that a package could bring must not be passed over.
+func TestAFileOfNoPackageIsAnError(t *testing.T) {
+	db := database(t)
+	stray := filepath.Join(t.TempDir(), "stray.h")
+	if err := os.WriteFile(stray, nil, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := NeedOf(Use{Files: []string{stray}}, db); !errors.Is(err, errors.NotFound) {
+		t.Errorf("%v", err)
+	}
+	if need, err := NeedOf(Use{}, db); err != nil || len(need.List(db)) > 0 {
+		t.Errorf("a build that uses nothing needs %v: %v", need, err)
+	}
+}
