Split the fleet's judgement of replicas by job

fleet.go of package outlier held 530 lines: options, evidence, each service's mean, the verdicts, and the fold of what gateways report. Moves only: the lines are the same but for package and import lines.

--- /dev/null
+++ b/internal/outlier/evidence.go
@@ -0,0 +1,81 @@
+package outlier
+
+import (
+	"maps"
+	"slices"
+)
+
+// evidence is what the desks of one zone hold against one replica: one cumulative sum, and by desk what they
+// brought to it since it was last nothing, in parts of scale.
+type evidence struct {
+	total float64
+	scale float64
+	gains map[string]float64
+	legs  float64
+	// bads failed since the sum was last nothing, of about as many legs as were sent since fromLegs.
+	bads     float64
+	fromLegs float64
+}
+
+// less takes off what good legs are worth, from every desk's part alike.
+func (e *evidence) less(worth float64) {
+	if e.total <= worth {
+		e.total, e.scale, e.bads = 0, 1, 0
+		clear(e.gains)
+		return
+	}
+	e.scale *= (e.total - worth) / e.total
+	e.total -= worth
+}
+
+// fade takes off what the zone's other legs at the replica are worth: nobody tells of them, so that they are
+// as many as its even part of what the zone's desks sent.
+func (e *evidence) fade(s *service, zone string) {
+	e.less((s.legs[zone] - e.legs) / float64(max(s.replicas, 1)) * -weight(Good, 0))
+	e.legs = s.legs[zone]
+	if e.total == 0 {
+		e.fromLegs = e.legs
+	}
+}
+
+// add takes one desk's report: its good legs there answer what it said before, not what other desks say.
+func (e *evidence) add(desk string, good int, gain, most float64) {
+	had := e.gains[desk] * e.scale
+	now := min(max(0, had+float64(good)*weight(Good, 0))+gain, most)
+	e.total = max(0, e.total+now-had)
+	if now > 0 {
+		e.gains[desk] = now / e.scale
+	} else {
+		delete(e.gains, desk)
+	}
+}
+
+// capped is the sum with no desk's part above most.
+func (e *evidence) capped(most float64) (sum float64) {
+	for _, desk := range slices.Sorted(maps.Keys(e.gains)) {
+		sum += min(e.gains[desk]*e.scale, most)
+	}
+	return sum
+}
+
+// suspect is what is known against one replica.
+type suspect struct {
+	service string
+	zones   map[string]*evidence
+	verdict map[string]*verdict
+	recent  [2][classes]float64
+	atUs    int64
+}
+
+type verdict struct {
+	out     bool
+	dead    bool
+	untilUs int64
+	stage   int
+	goods   int
+	bads    float64
+	times   int
+	clearUs int64
+}
+
+func (v *verdict) stands() bool { return v != nil && v.clearUs == 0 }
