--- a/internal/controller/orders_model_test.go
+++ b/internal/controller/orders_model_test.go
@@ -262,7 +262,7 @@
 	from := m.offices[i].controller
 	m.later(modelTickUs, func() {
 		told := Told{AskedUs: ask.AskedUs, Replica: ask.Replica, Addr: ask.Addr}
-		if r := m.at(ask.Addr); r != nil && !(m.plant == plantLostReports && r.addr == "address0") {
+		if r := m.at(ask.Addr); r != nil && (m.plant != plantLostReports || r.addr != "address0") {
 			state := r.report(m.nowUs - modelReportLagUs)
 			state.ID, state.Inc = ask.Replica, ask.Replica
 			told.State = &state
--- a/internal/standing/standing.go
+++ b/internal/standing/standing.go
@@ -43,27 +43,34 @@
 // Routed declarations send by routes to services.
 func (d *Declaration) Routed() bool { return d.Version > 0 }
 
+// Replica says how much a replica holds.
 type Replica struct {
 	RoomMb int64 `json:"roomMb" validate:"required,min=1"`
 }
 
+// Store bounds what all replicas together load from the store of weights: how many at once, and how many MB a second
+// with what burst.
 type Store struct {
 	Loads       int   `json:"loads" validate:"required,min=1,max=64"`
 	MbPerSecond int64 `json:"mbPerSecond" validate:"required,min=1"`
 	BurstMb     int64 `json:"burstMb" validate:"required,min=1"`
 }
 
+// Scaler says how counts follow rates: spare replicas, how alike two latencies must be to prefer fewer replicas, and over
+// how long rates are measured.
 type Scaler struct {
 	Spares     int `json:"spares" validate:"min=0,max=64"`
 	SimilarPct int `json:"similarPct" validate:"min=0,max=100"`
 	WindowMs   int `json:"windowMs" validate:"required,min=500,max=600000"`
 }
 
+// Policy is a placement policy: its name and its Starlark program.
 type Policy struct {
 	Name   string `json:"name" validate:"required,max=64"`
 	Source string `json:"source" validate:"required,max=65536"`
 }
 
+// Kind is a class of calls; Urgency 9 is the most urgent.
 type Kind struct {
 	Name      string `json:"name" validate:"required,max=64"`
 	Urgency   int    `json:"urgency" validate:"required,min=1,max=9"`
@@ -71,6 +78,7 @@
 	ExpiryMs  int64  `json:"expiryMs" validate:"required,min=100,max=86400000"`
 }
 
+// Model is a model with its offline table; Weight says how much it counts beside others of the same rate.
 type Model struct {
 	Name   string  `json:"name" validate:"required,max=64"`
 	SizeMb int64   `json:"sizeMb" validate:"required,min=1"`
@@ -79,12 +87,14 @@
 	Table  []Point `json:"table" validate:"required,min=1,max=64,dive"`
 }
 
+// Point is what a number of replicas of one model bear, and how fast they answer.
 type Point struct {
 	Replicas  int     `json:"replicas" validate:"required,min=1"`
 	PerSecond float64 `json:"perSecond" validate:"required,gt=0"`
 	LatencyMs int64   `json:"latencyMs" validate:"required,min=1"`
 }
 
+// Adapter is an adapter of one model, loaded beside it.
 type Adapter struct {
 	Name   string `json:"name" validate:"required,max=64"`
 	Model  string `json:"model" validate:"required"`
@@ -92,14 +102,17 @@
 	LoadMs int64  `json:"loadMs" validate:"required,min=1"`
 }
 
+// Model finds a model by name; nil where there is none.
 func (d *Declaration) Model(name string) *Model {
 	return named(d.Models, name, func(m *Model) string { return m.Name })
 }
 
+// Adapter finds an adapter by name; nil where there is none.
 func (d *Declaration) Adapter(name string) *Adapter {
 	return named(d.Adapters, name, func(a *Adapter) string { return a.Name })
 }
 
+// Kind finds a kind by name, or makes one of the route of that name; nil where there is neither.
 func (d *Declaration) Kind(name string) *Kind {
 	if d.Routed() {
 		if r := d.Route(name); r != nil {
@@ -110,8 +123,10 @@
 	return named(d.Kinds, name, func(k *Kind) string { return k.Name })
 }
 
+// IsEmptied says whether operators have emptied a zone.
 func (d *Declaration) IsEmptied(zone string) bool { return slices.Contains(d.Emptied, zone) }
 
+// HasZone says whether a zone is declared.
 func (d *Declaration) HasZone(zone string) bool { return slices.Contains(d.Zones, zone) }
 
 // UnitMb is the room a model or an adapter takes; ok is false for an unknown name.
@@ -173,6 +188,7 @@
 // PolicyCheck compiles a policy source; it is handed in so that this package needs no interpreter.
 type PolicyCheck func(name, source string) *fault.Fault
 
+// Decode reads one declaration and refuses fields that it does not know. It checks nothing else.
 func Decode(raw []byte) (*Declaration, *fault.Fault) {
 	d := &Declaration{}
 	dec := json.NewDecoder(bytes.NewReader(raw))
@@ -196,6 +212,8 @@
 	return ""
 }
 
+// Check returns all that is wrong with a declaration by kinds, nil for nothing; policy may be nil. Declarations by routes
+// are checked by CheckRoutes.
 func Check(d *Declaration, policy PolicyCheck) *fault.Fault {
 	sheet := Struct(fault.InvalidConfig, d)
 	for i, z := range d.Emptied {
@@ -255,6 +273,7 @@
 	}
 }
 
+// Parse decodes a declaration and checks it.
 func Parse(raw []byte, policy PolicyCheck) (*Declaration, *fault.Fault) {
 	d, f := Decode(raw)
 	if f != nil {
@@ -266,6 +285,7 @@
 	return d, nil
 }
 
+// Merge lays a JSON merge patch on a declaration and returns the text of the result, unchecked.
 func Merge(base *Declaration, patch []byte) ([]byte, *fault.Fault) {
 	raw, err := json.Marshal(base)
 	if err != nil {
--- a/proofs/rules/routed_history.go
+++ b/proofs/rules/routed_history.go
@@ -2,7 +2,7 @@
 
 import "petreltide/proofs/history"
 
-// ConfigHistory: all that operators were answered and read back fits one register that orders change by
+// ConfigHistory says that all that operators were answered and read back fits one register that orders change by
 // compare-and-set on its version.
 const ConfigHistory = "CONFIG history"
 
