Teach the simulator's disk the steps of a copy, with names lost one by one

A kill leaves what the steps have done; a loss of power keeps or loses the rename and the removal each by itself.

--- a/proofs/sim/disk.go
+++ b/proofs/sim/disk.go
@@ -16,6 +16,49 @@
 	held     uint64
 	stallUs  int64
 	slowUs   int64
+	keeping  *keeping
+}
+
+// keeping is a save with a copy that is on its way to the disk, and how far it has come.
+type keeping struct {
+	save chain.Save
+	step copyStep
+}
+
+// copyStep is what a save with a copy has done to the disk. A name that was made or removed may be lost with the
+// power until the next step has synced its folder.
+type copyStep int
+
+const (
+	nothingWritten copyStep = iota
+	recordsSynced
+	copyRenamed
+	copySynced
+	logForgotten
+	copySteps
+)
+
+// names are which of a disk's changes of names outlast a loss of power, each by itself.
+type names struct{ renamed, removed bool }
+
+// namesOf draws them from a number; 0 is a kill, at which all stay.
+func namesOf(torn int) names { return names{torn == 0 || torn&1 != 0, torn == 0 || torn&2 != 0} }
+
+// stop leaves on the disk what the end of the process does of a copy under way.
+func (d *disk) stop(torn int) {
+	k, kept := d.keeping, namesOf(torn)
+	d.keeping = nil
+	if k.step == nothingWritten {
+		d.write(k.save.Records[:min(torn, len(k.save.Records))], false)
+		return
+	}
+	copied := k.step >= copySynced || k.step == copyRenamed && kept.renamed
+	forgotten := k.save.Fresh && k.step == logForgotten && kept.removed
+	records := k.save.Records
+	if copied {
+		records = recordsOf(k.save)
+	}
+	d.write(records, forgotten)
 }
 
 // fill takes all room from a disk for a while. An empty machine that takes its place has a disk of its own.
@@ -76,6 +119,9 @@
 	w.writing = true
 	save, boot := w.pending[0], w.on.boot
 	doneUs := max(s.nowUs+300+s.r.Int63n(1500)+w.disk.slowUs, w.disk.stallUs)
+	if save.Copy != nil {
+		w.keep(save, doneUs)
+	}
 	var try func()
 	try = func() {
 		if !w.on.up || w.on.boot != boot {
@@ -88,6 +134,7 @@
 		if !w.disk.full {
 			w.disk.write(recordsOf(save), save.Fresh)
 		}
+		w.disk.keeping = nil
 		w.pending, w.writing = w.pending[1:], false
 		w.write()
 		w.on.now(boot, func() { w.step(office.Event{Saved: save.Seq}) })
@@ -95,6 +142,20 @@
 	s.at(doneUs, try)
 }
 
+// keep takes a copy through its steps until the whole save is done.
+func (w *saver) keep(save chain.Save, doneUs int64) {
+	s, boot := w.on.sim, w.on.boot
+	k := &keeping{save: save}
+	w.disk.keeping = k
+	for step := recordsSynced; step < copySteps; step++ {
+		s.at(s.nowUs+(doneUs-s.nowUs)*int64(step)/int64(copySteps), func() {
+			if w.on.up && w.on.boot == boot && !w.disk.full {
+				k.step = step
+			}
+		})
+	}
+}
+
 func (w *saver) refuse(seq uint64, again func()) {
 	s := w.on.sim
 	w.disk.refused++
@@ -108,8 +169,13 @@
 	}
 }
 
-// torn leaves the first records that wait on the disk, as a loss of power may.
+// torn leaves the first records that wait on the disk, as a loss of power may, or the names that a copy under way
+// has changed.
 func (w *saver) torn(records int) {
+	if w.disk.keeping != nil {
+		w.disk.stop(records)
+		return
+	}
 	for _, p := range w.pending {
 		if records <= 0 {
 			return
--- a/proofs/sim/disk_test.go
+++ b/proofs/sim/disk_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"testing"
+
+	"petreltide/internal/chain"
 )
 
 // fullDisk plays one office's disk filling up under demand and changes, and says what is wrong: the office
@@ -117,3 +119,82 @@
 		t.Log(plant, ": ", seen)
 	}
 }
+
+// powerLostKeepingACopy plays an office that comes back and loses power while it puts its copy away, at a step and
+// with some of the changed names lost, and says what is wrong: it must have its seat again 4 s after its second
+// start, and no rule may break.
+func powerLostKeepingACopy(p Plan, at int, step copyStep, torn int) string {
+	s := New(p)
+	s.ops.begin()
+	for limitUs := s.nowUs + 40*sec; !s.settled() && s.nowUs < limitUs; {
+		s.runUntil(s.nowUs + 100*ms)
+	}
+	s.demand(s.nowUs + 40*sec)
+	s.ops.play(s.nowUs + 40*sec)
+	s.runUntil(s.nowUs + 2*sec)
+	o := s.offices[at]
+	s.crashOffice(o, 0, 0, 2*sec)
+	for limitUs := s.nowUs + 20*sec; o.disk.keeping == nil || o.disk.keeping.step != step; {
+		if s.nowUs > limitUs {
+			return "it was given no copy: " + s.why()
+		}
+		s.runUntil(s.nowUs + 50)
+	}
+	s.crashOffice(o, 0, torn, 300*ms)
+	backUs := s.nowUs + 300*ms
+	s.runUntil(backUs + 5*sec)
+	if n := o.core.Node; !o.up || n.View().Place(n.Me().ID, n.Inc()) < 0 || n.WaitsFor() != "" {
+		return "it is not back 5 s after its second start: " + s.why()
+	}
+	if len(s.watch.Breaches) > 0 {
+		return fmt.Sprint(s.watch.Breaches)
+	}
+	return ""
+}
+
+func TestPowerLostWhileACopyIsKept(t *testing.T) {
+	from, count := seeds(2)
+	for step := nothingWritten; step < copySteps; step++ {
+		t.Run(fmt.Sprint("step ", step), func(t *testing.T) {
+			t.Parallel()
+			for seed := from; seed < from+count; seed++ {
+				for torn := 0; torn < 4; torn++ {
+					if why := powerLostKeepingACopy(plan(int64(seed), 0), (seed+torn)%3, step, torn); why != "" {
+						t.Fatalf("seed %d, names %d: %s", seed, torn, why)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Names are kept or lost one by one: what is left of a fresh copy under way, for every step and choice.
+func TestNamesAreKeptOrLostOneByOne(t *testing.T) {
+	entry := func(i uint64) chain.Record { return chain.Record{Entry: &chain.Entry{Index: i}} }
+	seen := map[string]bool{}
+	for step := nothingWritten; step < copySteps; step++ {
+		for torn := 0; torn < 4; torn++ {
+			d := disk{records: []chain.Record{entry(1), entry(2)}}
+			d.keeping = &keeping{save: chain.Save{Records: []chain.Record{entry(3)}, Copy: &chain.Copy{Index: 2}, Fresh: true}, step: step}
+			d.stop(torn)
+			left := ""
+			for _, r := range d.records {
+				if r.Copy != nil {
+					left += "c"
+				} else {
+					left += fmt.Sprint(r.Entry.Index)
+				}
+			}
+			seen[left] = true
+			if left != "12" && left != "123" && left != "12c3" && left != "c3" {
+				t.Errorf("step %d, names %d: %s", step, torn, left)
+			}
+			if d.held < 2 && step > nothingWritten {
+				t.Errorf("step %d, names %d: it holds %d", step, torn, d.held)
+			}
+		}
+	}
+	if len(seen) != 4 {
+		t.Errorf("only %v", seen)
+	}
+}
