Refuse records of an unknown form, and messages of another chain or a later version

Found by reading. Fields and kinds of record that a later version had written were left out in silence, and the rest was read as a history that it is not. A hello of another chain with a higher number of its view was installed and took a member out of its own chain; its accept could be kept as a decision under way. Nothing told a message of a later version from one of this.

Change: records and copies are decoded strictly, and an empty record is none: unknown_form; the process ends with it and the folder stays as it is (damaged_data is still set aside). A view bears the name of its chain (the first founder's identity), which hello, accept and promise are held against: foreign_member. A message has a form, 0 so far and left out; a later one is not read: unknown_form. Both are told of in the log ring at most every 10 s. Views of chains founded before have no name and go on as they were.

--- /dev/null
+++ b/internal/chain/foreign_test.go
@@ -0,0 +1,87 @@
+package chain
+
+import (
+	"testing"
+
+	"petreltide/internal/clock"
+	"petreltide/internal/fault"
+	"petreltide/internal/ledger"
+)
+
+// strange are messages that must not be read: of another chain's members, and of a later version.
+func strange(n *Node) map[string]Msg {
+	other := n.View()
+	other.Number, other.System = other.Number+1, "elsewhere-1"
+	other.Order = []Seat{{Member{ID: "elsewhere-1", Name: "elsewhere", Addr: "x"}, "x/1"}}
+	other.Voters = []Member{other.Order[0].Member}
+	from := other.Voters[0]
+	late := n.View().Order[0]
+	return map[string]Msg{
+		"a hello with a newer view":      {From: from, Inc: "x/1", Hello: &Hello{Me: from, Inc: "x/1", Phase: Serving, View: other}},
+		"a hello with the same number":   {From: from, Inc: "x/1", Hello: &Hello{Me: from, Inc: "x/1", Phase: Outside, View: View{Number: n.View().Number, System: "elsewhere-1"}, CopyIndex: 1}},
+		"a hello that has accepted":      {From: from, Inc: "x/1", Hello: &Hello{Me: from, Inc: "x/1", Accepted: &Accepted{View: other}}},
+		"an accept":                      {From: from, Inc: "x/1", Accept: &Accept{Number: other.Number, Ballot: Ballot{Round: 99, By: from.ID}, View: other}},
+		"a promise of something decided": {From: from, Inc: "x/1", Promise: &Promise{Number: other.Number, OK: true, Accepted: &Accepted{View: other}}},
+		"a hello of a later version":     {Form: MessageForm + 1, From: late.Member, Inc: "later", Hello: &Hello{Me: late.Member, Inc: "later", View: View{Number: 99, Voters: other.Voters}}},
+		"an entry of a later version":    {Form: MessageForm + 1, From: late.Member, Inc: late.Inc, Forward: &Forward{View: n.View().Number, Entries: []Entry{{Index: n.Last() + 1}}}},
+		"an order of a later version":    {Form: MessageForm + 1, From: late.Member, Inc: late.Inc, Submit: &ledger.Change{ID: "later"}},
+	}
+}
+
+// told is what a message changes in a member.
+func told(n *Node) [6]any {
+	return [6]any{n.View().Number, n.Last(), n.Commit(), n.promised, n.accepted != nil, len(n.peers)}
+}
+
+// None of them changes anything, gets an answer, or is served from; each is told of as a typed fault.
+func TestMessagesOfAnotherChainAndOfALaterVersionAreNotRead(t *testing.T) {
+	y := grown(t, 1, 3, 3)
+	for _, s := range y.spots {
+		if s.node.View().System == "" {
+			t.Fatalf("%s belongs to no chain", s.me.ID)
+		}
+		for name, m := range strange(s.node) {
+			before := told(s.node)
+			effects := s.node.Step(Event{NowUs: y.nowUs, Got: &m})
+			var bad *fault.Fault
+			for _, e := range effects {
+				if e.Rejected != nil {
+					bad = e.Rejected
+				} else {
+					t.Errorf("%s, %s: %+v", s.me.ID, name, e)
+				}
+			}
+			want := fault.ForeignMember
+			if m.Form > 0 {
+				want = fault.UnknownForm
+			}
+			if bad == nil || bad.Code != want || told(s.node) != before {
+				t.Errorf("%s, %s: fault %v, %v before, %v after", s.me.ID, name, bad, before, told(s.node))
+			}
+		}
+	}
+	y.settles(5*clock.Sec, "afterwards")
+}
+
+// The check must be able to fail: read all the same, a foreign hello takes the member out of its chain.
+func TestAForeignHelloThatIsReadTakesAMemberAway(t *testing.T) {
+	y := grown(t, 1, 3, 3)
+	n := y.spots[0].node
+	before := n.View().Number
+	hello := strange(n)["a hello with a newer view"]
+	hello.Hello.View.System = ""
+	if n.Step(Event{NowUs: y.nowUs, Got: &hello}); n.View().Number == before {
+		t.Fatal("a hello without a chain's name is not read either: the check proves nothing")
+	}
+}
+
+// A chain that was founded before names were kept goes on, and its members read each other.
+func TestAChainWithoutANameGoesOn(t *testing.T) {
+	n := &Node{view: View{Number: 3}}
+	if n.foreign(View{Number: 4, System: "a-1"}) || n.foreign(View{Number: 4}) {
+		t.Error("a chain without a name takes its own members for foreign")
+	}
+	if named := (&Node{view: View{Number: 3, System: "a-1"}}); named.foreign(View{}) || !named.foreign(View{System: "b-1"}) {
+		t.Error("a fresh member is foreign, or another chain's is not")
+	}
+}
--- a/internal/chain/founding.go
+++ b/internal/chain/founding.go
@@ -53,7 +53,7 @@
 		n.compared = true
 	}
 	if founders[0].ID == n.opts.Me.ID {
-		n.propose(View{Number: 1, Voters: founders, Order: order})
+		n.propose(View{Number: 1, Voters: founders, Order: order, System: founders[0].ID})
 	}
 }
 
--- a/internal/chain/hello.go
+++ b/internal/chain/hello.go
@@ -43,7 +43,7 @@
 		reached[all[id].Addr] = true
 		told := h
 		if p := n.peers[id]; p != nil && n.Hears(id) && p.hello.View.Number == n.view.Number {
-			told.View = View{Number: n.view.Number}
+			told.View = View{Number: n.view.Number, System: n.view.System}
 		}
 		n.send(all[id], Msg{Hello: &told})
 	}
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -196,6 +196,10 @@
 }
 
 func (n *Node) got(m Msg) {
+	if bad := n.unreadable(m); bad != nil {
+		n.effects = append(n.effects, Effect{Rejected: bad})
+		return
+	}
 	switch {
 	case m.Hello != nil:
 		n.gotHello(m, *m.Hello)
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"petreltide/internal/clock"
+	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
 )
 
@@ -27,6 +28,8 @@
 	// Extra counts the voters that offices took in by themselves beside those that were there: as many
 	// votes of silent ones may be dropped.
 	Extra int `json:"extra,omitempty"`
+	// System names the chain: whoever founded another one is foreign. It is empty in chains founded before it was kept.
+	System string `json:"system,omitempty"`
 }
 
 // Head is the seat that takes writes; a zero one where the view has no seats.
@@ -236,8 +239,14 @@
 	Copy Copy   `json:"copy"`
 }
 
+// MessageForm is the newest form of a message that this version reads. A message of a later one is refused as a
+// whole: what it means cannot be known.
+const MessageForm = 0
+
 // Msg is one message between offices; exactly one of its pointers after ToID is set.
 type Msg struct {
+	// Form is left out as long as it is 0.
+	Form      int            `json:"form,omitempty"`
 	From      Member         `json:"from"`
 	Inc       string         `json:"inc"`
 	ToID      string         `json:"toId,omitempty"`
@@ -275,6 +284,8 @@
 	Applied *Applied
 	Viewed  *View
 	Refused *Refused
+	// Rejected is why a message of another system or of a later version was not read.
+	Rejected *fault.Fault
 }
 
 // Send is a message to be sent to an address. It may be lost.
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -66,7 +66,7 @@
 	if n.stalled() || !n.caughtUp {
 		return
 	}
-	want := View{Number: n.view.Number + 1, Voters: n.view.Voters, Extra: n.view.Extra}
+	want := View{Number: n.view.Number + 1, Voters: n.view.Voters, Extra: n.view.Extra, System: n.view.System}
 	var rank int64
 	for _, s := range n.view.Order {
 		if s.ID == n.opts.Me.ID {
--- a/internal/chain/waking.go
+++ b/internal/chain/waking.go
@@ -56,7 +56,7 @@
 	if found[0].seat.ID != n.opts.Me.ID {
 		return
 	}
-	want := View{Number: n.view.Number + 1, Voters: n.view.Voters, Extra: n.view.Extra}
+	want := View{Number: n.view.Number + 1, Voters: n.view.Voters, Extra: n.view.Extra, System: n.view.System}
 	for _, c := range found {
 		want.Order = append(want.Order, c.seat)
 	}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -55,6 +55,8 @@
 	BadSettings     Code = "bad_settings"
 	DamagedData     Code = "damaged_data"
 	ForeignData     Code = "foreign_data"
+	ForeignMember   Code = "foreign_member"
+	UnknownForm     Code = "unknown_form"
 	DataUnwritable  Code = "data_unwritable"
 	PlatformBad     Code = "platform_bad"
 	MembershipUnfit Code = "membership_unfit"
--- a/internal/office/core.go
+++ b/internal/office/core.go
@@ -88,6 +88,8 @@
 	// ordered before.
 	bornUs   int64
 	bornLast uint64
+	// rejectedUs is when a message that was not read was last told of.
+	rejectedUs int64
 }
 
 // CoreOptions are what an office knows of replicas that make themselves known; all may be left out.
@@ -236,6 +238,8 @@
 		case e.Viewed != nil:
 			c.Room.Gate(ev.NowUs, c.Node.Open(ev.NowUs))
 			c.effects = append(c.effects, Effect{Note: "view", Trouble: viewText(*e.Viewed)})
+		case e.Rejected != nil:
+			c.rejected(ev.NowUs, e.Rejected)
 		case e.Refused != nil:
 			c.effects = append(c.effects, Effect{Result: &wire.Result{Outcome: ledger.Outcome{
 				ID: e.Refused.ID, Fault: fault.New(fault.NotServing, "", "%s", e.Refused.Reason),
@@ -244,6 +248,17 @@
 	}
 }
 
+// rejectedEveryUs is how often messages that are not read are told of at most: their sender goes on.
+const rejectedEveryUs = 10 * clock.Sec
+
+func (c *Core) rejected(nowUs int64, why *fault.Fault) {
+	if c.rejectedUs != 0 && nowUs-c.rejectedUs < rejectedEveryUs {
+		return
+	}
+	c.rejectedUs = nowUs
+	c.effects = append(c.effects, Effect{Note: "message not read", Trouble: why.Error()})
+}
+
 func (c *Core) applied(nowUs int64, a chain.Applied) {
 	change := a.Entry.Change
 	if change.Duty != nil && change.Duty.Checked > 0 {
--- /dev/null
+++ b/internal/storage/codec_test.go
@@ -0,0 +1,141 @@
+package storage
+
+import (
+	"bytes"
+	"compress/gzip"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/juju/errors"
+
+	"petreltide/internal/chain"
+	"petreltide/internal/fault"
+	"petreltide/internal/ledger"
+)
+
+// opensWith says by which fault a folder is refused; what lies in it must be as it was.
+func opensWith(t *testing.T, dir string) fault.Code {
+	t.Helper()
+	before := contents(t, dir)
+	_, err := reopened(t, dir)
+	var bad *fault.Fault
+	if err != nil && !errors.As(err, &bad) {
+		t.Fatal("no typed error: ", err)
+	}
+	if bad == nil {
+		return ""
+	}
+	for path, raw := range contents(t, dir) {
+		if !bytes.Equal(raw, before[path]) {
+			t.Fatalf("%s was changed", path)
+		}
+		delete(before, path)
+	}
+	if len(before) > 0 {
+		t.Fatalf("removed: %v", before)
+	}
+	return bad.Code
+}
+
+func contents(t *testing.T, dir string) map[string][]byte {
+	t.Helper()
+	all := map[string][]byte{}
+	paths, err := filepath.Glob(filepath.Join(dir, logDir, "*"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range paths {
+		if all[path], err = os.ReadFile(path); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return all
+}
+
+// What a later version wrote is refused as such, wherever in a record it stands, and left as it is.
+func TestARecordOfAnUnknownFormIsRefused(t *testing.T) {
+	for name, payload := range map[string]string{
+		"another kind of record":     `[{"lease":{"until":5}}]`,
+		"one more field of an entry": `[{"entry":{"index":6,"view":1,"change":{"id":"c"},"after":5}}]`,
+		"another kind of change":     `[{"entry":{"index":6,"view":1,"change":{"id":"c","quota":{}}}}]`,
+		"one more field of a view":   `[{"view":{"number":2,"voters":null,"order":null,"weights":[1]}}]`,
+		"a record that says nothing": `[{}]`,
+		"beside one that is known":   `[{"whole":1},{"lease":{}}]`,
+	} {
+		dir := filled(t, 5)
+		o, err := Open(dir, mine)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := o.Store.log.append([]byte(payload), false); err != nil {
+			t.Fatal(err)
+		}
+		if err := o.Store.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if code := opensWith(t, dir); code != fault.UnknownForm {
+			t.Errorf("%s: %q", name, code)
+		}
+	}
+}
+
+// rewritten puts other JSON in a copy's place, with a checksum that fits.
+func rewritten(t *testing.T, dir, text string) {
+	t.Helper()
+	var buf bytes.Buffer
+	zip := gzip.NewWriter(&buf)
+	if _, err := zip.Write([]byte(text)); err != nil {
+		t.Fatal(err)
+	}
+	if err := zip.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, logDir, copyName), Frame(buf.Bytes()), 0o640); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestACopyOfAnUnknownFormIsRefused(t *testing.T) {
+	for text, want := range map[string]fault.Code{
+		`{"index":2,"view":1,"state":{},"from":1,"parts":2}`:  fault.UnknownForm,
+		`{"index":2,"view":1,"state":{"quotas":{}},"from":1}`: fault.UnknownForm,
+		`{"index":2,"view":1,"state":{"epoch":"x"},"from":1}`: fault.DamagedData,
+		`{"index":2,"view":1,"state":{"epoch":1},"from":1}`:   "",
+	} {
+		dir := filled(t, 3)
+		rewritten(t, dir, text)
+		if code := opensWith(t, dir); code != want {
+			t.Errorf("%s: %q", text, code)
+		}
+	}
+}
+
+// A copy that is damaged in any one byte is refused, and so is one that is cut short.
+func TestACopyDamagedAnywhereIsRefused(t *testing.T) {
+	dir := filled(t, 3)
+	o, err := Open(dir, mine)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := o.Store.Keep(chain.Copy{Index: 2, View: 2, State: ledger.NewState()}, 1); err != nil {
+		t.Fatal(err)
+	}
+	if err := o.Store.Close(); err != nil {
+		t.Fatal(err)
+	}
+	at := filepath.Join(dir, logDir, copyName)
+	raw, err := os.ReadFile(at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range raw {
+		spoilt := bytes.Clone(raw)
+		spoilt[i] ^= 1
+		for _, damaged := range [][]byte{spoilt, raw[:i]} {
+			if _, bad := unpack(damaged); bad == nil || bad.Code != fault.DamagedData {
+				t.Fatalf("byte %d: %v", i, bad)
+			}
+		}
+	}
+}
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -1,11 +1,10 @@
+// Package storage keeps one member's part of the chain on its disk: a write-ahead log of records and, beside it, a
+// snapshot of the state that stands for the log before it. It survives kills, losses of power and full disks; what is
+// damaged, foreign or of a later version is told as a typed fault and left as it is.
 package storage
 
 import (
-	"bytes"
-	"compress/gzip"
-	"encoding/binary"
 	"encoding/json"
-	"hash/crc32"
 	"os"
 	"path/filepath"
 	"sync"
@@ -16,27 +15,6 @@
 	"petreltide/internal/fault"
 )
 
-var castagnoli = crc32.MakeTable(crc32.Castagnoli)
-
-const frameBytes = 4
-
-func Frame(payload []byte) []byte {
-	framed := make([]byte, frameBytes, frameBytes+len(payload))
-	binary.LittleEndian.PutUint32(framed, crc32.Checksum(payload, castagnoli))
-	return append(framed, payload...)
-}
-
-func Unframe(framed []byte) ([]byte, *fault.Fault) {
-	if len(framed) < frameBytes {
-		return nil, fault.New(fault.DamagedData, "", "a record of %d bytes has no checksum", len(framed))
-	}
-	payload := framed[frameBytes:]
-	if binary.LittleEndian.Uint32(framed) != crc32.Checksum(payload, castagnoli) {
-		return nil, fault.New(fault.DamagedData, "", "checksum does not match")
-	}
-	return payload, nil
-}
-
 // Store keeps the log and, beside it, the newest copy of the state. One goroutine writes the log;
 // a copy is kept by another meanwhile. After a write that the disk refused, the same may be tried again:
 // what is in the store then is what it was before.
@@ -49,23 +27,20 @@
 	sealed bool
 }
 
+// Opened is what a folder held.
 type Opened struct {
-	Store   *Store
+	Store *Store
+	// Records are those of the log in order, with the copy in the place where it was taken.
 	Records []chain.Record
-	Fresh   bool
-	Cut     int
+	// Fresh: the folder was empty, and now bears the seal that Open was given.
+	Fresh bool
+	// Cut is how many bytes of a torn last record are not among the records.
+	Cut int
 	// Refused is why the disk took no bytes while the folder was opened. All of it is read all the same;
 	// what could not be written goes before the next records.
 	Refused error
 }
 
-// kept is a copy as it is put away, with the place of the log's record that it stands before: what is in the
-// log before that place came before the copy.
-type kept struct {
-	chain.Copy
-	From uint64 `json:"from"`
-}
-
 const (
 	logDir   = "chain"
 	copyName = "copy"
@@ -80,60 +55,75 @@
 	dir := filepath.Join(folder, logDir)
 	s := &Store{dir: dir, fs: fs, log: &wal{fs: fs, dir: dir, most: segmentMost}}
 	opened := &Opened{Store: s}
-	held, err := s.readCopy()
-	if err != nil {
+	if err := opened.read(); err != nil {
 		return nil, err
 	}
-	lay := func() {
-		opened.Records = append(opened.Records, chain.Record{Copy: &held.Copy})
-		held = nil
+	if bad := opened.claim(seal); bad != nil {
+		return nil, bad
+	}
+	_ = fs.Remove(filepath.Join(dir, copyName+newMark))
+	_, err := s.Write(nil, false)
+	if os.IsPermission(err) {
+		return nil, fault.New(fault.DataUnwritable, dir, "%v", err)
+	}
+	opened.Refused = err
+	return opened, nil
+}
+
+// read reads the copy and all records of the log.
+func (o *Opened) read() error {
+	s := o.Store
+	held, err := s.readCopy()
+	if err != nil {
+		return err
 	}
-	opened.Cut, err = s.log.load(func(payload []byte) error {
+	o.Cut, err = s.log.load(func(payload []byte) error {
 		if held != nil && s.log.next >= held.From {
-			lay()
-		}
-		var batch []chain.Record
-		if err := json.Unmarshal(payload, &batch); err != nil {
-			return fault.New(fault.DamagedData, dir, "record %d: %v", s.log.next, err)
+			o.Records = append(o.Records, chain.Record{Copy: &held.Copy})
+			held = nil
 		}
-		for _, r := range batch {
-			if r.Seal != nil {
-				s.seal = *r.Seal
-			}
+		batch, bad := decode(payload)
+		if bad != nil {
+			return fault.New(bad.Code, s.dir, "record %d: %s", s.log.next, bad.Detail)
 		}
-		opened.Records = append(opened.Records, batch...)
+		o.Records = append(o.Records, batch...)
 		return nil
 	})
 	var bad *fault.Fault
 	if errors.As(err, &bad) {
-		return nil, bad
+		return bad
 	}
 	if err != nil {
-		return nil, fault.New(fault.DataUnwritable, dir, "%v", err)
+		return fault.New(fault.DataUnwritable, s.dir, "%v", err)
 	}
 	if held != nil {
-		lay()
+		o.Records = append(o.Records, chain.Record{Copy: &held.Copy})
+	}
+	return nil
+}
+
+// claim finds the seal among the records, which must be of this name, or takes the given one for an empty folder.
+func (o *Opened) claim(seal chain.Seal) *fault.Fault {
+	s := o.Store
+	for _, r := range o.Records {
+		if r.Seal != nil {
+			s.seal = *r.Seal
+		}
 	}
 	switch {
-	case s.seal.Identity == "" && len(opened.Records) > 0:
-		return nil, fault.New(fault.ForeignData, dir, "records without a seal")
+	case s.seal.Identity == "" && len(o.Records) > 0:
+		return fault.New(fault.ForeignData, s.dir, "records without a seal")
 	case s.seal.Identity == "":
-		opened.Fresh = true
-		s.seal = seal
+		o.Fresh, s.seal = true, seal
 	case s.seal.Name != seal.Name:
-		return nil, fault.New(fault.ForeignData, dir, "the folder belongs to %q, not to %q", s.seal.Name, seal.Name)
+		return fault.New(fault.ForeignData, s.dir, "the folder belongs to %q, not to %q", s.seal.Name, seal.Name)
 	default:
 		s.sealed = true
 	}
-	_ = fs.Remove(filepath.Join(dir, copyName+newMark))
-	if _, err := s.Write(nil, false); os.IsPermission(err) {
-		return nil, fault.New(fault.DataUnwritable, dir, "%v", err)
-	} else if err != nil {
-		opened.Refused = err
-	}
-	return opened, nil
+	return nil
 }
 
+// Seal is whose folder this is.
 func (s *Store) Seal() chain.Seal { return s.seal }
 
 // Write returns once the records are synced, with their place in the log. fresh begins them with what a
@@ -201,25 +191,6 @@
 	return writeAll(f, raw)
 }
 
-// packed is a copy as it lies on the disk, where for a while there are two of it beside the log.
-func packed(c kept) ([]byte, error) {
-	var buf bytes.Buffer
-	buf.Write(make([]byte, frameBytes))
-	zip, err := gzip.NewWriterLevel(&buf, gzip.BestSpeed)
-	if err != nil {
-		return nil, err
-	}
-	if err := json.NewEncoder(zip).Encode(c); err != nil {
-		return nil, err
-	}
-	if err := zip.Close(); err != nil {
-		return nil, err
-	}
-	framed := buf.Bytes()
-	binary.LittleEndian.PutUint32(framed, crc32.Checksum(framed[frameBytes:], castagnoli))
-	return framed, nil
-}
-
 // Forget drops the log before a place, once a copy stands for it.
 func (s *Store) Forget(before uint64) error {
 	s.mu.Lock()
@@ -235,18 +206,9 @@
 	if err != nil {
 		return nil, fault.New(fault.DataUnwritable, s.dir, "%v", err)
 	}
-	damaged := func(why string) error { return fault.New(fault.DamagedData, s.dir, "the copy: %s", why) }
-	payload, bad := Unframe(framed)
+	c, bad := unpack(framed)
 	if bad != nil {
-		return nil, damaged(bad.Detail)
-	}
-	zip, err := gzip.NewReader(bytes.NewReader(payload))
-	if err != nil {
-		return nil, damaged(err.Error())
-	}
-	c := &kept{}
-	if err := json.NewDecoder(zip).Decode(c); err != nil {
-		return nil, damaged(err.Error())
+		return nil, fault.New(bad.Code, s.dir, "the copy: %s", bad.Detail)
 	}
 	return c, nil
 }
