Name the office's queue of saves and its retries by the field's terms

saves is saveQueue, insist retryUntilTaken, sayEvery logEvery; the hand-over from one copy to the next has a function of its own. No behaviour changed; internal/office passed.

--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -71,7 +71,7 @@
 	inner *http.Client
 
 	act      *actor.Actor
-	saves    *saves
+	saves    *saveQueue
 	pace     func() <-chan time.Time
 	partners map[string]chan wire.Letter
 	bulk     map[string]bool
@@ -171,7 +171,7 @@
 	h := &Host{
 		set: set, core: core, disk: opened.Store, ring: ring, log: logger,
 		web: rpc.Client(500, set.Listen), inner: rpc.Client(innerDialMs, set.Listen),
-		act: actor.New(mailboxMost), saves: newSaves(), pace: func() <-chan time.Time { return time.After(retryEvery) },
+		act: actor.New(mailboxMost), saves: newSaveQueue(), pace: func() <-chan time.Time { return time.After(retryEvery) },
 		partners: map[string]chan wire.Letter{}, bulk: map[string]bool{}, waiters: map[string][]chan wire.Result{}, replies: map[uint64]chan wire.Lease{}, words: map[uint64]chan bool{},
 		follows: map[string]*followed{}, rebuilds: opened.Fresh && founding == 0 && len(set.Founders) == 0, failed: make(chan error, 1),
 		frames: map[string]*framed{},
--- a/internal/office/saver.go
+++ b/internal/office/saver.go
@@ -11,8 +11,10 @@
 )
 
 const (
+	// retryEvery is how often a save that the disk refused is tried again.
 	retryEvery = 250 * time.Millisecond
-	sayEvery   = 40
+	// logEvery is how many tries lie between two words about it in the log ring.
+	logEvery = 40
 )
 
 // disk is where the chain's records and copies are kept; after an error the same may be tried again.
@@ -24,17 +26,17 @@
 	Close() error
 }
 
-// saves are what the chain wants on the disk, in order. Whoever adds one never waits for the disk; the
+// saveQueue holds what the chain wants on the disk, in order. Whoever adds one never waits for the disk; the
 // chain bounds how many there are.
-type saves struct {
+type saveQueue struct {
 	mu   sync.Mutex
 	list []chain.Save
 	more chan struct{}
 }
 
-func newSaves() *saves { return &saves{more: make(chan struct{}, 1)} }
+func newSaveQueue() *saveQueue { return &saveQueue{more: make(chan struct{}, 1)} }
 
-func (q *saves) put(s chain.Save) {
+func (q *saveQueue) put(s chain.Save) {
 	q.mu.Lock()
 	q.list = append(q.list, s)
 	q.mu.Unlock()
@@ -44,14 +46,14 @@
 	}
 }
 
-func (q *saves) waiting() int {
+func (q *saveQueue) waiting() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return len(q.list)
 }
 
 // take waits for the next one; false once over is closed.
-func (q *saves) take(over <-chan struct{}) (chain.Save, bool) {
+func (q *saveQueue) take(over <-chan struct{}) (chain.Save, bool) {
 	for {
 		select {
 		case <-over:
@@ -74,9 +76,9 @@
 	}
 }
 
-// insist tries the same until the disk takes it. Until then the office stands still where it needs the
+// retryUntilTaken tries the same until the disk takes it. Until then the office stands still where it needs the
 // disk, and goes on elsewhere. False means that the office is ending.
-func (h *Host) insist(seq uint64, try func() error) bool {
+func (h *Host) retryUntilTaken(seq uint64, try func() error) bool {
 	since := time.Now()
 	for tries := 0; ; tries++ {
 		err := try()
@@ -90,7 +92,7 @@
 		case errors.As(err, &bad) && bad.Code == fault.DamagedData:
 			h.fail(bad)
 			return false
-		case tries%sayEvery == 0:
+		case tries%logEvery == 0:
 			_ = h.log.Log("event", "the disk takes no bytes; the same is tried again", "every", retryEvery, "err", err)
 		}
 		if seq != 0 && tries == 0 {
@@ -106,7 +108,7 @@
 
 // write brings a save's records to the log and tells where they are.
 func (h *Host) write(s chain.Save) (from uint64, done bool) {
-	done = h.insist(s.Seq, func() (err error) {
+	done = h.retryUntilTaken(s.Seq, func() (err error) {
 		from, err = h.disk.Write(s.Records, s.Fresh)
 		return err
 	})
@@ -121,8 +123,9 @@
 		return
 	}
 	h.tell(Event{Saved: opening.Seq, LogBytes: h.disk.LogBytes()})
-	before := make(chan struct{})
-	close(before)
+	done := make(chan struct{})
+	close(done)
+	var before <-chan struct{} = done
 	for {
 		s, more := h.saves.take(h.act.Ctx.Done())
 		if !more {
@@ -133,19 +136,25 @@
 			return
 		}
 		if s.Copy != nil {
-			held, last, kept := s, before, make(chan struct{})
-			before = kept
-			h.act.Spawn(func() {
-				defer close(kept)
-				<-last
-				h.keep(held, from)
-			})
+			before = h.keepAfter(before, s, from)
 			continue
 		}
 		h.tell(Event{Saved: s.Seq, LogBytes: h.disk.LogBytes()})
 	}
 }
 
+// keepAfter keeps a copy beside the log, once the copy before it is kept; it gives what is closed at its end.
+func (h *Host) keepAfter(before <-chan struct{}, s chain.Save, from uint64) <-chan struct{} {
+	kept := make(chan struct{})
+	h.act.Spawn(func() {
+		defer close(kept)
+		<-before
+		h.keep(s, from)
+	})
+	return kept
+}
+
+// fail ends the office for the first error that no retry mends.
 func (h *Host) fail(err error) {
 	select {
 	case h.failed <- err:
@@ -161,10 +170,10 @@
 	if s.Fresh {
 		waited = 0
 	}
-	if !h.insist(waited, func() error { return h.disk.Keep(*s.Copy, from) }) {
+	if !h.retryUntilTaken(waited, func() error { return h.disk.Keep(*s.Copy, from) }) {
 		return
 	}
-	if s.Fresh && !h.insist(0, func() error { return h.disk.Forget(from) }) {
+	if s.Fresh && !h.retryUntilTaken(0, func() error { return h.disk.Forget(from) }) {
 		return
 	}
 	h.tell(Event{Saved: s.Seq, LogBytes: h.disk.LogBytes()})
