--- a/internal/storage/catchup_test.go
+++ b/internal/storage/catchup_test.go
@@ -12,7 +12,7 @@
 )
 
 func routeNamed(i int, version uint64) standing.Route {
-	source := fmt.Sprintf(`{"name":"route-%d","host":"host-%d.example","prefix":"/place-%d/","kind":"idempotent","timeoutMs":%d,"priority":1,"maxAttempts":3,"split":[{"service":"s","weight":100}],"tenant":"t%d"}`, i, i%7, i, 4000+version, i%40)
+	source := fmt.Sprintf(`{"name":"route-%d","host":"host-%d.example","prefix":"/place-%d/","repeat":"idempotent","waitMs":%d,"tries":3,"goesTo":[{"pool":"s","part":100}],"owner":"o%d"}`, i, i%7, i, 4000+version, i%40)
 	return standing.Route{
 		Name: fmt.Sprint("route-", i), Host: fmt.Sprintf("host-%d.example", i%7), Prefix: fmt.Sprintf("/place-%d/", i),
 		Repeat: standing.Idempotent, TimeoutMs: int64(4000 + version), AttemptsMost: 3,
