--- a/internal/storage/diskuse_test.go
+++ b/internal/storage/diskuse_test.go
@@ -46,7 +46,7 @@
 	}
 	unbound := newBoundedCluster(t, 10, replaceAndEdit(10), 1<<40, 1<<30)
 	unbound.gapUs = 2 * clock.Ms
-	unbound.acknowledge(changes * 3 / 5)
+	unbound.acknowledge(changes * 4 / 5)
 	if unbound.mostDisk <= diskHalf/4 {
 		t.Errorf("without a bound only %d bytes: the check proves nothing", unbound.mostDisk)
 	}
