--- a/internal/desk/host.go
+++ b/internal/desk/host.go
@@ -96,6 +96,7 @@
 func Open(set settings.Desk, ring *logring.Ring) *Host {
 	inc := office.RandomID(6)
 	legs := rpc.Client(400, set.Listen)
+	legs.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	legs.Transport.(*http.Transport).DisableKeepAlives = true
 	legs.Transport.(*http.Transport).ExpectContinueTimeout = askedWait
 	h := &Host{
