Document all exported items of dispatch, desk and upstream, in the field's words

Within dispatch: site and flight are replicaState and openLeg, shy times are times to avoid, termed, landed, left, over and apart are applyTerms, learn, callerGone, finish and spreadRetryMs.

--- a/internal/desk/handler.go
+++ b/internal/desk/handler.go
@@ -16,6 +16,7 @@
 	"petreltide/internal/wire"
 )
 
+// Status is the state of a gateway for a person.
 type Status struct {
 	Desk   string           `json:"desk"`
 	Inc    string           `json:"inc"`
--- a/internal/desk/host.go
+++ b/internal/desk/host.go
@@ -32,6 +32,8 @@
 	mailboxMost = 16384
 )
 
+// Host runs one gateway: its listeners, its connection to the control nodes and its decider, which only its actor
+// touches.
 type Host struct {
 	set     settings.Desk
 	inc     string
@@ -93,6 +95,7 @@
 	c.cancel()
 }
 
+// Open prepares a gateway; Run serves.
 func Open(set settings.Desk, ring *logring.Ring) *Host {
 	inc := office.RandomID(6)
 	legs := rpc.Client(400, set.Listen)
--- a/internal/desk/room.go
+++ b/internal/desk/room.go
@@ -20,6 +20,7 @@
 	own  int64
 }
 
+// Hold counts what one call reads.
 func (r *Room) Hold(from io.Reader) *Held { return &Held{room: r, from: from} }
 
 // Read fails with overloaded where what it has read is more than there is room for.
@@ -34,6 +35,7 @@
 	return n, err
 }
 
+// Release gives back what the call held.
 func (h *Held) Release() {
 	h.room.used.Add(-h.own)
 	h.own = 0
--- a/internal/dispatch/backlog.go
+++ b/internal/dispatch/backlog.go
@@ -112,6 +112,7 @@
 	return false
 }
 
+// RetryMs is how long a refused caller should wait, by what waits here and how fast it is served.
 func (d *Decider) RetryMs() int64 {
 	share := 0
 	if d.snap != nil {
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -67,11 +67,12 @@
 // Ending is how a leg counts: for its call, for its replica and for the retry budget.
 type Ending string
 
+// How legs end. The decision table says for each whether the call may have run and may be sent again.
 const (
 	Done    Ending = "done"
 	Refused Ending = "refused"
 	Missing Ending = "missing"
-	// Elsewhere: the address answers for another life or another replica.
+	// Elsewhere means: the address answers for another life or another replica.
 	Elsewhere Ending = "elsewhere"
 	Failed    Ending = "failed"
 	Unsent    Ending = "unsent"
@@ -79,6 +80,6 @@
 	Unknown   Ending = "unknown"
 	Moved     Ending = "moved"
 	Final     Ending = "final"
-	// Stopped: the caller is gone, or has had a part of an answer that nothing can go on with.
+	// Stopped means: the caller is gone, or has had a part of an answer that nothing can go on with.
 	Stopped Ending = "stopped"
 )
--- a/internal/dispatch/decider.go
+++ b/internal/dispatch/decider.go
@@ -13,7 +13,7 @@
 const (
 	legsMost     = 8
 	prefixMost   = 4096
-	shyUs        = 400 * clock.Ms
+	avoidUs      = 400 * clock.Ms
 	rateSlots    = 6
 	decisionMost = 512
 	arrivalUs    = 1 * clock.Sec
@@ -21,6 +21,7 @@
 	drainingMs   = 50
 )
 
+// Options are those of one gateway. BacklogMax bounds the calls that wait for a replica.
 type Options struct {
 	Desk       string
 	Inc        string
@@ -33,39 +34,40 @@
 
 // Decider is asked; the executor obeys. It owns the backlog, the slots and the leg numbers.
 type Decider struct {
-	opts      Options
-	nowUs     int64
-	snap      *Snapshot
-	leaseUs   int64
-	drain     bool
-	closed    bool
-	calls     map[string]*Call
-	kinds     map[string]*kindRow
-	places    map[string]*place
-	runs      map[string]*run
-	waiting   int
-	passNow   float64
-	slots     [rateSlots]map[string]int
-	tokens    [rateSlots]map[string]int64
-	paths     [rateSlots]map[string]int
-	slotAtUs  int64
-	slotNow   int
-	slotsSeen int
-	serviceUs float64
-	gauges    []*Gauge
-	Decisions []Decision
-	sites     map[string]*site
-	budgets   map[string]*budget
-	readings  map[string]*reading
-	prospects *prospects
-	outliers  *outlier.Local
-	legSeq    uint64
-	effects   []Effect
+	opts          Options
+	nowUs         int64
+	snap          *Snapshot
+	leaseUs       int64
+	drain         bool
+	closed        bool
+	calls         map[string]*Call
+	kinds         map[string]*kindRow
+	places        map[string]*place
+	runs          map[string]*run
+	waiting       int
+	passNow       float64
+	slots         [rateSlots]map[string]int
+	tokens        [rateSlots]map[string]int64
+	paths         [rateSlots]map[string]int
+	slotAtUs      int64
+	slotNow       int
+	slotsSeen     int
+	serviceUs     float64
+	gauges        []*Gauge
+	Decisions     []Decision
+	replicaStates map[string]*replicaState
+	budgets       map[string]*budget
+	readings      map[string]*reading
+	prospects     *prospects
+	outliers      *outlier.Local
+	legSeq        uint64
+	effects       []Effect
 }
 
+// New is a decider that knows no declaration yet.
 func New(opts Options) *Decider {
 	d := &Decider{opts: opts, calls: map[string]*Call{}, kinds: map[string]*kindRow{}, places: map[string]*place{}, runs: map[string]*run{},
-		sites: map[string]*site{}, budgets: map[string]*budget{}, readings: map[string]*reading{}, prospects: newProspects(), outliers: outlier.NewLocal(opts.Outlier)}
+		replicaStates: map[string]*replicaState{}, budgets: map[string]*budget{}, readings: map[string]*reading{}, prospects: newProspects(), outliers: outlier.NewLocal(opts.Outlier)}
 	for i := range d.slots {
 		d.slots[i] = map[string]int{}
 		d.tokens[i] = map[string]int64{}
@@ -74,6 +76,7 @@
 	return d
 }
 
+// Step takes one event and returns what is to be done, in order.
 func (d *Decider) Step(ev Event) []Effect {
 	d.effects = nil
 	d.nowUs = ev.NowUs
@@ -84,7 +87,7 @@
 	case ev.Ended != nil:
 		d.ended(*ev.Ended)
 	case ev.Gone != "":
-		d.left(ev.Gone)
+		d.callerGone(ev.Gone)
 	case ev.Snapshot != nil:
 		d.taken(ev.Snapshot)
 	case ev.LeaseUs != 0:
@@ -133,7 +136,7 @@
 	if c.TakenUs == 0 {
 		c.TakenUs = d.nowUs
 	}
-	if !d.termed(c) {
+	if !d.applyTerms(c) {
 		return
 	}
 	if c.Routed != nil {
--- a/internal/dispatch/decisions.go
+++ b/internal/dispatch/decisions.go
@@ -38,49 +38,49 @@
 type Observation uint8
 
 const (
-	// NothingSent: no connection came about, or no byte of the request was taken from this process.
+	// NothingSent means: no connection came about, or no byte of the request was taken from this process.
 	NothingSent Observation = iota
-	// Withheld: a connection stood, but the newest declaration no longer sends the request there.
+	// Withheld means: a connection stood, but the newest declaration no longer sends the request there.
 	Withheld
-	// TurnedAway: an answer in which the replica says that it has not run the request.
+	// TurnedAway means: an answer in which the replica says that it has not run the request.
 	TurnedAway
-	// ModelMissing: the life that was asked says that what the request names is not there.
+	// ModelMissing means: the life that was asked says that what the request names is not there.
 	ModelMissing
-	// OtherLife: another life, or another replica, has the address, and has not run the request.
+	// OtherLife means: another life, or another replica, has the address, and has not run the request.
 	OtherLife
-	// SilentUntilExpiry: sent, wholly or in part, and no answer before the request's expiry.
+	// SilentUntilExpiry means: sent, wholly or in part, and no answer before the request's expiry.
 	SilentUntilExpiry
-	// ClosedUnanswered: sent, wholly or in part, and the connection ended before the head of an answer.
+	// ClosedUnanswered means: sent, wholly or in part, and the connection ended before the head of an answer.
 	ClosedUnanswered
-	// NotAnAnswer: bytes that form no answer, or only answers to other requests.
+	// NotAnAnswer means: bytes that form no answer, or only answers to other requests.
 	NotAnAnswer
-	// UnsealedSuccess: a success without the replica's stamp.
+	// UnsealedSuccess means: a success without the replica's stamp.
 	UnsealedSuccess
-	// CutShort: the answer ended, or became unreadable, before its end and before any of it was passed on.
+	// CutShort means: the answer ended, or became unreadable, before its end and before any of it was passed on.
 	CutShort
-	// Oversized: the answer is larger than this process holds.
+	// Oversized means: the answer is larger than this process holds.
 	Oversized
-	// UnprovenRefusal: a status that promises that nothing has run, without the replica's word for it.
+	// UnprovenRefusal means: a status that promises that nothing has run, without the replica's word for it.
 	UnprovenRefusal
-	// FailureAnswer: another whole answer that is no success, the first for this request.
+	// FailureAnswer means: another whole answer that is no success, the first for this request.
 	FailureAnswer
-	// FailureRepeated: such an answer after one was held back, or on the only attempt that the route allows.
+	// FailureRepeated means: such an answer after one was held back, or on the only attempt that the route allows.
 	FailureRepeated
-	// WholeAnswer: a whole success, with the replica's stamp.
+	// WholeAnswer means: a whole success, with the replica's stamp.
 	WholeAnswer
-	// StreamEnded: a stream came to the end that the replica gave it.
+	// StreamEnded means: a stream came to the end that the replica gave it.
 	StreamEnded
-	// StreamCut: a stream ended early, or lost its order, after an event that names where to go on.
+	// StreamCut means: a stream ended early, or lost its order, after an event that names where to go on.
 	StreamCut
-	// StreamCutUnnamed: the same, but what has reached the caller does not say where to go on.
+	// StreamCutUnnamed means: the same, but what has reached the caller does not say where to go on.
 	StreamCutUnnamed
-	// StreamExpired: a stream was still under way at the request's expiry.
+	// StreamExpired means: a stream was still under way at the request's expiry.
 	StreamExpired
-	// AnswerInStream: an answer that is no stream where a stream was to go on.
+	// AnswerInStream means: an answer that is no stream where a stream was to go on.
 	AnswerInStream
-	// CallerGone: the caller took no more bytes.
+	// CallerGone means: the caller took no more bytes.
 	CallerGone
-	// MovedOff: this process ended the run to have it go on elsewhere.
+	// MovedOff means: this process ended the run to have it go on elsewhere.
 	MovedOff
 
 	observations
@@ -108,13 +108,13 @@
 type RetryDecision struct {
 	// Ending is how the leg counts.
 	Ending Ending
-	// Again: the request may be sent once more, within the route's attempts and the retry budget.
+	// Again means: the request may be sent once more, within the route's attempts and the retry budget.
 	Again bool
-	// Ran: the replica may have run the request.
+	// Ran means: the replica may have run the request.
 	Ran bool
 	// Answer is what the caller is told where it is not sent again.
 	Answer Answer
-	// Reuse: the connection may carry another request, if the answer left it whole.
+	// Reuse means: the connection may carry another request, if the answer left it whole.
 	Reuse bool
 }
 
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -5,6 +5,7 @@
 	"petreltide/internal/standing"
 )
 
+// Event is one thing that has happened; all its fields but NowUs and one are left out.
 type Event struct {
 	NowUs    int64
 	Arrived  *Call
@@ -17,12 +18,14 @@
 	Close bool
 }
 
+// Ended says how a leg ended.
 type Ended struct {
 	Call   string
 	Leg    string
 	Ending Ending
 }
 
+// Effect is one thing to be done; one of its fields is set.
 type Effect struct {
 	Start  *Start
 	Give   *Give
@@ -38,6 +41,7 @@
 	Ending Ending
 }
 
+// Start begins a leg: the call is sent to one life of one replica.
 type Start struct {
 	Call     *Call
 	Leg      string
@@ -56,6 +60,7 @@
 	Running int
 }
 
+// Give answers a call that has no leg and gets none any more.
 type Give struct {
 	Call  *Call
 	Fault *fault.Fault
--- a/internal/dispatch/finish.go
+++ b/internal/dispatch/finish.go
@@ -8,7 +8,7 @@
 
 // give is a final answer told at once: the call has no leg and can get none any more.
 func (d *Decider) give(c *Call, code fault.Code, why string, retryMs int64) {
-	d.giveAt(c, code, why, apart(c.ID, retryMs))
+	d.giveAt(c, code, why, spreadRetryMs(c.ID, retryMs))
 }
 
 func (d *Decider) giveAt(c *Call, code fault.Code, why string, retryMs int64) {
@@ -28,9 +28,9 @@
 	d.do(Effect{Give: &Give{Call: c, Fault: f}})
 }
 
-// apart spreads the times at which callers that were refused together come back: half to one and a half
+// spreadRetryMs spreads the times at which callers that were refused together come back: half to one and a half
 // of what was meant, or the crowd would stand before the door again as one.
-func apart(id string, retryMs int64) int64 {
+func spreadRetryMs(id string, retryMs int64) int64 {
 	if retryMs <= 1 {
 		return retryMs
 	}
@@ -39,7 +39,7 @@
 	return retryMs/2 + int64(h.Sum64()%uint64(retryMs)) + 1
 }
 
-func (d *Decider) left(id string) {
+func (d *Decider) callerGone(id string) {
 	c := d.calls[id]
 	if c == nil {
 		return
@@ -60,8 +60,8 @@
 		delete(p.inFlight, e.Leg)
 	}
 	if c == nil || c.leg != e.Leg {
-		for _, st := range d.sites {
-			delete(st.flights, e.Leg)
+		for _, st := range d.replicaStates {
+			delete(st.openLegs, e.Leg)
 		}
 		return
 	}
@@ -72,7 +72,7 @@
 		return
 	}
 	if e.Ending == Unsent || e.Ending == Refused {
-		d.placeOf(on).shyUs = d.nowUs + shyUs
+		d.placeOf(on).avoidUntilUs = d.nowUs + avoidUs
 	}
 	if e.Ending == Done {
 		spentUs := float64(d.nowUs - c.firstUs)
@@ -80,11 +80,11 @@
 	}
 	c.ran = c.ran || MayHaveRun(e.Ending)
 	if c.gone || !again(c.requestKind(), e.Ending) {
-		d.over(c, e.Ending, on)
+		d.finish(c, e.Ending, on)
 		return
 	}
 	c.Had = int(c.Progress.Load())
-	if !d.termed(c) {
+	if !d.applyTerms(c) {
 		return
 	}
 	if c.legs >= legsMost {
@@ -95,8 +95,8 @@
 	d.enqueue(c)
 }
 
-// over takes a leg's ending for that of its call.
-func (d *Decider) over(c *Call, e Ending, on string) {
+// finish takes a leg's ending for that of its call.
+func (d *Decider) finish(c *Call, e Ending, on string) {
 	delete(d.calls, c.ID)
 	if e == Done {
 		d.kind(c.Kind).done++
--- a/internal/dispatch/gauge.go
+++ b/internal/dispatch/gauge.go
@@ -14,8 +14,8 @@
 	untilUs  int64
 }
 
-// KindGauge: a call that ended under another revision than the one that took it has spanned a change;
-// it is unanswered where its first piece did not come before that change.
+// KindGauge counts the calls of one kind. A call that ended under another revision than the one that took it has
+// spanned a change; it is unanswered where its first piece did not come before that change.
 type KindGauge struct {
 	Taken      uint64       `json:"taken"`
 	Ended      uint64       `json:"ended"`
@@ -28,10 +28,12 @@
 	First      weigh.Spread `json:"first"`
 }
 
+// Open is how many of the calls taken are not over.
 func (k *KindGauge) Open() uint64 {
 	return k.Taken - k.Ended - k.Expired - k.Refused - k.Broken - k.Gone - k.Spanned
 }
 
+// Join adds the counts of another gauge.
 func (k *KindGauge) Join(o *KindGauge) {
 	k.Taken += o.Taken
 	k.Ended += o.Ended
@@ -120,6 +122,7 @@
 	}
 }
 
+// Gauges copies the gauges of the last revisions.
 func (d *Decider) Gauges() []Gauge {
 	out := []Gauge{}
 	for _, g := range d.gauges {
--- a/internal/dispatch/granted_legs.go
+++ b/internal/dispatch/granted_legs.go
@@ -8,9 +8,9 @@
 )
 
 type place struct {
-	inFlight map[string]bool
-	shyUs    int64
-	prefixes map[uint64]int64
+	inFlight     map[string]bool
+	avoidUntilUs int64
+	prefixes     map[uint64]int64
 }
 
 type run struct {
@@ -39,7 +39,7 @@
 		}
 		p := d.placeOf(id)
 		grant := d.runs[id+"|"+c.Model]
-		if r.Share <= len(p.inFlight) || grant == nil || grant.next >= grant.to || d.nowUs < p.shyUs {
+		if r.Share <= len(p.inFlight) || grant == nil || grant.next >= grant.to || d.nowUs < p.avoidUntilUs {
 			continue
 		}
 		matched := 0
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -15,13 +15,13 @@
 
 // lateMs is how long after its start a leg without a first piece is slow: far beyond what was foretold for
 // it, and too late for its caller.
-func (f *flight) lateMs() float64 {
+func (f *openLeg) lateMs() float64 {
 	return max(lateTimes*f.predictedMs, f.predictedMs+lateLeastMs, float64(f.call.Routed.Route.AimMs))
 }
 
 // judge tells what became of a leg to whoever watches the replica. Where the executor did not say, the
 // ending does.
-func (d *Decider) judge(c *Call, f *flight, on string, e Ending) {
+func (d *Decider) judge(c *Call, f *openLeg, on string, e Ending) {
 	class := outlier.Class(c.Outcome.Swap(int32(outlier.None)))
 	if f.late {
 		return
@@ -64,8 +64,8 @@
 
 // late notes legs under way that should have shown a first piece long ago.
 func (d *Decider) late() {
-	for _, id := range slices.Sorted(maps.Keys(d.sites)) {
-		for _, f := range d.sites[id].flights {
+	for _, id := range slices.Sorted(maps.Keys(d.replicaStates)) {
+		for _, f := range d.replicaStates[id].openLegs {
 			if f.late || f.call.FirstUs.Load() >= f.startUs || float64(d.nowUs-f.startUs)/1000 < f.lateMs() {
 				continue
 			}
--- a/internal/dispatch/replica_state.go
+++ b/internal/dispatch/replica_state.go
@@ -4,8 +4,8 @@
 	"petreltide/internal/wire"
 )
 
-// flight is a leg that is under way at a place.
-type flight struct {
+// openLeg is a leg that is under way at a replica.
+type openLeg struct {
 	call        *Call
 	startUs     int64
 	tokens      int64
@@ -14,22 +14,22 @@
 	late        bool
 }
 
-// site is what this desk knows of one replica from its own legs there.
-type site struct {
-	flights  map[string]*flight
-	missing  map[string]int64
-	parts    map[uint64]int64
-	pace     float64
-	workMs   float64
-	shyUs    int64
-	failures int
+// replicaState is what this desk knows of one replica from its own legs there.
+type replicaState struct {
+	openLegs     map[string]*openLeg
+	missing      map[string]int64
+	parts        map[uint64]int64
+	pace         float64
+	workMs       float64
+	avoidUntilUs int64
+	failures     int
 }
 
-func (d *Decider) siteOf(id string) *site {
-	s := d.sites[id]
+func (d *Decider) replicaStateOf(id string) *replicaState {
+	s := d.replicaStates[id]
 	if s == nil {
-		s = &site{flights: map[string]*flight{}, missing: map[string]int64{}, parts: map[uint64]int64{}, pace: 1, workMs: plainWorkMs}
-		d.sites[id] = s
+		s = &replicaState{openLegs: map[string]*openLeg{}, missing: map[string]int64{}, parts: map[uint64]int64{}, pace: 1, workMs: plainWorkMs}
+		d.replicaStates[id] = s
 	}
 	return s
 }
@@ -37,10 +37,10 @@
 // standsAt counts what runs at a replica and how long what waits there will take, in ms: this desk's own
 // legs that have no first piece yet. What other desks have there shows only in how long those take: news
 // of it that is a quarter of a second old made no day better (docs/design-platform.md).
-func (d *Decider) standsAt(r *wire.ReplicaNews, s *site, perToken float64) (running int, waitMs float64) {
+func (d *Decider) standsAt(r *wire.ReplicaNews, s *replicaState, perToken float64) (running int, waitMs float64) {
 	var tokens int64
 	lateMs := 0.0
-	for _, f := range s.flights {
+	for _, f := range s.openLegs {
 		running++
 		if f.call.FirstUs.Load() >= f.startUs {
 			continue
@@ -61,9 +61,9 @@
 	c.on, c.moving = r.ID, false
 	c.legs++
 	c.firstUs = d.nowUs
-	s := d.siteOf(r.ID)
+	s := d.replicaStateOf(r.ID)
 	running, waitMs := d.standsAt(r, s, 1/tokensPerMs)
-	s.flights[c.leg] = &flight{call: c, startUs: d.nowUs, tokens: d.unread(c, r, s), predictedMs: predictedMs, alone: waitMs < aloneMs && running <= aloneMost}
+	s.openLegs[c.leg] = &openLeg{call: c, startUs: d.nowUs, tokens: d.unread(c, r, s), predictedMs: predictedMs, alone: waitMs < aloneMs && running <= aloneMost}
 	if len(s.parts) > partsKept {
 		s.parts = map[uint64]int64{}
 	}
@@ -90,11 +90,11 @@
 	}
 }
 
-// landed learns from how a leg ended.
-func (d *Decider) landed(c *Call, leg string, on string, e Ending) {
-	s := d.siteOf(on)
-	f := s.flights[leg]
-	delete(s.flights, leg)
+// learn takes note from how a leg ended.
+func (d *Decider) learn(c *Call, leg string, on string, e Ending) {
+	s := d.replicaStateOf(on)
+	f := s.openLegs[leg]
+	delete(s.openLegs, leg)
 	if f == nil {
 		return
 	}
@@ -102,15 +102,15 @@
 	switch e {
 	case Unsent:
 		s.failures++
-		s.shyUs = d.nowUs + min(shyLeastUs<<min(s.failures-1, 3), shyMostUs)
+		s.avoidUntilUs = d.nowUs + min(avoidLeastUs<<min(s.failures-1, 3), avoidMostUs)
 	case Elsewhere:
-		s.shyUs = d.nowUs + elsewhereUs
+		s.avoidUntilUs = d.nowUs + elsewhereUs
 		c.tried = append(c.tried, on)
 	case Missing:
 		s.missing[c.unit()] = d.nowUs + missingUs
 		c.tried = append(c.tried, on)
 	case Refused:
-		s.shyUs = max(s.shyUs, d.nowUs+fullUs)
+		s.avoidUntilUs = max(s.avoidUntilUs, d.nowUs+fullUs)
 		c.tried = append(c.tried, on)
 	default:
 		if firstUs := f.call.FirstUs.Load(); firstUs >= f.startUs {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -5,6 +5,7 @@
 	"petreltide/internal/wire"
 )
 
+// Decision is a line of the log of what was decided and why.
 type Decision struct {
 	AtUs    int64  `json:"atUs"`
 	Call    string `json:"call"`
@@ -82,6 +83,7 @@
 	return rates
 }
 
+// Report is what a gateway tells the control nodes: arrivals, what waits, what runs, how legs ended.
 func (d *Decider) Report(nowUs int64) wire.Report {
 	rep := wire.Report{
 		Desk: d.opts.Desk, Inc: d.opts.Inc, SentUs: nowUs, Arrivals: d.Arrivals(), Draining: d.drain,
@@ -121,6 +123,7 @@
 	return rep
 }
 
+// KindNote counts the calls of one kind since the start.
 type KindNote struct {
 	Kind    string                `json:"kind"`
 	Arrived uint64                `json:"arrived"`
@@ -129,6 +132,7 @@
 	Given   map[fault.Code]uint64 `json:"given,omitempty"`
 }
 
+// Note is the state of a decider for a person.
 type Note struct {
 	Kinds    []KindNote     `json:"kinds"`
 	Waiting  int            `json:"waiting"`
@@ -143,6 +147,7 @@
 	Recent   []Decision     `json:"recent,omitempty"`
 }
 
+// Note copies the state for a person.
 func (d *Decider) Note() Note {
 	n := Note{Waiting: d.waiting, Calls: len(d.calls), InFlight: map[string]int{}, LeaseMs: max(0, d.leaseUs-d.nowUs) / 1000, Draining: d.drain, Kinds: []KindNote{}}
 	if d.snap != nil {
@@ -159,9 +164,9 @@
 	for id, p := range d.places {
 		n.InFlight[id] = len(p.inFlight)
 	}
-	for id, s := range d.sites {
-		if len(s.flights) > 0 {
-			n.InFlight[id] = len(s.flights)
+	for id, s := range d.replicaStates {
+		if len(s.openLegs) > 0 {
+			n.InFlight[id] = len(s.openLegs)
 		}
 	}
 	n.Budgets = d.budgetNotes()
--- a/internal/dispatch/routed.go
+++ b/internal/dispatch/routed.go
@@ -30,8 +30,8 @@
 }
 
 const (
-	shyLeastUs   = 250 * clock.Ms
-	shyMostUs    = 2000 * clock.Ms
+	avoidLeastUs = 250 * clock.Ms
+	avoidMostUs  = 2000 * clock.Ms
 	missingUs    = 1500 * clock.Ms
 	fullUs       = 60 * clock.Ms
 	elsewhereUs  = 30 * clock.Sec
@@ -135,7 +135,7 @@
 }
 
 func (d *Decider) endedRouted(c *Call, e Ended, on string) {
-	d.landed(c, e.Leg, on, e.Ending)
+	d.learn(c, e.Leg, on, e.Ending)
 	if e.Ending != Unsent {
 		c.Routed.arrivals++
 	}
@@ -146,10 +146,10 @@
 			d.give(c, fault.Overloaded, "no further replica may be tried", 30)
 			return
 		}
-		d.over(c, e.Ending, on)
+		d.finish(c, e.Ending, on)
 		return
 	}
-	if !d.termed(c) {
+	if !d.applyTerms(c) {
 		return
 	}
 	if c.legs >= legsMost {
@@ -175,15 +175,15 @@
 func (d *Decider) reportRouted(rep *wire.Report) {
 	d.promised(rep)
 	d.reportOutcomes(rep)
-	for id, s := range d.sites {
-		if d.snap != nil && d.snap.Replicas[id] == nil && len(s.flights) == 0 {
-			delete(d.sites, id)
+	for id, s := range d.replicaStates {
+		if d.snap != nil && d.snap.Replicas[id] == nil && len(s.openLegs) == 0 {
+			delete(d.replicaStates, id)
 			continue
 		}
-		if len(s.flights) == 0 {
+		if len(s.openLegs) == 0 {
 			continue
 		}
-		for _, f := range s.flights {
+		for _, f := range s.openLegs {
 			if f.call.Model != "" {
 				if rep.Runs == nil {
 					rep.Runs = map[string]int{}
@@ -199,6 +199,6 @@
 				}
 			}
 		}
-		rep.InFlight[id] = len(s.flights)
+		rep.InFlight[id] = len(s.openLegs)
 	}
 }
--- a/internal/dispatch/routed_test.go
+++ b/internal/dispatch/routed_test.go
@@ -119,7 +119,7 @@
 	for _, c := range []struct {
 		ending  Ending
 		afterUs int64
-	}{{Refused, fullUs}, {Missing, missingUs}, {Unsent, shyLeastUs}} {
+	}{{Refused, fullUs}, {Missing, missingUs}, {Unsent, avoidLeastUs}} {
 		k := newClerk(Options{}, stands(declaration(declared{"once", standing.NonIdempotent, 2, one("engine"), false}), 1, at("engine", "r1")...))
 		k.call("c", "once", "m")
 		k.end("c", c.ending)
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -50,11 +50,11 @@
 		if !d.snap.takesRouted(r, c.Model, c.Adapter) {
 			continue
 		}
-		s := d.siteOf(r.ID)
+		s := d.replicaStateOf(r.ID)
 		if (well || slices.Contains(c.tried, r.ID)) && !d.trusts(c, r.ID) {
 			continue
 		}
-		if d.nowUs < s.shyUs || d.nowUs < s.missing[unit] || (others && slices.Contains(c.tried, r.ID)) {
+		if d.nowUs < s.avoidUntilUs || d.nowUs < s.missing[unit] || (others && slices.Contains(c.tried, r.ID)) {
 			continue
 		}
 		running, waitMs := d.standsAt(r, s, perToken)
@@ -98,7 +98,7 @@
 
 // unread are the tokens of a prompt that the replica is likely to read anew: all after the first part
 // that it has not been sent before.
-func (d *Decider) unread(c *Call, r *wire.ReplicaNews, s *site) int64 {
+func (d *Decider) unread(c *Call, r *wire.ReplicaNews, s *replicaState) int64 {
 	left := c.Routed.PromptIn
 	for i, print := range c.fingerprints() {
 		if _, kept := s.parts[print]; !kept {
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -28,6 +28,7 @@
 	Trials map[string]outlier.Row
 }
 
+// Fold makes a snapshot of news, which leave out a declaration that has not changed since the prior one.
 func Fold(prior *Snapshot, n wire.News, nowUs int64) *Snapshot {
 	s := &Snapshot{Number: n.Number, View: n.View, Revision: n.Revision, Doc: n.Doc,
 		Replicas: map[string]*wire.ReplicaNews{}, Grants: map[string]ledger.Grant{}, AtUs: nowUs}
@@ -57,6 +58,7 @@
 	return holds(r, model) && (adapter == "" || holds(r, adapter))
 }
 
+// Asked is what a caller of our own interface names.
 type Asked struct {
 	Kind    string
 	Model   string
--- a/internal/dispatch/terms.go
+++ b/internal/dispatch/terms.go
@@ -45,7 +45,7 @@
 		d.dequeue(c)
 	}
 	for _, c := range waiting {
-		if d.termed(c) {
+		if d.applyTerms(c) {
 			d.enqueue(c)
 		}
 	}
@@ -56,9 +56,9 @@
 	}
 }
 
-// termed lays the newest declaration's terms on a call that has no leg, and gives it up where
+// applyTerms lays the newest declaration's terms on a call that has no leg, and gives it up where
 // they leave it no way to be served.
-func (d *Decider) termed(c *Call) bool {
+func (d *Decider) applyTerms(c *Call) bool {
 	if d.snap == nil || d.snap.Doc == nil {
 		d.give(c, fault.NoLease, "this desk has no declaration yet", noLeaseMs)
 		return false
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -72,6 +72,7 @@
 	Dialed int64
 }
 
+// New is a pool without connections.
 func New(opts Options) *Pool {
 	p := &Pool{opts: opts, idle: map[string][]*Conn{}, open: map[string]int{}, limits: map[string]*idleLimit{}}
 	p.dialer = net.Dialer{Timeout: time.Duration(opts.DialUs) * time.Microsecond, KeepAlive: -1}
@@ -232,6 +233,7 @@
 	return !short
 }
 
+// Drop closes a connection that is not to be used again.
 func (p *Pool) Drop(c *Conn) {
 	_ = c.Close()
 	p.release(c.replica)
