Teach the simulator what the newest kinds of trouble add

Ten kinds: replicas that deregister first, heartbeats seconds late and of a former life, addresses that go to another service after draining or silence, replicas cut off from control (both ways, one way), clients that leave within half their aim or come back at once and often, acknowledgements lost seven times in ten, power lost 5 to 400 ms after a change was sent. Two rules: GONE, and KNOWN, the simulator's own: who goes on speaking is known to every desk. CONFIG winners also judges an order that was taken, whose acknowledgement was lost, and that is refused afterwards; for ACKS such an acknowledgement counts, as it was given.

Ruled out on the way: a first form of that fault, with one office killed, never showed the hole: the others told it of the former life's end first.

--- a/proofs/rules/routed.go
+++ b/proofs/rules/routed.go
@@ -36,12 +36,15 @@
 	Acks      = "ACKS"
 	Starved   = "STARVED"
 	Sizes     = "SIZES"
+	Gone      = "GONE"
+	// Known is the simulator's own: who goes on speaking is known to every desk.
+	Known = "KNOWN"
 )
 
 // Routed are all rules that routed days are judged by.
 var Routed = []string{
 	Mixed, Unasked, Twice, Refused, Denied, Route, Drain, LostWork, ConfigOld, ConfigBck, ConfigTwo, ConfigNot, ConfigGon, ConfigNew,
-	Budget, Order, Recover, One, Limit, Ceiling, Acks, Starved, Sizes, ReadOld, RefusedAs, LeaveLost,
+	Budget, Order, Recover, One, Limit, Ceiling, Acks, Starved, Sizes, ReadOld, RefusedAs, LeaveLost, Gone, Known,
 }
 
 // Bounds are the figures of the platform's settings file.
@@ -96,6 +99,8 @@
 	AckedUs   int64
 	RefusedUs int64
 	Status    int
+	// LostAckUs is when an acknowledgement of it was lost on its way.
+	LostAckUs int64
 }
 
 func (v *Version) match(host, path string) *RouteSeen {
@@ -212,6 +217,10 @@
 	Refusals []ControlRefusal
 	Read     *Read
 	EndUs    int64
+	// Known counts replicas that had spoken for a while as the day ended, by desk; Unknown are those that the
+	// desk did not know.
+	Known   int
+	Unknown []string
 }
 
 type judge struct {
@@ -263,6 +272,8 @@
 	j.added()
 	j.starved()
 	j.sizes()
+	j.gone()
+	j.known()
 	return j.breaches, j.stakes
 }
 
--- a/proofs/rules/routed_config.go
+++ b/proofs/rules/routed_config.go
@@ -43,6 +43,15 @@
 			j.breach(ConfigTwo, "version %d was acknowledged and refused with %d", v.Number, v.Status)
 		}
 	}
+	for _, v := range j.Versions {
+		if v.LostAckUs == 0 {
+			continue
+		}
+		j.stake(ConfigTwo)
+		if v.RefusedUs > v.LostAckUs {
+			j.breach(ConfigTwo, "version %d was taken, its acknowledgement lost, and it was refused with %d when it was sent again", v.Number, v.Status)
+		}
+	}
 	for base, all := range bases {
 		if len(all) < 2 {
 			continue
@@ -376,6 +385,9 @@
 		if endUs == 0 {
 			endUs = j.EndUs
 		}
+		if v.LostAckUs > 0 {
+			endUs = min(endUs, v.LostAckUs)
+		}
 		j.stake(Acks)
 		if atUs := firstGap(uncalm, v.SentUs, endUs, needUs); atUs >= 0 {
 			j.breach(Acks, "version %d, sent at %.3f, had no acknowledgement %.1f s into the calm from %.3f", v.Number, sec(v.SentUs), sec(needUs), sec(atUs))
--- /dev/null
+++ b/proofs/rules/routed_gone.go
@@ -0,0 +1,63 @@
+package rules
+
+import "petreltide/proofs/platform/replica"
+
+const (
+	// goneSlackUs is how long after a client has left its request may still reach a replica, or be worked on.
+	goneSlackUs = 500_000
+	// goneArrivals may reach replicas later all the same.
+	goneArrivals = 3
+	// goneWorkLeast is how many requests must have been worked on as their clients left.
+	goneWorkLeast = 8
+)
+
+// gone: soon after a client has left, its request reaches no replica, and replicas work on few of the repeatable
+// requests and streams of such clients.
+func (j *judge) gone() {
+	sentLate, stopped, worked := 0, 0, 0
+	for _, t := range j.Tries {
+		if !t.HungUp || t.Probe || !j.t.within(t.Machine, t.SentUs, t.EndUs+2*goneSlackUs) {
+			continue
+		}
+		repeatable := j.may(t, func(r *RouteSeen) bool { return r.Repeatable })
+		for _, a := range j.arrivals[t.ID] {
+			switch {
+			case j.heldUp(t.Machine, a.Replica, t.EndUs):
+			case a.AtUs > t.EndUs+goneSlackUs:
+				sentLate++
+			case a.AtUs <= t.EndUs && (repeatable || t.Stream):
+				stopped += ended(a, t.EndUs, t.EndUs+goneSlackUs)
+				worked += ended(a, t.EndUs+goneSlackUs, Open)
+			}
+		}
+	}
+	if stopped+worked > 0 {
+		j.stake(Gone)
+	}
+	if sentLate > goneArrivals {
+		j.breach(Gone, "%d requests reached replicas over %.1f s after their clients had left", sentLate, sec(goneSlackUs))
+	}
+	if stopped+worked >= goneWorkLeast && 4*worked > stopped+worked {
+		j.breach(Gone, "replicas worked on %d of %d requests %.1f s after their clients had left", worked, stopped+worked, sec(goneSlackUs))
+	}
+}
+
+// ended is 1 where the work for a request ended within a span, or never, where the span has no end.
+func ended(a *replica.Arrival, fromUs, toUs int64) int {
+	endUs := a.EndUs
+	if endUs == 0 {
+		endUs = Open - 1
+	}
+	if a.RanUs > 0 && !a.BrokeOff && fromUs < endUs && endUs <= toUs {
+		return 1
+	}
+	return 0
+}
+
+// known: each desk knows every replica that has spoken for a while.
+func (j *judge) known() {
+	j.stakes[Known] += j.Known
+	if len(j.Unknown) > 0 {
+		j.breach(Known, "not known, though they speak: %v", j.Unknown)
+	}
+}
--- a/proofs/rules/routed_test.go
+++ b/proofs/rules/routed_test.go
@@ -70,6 +70,17 @@
 	return &replica.Arrival{Request: t.ID, Replica: "i", Service: service, Method: t.Method, Host: t.Host, Path: t.Path, Nonce: t.ID, AtUs: t.SentUs + 1000, RanUs: t.SentUs + 1000, EndUs: t.EndUs, Status: 200, Whole: true}
 }
 
+// leaves adds clients of a stream that leave, and when, after that, their requests reach a replica and end there.
+func leaves(d *Day, count int, arrivesUs, endsUs int64) {
+	for i := range count {
+		t := asked(fmt.Sprint("left-", i), "/r/x", 14*second)
+		t.Stream, t.HungUp, t.Complete, t.Status, t.Seal, t.AnswerID, t.Answer = true, true, false, 0, "", "", ""
+		a := ran(t, "z")
+		a.AtUs, a.RanUs, a.EndUs, a.Whole = t.EndUs+arrivesUs, t.EndUs+arrivesUs, t.EndUs+endsUs, false
+		d.Tries, d.Arrivals = append(d.Tries, t), append(d.Arrivals, a)
+	}
+}
+
 // Each line of the rules on configurations, orders and leaving, on the least day that shows it.
 func TestRoutedRulesOnSmallDays(t *testing.T) {
 	versions := func() []*Version {
@@ -406,6 +417,22 @@
 				}
 			}
 		}},
+		{"requests reach a replica after their clients have left", Gone, func(d *Day) { leaves(d, 4, 600_000, 700_000) }},
+		{"... but few", "", func(d *Day) { leaves(d, 3, 600_000, 700_000) }},
+		{"... or soon after", "", func(d *Day) { leaves(d, 8, 300_000, 400_000) }},
+		{"replicas work on for clients that have left", Gone, func(d *Day) { leaves(d, 8, -1000, 700_000) }},
+		{"... but end soon", "", func(d *Day) { leaves(d, 8, -1000, 300_000) }},
+		{"... at a machine that was in trouble", "", func(d *Day) {
+			d.Troubles = []Trouble{{Machine: "front", FromUs: 13 * second, ToUs: 15 * second}}
+			leaves(d, 8, -1000, 700_000)
+		}},
+		{"a replica that speaks is not known", Known, func(d *Day) { d.Known, d.Unknown = 2, []string{"i at front"} }},
+		{"an order was taken, its acknowledgement lost, and it was refused", ConfigTwo, func(d *Day) {
+			d.Versions[1].AckedUs, d.Versions[1].LostAckUs, d.Versions[1].RefusedUs, d.Versions[1].Status = 0, 11*second, 12*second, 412
+		}},
+		{"an acknowledgement that was lost is one", "", func(d *Day) {
+			d.Versions[1].AckedUs, d.Versions[1].LostAckUs = 20*second, 11*second
+		}},
 	} {
 		seen[c.want] = true
 		d := &Day{Bounds: SmallBounds(1), Core: core("a", "b", "c"), Versions: versions(), EndUs: 30 * second}
--- a/proofs/sim/plant_routed_test.go
+++ b/proofs/sim/plant_routed_test.go
@@ -50,6 +50,9 @@
 		{"no-subjects", rules.Starved, nil},
 		{"no-adapters", rules.Starved, nil},
 		{"small-only", rules.Sizes, nil},
+		{"clingy", rules.Gone, at("give-up", "give-up", "give-up", "give-up")},
+		{"forgetful", rules.Known, nil},
+		{"stranger", rules.ConfigTwo, at("ack-lost", "ack-lost", "ack-lost")},
 		{"no-newcomers", rules.ConfigNew, at("big-config", "config-storm", "big-config", "config-storm", "big-config")},
 	} {
 		t.Run(c.plant+"/"+c.rule, func(t *testing.T) {
--- a/proofs/sim/routed.go
+++ b/proofs/sim/routed.go
@@ -309,6 +309,7 @@
 	d.runUntil(d.nowUs + d.clients.mostUs() + sec)
 	d.ops.read()
 	d.runUntil(d.nowUs + 3*d.seen.Bounds.ContactUs)
+	d.known()
 	return d.outcome()
 }
 
--- a/proofs/sim/routed_clients.go
+++ b/proofs/sim/routed_clients.go
@@ -53,6 +53,12 @@
 	shift   int
 	missed  map[string]int
 	healthy map[string]bool
+	// leaving is a fault by which half of the clients leave early until leavesUs; repeats is one by which refused
+	// clients come back at once and often until abuseUs.
+	leaving  Fault
+	leavesUs int64
+	repeats  Fault
+	abuseUs  int64
 }
 
 // seat is one client's side of one try.
@@ -219,6 +225,9 @@
 	if d.plan.Plant == "" && c.r.Intn(40) == 0 {
 		c.later(c.r.Int63n(900*ms), func() { s.hangUp(t) })
 	}
+	if d.nowUs < c.leavesUs && c.r.Intn(2) == 0 {
+		c.later(1+c.r.Int63n(s.class.aimUs/2), func() { s.giveUp(t) })
+	}
 	s.deliver(t, s.firstUs+s.class.limitUs-d.nowUs)
 	s.silentUs = d.nowUs
 	s.patience(t)
@@ -355,13 +364,20 @@
 func (s *seat) again(t *rules.Try, retryMs int64) {
 	d := s.c.day
 	leftUs := s.firstUs + s.class.limitUs - d.nowUs
-	if s.nth >= 1 || leftUs < 200*ms || (s.had > 0 && s.had >= replica.Total(s.body)) {
+	triesMost := 1
+	if d.nowUs < s.c.abuseUs {
+		triesMost += abuseTries
+	}
+	if s.nth >= triesMost || leftUs < 200*ms || (s.had > 0 && s.had >= replica.Total(s.body)) {
 		return
 	}
 	waitUs := min(retryMs*ms, leftUs/3)
-	if s.impatient {
+	if s.impatient || triesMost > 1 {
 		waitUs = 0
 	}
+	if s.nth >= 1 {
+		d.count(s.c.repeats)
+	}
 	next := &seat{c: s.c, class: s.class, body: s.body, model: s.model, adapter: s.adapter, parts: s.parts, in: s.in, firstUs: s.firstUs, nth: s.nth + 1, had: s.had, impatient: s.impatient}
 	s.c.later(waitUs+ms, next.send)
 }
@@ -385,3 +401,18 @@
 	s.deliver(t, 2*sec)
 	c.later(2*sec, func() { s.hangUp(t) })
 }
+
+// abuseTries is how many times more than others an abusive client tries, without a pause.
+const abuseTries = 3
+
+func (c *clients) giveUp(f Fault) { c.leaving, c.leavesUs = f, c.day.nowUs+f.ForUs+2*sec }
+
+func (c *clients) abuse(f Fault) { c.repeats, c.abuseUs = f, c.day.nowUs+f.ForUs+2*sec }
+
+// giveUp is a client that leaves within half of its aim.
+func (s *seat) giveUp(t *rules.Try) {
+	if !s.over {
+		s.c.day.count(s.c.leaving)
+	}
+	s.hangUp(t)
+}
--- a/proofs/sim/routed_desks.go
+++ b/proofs/sim/routed_desks.go
@@ -187,6 +187,10 @@
 			for _, id := range held.IDs {
 				held.ByService[fresh[id].Service] = append(held.ByService[fresh[id].Service], fresh[id])
 			}
+		case "forgetful":
+			if len(held.IDs) > 1 {
+				forget(&held, held.IDs[0])
+			}
 		case "old-doc":
 			if t.snap.Doc != nil && t.day.nowUs > bootUs+t.day.plan.CalmUs {
 				held.Doc, held.Revision = t.snap.Doc, t.snap.Revision
@@ -204,6 +208,15 @@
 	t.step(dispatch.Event{Snapshot: &held})
 }
 
+// forget leaves a replica out of what a desk knows.
+func forget(s *dispatch.Snapshot, id string) {
+	row := s.Replicas[id]
+	s.Replicas, s.ByService, s.IDs = maps.Clone(s.Replicas), maps.Clone(s.ByService), slices.Clone(s.IDs)
+	delete(s.Replicas, id)
+	s.IDs = slices.DeleteFunc(s.IDs, func(other string) bool { return other == id })
+	s.ByService[row.Service] = slices.DeleteFunc(slices.Clone(s.ByService[row.Service]), func(r *wire.ReplicaNews) bool { return r.ID == id })
+}
+
 func (t *routedDesk) follow(s subscriber.Stream) {
 	d := t.day
 	o := d.officeAt(s.Addr)
@@ -321,7 +334,7 @@
 
 // left is a client that has gone.
 func (t *routedDesk) left(x *exchange) {
-	if x.over || x.call == nil {
+	if x.over || x.call == nil || t.day.plan.Plant == "clingy" {
 		return
 	}
 	x.gone = true
--- a/proofs/sim/routed_faults.go
+++ b/proofs/sim/routed_faults.go
@@ -16,6 +16,7 @@
 	"config-change", "config-storm", "config-race", "bad-config", "big-config", "burst", "burst-rare", "model-shift",
 	"grey-errors", "grey-shed", "grey-busy", "grey-hang", "grey-reset", "grey-mute", "grey-slow", "grey-one-zone", "lying-errors", "lying-hang", "lying-reset",
 	"answer-lost", "flap", "drop-idle", "unheard-leave", "kill-zone", "roll-offices", "replace-planned", "power-after-taking",
+	"leave-first", "late-beat", "late-beat-of-former-life", "reuse-after-drain", "reuse-after-dark", "cut-replica", "give-up", "retry-abuse", "ack-lost", "power-after-send",
 }
 
 // pairKinds strike two offices at once, where the fleet is made to bear that.
@@ -27,9 +28,15 @@
 	"grey-one-zone": replica.Errs, "lying-errors": replica.Errs, "lying-hang": replica.Hangs, "lying-reset": replica.Resets, "answer-lost": replica.Loses,
 }
 
+// selfCounted faults are counted where they first have an effect, beside those that wait for an acknowledgement.
+var selfCounted = []string{
+	"drop-idle", "unheard-leave", "power-after-taking", "replace-planned", "leave-first", "late-beat", "late-beat-of-former-life", "reuse-after-drain", "reuse-after-dark",
+	"give-up", "retry-abuse", "ack-lost", "power-after-send",
+}
+
 // countsItself: such a fault is counted where it first had an effect.
 func countsItself(kind string) bool {
-	return strings.HasSuffix(kind, "-after-ack") || ailments[kind] != replica.Sound || slices.Contains([]string{"drop-idle", "unheard-leave", "power-after-taking", "replace-planned"}, kind)
+	return strings.HasSuffix(kind, "-after-ack") || ailments[kind] != replica.Sound || slices.Contains(selfCounted, kind)
 }
 
 // RoutedFaultNames lists every fault that routed days are dealt.
@@ -173,6 +180,15 @@
 				d.at(d.nowUs+f.ForUs, t.start)
 			}
 		})
+	case "power-after-send":
+		d.ops.struck = append(d.ops.struck, f)
+		d.ops.do(d.ops.change)
+	case "ack-lost":
+		d.ops.loses(f)
+	case "give-up":
+		d.clients.giveUp(f)
+	case "retry-abuse":
+		return haveCard && d.abused(f, p)
 	case "kill-zone":
 		d.killZone([]string{"a", "b", "c"}[f.A%3], f)
 	case "cut-desk", "kill-desk", "herd-kill", "roll-desks", "freeze-desk", "clock-step":
@@ -214,6 +230,15 @@
 	return true
 }
 
+// abused: replicas turn requests away, and clients come back at once and often.
+func (d *routedDay) abused(f Fault, p *replicaNode) bool {
+	f.ForUs += 5 * sec
+	d.clients.abuse(f)
+	f.Kind = "turning-replica"
+	d.ill(p, f, func(p *replicaNode) { p.turning = func(n int) bool { return n%5 < 4 } })
+	return true
+}
+
 // lossy: links lose packets; those of the core as well, so that it is not settled meanwhile.
 func (d *routedDay) lossy(f Fault) {
 	d.loss = 0.02 + float64(f.N)/200
@@ -461,10 +486,12 @@
 }
 
 func (d *routedDay) replicaFault(f Fault, p *replicaNode, cards []*replicaNode) bool {
-	if p.core.Draining {
+	if p.core.Draining || p.left {
 		return false
 	}
 	switch f.Kind {
+	case "leave-first", "late-beat", "late-beat-of-former-life", "reuse-after-drain", "reuse-after-dark", "cut-replica":
+		return d.leavingFault(f, p)
 	case "crash-replica":
 		if logs := d.running("log"); f.B%2 == 1 && len(logs) > 1 {
 			p = logs[f.A%len(logs)]
@@ -634,6 +661,7 @@
 func (d *routedDay) heal() {
 	d.note("healed")
 	d.springs, d.taking, d.handed = nil, nil, true
+	d.ops.struck, d.ops.loseUs, d.clients.leavesUs, d.clients.abuseUs = nil, 0, 0, 0
 	for i := range d.seen.Cuts {
 		d.seen.Cuts[i].ToUs = min(d.seen.Cuts[i].ToUs, d.nowUs)
 	}
--- /dev/null
+++ b/proofs/sim/routed_leaving.go
@@ -0,0 +1,171 @@
+package sim
+
+import (
+	"petreltide/internal/office"
+	"petreltide/proofs/rules"
+)
+
+const (
+	lateLeastUs = sec
+	lateMostUs  = 4 * sec
+	onLeastUs   = 300 * ms
+	onMostUs    = 3 * sec
+	leaveTries  = 8
+	shortDownUs = 400 * ms
+	oneWay      = 1
+)
+
+// leaveFirst is a planned end without a word of it before: the replica deregisters, serves on for as long as one
+// that drains, and ends. speaks says whether its heartbeats go on meanwhile, as if it stayed.
+func (p *replicaNode) leaveFirst(f Fault, speaks bool) {
+	d := p.day
+	p.left, p.speaks = true, speaks
+	p.leave = &rules.Leave{Replica: p.name, SaidUs: d.nowUs}
+	d.seen.Leaves = append(d.seen.Leaves, p.leave)
+	p.sayGone(f, leaveTries)
+	p.later(9*sec, func() { p.end(false) })
+}
+
+// sayGone deregisters at one machine that serves control, and at the next where no acknowledgement comes.
+func (p *replicaNode) sayGone(f Fault, tries int) {
+	d := p.day
+	if tries == 0 || p.leave.AckedUs > 0 {
+		return
+	}
+	again := func() { p.later(ms, func() { p.sayGone(f, tries-1) }) }
+	addrs := d.listedNow()
+	o := d.officeAt(addrs[d.r.Intn(len(addrs))])
+	if o == nil {
+		again()
+		return
+	}
+	d.carry(&p.machine, &o.machine, sec, func() {
+		o.step(office.Event{Left: p.name})
+		d.carry(&o.machine, &p.machine, sec, func() {
+			if p.leave.AckedUs > 0 {
+				return
+			}
+			p.leave.AckedUs, p.leave.Machine = d.nowUs, o.name
+			d.count(f)
+			p.later(d.seen.Bounds.DrainUs+onLeastUs+d.r.Int63n(onMostUs), func() { p.end(false) })
+		}, again)
+	}, again)
+}
+
+// lateBeat is a heartbeat that a replica has sent now and that an office reads seconds later, whatever became of
+// the replica meanwhile.
+func (p *replicaNode) lateBeat(f Fault, afterUs int64) {
+	d := p.day
+	row := p.row()
+	d.at(d.nowUs+afterUs, func() {
+		o, ok := pickOf(d.upOffices(), d.r.Intn(100))
+		if ok && d.taken(o, func() { o.heard(row) }) {
+			d.count(f)
+		}
+	})
+}
+
+// taken lets an office that runs act now.
+func (d *routedDay) taken(o *routedOffice, act func()) bool {
+	if o.thawUs > d.nowUs {
+		return false
+	}
+	o.now(o.boot, act)
+	return true
+}
+
+func (d *routedDay) lateUs() int64 { return lateLeastUs + d.r.Int63n(lateMostUs-lateLeastUs) }
+
+// leavingFault are the ends of replicas that come in an unusual order, and the words that outlive them.
+func (d *routedDay) leavingFault(f Fault, p *replicaNode) bool {
+	switch f.Kind {
+	case "leave-first":
+		d.fresh(p)
+		p.leaveFirst(f, f.B%2 == 0)
+	case "late-beat":
+		d.fresh(p)
+		for range 3 {
+			p.lateBeat(f, d.lateUs())
+		}
+		p.leaveFirst(Fault{Kind: "leave-first"}, false)
+	case "late-beat-of-former-life":
+		// The offices forget which lives have been, and then hear of one.
+		p.lateBeat(f, 3*shortDownUs+d.r.Int63n(sec))
+		p.end(true)
+		d.at(d.nowUs+shortDownUs/2, func() { d.successor(p, p.addr) })
+		d.at(d.nowUs+shortDownUs, func() {
+			for _, o := range d.upOffices() {
+				d.killOffice(o, 0, shortDownUs)
+			}
+		})
+	case "reuse-after-drain":
+		return d.reuse(f, func(log *replicaNode) int64 {
+			log.drain()
+			return d.seen.Bounds.DrainUs + 9*sec
+		})
+	case "reuse-after-dark":
+		return d.reuse(f, func(log *replicaNode) int64 {
+			for _, m := range d.machines() {
+				d.cut(m, log.name, 2*sec)
+				d.cut(log.name, m, 2*sec)
+			}
+			d.at(d.nowUs+2*sec, func() { log.end(true) })
+			return 2 * sec
+		})
+	case "cut-replica":
+		for _, o := range d.offices {
+			d.cut(p.name, o.name, f.ForUs+2*sec)
+			if f.B%3 != oneWay {
+				d.cut(o.name, p.name, f.ForUs+2*sec)
+			}
+		}
+	}
+	return true
+}
+
+// reuse ends a replica of short requests in some way, which says how long it takes at most; then its address goes to
+// another service.
+func (d *routedDay) reuse(f Fault, end func(*replicaNode) int64) bool {
+	logs := d.running("log")
+	if len(logs) < 2 || logs[0].core.Draining || logs[0].left {
+		return false
+	}
+	log := logs[0]
+	endUs := d.nowUs + end(log)
+	var look func()
+	look = func() {
+		switch {
+		case log.up && d.nowUs < endUs+sec:
+			d.at(d.nowUs+100*ms, look)
+		case !log.up:
+			d.at(d.nowUs+reuseUs, func() {
+				d.count(f)
+				d.newLife("reused", "log-b", log.core.Zone(), log.addr, nil)
+			})
+			d.at(d.nowUs+4*sec, func() { d.successor(log, "") })
+		}
+	}
+	look()
+	return true
+}
+
+// known notes which replicas that have spoken for a while each desk knows, as the day ends.
+func (d *routedDay) known() {
+	for _, t := range d.desks {
+		if !t.up || t.term || t.snap == nil {
+			continue
+		}
+		for _, p := range d.running("") {
+			if p.left || p.core.Draining || p.bornUs > d.nowUs-knownUs {
+				continue
+			}
+			d.seen.Known++
+			if t.snap.Replicas[p.name] == nil {
+				d.seen.Unknown = append(d.seen.Unknown, p.name+" at "+t.name)
+			}
+		}
+	}
+}
+
+// knownUs is how long after its start a replica that speaks must be known everywhere.
+const knownUs = 6 * sec
--- a/proofs/sim/routed_operators.go
+++ b/proofs/sim/routed_operators.go
@@ -22,6 +22,11 @@
 	sent   map[uint64]*opVersion
 	shadow []string
 	grown  []string
+	// struck are faults that take the power of who gets the next change, soon after it was sent; lost is one that
+	// loses most acknowledgements until loseUs.
+	struck []Fault
+	lost   Fault
+	loseUs int64
 }
 
 func newRoutedOperators(d *routedDay) *routedOperators {
@@ -60,12 +65,16 @@
 		}
 		p.later(sec+int64(len(v.routes))*5*ms, next)
 		change := clone(v.change())
+		p.strike(o)
+		if d.plan.Plant == "stranger" {
+			mark += "+"
+		}
 		d.carry(&p.machine, &o.machine, sec, func() {
 			o.configure(mark, change, func() bool { return !over }, func(status int) {
 				if status == http.StatusOK {
 					d.spring("config", o)
 				}
-				if p.r.Intn(12) == 0 {
+				if p.losesAck(v, status) || p.r.Intn(12) == 0 {
 					return
 				}
 				d.carry(&o.machine, &p.machine, sec, func() {
@@ -217,3 +226,34 @@
 	}
 	next()
 }
+
+// loses begins a time in which most acknowledgements of changes are lost on their way.
+func (p *routedOperators) loses(f Fault) {
+	p.lost, p.loseUs = f, p.day.nowUs+f.ForUs+3*sec
+	p.do(p.change)
+}
+
+func (p *routedOperators) losesAck(v *opVersion, status int) bool {
+	if status != http.StatusOK || p.day.nowUs >= p.loseUs || p.r.Intn(10) >= 7 {
+		return false
+	}
+	p.day.count(p.lost)
+	v.seen.LostAckUs = p.day.nowUs
+	return true
+}
+
+// strike takes the power of an office between 5 and 400 ms after a change was sent to it.
+func (p *routedOperators) strike(o *routedOffice) {
+	if len(p.struck) == 0 {
+		return
+	}
+	f := p.struck[0]
+	p.struck = p.struck[1:]
+	d := p.day
+	d.at(d.nowUs+5*ms+p.r.Int63n(395*ms), func() {
+		if o.up && !o.removed {
+			d.count(f)
+			d.killOffice(o, f.N%4, f.ForUs)
+		}
+	})
+}
--- a/proofs/sim/routed_replicas.go
+++ b/proofs/sim/routed_replicas.go
@@ -18,6 +18,7 @@
 	host     string
 	seq      uint64
 	wakeUs   int64
+	bornUs   int64
 	conns    map[uint64]*leg
 	leave    *rules.Leave
 	leavesUs int64
@@ -26,6 +27,9 @@
 	breaking func(int) bool
 	ail      func(n int, from string) replica.Ailment
 	slowX    int64
+	// left: it has deregistered, or is about to; speaks says that its heartbeats go on all the same.
+	left   bool
+	speaks bool
 	// dropsIdle is called when something is sent on an idle connection that the replica discarded in silence.
 	dropsIdle func()
 }
@@ -38,7 +42,7 @@
 		addr = fmt.Sprintf("%s:%d", host, d.ports)
 	}
 	id := fmt.Sprintf("i-%d", d.lives)
-	p := &replicaNode{machine: machine{sim: d.Sim, name: id, addr: addr, up: true, boot: 1}, day: d, host: host, conns: map[uint64]*leg{}}
+	p := &replicaNode{machine: machine{sim: d.Sim, name: id, addr: addr, up: true, boot: 1}, day: d, host: host, bornUs: d.nowUs, conns: map[uint64]*leg{}}
 	if d.disks[host] == nil {
 		d.disks[host] = replica.NewDisk()
 	}
@@ -101,7 +105,9 @@
 }
 
 func (p *replicaNode) beat() {
-	p.say(0)
+	if !p.left || p.speaks {
+		p.say(0)
+	}
 	p.later(heartbeatUs-100*ms+p.day.r.Int63n(200*ms), p.beat)
 }
 
