--- a/proofs/sim/routed_leaving.go
+++ b/proofs/sim/routed_leaving.go
@@ -26,30 +26,42 @@
 	p.later(9*sec, func() { p.end(false) })
 }
 
-// sayGone deregisters at one machine that serves control, and at the next where no acknowledgement comes.
+// sayGone deregisters at one machine that serves control, and at the next where no acknowledgement comes in time.
 func (p *replicaNode) sayGone(f Fault, tries int) {
-	d := p.day
 	if tries == 0 || p.leave.AckedUs > 0 {
 		return
 	}
-	again := func() { p.later(ms, func() { p.sayGone(f, tries-1) }) }
-	addrs := d.listedNow()
-	o := d.officeAt(addrs[d.r.Intn(len(addrs))])
+	d := p.day
+	over := false
+	again := func() {
+		if !over {
+			over = true
+			p.later(ms, func() { p.sayGone(f, tries-1) })
+		}
+	}
+	o := d.officeFor(p, leaveTries-tries)
 	if o == nil {
 		again()
 		return
 	}
-	d.carry(&p.machine, &o.machine, sec, func() {
-		o.step(office.Event{Left: p.name})
-		d.carry(&o.machine, &p.machine, sec, func() {
-			if p.leave.AckedUs > 0 {
-				return
-			}
-			p.leave.AckedUs, p.leave.Machine = d.nowUs, o.name
-			d.count(f)
-			p.later(d.seen.Bounds.DrainUs+onLeastUs+d.r.Int63n(onMostUs), func() { p.end(false) })
-		}, again)
-	}, again)
+	acknowledged := func() {
+		if over {
+			return
+		}
+		over = true
+		p.leave.AckedUs, p.leave.Machine = d.nowUs, o.name
+		d.count(f)
+		p.later(d.seen.Bounds.DrainUs+onLeastUs+d.r.Int63n(onMostUs), func() { p.end(false) })
+	}
+	answered := func(ok bool) {
+		if ok {
+			d.carry(&o.machine, &p.machine, sec, acknowledged, again)
+		} else {
+			d.carry(&o.machine, &p.machine, sec, again, again)
+		}
+	}
+	p.later(sec, again)
+	d.carry(&p.machine, &o.machine, sec, func() { o.word(office.Event{Left: p.name}, answered) }, again)
 }
 
 // lateBeat is a heartbeat that a replica has sent now and that an office reads seconds later, whatever became of
@@ -59,7 +71,7 @@
 	row := p.row()
 	d.at(d.nowUs+afterUs, func() {
 		o, ok := pickOf(d.upOffices(), d.r.Intn(100))
-		if ok && d.taken(o, func() { o.heard(row) }) {
+		if ok && d.taken(o, func() { o.heard(row, func(bool) {}) }) {
 			d.count(f)
 		}
 	})
