--- /dev/null
+++ b/internal/roster/contest.go
@@ -0,0 +1,33 @@
+package roster
+
+// order is how a life that was never heard of stands to the one at its address.
+type order int
+
+const (
+	// later: nobody else speaks from its address, or has not for a while.
+	later order = iota
+	// earlier: the one that is known was heard well after it.
+	earlier
+	// undecided: both were heard at about the same time. A word may come seconds late, also one of the life
+	// before, so that the one that goes on speaking is right; the other falls silent.
+	undecided
+)
+
+// contestShare is the part of DarkUs, in tenths, within which two lives were heard at about the same time: one
+// and a half heartbeats where a life is dark after two and a half.
+const contestShare = 6
+
+func (r *Roster) contest(row *Row, heardUs int64) order {
+	withinUs := r.DarkUs * contestShare / 10
+	result := later
+	for _, other := range r.rows {
+		switch {
+		case other.Addr != row.Addr || other.Gone:
+		case heardUs < other.HeardUs-withinUs:
+			result = earlier
+		case heardUs < other.HeardUs+withinUs:
+			return undecided
+		}
+	}
+	return result
+}
--- /dev/null
+++ b/proofs/sim/routed_exchange.go
@@ -0,0 +1,105 @@
+package sim
+
+import (
+	"net/http"
+
+	"petreltide/internal/dispatch"
+	"petreltide/internal/fault"
+	"petreltide/proofs/platform/replica"
+	"petreltide/proofs/rules"
+)
+
+// exchange is one client's request at one desk.
+type exchange struct {
+	desk    *routedDesk
+	call    *dispatch.Call
+	try     *rules.Try
+	ask     replica.Ask
+	seat    *seat
+	back    *pipe
+	opened  bool
+	retried bool
+	last    int
+	leg     *leg
+	gone    bool
+	over    bool
+}
+
+func (x *exchange) done() {
+	x.over = true
+	if x.call != nil {
+		delete(x.desk.open, x.call.ID)
+	}
+}
+
+// fail ends a request with an answer of the product's own, or cuts it where one has begun.
+func (x *exchange) fail(f *fault.Fault) {
+	if x.over {
+		return
+	}
+	x.done()
+	if x.opened {
+		x.back.send(func() { x.seat.broken(x.try) })
+		return
+	}
+	x.answer(f)
+}
+
+// answer mirrors how the platform's side of a desk words what the product says.
+func (x *exchange) answer(f *fault.Fault) {
+	status := http.StatusBadGateway
+	switch f.Code {
+	case fault.NotFound, fault.UnknownKind:
+		status = http.StatusNotFound
+	case fault.BadField, fault.BadLastEventID:
+		status = http.StatusBadRequest
+	default:
+		if f.Run == "" || f.Run == fault.RunNone {
+			status = http.StatusServiceUnavailable
+		} else if f.Code == fault.Expired {
+			status = http.StatusGatewayTimeout
+		}
+	}
+	if x.desk.day.plan.Plant == "liar" && status == http.StatusBadGateway {
+		status = http.StatusServiceUnavailable
+	}
+	x.back.send(func() { x.seat.answered(x.try, status, "", "", f.RetryMs) })
+}
+
+// ended is a call whose last leg did not end well.
+func (x *exchange) ended(e dispatch.Ending) {
+	f := &fault.Fault{Code: fault.Unknown, Run: fault.RunUnknown}
+	switch {
+	case e == dispatch.Final:
+		f.Code = fault.Expired
+	case x.opened:
+		f.Code, f.Run = fault.Broken, fault.RunPartial
+	}
+	x.fail(f)
+}
+
+// begin is the executor of one leg.
+func (x *exchange) begin(st dispatch.Start) {
+	t := x.desk
+	d := t.day
+	d.conns++
+	l := &leg{x: x, st: st, conn: d.conns}
+	x.leg = l
+	if st.ExpiryUs-t.clock() < ms {
+		t.later(1, func() { l.finish(dispatch.Unsent) })
+		return
+	}
+	l.to = d.replicaAt(st.Addr)
+	reused := t.kept[st.Inc] > d.nowUs && l.to != nil && l.to.name == st.Inc
+	switch {
+	case l.to == nil:
+		t.later(ms, func() { l.finish(dispatch.Unsent) })
+	case reused:
+		l.kept = true
+		t.later(1, l.write)
+	case d.isCut(t.name, l.to.name) || d.isCut(l.to.name, t.name) || l.to.thawUs > d.nowUs:
+		t.later(dialUs, func() { l.finish(dispatch.Unsent) })
+	default:
+		t.later(300+d.r.Int63n(1500), l.write)
+	}
+}
--- /dev/null
+++ b/proofs/sim/routed_frames.go
@@ -0,0 +1,128 @@
+package sim
+
+import (
+	"maps"
+	"slices"
+
+	"petreltide/internal/dispatch"
+	"petreltide/internal/office"
+	"petreltide/internal/subscriber"
+	"petreltide/internal/wire"
+)
+
+func (t *routedDesk) unfollow(number uint64) {
+	s := t.streams[number]
+	delete(t.streams, number)
+	if s == nil {
+		return
+	}
+	s.down.closed = true
+	if o, ok := t.day.officeOf(s); ok {
+		t.day.carry(&t.machine, &o.machine, 5*sec, func() { o.unfollow(s) }, func() {})
+	}
+}
+
+func (d *routedDay) officeOf(s *frameStream) (*routedOffice, bool) {
+	for _, o := range d.offices {
+		if &o.machine == s.down.from {
+			return o, true
+		}
+	}
+	return nil, false
+}
+
+func (t *routedDesk) reflect(ev subscriber.MirrorEvent) {
+	d := t.day
+	ev.NowUs = t.clock()
+	for _, e := range t.mirror.Step(ev) {
+		switch {
+		case e.Open != nil:
+			t.follow(*e.Open)
+		case e.Close != 0:
+			t.unfollow(e.Close)
+		case e.Report != "":
+			report := clone(t.decider.Report(t.clock()))
+			report.Addr, report.Zone = t.addr, t.zone
+			if o := d.officeAt(e.Report); o != nil {
+				d.carry(&t.machine, &o.machine, 600*ms, func() { o.step(office.Event{DeskReport: &report}) }, func() {})
+			}
+		case e.Snapshot != nil:
+			t.swap(e.Snapshot)
+		}
+	}
+}
+
+// swap takes the newest news; the plants break that.
+func (t *routedDesk) swap(snap *dispatch.Snapshot) {
+	held := *snap
+	if t.snap != nil {
+		switch t.day.plan.Plant {
+		case "deaf":
+			fresh := map[string]*wire.ReplicaNews{}
+			for id, r := range held.Replicas {
+				row := *r
+				row.Leaving = false
+				fresh[id] = &row
+			}
+			held.Replicas, held.ByService = fresh, map[string][]*wire.ReplicaNews{}
+			for _, id := range held.IDs {
+				held.ByService[fresh[id].Service] = append(held.ByService[fresh[id].Service], fresh[id])
+			}
+		case "forgetful":
+			if len(held.IDs) > 1 {
+				forget(&held, held.IDs[0])
+			}
+		case "old-doc":
+			if t.snap.Doc != nil && t.day.nowUs > bootUs+t.day.plan.CalmUs {
+				held.Doc, held.Revision = t.snap.Doc, t.snap.Revision
+			}
+		case "back":
+			if t.older == nil && t.snap.Doc != nil && t.snap.Doc != held.Doc {
+				t.older = t.snap
+			}
+			if t.older != nil && t.day.nowUs/sec%4 >= 2 {
+				held.Doc = t.older.Doc
+			}
+		}
+	}
+	t.snap = &held
+	t.step(dispatch.Event{Snapshot: &held})
+}
+
+// forget leaves a replica out of what a desk knows.
+func forget(s *dispatch.Snapshot, id string) {
+	row := s.Replicas[id]
+	s.Replicas, s.ByService, s.IDs = maps.Clone(s.Replicas), maps.Clone(s.ByService), slices.Clone(s.IDs)
+	delete(s.Replicas, id)
+	s.IDs = slices.DeleteFunc(s.IDs, func(other string) bool { return other == id })
+	s.ByService[row.Service] = slices.DeleteFunc(slices.Clone(s.ByService[row.Service]), func(r *wire.ReplicaNews) bool { return r.ID == id })
+}
+
+func (t *routedDesk) follow(s subscriber.Stream) {
+	d := t.day
+	o := d.officeAt(s.Addr)
+	if o == nil || !o.up || d.isCut(t.name, o.name) || d.isCut(o.name, t.name) {
+		t.later(dialUs, func() { t.closed(s.Number) })
+		return
+	}
+	f := &frameStream{desk: t, number: s.Number, down: d.pipe(&o.machine, &t.machine)}
+	t.streams[s.Number] = f
+	ask := s.Ask
+	d.carry(&t.machine, &o.machine, 5*sec, func() { o.subscribe(f, ask) }, func() {
+		t.now(t.boot, func() { t.closed(s.Number) })
+	})
+}
+
+func (t *routedDesk) closed(number uint64) {
+	delete(t.streams, number)
+	t.reflect(subscriber.MirrorEvent{Closed: number})
+}
+
+func (t *routedDesk) frame(number uint64, f *wire.Frame) {
+	t.reflect(subscriber.MirrorEvent{Frame: f, Stream: number})
+}
+
+// reseed gives the mirror other first contacts.
+func (t *routedDesk) reseed(seeds []string) {
+	t.reflect(subscriber.MirrorEvent{Seeds: seeds})
+}
--- /dev/null
+++ b/proofs/sim/routed_legs.go
@@ -0,0 +1,271 @@
+package sim
+
+import (
+	"net/http"
+
+	"petreltide/internal/dispatch"
+	"petreltide/proofs/platform/replica"
+)
+
+// leg is one request on one connection to a replica.
+type leg struct {
+	x     *exchange
+	st    dispatch.Start
+	conn  uint64
+	to    *replicaNode
+	up    *pipe
+	down  *pipe
+	seal  string
+	head  bool
+	ended bool
+	kept  bool
+}
+
+// write sends the request, unless the news has changed since it was decided.
+func (l *leg) write() {
+	t, st := l.x.desk, l.st
+	d := t.day
+	if l.ended {
+		return
+	}
+	if !st.MaySend(t.snap, t.clock(), 0) || !l.to.up {
+		l.finish(dispatch.Unsent)
+		return
+	}
+	ask := l.x.ask
+	ask.From, ask.Expect, ask.Last = t.name, st.Inc, l.x.last
+	ask.Priority = l.st.Route.Priority
+	ask.DeadlineUs = d.nowUs + max(1, (st.ExpiryUs-t.clock()-deadlineUs)/1000)*ms
+	if d.plan.Plant == "smuggler" && d.r.Intn(50) == 0 {
+		ask.ID += "x"
+	}
+	l.up, l.down = d.pipe(&t.machine, &l.to.machine), d.pipe(&l.to.machine, &t.machine)
+	if drops := l.to.dropsIdle; drops != nil && l.kept {
+		drops()
+		delete(t.kept, st.Inc)
+		l.up.closed = true
+		l.reset()
+		return
+	}
+	l.up.send(func() { l.to.take(l, ask) })
+	boot := l.to.boot
+	d.at(d.nowUs+3*ms, func() { l.watch(boot) })
+	t.later(max(1, st.ExpiryUs-t.clock()), func() { l.lost(true) })
+}
+
+// watch finds a replica's end before it has taken the request.
+func (l *leg) watch(boot int) {
+	if l.ended || l.to.conns[l.conn] != nil {
+		return
+	}
+	if !l.to.up || l.to.boot != boot {
+		l.reset()
+		return
+	}
+	if len(l.up.queue) > 0 {
+		l.x.desk.day.at(l.x.desk.day.nowUs+20*ms, func() { l.watch(boot) })
+	}
+}
+
+// reset is a connection that the other end has given up; a cut hides it.
+func (l *leg) reset() {
+	t := l.x.desk
+	d := t.day
+	boot := t.boot
+	var arrive func()
+	arrive = func() {
+		if l.ended {
+			return
+		}
+		if d.isCut(l.to.name, t.name) {
+			d.at(d.nowUs+20*ms, arrive)
+			return
+		}
+		t.now(boot, func() { l.lost(false) })
+	}
+	d.at(max(d.nowUs+ms, l.down.freeUs), arrive)
+}
+
+// lost is a leg that was sent and whose answer did not come, or not whole.
+func (l *leg) lost(late bool) {
+	switch {
+	case late && !l.x.gone:
+		l.finish(dispatch.Decide(l.st.Kind, dispatch.SilentUntilExpiry).Ending)
+	case l.head:
+		l.finish(dispatch.Decide(l.st.Kind, l.broke()).Ending)
+	default:
+		if l.x.desk.day.plan.Plant == "again" {
+			l.finish(dispatch.Unsent)
+			return
+		}
+		l.finish(dispatch.Decide(l.st.Kind, dispatch.ClosedUnanswered).Ending)
+	}
+}
+
+// broke is a stream that cannot be read on, by what of it has reached the client.
+func (l *leg) broke() dispatch.Observation {
+	if l.x.opened {
+		return dispatch.StreamCut
+	}
+	return dispatch.CutShort
+}
+
+// cancel ends a leg whose client is gone.
+func (l *leg) cancel() {
+	boot := l.x.desk.boot
+	l.x.desk.day.at(l.x.desk.day.nowUs+ms, func() {
+		l.x.desk.now(boot, func() {
+			if !l.ended {
+				if l.up == nil {
+					l.finish(dispatch.Unsent)
+					return
+				}
+				l.lost(false)
+			}
+		})
+	})
+}
+
+// close gives the connection up: what a cut holds back is lost, and the replica learns of the end.
+func (l *leg) close() {
+	if l.ended {
+		return
+	}
+	l.ended = true
+	if l.up == nil {
+		return
+	}
+	l.up.closed, l.down.closed = true, true
+	t, p := l.x.desk, l.to
+	d := t.day
+	var arrive func()
+	arrive = func() {
+		if d.isCut(t.name, p.name) {
+			d.at(d.nowUs+50*ms, arrive)
+			return
+		}
+		p.now(p.boot, func() { p.gone(l.conn) })
+	}
+	d.at(d.nowUs+ms, arrive)
+}
+
+// finish tells the decider how a leg ended.
+func (l *leg) finish(e dispatch.Ending) {
+	if l.ended {
+		return
+	}
+	x, t := l.x, l.x.desk
+	if e == dispatch.Done || e == dispatch.Failed || e == dispatch.Refused || e == dispatch.Missing {
+		l.ended = true
+		t.kept[l.st.Inc] = t.day.nowUs + idleUs
+	} else {
+		l.close()
+		l.ended = true
+	}
+	x.leg = nil
+	if x.gone || e == dispatch.Done || e == dispatch.Failed {
+		x.done()
+	}
+	t.step(dispatch.Event{Ended: &dispatch.Ended{Call: l.st.Call.ID, Leg: l.st.Leg, Ending: e}})
+}
+
+// got is what a replica sends, as the platform's side of a desk reads it.
+func (l *leg) got(e replica.Effect) {
+	if l.ended {
+		return
+	}
+	x := l.x
+	d := x.desk.day
+	switch {
+	case e.Head && (e.Status == http.StatusMisdirectedRequest || e.NotExecuted):
+		l.turned(e)
+	case e.Head && x.try.Stream && e.Status/100 == 2:
+		l.head, l.seal = true, e.Seal
+		if e.End {
+			l.finish(dispatch.Done)
+		}
+	case e.Head:
+		l.whole(e)
+	case e.End:
+		if !x.opened {
+			l.open()
+		}
+		x.back.send(func() { x.seat.complete(x.try) })
+		l.finish(dispatch.Done)
+	default:
+		if int64(e.N) <= x.call.Progress.Load() && x.call.Progress.Load() > 0 {
+			l.finish(dispatch.Decide(l.st.Kind, l.broke()).Ending)
+			return
+		}
+		if d.plan.Plant == "skips" && e.N == 3 {
+			return
+		}
+		x.last = e.N
+		x.call.Progress.Store(int64(e.N))
+		l.open()
+		text := e.Text
+		if d.plan.Plant == "mixer" && e.N == 2 {
+			text = "0000000000000000~" + text
+		}
+		x.back.send(func() { x.seat.event(x.try, e.N, text) })
+	}
+}
+
+func (l *leg) turned(e replica.Effect) {
+	switch {
+	case e.Status == http.StatusMisdirectedRequest && l.to.name != l.st.Inc:
+		l.finish(dispatch.Elsewhere)
+	case e.Status == http.StatusMisdirectedRequest:
+		l.finish(dispatch.Missing)
+	default:
+		l.finish(dispatch.Refused)
+	}
+}
+
+// whole is an answer that came at once.
+func (l *leg) whole(e replica.Effect) {
+	x := l.x
+	l.first()
+	decided := dispatch.Decide(l.st.Kind, l.classify(e.Status))
+	if decided.Answer != dispatch.PassOn {
+		x.retried = x.retried || e.Status/100 != 2
+		l.finish(decided.Ending)
+		return
+	}
+	x.opened = true
+	seal := e.Seal
+	if x.desk.day.plan.Plant == "unsealed" {
+		seal = ""
+	}
+	x.back.send(func() { x.seat.answered(x.try, e.Status, seal, e.Body, 0) })
+	l.finish(decided.Ending)
+}
+
+// classify is what a whole answer is to this request, as the platform's side of a desk has it.
+func (l *leg) classify(status int) dispatch.Observation {
+	switch {
+	case l.x.opened:
+		return dispatch.AnswerInStream
+	case status/100 == 2:
+		return dispatch.WholeAnswer
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout:
+		return dispatch.UnprovenRefusal
+	case l.x.retried || l.st.Route.AttemptsMost <= 1:
+		return dispatch.FailureRepeated
+	}
+	return dispatch.FailureAnswer
+}
+
+func (l *leg) first() { l.x.call.FirstUs.CompareAndSwap(0, l.x.desk.clock()) }
+
+// open begins an answer with the head of the replica that sent the first event.
+func (l *leg) open() {
+	l.first()
+	x := l.x
+	if x.opened {
+		return
+	}
+	x.opened = true
+	seal := l.seal
+	x.back.send(func() { x.seat.head(x.try, http.StatusOK, seal) })
+}
