--- a/internal/roster/contest.go
+++ b/internal/roster/contest.go
@@ -1,11 +1,11 @@
 package roster
 
-// order is how a life that was never heard of stands to the one at its address.
-type order int
+// precedence is how a life that was never heard of stands to the one at its address.
+type precedence int
 
 const (
 	// later: nobody else speaks from its address, or has not for a while.
-	later order = iota
+	later precedence = iota
 	// earlier: the one that is known was heard well after it.
 	earlier
 	// undecided: both were heard at about the same time. A word may come seconds late, also one of the life
@@ -17,7 +17,7 @@
 // and a half heartbeats where a life is dark after two and a half.
 const contestShare = 6
 
-func (r *Roster) contest(row *Row, heardUs int64) order {
+func (r *Roster) contest(row *Row, heardUs int64) precedence {
 	withinUs := r.DarkUs * contestShare / 10
 	result := later
 	for _, other := range r.rows {
