Answers early or without a length, and farewells first, on real processes

The stand-in replica turns requests away before it has read them, sends answers that end with their connection, and deregisters before it has said that it leaves; the fleet causes both (garbling-replica, leave-first-replica).

--- a/proofs/platform/fleet/day.go
+++ b/proofs/platform/fleet/day.go
@@ -553,23 +553,25 @@
 
 // routedCauses are the faults of real processes on the platform.
 var routedCauses = map[string]func(ctx context.Context, f *Fleet) error{
-	"kill-office":     func(_ context.Context, f *Fleet) error { return f.kill(f.any("office"), 800*time.Millisecond) },
-	"kill-holder":     func(_ context.Context, f *Fleet) error { return f.kill(f.holder(), 800*time.Millisecond) },
-	"kill-desk":       func(_ context.Context, f *Fleet) error { return f.kill(f.any("desk"), 500*time.Millisecond) },
-	"freeze-office":   func(_ context.Context, f *Fleet) error { f.freeze(f.any("office"), 2*time.Second); return nil },
-	"freeze-holder":   func(_ context.Context, f *Fleet) error { f.freeze(f.holder(), 3500*time.Millisecond); return nil },
-	"freeze-desk":     func(_ context.Context, f *Fleet) error { f.freeze(f.any("desk"), 2*time.Second); return nil },
-	"term-desk":       func(_ context.Context, f *Fleet) error { return f.term(f.any("desk")) },
-	"term-office":     func(_ context.Context, f *Fleet) error { return f.term(f.any("office")) },
-	"wipe-office":     func(_ context.Context, f *Fleet) error { return f.wipe(f.any("office")) },
-	"kill-offices":    func(_ context.Context, f *Fleet) error { return f.killRole("office") },
-	"kill-everything": func(_ context.Context, f *Fleet) error { return f.killRole("office", "desk") },
-	"crash-replica":   func(_ context.Context, f *Fleet) error { return f.crash(f.anyCard()) },
-	"notice-replica":  func(_ context.Context, f *Fleet) error { return f.leave(f.anyCard(), 1500*time.Millisecond) },
-	"release-replica": func(_ context.Context, f *Fleet) error { return f.leave(f.anyCard(), 0) },
-	"config-race":     func(ctx context.Context, f *Fleet) error { f.ops.race(ctx); return nil },
-	"bad-config":      func(ctx context.Context, f *Fleet) error { f.ops.bad(ctx); return nil },
-	"ill-replica":     func(_ context.Context, f *Fleet) error { f.ill(); return nil },
+	"kill-office":         func(_ context.Context, f *Fleet) error { return f.kill(f.any("office"), 800*time.Millisecond) },
+	"kill-holder":         func(_ context.Context, f *Fleet) error { return f.kill(f.holder(), 800*time.Millisecond) },
+	"kill-desk":           func(_ context.Context, f *Fleet) error { return f.kill(f.any("desk"), 500*time.Millisecond) },
+	"freeze-office":       func(_ context.Context, f *Fleet) error { f.freeze(f.any("office"), 2*time.Second); return nil },
+	"freeze-holder":       func(_ context.Context, f *Fleet) error { f.freeze(f.holder(), 3500*time.Millisecond); return nil },
+	"freeze-desk":         func(_ context.Context, f *Fleet) error { f.freeze(f.any("desk"), 2*time.Second); return nil },
+	"term-desk":           func(_ context.Context, f *Fleet) error { return f.term(f.any("desk")) },
+	"term-office":         func(_ context.Context, f *Fleet) error { return f.term(f.any("office")) },
+	"wipe-office":         func(_ context.Context, f *Fleet) error { return f.wipe(f.any("office")) },
+	"kill-offices":        func(_ context.Context, f *Fleet) error { return f.killRole("office") },
+	"kill-everything":     func(_ context.Context, f *Fleet) error { return f.killRole("office", "desk") },
+	"crash-replica":       func(_ context.Context, f *Fleet) error { return f.crash(f.anyCard()) },
+	"notice-replica":      func(_ context.Context, f *Fleet) error { return f.leave(f.anyCard(), 1500*time.Millisecond) },
+	"release-replica":     func(_ context.Context, f *Fleet) error { return f.leave(f.anyCard(), 0) },
+	"config-race":         func(ctx context.Context, f *Fleet) error { f.ops.race(ctx); return nil },
+	"bad-config":          func(ctx context.Context, f *Fleet) error { f.ops.bad(ctx); return nil },
+	"leave-first-replica": func(_ context.Context, f *Fleet) error { return f.leaveFirst(f.anyCard()) },
+	"garbling-replica":    func(_ context.Context, f *Fleet) error { f.garble(); return nil },
+	"ill-replica":         func(_ context.Context, f *Fleet) error { f.ill(); return nil },
 }
 
 // FaultNames lists the faults of real processes on the platform.
@@ -622,6 +624,19 @@
 	over()
 }
 
+// garble makes every replica turn some requests away before it has read their bodies, and send some answers
+// without a length, for a while.
+func (f *Fleet) garble() {
+	all := f.replicas()
+	for _, h := range all {
+		h.Answers(replica.Shape{Early: func(n int) bool { return n%6 == 0 }, Unframed: func(n int) bool { return n%3 == 0 }})
+	}
+	time.Sleep(2 * time.Second)
+	for _, h := range all {
+		h.Answers(replica.Shape{})
+	}
+}
+
 // Play runs a whole day and judges it.
 func (f *Fleet) Play(ctx context.Context, out io.Writer) ([]rules.Breach, map[string]int, error) {
 	if err := f.Start(); err != nil {
--- a/proofs/platform/fleet/fleet.go
+++ b/proofs/platform/fleet/fleet.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand"
 	"net/http"
 	"os"
@@ -368,14 +369,14 @@
 
 // cards are the lives that hold models, in order.
 func (f *Fleet) cards() []*replica.Host {
+	return slices.DeleteFunc(f.replicas(), func(h *replica.Host) bool { return h.Service() != "cards" })
+}
+
+// replicas are all lives that run, in order.
+func (f *Fleet) replicas() []*replica.Host {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := []*replica.Host{}
-	for _, h := range f.hosts {
-		if h.Service() == "cards" {
-			out = append(out, h)
-		}
-	}
+	out := slices.Collect(maps.Values(f.hosts))
 	slices.SortFunc(out, func(a, b *replica.Host) int { return strings.Compare(a.ID(), b.ID()) })
 	return out
 }
@@ -410,6 +411,26 @@
 	return nil
 }
 
+// leaveFirst takes a replica away that deregisters before it has said that it leaves, and serves on meanwhile.
+func (f *Fleet) leaveFirst(h *replica.Host) error {
+	l := &rules.Leave{Replica: h.ID(), SaidUs: clock.NowUs()}
+	f.note(func(d *rules.Day) { d.Leaves = append(d.Leaves, l) })
+	if err := f.newLife("cards", h.Zone(), nil); err != nil {
+		return err
+	}
+	by := h.Deregister()
+	f.note(func(*rules.Day) {
+		if by != "" {
+			l.AckedUs, l.Machine = clock.NowUs(), by
+		}
+	})
+	time.Sleep(time.Duration(f.day.Bounds.DrainUs)*time.Microsecond + 600*time.Millisecond)
+	f.note(func(*rules.Day) { l.GoneUs = clock.NowUs() })
+	f.drop(h)
+	h.Kill(false)
+	return nil
+}
+
 // crash ends a replica without a word; another life comes back empty.
 func (f *Fleet) crash(h *replica.Host) error {
 	f.note(func(d *rules.Day) {
--- a/proofs/platform/fleet/fleet_test.go
+++ b/proofs/platform/fleet/fleet_test.go
@@ -63,3 +63,13 @@
 	}
 	t.Fatalf("replicas that hold half of what is declared were not noticed: %v", breaches)
 }
+
+// Replicas that deregister first, and answers on real sockets that come early or without a length.
+func TestUnusualRepliesAndFarewellsOnRealProcesses(t *testing.T) {
+	if testing.Short() {
+		t.Skip("it starts processes")
+	}
+	for _, b := range playRouted(t, Plan{Seed: 5, Span: 9 * time.Second, Faults: []string{"leave-first-replica", "garbling-replica", "leave-first-replica"}}, nil) {
+		t.Error(b)
+	}
+}
--- a/proofs/platform/replica/host.go
+++ b/proofs/platform/replica/host.go
@@ -46,6 +46,16 @@
 	ctx    context.Context
 	stop   context.CancelFunc
 	next   int
+	shape  Shape
+	asked  int
+}
+
+// Shape says of a request, by its life's own count, how its answer is sent, whatever the answer is.
+type Shape struct {
+	// Early requests are turned away before their body has been read; it is read afterwards.
+	Early func(n int) bool
+	// Unframed answers have no length and end with their connection. Streams are never sent so.
+	Unframed func(n int) bool
 }
 
 // Serve begins a life. The journal of its options is told under a lock of this host.
@@ -80,6 +90,43 @@
 	h.core.opts.Turn, h.core.opts.Break = turn, broken
 }
 
+// Answers makes this life shape its answers from now on; an empty shape ends that.
+func (h *Host) Answers(s Shape) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.shape = s
+}
+
+// shaped counts a request and says how its answer is sent.
+func (h *Host) shaped() (early, unframed bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.asked++
+	early = h.shape.Early != nil && h.shape.Early(h.asked)
+	unframed = h.shape.Unframed != nil && h.shape.Unframed(h.asked)
+	return early, unframed
+}
+
+// turnEarly answers before the body has been read, keeps the connection and reads on.
+func turnEarly(w http.ResponseWriter, r *http.Request) {
+	connection := http.NewResponseController(w)
+	_ = connection.EnableFullDuplex()
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Not-Executed", "1")
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_ = connection.Flush()
+	_, _ = io.Copy(io.Discard, r.Body)
+}
+
+// Deregister takes this life's leave without a word of it before, and says who acknowledged it. It says nothing
+// more of itself, and serves on until it is killed.
+func (h *Host) Deregister() (by string) {
+	by = h.call("/instances/"+h.ID()+"/deregister", []byte("{}"))
+	h.stop()
+	return by
+}
+
 // Drain says that this life leaves, after some time where it is given.
 func (h *Host) Drain(leftMs int64) {
 	h.mu.Lock()
@@ -222,6 +269,11 @@
 }
 
 func (h *Host) request(w http.ResponseWriter, r *http.Request) {
+	early, unframed := h.shaped()
+	if early && r.ContentLength != 0 {
+		turnEarly(w, r)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -251,7 +303,7 @@
 		case e.Broken:
 			panic(http.ErrAbortHandler)
 		case e.Head:
-			h.head(w, a, e)
+			h.head(w, a, e, unframed)
 		case e.End:
 			return
 		default:
@@ -264,7 +316,7 @@
 	}
 }
 
-func (h *Host) head(w http.ResponseWriter, a Ask, e Effect) {
+func (h *Host) head(w http.ResponseWriter, a Ask, e Effect, unframed bool) {
 	if a.ID != "" {
 		w.Header().Set("Request-Id", a.ID)
 	}
@@ -283,7 +335,11 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/plain")
-	w.Header().Set("Content-Length", strconv.Itoa(len(e.Body)))
+	if unframed {
+		w.Header().Set("Transfer-Encoding", "identity")
+	} else {
+		w.Header().Set("Content-Length", strconv.Itoa(len(e.Body)))
+	}
 	w.WriteHeader(e.Status)
 	_, _ = io.WriteString(w, e.Body)
 }
