--- /dev/null
+++ b/proofs/sim/routed_faults_offices.go
@@ -0,0 +1,257 @@
+package sim
+
+import (
+	"slices"
+	"strings"
+
+	"petreltide/proofs/rules"
+)
+
+// spring waits for an acknowledged change, and strikes whoever acknowledged it.
+type spring struct {
+	fault Fault
+	wipe  bool
+	act   func(o *routedOffice)
+}
+
+func (d *routedDay) spring(kind string, o *routedOffice) {
+	if len(d.springs) == 0 {
+		return
+	}
+	t := d.springs[0]
+	d.springs = d.springs[1:]
+	d.at(d.nowUs+d.r.Int63n(4*ms), func() { t.act(o) })
+}
+
+// spare says whether these offices may lose their disks now: no more are lost, missing or behind than tolerated.
+func (d *routedDay) spare(lost ...*routedOffice) bool {
+	there, away := 0, len(lost)
+	for _, o := range d.offices {
+		if o.removed {
+			continue
+		}
+		there++
+		if !slices.Contains(lost, o) && !o.caughtUp() {
+			away++
+		}
+	}
+	away += max(0, d.plan.Offices-there)
+	up := !slices.ContainsFunc(lost, func(o *routedOffice) bool { return !o.up })
+	return up && away <= d.tolerated()
+}
+
+// mate is the office that is struck together with another.
+func (d *routedDay) mate(o *routedOffice, n int) *routedOffice {
+	others := slices.DeleteFunc(d.upOffices(), func(other *routedOffice) bool { return other == o })
+	other, _ := pickOf(others, n)
+	return other
+}
+
+func (d *routedDay) upOffices() []*routedOffice {
+	out := []*routedOffice{}
+	for _, o := range d.offices {
+		if o.up {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+func (d *routedDay) officeFault(f Fault, o *routedOffice) bool {
+	switch f.Kind {
+	case "kill-office", "kill-holder":
+		d.killOffice(o, 0, f.ForUs)
+	case "power-office":
+		d.killOffice(o, f.N, f.ForUs)
+	case "kill-offices":
+		for _, o := range d.upOffices() {
+			d.killOffice(o, 0, min(f.ForUs, sec))
+		}
+	case "freeze-office", "freeze-holder":
+		d.freeze(&o.machine, f.ForUs)
+	case "stall-disk":
+		o.disk.stallUs = d.nowUs + f.ForUs
+		d.seen.Troubles = append(d.seen.Troubles, rules.Trouble{Machine: o.name, Kind: f.Kind, FromUs: d.nowUs, ToUs: d.nowUs + f.ForUs, Slow: true})
+	case "slow-disk":
+		o.disk.slowUs = int64(f.N) * 5 * ms
+		d.seen.Troubles = append(d.seen.Troubles, rules.Trouble{Machine: o.name, Kind: f.Kind, FromUs: d.nowUs, ToUs: d.nowUs + f.ForUs, Slow: true})
+		d.at(d.nowUs+f.ForUs, func() { o.disk.slowUs = 0 })
+	case "full-disk":
+		o.disk.fill(d.Sim, f.ForUs)
+		d.seen.Troubles = append(d.seen.Troubles, rules.Trouble{Machine: o.name, Kind: f.Kind, FromUs: d.nowUs, ToUs: d.nowUs + f.ForUs, Slow: true})
+	case "replace-office":
+		return d.replace(f, o)
+	case "replace-planned":
+		return d.replacePlanned(f, o)
+	case "roll-offices":
+		for i, o := range d.offices {
+			d.at(d.nowUs+int64(i)*(d.catchUpUs()+sec), func() {
+				if d.spare(o) {
+					d.killOffice(o, 0, 400*ms)
+				}
+			})
+		}
+	case "cut-office":
+		for _, other := range d.offices {
+			if other != o && !other.removed {
+				d.cut(o.name, other.name, f.ForUs)
+				d.cut(other.name, o.name, f.ForUs)
+			}
+		}
+	case "one-way", "split-core":
+		other := d.offices[(f.B)%len(d.offices)]
+		if other == o || other.removed {
+			return false
+		}
+		d.cut(o.name, other.name, f.ForUs)
+		if f.Kind == "split-core" {
+			d.cut(other.name, o.name, f.ForUs)
+		}
+	}
+	return true
+}
+
+func (d *routedDay) freeze(m *machine, forUs int64) {
+	m.thawUs = max(m.thawUs, d.nowUs+forUs)
+	d.seen.Troubles = append(d.seen.Troubles, rules.Trouble{Machine: m.name, Kind: "freeze", FromUs: d.nowUs, ToUs: m.thawUs, Down: true})
+}
+
+func (d *routedDay) killOffice(o *routedOffice, torn int, forUs int64) {
+	o.crash(torn)
+	d.at(d.nowUs+forUs, o.start)
+}
+
+// remove takes an office away for good.
+func (d *routedDay) remove(o *routedOffice) {
+	o.crash(0)
+	o.removed = true
+	for i := range d.seen.Core {
+		if d.seen.Core[i].Machine == o.name {
+			d.seen.Core[i].ToUs = d.nowUs
+		}
+	}
+}
+
+// empty puts an empty office at a new address beside the others.
+func (d *routedDay) empty(zone string) *routedOffice {
+	d.ports++
+	fresh := d.addOffice("core-"+d.newInc(), "core-new:"+d.newInc(), zone, false)
+	d.trouble(rules.Trouble{Machine: fresh.name, Kind: "start", ToUs: d.nowUs + 1})
+	d.list()
+	return fresh
+}
+
+// replace removes offices for good and puts as many empty ones beside the others.
+func (d *routedDay) replace(f Fault, gone ...*routedOffice) bool {
+	if !d.spare(gone...) || len(d.springs) > 0 {
+		return false
+	}
+	for _, o := range gone {
+		d.remove(o)
+		d.at(d.nowUs+min(f.ForUs, 2*sec), func() { d.empty(o.zone) })
+	}
+	return true
+}
+
+// replacePlanned starts the empty office first, and stops the old one once the new one has caught up.
+func (d *routedDay) replacePlanned(f Fault, o *routedOffice) bool {
+	if !d.spare(o) || len(d.springs) > 0 {
+		return false
+	}
+	fresh := d.empty(o.zone)
+	var look func()
+	look = func() {
+		switch {
+		case d.handed || !fresh.up || !o.up:
+		case !fresh.caughtUp() || !d.spare(o):
+			d.at(d.nowUs+200*ms, look)
+		default:
+			d.count(f)
+			d.terminate(o, func() {})
+		}
+	}
+	d.at(d.nowUs+2*sec, look)
+	return true
+}
+
+func (d *routedDay) pairFault(f Fault, a, b *routedOffice) bool {
+	if b == nil || d.tolerated() < 2 {
+		return false
+	}
+	switch f.Kind {
+	case "kill-pair", "power-pair":
+		for _, o := range []*routedOffice{a, b} {
+			torn := 0
+			if f.Kind == "power-pair" {
+				torn = f.N % 4
+			}
+			d.killOffice(o, torn, f.ForUs)
+		}
+	case "freeze-pair":
+		d.freeze(&a.machine, f.ForUs)
+		d.freeze(&b.machine, f.ForUs)
+	case "cut-pair":
+		for _, other := range d.offices {
+			if other == a || other == b || other.removed {
+				continue
+			}
+			for _, o := range []*routedOffice{a, b} {
+				d.cut(o.name, other.name, f.ForUs)
+				d.cut(other.name, o.name, f.ForUs)
+			}
+		}
+	case "replace-pair":
+		return d.replace(f, a, b)
+	}
+	return true
+}
+
+// killZone takes every machine of a zone at once; their disks last.
+func (d *routedDay) killZone(zone string, f Fault) {
+	for _, o := range d.upOffices() {
+		if o.zone == zone {
+			d.killOffice(o, f.N%3, f.ForUs)
+		}
+	}
+	for _, t := range d.desks {
+		if t.zone == zone && t.up {
+			t.crash(false)
+			d.at(d.nowUs+f.ForUs, t.start)
+		}
+	}
+	for _, p := range d.running("") {
+		if p.core.Zone() == zone {
+			p.end(true)
+			d.at(d.nowUs+f.ForUs, func() { d.successor(p, "") })
+		}
+	}
+}
+
+// afterAck waits for the next acknowledged change: power is lost there, or the disk.
+func (d *routedDay) afterAck(f Fault) bool {
+	wipe := strings.HasPrefix(f.Kind, "wipe-")
+	pair := f.Kind == "wipe-pair-after-ack"
+	if len(d.springs) > 0 || (pair && d.tolerated() < 2) {
+		return false
+	}
+	d.springs = append(d.springs, &spring{fault: f, wipe: wipe, act: func(o *routedOffice) {
+		struck := []*routedOffice{o}
+		if other := d.mate(o, f.B); pair && other != nil {
+			struck = append(struck, other)
+		}
+		if !o.up || (wipe && !d.spare(struck...)) {
+			return
+		}
+		d.count(f)
+		for _, o := range struck {
+			d.note("%s at %s", f.Kind, o.name)
+			o.crash(f.N % 4)
+			if wipe {
+				o.disk = disk{identity: o.name + "-" + d.newInc()}
+			}
+			d.at(d.nowUs+f.ForUs, o.start)
+		}
+	}})
+	d.ops.do(d.ops.change)
+	return true
+}
