--- a/proofs/rules/routed.go
+++ b/proofs/rules/routed.go
@@ -99,7 +99,7 @@
 	AckedUs   int64
 	RefusedUs int64
 	Status    int
-	// LostAckUs is when an acknowledgement of it was lost on its way.
+	// LostAckUs is when the first acknowledgement of it that was lost was given.
 	LostAckUs int64
 }
 
--- a/proofs/sim/routed_operators.go
+++ b/proofs/sim/routed_operators.go
@@ -238,7 +238,9 @@
 		return false
 	}
 	p.day.count(p.lost)
-	v.seen.LostAckUs = p.day.nowUs
+	if v.seen.LostAckUs == 0 {
+		v.seen.LostAckUs = p.day.nowUs
+	}
 	return true
 }
 
