--- a/internal/chain/explore_test.go
+++ b/internal/chain/explore_test.go
@@ -34,8 +34,12 @@
 	self bool
 	// copies is how many synced copies an acknowledgement needs there.
 	copies int
+	// everyUs is how far apart ticks are; 0 stands for tickUs.
+	everyUs int64
 	// hushed: hellos are lost on their way.
 	hushed bool
+	// cuts are the ways on which nothing arrives.
+	cuts map[[2]int]bool
 }
 
 type place struct {
@@ -60,10 +64,10 @@
 		held := *s
 		c.saving[seq] = &held
 	}
-	c.partners = map[string]*partner{}
-	for id, p := range n.partners {
+	c.peers = map[string]*peer{}
+	for id, p := range n.peers {
 		held := *p
-		c.partners[id] = &held
+		c.peers[id] = &held
 	}
 	c.learned, c.leases = maps.Clone(n.learned), maps.Clone(n.leases)
 	if n.proposal != nil {
@@ -83,11 +87,11 @@
 		}
 		return max(-2_000_000, min(nowUs-us, 4_000_000))
 	}
-	partners := []string{}
-	for _, id := range n.partnerIDs() {
-		p := n.partners[id]
+	peers := []string{}
+	for _, id := range n.peerIDs() {
+		p := n.peers[id]
 		h := p.hello
-		partners = append(partners, fmt.Sprint(id, h.Inc, h.Phase, h.View.Number, h.Last, h.LastView, h.Compared, h.Whole, h.Promised, h.Hears, h.CopyIndex, h.Accepted != nil, h.Stalled, h.Leaving, ago(p.heardUs), ago(p.deafUs)))
+		peers = append(peers, fmt.Sprint(id, h.Inc, h.Phase, h.View.Number, h.Last, h.LastView, h.Compared, h.Whole, h.Promised, h.Hears, h.CopyIndex, h.Accepted != nil, h.Stalled, h.Leaving, ago(p.heardUs), ago(p.deafUs)))
 	}
 	saving := []string{}
 	for _, seq := range slices.Sorted(maps.Keys(n.saving)) {
@@ -106,9 +110,9 @@
 	if n.accepted != nil {
 		accepted = fmt.Sprint(*n.accepted)
 	}
-	return fmt.Sprint(n.opts.Inc, n.phase, n.view, n.promised, accepted, n.compared, n.whole, n.leaving, n.base.Index, n.lastIndex(), n.lastView(), n.commit, n.synced, n.queued,
+	return fmt.Sprint(n.opts.Inc, n.phase, n.view, n.promised, accepted, n.compared, n.caughtUp, n.leaving, n.base.Index, n.lastIndex(), n.lastView(), n.commit, n.synced, n.queued,
 		n.copyHeld, proposal, n.round, ago(n.quietUs), n.held != nil, ago(n.guardUs), n.succLast, n.succSent, n.succKnown, n.openAt, n.openKnown,
-		leases, n.tailCommit, ago(n.leaseUs), ago(n.viewedUs), ago(n.bootUs), partners, saving)
+		leases, n.tailCommit, ago(n.leaseUs), ago(n.viewedUs), ago(n.bootUs), peers, saving)
 }
 
 func (b *box) key() string {
@@ -126,7 +130,7 @@
 			}
 		}
 	}
-	fmt.Fprint(&text, b.crashes, b.ticks, b.writes, b.fills, len(b.acked))
+	fmt.Fprint(&text, len(b.cuts), b.crashes, b.ticks, b.writes, b.fills, len(b.acked))
 	return text.String()
 }
 
@@ -269,7 +273,7 @@
 				continue
 			}
 			m := e.Send.Msg
-			if m.Hello != nil && b.hushed {
+			if b.cuts[[2]int{i, j}] || (m.Hello != nil && b.hushed) {
 				continue
 			}
 			if m.Hello != nil {
@@ -342,8 +346,15 @@
 
 const tickUs = 350 * clock.Ms
 
+func (b *box) tickLength() int64 {
+	if b.everyUs > 0 {
+		return b.everyUs
+	}
+	return tickUs
+}
+
 func (b *box) tick() {
-	b.nowUs += tickUs
+	b.nowUs += b.tickLength()
 	b.ticks++
 	for i := range b.members {
 		b.step(i, Event{})
@@ -414,7 +425,11 @@
 	}
 }
 
-type limits struct{ crashes, ticks, writes, fills int }
+type limits struct {
+	crashes, ticks, writes, fills int
+	// heals: links that are cut may be whole again.
+	heals bool
+}
 
 // next lists every state one action away.
 func (b *box) next(l limits) []*box {
@@ -449,6 +464,9 @@
 			})
 		}
 	}
+	if l.heals && len(b.cuts) > 0 {
+		try(func(c *box) { c.cuts = nil })
+	}
 	if b.ticks < l.ticks {
 		try(func(c *box) { c.tick() })
 	}
@@ -661,6 +679,8 @@
 	}
 }
 
+const crashEvery = 50
+
 // choices are the actions open at a moment, crashes and ticks kept rarer than deliveries.
 func (b *box) choices(r uint64) []func(*box) {
 	acts := []func(*box){}
@@ -687,7 +707,7 @@
 			}
 		}
 	}
-	if r%50 == 1 && down == 0 {
+	if r%crashEvery == 1 && down == 0 {
 		acts = append(acts, func(c *box) { c.crash(int(r/64) % 3) })
 	}
 	if r%20 == 3 {
--- /dev/null
+++ b/internal/standing/bare.go
@@ -0,0 +1,58 @@
+package standing
+
+import (
+	"fmt"
+	"hash/fnv"
+	"slices"
+)
+
+// Mark is a hash of what an operator sent, so that the same order is known when it is sent again.
+func Mark(raw []byte) string {
+	h := fnv.New128a()
+	_, _ = h.Write(raw)
+	return fmt.Sprintf("%x", h.Sum(nil))
+}
+
+// Bare is the declaration without the operator's own text, as desks need it.
+func (d *Declaration) Bare() *Declaration {
+	n := *d
+	n.Index = nil
+	n.Routes = routesWithoutSource(d.Routes)
+	n.Services = servicesWithoutSource(d.Services)
+	n.Limits = d.Limits.withoutSource()
+	return n.Indexed()
+}
+
+// Bare is the edit without the operator's own text, as desks need it.
+func (e *Edit) Bare() *Edit {
+	n := *e
+	n.Routes = routesWithoutSource(e.Routes)
+	n.Services = servicesWithoutSource(e.Services)
+	n.Limits = e.Limits.withoutSource()
+	return &n
+}
+
+func routesWithoutSource(routes []Route) []Route {
+	bare := slices.Clone(routes)
+	for i := range bare {
+		bare[i].Source = nil
+	}
+	return bare
+}
+
+func servicesWithoutSource(services []Service) []Service {
+	bare := slices.Clone(services)
+	for i := range bare {
+		bare[i].Source = nil
+	}
+	return bare
+}
+
+func (l *Limits) withoutSource() *Limits {
+	if l == nil {
+		return nil
+	}
+	bare := *l
+	bare.Source = nil
+	return &bare
+}
--- a/proofs/platform/replica/batch.go
+++ b/proofs/platform/replica/batch.go
@@ -1,55 +1,60 @@
 package replica
 
 import (
-	"cmp"
 	"net/http"
 	"slices"
+	"strings"
 )
 
-func (c *Core) remove(w *work) {
-	c.running = slices.DeleteFunc(c.running, func(o *work) bool { return o == w })
-	delete(c.reading, w)
-}
-
-// finish ends a run that did not come to its own end: with a status, or by breaking off.
-func (c *Core) finish(nowUs int64, w *work, status int) {
-	w.arrival.EndUs, w.arrival.Status = nowUs, status
-	if w.headed {
-		w.arrival.BrokeOff = true
-		c.do(Effect{Conn: w.conn, Broken: true})
-		return
+func (c *Core) usedTokens() int64 {
+	var sum int64
+	for _, w := range c.running {
+		sum += w.ask.In + w.produced
 	}
-	c.do(Effect{Conn: w.conn, Head: true, Status: status, Seal: Seal(c.opts.ID, w.arrival.Nonce), Body: "failed", End: true})
+	return sum
 }
 
-func (c *Core) begin(nowUs int64, w *work) {
-	if !w.begun {
-		w.begun = true
-		w.arrival.RanUs = nowUs
+func (c *Core) chain(w *work, n int) string {
+	names := []string{w.unit()}
+	for _, p := range w.ask.Parts[:n] {
+		names = append(names, p.ID)
 	}
+	return strings.Join(names, "|")
 }
 
-// admit lets waiting requests in, the most urgent first.
-func (c *Core) admit(nowUs int64) {
-	slices.SortStableFunc(c.waiting, func(a, b *work) int {
-		return cmp.Or(cmp.Compare(a.ask.Priority, b.ask.Priority), cmp.Compare(a.seq, b.seq))
-	})
-	for len(c.waiting) > 0 && len(c.running) < c.opts.Slots {
-		w := c.waiting[0]
-		if c.opts.Engine != nil && w.ask.Stream && len(c.running) > 0 && c.usedTokens()+w.ask.In+w.produced > c.opts.Engine.CacheTokens {
+// cached are the tokens at the start of a prompt that need not be read again.
+func (c *Core) cached(w *work) int64 {
+	var sum int64
+	for i, p := range w.ask.Parts {
+		if _, kept := c.kept[c.chain(w, i+1)]; !kept {
 			break
 		}
-		c.waiting = c.waiting[1:]
-		c.running = append(c.running, w)
-		switch {
-		case c.opts.Engine != nil && w.ask.Stream:
-			w.unread = max(w.ask.In+w.produced-c.cached(w), 1)
-		default:
-			c.begin(nowUs, w)
-			w.doneUs = nowUs + c.opts.WorkUs*c.slow()
+		sum += p.Tokens
+	}
+	return sum
+}
+
+func (c *Core) keep(nowUs int64, w *work) {
+	for i, p := range w.ask.Parts {
+		key := c.chain(w, i+1)
+		c.kept[key] = p.Tokens
+		c.keptUs[key] = nowUs
+	}
+	var sum int64
+	for _, n := range c.kept {
+		sum += n
+	}
+	for sum+c.usedTokens() > c.opts.Engine.CacheTokens && len(c.kept) > 0 {
+		oldest := ""
+		for key, atUs := range c.keptUs {
+			if oldest == "" || atUs < c.keptUs[oldest] || (atUs == c.keptUs[oldest] && key < oldest) {
+				oldest = key
+			}
 		}
+		sum -= c.kept[oldest]
+		delete(c.kept, oldest)
+		delete(c.keptUs, oldest)
 	}
-	c.start(nowUs)
 }
 
 // start begins the next step of the batch: a chunk of prompts is read, and each other run gets a token.
@@ -139,14 +144,3 @@
 		c.do(Effect{Conn: w.conn, End: true})
 	}
 }
-
-// answer ends a short request with its whole body.
-func (c *Core) answer(w *work, nowUs int64) {
-	c.remove(w)
-	if w.ailment == Errs || (c.opts.Fail != nil && c.opts.Fail(w.count)) {
-		c.finish(nowUs, w, http.StatusInternalServerError)
-		return
-	}
-	w.arrival.EndUs, w.arrival.Status, w.arrival.Whole, w.arrival.Sent = nowUs, http.StatusOK, true, 1
-	c.do(Effect{Conn: w.conn, Head: true, Status: http.StatusOK, Seal: Seal(c.opts.ID, w.arrival.Nonce), Body: Text(w.ask.Body, 1, w.arrival.Nonce), End: true})
-}
--- a/proofs/platform/replica/core.go
+++ b/proofs/platform/replica/core.go
@@ -1,10 +1,8 @@
 package replica
 
 import (
-	"fmt"
 	"maps"
 	"math"
-	"net/http"
 	"slices"
 
 	"petreltide/internal/standing"
@@ -17,23 +15,13 @@
 	unloadUs    = 30 * ms
 )
 
-type work struct {
-	conn     uint64
-	ask      Ask
-	arrival  *Arrival
-	seq      uint64
-	begun    bool
-	headed   bool
-	unread   int64
-	produced int64
-	next     int
-	doneUs   int64
-	count    int
-	ailment  Ailment
+type past struct {
+	atUs  int64
+	units []string
+	busy  bool
+	seq   uint64
 }
 
-func (w *work) unit() string { return standing.Unit(w.ask.Model, w.ask.Adapter) }
-
 // Core is one life of a replica: what reaches it goes in, what it sends comes out.
 type Core struct {
 	opts     Options
@@ -60,6 +48,7 @@
 	muted   map[uint64]*work
 }
 
+// NewCore begins a life that holds what its options say.
 func NewCore(o Options) *Core {
 	c := &Core{opts: o, held: map[string]bool{}, kept: map[string]int64{}, keptUs: map[string]int64{}, reading: map[*work]int64{}, muted: map[uint64]*work{}}
 	if c.opts.Disk == nil {
@@ -72,14 +61,19 @@
 	return c
 }
 
+// ID names this life.
 func (c *Core) ID() string { return c.opts.ID }
 
+// Service is the one that it serves.
 func (c *Core) Service() string { return c.opts.Service }
 
+// Addr is where it listens.
 func (c *Core) Addr() string { return c.opts.Addr }
 
+// Zone is where its machine is.
 func (c *Core) Zone() string { return c.opts.Zone }
 
+// Busy says that requests wait or run.
 func (c *Core) Busy() bool { return len(c.running)+len(c.waiting) > 0 }
 
 // Units are what it holds, in order.
@@ -114,93 +108,54 @@
 	return out
 }
 
-// Take is a request that has arrived whole. A life that has ended breaks the connection off.
-func (c *Core) Take(nowUs int64, conn uint64, ask Ask) []Effect {
-	if c.ended {
-		return []Effect{{Conn: conn, Broken: true}}
-	}
-	c.advance(nowUs)
-	c.arrivals++
-	c.nonces++
-	a := &Arrival{
-		Request: ask.ID, Replica: c.opts.ID, Service: c.opts.Service, Addr: c.opts.Addr, From: ask.From, Method: ask.Method, Host: ask.Host, Path: ask.Path,
-		Body: ask.Body, Model: ask.Model, Last: ask.Last, AtUs: nowUs, Total: Total(ask.Body), Nonce: fmt.Sprintf("%s-%d", c.opts.ID, c.nonces),
-	}
-	if c.opts.Journal.Arrived != nil {
-		c.opts.Journal.Arrived(a)
-	}
-	c.seq++
-	w := &work{conn: conn, ask: ask, arrival: a, seq: c.seq, next: ask.Last + 1, unread: ask.In, count: c.arrivals}
-	if status := c.refusal(w); status != 0 {
-		c.turn(nowUs, w, status)
-		return c.flush()
-	}
-	if c.opts.Ail != nil {
-		w.ailment = c.opts.Ail(w.count, ask.From)
+func (c *Core) noted(nowUs int64) {
+	c.past = append(c.past, past{nowUs, c.Units(), c.order != nil, c.orders})
+	if len(c.past) > 64 {
+		c.past = append(c.past[:0], c.past[32:]...)
 	}
-	switch w.ailment {
-	case Sheds, Busies:
-		c.turn(nowUs, w, map[Ailment]int{Sheds: http.StatusServiceUnavailable, Busies: http.StatusTooManyRequests}[w.ailment])
-		return c.flush()
-	case Resets:
-		a.BrokeOff, a.EndUs = true, nowUs
-		c.do(Effect{Conn: conn, Broken: true})
-		return c.flush()
-	case Hangs:
-		return c.flush()
-	case Mutes, Loses:
-		c.muted[conn] = w
-	}
-	c.waiting = append(c.waiting, w)
-	c.admit(nowUs)
-	return c.flush()
 }
 
-// refusal is the status by which a request is turned away before it waits, 0 for none.
-func (c *Core) refusal(w *work) int {
-	switch {
-	case w.ask.ID == "":
-		return http.StatusBadRequest
-	case w.ask.Expect != "" && w.ask.Expect != c.opts.ID && !c.opts.Anyone:
-		return http.StatusMisdirectedRequest
-	case c.opts.Engine != nil && w.ask.Model != "" && (!c.held[w.ask.Model] || (w.ask.Adapter != "" && !c.held[w.unit()])):
-		return http.StatusMisdirectedRequest
-	case c.opts.Turn != nil && c.opts.Turn(w.count), len(c.waiting) >= c.opts.Queue, c.concerns(w),
-		c.opts.Engine != nil && w.ask.In+int64(w.arrival.Total*c.opts.Engine.Stride) > c.opts.Engine.CacheTokens:
-		return http.StatusServiceUnavailable
-	}
-	return 0
+// Report is what it says of itself, as of a moment ago.
+type Report struct {
+	Units   []string
+	Busy    bool
+	Orders  uint64
+	Waiting int
+	Running int
 }
 
-// concerns: an unload is under way of what a request is for.
-func (c *Core) concerns(w *work) bool {
-	if c.order == nil || c.order.order.Operation != "unloading" {
-		return false
+// Report is what it says of itself at a time; what it holds is told as it was reportLagUs earlier.
+func (c *Core) Report(nowUs int64) Report {
+	r := Report{Units: c.Units(), Busy: c.order != nil, Orders: c.orders, Waiting: len(c.waiting), Running: len(c.running)}
+	for i := len(c.past) - 1; i >= 0; i-- {
+		if c.past[i].atUs <= nowUs-reportLagUs {
+			r.Units, r.Busy, r.Orders = c.past[i].units, c.past[i].busy, c.past[i].seq
+			return r
+		}
+	}
+	if len(c.past) > 0 {
+		r.Units, r.Busy, r.Orders = slices.Clone(c.opts.Holds), false, 0
+		slices.Sort(r.Units)
 	}
-	return w.ask.Model == c.order.unit || w.unit() == c.order.unit
+	return r
 }
 
-func (c *Core) turn(nowUs int64, w *work, status int) {
-	w.arrival.Turned, w.arrival.Status, w.arrival.EndUs = status, status, nowUs
-	c.do(Effect{Conn: w.conn, Head: true, Status: status, NotExecuted: true, End: true})
+// TakenMb is the room of all that it holds.
+func (c *Core) TakenMb() int64 {
+	var sumMb int64
+	for u := range c.held {
+		sumMb += c.unitMb(u)
+	}
+	return sumMb
 }
 
-// Gone is a connection that closed: what it asked for is dropped.
-func (c *Core) Gone(nowUs int64, conn uint64) []Effect {
-	c.advance(nowUs)
-	drop := func(all []*work) []*work {
-		return slices.DeleteFunc(all, func(w *work) bool {
-			if w.conn == conn {
-				w.arrival.EndUs = nowUs
-				delete(c.reading, w)
-			}
-			return w.conn == conn
-		})
+func (c *Core) unitMb(unit string) int64 {
+	model, adapter := standing.Units(unit)
+	m := c.opts.Engine.Models[model]
+	if adapter != "" {
+		return m.AdapterMb
 	}
-	c.waiting, c.running = drop(c.waiting), drop(c.running)
-	delete(c.muted, conn)
-	c.admit(nowUs)
-	return c.flush()
+	return m.SizeMb
 }
 
 // Step carries on up to a moment.
@@ -250,32 +205,6 @@
 	c.carryOrder(nowUs)
 }
 
-// late ends what has passed its deadline: 503 for what has not begun, 504 for what runs.
-func (c *Core) late(nowUs int64) {
-	c.waiting = slices.DeleteFunc(c.waiting, func(w *work) bool {
-		if w.ask.DeadlineUs > nowUs {
-			return false
-		}
-		if w.begun {
-			c.finish(nowUs, w, http.StatusGatewayTimeout)
-		} else {
-			c.turn(nowUs, w, http.StatusServiceUnavailable)
-		}
-		return true
-	})
-	for _, w := range slices.Clone(c.running) {
-		if w.ask.DeadlineUs > nowUs {
-			continue
-		}
-		c.remove(w)
-		if w.begun {
-			c.finish(nowUs, w, http.StatusGatewayTimeout)
-		} else {
-			c.turn(nowUs, w, http.StatusServiceUnavailable)
-		}
-	}
-}
-
 // Kill ends this life: what runs is broken off, and the store is rid of its load.
 func (c *Core) Kill(nowUs int64) []Effect {
 	for _, all := range [][]*work{c.running, c.waiting} {
--- a/proofs/platform/replica/options.go
+++ b/proofs/platform/replica/options.go
@@ -1,45 +1,5 @@
 package replica
 
-import (
-	"petreltide/internal/standing"
-)
-
-// Model is what the stand-in knows of one model beyond its declaration.
-type Model struct {
-	SizeMb    int64
-	LoadUs    int64
-	WarmUs    int64
-	Adapters  int
-	AdapterMb int64
-	AdapterUs int64
-}
-
-// Engine is how a model replica works; a replica without one gives short answers after some work.
-type Engine struct {
-	CacheTokens  int64
-	Stride       int
-	RoomMb       int64
-	AdaptersMost int
-	Models       map[string]Model
-	StepUs       int64
-	SlotUs       int64
-	TokensPerMs  float64
-}
-
-// EngineOf reads the stand-in's engine out of a declared one.
-func EngineOf(e *standing.Engine) *Engine {
-	out := &Engine{
-		CacheTokens: e.CacheTokens, Stride: max(e.Stride, 1), RoomMb: e.RoomMb, AdaptersMost: e.AdaptersMost, Models: map[string]Model{},
-		StepUs: 9 * ms, SlotUs: 30, TokensPerMs: 20,
-	}
-	for _, m := range e.Models {
-		out.Models[m.Name] = Model{
-			SizeMb: m.SizeMb, LoadUs: m.LoadMs * ms, WarmUs: 150*ms + m.LoadMs*ms/3, Adapters: m.Adapters, AdapterMb: m.AdapterMb, AdapterUs: 12 * ms,
-		}
-	}
-	return out
-}
-
 // Options hold for one life of a replica. Store and Disk may be shared with other replicas; without a Disk
 // the life has an empty one of its own.
 type Options struct {
@@ -73,6 +33,7 @@
 // Ailment is one way in which a replica fails a request while its word of itself is good.
 type Ailment int
 
+// The ailments. Sound is none.
 const (
 	Sound  Ailment = iota
 	Errs           // it runs and gets a 500
@@ -83,56 +44,3 @@
 	Mutes          // it runs, and nothing is sent
 	Loses          // it runs, and the connection ends in place of the answer
 )
-
-// Part is one piece of a prompt.
-type Part struct {
-	ID     string
-	Tokens int64
-}
-
-// Ask is a request as it reaches a replica.
-type Ask struct {
-	ID         string
-	From       string
-	Method     string
-	Host       string
-	Path       string
-	Body       string
-	Model      string
-	Adapter    string
-	In         int64
-	Parts      []Part
-	DeadlineUs int64
-	Priority   int
-	Last       int
-	Stream     bool
-	Expect     string
-}
-
-// Order is an order as it reaches a replica.
-type Order struct {
-	From      string
-	Operation string
-	Model     string
-	Adapter   string
-	Holder    string
-	Fence     uint64
-	Expected  *uint64
-	Expect    string
-}
-
-func (o Order) unit() string { return standing.Unit(o.Model, o.Adapter) }
-
-// Effect is what one connection is sent next. Status stands with the head of an answer, or alone.
-type Effect struct {
-	Conn        uint64
-	Head        bool
-	Status      int
-	NotExecuted bool
-	Seal        string
-	N           int
-	Text        string
-	Body        string
-	End         bool
-	Broken      bool
-}
--- a/proofs/rules/routed.go
+++ b/proofs/rules/routed.go
@@ -8,6 +8,7 @@
 	"sort"
 	"strings"
 
+	"petreltide/proofs/history"
 	"petreltide/proofs/platform/replica"
 )
 
@@ -44,7 +45,7 @@
 // Routed are all rules that routed days are judged by.
 var Routed = []string{
 	Mixed, Unasked, Twice, Refused, Denied, Route, Drain, LostWork, ConfigOld, ConfigBck, ConfigTwo, ConfigNot, ConfigGon, ConfigNew,
-	Budget, Order, Recover, One, Limit, Ceiling, Acks, Starved, Sizes, ReadOld, RefusedAs, LeaveLost, Gone, Known,
+	Budget, Order, Recover, One, Limit, Ceiling, Acks, Starved, Sizes, ReadOld, RefusedAs, LeaveLost, ConfigHistory, Gone, Known,
 }
 
 // Bounds are the figures of the platform's settings file.
@@ -165,7 +166,7 @@
 	Unordered string
 }
 
-// Served: the client got the whole of a success.
+// Served says that the client got the whole of a success.
 func (t *Try) Served() bool { return t.Complete && t.Status/100 == 2 }
 
 // Leave is a replica's leaving as a machine acknowledged it; SaidUs is when it was first said.
@@ -215,8 +216,10 @@
 	Leaves   []*Leave
 	Reads    []ControlRead
 	Refusals []ControlRefusal
-	Read     *Read
-	EndUs    int64
+	// Calls are all calls of operators about the configuration.
+	Calls []history.Call
+	Read  *Read
+	EndUs int64
 	// Known counts replicas that had spoken for a while as the day ended, by desk; Unknown are those that the
 	// desk did not know.
 	Known   int
@@ -260,6 +263,7 @@
 		j.ran(t)
 	}
 	j.config()
+	j.answersFitOneRegister()
 	j.routes()
 	j.drain()
 	j.answers()
--- a/proofs/sim/routed_faults.go
+++ b/proofs/sim/routed_faults.go
@@ -12,10 +12,11 @@
 	"kill-office", "kill-holder", "power-office", "freeze-office", "freeze-holder", "stall-disk", "slow-disk", "full-disk", "replace-office", "wipe-after-ack", "power-after-ack",
 	"cut-office", "one-way", "split-core", "cut-desk", "kill-desk", "herd-kill", "kill-offices", "roll-desks", "freeze-desk", "clock-step", "swap-seeds", "loss",
 	"crash-replica", "lose-replica", "dark-replica", "reuse-address", "notice", "notice-race", "release", "scale-in", "failing-replica", "turning-replica", "breaking-replica",
-	"config-change", "config-storm", "config-race", "bad-config", "big-config", "burst", "burst-rare", "model-shift",
+	"config-change", "config-storm", "config-race", "config-rivals", "config-again", "bad-config", "big-config", "burst", "burst-rare", "model-shift",
 	"grey-errors", "grey-shed", "grey-busy", "grey-hang", "grey-reset", "grey-mute", "grey-slow", "grey-one-zone", "lying-errors", "lying-hang", "lying-reset",
 	"answer-lost", "flap", "drop-idle", "unheard-leave", "kill-zone", "roll-offices", "replace-planned", "power-after-taking",
 	"leave-first", "late-beat", "late-beat-of-former-life", "reuse-after-drain", "reuse-after-dark", "cut-replica", "give-up", "retry-abuse", "ack-lost", "power-after-send",
+	"withdraw", "cut-lured",
 }
 
 // pairKinds strike two offices at once, where the fleet is made to bear that.
@@ -23,7 +24,7 @@
 
 // selfCounted faults are counted where they first have an effect, beside those that wait for an acknowledgement.
 var selfCounted = []string{
-	"drop-idle", "unheard-leave", "power-after-taking", "replace-planned", "leave-first", "late-beat", "late-beat-of-former-life", "reuse-after-drain", "reuse-after-dark",
+	"drop-idle", "unheard-leave", "power-after-taking", "replace-planned", "late-beat", "late-beat-of-former-life", "reuse-after-drain", "reuse-after-dark",
 	"give-up", "retry-abuse", "ack-lost", "power-after-send",
 }
 
@@ -108,7 +109,7 @@
 		}
 	}
 	switch f.Kind {
-	case "kill-office", "kill-holder", "power-office", "freeze-office", "freeze-holder", "stall-disk", "slow-disk", "full-disk", "replace-office", "replace-planned", "cut-office", "one-way", "split-core",
+	case "kill-office", "kill-holder", "power-office", "freeze-office", "freeze-holder", "stall-disk", "slow-disk", "full-disk", "replace-office", "replace-planned", "cut-office", "cut-lured", "one-way", "split-core",
 		"kill-offices", "roll-offices":
 		return haveOffice && d.officeFault(f, o)
 	case "kill-pair", "power-pair", "freeze-pair", "cut-pair", "replace-pair":
@@ -144,6 +145,14 @@
 		}
 	case "config-race":
 		d.ops.do(d.ops.race)
+	case "config-rivals":
+		for range 1 + f.N%3 {
+			d.ops.do(d.ops.rivals)
+		}
+	case "config-again":
+		for range 2 + f.N%5 {
+			d.ops.do(d.ops.again)
+		}
 	case "bad-config":
 		for range 1 + f.N%3 {
 			d.ops.do(d.ops.bad)
--- a/proofs/sim/routed_faults_offices.go
+++ b/proofs/sim/routed_faults_offices.go
@@ -98,6 +98,8 @@
 				d.cut(other.name, o.name, f.ForUs)
 			}
 		}
+	case "cut-lured":
+		d.cutOffNow(CutOff{Role: []Role{HeadRole, MiddleRole, TailRole}[f.B%3], ForUs: f.ForUs + 3*sec, Way: []Way{SilentWay, MuteWay, DeafWay, ResetWay}[f.A%4], Lure: true, Meet: true, Drain: true}, d.nowUs)
 	case "one-way", "split-core":
 		other := d.offices[(f.B)%len(d.offices)]
 		if other == o || other.removed {
--- a/proofs/sim/routed_faults_replicas.go
+++ b/proofs/sim/routed_faults_replicas.go
@@ -71,7 +71,7 @@
 }
 
 func (d *routedDay) replicaFault(f Fault, p *replicaNode, cards []*replicaNode) bool {
-	if p.core.Draining || p.left {
+	if p.core.Draining || p.withdrawn {
 		return false
 	}
 	switch f.Kind {
@@ -110,6 +110,9 @@
 				d.killOffice(o, 0, f.ForUs)
 			}
 		}
+	case "withdraw":
+		d.fresh(p)
+		p.withdraw()
 	case "scale-in":
 		if len(cards) <= d.plan.Cards-1 {
 			return false
--- a/proofs/sim/routed_leaving.go
+++ b/proofs/sim/routed_leaving.go
@@ -1,67 +1,17 @@
 package sim
 
-import (
-	"petreltide/internal/office"
-	"petreltide/proofs/rules"
-)
-
 const (
 	lateLeastUs = sec
 	lateMostUs  = 4 * sec
-	onLeastUs   = 300 * ms
-	onMostUs    = 3 * sec
-	leaveTries  = 8
 	shortDownUs = 400 * ms
 	oneWay      = 1
 )
 
-// leaveFirst is a planned end without a word of it before: the replica deregisters, serves on for as long as one
-// that drains, and ends. speaks says whether its heartbeats go on meanwhile, as if it stayed.
-func (p *replicaNode) leaveFirst(f Fault, speaks bool) {
-	d := p.day
-	p.left, p.speaks = true, speaks
-	p.leave = &rules.Leave{Replica: p.name, SaidUs: d.nowUs}
-	d.seen.Leaves = append(d.seen.Leaves, p.leave)
-	p.sayGone(f, leaveTries)
-	p.later(9*sec, func() { p.end(false) })
-}
-
-// sayGone deregisters at one machine that serves control, and at the next where no acknowledgement comes in time.
-func (p *replicaNode) sayGone(f Fault, tries int) {
-	if tries == 0 || p.leave.AckedUs > 0 {
-		return
-	}
-	d := p.day
-	over := false
-	again := func() {
-		if !over {
-			over = true
-			p.later(ms, func() { p.sayGone(f, tries-1) })
-		}
-	}
-	o := d.officeFor(p, leaveTries-tries)
-	if o == nil {
-		again()
-		return
-	}
-	acknowledged := func() {
-		if over {
-			return
-		}
-		over = true
-		p.leave.AckedUs, p.leave.Machine = d.nowUs, o.name
-		d.count(f)
-		p.later(d.seen.Bounds.DrainUs+onLeastUs+d.r.Int63n(onMostUs), func() { p.end(false) })
-	}
-	answered := func(ok bool) {
-		if ok {
-			d.carry(&o.machine, &p.machine, sec, acknowledged, again)
-		} else {
-			d.carry(&o.machine, &p.machine, sec, again, again)
-		}
-	}
-	p.later(sec, again)
-	d.carry(&p.machine, &o.machine, sec, func() { o.word(office.Event{Left: p.name}, answered) }, again)
+// leaveFirst is a planned end without a word of it before; speaks says whether the replica's heartbeats go on
+// meanwhile, as if it stayed.
+func (p *replicaNode) leaveFirst(speaks bool) {
+	p.speaks = speaks
+	p.withdraw()
 }
 
 // lateBeat is a heartbeat that a replica has sent now and that an office reads seconds later, whatever became of
@@ -93,13 +43,13 @@
 	switch f.Kind {
 	case "leave-first":
 		d.fresh(p)
-		p.leaveFirst(f, f.B%2 == 0)
+		p.leaveFirst(f.B%2 == 0)
 	case "late-beat":
 		d.fresh(p)
 		for range 3 {
 			p.lateBeat(f, d.lateUs())
 		}
-		p.leaveFirst(Fault{Kind: "leave-first"}, false)
+		p.leaveFirst(false)
 	case "late-beat-of-former-life":
 		// The offices forget which lives have been, and then hear of one.
 		p.lateBeat(f, 3*shortDownUs+d.r.Int63n(sec))
@@ -139,7 +89,7 @@
 // another service.
 func (d *routedDay) reuse(f Fault, end func(*replicaNode) int64) bool {
 	logs := d.running("log")
-	if len(logs) < 2 || logs[0].core.Draining || logs[0].left {
+	if len(logs) < 2 || logs[0].core.Draining || logs[0].withdrawn {
 		return false
 	}
 	log := logs[0]
@@ -168,7 +118,7 @@
 			continue
 		}
 		for _, p := range d.running("") {
-			if p.left || p.core.Draining || p.bornUs > d.nowUs-knownUs {
+			if p.withdrawn || p.core.Draining || p.bornUs > d.nowUs-knownUs {
 				continue
 			}
 			d.seen.Known++
