--- a/proofs/platform/replica/core.go
+++ b/proofs/platform/replica/core.go
@@ -3,8 +3,9 @@
 import (
 	"maps"
 	"math"
-	"petreltide/internal/standing"
 	"slices"
+
+	"petreltide/internal/standing"
 )
 
 const (
--- a/proofs/platform/replica/requests.go
+++ b/proofs/platform/replica/requests.go
@@ -4,8 +4,9 @@
 	"cmp"
 	"fmt"
 	"net/http"
-	"petreltide/internal/standing"
 	"slices"
+
+	"petreltide/internal/standing"
 )
 
 type work struct {
--- a/proofs/rules/routed.go
+++ b/proofs/rules/routed.go
@@ -37,12 +37,15 @@
 	Acks      = "ACKS"
 	Starved   = "STARVED"
 	Sizes     = "SIZES"
+	Gone      = "GONE"
+	// Known is the simulator's own: who goes on speaking is known to every desk.
+	Known = "KNOWN"
 )
 
 // Routed are all rules that routed days are judged by.
 var Routed = []string{
 	Mixed, Unasked, Twice, Refused, Denied, Route, Drain, LostWork, ConfigOld, ConfigBck, ConfigTwo, ConfigNot, ConfigGon, ConfigNew,
-	Budget, Order, Recover, One, Limit, Ceiling, Acks, Starved, Sizes, ReadOld, RefusedAs, LeaveLost, ConfigHistory,
+	Budget, Order, Recover, One, Limit, Ceiling, Acks, Starved, Sizes, ReadOld, RefusedAs, LeaveLost, ConfigHistory, Gone, Known,
 }
 
 // Bounds are the figures of the platform's settings file.
@@ -97,6 +100,8 @@
 	AckedUs   int64
 	RefusedUs int64
 	Status    int
+	// LostAckUs is when the first acknowledgement of it that was lost was given.
+	LostAckUs int64
 }
 
 func (v *Version) match(host, path string) *RouteSeen {
@@ -215,6 +220,10 @@
 	Calls []history.Call
 	Read  *Read
 	EndUs int64
+	// Known counts replicas that had spoken for a while as the day ended, by desk; Unknown are those that the
+	// desk did not know.
+	Known   int
+	Unknown []string
 }
 
 type judge struct {
@@ -267,6 +276,8 @@
 	j.added()
 	j.starved()
 	j.sizes()
+	j.gone()
+	j.known()
 	return j.breaches, j.stakes
 }
 
