Merge a patch on the newest configuration, and let the chain refuse it

It is merged on the newest configuration that the open tail gives; past its base the chain judges (it remembers what was taken, or says that it can't know), and a base that is still to come is answered 503.

TestAPatchIsNotRefusedByAnOfficesOwnState becomes TestAPatchIsRefusedByTheChainAlone: its table is kept, and in place of an office without partners it asks one that serves, for a patch that was taken and one that is too old to be known.

--- a/internal/office/orders_test.go
+++ b/internal/office/orders_test.go
@@ -17,15 +17,18 @@
 	"petreltide/internal/wire"
 )
 
-// alone is an office whose partners never come: what it is given waits. It ends with the test.
-func alone(t *testing.T) *Host {
+// alone is an office whose partners never come: what it is given waits.
+func alone(t *testing.T) *Host { return openOffice(t, 3) }
+
+// openOffice is an office of a chain that is founded by so many. It ends with the test.
+func openOffice(t *testing.T, founding int) *Host {
 	t.Helper()
 	folder := t.TempDir()
-	h, err := Open(settings.Office{Name: "core-1", Listen: "127.0.0.1:0", Advertise: "127.0.0.1:1", Data: folder, Founding: 3}, logring.NewRing(folder, io.Discard))
+	h, err := Open(settings.Office{Name: "core-1", Listen: "127.0.0.1:0", Advertise: "127.0.0.1:1", Data: folder, Founding: founding}, logring.NewRing(folder, io.Discard))
 	if err != nil {
 		t.Fatal(err)
 	}
-	h.act.Spawn(func() { h.act.Loop(time.Hour, func() {}) })
+	h.act.Spawn(func() { h.act.Loop(tickEvery, func() { h.step(Event{}) }) })
 	t.Cleanup(func() {
 		h.act.End()
 		if err := h.disk.Close(); err != nil {
@@ -80,9 +83,9 @@
 	waiting(t, h, id, 0)
 }
 
-// A patch is judged by the chain. What this office holds may be old: an order that was taken elsewhere must not be
-// refused by it, whether it is behind the order's base or past it.
-func TestAPatchIsNotRefusedByAnOfficesOwnState(t *testing.T) {
+// A patch whose base has been passed is judged by the chain, which knows what was taken, and not by what is in force
+// alone; one whose base is still to come may be taken by another office yet.
+func TestAPatchIsRefusedByTheChainAlone(t *testing.T) {
 	doc := &standing.Declaration{Name: "d"}
 	for _, c := range []struct {
 		name string
@@ -90,32 +93,37 @@
 		base uint64
 		want patchStep
 	}{
-		{"on top of what is in force here", ConfigNow{Revision: 4, Declaration: doc}, 4, mergeHere},
-		{"this office has not heard of the base", ConfigNow{Revision: 3, Declaration: doc}, 4, baseUnknown},
-		{"this office knows nothing yet", ConfigNow{}, 4, baseUnknown},
-		{"a later change is in force here", ConfigNow{Revision: 9, Declaration: doc}, 4, leaveToChain},
+		{"on top of what is in force", ConfigNow{Revision: 4, Declaration: doc}, 4, mergeHere},
+		{"its base is still to come", ConfigNow{Revision: 3, Declaration: doc}, 4, baseAhead},
+		{"nothing is in force yet", ConfigNow{}, 4, baseAhead},
+		{"a later change is in force", ConfigNow{Revision: 9, Declaration: doc}, 4, leaveToChain},
 		{"there is nothing to patch", ConfigNow{}, 0, nothingToPatch},
 	} {
 		if got := nextPatchStep(c.now, c.base); got != c.want {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
 	}
-	h := alone(t)
-	h.core.Node.State().Revision = 9
-	h.core.Node.State().Doc = doc
-	ctx, done := context.WithCancel(t.Context())
-	defer done()
-	r := httptest.NewRequestWithContext(ctx, http.MethodPatch, "/v1/config?base=4&change=mine", strings.NewReader("{}"))
-	w := httptest.NewRecorder()
-	answered := make(chan struct{})
-	go func() {
-		defer close(answered)
-		h.patchConfig(w, r)
-	}()
-	waiting(t, h, "op-mine", 1)
-	done()
-	<-answered
-	if w.Code != http.StatusServiceUnavailable {
-		t.Errorf("with no word from the chain: %d %s", w.Code, w.Body)
+	h := openOffice(t, 1)
+	h.act.Spawn(h.saver)
+	for base, id := range []string{"op-mine", "op-later"} {
+		out, ok := h.Submit(t.Context(), ledger.Change{ID: id, Config: &ledger.ConfigChange{Base: uint64(base), Doc: doc}}, time.Minute)
+		if !ok || out.Outcome.Fault != nil {
+			t.Fatalf("%s: %+v", id, out)
+		}
 	}
+	patch := func(want int) {
+		t.Helper()
+		w := httptest.NewRecorder()
+		h.patchConfig(w, httptest.NewRequestWithContext(t.Context(), http.MethodPatch, "/v1/config?base=0&change=mine", strings.NewReader("{}")))
+		if w.Code != want {
+			t.Errorf("%d %s, want %d", w.Code, w.Body, want)
+		}
+	}
+	patch(http.StatusOK)
+	h.act.Do(t.Context(), func() {
+		s := h.core.Node.State()
+		delete(s.Changes, "op-mine")
+		s.Forgotten = 1
+	})
+	patch(http.StatusServiceUnavailable)
 }
--- a/internal/office/web.go
+++ b/internal/office/web.go
@@ -275,10 +275,10 @@
 type patchStep int
 
 const (
-	// mergeHere: this office holds the declaration that the patch builds on.
+	// mergeHere: what the patch builds on is in force.
 	mergeHere patchStep = iota
-	// baseUnknown: the chain may be further on than this office, which can say nothing.
-	baseUnknown
+	// baseAhead: the base may come into force yet, and the patch be taken by another office then.
+	baseAhead
 	// leaveToChain: the base has been passed. The patch can't be taken any more, but it may have been taken before,
 	// and only the chain knows for sure.
 	leaveToChain
@@ -286,16 +286,15 @@
 	nothingToPatch
 )
 
+// nextPatchStep judges a patch by the newest configuration there is.
 func nextPatchStep(now ConfigNow, base uint64) patchStep {
 	switch {
-	case base == 0 && now.Declaration == nil:
-		return nothingToPatch
 	case now.Revision < base:
-		return baseUnknown
+		return baseAhead
 	case now.Revision > base:
 		return leaveToChain
 	case now.Declaration == nil:
-		return baseUnknown
+		return nothingToPatch
 	}
 	return mergeHere
 }
@@ -305,14 +304,18 @@
 	if !ok {
 		return
 	}
-	now := h.configAt(r.Context(), a.base)
 	if first, seen := h.seen(r.Context(), a.id); seen {
 		h.reply(r.Context(), w, a.id, wire.Result{Outcome: first, Everywhere: true})
 		return
 	}
+	now, known := h.newestConfig(r.Context())
+	if !known {
+		writeFault(w, newestUnknown())
+		return
+	}
 	switch nextPatchStep(now, a.base) {
-	case baseUnknown:
-		writeFault(w, fault.New(fault.NotServing, "base", "revision %d is not known here yet, only %d", a.base, now.Revision))
+	case baseAhead:
+		writeFault(w, fault.New(fault.InDoubt, "base", "revision %d is not in force yet, only %d", a.base, now.Revision))
 		return
 	case nothingToPatch:
 		writeFault(w, fault.New(fault.StaleBase, "base", "there is no declaration yet"))
