--- a/proofs/history/history.go
+++ b/proofs/history/history.go
@@ -11,13 +11,13 @@
 type Answer string
 
 const (
-	// Acknowledged: the order is in force, or has been.
+	// Acknowledged means: the order is in force, or has been.
 	Acknowledged Answer = "acknowledged"
-	// Refused: another version than the order's base is in force.
+	// Refused means: another version than the order's base is in force.
 	Refused Answer = "refused"
-	// Invalid: the order can't be in force, whatever it builds on.
+	// Invalid means: the order can't be in force, whatever it builds on.
 	Invalid Answer = "invalid"
-	// Unclear: no answer, or one that says nothing. The order may take effect at any later time, or never.
+	// Unclear means: no answer, or one that says nothing. The order may take effect at any later time, or never.
 	Unclear Answer = "unclear"
 )
 
--- a/proofs/history/judge.go
+++ b/proofs/history/judge.go
@@ -13,19 +13,19 @@
 type Breach string
 
 const (
-	// TakenThenRefused: an order was acknowledged, and refused by another answer.
+	// TakenThenRefused means: an order was acknowledged, and refused by another answer.
 	TakenThenRefused Breach = "an acknowledged order was refused"
-	// RefusedInForce: an order that was refused was read back.
+	// RefusedInForce means: an order that was refused was read back.
 	RefusedInForce Breach = "a refused order was in force"
-	// TwoWinners: two orders on top of one version were acknowledged.
+	// TwoWinners means: two orders on top of one version were acknowledged.
 	TwoWinners Breach = "two orders on top of one version were acknowledged"
-	// SpoiledTaken: an order that can't be valid was acknowledged or read back.
+	// SpoiledTaken means: an order that can't be valid was acknowledged or read back.
 	SpoiledTaken Breach = "an invalid order was taken"
-	// UnknownContent: what was read back is no order's that was ever sent.
+	// UnknownContent means: what was read back is no order's that was ever sent.
 	UnknownContent Breach = "what was read back was never sent"
-	// NotLinearizable: each answer alone is possible, but no single order of effects gives all of them.
+	// NotLinearizable means: each answer alone is possible, but no single order of effects gives all of them.
 	NotLinearizable Breach = "the answers fit no single order of effects"
-	// Undecided: the search for an order of effects took too long.
+	// Undecided means: the search for an order of effects took too long.
 	Undecided Breach = "it could not be decided whether the answers fit"
 )
 
