--- a/internal/standing/engine.go
+++ b/internal/standing/engine.go
@@ -59,7 +59,7 @@
 	return m.AdapterMb, adapterLoadMs, true
 }
 
-// HasAdapter: adapters are named a1, a2 and so on.
+// HasAdapter says whether a name is one of the adapters, which are named a1, a2 and so on.
 func (m *EngineModel) HasAdapter(name string) bool {
 	if len(name) < 2 || name[0] != 'a' || name[1] == '0' {
 		return false
--- a/internal/standing/standing.go
+++ b/internal/standing/standing.go
@@ -43,27 +43,32 @@
 // Routed declarations send by routes to services.
 func (d *Declaration) Routed() bool { return d.Version > 0 }
 
+// Replica is what every replica has room for.
 type Replica struct {
 	RoomMb int64 `json:"roomMb" validate:"required,min=1"`
 }
 
+// Store bounds what the store of weights bears: loads at once, MB a second, and MB in one burst.
 type Store struct {
 	Loads       int   `json:"loads" validate:"required,min=1,max=64"`
 	MbPerSecond int64 `json:"mbPerSecond" validate:"required,min=1"`
 	BurstMb     int64 `json:"burstMb" validate:"required,min=1"`
 }
 
+// Scaler sets how many replicas are kept spare, and over which window demand is weighed.
 type Scaler struct {
 	Spares     int `json:"spares" validate:"min=0,max=64"`
 	SimilarPct int `json:"similarPct" validate:"min=0,max=100"`
 	WindowMs   int `json:"windowMs" validate:"required,min=500,max=600000"`
 }
 
+// Policy is a placement policy in Starlark.
 type Policy struct {
 	Name   string `json:"name" validate:"required,max=64"`
 	Source string `json:"source" validate:"required,max=65536"`
 }
 
+// Kind is a class of calls: how urgent they are (9 first), whether a stream may be resumed, and how long they may wait.
 type Kind struct {
 	Name      string `json:"name" validate:"required,max=64"`
 	Urgency   int    `json:"urgency" validate:"required,min=1,max=9"`
@@ -71,6 +76,7 @@
 	ExpiryMs  int64  `json:"expiryMs" validate:"required,min=100,max=86400000"`
 }
 
+// Model is a model that replicas may hold. Table says what it bears on one replica, two, and so on.
 type Model struct {
 	Name   string  `json:"name" validate:"required,max=64"`
 	SizeMb int64   `json:"sizeMb" validate:"required,min=1"`
@@ -79,12 +85,14 @@
 	Table  []Point `json:"table" validate:"required,min=1,max=64,dive"`
 }
 
+// Point is a model's throughput and latency on a number of replicas.
 type Point struct {
 	Replicas  int     `json:"replicas" validate:"required,min=1"`
 	PerSecond float64 `json:"perSecond" validate:"required,gt=0"`
 	LatencyMs int64   `json:"latencyMs" validate:"required,min=1"`
 }
 
+// Adapter is loaded beside its model.
 type Adapter struct {
 	Name   string `json:"name" validate:"required,max=64"`
 	Model  string `json:"model" validate:"required"`
@@ -92,14 +100,17 @@
 	LoadMs int64  `json:"loadMs" validate:"required,min=1"`
 }
 
+// Model is the model of a name; nil where there is none.
 func (d *Declaration) Model(name string) *Model {
 	return named(d.Models, name, func(m *Model) string { return m.Name })
 }
 
+// Adapter is the adapter of a name; nil where there is none.
 func (d *Declaration) Adapter(name string) *Adapter {
 	return named(d.Adapters, name, func(a *Adapter) string { return a.Name })
 }
 
+// Kind is the kind of a name, or what a route of that name says as one; nil where there is neither.
 func (d *Declaration) Kind(name string) *Kind {
 	if d.Routed() {
 		if r := d.Route(name); r != nil {
@@ -110,8 +121,10 @@
 	return named(d.Kinds, name, func(k *Kind) string { return k.Name })
 }
 
+// IsEmptied says whether operators have taken a zone out of use.
 func (d *Declaration) IsEmptied(zone string) bool { return slices.Contains(d.Emptied, zone) }
 
+// HasZone says whether a zone is declared.
 func (d *Declaration) HasZone(zone string) bool { return slices.Contains(d.Zones, zone) }
 
 // UnitMb is the room a model or an adapter takes; ok is false for an unknown name.
@@ -173,6 +186,7 @@
 // PolicyCheck compiles a policy source; it is handed in so that this package needs no interpreter.
 type PolicyCheck func(name, source string) *fault.Fault
 
+// Decode reads a declaration; fields that it does not know are faults.
 func Decode(raw []byte) (*Declaration, *fault.Fault) {
 	d := &Declaration{}
 	dec := json.NewDecoder(bytes.NewReader(raw))
@@ -196,6 +210,7 @@
 	return ""
 }
 
+// Check collects what is wrong with a declaration without routes: the fields by their tags, then cross-references.
 func Check(d *Declaration, policy PolicyCheck) *fault.Fault {
 	sheet := Struct(fault.InvalidConfig, d)
 	for i, z := range d.Emptied {
@@ -255,6 +270,7 @@
 	}
 }
 
+// Parse reads a declaration and checks it.
 func Parse(raw []byte, policy PolicyCheck) (*Declaration, *fault.Fault) {
 	d, f := Decode(raw)
 	if f != nil {
@@ -266,6 +282,7 @@
 	return d, nil
 }
 
+// Merge applies a JSON merge patch (RFC 7396) to a declaration and gives its JSON.
 func Merge(base *Declaration, patch []byte) ([]byte, *fault.Fault) {
 	raw, err := json.Marshal(base)
 	if err != nil {
