Test that a holder of the log leaves only once enough others hold it

Shown able to fail: with the condition on the other holders taken out, nothing is acknowledged while another is down (TestAHolderWaitsForOneThatIsDown); without waiting for the others to know the view, and with a joiner seated behind a tail that lacks part of the log, TestALossRightAfterARepair and TestAJoinerIsSeatedBehindAWholeTailOnly fail.

--- a/internal/chain/explore_members_test.go
+++ b/internal/chain/explore_members_test.go
@@ -513,7 +513,7 @@
 	memberWalks        = 180
 	memberWalkActs     = 1500
 	memberRacedWalks   = 4
-	memberRacedStrides = 4
+	memberRacedStrides = 1
 )
 
 // Repairs of machines in the small: every interleaving of deliveries, syncs, ticks, starts and one more loss up to a
--- /dev/null
+++ b/internal/chain/leave_test.go
@@ -0,0 +1,143 @@
+package chain
+
+import (
+	"fmt"
+	"testing"
+
+	"petreltide/internal/clock"
+)
+
+// As many disks as may be lost are lost, and at the same moment one of those that hold the log is told to end: it
+// serves on until enough others hold all of it.
+func TestAHolderLeavesOnlyOnceOthersHoldTheLog(t *testing.T) {
+	for _, offices := range []int{3, 5} {
+		for place := range offices {
+			t.Run(fmt.Sprintf("%d offices, place %d", offices, place), func(t *testing.T) {
+				t.Parallel()
+				for seed := range int64(3) {
+					y := pacedYard(t, seed, offices)
+					var holder *spot
+					others := []*spot{}
+					for _, s := range y.living() {
+						if s.node.place() == place {
+							holder = s
+						} else {
+							others = append(others, s)
+						}
+					}
+					y.takeAway(others[:y.tolerated()], emptied)
+					y.step(holder, Event{Leave: true})
+					waitedUs := int64(0)
+					for ; !holder.node.Left(); waitedUs += yardStepUs {
+						if y.pass(yardStepUs); waitedUs > graceUs {
+							t.Fatalf("seed %d: it has not left: %s", seed, holder.node.WaitsFor())
+						}
+					}
+					holders := 0
+					for _, s := range others {
+						if s.node.serving() && s.node.caughtUp {
+							holders++
+						}
+					}
+					if holders < y.copies || waitedUs < clock.Sec/2 {
+						t.Fatalf("seed %d: it left after %d ms, when %d others held the log", seed, waitedUs/clock.Ms, holders)
+					}
+					y.stop(holder)
+					y.pass(clock.Sec)
+					y.start(holder, false)
+					y.settles(20*clock.Sec, "back")
+				}
+			})
+		}
+	}
+}
+
+// Where operators change the members, one that is told to end hands over its seat, keeps its vote, and has both again
+// when it is back.
+func TestAMemberByCommandHandsOverItsSeatOnly(t *testing.T) {
+	for i := range 3 {
+		b := newBox()
+		p := b.members[i]
+		b.step(i, Event{Leave: true})
+		for n := 0; n < 12 && !p.node.Left(); n++ {
+			b.tick()
+			b.settle()
+		}
+		if !p.node.Left() || p.node.view.Seated(p.me.ID) || !p.node.view.Votes(p.me.ID) {
+			t.Fatalf("member %d: left %v, %+v", i, p.node.Left(), p.node.view)
+		}
+		b.crash(i)
+		b.write()
+		b.settle()
+		if len(b.acked) != 1 {
+			t.Fatalf("member %d: %d acknowledged without it", i, len(b.acked))
+		}
+		b.start(i, 0)
+		b.pass(14)
+		if b.judge(); b.broken != "" || !p.node.serving() || len(p.node.view.Order) != 3 {
+			t.Fatalf("member %d: %s, back as %s in %+v", i, b.broken, p.node.phase, p.node.view)
+		}
+	}
+}
+
+// Where all are told to end, nobody waits for the others to take over.
+func TestAllThatAreToldToEndEndAtOnce(t *testing.T) {
+	for _, offices := range []int{1, 3, 5} {
+		y := newYard(t, 1, offices, min(3, offices))
+		y.paced, y.copies = true, (offices-1)/2+1
+		for _, s := range y.spots {
+			y.start(s, true)
+		}
+		y.settles(30*clock.Sec, "founding")
+		for _, s := range y.spots {
+			y.step(s, Event{Leave: true})
+		}
+		y.pass(clock.Sec / 4)
+		for _, s := range y.spots {
+			if !s.node.Left() {
+				t.Errorf("%d offices: %s waits for %s", offices, s.me.ID, s.node.WaitsFor())
+			}
+		}
+	}
+}
+
+// One machine (two of five) is down with its disk, and nobody comes in its place: another that is told to end waits for
+// it, as without it too few would hold what is acknowledged.
+func TestAHolderWaitsForOneThatIsDown(t *testing.T) {
+	for _, offices := range []int{3, 5} {
+		for seed := range int64(4) {
+			y := pacedYard(t, seed, offices)
+			lost := y.picks(int(seed))
+			for _, s := range lost {
+				y.stop(s)
+			}
+			y.pass(2 * clock.Sec)
+			var holder *spot
+			for _, s := range y.living() {
+				if s.node != nil {
+					holder = s
+				}
+			}
+			y.step(holder, Event{Leave: true})
+			y.pass(clock.Sec)
+			before := y.most
+			y.pass(clock.Sec)
+			if holder.node.Left() || holder.node.WaitsFor() == "" || y.most == before {
+				t.Fatalf("%d offices, seed %d: left %v, %d acknowledged in a second, in %+v", offices, seed, holder.node.Left(), y.most-before, holder.node.view)
+			}
+			for _, s := range lost {
+				y.start(s, false)
+			}
+			for endUs := y.nowUs + 4*clock.Sec; y.nowUs < endUs && !holder.node.Left(); {
+				y.pass(yardStepUs)
+			}
+			if !holder.node.Left() {
+				t.Fatalf("%d offices, seed %d: it waits for %s", offices, seed, holder.node.WaitsFor())
+			}
+			y.terminate(holder)
+			y.pass(clock.Sec)
+			y.start(holder, false)
+			y.settles(20*clock.Sec, "back")
+		}
+	}
+}
