--- a/internal/chain/status.go
+++ b/internal/chain/status.go
@@ -24,7 +24,7 @@
 	return n.IsTail() && n.openKnown && n.commit >= n.openAt && nowUs < n.leaseUs
 }
 
-// HeadFresh: a head only gives orders while the chain answered it lately.
+// HeadFresh says that this process is the head and the chain has answered it lately; only such a head gives orders.
 func (n *Node) HeadFresh(nowUs int64) bool {
 	if !n.IsHead() {
 		return false
@@ -35,14 +35,26 @@
 	return n.tailEchoUs > 0 && nowUs < n.tailEchoUs+n.opts.LeaseUs-n.opts.LeaseCutUs
 }
 
-// The state, the view and the place of this process, as of its last step.
+// State is the ledger as far as it is committed here.
 func (n *Node) State() *ledger.State { return n.state }
-func (n *Node) View() View           { return n.view }
-func (n *Node) Phase() Phase         { return n.phase }
-func (n *Node) Commit() uint64       { return n.commit }
-func (n *Node) Last() uint64         { return n.lastIndex() }
-func (n *Node) Me() Member           { return n.opts.Me }
-func (n *Node) Inc() string          { return n.opts.Inc }
+
+// View is the newest view that this process knows.
+func (n *Node) View() View { return n.view }
+
+// Phase is where this process stands towards the chain.
+func (n *Node) Phase() Phase { return n.phase }
+
+// Commit is the index of the last committed entry.
+func (n *Node) Commit() uint64 { return n.commit }
+
+// Last is the index of the last entry of the log.
+func (n *Node) Last() uint64 { return n.lastIndex() }
+
+// Me is the member that this process is of.
+func (n *Node) Me() Member { return n.opts.Me }
+
+// Inc names this process among those of its member.
+func (n *Node) Inc() string { return n.opts.Inc }
 
 // Settled says that the state of this office is the chain's: it has had a seat in this life and holds
 // all that was committed before it.
