--- a/proofs/sim/routed_cutoff.go
+++ b/proofs/sim/routed_cutoff.go
@@ -34,6 +34,7 @@
 // Role says which control machine is struck, by what it does at that moment.
 type Role string
 
+// The roles: by place in the chain, the machine that leads, and one that is being taken in.
 const (
 	HeadRole       Role = "head"
 	MiddleRole     Role = "middle"
@@ -47,13 +48,14 @@
 // Way is how a cut shows at the ends.
 type Way string
 
+// The ways of a cut.
 const (
-	// SilentWay: packets vanish in both directions.
+	// SilentWay means that packets vanish in both directions.
 	SilentWay Way = "silent"
-	// MuteWay: what they say vanishes, what is said to them arrives. DeafWay is the other direction.
+	// MuteWay means that what they say vanishes, and what is said to them arrives. DeafWay is the other direction.
 	MuteWay Way = "mute"
 	DeafWay Way = "deaf"
-	// ResetWay: calls fail at once, and connections that are open end.
+	// ResetWay means that calls fail at once, and connections that are open end.
 	ResetWay Way = "reset"
 )
 
@@ -63,6 +65,7 @@
 	lure  []*routedOffice
 	meet  []*routedOffice
 	joins bool
+	left  int
 }
 
 func (c *cutOffState) refuses(from, to string) bool { return c.reset[[2]string{from, to}] }
@@ -248,15 +251,22 @@
 	}
 }
 
-// drainOne lets a replica leave and another come in its place.
+// drainOne lets a replica of each service leave and another come in its place. One says that it drains, the
+// other that it is gone; which is which goes by turns.
 func (d *routedDay) drainOne() {
-	for _, service := range []string{"cards", "log"} {
+	d.cutOff.left++
+	for i, service := range []string{"cards", "log"} {
 		for _, p := range d.running(service) {
-			if !p.core.Draining {
-				d.fresh(p)
+			if p.core.Draining {
+				continue
+			}
+			d.fresh(p)
+			if (d.cutOff.left+i)%2 == 0 {
+				p.withdraw()
+			} else {
 				p.drain()
-				break
 			}
+			break
 		}
 	}
 }
