--- a/proofs/brief/contract_test.go
+++ b/proofs/brief/contract_test.go
@@ -12,12 +12,14 @@
 	"petreltide/proofs/sim"
 )
 
-// codeName is a place in the code as the page on the contract names it: `file.go: name`.
-var codeName = regexp.MustCompile("`([a-z][\\w/]*\\.go): (\\w+)`")
+// codeName is a function as the page on the contract names it: `folder: function`. Files are not named, as functions
+// move between them.
+var codeName = regexp.MustCompile("`([a-z][\\w/]*): (\\w+)`")
 
 // contractFaults are what is wrong with the page: rows that name no code, no test and no open point, and names of
-// what is not there. source gives the text of a file, or false.
-func contractFaults(page string, tests map[string]bool, source func(file string) (string, bool)) []string {
+// what is not there. source gives the code of a
+// folder without its tests, or false.
+func contractFaults(page string, tests map[string]bool, source func(folder string) (string, bool)) []string {
 	faults := []string{}
 	rows := 0
 	for _, line := range strings.Split(page, "\n") {
@@ -47,7 +49,7 @@
 			text, there := source(m[1])
 			switch {
 			case !there:
-				faults = append(faults, fmt.Sprintf("%.60s: no file %s", what, m[1]))
+				faults = append(faults, fmt.Sprintf("%.60s: no folder %s", what, m[1]))
 			case !regexp.MustCompile(`(?m)^func (\([^)]*\) )?` + m[2] + `[\[(]`).MatchString(text):
 				faults = append(faults, fmt.Sprintf("%.60s: no function %s in %s", what, m[2], m[1]))
 			}
@@ -68,10 +70,7 @@
 	for name := range fuzzTestsUnder(t, "../..") {
 		tests[name] = true
 	}
-	faults := contractFaults(string(raw), tests, func(file string) (string, bool) {
-		text, err := os.ReadFile(filepath.Join("../..", file))
-		return string(text), err == nil
-	})
+	faults := contractFaults(string(raw), tests, codeOf)
 	for _, f := range faults {
 		t.Error(f)
 	}
@@ -81,23 +80,43 @@
 	}
 }
 
+// codeOf is the code of a folder without its tests, or false where there is none.
+func codeOf(folder string) (string, bool) {
+	files, err := filepath.Glob(filepath.Join("../..", folder, "*.go"))
+	if err != nil {
+		return "", false
+	}
+	all := ""
+	for _, file := range files {
+		if strings.HasSuffix(file, "_test.go") {
+			continue
+		}
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return "", false
+		}
+		all += string(text)
+	}
+	return all, all != ""
+}
+
 func TestTheReaderOfTheContractPageCanFail(t *testing.T) {
 	page := "| line | kept by | shown by |\n| --- | --- | --- |\n" +
-		"| sound | `a/b.go: keeps` | `TestHere` |\n" +
-		"| open | `a/b.go: keeps` | *open*: nothing yet |\n" +
-		"| no test | `a/b.go: keeps` | by word |\n" +
-		"| a test that is gone | `a/b.go: keeps` | `TestGone`, *open* |\n" +
-		"| a file that is gone | `a/c.go: keeps` | `TestHere` |\n" +
-		"| a function that is gone | `a/b.go: kept` | `TestHere` |\n" +
+		"| sound | `a/b: keeps` | `TestHere` |\n" +
+		"| open | `a/b: keeps` | *open*: nothing yet |\n" +
+		"| no test | `a/b: keeps` | by word |\n" +
+		"| a test that is gone | `a/b: keeps` | `TestGone`, *open* |\n" +
+		"| a folder that is gone | `a/c: keeps` | `TestHere` |\n" +
+		"| a function that is gone | `a/b: kept` | `TestHere` |\n" +
 		"| no code | somewhere | `TestHere` |\n" +
-		"| two cells | `a/b.go: keeps` |\n"
-	got := contractFaults(page, map[string]bool{"TestHere": true}, func(file string) (string, bool) {
-		return "package a\n\nfunc (k *kept) keeps(n int) {}\n", file == "a/b.go"
+		"| two cells | `a/b: keeps` |\n"
+	got := contractFaults(page, map[string]bool{"TestHere": true}, func(folder string) (string, bool) {
+		return "package a\n\nfunc (k *kept) keeps(n int) {}\n", folder == "a/b"
 	})
 	slices.Sort(got)
 	want := []string{
-		"a file that is gone: no file a/c.go", "a function that is gone: no function kept in a/b.go", "a test that is gone: no test TestGone",
-		"no code: no code is named", "no test: neither a test nor open", "| two cells | `a/b.go: keeps` |: 2 cells",
+		"a folder that is gone: no folder a/c", "a function that is gone: no function kept in a/b", "a test that is gone: no test TestGone",
+		"no code: no code is named", "no test: neither a test nor open", "| two cells | `a/b: keeps` |: 2 cells",
 	}
 	slices.Sort(want)
 	if !slices.Equal(got, want) {
--- a/proofs/sim/routed_replicas.go
+++ b/proofs/sim/routed_replicas.go
@@ -18,11 +18,14 @@
 	host     string
 	seq      uint64
 	wakeUs   int64
+	bornUs   int64
 	conns    map[uint64]*leg
 	leave    *rules.Leave
 	leavesUs int64
-	// withdrawn replicas have said that they are gone, and serve on for a while.
+	// withdrawn replicas have said that they are gone, and serve on for a while; those that speak go on with
+	// their heartbeats all the same.
 	withdrawn bool
+	speaks    bool
 	failing   func(int) bool
 	turning   func(int) bool
 	breaking  func(int) bool
@@ -40,7 +43,7 @@
 		addr = fmt.Sprintf("%s:%d", host, d.ports)
 	}
 	id := fmt.Sprintf("i-%d", d.lives)
-	p := &replicaNode{machine: machine{sim: d.Sim, name: id, addr: addr, up: true, boot: 1}, day: d, host: host, conns: map[uint64]*leg{}}
+	p := &replicaNode{machine: machine{sim: d.Sim, name: id, addr: addr, up: true, boot: 1}, day: d, host: host, bornUs: d.nowUs, conns: map[uint64]*leg{}}
 	if d.disks[host] == nil {
 		d.disks[host] = replica.NewDisk()
 	}
@@ -88,7 +91,7 @@
 func (p *replicaNode) row() roster.Row {
 	p.seq++
 	row := roster.Row{
-		ID: p.name, Service: p.core.Service(), Addr: p.addr, Zone: p.core.Zone(), Release: "v1", Slots: 6, Draining: p.core.Draining, Seq: p.seq,
+		ID: p.name, Service: p.core.Service(), Addr: p.addr, Zone: p.core.Zone(), Release: "v1", Slots: 6, Draining: p.core.Draining && !p.withdrawn, Seq: p.seq,
 	}
 	if p.core.Service() == "cards" {
 		row.Slots = p.day.engine.Slots
@@ -103,10 +106,9 @@
 }
 
 func (p *replicaNode) beat() {
-	if p.withdrawn {
-		return
+	if !p.withdrawn || p.speaks {
+		p.say(0)
 	}
-	p.say(0)
 	p.later(heartbeatUs-100*ms+p.day.r.Int63n(200*ms), p.beat)
 }
 
--- a/proofs/sim/routed_test.go
+++ b/proofs/sim/routed_test.go
@@ -71,8 +71,11 @@
 	}
 }
 
+// routedDays are as many as it takes to cause every kind of fault.
+const routedDays = 40
+
 func TestSeededRoutedDays(t *testing.T) {
-	from, count := seeds(32)
+	from, count := seeds(routedDays)
 	sum := &occasions{}
 	t.Run("days", func(t *testing.T) {
 		for seed := from; seed < from+count; seed++ {
@@ -86,7 +89,7 @@
 			})
 		}
 	})
-	if !t.Failed() && count >= 32 {
+	if !t.Failed() && count >= routedDays {
 		sum.judgeOf(t, append(RoutedFaultNames(), closingNames()...), rules.Routed)
 	}
 }
