--- a/internal/office/web.go
+++ b/internal/office/web.go
@@ -299,6 +299,15 @@
 	return mergeHere
 }
 
+// patchBase is what a patch is judged by: this office's own declaration where that is past the patch's base
+// already, as revisions only rise, else the newest.
+func (h *Host) patchBase(ctx context.Context, base uint64) (ConfigNow, bool) {
+	if own, ran := h.config(ctx); ran && own.Revision > base {
+		return own, true
+	}
+	return h.newestConfig(ctx)
+}
+
 func (h *Host) patchConfig(w http.ResponseWriter, r *http.Request) {
 	a, ok := h.asked(w, r)
 	if !ok {
@@ -308,7 +317,7 @@
 		h.reply(r.Context(), w, a.id, wire.Result{Outcome: first, Everywhere: true})
 		return
 	}
-	now, known := h.newestConfig(r.Context())
+	now, known := h.patchBase(r.Context(), a.base)
 	if !known {
 		writeFault(w, newestUnknown())
 		return
