Split the files of an office by their jobs (moves only)

config.go holds the operators' configuration interface, newest.go the reading of the newest state, listed.go this product's own way to the platform's list and to replicas, departures.go the words of replicas that leave.

--- /dev/null
+++ b/internal/office/config.go
@@ -0,0 +1,319 @@
+package office
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"petreltide/internal/actor"
+	"petreltide/internal/fault"
+	"petreltide/internal/ledger"
+	"petreltide/internal/placement"
+	"petreltide/internal/standing"
+	"petreltide/internal/wire"
+)
+
+const bodyMost = 4 << 20
+
+type ConfigNow struct {
+	Revision    uint64                `json:"revision"`
+	Index       uint64                `json:"index"`
+	Declaration *standing.Declaration `json:"declaration"`
+}
+
+type Applied struct {
+	Change   string `json:"change"`
+	Revision uint64 `json:"revision"`
+	Again    bool   `json:"again,omitempty"`
+	State    string `json:"state"`
+}
+
+func (h *Host) config(ctx context.Context) (ConfigNow, bool) {
+	return actor.Ask(ctx, h.act, func() ConfigNow {
+		s := h.core.Node.State()
+		return ConfigNow{Revision: s.Revision, Index: s.Index, Declaration: s.Doc}
+	})
+}
+
+// configAt waits a little for a revision the operator already knows of.
+func (h *Host) configAt(ctx context.Context, base uint64) ConfigNow {
+	for wait := 0; ; wait++ {
+		now, ran := h.config(ctx)
+		if !ran || now.Revision >= base || wait >= 20 {
+			return now
+		}
+		select {
+		case <-time.After(50 * time.Millisecond):
+		case <-ctx.Done():
+			return now
+		}
+	}
+}
+
+func (h *Host) getConfig(w http.ResponseWriter, r *http.Request) {
+	now, known := h.newestConfig(r.Context())
+	if !known {
+		writeFault(w, newestUnknown())
+		return
+	}
+	writeJSON(w, http.StatusOK, now)
+}
+
+// newestConfig is what an operator's change is judged by before it goes to the chain; false where nobody can
+// say what is in force.
+func (h *Host) newestConfig(ctx context.Context) (ConfigNow, bool) {
+	newest, known := h.Newest(ctx)
+	return ConfigNow{Revision: newest.Revision, Index: newest.Index, Declaration: newest.Doc}, known
+}
+
+func newestUnknown() *fault.Fault {
+	return fault.New(fault.NotServing, "", "this office cannot say what is in force: ask another")
+}
+
+func (h *Host) read(w http.ResponseWriter, r *http.Request) ([]byte, *fault.Fault) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
+	if err != nil {
+		return nil, fault.New(fault.TooLarge, "", "%v", err)
+	}
+	return raw, nil
+}
+
+func baseOf(r *http.Request) (uint64, bool, *fault.Fault) {
+	text := r.URL.Query().Get("base")
+	if text == "" {
+		return 0, false, nil
+	}
+	base, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, false, fault.New(fault.BadField, "base", "%q is not a revision number", text)
+	}
+	return base, true, nil
+}
+
+func changeOf(r *http.Request) (string, *fault.Fault) {
+	id := r.URL.Query().Get("change")
+	if id == "" {
+		return "op-" + RandomID(8), nil
+	}
+	if len(id) > 128 {
+		return "", fault.New(fault.BadField, "change", "longer than 128 bytes")
+	}
+	return "op-" + id, nil
+}
+
+type asked struct {
+	raw  []byte
+	base uint64
+	id   string
+}
+
+// asked reads what a whole declaration and a patch have in common.
+func (h *Host) asked(w http.ResponseWriter, r *http.Request) (asked, bool) {
+	raw, badBody := h.read(w, r)
+	base, given, badBase := baseOf(r)
+	id, badID := changeOf(r)
+	if badBase == nil && !given {
+		badBase = fault.New(fault.BadField, "base", "name the revision this is based on (0 for the first)")
+	}
+	for _, bad := range []*fault.Fault{badBody, badBase, badID} {
+		if bad != nil {
+			writeFault(w, bad)
+			return asked{}, false
+		}
+	}
+	return asked{raw, base, id}, true
+}
+
+func (h *Host) putConfig(w http.ResponseWriter, r *http.Request) {
+	if a, ok := h.asked(w, r); ok {
+		h.take(w, r, a)
+	}
+}
+
+func (h *Host) take(w http.ResponseWriter, r *http.Request, a asked) {
+	doc, bad := standing.Parse(a.raw, placement.Compile)
+	if bad != nil {
+		writeFault(w, bad)
+		return
+	}
+	h.change(w, r, ledger.Change{ID: a.id, Config: &ledger.ConfigChange{Base: a.base, Doc: doc}})
+}
+
+// patchStep is what becomes of a patch at this office.
+type patchStep int
+
+const (
+	// mergeHere: what the patch builds on is in force.
+	mergeHere patchStep = iota
+	// baseAhead: the base may come into force yet, and the patch be taken by another office then.
+	baseAhead
+	// leaveToChain: the base has been passed. The patch can't be taken any more, but it may have been taken before,
+	// and only the chain knows for sure.
+	leaveToChain
+	// nothingToPatch: no patch can build on the empty state.
+	nothingToPatch
+)
+
+// nextPatchStep judges a patch by the newest configuration there is.
+func nextPatchStep(now ConfigNow, base uint64) patchStep {
+	switch {
+	case now.Revision < base:
+		return baseAhead
+	case now.Revision > base:
+		return leaveToChain
+	case now.Declaration == nil:
+		return nothingToPatch
+	}
+	return mergeHere
+}
+
+// patchBase is what a patch is judged by: this office's own declaration where that is past the patch's base
+// already, as revisions only rise, else the newest.
+func (h *Host) patchBase(ctx context.Context, base uint64) (ConfigNow, bool) {
+	if own, ran := h.config(ctx); ran && own.Revision > base {
+		return own, true
+	}
+	return h.newestConfig(ctx)
+}
+
+func (h *Host) patchConfig(w http.ResponseWriter, r *http.Request) {
+	a, ok := h.asked(w, r)
+	if !ok {
+		return
+	}
+	if first, seen := h.seen(r.Context(), a.id); seen {
+		h.reply(r.Context(), w, a.id, wire.Result{Outcome: first, Everywhere: true})
+		return
+	}
+	now, known := h.patchBase(r.Context(), a.base)
+	if !known {
+		writeFault(w, newestUnknown())
+		return
+	}
+	switch nextPatchStep(now, a.base) {
+	case baseAhead:
+		writeFault(w, fault.New(fault.InDoubt, "base", "revision %d is not in force yet, only %d", a.base, now.Revision))
+		return
+	case nothingToPatch:
+		writeFault(w, fault.New(fault.StaleBase, "base", "there is no declaration yet"))
+		return
+	case leaveToChain:
+		h.change(w, r, ledger.Change{ID: a.id, Config: &ledger.ConfigChange{Base: a.base, Doc: now.Declaration}})
+		return
+	}
+	merged, bad := standing.Merge(now.Declaration, a.raw)
+	if bad != nil {
+		writeFault(w, bad)
+		return
+	}
+	a.raw = merged
+	h.take(w, r, a)
+}
+
+func (h *Host) seen(ctx context.Context, id string) (ledger.Outcome, bool) {
+	first, ran := actor.Ask(ctx, h.act, func() *ledger.Outcome {
+		out, seen := h.core.Seen(id)
+		if !seen {
+			return nil
+		}
+		return &out
+	})
+	if !ran || first == nil {
+		return ledger.Outcome{}, false
+	}
+	return *first, true
+}
+
+func (h *Host) change(w http.ResponseWriter, r *http.Request, c ledger.Change) {
+	result, ok := h.Submit(r.Context(), c, answerWait)
+	if ok {
+		h.reply(r.Context(), w, c.ID, result)
+		return
+	}
+	if out, seen := h.seen(r.Context(), c.ID); seen {
+		out.Again = false
+		h.reply(r.Context(), w, c.ID, wire.Result{Outcome: out})
+		return
+	}
+	doubt := fault.New(fault.InDoubt, "", "no answer from the chain in time; send the same change id %q again to learn what became of it", c.ID[3:])
+	doubt.RetryMs = 2000
+	writeFault(w, doubt)
+}
+
+// reply waits a little until this office shows what it answers: the tail answers before the offices ahead of
+// it have heard that the change is committed.
+func (h *Host) reply(ctx context.Context, w http.ResponseWriter, id string, r wire.Result) {
+	if r.Outcome.Fault != nil {
+		writeFault(w, r.Outcome.Fault)
+		return
+	}
+	h.configAt(ctx, r.Outcome.Revision)
+	a := Applied{Change: id[3:], Revision: r.Outcome.Revision, Again: r.Outcome.Again, State: "everywhere"}
+	status := http.StatusOK
+	if r.Outcome.Member {
+		a.State = "ordered"
+	} else if !r.Everywhere {
+		a.State = string(fault.NotEverywhere)
+		status = http.StatusAccepted
+	}
+	writeJSON(w, status, a)
+}
+
+// zone is a read, a merge and a write; it loses to another operator's change at most a few
+// times before it says so.
+func (h *Host) zone(w http.ResponseWriter, r *http.Request) {
+	zone, act := r.PathValue("zone"), r.PathValue("act")
+	id, bad := changeOf(r)
+	if bad == nil && act != "empty" && act != "restore" {
+		bad = fault.New(fault.NotFound, "act", "%q: want empty or restore", act)
+	}
+	if bad != nil {
+		writeFault(w, bad)
+		return
+	}
+	for try := 0; ; try++ {
+		now, known := h.newestConfig(r.Context())
+		if !known {
+			writeFault(w, newestUnknown())
+			return
+		}
+		if now.Declaration == nil {
+			writeFault(w, fault.New(fault.NoSuchZone, "zone", "no declaration yet"))
+			return
+		}
+		if !now.Declaration.HasZone(zone) {
+			writeFault(w, fault.New(fault.NoSuchZone, "zone", "%q is not declared", zone))
+			return
+		}
+		doc := *now.Declaration
+		doc.Emptied = nil
+		for _, z := range now.Declaration.Emptied {
+			if z != zone {
+				doc.Emptied = append(doc.Emptied, z)
+			}
+		}
+		if act == "empty" {
+			doc.Emptied = append(doc.Emptied, zone)
+		}
+		c := ledger.Change{ID: id, Config: &ledger.ConfigChange{Base: now.Revision, Doc: &doc}}
+		if try > 0 {
+			c.ID = id + "-" + strconv.Itoa(try)
+		}
+		result, ok := h.Submit(r.Context(), c, answerWait)
+		if ok && result.Outcome.Fault != nil && result.Outcome.Fault.Code == fault.StaleBase && try < 8 {
+			continue
+		}
+		if !ok {
+			if out, seen := h.seen(r.Context(), c.ID); seen {
+				h.reply(r.Context(), w, c.ID, wire.Result{Outcome: out})
+				return
+			}
+			writeFault(w, fault.New(fault.InDoubt, "", "no answer from the chain in time; ask status, or send the same change id again"))
+			return
+		}
+		h.reply(r.Context(), w, id, result)
+		return
+	}
+}
--- a/internal/office/leaving.go
+++ b/internal/office/departures.go
@@ -1,6 +1,7 @@
 package office
 
 import (
+	"context"
 	"maps"
 	"slices"
 
@@ -154,3 +155,32 @@
 		c.reply(reply, known)
 	}
 }
+
+// Heard takes what a replica says of itself; true acknowledges it. It is known here all the same where this
+// office is out of contact and cannot acknowledge it.
+func (h *Host) Heard(ctx context.Context, row roster.Row) bool {
+	return h.word(ctx, Event{Heard: &row})
+}
+
+// Left takes the word that a replica's life has ended; true acknowledges it.
+func (h *Host) Left(ctx context.Context, id string) bool { return h.word(ctx, Event{Left: id}) }
+
+func (h *Host) word(ctx context.Context, ev Event) bool {
+	reply := make(chan bool, 1)
+	var number uint64
+	if !h.act.Do(ctx, func() {
+		h.replySeq++
+		number, ev.Reply = h.replySeq, h.replySeq
+		h.words[number] = reply
+		h.step(ev)
+	}) {
+		return false
+	}
+	select {
+	case ok := <-reply:
+		return ok
+	case <-ctx.Done():
+	case <-h.act.Ctx.Done():
+	}
+	return false
+}
