--- a/internal/office/config.go
+++ b/internal/office/config.go
@@ -15,14 +15,18 @@
 	"petreltide/internal/wire"
 )
 
+// bodyMost bounds what an operator may send, in bytes.
 const bodyMost = 4 << 20
 
+// ConfigNow is the declaration in force, with the revision that a change has to name as its base.
 type ConfigNow struct {
 	Revision    uint64                `json:"revision"`
 	Index       uint64                `json:"index"`
 	Declaration *standing.Declaration `json:"declaration"`
 }
 
+// Applied acknowledges a change. State is "everywhere", "ordered" for an order about members, or says that some
+// desks have not confirmed it yet.
 type Applied struct {
 	Change   string `json:"change"`
 	Revision uint64 `json:"revision"`
@@ -30,6 +34,7 @@
 	State    string `json:"state"`
 }
 
+// config is what this office itself holds, which may be old.
 func (h *Host) config(ctx context.Context) (ConfigNow, bool) {
 	return actor.Ask(ctx, h.act, func() ConfigNow {
 		s := h.core.Node.State()
--- a/internal/office/core.go
+++ b/internal/office/core.go
@@ -17,6 +17,8 @@
 
 const memberEveryUs = 500 * clock.Ms
 
+// Event is one thing that happens to an office; at most one field beside NowUs and Reply is set. With none it
+// is a tick.
 type Event struct {
 	NowUs      int64
 	Letter     *wire.Letter
@@ -39,11 +41,13 @@
 	DeskReport *wire.Report
 }
 
+// Reported is a desk's report and the number under which its lease is awaited.
 type Reported struct {
 	Report wire.Report
 	Reply  uint64
 }
 
+// Effect is one thing that the host has to do; one field is set, but for Note and Trouble, which go together.
 type Effect struct {
 	Letter     *Letter
 	Save       *chain.Save
@@ -58,11 +62,13 @@
 	Note       string
 }
 
+// Letter is a message to another office, at its address.
 type Letter struct {
 	Addr   string
 	Letter wire.Letter
 }
 
+// Leased answers a Reported with the same number.
 type Leased struct {
 	Reply uint64
 	Lease wire.Lease
@@ -98,8 +104,10 @@
 	Controller controller.Options
 }
 
+// NewCore is NewCoreWith without anything known of replicas.
 func NewCore(node *chain.Node) *Core { return NewCoreWith(node, CoreOptions{}) }
 
+// NewCoreWith is an office around its part of the chain.
 func NewCoreWith(node *chain.Node, opts CoreOptions) *Core {
 	return &Core{
 		Node: node, Room: feed.New(), Controller: controller.NewWith(node.Me().ID, opts.Controller), Watch: watch.New(), soft: newSoft(opts.DarkUs),
@@ -107,6 +115,7 @@
 	}
 }
 
+// Step takes one event and returns what has to be done because of it, in order.
 func (c *Core) Step(ev Event) []Effect {
 	c.effects = nil
 	c.woke(ev.NowUs)
@@ -336,6 +345,7 @@
 	return text
 }
 
+// Status is what an office knows of itself, the chain and the fleet. It is this office's own view, and may be old.
 type Status struct {
 	Office   chain.Member            `json:"office"`
 	Phase    chain.Phase             `json:"phase"`
@@ -370,6 +380,7 @@
 	Outliers []outlier.Row `json:"outliers,omitempty"`
 }
 
+// Status is this office's own view of now.
 func (c *Core) Status(nowUs int64) Status {
 	s := c.Node.State()
 	st := Status{
--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -48,6 +48,7 @@
 	selfAskUs     = 200 * clock.Ms
 )
 
+// RandomID is as many random bytes, in hexadecimal.
 func RandomID(bytes int) string {
 	raw := make([]byte, bytes)
 	if _, err := rand.Read(raw); err != nil {
@@ -56,6 +57,7 @@
 	return hex.EncodeToString(raw)
 }
 
+// Host runs a Core: it gives it events one at a time and carries out its effects on disk, network and clock.
 type Host struct {
 	set   settings.Office
 	core  *Core
