--- a/internal/chain/cutoff_test.go
+++ b/internal/chain/cutoff_test.go
@@ -60,7 +60,7 @@
 func TestEveryInterleavingWhileAMemberIsCutOff(t *testing.T) {
 	depth, stride := cutDepth, cutPathStride
 	if raced {
-		depth, stride = racedDepth, 2*cutPathStride
+		depth, stride = racedDepth, cutPathStride/2
 	}
 	all := cutScenarios()
 	for _, name := range slices.Sorted(maps.Keys(all)) {
