--- a/internal/controller/routed.go
+++ b/internal/controller/routed.go
@@ -5,11 +5,15 @@
 	"petreltide/internal/ledger"
 )
 
+// OrderFlightUs bounds how long an order may be on its way to a replica: its sender gives it up then, and resets the
+// connection. A successor waits so long beside the lease, as an order may arrive after the last that was heard of it.
+const OrderFlightUs = 900 * clock.Ms
+
 const (
 	routedPolicyUs  = 500 * clock.Ms
 	routedUrgentUs  = 30 * clock.Ms
 	holderFreshUs   = 1100 * clock.Ms
-	leaseSlackUs    = 250 * clock.Ms
+	leaseSlackUs    = OrderFlightUs + 100*clock.Ms
 	askLateUs       = 300 * clock.Ms
 	askAgainUs      = 90 * clock.Ms
 	orderAgainUs    = 700 * clock.Ms
--- a/internal/controller/turns_test.go
+++ b/internal/controller/turns_test.go
@@ -106,3 +106,17 @@
 		}
 	}
 }
+
+// An order may reach its replica long after the last that the ledger shows of it, as over a link that loses packets.
+// Whoever holds the duty next leaves a whole lease between that arrival and its own first order.
+func TestAnOrderThatWasOnItsWayIsNoTurnWithinTheLease(t *testing.T) {
+	f := NewWith("two", Options{LeaseUs: fleetLeaseUs})
+	f.turns.atUs = map[string]int64{"r0": 9 * clock.Sec}
+	arrivedUs := 9*clock.Sec + OrderFlightUs
+	if f.mayOrder(arrivedUs+fleetLeaseUs, "r0") {
+		t.Error("ordered within a lease of an order that took its whole time")
+	}
+	if !f.mayOrder(arrivedUs+fleetLeaseUs+200*clock.Ms, "r0") {
+		t.Error("it waits longer than there is a reason for")
+	}
+}
--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -35,7 +35,7 @@
 	partnerWait  = 15 * time.Second
 	keyWait      = 2 * time.Second
 	resubmit     = 400 * time.Millisecond
-	replicaWait  = 900 * time.Millisecond
+	replicaWait  = time.Duration(controller.OrderFlightUs) * time.Microsecond
 	platformWait = 800 * time.Millisecond
 
 	seekSettled   = 5 * time.Second
