--- a/internal/office/fleet.go
+++ b/internal/office/fleet.go
@@ -34,11 +34,15 @@
 type ReplicaState string
 
 const (
-	ReplicaReady    ReplicaState = "ready"
+	// ReplicaReady replicas take requests.
+	ReplicaReady ReplicaState = "ready"
+	// ReplicaDraining replicas have said that they leave.
 	ReplicaDraining ReplicaState = "draining"
-	ReplicaDark     ReplicaState = "dark"
-	ReplicaGone     ReplicaState = "gone"
-	// ReplicaUnheard: the ledger knows it, and nobody has heard it since this office started.
+	// ReplicaDark replicas have missed their heartbeats for longer than is borne.
+	ReplicaDark ReplicaState = "dark"
+	// ReplicaGone replicas have ended.
+	ReplicaGone ReplicaState = "gone"
+	// ReplicaUnheard means that the ledger knows it, and nobody has heard it since this office started.
 	ReplicaUnheard ReplicaState = "unheard"
 )
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -15,12 +15,14 @@
 	"petreltide/internal/standing"
 )
 
+// Bounds of one run of a policy: interpreter steps, proposals it may make, and time.
 const (
 	StepsMost     = 3_000_000
 	ProposalsMost = 64
 	TimeMost      = 400 * time.Millisecond
 )
 
+// Proposal is one load or unload that a policy wants. Unit is a model, or an adapter as model/adapter.
 type Proposal struct {
 	Step    ledger.Step `json:"step"`
 	Replica string      `json:"replica"`
@@ -30,6 +32,7 @@
 	For string `json:"for,omitempty"`
 }
 
+// Replica is one replica as a policy sees it. Sizes are in MB; InFlight counts requests that run there.
 type Replica struct {
 	ID       string
 	Zone     string
@@ -43,6 +46,8 @@
 	InFlight int
 }
 
+// Fleet is all that a policy sees: the declaration, the scaler's counts, arrivals a second and waiting requests by
+// model, and the replicas.
 type Fleet struct {
 	Doc      *standing.Declaration
 	Counts   []scaler.Count
@@ -51,6 +56,7 @@
 	Replicas []Replica
 }
 
+// Answer is what a run of a policy gave: its proposals, or the fault that ended it, and the steps it took.
 type Answer struct {
 	Policy    string
 	Proposals []Proposal
@@ -66,6 +72,7 @@
 	return t
 }
 
+// Compile checks a policy's source without running its decision; nil where it may be used.
 func Compile(name, source string) *fault.Fault {
 	_, program, err := starlark.SourceProgramOptions(dialect, name+".star", source, func(string) bool { return false })
 	if err != nil {
@@ -209,6 +216,7 @@
 	atUs     int64
 }
 
+// Fill adds the rate since the last call, up to the burst less what is unconfirmed in MB.
 func (b *Bucket) Fill(nowUs int64, store standing.Store, unconfirmedMb int64) {
 	if b.atUs != 0 && nowUs > b.atUs {
 		b.TokensMb += float64(nowUs-b.atUs) / 1e6 * float64(store.MbPerSecond) * 0.98
@@ -217,10 +225,13 @@
 	b.atUs = nowUs
 }
 
+// Empty starts the bucket anew with nothing in it.
 func (b *Bucket) Empty() { *b = Bucket{} }
 
+// Spend takes a load's size in MB out of the bucket.
 func (b *Bucket) Spend(mb int64) { b.TokensMb -= float64(mb) }
 
+// Verdict is what the checker said to a proposal; Fault is nil where it was taken.
 type Verdict struct {
 	Proposal Proposal     `json:"proposal"`
 	Fault    *fault.Fault `json:"fault,omitempty"`
@@ -303,6 +314,7 @@
 	return t, nil
 }
 
+// Summary counts verdicts by fault, in one line for logs.
 func Summary(verdicts []Verdict) string {
 	byCode := map[string]int{}
 	for _, v := range verdicts {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -37,6 +37,7 @@
 
 const logMost = 8192
 
+// New is an empty roster, which calls a replica dark after darkUs without a heartbeat.
 func New(darkUs int64) *Roster { return &Roster{DarkUs: darkUs, rows: map[string]*Entry{}} }
 
 func (r *Roster) touch(e *Entry) {
@@ -181,6 +182,8 @@
 	return r.sorted
 }
 
+// Row is the entry of one life; nil where it is not known.
 func (r *Roster) Row(id string) *Entry { return r.rows[id] }
 
+// Len is how many lives are known, those that have ended among them.
 func (r *Roster) Len() int { return len(r.rows) }
--- a/internal/roster/row.go
+++ b/internal/roster/row.go
@@ -32,6 +32,7 @@
 		r.Draining == o.Draining && (r.LeftMs > 0) == (o.LeftMs > 0) && (r.ColdMs > 0) == (o.ColdMs > 0) && r.Gone == o.Gone && slices.Equal(r.Units, o.Units)
 }
 
+// Holds says whether the replica said that it holds a model or an adapter.
 func (r *Row) Holds(unit string) bool {
 	_, ok := slices.BinarySearch(r.Units, unit)
 	return ok
--- a/internal/subscriber/mirror.go
+++ b/internal/subscriber/mirror.go
@@ -38,6 +38,8 @@
 	Unreached string
 }
 
+// MirrorEffect is one thing that the mirror wants done: a stream opened or closed, a report sent to an address, or a
+// snapshot published.
 type MirrorEffect struct {
 	Open     *Stream
 	Close    uint64
@@ -102,6 +104,7 @@
 	effects []MirrorEffect
 }
 
+// NewMirror is a mirror that knows nothing but its seeds.
 func NewMirror(opts Options) *Mirror {
 	return &Mirror{opts: opts, sources: map[uint64]*source{}, shyUs: map[string]int64{}, deafUs: map[string]int64{}, behindUs: map[string]int64{}, best: map[string]wire.ReplicaRow{}, touched: map[string]bool{}, offices: map[string]chain.Member{}}
 }
@@ -122,6 +125,7 @@
 	return addrs
 }
 
+// View is the newest view of the chain that an office told.
 func (m *Mirror) View() chain.View { return m.view }
 
 // Live counts the offices that push to this desk now.
@@ -135,6 +139,7 @@
 	return n
 }
 
+// Step takes one event, or the passing of time alone, and returns what is to be done.
 func (m *Mirror) Step(ev MirrorEvent) []MirrorEffect {
 	m.effects = nil
 	switch {
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -17,6 +17,7 @@
 	leaseCutUs = 50 * clock.Ms
 )
 
+// Event is one thing that happened to the subscriber; with all fields but NowUs empty, time has passed.
 type Event struct {
 	NowUs  int64
 	Where  *wire.Where
@@ -26,6 +27,7 @@
 	Closed uint64
 }
 
+// Effect is one thing that the subscriber wants done.
 type Effect struct {
 	AskWhere  []string
 	Follow    *Follow
@@ -36,12 +38,14 @@
 	Farewells []watch.Node
 }
 
+// Follow asks for the changes that the tail pushes. Number tells streams apart.
 type Follow struct {
 	Number uint64
 	Tail   chain.Seat
 	Ask    wire.Follow
 }
 
+// Options are who the subscriber is and where it asks first.
 type Options struct {
 	Desk  string
 	Inc   string
@@ -71,14 +75,19 @@
 	effects  []Effect
 }
 
+// New is a subscriber that knows nothing but its seeds.
 func New(opts Options) *Subscriber { return &Subscriber{opts: opts, watch: watch.New()} }
 
+// Silent are the nodes that this one watches and has not heard for too long.
 func (l *Subscriber) Silent(nowUs int64) []string { return l.watch.Silent(nowUs) }
 
+// Where is what it was last told of the offices and their view.
 func (l *Subscriber) Where() wire.Where { return l.where }
 
+// Tail is the seat that it follows.
 func (l *Subscriber) Tail() chain.Seat { return l.where.View.Tail() }
 
+// Offices are all addresses that may be an office's, those that were met first.
 func (l *Subscriber) Offices() []string {
 	addrs := []string{}
 	seen := map[string]bool{l.opts.Addr: true}
@@ -97,6 +106,7 @@
 	return addrs
 }
 
+// Step takes one event and returns what is to be done.
 func (l *Subscriber) Step(ev Event) []Effect {
 	l.effects = nil
 	switch {
