Queue a call again in one place in the decider

The declared and the granted path ended alike where an attempt came to nothing: terms, the bound on attempts, the note, the queue. waitAgain serves both; behaviour is the same.

--- a/internal/dispatch/finish.go
+++ b/internal/dispatch/finish.go
@@ -84,6 +84,11 @@
 		return
 	}
 	c.Had = int(c.Progress.Load())
+	d.waitAgain(c, on, e.Ending)
+}
+
+// waitAgain queues a call whose attempt at a replica came to nothing, unless its terms or its attempts have run out.
+func (d *Decider) waitAgain(c *Call, on string, ending Ending) {
 	if !d.applyTerms(c) {
 		return
 	}
@@ -91,7 +96,7 @@
 		d.give(c, fault.Overloaded, "its legs were refused or lost too often", d.RetryMs())
 		return
 	}
-	d.note(c, "waits again", on, string(e.Ending))
+	d.note(c, "waits again", on, string(ending))
 	d.enqueue(c)
 }
 
--- a/internal/dispatch/routed.go
+++ b/internal/dispatch/routed.go
@@ -149,15 +149,7 @@
 		d.finish(c, e.Ending, on)
 		return
 	}
-	if !d.applyTerms(c) {
-		return
-	}
-	if c.legs >= legsMost {
-		d.give(c, fault.Overloaded, "its legs were refused or lost too often", d.RetryMs())
-		return
-	}
-	d.note(c, "waits again", on, string(e.Ending))
-	d.enqueue(c)
+	d.waitAgain(c, on, e.Ending)
 }
 
 // maySendRouted: the newest declaration still sends this route to that service, and the life is known
