Split the controller's main file by its jobs

Events and effects, what gateways report, writes to the ledger, runs of policies and tickets for declared replicas have files of their own now. Declarations were moved only.

--- a/internal/controller/hear.go
+++ b/internal/controller/hear.go
@@ -191,3 +191,19 @@
 		f.came(nowUs, t)
 	}
 }
+
+func (f *Controller) told(nowUs int64, t Told) {
+	row := f.replicas[t.Replica]
+	if row == nil || row.addr != t.Addr {
+		row = &told{addr: t.Addr, askedUs: nowUs}
+		f.replicas[t.Replica] = row
+	}
+	if t.State == nil || t.State.ID != t.Replica || t.State.Inc == "" || !fitHoldings(t.State.Holds) {
+		f.count(fault.ReplicaFailed)
+		return
+	}
+	if t.AskedUs < row.heardUs {
+		return
+	}
+	row.state, row.atUs, row.heardUs = *t.State, nowUs, t.AskedUs
+}
--- a/internal/controller/share.go
+++ b/internal/controller/share.go
@@ -6,38 +6,6 @@
 	"petreltide/internal/ledger"
 )
 
-func (f *Controller) dropDesks(seen Seen, duty *ledger.Duty) {
-	for _, id := range sorted(f.desks) {
-		if seen.NowUs-f.desks[id].atUs > deskGoneUs {
-			duty.Desks = append(duty.Desks, id)
-			delete(f.desks, id)
-		}
-	}
-}
-
-func (f *Controller) forgetDesks(nowUs int64) {
-	for id, d := range f.desks {
-		if nowUs-d.atUs > deskGoneUs {
-			delete(f.desks, id)
-		}
-	}
-}
-
-// silent: both watchers that the ring names miss its beats, and its own reports have stopped too.
-func (f *Controller) silent(nowUs int64, id string) bool {
-	return nowUs-f.desks[id].atUs > reportLateUs && f.jury.Gone(nowUs, id)
-}
-
-func (f *Controller) live(nowUs int64) []string {
-	ids := []string{}
-	for _, id := range sorted(f.desks) {
-		if d := f.desks[id]; nowUs-d.atUs < deskLiveUs && !d.report.Draining && !f.silent(nowUs, id) {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
 func (f *Controller) grant(seen Seen, duty *ledger.Duty) {
 	s := seen.State
 	desks := f.live(seen.NowUs)
@@ -161,20 +129,3 @@
 		f.marks = f.marks[1:]
 	}
 }
-
-func (f *Controller) demand(nowUs int64) (rates map[string]float64, waiting map[string]int) {
-	rates, waiting = map[string]float64{}, map[string]int{}
-	for _, id := range sorted(f.desks) {
-		d := f.desks[id]
-		if nowUs-d.atUs > deskLiveUs {
-			continue
-		}
-		for unit, rate := range d.report.Arrivals {
-			rates[unit] += rate
-		}
-		for unit, n := range d.report.Waiting {
-			waiting[unit] += n
-		}
-	}
-	return rates, waiting
-}
