Let one account check proposals of both kinds of replicas

The two checkers repeated what they have in common: an order under way, the step, what is held, room. They are methods of one running account now and share those checks, in the same order and with the same faults. The sum of room that earlier loads of an answer take at a replica is gone: a replica gets one ticket of an answer at the most, so that it was always zero when it was read.

--- /dev/null
+++ b/internal/placement/check.go
@@ -0,0 +1,172 @@
+package placement
+
+import (
+	"fmt"
+	"petreltide/internal/fault"
+	"petreltide/internal/ledger"
+	"sort"
+	"strings"
+)
+
+// Verdict is what the checker said to a proposal; Fault is nil where it was taken.
+type Verdict struct {
+	Proposal Proposal     `json:"proposal"`
+	Fault    *fault.Fault `json:"fault,omitempty"`
+}
+
+// Check takes or refuses each proposal against a running account of room, rate and pending
+// orders, so that two proposals of one answer cannot both use the same room.
+func Check(s *ledger.State, freeTokensMb float64, proposals []Proposal) (tickets []ledger.Ticket, verdicts []Verdict) {
+	a := &account{s: s, taken: map[string]bool{}, loads: s.PendingLoads(), tokensMb: freeTokensMb}
+	return a.checkAll(proposals, a.checkDeclared)
+}
+
+// CheckRouted takes or refuses each proposal for services with engines, against a running account of
+// room, places, pending orders and what the store still gives.
+func CheckRouted(s *ledger.State, storeLeft int, proposals []Proposal) (tickets []ledger.Ticket, verdicts []Verdict) {
+	a := &account{s: s, taken: map[string]bool{}, storeLeft: storeLeft}
+	return a.checkAll(proposals, a.checkRouted)
+}
+
+// account is what the proposals of one answer have used up so far.
+type account struct {
+	s *ledger.State
+	// taken are replicas that have a ticket of this answer; each gets one at the most.
+	taken map[string]bool
+	// loads are those that are pending or taken, tokensMb what may be loaded now; both of replicas that the platform lists.
+	loads    int
+	tokensMb float64
+	// storeLeft is how many loads the store still gives to replicas that make themselves known.
+	storeLeft int
+}
+
+// checkAll gives a verdict on each proposal, in order, and the tickets of those that were taken.
+func (a *account) checkAll(proposals []Proposal, check func(Proposal) (ledger.Ticket, *fault.Fault)) (tickets []ledger.Ticket, verdicts []Verdict) {
+	for _, p := range proposals {
+		t, f := check(p)
+		verdicts = append(verdicts, Verdict{Proposal: p, Fault: f})
+		if f != nil {
+			continue
+		}
+		a.taken[p.Replica] = true
+		tickets = append(tickets, t)
+	}
+	return tickets, verdicts
+}
+
+// checkDeclared checks a proposal for a replica that the platform lists.
+func (a *account) checkDeclared(p Proposal) (ledger.Ticket, *fault.Fault) {
+	r := a.s.Replicas[p.Replica]
+	if r == nil {
+		return ledger.Ticket{}, fault.New(fault.ReplicaUnknown, p.Replica, "no such replica")
+	}
+	t, f := a.step(r, p)
+	switch {
+	case f != nil:
+		return t, f
+	case p.Step == ledger.Unload:
+		return t, a.adapterLeft(r, p)
+	}
+	sizeMb, _, known := a.s.Doc.UnitMb(p.Unit)
+	if !known {
+		return t, fault.New(fault.PolicyNonsense, p.Unit, "no such model or adapter")
+	}
+	if f := a.mayHold(r, p, sizeMb); f != nil {
+		return t, f
+	}
+	if f := a.spendRate(p, sizeMb); f != nil {
+		return t, f
+	}
+	t.SizeMb = sizeMb
+	return t, nil
+}
+
+// step checks that a replica may get an order, and that the step is one: an unload of what is held there, whose
+// ticket is whole with that, or a load.
+func (a *account) step(r *ledger.Replica, p Proposal) (ledger.Ticket, *fault.Fault) {
+	t := ledger.Ticket{Revision: a.s.Revision, Replica: r.ID, Inc: r.Inc, Step: p.Step, Unit: p.Unit, Why: p.Why}
+	if _, pending := a.s.Pending[p.Replica]; pending || a.taken[p.Replica] {
+		return t, fault.New(fault.ReplicaBusy, p.Replica, "an order is pending")
+	}
+	switch p.Step {
+	case ledger.Unload:
+		heldMb, held := r.Holds[p.Unit]
+		if !held {
+			return t, fault.New(fault.NotHeld, p.Replica, "%s is not held", p.Unit)
+		}
+		t.SizeMb = heldMb
+		return t, nil
+	case ledger.Load:
+		return t, nil
+	}
+	return t, fault.New(fault.PolicyNonsense, p.Replica, "no such step %q", p.Step)
+}
+
+// adapterLeft: a model does not go from a replica while adapters of it are there.
+func (a *account) adapterLeft(r *ledger.Replica, p Proposal) *fault.Fault {
+	for unit := range r.Holds {
+		if adapter := a.s.Doc.Adapter(unit); adapter != nil && adapter.Model == p.Unit {
+			return fault.New(fault.TicketRefused, p.Replica, "adapter %s of %s is still held", unit, p.Unit)
+		}
+	}
+	return nil
+}
+
+// mayHold: a listed replica stays, does not hold a unit yet, has its model if it is an adapter, and has room for it.
+func (a *account) mayHold(r *ledger.Replica, p Proposal, sizeMb int64) *fault.Fault {
+	if !r.Usable(a.s.Doc) {
+		return fault.New(fault.ReplicaLeaving, p.Replica, "it is leaving, dark or in an emptied zone")
+	}
+	if _, held := r.Holds[p.Unit]; held {
+		return fault.New(fault.AlreadyHeld, p.Replica, "%s is already held", p.Unit)
+	}
+	if adapter := a.s.Doc.Adapter(p.Unit); adapter != nil {
+		if _, base := r.Holds[adapter.Model]; !base {
+			return fault.New(fault.NotHeld, p.Replica, "adapter %s needs model %s there", adapter.Name, adapter.Model)
+		}
+	}
+	return a.room(r, p, sizeMb)
+}
+
+// room: a unit fits beside all that is held or on its way.
+func (a *account) room(r *ledger.Replica, p Proposal, sizeMb int64) *fault.Fault {
+	if takenMb := a.s.TakenMb(r.ID); takenMb+sizeMb > r.RoomMb {
+		return fault.New(fault.NoRoom, p.Replica, "%s takes %d MB, %d of %d MB are taken", p.Unit, sizeMb, takenMb, r.RoomMb)
+	}
+	return nil
+}
+
+// spendRate takes a load out of what the weight store bears now.
+func (a *account) spendRate(p Proposal, sizeMb int64) *fault.Fault {
+	if a.loads >= a.s.Doc.Store.Loads {
+		return fault.New(fault.StoreRate, p.Replica, "%d loads are running", a.loads)
+	}
+	if a.tokensMb < float64(sizeMb) {
+		return fault.New(fault.StoreRate, p.Replica, "%.0f MB may be loaded now, %s takes %d", a.tokensMb, p.Unit, sizeMb)
+	}
+	a.tokensMb -= float64(sizeMb)
+	a.loads++
+	return nil
+}
+
+// Summary counts verdicts by fault, in one line for logs.
+func Summary(verdicts []Verdict) string {
+	byCode := map[string]int{}
+	for _, v := range verdicts {
+		code := "taken"
+		if v.Fault != nil {
+			code = string(v.Fault.Code)
+		}
+		byCode[code]++
+	}
+	codes := make([]string, 0, len(byCode))
+	for c := range byCode {
+		codes = append(codes, c)
+	}
+	sort.Strings(codes)
+	parts := []string{}
+	for _, c := range codes {
+		parts = append(parts, fmt.Sprintf("%s %d", c, byCode[c]))
+	}
+	return strings.Join(parts, ", ")
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"fmt"
-	"sort"
 	"strings"
 	"time"
 
@@ -22,6 +20,9 @@
 	TimeMost      = 400 * time.Millisecond
 )
 
+// whyMost bounds the reason that a policy gives for a proposal, in bytes.
+const whyMost = 200
+
 // Proposal is one load or unload that a policy wants. Unit is a model, or an adapter as model/adapter.
 type Proposal struct {
 	Step    ledger.Step `json:"step"`
@@ -134,6 +135,7 @@
 	return fault.New(fault.PolicyFailed, name, "%s", text)
 }
 
+// read takes a policy's answer, a list of dicts, as proposals.
 func read(name string, result starlark.Value) ([]Proposal, *fault.Fault) {
 	list, ok := result.(*starlark.List)
 	if !ok {
@@ -148,31 +150,40 @@
 		if !ok {
 			return nil, fault.New(fault.PolicyNonsense, name, "proposal %d is %s, wants a dict", i, list.Index(i).Type())
 		}
-		p := Proposal{}
-		for _, item := range d.Items() {
-			key, okKey := starlark.AsString(item[0])
-			value, okValue := starlark.AsString(item[1])
-			if !okKey || !okValue {
-				return nil, fault.New(fault.PolicyNonsense, name, "proposal %d: keys and values are strings", i)
-			}
-			switch key {
-			case "step":
-				p.Step = ledger.Step(value)
-			case "replica":
-				p.Replica = value
-			case "unit":
-				p.Unit = value
-			case "why":
-				p.Why = value[:min(len(value), 200)]
-			default:
-				return nil, fault.New(fault.PolicyNonsense, name, "proposal %d: unknown key %q", i, key)
-			}
+		p, f := readProposal(name, i, d)
+		if f != nil {
+			return nil, f
 		}
 		proposals = append(proposals, p)
 	}
 	return proposals, nil
 }
 
+// readProposal takes one dict of a policy's answer.
+func readProposal(name string, i int, d *starlark.Dict) (p Proposal, f *fault.Fault) {
+	for _, item := range d.Items() {
+		key, okKey := starlark.AsString(item[0])
+		value, okValue := starlark.AsString(item[1])
+		if !okKey || !okValue {
+			return p, fault.New(fault.PolicyNonsense, name, "proposal %d: keys and values are strings", i)
+		}
+		switch key {
+		case "step":
+			p.Step = ledger.Step(value)
+		case "replica":
+			p.Replica = value
+		case "unit":
+			p.Unit = value
+		case "why":
+			p.Why = value[:min(len(value), whyMost)]
+		default:
+			return p, fault.New(fault.PolicyNonsense, name, "proposal %d: unknown key %q", i, key)
+		}
+	}
+	return p, nil
+}
+
+// starlark gives a fleet as policies read it.
 func (f Fleet) starlark() *starlark.Dict {
 	str := func(s string) starlark.Value { return starlark.String(s) }
 	num := func(n int64) starlark.Value { return starlark.MakeInt64(n) }
@@ -208,130 +219,3 @@
 	}
 	return d
 }
-
-// Bucket is the weight store's rate. It starts empty after a takeover or a gap. An order that
-// may still reach its replica at any time keeps its size out of the burst until it is confirmed.
-type Bucket struct {
-	TokensMb float64 `json:"tokensMb"`
-	atUs     int64
-}
-
-// Fill adds the rate since the last call, up to the burst less what is unconfirmed in MB.
-func (b *Bucket) Fill(nowUs int64, store standing.Store, unconfirmedMb int64) {
-	if b.atUs != 0 && nowUs > b.atUs {
-		b.TokensMb += float64(nowUs-b.atUs) / 1e6 * float64(store.MbPerSecond) * 0.98
-	}
-	b.TokensMb = min(b.TokensMb, float64(store.BurstMb-unconfirmedMb))
-	b.atUs = nowUs
-}
-
-// Empty starts the bucket anew with nothing in it.
-func (b *Bucket) Empty() { *b = Bucket{} }
-
-// Spend takes a load's size in MB out of the bucket.
-func (b *Bucket) Spend(mb int64) { b.TokensMb -= float64(mb) }
-
-// Verdict is what the checker said to a proposal; Fault is nil where it was taken.
-type Verdict struct {
-	Proposal Proposal     `json:"proposal"`
-	Fault    *fault.Fault `json:"fault,omitempty"`
-}
-
-// Check takes or refuses each proposal against a running account of room, rate and pending
-// orders, so that two proposals of one answer cannot both use the same room.
-func Check(s *ledger.State, freeTokensMb float64, proposals []Proposal) (tickets []ledger.Ticket, verdicts []Verdict) {
-	addedMb := map[string]int64{}
-	taken := map[string]bool{}
-	loads := s.PendingLoads()
-	for _, p := range proposals {
-		t, f := checkOne(s, p, taken, addedMb, loads, &freeTokensMb)
-		verdicts = append(verdicts, Verdict{Proposal: p, Fault: f})
-		if f != nil {
-			continue
-		}
-		taken[p.Replica] = true
-		if p.Step == ledger.Load {
-			loads++
-			addedMb[p.Replica] += t.SizeMb
-		}
-		tickets = append(tickets, t)
-	}
-	return tickets, verdicts
-}
-
-func checkOne(s *ledger.State, p Proposal, taken map[string]bool, addedMb map[string]int64, loads int, tokensMb *float64) (ledger.Ticket, *fault.Fault) {
-	none := ledger.Ticket{}
-	r := s.Replicas[p.Replica]
-	if r == nil {
-		return none, fault.New(fault.ReplicaUnknown, p.Replica, "no such replica")
-	}
-	sizeMb, _, known := s.Doc.UnitMb(p.Unit)
-	if _, pending := s.Pending[p.Replica]; pending || taken[p.Replica] {
-		return none, fault.New(fault.ReplicaBusy, p.Replica, "an order is pending")
-	}
-	_, held := r.Holds[p.Unit]
-	t := ledger.Ticket{Revision: s.Revision, Replica: r.ID, Inc: r.Inc, Step: p.Step, Unit: p.Unit, SizeMb: sizeMb, Why: p.Why}
-	switch p.Step {
-	case ledger.Unload:
-		if !held {
-			return none, fault.New(fault.NotHeld, p.Replica, "%s is not held", p.Unit)
-		}
-		for unit := range r.Holds {
-			if a := s.Doc.Adapter(unit); a != nil && a.Model == p.Unit {
-				return none, fault.New(fault.TicketRefused, p.Replica, "adapter %s of %s is still held", unit, p.Unit)
-			}
-		}
-		t.SizeMb = r.Holds[p.Unit]
-		return t, nil
-	case ledger.Load:
-	default:
-		return none, fault.New(fault.PolicyNonsense, p.Replica, "no such step %q", p.Step)
-	}
-	if !known {
-		return none, fault.New(fault.PolicyNonsense, p.Unit, "no such model or adapter")
-	}
-	if !r.Usable(s.Doc) {
-		return none, fault.New(fault.ReplicaLeaving, p.Replica, "it is leaving, dark or in an emptied zone")
-	}
-	if held {
-		return none, fault.New(fault.AlreadyHeld, p.Replica, "%s is already held", p.Unit)
-	}
-	if a := s.Doc.Adapter(p.Unit); a != nil {
-		if _, base := r.Holds[a.Model]; !base {
-			return none, fault.New(fault.NotHeld, p.Replica, "adapter %s needs model %s there", a.Name, a.Model)
-		}
-	}
-	if takenMb := s.TakenMb(r.ID) + addedMb[r.ID]; takenMb+sizeMb > r.RoomMb {
-		return none, fault.New(fault.NoRoom, p.Replica, "%s takes %d MB, %d of %d MB are taken", p.Unit, sizeMb, takenMb, r.RoomMb)
-	}
-	if loads >= s.Doc.Store.Loads {
-		return none, fault.New(fault.StoreRate, p.Replica, "%d loads are running", loads)
-	}
-	if *tokensMb < float64(sizeMb) {
-		return none, fault.New(fault.StoreRate, p.Replica, "%.0f MB may be loaded now, %s takes %d", *tokensMb, p.Unit, sizeMb)
-	}
-	*tokensMb -= float64(sizeMb)
-	return t, nil
-}
-
-// Summary counts verdicts by fault, in one line for logs.
-func Summary(verdicts []Verdict) string {
-	byCode := map[string]int{}
-	for _, v := range verdicts {
-		code := "taken"
-		if v.Fault != nil {
-			code = string(v.Fault.Code)
-		}
-		byCode[code]++
-	}
-	codes := make([]string, 0, len(byCode))
-	for c := range byCode {
-		codes = append(codes, c)
-	}
-	sort.Strings(codes)
-	parts := []string{}
-	for _, c := range codes {
-		parts = append(parts, fmt.Sprintf("%s %d", c, byCode[c]))
-	}
-	return strings.Join(parts, ", ")
-}
