--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -120,6 +120,7 @@
 	return f.claimed > 0 && s.Epoch == f.claimed && s.Holder == f.me
 }
 
+// sorted gives a map's keys in order.
 func sorted[V any](m map[string]V) []string {
 	return slices.Sorted(maps.Keys(m))
 }
@@ -129,13 +130,7 @@
 	f.effects = nil
 	switch {
 	case ev.Report != nil:
-		f.desks[ev.Report.Desk] = &deskRow{report: *ev.Report, atUs: ev.NowUs}
-		f.jury.Say(ev.NowUs, watch.Silence{By: ev.Report.Desk, Silent: ev.Report.Silent})
-		f.hearOutcomes(seen, ev.Report)
-		if seen.isRouted() && f.unplaced(seen, ev.Report) {
-			f.moved = true
-			f.act(seen)
-		}
+		f.reported(seen, ev.NowUs, ev.Report)
 	case ev.Silence != nil:
 		f.jury.Say(ev.NowUs, *ev.Silence)
 	case ev.Listed != nil:
@@ -164,10 +159,22 @@
 	return f.effects
 }
 
+// reported takes a gateway's report, and acts at once where calls wait for a unit that has no place.
+func (f *Controller) reported(seen Seen, nowUs int64, report *wire.Report) {
+	f.desks[report.Desk] = &deskRow{report: *report, atUs: nowUs}
+	f.jury.Say(nowUs, watch.Silence{By: report.Desk, Silent: report.Silent})
+	f.hearOutcomes(seen, report)
+	if seen.isRouted() && f.unplaced(seen, report) {
+		f.moved = true
+		f.act(seen)
+	}
+}
+
 func (f *Controller) do(e Effect) { f.effects = append(f.effects, e) }
 
 func (f *Controller) count(code fault.Code) { f.Faults[code]++ }
 
+// tick claims the duty where this office leads and nobody holds it for it, and does what is due by time.
 func (f *Controller) tick(seen Seen) {
 	if f.routed.bornUs == 0 {
 		f.routed.bornUs = seen.NowUs
@@ -177,14 +184,8 @@
 		f.leave()
 		return
 	}
-	s := seen.State
-	if !f.OnDuty(s) {
-		if f.claimUs == 0 || seen.NowUs-f.claimUs > writeLostUs {
-			f.leave()
-			f.claimUs = seen.NowUs
-			f.claimed = s.Epoch + 1
-			f.do(Effect{Write: &ledger.Change{ID: fmt.Sprintf("claim-%s-%d", f.me, f.claimed), Epoch: f.claimed, Claim: &ledger.Claim{Holder: f.me}}})
-		}
+	if !f.OnDuty(seen.State) {
+		f.claim(seen)
 		return
 	}
 	gapUs := seen.NowUs - f.tickUs
@@ -192,13 +193,30 @@
 	if !seen.Fresh || gapUs > gapMostUs {
 		f.bucket.Empty()
 	}
-	if !seen.Fresh {
-		return
-	}
-	if seen.isRouted() {
+	switch {
+	case !seen.Fresh:
+	case seen.isRouted():
 		f.routedTick(seen)
+	default:
+		f.declaredTick(seen)
+	}
+}
+
+// claim asks the ledger for the duty, again where the last claim may be lost.
+func (f *Controller) claim(seen Seen) {
+	if f.claimUs != 0 && seen.NowUs-f.claimUs <= writeLostUs {
 		return
 	}
+	f.leave()
+	f.claimUs = seen.NowUs
+	f.claimed = seen.State.Epoch + 1
+	f.do(Effect{Write: &ledger.Change{
+		ID: fmt.Sprintf("claim-%s-%d", f.me, f.claimed), Epoch: f.claimed, Claim: &ledger.Claim{Holder: f.me},
+	}})
+}
+
+// declaredTick is a tick of whoever holds the duty over replicas that the platform lists.
+func (f *Controller) declaredTick(seen Seen) {
 	f.fill(seen)
 	if seen.View != f.view {
 		f.view, f.viewUs, f.checked, f.listUs = seen.View, seen.NowUs, false, 0
@@ -207,7 +225,7 @@
 		f.listUs = seen.NowUs
 		f.do(Effect{PollList: true})
 	}
-	f.askReplicas(seen.NowUs, s)
+	f.askReplicas(seen.NowUs, seen.State)
 	f.orders(seen)
 	f.startPolicy(seen)
 	f.write(seen)
@@ -215,19 +233,20 @@
 
 // act writes and asks the policy at once where an event has made it worthwhile, not at the next tick.
 func (f *Controller) act(seen Seen) {
-	if seen.Head && seen.Fresh && f.OnDuty(seen.State) && seen.isRouted() {
-		f.routedOrders(seen)
-		f.startResident(seen)
-		f.write(seen)
+	if !seen.Head || !seen.Fresh || !f.OnDuty(seen.State) {
 		return
 	}
-	if seen.Head && seen.Fresh && f.OnDuty(seen.State) {
+	if seen.isRouted() {
+		f.routedOrders(seen)
+		f.startResident(seen)
+	} else {
 		f.fill(seen)
 		f.startPolicy(seen)
-		f.write(seen)
 	}
+	f.write(seen)
 }
 
+// leave forgets all that only a holder of the duty needs.
 func (f *Controller) leave() {
 	fresh := NewWith(f.me, f.opts)
 	fresh.Faults, fresh.writes, fresh.desks, fresh.Policy = f.Faults, f.writes, f.desks, f.Policy
--- a/internal/controller/desks.go
+++ b/internal/controller/desks.go
@@ -5,6 +5,7 @@
 	"petreltide/internal/wire"
 )
 
+// deskRow is a gateway's newest report, and when it came.
 type deskRow struct {
 	report wire.Report
 	atUs   int64
@@ -31,6 +32,7 @@
 	return notes
 }
 
+// dropDesks takes gateways that are long silent out of the ledger.
 func (f *Controller) dropDesks(seen Seen, duty *ledger.Duty) {
 	for _, id := range sorted(f.desks) {
 		if seen.NowUs-f.desks[id].atUs > deskGoneUs {
@@ -40,6 +42,7 @@
 	}
 }
 
+// forgetDesks drops the reports of gateways that are long silent.
 func (f *Controller) forgetDesks(nowUs int64) {
 	for id, d := range f.desks {
 		if nowUs-d.atUs > deskGoneUs {
@@ -53,6 +56,7 @@
 	return nowUs-f.desks[id].atUs > reportLateUs && f.jury.Gone(nowUs, id)
 }
 
+// live names the gateways that take calls, in order.
 func (f *Controller) live(nowUs int64) []string {
 	ids := []string{}
 	for _, id := range sorted(f.desks) {
@@ -63,19 +67,31 @@
 	return ids
 }
 
-func (f *Controller) demand(nowUs int64) (rates map[string]float64, waiting map[string]int) {
-	rates, waiting = map[string]float64{}, map[string]int{}
+// reporting gives the newest reports of all gateways that were heard lately. They come in the order of the
+// gateways' names, so that sums of fractions come out alike each time.
+func (f *Controller) reporting(nowUs int64) []*wire.Report {
+	reports := []*wire.Report{}
 	for _, id := range sorted(f.desks) {
-		d := f.desks[id]
-		if nowUs-d.atUs > deskLiveUs {
-			continue
-		}
-		for unit, rate := range d.report.Arrivals {
-			rates[unit] += rate
-		}
-		for unit, n := range d.report.Waiting {
-			waiting[unit] += n
+		if d := f.desks[id]; nowUs-d.atUs <= deskLiveUs {
+			reports = append(reports, &d.report)
 		}
 	}
+	return reports
+}
+
+// demand sums calls a second and calls that wait, by unit.
+func (f *Controller) demand(nowUs int64) (rates map[string]float64, waiting map[string]int) {
+	rates, waiting = map[string]float64{}, map[string]int{}
+	for _, report := range f.reporting(nowUs) {
+		addTo(rates, report.Arrivals)
+		addTo(waiting, report.Waiting)
+	}
 	return rates, waiting
 }
+
+// addTo adds each of the counts to the sum of its key.
+func addTo[N int | float64](sums, counts map[string]N) {
+	for key, n := range counts {
+		sums[key] += n
+	}
+}
--- a/internal/controller/hear.go
+++ b/internal/controller/hear.go
@@ -6,6 +6,7 @@
 	"petreltide/internal/wire"
 )
 
+// listed takes the platform's list, unless it looks older or emptier than can be true.
 func (f *Controller) listed(nowUs int64, l Listed) {
 	switch {
 	case l.List == nil:
@@ -50,6 +51,7 @@
 	return true
 }
 
+// ordered takes a declared replica's answer to an order.
 func (f *Controller) ordered(o Ordered) {
 	row := f.replicas[o.Replica]
 	if o.State.State == wire.OrderInDoubt || o.State.State == wire.OrderBusy {
@@ -75,6 +77,7 @@
 	return pending && row != nil && row.state.Last != nil && row.state.Inc == t.Inc && row.state.Last.Number >= t.Number && row.state.Last.State != wire.OrderRunning
 }
 
+// askReplicas asks listed replicas for their reports, more often while an order is pending there.
 func (f *Controller) askReplicas(nowUs int64, s *ledger.State) {
 	if f.list == nil {
 		return
@@ -96,49 +99,17 @@
 	}
 }
 
+// noteFleet writes down what differs between the ledger and what the platform lists and replicas report.
 func (f *Controller) noteFleet(seen Seen, duty *ledger.Duty) {
 	if f.list == nil {
 		return
 	}
-	s := seen.State
 	listed := map[string]bool{}
 	for _, l := range f.list.Replicas {
 		listed[l.ID] = true
-		row, have := f.replicas[l.ID], s.Replicas[l.ID]
-		n := ledger.ReplicaNote{
-			ID: l.ID, Addr: l.Addr, Zone: l.Zone, RoomMb: l.RoomMb, Slots: l.Slots,
-			Leaving: l.State != wire.ListedReady, LeftMs: l.LeftMs,
-		}
-		spoke := row != nil && row.atUs > 0
-		n.Dark = spoke && seen.NowUs-row.atUs > darkAfterUs
-		switch {
-		case spoke && !n.Dark:
-			n.Inc = row.state.Inc
-		case have != nil && have.Addr == l.Addr:
-			n.Inc = have.Inc
-		}
-		if have == nil && n.Inc == "" {
-			continue
-		}
-		if have != nil && n.Inc == "" {
-			n.Inc = have.Inc
-			n.Dark = true
-		}
-		if have != nil && have.Leaving && n.Leaving {
-			n.LeftMs = have.LeftMs
-		}
-		if have != nil && !spoke {
-			n.Dark = have.Dark
-		}
-		if spoke && !n.Dark {
-			n.Told, n.Holds = f.retold(s, have, row)
-		}
-		if have == nil || have.Inc != n.Inc || have.Addr != n.Addr || have.Zone != n.Zone || have.RoomMb != n.RoomMb ||
-			have.Slots != n.Slots || have.Leaving != n.Leaving || have.Dark != n.Dark || n.Told {
-			duty.Fleet = append(duty.Fleet, n)
-		}
+		f.noteListed(seen, l, duty)
 	}
-	for _, id := range s.ReplicaIDs() {
+	for _, id := range seen.State.ReplicaIDs() {
 		if !listed[id] {
 			duty.Gone = append(duty.Gone, id)
 			delete(f.replicas, id)
@@ -146,6 +117,40 @@
 	}
 }
 
+// noteListed compares one listed replica with the ledger, and writes down what differs. A replica whose life was
+// never heard is not written down yet.
+func (f *Controller) noteListed(seen Seen, l wire.Listed, duty *ledger.Duty) {
+	row, have := f.replicas[l.ID], seen.State.Replicas[l.ID]
+	leaving := l.State != wire.ListedReady
+	n := ledger.ReplicaNote{
+		ID: l.ID, Addr: l.Addr, Zone: l.Zone, RoomMb: l.RoomMb, Slots: l.Slots, Leaving: leaving, LeftMs: leftMs(have, leaving, l.LeftMs),
+	}
+	spoke := row != nil && row.atUs > 0
+	n.Dark = spoke && seen.NowUs-row.atUs > darkAfterUs
+	switch {
+	case spoke && !n.Dark:
+		n.Inc = row.state.Inc
+	case have != nil && have.Addr == l.Addr:
+		n.Inc = have.Inc
+	}
+	if have == nil && n.Inc == "" {
+		return
+	}
+	if have != nil && n.Inc == "" {
+		n.Inc = have.Inc
+		n.Dark = true
+	}
+	if have != nil && !spoke {
+		n.Dark = have.Dark
+	}
+	if spoke && !n.Dark {
+		n.Told, n.Holds = f.retold(seen.State, have, row)
+	}
+	if rowDiffers(have, n) || have.Inc != n.Inc {
+		duty.Fleet = append(duty.Fleet, n)
+	}
+}
+
 // retold takes a replica's own word for its holdings, but only while no order is pending and
 // its last order is the one the ledger settled, so that an old report undoes nothing.
 func (f *Controller) retold(s *ledger.State, have *ledger.Replica, row *told) (bool, []ledger.Holding) {
@@ -167,6 +172,7 @@
 	return true, row.state.Holds
 }
 
+// settle writes down the outcome of each pending ticket that its replica's last order tells.
 func (f *Controller) settle(nowUs int64, s *ledger.State, duty *ledger.Duty) {
 	for _, id := range sorted(s.Pending) {
 		t := s.Pending[id]
@@ -192,6 +198,7 @@
 	}
 }
 
+// told takes a declared replica's report.
 func (f *Controller) told(nowUs int64, t Told) {
 	row := f.replicas[t.Replica]
 	if row == nil || row.addr != t.Addr {
--- a/internal/controller/note.go
+++ b/internal/controller/note.go
@@ -1,8 +1,7 @@
 package controller
 
 import (
-	"strings"
-
+	"petreltide/internal/clock"
 	"petreltide/internal/ledger"
 )
 
@@ -48,39 +47,43 @@
 	if s.Doc == nil || !s.Doc.Routed() || !f.OnDuty(s) {
 		return nil
 	}
-	n := &Note{Holder: s.Holder, Fence: s.Epoch, Orders: []OrderNote{}, Store: []StoreNote{}, Needs: map[string]NeedNote{}}
+	n := &Note{Holder: s.Holder, Fence: s.Epoch, Orders: f.orderNotes(nowUs, s), Store: f.storeNotes(nowUs, s), Needs: map[string]NeedNote{}}
 	if lastUs := f.lastTurnUs(nowUs, s); lastUs > 0 {
-		n.OrdersInMs = (lastUs + 999) / 1000
+		n.OrdersInMs = (lastUs + clock.Ms - 1) / clock.Ms
+	}
+	for unit, need := range f.routed.needs {
+		n.Needs[unit] = NeedNote{Rate: need.rate, Tokens: need.tokens, AgoMs: (nowUs - need.lastUs) / clock.Ms}
 	}
+	return n
+}
+
+// orderNotes shows the standing orders, and when each was sent.
+func (f *Controller) orderNotes(nowUs int64, s *ledger.State) []OrderNote {
+	notes := []OrderNote{}
 	for _, id := range sorted(s.Pending) {
 		row := OrderNote{Ticket: s.Pending[id], SentAgoMs: -1}
 		if o := f.routed.orders[row.Number]; o != nil && o.sentUs > 0 {
-			row.SentAgoMs, row.Said = (nowUs-o.sentUs)/1000, o.said
+			row.SentAgoMs, row.Said = (nowUs-o.sentUs)/clock.Ms, o.said
 		}
-		n.Orders = append(n.Orders, row)
+		notes = append(notes, row)
 	}
+	return notes
+}
+
+// storeNotes shows how many loads each service's store bears, and how many run and began lately.
+func (f *Controller) storeNotes(nowUs int64, s *ledger.State) []StoreNote {
+	notes := []StoreNote{}
 	windowUs := f.windowUs()
+	began := f.routed.loadsWithin(nowUs, windowUs)
 	for i := range s.Doc.Services {
 		svc := &s.Doc.Services[i]
 		if svc.Engine == nil {
 			continue
 		}
-		row := StoreNote{Service: svc.Name, Left: f.storeLeft(nowUs, s, svc), AtOnce: svc.Engine.StoreAtOnce(), WindowMs: windowUs / 1000}
-		for _, t := range s.Pending {
-			have := s.Replicas[t.Replica]
-			if have != nil && have.Service == svc.Name && t.Step == ledger.Load && !have.Had[t.Unit] && !strings.Contains(t.Unit, "/") {
-				row.Running++
-			}
-		}
-		for _, atUs := range f.routed.loadsUs {
-			if nowUs-atUs < windowUs {
-				row.Began++
-			}
-		}
-		n.Store = append(n.Store, row)
+		notes = append(notes, StoreNote{
+			Service: svc.Name, Left: f.storeLeft(nowUs, s, svc), AtOnce: svc.Engine.StoreAtOnce(), WindowMs: windowUs / clock.Ms,
+			Running: storeLoads(s, svc), Began: began,
+		})
 	}
-	for unit, need := range f.routed.needs {
-		n.Needs[unit] = NeedNote{Rate: need.rate, Tokens: need.tokens, AgoMs: (nowUs - need.lastUs) / 1000}
-	}
-	return n
+	return notes
 }
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -33,60 +33,90 @@
 // routedOrders sends what the ledger holds, looks what became of what was sent, and sends again only what
 // the replica does not have.
 func (f *Controller) routedOrders(seen Seen) {
-	s, nowUs := seen.State, seen.NowUs
-	if len(f.routed.orders) > len(s.Pending) {
-		stand := map[uint64]bool{}
-		for _, t := range s.Pending {
-			stand[t.Number] = true
+	f.forgetOrders(seen.State)
+	for _, id := range sorted(seen.State.Pending) {
+		t := seen.State.Pending[id]
+		if e := seen.Roster.Row(id); e != nil && !e.Gone {
+			f.pursue(seen, t, e, f.standingOrder(seen.NowUs, t))
 		}
-		maps.DeleteFunc(f.routed.orders, func(number uint64, _ *standingOrder) bool { return !stand[number] })
 	}
-	for _, id := range sorted(s.Pending) {
-		t := s.Pending[id]
-		e := seen.Roster.Row(id)
-		if e == nil || e.Gone {
-			continue
-		}
-		o := f.routed.orders[t.Number]
-		if o == nil {
-			o = &standingOrder{notedUs: nowUs}
-			f.routed.orders[t.Number] = o
-			if t.Epoch != f.claimed {
-				o.askUs, o.notedUs = nowUs, 0
-			}
-		}
-		switch {
-		case o.said == wire.OrderRunning && o.askUs > 0 && nowUs >= o.askUs && f.known(s, t):
-			f.routed.trustedUs[id+"|"+t.Unit] = nowUs + trustSpans*f.lookUs(s, t) + wordLateUs
-			o.result = o.basis.after(t)
-			f.settled(id, t, wire.OrderDone, "")
-			o.askUs, o.said = 0, wire.OrderDone
-		case o.askUs > 0:
-			if nowUs >= o.askUs && !o.asked {
-				o.asked, o.askedUs = true, nowUs
-				f.do(Effect{Ask: &Ask{AskedUs: nowUs, Replica: id, Addr: e.Addr}})
-			} else if o.asked && nowUs-o.askedUs > 1200*clock.Ms {
-				o.asked, o.askUs = false, nowUs
-			}
-		case o.sentUs == 0 && f.mayOrder(nowUs, id):
-			if o.seenUs == 0 {
-				o.seenUs = nowUs
-			}
-			if t.Step == ledger.Unload && !f.quiet(nowUs, t, o.seenUs) {
-				continue
-			}
-			if o.basis == nil {
-				o.basis = recordedBasis(s.Replicas[id])
-			}
-			if o.basis == nil {
-				o.askUs = nowUs
-				continue
-			}
-			f.sendOrder(seen, t, e, o)
-		case o.sentUs > 0 && o.said == "" && nowUs-o.sentUs > orderAgainUs:
-			o.askUs = nowUs
-		}
+}
+
+// forgetOrders drops what is known of orders whose tickets do not stand any more.
+func (f *Controller) forgetOrders(s *ledger.State) {
+	if len(f.routed.orders) <= len(s.Pending) {
+		return
+	}
+	stand := map[uint64]bool{}
+	for _, t := range s.Pending {
+		stand[t.Number] = true
+	}
+	maps.DeleteFunc(f.routed.orders, func(number uint64, _ *standingOrder) bool { return !stand[number] })
+}
+
+// standingOrder gives what is known of a ticket's order. One of another holder's tickets is asked about first.
+func (f *Controller) standingOrder(nowUs int64, t ledger.Ticket) *standingOrder {
+	if o := f.routed.orders[t.Number]; o != nil {
+		return o
+	}
+	o := &standingOrder{notedUs: nowUs}
+	if t.Epoch != f.claimed {
+		o.askUs, o.notedUs = nowUs, 0
+	}
+	f.routed.orders[t.Number] = o
+	return o
+}
+
+// pursue takes the next step that is due for a standing order.
+func (f *Controller) pursue(seen Seen, t ledger.Ticket, e *roster.Entry, o *standingOrder) {
+	nowUs := seen.NowUs
+	switch {
+	case o.said == wire.OrderRunning && o.askUs > 0 && nowUs >= o.askUs && f.known(seen.State, t):
+		f.trustTime(seen, t, o)
+	case o.askUs > 0:
+		f.askOutcome(nowUs, t, e, o)
+	case o.sentUs == 0 && f.mayOrder(nowUs, t.Replica):
+		f.begin(seen, t, e, o)
+	case o.sentUs > 0 && o.said == "" && nowUs-o.sentUs > orderAgainUs:
+		o.askUs = nowUs
+	}
+}
+
+// trustTime settles a load that was taken by its stated time; what the replica shows later is held against it.
+func (f *Controller) trustTime(seen Seen, t ledger.Ticket, o *standingOrder) {
+	f.routed.trustedUs[unitAt{t.Replica, t.Unit}] = seen.NowUs + trustSpans*f.lookUs(seen.State, t) + wordLateUs
+	o.result = o.basis.after(t)
+	f.settled(t.Replica, t, wire.OrderDone, "")
+	o.askUs, o.said = 0, wire.OrderDone
+}
+
+// askOutcome asks a replica for its report once that is due, and again where none came.
+func (f *Controller) askOutcome(nowUs int64, t ledger.Ticket, e *roster.Entry, o *standingOrder) {
+	if nowUs >= o.askUs && !o.asked {
+		o.asked, o.askedUs = true, nowUs
+		f.do(Effect{Ask: &Ask{AskedUs: nowUs, Replica: t.Replica, Addr: e.Addr}})
+	} else if o.asked && nowUs-o.askedUs > askLostUs {
+		o.asked, o.askUs = false, nowUs
+	}
+}
+
+// begin sends an order for the first time, or again on a new basis: an unload once its replica is quiet, and any
+// once the replica's count is known.
+func (f *Controller) begin(seen Seen, t ledger.Ticket, e *roster.Entry, o *standingOrder) {
+	if o.seenUs == 0 {
+		o.seenUs = seen.NowUs
+	}
+	if t.Step == ledger.Unload && !f.quiet(seen.NowUs, t, o.seenUs) {
+		return
+	}
+	if o.basis == nil {
+		o.basis = recordedBasis(seen.State.Replicas[t.Replica])
 	}
+	if o.basis == nil {
+		o.askUs = seen.NowUs
+		return
+	}
+	f.sendOrder(seen, t, e, o)
 }
 
 // quiet: every desk has had time to hear that a unit is to go, and none has calls there that have not begun;
@@ -162,7 +192,7 @@
 		return warmFirstUs
 	}
 	if _, loadMs, ok := s.Doc.EngineUnitMb(have.Service, t.Unit); ok {
-		return loadMs*1000 + 15*clock.Ms
+		return loadMs*clock.Ms + loadSlackUs
 	}
 	return clock.Sec
 }
@@ -200,7 +230,6 @@
 // look judges an order by what the replica holds. A report lags a little, so that it ends an order only
 // by what it shows, or by showing nothing for long enough.
 func (f *Controller) look(seen Seen, t ledger.Ticket, o *standingOrder, told *wire.ReplicaState) {
-	_, holds := slices.BinarySearch(told.Units, t.Unit)
 	nowUs, have := seen.NowUs, seen.State.Replicas[t.Replica]
 	if have == nil {
 		return
@@ -211,24 +240,39 @@
 	}
 	o.outdatedUs = 0
 	reported := reportedBasis(told)
+	taken := o.said == wire.OrderRunning
 	switch {
-	case holds && t.Step == ledger.Load:
+	case showsDone(t, told, taken):
 		f.conclude(t, o, wire.OrderDone, "", reported)
-	case !holds && t.Step == ledger.Unload && (!told.Busy || o.said == wire.OrderRunning):
-		f.conclude(t, o, wire.OrderDone, "", reported)
-	case o.said == wire.OrderRunning && (told.Busy || nowUs-o.saidUs < orderVoidUs):
+	case taken && (told.Busy || nowUs-o.saidUs < orderVoidUs):
 		o.askUs = nowUs + askAgainUs
-	case o.said == wire.OrderRunning:
+	case taken:
 		f.conclude(t, o, wire.OrderFailed, "it was taken and is not there", reported)
 	case told.Busy:
 		o.askUs = nowUs + askAgainUs
 	case !reported.admits(seen.State.Doc, have, t):
 		f.conclude(t, o, wire.OrderFailed, "what the replica holds leaves no room", reported)
 	default:
-		o.askUs, o.sentUs, o.basis = 0, 0, reported
-		if o.said != "" && nowUs-o.saidUs < orderAgainUs {
-			o.askUs = nowUs + askAgainUs
-		}
+		o.sendAgain(nowUs, reported)
+	}
+}
+
+// showsDone: a replica's report shows that an order was carried out. A busy replica that was not heard to have
+// taken an unload may hold nothing of the unit for another reason.
+func showsDone(t ledger.Ticket, told *wire.ReplicaState, taken bool) bool {
+	_, holds := slices.BinarySearch(told.Units, t.Unit)
+	if t.Step == ledger.Load {
+		return holds
+	}
+	return t.Step == ledger.Unload && !holds && (!told.Busy || taken)
+}
+
+// sendAgain has an order that the replica does not have sent on the state that it reported; one that it has only
+// just answered is asked about once more first.
+func (o *standingOrder) sendAgain(nowUs int64, reported *basis) {
+	o.askUs, o.sentUs, o.basis = 0, 0, reported
+	if o.said != "" && nowUs-o.saidUs < orderAgainUs {
+		o.askUs = nowUs + askAgainUs
 	}
 }
 
--- a/internal/controller/policy.go
+++ b/internal/controller/policy.go
@@ -18,48 +18,66 @@
 	Parted   *Parted             `json:"parted,omitempty"`
 }
 
+// startPolicy lets the placement policies run, more often where something has changed.
 func (f *Controller) startPolicy(seen Seen) {
 	s := seen.State
+	if !f.policyDue(seen.NowUs, s) {
+		return
+	}
+	f.policyUs, f.runUs, f.moved = seen.NowUs, seen.NowUs, false
+	f.run++
+	fleet := f.fleet(seen.NowUs, s)
+	f.counted = fleet.Counts
+	f.do(Effect{Run: &Run{Number: f.run, Revision: s.Revision, Live: s.Doc.Policy, Shadows: s.Doc.Shadows, Fleet: fleet}})
+}
+
+// policyDue: the policies may run, none of their proposals waits, and no run is under way.
+func (f *Controller) policyDue(nowUs int64, s *ledger.State) bool {
 	spanUs := policyEveryUs
 	if f.moved {
 		spanUs = policyLeastUs
 	}
-	if s.Doc == nil || f.list == nil || f.proposed != nil || seen.NowUs-f.policyUs < spanUs {
-		return
-	}
-	if f.runUs != 0 && seen.NowUs-f.runUs < policyLostUs {
-		return
+	if s.Doc == nil || f.list == nil || f.proposed != nil || nowUs-f.policyUs < spanUs {
+		return false
 	}
-	f.policyUs, f.runUs, f.moved = seen.NowUs, seen.NowUs, false
-	f.run++
-	rates, waiting := f.demand(seen.NowUs)
+	return f.runUs == 0 || nowUs-f.runUs >= policyLostUs
+}
+
+// fleet is what the placement policies read.
+func (f *Controller) fleet(nowUs int64, s *ledger.State) placement.Fleet {
+	rates, waiting := f.demand(nowUs)
 	usable := []scaler.Room{}
 	fleet := placement.Fleet{Doc: s.Doc, Rates: rates, Waiting: waiting}
 	for _, id := range s.ReplicaIDs() {
-		r := s.Replicas[id]
-		row := placement.Replica{
-			ID: id, Zone: r.Zone, RoomMb: r.RoomMb, FreeMb: r.RoomMb - s.TakenMb(id), Slots: r.Slots,
-			Holds: sorted(r.Holds), Usable: r.Usable(s.Doc),
-		}
-		if t, pending := s.Pending[id]; pending {
-			row.Busy = true
-			if t.Step == ledger.Load {
-				row.Loading = t.Unit
-			}
-		}
-		for _, d := range f.desks {
-			row.InFlight += d.report.InFlight[id]
-		}
+		row := f.replica(s, s.Replicas[id])
 		if row.Usable {
-			usable = append(usable, scaler.Room{ID: id, RoomMb: r.RoomMb})
+			usable = append(usable, scaler.Room{ID: id, RoomMb: row.RoomMb})
 		}
 		fleet.Replicas = append(fleet.Replicas, row)
 	}
-	f.counted = scaler.Decide(scaler.Input{Doc: s.Doc, Rates: rates, Waiting: waiting, Usable: usable})
-	fleet.Counts = f.counted
-	f.do(Effect{Run: &Run{Number: f.run, Revision: s.Revision, Live: s.Doc.Policy, Shadows: s.Doc.Shadows, Fleet: fleet}})
+	fleet.Counts = scaler.Decide(scaler.Input{Doc: s.Doc, Rates: rates, Waiting: waiting, Usable: usable})
+	return fleet
+}
+
+// replica is one replica as the placement policies read it.
+func (f *Controller) replica(s *ledger.State, r *ledger.Replica) placement.Replica {
+	row := placement.Replica{
+		ID: r.ID, Zone: r.Zone, RoomMb: r.RoomMb, FreeMb: r.RoomMb - s.TakenMb(r.ID), Slots: r.Slots,
+		Holds: sorted(r.Holds), Usable: r.Usable(s.Doc),
+	}
+	if t, pending := s.Pending[r.ID]; pending {
+		row.Busy = true
+		if t.Step == ledger.Load {
+			row.Loading = t.Unit
+		}
+	}
+	for _, d := range f.desks {
+		row.InFlight += d.report.InFlight[r.ID]
+	}
+	return row
 }
 
+// ran takes what a run of the policies proposed.
 func (f *Controller) ran(seen Seen, p PolicyDone) {
 	if p.Run != f.run {
 		return
@@ -76,20 +94,26 @@
 	}
 	shadows := []PolicyNote{}
 	for i, a := range p.Shadows {
-		note := PolicyNote{}
-		if i < len(f.Shadows) && f.Shadows[i].Name == a.Policy {
-			note = f.Shadows[i]
-		}
-		note = noted(note, a)
-		if a.Fault == nil {
-			_, note.Verdicts = placement.Check(seen.State, f.bucket.TokensMb, a.Proposals)
-		}
-		note.Parted = note.Parted.add(p.Live.Proposals, a.Proposals)
-		shadows = append(shadows, note)
+		shadows = append(shadows, f.notedShadow(seen.State, i, p.Live, a))
 	}
 	f.Shadows = shadows
 }
 
+// notedShadow adds a run of a shadow policy to what is shown of it, and how it differed from the live one.
+func (f *Controller) notedShadow(s *ledger.State, i int, live, shadow placement.Answer) PolicyNote {
+	note := PolicyNote{}
+	if i < len(f.Shadows) && f.Shadows[i].Name == shadow.Policy {
+		note = f.Shadows[i]
+	}
+	note = noted(note, shadow)
+	if shadow.Fault == nil {
+		_, note.Verdicts = placement.Check(s, f.bucket.TokensMb, shadow.Proposals)
+	}
+	note.Parted = note.Parted.add(live.Proposals, shadow.Proposals)
+	return note
+}
+
+// noted adds a run to what is shown of a policy.
 func noted(note PolicyNote, a placement.Answer) PolicyNote {
 	if note.Name != a.Policy {
 		note = PolicyNote{Name: a.Policy}
--- a/internal/controller/resident.go
+++ b/internal/controller/resident.go
@@ -3,12 +3,16 @@
 import (
 	"strings"
 
+	"petreltide/internal/clock"
 	"petreltide/internal/ledger"
 	"petreltide/internal/placement"
 	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
+// cameMost bounds how many units at replicas the controller remembers the arrival of.
+const cameMost = 20000
+
 // startResident asks the policy for each service with an engine, at once where calls wait for a model that
 // nobody has.
 func (f *Controller) startResident(seen Seen) {
@@ -52,6 +56,7 @@
 	return false
 }
 
+// placed: some replica that calls may go to holds a unit or loads it.
 func (f *Controller) placed(s *ledger.State, unit string) bool {
 	for _, t := range s.Pending {
 		if t.Unit == unit && t.Step == ledger.Load {
@@ -66,87 +71,116 @@
 	return false
 }
 
+// callCounts are counts of calls at replicas, by replica and unit.
+type callCounts map[string]map[string]int
+
+// callLoad is what gateways report of calls now: those that wait and those that have no first piece yet by unit,
+// and those that run and that have no first piece yet by replica and unit.
+type callLoad struct {
+	waiting, unread  map[string]int
+	runsAt, unreadAt callCounts
+}
+
+// services gives what the placement policy reads of each service with an engine.
 func (f *Controller) services(seen Seen) []placement.Service {
-	s := seen.State
 	all := []placement.Service{}
-	waiting, runs, unread, unreadAt := map[string]int{}, map[string]map[string]int{}, map[string]map[string]int{}, map[string]int{}
-	for _, id := range sorted(f.desks) {
-		d := f.desks[id]
-		if seen.NowUs-d.atUs > deskLiveUs {
-			continue
-		}
-		for unit, n := range d.report.Waiting {
-			waiting[unit] += n
-		}
-		for key, n := range d.report.Runs {
-			replica, unit, _ := strings.Cut(key, "|")
-			if runs[replica] == nil {
-				runs[replica] = map[string]int{}
-			}
-			runs[replica][unit] += n
-		}
-		for key, n := range d.report.Unread {
-			replica, unit, _ := strings.Cut(key, "|")
-			if unread[replica] == nil {
-				unread[replica] = map[string]int{}
-			}
-			unread[replica][unit] += n
-			unreadAt[unit] += n
+	calls := loadOf(f.reporting(seen.NowUs))
+	services := seen.State.Doc.Services
+	for i := range services {
+		if services[i].Engine != nil {
+			all = append(all, f.service(seen, &services[i], calls))
 		}
 	}
-	for i := range s.Doc.Services {
-		svc := &s.Doc.Services[i]
-		if svc.Engine == nil {
-			continue
-		}
-		in := placement.Service{
-			Name: svc.Name, Engine: svc.Engine, Models: map[string]placement.Need{}, Adapters: map[string]placement.Need{},
-			StoreLeft: f.storeLeft(seen.NowUs, s, svc), Spares: sparesUsual,
-		}
-		for _, id := range s.ReplicaIDs() {
-			if r := s.Replicas[id]; r.Service == svc.Name {
-				in.Homes = append(in.Homes, f.home(seen, r, runs[id], unread[id]))
-			}
+	return all
+}
+
+// loadOf sums the counts of calls in the reports of gateways.
+func loadOf(reports []*wire.Report) callLoad {
+	load := callLoad{waiting: map[string]int{}, unread: map[string]int{}, runsAt: callCounts{}, unreadAt: callCounts{}}
+	for _, report := range reports {
+		addTo(load.waiting, report.Waiting)
+		for key, n := range report.Runs {
+			load.runsAt.add(atOf(key), n)
+		}
+		for key, n := range report.Unread {
+			at := atOf(key)
+			load.unreadAt.add(at, n)
+			load.unread[at.unit] += n
 		}
-		units := map[string]bool{}
-		for unit := range f.routed.needs {
-			units[unit] = true
+	}
+	return load
+}
+
+// atOf reads a key of a gateway's report.
+func atOf(key string) unitAt {
+	replica, unit, _ := strings.Cut(key, "|")
+	return unitAt{replica, unit}
+}
+
+func (c callCounts) add(at unitAt, n int) {
+	if c[at.replica] == nil {
+		c[at.replica] = map[string]int{}
+	}
+	c[at.replica][at.unit] += n
+}
+
+// service gives what the placement policy reads of one service.
+func (f *Controller) service(seen Seen, svc *standing.Service, calls callLoad) placement.Service {
+	s := seen.State
+	in := placement.Service{
+		Name: svc.Name, Engine: svc.Engine, Models: map[string]placement.Need{}, Adapters: map[string]placement.Need{},
+		StoreLeft: f.storeLeft(seen.NowUs, s, svc), Spares: sparesUsual,
+	}
+	for _, id := range s.ReplicaIDs() {
+		if r := s.Replicas[id]; r.Service == svc.Name {
+			in.Homes = append(in.Homes, f.home(seen, r, calls.runsAt[id], calls.unreadAt[id]))
 		}
-		for unit := range waiting {
-			units[unit] = true
+	}
+	for _, unit := range f.unitsCalled(calls) {
+		model, adapter := standing.Units(unit)
+		switch {
+		case s.Doc.EngineModel(svc.Name, model) == nil:
+		case adapter != "":
+			in.Adapters[unit] = f.needOf(seen.NowUs, unit, calls)
+		default:
+			in.Models[unit] = f.needOf(seen.NowUs, unit, calls)
 		}
-		for unit := range units {
-			n := f.routed.needs[unit]
-			if n == nil {
-				n = &need{}
-			}
-			model, adapter := standing.Units(unit)
-			m := s.Doc.EngineModel(svc.Name, model)
-			if m == nil {
-				continue
-			}
-			row := placement.Need{
-				Rate: n.rate, Demand: (n.tokens/tokensPerMs + n.rate*decodeMsPerCall) / 1000, Waiting: waiting[unit], Unread: unreadAt[unit], IdleMs: (seen.NowUs - n.lastUs) / 1000,
-			}
-			if adapter != "" {
-				in.Adapters[unit] = row
-			} else {
-				in.Models[unit] = row
-			}
+	}
+	return in
+}
+
+// unitsCalled names the units that were called for lately or are waited for.
+func (f *Controller) unitsCalled(calls callLoad) []string {
+	units := sorted(f.routed.needs)
+	for unit := range calls.waiting {
+		if f.routed.needs[unit] == nil {
+			units = append(units, unit)
 		}
-		all = append(all, in)
 	}
-	return all
+	return units
+}
+
+// needOf is what calls ask of a unit, as the placement policy reads it.
+func (f *Controller) needOf(nowUs int64, unit string, calls callLoad) placement.Need {
+	n := f.routed.needs[unit]
+	if n == nil {
+		n = &need{}
+	}
+	return placement.Need{
+		Rate: n.rate, Demand: (n.tokens/tokensPerMs + n.rate*decodeMsPerCall) / 1000,
+		Waiting: calls.waiting[unit], Unread: calls.unread[unit], IdleMs: (nowUs - n.lastUs) / clock.Ms,
+	}
 }
 
+// home is one replica as the placement policy reads it.
 func (f *Controller) home(seen Seen, r *ledger.Replica, runs, unread map[string]int) placement.Home {
 	h := placement.Home{
 		ID: r.ID, Usable: !r.Leaving && !r.Dark && !f.outliers.Kept(r.ID), FreeMb: r.RoomMb - seen.State.TakenMb(r.ID), Holds: r.Holds, Had: r.Had,
 		Runs: runs, Unread: unread, AgeMs: map[string]int64{},
 	}
 	for unit := range r.Holds {
-		if atUs, ok := f.routed.cameUs[r.ID+"|"+unit]; ok {
-			h.AgeMs[unit] = (seen.NowUs - atUs) / 1000
+		if atUs, ok := f.routed.cameUs[unitAt{r.ID, unit}]; ok {
+			h.AgeMs[unit] = (seen.NowUs - atUs) / clock.Ms
 		}
 	}
 	if in, ok := f.routed.intents[r.ID]; ok && seen.NowUs-in.atUs < intentUs {
@@ -166,8 +200,8 @@
 
 // came remembers when a unit came to a replica.
 func (f *Controller) came(nowUs int64, t ledger.Ticket) {
-	f.routed.cameUs[t.Replica+"|"+t.Unit] = nowUs
-	if len(f.routed.cameUs) > 20000 {
-		f.routed.cameUs = map[string]int64{}
+	f.routed.cameUs[unitAt{t.Replica, t.Unit}] = nowUs
+	if len(f.routed.cameUs) > cameMost {
+		f.routed.cameUs = map[unitAt]int64{}
 	}
 }
--- a/internal/controller/routed.go
+++ b/internal/controller/routed.go
@@ -16,6 +16,7 @@
 	leaseSlackUs    = OrderFlightUs + 100*clock.Ms
 	askLateUs       = 300 * clock.Ms
 	askAgainUs      = 90 * clock.Ms
+	askLostUs       = 1200 * clock.Ms
 	orderAgainUs    = 700 * clock.Ms
 	orderVoidUs     = 1200 * clock.Ms
 	outdatedMostUs  = 10 * clock.Sec
@@ -23,13 +24,13 @@
 	adapterDoneUs   = 25 * clock.Ms
 	quietLeastUs    = 40 * clock.Ms
 	quietMostUs     = 700 * clock.Ms
+	loadSlackUs     = 15 * clock.Ms
 	warmFirstUs     = 620 * clock.Ms
 	unloadFirstUs   = 215 * clock.Ms
 	sparesUsual     = 1
 	intentUs        = 2 * clock.Sec
 	forgottenUs     = 15 * clock.Sec
 	wordLateUs      = 2 * clock.Sec
-	storeCut        = 1
 	noteEveryUs     = 250 * clock.Ms
 	trustSpans      = 3
 	recentLeast     = 3.0
@@ -52,17 +53,22 @@
 	missedUs  int64
 	orders    map[uint64]*standingOrder
 	needs     map[string]*need
-	cameUs    map[string]int64
-	trustedUs map[string]int64
+	cameUs    map[unitAt]int64
+	trustedUs map[unitAt]int64
 	changedUs map[string]int64
 	unseenUs  map[string]int64
 	demandUs  int64
-	begunUs   map[string]int64
+	begunUs   map[routeModel]int64
 	intents   map[string]intent
 	unplaced  map[string]bool
 	noted     notedAt
 }
 
+// unitAt is a model or an adapter at one replica.
+type unitAt struct {
+	replica, unit string
+}
+
 // intent is the model that room is being made for at a replica.
 type intent struct {
 	unit string
@@ -70,7 +76,10 @@
 }
 
 func newRouted() routed {
-	return routed{orders: map[uint64]*standingOrder{}, needs: map[string]*need{}, cameUs: map[string]int64{}, trustedUs: map[string]int64{}, changedUs: map[string]int64{}, unseenUs: map[string]int64{}, intents: map[string]intent{}, unplaced: map[string]bool{}}
+	return routed{
+		orders: map[uint64]*standingOrder{}, needs: map[string]*need{}, intents: map[string]intent{}, unplaced: map[string]bool{},
+		cameUs: map[unitAt]int64{}, trustedUs: map[unitAt]int64{}, changedUs: map[string]int64{}, unseenUs: map[string]int64{},
+	}
 }
 
 // Saw notes the tickets and settled orders of whoever holds the duty, as they are applied: a successor
@@ -98,23 +107,10 @@
 	}
 }
 
+// routedTick is a tick of whoever holds the duty over replicas that make themselves known.
 func (f *Controller) routedTick(seen Seen) {
-	r := &f.routed
-	if r.dutyUs == 0 {
-		r.dutyUs = seen.NowUs
-		if seen.State.NextTicket > 1 {
-			r.foreignUs = max(r.foreignUs, r.bornUs)
-		}
-		f.turns.unseen(seen.NowUs, seen.State)
-		if f.turns.next != seen.State.NextTicket {
-			f.turns.follow(seen.State)
-			r.foreignUs = seen.NowUs
-		}
-		for id, t := range seen.State.Pending {
-			if t.Epoch != f.claimed {
-				f.turns.atUs[id] = max(f.turns.atUs[id], seen.NowUs+holderFreshUs)
-			}
-		}
+	if f.routed.dutyUs == 0 {
+		f.beginDuty(seen)
 	}
 	f.countNeeds(seen.NowUs)
 	f.judgeOutliers(seen)
@@ -122,3 +118,22 @@
 	f.startResident(seen)
 	f.write(seen)
 }
+
+// beginDuty notes what an earlier holder may still have on its way.
+func (f *Controller) beginDuty(seen Seen) {
+	r := &f.routed
+	r.dutyUs = seen.NowUs
+	if seen.State.NextTicket > 1 {
+		r.foreignUs = max(r.foreignUs, r.bornUs)
+	}
+	f.turns.unseen(seen.NowUs, seen.State)
+	if f.turns.next != seen.State.NextTicket {
+		f.turns.follow(seen.State)
+		r.foreignUs = seen.NowUs
+	}
+	for id, t := range seen.State.Pending {
+		if t.Epoch != f.claimed {
+			f.turns.atUs[id] = max(f.turns.atUs[id], seen.NowUs+holderFreshUs)
+		}
+	}
+}
--- a/internal/controller/rows.go
+++ b/internal/controller/rows.go
@@ -23,60 +23,87 @@
 // noteRoster writes down what tickets need to know of replicas: their lives, their room and what they hold.
 // It changes with notices, lives and loads, not with heartbeats.
 func (f *Controller) noteRoster(seen Seen, duty *ledger.Duty) {
-	s := seen.State
-	now := notedAt{seen.Roster.Rev, s.HoldsIndex, s.Revision, f.routed.noted.atUs}
+	now := notedAt{seen.Roster.Rev, seen.State.HoldsIndex, seen.State.Revision, f.routed.noted.atUs}
 	if now == f.routed.noted && seen.NowUs-now.atUs < noteEveryUs {
 		return
 	}
 	now.atUs = seen.NowUs
 	f.routed.noted = now
 	for _, id := range seen.Roster.IDs() {
-		e := seen.Roster.Row(id)
-		have := s.Replicas[id]
-		svc := s.Doc.Service(e.Service)
-		if e.Gone || svc == nil || svc.Engine == nil {
-			if have != nil {
-				duty.Gone = append(duty.Gone, id)
-				delete(f.routed.changedUs, id)
-			}
-			continue
-		}
-		n := ledger.ReplicaNote{
-			ID: id, Inc: id, Addr: e.Addr, Zone: e.Zone, RoomMb: svc.Engine.RoomMb, Slots: e.Slots, Leaving: e.Draining, LeftMs: e.LeftMs,
-			Dark: e.Dark, Service: e.Service,
-		}
-		if have != nil && have.Leaving && n.Leaving {
-			n.LeftMs = have.LeftMs
-		}
-		_, pending := s.Pending[id]
-		units := f.routed.withTrusted(seen.NowUs, have, e.Units)
-		if differs := have == nil || (!pending && !sameUnits(have, units)); differs && (have == nil || !f.routed.outdated(e)) {
-			n.Told, n.Holds = true, holdings(s.Doc, svc, units)
-			if have == nil {
-				n.Orders = new(uint64)
-			}
-		} else if differs {
-			f.routed.noted = notedAt{}
-		}
-		if have == nil || have.Addr != n.Addr || have.Zone != n.Zone || have.RoomMb != n.RoomMb || have.Slots != n.Slots ||
-			have.Leaving != n.Leaving || have.Dark != n.Dark || n.Told {
-			duty.Fleet = append(duty.Fleet, n)
-		}
+		f.noteEntry(seen, seen.Roster.Row(id), duty)
 	}
-	for _, id := range s.ReplicaIDs() {
-		if seen.Roster.Row(id) != nil {
-			delete(f.routed.unseenUs, id)
-			continue
-		}
-		since, known := f.routed.unseenUs[id]
-		if !known {
-			f.routed.unseenUs[id] = seen.NowUs
-		} else if seen.NowUs-since > forgottenUs {
-			duty.Gone = append(duty.Gone, id)
-			delete(f.routed.unseenUs, id)
-			delete(f.routed.changedUs, id)
+	for _, id := range seen.State.ReplicaIDs() {
+		f.noteUnseen(seen, id, duty)
+	}
+}
+
+// noteEntry compares one replica's own word with the ledger, and writes down what differs.
+func (f *Controller) noteEntry(seen Seen, e *roster.Entry, duty *ledger.Duty) {
+	have := seen.State.Replicas[e.ID]
+	svc := seen.State.Doc.Service(e.Service)
+	if e.Gone || svc == nil || svc.Engine == nil {
+		if have != nil {
+			duty.Gone = append(duty.Gone, e.ID)
+			delete(f.routed.changedUs, e.ID)
 		}
+		return
+	}
+	n := ledger.ReplicaNote{
+		ID: e.ID, Inc: e.ID, Addr: e.Addr, Zone: e.Zone, RoomMb: svc.Engine.RoomMb, Slots: e.Slots, Leaving: e.Draining,
+		LeftMs: leftMs(have, e.Draining, e.LeftMs), Dark: e.Dark, Service: e.Service,
+	}
+	f.noteUnits(seen, e, svc, &n)
+	if rowDiffers(have, n) {
+		duty.Fleet = append(duty.Fleet, n)
+	}
+}
+
+// noteUnits adds what a replica holds where the ledger has something else and the replica's word is new enough.
+// Where it is not, the next write compares again.
+func (f *Controller) noteUnits(seen Seen, e *roster.Entry, svc *standing.Service, n *ledger.ReplicaNote) {
+	have := seen.State.Replicas[e.ID]
+	_, pending := seen.State.Pending[e.ID]
+	units := f.routed.withTrusted(seen.NowUs, have, e.Units)
+	switch {
+	case have == nil:
+		n.Told, n.Holds, n.Orders = true, holdings(seen.State.Doc, svc, units), new(uint64)
+	case pending || sameUnits(have, units):
+	case f.routed.outdated(e):
+		f.routed.noted = notedAt{}
+	default:
+		n.Told, n.Holds = true, holdings(seen.State.Doc, svc, units)
+	}
+}
+
+// noteUnseen takes a replica out of the ledger once no office has heard of it for long enough.
+func (f *Controller) noteUnseen(seen Seen, id string, duty *ledger.Duty) {
+	if seen.Roster.Row(id) != nil {
+		delete(f.routed.unseenUs, id)
+		return
+	}
+	sinceUs, known := f.routed.unseenUs[id]
+	if !known {
+		f.routed.unseenUs[id] = seen.NowUs
+	} else if seen.NowUs-sinceUs > forgottenUs {
+		duty.Gone = append(duty.Gone, id)
+		delete(f.routed.unseenUs, id)
+		delete(f.routed.changedUs, id)
+	}
+}
+
+// rowDiffers: the ledger has no row of a replica, or one that says something else than the note. The life is not
+// looked at.
+func rowDiffers(have *ledger.Replica, n ledger.ReplicaNote) bool {
+	return have == nil || have.Addr != n.Addr || have.Zone != n.Zone || have.RoomMb != n.RoomMb ||
+		have.Slots != n.Slots || have.Leaving != n.Leaving || have.Dark != n.Dark || n.Told
+}
+
+// leftMs is how long a replica under notice has: as was first written down, so that the row stays as it is.
+func leftMs(have *ledger.Replica, leaving bool, saidMs int64) int64 {
+	if leaving && have != nil && have.Leaving {
+		return have.LeftMs
 	}
+	return saidMs
 }
 
 // withTrusted adds what was settled by its time alone and the replica has not yet shown: a load that takes
@@ -86,7 +113,7 @@
 		return units
 	}
 	for unit := range have.Holds {
-		key := have.ID + "|" + unit
+		key := unitAt{have.ID, unit}
 		untilUs, trusted := r.trustedUs[key]
 		if !trusted {
 			continue
@@ -100,6 +127,7 @@
 	return units
 }
 
+// sameUnits: the ledger's row holds just these units.
 func sameUnits(have *ledger.Replica, units []string) bool {
 	if len(have.Holds) != len(units) {
 		return false
--- a/internal/controller/share.go
+++ b/internal/controller/share.go
@@ -6,6 +6,7 @@
 	"petreltide/internal/ledger"
 )
 
+// grant hands out leg numbers for every model at every replica, before those of a gateway run out.
 func (f *Controller) grant(seen Seen, duty *ledger.Duty) {
 	s := seen.State
 	desks := f.live(seen.NowUs)
@@ -19,24 +20,36 @@
 				continue
 			}
 			for _, desk := range desks {
-				report := f.desks[desk].report
-				g := ledger.Grant{Desk: desk, Replica: id, Model: unit}
-				want := min(max(uint64(report.Arrivals[unit]*2*legSeconds), legsLeast), legsMost)
-				have, ok := s.Grants[g.Key()]
-				if ok && have.DeskInc == report.Inc && have.Inc == r.Inc {
-					left, told := report.Left[id+"|"+unit]
-					if !told || left.Ticket != have.Ticket || left.Left*2 > want {
-						continue
-					}
+				if ask, needed := f.grantAsk(s, r, unit, desk); needed {
+					duty.Grants = append(duty.Grants, ask)
 				}
-				duty.Grants = append(duty.Grants, ledger.GrantAsk{
-					Desk: desk, DeskInc: report.Inc, Replica: id, Inc: r.Inc, Model: unit, Count: want,
-				})
 			}
 		}
 	}
 }
 
+// grantAsk gives what a gateway should be granted for a model at a replica; it is needed where the gateway has no
+// grant of these lives, or less than half of one left.
+func (f *Controller) grantAsk(s *ledger.State, r *ledger.Replica, model, desk string) (ask ledger.GrantAsk, needed bool) {
+	report := f.desks[desk].report
+	want := min(max(uint64(report.Arrivals[model]*2*legSeconds), legsLeast), legsMost)
+	ask = ledger.GrantAsk{Desk: desk, DeskInc: report.Inc, Replica: r.ID, Inc: r.Inc, Model: model, Count: want}
+	g := ledger.Grant{Desk: desk, Replica: r.ID, Model: model}
+	have, ok := s.Grants[g.Key()]
+	if !ok || have.DeskInc != report.Inc || have.Inc != r.Inc {
+		return ask, true
+	}
+	left, told := report.Left[r.ID+"|"+model]
+	return ask, told && left.Ticket == have.Ticket && left.Left*2 <= want
+}
+
+// What a gateway's calls weigh when a replica's slots are divided: one that runs there counts whole.
+const (
+	idleWeight    = 0.5
+	waitingWeight = 0.5
+	arrivalWeight = 0.1
+)
+
 // share divides a replica's slots by what each desk has there and what waits for its models.
 func (f *Controller) share(seen Seen, duty *ledger.Duty) {
 	if seen.NowUs-f.shareUs < shareEveryUs {
@@ -53,49 +66,72 @@
 		if r.Leaving || r.Dark {
 			continue
 		}
-		weights := make([]float64, len(desks))
-		var whole float64
-		for i, desk := range desks {
-			report := f.desks[desk].report
-			weights[i] = 0.5 + float64(report.InFlight[id])
-			for _, unit := range sorted(r.Holds) {
-				weights[i] += float64(report.Waiting[unit]) * 0.5
-				weights[i] += report.Arrivals[unit] * 0.1
-			}
-			whole += weights[i]
-		}
-		shares := map[string]int{}
-		spare := r.Slots
-		if spare >= len(desks) {
-			for _, desk := range desks {
-				shares[desk] = 1
-			}
-			spare -= len(desks)
-		}
-		given := 0
-		for i, desk := range desks {
-			n := int(float64(spare) * weights[i] / whole)
-			shares[desk] += n
-			given += n
+		shares := divide(r.Slots, desks, f.weights(r, desks))
+		if !f.worthwhile(r, shares) {
+			continue
 		}
-		order := make([]int, len(desks))
-		for i := range order {
-			order[i] = i
+		if duty.Shares == nil {
+			duty.Shares = map[string]map[string]int{}
 		}
-		sort.SliceStable(order, func(a, b int) bool { return weights[order[a]] > weights[order[b]] })
-		for i := 0; given < spare; i = (i + 1) % len(order) {
-			shares[desks[order[i]]]++
-			given++
+		duty.Shares[id] = shares
+	}
+}
+
+// weights are what gateways have at a replica and what waits and arrives for its models, in the gateways' order.
+func (f *Controller) weights(r *ledger.Replica, desks []string) []float64 {
+	weights := make([]float64, len(desks))
+	for i, desk := range desks {
+		report := f.desks[desk].report
+		weights[i] = idleWeight + float64(report.InFlight[r.ID])
+		for _, unit := range sorted(r.Holds) {
+			weights[i] += float64(report.Waiting[unit]) * waitingWeight
+			weights[i] += report.Arrivals[unit] * arrivalWeight
 		}
-		if f.worthwhile(r, shares) {
-			if duty.Shares == nil {
-				duty.Shares = map[string]map[string]int{}
-			}
-			duty.Shares[id] = shares
+	}
+	return weights
+}
+
+// divide gives each gateway one slot where there are enough, and divides the others by weight; what rounding
+// leaves over goes to the heaviest first.
+func divide(slots int, desks []string, weights []float64) map[string]int {
+	var whole float64
+	for _, weight := range weights {
+		whole += weight
+	}
+	shares := map[string]int{}
+	spare := slots
+	if spare >= len(desks) {
+		for _, desk := range desks {
+			shares[desk] = 1
 		}
+		spare -= len(desks)
+	}
+	given := 0
+	for i, desk := range desks {
+		n := int(float64(spare) * weights[i] / whole)
+		shares[desk] += n
+		given += n
+	}
+	order := heaviestFirst(weights)
+	for i := 0; given < spare; i = (i + 1) % len(order) {
+		shares[desks[order[i]]]++
+		given++
+	}
+	return shares
+}
+
+// heaviestFirst gives the places of weights, the heaviest first and equal ones in their order.
+func heaviestFirst(weights []float64) []int {
+	order := make([]int, len(weights))
+	for i := range order {
+		order[i] = i
 	}
+	sort.SliceStable(order, func(a, b int) bool { return weights[order[a]] > weights[order[b]] })
+	return order
 }
 
+// worthwhile: new shares differ enough from those in force to be written down, or give a slot to a gateway that
+// has used up what it had.
 func (f *Controller) worthwhile(r *ledger.Replica, shares map[string]int) bool {
 	if len(r.Shares) != len(shares) {
 		return true
@@ -115,6 +151,7 @@
 	return moved*3 > r.Slots*2
 }
 
+// markKeys notes a place of the log every hour; idempotency keys from before the oldest such place are forgotten.
 func (f *Controller) markKeys(seen Seen, duty *ledger.Duty) {
 	if f.markUs == 0 {
 		f.markUs = seen.NowUs
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -8,6 +8,17 @@
 	"petreltide/internal/standing"
 )
 
+const (
+	windowUsualUs = 5 * clock.Sec
+	// windowSlackUs is how much longer loads count here than in the store's own window.
+	windowSlackUs = 400 * clock.Ms
+	// storeBurst is how many loads the window allows beyond the rate, storeCut how many of them are not used.
+	storeBurst = 3
+	storeCut   = 1
+	// loadsMost bounds how many loads are remembered.
+	loadsMost = 4096
+)
+
 // missed notes that tickets were issued which this controller did not see one by one: as many loads may lie
 // behind them as the store's window bears. Numbers rise by one, so that a gap shows.
 func (r *routed) missed(nowUs int64, s *ledger.State, news int) {
@@ -20,21 +31,49 @@
 	r.known = s.NextTicket
 }
 
+// noteLoad counts a ticket against the store's window, if its load reads from the store.
 func (r *routed) noteLoad(nowUs int64, s *ledger.State, t ledger.Ticket) {
-	have := s.Replicas[t.Replica]
-	if t.Step != ledger.Load || strings.Contains(t.Unit, "/") || (have != nil && have.Had[t.Unit]) {
+	if !fromStore(s.Replicas[t.Replica], t) {
 		return
 	}
 	r.loadsUs = append(r.loadsUs, nowUs)
-	if len(r.loadsUs) > 4096 {
-		r.loadsUs = append([]int64(nil), r.loadsUs[2048:]...)
+	if len(r.loadsUs) > loadsMost {
+		r.loadsUs = append([]int64(nil), r.loadsUs[loadsMost/2:]...)
+	}
+}
+
+// loadsWithin counts the loads from the store that began within a span up to now.
+func (r *routed) loadsWithin(nowUs, spanUs int64) int {
+	n := 0
+	for _, atUs := range r.loadsUs {
+		if nowUs-atUs < spanUs {
+			n++
+		}
+	}
+	return n
+}
+
+// fromStore: a ticket loads a model that its replica never had, so that the weights come from the store. Adapters,
+// and models that the replica had before, come from elsewhere.
+func fromStore(have *ledger.Replica, t ledger.Ticket) bool {
+	return t.Step == ledger.Load && !strings.Contains(t.Unit, "/") && (have == nil || !have.Had[t.Unit])
+}
+
+// storeLoads counts a service's pending loads from the store.
+func storeLoads(s *ledger.State, service *standing.Service) int {
+	n := 0
+	for _, t := range s.Pending {
+		if have := s.Replicas[t.Replica]; have != nil && have.Service == service.Name && fromStore(have, t) {
+			n++
+		}
 	}
+	return n
 }
 
 // windowUs is the span over which the store's loads are counted.
 func (f *Controller) windowUs() int64 {
 	if f.opts.StoreWindowUs == 0 {
-		return 5 * clock.Sec
+		return windowUsualUs
 	}
 	return f.opts.StoreWindowUs
 }
@@ -45,23 +84,12 @@
 	e := service.Engine
 	windowUs := f.windowUs()
 	overshoot := max(f.opts.StoreOvershoot, 1)
-	most := int(e.LoadsPerS*float64(windowUs)/1e6*overshoot+3) - storeCut
-	spent := 0
-	for _, atUs := range f.routed.loadsUs {
-		if nowUs-atUs < windowUs+400*clock.Ms {
-			spent++
-		}
-	}
-	if f.routed.missed(nowUs, s, 0); f.routed.missedUs > 0 && nowUs-f.routed.missedUs < windowUs+400*clock.Ms {
+	most := int(e.LoadsPerS*float64(windowUs)/float64(clock.Sec)*overshoot+storeBurst) - storeCut
+	spent := f.routed.loadsWithin(nowUs, windowUs+windowSlackUs)
+	if f.routed.missed(nowUs, s, 0); f.routed.missedUs > 0 && nowUs-f.routed.missedUs < windowUs+windowSlackUs {
 		spent += most
 	}
-	running := 0
-	for _, t := range s.Pending {
-		if have := s.Replicas[t.Replica]; t.Step == ledger.Load && have != nil && have.Service == service.Name && !have.Had[t.Unit] && !strings.Contains(t.Unit, "/") {
-			running++
-		}
-	}
-	return max(0, min(most-spent, e.StoreAtOnce()-running))
+	return max(0, min(most-spent, e.StoreAtOnce()-storeLoads(s, service)))
 }
 
 // leftFor sums what the store still gives over all services; each is checked by its own account as well.
