--- a/internal/outlier/local.go
+++ b/internal/outlier/local.go
@@ -9,13 +9,17 @@
 )
 
 const (
-	localFalse    = 60 * clock.Sec
-	localOutUs    = 1 * clock.Sec
-	localOutMost  = 8 * clock.Sec
-	localLeast    = 2.0
-	localMemory   = 512.0
-	localTold     = 128
-	localForgetUs = 30 * clock.Sec
+	localFalse   = 60 * clock.Sec
+	localOutUs   = 1 * clock.Sec
+	localOutMost = 8 * clock.Sec
+	localLeast   = 2.0
+	localMemory  = 512.0
+	// localRateMemory is the number of attempts over which the time between two is smoothed.
+	localRateMemory = 64
+	// localDoublings is how often the time out doubles at the most.
+	localDoublings = 4
+	localTold      = 128
+	localForgetUs  = 30 * clock.Sec
 )
 
 // local is one replica as one desk sees it.
@@ -56,19 +60,41 @@
 	if class != Good && !class.Bad() {
 		return
 	}
-	r := l.replicas[replica]
-	if r == nil {
-		r = &local{service: service, counts: Counts{Replica: replica}}
-		l.replicas[replica] = r
-	}
+	r := l.replica(service, replica)
 	r.atUs = nowUs
 	l.legs[service]++
+	r.sum = max(0, r.sum+l.weigh(service, class))
+	l.noteRate(nowUs, service)
+	if class == Good {
+		r.noteGood(nowUs)
+		return
+	}
+	r.noteBad(class)
+	if class == Shed || class == Slow || l.opts.Off {
+		return
+	}
+	l.bad = true
+	l.eject(nowUs, service, r, of)
+}
+
+// replica is one replica as this gateway sees it.
+func (l *Local) replica(service, id string) *local {
+	r := l.replicas[id]
+	if r == nil {
+		r = &local{service: service, counts: Counts{Replica: id}}
+		l.replicas[id] = r
+	}
+	return r
+}
+
+// weigh gives the weight of an attempt's outcome against the mean of its service as it was before, and takes it
+// into the mean.
+func (l *Local) weigh(service string, class Class) float64 {
 	mean := l.share[service]
 	if mean == nil {
 		mean = &[classes]float64{}
 		l.share[service] = mean
 	}
-	// Every class is weighed against the mean as it was before this leg.
 	gain := weight(class, mean[class])
 	for c := Good; c < Inconclusive; c++ {
 		hit := 0.0
@@ -77,36 +103,56 @@
 		}
 		mean[c] += (hit - mean[c]) / localMemory
 	}
+	return gain
+}
+
+// noteRate smooths the time between two attempts of a service.
+func (l *Local) noteRate(nowUs int64, service string) {
 	if lastUs := l.lastUs[service]; lastUs > 0 {
-		l.rateUs[service] += (float64(nowUs-lastUs) - l.rateUs[service]) / 64
+		l.rateUs[service] += (float64(nowUs-lastUs) - l.rateUs[service]) / localRateMemory
 	}
 	l.lastUs[service] = nowUs
-	r.sum = max(0, r.sum+gain)
-	if class == Good {
-		r.counts.Good = min(r.counts.Good+1, localTold)
-		if nowUs >= r.untilUs {
-			r.times, r.untilUs = 0, 0
-		}
-		return
+}
+
+// noteGood counts a good attempt; it ends the time out once that is over.
+func (r *local) noteGood(nowUs int64) {
+	r.counts.Good = min(r.counts.Good+1, localTold)
+	if nowUs >= r.untilUs {
+		r.times, r.untilUs = 0, 0
 	}
+}
+
+// noteBad counts an attempt that failed.
+func (r *local) noteBad(class Class) {
 	if r.counts.Bad == nil {
 		r.counts.Bad = map[string]int{}
 	}
 	r.counts.Bad[class.String()]++
-	if class == Shed || class == Slow || l.opts.Off {
+}
+
+// eject keeps this gateway off a replica where the evidence against it is enough, unless too many others of its
+// service are out already.
+func (l *Local) eject(nowUs int64, service string, r *local, of int) {
+	limit := l.limit(service, of)
+	if r.sum < limit || of <= 1 {
 		return
 	}
-	l.bad = true
-	limit := localLeast
-	if every := l.rateUs[service]; every > 0 {
-		limit = max(limit, math.Log(float64(localFalse)/(every*float64(max(of, 1)))))
+	if nowUs >= r.untilUs && l.out(nowUs, service) >= max(1, int(l.opts.MostShare*float64(of))) {
+		return
 	}
-	if r.sum >= limit && (nowUs < r.untilUs || l.out(nowUs, service) < max(1, int(l.opts.MostShare*float64(of)))) && of > 1 {
-		r.untilUs = nowUs + min(localOutUs<<min(r.times, 4), localOutMost)
-		r.times++
-		r.sum = limit / 2
-		l.offUs = max(l.offUs, r.untilUs)
+	r.untilUs = nowUs + min(localOutUs<<min(r.times, localDoublings), localOutMost)
+	r.times++
+	r.sum = limit / 2
+	l.offUs = max(l.offUs, r.untilUs)
+}
+
+// limit is the evidence that chance alone brings up once in localFalse, in all replicas of a service together.
+func (l *Local) limit(service string, of int) float64 {
+	every := l.rateUs[service]
+	if every <= 0 {
+		return localLeast
 	}
+	return max(localLeast, math.Log(float64(localFalse)/(every*float64(max(of, 1)))))
 }
 
 // Off says that this desk keeps off a replica now.
@@ -121,6 +167,7 @@
 // AnyOff says that this desk keeps off some replica now.
 func (l *Local) AnyOff(nowUs int64) bool { return nowUs < l.offUs }
 
+// out counts the replicas of a service that this gateway keeps off now.
 func (l *Local) out(nowUs int64, service string) int {
 	n := 0
 	for _, r := range l.replicas {
