Give each pass of the scaler a name

Decide made five passes over the models in one body of 57 lines. They are methods of one run now, and the two searches of a table have a function each. No change of behaviour; the package's tests pass under -race.

--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -32,7 +32,12 @@
 	Covers    bool    `json:"covers"`
 }
 
-const backlogSeconds = 10.0
+const (
+	// backlogSeconds is the time over which calls that wait are spread when they are counted as a rate.
+	backlogSeconds = 10.0
+	// weightAlone makes a weight without a rate less urgent than any rate.
+	weightAlone = 1e6
+)
 
 // Choose is the source's rule for one model over counts 1..most: lowest latency among those
 // that cover the rate, fewer replicas when latencies are similar, and the most throughput
@@ -42,24 +47,13 @@
 	if most < 1 {
 		return standing.Point{}, false
 	}
-	var best *standing.Point
-	for i := range table[:most] {
-		p := &table[i]
-		if p.PerSecond >= rate && (best == nil || p.LatencyMs < best.LatencyMs) {
-			best = p
-		}
-	}
+	table = table[:most]
+	best := quickest(table, rate)
 	if best == nil {
-		best = &table[0]
-		for i := range table[:most] {
-			if table[i].PerSecond > best.PerSecond {
-				best = &table[i]
-			}
-		}
-		return *best, false
+		return *strongest(table), false
 	}
 	limitMs := best.LatencyMs + best.LatencyMs*int64(similarPct)/100
-	for _, p := range table[:most] {
+	for _, p := range table {
 		if p.PerSecond >= rate && p.LatencyMs <= limitMs {
 			return p, true
 		}
@@ -67,62 +61,126 @@
 	return *best, true
 }
 
+// quickest is the point of the lowest latency that covers the rate; nil where none does.
+func quickest(table []standing.Point, rate float64) *standing.Point {
+	var best *standing.Point
+	for i := range table {
+		p := &table[i]
+		if p.PerSecond >= rate && (best == nil || p.LatencyMs < best.LatencyMs) {
+			best = p
+		}
+	}
+	return best
+}
+
+// strongest is the point of the most throughput.
+func strongest(table []standing.Point) *standing.Point {
+	best := &table[0]
+	for i := range table {
+		if table[i].PerSecond > best.PerSecond {
+			best = &table[i]
+		}
+	}
+	return best
+}
+
 // Decide gives every model its count. The usable replicas include new ones and exclude
 // leaving ones; the spares' room is left out when counts are raised above one.
 func Decide(in Input) []Count {
+	p := newPlan(in)
+	order := p.wanted()
+	p.byUrgency(order)
+	p.first(order)
+	p.raise(order)
+	p.lookUp()
+	return p.counts
+}
+
+// plan is one run of Decide: the counts so far, and the room that they take.
+type plan struct {
+	in     Input
+	spares int
+	counts []Count
+	// wholeMb is the room of all usable replicas, budgetMb that without the largest as spares.
+	wholeMb, budgetMb, usedMb int64
+}
+
+func newPlan(in Input) *plan {
 	usable := len(in.Usable)
-	spares := min(in.Doc.Scaler.Spares, max(0, usable-1))
+	p := &plan{in: in, spares: min(in.Doc.Scaler.Spares, max(0, usable-1)), counts: make([]Count, len(in.Doc.Models))}
 	rooms := make([]int64, 0, usable)
-	var wholeMb int64
 	for _, r := range in.Usable {
 		rooms = append(rooms, r.RoomMb)
-		wholeMb += r.RoomMb
+		p.wholeMb += r.RoomMb
 	}
 	sort.Slice(rooms, func(i, j int) bool { return rooms[i] > rooms[j] })
-	budgetMb := wholeMb
-	for _, mb := range rooms[:spares] {
-		budgetMb -= mb
+	p.budgetMb = p.wholeMb
+	for _, mb := range rooms[:p.spares] {
+		p.budgetMb -= mb
 	}
-	counts := make([]Count, len(in.Doc.Models))
-	order := make([]int, 0, len(counts))
-	for i, m := range in.Doc.Models {
-		rate := in.Rates[m.Name] + float64(in.Waiting[m.Name])/backlogSeconds
-		counts[i] = Count{Model: m.Name, Rate: rate}
+	return p
+}
+
+// wanted looks up how many replicas each model should have, and gives the places of those that should have any.
+func (p *plan) wanted() (order []int) {
+	usable := len(p.in.Usable)
+	order = make([]int, 0, len(p.counts))
+	for i, m := range p.in.Doc.Models {
+		rate := p.in.Rates[m.Name] + float64(p.in.Waiting[m.Name])/backlogSeconds
+		p.counts[i] = Count{Model: m.Name, Rate: rate}
 		if usable == 0 || (m.Weight == 0 && rate == 0) {
 			continue
 		}
-		p, covers := Choose(m.Table, rate, max(1, usable-spares), in.Doc.Scaler.SimilarPct)
-		counts[i].Wanted, counts[i].Covers = p.Replicas, covers
+		point, covers := Choose(m.Table, rate, max(1, usable-p.spares), p.in.Doc.Scaler.SimilarPct)
+		p.counts[i].Wanted, p.counts[i].Covers = point.Replicas, covers
 		order = append(order, i)
 	}
+	return order
+}
+
+// byUrgency sorts models by rate and weight; without a rate, by weight alone.
+func (p *plan) byUrgency(order []int) {
 	urgent := func(i int) float64 {
-		return counts[i].Rate*float64(1+in.Doc.Models[i].Weight) + float64(in.Doc.Models[i].Weight)/1e6
+		weight := p.in.Doc.Models[i].Weight
+		return p.counts[i].Rate*float64(1+weight) + float64(weight)/weightAlone
 	}
 	sort.SliceStable(order, func(a, b int) bool { return urgent(order[a]) > urgent(order[b]) })
-	var usedMb int64
+}
+
+// first gives each model one replica, while there is room at all.
+func (p *plan) first(order []int) {
 	for _, i := range order {
-		if sizeMb := in.Doc.Models[i].SizeMb; usedMb+sizeMb <= wholeMb {
-			counts[i].Replicas = 1
-			usedMb += sizeMb
+		if sizeMb := p.in.Doc.Models[i].SizeMb; p.usedMb+sizeMb <= p.wholeMb {
+			p.counts[i].Replicas = 1
+			p.usedMb += sizeMb
 		}
 	}
+}
+
+// raise gives models one replica more in turns, up to what they want and the spares leave room for.
+func (p *plan) raise(order []int) {
 	for raised := true; raised; {
 		raised = false
 		for _, i := range order {
-			sizeMb := in.Doc.Models[i].SizeMb
-			if counts[i].Replicas > 0 && counts[i].Replicas < counts[i].Wanted && usedMb+sizeMb <= budgetMb {
-				counts[i].Replicas++
-				usedMb += sizeMb
+			c, sizeMb := &p.counts[i], p.in.Doc.Models[i].SizeMb
+			if c.Replicas > 0 && c.Replicas < c.Wanted && p.usedMb+sizeMb <= p.budgetMb {
+				c.Replicas++
+				p.usedMb += sizeMb
 				raised = true
 			}
 		}
 	}
-	for i := range counts {
-		if c := &counts[i]; c.Replicas > 0 {
-			p := in.Doc.Models[i].Table[c.Replicas-1]
-			c.PerSecond, c.LatencyMs = p.PerSecond, p.LatencyMs
-			c.Covers = p.PerSecond >= c.Rate
+}
+
+// lookUp adds what the tables say of the counts.
+func (p *plan) lookUp() {
+	for i := range p.counts {
+		c := &p.counts[i]
+		if c.Replicas == 0 {
+			continue
 		}
+		point := p.in.Doc.Models[i].Table[c.Replicas-1]
+		c.PerSecond, c.LatencyMs = point.PerSecond, point.LatencyMs
+		c.Covers = point.PerSecond >= c.Rate
 	}
-	return counts
 }
