--- a/internal/subscriber/publish.go
+++ b/internal/subscriber/publish.go
@@ -16,22 +16,37 @@
 		Number: m.number, View: m.view.Number, Revision: m.revision, Doc: m.doc, AtUs: nowUs, Desks: m.desks,
 		Trials: m.outliers.In(m.opts.Zone),
 	}
-	last := m.snap
-	if last == nil {
-		last = &dispatch.Snapshot{Replicas: map[string]*wire.ReplicaNews{}, ByService: map[string][]*wire.ReplicaNews{}}
+	if m.snap != nil {
+		snap.Replicas, snap.ByService = m.snap.Replicas, m.snap.ByService
+	} else {
+		snap.Replicas, snap.ByService = map[string]*wire.ReplicaNews{}, map[string][]*wire.ReplicaNews{}
 	}
-	snap.Replicas, snap.ByService = last.Replicas, last.ByService
-	if len(m.touched) > 0 {
-		snap.Replicas, snap.ByService = maps.Clone(last.Replicas), maps.Clone(last.ByService)
+	moved := m.copyTouched(snap)
+	if m.ids == nil {
+		m.ids = slices.Sorted(maps.Keys(m.best))
+	}
+	snap.IDs = m.ids
+	listAgain(snap, moved)
+	m.snap = snap
+	m.do(MirrorEffect{Snapshot: snap})
+}
+
+// copyTouched writes what is new of the replicas that were touched, and gives the services of which a replica came
+// or went: their lists are not right any more. A list that only has new rows is copied and written here.
+func (m *Mirror) copyTouched(snap *dispatch.Snapshot) (moved map[string]bool) {
+	moved = map[string]bool{}
+	if len(m.touched) == 0 {
+		return moved
 	}
-	own, joined := map[string]bool{}, map[string]bool{}
+	snap.Replicas, snap.ByService = maps.Clone(snap.Replicas), maps.Clone(snap.ByService)
+	copied := map[string]bool{}
 	for id := range m.touched {
 		was := snap.Replicas[id]
 		r, known := m.best[id]
 		if !known {
 			if was != nil {
 				delete(snap.Replicas, id)
-				joined[was.Service], m.ids = true, nil
+				moved[was.Service], m.ids = true, nil
 			}
 			continue
 		}
@@ -39,38 +54,44 @@
 		snap.Replicas[id] = news
 		switch {
 		case was == nil:
-			joined[r.Service], m.ids = true, nil
+			moved[r.Service], m.ids = true, nil
 		case was.Service != r.Service:
-			joined[r.Service], joined[was.Service] = true, true
+			moved[r.Service], moved[was.Service] = true, true
 		default:
-			if !own[r.Service] {
-				own[r.Service] = true
-				snap.ByService[r.Service] = slices.Clone(snap.ByService[r.Service])
-			}
-			row := snap.ByService[r.Service]
-			at, _ := slices.BinarySearchFunc(row, id, func(n *wire.ReplicaNews, id string) int { return cmp.Compare(n.ID, id) })
-			row[at] = news
+			replaceRow(snap, copied, news)
 		}
 	}
 	clear(m.touched)
-	if m.ids == nil {
-		m.ids = slices.Sorted(maps.Keys(m.best))
+	return moved
+}
+
+// replaceRow writes a replica's row anew in the list of its service, which is copied first if it is not yet.
+func replaceRow(snap *dispatch.Snapshot, copied map[string]bool, news *wire.ReplicaNews) {
+	if !copied[news.Service] {
+		copied[news.Service] = true
+		snap.ByService[news.Service] = slices.Clone(snap.ByService[news.Service])
 	}
-	snap.IDs = m.ids
-	for service := range joined {
+	rows := snap.ByService[news.Service]
+	at, _ := slices.BinarySearchFunc(rows, news.ID, func(n *wire.ReplicaNews, id string) int { return cmp.Compare(n.ID, id) })
+	rows[at] = news
+}
+
+// listAgain lists the replicas of some services anew, in the order of their names.
+func listAgain(snap *dispatch.Snapshot, services map[string]bool) {
+	if len(services) == 0 {
+		return
+	}
+	for service := range services {
 		delete(snap.ByService, service)
 	}
-	if len(joined) > 0 {
-		for _, id := range m.ids {
-			if news := snap.Replicas[id]; joined[news.Service] {
-				snap.ByService[news.Service] = append(snap.ByService[news.Service], news)
-			}
+	for _, id := range snap.IDs {
+		if news := snap.Replicas[id]; services[news.Service] {
+			snap.ByService[news.Service] = append(snap.ByService[news.Service], news)
 		}
 	}
-	m.snap = snap
-	m.do(MirrorEffect{Snapshot: snap})
 }
 
+// newsOf is a replica's row as the decider reads it.
 func (m *Mirror) newsOf(r wire.ReplicaRow) *wire.ReplicaNews {
 	news := &wire.ReplicaNews{
 		ID: r.ID, Inc: r.ID, Addr: r.Addr, Zone: r.Zone, Service: r.Service, Slots: r.Slots, Leaving: r.Draining, LeftMs: r.LeftMs,
