--- a/internal/placement/check.go
+++ b/internal/placement/check.go
@@ -2,10 +2,11 @@
 
 import (
 	"fmt"
-	"petreltide/internal/fault"
-	"petreltide/internal/ledger"
 	"sort"
 	"strings"
+
+	"petreltide/internal/fault"
+	"petreltide/internal/ledger"
 )
 
 // Verdict is what the checker said to a proposal; Fault is nil where it was taken.
--- a/internal/placement/resident.go
+++ b/internal/placement/resident.go
@@ -1,8 +1,6 @@
 package placement
 
-import (
-	"petreltide/internal/standing"
-)
+import "petreltide/internal/standing"
 
 // ResidentName is the policy that is built in for services with an engine: it treats the replicas' room as
 // a cache of models. Others are written as programs; every proposal is checked alike.
--- a/internal/placement/resident_adapters.go
+++ b/internal/placement/resident_adapters.go
@@ -3,9 +3,10 @@
 import (
 	"cmp"
 	"math"
+	"slices"
+
 	"petreltide/internal/ledger"
 	"petreltide/internal/standing"
-	"slices"
 )
 
 const (
--- a/internal/placement/resident_copies.go
+++ b/internal/placement/resident_copies.go
@@ -3,8 +3,9 @@
 import (
 	"cmp"
 	"math"
-	"petreltide/internal/ledger"
 	"slices"
+
+	"petreltide/internal/ledger"
 )
 
 // How many copies of a model there should be.
--- a/internal/placement/resident_victims.go
+++ b/internal/placement/resident_victims.go
@@ -3,8 +3,9 @@
 import (
 	"cmp"
 	"math"
-	"petreltide/internal/standing"
 	"slices"
+
+	"petreltide/internal/standing"
 )
 
 // What is lost if a model goes from a replica, in calls a second.
