--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -32,63 +32,88 @@
 	keyMost         = 200
 	pieceMost       = 1 << 20
 	streamMost      = 64 << 20
+	// undeclaredRetryMs is when a caller is told to try again while there is no declaration yet.
+	undeclaredRetryMs = 500
 )
 
 // read checks everything that can be checked without asking the decider.
-func (h *Host) read(w http.ResponseWriter, r *http.Request) (*CallAsk, *dispatch.Call, bool, *fault.Fault) {
+func (h *Host) read(w http.ResponseWriter, r *http.Request) (ask *CallAsk, c *dispatch.Call, resumable bool, bad *fault.Fault) {
+	ask, bad = h.decode(w, r)
+	if bad != nil {
+		return nil, nil, false, bad
+	}
+	s := h.snap.Load()
+	if s == nil || s.Doc == nil {
+		f := fault.New(fault.NoLease, "", "this desk has no declaration yet")
+		f.RetryMs = undeclaredRetryMs
+		return nil, nil, false, f
+	}
+	last := r.Header.Get("Last-Event-Id")
+	once := ask.Resume != nil && !*ask.Resume
+	kind, bad := s.Lookup(dispatch.Asked{Kind: ask.Kind, Model: ask.Model, Adapter: ask.Adapter, Once: once, Had: last != ""}, clock.NowUs(), h.leaseUs.Load())
+	if bad == nil {
+		bad = ask.check(r.Header.Get("Idempotency-Key"))
+	}
+	if bad != nil {
+		return nil, nil, false, bad
+	}
+	c = &dispatch.Call{
+		ID: h.set.Name + "-" + office.RandomID(8), Kind: kind.Name, Model: ask.Model, Adapter: ask.Adapter,
+		Prefix: ask.Prefix, Once: once, MostMs: ask.ExpiryMs, TakenUs: clock.NowUs(),
+	}
+	if f := resumeAt(last, ask, c); f != nil {
+		return nil, nil, false, f
+	}
+	return ask, c, kind.Resumable && !once, nil
+}
+
+// decode reads a body of at most the size that is set, as one JSON value without unknown fields.
+func (h *Host) decode(w http.ResponseWriter, r *http.Request) (*CallAsk, *fault.Fault) {
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(h.set.BodyMaxKb)<<10))
 	if err != nil {
 		if _, ok := err.(*http.MaxBytesError); ok {
-			return nil, nil, false, fault.New(fault.TooLarge, "", "a body may have %d KiB", h.set.BodyMaxKb)
+			return nil, fault.New(fault.TooLarge, "", "a body may have %d KiB", h.set.BodyMaxKb)
 		}
-		return nil, nil, false, fault.New(fault.BadJSON, "", "%v", err)
+		return nil, fault.New(fault.BadJSON, "", "%v", err)
 	}
 	ask := &CallAsk{}
 	dec := json.NewDecoder(bytes.NewReader(raw))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(ask); err != nil {
-		field := ""
-		if e, ok := err.(*json.UnmarshalTypeError); ok {
-			field = e.Field
-		} else if _, name, found := strings.Cut(err.Error(), "unknown field "); found {
-			field = strings.Trim(name, `"`)
-		}
-		return nil, nil, false, fault.New(fault.BadJSON, field, "%v", err)
+		return nil, fault.New(fault.BadJSON, fieldOf(err), "%v", err)
 	}
 	if _, err := dec.Token(); err != io.EOF {
-		return nil, nil, false, fault.New(fault.BadJSON, "", "more than one JSON value")
+		return nil, fault.New(fault.BadJSON, "", "more than one JSON value")
 	}
-	s := h.snap.Load()
-	if s == nil || s.Doc == nil {
-		f := fault.New(fault.NoLease, "", "this desk has no declaration yet")
-		f.RetryMs = 500
-		return nil, nil, false, f
+	return ask, nil
+}
+
+// fieldOf names the field that a decoder stumbled over, where it says so.
+func fieldOf(err error) string {
+	if e, ok := err.(*json.UnmarshalTypeError); ok {
+		return e.Field
 	}
-	last := r.Header.Get("Last-Event-Id")
-	once := ask.Resume != nil && !*ask.Resume
-	kind, bad := s.Lookup(dispatch.Asked{Kind: ask.Kind, Model: ask.Model, Adapter: ask.Adapter, Once: once, Had: last != ""}, clock.NowUs(), h.leaseUs.Load())
+	if _, name, found := strings.Cut(err.Error(), "unknown field "); found {
+		return strings.Trim(name, `"`)
+	}
+	return ""
+}
+
+// check refuses what is wrong with any declaration.
+func (ask *CallAsk) check(key string) *fault.Fault {
 	switch {
-	case bad != nil:
-		return nil, nil, false, bad
 	case ask.Prompt == "":
-		return nil, nil, false, fault.New(fault.BadField, "prompt", "it is empty")
+		return fault.New(fault.BadField, "prompt", "it is empty")
 	case len(ask.Prefix) > prefixPartsMost:
-		return nil, nil, false, fault.New(fault.BadField, "prefix", "%d parts, at most %d", len(ask.Prefix), prefixPartsMost)
+		return fault.New(fault.BadField, "prefix", "%d parts, at most %d", len(ask.Prefix), prefixPartsMost)
 	case ask.ExpiryMs < 0:
-		return nil, nil, false, fault.New(fault.PastExpiry, "expiryMs", "it is %d ms in the past", -ask.ExpiryMs)
+		return fault.New(fault.PastExpiry, "expiryMs", "it is %d ms in the past", -ask.ExpiryMs)
 	case ask.MostOut < 0:
-		return nil, nil, false, fault.New(fault.BadField, "mostOut", "it is negative")
-	case len(r.Header.Get("Idempotency-Key")) > keyMost:
-		return nil, nil, false, fault.New(fault.BadField, "Idempotency-Key", "longer than %d bytes", keyMost)
-	}
-	c := &dispatch.Call{
-		ID: h.set.Name + "-" + office.RandomID(8), Kind: kind.Name, Model: ask.Model, Adapter: ask.Adapter,
-		Prefix: ask.Prefix, Once: once, MostMs: ask.ExpiryMs, TakenUs: clock.NowUs(),
+		return fault.New(fault.BadField, "mostOut", "it is negative")
+	case len(key) > keyMost:
+		return fault.New(fault.BadField, "Idempotency-Key", "longer than %d bytes", keyMost)
 	}
-	if f := resumeAt(last, ask, c); f != nil {
-		return nil, nil, false, f
-	}
-	return ask, c, kind.Resumable && !once, nil
+	return nil
 }
 
 // resumeAt lets a caller go on at any desk: it names the last piece and sends all it holds.
@@ -111,6 +136,7 @@
 	return nil
 }
 
+// serveCall carries one call of the product's own interface.
 func (h *Host) serveCall(w http.ResponseWriter, r *http.Request) {
 	h.calls.Add(1)
 	defer h.calls.Add(-1)
--- a/internal/desk/carry.go
+++ b/internal/desk/carry.go
@@ -9,6 +9,9 @@
 	"petreltide/internal/fault"
 )
 
+// drainRetryMs is when a caller that came too late is told to try again.
+const drainRetryMs = 200
+
 // carry takes one call through the decider and its legs to the one final answer.
 func (h *Host) carry(ctx context.Context, c *dispatch.Call, edge Edge) string {
 	mine := &caller{next: make(chan dispatch.Effect, 4)}
@@ -16,51 +19,23 @@
 		h.waiting[c.ID] = mine
 		h.step(dispatch.Event{Arrived: c})
 	}) {
-		edge.Fail(&fault.Fault{Code: fault.Draining, Run: fault.RunNone, RetryMs: 200})
+		edge.Fail(&fault.Fault{Code: fault.Draining, Run: fault.RunNone, RetryMs: drainRetryMs})
 		return fault.RunNone
 	}
 	defer h.act.Tell(func() { delete(h.waiting, c.ID) })
 	ran, why := fault.RunNone, ""
 	for {
-		var e dispatch.Effect
-		select {
-		case e = <-mine.next:
-		case <-ctx.Done():
-			h.do(func() { h.step(dispatch.Event{Gone: c.ID}) })
-			select {
-			case e = <-mine.next:
-			default:
-				return ran
-			}
-			if e.Start != nil {
-				h.tell(dispatch.Event{Ended: &dispatch.Ended{Call: c.ID, Leg: e.Start.Leg, Ending: dispatch.Unsent}})
-			}
+		e, here := h.next(ctx, c, mine)
+		switch {
+		case !here:
 			return ran
+		case e.Give != nil:
+			return h.giveUp(c, e.Give.Fault, edge)
+		case e.Over != nil:
+			return endOver(e.Over.Ending, why, edge)
 		}
-		if e.Give != nil {
-			if c.Routed != nil {
-				_ = h.log.Log("event", "given up", "path", c.Kind, "model", c.Model, "adapter", c.Adapter, "waitedMs", (clock.NowUs()-c.TakenUs)/1000, "mostMs", c.MostMs, "retryMs", e.Give.Fault.RetryMs, "why", e.Give.Fault.Detail)
-			}
-			edge.Fail(e.Give.Fault)
-			return e.Give.Fault.Run
-		}
-		if e.Over != nil {
-			f := fault.New(fault.Unknown, "", "%s", why)
-			f.Run = fault.RunUnknown
-			if e.Over.Ending == dispatch.Final {
-				f.Code = fault.Expired
-			} else if edge.Opened() {
-				f.Code, f.Run = fault.Broken, fault.RunPartial
-			}
-			edge.Fail(f)
-			return f.Run
-		}
-		ending, said := h.leg(ctx, *e.Start, mine, edge)
-		why = said
-		if ctx.Err() != nil {
-			h.tell(dispatch.Event{Gone: c.ID})
-		}
-		h.tell(dispatch.Event{Ended: &dispatch.Ended{Call: c.ID, Leg: e.Start.Leg, Ending: ending}})
+		var ending dispatch.Ending
+		ending, why = h.attempt(ctx, *e.Start, mine, edge)
 		switch {
 		case ending == dispatch.Done:
 			return fault.RunYes
@@ -75,22 +50,82 @@
 	}
 }
 
+// next waits for what the decider says of a call next; here is false where the caller has left instead. An attempt
+// that was started meanwhile ends unsent.
+func (h *Host) next(ctx context.Context, c *dispatch.Call, mine *caller) (e dispatch.Effect, here bool) {
+	select {
+	case e = <-mine.next:
+		return e, true
+	case <-ctx.Done():
+	}
+	h.do(func() { h.step(dispatch.Event{Gone: c.ID}) })
+	select {
+	case e = <-mine.next:
+		if e.Start != nil {
+			h.tell(dispatch.Event{Ended: &dispatch.Ended{Call: c.ID, Leg: e.Start.Leg, Ending: dispatch.Unsent}})
+		}
+	default:
+	}
+	return dispatch.Effect{}, false
+}
+
+// giveUp gives the caller the fault by which the decider gave its call up.
+func (h *Host) giveUp(c *dispatch.Call, f *fault.Fault, edge Edge) string {
+	if c.Routed != nil {
+		_ = h.log.Log("event", "given up", "path", c.Kind, "model", c.Model, "adapter", c.Adapter,
+			"waitedMs", (clock.NowUs()-c.TakenUs)/clock.Ms, "mostMs", c.MostMs, "retryMs", f.RetryMs, "why", f.Detail)
+	}
+	edge.Fail(f)
+	return f.Run
+}
+
+// endOver gives the caller the end of a call whose last attempt ended so that no other may follow.
+func endOver(ending dispatch.Ending, why string, edge Edge) string {
+	f := fault.New(fault.Unknown, "", "%s", why)
+	f.Run = fault.RunUnknown
+	if ending == dispatch.Final {
+		f.Code = fault.Expired
+	} else if edge.Opened() {
+		f.Code, f.Run = fault.Broken, fault.RunPartial
+	}
+	edge.Fail(f)
+	return f.Run
+}
+
+// attempt runs one leg and tells the decider how it ended, and that the caller has left if it has.
+func (h *Host) attempt(ctx context.Context, st dispatch.Start, mine *caller, edge Edge) (dispatch.Ending, string) {
+	ending, why := h.leg(ctx, st, mine, edge)
+	if ctx.Err() != nil {
+		h.tell(dispatch.Event{Gone: st.Call.ID})
+	}
+	h.tell(dispatch.Event{Ended: &dispatch.Ended{Call: st.Call.ID, Leg: st.Leg, Ending: ending}})
+	return ending, why
+}
+
 // leg runs one leg. Those under granted numbers run under a context that the decider can end.
 func (h *Host) leg(ctx context.Context, st dispatch.Start, mine *caller, edge Edge) (dispatch.Ending, string) {
 	if st.Call.Routed != nil {
 		fromUs := clock.NowUs()
 		ending, why := edge.Leg(ctx, st)
-		firstMs := int64(-1)
-		if firstUs := st.Call.FirstUs.Load(); firstUs >= fromUs {
-			firstMs = (firstUs - fromUs) / 1000
-		}
-		_ = h.log.Log("event", "leg", "path", st.Call.Kind, "model", st.Call.Model, "adapter", st.Call.Adapter, "replica", st.Replica, "tokens", st.Call.Routed.PromptIn,
-			"waitedMs", (fromUs-st.Call.TakenUs)/1000, "guessMs", int64(st.GuessMs), "firstMs", firstMs, "allMs", (clock.NowUs()-fromUs)/1000, "running", st.Running, "aimMs", st.Route.AimMs, "mostMs", st.Call.MostMs, "ending", ending, "why", why)
+		h.logLeg(st, fromUs, ending, why)
 		return ending, why
 	}
-	legCtx, cancel := context.WithDeadline(ctx, time.Now().Add(time.Duration(st.ExpiryUs-clock.NowUs())*time.Microsecond))
+	left := time.Duration(st.ExpiryUs-clock.NowUs()) * time.Microsecond
+	legCtx, cancel := context.WithDeadline(ctx, time.Now().Add(left))
 	defer cancel()
 	h.do(func() { mine.arm(cancel) })
 	defer h.do(func() { mine.arm(nil) })
 	return edge.Leg(legCtx, st)
 }
+
+// logLeg notes what became of a leg on a route, and how long its parts took; firstMs is -1 where nothing came.
+func (h *Host) logLeg(st dispatch.Start, fromUs int64, ending dispatch.Ending, why string) {
+	c := st.Call
+	firstMs := int64(-1)
+	if firstUs := c.FirstUs.Load(); firstUs >= fromUs {
+		firstMs = (firstUs - fromUs) / clock.Ms
+	}
+	_ = h.log.Log("event", "leg", "path", c.Kind, "model", c.Model, "adapter", c.Adapter, "replica", st.Replica, "tokens", c.Routed.PromptIn,
+		"waitedMs", (fromUs-c.TakenUs)/clock.Ms, "guessMs", int64(st.GuessMs), "firstMs", firstMs, "allMs", (clock.NowUs()-fromUs)/clock.Ms,
+		"running", st.Running, "aimMs", st.Route.AimMs, "mostMs", c.MostMs, "ending", ending, "why", why)
+}
--- a/internal/desk/legs.go
+++ b/internal/desk/legs.go
@@ -34,42 +34,34 @@
 		e.h.tell(dispatch.Event{Gone: e.call.ID})
 	}
 	if ending == dispatch.Done {
-		e.s.event(0, "end", map[string]any{"pieces": len(e.s.pieces)})
+		e.s.event(0, "end", endEvent{Pieces: len(e.s.pieces)})
 	}
 	return ending, why
 }
 
+const (
+	// refusalMost and settleMost bound what is read of a replica's answer to a leg that it refuses, and to its end.
+	refusalMost = 1 << 16
+	settleMost  = 1 << 12
+	newsChanged = "the news changed before it was sent"
+)
+
+// legNumber is the number at the end of a leg's name.
 func legNumber(leg string) string { return leg[strings.LastIndexByte(leg, '/')+1:] }
 
 // runLeg obeys one decision. Only when no byte can have left, or the replica itself said that
 // it did not start, is the ending one that lets the call run elsewhere.
 func (h *Host) runLeg(legCtx context.Context, ask *CallAsk, c *dispatch.Call, st dispatch.Start, s *stream) (dispatch.Ending, string) {
-	raw, err := json.Marshal(wire.Leg{
-		Leg: st.Leg, Ticket: st.Ticket, Inc: st.Inc, Call: c.ID, Model: c.Model, Adapter: c.Adapter,
-		Prefix: ask.Prefix, Prompt: ask.Prompt, Had: s.pieces, First: len(s.pieces) + 1, MostOut: ask.MostOut,
-	})
-	if err != nil {
-		panic(err)
-	}
-	var connected atomic.Bool
-	body := &checked{h: h, st: st, r: bytes.NewReader(raw)}
-	trace := &httptrace.ClientTrace{
-		GotConn:        func(httptrace.GotConnInfo) { connected.Store(true) },
-		Got100Continue: func() { body.asked.Store(true) },
-	}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(legCtx, trace), http.MethodPost, "http://"+st.Addr+"/v1/legs", io.NopCloser(body))
+	sent, err := h.newLegRequest(legCtx, ask, c, st, s.pieces)
 	if err != nil {
 		return dispatch.Unsent, err.Error()
 	}
-	req.ContentLength = int64(len(raw))
-	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set("Expect", "100-continue")
 	if !h.maySend(st) {
-		return dispatch.Unsent, "the news changed before it was sent"
+		return dispatch.Unsent, newsChanged
 	}
-	res, err := h.legs.Do(req)
+	res, err := h.legs.Do(sent.req)
 	if err != nil {
-		if !connected.Load() || !body.left.Load() {
+		if !sent.mayHaveLeft() {
 			return dispatch.Unsent, err.Error()
 		}
 		h.settleLeg(st)
@@ -77,12 +69,7 @@
 	}
 	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK {
-		refusal := wire.LegRefusal{Started: true}
-		answer, readErr := io.ReadAll(io.LimitReader(res.Body, 1<<16))
-		if readErr == nil && json.Unmarshal(answer, &refusal) == nil && refusal.Code != "" && !refusal.Started {
-			return dispatch.Refused, refusal.Code
-		}
-		return dispatch.Unknown, "the replica answered " + res.Status
+		return refusalOf(res)
 	}
 	ending, why := h.readPieces(c, st, s, res.Body)
 	if ending == dispatch.Done {
@@ -97,6 +84,51 @@
 	return ending, why
 }
 
+// legRequest is a leg as it is sent, and what is known of how far it came.
+type legRequest struct {
+	req       *http.Request
+	body      *checked
+	connected atomic.Bool
+}
+
+// newLegRequest makes the request of a leg, whose body waits until the replica asks for it.
+func (h *Host) newLegRequest(legCtx context.Context, ask *CallAsk, c *dispatch.Call, st dispatch.Start, had []string) (*legRequest, error) {
+	raw, err := json.Marshal(wire.Leg{
+		Leg: st.Leg, Ticket: st.Ticket, Inc: st.Inc, Call: c.ID, Model: c.Model, Adapter: c.Adapter,
+		Prefix: ask.Prefix, Prompt: ask.Prompt, Had: had, First: len(had) + 1, MostOut: ask.MostOut,
+	})
+	if err != nil {
+		panic(err)
+	}
+	sent := &legRequest{body: &checked{h: h, st: st, r: bytes.NewReader(raw)}}
+	trace := &httptrace.ClientTrace{
+		GotConn:        func(httptrace.GotConnInfo) { sent.connected.Store(true) },
+		Got100Continue: func() { sent.body.asked.Store(true) },
+	}
+	sent.req, err = http.NewRequestWithContext(httptrace.WithClientTrace(legCtx, trace), http.MethodPost, "http://"+st.Addr+"/v1/legs", io.NopCloser(sent.body))
+	if err != nil {
+		return nil, err
+	}
+	sent.req.ContentLength = int64(len(raw))
+	sent.req.Header.Set("Content-Type", "application/json")
+	sent.req.Header.Set("Expect", "100-continue")
+	return sent, nil
+}
+
+// mayHaveLeft: some of the body may have reached the replica.
+func (l *legRequest) mayHaveLeft() bool { return l.connected.Load() && l.body.left.Load() }
+
+// refusalOf reads an answer other than 200: a refusal that says that nothing was started, or nobody knows.
+func refusalOf(res *http.Response) (dispatch.Ending, string) {
+	refusal := wire.LegRefusal{Started: true}
+	answer, err := io.ReadAll(io.LimitReader(res.Body, refusalMost))
+	if err == nil && json.Unmarshal(answer, &refusal) == nil && refusal.Code != "" && !refusal.Started {
+		return dispatch.Refused, refusal.Code
+	}
+	return dispatch.Unknown, "the replica answered " + res.Status
+}
+
+// endingOf is the ending of a leg that may have run: at its deadline, stopped by the decider, or for no known reason.
 func endingOf(legCtx context.Context, st dispatch.Start) dispatch.Ending {
 	switch {
 	case clock.NowUs() >= st.ExpiryUs:
@@ -107,6 +139,7 @@
 	return dispatch.Unknown
 }
 
+// maySend: by the newest news and the lease, a leg may still go to its replica.
 func (h *Host) maySend(st dispatch.Start) bool {
 	return st.MaySend(h.snap.Load(), clock.NowUs(), h.leaseUs.Load())
 }
@@ -127,13 +160,14 @@
 			return 0, fault.New(fault.ReplicaFailed, "", "the replica did not ask for the leg")
 		}
 		if !b.h.maySend(b.st) {
-			return 0, fault.New(fault.NoLease, "", "the news changed before it was sent")
+			return 0, fault.New(fault.NoLease, "", newsChanged)
 		}
 		b.left.Store(true)
 	}
 	return b.r.Read(p)
 }
 
+// readPieces passes a replica's pieces on as they come, until its end or the first that does not belong.
 func (h *Host) readPieces(c *dispatch.Call, st dispatch.Start, s *stream, body io.Reader) (dispatch.Ending, string) {
 	bounded := &io.LimitedReader{R: body, N: pieceMost}
 	dec := json.NewDecoder(bounded)
@@ -157,7 +191,7 @@
 		c.FirstUs.CompareAndSwap(0, clock.NowUs())
 		s.pieces = append(s.pieces, p.Text)
 		c.Progress.Store(int64(len(s.pieces)))
-		s.event(len(s.pieces), "piece", map[string]any{"text": p.Text})
+		s.event(len(s.pieces), "piece", pieceEvent{Text: p.Text})
 		if s.failed {
 			return dispatch.Broken, "the caller is gone"
 		}
@@ -177,6 +211,6 @@
 	if err != nil {
 		return
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, 1<<12))
+	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, settleMost))
 	_ = res.Body.Close()
 }
--- a/internal/desk/stream.go
+++ b/internal/desk/stream.go
@@ -9,6 +9,20 @@
 	"petreltide/internal/fault"
 )
 
+type (
+	// pieceEvent is a piece of the answer, endEvent its end after so many pieces, brokenEvent an end that is none.
+	pieceEvent struct {
+		Text string `json:"text"`
+	}
+	endEvent struct {
+		Pieces int `json:"pieces"`
+	}
+	brokenEvent struct {
+		Error  *fault.Fault `json:"error"`
+		Pieces int          `json:"pieces"`
+	}
+)
+
 type stream struct {
 	w      http.ResponseWriter
 	flush  func() error
@@ -54,5 +68,5 @@
 		refuse(s.w, statusOf(f), f)
 		return
 	}
-	s.event(0, "broken", map[string]any{"error": f, "pieces": len(s.pieces)})
+	s.event(0, "broken", brokenEvent{Error: f, Pieces: len(s.pieces)})
 }
