--- a/proofs/rules/routed.go
+++ b/proofs/rules/routed.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"slices"
 	"sort"
 	"strings"
@@ -500,84 +499,6 @@
 	}
 }
 
-// starved: no class of request may be served less than a quarter as often as all; few models, adapters and
-// subjects that are asked for through the day may be served never.
-func (j *judge) starved() {
-	type row struct {
-		asked, served int
-		firstUs       int64
-		lastUs        int64
-	}
-	all, classes := row{}, map[string]*row{}
-	models, adapters, subjects, classOf := map[string]*row{}, map[string]*row{}, map[string]*row{}, map[string]string{}
-	add := func(rows map[string]*row, name string, t *Try) {
-		r := rows[name]
-		if r == nil {
-			r = &row{firstUs: t.SentUs}
-			rows[name] = r
-		}
-		r.asked++
-		r.lastUs = t.SentUs
-		if t.Served() {
-			r.served++
-		}
-	}
-	for _, t := range j.Tries {
-		if t.Probe || t.HungUp {
-			continue
-		}
-		all.asked++
-		if t.Served() {
-			all.served++
-		}
-		add(classes, t.Class, t)
-		if t.Model != "" {
-			add(models, t.Model, t)
-		}
-		if t.Adapter != "" {
-			add(adapters, t.Model+"/"+t.Adapter, t)
-		}
-		if t.Subject != "" {
-			add(subjects, t.Class+" "+t.Subject, t)
-			classOf[t.Class+" "+t.Subject] = t.Class
-		}
-	}
-	for name, r := range classes {
-		if r.asked < 40 {
-			continue
-		}
-		j.stake(Starved)
-		if float64(r.served)/float64(r.asked) < float64(all.served)/float64(all.asked)/4 {
-			j.breach(Starved, "%d of %d %s were served, %d of %d of all", r.served, r.asked, name, all.served, all.asked)
-		}
-	}
-	never := func(what string, rows map[string]*row, few, share float64) {
-		none, asked, chance := []string{}, 0, 0.0
-		for name, r := range rows {
-			if r.asked < 4 || r.lastUs-r.firstUs < 8_000_000 {
-				continue
-			}
-			asked++
-			if class := classes[classOf[name]]; class != nil {
-				chance += math.Pow(1-float64(class.served)/float64(class.asked), float64(r.asked))
-			}
-			if r.served == 0 {
-				none = append(none, name)
-			}
-		}
-		if asked > 0 {
-			j.stake(Starved)
-		}
-		if float64(len(none)) > few+float64(asked)*share+3*chance {
-			slices.Sort(none)
-			j.breach(Starved, "%d of %d %s were never served: %v", len(none), asked, what, none)
-		}
-	}
-	never("models", models, 1, 0.1)
-	never("adapters", adapters, 1, 0.1)
-	never("subjects", subjects, 2, 0.04)
-}
-
 // sizes: the largest tenth of a kind, and the fifth below it, are served at least half as often as the kind. A
 // request is served if one of its tries is.
 func (j *judge) sizes() {
--- /dev/null
+++ b/proofs/rules/routed_routes.go
@@ -0,0 +1,198 @@
+package rules
+
+import (
+	"cmp"
+	"slices"
+)
+
+// handling is one thing done with a request: a service ran it, or a 404 denied that there is a route.
+type handling struct {
+	try     *Try
+	service string
+	atUs    int64
+	replica string
+}
+
+func (j *judge) handlings() []handling {
+	all := []handling{}
+	for _, a := range j.Arrivals {
+		if t := j.tries[a.Request]; t != nil && a.RanUs > 0 {
+			all = append(all, handling{t, a.Service, a.AtUs, a.Replica})
+		}
+	}
+	for _, t := range j.Tries {
+		if t.Status == 404 && len(j.arrivals[t.ID]) == 0 {
+			all = append(all, handling{t, "", t.EndUs, ""})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b handling) int { return cmp.Compare(a.atUs, b.atUs) })
+	return all
+}
+
+// oldest is the version below which a machine may not work any more, for a request sent at a moment.
+func (j *judge) oldest(t *Try, atUs int64) *Version {
+	var lo *Version
+	for _, v := range j.sorted {
+		if v.AckedUs == 0 {
+			continue
+		}
+		switch {
+		case t.SentUs > v.AckedUs+j.Bounds.ConfigApplyUs && j.t.within(t.Machine, t.SentUs, atUs),
+			t.SentUs > v.AckedUs+j.Bounds.ConfigApplyUs+j.Bounds.OuterUs && j.t.outer(t.Machine, v.AckedUs, t.SentUs, atUs):
+			lo = v
+		}
+	}
+	return lo
+}
+
+// process is one life of a machine's process.
+type process struct {
+	machine string
+	boot    int
+}
+
+// floor is the newest version that a process is known to have worked by, since when and by which request.
+type floor struct {
+	version *Version
+	atUs    int64
+	by      string
+}
+
+const (
+	// slowedFactor is how many times longer a slowed machine may work by an older version than a newer one.
+	slowedFactor = 8
+	// Denials that are let pass: deniedLeast, and one more in deniedOf requests.
+	deniedLeast = 5
+	deniedOf    = 500
+)
+
+// routes: requests go where the configuration in force sends them, and no proper one is denied.
+func (j *judge) routes() {
+	denied := 0
+	floors := map[process]*floor{}
+	for _, h := range j.handlings() {
+		denied += j.handled(h, floors)
+	}
+	denied += j.deniedOtherwise()
+	if len(j.Tries) > 0 {
+		j.stake(Denied)
+	}
+	if denied > deniedLeast+len(j.Tries)/deniedOf {
+		j.breach(Denied, "%d proper requests of %d were ended with a 3xx or 4xx", denied, len(j.Tries))
+	}
+	for _, v := range j.Versions {
+		if !j.mayStand(v) {
+			j.stake(ConfigNot)
+		}
+	}
+}
+
+// handled judges one handling of a request by the versions that allow it; denied is 1 where none does and a
+// machine in touch denied the request.
+func (j *judge) handled(h handling, floors map[process]*floor) (denied int) {
+	stands, ever := j.versionsFor(h)
+	if h.service != "" {
+		j.stake(Route)
+		if !ever {
+			j.breach(Route, "%s (%s) ran %s for %s%s at %.3f, which no configuration sends there", h.replica, h.service, h.try.ID, h.try.Host, h.try.Path, sec(h.atUs))
+			return 0
+		}
+	}
+	least, most := permitting(stands, h)
+	if least == nil {
+		return j.notPermitted(h, len(stands) > 0)
+	}
+	j.notOlder(h, stands, most)
+	j.notBack(h, least, most, floors)
+	return 0
+}
+
+// versionsFor gives the versions sent by the time of a handling that may stand, in order; ever says that any that
+// was sent allows it.
+func (j *judge) versionsFor(h handling) (stands []*Version, ever bool) {
+	for _, v := range j.sorted {
+		if v.SentUs > h.atUs {
+			continue
+		}
+		ever = ever || v.permits(h.try, h.service)
+		if j.mayStand(v) {
+			stands = append(stands, v)
+		}
+	}
+	return stands, ever
+}
+
+// permitting gives the oldest and the newest version that allow a handling; nil where none does.
+func permitting(versions []*Version, h handling) (least, most *Version) {
+	for _, v := range versions {
+		if v.permits(h.try, h.service) {
+			if least == nil {
+				least = v
+			}
+			most = v
+		}
+	}
+	return least, most
+}
+
+// notPermitted judges a handling that no version allows which may stand.
+func (j *judge) notPermitted(h handling, configured bool) (denied int) {
+	if h.service != "" {
+		j.breach(ConfigNot, "%s sent %s%s to %s at %.3f, which only a refused, invalid or losing version allows", h.try.Machine, h.try.Host, h.try.Path, h.service, sec(h.atUs))
+		return 0
+	}
+	if configured && j.t.within(h.try.Machine, h.try.SentUs, h.atUs) {
+		j.stake(Denied)
+		return 1
+	}
+	return 0
+}
+
+// notOlder: a machine in touch does not work by a version older than one that was acknowledged long enough ago.
+func (j *judge) notOlder(h handling, stands []*Version, most *Version) {
+	lo := j.oldest(h.try, h.atUs)
+	if lo == nil {
+		return
+	}
+	outdated := func(v *Version) bool { return v.Number < lo.Number && !v.permits(h.try, h.service) }
+	if !lo.permits(h.try, h.service) || slices.ContainsFunc(stands, outdated) {
+		j.stake(ConfigOld)
+	}
+	if most.Number < lo.Number {
+		j.breach(ConfigOld, "%s handled %s %s%s (sent %.3f, at %.3f: %q) as version %d; %d was acknowledged at %.3f", h.try.Machine, h.try.ID, h.try.Host, h.try.Path,
+			sec(h.try.SentUs), sec(h.atUs), h.service, most.Number, lo.Number, sec(lo.AckedUs))
+	}
+}
+
+// notBack: a process does not go back to a version older than one that it has worked by for long enough.
+func (j *judge) notBack(h handling, least, most *Version, floors map[process]*floor) {
+	key := process{h.try.Machine, h.try.Life}
+	f := floors[key]
+	slackUs := j.Bounds.DowngradeUs
+	if j.slowed(h.try.Machine, h.atUs) {
+		slackUs *= slowedFactor
+	}
+	if f != nil && h.try.SentUs > f.atUs+slackUs && most.Number < f.version.Number {
+		j.breach(ConfigBck, "%s handled %s %s%s (sent %.3f, at %.3f: %q) as version %d after it had worked by %d at %.3f (%s)", h.try.Machine, h.try.ID, h.try.Host, h.try.Path,
+			sec(h.try.SentUs), sec(h.atUs), h.service, most.Number, f.version.Number, sec(f.atUs), f.by)
+	}
+	if h.service != "" && (f == nil || least.Number > f.version.Number) {
+		if f != nil {
+			j.stake(ConfigBck)
+		}
+		floors[key] = &floor{least, h.atUs, h.try.ID}
+	}
+}
+
+// deniedOtherwise counts the requests that machines in touch ended with a 3xx or 4xx of their own, other than those
+// that have a rule of their own.
+func (j *judge) deniedOtherwise() int {
+	denied := 0
+	for _, t := range j.Tries {
+		ended := t.Status/100 == 3 || (t.Status/100 == 4 && !slices.Contains([]int{404, 408, 421, 429}, t.Status))
+		if ended && len(j.arrivals[t.ID]) == 0 && j.t.within(t.Machine, t.SentUs, t.EndUs) && t.EndUs > t.SentUs {
+			denied++
+		}
+	}
+	return denied
+}
--- a/proofs/rules/touch.go
+++ b/proofs/rules/touch.go
@@ -129,10 +129,37 @@
 
 func (d *Day) isCore(machine string, us int64) bool { return slices.Contains(d.coreAt(us), machine) }
 
+// newTouch works out from a day's troubles, members and cuts which times are unsettled and for whom.
 func newTouch(d *Day) *touch {
 	t := &touch{d: d, own: map[string][]span{}, paths: map[string][]span{}}
-	contactUs := d.Bounds.ContactUs
 	edges := []int64{0}
+	edges = append(edges, t.addTroubles()...)
+	edges = append(edges, t.addMembers()...)
+	edges = append(edges, t.addCuts()...)
+	if c := d.Closing; c != nil && c.Most {
+		t.unsettled = append(t.unsettled, span{c.AtUs, c.BackUs + 2*d.Bounds.ContactUs})
+	}
+	slices.Sort(edges)
+	t.addMinorities(slices.Compact(edges))
+	t.unsettled = union(append(t.unsettled, t.minority...))
+	t.links, t.paths[""] = union(t.links), union(t.paths[""])
+	for m := range t.own {
+		t.own[m] = union(t.own[m])
+	}
+	t.addPaths()
+	return t
+}
+
+// unsettle adds a time of contact after each of some moments.
+func (t *touch) unsettle(moments ...int64) {
+	for _, us := range moments {
+		t.unsettled = append(t.unsettled, span{us, us + t.d.Bounds.ContactUs})
+	}
+}
+
+// addTroubles adds what was done to machines, and gives when troubles of the core begin and end.
+func (t *touch) addTroubles() (edges []int64) {
+	d, contactUs := t.d, t.d.Bounds.ContactUs
 	for _, x := range d.Troubles {
 		t.own[x.Machine] = append(t.own[x.Machine], span{x.FromUs, x.ToUs + contactUs})
 		if !d.isCore(x.Machine, x.FromUs) && !d.isCore(x.Machine, x.ToUs) {
@@ -144,56 +171,67 @@
 			t.links = append(t.links, span{x.FromUs, x.ToUs})
 			continue
 		}
-		t.unsettled = append(t.unsettled, span{x.FromUs, x.FromUs + contactUs}, span{x.ToUs, x.ToUs + contactUs})
+		t.unsettle(x.FromUs, x.ToUs)
 	}
-	for _, m := range d.Core {
+	return edges
+}
+
+// addMembers adds when machines of the core come and go, and gives these moments.
+func (t *touch) addMembers() (edges []int64) {
+	for _, m := range t.d.Core {
 		edges = append(edges, m.FromUs, m.ToUs)
 		if m.FromUs > 0 {
-			t.unsettled = append(t.unsettled, span{m.FromUs, m.FromUs + contactUs})
+			t.unsettle(m.FromUs)
 		}
-		t.unsettled = append(t.unsettled, span{m.ToUs, m.ToUs + contactUs})
+		t.unsettle(m.ToUs)
 	}
+	return edges
+}
+
+// addCuts adds the cuts of links, and gives when they begin and end.
+func (t *touch) addCuts() (edges []int64) {
+	d := t.d
 	for _, c := range d.Cuts {
 		t.links = append(t.links, span{c.FromUs, c.ToUs})
 		edges = append(edges, c.FromUs, c.ToUs)
 		if d.isCore(c.From, c.FromUs) && d.isCore(c.To, c.FromUs) {
-			t.unsettled = append(t.unsettled, span{c.FromUs, c.FromUs + contactUs}, span{c.ToUs, c.ToUs + contactUs})
+			t.unsettle(c.FromUs, c.ToUs)
 		}
 	}
-	if c := d.Closing; c != nil && c.Most {
-		t.unsettled = append(t.unsettled, span{c.AtUs, c.BackUs + 2*contactUs})
-	}
-	slices.Sort(edges)
-	edges = slices.Compact(edges)
+	return edges
+}
+
+// addMinorities adds the times between moments in which no machine of the core reaches most of it; under the name ""
+// also those in which none does that is not slowed.
+func (t *touch) addMinorities(edges []int64) {
 	for i, us := range edges {
 		toUs := Open
 		if i+1 < len(edges) {
 			toUs = edges[i+1]
 		}
-		if len(d.reaching(us, true)) == 0 {
+		if len(t.d.reaching(us, true)) == 0 {
 			t.minority = append(t.minority, span{us, toUs})
 		}
-		if len(d.reaching(us, false)) == 0 {
+		if len(t.d.reaching(us, false)) == 0 {
 			t.paths[""] = append(t.paths[""], span{us, toUs})
 		}
 	}
-	t.unsettled = union(append(t.unsettled, t.minority...))
-	t.links, t.paths[""] = union(t.links), union(t.paths[""])
-	for m := range t.own {
-		t.own[m] = union(t.own[m])
-	}
+}
+
+// addPaths adds the times in which a cut takes a machine outside the core its path to a machine of the core.
+func (t *touch) addPaths() {
+	d := t.d
 	for _, c := range d.Cuts {
 		for _, pair := range [][2]string{{c.From, c.To}, {c.To, c.From}} {
 			m, o := pair[0], pair[1]
 			if d.isCore(o, c.FromUs) && !d.isCore(m, c.FromUs) && t.counts(o, c) {
-				t.paths[m] = append(t.paths[m], span{c.FromUs, c.ToUs + contactUs})
+				t.paths[m] = append(t.paths[m], span{c.FromUs, c.ToUs + d.Bounds.ContactUs})
 			}
 		}
 	}
 	for m := range t.paths {
 		t.paths[m] = union(t.paths[m])
 	}
-	return t
 }
 
 // counts: a cut takes a machine's path only where the far end runs and reaches most of the core meanwhile.
