--- a/proofs/modelserver/edge.go
+++ b/proofs/modelserver/edge.go
@@ -41,6 +41,14 @@
 	"fails before the body without saying so": {early: "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"},
 }
 
+// How long a leg's body is waited for: after an early answer, where it is never asked for, and after it was.
+const (
+	earlyBodyMs = 300
+	neverBodyMs = 2500
+	askedBodyMs = 1000
+)
+
+// playEdge takes a leg's bare socket and does one odd thing there.
 func (h *Host) playEdge(w http.ResponseWriter, r *http.Request, e edge) {
 	size, err := strconv.Atoi(r.Header.Get("Content-Length"))
 	if err != nil {
@@ -56,20 +64,20 @@
 		return
 	case e.early != "":
 		_, _ = io.WriteString(conn, e.early)
-		h.body(conn, buffered.Reader, size, 300)
+		h.body(conn, buffered.Reader, size, earlyBodyMs)
 		return
 	case e.never:
-		h.body(conn, buffered.Reader, size, 2500)
+		h.body(conn, buffered.Reader, size, neverBodyMs)
 		return
 	}
 	wait := time.NewTimer(time.Duration(e.afterMs) * time.Millisecond)
 	<-wait.C
 	_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n")
 	if e.half {
-		h.body(conn, buffered.Reader, size/2, 1000)
+		h.body(conn, buffered.Reader, size/2, askedBodyMs)
 		return
 	}
-	run := h.body(conn, buffered.Reader, size, 1000)
+	run := h.body(conn, buffered.Reader, size, askedBodyMs)
 	if run == nil {
 		return
 	}
@@ -78,6 +86,11 @@
 		h.core.EndLeg(clock.NowUs(), run, false)
 		h.mu.Unlock()
 	}()
+	e.answer(conn, run)
+}
+
+// answer sends as much of an answer to a run as the edge lets through; without one, all pieces and no end.
+func (e edge) answer(conn net.Conn, run *Run) {
 	switch e.close {
 	case "silent":
 	case "amid":
--- a/proofs/modelserver/host.go
+++ b/proofs/modelserver/host.go
@@ -117,6 +117,7 @@
 	h.core.Fetched(clock.NowUs(), o.Ticket.Number)
 }
 
+// leg runs one leg and streams its pieces, unless it is told to be naughty.
 func (h *Host) leg(w http.ResponseWriter, r *http.Request) {
 	h.mu.Lock()
 	e, edgy := edgeOf(h.Naughty)
@@ -127,83 +128,131 @@
 	}
 	var l wire.Leg
 	if err := json.NewDecoder(r.Body).Decode(&l); err != nil {
-		answer(w, 400, wire.LegRefusal{Code: "bad_json"})
+		answer(w, http.StatusBadRequest, wire.LegRefusal{Code: "bad_json"})
 		return
 	}
-	stop := make(chan struct{})
-	h.mu.Lock()
-	run, refusal, firstUs := h.core.StartLeg(clock.NowUs(), l)
-	if run != nil {
-		h.stops[l.Leg] = stop
-	}
-	naughty, pieceUs := h.Naughty, h.core.PieceUs()
-	h.mu.Unlock()
-	if refusal != nil {
-		answer(w, 409, refusal)
+	s := &pieceStream{h: h, w: w, ctx: r.Context(), leg: l, stop: make(chan struct{}), enc: json.NewEncoder(w)}
+	if refusal := s.start(); refusal != nil {
+		answer(w, http.StatusConflict, refusal)
 		return
 	}
 	whole := false
-	defer func() {
-		h.mu.Lock()
-		h.core.EndLeg(clock.NowUs(), run, whole)
-		delete(h.stops, l.Leg)
-		h.mu.Unlock()
-	}()
+	defer func() { s.end(whole) }()
 	w.Header().Set("Content-Type", "application/x-ndjson")
-	w.WriteHeader(200)
-	flush := http.NewResponseController(w).Flush
-	enc := json.NewEncoder(w)
-	pause := func(us int64) bool {
-		timer := time.NewTimer(time.Duration(us) * time.Microsecond)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-			return true
-		case <-stop:
-		case <-r.Context().Done():
-		}
-		return false
-	}
-	if !pause(firstUs) {
+	w.WriteHeader(http.StatusOK)
+	if !s.pause(s.firstUs) || !s.pieces() || s.naughty == noEnd {
 		return
 	}
-	for n := l.First; n <= run.Total; n++ {
-		p := wire.Piece{Leg: l.Leg, N: n, Text: Text(l.Prompt, l.Model, l.Adapter, n, run.Nonce)}
-		if n == l.First+2 {
-			switch naughty {
-			case "foreign":
-				p.Leg = "other/leg/1"
-			case "gap":
-				p.N++
-			case "repeat":
-				p.N--
-			case "close":
-				panic(http.ErrAbortHandler)
-			case "garbage":
-				_, _ = w.Write([]byte("{{{\n"))
-			}
+	whole = true
+	s.sendEnd()
+}
+
+// What a naughty model server does at the third piece of a leg, or at its end.
+const (
+	foreignLeg   = "foreign"
+	gapInPieces  = "gap"
+	repeatPiece  = "repeat"
+	closeStream  = "close"
+	garbage      = "garbage"
+	noEnd        = "noend"
+	naughtyAfter = 2
+)
+
+// pieceStream is the answer to one leg.
+type pieceStream struct {
+	h       *Host
+	w       http.ResponseWriter
+	ctx     context.Context
+	leg     wire.Leg
+	stop    chan struct{}
+	enc     *json.Encoder
+	run     *Run
+	naughty string
+	// firstUs is the time to the first piece, pieceUs that between two.
+	firstUs, pieceUs int64
+}
+
+// start begins the run, or gives the refusal.
+func (s *pieceStream) start() *wire.LegRefusal {
+	s.h.mu.Lock()
+	defer s.h.mu.Unlock()
+	run, refusal, firstUs := s.h.core.StartLeg(clock.NowUs(), s.leg)
+	if run != nil {
+		s.h.stops[s.leg.Leg] = s.stop
+	}
+	s.run, s.firstUs = run, firstUs
+	s.naughty, s.pieceUs = s.h.Naughty, s.h.core.PieceUs()
+	return refusal
+}
+
+// end ends the run; whole says that all of the answer was sent.
+func (s *pieceStream) end(whole bool) {
+	s.h.mu.Lock()
+	defer s.h.mu.Unlock()
+	s.h.core.EndLeg(clock.NowUs(), s.run, whole)
+	delete(s.h.stops, s.leg.Leg)
+}
+
+// pause waits; false where the leg is stopped or its caller gone meanwhile.
+func (s *pieceStream) pause(us int64) bool {
+	timer := time.NewTimer(time.Duration(us) * time.Microsecond)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-s.stop:
+	case <-s.ctx.Done():
+	}
+	return false
+}
+
+// pieces sends one piece after the other; false where it could not send all.
+func (s *pieceStream) pieces() bool {
+	flush := http.NewResponseController(s.w).Flush
+	for n := s.leg.First; n <= s.run.Total; n++ {
+		p := wire.Piece{Leg: s.leg.Leg, N: n, Text: Text(s.leg.Prompt, s.leg.Model, s.leg.Adapter, n, s.run.Nonce)}
+		if n == s.leg.First+naughtyAfter {
+			s.spoil(&p)
 		}
-		if enc.Encode(p) != nil || flush() != nil {
-			return
+		if s.enc.Encode(p) != nil || flush() != nil {
+			return false
 		}
-		h.mu.Lock()
-		run.Sent = n
-		h.mu.Unlock()
-		if n < run.Total && !pause(pieceUs) {
-			return
+		s.h.mu.Lock()
+		s.run.Sent = n
+		s.h.mu.Unlock()
+		if n < s.run.Total && !s.pause(s.pieceUs) {
+			return false
 		}
 	}
-	if naughty == "noend" {
-		return
+	return true
+}
+
+// spoil breaks the interface at one piece, as the model server was told to.
+func (s *pieceStream) spoil(p *wire.Piece) {
+	switch s.naughty {
+	case foreignLeg:
+		p.Leg = "other/leg/1"
+	case gapInPieces:
+		p.N++
+	case repeatPiece:
+		p.N--
+	case closeStream:
+		panic(http.ErrAbortHandler)
+	case garbage:
+		_, _ = s.w.Write([]byte("{{{\n"))
 	}
-	whole = true
-	h.mu.Lock()
-	run.Ended = true
-	h.core.journal(Line{End: run})
-	h.mu.Unlock()
-	_ = enc.Encode(wire.Piece{Leg: l.Leg, End: true, N: run.Total})
 }
 
+// sendEnd notes that the run has ended and says so.
+func (s *pieceStream) sendEnd() {
+	s.h.mu.Lock()
+	s.run.Ended = true
+	s.h.core.journal(Line{End: s.run})
+	s.h.mu.Unlock()
+	_ = s.enc.Encode(wire.Piece{Leg: s.leg.Leg, End: true, N: s.run.Total})
+}
+
+// stop ends a leg that nobody waits for, and answers once it is over.
 func (h *Host) stop(w http.ResponseWriter, r *http.Request) {
 	id, inc := h.core.ID()
 	leg := id + "/" + inc + "/" + r.PathValue("number")
