--- a/proofs/fleet/day.go
+++ b/proofs/fleet/day.go
@@ -95,9 +95,11 @@
 		}
 	}
 	head, ok := f.Head(ctx)
-	if !ok {
-		return false
-	}
+	return ok && countedHeld(head)
+}
+
+// countedHeld: the scaler has counted models, and each that it counts has a holder.
+func countedHeld(head officeStatus) bool {
 	raw, err := json.Marshal(head.Counts)
 	if err != nil {
 		return false
@@ -110,19 +112,23 @@
 		return false
 	}
 	for _, c := range counts {
-		held := 0
-		for _, r := range head.Replicas {
-			if _, ok := r.Holds[c.Model]; ok && !r.Leaving && !r.Dark {
-				held++
-			}
-		}
-		if c.Replicas > 0 && held == 0 {
+		if c.Replicas > 0 && !isHeld(head, c.Model) {
 			return false
 		}
 	}
 	return true
 }
 
+// isHeld: some replica that stays holds a model.
+func isHeld(head officeStatus, model string) bool {
+	for _, r := range head.Replicas {
+		if _, ok := r.Holds[model]; ok && !r.Leaving && !r.Dark {
+			return true
+		}
+	}
+	return false
+}
+
 // Head is the status of the core node that leads; ok is false where none does.
 func (f *Fleet) Head(ctx context.Context) (st officeStatus, ok bool) {
 	for _, name := range f.Names("office") {
@@ -285,6 +291,15 @@
 	return nil
 }
 
+const (
+	// judgedSpan is how long a fault of a day is given to be judged by, closingSpan the end of a soak.
+	judgedSpan  = 14 * time.Second
+	closingSpan = 16 * time.Second
+	// usualShare of the calls must end well in usual service; fewer than usualLeast calls are not judged.
+	usualShare = 0.95
+	usualLeast = 10
+)
+
 // Day runs demand with faults in turn and ends with usual service, or says why not.
 func Day(ctx context.Context, f *Fleet, doc *standing.Declaration, raw string, plan DayPlan, out io.Writer) ([]rules.Breach, error) {
 	beganUs := NowUs()
@@ -302,8 +317,30 @@
 		f.Run(loaded, Demand{Doc: doc, PerSecond: plan.PerSecond, Seed: plan.Seed, Label: "day"})
 		close(over)
 	}()
-	var breaches []rules.Breach
 	pause(ctx, plan.Span)
+	breaches, err := f.causeInTurn(ctx, doc, plan, out)
+	if err != nil {
+		return nil, err
+	}
+	if plan.Soak > 0 {
+		breaches = append(breaches, f.closeSoak(ctx, out)...)
+	}
+	stop()
+	<-over
+	seen, err := f.Seen()
+	if err != nil {
+		return nil, err
+	}
+	breaches = append(breaches, f.configKept(ctx, doc)...)
+	f.print(out, seen)
+	found, stakes := rules.Check(seen)
+	fmt.Fprintf(out, "occasions at stake: %v\n", stakes)
+	return append(breaches, found...), nil
+}
+
+// causeInTurn causes the faults of a day one after the other; a soak leaves out those that cannot be caused now.
+func (f *Fleet) causeInTurn(ctx context.Context, doc *standing.Declaration, plan DayPlan, out io.Writer) ([]rules.Breach, error) {
+	var breaches []rules.Breach
 	next, changing := plan.turns(), rand.New(rand.NewSource(plan.Seed+1))
 	for name, judged, more := next(); more && ctx.Err() == nil; name, judged, more = next() {
 		startUs := NowUs()
@@ -313,52 +350,52 @@
 		}
 		caused, err := f.Under(ctx, name, pick)
 		if !caused {
-			if _, out := err.(LeftOut); !out || plan.Soak == 0 {
+			if _, leftOut := err.(LeftOut); !leftOut || plan.Soak == 0 {
 				return nil, errors.Annotate(err, name)
 			}
 			fmt.Fprintf(out, "fault %-16s left out: %v\n", name, err)
 			continue
 		}
-		backUs := NowUs()
 		if !judged {
 			fmt.Fprintf(out, "fault %-16s caused\n", name)
 			pause(ctx, time.Second)
 			continue
 		}
-		pause(ctx, 14*time.Second)
-		f.mu.Lock()
-		during, calls := EndedShare(f.Told, startUs, backUs)
-		after, callsAfter := EndedShare(f.Told, backUs+rules.RecoverUs, backUs+14_000_000)
-		f.mu.Unlock()
-		fmt.Fprintf(out, "fault %-16s ended well: %5.1f%% of %d while it lasted, %5.1f%% of %d from 12 s after\n", name, during*100, calls, after*100, callsAfter)
-		if callsAfter > 10 && after < 0.95 {
-			breaches = append(breaches, rules.Breach{Rule: rules.PoorService, Detail: fmt.Sprintf("%s: %.1f%% of %d calls ended well", name, after*100, callsAfter)})
-		}
+		breaches = append(breaches, f.judgeFault(ctx, name, startUs, out)...)
 	}
-	if plan.Soak > 0 {
-		backUs := NowUs()
-		pause(ctx, 16*time.Second)
-		f.mu.Lock()
-		share, calls := EndedShare(f.Told, backUs+rules.RecoverUs, backUs+16_000_000)
-		f.mu.Unlock()
-		fmt.Fprintf(out, "at the end: %.1f%% of %d ended well from 12 s after the last fault\n", share*100, calls)
-		if calls > 10 && share < 0.95 {
-			breaches = append(breaches, rules.Breach{Rule: rules.PoorService, Detail: fmt.Sprintf("at the end %.1f%% of %d calls ended well", share*100, calls)})
-		}
+	return breaches, nil
+}
+
+// judgeFault waits after a fault and holds the calls from its recovery on to usual service.
+func (f *Fleet) judgeFault(ctx context.Context, name string, startUs int64, out io.Writer) []rules.Breach {
+	backUs := NowUs()
+	pause(ctx, judgedSpan)
+	f.mu.Lock()
+	during, calls := EndedShare(f.Told, startUs, backUs)
+	after, callsAfter := EndedShare(f.Told, backUs+rules.RecoverUs, backUs+judgedSpan.Microseconds())
+	f.mu.Unlock()
+	fmt.Fprintf(out, "fault %-16s ended well: %5.1f%% of %d while it lasted, %5.1f%% of %d from 12 s after\n", name, during*100, calls, after*100, callsAfter)
+	if callsAfter > usualLeast && after < usualShare {
+		return []rules.Breach{{Rule: rules.PoorService, Detail: fmt.Sprintf("%s: %.1f%% of %d calls ended well", name, after*100, callsAfter)}}
 	}
-	stop()
-	<-over
-	seen, err := f.Seen()
-	if err != nil {
-		return nil, err
+	return nil
+}
+
+// closeSoak waits at the end of a soak and holds its last calls to usual service.
+func (f *Fleet) closeSoak(ctx context.Context, out io.Writer) []rules.Breach {
+	backUs := NowUs()
+	pause(ctx, closingSpan)
+	f.mu.Lock()
+	share, calls := EndedShare(f.Told, backUs+rules.RecoverUs, backUs+closingSpan.Microseconds())
+	f.mu.Unlock()
+	fmt.Fprintf(out, "at the end: %.1f%% of %d ended well from 12 s after the last fault\n", share*100, calls)
+	if calls > usualLeast && share < usualShare {
+		return []rules.Breach{{Rule: rules.PoorService, Detail: fmt.Sprintf("at the end %.1f%% of %d calls ended well", share*100, calls)}}
 	}
-	breaches = append(breaches, f.configKept(ctx, doc)...)
-	f.print(out, seen)
-	found, stakes := rules.Check(seen)
-	fmt.Fprintf(out, "occasions at stake: %v\n", stakes)
-	return append(breaches, found...), nil
+	return nil
 }
 
+// configKept: the declaration is still the one that was sent.
 func (f *Fleet) configKept(ctx context.Context, doc *standing.Declaration) []rules.Breach {
 	ctx, done := context.WithTimeout(ctx, 10*time.Second)
 	defer done()
@@ -373,6 +410,7 @@
 	return nil
 }
 
+// print shows the calls of each kind, and what replicas were ordered.
 func (f *Fleet) print(out io.Writer, seen rules.Seen) {
 	fmt.Fprintf(out, "%-14s %7s %7s %9s %9s %9s %9s  others\n", "kind", "calls", "ended", "first p50", "p95", "p99", "whole p50")
 	for _, row := range Rows(seen.Told) {
--- a/proofs/fleet/measure.go
+++ b/proofs/fleet/measure.go
@@ -189,65 +189,28 @@
 	return nil
 }
 
+// measureOldWay measures how long a change takes to be acknowledged, and how long legs are still served the old way.
 func measureOldWay(ctx context.Context, f *Fleet, doc *standing.Declaration, out io.Writer) error {
 	var spans, answers []float64
-	model := doc.Models[1]
-	adapters := []standing.Adapter{}
-	for _, a := range doc.Adapters {
-		if a.Model != model.Name {
-			adapters = append(adapters, a)
-		}
-	}
-	fewer := *doc
-	fewer.Adapters = adapters
-	fewer.Models = nil
-	for _, m := range doc.Models {
-		if m.Name != model.Name {
-			fewer.Models = append(fewer.Models, m)
-		}
-	}
-	put := func(d *standing.Declaration) (int64, error) {
-		raw, err := json.Marshal(d)
-		if err != nil {
-			return 0, errors.Trace(err)
-		}
-		var now struct {
-			Revision uint64 `json:"revision"`
-		}
-		for {
-			r, err := f.AskAny(ctx, http.MethodGet, "/v1/config", "")
-			if err != nil || json.Unmarshal(r.Body, &now) != nil {
-				return 0, errors.Errorf("%v %s", err, r.Body)
-			}
-			r, err = f.AskAny(ctx, http.MethodPut, fmt.Sprintf("/v1/config?base=%d", now.Revision), string(raw))
-			if err != nil {
-				return 0, errors.Trace(err)
-			}
-			if r.Status == http.StatusOK {
-				return NowUs(), nil
-			}
-			if r.Status != http.StatusConflict {
-				return 0, errors.Errorf("status %d: %s", r.Status, r.Body)
-			}
-		}
-	}
+	model := doc.Models[1].Name
+	fewer := without(doc, model)
 	for i := 0; i < 5; i++ {
 		err := f.under(ctx, doc, 120, func() error {
 			beganUs := NowUs()
-			ackUs, err := put(&fewer)
+			ackUs, err := f.put(ctx, fewer)
 			if err != nil {
 				return err
 			}
 			answers = append(answers, float64(ackUs-beganUs)/1000)
 			pause(ctx, 2*time.Second)
-			lastUs, err := f.lastRun(func(r modelserver.Run) bool { return r.Model == model.Name })
+			lastUs, err := f.lastRun(func(r modelserver.Run) bool { return r.Model == model })
 			spans = append(spans, float64(lastUs-ackUs)/1000)
 			return err
 		})
 		if err != nil {
 			return err
 		}
-		if _, err := put(doc); err != nil {
+		if _, err := f.put(ctx, doc); err != nil {
 			return err
 		}
 	}
@@ -256,50 +219,117 @@
 	return nil
 }
 
-func measureFailover(ctx context.Context, f *Fleet, doc *standing.Declaration, out io.Writer) error {
-	change := func() (int64, error) {
-		zone := f.Plan.Zones[0]
-		r, err := f.AskAny(ctx, http.MethodPost, "/v1/zones/"+zone+"/restore", "")
-		if err != nil || r.Status != http.StatusOK {
+// without is a declaration without one model and its adapters.
+func without(doc *standing.Declaration, model string) *standing.Declaration {
+	fewer := *doc
+	fewer.Adapters, fewer.Models = []standing.Adapter{}, nil
+	for _, a := range doc.Adapters {
+		if a.Model != model {
+			fewer.Adapters = append(fewer.Adapters, a)
+		}
+	}
+	for _, m := range doc.Models {
+		if m.Name != model {
+			fewer.Models = append(fewer.Models, m)
+		}
+	}
+	return &fewer
+}
+
+// put sends a declaration on the newest revision, again where another change was faster, and gives the time of its
+// acknowledgement.
+func (f *Fleet) put(ctx context.Context, doc *standing.Declaration) (ackUs int64, err error) {
+	raw, err := json.Marshal(doc)
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	var now struct {
+		Revision uint64 `json:"revision"`
+	}
+	for {
+		r, err := f.AskAny(ctx, http.MethodGet, "/v1/config", "")
+		if err != nil || json.Unmarshal(r.Body, &now) != nil {
 			return 0, errors.Errorf("%v %s", err, r.Body)
 		}
-		return NowUs(), nil
+		r, err = f.AskAny(ctx, http.MethodPut, fmt.Sprintf("/v1/config?base=%d", now.Revision), string(raw))
+		if err != nil {
+			return 0, errors.Trace(err)
+		}
+		if r.Status == http.StatusOK {
+			return NowUs(), nil
+		}
+		if r.Status != http.StatusConflict {
+			return 0, errors.Errorf("status %d: %s", r.Status, r.Body)
+		}
 	}
-	for _, seat := range []struct {
-		name  string
-		place int
-	}{{"head (and controller)", 0}, {"middle", 1}, {"tail", -1}} {
-		var spans, gaps []float64
-		for i := 0; i < 3; i++ {
-			name := f.seat(ctx, seat.place)
-			if name == "" {
-				return errors.New("no open tail")
-			}
-			var killedUs int64
-			err := f.under(ctx, doc, 60, func() error {
-				f.Kill(name)
-				killedUs = NowUs()
-				doneUs, err := change()
-				spans = append(spans, float64(doneUs-killedUs)/1000)
-				return err
-			})
-			if err != nil {
-				return err
-			}
-			gaps = append(gaps, f.longestGap(killedUs))
-			if err := f.Again(name); err != nil {
-				return err
-			}
-			if err := f.Until(ctx, "the office has its seat again", func() bool {
-				tail, ok := f.Tail(ctx)
-				return ok && len(tail.View.Order) == f.Plan.Offices && f.Settled(ctx)
-			}); err != nil {
-				return err
-			}
+}
+
+// chainSeat is a place in the chain of offices; the last is -1.
+type chainSeat struct {
+	name  string
+	place int
+}
+
+// measureFailover kills an office in each seat, a replica and a desk, and measures how long each is missed.
+func measureFailover(ctx context.Context, f *Fleet, doc *standing.Declaration, out io.Writer) error {
+	for _, seat := range []chainSeat{{"head (and controller)", 0}, {"middle", 1}, {"tail", -1}} {
+		if err := measureSeat(ctx, f, doc, seat, out); err != nil {
+			return err
+		}
+	}
+	if err := measureDarkReplica(ctx, f, doc, out); err != nil {
+		return err
+	}
+	return measureDeskAgain(ctx, f, doc, out)
+}
+
+// measureSeat kills the office in one seat three times, and measures how long it is until a change is taken.
+func measureSeat(ctx context.Context, f *Fleet, doc *standing.Declaration, seat chainSeat, out io.Writer) error {
+	var spans, gaps []float64
+	for i := 0; i < 3; i++ {
+		name := f.seat(ctx, seat.place)
+		if name == "" {
+			return errors.New("no open tail")
+		}
+		var killedUs int64
+		err := f.under(ctx, doc, 60, func() error {
+			f.Kill(name)
+			killedUs = NowUs()
+			doneUs, err := f.confirmChange(ctx)
+			spans = append(spans, float64(doneUs-killedUs)/1000)
+			return err
+		})
+		if err != nil {
+			return err
+		}
+		gaps = append(gaps, f.longestGap(killedUs))
+		if err := f.Again(name); err != nil {
+			return err
+		}
+		if err := f.Until(ctx, "the office has its seat again", func() bool {
+			tail, ok := f.Tail(ctx)
+			return ok && len(tail.View.Order) == f.Plan.Offices && f.Settled(ctx)
+		}); err != nil {
+			return err
 		}
-		fmt.Fprintf(out, "%s killed, to the next acknowledged change, 3 times: p50 %.0f ms, most %.0f ms; longest span without a call ended: %.0f ms\n",
-			seat.name, Percentile(spans, 50), Percentile(spans, 100), Percentile(gaps, 100))
 	}
+	fmt.Fprintf(out, "%s killed, to the next acknowledged change, 3 times: p50 %.0f ms, most %.0f ms; longest span without a call ended: %.0f ms\n",
+		seat.name, Percentile(spans, 50), Percentile(spans, 100), Percentile(gaps, 100))
+	return nil
+}
+
+// confirmChange sends a change that alters nothing, and gives the time of its acknowledgement.
+func (f *Fleet) confirmChange(ctx context.Context) (ackUs int64, err error) {
+	zone := f.Plan.Zones[0]
+	r, err := f.AskAny(ctx, http.MethodPost, "/v1/zones/"+zone+"/restore", "")
+	if err != nil || r.Status != http.StatusOK {
+		return 0, errors.Errorf("%v %s", err, r.Body)
+	}
+	return NowUs(), nil
+}
+
+// measureDarkReplica kills a replica and measures how long it is until the ledger says so.
+func measureDarkReplica(ctx context.Context, f *Fleet, doc *standing.Declaration, out io.Writer) error {
 	name := f.Names("replica")[2]
 	zone := f.Proc(name).Zone
 	err := f.under(ctx, doc, 60, func() error {
@@ -323,18 +353,20 @@
 		return err
 	}
 	f.Take(name)
-	if err := f.AddReplica(name, zone); err != nil {
-		return err
-	}
-	deskName := f.Names("desk")[1]
-	f.Kill(deskName)
-	if err := f.Again(deskName); err != nil {
+	return f.AddReplica(name, zone)
+}
+
+// measureDeskAgain kills a desk, starts it again and measures how long it is until it answers.
+func measureDeskAgain(ctx context.Context, f *Fleet, doc *standing.Declaration, out io.Writer) error {
+	name := f.Names("desk")[1]
+	f.Kill(name)
+	if err := f.Again(name); err != nil {
 		return err
 	}
 	beganUs := NowUs()
 	client := rpc.Client(200, "")
 	for {
-		t := callers.Ask(ctx, client, f.Proc(deskName).Addr, desk.CallAsk{Kind: doc.Kinds[0].Name, Model: doc.Models[0].Name, Prompt: fmt.Sprintf("again-%d", NowUs()), MostOut: 1}, "", rules.Told{})
+		t := callers.Ask(ctx, client, f.Proc(name).Addr, desk.CallAsk{Kind: doc.Kinds[0].Name, Model: doc.Models[0].Name, Prompt: fmt.Sprintf("again-%d", NowUs()), MostOut: 1}, "", rules.Told{})
 		if t.Ended {
 			break
 		}
