--- a/proofs/cmd/fleet/compare.go
+++ b/proofs/cmd/fleet/compare.go
@@ -16,11 +16,22 @@
 	"petreltide/proofs/sim"
 )
 
+const (
+	seedsLeast = 2
+	seedsMost  = 1000
+	spanLeast  = 5 * time.Second
+)
+
+// simulatedComparison is what the compare command was told.
+type simulatedComparison struct {
+	files                          []string
+	seeds, faults, desks, replicas int
+	span                           time.Duration
+	rate                           float64
+}
+
 func compareCommand() *cobra.Command {
-	var files []string
-	var seeds, faults, desks, replicas int
-	var span time.Duration
-	var rate float64
+	c := &simulatedComparison{}
 	cmd := &cobra.Command{
 		Use:   "compare DECLARATION",
 		Short: "Play policies against each other on the same simulated demand and faults",
@@ -33,40 +44,10 @@
     --policy examples/policies/chaser.star --seeds 8`,
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			raw, err := standing.ReadFile(args[0])
+			contest, err := c.contest(args[0])
 			if err != nil {
 				return err
 			}
-			doc, bad := standing.Parse(raw, placement.Compile)
-			if bad != nil {
-				return bad
-			}
-			if len(files) < 2 {
-				return fault.New(fault.BadField, "policy", "name two policies or more")
-			}
-			if seeds < 2 || seeds > 1000 || span < 5*time.Second || rate <= 0 || desks < 1 || replicas < 1 {
-				return fault.New(fault.BadField, "", "needs 2 to 1000 seeds, 5 s of span or more, a rate, desks and replicas above 0")
-			}
-			contest := sim.Contest{Doc: doc, SpanUs: span.Microseconds(), PerSec: rate, Faults: faults, Desks: desks, Replicas: replicas}
-			for i, file := range files {
-				source, err := os.ReadFile(file)
-				if err != nil {
-					return errors.Trace(err)
-				}
-				name := strings.TrimSuffix(filepath.Base(file), ".star")
-				for _, p := range contest.Policies {
-					if p.Name == name {
-						name = fmt.Sprintf("%s-%d", name, i+1)
-					}
-				}
-				if bad := placement.Compile(name, string(source)); bad != nil {
-					return bad
-				}
-				contest.Policies = append(contest.Policies, standing.Policy{Name: name, Source: string(source)})
-			}
-			for i := 1; i <= seeds; i++ {
-				contest.Seeds = append(contest.Seeds, int64(i))
-			}
 			figures, breaches := sim.Hold(contest)
 			sim.Report(cmd.OutOrStdout(), contest, figures)
 			if len(breaches) > 0 {
@@ -76,12 +57,61 @@
 		},
 	}
 	flags := cmd.Flags()
-	flags.StringArrayVar(&files, "policy", nil, "policy program; give it twice or more, the first is held against")
-	flags.IntVar(&seeds, "seeds", 8, "paired runs")
-	flags.DurationVar(&span, "span", 60*time.Second, "simulated time under demand")
-	flags.Float64Var(&rate, "rate", 60, "calls per second over the fleet")
-	flags.IntVar(&faults, "faults", 4, "replicas lost or noticed and crowds in each run")
-	flags.IntVar(&desks, "desks", 4, "simulated desks")
-	flags.IntVar(&replicas, "replicas", 9, "simulated replicas")
+	flags.StringArrayVar(&c.files, "policy", nil, "policy program; give it twice or more, the first is held against")
+	flags.IntVar(&c.seeds, "seeds", 8, "paired runs")
+	flags.DurationVar(&c.span, "span", 60*time.Second, "simulated time under demand")
+	flags.Float64Var(&c.rate, "rate", 60, "calls per second over the fleet")
+	flags.IntVar(&c.faults, "faults", 4, "replicas lost or noticed and crowds in each run")
+	flags.IntVar(&c.desks, "desks", 4, "simulated desks")
+	flags.IntVar(&c.replicas, "replicas", 9, "simulated replicas")
 	return cmd
 }
+
+// contest checks what was told, and reads the declaration and the policies.
+func (c *simulatedComparison) contest(declaration string) (sim.Contest, error) {
+	contest := sim.Contest{SpanUs: c.span.Microseconds(), PerSec: c.rate, Faults: c.faults, Desks: c.desks, Replicas: c.replicas}
+	raw, err := standing.ReadFile(declaration)
+	if err != nil {
+		return contest, err
+	}
+	doc, bad := standing.Parse(raw, placement.Compile)
+	if bad != nil {
+		return contest, bad
+	}
+	contest.Doc = doc
+	if len(c.files) < 2 {
+		return contest, fault.New(fault.BadField, "policy", "name two policies or more")
+	}
+	if c.seeds < seedsLeast || c.seeds > seedsMost || c.span < spanLeast || c.rate <= 0 || c.desks < 1 || c.replicas < 1 {
+		return contest, fault.New(fault.BadField, "", "needs 2 to 1000 seeds, 5 s of span or more, a rate, desks and replicas above 0")
+	}
+	for i, file := range c.files {
+		policy, err := readPolicy(file, i, contest.Policies)
+		if err != nil {
+			return contest, err
+		}
+		contest.Policies = append(contest.Policies, policy)
+	}
+	for i := 1; i <= c.seeds; i++ {
+		contest.Seeds = append(contest.Seeds, int64(i))
+	}
+	return contest, nil
+}
+
+// readPolicy reads a program, named by its file, and by its place too where an earlier one has that name.
+func readPolicy(file string, place int, earlier []standing.Policy) (standing.Policy, error) {
+	source, err := os.ReadFile(file)
+	if err != nil {
+		return standing.Policy{}, errors.Trace(err)
+	}
+	name := strings.TrimSuffix(filepath.Base(file), ".star")
+	for _, p := range earlier {
+		if p.Name == name {
+			name = fmt.Sprintf("%s-%d", name, place+1)
+		}
+	}
+	if bad := placement.Compile(name, string(source)); bad != nil {
+		return standing.Policy{}, bad
+	}
+	return standing.Policy{Name: name, Source: string(source)}, nil
+}
