Give servers of tests loopback addresses that nobody else can take

Cause: tests found a free port by binding and releasing it, and bound it again later. Meanwhile any other test process's listener, or a connection that goes out from the same address, may be given that port. A landing was refused by it: `platform TestARoleWithoutFitSettingsDoesNotStart`, "the readiness address is taken: bad_settings at listen: listen tcp 127.0.0.1:43264: bind: address already in use does not name 127.0.0.1:43263".

Shown: a trial that listens at the second port between its choice and its use fails that test each time with this very message, for the readiness and the clients' address.

Change: whoever needs addresses before it listens there claims a network of the loopback, 127.N.0.0/16. The claim is a listener at one port of that network, held until the end, so that two processes never hold one network; the kernel lets go of it with the process. Addresses in it are given once, with ports below those of outgoing connections. Ports bound and held at once, as with `httptest`, stay as they are.

Found on the way: networks of `platform/fleet` and `testbed` came from the process id modulo 200 and 2^16, so two processes could get one; `capacity` took its replicas' port, which is bound at all addresses, from the process id modulo 10,000. Both now come from the claim.

Tests: assertions of the tests that were moved are as they were. `capacity TestFleetsThatRunAtOnceTakeOtherAddresses` compared the claims' numbers; it now compares every address and the port of two fleets, which is stricter.

--- a/proofs/capacity/capacity_test.go
+++ b/proofs/capacity/capacity_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"petreltide/internal/fault"
+	"petreltide/proofs/loopback"
 )
 
 func built(t *testing.T) string {
@@ -290,7 +291,7 @@
 	defer silent.Close()
 	answers := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	defer answers.Close()
-	o := newOperator(&world{base: 0}, []string{strings.TrimPrefix(answers.URL, "http://"), silent.Addr().String()})
+	o := newOperator(&world{own: &loopback.Network{}}, []string{strings.TrimPrefix(answers.URL, "http://"), silent.Addr().String()})
 	ctx, done := context.WithTimeout(context.Background(), 8*time.Second)
 	defer done()
 	if c, err := o.edit(ctx); err != nil || c.acked.Sub(c.sent) < silentMost {
@@ -299,17 +300,37 @@
 }
 
 func TestFleetsThatRunAtOnceTakeOtherAddresses(t *testing.T) {
-	a, first, err := claim()
-	if err != nil {
-		t.Fatal(err)
+	worlds := []*world{}
+	for range 2 {
+		networks := []*loopback.Network{}
+		for range 2 {
+			n, err := loopback.Claim()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer n.Close()
+			networks = append(networks, n)
+		}
+		worlds = append(worlds, newWorld(Size{Models: 4, Replicas: 300, Desks: 300}, networks[0], networks[1], nil, []string{"a"}))
 	}
-	defer first.Close()
-	b, second, err := claim()
-	if err != nil {
-		t.Fatal(err)
+	a, b := worlds[0], worlds[1]
+	if a.port == b.port {
+		t.Errorf("the replicas of both listen at port %d", a.port)
 	}
-	defer second.Close()
-	if a == b {
-		t.Fatal(a, b)
+	taken := map[string]bool{}
+	for _, w := range worlds {
+		ips := []string{w.own.Host(0, 1)}
+		for _, r := range w.replicas {
+			ips = append(ips, r.ip)
+		}
+		for _, d := range w.desks {
+			ips = append(ips, d.ip)
+		}
+		for _, ip := range ips {
+			if taken[ip] {
+				t.Fatalf("%s is taken twice", ip)
+			}
+			taken[ip] = true
+		}
 	}
 }
--- a/proofs/capacity/operator.go
+++ b/proofs/capacity/operator.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -36,7 +35,7 @@
 
 func newOperator(w *world, offices []string) *operator {
 	o := &operator{offices: offices, world: w}
-	o.client = &http.Client{Transport: &http.Transport{DialContext: dialFrom(fmt.Sprintf("127.%d.0.250", w.base), &o.by)}}
+	o.client = &http.Client{Transport: &http.Transport{DialContext: dialFrom(w.own.Host(0, 250), &o.by)}}
 	return o
 }
 
--- a/proofs/capacity/run.go
+++ b/proofs/capacity/run.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"petreltide/internal/fault"
+	"petreltide/proofs/loopback"
 )
 
 // silentOffice is the role of an office that is in no seat, or does not say where.
@@ -187,16 +188,21 @@
 		f.zones = append(f.zones, zone)
 		f.regions[zone] = fmt.Sprintf("region%02d", i%regions)
 	}
-	base, held, err := claim()
+	own, err := loopback.Claim()
 	if err != nil {
 		return err
 	}
-	context.AfterFunc(ctx, func() { _ = held.Close() })
+	context.AfterFunc(ctx, own.Close)
+	ofReplicas, err := loopback.Claim()
+	if err != nil {
+		return err
+	}
+	context.AfterFunc(ctx, ofReplicas.Close)
 	for i := range z.Offices {
-		f.offices = append(f.offices, &process{name: fmt.Sprintf("office-%02d", i), role: "office", ip: fmt.Sprintf("127.%d.0.%d", base, 1+i), zone: f.zones[i], bin: f.plan.Petreltide})
+		f.offices = append(f.offices, &process{name: fmt.Sprintf("office-%02d", i), role: "office", ip: own.Host(0, 1+i), zone: f.zones[i], bin: f.plan.Petreltide})
 	}
 	for i := range z.RealDesks {
-		f.desks = append(f.desks, &process{name: fmt.Sprintf("desk-%02d", i), role: "desk", ip: fmt.Sprintf("127.%d.1.%d", base, 1+i), zone: f.zones[i%len(f.zones)], bin: f.plan.Petreltide})
+		f.desks = append(f.desks, &process{name: fmt.Sprintf("desk-%02d", i), role: "desk", ip: own.Host(1, 1+i), zone: f.zones[i%len(f.zones)], bin: f.plan.Petreltide})
 	}
 	seeds, controls := []string{}, []string{}
 	for i, p := range f.offices {
@@ -213,7 +219,7 @@
 			return err
 		}
 	}
-	f.world = newWorld(z, base, controls, f.zones)
+	f.world = newWorld(z, own, ofReplicas, controls, f.zones)
 	f.op = newOperator(f.world, controls)
 	if err := f.world.serve(ctx); err != nil {
 		return err
--- a/proofs/capacity/world.go
+++ b/proofs/capacity/world.go
@@ -6,7 +6,6 @@
 	"math/rand"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -14,9 +13,9 @@
 
 	"github.com/juju/errors"
 
-	"petreltide/internal/fault"
 	"petreltide/internal/wire"
 	"petreltide/proofs/capacity/platform"
+	"petreltide/proofs/loopback"
 )
 
 const (
@@ -27,7 +26,8 @@
 	roomMb      = 83_000
 	hotModels   = 5
 	turnEvery   = 12 * time.Second
-	claimPort   = 7_640
+	// firstReplicaPort is where the ports of replicas begin, below those of outgoing connections.
+	firstReplicaPort = 20_000
 	// replicasPerS is how many replicas a second start.
 	replicasPerS = 100
 )
@@ -35,7 +35,7 @@
 // world is all that is hollow: desks, replicas, and the calls that they claim.
 type world struct {
 	size       Size
-	base       int
+	own        *loopback.Network
 	port       int
 	modelNames []string
 	replicas   []*hollowReplica
@@ -65,21 +65,11 @@
 	return n
 }
 
-// claim takes two of the loopback's networks for one fleet until it is closed, so that fleets that run at once
-// don't meet.
-func claim() (base int, held net.Listener, err error) {
-	for try := range 100 {
-		base = 16 + (os.Getpid()+try)%100*2
-		if held, err = net.Listen("tcp4", fmt.Sprintf("127.%d.0.249:%d", base, claimPort)); err == nil {
-			return base, held, nil
-		}
-	}
-	return 0, nil, fault.New(fault.BadField, "loopback", "every network is taken by another fleet: %v", err)
-}
-
-func newWorld(size Size, base int, offices, zones []string) *world {
+// newWorld lays out desks in their own network and replicas in another. Replicas listen at one port of all addresses,
+// so no two fleets may have the same one.
+func newWorld(size Size, own, ofReplicas *loopback.Network, offices, zones []string) *world {
 	w := &world{
-		size: size, base: base, port: 20_000 + os.Getpid()%10_000, byIP: map[string]*hollowReplica{}, began: time.Now(),
+		size: size, own: own, port: firstReplicaPort + ofReplicas.Number(), byIP: map[string]*hollowReplica{}, began: time.Now(),
 	}
 	w.track = newTracker()
 	for i := range size.Models {
@@ -87,7 +77,7 @@
 	}
 	for i := range size.Replicas {
 		r := &hollowReplica{
-			world: w, n: i, ip: fmt.Sprintf("127.%d.%d.%d", w.base+1, i/250, 1+i%250), zone: zones[i%len(zones)], offices: offices,
+			world: w, n: i, ip: ofReplicas.Host(i/250, 1+i%250), zone: zones[i%len(zones)], offices: offices,
 			units: map[string]bool{}, had: map[string]bool{}, mine: rand.New(rand.NewSource(int64(i))),
 		}
 		for k := range 2 {
@@ -103,7 +93,7 @@
 	}
 	for i := range size.Desks {
 		d := &hollowDesk{
-			name: fmt.Sprintf("hollow-%04d", i), ip: fmt.Sprintf("127.%d.%d.%d", w.base, 10+i/250, 1+i%250), zone: zones[i%len(zones)],
+			name: fmt.Sprintf("hollow-%04d", i), ip: own.Host(10+i/250, 1+i%250), zone: zones[i%len(zones)],
 			world: w, known: make([]bool, size.Replicas), r: rand.New(rand.NewSource(int64(1_000_000 + i))),
 		}
 		d.client = &http.Client{Transport: &http.Transport{DialContext: dialFrom(d.ip, &w.desk), MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}
--- a/proofs/fleet/compare_test.go
+++ b/proofs/fleet/compare_test.go
@@ -89,7 +89,7 @@
 		"odd windows": args(other, chaser, "--windows", "3"), "no windows": args(other, chaser, "--windows", "0"),
 		"an unknown file": args(other, chaser+"x"), "one that does not compile": args(other, broken),
 		"one policy":        {"compare", "--live", "--office", offices, "--policy", other},
-		"no office reached": {"compare", "--live", "--office", FreeAddr(), "--policy", other, "--policy", chaser, "--windows", "2"},
+		"no office reached": {"compare", "--live", "--office", f.FreeAddr(), "--policy", other, "--policy", chaser, "--windows", "2"},
 	} {
 		if out, err := run(t, bad...); err == nil {
 			t.Errorf("%s: taken: %s", name, out)
--- a/proofs/fleet/fleet.go
+++ b/proofs/fleet/fleet.go
@@ -23,6 +23,7 @@
 	"petreltide/internal/office"
 	"petreltide/internal/standing"
 	"petreltide/internal/wire"
+	"petreltide/proofs/loopback"
 	"petreltide/proofs/modelserver"
 	"petreltide/proofs/platform"
 	"petreltide/proofs/relay"
@@ -69,7 +70,7 @@
 	Platform *platform.Platform
 	platAddr string
 	net      *relay.Switch
-	ips      int
+	loop     *loopback.Network
 	Caused   map[string]int
 	Doc      *standing.Declaration
 	r        *rand.Rand
@@ -84,15 +85,8 @@
 	lives    int
 }
 
-// FreeAddr is a loopback address that nobody listens on now.
-func FreeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
+// FreeAddr is an address of this fleet's that nobody listens on.
+func (f *Fleet) FreeAddr() string { return f.loop.Addr() }
 
 // New serves the platform's side; Start starts the processes.
 func New(plan Plan) (*Fleet, error) {
@@ -102,6 +96,9 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	if f.loop, err = loopback.Claim(); err != nil {
+		return nil, err
+	}
 	f.platAddr = l.Addr().String()
 	f.server = &http.Server{Handler: f.Platform.Handler()}
 	go func() { _ = f.server.Serve(l) }()
@@ -113,24 +110,16 @@
 	return f, os.MkdirAll(plan.Folder, 0o755)
 }
 
-// place gives a process a loopback IP of its own and a free port there, and with relays one to stand before it.
+// place gives a process a loopback IP of its own, and with relays one to stand before it.
 func (f *Fleet) place(name string) (addr, reach string, err error) {
+	addr = f.loop.Addr()
 	if !f.Plan.Relays {
-		addr = FreeAddr()
 		return addr, addr, nil
 	}
-	f.mu.Lock()
-	f.ips++
-	ip := fmt.Sprintf("127.1.%d.%d", f.ips/250, f.ips%250+1)
-	f.mu.Unlock()
-	l, err := net.Listen("tcp", ip+":0")
+	ip, _, err := net.SplitHostPort(addr)
 	if err != nil {
 		return "", "", errors.Trace(err)
 	}
-	addr = l.Addr().String()
-	if err := l.Close(); err != nil {
-		return "", "", errors.Trace(err)
-	}
 	reach, err = f.net.Before(name, ip, addr)
 	return addr, reach, err
 }
@@ -310,6 +299,7 @@
 	}
 	_ = f.server.Close()
 	f.net.Close()
+	f.loop.Close()
 }
 
 // Notice shows a replica as leaving on the platform's list.
--- a/proofs/fleet/fleet_test.go
+++ b/proofs/fleet/fleet_test.go
@@ -17,6 +17,7 @@
 	"petreltide/internal/rpc"
 	"petreltide/internal/standing"
 	"petreltide/proofs/callers"
+	"petreltide/proofs/loopback"
 	"petreltide/proofs/rules"
 	"petreltide/proofs/sim"
 )
@@ -269,7 +270,7 @@
 	if err != nil || !strings.Contains(string(said), "damaged") {
 		t.Fatalf("nothing said of the damage: %s", said)
 	}
-	foreign, err := exec.Command(petreltide, "office", "--name", "other", "--listen", FreeAddr(), "--zone", "a", "--seeds", "127.0.0.1:1",
+	foreign, err := exec.Command(petreltide, "office", "--name", "other", "--listen", f.FreeAddr(), "--zone", "a", "--seeds", "127.0.0.1:1",
 		"--data", filepath.Join(f.Plan.Folder, "core-1"), "--platform", "127.0.0.1:1").CombinedOutput()
 	if err == nil || !strings.Contains(string(foreign), "foreign_data") {
 		t.Fatalf("another's folder got %v: %s", err, foreign)
@@ -282,7 +283,12 @@
 	if err := os.Mkdir(kept, 0o755); err != nil {
 		t.Fatal(err)
 	}
-	out, err := run(t, "office", "--name", "core-1", "--listen", FreeAddr(), "--zone", "a", "--seeds", "127.0.0.1:1", "--data", folder, "--platform", "127.0.0.1:1", "--founding", "3")
+	loop, err := loopback.Claim()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(loop.Close)
+	out, err := run(t, "office", "--name", "core-1", "--listen", loop.Addr(), "--zone", "a", "--seeds", "127.0.0.1:1", "--data", folder, "--platform", "127.0.0.1:1", "--founding", "3")
 	if err == nil || !strings.Contains(out, "no partner") {
 		t.Fatalf("got %v: %s", err, out)
 	}
--- a/proofs/platform/fleet/fleet.go
+++ b/proofs/platform/fleet/fleet.go
@@ -23,6 +23,7 @@
 	"petreltide/internal/standing"
 	"petreltide/proofs/fleet"
 	"petreltide/proofs/history"
+	"petreltide/proofs/loopback"
 	"petreltide/proofs/platform/replica"
 	"petreltide/proofs/rules"
 )
@@ -73,8 +74,7 @@
 type Fleet struct {
 	plan   Plan
 	r      *rand.Rand
-	net    string
-	ips    int
+	loop   *loopback.Network
 	mu     sync.Mutex
 	day    *rules.Day
 	names  map[string]string
@@ -94,10 +94,14 @@
 	narrow bool
 }
 
-// New begins nothing yet. Machines get loopback IPs of their own in a net drawn from the process's id.
+// New begins nothing yet. Machines get loopback IPs of their own, until Stop.
 func New(plan Plan) (*Fleet, error) {
+	loop, err := loopback.Claim()
+	if err != nil {
+		return nil, err
+	}
 	f := &Fleet{
-		plan: plan, r: rand.New(rand.NewSource(plan.Seed)), net: fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, plan.Seed%250), day: &rules.Day{}, names: map[string]string{},
+		plan: plan, r: rand.New(rand.NewSource(plan.Seed)), loop: loop, day: &rules.Day{}, names: map[string]string{},
 		procs: map[string]*machineProc{}, hosts: map[string]*replica.Host{}, Caused: map[string]int{},
 	}
 	f.engine = &standing.Engine{Slots: 16, CacheTokens: 60_000, Stride: 2, RoomMb: 8000, AdaptersMost: 3, LoadsPerS: 3}
@@ -115,8 +119,7 @@
 }
 
 func (f *Fleet) ip(name string) string {
-	f.ips++
-	ip := fmt.Sprintf("%s.%d", f.net, f.ips)
+	ip := f.loop.IP()
 	f.names[ip] = name
 	return ip
 }
@@ -462,6 +465,7 @@
 	for _, h := range hosts {
 		h.Kill(false)
 	}
+	f.loop.Close()
 }
 
 // Ready asks each desk as the platform does.
--- a/proofs/testbed/testbed.go
+++ b/proofs/testbed/testbed.go
@@ -21,12 +21,11 @@
 	"petreltide/internal/settings"
 	"petreltide/internal/standing"
 	"petreltide/internal/wire"
+	"petreltide/proofs/loopback"
 	"petreltide/proofs/modelserver"
 	"petreltide/proofs/platform"
 )
 
-const hostsMost = 16
-
 // Fleet runs a few real hosts inside one process, sockets and disks included, for tests that need
 // no kills: bad input, interfaces, measurements.
 type Fleet struct {
@@ -36,7 +35,7 @@
 	Platform *platform.Platform
 	cancel   context.CancelFunc
 	group    sync.WaitGroup
-	hosts    int
+	loop     *loopback.Network
 	mu       sync.Mutex
 	ended    []string
 }
@@ -63,18 +62,6 @@
 	return l, l.Addr().String(), nil
 }
 
-// free chooses a port that is not kept until its host listens there, so each host has an IP of its own,
-// also beside other processes of this kind: on a shared one, a client's socket may be given that port first.
-func (s *Fleet) free() (string, error) {
-	s.hosts++
-	n := os.Getpid()*hostsMost + s.hosts%hostsMost
-	l, addr, err := listen(fmt.Sprintf("127.%d.%d.%d", 2+(n>>16)%250, n>>8&255, n&255))
-	if err != nil {
-		return "", err
-	}
-	return addr, l.Close()
-}
-
 // Open starts all hosts; Close ends them.
 func Open(plan Plan) (*Fleet, error) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -83,15 +70,14 @@
 	if err != nil {
 		return nil, err
 	}
+	if s.loop, err = loopback.Claim(); err != nil {
+		return nil, err
+	}
 	plat := &http.Server{Handler: s.Platform.Handler()}
 	s.spawn(func() { _ = plat.Serve(platListener) })
 	context.AfterFunc(ctx, func() { _ = plat.Close() })
 	for i := 0; i < plan.Offices; i++ {
-		addr, err := s.free()
-		if err != nil {
-			return nil, err
-		}
-		s.Offices = append(s.Offices, addr)
+		s.Offices = append(s.Offices, s.loop.Addr())
 	}
 	for i, addr := range s.Offices {
 		name := fmt.Sprintf("core-%d", i+1)
@@ -122,10 +108,7 @@
 		s.Platform.Set(wire.Listed{ID: id, Addr: addr, Zone: zone, RoomMb: plan.RoomMb, Slots: plan.Slots, State: wire.ListedReady})
 	}
 	for i := 0; i < plan.Desks; i++ {
-		addr, err := s.free()
-		if err != nil {
-			return nil, err
-		}
+		addr := s.loop.Addr()
 		host := desk.Open(settings.Desk{Name: fmt.Sprintf("front-%d", i+1), Listen: addr, Advertise: addr, Zone: string(rune('a' + i%3)), Seeds: s.Offices, BacklogMax: 64, BodyMaxKb: 64, DrainMs: 2000},
 			logring.NewRing("", io.Discard))
 		s.Desks = append(s.Desks, addr)
@@ -158,6 +141,9 @@
 func (s *Fleet) Close() error {
 	s.cancel()
 	s.group.Wait()
+	if s.loop != nil {
+		s.loop.Close()
+	}
 	if len(s.ended) > 0 {
 		return errors.Errorf("ended before their time: %s", strings.Join(s.ended, "; "))
 	}
