Read strict JSON and a daemon's settings in one place each

The product's own interface and declarations had the same strict decoding of JSON line for line; it is fault.DecodeJSON now. Both daemons kept what the flags said of the place, read the file and laid it on.

--- a/cmd/petreltide/daemons.go
+++ b/cmd/petreltide/daemons.go
@@ -38,11 +38,9 @@
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			laid := set
-			given := place.given()
-			if f := settings.Read(file, &set); f != nil {
+			if f := place.read(cmd, file, &set); f != nil {
 				return f
 			}
-			given(cmd)
 			lay(cmd, "data", &set.Data, laid.Data)
 			lay(cmd, "platform", &set.Platform, laid.Platform)
 			lay(cmd, "founding", &set.Founding, laid.Founding)
@@ -88,11 +86,9 @@
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			laid := set
-			given := place.given()
-			if f := settings.Read(file, &set); f != nil {
+			if f := place.read(cmd, file, &set); f != nil {
 				return f
 			}
-			given(cmd)
 			lay(cmd, "backlog-max", &set.BacklogMax, laid.BacklogMax)
 			lay(cmd, "body-max-kb", &set.BodyMaxKb, laid.BodyMaxKb)
 			lay(cmd, "drain-ms", &set.DrainMs, laid.DrainMs)
@@ -127,18 +123,21 @@
 	flags.StringSliceVar(p.seeds, "seeds", nil, "up to three IP:port of other processes, for first contact only")
 }
 
-// given keeps what the flags said before a file is read, to be laid on it after.
-func (p place) given() func(cmd *cobra.Command) {
+// read reads a settings file, and lays on it what the flags said of the place.
+func (p place) read(cmd *cobra.Command, file string, into any) *fault.Fault {
 	name, listen, advertise, zone, seeds := *p.name, *p.listen, *p.advertise, *p.zone, slices.Clone(*p.seeds)
-	return func(cmd *cobra.Command) {
-		lay(cmd, "name", p.name, name)
-		lay(cmd, "listen", p.listen, listen)
-		lay(cmd, "advertise", p.advertise, advertise)
-		lay(cmd, "zone", p.zone, zone)
-		lay(cmd, "seeds", p.seeds, seeds)
+	if f := settings.Read(file, into); f != nil {
+		return f
 	}
+	lay(cmd, "name", p.name, name)
+	lay(cmd, "listen", p.listen, listen)
+	lay(cmd, "advertise", p.advertise, advertise)
+	lay(cmd, "zone", p.zone, zone)
+	lay(cmd, "seeds", p.seeds, seeds)
+	return nil
 }
 
+// lay lets a flag that was given win over the file.
 func lay[T any](cmd *cobra.Command, flag string, into *T, given T) {
 	if cmd.Flags().Changed(flag) {
 		*into = given
--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -1,12 +1,9 @@
 package desk
 
 import (
-	"bytes"
-	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 
 	"petreltide/internal/clock"
 	"petreltide/internal/dispatch"
@@ -77,28 +74,12 @@
 		return nil, fault.New(fault.BadJSON, "", "%v", err)
 	}
 	ask := &CallAsk{}
-	dec := json.NewDecoder(bytes.NewReader(raw))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(ask); err != nil {
-		return nil, fault.New(fault.BadJSON, fieldOf(err), "%v", err)
-	}
-	if _, err := dec.Token(); err != io.EOF {
-		return nil, fault.New(fault.BadJSON, "", "more than one JSON value")
+	if bad := fault.DecodeJSON(raw, ask); bad != nil {
+		return nil, bad
 	}
 	return ask, nil
 }
 
-// fieldOf names the field that a decoder stumbled over, where it says so.
-func fieldOf(err error) string {
-	if e, ok := err.(*json.UnmarshalTypeError); ok {
-		return e.Field
-	}
-	if _, name, found := strings.Cut(err.Error(), "unknown field "); found {
-		return strings.Trim(name, `"`)
-	}
-	return ""
-}
-
 // check refuses what is wrong with any declaration.
 func (ask *CallAsk) check(key string) *fault.Fault {
 	switch {
--- a/internal/standing/standing.go
+++ b/internal/standing/standing.go
@@ -2,10 +2,8 @@
 package standing
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"reflect"
 	"slices"
 	"strings"
@@ -191,27 +189,12 @@
 // Decode reads one declaration and refuses fields that it does not know. It checks nothing else.
 func Decode(raw []byte) (*Declaration, *fault.Fault) {
 	d := &Declaration{}
-	dec := json.NewDecoder(bytes.NewReader(raw))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(d); err != nil {
-		return nil, fault.New(fault.BadJSON, fieldOf(err), "%v", err)
-	}
-	if _, err := dec.Token(); err != io.EOF {
-		return nil, fault.New(fault.BadJSON, "", "more than one JSON value")
+	if bad := fault.DecodeJSON(raw, d); bad != nil {
+		return nil, bad
 	}
 	return d, nil
 }
 
-func fieldOf(err error) string {
-	if e, ok := err.(*json.UnmarshalTypeError); ok {
-		return e.Field
-	}
-	if _, name, found := strings.Cut(err.Error(), "unknown field "); found {
-		return strings.Trim(name, `"`)
-	}
-	return ""
-}
-
 // Check returns all that is wrong with a declaration by kinds, nil for nothing; policy may be nil. Declarations by routes
 // are checked by CheckRoutes.
 func Check(d *Declaration, policy PolicyCheck) *fault.Fault {
