--- a/proofs/capacity/fault.go
+++ b/proofs/capacity/fault.go
@@ -38,6 +38,7 @@
 	return nil
 }
 
+// cause brings one fault about and measures what comes of it.
 func (f *fleet) cause(ctx context.Context, run *Run, name string) error {
 	pause(ctx, settleSpan)
 	switch name {
@@ -74,31 +75,51 @@
 // until the region has them too.
 func (f *fleet) region(ctx context.Context, run *Run, name string) error {
 	region := f.regions[f.zones[1]]
+	back := f.stopRegion(region)
+	changes, err := f.changesWhileAway(ctx, run, name, time.Now())
+	if err != nil {
+		back()
+		run.add(name, notRecovered, "0 or 1", 1)
+		return err
+	}
+	pause(ctx, 2*time.Second)
+	f.addInForce(run, name, changes)
+	began := time.Now()
+	back()
+	if s, ok := f.until(ctx, began, f.desksWhole); ok {
+		run.add(name, "region back until its desks have the newest", "s", s)
+	} else {
+		run.add(name, notRecovered, "0 or 1", 1)
+	}
+	return nil
+}
+
+// stopRegion stops all that lies in a region; back lets it go on.
+func (f *fleet) stopRegion(region string) (back func()) {
 	of := func(zone string) bool { return f.regions[zone] == region }
 	f.darken(of, true)
 	stopped := []*process{}
-	for _, p := range append(slices.Clone(f.offices), f.desks...) {
+	for _, p := range f.real() {
 		if of(p.zone) {
 			p.signal(syscall.SIGSTOP)
 			stopped = append(stopped, p)
 		}
 	}
-	began := time.Now()
-	back := func() {
+	return func() {
 		for _, p := range stopped {
 			p.signal(syscall.SIGCONT)
 		}
 		f.darken(of, false)
 	}
+}
+
+// changesWhileAway sends changes one after the other, and notes when the first was acknowledged.
+func (f *fleet) changesWhileAway(ctx context.Context, run *Run, name string, began time.Time) ([]change, error) {
 	var changes []change
 	for range awayChanges {
-		limited, done := context.WithTimeout(ctx, recoverMost)
-		c, err := f.op.edit(limited)
-		done()
+		c, err := f.editLimited(ctx)
 		if err != nil {
-			back()
-			run.add(name, notRecovered, "0 or 1", 1)
-			return err
+			return nil, err
 		}
 		if len(changes) == 0 {
 			run.add(name, "first change acknowledged", "s", c.acked.Sub(began).Seconds())
@@ -106,11 +127,22 @@
 		changes = append(changes, c)
 		pause(ctx, awayGap)
 	}
-	pause(ctx, 2*time.Second)
+	return changes, nil
+}
+
+// editLimited sends one change, and gives it up where it is not acknowledged in the time of a recovery.
+func (f *fleet) editLimited(ctx context.Context) (change, error) {
+	limited, done := context.WithTimeout(ctx, recoverMost)
+	defer done()
+	return f.op.edit(limited)
+}
+
+// addInForce adds how long after their acknowledgement changes were in force at desks.
+func (f *fleet) addInForce(run *Run, name string, changes []change) {
 	last, each := 0.0, []float64{}
 	for _, c := range changes {
 		for _, at := range f.world.track.times(c.revision) {
-			ms := max(0, float64(at.Sub(c.acked))/1e6)
+			ms := max(0, milliseconds(at.Sub(c.acked)))
 			each = append(each, ms)
 			last = max(last, ms)
 		}
@@ -119,16 +151,10 @@
 	run.add(name, "in force at a desk after acknowledgement, half", "ms", quantile(each, 0.5))
 	run.add(name, "in force at a desk after acknowledgement, 99 in 100", "ms", quantile(each, 0.99))
 	run.add(name, "in force at the last desk, longest", "ms", last)
-	began = time.Now()
-	back()
-	if s, ok := f.until(ctx, began, f.desksWhole); ok {
-		run.add(name, "region back until its desks have the newest", "s", s)
-	} else {
-		run.add(name, notRecovered, "0 or 1", 1)
-	}
-	return nil
 }
 
+// killOffices kills the offices that are chosen, with all of their zones where zones are given, looks how long it takes
+// until all goes on, and starts them again: at once where none is left, else after that.
 func (f *fleet) killOffices(ctx context.Context, run *Run, name string, which func(*process, string) bool, zones func(string) bool) error {
 	roles, err := f.roles(ctx)
 	if err != nil {
@@ -146,27 +172,46 @@
 	}
 	began, had := time.Now(), f.op.revision.Load()
 	f.world.mark()
-	again := func() error {
-		for _, p := range killed {
-			if err := p.place(f.plan.Folder, f.seeds(), f.regions, false, f.plan.HeartbeatMs); err != nil {
-				return err
-			}
-			if err := p.start(); err != nil {
-				return err
-			}
-		}
-		return nil
-	}
 	if len(killed) == len(f.offices) {
-		if err := again(); err != nil {
+		if err := f.startAgain(killed); err != nil {
 			return err
 		}
 		killed = nil
 	}
-	looks := []struct {
-		what string
-		ok   func() bool
-	}{
+	run.Rows = append(run.Rows, f.recovery(ctx, name, began, had)...)
+	if err := f.startAgain(killed); err != nil {
+		return err
+	}
+	if zones != nil {
+		f.darken(zones, false)
+	}
+	back := time.Now()
+	f.until(ctx, back, func() bool { return f.seated(ctx) == len(f.offices) && f.desksWhole() })
+	return ctx.Err()
+}
+
+// startAgain starts processes that were killed, on the folders that they had.
+func (f *fleet) startAgain(killed []*process) error {
+	for _, p := range killed {
+		if err := p.place(f.plan.Folder, f.seeds(), f.regions, false, f.plan.HeartbeatMs); err != nil {
+			return err
+		}
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// recoveryLook is one sign that all goes on after a fault.
+type recoveryLook struct {
+	what string
+	ok   func() bool
+}
+
+// recovery looks for all signs at once that all goes on, and gives how long each took: first that changes are taken.
+func (f *fleet) recovery(ctx context.Context, name string, began time.Time, had uint64) []Row {
+	looks := []recoveryLook{
 		{"orders sent again", f.world.orderedSinceMark},
 		{"every desk follows two offices and has the newest", func() bool { return f.op.revision.Load() > had && f.desksWhole() }},
 		{"every heartbeat acknowledged again", func() bool { return f.world.beaten(began) }},
@@ -177,42 +222,33 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			if s, ok := f.until(ctx, began, look.ok); ok {
-				rows[i+1] = Row{name, look.what, "s", s}
-			} else {
-				rows[i+1] = Row{name, tooLate + look.what, "0 or 1", 1}
-			}
+			s, ok := f.until(ctx, began, look.ok)
+			rows[i+1] = recoveryRow(name, look.what, s, ok)
 		}()
 	}
-	limited, done := context.WithTimeout(ctx, recoverMost)
-	c, err := f.op.edit(limited)
-	done()
-	if err == nil {
-		rows[0] = Row{name, "changes taken again", "s", c.acked.Sub(began).Seconds()}
-	} else {
-		rows[0] = Row{name, tooLate + "changes taken again", "0 or 1", 1}
-	}
+	c, err := f.editLimited(ctx)
+	rows[0] = recoveryRow(name, "changes taken again", c.acked.Sub(began).Seconds(), err == nil)
 	group.Wait()
-	run.Rows = append(run.Rows, rows...)
-	if err := again(); err != nil {
-		return err
-	}
-	if zones != nil {
-		f.darken(zones, false)
+	return rows
+}
+
+// recoveryRow says after how many seconds something was so again, or that it was not in time.
+func recoveryRow(name, what string, seconds float64, reached bool) Row {
+	if !reached {
+		return Row{name, tooLate + what, "0 or 1", 1}
 	}
-	back := time.Now()
-	f.until(ctx, back, func() bool { return f.seated(ctx) == len(f.offices) && f.desksWhole() })
-	return ctx.Err()
+	return Row{name, what, "s", seconds}
 }
 
 func (f *fleet) seeds() []string {
 	all := []string{}
-	for _, p := range f.offices[:3] {
+	for _, p := range f.offices[:seedsMost] {
 		all = append(all, p.ip)
 	}
 	return all
 }
 
+// until waits until something is so, for as long as a recovery may take.
 func (f *fleet) until(ctx context.Context, began time.Time, ok func() bool) (seconds float64, reached bool) {
 	for time.Since(began) < recoverMost && ctx.Err() == nil {
 		if ok() {
--- a/proofs/capacity/fit.go
+++ b/proofs/capacity/fit.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 
 	"gonum.org/v1/gonum/mat"
@@ -28,6 +29,7 @@
 	{"S", "replicas at which one desk has one, R·(1 − e^(−K/R))"},
 }
 
+// letter is the value of one letter of a formula; false where it stands for nothing.
 func letter(c rune, z Size, beatS float64) (float64, bool) {
 	n, r, k, o := float64(z.Desks+z.RealDesks), float64(z.Replicas), float64(z.Running), float64(z.Offices)
 	nk := float64(z.Desks) * k
@@ -197,78 +199,127 @@
 // FitTo fits a formula by least squares of relative errors. No slope may be below zero: a term whose slope would
 // be is left out, and so is one that the runs do not tell from nothing.
 func FitTo(runs []*Run, role, quantity, unit string, terms []string, floor float64) (*Fit, *fault.Fault) {
-	y, used := []float64{}, []*Run{}
-	axes, seen := []string{}, map[string]bool{}
-	for _, r := range runs {
-		v, ok := r.value(role, quantity)
-		if !ok {
-			continue
-		}
-		y, used = append(y, v), append(used, r)
-		if !seen[r.Axis] {
-			seen[r.Axis] = true
-			axes = append(axes, r.Axis)
-		}
-	}
-	f := &Fit{Role: role, Quantity: quantity, Unit: unit, Runs: len(used), Axes: axes}
-	if len(used) == 0 {
+	o := observed(runs, role, quantity, floor)
+	f := &Fit{Role: role, Quantity: quantity, Unit: unit, Runs: len(o.runs), Axes: o.axes}
+	if len(o.runs) == 0 {
 		return f, nil
 	}
 	terms = append([]string(nil), terms...)
 	for len(terms) > 0 {
-		x := mat.NewDense(len(used), len(terms), nil)
-		b := mat.NewVecDense(len(used), nil)
-		scale := make([]float64, len(terms))
-		for j, text := range terms {
-			for _, r := range used {
-				v, bad := term(text, r.Size, r.BeatS)
-				if bad != nil {
-					return nil, bad
-				}
-				scale[j] = max(scale[j], math.Abs(v))
-			}
-			if scale[j] == 0 {
-				scale[j] = 1
-			}
+		problem, bad := o.problem(terms)
+		if bad != nil {
+			return nil, bad
 		}
-		for i, r := range used {
-			weight := 1 / max(math.Abs(y[i]), floor)
-			b.SetVec(i, y[i]*weight)
-			for j, text := range terms {
-				v, _ := term(text, r.Size, r.BeatS)
-				x.Set(i, j, v/scale[j]*weight)
-			}
-		}
-		slopes, cov, ok := solve(x, b)
+		slopes, cov, ok := solve(problem.x, problem.b)
 		if !ok {
 			terms = terms[:len(terms)-1]
 			continue
 		}
-		drop := weakest(slopes, cov, terms)
-		if drop >= 0 {
+		if drop := weakest(slopes, cov, terms); drop >= 0 {
 			terms = append(terms[:drop], terms[drop+1:]...)
 			continue
 		}
-		f.cov = mat.NewDense(len(terms), len(terms), nil)
-		for i := range terms {
-			for j := range terms {
-				f.cov.Set(i, j, cov.At(i, j)/scale[i]/scale[j])
-			}
+		f.take(terms, slopes, cov, problem.scale)
+		break
+	}
+	f.RMS, f.Worst = o.errors(f)
+	return f, nil
+}
+
+// observations are the runs in which a quantity was measured, and its values there.
+type observations struct {
+	runs   []*Run
+	values []float64
+	axes   []string
+	// floor is the least value that an error is taken relative to.
+	floor float64
+}
+
+func observed(runs []*Run, role, quantity string, floor float64) *observations {
+	o := &observations{runs: []*Run{}, values: []float64{}, axes: []string{}, floor: floor}
+	for _, r := range runs {
+		v, ok := r.value(role, quantity)
+		if !ok {
+			continue
+		}
+		o.runs, o.values = append(o.runs, r), append(o.values, v)
+		if !slices.Contains(o.axes, r.Axis) {
+			o.axes = append(o.axes, r.Axis)
 		}
+	}
+	return o
+}
+
+// relativeTo is what an error of observation i is taken relative to.
+func (o *observations) relativeTo(i int) float64 { return max(math.Abs(o.values[i]), o.floor) }
+
+// leastSquares is a problem of ordinary least squares, x times the slopes near b. Each term's column is divided by
+// its scale.
+type leastSquares struct {
+	x     *mat.Dense
+	b     *mat.VecDense
+	scale []float64
+}
+
+// problem weighs the observations so that their relative errors count alike.
+func (o *observations) problem(terms []string) (*leastSquares, *fault.Fault) {
+	scale, bad := o.scales(terms)
+	if bad != nil {
+		return nil, bad
+	}
+	p := &leastSquares{x: mat.NewDense(len(o.runs), len(terms), nil), b: mat.NewVecDense(len(o.runs), nil), scale: scale}
+	for i, r := range o.runs {
+		weight := 1 / o.relativeTo(i)
+		p.b.SetVec(i, o.values[i]*weight)
 		for j, text := range terms {
-			f.Slopes = append(f.Slopes, Slope{Term: text, Value: slopes.AtVec(j) / scale[j], Err: math.Sqrt(max(0, f.cov.At(j, j)))})
+			v, _ := term(text, r.Size, r.BeatS)
+			p.x.Set(i, j, v/scale[j]*weight)
 		}
-		break
 	}
+	return p, nil
+}
+
+// scales are the largest values of terms in the runs, so that the columns of a problem are of one size.
+func (o *observations) scales(terms []string) ([]float64, *fault.Fault) {
+	scale := make([]float64, len(terms))
+	for j, text := range terms {
+		for _, r := range o.runs {
+			v, bad := term(text, r.Size, r.BeatS)
+			if bad != nil {
+				return nil, bad
+			}
+			scale[j] = max(scale[j], math.Abs(v))
+		}
+		if scale[j] == 0 {
+			scale[j] = 1
+		}
+	}
+	return scale, nil
+}
+
+// take makes the solution of a scaled problem the formula's.
+func (f *Fit) take(terms []string, slopes *mat.VecDense, cov *mat.Dense, scale []float64) {
+	f.cov = mat.NewDense(len(terms), len(terms), nil)
+	for i := range terms {
+		for j := range terms {
+			f.cov.Set(i, j, cov.At(i, j)/scale[i]/scale[j])
+		}
+	}
+	for j, text := range terms {
+		f.Slopes = append(f.Slopes, Slope{Term: text, Value: slopes.AtVec(j) / scale[j], Err: math.Sqrt(max(0, f.cov.At(j, j)))})
+	}
+}
+
+// errors are the mean square and the worst of a formula's relative errors.
+func (o *observations) errors(f *Fit) (rms, worst float64) {
 	sum := 0.0
-	for i, r := range used {
+	for i, r := range o.runs {
 		v, _ := f.At(r.Size, r.BeatS)
-		e := math.Abs(v-y[i]) / max(math.Abs(y[i]), floor)
+		e := math.Abs(v-o.values[i]) / o.relativeTo(i)
 		sum += e * e
-		f.Worst = max(f.Worst, e)
+		worst = max(worst, e)
 	}
-	f.RMS = math.Sqrt(sum / float64(len(used)))
-	return f, nil
+	return math.Sqrt(sum / float64(len(o.runs))), worst
 }
 
 // weakest is the term with the lowest ratio of slope to standard error, where that is below one; the constant may
