Let the tail's lease run out before another's vote is replaced beside it

Cause: from one view to the next a tail that stays kept its lease, and voters accepted such a view without waiting. That is sound where a vote only comes or goes, as every quorum of the voters before then meets every quorum of the voters after. It is not where one vote takes the place of another: {A,B,C} becomes {A,B,D}, the tail E has its lease from B and C, and A and D decide on another tail. Neither gave the lease, so neither waits. It takes two newcomers that are seated without votes (for 2.4 s after a restart of the members nobody changes votes), a voter that only the second of them hears, and a network that splits as the vote changes.

Ruled out: a vote that goes to the tail itself (the tail grants itself no lease of the view before, and the others are voters of both views); a vote more or fewer (quorums of 2 of 3 and 3 of 4 meet).

Change: a view in which a vote takes another's place, other than the tail's own, is accepted like one with another tail: only once the lease given here has run out, and no lease is given until it is decided. And who installs a view with other voters and the same tail waits as if it had given a lease then: several changes in a row could otherwise lead to voters none of whom gave it.

--- a/internal/chain/agree.go
+++ b/internal/chain/agree.go
@@ -7,7 +7,7 @@
 // finishAccepted takes up a next view that this voter has accepted and nobody has brought to an end: until it is
 // decided, the tail of now gets no lease from here.
 func (n *Node) finishAccepted() {
-	if !n.acceptedOtherTail() || n.proposal != nil || n.stalled() || !n.compared || !n.view.Votes(n.opts.Me.ID) {
+	if !n.acceptedLeaseEnd() || n.proposal != nil || n.stalled() || !n.compared || !n.view.Votes(n.opts.Me.ID) {
 		n.openSinceUs = n.nowUs
 		return
 	}
@@ -99,9 +99,7 @@
 		return
 	}
 	n.promised = a.Ballot
-	oldTail, newTail := n.view.Tail(), a.View.Tail()
-	sameTail := oldTail.ID == newTail.ID && oldTail.Inc == newTail.Inc
-	if !sameTail && n.view.Number > 0 && n.nowUs < n.guardUs && !n.ended(oldTail) {
+	if n.endsLease(a.View) && n.view.Number > 0 && n.nowUs < n.guardUs && !n.ended(n.view.Tail()) {
 		held := m
 		n.held = &held
 		return
@@ -143,6 +141,7 @@
 	}
 	wasTail, wasServing := n.IsTail(), n.serving() || (n.phase == Fresh && v.Number == 1)
 	leaseUs, openAt, openKnown := n.leaseUs, n.openAt, n.openKnown
+	n.guardKeptLease(v)
 	n.view, n.promised, n.accepted, n.proposal, n.held = v, Ballot{}, nil, nil, nil
 	n.viewedUs, n.quietUs = n.nowUs, n.nowUs
 	n.succKnown, n.succLast, n.succSent, n.succCopied = false, 0, 0, 0
--- a/internal/chain/lease.go
+++ b/internal/chain/lease.go
@@ -29,21 +29,48 @@
 		return
 	}
 	tail := n.view.Tail()
-	if m.From.ID != tail.ID || m.Inc != tail.Inc || n.held != nil || n.acceptedOtherTail() || !n.compared || !n.view.Votes(n.opts.Me.ID) {
+	if m.From.ID != tail.ID || m.Inc != tail.Inc || n.held != nil || n.acceptedLeaseEnd() || !n.compared || !n.view.Votes(n.opts.Me.ID) {
 		return
 	}
 	n.guardUs = max(n.guardUs, n.nowUs+n.opts.LeaseUs)
 	n.send(m.From, Msg{Lease: &Lease{View: l.View, SentUs: l.SentUs, Given: true}})
 }
 
-// acceptedOtherTail: this voter has accepted a next view with another tail, which may be decided at any moment; a lease
-// for the tail of now would outlive it.
-func (n *Node) acceptedOtherTail() bool {
-	if n.accepted == nil || n.accepted.View.Number != n.view.Number+1 {
-		return false
+// acceptedLeaseEnd: this voter has accepted a next view that ends the lease of the tail of now, and which may be decided
+// at any moment; a lease that is given now would outlive it.
+func (n *Node) acceptedLeaseEnd() bool {
+	return n.accepted != nil && n.accepted.View.Number == n.view.Number+1 && n.endsLease(n.accepted.View)
+}
+
+// endsLease says that the lease of the tail of now must have run out before a next view is decided: the view has
+// another tail, or its voters could decide on another tail without any of those who gave the lease. A quorum of the
+// voters of now meets every quorum of the next ones where a vote only comes or goes, not where one takes another's
+// place; the tail itself, though, gives itself no lease of the view before.
+func (n *Node) endsLease(next View) bool {
+	now, then := n.view.Tail(), next.Tail()
+	if now.ID != then.ID || now.Inc != then.Inc {
+		return true
+	}
+	return otherVotes(next, n.view, then.ID) && otherVotes(n.view, next, "")
+}
+
+// otherVotes says that somebody votes in one view who does not in another; one member does not count.
+func otherVotes(in, notIn View, except string) bool {
+	for _, m := range in.Voters {
+		if m.ID != except && !notIn.Votes(m.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+// guardKeptLease: a tail that stays keeps its lease as the votes change. Several such changes in a row could lead to
+// voters none of whom gave it; so whoever installs one waits as if it had given a lease then.
+func (n *Node) guardKeptLease(next View) {
+	now, then := n.view.Tail(), next.Tail()
+	if now.ID == then.ID && now.Inc == then.Inc && n.view.Number > 0 && (otherVotes(next, n.view, "") || otherVotes(n.view, next, "")) {
+		n.guardUs = max(n.guardUs, n.nowUs+n.opts.LeaseUs)
 	}
-	now, next := n.view.Tail(), n.accepted.View.Tail()
-	return now.ID != next.ID || now.Inc != next.Inc
 }
 
 func (n *Node) countLease() {
--- a/internal/chain/yield_test.go
+++ b/internal/chain/yield_test.go
@@ -17,12 +17,22 @@
 		}
 		return v
 	}
+	with := func(v View, voters ...string) View {
+		v.Voters = nil
+		for _, id := range voters {
+			v.Voters = append(v.Voters, seat(id).Member)
+		}
+		return v
+	}
 	for name, c := range map[string]struct {
 		next  View
 		lease bool
 	}{
 		"none accepted":        {View{}, true},
 		"the same tail":        {view(6, "a", "c"), true},
+		"a vote more":          {with(view(6, "a", "d", "c"), "a", "b", "c", "d"), true},
+		"a vote fewer":         {with(view(6, "a", "c"), "a", "c"), true},
+		"another's vote":       {with(view(6, "a", "d", "c"), "a", "c", "d"), false},
 		"another tail":         {view(6, "a", "b"), false},
 		"the tail's next life": {View{Number: 6, Voters: view(6).Voters, Order: []Seat{seat("a"), {Member: seat("c").Member, Inc: "c2"}}}, false},
 	} {
