Refuse a change that names no declaration, and feed offices malformed messages

Cause: a configuration change without a number and without a declaration was taken into the log and then dereferenced where it is applied, once a replica is known. It can come by the call with which gateways hand in changes. As an entry of the log it would have ended every office that applies it, again in each life: no acknowledgement ever after.

Change: it is refused as invalid. Tests bring every kind of change, letter and report to three offices with values left out, of nothing, negative, huge, doubled or of another kind.

Before: TestMalformedChangesEndNoOffice ended on that change (1 of 20).

--- a/internal/ledger/versions.go
+++ b/internal/ledger/versions.go
@@ -30,6 +30,8 @@
 		if out = s.staleBase(out, c.Config.Base, s.Revision, c.Config.Base+1); out.Fault.Code == fault.InDoubt {
 			return out
 		}
+	} else if c.Config.Doc == nil {
+		out.Fault = fault.New(fault.InvalidConfig, "", "no declaration")
 	} else if f := s.fits(c.Config.Doc); f != nil {
 		out.Fault = f
 	} else {
--- a/internal/office/departures_test.go
+++ b/internal/office/departures_test.go
@@ -9,6 +9,7 @@
 	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
 	"petreltide/internal/roster"
+	"petreltide/internal/wire"
 )
 
 // trio is three offices with disks that sync at once, letters that arrive at once, and links that can be cut.
@@ -19,6 +20,8 @@
 	cuts  map[[2]int]bool
 	words map[uint64]bool
 	asked uint64
+	// tap sees every letter that is sent.
+	tap func(wire.Letter)
 }
 
 func newTrio(t *testing.T) *trio {
@@ -53,6 +56,9 @@
 		case e.Word != nil:
 			tr.words[e.Word.Reply] = e.Word.OK
 		case e.Letter != nil:
+			if tr.tap != nil {
+				tr.tap(e.Letter.Letter)
+			}
 			var to int
 			if _, err := fmt.Sscanf(e.Letter.Addr, "a%d", &to); err == nil && !tr.cuts[[2]int{i, to}] {
 				letter := e.Letter.Letter
--- /dev/null
+++ b/internal/office/malformed_test.go
@@ -0,0 +1,202 @@
+package office
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand"
+	"runtime/debug"
+	"slices"
+	"testing"
+
+	"petreltide/internal/chain"
+	"petreltide/internal/clock"
+	"petreltide/internal/ledger"
+	"petreltide/internal/standing"
+	"petreltide/internal/watch"
+	"petreltide/internal/wire"
+)
+
+// spoil changes one value somewhere in a message: it is left out, of nothing, negative, huge, empty or of another kind.
+func spoil(r *rand.Rand, value any) any {
+	switch v := value.(type) {
+	case map[string]any:
+		keys := []string{}
+		for key := range v {
+			keys = append(keys, key)
+		}
+		if len(keys) == 0 || r.Intn(12) == 0 {
+			break
+		}
+		slices.Sort(keys)
+		key := keys[r.Intn(len(keys))]
+		if r.Intn(8) == 0 {
+			delete(v, key)
+			return v
+		}
+		v[key] = spoil(r, v[key])
+		return v
+	case []any:
+		if len(v) == 0 || r.Intn(6) == 0 {
+			break
+		}
+		at := r.Intn(len(v))
+		if r.Intn(4) == 0 {
+			return append(v, v[at])
+		}
+		v[at] = spoil(r, v[at])
+		return v
+	}
+	other := []any{nil, -1, json.Number("9223372036854775807"), json.Number("18446744073709551615"), "", map[string]any{}, []any{}, []any{nil}, true, 0, "oa1"}
+	return other[r.Intn(len(other))]
+}
+
+// letters are what three offices tell each other while they found a chain, take a configuration, hear replicas and
+// lose a member, by their kinds.
+func letters(t *testing.T) map[string][][]byte {
+	tr := newTrio(t)
+	raws := map[string][][]byte{}
+	tr.tap = func(l wire.Letter) {
+		raw, err := json.Marshal(l)
+		if err != nil {
+			t.Fatal(err)
+		}
+		raws[kindOf(l)] = append(raws[kindOf(l)], raw)
+	}
+	for n := range 3 {
+		tr.step(0, Event{Submit: numbered(n)})
+		tr.step(1, Event{Heard: beatOf(fmt.Sprint("r", n), 1, n == 2).Heard})
+		tr.pass(400 * clock.Ms)
+	}
+	tr.cutOff(2, true, true)
+	tr.pass(3 * clock.Sec)
+	tr.cuts = map[[2]int]bool{}
+	tr.pass(4 * clock.Sec)
+	return raws
+}
+
+func kindOf(l wire.Letter) string {
+	m := l.Chain
+	switch {
+	case m == nil:
+		return fmt.Sprint(l.Result != nil, l.Report != nil, l.Silence != nil, l.Heard != nil, l.Confirmed != nil, l.Outlier != nil)
+	case m.Forward != nil:
+		return fmt.Sprint("forward", len(m.Forward.Entries) > 0, m.Forward.Copy != nil)
+	}
+	return fmt.Sprint(m.Hello != nil, m.Prepare != nil, m.Promise != nil, m.Accept != nil, m.Accepting != nil, m.Ack != nil, m.Lease != nil, m.Joining != nil, m.Submit != nil)
+}
+
+// numbered is an operator's order that takes version n+1.
+func numbered(n int) *ledger.Change {
+	doc := &standing.Declaration{Version: uint64(n + 1), Services: []standing.Service{{Name: "s", ConnectionsMost: 9}}, Routes: []standing.Route{{
+		Name: "r", Host: "h", Prefix: "/", Repeat: standing.Idempotent, TimeoutMs: 1000, AttemptsMost: 1,
+		Split: []standing.Weighted{{Service: "s", Weight: 1}}, Source: json.RawMessage(`{}`),
+	}}}
+	return &ledger.Change{ID: fmt.Sprint("order-", n), Config: &ledger.ConfigChange{Base: uint64(n), Version: uint64(n + 1), Doc: doc}}
+}
+
+// strangeChanges are entries that no office of this version writes.
+func strangeChanges() []ledger.Change {
+	return []ledger.Change{
+		{},
+		{ID: "nothing", Config: &ledger.ConfigChange{}},
+		{ID: "edit without a number", Config: &ledger.ConfigChange{Base: 1, Edit: &standing.Edit{}}},
+		{ID: "no declaration", Config: &ledger.ConfigChange{Base: 3, Version: 9}},
+		{ID: "an empty edit", Config: &ledger.ConfigChange{Base: 3, Version: 9, Edit: &standing.Edit{}}},
+		{ID: "claim", Epoch: 1, Claim: &ledger.Claim{}},
+		{ID: "duty", Epoch: 1, Duty: &ledger.Duty{
+			Fleet: []ledger.ReplicaNote{{}, {ID: "r", Inc: "r", RoomMb: -1, Slots: -1, Told: true, Holds: []ledger.Holding{{}, {Unit: "m", SizeMb: -1}}}},
+			Gone:  []string{"", "none"}, Tickets: []ledger.Ticket{{}, {Replica: "r", Inc: "r", Step: ledger.Load}}, Settled: []ledger.Settled{{}, {Number: 1 << 63}},
+			Grants: []ledger.GrantAsk{{Replica: "r", Inc: "r", Count: 1}}, Shares: map[string]map[string]int{"r": nil, "none": {"d": -1}}, Desks: []string{""}, Forget: 1 << 63,
+		}},
+		{ID: "key", Key: &ledger.KeyChange{}},
+		{ID: "end", Key: &ledger.KeyChange{End: "x", Free: true}},
+		{ID: "member", Member: &ledger.MemberChange{}},
+	}
+}
+
+// survives gives an event to an office; it says what broke, if anything.
+func survives(tr *trio, i int, ev Event) (broken string) {
+	defer func() {
+		if why := recover(); why != nil {
+			broken = fmt.Sprintf("%v\n%s", why, debug.Stack())
+		}
+	}()
+	tr.step(i, ev)
+	tr.pass(25 * clock.Ms)
+	return ""
+}
+
+// A change that is malformed ends no office: what is in the log would end every office that applies it, in every life.
+func TestMalformedChangesEndNoOffice(t *testing.T) {
+	for _, before := range []bool{false, true} {
+		for _, c := range strangeChanges() {
+			tr := newTrio(t)
+			if before {
+				tr.step(0, Event{Submit: &ledger.Change{ID: "claimed", Epoch: 1, Claim: &ledger.Claim{Holder: "oa0"}}})
+				tr.step(0, Event{Submit: &ledger.Change{ID: "fleet", Epoch: 1, Duty: &ledger.Duty{Fleet: []ledger.ReplicaNote{{ID: "q", Inc: "q", RoomMb: 10, Slots: 1}}}}})
+			}
+			if broken := survives(tr, 0, Event{Submit: &c}); broken != "" {
+				t.Errorf("%q, with a replica %v: %.900s", c.ID, before, broken)
+			}
+		}
+	}
+}
+
+const malformedLetters = 20_000
+
+// No letter, however malformed, ends an office.
+func TestMalformedLettersEndNoOffice(t *testing.T) {
+	raws := letters(t)
+	kinds := slices.Sorted(maps.Keys(raws))
+	r := rand.New(rand.NewSource(1))
+	read, found := 0, map[string]bool{}
+	tr := newTrio(t)
+	for n := range malformedLetters {
+		kind := raws[kinds[n%len(kinds)]]
+		var tree any
+		if err := json.Unmarshal(kind[r.Intn(len(kind))], &tree); err != nil {
+			t.Fatal(err)
+		}
+		for range 1 + r.Intn(3) {
+			tree = spoil(r, tree)
+		}
+		raw, err := json.Marshal(tree)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var l wire.Letter
+		if json.Unmarshal(raw, &l) != nil {
+			continue
+		}
+		read++
+		if n%25 == 0 {
+			tr = newTrio(t)
+		}
+		if broken := survives(tr, r.Intn(3), Event{Letter: &l}); broken != "" {
+			if !found[broken[:40]] {
+				t.Errorf("letter %d, %s: %.1500s", n, raw, broken)
+			}
+			found[broken[:40]] = true
+			tr = newTrio(t)
+		}
+	}
+	t.Logf("%d letters of %d kinds were read", read, len(kinds))
+	if read < malformedLetters/10 || len(kinds) < 10 {
+		t.Errorf("%d letters of %d kinds: it proves little", read, len(kinds))
+	}
+}
+
+// Neither do the other messages that an office takes.
+func TestMalformedReportsEndNoOffice(t *testing.T) {
+	tr := newTrio(t)
+	for _, ev := range []Event{
+		{Report: &Reported{}}, {DeskReport: &wire.Report{}}, {Follow: &wire.Follow{}}, {Subscribe: &wire.Follow{}}, {Subscribe: &wire.Follow{Revision: 1 << 63}},
+		{Beat: &watch.Beat{}}, {Letter: &wire.Letter{}}, {Letter: &wire.Letter{Chain: &chain.Msg{}}}, {Unfollow: &Unfollow{}}, {Left: "none"},
+		{DeskReport: &wire.Report{Desk: "d", Arrivals: map[string]float64{"": -1e300}, InFlight: map[string]int{"": -1 << 62}, Legs: map[string]int{"": -1}}},
+	} {
+		if broken := survives(tr, 0, ev); broken != "" {
+			t.Errorf("%+v: %.900s", ev, broken)
+		}
+	}
+}
