Remember refusals given on top of a configuration without a number

Cause: an order that is invalid on top of what is in force was not remembered, as the configuration of one version never changes. Version 0 is the exception: whatever comes in by the product's own interface has no number and leaves the version at 0. So an edit of nothing, refused as invalid, was taken when a copy of it came after such a declaration: a refused order in force.

Before: TestARefusalOnTopOfNoVersionStands had the refused order in force as version 5.

--- a/internal/ledger/repeat_test.go
+++ b/internal/ledger/repeat_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"petreltide/internal/fault"
+	"petreltide/internal/standing"
 )
 
 // apply hands one change to the state as the next entry of the log.
@@ -149,3 +150,29 @@
 		}
 	}
 }
+
+// A numbered order that was refused on top of no numbered version stays refused, whatever comes into force without a
+// number: only numbered versions never change.
+func TestARefusalOnTopOfNoVersionStands(t *testing.T) {
+	edit := order(0, 5, nil, &standing.Edit{Version: 5, Routes: []standing.Route{versionRoute("b", 1, "s")}})
+	clash := order(0, 6, nil, &standing.Edit{Version: 6, RemoveServices: []string{"s"}})
+	s := NewState()
+	if out := apply(s, edit); code(out) != fault.InvalidConfig {
+		t.Fatalf("an edit of nothing: %+v", out)
+	}
+	whole := versionDoc(0, versionRoute("a", 1, "s"))
+	if out := apply(s, Change{ID: "op-whole", Config: &ConfigChange{Doc: whole}}); out.Fault != nil {
+		t.Fatalf("%+v", out)
+	}
+	if out := apply(s, clash); code(out) != fault.InvalidConfig {
+		t.Fatalf("an edit that takes away what is in use: %+v", out)
+	}
+	if out := apply(s, Change{ID: "op-bare", Config: &ConfigChange{Base: s.Revision, Doc: versionDoc(0)}}); out.Fault != nil {
+		t.Fatalf("%+v", out)
+	}
+	for _, c := range []Change{edit, clash} {
+		if out := apply(s, c); code(out) != fault.InvalidConfig || s.Version() != 0 {
+			t.Errorf("%s was refused, and now %+v, version %d in force", c.ID, out, s.Version())
+		}
+	}
+}
--- a/internal/ledger/versions.go
+++ b/internal/ledger/versions.go
@@ -55,7 +55,8 @@
 
 // applyVersion takes an operator's numbered version. What was taken is remembered, and so is a refusal that would not
 // be given again (see staleBase). Any other refusal is judged anew, and found again: versions only rise, and what is
-// invalid on top of one version stays invalid on top of it.
+// invalid on top of one version stays invalid on top of it. Only what is in force without a number may change and leave
+// the version as it is: a refusal on top of that is remembered too.
 func (s *State) applyVersion(out Outcome, c Change) Outcome {
 	out.Revision = s.Version()
 	doc := c.Config.Doc
@@ -78,6 +79,9 @@
 	}
 	if bad != nil {
 		out.Fault = bad
+		if s.Version() == 0 {
+			s.remember(out)
+		}
 		return out
 	}
 	if c.Config.Edit != nil {
