Learn from loads that end together in one order

A desk's learned speed of loads is a moving average, and loads that ended with the same news went into it in the order of a map.

Change: loads are gone through in the order of their keys.

--- a/internal/dispatch/prospect.go
+++ b/internal/dispatch/prospect.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"strings"
 
 	"petreltide/internal/clock"
@@ -97,10 +99,12 @@
 			}
 		}
 	}
-	for key, sinceUs := range p.loads {
+	// In order, as an average depends on which of the loads that ended together comes last.
+	for _, key := range slices.Sorted(maps.Keys(p.loads)) {
 		if seen[key] {
 			continue
 		}
+		sinceUs := p.loads[key]
 		delete(p.loads, key)
 		id, unit, _ := strings.Cut(key, "|")
 		r := s.Replicas[id]
--- a/internal/dispatch/prospect_test.go
+++ b/internal/dispatch/prospect_test.go
@@ -114,3 +114,28 @@
 		}
 	}
 }
+
+// Loads of different lengths that end with the same news are learned from in one order, so that the same events
+// lead to the same decisions.
+func TestLoadsThatEndTogetherAreLearnedFromInOneOrder(t *testing.T) {
+	doc := aimed(1000, 500)
+	factors := map[float64]bool{}
+	for range 64 {
+		p := newProspects()
+		begun := at("engine", "r1", "r2")
+		begun[0].Loading = "m"
+		p.noted(stands(doc, 1, begun...), clock.Ms)
+		begun[1].Loading = "n"
+		p.noted(stands(doc, 2, begun...), 900*clock.Ms)
+		held := at("engine", "r1", "r2")
+		held[1].Holds = []string{"n"}
+		p.noted(stands(doc, 3, held...), 1200*clock.Ms)
+		factors[p.factor] = true
+	}
+	if len(factors) != 1 {
+		t.Errorf("the same loads gave the factors %v", factors)
+	}
+	if factors[loadsPrior] {
+		t.Error("nothing was learned from the loads")
+	}
+}
