Put no member out for a stalled disk right after a stall of the own disk

Cause of views that changed under load in tests of real processes: of a member that was alive, heard 1 to 182 ms earlier, its hello said that its disk stalls, as a sync had taken over 0.6 s. Whoever was back first put the others out for a stall that it had just had itself: in 6 of 9 such removals the remover's own stall had ended moments before. A removal costs three more syncs of each voter on those disks, and the removed member comes back by a copy; so a first acknowledgement came late.

Ruled out by the same logs: hellos starved in the mailbox or by a slow post (the hellos had come), a lost lease as the start of it, a process taken for another life.

`TestAMemberThatStaysStalledAfterTheOthersIsPutOut` guards the other side.

Runs with the race detector: `internal/chain`, `internal/office` pass.

Open: where only one member has something to sync, the others do not know of their own disks' stall.

--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -62,8 +62,10 @@
 	proposal   *proposal
 	round      uint64
 	quietUs    int64
-	held       *Msg
-	guardUs    int64
+	// stalledUs is when the own disk was last behind with a sync.
+	stalledUs int64
+	held      *Msg
+	guardUs   int64
 	// openSinceUs is since when a next view that was accepted here waits for somebody to finish it.
 	openSinceUs int64
 
--- a/internal/chain/save.go
+++ b/internal/chain/save.go
@@ -27,7 +27,14 @@
 	if s == nil {
 		return
 	}
+	wasStalled := n.stalled()
 	delete(n.saving, seq)
+	if wasStalled {
+		n.stalledUs = n.nowUs
+		if !n.stalled() {
+			n.sayHello()
+		}
+	}
 	n.logBytes = logBytes
 	if s.fresh {
 		n.leastLog = logBytes
@@ -66,6 +73,12 @@
 	return false
 }
 
+// stalledLately: what holds up the own disk may hold up every member's, and each may come back a moment later than this
+// one did. Until then nobody is put out of the view for a stall.
+func (n *Node) stalledLately() bool {
+	return n.stalledUs > 0 && n.nowUs-n.stalledUs < n.opts.SuspectUs
+}
+
 // savingMost bounds what waits for a disk that hangs.
 const savingMost = 64
 
--- /dev/null
+++ b/internal/chain/stall_test.go
@@ -0,0 +1,77 @@
+package chain
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"petreltide/internal/clock"
+)
+
+// stallAll lets no disk come back with a sync for a while, from a moment on when each has one under way. Then they do so
+// one after the other, the first of them at once.
+func (y *yard) stallAll(order []int, spanUs, apartUs int64) {
+	for _, seat := range slices.Backward(y.spots[0].node.View().Order) {
+		s := y.at(seat.Addr)
+		for len(s.saves) == 0 {
+			y.pass(yardStepUs)
+		}
+		s.slow = true
+	}
+	y.pass(spanUs)
+	for _, i := range order {
+		y.spots[i].slow = false
+		y.pass(apartUs)
+	}
+}
+
+// A disk that all members share, or a hypervisor that holds all of them, stalls every sync at once. Whoever is back
+// first puts nobody out of the view for a stall that it has only just had itself: each removal costs three more syncs
+// on the same disks, and the removed member comes back by a copy.
+func TestAStallOfAllDisksAtOnceChangesNoView(t *testing.T) {
+	for _, order := range [][]int{{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}} {
+		for _, apartUs := range []int64{5 * clock.Ms, 30 * clock.Ms, 150 * clock.Ms} {
+			t.Run(fmt.Sprint(order, " ", apartUs/clock.Ms, " ms apart"), func(t *testing.T) {
+				y := pacedYard(t, 1, 3)
+				number, most := y.spots[0].node.View().Number, y.most
+				y.stallAll(order, 750*clock.Ms, apartUs)
+				y.pass(2 * clock.Sec)
+				for _, s := range y.spots {
+					if now := s.node.View(); now.Number != number {
+						t.Fatalf("%s is in view %d of %d members, and was in view %d of three", s.me.ID, now.Number, len(now.Order), number)
+					}
+				}
+				if y.most <= most {
+					t.Error("nothing was acknowledged after the stall")
+				}
+			})
+		}
+	}
+}
+
+// A member whose disk goes on standing still is put out all the same, by those that are back.
+func TestAMemberThatStaysStalledAfterTheOthersIsPutOut(t *testing.T) {
+	for stays := range 3 {
+		t.Run(fmt.Sprint("member ", stays), func(t *testing.T) {
+			y := pacedYard(t, 1, 3)
+			order := []int{}
+			for i := range y.spots {
+				if i != stays {
+					order = append(order, i)
+				}
+			}
+			y.stallAll(order, 750*clock.Ms, 5*clock.Ms)
+			y.pass(2 * clock.Sec)
+			for _, i := range order {
+				if now := y.spots[i].node.View(); now.Seated(y.spots[stays].me.ID) || len(now.Order) != 2 {
+					t.Fatalf("%s has %v", y.spots[i].me.ID, now.Order)
+				}
+			}
+			most := y.most
+			y.pass(clock.Sec)
+			if y.most <= most {
+				t.Error("nothing is acknowledged without it")
+			}
+		})
+	}
+}
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -1,6 +1,9 @@
 package chain
 
 func (n *Node) tick() {
+	if n.stalled() {
+		n.stalledUs = n.nowUs
+	}
 	if n.nowUs-n.helloUs >= n.opts.HelloUs {
 		n.helloUs = n.nowUs
 		n.sayHello()
@@ -27,7 +30,7 @@
 	if p == nil {
 		return n.nowUs-n.viewedUs < n.opts.SuspectUs
 	}
-	if n.nowUs-p.heardUs >= n.opts.SuspectUs || p.hello.Inc != s.Inc || p.hello.Stalled {
+	if n.nowUs-p.heardUs >= n.opts.SuspectUs || p.hello.Inc != s.Inc || (p.hello.Stalled && !n.stalledLately()) {
 		return false
 	}
 	return n.nowUs-p.deafUs < 2*n.opts.SuspectUs
