Let a comparison wait for a tail that has just taken over

Cause of one of two failures of `proofs/fleet TestCompareLiveOnRealProcesses` under load: a comparison ended with "not_found at desks: no desk is known to the tail" (or "the tail has no lease now") because it looked in the moment after a change of the tail, before desks had reported to the new one; nothing was being measured then. The other failure, a window that such a change spoils, is a true report of what happened.

Found on the way: what a window had measured was read from any tail that answers, also from one that knew no desk yet, which read as no calls at all.

Change: looks beside which nothing is measured (at the start, before a window, for a window that is over) are tried up to ten times, 0.5 s apart, where the tail has no lease or knows no desk. Looks within a window are as before: what cannot be read there spoils it.

Test: `TestATailThatHasJustTakenOverIsWaitedFor`, five cases, all failed before. `internal/comparison` passes with the race detector. Open: a tail that knows some of the desks only is taken as it is.

--- a/internal/comparison/comparison.go
+++ b/internal/comparison/comparison.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand"
@@ -14,7 +15,9 @@
 )
 
 const (
-	lookEvery  = 500 * time.Millisecond
+	lookEvery = 500 * time.Millisecond
+	// looksMost is how often a tail that cannot answer for the fleet is asked where nothing is being measured.
+	looksMost  = 10
 	retryPause = 500 * time.Millisecond
 	triesMost  = 12
 	restoreFor = 30 * time.Second
@@ -136,13 +139,9 @@
 	if now.Declaration == nil {
 		return Result{}, fault.New(fault.NotFound, "", "the fleet has no declaration yet")
 	}
-	look, err := fleet.Look(ctx)
-	if err != nil {
+	if _, err := readyLook(ctx, fleet); err != nil {
 		return Result{}, err
 	}
-	if len(look.Desks) == 0 {
-		return Result{}, fault.New(fault.NotFound, "desks", "no desk is known to the tail")
-	}
 	r := &run{fleet: fleet, opts: opts, out: out, id: fmt.Sprintf("compare-%d-%d", now.Revision, opts.Seed), first: now.Declaration.Policy, doc: now.Declaration, revision: now.Revision}
 	stopped := r.play(ctx)
 	if err := r.restore(ctx); err != nil {
@@ -154,6 +153,30 @@
 	return Result{Options: opts, Windows: r.windows, Stopped: stopped}, nil
 }
 
+// readyLook is a look beside which nothing is being measured. Where the tail has just taken over, it waits a little for its
+// lease and for the desks to report to it.
+func readyLook(ctx context.Context, fleet Fleet) (Look, error) {
+	for try := 1; ; try++ {
+		look, err := fleet.Look(ctx)
+		ready := err == nil && len(look.Desks) > 0
+		if err == nil && !ready {
+			err = fault.New(fault.NotFound, "desks", "no desk is known to the tail")
+		}
+		if ready || try == looksMost || !mayPass(err) {
+			return look, err
+		}
+		if err := fleet.Pause(ctx, lookEvery); err != nil {
+			return look, fault.New(fault.Interrupted, "", "%v", err)
+		}
+	}
+}
+
+// mayPass says whether what is wrong may be so for a moment only, as after a change of the tail.
+func mayPass(err error) bool {
+	var bad *fault.Fault
+	return errors.As(err, &bad) && (bad.Code == fault.NotServing || bad.Code == fault.NotFound)
+}
+
 func (r *run) policy(which int) standing.Policy {
 	if which == 0 {
 		return r.opts.First
@@ -181,7 +204,7 @@
 
 // window begins with a change that changes nothing but the revision, by which desks tell its calls.
 func (r *run) window(ctx context.Context, number, which int) *fault.Fault {
-	before, err := r.fleet.Look(ctx)
+	before, err := readyLook(ctx, r.fleet)
 	if err != nil {
 		return asFault(err)
 	}
@@ -268,7 +291,7 @@
 	if w.read {
 		return nil
 	}
-	look, err := r.fleet.Look(ctx)
+	look, err := readyLook(ctx, r.fleet)
 	if err != nil {
 		return asFault(err)
 	}
--- a/internal/comparison/comparison_test.go
+++ b/internal/comparison/comparison_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand"
 	"strings"
@@ -28,7 +29,9 @@
 	doubt    int
 	seen     map[string]uint64
 	deaf     bool
-	starved  string
+	// unready are so many looks at a tail that has no lease, and then as many at one that knows no desk.
+	unready int
+	starved string
 }
 
 func newStage(seed int64) *stage {
@@ -71,6 +74,13 @@
 }
 
 func (s *stage) Look(context.Context) (Look, error) {
+	if s.unready > 0 {
+		s.unready--
+		if s.unready%2 == 0 {
+			return Look{Revision: s.revision, Duty: "one"}, nil
+		}
+		return Look{}, fault.New(fault.NotServing, "", "the tail has no lease now")
+	}
 	replicas := map[string]string{}
 	for id, state := range s.replicas {
 		replicas[id] = state
@@ -229,6 +239,42 @@
 	}
 }
 
+// A tail that has just taken over has no lease for a moment, and then knows no desk. Where nothing is being measured, that
+// is waited for; it ends a comparison only if it lasts. What a window before had measured is read afterwards.
+func TestATailThatHasJustTakenOverIsWaitedFor(t *testing.T) {
+	for name, c := range map[string]struct {
+		unready int
+		amid    int64
+		code    fault.Code
+	}{
+		"before anything":    {unready: 4},
+		"between windows":    {unready: 4, amid: 5_500_000},
+		"for good":           {unready: 1000, code: fault.NotFound},
+		"from a window on":   {unready: 1000, amid: 5_500_000, code: fault.NotFound},
+		"for the last tries": {unready: looksMost - 1},
+	} {
+		s := newStage(3)
+		if c.amid > 0 {
+			s.at[c.amid] = func(s *stage) { s.unready = c.unready }
+		} else {
+			s.unready = c.unready
+		}
+		var text strings.Builder
+		result, err := Hold(context.Background(), s, opts(4), &text)
+		if err == nil && result.Stopped != nil {
+			err = result.Stopped
+		}
+		var bad *fault.Fault
+		switch {
+		case c.code == "" && (err != nil || len(result.Pairs()) != 2):
+			t.Errorf("%s: %v, %d clean pairs\n%s", name, err, len(result.Pairs()), text.String())
+		case c.code != "" && (!errors.As(err, &bad) || bad.Code != c.code):
+			t.Errorf("%s: ended by %v", name, err)
+		}
+		s.restored(t)
+	}
+}
+
 func TestAPolicyThatCannotBePutBackIsNamed(t *testing.T) {
 	s := newStage(4)
 	s.at[6_000_000] = func(s *stage) { s.deaf = true }
