Let an office that is cut off name the others of its view to desks

Cause: an office told desks of those offices only that it heard. One that is cut off hears nobody, so a desk that started with seeds that were all cut off from the rest of the core knew nobody else, and served by the old configuration for as long as the cut stood, though it reached the others.

Ruled out: the desk's way of leaving offices that are behind. It looked for another and had no address.

Change: while an office is behind, it names all voters and seats of the view that it knows, beside those that it hears. One that is current names those that it hears, as before.

Before: TestAnOfficeThatIsCutOffNamesTheOthers failed for each office that hears nobody.

Conclusion: holds, where the view that a cut-off office knows still names one office that lives.

--- /dev/null
+++ b/internal/office/offices_test.go
@@ -0,0 +1,34 @@
+package office
+
+import (
+	"testing"
+
+	"petreltide/internal/clock"
+)
+
+func (tr *trio) namedBy(i int) map[string]bool {
+	named := map[string]bool{}
+	for _, m := range tr.cores[i].offices(tr.nowUs) {
+		named[m.Addr] = true
+	}
+	return named
+}
+
+// A desk that knows only an office that is cut off learns of the others from it; the others name nobody whom they do
+// not hear.
+func TestAnOfficeThatIsCutOffNamesTheOthers(t *testing.T) {
+	for struck := range 3 {
+		for _, way := range [][2]bool{{true, true}, {true, false}, {false, true}} {
+			tr := newTrio(t)
+			tr.cutOff(struck, way[0], way[1])
+			tr.pass(3 * clock.Sec)
+			if named := tr.namedBy(struck); len(named) != 3 {
+				t.Errorf("office %d, cut off %v, names %v", struck, way, named)
+			}
+			other := (struck + 1) % 3
+			if named := tr.namedBy(other); way[0] && named[tr.cores[struck].Node.Me().Addr] {
+				t.Errorf("office %d, which does not hear office %d, names it", other, struck)
+			}
+		}
+	}
+}
--- a/internal/office/replicas.go
+++ b/internal/office/replicas.go
@@ -1,6 +1,8 @@
 package office
 
 import (
+	"slices"
+
 	"petreltide/internal/chain"
 	"petreltide/internal/clock"
 	"petreltide/internal/controller"
@@ -155,7 +157,7 @@
 
 func (c *Core) frames(nowUs int64) {
 	if nowUs-c.officesUs >= officesEveryUs {
-		c.officesUs, c.known = nowUs, c.offices()
+		c.officesUs, c.known = nowUs, c.offices(nowUs)
 	}
 	for _, p := range c.soft.Hub.Frames(feed.Seen{
 		NowUs: nowUs, Me: c.Node.Me().ID, State: c.Node.State(), View: c.Node.View(), Offices: c.known, Settled: c.settled(), Behind: !c.Node.Current(nowUs), Roster: c.soft.Roster, Outliers: c.soft.Outliers,
@@ -165,13 +167,29 @@
 	}
 }
 
-func (c *Core) offices() []chain.Member {
+// offices are those that desks may follow: the ones that are heard. An office that is behind names all members of its
+// view as well, since the ones that it does not hear may be current.
+func (c *Core) offices(nowUs int64) []chain.Member {
 	all := []chain.Member{c.Node.Me()}
 	for _, p := range c.Node.Partners() {
 		if p.Sound {
 			all = append(all, p.Member)
 		}
 	}
+	if c.Node.Current(nowUs) {
+		return all
+	}
+	view := c.Node.View()
+	members := slices.Clone(view.Voters)
+	for _, s := range view.Order {
+		members = append(members, s.Member)
+	}
+	for _, m := range members {
+		named := slices.ContainsFunc(all, func(o chain.Member) bool { return o.ID == m.ID })
+		if m.Addr != "" && !named {
+			all = append(all, m)
+		}
+	}
 	return all
 }
 
