End a simulated office's streams in the order of their desks

An office that crashed, or was cut off by a reset, ended its streams in the order of a map, and each end draws numbers.

--- a/proofs/sim/routed_cutoff.go
+++ b/proofs/sim/routed_cutoff.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"maps"
 	"slices"
 
 	"petreltide/internal/chain"
@@ -198,7 +199,8 @@
 		}
 		d.cutOff.reset[[2]string{struck, other}], d.cutOff.reset[[2]string{other, struck}] = true, true
 		for _, o := range d.offices {
-			for _, s := range o.streams {
+			for _, desk := range slices.Sorted(maps.Keys(o.streams)) {
+				s := o.streams[desk]
 				if (o.name == struck && s.desk.name == other) || (o.name == other && s.desk.name == struck) {
 					s.reset(o)
 				}
--- a/proofs/sim/routed_offices.go
+++ b/proofs/sim/routed_offices.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 
 	"petreltide/internal/chain"
 	"petreltide/internal/controller"
@@ -103,8 +105,8 @@
 	if o.day.plan.Plant == "amnesia" && o.day.nowUs > bootUs {
 		o.disk.records = o.disk.records[:len(o.disk.records)/3]
 	}
-	for _, s := range o.streams {
-		s.broke(o)
+	for _, desk := range slices.Sorted(maps.Keys(o.streams)) {
+		o.streams[desk].broke(o)
 	}
 }
 
