--- a/proofs/rules/routed.go
+++ b/proofs/rules/routed.go
@@ -40,12 +40,14 @@
 	Gone      = "GONE"
 	// Known is the simulator's own: who goes on speaking is known to every desk.
 	Known = "KNOWN"
+	// Seeds is the simulator's own: who starts with seeds that are cut off from the rest finds the rest by them.
+	Seeds = "SEEDS"
 )
 
 // Routed are all rules that routed days are judged by.
 var Routed = []string{
 	Mixed, Unasked, Twice, Refused, Denied, Route, Drain, LostWork, ConfigOld, ConfigBck, ConfigTwo, ConfigNot, ConfigGon, ConfigNew,
-	Budget, Order, Recover, One, Limit, Ceiling, Acks, Starved, Sizes, ReadOld, RefusedAs, LeaveLost, ConfigHistory, Gone, Known,
+	Budget, Order, Recover, One, Limit, Ceiling, Acks, Starved, Sizes, ReadOld, RefusedAs, LeaveLost, ConfigHistory, Gone, Known, Seeds,
 }
 
 // Bounds are the figures of the platform's settings file.
@@ -224,6 +226,7 @@
 	// desk did not know.
 	Known   int
 	Unknown []string
+	Starts  []Start
 }
 
 type judge struct {
@@ -278,6 +281,7 @@
 	j.sizes()
 	j.gone()
 	j.known()
+	j.starts()
 	return j.breaches, j.stakes
 }
 
--- a/proofs/rules/routed_test.go
+++ b/proofs/rules/routed_test.go
@@ -448,6 +448,14 @@
 			d.Troubles = []Trouble{{Machine: "front", FromUs: 13 * second, ToUs: 15 * second}}
 			leaves(d, 8, -1000, 700_000)
 		}},
+		{"a desk whose seeds were cut off knows an old configuration", Seeds, func(d *Day) {
+			d.Versions = append(d.Versions, &Version{Number: 90, Valid: true, SentUs: 14 * second, AckedUs: 14 * second})
+			d.Starts = []Start{{Machine: "front", StartUs: 15 * second, AtUs: 19 * second, Number: 1}}
+		}},
+		{"... on a machine out of touch", "", func(d *Day) {
+			d.Troubles = []Trouble{{Machine: "front", FromUs: 18 * second, ToUs: 18 * second}}
+			d.Starts = []Start{{Machine: "front", StartUs: 15 * second, AtUs: 19 * second}}
+		}},
 		{"a replica that speaks is not known", Known, func(d *Day) { d.Known, d.Unknown = 2, []string{"i at front"} }},
 		{"an order was taken, its acknowledgement lost, and it was refused", ConfigTwo, func(d *Day) {
 			d.Versions[1].AckedUs, d.Versions[1].LostAckUs, d.Versions[1].RefusedUs, d.Versions[1].Status = 0, 11*second, 12*second, 412
--- a/proofs/sim/disk.go
+++ b/proofs/sim/disk.go
@@ -104,6 +104,8 @@
 	end     func()
 	pending []chain.Save
 	writing bool
+	// kept, where it is set, is told how far a copy under way has come.
+	kept func(step copyStep)
 }
 
 func (w *saver) put(save chain.Save) {
@@ -149,8 +151,12 @@
 	w.disk.keeping = k
 	for step := recordsSynced; step < copySteps; step++ {
 		s.at(s.nowUs+(doneUs-s.nowUs)*int64(step)/int64(copySteps), func() {
-			if w.on.up && w.on.boot == boot && !w.disk.full {
-				k.step = step
+			if !w.on.up || w.on.boot != boot || w.disk.full {
+				return
+			}
+			k.step = step
+			if w.kept != nil {
+				w.kept(step)
 			}
 		})
 	}
--- a/proofs/sim/plant_routed_test.go
+++ b/proofs/sim/plant_routed_test.go
@@ -56,6 +56,11 @@
 		{"small-only", rules.Sizes, nil},
 		{"clingy", rules.Gone, at("give-up", "give-up", "give-up", "give-up")},
 		{"forgetful", rules.Known, nil},
+		{"seed-bound", rules.Seeds, []Fault{{Kind: "cut-seeds", AtUs: 2 * sec, ForUs: 3 * sec, N: 1}, {Kind: "cut-seeds", AtUs: 13 * sec, ForUs: 3 * sec, A: 1, N: 1}}},
+		{"stranger", rules.ConfigTwo, at("ack-lost-race", "model-shift", "ack-lost-race")},
+		{"two-winners", rules.ConfigTwo, at("ack-lost-race", "model-shift", "ack-lost-race")},
+		{"amnesia", rules.ConfigGon, at("cut-behind", "model-shift", "cut-behind")},
+		{"amnesia", rules.ConfigGon, at("herd-power-work", "model-shift", "herd-power-work")},
 		{"stranger", rules.ConfigTwo, at("ack-lost", "ack-lost", "ack-lost")},
 		{"no-newcomers", rules.ConfigNew, at("big-config", "config-storm", "big-config", "config-storm", "big-config")},
 	} {
--- a/proofs/sim/routed.go
+++ b/proofs/sim/routed.go
@@ -57,6 +57,8 @@
 	ops      *routedOperators
 	springs  []*spring
 	taking   []func(t *routedDesk)
+	ordering []Fault
+	keepers  []Fault
 	handed   bool
 	cutOff   cutOffState
 }
@@ -286,7 +288,7 @@
 	d.ops.play(startUs, lastUs)
 	for _, f := range plan.Faults {
 		d.at(startUs+f.AtUs, func() { d.cause(f) })
-		lastUs = max(lastUs, startUs+f.AtUs+f.ForUs)
+		lastUs = max(lastUs, startUs+f.AtUs+f.ForUs+coreCutsUs[f.Kind])
 	}
 	for _, c := range plan.CutOffs {
 		d.at(startUs+c.AtUs, func() { d.cutOffNow(c, startUs+c.AtUs+8*sec) })
--- a/proofs/sim/routed_closing.go
+++ b/proofs/sim/routed_closing.go
@@ -8,6 +8,7 @@
 func (d *routedDay) heal() {
 	d.note("healed")
 	d.springs, d.taking, d.handed = nil, nil, true
+	d.ordering, d.keepers = nil, nil
 	d.ops.struck, d.ops.loseUs, d.clients.leavesUs, d.clients.abuseUs = nil, 0, 0, 0
 	for i := range d.seen.Cuts {
 		d.seen.Cuts[i].ToUs = min(d.seen.Cuts[i].ToUs, d.nowUs)
--- a/proofs/sim/routed_cutoff.go
+++ b/proofs/sim/routed_cutoff.go
@@ -27,6 +27,8 @@
 	// Race sends changes in pairs meanwhile, Drain makes replicas leave.
 	Race  bool
 	Drain bool
+	// Then is told which machines were cut off, as they are.
+	Then func(struck []*routedOffice)
 	// FreezeUs stops their processes for a while from the start, StepUs lets their clocks jump ahead.
 	FreezeUs int64
 	StepUs   int64
@@ -44,6 +46,8 @@
 	JoinerRole     Role = "joiner"
 	// FollowedRole are the machines that the first desk follows.
 	FollowedRole Role = "followed"
+	// TurnRole are those that were cut off least often.
+	TurnRole Role = "turn"
 )
 
 // Way is how a cut shows at the ends.
@@ -62,14 +66,28 @@
 
 // cutOffState is what stands while machines are cut off.
 type cutOffState struct {
-	reset map[[2]string]bool
+	reset map[[2]string]int
 	lure  []*routedOffice
 	meet  []*routedOffice
+	// hard operators go to the machine that they are made to meet until it answers.
+	hard  bool
 	joins bool
 	left  int
+	times map[string]int
 }
 
-func (c *cutOffState) refuses(from, to string) bool { return c.reset[[2]string{from, to}] }
+func (c *cutOffState) refuses(from, to string) bool { return c.reset[[2]string{from, to}] > 0 }
+
+// resets makes a cut link refuse calls at once, in both directions.
+func (d *routedDay) resets(a, b string, forUs int64) {
+	if d.cutOff.reset == nil {
+		d.cutOff.reset = map[[2]string]int{}
+	}
+	for _, pair := range [][2]string{{a, b}, {b, a}} {
+		d.cutOff.reset[pair]++
+		d.at(d.nowUs+forUs, func() { d.cutOff.reset[pair]-- })
+	}
+}
 
 // officeFor is the machine that a replica reports to: at its first try where it is lured, else one of the list.
 func (d *routedDay) officeFor(p *replicaNode, try int) *routedOffice {
@@ -92,7 +110,7 @@
 // officeFor is the machine that an operator calls: first the one that it is made to meet.
 func (p *routedOperators) officeFor(first bool) *routedOffice {
 	d := p.day
-	if meet := d.cutOff.meet; first && len(meet) > 0 {
+	if meet := d.cutOff.meet; (first || d.cutOff.hard) && len(meet) > 0 {
 		return meet[p.r.Intn(len(meet))]
 	}
 	addrs := d.listedNow()
@@ -101,6 +119,9 @@
 
 // struck are the machines that hold a role now; none where nobody does.
 func (d *routedDay) struck(c CutOff) []*routedOffice {
+	if c.Role == TurnRole {
+		return d.leastCut(max(c.Count, 1))
+	}
 	all := []*routedOffice{}
 	for _, o := range d.upOffices() {
 		if o.holds(c.Role) {
@@ -150,6 +171,10 @@
 	d.count(Fault{Kind: "cut-off-" + string(c.Role)})
 	d.count(Fault{Kind: "cut-off-" + string(c.Way)})
 	for _, o := range struck {
+		if d.cutOff.times == nil {
+			d.cutOff.times = map[string]int{}
+		}
+		d.cutOff.times[o.name]++
 		d.note("cut off %s (%s, %s) for %.1f s", o.name, c.Role, c.Way, float64(c.ForUs)/1e6)
 		for _, m := range d.otherSide(c, o, struck) {
 			d.cutOffFrom(c, o.name, m)
@@ -194,10 +219,7 @@
 		d.cut(other, struck, c.ForUs)
 	}
 	if c.Way == ResetWay {
-		if d.cutOff.reset == nil {
-			d.cutOff.reset = map[[2]string]bool{}
-		}
-		d.cutOff.reset[[2]string{struck, other}], d.cutOff.reset[[2]string{other, struck}] = true, true
+		d.resets(struck, other, c.ForUs)
 		for _, o := range d.offices {
 			for _, desk := range slices.Sorted(maps.Keys(o.streams)) {
 				s := o.streams[desk]
@@ -242,8 +264,11 @@
 		}
 	}
 	d.at(endUs, func() {
-		d.cutOff.lure, d.cutOff.meet, d.cutOff.reset = nil, nil, nil
+		d.cutOff.lure, d.cutOff.meet = nil, nil
 	})
+	if c.Then != nil {
+		c.Then(struck)
+	}
 }
 
 // readAll asks every control machine by itself.
--- a/proofs/sim/routed_faults.go
+++ b/proofs/sim/routed_faults.go
@@ -17,6 +17,8 @@
 	"answer-lost", "flap", "drop-idle", "unheard-leave", "kill-zone", "roll-offices", "replace-planned", "power-after-taking",
 	"leave-first", "late-beat", "late-beat-of-former-life", "reuse-after-drain", "reuse-after-dark", "cut-replica", "give-up", "retry-abuse", "ack-lost", "power-after-send",
 	"withdraw", "cut-lured",
+	"cut-behind", "cut-split", "cut-both", "cut-relieve", "cut-turn", "cut-seeds", "power-keeping", "herd-power-order", "herd-power-work", "ack-lost-race",
+	"cut-replica-reset", "cut-replica-fronts", "cut-replica-some", "config-flood",
 }
 
 // pairKinds strike two offices at once, where the fleet is made to bear that.
@@ -26,6 +28,7 @@
 var selfCounted = []string{
 	"drop-idle", "unheard-leave", "power-after-taking", "replace-planned", "late-beat", "late-beat-of-former-life", "reuse-after-drain", "reuse-after-dark",
 	"give-up", "retry-abuse", "ack-lost", "power-after-send",
+	"cut-behind", "cut-split", "cut-both", "cut-relieve", "cut-turn", "cut-seeds", "power-keeping", "herd-power-order", "herd-power-work", "ack-lost-race", "config-flood",
 }
 
 // countsItself: such a fault is counted where it first had an effect.
@@ -114,6 +117,8 @@
 		return haveOffice && d.officeFault(f, o)
 	case "kill-pair", "power-pair", "freeze-pair", "cut-pair", "replace-pair":
 		return haveOffice && d.pairFault(f, o, d.mate(o, f.B))
+	case "cut-behind", "cut-split", "cut-both", "cut-relieve", "cut-turn", "cut-seeds", "power-keeping", "ack-lost-race", "herd-power-order", "herd-power-work", "config-flood":
+		return haveOffice && d.worstFault(f, o)
 	case "wipe-after-ack", "power-after-ack", "wipe-pair-after-ack":
 		return d.afterAck(f)
 	case "power-after-taking":
@@ -171,12 +176,7 @@
 		d.store.Slow(float64(2 + f.N))
 		d.at(d.nowUs+f.ForUs, func() { d.store.Slow(1) })
 	case "swap-seeds":
-		d.seeds = slices.Clone(d.listedNow())
-		slices.Reverse(d.seeds)
-		d.seeds = d.seeds[:min(len(d.seeds), seedsMost)]
-		for _, t := range d.desks {
-			t.now(t.boot, func() { t.seeded() })
-		}
+		d.swapSeeds()
 	case "loss":
 		d.lossy(f)
 	default:
@@ -184,3 +184,13 @@
 	}
 	return true
 }
+
+// swapSeeds names other seeds, and tells the desks.
+func (d *routedDay) swapSeeds() {
+	d.seeds = slices.Clone(d.listedNow())
+	slices.Reverse(d.seeds)
+	d.seeds = d.seeds[:min(len(d.seeds), seedsMost)]
+	for _, t := range d.desks {
+		t.now(t.boot, func() { t.seeded() })
+	}
+}
--- a/proofs/sim/routed_faults_replicas.go
+++ b/proofs/sim/routed_faults_replicas.go
@@ -75,7 +75,7 @@
 		return false
 	}
 	switch f.Kind {
-	case "leave-first", "late-beat", "late-beat-of-former-life", "reuse-after-drain", "reuse-after-dark", "cut-replica":
+	case "leave-first", "late-beat", "late-beat-of-former-life", "reuse-after-drain", "reuse-after-dark", "cut-replica", "cut-replica-reset", "cut-replica-fronts", "cut-replica-some":
 		return d.leavingFault(f, p)
 	case "crash-replica":
 		if logs := d.running("log"); f.B%2 == 1 && len(logs) > 1 {
--- a/proofs/sim/routed_frames.go
+++ b/proofs/sim/routed_frames.go
@@ -101,6 +101,9 @@
 func (t *routedDesk) follow(s subscriber.Stream) {
 	d := t.day
 	o := d.officeAt(s.Addr)
+	if d.plan.Plant == "seed-bound" && !slices.Contains(d.seeds, s.Addr) {
+		o = nil
+	}
 	if o == nil || !o.up || d.isCut(t.name, o.name) || d.isCut(o.name, t.name) {
 		t.later(dialUs, func() { t.closed(s.Number) })
 		return
--- a/proofs/sim/routed_leaving.go
+++ b/proofs/sim/routed_leaving.go
@@ -74,6 +74,8 @@
 			d.at(d.nowUs+2*sec, func() { log.end(true) })
 			return 2 * sec
 		})
+	case "cut-replica-reset", "cut-replica-fronts", "cut-replica-some":
+		d.cutReplica(f, p)
 	case "cut-replica":
 		for _, o := range d.offices {
 			d.cut(p.name, o.name, f.ForUs+2*sec)
--- a/proofs/sim/routed_offices.go
+++ b/proofs/sim/routed_offices.go
@@ -68,7 +68,7 @@
 	o.up, o.thawUs, o.sinceUs = true, 0, o.day.nowUs
 	o.skewUs = o.sim.r.Int63n(1000) * sec
 	o.waiters, o.streams, o.words = map[string]func(wire.Result){}, map[string]*frameStream{}, map[uint64]func(bool){}
-	o.saver = saver{on: &o.machine, disk: &o.disk, step: o.step, end: func() { o.crash(0) }}
+	o.saver = saver{on: &o.machine, disk: &o.disk, step: o.step, end: func() { o.crash(0) }, kept: o.keepsCopy}
 	opts := chain.Options{
 		Me: chain.Member{ID: o.disk.identity, Name: o.name, Addr: o.addr, Zone: o.zone}, Inc: o.sim.newInc(), CopiesLeast: o.day.tolerated() + 1, SelfMembers: true,
 	}
@@ -412,6 +412,9 @@
 	}
 	d.carry(&o.machine, &p.machine, replicaWaitUs, func() {
 		status := p.ordered(asked)
+		if status == http.StatusAccepted {
+			d.orderTaken()
+		}
 		d.carry(&p.machine, &o.machine, replicaWaitUs, func() {
 			switch status {
 			case http.StatusAccepted:
--- a/proofs/sim/routed_test.go
+++ b/proofs/sim/routed_test.go
@@ -72,7 +72,7 @@
 }
 
 // routedDays are as many as it takes to cause every kind of fault.
-const routedDays = 40
+const routedDays = 54
 
 func TestSeededRoutedDays(t *testing.T) {
 	from, count := seeds(routedDays)
