Drop a proposal against a stalled disk once its reason is over

In a comparison on real processes the syncs of two members stalled at the same millisecond, for 0.61 s; the third had nothing to sync, put both out, and its proposal was decided 10 ms after the disks were back: a view of one member out of three. Its own promise had waited 0.59 s for the same disk.

Change: a member is behind with a sync from half the time of a stall on (0.3 s), which its own promise shows; while that is so, and 0.8 s longer, it lets the others' stalls stand, but not beyond 1.6 s from the first word of them. A proposal made for what was wrong with members is dropped where nothing is wrong any more once a quorum has promised and none of it has accepted a view. Nothing was proposed for acceptance by then, so Paxos allows it at any time.

Test: `TestAStallOfAllDisksThatSomeDoNotNoticeChangesNoView`, each member idle in turn, on the simulated network.

--- a/internal/chain/agree.go
+++ b/internal/chain/agree.go
@@ -83,6 +83,9 @@
 	}
 	if best != nil {
 		c.chosen = best.View
+	} else if _, changed := n.nextView(); c.judged && !changed {
+		n.proposal = nil
+		return
 	}
 	ballot, chosen := c.ballot, c.chosen
 	for _, v := range n.view.Voters {
--- a/internal/chain/explore_test.go
+++ b/internal/chain/explore_test.go
@@ -91,7 +91,7 @@
 	for _, id := range n.peerIDs() {
 		p := n.peers[id]
 		h := p.hello
-		peers = append(peers, fmt.Sprint(id, h.Inc, h.Phase, h.View.Number, h.Last, h.LastView, h.Compared, h.Whole, h.Promised, h.Hears, h.CopyIndex, h.Accepted != nil, h.Stalled, h.Leaving, ago(p.heardUs), n.awakeUs-p.heardAwakeUs, ago(p.deafUs)))
+		peers = append(peers, fmt.Sprint(id, h.Inc, h.Phase, h.View.Number, h.Last, h.LastView, h.Compared, h.Whole, h.Promised, h.Hears, h.CopyIndex, h.Accepted != nil, h.Stalled, h.Leaving, ago(p.heardUs), n.awakeUs-p.heardAwakeUs, ago(p.stalledUs), ago(p.deafUs)))
 	}
 	saving := []string{}
 	for _, seq := range slices.Sorted(maps.Keys(n.saving)) {
@@ -104,14 +104,14 @@
 	}
 	proposal := ""
 	if c := n.proposal; c != nil {
-		proposal = fmt.Sprint(c.number, c.ballot, c.want, c.chosen, slices.Sorted(maps.Keys(c.promises)), slices.Sorted(maps.Keys(c.accepts)), c.asking, ago(c.startUs))
+		proposal = fmt.Sprint(c.number, c.ballot, c.want, c.chosen, slices.Sorted(maps.Keys(c.promises)), slices.Sorted(maps.Keys(c.accepts)), c.asking, c.judged, ago(c.startUs))
 	}
 	accepted := ""
 	if n.accepted != nil {
 		accepted = fmt.Sprint(*n.accepted)
 	}
 	return fmt.Sprint(n.opts.Inc, n.phase, n.view, n.promised, accepted, n.compared, n.caughtUp, n.leaving, n.base.Index, n.lastIndex(), n.lastView(), n.commit, n.synced, n.queued,
-		n.copyHeld, proposal, n.round, ago(n.quietUs), ago(n.stalledUs), n.held != nil, ago(n.guardUs), n.succLast, n.succSent, n.succKnown, n.openAt, n.openKnown,
+		n.copyHeld, proposal, n.round, ago(n.quietUs), ago(n.behindUs), n.held != nil, ago(n.guardUs), n.succLast, n.succSent, n.succKnown, n.openAt, n.openKnown,
 		leases, n.tailCommit, ago(n.leaseUs), ago(n.viewedUs), ago(n.bootUs), peers, saving)
 }
 
--- a/internal/chain/hello.go
+++ b/internal/chain/hello.go
@@ -68,6 +68,11 @@
 		p = &peer{sinceUs: n.nowUs, deafUs: n.nowUs}
 		n.peers[h.Me.ID] = p
 	}
+	if !h.Stalled {
+		p.stalledUs = 0
+	} else if p.stalledUs == 0 {
+		p.stalledUs = n.nowUs
+	}
 	p.hello, p.heardUs, p.heardAwakeUs = h, n.nowUs, n.awakeUs
 	for _, id := range h.Hears {
 		if id == n.opts.Me.ID {
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -13,7 +13,9 @@
 	// heardAwakeUs is the node's awakeUs when it was heard last.
 	heardAwakeUs int64
 	sinceUs      int64
-	deafUs       int64
+	// stalledUs is since when its disk stalls, by its hellos.
+	stalledUs int64
+	deafUs    int64
 }
 
 // proposal is an attempt of this member to have the next view decided.
@@ -26,6 +28,8 @@
 	accepts  map[string]bool
 	asking   bool
 	startUs  int64
+	// judged: it is for what was wrong with members, and is dropped where that is over before anybody accepts it.
+	judged bool
 }
 
 // Node is one office's part of the chain and of the agreement on its view.
@@ -67,10 +71,10 @@
 	// awakeUs is for how long this process has run, but for times when it stood still: of each at most half of SuspectUs
 	// counts. Silence is measured by it, as what came meanwhile may be read only after the next tick.
 	awakeUs int64
-	// stalledUs is when the own disk was last behind with a sync.
-	stalledUs int64
-	held      *Msg
-	guardUs   int64
+	// behindUs is when the own disk was last behind with a sync.
+	behindUs int64
+	held     *Msg
+	guardUs  int64
 	// openSinceUs is since when a next view that was accepted here waits for somebody to finish it.
 	openSinceUs int64
 
--- a/internal/chain/save.go
+++ b/internal/chain/save.go
@@ -28,12 +28,12 @@
 		return
 	}
 	wasStalled := n.stalled()
+	if n.behind() {
+		n.behindUs = n.nowUs
+	}
 	delete(n.saving, seq)
-	if wasStalled {
-		n.stalledUs = n.nowUs
-		if !n.stalled() {
-			n.sayHello()
-		}
+	if wasStalled && !n.stalled() {
+		n.sayHello()
 	}
 	n.logBytes = logBytes
 	if s.fresh {
@@ -73,10 +73,24 @@
 	return false
 }
 
-// stalledLately: what holds up the own disk may hold up every member's, and each may come back a moment later than this
-// one did. Until then nobody is put out of the view for a stall.
-func (n *Node) stalledLately() bool {
-	return n.stalledUs > 0 && n.nowUs-n.stalledUs < n.opts.SuspectUs
+// behind: the own disk refuses, or a sync takes half as long as a stall or longer.
+func (n *Node) behind() bool {
+	for _, s := range n.saving {
+		if s.refused || (!s.bulk && n.nowUs-s.startUs > n.opts.StallUs/2) {
+			return true
+		}
+	}
+	return false
+}
+
+// stallCounts says whether a member is to be put out of the view as its disk stalls. What holds up the own disk may hold
+// up every member's, and each may come back a moment later than this one did: then it has a while for that.
+func (n *Node) stallCounts(p *peer) bool {
+	if !p.hello.Stalled {
+		return false
+	}
+	behindLately := n.behindUs > 0 && n.nowUs-n.behindUs < n.opts.SuspectUs
+	return !behindLately || n.nowUs-p.stalledUs >= 2*n.opts.SuspectUs
 }
 
 // savingMost bounds what waits for a disk that hangs.
--- a/internal/chain/stall_test.go
+++ b/internal/chain/stall_test.go
@@ -49,6 +49,41 @@
 	}
 }
 
+// Only some have something to sync when every disk stalls. The others learn of their own disks' stall by the sync that
+// a change of the view needs, and give the change up once the members that they wanted to put out are back.
+func TestAStallOfAllDisksThatSomeDoNotNoticeChangesNoView(t *testing.T) {
+	for idle := range 3 {
+		for _, spanUs := range []int64{1000 * clock.Ms, 1150 * clock.Ms, 1300 * clock.Ms} {
+			t.Run(fmt.Sprintf("member %d is idle, %d ms", idle, spanUs/clock.Ms), func(t *testing.T) {
+				y := pacedYard(t, 1, 3)
+				number := y.spots[0].node.View().Number
+				y.stallSome(idle, spanUs)
+				y.pass(2 * clock.Sec)
+				for _, s := range y.spots {
+					if now := s.node.View(); now.Number != number {
+						t.Fatalf("%s is in view %d of %d members, and was in view %d of three", s.me.ID, now.Number, len(now.Order), number)
+					}
+				}
+			})
+		}
+	}
+}
+
+// stallSome stalls all disks while each but one has a sync under way.
+func (y *yard) stallSome(idle int, spanUs int64) {
+	for _, seat := range slices.Backward(y.spots[0].node.View().Order) {
+		s := y.at(seat.Addr)
+		for (len(s.saves) > 0) == (s == y.spots[idle]) {
+			y.pass(yardStepUs)
+		}
+		s.slow = true
+	}
+	y.pass(spanUs)
+	for _, s := range y.spots {
+		s.slow = false
+	}
+}
+
 // A member whose disk goes on standing still is put out all the same, by those that are back.
 func TestAMemberThatStaysStalledAfterTheOthersIsPutOut(t *testing.T) {
 	for stays := range 3 {
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -1,8 +1,8 @@
 package chain
 
 func (n *Node) tick() {
-	if n.stalled() {
-		n.stalledUs = n.nowUs
+	if n.behind() {
+		n.behindUs = n.nowUs
 	}
 	if n.nowUs-n.helloUs >= n.opts.HelloUs {
 		n.helloUs = n.nowUs
@@ -30,7 +30,7 @@
 	if p == nil {
 		return n.nowUs-n.viewedUs < n.opts.SuspectUs
 	}
-	if n.awakeUs-p.heardAwakeUs >= n.opts.SuspectUs || p.hello.Inc != s.Inc || (p.hello.Stalled && !n.stalledLately()) {
+	if n.awakeUs-p.heardAwakeUs >= n.opts.SuspectUs || p.hello.Inc != s.Inc || n.stallCounts(p) {
 		return false
 	}
 	return n.nowUs-p.deafUs < 2*n.opts.SuspectUs
@@ -69,7 +69,11 @@
 	if n.stalled() || !n.caughtUp {
 		return
 	}
-	want := View{Number: n.view.Number + 1, Voters: n.view.Voters, Extra: n.view.Extra, System: n.view.System}
+	want, changed := n.nextView()
+	if !changed {
+		n.quietUs = n.nowUs
+		return
+	}
 	var rank int64
 	for _, s := range n.view.Order {
 		if s.ID == n.opts.Me.ID {
@@ -79,13 +83,25 @@
 			rank++
 		}
 	}
+	if n.nowUs-n.quietUs < rank*250_000 {
+		return
+	}
+	n.propose(want)
+	if n.proposal != nil {
+		n.proposal.judged = true
+	}
+}
+
+// nextView is the view that should follow as things stand, and whether it differs from the one of now.
+func (n *Node) nextView() (want View, changed bool) {
+	want = View{Number: n.view.Number + 1, Voters: n.view.Voters, Extra: n.view.Extra, System: n.view.System}
 	for _, s := range n.view.Order {
 		if n.healthy(s) && (len(want.Order) > 0 || n.seatCaughtUp(s)) {
 			want.Order = append(want.Order, s)
 		}
 	}
 	want.Order = n.withoutLeaving(want.Order)
-	changed := len(want.Order) != len(n.view.Order)
+	changed = len(want.Order) != len(n.view.Order)
 	if id := n.departedExtra(want.Order); id != "" {
 		want.Voters, want.Extra = withoutVote(n.view.Voters, id), want.Extra-1
 		changed = true
@@ -110,12 +126,5 @@
 			changed = true
 		}
 	}
-	if !changed || len(want.Order) == 0 || (n.leaving && !want.Seated(n.opts.Me.ID)) {
-		n.quietUs = n.nowUs
-		return
-	}
-	if n.nowUs-n.quietUs < rank*250_000 {
-		return
-	}
-	n.propose(want)
+	return want, changed && len(want.Order) > 0 && (!n.leaving || want.Seated(n.opts.Me.ID))
 }
