Tell desks of the ledger's replicas once an office knows what is committed

Cause: after a loss of everything desks follow offices before a view is decided. Their whole frame then holds no replica of the ledger, as nothing is known committed. The ledger's rows of replicas that nobody has heard went out in whole frames alone, so such a desk learnt of each replica only with its next heartbeat, up to 1.2 s later, and sent everything to the few that had spoken.

Ruled out: waiting with the declaration until replicas have spoken; requests would wait for nothing.

Change: a difference also carries the rows that the ledger has changed of replicas that nobody has told of, from the moment the office is settled. A life that was told of once and is forgotten does not come back by it.

Tests: TestDesksThatFollowedBeforeTheChainSettledLearnOfAllReplicasInTheLedger failed before (0 of 2 rows), TestTheLedgerBringsNoReplicaBackThatHasEnded holds the other side.

--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -75,6 +75,8 @@
 	revision uint64
 	rosterAt uint64
 	holdsAt  uint64
+	// staleAt is the change of the ledger's replicas up to which rows went out of those that nobody has heard.
+	staleAt  uint64
 	ordersAt uint64
 	orders   map[string]wire.OrderAhead
 	view     uint64
@@ -253,6 +255,7 @@
 	if len(t.rows) > 2*seen.Roster.Len()+rowsSlack {
 		maps.DeleteFunc(t.rows, func(id string, _ wire.ReplicaRow) bool { return seen.Roster.Row(id) == nil })
 	}
+	rows = append(rows, t.unheard(seen)...)
 	for _, id := range slices.Sorted(maps.Keys(t.stale)) {
 		switch {
 		case seen.Roster.Row(id) != nil:
@@ -267,6 +270,24 @@
 
 const rowsSlack = 64
 
+// unheard are the rows that the ledger has changed of replicas that nobody has told of since this office came back.
+// A stream may have begun before this office knew what is committed, with a whole frame that lacked them. Whoever was
+// told of once and is forgotten has ended.
+func (t *told) unheard(seen Seen) []wire.ReplicaRow {
+	if !seen.Settled || t.staleAt == seen.State.HoldsIndex {
+		return nil
+	}
+	rows := []wire.ReplicaRow(nil)
+	for _, row := range staleRows(seen) {
+		if _, told := t.rows[row.ID]; row.Index > t.staleAt && !told {
+			t.stale[row.ID] = true
+			rows = append(rows, row)
+		}
+	}
+	t.staleAt = seen.State.HoldsIndex
+	return rows
+}
+
 // sameRow: a desk would learn nothing from it but that the replica has spoken again.
 func sameRow(a, b *wire.ReplicaRow) bool {
 	return a.Index == b.Index && a.Service == b.Service && a.Addr == b.Addr && a.Zone == b.Zone && a.Slots == b.Slots && a.Draining == b.Draining &&
--- a/internal/feed/hub_test.go
+++ b/internal/feed/hub_test.go
@@ -86,3 +86,95 @@
 		t.Error("a stream joined at another point than the others stand at: what came and went between would stay")
 	}
 }
+
+// A desk that followed an office before the office knew what is committed learnt of each replica only with its next
+// heartbeat: what the ledger says of replicas that nobody has heard went out in whole frames alone.
+func TestDesksThatFollowedBeforeTheChainSettledLearnOfAllReplicasInTheLedger(t *testing.T) {
+	soft := roster.New(3 * clock.Sec)
+	h := NewHub()
+	nowUs := clock.Sec
+	seen := Seen{State: ledger.NewState(), Roster: soft}
+	frame := func(passUs int64) *wire.Frame {
+		nowUs += passUs
+		seen.NowUs = nowUs
+		for _, p := range h.Frames(seen) {
+			if p.Desk == "d" {
+				return p.Frame
+			}
+		}
+		return nil
+	}
+	soft.Hear(nowUs, roster.Row{ID: "r2", Service: "s", Addr: "r2", Slots: 4, Seq: 1, Units: []string{"m1"}})
+	h.Follow(nowUs, wire.Follow{Desk: "d", Inc: "i"})
+	if first := frame(0); first == nil || !first.Whole || len(first.Replicas) != 1 || first.Revision != 0 {
+		t.Fatal("the first frame is not what an office knows that has just started")
+	}
+	seen.State = routedLedger(t, "r1", "r2", "r3")
+	if before := frame(clock.Ms); before != nil && before.Revision != 0 {
+		t.Fatal("a declaration was told that may not be the chain's")
+	}
+	seen.Settled = true
+	settled := frame(20 * clock.Ms)
+	if settled == nil || settled.Doc == nil {
+		t.Fatal("the declaration did not go out once the chain had settled")
+	}
+	stale := map[string]bool{}
+	for _, r := range settled.Replicas {
+		stale[r.ID] = r.Stale
+		if r.Stale && (r.Addr != r.ID || len(r.Units) != 1) {
+			t.Errorf("%s is at %q and holds %v", r.ID, r.Addr, r.Units)
+		}
+	}
+	if diff := cmp.Diff(map[string]bool{"r1": true, "r2": false, "r3": true}, stale); diff != "" {
+		t.Errorf("replicas told with the declaration, and whether by the ledger alone: %s", diff)
+	}
+	if again := frame(20 * clock.Ms); again != nil {
+		t.Errorf("told again: %v", again.Replicas)
+	}
+	soft.Hear(nowUs, roster.Row{ID: "r1", Service: "s", Addr: "r1", Slots: 4, Seq: 1, Units: []string{"m1"}})
+	if heard := frame(20 * clock.Ms); heard == nil || len(heard.Replicas) != 1 || heard.Replicas[0].ID != "r1" || heard.Replicas[0].Stale {
+		t.Error("a replica's first word did not take the place of the ledger's")
+	}
+	seen.State.Apply(3, ledger.Change{ID: "e", Duty: &ledger.Duty{Gone: []string{"r3"}}})
+	if left := frame(20 * clock.Ms); left == nil || len(left.Replicas) != 1 || left.Replicas[0].ID != "r3" || !left.Replicas[0].Gone {
+		t.Error("a replica that the ledger has let go was not taken back")
+	}
+}
+
+// A life that was heard and has ended must not come back by a late change of its row in the ledger.
+func TestTheLedgerBringsNoReplicaBackThatHasEnded(t *testing.T) {
+	s := routedLedger(t, "r1", "r2")
+	soft := roster.New(3 * clock.Sec)
+	h := NewHub()
+	nowUs := clock.Sec
+	frame := func(passUs int64) *wire.Frame {
+		nowUs += passUs
+		for _, p := range h.Frames(Seen{NowUs: nowUs, State: s, Settled: true, Roster: soft}) {
+			return p.Frame
+		}
+		return nil
+	}
+	soft.Hear(nowUs, roster.Row{ID: "r1", Service: "s", Addr: "r1", Slots: 4, Seq: 1, Units: []string{"m1"}})
+	h.Follow(nowUs, wire.Follow{Desk: "d", Inc: "i"})
+	frame(0)
+	soft.Leave(nowUs, "r1")
+	if f := frame(20 * clock.Ms); f == nil || len(f.Replicas) != 1 || !f.Replicas[0].Gone {
+		t.Fatal("its end was not told")
+	}
+	for passed := int64(0); soft.Row("r1") != nil; passed += clock.Sec {
+		if passed > 300*clock.Sec {
+			t.Fatal("it is never forgotten")
+		}
+		nowUs += clock.Sec
+		soft.Sweep(nowUs)
+	}
+	frame(clock.Sec)
+	s.Apply(3, ledger.Change{ID: "e", Duty: &ledger.Duty{Settled: []ledger.Settled{{Number: s.Pending["r1"].Number, Done: true}}}})
+	if f := frame(clock.Sec); f != nil {
+		for _, r := range f.Replicas {
+			if r.ID == "r1" && !r.Gone {
+				t.Error("it came back")
+			}
+		}
+	}
+}
