Answer the hello of a new process at once

Cause: hellos go out every 200 ms, and a restarted member takes no part in anything before it has heard the others. The last one back after a loss of everything waited for their next round while nobody served.

Ruled out: a shorter round, which all pay all the time; a view without the members that are not back yet, which would leave less margin for a disk that lost what it had synced (docs/design-control.md).

Change: a hello of a process that is not known yet is answered with one. Whoever is answered knows the sender from then on, so that an exchange has three messages at most. No rule of views changes.

--- a/internal/chain/hello.go
+++ b/internal/chain/hello.go
@@ -21,7 +21,8 @@
 	return all
 }
 
-func (n *Node) sayHello() {
+// helloNow is what this process has to say of itself now.
+func (n *Node) helloNow() Hello {
 	h := Hello{
 		Me: n.opts.Me, Inc: n.opts.Inc, Phase: n.phase, View: n.view, Last: n.lastIndex(), LastView: n.lastView(),
 		Compared: n.compared, Whole: n.caughtUp, Stalled: n.stalled(), Promised: n.promised, Accepted: n.accepted,
@@ -32,6 +33,11 @@
 			h.Hears = append(h.Hears, id)
 		}
 	}
+	return h
+}
+
+func (n *Node) sayHello() {
+	h := n.helloNow()
 	reached := map[string]bool{n.opts.Me.Addr: true}
 	all := n.known()
 	ids := make([]string, 0, len(all))
@@ -64,7 +70,8 @@
 		return
 	}
 	p := n.peers[h.Me.ID]
-	if p == nil || p.hello.Inc != h.Inc {
+	newLife := p == nil || p.hello.Inc != h.Inc
+	if newLife {
 		p = &peer{sinceUs: n.nowUs, deafUs: n.nowUs}
 		n.peers[h.Me.ID] = p
 	}
@@ -87,6 +94,17 @@
 			n.save([]Record{{Accepted: n.accepted}}, 0, nil)
 		}
 	}
+	if newLife {
+		n.answerHello(h.Me)
+	}
+}
+
+// answerHello tells a process that has just been met of this one, in place of the next round of hellos: a restarted
+// member takes no part in anything before it has heard the others. Whoever is answered knows this process from then
+// on, so that an answer is answered once at most.
+func (n *Node) answerHello(to Member) {
+	h := n.helloNow()
+	n.send(to, Msg{Hello: &h})
 }
 
 // compareNotes lets a restarted office vote again only after it has heard the
