Let a desk without a declaration try offices again at once

Cause: a desk that started before the offices took connections left each one that refused it alone for a second. After a loss of power machines come back up to half a second apart, so that a desk could meet the offices a second late; it holds its callers meanwhile.

Ruled out: a shorter wait for all desks; one that has a declaration serves with it, and need not press on an office that is down.

Change: as long as a desk has no declaration it tries every 100 ms, and leaves an office that did not answer alone for 100 ms.

--- a/internal/subscriber/mirror.go
+++ b/internal/subscriber/mirror.go
@@ -16,6 +16,9 @@
 	mirrorSilentUs = 1300 * clock.Ms
 	mirrorTryUs    = 300 * clock.Ms
 	mirrorShyUs    = 1000 * clock.Ms
+	// mirrorFirstUs is how long an office is left alone that did not answer a desk without a declaration, and how
+	// often such a desk tries: it holds its callers meanwhile.
+	mirrorFirstUs  = 100 * clock.Ms
 	mirrorReportUs = 250 * clock.Ms
 	mirrorEachUs   = 3 * clock.Ms
 	mirrorIdleUs   = 1000 * clock.Ms
@@ -158,13 +161,21 @@
 	return m.effects
 }
 
+// unlessFirst is a span, or mirrorFirstUs as long as this desk has no declaration.
+func (m *Mirror) unlessFirst(us int64) int64 {
+	if m.doc == nil {
+		return mirrorFirstUs
+	}
+	return us
+}
+
 func (m *Mirror) closed(nowUs int64, stream uint64) {
 	s := m.sources[stream]
 	if s == nil {
 		return
 	}
 	delete(m.sources, stream)
-	m.shyUs[s.addr] = nowUs + mirrorShyUs
+	m.shyUs[s.addr] = nowUs + m.unlessFirst(mirrorShyUs)
 	if s.whole && m.Live() == 0 {
 		m.last = s
 	}
--- a/internal/subscriber/mirror_test.go
+++ b/internal/subscriber/mirror_test.go
@@ -505,3 +505,63 @@
 		}
 	}
 }
+
+// A desk whose machine comes back before those of the offices was refused by each, and left each alone for a second.
+func TestADeskThatStartsBeforeTheOfficesMeetsThemAtOnce(t *testing.T) {
+	cores := []*core{newCore("a"), newCore("b"), newCore("c")}
+	c := &chronicle{r: rand.New(rand.NewSource(1)), head: ledger.NewState()}
+	c.config()
+	for _, o := range cores {
+		o.apply(c.log, len(c.log))
+	}
+	s := newScreen(t, "d", cores...)
+	for _, o := range cores {
+		s.down[o.addr] = true
+	}
+	nowUs, r := clock.Sec, rand.New(rand.NewSource(1))
+	for ; nowUs < clock.Sec+350*clock.Ms; nowUs += 50 * clock.Ms {
+		s.carry(nowUs, r, 0)
+	}
+	if most := 2 * 350 / 100; s.opened > most+mirrorStreams {
+		t.Errorf("%d tries in 350 ms", s.opened)
+	}
+	clear(s.down)
+	upUs := nowUs
+	for s.snap == nil || s.snap.Doc == nil {
+		s.carry(nowUs, r, 0)
+		if nowUs += 50 * clock.Ms; nowUs-upUs > 2*clock.Sec {
+			t.Fatal("it never met them")
+		}
+	}
+	if tookUs := nowUs - upUs; tookUs > 200*clock.Ms {
+		t.Errorf("a declaration %d ms after the offices took calls", tookUs/1000)
+	}
+}
+
+// One that has a declaration serves with it, and leaves an office alone that does not answer.
+func TestADeskWithADeclarationLeavesAnOfficeThatIsDownAlone(t *testing.T) {
+	cores := []*core{newCore("a"), newCore("b"), newCore("c")}
+	c := &chronicle{r: rand.New(rand.NewSource(1)), head: ledger.NewState()}
+	c.config()
+	for _, o := range cores {
+		o.apply(c.log, len(c.log))
+	}
+	s := newScreen(t, "d", cores...)
+	nowUs, r := clock.Sec, rand.New(rand.NewSource(1))
+	for ; s.snap == nil || s.snap.Doc == nil; nowUs += 50 * clock.Ms {
+		s.carry(nowUs, r, 0)
+	}
+	for _, o := range cores {
+		s.down[o.addr] = true
+	}
+	for _, stream := range s.open() {
+		s.lose(nowUs, stream)
+	}
+	before := s.opened
+	for endUs := nowUs + 3*clock.Sec; nowUs < endUs; nowUs += 50 * clock.Ms {
+		s.carry(nowUs, r, 0)
+	}
+	if tries, most := s.opened-before, 3*len(s.m.Offices()); tries > most {
+		t.Errorf("%d tries in 3 s at offices that are down, at most %d", tries, most)
+	}
+}
--- a/internal/subscriber/streams.go
+++ b/internal/subscriber/streams.go
@@ -25,7 +25,7 @@
 	}
 	m.nearer(nowUs)
 	m.leaveBehind(nowUs)
-	if len(m.sources) < mirrorStreams && nowUs-m.triedUs >= mirrorTryUs {
+	if len(m.sources) < mirrorStreams && nowUs-m.triedUs >= m.unlessFirst(mirrorTryUs) {
 		m.open(nowUs)
 	}
 	m.report(nowUs, urgent)
