Dial again where an opening packet may have been lost

Cause: the system sends an opening packet again after a second. One that went to a machine without power is lost, and whoever dialled waited until its time to dial was over, 250 ms between offices and 400 ms from desks, though the machine had come back meanwhile.

Ruled out: a shorter time to dial, which would give up a machine that is slow.

Change: core nodes and gateways among themselves begin another attempt every 80 ms, within the same time; the first answer counts, also a refusal, and the rest are closed. Connections to replicas are opened as before.

--- a/internal/desk/host.go
+++ b/internal/desk/host.go
@@ -103,7 +103,7 @@
 	legs.Transport.(*http.Transport).DisableKeepAlives = true
 	legs.Transport.(*http.Transport).ExpectContinueTimeout = askedWait
 	h := &Host{
-		set: set, inc: inc, ring: ring, log: ring.Logger("desk", set.Name), inner: rpc.Client(400, set.Listen), legs: legs,
+		set: set, inc: inc, ring: ring, log: ring.Logger("desk", set.Name), inner: rpc.NodeClient(400, set.Listen), legs: legs,
 		decider: dispatch.New(dispatch.Options{
 			Desk: set.Name, Inc: inc, Zone: set.Zone, BacklogMax: set.BacklogMax,
 			Budget:   dispatch.BudgetOptions{Ratio: set.Budget.Ratio, Slack: set.Budget.Slack, WindowUs: set.Budget.WindowMs * clock.Ms},
--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -167,7 +167,7 @@
 	})
 	h := &Host{
 		set: set, core: core, disk: opened.Store, ring: ring, log: logger,
-		web: rpc.Client(500, set.Listen), inner: rpc.Client(innerDialMs, set.Listen),
+		web: rpc.Client(500, set.Listen), inner: rpc.NodeClient(innerDialMs, set.Listen),
 		act: actor.New(mailboxMost), saves: newSaveQueue(), pace: func() <-chan time.Time { return time.After(retryEvery) },
 		partners: map[string]chan wire.Letter{}, bulk: map[string]*bulkSend{}, waiters: map[string][]chan wire.Result{}, replies: map[uint64]chan wire.Lease{}, words: map[uint64]chan bool{},
 		follows: map[string]*followed{}, rebuilds: opened.Fresh && founding == 0 && len(set.Founders) == 0, failed: make(chan error, 1),
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -69,14 +69,28 @@
 
 // Client dials from the IP that this process listens on, so that partners see the address they know.
 func Client(dialMs int, listen string) *http.Client {
+	return clientOf(dialerFor(dialMs, listen).DialContext)
+}
+
+// NodeClient is a Client for core nodes and gateways among themselves, who may dial a machine just as it comes back.
+func NodeClient(dialMs int, listen string) *http.Client {
+	dialer := dialerFor(dialMs, listen)
+	return clientOf((&redialer{dial: dialer.DialContext, most: dialer.Timeout, after: time.After}).DialContext)
+}
+
+func dialerFor(dialMs int, listen string) *net.Dialer {
 	dialer := &net.Dialer{Timeout: time.Duration(dialMs) * time.Millisecond, KeepAlive: 5 * time.Second}
 	if host, _, err := net.SplitHostPort(listen); err == nil {
 		if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
 			dialer.LocalAddr = &net.TCPAddr{IP: ip}
 		}
 	}
+	return dialer
+}
+
+func clientOf(dial dialFunc) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: 32,
 		IdleConnTimeout:     30 * time.Second,
 	}}
