Vote as soon as the others are heard after a restart

Cause: a member compared its notes at its next tick only, and a request for its vote that came before was dropped; who had asked asked again after 200 ms.

Ruled out: asking only once the others say that they have compared; that costs a round of hellos.

Change: notes are compared with each hello. A request for a vote that comes before is kept, the newest one, and answered then, as if it had been on its way until that moment; what may be promised and when does not change.

The test bed's members tick together as before unless a test says otherwise.

--- a/internal/chain/agree.go
+++ b/internal/chain/agree.go
@@ -42,6 +42,11 @@
 }
 
 func (n *Node) gotPrepare(m Msg, p Prepare) {
+	if !n.compared && n.phase == Waking {
+		asked := m
+		n.asked = &asked
+		return
+	}
 	if p.Number != n.view.Number+1 || !n.compared || !n.view.Votes(n.opts.Me.ID) || n.refusesVotes() {
 		return
 	}
--- a/internal/chain/hello.go
+++ b/internal/chain/hello.go
@@ -97,6 +97,7 @@
 	if newLife {
 		n.answerHello(h.Me)
 	}
+	n.compareNotes()
 }
 
 // answerHello tells a process that has just been met of this one, in place of the next round of hellos: a restarted
@@ -126,5 +127,16 @@
 	waited := n.nowUs-n.bootUs >= n.opts.CompareUs && heard+1 >= n.view.Quorum()
 	if heard == wanted || waited || n.view.Number == 0 {
 		n.compared = true
+		n.takeAsked()
+	}
+}
+
+// takeAsked answers the request for a vote that came before this member had compared notes, as if it had been on its
+// way until now: whoever asked would ask again only after a while.
+func (n *Node) takeAsked() {
+	asked := n.asked
+	n.asked = nil
+	if asked != nil {
+		n.gotPrepare(*asked, *asked.Prepare)
 	}
 }
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -63,7 +63,9 @@
 	round      uint64
 	quietUs    int64
 	held       *Msg
-	guardUs    int64
+	// asked is the newest request for a vote that came before this member had compared notes.
+	asked   *Msg
+	guardUs int64
 	// openSinceUs is since when a next view that was accepted here waits for somebody to finish it.
 	openSinceUs int64
 
--- a/internal/chain/self_test.go
+++ b/internal/chain/self_test.go
@@ -42,6 +42,8 @@
 	slow  bool
 	gone  bool
 	opts  Options
+	// phaseUs is by how much its ticks come before those of the others.
+	phaseUs int64
 	// bornUs is since when its disk has lasted.
 	bornUs int64
 }
@@ -236,7 +238,7 @@
 				s.disk = append(slices.Clip(s.disk), done.Records...)
 				y.step(s, Event{Saved: done.Seq})
 			}
-			if y.nowUs%(25*clock.Ms) == 0 {
+			if (y.nowUs+s.phaseUs)%(25*clock.Ms) == 0 {
 				y.step(s, Event{})
 			}
 		}
