Check what an edit names in place of the whole declaration

Cause: each edit that a control node applies had the fields of all routes and services checked. After a restart the log is applied as soon as the next view is known, and the tail, the middle and the head do so one after the other before a gateway hears of a declaration.

Ruled out: applying the log before a view is known; it would have to be undone where another log is the longer one, and after a kill there is no time for it.

Change: the fields of items that an edit does not name were checked when they came; what items say of each other is checked as before, for all. Paths of fields are written only where there is a fault.

--- a/internal/ledger/versions.go
+++ b/internal/ledger/versions.go
@@ -71,7 +71,11 @@
 	case doc == nil:
 		bad = fault.New(fault.InvalidConfig, "", "neither a declaration nor an edit")
 	}
-	if bad == nil {
+	switch {
+	case bad != nil:
+	case c.Config.Edit != nil:
+		bad = doc.CheckEdited(c.Config.Edit)
+	default:
 		bad = doc.CheckRoutes()
 	}
 	if bad != nil {
--- a/internal/standing/check_routes.go
+++ b/internal/standing/check_routes.go
@@ -10,29 +10,58 @@
 // CheckRoutes collects what is wrong with routes, services and limits: the fields of each item by their tags, then
 // what items say of each other.
 func (d *Declaration) CheckRoutes() *fault.Fault {
-	c := routesCheck{sheet: &fault.Sheet{}, services: map[string]bool{}, routes: map[string]bool{}, places: map[string]string{}}
+	return d.checkRoutes(func(string) bool { return true }, true)
+}
+
+// CheckEdited is CheckRoutes of a declaration that an edit has made of a valid one: the fields of items that the edit
+// does not name have been checked. The log of a restarted control node may hold hundreds of edits.
+func (d *Declaration) CheckEdited(e *Edit) *fault.Fault {
+	edited := make(map[string]bool, len(e.Routes)+len(e.Services))
+	for i := range e.Routes {
+		edited[e.Routes[i].Name] = true
+	}
+	for i := range e.Services {
+		edited[e.Services[i].Name] = true
+	}
+	return d.checkRoutes(func(name string) bool { return edited[name] }, e.Limits != nil)
+}
+
+// checkRoutes checks the fields of the items whose names are new, and those of the limits if they are.
+func (d *Declaration) checkRoutes(isNew func(name string) bool, newLimits bool) *fault.Fault {
+	c := routesCheck{
+		sheet: &fault.Sheet{}, isNew: isNew,
+		services: make(map[string]bool, len(d.Services)), routes: make(map[string]bool, len(d.Routes)), places: make(map[place]int, len(d.Routes)),
+	}
 	for i := range d.Services {
-		c.service(fmt.Sprintf("services[%d]", i), &d.Services[i])
+		c.service(i, &d.Services[i])
 	}
 	for i := range d.Routes {
-		c.route(fmt.Sprintf("routes[%d]", i), &d.Routes[i])
+		c.route(i, &d.Routes[i])
 	}
-	if d.Limits != nil {
+	if d.Limits != nil && newLimits {
 		c.fields("limits", d.Limits)
 	}
 	return c.sheet.As(fault.InvalidConfig)
 }
 
+// place is where a route's calls come in; host is in lower case.
+type place struct{ host, prefix string }
+
 // routesCheck goes through a declaration once, services before routes, and gathers its faults.
 type routesCheck struct {
 	sheet *fault.Sheet
 	// services and routes are the names so far.
 	services map[string]bool
 	routes   map[string]bool
-	// places are the paths of the routes so far, by host and prefix.
-	places map[string]string
+	// places are the numbers of the routes so far.
+	places map[place]int
+	isNew  func(name string) bool
 }
 
+func servicePath(i int) string { return fmt.Sprintf("services[%d]", i) }
+
+func routePath(i int) string { return fmt.Sprintf("routes[%d]", i) }
+
 func (c *routesCheck) note(field, format string, args ...any) {
 	c.sheet.Note(fault.InvalidConfig, field, format, args...)
 }
@@ -46,46 +75,51 @@
 }
 
 // unique notes a name that was seen before.
-func (c *routesCheck) unique(seen map[string]bool, path, name string) {
+func (c *routesCheck) unique(seen map[string]bool, path func(int) string, i int, name string) {
 	if seen[name] {
-		c.note(path+".name", "%q is named twice", name)
+		c.note(path(i)+".name", "%q is named twice", name)
 	}
 	seen[name] = true
 }
 
-func (c *routesCheck) service(path string, s *Service) {
-	c.fields(path, s)
-	c.unique(c.services, path, s.Name)
-	if s.Engine == nil {
+func (c *routesCheck) service(i int, s *Service) {
+	isNew := c.isNew(s.Name)
+	if isNew {
+		c.fields(servicePath(i), s)
+	}
+	c.unique(c.services, servicePath, i, s.Name)
+	if s.Engine == nil || !isNew {
 		return
 	}
-	for i, m := range s.Engine.Models {
+	for j, m := range s.Engine.Models {
 		if m.SizeMb > s.Engine.RoomMb {
-			c.note(fmt.Sprintf("%s.engine.models[%d]", path, i), "%d MB fits no replica of %d MB", m.SizeMb, s.Engine.RoomMb)
+			c.note(fmt.Sprintf("%s.engine.models[%d]", servicePath(i), j), "%d MB fits no replica of %d MB", m.SizeMb, s.Engine.RoomMb)
 		}
 	}
 }
 
-func (c *routesCheck) route(path string, r *Route) {
-	c.fields(path, r)
-	c.unique(c.routes, path, r.Name)
-	place := strings.ToLower(r.Host) + "\x00" + r.Prefix
-	if other, taken := c.places[place]; taken {
-		c.note(path, "%s has the same host and prefix", other)
+func (c *routesCheck) route(i int, r *Route) {
+	if c.isNew(r.Name) {
+		c.fields(routePath(i), r)
+	}
+	c.unique(c.routes, routePath, i, r.Name)
+	at := place{strings.ToLower(r.Host), r.Prefix}
+	if other, taken := c.places[at]; taken {
+		c.note(routePath(i), "%s has the same host and prefix", routePath(other))
 	}
-	c.places[place] = path
-	c.split(path, r.Split)
+	c.places[at] = i
+	c.split(i, r.Split)
 }
 
-func (c *routesCheck) split(path string, split []Weighted) {
+func (c *routesCheck) split(i int, split []Weighted) {
 	sum := 0
-	for i, w := range split {
+	for j, w := range split {
 		sum += w.Weight
 		if !c.services[w.Service] {
-			c.note(fmt.Sprintf("%s.split[%d]", path, i), "no service %q", w.Service)
+			c.note(fmt.Sprintf("%s.split[%d]", routePath(i), j), "no service %q", w.Service)
 		}
 	}
 	if sum <= 0 {
-		c.note(path+".split", "the weights add up to %d", sum)
+		c.note(routePath(i)+".split", "the weights add up to %d", sum)
 	}
 }
