Check the whole declaration where an edit builds on one without a number

Cause: a declaration without a number comes into force without the check of routes.

Change: only an edit of a numbered declaration is checked by what it names.

Test: TestAnEditOnTopOfWhatWasNeverCheckedIsCheckedAsAWhole failed before.

--- a/internal/ledger/version_test.go
+++ b/internal/ledger/version_test.go
@@ -242,3 +242,18 @@
 		t.Errorf("for a life that has ended: %v", faults)
 	}
 }
+
+// What is in force without a number was not checked as routes are: an edit on top of it has all of it checked.
+func TestAnEditOnTopOfWhatWasNeverCheckedIsCheckedAsAWhole(t *testing.T) {
+	s := NewState()
+	bad := &standing.Declaration{Services: []standing.Service{{Name: "s"}}, Routes: []standing.Route{{
+		Name: "r", Host: "h", Prefix: "/", Repeat: standing.Streaming, AttemptsMost: 1, Split: []standing.Weighted{{Service: "s", Weight: 1}},
+	}}}
+	if out := s.Apply(1, Change{ID: "a", Config: &ConfigChange{Doc: bad}}); out.Fault != nil {
+		t.Fatal(out.Fault)
+	}
+	out := s.Apply(2, Change{ID: "b", Config: &ConfigChange{Version: 1, Edit: &standing.Edit{Version: 1, Services: []standing.Service{{Name: "s2"}}}}})
+	if out.Fault == nil {
+		t.Error("a route without a time limit came into force")
+	}
+}
--- a/internal/ledger/versions.go
+++ b/internal/ledger/versions.go
@@ -76,7 +76,8 @@
 	}
 	switch {
 	case bad != nil:
-	case c.Config.Edit != nil:
+	case c.Config.Edit != nil && s.Version() > 0:
+		// What is in force without a number has not been checked so.
 		bad = doc.CheckEdited(c.Config.Edit)
 	default:
 		bad = doc.CheckRoutes()
