--- a/proofs/sim/routed_offices.go
+++ b/proofs/sim/routed_offices.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 
 	"petreltide/internal/chain"
 	"petreltide/internal/controller"
@@ -66,7 +68,7 @@
 	o.up, o.thawUs, o.sinceUs = true, 0, o.day.nowUs
 	o.skewUs = o.sim.r.Int63n(1000) * sec
 	o.waiters, o.streams, o.words = map[string]func(wire.Result){}, map[string]*frameStream{}, map[uint64]func(bool){}
-	o.saver = saver{on: &o.machine, disk: &o.disk, step: o.step, end: func() { o.crash(0) }}
+	o.saver = saver{on: &o.machine, disk: &o.disk, step: o.step, end: func() { o.crash(0) }, kept: o.keepsCopy}
 	opts := chain.Options{
 		Me: chain.Member{ID: o.disk.identity, Name: o.name, Addr: o.addr, Zone: o.zone}, Inc: o.sim.newInc(), CopiesLeast: o.day.tolerated() + 1, SelfMembers: true,
 	}
@@ -103,8 +105,8 @@
 	if o.day.plan.Plant == "amnesia" && o.day.nowUs > bootUs {
 		o.disk.records = o.disk.records[:len(o.disk.records)/3]
 	}
-	for _, s := range o.streams {
-		s.broke(o)
+	for _, desk := range slices.Sorted(maps.Keys(o.streams)) {
+		o.streams[desk].broke(o)
 	}
 }
 
@@ -410,6 +412,9 @@
 	}
 	d.carry(&o.machine, &p.machine, replicaWaitUs, func() {
 		status := p.ordered(asked)
+		if status == http.StatusAccepted {
+			d.orderTaken()
+		}
 		d.carry(&p.machine, &o.machine, replicaWaitUs, func() {
 			switch status {
 			case http.StatusAccepted:
