Measure by awake time since when a member was heard by another

Cause: a member that stood still for 1.45 s counted that time as one in which the others did not hear it, and wanted a view of itself alone, if the last hello that named it was 150 ms old when it stopped. Its own silence is measured by awake time already, this was not. TestAMemberThatStoodStillSuspectsNobody shows it since hellos are answered at once, as its members then say hello at other moments than before: members 1 and 2 after 1,450 and 1,500 ms.

Ruled out: the answers to hellos; they only move the rounds.

Change: since when a member is not heard by another counts by awake time as well, where seats are judged. InContact, which decides what may be answered, goes by the clock as before.

--- a/internal/chain/hello.go
+++ b/internal/chain/hello.go
@@ -72,13 +72,13 @@
 	p := n.peers[h.Me.ID]
 	newLife := p == nil || p.hello.Inc != h.Inc
 	if newLife {
-		p = &peer{sinceUs: n.nowUs, deafUs: n.nowUs}
+		p = &peer{sinceUs: n.nowUs, deafUs: n.nowUs, deafAwakeUs: n.awakeUs}
 		n.peers[h.Me.ID] = p
 	}
 	p.hello, p.heardUs, p.heardAwakeUs = h, n.nowUs, n.awakeUs
 	for _, id := range h.Hears {
 		if id == n.opts.Me.ID {
-			p.deafUs = n.nowUs
+			p.deafUs, p.deafAwakeUs = n.nowUs, n.awakeUs
 		}
 	}
 	if h.View.Number > n.view.Number && len(h.View.Voters) > 0 {
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -14,6 +14,8 @@
 	heardAwakeUs int64
 	sinceUs      int64
 	deafUs       int64
+	// deafAwakeUs is the node's awakeUs when it last heard this one.
+	deafAwakeUs int64
 }
 
 // proposal is an attempt of this member to have the next view decided.
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -33,7 +33,7 @@
 	if n.awakeUs-p.heardAwakeUs >= n.opts.SuspectUs || p.hello.Inc != s.Inc || (p.hello.Stalled && !n.stalledLately()) {
 		return false
 	}
-	return n.nowUs-p.deafUs < 2*n.opts.SuspectUs
+	return n.awakeUs-p.deafAwakeUs < 2*n.opts.SuspectUs
 }
 
 // seatCaughtUp: only a member that has everything may come first.
