--- a/internal/chain/hello.go
+++ b/internal/chain/hello.go
@@ -21,7 +21,8 @@
 	return all
 }
 
-func (n *Node) sayHello() {
+// helloNow is what this process has to say of itself now.
+func (n *Node) helloNow() Hello {
 	h := Hello{
 		Me: n.opts.Me, Inc: n.opts.Inc, Phase: n.phase, View: n.view, Last: n.lastIndex(), LastView: n.lastView(),
 		Compared: n.compared, Whole: n.caughtUp, Stalled: n.stalled(), Promised: n.promised, Accepted: n.accepted,
@@ -32,6 +33,11 @@
 			h.Hears = append(h.Hears, id)
 		}
 	}
+	return h
+}
+
+func (n *Node) sayHello() {
+	h := n.helloNow()
 	reached := map[string]bool{n.opts.Me.Addr: true}
 	all := n.known()
 	ids := make([]string, 0, len(all))
@@ -64,8 +70,9 @@
 		return
 	}
 	p := n.peers[h.Me.ID]
-	if p == nil || p.hello.Inc != h.Inc {
-		p = &peer{sinceUs: n.nowUs, deafUs: n.nowUs}
+	newLife := p == nil || p.hello.Inc != h.Inc
+	if newLife {
+		p = &peer{sinceUs: n.nowUs, deafUs: n.nowUs, deafAwakeUs: n.awakeUs}
 		n.peers[h.Me.ID] = p
 	}
 	if !h.Stalled {
@@ -76,7 +83,7 @@
 	p.hello, p.heardUs, p.heardAwakeUs = h, n.nowUs, n.awakeUs
 	for _, id := range h.Hears {
 		if id == n.opts.Me.ID {
-			p.deafUs = n.nowUs
+			p.deafUs, p.deafAwakeUs = n.nowUs, n.awakeUs
 		}
 	}
 	if h.View.Number > n.view.Number && len(h.View.Voters) > 0 {
@@ -92,6 +99,18 @@
 			n.save([]Record{{Accepted: n.accepted}}, 0, nil)
 		}
 	}
+	if newLife {
+		n.answerHello(h.Me)
+	}
+	n.compareNotes()
+}
+
+// answerHello tells a process that has just been met of this one, in place of the next round of hellos: a restarted
+// member takes no part in anything before it has heard the others. Whoever is answered knows this process from then
+// on, so that an answer is answered once at most.
+func (n *Node) answerHello(to Member) {
+	h := n.helloNow()
+	n.send(to, Msg{Hello: &h})
 }
 
 // compareNotes lets a restarted office vote again only after it has heard the
@@ -113,5 +132,16 @@
 	waited := n.nowUs-n.bootUs >= n.opts.CompareUs && heard+1 >= n.view.Quorum()
 	if heard == wanted || waited || n.view.Number == 0 {
 		n.compared = true
+		n.takeAsked()
+	}
+}
+
+// takeAsked answers the request for a vote that came before this member had compared notes, as if it had been on its
+// way until now: whoever asked would ask again only after a while.
+func (n *Node) takeAsked() {
+	asked := n.asked
+	n.asked = nil
+	if asked != nil {
+		n.gotPrepare(*asked, *asked.Prepare)
 	}
 }
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -16,6 +16,8 @@
 	// stalledUs is since when its disk stalls, by its hellos.
 	stalledUs int64
 	deafUs    int64
+	// deafAwakeUs is the node's awakeUs when it last heard this one.
+	deafAwakeUs int64
 }
 
 // proposal is an attempt of this member to have the next view decided.
@@ -74,7 +76,9 @@
 	// behindUs is when the own disk was last behind with a sync.
 	behindUs int64
 	held     *Msg
-	guardUs  int64
+	// asked is the newest request for a vote that came before this member had compared notes.
+	asked   *Msg
+	guardUs int64
 	// openSinceUs is since when a next view that was accepted here waits for somebody to finish it.
 	openSinceUs int64
 
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -11,7 +11,7 @@
 			n.askLease()
 		}
 	}
-	if n.serving() && n.nowUs-n.beatSentUs >= n.opts.BeatUs {
+	if n.serving() && n.nowUs-n.beatSentUs >= n.beatEveryUs() {
 		n.beatSentUs = n.nowUs
 		n.forward(true)
 		n.ackBack()
@@ -33,7 +33,7 @@
 	if n.awakeUs-p.heardAwakeUs >= n.opts.SuspectUs || p.hello.Inc != s.Inc || n.stallCounts(p) {
 		return false
 	}
-	return n.nowUs-p.deafUs < 2*n.opts.SuspectUs
+	return n.awakeUs-p.deafAwakeUs < 2*n.opts.SuspectUs
 }
 
 // seatCaughtUp: only a member that has everything may come first.
--- a/internal/ledger/versions.go
+++ b/internal/ledger/versions.go
@@ -74,7 +74,12 @@
 	case doc == nil:
 		bad = fault.New(fault.InvalidConfig, "", "neither a declaration nor an edit")
 	}
-	if bad == nil {
+	switch {
+	case bad != nil:
+	case c.Config.Edit != nil && s.Version() > 0:
+		// What is in force without a number has not been checked so.
+		bad = doc.CheckEdited(c.Config.Edit)
+	default:
 		bad = doc.CheckRoutes()
 	}
 	if bad != nil {
