Count an echo from when its stamp went by, not from when the echo comes

Cause: a member in the middle took an echo as news of now when it came. One that lay in a link through a cut made it current, for up to 1.2 s, after the link had healed: it told desks that it was not behind and could refuse orders about members by an old view. The head, too, took the time of arrival there (its right to give orders went by its own stamp and was sound). And an echo or a lease with a stamp that was never sent was taken: of a huge one a head stayed fresh.

Ruled out: a nonce bound to the view. Views of the two sides have one number until the cut-off one learns better, so it would tell nothing that the view does not; the stamp itself is the nonce.

Change: each member notes when stamps of the head go by on their way down, by its own clock, and an echo counts from then. An echo of what did not go by is none, and neither is a lease asked for in the future. No message changes.

--- a/internal/chain/agree.go
+++ b/internal/chain/agree.go
@@ -146,7 +146,7 @@
 	n.viewedUs, n.quietUs = n.nowUs, n.nowUs
 	n.succKnown, n.succLast, n.succSent, n.succCopied = false, 0, 0, 0
 	n.openKnown, n.openAt, n.leases, n.leaseUs = false, 0, map[string]int64{}, 0
-	n.echoUs, n.tailEchoUs, n.echoedUs, n.tailCommit = 0, 0, 0, 0
+	n.echoUs, n.tailEchoUs, n.echoedUs, n.passed, n.tailCommit = 0, 0, 0, nil, 0
 	n.compared = n.compared || n.phase != Waking
 	n.settleAt = n.lastIndex()
 	wasOutside := n.phase == Outside
--- a/internal/chain/contact.go
+++ b/internal/chain/contact.go
@@ -13,8 +13,8 @@
 	})
 }
 
-// Current says whether what this office knows as committed was the newest a moment ago: it has its seat, and
-// within currentUs a word of the head has gone through the chain to a tail with its lease, and come back here.
+// Current says whether what this office knows as committed was the newest a moment ago: it has its seat, and a time
+// stamp of the head that went by here a moment ago has gone on to a tail with its lease and has come back.
 func (n *Node) Current(nowUs int64) bool {
 	switch {
 	case !n.serving() || !n.caughtUp:
@@ -22,7 +22,7 @@
 	case n.IsTail():
 		return n.Open(nowUs)
 	}
-	return n.echoedUs > 0 && nowUs-n.echoedUs < n.opts.SuspectUs+2*n.opts.BeatUs
+	return n.echoedUs > 0 && nowUs-n.echoedUs < n.currentUs()
 }
 
 // Quorum says whether something holds for a quorum of the voters of the newest view this office knows. It is
--- /dev/null
+++ b/internal/chain/echo_test.go
@@ -0,0 +1,92 @@
+package chain
+
+import (
+	"slices"
+	"testing"
+
+	"petreltide/internal/clock"
+)
+
+// byPlace are the members of a chain of three in the order of their seats.
+func byPlace(y *yard) (all [3]*spot) {
+	for _, s := range y.spots {
+		all[s.node.place()] = s
+	}
+	return all
+}
+
+// holdAcks takes away what one office tells another's chain, for as long as it is asked to, and returns it.
+func (y *yard) holdAcks(from, to *spot, us int64) (held []letter) {
+	for endUs := y.nowUs + us; y.nowUs < endUs; {
+		y.mail = slices.DeleteFunc(y.mail, func(l letter) bool {
+			if l.from == from.me.Addr && l.to == to.me.Addr && l.msg.Ack != nil {
+				held = append(held, l)
+				return true
+			}
+			return false
+		})
+		y.pass(yardStepUs)
+	}
+	return held
+}
+
+// Echoes that lay in a link while an office was cut off say nothing of now, in whatever order they come.
+func TestAnEchoThatLayInALinkMakesNobodyCurrent(t *testing.T) {
+	for seed := range int64(10) {
+		for place := range 2 {
+			y := pacedYard(t, seed, 3)
+			y.pass(clock.Sec)
+			all := byPlace(y)
+			struck, next := all[place], all[place+1]
+			if !struck.node.Current(y.nowUs) {
+				t.Fatalf("seed %d: in contact, place %d is not current", seed, place)
+			}
+			held := y.holdAcks(next, struck, 400*clock.Ms)
+			for _, s := range all {
+				y.apart([]*spot{struck}, []*spot{s})
+			}
+			y.pass(3 * clock.Sec)
+			if struck.node.Current(y.nowUs) || len(held) < 2 {
+				t.Fatalf("seed %d: cut off, place %d is current; %d letters are held", seed, place, len(held))
+			}
+			for _, l := range held {
+				y.step(struck, Event{Got: &l.msg})
+				if struck.node.Current(y.nowUs) {
+					t.Fatalf("seed %d: an echo of %d ms ago makes place %d current", seed, (y.nowUs-l.atUs)/clock.Ms, place)
+				}
+			}
+			y.cuts = map[[2]string]bool{}
+			y.settles(20*clock.Sec, "back in contact")
+			y.pass(clock.Sec)
+			for _, s := range y.spots {
+				if !s.node.Current(y.nowUs) {
+					t.Errorf("seed %d: back in contact, %s is not current", seed, s.me.ID)
+				}
+			}
+		}
+	}
+}
+
+// Time stamps of what was never sent count for nothing: neither an echo nor a lease can come from the future.
+func TestTimeStampsFromTheFutureCountForNothing(t *testing.T) {
+	for _, us := range []int64{clock.Sec, 1 << 60, 1<<63 - 1} {
+		y := pacedYard(t, 1, 3)
+		all := byPlace(y)
+		for place := range 2 {
+			n, next := all[place].node, all[place+1]
+			n.tailEchoUs, n.echoedUs = 0, 0
+			y.step(all[place], Event{Got: &Msg{From: next.me, Inc: next.opts.Inc, Ack: &Ack{View: n.view.Number, Last: n.Last(), EchoUs: y.nowUs + us}}})
+			if n.tailEchoUs != 0 || n.Current(y.nowUs) || n.HeadFresh(y.nowUs) {
+				t.Errorf("an echo of %d from now is taken at place %d", us, place)
+			}
+		}
+		tail := all[2].node
+		tail.leases, tail.leaseUs = map[string]int64{}, 0
+		for _, s := range all {
+			y.step(all[2], Event{Got: &Msg{From: s.me, Inc: s.opts.Inc, Lease: &Lease{View: tail.view.Number, SentUs: y.nowUs + us, Given: true}}})
+		}
+		if tail.Open(y.nowUs) {
+			t.Errorf("a lease asked for %d from now is taken", us)
+		}
+	}
+}
--- a/internal/chain/explore_test.go
+++ b/internal/chain/explore_test.go
@@ -69,6 +69,7 @@
 		held := *p
 		c.peers[id] = &held
 	}
+	c.passed = slices.Clone(n.passed)
 	c.learned, c.leases = maps.Clone(n.learned), maps.Clone(n.leases)
 	if n.proposal != nil {
 		p := *n.proposal
--- a/internal/chain/lease.go
+++ b/internal/chain/lease.go
@@ -22,7 +22,7 @@
 		return
 	}
 	if l.Given {
-		if n.IsTail() {
+		if n.IsTail() && l.SentUs <= n.nowUs {
 			n.leases[m.From.ID] = max(n.leases[m.From.ID], l.SentUs)
 			n.countLease()
 		}
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -78,7 +78,9 @@
 	leaseUs    int64
 	echoUs     int64
 	tailEchoUs int64
-	// echoedUs is when the tail's echo last rose here.
+	// passed are the head's time stamps that went by here of late, and echoedUs is when the one whose echo is the
+	// newest did: the tail had its lease after that.
+	passed   []passedStamp
 	echoedUs int64
 	// tailCommit is what the tail of this view has told of its commit.
 	tailCommit  uint64
@@ -170,7 +172,7 @@
 
 // dropLeases is for a process that has stood still: it cannot tell how long its leases last.
 func (n *Node) dropLeases() {
-	n.leaseUs, n.tailEchoUs, n.echoedUs = 0, 0, 0
+	n.leaseUs, n.tailEchoUs, n.echoedUs, n.passed = 0, 0, 0, nil
 	n.leases = map[string]int64{}
 	for _, p := range n.peers {
 		p.heardUs = max(p.heardUs, n.nowUs-n.opts.SuspectUs/2)
--- a/internal/chain/replicate.go
+++ b/internal/chain/replicate.go
@@ -152,7 +152,7 @@
 	if !ok || f.View != n.view.Number || m.From.ID != prev.ID || m.Inc != prev.Inc {
 		return
 	}
-	n.echoUs = max(n.echoUs, f.SentUs)
+	n.passStamp(f.SentUs)
 	if !n.openKnown {
 		n.openKnown, n.openAt = true, f.Last
 	}
@@ -199,9 +199,7 @@
 	}
 	n.succKnown, n.succLast = true, a.Last
 	n.succSent = max(n.succSent, a.Last)
-	if a.EchoUs > n.tailEchoUs {
-		n.tailEchoUs, n.echoedUs = a.EchoUs, n.nowUs
-	}
+	n.takeEcho(a.EchoUs)
 	n.tailCommit = max(n.tailCommit, min(a.Commit, n.synced))
 	if a.Commit > n.commit {
 		n.commitTo(min(a.Commit, n.synced))
