Bring chain messages twice, late and out of order, and freeze members, in a walk

The explorers keep the order of messages between two members and bring each at most once. Posts that are given up after a second may still be read later than the next, and copies go beside the other messages.

--- a/internal/chain/self_test.go
+++ b/internal/chain/self_test.go
@@ -30,6 +30,8 @@
 	founder []string
 	copies  int
 	paced   bool
+	// loose links bring letters twice, late and out of their order.
+	loose bool
 	// slowestUs is the longest time from a successor's start until it had taken over.
 	slowestUs int64
 }
@@ -41,7 +43,9 @@
 	saves []synced
 	slow  bool
 	gone  bool
-	opts  Options
+	// frozen: the process stands still, and what comes for it waits.
+	frozen bool
+	opts   Options
 	// bornUs is since when its disk has lasted.
 	bornUs int64
 }
@@ -90,7 +94,7 @@
 }
 
 func (y *yard) stop(s *spot) {
-	s.node, s.saves, s.slow = nil, nil, false
+	s.node, s.saves, s.slow, s.frozen = nil, nil, false, false
 	y.mail = slices.DeleteFunc(y.mail, func(l letter) bool { return l.to == s.me.Addr })
 }
 
@@ -164,9 +168,23 @@
 			break
 		}
 	}
+	if !y.loose {
+		y.mail = append(y.mail, letter{us, from, to, m})
+		return
+	}
+	us = y.nowUs + 1 + y.r.Int63n(20*clock.Ms)
+	if y.r.Intn(30) == 0 {
+		us += y.r.Int63n(lateMostUs)
+	}
 	y.mail = append(y.mail, letter{us, from, to, m})
+	if y.r.Intn(10) == 0 {
+		y.mail = append(y.mail, letter{us + y.r.Int63n(lateMostUs), from, to, m})
+	}
 }
 
+// lateMostUs is how late a letter comes at most: whoever sends it gives it up after a second.
+const lateMostUs = clock.Sec
+
 // viewed: a number stands for one view, which the voters of the one before decide alone; from one to the next
 // at most one vote comes and one goes.
 func (y *yard) viewed(v View) {
@@ -212,6 +230,9 @@
 		y.nowUs += yardStepUs
 		due := []letter{}
 		y.mail = slices.DeleteFunc(y.mail, func(l letter) bool {
+			if to := y.at(l.to); to != nil && to.frozen {
+				return false
+			}
 			if l.atUs <= y.nowUs {
 				due = append(due, l)
 				return true
@@ -224,6 +245,9 @@
 			}
 		}
 		for _, s := range y.spots {
+			if s.frozen {
+				continue
+			}
 			for len(s.saves) > 0 && s.saves[0].atUs <= y.nowUs && !s.slow {
 				done := s.saves[0].save
 				s.saves = s.saves[1:]
@@ -250,7 +274,7 @@
 func (y *yard) write() {
 	y.writes++
 	for _, s := range y.spots {
-		if s.node != nil && s.node.IsHead() {
+		if s.node != nil && s.node.IsHead() && !s.frozen {
 			doc := &standing.Declaration{Name: fmt.Sprint("w", y.writes)}
 			y.step(s, Event{Submit: &ledger.Change{ID: fmt.Sprint(doc.Name, s.me.ID), Config: &ledger.ConfigChange{Doc: doc}}})
 		}
