Read no malformed chain message, and count only voters' promises

Cause: a message of the chain's own form was believed whatever it said. A ballot or a view with the highest number can't be followed by another: one such prepare or hello, and no view is ever decided again, though all members live. A view that names a voter twice, or a copy without its tables, was taken up. Promises and acceptances counted by their sender's identity, whether it votes or not. None of this is sent by an office; a foreign or later version may.

Change: such a message is not read, as one of another chain is not, and is told of as bad_field. Only voters count.

--- a/internal/chain/agree.go
+++ b/internal/chain/agree.go
@@ -61,7 +61,7 @@
 
 func (n *Node) gotPromise(m Msg, p Promise) {
 	c := n.proposal
-	if c == nil || p.Number != c.number || p.Ballot != c.ballot || !c.asking {
+	if c == nil || p.Number != c.number || p.Ballot != c.ballot || !c.asking || !n.view.Votes(m.From.ID) {
 		return
 	}
 	if !p.OK {
@@ -121,7 +121,7 @@
 
 func (n *Node) gotAccepting(m Msg, a Accepting) {
 	c := n.proposal
-	if c == nil || a.Number != c.number || a.Ballot != c.ballot || c.asking {
+	if c == nil || a.Number != c.number || a.Ballot != c.ballot || c.asking || !n.view.Votes(m.From.ID) {
 		return
 	}
 	if !a.OK {
--- a/internal/chain/foreign.go
+++ b/internal/chain/foreign.go
@@ -2,8 +2,8 @@
 
 import "petreltide/internal/fault"
 
-// unreadable says why a message is not read at all: it is of a later version, or its sender belongs to another
-// chain. Nothing of it is taken up, and nothing is sent back.
+// unreadable says why a message is not read at all: it is of a later version, its sender belongs to another chain, or
+// it is malformed. Nothing of it is taken up, and nothing is sent back.
 func (n *Node) unreadable(m Msg) *fault.Fault {
 	if m.Form > MessageForm {
 		return fault.New(fault.UnknownForm, "form", "a message of form %d from %s at %s; this version reads up to %d", m.Form, m.From.ID, m.From.Addr, MessageForm)
@@ -13,7 +13,7 @@
 			return fault.New(fault.ForeignMember, "system", "%s at %s belongs to the chain that %s founded, this is the one of %s", m.From.ID, m.From.Addr, v.System, n.view.System)
 		}
 	}
-	return nil
+	return m.malformed()
 }
 
 // views are all that a message would have its reader take up.
--- /dev/null
+++ b/internal/chain/malformed_test.go
@@ -0,0 +1,107 @@
+package chain
+
+import (
+	"math"
+	"testing"
+
+	"petreltide/internal/clock"
+	"petreltide/internal/fault"
+	"petreltide/internal/ledger"
+)
+
+// malformedMessages are such as no office sends, each as if it came from the first office to another.
+func malformedMessages(y *yard, n *Node) map[string]Msg {
+	from := y.spots[0]
+	next := n.View()
+	next.Number++
+	with := func(change func(*View)) View {
+		v := next
+		v.Voters, v.Order = append([]Member(nil), v.Voters...), append([]Seat(nil), v.Order...)
+		change(&v)
+		return v
+	}
+	hello := func(v View) *Hello {
+		return &Hello{Me: from.me, Inc: from.opts.Inc, Phase: Serving, View: v, Compared: true, Whole: true}
+	}
+	ballot := Ballot{Round: 90, By: from.me.ID}
+	high := Ballot{Round: math.MaxUint64, By: from.me.ID}
+	accept := func(v View) *Accept { return &Accept{Number: next.Number, Ballot: ballot, View: v} }
+	all := map[string]Msg{
+		"a ballot that nobody can exceed":       {Prepare: &Prepare{Number: next.Number, Ballot: high}},
+		"an accept that nobody can exceed":      {Accept: &Accept{Number: next.Number, Ballot: high, View: next}},
+		"a refusal that nobody can exceed":      {Promise: &Promise{Number: next.Number, Promised: high}},
+		"a promise made that nobody can exceed": {Hello: &Hello{Me: from.me, Inc: from.opts.Inc, View: n.View(), Promised: high}},
+		"an accept of another number":           {Accept: accept(with(func(v *View) { v.Number++ }))},
+		"an accept of a view of nobody":         {Accept: accept(View{Number: next.Number, System: next.System})},
+		"an accept without seats":               {Accept: accept(with(func(v *View) { v.Order = nil }))},
+		"an accept with one voter twice":        {Accept: accept(with(func(v *View) { v.Voters[1] = v.Voters[0] }))},
+		"an accept with a nameless voter":       {Accept: accept(with(func(v *View) { v.Voters[1].ID = "" }))},
+		"a hello with the last of all numbers":  {Hello: hello(with(func(v *View) { v.Number = math.MaxUint64 }))},
+		"a hello with one seat twice":           {Hello: hello(with(func(v *View) { v.Order[1] = v.Order[0] }))},
+		"a hello with a nameless seat":          {Hello: hello(with(func(v *View) { v.Order[1].ID = "" }))},
+		"a hello with votes to spare below 0":   {Hello: hello(with(func(v *View) { v.Extra = -1 }))},
+		"a copy of nothing":                     {Forward: &Forward{View: n.view.Number, Copy: &Copy{Index: n.Last() + 9, State: &ledger.State{}}}},
+		"a copy without a state":                {Joining: &Joining{View: n.view.Number, Inc: n.opts.Inc}},
+		"a copy with a replica of nothing":      {Forward: &Forward{View: n.view.Number, Copy: &Copy{Index: n.Last() + 9, State: spoiltState()}}},
+	}
+	for name, m := range all {
+		m.From, m.Inc = from.me, from.opts.Inc
+		all[name] = m
+	}
+	return all
+}
+
+func spoiltState() *ledger.State {
+	s := ledger.NewState()
+	s.Replicas["r"] = nil
+	return s
+}
+
+// None of them is read: nothing changes, each is told of, and the chain goes on.
+func TestMalformedMessagesAreNotRead(t *testing.T) {
+	y := grown(t, 1, 3, 3)
+	for _, s := range y.spots[1:] {
+		for name, m := range malformedMessages(y, s.node) {
+			before := told(s.node)
+			var bad *fault.Fault
+			for _, e := range s.node.Step(Event{NowUs: y.nowUs, Got: &m}) {
+				if e.Rejected != nil {
+					bad = e.Rejected
+				}
+			}
+			if bad == nil || bad.Code != fault.BadField || told(s.node) != before {
+				t.Errorf("%s, %s: fault %v, %v before, %v after", s.me.ID, name, bad, before, told(s.node))
+			}
+		}
+	}
+	y.settles(5*clock.Sec, "afterwards")
+	y.replace(y.spots[0])
+	y.settles(20*clock.Sec, "after a loss")
+}
+
+// Who does not vote decides nothing, whatever it says that it has promised or accepted.
+func TestOnlyVotersDecide(t *testing.T) {
+	y := grown(t, 1, 3, 3)
+	head := byPlace(y)[0]
+	n := head.node
+	want := n.View()
+	want.Number++
+	n.proposal = nil
+	n.propose(want)
+	before := n.View().Number
+	for _, id := range []string{"x", "y", "z"} {
+		from := Member{ID: id, Name: id, Addr: id}
+		y.step(head, Event{Got: &Msg{From: from, Inc: id, Promise: &Promise{Number: want.Number, Ballot: n.proposal.ballot, OK: true}}})
+	}
+	if !n.proposal.asking {
+		t.Fatal("promises of strangers count")
+	}
+	n.proposal.asking, n.proposal.chosen = false, want
+	for _, id := range []string{"x", "y", "z"} {
+		from := Member{ID: id, Name: id, Addr: id}
+		y.step(head, Event{Got: &Msg{From: from, Inc: id, Accepting: &Accepting{Number: want.Number, Ballot: Ballot{Round: n.round, By: head.me.ID}, OK: true}}})
+	}
+	if n.View().Number != before {
+		t.Fatal("acceptances of strangers count")
+	}
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -107,6 +107,16 @@
 	return &c
 }
 
+// WellFormed says that a state that was read has all that changes are applied to.
+func (s *State) WellFormed() bool {
+	for _, r := range s.Replicas {
+		if r == nil || r.Holds == nil {
+			return false
+		}
+	}
+	return s.Replicas != nil && s.Pending != nil && s.Grants != nil && s.Keys != nil && s.Changes != nil && s.Refused != nil
+}
+
 // Decode reads what Encode wrote.
 func Decode(raw []byte) (*State, error) {
 	s := NewState()
