Keep a second process off the data folder of an office

Cause: nothing kept two processes of one member off one folder. Opening also cuts a record that is being written as torn. Two such processes vote as one member, each without the other's promises. A process that can't bind its address opens the folder first, so that a start by mistake was enough.

Change: the process locks a file in the folder (flock) before it reads anything, waits up to 10 s for the one before it, and holds it until it ends, in whatever way. Copies of a disk on two machines are not found by this.

--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"io"
 	"net"
 	"net/http"
 	"path/filepath"
@@ -38,7 +39,9 @@
 	replicaWait  = time.Duration(controller.OrderFlightUs) * time.Microsecond
 	platformWait = 800 * time.Millisecond
 
-	seekSettled   = 5 * time.Second
+	seekSettled = 5 * time.Second
+	// lockWait is how long an office waits for the process before it to let go of the data folder.
+	lockWait      = 10 * time.Second
 	innerDialMs   = 250
 	selfBeatUs    = 200 * clock.Ms
 	selfSuspectUs = 800 * clock.Ms
@@ -62,6 +65,7 @@
 	set   settings.Office
 	core  *Core
 	disk  disk
+	lock  io.Closer
 	ring  *logring.Ring
 	log   log.Logger
 	web   *http.Client
@@ -118,6 +122,20 @@
 // office comes back as a new member; it never votes on what it can no longer know.
 func Open(set settings.Office, ring *logring.Ring) (*Host, error) {
 	logger := ring.Logger("office", set.Name)
+	lock, err := storage.Lock(set.Data, lockWait)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	h, err := openLocked(set, ring, logger)
+	if err != nil {
+		_ = lock.Close()
+		return nil, err
+	}
+	h.lock = lock
+	return h, nil
+}
+
+func openLocked(set settings.Office, ring *logring.Ring, logger log.Logger) (*Host, error) {
 	seal := chain.Seal{Identity: set.Name + "-" + RandomID(4), Name: set.Name}
 	opened, err := storage.Open(set.Data, seal)
 	var bad *fault.Fault
@@ -226,7 +244,7 @@
 	_ = server.Shutdown(closing)
 	_ = server.Close()
 	h.act.End()
-	return errors.Trace(first(failure, h.disk.Close()))
+	return errors.Trace(first(failure, h.disk.Close(), h.lock.Close()))
 }
 
 func first(errs ...error) error {
--- /dev/null
+++ b/internal/office/lock_test.go
@@ -0,0 +1,42 @@
+package office
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"petreltide/internal/logring"
+	"petreltide/internal/settings"
+	"petreltide/internal/storage"
+)
+
+// The data folder of an office belongs to its process until that ends; one whose folder is damaged or foreign lets go
+// of it.
+func TestAnOfficeKeepsOthersOffItsFolder(t *testing.T) {
+	folder := t.TempDir()
+	set := settings.Office{Name: "core-1", Listen: "127.0.0.1:0", Advertise: "127.0.0.1:1", Data: folder, Founding: 1}
+	h, err := Open(set, logring.NewRing(folder, io.Discard))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := storage.Lock(folder, 60*time.Millisecond); err == nil {
+		t.Fatal("another process may use the folder beside it")
+	}
+	if err := h.disk.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := h.lock.Close(); err != nil {
+		t.Fatal(err)
+	}
+	set.Name = "core-2"
+	if _, err := Open(set, logring.NewRing(folder, io.Discard)); err == nil {
+		t.Fatal("a folder of another member is opened")
+	}
+	lock, err := storage.Lock(folder, 60*time.Millisecond)
+	if err != nil {
+		t.Fatalf("after an office that could not open it: %v", err)
+	}
+	if err := lock.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
