--- a/internal/chain/self_test.go
+++ b/internal/chain/self_test.go
@@ -43,7 +43,7 @@
 	saves []synced
 	slow  bool
 	gone  bool
-	// frozen: the process stands still, and what comes for it waits.
+	// frozen: its process stands still. What is sent to it waits.
 	frozen bool
 	opts   Options
 	// bornUs is since when its disk has lasted.
@@ -230,10 +230,7 @@
 		y.nowUs += yardStepUs
 		due := []letter{}
 		y.mail = slices.DeleteFunc(y.mail, func(l letter) bool {
-			if to := y.at(l.to); to != nil && to.frozen {
-				return false
-			}
-			if l.atUs <= y.nowUs {
+			if to := y.at(l.to); l.atUs <= y.nowUs && (to == nil || !to.frozen) {
 				due = append(due, l)
 				return true
 			}
