--- a/internal/chain/agree.go
+++ b/internal/chain/agree.go
@@ -66,7 +66,7 @@
 
 func (n *Node) gotPromise(m Msg, p Promise) {
 	c := n.proposal
-	if c == nil || p.Number != c.number || p.Ballot != c.ballot || !c.asking {
+	if c == nil || p.Number != c.number || p.Ballot != c.ballot || !c.asking || !n.view.Votes(m.From.ID) {
 		return
 	}
 	if !p.OK {
@@ -129,7 +129,7 @@
 
 func (n *Node) gotAccepting(m Msg, a Accepting) {
 	c := n.proposal
-	if c == nil || a.Number != c.number || a.Ballot != c.ballot || c.asking {
+	if c == nil || a.Number != c.number || a.Ballot != c.ballot || c.asking || !n.view.Votes(m.From.ID) {
 		return
 	}
 	if !a.OK {
@@ -154,7 +154,7 @@
 	n.viewedUs, n.quietUs = n.nowUs, n.nowUs
 	n.succKnown, n.succLast, n.succSent, n.succCopied = false, 0, 0, 0
 	n.openKnown, n.openAt, n.leases, n.leaseUs = false, 0, map[string]int64{}, 0
-	n.echoUs, n.tailEchoUs, n.echoedUs, n.tailCommit = 0, 0, 0, 0
+	n.echoUs, n.tailEchoUs, n.echoedUs, n.passed, n.tailCommit = 0, 0, 0, nil, 0
 	n.compared = n.compared || n.phase != Waking
 	n.settleAt = n.lastIndex()
 	wasOutside := n.phase == Outside
--- a/internal/chain/replicate.go
+++ b/internal/chain/replicate.go
@@ -153,7 +153,7 @@
 		return
 	}
 	news := f.SentUs > n.echoUs
-	n.echoUs = max(n.echoUs, f.SentUs)
+	n.passStamp(f.SentUs)
 	if !n.openKnown {
 		n.openKnown, n.openAt = true, f.Last
 	}
@@ -221,9 +221,7 @@
 	}
 	n.succKnown, n.succLast = true, a.Last
 	n.succSent = max(n.succSent, a.Last)
-	if a.EchoUs > n.tailEchoUs {
-		n.tailEchoUs, n.echoedUs = a.EchoUs, n.nowUs
-	}
+	n.takeEcho(a.EchoUs)
 	n.tailCommit = max(n.tailCommit, min(a.Commit, n.synced))
 	if a.Commit > n.commit {
 		n.commitTo(min(a.Commit, n.synced))
--- a/internal/chain/self_test.go
+++ b/internal/chain/self_test.go
@@ -32,6 +32,8 @@
 	paced   bool
 	// idle: nobody writes.
 	idle bool
+	// loose links bring letters twice, late and out of their order.
+	loose bool
 	// slowestUs is the longest time from a successor's start until it had taken over.
 	slowestUs int64
 }
@@ -96,7 +98,7 @@
 }
 
 func (y *yard) stop(s *spot) {
-	s.node, s.saves, s.slow = nil, nil, false
+	s.node, s.saves, s.slow, s.frozen = nil, nil, false, false
 	y.mail = slices.DeleteFunc(y.mail, func(l letter) bool { return l.to == s.me.Addr })
 }
 
@@ -170,9 +172,23 @@
 			break
 		}
 	}
+	if !y.loose {
+		y.mail = append(y.mail, letter{us, from, to, m})
+		return
+	}
+	us = y.nowUs + 1 + y.r.Int63n(20*clock.Ms)
+	if y.r.Intn(30) == 0 {
+		us += y.r.Int63n(lateMostUs)
+	}
 	y.mail = append(y.mail, letter{us, from, to, m})
+	if y.r.Intn(10) == 0 {
+		y.mail = append(y.mail, letter{us + y.r.Int63n(lateMostUs), from, to, m})
+	}
 }
 
+// lateMostUs is how late a letter comes at most: whoever sends it gives it up after a second.
+const lateMostUs = clock.Sec
+
 // viewed: a number stands for one view, which the voters of the one before decide alone; from one to the next
 // at most one vote comes and one goes.
 func (y *yard) viewed(v View) {
