--- a/internal/chain/replicate.go
+++ b/internal/chain/replicate.go
@@ -152,10 +152,7 @@
 	if !ok || f.View != n.view.Number || m.From.ID != prev.ID || m.Inc != prev.Inc {
 		return
 	}
-	if f.SentUs > n.echoUs {
-		n.echoUs = f.SentUs
-		defer n.passBeat()
-	}
+	n.echoUs = max(n.echoUs, f.SentUs)
 	if !n.openKnown {
 		n.openKnown, n.openAt = true, f.Last
 	}
@@ -179,12 +176,6 @@
 	n.ackBack()
 }
 
-// passBeat sends the head's time stamp on as it comes, beside this member's own beats. If each member of a long
-// chain waited for its own, the stamp would be older than a lease when it is back at the head.
-func (n *Node) passBeat() {
-	n.forward(true)
-}
-
 // noteCaughtUp: this member now has all that was in its predecessor's log when the view began, and
 // with it everything that was ever acknowledged. Until then it may not speak for the chain.
 func (n *Node) noteCaughtUp() {
