Keep what a founder has accepted through its next promise

Each promise before the first view is written with the view 0 that it was given among. On the way back from the disk that view cleared what had been promised and accepted before it: a founder that had accepted a first view, promised a higher ballot and restarted had forgotten the view, and could help another one to be decided.

A view 0 now only names the founders. TestAnAcceptedFirstViewOutlivesALaterPromise failed before and passes.

--- a/internal/chain/founding.go
+++ b/internal/chain/founding.go
@@ -68,3 +68,11 @@
 	}
 	return true
 }
+
+// keepFounders takes up the founders that a promise before the first view was given among. Such a record is written with
+// each of these promises: what was promised and accepted before it still counts.
+func (n *Node) keepFounders(v View) {
+	if n.view.Number == 0 {
+		n.view = v
+	}
+}
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -109,6 +109,8 @@
 	n.guardUs = nowUs + n.opts.LeaseUs
 	for _, r := range records {
 		switch {
+		case r.View != nil && r.View.Number == 0:
+			n.keepFounders(*r.View)
 		case r.View != nil:
 			if r.View.Number >= n.view.Number {
 				n.view, n.promised, n.accepted, n.caughtUp = *r.View, Ballot{}, nil, false
