Write the first entry of the log by whoever leads while there is none

Where three found a chain of five, acknowledgements need three copies; the head of view 1 writes an entry by itself when too few are left, as only one who holds a copy may join. It was the head of view 1 alone: if it was gone for good before it had written, nobody could write, nobody could join, and the chain stood still.

Now the head of any view does, as long as its log is whole and empty.

--- a/internal/chain/agree.go
+++ b/internal/chain/agree.go
@@ -1,9 +1,5 @@
 package chain
 
-import (
-	"petreltide/internal/ledger"
-)
-
 // finishAccepted takes up a next view that this voter has accepted and nobody has brought to an end: until it is
 // decided, the tail of now gets no lease from here.
 func (n *Node) finishAccepted() {
@@ -178,10 +174,7 @@
 	}
 	n.save(records, 0, nil)
 	n.effects = append(n.effects, Effect{Viewed: &held})
-	if v.Number == 1 && n.IsHead() && !n.WritesTaken() {
-		// Too few have founded it, and the others need a first entry to have a copy of.
-		n.entries = append(n.entries, Entry{Index: 1, View: 1, Change: ledger.Change{ID: "founded"}})
-	}
+	n.writeFirstEntry()
 	if n.IsTail() {
 		if wasTail {
 			n.leaseUs, n.openAt, n.openKnown = leaseUs, openAt, openKnown
--- a/internal/chain/founding.go
+++ b/internal/chain/founding.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"sort"
+
+	"petreltide/internal/ledger"
 )
 
 // mayFound: this office is one of those that begin a chain together.
@@ -76,3 +78,12 @@
 		n.view = v
 	}
 }
+
+// writeFirstEntry begins the log where too few have founded the chain, or are left, for an acknowledgement: the others
+// need an entry to have a copy of.
+func (n *Node) writeFirstEntry() {
+	if !n.IsHead() || !n.caughtUp || n.lastIndex() > 0 || n.WritesTaken() {
+		return
+	}
+	n.entries = append(n.entries, Entry{Index: 1, View: n.view.Number, Change: ledger.Change{ID: "founded"}})
+}
--- a/internal/chain/founding_test.go
+++ b/internal/chain/founding_test.go
@@ -1,11 +1,36 @@
 package chain
 
 import (
+	"fmt"
 	"testing"
 
 	"petreltide/internal/clock"
 )
 
+// founding is a chain whose offices start for the first time.
+func founding(t *testing.T, seed int64, offices int) *yard {
+	y := newYard(t, seed, offices, 3)
+	y.copies, y.paced = offices/2+1, true
+	for _, s := range y.spots {
+		y.start(s, true)
+	}
+	return y
+}
+
+// TestTheFirstEntryIsWrittenByWhoeverLeads: three found a chain of five whose acknowledgements need three copies, and the
+// head is gone for good before it has written anything. Those who join need an entry to have a copy of.
+func TestTheFirstEntryIsWrittenByWhoeverLeads(t *testing.T) {
+	for seed := range int64(40) {
+		y := founding(t, seed, 5)
+		for endUs := y.nowUs + 10*clock.Sec; len(y.views) == 0 && y.nowUs < endUs; {
+			y.pass(clock.Ms)
+		}
+		y.pass(seed % 20 * clock.Ms)
+		y.replace(y.spots[0])
+		y.settles(30*clock.Sec, fmt.Sprint("founding, seed ", seed))
+	}
+}
+
 // TestAnAcceptedFirstViewOutlivesALaterPromise: what a founder has accepted is still known after it has promised a
 // higher ballot and restarted.
 func TestAnAcceptedFirstViewOutlivesALaterPromise(t *testing.T) {
