Let founders that were killed found the chain after all

A founder keeps on its disk, with its first step, who the founders are. Before, a process that was killed before the first view was decided came back with its seal, was not told again that it is the first start, and belonged to nobody: the others waited for it for good and no request was served.

Also, one whose earlier process has a seat in the first view takes it up as a member that restarted, with its empty log, in place of staying outside: when all were killed before anybody had installed that view, all stayed outside for good.

Open: a founder that is lost for good, or killed before its first record, before view 1 is decided (0.2 to 0.3 s after the start) still stops the founding, as view 1 needs all of them; TestFoundingByAddresses says so of one that never starts.

--- a/internal/chain/agree.go
+++ b/internal/chain/agree.go
@@ -150,12 +150,7 @@
 	n.settleAt = n.lastIndex()
 	wasOutside := n.phase == Outside
 	n.opts.First = n.opts.First && !v.Votes(n.opts.Me.ID)
-	switch {
-	case n.place() >= 0:
-		n.phase = Serving
-	case n.phase != Waking || !v.Seated(n.opts.Me.ID):
-		n.phase = Outside
-	}
+	n.phase = n.phaseIn(v)
 	if !wasOutside || n.phase != Outside {
 		// One that stays outside has written nothing after its copy, which holds only what was committed: it lasts
 		// from view to view.
@@ -190,3 +185,16 @@
 		n.ackBack()
 	}
 }
+
+func (n *Node) phaseIn(v View) Phase {
+	switch {
+	case n.place() >= 0:
+		return Serving
+	case n.phase == Fresh && v.Seated(n.opts.Me.ID):
+		// An earlier process of this member founded it and left nothing in the log.
+		return Waking
+	case n.phase != Waking || !v.Seated(n.opts.Me.ID):
+		return Outside
+	}
+	return n.phase
+}
--- a/internal/chain/founding.go
+++ b/internal/chain/founding.go
@@ -19,6 +19,7 @@
 	if !n.mayFound() || n.stalled() {
 		return
 	}
+	n.recordFounders()
 	most := n.opts.Founding
 	if len(n.opts.Founders) > 0 {
 		most = len(n.opts.Founders)
@@ -59,6 +60,16 @@
 	}
 }
 
+// recordFounders puts on the disk who begins the chain together, so that a process that is killed before there is one
+// still belongs to them when it comes back.
+func (n *Node) recordFounders() {
+	if n.foundersKept || len(n.opts.Founders) == 0 {
+		return
+	}
+	n.foundersKept = true
+	n.save([]Record{{Founding: &Founding{Addrs: n.opts.Founders}}}, 0, nil)
+}
+
 func sameMembers(a, b []Member) bool {
 	if len(a) != len(b) {
 		return false
--- a/internal/chain/founding_test.go
+++ b/internal/chain/founding_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"petreltide/internal/clock"
@@ -17,6 +18,28 @@
 	return y
 }
 
+// TestFoundersThatAreKilledFoundAfterAll kills one, two or all processes at every moment of the founding from when their
+// first record is on the disk. The disks remain, and they are not told again that it is the first start.
+func TestFoundersThatAreKilledFoundAfterAll(t *testing.T) {
+	for seed := range int64(360) {
+		y := founding(t, seed, 3+2*int(seed%2))
+		killed := y.spots[:1+seed%3]
+		unkept := func(s *spot) bool { return len(s.disk) == 0 }
+		for endUs := y.nowUs + clock.Sec; slices.ContainsFunc(killed, unkept) && y.nowUs < endUs; {
+			y.pass(clock.Ms)
+		}
+		y.pass(seed / 3 * 3 * clock.Ms)
+		for _, s := range killed {
+			y.stop(s)
+		}
+		y.pass(seed % 7 * 80 * clock.Ms)
+		for _, s := range killed {
+			y.start(s, false)
+		}
+		y.settles(30*clock.Sec, fmt.Sprint("founding, seed ", seed))
+	}
+}
+
 // TestTheFirstEntryIsWrittenByWhoeverLeads: three found a chain of five whose acknowledgements need three copies, and the
 // head is gone for good before it has written anything. Those who join need an entry to have a copy of.
 func TestTheFirstEntryIsWrittenByWhoeverLeads(t *testing.T) {
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -65,9 +65,11 @@
 	peers      map[string]*peer
 	learned    map[string]bool
 	founders   []Member
-	proposal   *proposal
-	round      uint64
-	quietUs    int64
+	// foundersKept says that the addresses of the founders have been handed to the disk.
+	foundersKept bool
+	proposal     *proposal
+	round        uint64
+	quietUs      int64
 	// awakeUs is for how long this process has run, but for times when it stood still: of each at most half of SuspectUs
 	// counts. Silence is measured by it, as what came meanwhile may be read only after the next tick.
 	awakeUs int64
@@ -109,6 +111,8 @@
 	n.guardUs = nowUs + n.opts.LeaseUs
 	for _, r := range records {
 		switch {
+		case r.Founding != nil:
+			n.opts.Founders, n.foundersKept = r.Founding.Addrs, true
 		case r.View != nil && r.View.Number == 0:
 			n.keepFounders(*r.View)
 		case r.View != nil:
@@ -137,6 +141,8 @@
 	}
 	if n.view.Number > 0 {
 		n.phase = Waking
+	} else if n.foundersKept {
+		n.opts.First = true
 	}
 	n.compared = n.view.Number == 0 && len(n.view.Voters) > 0
 	n.caughtUp = n.caughtUp || (n.view.Number == 0 && n.lastIndex() == 0)
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -134,6 +134,12 @@
 	Entry    *Entry    `json:"entry,omitempty"`
 	Copy     *Copy     `json:"copy,omitempty"`
 	Whole    uint64    `json:"whole,omitempty"`
+	Founding *Founding `json:"founding,omitempty"`
+}
+
+// Founding is who begins the chain together, as a process was told at the first start of the whole fleet.
+type Founding struct {
+	Addrs []string `json:"addrs"`
 }
 
 // Seal marks a disk with the identity of the member that it belongs to.
