--- a/internal/chain/self_test.go
+++ b/internal/chain/self_test.go
@@ -30,6 +30,8 @@
 	founder []string
 	copies  int
 	paced   bool
+	// idle: nobody writes.
+	idle bool
 	// slowestUs is the longest time from a successor's start until it had taken over.
 	slowestUs int64
 }
@@ -44,6 +46,8 @@
 	// frozen: its process stands still. What is sent to it waits.
 	frozen bool
 	opts   Options
+	// phaseUs is by how much its ticks come before those of the others.
+	phaseUs int64
 	// bornUs is since when its disk has lasted.
 	bornUs int64
 }
@@ -241,11 +245,11 @@
 				s.disk = append(slices.Clip(s.disk), done.Records...)
 				y.step(s, Event{Saved: done.Seq})
 			}
-			if y.nowUs%(25*clock.Ms) == 0 {
+			if (y.nowUs+s.phaseUs)%(25*clock.Ms) == 0 {
 				y.step(s, Event{})
 			}
 		}
-		if y.nowUs%(50*clock.Ms) == 0 {
+		if y.nowUs%(50*clock.Ms) == 0 && !y.idle {
 			y.write()
 		}
 		y.judge()
