--- a/internal/chain/agree.go
+++ b/internal/chain/agree.go
@@ -1,9 +1,5 @@
 package chain
 
-import (
-	"petreltide/internal/ledger"
-)
-
 // finishAccepted takes up a next view that this voter has accepted and nobody has brought to an end: until it is
 // decided, the tail of now gets no lease from here.
 func (n *Node) finishAccepted() {
@@ -159,12 +155,7 @@
 	n.settleAt = n.lastIndex()
 	wasOutside := n.phase == Outside
 	n.opts.First = n.opts.First && !v.Votes(n.opts.Me.ID)
-	switch {
-	case n.place() >= 0:
-		n.phase = Serving
-	case n.phase != Waking || !v.Seated(n.opts.Me.ID):
-		n.phase = Outside
-	}
+	n.phase = n.phaseIn(v)
 	if !wasOutside || n.phase != Outside {
 		// One that stays outside has written nothing after its copy, which holds only what was committed: it lasts
 		// from view to view.
@@ -183,10 +174,7 @@
 	}
 	n.save(records, 0, nil)
 	n.effects = append(n.effects, Effect{Viewed: &held})
-	if v.Number == 1 && n.IsHead() && !n.WritesTaken() {
-		// Too few have founded it, and the others need a first entry to have a copy of.
-		n.entries = append(n.entries, Entry{Index: 1, View: 1, Change: ledger.Change{ID: "founded"}})
-	}
+	n.writeFirstEntry()
 	if n.IsTail() {
 		if wasTail {
 			n.leaseUs, n.openAt, n.openKnown = leaseUs, openAt, openKnown
@@ -202,3 +190,16 @@
 		n.ackBack()
 	}
 }
+
+func (n *Node) phaseIn(v View) Phase {
+	switch {
+	case n.place() >= 0:
+		return Serving
+	case n.phase == Fresh && v.Seated(n.opts.Me.ID):
+		// An earlier process of this member founded it and left nothing in the log.
+		return Waking
+	case n.phase != Waking || !v.Seated(n.opts.Me.ID):
+		return Outside
+	}
+	return n.phase
+}
--- a/internal/chain/founding.go
+++ b/internal/chain/founding.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"sort"
+
+	"petreltide/internal/ledger"
 )
 
 // mayFound: this office is one of those that begin a chain together.
@@ -17,6 +19,7 @@
 	if !n.mayFound() || n.stalled() {
 		return
 	}
+	n.recordFounders()
 	most := n.opts.Founding
 	if len(n.opts.Founders) > 0 {
 		most = len(n.opts.Founders)
@@ -57,6 +60,16 @@
 	}
 }
 
+// recordFounders puts on the disk who begins the chain together, so that a process that is killed before there is one
+// still belongs to them when it comes back.
+func (n *Node) recordFounders() {
+	if n.foundersKept || len(n.opts.Founders) == 0 {
+		return
+	}
+	n.foundersKept = true
+	n.save([]Record{{Founding: &Founding{Addrs: n.opts.Founders}}}, 0, nil)
+}
+
 func sameMembers(a, b []Member) bool {
 	if len(a) != len(b) {
 		return false
@@ -68,3 +81,20 @@
 	}
 	return true
 }
+
+// keepFounders takes up the founders that a promise before the first view was given among. Such a record is written with
+// each of these promises: what was promised and accepted before it still counts.
+func (n *Node) keepFounders(v View) {
+	if n.view.Number == 0 {
+		n.view = v
+	}
+}
+
+// writeFirstEntry begins the log where too few have founded the chain, or are left, for an acknowledgement: the others
+// need an entry to have a copy of.
+func (n *Node) writeFirstEntry() {
+	if !n.IsHead() || !n.caughtUp || n.lastIndex() > 0 || n.WritesTaken() {
+		return
+	}
+	n.entries = append(n.entries, Entry{Index: 1, View: n.view.Number, Change: ledger.Change{ID: "founded"}})
+}
--- /dev/null
+++ b/internal/chain/founding_test.go
@@ -0,0 +1,73 @@
+package chain
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"petreltide/internal/clock"
+)
+
+// founding is a chain whose offices start for the first time.
+func founding(t *testing.T, seed int64, offices int) *yard {
+	y := newYard(t, seed, offices, 3)
+	y.copies, y.paced = offices/2+1, true
+	for _, s := range y.spots {
+		y.start(s, true)
+	}
+	return y
+}
+
+// TestFoundersThatAreKilledFoundAfterAll kills one, two or all processes at every moment of the founding from when their
+// first record is on the disk. The disks remain, and they are not told again that it is the first start.
+func TestFoundersThatAreKilledFoundAfterAll(t *testing.T) {
+	for seed := range int64(360) {
+		y := founding(t, seed, 3+2*int(seed%2))
+		killed := y.spots[:1+seed%3]
+		unkept := func(s *spot) bool { return len(s.disk) == 0 }
+		for endUs := y.nowUs + clock.Sec; slices.ContainsFunc(killed, unkept) && y.nowUs < endUs; {
+			y.pass(clock.Ms)
+		}
+		y.pass(seed / 3 * 3 * clock.Ms)
+		for _, s := range killed {
+			y.stop(s)
+		}
+		y.pass(seed % 7 * 80 * clock.Ms)
+		for _, s := range killed {
+			y.start(s, false)
+		}
+		y.settles(30*clock.Sec, fmt.Sprint("founding, seed ", seed))
+	}
+}
+
+// TestTheFirstEntryIsWrittenByWhoeverLeads: three found a chain of five whose acknowledgements need three copies, and the
+// head is gone for good before it has written anything. Those who join need an entry to have a copy of.
+func TestTheFirstEntryIsWrittenByWhoeverLeads(t *testing.T) {
+	for seed := range int64(40) {
+		y := founding(t, seed, 5)
+		for endUs := y.nowUs + 10*clock.Sec; len(y.views) == 0 && y.nowUs < endUs; {
+			y.pass(clock.Ms)
+		}
+		y.pass(seed % 20 * clock.Ms)
+		y.replace(y.spots[0])
+		y.settles(30*clock.Sec, fmt.Sprint("founding, seed ", seed))
+	}
+}
+
+// TestAnAcceptedFirstViewOutlivesALaterPromise: what a founder has accepted is still known after it has promised a
+// higher ballot and restarted.
+func TestAnAcceptedFirstViewOutlivesALaterPromise(t *testing.T) {
+	a, b := Member{ID: "a", Addr: "a"}, Member{ID: "b", Addr: "b"}
+	before := View{Voters: []Member{a, b}}
+	next := View{Number: 1, Voters: before.Voters, Order: []Seat{{Member: a}, {Member: b}}}
+	low, high := Ballot{Round: 1, By: "a"}, Ballot{Round: 2, By: "b"}
+	node, err := NewNode(Options{Me: a}, []Record{
+		{View: &before}, {Promised: &low}, {Accepted: &Accepted{Ballot: low, View: next}}, {View: &before}, {Promised: &high},
+	}, clock.Sec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if node.accepted == nil || node.accepted.Ballot != low || node.promised != high {
+		t.Errorf("accepted %v, promised %v", node.accepted, node.promised)
+	}
+}
