--- a/cmd/petreltide/daemons.go
+++ b/cmd/petreltide/daemons.go
@@ -76,7 +76,7 @@
 	cmd := &cobra.Command{
 		Use:   "desk",
 		Short: "Run a front machine",
-		Long: `Run a front machine: it takes calls over HTTP, sends them to replicas under granted leg
+		Long: `Run a front machine: it takes calls over HTTP, sends them to replicas under granted attempt
 numbers, and streams the answers back. It keeps nothing on disk.
 
   petreltide desk --name front-1 --listen 10.0.1.20:8000 --zone a \
--- a/internal/controller/outliers_test.go
+++ b/internal/controller/outliers_test.go
@@ -29,7 +29,7 @@
 		for i := range 20 {
 			seen.NowUs += 200 * clock.Ms
 			for _, desk := range []string{"d1", "d2"} {
-				rep := wire.Report{Desk: desk, Zone: "a", Legs: map[string]int{service: 8}}
+				rep := wire.Report{Desk: desk, Zone: "a", Attempts: map[string]int{service: 8}}
 				if i >= 5 {
 					rep.Outcomes = []outlier.Counts{{Replica: "r0", Bad: map[string]int{outlier.ErrorAnswer.String(): 1}}, {Replica: "unknown", Bad: map[string]int{"silence": 9, "nonsense": 9}}}
 				}
@@ -48,7 +48,7 @@
 		case off && (table != nil || !held):
 			t.Errorf("it is off: %v, used %t", table, held)
 		case !off && (table == nil || len(table.Rows) != 1 || table.Rows[0].Replica != "r0" || !table.Rows[0].Dead):
-			t.Errorf("every leg at r0 fails: %v", table)
+			t.Errorf("every attempt at r0 fails: %v", table)
 		case !off && held:
 			t.Error("its models are not wanted elsewhere")
 		}
--- a/internal/controller/share.go
+++ b/internal/controller/share.go
@@ -6,7 +6,7 @@
 	"petreltide/internal/ledger"
 )
 
-// grant hands out leg numbers for every model at every replica, before those of a gateway run out.
+// grant hands out attempt numbers for every model at every replica, before those of a gateway run out.
 func (f *Controller) grant(seen Seen, duty *ledger.Duty) {
 	s := seen.State
 	desks := f.live(seen.NowUs)
@@ -32,7 +32,7 @@
 // grant of these lives, or less than half of one left.
 func (f *Controller) grantAsk(s *ledger.State, r *ledger.Replica, model, desk string) (ask ledger.GrantAsk, needed bool) {
 	report := f.desks[desk].report
-	want := min(max(uint64(report.Arrivals[model]*2*legSeconds), legsLeast), legsMost)
+	want := min(max(uint64(report.Arrivals[model]*2*attemptSeconds), attemptsLeast), attemptsMost)
 	ask = ledger.GrantAsk{Desk: desk, DeskInc: report.Inc, Replica: r.ID, Inc: r.Inc, Model: model, Count: want}
 	g := ledger.Grant{Desk: desk, Replica: r.ID, Model: model}
 	have, ok := s.Grants[g.Key()]
--- a/internal/desk/legs.go
+++ b/internal/desk/attempts.go
@@ -16,20 +16,20 @@
 	"petreltide/internal/wire"
 )
 
-// legsEdge is this product's own interface: JSON calls, server-sent events, JSON legs.
-type legsEdge struct {
+// attemptsEdge is this product's own interface: JSON calls, server-sent events, JSON attempts.
+type attemptsEdge struct {
 	h    *Host
 	ask  *CallAsk
 	call *dispatch.Call
 	s    *stream
 }
 
-func (e *legsEdge) Fail(f *fault.Fault) { e.s.fail(f) }
+func (e *attemptsEdge) Fail(f *fault.Fault) { e.s.fail(f) }
 
-func (e *legsEdge) Opened() bool { return e.s.opened }
+func (e *attemptsEdge) Opened() bool { return e.s.opened }
 
-func (e *legsEdge) Leg(ctx context.Context, st dispatch.Start) (dispatch.Ending, string) {
-	ending, why := e.h.runLeg(ctx, e.ask, e.call, st, e.s)
+func (e *attemptsEdge) Attempt(ctx context.Context, st dispatch.Start) (dispatch.Ending, string) {
+	ending, why := e.h.runAttempt(ctx, e.ask, e.call, st, e.s)
 	if e.s.failed {
 		e.h.tell(dispatch.Event{Gone: e.call.ID})
 	}
@@ -40,32 +40,32 @@
 }
 
 const (
-	// refusalMost and settleMost bound what is read of a replica's answer to a leg that it refuses, and to its end.
+	// refusalMost and settleMost bound what is read of a replica's answer to an attempt that it refuses, and to its end.
 	refusalMost = 1 << 16
 	settleMost  = 1 << 12
 	newsChanged = "the news changed before it was sent"
 )
 
-// legNumber is the number at the end of a leg's name.
-func legNumber(leg string) string { return leg[strings.LastIndexByte(leg, '/')+1:] }
+// attemptNumber is the number at the end of an attempt's name.
+func attemptNumber(attempt string) string { return attempt[strings.LastIndexByte(attempt, '/')+1:] }
 
-// runLeg obeys one decision. Only when no byte can have left, or the replica itself said that
+// runAttempt obeys one decision. Only when no byte can have left, or the replica itself said that
 // it did not start, is the ending one that lets the call run elsewhere.
-func (h *Host) runLeg(legCtx context.Context, ask *CallAsk, c *dispatch.Call, st dispatch.Start, s *stream) (dispatch.Ending, string) {
-	sent, err := h.newLegRequest(legCtx, ask, c, st, s.pieces)
+func (h *Host) runAttempt(attemptCtx context.Context, ask *CallAsk, c *dispatch.Call, st dispatch.Start, s *stream) (dispatch.Ending, string) {
+	sent, err := h.newAttemptRequest(attemptCtx, ask, c, st, s.pieces)
 	if err != nil {
 		return dispatch.Unsent, err.Error()
 	}
 	if !h.maySend(st) {
 		return dispatch.Unsent, newsChanged
 	}
-	res, err := h.legs.Do(sent.req)
+	res, err := h.attempts.Do(sent.req)
 	if err != nil {
 		if !sent.mayHaveLeft() {
 			return dispatch.Unsent, err.Error()
 		}
-		h.settleLeg(st)
-		return endingOf(legCtx, st), err.Error()
+		h.settleAttempt(st)
+		return endingOf(attemptCtx, st), err.Error()
 	}
 	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK {
@@ -75,37 +75,37 @@
 	if ending == dispatch.Done {
 		return ending, ""
 	}
-	stopped := legCtx.Err() != nil
+	stopped := attemptCtx.Err() != nil
 	_ = res.Body.Close()
-	h.settleLeg(st)
+	h.settleAttempt(st)
 	if stopped {
-		return endingOf(legCtx, st), "the leg was stopped"
+		return endingOf(attemptCtx, st), "the leg was stopped"
 	}
 	return ending, why
 }
 
-// legRequest is a leg as it is sent, and what is known of how far it came.
-type legRequest struct {
+// attemptRequest is an attempt as it is sent, and what is known of how far it came.
+type attemptRequest struct {
 	req       *http.Request
 	body      *checked
 	connected atomic.Bool
 }
 
-// newLegRequest makes the request of a leg, whose body waits until the replica asks for it.
-func (h *Host) newLegRequest(legCtx context.Context, ask *CallAsk, c *dispatch.Call, st dispatch.Start, had []string) (*legRequest, error) {
-	raw, err := json.Marshal(wire.Leg{
-		Leg: st.Leg, Ticket: st.Ticket, Inc: st.Inc, Call: c.ID, Model: c.Model, Adapter: c.Adapter,
+// newAttemptRequest makes the request of an attempt, whose body waits until the replica asks for it.
+func (h *Host) newAttemptRequest(attemptCtx context.Context, ask *CallAsk, c *dispatch.Call, st dispatch.Start, had []string) (*attemptRequest, error) {
+	raw, err := json.Marshal(wire.Attempt{
+		Attempt: st.Attempt, Ticket: st.Ticket, Inc: st.Inc, Call: c.ID, Model: c.Model, Adapter: c.Adapter,
 		Prefix: ask.Prefix, Prompt: ask.Prompt, Had: had, First: len(had) + 1, MostOut: ask.MostOut,
 	})
 	if err != nil {
 		panic(err)
 	}
-	sent := &legRequest{body: &checked{h: h, st: st, r: bytes.NewReader(raw)}}
+	sent := &attemptRequest{body: &checked{h: h, st: st, r: bytes.NewReader(raw)}}
 	trace := &httptrace.ClientTrace{
 		GotConn:        func(httptrace.GotConnInfo) { sent.connected.Store(true) },
 		Got100Continue: func() { sent.body.asked.Store(true) },
 	}
-	sent.req, err = http.NewRequestWithContext(httptrace.WithClientTrace(legCtx, trace), http.MethodPost, "http://"+st.Addr+"/v1/legs", io.NopCloser(sent.body))
+	sent.req, err = http.NewRequestWithContext(httptrace.WithClientTrace(attemptCtx, trace), http.MethodPost, "http://"+st.Addr+"/v1/legs", io.NopCloser(sent.body))
 	if err != nil {
 		return nil, err
 	}
@@ -116,11 +116,11 @@
 }
 
 // mayHaveLeft: some of the body may have reached the replica.
-func (l *legRequest) mayHaveLeft() bool { return l.connected.Load() && l.body.left.Load() }
+func (l *attemptRequest) mayHaveLeft() bool { return l.connected.Load() && l.body.left.Load() }
 
 // refusalOf reads an answer other than 200: a refusal that says that nothing was started, or nobody knows.
 func refusalOf(res *http.Response) (dispatch.Ending, string) {
-	refusal := wire.LegRefusal{Started: true}
+	refusal := wire.AttemptRefusal{Started: true}
 	answer, err := io.ReadAll(io.LimitReader(res.Body, refusalMost))
 	if err == nil && json.Unmarshal(answer, &refusal) == nil && refusal.Code != "" && !refusal.Started {
 		return dispatch.Refused, refusal.Code
@@ -128,23 +128,23 @@
 	return dispatch.Unknown, "the replica answered " + res.Status
 }
 
-// endingOf is the ending of a leg that may have run: at its deadline, stopped by the decider, or for no known reason.
-func endingOf(legCtx context.Context, st dispatch.Start) dispatch.Ending {
+// endingOf is the ending of an attempt that may have run: at its deadline, stopped by the decider, or for no known reason.
+func endingOf(attemptCtx context.Context, st dispatch.Start) dispatch.Ending {
 	switch {
 	case clock.NowUs() >= st.ExpiryUs:
 		return dispatch.Final
-	case legCtx.Err() != nil:
+	case attemptCtx.Err() != nil:
 		return dispatch.Moved
 	}
 	return dispatch.Unknown
 }
 
-// maySend: by the newest news and the lease, a leg may still go to its replica.
+// maySend: by the newest news and the lease, an attempt may still go to its replica.
 func (h *Host) maySend(st dispatch.Start) bool {
 	return st.MaySend(h.snap.Load(), clock.NowUs(), h.leaseUs.Load())
 }
 
-// checked is a leg's body. It leaves only after the replica has asked for it, so that none waits
+// checked is an attempt's body. It leaves only after the replica has asked for it, so that none waits
 // in the socket of a frozen one, and after one more look at the lease and the newest news.
 type checked struct {
 	h     *Host
@@ -181,10 +181,10 @@
 		if held += len(p.Text); held > streamMost {
 			return dispatch.Broken, "the replica's stream is too long"
 		}
-		ending, why := dispatch.Judge(st.Leg, len(s.pieces), p)
+		ending, why := dispatch.Judge(st.Attempt, len(s.pieces), p)
 		if ending != "" {
 			if ending == dispatch.Broken {
-				_ = h.log.Log("event", "stream broken", "leg", st.Leg, "why", why)
+				_ = h.log.Log("event", "stream broken", "leg", st.Attempt, "why", why)
 			}
 			return ending, why
 		}
@@ -198,12 +198,12 @@
 	}
 }
 
-// settleLeg tells the replica that nobody waits any more and returns when it says the leg is
+// settleAttempt tells the replica that nobody waits any more and returns when it says the attempt is
 // over, so that the slot is free when it is counted free.
-func (h *Host) settleLeg(st dispatch.Start) {
+func (h *Host) settleAttempt(st dispatch.Start) {
 	ctx, done := context.WithTimeout(h.act.Ctx, cancelWait)
 	defer done()
-	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+st.Addr+"/v1/legs/"+legNumber(st.Leg)+"?inc="+st.Inc, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+st.Addr+"/v1/legs/"+attemptNumber(st.Attempt)+"?inc="+st.Inc, nil)
 	if err != nil {
 		return
 	}
--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -135,7 +135,7 @@
 		}
 	}
 	s := &stream{w: w, flush: http.NewResponseController(w).Flush, pieces: append([]string(nil), ask.Had...)}
-	end := h.carry(r.Context(), c, &legsEdge{h: h, ask: ask, call: c, s: s})
+	end := h.carry(r.Context(), c, &attemptsEdge{h: h, ask: ask, call: c, s: s})
 	if keyed {
 		h.endKey(key, c, end)
 	}
--- a/internal/desk/carry.go
+++ b/internal/desk/carry.go
@@ -12,7 +12,7 @@
 // drainRetryMs is when a caller that came too late is told to try again.
 const drainRetryMs = 200
 
-// carry takes one call through the decider and its legs to the one final answer.
+// carry takes one call through the decider and its attempts to the one final answer.
 func (h *Host) carry(ctx context.Context, c *dispatch.Call, edge Edge) string {
 	mine := &caller{next: make(chan dispatch.Effect, 4)}
 	if !h.do(func() {
@@ -62,7 +62,7 @@
 	select {
 	case e = <-mine.next:
 		if e.Start != nil {
-			h.tell(dispatch.Event{Ended: &dispatch.Ended{Call: c.ID, Leg: e.Start.Leg, Ending: dispatch.Unsent}})
+			h.tell(dispatch.Event{Ended: &dispatch.Ended{Call: c.ID, Attempt: e.Start.Attempt, Ending: dispatch.Unsent}})
 		}
 	default:
 	}
@@ -92,34 +92,34 @@
 	return f.Run
 }
 
-// attempt runs one leg and tells the decider how it ended, and that the caller has left if it has.
+// attempt runs one attempt and tells the decider how it ended, and that the caller has left if it has.
 func (h *Host) attempt(ctx context.Context, st dispatch.Start, mine *caller, edge Edge) (dispatch.Ending, string) {
-	ending, why := h.leg(ctx, st, mine, edge)
+	ending, why := h.sendAttempt(ctx, st, mine, edge)
 	if ctx.Err() != nil {
 		h.tell(dispatch.Event{Gone: st.Call.ID})
 	}
-	h.tell(dispatch.Event{Ended: &dispatch.Ended{Call: st.Call.ID, Leg: st.Leg, Ending: ending}})
+	h.tell(dispatch.Event{Ended: &dispatch.Ended{Call: st.Call.ID, Attempt: st.Attempt, Ending: ending}})
 	return ending, why
 }
 
-// leg runs one leg. Those under granted numbers run under a context that the decider can end.
-func (h *Host) leg(ctx context.Context, st dispatch.Start, mine *caller, edge Edge) (dispatch.Ending, string) {
+// sendAttempt runs one attempt. Those under granted numbers run under a context that the decider can end.
+func (h *Host) sendAttempt(ctx context.Context, st dispatch.Start, mine *caller, edge Edge) (dispatch.Ending, string) {
 	if st.Call.Routed != nil {
 		fromUs := clock.NowUs()
-		ending, why := edge.Leg(ctx, st)
-		h.logLeg(st, fromUs, ending, why)
+		ending, why := edge.Attempt(ctx, st)
+		h.logAttempt(st, fromUs, ending, why)
 		return ending, why
 	}
 	left := time.Duration(st.ExpiryUs-clock.NowUs()) * time.Microsecond
-	legCtx, cancel := context.WithDeadline(ctx, time.Now().Add(left))
+	attemptCtx, cancel := context.WithDeadline(ctx, time.Now().Add(left))
 	defer cancel()
 	h.do(func() { mine.arm(cancel) })
 	defer h.do(func() { mine.arm(nil) })
-	return edge.Leg(legCtx, st)
+	return edge.Attempt(attemptCtx, st)
 }
 
-// logLeg notes what became of a leg on a route, and how long its parts took; firstMs is -1 where nothing came.
-func (h *Host) logLeg(st dispatch.Start, fromUs int64, ending dispatch.Ending, why string) {
+// logAttempt notes what became of an attempt on a route, and how long its parts took; firstMs is -1 where nothing came.
+func (h *Host) logAttempt(st dispatch.Start, fromUs int64, ending dispatch.Ending, why string) {
 	c := st.Call
 	firstMs := int64(-1)
 	if firstUs := c.FirstUs.Load(); firstUs >= fromUs {
--- a/internal/desk/fuzz_test.go
+++ b/internal/desk/fuzz_test.go
@@ -49,7 +49,7 @@
 	})
 }
 
-// Whatever a replica streams, only whole pieces of this leg in their order go on, and only its own end is one.
+// Whatever a replica streams, only whole pieces of this attempt in their order go on, and only its own end is one.
 func FuzzWhatReplicasStream(f *testing.F) {
 	f.Add([]byte("{\"leg\":\"r/i/1\",\"n\":1,\"text\":\"a\"}\n{\"leg\":\"r/i/1\",\"end\":true,\"n\":1}"))
 	f.Add([]byte("{\"leg\":\"r/i/1\",\"n\":2}"))
@@ -60,12 +60,12 @@
 		rec := httptest.NewRecorder()
 		s := &stream{w: rec, flush: func() error { return nil }}
 		c := &dispatch.Call{ID: "c"}
-		ending, _ := h.readPieces(c, dispatch.Start{Call: c, Leg: "r/i/1"}, s, bytes.NewReader(raw))
+		ending, _ := h.readPieces(c, dispatch.Start{Call: c, Attempt: "r/i/1"}, s, bytes.NewReader(raw))
 		dec := json.NewDecoder(bytes.NewReader(raw))
 		whole := 0
 		for {
 			var p wire.Piece
-			if dec.Decode(&p) != nil || p.Leg != "r/i/1" || p.Err != "" {
+			if dec.Decode(&p) != nil || p.Attempt != "r/i/1" || p.Err != "" {
 				break
 			}
 			if p.End {
@@ -102,7 +102,7 @@
 	s := &stream{w: httptest.NewRecorder(), flush: func() error { return nil }}
 	c := &dispatch.Call{ID: "c"}
 	e := &endless{}
-	ending, why := host().readPieces(c, dispatch.Start{Call: c, Leg: "r/i/1"}, s, e)
+	ending, why := host().readPieces(c, dispatch.Start{Call: c, Attempt: "r/i/1"}, s, e)
 	if ending != dispatch.Broken || e.n > 4*pieceMost || len(s.pieces) != 0 {
 		t.Fatal(ending, why, fmt.Sprint(e.n))
 	}
--- a/internal/desk/host.go
+++ b/internal/desk/host.go
@@ -35,13 +35,13 @@
 // Host runs one gateway: its listeners, its connection to the control nodes and its decider, which only its actor
 // touches.
 type Host struct {
-	set     settings.Desk
-	inc     string
-	decider *dispatch.Decider
-	ring    *logring.Ring
-	log     log.Logger
-	inner   *http.Client
-	legs    *http.Client
+	set      settings.Desk
+	inc      string
+	decider  *dispatch.Decider
+	ring     *logring.Ring
+	log      log.Logger
+	inner    *http.Client
+	attempts *http.Client
 
 	snap    atomic.Pointer[dispatch.Snapshot]
 	leaseUs atomic.Int64
@@ -98,12 +98,12 @@
 // Open prepares a gateway; Run serves.
 func Open(set settings.Desk, ring *logring.Ring) *Host {
 	inc := office.RandomID(6)
-	legs := rpc.Client(400, set.Listen)
-	legs.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	legs.Transport.(*http.Transport).DisableKeepAlives = true
-	legs.Transport.(*http.Transport).ExpectContinueTimeout = askedWait
+	attempts := rpc.Client(400, set.Listen)
+	attempts.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	attempts.Transport.(*http.Transport).DisableKeepAlives = true
+	attempts.Transport.(*http.Transport).ExpectContinueTimeout = askedWait
 	h := &Host{
-		set: set, inc: inc, ring: ring, log: ring.Logger("desk", set.Name), inner: rpc.NodeClient(400, set.Listen), legs: legs,
+		set: set, inc: inc, ring: ring, log: ring.Logger("desk", set.Name), inner: rpc.NodeClient(400, set.Listen), attempts: attempts,
 		decider: dispatch.New(dispatch.Options{
 			Desk: set.Name, Inc: inc, Zone: set.Zone, BacklogMax: set.BacklogMax,
 			Budget:   dispatch.BudgetOptions{Ratio: set.Budget.Ratio, Slack: set.Budget.Slack, WindowUs: set.Budget.WindowMs * clock.Ms},
@@ -115,7 +115,7 @@
 	}
 	opts := subscriber.Options{Desk: set.Name, Inc: inc, Addr: set.Advertise, Zone: set.Zone, Seeds: set.Seeds}
 	h.subscriber = subscriber.New(opts)
-	if set.Legs == settings.DeclaredLegs {
+	if set.Attempts == settings.DeclaredAttempts {
 		h.mirror = subscriber.NewMirror(opts)
 	}
 	return h
@@ -251,7 +251,7 @@
 	if c == nil {
 		if e.Start != nil {
 			h.step(dispatch.Event{Gone: id})
-			h.step(dispatch.Event{Ended: &dispatch.Ended{Call: id, Leg: e.Start.Leg, Ending: dispatch.Unsent}})
+			h.step(dispatch.Event{Ended: &dispatch.Ended{Call: id, Attempt: e.Start.Attempt, Ending: dispatch.Unsent}})
 		}
 		return
 	}
--- a/internal/desk/mirror.go
+++ b/internal/desk/mirror.go
@@ -16,8 +16,8 @@
 
 // Edge is the side of a call that faces its caller, in whatever interface it came by.
 type Edge interface {
-	// Leg sends the call to one replica and passes its answer on as it comes.
-	Leg(ctx context.Context, st dispatch.Start) (dispatch.Ending, string)
+	// Attempt sends the call to one replica and passes its answer on as it comes.
+	Attempt(ctx context.Context, st dispatch.Start) (dispatch.Ending, string)
 	// Fail is the one final answer of the product's own.
 	Fail(f *fault.Fault)
 	// Opened says that an answer has begun.
@@ -36,7 +36,7 @@
 	}
 }
 
-// MaySend is asked once more right before the first byte of a leg leaves.
+// MaySend is asked once more right before the first byte of an attempt leaves.
 func (h *Host) MaySend(st dispatch.Start) bool { return h.maySend(st) }
 
 // Ready is nil when this desk can take calls now, or says why it cannot.
@@ -57,7 +57,7 @@
 	})
 }
 
-// Serve takes one call through the decider and its legs to its one final answer, and says what ran.
+// Serve takes one call through the decider and its attempts to its one final answer, and says what ran.
 func (h *Host) Serve(ctx context.Context, c *dispatch.Call, e Edge) string {
 	h.calls.Add(1)
 	defer h.calls.Add(-1)
--- a/internal/desk/redirect_test.go
+++ b/internal/desk/redirect_test.go
@@ -13,7 +13,7 @@
 )
 
 // A replica that points elsewhere is not followed: what is asked of one replica is asked of no other.
-func TestALegFollowsNoRedirect(t *testing.T) {
+func TestAnAttemptFollowsNoRedirect(t *testing.T) {
 	var asked atomic.Int64
 	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { asked.Add(1) }))
 	defer other.Close()
@@ -22,7 +22,7 @@
 			http.Redirect(w, r, other.URL, status)
 		}))
 		h := Open(settings.Desk{Name: "d", Listen: "127.0.0.1:0"}, logring.NewRing("", io.Discard))
-		res, err := h.legs.Post(replica.URL, "application/json", strings.NewReader("{}"))
+		res, err := h.attempts.Post(replica.URL, "application/json", strings.NewReader("{}"))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -17,7 +17,7 @@
 	desksLeast  = 3
 )
 
-// budget counts one service's calls and further legs over the last window, in slots.
+// budget counts one service's calls and further attempts over the last window, in slots.
 type budget struct {
 	calls [budgetSlots]int
 	spent [budgetSlots]int
@@ -53,7 +53,7 @@
 	return b
 }
 
-// sums are calls and further legs over the window, and how many further legs it allows in all.
+// sums are calls and further attempts over the window, and how many further attempts it allows in all.
 func (b *budget) sums(o BudgetOptions, desks int) (calls, spent int, most float64) {
 	for i := range b.calls {
 		calls += b.calls[i]
@@ -63,7 +63,7 @@
 	return calls, spent, budgetCut*o.Ratio*float64(calls) + share
 }
 
-// budget says whether one more leg beyond a call's first may go to a service now, and counts it.
+// budget says whether one more attempt beyond a call's first may go to a service now, and counts it.
 func (d *Decider) budget(service string) bool {
 	if d.opts.Budget.WindowUs == 0 {
 		return true
--- a/internal/dispatch/budget_note.go
+++ b/internal/dispatch/budget_note.go
@@ -7,7 +7,7 @@
 )
 
 // BudgetNote is this desk's part of the further tries for one service, over the window up to now: calls
-// taken, further legs sent, how many may be sent in all, and by how many desks the slack is divided.
+// taken, further attempts sent, how many may be sent in all, and by how many desks the slack is divided.
 type BudgetNote struct {
 	Service string `json:"service"`
 	Calls   int    `json:"calls"`
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -7,7 +7,7 @@
 )
 
 // Call is what a caller asked for. Its urgency, its expiry and whether it may be resumed are its
-// kind's, as the newest news has it, until a leg starts.
+// kind's, as the newest news has it, until an attempt starts.
 type Call struct {
 	ID       string
 	Kind     string
@@ -21,7 +21,7 @@
 	Progress atomic.Int64
 	FirstUs  atomic.Int64
 	Routed   *Routed
-	// Outcome is the class of the last leg's, an outlier.Class, where whoever ran it can tell.
+	// Outcome is the class of the last attempt's, an outlier.Class, where whoever ran it can tell.
 	Outcome atomic.Int32
 
 	takenAt  uint64
@@ -30,16 +30,16 @@
 	// resume: every declaration under which the call was taken or sent lets it run more than once.
 	resume bool
 	// once: some declaration of its time did not.
-	once    bool
-	ran     bool
-	legs    int
-	prints  []uint64
-	on      string
-	leg     string
-	tried   []string
-	moving  bool
-	gone    bool
-	firstUs int64
+	once     bool
+	ran      bool
+	attempts int
+	prints   []uint64
+	on       string
+	attempt  string
+	tried    []string
+	moving   bool
+	gone     bool
+	firstUs  int64
 }
 
 func (c *Call) fingerprints() []uint64 {
@@ -64,10 +64,10 @@
 	return c.prints
 }
 
-// Ending is how a leg counts: for its call, for its replica and for the retry budget.
+// Ending is how an attempt counts: for its call, for its replica and for the retry budget.
 type Ending string
 
-// How legs end. The decision table says for each whether the call may have run and may be sent again.
+// How attempts end. The decision table says for each whether the call may have run and may be sent again.
 const (
 	Done    Ending = "done"
 	Refused Ending = "refused"
--- a/internal/dispatch/decider.go
+++ b/internal/dispatch/decider.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	legsMost     = 8
+	attemptsMost = 8
 	prefixMost   = 4096
 	avoidUs      = 400 * clock.Ms
 	rateSlots    = 6
@@ -32,7 +32,7 @@
 	Outlier    outlier.Options
 }
 
-// Decider is asked; the executor obeys. It owns the backlog, the slots and the leg numbers.
+// Decider is asked; the executor obeys. It owns the backlog, the slots and the attempt numbers.
 type Decider struct {
 	opts          Options
 	nowUs         int64
@@ -60,7 +60,7 @@
 	readings      map[string]*reading
 	prospects     *prospects
 	outliers      *outlier.Local
-	legSeq        uint64
+	attemptSeq    uint64
 	effects       []Effect
 }
 
@@ -106,7 +106,7 @@
 			d.give(c, fault.Draining, "this desk is going down", drainingMs)
 		}
 	}
-	if c := ev.Arrived; c != nil && c.Routed != nil && c.leg == "" && d.calls[c.ID] != nil {
+	if c := ev.Arrived; c != nil && c.Routed != nil && c.attempt == "" && d.calls[c.ID] != nil {
 		if d.drain {
 			d.give(c, fault.Draining, "this desk is going down", drainingMs)
 		} else {
--- a/internal/dispatch/decider_test.go
+++ b/internal/dispatch/decider_test.go
@@ -77,7 +77,7 @@
 		now++
 		st := running[0]
 		served[st.Call.Kind]++
-		running = append(running[1:], starts(d.Step(Event{NowUs: now, Ended: &Ended{Call: st.Call.ID, Leg: st.Leg, Ending: Done}}))...)
+		running = append(running[1:], starts(d.Step(Event{NowUs: now, Ended: &Ended{Call: st.Call.ID, Attempt: st.Attempt, Ending: Done}}))...)
 	}
 	if served["pages"] < 4 || served["fixes"] < 3*served["pages"] {
 		t.Fatalf("served %v: want fixes first, pages not starved", served)
@@ -113,7 +113,7 @@
 	for i := 0; i < 20; i++ {
 		now += 400 * clock.Ms
 		st := running[0]
-		running = append(running[1:], starts(d.Step(Event{NowUs: now, Ended: &Ended{Call: st.Call.ID, Leg: st.Leg, Ending: Done}}))...)
+		running = append(running[1:], starts(d.Step(Event{NowUs: now, Ended: &Ended{Call: st.Call.ID, Attempt: st.Attempt, Ending: Done}}))...)
 	}
 	soon := call(99, "fixes")
 	soon.MostMs = 1000
@@ -127,7 +127,7 @@
 	}
 }
 
-func TestOneLegEverForWhatCannotBeResumed(t *testing.T) {
+func TestOneAttemptEverForWhatCannotBeResumed(t *testing.T) {
 	for _, c := range []struct {
 		kind   string
 		ending Ending
@@ -138,12 +138,12 @@
 	} {
 		d := leased(2, 10)
 		st := starts(d.Step(Event{NowUs: 2, Arrived: call(1, c.kind)}))[0]
-		more := starts(d.Step(Event{NowUs: 3, Ended: &Ended{Call: st.Call.ID, Leg: st.Leg, Ending: c.ending}}))
+		more := starts(d.Step(Event{NowUs: 3, Ended: &Ended{Call: st.Call.ID, Attempt: st.Attempt, Ending: c.ending}}))
 		if len(more) > 0 != c.again {
-			t.Errorf("%s after %s: %d more legs", c.kind, c.ending, len(more))
+			t.Errorf("%s after %s: %d more attempts", c.kind, c.ending, len(more))
 		}
-		if c.again && (more[0].Leg == st.Leg || more[0].Replica == st.Replica && c.ending == Refused) {
-			t.Errorf("%s after %s went back as %s", c.kind, c.ending, more[0].Leg)
+		if c.again && (more[0].Attempt == st.Attempt || more[0].Replica == st.Replica && c.ending == Refused) {
+			t.Errorf("%s after %s went back as %s", c.kind, c.ending, more[0].Attempt)
 		}
 	}
 }
@@ -169,7 +169,7 @@
 		for i := 2; i < 6; i++ {
 			for _, st := range starts(d.Step(Event{NowUs: 4, Arrived: call(i, "letters")})) {
 				if st.Replica == "r1" && name != "new" {
-					t.Errorf("%s: a leg went there", name)
+					t.Errorf("%s: an attempt went there", name)
 				}
 			}
 		}
@@ -185,7 +185,7 @@
 			if st.Replica == "r1" {
 				calls[c.ID] = c
 			} else {
-				d.Step(Event{NowUs: 2, Ended: &Ended{Call: c.ID, Leg: st.Leg, Ending: Done}})
+				d.Step(Event{NowUs: 2, Ended: &Ended{Call: c.ID, Attempt: st.Attempt, Ending: Done}})
 			}
 		}
 	}
@@ -219,15 +219,15 @@
 	}
 }
 
-func TestALegNumberIsSpentOnce(t *testing.T) {
+func TestAnAttemptNumberIsSpentOnce(t *testing.T) {
 	d := leased(50, 100)
 	seen := map[string]bool{}
 	for i := 0; i < 60; i++ {
 		for _, st := range starts(d.Step(Event{NowUs: 2, Arrived: call(i, "fixes")})) {
-			if seen[st.Leg] {
-				t.Fatalf("%s twice", st.Leg)
+			if seen[st.Attempt] {
+				t.Fatalf("%s twice", st.Attempt)
 			}
-			seen[st.Leg] = true
+			seen[st.Attempt] = true
 			d.Step(Event{NowUs: 2, Snapshot: snapshot(uint64(i+2), 50, nil)})
 		}
 	}
@@ -315,7 +315,7 @@
 }
 
 // A kind that may no longer be resumed: what ran once does not run again, and is never called not run.
-func TestNoSecondLegOnceAKindMayNoLongerBeResumed(t *testing.T) {
+func TestNoSecondAttemptOnceAKindMayNoLongerBeResumed(t *testing.T) {
 	never := func(n *wire.News) { n.Doc.Kinds[0].Resumable = false }
 	for name, order := range map[string][]bool{"while it runs": {true, false}, "while it waits again": {false, true}} {
 		d := leased(2, 10)
@@ -331,10 +331,10 @@
 			if !order[0] {
 				d.Step(Event{NowUs: 3, Snapshot: snapshot(2, 0, nil)})
 			}
-			effects = append(effects, d.Step(Event{NowUs: int64(3 + i), Ended: &Ended{Call: c.ID, Leg: st.Leg, Ending: Unknown}})...)
+			effects = append(effects, d.Step(Event{NowUs: int64(3 + i), Ended: &Ended{Call: c.ID, Attempt: st.Attempt, Ending: Unknown}})...)
 		}
 		if n := len(starts(effects)); n != 0 {
-			t.Errorf("%s: %d more legs", name, n)
+			t.Errorf("%s: %d more attempts", name, n)
 		}
 		for _, e := range effects {
 			if e.Give != nil && e.Give.Fault.Run == fault.RunNone {
--- a/internal/dispatch/decisions.go
+++ b/internal/dispatch/decisions.go
@@ -90,7 +90,7 @@
 type Answer uint8
 
 const (
-	// Refuse promises that the request has not run, if no earlier leg of it may have; otherwise it is Fail.
+	// Refuse promises that the request has not run, if no earlier attempt of it may have; otherwise it is Fail.
 	Refuse Answer = iota
 	// Fail is a failure that promises nothing, or a cut where an answer has begun.
 	Fail
@@ -106,7 +106,7 @@
 
 // RetryDecision is what follows from an observation.
 type RetryDecision struct {
-	// Ending is how the leg counts.
+	// Ending is how the attempt counts.
 	Ending Ending
 	// Again means: the request may be sent once more, within the route's attempts and the retry budget.
 	Again bool
@@ -171,7 +171,7 @@
 // Decide looks up what follows from an observation.
 func Decide(k RequestKind, seen Observation) RetryDecision { return decisions[seen][k] }
 
-// endings is the same table by how a leg counts. All observations that count alike agree in Again and Ran, but
+// endings is the same table by how an attempt counts. All observations that count alike agree in Again and Ran, but
 // for a failure: it counts as broken only where it is held back.
 var endings = byEnding()
 
@@ -187,8 +187,8 @@
 	return rows
 }
 
-// MayHaveRun says whether a request whose leg ended so may have run.
+// MayHaveRun says whether a request whose attempt ended so may have run.
 func MayHaveRun(e Ending) bool { return endings[e][NonIdempotent].Ran || endings[e][Idempotent].Ran }
 
-// again says whether a request whose leg ended so may be sent once more.
+// again says whether a request whose attempt ended so may be sent once more.
 func again(k RequestKind, e Ending) bool { return endings[e][k].Again }
--- a/internal/dispatch/decisions_test.go
+++ b/internal/dispatch/decisions_test.go
@@ -9,7 +9,7 @@
 	"petreltide/internal/standing"
 )
 
-// notRun are the endings of legs that surely have not run and never will, by the users' pages.
+// notRun are the endings of attempts that surely have not run and never will, by the users' pages.
 func notRun(e Ending) bool {
 	return e == Unsent || e == Refused || e == Missing || e == Elsewhere
 }
@@ -99,8 +99,8 @@
 		for _, doc := range docs[1:] {
 			k.step(Event{Snapshot: stands(declaration(doc), 1, rows...)})
 		}
-		if k.end("c", Unknown); len(k.legs["c"]) != 1 || k.fin["c"] == nil || k.fin["c"].Over == nil {
-			t.Errorf("%s: %d legs, %+v", what, len(k.legs["c"]), k.fin["c"])
+		if k.end("c", Unknown); len(k.attempts["c"]) != 1 || k.fin["c"] == nil || k.fin["c"].Over == nil {
+			t.Errorf("%s: %d attempts, %+v", what, len(k.attempts["c"]), k.fin["c"])
 		}
 	}
 }
@@ -111,8 +111,8 @@
 	k := newClerk(Options{}, stands(declaration(declared{"r", standing.Streaming, 3, one("s"), true}), 1, rows...))
 	k.call("c", "r", "").Progress.Store(2)
 	k.step(Event{Snapshot: stands(declaration(declared{"r", standing.Idempotent, 3, one("s"), false}), 1, rows...)})
-	if k.end("c", Broken); len(k.legs["c"]) != 1 {
-		t.Errorf("%d legs", len(k.legs["c"]))
+	if k.end("c", Broken); len(k.attempts["c"]) != 1 {
+		t.Errorf("%d attempts", len(k.attempts["c"]))
 	}
 	if f := k.fin["c"]; f == nil || f.Over == nil && f.Give.Fault.Run == fault.RunNone {
 		t.Errorf("%+v", f)
@@ -129,8 +129,8 @@
 	k.call("c", "r", "")
 	moved := declaration(declared{"r", standing.Idempotent, 3, one("other"), false}, declared{"o", standing.Idempotent, 3, one("other"), false})
 	k.step(Event{Snapshot: stands(moved, 1, rows...)})
-	if k.end("c", Unknown); len(k.legs["c"]) != 1 {
-		t.Errorf("it was sent to %s, whose budget is spent", k.legs["c"][1].Replica)
+	if k.end("c", Unknown); len(k.attempts["c"]) != 1 {
+		t.Errorf("it was sent to %s, whose budget is spent", k.attempts["c"][1].Replica)
 	}
 	if f := k.fin["c"]; f == nil || f.Give != nil && f.Give.Fault.Run == fault.RunNone {
 		t.Errorf("%+v", f)
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -18,11 +18,11 @@
 	Close bool
 }
 
-// Ended says how a leg ended.
+// Ended says how an attempt ended.
 type Ended struct {
-	Call   string
-	Leg    string
-	Ending Ending
+	Call    string
+	Attempt string
+	Ending  Ending
 }
 
 // Effect is one thing to be done; one of its fields is set.
@@ -35,16 +35,16 @@
 	Unplaced bool
 }
 
-// Over says that a leg was the last one; only a call that may be resumed gets another.
+// Over says that an attempt was the last one; only a call that may be resumed gets another.
 type Over struct {
 	Call   *Call
 	Ending Ending
 }
 
-// Start begins a leg: the call is sent to one life of one replica.
+// Start begins an attempt: the call is sent to one life of one replica.
 type Start struct {
 	Call     *Call
-	Leg      string
+	Attempt  string
 	Ticket   uint64
 	Replica  string
 	Addr     string
@@ -60,7 +60,7 @@
 	Running int
 }
 
-// Give answers a call that has no leg and gets none any more.
+// Give answers a call that has no attempt and gets none any more.
 type Give struct {
 	Call  *Call
 	Fault *fault.Fault
--- a/internal/dispatch/expiry_test.go
+++ b/internal/dispatch/expiry_test.go
@@ -25,11 +25,11 @@
 				k.nowUs += pauseUs
 				k.end("c", Refused)
 			}
-			legs := k.legs["c"]
-			if len(legs) < 2 {
-				t.Fatalf("%s: sent %d times", name, len(legs))
+			attempts := k.attempts["c"]
+			if len(attempts) < 2 {
+				t.Fatalf("%s: sent %d times", name, len(attempts))
 			}
-			for i, st := range legs {
+			for i, st := range attempts {
 				if st.ExpiryUs != wantUs {
 					t.Errorf("%s: try %d ends at %d us, want %d", name, i+1, st.ExpiryUs, wantUs)
 				}
--- a/internal/dispatch/finish.go
+++ b/internal/dispatch/finish.go
@@ -6,7 +6,7 @@
 	"petreltide/internal/fault"
 )
 
-// give is a final answer told at once: the call has no leg and can get none any more.
+// give is a final answer told at once: the call has no attempt and can get none any more.
 func (d *Decider) give(c *Call, code fault.Code, why string, retryMs int64) {
 	d.giveAt(c, code, why, spreadRetryMs(c.ID, retryMs))
 }
@@ -45,7 +45,7 @@
 		return
 	}
 	c.gone = true
-	if c.leg == "" {
+	if c.attempt == "" {
 		d.dequeue(c)
 		delete(d.calls, id)
 		d.gaugeOver(c, "", "")
@@ -57,16 +57,16 @@
 func (d *Decider) ended(e Ended) {
 	c := d.calls[e.Call]
 	for _, p := range d.places {
-		delete(p.inFlight, e.Leg)
+		delete(p.inFlight, e.Attempt)
 	}
-	if c == nil || c.leg != e.Leg {
+	if c == nil || c.attempt != e.Attempt {
 		for _, st := range d.replicaStates {
-			delete(st.openLegs, e.Leg)
+			delete(st.openAttempts, e.Attempt)
 		}
 		return
 	}
 	on := c.on
-	c.leg, c.on = "", ""
+	c.attempt, c.on = "", ""
 	if c.Routed != nil {
 		d.endedRouted(c, e, on)
 		return
@@ -92,7 +92,7 @@
 	if !d.applyTerms(c) {
 		return
 	}
-	if c.legs >= legsMost {
+	if c.attempts >= attemptsMost {
 		d.give(c, fault.Overloaded, "its legs were refused or lost too often", d.RetryMs())
 		return
 	}
@@ -100,7 +100,7 @@
 	d.enqueue(c)
 }
 
-// finish takes a leg's ending for that of its call.
+// finish takes an attempt's ending for that of its call.
 func (d *Decider) finish(c *Call, e Ending, on string) {
 	delete(d.calls, c.ID)
 	if e == Done {
--- a/internal/dispatch/gauge_test.go
+++ b/internal/dispatch/gauge_test.go
@@ -18,11 +18,11 @@
 	first, second, third := call(1, "fixes"), call(2, "fixes"), call(3, "fixes")
 	st := starts(d.Step(Event{NowUs: 10, Arrived: first}))[0]
 	first.FirstUs.Store(1010)
-	d.Step(Event{NowUs: 2000, Ended: &Ended{Call: first.ID, Leg: st.Leg, Ending: Done}})
+	d.Step(Event{NowUs: 2000, Ended: &Ended{Call: first.ID, Attempt: st.Attempt, Ending: Done}})
 	st = starts(d.Step(Event{NowUs: 3000, Arrived: second}))[0]
 	d.Step(Event{NowUs: 4000, Snapshot: at(2, 2, 2)})
 	second.FirstUs.Store(5000)
-	d.Step(Event{NowUs: 6000, Ended: &Ended{Call: second.ID, Leg: st.Leg, Ending: Done}})
+	d.Step(Event{NowUs: 6000, Ended: &Ended{Call: second.ID, Attempt: st.Attempt, Ending: Done}})
 	d.Step(Event{NowUs: 6000, Arrived: third})
 	got := map[uint64]*KindGauge{}
 	for _, g := range d.Gauges() {
--- a/internal/dispatch/granted_legs.go
+++ b/internal/dispatch/granted_attempts.go
@@ -64,13 +64,13 @@
 func (d *Decider) start(c *Call, r *wire.ReplicaNews, why string) {
 	d.dequeue(c)
 	grant := d.runs[r.ID+"|"+c.Model]
-	c.leg = fmt.Sprintf("%s/%s/%d", r.ID, r.Inc, grant.next)
+	c.attempt = fmt.Sprintf("%s/%s/%d", r.ID, r.Inc, grant.next)
 	grant.next++
 	c.on, c.moving = r.ID, false
-	c.legs++
+	c.attempts++
 	c.firstUs = d.nowUs
 	p := d.placeOf(r.ID)
-	p.inFlight[c.leg] = true
+	p.inFlight[c.attempt] = true
 	if len(p.prefixes) > prefixMost {
 		d.forget(p)
 	}
@@ -78,7 +78,7 @@
 		p.prefixes[print] = d.nowUs
 	}
 	d.note(c, "leg", r.ID, why)
-	d.do(Effect{Start: &Start{Call: c, Leg: c.leg, Ticket: grant.ticket, Replica: r.ID, Addr: r.Addr, Inc: r.Inc, Revision: d.snap.Revision, ExpiryUs: c.expiryUs, Kind: c.requestKind()}})
+	d.do(Effect{Start: &Start{Call: c, Attempt: c.attempt, Ticket: grant.ticket, Replica: r.ID, Addr: r.Addr, Inc: r.Inc, Revision: d.snap.Revision, ExpiryUs: c.expiryUs, Kind: c.requestKind()}})
 }
 
 func (d *Decider) forget(p *place) {
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -13,15 +13,15 @@
 	lateLeastMs = 400.0
 )
 
-// lateMs is how long after its start a leg without a first piece is slow: far beyond what was foretold for
+// lateMs is how long after its start an attempt without a first piece is slow: far beyond what was foretold for
 // it, and too late for its caller.
-func (f *openLeg) lateMs() float64 {
+func (f *openAttempt) lateMs() float64 {
 	return max(lateTimes*f.predictedMs, f.predictedMs+lateLeastMs, float64(f.call.Routed.Route.AimMs))
 }
 
-// judge tells what became of a leg to whoever watches the replica. Where the executor did not say, the
+// judge tells what became of an attempt to whoever watches the replica. Where the executor did not say, the
 // ending does.
-func (d *Decider) judge(c *Call, f *openLeg, on string, e Ending) {
+func (d *Decider) judge(c *Call, f *openAttempt, on string, e Ending) {
 	class := outlier.Class(c.Outcome.Swap(int32(outlier.None)))
 	if f.late {
 		return
@@ -62,10 +62,10 @@
 	return len(d.snap.ByService[service])
 }
 
-// late notes legs under way that should have shown a first piece long ago.
+// late notes attempts under way that should have shown a first piece long ago.
 func (d *Decider) late() {
 	for _, id := range slices.Sorted(maps.Keys(d.replicaStates)) {
-		for _, f := range d.replicaStates[id].openLegs {
+		for _, f := range d.replicaStates[id].openAttempts {
 			if f.late || f.call.FirstUs.Load() >= f.startUs || float64(d.nowUs-f.startUs)/1000 < f.lateMs() {
 				continue
 			}
@@ -75,7 +75,7 @@
 	}
 }
 
-// trusts says whether a call may go to a replica by what is known of its other legs: those of this desk,
+// trusts says whether a call may go to a replica by what is known of its other attempts: those of this desk,
 // and the verdict of the controller on those of all.
 func (d *Decider) trusts(c *Call, id string) bool {
 	if d.outliers.Off(d.nowUs, id) {
@@ -102,7 +102,7 @@
 // reportOutcomes tells the controller where something failed, and what came of trials.
 func (d *Decider) reportOutcomes(rep *wire.Report) {
 	d.late()
-	rep.Legs, rep.Outcomes = d.outliers.Tell(d.nowUs, func(id string) bool {
+	rep.Attempts, rep.Outcomes = d.outliers.Tell(d.nowUs, func(id string) bool {
 		if d.snap == nil {
 			return false
 		}
@@ -111,5 +111,5 @@
 	})
 }
 
-// Failing is true where a leg has failed that no report has told yet.
+// Failing is true where an attempt has failed that no report has told yet.
 func (d *Decider) Failing() bool { return d.outliers.News() }
--- a/internal/dispatch/outcome_test.go
+++ b/internal/dispatch/outcome_test.go
@@ -49,8 +49,8 @@
 		for i := range 200 {
 			id := "c" + itoa(uint64(i))
 			k.call(id, c.route, c.model)
-			if legs := k.legs[id]; len(legs) > 0 {
-				if legs[0].Replica == "r1" {
+			if attempts := k.attempts[id]; len(attempts) > 0 {
+				if attempts[0].Replica == "r1" {
 					got++
 				}
 				k.end(id, Done)
@@ -68,16 +68,16 @@
 	k.d.snap.Replicas["r2"].Holds = nil
 	k.call("c", "many", "m").Outcome.Store(int32(outlier.ResetFresh))
 	k.end("c", Unknown)
-	if n := len(k.legs["c"]); n != 1 {
-		t.Errorf("%d legs at once", n)
+	if n := len(k.attempts["c"]); n != 1 {
+		t.Errorf("%d attempts at once", n)
 	}
 	k.after(clock.Sec + clock.Ms)
-	if n := len(k.legs["c"]); n != 2 {
-		t.Errorf("%d legs a second later", n)
+	if n := len(k.attempts["c"]); n != 2 {
+		t.Errorf("%d attempts a second later", n)
 	}
 }
 
-func TestWhatReportsTellOfLegs(t *testing.T) {
+func TestWhatReportsTellOfAttempts(t *testing.T) {
 	doc := declaration(declared{"many", standing.Idempotent, 3, one("engine"), false})
 	for _, c := range []struct {
 		what   string
@@ -110,7 +110,7 @@
 		k.end("c", c.ending)
 		rep := k.d.Report(k.nowUs)
 		got := outlier.None
-		if rep.Legs["engine"] > 0 {
+		if rep.Attempts["engine"] > 0 {
 			got = outlier.Good
 		}
 		for _, o := range rep.Outcomes {
@@ -124,8 +124,8 @@
 	}
 }
 
-// A leg that shows nothing is told of while it still hangs, once.
-func TestAHangingLegIsToldOfBeforeItEnds(t *testing.T) {
+// An attempt that shows nothing is told of while it still hangs, once.
+func TestAHangingAttemptIsToldOfBeforeItEnds(t *testing.T) {
 	k := newClerk(Options{}, stands(declaration(declared{"many", standing.Idempotent, 3, one("engine"), false}), 1, at("engine", "r1")...))
 	k.call("c", "many", "m")
 	k.after(clock.Sec)
@@ -145,8 +145,8 @@
 	}
 }
 
-// What was said of a leg that had been told of already is not said of the call's next one.
-func TestAnOutcomeIsOfOneLegAlone(t *testing.T) {
+// What was said of an attempt that had been told of already is not said of the call's next one.
+func TestAnOutcomeIsOfOneAttemptAlone(t *testing.T) {
 	k := newClerk(Options{}, stands(declaration(declared{"many", standing.Idempotent, 3, one("engine"), false}), 1, at("engine", "r1", "r2")...))
 	c := k.call("c", "many", "m")
 	k.after(clock.Sec)
@@ -154,7 +154,7 @@
 	c.Outcome.Store(int32(outlier.ResetFresh))
 	k.end("c", Unknown)
 	k.end("c", Done)
-	if rep := k.d.Report(k.nowUs); len(rep.Outcomes) != 0 || rep.Legs["engine"] != 1 {
-		t.Errorf("%+v of %v legs", rep.Outcomes, rep.Legs)
+	if rep := k.d.Report(k.nowUs); len(rep.Outcomes) != 0 || rep.Attempts["engine"] != 1 {
+		t.Errorf("%+v of %v attempts", rep.Outcomes, rep.Attempts)
 	}
 }
--- a/internal/dispatch/prospect.go
+++ b/internal/dispatch/prospect.go
@@ -188,7 +188,7 @@
 		}
 		wanted[key] = true
 		r := c.Routed.Route
-		if c.Routed.returned || c.ran || c.Had > 0 || c.legs > 0 || r.AimMs == 0 {
+		if c.Routed.returned || c.ran || c.Had > 0 || c.attempts > 0 || r.AimMs == 0 {
 			continue
 		}
 		waitedUs, aimUs := d.nowUs-c.TakenUs, r.AimMs*clock.Ms
--- a/internal/dispatch/prospect_test.go
+++ b/internal/dispatch/prospect_test.go
@@ -68,7 +68,7 @@
 	held := at("engine", "r1")
 	held[0].Holds = []string{"m", "n"}
 	k.step(Event{Snapshot: stands(doc, 1, held...)})
-	if len(k.legs["again"]) != 1 {
+	if len(k.attempts["again"]) != 1 {
 		t.Error("a call that came back was not sent once its model was there")
 	}
 }
@@ -84,7 +84,7 @@
 	held := at("engine", "r1")
 	held[0].Holds = []string{"m", "n"}
 	k.step(Event{Snapshot: stands(doc, 1, held...)})
-	if len(k.legs["c"]) != 1 {
+	if len(k.attempts["c"]) != 1 {
 		t.Error("it was not sent once its model was there")
 	}
 }
--- a/internal/dispatch/reading.go
+++ b/internal/dispatch/reading.go
@@ -1,7 +1,7 @@
 package dispatch
 
 // reading is how long a model's replicas take to a first piece: a part that every prompt takes, and one for
-// each token that must be read. It is learnt, as a line with slowly forgotten points, from legs that found
+// each token that must be read. It is learnt, as a line with slowly forgotten points, from attempts that found
 // nothing waiting before them.
 type reading struct {
 	n, x, y, xx, xy float64
--- a/internal/dispatch/replica_state.go
+++ b/internal/dispatch/replica_state.go
@@ -4,8 +4,8 @@
 	"petreltide/internal/wire"
 )
 
-// openLeg is a leg that is under way at a replica.
-type openLeg struct {
+// openAttempt is an attempt that is under way at a replica.
+type openAttempt struct {
 	call        *Call
 	startUs     int64
 	tokens      int64
@@ -14,9 +14,9 @@
 	late        bool
 }
 
-// replicaState is what this desk knows of one replica from its own legs there.
+// replicaState is what this desk knows of one replica from its own attempts there.
 type replicaState struct {
-	openLegs     map[string]*openLeg
+	openAttempts map[string]*openAttempt
 	missing      map[string]int64
 	parts        map[uint64]int64
 	pace         float64
@@ -28,19 +28,19 @@
 func (d *Decider) replicaStateOf(id string) *replicaState {
 	s := d.replicaStates[id]
 	if s == nil {
-		s = &replicaState{openLegs: map[string]*openLeg{}, missing: map[string]int64{}, parts: map[uint64]int64{}, pace: 1, workMs: plainWorkMs}
+		s = &replicaState{openAttempts: map[string]*openAttempt{}, missing: map[string]int64{}, parts: map[uint64]int64{}, pace: 1, workMs: plainWorkMs}
 		d.replicaStates[id] = s
 	}
 	return s
 }
 
 // standsAt counts what runs at a replica and how long what waits there will take, in ms: this desk's own
-// legs that have no first piece yet. What other desks have there shows only in how long those take: news
+// attempts that have no first piece yet. What other desks have there shows only in how long those take: news
 // of it that is a quarter of a second old made no day better (docs/design-platform.md).
 func (d *Decider) standsAt(r *wire.ReplicaNews, s *replicaState, perToken float64) (running int, waitMs float64) {
 	var tokens int64
 	lateMs := 0.0
-	for _, f := range s.openLegs {
+	for _, f := range s.openAttempts {
 		running++
 		if f.call.FirstUs.Load() >= f.startUs {
 			continue
@@ -53,17 +53,17 @@
 	return running, s.pace*float64(tokens)*perToken + lateMs
 }
 
-// launch begins a leg; every leg names the one life of the replica it is for.
+// launch begins an attempt; every attempt names the one life of the replica it is for.
 func (d *Decider) launch(c *Call, r *wire.ReplicaNews, predictedMs float64) {
 	d.dequeue(c)
-	d.legSeq++
-	c.leg = r.ID + "/" + itoa(d.legSeq)
+	d.attemptSeq++
+	c.attempt = r.ID + "/" + itoa(d.attemptSeq)
 	c.on, c.moving = r.ID, false
-	c.legs++
+	c.attempts++
 	c.firstUs = d.nowUs
 	s := d.replicaStateOf(r.ID)
 	running, waitMs := d.standsAt(r, s, 1/tokensPerMs)
-	s.openLegs[c.leg] = &openLeg{call: c, startUs: d.nowUs, tokens: d.unread(c, r, s), predictedMs: predictedMs, alone: waitMs < aloneMs && running <= aloneMost}
+	s.openAttempts[c.attempt] = &openAttempt{call: c, startUs: d.nowUs, tokens: d.unread(c, r, s), predictedMs: predictedMs, alone: waitMs < aloneMs && running <= aloneMost}
 	if len(s.parts) > partsKept {
 		s.parts = map[uint64]int64{}
 	}
@@ -74,7 +74,7 @@
 	}
 	c.FirstUs.Store(0)
 	d.note(c, "leg", r.ID, "")
-	d.do(Effect{Start: &Start{GuessMs: predictedMs, Running: running, Call: c, Leg: c.leg, Replica: r.ID, Addr: r.Addr, Inc: r.Inc, Revision: d.snap.Revision, ExpiryUs: c.expiryUs,
+	d.do(Effect{Start: &Start{GuessMs: predictedMs, Running: running, Call: c, Attempt: c.attempt, Replica: r.ID, Addr: r.Addr, Inc: r.Inc, Revision: d.snap.Revision, ExpiryUs: c.expiryUs,
 		Route: c.Routed.Route, Service: c.Routed.Service, Kind: c.requestKind()}})
 }
 
@@ -90,11 +90,11 @@
 	}
 }
 
-// learn takes note from how a leg ended.
-func (d *Decider) learn(c *Call, leg string, on string, e Ending) {
+// learn takes note from how an attempt ended.
+func (d *Decider) learn(c *Call, attempt string, on string, e Ending) {
 	s := d.replicaStateOf(on)
-	f := s.openLegs[leg]
-	delete(s.openLegs, leg)
+	f := s.openAttempts[attempt]
+	delete(s.openAttempts, attempt)
 	if f == nil {
 		return
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -83,7 +83,7 @@
 	return rates
 }
 
-// Report is what a gateway tells the control nodes: arrivals, what waits, what runs, how legs ended.
+// Report is what a gateway tells the control nodes: arrivals, what waits, what runs, how attempts ended.
 func (d *Decider) Report(nowUs int64) wire.Report {
 	rep := wire.Report{
 		Desk: d.opts.Desk, Inc: d.opts.Inc, SentUs: nowUs, Arrivals: d.Arrivals(), Draining: d.drain,
@@ -165,8 +165,8 @@
 		n.InFlight[id] = len(p.inFlight)
 	}
 	for id, s := range d.replicaStates {
-		if len(s.openLegs) > 0 {
-			n.InFlight[id] = len(s.openLegs)
+		if len(s.openAttempts) > 0 {
+			n.InFlight[id] = len(s.openAttempts)
 		}
 	}
 	n.Budgets = d.budgetNotes()
--- a/internal/dispatch/routed.go
+++ b/internal/dispatch/routed.go
@@ -67,7 +67,7 @@
 		mostMs = min(mostMs, c.MostMs)
 	}
 	c.expiryUs = c.TakenUs + mostMs*1000
-	if c.leg == "" && (c.Routed.Service == "" || !r.May(c.Routed.Service)) {
+	if c.attempt == "" && (c.Routed.Service == "" || !r.May(c.Routed.Service)) {
 		if c.Routed.draw == 0 {
 			h := fnv.New64a()
 			_, _ = h.Write([]byte(c.ID))
@@ -101,8 +101,8 @@
 	return k
 }
 
-// routedAgain says whether a call whose leg ended so may have another: by what it is and what was seen, by the
-// attempts that its route allows, and by the retry budget. A leg that was not sent costs neither.
+// routedAgain says whether a call whose attempt ended so may have another: by what it is and what was seen, by the
+// attempts that its route allows, and by the retry budget. An attempt that was not sent costs neither.
 func (d *Decider) routedAgain(c *Call, e Ending) bool {
 	k := c.requestKind()
 	switch {
@@ -135,7 +135,7 @@
 }
 
 func (d *Decider) endedRouted(c *Call, e Ended, on string) {
-	d.learn(c, e.Leg, on, e.Ending)
+	d.learn(c, e.Attempt, on, e.Ending)
 	if e.Ending != Unsent {
 		c.Routed.arrivals++
 	}
@@ -168,14 +168,14 @@
 	d.promised(rep)
 	d.reportOutcomes(rep)
 	for id, s := range d.replicaStates {
-		if d.snap != nil && d.snap.Replicas[id] == nil && len(s.openLegs) == 0 {
+		if d.snap != nil && d.snap.Replicas[id] == nil && len(s.openAttempts) == 0 {
 			delete(d.replicaStates, id)
 			continue
 		}
-		if len(s.openLegs) == 0 {
+		if len(s.openAttempts) == 0 {
 			continue
 		}
-		for _, f := range s.openLegs {
+		for _, f := range s.openAttempts {
 			if f.call.Model != "" {
 				if rep.Runs == nil {
 					rep.Runs = map[string]int{}
@@ -191,6 +191,6 @@
 				}
 			}
 		}
-		rep.InFlight[id] = len(s.openLegs)
+		rep.InFlight[id] = len(s.openAttempts)
 	}
 }
--- a/internal/dispatch/routed_test.go
+++ b/internal/dispatch/routed_test.go
@@ -63,18 +63,18 @@
 
 // clerk drives one decider and holds what it did with each call.
 type clerk struct {
-	d     *Decider
-	nowUs int64
-	legs  map[string][]*Start
-	fin   map[string]*Effect
-	told  int
+	d        *Decider
+	nowUs    int64
+	attempts map[string][]*Start
+	fin      map[string]*Effect
+	told     int
 }
 
 func newClerk(opts Options, s *Snapshot) *clerk {
 	if opts.BacklogMax == 0 {
 		opts.BacklogMax = 1000
 	}
-	k := &clerk{d: New(opts), nowUs: clock.Sec, legs: map[string][]*Start{}, fin: map[string]*Effect{}}
+	k := &clerk{d: New(opts), nowUs: clock.Sec, attempts: map[string][]*Start{}, fin: map[string]*Effect{}}
 	k.step(Event{Snapshot: s})
 	return k
 }
@@ -86,7 +86,7 @@
 		held := e
 		switch {
 		case e.Start != nil:
-			k.legs[e.Start.Call.ID] = append(k.legs[e.Start.Call.ID], e.Start)
+			k.attempts[e.Start.Call.ID] = append(k.attempts[e.Start.Call.ID], e.Start)
 		case e.Give != nil:
 			k.fin[e.Give.Call.ID] = &held
 			k.told++
@@ -104,10 +104,10 @@
 	return c
 }
 
-// end ends the newest leg of a call.
+// end ends the newest attempt of a call.
 func (k *clerk) end(id string, e Ending) []Effect {
-	legs := k.legs[id]
-	return k.step(Event{Ended: &Ended{Call: id, Leg: legs[len(legs)-1].Leg, Ending: e}})
+	attempts := k.attempts[id]
+	return k.step(Event{Ended: &Ended{Call: id, Attempt: attempts[len(attempts)-1].Attempt, Ending: e}})
 }
 
 func (k *clerk) after(us int64) {
@@ -124,11 +124,11 @@
 		k.call("c", "once", "m")
 		k.end("c", c.ending)
 		k.after(c.afterUs - clock.Ms)
-		if n := len(k.legs["c"]); n != 1 {
+		if n := len(k.attempts["c"]); n != 1 {
 			t.Errorf("%s: it was sent %d times before its pause", c.ending, n)
 		}
 		k.after(2 * clock.Ms)
-		if n := len(k.legs["c"]); n != 2 {
+		if n := len(k.attempts["c"]); n != 2 {
 			t.Fatalf("%s: it waits for a replica that does not come, sent %d times", c.ending, n)
 		}
 		k.end("c", Done)
@@ -142,8 +142,8 @@
 	k := newClerk(Options{}, stands(declaration(declared{"once", standing.NonIdempotent, 3, one("s"), false}), 1, at("s", "r1", "r2")...))
 	k.call("c", "once", "")
 	k.end("c", Refused)
-	if legs := k.legs["c"]; len(legs) != 2 || legs[0].Replica == legs[1].Replica {
-		t.Fatalf("%v", legs)
+	if attempts := k.attempts["c"]; len(attempts) != 2 || attempts[0].Replica == attempts[1].Replica {
+		t.Fatalf("%v", attempts)
 	}
 }
 
@@ -164,8 +164,8 @@
 		k := newClerk(Options{}, stands(declaration(declared{"r", c.repeat, 2, one("s"), false}), 1, at("s", "r1", "r2", "r3")...))
 		k.call("c", "r", "")
 		for i, e := range c.endings {
-			if len(k.legs["c"]) != i+1 {
-				t.Fatalf("%v: %d legs before the ending %d", c.endings, len(k.legs["c"]), i)
+			if len(k.attempts["c"]) != i+1 {
+				t.Fatalf("%v: %d attempts before the ending %d", c.endings, len(k.attempts["c"]), i)
 			}
 			k.end("c", e)
 		}
@@ -197,11 +197,11 @@
 	if k := waiting(declaration()); k.fin["c"] == nil || k.fin["c"].Give == nil || k.fin["c"].Give.Fault.Code != fault.UnknownKind || k.fin["c"].Give.Fault.Run != fault.RunNone {
 		t.Errorf("dropped while it waits: %+v", k.fin["c"])
 	}
-	if k := waiting(declaration(moved)); len(k.legs["c"]) != 1 || k.legs["c"][0].Replica != "o1" {
-		t.Errorf("moved while it waits: %v", k.legs["c"])
+	if k := waiting(declaration(moved)); len(k.attempts["c"]) != 1 || k.attempts["c"][0].Replica != "o1" {
+		t.Errorf("moved while it waits: %v", k.attempts["c"])
 	}
-	if k := waiting(declaration(declared{"r", standing.NonIdempotent, 3, []standing.Weighted{{Service: "s", Weight: 0}, {Service: "other", Weight: 1}}, false})); len(k.legs["c"]) != 1 || k.legs["c"][0].Replica != "o1" {
-		t.Errorf("weighed down to 0 while it waits: %v", k.legs["c"])
+	if k := waiting(declaration(declared{"r", standing.NonIdempotent, 3, []standing.Weighted{{Service: "s", Weight: 0}, {Service: "other", Weight: 1}}, false})); len(k.attempts["c"]) != 1 || k.attempts["c"][0].Replica != "o1" {
+		t.Errorf("weighed down to 0 while it waits: %v", k.attempts["c"])
 	}
 
 	running := func(next *standing.Declaration, e Ending) *clerk {
@@ -214,20 +214,20 @@
 	if k := running(declaration(), Done); k.fin["c"].Over == nil || k.fin["c"].Over.Ending != Done {
 		t.Errorf("dropped while it runs: %+v", k.fin["c"])
 	}
-	if k := running(declaration(), Refused); k.fin["c"] == nil || k.fin["c"].Give == nil || k.fin["c"].Give.Fault.Run != fault.RunNone || len(k.legs["c"]) != 1 {
+	if k := running(declaration(), Refused); k.fin["c"] == nil || k.fin["c"].Give == nil || k.fin["c"].Give.Fault.Run != fault.RunNone || len(k.attempts["c"]) != 1 {
 		t.Errorf("dropped while it runs, then refused: %+v", k.fin["c"])
 	}
-	if k := running(declaration(moved), Refused); len(k.legs["c"]) != 2 || k.legs["c"][1].Replica != "o1" {
-		t.Errorf("moved while it runs, then refused: %v", k.legs["c"])
+	if k := running(declaration(moved), Refused); len(k.attempts["c"]) != 2 || k.attempts["c"][1].Replica != "o1" {
+		t.Errorf("moved while it runs, then refused: %v", k.attempts["c"])
 	}
-	if k := running(declaration(moved), Unknown); len(k.legs["c"]) != 1 || k.fin["c"].Over == nil {
-		t.Errorf("moved while it runs, then in doubt: %v", k.legs["c"])
+	if k := running(declaration(moved), Unknown); len(k.attempts["c"]) != 1 || k.fin["c"].Over == nil {
+		t.Errorf("moved while it runs, then in doubt: %v", k.attempts["c"])
 	}
 	k := newClerk(Options{}, stands(declaration(declared{"r", standing.Idempotent, 3, one("s"), false}), 1, rows...))
 	k.call("c", "r", "")
 	k.step(Event{Snapshot: stands(declaration(base), 1, rows...)})
-	if k.end("c", Unknown); len(k.legs["c"]) != 1 {
-		t.Errorf("no longer repeatable, then in doubt: %v", k.legs["c"])
+	if k.end("c", Unknown); len(k.attempts["c"]) != 1 {
+		t.Errorf("no longer repeatable, then in doubt: %v", k.attempts["c"])
 	}
 
 	for name, now := range map[string]*Snapshot{
@@ -239,7 +239,7 @@
 	} {
 		k := newClerk(Options{}, stands(declaration(base), 1, rows...))
 		k.call("c", "r", "")
-		st := *k.legs["c"][0]
+		st := *k.attempts["c"][0]
 		if !st.MaySend(k.d.snap, k.nowUs, 0) || st.MaySend(now, k.nowUs, 0) || st.MaySend(k.d.snap, st.ExpiryUs, 0) {
 			t.Errorf("%s between the decision and the first byte", name)
 		}
@@ -260,17 +260,17 @@
 		k.end("first", c.ending)
 		k.call("same", "r", "m")
 		k.call("beside", "r", "n")
-		if same, beside := len(k.legs["same"]) > 0, len(k.legs["beside"]) > 0; same != c.same || beside != c.beside {
+		if same, beside := len(k.attempts["same"]) > 0, len(k.attempts["beside"]) > 0; same != c.same || beside != c.beside {
 			t.Errorf("%s: the same model is sent there %v, another %v", c.ending, same, beside)
 		}
-		if k.after(c.backUs + clock.Ms); c.backUs < 15*clock.Sec && len(k.legs["same"]) == 0 {
+		if k.after(c.backUs + clock.Ms); c.backUs < 15*clock.Sec && len(k.attempts["same"]) == 0 {
 			t.Errorf("%s: never asked again", c.ending)
 		}
 	}
 }
 
 // Whatever comes in whatever order: a call that is not repeatable is never sent again after anything but a
-// sure word that it has not run; a refusal that says so is true; each call is answered once; legs go only
+// sure word that it has not run; a refusal that says so is true; each call is answered once; attempts go only
 // where the newest declaration sends them, to replicas that are there and not leaving; attempts hold.
 func TestSeededCallsUnderChangingRoutes(t *testing.T) {
 	endings := []Ending{Done, Done, Failed, Refused, Refused, Missing, Elsewhere, Unsent, Broken, Unknown, Final}
@@ -312,7 +312,7 @@
 						}
 					}
 					if open[id] {
-						t.Fatalf("seed %d: %s has two legs at once", seed, id)
+						t.Fatalf("seed %d: %s has two attempts at once", seed, id)
 					}
 					open[id] = true
 				case e.Give != nil:
@@ -335,10 +335,10 @@
 			default:
 				for id := range open {
 					if open[id] {
-						legs := k.legs[id]
+						attempts := k.attempts[id]
 						e := endings[r.Intn(len(endings))]
 						ran[id], open[id] = ran[id] || !notRun(e), false
-						look(k.step(Event{Ended: &Ended{Call: id, Leg: legs[len(legs)-1].Leg, Ending: e}}))
+						look(k.step(Event{Ended: &Ended{Call: id, Attempt: attempts[len(attempts)-1].Attempt, Ending: e}}))
 						break
 					}
 				}
@@ -347,9 +347,9 @@
 		for round := 0; round < 20 && len(k.fin) < calls; round++ {
 			for id := range open {
 				if open[id] {
-					legs := k.legs[id]
+					attempts := k.attempts[id]
 					open[id], ran[id] = false, true
-					look(k.step(Event{Ended: &Ended{Call: id, Leg: legs[len(legs)-1].Leg, Ending: Final}}))
+					look(k.step(Event{Ended: &Ended{Call: id, Attempt: attempts[len(attempts)-1].Attempt, Ending: Final}}))
 				}
 			}
 			k.nowUs += 21 * clock.Sec
@@ -359,9 +359,9 @@
 			t.Fatalf("seed %d: %d calls, %d of them answered with %d answers, %d left over", seed, calls, len(k.fin), k.told, len(k.d.calls))
 		}
 		answered += calls
-		for id, legs := range k.legs {
-			if len(legs) > legsMost {
-				t.Fatalf("seed %d: %s had %d legs", seed, id, len(legs))
+		for id, attempts := range k.attempts {
+			if len(attempts) > attemptsMost {
+				t.Fatalf("seed %d: %s had %d attempts", seed, id, len(attempts))
 			}
 		}
 	}
@@ -408,7 +408,7 @@
 					for _, e := range effects {
 						if e.Start != nil {
 							open[i] = append(open[i], e.Start.Call.ID)
-							if len(k.legs[e.Start.Call.ID]) > 1 {
+							if len(k.attempts[e.Start.Call.ID]) > 1 {
 								extra = append(extra, k.nowUs)
 							}
 						}
@@ -426,12 +426,12 @@
 				ended := open[i]
 				open[i] = nil
 				for _, id := range ended {
-					legs := k.legs[id]
+					attempts := k.attempts[id]
 					e := Done
 					if r.Intn(100) < bad {
 						e = []Ending{Refused, Broken, Unknown}[r.Intn(3)]
 					}
-					note(k.step(Event{Ended: &Ended{Call: id, Leg: legs[len(legs)-1].Leg, Ending: e}}))
+					note(k.step(Event{Ended: &Ended{Call: id, Attempt: attempts[len(attempts)-1].Attempt, Ending: e}}))
 				}
 			}
 		}
@@ -449,7 +449,7 @@
 			may := ratio*float64(most) + slack
 			tight = max(tight, float64(spent)/may)
 			if float64(spent) > may {
-				t.Fatalf("seed %d: %d desks sent %d further legs within a window of %d calls", seed, desks, spent, most)
+				t.Fatalf("seed %d: %d desks sent %d further attempts within a window of %d calls", seed, desks, spent, most)
 			}
 		}
 	}
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -15,7 +15,7 @@
 	return x ^ x>>33
 }
 
-// takes says whether a replica may get a new leg of this call by the newest word of it.
+// takes says whether a replica may get a new attempt of this call by the newest word of it.
 func (s *Snapshot) takesRouted(r *wire.ReplicaNews, model, adapter string) bool {
 	if r.Leaving || r.Dark {
 		return false
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -46,7 +46,7 @@
 	return s
 }
 
-// Takes says whether a replica may get a new leg for this model and adapter under the newest news.
+// Takes says whether a replica may get a new attempt for this model and adapter under the newest news.
 func (s *Snapshot) Takes(replica, inc, model, adapter string) bool {
 	r := s.Replicas[replica]
 	if r == nil || r.Inc != inc || r.Leaving || r.Dark || s.Doc == nil || s.Doc.IsEmptied(r.Zone) {
@@ -109,7 +109,7 @@
 	return i < len(r.Holds) && r.Holds[i] == unit
 }
 
-// MaySend is asked once more right before the first byte of a leg leaves.
+// MaySend is asked once more right before the first byte of an attempt leaves.
 func (st Start) MaySend(s *Snapshot, nowUs, leaseUs int64) bool {
 	if st.Call.Routed != nil {
 		return s.maySendRouted(st, nowUs)
@@ -118,9 +118,9 @@
 }
 
 // Judge looks at a replica's next line; an empty ending means it is the next piece.
-func Judge(leg string, had int, p wire.Piece) (Ending, string) {
+func Judge(attempt string, had int, p wire.Piece) (Ending, string) {
 	switch {
-	case p.Leg != leg:
+	case p.Attempt != attempt:
 		return Broken, "the replica answered with another leg"
 	case p.Err != "":
 		return Broken, "the replica failed: " + p.Err
--- a/internal/dispatch/terms.go
+++ b/internal/dispatch/terms.go
@@ -50,13 +50,13 @@
 		}
 	}
 	for _, c := range d.calls {
-		if c.leg != "" {
+		if c.attempt != "" {
 			d.terms(c)
 		}
 	}
 }
 
-// applyTerms lays the newest declaration's terms on a call that has no leg, and gives it up where
+// applyTerms lays the newest declaration's terms on a call that has no attempt, and gives it up where
 // they leave it no way to be served.
 func (d *Decider) applyTerms(c *Call) bool {
 	if d.snap == nil || d.snap.Doc == nil {
@@ -107,31 +107,31 @@
 	return calls
 }
 
-// moveOff takes resumable legs off leaving replicas and emptied zones, most progress first,
+// moveOff takes resumable attempts off leaving replicas and emptied zones, most progress first,
 // only while a survivor has a free slot for them.
 func (d *Decider) moveOff() {
 	if d.snap == nil || d.snap.Doc == nil || d.nowUs >= d.leaseUs {
 		return
 	}
-	legs := []*Call{}
+	attempts := []*Call{}
 	for _, c := range d.calls {
-		if c.leg == "" || !c.resume || c.moving || c.gone || c.Routed != nil {
+		if c.attempt == "" || !c.resume || c.moving || c.gone || c.Routed != nil {
 			continue
 		}
 		r := d.snap.Replicas[c.on]
 		if r != nil && (r.Leaving || d.snap.Doc.IsEmptied(r.Zone)) {
-			legs = append(legs, c)
+			attempts = append(attempts, c)
 		}
 	}
-	if len(legs) == 0 {
+	if len(attempts) == 0 {
 		return
 	}
-	sort.Slice(legs, func(i, j int) bool {
-		a, b := legs[i].Progress.Load(), legs[j].Progress.Load()
+	sort.Slice(attempts, func(i, j int) bool {
+		a, b := attempts[i].Progress.Load(), attempts[j].Progress.Load()
 		if a != b {
 			return a > b
 		}
-		return legs[i].ID < legs[j].ID
+		return attempts[i].ID < attempts[j].ID
 	})
 	reserved := map[string]int{}
 	for _, c := range d.calls {
@@ -139,7 +139,7 @@
 			reserved[c.Model]++
 		}
 	}
-	for _, c := range legs {
+	for _, c := range attempts {
 		free := 0
 		for _, id := range d.snap.IDs {
 			r := d.snap.Replicas[id]
--- a/internal/ledger/grants.go
+++ b/internal/ledger/grants.go
@@ -49,10 +49,10 @@
 	}
 	g := Grant{
 		Ticket: s.NextTicket, Epoch: epoch, Desk: a.Desk, DeskInc: a.DeskInc,
-		Replica: a.Replica, Inc: a.Inc, Model: a.Model, From: r.NextLeg, To: r.NextLeg + a.Count,
+		Replica: a.Replica, Inc: a.Inc, Model: a.Model, From: r.NextAttempt, To: r.NextAttempt + a.Count,
 	}
 	s.NextTicket++
-	r.NextLeg = g.To
+	r.NextAttempt = g.To
 	s.Grants[g.Key()] = g
 	return nil
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -87,7 +87,7 @@
 	}
 }
 
-func TestLegNumbersAreSpentOnce(t *testing.T) {
+func TestAttemptNumbersAreSpentOnce(t *testing.T) {
 	s := ready(t)
 	ask := func(desk string, n uint64) GrantAsk {
 		return GrantAsk{Desk: desk, DeskInc: "d", Replica: "r0", Inc: "i", Model: "a", Count: n}
--- a/internal/ledger/replicas.go
+++ b/internal/ledger/replicas.go
@@ -25,9 +25,9 @@
 	// Orders is how many orders this life had taken when it held just Holds; nil where that is not known.
 	Orders *uint64 `json:"orders,omitempty"`
 	// Had are the models that this life has held at some time: they come back from its own disk.
-	Had     map[string]bool `json:"had,omitempty"`
-	NextLeg uint64          `json:"nextLeg"`
-	Shares  map[string]int  `json:"shares,omitempty"`
+	Had         map[string]bool `json:"had,omitempty"`
+	NextAttempt uint64          `json:"nextLeg"`
+	Shares      map[string]int  `json:"shares,omitempty"`
 }
 
 // Usable says whether a replica may be given more to hold.
@@ -86,12 +86,12 @@
 func (s *State) noteReplica(n ReplicaNote) {
 	r := s.Replicas[n.ID]
 	if r == nil {
-		r = &Replica{ID: n.ID, Holds: map[string]int64{}, NextLeg: 1}
+		r = &Replica{ID: n.ID, Holds: map[string]int64{}, NextAttempt: 1}
 		s.Replicas[n.ID] = r
 	}
 	if n.Inc != r.Inc {
 		s.dropReplica(n.ID)
-		r = &Replica{ID: n.ID, Inc: n.Inc, Holds: map[string]int64{}, NextLeg: 1}
+		r = &Replica{ID: n.ID, Inc: n.Inc, Holds: map[string]int64{}, NextAttempt: 1}
 		s.Replicas[n.ID] = r
 	}
 	r.Addr, r.Zone, r.RoomMb, r.Slots = n.Addr, n.Zone, n.RoomMb, n.Slots
--- a/internal/ledger/version_test.go
+++ b/internal/ledger/version_test.go
@@ -229,7 +229,7 @@
 		}
 		do(Duty{Settled: []Settled{{Number: stands.Number, Done: c.done}}})
 	}
-	want := &Replica{ID: "r", Inc: "r", RoomMb: 100, Slots: 1, Service: "s", Holds: map[string]int64{"o": 30}, Had: map[string]bool{"m": true, "n": true, "o": true}, NextLeg: 1}
+	want := &Replica{ID: "r", Inc: "r", RoomMb: 100, Slots: 1, Service: "s", Holds: map[string]int64{"o": 30}, Had: map[string]bool{"m": true, "n": true, "o": true}, NextAttempt: 1}
 	if diff := cmp.Diff(want, s.Replicas["r"], cmpopts.IgnoreFields(Replica{}, "Index")); diff != "" {
 		t.Error(diff)
 	}
--- a/internal/office/malformed_test.go
+++ b/internal/office/malformed_test.go
@@ -193,7 +193,7 @@
 	for _, ev := range []Event{
 		{Report: &Reported{}}, {DeskReport: &wire.Report{}}, {Follow: &wire.Follow{}}, {Subscribe: &wire.Follow{}}, {Subscribe: &wire.Follow{Revision: 1 << 63}},
 		{Beat: &watch.Beat{}}, {Letter: &wire.Letter{}}, {Letter: &wire.Letter{Chain: &chain.Msg{}}}, {Unfollow: &Unfollow{}}, {Left: "none"},
-		{DeskReport: &wire.Report{Desk: "d", Arrivals: map[string]float64{"": -1e300}, InFlight: map[string]int{"": -1 << 62}, Legs: map[string]int{"": -1}}},
+		{DeskReport: &wire.Report{Desk: "d", Arrivals: map[string]float64{"": -1e300}, InFlight: map[string]int{"": -1 << 62}, Attempts: map[string]int{"": -1}}},
 	} {
 		if broken := survives(tr, 0, ev); broken != "" {
 			t.Errorf("%+v: %.900s", ev, broken)
--- a/internal/outlier/evidence.go
+++ b/internal/outlier/evidence.go
@@ -8,16 +8,16 @@
 // evidence is what the desks of one zone hold against one replica: one cumulative sum, and by desk what they
 // brought to it since it was last nothing, in parts of scale.
 type evidence struct {
-	total float64
-	scale float64
-	gains map[string]float64
-	legs  float64
-	// bads failed since the sum was last nothing, of about as many legs as were sent since fromLegs.
-	bads     float64
-	fromLegs float64
+	total    float64
+	scale    float64
+	gains    map[string]float64
+	attempts float64
+	// bads failed since the sum was last nothing, of about as many attempts as were sent since fromAttempts.
+	bads         float64
+	fromAttempts float64
 }
 
-// less takes off what good legs are worth, from every desk's part alike.
+// less takes off what good attempts are worth, from every desk's part alike.
 func (e *evidence) less(worth float64) {
 	if e.total <= worth {
 		e.total, e.scale, e.bads = 0, 1, 0
@@ -28,17 +28,17 @@
 	e.total -= worth
 }
 
-// fade takes off what the zone's other legs at the replica are worth: nobody tells of them, so that they are
+// fade takes off what the zone's other attempts at the replica are worth: nobody tells of them, so that they are
 // as many as its even part of what the zone's desks sent.
 func (e *evidence) fade(s *service, zone string) {
-	e.less((s.legs[zone] - e.legs) / float64(max(s.replicas, 1)) * -weight(Good, 0))
-	e.legs = s.legs[zone]
+	e.less((s.attempts[zone] - e.attempts) / float64(max(s.replicas, 1)) * -weight(Good, 0))
+	e.attempts = s.attempts[zone]
 	if e.total == 0 {
-		e.fromLegs = e.legs
+		e.fromAttempts = e.attempts
 	}
 }
 
-// add takes one desk's report: its good legs there answer what it said before, not what other desks say.
+// add takes one desk's report: its good attempts there answer what it said before, not what other desks say.
 func (e *evidence) add(desk string, good int, gain, most float64) {
 	had := e.gains[desk] * e.scale
 	now := min(max(0, had+float64(good)*weight(Good, 0))+gain, most)
--- a/internal/outlier/fleet.go
+++ b/internal/outlier/fleet.go
@@ -5,13 +5,13 @@
 	"slices"
 )
 
-// Report is what one desk tells: Legs are all that ended since its last, by service; Counts are of replicas
+// Report is what one desk tells: Attempts are all that ended since its last, by service; Counts are of replicas
 // where something failed, and of those on trial.
 type Report struct {
-	Desk   string
-	Zone   string
-	Legs   map[string]int
-	Counts []Counts
+	Desk     string
+	Zone     string
+	Attempts map[string]int
+	Counts   []Counts
 }
 
 // Fleet folds what all desks tell, and judges.
@@ -60,7 +60,7 @@
 func (f *Fleet) serviceOf(name string) *service {
 	s := f.services[name]
 	if s == nil {
-		s = &service{legs: map[string]float64{}}
+		s = &service{attempts: map[string]float64{}}
 		f.services[name] = s
 	}
 	return s
@@ -75,17 +75,17 @@
 	return s
 }
 
-// Hear folds one desk's report; serviceOf is "" for a replica that is not known. What a desk's other legs at
+// Hear folds one desk's report; serviceOf is "" for a replica that is not known. What a desk's other attempts at
 // a replica came to is not told: they count as good, as many as the replica's even part of what the desk sent.
 func (f *Fleet) Hear(nowUs int64, r Report, serviceOf func(replica string) string) {
 	if len(f.desks) == 0 {
 		f.bornUs = nowUs
 	}
 	f.desks[r.Desk] = nowUs
-	for name, n := range r.Legs {
+	for name, n := range r.Attempts {
 		s := f.serviceOf(name)
 		s.turn(nowUs, f)
-		s.legs[r.Zone] += float64(n)
+		s.attempts[r.Zone] += float64(n)
 		s.recent[0] += float64(n)
 	}
 	for _, c := range r.Counts {
@@ -98,7 +98,7 @@
 		sus.atUs = nowUs
 		e := sus.zones[r.Zone]
 		if e == nil {
-			e = &evidence{scale: 1, gains: map[string]float64{}, legs: svc.legs[r.Zone]}
+			e = &evidence{scale: 1, gains: map[string]float64{}, attempts: svc.attempts[r.Zone]}
 			sus.zones[r.Zone] = e
 		}
 		e.fade(svc, r.Zone)
--- a/internal/outlier/judge.go
+++ b/internal/outlier/judge.go
@@ -177,7 +177,7 @@
 	if f.alone {
 		most = limit
 	}
-	whole, bads, legs := 0.0, 0.0, 0.0
+	whole, bads, attempts := 0.0, 0.0, 0.0
 	for _, zone := range slices.Sorted(maps.Keys(sus.zones)) {
 		e := sus.zones[zone]
 		e.fade(svc, zone)
@@ -185,7 +185,7 @@
 			delete(sus.zones, zone)
 			continue
 		}
-		whole, bads, legs = whole+e.total, bads+e.bads, legs+(e.legs-e.fromLegs)/float64(max(svc.replicas, 1))
+		whole, bads, attempts = whole+e.total, bads+e.bads, attempts+(e.attempts-e.fromAttempts)/float64(max(svc.replicas, 1))
 	}
 	if whole < limit {
 		return found{}, false
@@ -198,11 +198,11 @@
 			worst, worstSum = zone, part
 		}
 	}
-	if sum >= limit && (sum-worstSum >= limit/4 || len(svc.legs) == 1) {
-		return found{id, "", sum / limit, bads >= max(deadPart*legs, deadLeast)}, true
+	if sum >= limit && (sum-worstSum >= limit/4 || len(svc.attempts) == 1) {
+		return found{id, "", sum / limit, bads >= max(deadPart*attempts, deadLeast)}, true
 	}
 	if worstSum >= limit {
-		return found{id, worst, worstSum / limit, bads >= max(deadPart*legs, deadLeast)}, true
+		return found{id, worst, worstSum / limit, bads >= max(deadPart*attempts, deadLeast)}, true
 	}
 	return found{}, false
 }
--- a/internal/outlier/local.go
+++ b/internal/outlier/local.go
@@ -37,8 +37,8 @@
 type Local struct {
 	opts     Options
 	replicas map[string]*local
-	legs     map[string]int
-	// share is of each service's classes over about localMemory legs, all replicas together.
+	attempts map[string]int
+	// share is of each service's classes over about localMemory attempts, all replicas together.
 	share  map[string]*[classes]float64
 	rateUs map[string]float64
 	lastUs map[string]int64
@@ -49,20 +49,20 @@
 // NewLocal is the sight of a gateway that has sent nothing.
 func NewLocal(opts Options) *Local {
 	return &Local{
-		opts: opts.filled(), replicas: map[string]*local{}, legs: map[string]int{}, share: map[string]*[classes]float64{},
+		opts: opts.filled(), replicas: map[string]*local{}, attempts: map[string]int{}, share: map[string]*[classes]float64{},
 		rateUs: map[string]float64{}, lastUs: map[string]int64{},
 	}
 }
 
-// Note takes what became of a leg. Of is how many replicas the service has; repeated evidence against one
-// keeps this desk off it for a time that doubles, and a good leg ends it.
+// Note takes what became of an attempt. Of is how many replicas the service has; repeated evidence against one
+// keeps this desk off it for a time that doubles, and a good attempt ends it.
 func (l *Local) Note(nowUs int64, service, replica string, class Class, of int) {
 	if class != Good && !class.Bad() {
 		return
 	}
 	r := l.replica(service, replica)
 	r.atUs = nowUs
-	l.legs[service]++
+	l.attempts[service]++
 	r.sum = max(0, r.sum+l.weigh(service, class))
 	l.noteRate(nowUs, service)
 	if class == Good {
@@ -181,10 +181,10 @@
 // News is true where something failed outright that has not been told.
 func (l *Local) News() bool { return l.bad }
 
-// Tell gives what has been counted since it was last asked: legs by service, and the counts of replicas where
+// Tell gives what has been counted since it was last asked: attempts by service, and the counts of replicas where
 // something failed or that are on trial.
-func (l *Local) Tell(nowUs int64, onTrial func(replica string) bool) (legs map[string]int, counts []Counts) {
-	legs, l.legs, l.bad = l.legs, map[string]int{}, false
+func (l *Local) Tell(nowUs int64, onTrial func(replica string) bool) (attempts map[string]int, counts []Counts) {
+	attempts, l.attempts, l.bad = l.attempts, map[string]int{}, false
 	for _, id := range slices.Sorted(maps.Keys(l.replicas)) {
 		r := l.replicas[id]
 		if len(r.counts.Bad) > 0 || (r.counts.Good > 0 && onTrial(id)) {
@@ -197,5 +197,5 @@
 			delete(l.replicas, id)
 		}
 	}
-	return legs, counts
+	return attempts, counts
 }
--- a/internal/outlier/mean.go
+++ b/internal/outlier/mean.go
@@ -7,7 +7,7 @@
 
 // service is the mean that its replicas are judged against.
 type service struct {
-	legs     map[string]float64
+	attempts map[string]float64
 	recent   [2]float64
 	turnUs   int64
 	share    [classes]float64
@@ -41,7 +41,7 @@
 	}
 	for name, s := range f.services {
 		all := by[name]
-		legs := s.recent[0] + s.recent[1]
+		attempts := s.recent[0] + s.recent[1]
 		for c := Good + 1; c < Inconclusive; c++ {
 			counts := []float64{}
 			for _, sus := range all {
@@ -53,8 +53,8 @@
 				sum += n
 			}
 			s.share[c] = 0
-			if legs > 0 {
-				s.share[c] = min(sum/legs, 1)
+			if attempts > 0 {
+				s.share[c] = min(sum/attempts, 1)
 			}
 		}
 	}
--- a/internal/outlier/options.go
+++ b/internal/outlier/options.go
@@ -33,7 +33,7 @@
 	aloneUs    = 10 * clock.Sec
 	// trialPart is the part of the threshold that sends one on trial out again: it was ill a moment ago.
 	trialPart = 4
-	// deadPart of the legs at a replica must have failed, and deadLeast of them, for it to be taken as dead.
+	// deadPart of the attempts at a replica must have failed, and deadLeast of them, for it to be taken as dead.
 	deadPart  = 0.7
 	deadLeast = 3
 )
--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -1,4 +1,4 @@
-// Package outlier judges replicas by what became of the legs sent to them. It is a reducer without clocks
+// Package outlier judges replicas by what became of the attempts sent to them. It is a reducer without clocks
 // or traffic of its own: desks count outcomes by class, the controller folds the counts of all desks.
 package outlier
 
@@ -8,10 +8,10 @@
 	"strings"
 )
 
-// Class is what became of one leg, as far as it tells of the replica.
+// Class is what became of one attempt, as far as it tells of the replica.
 type Class int32
 
-// What became of a leg.
+// What became of an attempt.
 const (
 	// None means that nobody has told.
 	None Class = iota
@@ -27,7 +27,7 @@
 	Silence
 	ErrorAnswer
 	BrokenStream
-	// Shed means that the replica turned the leg away unrun.
+	// Shed means that the replica turned the attempt away unrun.
 	Shed
 	Slow
 	// Inconclusive means that it ended for a reason that is not the replica's.
@@ -62,7 +62,7 @@
 
 const (
 	badClasses = float64(classes) - 4
-	// sickShare is the share of failing legs that an ill replica is taken to have beyond its service's own.
+	// sickShare is the share of failing attempts that an ill replica is taken to have beyond its service's own.
 	// It is found soon from twice that on, and at about half of it never.
 	sickShare  = 0.2
 	shareLeast = 0.002
@@ -72,7 +72,7 @@
 )
 
 // weight is the logarithm of the likelihood ratio of one outcome: of a replica that fails sickShare of its
-// legs in some way on top of its service's own failures, against one that fails as its service does. A way
+// attempts in some way on top of its service's own failures, against one that fails as its service does. A way
 // to fail that the whole service shows weighs little.
 func weight(c Class, share float64) float64 {
 	if c == Good {
--- a/internal/outlier/outlier_test.go
+++ b/internal/outlier/outlier_test.go
@@ -16,7 +16,7 @@
 	newsUs    = 120 * clock.Ms
 )
 
-// illness is how one replica treats legs for a while: Part of those of desks in Zone, "" for all, or of one
+// illness is how one replica treats attempts for a while: Part of those of desks in Zone, "" for all, or of one
 // Desk, end as Class.
 type illness struct {
 	replica      int
@@ -33,7 +33,7 @@
 	rows     map[string]Row
 }
 
-// world is desks that send legs at an even rate to the replicas of one service, and one controller.
+// world is desks that send attempts at an even rate to the replicas of one service, and one controller.
 type world struct {
 	r        *rand.Rand
 	opts     Options
@@ -73,13 +73,13 @@
 	w.sent, w.failed = map[int]int{}, map[int]int{}
 	for w.nowUs < untilUs {
 		w.nowUs += stepUs
-		legs := w.perS * float64(stepUs) / 1e6
-		n := int(legs)
-		if w.r.Float64() < legs-float64(n) {
+		attempts := w.perS * float64(stepUs) / 1e6
+		n := int(attempts)
+		if w.r.Float64() < attempts-float64(n) {
 			n++
 		}
 		for range n {
-			w.leg(w.seats[w.r.Intn(len(w.seats))])
+			w.attempt(w.seats[w.r.Intn(len(w.seats))])
 		}
 		for _, s := range w.seats {
 			for len(w.news) > 0 && w.nowUs >= w.news[0] {
@@ -90,12 +90,12 @@
 			}
 			if spanUs := w.nowUs - s.toldUs; spanUs >= reportUs || (s.local.News() && spanUs >= hurriedUs) {
 				s.toldUs = w.nowUs
-				legs, counts := s.local.Tell(w.nowUs, func(id string) bool { row, on := s.rows[id]; return on && row.Share > 0 })
+				attempts, counts := s.local.Tell(w.nowUs, func(id string) bool { row, on := s.rows[id]; return on && row.Share > 0 })
 				w.told++
 				if len(counts) > 0 {
 					w.tellers++
 				}
-				w.fleet.Hear(w.nowUs, Report{Desk: s.id, Zone: s.zone, Legs: legs, Counts: counts}, w.lives)
+				w.fleet.Hear(w.nowUs, Report{Desk: s.id, Zone: s.zone, Attempts: attempts, Counts: counts}, w.lives)
 			}
 		}
 		if w.fleet.Judge(w.nowUs, 1, map[string]int{"s": len(w.replicas)}, func(string) bool { return true }) {
@@ -120,7 +120,7 @@
 	}
 }
 
-func (w *world) leg(s *seat) {
+func (w *world) attempt(s *seat) {
 	at := w.r.Intn(len(w.replicas))
 	for range 20 {
 		row, on := s.rows[w.replicas[at]]
@@ -163,14 +163,14 @@
 	return n
 }
 
-// sizes are a small deployment and two large ones: desks, replicas, legs a second.
+// sizes are a small deployment and two large ones: desks, replicas, attempts a second.
 var sizes = []struct {
 	desks, replicas int
 	perS            float64
 }{{3, 9, 60}, {8, 12, 150}, {58, 60, 183}, {63, 140, 850}}
 
 // checkIll says what is wrong with how a seventh of the replicas is dealt with that fails in one way from
-// 10 s to 25 s: what fails of all legs in the last 10 s of that, who is out that is well, and who still
+// 10 s to 25 s: what fails of all attempts in the last 10 s of that, who is out that is well, and who still
 // is 17 s after its end.
 func checkIll(seed int64, desks, replicas int, perS float64, class Class, part float64, opts Options) (string, float64) {
 	w := newWorld(seed, desks, replicas, perS, opts)
@@ -186,7 +186,7 @@
 	most := max(1, int(mostShareUsual*float64(replicas)))
 	switch {
 	case share > alone/3:
-		return fmt.Sprintf("%.1f%% of all legs failed, %.1f%% would without any verdict", 100*share, 100*alone), share
+		return fmt.Sprintf("%.1f%% of all attempts failed, %.1f%% would without any verdict", 100*share, 100*alone), share
 	case w.outMost > most:
 		return fmt.Sprintf("%d of %d replicas were kept off at once, %d may", w.outMost, replicas, most), share
 	case len(w.fleet.Table().Rows) > 0:
@@ -212,7 +212,7 @@
 					t.Errorf("%d desks, %d replicas, %s, seed %d: %s", size.desks, size.replicas, c.class, seed, wrong)
 				}
 				if seed == 0 {
-					t.Logf("%d desks, %d replicas, %s for %.0f%%: %.2f%% of all legs failed, %.2f%% without", size.desks, size.replicas, c.class, 100*c.part, 100*share,
+					t.Logf("%d desks, %d replicas, %s for %.0f%%: %.2f%% of all attempts failed, %.2f%% without", size.desks, size.replicas, c.class, 100*c.part, 100*share,
 						100*c.part*float64(max(1, size.replicas/7))/float64(size.replicas))
 				}
 			}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -46,7 +46,7 @@
 	Outlier Outlier `json:"outlier,omitempty"`
 }
 
-// Outlier bounds the verdicts on replicas by what became of their legs; what is left out is as usual.
+// Outlier bounds the verdicts on replicas by what became of their attempts; what is left out is as usual.
 // MostShare of a service's replicas may be kept off at once; FalseMs is the time in which a sound one may be
 // suspected once; OutMs is its first time out, which doubles up to OutMostMs. Off only counts.
 type Outlier struct {
@@ -71,17 +71,17 @@
 	SelfMembers    Members = "self"
 )
 
-// Legs says by which ticket a desk sends: numbers that the controller granted under a lease, or the
+// Attempts says by which ticket a desk sends: numbers that the controller granted under a lease, or the
 // declaration in force as a standing ticket, which a desk cut off from the core goes on with.
-type Legs string
+type Attempts string
 
-// GrantedLegs want a lease, DeclaredLegs only a configuration.
+// GrantedAttempts want a lease, DeclaredAttempts only a configuration.
 const (
-	GrantedLegs  Legs = "granted"
-	DeclaredLegs Legs = "declared"
+	GrantedAttempts  Attempts = "granted"
+	DeclaredAttempts Attempts = "declared"
 )
 
-// Budget bounds the further legs of all desks together, for each service: Ratio of its calls plus Slack in
+// Budget bounds the further attempts of all desks together, for each service: Ratio of its calls plus Slack in
 // every span of WindowMs.
 type Budget struct {
 	Ratio    float64 `json:"ratio,omitempty" validate:"min=0,max=10"`
@@ -108,8 +108,8 @@
 	BodyMaxKb  int      `json:"bodyMaxKb" validate:"min=1,max=65536"`
 	DrainMs    int64    `json:"drainMs" validate:"min=0,max=3600000"`
 
-	Legs   Legs   `json:"legs,omitempty" validate:"omitempty,oneof=granted declared"`
-	Budget Budget `json:"budget,omitempty"`
+	Attempts Attempts `json:"legs,omitempty" validate:"omitempty,oneof=granted declared"`
+	Budget   Budget   `json:"budget,omitempty"`
 	// Patience is how long callers of streaming routes wait for a first piece.
 	Patience Patience `json:"patience,omitempty"`
 	// LingerMs is how long new connections are still taken after SIGTERM, until nobody sends them here.
--- a/internal/subscriber/mirror.go
+++ b/internal/subscriber/mirror.go
@@ -35,7 +35,7 @@
 	Closed uint64
 	Seeds  []string
 	Urgent bool
-	// Failing: legs have failed that no report has told yet.
+	// Failing: attempts have failed that no report has told yet.
 	Failing bool
 	// Unreached is where a report did not arrive.
 	Unreached string
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -70,14 +70,14 @@
 	Draining bool               `json:"draining,omitempty"`
 	Silent   []string           `json:"silent,omitempty"`
 	// Tokens of prompts a second, by model; Recent are arrivals of the last second or two; Paths are
-	// arrivals a second by "route|model"; Runs are legs under way and Unread those without a first piece, by "replica|model".
+	// arrivals a second by "route|model"; Runs are attempts under way and Unread those without a first piece, by "replica|model".
 	Tokens map[string]float64 `json:"tokens,omitempty"`
 	Recent map[string]float64 `json:"recent,omitempty"`
 	Paths  map[string]float64 `json:"paths,omitempty"`
 	Runs   map[string]int     `json:"runs,omitempty"`
 	Unread map[string]int     `json:"unread,omitempty"`
-	// Legs ended since the last report, by service; Outcomes at replicas where one failed or that are on trial.
-	Legs     map[string]int   `json:"legs,omitempty"`
+	// Attempts ended since the last report, by service; Outcomes at replicas where one failed or that are on trial.
+	Attempts map[string]int   `json:"legs,omitempty"`
 	Outcomes []outlier.Counts `json:"outcomes,omitempty"`
 }
 
@@ -226,9 +226,9 @@
 	LeftMs int64  `json:"leftMs,omitempty"`
 }
 
-// Leg is one attempt of a call at a replica. Had are the pieces that the caller has, and First the number of the next.
-type Leg struct {
-	Leg     string   `json:"leg"`
+// Attempt is one attempt of a request at a replica. Had are the pieces that the caller has, and First the number of the next.
+type Attempt struct {
+	Attempt string   `json:"leg"`
 	Ticket  uint64   `json:"ticket"`
 	Inc     string   `json:"inc"`
 	Call    string   `json:"call"`
@@ -243,15 +243,15 @@
 
 // Piece is one line of a replica's answer.
 type Piece struct {
-	Leg  string `json:"leg"`
-	N    int    `json:"n,omitempty"`
-	Text string `json:"text,omitempty"`
-	End  bool   `json:"end,omitempty"`
-	Err  string `json:"err,omitempty"`
+	Attempt string `json:"leg"`
+	N       int    `json:"n,omitempty"`
+	Text    string `json:"text,omitempty"`
+	End     bool   `json:"end,omitempty"`
+	Err     string `json:"err,omitempty"`
 }
 
-// LegRefusal is why a replica did not give an answer; Started says whether the leg may have run.
-type LegRefusal struct {
+// AttemptRefusal is why a replica did not give an answer; Started says whether the attempt may have run.
+type AttemptRefusal struct {
 	Code    string `json:"code"`
 	Started bool   `json:"started"`
 	Detail  string `json:"detail,omitempty"`
--- a/proofs/cmd/fleet/main.go
+++ b/proofs/cmd/fleet/main.go
@@ -67,7 +67,7 @@
 	flags.StringVar(&o.Zone, "zone", "", "zone")
 	flags.StringVar(&listen, "listen", "", "IP:port")
 	flags.Int64Var(&o.RoomMb, "room", 81920, "room in MB")
-	flags.IntVar(&o.Slots, "slots", 16, "legs at once")
+	flags.IntVar(&o.Slots, "slots", 16, "attempts at once")
 	flags.Int64Var(&o.FirstUs, "first-us", 20_000, "time to a first piece with a warm prefix")
 	flags.Int64Var(&o.PartUs, "part-us", 15_000, "time more for each cold prefix part")
 	flags.Int64Var(&o.PieceUs, "piece-us", 8_000, "time between pieces")
--- a/proofs/fleet/day.go
+++ b/proofs/fleet/day.go
@@ -429,5 +429,5 @@
 			unloads++
 		}
 	}
-	fmt.Fprintf(out, "legs run %d, loads %d, unloads %d\n", len(seen.Runs), loads, unloads)
+	fmt.Fprintf(out, "attempts run %d, loads %d, unloads %d\n", len(seen.Runs), loads, unloads)
 }
--- a/proofs/fleet/fleet.go
+++ b/proofs/fleet/fleet.go
@@ -422,7 +422,7 @@
 
 // ReadJournal reads what a replica noted; a last line that was cut off is passed over.
 func ReadJournal(text string) ([]modelserver.Run, []modelserver.OrderSeen) {
-	byLeg := map[string]int{}
+	byAttempt := map[string]int{}
 	runs := []modelserver.Run{}
 	orders := []modelserver.OrderSeen{}
 	for _, line := range strings.Split(text, "\n") {
@@ -432,10 +432,10 @@
 		}
 		switch {
 		case l.Run != nil:
-			byLeg[l.Run.Leg] = len(runs)
+			byAttempt[l.Run.Attempt] = len(runs)
 			runs = append(runs, *l.Run)
 		case l.End != nil:
-			if i, ok := byLeg[l.End.Leg]; ok {
+			if i, ok := byAttempt[l.End.Attempt]; ok {
 				runs[i].Ended = runs[i].Ended || l.End.Ended
 				runs[i].Sent = l.End.Sent
 			}
--- a/proofs/fleet/measure.go
+++ b/proofs/fleet/measure.go
@@ -59,7 +59,7 @@
 }
 
 func direct(client *http.Client, h holderOf, model, prompt string, n int) error {
-	raw, err := json.Marshal(wire.Leg{Leg: fmt.Sprintf("%s/%s/direct-%d", h.id, h.inc, n), Inc: h.inc, Model: model, Prompt: prompt, First: 1, MostOut: 1})
+	raw, err := json.Marshal(wire.Attempt{Attempt: fmt.Sprintf("%s/%s/direct-%d", h.id, h.inc, n), Inc: h.inc, Model: model, Prompt: prompt, First: 1, MostOut: 1})
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -185,11 +185,11 @@
 		}
 		pause(ctx, 4*time.Second)
 	}
-	fmt.Fprintf(out, "listed as leaving to the last leg sent there, 5 times: p50 %.0f ms, most %.0f ms (may take 3000)\n", Percentile(spans, 50), Percentile(spans, 100))
+	fmt.Fprintf(out, "listed as leaving to the last attempt sent there, 5 times: p50 %.0f ms, most %.0f ms (may take 3000)\n", Percentile(spans, 50), Percentile(spans, 100))
 	return nil
 }
 
-// measureOldWay measures how long a change takes to be acknowledged, and how long legs are still served the old way.
+// measureOldWay measures how long a change takes to be acknowledged, and how long attempts are still served the old way.
 func measureOldWay(ctx context.Context, f *Fleet, doc *standing.Declaration, out io.Writer) error {
 	var spans, answers []float64
 	model := doc.Models[1].Name
@@ -215,7 +215,7 @@
 		}
 	}
 	fmt.Fprintf(out, "a change's answer, 8 desks acknowledging, 5 times: p50 %.0f ms, most %.0f ms\n", Percentile(answers, 50), Percentile(answers, 100))
-	fmt.Fprintf(out, "acknowledged to the last leg served the old way: p50 %.1f ms, most %.1f ms (negative: before the answer; may take 2000)\n", Percentile(spans, 50), Percentile(spans, 100))
+	fmt.Fprintf(out, "acknowledged to the last attempt served the old way: p50 %.1f ms, most %.1f ms (negative: before the answer; may take 2000)\n", Percentile(spans, 50), Percentile(spans, 100))
 	return nil
 }
 
--- a/proofs/modelserver/core.go
+++ b/proofs/modelserver/core.go
@@ -12,12 +12,12 @@
 	"petreltide/internal/wire"
 )
 
-// Run is what a replica really did for one leg; the rules are checked against it.
+// Run is what a replica really did for one attempt; the rules are checked against it.
 type Run struct {
 	Replica string `json:"replica"`
 	Inc     string `json:"inc"`
 	Zone    string `json:"zone"`
-	Leg     string `json:"leg"`
+	Attempt string `json:"leg"`
 	Tag     string `json:"tag"`
 	Model   string `json:"model"`
 	Adapter string `json:"adapter"`
@@ -68,30 +68,30 @@
 	Journal func(Line)
 }
 
-// Core is a replica without its sockets: it holds models, takes one order at a time and runs legs.
+// Core is a replica without its sockets: it holds models, takes one order at a time and runs attempts.
 type Core struct {
-	opts     Options
-	holds    map[string]int64
-	last     *wire.OrderState
-	order    *ledger.Ticket
-	doneUs   int64
-	fetched  bool
-	legs     map[string]*Run
-	seenLegs map[string]bool
-	prefixes map[string]bool
-	nonces   int
-	Runs     []*Run
-	Orders   []OrderSeen
+	opts         Options
+	holds        map[string]int64
+	last         *wire.OrderState
+	order        *ledger.Ticket
+	doneUs       int64
+	fetched      bool
+	attempts     map[string]*Run
+	seenAttempts map[string]bool
+	prefixes     map[string]bool
+	nonces       int
+	Runs         []*Run
+	Orders       []OrderSeen
 }
 
 // NewCore is a replica that holds nothing.
 func NewCore(opts Options) *Core {
-	return &Core{opts: opts, holds: map[string]int64{}, legs: map[string]*Run{}, seenLegs: map[string]bool{}, prefixes: map[string]bool{}}
+	return &Core{opts: opts, holds: map[string]int64{}, attempts: map[string]*Run{}, seenAttempts: map[string]bool{}, prefixes: map[string]bool{}}
 }
 
 // State is what the replica says when it is asked.
 func (c *Core) State() wire.ReplicaState {
-	st := wire.ReplicaState{ID: c.opts.ID, Inc: c.opts.Inc, Active: len(c.legs), Holds: []ledger.Holding{}}
+	st := wire.ReplicaState{ID: c.opts.ID, Inc: c.opts.Inc, Active: len(c.attempts), Holds: []ledger.Holding{}}
 	units := make([]string, 0, len(c.holds))
 	for u := range c.holds {
 		units = append(units, u)
@@ -165,7 +165,7 @@
 		return
 	}
 	if c.order.Step == ledger.Unload {
-		for _, r := range c.legs {
+		for _, r := range c.attempts {
 			if r.Model == c.order.Unit || r.Adapter == c.order.Unit {
 				return
 			}
@@ -221,10 +221,10 @@
 	return fmt.Sprintf("%016x~%s", h.Sum64(), nonce)
 }
 
-// StartLeg begins a run and returns it with the time to its first piece, or says why not.
-func (c *Core) StartLeg(nowUs int64, l wire.Leg) (*Run, *wire.LegRefusal, int64) {
-	refuse := func(code string) (*Run, *wire.LegRefusal, int64) {
-		return nil, &wire.LegRefusal{Code: code, Started: false}, 0
+// StartAttempt begins a run and returns it with the time to its first piece, or says why not.
+func (c *Core) StartAttempt(nowUs int64, l wire.Attempt) (*Run, *wire.AttemptRefusal, int64) {
+	refuse := func(code string) (*Run, *wire.AttemptRefusal, int64) {
+		return nil, &wire.AttemptRefusal{Code: code, Started: false}, 0
 	}
 	_, model := c.holds[l.Model]
 	_, adapter := c.holds[l.Adapter]
@@ -232,17 +232,17 @@
 	switch {
 	case l.Inc != c.opts.Inc:
 		return refuse("another_incarnation")
-	case c.seenLegs[l.Leg]:
+	case c.seenAttempts[l.Attempt]:
 		return refuse("leg_seen")
 	case !model || unloading || (l.Adapter != "" && !adapter):
 		return refuse("not_held")
-	case len(c.legs) >= c.opts.Slots:
+	case len(c.attempts) >= c.opts.Slots:
 		return refuse("busy")
 	}
-	c.seenLegs[l.Leg] = true
+	c.seenAttempts[l.Attempt] = true
 	c.nonces++
 	r := &Run{
-		Replica: c.opts.ID, Inc: c.opts.Inc, Zone: c.opts.Zone, Leg: l.Leg, Tag: TagOf(l.Prompt), Model: l.Model, Adapter: l.Adapter,
+		Replica: c.opts.ID, Inc: c.opts.Inc, Zone: c.opts.Zone, Attempt: l.Attempt, Tag: TagOf(l.Prompt), Model: l.Model, Adapter: l.Adapter,
 		Nonce: fmt.Sprintf("%s.%s.%d", c.opts.ID, c.opts.Inc, c.nonces), StartUs: nowUs, First: l.First, Total: Total(l.Prompt, l.MostOut),
 	}
 	cold := 0
@@ -258,16 +258,16 @@
 			c.prefixes[key] = true
 		}
 	}
-	c.legs[l.Leg] = r
+	c.attempts[l.Attempt] = r
 	c.Runs = append(c.Runs, r)
 	c.journal(Line{Run: r})
 	return r, nil, c.opts.FirstUs + int64(cold+len(l.Had)/16)*c.opts.PartUs
 }
 
-// EndLeg ends a run; whole says that all of the answer was sent.
-func (c *Core) EndLeg(nowUs int64, r *Run, whole bool) {
+// EndAttempt ends a run; whole says that all of the answer was sent.
+func (c *Core) EndAttempt(nowUs int64, r *Run, whole bool) {
 	r.Ended = whole
-	delete(c.legs, r.Leg)
+	delete(c.attempts, r.Attempt)
 	c.journal(Line{End: r})
 	c.Tick(nowUs)
 }
@@ -278,17 +278,17 @@
 	}
 }
 
-// Legs are the runs going on now.
-func (c *Core) Legs() []Run {
+// Attempts are the runs going on now.
+func (c *Core) Attempts() []Run {
 	runs := []Run{}
-	for _, leg := range slices.Sorted(maps.Keys(c.legs)) {
-		runs = append(runs, *c.legs[leg])
+	for _, attempt := range slices.Sorted(maps.Keys(c.attempts)) {
+		runs = append(runs, *c.attempts[attempt])
 	}
 	return runs
 }
 
-// Running says whether a leg runs now.
-func (c *Core) Running(leg string) bool { return c.legs[leg] != nil }
+// Running says whether an attempt runs now.
+func (c *Core) Running(attempt string) bool { return c.attempts[attempt] != nil }
 
 // PieceUs is the time between two pieces.
 func (c *Core) PieceUs() int64 { return c.opts.PieceUs }
--- a/proofs/modelserver/edge.go
+++ b/proofs/modelserver/edge.go
@@ -14,7 +14,7 @@
 	"petreltide/internal/wire"
 )
 
-// edge plays a replica that does something odd at one point of a leg, on the bare socket. A leg whose
+// edge plays a replica that does something odd at one point of an attempt, on the bare socket. An attempt whose
 // body reached it whole is a run, whatever comes after.
 type edge struct {
 	afterMs int64
@@ -24,7 +24,7 @@
 	close   string
 }
 
-// Edges are the points of a leg at which a replica may go wrong.
+// Edges are the points of an attempt at which a replica may go wrong.
 var Edges = map[string]edge{
 	"never asks":                              {never: true},
 	"asks shortly before the desk gives up":   {afterMs: 940},
@@ -41,14 +41,14 @@
 	"fails before the body without saying so": {early: "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"},
 }
 
-// How long a leg's body is waited for: after an early answer, where it is never asked for, and after it was.
+// How long an attempt's body is waited for: after an early answer, where it is never asked for, and after it was.
 const (
 	earlyBodyMs = 300
 	neverBodyMs = 2500
 	askedBodyMs = 1000
 )
 
-// playEdge takes a leg's bare socket and does one odd thing there.
+// playEdge takes an attempt's bare socket and does one odd thing there.
 func (h *Host) playEdge(w http.ResponseWriter, r *http.Request, e edge) {
 	size, err := strconv.Atoi(r.Header.Get("Content-Length"))
 	if err != nil {
@@ -83,7 +83,7 @@
 	}
 	defer func() {
 		h.mu.Lock()
-		h.core.EndLeg(clock.NowUs(), run, false)
+		h.core.EndAttempt(clock.NowUs(), run, false)
 		h.mu.Unlock()
 	}()
 	e.answer(conn, run)
@@ -100,7 +100,7 @@
 	default:
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/x-ndjson\r\nConnection: close\r\n\r\n")
 		for n := 1; n <= run.Total; n++ {
-			raw, _ := json.Marshal(wire.Piece{Leg: run.Leg, N: n, Text: run.Nonce})
+			raw, _ := json.Marshal(wire.Piece{Attempt: run.Attempt, N: n, Text: run.Nonce})
 			_, _ = conn.Write(append(raw, '\n'))
 		}
 	}
@@ -113,13 +113,13 @@
 	if _, err := io.ReadFull(r, raw); err != nil {
 		return nil
 	}
-	var l wire.Leg
+	var l wire.Attempt
 	if json.Unmarshal(raw, &l) != nil {
 		return nil
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	run, _, _ := h.core.StartLeg(clock.NowUs(), l)
+	run, _, _ := h.core.StartAttempt(clock.NowUs(), l)
 	return run
 }
 
--- a/proofs/modelserver/host.go
+++ b/proofs/modelserver/host.go
@@ -58,7 +58,7 @@
 		answer(w, 200, st)
 	})
 	mux.HandleFunc("POST /v1/orders", h.order)
-	mux.HandleFunc("POST /v1/legs", h.leg)
+	mux.HandleFunc("POST /v1/legs", h.attempt)
 	mux.HandleFunc("DELETE /v1/legs/{number}", h.stop)
 	mux.HandleFunc("GET /proof/runs", func(w http.ResponseWriter, _ *http.Request) {
 		h.mu.Lock()
@@ -117,8 +117,8 @@
 	h.core.Fetched(clock.NowUs(), o.Ticket.Number)
 }
 
-// leg runs one leg and streams its pieces, unless it is told to be naughty.
-func (h *Host) leg(w http.ResponseWriter, r *http.Request) {
+// attempt runs one attempt and streams its pieces, unless it is told to be naughty.
+func (h *Host) attempt(w http.ResponseWriter, r *http.Request) {
 	h.mu.Lock()
 	e, edgy := edgeOf(h.Naughty)
 	h.mu.Unlock()
@@ -126,12 +126,12 @@
 		h.playEdge(w, r, e)
 		return
 	}
-	var l wire.Leg
+	var l wire.Attempt
 	if err := json.NewDecoder(r.Body).Decode(&l); err != nil {
-		answer(w, http.StatusBadRequest, wire.LegRefusal{Code: "bad_json"})
+		answer(w, http.StatusBadRequest, wire.AttemptRefusal{Code: "bad_json"})
 		return
 	}
-	s := &pieceStream{h: h, w: w, ctx: r.Context(), leg: l, stop: make(chan struct{}), enc: json.NewEncoder(w)}
+	s := &pieceStream{h: h, w: w, ctx: r.Context(), attempt: l, stop: make(chan struct{}), enc: json.NewEncoder(w)}
 	if refusal := s.start(); refusal != nil {
 		answer(w, http.StatusConflict, refusal)
 		return
@@ -147,23 +147,23 @@
 	s.sendEnd()
 }
 
-// What a naughty model server does at the third piece of a leg, or at its end.
+// What a naughty model server does at the third piece of an attempt, or at its end.
 const (
-	foreignLeg   = "foreign"
-	gapInPieces  = "gap"
-	repeatPiece  = "repeat"
-	closeStream  = "close"
-	garbage      = "garbage"
-	noEnd        = "noend"
-	naughtyAfter = 2
+	foreignAttempt = "foreign"
+	gapInPieces    = "gap"
+	repeatPiece    = "repeat"
+	closeStream    = "close"
+	garbage        = "garbage"
+	noEnd          = "noend"
+	naughtyAfter   = 2
 )
 
-// pieceStream is the answer to one leg.
+// pieceStream is the answer to one attempt.
 type pieceStream struct {
 	h       *Host
 	w       http.ResponseWriter
 	ctx     context.Context
-	leg     wire.Leg
+	attempt wire.Attempt
 	stop    chan struct{}
 	enc     *json.Encoder
 	run     *Run
@@ -173,12 +173,12 @@
 }
 
 // start begins the run, or gives the refusal.
-func (s *pieceStream) start() *wire.LegRefusal {
+func (s *pieceStream) start() *wire.AttemptRefusal {
 	s.h.mu.Lock()
 	defer s.h.mu.Unlock()
-	run, refusal, firstUs := s.h.core.StartLeg(clock.NowUs(), s.leg)
+	run, refusal, firstUs := s.h.core.StartAttempt(clock.NowUs(), s.attempt)
 	if run != nil {
-		s.h.stops[s.leg.Leg] = s.stop
+		s.h.stops[s.attempt.Attempt] = s.stop
 	}
 	s.run, s.firstUs = run, firstUs
 	s.naughty, s.pieceUs = s.h.Naughty, s.h.core.PieceUs()
@@ -189,11 +189,11 @@
 func (s *pieceStream) end(whole bool) {
 	s.h.mu.Lock()
 	defer s.h.mu.Unlock()
-	s.h.core.EndLeg(clock.NowUs(), s.run, whole)
-	delete(s.h.stops, s.leg.Leg)
+	s.h.core.EndAttempt(clock.NowUs(), s.run, whole)
+	delete(s.h.stops, s.attempt.Attempt)
 }
 
-// pause waits; false where the leg is stopped or its caller gone meanwhile.
+// pause waits; false where the attempt is stopped or its caller gone meanwhile.
 func (s *pieceStream) pause(us int64) bool {
 	timer := time.NewTimer(time.Duration(us) * time.Microsecond)
 	defer timer.Stop()
@@ -209,9 +209,9 @@
 // pieces sends one piece after the other; false where it could not send all.
 func (s *pieceStream) pieces() bool {
 	flush := http.NewResponseController(s.w).Flush
-	for n := s.leg.First; n <= s.run.Total; n++ {
-		p := wire.Piece{Leg: s.leg.Leg, N: n, Text: Text(s.leg.Prompt, s.leg.Model, s.leg.Adapter, n, s.run.Nonce)}
-		if n == s.leg.First+naughtyAfter {
+	for n := s.attempt.First; n <= s.run.Total; n++ {
+		p := wire.Piece{Attempt: s.attempt.Attempt, N: n, Text: Text(s.attempt.Prompt, s.attempt.Model, s.attempt.Adapter, n, s.run.Nonce)}
+		if n == s.attempt.First+naughtyAfter {
 			s.spoil(&p)
 		}
 		if s.enc.Encode(p) != nil || flush() != nil {
@@ -230,8 +230,8 @@
 // spoil breaks the interface at one piece, as the model server was told to.
 func (s *pieceStream) spoil(p *wire.Piece) {
 	switch s.naughty {
-	case foreignLeg:
-		p.Leg = "other/leg/1"
+	case foreignAttempt:
+		p.Attempt = "other/leg/1"
 	case gapInPieces:
 		p.N++
 	case repeatPiece:
@@ -249,19 +249,19 @@
 	s.run.Ended = true
 	s.h.core.journal(Line{End: s.run})
 	s.h.mu.Unlock()
-	_ = s.enc.Encode(wire.Piece{Leg: s.leg.Leg, End: true, N: s.run.Total})
+	_ = s.enc.Encode(wire.Piece{Attempt: s.attempt.Attempt, End: true, N: s.run.Total})
 }
 
-// stop ends a leg that nobody waits for, and answers once it is over.
+// stop ends an attempt that nobody waits for, and answers once it is over.
 func (h *Host) stop(w http.ResponseWriter, r *http.Request) {
 	id, inc := h.core.ID()
-	leg := id + "/" + inc + "/" + r.PathValue("number")
+	attempt := id + "/" + inc + "/" + r.PathValue("number")
 	if r.URL.Query().Get("inc") != inc {
 		answer(w, 404, map[string]string{"error": "another incarnation"})
 		return
 	}
 	h.mu.Lock()
-	if stop := h.stops[leg]; stop != nil {
+	if stop := h.stops[attempt]; stop != nil {
 		select {
 		case <-stop:
 		default:
@@ -271,7 +271,7 @@
 	h.mu.Unlock()
 	for i := 0; i < 200; i++ {
 		h.mu.Lock()
-		running := h.core.Running(leg)
+		running := h.core.Running(attempt)
 		h.mu.Unlock()
 		if !running {
 			answer(w, 200, map[string]bool{"ended": true})
--- a/proofs/rules/rules.go
+++ b/proofs/rules/rules.go
@@ -114,20 +114,20 @@
 // Watch is told what callers, replicas, the store and operators see, one thing at a time, and
 // never what the reducers say of themselves.
 type Watch struct {
-	runs     map[string][]*modelserver.Run
-	byLeg    map[string]*modelserver.Run
-	told     map[string]Told
-	asks     map[string]Told
-	keys     map[string]map[string]bool
-	keyOf    map[string]string
-	order    map[uint64]ticket
-	taken    map[uint64]int
-	last     map[string]uint64
-	notices  []Span
-	emptied  []Span
-	old      []Change
-	Stakes   map[string]int
-	Breaches []Breach
+	runs      map[string][]*modelserver.Run
+	byAttempt map[string]*modelserver.Run
+	told      map[string]Told
+	asks      map[string]Told
+	keys      map[string]map[string]bool
+	keyOf     map[string]string
+	order     map[uint64]ticket
+	taken     map[uint64]int
+	last      map[string]uint64
+	notices   []Span
+	emptied   []Span
+	old       []Change
+	Stakes    map[string]int
+	Breaches  []Breach
 }
 
 type ticket struct {
@@ -137,7 +137,7 @@
 // NewWatch is a watch that has been told nothing.
 func NewWatch() *Watch {
 	return &Watch{
-		runs: map[string][]*modelserver.Run{}, byLeg: map[string]*modelserver.Run{}, told: map[string]Told{}, asks: map[string]Told{}, Stakes: map[string]int{}, keys: map[string]map[string]bool{},
+		runs: map[string][]*modelserver.Run{}, byAttempt: map[string]*modelserver.Run{}, told: map[string]Told{}, asks: map[string]Told{}, Stakes: map[string]int{}, keys: map[string]map[string]bool{},
 		keyOf: map[string]string{}, order: map[uint64]ticket{}, taken: map[uint64]int{}, last: map[string]uint64{},
 	}
 }
@@ -215,7 +215,7 @@
 // Run is told of a run as a replica began it.
 func (w *Watch) Run(r modelserver.Run) {
 	run := r
-	w.byLeg[r.Leg] = &run
+	w.byAttempt[r.Attempt] = &run
 	w.runs[r.Tag] = append(w.runs[r.Tag], &run)
 	if t, known := w.told[r.Tag]; known {
 		w.counted(t)
@@ -224,7 +224,7 @@
 		if w.keys[key] == nil {
 			w.keys[key] = map[string]bool{}
 		}
-		w.keys[key][r.Leg] = true
+		w.keys[key][r.Attempt] = true
 		if len(w.keys[key]) > 1 {
 			w.Break(RunsTwice, "key %s ran as %v", key, names(w.keys[key]))
 		}
@@ -241,14 +241,14 @@
 	}
 	for _, c := range w.old {
 		if c.Runs != nil && r.StartUs > c.FromUs+ChangeUs && r.StartUs < c.ToUs && c.Runs(r, w.asks[r.Tag], len(w.runs[r.Tag])) {
-			w.Break(OldWay, "%s ran as %s %d ms after the change of %s", r.Tag, r.Leg, (r.StartUs-c.FromUs)/1000, c.ID)
+			w.Break(OldWay, "%s ran as %s %d ms after the change of %s", r.Tag, r.Attempt, (r.StartUs-c.FromUs)/1000, c.ID)
 		}
 	}
 }
 
 // Ended tells that a replica gave a whole answer.
-func (w *Watch) Ended(leg string) {
-	if r := w.byLeg[leg]; r != nil {
+func (w *Watch) Ended(attempt string) {
+	if r := w.byAttempt[attempt]; r != nil {
 		r.Ended = true
 	}
 }
@@ -291,11 +291,11 @@
 func (w *Watch) counted(t Told) {
 	runs := w.runs[t.Tag]
 	if !t.Resumable && len(runs) > 1 {
-		w.Break(RunsTwice, "%s ran as %s and %s", t.Tag, runs[0].Leg, runs[1].Leg)
+		w.Break(RunsTwice, "%s ran as %s and %s", t.Tag, runs[0].Attempt, runs[1].Attempt)
 	}
 	for _, r := range runs {
 		if t.Run == "none" && r.StartUs >= t.StartUs {
-			w.Break(NotRunLie, "%s was told %s/none and ran as %s", t.Tag, t.Code, r.Leg)
+			w.Break(NotRunLie, "%s was told %s/none and ran as %s", t.Tag, t.Code, r.Attempt)
 		}
 	}
 }
--- a/proofs/sim/desks.go
+++ b/proofs/sim/desks.go
@@ -29,14 +29,14 @@
 }
 
 type callState struct {
-	call  *dispatch.Call
-	ask   desk.CallAsk
-	told  rules.Told
-	leg   string
-	stop  func()
-	keyed bool
-	hung  bool
-	done  func(rules.Told)
+	call    *dispatch.Call
+	ask     desk.CallAsk
+	told    rules.Told
+	attempt string
+	stop    func()
+	keyed   bool
+	hung    bool
+	done    func(rules.Told)
 }
 
 func newDesk(s *Sim, name, zone string) *deskNode {
@@ -190,7 +190,7 @@
 	for _, e := range d.decider.Step(ev) {
 		switch {
 		case e.Start != nil:
-			d.leg(*e.Start)
+			d.attempt(*e.Start)
 		case e.Give != nil:
 			if c := d.calls[e.Give.Call.ID]; c != nil {
 				d.give(c, e.Give.Fault)
@@ -212,7 +212,7 @@
 	d.over(c)
 }
 
-// cut is a call whose last leg did not end well.
+// cut is a call whose last attempt did not end well.
 func (d *deskNode) cut(c *callState, e dispatch.Ending) {
 	c.told.Code, c.told.Run, c.told.Broken = string(fault.Unknown), fault.RunUnknown, len(c.told.Pieces) > 0
 	switch {
@@ -249,7 +249,7 @@
 	c.told.Broken, c.told.Code, c.told.Run = true, "hung up", fault.RunUnknown
 	c.done = nil
 	d.sim.finish(c)
-	running := c.leg != "" && c.stop != nil
+	running := c.attempt != "" && c.stop != nil
 	d.step(dispatch.Event{Gone: c.call.ID})
 	if !running {
 		d.over(c)
@@ -297,18 +297,18 @@
 	return st.MaySend(d.snap, d.clock(), d.leaseUs) || d.sim.plan.Plant == "deaf"
 }
 
-// leg is the executor: it obeys one decision against the simulated network and replica.
-func (d *deskNode) leg(st dispatch.Start) {
+// attempt is the executor: it obeys one decision against the simulated network and replica.
+func (d *deskNode) attempt(st dispatch.Start) {
 	s := d.sim
 	c := d.calls[st.Call.ID]
 	ended := func(e dispatch.Ending) {
-		d.step(dispatch.Event{Ended: &dispatch.Ended{Call: st.Call.ID, Leg: st.Leg, Ending: e}})
+		d.step(dispatch.Event{Ended: &dispatch.Ended{Call: st.Call.ID, Attempt: st.Attempt, Ending: e}})
 	}
 	if c == nil || !d.maySend(st) {
 		d.later(10, func() { ended(dispatch.Unsent) })
 		return
 	}
-	c.leg = st.Leg
+	c.attempt = st.Attempt
 	p := s.servers[st.Replica]
 	if p == nil || !p.up || p.addr != st.Addr || s.isCut(d.name, p.name) || s.isCut(p.name, d.name) {
 		d.later(400*ms, func() { ended(dispatch.Unsent) })
@@ -321,12 +321,12 @@
 		}
 		over = true
 		c.stop = nil
-		d.legEnded(c, st, e, why, ended)
+		d.attemptEnded(c, st, e, why, ended)
 	}
 	var run *modelserver.Run
 	close := func() {
-		if run != nil && p.core.Running(run.Leg) {
-			p.core.EndLeg(s.nowUs, run, false)
+		if run != nil && p.core.Running(run.Attempt) {
+			p.core.EndAttempt(s.nowUs, run, false)
 		}
 	}
 	c.stop = func() {
@@ -338,7 +338,7 @@
 		boot := d.boot
 		s.at(s.nowUs+2*ms, func() {
 			close()
-			d.now(boot, func() { d.legEnded(c, st, dispatch.Moved, "moved", ended) })
+			d.now(boot, func() { d.attemptEnded(c, st, dispatch.Moved, "moved", ended) })
 		})
 	}
 	d.later(max(1, st.ExpiryUs-d.clock()), func() {
@@ -347,7 +347,7 @@
 			finish(dispatch.Final, "expired while it ran")
 		}
 	})
-	leg := wire.Leg{Leg: st.Leg, Ticket: st.Ticket, Inc: st.Inc, Call: st.Call.ID, Model: c.ask.Model, Adapter: c.ask.Adapter,
+	attempt := wire.Attempt{Attempt: st.Attempt, Ticket: st.Ticket, Inc: st.Inc, Call: st.Call.ID, Model: c.ask.Model, Adapter: c.ask.Adapter,
 		Prefix: c.ask.Prefix, Prompt: c.ask.Prompt, Had: append(append([]string(nil), c.ask.Had...), c.told.Pieces...), First: c.told.Had + len(c.told.Pieces) + 1, MostOut: c.ask.MostOut}
 	boot := d.boot
 	asked := false
@@ -358,7 +358,7 @@
 	})
 	wait := func() int64 { return 200 + s.r.Int63n(1500) }
 	start := func(reachedUs int64) {
-		started, refusal, firstUs := p.core.StartLeg(reachedUs, leg)
+		started, refusal, firstUs := p.core.StartAttempt(reachedUs, attempt)
 		if refusal != nil {
 			d.now(boot, func() { finish(dispatch.Refused, refusal.Code) })
 			return
@@ -368,7 +368,7 @@
 			close()
 			return
 		}
-		d.pieces(p, c, run, leg, firstUs, boot, func() bool { return over }, finish)
+		d.pieces(p, c, run, attempt, firstUs, boot, func() bool { return over }, finish)
 	}
 	body := func() {
 		if over {
@@ -390,23 +390,23 @@
 	}
 	s.at(s.nowUs+wait(), func() {
 		if !p.up {
-			d.now(boot, func() { finish(dispatch.Unsent, "the pipe broke before the leg was asked for") })
+			d.now(boot, func() { finish(dispatch.Unsent, "the connection broke before the attempt was asked for") })
 			return
 		}
 		p.now(p.boot, func() { s.at(s.nowUs+wait(), func() { d.now(boot, body) }) })
 	})
 }
 
-func (d *deskNode) pieces(p *serverNode, c *callState, run *modelserver.Run, leg wire.Leg, firstUs int64, boot int, over func() bool, finish func(dispatch.Ending, string)) {
+func (d *deskNode) pieces(p *serverNode, c *callState, run *modelserver.Run, attempt wire.Attempt, firstUs int64, boot int, over func() bool, finish func(dispatch.Ending, string)) {
 	s := d.sim
-	n := leg.First
+	n := attempt.First
 	serverBoot := p.boot
 	deliver := func(piece wire.Piece) {
 		d.now(boot, func() {
 			if over() {
 				return
 			}
-			ending, why := dispatch.Judge(leg.Leg, c.told.Had+len(c.told.Pieces), piece)
+			ending, why := dispatch.Judge(attempt.Attempt, c.told.Had+len(c.told.Pieces), piece)
 			switch {
 			case s.plan.Plant == "blind" && piece.N != c.told.Had+len(c.told.Pieces)+1 && !piece.End:
 				ending = ""
@@ -447,14 +447,14 @@
 		}
 		if n > run.Total {
 			run.Ended = true
-			p.core.EndLeg(s.nowUs, run, true)
-			s.at(s.nowUs+300, func() { deliver(wire.Piece{Leg: leg.Leg, End: true, N: run.Total}) })
+			p.core.EndAttempt(s.nowUs, run, true)
+			s.at(s.nowUs+300, func() { deliver(wire.Piece{Attempt: attempt.Attempt, End: true, N: run.Total}) })
 			return
 		}
-		piece := wire.Piece{Leg: leg.Leg, N: n, Text: modelserver.Text(leg.Prompt, leg.Model, leg.Adapter, n, run.Nonce)}
+		piece := wire.Piece{Attempt: attempt.Attempt, N: n, Text: modelserver.Text(attempt.Prompt, attempt.Model, attempt.Adapter, n, run.Nonce)}
 		if s.plan.Plant == "blind" && n == 3 {
 			n++
-			piece.N, piece.Text = n, modelserver.Text(leg.Prompt, leg.Model, leg.Adapter, n, run.Nonce)
+			piece.N, piece.Text = n, modelserver.Text(attempt.Prompt, attempt.Model, attempt.Adapter, n, run.Nonce)
 		}
 		s.at(s.nowUs+300, func() { deliver(piece) })
 		run.Sent = n
@@ -464,7 +464,7 @@
 	s.at(s.nowUs+firstUs, next)
 }
 
-func (d *deskNode) legEnded(c *callState, st dispatch.Start, e dispatch.Ending, why string, ended func(dispatch.Ending)) {
+func (d *deskNode) attemptEnded(c *callState, st dispatch.Start, e dispatch.Ending, why string, ended func(dispatch.Ending)) {
 	if d.sim.plan.Plant == "again" && (e == dispatch.Unknown || e == dispatch.Broken) && len(c.told.Pieces) == 0 {
 		e = dispatch.Unsent
 	}
--- a/proofs/sim/moves_test.go
+++ b/proofs/sim/moves_test.go
@@ -25,15 +25,15 @@
 	s.runUntil(fromUs + 2500*ms)
 	gpu := s.servers["gpu-0"]
 	running := map[string]bool{}
-	for _, leg := range gpu.core.Legs() {
-		running[leg.Leg] = true
+	for _, attempt := range gpu.core.Attempts() {
+		running[attempt.Attempt] = true
 	}
 	s.noticeReplica(gpu, leftUs)
 	s.runUntil(s.nowUs + leftUs - 5*ms)
-	for _, leg := range gpu.core.Legs() {
-		if running[leg.Leg] {
+	for _, attempt := range gpu.core.Attempts() {
+		if running[attempt.Attempt] {
 			cut++
-			cutPieces += leg.Sent
+			cutPieces += attempt.Sent
 		}
 	}
 	if !s.runUntil(s.nowUs + 20*sec) {
@@ -50,9 +50,9 @@
 
 func (p Plan) modelAt(s *Sim, n int) string { return s.plan.Doc.Models[n%4].Name }
 
-// Legs that may be resumed leave a replica under notice while survivors have room; the project's earlier
+// Attempts that may be resumed leave a replica under notice while survivors have room; the project's earlier
 // version, which left them there, is the planted one.
-func TestResumableLegsMoveOffAReplicaUnderNotice(t *testing.T) {
+func TestResumableAttemptsMoveOffAReplicaUnderNotice(t *testing.T) {
 	heavy(t)
 	for _, leftUs := range []int64{600 * ms, 900 * ms} {
 		sum := map[string][4]int{}
@@ -63,7 +63,7 @@
 				ran, cut, ended, calls = ran+r, cut+c, ended+e, calls+n
 			}
 			sum[plant] = [4]int{ran, cut, ended, calls}
-			t.Logf("%d ms of notice, moves %v: %d legs ran there when it was noticed, %d still when it was taken; %d of %d calls ended well or were hung up", leftUs/1000, plant == "", ran, cut, ended, calls)
+			t.Logf("%d ms of notice, moves %v: %d attempts ran there when it was noticed, %d still when it was taken; %d of %d calls ended well or were hung up", leftUs/1000, plant == "", ran, cut, ended, calls)
 		}
 		with, without := sum[""], sum["still"]
 		if with[0] < 20 || with[1]*4 > without[1] || with[2] < with[3] {
--- a/proofs/sim/routed_legs.go
+++ b/proofs/sim/routed_attempts.go
@@ -7,8 +7,8 @@
 	"petreltide/proofs/platform/replica"
 )
 
-// leg is one request on one connection to a replica.
-type leg struct {
+// attempt is one request on one connection to a replica.
+type attempt struct {
 	x     *exchange
 	st    dispatch.Start
 	conn  uint64
@@ -22,7 +22,7 @@
 }
 
 // write sends the request, unless the news has changed since it was decided.
-func (l *leg) write() {
+func (l *attempt) write() {
 	t, st := l.x.desk, l.st
 	d := t.day
 	if l.ended {
@@ -54,7 +54,7 @@
 }
 
 // watch finds a replica's end before it has taken the request.
-func (l *leg) watch(boot int) {
+func (l *attempt) watch(boot int) {
 	if l.ended || l.to.conns[l.conn] != nil {
 		return
 	}
@@ -68,7 +68,7 @@
 }
 
 // reset is a connection that the other end has given up; a cut hides it.
-func (l *leg) reset() {
+func (l *attempt) reset() {
 	t := l.x.desk
 	d := t.day
 	boot := t.boot
@@ -86,8 +86,8 @@
 	d.at(max(d.nowUs+ms, l.down.freeUs), arrive)
 }
 
-// lost is a leg that was sent and whose answer did not come, or not whole.
-func (l *leg) lost(late bool) {
+// lost is an attempt that was sent and whose answer did not come, or not whole.
+func (l *attempt) lost(late bool) {
 	switch {
 	case late && !l.x.gone:
 		l.finish(dispatch.Decide(l.st.Kind, dispatch.SilentUntilExpiry).Ending)
@@ -103,15 +103,15 @@
 }
 
 // broke is a stream that cannot be read on, by what of it has reached the client.
-func (l *leg) broke() dispatch.Observation {
+func (l *attempt) broke() dispatch.Observation {
 	if l.x.opened {
 		return dispatch.StreamCut
 	}
 	return dispatch.CutShort
 }
 
-// cancel ends a leg whose client is gone.
-func (l *leg) cancel() {
+// cancel ends an attempt whose client is gone.
+func (l *attempt) cancel() {
 	boot := l.x.desk.boot
 	l.x.desk.day.at(l.x.desk.day.nowUs+ms, func() {
 		l.x.desk.now(boot, func() {
@@ -127,7 +127,7 @@
 }
 
 // close gives the connection up: what a cut holds back is lost, and the replica learns of the end.
-func (l *leg) close() {
+func (l *attempt) close() {
 	if l.ended {
 		return
 	}
@@ -149,8 +149,8 @@
 	d.at(d.nowUs+ms, arrive)
 }
 
-// finish tells the decider how a leg ended.
-func (l *leg) finish(e dispatch.Ending) {
+// finish tells the decider how an attempt ended.
+func (l *attempt) finish(e dispatch.Ending) {
 	if l.ended {
 		return
 	}
@@ -162,15 +162,15 @@
 		l.close()
 		l.ended = true
 	}
-	x.leg = nil
+	x.attempt = nil
 	if x.gone || e == dispatch.Done || e == dispatch.Failed {
 		x.done()
 	}
-	t.step(dispatch.Event{Ended: &dispatch.Ended{Call: l.st.Call.ID, Leg: l.st.Leg, Ending: e}})
+	t.step(dispatch.Event{Ended: &dispatch.Ended{Call: l.st.Call.ID, Attempt: l.st.Attempt, Ending: e}})
 }
 
 // got is what a replica sends, as the platform's side of a desk reads it.
-func (l *leg) got(e replica.Effect) {
+func (l *attempt) got(e replica.Effect) {
 	if l.ended {
 		return
 	}
@@ -211,7 +211,7 @@
 	}
 }
 
-func (l *leg) turned(e replica.Effect) {
+func (l *attempt) turned(e replica.Effect) {
 	switch {
 	case e.Status == http.StatusMisdirectedRequest && l.to.name != l.st.Inc:
 		l.finish(dispatch.Elsewhere)
@@ -223,7 +223,7 @@
 }
 
 // whole is an answer that came at once.
-func (l *leg) whole(e replica.Effect) {
+func (l *attempt) whole(e replica.Effect) {
 	x := l.x
 	l.first()
 	decided := dispatch.Decide(l.st.Kind, l.classify(e.Status))
@@ -242,7 +242,7 @@
 }
 
 // classify is what a whole answer is to this request, as the platform's side of a desk has it.
-func (l *leg) classify(status int) dispatch.Observation {
+func (l *attempt) classify(status int) dispatch.Observation {
 	switch {
 	case l.x.opened:
 		return dispatch.AnswerInStream
@@ -256,10 +256,10 @@
 	return dispatch.FailureAnswer
 }
 
-func (l *leg) first() { l.x.call.FirstUs.CompareAndSwap(0, l.x.desk.clock()) }
+func (l *attempt) first() { l.x.call.FirstUs.CompareAndSwap(0, l.x.desk.clock()) }
 
 // open begins an answer with the head of the replica that sent the first event.
-func (l *leg) open() {
+func (l *attempt) open() {
 	l.first()
 	x := l.x
 	if x.opened {
--- a/proofs/sim/routed_desks.go
+++ b/proofs/sim/routed_desks.go
@@ -84,8 +84,8 @@
 	for _, id := range slices.Sorted(maps.Keys(t.open)) {
 		x := t.open[id]
 		x.over = true
-		if x.leg != nil {
-			x.leg.close()
+		if x.attempt != nil {
+			x.attempt.close()
 		}
 		x.back.closed = true
 		x.seat.broken(x.try)
@@ -109,7 +109,7 @@
 			st := *e.Start
 			t.later(1, func() { t.step(dispatch.Event{Gone: st.Call.ID}) })
 			t.later(2, func() {
-				t.step(dispatch.Event{Ended: &dispatch.Ended{Call: st.Call.ID, Leg: st.Leg, Ending: dispatch.Unsent}})
+				t.step(dispatch.Event{Ended: &dispatch.Ended{Call: st.Call.ID, Attempt: st.Attempt, Ending: dispatch.Unsent}})
 			})
 		case e.Give != nil:
 			if x := t.open[e.Give.Call.ID]; x != nil {
@@ -122,8 +122,8 @@
 		case e.Unplaced:
 			urgent = true
 		case e.Cancel != "":
-			if x := t.open[e.Cancel]; x != nil && x.leg != nil {
-				x.leg.cancel()
+			if x := t.open[e.Cancel]; x != nil && x.attempt != nil {
+				x.attempt.cancel()
 			}
 		}
 	}
@@ -194,7 +194,7 @@
 	}
 	x.gone = true
 	t.step(dispatch.Event{Gone: x.call.ID})
-	if x.leg == nil {
+	if x.attempt == nil {
 		x.done()
 	}
 }
--- a/proofs/sim/routed_exchange.go
+++ b/proofs/sim/routed_exchange.go
@@ -20,7 +20,7 @@
 	opened  bool
 	retried bool
 	last    int
-	leg     *leg
+	attempt *attempt
 	gone    bool
 	over    bool
 }
@@ -66,7 +66,7 @@
 	x.back.send(func() { x.seat.answered(x.try, status, "", "", f.RetryMs) })
 }
 
-// ended is a call whose last leg did not end well.
+// ended is a call whose last attempt did not end well.
 func (x *exchange) ended(e dispatch.Ending) {
 	f := &fault.Fault{Code: fault.Unknown, Run: fault.RunUnknown}
 	switch {
@@ -78,13 +78,13 @@
 	x.fail(f)
 }
 
-// begin is the executor of one leg.
+// begin is the executor of one attempt.
 func (x *exchange) begin(st dispatch.Start) {
 	t := x.desk
 	d := t.day
 	d.conns++
-	l := &leg{x: x, st: st, conn: d.conns}
-	x.leg = l
+	l := &attempt{x: x, st: st, conn: d.conns}
+	x.attempt = l
 	if st.ExpiryUs-t.clock() < ms {
 		t.later(1, func() { l.finish(dispatch.Unsent) })
 		return
--- a/proofs/sim/routed_replicas.go
+++ b/proofs/sim/routed_replicas.go
@@ -19,7 +19,7 @@
 	seq      uint64
 	wakeUs   int64
 	bornUs   int64
-	conns    map[uint64]*leg
+	conns    map[uint64]*attempt
 	leave    *rules.Leave
 	leavesUs int64
 	// withdrawn replicas have said that they are gone, and serve on for a while; those that speak go on with
@@ -43,7 +43,7 @@
 		addr = fmt.Sprintf("%s:%d", host, d.ports)
 	}
 	id := fmt.Sprintf("i-%d", d.lives)
-	p := &replicaNode{machine: machine{sim: d.Sim, name: id, addr: addr, up: true, boot: 1}, day: d, host: host, bornUs: d.nowUs, conns: map[uint64]*leg{}}
+	p := &replicaNode{machine: machine{sim: d.Sim, name: id, addr: addr, up: true, boot: 1}, day: d, host: host, bornUs: d.nowUs, conns: map[uint64]*attempt{}}
 	if d.disks[host] == nil {
 		d.disks[host] = replica.NewDisk()
 	}
@@ -295,7 +295,7 @@
 	})
 }
 
-func (p *replicaNode) take(l *leg, ask replica.Ask) {
+func (p *replicaNode) take(l *attempt, ask replica.Ask) {
 	p.conns[l.conn] = l
 	p.pass(p.core.Take(p.day.nowUs, l.conn, ask))
 	p.wake()
--- a/proofs/sim/sim.go
+++ b/proofs/sim/sim.go
@@ -421,7 +421,7 @@
 	}
 }
 
-// judgeSlots: when every caller has had its answer, no desk may think that a leg still runs.
+// judgeSlots: when every caller has had its answer, no desk may think that an attempt still runs.
 func (s *Sim) judgeSlots() {
 	for _, d := range s.desks {
 		busy := 0
@@ -527,7 +527,7 @@
 			case l.Run != nil:
 				s.watch.Run(*l.Run)
 			case l.End != nil && l.End.Ended:
-				s.watch.Ended(l.End.Leg)
+				s.watch.Ended(l.End.Attempt)
 			case l.End != nil:
 				s.watch.Cut(*l.End)
 			case l.Order != nil:
@@ -600,7 +600,7 @@
 
 func (p *serverNode) kill() {
 	p.up = false
-	for _, r := range p.core.Legs() {
+	for _, r := range p.core.Attempts() {
 		p.sim.watch.Cut(r)
 	}
 	p.sim.plat.Store.Done(p.addr)
--- a/proofs/testbed/input_test.go
+++ b/proofs/testbed/input_test.go
@@ -185,7 +185,7 @@
 	}
 }
 
-// At every point of a leg: never two runs of what may not be resumed, and never "not run" for one that
+// At every point of an attempt: never two runs of what may not be resumed, and never "not run" for one that
 // ran, however late. Callers that stay and callers that hang up alike.
 func edges(t *testing.T, s *Fleet) {
 	defer naughty(t, s, "none")
@@ -241,7 +241,7 @@
 		return all
 	}
 	last, same := -1, 0
-	if err := Until("no leg starts any more", func() bool {
+	if err := Until("no attempt starts any more", func() bool {
 		now := count()
 		if now != last {
 			last, same = now, 0
