--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -131,7 +131,7 @@
 // endingOf is the ending of an attempt that may have run: at its deadline, stopped by the decider, or for no known reason.
 func endingOf(attemptCtx context.Context, st dispatch.Start) dispatch.Ending {
 	switch {
-	case clock.NowUs() >= st.ExpiryUs:
+	case clock.NowUs() >= st.DeadlineUs:
 		return dispatch.Final
 	case attemptCtx.Err() != nil:
 		return dispatch.Moved
--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -13,15 +13,15 @@
 
 // CallAsk is what a caller sends.
 type CallAsk struct {
-	Kind     string   `json:"kind"`
-	Model    string   `json:"model"`
-	Adapter  string   `json:"adapter,omitempty"`
-	Prefix   []string `json:"prefix,omitempty"`
-	Prompt   string   `json:"prompt"`
-	ExpiryMs int64    `json:"expiryMs,omitempty"`
-	Resume   *bool    `json:"resumable,omitempty"`
-	Had      []string `json:"had,omitempty"`
-	MostOut  int      `json:"mostOut,omitempty"`
+	Kind       string   `json:"kind"`
+	Model      string   `json:"model"`
+	Adapter    string   `json:"adapter,omitempty"`
+	Prefix     []string `json:"prefix,omitempty"`
+	Prompt     string   `json:"prompt"`
+	DeadlineMs int64    `json:"expiryMs,omitempty"`
+	Resume     *bool    `json:"resumable,omitempty"`
+	Had        []string `json:"had,omitempty"`
+	MostOut    int      `json:"mostOut,omitempty"`
 }
 
 const (
@@ -56,7 +56,7 @@
 	}
 	c = &dispatch.Call{
 		ID: h.set.Name + "-" + office.RandomID(8), Kind: kind.Name, Model: ask.Model, Adapter: ask.Adapter,
-		Prefix: ask.Prefix, Once: once, MostMs: ask.ExpiryMs, TakenUs: clock.NowUs(),
+		Prefix: ask.Prefix, Once: once, MostMs: ask.DeadlineMs, TakenUs: clock.NowUs(),
 	}
 	if f := resumeAt(last, ask, c); f != nil {
 		return nil, nil, false, f
@@ -87,8 +87,8 @@
 		return fault.New(fault.BadField, "prompt", "it is empty")
 	case len(ask.Prefix) > prefixPartsMost:
 		return fault.New(fault.BadField, "prefix", "%d parts, at most %d", len(ask.Prefix), prefixPartsMost)
-	case ask.ExpiryMs < 0:
-		return fault.New(fault.PastExpiry, "expiryMs", "it is %d ms in the past", -ask.ExpiryMs)
+	case ask.DeadlineMs < 0:
+		return fault.New(fault.PastDeadline, "expiryMs", "it is %d ms in the past", -ask.DeadlineMs)
 	case ask.MostOut < 0:
 		return fault.New(fault.BadField, "mostOut", "it is negative")
 	case len(key) > keyMost:
--- a/internal/desk/carry.go
+++ b/internal/desk/carry.go
@@ -110,7 +110,7 @@
 		h.logAttempt(st, fromUs, ending, why)
 		return ending, why
 	}
-	left := time.Duration(st.ExpiryUs-clock.NowUs()) * time.Microsecond
+	left := time.Duration(st.DeadlineUs-clock.NowUs()) * time.Microsecond
 	attemptCtx, cancel := context.WithDeadline(ctx, time.Now().Add(left))
 	defer cancel()
 	h.do(func() { mine.arm(cancel) })
--- a/internal/desk/handler.go
+++ b/internal/desk/handler.go
@@ -99,7 +99,7 @@
 
 func statusOf(f *fault.Fault) int {
 	switch f.Code {
-	case fault.BadJSON, fault.BadField, fault.BadLastEventID, fault.PastExpiry:
+	case fault.BadJSON, fault.BadField, fault.BadLastEventID, fault.PastDeadline:
 		return http.StatusBadRequest
 	case fault.UnknownKind, fault.UnknownModel, fault.UnknownAdapter:
 		return http.StatusNotFound
--- a/internal/desk/host.go
+++ b/internal/desk/host.go
@@ -158,13 +158,13 @@
 	}
 	h.tell(dispatch.Event{Drain: true})
 	h.leaveDoors()
-	expiry := time.NewTimer(time.Duration(h.set.DrainMs) * time.Millisecond)
-	defer expiry.Stop()
+	deadline := time.NewTimer(time.Duration(h.set.DrainMs) * time.Millisecond)
+	defer deadline.Stop()
 	look := time.NewTicker(20 * time.Millisecond)
 	defer look.Stop()
 	for left := true; left; {
 		select {
-		case <-expiry.C:
+		case <-deadline.C:
 			h.ring.Dump("the drain ran out of time with calls still open")
 			left = false
 		case <-look.C:
--- a/internal/dispatch/backlog.go
+++ b/internal/dispatch/backlog.go
@@ -92,7 +92,7 @@
 		if (w.Had > 0) != (c.Had > 0) {
 			return c.Had > 0
 		}
-		return w.expiryUs > c.expiryUs
+		return w.deadlineUs > c.deadlineUs
 	})
 	k.waiting = append(k.waiting, nil)
 	copy(k.waiting[at+1:], k.waiting[at:])
@@ -132,7 +132,7 @@
 		k := d.kinds[name]
 		for i := 0; i < len(k.waiting); {
 			c := k.waiting[i]
-			if c.expiryUs <= d.nowUs {
+			if c.deadlineUs <= d.nowUs {
 				d.give(c, fault.Expired, "no replica could take it before its expiry", d.RetryMs())
 				continue
 			}
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 )
 
-// Call is what a caller asked for. Its urgency, its expiry and whether it may be resumed are its
+// Call is what a caller asked for. Its urgency, its deadline and whether it may be resumed are its
 // kind's, as the newest news has it, until an attempt starts.
 type Call struct {
 	ID       string
@@ -24,9 +24,9 @@
 	// Outcome is the class of the last attempt's, an outlier.Class, where whoever ran it can tell.
 	Outcome atomic.Int32
 
-	takenAt  uint64
-	urgency  int
-	expiryUs int64
+	takenAt    uint64
+	urgency    int
+	deadlineUs int64
 	// resume: every declaration under which the call was taken or sent lets it run more than once.
 	resume bool
 	// once: some declaration of its time did not.
--- a/internal/dispatch/expiry_test.go
+++ b/internal/dispatch/deadline_test.go
@@ -30,8 +30,8 @@
 				t.Fatalf("%s: sent %d times", name, len(attempts))
 			}
 			for i, st := range attempts {
-				if st.ExpiryUs != wantUs {
-					t.Errorf("%s: try %d ends at %d us, want %d", name, i+1, st.ExpiryUs, wantUs)
+				if st.DeadlineUs != wantUs {
+					t.Errorf("%s: try %d ends at %d us, want %d", name, i+1, st.DeadlineUs, wantUs)
 				}
 			}
 		}
--- a/internal/dispatch/decider.go
+++ b/internal/dispatch/decider.go
@@ -151,7 +151,7 @@
 		d.give(c, fault.Overloaded, "the backlog is full", d.RetryMs())
 		return
 	}
-	if waitUs := d.waitUs(c); d.nowUs+waitUs > c.expiryUs {
+	if waitUs := d.waitUs(c); d.nowUs+waitUs > c.deadlineUs {
 		d.give(c, fault.Overloaded, fmt.Sprintf("about %d ms of waiting lie before its expiry", waitUs/1000), d.RetryMs())
 		return
 	}
--- a/internal/dispatch/decider_test.go
+++ b/internal/dispatch/decider_test.go
@@ -14,7 +14,7 @@
 func snapshot(number uint64, share int, edit func(*wire.News)) *Snapshot {
 	n := wire.News{Number: number, Revision: 1, Doc: &standing.Declaration{
 		Zones:  []string{"a", "b"},
-		Kinds:  []standing.Kind{{Name: "pages", Urgency: 2, Resumable: true, ExpiryMs: 50_000}, {Name: "letters", Urgency: 5, ExpiryMs: 50_000}, {Name: "fixes", Urgency: 9, ExpiryMs: 50_000}},
+		Kinds:  []standing.Kind{{Name: "pages", Urgency: 2, Resumable: true, DeadlineMs: 50_000}, {Name: "letters", Urgency: 5, DeadlineMs: 50_000}, {Name: "fixes", Urgency: 9, DeadlineMs: 50_000}},
 		Models: []standing.Model{{Name: "m"}, {Name: "other"}},
 	}}
 	for _, id := range []string{"r1", "r2"} {
@@ -261,8 +261,8 @@
 		"model taken out":         {func(n *wire.News) { n.Doc.Models = n.Doc.Models[1:] }, fault.UnknownModel},
 		"adapter taken out":       {func(n *wire.News) { n.Doc.Adapters = nil }, fault.UnknownAdapter},
 		"adapter of another":      {func(n *wire.News) { n.Doc.Adapters[0].Model = "other" }, fault.UnknownAdapter},
-		"shorter expiry":          {func(n *wire.News) { n.Doc.Kinds[2].ExpiryMs = 100 }, fault.Expired},
-		"nothing that touches it": {func(n *wire.News) { n.Doc.Kinds[0].ExpiryMs = 100 }, ""},
+		"shorter deadline":        {func(n *wire.News) { n.Doc.Kinds[2].DeadlineMs = 100 }, fault.Expired},
+		"nothing that touches it": {func(n *wire.News) { n.Doc.Kinds[0].DeadlineMs = 100 }, ""},
 	} {
 		with := func(number uint64, edit func(*wire.News)) *Snapshot {
 			return snapshot(number, 0, func(n *wire.News) {
--- a/internal/dispatch/decisions.go
+++ b/internal/dispatch/decisions.go
@@ -48,8 +48,8 @@
 	ModelMissing
 	// OtherLife means: another life, or another replica, has the address, and has not run the request.
 	OtherLife
-	// SilentUntilExpiry means: sent, wholly or in part, and no answer before the request's expiry.
-	SilentUntilExpiry
+	// SilentUntilDeadline means: sent, wholly or in part, and no answer before the request's deadline.
+	SilentUntilDeadline
 	// ClosedUnanswered means: sent, wholly or in part, and the connection ended before the head of an answer.
 	ClosedUnanswered
 	// NotAnAnswer means: bytes that form no answer, or only answers to other requests.
@@ -74,7 +74,7 @@
 	StreamCut
 	// StreamCutUnnamed means: the same, but what has reached the caller does not say where to go on.
 	StreamCutUnnamed
-	// StreamExpired means: a stream was still under way at the request's expiry.
+	// StreamExpired means: a stream was still under way at the request's deadline.
 	StreamExpired
 	// AnswerInStream means: an answer that is no stream where a stream was to go on.
 	AnswerInStream
@@ -144,28 +144,28 @@
 
 // decisions is the one place that says what is sent again and what a caller is told.
 var decisions = [observations]decisionRow{
-	NothingSent:       always(RetryDecision{Ending: Unsent, Again: true, Answer: Refuse}),
-	Withheld:          always(RetryDecision{Ending: Unsent, Again: true, Answer: Refuse, Reuse: true}),
-	TurnedAway:        always(RetryDecision{Ending: Refused, Again: true, Answer: Refuse, Reuse: true}),
-	ModelMissing:      always(RetryDecision{Ending: Missing, Again: true, Answer: Refuse, Reuse: true}),
-	OtherLife:         always(RetryDecision{Ending: Elsewhere, Again: true, Answer: Refuse}),
-	SilentUntilExpiry: always(RetryDecision{Ending: Final, Ran: true, Answer: Expire}),
-	ClosedUnanswered:  whereRepeatable(Unknown),
-	NotAnAnswer:       whereRepeatable(Unknown),
-	UnsealedSuccess:   whereRepeatable(Broken),
-	CutShort:          whereRepeatable(Broken),
-	Oversized:         whereRepeatable(Broken),
-	UnprovenRefusal:   whereRepeatable(Unknown),
-	FailureAnswer:     {Idempotent: heldBack, NonIdempotent: passedOn, Streaming: passedOn, ResumableStreaming: heldBack},
-	FailureRepeated:   always(passedOn),
-	WholeAnswer:       always(RetryDecision{Ending: Done, Ran: true, Answer: PassOn, Reuse: true}),
-	StreamEnded:       always(RetryDecision{Ending: Done, Ran: true, Answer: PassOn, Reuse: true}),
-	StreamCut:         whereResumable(Broken),
-	StreamCutUnnamed:  always(RetryDecision{Ending: Stopped, Ran: true, Answer: Cut}),
-	StreamExpired:     always(RetryDecision{Ending: Final, Ran: true, Answer: Cut}),
-	AnswerInStream:    whereResumable(Broken),
-	CallerGone:        always(RetryDecision{Ending: Stopped, Ran: true, Answer: Nothing}),
-	MovedOff:          whereRepeatable(Moved),
+	NothingSent:         always(RetryDecision{Ending: Unsent, Again: true, Answer: Refuse}),
+	Withheld:            always(RetryDecision{Ending: Unsent, Again: true, Answer: Refuse, Reuse: true}),
+	TurnedAway:          always(RetryDecision{Ending: Refused, Again: true, Answer: Refuse, Reuse: true}),
+	ModelMissing:        always(RetryDecision{Ending: Missing, Again: true, Answer: Refuse, Reuse: true}),
+	OtherLife:           always(RetryDecision{Ending: Elsewhere, Again: true, Answer: Refuse}),
+	SilentUntilDeadline: always(RetryDecision{Ending: Final, Ran: true, Answer: Expire}),
+	ClosedUnanswered:    whereRepeatable(Unknown),
+	NotAnAnswer:         whereRepeatable(Unknown),
+	UnsealedSuccess:     whereRepeatable(Broken),
+	CutShort:            whereRepeatable(Broken),
+	Oversized:           whereRepeatable(Broken),
+	UnprovenRefusal:     whereRepeatable(Unknown),
+	FailureAnswer:       {Idempotent: heldBack, NonIdempotent: passedOn, Streaming: passedOn, ResumableStreaming: heldBack},
+	FailureRepeated:     always(passedOn),
+	WholeAnswer:         always(RetryDecision{Ending: Done, Ran: true, Answer: PassOn, Reuse: true}),
+	StreamEnded:         always(RetryDecision{Ending: Done, Ran: true, Answer: PassOn, Reuse: true}),
+	StreamCut:           whereResumable(Broken),
+	StreamCutUnnamed:    always(RetryDecision{Ending: Stopped, Ran: true, Answer: Cut}),
+	StreamExpired:       always(RetryDecision{Ending: Final, Ran: true, Answer: Cut}),
+	AnswerInStream:      whereResumable(Broken),
+	CallerGone:          always(RetryDecision{Ending: Stopped, Ran: true, Answer: Nothing}),
+	MovedOff:            whereRepeatable(Moved),
 }
 
 // Decide looks up what follows from an observation.
--- a/internal/dispatch/granted_attempts.go
+++ b/internal/dispatch/granted_attempts.go
@@ -78,7 +78,7 @@
 		p.prefixes[print] = d.nowUs
 	}
 	d.note(c, "leg", r.ID, why)
-	d.do(Effect{Start: &Start{Call: c, Attempt: c.attempt, Ticket: grant.ticket, Replica: r.ID, Addr: r.Addr, Inc: r.Inc, Revision: d.snap.Revision, ExpiryUs: c.expiryUs, Kind: c.requestKind()}})
+	d.do(Effect{Start: &Start{Call: c, Attempt: c.attempt, Ticket: grant.ticket, Replica: r.ID, Addr: r.Addr, Inc: r.Inc, Revision: d.snap.Revision, DeadlineUs: c.deadlineUs, Kind: c.requestKind()}})
 }
 
 func (d *Decider) forget(p *place) {
--- a/internal/dispatch/prospect.go
+++ b/internal/dispatch/prospect.go
@@ -163,7 +163,7 @@
 
 // patienceUs is how long the caller of a call waits for its first piece.
 func (d *Decider) patienceUs(c *Call) int64 {
-	us, o, r := c.expiryUs-c.TakenUs, d.opts.Patience, c.Routed.Route
+	us, o, r := c.deadlineUs-c.TakenUs, d.opts.Patience, c.Routed.Route
 	if r.Repeat == standing.Streaming && o.LeastMs > 0 {
 		us = min(us, max(o.LeastMs, o.Aims*r.AimMs, o.Gaps*r.GapMs)*clock.Ms)
 	}
@@ -221,7 +221,7 @@
 
 // sendBack refuses a call and says when what it names will be there; until then it counts as waiting.
 func (d *Decider) sendBack(c *Call, w *want, aheadMs float64) {
-	leftMs := float64(c.expiryUs-d.nowUs) / 1000
+	leftMs := float64(c.deadlineUs-d.nowUs) / 1000
 	spread := 1 + float64(mix(c.Routed.draw^hashOf(c.ID))%1000)/2000
 	retryMs := int64(min(max(aheadMs, leastAheadMs)*spread, leftMs/3))
 	w.untilUs = append(w.untilUs, d.nowUs+retryMs*clock.Ms)
--- a/internal/dispatch/replica_state.go
+++ b/internal/dispatch/replica_state.go
@@ -74,7 +74,7 @@
 	}
 	c.FirstUs.Store(0)
 	d.note(c, "leg", r.ID, "")
-	d.do(Effect{Start: &Start{GuessMs: predictedMs, Running: running, Call: c, Attempt: c.attempt, Replica: r.ID, Addr: r.Addr, Inc: r.Inc, Revision: d.snap.Revision, ExpiryUs: c.expiryUs,
+	d.do(Effect{Start: &Start{GuessMs: predictedMs, Running: running, Call: c, Attempt: c.attempt, Replica: r.ID, Addr: r.Addr, Inc: r.Inc, Revision: d.snap.Revision, DeadlineUs: c.deadlineUs,
 		Route: c.Routed.Route, Service: c.Routed.Service, Kind: c.requestKind()}})
 }
 
--- a/internal/dispatch/routed.go
+++ b/internal/dispatch/routed.go
@@ -66,7 +66,7 @@
 	if c.MostMs > 0 {
 		mostMs = min(mostMs, c.MostMs)
 	}
-	c.expiryUs = c.TakenUs + mostMs*1000
+	c.deadlineUs = c.TakenUs + mostMs*1000
 	if c.attempt == "" && (c.Routed.Service == "" || !r.May(c.Routed.Service)) {
 		if c.Routed.draw == 0 {
 			h := fnv.New64a()
@@ -155,7 +155,7 @@
 // maySendRouted: the newest declaration still sends this route to that service, and the life is known
 // and not leaving.
 func (s *Snapshot) maySendRouted(st Start, nowUs int64) bool {
-	if s == nil || s.Doc == nil || nowUs >= st.ExpiryUs {
+	if s == nil || s.Doc == nil || nowUs >= st.DeadlineUs {
 		return false
 	}
 	route, r := s.Doc.Route(st.Call.Kind), s.Replicas[st.Replica]
--- a/internal/dispatch/routed_test.go
+++ b/internal/dispatch/routed_test.go
@@ -240,7 +240,7 @@
 		k := newClerk(Options{}, stands(declaration(base), 1, rows...))
 		k.call("c", "r", "")
 		st := *k.attempts["c"][0]
-		if !st.MaySend(k.d.snap, k.nowUs, 0) || st.MaySend(now, k.nowUs, 0) || st.MaySend(k.d.snap, st.ExpiryUs, 0) {
+		if !st.MaySend(k.d.snap, k.nowUs, 0) || st.MaySend(now, k.nowUs, 0) || st.MaySend(k.d.snap, st.DeadlineUs, 0) {
 			t.Errorf("%s between the decision and the first byte", name)
 		}
 	}
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -114,7 +114,7 @@
 	if st.Call.Routed != nil {
 		return s.maySendRouted(st, nowUs)
 	}
-	return s != nil && nowUs < leaseUs && nowUs < st.ExpiryUs && s.Takes(st.Replica, st.Inc, st.Call.Model, st.Call.Adapter) && s.Doc.Kind(st.Call.Kind) != nil
+	return s != nil && nowUs < leaseUs && nowUs < st.DeadlineUs && s.Takes(st.Replica, st.Inc, st.Call.Model, st.Call.Adapter) && s.Doc.Kind(st.Call.Kind) != nil
 }
 
 // Judge looks at a replica's next line; an empty ending means it is the next piece.
--- a/internal/dispatch/terms.go
+++ b/internal/dispatch/terms.go
@@ -69,7 +69,7 @@
 		d.give(c, fault.Broken, "its kind may no longer be resumed", 0)
 	case code != "":
 		d.give(c, code, "it was taken out of the declaration", 0)
-	case c.expiryUs <= d.nowUs:
+	case c.deadlineUs <= d.nowUs:
 		d.give(c, fault.Expired, "no replica could take it before its expiry", d.RetryMs())
 	default:
 		return true
@@ -91,11 +91,11 @@
 		return fault.UnknownKind
 	}
 	c.urgency, c.resume = kind.Urgency, kind.Resumable && !c.Once
-	mostMs := kind.ExpiryMs
+	mostMs := kind.DeadlineMs
 	if c.MostMs > 0 {
 		mostMs = min(mostMs, c.MostMs)
 	}
-	c.expiryUs = c.TakenUs + mostMs*1000
+	c.deadlineUs = c.TakenUs + mostMs*1000
 	return d.snap.unknown(c.Model, c.Adapter)
 }
 
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -17,7 +17,7 @@
 	UnknownKind    Code = "unknown_kind"
 	UnknownModel   Code = "unknown_model"
 	UnknownAdapter Code = "unknown_adapter"
-	PastExpiry     Code = "past_expiry"
+	PastDeadline   Code = "past_expiry"
 	BadLastEventID Code = "bad_last_event_id"
 	Overloaded     Code = "overloaded"
 	NoLease        Code = "no_lease"
--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -493,8 +493,8 @@
 	if !h.act.Do(ctx, func() { h.waiters[c.ID] = append(h.waiters[c.ID], waiter) }) {
 		return wire.Result{}, false
 	}
-	expiry := time.NewTimer(wait)
-	defer expiry.Stop()
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
 	again := time.NewTicker(resubmit)
 	defer again.Stop()
 	h.tell(Event{Submit: &c})
@@ -507,7 +507,7 @@
 			return r, true
 		case <-again.C:
 			h.tell(Event{Submit: &c})
-		case <-expiry.C:
+		case <-deadline.C:
 			return wire.Result{}, false
 		case <-ctx.Done():
 			return wire.Result{}, false
--- a/internal/office/leave.go
+++ b/internal/office/leave.go
@@ -18,8 +18,8 @@
 	}
 	h.tell(Event{Leave: true})
 	fromUs := clock.NowUs()
-	expiry := time.NewTimer(time.Duration(h.set.LeaveMs) * time.Millisecond)
-	defer expiry.Stop()
+	deadline := time.NewTimer(time.Duration(h.set.LeaveMs) * time.Millisecond)
+	defer deadline.Stop()
 	check := time.NewTicker(leaveCheckEvery)
 	defer check.Stop()
 	left := false
@@ -27,7 +27,7 @@
 		select {
 		case <-check.C:
 			left, _ = actor.Ask(h.act.Ctx, h.act, h.core.Node.Left)
-		case <-expiry.C:
+		case <-deadline.C:
 			waiting = false
 		}
 	}
--- a/internal/standing/standing.go
+++ b/internal/standing/standing.go
@@ -70,10 +70,10 @@
 
 // Kind is a class of calls; Urgency 9 is the most urgent.
 type Kind struct {
-	Name      string `json:"name" validate:"required,max=64"`
-	Urgency   int    `json:"urgency" validate:"required,min=1,max=9"`
-	Resumable bool   `json:"resumable"`
-	ExpiryMs  int64  `json:"expiryMs" validate:"required,min=100,max=86400000"`
+	Name       string `json:"name" validate:"required,max=64"`
+	Urgency    int    `json:"urgency" validate:"required,min=1,max=9"`
+	Resumable  bool   `json:"resumable"`
+	DeadlineMs int64  `json:"expiryMs" validate:"required,min=100,max=86400000"`
 }
 
 // Model is a model with its offline table; Weight says how much it counts beside others of the same rate.
@@ -114,7 +114,7 @@
 func (d *Declaration) Kind(name string) *Kind {
 	if d.Routed() {
 		if r := d.Route(name); r != nil {
-			return &Kind{Name: r.Name, Urgency: max(1, 9-r.Priority), Resumable: r.Repeatable(), ExpiryMs: r.TimeoutMs}
+			return &Kind{Name: r.Name, Urgency: max(1, 9-r.Priority), Resumable: r.Repeatable(), DeadlineMs: r.TimeoutMs}
 		}
 		return nil
 	}
--- a/internal/storage/lock.go
+++ b/internal/storage/lock.go
@@ -28,8 +28,8 @@
 	if err != nil {
 		return io.NopCloser(nil), nil
 	}
-	expiry := time.NewTimer(wait)
-	defer expiry.Stop()
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
 	again := time.NewTicker(lockEvery)
 	defer again.Stop()
 	for {
@@ -39,7 +39,7 @@
 		}
 		select {
 		case <-again.C:
-		case <-expiry.C:
+		case <-deadline.C:
 			_ = held.Close()
 			return nil, fault.New(fault.DataUnwritable, path, "another process uses this folder")
 		}
--- a/proofs/fleet/demand.go
+++ b/proofs/fleet/demand.go
@@ -21,12 +21,12 @@
 
 // Demand is seeded calls at a rate; Rare asks for the less popular half of the models.
 type Demand struct {
-	Doc       *standing.Declaration
-	PerSecond float64
-	Seed      int64
-	Label     string
-	Rare      bool
-	ExpiryMs  int64
+	Doc        *standing.Declaration
+	PerSecond  float64
+	Seed       int64
+	Label      string
+	Rare       bool
+	DeadlineMs int64
 }
 
 // Next draws a call: interactive kinds carry most, popular models come first, and calls share
@@ -52,7 +52,7 @@
 		i = len(models)/2 + r.Intn(len(models)/2)
 	}
 	model := models[min(i, len(models)-1)]
-	ask := desk.CallAsk{Kind: kind.Name, Model: model.Name, ExpiryMs: d.ExpiryMs}
+	ask := desk.CallAsk{Kind: kind.Name, Model: model.Name, DeadlineMs: d.DeadlineMs}
 	if r.Intn(3) == 0 {
 		fits := []string{}
 		for _, a := range d.Doc.Adapters {
--- a/proofs/sim/desks.go
+++ b/proofs/sim/desks.go
@@ -341,7 +341,7 @@
 			d.now(boot, func() { d.attemptEnded(c, st, dispatch.Moved, "moved", ended) })
 		})
 	}
-	d.later(max(1, st.ExpiryUs-d.clock()), func() {
+	d.later(max(1, st.DeadlineUs-d.clock()), func() {
 		if !over {
 			close()
 			finish(dispatch.Final, "expired while it ran")
--- a/proofs/sim/operators.go
+++ b/proofs/sim/operators.go
@@ -281,7 +281,7 @@
 		return func(t rules.Told) bool { return t.Adapter == moved.Name && t.Model == to }
 	}
 	elsewhere := p.elsewhere()
-	shortMs := often.ExpiryMs / 4
+	shortMs := often.DeadlineMs / 4
 	const slackUs = 100 * ms
 	return []turn{
 		{id: model.Name,
@@ -338,14 +338,14 @@
 				}}},
 		{id: "expiry " + often.Name,
 			away: func(d *standing.Declaration) { expireAs(d, often.Name, shortMs) },
-			old:  func(d *standing.Declaration) { expireAs(d, often.Name, often.ExpiryMs) },
+			old:  func(d *standing.Declaration) { expireAs(d, often.Name, often.DeadlineMs) },
 			gone: rules.Change{Concerns: ofKind(often.Name),
 				Runs: func(r modelserver.Run, ask rules.Told, _ int) bool {
 					return ask.Kind == often.Name && ask.Had == 0 && r.StartUs > ask.TakenUs+shortMs*ms+slackUs
 				}},
 			back: rules.Change{Concerns: ofKind(often.Name),
 				Told: func(t rules.Told) bool {
-					return t.Kind == often.Name && t.Code == string(fault.Expired) && t.EndUs-t.TakenUs < often.ExpiryMs*ms-slackUs
+					return t.Kind == often.Name && t.Code == string(fault.Expired) && t.EndUs-t.TakenUs < often.DeadlineMs*ms-slackUs
 				}}},
 	}
 }
@@ -380,9 +380,9 @@
 	}
 }
 
-func expireAs(d *standing.Declaration, kind string, expiryMs int64) {
+func expireAs(d *standing.Declaration, kind string, deadlineMs int64) {
 	if k := d.Kind(kind); k != nil {
-		k.ExpiryMs = expiryMs
+		k.DeadlineMs = deadlineMs
 	}
 }
 
--- a/proofs/sim/routed_attempts.go
+++ b/proofs/sim/routed_attempts.go
@@ -35,7 +35,7 @@
 	ask := l.x.ask
 	ask.From, ask.Expect, ask.Last = t.name, st.Inc, l.x.last
 	ask.Priority = l.st.Route.Priority
-	ask.DeadlineUs = d.nowUs + max(1, (st.ExpiryUs-t.clock()-deadlineUs)/1000)*ms
+	ask.DeadlineUs = d.nowUs + max(1, (st.DeadlineUs-t.clock()-deadlineUs)/1000)*ms
 	if d.plan.Plant == "smuggler" && d.r.Intn(50) == 0 {
 		ask.ID += "x"
 	}
@@ -50,7 +50,7 @@
 	l.up.send(func() { l.to.take(l, ask) })
 	boot := l.to.boot
 	d.at(d.nowUs+3*ms, func() { l.watch(boot) })
-	t.later(max(1, st.ExpiryUs-t.clock()), func() { l.lost(true) })
+	t.later(max(1, st.DeadlineUs-t.clock()), func() { l.lost(true) })
 }
 
 // watch finds a replica's end before it has taken the request.
@@ -90,7 +90,7 @@
 func (l *attempt) lost(late bool) {
 	switch {
 	case late && !l.x.gone:
-		l.finish(dispatch.Decide(l.st.Kind, dispatch.SilentUntilExpiry).Ending)
+		l.finish(dispatch.Decide(l.st.Kind, dispatch.SilentUntilDeadline).Ending)
 	case l.head:
 		l.finish(dispatch.Decide(l.st.Kind, l.broke()).Ending)
 	default:
--- a/proofs/sim/routed_exchange.go
+++ b/proofs/sim/routed_exchange.go
@@ -85,7 +85,7 @@
 	d.conns++
 	l := &attempt{x: x, st: st, conn: d.conns}
 	x.attempt = l
-	if st.ExpiryUs-t.clock() < ms {
+	if st.DeadlineUs-t.clock() < ms {
 		t.later(1, func() { l.finish(dispatch.Unsent) })
 		return
 	}
--- a/proofs/sim/sim.go
+++ b/proofs/sim/sim.go
@@ -164,9 +164,9 @@
 		Name: "sim", Zones: []string{"a", "b", "c"}, Replica: standing.Replica{RoomMb: 4000},
 		Store: standing.Store{Loads: 3, MbPerSecond: 4000, BurstMb: 2000}, Scaler: standing.Scaler{Spares: 1, SimilarPct: 10, WindowMs: 5000},
 		Kinds: []standing.Kind{
-			{Name: "pages", Urgency: 3, Resumable: true, ExpiryMs: 20_000},
-			{Name: "letters", Urgency: 5, ExpiryMs: 15_000},
-			{Name: "fixes", Urgency: 8, ExpiryMs: 8_000},
+			{Name: "pages", Urgency: 3, Resumable: true, DeadlineMs: 20_000},
+			{Name: "letters", Urgency: 5, DeadlineMs: 15_000},
+			{Name: "fixes", Urgency: 8, DeadlineMs: 8_000},
 		},
 		Policy: standing.Policy{Name: "steady", Source: examples.Steady},
 	}
--- a/proofs/testbed/input_test.go
+++ b/proofs/testbed/input_test.go
@@ -82,7 +82,7 @@
 		{"unknown model", `{"kind":"fixes","model":"m99","prompt":"p"}`, "model", nil, 404, fault.UnknownModel},
 		{"adapter of another model", `{"kind":"fixes","model":"m0","adapter":"a-m1","prompt":"p"}`, "adapter", nil, 404, fault.UnknownAdapter},
 		{"empty prompt", `{"kind":"fixes","model":"m0"}`, "prompt", nil, 400, fault.BadField},
-		{"past expiry", `{"kind":"fixes","model":"m0","prompt":"p","expiryMs":-5}`, "expiryMs", nil, 400, fault.PastExpiry},
+		{"past deadline", `{"kind":"fixes","model":"m0","prompt":"p","expiryMs":-5}`, "expiryMs", nil, 400, fault.PastDeadline},
 		{"bad last id", `{"kind":"pages","model":"m0","prompt":"p"}`, "Last-Event-Id", []string{"Last-Event-Id", "three"}, 400, fault.BadLastEventID},
 		{"last id of what cannot be resumed", `{"kind":"fixes","model":"m0","prompt":"p","had":["a"]}`, "Last-Event-Id", []string{"Last-Event-Id", "1"}, 400, fault.BadLastEventID},
 		{"last id and pieces differ", `{"kind":"pages","model":"m0","prompt":"p","had":["a"]}`, "had", []string{"Last-Event-Id", "2"}, 400, fault.BadLastEventID},
@@ -205,7 +205,7 @@
 				defer group.Done()
 				ctx, done := context.WithTimeout(context.Background(), time.Duration(hangMs)*time.Millisecond)
 				defer done()
-				ask := desk.CallAsk{Kind: "letters", Model: "m0", Prompt: tag + " go", ExpiryMs: 3000}
+				ask := desk.CallAsk{Kind: "letters", Model: "m0", Prompt: tag + " go", DeadlineMs: 3000}
 				got := callers.Ask(ctx, http.DefaultClient, s.Desks[i%len(s.Desks)], ask, "", rules.Told{Tag: tag})
 				mu.Lock()
 				defer mu.Unlock()
