--- a/cmd/petreltide/daemons.go
+++ b/cmd/petreltide/daemons.go
@@ -70,7 +70,7 @@
 }
 
 func deskCommand() *cobra.Command {
-	set := settings.Desk{BacklogMax: 512, BodyMaxKb: 1024, DrainMs: 30_000}
+	set := settings.Desk{QueueMax: 512, BodyMaxKb: 1024, DrainMs: 30_000}
 	place := place{&set.Name, &set.Listen, &set.Advertise, &set.Zone, &set.Seeds}
 	var file string
 	cmd := &cobra.Command{
@@ -89,7 +89,7 @@
 			if f := place.read(cmd, file, &set); f != nil {
 				return f
 			}
-			lay(cmd, "backlog-max", &set.BacklogMax, laid.BacklogMax)
+			lay(cmd, "backlog-max", &set.QueueMax, laid.QueueMax)
 			lay(cmd, "body-max-kb", &set.BodyMaxKb, laid.BodyMaxKb)
 			lay(cmd, "drain-ms", &set.DrainMs, laid.DrainMs)
 			if f := set.Check(); f != nil {
@@ -102,7 +102,7 @@
 	flags := cmd.Flags()
 	flags.StringVar(&file, "settings", "", "settings file (YAML or JSON)")
 	place.flags(cmd, "this desk's name, unique in the fleet")
-	flags.IntVar(&set.BacklogMax, "backlog-max", set.BacklogMax, "most calls that may wait here")
+	flags.IntVar(&set.QueueMax, "backlog-max", set.QueueMax, "most calls that may wait here")
 	flags.IntVar(&set.BodyMaxKb, "body-max-kb", set.BodyMaxKb, "largest call body taken, in KiB")
 	flags.Int64Var(&set.DrainMs, "drain-ms", set.DrainMs, "time for open calls to end after SIGTERM")
 	return cmd
--- a/internal/desk/host.go
+++ b/internal/desk/host.go
@@ -105,7 +105,7 @@
 	h := &Host{
 		set: set, inc: inc, ring: ring, log: ring.Logger("desk", set.Name), inner: rpc.NodeClient(400, set.Listen), attempts: attempts,
 		decider: dispatch.New(dispatch.Options{
-			Desk: set.Name, Inc: inc, Zone: set.Zone, BacklogMax: set.BacklogMax,
+			Desk: set.Name, Inc: inc, Zone: set.Zone, QueueMax: set.QueueMax,
 			Budget:   dispatch.BudgetOptions{Ratio: set.Budget.Ratio, Slack: set.Budget.Slack, WindowUs: set.Budget.WindowMs * clock.Ms},
 			Patience: dispatch.PatienceOptions{LeastMs: set.Patience.LeastMs, Aims: set.Patience.Aims, Gaps: set.Patience.Gaps},
 			Outlier:  set.Outlier.Options(),
--- a/internal/dispatch/decider.go
+++ b/internal/dispatch/decider.go
@@ -21,18 +21,18 @@
 	drainingMs   = 50
 )
 
-// Options are those of one gateway. BacklogMax bounds the calls that wait for a replica.
+// Options are those of one gateway. QueueMax bounds the calls that wait for a replica.
 type Options struct {
-	Desk       string
-	Inc        string
-	Zone       string
-	BacklogMax int
-	Budget     BudgetOptions
-	Patience   PatienceOptions
-	Outlier    outlier.Options
+	Desk     string
+	Inc      string
+	Zone     string
+	QueueMax int
+	Budget   BudgetOptions
+	Patience PatienceOptions
+	Outlier  outlier.Options
 }
 
-// Decider is asked; the executor obeys. It owns the backlog, the slots and the attempt numbers.
+// Decider is asked; the executor obeys. It owns the queue, the slots and the attempt numbers.
 type Decider struct {
 	opts          Options
 	nowUs         int64
@@ -147,7 +147,7 @@
 		d.give(c, fault.Draining, "this desk is going down", 200)
 		return
 	}
-	if d.waiting >= d.opts.BacklogMax && !d.makeRoom(c) {
+	if d.waiting >= d.opts.QueueMax && !d.makeRoom(c) {
 		d.give(c, fault.Overloaded, "the backlog is full", d.RetryMs())
 		return
 	}
--- a/internal/dispatch/decider_test.go
+++ b/internal/dispatch/decider_test.go
@@ -27,8 +27,8 @@
 	return Fold(nil, n, 0)
 }
 
-func leased(share, backlog int) *Decider {
-	d := New(Options{Desk: "d", Inc: "i", BacklogMax: backlog})
+func leased(share, queue int) *Decider {
+	d := New(Options{Desk: "d", Inc: "i", QueueMax: queue})
 	d.Step(Event{NowUs: 1, Snapshot: snapshot(1, share, nil)})
 	d.Step(Event{NowUs: 1, LeaseUs: 100 * clock.Sec})
 	return d
@@ -49,7 +49,7 @@
 }
 
 func TestNothingIsSentWithoutALease(t *testing.T) {
-	d := New(Options{Desk: "d", BacklogMax: 10})
+	d := New(Options{Desk: "d", QueueMax: 10})
 	d.Step(Event{NowUs: 1, Snapshot: snapshot(1, 2, nil)})
 	if got := starts(d.Step(Event{NowUs: 2, Arrived: call(1, "fixes")})); len(got) != 0 {
 		t.Fatal("sent before any lease")
@@ -84,7 +84,7 @@
 	}
 }
 
-func TestAFullBacklogAnswersAtOnceWithARetryTime(t *testing.T) {
+func TestAFullQueueAnswersAtOnceWithARetryTime(t *testing.T) {
 	d := leased(0, 4)
 	for i := 0; i < 4; i++ {
 		d.Step(Event{NowUs: 5, Arrived: call(i, "fixes")})
@@ -272,7 +272,7 @@
 				}
 			})
 		}
-		d := New(Options{Desk: "d", BacklogMax: 10})
+		d := New(Options{Desk: "d", QueueMax: 10})
 		d.Step(Event{NowUs: 1, Snapshot: with(1, nil)})
 		waits := call(1, "fixes")
 		waits.Adapter = "a"
@@ -298,7 +298,7 @@
 
 func TestUrgencyOfWaitingCallsChangesWithTheirKind(t *testing.T) {
 	swap := func(n *wire.News) { n.Doc.Kinds[1].Urgency, n.Doc.Kinds[2].Urgency = 9, 1 }
-	d := New(Options{Desk: "d", Inc: "i", BacklogMax: 100})
+	d := New(Options{Desk: "d", Inc: "i", QueueMax: 100})
 	d.Step(Event{NowUs: 1, Snapshot: snapshot(1, 0, nil)})
 	d.Step(Event{NowUs: 1, LeaseUs: 100 * clock.Sec})
 	for i := 0; i < 20; i++ {
@@ -357,7 +357,7 @@
 		}
 		return ""
 	}
-	d := New(Options{Desk: "d", BacklogMax: 2})
+	d := New(Options{Desk: "d", QueueMax: 2})
 	if got := code(d, 1); got != fault.NoLease {
 		t.Errorf("without a declaration: %q", got)
 	}
@@ -375,7 +375,7 @@
 	d.Step(Event{NowUs: 2, Arrived: call(1, "fixes")})
 	d.Step(Event{NowUs: 2, Arrived: call(2, "fixes")})
 	if got := code(d, 3); got != fault.Overloaded {
-		t.Errorf("with a full backlog: %q", got)
+		t.Errorf("with a full queue: %q", got)
 	}
 	d.Step(Event{NowUs: 3, Drain: true})
 	if got := code(d, 3); got != fault.Draining {
--- a/internal/dispatch/drain_test.go
+++ b/internal/dispatch/drain_test.go
@@ -34,7 +34,7 @@
 // A call that waited for its model when its desk was told to go down was cut with no answer at the end of
 // the grace (mix day, seed 620110391056).
 func TestADeskGoingDownAnswersEveryCallThatWaits(t *testing.T) {
-	d := New(Options{Desk: "d1", BacklogMax: 8})
+	d := New(Options{Desk: "d1", QueueMax: 8})
 	d.Step(Event{NowUs: 1, Snapshot: routedSnapshot()})
 	if got := d.Step(Event{NowUs: 2, Arrived: letter("c1", "rare")}); len(got) != 1 || !got[0].Unplaced {
 		t.Fatalf("a call for what nobody holds: %+v", got)
--- a/internal/dispatch/backlog.go
+++ b/internal/dispatch/queue.go
@@ -50,7 +50,7 @@
 // makeRoom gives up the latest-expiring call of the kind that most exceeds its share, if the
 // newcomer's kind is below its own.
 func (d *Decider) makeRoom(c *Call) bool {
-	share := d.opts.BacklogMax / max(1, d.waitingKinds(c.Kind))
+	share := d.opts.QueueMax / max(1, d.waitingKinds(c.Kind))
 	if len(d.kind(c.Kind).waiting) >= share {
 		return false
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -186,7 +186,7 @@
 		f = fault.New(fault.NoLease, "", "this desk knows no replica yet")
 	case !d.routed() && nowUs >= d.leaseUs:
 		f = fault.New(fault.NoLease, "", "this desk is cut off from the core")
-	case d.waiting >= d.opts.BacklogMax:
+	case d.waiting >= d.opts.QueueMax:
 		f = fault.New(fault.Overloaded, "", "the backlog is full")
 	default:
 		return nil
--- a/internal/dispatch/routed.go
+++ b/internal/dispatch/routed.go
@@ -127,7 +127,7 @@
 	b := d.budgetOf(c.Routed.Service)
 	b.calls[b.now]++
 	d.prospects.arrived(c)
-	if d.waiting >= d.opts.BacklogMax && !d.makeRoom(c) {
+	if d.waiting >= d.opts.QueueMax && !d.makeRoom(c) {
 		d.give(c, fault.Overloaded, "the backlog is full", d.RetryMs())
 		return
 	}
--- a/internal/dispatch/routed_test.go
+++ b/internal/dispatch/routed_test.go
@@ -71,8 +71,8 @@
 }
 
 func newClerk(opts Options, s *Snapshot) *clerk {
-	if opts.BacklogMax == 0 {
-		opts.BacklogMax = 1000
+	if opts.QueueMax == 0 {
+		opts.QueueMax = 1000
 	}
 	k := &clerk{d: New(opts), nowUs: clock.Sec, attempts: map[string][]*Start{}, fin: map[string]*Effect{}}
 	k.step(Event{Snapshot: s})
@@ -296,7 +296,7 @@
 			}
 			return stands(declaration(routes...), 1+r.Intn(4), rows...)
 		}
-		k := newClerk(Options{BacklogMax: 6}, draw())
+		k := newClerk(Options{QueueMax: 6}, draw())
 		ran, open := map[string]bool{}, map[string]bool{}
 		look := func(effects []Effect) {
 			for _, e := range effects {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -18,7 +18,7 @@
 	behindUs    = 600 * clock.Ms
 	checkUs     = 1000 * clock.Ms
 	forgetUs    = 30 * clock.Sec
-	backlogMost = 256
+	queueMost   = 256
 )
 
 type row struct {
@@ -43,10 +43,10 @@
 // Room is the tail's: it pushes numbered news to desks, gives their leases, and holds an
 // operator's answer until every desk has acknowledged or its lease has run out.
 type Room struct {
-	open    bool
-	openUs  int64
-	desks   map[string]*row
-	backlog []waiting
+	open   bool
+	openUs int64
+	desks  map[string]*row
+	queue  []waiting
 }
 
 // Push is news for one gateway.
@@ -74,7 +74,7 @@
 		r.openUs = nowUs
 		return
 	}
-	r.backlog = nil
+	r.queue = nil
 	r.desks = map[string]*row{}
 }
 
@@ -190,10 +190,10 @@
 // Hold keeps an operator's answer until every gateway has the news of a number. Beyond a bound it is dropped, and whoever
 // waits hears nothing.
 func (r *Room) Hold(origin string, out ledger.Outcome, number uint64) {
-	if !r.open || len(r.backlog) >= backlogMost {
+	if !r.open || len(r.queue) >= queueMost {
 		return
 	}
-	r.backlog = append(r.backlog, waiting{origin: origin, result: wire.Result{Outcome: out, Everywhere: true}, number: number})
+	r.queue = append(r.queue, waiting{origin: origin, result: wire.Result{Outcome: out, Everywhere: true}, number: number})
 }
 
 // Answers are those that every gateway has, or whose gateways' leases have run out. They are not kept.
@@ -202,15 +202,15 @@
 		return nil
 	}
 	answers := []Answer{}
-	kept := r.backlog[:0]
-	for _, w := range r.backlog {
+	kept := r.queue[:0]
+	for _, w := range r.queue {
 		if r.everywhere(nowUs, w.number) {
 			answers = append(answers, Answer{Origin: w.origin, Result: w.result})
 		} else {
 			kept = append(kept, w)
 		}
 	}
-	r.backlog = kept
+	r.queue = kept
 	for id, d := range r.desks {
 		if nowUs-d.seenUs > forgetUs && nowUs > d.lapseUs {
 			delete(r.desks, id)
--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -33,8 +33,8 @@
 }
 
 const (
-	// backlogSeconds is the time over which calls that wait are spread when they are counted as a rate.
-	backlogSeconds = 10.0
+	// queueSeconds is the time over which calls that wait are spread when they are counted as a rate.
+	queueSeconds = 10.0
 	// weightAlone makes a weight without a rate less urgent than any rate.
 	weightAlone = 1e6
 )
@@ -126,7 +126,7 @@
 	usable := len(p.in.Usable)
 	order = make([]int, 0, len(p.counts))
 	for i, m := range p.in.Doc.Models {
-		rate := p.in.Rates[m.Name] + float64(p.in.Waiting[m.Name])/backlogSeconds
+		rate := p.in.Rates[m.Name] + float64(p.in.Waiting[m.Name])/queueSeconds
 		p.counts[i] = Count{Model: m.Name, Rate: rate}
 		if usable == 0 || (m.Weight == 0 && rate == 0) {
 			continue
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -99,14 +99,14 @@
 
 // Desk are the settings of a gateway. Times are milliseconds, addresses IP:port.
 type Desk struct {
-	Name       string   `json:"name" validate:"required,max=64,hostname_rfc1123"`
-	Listen     string   `json:"listen" validate:"required"`
-	Advertise  string   `json:"advertise"`
-	Zone       string   `json:"zone" validate:"required,max=32"`
-	Seeds      []string `json:"seeds" validate:"required,min=1,max=3,dive,required"`
-	BacklogMax int      `json:"backlogMax" validate:"min=1,max=100000"`
-	BodyMaxKb  int      `json:"bodyMaxKb" validate:"min=1,max=65536"`
-	DrainMs    int64    `json:"drainMs" validate:"min=0,max=3600000"`
+	Name      string   `json:"name" validate:"required,max=64,hostname_rfc1123"`
+	Listen    string   `json:"listen" validate:"required"`
+	Advertise string   `json:"advertise"`
+	Zone      string   `json:"zone" validate:"required,max=32"`
+	Seeds     []string `json:"seeds" validate:"required,min=1,max=3,dive,required"`
+	QueueMax  int      `json:"backlogMax" validate:"min=1,max=100000"`
+	BodyMaxKb int      `json:"bodyMaxKb" validate:"min=1,max=65536"`
+	DrainMs   int64    `json:"drainMs" validate:"min=0,max=3600000"`
 
 	Attempts Attempts `json:"legs,omitempty" validate:"omitempty,oneof=granted declared"`
 	Budget   Budget   `json:"budget,omitempty"`
--- a/proofs/sim/compare_test.go
+++ b/proofs/sim/compare_test.go
@@ -62,7 +62,7 @@
 			continue
 		}
 		if d := weigh.Paired(f.Values["steady"], f.Values["drowsy"]); !d.Seen() || d.Mean <= 0 {
-			t.Fatalf("a policy that loads only under a backlog is not found: %+v", d)
+			t.Fatalf("a policy that loads only under a queue is not found: %+v", d)
 		}
 	}
 }
--- a/proofs/sim/desks.go
+++ b/proofs/sim/desks.go
@@ -50,7 +50,7 @@
 	d.up, d.thawUs = true, 0
 	d.inc = d.sim.newInc()
 	d.skewUs = d.sim.r.Int63n(1000) * sec
-	d.decider = dispatch.New(dispatch.Options{Desk: d.name, Inc: d.inc, BacklogMax: 200})
+	d.decider = dispatch.New(dispatch.Options{Desk: d.name, Inc: d.inc, QueueMax: 200})
 	d.subscriber = subscriber.New(subscriber.Options{Desk: d.name, Inc: d.inc, Addr: d.addr, Zone: d.zone, Seeds: d.sim.seeds})
 	d.snap, d.leaseUs, d.calls = nil, 0, map[string]*callState{}
 	d.tick()
--- a/proofs/sim/routed_desks.go
+++ b/proofs/sim/routed_desks.go
@@ -58,7 +58,7 @@
 	if d.plan.Plant == "no-budget" {
 		budget.WindowUs = 0
 	}
-	t.decider = dispatch.New(dispatch.Options{Desk: t.name, Inc: t.inc, Zone: t.zone, BacklogMax: 200, Budget: budget})
+	t.decider = dispatch.New(dispatch.Options{Desk: t.name, Inc: t.inc, Zone: t.zone, QueueMax: 200, Budget: budget})
 	t.mirror = subscriber.NewMirror(subscriber.Options{Desk: t.name, Inc: t.inc, Addr: t.addr, Zone: t.zone, Seeds: d.seeds})
 	t.snap, t.older, t.open, t.streams, t.kept = nil, nil, map[string]*exchange{}, map[uint64]*frameStream{}, map[string]int64{}
 	d.over(t.name, "down")
--- a/proofs/testbed/input_test.go
+++ b/proofs/testbed/input_test.go
@@ -332,7 +332,7 @@
 	}
 }
 
-// More calls than slots and backlog: each is answered, and who is refused is told when to come back.
+// More calls than slots and queue: each is answered, and who is refused is told when to come back.
 func overload(t *testing.T, s *Fleet) {
 	var group sync.WaitGroup
 	var mu sync.Mutex
--- a/proofs/testbed/testbed.go
+++ b/proofs/testbed/testbed.go
@@ -109,7 +109,7 @@
 	}
 	for i := 0; i < plan.Desks; i++ {
 		addr := s.loop.Addr()
-		host := desk.Open(settings.Desk{Name: fmt.Sprintf("front-%d", i+1), Listen: addr, Advertise: addr, Zone: string(rune('a' + i%3)), Seeds: s.Offices, BacklogMax: 64, BodyMaxKb: 64, DrainMs: 2000},
+		host := desk.Open(settings.Desk{Name: fmt.Sprintf("front-%d", i+1), Listen: addr, Advertise: addr, Zone: string(rune('a' + i%3)), Seeds: s.Offices, QueueMax: 64, BodyMaxKb: 64, DrainMs: 2000},
 			logring.NewRing("", io.Discard))
 		s.Desks = append(s.Desks, addr)
 		s.run(ctx, addr, host.Run)
