--- a/cmd/petreltide/compare.go
+++ b/cmd/petreltide/compare.go
@@ -15,8 +15,8 @@
 	"github.com/spf13/cobra"
 
 	"petreltide/internal/comparison"
-	"petreltide/internal/desk"
 	"petreltide/internal/fault"
+	"petreltide/internal/gateway"
 	"petreltide/internal/office"
 	"petreltide/internal/placement"
 	"petreltide/internal/standing"
@@ -39,10 +39,10 @@
 and say where the calls of the windows differ.
 
 Each swap is an ordinary change, built on the last one this comparison made. After a settling gap
-that is left out, a change that touches nothing but the revision begins the window; desks count
+that is left out, a change that touches nothing but the revision begins the window; gateways count
 each call under the revision that took it. A call that ends under a later revision is reported
 apart. It stops when anybody else changes the configuration, or when a fault spoils a window: a
-replica or desk lost, come or marked as leaving, another controller (--go-on leaves the spoilt
+replica or gateway lost, come or marked as leaving, another controller (--go-on leaves the spoilt
 pair out instead). The policy in force before is put back at the end and on interrupt; where that
 fails, the command that does it is printed.
 
@@ -138,7 +138,7 @@
 	return err
 }
 
-// liveFleet reaches a fleet through its offices and desks.
+// liveFleet reaches a fleet through its offices and gateways.
 type liveFleet struct{ o *offices }
 
 func (l liveFleet) Config(ctx context.Context) (office.ConfigNow, error) { return current(ctx, l.o) }
@@ -183,7 +183,7 @@
 }
 
 func (l liveFleet) Look(ctx context.Context) (comparison.Look, error) {
-	look := comparison.Look{Replicas: map[string]string{}, Desks: map[string]string{}}
+	look := comparison.Look{Replicas: map[string]string{}, Gateways: map[string]string{}}
 	st, err := l.status(ctx)
 	if err != nil {
 		return look, err
@@ -196,13 +196,13 @@
 	for _, r := range st.Replicas {
 		look.Replicas[r.ID] = fmt.Sprintf("%s (leaving %v, dark %v)", r.Inc, r.Leaving, r.Dark)
 	}
-	for _, d := range st.Desks {
-		ds := desk.Status{}
+	for _, d := range st.Gateways {
+		ds := gateway.Status{}
 		if _, err := read(ctx, &offices{addrs: []string{d.Addr}}, "/v1/status", &ds); err != nil {
-			look.Desks[d.Desk] = "out of reach"
+			look.Gateways[d.Gateway] = "out of reach"
 			continue
 		}
-		look.Desks[d.Desk] = ds.Inc
+		look.Gateways[d.Gateway] = ds.Inc
 		look.Gauges = append(look.Gauges, ds.Gauges...)
 	}
 	return look, nil
--- a/cmd/petreltide/daemons.go
+++ b/cmd/petreltide/daemons.go
@@ -6,8 +6,8 @@
 
 	"github.com/spf13/cobra"
 
-	"petreltide/internal/desk"
 	"petreltide/internal/fault"
+	"petreltide/internal/gateway"
 	"petreltide/internal/logring"
 	"petreltide/internal/office"
 	"petreltide/internal/settings"
@@ -69,8 +69,8 @@
 	return run(cmd, ring, host.Run)
 }
 
-func deskCommand() *cobra.Command {
-	set := settings.Desk{QueueMax: 512, BodyMaxKb: 1024, DrainMs: 30_000}
+func gatewayCommand() *cobra.Command {
+	set := settings.Gateway{QueueMax: 512, BodyMaxKb: 1024, DrainMs: 30_000}
 	place := place{&set.Name, &set.Listen, &set.Advertise, &set.Zone, &set.Seeds}
 	var file string
 	cmd := &cobra.Command{
@@ -96,7 +96,7 @@
 				return f
 			}
 			ring := logring.NewRing("", os.Stderr)
-			return run(cmd, ring, desk.Open(set, ring).Run)
+			return run(cmd, ring, gateway.Open(set, ring).Run)
 		},
 	}
 	flags := cmd.Flags()
--- a/cmd/petreltide/daemons_test.go
+++ b/cmd/petreltide/daemons_test.go
@@ -29,13 +29,13 @@
 		args  []string
 		names string
 	}{
-		"desk, a flag that is unfit":       {deskCommand(), []string{"--settings", write(whole), "--listen", "nowhere"}, `at listen: "nowhere"`},
-		"desk, seeds by flag":              {deskCommand(), []string{"--settings", write(whole), "--seeds", "here"}, `at seeds: "here"`},
-		"desk, a zone by flag":             {deskCommand(), []string{"--settings", write(whole), "--zone", strings.Repeat("z", 40)}, "at zone"},
-		"desk, an empty name by flag":      {deskCommand(), []string{"--settings", write(whole), "--name", ""}, "at name"},
-		"desk, advertise by flag":          {deskCommand(), []string{"--settings", write(whole), "--advertise", "0.0.0.0:1"}, "at advertise"},
-		"desk, a field nobody knows":       {deskCommand(), []string{"--settings", write(whole + "colour: blue\n")}, "colour"},
-		"desk, no file there":              {deskCommand(), []string{"--settings", "/dev/null/none"}, "/dev/null/none"},
+		"desk, a flag that is unfit":       {gatewayCommand(), []string{"--settings", write(whole), "--listen", "nowhere"}, `at listen: "nowhere"`},
+		"desk, seeds by flag":              {gatewayCommand(), []string{"--settings", write(whole), "--seeds", "here"}, `at seeds: "here"`},
+		"desk, a zone by flag":             {gatewayCommand(), []string{"--settings", write(whole), "--zone", strings.Repeat("z", 40)}, "at zone"},
+		"desk, an empty name by flag":      {gatewayCommand(), []string{"--settings", write(whole), "--name", ""}, "at name"},
+		"desk, advertise by flag":          {gatewayCommand(), []string{"--settings", write(whole), "--advertise", "0.0.0.0:1"}, "at advertise"},
+		"desk, a field nobody knows":       {gatewayCommand(), []string{"--settings", write(whole + "colour: blue\n")}, "colour"},
+		"desk, no file there":              {gatewayCommand(), []string{"--settings", "/dev/null/none"}, "/dev/null/none"},
 		"office, the file is unfit":        {officeCommand(), []string{"--settings", write(whole), "--data", t.TempDir()}, "at platform"},
 		"office, founding by flag":         {officeCommand(), []string{"--settings", write(whole + "founding: 3\nplatform: 127.0.0.1:9\n"), "--data", t.TempDir(), "--founding", "2"}, "at founding"},
 		"office, data by flag is unfit":    {officeCommand(), []string{"--settings", write(whole + "founding: 3\nplatform: 127.0.0.1:9\n"), "--data", "/dev/null/data"}, "data"},
--- a/cmd/petreltide/main.go
+++ b/cmd/petreltide/main.go
@@ -29,6 +29,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(officeCommand(), deskCommand(), applyCommand(), diffCommand(), zoneCommand(), statusCommand(), queryCommand(), compareCommand(), replayCommand(), memberCommand(), platform.Command())
+	cmd.AddCommand(officeCommand(), gatewayCommand(), applyCommand(), diffCommand(), zoneCommand(), statusCommand(), queryCommand(), compareCommand(), replayCommand(), memberCommand(), platform.Command())
 	return cmd
 }
--- a/cmd/petreltide/operators.go
+++ b/cmd/petreltide/operators.go
@@ -98,7 +98,7 @@
 	cmd := &cobra.Command{
 		Use:   "apply FILE",
 		Short: "Send a whole declaration, or with --patch a merge patch",
-		Long: `Send a declaration (YAML or JSON) and wait until every desk works by it.
+		Long: `Send a declaration (YAML or JSON) and wait until every gateway works by it.
 
 Without --base the change is based on the revision the office has now; name it to be refused
 when another operator was faster. Give the same --change again to learn what became of a change
@@ -211,21 +211,21 @@
 
 func statusCommand() *cobra.Command {
 	o := &offices{}
-	var asJSON, desks bool
-	var deskAddr string
+	var asJSON, gateways bool
+	var gatewayAddr string
 	cmd := &cobra.Command{
 		Use:   "status",
-		Short: "Show the view, the controller, desks, replicas, pending tickets and the policy",
-		Long: `Show what an office knows: the view, the controller, desks, replicas, pending tickets and the policy.
+		Short: "Show the view, the controller, gateways, replicas, pending tickets and the policy",
+		Long: `Show what an office knows: the view, the controller, gateways, replicas, pending tickets and the policy.
 
 Where routes are in force it also shows them and their version, each replica's state by its heartbeats with
 the time that it has left, what it holds and the order that stands there, and, from the office that holds the
-duty, what the weight store still gives. With --desks every desk that reported there is asked for its
-part of the further tries and its connections; with --desk one desk is asked and no office.`,
+duty, what the weight store still gives. With --desks every gateway that reported there is asked for its
+part of the further tries and its connections; with --desk one gateway is asked and no office.`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if deskAddr != "" {
-				return deskStatus(cmd, deskAddr, asJSON)
+			if gatewayAddr != "" {
+				return gatewayStatus(cmd, gatewayAddr, asJSON)
 			}
 			st := office.Status{}
 			a, err := read(cmd.Context(), o, "/v1/status", &st)
@@ -236,15 +236,15 @@
 				return show(cmd, a, nil)
 			}
 			printStatus(cmd.OutOrStdout(), st)
-			if desks {
-				askDesks(cmd.Context(), cmd.OutOrStdout(), st)
+			if gateways {
+				askGateways(cmd.Context(), cmd.OutOrStdout(), st)
 			}
 			return nil
 		},
 	}
 	o.flag(cmd)
 	cmd.Flags().BoolVar(&asJSON, "json", false, "print the whole status as JSON")
-	cmd.Flags().BoolVar(&desks, "desks", false, "ask every desk that reported to the office on duty, too")
-	cmd.Flags().StringVar(&deskAddr, "desk", "", "IP:port of one desk to ask instead of an office")
+	cmd.Flags().BoolVar(&gateways, "desks", false, "ask every desk that reported to the office on duty, too")
+	cmd.Flags().StringVar(&gatewayAddr, "desk", "", "IP:port of one desk to ask instead of an office")
 	return cmd
 }
--- a/cmd/petreltide/print.go
+++ b/cmd/petreltide/print.go
@@ -36,7 +36,7 @@
 	}
 }
 
-// printOffice shows the office itself, what is committed, and its view of the others and of desks.
+// printOffice shows the office itself, what is committed, and its view of the others and of gateways.
 func printOffice(w io.Writer, st office.Status) {
 	seats := []string{}
 	for _, s := range st.View.Order {
@@ -58,8 +58,8 @@
 	for _, p := range st.Partners {
 		fmt.Fprintf(w, "partner   %s %s, heard %d ms ago\n", p.Member.ID, p.Phase, p.AgoMs)
 	}
-	for _, d := range st.Desks {
-		fmt.Fprintf(w, "desk      %s zone %s, acked %d, lease %d ms\n", d.Desk, d.Zone, d.Acked, d.LeaseMs)
+	for _, d := range st.Gateways {
+		fmt.Fprintf(w, "desk      %s zone %s, acked %d, lease %d ms\n", d.Gateway, d.Zone, d.Acked, d.LeaseMs)
 	}
 }
 
--- a/cmd/petreltide/replay.go
+++ b/cmd/petreltide/replay.go
@@ -14,16 +14,16 @@
 )
 
 func replayCommand() *cobra.Command {
-	var desk string
+	var gateway string
 	var pace float64
 	cmd := &cobra.Command{
 		Use:   "replay FILE.har --desk IP:port",
-		Short: "Send the calls recorded in a HAR file to a desk and sum what became of them",
-		Long: `Send every POST to /v1/calls that a HAR file holds to a desk, at the pace at which they were
+		Short: "Send the calls recorded in a HAR file to a gateway and sum what became of them",
+		Long: `Send every POST to /v1/calls that a HAR file holds to a gateway, at the pace at which they were
 recorded or a factor of it, and sum the outcomes by kind. Idempotency keys are not sent again.`,
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			if pace <= 0 || desk == "" {
+			if pace <= 0 || gateway == "" {
 				return fault.New(fault.BadField, "", "name a --desk, and a --pace above 0")
 			}
 			raw, err := os.ReadFile(args[0])
@@ -36,7 +36,7 @@
 			}
 			out := cmd.OutOrStdout()
 			fmt.Fprintf(out, "%-16s %7s %7s %10s %10s  others\n", "kind", "calls", "ended", "first p50", "p95")
-			for _, row := range replay.Play(cmd.Context(), rpc.Client(1000, ""), desk, calls, pace) {
+			for _, row := range replay.Play(cmd.Context(), rpc.Client(1000, ""), gateway, calls, pace) {
 				codes := []string{}
 				for code, n := range row.Codes {
 					codes = append(codes, fmt.Sprintf("%s %d", code, n))
@@ -47,7 +47,7 @@
 			return nil
 		},
 	}
-	cmd.Flags().StringVar(&desk, "desk", "", "IP:port of the desk")
+	cmd.Flags().StringVar(&gateway, "desk", "", "IP:port of the desk")
 	cmd.Flags().Float64Var(&pace, "pace", 1, "2 is twice as fast as recorded")
 	return cmd
 }
--- a/cmd/petreltide/status.go
+++ b/cmd/petreltide/status.go
@@ -14,7 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"petreltide/internal/controller"
-	"petreltide/internal/desk"
+	"petreltide/internal/gateway"
 	"petreltide/internal/office"
 )
 
@@ -67,12 +67,12 @@
 		}
 		fmt.Fprintln(w)
 	}
-	if len(st.Desks) == 0 {
+	if len(st.Gateways) == 0 {
 		for _, d := range st.Demand {
-			fmt.Fprintf(w, "desk      %s zone %s at %s, reported %d ms ago\n", d.Desk, d.Zone, d.Addr, d.AgoMs)
+			fmt.Fprintf(w, "desk      %s zone %s at %s, reported %d ms ago\n", d.Gateway, d.Zone, d.Addr, d.AgoMs)
 		}
 	}
-	fmt.Fprintf(w, "desks     %d live: %s\n", len(f.Desks), strings.Join(f.Desks, ", "))
+	fmt.Fprintf(w, "desks     %d live: %s\n", len(f.Gateways), strings.Join(f.Gateways, ", "))
 	for _, r := range f.Replicas {
 		fmt.Fprintln(w, replicaLine(r))
 	}
@@ -98,58 +98,58 @@
 	return line
 }
 
-// deskStatus asks one desk, at the address of its own port.
-func deskStatus(cmd *cobra.Command, addr string, asJSON bool) error {
+// gatewayStatus asks one gateway, at the address of its own port.
+func gatewayStatus(cmd *cobra.Command, addr string, asJSON bool) error {
 	a, err := askOne(cmd.Context(), http.MethodGet, "http://"+addr+"/v1/status", nil)
 	if err != nil || asJSON {
 		return show(cmd, a, err)
 	}
-	st, err := deskOf(a)
+	st, err := gatewayOf(a)
 	if err == nil {
-		printDesk(cmd.OutOrStdout(), st)
+		printGateway(cmd.OutOrStdout(), st)
 	}
 	return err
 }
 
-func deskOf(a answer) (desk.Status, error) {
-	st := desk.Status{}
+func gatewayOf(a answer) (gateway.Status, error) {
+	st := gateway.Status{}
 	if err := a.fault(); err != nil {
 		return st, err
 	}
 	return st, errors.Trace(json.Unmarshal(a.body, &st))
 }
 
-func askDesks(ctx context.Context, w io.Writer, st office.Status) {
+func askGateways(ctx context.Context, w io.Writer, st office.Status) {
 	if len(st.Demand) == 0 {
 		fmt.Fprintln(w, "no desk reported to this office: ask the one on duty")
 	}
 	for _, d := range st.Demand {
 		a, err := askOne(ctx, http.MethodGet, "http://"+d.Addr+"/v1/status", nil)
-		var of desk.Status
+		var of gateway.Status
 		if err == nil {
-			of, err = deskOf(a)
+			of, err = gatewayOf(a)
 		}
 		if err != nil {
-			fmt.Fprintf(w, "at desk   %s gave no answer: %v\n", d.Desk, err)
+			fmt.Fprintf(w, "at desk   %s gave no answer: %v\n", d.Gateway, err)
 			continue
 		}
-		printDesk(w, of)
+		printGateway(w, of)
 	}
 }
 
-func printDesk(w io.Writer, st desk.Status) {
+func printGateway(w io.Writer, st gateway.Status) {
 	open := 0
 	for _, c := range st.Connections {
 		open += c.Open
 	}
 	fmt.Fprintf(w, "at desk   %s zone %s: revision %d, %d calls, %d wait, %d connections to %d replicas\n",
-		st.Desk, st.Zone, st.Work.Revision, st.Work.Calls, st.Work.Waiting, open, len(st.Connections))
+		st.Gateway, st.Zone, st.Work.Revision, st.Work.Calls, st.Work.Waiting, open, len(st.Connections))
 	for _, b := range st.Work.Budgets {
-		fmt.Fprintf(w, "tries     %s at %s: %d of %d further ones sent for %d calls, a share among %d desks\n", b.Service, st.Desk, b.Spent, b.Most, b.Calls, b.Desks)
+		fmt.Fprintf(w, "tries     %s at %s: %d of %d further ones sent for %d calls, a share among %d desks\n", b.Service, st.Gateway, b.Spent, b.Most, b.Calls, b.Gateways)
 	}
 	for _, replica := range slices.Sorted(maps.Keys(st.Connections)) {
 		if c := st.Connections[replica]; c.Open >= c.Most {
-			fmt.Fprintf(w, "full      %s has all its %d connections to %s open\n", st.Desk, c.Most, replica)
+			fmt.Fprintf(w, "full      %s has all its %d connections to %s open\n", st.Gateway, c.Most, replica)
 		}
 	}
 }
--- a/cmd/petreltide/status_test.go
+++ b/cmd/petreltide/status_test.go
@@ -15,15 +15,15 @@
 	"github.com/spf13/cobra"
 
 	"petreltide/internal/controller"
-	"petreltide/internal/desk"
 	"petreltide/internal/dispatch"
 	"petreltide/internal/fault"
+	"petreltide/internal/gateway"
 	"petreltide/internal/ledger"
 	"petreltide/internal/office"
 	"petreltide/internal/standing"
 )
 
-// served is an office or desk that answers with fixed pages, and keeps which were asked for.
+// served is an office or gateway that answers with fixed pages, and keeps which were asked for.
 type served struct {
 	*httptest.Server
 	mu    sync.Mutex
@@ -71,14 +71,14 @@
 	return out.String(), err
 }
 
-func fleetStatus(deskAddr string) office.Status {
+func fleetStatus(gatewayAddr string) office.Status {
 	left := int64(850)
 	load := ledger.Ticket{Number: 12, Replica: "i-2", Inc: "i-2", Step: ledger.Load, Unit: "m2", SizeMb: 20}
 	return office.Status{
 		Holder: "core-1-ab", Epoch: 41, Pending: []ledger.Ticket{load}, Replicas: []ledger.Replica{},
-		Demand: []controller.DeskNote{{Desk: "front-1", Zone: "a", Addr: deskAddr}, {Desk: "front-2", Zone: "b", Addr: "127.0.0.1:1"}},
+		Demand: []controller.GatewayNote{{Gateway: "front-1", Zone: "a", Addr: gatewayAddr}, {Gateway: "front-2", Zone: "b", Addr: "127.0.0.1:1"}},
 		Fleet: &office.Fleet{
-			Version: 9, Desks: []string{"front-1", "front-2"},
+			Version: 9, Gateways: []string{"front-1", "front-2"},
 			Routes: []standing.Route{{Name: "letters", Host: "h.example", Prefix: "/l/", Repeat: standing.Streaming, Resumable: true, TimeoutMs: 5000, Priority: 1, AttemptsMost: 2,
 				Split: []standing.Weighted{{Service: "scribe", Weight: 90}, {Service: "quill", Weight: 10}}}},
 			Services: []office.ServiceNote{{Name: "scribe", Models: 2, Replicas: 2, ConnectionsMost: 370}, {Name: "quill", Replicas: 1}},
@@ -95,9 +95,9 @@
 }
 
 func TestStatusShowsReplicasRoutesAndShares(t *testing.T) {
-	front := serve(t, map[string]any{"/v1/status": desk.Status{Desk: "front-1", Zone: "a", Work: dispatch.Note{
-		Revision: 9, Calls: 3, Budgets: []dispatch.BudgetNote{{Service: "scribe", Calls: 40, Spent: 2, Most: 29, Desks: 3}},
-	}, Connections: map[string]desk.Connections{"i-1": {Open: 41, Most: 41}, "i-2": {Open: 1, Most: 41}}}})
+	front := serve(t, map[string]any{"/v1/status": gateway.Status{Gateway: "front-1", Zone: "a", Work: dispatch.Note{
+		Revision: 9, Calls: 3, Budgets: []dispatch.BudgetNote{{Service: "scribe", Calls: 40, Spent: 2, Most: 29, Gateways: 3}},
+	}, Connections: map[string]gateway.Connections{"i-1": {Open: 41, Most: 41}, "i-2": {Open: 1, Most: 41}}}})
 	core := serve(t, map[string]any{"/v1/status": fleetStatus(front.addr())})
 	out, err := runCommand(t, statusCommand(), "--office", core.addr(), "--desks")
 	if err != nil {
@@ -160,7 +160,7 @@
 	}
 }
 
-// Whatever answers in an office's or desk's place, the command line ends with a typed fault or a plain error.
+// Whatever answers in an office's or gateway's place, the command line ends with a typed fault or a plain error.
 func TestCommandsNameAnswersThatAreNone(t *testing.T) {
 	closed := httptest.NewServer(http.NotFoundHandler())
 	gone := strings.TrimPrefix(closed.URL, "http://")
--- a/internal/comparison/comparison.go
+++ b/internal/comparison/comparison.go
@@ -36,7 +36,7 @@
 	Revision uint64
 	Duty     string
 	Replicas map[string]string
-	Desks    map[string]string
+	Gateways map[string]string
 	Gauges   []dispatch.Gauge
 	Loads    uint64
 	LoadedMb int64
@@ -154,11 +154,11 @@
 }
 
 // readyLook is a look beside which nothing is being measured. Where the tail has just taken over, it waits a little for its
-// lease and for the desks to report to it.
+// lease and for the gateways to report to it.
 func readyLook(ctx context.Context, fleet Fleet) (Look, error) {
 	for try := 1; ; try++ {
 		look, err := fleet.Look(ctx)
-		ready := err == nil && len(look.Desks) > 0
+		ready := err == nil && len(look.Gateways) > 0
 		if err == nil && !ready {
 			err = fault.New(fault.NotFound, "desks", "no desk is known to the tail")
 		}
@@ -202,7 +202,7 @@
 	return nil
 }
 
-// window begins with a change that changes nothing but the revision, by which desks tell its calls.
+// window begins with a change that changes nothing but the revision, by which gateways tell its calls.
 func (r *run) window(ctx context.Context, number, which int) *fault.Fault {
 	before, err := readyLook(ctx, r.fleet)
 	if err != nil {
@@ -255,7 +255,7 @@
 	if why := apart("replica", l.Replicas, now.Replicas); why != "" {
 		return why
 	}
-	return apart("desk", l.Desks, now.Desks)
+	return apart("desk", l.Gateways, now.Gateways)
 }
 
 func apart(what string, before, now map[string]string) string {
--- a/internal/comparison/comparison_test.go
+++ b/internal/comparison/comparison_test.go
@@ -29,7 +29,7 @@
 	doubt    int
 	seen     map[string]uint64
 	deaf     bool
-	// unready are so many looks at a tail that has no lease, and then as many at one that knows no desk.
+	// unready are so many looks at a tail that has no lease, and then as many at one that knows no gateway.
 	unready int
 	starved string
 }
@@ -85,7 +85,7 @@
 	for id, state := range s.replicas {
 		replicas[id] = state
 	}
-	return Look{Revision: s.revision, Duty: "one", Replicas: replicas, Desks: map[string]string{"d": "i"}, Gauges: s.gauges}, nil
+	return Look{Revision: s.revision, Duty: "one", Replicas: replicas, Gateways: map[string]string{"d": "i"}, Gauges: s.gauges}, nil
 }
 
 func (s *stage) Pause(ctx context.Context, span time.Duration) error {
@@ -239,7 +239,7 @@
 	}
 }
 
-// A tail that has just taken over has no lease for a moment, and then knows no desk. Where nothing is being measured, that
+// A tail that has just taken over has no lease for a moment, and then knows no gateway. Where nothing is being measured, that
 // is waited for; it ends a comparison only if it lasts. What a window before had measured is read afterwards.
 func TestATailThatHasJustTakenOverIsWaitedFor(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -25,9 +25,9 @@
 	policyLostUs   = 5 * clock.Sec
 	shareEveryUs   = 400 * clock.Ms
 	darkAfterUs    = 1500 * clock.Ms
-	deskLiveUs     = 2500 * clock.Ms
+	gatewayLiveUs  = 2500 * clock.Ms
 	reportLateUs   = 600 * clock.Ms
-	deskGoneUs     = 15 * clock.Sec
+	gatewayGoneUs  = 15 * clock.Sec
 	gapMostUs      = 500 * clock.Ms
 	writeLostUs    = 2 * clock.Sec
 	emptyListMost  = 8
@@ -48,7 +48,7 @@
 }
 
 // Controller holds the duty of the one controller: it reads the ledger and what replicas,
-// platform and desks told it, and answers with ledger writes and orders.
+// platform and gateways told it, and answers with ledger writes and orders.
 type Controller struct {
 	opts       Options
 	me         string
@@ -64,7 +64,7 @@
 	empties    int
 	stales     int
 	replicas   map[string]*told
-	desks      map[string]*deskRow
+	gateways   map[string]*gatewayRow
 	view       uint64
 	viewUs     int64
 	checked    bool
@@ -107,7 +107,7 @@
 // NewWith makes a controller that remembers nothing yet.
 func NewWith(me string, opts Options) *Controller {
 	return &Controller{
-		me: me, opts: opts, replicas: map[string]*told{}, desks: map[string]*deskRow{},
+		me: me, opts: opts, replicas: map[string]*told{}, gateways: map[string]*gatewayRow{},
 		jury: watch.NewJury(), orderUs: map[uint64]int64{}, Faults: map[fault.Code]uint64{}, routed: newRouted(), outliers: outlier.NewFleet(opts.Outlier),
 	}
 }
@@ -161,8 +161,8 @@
 
 // reported takes a gateway's report, and acts at once where calls wait for a unit that has no place.
 func (f *Controller) reported(seen Seen, nowUs int64, report *wire.Report) {
-	f.desks[report.Desk] = &deskRow{report: *report, atUs: nowUs}
-	f.jury.Say(nowUs, watch.Silence{By: report.Desk, Silent: report.Silent})
+	f.gateways[report.Gateway] = &gatewayRow{report: *report, atUs: nowUs}
+	f.jury.Say(nowUs, watch.Silence{By: report.Gateway, Silent: report.Silent})
 	f.hearOutcomes(seen, report)
 	if seen.isRouted() && f.unplaced(seen, report) {
 		f.moved = true
@@ -249,7 +249,7 @@
 // leave forgets all that only a holder of the duty needs.
 func (f *Controller) leave() {
 	fresh := NewWith(f.me, f.opts)
-	fresh.Faults, fresh.writes, fresh.desks, fresh.Policy = f.Faults, f.writes, f.desks, f.Policy
+	fresh.Faults, fresh.writes, fresh.gateways, fresh.Policy = f.Faults, f.writes, f.gateways, f.Policy
 	fresh.turns = f.turns
 	fresh.run, fresh.jury = f.run, f.jury
 	fresh.routed.foreignUs, fresh.routed.bornUs, fresh.routed.loadsUs = f.routed.foreignUs, f.routed.bornUs, f.routed.loadsUs
--- a/internal/controller/desks.go
+++ b/internal/controller/gateways.go
@@ -5,16 +5,16 @@
 	"petreltide/internal/wire"
 )
 
-// deskRow is a gateway's newest report, and when it came.
-type deskRow struct {
+// gatewayRow is a gateway's newest report, and when it came.
+type gatewayRow struct {
 	report wire.Report
 	atUs   int64
 }
 
-// DeskNote is what is shown of a desk: when it last reported, and what is called for and waits there.
-type DeskNote struct {
+// GatewayNote is what is shown of a gateway: when it last reported, and what is called for and waits there.
+type GatewayNote struct {
 	Silent   bool               `json:"silent,omitempty"`
-	Desk     string             `json:"desk"`
+	Gateway  string             `json:"desk"`
 	Zone     string             `json:"zone"`
 	Addr     string             `json:"addr"`
 	AgoMs    int64              `json:"agoMs"`
@@ -22,45 +22,45 @@
 	Waiting  map[string]int     `json:"waiting,omitempty"`
 }
 
-// Desks shows every desk that has reported.
-func (f *Controller) Desks(nowUs int64) []DeskNote {
-	notes := []DeskNote{}
-	for _, id := range sorted(f.desks) {
-		d := f.desks[id]
-		notes = append(notes, DeskNote{f.silent(nowUs, id), id, d.report.Zone, d.report.Addr, (nowUs - d.atUs) / 1000, d.report.Arrivals, d.report.Waiting})
+// Gateways shows every gateway that has reported.
+func (f *Controller) Gateways(nowUs int64) []GatewayNote {
+	notes := []GatewayNote{}
+	for _, id := range sorted(f.gateways) {
+		d := f.gateways[id]
+		notes = append(notes, GatewayNote{f.silent(nowUs, id), id, d.report.Zone, d.report.Addr, (nowUs - d.atUs) / 1000, d.report.Arrivals, d.report.Waiting})
 	}
 	return notes
 }
 
-// dropDesks takes gateways that are long silent out of the ledger.
-func (f *Controller) dropDesks(seen Seen, duty *ledger.Duty) {
-	for _, id := range sorted(f.desks) {
-		if seen.NowUs-f.desks[id].atUs > deskGoneUs {
-			duty.Desks = append(duty.Desks, id)
-			delete(f.desks, id)
+// dropGateways takes gateways that are long silent out of the ledger.
+func (f *Controller) dropGateways(seen Seen, duty *ledger.Duty) {
+	for _, id := range sorted(f.gateways) {
+		if seen.NowUs-f.gateways[id].atUs > gatewayGoneUs {
+			duty.Gateways = append(duty.Gateways, id)
+			delete(f.gateways, id)
 		}
 	}
 }
 
-// forgetDesks drops the reports of gateways that are long silent.
-func (f *Controller) forgetDesks(nowUs int64) {
-	for id, d := range f.desks {
-		if nowUs-d.atUs > deskGoneUs {
-			delete(f.desks, id)
+// forgetGateways drops the reports of gateways that are long silent.
+func (f *Controller) forgetGateways(nowUs int64) {
+	for id, d := range f.gateways {
+		if nowUs-d.atUs > gatewayGoneUs {
+			delete(f.gateways, id)
 		}
 	}
 }
 
 // silent: both watchers that the ring names miss its beats, and its own reports have stopped too.
 func (f *Controller) silent(nowUs int64, id string) bool {
-	return nowUs-f.desks[id].atUs > reportLateUs && f.jury.Gone(nowUs, id)
+	return nowUs-f.gateways[id].atUs > reportLateUs && f.jury.Gone(nowUs, id)
 }
 
 // live names the gateways that take calls, in order.
 func (f *Controller) live(nowUs int64) []string {
 	ids := []string{}
-	for _, id := range sorted(f.desks) {
-		if d := f.desks[id]; nowUs-d.atUs < deskLiveUs && !d.report.Draining && !f.silent(nowUs, id) {
+	for _, id := range sorted(f.gateways) {
+		if d := f.gateways[id]; nowUs-d.atUs < gatewayLiveUs && !d.report.Draining && !f.silent(nowUs, id) {
 			ids = append(ids, id)
 		}
 	}
@@ -71,8 +71,8 @@
 // gateways' names, so that sums of fractions come out alike each time.
 func (f *Controller) reporting(nowUs int64) []*wire.Report {
 	reports := []*wire.Report{}
-	for _, id := range sorted(f.desks) {
-		if d := f.desks[id]; nowUs-d.atUs <= deskLiveUs {
+	for _, id := range sorted(f.gateways) {
+		if d := f.gateways[id]; nowUs-d.atUs <= gatewayLiveUs {
 			reports = append(reports, &d.report)
 		}
 	}
--- a/internal/controller/needs.go
+++ b/internal/controller/needs.go
@@ -134,8 +134,8 @@
 // demandOfRoutes sums what gateways report of each route and its models.
 func (f *Controller) demandOfRoutes() map[string]*routeDemand {
 	routes := map[string]*routeDemand{}
-	for _, id := range sorted(f.desks) {
-		for key, rate := range f.desks[id].report.Paths {
+	for _, id := range sorted(f.gateways) {
+		for key, rate := range f.gateways[id].report.Paths {
 			name, model, _ := strings.Cut(key, "|")
 			d := routes[name]
 			if d == nil {
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -119,7 +119,7 @@
 	f.sendOrder(seen, t, e, o)
 }
 
-// quiet: every desk has had time to hear that a unit is to go, and none has calls there that have not begun;
+// quiet: every gateway has had time to hear that a unit is to go, and none has calls there that have not begun;
 // a replica would turn them away.
 func (f *Controller) quiet(nowUs int64, t ledger.Ticket, sinceUs int64) bool {
 	if nowUs-sinceUs < quietLeastUs {
@@ -129,8 +129,8 @@
 		return true
 	}
 	model, _ := standing.Units(t.Unit)
-	for _, d := range f.desks {
-		if nowUs-d.atUs < deskLiveUs && d.report.Unread[t.Replica+"|"+model] > 0 {
+	for _, d := range f.gateways {
+		if nowUs-d.atUs < gatewayLiveUs && d.report.Unread[t.Replica+"|"+model] > 0 {
 			return false
 		}
 	}
--- a/internal/controller/outliers.go
+++ b/internal/controller/outliers.go
@@ -15,7 +15,7 @@
 
 func (f *Controller) hearOutcomes(seen Seen, r *wire.Report) {
 	if seen.isRouted() && (len(r.Attempts) > 0 || len(r.Outcomes) > 0) {
-		f.outliers.Hear(seen.NowUs, outlier.Report{Desk: r.Desk, Zone: r.Zone, Attempts: r.Attempts, Counts: r.Outcomes}, seen.serviceOf)
+		f.outliers.Hear(seen.NowUs, outlier.Report{Gateway: r.Gateway, Zone: r.Zone, Attempts: r.Attempts, Counts: r.Outcomes}, seen.serviceOf)
 	}
 }
 
--- a/internal/controller/outliers_test.go
+++ b/internal/controller/outliers_test.go
@@ -11,9 +11,9 @@
 	"petreltide/internal/wire"
 )
 
-// What desks tell of a replica that fails becomes a verdict, and what it holds is wanted elsewhere; with the
+// What gateways tell of a replica that fails becomes a verdict, and what it holds is wanted elsewhere; with the
 // detector switched off neither does.
-func TestWhatDesksTellOfAReplicaBecomesAVerdict(t *testing.T) {
+func TestWhatGatewaysTellOfAReplicaBecomesAVerdict(t *testing.T) {
 	for _, off := range []bool{false, true} {
 		f := NewWith("me", Options{Outlier: outlier.Options{Off: off}})
 		f.claimed = 1
@@ -28,8 +28,8 @@
 		var table *outlier.Table
 		for i := range 20 {
 			seen.NowUs += 200 * clock.Ms
-			for _, desk := range []string{"d1", "d2"} {
-				rep := wire.Report{Desk: desk, Zone: "a", Attempts: map[string]int{service: 8}}
+			for _, gateway := range []string{"d1", "d2"} {
+				rep := wire.Report{Gateway: gateway, Zone: "a", Attempts: map[string]int{service: 8}}
 				if i >= 5 {
 					rep.Outcomes = []outlier.Counts{{Replica: "r0", Bad: map[string]int{outlier.ErrorAnswer.String(): 1}}, {Replica: "unknown", Bad: map[string]int{"silence": 9, "nonsense": 9}}}
 				}
--- a/internal/controller/policy.go
+++ b/internal/controller/policy.go
@@ -71,7 +71,7 @@
 			row.Loading = t.Unit
 		}
 	}
-	for _, d := range f.desks {
+	for _, d := range f.gateways {
 		row.InFlight += d.report.InFlight[r.ID]
 	}
 	return row
--- a/internal/controller/resident.go
+++ b/internal/controller/resident.go
@@ -45,7 +45,7 @@
 	}
 }
 
-// unplaced: calls wait at a desk for a model or an adapter that no replica holds, that is on its way to
+// unplaced: calls wait at a gateway for a model or an adapter that no replica holds, that is on its way to
 // none, and of which the policy does not know already that it has no place now.
 func (f *Controller) unplaced(seen Seen, r *wire.Report) bool {
 	for unit, n := range r.Waiting {
--- a/internal/controller/routed_test.go
+++ b/internal/controller/routed_test.go
@@ -52,7 +52,7 @@
 	asked  bool
 }
 
-// fleet is two controllers that take turns over one ledger, replicas that are ordered, and one desk's demand.
+// fleet is two controllers that take turns over one ledger, replicas that are ordered, and one gateway's demand.
 type fleet struct {
 	t        *testing.T
 	r        *rand.Rand
@@ -312,7 +312,7 @@
 
 func (f *fleet) demand(waiting map[string]int, rates map[string]float64) {
 	for i := range f.fs {
-		f.step(i, Event{Report: &wire.Report{Desk: "d", Waiting: waiting, Arrivals: rates, Recent: rates, Tokens: rates}})
+		f.step(i, Event{Report: &wire.Report{Gateway: "d", Waiting: waiting, Arrivals: rates, Recent: rates, Tokens: rates}})
 	}
 }
 
@@ -395,7 +395,7 @@
 	}
 }
 
-// An unload is sent once every desk has had time to hear of it and none has calls there that have not begun,
+// An unload is sent once every gateway has had time to hear of it and none has calls there that have not begun,
 // and in the end all the same.
 func TestAnUnloadWaitsForQuiet(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -445,7 +445,7 @@
 		begunUs := nowUs
 		for ; nowUs < begunUs+1200*clock.Ms; nowUs += 5 * clock.Ms {
 			ms := (nowUs - begunUs) / 1000
-			step(Event{Report: &wire.Report{Desk: "d", Unread: c.unread(ms)}})
+			step(Event{Report: &wire.Report{Gateway: "d", Unread: c.unread(ms)}})
 			step(Event{})
 		}
 		if waited := sentUs - begunUs; sentUs == 0 || waited < c.from || waited > c.to {
--- a/internal/controller/share.go
+++ b/internal/controller/share.go
@@ -9,7 +9,7 @@
 // grant hands out attempt numbers for every model at every replica, before those of a gateway run out.
 func (f *Controller) grant(seen Seen, duty *ledger.Duty) {
 	s := seen.State
-	desks := f.live(seen.NowUs)
+	gateways := f.live(seen.NowUs)
 	for _, id := range s.ReplicaIDs() {
 		r := s.Replicas[id]
 		if r.Leaving || r.Dark || r.Inc == "" {
@@ -19,8 +19,8 @@
 			if s.Doc.Model(unit) == nil {
 				continue
 			}
-			for _, desk := range desks {
-				if ask, needed := f.grantAsk(s, r, unit, desk); needed {
+			for _, gateway := range gateways {
+				if ask, needed := f.grantAsk(s, r, unit, gateway); needed {
 					duty.Grants = append(duty.Grants, ask)
 				}
 			}
@@ -30,13 +30,13 @@
 
 // grantAsk gives what a gateway should be granted for a model at a replica; it is needed where the gateway has no
 // grant of these lives, or less than half of one left.
-func (f *Controller) grantAsk(s *ledger.State, r *ledger.Replica, model, desk string) (ask ledger.GrantAsk, needed bool) {
-	report := f.desks[desk].report
+func (f *Controller) grantAsk(s *ledger.State, r *ledger.Replica, model, gateway string) (ask ledger.GrantAsk, needed bool) {
+	report := f.gateways[gateway].report
 	want := min(max(uint64(report.Arrivals[model]*2*attemptSeconds), attemptsLeast), attemptsMost)
-	ask = ledger.GrantAsk{Desk: desk, DeskInc: report.Inc, Replica: r.ID, Inc: r.Inc, Model: model, Count: want}
-	g := ledger.Grant{Desk: desk, Replica: r.ID, Model: model}
+	ask = ledger.GrantAsk{Gateway: gateway, GatewayInc: report.Inc, Replica: r.ID, Inc: r.Inc, Model: model, Count: want}
+	g := ledger.Grant{Gateway: gateway, Replica: r.ID, Model: model}
 	have, ok := s.Grants[g.Key()]
-	if !ok || have.DeskInc != report.Inc || have.Inc != r.Inc {
+	if !ok || have.GatewayInc != report.Inc || have.Inc != r.Inc {
 		return ask, true
 	}
 	left, told := report.Left[r.ID+"|"+model]
@@ -50,15 +50,15 @@
 	arrivalWeight = 0.1
 )
 
-// share divides a replica's slots by what each desk has there and what waits for its models.
+// share divides a replica's slots by what each gateway has there and what waits for its models.
 func (f *Controller) share(seen Seen, duty *ledger.Duty) {
 	if seen.NowUs-f.shareUs < shareEveryUs {
 		return
 	}
 	f.shareUs = seen.NowUs
 	s := seen.State
-	desks := f.live(seen.NowUs)
-	if len(desks) == 0 {
+	gateways := f.live(seen.NowUs)
+	if len(gateways) == 0 {
 		return
 	}
 	for _, id := range s.ReplicaIDs() {
@@ -66,7 +66,7 @@
 		if r.Leaving || r.Dark {
 			continue
 		}
-		shares := divide(r.Slots, desks, f.weights(r, desks))
+		shares := divide(r.Slots, gateways, f.weights(r, gateways))
 		if !f.worthwhile(r, shares) {
 			continue
 		}
@@ -78,10 +78,10 @@
 }
 
 // weights are what gateways have at a replica and what waits and arrives for its models, in the gateways' order.
-func (f *Controller) weights(r *ledger.Replica, desks []string) []float64 {
-	weights := make([]float64, len(desks))
-	for i, desk := range desks {
-		report := f.desks[desk].report
+func (f *Controller) weights(r *ledger.Replica, gateways []string) []float64 {
+	weights := make([]float64, len(gateways))
+	for i, gateway := range gateways {
+		report := f.gateways[gateway].report
 		weights[i] = idleWeight + float64(report.InFlight[r.ID])
 		for _, unit := range sorted(r.Holds) {
 			weights[i] += float64(report.Waiting[unit]) * waitingWeight
@@ -93,28 +93,28 @@
 
 // divide gives each gateway one slot where there are enough, and divides the others by weight; what rounding
 // leaves over goes to the heaviest first.
-func divide(slots int, desks []string, weights []float64) map[string]int {
+func divide(slots int, gateways []string, weights []float64) map[string]int {
 	var whole float64
 	for _, weight := range weights {
 		whole += weight
 	}
 	shares := map[string]int{}
 	spare := slots
-	if spare >= len(desks) {
-		for _, desk := range desks {
-			shares[desk] = 1
+	if spare >= len(gateways) {
+		for _, gateway := range gateways {
+			shares[gateway] = 1
 		}
-		spare -= len(desks)
+		spare -= len(gateways)
 	}
 	given := 0
-	for i, desk := range desks {
+	for i, gateway := range gateways {
 		n := int(float64(spare) * weights[i] / whole)
-		shares[desk] += n
+		shares[gateway] += n
 		given += n
 	}
 	order := heaviestFirst(weights)
 	for i := 0; given < spare; i = (i + 1) % len(order) {
-		shares[desks[order[i]]]++
+		shares[gateways[order[i]]]++
 		given++
 	}
 	return shares
@@ -137,12 +137,12 @@
 		return true
 	}
 	moved := 0
-	for desk, n := range shares {
-		had, ok := r.Shares[desk]
+	for gateway, n := range shares {
+		had, ok := r.Shares[gateway]
 		if !ok {
 			return true
 		}
-		row := f.desks[desk]
+		row := f.gateways[gateway]
 		if n > had && row != nil && row.report.InFlight[r.ID] >= had {
 			return true
 		}
--- a/internal/controller/write.go
+++ b/internal/controller/write.go
@@ -28,7 +28,7 @@
 	s := seen.State
 	f.noteFleet(seen, duty)
 	f.settle(seen.NowUs, s, duty)
-	f.dropDesks(seen, duty)
+	f.dropGateways(seen, duty)
 	if s.Doc != nil {
 		f.grant(seen, duty)
 		f.share(seen, duty)
@@ -80,7 +80,7 @@
 	s := seen.State
 	f.noteRoster(seen, duty)
 	f.settle(seen.NowUs, s, duty)
-	f.forgetDesks(seen.NowUs)
+	f.forgetGateways(seen.NowUs)
 	if !f.mayPlan(seen.NowUs) {
 		f.proposed = nil
 	}
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -2,8 +2,8 @@
 
 import "petreltide/internal/clock"
 
-// BudgetOptions bound the further tries of all desks together: Ratio of the calls for a service plus
-// Slack, in every span of WindowUs. A desk holds to its share of the slack by the number of desks it
+// BudgetOptions bound the further tries of all gateways together: Ratio of the calls for a service plus
+// Slack, in every span of WindowUs. A gateway holds to its share of the slack by the number of gateways it
 // was last told, so the sum holds also while nobody hands out shares.
 type BudgetOptions struct {
 	Ratio    float64
@@ -12,9 +12,9 @@
 }
 
 const (
-	budgetCut   = 0.8
-	budgetSlots = 20
-	desksLeast  = 3
+	budgetCut     = 0.8
+	budgetSlots   = 20
+	gatewaysLeast = 3
 )
 
 // budget counts one service's calls and further attempts over the last window, in slots.
@@ -54,12 +54,12 @@
 }
 
 // sums are calls and further attempts over the window, and how many further attempts it allows in all.
-func (b *budget) sums(o BudgetOptions, desks int) (calls, spent int, most float64) {
+func (b *budget) sums(o BudgetOptions, gateways int) (calls, spent int, most float64) {
 	for i := range b.calls {
 		calls += b.calls[i]
 		spent += b.spent[i]
 	}
-	share := budgetCut * o.Slack / float64(max(desks, desksLeast))
+	share := budgetCut * o.Slack / float64(max(gateways, gatewaysLeast))
 	return calls, spent, budgetCut*o.Ratio*float64(calls) + share
 }
 
@@ -69,7 +69,7 @@
 		return true
 	}
 	b := d.budgetOf(service)
-	if _, spent, most := b.sums(d.opts.Budget, d.snap.Desks); float64(spent+1) > most {
+	if _, spent, most := b.sums(d.opts.Budget, d.snap.Gateways); float64(spent+1) > most {
 		return false
 	}
 	b.spent[b.now]++
--- a/internal/dispatch/budget_note.go
+++ b/internal/dispatch/budget_note.go
@@ -6,14 +6,14 @@
 	"slices"
 )
 
-// BudgetNote is this desk's part of the further tries for one service, over the window up to now: calls
-// taken, further attempts sent, how many may be sent in all, and by how many desks the slack is divided.
+// BudgetNote is this gateway's part of the further tries for one service, over the window up to now: calls
+// taken, further attempts sent, how many may be sent in all, and by how many gateways the slack is divided.
 type BudgetNote struct {
-	Service string `json:"service"`
-	Calls   int    `json:"calls"`
-	Spent   int    `json:"spent"`
-	Most    int    `json:"most"`
-	Desks   int    `json:"desks"`
+	Service  string `json:"service"`
+	Calls    int    `json:"calls"`
+	Spent    int    `json:"spent"`
+	Most     int    `json:"most"`
+	Gateways int    `json:"desks"`
 }
 
 func (d *Decider) budgetNotes() []BudgetNote {
@@ -22,8 +22,8 @@
 		return notes
 	}
 	for _, service := range slices.Sorted(maps.Keys(d.budgets)) {
-		calls, spent, most := d.budgetOf(service).sums(d.opts.Budget, d.snap.Desks)
-		notes = append(notes, BudgetNote{service, calls, spent, int(math.Floor(most)), max(d.snap.Desks, desksLeast)})
+		calls, spent, most := d.budgetOf(service).sums(d.opts.Budget, d.snap.Gateways)
+		notes = append(notes, BudgetNote{service, calls, spent, int(math.Floor(most)), max(d.snap.Gateways, gatewaysLeast)})
 	}
 	return notes
 }
--- a/internal/dispatch/budget_note_test.go
+++ b/internal/dispatch/budget_note_test.go
@@ -11,8 +11,8 @@
 // What the note says is what may be sent: never more, and no less where calls ask for it.
 func TestTheNoteOfFurtherTriesIsWhatHolds(t *testing.T) {
 	doc := declaration(declared{"many", standing.Idempotent, 9, one("s"), false})
-	for _, c := range []struct{ desks, share int }{{1, 3}, {3, 3}, {5, 5}} {
-		k := newClerk(Options{Budget: BudgetOptions{Ratio: 0.2, Slack: 30, WindowUs: 10 * clock.Sec}}, stands(doc, c.desks, at("s", "r1", "r2", "r3")...))
+	for _, c := range []struct{ gateways, share int }{{1, 3}, {3, 3}, {5, 5}} {
+		k := newClerk(Options{Budget: BudgetOptions{Ratio: 0.2, Slack: 30, WindowUs: 10 * clock.Sec}}, stands(doc, c.gateways, at("s", "r1", "r2", "r3")...))
 		if notes := k.d.Note().Budgets; len(notes) != 0 {
 			t.Errorf("before any call: %+v", notes)
 		}
@@ -28,7 +28,7 @@
 		notes := k.d.Note().Budgets
 		most := int(0.8*0.2*20 + 0.8*30/float64(c.share))
 		if len(notes) != 1 || notes[0] != (BudgetNote{"s", 20, most, most, c.share}) {
-			t.Errorf("%d desks: %+v, want %d of %d", c.desks, notes, most, most)
+			t.Errorf("%d gateways: %+v, want %d of %d", c.gateways, notes, most, most)
 		}
 		k.after(21 * clock.Sec)
 		if notes = k.d.Note().Budgets; notes[0].Calls != 0 || notes[0].Spent != 0 {
--- a/internal/dispatch/decider.go
+++ b/internal/dispatch/decider.go
@@ -23,7 +23,7 @@
 
 // Options are those of one gateway. QueueMax bounds the calls that wait for a replica.
 type Options struct {
-	Desk     string
+	Gateway  string
 	Inc      string
 	Zone     string
 	QueueMax int
--- a/internal/dispatch/decider_test.go
+++ b/internal/dispatch/decider_test.go
@@ -28,7 +28,7 @@
 }
 
 func leased(share, queue int) *Decider {
-	d := New(Options{Desk: "d", Inc: "i", QueueMax: queue})
+	d := New(Options{Gateway: "d", Inc: "i", QueueMax: queue})
 	d.Step(Event{NowUs: 1, Snapshot: snapshot(1, share, nil)})
 	d.Step(Event{NowUs: 1, LeaseUs: 100 * clock.Sec})
 	return d
@@ -49,7 +49,7 @@
 }
 
 func TestNothingIsSentWithoutALease(t *testing.T) {
-	d := New(Options{Desk: "d", QueueMax: 10})
+	d := New(Options{Gateway: "d", QueueMax: 10})
 	d.Step(Event{NowUs: 1, Snapshot: snapshot(1, 2, nil)})
 	if got := starts(d.Step(Event{NowUs: 2, Arrived: call(1, "fixes")})); len(got) != 0 {
 		t.Fatal("sent before any lease")
@@ -272,7 +272,7 @@
 				}
 			})
 		}
-		d := New(Options{Desk: "d", QueueMax: 10})
+		d := New(Options{Gateway: "d", QueueMax: 10})
 		d.Step(Event{NowUs: 1, Snapshot: with(1, nil)})
 		waits := call(1, "fixes")
 		waits.Adapter = "a"
@@ -298,7 +298,7 @@
 
 func TestUrgencyOfWaitingCallsChangesWithTheirKind(t *testing.T) {
 	swap := func(n *wire.News) { n.Doc.Kinds[1].Urgency, n.Doc.Kinds[2].Urgency = 9, 1 }
-	d := New(Options{Desk: "d", Inc: "i", QueueMax: 100})
+	d := New(Options{Gateway: "d", Inc: "i", QueueMax: 100})
 	d.Step(Event{NowUs: 1, Snapshot: snapshot(1, 0, nil)})
 	d.Step(Event{NowUs: 1, LeaseUs: 100 * clock.Sec})
 	for i := 0; i < 20; i++ {
@@ -347,7 +347,7 @@
 	}
 }
 
-func TestADeskIsReadyOnlyWithALeaseADeclarationAndRoom(t *testing.T) {
+func TestAGatewayIsReadyOnlyWithALeaseADeclarationAndRoom(t *testing.T) {
 	code := func(d *Decider, nowUs int64) fault.Code {
 		if f := d.Ready(nowUs); f != nil {
 			if f.RetryMs <= 0 {
@@ -357,7 +357,7 @@
 		}
 		return ""
 	}
-	d := New(Options{Desk: "d", QueueMax: 2})
+	d := New(Options{Gateway: "d", QueueMax: 2})
 	if got := code(d, 1); got != fault.NoLease {
 		t.Errorf("without a declaration: %q", got)
 	}
@@ -383,7 +383,7 @@
 	}
 }
 
-// Callers refused together must not come back together (seeded day 1482: a desk woke, refused a crowd, and
+// Callers refused together must not come back together (seeded day 1482: a gateway woke, refused a crowd, and
 // had it before the door again 15 s later, all in the same millisecond).
 func TestThoseRefusedTogetherComeBackApart(t *testing.T) {
 	d := leased(0, 200)
--- a/internal/dispatch/drain_test.go
+++ b/internal/dispatch/drain_test.go
@@ -22,7 +22,7 @@
 	}).Indexed()
 	r := &wire.ReplicaNews{ID: "r1", Inc: "r1", Addr: "10.0.0.1:80", Service: "scribe", Slots: 4, Holds: []string{"m"}}
 	return &Snapshot{
-		Number: 1, Revision: 1, Doc: doc, Desks: 1, IDs: []string{"r1"}, Replicas: map[string]*wire.ReplicaNews{"r1": r},
+		Number: 1, Revision: 1, Doc: doc, Gateways: 1, IDs: []string{"r1"}, Replicas: map[string]*wire.ReplicaNews{"r1": r},
 		ByService: map[string][]*wire.ReplicaNews{"scribe": {r}},
 	}
 }
@@ -31,10 +31,10 @@
 	return &Call{ID: id, Kind: "letters", Model: model, TakenUs: 1, Routed: &Routed{PromptIn: 100}}
 }
 
-// A call that waited for its model when its desk was told to go down was cut with no answer at the end of
+// A call that waited for its model when its gateway was told to go down was cut with no answer at the end of
 // the grace (mix day, seed 620110391056).
-func TestADeskGoingDownAnswersEveryCallThatWaits(t *testing.T) {
-	d := New(Options{Desk: "d1", QueueMax: 8})
+func TestAGatewayGoingDownAnswersEveryCallThatWaits(t *testing.T) {
+	d := New(Options{Gateway: "d1", QueueMax: 8})
 	d.Step(Event{NowUs: 1, Snapshot: routedSnapshot()})
 	if got := d.Step(Event{NowUs: 2, Arrived: letter("c1", "rare")}); len(got) != 1 || !got[0].Unplaced {
 		t.Fatalf("a call for what nobody holds: %+v", got)
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -75,7 +75,7 @@
 	}
 }
 
-// trusts says whether a call may go to a replica by what is known of its other attempts: those of this desk,
+// trusts says whether a call may go to a replica by what is known of its other attempts: those of this gateway,
 // and the verdict of the controller on those of all.
 func (d *Decider) trusts(c *Call, id string) bool {
 	if d.outliers.Off(d.nowUs, id) {
--- a/internal/dispatch/prospect.go
+++ b/internal/dispatch/prospect.go
@@ -41,7 +41,7 @@
 	untilUs []int64
 }
 
-// prospects are what this desk knows of when a unit that no replica has will be there: the loads under way
+// prospects are what this gateway knows of when a unit that no replica has will be there: the loads under way
 // and how long such loads and the wait for their orders have taken.
 type prospects struct {
 	loads   map[string]int64
--- a/internal/dispatch/replica_state.go
+++ b/internal/dispatch/replica_state.go
@@ -14,7 +14,7 @@
 	late        bool
 }
 
-// replicaState is what this desk knows of one replica from its own attempts there.
+// replicaState is what this gateway knows of one replica from its own attempts there.
 type replicaState struct {
 	openAttempts map[string]*openAttempt
 	missing      map[string]int64
@@ -34,8 +34,8 @@
 	return s
 }
 
-// standsAt counts what runs at a replica and how long what waits there will take, in ms: this desk's own
-// attempts that have no first piece yet. What other desks have there shows only in how long those take: news
+// standsAt counts what runs at a replica and how long what waits there will take, in ms: this gateway's own
+// attempts that have no first piece yet. What other gateways have there shows only in how long those take: news
 // of it that is a quarter of a second old made no day better (docs/design-platform.md).
 func (d *Decider) standsAt(r *wire.ReplicaNews, s *replicaState, perToken float64) (running int, waitMs float64) {
 	var tokens int64
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -86,7 +86,7 @@
 // Report is what a gateway tells the control nodes: arrivals, what waits, what runs, how attempts ended.
 func (d *Decider) Report(nowUs int64) wire.Report {
 	rep := wire.Report{
-		Desk: d.opts.Desk, Inc: d.opts.Inc, SentUs: nowUs, Arrivals: d.Arrivals(), Draining: d.drain,
+		Gateway: d.opts.Gateway, Inc: d.opts.Inc, SentUs: nowUs, Arrivals: d.Arrivals(), Draining: d.drain,
 		Waiting: map[string]int{}, InFlight: map[string]int{}, Left: map[string]wire.Left{},
 	}
 	if d.snap != nil {
@@ -174,7 +174,7 @@
 	return n
 }
 
-// Ready is nil when this desk can take calls now, or says why it cannot.
+// Ready is nil when this gateway can take calls now, or says why it cannot.
 func (d *Decider) Ready(nowUs int64) *fault.Fault {
 	var f *fault.Fault
 	switch {
--- a/internal/dispatch/routed.go
+++ b/internal/dispatch/routed.go
@@ -162,7 +162,7 @@
 	return route != nil && r != nil && r.Inc == st.Inc && !r.Leaving && route.May(r.Service)
 }
 
-// reportRouted tells what this desk has at replicas: what runs, and the tokens of prompts that no first
+// reportRouted tells what this gateway has at replicas: what runs, and the tokens of prompts that no first
 // piece has come for.
 func (d *Decider) reportRouted(rep *wire.Report) {
 	d.promised(rep)
--- a/internal/dispatch/routed_test.go
+++ b/internal/dispatch/routed_test.go
@@ -38,9 +38,9 @@
 
 var snaps uint64
 
-func stands(doc *standing.Declaration, desks int, rows ...wire.ReplicaNews) *Snapshot {
+func stands(doc *standing.Declaration, gateways int, rows ...wire.ReplicaNews) *Snapshot {
 	snaps++
-	s := &Snapshot{Number: snaps, Revision: snaps, Doc: doc, Desks: desks, Replicas: map[string]*wire.ReplicaNews{}, ByService: map[string][]*wire.ReplicaNews{}}
+	s := &Snapshot{Number: snaps, Revision: snaps, Doc: doc, Gateways: gateways, Replicas: map[string]*wire.ReplicaNews{}, ByService: map[string][]*wire.ReplicaNews{}}
 	for _, r := range rows {
 		r.Inc, r.Addr = r.ID, r.ID
 		if r.Slots == 0 {
@@ -371,13 +371,13 @@
 	}
 }
 
-// All desks together hold to the budget in every span, whatever fails and however long calls wait between.
-func TestSeededBudgetOfManyDesks(t *testing.T) {
+// All gateways together hold to the budget in every span, whatever fails and however long calls wait between.
+func TestSeededBudgetOfManyGateways(t *testing.T) {
 	const windowUs, ratio, slack = 10 * clock.Sec, 0.2, 58.0
 	tight := 0.0
 	for seed := int64(0); seed < 20; seed++ {
 		r := rand.New(rand.NewSource(seed))
-		desks := 1 + r.Intn(9)
+		gateways := 1 + r.Intn(9)
 		doc := declaration(declared{"many", standing.Idempotent, 3, one("s"), false})
 		opts := Options{Budget: BudgetOptions{Ratio: ratio, Slack: slack, WindowUs: windowUs}}
 		var all []*clerk
@@ -385,12 +385,12 @@
 		for i := range rows {
 			rows[i].Slots = 1000
 		}
-		for range desks {
-			all = append(all, newClerk(opts, stands(doc, desks, rows...)))
+		for range gateways {
+			all = append(all, newClerk(opts, stands(doc, gateways, rows...)))
 		}
 		rate, bad := 5+r.Intn(60), 0
 		var calls, extra []int64
-		open := make([][]string, desks)
+		open := make([][]string, gateways)
 		for ms := int64(0); ms < 60_000; ms += 20 {
 			dark, turns := false, ms%2_000 == 0
 			if ms%5_000 == 0 {
@@ -415,10 +415,10 @@
 					}
 				}
 				if turns {
-					note(k.step(Event{Snapshot: stands(doc, desks, rows...)}))
+					note(k.step(Event{Snapshot: stands(doc, gateways, rows...)}))
 				}
 				note(k.step(Event{}))
-				if r.Intn(50*desks) < rate {
+				if r.Intn(50*gateways) < rate {
 					calls = append(calls, k.nowUs)
 					id := fmt.Sprint("c", ms)
 					note(k.step(Event{Arrived: &Call{ID: id, Kind: "many", Routed: &Routed{}}}))
@@ -449,7 +449,7 @@
 			may := ratio*float64(most) + slack
 			tight = max(tight, float64(spent)/may)
 			if float64(spent) > may {
-				t.Fatalf("seed %d: %d desks sent %d further attempts within a window of %d calls", seed, desks, spent, most)
+				t.Fatalf("seed %d: %d gateways sent %d further attempts within a window of %d calls", seed, gateways, spent, most)
 			}
 		}
 	}
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -21,10 +21,10 @@
 	Grants   map[string]ledger.Grant
 	AtUs     int64
 
-	// Of a routed declaration: replicas by service in order of their ids, and how many desks live.
+	// Of a routed declaration: replicas by service in order of their ids, and how many gateways live.
 	ByService map[string][]*wire.ReplicaNews
-	Desks     int
-	// Trials are the verdicts on replicas that are not well, as they hold for this desk.
+	Gateways  int
+	// Trials are the verdicts on replicas that are not well, as they hold for this gateway.
 	Trials map[string]outlier.Row
 }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -13,12 +13,12 @@
 )
 
 const (
-	// DeskLeaseUs is how long a gateway may send by news after it asked for the lease.
-	DeskLeaseUs = 1200 * clock.Ms
-	behindUs    = 600 * clock.Ms
-	checkUs     = 1000 * clock.Ms
-	forgetUs    = 30 * clock.Sec
-	queueMost   = 256
+	// GatewayLeaseUs is how long a gateway may send by news after it asked for the lease.
+	GatewayLeaseUs = 1200 * clock.Ms
+	behindUs       = 600 * clock.Ms
+	checkUs        = 1000 * clock.Ms
+	forgetUs       = 30 * clock.Sec
+	queueMost      = 256
 )
 
 type row struct {
@@ -40,19 +40,19 @@
 	number uint64
 }
 
-// Room is the tail's: it pushes numbered news to desks, gives their leases, and holds an
-// operator's answer until every desk has acknowledged or its lease has run out.
+// Room is the tail's: it pushes numbered news to gateways, gives their leases, and holds an
+// operator's answer until every gateway has acknowledged or its lease has run out.
 type Room struct {
-	open   bool
-	openUs int64
-	desks  map[string]*row
-	queue  []waiting
+	open     bool
+	openUs   int64
+	gateways map[string]*row
+	queue    []waiting
 }
 
 // Push is news for one gateway.
 type Push struct {
-	Desk string
-	News wire.News
+	Gateway string
+	News    wire.News
 }
 
 // Answer is an operator's answer that may go out now; Origin is who waits for it.
@@ -62,7 +62,7 @@
 }
 
 // New is a room that is closed, until Gate opens it.
-func New() *Room { return &Room{desks: map[string]*row{}} }
+func New() *Room { return &Room{gateways: map[string]*row{}} }
 
 // Gate opens the room on the chain's tail and closes it elsewhere; a closed one forgets its gateways and answers.
 func (r *Room) Gate(nowUs int64, open bool) {
@@ -75,7 +75,7 @@
 		return
 	}
 	r.queue = nil
-	r.desks = map[string]*row{}
+	r.gateways = map[string]*row{}
 }
 
 // Follow begins a gateway's stream. False means that this core node is not the tail.
@@ -83,14 +83,14 @@
 	if !r.open {
 		return false
 	}
-	d := r.desks[f.Desk]
+	d := r.gateways[f.Gateway]
 	if d == nil || d.inc != f.Inc {
-		lapseUs := nowUs + DeskLeaseUs
+		lapseUs := nowUs + GatewayLeaseUs
 		if d != nil {
 			lapseUs = max(lapseUs, d.lapseUs)
 		}
 		d = &row{inc: f.Inc, lapseUs: lapseUs}
-		r.desks[f.Desk] = d
+		r.gateways[f.Gateway] = d
 	}
 	d.following, d.revision, d.pushed, d.acked = true, f.Revision, 0, 0
 	d.zone, d.addr, d.seenUs = f.Zone, f.Addr, nowUs
@@ -98,13 +98,13 @@
 }
 
 // Report gives a lease. checked says that the controller has looked at the platform's list in this
-// view; a new tail waits a little for it, so that no desk sends by notices that went unseen meanwhile.
+// view; a new tail waits a little for it, so that no gateway sends by notices that went unseen meanwhile.
 func (r *Room) Report(nowUs int64, view uint64, newest uint64, checked bool, p wire.Report) wire.Lease {
 	no := wire.Lease{View: view}
 	if !r.open {
 		return no
 	}
-	d := r.desks[p.Desk]
+	d := r.gateways[p.Gateway]
 	if d == nil || d.inc != p.Inc {
 		return no
 	}
@@ -121,18 +121,18 @@
 	if !d.following || d.acked == 0 || behind || unseen {
 		return no
 	}
-	d.lapseUs = nowUs + DeskLeaseUs
-	return wire.Lease{OK: true, View: view, SentUs: p.SentUs, LeaseUs: DeskLeaseUs, Number: newest}
+	d.lapseUs = nowUs + GatewayLeaseUs
+	return wire.Lease{OK: true, View: view, SentUs: p.SentUs, LeaseUs: GatewayLeaseUs, Number: newest}
 }
 
-// Ring is every node that is watched or watches: the offices seated and the desks that report.
+// Ring is every node that is watched or watches: the offices seated and the gateways that report.
 func (r *Room) Ring(nowUs int64, view chain.View) []watch.Node {
 	ring := []watch.Node{}
 	for _, s := range view.Order {
 		ring = append(ring, watch.Node{ID: s.ID, Addr: s.Addr})
 	}
-	for _, id := range r.deskIDs() {
-		if d := r.desks[id]; nowUs-d.seenUs < forgetUs/10 {
+	for _, id := range r.gatewayIDs() {
+		if d := r.gateways[id]; nowUs-d.seenUs < forgetUs/10 {
 			ring = append(ring, watch.Node{ID: id, Addr: d.addr})
 		}
 	}
@@ -145,20 +145,20 @@
 		return nil
 	}
 	pushes := []Push{}
-	for _, id := range r.deskIDs() {
-		d := r.desks[id]
+	for _, id := range r.gatewayIDs() {
+		d := r.gateways[id]
 		if !d.following || (d.pushed >= s.NewsIndex && d.pushed > 0) {
 			continue
 		}
 		news := Write(s, view.Number, id, d.inc, d.revision)
 		d.pushed = max(news.Number, 1)
-		pushes = append(pushes, Push{Desk: id, News: news})
+		pushes = append(pushes, Push{Gateway: id, News: news})
 	}
 	return pushes
 }
 
 // Write is the whole news for one gateway; a declaration of at most this revision is left out, as the gateway has it.
-func Write(s *ledger.State, view uint64, desk, inc string, revision uint64) wire.News {
+func Write(s *ledger.State, view uint64, gateway, inc string, revision uint64) wire.News {
 	news := wire.News{Number: max(s.NewsIndex, 1), View: view, Epoch: s.Epoch, Revision: s.Revision}
 	if s.Revision > revision {
 		news.Doc = s.Doc
@@ -166,7 +166,7 @@
 	for _, id := range s.ReplicaIDs() {
 		r := s.Replicas[id]
 		row := wire.ReplicaNews{
-			ID: r.ID, Inc: r.Inc, Addr: r.Addr, Zone: r.Zone, Leaving: r.Leaving, LeftMs: r.LeftMs, Dark: r.Dark, Share: r.Shares[desk],
+			ID: r.ID, Inc: r.Inc, Addr: r.Addr, Zone: r.Zone, Leaving: r.Leaving, LeftMs: r.LeftMs, Dark: r.Dark, Share: r.Shares[gateway],
 		}
 		for unit := range r.Holds {
 			row.Holds = append(row.Holds, unit)
@@ -177,8 +177,8 @@
 		}
 		news.Replicas = append(news.Replicas, row)
 		for unit := range r.Holds {
-			g, ok := s.Grants[ledger.Grant{Desk: desk, Replica: id, Model: unit}.Key()]
-			if ok && g.DeskInc == inc && g.Inc == r.Inc {
+			g, ok := s.Grants[ledger.Grant{Gateway: gateway, Replica: id, Model: unit}.Key()]
+			if ok && g.GatewayInc == inc && g.Inc == r.Inc {
 				news.Grants = append(news.Grants, g)
 			}
 		}
@@ -211,19 +211,19 @@
 		}
 	}
 	r.queue = kept
-	for id, d := range r.desks {
+	for id, d := range r.gateways {
 		if nowUs-d.seenUs > forgetUs && nowUs > d.lapseUs {
-			delete(r.desks, id)
+			delete(r.gateways, id)
 		}
 	}
 	return answers
 }
 
 func (r *Room) everywhere(nowUs int64, number uint64) bool {
-	if nowUs-r.openUs < DeskLeaseUs {
+	if nowUs-r.openUs < GatewayLeaseUs {
 		return false
 	}
-	for _, d := range r.desks {
+	for _, d := range r.gateways {
 		if d.acked < number && nowUs < d.lapseUs {
 			return false
 		}
@@ -231,9 +231,9 @@
 	return true
 }
 
-// DeskNote is one gateway as the status shows it.
-type DeskNote struct {
-	Desk      string `json:"desk"`
+// GatewayNote is one gateway as the status shows it.
+type GatewayNote struct {
+	Gateway   string `json:"desk"`
 	Zone      string `json:"zone"`
 	Addr      string `json:"addr"`
 	Following bool   `json:"following"`
@@ -241,16 +241,16 @@
 	LeaseMs   int64  `json:"leaseMs"`
 }
 
-// Desks are all gateways that reported lately, in order.
-func (r *Room) Desks(nowUs int64) []DeskNote {
-	notes := []DeskNote{}
-	for _, id := range r.deskIDs() {
-		d := r.desks[id]
-		notes = append(notes, DeskNote{id, d.zone, d.addr, d.following, d.acked, max(0, d.lapseUs-nowUs) / 1000})
+// Gateways are all gateways that reported lately, in order.
+func (r *Room) Gateways(nowUs int64) []GatewayNote {
+	notes := []GatewayNote{}
+	for _, id := range r.gatewayIDs() {
+		d := r.gateways[id]
+		notes = append(notes, GatewayNote{id, d.zone, d.addr, d.following, d.acked, max(0, d.lapseUs-nowUs) / 1000})
 	}
 	return notes
 }
 
-func (r *Room) deskIDs() []string {
-	return slices.Sorted(maps.Keys(r.desks))
+func (r *Room) gatewayIDs() []string {
+	return slices.Sorted(maps.Keys(r.gateways))
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -12,7 +12,7 @@
 func opened(s *ledger.State) *Room {
 	r := New()
 	r.Gate(1, true)
-	r.Follow(2, wire.Follow{Desk: "front", Inc: "i1"})
+	r.Follow(2, wire.Follow{Gateway: "front", Inc: "i1"})
 	return r
 }
 
@@ -24,7 +24,7 @@
 }
 
 func report(number, revision uint64) wire.Report {
-	return wire.Report{Desk: "front", Inc: "i1", Number: number, Revision: revision, SentUs: 7}
+	return wire.Report{Gateway: "front", Inc: "i1", Number: number, Revision: revision, SentUs: 7}
 }
 
 // A pushed declaration may be lost with its connection: seed 218 served an emptied zone that way.
@@ -45,48 +45,48 @@
 	}
 }
 
-// Seed 138: a desk whose lease had lapsed got it back while it still worked by old news.
-func TestLapsedDeskNeedsTheNewestNewsForALease(t *testing.T) {
+// Seed 138: a gateway whose lease had lapsed got it back while it still worked by old news.
+func TestLapsedGatewayNeedsTheNewestNewsForALease(t *testing.T) {
 	s := stateAt(1, 10)
 	r := opened(s)
 	if !r.Report(100, 1, 10, true, report(10, 1)).OK {
-		t.Fatal("an up-to-date desk gets no lease")
+		t.Fatal("an up-to-date gateway gets no lease")
 	}
 	if !r.Report(200_000, 1, 11, true, report(10, 1)).OK {
-		t.Fatal("a desk a moment behind loses its lease at once")
+		t.Fatal("a gateway a moment behind loses its lease at once")
 	}
 	if r.Report(200_000+behindUs+1, 1, 11, true, report(10, 1)).OK {
-		t.Fatal("a desk that stays behind keeps its lease")
+		t.Fatal("a gateway that stays behind keeps its lease")
 	}
-	lapsedUs := 200_000 + DeskLeaseUs + 1
+	lapsedUs := 200_000 + GatewayLeaseUs + 1
 	if r.Report(lapsedUs, 1, 12, true, report(11, 1)).OK {
-		t.Fatal("a lapsed desk that is behind got a lease")
+		t.Fatal("a lapsed gateway that is behind got a lease")
 	}
 	if !r.Report(lapsedUs+1, 1, 12, true, report(12, 1)).OK {
-		t.Fatal("a lapsed desk with the newest news gets no lease")
+		t.Fatal("a lapsed gateway with the newest news gets no lease")
 	}
 }
 
-func TestOperatorWaitsForEveryDeskOrItsLease(t *testing.T) {
+func TestOperatorWaitsForEveryGatewayOrItsLease(t *testing.T) {
 	s := stateAt(1, 10)
 	r := opened(s)
-	startUs := 2 * DeskLeaseUs
+	startUs := 2 * GatewayLeaseUs
 	r.Report(startUs, 1, 10, true, report(10, 1))
 	r.Hold("op", ledger.Outcome{ID: "c"}, 11)
 	if a := r.Answers(startUs + 10); len(a) != 0 {
-		t.Fatal("answered before the desk acknowledged")
+		t.Fatal("answered before the gateway acknowledged")
 	}
-	if a := r.Answers(startUs + DeskLeaseUs - 1); len(a) != 0 {
-		t.Fatal("answered while the desk still had its lease")
+	if a := r.Answers(startUs + GatewayLeaseUs - 1); len(a) != 0 {
+		t.Fatal("answered while the gateway still had its lease")
 	}
-	if a := r.Answers(startUs + DeskLeaseUs); len(a) != 1 {
+	if a := r.Answers(startUs + GatewayLeaseUs); len(a) != 1 {
 		t.Fatal("not answered though the lease ran out")
 	}
-	r.Report(startUs+DeskLeaseUs+1, 1, 11, true, report(11, 1))
+	r.Report(startUs+GatewayLeaseUs+1, 1, 11, true, report(11, 1))
 	r.Hold("op", ledger.Outcome{ID: "d"}, 12)
-	r.Report(startUs+DeskLeaseUs+2, 1, 12, true, report(12, 1))
-	if a := r.Answers(startUs + DeskLeaseUs + 3); len(a) != 1 {
-		t.Fatal("not answered though every desk acknowledged")
+	r.Report(startUs+GatewayLeaseUs+2, 1, 12, true, report(12, 1))
+	if a := r.Answers(startUs + GatewayLeaseUs + 3); len(a) != 1 {
+		t.Fatal("not answered though every gateway acknowledged")
 	}
 }
 
@@ -94,10 +94,10 @@
 	r := New()
 	r.Gate(1000, true)
 	r.Hold("op", ledger.Outcome{ID: "c"}, 5)
-	if a := r.Answers(1000 + DeskLeaseUs - 1); len(a) != 0 {
+	if a := r.Answers(1000 + GatewayLeaseUs - 1); len(a) != 0 {
 		t.Fatal("a new tail answered while its predecessor's leases may run")
 	}
-	if a := r.Answers(1000 + DeskLeaseUs); len(a) != 1 {
+	if a := r.Answers(1000 + GatewayLeaseUs); len(a) != 1 {
 		t.Fatal("never answered")
 	}
 }
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -15,12 +15,12 @@
 )
 
 const (
-	frameIdleUs  = 400 * clock.Ms
-	gapEachUs    = 5 * clock.Ms
-	gapMostUs    = 100 * clock.Ms
-	gapSpareUs   = 400 * clock.Ms
-	subsMost     = 4096
-	deskForgetUs = 3 * clock.Sec
+	frameIdleUs     = 400 * clock.Ms
+	gapEachUs       = 5 * clock.Ms
+	gapMostUs       = 100 * clock.Ms
+	gapSpareUs      = 400 * clock.Ms
+	subsMost        = 4096
+	gatewayForgetUs = 3 * clock.Sec
 )
 
 // Seen is what an office knows when it writes frames.
@@ -38,10 +38,10 @@
 	Outliers outlier.Table
 }
 
-// FramePush is a frame for one desk; desks that know the same share one.
+// FramePush is a frame for one gateway; gateways that know the same share one.
 type FramePush struct {
-	Desk  string
-	Frame *wire.Frame
+	Gateway string
+	Frame   *wire.Frame
 }
 
 type sub struct {
@@ -51,14 +51,14 @@
 	revision uint64
 }
 
-// Hub is any office's: it pushes differences to the desks that follow this office. All main streams that
+// Hub is any office's: it pushes differences to the gateways that follow this office. All main streams that
 // have had a whole frame are brought on together, by one frame that is written once, and so are all spare
 // ones, which need it less often.
 type Hub struct {
-	subs  map[string]*sub
-	desks map[string]int64
-	main  told
-	spare told
+	subs     map[string]*sub
+	gateways map[string]int64
+	main     told
+	spare    told
 
 	live   int
 	liveUs int64
@@ -93,52 +93,52 @@
 
 // NewHub is a hub that nobody follows.
 func NewHub() *Hub {
-	return &Hub{subs: map[string]*sub{}, desks: map[string]int64{}, main: newTold(), spare: newTold()}
+	return &Hub{subs: map[string]*sub{}, gateways: map[string]int64{}, main: newTold(), spare: newTold()}
 }
 
-// Follow begins a stream; a declaration that the desk already has is not sent again.
+// Follow begins a stream; a declaration that the gateway already has is not sent again.
 func (h *Hub) Follow(nowUs int64, f wire.Follow) bool {
-	if len(h.subs) >= subsMost && h.subs[f.Desk] == nil {
+	if len(h.subs) >= subsMost && h.subs[f.Gateway] == nil {
 		return false
 	}
-	h.subs[f.Desk] = &sub{inc: f.Inc, revision: f.Revision, spare: f.Spare}
-	h.Heard(nowUs, f.Desk)
+	h.subs[f.Gateway] = &sub{inc: f.Inc, revision: f.Revision, spare: f.Spare}
+	h.Heard(nowUs, f.Gateway)
 	return true
 }
 
 // Unfollow ends the stream of a gateway's process; a newer process's stays.
-func (h *Hub) Unfollow(desk, inc string) {
-	if s := h.subs[desk]; s != nil && s.inc == inc {
-		delete(h.subs, desk)
+func (h *Hub) Unfollow(gateway, inc string) {
+	if s := h.subs[gateway]; s != nil && s.inc == inc {
+		delete(h.subs, gateway)
 	}
 }
 
-// Heard notes a living desk.
-func (h *Hub) Heard(nowUs int64, desk string) { h.desks[desk] = nowUs }
+// Heard notes a living gateway.
+func (h *Hub) Heard(nowUs int64, gateway string) { h.gateways[gateway] = nowUs }
 
-// Main are the desks whose main stream comes from this office, as other offices are told.
+// Main are the gateways whose main stream comes from this office, as other offices are told.
 func (h *Hub) Main() []string {
-	desks := []string{}
+	gateways := []string{}
 	for id, s := range h.subs {
 		if !s.spare {
-			desks = append(desks, id)
+			gateways = append(gateways, id)
 		}
 	}
-	sort.Strings(desks)
-	return desks
+	sort.Strings(gateways)
+	return gateways
 }
 
-// Desks are all that live, as far as this office knows.
-func (h *Hub) Desks(nowUs int64) []string {
+// Gateways are all that live, as far as this office knows.
+func (h *Hub) Gateways(nowUs int64) []string {
 	ids := []string{}
 	for id := range h.subs {
-		h.desks[id] = nowUs
+		h.gateways[id] = nowUs
 	}
-	for id, heardUs := range h.desks {
-		if nowUs-heardUs < deskForgetUs {
+	for id, heardUs := range h.gateways {
+		if nowUs-heardUs < gatewayForgetUs {
 			ids = append(ids, id)
 		} else {
-			delete(h.desks, id)
+			delete(h.gateways, id)
 		}
 	}
 	sort.Strings(ids)
@@ -149,14 +149,14 @@
 func (h *Hub) Subscribed() []string { return slices.Sorted(maps.Keys(h.subs)) }
 
 // Frames are what has changed since the last; where nothing has, a sign of life now and then. Changes
-// are gathered for a moment that grows with the desks, but for a declaration, which goes at once.
+// are gathered for a moment that grows with the gateways, but for a declaration, which goes at once.
 func (h *Hub) Frames(seen Seen) []FramePush {
 	if len(h.subs) == 0 {
 		return nil
 	}
 	if seen.NowUs-h.liveUs >= frameIdleUs {
 		h.liveUs = seen.NowUs
-		h.live = len(h.Desks(seen.NowUs))
+		h.live = len(h.Gateways(seen.NowUs))
 	}
 	mains, spares := []string{}, []string{}
 	for _, id := range slices.Sorted(maps.Keys(h.subs)) {
@@ -185,7 +185,7 @@
 			for _, id := range ids {
 				if s := h.subs[id]; s.whole {
 					s.revision = max(s.revision, f.Revision)
-					pushes = append(pushes, FramePush{Desk: id, Frame: f})
+					pushes = append(pushes, FramePush{Gateway: id, Frame: f})
 				}
 			}
 		}
@@ -193,7 +193,7 @@
 	for _, id := range ids {
 		if s := h.subs[id]; !s.whole {
 			s.whole = true
-			pushes = append(pushes, FramePush{Desk: id, Frame: h.wholeFor(seen, t, s)})
+			pushes = append(pushes, FramePush{Gateway: id, Frame: h.wholeFor(seen, t, s)})
 		}
 	}
 	return pushes
@@ -201,7 +201,7 @@
 
 // difference is from what was last sent to what is known now.
 func (h *Hub) difference(seen Seen, t *told) (*wire.Frame, bool) {
-	f := &wire.Frame{Office: seen.Me, Settled: seen.Settled, Behind: seen.Behind, Desks: h.live}
+	f := &wire.Frame{Office: seen.Me, Settled: seen.Settled, Behind: seen.Behind, Gateways: h.live}
 	news := t.settled != seen.Settled || t.behind != seen.Behind || t.live != h.live
 	t.settled, t.behind, t.live = seen.Settled, seen.Behind, h.live
 	if seen.Settled && seen.State.Doc != nil && seen.State.Revision > t.revision {
@@ -288,7 +288,7 @@
 	return rows
 }
 
-// sameRow: a desk would learn nothing from it but that the replica has spoken again.
+// sameRow: a gateway would learn nothing from it but that the replica has spoken again.
 func sameRow(a, b *wire.ReplicaRow) bool {
 	return a.Index == b.Index && a.Service == b.Service && a.Addr == b.Addr && a.Zone == b.Zone && a.Slots == b.Slots && a.Draining == b.Draining &&
 		a.LeftMs == b.LeftMs && a.Gone == b.Gone && a.Dark == b.Dark && a.Stale == b.Stale && slices.Equal(a.Units, b.Units)
@@ -326,7 +326,7 @@
 // wholeFor is all that this office knows, as of the difference that the others have just had.
 func (h *Hub) wholeFor(seen Seen, t *told, s *sub) *wire.Frame {
 	view := seen.View
-	f := &wire.Frame{Office: seen.Me, Whole: true, Settled: seen.Settled, Behind: seen.Behind, View: &view, Offices: slices.Clone(seen.Offices), Desks: len(h.Desks(seen.NowUs))}
+	f := &wire.Frame{Office: seen.Me, Whole: true, Settled: seen.Settled, Behind: seen.Behind, View: &view, Offices: slices.Clone(seen.Offices), Gateways: len(h.Gateways(seen.NowUs))}
 	if seen.Settled && seen.State.Doc != nil && seen.State.Revision > s.revision {
 		h.configure(f, seen.State, s.revision)
 		s.revision = f.Revision
--- a/internal/feed/hub_test.go
+++ b/internal/feed/hub_test.go
@@ -46,15 +46,15 @@
 		nowUs += passUs
 		out := map[string]*wire.Frame{}
 		for _, p := range h.Frames(Seen{NowUs: nowUs, State: s, Settled: true, Roster: soft}) {
-			out[p.Desk] = p.Frame
+			out[p.Gateway] = p.Frame
 		}
 		return out
 	}
 	for i := range 3 {
 		hear(fmt.Sprint("r", i+1), 1, "m1")
 	}
-	h.Follow(nowUs, wire.Follow{Desk: "main", Inc: "i"})
-	h.Follow(nowUs, wire.Follow{Desk: "spare", Inc: "i", Spare: true})
+	h.Follow(nowUs, wire.Follow{Gateway: "main", Inc: "i"})
+	h.Follow(nowUs, wire.Follow{Gateway: "spare", Inc: "i", Spare: true})
 	first := frames(0)
 	if len(first) != 2 || !first["main"].Whole || len(first["spare"].Replicas) != 3 || len(first["spare"].Orders.Rows) != 3 {
 		t.Fatal("the first frames are not whole")
@@ -79,7 +79,7 @@
 	if late := frames(400 * clock.Ms); late["spare"] == nil || len(late["spare"].Replicas) != 1 || len(late["spare"].Orders.Rows) != 1 {
 		t.Error("the spare stream was not brought on in its time")
 	}
-	h.Follow(nowUs, wire.Follow{Desk: "late", Inc: "i"})
+	h.Follow(nowUs, wire.Follow{Gateway: "late", Inc: "i"})
 	s.Apply(4, ledger.Change{ID: "f", Duty: &ledger.Duty{Settled: []ledger.Settled{{Number: s.Pending["r1"].Number, Done: true}}}})
 	joined := frames(clock.Ms)
 	if joined["main"] == nil || joined["main"].Orders == nil || joined["main"].Orders.Number != joined["late"].Orders.Number {
@@ -87,9 +87,9 @@
 	}
 }
 
-// A desk that followed an office before the office knew what is committed learnt of each replica only with its next
+// A gateway that followed an office before the office knew what is committed learnt of each replica only with its next
 // heartbeat: what the ledger says of replicas that nobody has heard went out in whole frames alone.
-func TestDesksThatFollowedBeforeTheChainSettledLearnOfAllReplicasInTheLedger(t *testing.T) {
+func TestGatewaysThatFollowedBeforeTheChainSettledLearnOfAllReplicasInTheLedger(t *testing.T) {
 	soft := roster.New(3 * clock.Sec)
 	h := NewHub()
 	nowUs := clock.Sec
@@ -98,14 +98,14 @@
 		nowUs += passUs
 		seen.NowUs = nowUs
 		for _, p := range h.Frames(seen) {
-			if p.Desk == "d" {
+			if p.Gateway == "d" {
 				return p.Frame
 			}
 		}
 		return nil
 	}
 	soft.Hear(nowUs, roster.Row{ID: "r2", Service: "s", Addr: "r2", Slots: 4, Seq: 1, Units: []string{"m1"}})
-	h.Follow(nowUs, wire.Follow{Desk: "d", Inc: "i"})
+	h.Follow(nowUs, wire.Follow{Gateway: "d", Inc: "i"})
 	if first := frame(0); first == nil || !first.Whole || len(first.Replicas) != 1 || first.Revision != 0 {
 		t.Fatal("the first frame is not what an office knows that has just started")
 	}
@@ -155,7 +155,7 @@
 		return nil
 	}
 	soft.Hear(nowUs, roster.Row{ID: "r1", Service: "s", Addr: "r1", Slots: 4, Seq: 1, Units: []string{"m1"}})
-	h.Follow(nowUs, wire.Follow{Desk: "d", Inc: "i"})
+	h.Follow(nowUs, wire.Follow{Gateway: "d", Inc: "i"})
 	frame(0)
 	soft.Leave(nowUs, "r1")
 	if f := frame(20 * clock.Ms); f == nil || len(f.Replicas) != 1 || !f.Replicas[0].Gone {
--- a/internal/desk/calls.go
+++ b/internal/gateway/calls.go
@@ -1,4 +1,4 @@
-package desk
+package gateway
 
 import (
 	"io"
@@ -97,7 +97,7 @@
 	return nil
 }
 
-// resumeAt lets a caller go on at any desk: it names the last piece and sends all it holds.
+// resumeAt lets a caller go on at any gateway: it names the last piece and sends all it holds.
 func resumeAt(last string, ask *CallAsk, c *dispatch.Call) *fault.Fault {
 	if last == "" {
 		if len(ask.Had) > 0 {
--- a/internal/desk/control.go
+++ b/internal/gateway/control.go
@@ -1,4 +1,4 @@
-package desk
+package gateway
 
 import (
 	"context"
@@ -91,7 +91,7 @@
 	_ = stream.Close()
 }
 
-// report tells the tail what this desk has taken and what it holds, and brings back the lease.
+// report tells the tail what this gateway has taken and what it holds, and brings back the lease.
 func (h *Host) report(tail chain.Seat, report wire.Report) {
 	ctx, done := context.WithTimeout(h.act.Ctx, 600*time.Millisecond)
 	defer done()
--- a/internal/desk/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -1,4 +1,4 @@
-package desk
+package gateway
 
 import (
 	"bytes"
@@ -18,7 +18,7 @@
 )
 
 func host() *Host {
-	h := Open(settings.Desk{Name: "front", Listen: "127.0.0.1:1", Advertise: "127.0.0.1:1", QueueMax: 4, BodyMaxKb: 64}, logring.NewRing("", io.Discard))
+	h := Open(settings.Gateway{Name: "front", Listen: "127.0.0.1:1", Advertise: "127.0.0.1:1", QueueMax: 4, BodyMaxKb: 64}, logring.NewRing("", io.Discard))
 	doc := &standing.Declaration{Kinds: []standing.Kind{{Name: "pages", Urgency: 3, Resumable: true, DeadlineMs: 1000}, {Name: "fixes", Urgency: 8, DeadlineMs: 1000}},
 		Models: []standing.Model{{Name: "m"}}, Adapters: []standing.Adapter{{Name: "a", Model: "m"}}}
 	h.snap.Store(dispatch.Fold(nil, wire.News{Number: 1, Revision: 1, Doc: doc}, 1))
--- a/internal/desk/handler.go
+++ b/internal/gateway/handler.go
@@ -1,4 +1,4 @@
-package desk
+package gateway
 
 import (
 	"context"
@@ -18,17 +18,17 @@
 
 // Status is the state of a gateway for a person.
 type Status struct {
-	Desk   string           `json:"desk"`
-	Inc    string           `json:"inc"`
-	Zone   string           `json:"zone"`
-	Tail   string           `json:"tail"`
-	Work   dispatch.Note    `json:"work"`
-	Gauges []dispatch.Gauge `json:"gauges"`
+	Gateway string           `json:"desk"`
+	Inc     string           `json:"inc"`
+	Zone    string           `json:"zone"`
+	Tail    string           `json:"tail"`
+	Work    dispatch.Note    `json:"work"`
+	Gauges  []dispatch.Gauge `json:"gauges"`
 	// Connections are those to replicas, by the replica, where they are kept.
 	Connections map[string]Connections `json:"connections,omitempty"`
 }
 
-// Connections are how many a desk has open to one replica, and its share of what the replica takes.
+// Connections are how many a gateway has open to one replica, and its share of what the replica takes.
 type Connections struct {
 	Open int `json:"open"`
 	Most int `json:"most"`
@@ -57,7 +57,7 @@
 }
 
 func (h *Host) status(w http.ResponseWriter, _ *http.Request) {
-	st := Status{Desk: h.set.Name, Inc: h.inc, Zone: h.set.Zone, Tail: h.tail().ID}
+	st := Status{Gateway: h.set.Name, Inc: h.inc, Zone: h.set.Zone, Tail: h.tail().ID}
 	if now, ran := actor.Ask(h.act.Ctx, h.act, func() Status { return Status{Work: h.decider.Note(), Gauges: h.decider.Gauges()} }); ran {
 		st.Work, st.Gauges = now.Work, now.Gauges
 	}
@@ -71,7 +71,7 @@
 	_ = json.NewEncoder(w).Encode(st)
 }
 
-// ready is for whoever hands clients to this desk.
+// ready is for whoever hands clients to this gateway.
 func (h *Host) ready(w http.ResponseWriter, _ *http.Request) {
 	f, ran := actor.Ask(h.act.Ctx, h.act, func() *fault.Fault { return h.decider.Ready(clock.NowUs()) })
 	if !ran {
--- a/internal/desk/host.go
+++ b/internal/gateway/host.go
@@ -1,4 +1,4 @@
-package desk
+package gateway
 
 import (
 	"context"
@@ -35,7 +35,7 @@
 // Host runs one gateway: its listeners, its connection to the control nodes and its decider, which only its actor
 // touches.
 type Host struct {
-	set      settings.Desk
+	set      settings.Gateway
 	inc      string
 	decider  *dispatch.Decider
 	ring     *logring.Ring
@@ -58,7 +58,7 @@
 	mirror  *subscriber.Mirror
 	streams map[uint64]context.CancelFunc
 	doors   []Door
-	// declared is closed once this desk has a declaration.
+	// declared is closed once this gateway has a declaration.
 	declared chan struct{}
 	open     func() map[string]int
 	// Room is shared by all doors.
@@ -96,7 +96,7 @@
 }
 
 // Open prepares a gateway; Run serves.
-func Open(set settings.Desk, ring *logring.Ring) *Host {
+func Open(set settings.Gateway, ring *logring.Ring) *Host {
 	inc := office.RandomID(6)
 	attempts := rpc.Client(400, set.Listen)
 	attempts.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
@@ -105,7 +105,7 @@
 	h := &Host{
 		set: set, inc: inc, ring: ring, log: ring.Logger("desk", set.Name), inner: rpc.NodeClient(400, set.Listen), attempts: attempts,
 		decider: dispatch.New(dispatch.Options{
-			Desk: set.Name, Inc: inc, Zone: set.Zone, QueueMax: set.QueueMax,
+			Gateway: set.Name, Inc: inc, Zone: set.Zone, QueueMax: set.QueueMax,
 			Budget:   dispatch.BudgetOptions{Ratio: set.Budget.Ratio, Slack: set.Budget.Slack, WindowUs: set.Budget.WindowMs * clock.Ms},
 			Patience: dispatch.PatienceOptions{LeastMs: set.Patience.LeastMs, Aims: set.Patience.Aims, Gaps: set.Patience.Gaps},
 			Outlier:  set.Outlier.Options(),
@@ -113,7 +113,7 @@
 		act: actor.New(mailboxMost), waiting: map[string]*caller{},
 		streams: map[uint64]context.CancelFunc{}, declared: make(chan struct{}), Room: &Room{Most: int64(set.MemoryMb) << 20 / roomShare},
 	}
-	opts := subscriber.Options{Desk: set.Name, Inc: inc, Addr: set.Advertise, Zone: set.Zone, Seeds: set.Seeds}
+	opts := subscriber.Options{Gateway: set.Name, Inc: inc, Addr: set.Advertise, Zone: set.Zone, Seeds: set.Seeds}
 	h.subscriber = subscriber.New(opts)
 	if set.Attempts == settings.DeclaredAttempts {
 		h.mirror = subscriber.NewMirror(opts)
--- a/internal/desk/mirror.go
+++ b/internal/gateway/mirror.go
@@ -1,4 +1,4 @@
-package desk
+package gateway
 
 import (
 	"context"
@@ -27,7 +27,7 @@
 // Snapshot is the newest news; it is never changed.
 func (h *Host) Snapshot() *dispatch.Snapshot { return h.snap.Load() }
 
-// AwaitDeclaration waits until this desk has one, or for as long as ctx lasts.
+// AwaitDeclaration waits until this gateway has one, or for as long as ctx lasts.
 func (h *Host) AwaitDeclaration(ctx context.Context) {
 	select {
 	case <-h.declared:
@@ -39,7 +39,7 @@
 // MaySend is asked once more right before the first byte of an attempt leaves.
 func (h *Host) MaySend(st dispatch.Start) bool { return h.maySend(st) }
 
-// Ready is nil when this desk can take calls now, or says why it cannot.
+// Ready is nil when this gateway can take calls now, or says why it cannot.
 func (h *Host) Ready() *fault.Fault {
 	f, ran := actor.Ask(h.act.Ctx, h.act, func() *fault.Fault { return h.decider.Ready(clock.NowUs()) })
 	if !ran {
@@ -127,8 +127,8 @@
 	}
 }
 
-// ConnectionShare is how many connections this desk may have to a replica: its share of what the replica
-// takes from all desks together, within what this process may open.
+// ConnectionShare is how many connections this gateway may have to a replica: its share of what the replica
+// takes from all gateways together, within what this process may open.
 func (h *Host) ConnectionShare(replica string) int {
 	snap := h.snap.Load()
 	if snap == nil || snap.Doc == nil {
@@ -140,7 +140,7 @@
 	}
 	if r := snap.Replicas[replica]; r != nil {
 		if svc := snap.Doc.Service(r.Service); svc != nil && svc.ConnectionsMost > 0 {
-			most = min(most, svc.ConnectionsMost*9/10/max(snap.Desks, 1))
+			most = min(most, svc.ConnectionsMost*9/10/max(snap.Gateways, 1))
 		}
 	}
 	return max(most, shareLeast)
--- a/internal/desk/redirect_test.go
+++ b/internal/gateway/redirect_test.go
@@ -1,4 +1,4 @@
-package desk
+package gateway
 
 import (
 	"io"
@@ -21,7 +21,7 @@
 		replica := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			http.Redirect(w, r, other.URL, status)
 		}))
-		h := Open(settings.Desk{Name: "d", Listen: "127.0.0.1:0"}, logring.NewRing("", io.Discard))
+		h := Open(settings.Gateway{Name: "d", Listen: "127.0.0.1:0"}, logring.NewRing("", io.Discard))
 		res, err := h.attempts.Post(replica.URL, "application/json", strings.NewReader("{}"))
 		if err != nil {
 			t.Fatal(err)
--- a/internal/desk/room.go
+++ b/internal/gateway/room.go
@@ -1,4 +1,4 @@
-package desk
+package gateway
 
 import (
 	"io"
@@ -7,7 +7,7 @@
 	"petreltide/internal/fault"
 )
 
-// Room bounds what all calls of a desk together hold of bodies and answers; Most 0 is no bound.
+// Room bounds what all calls of a gateway together hold of bodies and answers; Most 0 is no bound.
 type Room struct {
 	Most int64
 	used atomic.Int64
--- a/internal/desk/stream.go
+++ b/internal/gateway/stream.go
@@ -1,4 +1,4 @@
-package desk
+package gateway
 
 import (
 	"bytes"
--- a/internal/ledger/bounds_test.go
+++ b/internal/ledger/bounds_test.go
@@ -13,7 +13,7 @@
 )
 
 func claim(i int) Change {
-	return Change{ID: fmt.Sprint("key-", i), Key: &KeyChange{Key: fmt.Sprintf("family-%032d", i), Desk: "front-3", DeskInc: "0123456789ab", Call: fmt.Sprintf("front-3-%016d", i)}}
+	return Change{ID: fmt.Sprint("key-", i), Key: &KeyChange{Key: fmt.Sprintf("family-%032d", i), Gateway: "front-3", GatewayInc: "0123456789ab", Call: fmt.Sprintf("front-3-%016d", i)}}
 }
 
 // Full is a ledger with every key it may keep.
@@ -80,11 +80,11 @@
 		t.Fatal(diff)
 	}
 	must(t, s, Change{ID: "s", Epoch: 1, Duty: &Duty{Settled: []Settled{{Number: 1, Done: true}}, Shares: map[string]map[string]int{"r1": {"d": 2}},
-		Grants: []GrantAsk{{Desk: "d", DeskInc: "i", Replica: "r1", Inc: "i", Model: "a", Count: 9}}, Gone: []string{"r2"}}})
+		Grants: []GrantAsk{{Gateway: "d", GatewayInc: "i", Replica: "r1", Inc: "i", Model: "a", Count: 9}}, Gone: []string{"r2"}}})
 	for i := 2; i < 40; i++ {
 		must(t, s, claim(i))
 	}
-	must(t, s, Change{ID: "end", Key: &KeyChange{Key: claim(1).Key.Key, Desk: "front-3", DeskInc: "0123456789ab", Call: claim(1).Key.Call, End: "yes"}})
+	must(t, s, Change{ID: "end", Key: &KeyChange{Key: claim(1).Key.Key, Gateway: "front-3", GatewayInc: "0123456789ab", Call: claim(1).Key.Call, End: "yes"}})
 	must(t, s, Change{ID: "f", Epoch: 1, Duty: &Duty{Forget: s.Index}})
 	must(t, s, Change{ID: "c2", Config: &ConfigChange{Base: 1, Doc: &standing.Declaration{Name: "next"}}})
 	if diff := cmp.Diff(before, string(frozen.Encode())); diff != "" {
--- a/internal/ledger/duty.go
+++ b/internal/ledger/duty.go
@@ -9,20 +9,20 @@
 
 // Duty is one write of the controller that holds the duty: what it knows of replicas, and the orders it issues and settles.
 type Duty struct {
-	Fleet   []ReplicaNote             `json:"fleet,omitempty"`
-	Gone    []string                  `json:"gone,omitempty"`
-	Tickets []Ticket                  `json:"tickets,omitempty"`
-	Settled []Settled                 `json:"settled,omitempty"`
-	Grants  []GrantAsk                `json:"grants,omitempty"`
-	Shares  map[string]map[string]int `json:"shares,omitempty"`
-	Desks   []string                  `json:"goneDesks,omitempty"`
-	Forget  uint64                    `json:"forgetKeysBefore,omitempty"`
-	Checked uint64                    `json:"checkedInView,omitempty"`
+	Fleet    []ReplicaNote             `json:"fleet,omitempty"`
+	Gone     []string                  `json:"gone,omitempty"`
+	Tickets  []Ticket                  `json:"tickets,omitempty"`
+	Settled  []Settled                 `json:"settled,omitempty"`
+	Grants   []GrantAsk                `json:"grants,omitempty"`
+	Shares   map[string]map[string]int `json:"shares,omitempty"`
+	Gateways []string                  `json:"goneDesks,omitempty"`
+	Forget   uint64                    `json:"forgetKeysBefore,omitempty"`
+	Checked  uint64                    `json:"checkedInView,omitempty"`
 }
 
 // Blank says whether a duty would change nothing.
 func (d *Duty) Blank() bool {
-	return len(d.Fleet)+len(d.Gone)+len(d.Tickets)+len(d.Settled)+len(d.Grants)+len(d.Shares)+len(d.Desks) == 0 && d.Forget+d.Checked == 0
+	return len(d.Fleet)+len(d.Gone)+len(d.Tickets)+len(d.Settled)+len(d.Grants)+len(d.Shares)+len(d.Gateways) == 0 && d.Forget+d.Checked == 0
 }
 
 func (s *State) applyClaim(out *Outcome, c Change) {
@@ -58,8 +58,8 @@
 		}
 	}
 	s.forgetKeys(c.Duty.Forget)
-	for _, desk := range c.Duty.Desks {
-		s.dropDesk(desk)
+	for _, gateway := range c.Duty.Gateways {
+		s.dropGateway(gateway)
 	}
 	for _, g := range c.Duty.Grants {
 		if f := s.grant(c.Epoch, g); f != nil {
--- a/internal/ledger/grants.go
+++ b/internal/ledger/grants.go
@@ -2,35 +2,35 @@
 
 import "petreltide/internal/fault"
 
-// Grant lets a desk number its calls to a replica from From up to, not including, To.
+// Grant lets a gateway number its calls to a replica from From up to, not including, To.
 type Grant struct {
-	Ticket  uint64 `json:"ticket"`
-	Epoch   uint64 `json:"epoch"`
-	Desk    string `json:"desk"`
-	DeskInc string `json:"deskInc"`
-	Replica string `json:"replica"`
-	Inc     string `json:"inc"`
-	Model   string `json:"model"`
-	From    uint64 `json:"from"`
-	To      uint64 `json:"to"`
+	Ticket     uint64 `json:"ticket"`
+	Epoch      uint64 `json:"epoch"`
+	Gateway    string `json:"desk"`
+	GatewayInc string `json:"deskInc"`
+	Replica    string `json:"replica"`
+	Inc        string `json:"inc"`
+	Model      string `json:"model"`
+	From       uint64 `json:"from"`
+	To         uint64 `json:"to"`
 }
 
-// Key names the one grant that a desk has for a model at a replica.
-func (g Grant) Key() string { return g.Desk + "|" + g.Replica + "|" + g.Model }
+// Key names the one grant that a gateway has for a model at a replica.
+func (g Grant) Key() string { return g.Gateway + "|" + g.Replica + "|" + g.Model }
 
 // GrantAsk asks for the next Count numbers.
 type GrantAsk struct {
-	Desk    string `json:"desk"`
-	DeskInc string `json:"deskInc"`
-	Replica string `json:"replica"`
-	Inc     string `json:"inc"`
-	Model   string `json:"model"`
-	Count   uint64 `json:"count"`
+	Gateway    string `json:"desk"`
+	GatewayInc string `json:"deskInc"`
+	Replica    string `json:"replica"`
+	Inc        string `json:"inc"`
+	Model      string `json:"model"`
+	Count      uint64 `json:"count"`
 }
 
-func (s *State) dropDesk(id string) {
+func (s *State) dropGateway(id string) {
 	for key, g := range s.Grants {
-		if g.Desk == id {
+		if g.Gateway == id {
 			delete(s.Grants, key)
 		}
 	}
@@ -48,7 +48,7 @@
 		return fault.New(fault.TicketRefused, a.Replica, "count %d", a.Count)
 	}
 	g := Grant{
-		Ticket: s.NextTicket, Epoch: epoch, Desk: a.Desk, DeskInc: a.DeskInc,
+		Ticket: s.NextTicket, Epoch: epoch, Gateway: a.Gateway, GatewayInc: a.GatewayInc,
 		Replica: a.Replica, Inc: a.Inc, Model: a.Model, From: r.NextAttempt, To: r.NextAttempt + a.Count,
 	}
 	s.NextTicket++
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -89,18 +89,18 @@
 
 func TestAttemptNumbersAreSpentOnce(t *testing.T) {
 	s := ready(t)
-	ask := func(desk string, n uint64) GrantAsk {
-		return GrantAsk{Desk: desk, DeskInc: "d", Replica: "r0", Inc: "i", Model: "a", Count: n}
+	ask := func(gateway string, n uint64) GrantAsk {
+		return GrantAsk{Gateway: gateway, GatewayInc: "d", Replica: "r0", Inc: "i", Model: "a", Count: n}
 	}
 	must(t, s, Change{ID: "g1", Epoch: 1, Duty: &Duty{Grants: []GrantAsk{ask("x", 10), ask("y", 5)}}})
-	first := s.Grants[Grant{Desk: "x", Replica: "r0", Model: "a"}.Key()]
-	must(t, s, Change{ID: "g2", Epoch: 1, Duty: &Duty{Grants: []GrantAsk{ask("x", 10)}, Desks: []string{"y"}}})
-	second := s.Grants[Grant{Desk: "x", Replica: "r0", Model: "a"}.Key()]
+	first := s.Grants[Grant{Gateway: "x", Replica: "r0", Model: "a"}.Key()]
+	must(t, s, Change{ID: "g2", Epoch: 1, Duty: &Duty{Grants: []GrantAsk{ask("x", 10)}, Gateways: []string{"y"}}})
+	second := s.Grants[Grant{Gateway: "x", Replica: "r0", Model: "a"}.Key()]
 	if first.To > second.From || second.From < 16 || first.Ticket == second.Ticket {
 		t.Fatalf("%+v then %+v", first, second)
 	}
-	if _, kept := s.Grants[Grant{Desk: "y", Replica: "r0", Model: "a"}.Key()]; kept {
-		t.Fatal("a gone desk keeps its grant")
+	if _, kept := s.Grants[Grant{Gateway: "y", Replica: "r0", Model: "a"}.Key()]; kept {
+		t.Fatal("a gone gateway keeps its grant")
 	}
 	must(t, s, Change{ID: "n2", Epoch: 1, Duty: &Duty{Fleet: []ReplicaNote{{ID: "r0", Inc: "new", RoomMb: 100, Slots: 4}}}})
 	if len(s.Grants) != 0 {
@@ -125,19 +125,19 @@
 func TestKeysAreClaimedOnceAndFullTableRefuses(t *testing.T) {
 	s := ready(t)
 	claim := func(key, call string) Outcome {
-		return s.Apply(s.Index+1, Change{ID: call, Key: &KeyChange{Key: key, Desk: "d", DeskInc: "i", Call: call}})
+		return s.Apply(s.Index+1, Change{ID: call, Key: &KeyChange{Key: key, Gateway: "d", GatewayInc: "i", Call: call}})
 	}
 	if out := claim("k", "one"); out.Again || out.Key == nil {
 		t.Fatalf("%+v", out)
 	}
 	if out := claim("k", "one"); out.Again {
-		t.Fatal("a desk's own claim, sent again, must not look like another's")
+		t.Fatal("a gateway's own claim, sent again, must not look like another's")
 	}
 	if out := claim("k", "two"); !out.Again || out.Key.Call != "one" {
 		t.Fatalf("%+v", out)
 	}
-	s.Apply(s.Index+1, Change{ID: "e", Key: &KeyChange{Key: "k", Desk: "d", DeskInc: "i", Call: "one", End: "yes"}})
-	s.Apply(s.Index+1, Change{ID: "f", Key: &KeyChange{Key: "k", Desk: "d", DeskInc: "i", Call: "one", Free: true}})
+	s.Apply(s.Index+1, Change{ID: "e", Key: &KeyChange{Key: "k", Gateway: "d", GatewayInc: "i", Call: "one", End: "yes"}})
+	s.Apply(s.Index+1, Change{ID: "f", Key: &KeyChange{Key: "k", Gateway: "d", GatewayInc: "i", Call: "one", Free: true}})
 	if out := claim("k", "three"); !out.Again || out.Key.Ended != "yes" {
 		t.Fatal("an ended key was freed")
 	}
--- a/internal/office/config.go
+++ b/internal/office/config.go
@@ -26,7 +26,7 @@
 }
 
 // Applied acknowledges a change. State is "everywhere", "ordered" for an order about members, or says that some
-// desks have not confirmed it yet.
+// gateways have not confirmed it yet.
 type Applied struct {
 	Change   string `json:"change"`
 	Revision uint64 `json:"revision"`
--- a/internal/office/core.go
+++ b/internal/office/core.go
@@ -35,13 +35,13 @@
 	Heard      *roster.Row
 	Left       string
 	// Reply names the answer that is owed for Heard or Left; 0 where nobody waits.
-	Reply      uint64
-	Subscribe  *wire.Follow
-	Unfollow   *Unfollow
-	DeskReport *wire.Report
+	Reply         uint64
+	Subscribe     *wire.Follow
+	Unfollow      *Unfollow
+	GatewayReport *wire.Report
 }
 
-// Reported is a desk's report and the number under which its lease is awaited.
+// Reported is a gateway's report and the number under which its lease is awaited.
 type Reported struct {
 	Report wire.Report
 	Reply  uint64
@@ -148,9 +148,9 @@
 	case ev.Subscribe != nil:
 		c.soft.Hub.Follow(ev.NowUs, *ev.Subscribe)
 	case ev.Unfollow != nil:
-		c.soft.Hub.Unfollow(ev.Unfollow.Desk, ev.Unfollow.Inc)
-	case ev.DeskReport != nil:
-		c.routedReport(ev.NowUs, *ev.DeskReport)
+		c.soft.Hub.Unfollow(ev.Unfollow.Gateway, ev.Unfollow.Inc)
+	case ev.GatewayReport != nil:
+		c.routedReport(ev.NowUs, *ev.GatewayReport)
 	default:
 		c.chain(chain.Event{NowUs: ev.NowUs})
 		c.controller(controller.Event{NowUs: ev.NowUs})
@@ -347,36 +347,36 @@
 
 // Status is what an office knows of itself, the chain and the fleet. It is this office's own view, and may be old.
 type Status struct {
-	Office   chain.Member            `json:"office"`
-	Phase    chain.Phase             `json:"phase"`
-	View     chain.View              `json:"view"`
-	Open     bool                    `json:"open"`
-	WaitsFor string                  `json:"waitsFor,omitempty"`
-	Commit   uint64                  `json:"commit"`
-	Last     uint64                  `json:"last"`
-	Epoch    uint64                  `json:"epoch"`
-	Holder   string                  `json:"holder"`
-	OnDuty   bool                    `json:"onDuty"`
-	Revision uint64                  `json:"revision"`
-	Emptied  []string                `json:"emptied,omitempty"`
-	Partners []chain.PartnerNote     `json:"partners"`
-	Desks    []feed.DeskNote         `json:"desks,omitempty"`
-	Demand   []controller.DeskNote   `json:"demand,omitempty"`
-	Replicas []ledger.Replica        `json:"replicas"`
-	Pending  []ledger.Ticket         `json:"pending"`
-	Counts   any                     `json:"counts,omitempty"`
-	Policy   controller.PolicyNote   `json:"policy"`
-	Shadows  []controller.PolicyNote `json:"shadows,omitempty"`
-	Faults   map[fault.Code]uint64   `json:"faults,omitempty"`
-	Refused  map[fault.Code]uint64   `json:"refused,omitempty"`
-	Keys     int                     `json:"keys"`
-	Member   *ledger.MemberChange    `json:"member,omitempty"`
-	MemberOn string                  `json:"memberWaitsFor,omitempty"`
-	Grants   int                     `json:"grants"`
-	Loads    uint64                  `json:"loads"`
-	LoadedMb int64                   `json:"loadedMb"`
-	Fleet    *Fleet                  `json:"fleet,omitempty"`
-	// Outliers are the replicas that desks are kept from, wholly or in part.
+	Office   chain.Member             `json:"office"`
+	Phase    chain.Phase              `json:"phase"`
+	View     chain.View               `json:"view"`
+	Open     bool                     `json:"open"`
+	WaitsFor string                   `json:"waitsFor,omitempty"`
+	Commit   uint64                   `json:"commit"`
+	Last     uint64                   `json:"last"`
+	Epoch    uint64                   `json:"epoch"`
+	Holder   string                   `json:"holder"`
+	OnDuty   bool                     `json:"onDuty"`
+	Revision uint64                   `json:"revision"`
+	Emptied  []string                 `json:"emptied,omitempty"`
+	Partners []chain.PartnerNote      `json:"partners"`
+	Gateways []feed.GatewayNote       `json:"desks,omitempty"`
+	Demand   []controller.GatewayNote `json:"demand,omitempty"`
+	Replicas []ledger.Replica         `json:"replicas"`
+	Pending  []ledger.Ticket          `json:"pending"`
+	Counts   any                      `json:"counts,omitempty"`
+	Policy   controller.PolicyNote    `json:"policy"`
+	Shadows  []controller.PolicyNote  `json:"shadows,omitempty"`
+	Faults   map[fault.Code]uint64    `json:"faults,omitempty"`
+	Refused  map[fault.Code]uint64    `json:"refused,omitempty"`
+	Keys     int                      `json:"keys"`
+	Member   *ledger.MemberChange     `json:"member,omitempty"`
+	MemberOn string                   `json:"memberWaitsFor,omitempty"`
+	Grants   int                      `json:"grants"`
+	Loads    uint64                   `json:"loads"`
+	LoadedMb int64                    `json:"loadedMb"`
+	Fleet    *Fleet                   `json:"fleet,omitempty"`
+	// Outliers are the replicas that gateways are kept from, wholly or in part.
 	Outliers []outlier.Row `json:"outliers,omitempty"`
 }
 
@@ -386,7 +386,7 @@
 	st := Status{
 		Office: c.Node.Me(), Phase: c.Node.Phase(), View: c.Node.View(), Open: c.Node.Open(nowUs), WaitsFor: c.Node.WaitsFor(),
 		Commit: c.Node.Commit(), Last: c.Node.Last(), Epoch: s.Epoch, Holder: s.Holder, OnDuty: c.Controller.OnDuty(s),
-		Revision: s.Revision, Partners: c.Node.Partners(), Desks: c.Room.Desks(nowUs), Demand: c.Controller.Desks(nowUs),
+		Revision: s.Revision, Partners: c.Node.Partners(), Gateways: c.Room.Gateways(nowUs), Demand: c.Controller.Gateways(nowUs),
 		Counts: c.Controller.Counts(), Policy: c.Controller.Policy, Shadows: c.Controller.Shadows,
 		Faults: copyOf(c.Controller.Faults), Refused: copyOf(s.Refused), Keys: len(s.Keys), Member: s.Member, MemberOn: c.Node.MemberWaits(), Grants: len(s.Grants), Loads: s.Loads, LoadedMb: s.LoadedMb,
 		Pending: []ledger.Ticket{}, Replicas: []ledger.Replica{}, Fleet: c.fleet(nowUs), Outliers: c.soft.Outliers.Rows,
--- a/internal/office/departures_test.go
+++ b/internal/office/departures_test.go
@@ -163,7 +163,7 @@
 	}
 }
 
-// An office that is cut off tells the desks that it may be behind, before they are held to what the others decide.
+// An office that is cut off tells the gateways that it may be behind, before they are held to what the others decide.
 func TestAnOfficeCutOffSaysThatItIsBehind(t *testing.T) {
 	for _, c := range []struct {
 		name        string
--- a/internal/office/fleet.go
+++ b/internal/office/fleet.go
@@ -15,8 +15,8 @@
 	Routes   []standing.Route `json:"routes"`
 	Services []ServiceNote    `json:"services"`
 	Replicas []ReplicaNote    `json:"replicas"`
-	// Desks are those that live, as far as this office knows; they share the further tries.
-	Desks []string `json:"desks"`
+	// Gateways are those that live, as far as this office knows; they share the further tries.
+	Gateways []string `json:"desks"`
 	// Duty is known at the office that holds it.
 	Duty *controller.Note `json:"duty,omitempty"`
 }
@@ -75,7 +75,7 @@
 	}
 	f := &Fleet{
 		Version: s.Doc.Version, Routes: s.Doc.Bare().Routes, Services: []ServiceNote{}, Replicas: []ReplicaNote{},
-		Desks: c.soft.Hub.Desks(nowUs), Duty: c.Controller.Note(nowUs, s),
+		Gateways: c.soft.Hub.Gateways(nowUs), Duty: c.Controller.Note(nowUs, s),
 	}
 	count := map[string]int{}
 	for _, id := range c.soft.Roster.IDs() {
--- a/internal/office/frames.go
+++ b/internal/office/frames.go
@@ -14,22 +14,22 @@
 	readWait   = 700 * time.Millisecond
 )
 
-// framed is one desk's stream; one that does not keep up is ended, and the desk follows anew.
+// framed is one gateway's stream; one that does not keep up is ended, and the gateway follows anew.
 type framed struct {
 	inc    string
 	frames chan *wire.Frame
 	over   chan struct{}
 }
 
-func (h *Host) frame(desk string, f *wire.Frame) {
-	s := h.frames[desk]
+func (h *Host) frame(gateway string, f *wire.Frame) {
+	s := h.frames[gateway]
 	if s == nil {
 		return
 	}
 	select {
 	case s.frames <- f:
 	default:
-		delete(h.frames, desk)
+		delete(h.frames, gateway)
 		close(s.over)
 	}
 }
@@ -37,16 +37,16 @@
 func (h *Host) serveFrames(ctx context.Context, f *wire.Follow, send func(*wire.Frame) error) error {
 	mine := &framed{inc: f.Inc, frames: make(chan *wire.Frame, framesMost), over: make(chan struct{})}
 	defer h.act.Tell(func() {
-		if h.frames[f.Desk] == mine {
-			delete(h.frames, f.Desk)
-			h.step(Event{Unfollow: &Unfollow{Desk: f.Desk, Inc: f.Inc}})
+		if h.frames[f.Gateway] == mine {
+			delete(h.frames, f.Gateway)
+			h.step(Event{Unfollow: &Unfollow{Gateway: f.Gateway, Inc: f.Inc}})
 		}
 	})
 	if !h.act.Do(ctx, func() {
-		if prior := h.frames[f.Desk]; prior != nil {
+		if prior := h.frames[f.Gateway]; prior != nil {
 			close(prior.over)
 		}
-		h.frames[f.Desk] = mine
+		h.frames[f.Gateway] = mine
 		h.step(Event{Subscribe: f})
 	}) {
 		return fault.New(fault.NotServing, "", "stopping")
--- a/internal/office/host.go
+++ b/internal/office/host.go
@@ -270,9 +270,9 @@
 		case e.Save != nil:
 			h.saves.put(*e.Save)
 		case e.Push != nil:
-			h.push(e.Push.Desk, e.Push.News)
+			h.push(e.Push.Gateway, e.Push.News)
 		case e.Frame != nil:
-			h.frame(e.Frame.Desk, e.Frame.Frame)
+			h.frame(e.Frame.Gateway, e.Frame.Frame)
 		case e.Result != nil:
 			h.answer(*e.Result)
 		case e.Lease != nil:
@@ -337,8 +337,8 @@
 	}
 }
 
-func (h *Host) push(desk string, news wire.News) {
-	f := h.follows[desk]
+func (h *Host) push(gateway string, news wire.News) {
+	f := h.follows[gateway]
 	if f == nil {
 		return
 	}
--- a/internal/office/malformed_test.go
+++ b/internal/office/malformed_test.go
@@ -107,7 +107,7 @@
 		{ID: "duty", Epoch: 1, Duty: &ledger.Duty{
 			Fleet: []ledger.ReplicaNote{{}, {ID: "r", Inc: "r", RoomMb: -1, Slots: -1, Told: true, Holds: []ledger.Holding{{}, {Unit: "m", SizeMb: -1}}}},
 			Gone:  []string{"", "none"}, Tickets: []ledger.Ticket{{}, {Replica: "r", Inc: "r", Step: ledger.Load}}, Settled: []ledger.Settled{{}, {Number: 1 << 63}},
-			Grants: []ledger.GrantAsk{{Replica: "r", Inc: "r", Count: 1}}, Shares: map[string]map[string]int{"r": nil, "none": {"d": -1}}, Desks: []string{""}, Forget: 1 << 63,
+			Grants: []ledger.GrantAsk{{Replica: "r", Inc: "r", Count: 1}}, Shares: map[string]map[string]int{"r": nil, "none": {"d": -1}}, Gateways: []string{""}, Forget: 1 << 63,
 		}},
 		{ID: "key", Key: &ledger.KeyChange{}},
 		{ID: "end", Key: &ledger.KeyChange{End: "x", Free: true}},
@@ -191,9 +191,9 @@
 func TestMalformedReportsEndNoOffice(t *testing.T) {
 	tr := newTrio(t)
 	for _, ev := range []Event{
-		{Report: &Reported{}}, {DeskReport: &wire.Report{}}, {Follow: &wire.Follow{}}, {Subscribe: &wire.Follow{}}, {Subscribe: &wire.Follow{Revision: 1 << 63}},
+		{Report: &Reported{}}, {GatewayReport: &wire.Report{}}, {Follow: &wire.Follow{}}, {Subscribe: &wire.Follow{}}, {Subscribe: &wire.Follow{Revision: 1 << 63}},
 		{Beat: &watch.Beat{}}, {Letter: &wire.Letter{}}, {Letter: &wire.Letter{Chain: &chain.Msg{}}}, {Unfollow: &Unfollow{}}, {Left: "none"},
-		{DeskReport: &wire.Report{Desk: "d", Arrivals: map[string]float64{"": -1e300}, InFlight: map[string]int{"": -1 << 62}, Attempts: map[string]int{"": -1}}},
+		{GatewayReport: &wire.Report{Gateway: "d", Arrivals: map[string]float64{"": -1e300}, InFlight: map[string]int{"": -1 << 62}, Attempts: map[string]int{"": -1}}},
 	} {
 		if broken := survives(tr, 0, ev); broken != "" {
 			t.Errorf("%+v: %.900s", ev, broken)
--- a/internal/office/offices_test.go
+++ b/internal/office/offices_test.go
@@ -14,7 +14,7 @@
 	return named
 }
 
-// A desk that knows only an office that is cut off learns of the others from it; the others name nobody whom they do
+// A gateway that knows only an office that is cut off learns of the others from it; the others name nobody whom they do
 // not hear.
 func TestAnOfficeThatIsCutOffNamesTheOthers(t *testing.T) {
 	for struck := range 3 {
--- a/internal/office/replicas.go
+++ b/internal/office/replicas.go
@@ -21,10 +21,10 @@
 	wakingUs       = 300 * clock.Ms
 )
 
-// Unfollow ends a desk's stream of frames.
+// Unfollow ends a gateway's stream of frames.
 type Unfollow struct {
-	Desk string
-	Inc  string
+	Gateway string
+	Inc     string
 }
 
 // told is how far another office has been told of replicas.
@@ -33,7 +33,7 @@
 	since uint64
 }
 
-// soft is an office's soft state: the replicas it has heard of, the desks that follow it, and what the
+// soft is an office's soft state: the replicas it has heard of, the gateways that follow it, and what the
 // other offices have been told.
 type soft struct {
 	Roster *roster.Roster
@@ -91,8 +91,8 @@
 		delete(c.soft.told, h.By)
 		c.soft.urgent = true
 	}
-	for _, desk := range h.Desks {
-		c.soft.Hub.Heard(nowUs, desk)
+	for _, gateway := range h.Gateways {
+		c.soft.Hub.Heard(nowUs, gateway)
 	}
 }
 
@@ -107,7 +107,7 @@
 	if due {
 		c.soft.tellUs = nowUs
 		c.soft.Roster.Sweep(nowUs)
-		heard.Desks = c.soft.Hub.Main()
+		heard.Gateways = c.soft.Hub.Main()
 	}
 	for _, p := range c.Node.Partners() {
 		if !p.Sound {
@@ -167,7 +167,7 @@
 	}
 }
 
-// offices are those that desks may follow: the ones that are heard. An office that is behind names all members of its
+// offices are those that gateways may follow: the ones that are heard. An office that is behind names all members of its
 // view as well, since the ones that it does not hear may be current.
 func (c *Core) offices(nowUs int64) []chain.Member {
 	all := []chain.Member{c.Node.Me()}
@@ -193,9 +193,9 @@
 	return all
 }
 
-// routedReport takes a desk's report, or passes it on to the controller where it came to another office.
+// routedReport takes a gateway's report, or passes it on to the controller where it came to another office.
 func (c *Core) routedReport(nowUs int64, r wire.Report) {
-	c.soft.Hub.Heard(nowUs, r.Desk)
+	c.soft.Hub.Heard(nowUs, r.Gateway)
 	if c.Node.IsHead() {
 		c.controller(controller.Event{NowUs: nowUs, Report: &r})
 	} else if head := c.Node.View().Head(); head.Addr != "" && head.ID != c.Node.Me().ID {
--- a/internal/office/web.go
+++ b/internal/office/web.go
@@ -61,7 +61,7 @@
 	rpc.ServeStream(mux, rpc.FramesPath, h.serveFrames, rpc.Encoded)
 	rpc.Serve(mux, rpc.ReadPath, h.serveRead)
 	rpc.Serve(mux, rpc.TellPath, func(_ context.Context, r *wire.Report) (*wire.Receipt, error) {
-		h.tell(Event{DeskReport: r})
+		h.tell(Event{GatewayReport: r})
 		return &wire.Receipt{}, nil
 	})
 	mux.HandleFunc("GET /v1/config", h.getConfig)
@@ -78,15 +78,15 @@
 func (h *Host) follow(ctx context.Context, f *wire.Follow, send func(*wire.News) error) error {
 	mine := &followed{latest: make(chan wire.News, 1)}
 	defer h.act.Tell(func() {
-		if h.follows[f.Desk] == mine {
-			delete(h.follows, f.Desk)
+		if h.follows[f.Gateway] == mine {
+			delete(h.follows, f.Gateway)
 		}
 	})
 	view, ran := actor.Ask(ctx, h.act, func() uint64 {
 		if !h.core.Node.Open(h.core.Node.NowUs()) {
 			return 0
 		}
-		h.follows[f.Desk] = mine
+		h.follows[f.Gateway] = mine
 		h.step(Event{Follow: f})
 		return h.core.Node.View().Number
 	})
@@ -107,7 +107,7 @@
 			}
 		case <-still.C:
 			gone, ran := actor.Ask(ctx, h.act, func() bool {
-				return h.follows[f.Desk] != mine || !h.core.Node.IsTail() || h.core.Node.View().Number < view
+				return h.follows[f.Gateway] != mine || !h.core.Node.IsTail() || h.core.Node.View().Number < view
 			})
 			if gone || !ran {
 				return fault.New(fault.NotServing, "", "no longer the tail")
--- a/internal/outlier/evidence.go
+++ b/internal/outlier/evidence.go
@@ -5,7 +5,7 @@
 	"slices"
 )
 
-// evidence is what the desks of one zone hold against one replica: one cumulative sum, and by desk what they
+// evidence is what the gateways of one zone hold against one replica: one cumulative sum, and by gateway what they
 // brought to it since it was last nothing, in parts of scale.
 type evidence struct {
 	total    float64
@@ -17,7 +17,7 @@
 	fromAttempts float64
 }
 
-// less takes off what good attempts are worth, from every desk's part alike.
+// less takes off what good attempts are worth, from every gateway's part alike.
 func (e *evidence) less(worth float64) {
 	if e.total <= worth {
 		e.total, e.scale, e.bads = 0, 1, 0
@@ -29,7 +29,7 @@
 }
 
 // fade takes off what the zone's other attempts at the replica are worth: nobody tells of them, so that they are
-// as many as its even part of what the zone's desks sent.
+// as many as its even part of what the zone's gateways sent.
 func (e *evidence) fade(s *service, zone string) {
 	e.less((s.attempts[zone] - e.attempts) / float64(max(s.replicas, 1)) * -weight(Good, 0))
 	e.attempts = s.attempts[zone]
@@ -38,22 +38,22 @@
 	}
 }
 
-// add takes one desk's report: its good attempts there answer what it said before, not what other desks say.
-func (e *evidence) add(desk string, good int, gain, most float64) {
-	had := e.gains[desk] * e.scale
+// add takes one gateway's report: its good attempts there answer what it said before, not what other gateways say.
+func (e *evidence) add(gateway string, good int, gain, most float64) {
+	had := e.gains[gateway] * e.scale
 	now := min(max(0, had+float64(good)*weight(Good, 0))+gain, most)
 	e.total = max(0, e.total+now-had)
 	if now > 0 {
-		e.gains[desk] = now / e.scale
+		e.gains[gateway] = now / e.scale
 	} else {
-		delete(e.gains, desk)
+		delete(e.gains, gateway)
 	}
 }
 
-// capped is the sum with no desk's part above most.
+// capped is the sum with no gateway's part above most.
 func (e *evidence) capped(most float64) (sum float64) {
-	for _, desk := range slices.Sorted(maps.Keys(e.gains)) {
-		sum += min(e.gains[desk]*e.scale, most)
+	for _, gateway := range slices.Sorted(maps.Keys(e.gains)) {
+		sum += min(e.gains[gateway]*e.scale, most)
 	}
 	return sum
 }
--- a/internal/outlier/fleet.go
+++ b/internal/outlier/fleet.go
@@ -5,21 +5,21 @@
 	"slices"
 )
 
-// Report is what one desk tells: Attempts are all that ended since its last, by service; Counts are of replicas
+// Report is what one gateway tells: Attempts are all that ended since its last, by service; Counts are of replicas
 // where something failed, and of those on trial.
 type Report struct {
-	Desk     string
+	Gateway  string
 	Zone     string
 	Attempts map[string]int
 	Counts   []Counts
 }
 
-// Fleet folds what all desks tell, and judges.
+// Fleet folds what all gateways tell, and judges.
 type Fleet struct {
 	opts      Options
 	services  map[string]*service
 	suspects  map[string]*suspect
-	desks     map[string]int64
+	gateways  map[string]int64
 	bornUs    int64
 	alone     bool
 	table     Table
@@ -31,7 +31,7 @@
 
 // NewFleet is a fleet of which nothing has been told.
 func NewFleet(opts Options) *Fleet {
-	return &Fleet{opts: opts.filled(), services: map[string]*service{}, suspects: map[string]*suspect{}, desks: map[string]int64{}}
+	return &Fleet{opts: opts.filled(), services: map[string]*service{}, suspects: map[string]*suspect{}, gateways: map[string]int64{}}
 }
 
 // Inherit takes the verdicts of a predecessor as this one's own: whoever was out is tried again in a while.
@@ -51,7 +51,7 @@
 // Table are the verdicts that stand, as Judge left them.
 func (f *Fleet) Table() Table { return f.table }
 
-// Kept says that a replica is kept from the desks of all zones, wholly or in part.
+// Kept says that a replica is kept from the gateways of all zones, wholly or in part.
 func (f *Fleet) Kept(replica string) bool {
 	s := f.suspects[replica]
 	return s != nil && s.verdict[""].stands()
@@ -75,13 +75,13 @@
 	return s
 }
 
-// Hear folds one desk's report; serviceOf is "" for a replica that is not known. What a desk's other attempts at
-// a replica came to is not told: they count as good, as many as the replica's even part of what the desk sent.
+// Hear folds one gateway's report; serviceOf is "" for a replica that is not known. What a gateway's other attempts at
+// a replica came to is not told: they count as good, as many as the replica's even part of what the gateway sent.
 func (f *Fleet) Hear(nowUs int64, r Report, serviceOf func(replica string) string) {
-	if len(f.desks) == 0 {
+	if len(f.gateways) == 0 {
 		f.bornUs = nowUs
 	}
-	f.desks[r.Desk] = nowUs
+	f.gateways[r.Gateway] = nowUs
 	for name, n := range r.Attempts {
 		s := f.serviceOf(name)
 		s.turn(nowUs, f)
@@ -114,7 +114,7 @@
 			gain += float64(n) * weight(class, svc.share[class])
 			sus.recent[0][class] += float64(n)
 		}
-		e.add(r.Desk, c.Good, gain, f.threshold(svc))
+		e.add(r.Gateway, c.Good, gain, f.threshold(svc))
 		for _, zone := range []string{"", r.Zone} {
 			if v := sus.verdict[zone]; v != nil && !v.out {
 				v.goods += c.Good
--- a/internal/outlier/judge.go
+++ b/internal/outlier/judge.go
@@ -6,7 +6,7 @@
 	"slices"
 )
 
-// found is a replica whose evidence has passed the threshold, for the desks of one zone or for all.
+// found is a replica whose evidence has passed the threshold, for the gateways of one zone or for all.
 type found struct {
 	replica string
 	zone    string
@@ -27,13 +27,13 @@
 	if f.table.Epoch < epoch {
 		f.table.Epoch, f.table.Number = epoch, 0
 	}
-	f.alone = len(f.desks) == 1 && nowUs-f.bornUs >= aloneUs
+	f.alone = len(f.gateways) == 1 && nowUs-f.bornUs >= aloneUs
 	for name, n := range replicas {
 		f.serviceOf(name).replicas = n
 	}
-	for desk, atUs := range f.desks {
+	for gateway, atUs := range f.gateways {
 		if nowUs-atUs > forgetUs {
-			delete(f.desks, desk)
+			delete(f.gateways, gateway)
 		}
 	}
 	for id, sus := range f.suspects {
@@ -151,7 +151,7 @@
 	}
 }
 
-// standing counts the replicas of a service that desks of a zone, or all of them, are kept from.
+// standing counts the replicas of a service that gateways of a zone, or all of them, are kept from.
 func (f *Fleet) standing(service, zone string) int {
 	n := 0
 	for _, sus := range f.suspects {
@@ -168,12 +168,12 @@
 	return n
 }
 
-// ill adds the evidence of desks. One desk's weighs no more than a share of the threshold, so that a bad
-// link of one condemns nobody; and what only desks of one zone found holds for that zone alone.
+// ill adds the evidence of gateways. One gateway's weighs no more than a share of the threshold, so that a bad
+// link of one condemns nobody; and what only gateways of one zone found holds for that zone alone.
 func (f *Fleet) ill(id string, sus *suspect) (found, bool) {
 	svc := f.serviceOf(sus.service)
 	limit := f.threshold(svc)
-	most := limit / desksLeast
+	most := limit / gatewaysLeast
 	if f.alone {
 		most = limit
 	}
--- a/internal/outlier/local.go
+++ b/internal/outlier/local.go
@@ -22,7 +22,7 @@
 	localForgetUs  = 30 * clock.Sec
 )
 
-// local is one replica as one desk sees it.
+// local is one replica as one gateway sees it.
 type local struct {
 	service string
 	sum     float64
@@ -32,7 +32,7 @@
 	counts  Counts
 }
 
-// Local is one desk's own sight of replicas: it keeps off those that failed it for a moment, whatever the
+// Local is one gateway's own sight of replicas: it keeps off those that failed it for a moment, whatever the
 // cause, and counts what the controller is told.
 type Local struct {
 	opts     Options
@@ -55,7 +55,7 @@
 }
 
 // Note takes what became of an attempt. Of is how many replicas the service has; repeated evidence against one
-// keeps this desk off it for a time that doubles, and a good attempt ends it.
+// keeps this gateway off it for a time that doubles, and a good attempt ends it.
 func (l *Local) Note(nowUs int64, service, replica string, class Class, of int) {
 	if class != Good && !class.Bad() {
 		return
@@ -155,7 +155,7 @@
 	return max(localLeast, math.Log(float64(localFalse)/(every*float64(max(of, 1)))))
 }
 
-// Off says that this desk keeps off a replica now.
+// Off says that this gateway keeps off a replica now.
 func (l *Local) Off(nowUs int64, replica string) bool {
 	if nowUs >= l.offUs {
 		return false
@@ -164,7 +164,7 @@
 	return r != nil && nowUs < r.untilUs
 }
 
-// AnyOff says that this desk keeps off some replica now.
+// AnyOff says that this gateway keeps off some replica now.
 func (l *Local) AnyOff(nowUs int64) bool { return nowUs < l.offUs }
 
 // out counts the replicas of a service that this gateway keeps off now.
--- a/internal/outlier/options.go
+++ b/internal/outlier/options.go
@@ -28,9 +28,9 @@
 	trialGoods     = 8
 	restateUs      = 10 * clock.Sec
 	forgetUs       = 60 * clock.Sec
-	// desksLeast must hold something against a replica before it is ill, where there are as many.
-	desksLeast = 2
-	aloneUs    = 10 * clock.Sec
+	// gatewaysLeast must hold something against a replica before it is ill, where there are as many.
+	gatewaysLeast = 2
+	aloneUs       = 10 * clock.Sec
 	// trialPart is the part of the threshold that sends one on trial out again: it was ill a moment ago.
 	trialPart = 4
 	// deadPart of the attempts at a replica must have failed, and deadLeast of them, for it to be taken as dead.
--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -1,5 +1,5 @@
 // Package outlier judges replicas by what became of the attempts sent to them. It is a reducer without clocks
-// or traffic of its own: desks count outcomes by class, the controller folds the counts of all desks.
+// or traffic of its own: gateways count outcomes by class, the controller folds the counts of all gateways.
 package outlier
 
 import (
@@ -103,7 +103,7 @@
 	Bad     map[string]int `json:"bad,omitempty"`
 }
 
-// Row is one verdict: Zone is that of the desks it holds for, "" for all. Share is the part of calls, in
+// Row is one verdict: Zone is that of the gateways it holds for, "" for all. Share is the part of calls, in
 // 100, that may go to the replica; where no other replica takes a call, it may go there all the same, but to a
 // Dead one: nearly all that went there failed.
 type Row struct {
@@ -145,7 +145,7 @@
 	return strings.Join(rows, "; ")
 }
 
-// In are the verdicts that hold for desks of a zone, by replica.
+// In are the verdicts that hold for gateways of a zone, by replica.
 func (t Table) In(zone string) map[string]Row {
 	if len(t.Rows) == 0 {
 		return nil
--- a/internal/outlier/outlier_test.go
+++ b/internal/outlier/outlier_test.go
@@ -16,14 +16,14 @@
 	newsUs    = 120 * clock.Ms
 )
 
-// illness is how one replica treats attempts for a while: Part of those of desks in Zone, "" for all, or of one
-// Desk, end as Class.
+// illness is how one replica treats attempts for a while: Part of those of gateways in Zone, "" for all, or of one
+// Gateway, end as Class.
 type illness struct {
-	replica      int
-	class        Class
-	part         float64
-	zone, desk   string
-	fromUs, toUs int64
+	replica       int
+	class         Class
+	part          float64
+	zone, gateway string
+	fromUs, toUs  int64
 }
 
 type seat struct {
@@ -33,7 +33,7 @@
 	rows     map[string]Row
 }
 
-// world is desks that send attempts at an even rate to the replicas of one service, and one controller.
+// world is gateways that send attempts at an even rate to the replicas of one service, and one controller.
 type world struct {
 	r        *rand.Rand
 	opts     Options
@@ -55,12 +55,12 @@
 	told    int
 }
 
-func newWorld(seed int64, desks, replicas int, perS float64, opts Options) *world {
+func newWorld(seed int64, gateways, replicas int, perS float64, opts Options) *world {
 	w := &world{r: rand.New(rand.NewSource(seed)), opts: opts, perS: perS, common: map[Class]float64{}, fleet: NewFleet(opts), outUs: map[string]int64{}}
 	for i := range replicas {
 		w.replicas = append(w.replicas, fmt.Sprintf("r%03d", i))
 	}
-	for i := range desks {
+	for i := range gateways {
 		w.seats = append(w.seats, &seat{id: fmt.Sprintf("d%02d", i), zone: string(rune('a' + i%3)), local: NewLocal(opts), toldUs: int64(i) * 10 * clock.Ms})
 	}
 	return w
@@ -95,7 +95,7 @@
 				if len(counts) > 0 {
 					w.tellers++
 				}
-				w.fleet.Hear(w.nowUs, Report{Desk: s.id, Zone: s.zone, Attempts: attempts, Counts: counts}, w.lives)
+				w.fleet.Hear(w.nowUs, Report{Gateway: s.id, Zone: s.zone, Attempts: attempts, Counts: counts}, w.lives)
 			}
 		}
 		if w.fleet.Judge(w.nowUs, 1, map[string]int{"s": len(w.replicas)}, func(string) bool { return true }) {
@@ -107,7 +107,7 @@
 	}
 }
 
-// look notes who is kept off, and for how long the desks of how many zones.
+// look notes who is kept off, and for how long the gateways of how many zones.
 func (w *world) look() {
 	for _, zone := range []string{"a", "b", "c"} {
 		out := w.fleet.Table().In(zone)
@@ -138,7 +138,7 @@
 		draw -= w.common[c]
 	}
 	for _, ill := range w.ills {
-		if ill.replica == at && w.nowUs >= ill.fromUs && w.nowUs < ill.toUs && (ill.zone == "" || ill.zone == s.zone) && (ill.desk == "" || ill.desk == s.id) && w.r.Float64() < ill.part {
+		if ill.replica == at && w.nowUs >= ill.fromUs && w.nowUs < ill.toUs && (ill.zone == "" || ill.zone == s.zone) && (ill.gateway == "" || ill.gateway == s.id) && w.r.Float64() < ill.part {
 			class = ill.class
 		}
 	}
@@ -163,17 +163,17 @@
 	return n
 }
 
-// sizes are a small deployment and two large ones: desks, replicas, attempts a second.
+// sizes are a small deployment and two large ones: gateways, replicas, attempts a second.
 var sizes = []struct {
-	desks, replicas int
-	perS            float64
+	gateways, replicas int
+	perS               float64
 }{{3, 9, 60}, {8, 12, 150}, {58, 60, 183}, {63, 140, 850}}
 
 // checkIll says what is wrong with how a seventh of the replicas is dealt with that fails in one way from
 // 10 s to 25 s: what fails of all attempts in the last 10 s of that, who is out that is well, and who still
 // is 17 s after its end.
-func checkIll(seed int64, desks, replicas int, perS float64, class Class, part float64, opts Options) (string, float64) {
-	w := newWorld(seed, desks, replicas, perS, opts)
+func checkIll(seed int64, gateways, replicas int, perS float64, class Class, part float64, opts Options) (string, float64) {
+	w := newWorld(seed, gateways, replicas, perS, opts)
 	ill := max(1, replicas/7)
 	for i := range ill {
 		w.ills = append(w.ills, illness{replica: i, class: class, part: part, fromUs: 10 * clock.Sec, toUs: 25 * clock.Sec})
@@ -206,13 +206,13 @@
 			class Class
 			part  float64
 		}{{ErrorAnswer, 0.4}, {Silence, 1}, {Slow, 1}} {
-			for seed := range 2 - int64(size.desks)/50 {
-				wrong, share := checkIll(seed, size.desks, size.replicas, size.perS, c.class, c.part, Options{})
+			for seed := range 2 - int64(size.gateways)/50 {
+				wrong, share := checkIll(seed, size.gateways, size.replicas, size.perS, c.class, c.part, Options{})
 				if wrong != "" {
-					t.Errorf("%d desks, %d replicas, %s, seed %d: %s", size.desks, size.replicas, c.class, seed, wrong)
+					t.Errorf("%d gateways, %d replicas, %s, seed %d: %s", size.gateways, size.replicas, c.class, seed, wrong)
 				}
 				if seed == 0 {
-					t.Logf("%d desks, %d replicas, %s for %.0f%%: %.2f%% of all attempts failed, %.2f%% without", size.desks, size.replicas, c.class, 100*c.part, 100*share,
+					t.Logf("%d gateways, %d replicas, %s for %.0f%%: %.2f%% of all attempts failed, %.2f%% without", size.gateways, size.replicas, c.class, 100*c.part, 100*share,
 						100*c.part*float64(max(1, size.replicas/7))/float64(size.replicas))
 				}
 			}
@@ -244,20 +244,20 @@
 
 func TestOneBadLinkCondemnsNobody(t *testing.T) {
 	for _, size := range sizes {
-		w := newWorld(5, size.desks, size.replicas, size.perS, Options{})
+		w := newWorld(5, size.gateways, size.replicas, size.perS, Options{})
 		for i := range w.replicas {
-			w.ills = append(w.ills, illness{replica: i, class: Silence, part: 1, desk: "d01", toUs: 60 * clock.Sec})
+			w.ills = append(w.ills, illness{replica: i, class: Silence, part: 1, gateway: "d01", toUs: 60 * clock.Sec})
 		}
 		w.run(60 * clock.Sec)
 		if w.outMost > 0 {
-			t.Errorf("%d desks: one desk that reaches nobody had %d replicas taken out", size.desks, w.outMost)
+			t.Errorf("%d gateways: one gateway that reaches nobody had %d replicas taken out", size.gateways, w.outMost)
 		}
 	}
 }
 
 func TestWhatFailsForOneZoneIsKeptFromThatZone(t *testing.T) {
 	for _, size := range sizes[2:] {
-		w := newWorld(6, size.desks, size.replicas, size.perS, Options{})
+		w := newWorld(6, size.gateways, size.replicas, size.perS, Options{})
 		w.ills = append(w.ills, illness{replica: 0, class: ErrorAnswer, part: 0.5, zone: "b", toUs: 60 * clock.Sec})
 		w.run(20 * clock.Sec)
 		seen := map[string]bool{}
@@ -268,7 +268,7 @@
 			}
 		}
 		if len(seen) != 1 || !seen["r000 b"] {
-			t.Errorf("%d desks: verdicts on %v, want r000 for zone b alone", size.desks, seen)
+			t.Errorf("%d gateways: verdicts on %v, want r000 for zone b alone", size.gateways, seen)
 		}
 	}
 }
@@ -277,7 +277,7 @@
 func TestTheFleetIsNotEmptied(t *testing.T) {
 	for _, size := range sizes {
 		for _, part := range []float64{0.3, 1} {
-			w := newWorld(7, size.desks, size.replicas, size.perS, Options{})
+			w := newWorld(7, size.gateways, size.replicas, size.perS, Options{})
 			for i := range w.replicas[:size.replicas*4/5] {
 				w.ills = append(w.ills, illness{replica: i, class: Silence, part: part, fromUs: 10 * clock.Sec, toUs: 40 * clock.Sec})
 			}
@@ -303,7 +303,7 @@
 			outUs := int64(0)
 			ms := 0
 			const spanUs = 60 * clock.Sec
-			w := newWorld(8, size.desks, size.replicas, size.perS, Options{})
+			w := newWorld(8, size.gateways, size.replicas, size.perS, Options{})
 			w.common[c.class] = c.part
 			w.run(spanUs)
 			for _, us := range w.outUs {
@@ -311,7 +311,7 @@
 				ms++
 			}
 			part := float64(outUs) / float64(spanUs) / float64(size.replicas)
-			t.Logf("%d desks, %d replicas, all fail %.1f%% by %s: %d were out, %.3f%% of their time; %d of %d reports told of it", size.desks, size.replicas, 100*c.part, c.class, ms, 100*part, w.tellers, w.told)
+			t.Logf("%d gateways, %d replicas, all fail %.1f%% by %s: %d were out, %.3f%% of their time; %d of %d reports told of it", size.gateways, size.replicas, 100*c.part, c.class, ms, 100*part, w.tellers, w.told)
 			if part > 0.01 {
 				t.Errorf("%d replicas, %s in %.1f%%: sound ones were out for %.2f%% of their time", size.replicas, c.class, 100*c.part, 100*part)
 			}
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -101,8 +101,8 @@
 	return float64(sorted[min(len(sorted)-1, int(float64(len(sorted))*part))]) / 1000
 }
 
-// Play sends the calls to a desk at their pace times a factor and waits for all of them.
-func Play(ctx context.Context, client *http.Client, desk string, calls []Call, pace float64) []Row {
+// Play sends the calls to a gateway at their pace times a factor and waits for all of them.
+func Play(ctx context.Context, client *http.Client, gateway string, calls []Call, pace float64) []Row {
 	rows := map[string]*Row{}
 	var mu sync.Mutex
 	var group sync.WaitGroup
@@ -120,7 +120,7 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			code, firstUs := send(ctx, client, desk, c)
+			code, firstUs := send(ctx, client, gateway, c)
 			mu.Lock()
 			defer mu.Unlock()
 			row := rows[c.Kind]
@@ -148,8 +148,8 @@
 }
 
 // send returns an empty code for a call that ended well.
-func send(ctx context.Context, client *http.Client, desk string, c Call) (code string, firstUs int64) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+desk+callsPath, strings.NewReader(c.Body))
+func send(ctx context.Context, client *http.Client, gateway string, c Call) (code string, firstUs int64) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+gateway+callsPath, strings.NewReader(c.Body))
 	if err != nil {
 		return "unreached", 0
 	}
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -63,7 +63,7 @@
 func TestOutcomesAreSummedByKind(t *testing.T) {
 	var mu sync.Mutex
 	n := 0
-	desk := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	gateway := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		mu.Lock()
 		n++
 		at := n
@@ -80,12 +80,12 @@
 			_, _ = w.Write([]byte("id: 1\nevent: piece\ndata: {\"text\":\"x\"}\n\nevent: end\ndata: {\"pieces\":1}\n\n"))
 		}
 	}))
-	defer desk.Close()
+	defer gateway.Close()
 	calls := []Call{}
 	for i := 0; i < 16; i++ {
 		calls = append(calls, Call{Kind: "fixes", Body: "{}"})
 	}
-	rows := Play(context.Background(), http.DefaultClient, strings.TrimPrefix(desk.URL, "http://"), calls, 1)
+	rows := Play(context.Background(), http.DefaultClient, strings.TrimPrefix(gateway.URL, "http://"), calls, 1)
 	if len(rows) != 1 || rows[0].Calls != 16 || rows[0].Ended != 4 || rows[0].Codes["overloaded"] != 4 || rows[0].Codes["broken"] != 4 || rows[0].Codes["cut"] != 4 {
 		t.Fatalf("%+v", rows)
 	}
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -8,7 +8,7 @@
 	"petreltide/internal/wire"
 )
 
-// Zipping each answer by itself took two fifths of an office's time at 63 desks: a frame is zipped once, and
+// Zipping each answer by itself took two fifths of an office's time at 63 gateways: a frame is zipped once, and
 // what is small not at all.
 func TestFramesAreZippedOnceAndReadBack(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -71,8 +71,8 @@
 	SelfMembers    Members = "self"
 )
 
-// Attempts says by which ticket a desk sends: numbers that the controller granted under a lease, or the
-// declaration in force as a standing ticket, which a desk cut off from the core goes on with.
+// Attempts says by which ticket a gateway sends: numbers that the controller granted under a lease, or the
+// declaration in force as a standing ticket, which a gateway cut off from the core goes on with.
 type Attempts string
 
 // GrantedAttempts want a lease, DeclaredAttempts only a configuration.
@@ -81,7 +81,7 @@
 	DeclaredAttempts Attempts = "declared"
 )
 
-// Budget bounds the further attempts of all desks together, for each service: Ratio of its calls plus Slack in
+// Budget bounds the further attempts of all gateways together, for each service: Ratio of its calls plus Slack in
 // every span of WindowMs.
 type Budget struct {
 	Ratio    float64 `json:"ratio,omitempty" validate:"min=0,max=10"`
@@ -97,8 +97,8 @@
 	Gaps    int64 `json:"gaps,omitempty" validate:"min=0,max=1000"`
 }
 
-// Desk are the settings of a gateway. Times are milliseconds, addresses IP:port.
-type Desk struct {
+// Gateway are the settings of a gateway. Times are milliseconds, addresses IP:port.
+type Gateway struct {
 	Name      string   `json:"name" validate:"required,max=64,hostname_rfc1123"`
 	Listen    string   `json:"listen" validate:"required"`
 	Advertise string   `json:"advertise"`
@@ -114,7 +114,7 @@
 	Patience Patience `json:"patience,omitempty"`
 	// LingerMs is how long new connections are still taken after SIGTERM, until nobody sends them here.
 	LingerMs int64 `json:"lingerMs,omitempty" validate:"min=0,max=3600000"`
-	// ConnectionsMost bounds this desk's connections to all replicas together.
+	// ConnectionsMost bounds this gateway's connections to all replicas together.
 	ConnectionsMost int     `json:"connectionsMost,omitempty" validate:"min=0"`
 	MemoryMb        int     `json:"memoryMb,omitempty" validate:"min=0"`
 	Outlier         Outlier `json:"outlier,omitempty"`
@@ -155,7 +155,7 @@
 }
 
 // Check fills in the advertised address and returns all that is wrong, nil for nothing.
-func (d *Desk) Check() *fault.Fault {
+func (d *Gateway) Check() *fault.Fault {
 	sheet := standing.Struct(fault.BadSettings, d)
 	d.Advertise = reached(sheet, d.Listen, d.Advertise)
 	addresses(sheet, d.Listen, d.Seeds)
--- a/internal/standing/bare.go
+++ b/internal/standing/bare.go
@@ -13,7 +13,7 @@
 	return fmt.Sprintf("%x", h.Sum(nil))
 }
 
-// Bare is the declaration without the operator's own text, as desks need it.
+// Bare is the declaration without the operator's own text, as gateways need it.
 func (d *Declaration) Bare() *Declaration {
 	n := *d
 	n.Index = nil
@@ -23,7 +23,7 @@
 	return n.Indexed()
 }
 
-// Bare is the edit without the operator's own text, as desks need it.
+// Bare is the edit without the operator's own text, as gateways need it.
 func (e *Edit) Bare() *Edit {
 	n := *e
 	n.Routes = routesWithoutSource(e.Routes)
--- a/internal/subscriber/fold.go
+++ b/internal/subscriber/fold.go
@@ -73,16 +73,16 @@
 }
 
 func (m *Mirror) foldRest() (changed bool) {
-	desks := 0
+	gateways := 0
 	for _, s := range m.wholeSources() {
 		if s.ordersAt > m.ordersAt || (m.orders == nil && s.orders != nil) {
 			m.reorder(s)
 			changed = true
 		}
-		desks = max(desks, s.desks)
+		gateways = max(gateways, s.gateways)
 	}
-	changed = changed || desks != m.desks
-	m.desks = desks
+	changed = changed || gateways != m.gateways
+	m.gateways = gateways
 	return changed
 }
 
--- a/internal/subscriber/mirror.go
+++ b/internal/subscriber/mirror.go
@@ -16,8 +16,8 @@
 	mirrorSilentUs = 1300 * clock.Ms
 	mirrorTryUs    = 300 * clock.Ms
 	mirrorShyUs    = 1000 * clock.Ms
-	// mirrorFirstUs is how long an office is left alone that did not answer a desk without a declaration, and how
-	// often such a desk tries: it holds its callers meanwhile.
+	// mirrorFirstUs is how long an office is left alone that did not answer a gateway without a declaration, and how
+	// often such a gateway tries: it holds its callers meanwhile.
 	mirrorFirstUs  = 100 * clock.Ms
 	mirrorReportUs = 250 * clock.Ms
 	mirrorEachUs   = 3 * clock.Ms
@@ -71,10 +71,10 @@
 	// orders by replica; the map is replaced, never changed.
 	orders   map[string]wire.OrderAhead
 	ordersAt uint64
-	desks    int
+	gateways int
 }
 
-// Mirror keeps what a desk knows by the frames of two offices at once, so that the loss of one costs no
+// Mirror keeps what a gateway knows by the frames of two offices at once, so that the loss of one costs no
 // time. Without any it goes on with what it last knew. Revisions only rise.
 type Mirror struct {
 	opts    Options
@@ -98,7 +98,7 @@
 	best     map[string]wire.ReplicaRow
 	orders   map[string]wire.OrderAhead
 	ordersAt uint64
-	desks    int
+	gateways int
 	outliers outlier.Table
 	ids      []string
 	snap     *dispatch.Snapshot
@@ -131,7 +131,7 @@
 // View is the newest view of the chain that an office told.
 func (m *Mirror) View() chain.View { return m.view }
 
-// Live counts the offices that push to this desk now.
+// Live counts the offices that push to this gateway now.
 func (m *Mirror) Live() int {
 	n := 0
 	for _, s := range m.sources {
@@ -161,7 +161,7 @@
 	return m.effects
 }
 
-// unlessFirst is a span, or mirrorFirstUs as long as this desk has no declaration.
+// unlessFirst is a span, or mirrorFirstUs as long as this gateway has no declaration.
 func (m *Mirror) unlessFirst(us int64) int64 {
 	if m.doc == nil {
 		return mirrorFirstUs
@@ -214,7 +214,7 @@
 	if f.Orders != nil {
 		s.order(f.Orders, f.Whole)
 	}
-	s.desks = f.Desks
+	s.gateways = f.Gateways
 	revision := m.revision
 	if !m.configured(f) {
 		m.drop(nowUs, s)
@@ -254,7 +254,7 @@
 	s.orders, s.ordersAt = next, o.Number
 }
 
-// configured lays a frame's declaration or edits on what this desk has; false where some are missing.
+// configured lays a frame's declaration or edits on what this gateway has; false where some are missing.
 func (m *Mirror) configured(f *wire.Frame) bool {
 	if f.Revision <= m.revision {
 		return true
--- a/internal/subscriber/mirror_test.go
+++ b/internal/subscriber/mirror_test.go
@@ -21,7 +21,7 @@
 	"petreltide/internal/wire"
 )
 
-// core is one office as desks see it: its ledger, which may lag, its roster and its hub.
+// core is one office as gateways see it: its ledger, which may lag, its roster and its hub.
 type core struct {
 	addr    string
 	state   *ledger.State
@@ -59,7 +59,7 @@
 	*c = core{addr: c.addr, state: back, applied: c.applied, roster: roster.New(3 * clock.Sec), hub: feed.NewHub(), view: c.view}
 }
 
-// screen is a desk's mirror with its streams to the offices; frames travel as JSON.
+// screen is a gateway's mirror with its streams to the offices; frames travel as JSON.
 type screen struct {
 	t       *testing.T
 	m       *Mirror
@@ -72,14 +72,14 @@
 	fell    string
 }
 
-func newScreen(t *testing.T, desk string, cores ...*core) *screen {
+func newScreen(t *testing.T, gateway string, cores ...*core) *screen {
 	s := &screen{t: t, cores: map[string]*core{}, streams: map[uint64]*core{}, down: map[string]bool{}}
 	addrs := []string{}
 	for _, c := range cores {
 		s.cores[c.addr] = c
 		addrs = append(addrs, c.addr)
 	}
-	s.m = NewMirror(Options{Desk: desk, Inc: "i", Seeds: addrs})
+	s.m = NewMirror(Options{Gateway: gateway, Inc: "i", Seeds: addrs})
 	return s
 }
 
@@ -109,7 +109,7 @@
 
 func (s *screen) hangUp(stream uint64) {
 	if c := s.streams[stream]; c != nil {
-		c.hub.Unfollow(s.m.opts.Desk, "i")
+		c.hub.Unfollow(s.m.opts.Gateway, "i")
 		delete(s.streams, stream)
 	}
 }
@@ -216,10 +216,10 @@
 	c.write(ledger.Change{Duty: &ledger.Duty{Tickets: []ledger.Ticket{t}}})
 }
 
-var asDesksSee = cmp.Options{cmpopts.IgnoreFields(dispatch.Snapshot{}, "Number", "AtUs"), cmpopts.IgnoreFields(standing.Declaration{}, "Index"), cmpopts.EquateEmpty()}
+var asGatewaysSee = cmp.Options{cmpopts.IgnoreFields(dispatch.Snapshot{}, "Number", "AtUs"), cmpopts.IgnoreFields(standing.Declaration{}, "Index"), cmpopts.EquateEmpty()}
 
 // Differences fold to what a whole frame says, whichever streams are lost, however far an office lags
-// and whenever one restarts; what a desk goes by never goes back.
+// and whenever one restarts; what a gateway goes by never goes back.
 func TestSeededFramesFoldToTheWhole(t *testing.T) {
 	frames, opened, edits := 0, 0, 0
 	for seed := int64(0); seed < 150; seed++ {
@@ -320,8 +320,8 @@
 		if s.m.Live() != 2 || fresh.snap == nil {
 			t.Fatalf("seed %d: %d streams are live", seed, s.m.Live())
 		}
-		fresh.snap.Desks = s.snap.Desks
-		if diff := cmp.Diff(fresh.snap, s.snap, asDesksSee...); diff != "" {
+		fresh.snap.Gateways = s.snap.Gateways
+		if diff := cmp.Diff(fresh.snap, s.snap, asGatewaysSee...); diff != "" {
 			t.Fatalf("seed %d: whole and in parts differ: %s", seed, diff)
 		}
 		if s.snap.Revision != c.head.Revision || s.snap.Doc.Version != c.version {
@@ -391,7 +391,7 @@
 		"one that does not fit":   {&wire.Frame{Revision: 6, From: 5, Edits: []*standing.Edit{{Version: 9, Routes: []standing.Route{route("a", 2), route("a", 3)}}}}, 5, 1, true},
 		"a whole one instead":     {&wire.Frame{Revision: 9, Doc: &standing.Declaration{Version: 9, Routes: []standing.Route{route("a", 4)}}}, 9, 4, false},
 	} {
-		m := NewMirror(Options{Desk: "d", Seeds: []string{"one"}})
+		m := NewMirror(Options{Gateway: "d", Seeds: []string{"one"}})
 		stream := uint64(0)
 		closed := false
 		step := func(ev MirrorEvent) {
@@ -444,7 +444,7 @@
 		"stale at both":                   {row(0, stale), row(0, stale), at(0, func(n *wire.ReplicaNews) { n.Stale = true })},
 	} {
 		for turn := range 2 {
-			m := NewMirror(Options{Desk: "d", Seeds: []string{"one", "two"}})
+			m := NewMirror(Options{Gateway: "d", Seeds: []string{"one", "two"}})
 			streams := []uint64{}
 			var snap *dispatch.Snapshot
 			step := func(ev MirrorEvent) {
@@ -480,16 +480,16 @@
 	}
 }
 
-// At 63 desks a rise of demand was told three quarters of a second apart, and a model's calls had doubled by
-// the time its next copies were asked for; at 400 desks reports must still not crowd the one who reads them.
+// At 63 gateways a rise of demand was told three quarters of a second apart, and a model's calls had doubled by
+// the time its next copies were asked for; at 400 gateways reports must still not crowd the one who reads them.
 func TestReportsComeOftenEnoughToSeeARise(t *testing.T) {
-	for _, c := range []struct{ desks, least, most int }{{9, 30, 40}, {63, 20, 30}, {400, 5, 10}} {
-		m := NewMirror(Options{Desk: "d", Seeds: []string{"one"}})
+	for _, c := range []struct{ gateways, least, most int }{{9, 30, 40}, {63, 20, 30}, {400, 5, 10}} {
+		m := NewMirror(Options{Gateway: "d", Seeds: []string{"one"}})
 		stream, reports := uint64(0), 0
 		for us := clock.Sec; us < 11*clock.Sec; us += 10 * clock.Ms {
 			ev := MirrorEvent{NowUs: us}
 			if stream > 0 && us%(200*clock.Ms) == 0 {
-				ev.Stream, ev.Frame = stream, &wire.Frame{Whole: true, Desks: c.desks}
+				ev.Stream, ev.Frame = stream, &wire.Frame{Whole: true, Gateways: c.gateways}
 			}
 			for _, e := range m.Step(ev) {
 				if e.Open != nil {
@@ -501,13 +501,13 @@
 			}
 		}
 		if reports < c.least || reports > c.most {
-			t.Errorf("%d desks: %d reports in 10 s, want %d to %d", c.desks, reports, c.least, c.most)
+			t.Errorf("%d gateways: %d reports in 10 s, want %d to %d", c.gateways, reports, c.least, c.most)
 		}
 	}
 }
 
-// A desk whose machine comes back before those of the offices was refused by each, and left each alone for a second.
-func TestADeskThatStartsBeforeTheOfficesMeetsThemAtOnce(t *testing.T) {
+// A gateway whose machine comes back before those of the offices was refused by each, and left each alone for a second.
+func TestAGatewayThatStartsBeforeTheOfficesMeetsThemAtOnce(t *testing.T) {
 	cores := []*core{newCore("a"), newCore("b"), newCore("c")}
 	c := &chronicle{r: rand.New(rand.NewSource(1)), head: ledger.NewState()}
 	c.config()
@@ -539,7 +539,7 @@
 }
 
 // One that has a declaration serves with it, and leaves an office alone that does not answer.
-func TestADeskWithADeclarationLeavesAnOfficeThatIsDownAlone(t *testing.T) {
+func TestAGatewayWithADeclarationLeavesAnOfficeThatIsDownAlone(t *testing.T) {
 	cores := []*core{newCore("a"), newCore("b"), newCore("c")}
 	c := &chronicle{r: rand.New(rand.NewSource(1)), head: ledger.NewState()}
 	c.config()
--- a/internal/subscriber/publish.go
+++ b/internal/subscriber/publish.go
@@ -13,7 +13,7 @@
 func (m *Mirror) publish(nowUs int64) {
 	m.number++
 	snap := &dispatch.Snapshot{
-		Number: m.number, View: m.view.Number, Revision: m.revision, Doc: m.doc, AtUs: nowUs, Desks: m.desks,
+		Number: m.number, View: m.view.Number, Revision: m.revision, Doc: m.doc, AtUs: nowUs, Gateways: m.gateways,
 		Trials: m.outliers.In(m.opts.Zone),
 	}
 	if m.snap != nil {
--- a/internal/subscriber/streams.go
+++ b/internal/subscriber/streams.go
@@ -17,7 +17,7 @@
 		}
 	}
 	if len(m.outliers.Rows) > 0 && nowUs-m.judgedUs > verdictLostUs {
-		// Nobody upholds these verdicts any more: this desk goes by its own sight.
+		// Nobody upholds these verdicts any more: this gateway goes by its own sight.
 		m.outliers.Rows = nil
 		if m.snap != nil {
 			m.publish(nowUs)
@@ -31,7 +31,7 @@
 	m.report(nowUs, urgent)
 }
 
-// open takes the next office in this desk's own order, so that desks spread over offices.
+// open takes the next office in this gateway's own order, so that gateways spread over offices.
 func (m *Mirror) open(nowUs int64) {
 	m.triedUs = nowUs
 	taken := map[string]bool{}
@@ -57,12 +57,12 @@
 		main = true
 		m.sources[m.streams] = &source{stream: m.streams, addr: addr, spare: spare, heardUs: nowUs, rows: map[string]wire.ReplicaRow{}}
 		m.do(MirrorEffect{Open: &Stream{Number: m.streams, Addr: addr, Ask: wire.Follow{
-			Desk: m.opts.Desk, Inc: m.opts.Inc, Addr: m.opts.Addr, Zone: m.opts.Zone, Revision: m.revision, Spare: spare,
+			Gateway: m.opts.Gateway, Inc: m.opts.Inc, Addr: m.opts.Addr, Zone: m.opts.Zone, Revision: m.revision, Spare: spare,
 		}}})
 	}
 }
 
-// own is the office of this desk's own zone, if one is known that may be asked.
+// own is the office of this gateway's own zone, if one is known that may be asked.
 func (m *Mirror) own(nowUs int64) string {
 	for _, id := range slices.Sorted(maps.Keys(m.offices)) {
 		if o := m.offices[id]; o.Zone != "" && o.Zone == m.opts.Zone && nowUs >= m.shyUs[o.Addr] && !m.wasBehind(nowUs, o.Addr, mirrorBehindNearUs) {
@@ -72,7 +72,7 @@
 	return ""
 }
 
-// nearer lets the office of this desk's own zone be the main one, a stream at a time: what goes over a
+// nearer lets the office of this gateway's own zone be the main one, a stream at a time: what goes over a
 // spare stream is little, and the rest then need not cross zones.
 func (m *Mirror) nearer(nowUs int64) {
 	own := m.own(nowUs)
@@ -103,7 +103,7 @@
 	}
 }
 
-// rank is this desk's own order of the offices: those of its zone, then by lot.
+// rank is this gateway's own order of the offices: those of its zone, then by lot.
 func (m *Mirror) rank(addr string) uint64 {
 	for _, o := range m.offices {
 		if o.Addr == addr && o.Zone == m.opts.Zone {
@@ -111,7 +111,7 @@
 		}
 	}
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(m.opts.Desk + "|" + addr))
+	_, _ = h.Write([]byte(m.opts.Gateway + "|" + addr))
 	x := h.Sum64()
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
@@ -122,7 +122,7 @@
 	if urgent {
 		m.urgentUs = nowUs
 	}
-	spanUs := mirrorReportUs + mirrorEachUs*int64(m.desks)
+	spanUs := mirrorReportUs + mirrorEachUs*int64(m.gateways)
 	if m.failing {
 		spanUs = min(spanUs, mirrorFailUs)
 	}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -47,14 +47,14 @@
 
 // Options are who the subscriber is and where it asks first.
 type Options struct {
-	Desk  string
-	Inc   string
-	Addr  string
-	Zone  string
-	Seeds []string
+	Gateway string
+	Inc     string
+	Addr    string
+	Zone    string
+	Seeds   []string
 }
 
-// Subscriber finds the open tail, follows its news and keeps the desk's lease. Seeds are only a
+// Subscriber finds the open tail, follows its news and keeps the gateway's lease. Seeds are only a
 // first contact: from then on it asks the offices it has met.
 type Subscriber struct {
 	opts     Options
@@ -172,7 +172,7 @@
 	}
 	if nowUs-l.beatUs >= watch.BeatUs && len(l.ring) > 0 {
 		l.beatUs = nowUs
-		named := watch.Named(l.ring, l.opts.Desk)
+		named := watch.Named(l.ring, l.opts.Gateway)
 		l.effects = append(l.effects, Effect{Beats: named, Farewells: watch.Left(l.named, named)})
 		l.named = named
 	}
@@ -183,7 +183,7 @@
 	if tail.Addr != "" && !l.open && nowUs-l.triedUs >= followUs {
 		l.triedUs, l.tail, l.open = nowUs, tail, true
 		l.follow++
-		ask := wire.Follow{Desk: l.opts.Desk, Inc: l.opts.Inc, Addr: l.opts.Addr, Zone: l.opts.Zone}
+		ask := wire.Follow{Gateway: l.opts.Gateway, Inc: l.opts.Inc, Addr: l.opts.Addr, Zone: l.opts.Zone}
 		if l.snap != nil {
 			ask.Revision, ask.Number = l.snap.Revision, l.snap.Number
 		}
--- a/internal/subscriber/verdict_test.go
+++ b/internal/subscriber/verdict_test.go
@@ -10,9 +10,9 @@
 	"petreltide/internal/roster"
 )
 
-// A verdict reaches a desk with the next frame and goes only when it is taken back, or when nobody upholds
+// A verdict reaches a gateway with the next frame and goes only when it is taken back, or when nobody upholds
 // it; an office that lags undoes nothing.
-func TestVerdictsOnReplicasReachDesksInOrder(t *testing.T) {
+func TestVerdictsOnReplicasReachGatewaysInOrder(t *testing.T) {
 	r := rand.New(rand.NewSource(3))
 	c := &chronicle{r: r, head: ledger.NewState()}
 	c.config()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -14,8 +14,8 @@
 	"petreltide/internal/fault"
 )
 
-// Options bound the kept connections of one desk. IdleUs is how long one may lie idle where the replica
-// does not say; PerReplicaMost is asked for each replica, as shares change with the number of desks.
+// Options bound the kept connections of one gateway. IdleUs is how long one may lie idle where the replica
+// does not say; PerReplicaMost is asked for each replica, as shares change with the number of gateways.
 type Options struct {
 	Local          net.IP
 	DialUs         int64
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -12,7 +12,7 @@
 	"petreltide/internal/standing"
 )
 
-// Frame is one push of differences from an office down a desk's stream. The first of a stream is whole.
+// Frame is one push of differences from an office down a gateway's stream. The first of a stream is whole.
 // Revision and the declaration or the edits that lead to it come together; From is where the edits begin.
 type Frame struct {
 	Office  string `json:"office"`
@@ -28,7 +28,7 @@
 	Edits    []*standing.Edit      `json:"edits,omitempty"`
 	Replicas []ReplicaRow          `json:"replicas,omitempty"`
 	Orders   *Orders               `json:"orders,omitempty"`
-	Desks    int                   `json:"desks,omitempty"`
+	Gateways int                   `json:"desks,omitempty"`
 	// Outliers are the verdicts on replicas, where they have changed.
 	Outliers *outlier.Table `json:"outliers,omitempty"`
 
@@ -65,7 +65,7 @@
 
 const zipLeast = 512
 
-// Encoded is the frame as JSON, zipped where that is worthwhile: written once however many desks it goes
+// Encoded is the frame as JSON, zipped where that is worthwhile: written once however many gateways it goes
 // to. It must not change after.
 func (f *Frame) Encoded() ([]byte, error) {
 	f.encode.Do(func() {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 	"petreltide/internal/watch"
 )
 
-// News is numbered by the ledger index that last touched what desks act on.
+// News is numbered by the ledger index that last touched what gateways act on.
 type News struct {
 	Number   uint64                `json:"number"`
 	View     uint64                `json:"view"`
@@ -42,7 +42,7 @@
 
 // Follow asks a core node for a stream. Revision and Number are what the gateway knows already.
 type Follow struct {
-	Desk     string `json:"desk"`
+	Gateway  string `json:"desk"`
 	Inc      string `json:"inc"`
 	Addr     string `json:"addr"`
 	Zone     string `json:"zone"`
@@ -55,7 +55,7 @@
 // Report is what a gateway tells a core node, and asks a lease with. Arrivals (a second) and Waiting are by unit, InFlight
 // by replica and Left by "replica|unit"; SentUs is by the gateway's own clock.
 type Report struct {
-	Desk     string             `json:"desk"`
+	Gateway  string             `json:"desk"`
 	Inc      string             `json:"inc"`
 	Addr     string             `json:"addr"`
 	Zone     string             `json:"zone"`
@@ -130,14 +130,14 @@
 	Outlier   *outlier.Table `json:"outlier,omitempty"`
 }
 
-// Heard is what an office has heard of replicas and desks, told to the other offices. Wants asks for
+// Heard is what an office has heard of replicas and gateways, told to the other offices. Wants asks for
 // all rows again.
 type Heard struct {
-	By    string        `json:"by"`
-	Inc   string        `json:"inc"`
-	Notes []roster.Note `json:"notes,omitempty"`
-	Wants bool          `json:"wants,omitempty"`
-	Desks []string      `json:"desks,omitempty"`
+	By       string        `json:"by"`
+	Inc      string        `json:"inc"`
+	Notes    []roster.Note `json:"notes,omitempty"`
+	Wants    bool          `json:"wants,omitempty"`
+	Gateways []string      `json:"desks,omitempty"`
 	// Confirm names replicas that leave: whoever knows of it says so.
 	Confirm []string `json:"confirm,omitempty"`
 }
--- a/proofs/callers/callers.go
+++ b/proofs/callers/callers.go
@@ -10,14 +10,14 @@
 	"strings"
 
 	"petreltide/internal/clock"
-	"petreltide/internal/desk"
 	"petreltide/internal/fault"
+	"petreltide/internal/gateway"
 	"petreltide/proofs/rules"
 )
 
-// Ask sends one attempt to one desk and notes all the caller sees.
-func Ask(ctx context.Context, client *http.Client, addr string, ask desk.CallAsk, key string, t rules.Told) rules.Told {
-	t.Desk, t.StartUs, t.Key = addr, clock.NowUs(), key
+// Ask sends one attempt to one gateway and notes all the caller sees.
+func Ask(ctx context.Context, client *http.Client, addr string, ask gateway.CallAsk, key string, t rules.Told) rules.Told {
+	t.Gateway, t.StartUs, t.Key = addr, clock.NowUs(), key
 	t.Kind, t.Model, t.Adapter, t.Prompt, t.MostOut, t.Had = ask.Kind, ask.Model, ask.Adapter, ask.Prompt, ask.MostOut, len(ask.Had)
 	raw, err := json.Marshal(ask)
 	if err != nil {
--- a/proofs/capacity/axes.go
+++ b/proofs/capacity/axes.go
@@ -27,10 +27,10 @@
 func Part(share float64) Size {
 	scaled := func(n, least int) int { return max(least, int(float64(n)*share+0.5)) }
 	z := Target
-	z.Offices, z.Desks, z.Replicas = scaled(Target.Offices, 3), scaled(Target.Desks, 3), scaled(Target.Replicas, 10)
+	z.Offices, z.Gateways, z.Replicas = scaled(Target.Offices, 3), scaled(Target.Gateways, 3), scaled(Target.Replicas, 10)
 	z.Models, z.Adapters = scaled(Target.Models, 20), scaled(Target.Adapters, 20)
 	z.ChangesPerS, z.LoadsPerS = max(0.4, Target.ChangesPerS*share), max(0.5, Target.LoadsPerS*share)
-	z.RealDesks = 2
+	z.RealGateways = 2
 	return z
 }
 
@@ -40,7 +40,7 @@
 	many.Replicas = 300
 	return []Axis{
 		{"replicas", vary(Small, []int{30, 100, 300, 600, 1_000, 1_500, 3_000}, func(z *Size, n int) { z.Replicas = n })},
-		{"desks", vary(Small, []int{10, 20, 40, 70, 100, 200, 410}, func(z *Size, n int) { z.Desks = n })},
+		{"desks", vary(Small, []int{10, 20, 40, 70, 100, 200, 410}, func(z *Size, n int) { z.Gateways = n })},
 		{"models", vary(Small, []int{20, 60, 200, 600, 2_000}, func(z *Size, n int) { z.Models = n })},
 		{"adapters", vary(Small, []int{100, 300, 1_000, 3_000, 10_000}, func(z *Size, n int) { z.Adapters = n })},
 		{"running", vary(Small, []int{5, 15, 50, 150}, func(z *Size, n int) { z.Running = n })},
--- a/proofs/capacity/capacity_test.go
+++ b/proofs/capacity/capacity_test.go
@@ -76,7 +76,7 @@
 		code fault.Code
 		at   string
 	}{
-		"no desks":            {func(z *Size) { z.Desks = 0 }, fault.BadField, "desks"},
+		"no desks":            {func(z *Size) { z.Gateways = 0 }, fault.BadField, "desks"},
 		"negative replicas":   {func(z *Size) { z.Replicas = -5 }, fault.BadField, "replicas"},
 		"two offices":         {func(z *Size) { z.Offices = 2 }, fault.BadField, "offices"},
 		"no models":           {func(z *Size) { z.Models = 0 }, fault.BadField, "models"},
@@ -86,7 +86,7 @@
 		"changes no number":   {func(z *Size) { z.ChangesPerS = math.NaN() }, fault.BadField, "changes"},
 		"negative loads":      {func(z *Size) { z.LoadsPerS = -1 }, fault.BadField, "loads"},
 		"no heartbeat":        {func(z *Size) { z.HeartbeatMs = 0 }, fault.BadField, "heartbeat-ms"},
-		"no real desk":        {func(z *Size) { z.RealDesks = 0 }, fault.BadField, "real-desks"},
+		"no real desk":        {func(z *Size) { z.RealGateways = 0 }, fault.BadField, "real-desks"},
 		"beyond memory":       {func(z *Size) { z.Offices, z.Replicas = 64, 20_000 }, fault.TooLarge, "memory"},
 		"beyond descriptors":  {func(z *Size) { z.Replicas = 19_000 }, fault.TooLarge, "descriptors"},
 		"beyond all replicas": {func(z *Size) { z.Replicas = 1 << 40 }, fault.BadField, "replicas"},
@@ -227,7 +227,7 @@
 	runs := []*Run{}
 	for i, n := range []int{10, 30, 100, 300, 1_000} {
 		z := Small
-		z.Replicas, z.Desks = n, 5*(i+1)*(1+i%2)
+		z.Replicas, z.Gateways = n, 5*(i+1)*(1+i%2)
 		r := &Run{Axis: "replicas", Size: z, BeatS: float64(n)}
 		noise := 1 + 0.01*float64(1-2*(i%2))
 		r.add("member", "memory", "MB", (20+0.5*float64(n))*noise)
@@ -311,7 +311,7 @@
 			defer n.Close()
 			networks = append(networks, n)
 		}
-		worlds = append(worlds, newWorld(Size{Models: 4, Replicas: 300, Desks: 300}, networks[0], networks[1], nil, []string{"a"}))
+		worlds = append(worlds, newWorld(Size{Models: 4, Replicas: 300, Gateways: 300}, networks[0], networks[1], nil, []string{"a"}))
 	}
 	a, b := worlds[0], worlds[1]
 	if a.port == b.port {
@@ -323,7 +323,7 @@
 		for _, r := range w.replicas {
 			ips = append(ips, r.ip)
 		}
-		for _, d := range w.desks {
+		for _, d := range w.gateways {
 			ips = append(ips, d.ip)
 		}
 		for _, ip := range ips {
--- a/proofs/capacity/fault.go
+++ b/proofs/capacity/fault.go
@@ -55,9 +55,9 @@
 	return errors.Errorf("no such fault %q", name)
 }
 
-// darken takes hollow desks and replicas of some zones out of touch, or brings them back.
+// darken takes hollow gateways and replicas of some zones out of touch, or brings them back.
 func (f *fleet) darken(of func(zone string) bool, dead bool) {
-	for _, d := range f.world.desks {
+	for _, d := range f.world.gateways {
 		if of(d.zone) {
 			d.dead.Store(dead)
 		}
@@ -86,7 +86,7 @@
 	f.addInForce(run, name, changes)
 	began := time.Now()
 	back()
-	if s, ok := f.until(ctx, began, f.desksWhole); ok {
+	if s, ok := f.until(ctx, began, f.gatewaysWhole); ok {
 		run.add(name, "region back until its desks have the newest", "s", s)
 	} else {
 		run.add(name, notRecovered, "0 or 1", 1)
@@ -137,7 +137,7 @@
 	return f.op.edit(limited)
 }
 
-// addInForce adds how long after their acknowledgement changes were in force at desks.
+// addInForce adds how long after their acknowledgement changes were in force at gateways.
 func (f *fleet) addInForce(run *Run, name string, changes []change) {
 	last, each := 0.0, []float64{}
 	for _, c := range changes {
@@ -186,7 +186,7 @@
 		f.darken(zones, false)
 	}
 	back := time.Now()
-	f.until(ctx, back, func() bool { return f.seated(ctx) == len(f.offices) && f.desksWhole() })
+	f.until(ctx, back, func() bool { return f.seated(ctx) == len(f.offices) && f.gatewaysWhole() })
 	return ctx.Err()
 }
 
@@ -213,7 +213,7 @@
 func (f *fleet) recovery(ctx context.Context, name string, began time.Time, had uint64) []Row {
 	looks := []recoveryLook{
 		{"orders sent again", f.world.orderedSinceMark},
-		{"every desk follows two offices and has the newest", func() bool { return f.op.revision.Load() > had && f.desksWhole() }},
+		{"every desk follows two offices and has the newest", func() bool { return f.op.revision.Load() > had && f.gatewaysWhole() }},
 		{"every heartbeat acknowledged again", func() bool { return f.world.beaten(began) }},
 	}
 	rows := make([]Row, len(looks)+1)
@@ -259,9 +259,9 @@
 	return time.Since(began).Seconds(), false
 }
 
-// desksWhole: every hollow desk that is in touch follows two offices and has the newest revision.
-func (f *fleet) desksWhole() bool {
-	for _, d := range f.world.desks {
+// gatewaysWhole: every hollow gateway that is in touch follows two offices and has the newest revision.
+func (f *fleet) gatewaysWhole() bool {
+	for _, d := range f.world.gateways {
 		if !d.dead.Load() && (d.streams.Load() < 2 || d.revision.Load() < f.op.revision.Load()) {
 			return false
 		}
--- a/proofs/capacity/hollow.go
+++ b/proofs/capacity/hollow.go
@@ -78,7 +78,7 @@
 	}
 }
 
-// frame is as much of wire.Frame as a hollow desk looks at.
+// frame is as much of wire.Frame as a hollow gateway looks at.
 type frame struct {
 	Office   string         `json:"office"`
 	Whole    bool           `json:"whole"`
@@ -86,15 +86,15 @@
 	View     *chain.View    `json:"view"`
 	Offices  []chain.Member `json:"offices"`
 	Revision uint64         `json:"revision"`
-	Desks    int            `json:"desks"`
+	Gateways int            `json:"desks"`
 	Replicas []struct {
 		ID string `json:"id"`
 	} `json:"replicas"`
 }
 
-// hollowDesk follows offices and reports by the product's own Mirror, which is given frames without their rows:
-// whom it follows, when it gives a stream up and when it reports are a real desk's.
-type hollowDesk struct {
+// hollowGateway follows offices and reports by the product's own Mirror, which is given frames without their rows:
+// whom it follows, when it gives a stream up and when it reports are a real gateway's.
+type hollowGateway struct {
 	name, ip, zone string
 	client         *http.Client
 	world          *world
@@ -113,19 +113,19 @@
 }
 
 const (
-	deskTick  = 50 * time.Millisecond
-	drawEvery = 10 * time.Second
+	gatewayTick = 50 * time.Millisecond
+	drawEvery   = 10 * time.Second
 )
 
-func (d *hollowDesk) run(ctx context.Context, seeds []string) {
+func (d *hollowGateway) run(ctx context.Context, seeds []string) {
 	d.inc = office.RandomID(6)
 	d.mu.Lock()
 	d.cancels = map[uint64]context.CancelFunc{}
-	d.mirror = subscriber.NewMirror(subscriber.Options{Desk: d.name, Inc: d.inc, Addr: platform.Desk(d.ip), Zone: d.zone, Seeds: seeds})
+	d.mirror = subscriber.NewMirror(subscriber.Options{Gateway: d.name, Inc: d.inc, Addr: platform.Gateway(d.ip), Zone: d.zone, Seeds: seeds})
 	d.load = d.draw()
 	d.mu.Unlock()
 	pause(ctx, time.Duration(d.r.Int63n(int64(time.Second))))
-	every := time.NewTicker(deskTick)
+	every := time.NewTicker(gatewayTick)
 	defer every.Stop()
 	drawn := time.Now()
 	for ctx.Err() == nil {
@@ -145,7 +145,7 @@
 	}
 }
 
-func (d *hollowDesk) step(ctx context.Context, ev subscriber.MirrorEvent) {
+func (d *hollowGateway) step(ctx context.Context, ev subscriber.MirrorEvent) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	ev.NowUs = clock.NowUs()
@@ -175,7 +175,7 @@
 	d.streams.Store(int32(d.mirror.Live()))
 }
 
-func (d *hollowDesk) spawn(run func()) {
+func (d *hollowGateway) spawn(run func()) {
 	d.world.group.Add(1)
 	go func() {
 		defer d.world.group.Done()
@@ -190,7 +190,7 @@
 	}
 }
 
-func (d *hollowDesk) follow(ctx context.Context, s subscriber.Stream) {
+func (d *hollowGateway) follow(ctx context.Context, s subscriber.Stream) {
 	stream, err := rpc.NewCaller[wire.Follow, frame](d.client, s.Addr, rpc.FramesPath).Stream(ctx, &s.Ask)
 	if err != nil {
 		return
@@ -200,21 +200,21 @@
 			pause(ctx, awayLook)
 		}
 		f := stream.Msg()
-		d.world.desk.got.Add(1)
+		d.world.gateway.got.Add(1)
 		d.world.rows.Add(int64(len(f.Replicas)))
 		d.learn(f)
 		if have := d.revision.Load(); f.Revision > have && d.revision.CompareAndSwap(have, f.Revision) {
 			d.world.track.has(d.name, f.Revision)
 		}
 		d.step(ctx, subscriber.MirrorEvent{Stream: s.Number, Frame: &wire.Frame{
-			Office: f.Office, Whole: f.Whole, Settled: f.Settled, View: f.View, Offices: f.Offices, Desks: f.Desks,
+			Office: f.Office, Whole: f.Whole, Settled: f.Settled, View: f.View, Offices: f.Offices, Gateways: f.Gateways,
 		}})
 	}
 	_ = stream.Close()
 }
 
-// learn notes which replicas this desk has been told of.
-func (d *hollowDesk) learn(f *frame) {
+// learn notes which replicas this gateway has been told of.
+func (d *hollowGateway) learn(f *frame) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, r := range f.Replicas {
@@ -225,12 +225,12 @@
 	}
 }
 
-// draw is what this desk says it carries: running requests at replicas drawn at random, of the models that they
+// draw is what this gateway says it carries: running requests at replicas drawn at random, of the models that they
 // hold, and arrivals of the last seconds.
-func (d *hollowDesk) draw() *wire.Report {
+func (d *hollowGateway) draw() *wire.Report {
 	w := d.world
 	rep := &wire.Report{
-		Desk: d.name, Inc: d.inc, Addr: platform.Desk(d.ip), Zone: d.zone, Arrivals: map[string]float64{}, Tokens: map[string]float64{},
+		Gateway: d.name, Inc: d.inc, Addr: platform.Gateway(d.ip), Zone: d.zone, Arrivals: map[string]float64{}, Tokens: map[string]float64{},
 		Recent: map[string]float64{}, Waiting: map[string]int{}, InFlight: map[string]int{}, Left: map[string]wire.Left{},
 		Runs: map[string]int{}, Unread: map[string]int{},
 	}
@@ -261,7 +261,7 @@
 	return rep
 }
 
-func (d *hollowDesk) report(ctx context.Context, to string, rep *wire.Report) {
+func (d *hollowGateway) report(ctx context.Context, to string, rep *wire.Report) {
 	rep.SentUs, rep.Revision = clock.NowUs(), d.revision.Load()
 	d.world.press(rep)
 	ctx, done := context.WithTimeout(ctx, 600*time.Millisecond)
@@ -270,7 +270,7 @@
 		d.world.lostReports.Add(1)
 		return
 	}
-	d.world.desk.sent.Add(1)
+	d.world.gateway.sent.Add(1)
 }
 
 // hollowReplica beats, takes orders and tells what it holds; it does no work.
--- a/proofs/capacity/page.go
+++ b/proofs/capacity/page.go
@@ -78,7 +78,7 @@
 	}...)
 }
 
-// bears: every desk knew every replica, and no more than one heartbeat in fifty went unanswered.
+// bears: every gateway knew every replica, and no more than one heartbeat in fifty went unanswered.
 func bears(r *Run) bool {
 	whole, _ := r.value("fleet", "all knew all")
 	unanswered, measured := r.value("replica's side", "heartbeats unanswered")
@@ -124,9 +124,9 @@
 	at := func(share float64) float64 {
 		z := Target
 		z.Offices = offices
-		z.Desks, z.Replicas = int(float64(z.Desks)*share+0.5), int(float64(z.Replicas)*share+0.5)
+		z.Gateways, z.Replicas = int(float64(z.Gateways)*share+0.5), int(float64(z.Replicas)*share+0.5)
 		z.Models, z.Adapters = int(float64(z.Models)*share+0.5), int(float64(z.Adapters)*share+0.5)
-		z.Desks, z.Replicas, z.Models = max(1, z.Desks), max(1, z.Replicas), max(1, z.Models)
+		z.Gateways, z.Replicas, z.Models = max(1, z.Gateways), max(1, z.Replicas), max(1, z.Models)
 		z.ChangesPerS, z.LoadsPerS = z.ChangesPerS*share, z.LoadsPerS*share
 		v, _ := f.At(z, float64(z.Replicas)*1000/float64(z.HeartbeatMs))
 		return v
@@ -225,7 +225,7 @@
 		case share == 0:
 			text = "at the smallest size already"
 		case !math.IsInf(share, 1):
-			text = fmt.Sprintf("%.2g of the target: %d desks, %d replicas", share, int(share*float64(Target.Desks)), int(share*float64(Target.Replicas)))
+			text = fmt.Sprintf("%.2g of the target: %d desks, %d replicas", share, int(share*float64(Target.Gateways)), int(share*float64(Target.Replicas)))
 		}
 		if v > q.allowed {
 			sign = "✗"
@@ -301,7 +301,7 @@
 	for _, was := range runs {
 		for _, is := range runs {
 			if was.code() == codes[0] && is.code() != codes[0] && was.Axis == is.Axis && (was.Axis == "replicas" || was.Axis == "desks") && bears(was) && bears(is) &&
-				was.Size.Replicas == is.Size.Replicas && was.Size.Desks == is.Size.Desks {
+				was.Size.Replicas == is.Size.Replicas && was.Size.Gateways == is.Size.Gateways {
 				line(was)
 				line(is)
 			}
@@ -341,7 +341,7 @@
 
 func sizeText(r *Run) string {
 	z := r.Size
-	return fmt.Sprintf("%d desks, %d replicas, %d models, %d offices", z.Desks, z.Replicas, z.Models, z.Offices)
+	return fmt.Sprintf("%d desks, %d replicas, %d models, %d offices", z.Gateways, z.Replicas, z.Models, z.Offices)
 }
 
 var forceAxes = []string{"together", "replicas", "desks", "offices"}
--- a/proofs/capacity/platform/dialect.go
+++ b/proofs/capacity/platform/dialect.go
@@ -28,11 +28,11 @@
 // Control is where an office hears replicas and operators.
 func Control(ip string) string { return at(ip, controlPort) }
 
-// Internal is where an office hears other offices and desks.
+// Internal is where an office hears other offices and gateways.
 func Internal(ip string) string { return at(ip, internalPort) }
 
-// Desk is where a desk hears its own kind.
-func Desk(ip string) string { return at(ip, internalPort+1) }
+// Gateway is where a gateway hears its own kind.
+func Gateway(ip string) string { return at(ip, internalPort+1) }
 
 // Node is what a process is told.
 type Node struct {
--- a/proofs/capacity/plot.go
+++ b/proofs/capacity/plot.go
@@ -34,7 +34,7 @@
 	case "offices":
 		return float64(z.Offices)
 	}
-	return float64(z.Desks)
+	return float64(z.Gateways)
 }
 
 func unitOf(axis string) string {
--- a/proofs/capacity/process.go
+++ b/proofs/capacity/process.go
@@ -15,7 +15,7 @@
 	"petreltide/proofs/capacity/platform"
 )
 
-// process is one real office or desk.
+// process is one real office or gateway.
 type process struct {
 	name string
 	role string
@@ -28,9 +28,9 @@
 	gone chan struct{}
 }
 
-func (p *process) control() string  { return platform.Control(p.ip) }
-func (p *process) internal() string { return platform.Internal(p.ip) }
-func (p *process) deskPort() string { return platform.Desk(p.ip) }
+func (p *process) control() string     { return platform.Control(p.ip) }
+func (p *process) internal() string    { return platform.Internal(p.ip) }
+func (p *process) gatewayPort() string { return platform.Gateway(p.ip) }
 
 // place writes the settings that the platform would give.
 func (p *process) place(folder string, seeds []string, zones map[string]string, first bool, heartbeatMs int) error {
--- a/proofs/capacity/run.go
+++ b/proofs/capacity/run.go
@@ -58,13 +58,13 @@
 
 // fleet is the real part of a run.
 type fleet struct {
-	plan    Plan
-	zones   []string
-	regions map[string]string
-	offices []*process
-	desks   []*process
-	world   *world
-	op      *operator
+	plan     Plan
+	zones    []string
+	regions  map[string]string
+	offices  []*process
+	gateways []*process
+	world    *world
+	op       *operator
 }
 
 // Play measures one fleet and ends it.
@@ -125,14 +125,14 @@
 	}
 	run.add("operator", "first configuration", "bytes", float64(first.bytes))
 	began := time.Now()
-	f.world.begin(ctx, f.desksSeeds())
+	f.world.begin(ctx, f.gatewaysSeeds())
 	ready := f.steady(ctx)
 	run.add("fleet", "start until all know all", "s", time.Since(began).Seconds())
 	if !ready {
 		fmt.Fprintf(log, "  not every desk knew every replica after %v\n", f.plan.Ready)
 	}
 	run.add("fleet", "all knew all", "0 or 1", oneIf(ready))
-	run.add("desk's side", "bytes in of a start", "bytes", f.world.desk.now().gotB/float64(f.plan.Desks))
+	run.add("desk's side", "bytes in of a start", "bytes", f.world.gateway.now().gotB/float64(f.plan.Gateways))
 	pause(ctx, f.plan.Warm)
 	run.add("run", "load average of the machine", "processes", loadAverage())
 	return nil
@@ -147,7 +147,7 @@
 }
 
 // real are all processes of a run.
-func (f *fleet) real() []*process { return append(slices.Clone(f.offices), f.desks...) }
+func (f *fleet) real() []*process { return append(slices.Clone(f.offices), f.gateways...) }
 
 // kill ends all processes and waits for the hollow part.
 func (f *fleet) kill() {
@@ -223,13 +223,13 @@
 	for i := range f.plan.Offices {
 		f.offices = append(f.offices, &process{name: fmt.Sprintf("office-%02d", i), role: "office", ip: own.Host(0, 1+i), zone: f.zones[i], bin: f.plan.Petreltide})
 	}
-	for i := range f.plan.RealDesks {
-		f.desks = append(f.desks, &process{name: fmt.Sprintf("desk-%02d", i), role: "desk", ip: own.Host(1, 1+i), zone: f.zones[i%len(f.zones)], bin: f.plan.Petreltide})
+	for i := range f.plan.RealGateways {
+		f.gateways = append(f.gateways, &process{name: fmt.Sprintf("desk-%02d", i), role: "desk", ip: own.Host(1, 1+i), zone: f.zones[i%len(f.zones)], bin: f.plan.Petreltide})
 	}
 }
 
-// desksSeeds are all that a desk is told of other machines.
-func (f *fleet) desksSeeds() []string {
+// gatewaysSeeds are all that a gateway is told of other machines.
+func (f *fleet) gatewaysSeeds() []string {
 	all := []string{}
 	for _, p := range f.offices[:seedsMost] {
 		all = append(all, p.internal())
--- a/proofs/capacity/status.go
+++ b/proofs/capacity/status.go
@@ -85,12 +85,12 @@
 	return nil, last
 }
 
-// steady waits until every hollow desk follows two offices and has been told of every replica.
+// steady waits until every hollow gateway follows two offices and has been told of every replica.
 func (f *fleet) steady(ctx context.Context) bool {
 	until := time.Now().Add(f.plan.Ready)
 	for time.Now().Before(until) && ctx.Err() == nil {
 		all := f.seated(ctx) == len(f.offices)
-		for _, d := range f.world.desks {
+		for _, d := range f.world.gateways {
 			if d.streams.Load() < 2 || d.revision.Load() < f.op.revision.Load() || d.rows.Load() < int64(f.plan.Replicas) {
 				all = false
 				break
--- a/proofs/capacity/window.go
+++ b/proofs/capacity/window.go
@@ -29,7 +29,7 @@
 	}
 	watching, stop := context.WithCancel(ctx)
 	defer stop()
-	go f.watchDesk(watching, f.desks[len(f.desks)-1])
+	go f.watchGateway(watching, f.gateways[len(f.gateways)-1])
 	before, err := f.usages()
 	if err != nil {
 		return err
@@ -47,7 +47,7 @@
 	run.add("operator", "changes unanswered in 20 s", "0 or 1", oneIf(unanswered != nil))
 	run.Size.ChangesPerS, run.Size.LoadsPerS, run.BeatS = float64(len(changes))/spanS, w.loads, w.beat.sent
 	f.processes(run, roles, before, after)
-	run.addDesks(w, float64(f.plan.Desks))
+	run.addGateways(w, float64(f.plan.Gateways))
 	run.addReplicas(w, f.world.beatMs.take(), float64(f.plan.Replicas))
 	run.add("fleet", "orders taken", "1/s", w.orders)
 	f.inForce(ctx, run, changes)
@@ -59,14 +59,14 @@
 
 // traffic is what the hollow part has sent and got: in all up to a look, or a second between two.
 type traffic struct {
-	desk, beat, order counts
+	gateway, beat, order counts
 	// rows are replicas' rows in frames; late heartbeats and lost reports had no answer; loads and orders were taken.
 	rows, lateBeats, lostReports, loads, orders float64
 }
 
 func (w *world) look() traffic {
 	t := traffic{
-		desk: w.desk.now(), beat: w.beat.now(), order: w.order.now(), rows: float64(w.rows.Load()),
+		gateway: w.gateway.now(), beat: w.beat.now(), order: w.order.now(), rows: float64(w.rows.Load()),
 		lateBeats: float64(w.lateBeats.Load()), lostReports: float64(w.lostReports.Load()),
 	}
 	loads, orders := w.moves()
@@ -77,19 +77,19 @@
 // since is the traffic a second from an earlier look on; late heartbeats stay a count.
 func (t traffic) since(o traffic, spanS float64) traffic {
 	return traffic{
-		desk: t.desk.since(o.desk, spanS), beat: t.beat.since(o.beat, spanS), order: t.order.since(o.order, spanS),
+		gateway: t.gateway.since(o.gateway, spanS), beat: t.beat.since(o.beat, spanS), order: t.order.since(o.order, spanS),
 		rows: (t.rows - o.rows) / spanS, lateBeats: t.lateBeats - o.lateBeats, lostReports: (t.lostReports - o.lostReports) / spanS,
 		loads: (t.loads - o.loads) / spanS, orders: (t.orders - o.orders) / spanS,
 	}
 }
 
-// addDesks adds what each of n desks sends and gets.
-func (r *Run) addDesks(t traffic, n float64) {
-	r.add("desk's side", "frames in", "1/s", t.desk.got/n)
-	r.add("desk's side", "bytes in", "B/s", t.desk.gotB/n)
-	r.add("desk's side", "reports out", "1/s", t.desk.sent/n)
-	r.add("desk's side", "bytes out", "B/s", t.desk.sentB/n)
-	r.add("desk's side", "bytes both ways", "B/s", (t.desk.gotB+t.desk.sentB)/n)
+// addGateways adds what each of n gateways sends and gets.
+func (r *Run) addGateways(t traffic, n float64) {
+	r.add("desk's side", "frames in", "1/s", t.gateway.got/n)
+	r.add("desk's side", "bytes in", "B/s", t.gateway.gotB/n)
+	r.add("desk's side", "reports out", "1/s", t.gateway.sent/n)
+	r.add("desk's side", "bytes out", "B/s", t.gateway.sentB/n)
+	r.add("desk's side", "bytes both ways", "B/s", (t.gateway.gotB+t.gateway.sentB)/n)
 	r.add("desk's side", "replica rows in", "1/s", t.rows/n)
 	r.add("desk's side", "reports lost", "1/s", t.lostReports/n)
 }
@@ -135,7 +135,7 @@
 // processes adds what processes of each role used, on average.
 func (f *fleet) processes(run *Run, roles map[string]string, before, after map[string]usage) {
 	sums := map[string]*roleUse{}
-	for _, p := range append(slices.Clone(f.offices), f.desks[:max(1, len(f.desks)-1)]...) {
+	for _, p := range append(slices.Clone(f.offices), f.gateways[:max(1, len(f.gateways)-1)]...) {
 		role := roles[p.name]
 		if p.role == "desk" {
 			role = "desk"
@@ -193,15 +193,15 @@
 	}
 }
 
-// watchDesk asks a real desk what it has; this costs that desk something, so its own load is not counted.
-func (f *fleet) watchDesk(ctx context.Context, p *process) {
+// watchGateway asks a real gateway what it has; this costs that gateway something, so its own load is not counted.
+func (f *fleet) watchGateway(ctx context.Context, p *process) {
 	for ctx.Err() == nil {
 		st := struct {
 			Work struct {
 				Revision uint64 `json:"revision"`
 			} `json:"work"`
 		}{}
-		if _, err := get(ctx, "http://"+p.deskPort()+"/v1/status", &st); err == nil && st.Work.Revision > 0 {
+		if _, err := get(ctx, "http://"+p.gatewayPort()+"/v1/status", &st); err == nil && st.Work.Revision > 0 {
 			f.world.track.has(p.name, st.Work.Revision)
 		}
 		pause(ctx, 50*time.Millisecond)
@@ -212,7 +212,7 @@
 const inForceMost = 12 * time.Second
 
 // changeTimes are, in ms, how long changes took to be acknowledged, and from then on to be in force: at the last
-// hollow desk, at each of them, and at the real one.
+// hollow gateway, at each of them, and at the real one.
 type changeTimes struct {
 	acks, last, each, real []float64
 	missing                int
@@ -222,7 +222,7 @@
 // inForce waits for the last follower of each change and notes how long after the acknowledgement it was.
 func (f *fleet) inForce(ctx context.Context, run *Run, changes []change) {
 	followers := 0
-	for _, d := range f.world.desks {
+	for _, d := range f.world.gateways {
 		if !d.dead.Load() {
 			followers++
 		}
@@ -234,14 +234,14 @@
 		if len(times) <= followers {
 			t.missing++
 		}
-		t.take(c, times, f.desks[len(f.desks)-1].name)
+		t.take(c, times, f.gateways[len(f.gateways)-1].name)
 	}
 	if len(changes) > 0 {
 		t.addTo(run, float64(len(changes)))
 	}
 }
 
-// awaitFollowers gives when each follower had a change, once the hollow desks and the real one have it or it is late.
+// awaitFollowers gives when each follower had a change, once the hollow gateways and the real one have it or it is late.
 func (f *fleet) awaitFollowers(ctx context.Context, c change, followers int, until time.Time) map[string]time.Time {
 	for {
 		times := f.world.track.times(c.revision)
@@ -252,13 +252,13 @@
 	}
 }
 
-func (t *changeTimes) take(c change, times map[string]time.Time, realDesk string) {
+func (t *changeTimes) take(c change, times map[string]time.Time, realGateway string) {
 	t.acks = append(t.acks, milliseconds(c.acked.Sub(c.sent)))
 	t.bytes += float64(c.bytes)
 	latest := c.acked
 	for who, at := range times {
 		ms := max(0, milliseconds(at.Sub(c.acked)))
-		if who == realDesk {
+		if who == realGateway {
 			t.real = append(t.real, ms)
 			continue
 		}
--- a/proofs/capacity/world.go
+++ b/proofs/capacity/world.go
@@ -32,24 +32,24 @@
 	replicasPerS = 100
 )
 
-// world is all that is hollow: desks, replicas, and the calls that they claim.
+// world is all that is hollow: gateways, replicas, and the calls that they claim.
 type world struct {
 	size       Size
 	own        *loopback.Network
 	port       int
 	modelNames []string
 	replicas   []*hollowReplica
-	desks      []*hollowDesk
+	gateways   []*hollowGateway
 	byIP       map[string]*hollowReplica
 	track      *tracker
 	group      sync.WaitGroup
 	began      time.Time
 
-	desk, beat, order counter
-	rows              atomic.Int64
-	lateBeats         atomic.Int64
-	lostReports       atomic.Int64
-	beatMs            spans
+	gateway, beat, order counter
+	rows                 atomic.Int64
+	lateBeats            atomic.Int64
+	lostReports          atomic.Int64
+	beatMs               spans
 
 	mu           sync.Mutex
 	loads        int
@@ -65,7 +65,7 @@
 	return n
 }
 
-// newWorld lays out desks in their own network and replicas in another. Replicas listen at one port of all addresses,
+// newWorld lays out gateways in their own network and replicas in another. Replicas listen at one port of all addresses,
 // so no two fleets may have the same one.
 func newWorld(size Size, own, ofReplicas *loopback.Network, offices, zones []string) *world {
 	w := &world{
@@ -91,13 +91,13 @@
 		w.replicas = append(w.replicas, r)
 		w.byIP[r.ip] = r
 	}
-	for i := range size.Desks {
-		d := &hollowDesk{
+	for i := range size.Gateways {
+		d := &hollowGateway{
 			name: fmt.Sprintf("hollow-%04d", i), ip: own.Host(10+i/250, 1+i%250), zone: zones[i%len(zones)],
 			world: w, known: make([]bool, size.Replicas), r: rand.New(rand.NewSource(int64(1_000_000 + i))),
 		}
-		d.client = &http.Client{Transport: &http.Transport{DialContext: dialFrom(d.ip, &w.desk), MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}
-		w.desks = append(w.desks, d)
+		d.client = &http.Client{Transport: &http.Transport{DialContext: dialFrom(d.ip, &w.gateway), MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}
+		w.gateways = append(w.gateways, d)
 	}
 	return w
 }
@@ -150,7 +150,7 @@
 	}
 }
 
-// begin lets desks come at once and replicas so many a second: what all of them at once do is seen when all
+// begin lets gateways come at once and replicas so many a second: what all of them at once do is seen when all
 // offices are killed.
 func (w *world) begin(ctx context.Context, seeds []string) {
 	for i, r := range w.replicas {
@@ -161,7 +161,7 @@
 			r.run(ctx)
 		}()
 	}
-	for _, d := range w.desks {
+	for _, d := range w.gateways {
 		w.group.Add(1)
 		go func() {
 			defer w.group.Done()
@@ -188,8 +188,8 @@
 	}
 	for k := range min(hotModels, w.size.Models) {
 		unit := w.modelNames[(turn*hotModels+k*7)%w.size.Models]
-		tokens[unit] += 4_400 * float64(copies) / float64(w.size.Desks)
-		arrivals[unit] += 1.0 / float64(w.size.Desks)
+		tokens[unit] += 4_400 * float64(copies) / float64(w.size.Gateways)
+		arrivals[unit] += 1.0 / float64(w.size.Gateways)
 	}
 	rep.Tokens, rep.Arrivals = tokens, arrivals
 }
--- a/proofs/cmd/fleet/compare.go
+++ b/proofs/cmd/fleet/compare.go
@@ -24,10 +24,10 @@
 
 // simulatedComparison is what the compare command was told.
 type simulatedComparison struct {
-	files                          []string
-	seeds, faults, desks, replicas int
-	span                           time.Duration
-	rate                           float64
+	files                             []string
+	seeds, faults, gateways, replicas int
+	span                              time.Duration
+	rate                              float64
 }
 
 func compareCommand() *cobra.Command {
@@ -62,14 +62,14 @@
 	flags.DurationVar(&c.span, "span", 60*time.Second, "simulated time under demand")
 	flags.Float64Var(&c.rate, "rate", 60, "calls per second over the fleet")
 	flags.IntVar(&c.faults, "faults", 4, "replicas lost or noticed and crowds in each run")
-	flags.IntVar(&c.desks, "desks", 4, "simulated desks")
+	flags.IntVar(&c.gateways, "desks", 4, "simulated desks")
 	flags.IntVar(&c.replicas, "replicas", 9, "simulated replicas")
 	return cmd
 }
 
 // contest checks what was told, and reads the declaration and the policies.
 func (c *simulatedComparison) contest(declaration string) (sim.Contest, error) {
-	contest := sim.Contest{SpanUs: c.span.Microseconds(), PerSec: c.rate, Faults: c.faults, Desks: c.desks, Replicas: c.replicas}
+	contest := sim.Contest{SpanUs: c.span.Microseconds(), PerSec: c.rate, Faults: c.faults, Gateways: c.gateways, Replicas: c.replicas}
 	raw, err := standing.ReadFile(declaration)
 	if err != nil {
 		return contest, err
@@ -82,7 +82,7 @@
 	if len(c.files) < 2 {
 		return contest, fault.New(fault.BadField, "policy", "name two policies or more")
 	}
-	if c.seeds < seedsLeast || c.seeds > seedsMost || c.span < spanLeast || c.rate <= 0 || c.desks < 1 || c.replicas < 1 {
+	if c.seeds < seedsLeast || c.seeds > seedsMost || c.span < spanLeast || c.rate <= 0 || c.gateways < 1 || c.replicas < 1 {
 		return contest, fault.New(fault.BadField, "", "needs 2 to 1000 seeds, 5 s of span or more, a rate, desks and replicas above 0")
 	}
 	for i, file := range c.files {
--- a/proofs/fleet/bounds.go
+++ b/proofs/fleet/bounds.go
@@ -12,7 +12,7 @@
 
 	"github.com/juju/errors"
 
-	"petreltide/internal/desk"
+	"petreltide/internal/gateway"
 	"petreltide/internal/ledger"
 	"petreltide/internal/rpc"
 	"petreltide/internal/standing"
@@ -34,7 +34,7 @@
 	n := c.n.Add(1)
 	offices := c.f.Addrs("office")
 	change := ledger.Change{ID: fmt.Sprintf("bound-%d", n), Key: &ledger.KeyChange{
-		Key: fmt.Sprintf("family-%032d", n), Desk: "front-1", DeskInc: "bounds", Call: fmt.Sprintf("front-1-%016d", n)}}
+		Key: fmt.Sprintf("family-%032d", n), Gateway: "front-1", GatewayInc: "bounds", Call: fmt.Sprintf("front-1-%016d", n)}}
 	began := NowUs()
 	short, done := context.WithTimeout(ctx, 5*time.Second)
 	res, err := rpc.NewCaller[ledger.Change, wire.Result](c.client, offices[int(n)%len(offices)], rpc.SubmitPath).Call(short, &change)
@@ -73,14 +73,14 @@
 	c.ms, c.full, c.failed = nil, 0, 0
 }
 
-// leases looks at every desk's lease until it is told to stop, and returns the shortest seen and how
+// leases looks at every gateway's lease until it is told to stop, and returns the shortest seen and how
 // often there was none.
 func (f *Fleet) leases(ctx context.Context) (leastMs int64, none, looks int) {
 	leastMs = 1 << 40
 	for ctx.Err() == nil {
 		for _, addr := range f.Addrs("desk") {
 			r, err := f.Ask(ctx, addr, http.MethodGet, "/v1/status", "")
-			st := desk.Status{}
+			st := gateway.Status{}
 			if err != nil || json.Unmarshal(r.Body, &st) != nil {
 				continue
 			}
@@ -96,7 +96,7 @@
 }
 
 // measureBounds fills the table of keys, goes on claiming beside a member that joins empty, and
-// watches the desks' leases all the while.
+// watches the gateways' leases all the while.
 func measureBounds(ctx context.Context, f *Fleet, _ *standing.Declaration, out io.Writer) error {
 	c := &claimer{f: f, client: rpc.Client(500, "")}
 	watched := func(what string, act func() error) error {
--- a/proofs/fleet/day.go
+++ b/proofs/fleet/day.go
@@ -20,10 +20,10 @@
 
 // PlanFor is the plan of an example deployment.
 func PlanFor(deployment string, doc *standing.Declaration) Plan {
-	p := Plan{Offices: 3, Desks: 8, Replicas: 9, Zones: doc.Zones, RoomMb: doc.Replica.RoomMb, Slots: 16,
+	p := Plan{Offices: 3, Gateways: 8, Replicas: 9, Zones: doc.Zones, RoomMb: doc.Replica.RoomMb, Slots: 16,
 		PieceUs: 8_000, FirstUs: 20_000, PartUs: 12_000, Store: doc.Store}
 	if deployment == "kaardilind" {
-		p.Desks = 7
+		p.Gateways = 7
 	}
 	return p
 }
@@ -83,13 +83,13 @@
 	return f.Until(ctx, "every model is held and every desk has a lease", func() bool { return f.Settled(ctx) })
 }
 
-// Settled says that every counted model has its first holder and every desk holds a lease.
+// Settled says that every counted model has its first holder and every gateway holds a lease.
 func (f *Fleet) Settled(ctx context.Context) bool {
 	tail, ok := f.Tail(ctx)
-	if !ok || len(tail.Desks) < len(f.Names("desk")) {
+	if !ok || len(tail.Gateways) < len(f.Names("desk")) {
 		return false
 	}
-	for _, d := range tail.Desks {
+	for _, d := range tail.Gateways {
 		if d.LeaseMs == 0 {
 			return false
 		}
--- a/proofs/fleet/demand.go
+++ b/proofs/fleet/demand.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"petreltide/internal/clock"
-	"petreltide/internal/desk"
+	"petreltide/internal/gateway"
 	"petreltide/internal/rpc"
 	"petreltide/internal/standing"
 	"petreltide/proofs/callers"
@@ -31,7 +31,7 @@
 
 // Next draws a call: interactive kinds carry most, popular models come first, and calls share
 // the first parts of their prompts.
-func Next(r *rand.Rand, d Demand, n int) desk.CallAsk {
+func Next(r *rand.Rand, d Demand, n int) gateway.CallAsk {
 	kinds := d.Doc.Kinds
 	whole := 0
 	for _, k := range kinds {
@@ -52,7 +52,7 @@
 		i = len(models)/2 + r.Intn(len(models)/2)
 	}
 	model := models[min(i, len(models)-1)]
-	ask := desk.CallAsk{Kind: kind.Name, Model: model.Name, DeadlineMs: d.DeadlineMs}
+	ask := gateway.CallAsk{Kind: kind.Name, Model: model.Name, DeadlineMs: d.DeadlineMs}
 	if r.Intn(3) == 0 {
 		fits := []string{}
 		for _, a := range d.Doc.Adapters {
@@ -70,7 +70,7 @@
 	return ask
 }
 
-// Run sends seeded demand at the desks until ctx ends, then waits for what is open.
+// Run sends seeded demand at the gateways until ctx ends, then waits for what is open.
 func (f *Fleet) Run(ctx context.Context, d Demand) {
 	r := rand.New(rand.NewSource(d.Seed))
 	client := rpc.Client(500, "")
@@ -93,12 +93,12 @@
 	open.Wait()
 }
 
-func (f *Fleet) oneCall(client *http.Client, doc *standing.Declaration, ask desk.CallAsk, pick int) {
+func (f *Fleet) oneCall(client *http.Client, doc *standing.Declaration, ask gateway.CallAsk, pick int) {
 	kind := doc.Kind(ask.Kind)
 	prompt := ask.Prompt
 	for try := 0; try < 3; try++ {
-		desks := f.Addrs("desk")
-		addr := desks[(pick+try)%len(desks)]
+		gateways := f.Addrs("desk")
+		addr := gateways[(pick+try)%len(gateways)]
 		if try > 0 {
 			tag, rest, _ := strings.Cut(prompt, " ")
 			ask.Prompt = fmt.Sprintf("%s.%d %s", tag, try, rest)
--- a/proofs/fleet/faults.go
+++ b/proofs/fleet/faults.go
@@ -219,7 +219,7 @@
 	return f.whole(ctx)
 }
 
-// rollOffices replaces every office in turn by an empty one at a new address, and then starts a desk
+// rollOffices replaces every office in turn by an empty one at a new address, and then starts a gateway
 // that knows only the new ones.
 func rollOffices(ctx context.Context, f *Fleet) error {
 	for _, name := range f.Names("office") {
@@ -246,12 +246,12 @@
 }
 
 func swapSeeds(ctx context.Context, f *Fleet) error {
-	desks := f.reaches("desk", "")
-	if err := f.reseed(f.choose("desk"), append(desks[:1:1], f.reaches("office", "")...)[:2]); err != nil {
+	gateways := f.reaches("desk", "")
+	if err := f.reseed(f.choose("desk"), append(gateways[:1:1], f.reaches("office", "")...)[:2]); err != nil {
 		return err
 	}
 	pause(ctx, time.Second)
-	return f.reseed(f.choose("office"), desks[:1])
+	return f.reseed(f.choose("office"), gateways[:1])
 }
 
 func loseZone(ctx context.Context, f *Fleet) error {
--- a/proofs/fleet/fleet.go
+++ b/proofs/fleet/fleet.go
@@ -37,7 +37,7 @@
 	Self       string
 	Folder     string
 	Offices    int
-	Desks      int
+	Gateways   int
 	Replicas   int
 	Zones      []string
 	RoomMb     int64
@@ -126,7 +126,7 @@
 
 func (f *Fleet) zone(i int) string { return f.Plan.Zones[i%len(f.Plan.Zones)] }
 
-// Start brings up offices, replicas and desks.
+// Start brings up offices, replicas and gateways.
 func (f *Fleet) Start() error {
 	seeds, addrs := []string{}, []string{}
 	for i := 0; i < f.Plan.Offices; i++ {
@@ -146,8 +146,8 @@
 			return err
 		}
 	}
-	for i := 0; i < f.Plan.Desks; i++ {
-		if err := f.AddDesk(fmt.Sprintf("front-%d", i+1), f.zone(i), seeds); err != nil {
+	for i := 0; i < f.Plan.Gateways; i++ {
+		if err := f.AddGateway(fmt.Sprintf("front-%d", i+1), f.zone(i), seeds); err != nil {
 			return err
 		}
 	}
@@ -170,8 +170,8 @@
 	}})
 }
 
-// AddDesk starts one more gateway.
-func (f *Fleet) AddDesk(name, zone string, seeds []string) error {
+// AddGateway starts one more gateway.
+func (f *Fleet) AddGateway(name, zone string, seeds []string) error {
 	addr, reach, err := f.place(name)
 	if err != nil {
 		return err
--- a/proofs/fleet/fleet_test.go
+++ b/proofs/fleet/fleet_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"petreltide/internal/desk"
+	"petreltide/internal/gateway"
 	"petreltide/internal/rpc"
 	"petreltide/internal/standing"
 	"petreltide/proofs/callers"
@@ -45,7 +45,7 @@
 func small(t *testing.T) (*Fleet, *standing.Declaration, context.Context) {
 	t.Helper()
 	doc := sim.Doc()
-	f, err := New(Plan{Petreltide: petreltide, Self: self, Folder: t.TempDir(), Offices: 3, Desks: 2, Replicas: 3, Zones: doc.Zones,
+	f, err := New(Plan{Petreltide: petreltide, Self: self, Folder: t.TempDir(), Offices: 3, Gateways: 2, Replicas: 3, Zones: doc.Zones,
 		RoomMb: doc.Replica.RoomMb, Slots: 8, PieceUs: 20_000, FirstUs: 5_000, PartUs: 1_000, Store: doc.Store})
 	if err != nil {
 		t.Fatal(err)
@@ -157,7 +157,7 @@
 	addr := f.Proc(name).Addr
 	got := make(chan rules.Told, 1)
 	go func() {
-		got <- callers.Ask(ctx, rpc.Client(500, ""), addr, desk.CallAsk{Kind: "letters", Model: "m0", Prompt: "drain me", MostOut: 60}, "", rules.Told{Tag: "drain"})
+		got <- callers.Ask(ctx, rpc.Client(500, ""), addr, gateway.CallAsk{Kind: "letters", Model: "m0", Prompt: "drain me", MostOut: 60}, "", rules.Told{Tag: "drain"})
 	}()
 	if err := f.Until(ctx, "the call streams", func() bool {
 		var st struct {
@@ -171,7 +171,7 @@
 		t.Fatal(err)
 	}
 	if r, err := f.Ask(ctx, addr, http.MethodGet, "/v1/ready", ""); err != nil || r.Status != http.StatusOK {
-		t.Errorf("a working desk is not ready: %d %s %v", r.Status, r.Body, err)
+		t.Errorf("a working gateway is not ready: %d %s %v", r.Status, r.Body, err)
 	}
 	f.Signal(name, syscall.SIGTERM)
 	if err := f.Until(ctx, "a draining desk says so to those who hand out clients", func() bool {
@@ -187,7 +187,7 @@
 	p := f.Proc(name)
 	<-p.gone
 	if code := p.cmd.ProcessState.ExitCode(); code != 0 {
-		t.Fatalf("a drained desk exits with %d", code)
+		t.Fatalf("a drained gateway exits with %d", code)
 	}
 	if err := f.Again(name); err != nil {
 		t.Fatal(err)
--- a/proofs/fleet/measure.go
+++ b/proofs/fleet/measure.go
@@ -15,7 +15,7 @@
 
 	"github.com/juju/errors"
 
-	"petreltide/internal/desk"
+	"petreltide/internal/gateway"
 	"petreltide/internal/rpc"
 	"petreltide/internal/standing"
 	"petreltide/internal/wire"
@@ -89,7 +89,7 @@
 			return err
 		}
 		straight = append(straight, float64(NowUs()-began)/1000)
-		t := callers.Ask(ctx, kept, addr, desk.CallAsk{Kind: doc.Kinds[0].Name, Model: model, Prompt: prompt, MostOut: 1}, "", rules.Told{Tag: prompt})
+		t := callers.Ask(ctx, kept, addr, gateway.CallAsk{Kind: doc.Kinds[0].Name, Model: model, Prompt: prompt, MostOut: 1}, "", rules.Told{Tag: prompt})
 		if !t.Ended {
 			return errors.Errorf("a call ended with %s", t.Code)
 		}
@@ -118,7 +118,7 @@
 			for n := 0; ctx.Err() == nil; n++ {
 				m := doc.Models[(w+n)%8]
 				prompt := fmt.Sprintf("rate-%d-%d", w, n)
-				t := callers.Ask(ctx, client, addr, desk.CallAsk{Kind: doc.Kinds[0].Name, Model: m.Name, Prompt: prompt, MostOut: 1}, "", rules.Told{Tag: prompt})
+				t := callers.Ask(ctx, client, addr, gateway.CallAsk{Kind: doc.Kinds[0].Name, Model: m.Name, Prompt: prompt, MostOut: 1}, "", rules.Told{Tag: prompt})
 				if t.EndUs < fromUs.Load() {
 					continue
 				}
@@ -270,7 +270,7 @@
 	place int
 }
 
-// measureFailover kills an office in each seat, a replica and a desk, and measures how long each is missed.
+// measureFailover kills an office in each seat, a replica and a gateway, and measures how long each is missed.
 func measureFailover(ctx context.Context, f *Fleet, doc *standing.Declaration, out io.Writer) error {
 	for _, seat := range []chainSeat{{"head (and controller)", 0}, {"middle", 1}, {"tail", -1}} {
 		if err := measureSeat(ctx, f, doc, seat, out); err != nil {
@@ -280,7 +280,7 @@
 	if err := measureDarkReplica(ctx, f, doc, out); err != nil {
 		return err
 	}
-	return measureDeskAgain(ctx, f, doc, out)
+	return measureGatewayAgain(ctx, f, doc, out)
 }
 
 // measureSeat kills the office in one seat three times, and measures how long it is until a change is taken.
@@ -356,8 +356,8 @@
 	return f.AddReplica(name, zone)
 }
 
-// measureDeskAgain kills a desk, starts it again and measures how long it is until it answers.
-func measureDeskAgain(ctx context.Context, f *Fleet, doc *standing.Declaration, out io.Writer) error {
+// measureGatewayAgain kills a gateway, starts it again and measures how long it is until it answers.
+func measureGatewayAgain(ctx context.Context, f *Fleet, doc *standing.Declaration, out io.Writer) error {
 	name := f.Names("desk")[1]
 	f.Kill(name)
 	if err := f.Again(name); err != nil {
@@ -366,7 +366,7 @@
 	beganUs := NowUs()
 	client := rpc.Client(200, "")
 	for {
-		t := callers.Ask(ctx, client, f.Proc(name).Addr, desk.CallAsk{Kind: doc.Kinds[0].Name, Model: doc.Models[0].Name, Prompt: fmt.Sprintf("again-%d", NowUs()), MostOut: 1}, "", rules.Told{})
+		t := callers.Ask(ctx, client, f.Proc(name).Addr, gateway.CallAsk{Kind: doc.Kinds[0].Name, Model: doc.Models[0].Name, Prompt: fmt.Sprintf("again-%d", NowUs()), MostOut: 1}, "", rules.Told{})
 		if t.Ended {
 			break
 		}
--- a/proofs/modelserver/edge.go
+++ b/proofs/modelserver/edge.go
@@ -106,7 +106,7 @@
 	}
 }
 
-// body reads what the desk sends within a time; all of it makes a run.
+// body reads what the gateway sends within a time; all of it makes a run.
 func (h *Host) body(conn net.Conn, r *bufio.Reader, size int, waitMs int64) *Run {
 	_ = conn.SetReadDeadline(time.Now().Add(time.Duration(waitMs) * time.Millisecond))
 	raw := make([]byte, size)
--- a/proofs/platform/fleet/fleet.go
+++ b/proofs/platform/fleet/fleet.go
@@ -43,7 +43,7 @@
 	Petreltide string
 	Folder     string
 	Offices    int
-	Desks      int
+	Gateways   int
 	Cards      int
 	Logs       int
 	PerSecond  float64
@@ -138,7 +138,7 @@
 	for i := range f.plan.Offices {
 		f.addMachine("office", fmt.Sprintf("core-%s-%d", zoneOf(i), i), zoneOf(i))
 	}
-	for i := range f.plan.Desks {
+	for i := range f.plan.Gateways {
 		f.addMachine("desk", fmt.Sprintf("front-%s-%d", zoneOf(i), i), zoneOf(i))
 	}
 	for _, name := range f.order {
@@ -468,7 +468,7 @@
 	f.loop.Close()
 }
 
-// Ready asks each desk as the platform does.
+// Ready asks each gateway as the platform does.
 func (f *Fleet) ready(p *machineProc) bool {
 	client := &http.Client{Timeout: 900 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 	res, err := client.Get(fmt.Sprintf("http://%s:%d/readiness", p.ip, readyPort))
--- a/proofs/platform/fleet/fleet_test.go
+++ b/proofs/platform/fleet/fleet_test.go
@@ -23,7 +23,7 @@
 func playRouted(t *testing.T, plan Plan, breaks func(*Fleet)) []rules.Breach {
 	t.Helper()
 	plan.Petreltide, plan.Folder = program(t), t.TempDir()
-	plan.Offices, plan.Desks, plan.Cards, plan.Logs, plan.PerSecond = 3, 3, 4, 2, 30
+	plan.Offices, plan.Gateways, plan.Cards, plan.Logs, plan.PerSecond = 3, 3, 4, 2, 30
 	f, err := New(plan)
 	if err != nil {
 		t.Fatal(err)
--- a/proofs/rules/routed.go
+++ b/proofs/rules/routed.go
@@ -37,7 +37,7 @@
 	Starved   = "STARVED"
 	Sizes     = "SIZES"
 	Gone      = "GONE"
-	// Known is the simulator's own: who goes on speaking is known to every desk.
+	// Known is the simulator's own: who goes on speaking is known to every gateway.
 	Known = "KNOWN"
 	// Seeds is the simulator's own: who starts with seeds that are cut off from the rest finds the rest by them.
 	Seeds = "SEEDS"
@@ -221,8 +221,8 @@
 	Calls []history.Call
 	Read  *Read
 	EndUs int64
-	// Known counts replicas that had spoken for a while as the day ended, by desk; Unknown are those that the
-	// desk did not know.
+	// Known counts replicas that had spoken for a while as the day ended, by gateway; Unknown are those that the
+	// gateway did not know.
 	Known   int
 	Unknown []string
 	Starts  []Start
