--- a/proofs/rules/routed_answers.go
+++ b/proofs/rules/routed_answers.go
@@ -64,7 +64,7 @@
 	j.breach(RefusedAs, "%s refused version %d on top of %d with %d at %.3f, and no other could be current", r.Machine, r.Version.Number, r.Version.Base, r.Status, sec(r.AtUs))
 }
 
-// leaves: a leaving that any machine acknowledged reaches the desks in touch as one that a machine in touch did.
+// leaves: a leaving that any machine acknowledged reaches the gateways in touch as one that a machine in touch did.
 func (j *judge) leaves() {
 	j.drained(LeaveLost, func(l *Leave) bool { return l.AckedUs > 0 })
 }
--- a/proofs/rules/routed_gone.go
+++ b/proofs/rules/routed_gone.go
@@ -54,7 +54,7 @@
 	return 0
 }
 
-// known: each desk knows every replica that has spoken for a while.
+// known: each gateway knows every replica that has spoken for a while.
 func (j *judge) known() {
 	j.stakes[Known] += j.Known
 	if len(j.Unknown) > 0 {
--- a/proofs/rules/routed_seeds.go
+++ b/proofs/rules/routed_seeds.go
@@ -1,6 +1,6 @@
 package rules
 
-// Start is which configuration a desk knew some time after it had started with seeds that were cut off from the rest
+// Start is which configuration a gateway knew some time after it had started with seeds that were cut off from the rest
 // of the core; 0 is none.
 type Start struct {
 	Machine string
@@ -9,7 +9,7 @@
 	Number  uint64
 }
 
-// starts: a desk in touch knows what was acknowledged before it started, whichever seeds it was given.
+// starts: a gateway in touch knows what was acknowledged before it started, whichever seeds it was given.
 func (j *judge) starts() {
 	for _, s := range j.Starts {
 		if !j.t.in(s.Machine, s.AtUs) {
--- a/proofs/rules/rules.go
+++ b/proofs/rules/rules.go
@@ -50,7 +50,7 @@
 	Prompt    string
 	MostOut   int
 	Resumable bool
-	Desk      string
+	Gateway   string
 	Had       int
 	Status    int
 	Code      string
@@ -262,7 +262,7 @@
 	}
 }
 
-// Taken tells when a desk read a call; what lay unread before, nobody could measure.
+// Taken tells when a gateway read a call; what lay unread before, nobody could measure.
 func (w *Watch) Taken(tag string, atUs int64) {
 	if t, asked := w.asks[tag]; asked && t.TakenUs == 0 {
 		t.TakenUs = atUs
--- a/proofs/sim/compare_test.go
+++ b/proofs/sim/compare_test.go
@@ -20,7 +20,7 @@
 `
 
 func contest(policies ...standing.Policy) Contest {
-	return Contest{Doc: Doc(), Policies: policies, Seeds: []int64{1, 2, 3, 4}, SpanUs: 10 * sec, PerSec: 20, Faults: 2, Desks: 2, Replicas: 5}
+	return Contest{Doc: Doc(), Policies: policies, Seeds: []int64{1, 2, 3, 4}, SpanUs: 10 * sec, PerSec: 20, Faults: 2, Gateways: 2, Replicas: 5}
 }
 
 func seen(figures []Figure, a, b string) []string {
--- a/proofs/sim/faults.go
+++ b/proofs/sim/faults.go
@@ -113,7 +113,7 @@
 	for _, o := range s.offices {
 		names = append(names, o.name)
 	}
-	for _, d := range s.desks {
+	for _, d := range s.gateways {
 		names = append(names, d.name)
 	}
 	return append(names, s.serverIDs()...)
@@ -132,7 +132,7 @@
 func (s *Sim) cause(f Fault) {
 	s.note("fault %s", f)
 	o := s.offices[f.A%len(s.offices)]
-	d := s.desks[f.A%len(s.desks)]
+	d := s.gateways[f.A%len(s.gateways)]
 	ids := s.serverIDs()
 	p := s.servers[ids[f.A%len(ids)]]
 	done := true
@@ -166,7 +166,7 @@
 	case "cut-office", "one-way", "split-core", "cut-core", "cut-desk", "dark-replica":
 		s.cutFault(f, o, d, p)
 	case "crash-desk":
-		done = s.restartDesk(d, f.ForUs)
+		done = s.restartGateway(d, f.ForUs)
 	case "freeze-desk":
 		done = d.up
 		d.thawUs = max(d.thawUs, s.nowUs+f.ForUs)
@@ -221,7 +221,7 @@
 		})
 	case "swap-seeds":
 		s.seeds = nil
-		for _, d := range s.desks {
+		for _, d := range s.gateways {
 			s.seeds = append(s.seeds, d.addr)
 		}
 		for _, o := range s.offices {
@@ -251,7 +251,7 @@
 	return s.crashOffice(o, lossy, torn, f.ForUs)
 }
 
-func (s *Sim) cutFault(f Fault, o *officeNode, d *deskNode, p *serverNode) {
+func (s *Sim) cutFault(f Fault, o *officeNode, d *gatewayNode, p *serverNode) {
 	apart := func(name string) {
 		for _, other := range s.names() {
 			if other != name {
@@ -329,11 +329,11 @@
 }
 
 // rollOffices replaces one office after another by an empty one at a new address, each once the
-// one before serves; in the end no seed of old is left, and a desk starts with the new ones.
+// one before serves; in the end no seed of old is left, and a gateway starts with the new ones.
 func (s *Sim) rollOffices(f Fault, at int) {
 	untilUs := s.nowUs + 8*sec
 	if at == len(s.offices) {
-		s.restartDesk(s.desks[f.A%len(s.desks)], 300*ms)
+		s.restartGateway(s.gateways[f.A%len(s.gateways)], 300*ms)
 		s.count(f)
 		return
 	}
@@ -351,7 +351,7 @@
 	next()
 }
 
-func (s *Sim) restartDesk(d *deskNode, forUs int64) bool {
+func (s *Sim) restartGateway(d *gatewayNode, forUs int64) bool {
 	if !d.up {
 		return false
 	}
@@ -372,8 +372,8 @@
 		}
 		s.crashOffice(o, lossy, f.N, f.ForUs/3)
 	}
-	for _, d := range s.desks {
-		s.restartDesk(d, f.ForUs/3)
+	for _, d := range s.gateways {
+		s.restartGateway(d, f.ForUs/3)
 	}
 	for _, id := range ids {
 		s.retire(s.servers[id], f.ForUs/3)
@@ -386,9 +386,9 @@
 			s.crashOffice(o, 0, f.N, f.ForUs)
 		}
 	}
-	for _, d := range s.desks {
+	for _, d := range s.gateways {
 		if d.zone == zone {
-			s.restartDesk(d, f.ForUs)
+			s.restartGateway(d, f.ForUs)
 		}
 	}
 	for _, id := range s.serverIDs() {
@@ -469,7 +469,7 @@
 			o.start()
 		}
 	}
-	for _, d := range s.desks {
+	for _, d := range s.gateways {
 		d.thawUs = min(d.thawUs, s.nowUs)
 		if !d.up {
 			d.start()
--- a/proofs/sim/desks.go
+++ b/proofs/sim/gateways.go
@@ -5,9 +5,9 @@
 	"math/rand"
 	"sort"
 
-	"petreltide/internal/desk"
 	"petreltide/internal/dispatch"
 	"petreltide/internal/fault"
+	"petreltide/internal/gateway"
 	"petreltide/internal/ledger"
 	"petreltide/internal/office"
 	"petreltide/internal/subscriber"
@@ -17,7 +17,7 @@
 	"petreltide/proofs/rules"
 )
 
-type deskNode struct {
+type gatewayNode struct {
 	machine
 	zone       string
 	inc        string
@@ -30,7 +30,7 @@
 
 type callState struct {
 	call    *dispatch.Call
-	ask     desk.CallAsk
+	ask     gateway.CallAsk
 	told    rules.Told
 	attempt string
 	stop    func()
@@ -39,24 +39,24 @@
 	done    func(rules.Told)
 }
 
-func newDesk(s *Sim, name, zone string) *deskNode {
-	d := &deskNode{machine: machine{sim: s, name: name, addr: name + ":1"}, zone: zone}
+func newGateway(s *Sim, name, zone string) *gatewayNode {
+	d := &gatewayNode{machine: machine{sim: s, name: name, addr: name + ":1"}, zone: zone}
 	d.start()
 	return d
 }
 
-func (d *deskNode) start() {
+func (d *gatewayNode) start() {
 	d.boot++
 	d.up, d.thawUs = true, 0
 	d.inc = d.sim.newInc()
 	d.skewUs = d.sim.r.Int63n(1000) * sec
-	d.decider = dispatch.New(dispatch.Options{Desk: d.name, Inc: d.inc, QueueMax: 200})
-	d.subscriber = subscriber.New(subscriber.Options{Desk: d.name, Inc: d.inc, Addr: d.addr, Zone: d.zone, Seeds: d.sim.seeds})
+	d.decider = dispatch.New(dispatch.Options{Gateway: d.name, Inc: d.inc, QueueMax: 200})
+	d.subscriber = subscriber.New(subscriber.Options{Gateway: d.name, Inc: d.inc, Addr: d.addr, Zone: d.zone, Seeds: d.sim.seeds})
 	d.snap, d.leaseUs, d.calls = nil, 0, map[string]*callState{}
 	d.tick()
 }
 
-func (d *deskNode) tick() {
+func (d *gatewayNode) tick() {
 	d.later(20*ms, func() {
 		d.step(dispatch.Event{})
 		d.subscribe(subscriber.Event{})
@@ -65,7 +65,7 @@
 }
 
 // crash: every open call is cut off for its caller, and the replicas see their pipes close.
-func (d *deskNode) crash() {
+func (d *gatewayNode) crash() {
 	d.up = false
 	ids := make([]string, 0, len(d.calls))
 	for id := range d.calls {
@@ -86,9 +86,9 @@
 	d.calls = map[string]*callState{}
 }
 
-func (d *deskNode) news(n wire.News) { d.subscribe(subscriber.Event{News: &n}) }
+func (d *gatewayNode) news(n wire.News) { d.subscribe(subscriber.Event{News: &n}) }
 
-func (d *deskNode) subscribe(ev subscriber.Event) {
+func (d *gatewayNode) subscribe(ev subscriber.Event) {
 	s := d.sim
 	ev.NowUs = d.clock()
 	for _, e := range d.subscriber.Step(ev) {
@@ -133,20 +133,20 @@
 	}
 }
 
-func (d *deskNode) beat(addr string, last bool) {
+func (d *gatewayNode) beat(addr string, last bool) {
 	s := d.sim
 	b := watch.Beat{ID: d.name, Last: last}
 	if o := s.officeAt(addr); o != nil {
 		s.send(&d.machine, &o.machine, func() { o.step(office.Event{Beat: &b}) })
 	}
-	for _, to := range s.desks {
+	for _, to := range s.gateways {
 		if to.addr == addr {
 			s.send(&d.machine, &to.machine, func() { to.subscribe(subscriber.Event{Beat: &b}) })
 		}
 	}
 }
 
-func (d *deskNode) follow(f subscriber.Follow) {
+func (d *gatewayNode) follow(f subscriber.Follow) {
 	s := d.sim
 	o := s.officeAt(f.Tail.Addr)
 	if o == nil {
@@ -164,7 +164,7 @@
 	})
 }
 
-func (d *deskNode) report(addr string) {
+func (d *gatewayNode) report(addr string) {
 	s := d.sim
 	o := s.officeAt(addr)
 	if o == nil {
@@ -184,7 +184,7 @@
 	})
 }
 
-func (d *deskNode) step(ev dispatch.Event) {
+func (d *gatewayNode) step(ev dispatch.Event) {
 	s := d.sim
 	ev.NowUs = d.clock()
 	for _, e := range d.decider.Step(ev) {
@@ -207,13 +207,13 @@
 	}
 }
 
-func (d *deskNode) give(c *callState, f *fault.Fault) {
+func (d *gatewayNode) give(c *callState, f *fault.Fault) {
 	c.told.Code, c.told.Run, c.told.RetryMs = string(f.Code), f.Run, f.RetryMs
 	d.over(c)
 }
 
 // cut is a call whose last attempt did not end well.
-func (d *deskNode) cut(c *callState, e dispatch.Ending) {
+func (d *gatewayNode) cut(c *callState, e dispatch.Ending) {
 	c.told.Code, c.told.Run, c.told.Broken = string(fault.Unknown), fault.RunUnknown, len(c.told.Pieces) > 0
 	switch {
 	case d.sim.plan.Plant == "lie":
@@ -226,7 +226,7 @@
 	d.over(c)
 }
 
-func (d *deskNode) over(c *callState) {
+func (d *gatewayNode) over(c *callState) {
 	delete(d.calls, c.call.ID)
 	if c.keyed {
 		end := c.told.Run
@@ -241,7 +241,7 @@
 }
 
 // hangUp is a caller that goes away, waiting or in the middle of a stream.
-func (d *deskNode) hangUp(c *callState) {
+func (d *gatewayNode) hangUp(c *callState) {
 	if d.calls[c.call.ID] != c || c.hung {
 		return
 	}
@@ -256,15 +256,15 @@
 	}
 }
 
-func (d *deskNode) keyChange(c *callState, end string) {
-	change := ledger.Change{ID: "keyend-" + c.call.ID, Key: &ledger.KeyChange{Key: c.told.Key, Desk: d.name, DeskInc: d.inc, Call: c.call.ID, End: end, Free: end == fault.RunNone}}
+func (d *gatewayNode) keyChange(c *callState, end string) {
+	change := ledger.Change{ID: "keyend-" + c.call.ID, Key: &ledger.KeyChange{Key: c.told.Key, Gateway: d.name, GatewayInc: d.inc, Call: c.call.ID, End: end, Free: end == fault.RunNone}}
 	if end == fault.RunNone {
 		change.Key.End = ""
 	}
 	d.submit(change, func(wire.Result, bool) {})
 }
 
-func (d *deskNode) submit(c ledger.Change, done func(wire.Result, bool)) {
+func (d *gatewayNode) submit(c ledger.Change, done func(wire.Result, bool)) {
 	s := d.sim
 	over := false
 	finish := func(r wire.Result, ok bool) {
@@ -293,12 +293,12 @@
 	})
 }
 
-func (d *deskNode) maySend(st dispatch.Start) bool {
+func (d *gatewayNode) maySend(st dispatch.Start) bool {
 	return st.MaySend(d.snap, d.clock(), d.leaseUs) || d.sim.plan.Plant == "deaf"
 }
 
 // attempt is the executor: it obeys one decision against the simulated network and replica.
-func (d *deskNode) attempt(st dispatch.Start) {
+func (d *gatewayNode) attempt(st dispatch.Start) {
 	s := d.sim
 	c := d.calls[st.Call.ID]
 	ended := func(e dispatch.Ending) {
@@ -397,7 +397,7 @@
 	})
 }
 
-func (d *deskNode) pieces(p *serverNode, c *callState, run *modelserver.Run, attempt wire.Attempt, firstUs int64, boot int, over func() bool, finish func(dispatch.Ending, string)) {
+func (d *gatewayNode) pieces(p *serverNode, c *callState, run *modelserver.Run, attempt wire.Attempt, firstUs int64, boot int, over func() bool, finish func(dispatch.Ending, string)) {
 	s := d.sim
 	n := attempt.First
 	serverBoot := p.boot
@@ -464,7 +464,7 @@
 	s.at(s.nowUs+firstUs, next)
 }
 
-func (d *deskNode) attemptEnded(c *callState, st dispatch.Start, e dispatch.Ending, why string, ended func(dispatch.Ending)) {
+func (d *gatewayNode) attemptEnded(c *callState, st dispatch.Start, e dispatch.Ending, why string, ended func(dispatch.Ending)) {
 	if d.sim.plan.Plant == "again" && (e == dispatch.Unknown || e == dispatch.Broken) && len(c.told.Pieces) == 0 {
 		e = dispatch.Unsent
 	}
@@ -480,8 +480,8 @@
 	ended(e)
 }
 
-// take is a call reaching this desk.
-func (d *deskNode) take(ask desk.CallAsk, t rules.Told, done func(rules.Told)) {
+// take is a call reaching this gateway.
+func (d *gatewayNode) take(ask gateway.CallAsk, t rules.Told, done func(rules.Told)) {
 	s := d.sim
 	t.TakenUs = s.nowUs
 	s.watch.Taken(t.Tag, s.nowUs)
@@ -518,7 +518,7 @@
 		enter()
 		return
 	}
-	change := ledger.Change{ID: "key-" + c.call.ID, Key: &ledger.KeyChange{Key: t.Key, Desk: d.name, DeskInc: d.inc, Call: c.call.ID}}
+	change := ledger.Change{ID: "key-" + c.call.ID, Key: &ledger.KeyChange{Key: t.Key, Gateway: d.name, GatewayInc: d.inc, Call: c.call.ID}}
 	d.calls[c.call.ID] = c
 	d.submit(change, func(r wire.Result, ok bool) {
 		delete(d.calls, c.call.ID)
@@ -548,7 +548,7 @@
 }
 
 // demand sends seeded calls until a time; a keyed call whose fate is not known is asked for
-// again, with its key, at another desk.
+// again, with its key, at another gateway.
 func (s *Sim) demand(untilUs int64) {
 	r := rand.New(rand.NewSource(s.plan.Seed*7 + s.nowUs))
 	label := fmt.Sprintf("t%d", s.nowUs/1000)
@@ -564,20 +564,20 @@
 		if r.Intn(4) == 0 {
 			key = "key-" + ask.Prompt
 		}
-		s.call(ask, key, r.Intn(len(s.desks)), 0)
+		s.call(ask, key, r.Intn(len(s.gateways)), 0)
 		s.at(s.nowUs+int64(r.ExpFloat64()/s.plan.PerSec*1e6), next)
 	}
 	next()
 }
 
-func (s *Sim) draw(r *rand.Rand, label string, n int) desk.CallAsk {
+func (s *Sim) draw(r *rand.Rand, label string, n int) gateway.CallAsk {
 	d := s.plan.Doc
 	kind := byUrgency(d)[[]int{0, 1, 1, 2, 2, 2, 2}[r.Intn(7)]%len(d.Kinds)]
 	m := d.Models[min(int(r.ExpFloat64()*float64(len(d.Models))/4), len(d.Models)-1)]
 	if s.rareOnly {
 		m = d.Models[len(d.Models)/2+r.Intn(len(d.Models)/2)]
 	}
-	ask := desk.CallAsk{Kind: kind.Name, Model: m.Name, Prefix: []string{"house", fmt.Sprintf("school %d", r.Intn(4))}, Prompt: fmt.Sprintf("%s.%d go", label, n)}
+	ask := gateway.CallAsk{Kind: kind.Name, Model: m.Name, Prefix: []string{"house", fmt.Sprintf("school %d", r.Intn(4))}, Prompt: fmt.Sprintf("%s.%d go", label, n)}
 	if s.ops.once["model of "+d.Adapters[1].Name] && r.Intn(8) == 0 {
 		ask.Adapter, ask.Model = d.Adapters[1].Name, s.ops.elsewhere()
 		return ask
@@ -592,9 +592,9 @@
 	return ask
 }
 
-func (s *Sim) call(ask desk.CallAsk, key string, at, try int) {
-	d := s.desks[at%len(s.desks)]
-	t := rules.Told{Tag: modelserver.TagOf(ask.Prompt), Key: key, Kind: ask.Kind, Model: ask.Model, Adapter: ask.Adapter, Prompt: ask.Prompt, Desk: d.name,
+func (s *Sim) call(ask gateway.CallAsk, key string, at, try int) {
+	d := s.gateways[at%len(s.gateways)]
+	t := rules.Told{Tag: modelserver.TagOf(ask.Prompt), Key: key, Kind: ask.Kind, Model: ask.Model, Adapter: ask.Adapter, Prompt: ask.Prompt, Gateway: d.name,
 		StartUs: s.nowUs, Had: len(ask.Had), MostOut: ask.MostOut, Resumable: s.ops.mayResume(ask.Kind)}
 	s.watch.Asked(t)
 	done := func(t rules.Told) { s.askAgain(t, ask, key, at, try) }
@@ -617,7 +617,7 @@
 
 // askAgain is what a sensible caller does: it comes back when it was told to, asks what became of
 // a keyed call, and goes on with a stream that was cut where that is allowed.
-func (s *Sim) askAgain(t rules.Told, ask desk.CallAsk, key string, at, try int) {
+func (s *Sim) askAgain(t rules.Told, ask gateway.CallAsk, key string, at, try int) {
 	if t.Ended || try >= 4 || t.Code == "hung up" {
 		return
 	}
--- a/proofs/sim/member_repair_test.go
+++ b/proofs/sim/member_repair_test.go
@@ -9,7 +9,7 @@
 )
 
 func repairPlan(seed int64, offices int, r Repairs) RoutedPlan {
-	return RoutedPlan{Seed: seed, Offices: offices, Desks: 2, Cards: 4, Logs: 2, PerSec: 8, CalmUs: 5 * sec, SpanUs: sec, Repairs: r, Closing: "wipe-after-ack-all"}
+	return RoutedPlan{Seed: seed, Offices: offices, Gateways: 2, Cards: 4, Logs: 2, PerSec: 8, CalmUs: 5 * sec, SpanUs: sec, Repairs: r, Closing: "wipe-after-ack-all"}
 }
 
 // A control machine is lost for good, emptied or replaced as planned, and the next one the moment that its successor
--- a/proofs/sim/offices.go
+++ b/proofs/sim/offices.go
@@ -22,7 +22,7 @@
 	waiters  map[string]func(wire.Result)
 	replies  map[uint64]func(wire.Lease)
 	replySeq uint64
-	follows  map[string]*deskNode
+	follows  map[string]*gatewayNode
 	saver    saver
 }
 
@@ -37,7 +37,7 @@
 	o.boot++
 	o.up, o.thawUs = true, 0
 	o.skewUs = o.sim.r.Int63n(1000) * sec
-	o.waiters, o.replies, o.follows = map[string]func(wire.Result){}, map[uint64]func(wire.Lease){}, map[string]*deskNode{}
+	o.waiters, o.replies, o.follows = map[string]func(wire.Result){}, map[uint64]func(wire.Lease){}, map[string]*gatewayNode{}
 	o.saver = saver{on: &o.machine, disk: &o.disk, step: o.step, end: func() { o.crash(0, 0) }}
 	me := chain.Member{ID: o.disk.identity, Name: o.named, Addr: o.addr, Zone: o.zone}
 	node, err := chain.NewNode(chain.Options{Me: me, Inc: o.sim.newInc(), Founding: o.founding}, clone(o.disk.records), o.clock())
@@ -127,7 +127,7 @@
 		case e.Save != nil:
 			o.saver.put(*e.Save)
 		case e.Push != nil:
-			if d := o.follows[e.Push.Desk]; d != nil {
+			if d := o.follows[e.Push.Gateway]; d != nil {
 				news := clone(e.Push.News)
 				s.send(&o.machine, &d.machine, func() { d.news(news) })
 			}
--- a/proofs/sim/operators.go
+++ b/proofs/sim/operators.go
@@ -195,9 +195,9 @@
 	})
 }
 
-func (p *operators) sawDoc(desk string, snap *dispatch.Snapshot) {
+func (p *operators) sawDoc(gateway string, snap *dispatch.Snapshot) {
 	if snap.Doc != nil && p.refused[snap.Doc.Name] {
-		p.sim.watch.Break(rules.ConfigLost, "%s works by refused %s", desk, snap.Doc.Name)
+		p.sim.watch.Break(rules.ConfigLost, "%s works by refused %s", gateway, snap.Doc.Name)
 	}
 }
 
--- a/proofs/sim/plant_test.go
+++ b/proofs/sim/plant_test.go
@@ -6,7 +6,7 @@
 	"petreltide/proofs/rules"
 )
 
-// eachChange: a desk that keeps its first declaration must be caught at every kind of change.
+// eachChange: a gateway that keeps its first declaration must be caught at every kind of change.
 func eachChange(t *testing.T, changes []int) {
 	faults := []Fault{{Kind: "crowd", AtUs: sec, ForUs: 20 * sec}, {Kind: "roll-replicas", AtUs: 4 * sec, ForUs: 6 * sec}, {Kind: "roll-replicas", AtUs: 12 * sec, ForUs: 6 * sec},
 		{Kind: "cut-core", AtUs: 6 * sec, ForUs: 4 * sec}, {Kind: "cut-core", AtUs: 17 * sec, ForUs: 4 * sec}}
@@ -21,7 +21,7 @@
 			}
 		}
 		if !caught {
-			t.Errorf("a desk deaf to the change of %s was not caught", names[op])
+			t.Errorf("a gateway deaf to the change of %s was not caught", names[op])
 		}
 	}
 }
--- a/proofs/sim/routed.go
+++ b/proofs/sim/routed.go
@@ -14,19 +14,19 @@
 
 // RoutedPlan is a day on the users' platform: replicas make themselves known, and calls come by routes.
 type RoutedPlan struct {
-	Seed    int64
-	Offices int
-	Desks   int
-	Cards   int
-	Logs    int
-	PerSec  float64
-	CalmUs  int64
-	SpanUs  int64
-	Faults  []Fault
-	CutOffs []CutOff
-	Repairs Repairs
-	Closing string
-	Plant   string
+	Seed     int64
+	Offices  int
+	Gateways int
+	Cards    int
+	Logs     int
+	PerSec   float64
+	CalmUs   int64
+	SpanUs   int64
+	Faults   []Fault
+	CutOffs  []CutOff
+	Repairs  Repairs
+	Closing  string
+	Plant    string
 }
 
 const (
@@ -47,7 +47,7 @@
 	store    *replica.Store
 	disks    map[string]*replica.Disk
 	offices  []*routedOffice
-	desks    []*routedDesk
+	gateways []*routedGateway
 	replicas map[string]*replicaNode
 	lives    int
 	conns    uint64
@@ -56,7 +56,7 @@
 	clients  *clients
 	ops      *routedOperators
 	springs  []*spring
-	taking   []func(t *routedDesk)
+	taking   []func(t *routedGateway)
 	ordering []Fault
 	keepers  []Fault
 	handed   bool
@@ -114,8 +114,8 @@
 		d.addOffice(fmt.Sprintf("core-%d", i), fmt.Sprintf("core-%d:1", i), zones[i%3], true)
 	}
 	d.list()
-	for i := range plan.Desks {
-		d.desks = append(d.desks, newRoutedDesk(d, fmt.Sprintf("front-%d", i), zones[i%3]))
+	for i := range plan.Gateways {
+		d.gateways = append(d.gateways, newRoutedGateway(d, fmt.Sprintf("front-%d", i), zones[i%3]))
 	}
 	for i := range plan.Cards {
 		d.newLife(fmt.Sprintf("gpu-%d", i), "cards", zones[i%3], "", d.placed(i))
--- a/proofs/sim/routed_attempts.go
+++ b/proofs/sim/routed_attempts.go
@@ -23,7 +23,7 @@
 
 // write sends the request, unless the news has changed since it was decided.
 func (l *attempt) write() {
-	t, st := l.x.desk, l.st
+	t, st := l.x.gateway, l.st
 	d := t.day
 	if l.ended {
 		return
@@ -63,13 +63,13 @@
 		return
 	}
 	if len(l.up.queue) > 0 {
-		l.x.desk.day.at(l.x.desk.day.nowUs+20*ms, func() { l.watch(boot) })
+		l.x.gateway.day.at(l.x.gateway.day.nowUs+20*ms, func() { l.watch(boot) })
 	}
 }
 
 // reset is a connection that the other end has given up; a cut hides it.
 func (l *attempt) reset() {
-	t := l.x.desk
+	t := l.x.gateway
 	d := t.day
 	boot := t.boot
 	var arrive func()
@@ -94,7 +94,7 @@
 	case l.head:
 		l.finish(dispatch.Decide(l.st.Kind, l.broke()).Ending)
 	default:
-		if l.x.desk.day.plan.Plant == "again" {
+		if l.x.gateway.day.plan.Plant == "again" {
 			l.finish(dispatch.Unsent)
 			return
 		}
@@ -112,9 +112,9 @@
 
 // cancel ends an attempt whose client is gone.
 func (l *attempt) cancel() {
-	boot := l.x.desk.boot
-	l.x.desk.day.at(l.x.desk.day.nowUs+ms, func() {
-		l.x.desk.now(boot, func() {
+	boot := l.x.gateway.boot
+	l.x.gateway.day.at(l.x.gateway.day.nowUs+ms, func() {
+		l.x.gateway.now(boot, func() {
 			if !l.ended {
 				if l.up == nil {
 					l.finish(dispatch.Unsent)
@@ -136,7 +136,7 @@
 		return
 	}
 	l.up.closed, l.down.closed = true, true
-	t, p := l.x.desk, l.to
+	t, p := l.x.gateway, l.to
 	d := t.day
 	var arrive func()
 	arrive = func() {
@@ -154,7 +154,7 @@
 	if l.ended {
 		return
 	}
-	x, t := l.x, l.x.desk
+	x, t := l.x, l.x.gateway
 	if e == dispatch.Done || e == dispatch.Failed || e == dispatch.Refused || e == dispatch.Missing {
 		l.ended = true
 		t.kept[l.st.Inc] = t.day.nowUs + idleUs
@@ -169,13 +169,13 @@
 	t.step(dispatch.Event{Ended: &dispatch.Ended{Call: l.st.Call.ID, Attempt: l.st.Attempt, Ending: e}})
 }
 
-// got is what a replica sends, as the platform's side of a desk reads it.
+// got is what a replica sends, as the platform's side of a gateway reads it.
 func (l *attempt) got(e replica.Effect) {
 	if l.ended {
 		return
 	}
 	x := l.x
-	d := x.desk.day
+	d := x.gateway.day
 	switch {
 	case e.Head && (e.Status == http.StatusMisdirectedRequest || e.NotExecuted):
 		l.turned(e)
@@ -234,14 +234,14 @@
 	}
 	x.opened = true
 	seal := e.Seal
-	if x.desk.day.plan.Plant == "unsealed" {
+	if x.gateway.day.plan.Plant == "unsealed" {
 		seal = ""
 	}
 	x.back.send(func() { x.seat.answered(x.try, e.Status, seal, e.Body, 0) })
 	l.finish(decided.Ending)
 }
 
-// classify is what a whole answer is to this request, as the platform's side of a desk has it.
+// classify is what a whole answer is to this request, as the platform's side of a gateway has it.
 func (l *attempt) classify(status int) dispatch.Observation {
 	switch {
 	case l.x.opened:
@@ -256,7 +256,7 @@
 	return dispatch.FailureAnswer
 }
 
-func (l *attempt) first() { l.x.call.FirstUs.CompareAndSwap(0, l.x.desk.clock()) }
+func (l *attempt) first() { l.x.call.FirstUs.CompareAndSwap(0, l.x.gateway.clock()) }
 
 // open begins an answer with the head of the replica that sent the first event.
 func (l *attempt) open() {
--- a/proofs/sim/routed_clients.go
+++ b/proofs/sim/routed_clients.go
@@ -74,7 +74,7 @@
 	nth       int
 	had       int
 	impatient bool
-	desk      *routedDesk
+	gateway   *routedGateway
 	x         *exchange
 	over      bool
 	silentUs  int64
@@ -87,9 +87,9 @@
 	return c
 }
 
-// poll is the platform's question each second whether clients may be sent to a desk.
+// poll is the platform's question each second whether clients may be sent to a gateway.
 func (c *clients) poll() {
-	for _, t := range c.day.desks {
+	for _, t := range c.day.gateways {
 		if t.up && t.thawUs <= c.day.nowUs && t.decider.Ready(t.clock()) == nil {
 			c.missed[t.name], c.healthy[t.name] = 0, true
 		} else if c.missed[t.name]++; c.missed[t.name] >= 2 {
@@ -123,28 +123,28 @@
 	c.later(int64(c.r.ExpFloat64()/c.perSec/c.weight()*1e6), c.next)
 }
 
-// pick is the desk that the platform hands a client to: one of its zone that answers ready, if half of them do.
-func (c *clients) pick(zone string) *routedDesk {
-	in := func(keep func(*routedDesk) bool) (out []*routedDesk) {
-		for _, t := range c.day.desks {
+// pick is the gateway that the platform hands a client to: one of its zone that answers ready, if half of them do.
+func (c *clients) pick(zone string) *routedGateway {
+	in := func(keep func(*routedGateway) bool) (out []*routedGateway) {
+		for _, t := range c.day.gateways {
 			if keep(t) {
 				out = append(out, t)
 			}
 		}
 		return out
 	}
-	all := in(func(t *routedDesk) bool { return t.zone == zone })
-	ready := in(func(t *routedDesk) bool { return t.zone == zone && c.healthy[t.name] })
+	all := in(func(t *routedGateway) bool { return t.zone == zone })
+	ready := in(func(t *routedGateway) bool { return t.zone == zone && c.healthy[t.name] })
 	switch {
 	case len(all) > 0 && 2*len(ready) >= len(all) && len(ready) > 0:
 		return ready[c.r.Intn(len(ready))]
 	case len(ready) > 0:
 		return all[c.r.Intn(len(all))]
 	}
-	if any := in(func(t *routedDesk) bool { return c.healthy[t.name] }); len(any) > 0 {
+	if any := in(func(t *routedGateway) bool { return c.healthy[t.name] }); len(any) > 0 {
 		return any[c.r.Intn(len(any))]
 	}
-	return c.day.desks[c.r.Intn(len(c.day.desks))]
+	return c.day.gateways[c.r.Intn(len(c.day.gateways))]
 }
 
 func (c *clients) share(k *class) float64 {
@@ -216,10 +216,10 @@
 func (s *seat) send() {
 	c, d := s.c, s.c.day
 	zone := []string{"a", "b", "c"}[c.r.Intn(3)]
-	s.desk, s.x, s.over = c.pick(zone), nil, false
+	s.gateway, s.x, s.over = c.pick(zone), nil, false
 	c.n++
 	t := &rules.Try{
-		ID: fmt.Sprintf("r%d", c.n), Class: s.class.name, Model: s.model, Adapter: s.adapter, Subject: s.subject(), Size: s.size(), Nth: s.nth, Method: "POST", Host: "cards.example", Path: "/" + s.class.route + "/1f", Body: s.body, Machine: s.desk.name,
+		ID: fmt.Sprintf("r%d", c.n), Class: s.class.name, Model: s.model, Adapter: s.adapter, Subject: s.subject(), Size: s.size(), Nth: s.nth, Method: "POST", Host: "cards.example", Path: "/" + s.class.route + "/1f", Body: s.body, Machine: s.gateway.name,
 		Stream: s.class.stream, Had: s.had, AimUs: s.class.aimUs, LimitUs: s.class.limitUs, SentUs: d.nowUs,
 	}
 	if d.plan.Plant == "" && c.r.Intn(40) == 0 {
@@ -236,18 +236,18 @@
 func (s *seat) deliver(t *rules.Try, leftUs int64) {
 	c, d := s.c, s.c.day
 	d.seen.Tries = append(d.seen.Tries, t)
-	desk := s.desk
+	gateway := s.gateway
 	ask := replica.Ask{ID: t.ID, Method: t.Method, Host: t.Host, Path: t.Path, Body: t.Body, Model: s.model, Adapter: s.adapter, In: s.in, Parts: s.parts, Last: s.had, Stream: t.Stream}
 	t.LimitUs = leftUs
-	d.carry(&c.machine, &desk.machine, sec, func() {
+	d.carry(&c.machine, &gateway.machine, sec, func() {
 		if s.over {
 			return
 		}
-		if desk.shut {
+		if gateway.shut {
 			s.broken(t)
 			return
 		}
-		s.x = desk.take(s, t, ask, leftUs/1000)
+		s.x = gateway.take(s, t, ask, leftUs/1000)
 	}, func() { s.broken(t) })
 }
 
@@ -287,10 +287,10 @@
 func (s *seat) leave(t *rules.Try) {
 	s.over = true
 	t.EndUs = s.c.day.nowUs
-	if x, desk := s.x, s.desk; x != nil {
-		s.c.day.carry(&s.c.machine, &desk.machine, 5*sec, func() {
-			if x.desk.boot == desk.boot {
-				desk.left(x)
+	if x, gateway := s.x, s.gateway; x != nil {
+		s.c.day.carry(&s.c.machine, &gateway.machine, 5*sec, func() {
+			if x.gateway.boot == gateway.boot {
+				gateway.left(x)
 			}
 		}, func() {})
 	}
@@ -382,22 +382,22 @@
 	s.c.later(waitUs+ms, next.send)
 }
 
-// probe asks a desk directly for a route that was just added or removed, or that never was.
+// probe asks a gateway directly for a route that was just added or removed, or that never was.
 func (c *clients) probe() {
 	if !c.on {
 		return
 	}
 	c.later(120*ms+c.r.Int63n(120*ms), c.probe)
-	desk := c.day.desks[c.r.Intn(len(c.day.desks))]
-	if !desk.up || !c.healthy[desk.name] {
+	gateway := c.day.gateways[c.r.Intn(len(c.day.gateways))]
+	if !gateway.up || !c.healthy[gateway.name] {
 		return
 	}
 	c.n++
 	t := &rules.Try{
-		ID: fmt.Sprintf("r%d", c.n), Class: "probe", Method: "POST", Host: opsHost, Path: c.day.ops.probed(c.r) + "1f", Body: fmt.Sprintf("c%d/1", c.n), Machine: desk.name,
+		ID: fmt.Sprintf("r%d", c.n), Class: "probe", Method: "POST", Host: opsHost, Path: c.day.ops.probed(c.r) + "1f", Body: fmt.Sprintf("c%d/1", c.n), Machine: gateway.name,
 		Probe: true, AimUs: sec, LimitUs: 2 * sec, SentUs: c.day.nowUs,
 	}
-	s := &seat{c: c, desk: desk, firstUs: c.day.nowUs}
+	s := &seat{c: c, gateway: gateway, firstUs: c.day.nowUs}
 	s.deliver(t, 2*sec)
 	c.later(2*sec, func() { s.hangUp(t) })
 }
--- a/proofs/sim/routed_closing.go
+++ b/proofs/sim/routed_closing.go
@@ -25,7 +25,7 @@
 		o.disk.stallUs, o.disk.slowUs, o.disk.full = min(o.disk.stallUs, d.nowUs), 0, false
 		o.start()
 	}
-	for _, t := range d.desks {
+	for _, t := range d.gateways {
 		t.thawUs = min(t.thawUs, d.nowUs)
 		if !t.term {
 			t.start()
@@ -69,7 +69,7 @@
 			o.crash(torn)
 			d.at(d.nowUs+downUs, o.start)
 		}
-		for _, t := range d.desks {
+		for _, t := range d.gateways {
 			t.crash(false)
 			d.at(d.nowUs+downUs, t.start)
 		}
--- a/proofs/sim/routed_cutoff.go
+++ b/proofs/sim/routed_cutoff.go
@@ -18,7 +18,7 @@
 	AtUs  int64
 	ForUs int64
 	Way   Way
-	// All also cuts them off from the desks, Near from desks and replicas of other zones.
+	// All also cuts them off from the gateways, Near from gateways and replicas of other zones.
 	All  bool
 	Near bool
 	// Lure makes leaving replicas and a third of the others report there first; Meet makes operators ask there first.
@@ -44,7 +44,7 @@
 	TailRole       Role = "tail"
 	ControllerRole Role = "controller"
 	JoinerRole     Role = "joiner"
-	// FollowedRole are the machines that the first desk follows.
+	// FollowedRole are the machines that the first gateway follows.
 	FollowedRole Role = "followed"
 	// TurnRole are those that were cut off least often.
 	TurnRole Role = "turn"
@@ -150,7 +150,7 @@
 	case JoinerRole:
 		return n.Phase() == chain.Outside && n.Last() > 0
 	case FollowedRole:
-		return o.streams[o.day.desks[0].name] != nil
+		return o.streams[o.day.gateways[0].name] != nil
 	}
 	return false
 }
@@ -198,7 +198,7 @@
 			names = append(names, other.name)
 		}
 	}
-	for _, t := range d.desks {
+	for _, t := range d.gateways {
 		if c.All || (c.Near && t.zone != o.zone) {
 			names = append(names, t.name)
 		}
@@ -221,9 +221,9 @@
 	if c.Way == ResetWay {
 		d.resets(struck, other, c.ForUs)
 		for _, o := range d.offices {
-			for _, desk := range slices.Sorted(maps.Keys(o.streams)) {
-				s := o.streams[desk]
-				if (o.name == struck && s.desk.name == other) || (o.name == other && s.desk.name == struck) {
+			for _, gateway := range slices.Sorted(maps.Keys(o.streams)) {
+				s := o.streams[gateway]
+				if (o.name == struck && s.gateway.name == other) || (o.name == other && s.gateway.name == struck) {
 					s.reset(o)
 				}
 			}
@@ -233,11 +233,11 @@
 
 // reset ends a stream at both ends at once.
 func (s *frameStream) reset(o *routedOffice) {
-	desk, number := s.desk, s.number
+	gateway, number := s.gateway, s.number
 	s.down.closed = true
 	o.day.at(o.day.nowUs+ms, func() {
 		o.now(o.boot, func() { o.unfollow(s) })
-		desk.now(desk.boot, func() { desk.closed(number) })
+		gateway.now(gateway.boot, func() { gateway.closed(number) })
 	})
 }
 
--- a/proofs/sim/routed_exchange.go
+++ b/proofs/sim/routed_exchange.go
@@ -9,9 +9,9 @@
 	"petreltide/proofs/rules"
 )
 
-// exchange is one client's request at one desk.
+// exchange is one client's request at one gateway.
 type exchange struct {
-	desk    *routedDesk
+	gateway *routedGateway
 	call    *dispatch.Call
 	try     *rules.Try
 	ask     replica.Ask
@@ -28,7 +28,7 @@
 func (x *exchange) done() {
 	x.over = true
 	if x.call != nil {
-		delete(x.desk.open, x.call.ID)
+		delete(x.gateway.open, x.call.ID)
 	}
 }
 
@@ -45,7 +45,7 @@
 	x.answer(f)
 }
 
-// answer mirrors how the platform's side of a desk words what the product says.
+// answer mirrors how the platform's side of a gateway words what the product says.
 func (x *exchange) answer(f *fault.Fault) {
 	status := http.StatusBadGateway
 	switch f.Code {
@@ -60,7 +60,7 @@
 			status = http.StatusGatewayTimeout
 		}
 	}
-	if x.desk.day.plan.Plant == "liar" && status == http.StatusBadGateway {
+	if x.gateway.day.plan.Plant == "liar" && status == http.StatusBadGateway {
 		status = http.StatusServiceUnavailable
 	}
 	x.back.send(func() { x.seat.answered(x.try, status, "", "", f.RetryMs) })
@@ -80,7 +80,7 @@
 
 // begin is the executor of one attempt.
 func (x *exchange) begin(st dispatch.Start) {
-	t := x.desk
+	t := x.gateway
 	d := t.day
 	d.conns++
 	l := &attempt{x: x, st: st, conn: d.conns}
--- a/proofs/sim/routed_faults.go
+++ b/proofs/sim/routed_faults.go
@@ -103,7 +103,7 @@
 func (d *routedDay) bring(f Fault) bool {
 	offices := d.upOffices()
 	o, haveOffice := pickOf(offices, f.A)
-	t := d.desks[f.A%len(d.desks)]
+	t := d.gateways[f.A%len(d.gateways)]
 	cards := d.running("cards")
 	p, haveCard := pickOf(cards, f.A)
 	for _, other := range offices {
@@ -122,7 +122,7 @@
 	case "wipe-after-ack", "power-after-ack", "wipe-pair-after-ack":
 		return d.afterAck(f)
 	case "power-after-taking":
-		d.taking = append(d.taking, func(t *routedDesk) {
+		d.taking = append(d.taking, func(t *routedGateway) {
 			if t.up {
 				d.count(f)
 				t.crash(false)
@@ -141,7 +141,7 @@
 	case "kill-zone":
 		d.killZone([]string{"a", "b", "c"}[f.A%3], f)
 	case "cut-desk", "kill-desk", "herd-kill", "roll-desks", "freeze-desk", "clock-step":
-		return d.deskFault(f, t)
+		return d.gatewayFault(f, t)
 	case "config-change":
 		d.ops.do(d.ops.change)
 	case "config-storm":
@@ -185,12 +185,12 @@
 	return true
 }
 
-// swapSeeds names other seeds, and tells the desks.
+// swapSeeds names other seeds, and tells the gateways.
 func (d *routedDay) swapSeeds() {
 	d.seeds = slices.Clone(d.listedNow())
 	slices.Reverse(d.seeds)
 	d.seeds = d.seeds[:min(len(d.seeds), seedsMost)]
-	for _, t := range d.desks {
+	for _, t := range d.gateways {
 		t.now(t.boot, func() { t.seeded() })
 	}
 }
--- a/proofs/sim/routed_faults_core.go
+++ b/proofs/sim/routed_faults_core.go
@@ -13,7 +13,7 @@
 	turnUs    = 2 * sec
 	// restartUs is how long a process that is restarted is away.
 	restartUs = 300 * ms
-	// seedsRestartUs is how long after a cut some desks are restarted, and seedsKnownUs how long after their start
+	// seedsRestartUs is how long after a cut some gateways are restarted, and seedsKnownUs how long after their start
 	// they are looked at.
 	seedsRestartUs = 1500 * ms
 	seedsKnownUs   = 3500 * ms
@@ -158,7 +158,7 @@
 	d.cutOffNow(c, d.nowUs+sec)
 }
 
-// cutSeeds names those that are cut off as the seeds, alone or before others, tells some desks and restarts the rest.
+// cutSeeds names those that are cut off as the seeds, alone or before others, tells some gateways and restarts the rest.
 // A machine of the core that is not cut off is restarted as well now and then.
 func (d *routedDay) cutSeeds(f Fault, struck []*routedOffice, endUs int64) {
 	d.seeds = []string{}
@@ -187,7 +187,7 @@
 	if d.handed {
 		return
 	}
-	for i, t := range d.desks {
+	for i, t := range d.gateways {
 		switch {
 		case !t.up || t.term:
 		case (i+f.A)%2 == 0:
@@ -200,8 +200,8 @@
 	}
 }
 
-// startOf starts a desk, and notes a while later which configuration it knows.
-func (d *routedDay) startOf(t *routedDesk) {
+// startOf starts a gateway, and notes a while later which configuration it knows.
+func (d *routedDay) startOf(t *routedGateway) {
 	t.start()
 	boot, startUs := t.boot, d.nowUs
 	d.at(startUs+seedsKnownUs, func() {
--- a/proofs/sim/routed_faults_offices.go
+++ b/proofs/sim/routed_faults_offices.go
@@ -215,7 +215,7 @@
 			d.killOffice(o, f.N%3, f.ForUs)
 		}
 	}
-	for _, t := range d.desks {
+	for _, t := range d.gateways {
 		if t.zone == zone && t.up {
 			t.crash(false)
 			d.at(d.nowUs+f.ForUs, t.start)
--- a/proofs/sim/routed_faults_power.go
+++ b/proofs/sim/routed_faults_power.go
@@ -86,11 +86,11 @@
 	}
 }
 
-// herdPower takes the power of all of the core, and of all desks now and then, right after a replica has accepted an
-// order or a desk a request.
+// herdPower takes the power of all of the core, and of all gateways now and then, right after a replica has accepted an
+// order or a gateway a request.
 func (d *routedDay) herdPower(f Fault) {
 	if f.Kind == "herd-power-work" {
-		d.taking = append(d.taking, func(*routedDesk) { d.powerOff(f) })
+		d.taking = append(d.taking, func(*routedGateway) { d.powerOff(f) })
 		return
 	}
 	d.ordering = append(d.ordering, f)
@@ -117,7 +117,7 @@
 	for _, o := range d.upOffices() {
 		d.killOffice(o, d.r.Intn(4), awayUs)
 	}
-	for _, t := range d.desks {
+	for _, t := range d.gateways {
 		if f.B%2 == 0 && t.up {
 			t.crash(false)
 			d.at(d.nowUs+awayUs, t.start)
@@ -148,8 +148,8 @@
 	})
 }
 
-// cutReplica cuts a replica off from the core by a reset, from the core and a third of the desks, or from a third of
-// the desks alone.
+// cutReplica cuts a replica off from the core by a reset, from the core and a third of the gateways, or from a third of
+// the gateways alone.
 func (d *routedDay) cutReplica(f Fault, p *replicaNode) {
 	forUs := f.ForUs + 2*sec
 	lost := []string{}
@@ -158,7 +158,7 @@
 			lost = append(lost, o.name)
 		}
 	}
-	for i, t := range d.desks {
+	for i, t := range d.gateways {
 		if f.Kind != "cut-replica-reset" && (i+f.A)%3 == 0 {
 			lost = append(lost, t.name)
 		}
--- a/proofs/sim/routed_faults_replicas.go
+++ b/proofs/sim/routed_faults_replicas.go
@@ -29,13 +29,13 @@
 	for _, o := range d.offices {
 		d.seen.Troubles = append(d.seen.Troubles, rules.Trouble{Machine: o.name, Kind: "loss", FromUs: d.nowUs, ToUs: d.nowUs + f.ForUs, Slow: true})
 	}
-	for _, t := range d.desks {
+	for _, t := range d.gateways {
 		d.seen.Troubles = append(d.seen.Troubles, rules.Trouble{Machine: t.name, Kind: "loss", FromUs: d.nowUs, ToUs: d.nowUs + f.ForUs, Slow: true})
 	}
 	d.at(d.nowUs+f.ForUs, func() { d.loss = 0 })
 }
 
-func (d *routedDay) deskFault(f Fault, t *routedDesk) bool {
+func (d *routedDay) gatewayFault(f Fault, t *routedGateway) bool {
 	if !t.up || t.term {
 		return false
 	}
@@ -44,7 +44,7 @@
 		t.crash(false)
 		d.at(d.nowUs+f.ForUs, t.start)
 	case "herd-kill":
-		for i, t := range d.desks {
+		for i, t := range d.gateways {
 			if (i+f.A)%2 == 0 && t.up {
 				t.crash(false)
 				d.at(d.nowUs+f.ForUs, t.start)
@@ -61,7 +61,7 @@
 			d.cut(t.name, o.name, f.ForUs)
 		}
 	case "roll-desks":
-		for i, t := range d.desks {
+		for i, t := range d.gateways {
 			d.at(d.nowUs+int64(i)*9*sec, func() {
 				t.stop(func() { d.at(d.nowUs+400*ms, t.start) })
 			})
@@ -179,13 +179,13 @@
 }
 
 // ailing is how a replica fails the requests that it is dealt: two in five, or all where it lies, or those of
-// one zone's desks.
+// one zone's gateways.
 func (d *routedDay) ailing(f Fault) func(n int, from string) replica.Ailment {
 	struck := d.once(f)
-	zone := d.desks[f.B%len(d.desks)].zone
+	zone := d.gateways[f.B%len(d.gateways)].zone
 	return func(n int, from string) replica.Ailment {
 		switch {
-		case f.Kind == "grey-one-zone" && !slices.ContainsFunc(d.desks, func(t *routedDesk) bool { return t.name == from && t.zone == zone }),
+		case f.Kind == "grey-one-zone" && !slices.ContainsFunc(d.gateways, func(t *routedGateway) bool { return t.name == from && t.zone == zone }),
 			strings.HasPrefix(f.Kind, "grey-") && f.Kind != "grey-one-zone" && n%5 > 1,
 			f.Kind == "answer-lost" && n%6 > 0:
 			return replica.Sound
@@ -233,14 +233,14 @@
 	for _, o := range d.offices {
 		names = append(names, o.name)
 	}
-	for _, t := range d.desks {
+	for _, t := range d.gateways {
 		names = append(names, t.name)
 	}
 	return names
 }
 
-// seeded is a change of a desk's settings that it was told of.
-func (t *routedDesk) seeded() {
+// seeded is a change of a gateway's settings that it was told of.
+func (t *routedGateway) seeded() {
 	t.day.seen.Terms = append(t.day.seen.Terms, rules.Term{Machine: t.name, AtUs: t.day.nowUs, Hup: true})
 	t.reseed(t.day.seeds)
 }
--- a/proofs/sim/routed_frames.go
+++ b/proofs/sim/routed_frames.go
@@ -10,7 +10,7 @@
 	"petreltide/internal/wire"
 )
 
-func (t *routedDesk) unfollow(number uint64) {
+func (t *routedGateway) unfollow(number uint64) {
 	s := t.streams[number]
 	delete(t.streams, number)
 	if s == nil {
@@ -31,7 +31,7 @@
 	return nil, false
 }
 
-func (t *routedDesk) reflect(ev subscriber.MirrorEvent) {
+func (t *routedGateway) reflect(ev subscriber.MirrorEvent) {
 	d := t.day
 	ev.NowUs = t.clock()
 	for _, e := range t.mirror.Step(ev) {
@@ -44,7 +44,7 @@
 			report := clone(t.decider.Report(t.clock()))
 			report.Addr, report.Zone = t.addr, t.zone
 			if o := d.officeAt(e.Report); o != nil {
-				d.carry(&t.machine, &o.machine, 600*ms, func() { o.step(office.Event{DeskReport: &report}) }, func() {})
+				d.carry(&t.machine, &o.machine, 600*ms, func() { o.step(office.Event{GatewayReport: &report}) }, func() {})
 			}
 		case e.Snapshot != nil:
 			t.swap(e.Snapshot)
@@ -53,7 +53,7 @@
 }
 
 // swap takes the newest news; the plants break that.
-func (t *routedDesk) swap(snap *dispatch.Snapshot) {
+func (t *routedGateway) swap(snap *dispatch.Snapshot) {
 	held := *snap
 	if t.snap != nil {
 		switch t.day.plan.Plant {
@@ -89,7 +89,7 @@
 	t.step(dispatch.Event{Snapshot: &held})
 }
 
-// forget leaves a replica out of what a desk knows.
+// forget leaves a replica out of what a gateway knows.
 func forget(s *dispatch.Snapshot, id string) {
 	row := s.Replicas[id]
 	s.Replicas, s.ByService, s.IDs = maps.Clone(s.Replicas), maps.Clone(s.ByService), slices.Clone(s.IDs)
@@ -98,7 +98,7 @@
 	s.ByService[row.Service] = slices.DeleteFunc(slices.Clone(s.ByService[row.Service]), func(r *wire.ReplicaNews) bool { return r.ID == id })
 }
 
-func (t *routedDesk) follow(s subscriber.Stream) {
+func (t *routedGateway) follow(s subscriber.Stream) {
 	d := t.day
 	o := d.officeAt(s.Addr)
 	if d.plan.Plant == "seed-bound" && !slices.Contains(d.seeds, s.Addr) {
@@ -108,7 +108,7 @@
 		t.later(dialUs, func() { t.closed(s.Number) })
 		return
 	}
-	f := &frameStream{desk: t, number: s.Number, down: d.pipe(&o.machine, &t.machine)}
+	f := &frameStream{gateway: t, number: s.Number, down: d.pipe(&o.machine, &t.machine)}
 	t.streams[s.Number] = f
 	ask := s.Ask
 	d.carry(&t.machine, &o.machine, 5*sec, func() { o.subscribe(f, ask) }, func() {
@@ -116,16 +116,16 @@
 	})
 }
 
-func (t *routedDesk) closed(number uint64) {
+func (t *routedGateway) closed(number uint64) {
 	delete(t.streams, number)
 	t.reflect(subscriber.MirrorEvent{Closed: number})
 }
 
-func (t *routedDesk) frame(number uint64, f *wire.Frame) {
+func (t *routedGateway) frame(number uint64, f *wire.Frame) {
 	t.reflect(subscriber.MirrorEvent{Frame: f, Stream: number})
 }
 
 // reseed gives the mirror other first contacts.
-func (t *routedDesk) reseed(seeds []string) {
+func (t *routedGateway) reseed(seeds []string) {
 	t.reflect(subscriber.MirrorEvent{Seeds: seeds})
 }
--- a/proofs/sim/routed_desks.go
+++ b/proofs/sim/routed_gateways.go
@@ -21,7 +21,7 @@
 	deadlineUs  = 5 * ms
 )
 
-type routedDesk struct {
+type routedGateway struct {
 	machine
 	day     *routedDay
 	zone    string
@@ -38,13 +38,13 @@
 	calls   int
 }
 
-func newRoutedDesk(d *routedDay, name, zone string) *routedDesk {
-	t := &routedDesk{machine: machine{sim: d.Sim, name: name, addr: name + ":1"}, day: d, zone: zone}
+func newRoutedGateway(d *routedDay, name, zone string) *routedGateway {
+	t := &routedGateway{machine: machine{sim: d.Sim, name: name, addr: name + ":1"}, day: d, zone: zone}
 	t.start()
 	return t
 }
 
-func (t *routedDesk) start() {
+func (t *routedGateway) start() {
 	if t.up {
 		return
 	}
@@ -58,14 +58,14 @@
 	if d.plan.Plant == "no-budget" {
 		budget.WindowUs = 0
 	}
-	t.decider = dispatch.New(dispatch.Options{Desk: t.name, Inc: t.inc, Zone: t.zone, QueueMax: 200, Budget: budget})
-	t.mirror = subscriber.NewMirror(subscriber.Options{Desk: t.name, Inc: t.inc, Addr: t.addr, Zone: t.zone, Seeds: d.seeds})
+	t.decider = dispatch.New(dispatch.Options{Gateway: t.name, Inc: t.inc, Zone: t.zone, QueueMax: 200, Budget: budget})
+	t.mirror = subscriber.NewMirror(subscriber.Options{Gateway: t.name, Inc: t.inc, Addr: t.addr, Zone: t.zone, Seeds: d.seeds})
 	t.snap, t.older, t.open, t.streams, t.kept = nil, nil, map[string]*exchange{}, map[uint64]*frameStream{}, map[string]int64{}
 	d.over(t.name, "down")
 	t.tick()
 }
 
-func (t *routedDesk) tick() {
+func (t *routedGateway) tick() {
 	t.later(50*ms, func() {
 		t.step(dispatch.Event{})
 		t.reflect(subscriber.MirrorEvent{})
@@ -74,7 +74,7 @@
 }
 
 // crash ends the process: clients and replicas see their connections close.
-func (t *routedDesk) crash(planned bool) {
+func (t *routedGateway) crash(planned bool) {
 	if !t.up {
 		return
 	}
@@ -96,7 +96,7 @@
 	}
 }
 
-func (t *routedDesk) step(ev dispatch.Event) {
+func (t *routedGateway) step(ev dispatch.Event) {
 	ev.NowUs = t.clock()
 	urgent := false
 	for _, e := range t.decider.Step(ev) {
@@ -132,11 +132,11 @@
 	}
 }
 
-// take is a request that this desk has read whole.
-func (t *routedDesk) take(s *seat, try *rules.Try, ask replica.Ask, deadlineMs int64) *exchange {
+// take is a request that this gateway has read whole.
+func (t *routedGateway) take(s *seat, try *rules.Try, ask replica.Ask, deadlineMs int64) *exchange {
 	d := t.day
 	try.ReadUs, try.Life = d.nowUs, t.boot
-	x := &exchange{desk: t, try: try, ask: ask, seat: s, back: d.pipe(&t.machine, &d.clients.machine), last: ask.Last}
+	x := &exchange{gateway: t, try: try, ask: ask, seat: s, back: d.pipe(&t.machine, &d.clients.machine), last: ask.Last}
 	if t.snap == nil || t.snap.Doc == nil {
 		x.answer(&fault.Fault{Code: fault.NoLease, RetryMs: 500})
 		return x
@@ -171,7 +171,7 @@
 }
 
 // snubs are the plants that never serve some requests.
-func (t *routedDesk) snubs(s *seat, route string) bool {
+func (t *routedGateway) snubs(s *seat, route string) bool {
 	switch t.day.plan.Plant {
 	case "snob":
 		return route == "record"
@@ -188,7 +188,7 @@
 }
 
 // left is a client that has gone.
-func (t *routedDesk) left(x *exchange) {
+func (t *routedGateway) left(x *exchange) {
 	if x.over || x.call == nil || t.day.plan.Plant == "clingy" {
 		return
 	}
@@ -200,7 +200,7 @@
 }
 
 // stop is SIGTERM: no longer ready, then nobody new, then the end when nobody is inside.
-func (t *routedDesk) stop(again func()) {
+func (t *routedGateway) stop(again func()) {
 	if !t.up || t.term {
 		return
 	}
--- a/proofs/sim/routed_leaving.go
+++ b/proofs/sim/routed_leaving.go
@@ -113,9 +113,9 @@
 	return true
 }
 
-// known notes which replicas that have spoken for a while each desk knows, as the day ends.
+// known notes which replicas that have spoken for a while each gateway knows, as the day ends.
 func (d *routedDay) known() {
-	for _, t := range d.desks {
+	for _, t := range d.gateways {
 		if !t.up || t.term || t.snap == nil {
 			continue
 		}
--- a/proofs/sim/routed_offices.go
+++ b/proofs/sim/routed_offices.go
@@ -35,12 +35,12 @@
 	diskUs int64
 }
 
-// frameStream is one desk's stream of frames from one office.
+// frameStream is one gateway's stream of frames from one office.
 type frameStream struct {
-	desk   *routedDesk
-	number uint64
-	inc    string
-	down   *pipe
+	gateway *routedGateway
+	number  uint64
+	inc     string
+	down    *pipe
 }
 
 func (d *routedDay) addOffice(name, addr, zone string, first bool) *routedOffice {
@@ -105,18 +105,18 @@
 	if o.day.plan.Plant == "amnesia" && o.day.nowUs > bootUs {
 		o.disk.records = o.disk.records[:len(o.disk.records)/3]
 	}
-	for _, desk := range slices.Sorted(maps.Keys(o.streams)) {
-		o.streams[desk].broke(o)
+	for _, gateway := range slices.Sorted(maps.Keys(o.streams)) {
+		o.streams[gateway].broke(o)
 	}
 }
 
-// broke tells a desk that a stream's other end is gone, unless a cut hides it.
+// broke tells a gateway that a stream's other end is gone, unless a cut hides it.
 func (s *frameStream) broke(o *routedOffice) {
-	desk, number := s.desk, s.number
+	gateway, number := s.gateway, s.number
 	s.down.closed = true
 	o.day.at(o.day.nowUs+ms, func() {
-		if !o.day.isCut(o.name, desk.name) {
-			desk.now(desk.boot, func() { desk.closed(number) })
+		if !o.day.isCut(o.name, gateway.name) {
+			gateway.now(gateway.boot, func() { gateway.closed(number) })
 		}
 	})
 }
@@ -184,7 +184,7 @@
 		case e.Save != nil:
 			o.saver.put(*e.Save)
 		case e.Frame != nil:
-			o.frame(e.Frame.Desk, e.Frame.Frame)
+			o.frame(e.Frame.Gateway, e.Frame.Frame)
 		case e.Result != nil:
 			if w := o.waiters[e.Result.Outcome.ID]; w != nil {
 				w(clone(*e.Result))
@@ -199,8 +199,8 @@
 	}
 }
 
-func (o *routedOffice) frame(desk string, f *wire.Frame) {
-	s := o.streams[desk]
+func (o *routedOffice) frame(gateway string, f *wire.Frame) {
+	s := o.streams[gateway]
 	if s == nil {
 		return
 	}
@@ -209,23 +209,23 @@
 		f.Behind = false
 	}
 	number := s.number
-	s.down.send(func() { s.desk.frame(number, f) })
+	s.down.send(func() { s.gateway.frame(number, f) })
 }
 
-// subscribe is a desk that follows this office; its stream before is ended.
+// subscribe is a gateway that follows this office; its stream before is ended.
 func (o *routedOffice) subscribe(s *frameStream, ask wire.Follow) {
-	if prior := o.streams[s.desk.name]; prior != nil {
+	if prior := o.streams[s.gateway.name]; prior != nil {
 		prior.broke(o)
 	}
 	s.inc = ask.Inc
-	o.streams[s.desk.name] = s
+	o.streams[s.gateway.name] = s
 	o.step(office.Event{Subscribe: &ask})
 }
 
 func (o *routedOffice) unfollow(s *frameStream) {
-	if o.streams[s.desk.name] == s {
-		delete(o.streams, s.desk.name)
-		o.step(office.Event{Unfollow: &office.Unfollow{Desk: s.desk.name, Inc: s.inc}})
+	if o.streams[s.gateway.name] == s {
+		delete(o.streams, s.gateway.name)
+		o.step(office.Event{Unfollow: &office.Unfollow{Gateway: s.gateway.name, Inc: s.inc}})
 	}
 }
 
--- a/proofs/sim/sim.go
+++ b/proofs/sim/sim.go
@@ -26,7 +26,7 @@
 type Plan struct {
 	Seed     int64
 	Offices  int
-	Desks    int
+	Gateways int
 	Replicas int
 	SpanUs   int64
 	PerSec   float64
@@ -75,7 +75,7 @@
 	cuts     map[[2]string]int
 	loss     float64
 	offices  []*officeNode
-	desks    []*deskNode
+	gateways []*gatewayNode
 	servers  map[string]*serverNode
 	plat     *platform.Platform
 	platMood string
@@ -206,8 +206,8 @@
 	for i := 0; i < plan.Replicas; i++ {
 		s.addServer(fmt.Sprintf("gpu-%d", i), d.Zones[i%len(d.Zones)])
 	}
-	for i := 0; i < plan.Desks; i++ {
-		s.desks = append(s.desks, newDesk(s, fmt.Sprintf("front-%d", i), d.Zones[i%len(d.Zones)]))
+	for i := 0; i < plan.Gateways; i++ {
+		s.gateways = append(s.gateways, newGateway(s, fmt.Sprintf("front-%d", i), d.Zones[i%len(d.Zones)]))
 	}
 	s.ops = newOperators(s)
 	return s
@@ -421,9 +421,9 @@
 	}
 }
 
-// judgeSlots: when every caller has had its answer, no desk may think that an attempt still runs.
+// judgeSlots: when every caller has had its answer, no gateway may think that an attempt still runs.
 func (s *Sim) judgeSlots() {
-	for _, d := range s.desks {
+	for _, d := range s.gateways {
 		busy := 0
 		for _, n := range d.decider.Note().InFlight {
 			busy += n
@@ -446,7 +446,7 @@
 			return false
 		}
 	}
-	for _, d := range s.desks {
+	for _, d := range s.gateways {
 		if d.up && d.clock() >= d.leaseUs {
 			return false
 		}
@@ -465,7 +465,7 @@
 		text += fmt.Sprintf("[%s %s view %d head %v open %v commit %d/%d waits %q duty %v] ", o.name, n.Phase(), n.View().Number, n.IsHead(),
 			n.Open(o.clock()), n.Commit(), n.Last(), n.WaitsFor(), o.core.Controller.OnDuty(n.State()))
 	}
-	for _, d := range s.desks {
+	for _, d := range s.gateways {
 		text += fmt.Sprintf("[%s lease %dms waiting %d] ", d.name, (d.leaseUs-d.clock())/1000, d.decider.Note().Waiting)
 	}
 	return text
--- a/proofs/sim/sizes_test.go
+++ b/proofs/sim/sizes_test.go
@@ -23,7 +23,7 @@
 func sized(t testing.TB, name string, seed int64) Plan {
 	p := plan(seed, 5)
 	p.Doc, p.Replicas, p.Declared, p.PerSec = example(t, name), 9, true, 60
-	p.Desks = map[string]int{"vasilev": 8, "kaardilind": 7}[name]
+	p.Gateways = map[string]int{"vasilev": 8, "kaardilind": 7}[name]
 	return p
 }
 
--- a/proofs/sim/watch_test.go
+++ b/proofs/sim/watch_test.go
@@ -2,8 +2,8 @@
 
 import "testing"
 
-// Detection and false suspicion of desks by their ring-named watchers, under loss and freezes.
-func TestWatchersFindADeadDeskAndSpareLiveOnes(t *testing.T) {
+// Detection and false suspicion of gateways by their ring-named watchers, under loss and freezes.
+func TestWatchersFindADeadGatewayAndSpareLiveOnes(t *testing.T) {
 	for _, c := range []struct {
 		name     string
 		loss     float64
@@ -12,7 +12,7 @@
 		var mostUs, sumUs int64
 		found, wrong, looks := 0, 0, 0
 		for seed := int64(1); seed <= 3; seed++ {
-			s := New(Plan{Seed: seed, Offices: 3, Desks: 5, Replicas: 3, PerSec: 5})
+			s := New(Plan{Seed: seed, Offices: 3, Gateways: 5, Replicas: 3, PerSec: 5})
 			s.ops.begin()
 			s.runUntil(12 * sec)
 			s.loss = c.loss
@@ -21,8 +21,8 @@
 					if !o.core.Node.IsHead() {
 						continue
 					}
-					for _, d := range o.core.Controller.Desks(o.clock()) {
-						if d.Desk == name {
+					for _, d := range o.core.Controller.Gateways(o.clock()) {
+						if d.Gateway == name {
 							return d.Silent
 						}
 					}
@@ -32,9 +32,9 @@
 			for s.nowUs < 22*sec {
 				s.runUntil(s.nowUs + 50*ms)
 				if c.freezeUs > 0 && s.nowUs%(2*sec) == 0 {
-					s.desks[s.r.Intn(5)].thawUs = s.nowUs + c.freezeUs
+					s.gateways[s.r.Intn(5)].thawUs = s.nowUs + c.freezeUs
 				}
-				for _, d := range s.desks {
+				for _, d := range s.gateways {
 					looks++
 					if silent(d.name) {
 						wrong++
@@ -42,11 +42,11 @@
 				}
 			}
 			deadUs := s.nowUs
-			s.desks[2].crash()
-			for s.nowUs < deadUs+5*sec && !silent(s.desks[2].name) {
+			s.gateways[2].crash()
+			for s.nowUs < deadUs+5*sec && !silent(s.gateways[2].name) {
 				s.runUntil(s.nowUs + 10*ms)
 			}
-			if silent(s.desks[2].name) {
+			if silent(s.gateways[2].name) {
 				found++
 			}
 			mostUs = max(mostUs, s.nowUs-deadUs)
@@ -54,7 +54,7 @@
 		}
 		t.Logf("%s: found %d of 3, mean %d ms, most %d ms; %d of %d looks wrong", c.name, found, sumUs/3/1000, mostUs/1000, wrong, looks)
 		if found != 3 || wrong*1000 > looks {
-			t.Errorf("%s: found %d of 3, %d of %d looks suspected a live desk", c.name, found, wrong, looks)
+			t.Errorf("%s: found %d of 3, %d of %d looks suspected a live gateway", c.name, found, wrong, looks)
 		}
 	}
 }
--- a/proofs/testbed/input_test.go
+++ b/proofs/testbed/input_test.go
@@ -12,8 +12,8 @@
 	"testing"
 	"time"
 
-	"petreltide/internal/desk"
 	"petreltide/internal/fault"
+	"petreltide/internal/gateway"
 	"petreltide/internal/standing"
 	"petreltide/proofs/callers"
 	"petreltide/proofs/modelserver"
@@ -24,7 +24,7 @@
 func open(t *testing.T) *Fleet {
 	t.Helper()
 	doc := sim.Doc()
-	s, err := Open(Plan{Folder: t.TempDir(), Offices: 3, Desks: 2, Replicas: 3, Slots: 8, FirstUs: 2000, PartUs: 500, PieceUs: 1000, RoomMb: doc.Replica.RoomMb, Store: doc.Store})
+	s, err := Open(Plan{Folder: t.TempDir(), Offices: 3, Gateways: 2, Replicas: 3, Slots: 8, FirstUs: 2000, PartUs: 500, PieceUs: 1000, RoomMb: doc.Replica.RoomMb, Store: doc.Store})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -66,7 +66,7 @@
 }
 
 func callersInput(t *testing.T, s *Fleet) {
-	url := "http://" + s.Desks[0] + "/v1/calls"
+	url := "http://" + s.Gateways[0] + "/v1/calls"
 	for _, c := range []struct {
 		name, body, field string
 		headers           []string
@@ -107,14 +107,14 @@
 			texts = append(texts, strings.TrimSuffix(data, "}"))
 		}
 	}
-	status, _, rest, err := Do(http.MethodPost, "http://"+s.Desks[1]+"/v1/calls", fmt.Sprintf(`{"kind":"pages","model":"m0","prompt":"hello there","had":[%s]}`, strings.Join(texts[:2], ",")), "Last-Event-Id", "2")
+	status, _, rest, err := Do(http.MethodPost, "http://"+s.Gateways[1]+"/v1/calls", fmt.Sprintf(`{"kind":"pages","model":"m0","prompt":"hello there","had":[%s]}`, strings.Join(texts[:2], ",")), "Last-Event-Id", "2")
 	if err != nil || status != 200 || !strings.HasPrefix(rest, "id: 3\n") || strings.Count(rest, "event: piece") != len(texts)-2 {
-		t.Fatalf("resuming at another desk after 2 of %d got %d %q %v", len(texts), status, rest, err)
+		t.Fatalf("resuming at another gateway after 2 of %d got %d %q %v", len(texts), status, rest, err)
 	}
 }
 
 // Callers that hang up, waiting or in the middle, leave no slot taken: 64 that did so at once
-// once took every share of a desk for good.
+// once took every share of a gateway for good.
 func hangUps(t *testing.T, s *Fleet) {
 	var group sync.WaitGroup
 	for i := 0; i < 60; i++ {
@@ -124,7 +124,7 @@
 			ctx, done := context.WithTimeout(context.Background(), time.Duration(1+i/2)*time.Millisecond)
 			defer done()
 			body := fmt.Sprintf(`{"kind":"%s","model":"m%d","prompt":"hang up %d","mostOut":40}`, []string{"pages", "letters", "fixes"}[i%3], i%4, i)
-			req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Desks[i%2]+"/v1/calls", strings.NewReader(body))
+			req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Gateways[i%2]+"/v1/calls", strings.NewReader(body))
 			if err != nil {
 				t.Error(err)
 				return
@@ -136,7 +136,7 @@
 		}()
 	}
 	group.Wait()
-	for _, addr := range s.Desks {
+	for _, addr := range s.Gateways {
 		last := ""
 		if err := Until("every slot is free", func() bool {
 			var st struct {
@@ -173,13 +173,13 @@
 	defer naughty(t, s, "none")
 	for _, what := range []string{"foreign", "gap", "repeat", "close", "garbage", "noend"} {
 		naughty(t, s, what)
-		status, _, body, err := Do(http.MethodPost, "http://"+s.Desks[0]+"/v1/calls", `{"kind":"fixes","model":"m0","prompt":"naughty `+what+`"}`)
+		status, _, body, err := Do(http.MethodPost, "http://"+s.Gateways[0]+"/v1/calls", `{"kind":"fixes","model":"m0","prompt":"naughty `+what+`"}`)
 		if err != nil || status != 200 || !strings.Contains(body, "event: broken") || strings.Contains(body, "event: end") || !strings.Contains(body, `"run":"partial"`) {
 			t.Errorf("%s: %d %q %v", what, status, body, err)
 		}
 	}
 	naughty(t, s, "none")
-	status, _, body, err := Do(http.MethodGet, "http://"+s.Desks[0]+"/v1/status", "")
+	status, _, body, err := Do(http.MethodGet, "http://"+s.Gateways[0]+"/v1/status", "")
 	if err != nil || status != 200 || !strings.Contains(body, `"broken":6`) {
 		t.Errorf("broken streams are not counted: %s", body)
 	}
@@ -205,8 +205,8 @@
 				defer group.Done()
 				ctx, done := context.WithTimeout(context.Background(), time.Duration(hangMs)*time.Millisecond)
 				defer done()
-				ask := desk.CallAsk{Kind: "letters", Model: "m0", Prompt: tag + " go", DeadlineMs: 3000}
-				got := callers.Ask(ctx, http.DefaultClient, s.Desks[i%len(s.Desks)], ask, "", rules.Told{Tag: tag})
+				ask := gateway.CallAsk{Kind: "letters", Model: "m0", Prompt: tag + " go", DeadlineMs: 3000}
+				got := callers.Ask(ctx, http.DefaultClient, s.Gateways[i%len(s.Gateways)], ask, "", rules.Told{Tag: tag})
 				mu.Lock()
 				defer mu.Unlock()
 				told[tag] = got.Run
@@ -341,7 +341,7 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			status, header, body, err := Do(http.MethodPost, "http://"+s.Desks[0]+"/v1/calls", fmt.Sprintf(`{"kind":"letters","model":"m0","prompt":"crowd %d","mostOut":60}`, i))
+			status, header, body, err := Do(http.MethodPost, "http://"+s.Gateways[0]+"/v1/calls", fmt.Sprintf(`{"kind":"letters","model":"m0","prompt":"crowd %d","mostOut":60}`, i))
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
@@ -366,12 +366,12 @@
 
 func keysInput(t *testing.T, s *Fleet) {
 	body := `{"kind":"letters","model":"m0","prompt":"one letter"}`
-	status, _, first, err := Do(http.MethodPost, "http://"+s.Desks[0]+"/v1/calls", body, "Idempotency-Key", "letter-1")
+	status, _, first, err := Do(http.MethodPost, "http://"+s.Gateways[0]+"/v1/calls", body, "Idempotency-Key", "letter-1")
 	if err != nil || status != 200 || !strings.Contains(first, "event: end") {
 		t.Fatalf("%d %q %v", status, first, err)
 	}
 	if err := Until("the key's end is recorded", func() bool {
-		status, _, again, err := Do(http.MethodPost, "http://"+s.Desks[1]+"/v1/calls", body, "Idempotency-Key", "letter-1")
+		status, _, again, err := Do(http.MethodPost, "http://"+s.Gateways[1]+"/v1/calls", body, "Idempotency-Key", "letter-1")
 		if err != nil || status != http.StatusConflict {
 			t.Fatalf("the second sight of a key got %d %q %v", status, again, err)
 		}
@@ -521,7 +521,7 @@
 			st, _ := s.Duty()
 			t.Errorf("%s: no %s in %+v %v", c.name, c.code, st.Policy, st.Faults)
 		}
-		if status, _, body, err := Do(http.MethodPost, "http://"+s.Desks[0]+"/v1/calls", `{"kind":"fixes","model":"m0","prompt":"still served"}`); err != nil || status != 200 || !strings.Contains(body, "event: end") {
+		if status, _, body, err := Do(http.MethodPost, "http://"+s.Gateways[0]+"/v1/calls", `{"kind":"fixes","model":"m0","prompt":"still served"}`); err != nil || status != 200 || !strings.Contains(body, "event: end") {
 			t.Errorf("%s: the layout does not stand: %d %s %v", c.name, status, body, err)
 		}
 	}
--- a/proofs/testbed/testbed.go
+++ b/proofs/testbed/testbed.go
@@ -15,7 +15,7 @@
 
 	"github.com/juju/errors"
 
-	"petreltide/internal/desk"
+	"petreltide/internal/gateway"
 	"petreltide/internal/logring"
 	"petreltide/internal/office"
 	"petreltide/internal/settings"
@@ -30,7 +30,7 @@
 // no kills: bad input, interfaces, measurements.
 type Fleet struct {
 	Offices  []string
-	Desks    []string
+	Gateways []string
 	Replicas []string
 	Platform *platform.Platform
 	cancel   context.CancelFunc
@@ -44,7 +44,7 @@
 type Plan struct {
 	Folder   string
 	Offices  int
-	Desks    int
+	Gateways int
 	Replicas int
 	Slots    int
 	FirstUs  int64
@@ -107,11 +107,11 @@
 		s.run(ctx, addr, func(ctx context.Context) error { return host.Serve(ctx, l) })
 		s.Platform.Set(wire.Listed{ID: id, Addr: addr, Zone: zone, RoomMb: plan.RoomMb, Slots: plan.Slots, State: wire.ListedReady})
 	}
-	for i := 0; i < plan.Desks; i++ {
+	for i := 0; i < plan.Gateways; i++ {
 		addr := s.loop.Addr()
-		host := desk.Open(settings.Desk{Name: fmt.Sprintf("front-%d", i+1), Listen: addr, Advertise: addr, Zone: string(rune('a' + i%3)), Seeds: s.Offices, QueueMax: 64, BodyMaxKb: 64, DrainMs: 2000},
+		host := gateway.Open(settings.Gateway{Name: fmt.Sprintf("front-%d", i+1), Listen: addr, Advertise: addr, Zone: string(rune('a' + i%3)), Seeds: s.Offices, QueueMax: 64, BodyMaxKb: 64, DrainMs: 2000},
 			logring.NewRing("", io.Discard))
-		s.Desks = append(s.Desks, addr)
+		s.Gateways = append(s.Gateways, addr)
 		s.run(ctx, addr, host.Run)
 	}
 	return s, nil
@@ -216,7 +216,7 @@
 }
 
 func (s *Fleet) leased() bool {
-	for _, addr := range s.Desks {
+	for _, addr := range s.Gateways {
 		var st struct {
 			Work struct {
 				LeaseMs  int64  `json:"leaseMs"`
