--- a/cmd/petreltide/compare.go
+++ b/cmd/petreltide/compare.go
@@ -15,23 +15,23 @@
 	"github.com/spf13/cobra"
 
 	"petreltide/internal/comparison"
+	"petreltide/internal/controlnode"
 	"petreltide/internal/fault"
 	"petreltide/internal/gateway"
-	"petreltide/internal/office"
 	"petreltide/internal/placement"
 	"petreltide/internal/standing"
 )
 
 // liveComparison is what the compare command was told.
 type liveComparison struct {
-	offices *offices
-	opts    comparison.Options
-	live    bool
-	files   []string
+	controlNodes *controlNodes
+	opts         comparison.Options
+	live         bool
+	files        []string
 }
 
 func compareCommand() *cobra.Command {
-	c := &liveComparison{offices: &offices{}}
+	c := &liveComparison{controlNodes: &controlNodes{}}
 	cmd := &cobra.Command{
 		Use:   "compare --live --policy A --policy B",
 		Short: "Swap two policies on the live fleet in turns and compare what callers got",
@@ -56,7 +56,7 @@
 			return c.hold(cmd)
 		},
 	}
-	c.offices.flag(cmd)
+	c.controlNodes.flag(cmd)
 	flags := cmd.Flags()
 	flags.BoolVar(&c.live, "live", false, "compare on the live fleet")
 	flags.StringArrayVar(&c.files, "policy", nil, "policy program; given twice, the second is held against the first")
@@ -94,12 +94,12 @@
 
 // hold compares, and reports what there is even where it had to stop.
 func (c *liveComparison) hold(cmd *cobra.Command) error {
-	result, err := comparison.Hold(cmd.Context(), liveFleet{c.offices}, c.opts, cmd.OutOrStdout())
+	result, err := comparison.Hold(cmd.Context(), liveFleet{c.controlNodes}, c.opts, cmd.OutOrStdout())
 	if len(result.Windows) > 0 {
 		comparison.Report(cmd.OutOrStdout(), result)
 	}
 	if err != nil {
-		return restoreHint(cmd, c.offices, err)
+		return restoreHint(cmd, c.controlNodes, err)
 	}
 	if result.Stopped != nil {
 		return result.Stopped
@@ -117,7 +117,7 @@
 }
 
 // restoreHint leaves the first policy in a file and prints the command that puts it back.
-func restoreHint(cmd *cobra.Command, o *offices, err error) error {
+func restoreHint(cmd *cobra.Command, o *controlNodes, err error) error {
 	var bad *comparison.Unrestored
 	if !errors.As(err, &bad) {
 		return err
@@ -138,13 +138,15 @@
 	return err
 }
 
-// liveFleet reaches a fleet through its offices and gateways.
-type liveFleet struct{ o *offices }
+// liveFleet reaches a fleet through its control nodes and gateways.
+type liveFleet struct{ o *controlNodes }
 
-func (l liveFleet) Config(ctx context.Context) (office.ConfigNow, error) { return current(ctx, l.o) }
+func (l liveFleet) Config(ctx context.Context) (controlnode.ConfigNow, error) {
+	return current(ctx, l.o)
+}
 
-func (l liveFleet) Apply(ctx context.Context, base uint64, change string, doc *standing.Declaration) (office.Applied, error) {
-	applied := office.Applied{}
+func (l liveFleet) Apply(ctx context.Context, base uint64, change string, doc *standing.Declaration) (controlnode.Applied, error) {
+	applied := controlnode.Applied{}
 	raw, err := json.Marshal(doc)
 	if err != nil {
 		return applied, errors.Trace(err)
@@ -170,15 +172,15 @@
 	}
 }
 
-func (l liveFleet) status(ctx context.Context) (office.Status, error) {
-	st := office.Status{}
+func (l liveFleet) status(ctx context.Context) (controlnode.Status, error) {
+	st := controlnode.Status{}
 	_, err := read(ctx, l.o, "/v1/status", &st)
 	tail := st.View.Tail()
-	if err != nil || tail.ID == st.Office.ID || tail.Addr == "" {
+	if err != nil || tail.ID == st.ControlNode.ID || tail.Addr == "" {
 		return st, err
 	}
-	st = office.Status{}
-	_, err = read(ctx, &offices{addrs: []string{tail.Addr}}, "/v1/status", &st)
+	st = controlnode.Status{}
+	_, err = read(ctx, &controlNodes{addrs: []string{tail.Addr}}, "/v1/status", &st)
 	return st, err
 }
 
@@ -189,7 +191,7 @@
 		return look, err
 	}
 	if !st.Open {
-		return look, fault.New(fault.NotServing, st.Office.ID, "the tail has no lease now")
+		return look, fault.New(fault.NotServing, st.ControlNode.ID, "the tail has no lease now")
 	}
 	look.Revision, look.Loads, look.LoadedMb = st.Revision, st.Loads, st.LoadedMb
 	look.Duty = fmt.Sprintf("%s under epoch %d", st.Holder, st.Epoch)
@@ -198,7 +200,7 @@
 	}
 	for _, d := range st.Gateways {
 		ds := gateway.Status{}
-		if _, err := read(ctx, &offices{addrs: []string{d.Addr}}, "/v1/status", &ds); err != nil {
+		if _, err := read(ctx, &controlNodes{addrs: []string{d.Addr}}, "/v1/status", &ds); err != nil {
 			look.Gateways[d.Gateway] = "out of reach"
 			continue
 		}
--- a/cmd/petreltide/daemons.go
+++ b/cmd/petreltide/daemons.go
@@ -6,15 +6,15 @@
 
 	"github.com/spf13/cobra"
 
+	"petreltide/internal/controlnode"
 	"petreltide/internal/fault"
 	"petreltide/internal/gateway"
 	"petreltide/internal/logring"
-	"petreltide/internal/office"
 	"petreltide/internal/settings"
 )
 
-func officeCommand() *cobra.Command {
-	set := settings.Office{LeaveMs: 3000}
+func controlNodeCommand() *cobra.Command {
+	set := settings.ControlNode{LeaveMs: 3000}
 	place := place{&set.Name, &set.Listen, &set.Advertise, &set.Zone, &set.Seeds}
 	var file string
 	cmd := &cobra.Command{
@@ -33,8 +33,8 @@
   platform: 10.0.9.1:8080
   founding: 3
 
-founding is the number of empty offices that must meet before they begin a new chain. Leave it
-out (0) for an office that may only join a chain that exists, such as a replacement.`,
+founding is the number of empty control nodes that must meet before they begin a new chain. Leave it
+out (0) for a control node that may only join a chain that exists, such as a replacement.`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			laid := set
@@ -44,7 +44,7 @@
 			lay(cmd, "data", &set.Data, laid.Data)
 			lay(cmd, "platform", &set.Platform, laid.Platform)
 			lay(cmd, "founding", &set.Founding, laid.Founding)
-			return runOffice(cmd, set)
+			return runControlNode(cmd, set)
 		},
 	}
 	flags := cmd.Flags()
@@ -56,13 +56,13 @@
 	return cmd
 }
 
-// runOffice checks the settings and runs an office until it is told to end.
-func runOffice(cmd *cobra.Command, set settings.Office) error {
+// runControlNode checks the settings and runs a control node until it is told to end.
+func runControlNode(cmd *cobra.Command, set settings.ControlNode) error {
 	if f := set.Check(); f != nil {
 		return f
 	}
 	ring := logring.NewRing(set.Data, os.Stderr)
-	host, err := office.Open(set, ring)
+	host, err := controlnode.Open(set, ring)
 	if err != nil {
 		return err
 	}
--- a/cmd/petreltide/daemons_test.go
+++ b/cmd/petreltide/daemons_test.go
@@ -36,11 +36,11 @@
 		"desk, advertise by flag":          {gatewayCommand(), []string{"--settings", write(whole), "--advertise", "0.0.0.0:1"}, "at advertise"},
 		"desk, a field nobody knows":       {gatewayCommand(), []string{"--settings", write(whole + "colour: blue\n")}, "colour"},
 		"desk, no file there":              {gatewayCommand(), []string{"--settings", "/dev/null/none"}, "/dev/null/none"},
-		"office, the file is unfit":        {officeCommand(), []string{"--settings", write(whole), "--data", t.TempDir()}, "at platform"},
-		"office, founding by flag":         {officeCommand(), []string{"--settings", write(whole + "founding: 3\nplatform: 127.0.0.1:9\n"), "--data", t.TempDir(), "--founding", "2"}, "at founding"},
-		"office, data by flag is unfit":    {officeCommand(), []string{"--settings", write(whole + "founding: 3\nplatform: 127.0.0.1:9\n"), "--data", "/dev/null/data"}, "data"},
-		"office, platform by flag too":     {officeCommand(), []string{"--settings", write(whole), "--data", t.TempDir(), "--platform", "there"}, `at platform: "there"`},
-		"office, nothing but a short name": {officeCommand(), []string{"--name", "n"}, "at listen"},
+		"office, the file is unfit":        {controlNodeCommand(), []string{"--settings", write(whole), "--data", t.TempDir()}, "at platform"},
+		"office, founding by flag":         {controlNodeCommand(), []string{"--settings", write(whole + "founding: 3\nplatform: 127.0.0.1:9\n"), "--data", t.TempDir(), "--founding", "2"}, "at founding"},
+		"office, data by flag is unfit":    {controlNodeCommand(), []string{"--settings", write(whole + "founding: 3\nplatform: 127.0.0.1:9\n"), "--data", "/dev/null/data"}, "data"},
+		"office, platform by flag too":     {controlNodeCommand(), []string{"--settings", write(whole), "--data", t.TempDir(), "--platform", "there"}, `at platform: "there"`},
+		"office, nothing but a short name": {controlNodeCommand(), []string{"--name", "n"}, "at listen"},
 	} {
 		ctx, done := context.WithTimeout(t.Context(), 10*time.Second)
 		c.cmd.SetContext(ctx)
--- a/cmd/petreltide/main.go
+++ b/cmd/petreltide/main.go
@@ -25,10 +25,10 @@
 	cmd := &cobra.Command{
 		Use:           "petreltide",
 		Short:         "Route calls to model replicas, place models on them, and compare placement policies",
-		Long:          "petreltide is one program; the role is a subcommand.\n\n  office   a core machine: chain of shared state, controller, operators' interface\n  desk     a front machine: takes calls and streams answers\n\nThe other subcommands are the operators'. They talk to any office.",
+		Long:          "petreltide is one program; the role is a subcommand.\n\n  office   a core machine: chain of shared state, controller, operators' interface\n  desk     a front machine: takes calls and streams answers\n\nThe other subcommands are the operators'. They talk to any control node.",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(officeCommand(), gatewayCommand(), applyCommand(), diffCommand(), zoneCommand(), statusCommand(), queryCommand(), compareCommand(), replayCommand(), memberCommand(), platform.Command())
+	cmd.AddCommand(controlNodeCommand(), gatewayCommand(), applyCommand(), diffCommand(), zoneCommand(), statusCommand(), queryCommand(), compareCommand(), replayCommand(), memberCommand(), platform.Command())
 	return cmd
 }
--- a/cmd/petreltide/member.go
+++ b/cmd/petreltide/member.go
@@ -7,11 +7,11 @@
 
 	"github.com/spf13/cobra"
 
-	"petreltide/internal/office"
+	"petreltide/internal/controlnode"
 )
 
 func memberCommand() *cobra.Command {
-	o := &offices{}
+	o := &controlNodes{}
 	cmd := &cobra.Command{
 		Use:   "member",
 		Short: "See, add, replace and remove offices",
@@ -21,7 +21,7 @@
 
   petreltide member list
   petreltide member add core-4        then start an empty office --name core-4 --founding 0
-  petreltide member replace core-2    of a lost office: start an empty one under its name, no order needed
+  petreltide member replace core-2    of a lost control node: start an empty one under its name, no order needed
   petreltide member replace core-2 --even-alive
   petreltide member remove core-4
   petreltide member cancel`,
@@ -36,11 +36,11 @@
 	return cmd
 }
 
-func memberListCommand(o *offices) *cobra.Command {
+func memberListCommand(o *controlNodes) *cobra.Command {
 	cmd := &cobra.Command{
 		Use: "list", Short: "Who holds votes, seats and copies, and what a change waits for", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			st := office.Status{}
+			st := controlnode.Status{}
 			if _, err := read(cmd.Context(), o, "/v1/status", &st); err != nil {
 				return err
 			}
@@ -52,8 +52,8 @@
 	return cmd
 }
 
-// memberOrderCommand orders one change of members; cancel is the only one that names no office.
-func memberOrderCommand(o *offices, act, about string) *cobra.Command {
+// memberOrderCommand orders one change of members; cancel is the only one that names no control node.
+func memberOrderCommand(o *controlNodes, act, about string) *cobra.Command {
 	var change string
 	var evenAlive bool
 	cmd := &cobra.Command{Use: act + " NAME", Short: about, Args: cobra.ExactArgs(1)}
@@ -77,10 +77,10 @@
 }
 
 // printMembers shows who holds votes, seats and copies, and the order about members that stands.
-func printMembers(cmd *cobra.Command, st office.Status) {
+func printMembers(cmd *cobra.Command, st controlnode.Status) {
 	out := cmd.OutOrStdout()
-	fmt.Fprintf(out, "view %d, seen by %s\n", st.View.Number, st.Office.ID)
-	heard := map[string]string{st.Office.ID: fmt.Sprintf("%s, log up to %d", st.Phase, st.Last)}
+	fmt.Fprintf(out, "view %d, seen by %s\n", st.View.Number, st.ControlNode.ID)
+	heard := map[string]string{st.ControlNode.ID: fmt.Sprintf("%s, log up to %d", st.Phase, st.Last)}
 	for _, p := range st.Partners {
 		heard[p.Member.ID] = fmt.Sprintf("%s, log up to %d, heard %d ms ago", p.Phase, p.Last, p.AgoMs)
 	}
--- a/cmd/petreltide/operators.go
+++ b/cmd/petreltide/operators.go
@@ -14,19 +14,19 @@
 	"github.com/juju/errors"
 	"github.com/spf13/cobra"
 
+	"petreltide/internal/controlnode"
 	"petreltide/internal/fault"
-	"petreltide/internal/office"
 	"petreltide/internal/placement"
 	"petreltide/internal/standing"
 )
 
 type contextOf = context.Context
 
-type offices struct {
+type controlNodes struct {
 	addrs []string
 }
 
-func (o *offices) flag(cmd *cobra.Command) {
+func (o *controlNodes) flag(cmd *cobra.Command) {
 	cmd.Flags().StringSliceVar(&o.addrs, "office", []string{"127.0.0.1:7100"}, "IP:port of offices to try in turn")
 }
 
@@ -35,8 +35,8 @@
 	body   []byte
 }
 
-// ask tries each office in turn; only an office that could not be reached is passed over.
-func (o *offices) ask(ctx context.Context, method, path string, body []byte) (answer, error) {
+// ask tries each control node in turn; only a control node that could not be reached is passed over.
+func (o *controlNodes) ask(ctx context.Context, method, path string, body []byte) (answer, error) {
 	var last error
 	for _, addr := range o.addrs {
 		a, err := askOne(ctx, method, "http://"+addr+path, body)
@@ -78,7 +78,7 @@
 	return fault.New(fault.NotServing, "", "status %d: %s", a.status, a.body)
 }
 
-// parseFile reads a declaration and checks it as an office would.
+// parseFile reads a declaration and checks it as a control node would.
 func parseFile(path string) (*standing.Declaration, error) {
 	raw, err := standing.ReadFile(path)
 	if err != nil {
@@ -92,7 +92,7 @@
 }
 
 func applyCommand() *cobra.Command {
-	o := &offices{}
+	o := &controlNodes{}
 	var base, change string
 	var patch bool
 	cmd := &cobra.Command{
@@ -100,7 +100,7 @@
 		Short: "Send a whole declaration, or with --patch a merge patch",
 		Long: `Send a declaration (YAML or JSON) and wait until every gateway works by it.
 
-Without --base the change is based on the revision the office has now; name it to be refused
+Without --base the change is based on the revision the control node has now; name it to be refused
 when another operator was faster. Give the same --change again to learn what became of a change
 whose answer was lost: it is never taken twice.`,
 		Args: cobra.ExactArgs(1),
@@ -142,14 +142,14 @@
 	return err
 }
 
-func current(ctx context.Context, o *offices) (office.ConfigNow, error) {
-	now := office.ConfigNow{}
+func current(ctx context.Context, o *controlNodes) (controlnode.ConfigNow, error) {
+	now := controlnode.ConfigNow{}
 	_, err := read(ctx, o, "/v1/config", &now)
 	return now, err
 }
 
 // read asks for a page and decodes it.
-func read(ctx context.Context, o *offices, path string, into any) (answer, error) {
+func read(ctx context.Context, o *controlNodes, path string, into any) (answer, error) {
 	a, err := o.ask(ctx, http.MethodGet, path, nil)
 	if err == nil {
 		err = a.fault()
@@ -161,7 +161,7 @@
 }
 
 func diffCommand() *cobra.Command {
-	o := &offices{}
+	o := &controlNodes{}
 	cmd := &cobra.Command{
 		Use:   "diff FILE",
 		Short: "Check a declaration and show how it differs from the one in force",
@@ -189,7 +189,7 @@
 }
 
 func zoneCommand() *cobra.Command {
-	o := &offices{}
+	o := &controlNodes{}
 	cmd := &cobra.Command{Use: "zone", Short: "Empty a zone of calls, or take that back"}
 	for _, act := range []string{"empty", "restore"} {
 		var change string
@@ -210,24 +210,24 @@
 }
 
 func statusCommand() *cobra.Command {
-	o := &offices{}
+	o := &controlNodes{}
 	var asJSON, gateways bool
 	var gatewayAddr string
 	cmd := &cobra.Command{
 		Use:   "status",
 		Short: "Show the view, the controller, gateways, replicas, pending tickets and the policy",
-		Long: `Show what an office knows: the view, the controller, gateways, replicas, pending tickets and the policy.
+		Long: `Show what a control node knows: the view, the controller, gateways, replicas, pending tickets and the policy.
 
 Where routes are in force it also shows them and their version, each replica's state by its heartbeats with
-the time that it has left, what it holds and the order that stands there, and, from the office that holds the
+the time that it has left, what it holds and the order that stands there, and, from the control node that holds the
 duty, what the weight store still gives. With --desks every gateway that reported there is asked for its
-part of the further tries and its connections; with --desk one gateway is asked and no office.`,
+part of the further tries and its connections; with --desk one gateway is asked and no control node.`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if gatewayAddr != "" {
 				return gatewayStatus(cmd, gatewayAddr, asJSON)
 			}
-			st := office.Status{}
+			st := controlnode.Status{}
 			a, err := read(cmd.Context(), o, "/v1/status", &st)
 			if err != nil {
 				return err
--- a/cmd/petreltide/print.go
+++ b/cmd/petreltide/print.go
@@ -7,17 +7,17 @@
 	"slices"
 	"strings"
 
+	"petreltide/internal/controlnode"
 	"petreltide/internal/ledger"
-	"petreltide/internal/office"
 	"petreltide/internal/placement"
 )
 
 // mostShown is how many steps are named of a policy that parted from the live one.
 const mostShown = 3
 
-// printStatus shows an office's status for a person, a line a fact.
-func printStatus(w io.Writer, st office.Status) {
-	printOffice(w, st)
+// printStatus shows a control node's status for a person, a line a fact.
+func printStatus(w io.Writer, st controlnode.Status) {
+	printControlNode(w, st)
 	if st.Fleet != nil {
 		printFleet(w, st)
 	}
@@ -36,13 +36,13 @@
 	}
 }
 
-// printOffice shows the office itself, what is committed, and its view of the others and of gateways.
-func printOffice(w io.Writer, st office.Status) {
+// printControlNode shows the control node itself, what is committed, and its view of the others and of gateways.
+func printControlNode(w io.Writer, st controlnode.Status) {
 	seats := []string{}
 	for _, s := range st.View.Order {
 		seats = append(seats, s.ID)
 	}
-	fmt.Fprintf(w, "office    %s (%s), zone %s\n", st.Office.ID, st.Phase, st.Office.Zone)
+	fmt.Fprintf(w, "office    %s (%s), zone %s\n", st.ControlNode.ID, st.Phase, st.ControlNode.Zone)
 	fmt.Fprintf(w, "view      %d: %s\n", st.View.Number, strings.Join(seats, " > "))
 	if st.WaitsFor != "" {
 		fmt.Fprintf(w, "waits for %s\n", st.WaitsFor)
@@ -87,7 +87,7 @@
 }
 
 // printPolicies shows the policy in force and its shadows.
-func printPolicies(w io.Writer, st office.Status) {
+func printPolicies(w io.Writer, st controlnode.Status) {
 	if p := st.Policy; p.Name != "" {
 		fmt.Fprintf(w, "policy    %s: %d runs, %d faulted; last verdicts: %s\n", p.Name, p.Runs, p.Faulted, placement.Summary(p.Verdicts))
 		if p.Fault != nil {
--- a/cmd/petreltide/query.go
+++ b/cmd/petreltide/query.go
@@ -19,7 +19,7 @@
 
 const queryHelp = `An expression over the fleet's state, in the language policies are written in:
 
-  status     what the office says of the view, duty, desks, replicas and policy
+  status     what the control node says of the view, duty, desks, replicas and policy
   state      the ledger itself: configuration, tickets, grants, notices, keys
   config     the declaration in force
 
@@ -33,7 +33,7 @@
   petreltide query '[r["id"] for r in status["replicas"] if r.get("leaving")]'`
 
 func queryCommand() *cobra.Command {
-	o := &offices{}
+	o := &controlNodes{}
 	cmd := &cobra.Command{
 		Use:   "query [EXPRESSION]",
 		Short: "A shell for queries on the fleet's state; one-shot with an expression",
@@ -111,7 +111,7 @@
 	return wanted, nil
 }
 
-func query(cmd *cobra.Command, o *offices, text string) error {
+func query(cmd *cobra.Command, o *controlNodes, text string) error {
 	globals := starlark.StringDict{}
 	thread := &starlark.Thread{Name: "query"}
 	thread.SetMaxExecutionSteps(50_000_000)
--- a/cmd/petreltide/status.go
+++ b/cmd/petreltide/status.go
@@ -14,8 +14,8 @@
 	"github.com/spf13/cobra"
 
 	"petreltide/internal/controller"
+	"petreltide/internal/controlnode"
 	"petreltide/internal/gateway"
-	"petreltide/internal/office"
 )
 
 const routesShown = 20
@@ -34,7 +34,7 @@
 	}
 }
 
-func printFleet(w io.Writer, st office.Status) {
+func printFleet(w io.Writer, st controlnode.Status) {
 	f := st.Fleet
 	fmt.Fprintf(w, "version   %d: %d routes, %d services\n", f.Version, len(f.Routes), len(f.Services))
 	for i, r := range f.Routes {
@@ -78,7 +78,7 @@
 	}
 }
 
-func replicaLine(r office.ReplicaNote) string {
+func replicaLine(r controlnode.ReplicaNote) string {
 	line := fmt.Sprintf("replica   %s %s zone %s %s", r.ID, r.Service, r.Zone, r.State)
 	if r.LeftMs != nil {
 		line += fmt.Sprintf(", %d ms left", *r.LeftMs)
@@ -119,7 +119,7 @@
 	return st, errors.Trace(json.Unmarshal(a.body, &st))
 }
 
-func askGateways(ctx context.Context, w io.Writer, st office.Status) {
+func askGateways(ctx context.Context, w io.Writer, st controlnode.Status) {
 	if len(st.Demand) == 0 {
 		fmt.Fprintln(w, "no desk reported to this office: ask the one on duty")
 	}
--- a/cmd/petreltide/status_test.go
+++ b/cmd/petreltide/status_test.go
@@ -15,15 +15,15 @@
 	"github.com/spf13/cobra"
 
 	"petreltide/internal/controller"
+	"petreltide/internal/controlnode"
 	"petreltide/internal/dispatch"
 	"petreltide/internal/fault"
 	"petreltide/internal/gateway"
 	"petreltide/internal/ledger"
-	"petreltide/internal/office"
 	"petreltide/internal/standing"
 )
 
-// served is an office or gateway that answers with fixed pages, and keeps which were asked for.
+// served is a control node or gateway that answers with fixed pages, and keeps which were asked for.
 type served struct {
 	*httptest.Server
 	mu    sync.Mutex
@@ -71,21 +71,21 @@
 	return out.String(), err
 }
 
-func fleetStatus(gatewayAddr string) office.Status {
+func fleetStatus(gatewayAddr string) controlnode.Status {
 	left := int64(850)
 	load := ledger.Ticket{Number: 12, Replica: "i-2", Inc: "i-2", Step: ledger.Load, Unit: "m2", SizeMb: 20}
-	return office.Status{
+	return controlnode.Status{
 		Holder: "core-1-ab", Epoch: 41, Pending: []ledger.Ticket{load}, Replicas: []ledger.Replica{},
 		Demand: []controller.GatewayNote{{Gateway: "front-1", Zone: "a", Addr: gatewayAddr}, {Gateway: "front-2", Zone: "b", Addr: "127.0.0.1:1"}},
-		Fleet: &office.Fleet{
+		Fleet: &controlnode.Fleet{
 			Version: 9, Gateways: []string{"front-1", "front-2"},
 			Routes: []standing.Route{{Name: "letters", Host: "h.example", Prefix: "/l/", Repeat: standing.Streaming, Resumable: true, TimeoutMs: 5000, Priority: 1, AttemptsMost: 2,
 				Split: []standing.Weighted{{Service: "scribe", Weight: 90}, {Service: "quill", Weight: 10}}}},
-			Services: []office.ServiceNote{{Name: "scribe", Models: 2, Replicas: 2, ConnectionsMost: 370}, {Name: "quill", Replicas: 1}},
-			Replicas: []office.ReplicaNote{
-				{ID: "i-1", Service: "scribe", Zone: "a", State: office.ReplicaDraining, LeftMs: &left, Stage: "decode", AgoMs: 20, Units: []string{"m1", "m1/a1"}, HeldMb: 61, RoomMb: 100},
-				{ID: "i-2", Service: "scribe", Zone: "b", State: office.ReplicaDark, AgoMs: 4000, Units: []string{"m1"}, HeldMb: 80, RoomMb: 100, Order: &load},
-				{ID: "i-3", Service: "quill", Zone: "b", State: office.ReplicaUnheard, AgoMs: -1, Units: []string{}},
+			Services: []controlnode.ServiceNote{{Name: "scribe", Models: 2, Replicas: 2, ConnectionsMost: 370}, {Name: "quill", Replicas: 1}},
+			Replicas: []controlnode.ReplicaNote{
+				{ID: "i-1", Service: "scribe", Zone: "a", State: controlnode.ReplicaDraining, LeftMs: &left, Stage: "decode", AgoMs: 20, Units: []string{"m1", "m1/a1"}, HeldMb: 61, RoomMb: 100},
+				{ID: "i-2", Service: "scribe", Zone: "b", State: controlnode.ReplicaDark, AgoMs: 4000, Units: []string{"m1"}, HeldMb: 80, RoomMb: 100, Order: &load},
+				{ID: "i-3", Service: "quill", Zone: "b", State: controlnode.ReplicaUnheard, AgoMs: -1, Units: []string{}},
 			},
 			Duty: &controller.Note{Holder: "core-1-ab", Fence: 41, OrdersInMs: 700, Orders: []controller.OrderNote{{Ticket: load, SentAgoMs: -1}},
 				Store: []controller.StoreNote{{Service: "scribe", Left: 3, Running: 1, AtOnce: 7, Began: 4, WindowMs: 5000}},
@@ -160,7 +160,7 @@
 	}
 }
 
-// Whatever answers in an office's or gateway's place, the command line ends with a typed fault or a plain error.
+// Whatever answers in a control node's or gateway's place, the command line ends with a typed fault or a plain error.
 func TestCommandsNameAnswersThatAreNone(t *testing.T) {
 	closed := httptest.NewServer(http.NotFoundHandler())
 	gone := strings.TrimPrefix(closed.URL, "http://")
--- a/internal/chain/agree.go
+++ b/internal/chain/agree.go
@@ -113,7 +113,7 @@
 	n.save([]Record{{Accepted: n.accepted}}, 0, &reply{m.From, Msg{Accepting: &Accepting{Number: a.Number, Ballot: a.Ballot, OK: true}}})
 }
 
-// ended: the process that held this seat is known to have gone, as its office has come back as another
+// ended: the process that held this seat is known to have gone, as its control node has come back as another
 // incarnation; no lease of its outlives it. One that does not know this view may be the incarnation before.
 func (n *Node) ended(s Seat) bool {
 	if s.ID == n.opts.Me.ID {
--- a/internal/chain/contact.go
+++ b/internal/chain/contact.go
@@ -1,7 +1,7 @@
 package chain
 
-// InContact says whether this office and a quorum of the voters of the newest view it knows hear each other,
-// itself counted where it votes. An office out of contact may be cut off: it cannot hand on what it is told,
+// InContact says whether this control node and a quorum of the voters of the newest view it knows hear each other,
+// itself counted where it votes. A control node out of contact may be cut off: it cannot hand on what it is told,
 // and what it knows may be old.
 func (n *Node) InContact(nowUs int64) bool {
 	if len(n.view.Voters) == 0 {
@@ -13,7 +13,7 @@
 	})
 }
 
-// Current says whether what this office knows as committed was the newest a moment ago: it has its seat, and a time
+// Current says whether what this control node knows as committed was the newest a moment ago: it has its seat, and a time
 // stamp of the head that went by here a moment ago has gone on to a tail with its lease and has come back.
 func (n *Node) Current(nowUs int64) bool {
 	switch {
@@ -25,8 +25,8 @@
 	return n.echoedUs > 0 && nowUs-n.echoedUs < n.currentUs()
 }
 
-// Quorum says whether something holds for a quorum of the voters of the newest view this office knows. It is
-// taken to hold for this office itself.
+// Quorum says whether something holds for a quorum of the voters of the newest view this control node knows. It is
+// taken to hold for this control node itself.
 func (n *Node) Quorum(holds func(id string) bool) bool {
 	count := 0
 	for _, v := range n.view.Voters {
--- a/internal/chain/echo.go
+++ b/internal/chain/echo.go
@@ -2,7 +2,7 @@
 
 import "petreltide/internal/clock"
 
-// passedStamp is a time stamp of the head, by the head's clock, and when it went by here, by this office's own.
+// passedStamp is a time stamp of the head, by the head's clock, and when it went by here, by this control node's own.
 type passedStamp struct {
 	headUs int64
 	atUs   int64
@@ -11,7 +11,7 @@
 // stampEveryUs is how far apart noted stamps are: an echo counts from the last one noted before it.
 const stampEveryUs = 20 * clock.Ms
 
-// currentUs is how long after a stamp went by here its echo makes this office current.
+// currentUs is how long after a stamp went by here its echo makes this control node current.
 func (n *Node) currentUs() int64 { return n.opts.SuspectUs + 2*n.opts.BeatUs }
 
 // passStamp takes a stamp of the head from the predecessor, to be passed on.
--- a/internal/chain/echo_test.go
+++ b/internal/chain/echo_test.go
@@ -15,7 +15,7 @@
 	return all
 }
 
-// holdAcks takes away what one office tells another's chain, for as long as it is asked to, and returns it.
+// holdAcks takes away what one control node tells another's chain, for as long as it is asked to, and returns it.
 func (y *yard) holdAcks(from, to *spot, us int64) (held []letter) {
 	for endUs := y.nowUs + us; y.nowUs < endUs; {
 		y.mail = slices.DeleteFunc(y.mail, func(l letter) bool {
@@ -30,7 +30,7 @@
 	return held
 }
 
-// Echoes that lay in a link while an office was cut off say nothing of now, in whatever order they come.
+// Echoes that lay in a link while a control node was cut off say nothing of now, in whatever order they come.
 func TestAnEchoThatLayInALinkMakesNobodyCurrent(t *testing.T) {
 	for seed := range int64(10) {
 		for place := range 2 {
--- a/internal/chain/ended_test.go
+++ b/internal/chain/ended_test.go
@@ -6,7 +6,7 @@
 	"petreltide/internal/clock"
 )
 
-// A voter knows of a tail's end by a life of its office that came after. One that it heard before, and has not
+// A voter knows of a tail's end by a life of its control node that came after. One that it heard before, and has not
 // heard from since, says nothing of the tail.
 func TestOnlyALaterLifeEndsASeat(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/chain/founding.go
+++ b/internal/chain/founding.go
@@ -7,7 +7,7 @@
 	"petreltide/internal/ledger"
 )
 
-// mayFound: this office is one of those that begin a chain together.
+// mayFound: this control node is one of those that begin a chain together.
 func (n *Node) mayFound() bool {
 	if len(n.opts.Founders) > 0 {
 		return slices.Contains(n.opts.Founders, n.opts.Me.Addr)
--- a/internal/chain/founding_test.go
+++ b/internal/chain/founding_test.go
@@ -8,10 +8,10 @@
 	"petreltide/internal/clock"
 )
 
-// founding is a chain whose offices start for the first time.
-func founding(t *testing.T, seed int64, offices int) *yard {
-	y := newYard(t, seed, offices, 3)
-	y.copies, y.paced = offices/2+1, true
+// founding is a chain whose control nodes start for the first time.
+func founding(t *testing.T, seed int64, controlNodes int) *yard {
+	y := newYard(t, seed, controlNodes, 3)
+	y.copies, y.paced = controlNodes/2+1, true
 	for _, s := range y.spots {
 		y.start(s, true)
 	}
--- a/internal/chain/hello.go
+++ b/internal/chain/hello.go
@@ -113,7 +113,7 @@
 	n.send(to, Msg{Hello: &h})
 }
 
-// compareNotes lets a restarted office vote again only after it has heard the
+// compareNotes lets a restarted control node vote again only after it has heard the
 // other voters of this boot, or waited for those that do not come back.
 func (n *Node) compareNotes() {
 	if n.compared || n.phase == Fresh {
--- a/internal/chain/join.go
+++ b/internal/chain/join.go
@@ -1,6 +1,6 @@
 package chain
 
-// joiner is an office that may be seated now, behind a tail that holds the whole log: a member opens by what its
+// joiner is a control node that may be seated now, behind a tail that holds the whole log: a member opens by what its
 // predecessor held as the view began.
 func (n *Node) joiner() (Seat, bool) {
 	if !n.seatCaughtUp(n.view.Tail()) {
@@ -45,7 +45,7 @@
 	return true
 }
 
-// mayStandIn: an office of a new identity may take the vote of a silent one of the same name.
+// mayStandIn: a control node of a new identity may take the vote of a silent one of the same name.
 func (n *Node) mayStandIn(m Member) bool {
 	for _, v := range n.view.Voters {
 		if n.replacedBy(m) == v.ID && v.ID != m.ID {
@@ -63,8 +63,8 @@
 	return p != nil && n.nowUs-p.heardUs < spanUs
 }
 
-// newVoters changes at most one vote. One that joins in a lost office's place gets its vote with
-// its seat: between the two no second office could be spared.
+// newVoters changes at most one vote. One that joins in a lost control node's place gets its vote with
+// its seat: between the two no second control node could be spared.
 func (n *Node) newVoters(order []Seat) (voters []Member, extra int, changed bool) {
 	for _, s := range order {
 		if n.view.Votes(s.ID) {
--- a/internal/chain/leave.go
+++ b/internal/chain/leave.go
@@ -51,7 +51,7 @@
 	return len(holders.Order) > 0 && holders.Order[0].ID == order[0].ID && n.takesWrites(holders)
 }
 
-// Left says that this process may end: it has no seat, its vote is with another office where there is one that
+// Left says that this process may end: it has no seat, its vote is with another control node where there is one that
 // could take it, and the others know it. Where all others are about to end as well, there is nothing to wait for.
 func (n *Node) Left() bool {
 	if !n.leaving {
@@ -103,7 +103,7 @@
 	return true
 }
 
-// voteWanted: an office without a vote is there that may take this member's, or votes are to spare.
+// voteWanted: a control node without a vote is there that may take this member's, or votes are to spare.
 func (n *Node) voteWanted() bool {
 	if n.view.Extra > 0 && len(n.view.Voters) > votersLeast {
 		return true
--- a/internal/chain/leave_test.go
+++ b/internal/chain/leave_test.go
@@ -10,12 +10,12 @@
 // As many disks as may be lost are lost, and at the same moment one of those that hold the log is told to end: it
 // serves on until enough others hold all of it.
 func TestAHolderLeavesOnlyOnceOthersHoldTheLog(t *testing.T) {
-	for _, offices := range []int{3, 5} {
-		for place := range offices {
-			t.Run(fmt.Sprintf("%d offices, place %d", offices, place), func(t *testing.T) {
+	for _, controlNodes := range []int{3, 5} {
+		for place := range controlNodes {
+			t.Run(fmt.Sprintf("%d offices, place %d", controlNodes, place), func(t *testing.T) {
 				t.Parallel()
 				for seed := range int64(3) {
-					y := pacedYard(t, seed, offices)
+					y := pacedYard(t, seed, controlNodes)
 					var holder *spot
 					others := []*spot{}
 					for _, s := range y.living() {
@@ -82,9 +82,9 @@
 
 // Where all are told to end, nobody waits for the others to take over.
 func TestAllThatAreToldToEndEndAtOnce(t *testing.T) {
-	for _, offices := range []int{1, 3, 5} {
-		y := newYard(t, 1, offices, min(3, offices))
-		y.paced, y.copies = true, (offices-1)/2+1
+	for _, controlNodes := range []int{1, 3, 5} {
+		y := newYard(t, 1, controlNodes, min(3, controlNodes))
+		y.paced, y.copies = true, (controlNodes-1)/2+1
 		for _, s := range y.spots {
 			y.start(s, true)
 		}
@@ -95,7 +95,7 @@
 		y.pass(clock.Sec / 4)
 		for _, s := range y.spots {
 			if !s.node.Left() {
-				t.Errorf("%d offices: %s waits for %s", offices, s.me.ID, s.node.WaitsFor())
+				t.Errorf("%d control nodes: %s waits for %s", controlNodes, s.me.ID, s.node.WaitsFor())
 			}
 		}
 	}
@@ -104,9 +104,9 @@
 // One machine (two of five) is down with its disk, and nobody comes in its place: another that is told to end waits for
 // it, as without it too few would hold what is acknowledged.
 func TestAHolderWaitsForOneThatIsDown(t *testing.T) {
-	for _, offices := range []int{3, 5} {
+	for _, controlNodes := range []int{3, 5} {
 		for seed := range int64(4) {
-			y := pacedYard(t, seed, offices)
+			y := pacedYard(t, seed, controlNodes)
 			lost := y.picks(int(seed))
 			for _, s := range lost {
 				y.stop(s)
@@ -123,7 +123,7 @@
 			before := y.most
 			y.pass(clock.Sec)
 			if holder.node.Left() || holder.node.WaitsFor() == "" || y.most == before {
-				t.Fatalf("%d offices, seed %d: left %v, %d acknowledged in a second, in %+v", offices, seed, holder.node.Left(), y.most-before, holder.node.view)
+				t.Fatalf("%d control nodes, seed %d: left %v, %d acknowledged in a second, in %+v", controlNodes, seed, holder.node.Left(), y.most-before, holder.node.view)
 			}
 			for _, s := range lost {
 				y.start(s, false)
@@ -132,7 +132,7 @@
 				y.pass(yardStepUs)
 			}
 			if !holder.node.Left() {
-				t.Fatalf("%d offices, seed %d: it waits for %s", offices, seed, holder.node.WaitsFor())
+				t.Fatalf("%d control nodes, seed %d: it waits for %s", controlNodes, seed, holder.node.WaitsFor())
 			}
 			y.terminate(holder)
 			y.pass(clock.Sec)
--- a/internal/chain/malformed.go
+++ b/internal/chain/malformed.go
@@ -6,7 +6,7 @@
 // a higher one. A chain that changes its view a thousand times a second takes longer than a hundred million years.
 const numberMost = 1 << 62
 
-// malformed says what is wrong with a message that no office sends: what it would have its reader take up could not be
+// malformed says what is wrong with a message that no control node sends: what it would have its reader take up could not be
 // followed by anything else, or could not be read again.
 func (m Msg) malformed() *fault.Fault {
 	bad := func(field string) *fault.Fault {
--- a/internal/chain/malformed_test.go
+++ b/internal/chain/malformed_test.go
@@ -9,7 +9,7 @@
 	"petreltide/internal/ledger"
 )
 
-// malformedMessages are such as no office sends, each as if it came from the first office to another.
+// malformedMessages are such as no control node sends, each as if it came from the first control node to another.
 func malformedMessages(y *yard, n *Node) map[string]Msg {
 	from := y.spots[0]
 	next := n.View()
--- a/internal/chain/member.go
+++ b/internal/chain/member.go
@@ -23,7 +23,7 @@
 	return ""
 }
 
-// orderedIn: the operators ordered an office of this name to be taken in, and none of it votes yet.
+// orderedIn: the operators ordered a control node of this name to be taken in, and none of it votes yet.
 func (n *Node) orderedIn(m Member) bool {
 	if o := n.order(ledger.AddMember); o == nil || o.Name != m.Name {
 		return false
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -5,7 +5,7 @@
 	"petreltide/internal/ledger"
 )
 
-// peer is what is known of another office: its last hello, when it came, since when it is heard, and when it last heard
+// peer is what is known of another control node: its last hello, when it came, since when it is heard, and when it last heard
 // this one.
 type peer struct {
 	hello   Hello
@@ -34,7 +34,7 @@
 	judged bool
 }
 
-// Node is one office's part of the chain and of the agreement on its view.
+// Node is one control node's part of the chain and of the agreement on its view.
 type Node struct {
 	opts Options
 
--- a/internal/chain/repair_test.go
+++ b/internal/chain/repair_test.go
@@ -33,16 +33,16 @@
 	comesAfterUs = clock.Sec
 )
 
-// paced are the times that a fleet whose offices take each other in goes by.
+// paced are the times that a fleet whose control nodes take each other in goes by.
 func paced(o Options) Options {
 	o.HelloUs, o.BeatUs, o.SuspectUs = 200*clock.Ms, 200*clock.Ms, 800*clock.Ms
 	o.LeaseUs, o.CompareUs, o.GatherUs, o.AskUs = 700*clock.Ms, 900*clock.Ms, 1300*clock.Ms, 200*clock.Ms
 	return o
 }
 
-func pacedYard(t *testing.T, seed int64, offices int) *yard {
-	y := newYard(t, seed, offices, 3)
-	y.paced, y.copies = true, (offices-1)/2+1
+func pacedYard(t *testing.T, seed int64, controlNodes int) *yard {
+	y := newYard(t, seed, controlNodes, 3)
+	y.paced, y.copies = true, (controlNodes-1)/2+1
 	for _, s := range y.spots {
 		y.start(s, true)
 	}
@@ -183,8 +183,8 @@
 // the end one more loss comes with all others restarting.
 func TestALossRightAfterARepair(t *testing.T) {
 	for _, how := range repairs {
-		for _, offices := range []int{3, 5} {
-			t.Run(fmt.Sprintf("%d offices/%s", offices, how), func(t *testing.T) {
+		for _, controlNodes := range []int{3, 5} {
+			t.Run(fmt.Sprintf("%d offices/%s", controlNodes, how), func(t *testing.T) {
 				t.Parallel()
 				seeds := int64(6)
 				if raced {
@@ -192,7 +192,7 @@
 				}
 				slowestUs := int64(0)
 				for seed := range seeds {
-					y := pacedYard(t, seed, offices)
+					y := pacedYard(t, seed, controlNodes)
 					for turn := range 5 {
 						before := y.most
 						for _, s := range y.lose(y.picks(turn+int(seed)), how) {
@@ -237,13 +237,13 @@
 		t.Run(string(next), func(t *testing.T) {
 			t.Parallel()
 			for seed := range int64(4) {
-				for _, offices := range []int{3, 5} {
-					y := pacedYard(t, seed, offices)
+				for _, controlNodes := range []int{3, 5} {
+					y := pacedYard(t, seed, controlNodes)
 					for turn := range 3 {
 						y.lose(y.picks(turn), plannedFirst)
 						for _, s := range y.lose(y.picks(turn+int(seed)), next) {
 							if why := y.tookOver(s); why != "" {
-								t.Fatalf("seed %d, %d offices: %s", seed, offices, why)
+								t.Fatalf("seed %d, %d control nodes: %s", seed, controlNodes, why)
 							}
 						}
 					}
@@ -257,10 +257,10 @@
 // All restart, and some or all of them are at other addresses than the view says: they find each other by what they
 // hear, and agree on.
 func TestMembersThatMovedTogetherFindEachOther(t *testing.T) {
-	for _, offices := range []int{3, 5} {
-		for moved := 1; moved <= offices; moved++ {
+	for _, controlNodes := range []int{3, 5} {
+		for moved := 1; moved <= controlNodes; moved++ {
 			for seed := range int64(3) {
-				y := pacedYard(t, seed, offices)
+				y := pacedYard(t, seed, controlNodes)
 				live := y.living()
 				for _, s := range live {
 					y.stop(s)
@@ -277,7 +277,7 @@
 				for _, s := range y.living() {
 					y.start(s, false)
 				}
-				y.settles(20*clock.Sec, fmt.Sprintf("seed %d: %d of %d moved", seed, moved, offices))
+				y.settles(20*clock.Sec, fmt.Sprintf("seed %d: %d of %d moved", seed, moved, controlNodes))
 			}
 		}
 	}
@@ -286,13 +286,13 @@
 // All processes are killed while a lost machine's successor is being taken in. When the time to catch up is over after
 // the last of them has come back, all of it is taken over, and the next loss may come.
 func TestARepairThatAKillOfAllCutsShort(t *testing.T) {
-	for _, offices := range []int{3, 5} {
+	for _, controlNodes := range []int{3, 5} {
 		for _, how := range []repair{replaced, emptied} {
-			t.Run(fmt.Sprintf("%d offices/%s", offices, how), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%d offices/%s", controlNodes, how), func(t *testing.T) {
 				t.Parallel()
 				slowestUs := int64(0)
 				for seed := range int64(12) {
-					y := pacedYard(t, seed, offices)
+					y := pacedYard(t, seed, controlNodes)
 					for turn := range 3 {
 						successors := y.takeAway(y.picks(turn+int(seed)), how)
 						y.pass(y.r.Int63n(4 * clock.Sec))
--- a/internal/chain/replaced_vote_test.go
+++ b/internal/chain/replaced_vote_test.go
@@ -7,7 +7,7 @@
 	"petreltide/internal/clock"
 )
 
-// apart cuts every link between two groups of offices; what is under way there is lost.
+// apart cuts every link between two groups of control nodes; what is under way there is lost.
 func (y *yard) apart(one, other []*spot) {
 	for _, a := range one {
 		for _, b := range other {
--- a/internal/chain/self_test.go
+++ b/internal/chain/self_test.go
@@ -11,7 +11,7 @@
 	"petreltide/internal/standing"
 )
 
-// yard is a chain whose offices take each other in by themselves: links that delay and cut, disks that take
+// yard is a chain whose control nodes take each other in by themselves: links that delay and cut, disks that take
 // their time, machines that die, lose their disks or are replaced at another address.
 type yard struct {
 	t       *testing.T
@@ -65,9 +65,9 @@
 	msg      Msg
 }
 
-func newYard(t *testing.T, seed int64, offices, founders int) *yard {
+func newYard(t *testing.T, seed int64, controlNodes, founders int) *yard {
 	y := &yard{t: t, r: rand.New(rand.NewSource(seed)), nowUs: clock.Sec, cuts: map[[2]string]bool{}, views: map[uint64]View{}, acked: map[uint64]string{}, copies: 2}
-	for i := range offices {
+	for i := range controlNodes {
 		y.spots = append(y.spots, &spot{me: Member{ID: fmt.Sprintf("n%d-0", i), Name: fmt.Sprint("n", i), Addr: fmt.Sprint("a", i)}})
 	}
 	for _, s := range y.spots[:founders] {
@@ -102,7 +102,7 @@
 	y.mail = slices.DeleteFunc(y.mail, func(l letter) bool { return l.to == s.me.Addr })
 }
 
-// wipe takes a disk: the office comes back under its name as another identity.
+// wipe takes a disk: the control node comes back under its name as another identity.
 func (y *yard) wipe(s *spot) {
 	y.stop(s)
 	y.incs++
@@ -163,7 +163,7 @@
 
 func (y *yard) cut(a, b string) bool { return y.cuts[[2]string{a, b}] || y.cuts[[2]string{b, a}] }
 
-// post keeps the order of letters between two offices.
+// post keeps the order of letters between two control nodes.
 func (y *yard) post(from, to string, m Msg) {
 	us := y.nowUs + 1 + y.r.Int63n(6*clock.Ms)
 	for i := len(y.mail) - 1; i >= 0; i-- {
@@ -315,7 +315,7 @@
 	return all
 }
 
-// settled: every office that is there has a seat in one view and acknowledges; votes are theirs.
+// settled: every control node that is there has a seat in one view and acknowledges; votes are theirs.
 func (y *yard) settled() string {
 	var view View
 	for _, s := range y.living() {
@@ -356,10 +356,10 @@
 
 func TestFoundingByAddresses(t *testing.T) {
 	for _, c := range []struct {
-		name              string
-		offices, founders int
-		startUs           func(i int) int64
-		laterUs           int64
+		name                   string
+		controlNodes, founders int
+		startUs                func(i int) int64
+		laterUs                int64
 	}{
 		{"three", 3, 3, func(int) int64 { return 0 }, 0},
 		{"three, one after the other", 3, 3, func(i int) int64 { return int64(i) * 300 * clock.Ms }, 0},
@@ -372,7 +372,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			for seed := int64(0); seed < 4; seed++ {
-				y := newYard(t, seed, c.offices, c.founders)
+				y := newYard(t, seed, c.controlNodes, c.founders)
 				for us := int64(0); us <= 7*clock.Sec; us += 10 * clock.Ms {
 					for i, s := range y.spots {
 						if s.node == nil && us >= c.startUs(i) {
@@ -395,8 +395,8 @@
 	}
 }
 
-func grown(t *testing.T, seed int64, offices, founders int) *yard {
-	y := newYard(t, seed, offices, founders)
+func grown(t *testing.T, seed int64, controlNodes, founders int) *yard {
+	y := newYard(t, seed, controlNodes, founders)
 	for _, s := range y.spots {
 		y.start(s, true)
 	}
@@ -445,7 +445,7 @@
 	}
 }
 
-// A newcomer may take the vote of an office that is only cut off, as it cannot know; that one then takes the vote of
+// A newcomer may take the vote of a control node that is only cut off, as it cannot know; that one then takes the vote of
 // the one that is gone. No vote stays with nobody.
 func TestNoVoteStaysWithOneThatIsGone(t *testing.T) {
 	for seed := int64(0); seed < 6; seed++ {
@@ -462,7 +462,7 @@
 
 // Long histories of machines that die, freeze their disks, are cut off, wiped and replaced, never more of them lost
 // for good at once than may be: one chain, nothing acknowledged is lost, and in the end all are in it.
-func TestSeededOfficesThatTakeEachOtherIn(t *testing.T) {
+func TestSeededControlNodesThatTakeEachOtherIn(t *testing.T) {
 	seeds := int64(60)
 	if raced {
 		seeds = 6
@@ -470,8 +470,8 @@
 	for seed := int64(0); seed < seeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			offices := []int{3, 3, 5}[seed%3]
-			y := grown(t, seed, offices, 3)
+			controlNodes := []int{3, 3, 5}[seed%3]
+			y := grown(t, seed, controlNodes, 3)
 			first := len(y.views)
 			for range 14 {
 				live := y.living()
--- a/internal/chain/status.go
+++ b/internal/chain/status.go
@@ -19,7 +19,7 @@
 // IsTail says that this process has the last seat.
 func (n *Node) IsTail() bool { return n.serving() && n.place() == len(n.view.Order)-1 }
 
-// Open says whether this office may answer as the tail at this moment.
+// Open says whether this control node may answer as the tail at this moment.
 func (n *Node) Open(nowUs int64) bool {
 	return n.IsTail() && n.openKnown && n.commit >= n.openAt && nowUs < n.leaseUs
 }
@@ -56,7 +56,7 @@
 // Inc names this process among those of its member.
 func (n *Node) Inc() string { return n.opts.Inc }
 
-// Settled says that the state of this office is the chain's: it has had a seat in this life and holds
+// Settled says that the state of this control node is the chain's: it has had a seat in this life and holds
 // all that was committed before it.
 func (n *Node) Settled() bool {
 	if n.settledOnce {
@@ -107,7 +107,7 @@
 	return p != nil && n.nowUs-p.heardUs < n.opts.SuspectUs
 }
 
-// PartnerNote is what this office knows of another.
+// PartnerNote is what this control node knows of another.
 type PartnerNote struct {
 	Member Member `json:"member"`
 	Phase  Phase  `json:"phase"`
@@ -117,7 +117,7 @@
 	Sound  bool   `json:"sound"`
 }
 
-// Partners are all other offices that were heard in this life.
+// Partners are all other control nodes that were heard in this life.
 func (n *Node) Partners() []PartnerNote {
 	notes := []PartnerNote{}
 	for _, id := range n.peerIDs() {
@@ -134,7 +134,7 @@
 	return slices.Sorted(maps.Keys(n.peers))
 }
 
-// WaitsFor tells an operator, in words, what this office is waiting for.
+// WaitsFor tells an operator, in words, what this control node is waiting for.
 func (n *Node) WaitsFor() string {
 	switch {
 	case n.leaving && !n.Left():
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -6,7 +6,7 @@
 	"petreltide/internal/ledger"
 )
 
-// Member is an office by the identity that its disk holds; a new disk is another member.
+// Member is a control node by the identity that its disk holds; a new disk is another member.
 type Member struct {
 	ID   string `json:"id"`
 	Name string `json:"name"`
@@ -25,7 +25,7 @@
 	Number uint64   `json:"number"`
 	Voters []Member `json:"voters"`
 	Order  []Seat   `json:"order"`
-	// Extra counts the voters that offices took in by themselves beside those that were there: as many
+	// Extra counts the voters that control nodes took in by themselves beside those that were there: as many
 	// votes of silent ones may be dropped.
 	Extra int `json:"extra,omitempty"`
 	// System names the chain: whoever founded another one is foreign. It is empty in chains founded before it was kept.
@@ -238,7 +238,7 @@
 	Given  bool   `json:"given,omitempty"`
 }
 
-// Joining carries a copy of the state from the tail to an office that has no seat.
+// Joining carries a copy of the state from the tail to a control node that has no seat.
 type Joining struct {
 	View uint64 `json:"view"`
 	Inc  string `json:"inc"`
@@ -249,7 +249,7 @@
 // whole: what it means cannot be known.
 const MessageForm = 0
 
-// Msg is one message between offices; exactly one of its pointers after ToID is set.
+// Msg is one message between control nodes; exactly one of its pointers after ToID is set.
 type Msg struct {
 	// Form is left out as long as it is 0.
 	Form      int            `json:"form,omitempty"`
@@ -329,12 +329,12 @@
 	Me       Member
 	Inc      string
 	Founding int
-	// Founders are the addresses of the offices that begin a chain together, in place of Founding.
+	// Founders are the addresses of the control nodes that begin a chain together, in place of Founding.
 	Founders []string
-	// First says that the whole fleet starts for the first time: this office belongs to it from the start,
-	// and takes nobody's vote. It holds until this office has had one.
+	// First says that the whole fleet starts for the first time: this control node belongs to it from the start,
+	// and takes nobody's vote. It holds until this control node has had one.
 	First bool
-	// SelfMembers lets the offices take in and drop each other without an operator's order.
+	// SelfMembers lets the control nodes take in and drop each other without an operator's order.
 	SelfMembers bool
 	// Unsynced says that the disk has refused to sync the records that it gave back: they count as synced only once
 	// save OpeningSave is reported.
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -64,7 +64,7 @@
 }
 
 // judgeView removes the seats of members that are not healthy, seats a joiner that holds a copy, and gives
-// the vote of a lost office to the empty one that came under its name.
+// the vote of a lost control node to the empty one that came under its name.
 func (n *Node) judgeView() {
 	if n.stalled() || !n.caughtUp {
 		return
--- a/internal/comparison/comparison.go
+++ b/internal/comparison/comparison.go
@@ -8,9 +8,9 @@
 	"math/rand"
 	"time"
 
+	"petreltide/internal/controlnode"
 	"petreltide/internal/dispatch"
 	"petreltide/internal/fault"
-	"petreltide/internal/office"
 	"petreltide/internal/standing"
 )
 
@@ -25,8 +25,8 @@
 
 // Fleet is what comparing needs of the operators' interface.
 type Fleet interface {
-	Config(ctx context.Context) (office.ConfigNow, error)
-	Apply(ctx context.Context, base uint64, change string, doc *standing.Declaration) (office.Applied, error)
+	Config(ctx context.Context) (controlnode.ConfigNow, error)
+	Apply(ctx context.Context, base uint64, change string, doc *standing.Declaration) (controlnode.Applied, error)
 	Look(ctx context.Context) (Look, error)
 	Pause(ctx context.Context, span time.Duration) error
 }
--- a/internal/comparison/comparison_test.go
+++ b/internal/comparison/comparison_test.go
@@ -9,9 +9,9 @@
 	"testing"
 	"time"
 
+	"petreltide/internal/controlnode"
 	"petreltide/internal/dispatch"
 	"petreltide/internal/fault"
-	"petreltide/internal/office"
 	"petreltide/internal/standing"
 	"petreltide/internal/weigh"
 )
@@ -39,32 +39,32 @@
 		replicas: map[string]string{"r1": "i"}, slowUs: map[string]int64{}, at: map[int64]func(*stage){}, seen: map[string]uint64{}}
 }
 
-func (s *stage) Config(context.Context) (office.ConfigNow, error) {
+func (s *stage) Config(context.Context) (controlnode.ConfigNow, error) {
 	if s.deaf {
-		return office.ConfigNow{}, fault.New(fault.NotServing, "", "deaf")
+		return controlnode.ConfigNow{}, fault.New(fault.NotServing, "", "deaf")
 	}
-	return office.ConfigNow{Revision: s.revision, Declaration: s.doc}, nil
+	return controlnode.ConfigNow{Revision: s.revision, Declaration: s.doc}, nil
 }
 
-func (s *stage) Apply(_ context.Context, base uint64, change string, doc *standing.Declaration) (office.Applied, error) {
+func (s *stage) Apply(_ context.Context, base uint64, change string, doc *standing.Declaration) (controlnode.Applied, error) {
 	if s.deaf {
-		return office.Applied{}, fault.New(fault.NotServing, "", "deaf")
+		return controlnode.Applied{}, fault.New(fault.NotServing, "", "deaf")
 	}
 	if revision, again := s.seen[change]; again {
-		return office.Applied{Revision: revision, State: "everywhere"}, nil
+		return controlnode.Applied{Revision: revision, State: "everywhere"}, nil
 	}
 	if base != s.revision {
 		f := fault.New(fault.StaleBase, "base", "")
 		f.Revision = s.revision
-		return office.Applied{}, f
+		return controlnode.Applied{}, f
 	}
 	s.change(doc)
 	s.seen[change] = s.revision
 	if s.doubt > 0 {
 		s.doubt--
-		return office.Applied{}, fault.New(fault.InDoubt, "", "")
+		return controlnode.Applied{}, fault.New(fault.InDoubt, "", "")
 	}
-	return office.Applied{Revision: s.revision, State: "everywhere"}, nil
+	return controlnode.Applied{Revision: s.revision, State: "everywhere"}, nil
 }
 
 func (s *stage) change(doc *standing.Declaration) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -174,7 +174,7 @@
 
 func (f *Controller) count(code fault.Code) { f.Faults[code]++ }
 
-// tick claims the duty where this office leads and nobody holds it for it, and does what is due by time.
+// tick claims the duty where this control node leads and nobody holds it for it, and does what is due by time.
 func (f *Controller) tick(seen Seen) {
 	if f.routed.bornUs == 0 {
 		f.routed.bornUs = seen.NowUs
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -193,7 +193,7 @@
 	}
 	seen.Head = false
 	if r.f.Step(seen, Event{NowUs: r.nowUs}); r.f.OnDuty(r.s) {
-		t.Fatal("an office that is not the head keeps the duty")
+		t.Fatal("a control node that is not the head keeps the duty")
 	}
 }
 
--- a/internal/controller/events.go
+++ b/internal/controller/events.go
@@ -88,7 +88,7 @@
 	Fleet    placement.Fleet
 }
 
-// Seen is what the office knows as an event is taken: the ledger, whether it leads and may write, and its replicas.
+// Seen is what the control node knows as an event is taken: the ledger, whether it leads and may write, and its replicas.
 type Seen struct {
 	NowUs  int64
 	State  *ledger.State
--- a/internal/controller/late_test.go
+++ b/internal/controller/late_test.go
@@ -29,7 +29,7 @@
 }
 
 // Seeds 44 and 70 of the routed days: what a replica said before its last load ended lay unread in a frozen
-// office, and was taken for its newest word; the controller then ordered a load beyond the replica's room.
+// control node, and was taken for its newest word; the controller then ordered a load beyond the replica's room.
 func TestWordsOlderThanTheLastOrderDoNotOverruleIt(t *testing.T) {
 	s := routedState(t)
 	f := New("me")
@@ -60,7 +60,7 @@
 	}
 }
 
-// A holder that took a ticket over and sent it again issued no ticket of its own. An office that had the ticket as
+// A holder that took a ticket over and sent it again issued no ticket of its own. A control node that had the ticket as
 // pending, was cut off meanwhile and begins from a copy in which it is settled saw neither; it waits the lease out.
 func TestASettlementThatWasNotSeenIsSomebodysOrder(t *testing.T) {
 	s := routedState(t)
--- a/internal/controller/orders_explore_test.go
+++ b/internal/controller/orders_explore_test.go
@@ -32,7 +32,7 @@
 	{"slow store", func(m *orderModel) { m.slow = !m.slow }},
 	{"orders lie in the network", func(m *orderModel) { m.holdOrders = !m.holdOrders }},
 	{"answers are lost", func(m *orderModel) { m.loseAnswers = !m.loseAnswers }},
-	{"heartbeats lie in the links", func(m *orderModel) { m.offices[1].holdBeat = !m.offices[1].holdBeat }},
+	{"heartbeats lie in the links", func(m *orderModel) { m.controlNodes[1].holdBeat = !m.controlNodes[1].holdBeat }},
 	{"another life", func(m *orderModel) { m.replaceReplica(); m.pass(300 * clock.Ms) }},
 }
 
@@ -130,7 +130,7 @@
 		case 0:
 			m.takeOver()
 		case 1:
-			m.restartOfficeUncut(r.Intn(2))
+			m.restartControlNodeUncut(r.Intn(2))
 		case 2, 3, 4, 5, 6, 7, 8, 9, 10, 11:
 			m.renewReplica()
 		}
@@ -154,7 +154,7 @@
 }
 
 func (m *orderModel) randomFault() {
-	switch office := m.choose(2); m.choose(30) {
+	switch controlNode := m.choose(2); m.choose(30) {
 	case 0:
 		m.takeOver()
 	case 1:
@@ -164,7 +164,7 @@
 	case 3, 4:
 		m.heal()
 	case 5:
-		m.restartOfficeUncut(office)
+		m.restartControlNodeUncut(controlNode)
 	case 6:
 		m.holdOrders = !m.holdOrders
 	case 7:
@@ -178,7 +178,7 @@
 	case 11:
 		m.longUnload = !m.longUnload
 	case 12, 13:
-		m.offices[office].holdBeat = !m.offices[office].holdBeat
+		m.controlNodes[controlNode].holdBeat = !m.controlNodes[controlNode].holdBeat
 	case 14:
 		m.replaceReplica()
 	case 15:
@@ -186,11 +186,11 @@
 	}
 }
 
-// restartOfficeUncut restarts an office; it begins with the ledger as it is.
-func (m *orderModel) restartOfficeUncut(i int) {
-	if m.offices[i].frozen == nil {
+// restartControlNodeUncut restarts a control node; it begins with the ledger as it is.
+func (m *orderModel) restartControlNodeUncut(i int) {
+	if m.controlNodes[i].frozen == nil {
 		m.note("office%d restarts", i)
-		m.restartOffice(i)
+		m.restartControlNode(i)
 	}
 }
 
@@ -212,7 +212,7 @@
 	ids := slices.Sorted(maps.Keys(m.lives))
 	r := m.lives[ids[m.choose(len(ids))]]
 	delete(m.lives, r.id)
-	for _, o := range m.offices {
+	for _, o := range m.controlNodes {
 		o.roster.Leave(m.nowUs, r.id)
 	}
 	m.birth(r.addr, map[string]bool{})
--- a/internal/controller/orders_model_test.go
+++ b/internal/controller/orders_model_test.go
@@ -99,11 +99,11 @@
 	act  func()
 }
 
-// modelOffice is one control node: its controller, and what it has heard of replicas.
-type modelOffice struct {
+// modelControlNode is one control node: its controller, and what it has heard of replicas.
+type modelControlNode struct {
 	controller *Controller
 	roster     *roster.Roster
-	// frozen is the ledger as this office had it when it was cut off from the others, nil while it is not.
+	// frozen is the ledger as this control node had it when it was cut off from the others, nil while it is not.
 	frozen   *ledger.State
 	cutUs    int64
 	holdBeat bool
@@ -114,17 +114,17 @@
 // choice is drawn from choose, so that a sequence of choices plays again as it was.
 type orderModel struct {
 	modelSetting
-	choose  func(n int) int
-	nowUs   int64
-	state   *ledger.State
-	index   uint64
-	offices [2]*modelOffice
-	head    int
-	old     int
-	oldUs   int64
-	lives   map[string]*modelReplica
-	births  int
-	flights []delivery
+	choose       func(n int) int
+	nowUs        int64
+	state        *ledger.State
+	index        uint64
+	controlNodes [2]*modelControlNode
+	head         int
+	old          int
+	oldUs        int64
+	lives        map[string]*modelReplica
+	births       int
+	flights      []delivery
 	// held are orders that lie in the network until they are released.
 	held        []func(healed bool)
 	holdOrders  bool
@@ -142,8 +142,8 @@
 func newOrderModel(choose func(n int) int, setting modelSetting) *orderModel {
 	m := &orderModel{modelSetting: setting, choose: choose, nowUs: clock.Sec, state: ledger.NewState(), lives: map[string]*modelReplica{}, old: -1}
 	m.apply(ledger.Change{ID: "configuration", Config: &ledger.ConfigChange{Version: 1, Doc: modelDeclaration(setting.loadMs)}})
-	for i := range m.offices {
-		m.restartOffice(i)
+	for i := range m.controlNodes {
+		m.restartControlNode(i)
 	}
 	for i := range setting.replicas {
 		m.birth(fmt.Sprint("address", i), map[string]bool{})
@@ -153,8 +153,8 @@
 	return m
 }
 
-// restartOffice begins a new life of a control node: its controller remembers nothing.
-func (m *orderModel) restartOffice(i int) {
+// restartControlNode begins a new life of a control node: its controller remembers nothing.
+func (m *orderModel) restartControlNode(i int) {
 	opts := Options{LeaseUs: modelLeaseUs, StoreWindowUs: modelWindowUs, StoreOvershoot: 1}
 	switch m.plant {
 	case plantNoLease:
@@ -162,7 +162,7 @@
 	case plantNoWindow:
 		opts.StoreOvershoot = 10
 	}
-	m.offices[i] = &modelOffice{controller: NewWith(fmt.Sprint("office", i), opts), roster: roster.New(3 * clock.Sec)}
+	m.controlNodes[i] = &modelControlNode{controller: NewWith(fmt.Sprint("office", i), opts), roster: roster.New(3 * clock.Sec)}
 }
 
 // birth begins a new life of a replica, with nothing held and this disk.
@@ -187,7 +187,7 @@
 	m.flights = append(m.flights, delivery{m.nowUs + us, act})
 }
 
-// apply brings one change to the ledger; every office that is not cut off sees it applied.
+// apply brings one change to the ledger; every control node that is not cut off sees it applied.
 func (m *orderModel) apply(c ledger.Change) ledger.Outcome {
 	m.index++
 	out := m.state.Apply(m.index, c)
@@ -197,7 +197,7 @@
 	if out.Fault == nil {
 		m.settled += len(c.Duty.Settled)
 	}
-	for _, o := range m.offices {
+	for _, o := range m.controlNodes {
 		if o.frozen == nil {
 			o.controller.Saw(m.nowUs, c.Epoch, *c.Duty, m.state)
 		}
@@ -205,9 +205,9 @@
 	return out
 }
 
-// leads says whether an office takes itself for the head: one that lost the place does for as long as its lease.
+// leads says whether a control node takes itself for the head: one that lost the place does for as long as its lease.
 func (m *orderModel) leads(i int) bool {
-	o := m.offices[i]
+	o := m.controlNodes[i]
 	if o.frozen != nil {
 		return o.cutUs > 0 && m.nowUs < o.cutUs+modelHeadLeaseUs
 	}
@@ -216,7 +216,7 @@
 
 // step lets one controller take an event, and carries its effects.
 func (m *orderModel) step(i int, ev Event) {
-	o := m.offices[i]
+	o := m.controlNodes[i]
 	ev.NowUs = m.nowUs
 	state := m.state
 	if o.frozen != nil {
@@ -238,16 +238,16 @@
 
 // back brings an event to the controller that waits for it, unless that has restarted meanwhile.
 func (m *orderModel) back(i int, to *Controller, ev Event) {
-	if m.offices[i].controller == to {
+	if m.controlNodes[i].controller == to {
 		m.step(i, ev)
 	}
 }
 
-// write carries a change to the ledger; what an office that is cut off writes is lost.
+// write carries a change to the ledger; what a control node that is cut off writes is lost.
 func (m *orderModel) write(i int, change ledger.Change) {
-	from := m.offices[i].controller
+	from := m.controlNodes[i].controller
 	m.later(modelTickUs, func() {
-		if m.offices[i].frozen != nil || m.offices[i].controller != from || i != m.head {
+		if m.controlNodes[i].frozen != nil || m.controlNodes[i].controller != from || i != m.head {
 			return
 		}
 		out := m.apply(change)
@@ -259,7 +259,7 @@
 
 // ask brings a replica's report: its state of a little while ago.
 func (m *orderModel) ask(i int, ask Ask) {
-	from := m.offices[i].controller
+	from := m.controlNodes[i].controller
 	m.later(modelTickUs, func() {
 		told := Told{AskedUs: ask.AskedUs, Replica: ask.Replica, Addr: ask.Addr}
 		r := m.at(ask.Addr)
@@ -284,7 +284,7 @@
 
 // send puts an order into the network: it may lie there, come twice, or its answer may be lost.
 func (m *orderModel) send(i int, effect Order) {
-	from, order := m.offices[i].controller, effect.Order
+	from, order := m.controlNodes[i].controller, effect.Order
 	if m.plant == plantUncounted {
 		order.Expected = nil
 	}
@@ -308,7 +308,7 @@
 		}
 	}
 	m.later(modelAnswerWaitUs, func() { answer(wire.OrderInDoubt) })
-	if m.holdOrders || m.offices[i].frozen != nil {
+	if m.holdOrders || m.controlNodes[i].frozen != nil {
 		m.held = append(m.held, arrive)
 		return
 	}
@@ -466,9 +466,9 @@
 				m.beat(r)
 			}
 		}
-		for i := range m.offices {
+		for i := range m.controlNodes {
 			m.hear(i)
-			m.offices[i].roster.Sweep(m.nowUs)
+			m.controlNodes[i].roster.Sweep(m.nowUs)
 			m.step(i, Event{})
 		}
 	}
@@ -488,19 +488,19 @@
 	}
 }
 
-// beat is a heartbeat, which every office hears or finds in its links later.
+// beat is a heartbeat, which every control node hears or finds in its links later.
 func (m *orderModel) beat(r *modelReplica) {
 	r.beatUs = m.nowUs
 	r.sequence++
 	row := roster.Row{ID: r.id, Service: modelService, Addr: r.addr, Zone: "a", Slots: 8, Seq: r.sequence, Units: r.units()}
-	for _, o := range m.offices {
+	for _, o := range m.controlNodes {
 		o.beats = append(o.beats, row)
 	}
 }
 
-// hear gives an office its heartbeats. What lay in its links comes a few at a time, as if it had just been said.
+// hear gives a control node its heartbeats. What lay in its links comes a few at a time, as if it had just been said.
 func (m *orderModel) hear(i int) {
-	o := m.offices[i]
+	o := m.controlNodes[i]
 	if o.frozen != nil || o.holdBeat {
 		return
 	}
@@ -523,13 +523,13 @@
 func (m *orderModel) proposeAt(step ledger.Step, replica, unit string) {
 	p := placement.Proposal{Step: step, Replica: replica, Unit: unit}
 	m.note("propose %s %s at %s", p.Step, p.Unit, p.Replica)
-	c := m.offices[m.head].controller
+	c := m.controlNodes[m.head].controller
 	c.proposed, c.proposedAt = append(slices.Clone(c.proposed), p), m.state.Revision
 }
 
-// takeOver makes the other office the head; the old one goes on for as long as its lease.
+// takeOver makes the other control node the head; the old one goes on for as long as its lease.
 func (m *orderModel) takeOver() {
-	if m.offices[1-m.head].frozen != nil {
+	if m.controlNodes[1-m.head].frozen != nil {
 		m.heal()
 	}
 	m.note("office%d takes over", 1-m.head)
@@ -537,28 +537,28 @@
 	m.head = 1 - m.head
 }
 
-// cutHead cuts the head off from the other office and from replicas; the other takes over.
+// cutHead cuts the head off from the other control node and from replicas; the other takes over.
 func (m *orderModel) cutHead() {
-	if m.offices[1-m.head].frozen != nil {
+	if m.controlNodes[1-m.head].frozen != nil {
 		m.heal()
 	}
 	m.note("office%d is cut off", m.head)
-	o := m.offices[m.head]
+	o := m.controlNodes[m.head]
 	o.frozen, o.cutUs = m.state.Freeze(), m.nowUs
 	m.old, m.head = -1, 1-m.head
 }
 
-// cutOther cuts off the office that is not the head.
+// cutOther cuts off the control node that is not the head.
 func (m *orderModel) cutOther() {
-	if o := m.offices[1-m.head]; o.frozen == nil {
+	if o := m.controlNodes[1-m.head]; o.frozen == nil {
 		m.note("office%d is cut off", 1-m.head)
 		o.frozen, o.cutUs = m.state.Freeze(), 0
 	}
 }
 
-// heal joins an office that was cut off: it takes a copy of the ledger, and what lay in its links arrives.
+// heal joins a control node that was cut off: it takes a copy of the ledger, and what lay in its links arrives.
 func (m *orderModel) heal() {
-	for i, o := range m.offices {
+	for i, o := range m.controlNodes {
 		if o.frozen != nil {
 			m.note("office%d is joined again", i)
 			o.frozen = nil
@@ -579,7 +579,7 @@
 // calm ends every fault and lets all settle; then no order may stand, and the ledger shows what replicas hold.
 func (m *orderModel) calm() {
 	m.loseAnswers, m.double, m.slow, m.longUnload = false, false, false, false
-	for _, o := range m.offices {
+	for _, o := range m.controlNodes {
 		o.holdBeat = false
 		o.controller.proposed = nil
 	}
--- a/internal/controller/routed_test.go
+++ b/internal/controller/routed_test.go
@@ -332,7 +332,7 @@
 	f.birth(m.addr, disk)
 }
 
-// take makes the other office the head; the old one goes on for a moment, as its lease allows.
+// take makes the other control node the head; the old one goes on for a moment, as its lease allows.
 func (f *fleet) take() {
 	f.old, f.oldUs = f.head, f.nowUs+400*clock.Ms
 	f.head = 1 - f.head
--- a/internal/controller/rows.go
+++ b/internal/controller/rows.go
@@ -75,7 +75,7 @@
 	}
 }
 
-// noteUnseen takes a replica out of the ledger once no office has heard of it for long enough.
+// noteUnseen takes a replica out of the ledger once no control node has heard of it for long enough.
 func (f *Controller) noteUnseen(seen Seen, id string, duty *ledger.Duty) {
 	if seen.Roster.Row(id) != nil {
 		delete(f.routed.unseenUs, id)
--- a/internal/controller/turns_test.go
+++ b/internal/controller/turns_test.go
@@ -61,7 +61,7 @@
 	}
 }
 
-// An office that was out of the chain comes back by a copy, and sees none of the tickets that are in it. Taking over
+// A control node that was out of the chain comes back by a copy, and sees none of the tickets that are in it. Taking over
 // soon after, it does not take the replicas for left alone.
 func TestOneThatCameBackByACopyWaitsOutWhatItDidNotSee(t *testing.T) {
 	for name, deaf := range map[string]bool{"saw them": false, "came by a copy": true} {
--- a/internal/office/bulk_test.go
+++ b/internal/controlnode/bulk_test.go
@@ -1,4 +1,4 @@
-package office
+package controlnode
 
 import (
 	"context"
@@ -61,6 +61,6 @@
 			t.Errorf("on its way: %+v", h.bulk)
 		}
 	}) {
-		t.Fatal("the office stands still")
+		t.Fatal("the control node stands still")
 	}
 }
--- a/internal/office/config.go
+++ b/internal/controlnode/config.go
@@ -1,4 +1,4 @@
-package office
+package controlnode
 
 import (
 	"context"
@@ -34,7 +34,7 @@
 	State    string `json:"state"`
 }
 
-// config is what this office itself holds, which may be old.
+// config is what this control node itself holds, which may be old.
 func (h *Host) config(ctx context.Context) (ConfigNow, bool) {
 	return actor.Ask(ctx, h.act, func() ConfigNow {
 		s := h.core.Node.State()
@@ -146,13 +146,13 @@
 	h.change(w, r, ledger.Change{ID: a.id, Config: &ledger.ConfigChange{Base: a.base, Doc: doc}})
 }
 
-// patchStep is what becomes of a patch at this office.
+// patchStep is what becomes of a patch at this control node.
 type patchStep int
 
 const (
 	// mergeHere: what the patch builds on is in force.
 	mergeHere patchStep = iota
-	// baseAhead: the base may come into force yet, and the patch be taken by another office then.
+	// baseAhead: the base may come into force yet, and the patch be taken by another control node then.
 	baseAhead
 	// leaveToChain: the base has been passed. The patch can't be taken any more, but it may have been taken before,
 	// and only the chain knows for sure.
@@ -174,7 +174,7 @@
 	return mergeHere
 }
 
-// patchBase is what a patch is judged by: this office's own declaration where that is past the patch's base
+// patchBase is what a patch is judged by: this control node's own declaration where that is past the patch's base
 // already, as revisions only rise, else the newest.
 func (h *Host) patchBase(ctx context.Context, base uint64) (ConfigNow, bool) {
 	if own, ran := h.config(ctx); ran && own.Revision > base {
@@ -247,7 +247,7 @@
 	writeFault(w, doubt)
 }
 
-// reply waits a little until this office shows what it answers: the tail answers before the offices ahead of
+// reply waits a little until this control node shows what it answers: the tail answers before the control nodes ahead of
 // it have heard that the change is committed.
 func (h *Host) reply(ctx context.Context, w http.ResponseWriter, id string, r wire.Result) {
 	if r.Outcome.Fault != nil {
--- a/internal/office/offices_test.go
+++ b/internal/controlnode/control_nodes_test.go
@@ -1,4 +1,4 @@
-package office
+package controlnode
 
 import (
 	"testing"
@@ -8,26 +8,26 @@
 
 func (tr *trio) namedBy(i int) map[string]bool {
 	named := map[string]bool{}
-	for _, m := range tr.cores[i].offices(tr.nowUs) {
+	for _, m := range tr.cores[i].controlNodes(tr.nowUs) {
 		named[m.Addr] = true
 	}
 	return named
 }
 
-// A gateway that knows only an office that is cut off learns of the others from it; the others name nobody whom they do
+// A gateway that knows only a control node that is cut off learns of the others from it; the others name nobody whom they do
 // not hear.
-func TestAnOfficeThatIsCutOffNamesTheOthers(t *testing.T) {
+func TestAControlNodeThatIsCutOffNamesTheOthers(t *testing.T) {
 	for struck := range 3 {
 		for _, way := range [][2]bool{{true, true}, {true, false}, {false, true}} {
 			tr := newTrio(t)
 			tr.cutOff(struck, way[0], way[1])
 			tr.pass(3 * clock.Sec)
 			if named := tr.namedBy(struck); len(named) != 3 {
-				t.Errorf("office %d, cut off %v, names %v", struck, way, named)
+				t.Errorf("control node %d, cut off %v, names %v", struck, way, named)
 			}
 			other := (struck + 1) % 3
 			if named := tr.namedBy(other); way[0] && named[tr.cores[struck].Node.Me().Addr] {
-				t.Errorf("office %d, which does not hear office %d, names it", other, struck)
+				t.Errorf("control node %d, which does not hear control node %d, names it", other, struck)
 			}
 		}
 	}
--- a/internal/office/core.go
+++ b/internal/controlnode/core.go
@@ -1,4 +1,4 @@
-package office
+package controlnode
 
 import (
 	"sort"
@@ -17,7 +17,7 @@
 
 const memberEveryUs = 500 * clock.Ms
 
-// Event is one thing that happens to an office; at most one field beside NowUs and Reply is set. With none it
+// Event is one thing that happens to a control node; at most one field beside NowUs and Reply is set. With none it
 // is a tick.
 type Event struct {
 	NowUs      int64
@@ -62,7 +62,7 @@
 	Note       string
 }
 
-// Letter is a message to another office, at its address.
+// Letter is a message to another control node, at its address.
 type Letter struct {
 	Addr   string
 	Letter wire.Letter
@@ -74,22 +74,22 @@
 	Lease wire.Lease
 }
 
-// Core is an office's whole reducer: the chain, the tail's feed and the head's controller.
+// Core is a control node's whole reducer: the chain, the tail's feed and the head's controller.
 type Core struct {
-	Node       *chain.Node
-	Room       *feed.Room
-	Controller *controller.Controller
-	effects    []Effect
-	Watch      *watch.Watch
-	silentUs   int64
-	memberUs   int64
-	checked    uint64
-	soft       soft
-	officesUs  int64
-	known      []chain.Member
-	stepUs     int64
-	sleptUs    int64
-	wokeUs     int64
+	Node           *chain.Node
+	Room           *feed.Room
+	Controller     *controller.Controller
+	effects        []Effect
+	Watch          *watch.Watch
+	silentUs       int64
+	memberUs       int64
+	checked        uint64
+	soft           soft
+	controlNodesUs int64
+	known          []chain.Member
+	stepUs         int64
+	sleptUs        int64
+	wokeUs         int64
 	// bornUs and bornLast are when this life began, and what its log held then: whatever was settled in there was
 	// ordered before.
 	bornUs   int64
@@ -98,7 +98,7 @@
 	rejectedUs int64
 }
 
-// CoreOptions are what an office knows of replicas that make themselves known; all may be left out.
+// CoreOptions are what a control node knows of replicas that make themselves known; all may be left out.
 type CoreOptions struct {
 	DarkUs     int64
 	Controller controller.Options
@@ -107,7 +107,7 @@
 // NewCore is NewCoreWith without anything known of replicas.
 func NewCore(node *chain.Node) *Core { return NewCoreWith(node, CoreOptions{}) }
 
-// NewCoreWith is an office around its part of the chain.
+// NewCoreWith is a control node around its part of the chain.
 func NewCoreWith(node *chain.Node, opts CoreOptions) *Core {
 	return &Core{
 		Node: node, Room: feed.New(), Controller: controller.NewWith(node.Me().ID, opts.Controller), Watch: watch.New(), soft: newSoft(opts.DarkUs),
@@ -166,7 +166,7 @@
 	for _, a := range c.Room.Answers(ev.NowUs) {
 		c.answer(a.Origin, a.Result)
 	}
-	c.tellOffices(ev.NowUs)
+	c.tellControlNodes(ev.NowUs)
 	c.frames(ev.NowUs)
 	return c.effects
 }
@@ -345,46 +345,46 @@
 	return text
 }
 
-// Status is what an office knows of itself, the chain and the fleet. It is this office's own view, and may be old.
+// Status is what a control node knows of itself, the chain and the fleet. It is this control node's own view, and may be old.
 type Status struct {
-	Office   chain.Member             `json:"office"`
-	Phase    chain.Phase              `json:"phase"`
-	View     chain.View               `json:"view"`
-	Open     bool                     `json:"open"`
-	WaitsFor string                   `json:"waitsFor,omitempty"`
-	Commit   uint64                   `json:"commit"`
-	Last     uint64                   `json:"last"`
-	Epoch    uint64                   `json:"epoch"`
-	Holder   string                   `json:"holder"`
-	OnDuty   bool                     `json:"onDuty"`
-	Revision uint64                   `json:"revision"`
-	Emptied  []string                 `json:"emptied,omitempty"`
-	Partners []chain.PartnerNote      `json:"partners"`
-	Gateways []feed.GatewayNote       `json:"desks,omitempty"`
-	Demand   []controller.GatewayNote `json:"demand,omitempty"`
-	Replicas []ledger.Replica         `json:"replicas"`
-	Pending  []ledger.Ticket          `json:"pending"`
-	Counts   any                      `json:"counts,omitempty"`
-	Policy   controller.PolicyNote    `json:"policy"`
-	Shadows  []controller.PolicyNote  `json:"shadows,omitempty"`
-	Faults   map[fault.Code]uint64    `json:"faults,omitempty"`
-	Refused  map[fault.Code]uint64    `json:"refused,omitempty"`
-	Keys     int                      `json:"keys"`
-	Member   *ledger.MemberChange     `json:"member,omitempty"`
-	MemberOn string                   `json:"memberWaitsFor,omitempty"`
-	Grants   int                      `json:"grants"`
-	Loads    uint64                   `json:"loads"`
-	LoadedMb int64                    `json:"loadedMb"`
-	Fleet    *Fleet                   `json:"fleet,omitempty"`
+	ControlNode chain.Member             `json:"office"`
+	Phase       chain.Phase              `json:"phase"`
+	View        chain.View               `json:"view"`
+	Open        bool                     `json:"open"`
+	WaitsFor    string                   `json:"waitsFor,omitempty"`
+	Commit      uint64                   `json:"commit"`
+	Last        uint64                   `json:"last"`
+	Epoch       uint64                   `json:"epoch"`
+	Holder      string                   `json:"holder"`
+	OnDuty      bool                     `json:"onDuty"`
+	Revision    uint64                   `json:"revision"`
+	Emptied     []string                 `json:"emptied,omitempty"`
+	Partners    []chain.PartnerNote      `json:"partners"`
+	Gateways    []feed.GatewayNote       `json:"desks,omitempty"`
+	Demand      []controller.GatewayNote `json:"demand,omitempty"`
+	Replicas    []ledger.Replica         `json:"replicas"`
+	Pending     []ledger.Ticket          `json:"pending"`
+	Counts      any                      `json:"counts,omitempty"`
+	Policy      controller.PolicyNote    `json:"policy"`
+	Shadows     []controller.PolicyNote  `json:"shadows,omitempty"`
+	Faults      map[fault.Code]uint64    `json:"faults,omitempty"`
+	Refused     map[fault.Code]uint64    `json:"refused,omitempty"`
+	Keys        int                      `json:"keys"`
+	Member      *ledger.MemberChange     `json:"member,omitempty"`
+	MemberOn    string                   `json:"memberWaitsFor,omitempty"`
+	Grants      int                      `json:"grants"`
+	Loads       uint64                   `json:"loads"`
+	LoadedMb    int64                    `json:"loadedMb"`
+	Fleet       *Fleet                   `json:"fleet,omitempty"`
 	// Outliers are the replicas that gateways are kept from, wholly or in part.
 	Outliers []outlier.Row `json:"outliers,omitempty"`
 }
 
-// Status is this office's own view of now.
+// Status is this control node's own view of now.
 func (c *Core) Status(nowUs int64) Status {
 	s := c.Node.State()
 	st := Status{
-		Office: c.Node.Me(), Phase: c.Node.Phase(), View: c.Node.View(), Open: c.Node.Open(nowUs), WaitsFor: c.Node.WaitsFor(),
+		ControlNode: c.Node.Me(), Phase: c.Node.Phase(), View: c.Node.View(), Open: c.Node.Open(nowUs), WaitsFor: c.Node.WaitsFor(),
 		Commit: c.Node.Commit(), Last: c.Node.Last(), Epoch: s.Epoch, Holder: s.Holder, OnDuty: c.Controller.OnDuty(s),
 		Revision: s.Revision, Partners: c.Node.Partners(), Gateways: c.Room.Gateways(nowUs), Demand: c.Controller.Gateways(nowUs),
 		Counts: c.Controller.Counts(), Policy: c.Controller.Policy, Shadows: c.Controller.Shadows,
--- a/internal/office/departures.go
+++ b/internal/controlnode/departures.go
@@ -1,4 +1,4 @@
-package office
+package controlnode
 
 import (
 	"context"
@@ -12,20 +12,20 @@
 
 const (
 	// leaveWaitUs is how long a replica's word that it leaves may wait for a quorum; the replica itself goes on
-	// to another office after a second.
+	// to another control node after a second.
 	leaveWaitUs  = 700 * clock.Ms
 	leaveAgainUs = 150 * clock.Ms
 )
 
 // WordReply answers what a replica said of itself. OK acknowledges it; without, the replica goes on to another
-// office, though what it said is known here.
+// control node, though what it said is known here.
 type WordReply struct {
 	Reply uint64
 	OK    bool
 }
 
-// departure is a replica's word that it leaves, or has left, until a quorum of offices knows of it. A replica
-// whose leaving was acknowledged soon ends, so an office that is cut off must not acknowledge it alone.
+// departure is a replica's word that it leaves, or has left, until a quorum of control nodes knows of it. A replica
+// whose leaving was acknowledged soon ends, so a control node that is cut off must not acknowledge it alone.
 type departure struct {
 	gone    bool
 	sinceUs int64
@@ -34,7 +34,7 @@
 	knownBy map[string]bool
 }
 
-// word takes what a replica says of itself. That it is there is acknowledged by an office in contact with a
+// word takes what a replica says of itself. That it is there is acknowledged by a control node in contact with a
 // quorum; that it leaves, only once a quorum knows.
 func (c *Core) word(nowUs int64, row roster.Row, reply uint64) {
 	c.heard(nowUs, row)
@@ -74,7 +74,7 @@
 	c.settleDeparture(nowUs, id)
 }
 
-// departuresDue: other offices must be asked, or asked again, whether they know of a leaving.
+// departuresDue: other control nodes must be asked, or asked again, whether they know of a leaving.
 func (c *Core) departuresDue(nowUs int64) bool {
 	for _, d := range c.soft.departures {
 		if nowUs-d.askedUs >= leaveAgainUs {
@@ -106,7 +106,7 @@
 	}
 }
 
-// confirm tells another office which of the leavings that it asks about are known here.
+// confirm tells another control node which of the leavings that it asks about are known here.
 func (c *Core) confirm(h wire.Heard) {
 	known := wire.Confirmed{By: c.Node.Me().ID, Inc: h.Inc}
 	for _, id := range h.Confirm {
@@ -124,7 +124,7 @@
 	}
 }
 
-// confirmed takes another office's word that it knows of leavings.
+// confirmed takes another control node's word that it knows of leavings.
 func (c *Core) confirmed(nowUs int64, known wire.Confirmed) {
 	if known.Inc != c.Node.Inc() {
 		return
@@ -157,7 +157,7 @@
 }
 
 // Heard takes what a replica says of itself; true acknowledges it. It is known here all the same where this
-// office is out of contact and cannot acknowledge it.
+// control node is out of contact and cannot acknowledge it.
 func (h *Host) Heard(ctx context.Context, row roster.Row) bool {
 	return h.word(ctx, Event{Heard: &row})
 }
--- a/internal/office/departures_test.go
+++ b/internal/controlnode/departures_test.go
@@ -1,4 +1,4 @@
-package office
+package controlnode
 
 import (
 	"fmt"
@@ -12,7 +12,7 @@
 	"petreltide/internal/wire"
 )
 
-// trio is three offices with disks that sync at once, letters that arrive at once, and links that can be cut.
+// trio is three control nodes with disks that sync at once, letters that arrive at once, and links that can be cut.
 type trio struct {
 	t     *testing.T
 	nowUs int64
@@ -41,7 +41,7 @@
 	tr.pass(3 * clock.Sec)
 	for i, c := range tr.cores {
 		if c.Node.Phase() != chain.Serving {
-			t.Fatalf("office %d is %s", i, c.Node.Phase())
+			t.Fatalf("control node %d is %s", i, c.Node.Phase())
 		}
 	}
 	return tr
@@ -77,7 +77,7 @@
 	}
 }
 
-// cutOff takes away what an office says, what is said to it, or both.
+// cutOff takes away what a control node says, what is said to it, or both.
 func (tr *trio) cutOff(struck int, says, hears bool) {
 	for other := range tr.cores {
 		if other != struck {
@@ -86,7 +86,7 @@
 	}
 }
 
-// say brings an office a replica's word, and returns whether it was answered within a second, and how.
+// say brings a control node a replica's word, and returns whether it was answered within a second, and how.
 func (tr *trio) say(i int, ev Event) (ok, answered bool) {
 	tr.asked++
 	ev.Reply = tr.asked
@@ -100,8 +100,8 @@
 	return Event{Heard: &roster.Row{ID: id, Service: "s", Addr: id, Slots: 4, Seq: seq, Draining: draining}}
 }
 
-// An office that is cut off acknowledges no replica: not that it is there, not that it leaves, not that it has left.
-func TestAnOfficeCutOffAcknowledgesNoReplica(t *testing.T) {
+// A control node that is cut off acknowledges no replica: not that it is there, not that it leaves, not that it has left.
+func TestAControlNodeCutOffAcknowledgesNoReplica(t *testing.T) {
 	for _, c := range []struct {
 		name        string
 		says, hears bool
@@ -138,7 +138,7 @@
 	}
 }
 
-// What is acknowledged is known to a quorum at that moment, whatever happens to the office that was told.
+// What is acknowledged is known to a quorum at that moment, whatever happens to the control node that was told.
 func TestALeavingIsAcknowledgedOnceAQuorumKnows(t *testing.T) {
 	for _, ev := range []Event{beatOf("r", 2, true), {Left: "r"}} {
 		tr := newTrio(t)
@@ -163,8 +163,8 @@
 	}
 }
 
-// An office that is cut off tells the gateways that it may be behind, before they are held to what the others decide.
-func TestAnOfficeCutOffSaysThatItIsBehind(t *testing.T) {
+// A control node that is cut off tells the gateways that it may be behind, before they are held to what the others decide.
+func TestAControlNodeCutOffSaysThatItIsBehind(t *testing.T) {
 	for _, c := range []struct {
 		name        string
 		says, hears bool
@@ -176,7 +176,7 @@
 					tr.pass(25 * clock.Ms)
 					for i, core := range tr.cores {
 						if !core.Node.Current(tr.nowUs) {
-							t.Fatalf("in contact, office %d says that it is behind", i)
+							t.Fatalf("in contact, control node %d says that it is behind", i)
 						}
 					}
 				}
@@ -190,7 +190,7 @@
 				}
 				for i, core := range tr.cores {
 					if i != struck && !core.Node.Current(tr.nowUs) {
-						t.Errorf("office %d, of the quorum, says that it is behind", i)
+						t.Errorf("control node %d, of the quorum, says that it is behind", i)
 					}
 				}
 				tr.cutOff(struck, false, false)
@@ -203,8 +203,8 @@
 	}
 }
 
-// An order about members is refused for what it asks only by an office that has word of the chain.
-func TestAnOfficeCutOffRefusesNoOrderAboutMembers(t *testing.T) {
+// An order about members is refused for what it asks only by a control node that has word of the chain.
+func TestAControlNodeCutOffRefusesNoOrderAboutMembers(t *testing.T) {
 	tr := newTrio(t)
 	ask := func(i int) fault.Code {
 		bad := tr.cores[i].fitMember(tr.nowUs, &ledger.MemberChange{Act: ledger.AddMember, Name: "oa1"}, false)
@@ -215,7 +215,7 @@
 	}
 	for i := range tr.cores {
 		if got := ask(i); got != fault.MembershipUnfit {
-			t.Errorf("in contact, office %d says %q", i, got)
+			t.Errorf("in contact, control node %d says %q", i, got)
 		}
 	}
 	tr.cutOff(0, true, true)
@@ -224,6 +224,6 @@
 		t.Errorf("cut off, it says %q", got)
 	}
 	if got := ask(1); got != fault.MembershipUnfit {
-		t.Errorf("an office of the quorum says %q", got)
+		t.Errorf("a control node of the quorum says %q", got)
 	}
 }
--- a/internal/office/fleet.go
+++ b/internal/controlnode/fleet.go
@@ -1,4 +1,4 @@
-package office
+package controlnode
 
 import (
 	"maps"
@@ -9,15 +9,15 @@
 	"petreltide/internal/standing"
 )
 
-// Fleet is what an office shows where replicas make themselves known and routes say where calls go.
+// Fleet is what a control node shows where replicas make themselves known and routes say where calls go.
 type Fleet struct {
 	Version  uint64           `json:"version"`
 	Routes   []standing.Route `json:"routes"`
 	Services []ServiceNote    `json:"services"`
 	Replicas []ReplicaNote    `json:"replicas"`
-	// Gateways are those that live, as far as this office knows; they share the further tries.
+	// Gateways are those that live, as far as this control node knows; they share the further tries.
 	Gateways []string `json:"desks"`
-	// Duty is known at the office that holds it.
+	// Duty is known at the control node that holds it.
 	Duty *controller.Note `json:"duty,omitempty"`
 }
 
@@ -30,7 +30,7 @@
 	Replicas        int    `json:"replicas"`
 }
 
-// ReplicaState is what an office makes of a replica's heartbeats.
+// ReplicaState is what a control node makes of a replica's heartbeats.
 type ReplicaState string
 
 const (
@@ -42,7 +42,7 @@
 	ReplicaDark ReplicaState = "dark"
 	// ReplicaGone replicas have ended.
 	ReplicaGone ReplicaState = "gone"
-	// ReplicaUnheard means that the ledger knows it, and nobody has heard it since this office started.
+	// ReplicaUnheard means that the ledger knows it, and nobody has heard it since this control node started.
 	ReplicaUnheard ReplicaState = "unheard"
 )
 
--- a/internal/office/forms_test.go
+++ b/internal/controlnode/forms_test.go
@@ -1,4 +1,4 @@
-package office
+package controlnode
 
 import (
 	"bytes"
--- a/internal/office/host.go
+++ b/internal/controlnode/host.go
@@ -1,4 +1,4 @@
-package office
+package controlnode
 
 import (
 	"context"
@@ -40,7 +40,7 @@
 	platformWait = 800 * time.Millisecond
 
 	seekSettled = 5 * time.Second
-	// lockWait is how long an office waits for the process before it to let go of the data folder.
+	// lockWait is how long a control node waits for the process before it to let go of the data folder.
 	lockWait      = 10 * time.Second
 	innerDialMs   = 250
 	selfBeatUs    = 200 * clock.Ms
@@ -62,7 +62,7 @@
 
 // Host runs a Core: it gives it events one at a time and carries out its effects on disk, network and clock.
 type Host struct {
-	set   settings.Office
+	set   settings.ControlNode
 	core  *Core
 	disk  disk
 	lock  io.Closer
@@ -108,7 +108,7 @@
 // Reach replaces how replicas are reached, before Run.
 func (h *Host) Reach(r Replicas) { h.replicas = r }
 
-// Seeds are other offices for first contact, where the ones in the settings have changed.
+// Seeds are other control nodes for first contact, where the ones in the settings have changed.
 func (h *Host) Seeds(addrs []string) { h.seeds.Store(&addrs) }
 
 // Enter adds a door before Run.
@@ -119,8 +119,8 @@
 }
 
 // Open reads the data folder. Damaged data is set aside under a name that says so and the
-// office comes back as a new member; it never votes on what it can no longer know.
-func Open(set settings.Office, ring *logring.Ring) (*Host, error) {
+// control node comes back as a new member; it never votes on what it can no longer know.
+func Open(set settings.ControlNode, ring *logring.Ring) (*Host, error) {
 	logger := ring.Logger("office", set.Name)
 	lock, err := storage.Lock(set.Data, lockWait)
 	if err != nil {
@@ -135,7 +135,7 @@
 	return h, nil
 }
 
-func openLocked(set settings.Office, ring *logring.Ring, logger log.Logger) (*Host, error) {
+func openLocked(set settings.ControlNode, ring *logring.Ring, logger log.Logger) (*Host, error) {
 	seal := chain.Seal{Identity: set.Name + "-" + RandomID(4), Name: set.Name}
 	opened, err := storage.Open(set.Data, seal)
 	var bad *fault.Fault
@@ -196,7 +196,7 @@
 	return h, nil
 }
 
-// SelfPaced gives a chain whose offices take in and drop each other the times that they keep to.
+// SelfPaced gives a chain whose control nodes take in and drop each other the times that they keep to.
 func SelfPaced(o chain.Options) chain.Options {
 	o.HelloUs, o.BeatUs, o.SuspectUs = selfBeatUs, selfBeatUs, selfSuspectUs
 	o.LeaseUs, o.CompareUs, o.GatherUs, o.AskUs = selfLeaseUs, selfCompareUs, selfGatherUs, selfAskUs
@@ -358,7 +358,7 @@
 	}
 }
 
-// waitForPartner stops an office that holds nothing, may found nothing, and meets no chain.
+// waitForPartner stops a control node that holds nothing, may found nothing, and meets no chain.
 func (h *Host) waitForPartner() {
 	select {
 	case <-h.act.Ctx.Done():
@@ -373,7 +373,7 @@
 	}
 }
 
-// seeker keeps asking the seeds, first contacts only, until the offices know each other.
+// seeker keeps asking the seeds, first contacts only, until the control nodes know each other.
 func (h *Host) seeker() {
 	for {
 		for _, seed := range *h.seeds.Load() {
@@ -387,7 +387,7 @@
 				continue
 			}
 			learned := []string{}
-			for _, m := range where.Offices {
+			for _, m := range where.ControlNodes {
 				if m.Addr != h.set.Advertise {
 					learned = append(learned, m.Addr)
 				}
@@ -412,7 +412,7 @@
 	add := func(m chain.Member) {
 		if m.Addr != "" && !seen[m.Addr] {
 			seen[m.Addr] = true
-			w.Offices = append(w.Offices, m)
+			w.ControlNodes = append(w.ControlNodes, m)
 		}
 	}
 	add(h.core.Node.Me())
--- a/internal/office/keep_test.go
+++ b/internal/controlnode/keep_test.go
@@ -1,4 +1,4 @@
-package office
+package controlnode
 
 import (
 	"fmt"
@@ -13,11 +13,11 @@
 	"petreltide/internal/storage"
 )
 
-// An office may be given a copy while it still keeps the one before: a joiner on a slow disk is sent
+// A control node may be given a copy while it still keeps the one before: a joiner on a slow disk is sent
 // another. Large and small ones in turn, so that a later one would be done before an earlier one.
 func TestCopiesAreKeptInTheOrderOfTheLog(t *testing.T) {
 	folder := t.TempDir()
-	h, err := Open(settings.Office{Name: "core-1", Listen: "127.0.0.1:0", Advertise: "127.0.0.1:1", Data: folder, Founding: 1}, logring.NewRing(folder, io.Discard))
+	h, err := Open(settings.ControlNode{Name: "core-1", Listen: "127.0.0.1:0", Advertise: "127.0.0.1:1", Data: folder, Founding: 1}, logring.NewRing(folder, io.Discard))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -41,7 +41,7 @@
 	h.act.End()
 	select {
 	case err := <-h.failed:
-		t.Fatalf("the office would end: %v", err)
+		t.Fatalf("the control node would end: %v", err)
 	default:
 	}
 	if err := h.disk.Close(); err != nil {
--- a/internal/office/leave.go
+++ b/internal/controlnode/leave.go
@@ -1,4 +1,4 @@
-package office
+package controlnode
 
 import (
 	"time"
@@ -10,8 +10,8 @@
 // leaveCheckEvery is how often a process that is to end asks whether it may.
 const leaveCheckEvery = 25 * time.Millisecond
 
-// handOver gives the other offices the time that the settings allow to take over this one's seat, its vote and
-// what only it holds. The office serves on meanwhile.
+// handOver gives the other control nodes the time that the settings allow to take over this one's seat, its vote and
+// what only it holds. The control node serves on meanwhile.
 func (h *Host) handOver() {
 	if h.set.LeaveMs <= 0 {
 		return
--- a/internal/office/life_test.go
+++ b/internal/controlnode/life_test.go
@@ -1,4 +1,4 @@
-package office
+package controlnode
 
 import (
 	"fmt"
@@ -11,7 +11,7 @@
 	"petreltide/internal/standing"
 )
 
-// pair is two offices with disks that sync at once, and letters that arrive at once.
+// pair is two control nodes with disks that sync at once, and letters that arrive at once.
 type pair struct {
 	t     *testing.T
 	nowUs int64
@@ -84,7 +84,7 @@
 }
 
 // After a restart of all, the log is applied anew. Orders that were settled in it went out before this life began,
-// and their lease is counted from there, not from when the last office was back.
+// and their lease is counted from there, not from when the last control node was back.
 func TestTheLeaseAfterARestartOfAllIsCountedFromTheStart(t *testing.T) {
 	p := &pair{t: t, nowUs: clock.Sec}
 	p.start(0)
@@ -117,7 +117,7 @@
 	}
 	note := p.cores[0].Controller.Note(p.nowUs, p.cores[0].Node.State())
 	if note == nil {
-		t.Fatal("the first office does not hold the duty")
+		t.Fatal("the first control node does not hold the duty")
 	}
 	agoMs := (p.nowUs - bornUs) / 1000
 	if most := pairLeaseMs + controller.OrderFlightUs/1000 + 150 - agoMs; note.OrdersInMs > most || agoMs < 1500 || agoMs > pairLeaseMs {
--- a/internal/office/lock_test.go
+++ b/internal/controlnode/lock_test.go
@@ -1,4 +1,4 @@
-package office
+package controlnode
 
 import (
 	"io"
@@ -10,11 +10,11 @@
 	"petreltide/internal/storage"
 )
 
-// The data folder of an office belongs to its process until that ends; one whose folder is damaged or foreign lets go
+// The data folder of a control node belongs to its process until that ends; one whose folder is damaged or foreign lets go
 // of it.
-func TestAnOfficeKeepsOthersOffItsFolder(t *testing.T) {
+func TestAControlNodeKeepsOthersOffItsFolder(t *testing.T) {
 	folder := t.TempDir()
-	set := settings.Office{Name: "core-1", Listen: "127.0.0.1:0", Advertise: "127.0.0.1:1", Data: folder, Founding: 1}
+	set := settings.ControlNode{Name: "core-1", Listen: "127.0.0.1:0", Advertise: "127.0.0.1:1", Data: folder, Founding: 1}
 	h, err := Open(set, logring.NewRing(folder, io.Discard))
 	if err != nil {
 		t.Fatal(err)
@@ -34,7 +34,7 @@
 	}
 	lock, err := storage.Lock(folder, 60*time.Millisecond)
 	if err != nil {
-		t.Fatalf("after an office that could not open it: %v", err)
+		t.Fatalf("after a control node that could not open it: %v", err)
 	}
 	if err := lock.Close(); err != nil {
 		t.Fatal(err)
--- a/internal/office/malformed_test.go
+++ b/internal/controlnode/malformed_test.go
@@ -1,4 +1,4 @@
-package office
+package controlnode
 
 import (
 	"encoding/json"
@@ -51,7 +51,7 @@
 	return other[r.Intn(len(other))]
 }
 
-// letters are what three offices tell each other while they found a chain, take a configuration, hear replicas and
+// letters are what three control nodes tell each other while they found a chain, take a configuration, hear replicas and
 // lose a member, by their kinds.
 func letters(t *testing.T) map[string][][]byte {
 	tr := newTrio(t)
@@ -95,7 +95,7 @@
 	return &ledger.Change{ID: fmt.Sprint("order-", n), Config: &ledger.ConfigChange{Base: uint64(n), Version: uint64(n + 1), Doc: doc}}
 }
 
-// strangeChanges are entries that no office of this version writes.
+// strangeChanges are entries that no control node of this version writes.
 func strangeChanges() []ledger.Change {
 	return []ledger.Change{
 		{},
@@ -115,7 +115,7 @@
 	}
 }
 
-// survives gives an event to an office; it says what broke, if anything.
+// survives gives an event to a control node; it says what broke, if anything.
 func survives(tr *trio, i int, ev Event) (broken string) {
 	defer func() {
 		if why := recover(); why != nil {
@@ -127,8 +127,8 @@
 	return ""
 }
 
-// A change that is malformed ends no office: what is in the log would end every office that applies it, in every life.
-func TestMalformedChangesEndNoOffice(t *testing.T) {
+// A change that is malformed ends no control node: what is in the log would end every control node that applies it, in every life.
+func TestMalformedChangesEndNoControlNode(t *testing.T) {
 	for _, before := range []bool{false, true} {
 		for _, c := range strangeChanges() {
 			tr := newTrio(t)
@@ -145,8 +145,8 @@
 
 const malformedLetters = 20_000
 
-// No letter, however malformed, ends an office.
-func TestMalformedLettersEndNoOffice(t *testing.T) {
+// No letter, however malformed, ends a control node.
+func TestMalformedLettersEndNoControlNode(t *testing.T) {
 	raws := letters(t)
 	kinds := slices.Sorted(maps.Keys(raws))
 	r := rand.New(rand.NewSource(1))
@@ -187,8 +187,8 @@
 	}
 }
 
-// Neither do the other messages that an office takes.
-func TestMalformedReportsEndNoOffice(t *testing.T) {
+// Neither do the other messages that a control node takes.
+func TestMalformedReportsEndNoControlNode(t *testing.T) {
 	tr := newTrio(t)
 	for _, ev := range []Event{
 		{Report: &Reported{}}, {GatewayReport: &wire.Report{}}, {Follow: &wire.Follow{}}, {Subscribe: &wire.Follow{}}, {Subscribe: &wire.Follow{Revision: 1 << 63}},
--- a/internal/office/members.go
+++ b/internal/controlnode/members.go
@@ -1,4 +1,4 @@
-package office
+package controlnode
 
 import (
 	"net/http"
@@ -9,7 +9,7 @@
 	"petreltide/internal/wire"
 )
 
-// fitMember finds the identity that an order is about, or why it must not be taken. Only an office whose view
+// fitMember finds the identity that an order is about, or why it must not be taken. Only a control node whose view
 // and state are the chain's of now may refuse it.
 func (c *Core) fitMember(nowUs int64, m *ledger.MemberChange, evenAlive bool) *fault.Fault {
 	if !c.Node.Current(nowUs) {
@@ -18,7 +18,7 @@
 	return c.Node.FitMember(m, evenAlive)
 }
 
-// member takes an operator's order about one office. It is refused here where this office can see that
+// member takes an operator's order about one control node. It is refused here where this control node can see that
 // it must not be carried out; what was taken waits until it is safe.
 func (h *Host) member(w http.ResponseWriter, r *http.Request) {
 	id, bad := changeOf(r)
--- a/internal/office/newest.go
+++ b/internal/controlnode/newest.go
@@ -1,4 +1,4 @@
-package office
+package controlnode
 
 import (
 	"context"
@@ -20,7 +20,7 @@
 	Index    uint64                `json:"index,omitempty"`
 }
 
-// ownNewest is this office's state where it is the open tail, whose word is the newest there is.
+// ownNewest is this control node's state where it is the open tail, whose word is the newest there is.
 func (h *Host) ownNewest(ctx context.Context) (Newest, bool) {
 	type known struct {
 		newest Newest
--- a/internal/office/orders_test.go
+++ b/internal/controlnode/orders_test.go
@@ -1,4 +1,4 @@
-package office
+package controlnode
 
 import (
 	"context"
@@ -17,14 +17,14 @@
 	"petreltide/internal/wire"
 )
 
-// alone is an office whose partners never come: what it is given waits.
-func alone(t *testing.T) *Host { return openOffice(t, 3) }
+// alone is a control node whose partners never come: what it is given waits.
+func alone(t *testing.T) *Host { return openControlNode(t, 3) }
 
-// openOffice is an office of a chain that is founded by so many. It ends with the test.
-func openOffice(t *testing.T, founding int) *Host {
+// openControlNode is a control node of a chain that is founded by so many. It ends with the test.
+func openControlNode(t *testing.T, founding int) *Host {
 	t.Helper()
 	folder := t.TempDir()
-	h, err := Open(settings.Office{Name: "core-1", Listen: "127.0.0.1:0", Advertise: "127.0.0.1:1", Data: folder, Founding: founding}, logring.NewRing(folder, io.Discard))
+	h, err := Open(settings.ControlNode{Name: "core-1", Listen: "127.0.0.1:0", Advertise: "127.0.0.1:1", Data: folder, Founding: founding}, logring.NewRing(folder, io.Discard))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -44,7 +44,7 @@
 	for {
 		n, ran := actor.Ask(t.Context(), h.act, func() int { return len(h.waiters[id]) })
 		if !ran {
-			t.Fatal("the office ended")
+			t.Fatal("the control node ended")
 		}
 		if n == want {
 			return
@@ -52,9 +52,9 @@
 	}
 }
 
-// Two callers wait at one office for one order, as when an operator's first call is still held while it sends the
+// Two callers wait at one control node for one order, as when an operator's first call is still held while it sends the
 // order again. Both get the outcome, and one that gives up takes nothing from the other.
-func TestTwoCallersWaitForOneOrderAtOneOffice(t *testing.T) {
+func TestTwoCallersWaitForOneOrderAtOneControlNode(t *testing.T) {
 	h := alone(t)
 	const id = "op-1"
 	got := make(chan bool, 2)
@@ -84,7 +84,7 @@
 }
 
 // A patch whose base has been passed is judged by the chain, which knows what was taken, and not by what is in force
-// alone; one whose base is still to come may be taken by another office yet.
+// alone; one whose base is still to come may be taken by another control node yet.
 func TestAPatchIsRefusedByTheChainAlone(t *testing.T) {
 	doc := &standing.Declaration{Name: "d"}
 	for _, c := range []struct {
@@ -103,7 +103,7 @@
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
 	}
-	h := openOffice(t, 1)
+	h := openControlNode(t, 1)
 	h.act.Spawn(h.saver)
 	for base, id := range []string{"op-mine", "op-later"} {
 		out, ok := h.Submit(t.Context(), ledger.Change{ID: id, Config: &ledger.ConfigChange{Base: uint64(base), Doc: doc}}, time.Minute)
--- a/internal/office/replicas.go
+++ b/internal/controlnode/replicas.go
@@ -1,4 +1,4 @@
-package office
+package controlnode
 
 import (
 	"slices"
@@ -13,12 +13,12 @@
 )
 
 const (
-	tellEveryUs    = 250 * clock.Ms
-	tellEachUs     = 3 * clock.Ms
-	officesEveryUs = 100 * clock.Ms
-	darkDefaultUs  = 3000 * clock.Ms
-	wokeUs         = 500 * clock.Ms
-	wakingUs       = 300 * clock.Ms
+	tellEveryUs         = 250 * clock.Ms
+	tellEachUs          = 3 * clock.Ms
+	controlNodesEveryUs = 100 * clock.Ms
+	darkDefaultUs       = 3000 * clock.Ms
+	wokeUs              = 500 * clock.Ms
+	wakingUs            = 300 * clock.Ms
 )
 
 // Unfollow ends a gateway's stream of frames.
@@ -27,21 +27,21 @@
 	Inc     string
 }
 
-// told is how far another office has been told of replicas.
+// told is how far another control node has been told of replicas.
 type told struct {
 	inc   string
 	since uint64
 }
 
-// soft is an office's soft state: the replicas it has heard of, the gateways that follow it, and what the
-// other offices have been told.
+// soft is a control node's soft state: the replicas it has heard of, the gateways that follow it, and what the
+// other control nodes have been told.
 type soft struct {
 	Roster *roster.Roster
 	Hub    *feed.Hub
-	// Outliers are the newest verdicts on replicas, this office's own or the head's.
+	// Outliers are the newest verdicts on replicas, this control node's own or the head's.
 	Outliers outlier.Table
 	told     map[string]*told
-	// departures are the leavings that this office has been told of and a quorum does not know yet.
+	// departures are the leavings that this control node has been told of and a quorum does not know yet.
 	departures map[string]*departure
 	tellUs     int64
 	urgent     bool
@@ -55,7 +55,7 @@
 	return soft{Roster: roster.New(darkUs), Hub: feed.NewHub(), told: map[string]*told{}, departures: map[string]*departure{}}
 }
 
-// woke notes when this office was not run for a while: for a moment after, what it reads may be as old as that.
+// woke notes when this control node was not run for a while: for a moment after, what it reads may be as old as that.
 func (c *Core) woke(nowUs int64) {
 	if c.stepUs > 0 && nowUs-c.stepUs > wokeUs {
 		c.sleptUs, c.wokeUs = c.stepUs, nowUs
@@ -80,7 +80,7 @@
 	}
 }
 
-// heardFrom takes what another office has heard.
+// heardFrom takes what another control node has heard.
 func (c *Core) heardFrom(nowUs int64, h wire.Heard) {
 	c.soft.Roster.Merge(nowUs, h.Notes)
 	c.confirm(h)
@@ -96,8 +96,8 @@
 	}
 }
 
-// tellOffices sends the other offices what changed at once, and signs of life now and then.
-func (c *Core) tellOffices(nowUs int64) {
+// tellControlNodes sends the other control nodes what changed at once, and signs of life now and then.
+func (c *Core) tellControlNodes(nowUs int64) {
 	due := nowUs-c.soft.tellUs >= tellEveryUs+tellEachUs*int64(c.soft.Roster.Len())
 	asks := c.departuresDue(nowUs)
 	if !due && !asks && !c.soft.urgent && !c.soft.wants {
@@ -137,7 +137,7 @@
 	c.soft.urgent, c.soft.wants = false, false
 }
 
-// judged takes this office's own verdicts and tells them the others.
+// judged takes this control node's own verdicts and tells them the others.
 func (c *Core) judged(t outlier.Table) {
 	if !t.After(c.soft.Outliers) {
 		return
@@ -152,24 +152,24 @@
 	}
 }
 
-// settled: what this office knows as committed is the chain's, not what a disk alone remembers.
+// settled: what this control node knows as committed is the chain's, not what a disk alone remembers.
 func (c *Core) settled() bool { return c.Node.Settled() }
 
 func (c *Core) frames(nowUs int64) {
-	if nowUs-c.officesUs >= officesEveryUs {
-		c.officesUs, c.known = nowUs, c.offices(nowUs)
+	if nowUs-c.controlNodesUs >= controlNodesEveryUs {
+		c.controlNodesUs, c.known = nowUs, c.controlNodes(nowUs)
 	}
 	for _, p := range c.soft.Hub.Frames(feed.Seen{
-		NowUs: nowUs, Me: c.Node.Me().ID, State: c.Node.State(), View: c.Node.View(), Offices: c.known, Settled: c.settled(), Behind: !c.Node.Current(nowUs), Roster: c.soft.Roster, Outliers: c.soft.Outliers,
+		NowUs: nowUs, Me: c.Node.Me().ID, State: c.Node.State(), View: c.Node.View(), ControlNodes: c.known, Settled: c.settled(), Behind: !c.Node.Current(nowUs), Roster: c.soft.Roster, Outliers: c.soft.Outliers,
 	}) {
 		push := p
 		c.effects = append(c.effects, Effect{Frame: &push})
 	}
 }
 
-// offices are those that gateways may follow: the ones that are heard. An office that is behind names all members of its
+// control nodes are those that gateways may follow: the ones that are heard. A control node that is behind names all members of its
 // view as well, since the ones that it does not hear may be current.
-func (c *Core) offices(nowUs int64) []chain.Member {
+func (c *Core) controlNodes(nowUs int64) []chain.Member {
 	all := []chain.Member{c.Node.Me()}
 	for _, p := range c.Node.Partners() {
 		if p.Sound {
@@ -193,7 +193,7 @@
 	return all
 }
 
-// routedReport takes a gateway's report, or passes it on to the controller where it came to another office.
+// routedReport takes a gateway's report, or passes it on to the controller where it came to another control node.
 func (c *Core) routedReport(nowUs int64, r wire.Report) {
 	c.soft.Hub.Heard(nowUs, r.Gateway)
 	if c.Node.IsHead() {
--- a/internal/office/save_test.go
+++ b/internal/controlnode/save_test.go
@@ -1,4 +1,4 @@
-package office
+package controlnode
 
 import (
 	"context"
@@ -15,10 +15,10 @@
 )
 
 // An actor that waited for a slow disk could not hear what the disk had saved; once both queues were full
-// the office stood still for ever.
+// the control node stood still for ever.
 func TestTheActorNeverWaitsForTheDisk(t *testing.T) {
 	folder := t.TempDir()
-	h, err := Open(settings.Office{Name: "core-1", Listen: "127.0.0.1:0", Advertise: "127.0.0.1:1", Data: folder, Founding: 3}, logring.NewRing(folder, io.Discard))
+	h, err := Open(settings.ControlNode{Name: "core-1", Listen: "127.0.0.1:0", Advertise: "127.0.0.1:1", Data: folder, Founding: 3}, logring.NewRing(folder, io.Discard))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/office/saver.go
+++ b/internal/controlnode/saver.go
@@ -1,4 +1,4 @@
-package office
+package controlnode
 
 import (
 	"sync"
@@ -76,8 +76,8 @@
 	}
 }
 
-// retryUntilTaken tries the same until the disk takes it. Until then the office stands still where it needs the
-// disk, and goes on elsewhere. False means that the office is ending.
+// retryUntilTaken tries the same until the disk takes it. Until then the control node stands still where it needs the
+// disk, and goes on elsewhere. False means that the control node is ending.
 func (h *Host) retryUntilTaken(seq uint64, try func() error) bool {
 	since := time.Now()
 	for tries := 0; ; tries++ {
@@ -154,7 +154,7 @@
 	return kept
 }
 
-// fail ends the office for the first error that no retry mends.
+// fail ends the control node for the first error that no retry mends.
 func (h *Host) fail(err error) {
 	select {
 	case h.failed <- err:
@@ -164,7 +164,7 @@
 
 // keep writes a copy while the log goes on, and only then lets go of what it stands for. Copies are kept one
 // after another in the log's order: an older one must not take a newer one's place. Nobody waits for a copy
-// that only stands for the log; without a partner's copy, though, an office is none.
+// that only stands for the log; without a partner's copy, though, a control node is none.
 func (h *Host) keep(s chain.Save, from uint64) {
 	waited := s.Seq
 	if s.Fresh {
--- a/internal/office/saver_test.go
+++ b/internal/controlnode/saver_test.go
@@ -1,4 +1,4 @@
-package office
+package controlnode
 
 import (
 	"context"
@@ -67,7 +67,7 @@
 func onMoody(t *testing.T) (*Host, *moody) {
 	t.Helper()
 	folder := t.TempDir()
-	h, err := Open(settings.Office{Name: "core-1", Listen: "127.0.0.1:0", Advertise: "127.0.0.1:1", Data: folder, Founding: 1}, logring.NewRing(folder, io.Discard))
+	h, err := Open(settings.ControlNode{Name: "core-1", Listen: "127.0.0.1:0", Advertise: "127.0.0.1:1", Data: folder, Founding: 1}, logring.NewRing(folder, io.Discard))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -101,9 +101,9 @@
 
 func record(i uint64) chain.Record { return chain.Record{Whole: i} }
 
-// A disk that refuses a write again and again ends nothing: the same is tried at the office's pace, what
+// A disk that refuses a write again and again ends nothing: the same is tried at the control node's pace, what
 // comes after it waits behind it, and all of it is there once, in order.
-func TestAnOfficeOutlivesADiskThatRefuses(t *testing.T) {
+func TestAControlNodeOutlivesADiskThatRefuses(t *testing.T) {
 	h, d := onMoody(t)
 	h.saves.put(chain.Save{Seq: 1, Records: []chain.Record{record(1)}})
 	h.saves.put(chain.Save{Seq: 2, Records: []chain.Record{record(2)}, Copy: &chain.Copy{Index: 9, State: ledger.NewState()}, Fresh: true})
@@ -128,13 +128,13 @@
 	}
 	select {
 	case err := <-h.failed:
-		t.Fatalf("the office would end: %v", err)
+		t.Fatalf("the control node would end: %v", err)
 	default:
 	}
 }
 
-// Only a disk that has lost what it had synced ends the office.
-func TestADiskThatLostWhatItHadSyncedEndsTheOffice(t *testing.T) {
+// Only a disk that has lost what it had synced ends the control node.
+func TestADiskThatLostWhatItHadSyncedEndsTheControlNode(t *testing.T) {
 	h, d := onMoody(t)
 	h.saves.put(chain.Save{Seq: 1, Records: []chain.Record{record(1)}})
 	d.log <- fault.New(fault.DamagedData, "chain", "a segment held 10 synced bytes and holds 5")
@@ -144,7 +144,7 @@
 }
 
 // A sync that hangs holds up nothing but what waits for it, however much the chain wants to save.
-func TestAHangingDiskNeverHoldsUpTheOffice(t *testing.T) {
+func TestAHangingDiskNeverHoldsUpTheControlNode(t *testing.T) {
 	h, d := onMoody(t)
 	h.act.Tell(func() {
 		for i := uint64(1); i <= 50_000; i++ {
--- a/internal/office/unsure_test.go
+++ b/internal/controlnode/unsure_test.go
@@ -1,4 +1,4 @@
-package office
+package controlnode
 
 import (
 	"context"
@@ -17,7 +17,7 @@
 	"petreltide/internal/storage"
 )
 
-// cutOffHost is an office that comes back with an old state on its disk, and reaches none of the others.
+// cutOffHost is a control node that comes back with an old state on its disk, and reaches none of the others.
 func cutOffHost(t *testing.T) *Host {
 	t.Helper()
 	folder := t.TempDir()
@@ -46,7 +46,7 @@
 	if err := opened.Store.Close(); err != nil {
 		t.Fatal(err)
 	}
-	h, err := Open(settings.Office{Name: "core-1", Listen: "127.0.0.1:0", Advertise: "127.0.0.1:1", Data: folder}, logring.NewRing(folder, io.Discard))
+	h, err := Open(settings.ControlNode{Name: "core-1", Listen: "127.0.0.1:0", Advertise: "127.0.0.1:1", Data: folder}, logring.NewRing(folder, io.Discard))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -63,8 +63,8 @@
 	return h
 }
 
-// An office that cannot know whether its state is the newest neither shows it as that nor refuses by it.
-func TestAnOfficeOutOfContactRefusesNothingByItsOwnState(t *testing.T) {
+// A control node that cannot know whether its state is the newest neither shows it as that nor refuses by it.
+func TestAControlNodeOutOfContactRefusesNothingByItsOwnState(t *testing.T) {
 	h := cutOffHost(t)
 	handler := h.handler()
 	for _, c := range []struct {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -78,7 +78,7 @@
 	r.gateways = map[string]*row{}
 }
 
-// Follow begins a gateway's stream. False means that this core node is not the tail.
+// Follow begins a gateway's stream. False means that this control node is not the tail.
 func (r *Room) Follow(nowUs int64, f wire.Follow) bool {
 	if !r.open {
 		return false
@@ -125,7 +125,7 @@
 	return wire.Lease{OK: true, View: view, SentUs: p.SentUs, LeaseUs: GatewayLeaseUs, Number: newest}
 }
 
-// Ring is every node that is watched or watches: the offices seated and the gateways that report.
+// Ring is every node that is watched or watches: the control nodes seated and the gateways that report.
 func (r *Room) Ring(nowUs int64, view chain.View) []watch.Node {
 	ring := []watch.Node{}
 	for _, s := range view.Order {
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -23,18 +23,18 @@
 	gatewayForgetUs = 3 * clock.Sec
 )
 
-// Seen is what an office knows when it writes frames.
+// Seen is what a control node knows when it writes frames.
 type Seen struct {
-	NowUs   int64
-	Me      string
-	State   *ledger.State
-	View    chain.View
-	Offices []chain.Member
-	Settled bool
-	// Behind: newer state than this may have been committed, as this office has no word of the chain.
+	NowUs        int64
+	Me           string
+	State        *ledger.State
+	View         chain.View
+	ControlNodes []chain.Member
+	Settled      bool
+	// Behind: newer state than this may have been committed, as this control node has no word of the chain.
 	Behind bool
 	Roster *roster.Roster
-	// Outliers are the newest verdicts that this office knows.
+	// Outliers are the newest verdicts that this control node knows.
 	Outliers outlier.Table
 }
 
@@ -51,7 +51,7 @@
 	revision uint64
 }
 
-// Hub is any office's: it pushes differences to the gateways that follow this office. All main streams that
+// Hub is any control node's: it pushes differences to the gateways that follow this control node. All main streams that
 // have had a whole frame are brought on together, by one frame that is written once, and so are all spare
 // ones, which need it less often.
 type Hub struct {
@@ -116,7 +116,7 @@
 // Heard notes a living gateway.
 func (h *Hub) Heard(nowUs int64, gateway string) { h.gateways[gateway] = nowUs }
 
-// Main are the gateways whose main stream comes from this office, as other offices are told.
+// Main are the gateways whose main stream comes from this control node, as other control nodes are told.
 func (h *Hub) Main() []string {
 	gateways := []string{}
 	for id, s := range h.subs {
@@ -128,7 +128,7 @@
 	return gateways
 }
 
-// Gateways are all that live, as far as this office knows.
+// Gateways are all that live, as far as this control node knows.
 func (h *Hub) Gateways(nowUs int64) []string {
 	ids := []string{}
 	for id := range h.subs {
@@ -201,7 +201,7 @@
 
 // difference is from what was last sent to what is known now.
 func (h *Hub) difference(seen Seen, t *told) (*wire.Frame, bool) {
-	f := &wire.Frame{Office: seen.Me, Settled: seen.Settled, Behind: seen.Behind, Gateways: h.live}
+	f := &wire.Frame{ControlNode: seen.Me, Settled: seen.Settled, Behind: seen.Behind, Gateways: h.live}
 	news := t.settled != seen.Settled || t.behind != seen.Behind || t.live != h.live
 	t.settled, t.behind, t.live = seen.Settled, seen.Behind, h.live
 	if seen.Settled && seen.State.Doc != nil && seen.State.Revision > t.revision {
@@ -209,10 +209,10 @@
 		t.revision = f.Revision
 		news = true
 	}
-	if t.view != seen.View.Number || !slices.Equal(t.known, seen.Offices) {
+	if t.view != seen.View.Number || !slices.Equal(t.known, seen.ControlNodes) {
 		view := seen.View
-		t.view, t.known = view.Number, slices.Clone(seen.Offices)
-		f.View, f.Offices = &view, t.known
+		t.view, t.known = view.Number, slices.Clone(seen.ControlNodes)
+		f.View, f.ControlNodes = &view, t.known
 		news = true
 	}
 	f.Replicas = t.changed(seen)
@@ -270,8 +270,8 @@
 
 const rowsSlack = 64
 
-// unheard are the rows that the ledger has changed of replicas that nobody has told of since this office came back.
-// A stream may have begun before this office knew what is committed, with a whole frame that lacked them. Whoever was
+// unheard are the rows that the ledger has changed of replicas that nobody has told of since this control node came back.
+// A stream may have begun before this control node knew what is committed, with a whole frame that lacked them. Whoever was
 // told of once and is forgotten has ended.
 func (t *told) unheard(seen Seen) []wire.ReplicaRow {
 	if !seen.Settled || t.staleAt == seen.State.HoldsIndex {
@@ -323,10 +323,10 @@
 	return row
 }
 
-// wholeFor is all that this office knows, as of the difference that the others have just had.
+// wholeFor is all that this control node knows, as of the difference that the others have just had.
 func (h *Hub) wholeFor(seen Seen, t *told, s *sub) *wire.Frame {
 	view := seen.View
-	f := &wire.Frame{Office: seen.Me, Whole: true, Settled: seen.Settled, Behind: seen.Behind, View: &view, Offices: slices.Clone(seen.Offices), Gateways: len(h.Gateways(seen.NowUs))}
+	f := &wire.Frame{ControlNode: seen.Me, Whole: true, Settled: seen.Settled, Behind: seen.Behind, View: &view, ControlNodes: slices.Clone(seen.ControlNodes), Gateways: len(h.Gateways(seen.NowUs))}
 	if seen.Settled && seen.State.Doc != nil && seen.State.Revision > s.revision {
 		h.configure(f, seen.State, s.revision)
 		s.revision = f.Revision
@@ -375,7 +375,7 @@
 	return wire.OrderAhead{Replica: id, Unit: t.Unit, Unload: t.Step == ledger.Unload}
 }
 
-// staleRows are the replicas that the ledger knows and nobody has told of since this office came back.
+// staleRows are the replicas that the ledger knows and nobody has told of since this control node came back.
 func staleRows(seen Seen) []wire.ReplicaRow {
 	rows := []wire.ReplicaRow{}
 	for _, id := range seen.State.ReplicaIDs() {
--- a/internal/feed/hub_test.go
+++ b/internal/feed/hub_test.go
@@ -87,7 +87,7 @@
 	}
 }
 
-// A gateway that followed an office before the office knew what is committed learnt of each replica only with its next
+// A gateway that followed a control node before the control node knew what is committed learnt of each replica only with its next
 // heartbeat: what the ledger says of replicas that nobody has heard went out in whole frames alone.
 func TestGatewaysThatFollowedBeforeTheChainSettledLearnOfAllReplicasInTheLedger(t *testing.T) {
 	soft := roster.New(3 * clock.Sec)
@@ -107,7 +107,7 @@
 	soft.Hear(nowUs, roster.Row{ID: "r2", Service: "s", Addr: "r2", Slots: 4, Seq: 1, Units: []string{"m1"}})
 	h.Follow(nowUs, wire.Follow{Gateway: "d", Inc: "i"})
 	if first := frame(0); first == nil || !first.Whole || len(first.Replicas) != 1 || first.Revision != 0 {
-		t.Fatal("the first frame is not what an office knows that has just started")
+		t.Fatal("the first frame is not what a control node knows that has just started")
 	}
 	seen.State = routedLedger(t, "r1", "r2", "r3")
 	if before := frame(clock.Ms); before != nil && before.Revision != 0 {
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -6,9 +6,9 @@
 	"strconv"
 
 	"petreltide/internal/clock"
+	"petreltide/internal/controlnode"
 	"petreltide/internal/dispatch"
 	"petreltide/internal/fault"
-	"petreltide/internal/office"
 )
 
 // CallAsk is what a caller sends.
@@ -55,7 +55,7 @@
 		return nil, nil, false, bad
 	}
 	c = &dispatch.Call{
-		ID: h.set.Name + "-" + office.RandomID(8), Kind: kind.Name, Model: ask.Model, Adapter: ask.Adapter,
+		ID: h.set.Name + "-" + controlnode.RandomID(8), Kind: kind.Name, Model: ask.Model, Adapter: ask.Adapter,
 		Prefix: ask.Prefix, Once: once, MostMs: ask.DeadlineMs, TakenUs: clock.NowUs(),
 	}
 	if f := resumeAt(last, ask, c); f != nil {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -108,16 +108,16 @@
 	return chain.Seat{}
 }
 
-// Submit carries a change through any office that answers.
+// Submit carries a change through any control node that answers.
 func (h *Host) Submit(ctx context.Context, c ledger.Change) (*wire.Result, error) {
 	ctx, done := context.WithTimeout(ctx, keyWait)
 	defer done()
 	var last error
-	offices, ran := actor.Ask(h.act.Ctx, h.act, h.subscriber.Offices)
+	controlNodes, ran := actor.Ask(h.act.Ctx, h.act, h.subscriber.ControlNodes)
 	if !ran {
 		return nil, fault.New(fault.Draining, "", "stopping")
 	}
-	for _, addr := range offices {
+	for _, addr := range controlNodes {
 		result, err := rpc.NewCaller[ledger.Change, wire.Result](h.inner, addr, rpc.SubmitPath).Call(ctx, &c)
 		if err == nil {
 			return result, nil
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -12,10 +12,10 @@
 
 	"petreltide/internal/actor"
 	"petreltide/internal/clock"
+	"petreltide/internal/controlnode"
 	"petreltide/internal/dispatch"
 	"petreltide/internal/fault"
 	"petreltide/internal/logring"
-	"petreltide/internal/office"
 	"petreltide/internal/rpc"
 	"petreltide/internal/settings"
 	"petreltide/internal/subscriber"
@@ -97,7 +97,7 @@
 
 // Open prepares a gateway; Run serves.
 func Open(set settings.Gateway, ring *logring.Ring) *Host {
-	inc := office.RandomID(6)
+	inc := controlnode.RandomID(6)
 	attempts := rpc.Client(400, set.Listen)
 	attempts.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	attempts.Transport.(*http.Transport).DisableKeepAlives = true
--- a/internal/gateway/mirror.go
+++ b/internal/gateway/mirror.go
@@ -48,7 +48,7 @@
 	return f
 }
 
-// Seeds are other offices for first contact, where the ones in the settings have changed.
+// Seeds are other control nodes for first contact, where the ones in the settings have changed.
 func (h *Host) Seeds(addrs []string) {
 	h.act.Tell(func() {
 		if h.mirror != nil {
@@ -89,7 +89,7 @@
 			report := h.decider.Report(ev.NowUs)
 			report.Addr, report.Zone = h.set.Advertise, h.set.Zone
 			addr := e.Report
-			h.act.Spawn(func() { h.tellOffice(addr, report) })
+			h.act.Spawn(func() { h.tellControlNode(addr, report) })
 		case e.Snapshot != nil:
 			first := e.Snapshot.Doc != nil && (h.snap.Load() == nil || h.snap.Load().Doc == nil)
 			h.snap.Store(e.Snapshot)
@@ -102,7 +102,7 @@
 	}
 }
 
-// frames holds one office's stream.
+// frames holds one control node's stream.
 func (h *Host) frames(ctx context.Context, s subscriber.Stream) {
 	defer h.act.Tell(func() {
 		delete(h.streams, s.Number)
@@ -119,7 +119,7 @@
 	_ = stream.Close()
 }
 
-func (h *Host) tellOffice(addr string, report wire.Report) {
+func (h *Host) tellControlNode(addr string, report wire.Report) {
 	ctx, done := context.WithTimeout(h.act.Ctx, 600*time.Millisecond)
 	defer done()
 	if _, err := rpc.NewCaller[wire.Report, wire.Receipt](h.inner, addr, rpc.TellPath).Call(ctx, &report); err != nil && h.act.Ctx.Err() == nil {
--- a/internal/ledger/members.go
+++ b/internal/ledger/members.go
@@ -14,7 +14,7 @@
 	MemberDone    MemberAct = "done"
 )
 
-// MemberChange is an operator's order about one office; ID is the identity that has to go. One at a
+// MemberChange is an operator's order about one control node; ID is the identity that has to go. One at a
 // time stands in the ledger until the view has carried it out.
 type MemberChange struct {
 	Act  MemberAct `json:"act"`
--- a/internal/roster/late_test.go
+++ b/internal/roster/late_test.go
@@ -6,8 +6,8 @@
 	"petreltide/internal/clock"
 )
 
-// Seed 70 of the routed days: an office that had stood still read words from its sockets that were seconds
-// old, and its word for them made another office believe that a replica had let go of a model.
+// Seed 70 of the routed days: a control node that had stood still read words from its sockets that were seconds
+// old, and its word for them made another control node believe that a replica had let go of a model.
 func TestWhatWasReadLateIsNotTakenToHoldSince(t *testing.T) {
 	at := 10 * clock.Sec
 	woken, other := New(darkUs), New(darkUs)
@@ -32,7 +32,7 @@
 	}
 }
 
-// A word may come seconds late, also one of the life before, and to an office that never heard of that life.
+// A word may come seconds late, also one of the life before, and to a control node that never heard of that life.
 func TestALateWordOfTheLifeBeforeDoesNotEndTheOneThatLives(t *testing.T) {
 	at := 20 * clock.Sec
 	lives := func(t *testing.T, r *Roster) {
@@ -72,7 +72,7 @@
 		back.Merge(at, other.Notes(at, 0, true))
 		other.Merge(at, back.Notes(at, 0, true))
 		if e := back.Row("new"); e != nil && e.Gone {
-			t.Fatal("the life that speaks has ended at the office that heard the late word")
+			t.Fatal("the life that speaks has ended at the control node that heard the late word")
 		}
 		lives(t, other)
 	})
--- a/internal/roster/note.go
+++ b/internal/roster/note.go
@@ -4,7 +4,7 @@
 	"petreltide/internal/clock"
 )
 
-// Note is what one office tells another of a replica: the whole row where it may be news, else only
+// Note is what one control node tells another of a replica: the whole row where it may be news, else only
 // that it was heard, and a mark of what it said.
 type Note struct {
 	ID    string `json:"id"`
@@ -16,7 +16,7 @@
 	Row    *Row  `json:"row,omitempty"`
 }
 
-// Merge takes another office's notes. Where one tells of a row that this office does not have as new,
+// Merge takes another control node's notes. Where one tells of a row that this control node does not have as new,
 // it asks for all rows. Ends come first, as another life may have its address by now.
 func (r *Roster) Merge(nowUs int64, notes []Note) (changed bool) {
 	for _, n := range notes {
@@ -50,15 +50,15 @@
 	return changed
 }
 
-// Wants is true once after a note told of something this office has missed.
+// Wants is true once after a note told of something this control node has missed.
 func (r *Roster) Wants() bool {
 	w := r.want
 	r.want = false
 	return w
 }
 
-// Notes are for other offices that have had everything up to a revision of this roster, or who ask for all
-// with 0: rows that changed, and a sign of life of those that this office itself heard since it last told.
+// Notes are for other control nodes that have had everything up to a revision of this roster, or who ask for all
+// with 0: rows that changed, and a sign of life of those that this control node itself heard since it last told.
 // What has ended is told for some seconds: no later word would show that it was missed.
 func (r *Roster) Notes(nowUs int64, since uint64, alive bool) []Note {
 	notes := []Note{}
@@ -92,7 +92,7 @@
 	return Note{ID: e.ID, Seq: e.seen, Mark: e.mark, AgoMs: (nowUs - e.HeardUs) / 1000, SaidMs: (nowUs - e.SaidUs) / 1000}
 }
 
-// told is the row as other offices are told it.
+// told is the row as other control nodes are told it.
 func (e *Entry) told() *Row {
 	row := e.Row
 	row.Seq = e.seen
@@ -102,7 +102,7 @@
 	return &row
 }
 
-// Told ends one telling of signs of life to all other offices.
+// Told ends one telling of signs of life to all other control nodes.
 func (r *Roster) Told(nowUs int64) {
 	for _, e := range r.rows {
 		e.toldUs = nowUs
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -14,12 +14,12 @@
 	goneUs   = 10 * clock.Sec
 )
 
-// Roster is one office's soft state of all replicas: heard from them directly or from other offices.
+// Roster is one control node's soft state of all replicas: heard from them directly or from other control nodes.
 // It is never written to disk; who is heard last, by Seq, is right.
 type Roster struct {
 	Rev    uint64
 	DarkUs int64
-	// LateUs is how long what is read now may have lain unread: an office that wakes from a freeze finds
+	// LateUs is how long what is read now may have lain unread: a control node that wakes from a freeze finds
 	// words in its sockets that were true before it.
 	LateUs  int64
 	rows    map[string]*Entry
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -68,7 +68,7 @@
 	}
 	other.Hear(3, word("r", "1", 4))
 	if !other.Merge(4, r.Notes(4, 0, true)) || !other.Row("r").Gone {
-		t.Error("the other office does not learn of its end")
+		t.Error("the other control node does not learn of its end")
 	}
 	if other.Merge(5, []Note{{ID: "r", Seq: 9, Row: &Row{ID: "r", Addr: "1", Seq: 9}}}) || !other.Row("r").Gone {
 		t.Error("a word from elsewhere brought it back")
@@ -97,7 +97,7 @@
 		t.Fatal("one at another address ended it")
 	}
 
-	// An office that came back empty hears the new life, and then another office's word of the old one.
+	// A control node that came back empty hears the new life, and then another control node's word of the old one.
 	lagging, back := New(darkUs), New(darkUs)
 	lagging.Hear(0, word("old", "1", 7))
 	back.Hear(3*clock.Sec, word("new", "1", 1))
@@ -110,11 +110,11 @@
 	}
 	lagging.Merge(3*clock.Sec, back.Notes(3*clock.Sec, 0, true))
 	if lagging.Row("new") == nil || lagging.Row("new").Gone || !lagging.Row("old").Gone {
-		t.Fatal("the other office does not learn of the new life")
+		t.Fatal("the other control node does not learn of the new life")
 	}
 }
 
-func TestAFrozenOfficeCallsNobodyDarkAndNobodyAlive(t *testing.T) {
+func TestAFrozenControlNodeCallsNobodyDarkAndNobodyAlive(t *testing.T) {
 	frozen, awake := New(darkUs), New(darkUs)
 	for us := int64(0); us <= 2*clock.Sec; us += 250 * clock.Ms {
 		frozen.Sweep(us)
@@ -137,11 +137,11 @@
 	}
 	frozen.Sweep(12 * clock.Sec)
 	if frozen.Row("lives").Dark || frozen.Row("died").Dark {
-		t.Error("it was the office that was silent")
+		t.Error("it was the control node that was silent")
 	}
 	awake.Merge(12*clock.Sec, frozen.Notes(12*clock.Sec, frozen.Rev, true))
 	if !awake.Row("died").Dark {
-		t.Error("an office that was frozen tells of a replica as heard lately")
+		t.Error("a control node that was frozen tells of a replica as heard lately")
 	}
 	for us := 12 * clock.Sec; us <= 16*clock.Sec; us += 250 * clock.Ms {
 		frozen.Sweep(us)
@@ -154,19 +154,19 @@
 	}
 }
 
-// Three offices hear replicas at random and tell each other, while letters are lost. Once none is lost any
+// Three control nodes hear replicas at random and tell each other, while letters are lost. Once none is lost any
 // more, all know the same, and what ended is known as ended.
-func TestSeededOfficesAgreeAfterLosses(t *testing.T) {
+func TestSeededControlNodesAgreeAfterLosses(t *testing.T) {
 	lost, asked := 0, 0
 	for seed := int64(0); seed < 300; seed++ {
 		r := rand.New(rand.NewSource(seed))
-		offices := []*Roster{New(darkUs), New(darkUs), New(darkUs)}
+		controlNodes := []*Roster{New(darkUs), New(darkUs), New(darkUs)}
 		since := map[[2]int]uint64{}
 		wants := [3]bool{}
 		seqs, ended := map[string]uint64{}, map[string]bool{}
 		tell := func(nowUs int64, lose int) {
-			for i, from := range offices {
-				for j, to := range offices {
+			for i, from := range controlNodes {
+				for j, to := range controlNodes {
 					if i == j {
 						continue
 					}
@@ -182,7 +182,7 @@
 					}
 				}
 			}
-			for i, o := range offices {
+			for i, o := range controlNodes {
 				if wants[i] = o.Wants(); wants[i] {
 					asked++
 				}
@@ -194,7 +194,7 @@
 			life := r.Intn(9)
 			id, addr := fmt.Sprint("i", life), fmt.Sprint("a", life%6)
 			seqs[id]++
-			switch o := offices[r.Intn(3)]; {
+			switch o := controlNodes[r.Intn(3)]; {
 			case r.Intn(25) == 0:
 				o.Leave(nowUs, id)
 				ended[id] = true
@@ -208,7 +208,7 @@
 			if n%3 == 0 {
 				tell(nowUs, 50)
 			}
-			for _, o := range offices {
+			for _, o := range controlNodes {
 				o.Sweep(nowUs)
 			}
 		}
@@ -229,12 +229,12 @@
 			return all
 		}
 		for i := 1; i < 3; i++ {
-			if diff := cmp.Diff(view(offices[0]), view(offices[i])); diff != "" {
-				t.Fatalf("seed %d: office %d differs: %s", seed, i, diff)
+			if diff := cmp.Diff(view(controlNodes[0]), view(controlNodes[i])); diff != "" {
+				t.Fatalf("seed %d: control node %d differs: %s", seed, i, diff)
 			}
 		}
 		addrs := map[string]string{}
-		for id, row := range view(offices[0]) {
+		for id, row := range view(controlNodes[0]) {
 			if ended[id] && !row.Gone {
 				t.Fatalf("seed %d: %s has ended and is there", seed, id)
 			}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -48,7 +48,7 @@
 
 var unzippers = sync.Pool{New: func() any { return new(gzip.Reader) }}
 
-// Paths of the procedures that core nodes and gateways serve to each other.
+// Paths of the procedures that control nodes and gateways serve to each other.
 const (
 	PostPath   = "/petreltide.Office/Post"
 	WherePath  = "/petreltide.Office/Where"
@@ -72,7 +72,7 @@
 	return clientOf(dialerFor(dialMs, listen).DialContext)
 }
 
-// NodeClient is a Client for core nodes and gateways among themselves, who may dial a machine just as it comes back.
+// NodeClient is a Client for control nodes and gateways among themselves, who may dial a machine just as it comes back.
 func NodeClient(dialMs int, listen string) *http.Client {
 	dialer := dialerFor(dialMs, listen)
 	return clientOf((&redialer{dial: dialer.DialContext, most: dialer.Timeout, after: time.After}).DialContext)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,8 +15,8 @@
 	"petreltide/internal/standing"
 )
 
-// Office are the settings of a core node. Times are milliseconds, addresses IP:port.
-type Office struct {
+// ControlNode are the settings of a control node. Times are milliseconds, addresses IP:port.
+type ControlNode struct {
 	Name      string   `json:"name" validate:"required,max=64,hostname_rfc1123"`
 	Listen    string   `json:"listen" validate:"required"`
 	Advertise string   `json:"advertise"`
@@ -26,13 +26,13 @@
 	Platform  string   `json:"platform"`
 	Founding  int      `json:"founding" validate:"min=0,max=7"`
 
-	// Founders are the offices that begin a new chain together, by address; in place of Founding.
+	// Founders are the control nodes that begin a new chain together, by address; in place of Founding.
 	Founders []string `json:"founders,omitempty" validate:"max=7"`
 	// CopiesLeast is how many synced copies an acknowledgement needs.
 	CopiesLeast int `json:"copiesLeast,omitempty" validate:"min=0,max=7"`
 	// ZonesLeast is in how many zones those copies must lie.
 	ZonesLeast int `json:"zonesLeast,omitempty" validate:"min=0,max=7"`
-	// Members says who changes the offices: operators by command, or the offices themselves, that take in
+	// Members says who changes the control nodes: operators by command, or the control nodes themselves, that take in
 	// an empty one in the place of one that is silent.
 	Members Members `json:"members,omitempty" validate:"omitempty,oneof=command self"`
 	// LeaseMs is how long replicas hold to one who orders them after its last order.
@@ -41,7 +41,7 @@
 	StoreWindowMs  int64   `json:"storeWindowMs,omitempty" validate:"min=0,max=3600000"`
 	StoreOvershoot float64 `json:"storeOvershoot,omitempty" validate:"min=0,max=10"`
 	MemoryMb       int     `json:"memoryMb,omitempty" validate:"min=0"`
-	// LeaveMs is how long an office that is told to end waits for others to take its seat and vote over.
+	// LeaveMs is how long a control node that is told to end waits for others to take its seat and vote over.
 	LeaveMs int64   `json:"leaveMs,omitempty" validate:"min=0,max=3600000"`
 	Outlier Outlier `json:"outlier,omitempty"`
 }
@@ -65,7 +65,7 @@
 // Members says who changes the members of the chain.
 type Members string
 
-// CommandMembers leaves it to operators, SelfMembers to the core nodes themselves.
+// CommandMembers leaves it to operators, SelfMembers to the control nodes themselves.
 const (
 	CommandMembers Members = "command"
 	SelfMembers    Members = "self"
@@ -137,7 +137,7 @@
 
 // Check fills in the advertised address and returns all that is wrong, nil for nothing. It tries whether the data folder
 // takes a file.
-func (o *Office) Check() *fault.Fault {
+func (o *ControlNode) Check() *fault.Fault {
 	sheet := standing.Struct(fault.BadSettings, o)
 	o.Advertise = reached(sheet, o.Listen, o.Advertise)
 	addresses(sheet, o.Listen, o.Seeds)
--- a/internal/storage/bounds_test.go
+++ b/internal/storage/bounds_test.go
@@ -155,7 +155,7 @@
 
 const diskHalf = 64 << 20
 
-// What an office has on its disk, a copy that is being kept beside the one before included, stays under half
+// What a control node has on its disk, a copy that is being kept beside the one before included, stays under half
 // of a disk of 128 MB, however much passes through it.
 func TestADiskOf128MBIsNeverHalfFull(t *testing.T) {
 	if raced {
--- a/internal/storage/cluster_test.go
+++ b/internal/storage/cluster_test.go
@@ -264,7 +264,7 @@
 	}
 }
 
-// save writes the oldest save that waits, as an office does: one at a time, copies beside the log.
+// save writes the oldest save that waits, as a control node does: one at a time, copies beside the log.
 func (m *member) save() {
 	c := m.cluster
 	s := m.saves[0]
--- a/internal/storage/crash_test.go
+++ b/internal/storage/crash_test.go
@@ -17,7 +17,7 @@
 
 func (h history) String() string { return strings.Join(h, " ") }
 
-// user drives a store as an office does, and knows which histories may come back at any moment: the one that it
+// user drives a store as a control node does, and knows which histories may come back at any moment: the one that it
 // was told is saved, and the same with what is under way.
 type user struct {
 	disk   *powerDisk
--- a/internal/storage/refusal_test.go
+++ b/internal/storage/refusal_test.go
@@ -216,7 +216,7 @@
 	return l
 }
 
-// caller tries the same again until the disk takes it, as an office does.
+// caller tries the same again until the disk takes it, as a control node does.
 type caller struct {
 	store  *Store
 	synced []uint64
--- a/internal/subscriber/behind.go
+++ b/internal/subscriber/behind.go
@@ -8,14 +8,14 @@
 )
 
 const (
-	// mirrorBehindUs is how long an office may be behind before another one is looked for.
+	// mirrorBehindUs is how long a control node may be behind before another one is looked for.
 	mirrorBehindUs = 500 * clock.Ms
 	// mirrorBehindAgainUs later it may be followed again, and mirrorBehindNearUs later for being near.
 	mirrorBehindAgainUs = 1 * clock.Sec
 	mirrorBehindNearUs  = 5 * clock.Sec
 )
 
-// noteBehind notes whether an office says that newer declarations may be in force than it knows.
+// noteBehind notes whether a control node says that newer declarations may be in force than it knows.
 func (m *Mirror) noteBehind(nowUs int64, s *source, behind bool) {
 	switch {
 	case !behind:
@@ -31,7 +31,7 @@
 	return known && nowUs-lastUs < spanUs
 }
 
-// compareBehind puts offices that were behind of late after the others.
+// compareBehind puts control nodes that were behind of late after the others.
 func (m *Mirror) compareBehind(nowUs int64, a, b string) int {
 	rank := func(addr string) int {
 		if m.wasBehind(nowUs, addr, mirrorBehindAgainUs) {
@@ -42,7 +42,7 @@
 	return rank(a) - rank(b)
 }
 
-// leaveBehind follows another office in place of one that has been behind for a while. As long as nobody who is
+// leaveBehind follows another control node in place of one that has been behind for a while. As long as nobody who is
 // followed is current, one more is followed, so that nothing is lost where all are behind.
 func (m *Mirror) leaveBehind(nowUs int64) {
 	var current, behind, newest *source
@@ -71,13 +71,13 @@
 	}
 }
 
-// othersThanBehind: there is an office that could be followed, is not, and was not behind of late.
+// othersThanBehind: there is a control node that could be followed, is not, and was not behind of late.
 func (m *Mirror) othersThanBehind(nowUs int64) bool {
 	followed := map[string]bool{}
 	for _, s := range m.sources {
 		followed[s.addr] = true
 	}
-	return slices.ContainsFunc(m.Offices(), func(addr string) bool {
+	return slices.ContainsFunc(m.ControlNodes(), func(addr string) bool {
 		return !followed[addr] && nowUs >= m.shyUs[addr] && !m.wasBehind(nowUs, addr, mirrorBehindAgainUs)
 	})
 }
--- a/internal/subscriber/behind_test.go
+++ b/internal/subscriber/behind_test.go
@@ -10,7 +10,7 @@
 	"petreltide/internal/roster"
 )
 
-// behindDay is five offices with one declaration in force, and a gateway that follows two of them.
+// behindDay is five control nodes with one declaration in force, and a gateway that follows two of them.
 type behindDay struct {
 	*screen
 	nowUs int64
@@ -60,8 +60,8 @@
 	return out
 }
 
-// A gateway whose two offices are both cut off follows another within two seconds, and has what is in force.
-func TestAGatewayLeavesOfficesThatAreBehind(t *testing.T) {
+// A gateway whose two control nodes are both cut off follows another within two seconds, and has what is in force.
+func TestAGatewayLeavesControlNodesThatAreBehind(t *testing.T) {
 	for seed := int64(1); seed <= 20; seed++ {
 		d := newBehindDay(t, seed)
 		struck := d.followed()
@@ -86,8 +86,8 @@
 	}
 }
 
-// Where all offices are behind, a gateway keeps two of them at every moment, and is back with two after.
-func TestAGatewayStaysWithOfficesWhereAllAreBehind(t *testing.T) {
+// Where all control nodes are behind, a gateway keeps two of them at every moment, and is back with two after.
+func TestAGatewayStaysWithControlNodesWhereAllAreBehind(t *testing.T) {
 	for seed := int64(1); seed <= 20; seed++ {
 		d := newBehindDay(t, seed)
 		for i, c := range d.all {
--- a/internal/subscriber/mirror.go
+++ b/internal/subscriber/mirror.go
@@ -16,7 +16,7 @@
 	mirrorSilentUs = 1300 * clock.Ms
 	mirrorTryUs    = 300 * clock.Ms
 	mirrorShyUs    = 1000 * clock.Ms
-	// mirrorFirstUs is how long an office is left alone that did not answer a gateway without a declaration, and how
+	// mirrorFirstUs is how long a control node is left alone that did not answer a gateway without a declaration, and how
 	// often such a gateway tries: it holds its callers meanwhile.
 	mirrorFirstUs  = 100 * clock.Ms
 	mirrorReportUs = 250 * clock.Ms
@@ -50,7 +50,7 @@
 	Snapshot *dispatch.Snapshot
 }
 
-// Stream is one held connection to one office.
+// Stream is one held connection to one control node.
 type Stream struct {
 	Number uint64
 	Addr   string
@@ -64,44 +64,44 @@
 	heardUs int64
 	live    bool
 	whole   bool
-	// behindUs is since when the office says that it may be behind; 0 where it does not.
-	behindUs int64
-	office   string
-	rows     map[string]wire.ReplicaRow
+	// behindUs is since when the control node says that it may be behind; 0 where it does not.
+	behindUs    int64
+	controlNode string
+	rows        map[string]wire.ReplicaRow
 	// orders by replica; the map is replaced, never changed.
 	orders   map[string]wire.OrderAhead
 	ordersAt uint64
 	gateways int
 }
 
-// Mirror keeps what a gateway knows by the frames of two offices at once, so that the loss of one costs no
+// Mirror keeps what a gateway knows by the frames of two control nodes at once, so that the loss of one costs no
 // time. Without any it goes on with what it last knew. Revisions only rise.
 type Mirror struct {
 	opts    Options
 	sources map[uint64]*source
 	shyUs   map[string]int64
 	deafUs  map[string]int64
-	// behindUs is when an office last was behind for too long.
-	behindUs map[string]int64
-	offices  map[string]chain.Member
-	view     chain.View
-	doc      *standing.Declaration
-	revision uint64
-	number   uint64
-	streams  uint64
-	triedUs  int64
-	reportUs int64
-	urgentUs int64
-	judgedUs int64
-	failing  bool
-	last     *source
-	best     map[string]wire.ReplicaRow
-	orders   map[string]wire.OrderAhead
-	ordersAt uint64
-	gateways int
-	outliers outlier.Table
-	ids      []string
-	snap     *dispatch.Snapshot
+	// behindUs is when a control node last was behind for too long.
+	behindUs     map[string]int64
+	controlNodes map[string]chain.Member
+	view         chain.View
+	doc          *standing.Declaration
+	revision     uint64
+	number       uint64
+	streams      uint64
+	triedUs      int64
+	reportUs     int64
+	urgentUs     int64
+	judgedUs     int64
+	failing      bool
+	last         *source
+	best         map[string]wire.ReplicaRow
+	orders       map[string]wire.OrderAhead
+	ordersAt     uint64
+	gateways     int
+	outliers     outlier.Table
+	ids          []string
+	snap         *dispatch.Snapshot
 	// touched are the replicas that the next snapshot shows otherwise than the last.
 	touched map[string]bool
 	effects []MirrorEffect
@@ -109,16 +109,16 @@
 
 // NewMirror is a mirror that knows nothing but its seeds.
 func NewMirror(opts Options) *Mirror {
-	return &Mirror{opts: opts, sources: map[uint64]*source{}, shyUs: map[string]int64{}, deafUs: map[string]int64{}, behindUs: map[string]int64{}, best: map[string]wire.ReplicaRow{}, touched: map[string]bool{}, offices: map[string]chain.Member{}}
+	return &Mirror{opts: opts, sources: map[uint64]*source{}, shyUs: map[string]int64{}, deafUs: map[string]int64{}, behindUs: map[string]int64{}, best: map[string]wire.ReplicaRow{}, touched: map[string]bool{}, controlNodes: map[string]chain.Member{}}
 }
 
 func (m *Mirror) do(e MirrorEffect) { m.effects = append(m.effects, e) }
 
-// Offices are all addresses that may be an office's, those that were met first.
-func (m *Mirror) Offices() []string {
+// ControlNodes are all addresses that may be a control node's, those that were met first.
+func (m *Mirror) ControlNodes() []string {
 	addrs := []string{}
-	for _, id := range slices.Sorted(maps.Keys(m.offices)) {
-		addrs = append(addrs, m.offices[id].Addr)
+	for _, id := range slices.Sorted(maps.Keys(m.controlNodes)) {
+		addrs = append(addrs, m.controlNodes[id].Addr)
 	}
 	for _, s := range m.opts.Seeds {
 		if !slices.Contains(addrs, s) {
@@ -128,10 +128,10 @@
 	return addrs
 }
 
-// View is the newest view of the chain that an office told.
+// View is the newest view of the chain that a control node told.
 func (m *Mirror) View() chain.View { return m.view }
 
-// Live counts the offices that push to this gateway now.
+// Live counts the control nodes that push to this gateway now.
 func (m *Mirror) Live() int {
 	n := 0
 	for _, s := range m.sources {
@@ -194,7 +194,7 @@
 	if s == nil {
 		return
 	}
-	s.heardUs, s.live, s.office = nowUs, true, f.Office
+	s.heardUs, s.live, s.controlNode = nowUs, true, f.ControlNode
 	m.noteBehind(nowUs, s, f.Behind)
 	if f.Whole {
 		s.whole, s.rows = true, map[string]wire.ReplicaRow{}
@@ -202,11 +202,11 @@
 	if f.View != nil && f.View.Number >= m.view.Number {
 		m.view = *f.View
 	}
-	for _, o := range f.Offices {
-		m.offices[o.ID] = o
+	for _, o := range f.ControlNodes {
+		m.controlNodes[o.ID] = o
 	}
-	if len(m.offices) > 64 {
-		m.offices = map[string]chain.Member{}
+	if len(m.controlNodes) > 64 {
+		m.controlNodes = map[string]chain.Member{}
 	}
 	for _, r := range f.Replicas {
 		s.rows[r.ID] = r
--- a/internal/subscriber/mirror_test.go
+++ b/internal/subscriber/mirror_test.go
@@ -21,7 +21,7 @@
 	"petreltide/internal/wire"
 )
 
-// core is one office as gateways see it: its ledger, which may lag, its roster and its hub.
+// core is one control node as gateways see it: its ledger, which may lag, its roster and its hub.
 type core struct {
 	addr    string
 	state   *ledger.State
@@ -41,7 +41,7 @@
 
 func (c *core) seen(nowUs int64) feed.Seen {
 	return feed.Seen{NowUs: nowUs, State: c.state, View: chain.View{Number: c.view}, Settled: c.settled, Behind: c.behind, Roster: c.roster, Outliers: c.outliers,
-		Offices: []chain.Member{{ID: "one", Addr: "one"}, {ID: "two", Addr: "two"}}}
+		ControlNodes: []chain.Member{{ID: "one", Addr: "one"}, {ID: "two", Addr: "two"}}}
 }
 
 func (c *core) apply(log []ledger.Change, upto int) {
@@ -59,7 +59,7 @@
 	*c = core{addr: c.addr, state: back, applied: c.applied, roster: roster.New(3 * clock.Sec), hub: feed.NewHub(), view: c.view}
 }
 
-// screen is a gateway's mirror with its streams to the offices; frames travel as JSON.
+// screen is a gateway's mirror with its streams to the control nodes; frames travel as JSON.
 type screen struct {
 	t       *testing.T
 	m       *Mirror
@@ -119,7 +119,7 @@
 	s.step(nowUs, MirrorEvent{Closed: stream})
 }
 
-// carry brings what each office has to tell; lose in 100 frames are lost, each with its stream.
+// carry brings what each control node has to tell; lose in 100 frames are lost, each with its stream.
 func (s *screen) carry(nowUs int64, r *rand.Rand, lose int) {
 	for _, stream := range s.open() {
 		c := s.streams[stream]
@@ -139,7 +139,7 @@
 			if err := json.Unmarshal(raw, &f); err != nil {
 				s.t.Fatal(err)
 			}
-			f.Office = c.addr
+			f.ControlNode = c.addr
 			s.step(nowUs, MirrorEvent{Frame: &f, Stream: stream})
 		}
 	}
@@ -218,7 +218,7 @@
 
 var asGatewaysSee = cmp.Options{cmpopts.IgnoreFields(dispatch.Snapshot{}, "Number", "AtUs"), cmpopts.IgnoreFields(standing.Declaration{}, "Index"), cmpopts.EquateEmpty()}
 
-// Differences fold to what a whole frame says, whichever streams are lost, however far an office lags
+// Differences fold to what a whole frame says, whichever streams are lost, however far a control node lags
 // and whenever one restarts; what a gateway goes by never goes back.
 func TestSeededFramesFoldToTheWhole(t *testing.T) {
 	frames, opened, edits := 0, 0, 0
@@ -336,7 +336,7 @@
 	}
 }
 
-// What only the ledger knows of a replica goes with it, and what one office knows of it by itself stays.
+// What only the ledger knows of a replica goes with it, and what one control node knows of it by itself stays.
 func TestAStaleReplicaGoesWhenTheLedgerLetsItGo(t *testing.T) {
 	r := rand.New(rand.NewSource(1))
 	c := &chronicle{r: r, head: ledger.NewState()}
@@ -369,7 +369,7 @@
 	}
 }
 
-// An office that lags never takes back what another one told, and edits that do not fit end the stream.
+// A control node that lags never takes back what another one told, and edits that do not fit end the stream.
 func TestEditsThatAreMissedEndTheStreamAndNothingElse(t *testing.T) {
 	doc := &standing.Declaration{Version: 7, Routes: []standing.Route{route("a", 1)}, Services: []standing.Service{service("m1")}}
 	edit := func(ms int64) *standing.Edit {
@@ -412,7 +412,7 @@
 	}
 }
 
-func TestWhereTwoOfficesDiffer(t *testing.T) {
+func TestWhereTwoControlNodesDiffer(t *testing.T) {
 	row := func(seq uint64, edit func(*wire.ReplicaRow)) wire.ReplicaRow {
 		r := wire.ReplicaRow{Row: roster.Row{ID: "r", Service: "s", Addr: "r", Slots: 4, Seq: seq, Units: []string{fmt.Sprint("held at ", seq)}}}
 		if edit != nil {
@@ -506,8 +506,8 @@
 	}
 }
 
-// A gateway whose machine comes back before those of the offices was refused by each, and left each alone for a second.
-func TestAGatewayThatStartsBeforeTheOfficesMeetsThemAtOnce(t *testing.T) {
+// A gateway whose machine comes back before those of the control nodes was refused by each, and left each alone for a second.
+func TestAGatewayThatStartsBeforeTheControlNodesMeetsThemAtOnce(t *testing.T) {
 	cores := []*core{newCore("a"), newCore("b"), newCore("c")}
 	c := &chronicle{r: rand.New(rand.NewSource(1)), head: ledger.NewState()}
 	c.config()
@@ -534,12 +534,12 @@
 		}
 	}
 	if tookUs := nowUs - upUs; tookUs > 200*clock.Ms {
-		t.Errorf("a declaration %d ms after the offices took calls", tookUs/1000)
+		t.Errorf("a declaration %d ms after the control nodes took calls", tookUs/1000)
 	}
 }
 
-// One that has a declaration serves with it, and leaves an office alone that does not answer.
-func TestAGatewayWithADeclarationLeavesAnOfficeThatIsDownAlone(t *testing.T) {
+// One that has a declaration serves with it, and leaves a control node alone that does not answer.
+func TestAGatewayWithADeclarationLeavesAControlNodeThatIsDownAlone(t *testing.T) {
 	cores := []*core{newCore("a"), newCore("b"), newCore("c")}
 	c := &chronicle{r: rand.New(rand.NewSource(1)), head: ledger.NewState()}
 	c.config()
@@ -561,7 +561,7 @@
 	for endUs := nowUs + 3*clock.Sec; nowUs < endUs; nowUs += 50 * clock.Ms {
 		s.carry(nowUs, r, 0)
 	}
-	if tries, most := s.opened-before, 3*len(s.m.Offices()); tries > most {
-		t.Errorf("%d tries in 3 s at offices that are down, at most %d", tries, most)
+	if tries, most := s.opened-before, 3*len(s.m.ControlNodes()); tries > most {
+		t.Errorf("%d tries in 3 s at control nodes that are down, at most %d", tries, most)
 	}
 }
--- a/internal/subscriber/streams.go
+++ b/internal/subscriber/streams.go
@@ -31,7 +31,7 @@
 	m.report(nowUs, urgent)
 }
 
-// open takes the next office in this gateway's own order, so that gateways spread over offices.
+// open takes the next control node in this gateway's own order, so that gateways spread over control nodes.
 func (m *Mirror) open(nowUs int64) {
 	m.triedUs = nowUs
 	taken := map[string]bool{}
@@ -39,7 +39,7 @@
 		taken[s.addr] = true
 	}
 	free := []string{}
-	for _, addr := range m.Offices() {
+	for _, addr := range m.ControlNodes() {
 		if !taken[addr] && nowUs >= m.shyUs[addr] {
 			free = append(free, addr)
 		}
@@ -62,17 +62,17 @@
 	}
 }
 
-// own is the office of this gateway's own zone, if one is known that may be asked.
+// own is the control node of this gateway's own zone, if one is known that may be asked.
 func (m *Mirror) own(nowUs int64) string {
-	for _, id := range slices.Sorted(maps.Keys(m.offices)) {
-		if o := m.offices[id]; o.Zone != "" && o.Zone == m.opts.Zone && nowUs >= m.shyUs[o.Addr] && !m.wasBehind(nowUs, o.Addr, mirrorBehindNearUs) {
+	for _, id := range slices.Sorted(maps.Keys(m.controlNodes)) {
+		if o := m.controlNodes[id]; o.Zone != "" && o.Zone == m.opts.Zone && nowUs >= m.shyUs[o.Addr] && !m.wasBehind(nowUs, o.Addr, mirrorBehindNearUs) {
 			return o.Addr
 		}
 	}
 	return ""
 }
 
-// nearer lets the office of this gateway's own zone be the main one, a stream at a time: what goes over a
+// nearer lets the control node of this gateway's own zone be the main one, a stream at a time: what goes over a
 // spare stream is little, and the rest then need not cross zones.
 func (m *Mirror) nearer(nowUs int64) {
 	own := m.own(nowUs)
@@ -103,9 +103,9 @@
 	}
 }
 
-// rank is this gateway's own order of the offices: those of its zone, then by lot.
+// rank is this gateway's own order of the control nodes: those of its zone, then by lot.
 func (m *Mirror) rank(addr string) uint64 {
-	for _, o := range m.offices {
+	for _, o := range m.controlNodes {
 		if o.Addr == addr && o.Zone == m.opts.Zone {
 			return 0
 		}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -55,7 +55,7 @@
 }
 
 // Subscriber finds the open tail, follows its news and keeps the gateway's lease. Seeds are only a
-// first contact: from then on it asks the offices it has met.
+// first contact: from then on it asks the control nodes it has met.
 type Subscriber struct {
 	opts     Options
 	where    wire.Where
@@ -81,17 +81,17 @@
 // Silent are the nodes that this one watches and has not heard for too long.
 func (l *Subscriber) Silent(nowUs int64) []string { return l.watch.Silent(nowUs) }
 
-// Where is what it was last told of the offices and their view.
+// Where is what it was last told of the control nodes and their view.
 func (l *Subscriber) Where() wire.Where { return l.where }
 
 // Tail is the seat that it follows.
 func (l *Subscriber) Tail() chain.Seat { return l.where.View.Tail() }
 
-// Offices are all addresses that may be an office's, those that were met first.
-func (l *Subscriber) Offices() []string {
+// ControlNodes are all addresses that may be a control node's, those that were met first.
+func (l *Subscriber) ControlNodes() []string {
 	addrs := []string{}
 	seen := map[string]bool{l.opts.Addr: true}
-	for _, m := range l.where.Offices {
+	for _, m := range l.where.ControlNodes {
 		if !seen[m.Addr] {
 			seen[m.Addr] = true
 			addrs = append(addrs, m.Addr)
@@ -128,7 +128,7 @@
 }
 
 func (l *Subscriber) met(w wire.Where) {
-	if len(w.Offices) == 0 || w.View.Number < l.where.View.Number {
+	if len(w.ControlNodes) == 0 || w.View.Number < l.where.View.Number {
 		return
 	}
 	l.where = w
@@ -168,7 +168,7 @@
 	}
 	if nowUs-l.seekUs >= spanUs {
 		l.seekUs = nowUs
-		l.effects = append(l.effects, Effect{AskWhere: l.Offices()})
+		l.effects = append(l.effects, Effect{AskWhere: l.ControlNodes()})
 	}
 	if nowUs-l.beatUs >= watch.BeatUs && len(l.ring) > 0 {
 		l.beatUs = nowUs
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -14,7 +14,7 @@
 	l := New(Options{Gateway: "d", Inc: "i", Addr: "d:1", Seeds: []string{"s1:1", "s2:1"}})
 	seat := chain.Seat{Member: chain.Member{ID: "o1", Addr: "o1:1"}, Inc: "x"}
 	follows := 0
-	for _, e := range l.Step(Event{NowUs: clock.Sec, Where: &wire.Where{View: chain.View{Number: 1, Order: []chain.Seat{seat}}, Offices: []chain.Member{seat.Member}}}) {
+	for _, e := range l.Step(Event{NowUs: clock.Sec, Where: &wire.Where{View: chain.View{Number: 1, Order: []chain.Seat{seat}}, ControlNodes: []chain.Member{seat.Member}}}) {
 		if e.Follow != nil {
 			follows++
 		}
@@ -57,7 +57,7 @@
 
 func TestSeedsAreOnlyAFirstContact(t *testing.T) {
 	l, _ := met(t)
-	if got := l.Offices(); got[0] != "o1:1" {
+	if got := l.ControlNodes(); got[0] != "o1:1" {
 		t.Fatalf("asks %v first", got)
 	}
 }
--- a/internal/subscriber/verdict_test.go
+++ b/internal/subscriber/verdict_test.go
@@ -11,7 +11,7 @@
 )
 
 // A verdict reaches a gateway with the next frame and goes only when it is taken back, or when nobody upholds
-// it; an office that lags undoes nothing.
+// it; a control node that lags undoes nothing.
 func TestVerdictsOnReplicasReachGatewaysInOrder(t *testing.T) {
 	r := rand.New(rand.NewSource(3))
 	c := &chronicle{r: r, head: ledger.NewState()}
@@ -42,7 +42,7 @@
 	}
 	two.outliers = outlier.Table{Epoch: 1, Number: 9}
 	if rows := pass(clock.Sec); len(rows) != 1 {
-		t.Errorf("an older table from the other office undid it: %v", rows)
+		t.Errorf("an older table from the other control node undid it: %v", rows)
 	}
 	if rows := pass(verdictLostUs + clock.Sec); len(rows) != 0 {
 		t.Errorf("long after anybody upheld it: %v", rows)
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -12,23 +12,23 @@
 	"petreltide/internal/standing"
 )
 
-// Frame is one push of differences from an office down a gateway's stream. The first of a stream is whole.
+// Frame is one push of differences from a control node down a gateway's stream. The first of a stream is whole.
 // Revision and the declaration or the edits that lead to it come together; From is where the edits begin.
 type Frame struct {
-	Office  string `json:"office"`
-	Whole   bool   `json:"whole,omitempty"`
-	Settled bool   `json:"settled,omitempty"`
-	// Behind says that the office may be cut off: newer declarations may be in force than it knows.
-	Behind   bool                  `json:"behind,omitempty"`
-	View     *chain.View           `json:"view,omitempty"`
-	Offices  []chain.Member        `json:"offices,omitempty"`
-	Revision uint64                `json:"revision,omitempty"`
-	From     uint64                `json:"from,omitempty"`
-	Doc      *standing.Declaration `json:"doc,omitempty"`
-	Edits    []*standing.Edit      `json:"edits,omitempty"`
-	Replicas []ReplicaRow          `json:"replicas,omitempty"`
-	Orders   *Orders               `json:"orders,omitempty"`
-	Gateways int                   `json:"desks,omitempty"`
+	ControlNode string `json:"office"`
+	Whole       bool   `json:"whole,omitempty"`
+	Settled     bool   `json:"settled,omitempty"`
+	// Behind says that the control node may be cut off: newer declarations may be in force than it knows.
+	Behind       bool                  `json:"behind,omitempty"`
+	View         *chain.View           `json:"view,omitempty"`
+	ControlNodes []chain.Member        `json:"offices,omitempty"`
+	Revision     uint64                `json:"revision,omitempty"`
+	From         uint64                `json:"from,omitempty"`
+	Doc          *standing.Declaration `json:"doc,omitempty"`
+	Edits        []*standing.Edit      `json:"edits,omitempty"`
+	Replicas     []ReplicaRow          `json:"replicas,omitempty"`
+	Orders       *Orders               `json:"orders,omitempty"`
+	Gateways     int                   `json:"desks,omitempty"`
 	// Outliers are the verdicts on replicas, where they have changed.
 	Outliers *outlier.Table `json:"outliers,omitempty"`
 
@@ -37,13 +37,13 @@
 	err    error
 }
 
-// ReplicaRow is a replica's own word and what the office makes of its silence.
+// ReplicaRow is a replica's own word and what the control node makes of its silence.
 type ReplicaRow struct {
 	roster.Row
 	Dark bool `json:"dark,omitempty"`
 	// Index is the ledger entry that last said what it holds; Units follow the greatest.
 	Index uint64 `json:"index,omitempty"`
-	// Stale rows come from the ledger: they are where a replica was before the offices came back. One that
+	// Stale rows come from the ledger: they are where a replica was before the control nodes came back. One that
 	// is gone says no more than that the ledger has let it go.
 	Stale bool `json:"stale,omitempty"`
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -22,7 +22,7 @@
 
 // ReplicaNews is one replica as a gateway needs it. Share is how many requests this gateway may have there at once;
 // LeftMs is how long a leaving replica stays; Stale says that the row comes from
-// the ledger, from before the core nodes came back.
+// the ledger, from before the control nodes came back.
 type ReplicaNews struct {
 	ID        string   `json:"id"`
 	Inc       string   `json:"inc"`
@@ -40,7 +40,7 @@
 	Loading   string   `json:"loading,omitempty"`
 }
 
-// Follow asks a core node for a stream. Revision and Number are what the gateway knows already.
+// Follow asks a control node for a stream. Revision and Number are what the gateway knows already.
 type Follow struct {
 	Gateway  string `json:"desk"`
 	Inc      string `json:"inc"`
@@ -52,7 +52,7 @@
 	Spare bool `json:"spare,omitempty"`
 }
 
-// Report is what a gateway tells a core node, and asks a lease with. Arrivals (a second) and Waiting are by unit, InFlight
+// Report is what a gateway tells a control node, and asks a lease with. Arrivals (a second) and Waiting are by unit, InFlight
 // by replica and Left by "replica|unit"; SentUs is by the gateway's own clock.
 type Report struct {
 	Gateway  string             `json:"desk"`
@@ -97,29 +97,29 @@
 	Ring    []watch.Node `json:"ring,omitempty"`
 }
 
-// WhereAsk asks a core node for the members that it knows.
+// WhereAsk asks a control node for the members that it knows.
 type WhereAsk struct {
 	From chain.Member `json:"from"`
 }
 
-// Where answers WhereAsk with the chain's view and all core nodes known.
+// Where answers WhereAsk with the chain's view and all control nodes known.
 type Where struct {
-	View    chain.View     `json:"view"`
-	Offices []chain.Member `json:"offices"`
+	View         chain.View     `json:"view"`
+	ControlNodes []chain.Member `json:"offices"`
 }
 
-// Result is what became of a change, told to the core node that took it. Everywhere says that all gateways have it.
+// Result is what became of a change, told to the control node that took it. Everywhere says that all gateways have it.
 type Result struct {
 	Outcome    ledger.Outcome `json:"outcome"`
 	Everywhere bool           `json:"everywhere"`
 }
 
-// Post is a batch of one-way messages from one office to another.
+// Post is a batch of one-way messages from one control node to another.
 type Post struct {
 	Letters []Letter `json:"letters"`
 }
 
-// Letter is one message between core nodes; exactly one field is set.
+// Letter is one message between control nodes; exactly one field is set.
 type Letter struct {
 	Chain     *chain.Msg     `json:"chain,omitempty"`
 	Result    *Result        `json:"result,omitempty"`
@@ -130,7 +130,7 @@
 	Outlier   *outlier.Table `json:"outlier,omitempty"`
 }
 
-// Heard is what an office has heard of replicas and gateways, told to the other offices. Wants asks for
+// Heard is what a control node has heard of replicas and gateways, told to the other control nodes. Wants asks for
 // all rows again.
 type Heard struct {
 	By       string        `json:"by"`
@@ -142,14 +142,14 @@
 	Confirm []string `json:"confirm,omitempty"`
 }
 
-// Confirmed answers Confirm. Inc is the life of the office that asked.
+// Confirmed answers Confirm. Inc is the life of the control node that asked.
 type Confirmed struct {
 	By      string         `json:"by"`
 	Inc     string         `json:"inc"`
 	Leaving []KnownLeaving `json:"leaving"`
 }
 
-// KnownLeaving is a replica that an office knows to be leaving, or to be gone.
+// KnownLeaving is a replica that a control node knows to be leaving, or to be gone.
 type KnownLeaving struct {
 	ID   string `json:"id"`
 	Gone bool   `json:"gone,omitempty"`
--- a/proofs/capacity/axes.go
+++ b/proofs/capacity/axes.go
@@ -27,7 +27,7 @@
 func Part(share float64) Size {
 	scaled := func(n, least int) int { return max(least, int(float64(n)*share+0.5)) }
 	z := Target
-	z.Offices, z.Gateways, z.Replicas = scaled(Target.Offices, 3), scaled(Target.Gateways, 3), scaled(Target.Replicas, 10)
+	z.ControlNodes, z.Gateways, z.Replicas = scaled(Target.ControlNodes, 3), scaled(Target.Gateways, 3), scaled(Target.Replicas, 10)
 	z.Models, z.Adapters = scaled(Target.Models, 20), scaled(Target.Adapters, 20)
 	z.ChangesPerS, z.LoadsPerS = max(0.4, Target.ChangesPerS*share), max(0.5, Target.LoadsPerS*share)
 	z.RealGateways = 2
@@ -47,7 +47,7 @@
 		{"changes", vary(Small, []float64{0.2, 0.7, 2, 7, 20}, func(z *Size, n float64) { z.ChangesPerS = n })},
 		{"loads", vary(many, []float64{0.5, 1.5, 5, 15}, func(z *Size, n float64) { z.LoadsPerS = n })},
 		{"heartbeats", vary(Small, []int{4_800, 1_200, 400, 120}, func(z *Size, n int) { z.HeartbeatMs = n })},
-		{"offices", vary(Small, []int{3, 5, 7, 9, 13, 17, 30}, func(z *Size, n int) { z.Offices = n })},
+		{"offices", vary(Small, []int{3, 5, 7, 9, 13, 17, 30}, func(z *Size, n int) { z.ControlNodes = n })},
 		{"together", vary(Small, []float64{0.01, 0.03, 0.05, 0.1, 0.2}, func(z *Size, n float64) { *z = Part(n) })},
 	}
 }
--- a/proofs/capacity/capacity_test.go
+++ b/proofs/capacity/capacity_test.go
@@ -78,7 +78,7 @@
 	}{
 		"no desks":            {func(z *Size) { z.Gateways = 0 }, fault.BadField, "desks"},
 		"negative replicas":   {func(z *Size) { z.Replicas = -5 }, fault.BadField, "replicas"},
-		"two offices":         {func(z *Size) { z.Offices = 2 }, fault.BadField, "offices"},
+		"two offices":         {func(z *Size) { z.ControlNodes = 2 }, fault.BadField, "offices"},
 		"no models":           {func(z *Size) { z.Models = 0 }, fault.BadField, "models"},
 		"negative adapters":   {func(z *Size) { z.Adapters = -1 }, fault.BadField, "adapters"},
 		"nothing running":     {func(z *Size) { z.Running = 0 }, fault.BadField, "running"},
@@ -87,7 +87,7 @@
 		"negative loads":      {func(z *Size) { z.LoadsPerS = -1 }, fault.BadField, "loads"},
 		"no heartbeat":        {func(z *Size) { z.HeartbeatMs = 0 }, fault.BadField, "heartbeat-ms"},
 		"no real desk":        {func(z *Size) { z.RealGateways = 0 }, fault.BadField, "real-desks"},
-		"beyond memory":       {func(z *Size) { z.Offices, z.Replicas = 64, 20_000 }, fault.TooLarge, "memory"},
+		"beyond memory":       {func(z *Size) { z.ControlNodes, z.Replicas = 64, 20_000 }, fault.TooLarge, "memory"},
 		"beyond descriptors":  {func(z *Size) { z.Replicas = 19_000 }, fault.TooLarge, "descriptors"},
 		"beyond all replicas": {func(z *Size) { z.Replicas = 1 << 40 }, fault.BadField, "replicas"},
 	} {
@@ -282,7 +282,7 @@
 	}
 }
 
-// An office that is silent costs the operator a second or a little more, as on the users' platform.
+// A control node that is silent costs the operator a second or a little more, as on the users' platform.
 func TestTheOperatorGoesOnAfterASecondOfSilence(t *testing.T) {
 	silent, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/proofs/capacity/csv.go
+++ b/proofs/capacity/csv.go
@@ -34,7 +34,7 @@
 	for i, r := range runs {
 		z := r.Size
 		head := []string{
-			strconv.Itoa(i + 1), r.Axis, strconv.Itoa(z.Offices), strconv.Itoa(z.Gateways), strconv.Itoa(z.Replicas), strconv.Itoa(z.Models), strconv.Itoa(z.Adapters),
+			strconv.Itoa(i + 1), r.Axis, strconv.Itoa(z.ControlNodes), strconv.Itoa(z.Gateways), strconv.Itoa(z.Replicas), strconv.Itoa(z.Models), strconv.Itoa(z.Adapters),
 			strconv.Itoa(z.Running), number(z.ChangesPerS), number(z.LoadsPerS), strconv.Itoa(z.HeartbeatMs), number(r.BeatS),
 		}
 		for _, row := range r.Rows {
@@ -68,7 +68,7 @@
 		if l[0] != at || len(runs) == 0 {
 			at = l[0]
 			runs = append(runs, &Run{Axis: l[1], BeatS: n[11], Size: Size{
-				Offices: int(n[2]), Gateways: int(n[3]), Replicas: int(n[4]), Models: int(n[5]), Adapters: int(n[6]), Running: int(n[7]),
+				ControlNodes: int(n[2]), Gateways: int(n[3]), Replicas: int(n[4]), Models: int(n[5]), Adapters: int(n[6]), Running: int(n[7]),
 				ChangesPerS: n[8], LoadsPerS: n[9], HeartbeatMs: int(n[10]),
 			}})
 		}
--- a/proofs/capacity/fault.go
+++ b/proofs/capacity/fault.go
@@ -43,12 +43,12 @@
 	pause(ctx, settleSpan)
 	switch name {
 	case killOne:
-		return f.killOffices(ctx, run, name, func(_ *process, role string) bool { return role == "controller" }, nil)
+		return f.killControlNodes(ctx, run, name, func(_ *process, role string) bool { return role == "controller" }, nil)
 	case loseZone:
 		zone := f.zones[1]
-		return f.killOffices(ctx, run, name, func(p *process, _ string) bool { return p.zone == zone }, func(z string) bool { return z == zone })
+		return f.killControlNodes(ctx, run, name, func(p *process, _ string) bool { return p.zone == zone }, func(z string) bool { return z == zone })
 	case killAll:
-		return f.killOffices(ctx, run, name, func(*process, string) bool { return true }, nil)
+		return f.killControlNodes(ctx, run, name, func(*process, string) bool { return true }, nil)
 	case regionAway:
 		return f.region(ctx, run, name)
 	}
@@ -153,9 +153,9 @@
 	run.add(name, "in force at the last desk, longest", "ms", last)
 }
 
-// killOffices kills the offices that are chosen, with all of their zones where zones are given, looks how long it takes
+// killControlNodes kills the control nodes that are chosen, with all of their zones where zones are given, looks how long it takes
 // until all goes on, and starts them again: at once where none is left, else after that.
-func (f *fleet) killOffices(ctx context.Context, run *Run, name string, which func(*process, string) bool, zones func(string) bool) error {
+func (f *fleet) killControlNodes(ctx context.Context, run *Run, name string, which func(*process, string) bool, zones func(string) bool) error {
 	roles, err := f.roles(ctx)
 	if err != nil {
 		return err
@@ -164,7 +164,7 @@
 		f.darken(zones, true)
 	}
 	killed := []*process{}
-	for _, p := range f.offices {
+	for _, p := range f.controlNodes {
 		if which(p, roles[p.name]) {
 			p.kill()
 			killed = append(killed, p)
@@ -172,7 +172,7 @@
 	}
 	began, had := time.Now(), f.op.revision.Load()
 	f.world.mark()
-	if len(killed) == len(f.offices) {
+	if len(killed) == len(f.controlNodes) {
 		if err := f.startAgain(killed); err != nil {
 			return err
 		}
@@ -186,7 +186,7 @@
 		f.darken(zones, false)
 	}
 	back := time.Now()
-	f.until(ctx, back, func() bool { return f.seated(ctx) == len(f.offices) && f.gatewaysWhole() })
+	f.until(ctx, back, func() bool { return f.seated(ctx) == len(f.controlNodes) && f.gatewaysWhole() })
 	return ctx.Err()
 }
 
@@ -242,7 +242,7 @@
 
 func (f *fleet) seeds() []string {
 	all := []string{}
-	for _, p := range f.offices[:seedsMost] {
+	for _, p := range f.controlNodes[:seedsMost] {
 		all = append(all, p.ip)
 	}
 	return all
@@ -259,7 +259,7 @@
 	return time.Since(began).Seconds(), false
 }
 
-// gatewaysWhole: every hollow gateway that is in touch follows two offices and has the newest revision.
+// gatewaysWhole: every hollow gateway that is in touch follows two control nodes and has the newest revision.
 func (f *fleet) gatewaysWhole() bool {
 	for _, d := range f.world.gateways {
 		if !d.dead.Load() && (d.streams.Load() < 2 || d.revision.Load() < f.op.revision.Load()) {
--- a/proofs/capacity/fit.go
+++ b/proofs/capacity/fit.go
@@ -31,7 +31,7 @@
 
 // letter is the value of one letter of a formula; false where it stands for nothing.
 func letter(c rune, z Size, beatS float64) (float64, bool) {
-	n, r, k, o := float64(z.Gateways+z.RealGateways), float64(z.Replicas), float64(z.Running), float64(z.Offices)
+	n, r, k, o := float64(z.Gateways+z.RealGateways), float64(z.Replicas), float64(z.Running), float64(z.ControlNodes)
 	nk := float64(z.Gateways) * k
 	switch c {
 	case 'N':
--- a/proofs/capacity/hollow.go
+++ b/proofs/capacity/hollow.go
@@ -18,7 +18,7 @@
 
 	"petreltide/internal/chain"
 	"petreltide/internal/clock"
-	"petreltide/internal/office"
+	"petreltide/internal/controlnode"
 	"petreltide/internal/rpc"
 	"petreltide/internal/subscriber"
 	"petreltide/internal/wire"
@@ -80,19 +80,19 @@
 
 // frame is as much of wire.Frame as a hollow gateway looks at.
 type frame struct {
-	Office   string         `json:"office"`
-	Whole    bool           `json:"whole"`
-	Settled  bool           `json:"settled"`
-	View     *chain.View    `json:"view"`
-	Offices  []chain.Member `json:"offices"`
-	Revision uint64         `json:"revision"`
-	Gateways int            `json:"desks"`
-	Replicas []struct {
+	ControlNode  string         `json:"office"`
+	Whole        bool           `json:"whole"`
+	Settled      bool           `json:"settled"`
+	View         *chain.View    `json:"view"`
+	ControlNodes []chain.Member `json:"offices"`
+	Revision     uint64         `json:"revision"`
+	Gateways     int            `json:"desks"`
+	Replicas     []struct {
 		ID string `json:"id"`
 	} `json:"replicas"`
 }
 
-// hollowGateway follows offices and reports by the product's own Mirror, which is given frames without their rows:
+// hollowGateway follows control nodes and reports by the product's own Mirror, which is given frames without their rows:
 // whom it follows, when it gives a stream up and when it reports are a real gateway's.
 type hollowGateway struct {
 	name, ip, zone string
@@ -118,7 +118,7 @@
 )
 
 func (d *hollowGateway) run(ctx context.Context, seeds []string) {
-	d.inc = office.RandomID(6)
+	d.inc = controlnode.RandomID(6)
 	d.mu.Lock()
 	d.cancels = map[uint64]context.CancelFunc{}
 	d.mirror = subscriber.NewMirror(subscriber.Options{Gateway: d.name, Inc: d.inc, Addr: platform.Gateway(d.ip), Zone: d.zone, Seeds: seeds})
@@ -207,7 +207,7 @@
 			d.world.track.has(d.name, f.Revision)
 		}
 		d.step(ctx, subscriber.MirrorEvent{Stream: s.Number, Frame: &wire.Frame{
-			Office: f.Office, Whole: f.Whole, Settled: f.Settled, View: f.View, Offices: f.Offices, Gateways: f.Gateways,
+			ControlNode: f.ControlNode, Whole: f.Whole, Settled: f.Settled, View: f.View, ControlNodes: f.ControlNodes, Gateways: f.Gateways,
 		}})
 	}
 	_ = stream.Close()
@@ -275,20 +275,20 @@
 
 // hollowReplica beats, takes orders and tells what it holds; it does no work.
 type hollowReplica struct {
-	world     *world
-	n         int
-	ip, zone  string
-	offices   []string
-	mu        sync.Mutex
-	life      int
-	id        string
-	units     map[string]bool
-	had       map[string]bool
-	busyUntil time.Time
-	seq       uint64
-	dead      bool
-	acked     time.Time
-	mine      *rand.Rand
+	world        *world
+	n            int
+	ip, zone     string
+	controlNodes []string
+	mu           sync.Mutex
+	life         int
+	id           string
+	units        map[string]bool
+	had          map[string]bool
+	busyUntil    time.Time
+	seq          uint64
+	dead         bool
+	acked        time.Time
+	mine         *rand.Rand
 }
 
 func (r *hollowReplica) addr() string { return net.JoinHostPort(r.ip, strconv.Itoa(r.world.port)) }
@@ -324,7 +324,7 @@
 	ticker := time.NewTicker(every)
 	defer ticker.Stop()
 	dial := dialFrom(r.ip, &r.world.beat)
-	at := r.n % len(r.offices)
+	at := r.n % len(r.controlNodes)
 	var conn net.Conn
 	var in *bufio.Reader
 	defer func() {
@@ -339,11 +339,11 @@
 		if !dead {
 			began := time.Now()
 			if conn == nil {
-				if fresh, err := dial(ctx, "tcp", r.offices[at]); err == nil {
+				if fresh, err := dial(ctx, "tcp", r.controlNodes[at]); err == nil {
 					conn, in = fresh, bufio.NewReaderSize(fresh, 512)
 				}
 			}
-			if conn != nil && r.beat(conn, in, r.offices[at]) {
+			if conn != nil && r.beat(conn, in, r.controlNodes[at]) {
 				r.world.beat.sent.Add(1)
 				r.mu.Lock()
 				r.acked = time.Now()
@@ -354,7 +354,7 @@
 				if conn != nil {
 					_ = conn.Close()
 				}
-				conn, at = nil, (at+1)%len(r.offices)
+				conn, at = nil, (at+1)%len(r.controlNodes)
 			}
 		}
 		select {
--- a/proofs/capacity/operator.go
+++ b/proofs/capacity/operator.go
@@ -16,13 +16,13 @@
 
 // operator sends configurations in the platform's words, one after the other.
 type operator struct {
-	offices  []string
-	client   *http.Client
-	by       counter
-	world    *world
-	version  uint64
-	revision atomic.Uint64
-	turn     int
+	controlNodes []string
+	client       *http.Client
+	by           counter
+	world        *world
+	version      uint64
+	revision     atomic.Uint64
+	turn         int
 }
 
 // change is one configuration that was acknowledged.
@@ -33,8 +33,8 @@
 	acked    time.Time
 }
 
-func newOperator(w *world, offices []string) *operator {
-	o := &operator{offices: offices, world: w}
+func newOperator(w *world, controlNodes []string) *operator {
+	o := &operator{controlNodes: controlNodes, world: w}
 	o.client = &http.Client{Transport: &http.Transport{DialContext: dialFrom(w.own.Host(0, 250), &o.by)}}
 	return o
 }
@@ -60,12 +60,12 @@
 	return o.send(ctx, platform.UpdatePath, platform.Edit(serviceName, n%routes, 10_000+n, o.version+1))
 }
 
-// send repeats an order unchanged at the next office until it gets a clear answer.
+// send repeats an order unchanged at the next control node until it gets a clear answer.
 func (o *operator) send(ctx context.Context, path string, raw []byte) (change, error) {
 	c := change{bytes: len(raw), sent: time.Now()}
 	for span := 50 * time.Millisecond; ; span = min(span*2, 500*time.Millisecond) {
 		o.turn++
-		status, text, err := o.post(ctx, o.offices[o.turn%len(o.offices)], path, raw)
+		status, text, err := o.post(ctx, o.controlNodes[o.turn%len(o.controlNodes)], path, raw)
 		switch {
 		case err == nil && status == http.StatusOK:
 			o.version++
@@ -80,10 +80,10 @@
 	}
 }
 
-func (o *operator) post(ctx context.Context, office, path string, raw []byte) (int, string, error) {
+func (o *operator) post(ctx context.Context, controlNode, path string, raw []byte) (int, string, error) {
 	ctx, done := context.WithTimeout(ctx, silentMost+time.Duration(len(raw)/1024)*silentPerKb)
 	defer done()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+office+path, bytes.NewReader(raw))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+controlNode+path, bytes.NewReader(raw))
 	if err != nil {
 		return 0, "", errors.Trace(err)
 	}
--- a/proofs/capacity/page.go
+++ b/proofs/capacity/page.go
@@ -23,27 +23,27 @@
 	allowed              float64
 }
 
-// What a node may spend for control, of the target; what an office's machine is, of the pages' core machines.
+// What a node may spend for control, of the target; what a control node's machine is, of the pages' core machines.
 const (
-	nodeCores       = 0.023
-	nodeMb          = 256
-	nodeBytes       = 4_096
-	officeCores     = 0.96
-	officeMb        = 280
-	officeFds       = 4_096 - 200
-	officeBytes     = 125_000_000
-	heartbeatMsMost = 1_000
-	inForceMsMost   = 11_000
+	nodeCores        = 0.023
+	nodeMb           = 256
+	nodeBytes        = 4_096
+	controlNodeCores = 0.96
+	controlNodeMb    = 280
+	controlNodeFds   = 4_096 - 200
+	controlNodeBytes = 125_000_000
+	heartbeatMsMost  = 1_000
+	inForceMsMost    = 11_000
 )
 
-func officeFormulas(role string, more ...string) []formula {
+func controlNodeFormulas(role string, more ...string) []formula {
 	with := func(terms ...string) []string { return append(terms, more...) }
 	return []formula{
-		{role, "processor", "cores", with("1", "B/O", "P·R", "R", "N·K/O", "F·D", "F·R", "C·F", "L·F", "L·F·R"), 0.01, officeCores},
-		{role, "memory", "MB", with("1", "R", "R·P", "F·R", "F·D", "N/O", "M"), 10, officeMb},
-		{role, "descriptors", "open", []string{"1", "R/O", "N/O", "P"}, 10, officeFds},
-		{role, "bytes in", "B/s", with("1", "B/O", "P·R", "P", "N·K/O", "N/O", "P·E"), 1_000, officeBytes},
-		{role, "bytes out", "B/s", []string{"1", "B/O", "P·R", "P", "F·D", "F", "F·L", "C·F", "P·E", "N·K/O"}, 1_000, officeBytes},
+		{role, "processor", "cores", with("1", "B/O", "P·R", "R", "N·K/O", "F·D", "F·R", "C·F", "L·F", "L·F·R"), 0.01, controlNodeCores},
+		{role, "memory", "MB", with("1", "R", "R·P", "F·R", "F·D", "N/O", "M"), 10, controlNodeMb},
+		{role, "descriptors", "open", []string{"1", "R/O", "N/O", "P"}, 10, controlNodeFds},
+		{role, "bytes in", "B/s", with("1", "B/O", "P·R", "P", "N·K/O", "N/O", "P·E"), 1_000, controlNodeBytes},
+		{role, "bytes out", "B/s", []string{"1", "B/O", "P·R", "P", "F·D", "F", "F·L", "C·F", "P·E", "N·K/O"}, 1_000, controlNodeBytes},
 		{role, "reads", "1/s", with("1", "B/O", "P", "N/O"), 10, 0},
 		{role, "writes", "1/s", []string{"1", "B/O", "P", "F", "F·L", "N/O", "C·F"}, 10, 0},
 		{role, "disk writes", "B/s", []string{"1", "C", "L"}, 100, 0},
@@ -62,9 +62,9 @@
 		{"desk", "memory", "MB", []string{"1", "R", "D", "M"}, 5, nodeMb},
 		{"desk", "descriptors", "open", []string{"1", "P"}, 5, 0},
 	}
-	all = append(all, officeFormulas("member")...)
-	all = append(all, officeFormulas("tail")...)
-	all = append(all, officeFormulas("controller", "N·K")...)
+	all = append(all, controlNodeFormulas("member")...)
+	all = append(all, controlNodeFormulas("tail")...)
+	all = append(all, controlNodeFormulas("controller", "N·K")...)
 	return append(all, []formula{
 		{"member", "replicated state", "bytes", []string{"1", "R", "M", "A", "C"}, 1_000, 0},
 		{"replica's side", "heartbeats out", "1/s", []string{"B/R"}, 0.01, 0},
@@ -113,17 +113,17 @@
 	return fit, beyond
 }
 
-func targetWith(offices int) (Size, float64) {
+func targetWith(controlNodes int) (Size, float64) {
 	z := Target
-	z.Offices = offices
+	z.ControlNodes = controlNodes
 	return z, float64(z.Replicas) * 1000 / float64(z.HeartbeatMs)
 }
 
-// reach is the part of the target, in everything but the offices, at which a limit is met.
-func reach(f *Fit, limit float64, offices int) float64 {
+// reach is the part of the target, in everything but the control nodes, at which a limit is met.
+func reach(f *Fit, limit float64, controlNodes int) float64 {
 	at := func(share float64) float64 {
 		z := Target
-		z.Offices = offices
+		z.ControlNodes = controlNodes
 		z.Gateways, z.Replicas = int(float64(z.Gateways)*share+0.5), int(float64(z.Replicas)*share+0.5)
 		z.Models, z.Adapters = int(float64(z.Models)*share+0.5), int(float64(z.Adapters)*share+0.5)
 		z.Gateways, z.Replicas, z.Models = max(1, z.Gateways), max(1, z.Replicas), max(1, z.Models)
@@ -153,7 +153,7 @@
 	"tail": "Office as tail", "controller": "Office as controller, the head of the chain", "replica's side": "Replica's side of heartbeats and orders", "operator": "Operator's side",
 }
 
-const officesFew, officesEach = 5, 11
+const controlNodesFew, controlNodesEach = 5, 11
 
 func formulaTable(runs []*Run) string {
 	fit, _ := clear(runs)
@@ -168,12 +168,12 @@
 			continue
 		}
 		if q.role != last {
-			fmt.Fprintf(b, "\n**%s**\n\n| quantity | formula | runs | error, worst | target, %d offices | %d | %d | allowed | |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n", roleNames[q.role], officesFew, officesEach, Target.Offices)
+			fmt.Fprintf(b, "\n**%s**\n\n| quantity | formula | runs | error, worst | target, %d offices | %d | %d | allowed | |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n", roleNames[q.role], controlNodesFew, controlNodesEach, Target.ControlNodes)
 			last = q.role
 		}
 		values, fits := []string{}, 0
-		for _, offices := range []int{officesFew, officesEach, Target.Offices} {
-			v, e := f.At(targetWith(offices))
+		for _, controlNodes := range []int{controlNodesFew, controlNodesEach, Target.ControlNodes} {
+			v, e := f.At(targetWith(controlNodes))
 			text := figure(v)
 			if e > 0.005*v {
 				text += " ± " + figure(e)
@@ -186,7 +186,7 @@
 		allowed, sign := "", ""
 		if q.allowed > 0 {
 			allowed = exact(q.allowed)
-			switch share := reach(f, q.allowed, officesFew); {
+			switch share := reach(f, q.allowed, controlNodesFew); {
 			case fits == 3:
 				sign = "✓"
 			case fits > 0:
@@ -218,8 +218,8 @@
 		if f.Runs == 0 || q.allowed == 0 {
 			continue
 		}
-		share := reach(f, q.allowed, officesFew)
-		v, _ := f.At(targetWith(officesFew))
+		share := reach(f, q.allowed, controlNodesFew)
+		v, _ := f.At(targetWith(controlNodesFew))
 		text, sign := "not below ten times the target", "✓"
 		switch {
 		case share == 0:
@@ -234,7 +234,7 @@
 	}
 	slices.SortStableFunc(all, func(a, b limit) int { return cmp.Compare(a.share, b.share) })
 	b := &strings.Builder{}
-	fmt.Fprintf(b, "\n| role | quantity | at the target, %d offices | allowed | | the formula passes it at |\n| --- | --- | --- | --- | --- | --- |\n", officesFew)
+	fmt.Fprintf(b, "\n| role | quantity | at the target, %d offices | allowed | | the formula passes it at |\n| --- | --- | --- | --- | --- | --- |\n", controlNodesFew)
 	for _, l := range all {
 		b.WriteString(l.line)
 	}
@@ -310,10 +310,10 @@
 	return b.String()
 }
 
-// beyondText says how far an office got in a run that it could not do.
+// beyondText says how far a control node got in a run that it could not do.
 func beyondText(r *Run) string {
 	ran, waited := 0.0, 0.0
-	for _, role := range []string{"controller", "member", "tail", silentOffice} {
+	for _, role := range []string{"controller", "member", "tail", silentControlNode} {
 		if v, ok := r.value(role, "processor"); ok && v > ran {
 			ran = v
 			waited, _ = r.value(role, "waited for the machine")
@@ -341,7 +341,7 @@
 
 func sizeText(r *Run) string {
 	z := r.Size
-	return fmt.Sprintf("%d desks, %d replicas, %d models, %d offices", z.Gateways, z.Replicas, z.Models, z.Offices)
+	return fmt.Sprintf("%d desks, %d replicas, %d models, %d offices", z.Gateways, z.Replicas, z.Models, z.ControlNodes)
 }
 
 var forceAxes = []string{"together", "replicas", "desks", "offices"}
@@ -405,7 +405,7 @@
 func lettersTable([]*Run) string {
 	b := &strings.Builder{}
 	fmt.Fprintf(b, "\n| letter | what | at the target |\n| --- | --- | --- |\n")
-	z, beatS := targetWith(Target.Offices)
+	z, beatS := targetWith(Target.ControlNodes)
 	for _, l := range Letters {
 		v, _ := letter([]rune(l.Letter)[0], z, beatS)
 		fmt.Fprintf(b, "| %s | %s | %s |\n", l.Letter, l.Meaning, figure(v))
--- a/proofs/capacity/platform/dialect.go
+++ b/proofs/capacity/platform/dialect.go
@@ -25,10 +25,10 @@
 
 func at(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
 
-// Control is where an office hears replicas and operators.
+// Control is where a control node hears replicas and operators.
 func Control(ip string) string { return at(ip, controlPort) }
 
-// Internal is where an office hears other offices and gateways.
+// Internal is where a control node hears other control nodes and gateways.
 func Internal(ip string) string { return at(ip, internalPort) }
 
 // Gateway is where a gateway hears its own kind.
--- a/proofs/capacity/plot.go
+++ b/proofs/capacity/plot.go
@@ -32,7 +32,7 @@
 	case "heartbeats":
 		return r.BeatS
 	case "offices":
-		return float64(z.Offices)
+		return float64(z.ControlNodes)
 	}
 	return float64(z.Gateways)
 }
--- a/proofs/capacity/process.go
+++ b/proofs/capacity/process.go
@@ -15,7 +15,7 @@
 	"petreltide/proofs/capacity/platform"
 )
 
-// process is one real office or gateway.
+// process is one real control node or gateway.
 type process struct {
 	name string
 	role string
--- a/proofs/capacity/run.go
+++ b/proofs/capacity/run.go
@@ -15,8 +15,8 @@
 	"petreltide/proofs/loopback"
 )
 
-// silentOffice is the role of an office that is in no seat, or does not say where.
-const silentOffice = "office that does not say its seat"
+// silentControlNode is the role of a control node that is in no seat, or does not say where.
+const silentControlNode = "office that does not say its seat"
 
 // answerMost is when a change counts as not acknowledged.
 const answerMost = 20 * time.Second
@@ -58,13 +58,13 @@
 
 // fleet is the real part of a run.
 type fleet struct {
-	plan     Plan
-	zones    []string
-	regions  map[string]string
-	offices  []*process
-	gateways []*process
-	world    *world
-	op       *operator
+	plan         Plan
+	zones        []string
+	regions      map[string]string
+	controlNodes []*process
+	gateways     []*process
+	world        *world
+	op           *operator
 }
 
 // Play measures one fleet and ends it.
@@ -147,7 +147,7 @@
 }
 
 // real are all processes of a run.
-func (f *fleet) real() []*process { return append(slices.Clone(f.offices), f.gateways...) }
+func (f *fleet) real() []*process { return append(slices.Clone(f.controlNodes), f.gateways...) }
 
 // kill ends all processes and waits for the hollow part.
 func (f *fleet) kill() {
@@ -171,7 +171,7 @@
 	}
 }
 
-// seedsMost is how many offices every process is told of.
+// seedsMost is how many control nodes every process is told of.
 const seedsMost = 3
 
 // start places and starts all processes, and serves the hollow part.
@@ -189,7 +189,7 @@
 	context.AfterFunc(ctx, ofReplicas.Close)
 	f.name(own)
 	seeds, controls := []string{}, []string{}
-	for i, p := range f.offices {
+	for i, p := range f.controlNodes {
 		if i < seedsMost {
 			seeds = append(seeds, p.ip)
 		}
@@ -208,10 +208,10 @@
 	return f.world.serve(ctx)
 }
 
-// nameZones names a zone for each office, and the region that it lies in.
+// nameZones names a zone for each control node, and the region that it lies in.
 func (f *fleet) nameZones() {
 	regions := max(1, f.plan.Regions)
-	for i := range max(3, f.plan.Offices) {
+	for i := range max(3, f.plan.ControlNodes) {
 		zone := fmt.Sprintf("zone%02d", i)
 		f.zones = append(f.zones, zone)
 		f.regions[zone] = fmt.Sprintf("region%02d", i%regions)
@@ -220,8 +220,8 @@
 
 // name gives each process its name, address and zone.
 func (f *fleet) name(own *loopback.Network) {
-	for i := range f.plan.Offices {
-		f.offices = append(f.offices, &process{name: fmt.Sprintf("office-%02d", i), role: "office", ip: own.Host(0, 1+i), zone: f.zones[i], bin: f.plan.Petreltide})
+	for i := range f.plan.ControlNodes {
+		f.controlNodes = append(f.controlNodes, &process{name: fmt.Sprintf("office-%02d", i), role: "office", ip: own.Host(0, 1+i), zone: f.zones[i], bin: f.plan.Petreltide})
 	}
 	for i := range f.plan.RealGateways {
 		f.gateways = append(f.gateways, &process{name: fmt.Sprintf("desk-%02d", i), role: "desk", ip: own.Host(1, 1+i), zone: f.zones[i%len(f.zones)], bin: f.plan.Petreltide})
@@ -231,7 +231,7 @@
 // gatewaysSeeds are all that a gateway is told of other machines.
 func (f *fleet) gatewaysSeeds() []string {
 	all := []string{}
-	for _, p := range f.offices[:seedsMost] {
+	for _, p := range f.controlNodes[:seedsMost] {
 		all = append(all, p.internal())
 	}
 	return all
