--- a/proofs/capacity/size.go
+++ b/proofs/capacity/size.go
@@ -1,4 +1,4 @@
-// Package capacity measures what each role needs as the fleet grows: real offices and gateways against many
+// Package capacity measures what each role needs as the fleet grows: real control nodes and gateways against many
 // hollow gateways and hollow replicas in one process, over real connections.
 package capacity
 
@@ -16,11 +16,11 @@
 
 // Size is one fleet. Changes and loads are wanted rates; a run notes what they came to.
 type Size struct {
-	Offices  int
-	Gateways int
-	Replicas int
-	Models   int
-	Adapters int
+	ControlNodes int
+	Gateways     int
+	Replicas     int
+	Models       int
+	Adapters     int
 	// Running are requests under way at each gateway.
 	Running      int
 	ChangesPerS  float64
@@ -32,21 +32,21 @@
 // Target is what the page is measured against: 1.7 M tokens a second at 31 ms between them are 52,700 requests
 // under way, 129 at each of 410 gateways.
 var Target = Size{
-	Offices: 51, Gateways: 410, Replicas: 10_000, Models: 250, Adapters: 2_800, Running: 129,
+	ControlNodes: 51, Gateways: 410, Replicas: 10_000, Models: 250, Adapters: 2_800, Running: 129,
 	ChangesPerS: 26_000.0 / 86_400, LoadsPerS: 8_000.0 / 3_600, HeartbeatMs: 1_200,
 }
 
 const (
-	officesMost    = 64
-	processesMost  = 300
-	modelsMost     = 8_192
-	adaptersMost   = 65_536
-	replicasMost   = 20_000
-	gatewaysMost   = 4_096
-	runningMost    = 4_096
-	heartbeatLeast = 20
-	heartbeatMost  = 60_000
-	ratesMost      = 100.0
+	controlNodesMost = 64
+	processesMost    = 300
+	modelsMost       = 8_192
+	adaptersMost     = 65_536
+	replicasMost     = 20_000
+	gatewaysMost     = 4_096
+	runningMost      = 4_096
+	heartbeatLeast   = 20
+	heartbeatMost    = 60_000
+	ratesMost        = 100.0
 )
 
 // Check refuses what cannot be run, or what would take more of this machine than a run may.
@@ -57,7 +57,7 @@
 			sheet.Note(fault.BadField, field, "%d is not within %d and %d", n, least, most)
 		}
 	}
-	in("offices", z.Offices, 3, officesMost)
+	in("offices", z.ControlNodes, 3, controlNodesMost)
 	in("desks", z.Gateways, 1, gatewaysMost)
 	in("replicas", z.Replicas, 1, replicasMost)
 	in("models", z.Models, 1, modelsMost)
@@ -74,7 +74,7 @@
 	if sheet.Seen() {
 		return sheet.As(fault.BadField)
 	}
-	if n := z.Offices + z.RealGateways; n > processesMost {
+	if n := z.ControlNodes + z.RealGateways; n > processesMost {
 		sheet.Note(fault.TooLarge, "processes", "%d processes; a run may start %d", n, processesMost)
 	}
 	if need := z.needMb(); need > m.MemoryMb/2 {
@@ -86,15 +86,15 @@
 	return sheet.As(fault.TooLarge)
 }
 
-// needMb is a rough upper bound of a run's memory: each office keeps rows and writes whole frames of them to its
+// needMb is a rough upper bound of a run's memory: each control node keeps rows and writes whole frames of them to its
 // gateways; the hollow side keeps little of each replica and gateway.
 func (z Size) needMb() int {
 	rowsKb := z.Replicas*24 + z.Models/2
-	offices := z.Offices * (48*1024 + rowsKb)
+	controlNodes := z.ControlNodes * (48*1024 + rowsKb)
 	frames := z.Gateways * 2 * (128 + z.Replicas*2)
 	hollow := 256*1024 + z.Replicas*64 + z.Gateways*(512+z.Running)
 	real := z.RealGateways * (48*1024 + rowsKb)
-	return (offices + frames + hollow + real) / 1024
+	return (controlNodes + frames + hollow + real) / 1024
 }
 
 func (z Size) needDescriptors() int { return 200 + 3*z.Replicas + 8*z.Gateways }
@@ -161,10 +161,10 @@
 
 func (z Size) String() string {
 	return fmt.Sprintf("offices=%d desks=%d replicas=%d models=%d adapters=%d running=%d changes=%g/s loads=%g/s heartbeat=%dms",
-		z.Offices, z.Gateways, z.Replicas, z.Models, z.Adapters, z.Running, z.ChangesPerS, z.LoadsPerS, z.HeartbeatMs)
+		z.ControlNodes, z.Gateways, z.Replicas, z.Models, z.Adapters, z.Running, z.ChangesPerS, z.LoadsPerS, z.HeartbeatMs)
 }
 
 // Small is the size that the others are varied from.
 var Small = Size{
-	Offices: 3, Gateways: 20, Replicas: 100, Models: 50, Adapters: 200, Running: 30, ChangesPerS: 0.5, LoadsPerS: 0.5, HeartbeatMs: 1_200, RealGateways: 2,
+	ControlNodes: 3, Gateways: 20, Replicas: 100, Models: 50, Adapters: 200, Running: 30, ChangesPerS: 0.5, LoadsPerS: 0.5, HeartbeatMs: 1_200, RealGateways: 2,
 }
--- a/proofs/capacity/status.go
+++ b/proofs/capacity/status.go
@@ -10,8 +10,8 @@
 	"github.com/juju/errors"
 )
 
-type officeStatus struct {
-	Office struct {
+type controlNodeStatus struct {
+	ControlNode struct {
 		Name string `json:"name"`
 		Addr string `json:"addr"`
 	} `json:"office"`
@@ -53,18 +53,18 @@
 }
 
 func (f *fleet) seated(ctx context.Context) int {
-	st := officeStatus{}
-	if _, err := get(ctx, "http://"+f.offices[0].internal()+"/v1/status", &st); err != nil {
+	st := controlNodeStatus{}
+	if _, err := get(ctx, "http://"+f.controlNodes[0].internal()+"/v1/status", &st); err != nil {
 		return 0
 	}
 	return len(st.View.Order)
 }
 
-// roles names the offices by their place in the chain, as they say it themselves.
+// roles names the control nodes by their place in the chain, as they say it themselves.
 func (f *fleet) roles(ctx context.Context) (map[string]string, error) {
 	var last error
-	for _, p := range f.offices {
-		st := officeStatus{}
+	for _, p := range f.controlNodes {
+		st := controlNodeStatus{}
 		if _, err := get(ctx, "http://"+p.internal()+"/v1/status", &st); err != nil {
 			last = err
 			continue
@@ -85,11 +85,11 @@
 	return nil, last
 }
 
-// steady waits until every hollow gateway follows two offices and has been told of every replica.
+// steady waits until every hollow gateway follows two control nodes and has been told of every replica.
 func (f *fleet) steady(ctx context.Context) bool {
 	until := time.Now().Add(f.plan.Ready)
 	for time.Now().Before(until) && ctx.Err() == nil {
-		all := f.seated(ctx) == len(f.offices)
+		all := f.seated(ctx) == len(f.controlNodes)
 		for _, d := range f.world.gateways {
 			if d.streams.Load() < 2 || d.revision.Load() < f.op.revision.Load() || d.rows.Load() < int64(f.plan.Replicas) {
 				all = false
--- a/proofs/capacity/window.go
+++ b/proofs/capacity/window.go
@@ -51,7 +51,7 @@
 	run.addReplicas(w, f.world.beatMs.take(), float64(f.plan.Replicas))
 	run.add("fleet", "orders taken", "1/s", w.orders)
 	f.inForce(ctx, run, changes)
-	if size, err := get(ctx, "http://"+f.offices[0].internal()+"/v1/state", nil); err == nil {
+	if size, err := get(ctx, "http://"+f.controlNodes[0].internal()+"/v1/state", nil); err == nil {
 		run.add("member", "replicated state", "bytes", float64(size))
 	}
 	return nil
@@ -135,20 +135,20 @@
 // processes adds what processes of each role used, on average.
 func (f *fleet) processes(run *Run, roles map[string]string, before, after map[string]usage) {
 	sums := map[string]*roleUse{}
-	for _, p := range append(slices.Clone(f.offices), f.gateways[:max(1, len(f.gateways)-1)]...) {
+	for _, p := range append(slices.Clone(f.controlNodes), f.gateways[:max(1, len(f.gateways)-1)]...) {
 		role := roles[p.name]
 		if p.role == "desk" {
 			role = "desk"
 		}
 		if role == "" {
-			role = silentOffice
+			role = silentControlNode
 		}
 		if sums[role] == nil {
 			sums[role] = &roleUse{}
 		}
 		sums[role].take(before[p.name], after[p.name])
 	}
-	for _, role := range []string{"controller", "member", "tail", "desk", silentOffice} {
+	for _, role := range []string{"controller", "member", "tail", "desk", silentControlNode} {
 		if s := sums[role]; s != nil {
 			s.addTo(run, role)
 		}
--- a/proofs/capacity/world.go
+++ b/proofs/capacity/world.go
@@ -67,7 +67,7 @@
 
 // newWorld lays out gateways in their own network and replicas in another. Replicas listen at one port of all addresses,
 // so no two fleets may have the same one.
-func newWorld(size Size, own, ofReplicas *loopback.Network, offices, zones []string) *world {
+func newWorld(size Size, own, ofReplicas *loopback.Network, controlNodes, zones []string) *world {
 	w := &world{
 		size: size, own: own, port: firstReplicaPort + ofReplicas.Number(), byIP: map[string]*hollowReplica{}, began: time.Now(),
 	}
@@ -77,7 +77,7 @@
 	}
 	for i := range size.Replicas {
 		r := &hollowReplica{
-			world: w, n: i, ip: ofReplicas.Host(i/250, 1+i%250), zone: zones[i%len(zones)], offices: offices,
+			world: w, n: i, ip: ofReplicas.Host(i/250, 1+i%250), zone: zones[i%len(zones)], controlNodes: controlNodes,
 			units: map[string]bool{}, had: map[string]bool{}, mine: rand.New(rand.NewSource(int64(i))),
 		}
 		for k := range 2 {
@@ -151,7 +151,7 @@
 }
 
 // begin lets gateways come at once and replicas so many a second: what all of them at once do is seen when all
-// offices are killed.
+// control nodes are killed.
 func (w *world) begin(ctx context.Context, seeds []string) {
 	for i, r := range w.replicas {
 		w.group.Add(1)
--- a/proofs/cmd/fleet/capacity.go
+++ b/proofs/cmd/fleet/capacity.go
@@ -45,7 +45,7 @@
 	cmd := &cobra.Command{
 		Use:   "capacity",
 		Short: "Measure what each role needs as the fleet grows",
-		Long: `Run real offices and gateways against hollow gateways and hollow replicas, many in this one process, over real
+		Long: `Run real control nodes and gateways against hollow gateways and hollow replicas, many in this one process, over real
 connections with real messages. Prints a table and writes OUT/capacity.csv and plots. Without --axis one fleet of the
 sizes given is measured; "--axis all" plays every axis, "--axis replicas,desks" only those, and keeps the rows that
 OUT/capacity.csv has of the others. "capacity page" writes the tables of docs/CAPACITY.md anew from the CSV.`,
@@ -67,7 +67,7 @@
 	flags.StringVar(&c.plan.Petreltide, "petreltide", "bin/petreltide", "the program")
 	flags.StringVar(&c.out, "out", "", "folder for the CSV and the plots")
 	flags.StringSliceVar(&c.axes, "axis", nil, "all, or some of the axes; without it the one size given")
-	flags.IntVar(&c.plan.Offices, "offices", c.plan.Offices, "offices")
+	flags.IntVar(&c.plan.ControlNodes, "offices", c.plan.ControlNodes, "offices")
 	flags.IntVar(&c.plan.Gateways, "desks", c.plan.Gateways, "hollow desks")
 	flags.IntVar(&c.plan.RealGateways, "real-desks", c.plan.RealGateways, "real desks beside them")
 	flags.IntVar(&c.plan.Replicas, "replicas", c.plan.Replicas, "hollow replicas")
--- a/proofs/cmd/fleet/platform.go
+++ b/proofs/cmd/fleet/platform.go
@@ -14,7 +14,7 @@
 
 // platformCommand plays a day of real processes on the users' platform.
 func platformCommand() *cobra.Command {
-	plan := fleet.Plan{Offices: 3, Gateways: 3, Cards: 4, Logs: 2}
+	plan := fleet.Plan{ControlNodes: 3, Gateways: 3, Cards: 4, Logs: 2}
 	var faults string
 	var seconds int
 	var keep bool
--- a/proofs/fleet/bounds.go
+++ b/proofs/fleet/bounds.go
@@ -19,7 +19,7 @@
 	"petreltide/internal/wire"
 )
 
-// claimer claims keys at one office after another and times each claim.
+// claimer claims keys at one control node after another and times each claim.
 type claimer struct {
 	f      *Fleet
 	client *http.Client
@@ -32,12 +32,12 @@
 
 func (c *claimer) claim(ctx context.Context) {
 	n := c.n.Add(1)
-	offices := c.f.Addrs("office")
+	controlNodes := c.f.Addrs("office")
 	change := ledger.Change{ID: fmt.Sprintf("bound-%d", n), Key: &ledger.KeyChange{
 		Key: fmt.Sprintf("family-%032d", n), Gateway: "front-1", GatewayInc: "bounds", Call: fmt.Sprintf("front-1-%016d", n)}}
 	began := NowUs()
 	short, done := context.WithTimeout(ctx, 5*time.Second)
-	res, err := rpc.NewCaller[ledger.Change, wire.Result](c.client, offices[int(n)%len(offices)], rpc.SubmitPath).Call(short, &change)
+	res, err := rpc.NewCaller[ledger.Change, wire.Result](c.client, controlNodes[int(n)%len(controlNodes)], rpc.SubmitPath).Call(short, &change)
 	done()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -126,7 +126,7 @@
 		joined := make(chan error, 1)
 		go func() {
 			beganUs := NowUs()
-			err := f.replaceOffice(ctx, name)
+			err := f.replaceControlNode(ctx, name)
 			if err == nil {
 				err = f.whole(ctx)
 			}
--- a/proofs/fleet/compare_test.go
+++ b/proofs/fleet/compare_test.go
@@ -13,7 +13,7 @@
 	"testing"
 
 	"petreltide/examples"
-	"petreltide/internal/office"
+	"petreltide/internal/controlnode"
 )
 
 func policies(t *testing.T) (steady, chaser, broken string) {
@@ -29,13 +29,13 @@
 	return write("other", examples.Steady), write("chaser", examples.Chaser), write("broken", "def propose(fleet:\n")
 }
 
-func (f *Fleet) now(t *testing.T, ctx context.Context) office.ConfigNow {
+func (f *Fleet) now(t *testing.T, ctx context.Context) controlnode.ConfigNow {
 	t.Helper()
 	r, err := f.AskAny(ctx, http.MethodGet, "/v1/config", "")
 	if err != nil {
 		t.Fatal(err)
 	}
-	now := office.ConfigNow{}
+	now := controlnode.ConfigNow{}
 	if err := json.Unmarshal(r.Body, &now); err != nil {
 		t.Fatal(err)
 	}
@@ -78,17 +78,17 @@
 		stop()
 		<-over
 	}()
-	offices := strings.Join(f.Addrs("office"), ",")
+	controlNodes := strings.Join(f.Addrs("office"), ",")
 	other, chaser, broken := policies(t)
 	args := func(a, b string, more ...string) []string {
-		return append([]string{"compare", "--live", "--office", offices, "--policy", a, "--policy", b, "--windows", "4", "--window", "3s", "--settle", "300ms"}, more...)
+		return append([]string{"compare", "--live", "--office", controlNodes, "--policy", a, "--policy", b, "--windows", "4", "--window", "3s", "--settle", "300ms"}, more...)
 	}
 
 	before := f.now(t, ctx).Revision
 	for name, bad := range map[string][]string{
 		"odd windows": args(other, chaser, "--windows", "3"), "no windows": args(other, chaser, "--windows", "0"),
 		"an unknown file": args(other, chaser+"x"), "one that does not compile": args(other, broken),
-		"one policy":        {"compare", "--live", "--office", offices, "--policy", other},
+		"one policy":        {"compare", "--live", "--office", controlNodes, "--policy", other},
 		"no office reached": {"compare", "--live", "--office", f.FreeAddr(), "--policy", other, "--policy", chaser, "--windows", "2"},
 	} {
 		if out, err := run(t, bad...); err == nil {
@@ -136,9 +136,9 @@
 
 func TestMembersByCommandOnRealProcesses(t *testing.T) {
 	f, _, ctx := begun(t)
-	offices := strings.Join(f.Addrs("office"), ",")
+	controlNodes := strings.Join(f.Addrs("office"), ",")
 	member := func(args ...string) (string, error) {
-		return run(t, append(append([]string{"member"}, args...), "--office", offices)...)
+		return run(t, append(append([]string{"member"}, args...), "--office", controlNodes)...)
 	}
 	for _, c := range []struct {
 		args []string
@@ -163,7 +163,7 @@
 	}
 	out, err = member("list")
 	want(t, out, err, "order  add core-4", "an empty office named core-4", "vote   core-1")
-	if err := f.AddOffice("core-4", "a", f.reaches("office", ""), 0); err != nil {
+	if err := f.AddControlNode("core-4", "a", f.reaches("office", ""), 0); err != nil {
 		t.Fatal(err)
 	}
 	votes := func(n int) func() bool {
--- a/proofs/fleet/day.go
+++ b/proofs/fleet/day.go
@@ -20,7 +20,7 @@
 
 // PlanFor is the plan of an example deployment.
 func PlanFor(deployment string, doc *standing.Declaration) Plan {
-	p := Plan{Offices: 3, Gateways: 8, Replicas: 9, Zones: doc.Zones, RoomMb: doc.Replica.RoomMb, Slots: 16,
+	p := Plan{ControlNodes: 3, Gateways: 8, Replicas: 9, Zones: doc.Zones, RoomMb: doc.Replica.RoomMb, Slots: 16,
 		PieceUs: 8_000, FirstUs: 20_000, PartUs: 12_000, Store: doc.Store}
 	if deployment == "kaardilind" {
 		p.Gateways = 7
@@ -99,7 +99,7 @@
 }
 
 // countedHeld: the scaler has counted models, and each that it counts has a holder.
-func countedHeld(head officeStatus) bool {
+func countedHeld(head controlNodeStatus) bool {
 	raw, err := json.Marshal(head.Counts)
 	if err != nil {
 		return false
@@ -120,7 +120,7 @@
 }
 
 // isHeld: some replica that stays holds a model.
-func isHeld(head officeStatus, model string) bool {
+func isHeld(head controlNodeStatus, model string) bool {
 	for _, r := range head.Replicas {
 		if _, ok := r.Holds[model]; ok && !r.Leaving && !r.Dark {
 			return true
@@ -129,8 +129,8 @@
 	return false
 }
 
-// Head is the status of the core node that leads; ok is false where none does.
-func (f *Fleet) Head(ctx context.Context) (st officeStatus, ok bool) {
+// Head is the status of the control node that leads; ok is false where none does.
+func (f *Fleet) Head(ctx context.Context) (st controlNodeStatus, ok bool) {
 	for _, name := range f.Names("office") {
 		if st, ok = f.Status(ctx, name); ok && st.OnDuty {
 			return st, true
@@ -140,16 +140,16 @@
 }
 
 var faults = map[string]cause{
-	"kill-tail":       killOffice(func(ctx context.Context, f *Fleet) string { return f.seat(ctx, -1) }),
-	"kill-middle":     killOffice(func(ctx context.Context, f *Fleet) string { return f.seat(ctx, 1) }),
-	"kill-head":       killOffice(func(ctx context.Context, f *Fleet) string { return f.seat(ctx, 0) }),
+	"kill-tail":       killControlNode(func(ctx context.Context, f *Fleet) string { return f.seat(ctx, -1) }),
+	"kill-middle":     killControlNode(func(ctx context.Context, f *Fleet) string { return f.seat(ctx, 1) }),
+	"kill-head":       killControlNode(func(ctx context.Context, f *Fleet) string { return f.seat(ctx, 0) }),
 	"freeze-head":     freeze(func(ctx context.Context, f *Fleet) string { return f.seat(ctx, 0) }),
 	"freeze-tail":     freeze(func(ctx context.Context, f *Fleet) string { return f.seat(ctx, -1) }),
 	"freeze-desk":     freeze(func(_ context.Context, f *Fleet) string { return f.Names("desk")[0] }),
 	"kill-desk":       killAgain(func(_ context.Context, f *Fleet) string { return f.Names("desk")[1] }),
 	"kill-replica":    replace(0),
 	"notice-replica":  replace(2500),
-	"kill-offices":    killOffices,
+	"kill-offices":    killControlNodes,
 	"kill-everything": killEverything,
 	"empty-zone":      emptyZone,
 }
@@ -165,7 +165,7 @@
 }
 
 func (f *Fleet) seat(ctx context.Context, place int) string {
-	var tail officeStatus
+	var tail controlNodeStatus
 	short, done := context.WithTimeout(ctx, 15*time.Second)
 	defer done()
 	if f.Until(short, "there is an open tail", func() bool {
@@ -188,7 +188,7 @@
 	}
 }
 
-func killOffice(who func(context.Context, *Fleet) string) func(context.Context, *Fleet) error {
+func killControlNode(who func(context.Context, *Fleet) string) func(context.Context, *Fleet) error {
 	return func(ctx context.Context, f *Fleet) error {
 		name := who(ctx, f)
 		if name == "" {
@@ -236,7 +236,7 @@
 	}
 }
 
-func killOffices(ctx context.Context, f *Fleet) error { return killRoles(ctx, f, "office") }
+func killControlNodes(ctx context.Context, f *Fleet) error { return killRoles(ctx, f, "office") }
 
 func killEverything(ctx context.Context, f *Fleet) error {
 	return killRoles(ctx, f, "office", "desk", "replica")
--- a/proofs/fleet/faults.go
+++ b/proofs/fleet/faults.go
@@ -74,7 +74,7 @@
 	return ways
 }
 
-func (f *Fleet) twoOffices() (string, string) {
+func (f *Fleet) twoControlNodes() (string, string) {
 	names := f.Names("office")
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -97,12 +97,12 @@
 	defer done()
 	return f.Until(ctx, "every office has its seat and vote", func() bool {
 		tail, ok := f.Tail(ctx)
-		if !ok || len(tail.View.Order) != f.Plan.Offices {
+		if !ok || len(tail.View.Order) != f.Plan.ControlNodes {
 			return false
 		}
 		for _, name := range f.Names("office") {
 			mine, ok := f.Status(ctx, name)
-			if !ok || mine.Phase != chain.Serving || !tail.View.Seated(mine.Office.ID) || !tail.View.Votes(mine.Office.ID) {
+			if !ok || mine.Phase != chain.Serving || !tail.View.Seated(mine.ControlNode.ID) || !tail.View.Votes(mine.ControlNode.ID) {
 				return false
 			}
 		}
@@ -141,7 +141,7 @@
 	}
 }
 
-// lossy kills an office and takes the last synced records from its disk.
+// lossy kills a control node and takes the last synced records from its disk.
 func lossy(ctx context.Context, f *Fleet) error {
 	if err := f.whole(ctx); err != nil {
 		return err
@@ -171,7 +171,7 @@
 	return f.Again(name)
 }
 
-func (f *Fleet) replaceOffice(ctx context.Context, name string) error {
+func (f *Fleet) replaceControlNode(ctx context.Context, name string) error {
 	if err := f.whole(ctx); err != nil {
 		return err
 	}
@@ -180,14 +180,14 @@
 	if err := os.RemoveAll(f.folder(name)); err != nil {
 		return errors.Trace(err)
 	}
-	if err := f.AddOffice(name, zone, f.reaches("office", name), 0); err != nil {
+	if err := f.AddControlNode(name, zone, f.reaches("office", name), 0); err != nil {
 		return err
 	}
 	f.newSeeds()
 	return nil
 }
 
-// newSeeds is what an operator writes into every settings file once an office has another address; a
+// newSeeds is what an operator writes into every settings file once a control node has another address; a
 // process reads it when it starts again.
 func (f *Fleet) newSeeds() {
 	seeds := strings.Join(f.reaches("office", ""), ",")
@@ -213,17 +213,17 @@
 }
 
 func wipe(ctx context.Context, f *Fleet) error {
-	if err := f.replaceOffice(ctx, f.choose("office")); err != nil {
+	if err := f.replaceControlNode(ctx, f.choose("office")); err != nil {
 		return err
 	}
 	return f.whole(ctx)
 }
 
-// rollOffices replaces every office in turn by an empty one at a new address, and then starts a gateway
+// rollControlNodes replaces every control node in turn by an empty one at a new address, and then starts a gateway
 // that knows only the new ones.
-func rollOffices(ctx context.Context, f *Fleet) error {
+func rollControlNodes(ctx context.Context, f *Fleet) error {
 	for _, name := range f.Names("office") {
-		if err := f.replaceOffice(ctx, name); err != nil {
+		if err := f.replaceControlNode(ctx, name); err != nil {
 			return err
 		}
 	}
@@ -333,11 +333,11 @@
 			return f.alone(f.choose("replica"))
 		}),
 		"split-core": cut(func(f *Fleet) [][2]string {
-			a, b := f.twoOffices()
+			a, b := f.twoControlNodes()
 			return [][2]string{{a, b}, {b, a}}
 		}),
 		"one-way": cut(func(f *Fleet) [][2]string {
-			a, b := f.twoOffices()
+			a, b := f.twoControlNodes()
 			return [][2]string{{a, b}}
 		}),
 		"cut-core": cut(func(f *Fleet) [][2]string {
@@ -357,7 +357,7 @@
 		"full-disk":      disk("full", ""),
 		"lossy-office":   lossy,
 		"wipe-office":    wipe,
-		"roll-offices":   rollOffices,
+		"roll-offices":   rollControlNodes,
 		"roll-replicas":  rollReplicas,
 		"lose-zone":      loseZone,
 		"swap-seeds":     swapSeeds,
--- a/proofs/fleet/fleet.go
+++ b/proofs/fleet/fleet.go
@@ -20,7 +20,7 @@
 	"github.com/juju/errors"
 
 	"petreltide/internal/clock"
-	"petreltide/internal/office"
+	"petreltide/internal/controlnode"
 	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 	"petreltide/proofs/loopback"
@@ -33,21 +33,21 @@
 // Plan says which processes there are, and how the stand-in replicas among them work. Petreltide and Self are paths of the
 // product and of the fleet command.
 type Plan struct {
-	Petreltide string
-	Self       string
-	Folder     string
-	Offices    int
-	Gateways   int
-	Replicas   int
-	Zones      []string
-	RoomMb     int64
-	Slots      int
-	PieceUs    int64
-	FirstUs    int64
-	PartUs     int64
-	Store      standing.Store
-	Relays     bool
-	Seed       int64
+	Petreltide   string
+	Self         string
+	Folder       string
+	ControlNodes int
+	Gateways     int
+	Replicas     int
+	Zones        []string
+	RoomMb       int64
+	Slots        int
+	PieceUs      int64
+	FirstUs      int64
+	PartUs       int64
+	Store        standing.Store
+	Relays       bool
+	Seed         int64
 }
 
 // Proc is one process: Addr is where it listens and Reach where others reach it.
@@ -126,10 +126,10 @@
 
 func (f *Fleet) zone(i int) string { return f.Plan.Zones[i%len(f.Plan.Zones)] }
 
-// Start brings up offices, replicas and gateways.
+// Start brings up control nodes, replicas and gateways.
 func (f *Fleet) Start() error {
 	seeds, addrs := []string{}, []string{}
-	for i := 0; i < f.Plan.Offices; i++ {
+	for i := 0; i < f.Plan.ControlNodes; i++ {
 		addr, reach, err := f.place(fmt.Sprintf("core-%d", i+1))
 		if err != nil {
 			return err
@@ -137,7 +137,7 @@
 		addrs, seeds = append(addrs, addr), append(seeds, reach)
 	}
 	for i, addr := range addrs {
-		if err := f.addOffice(fmt.Sprintf("core-%d", i+1), addr, seeds[i], f.zone(i), seeds, f.Plan.Offices); err != nil {
+		if err := f.addControlNode(fmt.Sprintf("core-%d", i+1), addr, seeds[i], f.zone(i), seeds, f.Plan.ControlNodes); err != nil {
 			return err
 		}
 	}
@@ -154,16 +154,16 @@
 	return nil
 }
 
-// AddOffice starts one more core node.
-func (f *Fleet) AddOffice(name, zone string, seeds []string, founding int) error {
+// AddControlNode starts one more control node.
+func (f *Fleet) AddControlNode(name, zone string, seeds []string, founding int) error {
 	addr, reach, err := f.place(name)
 	if err != nil {
 		return err
 	}
-	return f.addOffice(name, addr, reach, zone, seeds, founding)
+	return f.addControlNode(name, addr, reach, zone, seeds, founding)
 }
 
-func (f *Fleet) addOffice(name, addr, reach, zone string, seeds []string, founding int) error {
+func (f *Fleet) addControlNode(name, addr, reach, zone string, seeds []string, founding int) error {
 	return f.run(&Proc{Name: name, Role: "office", Addr: addr, Reach: reach, Zone: zone, bin: f.Plan.Petreltide, Args: []string{
 		"office", "--name", name, "--listen", addr, "--advertise", reach, "--zone", zone, "--seeds", strings.Join(seeds, ","),
 		"--data", filepath.Join(f.Plan.Folder, name), "--platform", f.platAddr, "--founding", fmt.Sprint(founding),
@@ -327,8 +327,8 @@
 }
 
 // Ask sends one request to one address.
-func (f *Fleet) Ask(ctx context.Context, office, method, path, body string) (Reply, error) {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+office+path, strings.NewReader(body))
+func (f *Fleet) Ask(ctx context.Context, controlNode, method, path, body string) (Reply, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+controlNode+path, strings.NewReader(body))
 	if err != nil {
 		return Reply{}, err
 	}
@@ -342,7 +342,7 @@
 	return Reply{res.StatusCode, []byte(raw.String())}, err
 }
 
-// AskAny tries the offices until one answers below 500, and gives up at ctx's end.
+// AskAny tries the control nodes until one answers below 500, and gives up at ctx's end.
 func (f *Fleet) AskAny(ctx context.Context, method, path, body string) (Reply, error) {
 	for {
 		for _, addr := range f.Addrs("office") {
@@ -361,26 +361,26 @@
 	}
 }
 
-// Tail asks every office and returns the status of the open tail.
-func (f *Fleet) Tail(ctx context.Context) (office.Status, bool) {
+// Tail asks every control node and returns the status of the open tail.
+func (f *Fleet) Tail(ctx context.Context) (controlnode.Status, bool) {
 	for _, addr := range f.Addrs("office") {
 		short, done := context.WithTimeout(ctx, time.Second)
 		r, err := f.Ask(short, addr, http.MethodGet, "/v1/status", "")
 		done()
-		var st office.Status
+		var st controlnode.Status
 		if err == nil && json.Unmarshal(r.Body, &st) == nil && st.Open {
 			return st, true
 		}
 	}
-	return office.Status{}, false
+	return controlnode.Status{}, false
 }
 
-// Status asks one core node for its status.
-func (f *Fleet) Status(ctx context.Context, name string) (office.Status, bool) {
+// Status asks one control node for its status.
+func (f *Fleet) Status(ctx context.Context, name string) (controlnode.Status, bool) {
 	short, done := context.WithTimeout(ctx, time.Second)
 	defer done()
 	r, err := f.Ask(short, f.Proc(name).Addr, http.MethodGet, "/v1/status", "")
-	var st office.Status
+	var st controlnode.Status
 	if err != nil || json.Unmarshal(r.Body, &st) != nil {
 		return st, false
 	}
@@ -453,4 +453,4 @@
 	f.Told = append(f.Told, t)
 }
 
-type officeStatus = office.Status
+type controlNodeStatus = controlnode.Status
--- a/proofs/fleet/fleet_test.go
+++ b/proofs/fleet/fleet_test.go
@@ -45,7 +45,7 @@
 func small(t *testing.T) (*Fleet, *standing.Declaration, context.Context) {
 	t.Helper()
 	doc := sim.Doc()
-	f, err := New(Plan{Petreltide: petreltide, Self: self, Folder: t.TempDir(), Offices: 3, Gateways: 2, Replicas: 3, Zones: doc.Zones,
+	f, err := New(Plan{Petreltide: petreltide, Self: self, Folder: t.TempDir(), ControlNodes: 3, Gateways: 2, Replicas: 3, Zones: doc.Zones,
 		RoomMb: doc.Replica.RoomMb, Slots: 8, PieceUs: 20_000, FirstUs: 5_000, PartUs: 1_000, Store: doc.Store})
 	if err != nil {
 		t.Fatal(err)
@@ -104,33 +104,33 @@
 	if err := os.WriteFile(file, raw, 0o644); err != nil {
 		t.Fatal(err)
 	}
-	offices := strings.Join(f.Addrs("office"), ",")
-	out, err := run(t, "apply", file, "--office", offices, "--change", "one")
+	controlNodes := strings.Join(f.Addrs("office"), ",")
+	out, err := run(t, "apply", file, "--office", controlNodes, "--change", "one")
 	want(t, out, err, `"revision":1`)
-	out, err = run(t, "apply", file, "--office", offices, "--change", "one", "--base", "0")
+	out, err = run(t, "apply", file, "--office", controlNodes, "--change", "one", "--base", "0")
 	want(t, out, err, `"again":true`)
 	if err := f.Until(ctx, "the layout stands", func() bool { return f.Settled(ctx) }); err != nil {
 		t.Fatal(err)
 	}
-	out, err = run(t, "diff", file, "--office", offices)
+	out, err = run(t, "diff", file, "--office", controlNodes)
 	want(t, out, err, "no difference")
-	out, err = run(t, "status", "--office", offices)
+	out, err = run(t, "status", "--office", controlNodes)
 	want(t, out, err, "view ", "duty ", "replica   gpu-1")
-	out, err = run(t, "query", "--office", offices, `holders("m0")`)
+	out, err = run(t, "query", "--office", controlNodes, `holders("m0")`)
 	want(t, out, err, "gpu-")
 	patch := filepath.Join(t.TempDir(), "patch.json")
 	if err := os.WriteFile(patch, []byte(`{"scaler":{"spares":0}}`), 0o644); err != nil {
 		t.Fatal(err)
 	}
-	out, err = run(t, "apply", patch, "--patch", "--office", offices)
+	out, err = run(t, "apply", patch, "--patch", "--office", controlNodes)
 	want(t, out, err, `"revision":2`)
-	out, err = run(t, "zone", "empty", "c", "--office", offices)
+	out, err = run(t, "zone", "empty", "c", "--office", controlNodes)
 	want(t, out, err, `"revision":3`)
-	out, err = run(t, "query", "--office", offices, `config["declaration"]["emptied"]`)
+	out, err = run(t, "query", "--office", controlNodes, `config["declaration"]["emptied"]`)
 	want(t, out, err, `"c"`)
-	out, err = run(t, "zone", "restore", "c", "--office", offices)
+	out, err = run(t, "zone", "restore", "c", "--office", controlNodes)
 	want(t, out, err, `"revision":4`)
-	if out, err = run(t, "apply", file, "--office", offices, "--base", "1"); err == nil || !strings.Contains(out, "stale_base") {
+	if out, err = run(t, "apply", file, "--office", controlNodes, "--base", "1"); err == nil || !strings.Contains(out, "stale_base") {
 		t.Fatalf("a stale base got %v: %s", err, out)
 	}
 	replays(t, f)
@@ -218,7 +218,7 @@
 	}
 }
 
-// damagedFolder: a flipped bit is named, the folder kept, and the office made good by copy.
+// damagedFolder: a flipped bit is named, the folder kept, and the control node made good by copy.
 func damagedFolder(t *testing.T, f *Fleet, ctx context.Context) {
 	name := "core-2"
 	before, ok := f.Tail(ctx)
@@ -297,7 +297,7 @@
 	}
 }
 
-// Killed offices, the controller and a replaced empty one, with demand running: the rules hold.
+// Killed control nodes, the controller and a replaced empty one, with demand running: the rules hold.
 func TestKillsUnderDemandOnRealProcesses(t *testing.T) {
 	f, doc, ctx := begun(t)
 	if err := f.under(ctx, doc, 30, func() error {
@@ -312,7 +312,7 @@
 				if err := os.RemoveAll(filepath.Join(f.Plan.Folder, name)); err != nil {
 					return err
 				}
-				if err := f.AddOffice(name, f.Proc(name).Zone, f.reaches("office", name), 0); err != nil {
+				if err := f.AddControlNode(name, f.Proc(name).Zone, f.reaches("office", name), 0); err != nil {
 					return err
 				}
 			} else if err := f.Again(name); err != nil {
@@ -333,7 +333,7 @@
 	if !ok || before.Revision != 4 {
 		t.Fatalf("three changes were acknowledged after the first, revision is %d", before.Revision)
 	}
-	if err := killOffices(ctx, f); err != nil {
+	if err := killControlNodes(ctx, f); err != nil {
 		t.Fatal(err)
 	}
 	if err := f.Until(ctx, "all offices are back and the layout stands", func() bool {
@@ -343,7 +343,7 @@
 		t.Fatal(err)
 	}
 	if tail, ok := f.Tail(ctx); !ok || tail.Revision != 4 || tail.Commit < before.Commit {
-		t.Fatalf("all offices killed: revision %d commit %d, before 4 and %d", tail.Revision, tail.Commit, before.Commit)
+		t.Fatalf("all control nodes killed: revision %d commit %d, before 4 and %d", tail.Revision, tail.Commit, before.Commit)
 	}
 	seen, err := f.Seen()
 	if err != nil {
--- a/proofs/fleet/measure.go
+++ b/proofs/fleet/measure.go
@@ -264,13 +264,13 @@
 	}
 }
 
-// chainSeat is a place in the chain of offices; the last is -1.
+// chainSeat is a place in the chain of control nodes; the last is -1.
 type chainSeat struct {
 	name  string
 	place int
 }
 
-// measureFailover kills an office in each seat, a replica and a gateway, and measures how long each is missed.
+// measureFailover kills a control node in each seat, a replica and a gateway, and measures how long each is missed.
 func measureFailover(ctx context.Context, f *Fleet, doc *standing.Declaration, out io.Writer) error {
 	for _, seat := range []chainSeat{{"head (and controller)", 0}, {"middle", 1}, {"tail", -1}} {
 		if err := measureSeat(ctx, f, doc, seat, out); err != nil {
@@ -283,7 +283,7 @@
 	return measureGatewayAgain(ctx, f, doc, out)
 }
 
-// measureSeat kills the office in one seat three times, and measures how long it is until a change is taken.
+// measureSeat kills the control node in one seat three times, and measures how long it is until a change is taken.
 func measureSeat(ctx context.Context, f *Fleet, doc *standing.Declaration, seat chainSeat, out io.Writer) error {
 	var spans, gaps []float64
 	for i := 0; i < 3; i++ {
@@ -308,7 +308,7 @@
 		}
 		if err := f.Until(ctx, "the office has its seat again", func() bool {
 			tail, ok := f.Tail(ctx)
-			return ok && len(tail.View.Order) == f.Plan.Offices && f.Settled(ctx)
+			return ok && len(tail.View.Order) == f.Plan.ControlNodes && f.Settled(ctx)
 		}); err != nil {
 			return err
 		}
--- a/proofs/fleet/turns.go
+++ b/proofs/fleet/turns.go
@@ -8,8 +8,8 @@
 
 	"github.com/juju/errors"
 
+	"petreltide/internal/controlnode"
 	"petreltide/internal/fault"
-	"petreltide/internal/office"
 	"petreltide/internal/standing"
 	"petreltide/proofs/modelserver"
 	"petreltide/proofs/rules"
@@ -80,7 +80,7 @@
 	}
 	for ctx.Err() == nil {
 		r, err := f.AskAny(ctx, http.MethodGet, "/v1/config", "")
-		now := office.ConfigNow{}
+		now := controlnode.ConfigNow{}
 		if err != nil || json.Unmarshal(r.Body, &now) != nil {
 			return errors.Errorf("%v %s", err, r.Body)
 		}
--- a/proofs/history/explore_test.go
+++ b/proofs/history/explore_test.go
@@ -11,7 +11,7 @@
 )
 
 // Operators send orders under one number, on top of what is in force, under way, past or never was; they send them again
-// to other machines and read, while answers are lost and offices crash, freeze and are cut off. Every history must fit
+// to other machines and read, while answers are lost and control nodes crash, freeze and are cut off. Every history must fit
 // one register.
 func TestSeededOperatorsSeeOneRegister(t *testing.T) {
 	most := int64(walks)
@@ -40,7 +40,7 @@
 }
 
 // Each planted defect is caught, and told by one of the breaches that it causes.
-func TestPlantedOfficesAreCaught(t *testing.T) {
+func TestPlantedControlNodesAreCaught(t *testing.T) {
 	for _, c := range []struct {
 		plant    string
 		breaches []Breach
--- a/proofs/history/operators_test.go
+++ b/proofs/history/operators_test.go
@@ -71,7 +71,7 @@
 			}
 		}
 		w.after(callWaitUs, func() { end(func() { w.after(w.r.Int63n(200*clock.Ms), func() { try(left - 1) }) }) })
-		o := w.offices[w.r.Intn(offices)]
+		o := w.controlNodes[w.r.Intn(controlNodes)]
 		w.after(clock.Ms+w.r.Int63n(5*clock.Ms), func() {
 			o.later(0, func() {
 				o.configure(sent, func() bool { return !over }, func(answer Answer) {
@@ -109,7 +109,7 @@
 
 func (w *walk) read() {
 	call := w.rec.Read(w.nowUs)
-	o := w.offices[w.r.Intn(offices)]
+	o := w.controlNodes[w.r.Intn(controlNodes)]
 	o.later(clock.Ms, func() {
 		o.read(func(doc *standing.Declaration) {
 			w.after(clock.Ms, func() {
@@ -156,27 +156,27 @@
 	s.change = ledger.ConfigChange{Base: s.order.Base, Version: s.order.Version, Doc: doc}
 }
 
-// whole: all offices serve, so that one may lose its disk.
+// whole: all control nodes serve, so that one may lose its disk.
 func (w *walk) whole() bool {
-	for _, o := range w.offices {
-		if o.core == nil || w.nowUs < o.thawUs || o.core.Node.Phase() != chain.Serving || len(o.core.Node.View().Order) < offices {
+	for _, o := range w.controlNodes {
+		if o.core == nil || w.nowUs < o.thawUs || o.core.Node.Phase() != chain.Serving || len(o.core.Node.View().Order) < controlNodes {
 			return false
 		}
 	}
 	return true
 }
 
-// trouble crashes, wipes, freezes or cuts off one office at a time, or slows or crashes all, until a time.
+// trouble crashes, wipes, freezes or cuts off one control node at a time, or slows or crashes all, until a time.
 func (w *walk) trouble(untilUs int64) {
 	if w.nowUs >= untilUs {
 		return
 	}
 	spanUs := 200*clock.Ms + w.r.Int63n(2500*clock.Ms)
-	o := w.offices[w.r.Intn(offices)]
+	o := w.controlNodes[w.r.Intn(controlNodes)]
 	switch w.r.Intn(7) {
 	case 5:
 		w.counts["all crash"]++
-		for _, each := range w.offices {
+		for _, each := range w.controlNodes {
 			if each.core == nil {
 				continue
 			}
@@ -199,13 +199,13 @@
 		o.thawUs = w.nowUs + spanUs
 	case 2:
 		w.counts["cut"]++
-		for i := range offices {
+		for i := range controlNodes {
 			w.cuts[[2]int{o.number, i}], w.cuts[[2]int{i, o.number}] = true, true
 		}
 		w.after(spanUs, func() { clear(w.cuts) })
 	case 3:
 		w.counts["one-way cut"]++
-		w.cuts[[2]int{o.number, w.r.Intn(offices)}] = true
+		w.cuts[[2]int{o.number, w.r.Intn(controlNodes)}] = true
 		w.after(spanUs, func() { clear(w.cuts) })
 	case 4:
 		w.counts["slow"]++
--- a/proofs/history/walk_test.go
+++ b/proofs/history/walk_test.go
@@ -8,18 +8,18 @@
 	"petreltide/internal/chain"
 	"petreltide/internal/clock"
 	"petreltide/internal/controller"
+	"petreltide/internal/controlnode"
 	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
-	"petreltide/internal/office"
 	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
-// A walk plays three offices (the real reducers of office, chain and ledger) and operators on a network that delays,
-// loses and doubles, with offices that crash, freeze and are cut off, all drawn from one seed.
+// A walk plays three control nodes (the real reducers of control node, chain and ledger) and operators on a network that delays,
+// loses and doubles, with control nodes that crash, freeze and are cut off, all drawn from one seed.
 
 const (
-	offices      = 3
+	controlNodes = 3
 	tickUs       = 25 * clock.Ms
 	callWaitUs   = clock.Sec
 	resubmitUs   = 400 * clock.Ms
@@ -48,15 +48,15 @@
 }
 
 type walk struct {
-	r       *rand.Rand
-	nowUs   int64
-	queue   timeline
-	number  int64
-	offices []*walkOffice
-	cuts    map[[2]int]bool
-	slowUs  int64
-	plant   string
-	rec     *Recorder
+	r            *rand.Rand
+	nowUs        int64
+	queue        timeline
+	number       int64
+	controlNodes []*walkControlNode
+	cuts         map[[2]int]bool
+	slowUs       int64
+	plant        string
+	rec          *Recorder
 
 	orders   []*sentOrder
 	tip      uint64
@@ -73,10 +73,10 @@
 
 func newWalk(seed int64, plant string) *walk {
 	w := &walk{r: rand.New(rand.NewSource(seed)), nowUs: clock.Sec, cuts: map[[2]int]bool{}, plant: plant, rec: &Recorder{}, counts: map[string]int{}}
-	for i := range offices {
-		w.offices = append(w.offices, &walkOffice{walk: w, number: i, addr: fmt.Sprint("a", i)})
+	for i := range controlNodes {
+		w.controlNodes = append(w.controlNodes, &walkControlNode{walk: w, number: i, addr: fmt.Sprint("a", i)})
 	}
-	for _, o := range w.offices {
+	for _, o := range w.controlNodes {
 		o.start(true)
 	}
 	return w
@@ -97,12 +97,12 @@
 	w.nowUs = endUs
 }
 
-// walkOffice is one office: its reducer, what its disk has synced, and the callers that wait at it.
-type walkOffice struct {
+// walkControlNode is one control node: its reducer, what its disk has synced, and the callers that wait at it.
+type walkControlNode struct {
 	walk    *walk
 	number  int
 	addr    string
-	core    *office.Core
+	core    *controlnode.Core
 	life    int
 	wipes   int
 	thawUs  int64
@@ -110,10 +110,10 @@
 	waiters map[string][]func(ledger.Outcome)
 }
 
-func (o *walkOffice) start(first bool) {
+func (o *walkControlNode) start(first bool) {
 	o.life++
 	o.waiters = map[string][]func(ledger.Outcome){}
-	opts := office.SelfPaced(chain.Options{
+	opts := controlnode.SelfPaced(chain.Options{
 		Me: chain.Member{ID: fmt.Sprint("o", o.addr, "-", o.wipes), Name: "o" + o.addr, Addr: o.addr, Zone: "z"}, Inc: fmt.Sprint(o.addr, "/", o.life), CopiesLeast: 2, SelfMembers: true,
 	})
 	if first {
@@ -123,25 +123,25 @@
 	if err != nil {
 		panic(err)
 	}
-	o.core = office.NewCoreWith(node, office.CoreOptions{Controller: controller.Options{LeaseUs: 3 * clock.Sec}})
-	o.step(office.Event{Learn: []string{"a0", "a1", "a2"}})
+	o.core = controlnode.NewCoreWith(node, controlnode.CoreOptions{Controller: controller.Options{LeaseUs: 3 * clock.Sec}})
+	o.step(controlnode.Event{Learn: []string{"a0", "a1", "a2"}})
 	o.tick()
 }
 
-func (o *walkOffice) crash() {
+func (o *walkControlNode) crash() {
 	o.life++
 	o.core = nil
 }
 
-// wipe takes the disk's content too: the office comes back as another member under its name.
-func (o *walkOffice) wipe() {
+// wipe takes the disk's content too: the control node comes back as another member under its name.
+func (o *walkControlNode) wipe() {
 	o.crash()
 	o.records = nil
 	o.wipes++
 }
 
-// later runs in this life of the office, once it is not frozen.
-func (o *walkOffice) later(us int64, run func()) {
+// later runs in this life of the control node, once it is not frozen.
+func (o *walkControlNode) later(us int64, run func()) {
 	life := o.life
 	var due func()
 	due = func() {
@@ -156,14 +156,14 @@
 	o.walk.after(us, due)
 }
 
-func (o *walkOffice) tick() {
+func (o *walkControlNode) tick() {
 	o.later(tickUs, func() {
-		o.step(office.Event{})
+		o.step(controlnode.Event{})
 		o.tick()
 	})
 }
 
-func (o *walkOffice) step(ev office.Event) {
+func (o *walkControlNode) step(ev controlnode.Event) {
 	ev.NowUs = o.walk.nowUs
 	for _, e := range o.core.Step(ev) {
 		switch {
@@ -175,15 +175,15 @@
 			o.answer(e.Result.Outcome)
 		case e.Controller != nil && e.Controller.PollList:
 			o.later(clock.Ms, func() {
-				o.step(office.Event{Controller: &controller.Event{NowUs: o.walk.nowUs, Listed: &controller.Listed{}}})
+				o.step(controlnode.Event{Controller: &controller.Event{NowUs: o.walk.nowUs, Listed: &controller.Listed{}}})
 			})
 		}
 	}
 	o.damage()
 }
 
-// damage plants what an office with a fault would have lost.
-func (o *walkOffice) damage() {
+// damage plants what a control node with a fault would have lost.
+func (o *walkControlNode) damage() {
 	s := o.core.Node.State()
 	switch o.walk.plant {
 	case "forgetful":
@@ -194,7 +194,7 @@
 	}
 }
 
-func (o *walkOffice) sync(s chain.Save) {
+func (o *walkControlNode) sync(s chain.Save) {
 	o.later(clock.Ms+o.walk.r.Int63n(15*clock.Ms), func() {
 		if s.Fresh {
 			o.records = nil
@@ -203,13 +203,13 @@
 			o.records = append(o.records, chain.Record{Copy: s.Copy})
 		}
 		o.records = append(o.records, s.Records...)
-		o.step(office.Event{Saved: s.Seq})
+		o.step(controlnode.Event{Saved: s.Seq})
 	})
 }
 
-func (o *walkOffice) post(addr string, l wire.Letter) {
+func (o *walkControlNode) post(addr string, l wire.Letter) {
 	w := o.walk
-	for _, to := range w.offices {
+	for _, to := range w.controlNodes {
 		if to.addr != addr || to == o || w.cuts[[2]int{o.number, to.number}] || w.r.Intn(50) == 0 {
 			continue
 		}
@@ -224,15 +224,15 @@
 				delayUs += w.r.Int63n(4 * clock.Sec)
 			}
 			w.after(delayUs+w.r.Int63n(w.slowUs+1), func() {
-				to.later(0, func() { to.step(office.Event{Letter: &l}) })
+				to.later(0, func() { to.step(controlnode.Event{Letter: &l}) })
 			})
 		}
 	}
 }
 
-// configure does for an order what an office's host does: it asks the reducer, sends the order on until an outcome
+// configure does for an order what a control node's host does: it asks the reducer, sends the order on until an outcome
 // comes, and gives up when nobody waits any more.
-func (o *walkOffice) configure(sent *sentOrder, wanted func() bool, answer func(Answer)) {
+func (o *walkControlNode) configure(sent *sentOrder, wanted func() bool, answer func(Answer)) {
 	id := "op-" + sent.order.ID
 	if o.walk.plant == "own-state" && sent.order.Base != o.core.Node.State().Version() {
 		answer(Refused)
@@ -261,19 +261,19 @@
 			return
 		}
 		change := sent.change
-		o.step(office.Event{Submit: &ledger.Change{ID: id, Origin: o.addr, Config: &change}})
+		o.step(controlnode.Event{Submit: &ledger.Change{ID: id, Origin: o.addr, Config: &change}})
 		o.later(resubmitUs, again)
 	}
 	again()
 }
 
-func (o *walkOffice) answer(out ledger.Outcome) {
+func (o *walkControlNode) answer(out ledger.Outcome) {
 	for _, waiter := range o.waiters[out.ID] {
 		waiter(out)
 	}
 }
 
-func (o *walkOffice) answerOf(out ledger.Outcome) Answer {
+func (o *walkControlNode) answerOf(out ledger.Outcome) Answer {
 	switch {
 	case out.Fault == nil && o.walk.plant == "denies-winners" && o.walk.r.Intn(4) == 0:
 		return Refused
@@ -289,14 +289,14 @@
 	return Unclear
 }
 
-// read gives the declaration in force to done, where this office or the tail it knows can say.
-func (o *walkOffice) read(done func(*standing.Declaration)) {
+// read gives the declaration in force to done, where this control node or the tail it knows can say.
+func (o *walkControlNode) read(done func(*standing.Declaration)) {
 	node := o.core.Node
 	if node.Open(o.walk.nowUs) || o.walk.plant == "reads-old" {
 		done(node.State().Doc)
 		return
 	}
-	for _, tail := range o.walk.offices {
+	for _, tail := range o.walk.controlNodes {
 		if tail == o || tail.addr != node.View().Tail().Addr || o.walk.cuts[[2]int{o.number, tail.number}] {
 			continue
 		}
--- a/proofs/platform/fleet/fleet.go
+++ b/proofs/platform/fleet/fleet.go
@@ -40,17 +40,17 @@
 
 // Plan is a day of real processes on the users' platform, with stand-ins for all that is not ours.
 type Plan struct {
-	Petreltide string
-	Folder     string
-	Offices    int
-	Gateways   int
-	Cards      int
-	Logs       int
-	PerSecond  float64
-	Span       time.Duration
-	Faults     []string
-	Closing    bool
-	Seed       int64
+	Petreltide   string
+	Folder       string
+	ControlNodes int
+	Gateways     int
+	Cards        int
+	Logs         int
+	PerSecond    float64
+	Span         time.Duration
+	Faults       []string
+	Closing      bool
+	Seed         int64
 	// Aloud lets the processes write every line of their logs as it comes.
 	Aloud bool
 }
@@ -135,7 +135,7 @@
 
 // Start brings up everything at once, as the platform does.
 func (f *Fleet) Start() error {
-	for i := range f.plan.Offices {
+	for i := range f.plan.ControlNodes {
 		f.addMachine("office", fmt.Sprintf("core-%s-%d", zoneOf(i), i), zoneOf(i))
 	}
 	for i := range f.plan.Gateways {
@@ -499,7 +499,7 @@
 	}
 }
 
-// spare says whether the other offices have been well for as long as a machine counts as lost after its return.
+// spare says whether the other control nodes have been well for as long as a machine counts as lost after its return.
 func (f *Fleet) spare(p *machineProc) bool {
 	const catchUpUs = 4_000_000
 	f.mu.Lock()
@@ -512,7 +512,7 @@
 	return true
 }
 
-// wipe takes an office's disk away; it comes back at its address, with an empty one. It is left out where
+// wipe takes a control node's disk away; it comes back at its address, with an empty one. It is left out where
 // that would be more than the platform says is to be borne at once.
 func (f *Fleet) wipe(p *machineProc) error {
 	p.mu.Lock()
--- a/proofs/platform/fleet/fleet_test.go
+++ b/proofs/platform/fleet/fleet_test.go
@@ -23,7 +23,7 @@
 func playRouted(t *testing.T, plan Plan, breaks func(*Fleet)) []rules.Breach {
 	t.Helper()
 	plan.Petreltide, plan.Folder = program(t), t.TempDir()
-	plan.Offices, plan.Gateways, plan.Cards, plan.Logs, plan.PerSecond = 3, 3, 4, 2, 30
+	plan.ControlNodes, plan.Gateways, plan.Cards, plan.Logs, plan.PerSecond = 3, 3, 4, 2, 30
 	f, err := New(plan)
 	if err != nil {
 		t.Fatal(err)
@@ -51,7 +51,7 @@
 }
 
 // Operators send up to eight orders under one number at once, and send orders again, while the holder of the duty is
-// killed and an office freezes. All that they are answered and read back fits one register.
+// killed and a control node freezes. All that they are answered and read back fits one register.
 func TestOperatorsOfRealProcessesSeeOneRegister(t *testing.T) {
 	if testing.Short() {
 		t.Skip("it starts processes")
--- a/proofs/sim/compare.go
+++ b/proofs/sim/compare.go
@@ -57,7 +57,7 @@
 			doc := clone(*c.Doc)
 			doc.Policy, doc.Shadows = policy, nil
 			seed := c.Seeds[cells[i].seed]
-			cells[i].out = Play(Plan{Seed: seed, Offices: 3, Gateways: c.Gateways, Replicas: c.Replicas, SpanUs: c.SpanUs, PerSec: c.PerSec,
+			cells[i].out = Play(Plan{Seed: seed, ControlNodes: 3, Gateways: c.Gateways, Replicas: c.Replicas, SpanUs: c.SpanUs, PerSec: c.PerSec,
 				Faults: contestFaults(seed, c.Faults, c.SpanUs), Doc: &doc, Declared: true})
 		}()
 	}
--- a/proofs/sim/offices.go
+++ b/proofs/sim/control_nodes.go
@@ -5,16 +5,16 @@
 
 	"petreltide/internal/chain"
 	"petreltide/internal/controller"
+	"petreltide/internal/controlnode"
 	"petreltide/internal/ledger"
-	"petreltide/internal/office"
 	"petreltide/internal/placement"
 	"petreltide/internal/wire"
 	"petreltide/proofs/rules"
 )
 
-type officeNode struct {
+type controlNode struct {
 	machine
-	core     *office.Core
+	core     *controlnode.Core
 	named    string
 	disk     disk
 	zone     string
@@ -26,14 +26,14 @@
 	saver    saver
 }
 
-func newOffice(s *Sim, name, addr, zone string, founding int) *officeNode {
-	o := &officeNode{machine: machine{sim: s, name: name, addr: addr}, named: name, zone: zone, founding: founding}
+func newControlNode(s *Sim, name, addr, zone string, founding int) *controlNode {
+	o := &controlNode{machine: machine{sim: s, name: name, addr: addr}, named: name, zone: zone, founding: founding}
 	o.disk.identity = name + "-" + s.newInc()
 	o.start()
 	return o
 }
 
-func (o *officeNode) start() {
+func (o *controlNode) start() {
 	o.boot++
 	o.up, o.thawUs = true, 0
 	o.skewUs = o.sim.r.Int63n(1000) * sec
@@ -44,21 +44,21 @@
 	if err != nil {
 		panic(err)
 	}
-	o.core = office.NewCore(node)
+	o.core = controlnode.NewCore(node)
 	o.tick()
 	o.seek()
 }
 
-func (o *officeNode) tick() {
+func (o *controlNode) tick() {
 	o.later(25*ms, func() {
-		o.step(office.Event{})
+		o.step(controlnode.Event{})
 		o.tick()
 	})
 }
 
-func (o *officeNode) seek() {
+func (o *controlNode) seek() {
 	for _, seed := range o.sim.seeds {
-		to := o.sim.officeAt(seed)
+		to := o.sim.controlNodeAt(seed)
 		if to == nil || to == o {
 			continue
 		}
@@ -66,31 +66,31 @@
 			where := to.where()
 			o.sim.send(&to.machine, &o.machine, func() {
 				learned := []string{}
-				for _, m := range where.Offices {
+				for _, m := range where.ControlNodes {
 					if m.Addr != o.addr {
 						learned = append(learned, m.Addr)
 					}
 				}
-				o.step(office.Event{Learn: learned})
+				o.step(controlnode.Event{Learn: learned})
 			})
 		})
 	}
 	o.later(sec, o.seek)
 }
 
-func (o *officeNode) where() wire.Where {
+func (o *controlNode) where() wire.Where {
 	n := o.core.Node
-	w := wire.Where{View: n.View(), Offices: []chain.Member{n.Me()}}
+	w := wire.Where{View: n.View(), ControlNodes: []chain.Member{n.Me()}}
 	for _, p := range n.Partners() {
 		if p.Sound {
-			w.Offices = append(w.Offices, p.Member)
+			w.ControlNodes = append(w.ControlNodes, p.Member)
 		}
 	}
 	return clone(w)
 }
 
-func (s *Sim) officeAt(addr string) *officeNode {
-	for _, o := range s.offices {
+func (s *Sim) controlNodeAt(addr string) *controlNode {
+	for _, o := range s.controlNodes {
 		if o.addr == addr && o.up {
 			return o
 		}
@@ -98,7 +98,7 @@
 	return nil
 }
 
-func (o *officeNode) crash(lossy, torn int) {
+func (o *controlNode) crash(lossy, torn int) {
 	if !o.up {
 		return
 	}
@@ -109,7 +109,7 @@
 	}
 }
 
-func (o *officeNode) step(ev office.Event) {
+func (o *controlNode) step(ev controlnode.Event) {
 	s := o.sim
 	ev.NowUs = o.clock()
 	if ev.Controller != nil {
@@ -118,12 +118,12 @@
 	for _, e := range o.core.Step(ev) {
 		switch {
 		case e.Letter != nil:
-			to := s.officeAt(e.Letter.Addr)
+			to := s.controlNodeAt(e.Letter.Addr)
 			if to == nil {
 				continue
 			}
 			letter := clone(e.Letter.Letter)
-			s.send(&o.machine, &to.machine, func() { to.step(office.Event{Letter: &letter}) })
+			s.send(&o.machine, &to.machine, func() { to.step(controlnode.Event{Letter: &letter}) })
 		case e.Save != nil:
 			o.saver.put(*e.Save)
 		case e.Push != nil:
@@ -151,8 +151,8 @@
 }
 
 // counted checks that every member a tail counts for an acknowledgement has it on its disk.
-func (s *Sim) counted(tail *officeNode, index uint64) {
-	for _, o := range s.offices {
+func (s *Sim) counted(tail *controlNode, index uint64) {
+	for _, o := range s.controlNodes {
 		if o.up && o.disk.full {
 			s.watch.Stake(rules.UnsyncedCopy)
 		}
@@ -165,8 +165,8 @@
 	}
 }
 
-// applied checks that all offices apply the same change at the same place, whatever they are told.
-func (s *Sim) applied(o *officeNode, a chain.Applied) {
+// applied checks that all control nodes apply the same change at the same place, whatever they are told.
+func (s *Sim) applied(o *controlNode, a chain.Applied) {
 	raw, err := json.Marshal(a.Entry.Change)
 	if err != nil {
 		panic(err)
@@ -186,8 +186,8 @@
 	}
 }
 
-// submit does for a change what an office's host does: send it on until a result comes.
-func (o *officeNode) submit(c ledger.Change, waitUs int64, done func(wire.Result, bool)) {
+// submit does for a change what a control node's host does: send it on until a result comes.
+func (o *controlNode) submit(c ledger.Change, waitUs int64, done func(wire.Result, bool)) {
 	c.Origin = o.addr
 	endUs := o.sim.nowUs + waitUs
 	over := false
@@ -214,15 +214,15 @@
 			return
 		}
 		held := clone(c)
-		o.step(office.Event{Submit: &held})
+		o.step(controlnode.Event{Submit: &held})
 		o.later(400*ms, again)
 	}
 	again()
 }
 
-func (o *officeNode) tell(ev controller.Event) { o.step(office.Event{Controller: &ev}) }
+func (o *controlNode) tell(ev controller.Event) { o.step(controlnode.Event{Controller: &ev}) }
 
-func (o *officeNode) controller(e controller.Effect) {
+func (o *controlNode) controller(e controller.Effect) {
 	s := o.sim
 	wait := func() int64 { return 200 + s.r.Int63n(2000) }
 	switch {
--- a/proofs/sim/cutoff_test.go
+++ b/proofs/sim/cutoff_test.go
@@ -10,9 +10,9 @@
 
 const cutOffUs = 20 * sec
 
-func cutOffPlan(seed int64, offices int, cuts ...CutOff) RoutedPlan {
+func cutOffPlan(seed int64, controlNodes int, cuts ...CutOff) RoutedPlan {
 	p := routedPlan(seed, 0)
-	p.Offices, p.Closing, p.CutOffs, p.SpanUs = offices, "", cuts, 24*sec
+	p.ControlNodes, p.Closing, p.CutOffs, p.SpanUs = controlNodes, "", cuts, 24*sec
 	for i := range p.CutOffs {
 		c := &p.CutOffs[i]
 		if c.AtUs == 0 {
@@ -32,8 +32,8 @@
 func cutOffDays() map[string]RoutedPlan {
 	days := map[string]RoutedPlan{}
 	seed := int64(1)
-	add := func(name string, offices int, cuts ...CutOff) {
-		days[name] = cutOffPlan(seed, offices, cuts...)
+	add := func(name string, controlNodes int, cuts ...CutOff) {
+		days[name] = cutOffPlan(seed, controlNodes, cuts...)
 		seed++
 	}
 	for _, role := range []Role{HeadRole, MiddleRole, TailRole, ControllerRole, JoinerRole} {
--- a/proofs/sim/disk.go
+++ b/proofs/sim/disk.go
@@ -2,12 +2,12 @@
 
 import (
 	"petreltide/internal/chain"
-	"petreltide/internal/office"
+	"petreltide/internal/controlnode"
 )
 
 const retryUs = 250 * ms
 
-// disk is what an office has written. A full one refuses.
+// disk is what a control node has written. A full one refuses.
 type disk struct {
 	full     bool
 	refused  int
@@ -95,12 +95,12 @@
 	return append([]chain.Record{{Copy: s.Copy}}, s.Records...)
 }
 
-// saver does with an office's saves what its host does: in order, one at a time, and again until the disk
+// saver does with a control node's saves what its host does: in order, one at a time, and again until the disk
 // takes it.
 type saver struct {
 	on      *machine
 	disk    *disk
-	step    func(office.Event)
+	step    func(controlnode.Event)
 	end     func()
 	pending []chain.Save
 	writing bool
@@ -139,7 +139,7 @@
 		w.disk.keeping = nil
 		w.pending, w.writing = w.pending[1:], false
 		w.write()
-		w.on.now(boot, func() { w.step(office.Event{Saved: save.Seq}) })
+		w.on.now(boot, func() { w.step(controlnode.Event{Saved: save.Seq}) })
 	}
 	s.at(doneUs, try)
 }
@@ -169,7 +169,7 @@
 		w.end()
 		return
 	}
-	w.on.now(w.on.boot, func() { w.step(office.Event{Refused: seq}) })
+	w.on.now(w.on.boot, func() { w.step(controlnode.Event{Refused: seq}) })
 	if s.plan.Plant != "one-try" {
 		s.at(s.nowUs+retryUs, again)
 	}
--- a/proofs/sim/disk_test.go
+++ b/proofs/sim/disk_test.go
@@ -7,7 +7,7 @@
 	"petreltide/internal/chain"
 )
 
-// fullDisk plays one office's disk filling up under demand and changes, and says what is wrong: the office
+// fullDisk plays one control node's disk filling up under demand and changes, and says what is wrong: the control node
 // must live on, be out of the view within 1.2 s, and be back 4 s after its disk takes bytes again, while the
 // others go on acknowledging.
 func fullDisk(p Plan, at int, spanUs int64, restart bool) string {
@@ -19,12 +19,12 @@
 	s.demand(s.nowUs + 40*sec)
 	s.ops.play(s.nowUs + 40*sec)
 	s.runUntil(s.nowUs + 3*sec)
-	o := s.offices[0]
+	o := s.controlNodes[0]
 	order := o.core.Node.View().Order
 	if len(order) != 3 {
 		return fmt.Sprint("it begins with ", order)
 	}
-	for _, other := range s.offices {
+	for _, other := range s.controlNodes {
 		if other.core.Node.Me().ID == order[at].ID {
 			o = other
 		}
@@ -34,11 +34,11 @@
 	backUs := s.nowUs + spanUs
 	if restart {
 		boot++
-		s.crashOffice(o, 0, 0, 300*ms)
+		s.crashControlNode(o, 0, 0, 300*ms)
 	}
 	s.runUntil(s.nowUs + 1200*ms)
 	seated := func() bool {
-		for _, other := range s.offices {
+		for _, other := range s.controlNodes {
 			if n := other.core.Node; other != o && n.View().Seated(o.disk.identity) {
 				return true
 			}
@@ -46,7 +46,7 @@
 		return false
 	}
 	commit := func() (most uint64) {
-		for _, other := range s.offices {
+		for _, other := range s.controlNodes {
 			if other != o {
 				most = max(most, other.core.Node.Commit())
 			}
@@ -88,7 +88,7 @@
 	restart bool
 }{{"head", 0, false}, {"middle", 1, false}, {"tail", 2, false}, {"head, started anew meanwhile", 0, true}, {"tail, started anew meanwhile", 2, true}}
 
-func TestAnOfficeLivesOnWhileItsDiskIsFull(t *testing.T) {
+func TestAControlNodeLivesOnWhileItsDiskIsFull(t *testing.T) {
 	from, count := seeds(8)
 	for _, day := range fullDays {
 		t.Run(day.name, func(t *testing.T) {
@@ -103,7 +103,7 @@
 	}
 }
 
-// Each of these breaks must be seen: an office that ends itself, one that does not try again, and one that
+// Each of these breaks must be seen: a control node that ends itself, one that does not try again, and one that
 // says it has synced what it has not.
 func TestBreaksOnAFullDiskAreSeen(t *testing.T) {
 	for _, plant := range []string{"frail-office", "one-try", "rash-disk"} {
@@ -120,7 +120,7 @@
 	}
 }
 
-// powerLostKeepingACopy plays an office that comes back and loses power while it puts its copy away, at a step and
+// powerLostKeepingACopy plays a control node that comes back and loses power while it puts its copy away, at a step and
 // with some of the changed names lost, and says what is wrong: it must have its seat again 4 s after its second
 // start, and no rule may break.
 func powerLostKeepingACopy(p Plan, at int, step copyStep, torn int) string {
@@ -132,15 +132,15 @@
 	s.demand(s.nowUs + 40*sec)
 	s.ops.play(s.nowUs + 40*sec)
 	s.runUntil(s.nowUs + 2*sec)
-	o := s.offices[at]
-	s.crashOffice(o, 0, 0, 2*sec)
+	o := s.controlNodes[at]
+	s.crashControlNode(o, 0, 0, 2*sec)
 	for limitUs := s.nowUs + 20*sec; o.disk.keeping == nil || o.disk.keeping.step != step; {
 		if s.nowUs > limitUs {
 			return "it was given no copy: " + s.why()
 		}
 		s.runUntil(s.nowUs + 50)
 	}
-	s.crashOffice(o, 0, torn, 300*ms)
+	s.crashControlNode(o, 0, torn, 300*ms)
 	backUs := s.nowUs + 300*ms
 	s.runUntil(backUs + 5*sec)
 	if n := o.core.Node; !o.up || n.View().Place(n.Me().ID, n.Inc()) < 0 || n.WaitsFor() != "" {
--- a/proofs/sim/faults.go
+++ b/proofs/sim/faults.go
@@ -38,7 +38,7 @@
 }
 
 // spring is told of every acknowledgement as it leaves.
-func (s *Sim) spring(kind string, o *officeNode) {
+func (s *Sim) spring(kind string, o *controlNode) {
 	for i, t := range s.traps {
 		if t.kind != kind || s.nowUs > t.untilUs {
 			continue
@@ -46,7 +46,7 @@
 		s.traps = append(s.traps[:i:i], s.traps[i+1:]...)
 		at := o
 		if t.fault.B%2 == 1 {
-			for _, other := range s.offices {
+			for _, other := range s.controlNodes {
 				if other.up && other.core.Node.IsTail() {
 					at = other
 				}
@@ -58,7 +58,7 @@
 		}
 		s.note("power of %s lost after a %s was acknowledged, %d records lost", at.name, kind, lossy)
 		s.count(t.fault)
-		s.at(s.nowUs, func() { s.crashOffice(at, lossy, 0, t.fault.ForUs) })
+		s.at(s.nowUs, func() { s.crashControlNode(at, lossy, 0, t.fault.ForUs) })
 		return
 	}
 }
@@ -110,7 +110,7 @@
 
 func (s *Sim) names() []string {
 	names := []string{}
-	for _, o := range s.offices {
+	for _, o := range s.controlNodes {
 		names = append(names, o.name)
 	}
 	for _, d := range s.gateways {
@@ -120,7 +120,7 @@
 }
 
 func (s *Sim) damaged() bool {
-	for _, o := range s.offices {
+	for _, o := range s.controlNodes {
 		if !o.up || o.core.Node.Phase() != "serving" {
 			return true
 		}
@@ -131,14 +131,14 @@
 // cause brings a fault about, and counts it only where it was truly brought about.
 func (s *Sim) cause(f Fault) {
 	s.note("fault %s", f)
-	o := s.offices[f.A%len(s.offices)]
+	o := s.controlNodes[f.A%len(s.controlNodes)]
 	d := s.gateways[f.A%len(s.gateways)]
 	ids := s.serverIDs()
 	p := s.servers[ids[f.A%len(ids)]]
 	done := true
 	switch f.Kind {
 	case "crash-office", "torn-office", "lossy-office":
-		done = s.officeFault(f, o)
+		done = s.controlNodeFault(f, o)
 	case "wipe-office":
 		done = s.wipe(o, f.ForUs)
 	case "old-office-returns":
@@ -147,7 +147,7 @@
 			s.oldReturns(o, f)
 		}
 	case "roll-offices":
-		s.rollOffices(f, 0)
+		s.rollControlNodes(f, 0)
 		return
 	case "full-disk":
 		done = o.up
@@ -189,7 +189,7 @@
 		done = s.noticeReplica(p, f.ForUs+sec)
 	case "notice-race":
 		done = s.noticeReplica(p, f.ForUs+sec)
-		s.crashOffice(s.offices[f.B%len(s.offices)], 0, f.N, f.ForUs)
+		s.crashControlNode(s.controlNodes[f.B%len(s.controlNodes)], 0, f.N, f.ForUs)
 	case "list-down", "list-empty", "list-stale":
 		s.platMood = f.Kind[len("list-"):]
 		s.at(s.nowUs+min(f.ForUs, 2*sec), func() { s.platMood = "" })
@@ -201,12 +201,12 @@
 		o.skewUs += int64(f.N) * sec
 		d.skewUs += int64(f.B) * 100 * ms
 	case "kill-offices":
-		for _, o := range s.offices {
+		for _, o := range s.controlNodes {
 			lossy := 0
 			if s.plan.Plant == "amnesia" {
 				lossy = 10_000
 			}
-			s.crashOffice(o, lossy, f.N, f.ForUs/2)
+			s.crashControlNode(o, lossy, f.N, f.ForUs/2)
 		}
 	case "kill-everything":
 		s.killEverything(f, ids)
@@ -224,7 +224,7 @@
 		for _, d := range s.gateways {
 			s.seeds = append(s.seeds, d.addr)
 		}
-		for _, o := range s.offices {
+		for _, o := range s.controlNodes {
 			s.seeds = append(s.seeds, o.addr)
 		}
 	default:
@@ -237,7 +237,7 @@
 	s.count(f)
 }
 
-func (s *Sim) officeFault(f Fault, o *officeNode) bool {
+func (s *Sim) controlNodeFault(f Fault, o *controlNode) bool {
 	lossy, torn := 0, 0
 	switch f.Kind {
 	case "torn-office":
@@ -248,10 +248,10 @@
 		}
 		lossy = f.N
 	}
-	return s.crashOffice(o, lossy, torn, f.ForUs)
+	return s.crashControlNode(o, lossy, torn, f.ForUs)
 }
 
-func (s *Sim) cutFault(f Fault, o *officeNode, d *gatewayNode, p *serverNode) {
+func (s *Sim) cutFault(f Fault, o *controlNode, d *gatewayNode, p *serverNode) {
 	apart := func(name string) {
 		for _, other := range s.names() {
 			if other != name {
@@ -263,11 +263,11 @@
 	case "cut-office":
 		apart(o.name)
 	case "one-way":
-		s.cutOne(o.name, s.offices[(f.A+1+f.B%2)%len(s.offices)].name, f.ForUs)
+		s.cutOne(o.name, s.controlNodes[(f.A+1+f.B%2)%len(s.controlNodes)].name, f.ForUs)
 	case "split-core":
-		s.cutBoth(o.name, s.offices[(f.A+1)%len(s.offices)].name, f.ForUs)
+		s.cutBoth(o.name, s.controlNodes[(f.A+1)%len(s.controlNodes)].name, f.ForUs)
 	case "cut-core":
-		for _, o := range s.offices {
+		for _, o := range s.controlNodes {
 			apart(o.name)
 		}
 	case "cut-desk":
@@ -277,8 +277,8 @@
 	}
 }
 
-// wipe puts an empty machine at a new address in an office's place.
-func (s *Sim) wipe(o *officeNode, forUs int64) bool {
+// wipe puts an empty machine at a new address in a control node's place.
+func (s *Sim) wipe(o *controlNode, forUs int64) bool {
 	if s.damaged() || !o.up {
 		return false
 	}
@@ -291,7 +291,7 @@
 	return true
 }
 
-func (o *officeNode) replaceEmpty() {
+func (o *controlNode) replaceEmpty() {
 	o.disk = disk{identity: o.name + "-" + o.sim.newInc()}
 	o.addr = fmt.Sprintf("%s:%d", o.name, o.boot+1)
 	o.founding = 0
@@ -299,10 +299,10 @@
 	o.sim.newSeeds()
 }
 
-// newSeeds is what an operator writes into every settings file once an office has another address.
+// newSeeds is what an operator writes into every settings file once a control node has another address.
 func (s *Sim) newSeeds() {
 	s.seeds = nil
-	for _, o := range s.offices {
+	for _, o := range s.controlNodes {
 		if o.name == o.named {
 			s.seeds = append(s.seeds, o.addr)
 		}
@@ -310,17 +310,17 @@
 }
 
 // oldReturns starts the machine that was replaced, with its old disk, name and address.
-func (s *Sim) oldReturns(o *officeNode, f Fault) {
-	old := &officeNode{machine: machine{sim: s, name: o.name + "-old", addr: o.addr, boot: o.boot}, named: o.name, zone: o.zone, founding: o.founding, disk: o.disk}
+func (s *Sim) oldReturns(o *controlNode, f Fault) {
+	old := &controlNode{machine: machine{sim: s, name: o.name + "-old", addr: o.addr, boot: o.boot}, named: o.name, zone: o.zone, founding: o.founding, disk: o.disk}
 	s.at(s.nowUs+f.ForUs+3*sec, func() {
 		s.note("%s is back beside its replacement", old.name)
-		s.offices = append(s.offices, old)
+		s.controlNodes = append(s.controlNodes, old)
 		old.start()
 		s.at(s.nowUs+4*sec, func() {
 			old.crash(0, 0)
-			for i := range s.offices {
-				if s.offices[i] == old {
-					s.offices = append(s.offices[:i:i], s.offices[i+1:]...)
+			for i := range s.controlNodes {
+				if s.controlNodes[i] == old {
+					s.controlNodes = append(s.controlNodes[:i:i], s.controlNodes[i+1:]...)
 					return
 				}
 			}
@@ -328,11 +328,11 @@
 	})
 }
 
-// rollOffices replaces one office after another by an empty one at a new address, each once the
+// rollControlNodes replaces one control node after another by an empty one at a new address, each once the
 // one before serves; in the end no seed of old is left, and a gateway starts with the new ones.
-func (s *Sim) rollOffices(f Fault, at int) {
+func (s *Sim) rollControlNodes(f Fault, at int) {
 	untilUs := s.nowUs + 8*sec
-	if at == len(s.offices) {
+	if at == len(s.controlNodes) {
 		s.restartGateway(s.gateways[f.A%len(s.gateways)], 300*ms)
 		s.count(f)
 		return
@@ -342,11 +342,11 @@
 		if s.nowUs > untilUs || s.healed {
 			return
 		}
-		if !s.wipe(s.offices[at], 200*ms) {
+		if !s.wipe(s.controlNodes[at], 200*ms) {
 			s.at(s.nowUs+100*ms, next)
 			return
 		}
-		s.rollOffices(f, at+1)
+		s.rollControlNodes(f, at+1)
 	}
 	next()
 }
@@ -365,12 +365,12 @@
 }
 
 func (s *Sim) killEverything(f Fault, ids []string) {
-	for i, o := range s.offices {
+	for i, o := range s.controlNodes {
 		lossy := 0
-		if i == f.B%len(s.offices) && !s.damaged() {
+		if i == f.B%len(s.controlNodes) && !s.damaged() {
 			lossy = f.N
 		}
-		s.crashOffice(o, lossy, f.N, f.ForUs/3)
+		s.crashControlNode(o, lossy, f.N, f.ForUs/3)
 	}
 	for _, d := range s.gateways {
 		s.restartGateway(d, f.ForUs/3)
@@ -381,9 +381,9 @@
 }
 
 func (s *Sim) loseZone(zone string, f Fault) {
-	for _, o := range s.offices {
+	for _, o := range s.controlNodes {
 		if o.zone == zone {
-			s.crashOffice(o, 0, f.N, f.ForUs)
+			s.crashControlNode(o, 0, f.N, f.ForUs)
 		}
 	}
 	for _, d := range s.gateways {
@@ -398,7 +398,7 @@
 	}
 }
 
-func (s *Sim) crashOffice(o *officeNode, lossy, torn int, forUs int64) bool {
+func (s *Sim) crashControlNode(o *controlNode, lossy, torn int, forUs int64) bool {
 	if !o.up {
 		return false
 	}
@@ -462,7 +462,7 @@
 	s.healed, s.traps = true, nil
 	s.cuts = map[[2]string]int{}
 	s.loss, s.platMood = 0, ""
-	for _, o := range s.offices {
+	for _, o := range s.controlNodes {
 		o.thawUs, o.disk.full = min(o.thawUs, s.nowUs), false
 		o.disk.stallUs, o.disk.slowUs = min(o.disk.stallUs, s.nowUs), 0
 		if !o.up {
--- a/proofs/sim/gateways.go
+++ b/proofs/sim/gateways.go
@@ -5,11 +5,11 @@
 	"math/rand"
 	"sort"
 
+	"petreltide/internal/controlnode"
 	"petreltide/internal/dispatch"
 	"petreltide/internal/fault"
 	"petreltide/internal/gateway"
 	"petreltide/internal/ledger"
-	"petreltide/internal/office"
 	"petreltide/internal/subscriber"
 	"petreltide/internal/watch"
 	"petreltide/internal/wire"
@@ -95,7 +95,7 @@
 		switch {
 		case e.AskWhere != nil:
 			for _, addr := range e.AskWhere {
-				if o := s.officeAt(addr); o != nil {
+				if o := s.controlNodeAt(addr); o != nil {
 					s.send(&d.machine, &o.machine, func() {
 						where := o.where()
 						s.send(&o.machine, &d.machine, func() { d.subscribe(subscriber.Event{Where: &where}) })
@@ -136,8 +136,8 @@
 func (d *gatewayNode) beat(addr string, last bool) {
 	s := d.sim
 	b := watch.Beat{ID: d.name, Last: last}
-	if o := s.officeAt(addr); o != nil {
-		s.send(&d.machine, &o.machine, func() { o.step(office.Event{Beat: &b}) })
+	if o := s.controlNodeAt(addr); o != nil {
+		s.send(&d.machine, &o.machine, func() { o.step(controlnode.Event{Beat: &b}) })
 	}
 	for _, to := range s.gateways {
 		if to.addr == addr {
@@ -148,7 +148,7 @@
 
 func (d *gatewayNode) follow(f subscriber.Follow) {
 	s := d.sim
-	o := s.officeAt(f.Tail.Addr)
+	o := s.controlNodeAt(f.Tail.Addr)
 	if o == nil {
 		d.later(5*ms, func() { d.subscribe(subscriber.Event{Closed: f.Number}) })
 		return
@@ -160,13 +160,13 @@
 		}
 		o.follows[d.name] = d
 		ask := f.Ask
-		o.step(office.Event{Follow: &ask})
+		o.step(controlnode.Event{Follow: &ask})
 	})
 }
 
 func (d *gatewayNode) report(addr string) {
 	s := d.sim
-	o := s.officeAt(addr)
+	o := s.controlNodeAt(addr)
 	if o == nil {
 		return
 	}
@@ -180,7 +180,7 @@
 				s.spring("lease", o)
 			}
 		}
-		o.step(office.Event{Report: &office.Reported{Report: report, Reply: o.replySeq}})
+		o.step(controlnode.Event{Report: &controlnode.Reported{Report: report, Reply: o.replySeq}})
 	})
 }
 
@@ -274,9 +274,9 @@
 		}
 	}
 	d.later(2500*ms, func() { finish(wire.Result{}, false) })
-	var o *officeNode
-	for _, addr := range d.subscriber.Offices() {
-		if at := s.officeAt(addr); o == nil && at != nil && !s.isCut(d.name, at.name) && !s.isCut(at.name, d.name) {
+	var o *controlNode
+	for _, addr := range d.subscriber.ControlNodes() {
+		if at := s.controlNodeAt(addr); o == nil && at != nil && !s.isCut(d.name, at.name) && !s.isCut(at.name, d.name) {
 			o = at
 		}
 	}
--- a/proofs/sim/idle_chain_test.go
+++ b/proofs/sim/idle_chain_test.go
@@ -7,10 +7,10 @@
 func TestLoadsGoOnAfterAllOfTheCoreLostPower(t *testing.T) {
 	heavy(t)
 	const backUs, aliveUs = 30 * sec, 6 * sec
-	for _, offices := range []int{3, 5} {
+	for _, controlNodes := range []int{3, 5} {
 		for _, seed := range []int64{2, 24} {
 			p := routedPlan(seed, 0)
-			p.Offices, p.Closing = offices, ""
+			p.ControlNodes, p.Closing = controlNodes, ""
 			p.Faults = []Fault{{Kind: "herd-power-work", AtUs: 12 * sec, ForUs: 2 * sec, A: 15, B: 11, N: 3}}
 			out := judgeRouted(t, p)
 			loads := 0
@@ -20,7 +20,7 @@
 				}
 			}
 			if loads < 5 {
-				t.Errorf("%d offices, seed %d: %d loads from %d s after the return to the end", offices, seed, loads, aliveUs/sec)
+				t.Errorf("%d control nodes, seed %d: %d loads from %d s after the return to the end", controlNodes, seed, loads, aliveUs/sec)
 			}
 		}
 	}
--- a/proofs/sim/member_repair_test.go
+++ b/proofs/sim/member_repair_test.go
@@ -8,8 +8,8 @@
 	"petreltide/proofs/rules"
 )
 
-func repairPlan(seed int64, offices int, r Repairs) RoutedPlan {
-	return RoutedPlan{Seed: seed, Offices: offices, Gateways: 2, Cards: 4, Logs: 2, PerSec: 8, CalmUs: 5 * sec, SpanUs: sec, Repairs: r, Closing: "wipe-after-ack-all"}
+func repairPlan(seed int64, controlNodes int, r Repairs) RoutedPlan {
+	return RoutedPlan{Seed: seed, ControlNodes: controlNodes, Gateways: 2, Cards: 4, Logs: 2, PerSec: 8, CalmUs: 5 * sec, SpanUs: sec, Repairs: r, Closing: "wipe-after-ack-all"}
 }
 
 // A control machine is lost for good, emptied or replaced as planned, and the next one the moment that its successor
@@ -18,13 +18,13 @@
 func TestMemberLossesRightAfterRepairs(t *testing.T) {
 	heavy(t)
 	from, count := seeds(2)
-	for _, offices := range []int{3, 5} {
+	for _, controlNodes := range []int{3, 5} {
 		for _, how := range []string{repairReplace, repairPlanned, repairWipe, repairMixed} {
 			for _, oldest := range []bool{false, true} {
 				for seed := from; seed < from+count; seed++ {
-					t.Run(fmt.Sprintf("%d offices/%s/oldest %v/seed-%d", offices, how, oldest, seed), func(t *testing.T) {
+					t.Run(fmt.Sprintf("%d offices/%s/oldest %v/seed-%d", controlNodes, how, oldest, seed), func(t *testing.T) {
 						t.Parallel()
-						out := RunRouted(repairPlan(int64(seed), offices, Repairs{Rounds: 4, How: how, Oldest: oldest}))
+						out := RunRouted(repairPlan(int64(seed), controlNodes, Repairs{Rounds: 4, How: how, Oldest: oldest}))
 						if len(out.Breaches) > 0 {
 							t.Fatalf("%v\n%s", out.Breaches, strings.Join(last(out.Log, 80), "\n"))
 						}
--- a/proofs/sim/member_test.go
+++ b/proofs/sim/member_test.go
@@ -9,11 +9,11 @@
 	"petreltide/proofs/rules"
 )
 
-// order sends an order about members until it is answered, at any office that is up, and once more after
+// order sends an order about members until it is answered, at any control node that is up, and once more after
 // that, as an operator may who lost the answer.
 func (p *operators) order(id string, m ledger.MemberChange) {
 	s := p.sim
-	o := p.office()
+	o := p.controlNode()
 	again := func() { s.at(s.nowUs+300*ms, func() { p.order(id, m) }) }
 	if o == nil {
 		again()
@@ -37,9 +37,9 @@
 	})
 }
 
-func (s *Sim) empty(name, zone string) *officeNode {
-	o := newOffice(s, name, fmt.Sprintf("%s:new%s", name, s.newInc()), zone, 0)
-	s.offices = append(s.offices, o)
+func (s *Sim) empty(name, zone string) *controlNode {
+	o := newControlNode(s, name, fmt.Sprintf("%s:new%s", name, s.newInc()), zone, 0)
+	s.controlNodes = append(s.controlNodes, o)
 	return o
 }
 
@@ -52,11 +52,11 @@
 	}
 }
 
-// votes are the names that vote in the newest view any office has, whether all are seated, and the order
+// votes are the names that vote in the newest view any control node has, whether all are seated, and the order
 // that stands.
 func (s *Sim) votes() (names map[string]string, seated bool, order *ledger.MemberChange) {
-	var newest *officeNode
-	for _, o := range s.offices {
+	var newest *controlNode
+	for _, o := range s.controlNodes {
 		if o.up && (newest == nil || o.core.Node.View().Number > newest.core.Node.View().Number) {
 			newest = o
 		}
@@ -67,7 +67,7 @@
 		names[v.Name] = v.ID
 		seated = seated && view.Seated(v.ID)
 	}
-	for _, o := range s.offices {
+	for _, o := range s.controlNodes {
 		if o.up && o.core.Node.Open(o.clock()) {
 			return names, seated, o.core.Node.State().Member
 		}
@@ -75,7 +75,7 @@
 	return names, false, nil
 }
 
-// An office is added, one replaced beside its living self, one removed; whichever office is killed at
+// A control node is added, one replaced beside its living self, one removed; whichever control node is killed at
 // whichever step, each order is carried out once and service holds.
 func TestMembershipByCommandWithKillsAtEachStep(t *testing.T) {
 	heavy(t)
@@ -92,7 +92,7 @@
 			kill := func() {
 				s.at(s.nowUs+s.r.Int63n(2500*ms), func() {
 					if !s.damaged() {
-						s.crashOffice(s.offices[s.r.Intn(len(s.offices))], 0, s.r.Intn(4), 300*ms+s.r.Int63n(1500*ms))
+						s.crashControlNode(s.controlNodes[s.r.Intn(len(s.controlNodes))], 0, s.r.Intn(4), 300*ms+s.r.Int63n(1500*ms))
 					}
 				})
 			}
@@ -107,19 +107,19 @@
 			s.empty("core-3", "a")
 			s.runUntil(s.nowUs + 2*sec)
 			if names, _, _ := s.votes(); names["core-3"] != "" {
-				t.Fatal("an office nobody ordered votes")
+				t.Fatal("a control node nobody ordered votes")
 			}
 			step("added", ledger.MemberChange{Act: ledger.AddMember, Name: "core-3"}, func(n map[string]string) bool { return len(n) == 4 && n["core-3"] != "" })
-			old := s.offices[1]
+			old := s.controlNodes[1]
 			oldID := old.core.Node.Me().ID
 			s.empty(old.name, old.zone)
 			s.runUntil(s.nowUs + 2*sec)
 			if names, _, _ := s.votes(); names[old.name] != oldID {
-				t.Fatal("a living office was replaced without an order")
+				t.Fatal("a living control node was replaced without an order")
 			}
 			step("replaced", ledger.MemberChange{Act: ledger.ReplaceMember, Name: old.name}, func(n map[string]string) bool { return len(n) == 4 && n[old.name] != oldID })
 			old.crash(0, 0)
-			s.offices = append(s.offices[:1:1], s.offices[2:]...)
+			s.controlNodes = append(s.controlNodes[:1:1], s.controlNodes[2:]...)
 			step("removed", ledger.MemberChange{Act: ledger.RemoveMember, Name: "core-3"}, func(n map[string]string) bool { return len(n) == 3 && n["core-3"] == "" })
 			s.until(t, "usual again", func() bool { return s.settled() })
 			fromUs := s.nowUs
@@ -133,10 +133,10 @@
 	}
 }
 
-// damagedBut: an office that votes is down or not yet serving.
+// damagedBut: a control node that votes is down or not yet serving.
 func (s *Sim) damagedBut() bool {
 	names, _, _ := s.votes()
-	for _, o := range s.offices {
+	for _, o := range s.controlNodes {
 		if id := names[o.named]; id == o.disk.identity && (!o.up || o.core.Node.Phase() != "serving") {
 			return true
 		}
--- a/proofs/sim/operators.go
+++ b/proofs/sim/operators.go
@@ -46,10 +46,10 @@
 	return k != nil && k.Resumable
 }
 
-func (p *operators) office() *officeNode {
+func (p *operators) controlNode() *controlNode {
 	s := p.sim
 	for try := 0; try < 20; try++ {
-		if o := s.offices[s.r.Intn(len(s.offices))]; o.up && o.thawUs <= s.nowUs {
+		if o := s.controlNodes[s.r.Intn(len(s.controlNodes))]; o.up && o.thawUs <= s.nowUs {
 			return o
 		}
 	}
@@ -79,7 +79,7 @@
 		}
 		p.sim.at(p.sim.nowUs+700*ms, func() { p.sendAs(id, base, doc, try+1, done) })
 	}
-	o := p.office()
+	o := p.controlNode()
 	if o == nil {
 		again()
 		return
@@ -535,7 +535,7 @@
 			s.watch.Break(rules.ConfigLost, "revision %d was acknowledged as %s, it is %q", rev, name, got)
 		}
 	}
-	for _, o := range s.offices {
+	for _, o := range s.controlNodes {
 		if !o.up || !o.core.Node.Open(o.clock()) {
 			continue
 		}
--- a/proofs/sim/overload_test.go
+++ b/proofs/sim/overload_test.go
@@ -21,7 +21,7 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			out := Play(Plan{Seed: 3, Offices: 3, Gateways: 3, Replicas: 5, SpanUs: 5 * sec, PerSec: 60 * times, Declared: true})
+			out := Play(Plan{Seed: 3, ControlNodes: 3, Gateways: 3, Replicas: 5, SpanUs: 5 * sec, PerSec: 60 * times, Declared: true})
 			c := carried{times: times, byKind: map[string]float64{}}
 			for _, told := range out.Told {
 				if told.Ended {
--- a/proofs/sim/routed.go
+++ b/proofs/sim/routed.go
@@ -14,19 +14,19 @@
 
 // RoutedPlan is a day on the users' platform: replicas make themselves known, and calls come by routes.
 type RoutedPlan struct {
-	Seed     int64
-	Offices  int
-	Gateways int
-	Cards    int
-	Logs     int
-	PerSec   float64
-	CalmUs   int64
-	SpanUs   int64
-	Faults   []Fault
-	CutOffs  []CutOff
-	Repairs  Repairs
-	Closing  string
-	Plant    string
+	Seed         int64
+	ControlNodes int
+	Gateways     int
+	Cards        int
+	Logs         int
+	PerSec       float64
+	CalmUs       int64
+	SpanUs       int64
+	Faults       []Fault
+	CutOffs      []CutOff
+	Repairs      Repairs
+	Closing      string
+	Plant        string
 }
 
 const (
@@ -41,26 +41,26 @@
 // routedDay drives the reducers of every role, by routes, under one virtual clock.
 type routedDay struct {
 	*Sim
-	plan     RoutedPlan
-	seen     *rules.Day
-	engine   *standing.Engine
-	store    *replica.Store
-	disks    map[string]*replica.Disk
-	offices  []*routedOffice
-	gateways []*routedGateway
-	replicas map[string]*replicaNode
-	lives    int
-	conns    uint64
-	ports    int
-	listed   []listing
-	clients  *clients
-	ops      *routedOperators
-	springs  []*spring
-	taking   []func(t *routedGateway)
-	ordering []Fault
-	keepers  []Fault
-	handed   bool
-	cutOff   cutOffState
+	plan         RoutedPlan
+	seen         *rules.Day
+	engine       *standing.Engine
+	store        *replica.Store
+	disks        map[string]*replica.Disk
+	controlNodes []*routedControlNode
+	gateways     []*routedGateway
+	replicas     map[string]*replicaNode
+	lives        int
+	conns        uint64
+	ports        int
+	listed       []listing
+	clients      *clients
+	ops          *routedOperators
+	springs      []*spring
+	taking       []func(t *routedGateway)
+	ordering     []Fault
+	keepers      []Fault
+	handed       bool
+	cutOff       cutOffState
 }
 
 // listing is the operators' list of machines that serve control, from a moment on.
@@ -107,11 +107,11 @@
 		d.seen.Bounds.LoadsPerS /= 4
 	}
 	zones := []string{"a", "b", "c"}
-	for i := range min(plan.Offices, seedsMost) {
+	for i := range min(plan.ControlNodes, seedsMost) {
 		d.seeds = append(d.seeds, fmt.Sprintf("core-%d:1", i))
 	}
-	for i := range plan.Offices {
-		d.addOffice(fmt.Sprintf("core-%d", i), fmt.Sprintf("core-%d:1", i), zones[i%3], true)
+	for i := range plan.ControlNodes {
+		d.addControlNode(fmt.Sprintf("core-%d", i), fmt.Sprintf("core-%d:1", i), zones[i%3], true)
 	}
 	d.list()
 	for i := range plan.Gateways {
@@ -129,8 +129,8 @@
 	return d
 }
 
-// tolerated is how many offices may lose their disks at once; an acknowledgement needs one copy more.
-func (d *routedDay) tolerated() int { return max(1, (d.plan.Offices-1)/2) }
+// tolerated is how many control nodes may lose their disks at once; an acknowledgement needs one copy more.
+func (d *routedDay) tolerated() int { return max(1, (d.plan.ControlNodes-1)/2) }
 
 // catchUpUs is how long after its return the platform counts a machine as lost.
 func (d *routedDay) catchUpUs() int64 {
@@ -158,7 +158,7 @@
 // list notes which machines serve control now; the others learn it with a lag.
 func (d *routedDay) list() {
 	addrs := []string{}
-	for _, o := range d.offices {
+	for _, o := range d.controlNodes {
 		if !o.removed {
 			addrs = append(addrs, o.addr)
 		}
@@ -176,8 +176,8 @@
 	return out
 }
 
-func (d *routedDay) officeAt(addr string) *routedOffice {
-	for _, o := range d.offices {
+func (d *routedDay) controlNodeAt(addr string) *routedControlNode {
+	for _, o := range d.controlNodes {
 		if o.addr == addr && !o.removed {
 			return o
 		}
--- a/proofs/sim/routed_changes.go
+++ b/proofs/sim/routed_changes.go
@@ -143,7 +143,7 @@
 		}
 	}
 	p.later(sec, end)
-	o := p.officeFor(false)
+	o := p.controlNodeFor(false)
 	if o == nil {
 		return
 	}
--- a/proofs/sim/routed_closing.go
+++ b/proofs/sim/routed_closing.go
@@ -20,7 +20,7 @@
 	}
 	d.cuts = map[[2]string]int{}
 	d.loss, d.clients.perSec, d.clients.rareX = 0, d.plan.PerSec, 1
-	for _, o := range d.offices {
+	for _, o := range d.controlNodes {
 		o.thawUs = min(o.thawUs, d.nowUs)
 		o.disk.stallUs, o.disk.slowUs, o.disk.full = min(o.disk.stallUs, d.nowUs), 0, false
 		o.start()
@@ -42,7 +42,7 @@
 // close is the fault that ends the day, right after one more change was acknowledged.
 func (d *routedDay) close(kind string) {
 	struck := false
-	strike := func(o *routedOffice) {
+	strike := func(o *routedControlNode) {
 		if struck {
 			return
 		}
@@ -51,7 +51,7 @@
 		d.seen.Closing = &rules.Closing{AtUs: d.nowUs, BackUs: d.nowUs + downUs, Most: true}
 		d.note("closing fault %s after an acknowledgement by %s", kind, o.name)
 		d.count(Fault{Kind: "closing-" + kind})
-		wiped := []*routedOffice{o}
+		wiped := []*routedControlNode{o}
 		if other := d.mate(o, d.r.Intn(100)); d.tolerated() > 1 && other != nil {
 			wiped = append(wiped, other)
 		}
@@ -61,7 +61,7 @@
 				o.disk = disk{identity: o.name + "-" + d.newInc()}
 			}
 		}
-		for _, o := range d.offices {
+		for _, o := range d.controlNodes {
 			torn := 0
 			if kind != "kill-all" {
 				torn = d.r.Intn(4)
@@ -85,7 +85,7 @@
 		d.runUntil(d.nowUs + 50*ms)
 	}
 	if !struck {
-		if o, ok := pickOf(d.upOffices(), 0); ok {
+		if o, ok := pickOf(d.upControlNodes(), 0); ok {
 			strike(o)
 		}
 	}
--- a/proofs/sim/routed_offices.go
+++ b/proofs/sim/routed_control_nodes.go
@@ -8,8 +8,8 @@
 
 	"petreltide/internal/chain"
 	"petreltide/internal/controller"
+	"petreltide/internal/controlnode"
 	"petreltide/internal/ledger"
-	"petreltide/internal/office"
 	"petreltide/internal/roster"
 	"petreltide/internal/standing"
 	"petreltide/internal/wire"
@@ -17,10 +17,10 @@
 	"petreltide/proofs/rules"
 )
 
-type routedOffice struct {
+type routedControlNode struct {
 	machine
 	day      *routedDay
-	core     *office.Core
+	core     *controlnode.Core
 	disk     disk
 	zone     string
 	founders []string
@@ -35,7 +35,7 @@
 	diskUs int64
 }
 
-// frameStream is one gateway's stream of frames from one office.
+// frameStream is one gateway's stream of frames from one control node.
 type frameStream struct {
 	gateway *routedGateway
 	number  uint64
@@ -43,8 +43,8 @@
 	down    *pipe
 }
 
-func (d *routedDay) addOffice(name, addr, zone string, first bool) *routedOffice {
-	o := &routedOffice{machine: machine{sim: d.Sim, name: name, addr: addr}, day: d, zone: zone}
+func (d *routedDay) addControlNode(name, addr, zone string, first bool) *routedControlNode {
+	o := &routedControlNode{machine: machine{sim: d.Sim, name: name, addr: addr}, day: d, zone: zone}
 	o.disk.identity = name + "-" + d.newInc()
 	if first {
 		o.founders = d.seeds
@@ -54,13 +54,13 @@
 		fromUs = 0
 	}
 	o.diskUs = fromUs
-	d.offices = append(d.offices, o)
+	d.controlNodes = append(d.controlNodes, o)
 	d.seen.Core = append(d.seen.Core, rules.Member{Machine: name, FromUs: fromUs})
 	o.start()
 	return o
 }
 
-func (o *routedOffice) start() {
+func (o *routedControlNode) start() {
 	if o.up || o.removed {
 		return
 	}
@@ -72,7 +72,7 @@
 	opts := chain.Options{
 		Me: chain.Member{ID: o.disk.identity, Name: o.name, Addr: o.addr, Zone: o.zone}, Inc: o.sim.newInc(), CopiesLeast: o.day.tolerated() + 1, SelfMembers: true,
 	}
-	opts = office.SelfPaced(opts)
+	opts = controlnode.SelfPaced(opts)
 	opts.Founders, opts.First = o.founders, len(o.founders) > 0
 	o.founders = nil
 	node, err := chain.NewNode(opts, clone(o.disk.records), o.clock())
@@ -84,7 +84,7 @@
 	if o.day.plan.Plant == "no-lease" {
 		leaseUs = 0
 	}
-	o.core = office.NewCoreWith(node, office.CoreOptions{
+	o.core = controlnode.NewCoreWith(node, controlnode.CoreOptions{
 		DarkUs:     heartbeatUs * 5 / 2,
 		Controller: controller.Options{LeaseUs: leaseUs, StoreWindowUs: b.CeilingUs, StoreOvershoot: b.CeilingOver},
 	})
@@ -94,7 +94,7 @@
 }
 
 // crash ends the process; with power lost, what was not synced is there, missing or torn.
-func (o *routedOffice) crash(torn int) {
+func (o *routedControlNode) crash(torn int) {
 	if !o.up {
 		return
 	}
@@ -111,7 +111,7 @@
 }
 
 // broke tells a gateway that a stream's other end is gone, unless a cut hides it.
-func (s *frameStream) broke(o *routedOffice) {
+func (s *frameStream) broke(o *routedControlNode) {
 	gateway, number := s.gateway, s.number
 	s.down.closed = true
 	o.day.at(o.day.nowUs+ms, func() {
@@ -121,16 +121,16 @@
 	})
 }
 
-func (o *routedOffice) tick() {
+func (o *routedControlNode) tick() {
 	o.later(25*ms, func() {
-		o.step(office.Event{})
+		o.step(controlnode.Event{})
 		o.tick()
 	})
 }
 
-func (o *routedOffice) seek() {
+func (o *routedControlNode) seek() {
 	for _, seed := range o.day.seeds {
-		to := o.day.officeAt(seed)
+		to := o.day.controlNodeAt(seed)
 		if to == nil || to == o {
 			continue
 		}
@@ -141,14 +141,14 @@
 					learned = append(learned, m)
 				}
 			}
-			o.day.carry(&to.machine, &o.machine, 500*ms, func() { o.step(office.Event{Learn: learned}) }, func() {})
+			o.day.carry(&to.machine, &o.machine, 500*ms, func() { o.step(controlnode.Event{Learn: learned}) }, func() {})
 		}, func() {})
 	}
 	o.later(sec, o.seek)
 }
 
-// where are the addresses that this office knows of.
-func (o *routedOffice) where() []string {
+// where are the addresses that this control node knows of.
+func (o *routedControlNode) where() []string {
 	n := o.core.Node
 	addrs := []string{n.Me().Addr}
 	for _, s := range n.View().Order {
@@ -162,7 +162,7 @@
 	return addrs
 }
 
-func (o *routedOffice) step(ev office.Event) {
+func (o *routedControlNode) step(ev controlnode.Event) {
 	d := o.day
 	ev.NowUs = o.clock()
 	if ev.Controller != nil {
@@ -175,12 +175,12 @@
 	for _, e := range o.core.Step(ev) {
 		switch {
 		case e.Letter != nil:
-			to := d.officeAt(e.Letter.Addr)
+			to := d.controlNodeAt(e.Letter.Addr)
 			if to == nil || to == o {
 				continue
 			}
 			letter := clone(e.Letter.Letter)
-			d.send(&o.machine, &to.machine, func() { to.step(office.Event{Letter: &letter}) })
+			d.send(&o.machine, &to.machine, func() { to.step(controlnode.Event{Letter: &letter}) })
 		case e.Save != nil:
 			o.saver.put(*e.Save)
 		case e.Frame != nil:
@@ -199,7 +199,7 @@
 	}
 }
 
-func (o *routedOffice) frame(gateway string, f *wire.Frame) {
+func (o *routedControlNode) frame(gateway string, f *wire.Frame) {
 	s := o.streams[gateway]
 	if s == nil {
 		return
@@ -212,29 +212,29 @@
 	s.down.send(func() { s.gateway.frame(number, f) })
 }
 
-// subscribe is a gateway that follows this office; its stream before is ended.
-func (o *routedOffice) subscribe(s *frameStream, ask wire.Follow) {
+// subscribe is a gateway that follows this control node; its stream before is ended.
+func (o *routedControlNode) subscribe(s *frameStream, ask wire.Follow) {
 	if prior := o.streams[s.gateway.name]; prior != nil {
 		prior.broke(o)
 	}
 	s.inc = ask.Inc
 	o.streams[s.gateway.name] = s
-	o.step(office.Event{Subscribe: &ask})
+	o.step(controlnode.Event{Subscribe: &ask})
 }
 
-func (o *routedOffice) unfollow(s *frameStream) {
+func (o *routedControlNode) unfollow(s *frameStream) {
 	if o.streams[s.gateway.name] == s {
 		delete(o.streams, s.gateway.name)
-		o.step(office.Event{Unfollow: &office.Unfollow{Gateway: s.gateway.name, Inc: s.inc}})
+		o.step(controlnode.Event{Unfollow: &controlnode.Unfollow{Gateway: s.gateway.name, Inc: s.inc}})
 	}
 }
 
 // heard takes what a replica says of itself, and answers whether it is acknowledged.
-func (o *routedOffice) heard(row roster.Row, answer func(ok bool)) {
-	o.word(office.Event{Heard: &row}, answer)
+func (o *routedControlNode) heard(row roster.Row, answer func(ok bool)) {
+	o.word(controlnode.Event{Heard: &row}, answer)
 }
 
-func (o *routedOffice) word(ev office.Event, answer func(ok bool)) {
+func (o *routedControlNode) word(ev controlnode.Event, answer func(ok bool)) {
 	o.wordSeq++
 	ev.Reply = o.wordSeq
 	o.words[ev.Reply] = answer
@@ -242,7 +242,7 @@
 }
 
 // answered passes on the answer to a replica's word; a plant acknowledges whatever was said.
-func (o *routedOffice) answered(r office.WordReply) {
+func (o *routedControlNode) answered(r controlnode.WordReply) {
 	answer := o.words[r.Reply]
 	delete(o.words, r.Reply)
 	if answer != nil {
@@ -250,8 +250,8 @@
 	}
 }
 
-// submit does for a change what an office's host does: send it on until a result comes or nobody asks any more.
-func (o *routedOffice) submit(c ledger.Change, wanted func() bool, done func(ledger.Outcome, bool)) {
+// submit does for a change what a control node's host does: send it on until a result comes or nobody asks any more.
+func (o *routedControlNode) submit(c ledger.Change, wanted func() bool, done func(ledger.Outcome, bool)) {
 	c.Origin = o.addr
 	endUs := o.sim.nowUs + 8*sec
 	over := false
@@ -275,15 +275,15 @@
 			finish(ledger.Outcome{}, false)
 		default:
 			held := clone(c)
-			o.step(office.Event{Submit: &held})
+			o.step(controlnode.Event{Submit: &held})
 			o.later(400*ms, again)
 		}
 	}
 	again()
 }
 
-// configure is what the platform's side of an office does with an operator's order.
-func (o *routedOffice) configure(mark string, c ledger.ConfigChange, wanted func() bool, answer func(status int)) {
+// configure is what the platform's side of a control node does with an operator's order.
+func (o *routedControlNode) configure(mark string, c ledger.ConfigChange, wanted func() bool, answer func(status int)) {
 	id := "op-" + mark
 	if o.day.plan.Plant == "own-state" && c.Base != o.core.Node.State().Version() {
 		answer(http.StatusPreconditionFailed)
@@ -334,14 +334,14 @@
 	return http.StatusBadRequest
 }
 
-// read is the declaration that was acknowledged last, where this office can say.
-func (o *routedOffice) read(answer func(*standing.Declaration, bool)) {
+// read is the declaration that was acknowledged last, where this control node can say.
+func (o *routedControlNode) read(answer func(*standing.Declaration, bool)) {
 	n := o.core.Node
 	if n.Open(o.clock()) || o.day.plan.Plant == "unleased" && n.IsTail() {
 		answer(n.State().Doc, true)
 		return
 	}
-	tail := o.day.officeAt(n.View().Tail().Addr)
+	tail := o.day.controlNodeAt(n.View().Tail().Addr)
 	if tail == nil || tail == o {
 		answer(nil, false)
 		return
@@ -353,11 +353,11 @@
 	}, fail)
 }
 
-func (o *routedOffice) tell(ev controller.Event) { o.step(office.Event{Controller: &ev}) }
+func (o *routedControlNode) tell(ev controller.Event) { o.step(controlnode.Event{Controller: &ev}) }
 
 const replicaWaitUs = 900 * ms
 
-func (o *routedOffice) controller(e controller.Effect) {
+func (o *routedControlNode) controller(e controller.Effect) {
 	d := o.day
 	switch {
 	case e.PollList:
@@ -383,8 +383,8 @@
 	}
 }
 
-// order is what the platform's side of an office makes of a ticket, and of the replica's answer to it.
-func (o *routedOffice) order(w wire.Order, addr string) {
+// order is what the platform's side of a control node makes of a ticket, and of the replica's answer to it.
+func (o *routedControlNode) order(w wire.Order, addr string) {
 	d := o.day
 	t := w.Ticket
 	state := wire.OrderState{Number: t.Number, Epoch: w.Epoch}
@@ -434,12 +434,12 @@
 	}, doubt)
 }
 
-// holds says whether this office holds the duty now, as far as it knows.
-func (o *routedOffice) onDuty() bool {
+// holds says whether this control node holds the duty now, as far as it knows.
+func (o *routedControlNode) onDuty() bool {
 	return o.up && o.core.Controller.OnDuty(o.core.Node.State()) && o.core.Node.IsHead()
 }
 
 // caughtUp: it serves, and has for as long as the platform counts a machine as lost after its return.
-func (o *routedOffice) caughtUp() bool {
+func (o *routedControlNode) caughtUp() bool {
 	return o.up && o.thawUs <= o.sim.nowUs && o.core.Node.Phase() == chain.Serving && o.sim.nowUs-o.sinceUs > o.day.catchUpUs()
 }
--- a/proofs/sim/routed_cutoff.go
+++ b/proofs/sim/routed_cutoff.go
@@ -28,7 +28,7 @@
 	Race  bool
 	Drain bool
 	// Then is told which machines were cut off, as they are.
-	Then func(struck []*routedOffice)
+	Then func(struck []*routedControlNode)
 	// FreezeUs stops their processes for a while from the start, StepUs lets their clocks jump ahead.
 	FreezeUs int64
 	StepUs   int64
@@ -67,8 +67,8 @@
 // cutOffState is what stands while machines are cut off.
 type cutOffState struct {
 	reset map[[2]string]int
-	lure  []*routedOffice
-	meet  []*routedOffice
+	lure  []*routedControlNode
+	meet  []*routedControlNode
 	// hard operators go to the machine that they are made to meet until it answers.
 	hard  bool
 	joins bool
@@ -89,13 +89,13 @@
 	}
 }
 
-// officeFor is the machine that a replica reports to: at its first try where it is lured, else one of the list.
-func (d *routedDay) officeFor(p *replicaNode, try int) *routedOffice {
+// controlNodeFor is the machine that a replica reports to: at its first try where it is lured, else one of the list.
+func (d *routedDay) controlNodeFor(p *replicaNode, try int) *routedControlNode {
 	if lure := d.cutOff.lure; try == 0 && len(lure) > 0 && (p.core.Draining || d.lured(p)) {
 		return lure[0]
 	}
 	addrs := d.listedNow()
-	return d.officeAt(addrs[d.r.Intn(len(addrs))])
+	return d.controlNodeAt(addrs[d.r.Intn(len(addrs))])
 }
 
 // lured: every third replica.
@@ -107,28 +107,28 @@
 	return sum%3 == 0
 }
 
-// officeFor is the machine that an operator calls: first the one that it is made to meet.
-func (p *routedOperators) officeFor(first bool) *routedOffice {
+// controlNodeFor is the machine that an operator calls: first the one that it is made to meet.
+func (p *routedOperators) controlNodeFor(first bool) *routedControlNode {
 	d := p.day
 	if meet := d.cutOff.meet; (first || d.cutOff.hard) && len(meet) > 0 {
 		return meet[p.r.Intn(len(meet))]
 	}
 	addrs := d.listedNow()
-	return d.officeAt(addrs[p.r.Intn(len(addrs))])
+	return d.controlNodeAt(addrs[p.r.Intn(len(addrs))])
 }
 
 // struck are the machines that hold a role now; none where nobody does.
-func (d *routedDay) struck(c CutOff) []*routedOffice {
+func (d *routedDay) struck(c CutOff) []*routedControlNode {
 	if c.Role == TurnRole {
 		return d.leastCut(max(c.Count, 1))
 	}
-	all := []*routedOffice{}
-	for _, o := range d.upOffices() {
+	all := []*routedControlNode{}
+	for _, o := range d.upControlNodes() {
 		if o.holds(c.Role) {
 			all = append(all, o)
 		}
 	}
-	for _, o := range d.upOffices() {
+	for _, o := range d.upControlNodes() {
 		if len(all) > 0 && c.Role != JoinerRole && !slices.Contains(all, o) {
 			all = append(all, o)
 		}
@@ -136,7 +136,7 @@
 	return all[:min(len(all), max(c.Count, 1))]
 }
 
-func (o *routedOffice) holds(role Role) bool {
+func (o *routedControlNode) holds(role Role) bool {
 	n := o.core.Node
 	switch role {
 	case HeadRole:
@@ -191,9 +191,9 @@
 }
 
 // otherSide are the machines that one which is struck loses.
-func (d *routedDay) otherSide(c CutOff, o *routedOffice, struck []*routedOffice) []string {
+func (d *routedDay) otherSide(c CutOff, o *routedControlNode, struck []*routedControlNode) []string {
 	names := []string{}
-	for _, other := range d.offices {
+	for _, other := range d.controlNodes {
 		if !other.removed && !slices.Contains(struck, other) {
 			names = append(names, other.name)
 		}
@@ -220,7 +220,7 @@
 	}
 	if c.Way == ResetWay {
 		d.resets(struck, other, c.ForUs)
-		for _, o := range d.offices {
+		for _, o := range d.controlNodes {
 			for _, gateway := range slices.Sorted(maps.Keys(o.streams)) {
 				s := o.streams[gateway]
 				if (o.name == struck && s.gateway.name == other) || (o.name == other && s.gateway.name == struck) {
@@ -232,7 +232,7 @@
 }
 
 // reset ends a stream at both ends at once.
-func (s *frameStream) reset(o *routedOffice) {
+func (s *frameStream) reset(o *routedControlNode) {
 	gateway, number := s.gateway, s.number
 	s.down.closed = true
 	o.day.at(o.day.nowUs+ms, func() {
@@ -242,7 +242,7 @@
 }
 
 // cutOffBy is what others do meanwhile.
-func (d *routedDay) cutOffBy(c CutOff, struck []*routedOffice) {
+func (d *routedDay) cutOffBy(c CutOff, struck []*routedControlNode) {
 	if c.Lure {
 		d.cutOff.lure = struck
 	}
@@ -273,7 +273,7 @@
 
 // readAll asks every control machine by itself.
 func (d *routedDay) readAll() {
-	for _, o := range d.upOffices() {
+	for _, o := range d.upControlNodes() {
 		d.ops.readAt(o, func(_ *standing.Declaration, _ bool) {})
 	}
 }
--- a/proofs/sim/routed_faults.go
+++ b/proofs/sim/routed_faults.go
@@ -21,7 +21,7 @@
 	"cut-replica-reset", "cut-replica-fronts", "cut-replica-some", "config-flood",
 }
 
-// pairKinds strike two offices at once, where the fleet is made to bear that.
+// pairKinds strike two control nodes at once, where the fleet is made to bear that.
 var pairKinds = []string{"kill-pair", "power-pair", "freeze-pair", "cut-pair", "replace-pair", "wipe-pair-after-ack"}
 
 // selfCounted faults are counted where they first have an effect, beside those that wait for an acknowledgement.
@@ -43,7 +43,7 @@
 	return names
 }
 
-// pairsEvery: every such seed is a day with five offices, two of which may be lost at once.
+// pairsEvery: every such seed is a day with five control nodes, two of which may be lost at once.
 const pairsEvery = 5
 
 // Closings are the faults that end a day.
@@ -70,7 +70,7 @@
 	return faults
 }
 
-// DrawPairs is DrawRouted with every second fault one that strikes two offices.
+// DrawPairs is DrawRouted with every second fault one that strikes two control nodes.
 func DrawPairs(seed int64, count int, spanUs int64) []Fault {
 	faults := DrawRouted(seed, count, spanUs)
 	for i := range faults {
@@ -101,12 +101,12 @@
 }
 
 func (d *routedDay) bring(f Fault) bool {
-	offices := d.upOffices()
-	o, haveOffice := pickOf(offices, f.A)
+	controlNodes := d.upControlNodes()
+	o, haveControlNode := pickOf(controlNodes, f.A)
 	t := d.gateways[f.A%len(d.gateways)]
 	cards := d.running("cards")
 	p, haveCard := pickOf(cards, f.A)
-	for _, other := range offices {
+	for _, other := range controlNodes {
 		if other.onDuty() && (f.Kind == "kill-holder" || f.Kind == "freeze-holder" || f.Kind == "notice-race") {
 			o = other
 		}
@@ -114,11 +114,11 @@
 	switch f.Kind {
 	case "kill-office", "kill-holder", "power-office", "freeze-office", "freeze-holder", "stall-disk", "slow-disk", "full-disk", "replace-office", "replace-planned", "cut-office", "cut-lured", "one-way", "split-core",
 		"kill-offices", "roll-offices":
-		return haveOffice && d.officeFault(f, o)
+		return haveControlNode && d.controlNodeFault(f, o)
 	case "kill-pair", "power-pair", "freeze-pair", "cut-pair", "replace-pair":
-		return haveOffice && d.pairFault(f, o, d.mate(o, f.B))
+		return haveControlNode && d.pairFault(f, o, d.mate(o, f.B))
 	case "cut-behind", "cut-split", "cut-both", "cut-relieve", "cut-turn", "cut-seeds", "power-keeping", "ack-lost-race", "herd-power-order", "herd-power-work", "config-flood":
-		return haveOffice && d.worstFault(f, o)
+		return haveControlNode && d.worstFault(f, o)
 	case "wipe-after-ack", "power-after-ack", "wipe-pair-after-ack":
 		return d.afterAck(f)
 	case "power-after-taking":
--- a/proofs/sim/routed_faults_offices.go
+++ b/proofs/sim/routed_faults_control_nodes.go
@@ -11,10 +11,10 @@
 type spring struct {
 	fault Fault
 	wipe  bool
-	act   func(o *routedOffice)
+	act   func(o *routedControlNode)
 }
 
-func (d *routedDay) spring(kind string, o *routedOffice) {
+func (d *routedDay) spring(kind string, o *routedControlNode) {
 	if len(d.springs) == 0 {
 		return
 	}
@@ -23,10 +23,10 @@
 	d.at(d.nowUs+d.r.Int63n(4*ms), func() { t.act(o) })
 }
 
-// spare says whether these offices may lose their disks now: no more are lost, missing or behind than tolerated.
-func (d *routedDay) spare(lost ...*routedOffice) bool {
+// spare says whether these control nodes may lose their disks now: no more are lost, missing or behind than tolerated.
+func (d *routedDay) spare(lost ...*routedControlNode) bool {
 	there, away := 0, len(lost)
-	for _, o := range d.offices {
+	for _, o := range d.controlNodes {
 		if o.removed {
 			continue
 		}
@@ -35,21 +35,21 @@
 			away++
 		}
 	}
-	away += max(0, d.plan.Offices-there)
-	up := !slices.ContainsFunc(lost, func(o *routedOffice) bool { return !o.up })
+	away += max(0, d.plan.ControlNodes-there)
+	up := !slices.ContainsFunc(lost, func(o *routedControlNode) bool { return !o.up })
 	return up && away <= d.tolerated()
 }
 
-// mate is the office that is struck together with another.
-func (d *routedDay) mate(o *routedOffice, n int) *routedOffice {
-	others := slices.DeleteFunc(d.upOffices(), func(other *routedOffice) bool { return other == o })
+// mate is the control node that is struck together with another.
+func (d *routedDay) mate(o *routedControlNode, n int) *routedControlNode {
+	others := slices.DeleteFunc(d.upControlNodes(), func(other *routedControlNode) bool { return other == o })
 	other, _ := pickOf(others, n)
 	return other
 }
 
-func (d *routedDay) upOffices() []*routedOffice {
-	out := []*routedOffice{}
-	for _, o := range d.offices {
+func (d *routedDay) upControlNodes() []*routedControlNode {
+	out := []*routedControlNode{}
+	for _, o := range d.controlNodes {
 		if o.up {
 			out = append(out, o)
 		}
@@ -57,15 +57,15 @@
 	return out
 }
 
-func (d *routedDay) officeFault(f Fault, o *routedOffice) bool {
+func (d *routedDay) controlNodeFault(f Fault, o *routedControlNode) bool {
 	switch f.Kind {
 	case "kill-office", "kill-holder":
-		d.killOffice(o, 0, f.ForUs)
+		d.killControlNode(o, 0, f.ForUs)
 	case "power-office":
-		d.killOffice(o, f.N, f.ForUs)
+		d.killControlNode(o, f.N, f.ForUs)
 	case "kill-offices":
-		for _, o := range d.upOffices() {
-			d.killOffice(o, 0, min(f.ForUs, sec))
+		for _, o := range d.upControlNodes() {
+			d.killControlNode(o, 0, min(f.ForUs, sec))
 		}
 	case "freeze-office", "freeze-holder":
 		d.freeze(&o.machine, f.ForUs)
@@ -84,15 +84,15 @@
 	case "replace-planned":
 		return d.replacePlanned(f, o)
 	case "roll-offices":
-		for i, o := range d.offices {
+		for i, o := range d.controlNodes {
 			d.at(d.nowUs+int64(i)*(d.catchUpUs()+sec), func() {
 				if d.spare(o) {
-					d.killOffice(o, 0, 400*ms)
+					d.killControlNode(o, 0, 400*ms)
 				}
 			})
 		}
 	case "cut-office":
-		for _, other := range d.offices {
+		for _, other := range d.controlNodes {
 			if other != o && !other.removed {
 				d.cut(o.name, other.name, f.ForUs)
 				d.cut(other.name, o.name, f.ForUs)
@@ -101,7 +101,7 @@
 	case "cut-lured":
 		d.cutOffNow(CutOff{Role: []Role{HeadRole, MiddleRole, TailRole}[f.B%3], ForUs: f.ForUs + 3*sec, Way: []Way{SilentWay, MuteWay, DeafWay, ResetWay}[f.A%4], Lure: true, Meet: true, Drain: true}, d.nowUs)
 	case "one-way", "split-core":
-		other := d.offices[(f.B)%len(d.offices)]
+		other := d.controlNodes[(f.B)%len(d.controlNodes)]
 		if other == o || other.removed {
 			return false
 		}
@@ -118,13 +118,13 @@
 	d.seen.Troubles = append(d.seen.Troubles, rules.Trouble{Machine: m.name, Kind: "freeze", FromUs: d.nowUs, ToUs: m.thawUs, Down: true})
 }
 
-func (d *routedDay) killOffice(o *routedOffice, torn int, forUs int64) {
+func (d *routedDay) killControlNode(o *routedControlNode, torn int, forUs int64) {
 	o.crash(torn)
 	d.at(d.nowUs+forUs, o.start)
 }
 
-// remove takes an office away for good.
-func (d *routedDay) remove(o *routedOffice) {
+// remove takes a control node away for good.
+func (d *routedDay) remove(o *routedControlNode) {
 	o.crash(0)
 	o.removed = true
 	for i := range d.seen.Core {
@@ -134,17 +134,17 @@
 	}
 }
 
-// empty puts an empty office at a new address beside the others.
-func (d *routedDay) empty(zone string) *routedOffice {
+// empty puts an empty control node at a new address beside the others.
+func (d *routedDay) empty(zone string) *routedControlNode {
 	d.ports++
-	fresh := d.addOffice("core-"+d.newInc(), "core-new:"+d.newInc(), zone, false)
+	fresh := d.addControlNode("core-"+d.newInc(), "core-new:"+d.newInc(), zone, false)
 	d.trouble(rules.Trouble{Machine: fresh.name, Kind: "start", ToUs: d.nowUs + 1})
 	d.list()
 	return fresh
 }
 
-// replace removes offices for good and puts as many empty ones beside the others.
-func (d *routedDay) replace(f Fault, gone ...*routedOffice) bool {
+// replace removes control nodes for good and puts as many empty ones beside the others.
+func (d *routedDay) replace(f Fault, gone ...*routedControlNode) bool {
 	if !d.spare(gone...) || len(d.springs) > 0 {
 		return false
 	}
@@ -155,8 +155,8 @@
 	return true
 }
 
-// replacePlanned starts the empty office first, and stops the old one once the new one has caught up.
-func (d *routedDay) replacePlanned(f Fault, o *routedOffice) bool {
+// replacePlanned starts the empty control node first, and stops the old one once the new one has caught up.
+func (d *routedDay) replacePlanned(f Fault, o *routedControlNode) bool {
 	if !d.spare(o) || len(d.springs) > 0 {
 		return false
 	}
@@ -176,28 +176,28 @@
 	return true
 }
 
-func (d *routedDay) pairFault(f Fault, a, b *routedOffice) bool {
+func (d *routedDay) pairFault(f Fault, a, b *routedControlNode) bool {
 	if b == nil || d.tolerated() < 2 {
 		return false
 	}
 	switch f.Kind {
 	case "kill-pair", "power-pair":
-		for _, o := range []*routedOffice{a, b} {
+		for _, o := range []*routedControlNode{a, b} {
 			torn := 0
 			if f.Kind == "power-pair" {
 				torn = f.N % 4
 			}
-			d.killOffice(o, torn, f.ForUs)
+			d.killControlNode(o, torn, f.ForUs)
 		}
 	case "freeze-pair":
 		d.freeze(&a.machine, f.ForUs)
 		d.freeze(&b.machine, f.ForUs)
 	case "cut-pair":
-		for _, other := range d.offices {
+		for _, other := range d.controlNodes {
 			if other == a || other == b || other.removed {
 				continue
 			}
-			for _, o := range []*routedOffice{a, b} {
+			for _, o := range []*routedControlNode{a, b} {
 				d.cut(o.name, other.name, f.ForUs)
 				d.cut(other.name, o.name, f.ForUs)
 			}
@@ -210,9 +210,9 @@
 
 // killZone takes every machine of a zone at once; their disks last.
 func (d *routedDay) killZone(zone string, f Fault) {
-	for _, o := range d.upOffices() {
+	for _, o := range d.upControlNodes() {
 		if o.zone == zone {
-			d.killOffice(o, f.N%3, f.ForUs)
+			d.killControlNode(o, f.N%3, f.ForUs)
 		}
 	}
 	for _, t := range d.gateways {
@@ -236,8 +236,8 @@
 	if len(d.springs) > 0 || (pair && d.tolerated() < 2) {
 		return false
 	}
-	d.springs = append(d.springs, &spring{fault: f, wipe: wipe, act: func(o *routedOffice) {
-		struck := []*routedOffice{o}
+	d.springs = append(d.springs, &spring{fault: f, wipe: wipe, act: func(o *routedControlNode) {
+		struck := []*routedControlNode{o}
 		if other := d.mate(o, f.B); pair && other != nil {
 			struck = append(struck, other)
 		}
--- a/proofs/sim/routed_faults_core.go
+++ b/proofs/sim/routed_faults_core.go
@@ -26,7 +26,7 @@
 }
 
 // worstFault are faults that strike the core together with something else.
-func (d *routedDay) worstFault(f Fault, o *routedOffice) bool {
+func (d *routedDay) worstFault(f Fault, o *routedControlNode) bool {
 	switch f.Kind {
 	case "power-keeping", "ack-lost-race":
 		d.returningFault(f, o)
@@ -50,52 +50,52 @@
 	case "cut-behind":
 		c.Count = d.tolerated()
 		c.Way = SilentWay
-		c.Then = func(struck []*routedOffice) { d.cutBehind(f, c, struck) }
+		c.Then = func(struck []*routedControlNode) { d.cutBehind(f, c, struck) }
 	case "cut-split":
-		c.Count, c.Lure, c.Race, c.Drain = max(1, len(d.upOffices())/2), true, true, true
-		c.Then = func(struck []*routedOffice) { d.cutSplit(f, c, struck) }
+		c.Count, c.Lure, c.Race, c.Drain = max(1, len(d.upControlNodes())/2), true, true, true
+		c.Then = func(struck []*routedControlNode) { d.cutSplit(f, c, struck) }
 	case "cut-both":
 		c.Race = true
-		c.Then = func(struck []*routedOffice) { d.cutBoth(f, c, struck) }
+		c.Then = func(struck []*routedControlNode) { d.cutBoth(f, c, struck) }
 	case "cut-relieve":
-		c.Then = func(struck []*routedOffice) { d.cutRelieve(f, c, struck) }
+		c.Then = func(struck []*routedControlNode) { d.cutRelieve(f, c, struck) }
 	case "cut-turn":
 		c.Role, c.ForUs, c.Race, c.Drain = TurnRole, turnUs, true, true
 		d.cutTurn(f, c, turnsMost)
 		return
 	case "cut-seeds":
 		c.Count, c.ForUs = d.tolerated(), f.ForUs+6*sec
-		c.Then = func(struck []*routedOffice) { d.cutSeeds(f, struck, d.nowUs+c.ForUs) }
+		c.Then = func(struck []*routedControlNode) { d.cutSeeds(f, struck, d.nowUs+c.ForUs) }
 	}
 	d.cutOffNow(c, d.nowUs+sec)
 }
 
 // others are the machines of the core that run and were not struck.
-func (d *routedDay) others(struck []*routedOffice) []*routedOffice {
-	return slices.DeleteFunc(d.upOffices(), func(o *routedOffice) bool { return slices.Contains(struck, o) })
+func (d *routedDay) others(struck []*routedControlNode) []*routedControlNode {
+	return slices.DeleteFunc(d.upControlNodes(), func(o *routedControlNode) bool { return slices.Contains(struck, o) })
 }
 
 // leastCut are the machines that were cut off least often so far.
-func (d *routedDay) leastCut(count int) []*routedOffice {
-	up := d.upOffices()
-	slices.SortStableFunc(up, func(a, b *routedOffice) int { return cmp.Compare(d.cutOff.times[a.name], d.cutOff.times[b.name]) })
+func (d *routedDay) leastCut(count int) []*routedControlNode {
+	up := d.upControlNodes()
+	slices.SortStableFunc(up, func(a, b *routedControlNode) int { return cmp.Compare(d.cutOff.times[a.name], d.cutOff.times[b.name]) })
 	return up[:min(count, len(up))]
 }
 
 // cutBehind lets those that are cut off miss changes. Then one of the others loses its disk and the rest their power,
 // and the cut heals: those that are behind must not go on alone.
-func (d *routedDay) cutBehind(f Fault, c CutOff, struck []*routedOffice) {
+func (d *routedDay) cutBehind(f Fault, c CutOff, struck []*routedControlNode) {
 	d.ops.do(d.ops.change)
 	d.ops.do(d.ops.change)
 	d.at(d.nowUs+c.ForUs, func() {
 		others := d.others(struck)
-		behind := slices.ContainsFunc(others, func(o *routedOffice) bool { return !o.caughtUp() })
+		behind := slices.ContainsFunc(others, func(o *routedControlNode) bool { return !o.caughtUp() })
 		if d.handed || behind || len(d.springs) > 0 || len(others) <= d.tolerated() {
 			return
 		}
 		d.count(f)
 		wiped := others[f.N%len(others)]
-		d.note("%s loses its disk, and the rest their power, as %s come back behind", wiped.name, officeNames(struck))
+		d.note("%s loses its disk, and the rest their power, as %s come back behind", wiped.name, controlNodeNames(struck))
 		for _, o := range others {
 			o.crash(f.N % 4)
 			d.at(d.nowUs+f.ForUs, o.start)
@@ -106,7 +106,7 @@
 }
 
 // cutSplit also cuts the other half in two now and then, so that nobody reaches most of the core.
-func (d *routedDay) cutSplit(f Fault, c CutOff, struck []*routedOffice) {
+func (d *routedDay) cutSplit(f Fault, c CutOff, struck []*routedControlNode) {
 	d.count(f)
 	others := d.others(struck)
 	if f.N%2 == 0 || len(others) < 2 {
@@ -119,7 +119,7 @@
 }
 
 // cutBoth restarts those that are cut off, and then all others, while the cut stands.
-func (d *routedDay) cutBoth(f Fault, c CutOff, struck []*routedOffice) {
+func (d *routedDay) cutBoth(f Fault, c CutOff, struck []*routedControlNode) {
 	d.at(d.nowUs+c.ForUs/3, func() { d.restart(struck, restartUs) })
 	d.at(d.nowUs+c.ForUs*2/3, func() {
 		if !d.handed {
@@ -130,7 +130,7 @@
 }
 
 // cutRelieve makes changes while the cut stands, and kills all that took them just after it has healed.
-func (d *routedDay) cutRelieve(f Fault, c CutOff, struck []*routedOffice) {
+func (d *routedDay) cutRelieve(f Fault, c CutOff, struck []*routedControlNode) {
 	for us := d.nowUs + 100*ms; us < d.nowUs+c.ForUs; us += 700 * ms {
 		d.at(us, func() { d.ops.do(d.ops.change) })
 	}
@@ -144,7 +144,7 @@
 
 // cutTurn cuts one machine off after the other, those first that were cut off least often.
 func (d *routedDay) cutTurn(f Fault, c CutOff, left int) {
-	c.Then = func([]*routedOffice) {
+	c.Then = func([]*routedControlNode) {
 		if left == 1 {
 			d.count(f)
 			return
@@ -160,7 +160,7 @@
 
 // cutSeeds names those that are cut off as the seeds, alone or before others, tells some gateways and restarts the rest.
 // A machine of the core that is not cut off is restarted as well now and then.
-func (d *routedDay) cutSeeds(f Fault, struck []*routedOffice, endUs int64) {
+func (d *routedDay) cutSeeds(f Fault, struck []*routedControlNode, endUs int64) {
 	d.seeds = []string{}
 	for _, o := range struck {
 		d.seeds = append(d.seeds, o.addr)
@@ -175,7 +175,7 @@
 	d.ops.do(d.ops.change)
 	d.at(d.nowUs+seedsRestartUs, func() { d.startWithSeeds(f) })
 	if o, ok := pickOf(others, f.A); ok && f.N%3 == 0 {
-		d.at(d.nowUs+seedsRestartUs, func() { d.restart([]*routedOffice{o}, restartUs) })
+		d.at(d.nowUs+seedsRestartUs, func() { d.restart([]*routedControlNode{o}, restartUs) })
 	}
 	d.at(endUs, func() {
 		d.seeds = slices.Clone(d.listedNow())
@@ -217,13 +217,13 @@
 }
 
 // restart kills processes and starts them again.
-func (d *routedDay) restart(list []*routedOffice, awayUs int64) {
+func (d *routedDay) restart(list []*routedControlNode, awayUs int64) {
 	for _, o := range list {
-		d.killOffice(o, 0, awayUs)
+		d.killControlNode(o, 0, awayUs)
 	}
 }
 
-func officeNames(list []*routedOffice) (all []string) {
+func controlNodeNames(list []*routedControlNode) (all []string) {
 	for _, o := range list {
 		all = append(all, o.name)
 	}
--- a/proofs/sim/routed_faults_power.go
+++ b/proofs/sim/routed_faults_power.go
@@ -16,14 +16,14 @@
 )
 
 // returningFault are faults of a machine of the core that comes back.
-func (d *routedDay) returningFault(f Fault, o *routedOffice) {
+func (d *routedDay) returningFault(f Fault, o *routedControlNode) {
 	if f.Kind == "power-keeping" {
 		d.keepers = append(d.keepers, f)
-		d.killOffice(o, 0, awayForCopyUs)
+		d.killControlNode(o, 0, awayForCopyUs)
 		return
 	}
 	awayUs := min(f.ForUs, 2*sec)
-	d.killOffice(o, 0, awayUs)
+	d.killControlNode(o, 0, awayUs)
 	d.at(d.nowUs+awayUs+ms, func() {
 		if !d.handed && o.up {
 			d.metAfterReturn(f, o)
@@ -31,9 +31,9 @@
 	})
 }
 
-// keepsCopy is told how far an office has come with a copy that it keeps, and strikes at the step that was drawn. Some
+// keepsCopy is told how far a control node has come with a copy that it keeps, and strikes at the step that was drawn. Some
 // of the names that the copy has changed are lost with the power, each by itself.
-func (o *routedOffice) keepsCopy(step copyStep) {
+func (o *routedControlNode) keepsCopy(step copyStep) {
 	d := o.day
 	if len(d.keepers) == 0 {
 		return
@@ -45,13 +45,13 @@
 	d.keepers = d.keepers[1:]
 	d.count(f)
 	d.note("%s loses power as it keeps a copy, step %d", o.name, step)
-	d.killOffice(o, 1+f.N%4, min(f.ForUs, sec))
+	d.killControlNode(o, 1+f.N%4, min(f.ForUs, sec))
 }
 
 // metAfterReturn lets operators race at a machine that has just come back, while most acknowledgements are lost, and
 // replicas of its zone leave soon after.
-func (d *routedDay) metAfterReturn(f Fault, o *routedOffice) {
-	met := []*routedOffice{o}
+func (d *routedDay) metAfterReturn(f Fault, o *routedControlNode) {
+	met := []*routedControlNode{o}
 	d.cutOff.meet, d.cutOff.hard = met, f.B%2 == 0
 	d.ops.lost, d.ops.loseUs = f, d.nowUs+meetUs
 	for i := range int64(3) {
@@ -114,8 +114,8 @@
 	d.count(f)
 	d.note("%s: the core loses power", f.Kind)
 	awayUs := min(f.ForUs, 2*sec)
-	for _, o := range d.upOffices() {
-		d.killOffice(o, d.r.Intn(4), awayUs)
+	for _, o := range d.upControlNodes() {
+		d.killControlNode(o, d.r.Intn(4), awayUs)
 	}
 	for _, t := range d.gateways {
 		if f.B%2 == 0 && t.up {
@@ -126,7 +126,7 @@
 }
 
 // flood sends a hundred changes and more, one after the other, while a machine of the core is restarted.
-func (d *routedDay) flood(f Fault, o *routedOffice) {
+func (d *routedDay) flood(f Fault, o *routedControlNode) {
 	changes := floodLeast + 10*f.N
 	for range changes {
 		d.ops.do(func(done func()) {
@@ -137,7 +137,7 @@
 			d.ops.change(done)
 		})
 	}
-	d.at(d.nowUs+500*ms, func() { d.killOffice(o, 0, f.ForUs) })
+	d.at(d.nowUs+500*ms, func() { d.killControlNode(o, 0, f.ForUs) })
 	before := o.core.Node.State().Version()
 	d.at(d.nowUs+f.ForUs+3*sec, func() {
 		d.ops.readAt(o, func(doc *standing.Declaration, ok bool) {
@@ -154,7 +154,7 @@
 	forUs := f.ForUs + 2*sec
 	lost := []string{}
 	if f.Kind != "cut-replica-some" {
-		for _, o := range d.offices {
+		for _, o := range d.controlNodes {
 			lost = append(lost, o.name)
 		}
 	}
--- a/proofs/sim/routed_faults_replicas.go
+++ b/proofs/sim/routed_faults_replicas.go
@@ -26,7 +26,7 @@
 // lossy: links lose packets; those of the core as well, so that it is not settled meanwhile.
 func (d *routedDay) lossy(f Fault) {
 	d.loss = 0.02 + float64(f.N)/200
-	for _, o := range d.offices {
+	for _, o := range d.controlNodes {
 		d.seen.Troubles = append(d.seen.Troubles, rules.Trouble{Machine: o.name, Kind: "loss", FromUs: d.nowUs, ToUs: d.nowUs + f.ForUs, Slow: true})
 	}
 	for _, t := range d.gateways {
@@ -56,7 +56,7 @@
 		t.skewUs += int64(f.N) * 500 * ms
 		d.seen.Troubles = append(d.seen.Troubles, rules.Trouble{Machine: t.name, Kind: "clock", FromUs: d.nowUs, ToUs: d.nowUs})
 	case "cut-desk":
-		for _, o := range d.offices {
+		for _, o := range d.controlNodes {
 			d.cut(o.name, t.name, f.ForUs)
 			d.cut(t.name, o.name, f.ForUs)
 		}
@@ -106,8 +106,8 @@
 		p.taken(sec + f.ForUs)
 		d.at(d.nowUs+sec+f.ForUs+500*ms, func() { d.fresh(p) })
 		if f.Kind == "notice-race" {
-			if o, ok := pickOf(d.upOffices(), f.B); ok {
-				d.killOffice(o, 0, f.ForUs)
+			if o, ok := pickOf(d.upControlNodes(), f.B); ok {
+				d.killControlNode(o, 0, f.ForUs)
 			}
 		}
 	case "withdraw":
@@ -217,7 +217,7 @@
 
 // unheard is a replica that leaves, whose word arrives and that hears no answer to it.
 func (d *routedDay) unheard(p *replicaNode, f Fault) {
-	for _, o := range d.offices {
+	for _, o := range d.controlNodes {
 		d.cut(o.name, p.name, 10*sec)
 	}
 	p.drain()
@@ -230,7 +230,7 @@
 
 func (d *routedDay) machines() []string {
 	names := []string{}
-	for _, o := range d.offices {
+	for _, o := range d.controlNodes {
 		names = append(names, o.name)
 	}
 	for _, t := range d.gateways {
--- a/proofs/sim/routed_frames.go
+++ b/proofs/sim/routed_frames.go
@@ -4,8 +4,8 @@
 	"maps"
 	"slices"
 
+	"petreltide/internal/controlnode"
 	"petreltide/internal/dispatch"
-	"petreltide/internal/office"
 	"petreltide/internal/subscriber"
 	"petreltide/internal/wire"
 )
@@ -17,13 +17,13 @@
 		return
 	}
 	s.down.closed = true
-	if o, ok := t.day.officeOf(s); ok {
+	if o, ok := t.day.controlNodeOf(s); ok {
 		t.day.carry(&t.machine, &o.machine, 5*sec, func() { o.unfollow(s) }, func() {})
 	}
 }
 
-func (d *routedDay) officeOf(s *frameStream) (*routedOffice, bool) {
-	for _, o := range d.offices {
+func (d *routedDay) controlNodeOf(s *frameStream) (*routedControlNode, bool) {
+	for _, o := range d.controlNodes {
 		if &o.machine == s.down.from {
 			return o, true
 		}
@@ -43,8 +43,8 @@
 		case e.Report != "":
 			report := clone(t.decider.Report(t.clock()))
 			report.Addr, report.Zone = t.addr, t.zone
-			if o := d.officeAt(e.Report); o != nil {
-				d.carry(&t.machine, &o.machine, 600*ms, func() { o.step(office.Event{GatewayReport: &report}) }, func() {})
+			if o := d.controlNodeAt(e.Report); o != nil {
+				d.carry(&t.machine, &o.machine, 600*ms, func() { o.step(controlnode.Event{GatewayReport: &report}) }, func() {})
 			}
 		case e.Snapshot != nil:
 			t.swap(e.Snapshot)
@@ -100,7 +100,7 @@
 
 func (t *routedGateway) follow(s subscriber.Stream) {
 	d := t.day
-	o := d.officeAt(s.Addr)
+	o := d.controlNodeAt(s.Addr)
 	if d.plan.Plant == "seed-bound" && !slices.Contains(d.seeds, s.Addr) {
 		o = nil
 	}
--- a/proofs/sim/routed_leaving.go
+++ b/proofs/sim/routed_leaving.go
@@ -14,21 +14,21 @@
 	p.withdraw()
 }
 
-// lateBeat is a heartbeat that a replica has sent now and that an office reads seconds later, whatever became of
+// lateBeat is a heartbeat that a replica has sent now and that a control node reads seconds later, whatever became of
 // the replica meanwhile.
 func (p *replicaNode) lateBeat(f Fault, afterUs int64) {
 	d := p.day
 	row := p.row()
 	d.at(d.nowUs+afterUs, func() {
-		o, ok := pickOf(d.upOffices(), d.r.Intn(100))
+		o, ok := pickOf(d.upControlNodes(), d.r.Intn(100))
 		if ok && d.taken(o, func() { o.heard(row, func(bool) {}) }) {
 			d.count(f)
 		}
 	})
 }
 
-// taken lets an office that runs act now.
-func (d *routedDay) taken(o *routedOffice, act func()) bool {
+// taken lets a control node that runs act now.
+func (d *routedDay) taken(o *routedControlNode, act func()) bool {
 	if o.thawUs > d.nowUs {
 		return false
 	}
@@ -51,13 +51,13 @@
 		}
 		p.leaveFirst(false)
 	case "late-beat-of-former-life":
-		// The offices forget which lives have been, and then hear of one.
+		// The control nodes forget which lives have been, and then hear of one.
 		p.lateBeat(f, 3*shortDownUs+d.r.Int63n(sec))
 		p.end(true)
 		d.at(d.nowUs+shortDownUs/2, func() { d.successor(p, p.addr) })
 		d.at(d.nowUs+shortDownUs, func() {
-			for _, o := range d.upOffices() {
-				d.killOffice(o, 0, shortDownUs)
+			for _, o := range d.upControlNodes() {
+				d.killControlNode(o, 0, shortDownUs)
 			}
 		})
 	case "reuse-after-drain":
@@ -77,7 +77,7 @@
 	case "cut-replica-reset", "cut-replica-fronts", "cut-replica-some":
 		d.cutReplica(f, p)
 	case "cut-replica":
-		for _, o := range d.offices {
+		for _, o := range d.controlNodes {
 			d.cut(p.name, o.name, f.ForUs+2*sec)
 			if f.B%3 != oneWay {
 				d.cut(o.name, p.name, f.ForUs+2*sec)
--- a/proofs/sim/routed_operators.go
+++ b/proofs/sim/routed_operators.go
@@ -73,7 +73,7 @@
 			}
 		}
 		call := p.calls.Send(order, d.nowUs)
-		o := p.officeFor(first)
+		o := p.controlNodeFor(first)
 		first = false
 		if o == nil {
 			next()
@@ -191,7 +191,7 @@
 		}
 	}
 	p.later(sec, again)
-	o := p.officeFor(false)
+	o := p.controlNodeFor(false)
 	if o == nil {
 		return
 	}
@@ -206,7 +206,7 @@
 }
 
 // readAt asks one machine for the newest configuration, and notes what it answers.
-func (p *routedOperators) readAt(o *routedOffice, done func(*standing.Declaration, bool)) {
+func (p *routedOperators) readAt(o *routedControlNode, done func(*standing.Declaration, bool)) {
 	d := p.day
 	askedUs := d.nowUs
 	call := p.calls.Read(askedUs)
@@ -264,8 +264,8 @@
 	return true
 }
 
-// strike takes the power of an office between 5 and 400 ms after a change was sent to it.
-func (p *routedOperators) strike(o *routedOffice) {
+// strike takes the power of a control node between 5 and 400 ms after a change was sent to it.
+func (p *routedOperators) strike(o *routedControlNode) {
 	if len(p.struck) == 0 {
 		return
 	}
@@ -275,7 +275,7 @@
 	d.at(d.nowUs+5*ms+p.r.Int63n(395*ms), func() {
 		if o.up && !o.removed {
 			d.count(f)
-			d.killOffice(o, f.N%4, f.ForUs)
+			d.killControlNode(o, f.N%4, f.ForUs)
 		}
 	})
 }
--- a/proofs/sim/routed_repairs.go
+++ b/proofs/sim/routed_repairs.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"petreltide/internal/office"
+	"petreltide/internal/controlnode"
 )
 
 // Repairs are losses of control machines one after the other: each is made good, and the next comes at the very
@@ -89,10 +89,10 @@
 }
 
 // struckNow are as many machines as may be lost at once.
-func (d *routedDay) struckNow(oldest bool) []*routedOffice {
-	up := d.upOffices()
+func (d *routedDay) struckNow(oldest bool) []*routedControlNode {
+	up := d.upControlNodes()
 	if oldest {
-		slices.SortStableFunc(up, func(a, b *routedOffice) int { return cmp.Compare(a.diskUs, b.diskUs) })
+		slices.SortStableFunc(up, func(a, b *routedControlNode) int { return cmp.Compare(a.diskUs, b.diskUs) })
 	} else {
 		d.r.Shuffle(len(up), func(i, j int) { up[i], up[j] = up[j], up[i] })
 	}
@@ -101,7 +101,7 @@
 
 // replaceInTurn starts successors and, once their time to catch up is over, terminates the old ones; done runs the
 // moment that the last of these has ended.
-func (d *routedDay) replaceInTurn(old []*routedOffice, done func()) {
+func (d *routedDay) replaceInTurn(old []*routedControlNode, done func()) {
 	for _, o := range old {
 		d.empty(o.zone)
 	}
@@ -117,10 +117,10 @@
 	})
 }
 
-// terminate tells an office to end, as SIGTERM does, and removes it once it has or its grace is over.
-func (d *routedDay) terminate(o *routedOffice, done func()) {
+// terminate tells a control node to end, as SIGTERM does, and removes it once it has or its grace is over.
+func (d *routedDay) terminate(o *routedControlNode, done func()) {
 	endUs := d.nowUs + d.seen.Bounds.GraceUs
-	o.now(o.boot, func() { o.step(office.Event{Leave: true}) })
+	o.now(o.boot, func() { o.step(controlnode.Event{Leave: true}) })
 	var look func()
 	look = func() {
 		if o.up && !o.core.Node.Left() && d.nowUs < endUs && d.plan.Plant != "abrupt-office" {
--- a/proofs/sim/routed_replicas.go
+++ b/proofs/sim/routed_replicas.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"net/http"
 
-	"petreltide/internal/office"
+	"petreltide/internal/controlnode"
 	"petreltide/internal/roster"
 	"petreltide/proofs/platform/replica"
 	"petreltide/proofs/rules"
@@ -115,7 +115,7 @@
 // say calls one machine that serves control, and the next where no acknowledgement comes.
 func (p *replicaNode) say(try int) {
 	d := p.day
-	o := d.officeFor(p, try)
+	o := d.controlNodeFor(p, try)
 	over := false
 	again := func() {
 		if over {
@@ -153,8 +153,8 @@
 	}, again)
 }
 
-// acknowledged is an office's 2xx to a heartbeat.
-func (p *replicaNode) acknowledged(row roster.Row, o *routedOffice) {
+// acknowledged is a control node's 2xx to a heartbeat.
+func (p *replicaNode) acknowledged(row roster.Row, o *routedControlNode) {
 	if !row.Draining || p.leave == nil || p.leave.AckedUs > 0 {
 		return
 	}
@@ -211,12 +211,12 @@
 		}
 	}
 	p.later(sec, again)
-	o := d.officeFor(p, try)
+	o := d.controlNodeFor(p, try)
 	if o == nil {
 		return
 	}
 	d.carry(&p.machine, &o.machine, sec, func() {
-		o.word(office.Event{Left: p.name}, func(ok bool) {
+		o.word(controlnode.Event{Left: p.name}, func(ok bool) {
 			d.carry(&o.machine, &p.machine, sec, func() {
 				switch {
 				case over:
@@ -235,8 +235,8 @@
 func (p *replicaNode) deregister() {
 	d := p.day
 	addrs := d.listedNow()
-	if o := d.officeAt(addrs[(d.r.Intn(len(addrs)))]); o != nil {
-		d.carry(&p.machine, &o.machine, sec, func() { o.word(office.Event{Left: p.name}, func(bool) {}) }, func() {})
+	if o := d.controlNodeAt(addrs[(d.r.Intn(len(addrs)))]); o != nil {
+		d.carry(&p.machine, &o.machine, sec, func() { o.word(controlnode.Event{Left: p.name}, func(bool) {}) }, func() {})
 	}
 	p.later(5*ms, func() { p.end(false) })
 }
--- a/proofs/sim/routed_test.go
+++ b/proofs/sim/routed_test.go
@@ -9,10 +9,10 @@
 )
 
 func routedPlan(seed int64, count int) RoutedPlan {
-	p := RoutedPlan{Seed: seed, Offices: 3, Gateways: 4, Cards: 6, Logs: 2, PerSec: 25, CalmUs: 6 * sec, SpanUs: 24 * sec,
+	p := RoutedPlan{Seed: seed, ControlNodes: 3, Gateways: 4, Cards: 6, Logs: 2, PerSec: 25, CalmUs: 6 * sec, SpanUs: 24 * sec,
 		Faults: DrawRouted(seed, count, 24*sec), Closing: Closings[int(seed)%len(Closings)]}
 	if seed%pairsEvery == 0 {
-		p.Offices, p.Faults, p.Closing = 5, DrawPairs(seed, count, 24*sec), Closings[int(seed/pairsEvery)%len(Closings)]
+		p.ControlNodes, p.Faults, p.Closing = 5, DrawPairs(seed, count, 24*sec), Closings[int(seed/pairsEvery)%len(Closings)]
 	}
 	return p
 }
--- a/proofs/sim/sim.go
+++ b/proofs/sim/sim.go
@@ -24,21 +24,21 @@
 
 // Plan is a day: its machines, its demand in calls a second, its faults, and a defect to plant, if any.
 type Plan struct {
-	Seed     int64
-	Offices  int
-	Gateways int
-	Replicas int
-	SpanUs   int64
-	PerSec   float64
-	Loss     float64
-	Faults   []Fault
-	Changes  bool
-	Ops      []int
-	Doc      *standing.Declaration
-	Plant    string
-	Declared bool
-	CalmUs   int64
-	Steps    int
+	Seed         int64
+	ControlNodes int
+	Gateways     int
+	Replicas     int
+	SpanUs       int64
+	PerSec       float64
+	Loss         float64
+	Faults       []Fault
+	Changes      bool
+	Ops          []int
+	Doc          *standing.Declaration
+	Plant        string
+	Declared     bool
+	CalmUs       int64
+	Steps        int
 }
 
 type item struct {
@@ -67,31 +67,31 @@
 
 // Sim drives the reducers of every role under one virtual clock.
 type Sim struct {
-	plan     Plan
-	r        *rand.Rand
-	nowUs    int64
-	q        queue
-	seq      uint64
-	cuts     map[[2]string]int
-	loss     float64
-	offices  []*officeNode
-	gateways []*gatewayNode
-	servers  map[string]*serverNode
-	plat     *platform.Platform
-	platMood string
-	watch    *rules.Watch
-	agreed   map[uint64]string
-	ops      *operators
-	told     []rules.Told
-	caused   map[string]int
-	traps    []trap
-	healed   bool
-	rareOnly bool
-	calls    int
-	seeds    []string
-	incs     int
-	events   int
-	Log      []string
+	plan         Plan
+	r            *rand.Rand
+	nowUs        int64
+	q            queue
+	seq          uint64
+	cuts         map[[2]string]int
+	loss         float64
+	controlNodes []*controlNode
+	gateways     []*gatewayNode
+	servers      map[string]*serverNode
+	plat         *platform.Platform
+	platMood     string
+	watch        *rules.Watch
+	agreed       map[uint64]string
+	ops          *operators
+	told         []rules.Told
+	caused       map[string]int
+	traps        []trap
+	healed       bool
+	rareOnly     bool
+	calls        int
+	seeds        []string
+	incs         int
+	events       int
+	Log          []string
 }
 
 type machine struct {
@@ -197,11 +197,11 @@
 	if plan.Plant == "strict-store" {
 		s.plat.Store.BurstMb /= 2
 	}
-	for i := 0; i < plan.Offices; i++ {
+	for i := 0; i < plan.ControlNodes; i++ {
 		s.seeds = append(s.seeds, fmt.Sprintf("core-%d:1", i))
 	}
-	for i := 0; i < plan.Offices; i++ {
-		s.offices = append(s.offices, newOffice(s, fmt.Sprintf("core-%d", i), s.seeds[i], d.Zones[i%len(d.Zones)], plan.Offices))
+	for i := 0; i < plan.ControlNodes; i++ {
+		s.controlNodes = append(s.controlNodes, newControlNode(s, fmt.Sprintf("core-%d", i), s.seeds[i], d.Zones[i%len(d.Zones)], plan.ControlNodes))
 	}
 	for i := 0; i < plan.Replicas; i++ {
 		s.addServer(fmt.Sprintf("gpu-%d", i), d.Zones[i%len(d.Zones)])
@@ -456,7 +456,7 @@
 
 func (s *Sim) why() string {
 	text := ""
-	for _, o := range s.offices {
+	for _, o := range s.controlNodes {
 		if !o.up {
 			text += fmt.Sprintf("[%s down] ", o.name)
 			continue
--- a/proofs/sim/sim_test.go
+++ b/proofs/sim/sim_test.go
@@ -13,7 +13,7 @@
 )
 
 func plan(seed int64, count int) Plan {
-	return Plan{Seed: seed, Offices: 3, Gateways: 3, Replicas: 5, SpanUs: 24 * sec, PerSec: 25, Loss: 0.002, Changes: true,
+	return Plan{Seed: seed, ControlNodes: 3, Gateways: 3, Replicas: 5, SpanUs: 24 * sec, PerSec: 25, Loss: 0.002, Changes: true,
 		CalmUs: 9 * sec, Faults: Draw(seed, count, 24*sec)}
 }
 
--- a/proofs/sim/watch_test.go
+++ b/proofs/sim/watch_test.go
@@ -12,12 +12,12 @@
 		var mostUs, sumUs int64
 		found, wrong, looks := 0, 0, 0
 		for seed := int64(1); seed <= 3; seed++ {
-			s := New(Plan{Seed: seed, Offices: 3, Gateways: 5, Replicas: 3, PerSec: 5})
+			s := New(Plan{Seed: seed, ControlNodes: 3, Gateways: 5, Replicas: 3, PerSec: 5})
 			s.ops.begin()
 			s.runUntil(12 * sec)
 			s.loss = c.loss
 			silent := func(name string) bool {
-				for _, o := range s.offices {
+				for _, o := range s.controlNodes {
 					if !o.core.Node.IsHead() {
 						continue
 					}
--- a/proofs/testbed/input_test.go
+++ b/proofs/testbed/input_test.go
@@ -24,7 +24,7 @@
 func open(t *testing.T) *Fleet {
 	t.Helper()
 	doc := sim.Doc()
-	s, err := Open(Plan{Folder: t.TempDir(), Offices: 3, Gateways: 2, Replicas: 3, Slots: 8, FirstUs: 2000, PartUs: 500, PieceUs: 1000, RoomMb: doc.Replica.RoomMb, Store: doc.Store})
+	s, err := Open(Plan{Folder: t.TempDir(), ControlNodes: 3, Gateways: 2, Replicas: 3, Slots: 8, FirstUs: 2000, PartUs: 500, PieceUs: 1000, RoomMb: doc.Replica.RoomMb, Store: doc.Store})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -295,7 +295,7 @@
 // A replica that refuses orders is counted, and the layout comes right once it takes them.
 func orderRefused(t *testing.T, s *Fleet) {
 	naughty(t, s, "order")
-	url := "http://" + s.Offices[0] + "/v1/config"
+	url := "http://" + s.ControlNodes[0] + "/v1/config"
 	patch := func(body string) {
 		_, _, now, err := Do(http.MethodGet, url, "")
 		var config struct {
@@ -383,7 +383,7 @@
 }
 
 func operatorInput(t *testing.T, s *Fleet) {
-	url := "http://" + s.Offices[1] + "/v1/config"
+	url := "http://" + s.ControlNodes[1] + "/v1/config"
 	good, err := json.Marshal(sim.Doc())
 	if err != nil {
 		t.Fatal(err)
@@ -448,26 +448,26 @@
 	if err != nil || status != 200 || !strings.Contains(first, `"revision":2`) {
 		t.Fatalf("a good patch got %d %s %v", status, first, err)
 	}
-	status, _, again, err := Do(http.MethodPatch, "http://"+s.Offices[2]+"/v1/config?base=1&change=spares", `{"scaler":{"spares":0}}`)
+	status, _, again, err := Do(http.MethodPatch, "http://"+s.ControlNodes[2]+"/v1/config?base=1&change=spares", `{"scaler":{"spares":0}}`)
 	if err != nil || status != 200 || !strings.Contains(again, `"revision":2`) || !strings.Contains(again, `"again":true`) {
 		t.Errorf("the same change again got %d %s %v", status, again, err)
 	}
-	if status, _, body, _ := Do(http.MethodPost, "http://"+s.Offices[0]+"/v1/zones/nowhere/empty", ""); status != http.StatusNotFound {
+	if status, _, body, _ := Do(http.MethodPost, "http://"+s.ControlNodes[0]+"/v1/zones/nowhere/empty", ""); status != http.StatusNotFound {
 		t.Errorf("an unknown zone got %d %s", status, body)
 	}
-	if status, _, body, _ := Do(http.MethodPost, "http://"+s.Offices[0]+"/v1/zones/c/empty", ""); status != 200 {
+	if status, _, body, _ := Do(http.MethodPost, "http://"+s.ControlNodes[0]+"/v1/zones/c/empty", ""); status != 200 {
 		t.Errorf("emptying got %d %s", status, body)
 	}
-	if status, _, body, _ := Do(http.MethodPost, "http://"+s.Offices[0]+"/v1/zones/c/restore", ""); status != 200 {
+	if status, _, body, _ := Do(http.MethodPost, "http://"+s.ControlNodes[0]+"/v1/zones/c/restore", ""); status != 200 {
 		t.Errorf("restoring got %d %s", status, body)
 	}
 }
 
-// An office that answered a change shows it: the tail answers before the offices ahead of it have heard
+// A control node that answered a change shows it: the tail answers before the control nodes ahead of it have heard
 // that the change is committed.
 func ownChanges(t *testing.T, s *Fleet) {
 	for i := range 24 {
-		url := "http://" + s.Offices[i%len(s.Offices)]
+		url := "http://" + s.ControlNodes[i%len(s.ControlNodes)]
 		act := []string{"empty", "restore"}[i%2]
 		status, _, body, err := Do(http.MethodPost, url+"/v1/zones/c/"+act, "")
 		var applied, now struct {
@@ -487,7 +487,7 @@
 }
 
 func policyInput(t *testing.T, s *Fleet) {
-	_, _, body, err := Do(http.MethodGet, "http://"+s.Offices[0]+"/v1/config", "")
+	_, _, body, err := Do(http.MethodGet, "http://"+s.ControlNodes[0]+"/v1/config", "")
 	var now struct {
 		Revision uint64 `json:"revision"`
 	}
@@ -509,7 +509,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		status, _, body, err := Do(http.MethodPatch, fmt.Sprintf("http://%s/v1/config?base=%d", s.Offices[0], now.Revision), string(patch))
+		status, _, body, err := Do(http.MethodPatch, fmt.Sprintf("http://%s/v1/config?base=%d", s.ControlNodes[0], now.Revision), string(patch))
 		if err != nil || status != 200 {
 			t.Fatalf("%s: %d %s %v", c.name, status, body, err)
 		}
--- a/proofs/testbed/testbed.go
+++ b/proofs/testbed/testbed.go
@@ -15,9 +15,9 @@
 
 	"github.com/juju/errors"
 
+	"petreltide/internal/controlnode"
 	"petreltide/internal/gateway"
 	"petreltide/internal/logring"
-	"petreltide/internal/office"
 	"petreltide/internal/settings"
 	"petreltide/internal/standing"
 	"petreltide/internal/wire"
@@ -29,29 +29,29 @@
 // Fleet runs a few real hosts inside one process, sockets and disks included, for tests that need
 // no kills: bad input, interfaces, measurements.
 type Fleet struct {
-	Offices  []string
-	Gateways []string
-	Replicas []string
-	Platform *platform.Platform
-	cancel   context.CancelFunc
-	group    sync.WaitGroup
-	loop     *loopback.Network
-	mu       sync.Mutex
-	ended    []string
+	ControlNodes []string
+	Gateways     []string
+	Replicas     []string
+	Platform     *platform.Platform
+	cancel       context.CancelFunc
+	group        sync.WaitGroup
+	loop         *loopback.Network
+	mu           sync.Mutex
+	ended        []string
 }
 
 // Plan says how many hosts of each role there are and how fast the stand-in replicas work, in microseconds.
 type Plan struct {
-	Folder   string
-	Offices  int
-	Gateways int
-	Replicas int
-	Slots    int
-	FirstUs  int64
-	PartUs   int64
-	PieceUs  int64
-	RoomMb   int64
-	Store    standing.Store
+	Folder       string
+	ControlNodes int
+	Gateways     int
+	Replicas     int
+	Slots        int
+	FirstUs      int64
+	PartUs       int64
+	PieceUs      int64
+	RoomMb       int64
+	Store        standing.Store
 }
 
 func listen(ip string) (net.Listener, string, error) {
@@ -76,16 +76,16 @@
 	plat := &http.Server{Handler: s.Platform.Handler()}
 	s.spawn(func() { _ = plat.Serve(platListener) })
 	context.AfterFunc(ctx, func() { _ = plat.Close() })
-	for i := 0; i < plan.Offices; i++ {
-		s.Offices = append(s.Offices, s.loop.Addr())
+	for i := 0; i < plan.ControlNodes; i++ {
+		s.ControlNodes = append(s.ControlNodes, s.loop.Addr())
 	}
-	for i, addr := range s.Offices {
+	for i, addr := range s.ControlNodes {
 		name := fmt.Sprintf("core-%d", i+1)
 		folder := filepath.Join(plan.Folder, name)
 		if err := os.MkdirAll(folder, 0o755); err != nil {
 			return nil, errors.Trace(err)
 		}
-		host, err := office.Open(settings.Office{Name: name, Listen: addr, Advertise: addr, Zone: string(rune('a' + i%3)), Seeds: s.Offices, Data: folder, Platform: platAddr, Founding: plan.Offices},
+		host, err := controlnode.Open(settings.ControlNode{Name: name, Listen: addr, Advertise: addr, Zone: string(rune('a' + i%3)), Seeds: s.ControlNodes, Data: folder, Platform: platAddr, Founding: plan.ControlNodes},
 			logring.NewRing(folder, io.Discard))
 		if err != nil {
 			return nil, err
@@ -109,7 +109,7 @@
 	}
 	for i := 0; i < plan.Gateways; i++ {
 		addr := s.loop.Addr()
-		host := gateway.Open(settings.Gateway{Name: fmt.Sprintf("front-%d", i+1), Listen: addr, Advertise: addr, Zone: string(rune('a' + i%3)), Seeds: s.Offices, QueueMax: 64, BodyMaxKb: 64, DrainMs: 2000},
+		host := gateway.Open(settings.Gateway{Name: fmt.Sprintf("front-%d", i+1), Listen: addr, Advertise: addr, Zone: string(rune('a' + i%3)), Seeds: s.ControlNodes, QueueMax: 64, BodyMaxKb: 64, DrainMs: 2000},
 			logring.NewRing("", io.Discard))
 		s.Gateways = append(s.Gateways, addr)
 		s.run(ctx, addr, host.Run)
@@ -188,7 +188,7 @@
 	}
 	last := ""
 	if err := Until("the first declaration is taken", func() bool {
-		status, _, body, err := Do(http.MethodPut, "http://"+s.Offices[0]+"/v1/config?base=0&change=first", string(raw))
+		status, _, body, err := Do(http.MethodPut, "http://"+s.ControlNodes[0]+"/v1/config?base=0&change=first", string(raw))
 		last = body
 		return err == nil && status == http.StatusOK
 	}); err != nil {
@@ -231,14 +231,14 @@
 	return true
 }
 
-// Duty asks each core node for its status until one leads.
-func (s *Fleet) Duty() (office.Status, bool) {
-	for _, addr := range s.Offices {
+// Duty asks each control node for its status until one leads.
+func (s *Fleet) Duty() (controlnode.Status, bool) {
+	for _, addr := range s.ControlNodes {
 		_, _, body, err := Do(http.MethodGet, "http://"+addr+"/v1/status", "")
-		var st office.Status
+		var st controlnode.Status
 		if err == nil && json.Unmarshal([]byte(body), &st) == nil && st.OnDuty {
 			return st, true
 		}
 	}
-	return office.Status{}, false
+	return controlnode.Status{}, false
 }
--- a/proofs/testbed/testbed_test.go
+++ b/proofs/testbed/testbed_test.go
@@ -12,7 +12,7 @@
 // A host's address is chosen before it listens there. Whoever dials meanwhile may be given any port of
 // the address it dials from, and that is 127.0.0.1 or a host's own.
 func TestEachHostHasAnAddressThatNobodyElseDialsFrom(t *testing.T) {
-	s, err := Open(Plan{Folder: t.TempDir(), Offices: 3, Gateways: 2})
+	s, err := Open(Plan{Folder: t.TempDir(), ControlNodes: 3, Gateways: 2})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -22,7 +22,7 @@
 		}
 	}()
 	seen := map[string]bool{"127.0.0.1": true}
-	for _, addr := range append(append([]string{}, s.Offices...), s.Gateways...) {
+	for _, addr := range append(append([]string{}, s.ControlNodes...), s.Gateways...) {
 		ip, _, err := net.SplitHostPort(addr)
 		if err != nil {
 			t.Fatal(err)
