Call a replica without heartbeats unreachable, where the code said dark

What was left of shy, an address that is avoided for a while, goes with it. The state that operators read, its JSON fields and the names of faults keep `dark`.

--- a/cmd/petreltide/compare.go
+++ b/cmd/petreltide/compare.go
@@ -196,7 +196,7 @@
 	look.Revision, look.Loads, look.LoadedMb = st.Revision, st.Loads, st.LoadedMb
 	look.Duty = fmt.Sprintf("%s under epoch %d", st.Holder, st.Epoch)
 	for _, r := range st.Replicas {
-		look.Replicas[r.ID] = fmt.Sprintf("%s (leaving %v, dark %v)", r.Inc, r.Leaving, r.Dark)
+		look.Replicas[r.ID] = fmt.Sprintf("%s (leaving %v, dark %v)", r.Inc, r.Leaving, r.Unreachable)
 	}
 	for _, d := range st.Gateways {
 		ds := gateway.Status{}
--- a/cmd/petreltide/print.go
+++ b/cmd/petreltide/print.go
@@ -80,7 +80,7 @@
 	switch {
 	case r.Leaving:
 		return fmt.Sprintf("leaving (%d ms left when noticed)", r.LeftMs)
-	case r.Dark:
+	case r.Unreachable:
 		return "dark"
 	}
 	return "ready"
--- a/cmd/petreltide/status_test.go
+++ b/cmd/petreltide/status_test.go
@@ -84,7 +84,7 @@
 			Services: []controlnode.ServiceNote{{Name: "scribe", Models: 2, Replicas: 2, ConnectionsMost: 370}, {Name: "quill", Replicas: 1}},
 			Replicas: []controlnode.ReplicaNote{
 				{ID: "i-1", Service: "scribe", Zone: "a", State: controlnode.ReplicaDraining, LeftMs: &left, Stage: "decode", AgoMs: 20, Units: []string{"m1", "m1/a1"}, HeldMb: 61, RoomMb: 100},
-				{ID: "i-2", Service: "scribe", Zone: "b", State: controlnode.ReplicaDark, AgoMs: 4000, Units: []string{"m1"}, HeldMb: 80, RoomMb: 100, Order: &load},
+				{ID: "i-2", Service: "scribe", Zone: "b", State: controlnode.ReplicaUnreachable, AgoMs: 4000, Units: []string{"m1"}, HeldMb: 80, RoomMb: 100, Order: &load},
 				{ID: "i-3", Service: "quill", Zone: "b", State: controlnode.ReplicaUnheard, AgoMs: -1, Units: []string{}},
 			},
 			Duty: &controller.Note{Holder: "core-1-ab", Fence: 41, OrdersInMs: 700, Orders: []controller.OrderNote{{Ticket: load, SentAgoMs: -1}},
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -16,26 +16,26 @@
 )
 
 const (
-	listEveryUs    = 400 * clock.Ms
-	askEveryUs     = 250 * clock.Ms
-	askBusyUs      = 50 * clock.Ms
-	orderEveryUs   = 600 * clock.Ms
-	policyEveryUs  = 500 * clock.Ms
-	policyLeastUs  = 60 * clock.Ms
-	policyLostUs   = 5 * clock.Sec
-	shareEveryUs   = 400 * clock.Ms
-	darkAfterUs    = 1500 * clock.Ms
-	gatewayLiveUs  = 2500 * clock.Ms
-	reportLateUs   = 600 * clock.Ms
-	gatewayGoneUs  = 15 * clock.Sec
-	gapMostUs      = 500 * clock.Ms
-	writeLostUs    = 2 * clock.Sec
-	emptyListMost  = 8
-	keyMarkUs      = 3600 * clock.Sec
-	keyMarks       = 24
-	attemptsLeast  = 24
-	attemptsMost   = 4096
-	attemptSeconds = 5
+	listEveryUs        = 400 * clock.Ms
+	askEveryUs         = 250 * clock.Ms
+	askBusyUs          = 50 * clock.Ms
+	orderEveryUs       = 600 * clock.Ms
+	policyEveryUs      = 500 * clock.Ms
+	policyLeastUs      = 60 * clock.Ms
+	policyLostUs       = 5 * clock.Sec
+	shareEveryUs       = 400 * clock.Ms
+	unreachableAfterUs = 1500 * clock.Ms
+	gatewayLiveUs      = 2500 * clock.Ms
+	reportLateUs       = 600 * clock.Ms
+	gatewayGoneUs      = 15 * clock.Sec
+	gapMostUs          = 500 * clock.Ms
+	writeLostUs        = 2 * clock.Sec
+	emptyListMost      = 8
+	keyMarkUs          = 3600 * clock.Sec
+	keyMarks           = 24
+	attemptsLeast      = 24
+	attemptsMost       = 4096
+	attemptSeconds     = 5
 )
 
 type told struct {
--- a/internal/controller/hear.go
+++ b/internal/controller/hear.go
@@ -126,9 +126,9 @@
 		ID: l.ID, Addr: l.Addr, Zone: l.Zone, RoomMb: l.RoomMb, Slots: l.Slots, Leaving: leaving, LeftMs: leftMs(have, leaving, l.LeftMs),
 	}
 	spoke := row != nil && row.atUs > 0
-	n.Dark = spoke && seen.NowUs-row.atUs > darkAfterUs
+	n.Unreachable = spoke && seen.NowUs-row.atUs > unreachableAfterUs
 	switch {
-	case spoke && !n.Dark:
+	case spoke && !n.Unreachable:
 		n.Inc = row.state.Inc
 	case have != nil && have.Addr == l.Addr:
 		n.Inc = have.Inc
@@ -138,12 +138,12 @@
 	}
 	if have != nil && n.Inc == "" {
 		n.Inc = have.Inc
-		n.Dark = true
+		n.Unreachable = true
 	}
 	if have != nil && !spoke {
-		n.Dark = have.Dark
+		n.Unreachable = have.Unreachable
 	}
-	if spoke && !n.Dark {
+	if spoke && !n.Unreachable {
 		n.Told, n.Holds = f.retold(seen.State, have, row)
 	}
 	if rowDiffers(have, n) || have.Inc != n.Inc {
--- a/internal/controller/outliers.go
+++ b/internal/controller/outliers.go
@@ -30,7 +30,7 @@
 	}
 	replicas := map[string]int{}
 	for _, id := range seen.Roster.IDs() {
-		if e := seen.Roster.Row(id); !e.Gone && !e.Dark && !e.Draining {
+		if e := seen.Roster.Row(id); !e.Gone && !e.Unreachable && !e.Draining {
 			replicas[e.Service]++
 		}
 	}
--- a/internal/controller/resident.go
+++ b/internal/controller/resident.go
@@ -64,7 +64,7 @@
 		}
 	}
 	for id, r := range s.Replicas {
-		if _, holds := r.Holds[unit]; holds && !r.Leaving && !r.Dark && !f.outliers.Kept(id) && s.Pending[id].Unit != unit {
+		if _, holds := r.Holds[unit]; holds && !r.Leaving && !r.Unreachable && !f.outliers.Kept(id) && s.Pending[id].Unit != unit {
 			return true
 		}
 	}
@@ -175,7 +175,7 @@
 // home is one replica as the placement policy reads it.
 func (f *Controller) home(seen Seen, r *ledger.Replica, runs, unread map[string]int) placement.Home {
 	h := placement.Home{
-		ID: r.ID, Usable: !r.Leaving && !r.Dark && !f.outliers.Kept(r.ID), FreeMb: r.RoomMb - seen.State.TakenMb(r.ID), Holds: r.Holds, Had: r.Had,
+		ID: r.ID, Usable: !r.Leaving && !r.Unreachable && !f.outliers.Kept(r.ID), FreeMb: r.RoomMb - seen.State.TakenMb(r.ID), Holds: r.Holds, Had: r.Had,
 		Runs: runs, Unread: unread, AgeMs: map[string]int64{},
 	}
 	for unit := range r.Holds {
--- a/internal/controller/rows.go
+++ b/internal/controller/rows.go
@@ -50,7 +50,7 @@
 	}
 	n := ledger.ReplicaNote{
 		ID: e.ID, Inc: e.ID, Addr: e.Addr, Zone: e.Zone, RoomMb: svc.Engine.RoomMb, Slots: e.Slots, Leaving: e.Draining,
-		LeftMs: leftMs(have, e.Draining, e.LeftMs), Dark: e.Dark, Service: e.Service,
+		LeftMs: leftMs(have, e.Draining, e.LeftMs), Unreachable: e.Unreachable, Service: e.Service,
 	}
 	f.noteUnits(seen, e, svc, &n)
 	if rowDiffers(have, n) {
@@ -95,7 +95,7 @@
 // looked at.
 func rowDiffers(have *ledger.Replica, n ledger.ReplicaNote) bool {
 	return have == nil || have.Addr != n.Addr || have.Zone != n.Zone || have.RoomMb != n.RoomMb ||
-		have.Slots != n.Slots || have.Leaving != n.Leaving || have.Dark != n.Dark || n.Told
+		have.Slots != n.Slots || have.Leaving != n.Leaving || have.Unreachable != n.Unreachable || n.Told
 }
 
 // leftMs is how long a replica under notice has: as was first written down, so that the row stays as it is.
--- a/internal/controller/share.go
+++ b/internal/controller/share.go
@@ -12,7 +12,7 @@
 	gateways := f.live(seen.NowUs)
 	for _, id := range s.ReplicaIDs() {
 		r := s.Replicas[id]
-		if r.Leaving || r.Dark || r.Inc == "" {
+		if r.Leaving || r.Unreachable || r.Inc == "" {
 			continue
 		}
 		for _, unit := range sorted(r.Holds) {
@@ -63,7 +63,7 @@
 	}
 	for _, id := range s.ReplicaIDs() {
 		r := s.Replicas[id]
-		if r.Leaving || r.Dark {
+		if r.Leaving || r.Unreachable {
 			continue
 		}
 		shares := divide(r.Slots, gateways, f.weights(r, gateways))
--- a/internal/controlnode/core.go
+++ b/internal/controlnode/core.go
@@ -100,8 +100,8 @@
 
 // CoreOptions are what a control node knows of replicas that make themselves known; all may be left out.
 type CoreOptions struct {
-	DarkUs     int64
-	Controller controller.Options
+	UnreachableUs int64
+	Controller    controller.Options
 }
 
 // NewCore is NewCoreWith without anything known of replicas.
@@ -110,7 +110,7 @@
 // NewCoreWith is a control node around its part of the chain.
 func NewCoreWith(node *chain.Node, opts CoreOptions) *Core {
 	return &Core{
-		Node: node, Room: feed.New(), Controller: controller.NewWith(node.Me().ID, opts.Controller), Watch: watch.New(), soft: newSoft(opts.DarkUs),
+		Node: node, Room: feed.New(), Controller: controller.NewWith(node.Me().ID, opts.Controller), Watch: watch.New(), soft: newSoft(opts.UnreachableUs),
 		bornUs: node.NowUs(), bornLast: node.Last(),
 	}
 }
--- a/internal/controlnode/fleet.go
+++ b/internal/controlnode/fleet.go
@@ -38,8 +38,8 @@
 	ReplicaReady ReplicaState = "ready"
 	// ReplicaDraining replicas have said that they leave.
 	ReplicaDraining ReplicaState = "draining"
-	// ReplicaDark replicas have missed their heartbeats for longer than is borne.
-	ReplicaDark ReplicaState = "dark"
+	// ReplicaUnreachable replicas have missed their heartbeats for longer than is borne.
+	ReplicaUnreachable ReplicaState = "dark"
 	// ReplicaGone replicas have ended.
 	ReplicaGone ReplicaState = "gone"
 	// ReplicaUnheard means that the ledger knows it, and nobody has heard it since this control node started.
@@ -125,8 +125,8 @@
 	switch {
 	case e.Gone:
 		row.State = ReplicaGone
-	case e.Dark:
-		row.State = ReplicaDark
+	case e.Unreachable:
+		row.State = ReplicaUnreachable
 	case e.Draining:
 		row.State = ReplicaDraining
 	default:
--- a/internal/controlnode/fleet_test.go
+++ b/internal/controlnode/fleet_test.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := NewCoreWith(node, CoreOptions{DarkUs: 3 * clock.Sec})
+	c := NewCoreWith(node, CoreOptions{UnreachableUs: 3 * clock.Sec})
 	if c.Status(clock.Sec).Fleet != nil {
 		t.Error("a fleet before any declaration")
 	}
@@ -69,7 +69,7 @@
 		return r
 	}
 	want := []ReplicaNote{
-		with("dark", ReplicaDark, 4000, nil),
+		with("dark", ReplicaUnreachable, 4000, nil),
 		with("gone", ReplicaGone, 1000, nil),
 		with("leaving", ReplicaDraining, 0, func(r *ReplicaNote) { r.Service, r.Units = "plain", []string{} }),
 		with("notice", ReplicaDraining, 200, func(r *ReplicaNote) { r.LeftMs = &leftMs }),
--- a/internal/controlnode/host.go
+++ b/internal/controlnode/host.go
@@ -177,7 +177,7 @@
 		return nil, fault.New(fault.DamagedData, set.Data, "%v", err)
 	}
 	core := NewCoreWith(node, CoreOptions{
-		DarkUs: set.HeartbeatMs * 5 / 2 * clock.Ms,
+		UnreachableUs: set.HeartbeatMs * 5 / 2 * clock.Ms,
 		Controller: controller.Options{
 			LeaseUs: set.LeaseMs * clock.Ms, StoreWindowUs: set.StoreWindowMs * clock.Ms, StoreOvershoot: set.StoreOvershoot,
 			Outlier: set.Outlier.Options(),
--- a/internal/controlnode/replicas.go
+++ b/internal/controlnode/replicas.go
@@ -13,12 +13,12 @@
 )
 
 const (
-	tellEveryUs         = 250 * clock.Ms
-	tellEachUs          = 3 * clock.Ms
-	controlNodesEveryUs = 100 * clock.Ms
-	darkDefaultUs       = 3000 * clock.Ms
-	wokeUs              = 500 * clock.Ms
-	wakingUs            = 300 * clock.Ms
+	tellEveryUs          = 250 * clock.Ms
+	tellEachUs           = 3 * clock.Ms
+	controlNodesEveryUs  = 100 * clock.Ms
+	unreachableDefaultUs = 3000 * clock.Ms
+	wokeUs               = 500 * clock.Ms
+	wakingUs             = 300 * clock.Ms
 )
 
 // Unfollow ends a gateway's stream of frames.
@@ -48,11 +48,11 @@
 	wants      bool
 }
 
-func newSoft(darkUs int64) soft {
-	if darkUs == 0 {
-		darkUs = darkDefaultUs
+func newSoft(unreachableUs int64) soft {
+	if unreachableUs == 0 {
+		unreachableUs = unreachableDefaultUs
 	}
-	return soft{Roster: roster.New(darkUs), Hub: feed.NewHub(), told: map[string]*told{}, departures: map[string]*departure{}}
+	return soft{Roster: roster.New(unreachableUs), Hub: feed.NewHub(), told: map[string]*told{}, departures: map[string]*departure{}}
 }
 
 // woke notes when this control node was not run for a while: for a moment after, what it reads may be as old as that.
--- a/internal/dispatch/deadline_test.go
+++ b/internal/dispatch/deadline_test.go
@@ -42,7 +42,7 @@
 func TestACallThatWaitsIsAnsweredAtItsRoutesTime(t *testing.T) {
 	const timeoutMs = 20_000
 	row := at("s", "r1")
-	row[0].Dark = true
+	row[0].Unreachable = true
 	k := newClerk(Options{}, stands(declaration(declared{"r", standing.Streaming, 3, one("s"), true}), 1, row...))
 	k.step(Event{Arrived: &Call{ID: "c", Kind: "r", MostMs: 90_000, Routed: &Routed{PromptIn: 100}}})
 	if k.after(timeoutMs*clock.Ms - 1); k.fin["c"] != nil {
--- a/internal/dispatch/decider_test.go
+++ b/internal/dispatch/decider_test.go
@@ -148,10 +148,10 @@
 	}
 }
 
-func TestLeavingEmptiedDarkAndUnloadingReplicasGetNothing(t *testing.T) {
+func TestLeavingEmptiedUnreachableAndUnloadingReplicasGetNothing(t *testing.T) {
 	for name, edit := range map[string]func(*wire.News){
 		"leaving":   func(n *wire.News) { n.Replicas[0].Leaving = true },
-		"dark":      func(n *wire.News) { n.Replicas[0].Dark = true },
+		"dark":      func(n *wire.News) { n.Replicas[0].Unreachable = true },
 		"emptied":   func(n *wire.News) { n.Doc.Emptied = []string{"a"} },
 		"unloading": func(n *wire.News) { n.Replicas[0].Unloading = "m" },
 		"new":       func(n *wire.News) { n.Replicas[0].Inc = "j" },
--- a/internal/dispatch/prospect.go
+++ b/internal/dispatch/prospect.go
@@ -131,7 +131,7 @@
 		adapterMs = adapterLoadMs
 	}
 	for _, r := range d.snap.ByService[c.Routed.Service] {
-		if r.Leaving || r.Dark {
+		if r.Leaving || r.Unreachable {
 			continue
 		}
 		if r.Loading == c.Model {
--- a/internal/dispatch/routed_test.go
+++ b/internal/dispatch/routed_test.go
@@ -188,7 +188,7 @@
 	rows := append(at("s", "r1"), at("other", "o1")...)
 	waiting := func(next *standing.Declaration) *clerk {
 		full := append([]wire.ReplicaNews(nil), rows...)
-		full[0].Dark, full[1].Dark = true, true
+		full[0].Unreachable, full[1].Unreachable = true, true
 		k := newClerk(Options{}, stands(declaration(base), 1, full...))
 		k.call("c", "r", "")
 		k.step(Event{Snapshot: stands(next, 1, rows...)})
@@ -291,7 +291,7 @@
 			rows := []wire.ReplicaNews{}
 			for i := range 5 {
 				if r.Intn(4) > 0 {
-					rows = append(rows, wire.ReplicaNews{ID: fmt.Sprint("r", i), Service: []string{"s", "other"}[i%2], Leaving: r.Intn(6) == 0, Dark: r.Intn(6) == 0, Slots: 1 + r.Intn(3)})
+					rows = append(rows, wire.ReplicaNews{ID: fmt.Sprint("r", i), Service: []string{"s", "other"}[i%2], Leaving: r.Intn(6) == 0, Unreachable: r.Intn(6) == 0, Slots: 1 + r.Intn(3)})
 				}
 			}
 			return stands(declaration(routes...), 1+r.Intn(4), rows...)
@@ -303,7 +303,7 @@
 				switch {
 				case e.Start != nil:
 					id, route, row := e.Start.Call.ID, k.d.snap.Doc.Route(e.Start.Call.Kind), k.d.snap.Replicas[e.Start.Replica]
-					if route == nil || row == nil || row.Leaving || row.Dark || !route.May(row.Service) || e.Start.Inc != row.Inc {
+					if route == nil || row == nil || row.Leaving || row.Unreachable || !route.May(row.Service) || e.Start.Inc != row.Inc {
 						t.Fatalf("seed %d: %s goes to %+v by %+v", seed, id, row, route)
 					}
 					if ran[id] {
@@ -392,14 +392,14 @@
 		var calls, extra []int64
 		open := make([][]string, gateways)
 		for ms := int64(0); ms < 60_000; ms += 20 {
-			dark, turns := false, ms%2_000 == 0
+			unreachable, turns := false, ms%2_000 == 0
 			if ms%5_000 == 0 {
 				rate, bad = 1+r.Intn(80), r.Intn(101)
 			}
 			if turns {
-				dark = r.Intn(3) == 0
+				unreachable = r.Intn(3) == 0
 				for i := range rows {
-					rows[i].Dark = dark
+					rows[i].Unreachable = unreachable
 				}
 			}
 			for i, k := range all {
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -17,7 +17,7 @@
 
 // takes says whether a replica may get a new attempt of this call by the newest word of it.
 func (s *Snapshot) takesRouted(r *wire.ReplicaNews, model, adapter string) bool {
-	if r.Leaving || r.Dark {
+	if r.Leaving || r.Unreachable {
 		return false
 	}
 	svc := s.Doc.Service(r.Service)
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -49,7 +49,7 @@
 // Takes says whether a replica may get a new attempt for this model and adapter under the newest news.
 func (s *Snapshot) Takes(replica, inc, model, adapter string) bool {
 	r := s.Replicas[replica]
-	if r == nil || r.Inc != inc || r.Leaving || r.Dark || s.Doc == nil || s.Doc.IsEmptied(r.Zone) {
+	if r == nil || r.Inc != inc || r.Leaving || r.Unreachable || s.Doc == nil || s.Doc.IsEmptied(r.Zone) {
 		return false
 	}
 	if r.Unloading == model || (adapter != "" && r.Unloading == adapter) || s.unknown(model, adapter) != "" {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -166,7 +166,7 @@
 	for _, id := range s.ReplicaIDs() {
 		r := s.Replicas[id]
 		row := wire.ReplicaNews{
-			ID: r.ID, Inc: r.Inc, Addr: r.Addr, Zone: r.Zone, Leaving: r.Leaving, LeftMs: r.LeftMs, Dark: r.Dark, Share: r.Shares[gateway],
+			ID: r.ID, Inc: r.Inc, Addr: r.Addr, Zone: r.Zone, Leaving: r.Leaving, LeftMs: r.LeftMs, Unreachable: r.Unreachable, Share: r.Shares[gateway],
 		}
 		for unit := range r.Holds {
 			row.Holds = append(row.Holds, unit)
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -291,7 +291,7 @@
 // sameRow: a gateway would learn nothing from it but that the replica has spoken again.
 func sameRow(a, b *wire.ReplicaRow) bool {
 	return a.Index == b.Index && a.Service == b.Service && a.Addr == b.Addr && a.Zone == b.Zone && a.Slots == b.Slots && a.Draining == b.Draining &&
-		a.LeftMs == b.LeftMs && a.Gone == b.Gone && a.Dark == b.Dark && a.Stale == b.Stale && slices.Equal(a.Units, b.Units)
+		a.LeftMs == b.LeftMs && a.Gone == b.Gone && a.Unreachable == b.Unreachable && a.Stale == b.Stale && slices.Equal(a.Units, b.Units)
 }
 
 // ordersSince are the orders that came to stand, or stand no longer.
@@ -315,7 +315,7 @@
 
 func rowOf(seen Seen, id string) wire.ReplicaRow {
 	e, kept := seen.Roster.Row(id), seen.State.Replicas[id]
-	row := wire.ReplicaRow{Row: e.Row, Dark: e.Dark}
+	row := wire.ReplicaRow{Row: e.Row, Unreachable: e.Unreachable}
 	row.Release, row.ColdMs = "", 0
 	if kept != nil && kept.Service != "" {
 		row.Units, row.Index = sortedUnits(kept.Holds), kept.Index
--- a/internal/ledger/replicas.go
+++ b/internal/ledger/replicas.go
@@ -10,18 +10,18 @@
 
 // Replica is the row of one life of a replica: where it is, its room, and what it holds.
 type Replica struct {
-	ID      string           `json:"id"`
-	Inc     string           `json:"inc"`
-	Addr    string           `json:"addr"`
-	Zone    string           `json:"zone"`
-	RoomMb  int64            `json:"roomMb"`
-	Slots   int              `json:"slots"`
-	Leaving bool             `json:"leaving,omitempty"`
-	LeftMs  int64            `json:"leftMs,omitempty"`
-	Dark    bool             `json:"dark,omitempty"`
-	Service string           `json:"service,omitempty"`
-	Holds   map[string]int64 `json:"holds"`
-	Index   uint64           `json:"index,omitempty"`
+	ID          string           `json:"id"`
+	Inc         string           `json:"inc"`
+	Addr        string           `json:"addr"`
+	Zone        string           `json:"zone"`
+	RoomMb      int64            `json:"roomMb"`
+	Slots       int              `json:"slots"`
+	Leaving     bool             `json:"leaving,omitempty"`
+	LeftMs      int64            `json:"leftMs,omitempty"`
+	Unreachable bool             `json:"dark,omitempty"`
+	Service     string           `json:"service,omitempty"`
+	Holds       map[string]int64 `json:"holds"`
+	Index       uint64           `json:"index,omitempty"`
 	// Orders is how many orders this life had taken when it held just Holds; nil where that is not known.
 	Orders *uint64 `json:"orders,omitempty"`
 	// Had are the models that this life has held at some time: they come back from its own disk.
@@ -32,23 +32,23 @@
 
 // Usable says whether a replica may be given more to hold.
 func (r *Replica) Usable(d *standing.Declaration) bool {
-	return !r.Leaving && !r.Dark && r.Inc != "" && (d == nil || !d.IsEmptied(r.Zone))
+	return !r.Leaving && !r.Unreachable && r.Inc != "" && (d == nil || !d.IsEmptied(r.Zone))
 }
 
 // ReplicaNote writes down what a replica says of itself; Holds counts only with Told.
 type ReplicaNote struct {
-	ID      string    `json:"id"`
-	Inc     string    `json:"inc"`
-	Addr    string    `json:"addr"`
-	Zone    string    `json:"zone"`
-	RoomMb  int64     `json:"roomMb"`
-	Slots   int       `json:"slots"`
-	Leaving bool      `json:"leaving,omitempty"`
-	LeftMs  int64     `json:"leftMs,omitempty"`
-	Dark    bool      `json:"dark,omitempty"`
-	Service string    `json:"service,omitempty"`
-	Told    bool      `json:"told,omitempty"`
-	Holds   []Holding `json:"holds,omitempty"`
+	ID          string    `json:"id"`
+	Inc         string    `json:"inc"`
+	Addr        string    `json:"addr"`
+	Zone        string    `json:"zone"`
+	RoomMb      int64     `json:"roomMb"`
+	Slots       int       `json:"slots"`
+	Leaving     bool      `json:"leaving,omitempty"`
+	LeftMs      int64     `json:"leftMs,omitempty"`
+	Unreachable bool      `json:"dark,omitempty"`
+	Service     string    `json:"service,omitempty"`
+	Told        bool      `json:"told,omitempty"`
+	Holds       []Holding `json:"holds,omitempty"`
 	// Orders is how many orders it had taken when it held just Holds, where that is known.
 	Orders *uint64 `json:"orders,omitempty"`
 }
@@ -95,7 +95,7 @@
 		s.Replicas[n.ID] = r
 	}
 	r.Addr, r.Zone, r.RoomMb, r.Slots = n.Addr, n.Zone, n.RoomMb, n.Slots
-	r.Leaving, r.LeftMs, r.Dark, r.Service = n.Leaving, n.LeftMs, n.Dark, n.Service
+	r.Leaving, r.LeftMs, r.Unreachable, r.Service = n.Leaving, n.LeftMs, n.Unreachable, n.Service
 	r.Index, s.HoldsIndex = s.Index, s.Index
 	if n.Told {
 		r.hold(n.Holds, n.Orders)
--- a/internal/placement/resident_test.go
+++ b/internal/placement/resident_test.go
@@ -39,7 +39,7 @@
 		t.Fatal(out.Fault)
 	}
 	for i := range 1 + r.Intn(9) {
-		n := ledger.ReplicaNote{ID: fmt.Sprint("r", i), Inc: "i", Addr: "a", Zone: "z", RoomMb: 100, Slots: 8, Service: "s", Told: true, Leaving: r.Intn(10) == 0, Dark: r.Intn(10) == 0}
+		n := ledger.ReplicaNote{ID: fmt.Sprint("r", i), Inc: "i", Addr: "a", Zone: "z", RoomMb: 100, Slots: 8, Service: "s", Told: true, Leaving: r.Intn(10) == 0, Unreachable: r.Intn(10) == 0}
 		left, places := int64(100), e.AdaptersMost
 		for _, m := range r.Perm(len(e.Models)) {
 			if m := e.Models[m]; m.SizeMb <= left && r.Intn(3) > 0 {
@@ -81,7 +81,7 @@
 	h.in.Homes = nil
 	for _, id := range h.s.ReplicaIDs() {
 		r := h.s.Replicas[id]
-		home := Home{ID: id, Usable: !r.Leaving && !r.Dark, FreeMb: r.RoomMb - h.s.TakenMb(id), Holds: maps.Clone(r.Holds), Had: maps.Clone(r.Had),
+		home := Home{ID: id, Usable: !r.Leaving && !r.Unreachable, FreeMb: r.RoomMb - h.s.TakenMb(id), Holds: maps.Clone(r.Holds), Had: maps.Clone(r.Had),
 			Runs: map[string]int{}, Unread: map[string]int{}, AgeMs: h.ages[id]}
 		if t, pending := h.s.Pending[id]; pending {
 			home.Busy = true
@@ -232,7 +232,7 @@
 		usable := false
 		for _, id := range h.s.ReplicaIDs() {
 			r := h.s.Replicas[id]
-			usable = usable || (!r.Leaving && !r.Dark)
+			usable = usable || (!r.Leaving && !r.Unreachable)
 		}
 		quiet := 0
 		said := []Proposal{}
--- a/internal/placement/routed.go
+++ b/internal/placement/routed.go
@@ -16,7 +16,7 @@
 	if f != nil || p.Step == ledger.Unload {
 		return t, f
 	}
-	if r.Leaving || r.Dark {
+	if r.Leaving || r.Unreachable {
 		return t, fault.New(fault.ReplicaLeaving, p.Replica, "it is leaving or dark")
 	}
 	if _, held := r.Holds[p.Unit]; held {
--- a/internal/roster/contest.go
+++ b/internal/roster/contest.go
@@ -13,12 +13,12 @@
 	undecided
 )
 
-// contestShare is the part of DarkUs, in tenths, within which two lives were heard at about the same time: one
-// and a half heartbeats where a life is dark after two and a half.
+// contestShare is the part of UnreachableUs, in tenths, within which two lives were heard at about the same time: one
+// and a half heartbeats where a life is unreachable after two and a half.
 const contestShare = 6
 
 func (r *Roster) contest(row *Row, heardUs int64) precedence {
-	withinUs := r.DarkUs * contestShare / 10
+	withinUs := r.UnreachableUs * contestShare / 10
 	result := later
 	for _, other := range r.rows {
 		switch {
--- a/internal/roster/late_test.go
+++ b/internal/roster/late_test.go
@@ -10,7 +10,7 @@
 // old, and its word for them made another control node believe that a replica had let go of a model.
 func TestWhatWasReadLateIsNotTakenToHoldSince(t *testing.T) {
 	at := 10 * clock.Sec
-	woken, other := New(darkUs), New(darkUs)
+	woken, other := New(unreachableUs), New(unreachableUs)
 	other.Hear(at-4*clock.Sec, word("r", "1", 3, holds("m")))
 	woken.LateUs = 5 * clock.Sec
 	woken.Hear(at, word("r", "1", 4))
@@ -42,7 +42,7 @@
 		}
 	}
 	t.Run("heard by an office that knows the new life alone", func(t *testing.T) {
-		r := New(darkUs)
+		r := New(unreachableUs)
 		r.Hear(at, word("new", "1", 3))
 		r.Hear(at+200*clock.Ms, word("old", "1", 90))
 		lives(t, r)
@@ -50,7 +50,7 @@
 		lives(t, r)
 	})
 	t.Run("heard first by an office that came back empty", func(t *testing.T) {
-		back, other := New(darkUs), New(darkUs)
+		back, other := New(unreachableUs), New(unreachableUs)
 		other.Hear(at, word("new", "1", 3))
 		back.Hear(at+200*clock.Ms, word("old", "1", 90))
 		for us := at + 300*clock.Ms; us < at+4*clock.Sec; us += 300 * clock.Ms {
@@ -66,7 +66,7 @@
 		}
 	})
 	t.Run("two lives heard by two offices at the same time", func(t *testing.T) {
-		back, other := New(darkUs), New(darkUs)
+		back, other := New(unreachableUs), New(unreachableUs)
 		back.Hear(at, word("old", "1", 90))
 		other.Hear(at-100*clock.Ms, word("new", "1", 3))
 		back.Merge(at, other.Notes(at, 0, true))
@@ -77,7 +77,7 @@
 		lives(t, other)
 	})
 	t.Run("a new life is taken once the one before is silent", func(t *testing.T) {
-		r := New(darkUs)
+		r := New(unreachableUs)
 		r.Hear(at, word("old", "1", 90))
 		for us := at + 300*clock.Ms; us <= at+2*clock.Sec; us += 300 * clock.Ms {
 			r.Hear(us, word("new", "1", uint64(us)))
--- a/internal/roster/note.go
+++ b/internal/roster/note.go
@@ -41,8 +41,8 @@
 		if !e.Gone && n.Seq > e.seen {
 			e.seen = n.Seq
 			e.HeardUs, e.SaidUs = max(e.HeardUs, heardUs), max(e.SaidUs, saidUs)
-			if e.Dark && nowUs-heardUs < r.DarkUs {
-				e.Dark, changed = false, true
+			if e.Unreachable && nowUs-heardUs < r.UnreachableUs {
+				e.Unreachable, changed = false, true
 				r.touch(e)
 			}
 		}
@@ -65,7 +65,7 @@
 	for _, id := range r.IDs() {
 		e := r.rows[id]
 		news := e.Rev > since || (alive && e.Gone && nowUs-e.HeardUs < goneUs)
-		if !news && (!alive || e.Gone || e.Dark || e.directUs <= e.toldUs) {
+		if !news && (!alive || e.Gone || e.Unreachable || e.directUs <= e.toldUs) {
 			continue
 		}
 		n := e.note(nowUs)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -17,8 +17,8 @@
 // Roster is one control node's soft state of all replicas: heard from them directly or from other control nodes.
 // It is never written to disk; who is heard last, by Seq, is right.
 type Roster struct {
-	Rev    uint64
-	DarkUs int64
+	Rev           uint64
+	UnreachableUs int64
 	// LateUs is how long what is read now may have lain unread: a control node that wakes from a freeze finds
 	// words in its sockets that were true before it.
 	LateUs  int64
@@ -37,8 +37,10 @@
 
 const logMost = 8192
 
-// New is an empty roster, which calls a replica dark after darkUs without a heartbeat.
-func New(darkUs int64) *Roster { return &Roster{DarkUs: darkUs, rows: map[string]*Entry{}} }
+// New is an empty roster, which calls a replica unreachable after unreachableUs without a heartbeat.
+func New(unreachableUs int64) *Roster {
+	return &Roster{UnreachableUs: unreachableUs, rows: map[string]*Entry{}}
+}
 
 func (r *Roster) touch(e *Entry) {
 	e.mark = e.Row.mark()
@@ -113,8 +115,8 @@
 	e.seen = max(e.seen, row.Seq)
 	e.HeardUs, e.SaidUs = max(e.HeardUs, heardUs), max(e.SaidUs, saidUs)
 	changed := !e.same(&row)
-	if e.Dark && nowUs-heardUs < r.DarkUs {
-		e.Dark, changed = false, true
+	if e.Unreachable && nowUs-heardUs < r.UnreachableUs {
+		e.Unreachable, changed = false, true
 	}
 	leftMs, draining, stage := e.LeftMs, e.Draining, e.Stage
 	e.Row = row
@@ -151,9 +153,9 @@
 	return true
 }
 
-// Sweep marks those not heard for too long as dark and forgets those long gone.
+// Sweep marks those not heard for too long as unreachable and forgets those long gone.
 func (r *Roster) Sweep(nowUs int64) {
-	if nowUs-r.sweepUs > r.DarkUs/2 && r.sweepUs > 0 {
+	if nowUs-r.sweepUs > r.UnreachableUs/2 && r.sweepUs > 0 {
 		for _, e := range r.rows {
 			e.HeardUs = min(e.HeardUs+nowUs-r.sweepUs, nowUs)
 		}
@@ -167,8 +169,8 @@
 			}
 			delete(r.rows, id)
 			r.sorted = nil
-		case !e.Gone && !e.Dark && nowUs-e.HeardUs > r.DarkUs:
-			e.Dark = true
+		case !e.Gone && !e.Unreachable && nowUs-e.HeardUs > r.UnreachableUs:
+			e.Unreachable = true
 			r.touch(e)
 		}
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -10,7 +10,7 @@
 	"petreltide/internal/clock"
 )
 
-const darkUs = 3 * clock.Sec
+const unreachableUs = 3 * clock.Sec
 
 func word(id, addr string, seq uint64, edit ...func(*Row)) Row {
 	row := Row{ID: id, Service: "s", Addr: addr, Zone: "a", Slots: 4, Seq: seq}
@@ -43,7 +43,7 @@
 		"a notice without a time": {[]heard{{word("r", "1", 1, draining(900)), true}, {word("r", "1", 2, draining(0)), true}}, word("r", "1", 2, draining(900))},
 		"cold, then warm":         {[]heard{{word("r", "1", 1, func(r *Row) { r.ColdMs = 80 }), true}, {word("r", "1", 2, func(r *Row) { r.ColdMs = 40 }), false}, {word("r", "1", 3), true}}, word("r", "1", 3)},
 	} {
-		r := New(darkUs)
+		r := New(unreachableUs)
 		for i, w := range c.words {
 			before := r.Rev
 			if got := r.Hear(int64(i), w.row); got != w.changed || (r.Rev > before) != w.changed {
@@ -57,7 +57,7 @@
 }
 
 func TestALifeThatEndedStaysEnded(t *testing.T) {
-	r, other := New(darkUs), New(darkUs)
+	r, other := New(unreachableUs), New(unreachableUs)
 	r.Hear(1, word("r", "1", 3))
 	other.Merge(1, r.Notes(1, 0, true))
 	if !r.Leave(2, "r") || r.Leave(3, "r") {
@@ -86,7 +86,7 @@
 }
 
 func TestALifeAtAnAddressEndsTheOneBefore(t *testing.T) {
-	r := New(darkUs)
+	r := New(unreachableUs)
 	r.Hear(0, word("old", "1", 7))
 	r.Hear(2*clock.Sec, word("new", "1", 1))
 	if !r.Row("old").Gone || r.Row("new").Gone {
@@ -98,7 +98,7 @@
 	}
 
 	// A control node that came back empty hears the new life, and then another control node's word of the old one.
-	lagging, back := New(darkUs), New(darkUs)
+	lagging, back := New(unreachableUs), New(unreachableUs)
 	lagging.Hear(0, word("old", "1", 7))
 	back.Hear(3*clock.Sec, word("new", "1", 1))
 	back.Merge(3*clock.Sec, lagging.Notes(3*clock.Sec, 0, true))
@@ -114,8 +114,8 @@
 	}
 }
 
-func TestAFrozenControlNodeCallsNobodyDarkAndNobodyAlive(t *testing.T) {
-	frozen, awake := New(darkUs), New(darkUs)
+func TestAFrozenControlNodeCallsNobodyUnreachableAndNobodyAlive(t *testing.T) {
+	frozen, awake := New(unreachableUs), New(unreachableUs)
 	for us := int64(0); us <= 2*clock.Sec; us += 250 * clock.Ms {
 		frozen.Sweep(us)
 		awake.Sweep(us)
@@ -129,27 +129,27 @@
 		awake.Hear(us, word("lives", "1", uint64(us)))
 		awake.Sweep(us)
 	}
-	if !awake.Row("died").Dark || awake.Row("lives").Dark {
+	if !awake.Row("died").Unreachable || awake.Row("lives").Unreachable {
 		t.Fatal("silence is not seen")
 	}
 	if notes := awake.Notes(12*clock.Sec, since, true); len(notes) != 2 || notes[0].ID != "died" || notes[0].Row == nil || notes[1].Row != nil {
 		t.Errorf("%+v", notes)
 	}
 	frozen.Sweep(12 * clock.Sec)
-	if frozen.Row("lives").Dark || frozen.Row("died").Dark {
+	if frozen.Row("lives").Unreachable || frozen.Row("died").Unreachable {
 		t.Error("it was the control node that was silent")
 	}
 	awake.Merge(12*clock.Sec, frozen.Notes(12*clock.Sec, frozen.Rev, true))
-	if !awake.Row("died").Dark {
+	if !awake.Row("died").Unreachable {
 		t.Error("a control node that was frozen tells of a replica as heard lately")
 	}
 	for us := 12 * clock.Sec; us <= 16*clock.Sec; us += 250 * clock.Ms {
 		frozen.Sweep(us)
 	}
-	if !frozen.Row("died").Dark {
+	if !frozen.Row("died").Unreachable {
 		t.Error("and it never finds out")
 	}
-	if !awake.Hear(17*clock.Sec, word("died", "2", 2)) || awake.Row("died").Dark {
+	if !awake.Hear(17*clock.Sec, word("died", "2", 2)) || awake.Row("died").Unreachable {
 		t.Error("it spoke again")
 	}
 }
@@ -160,7 +160,7 @@
 	lost, asked := 0, 0
 	for seed := int64(0); seed < 300; seed++ {
 		r := rand.New(rand.NewSource(seed))
-		controlNodes := []*Roster{New(darkUs), New(darkUs), New(darkUs)}
+		controlNodes := []*Roster{New(unreachableUs), New(unreachableUs), New(unreachableUs)}
 		since := map[[2]int]uint64{}
 		wants := [3]bool{}
 		seqs, ended := map[string]uint64{}, map[string]bool{}
@@ -254,7 +254,7 @@
 
 // The time that a replica has left runs on between its words, and what nobody heard of takes no room without end.
 func TestTheTimeLeftRunsOnAndEndsAreBounded(t *testing.T) {
-	r, other := New(darkUs), New(darkUs)
+	r, other := New(unreachableUs), New(unreachableUs)
 	r.Hear(clock.Sec, word("r", "1", 1, draining(900), func(r *Row) { r.Stage = "decode" }))
 	r.Hear(2*clock.Sec, word("r", "1", 2, draining(0)))
 	other.Merge(2*clock.Sec, r.Notes(2*clock.Sec, 0, true))
--- a/internal/roster/row.go
+++ b/internal/roster/row.go
@@ -53,11 +53,11 @@
 	HeardUs  int64
 	SaidUs   int64
 	// EndUs is when it said that its time is up; 0 where it named none.
-	EndUs int64
-	Rev   uint64
-	Dark  bool
-	seen  uint64
-	mark  uint32
+	EndUs       int64
+	Rev         uint64
+	Unreachable bool
+	seen        uint64
+	mark        uint32
 }
 
 // ends notes when a replica that named its time left is taken away.
--- a/internal/subscriber/behind.go
+++ b/internal/subscriber/behind.go
@@ -78,6 +78,6 @@
 		followed[s.addr] = true
 	}
 	return slices.ContainsFunc(m.ControlNodes(), func(addr string) bool {
-		return !followed[addr] && nowUs >= m.shyUs[addr] && !m.wasBehind(nowUs, addr, mirrorBehindAgainUs)
+		return !followed[addr] && nowUs >= m.avoidUntilUs[addr] && !m.wasBehind(nowUs, addr, mirrorBehindAgainUs)
 	})
 }
--- a/internal/subscriber/fold.go
+++ b/internal/subscriber/fold.go
@@ -21,7 +21,7 @@
 	return sources
 }
 
-// foldRow joins what the control nodes say of one life: its latest word counts, and it is dark only where every
+// foldRow joins what the control nodes say of one life: its latest word counts, and it is unreachable only where every
 // control node that knows it says so.
 func (m *Mirror) foldRow(id string) (changed bool) {
 	var best wire.ReplicaRow
@@ -53,7 +53,7 @@
 
 func sameRow(a, b wire.ReplicaRow) bool {
 	return a.Service == b.Service && a.Addr == b.Addr && a.Zone == b.Zone && a.Slots == b.Slots && a.Draining == b.Draining && a.LeftMs == b.LeftMs &&
-		a.Dark == b.Dark && a.Stale == b.Stale && slices.Equal(a.Units, b.Units)
+		a.Unreachable == b.Unreachable && a.Stale == b.Stale && slices.Equal(a.Units, b.Units)
 }
 
 func (m *Mirror) foldAll() (changed bool) {
@@ -103,13 +103,13 @@
 
 // newer joins two control nodes' words of one life: its own by Seq, what it holds by the ledger's entry.
 func newer(a, b wire.ReplicaRow) wire.ReplicaRow {
-	dark := a.Dark && b.Dark
+	unreachable := a.Unreachable && b.Unreachable
 	if b.Seq > a.Seq {
 		a, b = b, a
 	}
 	if b.Index > a.Index {
 		a.Units, a.Index = b.Units, b.Index
 	}
-	a.Dark = dark
+	a.Unreachable = unreachable
 	return a
 }
--- a/internal/subscriber/mirror.go
+++ b/internal/subscriber/mirror.go
@@ -15,7 +15,7 @@
 const (
 	mirrorSilentUs = 1300 * clock.Ms
 	mirrorTryUs    = 300 * clock.Ms
-	mirrorShyUs    = 1000 * clock.Ms
+	mirrorAvoidUs  = 1000 * clock.Ms
 	// mirrorFirstUs is how long a control node is left alone that did not answer a gateway without a declaration, and how
 	// often such a gateway tries: it holds its callers meanwhile.
 	mirrorFirstUs  = 100 * clock.Ms
@@ -77,10 +77,10 @@
 // Mirror keeps what a gateway knows by the frames of two control nodes at once, so that the loss of one costs no
 // time. Without any it goes on with what it last knew. Revisions only rise.
 type Mirror struct {
-	opts    Options
-	sources map[uint64]*source
-	shyUs   map[string]int64
-	deafUs  map[string]int64
+	opts         Options
+	sources      map[uint64]*source
+	avoidUntilUs map[string]int64
+	deafUs       map[string]int64
 	// behindUs is when a control node last was behind for too long.
 	behindUs     map[string]int64
 	controlNodes map[string]chain.Member
@@ -109,7 +109,7 @@
 
 // NewMirror is a mirror that knows nothing but its seeds.
 func NewMirror(opts Options) *Mirror {
-	return &Mirror{opts: opts, sources: map[uint64]*source{}, shyUs: map[string]int64{}, deafUs: map[string]int64{}, behindUs: map[string]int64{}, best: map[string]wire.ReplicaRow{}, touched: map[string]bool{}, controlNodes: map[string]chain.Member{}}
+	return &Mirror{opts: opts, sources: map[uint64]*source{}, avoidUntilUs: map[string]int64{}, deafUs: map[string]int64{}, behindUs: map[string]int64{}, best: map[string]wire.ReplicaRow{}, touched: map[string]bool{}, controlNodes: map[string]chain.Member{}}
 }
 
 func (m *Mirror) do(e MirrorEffect) { m.effects = append(m.effects, e) }
@@ -153,7 +153,7 @@
 	case ev.Seeds != nil:
 		m.opts.Seeds = ev.Seeds
 	case ev.Unreached != "":
-		m.deafUs[ev.Unreached] = ev.NowUs + mirrorShyUs
+		m.deafUs[ev.Unreached] = ev.NowUs + mirrorAvoidUs
 		m.urgentUs = ev.NowUs
 	}
 	m.failing = ev.Failing
@@ -175,7 +175,7 @@
 		return
 	}
 	delete(m.sources, stream)
-	m.shyUs[s.addr] = nowUs + m.unlessFirst(mirrorShyUs)
+	m.avoidUntilUs[s.addr] = nowUs + m.unlessFirst(mirrorAvoidUs)
 	if s.whole && m.Live() == 0 {
 		m.last = s
 	}
--- a/internal/subscriber/mirror_test.go
+++ b/internal/subscriber/mirror_test.go
@@ -420,7 +420,7 @@
 		}
 		return r
 	}
-	dark := func(r *wire.ReplicaRow) { r.Dark = true }
+	unreachable := func(r *wire.ReplicaRow) { r.Unreachable = true }
 	stale := func(r *wire.ReplicaRow) { r.Stale = true }
 	gone := func(r *wire.ReplicaRow) { r.Gone = true }
 	leaving := func(r *wire.ReplicaRow) { r.Draining = true }
@@ -436,11 +436,11 @@
 		want *wire.ReplicaNews
 	}{
 		"the later word":                  {row(2, leaving), row(1, nil), at(2, func(n *wire.ReplicaNews) { n.Leaving = true })},
-		"dark at one":                     {row(2, dark), row(1, nil), at(2, nil)},
-		"dark at both":                    {row(2, dark), row(1, dark), at(2, func(n *wire.ReplicaNews) { n.Dark = true })},
+		"dark at one":                     {row(2, unreachable), row(1, nil), at(2, nil)},
+		"dark at both":                    {row(2, unreachable), row(1, unreachable), at(2, func(n *wire.ReplicaNews) { n.Unreachable = true })},
 		"gone at one":                     {row(2, nil), row(1, gone), nil},
 		"stale at one":                    {row(0, stale), row(1, nil), at(1, nil)},
-		"stale at one and dark elsewhere": {row(9, stale), row(1, dark), at(1, func(n *wire.ReplicaNews) { n.Dark = true })},
+		"stale at one and dark elsewhere": {row(9, stale), row(1, unreachable), at(1, func(n *wire.ReplicaNews) { n.Unreachable = true })},
 		"stale at both":                   {row(0, stale), row(0, stale), at(0, func(n *wire.ReplicaNews) { n.Stale = true })},
 	} {
 		for turn := range 2 {
--- a/internal/subscriber/streams.go
+++ b/internal/subscriber/streams.go
@@ -40,7 +40,7 @@
 	}
 	free := []string{}
 	for _, addr := range m.ControlNodes() {
-		if !taken[addr] && nowUs >= m.shyUs[addr] {
+		if !taken[addr] && nowUs >= m.avoidUntilUs[addr] {
 			free = append(free, addr)
 		}
 	}
@@ -65,7 +65,7 @@
 // own is the control node of this gateway's own zone, if one is known that may be asked.
 func (m *Mirror) own(nowUs int64) string {
 	for _, id := range slices.Sorted(maps.Keys(m.controlNodes)) {
-		if o := m.controlNodes[id]; o.Zone != "" && o.Zone == m.opts.Zone && nowUs >= m.shyUs[o.Addr] && !m.wasBehind(nowUs, o.Addr, mirrorBehindNearUs) {
+		if o := m.controlNodes[id]; o.Zone != "" && o.Zone == m.opts.Zone && nowUs >= m.avoidUntilUs[o.Addr] && !m.wasBehind(nowUs, o.Addr, mirrorBehindNearUs) {
 			return o.Addr
 		}
 	}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -40,7 +40,7 @@
 // ReplicaRow is a replica's own word and what the control node makes of its silence.
 type ReplicaRow struct {
 	roster.Row
-	Dark bool `json:"dark,omitempty"`
+	Unreachable bool `json:"dark,omitempty"`
 	// Index is the ledger entry that last said what it holds; Units follow the greatest.
 	Index uint64 `json:"index,omitempty"`
 	// Stale rows come from the ledger: they are where a replica was before the control nodes came back. One that
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -24,20 +24,20 @@
 // LeftMs is how long a leaving replica stays; Stale says that the row comes from
 // the ledger, from before the control nodes came back.
 type ReplicaNews struct {
-	ID        string   `json:"id"`
-	Inc       string   `json:"inc"`
-	Addr      string   `json:"addr"`
-	Zone      string   `json:"zone"`
-	Leaving   bool     `json:"leaving,omitempty"`
-	LeftMs    int64    `json:"leftMs,omitempty"`
-	Dark      bool     `json:"dark,omitempty"`
-	Holds     []string `json:"holds"`
-	Unloading string   `json:"unloading,omitempty"`
-	Share     int      `json:"share"`
-	Service   string   `json:"service,omitempty"`
-	Slots     int      `json:"slots,omitempty"`
-	Stale     bool     `json:"stale,omitempty"`
-	Loading   string   `json:"loading,omitempty"`
+	ID          string   `json:"id"`
+	Inc         string   `json:"inc"`
+	Addr        string   `json:"addr"`
+	Zone        string   `json:"zone"`
+	Leaving     bool     `json:"leaving,omitempty"`
+	LeftMs      int64    `json:"leftMs,omitempty"`
+	Unreachable bool     `json:"dark,omitempty"`
+	Holds       []string `json:"holds"`
+	Unloading   string   `json:"unloading,omitempty"`
+	Share       int      `json:"share"`
+	Service     string   `json:"service,omitempty"`
+	Slots       int      `json:"slots,omitempty"`
+	Stale       bool     `json:"stale,omitempty"`
+	Loading     string   `json:"loading,omitempty"`
 }
 
 // Follow asks a control node for a stream. Revision and Number are what the gateway knows already.
--- a/proofs/capacity/fault.go
+++ b/proofs/capacity/fault.go
@@ -55,8 +55,8 @@
 	return errors.Errorf("no such fault %q", name)
 }
 
-// darken takes hollow gateways and replicas of some zones out of touch, or brings them back.
-func (f *fleet) darken(of func(zone string) bool, dead bool) {
+// disconnect takes hollow gateways and replicas of some zones out of touch, or brings them back.
+func (f *fleet) disconnect(of func(zone string) bool, dead bool) {
 	for _, d := range f.world.gateways {
 		if of(d.zone) {
 			d.dead.Store(dead)
@@ -97,7 +97,7 @@
 // stopRegion stops all that lies in a region; back lets it go on.
 func (f *fleet) stopRegion(region string) (back func()) {
 	of := func(zone string) bool { return f.regions[zone] == region }
-	f.darken(of, true)
+	f.disconnect(of, true)
 	stopped := []*process{}
 	for _, p := range f.real() {
 		if of(p.zone) {
@@ -109,7 +109,7 @@
 		for _, p := range stopped {
 			p.signal(syscall.SIGCONT)
 		}
-		f.darken(of, false)
+		f.disconnect(of, false)
 	}
 }
 
@@ -161,7 +161,7 @@
 		return err
 	}
 	if zones != nil {
-		f.darken(zones, true)
+		f.disconnect(zones, true)
 	}
 	killed := []*process{}
 	for _, p := range f.controlNodes {
@@ -183,7 +183,7 @@
 		return err
 	}
 	if zones != nil {
-		f.darken(zones, false)
+		f.disconnect(zones, false)
 	}
 	back := time.Now()
 	f.until(ctx, back, func() bool { return f.seated(ctx) == len(f.controlNodes) && f.gatewaysWhole() })
--- a/proofs/fleet/measure.go
+++ b/proofs/fleet/measure.go
@@ -51,7 +51,7 @@
 		return holderOf{}, errors.New("nobody is on duty")
 	}
 	for _, r := range head.Replicas {
-		if _, held := r.Holds[model]; held && !r.Leaving && !r.Dark {
+		if _, held := r.Holds[model]; held && !r.Leaving && !r.Unreachable {
 			return holderOf{r.ID, r.Inc, r.Addr}, nil
 		}
 	}
@@ -277,7 +277,7 @@
 			return err
 		}
 	}
-	if err := measureDarkReplica(ctx, f, doc, out); err != nil {
+	if err := measureUnreachableReplica(ctx, f, doc, out); err != nil {
 		return err
 	}
 	return measureGatewayAgain(ctx, f, doc, out)
@@ -328,8 +328,8 @@
 	return NowUs(), nil
 }
 
-// measureDarkReplica kills a replica and measures how long it is until the ledger says so.
-func measureDarkReplica(ctx context.Context, f *Fleet, doc *standing.Declaration, out io.Writer) error {
+// measureUnreachableReplica kills a replica and measures how long it is until the ledger says so.
+func measureUnreachableReplica(ctx context.Context, f *Fleet, doc *standing.Declaration, out io.Writer) error {
 	name := f.Names("replica")[2]
 	zone := f.Proc(name).Zone
 	err := f.under(ctx, doc, 60, func() error {
@@ -339,7 +339,7 @@
 			head, ok := f.Head(ctx)
 			for _, r := range head.Replicas {
 				if ok && r.ID == name {
-					return r.Dark
+					return r.Unreachable
 				}
 			}
 			return ok
--- a/proofs/sim/routed_control_nodes.go
+++ b/proofs/sim/routed_control_nodes.go
@@ -85,8 +85,8 @@
 		leaseUs = 0
 	}
 	o.core = controlnode.NewCoreWith(node, controlnode.CoreOptions{
-		DarkUs:     heartbeatUs * 5 / 2,
-		Controller: controller.Options{LeaseUs: leaseUs, StoreWindowUs: b.CeilingUs, StoreOvershoot: b.CeilingOver},
+		UnreachableUs: heartbeatUs * 5 / 2,
+		Controller:    controller.Options{LeaseUs: leaseUs, StoreWindowUs: b.CeilingUs, StoreOvershoot: b.CeilingOver},
 	})
 	o.day.over(o.name, "down")
 	o.tick()
