--- a/internal/roster/note.go
+++ b/internal/roster/note.go
@@ -5,12 +5,12 @@
 )
 
 // Note is what one control node tells another of a replica: the whole row where it may be news, else only
-// that it was heard, and a mark of what it said.
+// that it was heard, and a checksum of what it said.
 type Note struct {
-	ID    string `json:"id"`
-	Seq   uint64 `json:"seq"`
-	Mark  uint32 `json:"mark"`
-	AgoMs int64  `json:"agoMs"`
+	ID       string `json:"id"`
+	Seq      uint64 `json:"seq"`
+	Checksum uint32 `json:"mark"`
+	AgoMs    int64  `json:"agoMs"`
 	// SaidMs ago is since when what it says surely holds: a word may have lain unread.
 	SaidMs int64 `json:"saidMs"`
 	Row    *Row  `json:"row,omitempty"`
@@ -34,7 +34,7 @@
 			continue
 		}
 		e := r.rows[n.ID]
-		if e == nil || (!e.Gone && n.Seq > e.seen && n.Mark != e.mark) {
+		if e == nil || (!e.Gone && n.Seq > e.seen && n.Checksum != e.checksum) {
 			r.want = true
 			continue
 		}
@@ -89,7 +89,7 @@
 }
 
 func (e *Entry) note(nowUs int64) Note {
-	return Note{ID: e.ID, Seq: e.seen, Mark: e.mark, AgoMs: (nowUs - e.HeardUs) / 1000, SaidMs: (nowUs - e.SaidUs) / 1000}
+	return Note{ID: e.ID, Seq: e.seen, Checksum: e.checksum, AgoMs: (nowUs - e.HeardUs) / 1000, SaidMs: (nowUs - e.SaidUs) / 1000}
 }
 
 // told is the row as other control nodes are told it.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -43,7 +43,7 @@
 }
 
 func (r *Roster) touch(e *Entry) {
-	e.mark = e.Row.mark()
+	e.checksum = e.Row.checksum()
 	r.Rev++
 	e.Rev = r.Rev
 	r.log = append(r.log, touched{r.Rev, e.ID})
--- a/internal/roster/row.go
+++ b/internal/roster/row.go
@@ -38,8 +38,8 @@
 	return ok
 }
 
-// mark tells rows apart that are not the same.
-func (r *Row) mark() uint32 {
+// checksum tells rows apart that are not the same.
+func (r *Row) checksum() uint32 {
 	h := fnv.New32a()
 	_, _ = fmt.Fprintf(h, "%q %q %q %q %d %t %t %t %t %q", r.Service, r.Addr, r.Zone, r.Release, r.Slots, r.Draining, r.LeftMs > 0, r.ColdMs > 0, r.Gone, r.Units)
 	return h.Sum32()
@@ -57,7 +57,7 @@
 	Rev         uint64
 	Unreachable bool
 	seen        uint64
-	mark        uint32
+	checksum    uint32
 }
 
 // ends notes when a replica that named its time left is taken away.
