--- a/internal/chain/echo_test.go
+++ b/internal/chain/echo_test.go
@@ -16,9 +16,9 @@
 }
 
 // holdAcks takes away what one control node tells another's chain, for as long as it is asked to, and returns it.
-func (y *yard) holdAcks(from, to *spot, us int64) (held []letter) {
+func (y *yard) holdAcks(from, to *spot, us int64) (held []message) {
 	for endUs := y.nowUs + us; y.nowUs < endUs; {
-		y.mail = slices.DeleteFunc(y.mail, func(l letter) bool {
+		y.mail = slices.DeleteFunc(y.mail, func(l message) bool {
 			if l.from == from.me.Addr && l.to == to.me.Addr && l.msg.Ack != nil {
 				held = append(held, l)
 				return true
@@ -47,7 +47,7 @@
 			}
 			y.pass(3 * clock.Sec)
 			if struck.node.Current(y.nowUs) || len(held) < 2 {
-				t.Fatalf("seed %d: cut off, place %d is current; %d letters are held", seed, place, len(held))
+				t.Fatalf("seed %d: cut off, place %d is current; %d messages are held", seed, place, len(held))
 			}
 			for _, l := range held {
 				y.step(struck, Event{Got: &l.msg})
--- a/internal/chain/loose_test.go
+++ b/internal/chain/loose_test.go
@@ -58,7 +58,7 @@
 	y.pass(y.r.Int63n(2 * clock.Sec))
 }
 
-// Letters of every kind come twice, late and out of their order, as posts that were given up, and copies that go beside
+// Messages of every kind come twice, late and out of their order, as posts that were given up, and copies that go beside
 // the others, may bring them; processes stand still and go on, at any moment. One chain, nothing acknowledged is lost,
 // and in the end all are in it.
 func TestSeededLooseLinksAndFreezes(t *testing.T) {
--- a/internal/chain/self_test.go
+++ b/internal/chain/self_test.go
@@ -18,7 +18,7 @@
 	r       *rand.Rand
 	nowUs   int64
 	spots   []*spot
-	mail    []letter
+	mail    []message
 	cuts    map[[2]string]bool
 	seeds   []string
 	views   map[uint64]View
@@ -32,7 +32,7 @@
 	paced   bool
 	// idle: nobody writes.
 	idle bool
-	// loose links bring letters twice, late and out of their order.
+	// loose links bring messages twice, late and out of their order.
 	loose bool
 	// slowestUs is the longest time from a successor's start until it had taken over.
 	slowestUs int64
@@ -59,7 +59,7 @@
 	save Save
 }
 
-type letter struct {
+type message struct {
 	atUs     int64
 	from, to string
 	msg      Msg
@@ -99,7 +99,7 @@
 
 func (y *yard) stop(s *spot) {
 	s.node, s.saves, s.slow, s.frozen = nil, nil, false, false
-	y.mail = slices.DeleteFunc(y.mail, func(l letter) bool { return l.to == s.me.Addr })
+	y.mail = slices.DeleteFunc(y.mail, func(l message) bool { return l.to == s.me.Addr })
 }
 
 // wipe takes a disk: the control node comes back under its name as another identity.
@@ -163,7 +163,7 @@
 
 func (y *yard) cut(a, b string) bool { return y.cuts[[2]string{a, b}] || y.cuts[[2]string{b, a}] }
 
-// post keeps the order of letters between two control nodes.
+// post keeps the order of messages between two control nodes.
 func (y *yard) post(from, to string, m Msg) {
 	us := y.nowUs + 1 + y.r.Int63n(6*clock.Ms)
 	for i := len(y.mail) - 1; i >= 0; i-- {
@@ -173,20 +173,20 @@
 		}
 	}
 	if !y.loose {
-		y.mail = append(y.mail, letter{us, from, to, m})
+		y.mail = append(y.mail, message{us, from, to, m})
 		return
 	}
 	us = y.nowUs + 1 + y.r.Int63n(20*clock.Ms)
 	if y.r.Intn(30) == 0 {
 		us += y.r.Int63n(lateMostUs)
 	}
-	y.mail = append(y.mail, letter{us, from, to, m})
+	y.mail = append(y.mail, message{us, from, to, m})
 	if y.r.Intn(10) == 0 {
-		y.mail = append(y.mail, letter{us + y.r.Int63n(lateMostUs), from, to, m})
+		y.mail = append(y.mail, message{us + y.r.Int63n(lateMostUs), from, to, m})
 	}
 }
 
-// lateMostUs is how late a letter comes at most: whoever sends it gives it up after a second.
+// lateMostUs is how late a message comes at most: whoever sends it gives it up after a second.
 const lateMostUs = clock.Sec
 
 // viewed: a number stands for one view, which the voters of the one before decide alone; from one to the next
@@ -232,8 +232,8 @@
 func (y *yard) pass(us int64) {
 	for endUs := y.nowUs + us; y.nowUs < endUs; {
 		y.nowUs += yardStepUs
-		due := []letter{}
-		y.mail = slices.DeleteFunc(y.mail, func(l letter) bool {
+		due := []message{}
+		y.mail = slices.DeleteFunc(y.mail, func(l message) bool {
 			if to := y.at(l.to); l.atUs <= y.nowUs && (to == nil || !to.frozen) {
 				due = append(due, l)
 				return true
--- a/internal/controlnode/bulk.go
+++ b/internal/controlnode/bulk.go
@@ -29,9 +29,9 @@
 	return m.ToID + "/" + strconv.FormatUint(m.Forward.View, 10)
 }
 
-// postBulk sends a whole state beside the other letters, one at a time to each partner. One that is on its way to a
+// sendBulk sends a whole state beside the other messages, one at a time to each partner. One that is on its way to a
 // life that has ended hangs for as long as nothing answers: the next life does not wait for it.
-func (h *Host) postBulk(addr string, l wire.Letter) {
+func (h *Host) sendBulk(addr string, l wire.Message) {
 	reader := readerOf(l.Chain)
 	if running := h.bulk[addr]; running != nil {
 		if running.reader == reader {
@@ -44,7 +44,7 @@
 	h.bulk[addr] = send
 	h.act.Spawn(func() {
 		defer cancel()
-		_, _ = rpc.NewCaller[wire.Post, wire.Receipt](h.inner, addr, rpc.PostPath).Call(ctx, &wire.Post{Letters: []wire.Letter{l}})
+		_, _ = rpc.NewCaller[wire.Batch, wire.Receipt](h.inner, addr, rpc.BatchPath).Call(ctx, &wire.Batch{Messages: []wire.Message{l}})
 		h.act.Tell(func() {
 			if h.bulk[addr] == send {
 				delete(h.bulk, addr)
--- a/internal/controlnode/bulk_test.go
+++ b/internal/controlnode/bulk_test.go
@@ -22,11 +22,11 @@
 	read := make(chan string, 8)
 	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		raw, err := io.ReadAll(r.Body)
-		post := wire.Post{}
-		if err != nil || json.Unmarshal(raw, &post) != nil {
+		batch := wire.Batch{}
+		if err != nil || json.Unmarshal(raw, &batch) != nil {
 			return
 		}
-		read <- post.Letters[0].Chain.Joining.Inc
+		read <- batch.Messages[0].Chain.Joining.Inc
 		<-r.Context().Done()
 	}))
 	t.Cleanup(server.CloseClientConnections)
@@ -34,7 +34,7 @@
 	send := func(inc string) {
 		copied := chain.Copy{Index: 1, State: ledger.NewState()}
 		msg := chain.Msg{ToID: "b-1", Joining: &chain.Joining{View: 1, Inc: inc, Copy: copied}}
-		h.act.Tell(func() { h.post(addr, wire.Letter{Chain: &msg}) })
+		h.act.Tell(func() { h.send(addr, wire.Message{Chain: &msg}) })
 	}
 	ctx, done := context.WithTimeout(t.Context(), 10*time.Second)
 	defer done()
--- a/internal/controlnode/core.go
+++ b/internal/controlnode/core.go
@@ -21,7 +21,7 @@
 // is a tick.
 type Event struct {
 	NowUs      int64
-	Letter     *wire.Letter
+	Message    *wire.Message
 	Saved      uint64
 	LogBytes   int64
 	Refused    uint64
@@ -49,7 +49,7 @@
 
 // Effect is one thing that the host has to do; one field is set, but for Note and Trouble, which go together.
 type Effect struct {
-	Letter     *Letter
+	Message    *Message
 	Save       *chain.Save
 	Push       *feed.Push
 	Frame      *feed.FramePush
@@ -62,10 +62,10 @@
 	Note       string
 }
 
-// Letter is a message to another control node, at its address.
-type Letter struct {
-	Addr   string
-	Letter wire.Letter
+// Message is a message to another control node, at its address.
+type Message struct {
+	Addr    string
+	Message wire.Message
 }
 
 // Leased answers a Reported with the same number.
@@ -120,8 +120,8 @@
 	c.effects = nil
 	c.woke(ev.NowUs)
 	switch {
-	case ev.Letter != nil:
-		c.letter(ev.NowUs, *ev.Letter)
+	case ev.Message != nil:
+		c.receive(ev.NowUs, *ev.Message)
 	case ev.Saved != 0:
 		c.chain(chain.Event{NowUs: ev.NowUs, Saved: ev.Saved, LogBytes: ev.LogBytes})
 	case ev.Refused != 0:
@@ -171,7 +171,7 @@
 	return c.effects
 }
 
-func (c *Core) letter(nowUs int64, l wire.Letter) {
+func (c *Core) receive(nowUs int64, l wire.Message) {
 	switch {
 	case l.Chain != nil:
 		c.chain(chain.Event{NowUs: nowUs, Got: l.Chain})
@@ -209,7 +209,7 @@
 	if c.Node.IsHead() {
 		c.controller(controller.Event{NowUs: nowUs, Silence: s})
 	} else if head := c.Node.View().Head(); head.Addr != "" {
-		c.post(head.Addr, wire.Letter{Silence: s})
+		c.send(head.Addr, wire.Message{Silence: s})
 	}
 }
 
@@ -227,11 +227,11 @@
 		return
 	}
 	report := r.Report
-	c.post(c.Node.View().Head().Addr, wire.Letter{Report: &report})
+	c.send(c.Node.View().Head().Addr, wire.Message{Report: &report})
 }
 
-func (c *Core) post(addr string, l wire.Letter) {
-	c.effects = append(c.effects, Effect{Letter: &Letter{Addr: addr, Letter: l}})
+func (c *Core) send(addr string, l wire.Message) {
+	c.effects = append(c.effects, Effect{Message: &Message{Addr: addr, Message: l}})
 }
 
 func (c *Core) chain(ev chain.Event) {
@@ -239,7 +239,7 @@
 		switch {
 		case e.Send != nil:
 			msg := e.Send.Msg
-			c.post(e.Send.Addr, wire.Letter{Chain: &msg})
+			c.send(e.Send.Addr, wire.Message{Chain: &msg})
 		case e.Save != nil:
 			c.effects = append(c.effects, Effect{Save: e.Save})
 		case e.Applied != nil:
@@ -308,7 +308,7 @@
 		c.effects = append(c.effects, Effect{Result: &r})
 		return
 	}
-	c.post(origin, wire.Letter{Result: &r})
+	c.send(origin, wire.Message{Result: &r})
 }
 
 func (c *Core) controller(ev controller.Event) {
--- a/internal/controlnode/departures.go
+++ b/internal/controlnode/departures.go
@@ -84,16 +84,16 @@
 	return false
 }
 
-// askAbout adds to a letter the leavings that a partner has not confirmed.
-func (c *Core) askAbout(nowUs int64, partner string, letter *wire.Heard) {
+// askAbout adds to a message the leavings that a partner has not confirmed.
+func (c *Core) askAbout(nowUs int64, partner string, message *wire.Heard) {
 	for _, id := range slices.Sorted(maps.Keys(c.soft.departures)) {
 		d := c.soft.departures[id]
 		if d.knownBy[partner] || nowUs-d.askedUs < leaveAgainUs {
 			continue
 		}
-		letter.Confirm = append(letter.Confirm, id)
-		if !slices.ContainsFunc(letter.Notes, func(n roster.Note) bool { return n.ID == id }) {
-			letter.Notes = append(letter.Notes, c.soft.Roster.NotesOf(nowUs, id)...)
+		message.Confirm = append(message.Confirm, id)
+		if !slices.ContainsFunc(message.Notes, func(n roster.Note) bool { return n.ID == id }) {
+			message.Notes = append(message.Notes, c.soft.Roster.NotesOf(nowUs, id)...)
 		}
 	}
 }
@@ -119,7 +119,7 @@
 	}
 	for _, p := range c.Node.Partners() {
 		if p.Member.ID == h.By {
-			c.post(p.Member.Addr, wire.Letter{Confirmed: &known})
+			c.send(p.Member.Addr, wire.Message{Confirmed: &known})
 		}
 	}
 }
--- a/internal/controlnode/departures_test.go
+++ b/internal/controlnode/departures_test.go
@@ -12,7 +12,7 @@
 	"petreltide/internal/wire"
 )
 
-// trio is three control nodes with disks that sync at once, letters that arrive at once, and links that can be cut.
+// trio is three control nodes with disks that sync at once, messages that arrive at once, and links that can be cut.
 type trio struct {
 	t     *testing.T
 	nowUs int64
@@ -20,8 +20,8 @@
 	cuts  map[[2]int]bool
 	words map[uint64]bool
 	asked uint64
-	// tap sees every letter that is sent.
-	tap func(wire.Letter)
+	// tap sees every message that is sent.
+	tap func(wire.Message)
 }
 
 func newTrio(t *testing.T) *trio {
@@ -55,14 +55,14 @@
 			tr.step(i, Event{Saved: e.Save.Seq})
 		case e.Word != nil:
 			tr.words[e.Word.Reply] = e.Word.OK
-		case e.Letter != nil:
+		case e.Message != nil:
 			if tr.tap != nil {
-				tr.tap(e.Letter.Letter)
+				tr.tap(e.Message.Message)
 			}
 			var to int
-			if _, err := fmt.Sscanf(e.Letter.Addr, "a%d", &to); err == nil && !tr.cuts[[2]int{i, to}] {
-				letter := e.Letter.Letter
-				tr.step(to, Event{Letter: &letter})
+			if _, err := fmt.Sscanf(e.Message.Addr, "a%d", &to); err == nil && !tr.cuts[[2]int{i, to}] {
+				message := e.Message.Message
+				tr.step(to, Event{Message: &message})
 			}
 		}
 	}
@@ -149,7 +149,7 @@
 		ev.Reply = tr.asked
 		tr.step(0, ev)
 		if !tr.words[ev.Reply] {
-			t.Fatal("not acknowledged while every letter arrives at once")
+			t.Fatal("not acknowledged while every message arrives at once")
 		}
 		know := 0
 		for _, c := range tr.cores {
--- a/internal/controlnode/forms_test.go
+++ b/internal/controlnode/forms_test.go
@@ -23,7 +23,7 @@
 	"log-record":        chain.Record{},
 	"snapshot":          chain.Copy{},
 	"ledger-state":      ledger.State{},
-	"post":              wire.Post{},
+	"post":              wire.Batch{},
 	"where-ask":         wire.WhereAsk{},
 	"where":             wire.Where{},
 	"result":            wire.Result{},
--- a/internal/controlnode/host.go
+++ b/internal/controlnode/host.go
@@ -74,7 +74,7 @@
 	act      *actor.Actor
 	saves    *saveQueue
 	pace     func() <-chan time.Time
-	partners map[string]chan wire.Letter
+	partners map[string]chan wire.Message
 	bulk     map[string]*bulkSend
 	// waiters are the callers that wait for the outcome of a change, by its id.
 	waiters  map[string][]chan wire.Result
@@ -187,7 +187,7 @@
 		set: set, core: core, disk: opened.Store, ring: ring, log: logger,
 		web: rpc.Client(500, set.Listen), inner: rpc.NodeClient(innerDialMs, set.Listen),
 		act: actor.New(mailboxMost), saves: newSaveQueue(), pace: func() <-chan time.Time { return time.After(retryEvery) },
-		partners: map[string]chan wire.Letter{}, bulk: map[string]*bulkSend{}, waiters: map[string][]chan wire.Result{}, replies: map[uint64]chan wire.Lease{}, words: map[uint64]chan bool{},
+		partners: map[string]chan wire.Message{}, bulk: map[string]*bulkSend{}, waiters: map[string][]chan wire.Result{}, replies: map[uint64]chan wire.Lease{}, words: map[uint64]chan bool{},
 		follows: map[string]*followed{}, rebuilds: opened.Fresh && founding == 0 && len(set.Founders) == 0, failed: make(chan error, 1),
 		frames: map[string]*framed{},
 	}
@@ -265,8 +265,8 @@
 	}
 	for _, e := range h.core.Step(ev) {
 		switch {
-		case e.Letter != nil:
-			h.post(e.Letter.Addr, e.Letter.Letter)
+		case e.Message != nil:
+			h.send(e.Message.Addr, e.Message.Message)
 		case e.Save != nil:
 			h.saves.put(*e.Save)
 		case e.Push != nil:
@@ -293,17 +293,17 @@
 	}
 }
 
-func (h *Host) post(addr string, l wire.Letter) {
+func (h *Host) send(addr string, l wire.Message) {
 	if addr == "" || addr == h.set.Advertise {
 		return
 	}
 	if l.Chain.Bulk() {
-		h.postBulk(addr, l)
+		h.sendBulk(addr, l)
 		return
 	}
 	box := h.partners[addr]
 	if box == nil {
-		box = make(chan wire.Letter, partnerMost)
+		box = make(chan wire.Message, partnerMost)
 		h.partners[addr] = box
 		h.act.Spawn(func() { h.carry(addr, box) })
 	}
@@ -313,26 +313,26 @@
 	}
 }
 
-func (h *Host) carry(addr string, box chan wire.Letter) {
-	caller := rpc.NewCaller[wire.Post, wire.Receipt](h.inner, addr, rpc.PostPath)
+func (h *Host) carry(addr string, box chan wire.Message) {
+	caller := rpc.NewCaller[wire.Batch, wire.Receipt](h.inner, addr, rpc.BatchPath)
 	for {
-		post := wire.Post{}
+		batch := wire.Batch{}
 		select {
 		case <-h.act.Ctx.Done():
 			return
 		case l := <-box:
-			post.Letters = append(post.Letters, l)
+			batch.Messages = append(batch.Messages, l)
 		}
-		for more := true; more && len(post.Letters) < 128; {
+		for more := true; more && len(batch.Messages) < 128; {
 			select {
 			case l := <-box:
-				post.Letters = append(post.Letters, l)
+				batch.Messages = append(batch.Messages, l)
 			default:
 				more = false
 			}
 		}
 		ctx, done := context.WithTimeout(h.act.Ctx, time.Second)
-		_, _ = caller.Call(ctx, &post)
+		_, _ = caller.Call(ctx, &batch)
 		done()
 	}
 }
--- a/internal/controlnode/life_test.go
+++ b/internal/controlnode/life_test.go
@@ -11,7 +11,7 @@
 	"petreltide/internal/standing"
 )
 
-// pair is two control nodes with disks that sync at once, and letters that arrive at once.
+// pair is two control nodes with disks that sync at once, and messages that arrive at once.
 type pair struct {
 	t     *testing.T
 	nowUs int64
@@ -48,9 +48,9 @@
 			}
 			p.disks[i] = append(p.disks[i], e.Save.Records...)
 			p.step(i, Event{Saved: e.Save.Seq})
-		case e.Letter != nil && e.Letter.Addr == fmt.Sprint("a", 1-i):
-			letter := e.Letter.Letter
-			p.step(1-i, Event{Letter: &letter})
+		case e.Message != nil && e.Message.Addr == fmt.Sprint("a", 1-i):
+			message := e.Message.Message
+			p.step(1-i, Event{Message: &message})
 		}
 	}
 }
--- a/internal/controlnode/malformed_test.go
+++ b/internal/controlnode/malformed_test.go
@@ -51,12 +51,12 @@
 	return other[r.Intn(len(other))]
 }
 
-// letters are what three control nodes tell each other while they found a chain, take a configuration, hear replicas and
+// messages are what three control nodes tell each other while they found a chain, take a configuration, hear replicas and
 // lose a member, by their kinds.
-func letters(t *testing.T) map[string][][]byte {
+func messages(t *testing.T) map[string][][]byte {
 	tr := newTrio(t)
 	raws := map[string][][]byte{}
-	tr.tap = func(l wire.Letter) {
+	tr.tap = func(l wire.Message) {
 		raw, err := json.Marshal(l)
 		if err != nil {
 			t.Fatal(err)
@@ -75,7 +75,7 @@
 	return raws
 }
 
-func kindOf(l wire.Letter) string {
+func kindOf(l wire.Message) string {
 	m := l.Chain
 	switch {
 	case m == nil:
@@ -143,16 +143,16 @@
 	}
 }
 
-const malformedLetters = 20_000
+const malformedMessages = 20_000
 
-// No letter, however malformed, ends a control node.
-func TestMalformedLettersEndNoControlNode(t *testing.T) {
-	raws := letters(t)
+// No message, however malformed, ends a control node.
+func TestMalformedMessagesEndNoControlNode(t *testing.T) {
+	raws := messages(t)
 	kinds := slices.Sorted(maps.Keys(raws))
 	r := rand.New(rand.NewSource(1))
 	read, found := 0, map[string]bool{}
 	tr := newTrio(t)
-	for n := range malformedLetters {
+	for n := range malformedMessages {
 		kind := raws[kinds[n%len(kinds)]]
 		var tree any
 		if err := json.Unmarshal(kind[r.Intn(len(kind))], &tree); err != nil {
@@ -165,7 +165,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		var l wire.Letter
+		var l wire.Message
 		if json.Unmarshal(raw, &l) != nil {
 			continue
 		}
@@ -173,17 +173,17 @@
 		if n%25 == 0 {
 			tr = newTrio(t)
 		}
-		if broken := survives(tr, r.Intn(3), Event{Letter: &l}); broken != "" {
+		if broken := survives(tr, r.Intn(3), Event{Message: &l}); broken != "" {
 			if !found[broken[:40]] {
-				t.Errorf("letter %d, %s: %.1500s", n, raw, broken)
+				t.Errorf("message %d, %s: %.1500s", n, raw, broken)
 			}
 			found[broken[:40]] = true
 			tr = newTrio(t)
 		}
 	}
-	t.Logf("%d letters of %d kinds were read", read, len(kinds))
-	if read < malformedLetters/10 || len(kinds) < 10 {
-		t.Errorf("%d letters of %d kinds: it proves little", read, len(kinds))
+	t.Logf("%d messages of %d kinds were read", read, len(kinds))
+	if read < malformedMessages/10 || len(kinds) < 10 {
+		t.Errorf("%d messages of %d kinds: it proves little", read, len(kinds))
 	}
 }
 
@@ -192,7 +192,7 @@
 	tr := newTrio(t)
 	for _, ev := range []Event{
 		{Report: &Reported{}}, {GatewayReport: &wire.Report{}}, {Follow: &wire.Follow{}}, {Subscribe: &wire.Follow{}}, {Subscribe: &wire.Follow{Revision: 1 << 63}},
-		{Beat: &watch.Beat{}}, {Letter: &wire.Letter{}}, {Letter: &wire.Letter{Chain: &chain.Msg{}}}, {Unfollow: &Unfollow{}}, {Left: "none"},
+		{Beat: &watch.Beat{}}, {Message: &wire.Message{}}, {Message: &wire.Message{Chain: &chain.Msg{}}}, {Unfollow: &Unfollow{}}, {Left: "none"},
 		{GatewayReport: &wire.Report{Gateway: "d", Arrivals: map[string]float64{"": -1e300}, InFlight: map[string]int{"": -1 << 62}, Attempts: map[string]int{"": -1}}},
 	} {
 		if broken := survives(tr, 0, ev); broken != "" {
--- a/internal/controlnode/orders_test.go
+++ b/internal/controlnode/orders_test.go
@@ -74,7 +74,7 @@
 	waiting(t, h, id, 1)
 	go submit(t.Context())
 	waiting(t, h, id, 2)
-	h.tell(Event{Letter: &wire.Letter{Result: &wire.Result{Outcome: ledger.Outcome{ID: id, Index: 7}}}})
+	h.tell(Event{Message: &wire.Message{Result: &wire.Result{Outcome: ledger.Outcome{ID: id, Index: 7}}}})
 	for range 2 {
 		if !<-got {
 			t.Error("one of two that waited got no outcome")
--- a/internal/controlnode/replicas.go
+++ b/internal/controlnode/replicas.go
@@ -125,7 +125,7 @@
 			c.askAbout(nowUs, p.Member.ID, &mine)
 		}
 		if len(mine.Notes) > 0 || due || c.soft.wants {
-			c.post(p.Member.Addr, wire.Letter{Heard: &mine})
+			c.send(p.Member.Addr, wire.Message{Heard: &mine})
 		}
 	}
 	if due {
@@ -147,7 +147,7 @@
 	for _, p := range c.Node.Partners() {
 		if p.Sound {
 			table := t
-			c.post(p.Member.Addr, wire.Letter{Outlier: &table})
+			c.send(p.Member.Addr, wire.Message{Outlier: &table})
 		}
 	}
 }
@@ -199,6 +199,6 @@
 	if c.Node.IsHead() {
 		c.controller(controller.Event{NowUs: nowUs, Report: &r})
 	} else if head := c.Node.View().Head(); head.Addr != "" && head.ID != c.Node.Me().ID {
-		c.post(head.Addr, wire.Letter{Report: &r})
+		c.send(head.Addr, wire.Message{Report: &r})
 	}
 }
--- a/internal/controlnode/web.go
+++ b/internal/controlnode/web.go
@@ -16,9 +16,9 @@
 
 func (h *Host) handler() http.Handler {
 	mux := http.NewServeMux()
-	rpc.Serve(mux, rpc.PostPath, func(_ context.Context, p *wire.Post) (*wire.Receipt, error) {
-		for i := range p.Letters {
-			h.tell(Event{Letter: &p.Letters[i]})
+	rpc.Serve(mux, rpc.BatchPath, func(_ context.Context, p *wire.Batch) (*wire.Receipt, error) {
+		for i := range p.Messages {
+			h.tell(Event{Message: &p.Messages[i]})
 		}
 		return &wire.Receipt{}, nil
 	})
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -154,7 +154,7 @@
 	}
 }
 
-// Three control nodes hear replicas at random and tell each other, while letters are lost. Once none is lost any
+// Three control nodes hear replicas at random and tell each other, while messages are lost. Once none is lost any
 // more, all know the same, and what ended is known as ended.
 func TestSeededControlNodesAgreeAfterLosses(t *testing.T) {
 	lost, asked := 0, 0
@@ -246,9 +246,9 @@
 			}
 		}
 	}
-	t.Logf("%d letters lost, %d times all rows were asked for", lost, asked)
+	t.Logf("%d messages lost, %d times all rows were asked for", lost, asked)
 	if lost < 1000 || asked < 100 {
-		t.Errorf("%d letters lost, %d times asked: it proves little", lost, asked)
+		t.Errorf("%d messages lost, %d times asked: it proves little", lost, asked)
 	}
 }
 
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -50,7 +50,7 @@
 
 // Paths of the procedures that control nodes and gateways serve to each other.
 const (
-	PostPath   = "/petreltide.Office/Post"
+	BatchPath  = "/petreltide.Office/Post"
 	WherePath  = "/petreltide.Office/Where"
 	SubmitPath = "/petreltide.Office/Submit"
 	FollowPath = "/petreltide.Office/Follow"
--- a/internal/storage/bounds_test.go
+++ b/internal/storage/bounds_test.go
@@ -18,7 +18,7 @@
 type trio struct {
 	nowUs  int64
 	nodes  []*chain.Node
-	inbox  []letter
+	inbox  []message
 	disk   *trial
 	store  *Store
 	most   int64
@@ -26,7 +26,7 @@
 	acked  int
 }
 
-type letter struct {
+type message struct {
 	to  string
 	msg chain.Msg
 }
@@ -66,7 +66,7 @@
 	for _, e := range b.nodes[i].Step(ev) {
 		switch {
 		case e.Send != nil:
-			b.inbox = append(b.inbox, letter{e.Send.Addr, e.Send.Msg})
+			b.inbox = append(b.inbox, message{e.Send.Addr, e.Send.Msg})
 		case e.Save != nil:
 			var bytes int64
 			if i == 1 {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -114,13 +114,13 @@
 	Everywhere bool           `json:"everywhere"`
 }
 
-// Post is a batch of one-way messages from one control node to another.
-type Post struct {
-	Letters []Letter `json:"letters"`
+// Batch is a number of one-way messages sent together from one control node to another.
+type Batch struct {
+	Messages []Message `json:"letters"`
 }
 
-// Letter is one message between control nodes; exactly one field is set.
-type Letter struct {
+// Message is one message between control nodes; exactly one field is set.
+type Message struct {
 	Chain     *chain.Msg     `json:"chain,omitempty"`
 	Result    *Result        `json:"result,omitempty"`
 	Report    *Report        `json:"report,omitempty"`
--- a/proofs/history/walk_test.go
+++ b/proofs/history/walk_test.go
@@ -167,8 +167,8 @@
 	ev.NowUs = o.walk.nowUs
 	for _, e := range o.core.Step(ev) {
 		switch {
-		case e.Letter != nil:
-			o.post(e.Letter.Addr, e.Letter.Letter)
+		case e.Message != nil:
+			o.send(e.Message.Addr, e.Message.Message)
 		case e.Save != nil:
 			o.sync(*e.Save)
 		case e.Result != nil:
@@ -207,7 +207,7 @@
 	})
 }
 
-func (o *walkControlNode) post(addr string, l wire.Letter) {
+func (o *walkControlNode) send(addr string, l wire.Message) {
 	w := o.walk
 	for _, to := range w.controlNodes {
 		if to.addr != addr || to == o || w.cuts[[2]int{o.number, to.number}] || w.r.Intn(50) == 0 {
@@ -224,7 +224,7 @@
 				delayUs += w.r.Int63n(4 * clock.Sec)
 			}
 			w.after(delayUs+w.r.Int63n(w.slowUs+1), func() {
-				to.later(0, func() { to.step(controlnode.Event{Letter: &l}) })
+				to.later(0, func() { to.step(controlnode.Event{Message: &l}) })
 			})
 		}
 	}
--- a/proofs/sim/control_nodes.go
+++ b/proofs/sim/control_nodes.go
@@ -117,13 +117,13 @@
 	}
 	for _, e := range o.core.Step(ev) {
 		switch {
-		case e.Letter != nil:
-			to := s.controlNodeAt(e.Letter.Addr)
+		case e.Message != nil:
+			to := s.controlNodeAt(e.Message.Addr)
 			if to == nil {
 				continue
 			}
-			letter := clone(e.Letter.Letter)
-			s.send(&o.machine, &to.machine, func() { to.step(controlnode.Event{Letter: &letter}) })
+			message := clone(e.Message.Message)
+			s.send(&o.machine, &to.machine, func() { to.step(controlnode.Event{Message: &message}) })
 		case e.Save != nil:
 			o.saver.put(*e.Save)
 		case e.Push != nil:
--- a/proofs/sim/routed_control_nodes.go
+++ b/proofs/sim/routed_control_nodes.go
@@ -174,13 +174,13 @@
 	}
 	for _, e := range o.core.Step(ev) {
 		switch {
-		case e.Letter != nil:
-			to := d.controlNodeAt(e.Letter.Addr)
+		case e.Message != nil:
+			to := d.controlNodeAt(e.Message.Addr)
 			if to == nil || to == o {
 				continue
 			}
-			letter := clone(e.Letter.Letter)
-			d.send(&o.machine, &to.machine, func() { to.step(controlnode.Event{Letter: &letter}) })
+			message := clone(e.Message.Message)
+			d.send(&o.machine, &to.machine, func() { to.step(controlnode.Event{Message: &message}) })
 		case e.Save != nil:
 			o.saver.put(*e.Save)
 		case e.Frame != nil:
