--- a/cmd/petreltide/compare.go
+++ b/cmd/petreltide/compare.go
@@ -15,11 +15,11 @@
 	"github.com/spf13/cobra"
 
 	"petreltide/internal/comparison"
+	"petreltide/internal/configuration"
 	"petreltide/internal/controlnode"
 	"petreltide/internal/fault"
 	"petreltide/internal/gateway"
 	"petreltide/internal/placement"
-	"petreltide/internal/standing"
 )
 
 // liveComparison is what the compare command was told.
@@ -107,12 +107,12 @@
 	return nil
 }
 
-func readPolicy(file string) (standing.Policy, *fault.Fault) {
+func readPolicy(file string) (configuration.Policy, *fault.Fault) {
 	source, err := os.ReadFile(file)
 	if err != nil {
-		return standing.Policy{}, fault.New(fault.NotFound, "policy", "%v", err)
+		return configuration.Policy{}, fault.New(fault.NotFound, "policy", "%v", err)
 	}
-	p := standing.Policy{Name: strings.TrimSuffix(filepath.Base(file), ".star"), Source: string(source)}
+	p := configuration.Policy{Name: strings.TrimSuffix(filepath.Base(file), ".star"), Source: string(source)}
 	return p, placement.Compile(p.Name, p.Source)
 }
 
@@ -145,7 +145,7 @@
 	return current(ctx, l.o)
 }
 
-func (l liveFleet) Apply(ctx context.Context, base uint64, change string, doc *standing.Declaration) (controlnode.Applied, error) {
+func (l liveFleet) Apply(ctx context.Context, base uint64, change string, doc *configuration.Declaration) (controlnode.Applied, error) {
 	applied := controlnode.Applied{}
 	raw, err := json.Marshal(doc)
 	if err != nil {
--- a/cmd/petreltide/operators.go
+++ b/cmd/petreltide/operators.go
@@ -14,10 +14,10 @@
 	"github.com/juju/errors"
 	"github.com/spf13/cobra"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/controlnode"
 	"petreltide/internal/fault"
 	"petreltide/internal/placement"
-	"petreltide/internal/standing"
 )
 
 type contextOf = context.Context
@@ -79,12 +79,12 @@
 }
 
 // parseFile reads a declaration and checks it as a control node would.
-func parseFile(path string) (*standing.Declaration, error) {
-	raw, err := standing.ReadFile(path)
+func parseFile(path string) (*configuration.Declaration, error) {
+	raw, err := configuration.ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
-	doc, bad := standing.Parse(raw, placement.Compile)
+	doc, bad := configuration.Parse(raw, placement.Compile)
 	if bad != nil {
 		return nil, bad
 	}
@@ -105,7 +105,7 @@
 whose answer was lost: it is never taken twice.`,
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			raw, err := standing.ReadFile(args[0])
+			raw, err := configuration.ReadFile(args[0])
 			if err != nil {
 				return err
 			}
--- a/internal/chain/explore_test.go
+++ b/internal/chain/explore_test.go
@@ -11,8 +11,8 @@
 	"github.com/google/go-cmp/cmp"
 
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
-	"petreltide/internal/standing"
 )
 
 // box is a whole chain in the small: members, their disks, and what is under way between them. Hellos
@@ -419,7 +419,7 @@
 	b.writes++
 	for i, p := range b.members {
 		if p.node != nil && p.node.IsHead() {
-			doc := &standing.Declaration{Name: fmt.Sprint("w", b.writes)}
+			doc := &configuration.Declaration{Name: fmt.Sprint("w", b.writes)}
 			b.step(i, Event{Submit: &ledger.Change{ID: doc.Name, Config: &ledger.ConfigChange{Doc: doc}}})
 			return
 		}
--- a/internal/chain/kept_test.go
+++ b/internal/chain/kept_test.go
@@ -6,8 +6,8 @@
 	"testing"
 
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
-	"petreltide/internal/standing"
 )
 
 // The head is left alone with a write that nobody else has; a voter that holds nothing helps it into a view of one,
@@ -25,7 +25,7 @@
 		y.cuts[[2]string{head.me.Addr, middle.me.Addr}] = true
 		const id = "lone"
 		y.step(head, Event{Submit: &ledger.Change{ID: id, Config: &ledger.ConfigChange{
-			Base: head.node.state.Revision, Doc: &standing.Declaration{Name: id},
+			Base: head.node.state.Revision, Doc: &configuration.Declaration{Name: id},
 		}}})
 		index := head.node.Last()
 		lone := false
--- a/internal/chain/self_test.go
+++ b/internal/chain/self_test.go
@@ -7,8 +7,8 @@
 	"testing"
 
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
-	"petreltide/internal/standing"
 )
 
 // yard is a chain whose control nodes take each other in by themselves: links that delay and cut, disks that take
@@ -276,7 +276,7 @@
 	y.writes++
 	for _, s := range y.spots {
 		if s.node != nil && s.node.IsHead() && !s.frozen {
-			doc := &standing.Declaration{Name: fmt.Sprint("w", y.writes)}
+			doc := &configuration.Declaration{Name: fmt.Sprint("w", y.writes)}
 			y.step(s, Event{Submit: &ledger.Change{ID: fmt.Sprint(doc.Name, s.me.ID), Config: &ledger.ConfigChange{Doc: doc}}})
 		}
 	}
--- a/internal/comparison/comparison.go
+++ b/internal/comparison/comparison.go
@@ -8,10 +8,10 @@
 	"math/rand"
 	"time"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/controlnode"
 	"petreltide/internal/dispatch"
 	"petreltide/internal/fault"
-	"petreltide/internal/standing"
 )
 
 const (
@@ -26,7 +26,7 @@
 // Fleet is what comparing needs of the operators' interface.
 type Fleet interface {
 	Config(ctx context.Context) (controlnode.ConfigNow, error)
-	Apply(ctx context.Context, base uint64, change string, doc *standing.Declaration) (controlnode.Applied, error)
+	Apply(ctx context.Context, base uint64, change string, doc *configuration.Declaration) (controlnode.Applied, error)
 	Look(ctx context.Context) (Look, error)
 	Pause(ctx context.Context, span time.Duration) error
 }
@@ -45,8 +45,8 @@
 // Options say what is compared: the two policies, an even number of windows, how long each is and how long the fleet
 // settles before it, and the seed of their order. With GoOn a spoilt window does not end the comparison.
 type Options struct {
-	First   standing.Policy
-	Second  standing.Policy
+	First   configuration.Policy
+	Second  configuration.Policy
 	Windows int
 	Window  time.Duration
 	Settle  time.Duration
@@ -121,8 +121,8 @@
 	out      io.Writer
 	id       string
 	changes  int
-	first    standing.Policy
-	doc      *standing.Declaration
+	first    configuration.Policy
+	doc      *configuration.Declaration
 	revision uint64
 	windows  []Window
 }
@@ -177,7 +177,7 @@
 	return errors.As(err, &bad) && (bad.Code == fault.NotServing || bad.Code == fault.NotFound)
 }
 
-func (r *run) policy(which int) standing.Policy {
+func (r *run) policy(which int) configuration.Policy {
 	if which == 0 {
 		return r.opts.First
 	}
@@ -326,7 +326,7 @@
 
 // put changes the policy on the revision this comparison made last; a change in doubt is sent again
 // under its own id, so that it is never made twice.
-func (r *run) put(ctx context.Context, p standing.Policy) *fault.Fault {
+func (r *run) put(ctx context.Context, p configuration.Policy) *fault.Fault {
 	doc := *r.doc
 	doc.Policy = p
 	r.changes++
@@ -384,7 +384,7 @@
 
 // Unrestored is the error where the policy that was in force before could not be put back.
 type Unrestored struct {
-	Policy standing.Policy
+	Policy configuration.Policy
 	Last   *fault.Fault
 }
 
--- a/internal/comparison/comparison_test.go
+++ b/internal/comparison/comparison_test.go
@@ -9,10 +9,10 @@
 	"testing"
 	"time"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/controlnode"
 	"petreltide/internal/dispatch"
 	"petreltide/internal/fault"
-	"petreltide/internal/standing"
 	"petreltide/internal/weigh"
 )
 
@@ -20,7 +20,7 @@
 type stage struct {
 	r        *rand.Rand
 	revision uint64
-	doc      *standing.Declaration
+	doc      *configuration.Declaration
 	gauges   []dispatch.Gauge
 	replicas map[string]string
 	nowUs    int64
@@ -35,7 +35,7 @@
 }
 
 func newStage(seed int64) *stage {
-	return &stage{r: rand.New(rand.NewSource(seed)), revision: 3, doc: &standing.Declaration{Policy: standing.Policy{Name: "before", Source: "b"}},
+	return &stage{r: rand.New(rand.NewSource(seed)), revision: 3, doc: &configuration.Declaration{Policy: configuration.Policy{Name: "before", Source: "b"}},
 		replicas: map[string]string{"r1": "i"}, slowUs: map[string]int64{}, at: map[int64]func(*stage){}, seen: map[string]uint64{}}
 }
 
@@ -46,7 +46,7 @@
 	return controlnode.ConfigNow{Revision: s.revision, Declaration: s.doc}, nil
 }
 
-func (s *stage) Apply(_ context.Context, base uint64, change string, doc *standing.Declaration) (controlnode.Applied, error) {
+func (s *stage) Apply(_ context.Context, base uint64, change string, doc *configuration.Declaration) (controlnode.Applied, error) {
 	if s.deaf {
 		return controlnode.Applied{}, fault.New(fault.NotServing, "", "deaf")
 	}
@@ -67,7 +67,7 @@
 	return controlnode.Applied{Revision: s.revision, State: "everywhere"}, nil
 }
 
-func (s *stage) change(doc *standing.Declaration) {
+func (s *stage) change(doc *configuration.Declaration) {
 	s.revision++
 	s.doc = doc
 	s.gauges = append(s.gauges, dispatch.Gauge{Revision: s.revision, Kinds: map[string]*dispatch.KindGauge{"fixes": {First: weigh.Spread{}}}})
@@ -108,7 +108,7 @@
 }
 
 func opts(windows int) Options {
-	return Options{First: standing.Policy{Name: "a", Source: "a"}, Second: standing.Policy{Name: "b", Source: "b2"}, Windows: windows, Window: 4 * time.Second, Settle: time.Second, Seed: 5}
+	return Options{First: configuration.Policy{Name: "a", Source: "a"}, Second: configuration.Policy{Name: "b", Source: "b2"}, Windows: windows, Window: 4 * time.Second, Settle: time.Second, Seed: 5}
 }
 
 func (s *stage) restored(t *testing.T) {
@@ -202,7 +202,7 @@
 	}{
 		"foreign change, other policy": {act: func(s *stage, _ context.CancelFunc) {
 			doc := *s.doc
-			doc.Policy = standing.Policy{Name: "theirs"}
+			doc.Policy = configuration.Policy{Name: "theirs"}
 			s.change(&doc)
 		}, code: fault.ForeignChange, stays: "theirs"},
 		"foreign change, same policy": {act: func(s *stage, _ context.CancelFunc) {
--- a/internal/standing/standing.go
+++ b/internal/configuration/declaration.go
@@ -1,5 +1,5 @@
-// Package standing holds what operators declare: the declaration in force, edits of it, and the checks that both must pass.
-package standing
+// Package configuration holds what operators declare: the declaration in force, edits of it, and the checks that both must pass.
+package configuration
 
 import (
 	"encoding/json"
--- a/internal/standing/index.go
+++ b/internal/configuration/index.go
@@ -1,4 +1,4 @@
-package standing
+package configuration
 
 import (
 	"strings"
--- a/internal/controller/basis.go
+++ b/internal/controller/basis.go
@@ -5,8 +5,8 @@
 	"slices"
 	"strings"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
@@ -51,12 +51,12 @@
 }
 
 // admits says whether an order may be sent on this basis: a load must find room, a place, and its model.
-func (b *basis) admits(doc *standing.Declaration, r *ledger.Replica, t ledger.Ticket) bool {
+func (b *basis) admits(doc *configuration.Declaration, r *ledger.Replica, t ledger.Ticket) bool {
 	svc := doc.Service(r.Service)
 	if t.Step != ledger.Load || svc == nil || svc.Engine == nil {
 		return true
 	}
-	model, adapter := standing.Units(t.Unit)
+	model, adapter := configuration.Units(t.Unit)
 	sumMb, adapters := t.SizeMb, 0
 	for _, held := range holdings(doc, svc, b.units) {
 		sumMb += held.SizeMb
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -4,9 +4,9 @@
 	"testing"
 
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
 	"petreltide/internal/placement"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
@@ -34,8 +34,8 @@
 
 func freshState() *ledger.State {
 	s := ledger.NewState()
-	s.Apply(1, ledger.Change{ID: "c", Config: &ledger.ConfigChange{Doc: &standing.Declaration{
-		Store: standing.Store{Loads: 2, MbPerSecond: 1000, BurstMb: 100}, Models: []standing.Model{{Name: "m", SizeMb: 60, Weight: 1, Table: []standing.Point{{Replicas: 1, PerSecond: 10, LatencyMs: 5}}}},
+	s.Apply(1, ledger.Change{ID: "c", Config: &ledger.ConfigChange{Doc: &configuration.Declaration{
+		Store: configuration.Store{Loads: 2, MbPerSecond: 1000, BurstMb: 100}, Models: []configuration.Model{{Name: "m", SizeMb: 60, Weight: 1, Table: []configuration.Point{{Replicas: 1, PerSecond: 10, LatencyMs: 5}}}},
 	}}})
 	return s
 }
--- a/internal/controller/events.go
+++ b/internal/controller/events.go
@@ -1,11 +1,11 @@
 package controller
 
 import (
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
 	"petreltide/internal/outlier"
 	"petreltide/internal/placement"
 	"petreltide/internal/roster"
-	"petreltide/internal/standing"
 	"petreltide/internal/watch"
 	"petreltide/internal/wire"
 )
@@ -83,8 +83,8 @@
 type Run struct {
 	Number   uint64
 	Revision uint64
-	Live     standing.Policy
-	Shadows  []standing.Policy
+	Live     configuration.Policy
+	Shadows  []configuration.Policy
 	Fleet    placement.Fleet
 }
 
--- a/internal/controller/late_test.go
+++ b/internal/controller/late_test.go
@@ -4,17 +4,17 @@
 	"testing"
 
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
 	"petreltide/internal/roster"
-	"petreltide/internal/standing"
 )
 
 func routedState(t *testing.T) *ledger.State {
 	t.Helper()
 	s := ledger.NewState()
-	engine := &standing.Engine{Slots: 4, CacheTokens: 1000, RoomMb: 100, LoadsPerS: 1, Models: []standing.EngineModel{{Name: "m", SizeMb: 60, LoadMs: 100}, {Name: "n", SizeMb: 60, LoadMs: 100}}}
-	doc := &standing.Declaration{Version: 1, Services: []standing.Service{{Name: "s", Engine: engine}},
-		Routes: []standing.Route{{Name: "r", Host: "h", Prefix: "/", Repeat: standing.Streaming, TimeoutMs: 1000, AttemptsMost: 1, Split: []standing.Weighted{{Service: "s", Weight: 1}}}}}
+	engine := &configuration.Engine{Slots: 4, CacheTokens: 1000, RoomMb: 100, LoadsPerS: 1, Models: []configuration.EngineModel{{Name: "m", SizeMb: 60, LoadMs: 100}, {Name: "n", SizeMb: 60, LoadMs: 100}}}
+	doc := &configuration.Declaration{Version: 1, Services: []configuration.Service{{Name: "s", Engine: engine}},
+		Routes: []configuration.Route{{Name: "r", Host: "h", Prefix: "/", Repeat: configuration.Streaming, TimeoutMs: 1000, AttemptsMost: 1, Split: []configuration.Weighted{{Service: "s", Weight: 1}}}}}
 	for i, c := range []ledger.Change{
 		{ID: "c", Config: &ledger.ConfigChange{Version: 1, Doc: doc}},
 		{ID: "k", Epoch: 1, Claim: &ledger.Claim{Holder: "before"}},
--- a/internal/controller/note_test.go
+++ b/internal/controller/note_test.go
@@ -4,7 +4,7 @@
 	"testing"
 
 	"petreltide/internal/clock"
-	"petreltide/internal/standing"
+	"petreltide/internal/configuration"
 )
 
 func TestTheNoteIsTheHoldersAlone(t *testing.T) {
@@ -46,7 +46,7 @@
 	if n := note(f.old); n != nil {
 		t.Errorf("the one before still shows %+v", n)
 	}
-	f.s.Doc = &standing.Declaration{}
+	f.s.Doc = &configuration.Declaration{}
 	if n := note(f.head); n != nil {
 		t.Errorf("without routes: %+v", n)
 	}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -6,9 +6,9 @@
 	"strings"
 
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
 	"petreltide/internal/roster"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
@@ -128,7 +128,7 @@
 	if nowUs-sinceUs > quietMostUs {
 		return true
 	}
-	model, _ := standing.Units(t.Unit)
+	model, _ := configuration.Units(t.Unit)
 	for _, d := range f.gateways {
 		if nowUs-d.atUs < gatewayLiveUs && d.report.Unread[t.Replica+"|"+model] > 0 {
 			return false
--- a/internal/controller/orders_model_test.go
+++ b/internal/controller/orders_model_test.go
@@ -7,10 +7,10 @@
 	"strings"
 
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
 	"petreltide/internal/placement"
 	"petreltide/internal/roster"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
@@ -38,17 +38,17 @@
 var modelUnits = []string{"large1", "large2", "small1", "small2"}
 
 // modelDeclaration is one service with an engine of modelUnits.
-func modelDeclaration(loadMs int64) *standing.Declaration {
-	engine := &standing.Engine{Slots: 8, CacheTokens: 1, RoomMb: modelRoomMb, AdaptersMost: modelPlaces, LoadsPerS: modelLoadsPerS}
+func modelDeclaration(loadMs int64) *configuration.Declaration {
+	engine := &configuration.Engine{Slots: 8, CacheTokens: 1, RoomMb: modelRoomMb, AdaptersMost: modelPlaces, LoadsPerS: modelLoadsPerS}
 	for _, unit := range modelUnits {
 		sizeMb := int64(60)
 		if strings.HasPrefix(unit, "small") {
 			sizeMb = 30
 		}
-		engine.Models = append(engine.Models, standing.EngineModel{Name: unit, SizeMb: sizeMb, LoadMs: loadMs, Adapters: 4, AdapterMb: 2})
+		engine.Models = append(engine.Models, configuration.EngineModel{Name: unit, SizeMb: sizeMb, LoadMs: loadMs, Adapters: 4, AdapterMb: 2})
 	}
-	route := standing.Route{Name: "r", Host: "h", Prefix: "/", Repeat: standing.Idempotent, TimeoutMs: 1000, AttemptsMost: 1, Split: []standing.Weighted{{Service: modelService, Weight: 1}}}
-	return &standing.Declaration{Version: 1, Services: []standing.Service{{Name: modelService, Engine: engine}}, Routes: []standing.Route{route}}
+	route := configuration.Route{Name: "r", Host: "h", Prefix: "/", Repeat: configuration.Idempotent, TimeoutMs: 1000, AttemptsMost: 1, Split: []configuration.Weighted{{Service: modelService, Weight: 1}}}
+	return &configuration.Declaration{Version: 1, Services: []configuration.Service{{Name: modelService, Engine: engine}}, Routes: []configuration.Route{route}}
 }
 
 // orderPlant is a defect put between the controllers and the replicas, to show that a checker sees it.
@@ -395,7 +395,7 @@
 // checkRoom is LIMIT: no replica is ordered to load beyond its room or its places. False where an adapter's
 // model is not there, which a replica refuses.
 func (m *orderModel) checkRoom(r *modelReplica, t ledger.Ticket) bool {
-	model, adapter := standing.Units(t.Unit)
+	model, adapter := configuration.Units(t.Unit)
 	if _, there := r.holds[model]; adapter != "" && !there {
 		return false
 	}
--- a/internal/controller/resident.go
+++ b/internal/controller/resident.go
@@ -4,9 +4,9 @@
 	"strings"
 
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
 	"petreltide/internal/placement"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
@@ -125,7 +125,7 @@
 }
 
 // service gives what the placement policy reads of one service.
-func (f *Controller) service(seen Seen, svc *standing.Service, calls callLoad) placement.Service {
+func (f *Controller) service(seen Seen, svc *configuration.Service, calls callLoad) placement.Service {
 	s := seen.State
 	in := placement.Service{
 		Name: svc.Name, Engine: svc.Engine, Models: map[string]placement.Need{}, Adapters: map[string]placement.Need{},
@@ -137,7 +137,7 @@
 		}
 	}
 	for _, unit := range f.unitsCalled(calls) {
-		model, adapter := standing.Units(unit)
+		model, adapter := configuration.Units(unit)
 		switch {
 		case s.Doc.EngineModel(svc.Name, model) == nil:
 		case adapter != "":
--- a/internal/controller/routed_test.go
+++ b/internal/controller/routed_test.go
@@ -9,9 +9,9 @@
 	"testing"
 
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
 	"petreltide/internal/roster"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
@@ -76,13 +76,13 @@
 	repeats  int
 }
 
-func fleetDoc() *standing.Declaration {
-	e := &standing.Engine{Slots: 8, CacheTokens: 1, RoomMb: fleetRoomMb, AdaptersMost: fleetPlaces, LoadsPerS: fleetPerS}
+func fleetDoc() *configuration.Declaration {
+	e := &configuration.Engine{Slots: 8, CacheTokens: 1, RoomMb: fleetRoomMb, AdaptersMost: fleetPlaces, LoadsPerS: fleetPerS}
 	for i := range 9 {
-		e.Models = append(e.Models, standing.EngineModel{Name: fmt.Sprint("m", i), SizeMb: int64(15 + 5*i), LoadMs: 1500, Adapters: 4, AdapterMb: 2})
+		e.Models = append(e.Models, configuration.EngineModel{Name: fmt.Sprint("m", i), SizeMb: int64(15 + 5*i), LoadMs: 1500, Adapters: 4, AdapterMb: 2})
 	}
-	return &standing.Declaration{Version: 1, Services: []standing.Service{{Name: "s", Engine: e}}, Routes: []standing.Route{{
-		Name: "r", Host: "h", Prefix: "/", Repeat: standing.Idempotent, TimeoutMs: 1000, AttemptsMost: 1, Split: []standing.Weighted{{Service: "s", Weight: 1}}}}}
+	return &configuration.Declaration{Version: 1, Services: []configuration.Service{{Name: "s", Engine: e}}, Routes: []configuration.Route{{
+		Name: "r", Host: "h", Prefix: "/", Repeat: configuration.Idempotent, TimeoutMs: 1000, AttemptsMost: 1, Split: []configuration.Weighted{{Service: "s", Weight: 1}}}}}
 }
 
 func newFleet(t *testing.T, seed int64, machines int) *fleet {
@@ -200,7 +200,7 @@
 	}
 	f.holder(m.id, o)
 	t := o.Ticket
-	model, adapter := standing.Units(t.Unit)
+	model, adapter := configuration.Units(t.Unit)
 	_, held := m.holds[t.Unit]
 	switch {
 	case m.busy.Unit != "", o.Expected != nil && *o.Expected != m.taken:
--- a/internal/controller/rows.go
+++ b/internal/controller/rows.go
@@ -3,9 +3,9 @@
 import (
 	"slices"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
 	"petreltide/internal/roster"
-	"petreltide/internal/standing"
 )
 
 // notedAt is what the ledger was last compared with.
@@ -60,7 +60,7 @@
 
 // noteUnits adds what a replica holds where the ledger has something else and the replica's word is new enough.
 // Where it is not, the next write compares again.
-func (f *Controller) noteUnits(seen Seen, e *roster.Entry, svc *standing.Service, n *ledger.ReplicaNote) {
+func (f *Controller) noteUnits(seen Seen, e *roster.Entry, svc *configuration.Service, n *ledger.ReplicaNote) {
 	have := seen.State.Replicas[e.ID]
 	_, pending := seen.State.Pending[e.ID]
 	units := f.routed.withTrusted(seen.NowUs, have, e.Units)
@@ -141,7 +141,7 @@
 }
 
 // holdings gives each unit its size; one that no engine names is taken to fill what is left.
-func holdings(doc *standing.Declaration, svc *standing.Service, units []string) []ledger.Holding {
+func holdings(doc *configuration.Declaration, svc *configuration.Service, units []string) []ledger.Holding {
 	all := []ledger.Holding{}
 	for _, u := range units {
 		sizeMb, _, ok := doc.EngineUnitMb(svc.Name, u)
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -4,8 +4,8 @@
 	"strings"
 
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
-	"petreltide/internal/standing"
 )
 
 const (
@@ -60,7 +60,7 @@
 }
 
 // storeLoads counts a service's pending loads from the store.
-func storeLoads(s *ledger.State, service *standing.Service) int {
+func storeLoads(s *ledger.State, service *configuration.Service) int {
 	n := 0
 	for _, t := range s.Pending {
 		if have := s.Replicas[t.Replica]; have != nil && have.Service == service.Name && fromStore(have, t) {
@@ -80,7 +80,7 @@
 
 // storeLeft is how many loads from the store may begin now: what the sliding window still allows, and no
 // more at once than the store bears at full speed.
-func (f *Controller) storeLeft(nowUs int64, s *ledger.State, service *standing.Service) int {
+func (f *Controller) storeLeft(nowUs int64, s *ledger.State, service *configuration.Service) int {
 	e := service.Engine
 	windowUs := f.windowUs()
 	overshoot := max(f.opts.StoreOvershoot, 1)
--- a/internal/controlnode/config.go
+++ b/internal/controlnode/config.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"petreltide/internal/actor"
+	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
 	"petreltide/internal/placement"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
@@ -20,9 +20,9 @@
 
 // ConfigNow is the declaration in force, with the revision that a change has to name as its base.
 type ConfigNow struct {
-	Revision    uint64                `json:"revision"`
-	Index       uint64                `json:"index"`
-	Declaration *standing.Declaration `json:"declaration"`
+	Revision    uint64                     `json:"revision"`
+	Index       uint64                     `json:"index"`
+	Declaration *configuration.Declaration `json:"declaration"`
 }
 
 // Applied acknowledges a change. State is "everywhere", "ordered" for an order about members, or says that some
@@ -138,7 +138,7 @@
 }
 
 func (h *Host) take(w http.ResponseWriter, r *http.Request, a asked) {
-	doc, bad := standing.Parse(a.raw, placement.Compile)
+	doc, bad := configuration.Parse(a.raw, placement.Compile)
 	if bad != nil {
 		writeFault(w, bad)
 		return
@@ -208,7 +208,7 @@
 		h.change(w, r, ledger.Change{ID: a.id, Config: &ledger.ConfigChange{Base: a.base, Doc: now.Declaration}})
 		return
 	}
-	merged, bad := standing.Merge(now.Declaration, a.raw)
+	merged, bad := configuration.Merge(now.Declaration, a.raw)
 	if bad != nil {
 		writeFault(w, bad)
 		return
--- a/internal/controlnode/fleet.go
+++ b/internal/controlnode/fleet.go
@@ -4,17 +4,17 @@
 	"maps"
 	"slices"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/controller"
 	"petreltide/internal/ledger"
-	"petreltide/internal/standing"
 )
 
 // Fleet is what a control node shows where replicas make themselves known and routes say where calls go.
 type Fleet struct {
-	Version  uint64           `json:"version"`
-	Routes   []standing.Route `json:"routes"`
-	Services []ServiceNote    `json:"services"`
-	Replicas []ReplicaNote    `json:"replicas"`
+	Version  uint64                `json:"version"`
+	Routes   []configuration.Route `json:"routes"`
+	Services []ServiceNote         `json:"services"`
+	Replicas []ReplicaNote         `json:"replicas"`
 	// Gateways are those that live, as far as this control node knows; they share the further tries.
 	Gateways []string `json:"desks"`
 	// Duty is known at the control node that holds it.
--- a/internal/controlnode/fleet_test.go
+++ b/internal/controlnode/fleet_test.go
@@ -8,9 +8,9 @@
 
 	"petreltide/internal/chain"
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
 	"petreltide/internal/roster"
-	"petreltide/internal/standing"
 )
 
 // One replica in each state that heartbeats, silence and the ledger can put it in.
@@ -24,12 +24,12 @@
 		t.Error("a fleet before any declaration")
 	}
 	s := c.Node.State()
-	s.Apply(1, ledger.Change{ID: "c", Config: &ledger.ConfigChange{Version: 7, Doc: &standing.Declaration{
+	s.Apply(1, ledger.Change{ID: "c", Config: &ledger.ConfigChange{Version: 7, Doc: &configuration.Declaration{
 		Version: 7,
-		Services: []standing.Service{{Name: "plain", ConnectionsMost: 9}, {Name: "s", Engine: &standing.Engine{
-			Slots: 4, CacheTokens: 1, RoomMb: 100, LoadsPerS: 1, Models: []standing.EngineModel{{Name: "m", SizeMb: 30, LoadMs: 1000}, {Name: "n", SizeMb: 40, LoadMs: 1000}},
+		Services: []configuration.Service{{Name: "plain", ConnectionsMost: 9}, {Name: "s", Engine: &configuration.Engine{
+			Slots: 4, CacheTokens: 1, RoomMb: 100, LoadsPerS: 1, Models: []configuration.EngineModel{{Name: "m", SizeMb: 30, LoadMs: 1000}, {Name: "n", SizeMb: 40, LoadMs: 1000}},
 		}}},
-		Routes: []standing.Route{{Name: "r", Host: "h", Prefix: "/", Repeat: standing.Idempotent, TimeoutMs: 1, AttemptsMost: 1, Split: []standing.Weighted{{Service: "s", Weight: 1}}, Source: json.RawMessage(`{"long":1}`)}},
+		Routes: []configuration.Route{{Name: "r", Host: "h", Prefix: "/", Repeat: configuration.Idempotent, TimeoutMs: 1, AttemptsMost: 1, Split: []configuration.Weighted{{Service: "s", Weight: 1}}, Source: json.RawMessage(`{"long":1}`)}},
 	}}})
 	s.Apply(2, ledger.Change{ID: "claim", Epoch: 1, Claim: &ledger.Claim{Holder: "o"}})
 	known := func(id string) ledger.ReplicaNote {
--- a/internal/controlnode/life_test.go
+++ b/internal/controlnode/life_test.go
@@ -6,9 +6,9 @@
 
 	"petreltide/internal/chain"
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/controller"
 	"petreltide/internal/ledger"
-	"petreltide/internal/standing"
 )
 
 // pair is two control nodes with disks that sync at once, and messages that arrive at once.
@@ -90,9 +90,9 @@
 	p.start(0)
 	p.start(1)
 	p.pass(3 * clock.Sec)
-	doc := &standing.Declaration{Version: 1,
-		Services: []standing.Service{{Name: "s", Engine: &standing.Engine{Slots: 4, CacheTokens: 1, RoomMb: 100, LoadsPerS: 1, Models: []standing.EngineModel{{Name: "m", SizeMb: 30, LoadMs: 1000}}}}},
-		Routes:   []standing.Route{{Name: "r", Host: "h", Prefix: "/", Repeat: standing.Idempotent, TimeoutMs: 1, AttemptsMost: 1, Split: []standing.Weighted{{Service: "s", Weight: 1}}}},
+	doc := &configuration.Declaration{Version: 1,
+		Services: []configuration.Service{{Name: "s", Engine: &configuration.Engine{Slots: 4, CacheTokens: 1, RoomMb: 100, LoadsPerS: 1, Models: []configuration.EngineModel{{Name: "m", SizeMb: 30, LoadMs: 1000}}}}},
+		Routes:   []configuration.Route{{Name: "r", Host: "h", Prefix: "/", Repeat: configuration.Idempotent, TimeoutMs: 1, AttemptsMost: 1, Split: []configuration.Weighted{{Service: "s", Weight: 1}}}},
 	}
 	p.write(ledger.Change{ID: "c", Config: &ledger.ConfigChange{Version: 1, Doc: doc}})
 	p.pass(clock.Sec)
--- a/internal/controlnode/malformed_test.go
+++ b/internal/controlnode/malformed_test.go
@@ -11,8 +11,8 @@
 
 	"petreltide/internal/chain"
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
-	"petreltide/internal/standing"
 	"petreltide/internal/watch"
 	"petreltide/internal/wire"
 )
@@ -88,9 +88,9 @@
 
 // numbered is an operator's order that takes version n+1.
 func numbered(n int) *ledger.Change {
-	doc := &standing.Declaration{Version: uint64(n + 1), Services: []standing.Service{{Name: "s", ConnectionsMost: 9}}, Routes: []standing.Route{{
-		Name: "r", Host: "h", Prefix: "/", Repeat: standing.Idempotent, TimeoutMs: 1000, AttemptsMost: 1,
-		Split: []standing.Weighted{{Service: "s", Weight: 1}}, Source: json.RawMessage(`{}`),
+	doc := &configuration.Declaration{Version: uint64(n + 1), Services: []configuration.Service{{Name: "s", ConnectionsMost: 9}}, Routes: []configuration.Route{{
+		Name: "r", Host: "h", Prefix: "/", Repeat: configuration.Idempotent, TimeoutMs: 1000, AttemptsMost: 1,
+		Split: []configuration.Weighted{{Service: "s", Weight: 1}}, Source: json.RawMessage(`{}`),
 	}}}
 	return &ledger.Change{ID: fmt.Sprint("order-", n), Config: &ledger.ConfigChange{Base: uint64(n), Version: uint64(n + 1), Doc: doc}}
 }
@@ -100,9 +100,9 @@
 	return []ledger.Change{
 		{},
 		{ID: "nothing", Config: &ledger.ConfigChange{}},
-		{ID: "edit without a number", Config: &ledger.ConfigChange{Base: 1, Edit: &standing.Edit{}}},
+		{ID: "edit without a number", Config: &ledger.ConfigChange{Base: 1, Edit: &configuration.Edit{}}},
 		{ID: "no declaration", Config: &ledger.ConfigChange{Base: 3, Version: 9}},
-		{ID: "an empty edit", Config: &ledger.ConfigChange{Base: 3, Version: 9, Edit: &standing.Edit{}}},
+		{ID: "an empty edit", Config: &ledger.ConfigChange{Base: 3, Version: 9, Edit: &configuration.Edit{}}},
 		{ID: "claim", Epoch: 1, Claim: &ledger.Claim{}},
 		{ID: "duty", Epoch: 1, Duty: &ledger.Duty{
 			Fleet: []ledger.ReplicaNote{{}, {ID: "r", Inc: "r", RoomMb: -1, Slots: -1, Told: true, Holds: []ledger.Holding{{}, {Unit: "m", SizeMb: -1}}}},
--- a/internal/controlnode/newest.go
+++ b/internal/controlnode/newest.go
@@ -5,9 +5,9 @@
 
 	"petreltide/internal/actor"
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
 	"petreltide/internal/rpc"
-	"petreltide/internal/standing"
 )
 
 // Read is a question for the newest declaration that was acknowledged.
@@ -15,9 +15,9 @@
 
 // Newest answers Read.
 type Newest struct {
-	Doc      *standing.Declaration `json:"doc,omitempty"`
-	Revision uint64                `json:"revision,omitempty"`
-	Index    uint64                `json:"index,omitempty"`
+	Doc      *configuration.Declaration `json:"doc,omitempty"`
+	Revision uint64                     `json:"revision,omitempty"`
+	Index    uint64                     `json:"index,omitempty"`
 }
 
 // ownNewest is this control node's state where it is the open tail, whose word is the newest there is.
@@ -52,7 +52,7 @@
 }
 
 // Declaration is the newest one that was acknowledged; false where nobody can say.
-func (h *Host) Declaration(ctx context.Context) (*standing.Declaration, bool) {
+func (h *Host) Declaration(ctx context.Context) (*configuration.Declaration, bool) {
 	newest, known := h.Newest(ctx)
 	return newest.Doc, known
 }
--- a/internal/controlnode/orders_test.go
+++ b/internal/controlnode/orders_test.go
@@ -10,10 +10,10 @@
 	"time"
 
 	"petreltide/internal/actor"
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
 	"petreltide/internal/logring"
 	"petreltide/internal/settings"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
@@ -86,7 +86,7 @@
 // A patch whose base has been passed is judged by the chain, which knows what was taken, and not by what is in force
 // alone; one whose base is still to come may be taken by another control node yet.
 func TestAPatchIsRefusedByTheChainAlone(t *testing.T) {
-	doc := &standing.Declaration{Name: "d"}
+	doc := &configuration.Declaration{Name: "d"}
 	for _, c := range []struct {
 		name string
 		now  ConfigNow
--- a/internal/controlnode/unsure_test.go
+++ b/internal/controlnode/unsure_test.go
@@ -10,10 +10,10 @@
 	"time"
 
 	"petreltide/internal/chain"
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
 	"petreltide/internal/logring"
 	"petreltide/internal/settings"
-	"petreltide/internal/standing"
 	"petreltide/internal/storage"
 )
 
@@ -34,8 +34,8 @@
 		view.Order = append(view.Order, chain.Seat{Member: m, Inc: "before"})
 	}
 	state := ledger.NewState()
-	state.Apply(1, ledger.Change{ID: "op-first", Config: &ledger.ConfigChange{Doc: &standing.Declaration{Name: "old", Zones: []string{"a"}}}})
-	state.Revision, state.Doc = 1, &standing.Declaration{Name: "old", Zones: []string{"a"}}
+	state.Apply(1, ledger.Change{ID: "op-first", Config: &ledger.ConfigChange{Doc: &configuration.Declaration{Name: "old", Zones: []string{"a"}}}})
+	state.Revision, state.Doc = 1, &configuration.Declaration{Name: "old", Zones: []string{"a"}}
 	from, err := opened.Store.Write([]chain.Record{{View: &view}, {Whole: 4}}, true)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/dispatch/budget_note_test.go
+++ b/internal/dispatch/budget_note_test.go
@@ -5,12 +5,12 @@
 	"testing"
 
 	"petreltide/internal/clock"
-	"petreltide/internal/standing"
+	"petreltide/internal/configuration"
 )
 
 // What the note says is what may be sent: never more, and no less where calls ask for it.
 func TestTheNoteOfFurtherTriesIsWhatHolds(t *testing.T) {
-	doc := declaration(declared{"many", standing.Idempotent, 9, one("s"), false})
+	doc := declaration(declared{"many", configuration.Idempotent, 9, one("s"), false})
 	for _, c := range []struct{ gateways, share int }{{1, 3}, {3, 3}, {5, 5}} {
 		k := newClerk(Options{Budget: BudgetOptions{Ratio: 0.2, Slack: 30, WindowUs: 10 * clock.Sec}}, stands(doc, c.gateways, at("s", "r1", "r2", "r3")...))
 		if notes := k.d.Note().Budgets; len(notes) != 0 {
--- a/internal/dispatch/deadline_test.go
+++ b/internal/dispatch/deadline_test.go
@@ -5,15 +5,15 @@
 	"testing"
 
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
-	"petreltide/internal/standing"
 )
 
 // Each try of a call ends at the same moment: at the client's own time or at its route's, whichever comes first.
 func TestEveryTryOfACallEndsAtTheSameMoment(t *testing.T) {
 	const timeoutMs, pauseUs = 20_000, 700 * clock.Ms
 	for _, clientMs := range []int64{0, 1500, timeoutMs - 1, timeoutMs, 90_000} {
-		for _, repeat := range []standing.Repeat{standing.Idempotent, standing.NonIdempotent, standing.Streaming} {
+		for _, repeat := range []configuration.Repeat{configuration.Idempotent, configuration.NonIdempotent, configuration.Streaming} {
 			name := fmt.Sprintf("%s, the client waits %d ms", repeat, clientMs)
 			k := newClerk(Options{}, stands(declaration(declared{"r", repeat, 3, one("s"), false}), 1, at("s", "r1", "r2", "r3")...))
 			wantUs := k.nowUs + timeoutMs*clock.Ms
@@ -43,7 +43,7 @@
 	const timeoutMs = 20_000
 	row := at("s", "r1")
 	row[0].Unreachable = true
-	k := newClerk(Options{}, stands(declaration(declared{"r", standing.Streaming, 3, one("s"), true}), 1, row...))
+	k := newClerk(Options{}, stands(declaration(declared{"r", configuration.Streaming, 3, one("s"), true}), 1, row...))
 	k.step(Event{Arrived: &Call{ID: "c", Kind: "r", MostMs: 90_000, Routed: &Routed{PromptIn: 100}}})
 	if k.after(timeoutMs*clock.Ms - 1); k.fin["c"] != nil {
 		t.Fatalf("answered before its time: %+v", k.fin["c"])
--- a/internal/dispatch/decider_test.go
+++ b/internal/dispatch/decider_test.go
@@ -5,17 +5,17 @@
 	"testing"
 
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
 func snapshot(number uint64, share int, edit func(*wire.News)) *Snapshot {
-	n := wire.News{Number: number, Revision: 1, Doc: &standing.Declaration{
+	n := wire.News{Number: number, Revision: 1, Doc: &configuration.Declaration{
 		Zones:  []string{"a", "b"},
-		Kinds:  []standing.Kind{{Name: "pages", Urgency: 2, Resumable: true, DeadlineMs: 50_000}, {Name: "letters", Urgency: 5, DeadlineMs: 50_000}, {Name: "fixes", Urgency: 9, DeadlineMs: 50_000}},
-		Models: []standing.Model{{Name: "m"}, {Name: "other"}},
+		Kinds:  []configuration.Kind{{Name: "pages", Urgency: 2, Resumable: true, DeadlineMs: 50_000}, {Name: "letters", Urgency: 5, DeadlineMs: 50_000}, {Name: "fixes", Urgency: 9, DeadlineMs: 50_000}},
+		Models: []configuration.Model{{Name: "m"}, {Name: "other"}},
 	}}
 	for _, id := range []string{"r1", "r2"} {
 		n.Replicas = append(n.Replicas, wire.ReplicaNews{ID: id, Inc: "i", Addr: id, Zone: map[string]string{"r1": "a", "r2": "b"}[id], Holds: []string{"m"}, Share: share})
@@ -252,7 +252,7 @@
 
 // A call that waits is served by the terms of the newest declaration, whatever held when it came.
 func TestWaitingCallsFollowEveryChangeOfTheirKindModelAndAdapter(t *testing.T) {
-	adapters := []standing.Adapter{{Name: "a", Model: "m"}}
+	adapters := []configuration.Adapter{{Name: "a", Model: "m"}}
 	for name, c := range map[string]struct {
 		edit func(*wire.News)
 		code fault.Code
@@ -266,7 +266,7 @@
 	} {
 		with := func(number uint64, edit func(*wire.News)) *Snapshot {
 			return snapshot(number, 0, func(n *wire.News) {
-				n.Doc.Adapters = append([]standing.Adapter(nil), adapters...)
+				n.Doc.Adapters = append([]configuration.Adapter(nil), adapters...)
 				if edit != nil {
 					edit(n)
 				}
--- a/internal/dispatch/decisions.go
+++ b/internal/dispatch/decisions.go
@@ -1,6 +1,6 @@
 package dispatch
 
-import "petreltide/internal/standing"
+import "petreltide/internal/configuration"
 
 // RequestKind says how often a request may run.
 type RequestKind uint8
@@ -19,13 +19,13 @@
 )
 
 // KindOf is the kind of the requests of a route.
-func KindOf(r *standing.Route) RequestKind {
+func KindOf(r *configuration.Route) RequestKind {
 	switch {
-	case r.Repeat == standing.Streaming && r.Resumable:
+	case r.Repeat == configuration.Streaming && r.Resumable:
 		return ResumableStreaming
-	case r.Repeat == standing.Streaming:
+	case r.Repeat == configuration.Streaming:
 		return Streaming
-	case r.Repeat == standing.Idempotent:
+	case r.Repeat == configuration.Idempotent:
 		return Idempotent
 	}
 	return NonIdempotent
--- a/internal/dispatch/decisions_test.go
+++ b/internal/dispatch/decisions_test.go
@@ -5,8 +5,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
-	"petreltide/internal/standing"
 )
 
 // notRun are the endings of attempts that surely have not run and never will, by the users' pages.
@@ -92,7 +92,7 @@
 // A call that was under a declaration which lets it run once only is never repeatable again.
 func TestACallThatWasOnceOnlyStaysSo(t *testing.T) {
 	rows := at("s", "r1", "r2")
-	once, many := declared{"r", standing.NonIdempotent, 3, one("s"), false}, declared{"r", standing.Idempotent, 3, one("s"), false}
+	once, many := declared{"r", configuration.NonIdempotent, 3, one("s"), false}, declared{"r", configuration.Idempotent, 3, one("s"), false}
 	for what, docs := range map[string][]declared{"it became repeatable": {once, many}, "it was once only for a while": {many, once, many}} {
 		k := newClerk(Options{}, stands(declaration(docs[0]), 1, rows...))
 		k.call("c", "r", "")
@@ -108,9 +108,9 @@
 // An answer that has begun on a route that is idempotent by now, but not resumable, is not begun anew.
 func TestABegunStreamIsNotBegunAnewOnAnotherKindOfRoute(t *testing.T) {
 	rows := at("s", "r1", "r2")
-	k := newClerk(Options{}, stands(declaration(declared{"r", standing.Streaming, 3, one("s"), true}), 1, rows...))
+	k := newClerk(Options{}, stands(declaration(declared{"r", configuration.Streaming, 3, one("s"), true}), 1, rows...))
 	k.call("c", "r", "").Progress.Store(2)
-	k.step(Event{Snapshot: stands(declaration(declared{"r", standing.Idempotent, 3, one("s"), false}), 1, rows...)})
+	k.step(Event{Snapshot: stands(declaration(declared{"r", configuration.Idempotent, 3, one("s"), false}), 1, rows...)})
 	if k.end("c", Broken); len(k.attempts["c"]) != 1 {
 		t.Errorf("%d attempts", len(k.attempts["c"]))
 	}
@@ -123,11 +123,11 @@
 func TestAFurtherTryDrawsOnTheBudgetOfTheServiceItGoesTo(t *testing.T) {
 	opts := Options{Budget: BudgetOptions{Ratio: 0.1, Slack: 10, WindowUs: 10_000_000}}
 	rows := append(at("s", "r1", "r2"), at("other", "o1", "o2")...)
-	k := newClerk(opts, stands(declaration(declared{"r", standing.Idempotent, 3, one("s"), false}, declared{"o", standing.Idempotent, 3, one("other"), false}), 1, rows...))
+	k := newClerk(opts, stands(declaration(declared{"r", configuration.Idempotent, 3, one("s"), false}, declared{"o", configuration.Idempotent, 3, one("other"), false}), 1, rows...))
 	for n := 0; n < 50 && k.d.budget("other"); n++ {
 	}
 	k.call("c", "r", "")
-	moved := declaration(declared{"r", standing.Idempotent, 3, one("other"), false}, declared{"o", standing.Idempotent, 3, one("other"), false})
+	moved := declaration(declared{"r", configuration.Idempotent, 3, one("other"), false}, declared{"o", configuration.Idempotent, 3, one("other"), false})
 	k.step(Event{Snapshot: stands(moved, 1, rows...)})
 	if k.end("c", Unknown); len(k.attempts["c"]) != 1 {
 		t.Errorf("it was sent to %s, whose budget is spent", k.attempts["c"][1].Replica)
--- a/internal/dispatch/drain_test.go
+++ b/internal/dispatch/drain_test.go
@@ -3,21 +3,21 @@
 import (
 	"testing"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
 // routedSnapshot has one service with one replica that holds model "m".
 func routedSnapshot() *Snapshot {
-	doc := (&standing.Declaration{
+	doc := (&configuration.Declaration{
 		Version: 1,
-		Routes: []standing.Route{{
-			Name: "letters", Host: "h", Prefix: "/l/", Repeat: standing.Streaming, Resumable: true, TimeoutMs: 12_000, AttemptsMost: 2,
-			Split: []standing.Weighted{{Service: "scribe", Weight: 1}},
+		Routes: []configuration.Route{{
+			Name: "letters", Host: "h", Prefix: "/l/", Repeat: configuration.Streaming, Resumable: true, TimeoutMs: 12_000, AttemptsMost: 2,
+			Split: []configuration.Weighted{{Service: "scribe", Weight: 1}},
 		}},
-		Services: []standing.Service{{Name: "scribe", Engine: &standing.Engine{
-			Slots: 4, CacheTokens: 1000, RoomMb: 10, Models: []standing.EngineModel{{Name: "m", SizeMb: 5, LoadMs: 1000}, {Name: "rare", SizeMb: 5, LoadMs: 1000}},
+		Services: []configuration.Service{{Name: "scribe", Engine: &configuration.Engine{
+			Slots: 4, CacheTokens: 1000, RoomMb: 10, Models: []configuration.EngineModel{{Name: "m", SizeMb: 5, LoadMs: 1000}, {Name: "rare", SizeMb: 5, LoadMs: 1000}},
 		}}},
 	}).Indexed()
 	r := &wire.ReplicaNews{ID: "r1", Inc: "r1", Addr: "10.0.0.1:80", Service: "scribe", Slots: 4, Holds: []string{"m"}}
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -1,8 +1,8 @@
 package dispatch
 
 import (
+	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
-	"petreltide/internal/standing"
 )
 
 // Event is one thing that has happened; all its fields but NowUs and one are left out.
@@ -52,7 +52,7 @@
 	Revision   uint64
 	DeadlineUs int64
 	// Route and Service are those of the decision; a later declaration changes those of the call, not these.
-	Route   *standing.Route
+	Route   *configuration.Route
 	Service string
 	Kind    RequestKind
 	// GuessMs is when the first piece was expected, Running what was known to run there.
--- a/internal/dispatch/outcome_test.go
+++ b/internal/dispatch/outcome_test.go
@@ -4,8 +4,8 @@
 	"testing"
 
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/outlier"
-	"petreltide/internal/standing"
 )
 
 func tried(rows ...outlier.Row) map[string]outlier.Row {
@@ -17,7 +17,7 @@
 }
 
 func TestCallsGoWhereTheyAreTrusted(t *testing.T) {
-	doc := declaration(declared{"plain", standing.Idempotent, 2, one("s"), false}, declared{"model", standing.Idempotent, 2, one("engine"), false})
+	doc := declaration(declared{"plain", configuration.Idempotent, 2, one("s"), false}, declared{"model", configuration.Idempotent, 2, one("engine"), false})
 	for _, c := range []struct {
 		what    string
 		route   string
@@ -64,7 +64,7 @@
 
 // A call is not sent again at once to the replica that has just failed it, though nobody else has its model.
 func TestACallThatFailedIsNotSentThereAgainAtOnce(t *testing.T) {
-	k := newClerk(Options{}, stands(declaration(declared{"many", standing.Idempotent, 3, one("engine"), false}), 1, at("engine", "r1", "r2")...))
+	k := newClerk(Options{}, stands(declaration(declared{"many", configuration.Idempotent, 3, one("engine"), false}), 1, at("engine", "r1", "r2")...))
 	k.d.snap.Replicas["r2"].Holds = nil
 	k.call("c", "many", "m").Outcome.Store(int32(outlier.ResetFresh))
 	k.end("c", Unknown)
@@ -78,7 +78,7 @@
 }
 
 func TestWhatReportsTellOfAttempts(t *testing.T) {
-	doc := declaration(declared{"many", standing.Idempotent, 3, one("engine"), false})
+	doc := declaration(declared{"many", configuration.Idempotent, 3, one("engine"), false})
 	for _, c := range []struct {
 		what   string
 		class  outlier.Class
@@ -126,7 +126,7 @@
 
 // An attempt that shows nothing is told of while it still hangs, once.
 func TestAHangingAttemptIsToldOfBeforeItEnds(t *testing.T) {
-	k := newClerk(Options{}, stands(declaration(declared{"many", standing.Idempotent, 3, one("engine"), false}), 1, at("engine", "r1")...))
+	k := newClerk(Options{}, stands(declaration(declared{"many", configuration.Idempotent, 3, one("engine"), false}), 1, at("engine", "r1")...))
 	k.call("c", "many", "m")
 	k.after(clock.Sec)
 	told := 0
@@ -147,7 +147,7 @@
 
 // What was said of an attempt that had been told of already is not said of the call's next one.
 func TestAnOutcomeIsOfOneAttemptAlone(t *testing.T) {
-	k := newClerk(Options{}, stands(declaration(declared{"many", standing.Idempotent, 3, one("engine"), false}), 1, at("engine", "r1", "r2")...))
+	k := newClerk(Options{}, stands(declaration(declared{"many", configuration.Idempotent, 3, one("engine"), false}), 1, at("engine", "r1", "r2")...))
 	c := k.call("c", "many", "m")
 	k.after(clock.Sec)
 	_ = k.d.Report(k.nowUs)
--- a/internal/dispatch/prospect.go
+++ b/internal/dispatch/prospect.go
@@ -7,8 +7,8 @@
 	"strings"
 
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
@@ -164,7 +164,7 @@
 // patienceUs is how long the caller of a call waits for its first piece.
 func (d *Decider) patienceUs(c *Call) int64 {
 	us, o, r := c.deadlineUs-c.TakenUs, d.opts.Patience, c.Routed.Route
-	if r.Repeat == standing.Streaming && o.LeastMs > 0 {
+	if r.Repeat == configuration.Streaming && o.LeastMs > 0 {
 		us = min(us, max(o.LeastMs, o.Aims*r.AimMs, o.Gaps*r.GapMs)*clock.Ms)
 	}
 	return us
--- a/internal/dispatch/prospect_test.go
+++ b/internal/dispatch/prospect_test.go
@@ -4,17 +4,17 @@
 	"testing"
 
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
 // aimed is a declaration whose one route aims at aimMs and whose models take loadMs to load.
-func aimed(aimMs, loadMs int64) *standing.Declaration {
-	doc := &standing.Declaration{Version: 1, Services: []standing.Service{{Name: "engine", Engine: &standing.Engine{
-		Slots: 4, RoomMb: 10, Models: []standing.EngineModel{{Name: "m", SizeMb: 1, LoadMs: loadMs}, {Name: "n", SizeMb: 1, LoadMs: loadMs}},
-	}}}, Routes: []standing.Route{{
-		Name: "page", Host: "h", Prefix: "/page/", Repeat: standing.Streaming, TimeoutMs: 20_000, AimMs: aimMs, AttemptsMost: 1, Split: one("engine"),
+func aimed(aimMs, loadMs int64) *configuration.Declaration {
+	doc := &configuration.Declaration{Version: 1, Services: []configuration.Service{{Name: "engine", Engine: &configuration.Engine{
+		Slots: 4, RoomMb: 10, Models: []configuration.EngineModel{{Name: "m", SizeMb: 1, LoadMs: loadMs}, {Name: "n", SizeMb: 1, LoadMs: loadMs}},
+	}}}, Routes: []configuration.Route{{
+		Name: "page", Host: "h", Prefix: "/page/", Repeat: configuration.Streaming, TimeoutMs: 20_000, AimMs: aimMs, AttemptsMost: 1, Split: one("engine"),
 	}}}
 	return doc.Indexed()
 }
--- a/internal/dispatch/routed.go
+++ b/internal/dispatch/routed.go
@@ -4,8 +4,8 @@
 	"hash/fnv"
 
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
@@ -17,7 +17,7 @@
 
 // Routed is what a call by route brings beside what every call has. Prompt and Out are tokens.
 type Routed struct {
-	Route    *standing.Route
+	Route    *configuration.Route
 	Service  string
 	Parts    []Part
 	PromptIn int64
@@ -49,7 +49,7 @@
 
 func (d *Decider) routed() bool { return d.snap != nil && d.snap.Doc != nil && d.snap.Doc.Routed() }
 
-func (c *Call) unit() string { return standing.Unit(c.Model, c.Adapter) }
+func (c *Call) unit() string { return configuration.Unit(c.Model, c.Adapter) }
 
 // routedTerms lays the newest route on a call, and draws its service anew where it may no longer go there.
 func (d *Decider) routedTerms(c *Call) fault.Code {
--- a/internal/dispatch/routed_test.go
+++ b/internal/dispatch/routed_test.go
@@ -6,30 +6,30 @@
 	"testing"
 
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
 type declared struct {
 	name   string
-	repeat standing.Repeat
+	repeat configuration.Repeat
 	most   int
-	split  []standing.Weighted
+	split  []configuration.Weighted
 	resume bool
 }
 
-func one(service string) []standing.Weighted {
-	return []standing.Weighted{{Service: service, Weight: 1}}
+func one(service string) []configuration.Weighted {
+	return []configuration.Weighted{{Service: service, Weight: 1}}
 }
 
-func declaration(routes ...declared) *standing.Declaration {
-	doc := &standing.Declaration{Version: 1, Services: []standing.Service{
+func declaration(routes ...declared) *configuration.Declaration {
+	doc := &configuration.Declaration{Version: 1, Services: []configuration.Service{
 		{Name: "s"}, {Name: "other"},
-		{Name: "engine", Engine: &standing.Engine{Slots: 4, RoomMb: 10, Models: []standing.EngineModel{{Name: "m", SizeMb: 1, LoadMs: 1}, {Name: "n", SizeMb: 1, LoadMs: 1}}}},
+		{Name: "engine", Engine: &configuration.Engine{Slots: 4, RoomMb: 10, Models: []configuration.EngineModel{{Name: "m", SizeMb: 1, LoadMs: 1}, {Name: "n", SizeMb: 1, LoadMs: 1}}}},
 	}}
 	for _, r := range routes {
-		doc.Routes = append(doc.Routes, standing.Route{
+		doc.Routes = append(doc.Routes, configuration.Route{
 			Name: r.name, Host: "h", Prefix: "/" + r.name + "/", Repeat: r.repeat, Resumable: r.resume, TimeoutMs: 20_000, AttemptsMost: r.most, Split: r.split,
 		})
 	}
@@ -38,7 +38,7 @@
 
 var snaps uint64
 
-func stands(doc *standing.Declaration, gateways int, rows ...wire.ReplicaNews) *Snapshot {
+func stands(doc *configuration.Declaration, gateways int, rows ...wire.ReplicaNews) *Snapshot {
 	snaps++
 	s := &Snapshot{Number: snaps, Revision: snaps, Doc: doc, Gateways: gateways, Replicas: map[string]*wire.ReplicaNews{}, ByService: map[string][]*wire.ReplicaNews{}}
 	for _, r := range rows {
@@ -120,7 +120,7 @@
 		ending  Ending
 		afterUs int64
 	}{{Refused, fullUs}, {Missing, missingUs}, {Unsent, avoidLeastUs}} {
-		k := newClerk(Options{}, stands(declaration(declared{"once", standing.NonIdempotent, 2, one("engine"), false}), 1, at("engine", "r1")...))
+		k := newClerk(Options{}, stands(declaration(declared{"once", configuration.NonIdempotent, 2, one("engine"), false}), 1, at("engine", "r1")...))
 		k.call("c", "once", "m")
 		k.end("c", c.ending)
 		k.after(c.afterUs - clock.Ms)
@@ -139,7 +139,7 @@
 }
 
 func TestAnotherReplicaComesBeforeOneThatHadTheCall(t *testing.T) {
-	k := newClerk(Options{}, stands(declaration(declared{"once", standing.NonIdempotent, 3, one("s"), false}), 1, at("s", "r1", "r2")...))
+	k := newClerk(Options{}, stands(declaration(declared{"once", configuration.NonIdempotent, 3, one("s"), false}), 1, at("s", "r1", "r2")...))
 	k.call("c", "once", "")
 	k.end("c", Refused)
 	if attempts := k.attempts["c"]; len(attempts) != 2 || attempts[0].Replica == attempts[1].Replica {
@@ -149,17 +149,17 @@
 
 func TestTheLastAttemptIsAnsweredAtOnceWithATime(t *testing.T) {
 	for _, c := range []struct {
-		repeat  standing.Repeat
+		repeat  configuration.Repeat
 		endings []Ending
 		run     string
 		given   bool
 	}{
-		{standing.NonIdempotent, []Ending{Refused, Missing}, fault.RunNone, true},
-		{standing.NonIdempotent, []Ending{Refused, Unknown}, "", false},
-		{standing.NonIdempotent, []Ending{Unknown}, "", false},
-		{standing.NonIdempotent, []Ending{Failed}, "", false},
-		{standing.Idempotent, []Ending{Unknown, Broken}, "", false},
-		{standing.Idempotent, []Ending{Broken, Refused}, "", false},
+		{configuration.NonIdempotent, []Ending{Refused, Missing}, fault.RunNone, true},
+		{configuration.NonIdempotent, []Ending{Refused, Unknown}, "", false},
+		{configuration.NonIdempotent, []Ending{Unknown}, "", false},
+		{configuration.NonIdempotent, []Ending{Failed}, "", false},
+		{configuration.Idempotent, []Ending{Unknown, Broken}, "", false},
+		{configuration.Idempotent, []Ending{Broken, Refused}, "", false},
 	} {
 		k := newClerk(Options{}, stands(declaration(declared{"r", c.repeat, 2, one("s"), false}), 1, at("s", "r1", "r2", "r3")...))
 		k.call("c", "r", "")
@@ -183,10 +183,10 @@
 
 // What the declaration changes while a call waits or runs.
 func TestRoutesThatChangeUnderACall(t *testing.T) {
-	base := declared{"r", standing.NonIdempotent, 3, one("s"), false}
-	moved := declared{"r", standing.NonIdempotent, 3, one("other"), false}
+	base := declared{"r", configuration.NonIdempotent, 3, one("s"), false}
+	moved := declared{"r", configuration.NonIdempotent, 3, one("other"), false}
 	rows := append(at("s", "r1"), at("other", "o1")...)
-	waiting := func(next *standing.Declaration) *clerk {
+	waiting := func(next *configuration.Declaration) *clerk {
 		full := append([]wire.ReplicaNews(nil), rows...)
 		full[0].Unreachable, full[1].Unreachable = true, true
 		k := newClerk(Options{}, stands(declaration(base), 1, full...))
@@ -200,11 +200,11 @@
 	if k := waiting(declaration(moved)); len(k.attempts["c"]) != 1 || k.attempts["c"][0].Replica != "o1" {
 		t.Errorf("moved while it waits: %v", k.attempts["c"])
 	}
-	if k := waiting(declaration(declared{"r", standing.NonIdempotent, 3, []standing.Weighted{{Service: "s", Weight: 0}, {Service: "other", Weight: 1}}, false})); len(k.attempts["c"]) != 1 || k.attempts["c"][0].Replica != "o1" {
+	if k := waiting(declaration(declared{"r", configuration.NonIdempotent, 3, []configuration.Weighted{{Service: "s", Weight: 0}, {Service: "other", Weight: 1}}, false})); len(k.attempts["c"]) != 1 || k.attempts["c"][0].Replica != "o1" {
 		t.Errorf("weighed down to 0 while it waits: %v", k.attempts["c"])
 	}
 
-	running := func(next *standing.Declaration, e Ending) *clerk {
+	running := func(next *configuration.Declaration, e Ending) *clerk {
 		k := newClerk(Options{}, stands(declaration(base), 1, rows...))
 		k.call("c", "r", "")
 		k.step(Event{Snapshot: stands(next, 1, rows...)})
@@ -223,7 +223,7 @@
 	if k := running(declaration(moved), Unknown); len(k.attempts["c"]) != 1 || k.fin["c"].Over == nil {
 		t.Errorf("moved while it runs, then in doubt: %v", k.attempts["c"])
 	}
-	k := newClerk(Options{}, stands(declaration(declared{"r", standing.Idempotent, 3, one("s"), false}), 1, rows...))
+	k := newClerk(Options{}, stands(declaration(declared{"r", configuration.Idempotent, 3, one("s"), false}), 1, rows...))
 	k.call("c", "r", "")
 	k.step(Event{Snapshot: stands(declaration(base), 1, rows...)})
 	if k.end("c", Unknown); len(k.attempts["c"]) != 1 {
@@ -248,7 +248,7 @@
 
 // How long a replica is left alone hangs on what it said.
 func TestWhatAReplicaSaidHoldsForWhatItConcerns(t *testing.T) {
-	doc := declaration(declared{"r", standing.NonIdempotent, 3, one("engine"), false})
+	doc := declaration(declared{"r", configuration.NonIdempotent, 3, one("engine"), false})
 	row := wire.ReplicaNews{ID: "r1", Service: "engine", Holds: []string{"m", "n"}}
 	for _, c := range []struct {
 		ending       Ending
@@ -284,8 +284,8 @@
 				if r.Intn(8) == 0 {
 					continue
 				}
-				split := [][]standing.Weighted{one("s"), one("other"), {{Service: "s", Weight: r.Intn(3)}, {Service: "other", Weight: 1}}}[r.Intn(3)]
-				repeat := []standing.Repeat{standing.Idempotent, standing.NonIdempotent, standing.Streaming}[r.Intn(3)]
+				split := [][]configuration.Weighted{one("s"), one("other"), {{Service: "s", Weight: r.Intn(3)}, {Service: "other", Weight: 1}}}[r.Intn(3)]
+				repeat := []configuration.Repeat{configuration.Idempotent, configuration.NonIdempotent, configuration.Streaming}[r.Intn(3)]
 				routes = append(routes, declared{n, repeat, 1 + r.Intn(3), split, r.Intn(2) == 0})
 			}
 			rows := []wire.ReplicaNews{}
@@ -378,7 +378,7 @@
 	for seed := int64(0); seed < 20; seed++ {
 		r := rand.New(rand.NewSource(seed))
 		gateways := 1 + r.Intn(9)
-		doc := declaration(declared{"many", standing.Idempotent, 3, one("s"), false})
+		doc := declaration(declared{"many", configuration.Idempotent, 3, one("s"), false})
 		opts := Options{Budget: BudgetOptions{Ratio: ratio, Slack: slack, WindowUs: windowUs}}
 		var all []*clerk
 		rows := at("s", "r1", "r2", "r3", "r4")
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -3,10 +3,10 @@
 import (
 	"sort"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
 	"petreltide/internal/outlier"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
@@ -15,7 +15,7 @@
 	Number   uint64
 	View     uint64
 	Revision uint64
-	Doc      *standing.Declaration
+	Doc      *configuration.Declaration
 	Replicas map[string]*wire.ReplicaNews
 	IDs      []string
 	Grants   map[string]ledger.Grant
@@ -69,7 +69,7 @@
 
 // Lookup finds a call's kind, or the fault that refuses it. Without a lease there may be newer news
 // that knows what this snapshot does not: then only a later try can tell.
-func (s *Snapshot) Lookup(a Asked, nowUs, leaseUs int64) (*standing.Kind, *fault.Fault) {
+func (s *Snapshot) Lookup(a Asked, nowUs, leaseUs int64) (*configuration.Kind, *fault.Fault) {
 	kind := s.Doc.Kind(a.Kind)
 	var bad *fault.Fault
 	switch code := s.unknown(a.Model, a.Adapter); {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -4,8 +4,8 @@
 	"testing"
 
 	"petreltide/internal/chain"
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
@@ -19,7 +19,7 @@
 func stateAt(revision, news uint64) *ledger.State {
 	s := ledger.NewState()
 	s.Revision, s.NewsIndex, s.Index = revision, news, news
-	s.Doc = &standing.Declaration{Name: "d"}
+	s.Doc = &configuration.Declaration{Name: "d"}
 	return s
 }
 
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -7,10 +7,10 @@
 
 	"petreltide/internal/chain"
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
 	"petreltide/internal/outlier"
 	"petreltide/internal/roster"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
@@ -63,8 +63,8 @@
 	live   int
 	liveUs int64
 
-	bare   *standing.Declaration
-	bareOf *standing.Declaration
+	bare   *configuration.Declaration
+	bareOf *configuration.Declaration
 }
 
 // told is how far the streams of one kind have been brought on.
--- a/internal/feed/hub_test.go
+++ b/internal/feed/hub_test.go
@@ -7,9 +7,9 @@
 	"github.com/google/go-cmp/cmp"
 
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
 	"petreltide/internal/roster"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
@@ -17,9 +17,9 @@
 func routedLedger(t *testing.T, ids ...string) *ledger.State {
 	t.Helper()
 	s := ledger.NewState()
-	engine := &standing.Engine{Slots: 4, CacheTokens: 1, RoomMb: 100, LoadsPerS: 1, Models: []standing.EngineModel{{Name: "m1", SizeMb: 10, LoadMs: 100}, {Name: "m2", SizeMb: 10, LoadMs: 100}}}
-	doc := &standing.Declaration{Version: 1, Services: []standing.Service{{Name: "s", Engine: engine}},
-		Routes: []standing.Route{{Name: "r", Host: "h", Prefix: "/", Repeat: standing.Streaming, TimeoutMs: 1000, AttemptsMost: 1, Split: []standing.Weighted{{Service: "s", Weight: 1}}}}}
+	engine := &configuration.Engine{Slots: 4, CacheTokens: 1, RoomMb: 100, LoadsPerS: 1, Models: []configuration.EngineModel{{Name: "m1", SizeMb: 10, LoadMs: 100}, {Name: "m2", SizeMb: 10, LoadMs: 100}}}
+	doc := &configuration.Declaration{Version: 1, Services: []configuration.Service{{Name: "s", Engine: engine}},
+		Routes: []configuration.Route{{Name: "r", Host: "h", Prefix: "/", Repeat: configuration.Streaming, TimeoutMs: 1000, AttemptsMost: 1, Split: []configuration.Weighted{{Service: "s", Weight: 1}}}}}
 	s.Apply(1, ledger.Change{ID: "c", Config: &ledger.ConfigChange{Version: 1, Doc: doc}})
 	duty := &ledger.Duty{}
 	for _, id := range ids {
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -10,17 +10,17 @@
 	"strings"
 	"testing"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/dispatch"
 	"petreltide/internal/logring"
 	"petreltide/internal/settings"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
 func host() *Host {
 	h := Open(settings.Gateway{Name: "front", Listen: "127.0.0.1:1", Advertise: "127.0.0.1:1", QueueMax: 4, BodyMaxKb: 64}, logring.NewRing("", io.Discard))
-	doc := &standing.Declaration{Kinds: []standing.Kind{{Name: "pages", Urgency: 3, Resumable: true, DeadlineMs: 1000}, {Name: "fixes", Urgency: 8, DeadlineMs: 1000}},
-		Models: []standing.Model{{Name: "m"}}, Adapters: []standing.Adapter{{Name: "a", Model: "m"}}}
+	doc := &configuration.Declaration{Kinds: []configuration.Kind{{Name: "pages", Urgency: 3, Resumable: true, DeadlineMs: 1000}, {Name: "fixes", Urgency: 8, DeadlineMs: 1000}},
+		Models: []configuration.Model{{Name: "m"}}, Adapters: []configuration.Adapter{{Name: "a", Model: "m"}}}
 	h.snap.Store(dispatch.Fold(nil, wire.News{Number: 1, Revision: 1, Doc: doc}, 1))
 	h.leaseUs.Store(1 << 60)
 	return h
--- a/internal/ledger/bounds_test.go
+++ b/internal/ledger/bounds_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
-	"petreltide/internal/standing"
 )
 
 func claim(i int) Change {
@@ -57,7 +57,7 @@
 // have been taken, and is never taken a second time.
 func TestAChangeOlderThanTheHistoryIsNotTakenTwice(t *testing.T) {
 	s := NewState()
-	doc := &standing.Declaration{}
+	doc := &configuration.Declaration{}
 	first := Change{ID: "c0", Config: &ConfigChange{Base: 0, Doc: doc}}
 	for i := 0; i <= ChangesMost; i++ {
 		s.Apply(s.Index+1, Change{ID: fmt.Sprint("c", i), Config: &ConfigChange{Base: uint64(i), Doc: doc}})
@@ -86,7 +86,7 @@
 	}
 	must(t, s, Change{ID: "end", Key: &KeyChange{Key: claim(1).Key.Key, Gateway: "front-3", GatewayInc: "0123456789ab", Call: claim(1).Key.Call, End: "yes"}})
 	must(t, s, Change{ID: "f", Epoch: 1, Duty: &Duty{Forget: s.Index}})
-	must(t, s, Change{ID: "c2", Config: &ConfigChange{Base: 1, Doc: &standing.Declaration{Name: "next"}}})
+	must(t, s, Change{ID: "c2", Config: &ConfigChange{Base: 1, Doc: &configuration.Declaration{Name: "next"}}})
 	if diff := cmp.Diff(before, string(frozen.Encode())); diff != "" {
 		t.Fatalf("what went on changed the frozen one: %s", diff)
 	}
@@ -108,17 +108,17 @@
 
 // The edits kept for those that are behind are bounded by bytes too: who is further behind gets the whole.
 func TestKeptEditsAreBoundedByBytes(t *testing.T) {
-	route := func(i int) []standing.Route {
-		return []standing.Route{{Name: "r", Host: "h", Prefix: "/", Repeat: standing.Idempotent, TimeoutMs: 1000, AttemptsMost: 1,
-			Split: []standing.Weighted{{Service: "s", Weight: 1}}, Source: json.RawMessage(fmt.Sprintf(`"%d %s"`, i, strings.Repeat("x", 200<<10)))}}
+	route := func(i int) []configuration.Route {
+		return []configuration.Route{{Name: "r", Host: "h", Prefix: "/", Repeat: configuration.Idempotent, TimeoutMs: 1000, AttemptsMost: 1,
+			Split: []configuration.Weighted{{Service: "s", Weight: 1}}, Source: json.RawMessage(fmt.Sprintf(`"%d %s"`, i, strings.Repeat("x", 200<<10)))}}
 	}
 	s := NewState()
-	out := s.Apply(1, Change{ID: "v1", Config: &ConfigChange{Version: 1, Doc: &standing.Declaration{Version: 1, Routes: route(0), Services: []standing.Service{{Name: "s"}}}}})
+	out := s.Apply(1, Change{ID: "v1", Config: &ConfigChange{Version: 1, Doc: &configuration.Declaration{Version: 1, Routes: route(0), Services: []configuration.Service{{Name: "s"}}}}})
 	if out.Fault != nil {
 		t.Fatal(out.Fault)
 	}
 	for i := uint64(1); i <= 40; i++ {
-		if out := s.Apply(i+1, Change{ID: fmt.Sprint("e", i), Config: &ConfigChange{Base: i, Version: i + 1, Edit: &standing.Edit{Version: i + 1, Routes: route(int(i))}}}); out.Fault != nil {
+		if out := s.Apply(i+1, Change{ID: fmt.Sprint("e", i), Config: &ConfigChange{Base: i, Version: i + 1, Edit: &configuration.Edit{Version: i + 1, Routes: route(int(i))}}}); out.Fault != nil {
 			t.Fatal(out.Fault)
 		}
 		if raw := len(s.Encode()); raw > editBytesMost+300<<10 {
@@ -131,8 +131,8 @@
 	if _, ok := s.EditsSince(s.Revision - 20); ok {
 		t.Fatal("edits that are not kept are given out")
 	}
-	s.Apply(50, Change{ID: "e50", Config: &ConfigChange{Base: 41, Version: 42, Edit: &standing.Edit{Version: 42, Routes: []standing.Route{{Name: "r", Host: "h", Prefix: "/", Repeat: standing.Idempotent,
-		TimeoutMs: 1000, AttemptsMost: 1, Split: []standing.Weighted{{Service: "s", Weight: 1}}, Source: json.RawMessage(`"` + strings.Repeat("x", 2<<20) + `"`)}}}}})
+	s.Apply(50, Change{ID: "e50", Config: &ConfigChange{Base: 41, Version: 42, Edit: &configuration.Edit{Version: 42, Routes: []configuration.Route{{Name: "r", Host: "h", Prefix: "/", Repeat: configuration.Idempotent,
+		TimeoutMs: 1000, AttemptsMost: 1, Split: []configuration.Weighted{{Service: "s", Weight: 1}}, Source: json.RawMessage(`"` + strings.Repeat("x", 2<<20) + `"`)}}}}})
 	if _, ok := s.EditsSince(s.Revision - 1); ok || len(s.Edits) != 0 || s.Version() != 42 {
 		t.Fatalf("%d edits kept at version %d", len(s.Edits), s.Version())
 	}
@@ -140,9 +140,9 @@
 
 func TestRememberedOutcomesNameOnlyTheirFirstFaults(t *testing.T) {
 	s := ready(t)
-	doc := &standing.Declaration{}
+	doc := &configuration.Declaration{}
 	for i := range 10 * faultsMost {
-		doc.Models = append(doc.Models, standing.Model{Name: fmt.Sprint("m", i), SizeMb: 1 << 40})
+		doc.Models = append(doc.Models, configuration.Model{Name: fmt.Sprint("m", i), SizeMb: 1 << 40})
 	}
 	change := Change{ID: "large", Config: &ConfigChange{Base: s.Revision, Doc: doc}}
 	if out := s.Apply(s.Index+1, change); out.Fault == nil || len(out.Fault.Faults) != 10*faultsMost {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -5,8 +5,8 @@
 	"maps"
 	"slices"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
-	"petreltide/internal/standing"
 )
 
 // What is kept at most: idempotency keys, and outcomes of changes.
@@ -46,19 +46,19 @@
 	// OrdersIndex is the entry that last changed which orders stand.
 	OrdersIndex uint64 `json:"ordersIndex,omitempty"`
 	// HoldsIndex is the entry that last changed a replica's row.
-	HoldsIndex uint64                `json:"holdsIndex,omitempty"`
-	Epoch      uint64                `json:"epoch"`
-	Holder     string                `json:"holder"`
-	Revision   uint64                `json:"revision"`
-	Doc        *standing.Declaration `json:"doc,omitempty"`
-	Replicas   map[string]*Replica   `json:"replicas"`
-	Pending    map[string]Ticket     `json:"pending"`
-	NextTicket uint64                `json:"nextTicket"`
-	Grants     map[string]Grant      `json:"grants"`
-	Keys       map[string]KeyRow     `json:"keys"`
-	KeyOrder   []string              `json:"keyOrder"`
-	Changes    map[string]Outcome    `json:"changes"`
-	ChangeIDs  []string              `json:"changeIds"`
+	HoldsIndex uint64                     `json:"holdsIndex,omitempty"`
+	Epoch      uint64                     `json:"epoch"`
+	Holder     string                     `json:"holder"`
+	Revision   uint64                     `json:"revision"`
+	Doc        *configuration.Declaration `json:"doc,omitempty"`
+	Replicas   map[string]*Replica        `json:"replicas"`
+	Pending    map[string]Ticket          `json:"pending"`
+	NextTicket uint64                     `json:"nextTicket"`
+	Grants     map[string]Grant           `json:"grants"`
+	Keys       map[string]KeyRow          `json:"keys"`
+	KeyOrder   []string                   `json:"keyOrder"`
+	Changes    map[string]Outcome         `json:"changes"`
+	ChangeIDs  []string                   `json:"changeIds"`
 	// Forgotten is the highest number among taken changes whose outcome is not remembered any more.
 	Forgotten uint64 `json:"forgotten,omitempty"`
 	// Ahead are refusals of orders that build on a version which may still come.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -6,14 +6,14 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
-	"petreltide/internal/standing"
 )
 
 func ready(t *testing.T) *State {
 	t.Helper()
 	s := NewState()
-	doc := &standing.Declaration{Store: standing.Store{Loads: 2}, Models: []standing.Model{{Name: "a", SizeMb: 60}, {Name: "b", SizeMb: 50}}}
+	doc := &configuration.Declaration{Store: configuration.Store{Loads: 2}, Models: []configuration.Model{{Name: "a", SizeMb: 60}, {Name: "b", SizeMb: 50}}}
 	must(t, s, Change{ID: "c1", Config: &ConfigChange{Doc: doc}})
 	must(t, s, Change{ID: "claim", Epoch: 1, Claim: &Claim{Holder: "one"}})
 	notes := []ReplicaNote{}
--- a/internal/ledger/repeat_test.go
+++ b/internal/ledger/repeat_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
-	"petreltide/internal/standing"
 )
 
 // apply hands one change to the state as the next entry of the log.
@@ -154,8 +154,8 @@
 // A numbered order that was refused on top of no numbered version stays refused, whatever comes into force without a
 // number: only numbered versions never change.
 func TestARefusalOnTopOfNoVersionStands(t *testing.T) {
-	edit := order(0, 5, nil, &standing.Edit{Version: 5, Routes: []standing.Route{versionRoute("b", 1, "s")}})
-	clash := order(0, 6, nil, &standing.Edit{Version: 6, RemoveServices: []string{"s"}})
+	edit := order(0, 5, nil, &configuration.Edit{Version: 5, Routes: []configuration.Route{versionRoute("b", 1, "s")}})
+	clash := order(0, 6, nil, &configuration.Edit{Version: 6, RemoveServices: []string{"s"}})
 	s := NewState()
 	if out := apply(s, edit); code(out) != fault.InvalidConfig {
 		t.Fatalf("an edit of nothing: %+v", out)
--- a/internal/ledger/replicas.go
+++ b/internal/ledger/replicas.go
@@ -5,7 +5,7 @@
 	"slices"
 	"strings"
 
-	"petreltide/internal/standing"
+	"petreltide/internal/configuration"
 )
 
 // Replica is the row of one life of a replica: where it is, its room, and what it holds.
@@ -31,7 +31,7 @@
 }
 
 // Usable says whether a replica may be given more to hold.
-func (r *Replica) Usable(d *standing.Declaration) bool {
+func (r *Replica) Usable(d *configuration.Declaration) bool {
 	return !r.Leaving && !r.Unreachable && r.Inc != "" && (d == nil || !d.IsEmptied(r.Zone))
 }
 
--- a/internal/ledger/tickets.go
+++ b/internal/ledger/tickets.go
@@ -3,8 +3,8 @@
 import (
 	"strings"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
-	"petreltide/internal/standing"
 )
 
 // Step is what an order asks of a replica.
@@ -157,7 +157,7 @@
 
 // adapterFits: an adapter of a service's model needs the model there, and one of the replica's places.
 func (s *State) adapterFits(r *Replica, unit string) *fault.Fault {
-	model, adapter := standing.Units(unit)
+	model, adapter := configuration.Units(unit)
 	if r.Service == "" || adapter == "" {
 		return nil
 	}
--- a/internal/ledger/version_test.go
+++ b/internal/ledger/version_test.go
@@ -9,34 +9,34 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
-	"petreltide/internal/standing"
 )
 
-func versionRoute(name string, timeoutMs int64, service string) standing.Route {
-	return standing.Route{
-		Name: name, Host: "h", Prefix: "/" + name + "/", Repeat: standing.Idempotent, TimeoutMs: timeoutMs, AttemptsMost: 1,
-		Split: []standing.Weighted{{Service: service, Weight: 1}}, Source: json.RawMessage(fmt.Sprintf(`{"name":%q,"ms":%d}`, name, timeoutMs)),
+func versionRoute(name string, timeoutMs int64, service string) configuration.Route {
+	return configuration.Route{
+		Name: name, Host: "h", Prefix: "/" + name + "/", Repeat: configuration.Idempotent, TimeoutMs: timeoutMs, AttemptsMost: 1,
+		Split: []configuration.Weighted{{Service: service, Weight: 1}}, Source: json.RawMessage(fmt.Sprintf(`{"name":%q,"ms":%d}`, name, timeoutMs)),
 	}
 }
 
-func versionDoc(version uint64, routes ...standing.Route) *standing.Declaration {
-	return &standing.Declaration{Version: version, Routes: routes, Services: []standing.Service{{Name: "s"}, {Name: "t"}}}
+func versionDoc(version uint64, routes ...configuration.Route) *configuration.Declaration {
+	return &configuration.Declaration{Version: version, Routes: routes, Services: []configuration.Service{{Name: "s"}, {Name: "t"}}}
 }
 
 // order is an operator's: its id stands for all that it says.
-func order(base, version uint64, doc *standing.Declaration, edit *standing.Edit) Change {
+func order(base, version uint64, doc *configuration.Declaration, edit *configuration.Edit) Change {
 	raw, err := json.Marshal([]any{base, version, doc, edit})
 	if err != nil {
 		panic(err)
 	}
-	return Change{ID: "op-" + standing.Mark(raw), Config: &ConfigChange{Base: base, Version: version, Doc: doc, Edit: edit}}
+	return Change{ID: "op-" + configuration.Mark(raw), Config: &ConfigChange{Base: base, Version: version, Doc: doc, Edit: edit}}
 }
 
 func TestOperatorsVersions(t *testing.T) {
 	a, b := versionRoute("a", 100, "s"), versionRoute("b", 200, "s")
 	first := order(0, 5, versionDoc(5, a), nil)
-	second := order(5, 8, nil, &standing.Edit{Version: 8, Routes: []standing.Route{b}})
+	second := order(5, 8, nil, &configuration.Edit{Version: 8, Routes: []configuration.Route{b}})
 	type act struct {
 		name    string
 		c       Change
@@ -46,20 +46,20 @@
 	}
 	s := NewState()
 	for i, c := range []act{
-		{"an edit of nothing", order(0, 4, nil, &standing.Edit{Version: 4}), fault.InvalidConfig, false, 0},
+		{"an edit of nothing", order(0, 4, nil, &configuration.Edit{Version: 4}), fault.InvalidConfig, false, 0},
 		{"the first", first, "", false, 5},
 		{"the first again", first, "", true, 5},
 		{"another with its number", order(0, 5, versionDoc(5, b), nil), fault.StaleBase, false, 5},
 		{"the same number on top", order(5, 5, versionDoc(5, b), nil), fault.InvalidConfig, false, 5},
 		{"a lower number on top", order(5, 4, versionDoc(4, b), nil), fault.InvalidConfig, false, 5},
 		{"a base that never was", order(6, 9, versionDoc(9, b), nil), fault.StaleBase, false, 5},
-		{"an edit that names a service that is not there", order(5, 8, nil, &standing.Edit{Version: 8, Routes: []standing.Route{versionRoute("b", 1, "none")}}), fault.InvalidConfig, false, 5},
-		{"an edit that takes a service in use", order(5, 8, nil, &standing.Edit{Version: 8, RemoveServices: []string{"s"}}), fault.InvalidConfig, false, 5},
-		{"an edit that names one route twice", order(5, 8, nil, &standing.Edit{Version: 8, Routes: []standing.Route{b, b}}), fault.InvalidConfig, false, 5},
+		{"an edit that names a service that is not there", order(5, 8, nil, &configuration.Edit{Version: 8, Routes: []configuration.Route{versionRoute("b", 1, "none")}}), fault.InvalidConfig, false, 5},
+		{"an edit that takes a service in use", order(5, 8, nil, &configuration.Edit{Version: 8, RemoveServices: []string{"s"}}), fault.InvalidConfig, false, 5},
+		{"an edit that names one route twice", order(5, 8, nil, &configuration.Edit{Version: 8, Routes: []configuration.Route{b, b}}), fault.InvalidConfig, false, 5},
 		{"neither a whole one nor an edit", order(5, 8, nil, nil), fault.InvalidConfig, false, 5},
 		{"the second", second, "", false, 8},
-		{"its rival", order(5, 8, nil, &standing.Edit{Version: 8, RemoveRoutes: []string{"a"}}), fault.StaleBase, false, 8},
-		{"its rival with a higher number", order(5, 9, nil, &standing.Edit{Version: 9, RemoveRoutes: []string{"a"}}), fault.StaleBase, false, 8},
+		{"its rival", order(5, 8, nil, &configuration.Edit{Version: 8, RemoveRoutes: []string{"a"}}), fault.StaleBase, false, 8},
+		{"its rival with a higher number", order(5, 9, nil, &configuration.Edit{Version: 9, RemoveRoutes: []string{"a"}}), fault.StaleBase, false, 8},
 		{"the first again, two versions later", first, "", true, 8},
 		{"the second again", second, "", true, 8},
 		{"a third", order(8, 20, versionDoc(20, b), nil), "", false, 20},
@@ -82,7 +82,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if diff := cmp.Diff(was.Doc, s.Doc, cmpopts.IgnoreFields(standing.Declaration{}, "Index")); diff != "" {
+			if diff := cmp.Diff(was.Doc, s.Doc, cmpopts.IgnoreFields(configuration.Declaration{}, "Index")); diff != "" {
 				t.Errorf("%s: refused, and yet %s", c.name, diff)
 			}
 		}
@@ -95,15 +95,15 @@
 // Any edits that are kept lead from their revision to what is in force, a state read back goes on as the one that
 // was written, and of all that build on one version one is taken.
 func TestSeededVersionsFoldAndRaceOnce(t *testing.T) {
-	ignored := cmp.Options{cmpopts.IgnoreFields(standing.Declaration{}, "Index"), cmpopts.EquateEmpty()}
+	ignored := cmp.Options{cmpopts.IgnoreFields(configuration.Declaration{}, "Index"), cmpopts.EquateEmpty()}
 	folds, races := 0, 0
 	for seed := int64(0); seed < 12; seed++ {
 		r := rand.New(rand.NewSource(seed))
 		s, index := NewState(), uint64(0)
-		was := map[uint64]*standing.Declaration{}
+		was := map[uint64]*configuration.Declaration{}
 		draw := func(base uint64) Change {
 			version := base + 1 + uint64(r.Intn(4))
-			routes := []standing.Route{}
+			routes := []configuration.Route{}
 			for _, name := range []string{"a", "b", "c", "d", "e"} {
 				if r.Intn(3) == 0 {
 					routes = append(routes, versionRoute(name, 1+r.Int63n(1000), []string{"s", "t"}[r.Intn(2)]))
@@ -112,14 +112,14 @@
 			if base == 0 || r.Intn(15) == 0 {
 				return order(base, version, versionDoc(version, routes...), nil)
 			}
-			e := &standing.Edit{Version: version, Routes: routes}
+			e := &configuration.Edit{Version: version, Routes: routes}
 			for _, name := range []string{"a", "b", "c", "d", "e", "none"} {
 				if r.Intn(4) == 0 {
 					e.RemoveRoutes = append(e.RemoveRoutes, name)
 				}
 			}
 			if r.Intn(5) == 0 {
-				e.Limits = &standing.Limits{BodyBytesMost: r.Int63n(100)}
+				e.Limits = &configuration.Limits{BodyBytesMost: r.Int63n(100)}
 			}
 			return order(base, version, nil, e)
 		}
@@ -188,7 +188,7 @@
 		return s.Apply(index, Change{Duty: &d}).Faults
 	}
 	doc := versionDoc(1, versionRoute("a", 1, "s"))
-	doc.Services[0].Engine = &standing.Engine{Slots: 1, CacheTokens: 1, RoomMb: 100, AdaptersMost: 2, LoadsPerS: 1, Models: []standing.EngineModel{
+	doc.Services[0].Engine = &configuration.Engine{Slots: 1, CacheTokens: 1, RoomMb: 100, AdaptersMost: 2, LoadsPerS: 1, Models: []configuration.EngineModel{
 		{Name: "m", SizeMb: 60, LoadMs: 1, Adapters: 3, AdapterMb: 5}, {Name: "n", SizeMb: 35, LoadMs: 1, Adapters: 1, AdapterMb: 5}, {Name: "o", SizeMb: 30, LoadMs: 1}}}
 	index++
 	if out := s.Apply(index, order(0, 1, doc, nil)); out.Fault != nil {
@@ -246,13 +246,13 @@
 // What is in force without a number was not checked as routes are: an edit on top of it has all of it checked.
 func TestAnEditOnTopOfWhatWasNeverCheckedIsCheckedAsAWhole(t *testing.T) {
 	s := NewState()
-	bad := &standing.Declaration{Services: []standing.Service{{Name: "s"}}, Routes: []standing.Route{{
-		Name: "r", Host: "h", Prefix: "/", Repeat: standing.Streaming, AttemptsMost: 1, Split: []standing.Weighted{{Service: "s", Weight: 1}},
+	bad := &configuration.Declaration{Services: []configuration.Service{{Name: "s"}}, Routes: []configuration.Route{{
+		Name: "r", Host: "h", Prefix: "/", Repeat: configuration.Streaming, AttemptsMost: 1, Split: []configuration.Weighted{{Service: "s", Weight: 1}},
 	}}}
 	if out := s.Apply(1, Change{ID: "a", Config: &ConfigChange{Doc: bad}}); out.Fault != nil {
 		t.Fatal(out.Fault)
 	}
-	out := s.Apply(2, Change{ID: "b", Config: &ConfigChange{Version: 1, Edit: &standing.Edit{Version: 1, Services: []standing.Service{{Name: "s2"}}}}})
+	out := s.Apply(2, Change{ID: "b", Config: &ConfigChange{Version: 1, Edit: &configuration.Edit{Version: 1, Services: []configuration.Service{{Name: "s2"}}}}})
 	if out.Fault == nil {
 		t.Error("a route without a time limit came into force")
 	}
--- a/internal/ledger/versions.go
+++ b/internal/ledger/versions.go
@@ -4,17 +4,17 @@
 	"encoding/json"
 	"slices"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
-	"petreltide/internal/standing"
 )
 
 // ConfigChange is a whole declaration, or an edit of the one in force. With a version of the operators'
 // own, Base is the version it builds on, and the same order sent again is known by the change's id.
 type ConfigChange struct {
-	Base    uint64                `json:"base"`
-	Version uint64                `json:"version,omitempty"`
-	Doc     *standing.Declaration `json:"doc,omitempty"`
-	Edit    *standing.Edit        `json:"edit,omitempty"`
+	Base    uint64                     `json:"base"`
+	Version uint64                     `json:"version,omitempty"`
+	Doc     *configuration.Declaration `json:"doc,omitempty"`
+	Edit    *configuration.Edit        `json:"edit,omitempty"`
 }
 
 func (s *State) applyConfig(out Outcome, c Change) Outcome {
@@ -111,9 +111,9 @@
 
 // Edited is the edit that led from one revision to the next, and what it takes in a copy.
 type Edited struct {
-	From  uint64         `json:"from"`
-	Edit  *standing.Edit `json:"edit"`
-	Bytes int            `json:"bytes"`
+	From  uint64              `json:"from"`
+	Edit  *configuration.Edit `json:"edit"`
+	Bytes int                 `json:"bytes"`
 }
 
 // keepEdit keeps the newest edits, as many as there is room for.
@@ -133,8 +133,8 @@
 }
 
 // EditsSince are the edits that lead from a revision to the one in force; false where they are not kept.
-func (s *State) EditsSince(revision uint64) ([]*standing.Edit, bool) {
-	edits := []*standing.Edit{}
+func (s *State) EditsSince(revision uint64) ([]*configuration.Edit, bool) {
+	edits := []*configuration.Edit{}
 	for _, e := range s.Edits {
 		if e.From >= revision {
 			edits = append(edits, e.Edit)
@@ -143,7 +143,7 @@
 	return edits, revision <= s.Revision && uint64(len(edits)) == s.Revision-revision
 }
 
-func (s *State) fits(d *standing.Declaration) *fault.Fault {
+func (s *State) fits(d *configuration.Declaration) *fault.Fault {
 	var mostMb int64
 	for _, r := range s.Replicas {
 		mostMb = max(mostMb, r.RoomMb)
--- a/internal/placement/bucket.go
+++ b/internal/placement/bucket.go
@@ -1,6 +1,6 @@
 package placement
 
-import "petreltide/internal/standing"
+import "petreltide/internal/configuration"
 
 // rateUsed is the part of the store's rate that is used; the rest is a margin.
 const rateUsed = 0.98
@@ -13,7 +13,7 @@
 }
 
 // Fill adds the rate since the last call, up to the burst less what is unconfirmed in MB.
-func (b *Bucket) Fill(nowUs int64, store standing.Store, unconfirmedMb int64) {
+func (b *Bucket) Fill(nowUs int64, store configuration.Store, unconfirmedMb int64) {
 	if b.atUs != 0 && nowUs > b.atUs {
 		b.TokensMb += float64(nowUs-b.atUs) / 1e6 * float64(store.MbPerSecond) * rateUsed
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -7,10 +7,10 @@
 	"go.starlark.net/starlark"
 	"go.starlark.net/syntax"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
 	"petreltide/internal/scaler"
-	"petreltide/internal/standing"
 )
 
 // Bounds of one run of a policy: interpreter steps, proposals it may make, and time.
@@ -50,7 +50,7 @@
 // Fleet is all that a policy sees: the declaration, the scaler's counts, arrivals a second and waiting requests by
 // model, and the replicas.
 type Fleet struct {
-	Doc      *standing.Declaration
+	Doc      *configuration.Declaration
 	Counts   []scaler.Count
 	Rates    map[string]float64
 	Waiting  map[string]int
@@ -95,7 +95,7 @@
 
 // Run asks a policy for proposals. It is deterministic but for the time cap, which only ever
 // turns an answer into a typed fault.
-func Run(p standing.Policy, fleet Fleet) (answer Answer) {
+func Run(p configuration.Policy, fleet Fleet) (answer Answer) {
 	answer.Policy = p.Name
 	t := thread(p.Name)
 	wakeup := time.AfterFunc(TimeMost, func() { t.Cancel("time cap") })
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -3,12 +3,12 @@
 import (
 	"testing"
 
-	"petreltide/internal/standing"
+	"petreltide/internal/configuration"
 )
 
 // Seed 58: the bucket refilled while an order was still on its way, and the store saw both at once.
 func TestUnconfirmedLoadsStayOutOfTheBurst(t *testing.T) {
-	store := standing.Store{MbPerSecond: 1000, BurstMb: 2000}
+	store := configuration.Store{MbPerSecond: 1000, BurstMb: 2000}
 	b := Bucket{}
 	b.Fill(1, store, 0)
 	if b.TokensMb != 0 {
@@ -35,12 +35,12 @@
 }
 
 func TestPolicyCannotChangeWhatItReads(t *testing.T) {
-	fleet := Fleet{Doc: &standing.Declaration{Models: []standing.Model{{Name: "m"}}}}
-	a := Run(standing.Policy{Name: "p", Source: "def propose(fleet):\n  fleet['models']['m']['rate'] = 9\n  return []"}, fleet)
+	fleet := Fleet{Doc: &configuration.Declaration{Models: []configuration.Model{{Name: "m"}}}}
+	a := Run(configuration.Policy{Name: "p", Source: "def propose(fleet):\n  fleet['models']['m']['rate'] = 9\n  return []"}, fleet)
 	if a.Fault == nil {
 		t.Fatal("a policy wrote into the fleet's state")
 	}
-	twice := standing.Policy{Name: "p", Source: "def propose(fleet):\n  return [{'step': 'load', 'replica': r, 'unit': m} for r in ['x', 'y'] for m in fleet['models']]"}
+	twice := configuration.Policy{Name: "p", Source: "def propose(fleet):\n  return [{'step': 'load', 'replica': r, 'unit': m} for r in ['x', 'y'] for m in fleet['models']]"}
 	if a, b := Run(twice, fleet), Run(twice, fleet); len(a.Proposals) != 2 || a.Proposals[1] != b.Proposals[1] || a.Steps != b.Steps {
 		t.Fatal("two runs differ")
 	}
--- a/internal/placement/resident.go
+++ b/internal/placement/resident.go
@@ -1,6 +1,6 @@
 package placement
 
-import "petreltide/internal/standing"
+import "petreltide/internal/configuration"
 
 // ResidentName is the policy that is built in for services with an engine: it treats the replicas' room as
 // a cache of models. Others are written as programs; every proposal is checked alike.
@@ -38,7 +38,7 @@
 // from the store may begin now.
 type Service struct {
 	Name      string
-	Engine    *standing.Engine
+	Engine    *configuration.Engine
 	Homes     []Home
 	Models    map[string]Need
 	Adapters  map[string]Need
@@ -49,7 +49,7 @@
 // resident is one run of the policy.
 type resident struct {
 	in    Service
-	sizes map[string]*standing.EngineModel
+	sizes map[string]*configuration.EngineModel
 	// By replica, in the order of in.Homes: MB that are free, whether it has its proposal of this run, the share of
 	// its time that calls take, and what may go from it.
 	free    []int64
@@ -83,7 +83,7 @@
 func newResident(in Service) *resident {
 	homes := len(in.Homes)
 	p := &resident{
-		in: in, sizes: map[string]*standing.EngineModel{}, held: map[string]int{}, want: map[string]int{}, store: in.StoreLeft,
+		in: in, sizes: map[string]*configuration.EngineModel{}, held: map[string]int{}, want: map[string]int{}, store: in.StoreLeft,
 		free: make([]int64, homes), taken: make([]bool, homes), demand: make([]float64, homes), victims: make([][]victim, homes),
 	}
 	for i := range in.Engine.Models {
--- a/internal/placement/resident_adapters.go
+++ b/internal/placement/resident_adapters.go
@@ -5,8 +5,8 @@
 	"math"
 	"slices"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
-	"petreltide/internal/standing"
 )
 
 const (
@@ -41,7 +41,7 @@
 // adapter proposes the first step by which an adapter comes to the replica with its model where that costs least,
 // unless it is somewhere already.
 func (p *resident) adapter(unit string) {
-	model, adapter := standing.Units(unit)
+	model, adapter := configuration.Units(unit)
 	m := p.sizes[model]
 	if m == nil || !m.HasAdapter(adapter) || p.adapterPlaced(unit, model) {
 		return
@@ -84,7 +84,7 @@
 }
 
 // weighPlace weighs a replica as the place for one more adapter of a model.
-func (p *resident) weighPlace(i int, m *standing.EngineModel) (place adapterPlace, may bool) {
+func (p *resident) weighPlace(i int, m *configuration.EngineModel) (place adapterPlace, may bool) {
 	h := &p.in.Homes[i]
 	if !h.Usable || h.Going == m.Name {
 		return place, false
@@ -108,7 +108,7 @@
 // leastAdapter counts a replica's adapters, and names the one that is worth least of those that are not young.
 func (p *resident) leastAdapter(h *Home) (places int, least string, leastWorth float64) {
 	for other := range h.Holds {
-		if _, adapter := standing.Units(other); adapter == "" {
+		if _, adapter := configuration.Units(other); adapter == "" {
 			continue
 		}
 		places++
--- a/internal/placement/resident_spares.go
+++ b/internal/placement/resident_spares.go
@@ -1,8 +1,8 @@
 package placement
 
 import (
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
-	"petreltide/internal/standing"
 )
 
 const (
@@ -72,7 +72,7 @@
 	}
 	places, least, leastMs := 0, "", int64(spareIdleMs)
 	for unit := range h.Holds {
-		if _, adapter := standing.Units(unit); adapter == "" {
+		if _, adapter := configuration.Units(unit); adapter == "" {
 			continue
 		}
 		places++
--- a/internal/placement/resident_test.go
+++ b/internal/placement/resident_test.go
@@ -8,8 +8,8 @@
 	"strings"
 	"testing"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
-	"petreltide/internal/standing"
 )
 
 // hall is a random fleet: a ledger with replicas of one service, and what calls ask of it.
@@ -30,11 +30,11 @@
 	t.Helper()
 	r := rand.New(rand.NewSource(seed))
 	h := &hall{r: r, s: ledger.NewState(), ages: map[string]map[string]int64{}}
-	e := &standing.Engine{Slots: 8, CacheTokens: 1, RoomMb: 100, AdaptersMost: r.Intn(5), LoadsPerS: 2}
+	e := &configuration.Engine{Slots: 8, CacheTokens: 1, RoomMb: 100, AdaptersMost: r.Intn(5), LoadsPerS: 2}
 	for i := range 3 + r.Intn(18) {
-		e.Models = append(e.Models, standing.EngineModel{Name: fmt.Sprint("m", i), SizeMb: 5 + r.Int63n(60), LoadMs: 500 + r.Int63n(2000), Adapters: r.Intn(4), AdapterMb: 1 + r.Int63n(4)})
+		e.Models = append(e.Models, configuration.EngineModel{Name: fmt.Sprint("m", i), SizeMb: 5 + r.Int63n(60), LoadMs: 500 + r.Int63n(2000), Adapters: r.Intn(4), AdapterMb: 1 + r.Int63n(4)})
 	}
-	doc := &standing.Declaration{Version: 1, Services: []standing.Service{{Name: "s", Engine: e}}}
+	doc := &configuration.Declaration{Version: 1, Services: []configuration.Service{{Name: "s", Engine: e}}}
 	if out := h.apply(ledger.Change{ID: "c", Config: &ledger.ConfigChange{Version: 1, Doc: doc}}); out.Fault != nil {
 		t.Fatal(out.Fault)
 	}
@@ -271,9 +271,9 @@
 // What was called once gives way before what has stood there from the start: the platform put that there, and
 // the next models to be called for are among them.
 func TestWhatStoodFromTheStartStaysLonger(t *testing.T) {
-	e := &standing.Engine{Slots: 8, RoomMb: 100, LoadsPerS: 2}
+	e := &configuration.Engine{Slots: 8, RoomMb: 100, LoadsPerS: 2}
 	for i := range 4 {
-		e.Models = append(e.Models, standing.EngineModel{Name: fmt.Sprint("m", i), SizeMb: 45, LoadMs: 1000})
+		e.Models = append(e.Models, configuration.EngineModel{Name: fmt.Sprint("m", i), SizeMb: 45, LoadMs: 1000})
 	}
 	in := Service{Name: "s", Engine: e, StoreLeft: 2, Adapters: map[string]Need{},
 		Homes:  []Home{{ID: "r", Usable: true, FreeMb: 10, Holds: map[string]int64{"m0": 45, "m1": 45}, AgeMs: map[string]int64{"m1": 5000}}},
@@ -292,7 +292,7 @@
 // A model whose calls went from 5 to 90 a second within six seconds got a copy every 0.45 s: while room was
 // made for one at one replica, no other was begun elsewhere.
 func TestRoomInTheMakingDoesNotKeepFurtherCopiesWaiting(t *testing.T) {
-	e := &standing.Engine{Slots: 8, CacheTokens: 1, RoomMb: 100, LoadsPerS: 40, Models: []standing.EngineModel{{Name: "hot", SizeMb: 60, LoadMs: 2000}, {Name: "cold", SizeMb: 60, LoadMs: 2000}}}
+	e := &configuration.Engine{Slots: 8, CacheTokens: 1, RoomMb: 100, LoadsPerS: 40, Models: []configuration.EngineModel{{Name: "hot", SizeMb: 60, LoadMs: 2000}, {Name: "cold", SizeMb: 60, LoadMs: 2000}}}
 	in := Service{Name: "s", Engine: e, StoreLeft: 10, Models: map[string]Need{"hot": {Rate: 30, Demand: 2.8}, "cold": {IdleMs: 60_000}}, Adapters: map[string]Need{}}
 	for i := range 8 {
 		h := Home{ID: fmt.Sprint("r", i), Usable: true, FreeMb: 40, Holds: map[string]int64{"cold": 60}}
--- a/internal/placement/routed.go
+++ b/internal/placement/routed.go
@@ -1,9 +1,9 @@
 package placement
 
 import (
+	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
-	"petreltide/internal/standing"
 )
 
 // checkRouted checks a proposal for a replica that makes itself known.
@@ -29,7 +29,7 @@
 	if f := a.room(r, p, sizeMb); f != nil {
 		return t, f
 	}
-	if _, adapter := standing.Units(p.Unit); adapter == "" && !r.Had[p.Unit] {
+	if _, adapter := configuration.Units(p.Unit); adapter == "" && !r.Had[p.Unit] {
 		if a.storeLeft <= 0 {
 			return t, fault.New(fault.StoreRate, p.Replica, "the store gives nothing more now")
 		}
--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -3,7 +3,7 @@
 import (
 	"sort"
 
-	"petreltide/internal/standing"
+	"petreltide/internal/configuration"
 )
 
 // Room is one replica and how much it holds.
@@ -14,7 +14,7 @@
 
 // Input is what the counts depend on: calls a second and calls waiting by model, and the replicas that can be used.
 type Input struct {
-	Doc     *standing.Declaration
+	Doc     *configuration.Declaration
 	Rates   map[string]float64
 	Waiting map[string]int
 	Usable  []Room
@@ -42,10 +42,10 @@
 // Choose is the source's rule for one model over counts 1..most: lowest latency among those
 // that cover the rate, fewer replicas when latencies are similar, and the most throughput
 // when nothing covers.
-func Choose(table []standing.Point, rate float64, most, similarPct int) (standing.Point, bool) {
+func Choose(table []configuration.Point, rate float64, most, similarPct int) (configuration.Point, bool) {
 	most = min(most, len(table))
 	if most < 1 {
-		return standing.Point{}, false
+		return configuration.Point{}, false
 	}
 	table = table[:most]
 	best := quickest(table, rate)
@@ -62,8 +62,8 @@
 }
 
 // quickest is the point of the lowest latency that covers the rate; nil where none does.
-func quickest(table []standing.Point, rate float64) *standing.Point {
-	var best *standing.Point
+func quickest(table []configuration.Point, rate float64) *configuration.Point {
+	var best *configuration.Point
 	for i := range table {
 		p := &table[i]
 		if p.PerSecond >= rate && (best == nil || p.LatencyMs < best.LatencyMs) {
@@ -74,7 +74,7 @@
 }
 
 // strongest is the point of the most throughput.
-func strongest(table []standing.Point) *standing.Point {
+func strongest(table []configuration.Point) *configuration.Point {
 	best := &table[0]
 	for i := range table {
 		if table[i].PerSecond > best.PerSecond {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,9 +10,9 @@
 	"sigs.k8s.io/yaml"
 
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
 	"petreltide/internal/outlier"
-	"petreltide/internal/standing"
 )
 
 // ControlNode are the settings of a control node. Times are milliseconds, addresses IP:port.
@@ -138,7 +138,7 @@
 // Check fills in the advertised address and returns all that is wrong, nil for nothing. It tries whether the data folder
 // takes a file.
 func (o *ControlNode) Check() *fault.Fault {
-	sheet := standing.Struct(fault.BadSettings, o)
+	sheet := configuration.Struct(fault.BadSettings, o)
 	o.Advertise = reached(sheet, o.Listen, o.Advertise)
 	addresses(sheet, o.Listen, o.Seeds)
 	if o.Platform == "" && o.HeartbeatMs == 0 {
@@ -156,7 +156,7 @@
 
 // Check fills in the advertised address and returns all that is wrong, nil for nothing.
 func (d *Gateway) Check() *fault.Fault {
-	sheet := standing.Struct(fault.BadSettings, d)
+	sheet := configuration.Struct(fault.BadSettings, d)
 	d.Advertise = reached(sheet, d.Listen, d.Advertise)
 	addresses(sheet, d.Listen, d.Seeds)
 	return sheet.As(fault.BadSettings)
--- a/internal/storage/bounds_test.go
+++ b/internal/storage/bounds_test.go
@@ -9,8 +9,8 @@
 
 	"petreltide/internal/chain"
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
-	"petreltide/internal/standing"
 )
 
 // trio is three members of which the middle one has a store; what it has on its disk is counted with every
@@ -122,7 +122,7 @@
 func (b *trio) changed(t *testing.T, count, bytes int) {
 	r := rand.New(rand.NewSource(1))
 	for i := range count {
-		doc := &standing.Declaration{Name: "large", Policy: standing.Policy{Name: "steady", Source: noise(r, bytes)}}
+		doc := &configuration.Declaration{Name: "large", Policy: configuration.Policy{Name: "steady", Source: noise(r, bytes)}}
 		b.step(t, 0, chain.Event{Submit: &ledger.Change{ID: fmt.Sprint("c", i), Config: &ledger.ConfigChange{Base: uint64(i), Doc: doc}}})
 		b.pass(t, 1)
 	}
@@ -135,15 +135,15 @@
 // edited plays numbered edits of one declaration, which the ledger keeps for those that are behind.
 func (b *trio) edited(t *testing.T, count, bytes int) {
 	r := rand.New(rand.NewSource(2))
-	routes := func() []standing.Route {
-		return []standing.Route{{Name: "r", Host: "h", Prefix: "/", Repeat: standing.Idempotent, TimeoutMs: 1000, AttemptsMost: 1,
-			Split: []standing.Weighted{{Service: "s", Weight: 1}}, Source: json.RawMessage(`"` + noise(r, bytes) + `"`)}}
+	routes := func() []configuration.Route {
+		return []configuration.Route{{Name: "r", Host: "h", Prefix: "/", Repeat: configuration.Idempotent, TimeoutMs: 1000, AttemptsMost: 1,
+			Split: []configuration.Weighted{{Service: "s", Weight: 1}}, Source: json.RawMessage(`"` + noise(r, bytes) + `"`)}}
 	}
-	doc := &standing.Declaration{Name: "edited", Version: 1, Routes: routes(), Services: []standing.Service{{Name: "s"}}}
+	doc := &configuration.Declaration{Name: "edited", Version: 1, Routes: routes(), Services: []configuration.Service{{Name: "s"}}}
 	b.step(t, 0, chain.Event{Submit: &ledger.Change{ID: "v1", Config: &ledger.ConfigChange{Version: 1, Doc: doc}}})
 	b.pass(t, 4)
 	for i := uint64(1); i <= uint64(count); i++ {
-		edit := &standing.Edit{Version: i + 1, Routes: routes()}
+		edit := &configuration.Edit{Version: i + 1, Routes: routes()}
 		b.step(t, 0, chain.Event{Submit: &ledger.Change{ID: fmt.Sprint("e", i), Config: &ledger.ConfigChange{Base: i, Version: i + 1, Edit: edit}}})
 		b.pass(t, 1)
 	}
--- a/internal/storage/catchup_test.go
+++ b/internal/storage/catchup_test.go
@@ -7,21 +7,21 @@
 	"testing"
 
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
-	"petreltide/internal/standing"
 )
 
-func routeNamed(i int, version uint64) standing.Route {
+func routeNamed(i int, version uint64) configuration.Route {
 	source := fmt.Sprintf(`{"name":"route-%d","host":"host-%d.example","prefix":"/place-%d/","repeat":"idempotent","waitMs":%d,"tries":3,"goesTo":[{"pool":"s","part":100}],"owner":"o%d"}`, i, i%7, i, 4000+version, i%40)
-	return standing.Route{
+	return configuration.Route{
 		Name: fmt.Sprint("route-", i), Host: fmt.Sprintf("host-%d.example", i%7), Prefix: fmt.Sprintf("/place-%d/", i),
-		Repeat: standing.Idempotent, TimeoutMs: int64(4000 + version), AttemptsMost: 3,
-		Split: []standing.Weighted{{Service: "s", Weight: 100}}, Source: json.RawMessage(source),
+		Repeat: configuration.Idempotent, TimeoutMs: int64(4000 + version), AttemptsMost: 3,
+		Split: []configuration.Weighted{{Service: "s", Weight: 100}}, Source: json.RawMessage(source),
 	}
 }
 
-func routesNamed(count int, version uint64) []standing.Route {
-	all := []standing.Route{}
+func routesNamed(count int, version uint64) []configuration.Route {
+	all := []configuration.Route{}
 	for i := range count {
 		all = append(all, routeNamed(i, version))
 	}
@@ -33,9 +33,9 @@
 	return func(version uint64) *ledger.ConfigChange {
 		change := &ledger.ConfigChange{Base: version - 1, Version: version}
 		if version%10 == 1 {
-			change.Doc = &standing.Declaration{Name: "day", Version: version, Routes: routesNamed(routes, version), Services: []standing.Service{{Name: "s"}}}
+			change.Doc = &configuration.Declaration{Name: "day", Version: version, Routes: routesNamed(routes, version), Services: []configuration.Service{{Name: "s"}}}
 		} else {
-			change.Edit = &standing.Edit{Version: version, Routes: routesNamed(3, version)}
+			change.Edit = &configuration.Edit{Version: version, Routes: routesNamed(3, version)}
 		}
 		return change
 	}
--- a/internal/subscriber/mirror.go
+++ b/internal/subscriber/mirror.go
@@ -6,9 +6,9 @@
 
 	"petreltide/internal/chain"
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/dispatch"
 	"petreltide/internal/outlier"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
@@ -85,7 +85,7 @@
 	behindUs     map[string]int64
 	controlNodes map[string]chain.Member
 	view         chain.View
-	doc          *standing.Declaration
+	doc          *configuration.Declaration
 	revision     uint64
 	number       uint64
 	streams      uint64
--- a/internal/subscriber/mirror_test.go
+++ b/internal/subscriber/mirror_test.go
@@ -12,12 +12,12 @@
 
 	"petreltide/internal/chain"
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/dispatch"
 	"petreltide/internal/feed"
 	"petreltide/internal/ledger"
 	"petreltide/internal/outlier"
 	"petreltide/internal/roster"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
@@ -155,17 +155,17 @@
 	return all
 }
 
-func service(models ...string) standing.Service {
-	e := &standing.Engine{Slots: 4, CacheTokens: 1, RoomMb: 100, AdaptersMost: 2, LoadsPerS: 1}
+func service(models ...string) configuration.Service {
+	e := &configuration.Engine{Slots: 4, CacheTokens: 1, RoomMb: 100, AdaptersMost: 2, LoadsPerS: 1}
 	for _, m := range models {
-		e.Models = append(e.Models, standing.EngineModel{Name: m, SizeMb: 10, LoadMs: 100, Adapters: 2, AdapterMb: 1})
+		e.Models = append(e.Models, configuration.EngineModel{Name: m, SizeMb: 10, LoadMs: 100, Adapters: 2, AdapterMb: 1})
 	}
-	return standing.Service{Name: "s", Engine: e, Source: json.RawMessage(`{"own":"text"}`)}
+	return configuration.Service{Name: "s", Engine: e, Source: json.RawMessage(`{"own":"text"}`)}
 }
 
-func route(name string, timeoutMs int64) standing.Route {
-	return standing.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Repeat: standing.Idempotent, TimeoutMs: timeoutMs, AttemptsMost: 1,
-		Split: []standing.Weighted{{Service: "s", Weight: 1}}, Source: json.RawMessage(`{"own":"text"}`)}
+func route(name string, timeoutMs int64) configuration.Route {
+	return configuration.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Repeat: configuration.Idempotent, TimeoutMs: timeoutMs, AttemptsMost: 1,
+		Split: []configuration.Weighted{{Service: "s", Weight: 1}}, Source: json.RawMessage(`{"own":"text"}`)}
 }
 
 // chronicle writes changes as the head would, against a state that has them all.
@@ -186,15 +186,15 @@
 	base := c.version
 	c.version += 1 + uint64(c.r.Intn(3))
 	if base == 0 || c.r.Intn(6) == 0 {
-		doc := &standing.Declaration{Version: c.version, Services: []standing.Service{service("m1", "m2", "m3")}, Routes: []standing.Route{route("a", 100), route("b", 100)}}
+		doc := &configuration.Declaration{Version: c.version, Services: []configuration.Service{service("m1", "m2", "m3")}, Routes: []configuration.Route{route("a", 100), route("b", 100)}}
 		c.write(ledger.Change{Config: &ledger.ConfigChange{Base: base, Version: c.version, Doc: doc}})
 		return
 	}
-	e := &standing.Edit{Version: c.version}
+	e := &configuration.Edit{Version: c.version}
 	if c.r.Intn(3) == 0 {
 		e.RemoveRoutes = []string{[]string{"a", "b", "c", "d"}[c.r.Intn(4)]}
 	} else {
-		e.Routes = []standing.Route{route([]string{"a", "b", "c", "d"}[c.r.Intn(4)], 1+c.r.Int63n(5000))}
+		e.Routes = []configuration.Route{route([]string{"a", "b", "c", "d"}[c.r.Intn(4)], 1+c.r.Int63n(5000))}
 	}
 	c.write(ledger.Change{Config: &ledger.ConfigChange{Base: base, Version: c.version, Edit: e}})
 }
@@ -216,7 +216,7 @@
 	c.write(ledger.Change{Duty: &ledger.Duty{Tickets: []ledger.Ticket{t}}})
 }
 
-var asGatewaysSee = cmp.Options{cmpopts.IgnoreFields(dispatch.Snapshot{}, "Number", "AtUs"), cmpopts.IgnoreFields(standing.Declaration{}, "Index"), cmpopts.EquateEmpty()}
+var asGatewaysSee = cmp.Options{cmpopts.IgnoreFields(dispatch.Snapshot{}, "Number", "AtUs"), cmpopts.IgnoreFields(configuration.Declaration{}, "Index"), cmpopts.EquateEmpty()}
 
 // Differences fold to what a whole frame says, whichever streams are lost, however far a control node lags
 // and whenever one restarts; what a gateway goes by never goes back.
@@ -371,9 +371,9 @@
 
 // A control node that lags never takes back what another one told, and edits that do not fit end the stream.
 func TestEditsThatAreMissedEndTheStreamAndNothingElse(t *testing.T) {
-	doc := &standing.Declaration{Version: 7, Routes: []standing.Route{route("a", 1)}, Services: []standing.Service{service("m1")}}
-	edit := func(ms int64) *standing.Edit {
-		return &standing.Edit{Version: 9, Routes: []standing.Route{route("a", ms)}}
+	doc := &configuration.Declaration{Version: 7, Routes: []configuration.Route{route("a", 1)}, Services: []configuration.Service{service("m1")}}
+	edit := func(ms int64) *configuration.Edit {
+		return &configuration.Edit{Version: 9, Routes: []configuration.Route{route("a", ms)}}
 	}
 	for name, c := range map[string]struct {
 		frame    *wire.Frame
@@ -381,15 +381,15 @@
 		ms       int64
 		dropped  bool
 	}{
-		"the next edit":           {&wire.Frame{Revision: 6, From: 5, Edits: []*standing.Edit{edit(2)}}, 6, 2, false},
-		"two, one known":          {&wire.Frame{Revision: 6, From: 4, Edits: []*standing.Edit{edit(1), edit(2)}}, 6, 2, false},
-		"an older office's edits": {&wire.Frame{Revision: 4, From: 3, Edits: []*standing.Edit{edit(3)}}, 5, 1, false},
+		"the next edit":           {&wire.Frame{Revision: 6, From: 5, Edits: []*configuration.Edit{edit(2)}}, 6, 2, false},
+		"two, one known":          {&wire.Frame{Revision: 6, From: 4, Edits: []*configuration.Edit{edit(1), edit(2)}}, 6, 2, false},
+		"an older office's edits": {&wire.Frame{Revision: 4, From: 3, Edits: []*configuration.Edit{edit(3)}}, 5, 1, false},
 		"an older office's whole": {&wire.Frame{Revision: 4, Doc: doc}, 5, 1, false},
-		"one missed":              {&wire.Frame{Revision: 7, From: 6, Edits: []*standing.Edit{edit(3)}}, 5, 1, true},
-		"too few":                 {&wire.Frame{Revision: 7, From: 5, Edits: []*standing.Edit{edit(3)}}, 5, 1, true},
+		"one missed":              {&wire.Frame{Revision: 7, From: 6, Edits: []*configuration.Edit{edit(3)}}, 5, 1, true},
+		"too few":                 {&wire.Frame{Revision: 7, From: 5, Edits: []*configuration.Edit{edit(3)}}, 5, 1, true},
 		"none":                    {&wire.Frame{Revision: 7, From: 5}, 5, 1, true},
-		"one that does not fit":   {&wire.Frame{Revision: 6, From: 5, Edits: []*standing.Edit{{Version: 9, Routes: []standing.Route{route("a", 2), route("a", 3)}}}}, 5, 1, true},
-		"a whole one instead":     {&wire.Frame{Revision: 9, Doc: &standing.Declaration{Version: 9, Routes: []standing.Route{route("a", 4)}}}, 9, 4, false},
+		"one that does not fit":   {&wire.Frame{Revision: 6, From: 5, Edits: []*configuration.Edit{{Version: 9, Routes: []configuration.Route{route("a", 2), route("a", 3)}}}}, 5, 1, true},
+		"a whole one instead":     {&wire.Frame{Revision: 9, Doc: &configuration.Declaration{Version: 9, Routes: []configuration.Route{route("a", 4)}}}, 9, 4, false},
 	} {
 		m := NewMirror(Options{Gateway: "d", Seeds: []string{"one"}})
 		stream := uint64(0)
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -5,7 +5,7 @@
 
 	"petreltide/internal/chain"
 	"petreltide/internal/clock"
-	"petreltide/internal/standing"
+	"petreltide/internal/configuration"
 	"petreltide/internal/wire"
 )
 
@@ -27,7 +27,7 @@
 
 func TestNewsThatSkipsADeclarationIsNotTaken(t *testing.T) {
 	l, now := met(t)
-	l.Step(Event{NowUs: now + 1, News: &wire.News{Number: 5, Revision: 1, Doc: &standing.Declaration{Name: "one"}}})
+	l.Step(Event{NowUs: now + 1, News: &wire.News{Number: 5, Revision: 1, Doc: &configuration.Declaration{Name: "one"}}})
 	took, again := false, false
 	for _, e := range l.Step(Event{NowUs: now + clock.Sec, News: &wire.News{Number: 6, Revision: 2}}) {
 		took = took || e.Snapshot != nil
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -7,9 +7,9 @@
 	"sync"
 
 	"petreltide/internal/chain"
+	"petreltide/internal/configuration"
 	"petreltide/internal/outlier"
 	"petreltide/internal/roster"
-	"petreltide/internal/standing"
 )
 
 // Frame is one push of differences from a control node down a gateway's stream. The first of a stream is whole.
@@ -19,16 +19,16 @@
 	Whole       bool   `json:"whole,omitempty"`
 	Settled     bool   `json:"settled,omitempty"`
 	// Behind says that the control node may be cut off: newer declarations may be in force than it knows.
-	Behind       bool                  `json:"behind,omitempty"`
-	View         *chain.View           `json:"view,omitempty"`
-	ControlNodes []chain.Member        `json:"offices,omitempty"`
-	Revision     uint64                `json:"revision,omitempty"`
-	From         uint64                `json:"from,omitempty"`
-	Doc          *standing.Declaration `json:"doc,omitempty"`
-	Edits        []*standing.Edit      `json:"edits,omitempty"`
-	Replicas     []ReplicaRow          `json:"replicas,omitempty"`
-	Orders       *Orders               `json:"orders,omitempty"`
-	Gateways     int                   `json:"desks,omitempty"`
+	Behind       bool                       `json:"behind,omitempty"`
+	View         *chain.View                `json:"view,omitempty"`
+	ControlNodes []chain.Member             `json:"offices,omitempty"`
+	Revision     uint64                     `json:"revision,omitempty"`
+	From         uint64                     `json:"from,omitempty"`
+	Doc          *configuration.Declaration `json:"doc,omitempty"`
+	Edits        []*configuration.Edit      `json:"edits,omitempty"`
+	Replicas     []ReplicaRow               `json:"replicas,omitempty"`
+	Orders       *Orders                    `json:"orders,omitempty"`
+	Gateways     int                        `json:"desks,omitempty"`
 	// Outliers are the verdicts on replicas, where they have changed.
 	Outliers *outlier.Table `json:"outliers,omitempty"`
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -2,22 +2,22 @@
 
 import (
 	"petreltide/internal/chain"
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
 	"petreltide/internal/outlier"
 	"petreltide/internal/roster"
-	"petreltide/internal/standing"
 	"petreltide/internal/watch"
 )
 
 // News is numbered by the ledger index that last touched what gateways act on.
 type News struct {
-	Number   uint64                `json:"number"`
-	View     uint64                `json:"view"`
-	Epoch    uint64                `json:"epoch"`
-	Revision uint64                `json:"revision"`
-	Doc      *standing.Declaration `json:"doc,omitempty"`
-	Replicas []ReplicaNews         `json:"replicas"`
-	Grants   []ledger.Grant        `json:"grants"`
+	Number   uint64                     `json:"number"`
+	View     uint64                     `json:"view"`
+	Epoch    uint64                     `json:"epoch"`
+	Revision uint64                     `json:"revision"`
+	Doc      *configuration.Declaration `json:"doc,omitempty"`
+	Replicas []ReplicaNews              `json:"replicas"`
+	Grants   []ledger.Grant             `json:"grants"`
 }
 
 // ReplicaNews is one replica as a gateway needs it. Share is how many requests this gateway may have there at once;
--- a/proofs/cmd/fleet/compare.go
+++ b/proofs/cmd/fleet/compare.go
@@ -10,9 +10,9 @@
 	"github.com/juju/errors"
 	"github.com/spf13/cobra"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
 	"petreltide/internal/placement"
-	"petreltide/internal/standing"
 	"petreltide/proofs/sim"
 )
 
@@ -70,11 +70,11 @@
 // contest checks what was told, and reads the declaration and the policies.
 func (c *simulatedComparison) contest(declaration string) (sim.Contest, error) {
 	contest := sim.Contest{SpanUs: c.span.Microseconds(), PerSec: c.rate, Faults: c.faults, Gateways: c.gateways, Replicas: c.replicas}
-	raw, err := standing.ReadFile(declaration)
+	raw, err := configuration.ReadFile(declaration)
 	if err != nil {
 		return contest, err
 	}
-	doc, bad := standing.Parse(raw, placement.Compile)
+	doc, bad := configuration.Parse(raw, placement.Compile)
 	if bad != nil {
 		return contest, bad
 	}
@@ -99,10 +99,10 @@
 }
 
 // readPolicy reads a program, named by its file, and by its place too where an earlier one has that name.
-func readPolicy(file string, place int, earlier []standing.Policy) (standing.Policy, error) {
+func readPolicy(file string, place int, earlier []configuration.Policy) (configuration.Policy, error) {
 	source, err := os.ReadFile(file)
 	if err != nil {
-		return standing.Policy{}, errors.Trace(err)
+		return configuration.Policy{}, errors.Trace(err)
 	}
 	name := strings.TrimSuffix(filepath.Base(file), ".star")
 	for _, p := range earlier {
@@ -111,7 +111,7 @@
 		}
 	}
 	if bad := placement.Compile(name, string(source)); bad != nil {
-		return standing.Policy{}, bad
+		return configuration.Policy{}, bad
 	}
-	return standing.Policy{Name: name, Source: string(source)}, nil
+	return configuration.Policy{Name: name, Source: string(source)}, nil
 }
--- a/proofs/cmd/fleet/main.go
+++ b/proofs/cmd/fleet/main.go
@@ -15,7 +15,7 @@
 	"github.com/juju/errors"
 	"github.com/spf13/cobra"
 
-	"petreltide/internal/standing"
+	"petreltide/internal/configuration"
 	"petreltide/proofs/fleet"
 	"petreltide/proofs/modelserver"
 )
@@ -76,12 +76,12 @@
 	return cmd
 }
 
-func declaration(path string) (*standing.Declaration, string, error) {
-	raw, err := standing.ReadFile(path)
+func declaration(path string) (*configuration.Declaration, string, error) {
+	raw, err := configuration.ReadFile(path)
 	if err != nil {
 		return nil, "", err
 	}
-	d, bad := standing.Decode(raw)
+	d, bad := configuration.Decode(raw)
 	if bad != nil {
 		return nil, "", bad
 	}
@@ -102,7 +102,7 @@
 	flags.StringVar(&s.folder, "folder", "", "where data and logs go; default: a temporary folder")
 }
 
-func (s *setting) open() (*fleet.Fleet, *standing.Declaration, string, error) {
+func (s *setting) open() (*fleet.Fleet, *configuration.Declaration, string, error) {
 	doc, raw, err := declaration(filepath.Join(s.examples, s.deployment+".yaml"))
 	if err != nil {
 		return nil, nil, "", err
--- a/proofs/fleet/bounds.go
+++ b/proofs/fleet/bounds.go
@@ -12,10 +12,10 @@
 
 	"github.com/juju/errors"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/gateway"
 	"petreltide/internal/ledger"
 	"petreltide/internal/rpc"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
@@ -97,7 +97,7 @@
 
 // measureBounds fills the table of keys, goes on claiming beside a member that joins empty, and
 // watches the gateways' leases all the while.
-func measureBounds(ctx context.Context, f *Fleet, _ *standing.Declaration, out io.Writer) error {
+func measureBounds(ctx context.Context, f *Fleet, _ *configuration.Declaration, out io.Writer) error {
 	c := &claimer{f: f, client: rpc.Client(500, "")}
 	watched := func(what string, act func() error) error {
 		looking, stop := context.WithCancel(ctx)
--- a/proofs/fleet/day.go
+++ b/proofs/fleet/day.go
@@ -14,12 +14,12 @@
 
 	"github.com/juju/errors"
 
-	"petreltide/internal/standing"
+	"petreltide/internal/configuration"
 	"petreltide/proofs/rules"
 )
 
 // PlanFor is the plan of an example deployment.
-func PlanFor(deployment string, doc *standing.Declaration) Plan {
+func PlanFor(deployment string, doc *configuration.Declaration) Plan {
 	p := Plan{ControlNodes: 3, Gateways: 8, Replicas: 9, Zones: doc.Zones, RoomMb: doc.Replica.RoomMb, Slots: 16,
 		PieceUs: 8_000, FirstUs: 20_000, PartUs: 12_000, Store: doc.Store}
 	if deployment == "kaardilind" {
@@ -301,7 +301,7 @@
 )
 
 // Day runs demand with faults in turn and ends with usual service, or says why not.
-func Day(ctx context.Context, f *Fleet, doc *standing.Declaration, raw string, plan DayPlan, out io.Writer) ([]rules.Breach, error) {
+func Day(ctx context.Context, f *Fleet, doc *configuration.Declaration, raw string, plan DayPlan, out io.Writer) ([]rules.Breach, error) {
 	beganUs := NowUs()
 	f.Doc = doc
 	if err := Begin(ctx, f, raw); err != nil {
@@ -339,7 +339,7 @@
 }
 
 // causeInTurn causes the faults of a day one after the other; a soak leaves out those that cannot be caused now.
-func (f *Fleet) causeInTurn(ctx context.Context, doc *standing.Declaration, plan DayPlan, out io.Writer) ([]rules.Breach, error) {
+func (f *Fleet) causeInTurn(ctx context.Context, doc *configuration.Declaration, plan DayPlan, out io.Writer) ([]rules.Breach, error) {
 	var breaches []rules.Breach
 	next, changing := plan.turns(), rand.New(rand.NewSource(plan.Seed+1))
 	for name, judged, more := next(); more && ctx.Err() == nil; name, judged, more = next() {
@@ -396,13 +396,13 @@
 }
 
 // configKept: the declaration is still the one that was sent.
-func (f *Fleet) configKept(ctx context.Context, doc *standing.Declaration) []rules.Breach {
+func (f *Fleet) configKept(ctx context.Context, doc *configuration.Declaration) []rules.Breach {
 	ctx, done := context.WithTimeout(ctx, 10*time.Second)
 	defer done()
 	r, err := f.AskAny(ctx, http.MethodGet, "/v1/config", "")
 	var now struct {
-		Revision    uint64                `json:"revision"`
-		Declaration *standing.Declaration `json:"declaration"`
+		Revision    uint64                     `json:"revision"`
+		Declaration *configuration.Declaration `json:"declaration"`
 	}
 	if err != nil || json.Unmarshal(r.Body, &now) != nil || now.Declaration == nil || now.Declaration.Name != doc.Name {
 		return []rules.Breach{{Rule: rules.ConfigLost, Detail: fmt.Sprintf("config is %s (%v)", r.Body[:min(len(r.Body), 200)], err)}}
--- a/proofs/fleet/demand.go
+++ b/proofs/fleet/demand.go
@@ -12,16 +12,16 @@
 	"time"
 
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/gateway"
 	"petreltide/internal/rpc"
-	"petreltide/internal/standing"
 	"petreltide/proofs/callers"
 	"petreltide/proofs/rules"
 )
 
 // Demand is seeded calls at a rate; Rare asks for the less popular half of the models.
 type Demand struct {
-	Doc        *standing.Declaration
+	Doc        *configuration.Declaration
 	PerSecond  float64
 	Seed       int64
 	Label      string
@@ -93,7 +93,7 @@
 	open.Wait()
 }
 
-func (f *Fleet) oneCall(client *http.Client, doc *standing.Declaration, ask gateway.CallAsk, pick int) {
+func (f *Fleet) oneCall(client *http.Client, doc *configuration.Declaration, ask gateway.CallAsk, pick int) {
 	kind := doc.Kind(ask.Kind)
 	prompt := ask.Prompt
 	for try := 0; try < 3; try++ {
--- a/proofs/fleet/fleet.go
+++ b/proofs/fleet/fleet.go
@@ -20,8 +20,8 @@
 	"github.com/juju/errors"
 
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/controlnode"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 	"petreltide/proofs/loopback"
 	"petreltide/proofs/modelserver"
@@ -45,7 +45,7 @@
 	PieceUs      int64
 	FirstUs      int64
 	PartUs       int64
-	Store        standing.Store
+	Store        configuration.Store
 	Relays       bool
 	Seed         int64
 }
@@ -72,7 +72,7 @@
 	net      *relay.Switch
 	loop     *loopback.Network
 	Caused   map[string]int
-	Doc      *standing.Declaration
+	Doc      *configuration.Declaration
 	r        *rand.Rand
 	server   *http.Server
 	mu       sync.Mutex
--- a/proofs/fleet/fleet_test.go
+++ b/proofs/fleet/fleet_test.go
@@ -13,9 +13,9 @@
 	"testing"
 	"time"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/gateway"
 	"petreltide/internal/rpc"
-	"petreltide/internal/standing"
 	"petreltide/proofs/callers"
 	"petreltide/proofs/loopback"
 	"petreltide/proofs/rules"
@@ -42,7 +42,7 @@
 	os.Exit(code)
 }
 
-func small(t *testing.T) (*Fleet, *standing.Declaration, context.Context) {
+func small(t *testing.T) (*Fleet, *configuration.Declaration, context.Context) {
 	t.Helper()
 	doc := sim.Doc()
 	f, err := New(Plan{Petreltide: petreltide, Self: self, Folder: t.TempDir(), ControlNodes: 3, Gateways: 2, Replicas: 3, Zones: doc.Zones,
@@ -57,7 +57,7 @@
 }
 
 // begun is a small fleet whose layout stands.
-func begun(t *testing.T) (*Fleet, *standing.Declaration, context.Context) {
+func begun(t *testing.T) (*Fleet, *configuration.Declaration, context.Context) {
 	t.Helper()
 	f, doc, ctx := small(t)
 	raw, err := json.Marshal(doc)
--- a/proofs/fleet/measure.go
+++ b/proofs/fleet/measure.go
@@ -15,9 +15,9 @@
 
 	"github.com/juju/errors"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/gateway"
 	"petreltide/internal/rpc"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 	"petreltide/proofs/callers"
 	"petreltide/proofs/modelserver"
@@ -25,13 +25,13 @@
 )
 
 // Measure prints the figures kept in docs/measurements.md, all from one run on one machine.
-func Measure(ctx context.Context, f *Fleet, doc *standing.Declaration, raw string, only []string, out io.Writer) error {
+func Measure(ctx context.Context, f *Fleet, doc *configuration.Declaration, raw string, only []string, out io.Writer) error {
 	if err := Begin(ctx, f, raw); err != nil {
 		return err
 	}
 	for _, step := range []struct {
 		name string
-		run  func(context.Context, *Fleet, *standing.Declaration, io.Writer) error
+		run  func(context.Context, *Fleet, *configuration.Declaration, io.Writer) error
 	}{{"added", measureAdded}, {"rate", measureRate}, {"notice", measureNotice}, {"change", measureOldWay}, {"failover", measureFailover}, {"bounds", measureBounds}} {
 		if (len(only) == 0 && step.name == "bounds") || (len(only) > 0 && !slices.Contains(only, step.name)) {
 			continue
@@ -72,7 +72,7 @@
 	return errors.Trace(err)
 }
 
-func measureAdded(ctx context.Context, f *Fleet, doc *standing.Declaration, out io.Writer) error {
+func measureAdded(ctx context.Context, f *Fleet, doc *configuration.Declaration, out io.Writer) error {
 	model := doc.Models[0].Name
 	h, err := f.holder(ctx, model)
 	if err != nil {
@@ -101,7 +101,7 @@
 	return nil
 }
 
-func measureRate(ctx context.Context, f *Fleet, doc *standing.Declaration, out io.Writer) error {
+func measureRate(ctx context.Context, f *Fleet, doc *configuration.Declaration, out io.Writer) error {
 	client := rpc.Client(500, "")
 	client.Transport.(*http.Transport).MaxIdleConnsPerHost = 256
 	addr := f.Addrs("desk")[0]
@@ -135,7 +135,7 @@
 	return nil
 }
 
-func (f *Fleet) under(ctx context.Context, doc *standing.Declaration, perSecond float64, act func() error) error {
+func (f *Fleet) under(ctx context.Context, doc *configuration.Declaration, perSecond float64, act func() error) error {
 	loaded, stop := context.WithCancel(ctx)
 	over := make(chan struct{})
 	go func() {
@@ -163,7 +163,7 @@
 	return lastUs, nil
 }
 
-func measureNotice(ctx context.Context, f *Fleet, doc *standing.Declaration, out io.Writer) error {
+func measureNotice(ctx context.Context, f *Fleet, doc *configuration.Declaration, out io.Writer) error {
 	var spans []float64
 	for i := 0; i < 5; i++ {
 		name := f.Names("replica")[i%9]
@@ -190,7 +190,7 @@
 }
 
 // measureOldWay measures how long a change takes to be acknowledged, and how long attempts are still served the old way.
-func measureOldWay(ctx context.Context, f *Fleet, doc *standing.Declaration, out io.Writer) error {
+func measureOldWay(ctx context.Context, f *Fleet, doc *configuration.Declaration, out io.Writer) error {
 	var spans, answers []float64
 	model := doc.Models[1].Name
 	fewer := without(doc, model)
@@ -220,9 +220,9 @@
 }
 
 // without is a declaration without one model and its adapters.
-func without(doc *standing.Declaration, model string) *standing.Declaration {
+func without(doc *configuration.Declaration, model string) *configuration.Declaration {
 	fewer := *doc
-	fewer.Adapters, fewer.Models = []standing.Adapter{}, nil
+	fewer.Adapters, fewer.Models = []configuration.Adapter{}, nil
 	for _, a := range doc.Adapters {
 		if a.Model != model {
 			fewer.Adapters = append(fewer.Adapters, a)
@@ -238,7 +238,7 @@
 
 // put sends a declaration on the newest revision, again where another change was faster, and gives the time of its
 // acknowledgement.
-func (f *Fleet) put(ctx context.Context, doc *standing.Declaration) (ackUs int64, err error) {
+func (f *Fleet) put(ctx context.Context, doc *configuration.Declaration) (ackUs int64, err error) {
 	raw, err := json.Marshal(doc)
 	if err != nil {
 		return 0, errors.Trace(err)
@@ -271,7 +271,7 @@
 }
 
 // measureFailover kills a control node in each seat, a replica and a gateway, and measures how long each is missed.
-func measureFailover(ctx context.Context, f *Fleet, doc *standing.Declaration, out io.Writer) error {
+func measureFailover(ctx context.Context, f *Fleet, doc *configuration.Declaration, out io.Writer) error {
 	for _, seat := range []chainSeat{{"head (and controller)", 0}, {"middle", 1}, {"tail", -1}} {
 		if err := measureSeat(ctx, f, doc, seat, out); err != nil {
 			return err
@@ -284,7 +284,7 @@
 }
 
 // measureSeat kills the control node in one seat three times, and measures how long it is until a change is taken.
-func measureSeat(ctx context.Context, f *Fleet, doc *standing.Declaration, seat chainSeat, out io.Writer) error {
+func measureSeat(ctx context.Context, f *Fleet, doc *configuration.Declaration, seat chainSeat, out io.Writer) error {
 	var spans, gaps []float64
 	for i := 0; i < 3; i++ {
 		name := f.seat(ctx, seat.place)
@@ -329,7 +329,7 @@
 }
 
 // measureUnreachableReplica kills a replica and measures how long it is until the ledger says so.
-func measureUnreachableReplica(ctx context.Context, f *Fleet, doc *standing.Declaration, out io.Writer) error {
+func measureUnreachableReplica(ctx context.Context, f *Fleet, doc *configuration.Declaration, out io.Writer) error {
 	name := f.Names("replica")[2]
 	zone := f.Proc(name).Zone
 	err := f.under(ctx, doc, 60, func() error {
@@ -357,7 +357,7 @@
 }
 
 // measureGatewayAgain kills a gateway, starts it again and measures how long it is until it answers.
-func measureGatewayAgain(ctx context.Context, f *Fleet, doc *standing.Declaration, out io.Writer) error {
+func measureGatewayAgain(ctx context.Context, f *Fleet, doc *configuration.Declaration, out io.Writer) error {
 	name := f.Names("desk")[1]
 	f.Kill(name)
 	if err := f.Again(name); err != nil {
--- a/proofs/fleet/turns.go
+++ b/proofs/fleet/turns.go
@@ -8,9 +8,9 @@
 
 	"github.com/juju/errors"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/controlnode"
 	"petreltide/internal/fault"
-	"petreltide/internal/standing"
 	"petreltide/proofs/modelserver"
 	"petreltide/proofs/rules"
 )
@@ -18,7 +18,7 @@
 // turn is a change that stands while a fault is caused, and is taken back after it.
 type turn struct {
 	id   string
-	away func(d *standing.Declaration)
+	away func(d *configuration.Declaration)
 	gone rules.Change
 	back rules.Change
 }
@@ -28,13 +28,13 @@
 }
 
 // turns are the changes whose old way can be seen from outside by the clock of whoever judges.
-func turns(doc *standing.Declaration) []turn {
+func turns(doc *configuration.Declaration) []turn {
 	model, adapter := doc.Models[len(doc.Models)/3].Name, doc.Adapters[0].Name
 	list := []turn{
 		{id: model, gone: rules.TakenOut(rules.Span{ID: model}),
 			back: refused(fault.UnknownModel, func(t rules.Told) bool { return t.Model == model }),
-			away: func(d *standing.Declaration) {
-				models, adapters := []standing.Model{}, []standing.Adapter{}
+			away: func(d *configuration.Declaration) {
+				models, adapters := []configuration.Model{}, []configuration.Adapter{}
 				for _, m := range d.Models {
 					if m.Name != model {
 						models = append(models, m)
@@ -49,7 +49,7 @@
 			}},
 		{id: adapter, gone: rules.TakenOut(rules.Span{ID: adapter}),
 			back: refused(fault.UnknownAdapter, func(t rules.Told) bool { return t.Adapter == adapter }),
-			away: func(d *standing.Declaration) { d.Adapters = d.Adapters[1:] }},
+			away: func(d *configuration.Declaration) { d.Adapters = d.Adapters[1:] }},
 	}
 	for _, k := range doc.Kinds {
 		if k.Resumable {
@@ -59,8 +59,8 @@
 					return ask.Kind == k.Name && (nth > 1 || r.First > 1)
 				}},
 				back: refused(fault.BadLastEventID, ofKind),
-				away: func(d *standing.Declaration) {
-					kinds := append([]standing.Kind(nil), d.Kinds...)
+				away: func(d *configuration.Declaration) {
+					kinds := append([]configuration.Kind(nil), d.Kinds...)
 					for i := range kinds {
 						kinds[i].Resumable = kinds[i].Resumable && kinds[i].Name != k.Name
 					}
@@ -73,7 +73,7 @@
 
 // change puts a whole declaration in force, whatever happens meanwhile: one in doubt is sent again under
 // its own id, one that another had overtaken is built again on what stands.
-func (f *Fleet) change(ctx context.Context, d *standing.Declaration) error {
+func (f *Fleet) change(ctx context.Context, d *configuration.Declaration) error {
 	raw, err := json.Marshal(d)
 	if err != nil {
 		return errors.Trace(err)
--- a/proofs/history/operators_test.go
+++ b/proofs/history/operators_test.go
@@ -5,25 +5,25 @@
 
 	"petreltide/internal/chain"
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
-	"petreltide/internal/standing"
 )
 
 const operatedRoute = "r"
 
 // declaration holds one route, whose host tells which order it is from.
-func declaration(version uint64, id string, spoiled bool) *standing.Declaration {
+func declaration(version uint64, id string, spoiled bool) *configuration.Declaration {
 	timeoutMs := int64(1000)
 	if spoiled {
 		timeoutMs = 0
 	}
-	return &standing.Declaration{Version: version, Services: []standing.Service{{Name: "s"}}, Routes: []standing.Route{{
-		Name: operatedRoute, Host: id, Prefix: "/", Repeat: standing.Idempotent, TimeoutMs: timeoutMs, AttemptsMost: 1,
-		Split: []standing.Weighted{{Service: "s", Weight: 1}},
+	return &configuration.Declaration{Version: version, Services: []configuration.Service{{Name: "s"}}, Routes: []configuration.Route{{
+		Name: operatedRoute, Host: id, Prefix: "/", Repeat: configuration.Idempotent, TimeoutMs: timeoutMs, AttemptsMost: 1,
+		Split: []configuration.Weighted{{Service: "s", Weight: 1}},
 	}}}
 }
 
-func contentOf(doc *standing.Declaration) (uint64, string) {
+func contentOf(doc *configuration.Declaration) (uint64, string) {
 	if doc == nil {
 		return 0, ""
 	}
@@ -47,7 +47,7 @@
 	_, o.Content = contentOf(doc)
 	sent := &sentOrder{order: o, answer: Unclear, change: ledger.ConfigChange{Base: base, Version: version, Doc: doc}}
 	if base > 0 && w.r.Intn(2) == 0 {
-		sent.change.Doc, sent.change.Edit = nil, &standing.Edit{Version: version, Routes: doc.Routes}
+		sent.change.Doc, sent.change.Edit = nil, &configuration.Edit{Version: version, Routes: doc.Routes}
 	}
 	w.orders = append(w.orders, sent)
 	return sent
@@ -111,7 +111,7 @@
 	call := w.rec.Read(w.nowUs)
 	o := w.controlNodes[w.r.Intn(controlNodes)]
 	o.later(clock.Ms, func() {
-		o.read(func(doc *standing.Declaration) {
+		o.read(func(doc *configuration.Declaration) {
 			w.after(clock.Ms, func() {
 				version, content := contentOf(doc)
 				w.rec.Saw(call, version, content, w.nowUs)
--- a/proofs/history/walk_test.go
+++ b/proofs/history/walk_test.go
@@ -7,11 +7,11 @@
 
 	"petreltide/internal/chain"
 	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
 	"petreltide/internal/controller"
 	"petreltide/internal/controlnode"
 	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 )
 
@@ -290,7 +290,7 @@
 }
 
 // read gives the declaration in force to done, where this control node or the tail it knows can say.
-func (o *walkControlNode) read(done func(*standing.Declaration)) {
+func (o *walkControlNode) read(done func(*configuration.Declaration)) {
 	node := o.core.Node
 	if node.Open(o.walk.nowUs) || o.walk.plant == "reads-old" {
 		done(node.State().Doc)
--- a/proofs/platform/fleet/fleet.go
+++ b/proofs/platform/fleet/fleet.go
@@ -20,7 +20,7 @@
 	"github.com/juju/errors"
 
 	"petreltide/internal/clock"
-	"petreltide/internal/standing"
+	"petreltide/internal/configuration"
 	"petreltide/proofs/fleet"
 	"petreltide/proofs/history"
 	"petreltide/proofs/loopback"
@@ -83,7 +83,7 @@
 	hosts  map[string]*replica.Host
 	lives  int
 	store  *replica.Store
-	engine *standing.Engine
+	engine *configuration.Engine
 	served int
 	owed   int
 	ops    *routedOps
@@ -104,9 +104,9 @@
 		plan: plan, r: rand.New(rand.NewSource(plan.Seed)), loop: loop, day: &rules.Day{}, names: map[string]string{},
 		procs: map[string]*machineProc{}, hosts: map[string]*replica.Host{}, Caused: map[string]int{},
 	}
-	f.engine = &standing.Engine{Slots: 16, CacheTokens: 60_000, Stride: 2, RoomMb: 8000, AdaptersMost: 3, LoadsPerS: 3}
+	f.engine = &configuration.Engine{Slots: 16, CacheTokens: 60_000, Stride: 2, RoomMb: 8000, AdaptersMost: 3, LoadsPerS: 3}
 	for i := range 12 {
-		m := standing.EngineModel{Name: fmt.Sprintf("m%d", i), SizeMb: 2000 + int64(i%4)*450, LoadMs: 250}
+		m := configuration.EngineModel{Name: fmt.Sprintf("m%d", i), SizeMb: 2000 + int64(i%4)*450, LoadMs: 250}
 		if i%3 == 0 {
 			m.Adapters, m.AdapterMb = 3, 40
 		}
--- a/proofs/platform/replica/core.go
+++ b/proofs/platform/replica/core.go
@@ -5,7 +5,7 @@
 	"math"
 	"slices"
 
-	"petreltide/internal/standing"
+	"petreltide/internal/configuration"
 )
 
 const (
@@ -150,7 +150,7 @@
 }
 
 func (c *Core) unitMb(unit string) int64 {
-	model, adapter := standing.Units(unit)
+	model, adapter := configuration.Units(unit)
 	m := c.opts.Engine.Models[model]
 	if adapter != "" {
 		return m.AdapterMb
--- a/proofs/platform/replica/message.go
+++ b/proofs/platform/replica/message.go
@@ -1,6 +1,6 @@
 package replica
 
-import "petreltide/internal/standing"
+import "petreltide/internal/configuration"
 
 // Part is one piece of a prompt.
 type Part struct {
@@ -53,4 +53,4 @@
 	Expect    string
 }
 
-func (o Order) unit() string { return standing.Unit(o.Model, o.Adapter) }
+func (o Order) unit() string { return configuration.Unit(o.Model, o.Adapter) }
--- a/proofs/platform/replica/model.go
+++ b/proofs/platform/replica/model.go
@@ -1,6 +1,6 @@
 package replica
 
-import "petreltide/internal/standing"
+import "petreltide/internal/configuration"
 
 // Model is what the stand-in knows of one model beyond its declaration.
 type Model struct {
@@ -25,7 +25,7 @@
 }
 
 // EngineOf reads the stand-in's engine out of a declared one.
-func EngineOf(e *standing.Engine) *Engine {
+func EngineOf(e *configuration.Engine) *Engine {
 	out := &Engine{
 		CacheTokens: e.CacheTokens, Stride: max(e.Stride, 1), RoomMb: e.RoomMb, AdaptersMost: e.AdaptersMost, Models: map[string]Model{},
 		StepUs: 9 * ms, SlotUs: 30, TokensPerMs: 20,
--- a/proofs/sim/compare.go
+++ b/proofs/sim/compare.go
@@ -6,15 +6,15 @@
 	"sort"
 	"sync"
 
-	"petreltide/internal/standing"
+	"petreltide/internal/configuration"
 	"petreltide/internal/weigh"
 	"petreltide/proofs/rules"
 )
 
 // Contest is what Hold plays: policies on the same seeds of demand and faults.
 type Contest struct {
-	Doc      *standing.Declaration
-	Policies []standing.Policy
+	Doc      *configuration.Declaration
+	Policies []configuration.Policy
 	Seeds    []int64
 	SpanUs   int64
 	PerSec   float64
--- a/proofs/sim/compare_test.go
+++ b/proofs/sim/compare_test.go
@@ -5,7 +5,7 @@
 	"testing"
 
 	"petreltide/examples"
-	"petreltide/internal/standing"
+	"petreltide/internal/configuration"
 	"petreltide/internal/weigh"
 )
 
@@ -19,7 +19,7 @@
     return []
 `
 
-func contest(policies ...standing.Policy) Contest {
+func contest(policies ...configuration.Policy) Contest {
 	return Contest{Doc: Doc(), Policies: policies, Seeds: []int64{1, 2, 3, 4}, SpanUs: 10 * sec, PerSec: 20, Faults: 2, Gateways: 2, Replicas: 5}
 }
 
@@ -35,7 +35,7 @@
 
 func TestAPolicyDoesNotDifferFromItself(t *testing.T) {
 	heavy(t)
-	c := contest(standing.Policy{Name: "steady", Source: examples.Steady}, standing.Policy{Name: "steady-again", Source: examples.Steady})
+	c := contest(configuration.Policy{Name: "steady", Source: examples.Steady}, configuration.Policy{Name: "steady-again", Source: examples.Steady})
 	figures, breaches := Hold(c)
 	if len(breaches) > 0 {
 		t.Fatal(breaches)
@@ -52,7 +52,7 @@
 
 func TestAPlantedWorsePolicyIsFound(t *testing.T) {
 	heavy(t)
-	c := contest(standing.Policy{Name: "steady", Source: examples.Steady}, standing.Policy{Name: "drowsy", Source: drowsy})
+	c := contest(configuration.Policy{Name: "steady", Source: examples.Steady}, configuration.Policy{Name: "drowsy", Source: drowsy})
 	figures, breaches := Hold(c)
 	if len(breaches) > 0 {
 		t.Fatal(breaches)
--- a/proofs/sim/operators.go
+++ b/proofs/sim/operators.go
@@ -6,10 +6,10 @@
 	"strings"
 
 	"petreltide/examples"
+	"petreltide/internal/configuration"
 	"petreltide/internal/dispatch"
 	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 	"petreltide/proofs/modelserver"
 	"petreltide/proofs/rules"
@@ -21,8 +21,8 @@
 	n          int
 	grown      bool
 	revision   uint64
-	doc        *standing.Declaration
-	first      *standing.Declaration
+	doc        *configuration.Declaration
+	first      *configuration.Declaration
 	refused    map[string]bool
 	acked      map[uint64]string
 	byRevision map[uint64]string
@@ -59,14 +59,14 @@
 const ghost = "ghost-"
 
 // send carries a change until its answer is known: one in doubt is sent again under its own id.
-func (p *operators) send(base uint64, d *standing.Declaration, done func(r wire.Result, ok bool)) {
+func (p *operators) send(base uint64, d *configuration.Declaration, done func(r wire.Result, ok bool)) {
 	p.n++
 	doc := clone(*d)
 	doc.Name = fmt.Sprintf("cfg-%d", p.n)
 	p.sendAs(fmt.Sprintf("op-%d", p.n), base, &doc, 0, done)
 }
 
-func (p *operators) sendAs(id string, base uint64, doc *standing.Declaration, try int, done func(r wire.Result, ok bool)) {
+func (p *operators) sendAs(id string, base uint64, doc *configuration.Declaration, try int, done func(r wire.Result, ok bool)) {
 	over := false
 	again := func() {
 		if over {
@@ -85,7 +85,7 @@
 		return
 	}
 	held := clone(*doc)
-	if bad := standing.Check(&held, nil); bad != nil {
+	if bad := configuration.Check(&held, nil); bad != nil {
 		r := wire.Result{Outcome: ledger.Outcome{ID: id, Fault: bad}}
 		p.answered(id, doc, r)
 		done(r, true)
@@ -113,7 +113,7 @@
 	})
 }
 
-func (p *operators) answered(id string, doc *standing.Declaration, r wire.Result) {
+func (p *operators) answered(id string, doc *configuration.Declaration, r wire.Result) {
 	s := p.sim
 	answer := fmt.Sprintf("revision %d", r.Outcome.Revision)
 	if r.Outcome.Fault != nil {
@@ -170,14 +170,14 @@
 }
 
 // part is the declaration after some of the steps in which it grows.
-func (p *operators) part(step int) *standing.Declaration {
+func (p *operators) part(step int) *configuration.Declaration {
 	full := p.sim.plan.Doc
 	if step >= p.sim.plan.Steps {
 		return full
 	}
 	d := clone(*full)
 	d.Models = d.Models[:len(full.Models)*(step+1)/(p.sim.plan.Steps+1)]
-	d.Adapters = without(d.Adapters, func(a standing.Adapter) bool { return d.Model(a.Model) == nil })
+	d.Adapters = without(d.Adapters, func(a configuration.Adapter) bool { return d.Model(a.Model) == nil })
 	return &d
 }
 
@@ -240,10 +240,10 @@
 // turn is one change of one thing, and the change that takes it back.
 type turn struct {
 	id   string
-	away func(d *standing.Declaration)
+	away func(d *configuration.Declaration)
 	gone rules.Change
 	back rules.Change
-	old  func(d *standing.Declaration)
+	old  func(d *configuration.Declaration)
 }
 
 func (p *operators) turnsOf() []string {
@@ -285,11 +285,11 @@
 	const slackUs = 100 * ms
 	return []turn{
 		{id: model.Name,
-			away: func(d *standing.Declaration) {
-				d.Models = without(d.Models, func(m standing.Model) bool { return m.Name == model.Name })
-				d.Adapters = without(d.Adapters, func(a standing.Adapter) bool { return a.Model == model.Name })
+			away: func(d *configuration.Declaration) {
+				d.Models = without(d.Models, func(m configuration.Model) bool { return m.Name == model.Name })
+				d.Adapters = without(d.Adapters, func(a configuration.Adapter) bool { return a.Model == model.Name })
 			},
-			old: func(d *standing.Declaration) {
+			old: func(d *configuration.Declaration) {
 				d.Models = append(d.Models, model)
 				for _, a := range full.Adapters {
 					if a.Model == model.Name && d.Adapter(a.Name) == nil && (a.Name != adapter.Name || !p.once[a.Name]) {
@@ -300,15 +300,15 @@
 			gone: rules.TakenOut(rules.Span{ID: model.Name}),
 			back: rules.Change{Told: told(fault.UnknownModel, ofModel), Concerns: ofModel}},
 		{id: adapter.Name,
-			away: func(d *standing.Declaration) {
-				d.Adapters = without(d.Adapters, func(a standing.Adapter) bool { return a.Name == adapter.Name })
+			away: func(d *configuration.Declaration) {
+				d.Adapters = without(d.Adapters, func(a configuration.Adapter) bool { return a.Name == adapter.Name })
 			},
-			old:  func(d *standing.Declaration) { d.Adapters = append(d.Adapters, adapter) },
+			old:  func(d *configuration.Declaration) { d.Adapters = append(d.Adapters, adapter) },
 			gone: rules.TakenOut(rules.Span{ID: adapter.Name}),
 			back: rules.Change{Told: told(fault.UnknownAdapter, ofAdapter), Concerns: ofAdapter}},
 		{id: "model of " + moved.Name,
-			away: func(d *standing.Declaration) { moveTo(d, moved.Name, elsewhere) },
-			old:  func(d *standing.Declaration) { moveTo(d, moved.Name, moved.Model) },
+			away: func(d *configuration.Declaration) { moveTo(d, moved.Name, elsewhere) },
+			old:  func(d *configuration.Declaration) { moveTo(d, moved.Name, moved.Model) },
 			gone: rules.Change{Concerns: ofMoved(elsewhere), Told: told(fault.UnknownAdapter, ofMoved(elsewhere)),
 				Runs: func(r modelserver.Run, _ rules.Told, _ int) bool {
 					return r.Adapter == moved.Name && r.Model == moved.Model
@@ -318,16 +318,16 @@
 					return r.Adapter == moved.Name && r.Model == elsewhere
 				}}},
 		{id: "kind " + rare.Name,
-			away: func(d *standing.Declaration) {
-				d.Kinds = without(d.Kinds, func(k standing.Kind) bool { return k.Name == rare.Name })
+			away: func(d *configuration.Declaration) {
+				d.Kinds = without(d.Kinds, func(k configuration.Kind) bool { return k.Name == rare.Name })
 			},
-			old: func(d *standing.Declaration) { d.Kinds = append(d.Kinds, rare) },
+			old: func(d *configuration.Declaration) { d.Kinds = append(d.Kinds, rare) },
 			gone: rules.Change{Concerns: ofKind(rare.Name),
 				Runs: func(_ modelserver.Run, ask rules.Told, _ int) bool { return ask.Kind == rare.Name }},
 			back: rules.Change{Concerns: ofKind(rare.Name), Told: told(fault.UnknownKind, ofKind(rare.Name))}},
 		{id: "resumable " + resumed.Name,
-			away: func(d *standing.Declaration) { resumeAs(d, resumed.Name, false) },
-			old:  func(d *standing.Declaration) { resumeAs(d, resumed.Name, true) },
+			away: func(d *configuration.Declaration) { resumeAs(d, resumed.Name, false) },
+			old:  func(d *configuration.Declaration) { resumeAs(d, resumed.Name, true) },
 			gone: rules.Change{Concerns: ofKind(resumed.Name),
 				Runs: func(r modelserver.Run, ask rules.Told, nth int) bool {
 					return ask.Kind == resumed.Name && (nth > 1 || r.First > 1)
@@ -337,8 +337,8 @@
 					return t.Kind == resumed.Name && (t.Code == string(fault.Unknown) || t.Code == string(fault.BadLastEventID))
 				}}},
 		{id: "expiry " + often.Name,
-			away: func(d *standing.Declaration) { expireAs(d, often.Name, shortMs) },
-			old:  func(d *standing.Declaration) { expireAs(d, often.Name, often.DeadlineMs) },
+			away: func(d *configuration.Declaration) { expireAs(d, often.Name, shortMs) },
+			old:  func(d *configuration.Declaration) { expireAs(d, often.Name, often.DeadlineMs) },
 			gone: rules.Change{Concerns: ofKind(often.Name),
 				Runs: func(r modelserver.Run, ask rules.Told, _ int) bool {
 					return ask.Kind == often.Name && ask.Had == 0 && r.StartUs > ask.TakenUs+shortMs*ms+slackUs
@@ -351,9 +351,9 @@
 }
 
 // byUrgency names the kinds from the rarest, which may be resumed, to the quickest.
-func byUrgency(d *standing.Declaration) []standing.Kind {
+func byUrgency(d *configuration.Declaration) []configuration.Kind {
 	kinds := slices.Clone(d.Kinds)
-	slices.SortFunc(kinds, func(a, b standing.Kind) int { return a.Urgency - b.Urgency })
+	slices.SortFunc(kinds, func(a, b configuration.Kind) int { return a.Urgency - b.Urgency })
 	return kinds
 }
 
@@ -368,19 +368,19 @@
 	return ""
 }
 
-func moveTo(d *standing.Declaration, adapter, model string) {
+func moveTo(d *configuration.Declaration, adapter, model string) {
 	if a := d.Adapter(adapter); a != nil {
 		a.Model = model
 	}
 }
 
-func resumeAs(d *standing.Declaration, kind string, may bool) {
+func resumeAs(d *configuration.Declaration, kind string, may bool) {
 	if k := d.Kind(kind); k != nil {
 		k.Resumable = may
 	}
 }
 
-func expireAs(d *standing.Declaration, kind string, deadlineMs int64) {
+func expireAs(d *configuration.Declaration, kind string, deadlineMs int64) {
 	if k := d.Kind(kind); k != nil {
 		k.DeadlineMs = deadlineMs
 	}
@@ -393,7 +393,7 @@
 	s := p.sim
 	p.turns++
 	d := clone(*p.doc)
-	d.Models = without(d.Models, func(m standing.Model) bool { return strings.HasPrefix(m.Name, ghost) })
+	d.Models = without(d.Models, func(m configuration.Model) bool { return strings.HasPrefix(m.Name, ghost) })
 	base := p.revision
 	turns := p.all()
 	op := s.r.Intn(len(turns) + 6)
@@ -404,9 +404,9 @@
 	default:
 		p.turn(turns[op], base, &d)
 	case 0:
-		d.Policy = standing.Policy{Name: "chaser", Source: examples.Chaser}
+		d.Policy = configuration.Policy{Name: "chaser", Source: examples.Chaser}
 		if p.doc.Policy.Name == "chaser" {
-			d.Policy = standing.Policy{Name: "steady", Source: examples.Steady}
+			d.Policy = configuration.Policy{Name: "steady", Source: examples.Steady}
 		}
 		p.send(base, &d, func(wire.Result, bool) {})
 	case 1:
@@ -436,13 +436,13 @@
 }
 
 // haunted adds a model that a refused configuration must never load.
-func (p *operators) haunted(d *standing.Declaration, sizeMb int64) {
+func (p *operators) haunted(d *configuration.Declaration, sizeMb int64) {
 	m := p.sim.plan.Doc.Models[0]
 	m.Name, m.SizeMb, m.Weight = fmt.Sprintf("%s%d-%d", ghost, p.n, sizeMb), sizeMb, 50
 	d.Models = append(d.Models, m)
 }
 
-func (p *operators) turn(t turn, base uint64, d *standing.Declaration) {
+func (p *operators) turn(t turn, base uint64, d *configuration.Declaration) {
 	s := p.sim
 	away := p.once[t.id]
 	change, edit := t.gone, t.away
@@ -463,7 +463,7 @@
 	})
 }
 
-func (p *operators) zone(base uint64, d *standing.Declaration) {
+func (p *operators) zone(base uint64, d *configuration.Declaration) {
 	s := p.sim
 	zone := d.Zones[len(d.Zones)-1]
 	if p.doc.IsEmptied(zone) {
@@ -480,7 +480,7 @@
 	})
 }
 
-func (p *operators) race(base uint64, d *standing.Declaration) {
+func (p *operators) race(base uint64, d *configuration.Declaration) {
 	s := p.sim
 	other := clone(*d)
 	other.Scaler.SimilarPct = 20
@@ -504,7 +504,7 @@
 
 // store narrows what the weight store allows, or widens it again. The store keeps to the narrower
 // limit once the change was acknowledged for as long as the old way may last.
-func (p *operators) store(base uint64, d *standing.Declaration) {
+func (p *operators) store(base uint64, d *configuration.Declaration) {
 	s := p.sim
 	usual := s.plan.Doc.Store
 	if d.Store != usual {
--- a/proofs/sim/routed.go
+++ b/proofs/sim/routed.go
@@ -7,7 +7,7 @@
 	"math/rand"
 	"slices"
 
-	"petreltide/internal/standing"
+	"petreltide/internal/configuration"
 	"petreltide/proofs/platform/replica"
 	"petreltide/proofs/rules"
 )
@@ -43,7 +43,7 @@
 	*Sim
 	plan         RoutedPlan
 	seen         *rules.Day
-	engine       *standing.Engine
+	engine       *configuration.Engine
 	store        *replica.Store
 	disks        map[string]*replica.Disk
 	controlNodes []*routedControlNode
@@ -84,10 +84,10 @@
 	Seen     *rules.Day
 }
 
-func routedEngine() *standing.Engine {
-	e := &standing.Engine{Slots: 24, CacheTokens: 40_000, Stride: 3, RoomMb: 8000, AdaptersMost: 3, LoadsPerS: 4}
+func routedEngine() *configuration.Engine {
+	e := &configuration.Engine{Slots: 24, CacheTokens: 40_000, Stride: 3, RoomMb: 8000, AdaptersMost: 3, LoadsPerS: 4}
 	for i := range 26 {
-		m := standing.EngineModel{Name: fmt.Sprintf("m%d", i), SizeMb: 2000 + int64(i%4)*450, LoadMs: 300 + int64(i%4)*100}
+		m := configuration.EngineModel{Name: fmt.Sprintf("m%d", i), SizeMb: 2000 + int64(i%4)*450, LoadMs: 300 + int64(i%4)*100}
 		if i%3 == 0 {
 			m.Adapters, m.AdapterMb = 4, 40
 		}
--- a/proofs/sim/routed_changes.go
+++ b/proofs/sim/routed_changes.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"slices"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
-	"petreltide/internal/standing"
 )
 
 func (p *routedOperators) first() {
@@ -46,7 +46,7 @@
 	if v.edit != nil {
 		return ledger.ConfigChange{Base: v.seen.Base, Version: number, Edit: v.edit}
 	}
-	return ledger.ConfigChange{Base: v.seen.Base, Version: number, Doc: &standing.Declaration{Version: number, Routes: v.routes, Services: v.services}}
+	return ledger.ConfigChange{Base: v.seen.Base, Version: number, Doc: &configuration.Declaration{Version: number, Routes: v.routes, Services: v.services}}
 }
 
 func (p *routedOperators) change(done func()) {
@@ -108,7 +108,7 @@
 	p.day.caused["rivals"] += left
 	versions := []*opVersion{}
 	for n := range left {
-		shown := routeOf(fmt.Sprintf("mark-%d-%d", number, n), opsHost, rivalMark(number, n), standing.Idempotent, to("log"))
+		shown := routeOf(fmt.Sprintf("mark-%d-%d", number, n), opsHost, rivalMark(number, n), configuration.Idempotent, to("log"))
 		versions = append(versions, p.nextAs(base, number, 0, shown))
 	}
 	for n, v := range versions {
@@ -162,25 +162,25 @@
 // bad sends a version that wants a refusal: spoiled in its last route, or not above the one in force.
 func (p *routedOperators) bad(done func()) {
 	base, number := p.tip, p.draw()
-	spoiled := []standing.Route{markRoute(number)}
+	spoiled := []configuration.Route{markRoute(number)}
 	var low uint64
 	switch p.r.Intn(5) {
 	case 0:
-		spoiled[0].Split = []standing.Weighted{to("nowhere")}
+		spoiled[0].Split = []configuration.Weighted{to("nowhere")}
 	case 1:
 		twin := spoiled[0]
 		twin.Name += "-twin"
 		spoiled = append(spoiled, twin)
 	case 2:
-		spoiled[0].Split = []standing.Weighted{{Service: "log", Weight: 0}}
+		spoiled[0].Split = []configuration.Weighted{{Service: "log", Weight: 0}}
 	case 3:
 		spoiled[0].TimeoutMs = 0
 	case 4:
 		low = base.seen.Number
 	}
-	var edit *standing.Edit
+	var edit *configuration.Edit
 	if p.r.Intn(2) == 0 {
-		edit = &standing.Edit{Routes: spoiled}
+		edit = &configuration.Edit{Routes: spoiled}
 	}
 	v := p.version(number, base, edited(base.routes, spoiled, nil), edit, false)
 	v.low = low
--- a/proofs/sim/routed_control_nodes.go
+++ b/proofs/sim/routed_control_nodes.go
@@ -7,11 +7,11 @@
 	"slices"
 
 	"petreltide/internal/chain"
+	"petreltide/internal/configuration"
 	"petreltide/internal/controller"
 	"petreltide/internal/controlnode"
 	"petreltide/internal/ledger"
 	"petreltide/internal/roster"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 	"petreltide/proofs/platform/replica"
 	"petreltide/proofs/rules"
@@ -335,7 +335,7 @@
 }
 
 // read is the declaration that was acknowledged last, where this control node can say.
-func (o *routedControlNode) read(answer func(*standing.Declaration, bool)) {
+func (o *routedControlNode) read(answer func(*configuration.Declaration, bool)) {
 	n := o.core.Node
 	if n.Open(o.clock()) || o.day.plan.Plant == "unleased" && n.IsTail() {
 		answer(n.State().Doc, true)
@@ -402,7 +402,7 @@
 		doubt()
 		return
 	}
-	model, adapter := standing.Units(t.Unit)
+	model, adapter := configuration.Units(t.Unit)
 	asked := replica.Order{From: o.name, Operation: "loading", Model: model, Adapter: adapter, Holder: w.Holder, Fence: w.Epoch, Expected: w.Expected, Expect: t.Inc}
 	if t.Step == ledger.Unload {
 		asked.Operation = "unloading"
--- a/proofs/sim/routed_cutoff.go
+++ b/proofs/sim/routed_cutoff.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	"petreltide/internal/chain"
-	"petreltide/internal/standing"
+	"petreltide/internal/configuration"
 	"petreltide/proofs/rules"
 )
 
@@ -274,7 +274,7 @@
 // readAll asks every control machine by itself.
 func (d *routedDay) readAll() {
 	for _, o := range d.upControlNodes() {
-		d.ops.readAt(o, func(_ *standing.Declaration, _ bool) {})
+		d.ops.readAt(o, func(_ *configuration.Declaration, _ bool) {})
 	}
 }
 
--- a/proofs/sim/routed_faults_power.go
+++ b/proofs/sim/routed_faults_power.go
@@ -1,7 +1,7 @@
 package sim
 
 import (
-	"petreltide/internal/standing"
+	"petreltide/internal/configuration"
 )
 
 const (
@@ -140,7 +140,7 @@
 	d.at(d.nowUs+500*ms, func() { d.killControlNode(o, 0, f.ForUs) })
 	before := o.core.Node.State().Version()
 	d.at(d.nowUs+f.ForUs+3*sec, func() {
-		d.ops.readAt(o, func(doc *standing.Declaration, ok bool) {
+		d.ops.readAt(o, func(doc *configuration.Declaration, ok bool) {
 			if ok && doc != nil && doc.Version > before+floodLeast/2 {
 				d.count(f)
 			}
--- a/proofs/sim/routed_operators.go
+++ b/proofs/sim/routed_operators.go
@@ -4,7 +4,7 @@
 	"math/rand"
 	"net/http"
 
-	"petreltide/internal/standing"
+	"petreltide/internal/configuration"
 	"petreltide/proofs/history"
 	"petreltide/proofs/rules"
 )
@@ -146,7 +146,7 @@
 		done()
 		return
 	}
-	p.ask(func(doc *standing.Declaration, ok bool) {
+	p.ask(func(doc *configuration.Declaration, ok bool) {
 		if ok && doc != nil {
 			if known := p.known(doc); known != nil && known.seen.Number >= p.tip.seen.Number {
 				p.tip = known
@@ -178,7 +178,7 @@
 }
 
 // ask reads what is in force from any machine that can say.
-func (p *routedOperators) ask(done func(*standing.Declaration, bool), tries int) {
+func (p *routedOperators) ask(done func(*configuration.Declaration, bool), tries int) {
 	if tries == 0 {
 		done(nil, false)
 		return
@@ -195,7 +195,7 @@
 	if o == nil {
 		return
 	}
-	p.readAt(o, func(doc *standing.Declaration, ok bool) {
+	p.readAt(o, func(doc *configuration.Declaration, ok bool) {
 		if !over && ok {
 			over = true
 			done(doc, true)
@@ -206,13 +206,13 @@
 }
 
 // readAt asks one machine for the newest configuration, and notes what it answers.
-func (p *routedOperators) readAt(o *routedControlNode, done func(*standing.Declaration, bool)) {
+func (p *routedOperators) readAt(o *routedControlNode, done func(*configuration.Declaration, bool)) {
 	d := p.day
 	askedUs := d.nowUs
 	call := p.calls.Read(askedUs)
 	fail := func() { done(nil, false) }
 	d.carry(&p.machine, &o.machine, sec, func() {
-		o.read(func(doc *standing.Declaration, ok bool) {
+		o.read(func(doc *configuration.Declaration, ok bool) {
 			d.carry(&o.machine, &p.machine, sec, func() {
 				if ok {
 					read := rules.ControlRead{Machine: o.name, AskedUs: askedUs, AtUs: d.nowUs}
@@ -235,7 +235,7 @@
 	endUs := p.day.nowUs + p.day.seen.Bounds.ContactUs
 	var next func()
 	next = func() {
-		p.ask(func(doc *standing.Declaration, ok bool) {
+		p.ask(func(doc *configuration.Declaration, ok bool) {
 			if ok && doc != nil {
 				p.day.seen.Read = &rules.Read{Came: true, Number: doc.Version, Sent: canonical(doc.Version, doc.Routes, doc.Services)}
 			}
--- a/proofs/sim/routed_versions.go
+++ b/proofs/sim/routed_versions.go
@@ -6,16 +6,16 @@
 	"slices"
 	"strings"
 
-	"petreltide/internal/standing"
+	"petreltide/internal/configuration"
 	"petreltide/proofs/history"
 	"petreltide/proofs/rules"
 )
 
 // opVersion is one change: a whole configuration, or an update of the one before.
 type opVersion struct {
-	routes   []standing.Route
-	services []standing.Service
-	edit     *standing.Edit
+	routes   []configuration.Route
+	services []configuration.Service
+	edit     *configuration.Edit
 	seen     *rules.Version
 	// low is the number it is sent under where that is not above its base's.
 	low uint64
@@ -23,14 +23,16 @@
 	serial int
 }
 
-func routeOf(name, host, prefix string, repeat standing.Repeat, split ...standing.Weighted) standing.Route {
-	return standing.Route{Name: name, Host: host, Prefix: prefix, Repeat: repeat, TimeoutMs: 4000, AimMs: 300, Priority: 2, Split: split, AttemptsMost: 2}
+func routeOf(name, host, prefix string, repeat configuration.Repeat, split ...configuration.Weighted) configuration.Route {
+	return configuration.Route{Name: name, Host: host, Prefix: prefix, Repeat: repeat, TimeoutMs: 4000, AimMs: 300, Priority: 2, Split: split, AttemptsMost: 2}
 }
 
-func to(service string) standing.Weighted { return standing.Weighted{Service: service, Weight: 1} }
+func to(service string) configuration.Weighted {
+	return configuration.Weighted{Service: service, Weight: 1}
+}
 
 // sourced gives each item the operator's own text of it.
-func sourced(routes []standing.Route, services []standing.Service) ([]standing.Route, []standing.Service) {
+func sourced(routes []configuration.Route, services []configuration.Service) ([]configuration.Route, []configuration.Service) {
 	routes, services = slices.Clone(routes), slices.Clone(services)
 	for i := range routes {
 		routes[i].Source = nil
@@ -43,19 +45,19 @@
 	return routes, services
 }
 
-func (p *routedOperators) firstRoutes() []standing.Route {
-	routes := []standing.Route{}
+func (p *routedOperators) firstRoutes() []configuration.Route {
+	routes := []configuration.Route{}
 	for i, k := range classes {
-		r := routeOf(k.route, "cards.example", "/"+k.route+"/", standing.Streaming, to("cards"))
+		r := routeOf(k.route, "cards.example", "/"+k.route+"/", configuration.Streaming, to("cards"))
 		r.Resumable, r.Affinity, r.TimeoutMs, r.AimMs, r.GapMs, r.Priority, r.AttemptsMost = k.resumable, true, k.limitUs/1000, k.aimUs/1000, 400, i, 1
 		if k.resumable {
 			r.AttemptsMost = 3
 		}
 		if !k.stream {
-			r.Affinity, r.GapMs, r.AttemptsMost, r.Split = false, 0, 2, []standing.Weighted{to("log")}
-			r.Repeat = standing.NonIdempotent
+			r.Affinity, r.GapMs, r.AttemptsMost, r.Split = false, 0, 2, []configuration.Weighted{to("log")}
+			r.Repeat = configuration.NonIdempotent
 			if k.repeat {
-				r.Repeat, r.AttemptsMost = standing.Idempotent, 3
+				r.Repeat, r.AttemptsMost = configuration.Idempotent, 3
 			}
 		}
 		routes = append(routes, r)
@@ -63,13 +65,13 @@
 	return routes
 }
 
-func (p *routedOperators) services() []standing.Service {
-	return []standing.Service{
+func (p *routedOperators) services() []configuration.Service {
+	return []configuration.Service{
 		{Name: "cards", ConnectionsMost: 500, Engine: p.day.engine}, {Name: "log", ConnectionsMost: 110}, {Name: "log-b", ConnectionsMost: 110},
 	}
 }
 
-func canonical(number uint64, routes []standing.Route, services []standing.Service) string {
+func canonical(number uint64, routes []configuration.Route, services []configuration.Service) string {
 	lines := []string{}
 	for _, r := range routes {
 		lines = append(lines, r.Name+"="+string(r.Source))
@@ -90,7 +92,7 @@
 }
 
 // known is the version that a declaration was sent as; nil where it is none of these operators'.
-func (p *routedOperators) known(doc *standing.Declaration) *opVersion {
+func (p *routedOperators) known(doc *configuration.Declaration) *opVersion {
 	content := canonical(doc.Version, doc.Routes, doc.Services)
 	for _, v := range p.sent {
 		if v.seen.Sent == content {
@@ -107,7 +109,7 @@
 }
 
 // version is a change as it is sent and as it should be seen; an invalid one must never be in force.
-func (p *routedOperators) version(number uint64, base *opVersion, routes []standing.Route, edit *standing.Edit, valid bool) *opVersion {
+func (p *routedOperators) version(number uint64, base *opVersion, routes []configuration.Route, edit *configuration.Edit, valid bool) *opVersion {
 	v := &opVersion{edit: edit}
 	v.routes, v.services = sourced(routes, p.services())
 	v.seen = &rules.Version{Number: number, Valid: valid, Sent: canonical(number, v.routes, v.services)}
@@ -139,28 +141,28 @@
 }
 
 // nextAs is next under a number of the caller's, with a route that shows it.
-func (p *routedOperators) nextAs(base *opVersion, number uint64, extra int, shown standing.Route) *opVersion {
+func (p *routedOperators) nextAs(base *opVersion, number uint64, extra int, shown configuration.Route) *opVersion {
 	upsert, remove := p.moved(base, number, extra)
 	upsert = append(upsert, shown)
-	var edit *standing.Edit
+	var edit *configuration.Edit
 	if p.r.Intn(3) > 0 {
-		edit = &standing.Edit{Routes: upsert, RemoveRoutes: remove}
+		edit = &configuration.Edit{Routes: upsert, RemoveRoutes: remove}
 	}
 	return p.version(number, base, edited(base.routes, upsert, remove), edit, true)
 }
 
-func markRoute(number uint64) standing.Route {
-	return routeOf(fmt.Sprintf("mark-%d", number), opsHost, markOf(number), standing.Idempotent, to("log"))
+func markRoute(number uint64) configuration.Route {
+	return routeOf(fmt.Sprintf("mark-%d", number), opsHost, markOf(number), configuration.Idempotent, to("log"))
 }
 
 func markOf(number uint64) string { return fmt.Sprintf("/v%d/", number) }
 
 // moved draws what a change touches: where a class of requests goes, and the mark of its version.
-func (p *routedOperators) moved(base *opVersion, number uint64, extra int) (upsert []standing.Route, remove []string) {
-	services := [][]standing.Weighted{{to("log")}, {to("log-b")}, {{Service: "log", Weight: 70}, {Service: "log-b", Weight: 30}}, {{Service: "log", Weight: 0}, to("log-b")}}
+func (p *routedOperators) moved(base *opVersion, number uint64, extra int) (upsert []configuration.Route, remove []string) {
+	services := [][]configuration.Weighted{{to("log")}, {to("log-b")}, {{Service: "log", Weight: 70}, {Service: "log-b", Weight: 30}}, {{Service: "log", Weight: 0}, to("log-b")}}
 	for _, name := range []string{"grade", "record"} {
 		if p.r.Intn(2) == 0 {
-			at := slices.IndexFunc(base.routes, func(r standing.Route) bool { return r.Name == name })
+			at := slices.IndexFunc(base.routes, func(r configuration.Route) bool { return r.Name == name })
 			r := base.routes[at]
 			r.Split = services[p.r.Intn(len(services))]
 			upsert = append(upsert, r)
@@ -176,22 +178,22 @@
 		remove = marks[:len(marks)-4]
 	}
 	for n := range extra {
-		upsert = append(upsert, routeOf(fmt.Sprintf("big-%d-%d", number, n), opsHost, bigPrefix(number, n), standing.Idempotent, to("log")))
+		upsert = append(upsert, routeOf(fmt.Sprintf("big-%d-%d", number, n), opsHost, bigPrefix(number, n), configuration.Idempotent, to("log")))
 	}
 	return upsert, remove
 }
 
 // edited lays routes on those of a version: new ones at the end, without those that go.
-func edited(routes []standing.Route, upsert []standing.Route, remove []string) []standing.Route {
+func edited(routes []configuration.Route, upsert []configuration.Route, remove []string) []configuration.Route {
 	out := slices.Clone(routes)
 	for _, r := range upsert {
-		if at := slices.IndexFunc(out, func(o standing.Route) bool { return o.Name == r.Name }); at >= 0 {
+		if at := slices.IndexFunc(out, func(o configuration.Route) bool { return o.Name == r.Name }); at >= 0 {
 			out[at] = r
 		} else {
 			out = append(out, r)
 		}
 	}
-	return slices.DeleteFunc(out, func(r standing.Route) bool { return slices.Contains(remove, r.Name) })
+	return slices.DeleteFunc(out, func(r configuration.Route) bool { return slices.Contains(remove, r.Name) })
 }
 
 func bigPrefix(number uint64, n int) string { return fmt.Sprintf("/big/%d/%d/", number, n) }
--- a/proofs/sim/sim.go
+++ b/proofs/sim/sim.go
@@ -10,7 +10,7 @@
 	"sort"
 
 	"petreltide/examples"
-	"petreltide/internal/standing"
+	"petreltide/internal/configuration"
 	"petreltide/internal/wire"
 	"petreltide/proofs/modelserver"
 	"petreltide/proofs/platform"
@@ -34,7 +34,7 @@
 	Faults       []Fault
 	Changes      bool
 	Ops          []int
-	Doc          *standing.Declaration
+	Doc          *configuration.Declaration
 	Plant        string
 	Declared     bool
 	CalmUs       int64
@@ -159,25 +159,25 @@
 }
 
 // Doc is a small deployment with three kinds, eight models and four adapters.
-func Doc() *standing.Declaration {
-	d := &standing.Declaration{
-		Name: "sim", Zones: []string{"a", "b", "c"}, Replica: standing.Replica{RoomMb: 4000},
-		Store: standing.Store{Loads: 3, MbPerSecond: 4000, BurstMb: 2000}, Scaler: standing.Scaler{Spares: 1, SimilarPct: 10, WindowMs: 5000},
-		Kinds: []standing.Kind{
+func Doc() *configuration.Declaration {
+	d := &configuration.Declaration{
+		Name: "sim", Zones: []string{"a", "b", "c"}, Replica: configuration.Replica{RoomMb: 4000},
+		Store: configuration.Store{Loads: 3, MbPerSecond: 4000, BurstMb: 2000}, Scaler: configuration.Scaler{Spares: 1, SimilarPct: 10, WindowMs: 5000},
+		Kinds: []configuration.Kind{
 			{Name: "pages", Urgency: 3, Resumable: true, DeadlineMs: 20_000},
 			{Name: "letters", Urgency: 5, DeadlineMs: 15_000},
 			{Name: "fixes", Urgency: 8, DeadlineMs: 8_000},
 		},
-		Policy: standing.Policy{Name: "steady", Source: examples.Steady},
+		Policy: configuration.Policy{Name: "steady", Source: examples.Steady},
 	}
 	for i := 0; i < 8; i++ {
-		m := standing.Model{Name: fmt.Sprintf("m%d", i), SizeMb: 300 + int64(i)*100, LoadMs: 300, Weight: 8 - i}
+		m := configuration.Model{Name: fmt.Sprintf("m%d", i), SizeMb: 300 + int64(i)*100, LoadMs: 300, Weight: 8 - i}
 		for n := 1; n <= 4; n++ {
-			m.Table = append(m.Table, standing.Point{Replicas: n, PerSecond: float64(20 * n), LatencyMs: int64(200 - 10*n)})
+			m.Table = append(m.Table, configuration.Point{Replicas: n, PerSecond: float64(20 * n), LatencyMs: int64(200 - 10*n)})
 		}
 		d.Models = append(d.Models, m)
 		if i < 4 {
-			d.Adapters = append(d.Adapters, standing.Adapter{Name: "a-" + m.Name, Model: m.Name, SizeMb: 60, LoadMs: 60})
+			d.Adapters = append(d.Adapters, configuration.Adapter{Name: "a-" + m.Name, Model: m.Name, SizeMb: 60, LoadMs: 60})
 		}
 	}
 	return d
@@ -558,7 +558,7 @@
 	}
 }
 
-func (s *Sim) setStore(store standing.Store) {
+func (s *Sim) setStore(store configuration.Store) {
 	s.plat.Store.Limit(s.nowUs, store.Loads, store.MbPerSecond)
 }
 
--- a/proofs/sim/sizes_test.go
+++ b/proofs/sim/sizes_test.go
@@ -4,16 +4,16 @@
 	"fmt"
 	"testing"
 
-	"petreltide/internal/standing"
+	"petreltide/internal/configuration"
 )
 
-func example(t testing.TB, name string) *standing.Declaration {
+func example(t testing.TB, name string) *configuration.Declaration {
 	t.Helper()
-	raw, err := standing.ReadFile("../../examples/" + name + ".yaml")
+	raw, err := configuration.ReadFile("../../examples/" + name + ".yaml")
 	if err != nil {
 		t.Fatal(err)
 	}
-	doc, bad := standing.Parse(raw, nil)
+	doc, bad := configuration.Parse(raw, nil)
 	if bad != nil {
 		t.Fatal(bad)
 	}
@@ -42,13 +42,13 @@
 }
 
 // tenfold splits every model and adapter of a declaration into ten a tenth of its size.
-func tenfold(d *standing.Declaration) *standing.Declaration {
+func tenfold(d *configuration.Declaration) *configuration.Declaration {
 	big := clone(*d)
 	big.Models, big.Adapters = nil, nil
 	for i := 0; i < 10; i++ {
 		for _, m := range d.Models {
 			m.Name, m.SizeMb, m.LoadMs = fmt.Sprintf("%s-%d", m.Name, i), m.SizeMb/10, m.LoadMs/10
-			table := []standing.Point{}
+			table := []configuration.Point{}
 			for _, row := range m.Table {
 				row.PerSecond /= 10
 				table = append(table, row)
--- a/proofs/testbed/input_test.go
+++ b/proofs/testbed/input_test.go
@@ -12,9 +12,9 @@
 	"testing"
 	"time"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
 	"petreltide/internal/gateway"
-	"petreltide/internal/standing"
 	"petreltide/proofs/callers"
 	"petreltide/proofs/modelserver"
 	"petreltide/proofs/rules"
@@ -388,7 +388,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	change := func(edit func(*standing.Declaration)) string {
+	change := func(edit func(*configuration.Declaration)) string {
 		d := sim.Doc()
 		edit(d)
 		raw, err := json.Marshal(d)
@@ -402,15 +402,15 @@
 		paths      []string
 	}{
 		{"unknown field", strings.Replace(string(good), `"name"`, `"nmae"`, 1), []string{"nmae"}},
-		{"duplicate names", change(func(d *standing.Declaration) { d.Models[1].Name = "m0" }), []string{"models"}},
-		{"dangling reference", change(func(d *standing.Declaration) { d.Adapters[2].Model = "gone" }), []string{"adapters[2].model"}},
-		{"negative size", change(func(d *standing.Declaration) { d.Models[3].SizeMb = -4 }), []string{"models[3].sizeMb"}},
-		{"fits no replica", change(func(d *standing.Declaration) { d.Models[0].SizeMb = 9000; d.Store.BurstMb = 9000 }), []string{"models[0].sizeMb"}},
-		{"gap in a table", change(func(d *standing.Declaration) { d.Models[0].Table[2].Replicas = 5 }), []string{"models[0].table[2].replicas"}},
-		{"policy does not compile", change(func(d *standing.Declaration) { d.Policy.Source = "def propose(fleet:" }), []string{"policy.source"}},
-		{"no propose", change(func(d *standing.Declaration) { d.Policy.Source = "x = 1" }), []string{"policy.source"}},
-		{"unknown zone emptied", change(func(d *standing.Declaration) { d.Emptied = []string{"z"} }), []string{"emptied[0]"}},
-		{"several at once", change(func(d *standing.Declaration) {
+		{"duplicate names", change(func(d *configuration.Declaration) { d.Models[1].Name = "m0" }), []string{"models"}},
+		{"dangling reference", change(func(d *configuration.Declaration) { d.Adapters[2].Model = "gone" }), []string{"adapters[2].model"}},
+		{"negative size", change(func(d *configuration.Declaration) { d.Models[3].SizeMb = -4 }), []string{"models[3].sizeMb"}},
+		{"fits no replica", change(func(d *configuration.Declaration) { d.Models[0].SizeMb = 9000; d.Store.BurstMb = 9000 }), []string{"models[0].sizeMb"}},
+		{"gap in a table", change(func(d *configuration.Declaration) { d.Models[0].Table[2].Replicas = 5 }), []string{"models[0].table[2].replicas"}},
+		{"policy does not compile", change(func(d *configuration.Declaration) { d.Policy.Source = "def propose(fleet:" }), []string{"policy.source"}},
+		{"no propose", change(func(d *configuration.Declaration) { d.Policy.Source = "x = 1" }), []string{"policy.source"}},
+		{"unknown zone emptied", change(func(d *configuration.Declaration) { d.Emptied = []string{"z"} }), []string{"emptied[0]"}},
+		{"several at once", change(func(d *configuration.Declaration) {
 			d.Models[2].LoadMs = 0
 			d.Kinds[0].Urgency = 12
 			d.Adapters[0].Model = "q"
--- a/proofs/testbed/testbed.go
+++ b/proofs/testbed/testbed.go
@@ -15,11 +15,11 @@
 
 	"github.com/juju/errors"
 
+	"petreltide/internal/configuration"
 	"petreltide/internal/controlnode"
 	"petreltide/internal/gateway"
 	"petreltide/internal/logring"
 	"petreltide/internal/settings"
-	"petreltide/internal/standing"
 	"petreltide/internal/wire"
 	"petreltide/proofs/loopback"
 	"petreltide/proofs/modelserver"
@@ -51,7 +51,7 @@
 	PartUs       int64
 	PieceUs      int64
 	RoomMb       int64
-	Store        standing.Store
+	Store        configuration.Store
 }
 
 func listen(ip string) (net.Listener, string, error) {
@@ -181,7 +181,7 @@
 }
 
 // Begin sends the first declaration and waits until every model has a holder.
-func (s *Fleet) Begin(doc *standing.Declaration) error {
+func (s *Fleet) Begin(doc *configuration.Declaration) error {
 	raw, err := json.Marshal(doc)
 	if err != nil {
 		return errors.Trace(err)
