--- a/cmd/petreltide/compare.go
+++ b/cmd/petreltide/compare.go
@@ -194,7 +194,7 @@
 		return look, fault.New(fault.NotServing, st.ControlNode.ID, "the tail has no lease now")
 	}
 	look.Revision, look.Loads, look.LoadedMb = st.Revision, st.Loads, st.LoadedMb
-	look.Duty = fmt.Sprintf("%s under epoch %d", st.Holder, st.Epoch)
+	look.Leader = fmt.Sprintf("%s under epoch %d", st.Holder, st.Epoch)
 	for _, r := range st.Replicas {
 		look.Replicas[r.ID] = fmt.Sprintf("%s (leaving %v, dark %v)", r.Inc, r.Leaving, r.Unreachable)
 	}
--- a/cmd/petreltide/operators.go
+++ b/cmd/petreltide/operators.go
@@ -220,7 +220,7 @@
 
 Where routes are in force it also shows them and their version, each replica's state by its heartbeats with
 the time that it has left, what it holds and the order that stands there, and, from the control node that holds the
-duty, what the weight store still gives. With --desks every gateway that reported there is asked for its
+leadership, what the weight store still gives. With --desks every gateway that reported there is asked for its
 part of the further tries and its connections; with --desk one gateway is asked and no control node.`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
--- a/cmd/petreltide/print.go
+++ b/cmd/petreltide/print.go
@@ -49,7 +49,7 @@
 	}
 	fmt.Fprintf(w, "duty      %s under epoch %d\n", st.Holder, st.Epoch)
 	if st.Fleet != nil {
-		printDuty(w, st.Fleet.Duty)
+		printLeadership(w, st.Fleet.Leadership)
 	}
 	fmt.Fprintf(w, "revision  %d, commit %d of %d\n", st.Revision, st.Commit, st.Last)
 	if len(st.Emptied) > 0 {
--- a/cmd/petreltide/status.go
+++ b/cmd/petreltide/status.go
@@ -20,7 +20,7 @@
 
 const routesShown = 20
 
-func printDuty(w io.Writer, n *controller.Note) {
+func printLeadership(w io.Writer, n *controller.Note) {
 	if n == nil {
 		return
 	}
--- a/cmd/petreltide/status_test.go
+++ b/cmd/petreltide/status_test.go
@@ -87,7 +87,7 @@
 				{ID: "i-2", Service: "scribe", Zone: "b", State: controlnode.ReplicaUnreachable, AgoMs: 4000, Units: []string{"m1"}, HeldMb: 80, RoomMb: 100, Order: &load},
 				{ID: "i-3", Service: "quill", Zone: "b", State: controlnode.ReplicaUnheard, AgoMs: -1, Units: []string{}},
 			},
-			Duty: &controller.Note{Holder: "core-1-ab", Fence: 41, OrdersInMs: 700, Orders: []controller.OrderNote{{Ticket: load, SentAgoMs: -1}},
+			Leadership: &controller.Note{Holder: "core-1-ab", Fence: 41, OrdersInMs: 700, Orders: []controller.OrderNote{{Ticket: load, SentAgoMs: -1}},
 				Store: []controller.StoreNote{{Service: "scribe", Left: 3, Running: 1, AtOnce: 7, Began: 4, WindowMs: 5000}},
 				Needs: map[string]controller.NeedNote{"m1": {Rate: 2.5}}},
 		},
--- a/internal/comparison/comparison.go
+++ b/internal/comparison/comparison.go
@@ -34,7 +34,7 @@
 // Look is the fleet at one moment, as far as a window hangs on it.
 type Look struct {
 	Revision uint64
-	Duty     string
+	Leader   string
 	Replicas map[string]string
 	Gateways map[string]string
 	Gauges   []dispatch.Gauge
@@ -249,8 +249,8 @@
 
 // parted names the first thing that is not what it was when the window began.
 func (l Look) parted(now Look) string {
-	if l.Duty != now.Duty {
-		return fmt.Sprintf("the controller changed from %s to %s", l.Duty, now.Duty)
+	if l.Leader != now.Leader {
+		return fmt.Sprintf("the controller changed from %s to %s", l.Leader, now.Leader)
 	}
 	if why := apart("replica", l.Replicas, now.Replicas); why != "" {
 		return why
--- a/internal/comparison/comparison_test.go
+++ b/internal/comparison/comparison_test.go
@@ -77,7 +77,7 @@
 	if s.unready > 0 {
 		s.unready--
 		if s.unready%2 == 0 {
-			return Look{Revision: s.revision, Duty: "one"}, nil
+			return Look{Revision: s.revision, Leader: "one"}, nil
 		}
 		return Look{}, fault.New(fault.NotServing, "", "the tail has no lease now")
 	}
@@ -85,7 +85,7 @@
 	for id, state := range s.replicas {
 		replicas[id] = state
 	}
-	return Look{Revision: s.revision, Duty: "one", Replicas: replicas, Gateways: map[string]string{"d": "i"}, Gauges: s.gauges}, nil
+	return Look{Revision: s.revision, Leader: "one", Replicas: replicas, Gateways: map[string]string{"d": "i"}, Gauges: s.gauges}, nil
 }
 
 func (s *stage) Pause(ctx context.Context, span time.Duration) error {
--- a/internal/controller/basis.go
+++ b/internal/controller/basis.go
@@ -13,7 +13,7 @@
 // basis is a state of a replica named by its order count: after so many orders, none of them under way, it holds
 // just these units. A replica refuses an order whose expected count is not its own, or while another order is
 // under way. An order sent on a basis is therefore carried out in that state or not at all, however long it or
-// what the controller heard of the replica was on its way, and whoever holds the duty by then.
+// what the controller heard of the replica was on its way, and whoever leads by then.
 type basis struct {
 	orders uint64
 	units  []string
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -47,7 +47,7 @@
 	movedUs int64
 }
 
-// Controller holds the duty of the one controller: it reads the ledger and what replicas,
+// Controller decides what the one leading controller does: it reads the ledger and what replicas,
 // platform and gateways told it, and answers with ledger writes and orders.
 type Controller struct {
 	opts       Options
@@ -115,8 +115,8 @@
 // Counts are how many replicas of each model the scaler wants.
 func (f *Controller) Counts() []scaler.Count { return f.counted }
 
-// OnDuty says whether this controller holds the duty, by its own claim in the ledger.
-func (f *Controller) OnDuty(s *ledger.State) bool {
+// IsLeader says whether this controller leads, by its own claim in the ledger.
+func (f *Controller) IsLeader(s *ledger.State) bool {
 	return f.claimed > 0 && s.Epoch == f.claimed && s.Holder == f.me
 }
 
@@ -174,7 +174,7 @@
 
 func (f *Controller) count(code fault.Code) { f.Faults[code]++ }
 
-// tick claims the duty where this control node leads and nobody holds it for it, and does what is due by time.
+// tick claims leadership where this control node leads and nobody holds it for it, and does what is due by time.
 func (f *Controller) tick(seen Seen) {
 	if f.routed.bornUs == 0 {
 		f.routed.bornUs = seen.NowUs
@@ -184,7 +184,7 @@
 		f.leave()
 		return
 	}
-	if !f.OnDuty(seen.State) {
+	if !f.IsLeader(seen.State) {
 		f.claim(seen)
 		return
 	}
@@ -202,7 +202,7 @@
 	}
 }
 
-// claim asks the ledger for the duty, again where the last claim may be lost.
+// claim asks the ledger for leadership, again where the last claim may be lost.
 func (f *Controller) claim(seen Seen) {
 	if f.claimUs != 0 && seen.NowUs-f.claimUs <= writeLostUs {
 		return
@@ -215,7 +215,7 @@
 	}})
 }
 
-// declaredTick is a tick of whoever holds the duty over replicas that the platform lists.
+// declaredTick is a tick of whoever leads over replicas that the platform lists.
 func (f *Controller) declaredTick(seen Seen) {
 	f.fill(seen)
 	if seen.View != f.view {
@@ -233,7 +233,7 @@
 
 // act writes and asks the policy at once where an event has made it worthwhile, not at the next tick.
 func (f *Controller) act(seen Seen) {
-	if !seen.Head || !seen.Fresh || !f.OnDuty(seen.State) {
+	if !seen.Head || !seen.Fresh || !f.IsLeader(seen.State) {
 		return
 	}
 	if seen.isRouted() {
@@ -246,7 +246,7 @@
 	f.write(seen)
 }
 
-// leave forgets all that only a holder of the duty needs.
+// leave forgets all that only a leader needs.
 func (f *Controller) leave() {
 	fresh := NewWith(f.me, f.opts)
 	fresh.Faults, fresh.writes, fresh.gateways, fresh.Policy = f.Faults, f.writes, f.gateways, f.Policy
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -148,7 +148,7 @@
 			two.states["r1"].Last = last
 			two.pass(2 * clock.Sec)
 			if two.s.Epoch != 2 || two.s.Holder != "two" {
-				t.Fatal("the duty was not taken over")
+				t.Fatal("leadership was not taken over")
 			}
 			_, stillPending := two.s.Pending["r1"]
 			_, held := two.s.Replicas["r1"].Holds["m"]
@@ -170,7 +170,7 @@
 					t.Fatalf("pending %v held %v", stillPending, held)
 				}
 			}
-			late := one.s.Apply(one.s.Index+1, ledger.Change{ID: "late", Epoch: 1, Duty: &ledger.Duty{Tickets: []ledger.Ticket{{Replica: "r2", Inc: "i", Revision: 1, Step: ledger.Load, Unit: "m"}}}})
+			late := one.s.Apply(one.s.Index+1, ledger.Change{ID: "late", Epoch: 1, LeaderUpdate: &ledger.LeaderUpdate{Tickets: []ledger.Ticket{{Replica: "r2", Inc: "i", Revision: 1, Step: ledger.Load, Unit: "m"}}}})
 			if late.Fault == nil {
 				t.Fatal("the frozen predecessor's write was taken")
 			}
@@ -192,8 +192,8 @@
 		}
 	}
 	seen.Head = false
-	if r.f.Step(seen, Event{NowUs: r.nowUs}); r.f.OnDuty(r.s) {
-		t.Fatal("a control node that is not the head keeps the duty")
+	if r.f.Step(seen, Event{NowUs: r.nowUs}); r.f.IsLeader(r.s) {
+		t.Fatal("a control node that is not the head keeps leadership")
 	}
 }
 
--- a/internal/controller/gateways.go
+++ b/internal/controller/gateways.go
@@ -33,10 +33,10 @@
 }
 
 // dropGateways takes gateways that are long silent out of the ledger.
-func (f *Controller) dropGateways(seen Seen, duty *ledger.Duty) {
+func (f *Controller) dropGateways(seen Seen, update *ledger.LeaderUpdate) {
 	for _, id := range sorted(f.gateways) {
 		if seen.NowUs-f.gateways[id].atUs > gatewayGoneUs {
-			duty.Gateways = append(duty.Gateways, id)
+			update.Gateways = append(update.Gateways, id)
 			delete(f.gateways, id)
 		}
 	}
--- a/internal/controller/hear.go
+++ b/internal/controller/hear.go
@@ -100,18 +100,18 @@
 }
 
 // noteFleet writes down what differs between the ledger and what the platform lists and replicas report.
-func (f *Controller) noteFleet(seen Seen, duty *ledger.Duty) {
+func (f *Controller) noteFleet(seen Seen, update *ledger.LeaderUpdate) {
 	if f.list == nil {
 		return
 	}
 	listed := map[string]bool{}
 	for _, l := range f.list.Replicas {
 		listed[l.ID] = true
-		f.noteListed(seen, l, duty)
+		f.noteListed(seen, l, update)
 	}
 	for _, id := range seen.State.ReplicaIDs() {
 		if !listed[id] {
-			duty.Gone = append(duty.Gone, id)
+			update.Gone = append(update.Gone, id)
 			delete(f.replicas, id)
 		}
 	}
@@ -119,7 +119,7 @@
 
 // noteListed compares one listed replica with the ledger, and writes down what differs. A replica whose life was
 // never heard is not written down yet.
-func (f *Controller) noteListed(seen Seen, l wire.Listed, duty *ledger.Duty) {
+func (f *Controller) noteListed(seen Seen, l wire.Listed, update *ledger.LeaderUpdate) {
 	row, have := f.replicas[l.ID], seen.State.Replicas[l.ID]
 	leaving := l.State != wire.ListedReady
 	n := ledger.ReplicaNote{
@@ -147,7 +147,7 @@
 		n.Told, n.Holds = f.retold(seen.State, have, row)
 	}
 	if rowDiffers(have, n) || have.Inc != n.Inc {
-		duty.Fleet = append(duty.Fleet, n)
+		update.Fleet = append(update.Fleet, n)
 	}
 }
 
@@ -173,7 +173,7 @@
 }
 
 // settle writes down the outcome of each pending ticket that its replica's last order tells.
-func (f *Controller) settle(nowUs int64, s *ledger.State, duty *ledger.Duty) {
+func (f *Controller) settle(nowUs int64, s *ledger.State, update *ledger.LeaderUpdate) {
 	for _, id := range sorted(s.Pending) {
 		t := s.Pending[id]
 		row := f.replicas[id]
@@ -183,12 +183,12 @@
 		last := row.state.Last
 		switch {
 		case last.Number == t.Number && last.State == wire.OrderDone:
-			duty.Settled = append(duty.Settled, f.withResult(s, t, ledger.Settled{Number: t.Number, Done: true}))
+			update.Settled = append(update.Settled, f.withResult(s, t, ledger.Settled{Number: t.Number, Done: true}))
 		case last.Number == t.Number && last.State == wire.OrderFailed:
 			f.count(fault.ReplicaFailed)
-			duty.Settled = append(duty.Settled, f.withResult(s, t, ledger.Settled{Number: t.Number, Why: last.Why}))
+			update.Settled = append(update.Settled, f.withResult(s, t, ledger.Settled{Number: t.Number, Why: last.Why}))
 		case last.Number > t.Number:
-			duty.Settled = append(duty.Settled, ledger.Settled{Number: t.Number, Why: "voided by a newer order"})
+			update.Settled = append(update.Settled, ledger.Settled{Number: t.Number, Why: "voided by a newer order"})
 		default:
 			continue
 		}
--- a/internal/controller/late_test.go
+++ b/internal/controller/late_test.go
@@ -18,8 +18,8 @@
 	for i, c := range []ledger.Change{
 		{ID: "c", Config: &ledger.ConfigChange{Version: 1, Doc: doc}},
 		{ID: "k", Epoch: 1, Claim: &ledger.Claim{Holder: "before"}},
-		{ID: "d", Epoch: 1, Duty: &ledger.Duty{Fleet: []ledger.ReplicaNote{{ID: "r1", Inc: "r1", Addr: "a", RoomMb: 100, Slots: 4, Service: "s", Told: true}}}},
-		{ID: "t", Epoch: 1, Duty: &ledger.Duty{Tickets: []ledger.Ticket{{Revision: 1, Replica: "r1", Inc: "r1", Step: ledger.Load, Unit: "m"}}}},
+		{ID: "d", Epoch: 1, LeaderUpdate: &ledger.LeaderUpdate{Fleet: []ledger.ReplicaNote{{ID: "r1", Inc: "r1", Addr: "a", RoomMb: 100, Slots: 4, Service: "s", Told: true}}}},
+		{ID: "t", Epoch: 1, LeaderUpdate: &ledger.LeaderUpdate{Tickets: []ledger.Ticket{{Revision: 1, Replica: "r1", Inc: "r1", Step: ledger.Load, Unit: "m"}}}},
 	} {
 		if out := s.Apply(uint64(i+1), c); out.Fault != nil || len(out.Faults) > 0 {
 			t.Fatal(c.ID, out.Fault, out.Faults)
@@ -35,8 +35,8 @@
 	f := New("me")
 	f.routed.bornUs = clock.Sec
 	doneUs := 60 * clock.Sec
-	done := ledger.Duty{Settled: []ledger.Settled{{Number: s.Pending["r1"].Number, Done: true}}}
-	s.Apply(5, ledger.Change{ID: "e", Epoch: 1, Duty: &done})
+	done := ledger.LeaderUpdate{Settled: []ledger.Settled{{Number: s.Pending["r1"].Number, Done: true}}}
+	s.Apply(5, ledger.Change{ID: "e", Epoch: 1, LeaderUpdate: &done})
 	f.Saw(doneUs, 1, done, s)
 	f.leave()
 	for _, c := range []struct {
@@ -52,9 +52,9 @@
 		soft := roster.New(3 * clock.Sec)
 		soft.LateUs = c.lateUs
 		soft.Hear(c.atUs, roster.Row{ID: "r1", Service: "s", Addr: "a", Slots: 4, Seq: 9})
-		duty := &ledger.Duty{}
-		f.noteRoster(Seen{NowUs: c.atUs, State: s, Roster: soft}, duty)
-		if taken := len(duty.Fleet) > 0; taken != c.taken {
+		update := &ledger.LeaderUpdate{}
+		f.noteRoster(Seen{NowUs: c.atUs, State: s, Roster: soft}, update)
+		if taken := len(update.Fleet) > 0; taken != c.taken {
 			t.Errorf("%s: taken %v, want %v", c.name, taken, c.taken)
 		}
 	}
@@ -69,7 +69,7 @@
 
 	number := s.Pending["r1"].Number
 	s.Apply(5, ledger.Change{ID: "before", Epoch: 2, Claim: &ledger.Claim{Holder: "other"}})
-	s.Apply(6, ledger.Change{ID: "settled", Epoch: 2, Duty: &ledger.Duty{Settled: []ledger.Settled{{Number: number, Done: true}}}})
+	s.Apply(6, ledger.Change{ID: "settled", Epoch: 2, LeaderUpdate: &ledger.LeaderUpdate{Settled: []ledger.Settled{{Number: number, Done: true}}}})
 	nowUs := 60 * clock.Sec
 	head := func() {
 		f.Step(Seen{NowUs: nowUs, State: s, Head: true, Fresh: true, Writes: true, Roster: roster.New(clock.Sec)}, Event{NowUs: nowUs})
@@ -77,8 +77,8 @@
 	head()
 	s.Apply(7, ledger.Change{ID: "mine", Epoch: 3, Claim: &ledger.Claim{Holder: "me"}})
 	head()
-	if !f.OnDuty(s) {
-		t.Fatal("it does not hold the duty")
+	if !f.IsLeader(s) {
+		t.Fatal("it does not lead")
 	}
 	if f.mayOrder(nowUs+2*clock.Sec, "r1") {
 		t.Error("it orders the replica within the lease of a holder whose order it did not see")
--- a/internal/controller/note.go
+++ b/internal/controller/note.go
@@ -31,7 +31,7 @@
 	AgoMs  int64   `json:"agoMs"`
 }
 
-// Note is what the control node that holds the duty knows of replicas that make themselves known, beyond the
+// Note is what the control node that leads knows of replicas that make themselves known, beyond the
 // ledger. OrdersInMs is how long it still waits out its predecessor before it orders every replica.
 type Note struct {
 	Holder     string              `json:"holder"`
@@ -42,9 +42,9 @@
 	Needs      map[string]NeedNote `json:"needs,omitempty"`
 }
 
-// Note is nil where this control node does not hold the duty, or nothing is sent by routes.
+// Note is nil where this control node does not lead, or nothing is sent by routes.
 func (f *Controller) Note(nowUs int64, s *ledger.State) *Note {
-	if s.Doc == nil || !s.Doc.Routed() || !f.OnDuty(s) {
+	if s.Doc == nil || !s.Doc.Routed() || !f.IsLeader(s) {
 		return nil
 	}
 	n := &Note{Holder: s.Holder, Fence: s.Epoch, Orders: f.orderNotes(nowUs, s), Store: f.storeNotes(nowUs, s), Needs: map[string]NeedNote{}}
--- a/internal/controller/orders_explore_test.go
+++ b/internal/controller/orders_explore_test.go
@@ -117,7 +117,7 @@
 }
 
 // storeRush asks for as many loads from the store as can be: replicas come and go with empty disks, and the
-// duty changes hands now and then.
+// leadership changes hands now and then.
 func storeRush(seed int64, plant orderPlant) *orderModel {
 	const steps = 300
 	r := rand.New(rand.NewSource(seed))
@@ -234,7 +234,7 @@
 	}
 }
 
-// The store's window holds however much is asked for, and whoever holds the duty.
+// The store's window holds however much is asked for, and whoever leads.
 func TestTheStoreWindowHoldsUnderARush(t *testing.T) {
 	loads := 0
 	for seed := range int64(30) {
--- a/internal/controller/orders_model_test.go
+++ b/internal/controller/orders_model_test.go
@@ -191,15 +191,15 @@
 func (m *orderModel) apply(c ledger.Change) ledger.Outcome {
 	m.index++
 	out := m.state.Apply(m.index, c)
-	if c.Duty == nil || len(c.Duty.Tickets)+len(c.Duty.Settled) == 0 {
+	if c.LeaderUpdate == nil || len(c.LeaderUpdate.Tickets)+len(c.LeaderUpdate.Settled) == 0 {
 		return out
 	}
 	if out.Fault == nil {
-		m.settled += len(c.Duty.Settled)
+		m.settled += len(c.LeaderUpdate.Settled)
 	}
 	for _, o := range m.controlNodes {
 		if o.frozen == nil {
-			o.controller.Saw(m.nowUs, c.Epoch, *c.Duty, m.state)
+			o.controller.Saw(m.nowUs, c.Epoch, *c.LeaderUpdate, m.state)
 		}
 	}
 	return out
@@ -251,7 +251,7 @@
 			return
 		}
 		out := m.apply(change)
-		if change.Duty != nil {
+		if change.LeaderUpdate != nil {
 			m.back(i, from, Event{Wrote: &out})
 		}
 	})
--- a/internal/controller/outliers.go
+++ b/internal/controller/outliers.go
@@ -19,7 +19,7 @@
 	}
 }
 
-// judgeOutliers works out the verdicts; a new holder of the duty goes on from those of the one before.
+// judgeOutliers works out the verdicts; a new leader goes on from those of the one before.
 func (f *Controller) judgeOutliers(seen Seen) {
 	if f.judges != f.claimed {
 		f.judges = f.claimed
--- a/internal/controller/policy.go
+++ b/internal/controller/policy.go
@@ -83,7 +83,7 @@
 		return
 	}
 	f.runUs = 0
-	if !f.OnDuty(seen.State) || seen.State.Doc == nil {
+	if !f.IsLeader(seen.State) || seen.State.Doc == nil {
 		return
 	}
 	f.Policy = noted(f.Policy, p.Live)
--- a/internal/controller/routed.go
+++ b/internal/controller/routed.go
@@ -45,23 +45,23 @@
 
 // routed is the controller's memory for replicas that make themselves known.
 type routed struct {
-	dutyUs    int64
-	foreignUs int64
-	bornUs    int64
-	loadsUs   []int64
-	known     uint64
-	missedUs  int64
-	orders    map[uint64]*standingOrder
-	needs     map[string]*need
-	cameUs    map[unitAt]int64
-	trustedUs map[unitAt]int64
-	changedUs map[string]int64
-	unseenUs  map[string]int64
-	demandUs  int64
-	begunUs   map[routeModel]int64
-	intents   map[string]intent
-	unplaced  map[string]bool
-	noted     notedAt
+	leaderSinceUs int64
+	foreignUs     int64
+	bornUs        int64
+	loadsUs       []int64
+	known         uint64
+	missedUs      int64
+	orders        map[uint64]*standingOrder
+	needs         map[string]*need
+	cameUs        map[unitAt]int64
+	trustedUs     map[unitAt]int64
+	changedUs     map[string]int64
+	unseenUs      map[string]int64
+	demandUs      int64
+	begunUs       map[routeModel]int64
+	intents       map[string]intent
+	unplaced      map[string]bool
+	noted         notedAt
 }
 
 // unitAt is a model or an adapter at one replica.
@@ -82,13 +82,13 @@
 	}
 }
 
-// Saw notes the tickets and settled orders of whoever holds the duty, as they are applied: a successor
+// Saw notes the tickets and settled orders of whoever leads, as they are applied: a successor
 // waits out their lease, and counts their loads.
-func (f *Controller) Saw(nowUs int64, epoch uint64, d ledger.Duty, s *ledger.State) {
+func (f *Controller) Saw(nowUs int64, epoch uint64, d ledger.LeaderUpdate, s *ledger.State) {
 	if s.Doc == nil || !s.Doc.Routed() {
 		return
 	}
-	if foreign := epoch != f.claimed || !f.OnDuty(s); !f.turns.saw(nowUs, foreign, d, s) {
+	if foreign := epoch != f.claimed || !f.IsLeader(s); !f.turns.saw(nowUs, foreign, d, s) {
 		f.routed.foreignUs = nowUs
 	}
 	f.routed.missed(nowUs, s, len(d.Tickets))
@@ -107,9 +107,9 @@
 	}
 }
 
-// routedTick is a tick of whoever holds the duty over replicas that make themselves known.
+// routedTick is a tick of whoever leads over replicas that make themselves known.
 func (f *Controller) routedTick(seen Seen) {
-	if f.routed.dutyUs == 0 {
+	if f.routed.leaderSinceUs == 0 {
 		f.beginDuty(seen)
 	}
 	f.countNeeds(seen.NowUs)
@@ -122,7 +122,7 @@
 // beginDuty notes what an earlier holder may still have on its way.
 func (f *Controller) beginDuty(seen Seen) {
 	r := &f.routed
-	r.dutyUs = seen.NowUs
+	r.leaderSinceUs = seen.NowUs
 	if seen.State.NextTicket > 1 {
 		r.foreignUs = max(r.foreignUs, r.bornUs)
 	}
--- a/internal/controller/routed_test.go
+++ b/internal/controller/routed_test.go
@@ -117,10 +117,10 @@
 func (f *fleet) apply(c ledger.Change) ledger.Outcome {
 	f.index++
 	out := f.s.Apply(f.index, c)
-	if c.Duty != nil && len(c.Duty.Tickets)+len(c.Duty.Settled) > 0 {
+	if c.LeaderUpdate != nil && len(c.LeaderUpdate.Tickets)+len(c.LeaderUpdate.Settled) > 0 {
 		for i := range f.fs {
 			if f.fs[i] != nil {
-				f.fs[i].Saw(f.nowUs, c.Epoch, *c.Duty, f.s)
+				f.fs[i].Saw(f.nowUs, c.Epoch, *c.LeaderUpdate, f.s)
 			}
 		}
 	}
@@ -146,7 +146,7 @@
 					return
 				}
 				out := f.apply(change)
-				if change.Duty != nil {
+				if change.LeaderUpdate != nil {
 					back(Event{Wrote: &out})
 				}
 			})
@@ -338,7 +338,7 @@
 	f.head = 1 - f.head
 }
 
-// Whatever is called for, whoever holds the duty, whichever answers are lost and replicas come back: the
+// Whatever is called for, whoever leads, whichever answers are lost and replicas come back: the
 // store's window holds, no replica is ordered beyond its room or places, holders keep the lease, fences never
 // fall, and nothing is sent again before it was looked at, nor but on the count of
 // orders that was seen then.
@@ -438,7 +438,7 @@
 			t.Fatalf("%s: the replica is not written down", name)
 		}
 		index++
-		out := s.Apply(index, ledger.Change{ID: "t", Epoch: s.Epoch, Duty: &ledger.Duty{Tickets: []ledger.Ticket{{Replica: "r", Inc: "r", Revision: s.Revision, Step: ledger.Unload, Unit: "m0"}}}})
+		out := s.Apply(index, ledger.Change{ID: "t", Epoch: s.Epoch, LeaderUpdate: &ledger.LeaderUpdate{Tickets: []ledger.Ticket{{Replica: "r", Inc: "r", Revision: s.Revision, Step: ledger.Unload, Unit: "m0"}}}})
 		if len(out.Faults) > 0 {
 			t.Fatal(out.Faults)
 		}
@@ -466,12 +466,12 @@
 	index := uint64(2)
 	load := func(nowUs int64, id string) {
 		index++
-		duty := ledger.Duty{Fleet: []ledger.ReplicaNote{{ID: id, Inc: id, RoomMb: fleetRoomMb, Slots: 8, Service: "s"}},
+		update := ledger.LeaderUpdate{Fleet: []ledger.ReplicaNote{{ID: id, Inc: id, RoomMb: fleetRoomMb, Slots: 8, Service: "s"}},
 			Tickets: []ledger.Ticket{{Replica: id, Inc: id, Revision: s.Revision, Step: ledger.Load, Unit: "m0"}}}
-		if out := s.Apply(index, ledger.Change{ID: fmt.Sprint("d", index), Epoch: s.Epoch, Duty: &duty}); len(out.Faults) > 0 {
+		if out := s.Apply(index, ledger.Change{ID: fmt.Sprint("d", index), Epoch: s.Epoch, LeaderUpdate: &update}); len(out.Faults) > 0 {
 			t.Fatal(out.Faults)
 		}
-		from.Saw(nowUs, s.Epoch, duty, s)
+		from.Saw(nowUs, s.Epoch, update, s)
 	}
 	most := svc.Engine.StoreAtOnce()
 	load(clock.Sec, "r0")
@@ -485,7 +485,7 @@
 		t.Errorf("%d loads are left a window later, want %d", left, most-1)
 	}
 	load(8*clock.Sec, "r1")
-	late.Saw(8*clock.Sec, s.Epoch, ledger.Duty{Tickets: make([]ledger.Ticket, 1)}, s)
+	late.Saw(8*clock.Sec, s.Epoch, ledger.LeaderUpdate{Tickets: make([]ledger.Ticket, 1)}, s)
 	if late.routed.missedUs >= 8*clock.Sec {
 		t.Error("a ticket that was seen counts as missed")
 	}
--- a/internal/controller/rows.go
+++ b/internal/controller/rows.go
@@ -22,7 +22,7 @@
 
 // noteRoster writes down what tickets need to know of replicas: their lives, their room and what they hold.
 // It changes with notices, lives and loads, not with heartbeats.
-func (f *Controller) noteRoster(seen Seen, duty *ledger.Duty) {
+func (f *Controller) noteRoster(seen Seen, update *ledger.LeaderUpdate) {
 	now := notedAt{seen.Roster.Rev, seen.State.HoldsIndex, seen.State.Revision, f.routed.noted.atUs}
 	if now == f.routed.noted && seen.NowUs-now.atUs < noteEveryUs {
 		return
@@ -30,20 +30,20 @@
 	now.atUs = seen.NowUs
 	f.routed.noted = now
 	for _, id := range seen.Roster.IDs() {
-		f.noteEntry(seen, seen.Roster.Row(id), duty)
+		f.noteEntry(seen, seen.Roster.Row(id), update)
 	}
 	for _, id := range seen.State.ReplicaIDs() {
-		f.noteUnseen(seen, id, duty)
+		f.noteUnseen(seen, id, update)
 	}
 }
 
 // noteEntry compares one replica's own word with the ledger, and writes down what differs.
-func (f *Controller) noteEntry(seen Seen, e *roster.Entry, duty *ledger.Duty) {
+func (f *Controller) noteEntry(seen Seen, e *roster.Entry, update *ledger.LeaderUpdate) {
 	have := seen.State.Replicas[e.ID]
 	svc := seen.State.Doc.Service(e.Service)
 	if e.Gone || svc == nil || svc.Engine == nil {
 		if have != nil {
-			duty.Gone = append(duty.Gone, e.ID)
+			update.Gone = append(update.Gone, e.ID)
 			delete(f.routed.changedUs, e.ID)
 		}
 		return
@@ -54,7 +54,7 @@
 	}
 	f.noteUnits(seen, e, svc, &n)
 	if rowDiffers(have, n) {
-		duty.Fleet = append(duty.Fleet, n)
+		update.Fleet = append(update.Fleet, n)
 	}
 }
 
@@ -76,7 +76,7 @@
 }
 
 // noteUnseen takes a replica out of the ledger once no control node has heard of it for long enough.
-func (f *Controller) noteUnseen(seen Seen, id string, duty *ledger.Duty) {
+func (f *Controller) noteUnseen(seen Seen, id string, update *ledger.LeaderUpdate) {
 	if seen.Roster.Row(id) != nil {
 		delete(f.routed.unseenUs, id)
 		return
@@ -85,7 +85,7 @@
 	if !known {
 		f.routed.unseenUs[id] = seen.NowUs
 	} else if seen.NowUs-sinceUs > forgottenUs {
-		duty.Gone = append(duty.Gone, id)
+		update.Gone = append(update.Gone, id)
 		delete(f.routed.unseenUs, id)
 		delete(f.routed.changedUs, id)
 	}
--- a/internal/controller/share.go
+++ b/internal/controller/share.go
@@ -7,7 +7,7 @@
 )
 
 // grant hands out attempt numbers for every model at every replica, before those of a gateway run out.
-func (f *Controller) grant(seen Seen, duty *ledger.Duty) {
+func (f *Controller) grant(seen Seen, update *ledger.LeaderUpdate) {
 	s := seen.State
 	gateways := f.live(seen.NowUs)
 	for _, id := range s.ReplicaIDs() {
@@ -21,7 +21,7 @@
 			}
 			for _, gateway := range gateways {
 				if ask, needed := f.grantAsk(s, r, unit, gateway); needed {
-					duty.Grants = append(duty.Grants, ask)
+					update.Grants = append(update.Grants, ask)
 				}
 			}
 		}
@@ -51,7 +51,7 @@
 )
 
 // share divides a replica's slots by what each gateway has there and what waits for its models.
-func (f *Controller) share(seen Seen, duty *ledger.Duty) {
+func (f *Controller) share(seen Seen, update *ledger.LeaderUpdate) {
 	if seen.NowUs-f.shareUs < shareEveryUs {
 		return
 	}
@@ -70,10 +70,10 @@
 		if !f.worthwhile(r, shares) {
 			continue
 		}
-		if duty.Shares == nil {
-			duty.Shares = map[string]map[string]int{}
+		if update.Shares == nil {
+			update.Shares = map[string]map[string]int{}
 		}
-		duty.Shares[id] = shares
+		update.Shares[id] = shares
 	}
 }
 
@@ -152,7 +152,7 @@
 }
 
 // markKeys notes a place of the log every hour; idempotency keys from before the oldest such place are forgotten.
-func (f *Controller) markKeys(seen Seen, duty *ledger.Duty) {
+func (f *Controller) markKeys(seen Seen, update *ledger.LeaderUpdate) {
 	if f.markUs == 0 {
 		f.markUs = seen.NowUs
 	}
@@ -162,7 +162,7 @@
 	f.markUs = seen.NowUs
 	f.marks = append(f.marks, seen.State.Index)
 	if len(f.marks) > keyMarks {
-		duty.Forget = f.marks[0]
+		update.Forget = f.marks[0]
 		f.marks = f.marks[1:]
 	}
 }
--- a/internal/controller/slow_test.go
+++ b/internal/controller/slow_test.go
@@ -26,7 +26,7 @@
 			case e.Write != nil:
 				index++
 				out := s.Apply(index, *e.Write)
-				f.Saw(nowUs, e.Write.Epoch, dutyOf(e.Write), s)
+				f.Saw(nowUs, e.Write.Epoch, leaderUpdateOf(e.Write), s)
 				step(Event{Wrote: &out})
 			case e.Order != nil:
 				step(Event{Ordered: &Ordered{Replica: "r", Inc: "r", State: wireRunning(e.Order.Order.Ticket.Number)}})
@@ -43,7 +43,7 @@
 	}
 	pass(6 * clock.Sec)
 	index++
-	out := s.Apply(index, ledger.Change{ID: "t", Epoch: s.Epoch, Duty: &ledger.Duty{Tickets: []ledger.Ticket{{Replica: "r", Inc: "r", Revision: s.Revision, Step: ledger.Load, Unit: "m0"}}}})
+	out := s.Apply(index, ledger.Change{ID: "t", Epoch: s.Epoch, LeaderUpdate: &ledger.LeaderUpdate{Tickets: []ledger.Ticket{{Replica: "r", Inc: "r", Revision: s.Revision, Step: ledger.Load, Unit: "m0"}}}})
 	if len(out.Faults) > 0 {
 		t.Fatal(out.Faults)
 	}
@@ -62,11 +62,11 @@
 	}
 }
 
-func dutyOf(c *ledger.Change) ledger.Duty {
-	if c.Duty == nil {
-		return ledger.Duty{}
+func leaderUpdateOf(c *ledger.Change) ledger.LeaderUpdate {
+	if c.LeaderUpdate == nil {
+		return ledger.LeaderUpdate{}
 	}
-	return *c.Duty
+	return *c.LeaderUpdate
 }
 
 func wireRunning(number uint64) wire.OrderState {
--- a/internal/controller/turns.go
+++ b/internal/controller/turns.go
@@ -30,8 +30,8 @@
 	}
 }
 
-// saw notes a duty as it is applied; false where tickets came and went before that were not seen, as in a copy.
-func (t *turns) saw(nowUs int64, foreign bool, d ledger.Duty, s *ledger.State) bool {
+// saw notes a leader update as it is applied; false where tickets came and went before that were not seen, as in a copy.
+func (t *turns) saw(nowUs int64, foreign bool, d ledger.LeaderUpdate, s *ledger.State) bool {
 	if t.replicas == nil {
 		t.follow(s)
 		return false
@@ -69,7 +69,7 @@
 }
 
 // unseen notes the replicas of tickets that stood when this controller last looked and do not any more, though it
-// saw none of them settled: whoever held the duty meanwhile may have sent them again up to now.
+// saw none of them settled: whoever led meanwhile may have sent them again up to now.
 func (t *turns) unseen(nowUs int64, s *ledger.State) {
 	for number, id := range t.replicas {
 		if s.Pending[id].Number != number {
--- a/internal/controller/turns_test.go
+++ b/internal/controller/turns_test.go
@@ -73,8 +73,8 @@
 			if out := s.Apply(index, c); out.Fault != nil || len(out.Faults) > 0 {
 				t.Fatal(out.Fault, out.Faults)
 			}
-			if c.Duty != nil && !deaf {
-				f.Saw(nowUs, c.Epoch, *c.Duty, s)
+			if c.LeaderUpdate != nil && !deaf {
+				f.Saw(nowUs, c.Epoch, *c.LeaderUpdate, s)
 			}
 		}
 		apply(0, ledger.Change{ID: "c", Config: &ledger.ConfigChange{Version: 1, Doc: fleetDoc()}})
@@ -88,9 +88,9 @@
 		note := func(id string) ledger.ReplicaNote {
 			return ledger.ReplicaNote{ID: id, Inc: id, RoomMb: fleetRoomMb, Slots: 8, Service: "s"}
 		}
-		apply(8*clock.Sec, ledger.Change{ID: "d1", Epoch: 1, Duty: &ledger.Duty{Fleet: []ledger.ReplicaNote{note("r0"), note("r1")},
+		apply(8*clock.Sec, ledger.Change{ID: "d1", Epoch: 1, LeaderUpdate: &ledger.LeaderUpdate{Fleet: []ledger.ReplicaNote{note("r0"), note("r1")},
 			Tickets: []ledger.Ticket{{Replica: "r0", Inc: "r0", Revision: s.Revision, Step: ledger.Load, Unit: "m0"}}}})
-		apply(9*clock.Sec, ledger.Change{ID: "d2", Epoch: 1, Duty: &ledger.Duty{Settled: []ledger.Settled{{Number: 1, Done: true}}}})
+		apply(9*clock.Sec, ledger.Change{ID: "d2", Epoch: 1, LeaderUpdate: &ledger.LeaderUpdate{Settled: []ledger.Settled{{Number: 1, Done: true}}}})
 		seen.Head, seen.Fresh = true, true
 		tick(9500 * clock.Ms)
 		apply(9500*clock.Ms, ledger.Change{ID: "k2", Epoch: 2, Claim: &ledger.Claim{Holder: "two"}})
@@ -108,7 +108,7 @@
 }
 
 // An order may reach its replica long after the last that the ledger shows of it, as over a link that loses packets.
-// Whoever holds the duty next leaves a whole lease between that arrival and its own first order.
+// Whoever leads next leaves a whole lease between that arrival and its own first order.
 func TestAnOrderThatWasOnItsWayIsNoTurnWithinTheLease(t *testing.T) {
 	f := NewWith("two", Options{LeaseUs: fleetLeaseUs})
 	f.turns.atUs = map[string]int64{"r0": 9 * clock.Sec}
--- a/internal/controller/write.go
+++ b/internal/controller/write.go
@@ -14,29 +14,29 @@
 		return
 	}
 	f.issuingMb = 0
-	duty := &ledger.Duty{}
+	update := &ledger.LeaderUpdate{}
 	if seen.isRouted() {
-		f.writeRouted(seen, duty)
+		f.writeRouted(seen, update)
 	} else {
-		f.writeDeclared(seen, duty)
+		f.writeDeclared(seen, update)
 	}
-	f.writeDuty(seen, duty)
+	f.writeUpdate(seen, update)
 }
 
 // writeDeclared gathers what is due for replicas that the platform lists.
-func (f *Controller) writeDeclared(seen Seen, duty *ledger.Duty) {
+func (f *Controller) writeDeclared(seen Seen, update *ledger.LeaderUpdate) {
 	s := seen.State
-	f.noteFleet(seen, duty)
-	f.settle(seen.NowUs, s, duty)
-	f.dropGateways(seen, duty)
+	f.noteFleet(seen, update)
+	f.settle(seen.NowUs, s, update)
+	f.dropGateways(seen, update)
 	if s.Doc != nil {
-		f.grant(seen, duty)
-		f.share(seen, duty)
+		f.grant(seen, update)
+		f.share(seen, update)
 		if f.takeProposals(s.Revision) {
-			f.issue(s, duty)
+			f.issue(s, update)
 		}
 	}
-	f.markKeys(seen, duty)
+	f.markKeys(seen, update)
 }
 
 // takeProposals says whether proposals wait that were made for this revision; older ones are dropped.
@@ -48,7 +48,7 @@
 }
 
 // issue adds the tickets that the policy proposed and the checker took, and spends the store's rate on them.
-func (f *Controller) issue(s *ledger.State, duty *ledger.Duty) {
+func (f *Controller) issue(s *ledger.State, update *ledger.LeaderUpdate) {
 	tickets, verdicts := placement.Check(s, f.bucket.TokensMb, f.proposed)
 	f.judged(verdicts)
 	for _, v := range verdicts {
@@ -62,7 +62,7 @@
 			f.issuingMb += t.SizeMb
 		}
 	}
-	duty.Tickets = tickets
+	update.Tickets = tickets
 }
 
 // judged notes what the checker said to the proposals, which are done with.
@@ -76,10 +76,10 @@
 }
 
 // writeRouted gathers what is due for replicas that make themselves known.
-func (f *Controller) writeRouted(seen Seen, duty *ledger.Duty) {
+func (f *Controller) writeRouted(seen Seen, update *ledger.LeaderUpdate) {
 	s := seen.State
-	f.noteRoster(seen, duty)
-	f.settle(seen.NowUs, s, duty)
+	f.noteRoster(seen, update)
+	f.settle(seen.NowUs, s, update)
 	f.forgetGateways(seen.NowUs)
 	if !f.mayPlan(seen.NowUs) {
 		f.proposed = nil
@@ -87,7 +87,7 @@
 	if f.takeProposals(s.Revision) {
 		tickets, verdicts := placement.CheckRouted(s, f.leftFor(seen.NowUs, s), f.proposed)
 		f.judged(verdicts)
-		duty.Tickets = tickets
+		update.Tickets = tickets
 		f.intend(seen.NowUs, verdicts)
 	}
 }
@@ -105,20 +105,20 @@
 	}
 }
 
-// writeDuty writes a change, unless there is nothing in it.
-func (f *Controller) writeDuty(seen Seen, duty *ledger.Duty) {
+// writeUpdate writes a change, unless there is nothing in it.
+func (f *Controller) writeUpdate(seen Seen, update *ledger.LeaderUpdate) {
 	if !seen.isRouted() && !f.checked && f.list != nil && f.listAtUs > f.viewUs {
-		duty.Checked = f.view
+		update.Checked = f.view
 		f.checked = true
 	}
-	if duty.Blank() {
+	if update.Blank() {
 		return
 	}
-	f.moved = f.moved || len(duty.Settled)+len(duty.Fleet)+len(duty.Gone) > 0
+	f.moved = f.moved || len(update.Settled)+len(update.Fleet)+len(update.Gone) > 0
 	f.writes++
 	f.writing = fmt.Sprintf("duty-%s-%d-%d", f.me, f.claimed, f.writes)
 	f.writeUs = seen.NowUs
-	f.do(Effect{Write: &ledger.Change{ID: f.writing, Epoch: f.claimed, Duty: duty}})
+	f.do(Effect{Write: &ledger.Change{ID: f.writing, Epoch: f.claimed, LeaderUpdate: update}})
 }
 
 // wrote takes the outcome of the change under way, and goes on at once.
@@ -130,7 +130,7 @@
 	for _, bad := range out.Faults {
 		f.count(bad.Code)
 	}
-	if f.OnDuty(seen.State) && seen.Fresh {
+	if f.IsLeader(seen.State) && seen.Fresh {
 		if !seen.isRouted() {
 			f.orders(seen)
 		}
--- a/internal/controlnode/core.go
+++ b/internal/controlnode/core.go
@@ -270,18 +270,18 @@
 
 func (c *Core) applied(nowUs int64, a chain.Applied) {
 	change := a.Entry.Change
-	if change.Duty != nil && change.Duty.Checked > 0 {
-		c.checked = change.Duty.Checked
+	if change.LeaderUpdate != nil && change.LeaderUpdate.Checked > 0 {
+		c.checked = change.LeaderUpdate.Checked
 	}
 	c.effects = append(c.effects, Effect{Applied: &a})
-	if change.Duty != nil && len(change.Duty.Tickets)+len(change.Duty.Settled) > 0 {
+	if change.LeaderUpdate != nil && len(change.LeaderUpdate.Tickets)+len(change.LeaderUpdate.Settled) > 0 {
 		sawUs := nowUs
 		if a.Entry.Index <= c.bornLast {
 			sawUs = c.bornUs
 		}
-		c.Controller.Saw(sawUs, change.Epoch, *change.Duty, c.Node.State())
+		c.Controller.Saw(sawUs, change.Epoch, *change.LeaderUpdate, c.Node.State())
 	}
-	if change.Duty != nil && change.Epoch == c.Node.State().Epoch {
+	if change.LeaderUpdate != nil && change.Epoch == c.Node.State().Epoch {
 		out := a.Outcome
 		c.controller(controller.Event{NowUs: nowUs, Wrote: &out})
 	}
@@ -356,7 +356,7 @@
 	Last        uint64                   `json:"last"`
 	Epoch       uint64                   `json:"epoch"`
 	Holder      string                   `json:"holder"`
-	OnDuty      bool                     `json:"onDuty"`
+	IsLeader    bool                     `json:"onDuty"`
 	Revision    uint64                   `json:"revision"`
 	Emptied     []string                 `json:"emptied,omitempty"`
 	Partners    []chain.PartnerNote      `json:"partners"`
@@ -385,7 +385,7 @@
 	s := c.Node.State()
 	st := Status{
 		ControlNode: c.Node.Me(), Phase: c.Node.Phase(), View: c.Node.View(), Open: c.Node.Open(nowUs), WaitsFor: c.Node.WaitsFor(),
-		Commit: c.Node.Commit(), Last: c.Node.Last(), Epoch: s.Epoch, Holder: s.Holder, OnDuty: c.Controller.OnDuty(s),
+		Commit: c.Node.Commit(), Last: c.Node.Last(), Epoch: s.Epoch, Holder: s.Holder, IsLeader: c.Controller.IsLeader(s),
 		Revision: s.Revision, Partners: c.Node.Partners(), Gateways: c.Room.Gateways(nowUs), Demand: c.Controller.Gateways(nowUs),
 		Counts: c.Controller.Counts(), Policy: c.Controller.Policy, Shadows: c.Controller.Shadows,
 		Faults: copyOf(c.Controller.Faults), Refused: copyOf(s.Refused), Keys: len(s.Keys), Member: s.Member, MemberOn: c.Node.MemberWaits(), Grants: len(s.Grants), Loads: s.Loads, LoadedMb: s.LoadedMb,
--- a/internal/controlnode/fleet_test.go
+++ b/internal/controlnode/fleet_test.go
@@ -35,8 +35,8 @@
 	known := func(id string) ledger.ReplicaNote {
 		return ledger.ReplicaNote{ID: id, Inc: id, Addr: id, Zone: "z", RoomMb: 100, Slots: 4, Service: "s", Told: true, Holds: []ledger.Holding{{Unit: "m", SizeMb: 30}}}
 	}
-	s.Apply(3, ledger.Change{ID: "fleet", Epoch: 1, Duty: &ledger.Duty{Fleet: []ledger.ReplicaNote{known("ready"), known("never")}}})
-	out := s.Apply(4, ledger.Change{ID: "ticket", Epoch: 1, Duty: &ledger.Duty{Tickets: []ledger.Ticket{{Replica: "ready", Inc: "ready", Revision: 1, Step: ledger.Load, Unit: "n"}}}})
+	s.Apply(3, ledger.Change{ID: "fleet", Epoch: 1, LeaderUpdate: &ledger.LeaderUpdate{Fleet: []ledger.ReplicaNote{known("ready"), known("never")}}})
+	out := s.Apply(4, ledger.Change{ID: "ticket", Epoch: 1, LeaderUpdate: &ledger.LeaderUpdate{Tickets: []ledger.Ticket{{Replica: "ready", Inc: "ready", Revision: 1, Step: ledger.Load, Unit: "n"}}}})
 	if len(out.Faults) > 0 {
 		t.Fatal(out.Faults)
 	}
@@ -79,7 +79,7 @@
 	if diff := cmp.Diff(want, f.Replicas); diff != "" {
 		t.Error(diff)
 	}
-	if f.Version != 7 || len(f.Routes) != 1 || f.Routes[0].Source != nil || f.Duty != nil {
+	if f.Version != 7 || len(f.Routes) != 1 || f.Routes[0].Source != nil || f.Leadership != nil {
 		t.Errorf("%+v", f)
 	}
 	if diff := cmp.Diff([]ServiceNote{{Name: "plain", ConnectionsMost: 9, Replicas: 1}, {Name: "s", Models: 2, RoomMb: 100, Replicas: 2}}, f.Services); diff != "" {
--- a/internal/controlnode/life_test.go
+++ b/internal/controlnode/life_test.go
@@ -97,11 +97,11 @@
 	p.write(ledger.Change{ID: "c", Config: &ledger.ConfigChange{Version: 1, Doc: doc}})
 	p.pass(clock.Sec)
 	s := p.head().Node.State()
-	p.write(ledger.Change{ID: "d1", Epoch: s.Epoch, Duty: &ledger.Duty{
+	p.write(ledger.Change{ID: "d1", Epoch: s.Epoch, LeaderUpdate: &ledger.LeaderUpdate{
 		Fleet:   []ledger.ReplicaNote{{ID: "r", Inc: "r", RoomMb: 100, Slots: 4, Service: "s"}},
 		Tickets: []ledger.Ticket{{Replica: "r", Inc: "r", Revision: s.Revision, Step: ledger.Load, Unit: "m"}},
 	}})
-	p.write(ledger.Change{ID: "d2", Epoch: s.Epoch, Duty: &ledger.Duty{Settled: []ledger.Settled{{Number: s.NextTicket - 1, Done: true}}}})
+	p.write(ledger.Change{ID: "d2", Epoch: s.Epoch, LeaderUpdate: &ledger.LeaderUpdate{Settled: []ledger.Settled{{Number: s.NextTicket - 1, Done: true}}}})
 	p.pass(clock.Sec)
 	if s := p.head().Node.State(); s.NextTicket < 2 || len(s.Pending) > 0 || s.Replicas["r"] == nil {
 		t.Fatalf("next ticket %d, pending %v", s.NextTicket, s.Pending)
@@ -117,7 +117,7 @@
 	}
 	note := p.cores[0].Controller.Note(p.nowUs, p.cores[0].Node.State())
 	if note == nil {
-		t.Fatal("the first control node does not hold the duty")
+		t.Fatal("the first control node does not lead")
 	}
 	agoMs := (p.nowUs - bornUs) / 1000
 	if most := pairLeaseMs + controller.OrderFlightUs/1000 + 150 - agoMs; note.OrdersInMs > most || agoMs < 1500 || agoMs > pairLeaseMs {
--- a/internal/controlnode/malformed_test.go
+++ b/internal/controlnode/malformed_test.go
@@ -104,7 +104,7 @@
 		{ID: "no declaration", Config: &ledger.ConfigChange{Base: 3, Version: 9}},
 		{ID: "an empty edit", Config: &ledger.ConfigChange{Base: 3, Version: 9, Edit: &configuration.Edit{}}},
 		{ID: "claim", Epoch: 1, Claim: &ledger.Claim{}},
-		{ID: "duty", Epoch: 1, Duty: &ledger.Duty{
+		{ID: "duty", Epoch: 1, LeaderUpdate: &ledger.LeaderUpdate{
 			Fleet: []ledger.ReplicaNote{{}, {ID: "r", Inc: "r", RoomMb: -1, Slots: -1, Told: true, Holds: []ledger.Holding{{}, {Unit: "m", SizeMb: -1}}}},
 			Gone:  []string{"", "none"}, Tickets: []ledger.Ticket{{}, {Replica: "r", Inc: "r", Step: ledger.Load}}, Settled: []ledger.Settled{{}, {Number: 1 << 63}},
 			Grants: []ledger.GrantAsk{{Replica: "r", Inc: "r", Count: 1}}, Shares: map[string]map[string]int{"r": nil, "none": {"d": -1}}, Gateways: []string{""}, Forget: 1 << 63,
@@ -134,7 +134,7 @@
 			tr := newTrio(t)
 			if before {
 				tr.step(0, Event{Submit: &ledger.Change{ID: "claimed", Epoch: 1, Claim: &ledger.Claim{Holder: "oa0"}}})
-				tr.step(0, Event{Submit: &ledger.Change{ID: "fleet", Epoch: 1, Duty: &ledger.Duty{Fleet: []ledger.ReplicaNote{{ID: "q", Inc: "q", RoomMb: 10, Slots: 1}}}}})
+				tr.step(0, Event{Submit: &ledger.Change{ID: "fleet", Epoch: 1, LeaderUpdate: &ledger.LeaderUpdate{Fleet: []ledger.ReplicaNote{{ID: "q", Inc: "q", RoomMb: 10, Slots: 1}}}}})
 			}
 			if broken := survives(tr, 0, Event{Submit: &c}); broken != "" {
 				t.Errorf("%q, with a replica %v: %.900s", c.ID, before, broken)
--- a/internal/feed/hub_test.go
+++ b/internal/feed/hub_test.go
@@ -21,12 +21,12 @@
 	doc := &configuration.Declaration{Version: 1, Services: []configuration.Service{{Name: "s", Engine: engine}},
 		Routes: []configuration.Route{{Name: "r", Host: "h", Prefix: "/", Repeat: configuration.Streaming, TimeoutMs: 1000, AttemptsMost: 1, Split: []configuration.Weighted{{Service: "s", Weight: 1}}}}}
 	s.Apply(1, ledger.Change{ID: "c", Config: &ledger.ConfigChange{Version: 1, Doc: doc}})
-	duty := &ledger.Duty{}
+	update := &ledger.LeaderUpdate{}
 	for _, id := range ids {
-		duty.Fleet = append(duty.Fleet, ledger.ReplicaNote{ID: id, Inc: id, Addr: id, RoomMb: 100, Slots: 4, Service: "s", Told: true, Holds: []ledger.Holding{{Unit: "m1", SizeMb: 10}}})
-		duty.Tickets = append(duty.Tickets, ledger.Ticket{Revision: 1, Replica: id, Inc: id, Step: ledger.Load, Unit: "m2"})
+		update.Fleet = append(update.Fleet, ledger.ReplicaNote{ID: id, Inc: id, Addr: id, RoomMb: 100, Slots: 4, Service: "s", Told: true, Holds: []ledger.Holding{{Unit: "m1", SizeMb: 10}}})
+		update.Tickets = append(update.Tickets, ledger.Ticket{Revision: 1, Replica: id, Inc: id, Step: ledger.Load, Unit: "m2"})
 	}
-	if out := s.Apply(2, ledger.Change{ID: "d", Duty: duty}); out.Fault != nil || len(out.Faults) > 0 {
+	if out := s.Apply(2, ledger.Change{ID: "d", LeaderUpdate: update}); out.Fault != nil || len(out.Faults) > 0 {
 		t.Fatal(out.Fault, out.Faults)
 	}
 	return s
@@ -60,7 +60,7 @@
 		t.Fatal("the first frames are not whole")
 	}
 	number := s.Pending["r2"].Number
-	s.Apply(3, ledger.Change{ID: "e", Duty: &ledger.Duty{Settled: []ledger.Settled{{Number: number, Done: true}}}})
+	s.Apply(3, ledger.Change{ID: "e", LeaderUpdate: &ledger.LeaderUpdate{Settled: []ledger.Settled{{Number: number, Done: true}}}})
 	after := frames(50 * clock.Ms)
 	if after["spare"] != nil {
 		t.Error("a spare stream was brought on at once")
@@ -80,7 +80,7 @@
 		t.Error("the spare stream was not brought on in its time")
 	}
 	h.Follow(nowUs, wire.Follow{Gateway: "late", Inc: "i"})
-	s.Apply(4, ledger.Change{ID: "f", Duty: &ledger.Duty{Settled: []ledger.Settled{{Number: s.Pending["r1"].Number, Done: true}}}})
+	s.Apply(4, ledger.Change{ID: "f", LeaderUpdate: &ledger.LeaderUpdate{Settled: []ledger.Settled{{Number: s.Pending["r1"].Number, Done: true}}}})
 	joined := frames(clock.Ms)
 	if joined["main"] == nil || joined["main"].Orders == nil || joined["main"].Orders.Number != joined["late"].Orders.Number {
 		t.Error("a stream joined at another point than the others stand at: what came and went between would stay")
@@ -135,7 +135,7 @@
 	if heard := frame(20 * clock.Ms); heard == nil || len(heard.Replicas) != 1 || heard.Replicas[0].ID != "r1" || heard.Replicas[0].Stale {
 		t.Error("a replica's first word did not take the place of the ledger's")
 	}
-	seen.State.Apply(3, ledger.Change{ID: "e", Duty: &ledger.Duty{Gone: []string{"r3"}}})
+	seen.State.Apply(3, ledger.Change{ID: "e", LeaderUpdate: &ledger.LeaderUpdate{Gone: []string{"r3"}}})
 	if left := frame(20 * clock.Ms); left == nil || len(left.Replicas) != 1 || left.Replicas[0].ID != "r3" || !left.Replicas[0].Gone {
 		t.Error("a replica that the ledger has let go was not taken back")
 	}
@@ -169,7 +169,7 @@
 		soft.Sweep(nowUs)
 	}
 	frame(clock.Sec)
-	s.Apply(3, ledger.Change{ID: "e", Duty: &ledger.Duty{Settled: []ledger.Settled{{Number: s.Pending["r1"].Number, Done: true}}}})
+	s.Apply(3, ledger.Change{ID: "e", LeaderUpdate: &ledger.LeaderUpdate{Settled: []ledger.Settled{{Number: s.Pending["r1"].Number, Done: true}}}})
 	if f := frame(clock.Sec); f != nil {
 		for _, r := range f.Replicas {
 			if r.ID == "r1" && !r.Gone {
--- a/internal/ledger/bounds_test.go
+++ b/internal/ledger/bounds_test.go
@@ -44,7 +44,7 @@
 		t.Fatalf("%d keys, %d in order", len(s.Keys), len(s.KeyOrder))
 	}
 	s.Apply(s.Index+1, Change{ID: "claim", Epoch: 1, Claim: &Claim{Holder: "one"}})
-	s.Apply(s.Index+1, Change{ID: "forget", Epoch: 1, Duty: &Duty{Forget: s.Keys[s.KeyOrder[100]].Index}})
+	s.Apply(s.Index+1, Change{ID: "forget", Epoch: 1, LeaderUpdate: &LeaderUpdate{Forget: s.Keys[s.KeyOrder[100]].Index}})
 	if len(s.Keys) != KeysMost-100 {
 		t.Fatalf("%d keys after 100 were forgotten", len(s.Keys))
 	}
@@ -79,13 +79,13 @@
 	if diff := cmp.Diff(before, string(frozen.Encode())); diff != "" {
 		t.Fatal(diff)
 	}
-	must(t, s, Change{ID: "s", Epoch: 1, Duty: &Duty{Settled: []Settled{{Number: 1, Done: true}}, Shares: map[string]map[string]int{"r1": {"d": 2}},
+	must(t, s, Change{ID: "s", Epoch: 1, LeaderUpdate: &LeaderUpdate{Settled: []Settled{{Number: 1, Done: true}}, Shares: map[string]map[string]int{"r1": {"d": 2}},
 		Grants: []GrantAsk{{Gateway: "d", GatewayInc: "i", Replica: "r1", Inc: "i", Model: "a", Count: 9}}, Gone: []string{"r2"}}})
 	for i := 2; i < 40; i++ {
 		must(t, s, claim(i))
 	}
 	must(t, s, Change{ID: "end", Key: &KeyChange{Key: claim(1).Key.Key, Gateway: "front-3", GatewayInc: "0123456789ab", Call: claim(1).Key.Call, End: "yes"}})
-	must(t, s, Change{ID: "f", Epoch: 1, Duty: &Duty{Forget: s.Index}})
+	must(t, s, Change{ID: "f", Epoch: 1, LeaderUpdate: &LeaderUpdate{Forget: s.Index}})
 	must(t, s, Change{ID: "c2", Config: &ConfigChange{Base: 1, Doc: &configuration.Declaration{Name: "next"}}})
 	if diff := cmp.Diff(before, string(frozen.Encode())); diff != "" {
 		t.Fatalf("what went on changed the frozen one: %s", diff)
--- a/internal/ledger/duty.go
+++ b/internal/ledger/leader_update.go
@@ -2,13 +2,13 @@
 
 import "petreltide/internal/fault"
 
-// Claim takes the duty of the controller under the next epoch.
+// Claim takes the leadership of the controller under the next epoch.
 type Claim struct {
 	Holder string `json:"holder"`
 }
 
-// Duty is one write of the controller that holds the duty: what it knows of replicas, and the orders it issues and settles.
-type Duty struct {
+// LeaderUpdate is one write of the controller that leads: what it knows of replicas, and the orders it issues and settles.
+type LeaderUpdate struct {
 	Fleet    []ReplicaNote             `json:"fleet,omitempty"`
 	Gone     []string                  `json:"gone,omitempty"`
 	Tickets  []Ticket                  `json:"tickets,omitempty"`
@@ -20,8 +20,8 @@
 	Checked  uint64                    `json:"checkedInView,omitempty"`
 }
 
-// Blank says whether a duty would change nothing.
-func (d *Duty) Blank() bool {
+// Blank says whether an update would change nothing.
+func (d *LeaderUpdate) Blank() bool {
 	return len(d.Fleet)+len(d.Gone)+len(d.Tickets)+len(d.Settled)+len(d.Grants)+len(d.Shares)+len(d.Gateways) == 0 && d.Forget+d.Checked == 0
 }
 
@@ -34,41 +34,41 @@
 	s.Holder = c.Claim.Holder
 }
 
-func (s *State) applyDuty(out *Outcome, c Change) {
+func (s *State) applyLeaderUpdate(out *Outcome, c Change) {
 	if c.Epoch != s.Epoch {
 		out.Fault = fault.New(fault.StaleEpoch, "epoch", "written under %d, current is %d", c.Epoch, s.Epoch)
 		return
 	}
 	sheet := &fault.Sheet{}
 	news := false
-	for _, n := range c.Duty.Fleet {
+	for _, n := range c.LeaderUpdate.Fleet {
 		s.noteReplica(n)
 		news = true
 	}
-	for _, id := range c.Duty.Gone {
+	for _, id := range c.LeaderUpdate.Gone {
 		s.dropReplica(id)
 		news = true
 	}
-	for _, d := range c.Duty.Settled {
+	for _, d := range c.LeaderUpdate.Settled {
 		news = s.settle(d) || news
 	}
-	for _, t := range c.Duty.Tickets {
+	for _, t := range c.LeaderUpdate.Tickets {
 		if f := s.issue(c.Epoch, t); f != nil {
 			sheet.Add(f)
 		}
 	}
-	s.forgetKeys(c.Duty.Forget)
-	for _, gateway := range c.Duty.Gateways {
+	s.forgetKeys(c.LeaderUpdate.Forget)
+	for _, gateway := range c.LeaderUpdate.Gateways {
 		s.dropGateway(gateway)
 	}
-	for _, g := range c.Duty.Grants {
+	for _, g := range c.LeaderUpdate.Grants {
 		if f := s.grant(c.Epoch, g); f != nil {
 			sheet.Add(f)
 			continue
 		}
 		news = true
 	}
-	for id, shares := range c.Duty.Shares {
+	for id, shares := range c.LeaderUpdate.Shares {
 		if r := s.Replicas[id]; r != nil && sumOf(shares) <= r.Slots {
 			r.Shares = shares
 			news = true
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -17,14 +17,14 @@
 
 // Change is one entry of the log; one of its pointers is set.
 type Change struct {
-	ID     string        `json:"id"`
-	Origin string        `json:"origin,omitempty"`
-	Epoch  uint64        `json:"epoch,omitempty"`
-	Config *ConfigChange `json:"config,omitempty"`
-	Claim  *Claim        `json:"claim,omitempty"`
-	Duty   *Duty         `json:"duty,omitempty"`
-	Key    *KeyChange    `json:"key,omitempty"`
-	Member *MemberChange `json:"member,omitempty"`
+	ID           string        `json:"id"`
+	Origin       string        `json:"origin,omitempty"`
+	Epoch        uint64        `json:"epoch,omitempty"`
+	Config       *ConfigChange `json:"config,omitempty"`
+	Claim        *Claim        `json:"claim,omitempty"`
+	LeaderUpdate *LeaderUpdate `json:"duty,omitempty"`
+	Key          *KeyChange    `json:"key,omitempty"`
+	Member       *MemberChange `json:"member,omitempty"`
 }
 
 // Outcome is what became of a change.
@@ -135,8 +135,8 @@
 		out = s.applyConfig(out, c)
 	case c.Claim != nil:
 		s.applyClaim(&out, c)
-	case c.Duty != nil:
-		s.applyDuty(&out, c)
+	case c.LeaderUpdate != nil:
+		s.applyLeaderUpdate(&out, c)
 	case c.Key != nil:
 		s.applyKey(&out, c)
 	case c.Member != nil:
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -20,7 +20,7 @@
 	for i := 0; i < 4; i++ {
 		notes = append(notes, ReplicaNote{ID: fmt.Sprintf("r%d", i), Inc: "i", RoomMb: 100, Slots: 4})
 	}
-	must(t, s, Change{ID: "n", Epoch: 1, Duty: &Duty{Fleet: notes}})
+	must(t, s, Change{ID: "n", Epoch: 1, LeaderUpdate: &LeaderUpdate{Fleet: notes}})
 	return s
 }
 
@@ -34,7 +34,7 @@
 }
 
 func load(replica, unit string) Change {
-	return Change{ID: replica + unit, Epoch: 1, Duty: &Duty{Tickets: []Ticket{{Replica: replica, Inc: "i", Revision: 1, Step: Load, Unit: unit}}}}
+	return Change{ID: replica + unit, Epoch: 1, LeaderUpdate: &LeaderUpdate{Tickets: []Ticket{{Replica: replica, Inc: "i", Revision: 1, Step: Load, Unit: unit}}}}
 }
 
 func code(out Outcome) fault.Code {
@@ -57,14 +57,14 @@
 	if got := code(s.Apply(s.Index+1, load("r2", "a"))); got != fault.StoreRate {
 		t.Fatalf("a third load got %q", got)
 	}
-	must(t, s, Change{ID: "d", Epoch: 1, Duty: &Duty{Settled: []Settled{{Number: 1, Done: true}, {Number: 2}}}})
+	must(t, s, Change{ID: "d", Epoch: 1, LeaderUpdate: &LeaderUpdate{Settled: []Settled{{Number: 1, Done: true}, {Number: 2}}}})
 	if diff := cmp.Diff(map[string]int64{"a": 60}, s.Replicas["r0"].Holds); diff != "" {
 		t.Fatal(diff)
 	}
 	if got := code(s.Apply(s.Index+1, load("r0", "b"))); got != fault.NoRoom {
 		t.Fatalf("beyond room got %q", got)
 	}
-	must(t, s, Change{ID: "u", Epoch: 1, Duty: &Duty{Tickets: []Ticket{{Replica: "r0", Inc: "i", Revision: 1, Step: Unload, Unit: "a"}}}})
+	must(t, s, Change{ID: "u", Epoch: 1, LeaderUpdate: &LeaderUpdate{Tickets: []Ticket{{Replica: "r0", Inc: "i", Revision: 1, Step: Unload, Unit: "a"}}}})
 	if s.TakenMb("r0") != 60 {
 		t.Fatal("an unconfirmed unload gave its room back")
 	}
@@ -92,9 +92,9 @@
 	ask := func(gateway string, n uint64) GrantAsk {
 		return GrantAsk{Gateway: gateway, GatewayInc: "d", Replica: "r0", Inc: "i", Model: "a", Count: n}
 	}
-	must(t, s, Change{ID: "g1", Epoch: 1, Duty: &Duty{Grants: []GrantAsk{ask("x", 10), ask("y", 5)}}})
+	must(t, s, Change{ID: "g1", Epoch: 1, LeaderUpdate: &LeaderUpdate{Grants: []GrantAsk{ask("x", 10), ask("y", 5)}}})
 	first := s.Grants[Grant{Gateway: "x", Replica: "r0", Model: "a"}.Key()]
-	must(t, s, Change{ID: "g2", Epoch: 1, Duty: &Duty{Grants: []GrantAsk{ask("x", 10)}, Gateways: []string{"y"}}})
+	must(t, s, Change{ID: "g2", Epoch: 1, LeaderUpdate: &LeaderUpdate{Grants: []GrantAsk{ask("x", 10)}, Gateways: []string{"y"}}})
 	second := s.Grants[Grant{Gateway: "x", Replica: "r0", Model: "a"}.Key()]
 	if first.To > second.From || second.From < 16 || first.Ticket == second.Ticket {
 		t.Fatalf("%+v then %+v", first, second)
@@ -102,7 +102,7 @@
 	if _, kept := s.Grants[Grant{Gateway: "y", Replica: "r0", Model: "a"}.Key()]; kept {
 		t.Fatal("a gone gateway keeps its grant")
 	}
-	must(t, s, Change{ID: "n2", Epoch: 1, Duty: &Duty{Fleet: []ReplicaNote{{ID: "r0", Inc: "new", RoomMb: 100, Slots: 4}}}})
+	must(t, s, Change{ID: "n2", Epoch: 1, LeaderUpdate: &LeaderUpdate{Fleet: []ReplicaNote{{ID: "r0", Inc: "new", RoomMb: 100, Slots: 4}}}})
 	if len(s.Grants) != 0 {
 		t.Fatal("grants outlive the replica they were for")
 	}
@@ -164,7 +164,7 @@
 func TestTicketsProposedUnderAnotherDeclarationAreRefused(t *testing.T) {
 	s := ready(t)
 	for _, revision := range []uint64{0, 2} {
-		out := s.Apply(s.Index+1, Change{ID: "t", Epoch: 1, Duty: &Duty{Tickets: []Ticket{{Replica: "r0", Inc: "i", Revision: revision, Step: Load, Unit: "a"}}}})
+		out := s.Apply(s.Index+1, Change{ID: "t", Epoch: 1, LeaderUpdate: &LeaderUpdate{Tickets: []Ticket{{Replica: "r0", Inc: "i", Revision: revision, Step: Load, Unit: "a"}}}})
 		if len(out.Faults) != 1 || out.Faults[0].Code != fault.StaleBase || len(s.Pending) != 0 {
 			t.Fatalf("revision %d: %+v, pending %v", revision, out.Faults, s.Pending)
 		}
--- a/internal/ledger/version_test.go
+++ b/internal/ledger/version_test.go
@@ -183,9 +183,9 @@
 // with it, and what a life has held once comes back from its own disk.
 func TestTicketsOfServices(t *testing.T) {
 	s, index := NewState(), uint64(0)
-	do := func(d Duty) []fault.Fault {
+	do := func(d LeaderUpdate) []fault.Fault {
 		index++
-		return s.Apply(index, Change{Duty: &d}).Faults
+		return s.Apply(index, Change{LeaderUpdate: &d}).Faults
 	}
 	doc := versionDoc(1, versionRoute("a", 1, "s"))
 	doc.Services[0].Engine = &configuration.Engine{Slots: 1, CacheTokens: 1, RoomMb: 100, AdaptersMost: 2, LoadsPerS: 1, Models: []configuration.EngineModel{
@@ -194,7 +194,7 @@
 	if out := s.Apply(index, order(0, 1, doc, nil)); out.Fault != nil {
 		t.Fatal(out.Fault)
 	}
-	do(Duty{Fleet: []ReplicaNote{{ID: "r", Inc: "r", RoomMb: 100, Slots: 1, Service: "s", Told: true}}})
+	do(LeaderUpdate{Fleet: []ReplicaNote{{ID: "r", Inc: "r", RoomMb: 100, Slots: 1, Service: "s", Told: true}}})
 	ticket := func(step Step, unit string) Ticket {
 		return Ticket{Replica: "r", Inc: "r", Revision: s.Revision, Step: step, Unit: unit}
 	}
@@ -209,7 +209,7 @@
 		{Unload, "n", "", true}, {Load, "m/a2", "", true}, {Load, "m/a3", fault.NoRoom, false}, {Unload, "m/a1", "", true}, {Load, "m/a3", "", true},
 		{Unload, "m", "", true}, {Unload, "m/a3", fault.NotHeld, false}, {Load, "o", "", true},
 	} {
-		faults := do(Duty{Tickets: []Ticket{ticket(c.step, c.unit)}})
+		faults := do(LeaderUpdate{Tickets: []Ticket{ticket(c.step, c.unit)}})
 		code := fault.Code("")
 		if len(faults) > 0 {
 			code = faults[0].Code
@@ -224,10 +224,10 @@
 		if c.step == Load && s.TakenMb("r") < s.Replicas["r"].Holds["m"]+stands.SizeMb {
 			t.Errorf("%s in doubt has lost its room", c.unit)
 		}
-		if busy := do(Duty{Tickets: []Ticket{ticket(Load, "o")}}); len(busy) != 1 || busy[0].Code != fault.ReplicaBusy {
+		if busy := do(LeaderUpdate{Tickets: []Ticket{ticket(Load, "o")}}); len(busy) != 1 || busy[0].Code != fault.ReplicaBusy {
 			t.Errorf("two orders at once: %v", busy)
 		}
-		do(Duty{Settled: []Settled{{Number: stands.Number, Done: c.done}}})
+		do(LeaderUpdate{Settled: []Settled{{Number: stands.Number, Done: c.done}}})
 	}
 	want := &Replica{ID: "r", Inc: "r", RoomMb: 100, Slots: 1, Service: "s", Holds: map[string]int64{"o": 30}, Had: map[string]bool{"m": true, "n": true, "o": true}, NextAttempt: 1}
 	if diff := cmp.Diff(want, s.Replicas["r"], cmpopts.IgnoreFields(Replica{}, "Index")); diff != "" {
@@ -235,10 +235,10 @@
 	}
 	stale := ticket(Load, "n")
 	stale.Revision--
-	if faults := do(Duty{Tickets: []Ticket{stale}}); len(faults) != 1 || faults[0].Code != fault.StaleBase {
+	if faults := do(LeaderUpdate{Tickets: []Ticket{stale}}); len(faults) != 1 || faults[0].Code != fault.StaleBase {
 		t.Errorf("proposed under an older revision: %v", faults)
 	}
-	if faults := do(Duty{Fleet: []ReplicaNote{{ID: "r", Inc: "r2", RoomMb: 100, Slots: 1, Service: "s"}}, Tickets: []Ticket{ticket(Load, "n")}}); len(faults) != 1 || faults[0].Code != fault.ReplicaUnknown || len(s.Replicas["r"].Had) != 0 {
+	if faults := do(LeaderUpdate{Fleet: []ReplicaNote{{ID: "r", Inc: "r2", RoomMb: 100, Slots: 1, Service: "s"}}, Tickets: []Ticket{ticket(Load, "n")}}); len(faults) != 1 || faults[0].Code != fault.ReplicaUnknown || len(s.Replicas["r"].Had) != 0 {
 		t.Errorf("for a life that has ended: %v", faults)
 	}
 }
--- a/internal/placement/resident_test.go
+++ b/internal/placement/resident_test.go
@@ -56,7 +56,7 @@
 		if r.Intn(20) == 0 && left > 3 {
 			n.Holds = append(n.Holds, ledger.Holding{Unit: "of an older configuration", SizeMb: 3})
 		}
-		h.apply(ledger.Change{Duty: &ledger.Duty{Fleet: []ledger.ReplicaNote{n}}})
+		h.apply(ledger.Change{LeaderUpdate: &ledger.LeaderUpdate{Fleet: []ledger.ReplicaNote{n}}})
 		h.ages[n.ID] = map[string]int64{}
 	}
 	h.in = Service{Name: "s", Engine: e, Models: map[string]Need{}, Adapters: map[string]Need{}, StoreLeft: r.Intn(4), Spares: r.Intn(3)}
@@ -131,7 +131,7 @@
 					t.Fatalf("seed %d: the checker refuses %+v: %v", seed, v.Proposal, v.Fault)
 				}
 			}
-			out := h.apply(ledger.Change{Duty: &ledger.Duty{Tickets: tickets}})
+			out := h.apply(ledger.Change{LeaderUpdate: &ledger.LeaderUpdate{Tickets: tickets}})
 			if len(out.Faults) > 0 {
 				t.Fatalf("seed %d: the ledger refuses: %v", seed, out.Faults)
 			}
@@ -168,7 +168,7 @@
 			h.waitingFirst(t, seed, proposals)
 			for _, id := range slices.Sorted(maps.Keys(h.s.Pending)) {
 				if h.r.Intn(2) == 0 {
-					h.apply(ledger.Change{Duty: &ledger.Duty{Settled: []ledger.Settled{{Number: h.s.Pending[id].Number, Done: h.r.Intn(4) > 0}}}})
+					h.apply(ledger.Change{LeaderUpdate: &ledger.LeaderUpdate{Settled: []ledger.Settled{{Number: h.s.Pending[id].Number, Done: h.r.Intn(4) > 0}}}})
 				}
 			}
 		}
@@ -251,9 +251,9 @@
 			proposals, _ := Resident(h.in)
 			said = append(said, proposals...)
 			tickets, _ := CheckRouted(h.s, h.in.StoreLeft, proposals)
-			h.apply(ledger.Change{Duty: &ledger.Duty{Tickets: tickets}})
+			h.apply(ledger.Change{LeaderUpdate: &ledger.LeaderUpdate{Tickets: tickets}})
 			for _, id := range slices.Sorted(maps.Keys(h.s.Pending)) {
-				h.apply(ledger.Change{Duty: &ledger.Duty{Settled: []ledger.Settled{{Number: h.s.Pending[id].Number, Done: true}}}})
+				h.apply(ledger.Change{LeaderUpdate: &ledger.LeaderUpdate{Settled: []ledger.Settled{{Number: h.s.Pending[id].Number, Done: true}}}})
 			}
 			quiet++
 			if len(tickets) > 0 {
--- a/internal/subscriber/mirror_test.go
+++ b/internal/subscriber/mirror_test.go
@@ -199,21 +199,21 @@
 	c.write(ledger.Change{Config: &ledger.ConfigChange{Base: base, Version: c.version, Edit: e}})
 }
 
-func (c *chronicle) duty(id string) {
+func (c *chronicle) update(id string) {
 	have, t := c.head.Replicas[id], ledger.Ticket{}
 	if pending, is := c.head.Pending[id]; is {
-		c.write(ledger.Change{Duty: &ledger.Duty{Settled: []ledger.Settled{{Number: pending.Number, Done: c.r.Intn(5) > 0}}}})
+		c.write(ledger.Change{LeaderUpdate: &ledger.LeaderUpdate{Settled: []ledger.Settled{{Number: pending.Number, Done: c.r.Intn(5) > 0}}}})
 		return
 	}
 	if have == nil {
-		c.write(ledger.Change{Duty: &ledger.Duty{Fleet: []ledger.ReplicaNote{{ID: id, Inc: id, Addr: id, Zone: "a", RoomMb: 100, Slots: 4, Service: "s", Told: true}}}})
+		c.write(ledger.Change{LeaderUpdate: &ledger.LeaderUpdate{Fleet: []ledger.ReplicaNote{{ID: id, Inc: id, Addr: id, Zone: "a", RoomMb: 100, Slots: 4, Service: "s", Told: true}}}})
 		return
 	}
 	t = ledger.Ticket{Replica: id, Inc: id, Revision: c.head.Revision, Step: ledger.Load, Unit: []string{"m1", "m2", "m3", "m1/a1"}[c.r.Intn(4)]}
 	if _, held := have.Holds[t.Unit]; held {
 		t.Step = ledger.Unload
 	}
-	c.write(ledger.Change{Duty: &ledger.Duty{Tickets: []ledger.Ticket{t}}})
+	c.write(ledger.Change{LeaderUpdate: &ledger.LeaderUpdate{Tickets: []ledger.Ticket{t}}})
 }
 
 var asGatewaysSee = cmp.Options{cmpopts.IgnoreFields(dispatch.Snapshot{}, "Number", "AtUs"), cmpopts.IgnoreFields(configuration.Declaration{}, "Index"), cmpopts.EquateEmpty()}
@@ -256,7 +256,7 @@
 				c.config()
 			case 1, 2:
 				if c.version > 0 {
-					c.duty(id)
+					c.update(id)
 				}
 			case 3, 4:
 				seqs[id]++
@@ -280,7 +280,7 @@
 				cores[r.Intn(2)].view += uint64(r.Intn(2))
 			case 8:
 				if id := "r0"; c.head.Replicas[id] != nil && n > 100 {
-					c.write(ledger.Change{Duty: &ledger.Duty{Gone: []string{id}}})
+					c.write(ledger.Change{LeaderUpdate: &ledger.LeaderUpdate{Gone: []string{id}}})
 				}
 			}
 			for _, o := range cores {
@@ -341,8 +341,8 @@
 	r := rand.New(rand.NewSource(1))
 	c := &chronicle{r: r, head: ledger.NewState()}
 	c.config()
-	c.duty("silent")
-	c.duty("heard")
+	c.update("silent")
+	c.update("heard")
 	one, two := newCore("one"), newCore("two")
 	for _, o := range []*core{one, two} {
 		o.apply(c.log, len(c.log))
@@ -360,7 +360,7 @@
 	if ids := pass(clock.Sec); !slices.Equal(ids, []string{"heard", "silent"}) || !s.snap.Replicas["silent"].Stale || s.snap.Replicas["heard"].Stale {
 		t.Fatal(ids)
 	}
-	c.write(ledger.Change{Duty: &ledger.Duty{Gone: []string{"silent", "heard"}}})
+	c.write(ledger.Change{LeaderUpdate: &ledger.LeaderUpdate{Gone: []string{"silent", "heard"}}})
 	for _, o := range []*core{one, two} {
 		o.apply(c.log, len(c.log))
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -179,7 +179,7 @@
 type Order struct {
 	Ticket ledger.Ticket `json:"ticket"`
 	Epoch  uint64        `json:"epoch"`
-	// Holder is who holds the duty; Expected is how many orders the replica has taken, where it is known.
+	// Holder is who leads; Expected is how many orders the replica has taken, where it is known.
 	Holder   string  `json:"holder,omitempty"`
 	Expected *uint64 `json:"expected,omitempty"`
 }
--- a/proofs/capacity/status.go
+++ b/proofs/capacity/status.go
@@ -22,7 +22,7 @@
 			Name string `json:"name"`
 		} `json:"order"`
 	} `json:"view"`
-	OnDuty   bool              `json:"onDuty"`
+	IsLeader bool              `json:"onDuty"`
 	Revision uint64            `json:"revision"`
 	Replicas []json.RawMessage `json:"replicas"`
 	Pending  []json.RawMessage `json:"pending"`
--- a/proofs/fleet/day.go
+++ b/proofs/fleet/day.go
@@ -132,7 +132,7 @@
 // Head is the status of the control node that leads; ok is false where none does.
 func (f *Fleet) Head(ctx context.Context) (st controlNodeStatus, ok bool) {
 	for _, name := range f.Names("office") {
-		if st, ok = f.Status(ctx, name); ok && st.OnDuty {
+		if st, ok = f.Status(ctx, name); ok && st.IsLeader {
 			return st, true
 		}
 	}
--- a/proofs/platform/fleet/fleet_test.go
+++ b/proofs/platform/fleet/fleet_test.go
@@ -50,7 +50,7 @@
 	}
 }
 
-// Operators send up to eight orders under one number at once, and send orders again, while the holder of the duty is
+// Operators send up to eight orders under one number at once, and send orders again, while the leader is
 // killed and a control node freezes. All that they are answered and read back fits one register.
 func TestOperatorsOfRealProcessesSeeOneRegister(t *testing.T) {
 	if testing.Short() {
--- a/proofs/sim/routed_control_nodes.go
+++ b/proofs/sim/routed_control_nodes.go
@@ -434,9 +434,9 @@
 	}, doubt)
 }
 
-// holds says whether this control node holds the duty now, as far as it knows.
-func (o *routedControlNode) onDuty() bool {
-	return o.up && o.core.Controller.OnDuty(o.core.Node.State()) && o.core.Node.IsHead()
+// holds says whether this control node leads now, as far as it knows.
+func (o *routedControlNode) isLeader() bool {
+	return o.up && o.core.Controller.IsLeader(o.core.Node.State()) && o.core.Node.IsHead()
 }
 
 // caughtUp: it serves, and has for as long as the platform counts a machine as lost after its return.
--- a/proofs/sim/routed_cutoff.go
+++ b/proofs/sim/routed_cutoff.go
@@ -146,7 +146,7 @@
 	case MiddleRole:
 		return n.Phase() == chain.Serving && !n.IsHead() && !n.IsTail()
 	case ControllerRole:
-		return o.onDuty()
+		return o.isLeader()
 	case JoinerRole:
 		return n.Phase() == chain.Outside && n.Last() > 0
 	case FollowedRole:
--- a/proofs/sim/routed_faults.go
+++ b/proofs/sim/routed_faults.go
@@ -107,7 +107,7 @@
 	cards := d.running("cards")
 	p, haveCard := pickOf(cards, f.A)
 	for _, other := range controlNodes {
-		if other.onDuty() && (f.Kind == "kill-holder" || f.Kind == "freeze-holder" || f.Kind == "notice-race") {
+		if other.isLeader() && (f.Kind == "kill-holder" || f.Kind == "freeze-holder" || f.Kind == "notice-race") {
 			o = other
 		}
 	}
--- a/proofs/sim/slow_store_test.go
+++ b/proofs/sim/slow_store_test.go
@@ -6,8 +6,7 @@
 	"petreltide/proofs/rules"
 )
 
-// slowStoreDay is a day on which loads take longer than stated while models shift, replicas leave and the holder of
-// the duty is cut off or killed: what is held and what is still coming are then known least well.
+// slowStoreDay is a day on which loads take longer than stated while models shift, replicas leave and the leader is cut off or killed: what is held and what is still coming are then known least well.
 func slowStoreDay(seed int64) RoutedPlan {
 	p := routedPlan(seed, 0)
 	p.Closing = ""
--- a/proofs/testbed/input_test.go
+++ b/proofs/testbed/input_test.go
@@ -274,19 +274,19 @@
 
 func platformInput(t *testing.T, s *Fleet) {
 	for _, mood := range []string{"garbage", "down", "stale", "empty"} {
-		before, ok := s.Duty()
+		before, ok := s.Leader()
 		if !ok {
-			t.Fatal("nobody is on duty")
+			t.Fatal("nobody leads")
 		}
 		s.Platform.SetMood(mood)
 		if err := Until("the bad list is counted", func() bool {
-			now, ok := s.Duty()
+			now, ok := s.Leader()
 			return ok && now.Faults[fault.PlatformBad] > before.Faults[fault.PlatformBad]
 		}); err != nil {
 			t.Fatal(mood, err)
 		}
 		s.Platform.SetMood("")
-		if now, ok := s.Duty(); !ok || len(now.Replicas) != 3 {
+		if now, ok := s.Leader(); !ok || len(now.Replicas) != 3 {
 			t.Errorf("%s: replicas are %v", mood, now.Replicas)
 		}
 	}
@@ -310,14 +310,14 @@
 	}
 	patch(`{"policy":{"name":"one","source":"def propose(fleet):\n  for r in fleet['replicas']:\n    if 'm7' in r['holds'] and not r['busy']:\n      return [{'step': 'unload', 'replica': r['id'], 'unit': 'm7'}]\n  return []"}}`)
 	if err := Until("refused orders are counted", func() bool {
-		st, ok := s.Duty()
+		st, ok := s.Leader()
 		return ok && st.Faults[fault.TicketRefused] > 1 && len(st.Pending) > 0
 	}); err != nil {
 		t.Fatal(err)
 	}
 	naughty(t, s, "none")
 	if err := Until("the order is taken in the end", func() bool {
-		st, ok := s.Duty()
+		st, ok := s.Leader()
 		if !ok || len(st.Pending) > 0 {
 			return false
 		}
@@ -515,10 +515,10 @@
 		}
 		now.Revision++
 		if err := Until("the refusal shows in status", func() bool {
-			st, ok := s.Duty()
+			st, ok := s.Leader()
 			return ok && st.Policy.Name == c.name && st.Faults[c.code] > 0
 		}); err != nil {
-			st, _ := s.Duty()
+			st, _ := s.Leader()
 			t.Errorf("%s: no %s in %+v %v", c.name, c.code, st.Policy, st.Faults)
 		}
 		if status, _, body, err := Do(http.MethodPost, "http://"+s.Gateways[0]+"/v1/calls", `{"kind":"fixes","model":"m0","prompt":"still served"}`); err != nil || status != 200 || !strings.Contains(body, "event: end") {
--- a/proofs/testbed/testbed.go
+++ b/proofs/testbed/testbed.go
@@ -231,12 +231,12 @@
 	return true
 }
 
-// Duty asks each control node for its status until one leads.
-func (s *Fleet) Duty() (controlnode.Status, bool) {
+// Leader asks each control node for its status until one leads.
+func (s *Fleet) Leader() (controlnode.Status, bool) {
 	for _, addr := range s.ControlNodes {
 		_, _, body, err := Do(http.MethodGet, "http://"+addr+"/v1/status", "")
 		var st controlnode.Status
-		if err == nil && json.Unmarshal([]byte(body), &st) == nil && st.OnDuty {
+		if err == nil && json.Unmarshal([]byte(body), &st) == nil && st.IsLeader {
 			return st, true
 		}
 	}
