--- a/cmd/petreltide/member.go
+++ b/cmd/petreltide/member.go
@@ -81,7 +81,7 @@
 	out := cmd.OutOrStdout()
 	fmt.Fprintf(out, "view %d, seen by %s\n", st.View.Number, st.ControlNode.ID)
 	heard := map[string]string{st.ControlNode.ID: fmt.Sprintf("%s, log up to %d", st.Phase, st.Last)}
-	for _, p := range st.Partners {
+	for _, p := range st.Peers {
 		heard[p.Member.ID] = fmt.Sprintf("%s, log up to %d, heard %d ms ago", p.Phase, p.Last, p.AgoMs)
 	}
 	for _, v := range st.View.Voters {
@@ -98,7 +98,7 @@
 		fmt.Fprintf(out, "vote   %-10s %-22s %s, zone %s, %s: %s\n", v.Name, v.ID, v.Addr, v.Zone, seat, state)
 		delete(heard, v.ID)
 	}
-	for _, p := range st.Partners {
+	for _, p := range st.Peers {
 		if _, left := heard[p.Member.ID]; left {
 			fmt.Fprintf(out, "other  %-10s %-22s %s: %s\n", p.Member.Name, p.Member.ID, p.Member.Addr, heard[p.Member.ID])
 		}
--- a/cmd/petreltide/print.go
+++ b/cmd/petreltide/print.go
@@ -55,7 +55,7 @@
 	if len(st.Emptied) > 0 {
 		fmt.Fprintf(w, "emptied   %s\n", strings.Join(st.Emptied, ", "))
 	}
-	for _, p := range st.Partners {
+	for _, p := range st.Peers {
 		fmt.Fprintf(w, "partner   %s %s, heard %d ms ago\n", p.Member.ID, p.Phase, p.AgoMs)
 	}
 	for _, d := range st.Gateways {
--- a/internal/chain/status.go
+++ b/internal/chain/status.go
@@ -107,8 +107,8 @@
 	return p != nil && n.nowUs-p.heardUs < n.opts.SuspectUs
 }
 
-// PartnerNote is what this control node knows of another.
-type PartnerNote struct {
+// PeerNote is what this control node knows of another.
+type PeerNote struct {
 	Member Member `json:"member"`
 	Phase  Phase  `json:"phase"`
 	Inc    string `json:"inc"`
@@ -117,12 +117,12 @@
 	Sound  bool   `json:"sound"`
 }
 
-// Partners are all other control nodes that were heard in this life.
-func (n *Node) Partners() []PartnerNote {
-	notes := []PartnerNote{}
+// Peers are all other control nodes that were heard in this life.
+func (n *Node) Peers() []PeerNote {
+	notes := []PeerNote{}
 	for _, id := range n.peerIDs() {
 		p := n.peers[id]
-		notes = append(notes, PartnerNote{
+		notes = append(notes, PeerNote{
 			Member: p.hello.Me, Phase: p.hello.Phase, Inc: p.hello.Inc, Last: p.hello.Last,
 			AgoMs: (n.nowUs - p.heardUs) / 1000, Sound: n.Hears(id),
 		})
--- a/internal/controlnode/bulk.go
+++ b/internal/controlnode/bulk.go
@@ -13,14 +13,14 @@
 // bulkWait is how long a whole state may take to be sent and read.
 const bulkWait = 30 * time.Second
 
-// bulkSend is a whole state on its way to a partner.
+// bulkSend is a whole state on its way to a peer.
 type bulkSend struct {
 	// reader is the life or the view that it is meant for.
 	reader string
 	cancel context.CancelFunc
 }
 
-// readerOf names the one that a whole state is meant for: another life of the same partner, or the same in another
+// readerOf names the one that a whole state is meant for: another life of the same peer, or the same in another
 // view, needs another.
 func readerOf(m *chain.Msg) string {
 	if m.Joining != nil {
@@ -29,7 +29,7 @@
 	return m.ToID + "/" + strconv.FormatUint(m.Forward.View, 10)
 }
 
-// sendBulk sends a whole state beside the other messages, one at a time to each partner. One that is on its way to a
+// sendBulk sends a whole state beside the other messages, one at a time to each peer. One that is on its way to a
 // life that has ended hangs for as long as nothing answers: the next life does not wait for it.
 func (h *Host) sendBulk(addr string, l wire.Message) {
 	reader := readerOf(l.Chain)
--- a/internal/controlnode/bulk_test.go
+++ b/internal/controlnode/bulk_test.go
@@ -15,7 +15,7 @@
 	"petreltide/internal/wire"
 )
 
-// A partner loses power while a copy is on its way to it, and gives no answer any more: its next life gets a copy at
+// A peer loses power while a copy is on its way to it, and gives no answer any more: its next life gets a copy at
 // once, and not only when the first one is given up. The same copy for the same life is not sent twice at a time.
 func TestACopyForTheNextLifeDoesNotWaitForTheOneBefore(t *testing.T) {
 	h, _ := onMoody(t)
--- a/internal/controlnode/core.go
+++ b/internal/controlnode/core.go
@@ -359,7 +359,7 @@
 	IsLeader    bool                     `json:"onDuty"`
 	Revision    uint64                   `json:"revision"`
 	Emptied     []string                 `json:"emptied,omitempty"`
-	Partners    []chain.PartnerNote      `json:"partners"`
+	Peers       []chain.PeerNote         `json:"partners"`
 	Gateways    []feed.GatewayNote       `json:"desks,omitempty"`
 	Demand      []controller.GatewayNote `json:"demand,omitempty"`
 	Replicas    []ledger.Replica         `json:"replicas"`
@@ -386,7 +386,7 @@
 	st := Status{
 		ControlNode: c.Node.Me(), Phase: c.Node.Phase(), View: c.Node.View(), Open: c.Node.Open(nowUs), WaitsFor: c.Node.WaitsFor(),
 		Commit: c.Node.Commit(), Last: c.Node.Last(), Epoch: s.Epoch, Holder: s.Holder, IsLeader: c.Controller.IsLeader(s),
-		Revision: s.Revision, Partners: c.Node.Partners(), Gateways: c.Room.Gateways(nowUs), Demand: c.Controller.Gateways(nowUs),
+		Revision: s.Revision, Peers: c.Node.Peers(), Gateways: c.Room.Gateways(nowUs), Demand: c.Controller.Gateways(nowUs),
 		Counts: c.Controller.Counts(), Policy: c.Controller.Policy, Shadows: c.Controller.Shadows,
 		Faults: copyOf(c.Controller.Faults), Refused: copyOf(s.Refused), Keys: len(s.Keys), Member: s.Member, MemberOn: c.Node.MemberWaits(), Grants: len(s.Grants), Loads: s.Loads, LoadedMb: s.LoadedMb,
 		Pending: []ledger.Ticket{}, Replicas: []ledger.Replica{}, Fleet: c.fleet(nowUs), Outliers: c.soft.Outliers.Rows,
--- a/internal/controlnode/departures.go
+++ b/internal/controlnode/departures.go
@@ -84,11 +84,11 @@
 	return false
 }
 
-// askAbout adds to a message the leavings that a partner has not confirmed.
-func (c *Core) askAbout(nowUs int64, partner string, message *wire.Heard) {
+// askAbout adds to a message the leavings that a peer has not confirmed.
+func (c *Core) askAbout(nowUs int64, peer string, message *wire.Heard) {
 	for _, id := range slices.Sorted(maps.Keys(c.soft.departures)) {
 		d := c.soft.departures[id]
-		if d.knownBy[partner] || nowUs-d.askedUs < leaveAgainUs {
+		if d.knownBy[peer] || nowUs-d.askedUs < leaveAgainUs {
 			continue
 		}
 		message.Confirm = append(message.Confirm, id)
@@ -117,7 +117,7 @@
 	if len(known.Leaving) == 0 {
 		return
 	}
-	for _, p := range c.Node.Partners() {
+	for _, p := range c.Node.Peers() {
 		if p.Member.ID == h.By {
 			c.send(p.Member.Addr, wire.Message{Confirmed: &known})
 		}
--- a/internal/controlnode/host.go
+++ b/internal/controlnode/host.go
@@ -31,9 +31,9 @@
 const (
 	tickEvery    = 25 * time.Millisecond
 	mailboxMost  = 8192
-	partnerMost  = 1024
+	peerMost     = 1024
 	answerWait   = 8 * time.Second
-	partnerWait  = 15 * time.Second
+	peerWait     = 15 * time.Second
 	keyWait      = 2 * time.Second
 	resubmit     = 400 * time.Millisecond
 	replicaWait  = time.Duration(controller.OrderFlightUs) * time.Microsecond
@@ -71,11 +71,11 @@
 	web   *http.Client
 	inner *http.Client
 
-	act      *actor.Actor
-	saves    *saveQueue
-	pace     func() <-chan time.Time
-	partners map[string]chan wire.Message
-	bulk     map[string]*bulkSend
+	act   *actor.Actor
+	saves *saveQueue
+	pace  func() <-chan time.Time
+	peers map[string]chan wire.Message
+	bulk  map[string]*bulkSend
 	// waiters are the callers that wait for the outcome of a change, by its id.
 	waiters  map[string][]chan wire.Result
 	replies  map[uint64]chan wire.Lease
@@ -187,7 +187,7 @@
 		set: set, core: core, disk: opened.Store, ring: ring, log: logger,
 		web: rpc.Client(500, set.Listen), inner: rpc.NodeClient(innerDialMs, set.Listen),
 		act: actor.New(mailboxMost), saves: newSaveQueue(), pace: func() <-chan time.Time { return time.After(retryEvery) },
-		partners: map[string]chan wire.Message{}, bulk: map[string]*bulkSend{}, waiters: map[string][]chan wire.Result{}, replies: map[uint64]chan wire.Lease{}, words: map[uint64]chan bool{},
+		peers: map[string]chan wire.Message{}, bulk: map[string]*bulkSend{}, waiters: map[string][]chan wire.Result{}, replies: map[uint64]chan wire.Lease{}, words: map[uint64]chan bool{},
 		follows: map[string]*followed{}, rebuilds: opened.Fresh && founding == 0 && len(set.Founders) == 0, failed: make(chan error, 1),
 		frames: map[string]*framed{},
 	}
@@ -226,7 +226,7 @@
 		}()
 	}
 	if h.rebuilds {
-		h.act.Spawn(h.waitForPartner)
+		h.act.Spawn(h.waitForPeer)
 	}
 	var failure error
 	select {
@@ -301,10 +301,10 @@
 		h.sendBulk(addr, l)
 		return
 	}
-	box := h.partners[addr]
+	box := h.peers[addr]
 	if box == nil {
-		box = make(chan wire.Message, partnerMost)
-		h.partners[addr] = box
+		box = make(chan wire.Message, peerMost)
+		h.peers[addr] = box
 		h.act.Spawn(func() { h.carry(addr, box) })
 	}
 	select {
@@ -358,16 +358,16 @@
 	}
 }
 
-// waitForPartner stops a control node that holds nothing, may found nothing, and meets no chain.
-func (h *Host) waitForPartner() {
+// waitForPeer stops a control node that holds nothing, may found nothing, and meets no chain.
+func (h *Host) waitForPeer() {
 	select {
 	case <-h.act.Ctx.Done():
 		return
-	case <-time.After(partnerWait):
+	case <-time.After(peerWait):
 	}
 	if alone, ran := actor.Ask(h.act.Ctx, h.act, func() bool { return h.core.Node.Phase() == chain.Fresh }); ran && alone {
 		select {
-		case h.failed <- fault.New(fault.DamagedData, h.set.Data, "it holds no chain, and no partner was met within %v to copy one from; kept folders are untouched", partnerWait):
+		case h.failed <- fault.New(fault.DamagedData, h.set.Data, "it holds no chain, and no partner was met within %v to copy one from; kept folders are untouched", peerWait):
 		default:
 		}
 	}
@@ -419,7 +419,7 @@
 	for _, s := range w.View.Order {
 		add(s.Member)
 	}
-	for _, p := range h.core.Node.Partners() {
+	for _, p := range h.core.Node.Peers() {
 		if p.Sound {
 			add(p.Member)
 		}
--- a/internal/controlnode/orders_test.go
+++ b/internal/controlnode/orders_test.go
@@ -17,7 +17,7 @@
 	"petreltide/internal/wire"
 )
 
-// alone is a control node whose partners never come: what it is given waits.
+// alone is a control node whose peers never come: what it is given waits.
 func alone(t *testing.T) *Host { return openControlNode(t, 3) }
 
 // openControlNode is a control node of a chain that is founded by so many. It ends with the test.
--- a/internal/controlnode/replicas.go
+++ b/internal/controlnode/replicas.go
@@ -109,7 +109,7 @@
 		c.soft.Roster.Sweep(nowUs)
 		heard.Gateways = c.soft.Hub.Main()
 	}
-	for _, p := range c.Node.Partners() {
+	for _, p := range c.Node.Peers() {
 		if !p.Sound {
 			continue
 		}
@@ -144,7 +144,7 @@
 	}
 	c.soft.Outliers = t
 	c.effects = append(c.effects, Effect{Note: "outliers", Trouble: t.String()})
-	for _, p := range c.Node.Partners() {
+	for _, p := range c.Node.Peers() {
 		if p.Sound {
 			table := t
 			c.send(p.Member.Addr, wire.Message{Outlier: &table})
@@ -171,7 +171,7 @@
 // view as well, since the ones that it does not hear may be current.
 func (c *Core) controlNodes(nowUs int64) []chain.Member {
 	all := []chain.Member{c.Node.Me()}
-	for _, p := range c.Node.Partners() {
+	for _, p := range c.Node.Peers() {
 		if p.Sound {
 			all = append(all, p.Member)
 		}
--- a/internal/controlnode/saver.go
+++ b/internal/controlnode/saver.go
@@ -164,7 +164,7 @@
 
 // keep writes a copy while the log goes on, and only then lets go of what it stands for. Copies are kept one
 // after another in the log's order: an older one must not take a newer one's place. Nobody waits for a copy
-// that only stands for the log; without a partner's copy, though, a control node is none.
+// that only stands for the log; without a peer's copy, though, a control node is none.
 func (h *Host) keep(s chain.Save, from uint64) {
 	waited := s.Seq
 	if s.Fresh {
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -67,7 +67,7 @@
 // Encoded streams carry messages that their writer has zipped once for all who read them.
 var Encoded = connect.WithCompressMinBytes(math.MaxInt)
 
-// Client dials from the IP that this process listens on, so that partners see the address they know.
+// Client dials from the IP that this process listens on, so that peers see the address they know.
 func Client(dialMs int, listen string) *http.Client {
 	return clientOf(dialerFor(dialMs, listen).DialContext)
 }
--- a/internal/storage/crash_test.go
+++ b/internal/storage/crash_test.go
@@ -117,7 +117,7 @@
 	return u.attempt(unchanged, func() error { return u.store.Forget(from) })
 }
 
-// adopt takes a partner's copy in the place of a history that ends otherwise.
+// adopt takes a peer's copy in the place of a history that ends otherwise.
 func (u *user) adopt() error {
 	theirs := append(slices.Clone(u.saved[:len(u.saved)-1]), "partner's", "partner's too")
 	c := u.copyOf(theirs)
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -179,7 +179,7 @@
 	}
 }
 
-// A control node that was put out of the view with entries nobody else had takes a partner's copy. Restarted, it
+// A control node that was put out of the view with entries nobody else had takes a peer's copy. Restarted, it
 // must not find those entries again behind the copy.
 func TestACopyStandsWhereInTheLogItWasTaken(t *testing.T) {
 	dir := filled(t, 15)
--- a/proofs/fleet/fleet_test.go
+++ b/proofs/fleet/fleet_test.go
@@ -277,7 +277,7 @@
 	}
 }
 
-func TestDamagedFolderWithNoPartnerStopsAndKeepsIt(t *testing.T) {
+func TestDamagedFolderWithNoPeerStopsAndKeepsIt(t *testing.T) {
 	folder := t.TempDir()
 	kept := filepath.Join(folder, "chain.damaged-earlier")
 	if err := os.Mkdir(kept, 0o755); err != nil {
--- a/proofs/sim/control_nodes.go
+++ b/proofs/sim/control_nodes.go
@@ -81,7 +81,7 @@
 func (o *controlNode) where() wire.Where {
 	n := o.core.Node
 	w := wire.Where{View: n.View(), ControlNodes: []chain.Member{n.Me()}}
-	for _, p := range n.Partners() {
+	for _, p := range n.Peers() {
 		if p.Sound {
 			w.ControlNodes = append(w.ControlNodes, p.Member)
 		}
--- a/proofs/sim/routed_control_nodes.go
+++ b/proofs/sim/routed_control_nodes.go
@@ -154,7 +154,7 @@
 	for _, s := range n.View().Order {
 		addrs = append(addrs, s.Addr)
 	}
-	for _, p := range n.Partners() {
+	for _, p := range n.Peers() {
 		if p.Sound {
 			addrs = append(addrs, p.Member.Addr)
 		}
