--- a/cmd/petreltide/compare.go
+++ b/cmd/petreltide/compare.go
@@ -196,7 +196,7 @@
 	look.Revision, look.Loads, look.LoadedMb = st.Revision, st.Loads, st.LoadedMb
 	look.Leader = fmt.Sprintf("%s under epoch %d", st.Holder, st.Epoch)
 	for _, r := range st.Replicas {
-		look.Replicas[r.ID] = fmt.Sprintf("%s (leaving %v, dark %v)", r.Inc, r.Leaving, r.Unreachable)
+		look.Replicas[r.ID] = fmt.Sprintf("%s (leaving %v, dark %v)", r.Incarnation, r.Leaving, r.Unreachable)
 	}
 	for _, d := range st.Gateways {
 		ds := gateway.Status{}
@@ -204,7 +204,7 @@
 			look.Gateways[d.Gateway] = "out of reach"
 			continue
 		}
-		look.Gateways[d.Gateway] = ds.Inc
+		look.Gateways[d.Gateway] = ds.Incarnation
 		look.Gauges = append(look.Gauges, ds.Gauges...)
 	}
 	return look, nil
--- a/internal/chain/agree.go
+++ b/internal/chain/agree.go
@@ -117,10 +117,10 @@
 // incarnation; no lease of its outlives it. One that does not know this view may be the incarnation before.
 func (n *Node) ended(s Seat) bool {
 	if s.ID == n.opts.Me.ID {
-		return s.Inc != n.opts.Inc
+		return s.Incarnation != n.opts.Incarnation
 	}
 	p := n.peers[s.ID]
-	return p != nil && p.hello.Inc != s.Inc && p.hello.View.Number >= n.view.Number
+	return p != nil && p.hello.Incarnation != s.Incarnation && p.hello.View.Number >= n.view.Number
 }
 
 func (n *Node) gotAccepting(m Msg, a Accepting) {
--- a/internal/chain/echo_test.go
+++ b/internal/chain/echo_test.go
@@ -75,7 +75,7 @@
 		for place := range 2 {
 			n, next := all[place].node, all[place+1]
 			n.tailEchoUs, n.echoedUs = 0, 0
-			y.step(all[place], Event{Got: &Msg{From: next.me, Inc: next.opts.Inc, Ack: &Ack{View: n.view.Number, Last: n.Last(), EchoUs: y.nowUs + us}}})
+			y.step(all[place], Event{Got: &Msg{From: next.me, Incarnation: next.opts.Incarnation, Ack: &Ack{View: n.view.Number, Last: n.Last(), EchoUs: y.nowUs + us}}})
 			if n.tailEchoUs != 0 || n.Current(y.nowUs) || n.HeadFresh(y.nowUs) {
 				t.Errorf("an echo of %d from now is taken at place %d", us, place)
 			}
@@ -83,7 +83,7 @@
 		tail := all[2].node
 		tail.leases, tail.leaseUs = map[string]int64{}, 0
 		for _, s := range all {
-			y.step(all[2], Event{Got: &Msg{From: s.me, Inc: s.opts.Inc, Lease: &Lease{View: tail.view.Number, SentUs: y.nowUs + us, Given: true}}})
+			y.step(all[2], Event{Got: &Msg{From: s.me, Incarnation: s.opts.Incarnation, Lease: &Lease{View: tail.view.Number, SentUs: y.nowUs + us, Given: true}}})
 		}
 		if tail.Open(y.nowUs) {
 			t.Errorf("a lease asked for %d from now is taken", us)
--- a/internal/chain/ended_test.go
+++ b/internal/chain/ended_test.go
@@ -6,9 +6,9 @@
 	"petreltide/internal/clock"
 )
 
-// A voter knows of a tail's end by a life of its control node that came after. One that it heard before, and has not
+// A voter knows of a tail's end by an incarnation of its control node that came after. One that it heard before, and has not
 // heard from since, says nothing of the tail.
-func TestOnlyALaterLifeEndsASeat(t *testing.T) {
+func TestOnlyALaterIncarnationEndsASeat(t *testing.T) {
 	for name, c := range map[string]struct {
 		heard string
 		view  uint64
@@ -20,13 +20,13 @@
 		"a life before this view":       {"before", 4, false},
 		"nobody":                        {"", 0, false},
 	} {
-		tail := Seat{Member: Member{ID: "b", Addr: "b"}, Inc: "now"}
-		n, err := NewNode(Options{Me: Member{ID: "a", Addr: "a"}, Inc: "a1"}, []Record{{View: &View{Number: 5, Voters: []Member{{ID: "a"}, tail.Member}, Order: []Seat{tail}}}}, clock.Sec)
+		tail := Seat{Member: Member{ID: "b", Addr: "b"}, Incarnation: "now"}
+		n, err := NewNode(Options{Me: Member{ID: "a", Addr: "a"}, Incarnation: "a1"}, []Record{{View: &View{Number: 5, Voters: []Member{{ID: "a"}, tail.Member}, Order: []Seat{tail}}}}, clock.Sec)
 		if err != nil {
 			t.Fatal(err)
 		}
 		if c.heard != "" {
-			n.peers["b"] = &peer{hello: Hello{Me: tail.Member, Inc: c.heard, View: View{Number: c.view}}}
+			n.peers["b"] = &peer{hello: Hello{Me: tail.Member, Incarnation: c.heard, View: View{Number: c.view}}}
 		}
 		if got := n.ended(tail); got != c.want {
 			t.Errorf("%s: ended %v", name, got)
--- a/internal/chain/explore_members_test.go
+++ b/internal/chain/explore_members_test.go
@@ -138,8 +138,8 @@
 
 // fresh is an empty machine beside the others.
 func (m *machines) fresh() int {
-	m.incs++
-	name := fmt.Sprintf("m%d", 10+m.incs)
+	m.incarnations++
+	name := fmt.Sprintf("m%d", 10+m.incarnations)
 	m.members = append(m.members, &place{me: Member{ID: name + "-1", Name: name, Addr: name}})
 	i := len(m.members) - 1
 	m.start(i, 0)
@@ -157,11 +157,11 @@
 		p.gone = true
 		m.fresh()
 	case emptied:
-		m.incs++
-		p.disk, p.me.ID = nil, fmt.Sprintf("%s-%d", p.me.Name, m.incs)
+		m.incarnations++
+		p.disk, p.me.ID = nil, fmt.Sprintf("%s-%d", p.me.Name, m.incarnations)
 	case readdressed:
-		m.incs++
-		p.me.Addr = fmt.Sprintf("%s-%d", p.me.Name, m.incs)
+		m.incarnations++
+		p.me.Addr = fmt.Sprintf("%s-%d", p.me.Name, m.incarnations)
 	}
 }
 
--- a/internal/chain/explore_test.go
+++ b/internal/chain/explore_test.go
@@ -19,17 +19,17 @@
 // arrive with the tick that sends them; everything else may be delivered, lost with a crash or held
 // back in any order across pairs.
 type box struct {
-	nowUs   int64
-	members []*place
-	pipes   map[[2]int][]Msg
-	views   map[uint64]View
-	acked   map[uint64]string
-	crashes int
-	ticks   int
-	writes  int
-	fills   int
-	incs    int
-	broken  string
+	nowUs        int64
+	members      []*place
+	pipes        map[[2]int][]Msg
+	views        map[uint64]View
+	acked        map[uint64]string
+	crashes      int
+	ticks        int
+	writes       int
+	fills        int
+	incarnations int
+	broken       string
 	// self: the members take each other in and drop each other without orders.
 	self bool
 	// copies is how many synced copies an acknowledgement needs there.
@@ -92,7 +92,7 @@
 	for _, id := range n.peerIDs() {
 		p := n.peers[id]
 		h := p.hello
-		peers = append(peers, fmt.Sprint(id, h.Inc, h.Phase, h.View.Number, h.Last, h.LastView, h.Compared, h.Whole, h.Promised, h.Hears, h.CopyIndex, h.Accepted != nil, h.Stalled, h.Leaving, ago(p.heardUs), n.awakeUs-p.heardAwakeUs, ago(p.stalledUs), ago(p.deafUs)))
+		peers = append(peers, fmt.Sprint(id, h.Incarnation, h.Phase, h.View.Number, h.Last, h.LastView, h.Compared, h.Whole, h.Promised, h.Hears, h.CopyIndex, h.Accepted != nil, h.Stalled, h.Leaving, ago(p.heardUs), n.awakeUs-p.heardAwakeUs, ago(p.stalledUs), ago(p.deafUs)))
 	}
 	saving := []string{}
 	for _, seq := range slices.Sorted(maps.Keys(n.saving)) {
@@ -111,7 +111,7 @@
 	if n.accepted != nil {
 		accepted = fmt.Sprint(*n.accepted)
 	}
-	return fmt.Sprint(n.opts.Inc, n.phase, n.view, n.promised, accepted, n.compared, n.caughtUp, n.leaving, n.base.Index, n.lastIndex(), n.lastView(), n.commit, n.synced, n.queued,
+	return fmt.Sprint(n.opts.Incarnation, n.phase, n.view, n.promised, accepted, n.compared, n.caughtUp, n.leaving, n.base.Index, n.lastIndex(), n.lastView(), n.commit, n.synced, n.queued,
 		n.copyHeld, proposal, n.round, ago(n.quietUs), ago(n.behindUs), n.held != nil, ago(n.guardUs), n.succLast, n.succSent, n.succKnown, n.openAt, n.openKnown,
 		leases, n.tailCommit, ago(n.leaseUs), ago(n.viewedUs), ago(n.bootUs), peers, saving)
 }
@@ -220,9 +220,9 @@
 }
 
 func (b *box) start(i, founding int) {
-	b.incs++
+	b.incarnations++
 	p := b.members[i]
-	opts := Options{Me: p.me, Inc: fmt.Sprintf("%s/%d", p.me.ID, b.incs), Founding: founding}
+	opts := Options{Me: p.me, Incarnation: fmt.Sprintf("%s/%d", p.me.ID, b.incarnations), Founding: founding}
 	if b.self {
 		opts.SelfMembers, opts.CopiesLeast = true, b.copies
 		opts = paced(opts)
@@ -732,7 +732,7 @@
 	if err := json.Unmarshal(raw, &back); err != nil {
 		t.Fatal(err)
 	}
-	node, err := NewNode(Options{Me: b.members[0].me, Inc: "x"}, back, b.nowUs)
+	node, err := NewNode(Options{Me: b.members[0].me, Incarnation: "x"}, back, b.nowUs)
 	if err != nil || node.Last() != b.members[0].node.Last() || node.View().Number != b.members[0].node.View().Number {
 		t.Fatal(err, node.Last(), node.View())
 	}
--- a/internal/chain/foreign_test.go
+++ b/internal/chain/foreign_test.go
@@ -17,14 +17,14 @@
 	from := other.Voters[0]
 	late := n.View().Order[0]
 	return map[string]Msg{
-		"a hello with a newer view":      {From: from, Inc: "x/1", Hello: &Hello{Me: from, Inc: "x/1", Phase: Serving, View: other}},
-		"a hello with the same number":   {From: from, Inc: "x/1", Hello: &Hello{Me: from, Inc: "x/1", Phase: Outside, View: View{Number: n.View().Number, System: "elsewhere-1"}, CopyIndex: 1}},
-		"a hello that has accepted":      {From: from, Inc: "x/1", Hello: &Hello{Me: from, Inc: "x/1", Accepted: &Accepted{View: other}}},
-		"an accept":                      {From: from, Inc: "x/1", Accept: &Accept{Number: other.Number, Ballot: Ballot{Round: 99, By: from.ID}, View: other}},
-		"a promise of something decided": {From: from, Inc: "x/1", Promise: &Promise{Number: other.Number, OK: true, Accepted: &Accepted{View: other}}},
-		"a hello of a later version":     {Form: MessageForm + 1, From: late.Member, Inc: "later", Hello: &Hello{Me: late.Member, Inc: "later", View: View{Number: 99, Voters: other.Voters}}},
-		"an entry of a later version":    {Form: MessageForm + 1, From: late.Member, Inc: late.Inc, Forward: &Forward{View: n.View().Number, Entries: []Entry{{Index: n.Last() + 1}}}},
-		"an order of a later version":    {Form: MessageForm + 1, From: late.Member, Inc: late.Inc, Submit: &ledger.Change{ID: "later"}},
+		"a hello with a newer view":      {From: from, Incarnation: "x/1", Hello: &Hello{Me: from, Incarnation: "x/1", Phase: Serving, View: other}},
+		"a hello with the same number":   {From: from, Incarnation: "x/1", Hello: &Hello{Me: from, Incarnation: "x/1", Phase: Outside, View: View{Number: n.View().Number, System: "elsewhere-1"}, CopyIndex: 1}},
+		"a hello that has accepted":      {From: from, Incarnation: "x/1", Hello: &Hello{Me: from, Incarnation: "x/1", Accepted: &Accepted{View: other}}},
+		"an accept":                      {From: from, Incarnation: "x/1", Accept: &Accept{Number: other.Number, Ballot: Ballot{Round: 99, By: from.ID}, View: other}},
+		"a promise of something decided": {From: from, Incarnation: "x/1", Promise: &Promise{Number: other.Number, OK: true, Accepted: &Accepted{View: other}}},
+		"a hello of a later version":     {Form: MessageForm + 1, From: late.Member, Incarnation: "later", Hello: &Hello{Me: late.Member, Incarnation: "later", View: View{Number: 99, Voters: other.Voters}}},
+		"an entry of a later version":    {Form: MessageForm + 1, From: late.Member, Incarnation: late.Incarnation, Forward: &Forward{View: n.View().Number, Entries: []Entry{{Index: n.Last() + 1}}}},
+		"an order of a later version":    {Form: MessageForm + 1, From: late.Member, Incarnation: late.Incarnation, Submit: &ledger.Change{ID: "later"}},
 	}
 }
 
--- a/internal/chain/founding.go
+++ b/internal/chain/founding.go
@@ -41,15 +41,15 @@
 	}
 	order := make([]Seat, 0, len(founders))
 	for _, f := range founders {
-		inc := n.opts.Inc
+		incarnation := n.opts.Incarnation
 		if f.ID != n.opts.Me.ID {
 			h := n.peers[f.ID].hello
 			if !sameMembers(h.Founders, founders) {
 				return
 			}
-			inc = h.Inc
+			incarnation = h.Incarnation
 		}
-		order = append(order, Seat{Member: f, Inc: inc})
+		order = append(order, Seat{Member: f, Incarnation: incarnation})
 	}
 	if len(n.view.Voters) == 0 {
 		n.view = View{Voters: founders}
--- a/internal/chain/hello.go
+++ b/internal/chain/hello.go
@@ -24,7 +24,7 @@
 // helloNow is what this process has to say of itself now.
 func (n *Node) helloNow() Hello {
 	h := Hello{
-		Me: n.opts.Me, Inc: n.opts.Inc, Phase: n.phase, View: n.view, Last: n.lastIndex(), LastView: n.lastView(),
+		Me: n.opts.Me, Incarnation: n.opts.Incarnation, Phase: n.phase, View: n.view, Last: n.lastIndex(), LastView: n.lastView(),
 		Compared: n.compared, Whole: n.caughtUp, Stalled: n.stalled(), Promised: n.promised, Accepted: n.accepted,
 		Founders: n.founders, CopyIndex: n.copyHeld, First: n.opts.First, Leaving: n.leaving,
 	}
@@ -70,8 +70,8 @@
 		return
 	}
 	p := n.peers[h.Me.ID]
-	newLife := p == nil || p.hello.Inc != h.Inc
-	if newLife {
+	startReplica := p == nil || p.hello.Incarnation != h.Incarnation
+	if startReplica {
 		p = &peer{sinceUs: n.nowUs, deafUs: n.nowUs, deafAwakeUs: n.awakeUs}
 		n.peers[h.Me.ID] = p
 	}
@@ -99,7 +99,7 @@
 			n.save([]Record{{Accepted: n.accepted}}, 0, nil)
 		}
 	}
-	if newLife {
+	if startReplica {
 		n.answerHello(h.Me)
 	}
 	n.compareNotes()
--- a/internal/chain/join.go
+++ b/internal/chain/join.go
@@ -20,7 +20,7 @@
 		if !n.mayJoin(p.hello.Me) {
 			continue
 		}
-		return Seat{Member: p.hello.Me, Inc: p.hello.Inc}, true
+		return Seat{Member: p.hello.Me, Incarnation: p.hello.Incarnation}, true
 	}
 	return Seat{}, false
 }
@@ -154,13 +154,13 @@
 			continue
 		}
 		n.joinAtUs = n.nowUs
-		n.send(p.hello.Me, Msg{Joining: &Joining{View: n.view.Number, Inc: p.hello.Inc, Copy: *n.copyNow()}})
+		n.send(p.hello.Me, Msg{Joining: &Joining{View: n.view.Number, Incarnation: p.hello.Incarnation, Copy: *n.copyNow()}})
 	}
 }
 
 func (n *Node) gotJoining(m Msg, j Joining) {
 	tail := n.view.Tail()
-	if n.serving() || j.View != n.view.Number || j.Inc != n.opts.Inc || m.From.ID != tail.ID || m.Inc != tail.Inc {
+	if n.serving() || j.View != n.view.Number || j.Incarnation != n.opts.Incarnation || m.From.ID != tail.ID || m.Incarnation != tail.Incarnation {
 		return
 	}
 	if n.phase == Waking {
--- a/internal/chain/lease.go
+++ b/internal/chain/lease.go
@@ -29,7 +29,7 @@
 		return
 	}
 	tail := n.view.Tail()
-	if m.From.ID != tail.ID || m.Inc != tail.Inc || n.held != nil || n.acceptedLeaseEnd() || !n.compared || !n.view.Votes(n.opts.Me.ID) {
+	if m.From.ID != tail.ID || m.Incarnation != tail.Incarnation || n.held != nil || n.acceptedLeaseEnd() || !n.compared || !n.view.Votes(n.opts.Me.ID) {
 		return
 	}
 	n.guardUs = max(n.guardUs, n.nowUs+n.opts.LeaseUs)
@@ -48,7 +48,7 @@
 // place; the tail itself, though, gives itself no lease of the view before.
 func (n *Node) endsLease(next View) bool {
 	now, then := n.view.Tail(), next.Tail()
-	if now.ID != then.ID || now.Inc != then.Inc {
+	if now.ID != then.ID || now.Incarnation != then.Incarnation {
 		return true
 	}
 	return otherVotes(next, n.view, then.ID) && otherVotes(n.view, next, "")
@@ -68,7 +68,7 @@
 // voters none of whom gave it; so whoever installs one waits as if it had given a lease then.
 func (n *Node) guardKeptLease(next View) {
 	now, then := n.view.Tail(), next.Tail()
-	if now.ID == then.ID && now.Inc == then.Inc && n.view.Number > 0 && (otherVotes(next, n.view, "") || otherVotes(n.view, next, "")) {
+	if now.ID == then.ID && now.Incarnation == then.Incarnation && n.view.Number > 0 && (otherVotes(next, n.view, "") || otherVotes(n.view, next, "")) {
 		n.guardUs = max(n.guardUs, n.nowUs+n.opts.LeaseUs)
 	}
 }
--- a/internal/chain/leave.go
+++ b/internal/chain/leave.go
@@ -13,10 +13,10 @@
 // leaves says that the process of this seat has been told to end.
 func (n *Node) leaves(s Seat) bool {
 	if s.ID == n.opts.Me.ID {
-		return n.leaving && s.Inc == n.opts.Inc
+		return n.leaving && s.Incarnation == n.opts.Incarnation
 	}
 	p := n.peers[s.ID]
-	return p != nil && p.hello.Leaving && p.hello.Inc == s.Inc
+	return p != nil && p.hello.Leaving && p.hello.Incarnation == s.Incarnation
 }
 
 // memberLeaves says that the newest process of this member has been told to end.
--- a/internal/chain/malformed_test.go
+++ b/internal/chain/malformed_test.go
@@ -21,7 +21,7 @@
 		return v
 	}
 	hello := func(v View) *Hello {
-		return &Hello{Me: from.me, Inc: from.opts.Inc, Phase: Serving, View: v, Compared: true, Whole: true}
+		return &Hello{Me: from.me, Incarnation: from.opts.Incarnation, Phase: Serving, View: v, Compared: true, Whole: true}
 	}
 	ballot := Ballot{Round: 90, By: from.me.ID}
 	high := Ballot{Round: math.MaxUint64, By: from.me.ID}
@@ -30,7 +30,7 @@
 		"a ballot that nobody can exceed":       {Prepare: &Prepare{Number: next.Number, Ballot: high}},
 		"an accept that nobody can exceed":      {Accept: &Accept{Number: next.Number, Ballot: high, View: next}},
 		"a refusal that nobody can exceed":      {Promise: &Promise{Number: next.Number, Promised: high}},
-		"a promise made that nobody can exceed": {Hello: &Hello{Me: from.me, Inc: from.opts.Inc, View: n.View(), Promised: high}},
+		"a promise made that nobody can exceed": {Hello: &Hello{Me: from.me, Incarnation: from.opts.Incarnation, View: n.View(), Promised: high}},
 		"an accept of another number":           {Accept: accept(with(func(v *View) { v.Number++ }))},
 		"an accept of a view of nobody":         {Accept: accept(View{Number: next.Number, System: next.System})},
 		"an accept without seats":               {Accept: accept(with(func(v *View) { v.Order = nil }))},
@@ -41,11 +41,11 @@
 		"a hello with a nameless seat":          {Hello: hello(with(func(v *View) { v.Order[1].ID = "" }))},
 		"a hello with votes to spare below 0":   {Hello: hello(with(func(v *View) { v.Extra = -1 }))},
 		"a copy of nothing":                     {Forward: &Forward{View: n.view.Number, Copy: &Copy{Index: n.Last() + 9, State: &ledger.State{}}}},
-		"a copy without a state":                {Joining: &Joining{View: n.view.Number, Inc: n.opts.Inc}},
+		"a copy without a state":                {Joining: &Joining{View: n.view.Number, Incarnation: n.opts.Incarnation}},
 		"a copy with a replica of nothing":      {Forward: &Forward{View: n.view.Number, Copy: &Copy{Index: n.Last() + 9, State: spoiltState()}}},
 	}
 	for name, m := range all {
-		m.From, m.Inc = from.me, from.opts.Inc
+		m.From, m.Incarnation = from.me, from.opts.Incarnation
 		all[name] = m
 	}
 	return all
@@ -91,7 +91,7 @@
 	before := n.View().Number
 	for _, id := range []string{"x", "y", "z"} {
 		from := Member{ID: id, Name: id, Addr: id}
-		y.step(head, Event{Got: &Msg{From: from, Inc: id, Promise: &Promise{Number: want.Number, Ballot: n.proposal.ballot, OK: true}}})
+		y.step(head, Event{Got: &Msg{From: from, Incarnation: id, Promise: &Promise{Number: want.Number, Ballot: n.proposal.ballot, OK: true}}})
 	}
 	if !n.proposal.asking {
 		t.Fatal("promises of strangers count")
@@ -99,7 +99,7 @@
 	n.proposal.asking, n.proposal.chosen = false, want
 	for _, id := range []string{"x", "y", "z"} {
 		from := Member{ID: id, Name: id, Addr: id}
-		y.step(head, Event{Got: &Msg{From: from, Inc: id, Accepting: &Accepting{Number: want.Number, Ballot: Ballot{Round: n.round, By: head.me.ID}, OK: true}}})
+		y.step(head, Event{Got: &Msg{From: from, Incarnation: id, Accepting: &Accepting{Number: want.Number, Ballot: Ballot{Round: n.round, By: head.me.ID}, OK: true}}})
 	}
 	if n.View().Number != before {
 		t.Fatal("acceptances of strangers count")
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -204,7 +204,7 @@
 }
 
 func (n *Node) send(to Member, m Msg) {
-	m.From, m.Inc, m.ToID = n.opts.Me, n.opts.Inc, to.ID
+	m.From, m.Incarnation, m.ToID = n.opts.Me, n.opts.Incarnation, to.ID
 	if to.ID == n.opts.Me.ID {
 		n.got(m)
 		return
@@ -212,7 +212,7 @@
 	n.effects = append(n.effects, Effect{Send: &Send{Addr: n.addressOf(to), Msg: m}})
 }
 
-// addressOf is where a member was heard from last in this life, or else the address that is known of it: a view
+// addressOf is where a member was heard from last in this incarnation, or else the address that is known of it: a view
 // names the address that a member had when it got its seat.
 func (n *Node) addressOf(m Member) string {
 	if p := n.peers[m.ID]; p != nil && m.ID != "" && p.hello.Me.Addr != "" {
--- a/internal/chain/refusal_test.go
+++ b/internal/chain/refusal_test.go
@@ -98,7 +98,7 @@
 	b := newBox()
 	p := b.members[1]
 	for n := range 10 * savingMost {
-		b.step(1, Event{Got: &Msg{From: b.members[0].me, Inc: b.members[0].node.opts.Inc,
+		b.step(1, Event{Got: &Msg{From: b.members[0].me, Incarnation: b.members[0].node.opts.Incarnation,
 			Prepare: &Prepare{Number: p.node.view.Number + 1, Ballot: Ballot{Round: uint64(n + 10), By: b.members[0].me.ID}}}})
 	}
 	if len(p.saves) == 0 || len(p.saves) > savingMost {
--- a/internal/chain/repair_test.go
+++ b/internal/chain/repair_test.go
@@ -61,8 +61,8 @@
 
 // fresh is an empty machine with a name and an address of its own.
 func (y *yard) fresh() *spot {
-	y.incs++
-	name := fmt.Sprint("n", 10+y.incs)
+	y.incarnations++
+	name := fmt.Sprint("n", 10+y.incarnations)
 	s := &spot{me: Member{ID: name + "-0", Name: name, Addr: "a" + name}}
 	y.spots = append(y.spots, s)
 	y.seeds = nil
@@ -117,11 +117,11 @@
 			s.gone = true
 			s = y.fresh()
 		case emptied:
-			y.incs++
-			s.disk, s.me.ID = nil, fmt.Sprintf("%s-%d", s.me.Name, y.incs)
+			y.incarnations++
+			s.disk, s.me.ID = nil, fmt.Sprintf("%s-%d", s.me.Name, y.incarnations)
 		case readdressed:
-			y.incs++
-			s.me.Addr = fmt.Sprintf("%s-%d", s.me.Name, y.incs)
+			y.incarnations++
+			s.me.Addr = fmt.Sprintf("%s-%d", s.me.Name, y.incarnations)
 		}
 		successors = append(successors, s)
 	}
@@ -220,8 +220,8 @@
 		y.stop(s)
 	}
 	for _, s := range lost {
-		y.incs++
-		s.disk, s.me.ID = nil, fmt.Sprintf("%s-%d", s.me.Name, y.incs)
+		y.incarnations++
+		s.disk, s.me.ID = nil, fmt.Sprintf("%s-%d", s.me.Name, y.incarnations)
 	}
 	y.pass(comesAfterUs)
 	for _, s := range y.living() {
@@ -267,8 +267,8 @@
 				}
 				y.r.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
 				for _, s := range live[:moved] {
-					y.incs++
-					s.me.Addr = fmt.Sprintf("%s-%d", s.me.Name, y.incs)
+					y.incarnations++
+					s.me.Addr = fmt.Sprintf("%s-%d", s.me.Name, y.incarnations)
 				}
 				y.seeds = nil
 				for _, s := range y.living()[:3] {
--- a/internal/chain/replicate.go
+++ b/internal/chain/replicate.go
@@ -149,7 +149,7 @@
 
 func (n *Node) gotForward(m Msg, f Forward) {
 	prev, ok := n.predecessor()
-	if !ok || f.View != n.view.Number || m.From.ID != prev.ID || m.Inc != prev.Inc {
+	if !ok || f.View != n.view.Number || m.From.ID != prev.ID || m.Incarnation != prev.Incarnation {
 		return
 	}
 	news := f.SentUs > n.echoUs
@@ -210,7 +210,7 @@
 
 func (n *Node) gotAck(m Msg, a Ack) {
 	next, ok := n.successor()
-	if !ok || a.View != n.view.Number || m.From.ID != next.ID || m.Inc != next.Inc {
+	if !ok || a.View != n.view.Number || m.From.ID != next.ID || m.Incarnation != next.Incarnation {
 		return
 	}
 	if a.Last > n.succLast || !n.succKnown {
--- a/internal/chain/self_test.go
+++ b/internal/chain/self_test.go
@@ -14,22 +14,22 @@
 // yard is a chain whose control nodes take each other in by themselves: links that delay and cut, disks that take
 // their time, machines that die, lose their disks or are replaced at another address.
 type yard struct {
-	t       *testing.T
-	r       *rand.Rand
-	nowUs   int64
-	spots   []*spot
-	mail    []message
-	cuts    map[[2]string]bool
-	seeds   []string
-	views   map[uint64]View
-	acked   map[uint64]string
-	most    uint64
-	incs    int
-	writes  int
-	broken  string
-	founder []string
-	copies  int
-	paced   bool
+	t            *testing.T
+	r            *rand.Rand
+	nowUs        int64
+	spots        []*spot
+	mail         []message
+	cuts         map[[2]string]bool
+	seeds        []string
+	views        map[uint64]View
+	acked        map[uint64]string
+	most         uint64
+	incarnations int
+	writes       int
+	broken       string
+	founder      []string
+	copies       int
+	paced        bool
 	// idle: nobody writes.
 	idle bool
 	// loose links bring messages twice, late and out of their order.
@@ -78,8 +78,8 @@
 }
 
 func (y *yard) start(s *spot, first bool) {
-	y.incs++
-	s.opts = Options{Me: s.me, Inc: fmt.Sprintf("%s/%d", s.me.ID, y.incs), SelfMembers: true, CopiesLeast: y.copies, KeepMost: 30}
+	y.incarnations++
+	s.opts = Options{Me: s.me, Incarnation: fmt.Sprintf("%s/%d", s.me.ID, y.incarnations), SelfMembers: true, CopiesLeast: y.copies, KeepMost: 30}
 	if y.paced {
 		s.opts = paced(s.opts)
 	}
@@ -105,8 +105,8 @@
 // wipe takes a disk: the control node comes back under its name as another identity.
 func (y *yard) wipe(s *spot) {
 	y.stop(s)
-	y.incs++
-	s.disk, s.me.ID = nil, fmt.Sprintf("%s-%d", s.me.Name, y.incs)
+	y.incarnations++
+	s.disk, s.me.ID = nil, fmt.Sprintf("%s-%d", s.me.Name, y.incarnations)
 	y.start(s, false)
 }
 
@@ -114,8 +114,8 @@
 func (y *yard) replace(s *spot) {
 	y.stop(s)
 	s.gone = true
-	y.incs++
-	name := fmt.Sprint("n", 10+y.incs)
+	y.incarnations++
+	name := fmt.Sprint("n", 10+y.incarnations)
 	fresh := &spot{me: Member{ID: name + "-0", Name: name, Addr: "a" + name}}
 	y.spots = append(y.spots, fresh)
 	y.seeds = nil
--- a/internal/chain/status.go
+++ b/internal/chain/status.go
@@ -9,7 +9,7 @@
 	"petreltide/internal/ledger"
 )
 
-func (n *Node) place() int { return n.view.Place(n.opts.Me.ID, n.opts.Inc) }
+func (n *Node) place() int { return n.view.Place(n.opts.Me.ID, n.opts.Incarnation) }
 
 func (n *Node) serving() bool { return n.phase == Serving && n.place() >= 0 }
 
@@ -53,10 +53,10 @@
 // Me is the member that this process is of.
 func (n *Node) Me() Member { return n.opts.Me }
 
-// Inc names this process among those of its member.
-func (n *Node) Inc() string { return n.opts.Inc }
+// Incarnation names this process among those of its member.
+func (n *Node) Incarnation() string { return n.opts.Incarnation }
 
-// Settled says that the state of this control node is the chain's: it has had a seat in this life and holds
+// Settled says that the state of this control node is the chain's: it has had a seat in this incarnation and holds
 // all that was committed before it.
 func (n *Node) Settled() bool {
 	if n.settledOnce {
@@ -109,21 +109,21 @@
 
 // PeerNote is what this control node knows of another.
 type PeerNote struct {
-	Member Member `json:"member"`
-	Phase  Phase  `json:"phase"`
-	Inc    string `json:"inc"`
-	Last   uint64 `json:"last"`
-	AgoMs  int64  `json:"agoMs"`
-	Sound  bool   `json:"sound"`
+	Member      Member `json:"member"`
+	Phase       Phase  `json:"phase"`
+	Incarnation string `json:"inc"`
+	Last        uint64 `json:"last"`
+	AgoMs       int64  `json:"agoMs"`
+	Sound       bool   `json:"sound"`
 }
 
-// Peers are all other control nodes that were heard in this life.
+// Peers are all other control nodes that were heard in this incarnation.
 func (n *Node) Peers() []PeerNote {
 	notes := []PeerNote{}
 	for _, id := range n.peerIDs() {
 		p := n.peers[id]
 		notes = append(notes, PeerNote{
-			Member: p.hello.Me, Phase: p.hello.Phase, Inc: p.hello.Inc, Last: p.hello.Last,
+			Member: p.hello.Me, Phase: p.hello.Phase, Incarnation: p.hello.Incarnation, Last: p.hello.Last,
 			AgoMs: (n.nowUs - p.heardUs) / 1000, Sound: n.Hears(id),
 		})
 	}
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -17,7 +17,7 @@
 // Seat is a place in the order of a view, held by one process of a member: one that restarts has lost it.
 type Seat struct {
 	Member
-	Inc string `json:"inc"`
+	Incarnation string `json:"inc"`
 }
 
 // View says, under a number, who votes on the next view and which processes hold the log, head first.
@@ -49,9 +49,9 @@
 }
 
 // Place is where in the order a process has its seat, -1 if it has none.
-func (v View) Place(id, inc string) int {
+func (v View) Place(id, incarnation string) int {
 	for i, s := range v.Order {
-		if s.ID == id && s.Inc == inc {
+		if s.ID == id && s.Incarnation == incarnation {
 			return i
 		}
 	}
@@ -164,21 +164,21 @@
 
 // Hello is what a process tells all others of itself at a steady pace.
 type Hello struct {
-	Me        Member    `json:"me"`
-	Inc       string    `json:"inc"`
-	Phase     Phase     `json:"phase"`
-	View      View      `json:"view"`
-	Last      uint64    `json:"last"`
-	LastView  uint64    `json:"lastView"`
-	Compared  bool      `json:"compared"`
-	Whole     bool      `json:"whole,omitempty"`
-	Stalled   bool      `json:"stalled,omitempty"`
-	Promised  Ballot    `json:"promised"`
-	Accepted  *Accepted `json:"accepted,omitempty"`
-	Hears     []string  `json:"hears"`
-	Founders  []Member  `json:"founders,omitempty"`
-	CopyIndex uint64    `json:"copyIndex,omitempty"`
-	First     bool      `json:"first,omitempty"`
+	Me          Member    `json:"me"`
+	Incarnation string    `json:"inc"`
+	Phase       Phase     `json:"phase"`
+	View        View      `json:"view"`
+	Last        uint64    `json:"last"`
+	LastView    uint64    `json:"lastView"`
+	Compared    bool      `json:"compared"`
+	Whole       bool      `json:"whole,omitempty"`
+	Stalled     bool      `json:"stalled,omitempty"`
+	Promised    Ballot    `json:"promised"`
+	Accepted    *Accepted `json:"accepted,omitempty"`
+	Hears       []string  `json:"hears"`
+	Founders    []Member  `json:"founders,omitempty"`
+	CopyIndex   uint64    `json:"copyIndex,omitempty"`
+	First       bool      `json:"first,omitempty"`
 	// Leaving says that this process has been told to end.
 	Leaving bool `json:"leaving,omitempty"`
 }
@@ -240,9 +240,9 @@
 
 // Joining carries a copy of the state from the tail to a control node that has no seat.
 type Joining struct {
-	View uint64 `json:"view"`
-	Inc  string `json:"inc"`
-	Copy Copy   `json:"copy"`
+	View        uint64 `json:"view"`
+	Incarnation string `json:"inc"`
+	Copy        Copy   `json:"copy"`
 }
 
 // MessageForm is the newest form of a message that this version reads. A message of a later one is refused as a
@@ -252,20 +252,20 @@
 // Msg is one message between control nodes; exactly one of its pointers after ToID is set.
 type Msg struct {
 	// Form is left out as long as it is 0.
-	Form      int            `json:"form,omitempty"`
-	From      Member         `json:"from"`
-	Inc       string         `json:"inc"`
-	ToID      string         `json:"toId,omitempty"`
-	Hello     *Hello         `json:"hello,omitempty"`
-	Prepare   *Prepare       `json:"prepare,omitempty"`
-	Promise   *Promise       `json:"promise,omitempty"`
-	Accept    *Accept        `json:"accept,omitempty"`
-	Accepting *Accepting     `json:"accepting,omitempty"`
-	Forward   *Forward       `json:"forward,omitempty"`
-	Ack       *Ack           `json:"ack,omitempty"`
-	Lease     *Lease         `json:"lease,omitempty"`
-	Joining   *Joining       `json:"joining,omitempty"`
-	Submit    *ledger.Change `json:"submit,omitempty"`
+	Form        int            `json:"form,omitempty"`
+	From        Member         `json:"from"`
+	Incarnation string         `json:"inc"`
+	ToID        string         `json:"toId,omitempty"`
+	Hello       *Hello         `json:"hello,omitempty"`
+	Prepare     *Prepare       `json:"prepare,omitempty"`
+	Promise     *Promise       `json:"promise,omitempty"`
+	Accept      *Accept        `json:"accept,omitempty"`
+	Accepting   *Accepting     `json:"accepting,omitempty"`
+	Forward     *Forward       `json:"forward,omitempty"`
+	Ack         *Ack           `json:"ack,omitempty"`
+	Lease       *Lease         `json:"lease,omitempty"`
+	Joining     *Joining       `json:"joining,omitempty"`
+	Submit      *ledger.Change `json:"submit,omitempty"`
 }
 
 // Event is one input of a Node; with nothing but NowUs set it is a tick.
@@ -326,9 +326,9 @@
 
 // Options are what a Node goes by; times that are 0 are as usual.
 type Options struct {
-	Me       Member
-	Inc      string
-	Founding int
+	Me          Member
+	Incarnation string
+	Founding    int
 	// Founders are the addresses of the control nodes that begin a chain together, in place of Founding.
 	Founders []string
 	// First says that the whole fleet starts for the first time: this control node belongs to it from the start,
--- a/internal/chain/unsynced_test.go
+++ b/internal/chain/unsynced_test.go
@@ -13,18 +13,18 @@
 	t.Helper()
 	seats := []Seat{}
 	for _, id := range []string{"a", "b", "c"} {
-		seats = append(seats, Seat{Member: Member{ID: id, Name: id, Addr: id}, Inc: id + "/2"})
+		seats = append(seats, Seat{Member: Member{ID: id, Name: id, Addr: id}, Incarnation: id + "/2"})
 	}
 	voters := []Member{seats[0].Member, seats[1].Member, seats[2].Member}
 	old := View{Number: 1, Voters: voters, Order: []Seat{{seats[0].Member, "a/1"}, {seats[1].Member, "b/1"}, {seats[2].Member, "c/1"}}}
 	records := []Record{{View: &old}, {Whole: 1}, {Entry: &Entry{Index: 1, View: 1, Change: ledger.Change{ID: "first"}}}}
-	n, err := NewNode(Options{Me: seats[1].Member, Inc: "b/2", Unsynced: unsynced}, records, clock.Sec)
+	n, err := NewNode(Options{Me: seats[1].Member, Incarnation: "b/2", Unsynced: unsynced}, records, clock.Sec)
 	if err != nil {
 		t.Fatal(err)
 	}
 	next := View{Number: 2, Voters: voters, Order: seats}
-	head := Hello{Me: seats[0].Member, Inc: "a/2", Phase: Serving, View: next, Last: 1, LastView: 1, Whole: true}
-	n.Step(Event{NowUs: clock.Sec + clock.Ms, Got: &Msg{From: head.Me, Inc: head.Inc, Hello: &head}})
+	head := Hello{Me: seats[0].Member, Incarnation: "a/2", Phase: Serving, View: next, Last: 1, LastView: 1, Whole: true}
+	n.Step(Event{NowUs: clock.Sec + clock.Ms, Got: &Msg{From: head.Me, Incarnation: head.Incarnation, Hello: &head}})
 	if !n.serving() || n.place() != 1 {
 		t.Fatalf("%s at place %d", n.phase, n.place())
 	}
@@ -44,7 +44,7 @@
 // What the disk gave back without having synced it is not counted before the disk has: the member says that its disk
 // stands still, reports nothing as synced and takes part in no vote.
 func TestALogThatWasNotSyncedDoesNotCount(t *testing.T) {
-	beat := Event{NowUs: clock.Sec + 30*clock.Ms, Got: &Msg{From: Member{ID: "a", Addr: "a"}, Inc: "a/2", Forward: &Forward{View: 2, Last: 1, SentUs: 1}}}
+	beat := Event{NowUs: clock.Sec + 30*clock.Ms, Got: &Msg{From: Member{ID: "a", Addr: "a"}, Incarnation: "a/2", Forward: &Forward{View: 2, Last: 1, SentUs: 1}}}
 	if n := restartedMember(t, false); acked(n, beat) != 1 || n.stalled() {
 		t.Fatal("a synced log does not count")
 	}
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -24,13 +24,13 @@
 
 func (n *Node) healthy(s Seat) bool {
 	if s.ID == n.opts.Me.ID {
-		return s.Inc == n.opts.Inc && !n.stalled()
+		return s.Incarnation == n.opts.Incarnation && !n.stalled()
 	}
 	p := n.peers[s.ID]
 	if p == nil {
 		return n.nowUs-n.viewedUs < n.opts.SuspectUs
 	}
-	if n.awakeUs-p.heardAwakeUs >= n.opts.SuspectUs || p.hello.Inc != s.Inc || n.stallCounts(p) {
+	if n.awakeUs-p.heardAwakeUs >= n.opts.SuspectUs || p.hello.Incarnation != s.Incarnation || n.stallCounts(p) {
 		return false
 	}
 	return n.awakeUs-p.deafAwakeUs < 2*n.opts.SuspectUs
@@ -43,7 +43,7 @@
 	}
 	p := n.peers[s.ID]
 	if p == nil || p.hello.View.Number != n.view.Number {
-		return s.ID == n.view.Head().ID && s.Inc == n.view.Head().Inc
+		return s.ID == n.view.Head().ID && s.Incarnation == n.view.Head().Incarnation
 	}
 	return p.hello.Whole
 }
--- a/internal/chain/waking.go
+++ b/internal/chain/waking.go
@@ -29,13 +29,13 @@
 			heardVoters++
 		}
 		if n.view.Seated(id) && p.hello.Phase == Waking && p.hello.Whole && p.hello.View.Number == n.view.Number {
-			found = append(found, candidate{Seat{p.hello.Me, p.hello.Inc}, p.hello.Last, p.hello.LastView, p.hello.Stalled})
+			found = append(found, candidate{Seat{p.hello.Me, p.hello.Incarnation}, p.hello.Last, p.hello.LastView, p.hello.Stalled})
 		}
 	}
 	if !n.view.Seated(n.opts.Me.ID) || n.stalled() || !n.caughtUp {
 		return
 	}
-	found = append(found, candidate{Seat{n.opts.Me, n.opts.Inc}, n.lastIndex(), n.lastView(), n.stalled()})
+	found = append(found, candidate{Seat{n.opts.Me, n.opts.Incarnation}, n.lastIndex(), n.lastView(), n.stalled()})
 	gathered := len(found) == len(n.view.Order)
 	if heardVoters < n.view.Quorum() || (!gathered && n.nowUs-n.bootUs < n.opts.GatherUs) {
 		return
--- a/internal/chain/yield_test.go
+++ b/internal/chain/yield_test.go
@@ -9,7 +9,7 @@
 // A voter that has accepted a next view with another tail gives the tail of now no lease, as the others may
 // decide at any moment; and where nobody brings that view to an end it takes it up itself.
 func TestAVoterThatAcceptedAnotherTailGivesNoLease(t *testing.T) {
-	seat := func(id string) Seat { return Seat{Member: Member{ID: id, Addr: id}, Inc: id + "1"} }
+	seat := func(id string) Seat { return Seat{Member: Member{ID: id, Addr: id}, Incarnation: id + "1"} }
 	view := func(number uint64, order ...string) View {
 		v := View{Number: number, Voters: []Member{seat("a").Member, seat("b").Member, seat("c").Member}}
 		for _, id := range order {
@@ -34,17 +34,17 @@
 		"a vote fewer":         {with(view(6, "a", "c"), "a", "c"), true},
 		"another's vote":       {with(view(6, "a", "d", "c"), "a", "c", "d"), false},
 		"another tail":         {view(6, "a", "b"), false},
-		"the tail's next life": {View{Number: 6, Voters: view(6).Voters, Order: []Seat{seat("a"), {Member: seat("c").Member, Inc: "c2"}}}, false},
+		"the tail's next life": {View{Number: 6, Voters: view(6).Voters, Order: []Seat{seat("a"), {Member: seat("c").Member, Incarnation: "c2"}}}, false},
 	} {
 		v := view(5, "a", "b", "c")
-		n, err := NewNode(Options{Me: seat("a").Member, Inc: "a1"}, []Record{{View: &v}, {Whole: 5}}, clock.Sec)
+		n, err := NewNode(Options{Me: seat("a").Member, Incarnation: "a1"}, []Record{{View: &v}, {Whole: 5}}, clock.Sec)
 		if err != nil {
 			t.Fatal(err)
 		}
 		n.compared = true
 		nowUs := 4 * clock.Sec
 		got := func(from string, m Msg) []Effect {
-			m.From, m.Inc = seat(from).Member, seat(from).Inc
+			m.From, m.Incarnation = seat(from).Member, seat(from).Incarnation
 			return n.Step(Event{NowUs: nowUs, Got: &m})
 		}
 		if c.next.Number > 0 {
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -27,7 +27,7 @@
 	r := &rig{t: t, f: New(me), s: s, nowUs: clock.Sec, states: map[string]*wire.ReplicaState{}, list: wire.List{Version: 1}}
 	for _, id := range []string{"r1", "r2"} {
 		r.list.Replicas = append(r.list.Replicas, wire.Listed{ID: id, Addr: id, Zone: "a", RoomMb: 100, Slots: 4, State: wire.ListedReady})
-		r.states[id] = &wire.ReplicaState{ID: id, Inc: "i"}
+		r.states[id] = &wire.ReplicaState{ID: id, Incarnation: "i"}
 	}
 	return r
 }
@@ -103,7 +103,7 @@
 	}
 	r.list.Version++
 	r.list.Replicas = append(r.list.Replicas, wire.Listed{ID: "r3", Addr: "r3", Zone: "b", RoomMb: 100, Slots: 4, State: wire.ListedReady})
-	r.states["r3"] = &wire.ReplicaState{ID: "r3", Inc: "i"}
+	r.states["r3"] = &wire.ReplicaState{ID: "r3", Incarnation: "i"}
 	r.pass(2 * clock.Sec)
 	if usable() != 3 {
 		t.Fatalf("a new replica is not counted: %d", usable())
@@ -170,7 +170,7 @@
 					t.Fatalf("pending %v held %v", stillPending, held)
 				}
 			}
-			late := one.s.Apply(one.s.Index+1, ledger.Change{ID: "late", Epoch: 1, LeaderUpdate: &ledger.LeaderUpdate{Tickets: []ledger.Ticket{{Replica: "r2", Inc: "i", Revision: 1, Step: ledger.Load, Unit: "m"}}}})
+			late := one.s.Apply(one.s.Index+1, ledger.Change{ID: "late", Epoch: 1, LeaderUpdate: &ledger.LeaderUpdate{Tickets: []ledger.Ticket{{Replica: "r2", Incarnation: "i", Revision: 1, Step: ledger.Load, Unit: "m"}}}})
 			if late.Fault == nil {
 				t.Fatal("the frozen predecessor's write was taken")
 			}
--- a/internal/controller/events.go
+++ b/internal/controller/events.go
@@ -40,10 +40,10 @@
 // Ordered is a replica's own answer to an order; only its word that it has it counts. Expected is the count that
 // the order carried.
 type Ordered struct {
-	Replica  string
-	Inc      string
-	Expected *uint64
-	State    wire.OrderState
+	Replica     string
+	Incarnation string
+	Expected    *uint64
+	State       wire.OrderState
 }
 
 // PolicyDone is what the live placement policy and its shadows proposed in one run.
--- a/internal/controller/hear.go
+++ b/internal/controller/hear.go
@@ -61,7 +61,7 @@
 		f.count(fault.TicketRefused)
 		return
 	}
-	if row == nil || row.state.Inc != o.Inc {
+	if row == nil || row.state.Incarnation != o.Incarnation {
 		return
 	}
 	if last := row.state.Last; last == nil || last.Number < o.State.Number {
@@ -74,7 +74,7 @@
 func (f *Controller) settles(s *ledger.State, replica string) bool {
 	t, pending := s.Pending[replica]
 	row := f.replicas[replica]
-	return pending && row != nil && row.state.Last != nil && row.state.Inc == t.Inc && row.state.Last.Number >= t.Number && row.state.Last.State != wire.OrderRunning
+	return pending && row != nil && row.state.Last != nil && row.state.Incarnation == t.Incarnation && row.state.Last.Number >= t.Number && row.state.Last.State != wire.OrderRunning
 }
 
 // askReplicas asks listed replicas for their reports, more often while an order is pending there.
@@ -117,7 +117,7 @@
 	}
 }
 
-// noteListed compares one listed replica with the ledger, and writes down what differs. A replica whose life was
+// noteListed compares one listed replica with the ledger, and writes down what differs. A replica whose incarnation was
 // never heard is not written down yet.
 func (f *Controller) noteListed(seen Seen, l wire.Listed, update *ledger.LeaderUpdate) {
 	row, have := f.replicas[l.ID], seen.State.Replicas[l.ID]
@@ -129,15 +129,15 @@
 	n.Unreachable = spoke && seen.NowUs-row.atUs > unreachableAfterUs
 	switch {
 	case spoke && !n.Unreachable:
-		n.Inc = row.state.Inc
+		n.Incarnation = row.state.Incarnation
 	case have != nil && have.Addr == l.Addr:
-		n.Inc = have.Inc
+		n.Incarnation = have.Incarnation
 	}
-	if have == nil && n.Inc == "" {
+	if have == nil && n.Incarnation == "" {
 		return
 	}
-	if have != nil && n.Inc == "" {
-		n.Inc = have.Inc
+	if have != nil && n.Incarnation == "" {
+		n.Incarnation = have.Incarnation
 		n.Unreachable = true
 	}
 	if have != nil && !spoke {
@@ -146,7 +146,7 @@
 	if spoke && !n.Unreachable {
 		n.Told, n.Holds = f.retold(seen.State, have, row)
 	}
-	if rowDiffers(have, n) || have.Inc != n.Inc {
+	if rowDiffers(have, n) || have.Incarnation != n.Incarnation {
 		update.Fleet = append(update.Fleet, n)
 	}
 }
@@ -154,7 +154,7 @@
 // retold takes a replica's own word for its holdings, but only while no order is pending and
 // its last order is the one the ledger settled, so that an old report undoes nothing.
 func (f *Controller) retold(s *ledger.State, have *ledger.Replica, row *told) (bool, []ledger.Holding) {
-	if have == nil || have.Inc != row.state.Inc {
+	if have == nil || have.Incarnation != row.state.Incarnation {
 		return true, row.state.Holds
 	}
 	if _, pending := s.Pending[have.ID]; pending || row.heardUs <= row.movedUs {
@@ -177,7 +177,7 @@
 	for _, id := range sorted(s.Pending) {
 		t := s.Pending[id]
 		row := f.replicas[id]
-		if row == nil || row.atUs == 0 || row.state.Inc != t.Inc || row.state.Last == nil {
+		if row == nil || row.atUs == 0 || row.state.Incarnation != t.Incarnation || row.state.Last == nil {
 			continue
 		}
 		last := row.state.Last
@@ -205,7 +205,7 @@
 		row = &told{addr: t.Addr, askedUs: nowUs}
 		f.replicas[t.Replica] = row
 	}
-	if t.State == nil || t.State.ID != t.Replica || t.State.Inc == "" || !fitHoldings(t.State.Holds) {
+	if t.State == nil || t.State.ID != t.Replica || t.State.Incarnation == "" || !fitHoldings(t.State.Holds) {
 		f.count(fault.ReplicaFailed)
 		return
 	}
--- a/internal/controller/late_test.go
+++ b/internal/controller/late_test.go
@@ -18,8 +18,8 @@
 	for i, c := range []ledger.Change{
 		{ID: "c", Config: &ledger.ConfigChange{Version: 1, Doc: doc}},
 		{ID: "k", Epoch: 1, Claim: &ledger.Claim{Holder: "before"}},
-		{ID: "d", Epoch: 1, LeaderUpdate: &ledger.LeaderUpdate{Fleet: []ledger.ReplicaNote{{ID: "r1", Inc: "r1", Addr: "a", RoomMb: 100, Slots: 4, Service: "s", Told: true}}}},
-		{ID: "t", Epoch: 1, LeaderUpdate: &ledger.LeaderUpdate{Tickets: []ledger.Ticket{{Revision: 1, Replica: "r1", Inc: "r1", Step: ledger.Load, Unit: "m"}}}},
+		{ID: "d", Epoch: 1, LeaderUpdate: &ledger.LeaderUpdate{Fleet: []ledger.ReplicaNote{{ID: "r1", Incarnation: "r1", Addr: "a", RoomMb: 100, Slots: 4, Service: "s", Told: true}}}},
+		{ID: "t", Epoch: 1, LeaderUpdate: &ledger.LeaderUpdate{Tickets: []ledger.Ticket{{Revision: 1, Replica: "r1", Incarnation: "r1", Step: ledger.Load, Unit: "m"}}}},
 	} {
 		if out := s.Apply(uint64(i+1), c); out.Fault != nil || len(out.Faults) > 0 {
 			t.Fatal(c.ID, out.Fault, out.Faults)
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -204,7 +204,7 @@
 		row = &told{}
 		f.replicas[replica] = row
 	}
-	row.state.Inc, row.state.ID, row.atUs = t.Inc, replica, 1
+	row.state.Incarnation, row.state.ID, row.atUs = t.Incarnation, replica, 1
 	row.state.Last = &wire.OrderState{Number: t.Number, Epoch: t.Epoch, State: state, Why: why}
 	f.moved = true
 }
--- a/internal/controller/orders_explore_test.go
+++ b/internal/controller/orders_explore_test.go
@@ -194,7 +194,7 @@
 	}
 }
 
-// replaceReplica ends a life and begins another at its address.
+// replaceReplica ends an incarnation and begins another at its address.
 func (m *orderModel) replaceReplica() {
 	ids := slices.Sorted(maps.Keys(m.lives))
 	r := m.lives[ids[m.choose(len(ids))]]
@@ -207,7 +207,7 @@
 	m.note("%s ends, another life begins at %s", r.id, r.addr)
 }
 
-// renewReplica ends a life as planned, which it says, and begins another at its address with an empty disk.
+// renewReplica ends an incarnation as planned, which it says, and begins another at its address with an empty disk.
 func (m *orderModel) renewReplica() {
 	ids := slices.Sorted(maps.Keys(m.lives))
 	r := m.lives[ids[m.choose(len(ids))]]
--- a/internal/controller/orders_model_test.go
+++ b/internal/controller/orders_model_test.go
@@ -70,7 +70,7 @@
 	plant    orderPlant
 }
 
-// modelReplica is one life of a replica as it truly is. Its history is what its report shows a little later.
+// modelReplica is one incarnation of a replica as it truly is. Its history is what its report shows a little later.
 type modelReplica struct {
 	id, addr string
 	holds    map[string]int64
@@ -153,7 +153,7 @@
 	return m
 }
 
-// restartControlNode begins a new life of a control node: its controller remembers nothing.
+// restartControlNode begins a new incarnation of a control node: its controller remembers nothing.
 func (m *orderModel) restartControlNode(i int) {
 	opts := Options{LeaseUs: modelLeaseUs, StoreWindowUs: modelWindowUs, StoreOvershoot: 1}
 	switch m.plant {
@@ -165,7 +165,7 @@
 	m.controlNodes[i] = &modelControlNode{controller: NewWith(fmt.Sprint("office", i), opts), roster: roster.New(3 * clock.Sec)}
 }
 
-// birth begins a new life of a replica, with nothing held and this disk.
+// birth begins a new incarnation of a replica, with nothing held and this disk.
 func (m *orderModel) birth(addr string, disk map[string]bool) {
 	m.births++
 	id := fmt.Sprintf("%s-life%d", addr, m.births)
@@ -265,14 +265,14 @@
 		r := m.at(ask.Addr)
 		if lost := r != nil && m.plant == plantLostReports && r.addr == "address0"; r != nil && !lost {
 			state := r.report(m.nowUs - modelReportLagUs)
-			state.ID, state.Inc = ask.Replica, ask.Replica
+			state.ID, state.Incarnation = ask.Replica, ask.Replica
 			told.State = &state
 		}
 		m.later(modelTickUs, func() { m.back(i, from, Event{Told: &told}) })
 	})
 }
 
-// at is the life that answers at an address now.
+// at is the incarnation that answers at an address now.
 func (m *orderModel) at(addr string) *modelReplica {
 	for _, id := range slices.Sorted(maps.Keys(m.lives)) {
 		if m.lives[id].addr == addr {
@@ -298,7 +298,7 @@
 			return
 		}
 		answered = true
-		ordered := Ordered{Replica: order.Ticket.Replica, Inc: order.Ticket.Inc, Expected: order.Expected, State: wire.OrderState{Number: order.Ticket.Number, Epoch: order.Epoch, State: state}}
+		ordered := Ordered{Replica: order.Ticket.Replica, Incarnation: order.Ticket.Incarnation, Expected: order.Expected, State: wire.OrderState{Number: order.Ticket.Number, Epoch: order.Epoch, State: state}}
 		m.back(i, from, Event{Ordered: &ordered})
 	}
 	arrive := func(healed bool) {
@@ -332,7 +332,7 @@
 	if r == nil {
 		return wire.OrderInDoubt
 	}
-	if r.id != order.Ticket.Inc {
+	if r.id != order.Ticket.Incarnation {
 		return wire.OrderFailed
 	}
 	m.checkHolder(r, order, healed)
--- a/internal/controller/outliers.go
+++ b/internal/controller/outliers.go
@@ -5,7 +5,7 @@
 	"petreltide/internal/wire"
 )
 
-// serviceOf is the service of a life of a replica, "" where it is not known or has ended.
+// serviceOf is the service of an incarnation of a replica, "" where it is not known or has ended.
 func (s Seen) serviceOf(id string) string {
 	if e := s.Roster.Row(id); e != nil && !e.Gone {
 		return e.Service
--- a/internal/controller/routed_test.go
+++ b/internal/controller/routed_test.go
@@ -155,7 +155,7 @@
 			f.later(1+f.r.Int63n(20*clock.Ms), func() {
 				told := Told{AskedUs: ask.AskedUs, Replica: ask.Replica, Addr: ask.Addr}
 				if m := f.machines[ask.Replica]; m != nil && f.r.Intn(100) >= f.lose {
-					told.State = &wire.ReplicaState{ID: m.id, Inc: m.id, Busy: m.busy.Unit != "", Orders: m.taken, Units: m.units()}
+					told.State = &wire.ReplicaState{ID: m.id, Incarnation: m.id, Busy: m.busy.Unit != "", Orders: m.taken, Units: m.units()}
 					for n := range f.orders[ask.Replica] {
 						f.orders[ask.Replica][n].asked = true
 					}
@@ -180,11 +180,11 @@
 				}
 				if state != "" && f.r.Intn(100) >= f.lose {
 					f.later(1+f.r.Int63n(25*clock.Ms), func() {
-						back(Event{Ordered: &Ordered{Replica: o.Ticket.Replica, Inc: o.Ticket.Inc, State: wire.OrderState{Number: o.Ticket.Number, Epoch: o.Epoch, State: state}}})
+						back(Event{Ordered: &Ordered{Replica: o.Ticket.Replica, Incarnation: o.Ticket.Incarnation, State: wire.OrderState{Number: o.Ticket.Number, Epoch: o.Epoch, State: state}}})
 					})
 				} else {
 					f.later(900*clock.Ms, func() {
-						back(Event{Ordered: &Ordered{Replica: o.Ticket.Replica, Inc: o.Ticket.Inc, State: wire.OrderState{Number: o.Ticket.Number, Epoch: o.Epoch, State: wire.OrderInDoubt}}})
+						back(Event{Ordered: &Ordered{Replica: o.Ticket.Replica, Incarnation: o.Ticket.Incarnation, State: wire.OrderState{Number: o.Ticket.Number, Epoch: o.Epoch, State: wire.OrderInDoubt}}})
 					})
 				}
 			})
@@ -195,7 +195,7 @@
 // arrive is an order at a replica, which judges it by what it holds, and the fleet by the rules.
 func (f *fleet) arrive(o wire.Order) string {
 	m := f.machines[o.Ticket.Replica]
-	if m == nil || m.id != o.Ticket.Inc {
+	if m == nil || m.id != o.Ticket.Incarnation {
 		return wire.OrderFailed
 	}
 	f.holder(m.id, o)
@@ -316,8 +316,8 @@
 	}
 }
 
-// replace ends one replica's life; the next one at its address begins with this disk, or its own. Where the disk is
-// another, the end was planned, and the life says so: else the next one is not believed at once.
+// replace ends one replica's incarnation; the next one at its address begins with this disk, or its own. Where the disk is
+// another, the end was planned, and the incarnation says so: else the next one is not believed at once.
 func (f *fleet) replace(disk map[string]bool) {
 	ids := slices.Sorted(maps.Keys(f.machines))
 	m := f.machines[ids[f.r.Intn(len(ids))]]
@@ -438,7 +438,7 @@
 			t.Fatalf("%s: the replica is not written down", name)
 		}
 		index++
-		out := s.Apply(index, ledger.Change{ID: "t", Epoch: s.Epoch, LeaderUpdate: &ledger.LeaderUpdate{Tickets: []ledger.Ticket{{Replica: "r", Inc: "r", Revision: s.Revision, Step: ledger.Unload, Unit: "m0"}}}})
+		out := s.Apply(index, ledger.Change{ID: "t", Epoch: s.Epoch, LeaderUpdate: &ledger.LeaderUpdate{Tickets: []ledger.Ticket{{Replica: "r", Incarnation: "r", Revision: s.Revision, Step: ledger.Unload, Unit: "m0"}}}})
 		if len(out.Faults) > 0 {
 			t.Fatal(out.Faults)
 		}
@@ -466,8 +466,8 @@
 	index := uint64(2)
 	load := func(nowUs int64, id string) {
 		index++
-		update := ledger.LeaderUpdate{Fleet: []ledger.ReplicaNote{{ID: id, Inc: id, RoomMb: fleetRoomMb, Slots: 8, Service: "s"}},
-			Tickets: []ledger.Ticket{{Replica: id, Inc: id, Revision: s.Revision, Step: ledger.Load, Unit: "m0"}}}
+		update := ledger.LeaderUpdate{Fleet: []ledger.ReplicaNote{{ID: id, Incarnation: id, RoomMb: fleetRoomMb, Slots: 8, Service: "s"}},
+			Tickets: []ledger.Ticket{{Replica: id, Incarnation: id, Revision: s.Revision, Step: ledger.Load, Unit: "m0"}}}
 		if out := s.Apply(index, ledger.Change{ID: fmt.Sprint("d", index), Epoch: s.Epoch, LeaderUpdate: &update}); len(out.Faults) > 0 {
 			t.Fatal(out.Faults)
 		}
--- a/internal/controller/rows.go
+++ b/internal/controller/rows.go
@@ -20,8 +20,8 @@
 	return e.SaidUs <= max(r.changedUs[e.ID], r.bornUs)+wordLateUs
 }
 
-// noteRoster writes down what tickets need to know of replicas: their lives, their room and what they hold.
-// It changes with notices, lives and loads, not with heartbeats.
+// noteRoster writes down what tickets need to know of replicas: their incarnations, their room and what they hold.
+// It changes with notices, incarnations and loads, not with heartbeats.
 func (f *Controller) noteRoster(seen Seen, update *ledger.LeaderUpdate) {
 	now := notedAt{seen.Roster.Rev, seen.State.HoldsIndex, seen.State.Revision, f.routed.noted.atUs}
 	if now == f.routed.noted && seen.NowUs-now.atUs < noteEveryUs {
@@ -49,7 +49,7 @@
 		return
 	}
 	n := ledger.ReplicaNote{
-		ID: e.ID, Inc: e.ID, Addr: e.Addr, Zone: e.Zone, RoomMb: svc.Engine.RoomMb, Slots: e.Slots, Leaving: e.Draining,
+		ID: e.ID, Incarnation: e.ID, Addr: e.Addr, Zone: e.Zone, RoomMb: svc.Engine.RoomMb, Slots: e.Slots, Leaving: e.Draining,
 		LeftMs: leftMs(have, e.Draining, e.LeftMs), Unreachable: e.Unreachable, Service: e.Service,
 	}
 	f.noteUnits(seen, e, svc, &n)
@@ -91,7 +91,7 @@
 	}
 }
 
-// rowDiffers: the ledger has no row of a replica, or one that says something else than the note. The life is not
+// rowDiffers: the ledger has no row of a replica, or one that says something else than the note. The incarnation is not
 // looked at.
 func rowDiffers(have *ledger.Replica, n ledger.ReplicaNote) bool {
 	return have == nil || have.Addr != n.Addr || have.Zone != n.Zone || have.RoomMb != n.RoomMb ||
--- a/internal/controller/share.go
+++ b/internal/controller/share.go
@@ -12,7 +12,7 @@
 	gateways := f.live(seen.NowUs)
 	for _, id := range s.ReplicaIDs() {
 		r := s.Replicas[id]
-		if r.Leaving || r.Unreachable || r.Inc == "" {
+		if r.Leaving || r.Unreachable || r.Incarnation == "" {
 			continue
 		}
 		for _, unit := range sorted(r.Holds) {
@@ -33,10 +33,10 @@
 func (f *Controller) grantAsk(s *ledger.State, r *ledger.Replica, model, gateway string) (ask ledger.GrantAsk, needed bool) {
 	report := f.gateways[gateway].report
 	want := min(max(uint64(report.Arrivals[model]*2*attemptSeconds), attemptsLeast), attemptsMost)
-	ask = ledger.GrantAsk{Gateway: gateway, GatewayInc: report.Inc, Replica: r.ID, Inc: r.Inc, Model: model, Count: want}
+	ask = ledger.GrantAsk{Gateway: gateway, GatewayIncarnation: report.Incarnation, Replica: r.ID, Incarnation: r.Incarnation, Model: model, Count: want}
 	g := ledger.Grant{Gateway: gateway, Replica: r.ID, Model: model}
 	have, ok := s.Grants[g.Key()]
-	if !ok || have.GatewayInc != report.Inc || have.Inc != r.Inc {
+	if !ok || have.GatewayIncarnation != report.Incarnation || have.Incarnation != r.Incarnation {
 		return ask, true
 	}
 	left, told := report.Left[r.ID+"|"+model]
--- a/internal/controller/slow_test.go
+++ b/internal/controller/slow_test.go
@@ -29,7 +29,7 @@
 				f.Saw(nowUs, e.Write.Epoch, leaderUpdateOf(e.Write), s)
 				step(Event{Wrote: &out})
 			case e.Order != nil:
-				step(Event{Ordered: &Ordered{Replica: "r", Inc: "r", State: wireRunning(e.Order.Order.Ticket.Number)}})
+				step(Event{Ordered: &Ordered{Replica: "r", Incarnation: "r", State: wireRunning(e.Order.Order.Ticket.Number)}})
 			}
 		}
 	}
@@ -43,7 +43,7 @@
 	}
 	pass(6 * clock.Sec)
 	index++
-	out := s.Apply(index, ledger.Change{ID: "t", Epoch: s.Epoch, LeaderUpdate: &ledger.LeaderUpdate{Tickets: []ledger.Ticket{{Replica: "r", Inc: "r", Revision: s.Revision, Step: ledger.Load, Unit: "m0"}}}})
+	out := s.Apply(index, ledger.Change{ID: "t", Epoch: s.Epoch, LeaderUpdate: &ledger.LeaderUpdate{Tickets: []ledger.Ticket{{Replica: "r", Incarnation: "r", Revision: s.Revision, Step: ledger.Load, Unit: "m0"}}}})
 	if len(out.Faults) > 0 {
 		t.Fatal(out.Faults)
 	}
--- a/internal/controller/tickets.go
+++ b/internal/controller/tickets.go
@@ -12,7 +12,7 @@
 	for _, id := range sorted(s.Pending) {
 		t := s.Pending[id]
 		row := f.replicas[id]
-		if row == nil || row.atUs == 0 || row.state.Inc != t.Inc {
+		if row == nil || row.atUs == 0 || row.state.Incarnation != t.Incarnation {
 			continue
 		}
 		if last := row.state.Last; last != nil && last.Number >= t.Number {
@@ -31,7 +31,7 @@
 	sumMb := f.issuingMb
 	for _, t := range s.Pending {
 		row := f.replicas[t.Replica]
-		seen := row != nil && row.atUs > 0 && row.state.Inc == t.Inc && row.state.Last != nil && row.state.Last.Number >= t.Number
+		seen := row != nil && row.atUs > 0 && row.state.Incarnation == t.Incarnation && row.state.Last != nil && row.state.Last.Number >= t.Number
 		if t.Step == ledger.Load && !seen {
 			sumMb += t.SizeMb
 		}
--- a/internal/controller/turns_test.go
+++ b/internal/controller/turns_test.go
@@ -86,10 +86,10 @@
 		}
 		tick(clock.Sec)
 		note := func(id string) ledger.ReplicaNote {
-			return ledger.ReplicaNote{ID: id, Inc: id, RoomMb: fleetRoomMb, Slots: 8, Service: "s"}
+			return ledger.ReplicaNote{ID: id, Incarnation: id, RoomMb: fleetRoomMb, Slots: 8, Service: "s"}
 		}
 		apply(8*clock.Sec, ledger.Change{ID: "d1", Epoch: 1, LeaderUpdate: &ledger.LeaderUpdate{Fleet: []ledger.ReplicaNote{note("r0"), note("r1")},
-			Tickets: []ledger.Ticket{{Replica: "r0", Inc: "r0", Revision: s.Revision, Step: ledger.Load, Unit: "m0"}}}})
+			Tickets: []ledger.Ticket{{Replica: "r0", Incarnation: "r0", Revision: s.Revision, Step: ledger.Load, Unit: "m0"}}}})
 		apply(9*clock.Sec, ledger.Change{ID: "d2", Epoch: 1, LeaderUpdate: &ledger.LeaderUpdate{Settled: []ledger.Settled{{Number: 1, Done: true}}}})
 		seen.Head, seen.Fresh = true, true
 		tick(9500 * clock.Ms)
--- a/internal/controlnode/bulk.go
+++ b/internal/controlnode/bulk.go
@@ -15,22 +15,22 @@
 
 // bulkSend is a whole state on its way to a peer.
 type bulkSend struct {
-	// reader is the life or the view that it is meant for.
+	// reader is the incarnation or the view that it is meant for.
 	reader string
 	cancel context.CancelFunc
 }
 
-// readerOf names the one that a whole state is meant for: another life of the same peer, or the same in another
+// readerOf names the one that a whole state is meant for: another incarnation of the same peer, or the same in another
 // view, needs another.
 func readerOf(m *chain.Msg) string {
 	if m.Joining != nil {
-		return m.ToID + "/" + m.Joining.Inc
+		return m.ToID + "/" + m.Joining.Incarnation
 	}
 	return m.ToID + "/" + strconv.FormatUint(m.Forward.View, 10)
 }
 
-// sendBulk sends a whole state beside the other messages, one at a time to each peer. One that is on its way to a
-// life that has ended hangs for as long as nothing answers: the next life does not wait for it.
+// sendBulk sends a whole state beside the other messages, one at a time to each peer. One that is on its way to an
+// incarnation that has ended hangs for as long as nothing answers: the next incarnation does not wait for it.
 func (h *Host) sendBulk(addr string, l wire.Message) {
 	reader := readerOf(l.Chain)
 	if running := h.bulk[addr]; running != nil {
--- a/internal/controlnode/bulk_test.go
+++ b/internal/controlnode/bulk_test.go
@@ -15,9 +15,9 @@
 	"petreltide/internal/wire"
 )
 
-// A peer loses power while a copy is on its way to it, and gives no answer any more: its next life gets a copy at
-// once, and not only when the first one is given up. The same copy for the same life is not sent twice at a time.
-func TestACopyForTheNextLifeDoesNotWaitForTheOneBefore(t *testing.T) {
+// A peer loses power while a copy is on its way to it, and gives no answer any more: its next incarnation gets a copy at
+// once, and not only when the first one is given up. The same copy for the same incarnation is not sent twice at a time.
+func TestACopyForTheNextIncarnationDoesNotWaitForTheOneBefore(t *testing.T) {
 	h, _ := onMoody(t)
 	read := make(chan string, 8)
 	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
@@ -26,22 +26,22 @@
 		if err != nil || json.Unmarshal(raw, &batch) != nil {
 			return
 		}
-		read <- batch.Messages[0].Chain.Joining.Inc
+		read <- batch.Messages[0].Chain.Joining.Incarnation
 		<-r.Context().Done()
 	}))
 	t.Cleanup(server.CloseClientConnections)
 	addr := strings.TrimPrefix(server.URL, "http://")
-	send := func(inc string) {
+	send := func(incarnation string) {
 		copied := chain.Copy{Index: 1, State: ledger.NewState()}
-		msg := chain.Msg{ToID: "b-1", Joining: &chain.Joining{View: 1, Inc: inc, Copy: copied}}
+		msg := chain.Msg{ToID: "b-1", Joining: &chain.Joining{View: 1, Incarnation: incarnation, Copy: copied}}
 		h.act.Tell(func() { h.send(addr, wire.Message{Chain: &msg}) })
 	}
 	ctx, done := context.WithTimeout(t.Context(), 10*time.Second)
 	defer done()
 	next := func() string {
 		select {
-		case inc := <-read:
-			return inc
+		case incarnation := <-read:
+			return incarnation
 		case <-ctx.Done():
 			return "nothing"
 		}
@@ -53,7 +53,7 @@
 	send("first")
 	send("second")
 	if got := next(); got != "second" {
-		t.Fatalf("the next life was sent %s", got)
+		t.Fatalf("the next incarnation was sent %s", got)
 	}
 	send("second")
 	if !h.act.Do(ctx, func() {
--- a/internal/controlnode/core.go
+++ b/internal/controlnode/core.go
@@ -90,7 +90,7 @@
 	stepUs         int64
 	sleptUs        int64
 	wokeUs         int64
-	// bornUs and bornLast are when this life began, and what its log held then: whatever was settled in there was
+	// bornUs and bornLast are when this incarnation began, and what its log held then: whatever was settled in there was
 	// ordered before.
 	bornUs   int64
 	bornLast uint64
@@ -148,7 +148,7 @@
 	case ev.Subscribe != nil:
 		c.soft.Hub.Follow(ev.NowUs, *ev.Subscribe)
 	case ev.Unfollow != nil:
-		c.soft.Hub.Unfollow(ev.Unfollow.Gateway, ev.Unfollow.Inc)
+		c.soft.Hub.Unfollow(ev.Unfollow.Gateway, ev.Unfollow.Incarnation)
 	case ev.GatewayReport != nil:
 		c.routedReport(ev.NowUs, *ev.GatewayReport)
 	default:
--- a/internal/controlnode/departures.go
+++ b/internal/controlnode/departures.go
@@ -45,7 +45,7 @@
 	c.reply(reply, c.Node.InContact(nowUs))
 }
 
-// left takes the word that a replica's life has ended.
+// left takes the word that a replica's incarnation has ended.
 func (c *Core) left(nowUs int64, id string, reply uint64) {
 	c.gone(nowUs, id)
 	c.departs(nowUs, id, true, reply)
@@ -108,7 +108,7 @@
 
 // confirm tells another control node which of the leavings that it asks about are known here.
 func (c *Core) confirm(h wire.Heard) {
-	known := wire.Confirmed{By: c.Node.Me().ID, Inc: h.Inc}
+	known := wire.Confirmed{By: c.Node.Me().ID, Incarnation: h.Incarnation}
 	for _, id := range h.Confirm {
 		if e := c.soft.Roster.Row(id); e != nil && (e.Gone || e.Draining) {
 			known.Leaving = append(known.Leaving, wire.KnownLeaving{ID: id, Gone: e.Gone})
@@ -126,7 +126,7 @@
 
 // confirmed takes another control node's word that it knows of leavings.
 func (c *Core) confirmed(nowUs int64, known wire.Confirmed) {
-	if known.Inc != c.Node.Inc() {
+	if known.Incarnation != c.Node.Incarnation() {
 		return
 	}
 	for _, l := range known.Leaving {
@@ -162,7 +162,7 @@
 	return h.word(ctx, Event{Heard: &row})
 }
 
-// Left takes the word that a replica's life has ended; true acknowledges it.
+// Left takes the word that a replica's incarnation has ended; true acknowledges it.
 func (h *Host) Left(ctx context.Context, id string) bool { return h.word(ctx, Event{Left: id}) }
 
 func (h *Host) word(ctx context.Context, ev Event) bool {
--- a/internal/controlnode/departures_test.go
+++ b/internal/controlnode/departures_test.go
@@ -30,7 +30,7 @@
 	addrs := []string{"a0", "a1", "a2"}
 	for i, addr := range addrs {
 		node, err := chain.NewNode(SelfPaced(chain.Options{
-			Me: chain.Member{ID: "o" + addr, Name: "o" + addr, Addr: addr}, Inc: fmt.Sprint(i), Founders: addrs, SelfMembers: true, CopiesLeast: 2,
+			Me: chain.Member{ID: "o" + addr, Name: "o" + addr, Addr: addr}, Incarnation: fmt.Sprint(i), Founders: addrs, SelfMembers: true, CopiesLeast: 2,
 		}), nil, tr.nowUs)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/controlnode/fleet.go
+++ b/internal/controlnode/fleet.go
@@ -46,7 +46,7 @@
 	ReplicaUnheard ReplicaState = "unheard"
 )
 
-// ReplicaNote is one life of a replica. LeftMs is what is left now of the time it named, and only there
+// ReplicaNote is one incarnation of a replica. LeftMs is what is left now of the time it named, and only there
 // where it named one; Stage is its own word and known where it was heard; HeldMb counts what is held and what
 // may come by the order that stands.
 type ReplicaNote struct {
--- a/internal/controlnode/fleet_test.go
+++ b/internal/controlnode/fleet_test.go
@@ -15,7 +15,7 @@
 
 // One replica in each state that heartbeats, silence and the ledger can put it in.
 func TestStatusTellsEachReplicasState(t *testing.T) {
-	node, err := chain.NewNode(chain.Options{Me: chain.Member{ID: "o", Name: "o", Addr: "a"}, Inc: "1", Founding: 1}, nil, clock.Sec)
+	node, err := chain.NewNode(chain.Options{Me: chain.Member{ID: "o", Name: "o", Addr: "a"}, Incarnation: "1", Founding: 1}, nil, clock.Sec)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -33,10 +33,10 @@
 	}}})
 	s.Apply(2, ledger.Change{ID: "claim", Epoch: 1, Claim: &ledger.Claim{Holder: "o"}})
 	known := func(id string) ledger.ReplicaNote {
-		return ledger.ReplicaNote{ID: id, Inc: id, Addr: id, Zone: "z", RoomMb: 100, Slots: 4, Service: "s", Told: true, Holds: []ledger.Holding{{Unit: "m", SizeMb: 30}}}
+		return ledger.ReplicaNote{ID: id, Incarnation: id, Addr: id, Zone: "z", RoomMb: 100, Slots: 4, Service: "s", Told: true, Holds: []ledger.Holding{{Unit: "m", SizeMb: 30}}}
 	}
 	s.Apply(3, ledger.Change{ID: "fleet", Epoch: 1, LeaderUpdate: &ledger.LeaderUpdate{Fleet: []ledger.ReplicaNote{known("ready"), known("never")}}})
-	out := s.Apply(4, ledger.Change{ID: "ticket", Epoch: 1, LeaderUpdate: &ledger.LeaderUpdate{Tickets: []ledger.Ticket{{Replica: "ready", Inc: "ready", Revision: 1, Step: ledger.Load, Unit: "n"}}}})
+	out := s.Apply(4, ledger.Change{ID: "ticket", Epoch: 1, LeaderUpdate: &ledger.LeaderUpdate{Tickets: []ledger.Ticket{{Replica: "ready", Incarnation: "ready", Revision: 1, Step: ledger.Load, Unit: "n"}}}})
 	if len(out.Faults) > 0 {
 		t.Fatal(out.Faults)
 	}
--- a/internal/controlnode/frames.go
+++ b/internal/controlnode/frames.go
@@ -16,9 +16,9 @@
 
 // framed is one gateway's stream; one that does not keep up is ended, and the gateway follows anew.
 type framed struct {
-	inc    string
-	frames chan *wire.Frame
-	over   chan struct{}
+	incarnation string
+	frames      chan *wire.Frame
+	over        chan struct{}
 }
 
 func (h *Host) frame(gateway string, f *wire.Frame) {
@@ -35,11 +35,11 @@
 }
 
 func (h *Host) serveFrames(ctx context.Context, f *wire.Follow, send func(*wire.Frame) error) error {
-	mine := &framed{inc: f.Inc, frames: make(chan *wire.Frame, framesMost), over: make(chan struct{})}
+	mine := &framed{incarnation: f.Incarnation, frames: make(chan *wire.Frame, framesMost), over: make(chan struct{})}
 	defer h.act.Tell(func() {
 		if h.frames[f.Gateway] == mine {
 			delete(h.frames, f.Gateway)
-			h.step(Event{Unfollow: &Unfollow{Gateway: f.Gateway, Inc: f.Inc}})
+			h.step(Event{Unfollow: &Unfollow{Gateway: f.Gateway, Incarnation: f.Incarnation}})
 		}
 	})
 	if !h.act.Do(ctx, func() {
--- a/internal/controlnode/host.go
+++ b/internal/controlnode/host.go
@@ -163,7 +163,7 @@
 		founding = 0
 	}
 	opts := chain.Options{
-		Me: me, Inc: RandomID(6), Founding: founding, CopiesLeast: set.CopiesLeast, ZonesLeast: set.ZonesLeast, SelfMembers: set.Members == settings.SelfMembers,
+		Me: me, Incarnation: RandomID(6), Founding: founding, CopiesLeast: set.CopiesLeast, ZonesLeast: set.ZonesLeast, SelfMembers: set.Members == settings.SelfMembers,
 		Unsynced: opened.Refused != nil,
 	}
 	if opts.SelfMembers {
@@ -482,7 +482,7 @@
 	if err != nil {
 		state = wire.OrderState{Number: o.Order.Ticket.Number, State: wire.OrderInDoubt, Why: err.Error()}
 	}
-	h.tell(Event{Controller: &controller.Event{Ordered: &controller.Ordered{Replica: o.Order.Ticket.Replica, Inc: o.Order.Ticket.Inc, Expected: o.Order.Expected, State: state}}})
+	h.tell(Event{Controller: &controller.Event{Ordered: &controller.Ordered{Replica: o.Order.Ticket.Replica, Incarnation: o.Order.Ticket.Incarnation, Expected: o.Order.Expected, State: state}}})
 }
 
 // Submit carries a change to the head and waits for the tail's result.
--- a/internal/controlnode/life_test.go
+++ b/internal/controlnode/incarnation_test.go
@@ -26,7 +26,7 @@
 	p.lives++
 	addr := fmt.Sprint("a", i)
 	node, err := chain.NewNode(chain.Options{
-		Me: chain.Member{ID: "o" + addr, Name: "o" + addr, Addr: addr}, Inc: fmt.Sprint(p.lives), Founders: []string{"a0", "a1"}, SelfMembers: true, CopiesLeast: 2,
+		Me: chain.Member{ID: "o" + addr, Name: "o" + addr, Addr: addr}, Incarnation: fmt.Sprint(p.lives), Founders: []string{"a0", "a1"}, SelfMembers: true, CopiesLeast: 2,
 	}, p.disks[i], p.nowUs)
 	if err != nil {
 		p.t.Fatal(err)
@@ -83,7 +83,7 @@
 	}
 }
 
-// After a restart of all, the log is applied anew. Orders that were settled in it went out before this life began,
+// After a restart of all, the log is applied anew. Orders that were settled in it went out before this incarnation began,
 // and their lease is counted from there, not from when the last control node was back.
 func TestTheLeaseAfterARestartOfAllIsCountedFromTheStart(t *testing.T) {
 	p := &pair{t: t, nowUs: clock.Sec}
@@ -98,8 +98,8 @@
 	p.pass(clock.Sec)
 	s := p.head().Node.State()
 	p.write(ledger.Change{ID: "d1", Epoch: s.Epoch, LeaderUpdate: &ledger.LeaderUpdate{
-		Fleet:   []ledger.ReplicaNote{{ID: "r", Inc: "r", RoomMb: 100, Slots: 4, Service: "s"}},
-		Tickets: []ledger.Ticket{{Replica: "r", Inc: "r", Revision: s.Revision, Step: ledger.Load, Unit: "m"}},
+		Fleet:   []ledger.ReplicaNote{{ID: "r", Incarnation: "r", RoomMb: 100, Slots: 4, Service: "s"}},
+		Tickets: []ledger.Ticket{{Replica: "r", Incarnation: "r", Revision: s.Revision, Step: ledger.Load, Unit: "m"}},
 	}})
 	p.write(ledger.Change{ID: "d2", Epoch: s.Epoch, LeaderUpdate: &ledger.LeaderUpdate{Settled: []ledger.Settled{{Number: s.NextTicket - 1, Done: true}}}})
 	p.pass(clock.Sec)
--- a/internal/controlnode/malformed_test.go
+++ b/internal/controlnode/malformed_test.go
@@ -105,9 +105,9 @@
 		{ID: "an empty edit", Config: &ledger.ConfigChange{Base: 3, Version: 9, Edit: &configuration.Edit{}}},
 		{ID: "claim", Epoch: 1, Claim: &ledger.Claim{}},
 		{ID: "duty", Epoch: 1, LeaderUpdate: &ledger.LeaderUpdate{
-			Fleet: []ledger.ReplicaNote{{}, {ID: "r", Inc: "r", RoomMb: -1, Slots: -1, Told: true, Holds: []ledger.Holding{{}, {Unit: "m", SizeMb: -1}}}},
-			Gone:  []string{"", "none"}, Tickets: []ledger.Ticket{{}, {Replica: "r", Inc: "r", Step: ledger.Load}}, Settled: []ledger.Settled{{}, {Number: 1 << 63}},
-			Grants: []ledger.GrantAsk{{Replica: "r", Inc: "r", Count: 1}}, Shares: map[string]map[string]int{"r": nil, "none": {"d": -1}}, Gateways: []string{""}, Forget: 1 << 63,
+			Fleet: []ledger.ReplicaNote{{}, {ID: "r", Incarnation: "r", RoomMb: -1, Slots: -1, Told: true, Holds: []ledger.Holding{{}, {Unit: "m", SizeMb: -1}}}},
+			Gone:  []string{"", "none"}, Tickets: []ledger.Ticket{{}, {Replica: "r", Incarnation: "r", Step: ledger.Load}}, Settled: []ledger.Settled{{}, {Number: 1 << 63}},
+			Grants: []ledger.GrantAsk{{Replica: "r", Incarnation: "r", Count: 1}}, Shares: map[string]map[string]int{"r": nil, "none": {"d": -1}}, Gateways: []string{""}, Forget: 1 << 63,
 		}},
 		{ID: "key", Key: &ledger.KeyChange{}},
 		{ID: "end", Key: &ledger.KeyChange{End: "x", Free: true}},
@@ -127,14 +127,14 @@
 	return ""
 }
 
-// A change that is malformed ends no control node: what is in the log would end every control node that applies it, in every life.
+// A change that is malformed ends no control node: what is in the log would end every control node that applies it, in every incarnation.
 func TestMalformedChangesEndNoControlNode(t *testing.T) {
 	for _, before := range []bool{false, true} {
 		for _, c := range strangeChanges() {
 			tr := newTrio(t)
 			if before {
 				tr.step(0, Event{Submit: &ledger.Change{ID: "claimed", Epoch: 1, Claim: &ledger.Claim{Holder: "oa0"}}})
-				tr.step(0, Event{Submit: &ledger.Change{ID: "fleet", Epoch: 1, LeaderUpdate: &ledger.LeaderUpdate{Fleet: []ledger.ReplicaNote{{ID: "q", Inc: "q", RoomMb: 10, Slots: 1}}}}})
+				tr.step(0, Event{Submit: &ledger.Change{ID: "fleet", Epoch: 1, LeaderUpdate: &ledger.LeaderUpdate{Fleet: []ledger.ReplicaNote{{ID: "q", Incarnation: "q", RoomMb: 10, Slots: 1}}}}})
 			}
 			if broken := survives(tr, 0, Event{Submit: &c}); broken != "" {
 				t.Errorf("%q, with a replica %v: %.900s", c.ID, before, broken)
--- a/internal/controlnode/replicas.go
+++ b/internal/controlnode/replicas.go
@@ -23,14 +23,14 @@
 
 // Unfollow ends a gateway's stream of frames.
 type Unfollow struct {
-	Gateway string
-	Inc     string
+	Gateway     string
+	Incarnation string
 }
 
 // told is how far another control node has been told of replicas.
 type told struct {
-	inc   string
-	since uint64
+	incarnation string
+	since       uint64
 }
 
 // soft is a control node's soft state: the replicas it has heard of, the gateways that follow it, and what the
@@ -103,7 +103,7 @@
 	if !due && !asks && !c.soft.urgent && !c.soft.wants {
 		return
 	}
-	heard := wire.Heard{By: c.Node.Me().ID, Inc: c.Node.Inc(), Wants: c.soft.wants}
+	heard := wire.Heard{By: c.Node.Me().ID, Incarnation: c.Node.Incarnation(), Wants: c.soft.wants}
 	if due {
 		c.soft.tellUs = nowUs
 		c.soft.Roster.Sweep(nowUs)
@@ -114,8 +114,8 @@
 			continue
 		}
 		t := c.soft.told[p.Member.ID]
-		if t == nil || t.inc != p.Inc {
-			t = &told{inc: p.Inc}
+		if t == nil || t.incarnation != p.Incarnation {
+			t = &told{incarnation: p.Incarnation}
 			c.soft.told[p.Member.ID] = t
 		}
 		mine := heard
--- a/internal/controlnode/unsure_test.go
+++ b/internal/controlnode/unsure_test.go
@@ -31,7 +31,7 @@
 	}
 	view := chain.View{Number: 4, Voters: members}
 	for _, m := range members {
-		view.Order = append(view.Order, chain.Seat{Member: m, Inc: "before"})
+		view.Order = append(view.Order, chain.Seat{Member: m, Incarnation: "before"})
 	}
 	state := ledger.NewState()
 	state.Apply(1, ledger.Change{ID: "op-first", Config: &ledger.ConfigChange{Doc: &configuration.Declaration{Name: "old", Zones: []string{"a"}}}})
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -72,7 +72,7 @@
 	Done    Ending = "done"
 	Refused Ending = "refused"
 	Missing Ending = "missing"
-	// Elsewhere means: the address answers for another life or another replica.
+	// Elsewhere means: the address answers for another incarnation or another replica.
 	Elsewhere Ending = "elsewhere"
 	Failed    Ending = "failed"
 	Unsent    Ending = "unsent"
--- a/internal/dispatch/decider.go
+++ b/internal/dispatch/decider.go
@@ -23,13 +23,13 @@
 
 // Options are those of one gateway. QueueMax bounds the calls that wait for a replica.
 type Options struct {
-	Gateway  string
-	Inc      string
-	Zone     string
-	QueueMax int
-	Budget   BudgetOptions
-	Patience PatienceOptions
-	Outlier  outlier.Options
+	Gateway     string
+	Incarnation string
+	Zone        string
+	QueueMax    int
+	Budget      BudgetOptions
+	Patience    PatienceOptions
+	Outlier     outlier.Options
 }
 
 // Decider is asked; the executor obeys. It owns the queue, the slots and the attempt numbers.
--- a/internal/dispatch/decider_test.go
+++ b/internal/dispatch/decider_test.go
@@ -18,8 +18,8 @@
 		Models: []configuration.Model{{Name: "m"}, {Name: "other"}},
 	}}
 	for _, id := range []string{"r1", "r2"} {
-		n.Replicas = append(n.Replicas, wire.ReplicaNews{ID: id, Inc: "i", Addr: id, Zone: map[string]string{"r1": "a", "r2": "b"}[id], Holds: []string{"m"}, Share: share})
-		n.Grants = append(n.Grants, ledger.Grant{Ticket: 1, Replica: id, Inc: "i", Model: "m", From: 1, To: 1000})
+		n.Replicas = append(n.Replicas, wire.ReplicaNews{ID: id, Incarnation: "i", Addr: id, Zone: map[string]string{"r1": "a", "r2": "b"}[id], Holds: []string{"m"}, Share: share})
+		n.Grants = append(n.Grants, ledger.Grant{Ticket: 1, Replica: id, Incarnation: "i", Model: "m", From: 1, To: 1000})
 	}
 	if edit != nil {
 		edit(&n)
@@ -28,7 +28,7 @@
 }
 
 func leased(share, queue int) *Decider {
-	d := New(Options{Gateway: "d", Inc: "i", QueueMax: queue})
+	d := New(Options{Gateway: "d", Incarnation: "i", QueueMax: queue})
 	d.Step(Event{NowUs: 1, Snapshot: snapshot(1, share, nil)})
 	d.Step(Event{NowUs: 1, LeaseUs: 100 * clock.Sec})
 	return d
@@ -154,7 +154,7 @@
 		"dark":      func(n *wire.News) { n.Replicas[0].Unreachable = true },
 		"emptied":   func(n *wire.News) { n.Doc.Emptied = []string{"a"} },
 		"unloading": func(n *wire.News) { n.Replicas[0].Unloading = "m" },
-		"new":       func(n *wire.News) { n.Replicas[0].Inc = "j" },
+		"new":       func(n *wire.News) { n.Replicas[0].Incarnation = "j" },
 	} {
 		d := leased(4, 10)
 		st := starts(d.Step(Event{NowUs: 2, Arrived: call(1, "letters")}))[0]
@@ -298,7 +298,7 @@
 
 func TestUrgencyOfWaitingCallsChangesWithTheirKind(t *testing.T) {
 	swap := func(n *wire.News) { n.Doc.Kinds[1].Urgency, n.Doc.Kinds[2].Urgency = 9, 1 }
-	d := New(Options{Gateway: "d", Inc: "i", QueueMax: 100})
+	d := New(Options{Gateway: "d", Incarnation: "i", QueueMax: 100})
 	d.Step(Event{NowUs: 1, Snapshot: snapshot(1, 0, nil)})
 	d.Step(Event{NowUs: 1, LeaseUs: 100 * clock.Sec})
 	for i := 0; i < 20; i++ {
--- a/internal/dispatch/decisions.go
+++ b/internal/dispatch/decisions.go
@@ -44,10 +44,10 @@
 	Withheld
 	// TurnedAway means: an answer in which the replica says that it has not run the request.
 	TurnedAway
-	// ModelMissing means: the life that was asked says that what the request names is not there.
+	// ModelMissing means: the incarnation that was asked says that what the request names is not there.
 	ModelMissing
-	// OtherLife means: another life, or another replica, has the address, and has not run the request.
-	OtherLife
+	// OtherIncarnation means: another incarnation, or another replica, has the address, and has not run the request.
+	OtherIncarnation
 	// SilentUntilDeadline means: sent, wholly or in part, and no answer before the request's deadline.
 	SilentUntilDeadline
 	// ClosedUnanswered means: sent, wholly or in part, and the connection ended before the head of an answer.
@@ -148,7 +148,7 @@
 	Withheld:            always(RetryDecision{Ending: Unsent, Again: true, Answer: Refuse, Reuse: true}),
 	TurnedAway:          always(RetryDecision{Ending: Refused, Again: true, Answer: Refuse, Reuse: true}),
 	ModelMissing:        always(RetryDecision{Ending: Missing, Again: true, Answer: Refuse, Reuse: true}),
-	OtherLife:           always(RetryDecision{Ending: Elsewhere, Again: true, Answer: Refuse}),
+	OtherIncarnation:    always(RetryDecision{Ending: Elsewhere, Again: true, Answer: Refuse}),
 	SilentUntilDeadline: always(RetryDecision{Ending: Final, Ran: true, Answer: Expire}),
 	ClosedUnanswered:    whereRepeatable(Unknown),
 	NotAnAnswer:         whereRepeatable(Unknown),
--- a/internal/dispatch/decisions_test.go
+++ b/internal/dispatch/decisions_test.go
@@ -36,7 +36,7 @@
 		Withheld:            {refuse, refuse, refuse, refuse},
 		TurnedAway:          {refuse, refuse, refuse, refuse},
 		ModelMissing:        {refuse, refuse, refuse, refuse},
-		OtherLife:           {refuse, refuse, refuse, refuse},
+		OtherIncarnation:    {refuse, refuse, refuse, refuse},
 		SilentUntilDeadline: {late, late, late, late},
 		ClosedUnanswered:    {more, once, once, more},
 		NotAnAnswer:         {more, once, once, more},
--- a/internal/dispatch/drain_test.go
+++ b/internal/dispatch/drain_test.go
@@ -20,7 +20,7 @@
 			Slots: 4, CacheTokens: 1000, RoomMb: 10, Models: []configuration.EngineModel{{Name: "m", SizeMb: 5, LoadMs: 1000}, {Name: "rare", SizeMb: 5, LoadMs: 1000}},
 		}}},
 	}).Indexed()
-	r := &wire.ReplicaNews{ID: "r1", Inc: "r1", Addr: "10.0.0.1:80", Service: "scribe", Slots: 4, Holds: []string{"m"}}
+	r := &wire.ReplicaNews{ID: "r1", Incarnation: "r1", Addr: "10.0.0.1:80", Service: "scribe", Slots: 4, Holds: []string{"m"}}
 	return &Snapshot{
 		Number: 1, Revision: 1, Doc: doc, Gateways: 1, IDs: []string{"r1"}, Replicas: map[string]*wire.ReplicaNews{"r1": r},
 		ByService: map[string][]*wire.ReplicaNews{"scribe": {r}},
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -41,16 +41,16 @@
 	Ending Ending
 }
 
-// Start begins an attempt: the call is sent to one life of one replica.
+// Start begins an attempt: the call is sent to one incarnation of one replica.
 type Start struct {
-	Call       *Call
-	Attempt    string
-	Ticket     uint64
-	Replica    string
-	Addr       string
-	Inc        string
-	Revision   uint64
-	DeadlineUs int64
+	Call        *Call
+	Attempt     string
+	Ticket      uint64
+	Replica     string
+	Addr        string
+	Incarnation string
+	Revision    uint64
+	DeadlineUs  int64
 	// Route and Service are those of the decision; a later declaration changes those of the call, not these.
 	Route   *configuration.Route
 	Service string
--- a/internal/dispatch/gauge_test.go
+++ b/internal/dispatch/gauge_test.go
@@ -12,7 +12,7 @@
 		s.Revision = revision
 		return s
 	}
-	d := New(Options{Gateway: "d", Inc: "i", QueueMax: 100})
+	d := New(Options{Gateway: "d", Incarnation: "i", QueueMax: 100})
 	d.Step(Event{NowUs: 1, Snapshot: at(1, 1, 2)})
 	d.Step(Event{NowUs: 1, LeaseUs: 100 * clock.Sec})
 	first, second, third := call(1, "fixes"), call(2, "fixes"), call(3, "fixes")
--- a/internal/dispatch/granted_attempts.go
+++ b/internal/dispatch/granted_attempts.go
@@ -34,7 +34,7 @@
 	bestScore, why := 0.0, ""
 	for _, id := range d.snap.IDs {
 		r := d.snap.Replicas[id]
-		if !d.snap.Takes(id, r.Inc, c.Model, c.Adapter) {
+		if !d.snap.Takes(id, r.Incarnation, c.Model, c.Adapter) {
 			continue
 		}
 		p := d.placeOf(id)
@@ -64,7 +64,7 @@
 func (d *Decider) start(c *Call, r *wire.ReplicaNews, why string) {
 	d.dequeue(c)
 	grant := d.runs[r.ID+"|"+c.Model]
-	c.attempt = fmt.Sprintf("%s/%s/%d", r.ID, r.Inc, grant.next)
+	c.attempt = fmt.Sprintf("%s/%s/%d", r.ID, r.Incarnation, grant.next)
 	grant.next++
 	c.on, c.moving = r.ID, false
 	c.attempts++
@@ -78,7 +78,7 @@
 		p.prefixes[print] = d.nowUs
 	}
 	d.note(c, "leg", r.ID, why)
-	d.do(Effect{Start: &Start{Call: c, Attempt: c.attempt, Ticket: grant.ticket, Replica: r.ID, Addr: r.Addr, Inc: r.Inc, Revision: d.snap.Revision, DeadlineUs: c.deadlineUs, Kind: c.requestKind()}})
+	d.do(Effect{Start: &Start{Call: c, Attempt: c.attempt, Ticket: grant.ticket, Replica: r.ID, Addr: r.Addr, Incarnation: r.Incarnation, Revision: d.snap.Revision, DeadlineUs: c.deadlineUs, Kind: c.requestKind()}})
 }
 
 func (d *Decider) forget(p *place) {
--- a/internal/dispatch/replica_state.go
+++ b/internal/dispatch/replica_state.go
@@ -53,7 +53,7 @@
 	return running, s.pace*float64(tokens)*perToken + lateMs
 }
 
-// launch begins an attempt; every attempt names the one life of the replica it is for.
+// launch begins an attempt; every attempt names the one incarnation of the replica it is for.
 func (d *Decider) launch(c *Call, r *wire.ReplicaNews, predictedMs float64) {
 	d.dequeue(c)
 	d.attemptSeq++
@@ -74,7 +74,7 @@
 	}
 	c.FirstUs.Store(0)
 	d.note(c, "leg", r.ID, "")
-	d.do(Effect{Start: &Start{GuessMs: predictedMs, Running: running, Call: c, Attempt: c.attempt, Replica: r.ID, Addr: r.Addr, Inc: r.Inc, Revision: d.snap.Revision, DeadlineUs: c.deadlineUs,
+	d.do(Effect{Start: &Start{GuessMs: predictedMs, Running: running, Call: c, Attempt: c.attempt, Replica: r.ID, Addr: r.Addr, Incarnation: r.Incarnation, Revision: d.snap.Revision, DeadlineUs: c.deadlineUs,
 		Route: c.Routed.Route, Service: c.Routed.Service, Kind: c.requestKind()}})
 }
 
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -86,7 +86,7 @@
 // Report is what a gateway tells the control nodes: arrivals, what waits, what runs, how attempts ended.
 func (d *Decider) Report(nowUs int64) wire.Report {
 	rep := wire.Report{
-		Gateway: d.opts.Gateway, Inc: d.opts.Inc, SentUs: nowUs, Arrivals: d.Arrivals(), Draining: d.drain,
+		Gateway: d.opts.Gateway, Incarnation: d.opts.Incarnation, SentUs: nowUs, Arrivals: d.Arrivals(), Draining: d.drain,
 		Waiting: map[string]int{}, InFlight: map[string]int{}, Left: map[string]wire.Left{},
 	}
 	if d.snap != nil {
--- a/internal/dispatch/routed.go
+++ b/internal/dispatch/routed.go
@@ -152,14 +152,14 @@
 	d.waitAgain(c, on, e.Ending)
 }
 
-// maySendRouted: the newest declaration still sends this route to that service, and the life is known
+// maySendRouted: the newest declaration still sends this route to that service, and the incarnation is known
 // and not leaving.
 func (s *Snapshot) maySendRouted(st Start, nowUs int64) bool {
 	if s == nil || s.Doc == nil || nowUs >= st.DeadlineUs {
 		return false
 	}
 	route, r := s.Doc.Route(st.Call.Kind), s.Replicas[st.Replica]
-	return route != nil && r != nil && r.Inc == st.Inc && !r.Leaving && route.May(r.Service)
+	return route != nil && r != nil && r.Incarnation == st.Incarnation && !r.Leaving && route.May(r.Service)
 }
 
 // reportRouted tells what this gateway has at replicas: what runs, and the tokens of prompts that no first
--- a/internal/dispatch/routed_test.go
+++ b/internal/dispatch/routed_test.go
@@ -42,7 +42,7 @@
 	snaps++
 	s := &Snapshot{Number: snaps, Revision: snaps, Doc: doc, Gateways: gateways, Replicas: map[string]*wire.ReplicaNews{}, ByService: map[string][]*wire.ReplicaNews{}}
 	for _, r := range rows {
-		r.Inc, r.Addr = r.ID, r.ID
+		r.Incarnation, r.Addr = r.ID, r.ID
 		if r.Slots == 0 {
 			r.Slots = 4
 		}
@@ -303,7 +303,7 @@
 				switch {
 				case e.Start != nil:
 					id, route, row := e.Start.Call.ID, k.d.snap.Doc.Route(e.Start.Call.Kind), k.d.snap.Replicas[e.Start.Replica]
-					if route == nil || row == nil || row.Leaving || row.Unreachable || !route.May(row.Service) || e.Start.Inc != row.Inc {
+					if route == nil || row == nil || row.Leaving || row.Unreachable || !route.May(row.Service) || e.Start.Incarnation != row.Incarnation {
 						t.Fatalf("seed %d: %s goes to %+v by %+v", seed, id, row, route)
 					}
 					if ran[id] {
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -47,9 +47,9 @@
 }
 
 // Takes says whether a replica may get a new attempt for this model and adapter under the newest news.
-func (s *Snapshot) Takes(replica, inc, model, adapter string) bool {
+func (s *Snapshot) Takes(replica, incarnation, model, adapter string) bool {
 	r := s.Replicas[replica]
-	if r == nil || r.Inc != inc || r.Leaving || r.Unreachable || s.Doc == nil || s.Doc.IsEmptied(r.Zone) {
+	if r == nil || r.Incarnation != incarnation || r.Leaving || r.Unreachable || s.Doc == nil || s.Doc.IsEmptied(r.Zone) {
 		return false
 	}
 	if r.Unloading == model || (adapter != "" && r.Unloading == adapter) || s.unknown(model, adapter) != "" {
@@ -114,7 +114,7 @@
 	if st.Call.Routed != nil {
 		return s.maySendRouted(st, nowUs)
 	}
-	return s != nil && nowUs < leaseUs && nowUs < st.DeadlineUs && s.Takes(st.Replica, st.Inc, st.Call.Model, st.Call.Adapter) && s.Doc.Kind(st.Call.Kind) != nil
+	return s != nil && nowUs < leaseUs && nowUs < st.DeadlineUs && s.Takes(st.Replica, st.Incarnation, st.Call.Model, st.Call.Adapter) && s.Doc.Kind(st.Call.Kind) != nil
 }
 
 // Judge looks at a replica's next line; an empty ending means it is the next piece.
--- a/internal/dispatch/terms.go
+++ b/internal/dispatch/terms.go
@@ -143,7 +143,7 @@
 		free := 0
 		for _, id := range d.snap.IDs {
 			r := d.snap.Replicas[id]
-			if d.snap.Takes(id, r.Inc, c.Model, c.Adapter) {
+			if d.snap.Takes(id, r.Incarnation, c.Model, c.Adapter) {
 				free += max(0, r.Share-len(d.placeOf(id).inFlight))
 			}
 		}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -22,16 +22,16 @@
 )
 
 type row struct {
-	inc       string
-	zone      string
-	addr      string
-	following bool
-	acked     uint64
-	revision  uint64
-	pushed    uint64
-	behindUs  int64
-	lapseUs   int64
-	seenUs    int64
+	incarnation string
+	zone        string
+	addr        string
+	following   bool
+	acked       uint64
+	revision    uint64
+	pushed      uint64
+	behindUs    int64
+	lapseUs     int64
+	seenUs      int64
 }
 
 type waiting struct {
@@ -84,12 +84,12 @@
 		return false
 	}
 	d := r.gateways[f.Gateway]
-	if d == nil || d.inc != f.Inc {
+	if d == nil || d.incarnation != f.Incarnation {
 		lapseUs := nowUs + GatewayLeaseUs
 		if d != nil {
 			lapseUs = max(lapseUs, d.lapseUs)
 		}
-		d = &row{inc: f.Inc, lapseUs: lapseUs}
+		d = &row{incarnation: f.Incarnation, lapseUs: lapseUs}
 		r.gateways[f.Gateway] = d
 	}
 	d.following, d.revision, d.pushed, d.acked = true, f.Revision, 0, 0
@@ -105,7 +105,7 @@
 		return no
 	}
 	d := r.gateways[p.Gateway]
-	if d == nil || d.inc != p.Inc {
+	if d == nil || d.incarnation != p.Incarnation {
 		return no
 	}
 	d.seenUs = nowUs
@@ -150,7 +150,7 @@
 		if !d.following || (d.pushed >= s.NewsIndex && d.pushed > 0) {
 			continue
 		}
-		news := Write(s, view.Number, id, d.inc, d.revision)
+		news := Write(s, view.Number, id, d.incarnation, d.revision)
 		d.pushed = max(news.Number, 1)
 		pushes = append(pushes, Push{Gateway: id, News: news})
 	}
@@ -158,7 +158,7 @@
 }
 
 // Write is the whole news for one gateway; a declaration of at most this revision is left out, as the gateway has it.
-func Write(s *ledger.State, view uint64, gateway, inc string, revision uint64) wire.News {
+func Write(s *ledger.State, view uint64, gateway, incarnation string, revision uint64) wire.News {
 	news := wire.News{Number: max(s.NewsIndex, 1), View: view, Epoch: s.Epoch, Revision: s.Revision}
 	if s.Revision > revision {
 		news.Doc = s.Doc
@@ -166,7 +166,7 @@
 	for _, id := range s.ReplicaIDs() {
 		r := s.Replicas[id]
 		row := wire.ReplicaNews{
-			ID: r.ID, Inc: r.Inc, Addr: r.Addr, Zone: r.Zone, Leaving: r.Leaving, LeftMs: r.LeftMs, Unreachable: r.Unreachable, Share: r.Shares[gateway],
+			ID: r.ID, Incarnation: r.Incarnation, Addr: r.Addr, Zone: r.Zone, Leaving: r.Leaving, LeftMs: r.LeftMs, Unreachable: r.Unreachable, Share: r.Shares[gateway],
 		}
 		for unit := range r.Holds {
 			row.Holds = append(row.Holds, unit)
@@ -178,7 +178,7 @@
 		news.Replicas = append(news.Replicas, row)
 		for unit := range r.Holds {
 			g, ok := s.Grants[ledger.Grant{Gateway: gateway, Replica: id, Model: unit}.Key()]
-			if ok && g.GatewayInc == inc && g.Inc == r.Inc {
+			if ok && g.GatewayIncarnation == incarnation && g.Incarnation == r.Incarnation {
 				news.Grants = append(news.Grants, g)
 			}
 		}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -12,7 +12,7 @@
 func opened(s *ledger.State) *Room {
 	r := New()
 	r.Gate(1, true)
-	r.Follow(2, wire.Follow{Gateway: "front", Inc: "i1"})
+	r.Follow(2, wire.Follow{Gateway: "front", Incarnation: "i1"})
 	return r
 }
 
@@ -24,7 +24,7 @@
 }
 
 func report(number, revision uint64) wire.Report {
-	return wire.Report{Gateway: "front", Inc: "i1", Number: number, Revision: revision, SentUs: 7}
+	return wire.Report{Gateway: "front", Incarnation: "i1", Number: number, Revision: revision, SentUs: 7}
 }
 
 // A pushed declaration may be lost with its connection: seed 218 served an emptied zone that way.
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -45,10 +45,10 @@
 }
 
 type sub struct {
-	inc      string
-	spare    bool
-	whole    bool
-	revision uint64
+	incarnation string
+	spare       bool
+	whole       bool
+	revision    uint64
 }
 
 // Hub is any control node's: it pushes differences to the gateways that follow this control node. All main streams that
@@ -101,14 +101,14 @@
 	if len(h.subs) >= subsMost && h.subs[f.Gateway] == nil {
 		return false
 	}
-	h.subs[f.Gateway] = &sub{inc: f.Inc, revision: f.Revision, spare: f.Spare}
+	h.subs[f.Gateway] = &sub{incarnation: f.Incarnation, revision: f.Revision, spare: f.Spare}
 	h.Heard(nowUs, f.Gateway)
 	return true
 }
 
 // Unfollow ends the stream of a gateway's process; a newer process's stays.
-func (h *Hub) Unfollow(gateway, inc string) {
-	if s := h.subs[gateway]; s != nil && s.inc == inc {
+func (h *Hub) Unfollow(gateway, incarnation string) {
+	if s := h.subs[gateway]; s != nil && s.incarnation == incarnation {
 		delete(h.subs, gateway)
 	}
 }
--- a/internal/feed/hub_test.go
+++ b/internal/feed/hub_test.go
@@ -23,8 +23,8 @@
 	s.Apply(1, ledger.Change{ID: "c", Config: &ledger.ConfigChange{Version: 1, Doc: doc}})
 	update := &ledger.LeaderUpdate{}
 	for _, id := range ids {
-		update.Fleet = append(update.Fleet, ledger.ReplicaNote{ID: id, Inc: id, Addr: id, RoomMb: 100, Slots: 4, Service: "s", Told: true, Holds: []ledger.Holding{{Unit: "m1", SizeMb: 10}}})
-		update.Tickets = append(update.Tickets, ledger.Ticket{Revision: 1, Replica: id, Inc: id, Step: ledger.Load, Unit: "m2"})
+		update.Fleet = append(update.Fleet, ledger.ReplicaNote{ID: id, Incarnation: id, Addr: id, RoomMb: 100, Slots: 4, Service: "s", Told: true, Holds: []ledger.Holding{{Unit: "m1", SizeMb: 10}}})
+		update.Tickets = append(update.Tickets, ledger.Ticket{Revision: 1, Replica: id, Incarnation: id, Step: ledger.Load, Unit: "m2"})
 	}
 	if out := s.Apply(2, ledger.Change{ID: "d", LeaderUpdate: update}); out.Fault != nil || len(out.Faults) > 0 {
 		t.Fatal(out.Fault, out.Faults)
@@ -53,8 +53,8 @@
 	for i := range 3 {
 		hear(fmt.Sprint("r", i+1), 1, "m1")
 	}
-	h.Follow(nowUs, wire.Follow{Gateway: "main", Inc: "i"})
-	h.Follow(nowUs, wire.Follow{Gateway: "spare", Inc: "i", Spare: true})
+	h.Follow(nowUs, wire.Follow{Gateway: "main", Incarnation: "i"})
+	h.Follow(nowUs, wire.Follow{Gateway: "spare", Incarnation: "i", Spare: true})
 	first := frames(0)
 	if len(first) != 2 || !first["main"].Whole || len(first["spare"].Replicas) != 3 || len(first["spare"].Orders.Rows) != 3 {
 		t.Fatal("the first frames are not whole")
@@ -79,7 +79,7 @@
 	if late := frames(400 * clock.Ms); late["spare"] == nil || len(late["spare"].Replicas) != 1 || len(late["spare"].Orders.Rows) != 1 {
 		t.Error("the spare stream was not brought on in its time")
 	}
-	h.Follow(nowUs, wire.Follow{Gateway: "late", Inc: "i"})
+	h.Follow(nowUs, wire.Follow{Gateway: "late", Incarnation: "i"})
 	s.Apply(4, ledger.Change{ID: "f", LeaderUpdate: &ledger.LeaderUpdate{Settled: []ledger.Settled{{Number: s.Pending["r1"].Number, Done: true}}}})
 	joined := frames(clock.Ms)
 	if joined["main"] == nil || joined["main"].Orders == nil || joined["main"].Orders.Number != joined["late"].Orders.Number {
@@ -105,7 +105,7 @@
 		return nil
 	}
 	soft.Hear(nowUs, roster.Row{ID: "r2", Service: "s", Addr: "r2", Slots: 4, Seq: 1, Units: []string{"m1"}})
-	h.Follow(nowUs, wire.Follow{Gateway: "d", Inc: "i"})
+	h.Follow(nowUs, wire.Follow{Gateway: "d", Incarnation: "i"})
 	if first := frame(0); first == nil || !first.Whole || len(first.Replicas) != 1 || first.Revision != 0 {
 		t.Fatal("the first frame is not what a control node knows that has just started")
 	}
@@ -141,7 +141,7 @@
 	}
 }
 
-// A life that was heard and has ended must not come back by a late change of its row in the ledger.
+// An incarnation that was heard and has ended must not come back by a late change of its row in the ledger.
 func TestTheLedgerBringsNoReplicaBackThatHasEnded(t *testing.T) {
 	s := routedLedger(t, "r1", "r2")
 	soft := roster.New(3 * clock.Sec)
@@ -155,7 +155,7 @@
 		return nil
 	}
 	soft.Hear(nowUs, roster.Row{ID: "r1", Service: "s", Addr: "r1", Slots: 4, Seq: 1, Units: []string{"m1"}})
-	h.Follow(nowUs, wire.Follow{Gateway: "d", Inc: "i"})
+	h.Follow(nowUs, wire.Follow{Gateway: "d", Incarnation: "i"})
 	frame(0)
 	soft.Leave(nowUs, "r1")
 	if f := frame(20 * clock.Ms); f == nil || len(f.Replicas) != 1 || !f.Replicas[0].Gone {
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -94,7 +94,7 @@
 // newAttemptRequest makes the request of an attempt, whose body waits until the replica asks for it.
 func (h *Host) newAttemptRequest(attemptCtx context.Context, ask *CallAsk, c *dispatch.Call, st dispatch.Start, had []string) (*attemptRequest, error) {
 	raw, err := json.Marshal(wire.Attempt{
-		Attempt: st.Attempt, Ticket: st.Ticket, Inc: st.Inc, Call: c.ID, Model: c.Model, Adapter: c.Adapter,
+		Attempt: st.Attempt, Ticket: st.Ticket, Incarnation: st.Incarnation, Call: c.ID, Model: c.Model, Adapter: c.Adapter,
 		Prefix: ask.Prefix, Prompt: ask.Prompt, Had: had, First: len(had) + 1, MostOut: ask.MostOut,
 	})
 	if err != nil {
@@ -203,7 +203,7 @@
 func (h *Host) settleAttempt(st dispatch.Start) {
 	ctx, done := context.WithTimeout(h.act.Ctx, cancelWait)
 	defer done()
-	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+st.Addr+"/v1/legs/"+attemptNumber(st.Attempt)+"?inc="+st.Inc, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+st.Addr+"/v1/legs/"+attemptNumber(st.Attempt)+"?inc="+st.Incarnation, nil)
 	if err != nil {
 		return
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -18,12 +18,12 @@
 
 // Status is the state of a gateway for a person.
 type Status struct {
-	Gateway string           `json:"desk"`
-	Inc     string           `json:"inc"`
-	Zone    string           `json:"zone"`
-	Tail    string           `json:"tail"`
-	Work    dispatch.Note    `json:"work"`
-	Gauges  []dispatch.Gauge `json:"gauges"`
+	Gateway     string           `json:"desk"`
+	Incarnation string           `json:"inc"`
+	Zone        string           `json:"zone"`
+	Tail        string           `json:"tail"`
+	Work        dispatch.Note    `json:"work"`
+	Gauges      []dispatch.Gauge `json:"gauges"`
 	// Connections are those to replicas, by the replica, where they are kept.
 	Connections map[string]Connections `json:"connections,omitempty"`
 }
@@ -57,7 +57,7 @@
 }
 
 func (h *Host) status(w http.ResponseWriter, _ *http.Request) {
-	st := Status{Gateway: h.set.Name, Inc: h.inc, Zone: h.set.Zone, Tail: h.tail().ID}
+	st := Status{Gateway: h.set.Name, Incarnation: h.incarnation, Zone: h.set.Zone, Tail: h.tail().ID}
 	if now, ran := actor.Ask(h.act.Ctx, h.act, func() Status { return Status{Work: h.decider.Note(), Gauges: h.decider.Gauges()} }); ran {
 		st.Work, st.Gauges = now.Work, now.Gauges
 	}
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -35,13 +35,13 @@
 // Host runs one gateway: its listeners, its connection to the control nodes and its decider, which only its actor
 // touches.
 type Host struct {
-	set      settings.Gateway
-	inc      string
-	decider  *dispatch.Decider
-	ring     *logring.Ring
-	log      log.Logger
-	inner    *http.Client
-	attempts *http.Client
+	set         settings.Gateway
+	incarnation string
+	decider     *dispatch.Decider
+	ring        *logring.Ring
+	log         log.Logger
+	inner       *http.Client
+	attempts    *http.Client
 
 	snap    atomic.Pointer[dispatch.Snapshot]
 	leaseUs atomic.Int64
@@ -97,15 +97,15 @@
 
 // Open prepares a gateway; Run serves.
 func Open(set settings.Gateway, ring *logring.Ring) *Host {
-	inc := controlnode.RandomID(6)
+	incarnation := controlnode.RandomID(6)
 	attempts := rpc.Client(400, set.Listen)
 	attempts.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	attempts.Transport.(*http.Transport).DisableKeepAlives = true
 	attempts.Transport.(*http.Transport).ExpectContinueTimeout = askedWait
 	h := &Host{
-		set: set, inc: inc, ring: ring, log: ring.Logger("desk", set.Name), inner: rpc.NodeClient(400, set.Listen), attempts: attempts,
+		set: set, incarnation: incarnation, ring: ring, log: ring.Logger("desk", set.Name), inner: rpc.NodeClient(400, set.Listen), attempts: attempts,
 		decider: dispatch.New(dispatch.Options{
-			Gateway: set.Name, Inc: inc, Zone: set.Zone, QueueMax: set.QueueMax,
+			Gateway: set.Name, Incarnation: incarnation, Zone: set.Zone, QueueMax: set.QueueMax,
 			Budget:   dispatch.BudgetOptions{Ratio: set.Budget.Ratio, Slack: set.Budget.Slack, WindowUs: set.Budget.WindowMs * clock.Ms},
 			Patience: dispatch.PatienceOptions{LeastMs: set.Patience.LeastMs, Aims: set.Patience.Aims, Gaps: set.Patience.Gaps},
 			Outlier:  set.Outlier.Options(),
@@ -113,7 +113,7 @@
 		act: actor.New(mailboxMost), waiting: map[string]*caller{},
 		streams: map[uint64]context.CancelFunc{}, declared: make(chan struct{}), Room: &Room{Most: int64(set.MemoryMb) << 20 / roomShare},
 	}
-	opts := subscriber.Options{Gateway: set.Name, Inc: inc, Addr: set.Advertise, Zone: set.Zone, Seeds: set.Seeds}
+	opts := subscriber.Options{Gateway: set.Name, Incarnation: incarnation, Addr: set.Advertise, Zone: set.Zone, Seeds: set.Seeds}
 	h.subscriber = subscriber.New(opts)
 	if set.Attempts == settings.DeclaredAttempts {
 		h.mirror = subscriber.NewMirror(opts)
@@ -140,7 +140,7 @@
 		every = mirrorTick
 	}
 	h.act.Spawn(func() { h.act.Loop(every, h.tick) })
-	_ = h.log.Log("event", "started", "inc", h.inc)
+	_ = h.log.Log("event", "started", "inc", h.incarnation)
 	failed := make(chan error, len(h.doors))
 	for _, d := range h.doors {
 		go func() {
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -9,7 +9,7 @@
 )
 
 func (h *Host) claim(ctx context.Context, key string, c *dispatch.Call) *fault.Fault {
-	change := ledger.Change{ID: "key-" + c.ID, Key: &ledger.KeyChange{Key: key, Gateway: h.set.Name, GatewayInc: h.inc, Call: c.ID}}
+	change := ledger.Change{ID: "key-" + c.ID, Key: &ledger.KeyChange{Key: key, Gateway: h.set.Name, GatewayIncarnation: h.incarnation, Call: c.ID}}
 	result, err := h.Submit(ctx, change)
 	if err != nil {
 		f := fault.New(fault.Overloaded, "Idempotency-Key", "the key could not be claimed in time")
@@ -30,14 +30,14 @@
 	if out.Key.Ended != "" {
 		f.Code, f.Run = fault.KeyEnded, out.Key.Ended
 		f.Detail = "the call with this key has ended"
-	} else if out.Key.Gateway == h.set.Name && out.Key.GatewayInc != h.inc {
+	} else if out.Key.Gateway == h.set.Name && out.Key.GatewayIncarnation != h.incarnation {
 		f.Code, f.Detail = fault.KeyUnknown, "the desk that took it went down; what it did is not known"
 	}
 	return f
 }
 
 func (h *Host) keyChange(key string, c *dispatch.Call, end string) {
-	change := ledger.Change{ID: "key-" + end + "-" + c.ID, Key: &ledger.KeyChange{Key: key, Gateway: h.set.Name, GatewayInc: h.inc, Call: c.ID, End: end, Free: end == ""}}
+	change := ledger.Change{ID: "key-" + end + "-" + c.ID, Key: &ledger.KeyChange{Key: key, Gateway: h.set.Name, GatewayIncarnation: h.incarnation, Call: c.ID, End: end, Free: end == ""}}
 	h.calls.Add(1)
 	h.act.Spawn(func() {
 		defer h.calls.Add(-1)
--- a/internal/gateway/mirror.go
+++ b/internal/gateway/mirror.go
@@ -62,7 +62,7 @@
 	h.calls.Add(1)
 	defer h.calls.Add(-1)
 	if c.ID == "" {
-		c.ID = h.inc + "-" + strconv.FormatInt(h.callSeq.Add(1), 36)
+		c.ID = h.incarnation + "-" + strconv.FormatInt(h.callSeq.Add(1), 36)
 	}
 	if c.TakenUs == 0 {
 		c.TakenUs = clock.NowUs()
--- a/internal/ledger/bounds_test.go
+++ b/internal/ledger/bounds_test.go
@@ -13,7 +13,7 @@
 )
 
 func claim(i int) Change {
-	return Change{ID: fmt.Sprint("key-", i), Key: &KeyChange{Key: fmt.Sprintf("family-%032d", i), Gateway: "front-3", GatewayInc: "0123456789ab", Call: fmt.Sprintf("front-3-%016d", i)}}
+	return Change{ID: fmt.Sprint("key-", i), Key: &KeyChange{Key: fmt.Sprintf("family-%032d", i), Gateway: "front-3", GatewayIncarnation: "0123456789ab", Call: fmt.Sprintf("front-3-%016d", i)}}
 }
 
 // Full is a ledger with every key it may keep.
@@ -80,11 +80,11 @@
 		t.Fatal(diff)
 	}
 	must(t, s, Change{ID: "s", Epoch: 1, LeaderUpdate: &LeaderUpdate{Settled: []Settled{{Number: 1, Done: true}}, Shares: map[string]map[string]int{"r1": {"d": 2}},
-		Grants: []GrantAsk{{Gateway: "d", GatewayInc: "i", Replica: "r1", Inc: "i", Model: "a", Count: 9}}, Gone: []string{"r2"}}})
+		Grants: []GrantAsk{{Gateway: "d", GatewayIncarnation: "i", Replica: "r1", Incarnation: "i", Model: "a", Count: 9}}, Gone: []string{"r2"}}})
 	for i := 2; i < 40; i++ {
 		must(t, s, claim(i))
 	}
-	must(t, s, Change{ID: "end", Key: &KeyChange{Key: claim(1).Key.Key, Gateway: "front-3", GatewayInc: "0123456789ab", Call: claim(1).Key.Call, End: "yes"}})
+	must(t, s, Change{ID: "end", Key: &KeyChange{Key: claim(1).Key.Key, Gateway: "front-3", GatewayIncarnation: "0123456789ab", Call: claim(1).Key.Call, End: "yes"}})
 	must(t, s, Change{ID: "f", Epoch: 1, LeaderUpdate: &LeaderUpdate{Forget: s.Index}})
 	must(t, s, Change{ID: "c2", Config: &ConfigChange{Base: 1, Doc: &configuration.Declaration{Name: "next"}}})
 	if diff := cmp.Diff(before, string(frozen.Encode())); diff != "" {
--- a/internal/ledger/grants.go
+++ b/internal/ledger/grants.go
@@ -4,15 +4,15 @@
 
 // Grant lets a gateway number its calls to a replica from From up to, not including, To.
 type Grant struct {
-	Ticket     uint64 `json:"ticket"`
-	Epoch      uint64 `json:"epoch"`
-	Gateway    string `json:"desk"`
-	GatewayInc string `json:"deskInc"`
-	Replica    string `json:"replica"`
-	Inc        string `json:"inc"`
-	Model      string `json:"model"`
-	From       uint64 `json:"from"`
-	To         uint64 `json:"to"`
+	Ticket             uint64 `json:"ticket"`
+	Epoch              uint64 `json:"epoch"`
+	Gateway            string `json:"desk"`
+	GatewayIncarnation string `json:"deskInc"`
+	Replica            string `json:"replica"`
+	Incarnation        string `json:"inc"`
+	Model              string `json:"model"`
+	From               uint64 `json:"from"`
+	To                 uint64 `json:"to"`
 }
 
 // Key names the one grant that a gateway has for a model at a replica.
@@ -20,12 +20,12 @@
 
 // GrantAsk asks for the next Count numbers.
 type GrantAsk struct {
-	Gateway    string `json:"desk"`
-	GatewayInc string `json:"deskInc"`
-	Replica    string `json:"replica"`
-	Inc        string `json:"inc"`
-	Model      string `json:"model"`
-	Count      uint64 `json:"count"`
+	Gateway            string `json:"desk"`
+	GatewayIncarnation string `json:"deskInc"`
+	Replica            string `json:"replica"`
+	Incarnation        string `json:"inc"`
+	Model              string `json:"model"`
+	Count              uint64 `json:"count"`
 }
 
 func (s *State) dropGateway(id string) {
@@ -41,15 +41,15 @@
 
 func (s *State) grant(epoch uint64, a GrantAsk) *fault.Fault {
 	r := s.Replicas[a.Replica]
-	if r == nil || r.Inc != a.Inc {
+	if r == nil || r.Incarnation != a.Incarnation {
 		return fault.New(fault.ReplicaUnknown, a.Replica, "no such replica or another incarnation")
 	}
 	if a.Count == 0 || a.Count > 1<<20 {
 		return fault.New(fault.TicketRefused, a.Replica, "count %d", a.Count)
 	}
 	g := Grant{
-		Ticket: s.NextTicket, Epoch: epoch, Gateway: a.Gateway, GatewayInc: a.GatewayInc,
-		Replica: a.Replica, Inc: a.Inc, Model: a.Model, From: r.NextAttempt, To: r.NextAttempt + a.Count,
+		Ticket: s.NextTicket, Epoch: epoch, Gateway: a.Gateway, GatewayIncarnation: a.GatewayIncarnation,
+		Replica: a.Replica, Incarnation: a.Incarnation, Model: a.Model, From: r.NextAttempt, To: r.NextAttempt + a.Count,
 	}
 	s.NextTicket++
 	r.NextAttempt = g.To
--- a/internal/ledger/keys.go
+++ b/internal/ledger/keys.go
@@ -4,27 +4,27 @@
 
 // KeyRow is who first used a caller's idempotency key, and how that call ended.
 type KeyRow struct {
-	Gateway    string `json:"desk"`
-	GatewayInc string `json:"deskInc"`
-	Call       string `json:"call"`
-	Ended      string `json:"ended,omitempty"`
-	Index      uint64 `json:"index"`
+	Gateway            string `json:"desk"`
+	GatewayIncarnation string `json:"deskInc"`
+	Call               string `json:"call"`
+	Ended              string `json:"ended,omitempty"`
+	Index              uint64 `json:"index"`
 }
 
 // KeyChange takes an idempotency key for a call, ends it, or frees it.
 type KeyChange struct {
-	Key        string `json:"key"`
-	Gateway    string `json:"desk"`
-	GatewayInc string `json:"deskInc"`
-	Call       string `json:"call"`
-	End        string `json:"end,omitempty"`
-	Free       bool   `json:"free,omitempty"`
+	Key                string `json:"key"`
+	Gateway            string `json:"desk"`
+	GatewayIncarnation string `json:"deskInc"`
+	Call               string `json:"call"`
+	End                string `json:"end,omitempty"`
+	Free               bool   `json:"free,omitempty"`
 }
 
 func (s *State) applyKey(out *Outcome, c Change) {
 	k := c.Key
 	row, seen := s.Keys[k.Key]
-	mine := seen && row.GatewayInc == k.GatewayInc && row.Call == k.Call
+	mine := seen && row.GatewayIncarnation == k.GatewayIncarnation && row.Call == k.Call
 	switch {
 	case k.Free:
 		if mine && row.Ended == "" {
@@ -44,7 +44,7 @@
 			out.Fault = fault.New(fault.KeysFull, "key", "%d keys are kept", len(s.Keys))
 			return
 		}
-		row = KeyRow{Gateway: k.Gateway, GatewayInc: k.GatewayInc, Call: k.Call, Index: s.Index}
+		row = KeyRow{Gateway: k.Gateway, GatewayIncarnation: k.GatewayIncarnation, Call: k.Call, Index: s.Index}
 		s.Keys[k.Key] = row
 		s.KeyOrder = append(s.KeyOrder, k.Key)
 		out.Key = &row
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -18,7 +18,7 @@
 	must(t, s, Change{ID: "claim", Epoch: 1, Claim: &Claim{Holder: "one"}})
 	notes := []ReplicaNote{}
 	for i := 0; i < 4; i++ {
-		notes = append(notes, ReplicaNote{ID: fmt.Sprintf("r%d", i), Inc: "i", RoomMb: 100, Slots: 4})
+		notes = append(notes, ReplicaNote{ID: fmt.Sprintf("r%d", i), Incarnation: "i", RoomMb: 100, Slots: 4})
 	}
 	must(t, s, Change{ID: "n", Epoch: 1, LeaderUpdate: &LeaderUpdate{Fleet: notes}})
 	return s
@@ -34,7 +34,7 @@
 }
 
 func load(replica, unit string) Change {
-	return Change{ID: replica + unit, Epoch: 1, LeaderUpdate: &LeaderUpdate{Tickets: []Ticket{{Replica: replica, Inc: "i", Revision: 1, Step: Load, Unit: unit}}}}
+	return Change{ID: replica + unit, Epoch: 1, LeaderUpdate: &LeaderUpdate{Tickets: []Ticket{{Replica: replica, Incarnation: "i", Revision: 1, Step: Load, Unit: unit}}}}
 }
 
 func code(out Outcome) fault.Code {
@@ -64,7 +64,7 @@
 	if got := code(s.Apply(s.Index+1, load("r0", "b"))); got != fault.NoRoom {
 		t.Fatalf("beyond room got %q", got)
 	}
-	must(t, s, Change{ID: "u", Epoch: 1, LeaderUpdate: &LeaderUpdate{Tickets: []Ticket{{Replica: "r0", Inc: "i", Revision: 1, Step: Unload, Unit: "a"}}}})
+	must(t, s, Change{ID: "u", Epoch: 1, LeaderUpdate: &LeaderUpdate{Tickets: []Ticket{{Replica: "r0", Incarnation: "i", Revision: 1, Step: Unload, Unit: "a"}}}})
 	if s.TakenMb("r0") != 60 {
 		t.Fatal("an unconfirmed unload gave its room back")
 	}
@@ -90,7 +90,7 @@
 func TestAttemptNumbersAreSpentOnce(t *testing.T) {
 	s := ready(t)
 	ask := func(gateway string, n uint64) GrantAsk {
-		return GrantAsk{Gateway: gateway, GatewayInc: "d", Replica: "r0", Inc: "i", Model: "a", Count: n}
+		return GrantAsk{Gateway: gateway, GatewayIncarnation: "d", Replica: "r0", Incarnation: "i", Model: "a", Count: n}
 	}
 	must(t, s, Change{ID: "g1", Epoch: 1, LeaderUpdate: &LeaderUpdate{Grants: []GrantAsk{ask("x", 10), ask("y", 5)}}})
 	first := s.Grants[Grant{Gateway: "x", Replica: "r0", Model: "a"}.Key()]
@@ -102,7 +102,7 @@
 	if _, kept := s.Grants[Grant{Gateway: "y", Replica: "r0", Model: "a"}.Key()]; kept {
 		t.Fatal("a gone gateway keeps its grant")
 	}
-	must(t, s, Change{ID: "n2", Epoch: 1, LeaderUpdate: &LeaderUpdate{Fleet: []ReplicaNote{{ID: "r0", Inc: "new", RoomMb: 100, Slots: 4}}}})
+	must(t, s, Change{ID: "n2", Epoch: 1, LeaderUpdate: &LeaderUpdate{Fleet: []ReplicaNote{{ID: "r0", Incarnation: "new", RoomMb: 100, Slots: 4}}}})
 	if len(s.Grants) != 0 {
 		t.Fatal("grants outlive the replica they were for")
 	}
@@ -125,7 +125,7 @@
 func TestKeysAreClaimedOnceAndFullTableRefuses(t *testing.T) {
 	s := ready(t)
 	claim := func(key, call string) Outcome {
-		return s.Apply(s.Index+1, Change{ID: call, Key: &KeyChange{Key: key, Gateway: "d", GatewayInc: "i", Call: call}})
+		return s.Apply(s.Index+1, Change{ID: call, Key: &KeyChange{Key: key, Gateway: "d", GatewayIncarnation: "i", Call: call}})
 	}
 	if out := claim("k", "one"); out.Again || out.Key == nil {
 		t.Fatalf("%+v", out)
@@ -136,8 +136,8 @@
 	if out := claim("k", "two"); !out.Again || out.Key.Call != "one" {
 		t.Fatalf("%+v", out)
 	}
-	s.Apply(s.Index+1, Change{ID: "e", Key: &KeyChange{Key: "k", Gateway: "d", GatewayInc: "i", Call: "one", End: "yes"}})
-	s.Apply(s.Index+1, Change{ID: "f", Key: &KeyChange{Key: "k", Gateway: "d", GatewayInc: "i", Call: "one", Free: true}})
+	s.Apply(s.Index+1, Change{ID: "e", Key: &KeyChange{Key: "k", Gateway: "d", GatewayIncarnation: "i", Call: "one", End: "yes"}})
+	s.Apply(s.Index+1, Change{ID: "f", Key: &KeyChange{Key: "k", Gateway: "d", GatewayIncarnation: "i", Call: "one", Free: true}})
 	if out := claim("k", "three"); !out.Again || out.Key.Ended != "yes" {
 		t.Fatal("an ended key was freed")
 	}
@@ -164,7 +164,7 @@
 func TestTicketsProposedUnderAnotherDeclarationAreRefused(t *testing.T) {
 	s := ready(t)
 	for _, revision := range []uint64{0, 2} {
-		out := s.Apply(s.Index+1, Change{ID: "t", Epoch: 1, LeaderUpdate: &LeaderUpdate{Tickets: []Ticket{{Replica: "r0", Inc: "i", Revision: revision, Step: Load, Unit: "a"}}}})
+		out := s.Apply(s.Index+1, Change{ID: "t", Epoch: 1, LeaderUpdate: &LeaderUpdate{Tickets: []Ticket{{Replica: "r0", Incarnation: "i", Revision: revision, Step: Load, Unit: "a"}}}})
 		if len(out.Faults) != 1 || out.Faults[0].Code != fault.StaleBase || len(s.Pending) != 0 {
 			t.Fatalf("revision %d: %+v, pending %v", revision, out.Faults, s.Pending)
 		}
--- a/internal/ledger/replicas.go
+++ b/internal/ledger/replicas.go
@@ -8,10 +8,10 @@
 	"petreltide/internal/configuration"
 )
 
-// Replica is the row of one life of a replica: where it is, its room, and what it holds.
+// Replica is the row of one incarnation of a replica: where it is, its room, and what it holds.
 type Replica struct {
 	ID          string           `json:"id"`
-	Inc         string           `json:"inc"`
+	Incarnation string           `json:"inc"`
 	Addr        string           `json:"addr"`
 	Zone        string           `json:"zone"`
 	RoomMb      int64            `json:"roomMb"`
@@ -22,9 +22,9 @@
 	Service     string           `json:"service,omitempty"`
 	Holds       map[string]int64 `json:"holds"`
 	Index       uint64           `json:"index,omitempty"`
-	// Orders is how many orders this life had taken when it held just Holds; nil where that is not known.
+	// Orders is how many orders this incarnation had taken when it held just Holds; nil where that is not known.
 	Orders *uint64 `json:"orders,omitempty"`
-	// Had are the models that this life has held at some time: they come back from its own disk.
+	// Had are the models that this incarnation has held at some time: they come back from its own disk.
 	Had         map[string]bool `json:"had,omitempty"`
 	NextAttempt uint64          `json:"nextLeg"`
 	Shares      map[string]int  `json:"shares,omitempty"`
@@ -32,13 +32,13 @@
 
 // Usable says whether a replica may be given more to hold.
 func (r *Replica) Usable(d *configuration.Declaration) bool {
-	return !r.Leaving && !r.Unreachable && r.Inc != "" && (d == nil || !d.IsEmptied(r.Zone))
+	return !r.Leaving && !r.Unreachable && r.Incarnation != "" && (d == nil || !d.IsEmptied(r.Zone))
 }
 
 // ReplicaNote writes down what a replica says of itself; Holds counts only with Told.
 type ReplicaNote struct {
 	ID          string    `json:"id"`
-	Inc         string    `json:"inc"`
+	Incarnation string    `json:"inc"`
 	Addr        string    `json:"addr"`
 	Zone        string    `json:"zone"`
 	RoomMb      int64     `json:"roomMb"`
@@ -89,9 +89,9 @@
 		r = &Replica{ID: n.ID, Holds: map[string]int64{}, NextAttempt: 1}
 		s.Replicas[n.ID] = r
 	}
-	if n.Inc != r.Inc {
+	if n.Incarnation != r.Incarnation {
 		s.dropReplica(n.ID)
-		r = &Replica{ID: n.ID, Inc: n.Inc, Holds: map[string]int64{}, NextAttempt: 1}
+		r = &Replica{ID: n.ID, Incarnation: n.Incarnation, Holds: map[string]int64{}, NextAttempt: 1}
 		s.Replicas[n.ID] = r
 	}
 	r.Addr, r.Zone, r.RoomMb, r.Slots = n.Addr, n.Zone, n.RoomMb, n.Slots
--- a/internal/ledger/tickets.go
+++ b/internal/ledger/tickets.go
@@ -18,15 +18,15 @@
 
 // Ticket is an order that stands: at most one for each replica, numbered without gaps, fenced by its epoch.
 type Ticket struct {
-	Number   uint64 `json:"number"`
-	Epoch    uint64 `json:"epoch"`
-	Revision uint64 `json:"revision"`
-	Replica  string `json:"replica"`
-	Inc      string `json:"inc"`
-	Step     Step   `json:"step"`
-	Unit     string `json:"unit"`
-	SizeMb   int64  `json:"sizeMb"`
-	Why      string `json:"why,omitempty"`
+	Number      uint64 `json:"number"`
+	Epoch       uint64 `json:"epoch"`
+	Revision    uint64 `json:"revision"`
+	Replica     string `json:"replica"`
+	Incarnation string `json:"inc"`
+	Step        Step   `json:"step"`
+	Unit        string `json:"unit"`
+	SizeMb      int64  `json:"sizeMb"`
+	Why         string `json:"why,omitempty"`
 }
 
 // Settled ends a ticket. With Orders, Holds is all that the replica holds once it has taken that many orders;
@@ -58,7 +58,7 @@
 		delete(s.Pending, id)
 		s.OrdersIndex = s.Index
 		r := s.Replicas[id]
-		if r == nil || r.Inc != t.Inc {
+		if r == nil || r.Incarnation != t.Incarnation {
 			return false
 		}
 		if d.Done {
@@ -96,7 +96,7 @@
 
 func (s *State) issue(epoch uint64, t Ticket) *fault.Fault {
 	r := s.Replicas[t.Replica]
-	if r == nil || r.Inc != t.Inc {
+	if r == nil || r.Incarnation != t.Incarnation {
 		return fault.New(fault.ReplicaUnknown, t.Replica, "no such replica or another incarnation")
 	}
 	if t.Revision != s.Revision {
--- a/internal/ledger/version_test.go
+++ b/internal/ledger/version_test.go
@@ -180,7 +180,7 @@
 }
 
 // Orders at replicas of a service: room and places count what stands, a unit that goes takes its adapters
-// with it, and what a life has held once comes back from its own disk.
+// with it, and what an incarnation has held once comes back from its own disk.
 func TestTicketsOfServices(t *testing.T) {
 	s, index := NewState(), uint64(0)
 	do := func(d LeaderUpdate) []fault.Fault {
@@ -194,9 +194,9 @@
 	if out := s.Apply(index, order(0, 1, doc, nil)); out.Fault != nil {
 		t.Fatal(out.Fault)
 	}
-	do(LeaderUpdate{Fleet: []ReplicaNote{{ID: "r", Inc: "r", RoomMb: 100, Slots: 1, Service: "s", Told: true}}})
+	do(LeaderUpdate{Fleet: []ReplicaNote{{ID: "r", Incarnation: "r", RoomMb: 100, Slots: 1, Service: "s", Told: true}}})
 	ticket := func(step Step, unit string) Ticket {
-		return Ticket{Replica: "r", Inc: "r", Revision: s.Revision, Step: step, Unit: unit}
+		return Ticket{Replica: "r", Incarnation: "r", Revision: s.Revision, Step: step, Unit: unit}
 	}
 	for _, c := range []struct {
 		step Step
@@ -229,7 +229,7 @@
 		}
 		do(LeaderUpdate{Settled: []Settled{{Number: stands.Number, Done: c.done}}})
 	}
-	want := &Replica{ID: "r", Inc: "r", RoomMb: 100, Slots: 1, Service: "s", Holds: map[string]int64{"o": 30}, Had: map[string]bool{"m": true, "n": true, "o": true}, NextAttempt: 1}
+	want := &Replica{ID: "r", Incarnation: "r", RoomMb: 100, Slots: 1, Service: "s", Holds: map[string]int64{"o": 30}, Had: map[string]bool{"m": true, "n": true, "o": true}, NextAttempt: 1}
 	if diff := cmp.Diff(want, s.Replicas["r"], cmpopts.IgnoreFields(Replica{}, "Index")); diff != "" {
 		t.Error(diff)
 	}
@@ -238,8 +238,8 @@
 	if faults := do(LeaderUpdate{Tickets: []Ticket{stale}}); len(faults) != 1 || faults[0].Code != fault.StaleBase {
 		t.Errorf("proposed under an older revision: %v", faults)
 	}
-	if faults := do(LeaderUpdate{Fleet: []ReplicaNote{{ID: "r", Inc: "r2", RoomMb: 100, Slots: 1, Service: "s"}}, Tickets: []Ticket{ticket(Load, "n")}}); len(faults) != 1 || faults[0].Code != fault.ReplicaUnknown || len(s.Replicas["r"].Had) != 0 {
-		t.Errorf("for a life that has ended: %v", faults)
+	if faults := do(LeaderUpdate{Fleet: []ReplicaNote{{ID: "r", Incarnation: "r2", RoomMb: 100, Slots: 1, Service: "s"}}, Tickets: []Ticket{ticket(Load, "n")}}); len(faults) != 1 || faults[0].Code != fault.ReplicaUnknown || len(s.Replicas["r"].Had) != 0 {
+		t.Errorf("for an incarnation that has ended: %v", faults)
 	}
 }
 
--- a/internal/placement/check.go
+++ b/internal/placement/check.go
@@ -85,7 +85,7 @@
 // step checks that a replica may get an order, and that the step is one: an unload of what is held there, whose
 // ticket is whole with that, or a load.
 func (a *account) step(r *ledger.Replica, p Proposal) (ledger.Ticket, *fault.Fault) {
-	t := ledger.Ticket{Revision: a.s.Revision, Replica: r.ID, Inc: r.Inc, Step: p.Step, Unit: p.Unit, Why: p.Why}
+	t := ledger.Ticket{Revision: a.s.Revision, Replica: r.ID, Incarnation: r.Incarnation, Step: p.Step, Unit: p.Unit, Why: p.Why}
 	if _, pending := a.s.Pending[p.Replica]; pending || a.taken[p.Replica] {
 		return t, fault.New(fault.ReplicaBusy, p.Replica, "an order is pending")
 	}
--- a/internal/placement/resident_test.go
+++ b/internal/placement/resident_test.go
@@ -39,7 +39,7 @@
 		t.Fatal(out.Fault)
 	}
 	for i := range 1 + r.Intn(9) {
-		n := ledger.ReplicaNote{ID: fmt.Sprint("r", i), Inc: "i", Addr: "a", Zone: "z", RoomMb: 100, Slots: 8, Service: "s", Told: true, Leaving: r.Intn(10) == 0, Unreachable: r.Intn(10) == 0}
+		n := ledger.ReplicaNote{ID: fmt.Sprint("r", i), Incarnation: "i", Addr: "a", Zone: "z", RoomMb: 100, Slots: 8, Service: "s", Told: true, Leaving: r.Intn(10) == 0, Unreachable: r.Intn(10) == 0}
 		left, places := int64(100), e.AdaptersMost
 		for _, m := range r.Perm(len(e.Models)) {
 			if m := e.Models[m]; m.SizeMb <= left && r.Intn(3) > 0 {
--- a/internal/roster/contest.go
+++ b/internal/roster/contest.go
@@ -1,6 +1,6 @@
 package roster
 
-// precedence is how a life that was never heard of stands to the one at its address.
+// precedence is how an incarnation that was never heard of stands to the one at its address.
 type precedence int
 
 const (
@@ -8,13 +8,13 @@
 	later precedence = iota
 	// earlier: the one that is known was heard well after it.
 	earlier
-	// undecided: both were heard at about the same time. A word may come seconds late, also one of the life
+	// undecided: both were heard at about the same time. A word may come seconds late, also one of the incarnation
 	// before, so that the one that goes on speaking is right; the other falls silent.
 	undecided
 )
 
-// contestShare is the part of UnreachableUs, in tenths, within which two lives were heard at about the same time: one
-// and a half heartbeats where a life is unreachable after two and a half.
+// contestShare is the part of UnreachableUs, in tenths, within which two incarnations were heard at about the same time: one
+// and a half heartbeats where an incarnation is unreachable after two and a half.
 const contestShare = 6
 
 func (r *Roster) contest(row *Row, heardUs int64) precedence {
--- a/internal/roster/late_test.go
+++ b/internal/roster/late_test.go
@@ -32,13 +32,13 @@
 	}
 }
 
-// A word may come seconds late, also one of the life before, and to a control node that never heard of that life.
-func TestALateWordOfTheLifeBeforeDoesNotEndTheOneThatLives(t *testing.T) {
+// A word may come seconds late, also one of the incarnation before, and to a control node that never heard of that incarnation.
+func TestALateWordOfTheIncarnationBeforeDoesNotEndTheOneThatLives(t *testing.T) {
 	at := 20 * clock.Sec
 	lives := func(t *testing.T, r *Roster) {
 		t.Helper()
 		if e := r.Row("new"); e == nil || e.Gone {
-			t.Fatalf("the life that speaks has ended: %+v", e)
+			t.Fatalf("the incarnation that speaks has ended: %+v", e)
 		}
 	}
 	t.Run("heard by an office that knows the new life alone", func(t *testing.T) {
@@ -61,7 +61,7 @@
 		for _, r := range []*Roster{back, other} {
 			lives(t, r)
 			if e := r.Row("old"); e != nil && !e.Gone {
-				t.Fatalf("the life before counts as there: %+v", e)
+				t.Fatalf("the incarnation before counts as there: %+v", e)
 			}
 		}
 	})
@@ -72,7 +72,7 @@
 		back.Merge(at, other.Notes(at, 0, true))
 		other.Merge(at, back.Notes(at, 0, true))
 		if e := back.Row("new"); e != nil && e.Gone {
-			t.Fatal("the life that speaks has ended at the control node that heard the late word")
+			t.Fatal("the incarnation that speaks has ended at the control node that heard the late word")
 		}
 		lives(t, other)
 	})
@@ -84,7 +84,7 @@
 		}
 		lives(t, r)
 		if !r.Row("old").Gone {
-			t.Fatal("two lives at one address")
+			t.Fatal("two incarnations at one address")
 		}
 	})
 }
--- a/internal/roster/note.go
+++ b/internal/roster/note.go
@@ -17,7 +17,7 @@
 }
 
 // Merge takes another control node's notes. Where one tells of a row that this control node does not have as new,
-// it asks for all rows. Ends come first, as another life may have its address by now.
+// it asks for all rows. Ends come first, as another incarnation may have its address by now.
 func (r *Roster) Merge(nowUs int64, notes []Note) (changed bool) {
 	for _, n := range notes {
 		if n.Row != nil && n.Row.Gone {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -133,7 +133,7 @@
 	return changed
 }
 
-// Leave notes that a life of a replica has ended; no later word of it counts.
+// Leave notes that an incarnation of a replica has ended; no later word of it counts.
 func (r *Roster) Leave(nowUs int64, id string) bool {
 	e := r.rows[id]
 	if e == nil {
@@ -176,7 +176,7 @@
 	}
 }
 
-// IDs are all lives in order; the list must not be changed.
+// IDs are all incarnations in order; the list must not be changed.
 func (r *Roster) IDs() []string {
 	if r.sorted == nil {
 		r.sorted = slices.Sorted(maps.Keys(r.rows))
@@ -184,8 +184,8 @@
 	return r.sorted
 }
 
-// Row is the entry of one life; nil where it is not known.
+// Row is the entry of one incarnation; nil where it is not known.
 func (r *Roster) Row(id string) *Entry { return r.rows[id] }
 
-// Len is how many lives are known, those that have ended among them.
+// Len is how many incarnations are known, those that have ended among them.
 func (r *Roster) Len() int { return len(r.rows) }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -31,7 +31,7 @@
 	changed bool
 }
 
-func TestOnlyNewerWordsOfALifeCount(t *testing.T) {
+func TestOnlyNewerWordsOfAnIncarnationCount(t *testing.T) {
 	for name, c := range map[string]struct {
 		words []heard
 		want  Row
@@ -56,7 +56,7 @@
 	}
 }
 
-func TestALifeThatEndedStaysEnded(t *testing.T) {
+func TestAnIncarnationThatEndedStaysEnded(t *testing.T) {
 	r, other := New(unreachableUs), New(unreachableUs)
 	r.Hear(1, word("r", "1", 3))
 	other.Merge(1, r.Notes(1, 0, true))
@@ -85,32 +85,32 @@
 	}
 }
 
-func TestALifeAtAnAddressEndsTheOneBefore(t *testing.T) {
+func TestAnIncarnationAtAnAddressEndsTheOneBefore(t *testing.T) {
 	r := New(unreachableUs)
 	r.Hear(0, word("old", "1", 7))
 	r.Hear(2*clock.Sec, word("new", "1", 1))
 	if !r.Row("old").Gone || r.Row("new").Gone {
-		t.Fatal("two lives at one address")
+		t.Fatal("two incarnations at one address")
 	}
 	r.Hear(2*clock.Sec, word("beside", "2", 1))
 	if r.Row("new").Gone {
 		t.Fatal("one at another address ended it")
 	}
 
-	// A control node that came back empty hears the new life, and then another control node's word of the old one.
+	// A control node that came back empty hears the new incarnation, and then another control node's word of the old one.
 	lagging, back := New(unreachableUs), New(unreachableUs)
 	lagging.Hear(0, word("old", "1", 7))
 	back.Hear(3*clock.Sec, word("new", "1", 1))
 	back.Merge(3*clock.Sec, lagging.Notes(3*clock.Sec, 0, true))
 	if back.Row("new").Gone {
-		t.Fatal("a late word of the life before ended the one that came after")
+		t.Fatal("a late word of the incarnation before ended the one that came after")
 	}
 	if e := back.Row("old"); e == nil || !e.Gone {
-		t.Fatal("the life before counts as there")
+		t.Fatal("the incarnation before counts as there")
 	}
 	lagging.Merge(3*clock.Sec, back.Notes(3*clock.Sec, 0, true))
 	if lagging.Row("new") == nil || lagging.Row("new").Gone || !lagging.Row("old").Gone {
-		t.Fatal("the other control node does not learn of the new life")
+		t.Fatal("the other control node does not learn of the new incarnation")
 	}
 }
 
@@ -191,14 +191,14 @@
 		nowUs := int64(0)
 		for n := 0; n < 80; n++ {
 			nowUs += 100 * clock.Ms
-			life := r.Intn(9)
-			id, addr := fmt.Sprint("i", life), fmt.Sprint("a", life%6)
+			incarnation := r.Intn(9)
+			id, addr := fmt.Sprint("i", incarnation), fmt.Sprint("a", incarnation%6)
 			seqs[id]++
 			switch o := controlNodes[r.Intn(3)]; {
 			case r.Intn(25) == 0:
 				o.Leave(nowUs, id)
 				ended[id] = true
-			case life >= 6 && n < 40, life < 3 && n >= 30:
+			case incarnation >= 6 && n < 40, incarnation < 3 && n >= 30:
 			default:
 				o.Hear(nowUs, word(id, addr, seqs[id], func(row *Row) {
 					row.Draining = r.Intn(4) == 0
--- a/internal/roster/row.go
+++ b/internal/roster/row.go
@@ -8,7 +8,7 @@
 	"petreltide/internal/clock"
 )
 
-// Row is what a replica says of itself. ID names one life of it; Seq rises with each thing it says.
+// Row is what a replica says of itself. ID names one incarnation of it; Seq rises with each thing it says.
 // Units are the models it holds, and their adapters as "model/adapter", in order.
 type Row struct {
 	ID       string   `json:"id"`
--- a/internal/storage/bounds_test.go
+++ b/internal/storage/bounds_test.go
@@ -36,7 +36,7 @@
 	b := &trio{nowUs: clock.Sec, disk: newTrial()}
 	addrs := []string{"m0", "m1", "m2"}
 	for _, addr := range addrs {
-		node, err := chain.NewNode(chain.Options{Me: chain.Member{ID: addr, Name: addr, Addr: addr}, Inc: addr + "/1", Founding: 3, LogMost: logMost}, nil, b.nowUs)
+		node, err := chain.NewNode(chain.Options{Me: chain.Member{ID: addr, Name: addr, Addr: addr}, Incarnation: addr + "/1", Founding: 3, LogMost: logMost}, nil, b.nowUs)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -188,7 +188,7 @@
 	b := newTrio(t, logMost)
 	b.changed(t, 1, 100)
 	for range 200 {
-		node, err := chain.NewNode(chain.Options{Me: chain.Member{ID: "m2", Name: "m2", Addr: "m2"}, Inc: fmt.Sprint("m2/", b.nowUs)}, nil, b.nowUs)
+		node, err := chain.NewNode(chain.Options{Me: chain.Member{ID: "m2", Name: "m2", Addr: "m2"}, Incarnation: fmt.Sprint("m2/", b.nowUs)}, nil, b.nowUs)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/storage/cluster_test.go
+++ b/internal/storage/cluster_test.go
@@ -156,7 +156,7 @@
 	m.store = opened.Store
 	m.me.ID = m.store.Seal().Identity
 	opts := chain.Options{
-		Me: m.me, Inc: fmt.Sprint(m.me.ID, "/", c.starts), SelfMembers: true,
+		Me: m.me, Incarnation: fmt.Sprint(m.me.ID, "/", c.starts), SelfMembers: true,
 		HelloUs: 200 * clock.Ms, BeatUs: 200 * clock.Ms, SuspectUs: 800 * clock.Ms, LeaseUs: 700 * clock.Ms,
 		CompareUs: 900 * clock.Ms, GatherUs: 1300 * clock.Ms, AskUs: 200 * clock.Ms,
 		LogMost: c.logMost, KeepMost: c.keepMost, Unsynced: opened.Refused != nil,
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -203,7 +203,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		node, err := chain.NewNode(chain.Options{Me: chain.Member{ID: mine.Identity}, Inc: "x"}, o.Records, clock.Sec)
+		node, err := chain.NewNode(chain.Options{Me: chain.Member{ID: mine.Identity}, Incarnation: "x"}, o.Records, clock.Sec)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/subscriber/fold.go
+++ b/internal/subscriber/fold.go
@@ -21,7 +21,7 @@
 	return sources
 }
 
-// foldRow joins what the control nodes say of one life: its latest word counts, and it is unreachable only where every
+// foldRow joins what the control nodes say of one incarnation: its latest word counts, and it is unreachable only where every
 // control node that knows it says so.
 func (m *Mirror) foldRow(id string) (changed bool) {
 	var best wire.ReplicaRow
@@ -101,7 +101,7 @@
 	m.orders, m.ordersAt = s.orders, s.ordersAt
 }
 
-// newer joins two control nodes' words of one life: its own by Seq, what it holds by the ledger's entry.
+// newer joins two control nodes' words of one incarnation: its own by Seq, what it holds by the ledger's entry.
 func newer(a, b wire.ReplicaRow) wire.ReplicaRow {
 	unreachable := a.Unreachable && b.Unreachable
 	if b.Seq > a.Seq {
--- a/internal/subscriber/mirror_test.go
+++ b/internal/subscriber/mirror_test.go
@@ -79,7 +79,7 @@
 		s.cores[c.addr] = c
 		addrs = append(addrs, c.addr)
 	}
-	s.m = NewMirror(Options{Gateway: gateway, Inc: "i", Seeds: addrs})
+	s.m = NewMirror(Options{Gateway: gateway, Incarnation: "i", Seeds: addrs})
 	return s
 }
 
@@ -206,10 +206,10 @@
 		return
 	}
 	if have == nil {
-		c.write(ledger.Change{LeaderUpdate: &ledger.LeaderUpdate{Fleet: []ledger.ReplicaNote{{ID: id, Inc: id, Addr: id, Zone: "a", RoomMb: 100, Slots: 4, Service: "s", Told: true}}}})
+		c.write(ledger.Change{LeaderUpdate: &ledger.LeaderUpdate{Fleet: []ledger.ReplicaNote{{ID: id, Incarnation: id, Addr: id, Zone: "a", RoomMb: 100, Slots: 4, Service: "s", Told: true}}}})
 		return
 	}
-	t = ledger.Ticket{Replica: id, Inc: id, Revision: c.head.Revision, Step: ledger.Load, Unit: []string{"m1", "m2", "m3", "m1/a1"}[c.r.Intn(4)]}
+	t = ledger.Ticket{Replica: id, Incarnation: id, Revision: c.head.Revision, Step: ledger.Load, Unit: []string{"m1", "m2", "m3", "m1/a1"}[c.r.Intn(4)]}
 	if _, held := have.Holds[t.Unit]; held {
 		t.Step = ledger.Unload
 	}
@@ -425,7 +425,7 @@
 	gone := func(r *wire.ReplicaRow) { r.Gone = true }
 	leaving := func(r *wire.ReplicaRow) { r.Draining = true }
 	at := func(seq uint64, edit func(*wire.ReplicaNews)) *wire.ReplicaNews {
-		n := &wire.ReplicaNews{ID: "r", Inc: "r", Addr: "r", Service: "s", Slots: 4, Share: 4, Holds: []string{fmt.Sprint("held at ", seq)}}
+		n := &wire.ReplicaNews{ID: "r", Incarnation: "r", Addr: "r", Service: "s", Slots: 4, Share: 4, Holds: []string{fmt.Sprint("held at ", seq)}}
 		if edit != nil {
 			edit(n)
 		}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -47,11 +47,11 @@
 
 // Options are who the subscriber is and where it asks first.
 type Options struct {
-	Gateway string
-	Inc     string
-	Addr    string
-	Zone    string
-	Seeds   []string
+	Gateway     string
+	Incarnation string
+	Addr        string
+	Zone        string
+	Seeds       []string
 }
 
 // Subscriber finds the open tail, follows its news and keeps the gateway's lease. Seeds are only a
@@ -177,13 +177,13 @@
 		l.named = named
 	}
 	tail := l.Tail()
-	if tail.ID != l.tail.ID || tail.Inc != l.tail.Inc || (l.open && nowUs-max(l.leasedUs, l.triedUs) > quietUs) {
+	if tail.ID != l.tail.ID || tail.Incarnation != l.tail.Incarnation || (l.open && nowUs-max(l.leasedUs, l.triedUs) > quietUs) {
 		l.open = false
 	}
 	if tail.Addr != "" && !l.open && nowUs-l.triedUs >= followUs {
 		l.triedUs, l.tail, l.open = nowUs, tail, true
 		l.follow++
-		ask := wire.Follow{Gateway: l.opts.Gateway, Inc: l.opts.Inc, Addr: l.opts.Addr, Zone: l.opts.Zone}
+		ask := wire.Follow{Gateway: l.opts.Gateway, Incarnation: l.opts.Incarnation, Addr: l.opts.Addr, Zone: l.opts.Zone}
 		if l.snap != nil {
 			ask.Revision, ask.Number = l.snap.Revision, l.snap.Number
 		}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -25,7 +25,7 @@
 	Service func(replica string) string
 }
 
-// Conn is a connection to one life of a replica.
+// Conn is a connection to one incarnation of a replica.
 type Conn struct {
 	net.Conn
 	Reader *bufio.Reader
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -25,7 +25,7 @@
 // the ledger, from before the control nodes came back.
 type ReplicaNews struct {
 	ID          string   `json:"id"`
-	Inc         string   `json:"inc"`
+	Incarnation string   `json:"inc"`
 	Addr        string   `json:"addr"`
 	Zone        string   `json:"zone"`
 	Leaving     bool     `json:"leaving,omitempty"`
@@ -42,12 +42,12 @@
 
 // Follow asks a control node for a stream. Revision and Number are what the gateway knows already.
 type Follow struct {
-	Gateway  string `json:"desk"`
-	Inc      string `json:"inc"`
-	Addr     string `json:"addr"`
-	Zone     string `json:"zone"`
-	Revision uint64 `json:"revision"`
-	Number   uint64 `json:"number"`
+	Gateway     string `json:"desk"`
+	Incarnation string `json:"inc"`
+	Addr        string `json:"addr"`
+	Zone        string `json:"zone"`
+	Revision    uint64 `json:"revision"`
+	Number      uint64 `json:"number"`
 	// Spare streams stand by beside another one: they carry no demand.
 	Spare bool `json:"spare,omitempty"`
 }
@@ -55,20 +55,20 @@
 // Report is what a gateway tells a control node, and asks a lease with. Arrivals (a second) and Waiting are by unit, InFlight
 // by replica and Left by "replica|unit"; SentUs is by the gateway's own clock.
 type Report struct {
-	Gateway  string             `json:"desk"`
-	Inc      string             `json:"inc"`
-	Addr     string             `json:"addr"`
-	Zone     string             `json:"zone"`
-	Number   uint64             `json:"number"`
-	Revision uint64             `json:"revision"`
-	SentUs   int64              `json:"sentUs"`
-	View     uint64             `json:"view"`
-	Arrivals map[string]float64 `json:"arrivals,omitempty"`
-	Waiting  map[string]int     `json:"waiting,omitempty"`
-	InFlight map[string]int     `json:"inFlight,omitempty"`
-	Left     map[string]Left    `json:"left,omitempty"`
-	Draining bool               `json:"draining,omitempty"`
-	Silent   []string           `json:"silent,omitempty"`
+	Gateway     string             `json:"desk"`
+	Incarnation string             `json:"inc"`
+	Addr        string             `json:"addr"`
+	Zone        string             `json:"zone"`
+	Number      uint64             `json:"number"`
+	Revision    uint64             `json:"revision"`
+	SentUs      int64              `json:"sentUs"`
+	View        uint64             `json:"view"`
+	Arrivals    map[string]float64 `json:"arrivals,omitempty"`
+	Waiting     map[string]int     `json:"waiting,omitempty"`
+	InFlight    map[string]int     `json:"inFlight,omitempty"`
+	Left        map[string]Left    `json:"left,omitempty"`
+	Draining    bool               `json:"draining,omitempty"`
+	Silent      []string           `json:"silent,omitempty"`
 	// Tokens of prompts a second, by model; Recent are arrivals of the last second or two; Paths are
 	// arrivals a second by "route|model"; Runs are attempts under way and Unread those without a first piece, by "replica|model".
 	Tokens map[string]float64 `json:"tokens,omitempty"`
@@ -133,20 +133,20 @@
 // Heard is what a control node has heard of replicas and gateways, told to the other control nodes. Wants asks for
 // all rows again.
 type Heard struct {
-	By       string        `json:"by"`
-	Inc      string        `json:"inc"`
-	Notes    []roster.Note `json:"notes,omitempty"`
-	Wants    bool          `json:"wants,omitempty"`
-	Gateways []string      `json:"desks,omitempty"`
+	By          string        `json:"by"`
+	Incarnation string        `json:"inc"`
+	Notes       []roster.Note `json:"notes,omitempty"`
+	Wants       bool          `json:"wants,omitempty"`
+	Gateways    []string      `json:"desks,omitempty"`
 	// Confirm names replicas that leave: whoever knows of it says so.
 	Confirm []string `json:"confirm,omitempty"`
 }
 
-// Confirmed answers Confirm. Inc is the life of the control node that asked.
+// Confirmed answers Confirm. Incarnation is the incarnation of the control node that asked.
 type Confirmed struct {
-	By      string         `json:"by"`
-	Inc     string         `json:"inc"`
-	Leaving []KnownLeaving `json:"leaving"`
+	By          string         `json:"by"`
+	Incarnation string         `json:"inc"`
+	Leaving     []KnownLeaving `json:"leaving"`
 }
 
 // KnownLeaving is a replica that a control node knows to be leaving, or to be gone.
@@ -162,11 +162,11 @@
 
 // ReplicaState is what a replica answers when it is asked what it holds and does.
 type ReplicaState struct {
-	ID     string           `json:"id"`
-	Inc    string           `json:"inc"`
-	Holds  []ledger.Holding `json:"holds"`
-	Last   *OrderState      `json:"last,omitempty"`
-	Active int              `json:"active"`
+	ID          string           `json:"id"`
+	Incarnation string           `json:"inc"`
+	Holds       []ledger.Holding `json:"holds"`
+	Last        *OrderState      `json:"last,omitempty"`
+	Active      int              `json:"active"`
 
 	// Of replicas that do not name their last order: whether one is under way, how many they took, and
 	// which units they hold.
@@ -228,17 +228,17 @@
 
 // Attempt is one attempt of a request at a replica. Had are the pieces that the caller has, and First the number of the next.
 type Attempt struct {
-	Attempt string   `json:"leg"`
-	Ticket  uint64   `json:"ticket"`
-	Inc     string   `json:"inc"`
-	Call    string   `json:"call"`
-	Model   string   `json:"model"`
-	Adapter string   `json:"adapter,omitempty"`
-	Prefix  []string `json:"prefix,omitempty"`
-	Prompt  string   `json:"prompt"`
-	Had     []string `json:"had,omitempty"`
-	First   int      `json:"first"`
-	MostOut int      `json:"mostOut,omitempty"`
+	Attempt     string   `json:"leg"`
+	Ticket      uint64   `json:"ticket"`
+	Incarnation string   `json:"inc"`
+	Call        string   `json:"call"`
+	Model       string   `json:"model"`
+	Adapter     string   `json:"adapter,omitempty"`
+	Prefix      []string `json:"prefix,omitempty"`
+	Prompt      string   `json:"prompt"`
+	Had         []string `json:"had,omitempty"`
+	First       int      `json:"first"`
+	MostOut     int      `json:"mostOut,omitempty"`
 }
 
 // Piece is one line of a replica's answer.
--- a/proofs/capacity/hollow.go
+++ b/proofs/capacity/hollow.go
@@ -103,7 +103,7 @@
 	streams        atomic.Int32
 	dead           atomic.Bool
 	r              *rand.Rand
-	inc            string
+	incarnation    string
 
 	mu      sync.Mutex
 	mirror  *subscriber.Mirror
@@ -118,10 +118,10 @@
 )
 
 func (d *hollowGateway) run(ctx context.Context, seeds []string) {
-	d.inc = controlnode.RandomID(6)
+	d.incarnation = controlnode.RandomID(6)
 	d.mu.Lock()
 	d.cancels = map[uint64]context.CancelFunc{}
-	d.mirror = subscriber.NewMirror(subscriber.Options{Gateway: d.name, Inc: d.inc, Addr: platform.Gateway(d.ip), Zone: d.zone, Seeds: seeds})
+	d.mirror = subscriber.NewMirror(subscriber.Options{Gateway: d.name, Incarnation: d.incarnation, Addr: platform.Gateway(d.ip), Zone: d.zone, Seeds: seeds})
 	d.load = d.draw()
 	d.mu.Unlock()
 	pause(ctx, time.Duration(d.r.Int63n(int64(time.Second))))
@@ -230,7 +230,7 @@
 func (d *hollowGateway) draw() *wire.Report {
 	w := d.world
 	rep := &wire.Report{
-		Gateway: d.name, Inc: d.inc, Addr: platform.Gateway(d.ip), Zone: d.zone, Arrivals: map[string]float64{}, Tokens: map[string]float64{},
+		Gateway: d.name, Incarnation: d.incarnation, Addr: platform.Gateway(d.ip), Zone: d.zone, Arrivals: map[string]float64{}, Tokens: map[string]float64{},
 		Recent: map[string]float64{}, Waiting: map[string]int{}, InFlight: map[string]int{}, Left: map[string]wire.Left{},
 		Runs: map[string]int{}, Unread: map[string]int{},
 	}
@@ -280,7 +280,7 @@
 	ip, zone     string
 	controlNodes []string
 	mu           sync.Mutex
-	life         int
+	incarnation  int
 	id           string
 	units        map[string]bool
 	had          map[string]bool
@@ -379,12 +379,12 @@
 	return err == nil && res.StatusCode/100 == 2
 }
 
-// begin gives a replica a new life that holds what the old one held.
+// begin gives a replica a new incarnation that holds what the old one held.
 func (r *hollowReplica) begin() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.life++
-	r.id = fmt.Sprintf("i-%05d-%d", r.n, r.life)
+	r.incarnation++
+	r.id = fmt.Sprintf("i-%05d-%d", r.n, r.incarnation)
 	r.seq, r.dead, r.busyUntil = 0, false, time.Time{}
 }
 
--- a/proofs/capacity/platform/dialect.go
+++ b/proofs/capacity/platform/dialect.go
@@ -158,10 +158,10 @@
 	return Order{Model: o.Model, Adapter: o.Adapter, Unload: o.Operation == "unloading"}, true
 }
 
-// Meant is the life that a caller takes a replica to be in, where it says so.
+// Meant is the incarnation that a caller takes a replica to be in, where it says so.
 func Meant(h http.Header) string { return h.Get("Expected-Instance") }
 
-// Elsewhere answers a caller who meant another life.
+// Elsewhere answers a caller who meant another incarnation.
 func Elsewhere(w http.ResponseWriter, id string) {
 	w.Header().Set("Instance-Id", id)
 	w.WriteHeader(http.StatusMisdirectedRequest)
--- a/proofs/cmd/fleet/main.go
+++ b/proofs/cmd/fleet/main.go
@@ -63,7 +63,7 @@
 	}
 	flags := cmd.Flags()
 	flags.StringVar(&o.ID, "id", "", "replica id")
-	flags.StringVar(&o.Inc, "inc", "", "incarnation")
+	flags.StringVar(&o.Incarnation, "inc", "", "incarnation")
 	flags.StringVar(&o.Zone, "zone", "", "zone")
 	flags.StringVar(&listen, "listen", "", "IP:port")
 	flags.Int64Var(&o.RoomMb, "room", 81920, "room in MB")
--- a/proofs/fleet/bounds.go
+++ b/proofs/fleet/bounds.go
@@ -34,7 +34,7 @@
 	n := c.n.Add(1)
 	controlNodes := c.f.Addrs("office")
 	change := ledger.Change{ID: fmt.Sprintf("bound-%d", n), Key: &ledger.KeyChange{
-		Key: fmt.Sprintf("family-%032d", n), Gateway: "front-1", GatewayInc: "bounds", Call: fmt.Sprintf("front-1-%016d", n)}}
+		Key: fmt.Sprintf("family-%032d", n), Gateway: "front-1", GatewayIncarnation: "bounds", Call: fmt.Sprintf("front-1-%016d", n)}}
 	began := NowUs()
 	short, done := context.WithTimeout(ctx, 5*time.Second)
 	res, err := rpc.NewCaller[ledger.Change, wire.Result](c.client, controlNodes[int(n)%len(controlNodes)], rpc.SubmitPath).Call(short, &change)
--- a/proofs/fleet/measure.go
+++ b/proofs/fleet/measure.go
@@ -43,7 +43,7 @@
 	return nil
 }
 
-type holderOf struct{ id, inc, addr string }
+type holderOf struct{ id, incarnation, addr string }
 
 func (f *Fleet) holder(ctx context.Context, model string) (holderOf, error) {
 	head, ok := f.Head(ctx)
@@ -52,14 +52,14 @@
 	}
 	for _, r := range head.Replicas {
 		if _, held := r.Holds[model]; held && !r.Leaving && !r.Unreachable {
-			return holderOf{r.ID, r.Inc, r.Addr}, nil
+			return holderOf{r.ID, r.Incarnation, r.Addr}, nil
 		}
 	}
 	return holderOf{}, errors.Errorf("nobody holds %s", model)
 }
 
 func direct(client *http.Client, h holderOf, model, prompt string, n int) error {
-	raw, err := json.Marshal(wire.Attempt{Attempt: fmt.Sprintf("%s/%s/direct-%d", h.id, h.inc, n), Inc: h.inc, Model: model, Prompt: prompt, First: 1, MostOut: 1})
+	raw, err := json.Marshal(wire.Attempt{Attempt: fmt.Sprintf("%s/%s/direct-%d", h.id, h.incarnation, n), Incarnation: h.incarnation, Model: model, Prompt: prompt, First: 1, MostOut: 1})
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/proofs/history/walk_test.go
+++ b/proofs/history/walk_test.go
@@ -99,22 +99,22 @@
 
 // walkControlNode is one control node: its reducer, what its disk has synced, and the callers that wait at it.
 type walkControlNode struct {
-	walk    *walk
-	number  int
-	addr    string
-	core    *controlnode.Core
-	life    int
-	wipes   int
-	thawUs  int64
-	records []chain.Record
-	waiters map[string][]func(ledger.Outcome)
+	walk        *walk
+	number      int
+	addr        string
+	core        *controlnode.Core
+	incarnation int
+	wipes       int
+	thawUs      int64
+	records     []chain.Record
+	waiters     map[string][]func(ledger.Outcome)
 }
 
 func (o *walkControlNode) start(first bool) {
-	o.life++
+	o.incarnation++
 	o.waiters = map[string][]func(ledger.Outcome){}
 	opts := controlnode.SelfPaced(chain.Options{
-		Me: chain.Member{ID: fmt.Sprint("o", o.addr, "-", o.wipes), Name: "o" + o.addr, Addr: o.addr, Zone: "z"}, Inc: fmt.Sprint(o.addr, "/", o.life), CopiesLeast: 2, SelfMembers: true,
+		Me: chain.Member{ID: fmt.Sprint("o", o.addr, "-", o.wipes), Name: "o" + o.addr, Addr: o.addr, Zone: "z"}, Incarnation: fmt.Sprint(o.addr, "/", o.incarnation), CopiesLeast: 2, SelfMembers: true,
 	})
 	if first {
 		opts.Founders, opts.First = []string{"a0", "a1", "a2"}, true
@@ -129,7 +129,7 @@
 }
 
 func (o *walkControlNode) crash() {
-	o.life++
+	o.incarnation++
 	o.core = nil
 }
 
@@ -140,13 +140,13 @@
 	o.wipes++
 }
 
-// later runs in this life of the control node, once it is not frozen.
+// later runs in this incarnation of the control node, once it is not frozen.
 func (o *walkControlNode) later(us int64, run func()) {
-	life := o.life
+	incarnation := o.incarnation
 	var due func()
 	due = func() {
 		switch {
-		case o.core == nil || o.life != life:
+		case o.core == nil || o.incarnation != incarnation:
 		case o.walk.nowUs < o.thawUs:
 			o.walk.after(o.thawUs-o.walk.nowUs, due)
 		default:
--- a/proofs/modelserver/core.go
+++ b/proofs/modelserver/core.go
@@ -14,20 +14,20 @@
 
 // Run is what a replica really did for one attempt; the rules are checked against it.
 type Run struct {
-	Replica string `json:"replica"`
-	Inc     string `json:"inc"`
-	Zone    string `json:"zone"`
-	Attempt string `json:"leg"`
-	Tag     string `json:"tag"`
-	Model   string `json:"model"`
-	Adapter string `json:"adapter"`
-	Nonce   string `json:"nonce"`
-	StartUs int64  `json:"startUs"`
-	First   int    `json:"first"`
-	Total   int    `json:"total"`
-	Sent    int    `json:"sent"`
-	Ended   bool   `json:"ended"`
-	Warm    int    `json:"warm"`
+	Replica     string `json:"replica"`
+	Incarnation string `json:"inc"`
+	Zone        string `json:"zone"`
+	Attempt     string `json:"leg"`
+	Tag         string `json:"tag"`
+	Model       string `json:"model"`
+	Adapter     string `json:"adapter"`
+	Nonce       string `json:"nonce"`
+	StartUs     int64  `json:"startUs"`
+	First       int    `json:"first"`
+	Total       int    `json:"total"`
+	Sent        int    `json:"sent"`
+	Ended       bool   `json:"ended"`
+	Warm        int    `json:"warm"`
 }
 
 // Line is one entry of a replica's own journal, kept outside it so that its death loses nothing.
@@ -40,32 +40,32 @@
 // OrderSeen is one order as the replica saw it; Why says why it was not taken, and Over that it asked for more than the
 // room there is.
 type OrderSeen struct {
-	Replica string      `json:"replica"`
-	Inc     string      `json:"inc"`
-	Number  uint64      `json:"number"`
-	Epoch   uint64      `json:"epoch"`
-	Under   uint64      `json:"under"`
-	Step    ledger.Step `json:"step"`
-	Unit    string      `json:"unit"`
-	AtUs    int64       `json:"atUs"`
-	Taken   bool        `json:"taken"`
-	Why     string      `json:"why,omitempty"`
-	Over    bool        `json:"over,omitempty"`
+	Replica     string      `json:"replica"`
+	Incarnation string      `json:"inc"`
+	Number      uint64      `json:"number"`
+	Epoch       uint64      `json:"epoch"`
+	Under       uint64      `json:"under"`
+	Step        ledger.Step `json:"step"`
+	Unit        string      `json:"unit"`
+	AtUs        int64       `json:"atUs"`
+	Taken       bool        `json:"taken"`
+	Why         string      `json:"why,omitempty"`
+	Over        bool        `json:"over,omitempty"`
 }
 
-// Options are one life of a replica. With Fetch a load also waits for Fetched; Journal may be nil.
+// Options are one incarnation of a replica. With Fetch a load also waits for Fetched; Journal may be nil.
 type Options struct {
-	ID      string
-	Inc     string
-	Zone    string
-	RoomMb  int64
-	Slots   int
-	FirstUs int64
-	PartUs  int64
-	PieceUs int64
-	LoadUs  func(sizeMb int64) int64
-	Fetch   bool
-	Journal func(Line)
+	ID          string
+	Incarnation string
+	Zone        string
+	RoomMb      int64
+	Slots       int
+	FirstUs     int64
+	PartUs      int64
+	PieceUs     int64
+	LoadUs      func(sizeMb int64) int64
+	Fetch       bool
+	Journal     func(Line)
 }
 
 // Core is a replica without its sockets: it holds models, takes one order at a time and runs attempts.
@@ -91,7 +91,7 @@
 
 // State is what the replica says when it is asked.
 func (c *Core) State() wire.ReplicaState {
-	st := wire.ReplicaState{ID: c.opts.ID, Inc: c.opts.Inc, Active: len(c.attempts), Holds: []ledger.Holding{}}
+	st := wire.ReplicaState{ID: c.opts.ID, Incarnation: c.opts.Incarnation, Active: len(c.attempts), Holds: []ledger.Holding{}}
 	units := make([]string, 0, len(c.holds))
 	for u := range c.holds {
 		units = append(units, u)
@@ -119,7 +119,7 @@
 // Take judges an order. fetch is true when the weights must come from the store.
 func (c *Core) Take(nowUs int64, o wire.Order) (st wire.OrderState, fetch bool) {
 	t := o.Ticket
-	seen := OrderSeen{Replica: c.opts.ID, Inc: c.opts.Inc, Number: t.Number, Epoch: t.Epoch, Under: o.Epoch, Step: t.Step, Unit: t.Unit, AtUs: nowUs}
+	seen := OrderSeen{Replica: c.opts.ID, Incarnation: c.opts.Incarnation, Number: t.Number, Epoch: t.Epoch, Under: o.Epoch, Step: t.Step, Unit: t.Unit, AtUs: nowUs}
 	defer func() {
 		c.Orders = append(c.Orders, seen)
 		c.journal(Line{Order: &seen})
@@ -129,7 +129,7 @@
 		return wire.OrderState{Number: t.Number, Epoch: t.Epoch, State: wire.OrderFailed, Why: why}
 	}
 	switch {
-	case t.Inc != c.opts.Inc:
+	case t.Incarnation != c.opts.Incarnation:
 		return refuse("another incarnation"), false
 	case c.last != nil && t.Number == c.last.Number:
 		seen.Why = "again"
@@ -230,7 +230,7 @@
 	_, adapter := c.holds[l.Adapter]
 	unloading := c.order != nil && c.order.Step == ledger.Unload && (c.order.Unit == l.Model || c.order.Unit == l.Adapter)
 	switch {
-	case l.Inc != c.opts.Inc:
+	case l.Incarnation != c.opts.Incarnation:
 		return refuse("another_incarnation")
 	case c.seenAttempts[l.Attempt]:
 		return refuse("leg_seen")
@@ -242,8 +242,8 @@
 	c.seenAttempts[l.Attempt] = true
 	c.nonces++
 	r := &Run{
-		Replica: c.opts.ID, Inc: c.opts.Inc, Zone: c.opts.Zone, Attempt: l.Attempt, Tag: TagOf(l.Prompt), Model: l.Model, Adapter: l.Adapter,
-		Nonce: fmt.Sprintf("%s.%s.%d", c.opts.ID, c.opts.Inc, c.nonces), StartUs: nowUs, First: l.First, Total: Total(l.Prompt, l.MostOut),
+		Replica: c.opts.ID, Incarnation: c.opts.Incarnation, Zone: c.opts.Zone, Attempt: l.Attempt, Tag: TagOf(l.Prompt), Model: l.Model, Adapter: l.Adapter,
+		Nonce: fmt.Sprintf("%s.%s.%d", c.opts.ID, c.opts.Incarnation, c.nonces), StartUs: nowUs, First: l.First, Total: Total(l.Prompt, l.MostOut),
 	}
 	cold := 0
 	key := l.Model + "|" + l.Adapter
@@ -293,5 +293,5 @@
 // PieceUs is the time between two pieces.
 func (c *Core) PieceUs() int64 { return c.opts.PieceUs }
 
-// ID names the replica and this life of it.
-func (c *Core) ID() (string, string) { return c.opts.ID, c.opts.Inc }
+// ID names the replica and this incarnation of it.
+func (c *Core) ID() (string, string) { return c.opts.ID, c.opts.Incarnation }
--- a/proofs/modelserver/host.go
+++ b/proofs/modelserver/host.go
@@ -254,9 +254,9 @@
 
 // stop ends an attempt that nobody waits for, and answers once it is over.
 func (h *Host) stop(w http.ResponseWriter, r *http.Request) {
-	id, inc := h.core.ID()
-	attempt := id + "/" + inc + "/" + r.PathValue("number")
-	if r.URL.Query().Get("inc") != inc {
+	id, incarnation := h.core.ID()
+	attempt := id + "/" + incarnation + "/" + r.PathValue("number")
+	if r.URL.Query().Get("inc") != incarnation {
 		answer(w, 404, map[string]string{"error": "another incarnation"})
 		return
 	}
--- a/proofs/platform/fleet/day.go
+++ b/proofs/platform/fleet/day.go
@@ -167,7 +167,7 @@
 
 // try sends one request on a connection of its own and notes all that comes back on it.
 func (f *Fleet) try(t *rules.Try, p *machineProc, headers map[string]string, left, hang time.Duration) (retry time.Duration) {
-	t.Machine, t.Life, t.SentUs = p.name, f.lifeOf(p.name), clock.NowUs()
+	t.Machine, t.Incarnation, t.SentUs = p.name, f.incarnationOf(p.name), clock.NowUs()
 	f.note(func(d *rules.Day) { d.Tries = append(d.Tries, t) })
 	seen := *t
 	defer func() {
--- a/proofs/platform/fleet/fleet.go
+++ b/proofs/platform/fleet/fleet.go
@@ -153,13 +153,13 @@
 				held = append(held, m.Name)
 			}
 		}
-		if err := f.newLife("cards", zoneOf(i), held); err != nil {
+		if err := f.startReplica("cards", zoneOf(i), held); err != nil {
 			return err
 		}
 	}
 	for i := range f.plan.Logs {
 		for _, service := range []string{"log", "log-b"} {
-			if err := f.newLife(service, zoneOf(i), nil); err != nil {
+			if err := f.startReplica(service, zoneOf(i), nil); err != nil {
 				return err
 			}
 		}
@@ -256,8 +256,8 @@
 	return nil
 }
 
-// lifeOf tells which of its processes a machine runs now.
-func (f *Fleet) lifeOf(name string) int {
+// incarnationOf tells which of its processes a machine runs now.
+func (f *Fleet) incarnationOf(name string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.procs[name].lives
@@ -324,8 +324,8 @@
 	return f.begin(p, false)
 }
 
-// newLife starts a replica; each has a machine of its own.
-func (f *Fleet) newLife(service, zone string, held []string) error {
+// startReplica starts a replica; each has a machine of its own.
+func (f *Fleet) startReplica(service, zone string, held []string) error {
 	f.mu.Lock()
 	f.lives++
 	id := fmt.Sprintf("i-%d", f.lives)
@@ -373,12 +373,12 @@
 	})
 }
 
-// cards are the lives that hold models, in order.
+// cards are the incarnations that hold models, in order.
 func (f *Fleet) cards() []*replica.Host {
 	return slices.DeleteFunc(f.replicas(), func(h *replica.Host) bool { return h.Service() != "cards" })
 }
 
-// replicas are all lives that run, in order.
+// replicas are all incarnations that run, in order.
 func (f *Fleet) replicas() []*replica.Host {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -397,7 +397,7 @@
 func (f *Fleet) leave(h *replica.Host, left time.Duration) error {
 	l := &rules.Leave{Replica: h.ID(), SaidUs: clock.NowUs()}
 	f.note(func(d *rules.Day) { d.Leaves = append(d.Leaves, l) })
-	if err := f.newLife("cards", h.Zone(), nil); err != nil {
+	if err := f.startReplica("cards", h.Zone(), nil); err != nil {
 		return err
 	}
 	h.Drain(left.Milliseconds())
@@ -421,7 +421,7 @@
 func (f *Fleet) leaveFirst(h *replica.Host) error {
 	l := &rules.Leave{Replica: h.ID(), SaidUs: clock.NowUs()}
 	f.note(func(d *rules.Day) { d.Leaves = append(d.Leaves, l) })
-	if err := f.newLife("cards", h.Zone(), nil); err != nil {
+	if err := f.startReplica("cards", h.Zone(), nil); err != nil {
 		return err
 	}
 	by := h.Deregister()
@@ -437,7 +437,7 @@
 	return nil
 }
 
-// crash ends a replica without a word; another life comes back empty.
+// crash ends a replica without a word; another incarnation comes back empty.
 func (f *Fleet) crash(h *replica.Host) error {
 	f.note(func(d *rules.Day) {
 		d.Troubles = append(d.Troubles, rules.Trouble{Machine: h.ID(), Kind: "crash", FromUs: clock.NowUs(), ToUs: rules.Open, Down: true})
@@ -445,7 +445,7 @@
 	f.drop(h)
 	h.Kill(false)
 	time.Sleep(500 * time.Millisecond)
-	return f.newLife("cards", h.Zone(), nil)
+	return f.startReplica("cards", h.Zone(), nil)
 }
 
 // Stop ends all that was started.
--- a/proofs/platform/replica/core.go
+++ b/proofs/platform/replica/core.go
@@ -22,7 +22,7 @@
 	seq   uint64
 }
 
-// Core is one life of a replica: what reaches it goes in, what it sends comes out.
+// Core is one incarnation of a replica: what reaches it goes in, what it sends comes out.
 type Core struct {
 	opts     Options
 	held     map[string]bool
@@ -42,13 +42,13 @@
 	Draining bool
 	LeavesUs int64
 	Fallen   bool
-	// ended is set by Kill: nothing that reaches this life later is taken.
+	// ended is set by Kill: nothing that reaches this incarnation later is taken.
 	ended   bool
 	effects []Effect
 	muted   map[uint64]*work
 }
 
-// NewCore begins a life that holds what its options say.
+// NewCore begins an incarnation that holds what its options say.
 func NewCore(o Options) *Core {
 	c := &Core{opts: o, held: map[string]bool{}, kept: map[string]int64{}, keptUs: map[string]int64{}, reading: map[*work]int64{}, muted: map[uint64]*work{}}
 	if c.opts.Disk == nil {
@@ -61,7 +61,7 @@
 	return c
 }
 
-// ID names this life.
+// ID names this incarnation.
 func (c *Core) ID() string { return c.opts.ID }
 
 // Service is the one that it serves.
@@ -205,7 +205,7 @@
 	c.carryOrder(nowUs)
 }
 
-// Kill ends this life: what runs is broken off, and the store is rid of its load.
+// Kill ends this incarnation: what runs is broken off, and the store is rid of its load.
 func (c *Core) Kill(nowUs int64) []Effect {
 	for _, all := range [][]*work{c.running, c.waiting} {
 		for _, w := range all {
--- a/proofs/platform/replica/host.go
+++ b/proofs/platform/replica/host.go
@@ -19,7 +19,7 @@
 
 const effectsMost = 4096
 
-// HostOptions are where a life listens and whom it tells of itself.
+// HostOptions are where an incarnation listens and whom it tells of itself.
 type HostOptions struct {
 	Listen string
 	Core   Options
@@ -27,11 +27,11 @@
 	// Control are the machines that serve control now; Who names a machine by its IP.
 	Control func() []string
 	Who     func(ip string) string
-	// Said is told when a machine has acknowledged what this life says of itself.
+	// Said is told when a machine has acknowledged what this incarnation says of itself.
 	Said func(by string, draining bool)
 }
 
-// Host is one life of a replica on real sockets, in the platform's words.
+// Host is one incarnation of a replica on real sockets, in the platform's words.
 type Host struct {
 	opts   HostOptions
 	mu     sync.Mutex
@@ -50,7 +50,7 @@
 	asked  int
 }
 
-// Shape says of a request, by its life's own count, how its answer is sent, whatever the answer is.
+// Shape says of a request, by its incarnation's own count, how its answer is sent, whatever the answer is.
 type Shape struct {
 	// Early requests are turned away before their body has been read; it is read afterwards.
 	Early func(n int) bool
@@ -58,7 +58,7 @@
 	Unframed func(n int) bool
 }
 
-// Serve begins a life. The journal of its options is told under a lock of this host.
+// Serve begins an incarnation. The journal of its options is told under a lock of this host.
 func Serve(o HostOptions) (*Host, error) {
 	l, err := net.Listen("tcp", o.Listen)
 	if err != nil {
@@ -81,17 +81,17 @@
 	return h, nil
 }
 
-// ID names this life.
+// ID names this incarnation.
 func (h *Host) ID() string { return h.opts.Core.ID }
 
-// Ill makes this life turn requests away or break them off from now on, or no more.
+// Ill makes this incarnation turn requests away or break them off from now on, or no more.
 func (h *Host) Ill(turn, broken func(int) bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.core.opts.Turn, h.core.opts.Break = turn, broken
 }
 
-// Answers makes this life shape its answers from now on; an empty shape ends that.
+// Answers makes this incarnation shape its answers from now on; an empty shape ends that.
 func (h *Host) Answers(s Shape) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -120,7 +120,7 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 }
 
-// Deregister takes this life's leave without a word of it before, and says who acknowledged it. It says nothing
+// Deregister takes this incarnation's leave without a word of it before, and says who acknowledged it. It says nothing
 // more of itself, and serves on until it is killed.
 func (h *Host) Deregister() (by string) {
 	by = h.call("/instances/"+h.ID()+"/deregister", []byte("{}"))
@@ -128,7 +128,7 @@
 	return by
 }
 
-// Drain says that this life leaves, after some time where it is given.
+// Drain says that this incarnation leaves, after some time where it is given.
 func (h *Host) Drain(leftMs int64) {
 	h.mu.Lock()
 	h.core.Draining = true
@@ -139,7 +139,7 @@
 	h.beat()
 }
 
-// Kill ends this life at once, with a word to those who keep track of it where it leaves in order.
+// Kill ends this incarnation at once, with a word to those who keep track of it where it leaves in order.
 func (h *Host) Kill(inOrder bool) {
 	if inOrder {
 		h.call("/instances/"+h.ID()+"/deregister", []byte("{}"))
--- a/proofs/platform/replica/options.go
+++ b/proofs/platform/replica/options.go
@@ -1,7 +1,7 @@
 package replica
 
-// Options hold for one life of a replica. Store and Disk may be shared with other replicas; without a Disk
-// the life has an empty one of its own.
+// Options hold for one incarnation of a replica. Store and Disk may be shared with other replicas; without a Disk
+// the incarnation has an empty one of its own.
 type Options struct {
 	ID      string
 	Service string
@@ -17,16 +17,16 @@
 	Fenced  bool
 	WorkUs  int64
 	Journal Journal
-	// Fail, Turn and Break say of a request, by its life's own count, that it gets a 500, is turned away,
+	// Fail, Turn and Break say of a request, by its incarnation's own count, that it gets a 500, is turned away,
 	// or is broken off in the middle.
 	Fail  func(n int) bool
 	Turn  func(n int) bool
 	Break func(n int) bool
-	// Ail says of a request, by its life's own count and its caller, how the replica fails it while it calls
+	// Ail says of a request, by its incarnation's own count and its caller, how the replica fails it while it calls
 	// itself well; Slow is how many times as long all work takes.
 	Ail  func(n int, from string) Ailment
 	Slow func() int64
-	// Anyone takes requests for other lives as well, as no replica should.
+	// Anyone takes requests for other incarnations as well, as no replica should.
 	Anyone bool
 }
 
--- a/proofs/platform/replica/orders.go
+++ b/proofs/platform/replica/orders.go
@@ -14,7 +14,7 @@
 	fromStore bool
 }
 
-// Order takes an order and answers with its status, 0 for no answer where its life has ended.
+// Order takes an order and answers with its status, 0 for no answer where its incarnation has ended.
 func (c *Core) Order(nowUs int64, o Order) int {
 	if c.ended {
 		return 0
--- a/proofs/platform/replica/requests.go
+++ b/proofs/platform/replica/requests.go
@@ -26,7 +26,7 @@
 
 func (w *work) unit() string { return configuration.Unit(w.ask.Model, w.ask.Adapter) }
 
-// Take is a request that has arrived whole. A life that has ended breaks the connection off.
+// Take is a request that has arrived whole. An incarnation that has ended breaks the connection off.
 func (c *Core) Take(nowUs int64, conn uint64, ask Ask) []Effect {
 	if c.ended {
 		return []Effect{{Conn: conn, Broken: true}}
--- a/proofs/platform/replica/seen.go
+++ b/proofs/platform/replica/seen.go
@@ -81,5 +81,5 @@
 	return fmt.Sprintf("%016x~%s", h.Sum64(), nonce)
 }
 
-// Seal stamps an answer: the life that gave it and the run.
-func Seal(life, nonce string) string { return life + "." + nonce }
+// Seal stamps an answer: the incarnation that gave it and the run.
+func Seal(incarnation, nonce string) string { return incarnation + "." + nonce }
--- a/proofs/platform/replica/shared_test.go
+++ b/proofs/platform/replica/shared_test.go
@@ -81,9 +81,9 @@
 	}
 }
 
-// A life that has ended takes nothing any more: a request or an order that was on its way when it ended
+// An incarnation that has ended takes nothing any more: a request or an order that was on its way when it ended
 // would otherwise be journalled after the day has been judged.
-func TestALifeThatEndedTakesNothing(t *testing.T) {
+func TestAnIncarnationThatEndedTakesNothing(t *testing.T) {
 	arrivals, orders := 0, 0
 	store := &Store{AtOnce: 1}
 	c := NewCore(Options{ID: "i-1", Slots: 1, Queue: 1, Engine: sharedEngine(), Store: store, Journal: Journal{
@@ -93,10 +93,10 @@
 	c.Kill(1_000_000)
 	effects := c.Take(1_000_001, 1, Ask{ID: "r-1", Body: "x/1", DeadlineUs: 2_000_000})
 	if arrivals != 0 || len(effects) != 1 || !effects[0].Broken {
-		t.Errorf("after the end of its life it noted %d requests and sent %+v, want none and a broken connection", arrivals, effects)
+		t.Errorf("after the end of its incarnation it noted %d requests and sent %+v, want none and a broken connection", arrivals, effects)
 	}
 	status := c.Order(1_000_002, Order{Operation: "loading", Model: "m", Holder: "h", Fence: 1})
 	if orders != 0 || status != 0 || store.Running() != 0 {
-		t.Errorf("after the end of its life it noted %d orders, answered %d and the store counts %d loads", orders, status, store.Running())
+		t.Errorf("after the end of its incarnation it noted %d orders, answered %d and the store counts %d loads", orders, status, store.Running())
 	}
 }
--- a/proofs/rules/routed.go
+++ b/proofs/rules/routed.go
@@ -134,37 +134,37 @@
 
 // Try is one request of a client and what its connection saw.
 type Try struct {
-	ID        string
-	Class     string
-	Subject   string
-	Model     string
-	Adapter   string
-	Size      int64 // of a generation: its prompt and ten times its answer in tokens; 0 for others
-	Nth       int
-	Method    string
-	Host      string
-	Path      string
-	Body      string
-	Machine   string
-	Life      int
-	Stream    bool
-	Probe     bool
-	Had       int
-	AimUs     int64
-	LimitUs   int64
-	SentUs    int64
-	ReadUs    int64
-	FirstUs   int64
-	EndUs     int64
-	Status    int
-	AnswerID  string
-	Seal      string
-	Answer    string
-	Events    []EventSeen
-	Complete  bool
-	HungUp    bool // the client went away of its own accord: nothing is owed
-	GaveUp    bool // it had waited for as long as it would
-	Unordered string
+	ID          string
+	Class       string
+	Subject     string
+	Model       string
+	Adapter     string
+	Size        int64 // of a generation: its prompt and ten times its answer in tokens; 0 for others
+	Nth         int
+	Method      string
+	Host        string
+	Path        string
+	Body        string
+	Machine     string
+	Incarnation int
+	Stream      bool
+	Probe       bool
+	Had         int
+	AimUs       int64
+	LimitUs     int64
+	SentUs      int64
+	ReadUs      int64
+	FirstUs     int64
+	EndUs       int64
+	Status      int
+	AnswerID    string
+	Seal        string
+	Answer      string
+	Events      []EventSeen
+	Complete    bool
+	HungUp      bool // the client went away of its own accord: nothing is owed
+	GaveUp      bool // it had waited for as long as it would
+	Unordered   string
 }
 
 // Served says that the client got the whole of a success.
--- a/proofs/rules/routed_routes.go
+++ b/proofs/rules/routed_routes.go
@@ -45,7 +45,7 @@
 	return lo
 }
 
-// process is one life of a machine's process.
+// process is one incarnation of a machine's process.
 type process struct {
 	machine string
 	boot    int
@@ -166,7 +166,7 @@
 
 // notBack: a process does not go back to a version older than one that it has worked by for long enough.
 func (j *judge) notBack(h handling, least, most *Version, floors map[process]*floor) {
-	key := process{h.try.Machine, h.try.Life}
+	key := process{h.try.Machine, h.try.Incarnation}
 	f := floors[key]
 	slackUs := j.Bounds.DowngradeUs
 	if j.slowed(h.try.Machine, h.atUs) {
--- a/proofs/rules/routed_test.go
+++ b/proofs/rules/routed_test.go
@@ -63,7 +63,7 @@
 }
 
 func asked(id, path string, sentUs int64) *Try {
-	return &Try{ID: id, Method: "POST", Host: "h", Path: path, Machine: "front", Life: 1, SentUs: sentUs, ReadUs: sentUs, EndUs: sentUs + second/10, LimitUs: 5 * second, Status: 200, Complete: true,
+	return &Try{ID: id, Method: "POST", Host: "h", Path: path, Machine: "front", Incarnation: 1, SentUs: sentUs, ReadUs: sentUs, EndUs: sentUs + second/10, LimitUs: 5 * second, Status: 200, Complete: true,
 		Seal: replica.Seal("i", id), AnswerID: id, Answer: replica.Text("", 1, id)}
 }
 
@@ -181,7 +181,7 @@
 		{"another life of it may", "", func(d *Day) {
 			served(d, "1", "/v2/x", 10*second+second/2, "s")
 			served(d, "2", "/r/x", 11*second, "s")
-			d.Tries[1].Life = 2
+			d.Tries[1].Incarnation = 2
 		}},
 		{"no version ever sent it there", Route, func(d *Day) { served(d, "1", "/r/x", 14*second, "q") }},
 		{"only a refused version sends it there", ConfigNot, func(d *Day) {
--- a/proofs/rules/rules.go
+++ b/proofs/rules/rules.go
@@ -131,7 +131,7 @@
 }
 
 type ticket struct {
-	replica, inc, step, unit string
+	replica, incarnation, step, unit string
 }
 
 // NewWatch is a watch that has been told nothing.
@@ -344,7 +344,7 @@
 
 // Order is told of an order as a replica saw it.
 func (w *Watch) Order(o modelserver.OrderSeen) {
-	this := ticket{o.Replica, o.Inc, string(o.Step), o.Unit}
+	this := ticket{o.Replica, o.Incarnation, string(o.Step), o.Unit}
 	if before, seen := w.order[o.Number]; seen && before != this {
 		w.Break(TicketClash, "ticket %d orders both %v and %v", o.Number, before, this)
 	}
@@ -360,7 +360,7 @@
 	if w.taken[o.Number] > 1 {
 		w.Break(TicketClash, "ticket %d was done twice at %s", o.Number, o.Replica)
 	}
-	at := o.Replica + "/" + o.Inc
+	at := o.Replica + "/" + o.Incarnation
 	if o.Number < w.last[at] {
 		w.Break(TicketClash, "ticket %d won over %d at %s", o.Number, w.last[at], o.Replica)
 	}
--- a/proofs/sim/control_nodes.go
+++ b/proofs/sim/control_nodes.go
@@ -28,7 +28,7 @@
 
 func newControlNode(s *Sim, name, addr, zone string, founding int) *controlNode {
 	o := &controlNode{machine: machine{sim: s, name: name, addr: addr}, named: name, zone: zone, founding: founding}
-	o.disk.identity = name + "-" + s.newInc()
+	o.disk.identity = name + "-" + s.newIncarnation()
 	o.start()
 	return o
 }
@@ -40,7 +40,7 @@
 	o.waiters, o.replies, o.follows = map[string]func(wire.Result){}, map[uint64]func(wire.Lease){}, map[string]*gatewayNode{}
 	o.saver = saver{on: &o.machine, disk: &o.disk, step: o.step, end: func() { o.crash(0, 0) }}
 	me := chain.Member{ID: o.disk.identity, Name: o.named, Addr: o.addr, Zone: o.zone}
-	node, err := chain.NewNode(chain.Options{Me: me, Inc: o.sim.newInc(), Founding: o.founding}, clone(o.disk.records), o.clock())
+	node, err := chain.NewNode(chain.Options{Me: me, Incarnation: o.sim.newIncarnation(), Founding: o.founding}, clone(o.disk.records), o.clock())
 	if err != nil {
 		panic(err)
 	}
@@ -156,7 +156,7 @@
 		if o.up && o.disk.full {
 			s.watch.Stake(rules.UnsyncedCopy)
 		}
-		if !o.up || tail.core.Node.View().Place(o.core.Node.Me().ID, o.core.Node.Inc()) < 0 {
+		if !o.up || tail.core.Node.View().Place(o.core.Node.Me().ID, o.core.Node.Incarnation()) < 0 {
 			continue
 		}
 		if o.disk.held < index {
@@ -266,7 +266,7 @@
 			state := p.take(order)
 			s.spring("ticket", o)
 			s.send(&p.machine, &o.machine, func() {
-				o.tell(controller.Event{Ordered: &controller.Ordered{Replica: order.Ticket.Replica, Inc: order.Ticket.Inc, State: state}})
+				o.tell(controller.Event{Ordered: &controller.Ordered{Replica: order.Ticket.Replica, Incarnation: order.Ticket.Incarnation, State: state}})
 			})
 		})
 	case e.Run != nil:
--- a/proofs/sim/disk_test.go
+++ b/proofs/sim/disk_test.go
@@ -73,7 +73,7 @@
 		return "nothing was acknowledged meanwhile: " + s.why()
 	}
 	s.runUntil(backUs + 4*sec)
-	if n := o.core.Node; !o.up || !seated() || n.View().Place(n.Me().ID, n.Inc()) < 0 || n.WaitsFor() != "" {
+	if n := o.core.Node; !o.up || !seated() || n.View().Place(n.Me().ID, n.Incarnation()) < 0 || n.WaitsFor() != "" {
 		return "it is not back 4 s after its disk takes bytes: " + s.why()
 	}
 	if len(s.watch.Breaches) > 0 {
@@ -143,7 +143,7 @@
 	s.crashControlNode(o, 0, torn, 300*ms)
 	backUs := s.nowUs + 300*ms
 	s.runUntil(backUs + 5*sec)
-	if n := o.core.Node; !o.up || n.View().Place(n.Me().ID, n.Inc()) < 0 || n.WaitsFor() != "" {
+	if n := o.core.Node; !o.up || n.View().Place(n.Me().ID, n.Incarnation()) < 0 || n.WaitsFor() != "" {
 		return "it is not back 5 s after its second start: " + s.why()
 	}
 	if len(s.watch.Breaches) > 0 {
--- a/proofs/sim/faults.go
+++ b/proofs/sim/faults.go
@@ -292,7 +292,7 @@
 }
 
 func (o *controlNode) replaceEmpty() {
-	o.disk = disk{identity: o.name + "-" + o.sim.newInc()}
+	o.disk = disk{identity: o.name + "-" + o.sim.newIncarnation()}
 	o.addr = fmt.Sprintf("%s:%d", o.name, o.boot+1)
 	o.founding = 0
 	o.start()
--- a/proofs/sim/gateways.go
+++ b/proofs/sim/gateways.go
@@ -19,13 +19,13 @@
 
 type gatewayNode struct {
 	machine
-	zone       string
-	inc        string
-	decider    *dispatch.Decider
-	subscriber *subscriber.Subscriber
-	snap       *dispatch.Snapshot
-	leaseUs    int64
-	calls      map[string]*callState
+	zone        string
+	incarnation string
+	decider     *dispatch.Decider
+	subscriber  *subscriber.Subscriber
+	snap        *dispatch.Snapshot
+	leaseUs     int64
+	calls       map[string]*callState
 }
 
 type callState struct {
@@ -48,10 +48,10 @@
 func (d *gatewayNode) start() {
 	d.boot++
 	d.up, d.thawUs = true, 0
-	d.inc = d.sim.newInc()
+	d.incarnation = d.sim.newIncarnation()
 	d.skewUs = d.sim.r.Int63n(1000) * sec
-	d.decider = dispatch.New(dispatch.Options{Gateway: d.name, Inc: d.inc, QueueMax: 200})
-	d.subscriber = subscriber.New(subscriber.Options{Gateway: d.name, Inc: d.inc, Addr: d.addr, Zone: d.zone, Seeds: d.sim.seeds})
+	d.decider = dispatch.New(dispatch.Options{Gateway: d.name, Incarnation: d.incarnation, QueueMax: 200})
+	d.subscriber = subscriber.New(subscriber.Options{Gateway: d.name, Incarnation: d.incarnation, Addr: d.addr, Zone: d.zone, Seeds: d.sim.seeds})
 	d.snap, d.leaseUs, d.calls = nil, 0, map[string]*callState{}
 	d.tick()
 }
@@ -257,7 +257,7 @@
 }
 
 func (d *gatewayNode) keyChange(c *callState, end string) {
-	change := ledger.Change{ID: "keyend-" + c.call.ID, Key: &ledger.KeyChange{Key: c.told.Key, Gateway: d.name, GatewayInc: d.inc, Call: c.call.ID, End: end, Free: end == fault.RunNone}}
+	change := ledger.Change{ID: "keyend-" + c.call.ID, Key: &ledger.KeyChange{Key: c.told.Key, Gateway: d.name, GatewayIncarnation: d.incarnation, Call: c.call.ID, End: end, Free: end == fault.RunNone}}
 	if end == fault.RunNone {
 		change.Key.End = ""
 	}
@@ -347,7 +347,7 @@
 			finish(dispatch.Final, "expired while it ran")
 		}
 	})
-	attempt := wire.Attempt{Attempt: st.Attempt, Ticket: st.Ticket, Inc: st.Inc, Call: st.Call.ID, Model: c.ask.Model, Adapter: c.ask.Adapter,
+	attempt := wire.Attempt{Attempt: st.Attempt, Ticket: st.Ticket, Incarnation: st.Incarnation, Call: st.Call.ID, Model: c.ask.Model, Adapter: c.ask.Adapter,
 		Prefix: c.ask.Prefix, Prompt: c.ask.Prompt, Had: append(append([]string(nil), c.ask.Had...), c.told.Pieces...), First: c.told.Had + len(c.told.Pieces) + 1, MostOut: c.ask.MostOut}
 	boot := d.boot
 	asked := false
@@ -518,7 +518,7 @@
 		enter()
 		return
 	}
-	change := ledger.Change{ID: "key-" + c.call.ID, Key: &ledger.KeyChange{Key: t.Key, Gateway: d.name, GatewayInc: d.inc, Call: c.call.ID}}
+	change := ledger.Change{ID: "key-" + c.call.ID, Key: &ledger.KeyChange{Key: t.Key, Gateway: d.name, GatewayIncarnation: d.incarnation, Call: c.call.ID}}
 	d.calls[c.call.ID] = c
 	d.submit(change, func(r wire.Result, ok bool) {
 		delete(d.calls, c.call.ID)
--- a/proofs/sim/member_test.go
+++ b/proofs/sim/member_test.go
@@ -38,7 +38,7 @@
 }
 
 func (s *Sim) empty(name, zone string) *controlNode {
-	o := newControlNode(s, name, fmt.Sprintf("%s:new%s", name, s.newInc()), zone, 0)
+	o := newControlNode(s, name, fmt.Sprintf("%s:new%s", name, s.newIncarnation()), zone, 0)
 	s.controlNodes = append(s.controlNodes, o)
 	return o
 }
--- a/proofs/sim/routed.go
+++ b/proofs/sim/routed.go
@@ -118,11 +118,11 @@
 		d.gateways = append(d.gateways, newRoutedGateway(d, fmt.Sprintf("front-%d", i), zones[i%3]))
 	}
 	for i := range plan.Cards {
-		d.newLife(fmt.Sprintf("gpu-%d", i), "cards", zones[i%3], "", d.placed(i))
+		d.startReplica(fmt.Sprintf("gpu-%d", i), "cards", zones[i%3], "", d.placed(i))
 	}
 	for i := range plan.Logs {
-		d.newLife(fmt.Sprintf("cpu-%d", i), "log", zones[i%3], "", nil)
-		d.newLife(fmt.Sprintf("cpb-%d", i), "log-b", zones[i%3], "", nil)
+		d.startReplica(fmt.Sprintf("cpu-%d", i), "log", zones[i%3], "", nil)
+		d.startReplica(fmt.Sprintf("cpb-%d", i), "log-b", zones[i%3], "", nil)
 	}
 	d.clients = newClients(d)
 	d.ops = newRoutedOperators(d)
--- a/proofs/sim/routed_attempts.go
+++ b/proofs/sim/routed_attempts.go
@@ -33,7 +33,7 @@
 		return
 	}
 	ask := l.x.ask
-	ask.From, ask.Expect, ask.Last = t.name, st.Inc, l.x.last
+	ask.From, ask.Expect, ask.Last = t.name, st.Incarnation, l.x.last
 	ask.Priority = l.st.Route.Priority
 	ask.DeadlineUs = d.nowUs + max(1, (st.DeadlineUs-t.clock()-deadlineUs)/1000)*ms
 	if d.plan.Plant == "smuggler" && d.r.Intn(50) == 0 {
@@ -42,7 +42,7 @@
 	l.up, l.down = d.pipe(&t.machine, &l.to.machine), d.pipe(&l.to.machine, &t.machine)
 	if drops := l.to.dropsIdle; drops != nil && l.kept {
 		drops()
-		delete(t.kept, st.Inc)
+		delete(t.kept, st.Incarnation)
 		l.up.closed = true
 		l.reset()
 		return
@@ -157,7 +157,7 @@
 	x, t := l.x, l.x.gateway
 	if e == dispatch.Done || e == dispatch.Failed || e == dispatch.Refused || e == dispatch.Missing {
 		l.ended = true
-		t.kept[l.st.Inc] = t.day.nowUs + idleUs
+		t.kept[l.st.Incarnation] = t.day.nowUs + idleUs
 	} else {
 		l.close()
 		l.ended = true
@@ -213,7 +213,7 @@
 
 func (l *attempt) turned(e replica.Effect) {
 	switch {
-	case e.Status == http.StatusMisdirectedRequest && l.to.name != l.st.Inc:
+	case e.Status == http.StatusMisdirectedRequest && l.to.name != l.st.Incarnation:
 		l.finish(dispatch.Elsewhere)
 	case e.Status == http.StatusMisdirectedRequest:
 		l.finish(dispatch.Missing)
--- a/proofs/sim/routed_closing.go
+++ b/proofs/sim/routed_closing.go
@@ -32,7 +32,7 @@
 		}
 	}
 	for len(d.running("cards")) < d.plan.Cards {
-		d.newLife("gpu-more-"+d.newInc(), "cards", "a", "", nil)
+		d.startReplica("gpu-more-"+d.newIncarnation(), "cards", "a", "", nil)
 	}
 	for _, p := range d.running("") {
 		p.well()
@@ -58,7 +58,7 @@
 		if kind == "wipe-after-ack-all" && d.spare(wiped...) {
 			for _, o := range wiped {
 				o.crash(0)
-				o.disk = disk{identity: o.name + "-" + d.newInc()}
+				o.disk = disk{identity: o.name + "-" + d.newIncarnation()}
 			}
 		}
 		for _, o := range d.controlNodes {
--- a/proofs/sim/routed_control_nodes.go
+++ b/proofs/sim/routed_control_nodes.go
@@ -37,15 +37,15 @@
 
 // frameStream is one gateway's stream of frames from one control node.
 type frameStream struct {
-	gateway *routedGateway
-	number  uint64
-	inc     string
-	down    *pipe
+	gateway     *routedGateway
+	number      uint64
+	incarnation string
+	down        *pipe
 }
 
 func (d *routedDay) addControlNode(name, addr, zone string, first bool) *routedControlNode {
 	o := &routedControlNode{machine: machine{sim: d.Sim, name: name, addr: addr}, day: d, zone: zone}
-	o.disk.identity = name + "-" + d.newInc()
+	o.disk.identity = name + "-" + d.newIncarnation()
 	if first {
 		o.founders = d.seeds
 	}
@@ -70,7 +70,7 @@
 	o.waiters, o.streams, o.words = map[string]func(wire.Result){}, map[string]*frameStream{}, map[uint64]func(bool){}
 	o.saver = saver{on: &o.machine, disk: &o.disk, step: o.step, end: func() { o.crash(0) }, kept: o.keepsCopy}
 	opts := chain.Options{
-		Me: chain.Member{ID: o.disk.identity, Name: o.name, Addr: o.addr, Zone: o.zone}, Inc: o.sim.newInc(), CopiesLeast: o.day.tolerated() + 1, SelfMembers: true,
+		Me: chain.Member{ID: o.disk.identity, Name: o.name, Addr: o.addr, Zone: o.zone}, Incarnation: o.sim.newIncarnation(), CopiesLeast: o.day.tolerated() + 1, SelfMembers: true,
 	}
 	opts = controlnode.SelfPaced(opts)
 	opts.Founders, opts.First = o.founders, len(o.founders) > 0
@@ -217,7 +217,7 @@
 	if prior := o.streams[s.gateway.name]; prior != nil {
 		prior.broke(o)
 	}
-	s.inc = ask.Inc
+	s.incarnation = ask.Incarnation
 	o.streams[s.gateway.name] = s
 	o.step(controlnode.Event{Subscribe: &ask})
 }
@@ -225,7 +225,7 @@
 func (o *routedControlNode) unfollow(s *frameStream) {
 	if o.streams[s.gateway.name] == s {
 		delete(o.streams, s.gateway.name)
-		o.step(controlnode.Event{Unfollow: &controlnode.Unfollow{Gateway: s.gateway.name, Inc: s.inc}})
+		o.step(controlnode.Event{Unfollow: &controlnode.Unfollow{Gateway: s.gateway.name, Incarnation: s.incarnation}})
 	}
 }
 
@@ -374,7 +374,7 @@
 		d.carry(&o.machine, &p.machine, replicaWaitUs, func() {
 			r := p.core.Report(d.nowUs)
 			d.carry(&p.machine, &o.machine, replicaWaitUs, func() {
-				told.State = &wire.ReplicaState{ID: ask.Replica, Inc: ask.Replica, Active: r.Running, Busy: r.Busy, Orders: r.Orders, Units: r.Units}
+				told.State = &wire.ReplicaState{ID: ask.Replica, Incarnation: ask.Replica, Active: r.Running, Busy: r.Busy, Orders: r.Orders, Units: r.Units}
 				o.tell(controller.Event{Told: &told})
 			}, fail)
 		}, fail)
@@ -389,7 +389,7 @@
 	t := w.Ticket
 	state := wire.OrderState{Number: t.Number, Epoch: w.Epoch}
 	tell := func() {
-		o.tell(controller.Event{Ordered: &controller.Ordered{Replica: t.Replica, Inc: t.Inc, Expected: w.Expected, State: state}})
+		o.tell(controller.Event{Ordered: &controller.Ordered{Replica: t.Replica, Incarnation: t.Incarnation, Expected: w.Expected, State: state}})
 	}
 	doubt := func() {
 		o.later(ms, func() {
@@ -403,7 +403,7 @@
 		return
 	}
 	model, adapter := configuration.Units(t.Unit)
-	asked := replica.Order{From: o.name, Operation: "loading", Model: model, Adapter: adapter, Holder: w.Holder, Fence: w.Epoch, Expected: w.Expected, Expect: t.Inc}
+	asked := replica.Order{From: o.name, Operation: "loading", Model: model, Adapter: adapter, Holder: w.Holder, Fence: w.Epoch, Expected: w.Expected, Expect: t.Incarnation}
 	if t.Step == ledger.Unload {
 		asked.Operation = "unloading"
 	}
--- a/proofs/sim/routed_exchange.go
+++ b/proofs/sim/routed_exchange.go
@@ -90,7 +90,7 @@
 		return
 	}
 	l.to = d.replicaAt(st.Addr)
-	reused := t.kept[st.Inc] > d.nowUs && l.to != nil && l.to.name == st.Inc
+	reused := t.kept[st.Incarnation] > d.nowUs && l.to != nil && l.to.name == st.Incarnation
 	switch {
 	case l.to == nil:
 		t.later(ms, func() { l.finish(dispatch.Unsent) })
--- a/proofs/sim/routed_faults_control_nodes.go
+++ b/proofs/sim/routed_faults_control_nodes.go
@@ -137,7 +137,7 @@
 // empty puts an empty control node at a new address beside the others.
 func (d *routedDay) empty(zone string) *routedControlNode {
 	d.ports++
-	fresh := d.addControlNode("core-"+d.newInc(), "core-new:"+d.newInc(), zone, false)
+	fresh := d.addControlNode("core-"+d.newIncarnation(), "core-new:"+d.newIncarnation(), zone, false)
 	d.trouble(rules.Trouble{Machine: fresh.name, Kind: "start", ToUs: d.nowUs + 1})
 	d.list()
 	return fresh
@@ -249,7 +249,7 @@
 			d.note("%s at %s", f.Kind, o.name)
 			o.crash(f.N % 4)
 			if wipe {
-				o.disk = disk{identity: o.name + "-" + d.newInc()}
+				o.disk = disk{identity: o.name + "-" + d.newIncarnation()}
 			}
 			d.at(d.nowUs+f.ForUs, o.start)
 		}
--- a/proofs/sim/routed_faults_core.go
+++ b/proofs/sim/routed_faults_core.go
@@ -100,7 +100,7 @@
 			o.crash(f.N % 4)
 			d.at(d.nowUs+f.ForUs, o.start)
 		}
-		wiped.disk = disk{identity: wiped.name + "-" + d.newInc()}
+		wiped.disk = disk{identity: wiped.name + "-" + d.newIncarnation()}
 		wiped.diskUs = d.nowUs + f.ForUs
 	})
 }
--- a/proofs/sim/routed_faults_replicas.go
+++ b/proofs/sim/routed_faults_replicas.go
@@ -95,7 +95,7 @@
 		}
 		logs[0].end(true)
 		addr := logs[0].addr
-		d.at(d.nowUs+reuseUs, func() { d.newLife("reused", "log-b", logs[0].core.Zone(), addr, nil) })
+		d.at(d.nowUs+reuseUs, func() { d.startReplica("reused", "log-b", logs[0].core.Zone(), addr, nil) })
 		d.at(d.nowUs+4*sec, func() { d.successor(logs[0], "") })
 	case "dark-replica":
 		for _, m := range d.machines() {
@@ -195,7 +195,7 @@
 	}
 }
 
-// flap takes a replica down and up by turns: each time a new life, or the same one that was not to be reached.
+// flap takes a replica down and up by turns: each time a new incarnation, or the same one that was not to be reached.
 func (d *routedDay) flap(p *replicaNode, f Fault) {
 	turnUs := 300*ms + int64(f.N)*80*ms
 	for i := range 4 {
--- a/proofs/sim/routed_gateways.go
+++ b/proofs/sim/routed_gateways.go
@@ -23,19 +23,19 @@
 
 type routedGateway struct {
 	machine
-	day     *routedDay
-	zone    string
-	inc     string
-	decider *dispatch.Decider
-	mirror  *subscriber.Mirror
-	snap    *dispatch.Snapshot
-	older   *dispatch.Snapshot
-	open    map[string]*exchange
-	streams map[uint64]*frameStream
-	kept    map[string]int64
-	term    bool
-	shut    bool
-	calls   int
+	day         *routedDay
+	zone        string
+	incarnation string
+	decider     *dispatch.Decider
+	mirror      *subscriber.Mirror
+	snap        *dispatch.Snapshot
+	older       *dispatch.Snapshot
+	open        map[string]*exchange
+	streams     map[uint64]*frameStream
+	kept        map[string]int64
+	term        bool
+	shut        bool
+	calls       int
 }
 
 func newRoutedGateway(d *routedDay, name, zone string) *routedGateway {
@@ -51,15 +51,15 @@
 	d := t.day
 	t.boot++
 	t.up, t.thawUs, t.term, t.shut = true, 0, false, false
-	t.inc = d.newInc()
+	t.incarnation = d.newIncarnation()
 	t.skewUs = d.r.Int63n(1000) * sec
 	b := d.seen.Bounds
 	budget := dispatch.BudgetOptions{Ratio: b.BudgetRatio, Slack: b.BudgetSlack, WindowUs: b.BudgetUs}
 	if d.plan.Plant == "no-budget" {
 		budget.WindowUs = 0
 	}
-	t.decider = dispatch.New(dispatch.Options{Gateway: t.name, Inc: t.inc, Zone: t.zone, QueueMax: 200, Budget: budget})
-	t.mirror = subscriber.NewMirror(subscriber.Options{Gateway: t.name, Inc: t.inc, Addr: t.addr, Zone: t.zone, Seeds: d.seeds})
+	t.decider = dispatch.New(dispatch.Options{Gateway: t.name, Incarnation: t.incarnation, Zone: t.zone, QueueMax: 200, Budget: budget})
+	t.mirror = subscriber.NewMirror(subscriber.Options{Gateway: t.name, Incarnation: t.incarnation, Addr: t.addr, Zone: t.zone, Seeds: d.seeds})
 	t.snap, t.older, t.open, t.streams, t.kept = nil, nil, map[string]*exchange{}, map[uint64]*frameStream{}, map[string]int64{}
 	d.over(t.name, "down")
 	t.tick()
@@ -135,7 +135,7 @@
 // take is a request that this gateway has read whole.
 func (t *routedGateway) take(s *seat, try *rules.Try, ask replica.Ask, deadlineMs int64) *exchange {
 	d := t.day
-	try.ReadUs, try.Life = d.nowUs, t.boot
+	try.ReadUs, try.Incarnation = d.nowUs, t.boot
 	x := &exchange{gateway: t, try: try, ask: ask, seat: s, back: d.pipe(&t.machine, &d.clients.machine), last: ask.Last}
 	if t.snap == nil || t.snap.Doc == nil {
 		x.answer(&fault.Fault{Code: fault.NoLease, RetryMs: 500})
@@ -151,7 +151,7 @@
 		return x
 	}
 	t.calls++
-	x.call = &dispatch.Call{ID: fmt.Sprintf("%s-%s-%d", t.name, t.inc, t.calls), Kind: route.Name, Model: ask.Model, Adapter: ask.Adapter, MostMs: deadlineMs, TakenUs: t.clock(),
+	x.call = &dispatch.Call{ID: fmt.Sprintf("%s-%s-%d", t.name, t.incarnation, t.calls), Kind: route.Name, Model: ask.Model, Adapter: ask.Adapter, MostMs: deadlineMs, TakenUs: t.clock(),
 		Routed: &dispatch.Routed{Route: route, PromptIn: ask.In, MostOut: int64(replica.Total(ask.Body) * 3)}}
 	for _, p := range ask.Parts {
 		x.call.Routed.Parts = append(x.call.Routed.Parts, dispatch.Part{ID: hashPart(p.ID), Tokens: p.Tokens})
--- a/proofs/sim/routed_leaving.go
+++ b/proofs/sim/routed_leaving.go
@@ -51,7 +51,7 @@
 		}
 		p.leaveFirst(false)
 	case "late-beat-of-former-life":
-		// The control nodes forget which lives have been, and then hear of one.
+		// The control nodes forget which incarnations have been, and then hear of one.
 		p.lateBeat(f, 3*shortDownUs+d.r.Int63n(sec))
 		p.end(true)
 		d.at(d.nowUs+shortDownUs/2, func() { d.successor(p, p.addr) })
@@ -104,7 +104,7 @@
 		case !log.up:
 			d.at(d.nowUs+reuseUs, func() {
 				d.count(f)
-				d.newLife("reused", "log-b", log.core.Zone(), log.addr, nil)
+				d.startReplica("reused", "log-b", log.core.Zone(), log.addr, nil)
 			})
 			d.at(d.nowUs+4*sec, func() { d.successor(log, "") })
 		}
--- a/proofs/sim/routed_repairs.go
+++ b/proofs/sim/routed_repairs.go
@@ -73,7 +73,7 @@
 			continue
 		}
 		o.crash(0)
-		o.disk = disk{identity: o.name + "-" + d.newInc()}
+		o.disk = disk{identity: o.name + "-" + d.newIncarnation()}
 		o.diskUs = d.nowUs + successorAfterUs
 		d.at(d.nowUs+successorAfterUs, o.start)
 	}
--- a/proofs/sim/routed_replicas.go
+++ b/proofs/sim/routed_replicas.go
@@ -10,7 +10,7 @@
 	"petreltide/proofs/rules"
 )
 
-// replicaNode is one life of a replica: the machine is named by the life's id, host by what lasts.
+// replicaNode is one incarnation of a replica: the machine is named by the incarnation's id, host by what lasts.
 type replicaNode struct {
 	machine
 	day      *routedDay
@@ -35,8 +35,8 @@
 	dropsIdle func()
 }
 
-// newLife starts a replica under an address of its own, or under one that was another's.
-func (d *routedDay) newLife(host, service, zone, addr string, holds []string) *replicaNode {
+// startReplica starts a replica under an address of its own, or under one that was another's.
+func (d *routedDay) startReplica(host, service, zone, addr string, holds []string) *replicaNode {
 	d.lives++
 	if addr == "" {
 		d.ports++
@@ -241,7 +241,7 @@
 	p.later(5*ms, func() { p.end(false) })
 }
 
-// end takes the life away: what runs is broken off.
+// end takes the incarnation away: what runs is broken off.
 func (p *replicaNode) end(crashed bool) {
 	if !p.up {
 		return
@@ -326,12 +326,12 @@
 	return status
 }
 
-// successor is the next life on the same machine, empty but for its disk.
+// successor is the next incarnation on the same machine, empty but for its disk.
 func (d *routedDay) successor(p *replicaNode, addr string) *replicaNode {
-	return d.newLife(p.host, p.core.Service(), p.core.Zone(), addr, nil)
+	return d.startReplica(p.host, p.core.Service(), p.core.Zone(), addr, nil)
 }
 
 // fresh is a replica on another machine in another's place, with nothing on its disk.
 func (d *routedDay) fresh(p *replicaNode) *replicaNode {
-	return d.newLife(p.host+"'", p.core.Service(), p.core.Zone(), "", nil)
+	return d.startReplica(p.host+"'", p.core.Service(), p.core.Zone(), "", nil)
 }
--- a/proofs/sim/sim.go
+++ b/proofs/sim/sim.go
@@ -89,7 +89,7 @@
 	rareOnly     bool
 	calls        int
 	seeds        []string
-	incs         int
+	incarnations int
 	events       int
 	Log          []string
 }
@@ -134,9 +134,9 @@
 	}
 }
 
-func (s *Sim) newInc() string {
-	s.incs++
-	return fmt.Sprintf("i%d", s.incs)
+func (s *Sim) newIncarnation() string {
+	s.incarnations++
+	return fmt.Sprintf("i%d", s.incarnations)
 }
 
 func (s *Sim) isCut(from, to string) bool { return s.cuts[[2]string{from, to}] > 0 }
@@ -489,10 +489,10 @@
 
 type serverNode struct {
 	machine
-	core    *modelserver.Core
-	zone    string
-	inc     string
-	leaving bool
+	core        *modelserver.Core
+	zone        string
+	incarnation string
+	leaving     bool
 }
 
 func (s *Sim) slots() int {
@@ -519,9 +519,9 @@
 		firstUs, partUs, pieceUs = 60*ms, 40*ms, 25*ms
 		loadUs = func(int64) int64 { return 0 }
 	}
-	p = &serverNode{machine: machine{sim: s, name: id, addr: fmt.Sprintf("%s:%d", id, boot), up: true, boot: boot}, zone: zone, inc: s.newInc()}
+	p = &serverNode{machine: machine{sim: s, name: id, addr: fmt.Sprintf("%s:%d", id, boot), up: true, boot: boot}, zone: zone, incarnation: s.newIncarnation()}
 	p.core = modelserver.NewCore(modelserver.Options{
-		ID: id, Inc: p.inc, Zone: zone, RoomMb: roomMb, Slots: slots, FirstUs: firstUs, PartUs: partUs, PieceUs: pieceUs, Fetch: true, LoadUs: loadUs,
+		ID: id, Incarnation: p.incarnation, Zone: zone, RoomMb: roomMb, Slots: slots, FirstUs: firstUs, PartUs: partUs, PieceUs: pieceUs, Fetch: true, LoadUs: loadUs,
 		Journal: func(l modelserver.Line) {
 			switch {
 			case l.Run != nil:
--- a/proofs/testbed/testbed.go
+++ b/proofs/testbed/testbed.go
@@ -100,7 +100,7 @@
 		id := fmt.Sprintf("gpu-%d", i+1)
 		zone := string(rune('a' + i%3))
 		host := modelserver.NewHost(modelserver.NewCore(modelserver.Options{
-			ID: id, Inc: id + "-1", Zone: zone, RoomMb: plan.RoomMb, Slots: plan.Slots, FirstUs: plan.FirstUs, PartUs: plan.PartUs, PieceUs: plan.PieceUs,
+			ID: id, Incarnation: id + "-1", Zone: zone, RoomMb: plan.RoomMb, Slots: plan.Slots, FirstUs: plan.FirstUs, PartUs: plan.PartUs, PieceUs: plan.PieceUs,
 			LoadUs: func(sizeMb int64) int64 { return 20_000 + sizeMb*10 },
 		}), "")
 		s.Replicas = append(s.Replicas, addr)
