Release the lease of a tail whose disk refuses, in place of waiting for its end

Ruled out: the grace for a stall after one's own (the head proposed 21 ms after the refusal, rank 0), the drop of a proposal (none was dropped), the lease wait on a replaced vote, the clock of awake time.

Change: a tail whose disk refuses gives its lease up as it says so. The release names the time by the tail's clock up to which it takes up no grant; a voter lets go of a grant that was asked for by then and no other, so a release that comes late or out of order takes nothing from a later lease. Guards from before this view, or from before a restart of the voter, stay. A tail that nobody can replace keeps its lease, and one that is still seated 0.7 s later asks again. A stall without a refusal releases nothing. A release reads to an older control node as a request: it waits as before.

The explorer's key of a node has the new times. The recorded form of a message has one field more, and none changed.

Open: a full disk shows only at the first write that it refuses, so what is counted from the moment it fills still holds the wait for that write.

--- a/internal/chain/agree.go
+++ b/internal/chain/agree.go
@@ -103,7 +103,7 @@
 		return
 	}
 	n.promised = a.Ballot
-	if n.endsLease(a.View) && n.view.Number > 0 && n.nowUs < n.guardUs && !n.ended(n.view.Tail()) {
+	if n.endsLease(a.View) && n.view.Number > 0 && n.nowUs < n.guardEndUs() && !n.ended(n.view.Tail()) {
 		held := m
 		n.held = &held
 		return
@@ -145,6 +145,7 @@
 	}
 	wasTail, wasServing := n.IsTail(), n.serving() || (n.phase == Fresh && v.Number == 1)
 	leaseUs, openAt, openKnown := n.leaseUs, n.openAt, n.openKnown
+	n.guardUs, n.granted = n.guardEndUs(), grant{}
 	n.guardKeptLease(v)
 	n.view, n.promised, n.accepted, n.proposal, n.held = v, Ballot{}, nil, nil, nil
 	n.viewedUs, n.quietUs = n.nowUs, n.nowUs
--- a/internal/chain/explore_test.go
+++ b/internal/chain/explore_test.go
@@ -112,7 +112,7 @@
 		accepted = fmt.Sprint(*n.accepted)
 	}
 	return fmt.Sprint(n.opts.Incarnation, n.phase, n.view, n.promised, accepted, n.compared, n.caughtUp, n.leaving, n.base.Index, n.lastIndex(), n.lastView(), n.commit, n.synced, n.queued,
-		n.copyHeld, proposal, n.round, ago(n.quietUs), ago(n.behindUs), n.held != nil, ago(n.guardUs), n.succLast, n.succSent, n.succKnown, n.openAt, n.openKnown,
+		n.copyHeld, proposal, n.round, ago(n.quietUs), ago(n.behindUs), n.held != nil, ago(n.guardUs), ago(n.granted.untilUs), ago(n.granted.sentUs), ago(n.releasedUs), n.succLast, n.succSent, n.succKnown, n.openAt, n.openKnown,
 		leases, n.tailCommit, ago(n.leaseUs), ago(n.viewedUs), ago(n.bootUs), peers, saving)
 }
 
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -79,8 +79,10 @@
 	behindUs int64
 	held     *Msg
 	// asked is the newest request for a vote that came before this member had compared notes.
-	asked   *Msg
+	asked *Msg
+	// guardUs is until when leases may last that were given before this view or by an earlier process of this member.
 	guardUs int64
+	granted grant
 	// openSinceUs is since when a next view that was accepted here waits for somebody to finish it.
 	openSinceUs int64
 
@@ -93,6 +95,8 @@
 	openKnown  bool
 	leases     map[string]int64
 	leaseUs    int64
+	// releasedUs is when this process last gave its lease up as the tail.
+	releasedUs int64
 	echoUs     int64
 	tailEchoUs int64
 	// passed are the head's time stamps that went by here of late, and echoedUs is when the one whose echo is the
--- a/internal/chain/save.go
+++ b/internal/chain/save.go
@@ -61,6 +61,7 @@
 		return
 	}
 	s.refused = true
+	n.releaseLease()
 	n.sayHello()
 }
 
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -231,11 +231,13 @@
 	EchoUs int64  `json:"echoUs"`
 }
 
-// Lease asks a voter for the tail's lease, or grants it.
+// Lease asks a voter for the tail's lease, grants it, or releases it: then the tail uses no grant that it asked for at
+// SentUs or before.
 type Lease struct {
-	View   uint64 `json:"view"`
-	SentUs int64  `json:"sentUs"`
-	Given  bool   `json:"given,omitempty"`
+	View     uint64 `json:"view"`
+	SentUs   int64  `json:"sentUs"`
+	Given    bool   `json:"given,omitempty"`
+	Released bool   `json:"released,omitempty"`
 }
 
 // Joining carries a copy of the state from the tail to a control node that has no seat.
