Try control nodes that did not answer in turn, the longest untried first

Cause: a gateway keeps the addresses of control nodes that were replaced. One that did not answer is left alone for a second, and a try is made every 300 ms in the gateway's own fixed order: as soon as five that are gone for good come first in that order, the first of them is due again before the sixth is ever tried. A gateway that loses both of its streams then follows nobody and serves by the configuration that it had.

Ruled out: frames that came late, a control node that is behind (traces: no frame came, and no living address was tried). Leaving addresses alone for longer, or forgetting them when a view no longer has them, would lose those that come back.

Change: an address whose stream ended before it brought a frame comes after the others, the one that failed longest ago first, until it answers. The control node of the gateway's own zone is still asked first when it may be nearer.

--- a/internal/subscriber/behind.go
+++ b/internal/subscriber/behind.go
@@ -67,7 +67,7 @@
 	case current != nil:
 		m.drop(nowUs, behind)
 	case nowUs-m.triedUs >= mirrorTryUs:
-		m.open(nowUs)
+		m.open(nowUs, "")
 	}
 }
 
--- a/internal/subscriber/mirror.go
+++ b/internal/subscriber/mirror.go
@@ -80,7 +80,9 @@
 	opts         Options
 	sources      map[uint64]*source
 	avoidUntilUs map[string]int64
-	deafUs       map[string]int64
+	// failedUs is when a stream to an address last ended before it had brought a frame, until one does bring one.
+	failedUs map[string]int64
+	deafUs   map[string]int64
 	// behindUs is when a control node last was behind for too long.
 	behindUs     map[string]int64
 	controlNodes map[string]chain.Member
@@ -109,7 +111,7 @@
 
 // NewMirror is a mirror that knows nothing but its seeds.
 func NewMirror(opts Options) *Mirror {
-	return &Mirror{opts: opts, sources: map[uint64]*source{}, avoidUntilUs: map[string]int64{}, deafUs: map[string]int64{}, behindUs: map[string]int64{}, best: map[string]wire.ReplicaRow{}, touched: map[string]bool{}, controlNodes: map[string]chain.Member{}}
+	return &Mirror{opts: opts, sources: map[uint64]*source{}, avoidUntilUs: map[string]int64{}, failedUs: map[string]int64{}, deafUs: map[string]int64{}, behindUs: map[string]int64{}, best: map[string]wire.ReplicaRow{}, touched: map[string]bool{}, controlNodes: map[string]chain.Member{}}
 }
 
 func (m *Mirror) do(e MirrorEffect) { m.effects = append(m.effects, e) }
@@ -176,6 +178,9 @@
 	}
 	delete(m.sources, stream)
 	m.avoidUntilUs[s.addr] = nowUs + m.unlessFirst(mirrorAvoidUs)
+	if !s.live {
+		m.failedUs[s.addr] = nowUs
+	}
 	if s.whole && m.Live() == 0 {
 		m.last = s
 	}
@@ -184,6 +189,12 @@
 	}
 }
 
+// answered notes that a stream has brought a frame.
+func (m *Mirror) answered(s *source) {
+	s.live = true
+	delete(m.failedUs, s.addr)
+}
+
 func (m *Mirror) drop(nowUs int64, s *source) {
 	m.do(MirrorEffect{Close: s.stream})
 	m.closed(nowUs, s.stream)
@@ -194,7 +205,8 @@
 	if s == nil {
 		return
 	}
-	s.heardUs, s.live, s.controlNode = nowUs, true, f.ControlNode
+	s.heardUs, s.controlNode = nowUs, f.ControlNode
+	m.answered(s)
 	m.noteBehind(nowUs, s, f.Behind)
 	if f.Whole {
 		s.whole, s.rows = true, map[string]wire.ReplicaRow{}
--- a/internal/subscriber/streams.go
+++ b/internal/subscriber/streams.go
@@ -26,13 +26,15 @@
 	m.nearer(nowUs)
 	m.leaveBehind(nowUs)
 	if len(m.sources) < mirrorStreams && nowUs-m.triedUs >= m.unlessFirst(mirrorTryUs) {
-		m.open(nowUs)
+		m.open(nowUs, "")
 	}
 	m.report(nowUs, urgent)
 }
 
-// open takes the next control node in this gateway's own order, so that gateways spread over control nodes.
-func (m *Mirror) open(nowUs int64) {
+// open takes the next control node in this gateway's own order, so that gateways spread over control nodes. Those that
+// did not answer come after the others, the one that was tried longest ago first: however many of them are gone for
+// good, all are tried in turn. The address named first, if any, comes before all.
+func (m *Mirror) open(nowUs int64, first string) {
 	m.triedUs = nowUs
 	taken := map[string]bool{}
 	for _, s := range m.sources {
@@ -45,7 +47,12 @@
 		}
 	}
 	slices.SortStableFunc(free, func(a, b string) int {
-		return cmp.Or(m.compareBehind(nowUs, a, b), cmp.Compare(m.rank(a), m.rank(b)))
+		return cmp.Or(
+			compareFirst(first, a, b),
+			m.compareBehind(nowUs, a, b),
+			cmp.Compare(m.failedUs[a], m.failedUs[b]),
+			cmp.Compare(m.rank(a), m.rank(b)),
+		)
 	})
 	main, own := false, m.own(nowUs)
 	for _, s := range m.sources {
@@ -62,6 +69,17 @@
 	}
 }
 
+// compareFirst puts one address before all others.
+func compareFirst(first, a, b string) int {
+	switch first {
+	case a:
+		return -1
+	case b:
+		return 1
+	}
+	return 0
+}
+
 // own is the control node of this gateway's own zone, if one is known that may be asked.
 func (m *Mirror) own(nowUs int64) string {
 	for _, id := range slices.Sorted(maps.Keys(m.controlNodes)) {
@@ -99,7 +117,7 @@
 	if drop != nil {
 		m.do(MirrorEffect{Close: drop.stream})
 		delete(m.sources, drop.stream)
-		m.open(nowUs)
+		m.open(nowUs, own)
 	}
 }
 
