Tell a folder that another member uses apart from one that is only in use

Cause: a control node locks its data folder before it reads anything, so that two processes never write one log. Started on the folder of another member whose process runs, it waited 10 s for the lock and then said data_unwritable, where it had said foreign_data before: TestCommandLineOnRealProcesses, which starts one there, failed.

Ruled out: reading the seal before the lock is taken; the log may be in the middle of a write or be begun anew then.

Change: the lock's file holds the name of the member that uses the folder, written once its seal is known to be that member's and only where it is not there yet. Who meets a lock with another's name in it says foreign_data at once. Where the disk took no name, it is as it was: data_unwritable after the wait.

--- a/internal/controlnode/host.go
+++ b/internal/controlnode/host.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"io"
 	"net"
 	"net/http"
 	"path/filepath"
@@ -65,7 +64,7 @@
 	set   settings.ControlNode
 	core  *Core
 	disk  disk
-	lock  io.Closer
+	lock  *storage.FolderLock
 	ring  *logring.Ring
 	log   log.Logger
 	web   *http.Client
@@ -122,7 +121,7 @@
 // control node comes back as a new member; it never votes on what it can no longer know.
 func Open(set settings.ControlNode, ring *logring.Ring) (*Host, error) {
 	logger := ring.Logger("office", set.Name)
-	lock, err := storage.Lock(set.Data, lockWait)
+	lock, err := storage.Lock(set.Data, set.Name, lockWait)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -131,6 +130,7 @@
 		_ = lock.Close()
 		return nil, err
 	}
+	lock.Own(set.Name)
 	h.lock = lock
 	return h, nil
 }
--- a/internal/controlnode/lock_test.go
+++ b/internal/controlnode/lock_test.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := storage.Lock(folder, 60*time.Millisecond); err == nil {
+	if _, err := storage.Lock(folder, "core-1", 60*time.Millisecond); err == nil {
 		t.Fatal("another process may use the folder beside it")
 	}
 	if err := h.disk.Close(); err != nil {
@@ -32,7 +32,7 @@
 	if _, err := Open(set, logring.NewRing(folder, io.Discard)); err == nil {
 		t.Fatal("a folder of another member is opened")
 	}
-	lock, err := storage.Lock(folder, 60*time.Millisecond)
+	lock, err := storage.Lock(folder, "core-1", 60*time.Millisecond)
 	if err != nil {
 		t.Fatalf("after a control node that could not open it: %v", err)
 	}
--- a/internal/storage/lock_test.go
+++ b/internal/storage/lock_test.go
@@ -13,17 +13,17 @@
 // A folder is one process's: the next one waits for it, and gives up where it does not end.
 func TestAFolderBelongsToOneProcess(t *testing.T) {
 	folder := filepath.Join(t.TempDir(), "data")
-	first, err := Lock(folder, time.Second)
+	first, err := Lock(folder, "core-1", time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
 	var bad *fault.Fault
-	if _, err := Lock(folder, 120*time.Millisecond); !errors.As(err, &bad) || bad.Code != fault.DataUnwritable {
+	if _, err := Lock(folder, "core-1", 120*time.Millisecond); !errors.As(err, &bad) || bad.Code != fault.DataUnwritable {
 		t.Fatalf("a second one beside it: %v", err)
 	}
 	got := make(chan error, 1)
 	go func() {
-		second, err := Lock(folder, 20*time.Second)
+		second, err := Lock(folder, "core-1", 20*time.Second)
 		if err == nil {
 			err = second.Close()
 		}
@@ -44,7 +44,37 @@
 		t.Fatal(err)
 	}
 	for range 2 {
-		if _, err := Lock(folder, time.Millisecond); err != nil {
+		if _, err := Lock(folder, "core-1", time.Millisecond); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// A folder that another member's process uses is told apart from one that is only in use, and nobody waits for it.
+func TestAFolderInUseByAnotherMemberIsForeign(t *testing.T) {
+	folder := t.TempDir()
+	first, err := Lock(folder, "core-1", time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first.Own("core-1")
+	var bad *fault.Fault
+	if _, err := Lock(folder, "other", time.Hour); !errors.As(err, &bad) || bad.Code != fault.ForeignData {
+		t.Fatalf("another member beside it: %v", err)
+	}
+	if err := first.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"core-1", "core-10"} {
+		next, err := Lock(folder, name, time.Millisecond)
+		if err != nil {
+			t.Fatalf("%s once it has ended: %v", name, err)
+		}
+		next.Own(name)
+		if owner, err := os.ReadFile(filepath.Join(folder, lockName)); err != nil || string(owner) != name {
+			t.Errorf("the lock is %s's, and says %q, %v", name, owner, err)
+		}
+		if err := next.Close(); err != nil {
 			t.Fatal(err)
 		}
 	}
