--- a/internal/chain/echo.go
+++ b/internal/chain/echo.go
@@ -14,20 +14,21 @@
 // currentUs is how long after a stamp went by here its echo makes this control node current.
 func (n *Node) currentUs() int64 { return n.opts.SuspectUs + 2*n.opts.BeatUs }
 
-// passStamp takes a stamp of the head from the predecessor, to be passed on.
-func (n *Node) passStamp(headUs int64) {
+// passStamp takes a stamp of the head from the predecessor, to be passed on; false where it is no newer one.
+func (n *Node) passStamp(headUs int64) bool {
 	if headUs <= n.echoUs {
-		return
+		return false
 	}
 	n.echoUs = headUs
 	if last := len(n.passed) - 1; last >= 0 && n.nowUs-n.passed[last].atUs < stampEveryUs {
-		return
+		return true
 	}
 	kept := 0
 	for kept < len(n.passed) && n.nowUs-n.passed[kept].atUs >= n.currentUs() {
 		kept++
 	}
 	n.passed = append(n.passed[kept:], passedStamp{headUs, n.nowUs})
+	return true
 }
 
 // takeEcho takes the echo that the successor sends. It counts from when its stamp went by here, not from when it comes:
--- a/internal/chain/replicate.go
+++ b/internal/chain/replicate.go
@@ -152,8 +152,7 @@
 	if !ok || f.View != n.view.Number || m.From.ID != prev.ID || m.Incarnation != prev.Incarnation {
 		return
 	}
-	news := f.SentUs > n.echoUs
-	n.passStamp(f.SentUs)
+	news := n.passStamp(f.SentUs)
 	if !n.openKnown {
 		n.openKnown, n.openAt = true, f.Last
 	}
