--- a/internal/controller/events.go
+++ b/internal/controller/events.go
@@ -3,6 +3,7 @@
 import (
 	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
+	"petreltide/internal/occupancy"
 	"petreltide/internal/outlier"
 	"petreltide/internal/placement"
 	"petreltide/internal/roster"
@@ -64,6 +65,8 @@
 	Note     string
 	// Outliers are the verdicts on replicas, where they have changed.
 	Outliers *outlier.Table
+	// Occupancy is how many attempts wait at replicas, over all gateways.
+	Occupancy *occupancy.Table
 }
 
 // Ask asks one replica for its report.
--- a/internal/controller/routed.go
+++ b/internal/controller/routed.go
@@ -3,6 +3,7 @@
 import (
 	"petreltide/internal/clock"
 	"petreltide/internal/ledger"
+	"petreltide/internal/occupancy"
 )
 
 // OrderFlightUs bounds how long an order may be on its way to a replica: its sender gives it up then, and resets the
@@ -62,6 +63,7 @@
 	intents       map[string]intent
 	unplaced      map[string]bool
 	noted         notedAt
+	occupancy     *occupancy.Meter
 }
 
 // unitAt is a model or an adapter at one replica.
@@ -77,7 +79,7 @@
 
 func newRouted() routed {
 	return routed{
-		orders: map[uint64]*standingOrder{}, needs: map[string]*need{}, intents: map[string]intent{}, unplaced: map[string]bool{},
+		occupancy: occupancy.NewMeter(), orders: map[uint64]*standingOrder{}, needs: map[string]*need{}, intents: map[string]intent{}, unplaced: map[string]bool{},
 		cameUs: map[unitAt]int64{}, trustedUs: map[unitAt]int64{}, changedUs: map[string]int64{}, unseenUs: map[string]int64{},
 	}
 }
@@ -114,6 +116,7 @@
 	}
 	f.countNeeds(seen.NowUs)
 	f.judgeOutliers(seen)
+	f.measureOccupancy(seen.NowUs)
 	f.routedOrders(seen)
 	f.startResident(seen)
 	f.write(seen)
