--- a/internal/controller/events.go
+++ b/internal/controller/events.go
@@ -3,7 +3,6 @@
 import (
 	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
-	"petreltide/internal/occupancy"
 	"petreltide/internal/outlier"
 	"petreltide/internal/placement"
 	"petreltide/internal/roster"
@@ -65,8 +64,6 @@
 	Note     string
 	// Outliers are the verdicts on replicas, where they have changed.
 	Outliers *outlier.Table
-	// Occupancy is how many attempts wait at replicas, over all gateways.
-	Occupancy *occupancy.Table
 }
 
 // Ask asks one replica for its report.
--- a/internal/controller/routed.go
+++ b/internal/controller/routed.go
@@ -3,7 +3,6 @@
 import (
 	"petreltide/internal/clock"
 	"petreltide/internal/ledger"
-	"petreltide/internal/occupancy"
 )
 
 // OrderFlightUs bounds how long an order may be on its way to a replica: its sender gives it up then, and resets the
@@ -63,7 +62,6 @@
 	intents       map[string]intent
 	unplaced      map[string]bool
 	noted         notedAt
-	occupancy     *occupancy.Meter
 }
 
 // unitAt is a model or an adapter at one replica.
@@ -79,7 +77,7 @@
 
 func newRouted() routed {
 	return routed{
-		occupancy: occupancy.NewMeter(), orders: map[uint64]*standingOrder{}, needs: map[string]*need{}, intents: map[string]intent{}, unplaced: map[string]bool{},
+		orders: map[uint64]*standingOrder{}, needs: map[string]*need{}, intents: map[string]intent{}, unplaced: map[string]bool{},
 		cameUs: map[unitAt]int64{}, trustedUs: map[unitAt]int64{}, changedUs: map[string]int64{}, unseenUs: map[string]int64{},
 	}
 }
@@ -116,7 +114,6 @@
 	}
 	f.countNeeds(seen.NowUs)
 	f.judgeOutliers(seen)
-	f.measureOccupancy(seen.NowUs)
 	f.routedOrders(seen)
 	f.startResident(seen)
 	f.write(seen)
--- a/internal/controlnode/core.go
+++ b/internal/controlnode/core.go
@@ -187,8 +187,6 @@
 		c.confirmed(nowUs, *l.Confirmed)
 	case l.Outlier != nil && l.Outlier.After(c.soft.Outliers):
 		c.soft.Outliers = *l.Outlier
-	case l.Occupancy != nil && l.Occupancy.After(c.soft.Occupancy):
-		c.soft.Occupancy = *l.Occupancy
 	}
 }
 
@@ -331,10 +329,6 @@
 			c.judged(*e.Outliers)
 			continue
 		}
-		if e.Occupancy != nil {
-			c.measured(*e.Occupancy)
-			continue
-		}
 		held := e
 		c.effects = append(c.effects, Effect{Controller: &held})
 	}
--- a/internal/controlnode/replicas.go
+++ b/internal/controlnode/replicas.go
@@ -7,7 +7,6 @@
 	"petreltide/internal/clock"
 	"petreltide/internal/controller"
 	"petreltide/internal/feed"
-	"petreltide/internal/occupancy"
 	"petreltide/internal/outlier"
 	"petreltide/internal/roster"
 	"petreltide/internal/wire"
@@ -41,9 +40,7 @@
 	Hub    *feed.Hub
 	// Outliers are the newest verdicts on replicas, this control node's own or the head's.
 	Outliers outlier.Table
-	// Occupancy is the newest table of attempts that wait at replicas, this control node's own or the head's.
-	Occupancy occupancy.Table
-	told      map[string]*told
+	told     map[string]*told
 	// departures are the leavings that this control node has been told of and a quorum does not know yet.
 	departures map[string]*departure
 	tellUs     int64
@@ -147,23 +144,10 @@
 	}
 	c.soft.Outliers = t
 	c.effects = append(c.effects, Effect{Note: "outliers", Trouble: t.String()})
-	c.sendPeers(wire.Message{Outlier: &t})
-}
-
-// measured takes this control node's own table of attempts that wait at replicas and tells the others.
-func (c *Core) measured(t occupancy.Table) {
-	if !t.After(c.soft.Occupancy) {
-		return
-	}
-	c.soft.Occupancy = t
-	c.sendPeers(wire.Message{Occupancy: &t})
-}
-
-// sendPeers sends a message to every other control node that is heard.
-func (c *Core) sendPeers(message wire.Message) {
 	for _, p := range c.Node.Peers() {
 		if p.Sound {
-			c.send(p.Member.Addr, message)
+			table := t
+			c.send(p.Member.Addr, wire.Message{Outlier: &table})
 		}
 	}
 }
@@ -176,7 +160,7 @@
 		c.controlNodesUs, c.known = nowUs, c.controlNodes(nowUs)
 	}
 	for _, p := range c.soft.Hub.Frames(feed.Seen{
-		NowUs: nowUs, Me: c.Node.Me().ID, State: c.Node.State(), View: c.Node.View(), ControlNodes: c.known, Settled: c.settled(), Behind: !c.Node.Current(nowUs), Roster: c.soft.Roster, Outliers: c.soft.Outliers, Occupancy: c.soft.Occupancy,
+		NowUs: nowUs, Me: c.Node.Me().ID, State: c.Node.State(), View: c.Node.View(), ControlNodes: c.known, Settled: c.settled(), Behind: !c.Node.Current(nowUs), Roster: c.soft.Roster, Outliers: c.soft.Outliers,
 	}) {
 		push := p
 		c.effects = append(c.effects, Effect{Frame: &push})
--- a/internal/dispatch/prospect.go
+++ b/internal/dispatch/prospect.go
@@ -33,8 +33,6 @@
 	orderPriorMs  = 700.0
 	adapterLoadMs = 150.0
 	promisesMost  = 1024
-	tokensForget  = 1.0 / 32
-	tokensPrior   = 1000
 )
 
 // want is a unit of a service that calls wait for and no replica has.
@@ -51,8 +49,6 @@
 	factor  float64
 	orderMs float64
 	firsts  map[string]*firsts
-	// meanTokens is how long prompts are that come here, in tokens, slowly forgotten.
-	meanTokens float64
 }
 
 // firsts are the longest times that callers of a route gave; one that gives less has been here before.
@@ -62,13 +58,10 @@
 }
 
 func newProspects() *prospects {
-	return &prospects{loads: map[string]int64{}, wants: map[string]*want{}, factor: loadsPrior, orderMs: orderPriorMs, firsts: map[string]*firsts{}, meanTokens: tokensPrior}
+	return &prospects{loads: map[string]int64{}, wants: map[string]*want{}, factor: loadsPrior, orderMs: orderPriorMs, firsts: map[string]*firsts{}}
 }
 
 func (p *prospects) arrived(c *Call) {
-	if c.Model != "" {
-		p.meanTokens += (float64(c.Routed.PromptIn) - p.meanTokens) * tokensForget
-	}
 	f := p.firsts[c.Kind]
 	if f == nil {
 		f = &firsts{}
--- a/internal/dispatch/routed.go
+++ b/internal/dispatch/routed.go
@@ -42,11 +42,9 @@
 	paceLeast    = 0.25
 	paceMost     = 6.0
 	crossZoneMs  = 1.5
-	// ownOrderSpreadMs is the mean of what a gateway's own order of replicas adds to one.
-	ownOrderSpreadMs = 30.0
-	plainWorkMs      = 30.0
-	affinityMost     = 0.6
-	partsKept        = 4096
+	plainWorkMs  = 30.0
+	affinityMost = 0.6
+	partsKept    = 4096
 )
 
 func (d *Decider) routed() bool { return d.snap != nil && d.snap.Doc != nil && d.snap.Doc.Routed() }
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -2,10 +2,8 @@
 
 import (
 	"hash/fnv"
-	"math"
 	"slices"
 
-	"petreltide/internal/occupancy"
 	"petreltide/internal/wire"
 )
 
@@ -48,7 +46,6 @@
 	if engine {
 		baseMs, perToken = d.reading(c).line()
 	}
-	queuedWeight := occupancy.Weight(d.snap.OccupancyUs, d.nowUs)
 	for _, r := range d.snap.ByService[c.Routed.Service] {
 		if !d.snap.takesRouted(r, c.Model, c.Adapter) {
 			continue
@@ -66,7 +63,6 @@
 		}
 		ms := waitMs
 		if engine {
-			ms += queuedWeight * d.snap.Occupancy.Waiting(r.ID) * perToken * d.prospects.meanTokens
 			ms += s.pace * (baseMs + perToken*float64(d.unread(c, r, s)))
 			ms += runningMs * float64(running)
 		} else {
@@ -75,7 +71,7 @@
 		if r.Zone != d.opts.Zone {
 			ms += crossZoneMs
 		}
-		ms += d.ownOrderMs(r.ID)
+		ms += float64(mix(c.Routed.draw^hashOf(r.ID))%1000) / 1000
 		if best == nil || ms < bestMs {
 			best, bestMs = r, ms
 		}
@@ -94,15 +90,6 @@
 	return false
 }
 
-// ownOrderMs ranks replicas that are alike in an order of this gateway's own, so that it comes back to connections
-// that it has and gateways do not all turn to the same replica. Over the gateways it is spread exponentially: a replica
-// that is so much slower than others loses a like share of the gateways for each such difference.
-func (d *Decider) ownOrderMs(id string) float64 {
-	const steps = 1 << 16
-	u := (float64(mix(hashOf(d.opts.Gateway)^hashOf(id))%steps) + 0.5) / steps
-	return -math.Log(u) * ownOrderSpreadMs
-}
-
 func hashOf(s string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(s))
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -6,7 +6,6 @@
 	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
 	"petreltide/internal/ledger"
-	"petreltide/internal/occupancy"
 	"petreltide/internal/outlier"
 	"petreltide/internal/wire"
 )
@@ -27,9 +26,6 @@
 	Gateways  int
 	// Trials are the verdicts on replicas that are not well, as they hold for this gateway.
 	Trials map[string]outlier.Row
-	// Occupancy is how many attempts of all gateways wait at replicas, as told at OccupancyUs.
-	Occupancy   occupancy.Table
-	OccupancyUs int64
 }
 
 // Fold makes a snapshot of news, which leave out a declaration that has not changed since the prior one.
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -9,7 +9,6 @@
 	"petreltide/internal/clock"
 	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
-	"petreltide/internal/occupancy"
 	"petreltide/internal/outlier"
 	"petreltide/internal/roster"
 	"petreltide/internal/wire"
@@ -37,8 +36,6 @@
 	Roster *roster.Roster
 	// Outliers are the newest verdicts that this control node knows.
 	Outliers outlier.Table
-	// Occupancy is the newest table of attempts that wait at replicas.
-	Occupancy occupancy.Table
 }
 
 // FramePush is a frame for one gateway; gateways that know the same share one.
@@ -72,10 +69,7 @@
 
 // told is how far the streams of one kind have been brought on.
 type told struct {
-	outliers  outlier.Table
-	occupancy occupancy.Table
-	// spare streams bring nothing that is stale when the next one comes.
-	spare    bool
+	outliers outlier.Table
 	settled  bool
 	behind   bool
 	revision uint64
@@ -99,9 +93,7 @@
 
 // NewHub is a hub that nobody follows.
 func NewHub() *Hub {
-	h := &Hub{subs: map[string]*sub{}, gateways: map[string]int64{}, main: newTold(), spare: newTold()}
-	h.spare.spare = true
-	return h
+	return &Hub{subs: map[string]*sub{}, gateways: map[string]int64{}, main: newTold(), spare: newTold()}
 }
 
 // Follow begins a stream; a declaration that the gateway already has is not sent again.
@@ -232,11 +224,6 @@
 		f.Outliers = &seen.Outliers
 		news = true
 	}
-	if !t.spare && seen.Occupancy.After(t.occupancy) {
-		t.occupancy = seen.Occupancy
-		f.Occupancy = &seen.Occupancy
-		news = true
-	}
 	return f, news || len(f.Replicas) > 0 || f.Orders != nil
 }
 
--- a/internal/subscriber/mirror.go
+++ b/internal/subscriber/mirror.go
@@ -8,7 +8,6 @@
 	"petreltide/internal/clock"
 	"petreltide/internal/configuration"
 	"petreltide/internal/dispatch"
-	"petreltide/internal/occupancy"
 	"petreltide/internal/outlier"
 	"petreltide/internal/wire"
 )
@@ -103,8 +102,6 @@
 	ordersAt     uint64
 	gateways     int
 	outliers     outlier.Table
-	occupancy    occupancy.Table
-	occupancyUs  int64
 	ids          []string
 	snap         *dispatch.Snapshot
 	// touched are the replicas that the next snapshot shows otherwise than the last.
@@ -248,9 +245,6 @@
 		m.outliers, news = *f.Outliers, true
 		m.judgedUs = nowUs
 	}
-	if f.Occupancy != nil && f.Occupancy.After(m.occupancy) {
-		m.occupancy, m.occupancyUs, news = *f.Occupancy, nowUs, true
-	}
 	if news {
 		m.publish(nowUs)
 	}
--- a/internal/subscriber/publish.go
+++ b/internal/subscriber/publish.go
@@ -14,7 +14,7 @@
 	m.number++
 	snap := &dispatch.Snapshot{
 		Number: m.number, View: m.view.Number, Revision: m.revision, Doc: m.doc, AtUs: nowUs, Gateways: m.gateways,
-		Trials: m.outliers.In(m.opts.Zone), Occupancy: m.occupancy, OccupancyUs: m.occupancyUs,
+		Trials: m.outliers.In(m.opts.Zone),
 	}
 	if m.snap != nil {
 		snap.Replicas, snap.ByService = m.snap.Replicas, m.snap.ByService
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -8,7 +8,6 @@
 
 	"petreltide/internal/chain"
 	"petreltide/internal/configuration"
-	"petreltide/internal/occupancy"
 	"petreltide/internal/outlier"
 	"petreltide/internal/roster"
 )
@@ -32,8 +31,6 @@
 	Gateways     int                        `json:"desks,omitempty"`
 	// Outliers are the verdicts on replicas, where they have changed.
 	Outliers *outlier.Table `json:"outliers,omitempty"`
-	// Occupancy is how many attempts wait at replicas, where a newer table is known. Spare streams do without.
-	Occupancy *occupancy.Table `json:"occupancy,omitempty"`
 
 	encode sync.Once
 	raw    []byte
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -4,7 +4,6 @@
 	"petreltide/internal/chain"
 	"petreltide/internal/configuration"
 	"petreltide/internal/ledger"
-	"petreltide/internal/occupancy"
 	"petreltide/internal/outlier"
 	"petreltide/internal/roster"
 	"petreltide/internal/watch"
@@ -122,14 +121,13 @@
 
 // Message is one message between control nodes; exactly one field is set.
 type Message struct {
-	Chain     *chain.Msg       `json:"chain,omitempty"`
-	Result    *Result          `json:"result,omitempty"`
-	Report    *Report          `json:"report,omitempty"`
-	Silence   *watch.Silence   `json:"silence,omitempty"`
-	Heard     *Heard           `json:"heard,omitempty"`
-	Confirmed *Confirmed       `json:"confirmed,omitempty"`
-	Outlier   *outlier.Table   `json:"outlier,omitempty"`
-	Occupancy *occupancy.Table `json:"occupancy,omitempty"`
+	Chain     *chain.Msg     `json:"chain,omitempty"`
+	Result    *Result        `json:"result,omitempty"`
+	Report    *Report        `json:"report,omitempty"`
+	Silence   *watch.Silence `json:"silence,omitempty"`
+	Heard     *Heard         `json:"heard,omitempty"`
+	Confirmed *Confirmed     `json:"confirmed,omitempty"`
+	Outlier   *outlier.Table `json:"outlier,omitempty"`
 }
 
 // Heard is what a control node has heard of replicas and gateways, told to the other control nodes. Wants asks for
