--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -7,6 +7,7 @@
 
 	"petreltide/internal/clock"
 	"petreltide/internal/fault"
+	"petreltide/internal/feature"
 	"petreltide/internal/ledger"
 	"petreltide/internal/outlier"
 	"petreltide/internal/placement"
@@ -99,6 +100,8 @@
 	StoreWindowUs  int64
 	StoreOvershoot float64
 	Outlier        outlier.Options
+	// Disable are mechanisms that are switched off.
+	Disable feature.Off
 }
 
 // New makes a controller with the usual options.
--- a/internal/controller/needs.go
+++ b/internal/controller/needs.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"petreltide/internal/clock"
+	"petreltide/internal/feature"
 	"petreltide/internal/wire"
 )
 
@@ -53,7 +54,9 @@
 	reports := f.reporting(nowUs)
 	r.noteWaiting(nowUs, reports)
 	sums := sumDemand(reports)
-	f.expect(nowUs, sums)
+	if !f.opts.Disable.Has(feature.DemandForecast) {
+		f.expect(nowUs, sums)
+	}
 	sums.believeRecent()
 	r.raise(nowUs, sums)
 	r.smooth(nowUs, spanS, sums)
--- a/internal/controller/resident.go
+++ b/internal/controller/resident.go
@@ -129,7 +129,7 @@
 	s := seen.State
 	in := placement.Service{
 		Name: svc.Name, Engine: svc.Engine, Models: map[string]placement.Need{}, Adapters: map[string]placement.Need{},
-		StoreLeft: f.storeLeft(seen.NowUs, s, svc), Spares: sparesUsual,
+		StoreLeft: f.storeLeft(seen.NowUs, s, svc), Spares: sparesUsual, Disable: f.opts.Disable,
 	}
 	for _, id := range s.ReplicaIDs() {
 		if r := s.Replicas[id]; r.Service == svc.Name {
--- a/internal/controlnode/host.go
+++ b/internal/controlnode/host.go
@@ -180,7 +180,7 @@
 		UnreachableUs: set.HeartbeatMs * 5 / 2 * clock.Ms,
 		Controller: controller.Options{
 			LeaseUs: set.LeaseMs * clock.Ms, StoreWindowUs: set.StoreWindowMs * clock.Ms, StoreOvershoot: set.StoreOvershoot,
-			Outlier: set.Outlier.Options(),
+			Outlier: set.Outlier.OptionsWithout(set.Disable), Disable: set.Disable,
 		},
 	})
 	h := &Host{
@@ -211,7 +211,7 @@
 	}
 	server := &http.Server{Handler: h.handler(), ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = server.Serve(listener) }()
-	_ = h.log.Log("event", "started", "id", h.core.Node.Me().ID, "phase", string(h.core.Node.Phase()))
+	_ = h.log.Log("event", "started", "id", h.core.Node.Me().ID, "phase", string(h.core.Node.Phase()), "disabled", h.set.Disable.String())
 	h.act.Spawn(func() { h.act.Loop(tickEvery, func() { h.step(Event{}) }) })
 	h.act.Spawn(h.saver)
 	h.act.Spawn(h.seeker)
--- a/internal/dispatch/decider.go
+++ b/internal/dispatch/decider.go
@@ -6,6 +6,7 @@
 
 	"petreltide/internal/clock"
 	"petreltide/internal/fault"
+	"petreltide/internal/feature"
 	"petreltide/internal/outlier"
 	"petreltide/internal/wire"
 )
@@ -30,6 +31,8 @@
 	Budget      BudgetOptions
 	Patience    PatienceOptions
 	Outlier     outlier.Options
+	// Disable are mechanisms that are switched off.
+	Disable feature.Off
 }
 
 // Decider is asked; the executor obeys. It owns the queue, the slots and the attempt numbers.
--- a/internal/dispatch/prospect.go
+++ b/internal/dispatch/prospect.go
@@ -9,6 +9,7 @@
 	"petreltide/internal/clock"
 	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
+	"petreltide/internal/feature"
 	"petreltide/internal/wire"
 )
 
@@ -173,7 +174,7 @@
 // weighProspects refuses, while a refusal is early, the waiting calls whose model cannot be there within
 // their aim, and says when it will be. Whoever has come back once is held.
 func (d *Decider) weighProspects() {
-	if d.waiting == 0 || !d.routed() {
+	if d.waiting == 0 || !d.routed() || d.opts.Disable.Has(feature.EarlyRefusal) {
 		return
 	}
 	wanted := map[string]bool{}
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"slices"
 
+	"petreltide/internal/feature"
 	"petreltide/internal/wire"
 )
 
@@ -68,7 +69,7 @@
 		} else {
 			ms += s.workMs * (1 + float64(running)/4)
 		}
-		if r.Zone != d.opts.Zone {
+		if r.Zone != d.opts.Zone && !d.opts.Disable.Has(feature.ZonePreference) {
 			ms += crossZoneMs
 		}
 		ms += float64(mix(c.Routed.draw^hashOf(r.ID))%1000) / 1000
@@ -100,6 +101,9 @@
 // that it has not been sent before.
 func (d *Decider) unread(c *Call, r *wire.ReplicaNews, s *replicaState) int64 {
 	left := c.Routed.PromptIn
+	if d.opts.Disable.Has(feature.PrefixAffinity) {
+		return max(left, 1)
+	}
 	for i, print := range c.fingerprints() {
 		if _, kept := s.parts[print]; !kept {
 			break
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -108,7 +108,7 @@
 			Gateway: set.Name, Incarnation: incarnation, Zone: set.Zone, QueueMax: set.QueueMax,
 			Budget:   dispatch.BudgetOptions{Ratio: set.Budget.Ratio, Slack: set.Budget.Slack, WindowUs: set.Budget.WindowMs * clock.Ms},
 			Patience: dispatch.PatienceOptions{LeastMs: set.Patience.LeastMs, Aims: set.Patience.Aims, Gaps: set.Patience.Gaps},
-			Outlier:  set.Outlier.Options(),
+			Outlier:  set.Outlier.Options(), Disable: set.Disable,
 		}),
 		act: actor.New(mailboxMost), waiting: map[string]*caller{},
 		streams: map[uint64]context.CancelFunc{}, declared: make(chan struct{}), Room: &Room{Most: int64(set.MemoryMb) << 20 / roomShare},
@@ -140,7 +140,7 @@
 		every = mirrorTick
 	}
 	h.act.Spawn(func() { h.act.Loop(every, h.tick) })
-	_ = h.log.Log("event", "started", "inc", h.incarnation)
+	_ = h.log.Log("event", "started", "inc", h.incarnation, "disabled", h.set.Disable.String())
 	failed := make(chan error, len(h.doors))
 	for _, d := range h.doors {
 		go func() {
--- a/internal/placement/resident.go
+++ b/internal/placement/resident.go
@@ -1,6 +1,9 @@
 package placement
 
-import "petreltide/internal/configuration"
+import (
+	"petreltide/internal/configuration"
+	"petreltide/internal/feature"
+)
 
 // ResidentName is the policy that is built in for services with an engine: it treats the replicas' room as
 // a cache of models. Others are written as programs; every proposal is checked alike.
@@ -44,6 +47,8 @@
 	Adapters  map[string]Need
 	StoreLeft int
 	Spares    int
+	// Disable are mechanisms that are switched off.
+	Disable feature.Off
 }
 
 // resident is one run of the policy.
@@ -76,7 +81,9 @@
 	p.intended()
 	p.models()
 	p.adapters()
-	p.spares()
+	if !p.in.Disable.Has(feature.SpareRoom) {
+		p.spares()
+	}
 	return p.out, p.unplaced
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,7 @@
 	"petreltide/internal/clock"
 	"petreltide/internal/configuration"
 	"petreltide/internal/fault"
+	"petreltide/internal/feature"
 	"petreltide/internal/outlier"
 )
 
@@ -44,6 +45,8 @@
 	// LeaveMs is how long a control node that is told to end waits for others to take its seat and vote over.
 	LeaveMs int64   `json:"leaveMs,omitempty" validate:"min=0,max=3600000"`
 	Outlier Outlier `json:"outlier,omitempty"`
+	// Disable names mechanisms to switch off, to measure what they are worth.
+	Disable feature.Off `json:"disable,omitempty"`
 }
 
 // Outlier bounds the verdicts on replicas by what became of their attempts; what is left out is as usual.
@@ -62,6 +65,13 @@
 	return outlier.Options{MostShare: o.MostShare, FalseUs: o.FalseMs * clock.Ms, OutUs: o.OutMs * clock.Ms, OutMostUs: o.OutMostMs * clock.Ms, Off: o.Off}
 }
 
+// OptionsWithout are these bounds with mechanisms switched off.
+func (o Outlier) OptionsWithout(off feature.Off) outlier.Options {
+	opts := o.Options()
+	opts.Off = opts.Off || off.Has(feature.FleetOutliers)
+	return opts
+}
+
 // Members says who changes the members of the chain.
 type Members string
 
@@ -118,6 +128,8 @@
 	ConnectionsMost int     `json:"connectionsMost,omitempty" validate:"min=0"`
 	MemoryMb        int     `json:"memoryMb,omitempty" validate:"min=0"`
 	Outlier         Outlier `json:"outlier,omitempty"`
+	// Disable names mechanisms to switch off, to measure what they are worth.
+	Disable feature.Off `json:"disable,omitempty"`
 }
 
 // Read lays a settings file over what v holds; a flag given on the command line is laid on later.
@@ -151,6 +163,7 @@
 	if o.Data != "" {
 		writable(sheet, o.Data)
 	}
+	mechanisms(sheet, o.Disable)
 	return sheet.As(fault.BadSettings)
 }
 
@@ -159,9 +172,16 @@
 	sheet := configuration.Struct(fault.BadSettings, d)
 	d.Advertise = reached(sheet, d.Listen, d.Advertise)
 	addresses(sheet, d.Listen, d.Seeds)
+	mechanisms(sheet, d.Disable)
 	return sheet.As(fault.BadSettings)
 }
 
+func mechanisms(sheet *fault.Sheet, off feature.Off) {
+	if bad := off.Check(); bad != nil {
+		sheet.Note(bad.Code, bad.Field, "%s", bad.Detail)
+	}
+}
+
 func addresses(sheet *fault.Sheet, listen string, seeds []string) {
 	address(sheet, "listen", listen)
 	for _, s := range seeds {
