Refuse calls for a model at once while most of those sent do not come soon

Change: a gateway counts, for each model, how many of its own attempts of the last 2 s had a first piece within 0.4 of the aim; under one half it refuses a part of new calls at once, with when to come back.

--- /dev/null
+++ b/internal/dispatch/admission_test.go
@@ -0,0 +1,92 @@
+package dispatch
+
+import (
+	"testing"
+
+	"petreltide/internal/clock"
+	"petreltide/internal/configuration"
+)
+
+// fates are attempts for one model that started at fromUs, a hundred ms apart, of which some had a first piece after
+// firstMs, and the others none.
+func fates(fromUs int64, firstMs ...int64) []fate {
+	all := []fate{}
+	for i, ms := range firstMs {
+		atUs := fromUs + int64(i)*100*clock.Ms
+		c := &Call{TakenUs: atUs}
+		if ms > 0 {
+			c.FirstUs.Store(atUs + ms*clock.Ms)
+		}
+		all = append(all, fate{call: c, startUs: atUs, soonUs: 320 * clock.Ms})
+	}
+	return all
+}
+
+func TestThePartThatIsRefusedFollowsWhatIsLate(t *testing.T) {
+	nowUs := 10 * clock.Sec
+	startUs := nowUs - 1800*clock.Ms
+	for name, row := range map[string]struct {
+		all         []fate
+		least, most float64
+	}{
+		"nothing is known":                      {nil, 0, 0},
+		"all are in time":                       {fates(startUs, 100, 200, 300, 310), 0, 0},
+		"one is late":                           {fates(startUs, 100, 900, 300, 200), 0, 0},
+		"more than half are in time":            {fates(startUs, 100, 900, 300, 900, 300), 0, 0},
+		"a single one is late":                  {fates(startUs, 900), 0.3, 0.34},
+		"all of many are late":                  {fates(startUs, 900, 950, 1000, 1100, 1200, 900, 900, 900, 900, 900), 0.8, 0.85},
+		"none has come, and each should have":   {fates(startUs, 0, 0, 0, 0, 0, 0), 0.7, 0.8},
+		"none has come, and each may yet":       {fates(nowUs-300*clock.Ms, 0, 0, 0, 0, 0), 0, 0},
+		"a quarter is in time":                  {fates(startUs, 900, 900, 900, 100, 900, 900, 900, 100), 0.3, 0.4},
+		"what was late was late some while ago": {fates(nowUs-8*clock.Sec, 900, 900, 900, 900, 900), 0, 0},
+	} {
+		a := newAdmission()
+		a.recent["s|m"] = row.all
+		if part := a.refusedPart("s|m", nowUs); part < row.least || part > row.most {
+			t.Errorf("%s: %.3f is refused, want %.2f to %.2f", name, part, row.least, row.most)
+		}
+		if part := a.refusedPart("s|other", nowUs); part != 0 {
+			t.Errorf("%s: %.3f of another model's calls are refused", name, part)
+		}
+	}
+}
+
+// Demand for one model rises to three times what its replicas do, for twelve seconds. With refusals what the replicas
+// do is done in time; without, nearly every call is late.
+func TestOverloadDoesNotMakeAllCallsLate(t *testing.T) {
+	inTime := map[bool]float64{}
+	for _, refuses := range []bool{true, false} {
+		a := newAdmission()
+		r := &Routed{Route: &configuration.Route{AimMs: 800}, Service: "s"}
+		served, good, offered := 0, 0, 0
+		freeUs := int64(0)
+		due := []*Call{}
+		for nowUs := int64(0); nowUs < 12*clock.Sec; nowUs += 10 * clock.Ms {
+			for len(due) > 0 && due[0].Progress.Load() <= nowUs {
+				due[0].FirstUs.Store(due[0].Progress.Load())
+				due = due[1:]
+			}
+			if nowUs%(30*clock.Ms) != 0 {
+				continue
+			}
+			offered++
+			c := &Call{Model: "m", TakenUs: nowUs, Routed: r}
+			if draw := float64(mix(uint64(offered))%drawSteps) / drawSteps; refuses && draw < a.refusedPart("s|m", nowUs) {
+				continue
+			}
+			a.sent(c, nowUs)
+			freeUs = max(freeUs, nowUs) + 90*clock.Ms
+			c.Progress.Store(freeUs)
+			due = append(due, c)
+			served++
+			if freeUs-nowUs <= 800*clock.Ms {
+				good++
+			}
+		}
+		inTime[refuses] = float64(good) / float64(offered)
+		t.Logf("refuses: %v; %d offered, %d let in, %d in time", refuses, offered, served, good)
+	}
+	if inTime[true] < 2*inTime[false] || inTime[true] < 0.1 {
+		t.Errorf("%.3f in time with refusals, %.3f without", inTime[true], inTime[false])
+	}
+}
--- a/internal/dispatch/decider.go
+++ b/internal/dispatch/decider.go
@@ -62,6 +62,7 @@
 	budgets       map[string]*budget
 	readings      map[string]*reading
 	prospects     *prospects
+	admission     *admission
 	outliers      *outlier.Local
 	attemptSeq    uint64
 	effects       []Effect
@@ -70,7 +71,7 @@
 // New is a decider that knows no declaration yet.
 func New(opts Options) *Decider {
 	d := &Decider{opts: opts, calls: map[string]*Call{}, kinds: map[string]*kindRow{}, places: map[string]*place{}, runs: map[string]*run{},
-		replicaStates: map[string]*replicaState{}, budgets: map[string]*budget{}, readings: map[string]*reading{}, prospects: newProspects(), outliers: outlier.NewLocal(opts.Outlier)}
+		replicaStates: map[string]*replicaState{}, budgets: map[string]*budget{}, readings: map[string]*reading{}, prospects: newProspects(), admission: newAdmission(), outliers: outlier.NewLocal(opts.Outlier)}
 	for i := range d.slots {
 		d.slots[i] = map[string]int{}
 		d.tokens[i] = map[string]int64{}
--- a/internal/dispatch/replica_state.go
+++ b/internal/dispatch/replica_state.go
@@ -73,6 +73,7 @@
 		}
 	}
 	c.FirstUs.Store(0)
+	d.admission.sent(c, d.nowUs)
 	d.note(c, "leg", r.ID, "")
 	d.do(Effect{Start: &Start{GuessMs: predictedMs, Running: running, Call: c, Attempt: c.attempt, Replica: r.ID, Addr: r.Addr, Incarnation: r.Incarnation, Revision: d.snap.Revision, DeadlineUs: c.deadlineUs,
 		Route: c.Routed.Route, Service: c.Routed.Service, Kind: c.requestKind()}})
--- a/internal/dispatch/routed.go
+++ b/internal/dispatch/routed.go
@@ -127,6 +127,9 @@
 	b := d.budgetOf(c.Routed.Service)
 	b.calls[b.now]++
 	d.prospects.arrived(c)
+	if d.turnAway(c) {
+		return
+	}
 	if d.waiting >= d.opts.QueueMax && !d.makeRoom(c) {
 		d.give(c, fault.Overloaded, "the backlog is full", d.RetryMs())
 		return
@@ -166,6 +169,7 @@
 // piece has come for.
 func (d *Decider) reportRouted(rep *wire.Report) {
 	d.promised(rep)
+	d.admission.forget(d.nowUs)
 	d.reportOutcomes(rep)
 	for id, s := range d.replicaStates {
 		if d.snap != nil && d.snap.Replicas[id] == nil && len(s.openAttempts) == 0 {
--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -22,6 +22,9 @@
 	// FleetOutliers keeps all gateways off replicas at which attempts of many fail. Without it each gateway goes by
 	// its own attempts.
 	FleetOutliers Gate = "FleetOutliers"
+	// OverloadRefusal refuses calls for a model whose calls are late now, with when to come back. Without it all of them
+	// are sent on.
+	OverloadRefusal Gate = "OverloadRefusal"
 	// PrefixAffinity prefers replicas that have been sent the first parts of a prompt. Without it all are alike.
 	PrefixAffinity Gate = "PrefixAffinity"
 	// SpareRoom keeps room for one more model, and places for adapters, free ahead of calls. Without it room is made
@@ -33,7 +36,7 @@
 
 // Gates are all mechanisms that may be switched off, in the order of their names.
 func Gates() []Gate {
-	return []Gate{DemandForecast, EarlyRefusal, FleetOutliers, PrefixAffinity, SpareRoom, ZonePreference}
+	return []Gate{DemandForecast, EarlyRefusal, FleetOutliers, OverloadRefusal, PrefixAffinity, SpareRoom, ZonePreference}
 }
 
 // Off are the mechanisms that are switched off; nil leaves all on.
