--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -1,10 +1,13 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 
 	"petreltide/internal/clock"
 	"petreltide/internal/configuration"
+	"petreltide/internal/fault"
+	"petreltide/internal/feature"
 )
 
 // fates are attempts for one model that started at fromUs, a hundred ms apart, of which some had a first piece after
@@ -90,3 +93,66 @@
 		t.Errorf("%.3f in time with refusals, %.3f without", inTime[true], inTime[false])
 	}
 }
+
+// slowModel is a gateway whose calls for a model that two replicas hold have had no first piece for 1.5 s.
+func slowModel(disable ...feature.Gate) *clerk {
+	rows := at("engine", "r1", "r2")
+	for i := range rows {
+		rows[i].Slots = 200
+	}
+	k := newClerk(Options{Disable: disable}, stands(aimed(1000, 2000), 1, rows...))
+	for i := range 20 {
+		k.patient(fmt.Sprint("slow", i), "m", 5000)
+	}
+	k.after(1500 * clock.Ms)
+	return k
+}
+
+func TestCallsForASlowModelAreRefusedAtOnceWithATimeToComeBack(t *testing.T) {
+	k := slowModel()
+	refused := 0
+	for i := range 100 {
+		id := fmt.Sprint("new", i)
+		k.patient(id, "m", 5000)
+		e := k.fin[id]
+		if e == nil {
+			continue
+		}
+		refused++
+		if e.Give == nil || e.Give.Fault.Run != fault.RunNone || e.Give.Fault.Code != fault.Overloaded {
+			t.Fatalf("%s: %+v", id, e)
+		}
+		if ms := e.Give.Fault.RetryMs; ms < retryLeastMs/2 || ms > 5000/retryPart {
+			t.Errorf("%s is to come back after %d ms", id, ms)
+		}
+	}
+	if refused < 60 || refused == 100 {
+		t.Errorf("%d of 100 are refused", refused)
+	}
+	for i := range 20 {
+		id := fmt.Sprint("again", i)
+		if k.patient(id, "m", 3000); k.fin[id] != nil {
+			t.Errorf("one that came back is refused again: %+v", k.fin[id])
+		}
+	}
+}
+
+func TestWithoutOverloadRefusalAllCallsAreSentOn(t *testing.T) {
+	k := slowModel(feature.OverloadRefusal)
+	for i := range 50 {
+		id := fmt.Sprint("new", i)
+		if k.patient(id, "m", 5000); k.fin[id] != nil {
+			t.Fatalf("%s: %+v", id, k.fin[id])
+		}
+	}
+}
+
+func TestWithoutEarlyRefusalACallWaitsForItsModel(t *testing.T) {
+	k := newClerk(Options{Disable: feature.Off{feature.EarlyRefusal}}, stands(aimed(1000, 2000), 1, loading("n")...))
+	for i := range 10 {
+		id := fmt.Sprint("first", i)
+		if k.patient(id, "n", 5000); k.fin[id] != nil {
+			t.Fatalf("%s: %+v", id, k.fin[id])
+		}
+	}
+}
--- a/internal/placement/resident_test.go
+++ b/internal/placement/resident_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"petreltide/internal/configuration"
+	"petreltide/internal/feature"
 	"petreltide/internal/ledger"
 )
 
@@ -321,3 +322,19 @@
 		t.Errorf("%v: four copies are wanted, and four are held or on their way", out)
 	}
 }
+
+// A spare is made ahead of calls, and not at all where that is switched off.
+func TestSpareRoomIsMadeUnlessItIsSwitchedOff(t *testing.T) {
+	e := &configuration.Engine{Slots: 8, RoomMb: 100, LoadsPerS: 2, Models: []configuration.EngineModel{{Name: "m", SizeMb: 60, LoadMs: 1000}}}
+	in := Service{Name: "s", Engine: e, StoreLeft: 2, Spares: 1, Models: map[string]Need{}, Adapters: map[string]Need{}}
+	for i := range 3 {
+		in.Homes = append(in.Homes, Home{ID: fmt.Sprint("r", i), Usable: true, FreeMb: 40, Holds: map[string]int64{"m": 60}})
+	}
+	if out, _ := Resident(in); len(out) != 1 || out[0].Step != ledger.Unload {
+		t.Errorf("%v: want room for one more model at one replica", out)
+	}
+	in.Disable = feature.Off{feature.SpareRoom}
+	if out, _ := Resident(in); len(out) != 0 {
+		t.Errorf("%v: want nothing", out)
+	}
+}
--- /dev/null
+++ b/internal/settings/disable_test.go
@@ -0,0 +1,32 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+
+	"petreltide/internal/fault"
+	"petreltide/internal/feature"
+)
+
+// A mechanism that does not exist cannot be switched off by mistake, and the refusal names those that do.
+func TestAnUnknownMechanismIsRefused(t *testing.T) {
+	gateway := Gateway{Name: "g", Listen: "127.0.0.1:7100", Zone: "a", Seeds: []string{"127.0.0.1:7101"}, QueueMax: 10, BodyMaxKb: 10}
+	gateway.Disable = feature.Off{"SpareRooms"}
+	bad := gateway.Check()
+	if bad == nil || bad.Code != fault.BadSettings || !strings.Contains(bad.Error(), string(feature.SpareRoom)) {
+		t.Errorf("%v", bad)
+	}
+	gateway.Disable = feature.Off{feature.SpareRoom}
+	if bad := gateway.Check(); bad != nil {
+		t.Errorf("%v", bad)
+	}
+}
+
+func TestVerdictsAreSwitchedOffWithTheirMechanism(t *testing.T) {
+	if opts := (Outlier{}).OptionsWithout(feature.Off{feature.FleetOutliers}); !opts.Off {
+		t.Error("verdicts are still given")
+	}
+	if opts := (Outlier{}).OptionsWithout(nil); opts.Off {
+		t.Error("verdicts are not given")
+	}
+}
