--- a/internal/outlier/outlier_test.go
+++ b/internal/outlier/outlier_test.go
@@ -24,6 +24,8 @@
 	part          float64
 	zone, gateway string
 	fromUs, toUs  int64
+	// load: it comes of the calls that the replica gets, and ends while it gets fewer.
+	load bool
 }
 
 type seat struct {
@@ -138,6 +140,9 @@
 		draw -= w.common[c]
 	}
 	for _, ill := range w.ills {
+		if _, fewer := s.rows[w.replicas[at]]; ill.load && fewer {
+			continue
+		}
 		if ill.replica == at && w.nowUs >= ill.fromUs && w.nowUs < ill.toUs && (ill.zone == "" || ill.zone == s.zone) && (ill.gateway == "" || ill.gateway == s.id) && w.r.Float64() < ill.part {
 			class = ill.class
 		}
@@ -220,6 +225,32 @@
 	}
 }
 
+// Replicas that are late because of what they are sent were out for seconds, one after the other, up to 32 of 140, while
+// the others got their calls as well. Fewer calls help them; those that are ill stay late.
+func TestWhatLoadExplainsTakesNobodyOut(t *testing.T) {
+	for _, size := range sizes[2:] {
+		for _, load := range []bool{true, false} {
+			w := newWorld(7, size.gateways, size.replicas, size.perS, Options{})
+			for i := range size.replicas / 8 {
+				w.ills = append(w.ills, illness{replica: i, class: Silence, part: 0.5, fromUs: 5 * clock.Sec, toUs: 30 * clock.Sec, load: load})
+			}
+			w.run(30 * clock.Sec)
+			outUs := int64(0)
+			for _, us := range w.outUs {
+				outUs += us
+			}
+			perReplicaS := float64(outUs) / 1e6 / float64(size.replicas/8)
+			t.Logf("%d gateways, %d replicas, comes of load: %v: out for %.1f s of 25 each", size.gateways, size.replicas, load, perReplicaS)
+			if load && perReplicaS > 1 {
+				t.Errorf("%d gateways: replicas that fewer calls would have helped were out for %.1f s each", size.gateways, perReplicaS)
+			}
+			if !load && perReplicaS < 3 {
+				t.Errorf("%d gateways: replicas that are ill were out for %.1f s each only", size.gateways, perReplicaS)
+			}
+		}
+	}
+}
+
 func TestPlantedBreaksOfTheDetectorAreCaught(t *testing.T) {
 	for _, c := range []struct {
 		what string
