Name a call's model in one place, and draw for a refusal only where something is refused

Cause: read once more, the refusals built the key that the readings and the prospects build too, and drew for every call also where no part of them is refused. Change: Call.modelKey serves the three; turnAway ends before the draw where the part is 0. Behaviour as before.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -51,15 +51,13 @@
 
 func newAdmission() *admission { return &admission{recent: map[string][]fate{}} }
 
-func admissionKey(c *Call) string { return c.Routed.Service + "|" + c.Model }
-
 // sent notes an attempt.
 func (a *admission) sent(c *Call, nowUs int64) {
 	soonUs := int64(soonPart * float64(c.Routed.Route.AimMs*clock.Ms))
 	if c.Model == "" || soonUs == 0 {
 		return
 	}
-	key := admissionKey(c)
+	key := c.modelKey()
 	kept := a.recent[key]
 	if len(kept) >= admissionMost {
 		kept = kept[1:]
@@ -103,7 +101,10 @@
 	if c.Model == "" || c.Routed.returned || c.Had > 0 || d.opts.Disable.Has(feature.OverloadRefusal) {
 		return false
 	}
-	part := d.admission.refusedPart(admissionKey(c), d.nowUs)
+	part := d.admission.refusedPart(c.modelKey(), d.nowUs)
+	if part == 0 {
+		return false
+	}
 	if c.Routed.Route.Priority == 0 {
 		part *= part
 	}
--- a/internal/dispatch/prospect.go
+++ b/internal/dispatch/prospect.go
@@ -182,7 +182,7 @@
 		if c.Routed == nil || c.Model == "" || !d.unheld(c) {
 			continue
 		}
-		key := c.Routed.Service + "|" + c.Model
+		key := c.modelKey()
 		w := d.prospects.want(c.Routed.Service, c.Model)
 		if w.sinceUs == 0 {
 			w.sinceUs = d.nowUs
--- a/internal/dispatch/reading.go
+++ b/internal/dispatch/reading.go
@@ -49,7 +49,7 @@
 }
 
 func (d *Decider) reading(c *Call) *reading {
-	key := c.Routed.Service + "|" + c.Model
+	key := c.modelKey()
 	r := d.readings[key]
 	if r == nil {
 		if len(d.readings) > readingsMost {
--- a/internal/dispatch/routed.go
+++ b/internal/dispatch/routed.go
@@ -116,6 +116,9 @@
 	return c.Routed.arrivals < c.Routed.Route.AttemptsMost && d.budget(c.Routed.Service)
 }
 
+// modelKey names the model that a routed call is for, at its service.
+func (c *Call) modelKey() string { return c.Routed.Service + "|" + c.Model }
+
 func (c *Call) adapterUnit() string {
 	if c.Routed != nil {
 		return c.unit()
