Declare tenants, their keys and limits, and the messages that count them

The types that its parts share come first: tenants in declarations and edits, checked (a key held twice, an empty name, a rate below 0), indexed by the digests of keys, which stand in place of the keys wherever these need not be read back; public routes; what the platform's document, update and settings say of them; the request and answer by which gateways have tenants' requests admitted.

No request is handled otherwise yet.

--- a/internal/api/configuration/bare.go
+++ b/internal/api/configuration/bare.go
@@ -19,6 +19,7 @@
 	n.Index = nil
 	n.Routes = routesWithoutSource(d.Routes)
 	n.Services = servicesWithoutSource(d.Services)
+	n.Tenants = tenantsWithoutSource(d.Tenants)
 	n.Limits = d.Limits.withoutSource()
 	return n.Indexed()
 }
@@ -28,6 +29,7 @@
 	n := *e
 	n.Routes = routesWithoutSource(e.Routes)
 	n.Services = servicesWithoutSource(e.Services)
+	n.Tenants = tenantsWithoutSource(e.Tenants)
 	n.Limits = e.Limits.withoutSource()
 	return &n
 }
--- a/internal/api/configuration/check_routes.go
+++ b/internal/api/configuration/check_routes.go
@@ -7,7 +7,7 @@
 	"petreltide/internal/api/fault"
 )
 
-// CheckRoutes collects what is wrong with routes, services and limits: the fields of each item by their tags, then
+// CheckRoutes collects what is wrong with routes, services, tenants and limits: the fields of each item by their tags, then
 // what items say of each other.
 func (d *Declaration) CheckRoutes() *fault.Fault {
 	return d.checkRoutes(func(string) bool { return true }, true)
@@ -16,7 +16,10 @@
 // CheckEdited is CheckRoutes of a declaration that an edit has made of a valid one: the fields of items that the edit
 // does not name have been checked. The log of a restarted control node may hold hundreds of edits.
 func (d *Declaration) CheckEdited(e *Edit) *fault.Fault {
-	edited := make(map[string]bool, len(e.Routes)+len(e.Services))
+	edited := make(map[string]bool, len(e.Routes)+len(e.Services)+len(e.Tenants))
+	for i := range e.Tenants {
+		edited[e.Tenants[i].Name] = true
+	}
 	for i := range e.Routes {
 		edited[e.Routes[i].Name] = true
 	}
@@ -31,6 +34,7 @@
 	c := routeChecker{
 		faults: &fault.List{}, isNew: isNew,
 		services: make(map[string]bool, len(d.Services)), routes: make(map[string]bool, len(d.Routes)), byKey: make(map[routeKey]int, len(d.Routes)),
+		tenants: make(map[string]bool, len(d.Tenants)), keyHolders: map[string]int{},
 	}
 	for i := range d.Services {
 		c.service(i, &d.Services[i])
@@ -38,6 +42,9 @@
 	for i := range d.Routes {
 		c.route(i, &d.Routes[i])
 	}
+	for i := range d.Tenants {
+		c.tenant(i, &d.Tenants[i])
+	}
 	if d.Limits != nil && newLimits {
 		c.fields("limits", d.Limits)
 	}
@@ -55,7 +62,10 @@
 	routes   map[string]bool
 	// byKey are the numbers of the routes so far.
 	byKey map[routeKey]int
-	isNew func(name string) bool
+	// tenants are the names so far, keyHolders the numbers of the tenants that hold a key, by its digest.
+	tenants    map[string]bool
+	keyHolders map[string]int
+	isNew      func(name string) bool
 }
 
 func servicePath(i int) string { return fmt.Sprintf("services[%d]", i) }
--- a/internal/api/configuration/declaration.go
+++ b/internal/api/configuration/declaration.go
@@ -34,6 +34,10 @@
 	Routes   []Route   `json:"routes,omitempty" validate:"-"`
 	Services []Service `json:"services,omitempty" validate:"-"`
 	Limits   *Limits   `json:"limits,omitempty" validate:"-"`
+	Tenants  []Tenant  `json:"tenants,omitempty" validate:"-"`
+	// RequireKeys says that requests need a tenant's key, except those of public routes: tenants were declared, also
+	// where none is left.
+	RequireKeys bool `json:"requireKeys,omitempty" validate:"-"`
 
 	Index *Index `json:"-" validate:"-"`
 }
--- a/internal/api/configuration/edit.go
+++ b/internal/api/configuration/edit.go
@@ -4,7 +4,7 @@
 	"petreltide/internal/api/fault"
 )
 
-// Edit changes named routes and services and leaves the rest.
+// Edit changes named routes, services and tenants and leaves the rest.
 type Edit struct {
 	Version        uint64    `json:"version"`
 	Routes         []Route   `json:"routes,omitempty"`
@@ -12,6 +12,8 @@
 	RemoveRoutes   []string  `json:"removeRoutes,omitempty"`
 	RemoveServices []string  `json:"removeServices,omitempty"`
 	Limits         *Limits   `json:"limits,omitempty"`
+	Tenants        []Tenant  `json:"tenants,omitempty"`
+	RemoveTenants  []string  `json:"removeTenants,omitempty"`
 }
 
 // Apply is the declaration with an edit applied; the old one stays as it is.
@@ -24,6 +26,9 @@
 	n.Routes = routes.apply(faults, d.Routes)
 	services := itemsEdit[Service]{field: "services", upsert: e.Services, remove: e.RemoveServices, name: func(s *Service) string { return s.Name }}
 	n.Services = services.apply(faults, d.Services)
+	tenants := itemsEdit[Tenant]{field: "tenants", upsert: e.Tenants, remove: e.RemoveTenants, name: func(t *Tenant) string { return t.Name }}
+	n.Tenants = tenants.apply(faults, d.Tenants)
+	n.RequireKeys = d.RequireKeys || len(n.Tenants) > 0
 	if e.Limits != nil {
 		n.Limits = e.Limits
 	}
--- a/internal/api/configuration/index.go
+++ b/internal/api/configuration/index.go
@@ -12,6 +12,9 @@
 	services map[string]*Service
 	units    map[string]*EngineModel
 	hosts    map[string]map[string]*Route
+	tenants  map[string]*Tenant
+	// keyHolders are the tenants by the digests of their keys.
+	keyHolders map[string]*Tenant
 }
 
 // Indexed builds the index of a declaration that will not change any more, once.
@@ -23,6 +26,7 @@
 		models: make(map[string]int, len(d.Models)), adapters: make(map[string]int, len(d.Adapters)),
 		routes: make(map[string]*Route, len(d.Routes)), services: make(map[string]*Service, len(d.Services)),
 		units: map[string]*EngineModel{}, hosts: map[string]map[string]*Route{},
+		tenants: make(map[string]*Tenant, len(d.Tenants)), keyHolders: make(map[string]*Tenant, 2*len(d.Tenants)),
 	}
 	for i := range d.Models {
 		x.models[d.Models[i].Name] = i
@@ -48,6 +52,13 @@
 		}
 		x.hosts[host][r.Prefix] = r
 	}
+	for i := range d.Tenants {
+		t := &d.Tenants[i]
+		x.tenants[t.Name] = t
+		for _, digest := range t.KeyDigests {
+			x.keyHolders[digest] = t
+		}
+	}
 	d.Index = x
 	return d
 }
--- a/internal/api/configuration/routes.go
+++ b/internal/api/configuration/routes.go
@@ -29,7 +29,9 @@
 	MaxAttempts     int               `json:"attemptsMost" validate:"min=1,max=64"`
 	Affinity        bool              `json:"affinity,omitempty"`
 	Resumable       bool              `json:"resumable,omitempty"`
-	Source          json.RawMessage   `json:"source,omitempty" validate:"-"`
+	// Public routes take requests without a key.
+	Public bool            `json:"public,omitempty"`
+	Source json.RawMessage `json:"source,omitempty" validate:"-"`
 }
 
 // WeightedService is a service's share of a route.
--- a/internal/api/settings/settings.go
+++ b/internal/api/settings/settings.go
@@ -46,8 +46,10 @@
 	StoreOvershoot float64 `json:"storeOvershoot,omitempty" validate:"min=0,max=10"`
 	MemoryMB       int     `json:"memoryMb,omitempty" validate:"min=0"`
 	// HandoverTimeoutMs is how long a control node that is told to end waits for others to take its seat and vote over.
-	HandoverTimeoutMs int64   `json:"leaveMs,omitempty" validate:"min=0,max=3600000"`
-	Outlier           Outlier `json:"outlier,omitempty"`
+	HandoverTimeoutMs int64 `json:"leaveMs,omitempty" validate:"min=0,max=3600000"`
+	// Quota bounds what tenants with a limit may run beyond it.
+	Quota   Quota   `json:"quota,omitzero"`
+	Outlier Outlier `json:"outlier,omitempty"`
 	// Disable names mechanisms to switch off, to measure what they are worth.
 	Disable feature.Disabled `json:"disable,omitempty"`
 }
@@ -84,6 +86,21 @@
 	AutomaticMembership Membership = "self"
 )
 
+// Quota says how far the requests of a tenant that all gateways run may exceed its limit: in every span of WindowMs at most
+// (rate x WindowMs + burst) x (1 + Overshoot) + Slack. A WindowMs of 0 stands for 5 s.
+type Quota struct {
+	WindowMs  int64   `json:"windowMs,omitempty" validate:"min=0,max=3600000"`
+	Overshoot float64 `json:"overshoot,omitempty" validate:"min=0,max=10"`
+	Slack     float64 `json:"slack,omitempty" validate:"min=0"`
+}
+
+// Revocation says what a gateway does that has not heard from a current control node for WithinMs: with Closed it refuses
+// requests that need a key until it hears again, else it goes on with the keys that it last knew.
+type Revocation struct {
+	Closed   bool  `json:"closed,omitempty"`
+	WithinMs int64 `json:"withinMs,omitempty" validate:"min=0,max=3600000"`
+}
+
 // Attempts says what a gateway needs in order to send: attempt numbers that the controller granted under a lease (the
 // declared platform), or nothing but the configuration in force, with which a gateway that is cut off goes on (the routed one).
 type Attempts string
@@ -128,9 +145,11 @@
 	// LingerMs is how long new connections are still taken after SIGTERM, until nobody sends them here.
 	LingerMs int64 `json:"lingerMs,omitempty" validate:"min=0,max=3600000"`
 	// MaxConnections bounds this gateway's connections to all replicas together.
-	MaxConnections int     `json:"connectionsMost,omitempty" validate:"min=0"`
-	MemoryMB       int     `json:"memoryMb,omitempty" validate:"min=0"`
-	Outlier        Outlier `json:"outlier,omitempty"`
+	MaxConnections int `json:"connectionsMost,omitempty" validate:"min=0"`
+	MemoryMB       int `json:"memoryMb,omitempty" validate:"min=0"`
+	// Revocation is what becomes of keys while no current control node is heard.
+	Revocation Revocation `json:"revocation,omitzero"`
+	Outlier    Outlier    `json:"outlier,omitempty"`
 	// Disable names mechanisms to switch off, to measure what they are worth.
 	Disable feature.Disabled `json:"disable,omitempty"`
 }
--- a/internal/process/rpc/rpc.go
+++ b/internal/process/rpc/rpc.go
@@ -59,6 +59,7 @@
 	FramesPath   = "/petreltide.Office/Frames"
 	TellPath     = "/petreltide.Office/Tell"
 	ReadPath     = "/petreltide.Office/Read"
+	QuotaPath    = "/petreltide.Office/Quota"
 	maxReadBytes = 256 << 20
 	// zipLeast is the least answer that is worth zipping: most are a few bytes.
 	zipLeast = 2048
