Name the tenant of a request's key to replicas, and never pass the key on

Cause: exchange.request copied every end-to-end header of the client, the key with them, and nobody knew whose key it was. Change: Host.LookupRoute finds route and tenant by the newest declaration, once, when the request is taken. A name stays that of the moment the request was taken, also for a stream that is taken up after its key has moved.

--- a/internal/dataplane/gateway/informer.go
+++ b/internal/dataplane/gateway/informer.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"petreltide/internal/api/configuration"
 	"petreltide/internal/api/fault"
 	"petreltide/internal/api/wire"
 	"petreltide/internal/dataplane/controlclient"
@@ -27,6 +28,12 @@
 // Snapshot is the newest news; it is never changed.
 func (h *Host) Snapshot() *scheduling.Snapshot { return h.snapshot.Load() }
 
+// LookupRoute finds the route of a request and the tenant in whose name it runs by the newest news; there must be a
+// declaration. It is the one place where requests are authenticated.
+func (h *Host) LookupRoute(_ context.Context, a scheduling.RouteLookup) (route *configuration.Route, tenant string, bad *fault.Fault) {
+	return h.Snapshot().LookupRoute(a)
+}
+
 // AwaitDeclaration waits until this gateway has one, or for as long as ctx lasts.
 func (h *Host) AwaitDeclaration(ctx context.Context) {
 	select {
--- a/internal/dataplane/scheduling/routed.go
+++ b/internal/dataplane/scheduling/routed.go
@@ -17,7 +17,9 @@
 
 // RoutedCall is what a call by route brings beside what every call has. PromptTokens and MaxOutputTokens are counts of tokens.
 type RoutedCall struct {
-	Route           *configuration.Route
+	Route *configuration.Route
+	// Tenant is the tenant that held the call's key when it was taken, "" for nobody; it never changes.
+	Tenant          string
 	Service         string
 	Segments        []PromptSegment
 	PromptTokens    int64
--- /dev/null
+++ b/internal/dataplane/scheduling/tenants.go
@@ -0,0 +1,32 @@
+package scheduling
+
+import (
+	"petreltide/internal/api/configuration"
+	"petreltide/internal/api/fault"
+)
+
+// RouteLookup is what a request by route names: where it goes, and the key of a tenant, "" for none.
+type RouteLookup struct {
+	Host string
+	Path string
+	Key  string
+}
+
+// LookupRoute finds the route of a request and the name of the tenant in whose name it runs, "" for nobody's, or the
+// fault that refuses it. The key itself goes no further than this.
+func (s *Snapshot) LookupRoute(a RouteLookup) (route *configuration.Route, tenant string, bad *fault.Fault) {
+	if route = s.Declaration.Match(a.Host, a.Path); route == nil {
+		return nil, "", fault.New(fault.NotFound, "path", "no route")
+	}
+	return route, s.authenticate(a.Key), nil
+}
+
+// authenticate finds the tenant that holds a key; "" where nobody does.
+func (s *Snapshot) authenticate(key string) (tenant string) {
+	if key != "" {
+		if holder := s.Declaration.TenantOfKey(key); holder != nil {
+			return holder.Name
+		}
+	}
+	return ""
+}
