Answer 401 where no tenant holds the key of a request

Cause: nothing asked for a key. The newest declaration is asked again when it changes under a request that waits, and right before the first byte: a tenant that was removed meanwhile gets nothing sent, and 401 only if nothing may have run. A key that only moved or was revoked ends nothing under way: the bound is on requests sent after the change.

--- a/internal/api/configuration/tenants.go
+++ b/internal/api/configuration/tenants.go
@@ -73,6 +73,12 @@
 	return nil
 }
 
+// Allows says whether a route takes the requests of a tenant, "" for those of nobody that is known: where keys are
+// required, only a tenant's, except on public routes.
+func (d *Declaration) Allows(r *Route, tenant string) bool {
+	return !d.RequireKeys || r.Public || d.Tenant(tenant) != nil
+}
+
 func tenantPath(i int) string { return fmt.Sprintf("tenants[%d]", i) }
 
 // tenant checks the fields of one tenant where it is new, and that nobody before it has its name or one of its keys.
--- a/internal/api/fault/fault.go
+++ b/internal/api/fault/fault.go
@@ -31,6 +31,8 @@
 	KeyEnded        Code = "key_ended"
 	KeysFull        Code = "keys_full"
 	Draining        Code = "draining"
+	// Unauthenticated means: no tenant holds the key of a request that needs one.
+	Unauthenticated Code = "unauthenticated"
 
 	InvalidConfig          Code = "invalid_config"
 	StaleBase              Code = "stale_base"
--- a/internal/dataplane/scheduling/routed.go
+++ b/internal/dataplane/scheduling/routed.go
@@ -73,6 +73,9 @@
 		c.repeatable = false
 		return fault.UnknownKind
 	}
+	if !d.snapshot.Declaration.Allows(r, c.Routed.Tenant) {
+		return fault.Unauthenticated
+	}
 	c.Routed.Route = r
 	c.urgency = max(1, 9-r.Priority)
 	c.everNonRepeatable = c.everNonRepeatable || !r.Retryable()
@@ -173,14 +176,15 @@
 	d.requeue(c, on, e.Outcome)
 }
 
-// maySendRouted: the newest declaration still sends this route to that service, and the incarnation is known
-// and not leaving.
+// maySendRouted: the newest declaration still sends this route to that service and knows the call's tenant, and the
+// incarnation is known and not leaving. A key that was taken from its tenant since the call was taken ends nothing: only
+// calls that their clients send after the change are bound by it.
 func (s *Snapshot) maySendRouted(st AttemptStart, nowUs int64) bool {
 	if s == nil || s.Declaration == nil || nowUs >= st.DeadlineUs {
 		return false
 	}
 	route, r := s.Declaration.Route(st.Call.Kind), s.Replicas[st.Replica]
-	return route != nil && r != nil && r.Incarnation == st.Incarnation && !r.Draining && route.SendsTo(r.Service)
+	return route != nil && r != nil && r.Incarnation == st.Incarnation && !r.Draining && route.SendsTo(r.Service) && s.Declaration.Allows(route, st.Call.Routed.Tenant)
 }
 
 // reportRouted tells what this gateway has at replicas: what runs, and the tokens of prompts that no first
--- a/internal/dataplane/scheduling/tenants.go
+++ b/internal/dataplane/scheduling/tenants.go
@@ -18,15 +18,21 @@
 	if route = s.Declaration.Match(a.Host, a.Path); route == nil {
 		return nil, "", fault.New(fault.NotFound, "path", "no route")
 	}
-	return route, s.authenticate(a.Key), nil
+	if tenant, bad = s.authenticate(route, a.Key); bad != nil {
+		return nil, "", bad
+	}
+	return route, tenant, nil
 }
 
-// authenticate finds the tenant that holds a key; "" where nobody does.
-func (s *Snapshot) authenticate(key string) (tenant string) {
+// authenticate finds the tenant that holds a key. Nobody needs to on a public route, or where no tenants are declared.
+func (s *Snapshot) authenticate(route *configuration.Route, key string) (tenant string, bad *fault.Fault) {
 	if key != "" {
 		if holder := s.Declaration.TenantOfKey(key); holder != nil {
-			return holder.Name
+			return holder.Name, nil
 		}
 	}
-	return ""
+	if !s.Declaration.Allows(route, "") {
+		return "", fault.New(fault.Unauthenticated, "", "no tenant holds its key")
+	}
+	return "", nil
 }
--- a/internal/dataplane/scheduling/tenants_test.go
+++ b/internal/dataplane/scheduling/tenants_test.go
@@ -5,6 +5,7 @@
 
 	"petreltide/internal/api/configuration"
 	"petreltide/internal/api/fault"
+	"petreltide/internal/api/wire"
 )
 
 // tenanted is a declaration whose routes "own" and "open", which is public, go to service s, with tenants by their keys.
@@ -31,12 +32,16 @@
 	}{
 		{"its key", s, RouteLookup{"h", "/own/x", "k1"}, "own", "school", ""},
 		{"another's key", s, RouteLookup{"h", "/own/x", "k2"}, "own", "club", ""},
+		{"no key", s, RouteLookup{"h", "/own/x", ""}, "", "", fault.Unauthenticated},
+		{"an unknown key", s, RouteLookup{"h", "/own/x", "k3"}, "", "", fault.Unauthenticated},
+		{"a digest", s, RouteLookup{"h", "/own/x", configuration.KeyDigest("k1")}, "", "", fault.Unauthenticated},
 		{"public, its key", s, RouteLookup{"h", "/open/x", "k1"}, "open", "school", ""},
 		{"public, no key", s, RouteLookup{"h", "/open/x", ""}, "open", "", ""},
 		{"public, an unknown key", s, RouteLookup{"h", "/open/x", "k3"}, "open", "", ""},
 		{"no route, its key", s, RouteLookup{"h", "/none/x", "k1"}, "", "", fault.NotFound},
 		{"no route, no key", s, RouteLookup{"h", "/none/x", ""}, "", "", fault.NotFound},
 		{"no tenants are declared", keyless, RouteLookup{"h", "/own/x", "k1"}, "own", "", ""},
+		{"the last tenant is gone", stands(tenanted(nil), 1), RouteLookup{"h", "/own/x", "k1"}, "", "", fault.Unauthenticated},
 	} {
 		route, tenant, bad := c.in.LookupRoute(c.lookup)
 		name, code := "", fault.Code("")
@@ -51,3 +56,68 @@
 		}
 	}
 }
+
+// A tenant that was removed since its call was taken: what has not run is never sent, and is refused as not run.
+func TestACallOfATenantThatWasRemovedIsNotSent(t *testing.T) {
+	before, after := tenanted(map[string]string{"school": "k1"}), tenanted(map[string]string{"club": "k2"})
+	rows := at("s", "r1", "r2")
+	unreachable := append([]wire.ReplicaUpdate(nil), rows...)
+	for i := range unreachable {
+		unreachable[i].Unreachable = true
+	}
+	call := func(k *harness, route string) {
+		k.step(CallArrived{Call: &Call{ID: "c", Kind: route, Routed: &RoutedCall{Tenant: "school"}}})
+	}
+	refused := func(t *testing.T, k *harness, run string) {
+		t.Helper()
+		if f := failed(k.final["c"]); f == nil || f.Fault.Code != fault.Unauthenticated || f.Fault.Run != run {
+			t.Errorf("%+v", k.final["c"])
+		}
+	}
+	t.Run("while it waits", func(t *testing.T) {
+		k := newHarness(Options{}, stands(before, 1, unreachable...))
+		call(k, "own")
+		k.step(SnapshotReceived{Snapshot: stands(after, 1, rows...)})
+		refused(t, k, fault.RunNone)
+		if n := len(k.attempts["c"]); n > 0 {
+			t.Errorf("%d attempts", n)
+		}
+	})
+	t.Run("before it comes", func(t *testing.T) {
+		k := newHarness(Options{}, stands(after, 1, rows...))
+		call(k, "own")
+		refused(t, k, fault.RunNone)
+	})
+	t.Run("before its first byte", func(t *testing.T) {
+		k := newHarness(Options{}, stands(before, 1, rows...))
+		call(k, "own")
+		start := *k.attempts["c"][0]
+		if !start.MaySend(stands(before, 1, rows...), k.nowUs, 0) {
+			t.Error("it may not be sent while its tenant is known")
+		}
+		if start.MaySend(stands(after, 1, rows...), k.nowUs, 0) {
+			t.Error("it may be sent")
+		}
+		k.step(SnapshotReceived{Snapshot: stands(after, 1, rows...)})
+		k.end("c", OutcomeUnsent)
+		refused(t, k, fault.RunNone)
+	})
+	t.Run("after it may have run", func(t *testing.T) {
+		k := newHarness(Options{}, stands(before, 1, rows...))
+		call(k, "own")
+		k.step(SnapshotReceived{Snapshot: stands(after, 1, rows...)})
+		k.end("c", OutcomeUnknown)
+		refused(t, k, fault.RunUnknown)
+		if n := len(k.attempts["c"]); n != 1 {
+			t.Errorf("%d attempts", n)
+		}
+	})
+	t.Run("on a public route", func(t *testing.T) {
+		k := newHarness(Options{}, stands(before, 1, unreachable...))
+		call(k, "open")
+		k.step(SnapshotReceived{Snapshot: stands(after, 1, rows...)})
+		if n := len(k.attempts["c"]); n != 1 {
+			t.Errorf("%d attempts", n)
+		}
+	})
+}
