Answer gateways that ask to run requests of tenants with a limit

rpc.QuotaPath gives a gateway's asks to the ledger, by what the control node is at the moment of the step: the tail while its lease holds, or another voter from its own reserve where the gateway says that the tail does not answer. The ledger is told at every step, so that a new tail's books refill from its readiness on. Nothing is published for an ask. The status tells each tenant's limit, tokens left, what was granted and refused in the last window and the reserve used, and no key; an option of the ledger is the count of losses that the copies of an acknowledgement allow.

--- a/internal/controlplane/controlnode/core.go
+++ b/internal/controlplane/controlnode/core.go
@@ -1,12 +1,14 @@
 package controlnode
 
 import (
+	"petreltide/internal/api/configuration"
 	"petreltide/internal/api/fault"
 	"petreltide/internal/api/wire"
 	"petreltide/internal/controlplane/chain"
 	"petreltide/internal/controlplane/controller"
 	"petreltide/internal/controlplane/distribution"
 	"petreltide/internal/controlplane/peering"
+	"petreltide/internal/controlplane/quota"
 	"petreltide/internal/controlplane/statemachine"
 	"petreltide/internal/failuredetector"
 	"petreltide/internal/process/clock"
@@ -26,6 +28,9 @@
 	// soft is what is rebuilt after a restart: replicas by heartbeat, frames, verdicts.
 	soft    softState
 	effects []Effect
+	// quota counts the requests of tenants; quotaDoc is the declaration whose limits it has.
+	quota    *quota.Ledger
+	quotaDoc *configuration.Declaration
 
 	// suspectsReportedUs and memberDoneUs are when suspicions were last reported to the head, and when the end of a
 	// membership change was last submitted.
@@ -49,6 +54,8 @@
 type CoreOptions struct {
 	// UnreachableUs is after how long without a heartbeat, in microseconds, a replica is unreachable; 0 means 3 s.
 	UnreachableUs int64
+	// Quota bounds what tenants with a limit may run beyond it.
+	Quota quota.Options
 	// Controller adjusts the controller.
 	Controller controller.Options
 }
@@ -57,6 +64,7 @@
 func NewCore(node *chain.Node, opts CoreOptions) *Core {
 	return &Core{
 		Node: node, Updates: distribution.NewUpdatePublisher(), Controller: controller.New(node.Self().ID, opts.Controller), FailureDetector: failuredetector.NewMonitor(), soft: newSoftState(opts.UnreachableUs),
+		quota:   quota.NewLedger(opts.Quota, node.NowUs()),
 		startUs: node.NowUs(), startIndex: node.LastIndex(),
 	}
 }
@@ -65,6 +73,11 @@
 func (c *Core) Step(nowUs int64, event Event) []Effect {
 	c.effects = nil
 	c.detectPause(nowUs)
+	if asked, isQuota := event.(QuotaAsked); isQuota {
+		// It changes nothing that others are told of.
+		c.quotaAsked(nowUs, asked)
+		return c.effects
+	}
 	switch event := event.(type) {
 	case Tick:
 		c.tick(nowUs)
@@ -134,6 +147,7 @@
 	for _, a := range c.Updates.ReleasedResults(nowUs) {
 		c.respond(a.Origin, a.Result)
 	}
+	c.observeQuota(nowUs)
 	c.gossip(nowUs)
 	c.pushFrames(nowUs)
 }
--- a/internal/controlplane/controlnode/effect.go
+++ b/internal/controlplane/controlnode/effect.go
@@ -36,6 +36,12 @@
 	Lease wire.Lease
 }
 
+// ReplyQuota answers the QuotaAsked with the same number.
+type ReplyQuota struct {
+	Reply    uint64
+	Response wire.QuotaResponse
+}
+
 // AcknowledgeReplica answers what a replica said of itself, under the number of its event. OK acknowledges it; without,
 // the replica goes on to another control node, though what it said is known here.
 type AcknowledgeReplica struct {
@@ -61,6 +67,7 @@
 func (PushFrame) isEffect()          {}
 func (DeliverResult) isEffect()      {}
 func (ReplyLease) isEffect()         {}
+func (ReplyQuota) isEffect()         {}
 func (AcknowledgeReplica) isEffect() {}
 func (RunController) isEffect()      {}
 func (ChangeApplied) isEffect()      {}
--- a/internal/controlplane/controlnode/event.go
+++ b/internal/controlplane/controlnode/event.go
@@ -80,6 +80,12 @@
 // RoutedGatewayReport is a gateway's report in the routed world; nobody waits for an answer.
 type RoutedGatewayReport struct{ Report *wire.Report }
 
+// QuotaAsked is a gateway's wish to run requests of tenants with a limit, and the number under which the answer is awaited.
+type QuotaAsked struct {
+	Request *wire.QuotaRequest
+	Reply   uint64
+}
+
 func (Tick) isEvent()                  {}
 func (PeerMessage) isEvent()           {}
 func (Persisted) isEvent()             {}
@@ -97,3 +103,4 @@
 func (SubscribeFrames) isEvent()       {}
 func (UnsubscribeFrames) isEvent()     {}
 func (RoutedGatewayReport) isEvent()   {}
+func (QuotaAsked) isEvent()            {}
--- a/internal/controlplane/controlnode/forms_test.go
+++ b/internal/controlplane/controlnode/forms_test.go
@@ -33,6 +33,8 @@
 	"frame":             wire.Frame{},
 	"report":            wire.Report{},
 	"lease":             wire.Lease{},
+	"quota-ask":         wire.QuotaRequest{},
+	"quota-answer":      wire.QuotaResponse{},
 	"beat":              failuredetector.Heartbeat{},
 	"replica-state":     wire.ReplicaState{},
 	"order":             wire.Order{},
--- a/internal/controlplane/controlnode/handlers.go
+++ b/internal/controlplane/controlnode/handlers.go
@@ -53,6 +53,7 @@
 		}
 		return nil, fault.New(fault.NotServing, "", "stopping")
 	})
+	rpc.Serve(mux, rpc.QuotaPath, h.serveQuota)
 	rpc.Serve(mux, rpc.BeatPath, func(_ context.Context, b *failuredetector.Heartbeat) (*wire.Ack, error) {
 		h.post(PeerHeartbeat{Heartbeat: b})
 		return &wire.Ack{}, nil
@@ -75,6 +76,25 @@
 	return mux
 }
 
+// serveQuota answers a gateway that asks to run requests of tenants with a limit.
+func (h *Host) serveQuota(ctx context.Context, request *wire.QuotaRequest) (*wire.QuotaResponse, error) {
+	reply := make(chan wire.QuotaResponse, 1)
+	if !h.act.Do(ctx, func() {
+		h.lastWaiter++
+		h.quotas[h.lastWaiter] = reply
+		h.step(QuotaAsked{Request: request, Reply: h.lastWaiter})
+	}) {
+		return nil, fault.New(fault.NotServing, "", "stopping")
+	}
+	select {
+	case response := <-reply:
+		return &response, nil
+	case <-ctx.Done():
+	case <-h.act.Ctx.Done():
+	}
+	return nil, fault.New(fault.NotServing, "", "stopping")
+}
+
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/internal/controlplane/controlnode/host.go
+++ b/internal/controlplane/controlnode/host.go
@@ -85,9 +85,10 @@
 	transfers map[string]*stateTransfer
 	// waiters are the callers that wait for the outcome of a change, by its ID.
 	waiters map[string][]chan wire.Result
-	// leases and acknowledgements are the callers that wait for the answer to a gateway's report or to a replica's
-	// heartbeat, by a number of which lastWaiter was the last given.
+	// leases, quotas and acknowledgements are the callers that wait for the answer to a gateway's report, to its wish to run
+	// requests of tenants or to a replica's heartbeat, by a number of which lastWaiter was the last given.
 	leases           map[uint64]chan wire.Lease
+	quotas           map[uint64]chan wire.QuotaResponse
 	acknowledgements map[uint64]chan bool
 	lastWaiter       uint64
 	// updateStreams are the streams of updates with leases, by gateway; frameStreams those of frames.
@@ -191,6 +192,11 @@
 				reply <- effect.Lease
 				delete(h.leases, effect.Reply)
 			}
+		case ReplyQuota:
+			if reply := h.quotas[effect.Reply]; reply != nil {
+				reply <- effect.Response
+				delete(h.quotas, effect.Reply)
+			}
 		case AcknowledgeReplica:
 			if reply := h.acknowledgements[effect.Reply]; reply != nil {
 				reply <- effect.OK
--- a/internal/controlplane/controlnode/open.go
+++ b/internal/controlplane/controlnode/open.go
@@ -14,6 +14,7 @@
 	"petreltide/internal/controlplane/chain"
 	"petreltide/internal/controlplane/controller"
 	"petreltide/internal/controlplane/peering"
+	"petreltide/internal/controlplane/quota"
 	"petreltide/internal/controlplane/storage"
 	"petreltide/internal/process/actor"
 	"petreltide/internal/process/clock"
@@ -83,6 +84,7 @@
 	}
 	core := NewCore(node, CoreOptions{
 		UnreachableUs: set.HeartbeatMs * 5 / 2 * clock.Ms,
+		Quota:         quotaOptions(set),
 		Controller: controller.Options{
 			LeaseUs: set.LeaseMs * clock.Ms, StoreWindowUs: set.StoreWindowMs * clock.Ms, StoreOvershoot: set.StoreOvershoot,
 			Outlier: set.Outlier.OptionsWithout(set.Disable), Disable: set.Disable,
@@ -92,7 +94,7 @@
 		settings: set, core: core, disk: opened.Store, ring: ring, log: logger,
 		replicaClient: rpc.Client(500, set.Listen), peerClient: rpc.NodeClient(peerDialTimeoutMs, set.Listen),
 		act: actor.New(mailboxCapacity), saveQueue: newSaveQueue(), retryTimer: func() <-chan time.Time { return time.After(diskRetryInterval) },
-		outboxes: map[string]chan peering.Message{}, transfers: map[string]*stateTransfer{}, waiters: map[string][]chan wire.Result{}, leases: map[uint64]chan wire.Lease{}, acknowledgements: map[uint64]chan bool{},
+		outboxes: map[string]chan peering.Message{}, transfers: map[string]*stateTransfer{}, waiters: map[string][]chan wire.Result{}, leases: map[uint64]chan wire.Lease{}, quotas: map[uint64]chan wire.QuotaResponse{}, acknowledgements: map[uint64]chan bool{},
 		updateStreams: map[string]*updateStream{}, rebuilding: opened.Created && founding == 0 && len(set.Founders) == 0, fatal: make(chan error, 1),
 		frameStreams: map[string]*frameStream{},
 	}
@@ -101,6 +103,14 @@
 	return h, nil
 }
 
+// quotaOptions are the bounds on tenants. As many control nodes may be lost as an acknowledgement's copies allow.
+func quotaOptions(set settings.ControlNode) quota.Options {
+	return quota.Options{
+		WindowUs: set.Quota.WindowMs * clock.Ms, Overshoot: set.Quota.Overshoot, Slack: set.Quota.Slack,
+		ToleratedLosses: max(0, set.MinReplicas-1),
+	}
+}
+
 // SelfPaced gives a chain whose control nodes take in and drop each other the times that they keep to.
 func SelfPaced(options chain.Options) chain.Options {
 	options.HelloIntervalUs, options.HeartbeatIntervalUs, options.SuspectTimeoutUs = selfHeartbeatUs, selfHeartbeatUs, selfSuspectUs
--- /dev/null
+++ b/internal/controlplane/controlnode/quota.go
@@ -0,0 +1,64 @@
+package controlnode
+
+import (
+	"petreltide/internal/api/configuration"
+	"petreltide/internal/api/wire"
+	"petreltide/internal/controlplane/chain"
+	"petreltide/internal/controlplane/quota"
+)
+
+// observeQuota tells the ledger what this control node is now, and the limits where another declaration is in force. A
+// declaration is replaced as a whole and never changed in place, so its address tells.
+func (c *Core) observeQuota(nowUs int64) {
+	if doc := c.Node.State().Doc; doc != c.quotaDoc {
+		c.quotaDoc = doc
+		c.quota.SetLimits(nowUs, limitsOf(doc))
+	}
+	view := c.Node.View()
+	c.quota.Observe(nowUs, quota.Role{
+		Counting: c.Node.TailReady(nowUs), View: view.Number, Voters: len(view.Voters),
+		Voter: view.Number > 0 && c.Node.Phase() != chain.PhaseFenced && view.IsVoter(c.Node.Self().ID),
+	})
+}
+
+// limitsOf are the limits of a declaration's tenants; none where there is no declaration.
+func limitsOf(doc *configuration.Declaration) []quota.Limit {
+	limits := []quota.Limit{}
+	if doc == nil {
+		return limits
+	}
+	for i := range doc.Tenants {
+		t := &doc.Tenants[i]
+		limits = append(limits, quota.Limit{Tenant: t.Name, RatePerSecond: t.RatePerSecond, Burst: t.Burst})
+	}
+	return limits
+}
+
+// quotaAsked answers a gateway by what this control node is at this moment.
+func (c *Core) quotaAsked(nowUs int64, asked QuotaAsked) {
+	c.observeQuota(nowUs)
+	asks := make([]quota.Ask, 0, len(asked.Request.Asks))
+	for _, ask := range asked.Request.Asks {
+		asks = append(asks, quota.Ask{Tenant: ask.Tenant, Count: ask.Count})
+	}
+	response := wire.QuotaResponse{View: c.Node.View(), Counting: c.Node.TailReady(nowUs), Grants: make([]wire.QuotaGrant, 0, len(asks))}
+	for _, g := range c.quota.Take(nowUs, asked.Request.TailUnreachable, asks) {
+		response.Grants = append(response.Grants, wire.QuotaGrant{Tenant: g.Tenant, Granted: g.Granted, RetryMs: g.RetryMs, Unlimited: g.Unlimited})
+	}
+	c.effects = append(c.effects, ReplyQuota{Reply: asked.Reply, Response: response})
+}
+
+// QuotaStatus is what a control node counts of tenants. Only the one that counts knows the tokens of all gateways.
+type QuotaStatus struct {
+	Counting bool                 `json:"counting"`
+	Tenants  []quota.TenantStatus `json:"tenants"`
+}
+
+// quotaStatus is nil where no tenant is declared.
+func (c *Core) quotaStatus(nowUs int64) *QuotaStatus {
+	tenants := c.quota.Status(nowUs)
+	if len(tenants) == 0 {
+		return nil
+	}
+	return &QuotaStatus{Counting: c.Node.TailReady(nowUs), Tenants: tenants}
+}
--- a/internal/controlplane/controlnode/status.go
+++ b/internal/controlplane/controlnode/status.go
@@ -55,6 +55,8 @@
 	Fleet            *Fleet                         `json:"fleet,omitempty"`
 	// Outliers are the replicas that gateways are kept from, wholly or in part.
 	Outliers []outlier.Verdict `json:"outliers,omitempty"`
+	// Quota is nil where no tenant is declared.
+	Quota *QuotaStatus `json:"quota,omitempty"`
 }
 
 // Status is this control node's own view of now.
@@ -66,7 +68,7 @@
 		Revision: s.Revision, Peers: c.Node.Peers(), Gateways: c.Updates.Gateways(nowUs), Demand: c.Controller.Gateways(nowUs),
 		Counts: c.Controller.Counts(), Policy: c.Controller.PolicyStatus(), Shadows: c.Controller.ShadowStatuses(),
 		Faults: copyOf(c.Controller.Faults), Refused: copyOf(s.RefusalCounts), Keys: len(s.Keys), Member: s.Membership, MemberWaitingFor: c.Node.MemberChangeWaitReason(), Grants: len(s.Grants), Loads: s.TotalLoads, LoadedMb: s.TotalLoadedMB,
-		Pending: []statemachine.ReplicaCommand{}, Replicas: []statemachine.Replica{}, Fleet: c.fleetStatus(nowUs), Outliers: c.soft.Outliers.Rows,
+		Pending: []statemachine.ReplicaCommand{}, Replicas: []statemachine.Replica{}, Fleet: c.fleetStatus(nowUs), Outliers: c.soft.Outliers.Rows, Quota: c.quotaStatus(nowUs),
 	}
 	if s.Doc != nil {
 		st.EmptiedZones = s.Doc.DrainedZones
--- a/internal/controlplane/quota/ledger.go
+++ b/internal/controlplane/quota/ledger.go
@@ -37,6 +37,8 @@
 	Tenant  string
 	Granted int
 	RetryMs int64
+	// Unlimited says that the tenant is declared without a limit.
+	Unlimited bool
 }
 
 // Ledger holds a control node's books. It is not safe for concurrent use; times are those of its process's clock.
@@ -141,7 +143,7 @@
 	}
 	if b.limit.isNone() {
 		b.granted.add(l.nowUs, l.slotUs, count)
-		return Grant{Tenant: ask.Tenant, Granted: int(count)}
+		return Grant{Tenant: ask.Tenant, Granted: int(count), Unlimited: true}
 	}
 	granted := int64(0)
 	if l.role.Counting {
--- a/internal/controlplane/quota/ledger_test.go
+++ b/internal/controlplane/quota/ledger_test.go
@@ -87,15 +87,15 @@
 		asks            []Ask
 		want            []Grant
 	}{
-		{"the tail's young books hold the reserve alone", 0, tail(3), false, []Ask{{"t", 10}}, []Grant{{"t", 6, 10}}},
-		{"a young process has none", nowUs - clock.Sec, tail(3), false, []Ask{{"t", 10}}, []Grant{{"t", 0, 10}}},
-		{"another member sends it on", 0, member(3), false, []Ask{{"t", 10}}, []Grant{{"t", 0, minRetryMs}}},
-		{"another member grants its reserve where the tail is cut off", 0, member(3), true, []Ask{{"t", 4}, {"t", 10}}, []Grant{{"t", 4, 0}, {"t", 2, 5100}}},
-		{"nothing in the first window of a process", nowUs - 2*clock.Sec, member(3), true, []Ask{{"t", 10}}, []Grant{{"t", 0, 3000}}},
-		{"nothing from one without a vote", 0, Role{View: 3, Voters: 5}, true, []Ask{{"t", 10}}, []Grant{{"t", 0, 5000}}},
-		{"nothing for a tenant that is not declared", 0, tail(3), false, []Ask{{"u", 1}}, []Grant{{"u", 0, 5000}}},
-		{"all for one without a limit", 0, member(3), true, []Ask{{"free", 1000}}, []Grant{{"free", 1000, 0}}},
-		{"nothing below nothing", 0, member(3), true, []Ask{{"t", -3}, {"free", -3}}, []Grant{{"t", 0, 0}, {"free", 0, 0}}},
+		{"the tail's young books hold the reserve alone", 0, tail(3), false, []Ask{{"t", 10}}, []Grant{{"t", 6, 10, false}}},
+		{"a young process has none", nowUs - clock.Sec, tail(3), false, []Ask{{"t", 10}}, []Grant{{"t", 0, 10, false}}},
+		{"another member sends it on", 0, member(3), false, []Ask{{"t", 10}}, []Grant{{"t", 0, minRetryMs, false}}},
+		{"another member grants its reserve where the tail is cut off", 0, member(3), true, []Ask{{"t", 4}, {"t", 10}}, []Grant{{"t", 4, 0, false}, {"t", 2, 5100, false}}},
+		{"nothing in the first window of a process", nowUs - 2*clock.Sec, member(3), true, []Ask{{"t", 10}}, []Grant{{"t", 0, 3000, false}}},
+		{"nothing from one without a vote", 0, Role{View: 3, Voters: 5}, true, []Ask{{"t", 10}}, []Grant{{"t", 0, 5000, false}}},
+		{"nothing for a tenant that is not declared", 0, tail(3), false, []Ask{{"u", 1}}, []Grant{{"u", 0, 5000, false}}},
+		{"all for one without a limit", 0, member(3), true, []Ask{{"free", 1000}}, []Grant{{"free", 1000, 0, true}}},
+		{"nothing below nothing", 0, member(3), true, []Ask{{"t", -3}, {"free", -3}}, []Grant{{"t", 0, 0, false}, {"free", 0, 0, true}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			l := NewLedger(testOptions(), c.startedUs)
--- a/tests/golden/forms_test.go
+++ b/tests/golden/forms_test.go
@@ -11,6 +11,7 @@
 	"petreltide/internal/controlplane/distribution"
 	"petreltide/internal/controlplane/peering"
 	"petreltide/internal/controlplane/placement"
+	"petreltide/internal/controlplane/quota"
 	"petreltide/internal/controlplane/registry"
 	"petreltide/internal/controlplane/scaler"
 	"petreltide/internal/controlplane/statemachine"
@@ -73,6 +74,7 @@
 	{"controlnode/config-now", controlnode.CurrentConfig{}},
 	{"controlnode/fleet", controlnode.Fleet{}},
 	{"controlnode/newest", controlnode.Newest{}},
+	{"controlnode/quota-note", controlnode.QuotaStatus{}},
 	{"controlnode/replica-note", controlnode.ReplicaStatus{}},
 	{"controlnode/service-note", controlnode.ServiceStatus{}},
 	{"controlnode/status", controlnode.Status{}},
@@ -90,6 +92,7 @@
 	{"placement/bucket", placement.Bucket{}},
 	{"placement/proposal", placement.Proposal{}},
 	{"placement/verdict", placement.Verdict{}},
+	{"quota/tenant-note", quota.TenantStatus{}},
 	{"registry/note", registry.GossipEntry{}},
 	{"registry/row", registry.ReplicaStatus{}},
 	{"scaler/count", scaler.Count{}},
@@ -141,6 +144,10 @@
 	{"wire/order-state", wire.OrderState{}},
 	{"wire/orders", wire.PendingOrders{}},
 	{"wire/piece", wire.Chunk{}},
+	{"wire/quota-ask", wire.QuotaAsk{}},
+	{"wire/quota-grant", wire.QuotaGrant{}},
+	{"wire/quota-request", wire.QuotaRequest{}},
+	{"wire/quota-response", wire.QuotaResponse{}},
 	{"wire/receipt", wire.Ack{}},
 	{"wire/replica-news", wire.ReplicaUpdate{}},
 	{"wire/replica-row", wire.ReplicaRow{}},
