Tell how far a declaration has come: revision of each gateway, and how long the last one took

Only the first declaration of a gateway was logged, and its reports carry the revision, which nobody showed. Change: the leader follows the revision in the gateways' reports: status.rollout (age, time until the last live gateway, who is behind), the revision of each gateway in status.demand, and two log lines, done and late after 2 s. A gateway logs each declaration that it receives.

--- a/cmd/petreltide/print.go
+++ b/cmd/petreltide/print.go
@@ -52,6 +52,7 @@
 		printLeadership(w, st.Fleet.Leadership)
 	}
 	fmt.Fprintf(w, "revision  %d, commit %d of %d\n", st.Revision, st.Commit, st.Last)
+	printRollout(w, st.Rollout)
 	if len(st.EmptiedZones) > 0 {
 		fmt.Fprintf(w, "emptied   %s\n", strings.Join(st.EmptiedZones, ", "))
 	}
--- a/cmd/petreltide/status.go
+++ b/cmd/petreltide/status.go
@@ -37,6 +37,18 @@
 	}
 }
 
+func printRollout(w io.Writer, r *controller.RolloutStatus) {
+	switch {
+	case r == nil:
+	case len(r.Behind) > 0:
+		fmt.Fprintf(w, "rollout   revision %d for %d ms; %d gateways are behind: %s\n", r.Revision, r.AgeMs, len(r.Behind), strings.Join(r.Behind, ", "))
+	case r.TookMs < 0:
+		fmt.Fprintf(w, "rollout   revision %d for %d ms; no gateway has reported\n", r.Revision, r.AgeMs)
+	default:
+		fmt.Fprintf(w, "rollout   revision %d for %d ms; all gateways had it after %d ms\n", r.Revision, r.AgeMs, r.TookMs)
+	}
+}
+
 func printFleet(w io.Writer, st controlnode.Status) {
 	f := st.Fleet
 	fmt.Fprintf(w, "version   %d: %d routes, %d services\n", f.Version, len(f.Routes), len(f.Services))
@@ -72,7 +84,7 @@
 	}
 	if len(st.Gateways) == 0 {
 		for _, d := range st.Demand {
-			fmt.Fprintf(w, "gateway   %s zone %s at %s, reported %d ms ago\n", d.Gateway, d.Zone, d.Addr, d.AgoMs)
+			fmt.Fprintf(w, "gateway   %s zone %s at %s, reported %d ms ago, revision %d\n", d.Gateway, d.Zone, d.Addr, d.AgoMs, d.Revision)
 		}
 	}
 	fmt.Fprintf(w, "gateways  %d live: %s\n", len(f.Gateways), strings.Join(f.Gateways, ", "))
--- a/cmd/petreltide/status_test.go
+++ b/cmd/petreltide/status_test.go
@@ -76,7 +76,8 @@
 	load := statemachine.ReplicaCommand{Number: 12, Replica: "i-2", Incarnation: "i-2", Action: statemachine.Load, Unit: "m2", SizeMB: 20}
 	return controlnode.Status{
 		LeaseHolder: "core-1-ab", Epoch: 41, Pending: []statemachine.ReplicaCommand{load}, Replicas: []statemachine.Replica{},
-		Demand: []controller.GatewayStatus{{Gateway: "front-1", Zone: "a", Addr: gatewayAddr}, {Gateway: "front-2", Zone: "b", Addr: "127.0.0.1:1"}},
+		Demand:  []controller.GatewayStatus{{Gateway: "front-1", Zone: "a", Addr: gatewayAddr, Revision: 9}, {Gateway: "front-2", Zone: "b", Addr: "127.0.0.1:1", Revision: 8}},
+		Rollout: &controller.RolloutStatus{Revision: 9, AgeMs: 2400, TookMs: -1, Behind: []string{"front-2"}},
 		Fleet: &controlnode.Fleet{
 			Version: 9, Gateways: []string{"front-1", "front-2"},
 			Routes: []configuration.Route{{Name: "letters", Host: "h.example", Prefix: "/l/", RetryClass: configuration.Streaming, Resumable: true, TimeoutMs: 5000, Priority: 1, MaxAttempts: 2,
@@ -113,6 +114,8 @@
 		"route     letters h.example/l/ → scribe 90 + quill 10: streaming, resumable, 5000 ms, priority 1, 2 attempts",
 		"service   scribe: 2 replicas, 2 models, 370 connections each",
 		"gateways  2 live: front-1, front-2",
+		"gateway   front-2 zone b at 127.0.0.1:1, reported 0 ms ago, revision 8",
+		"rollout   revision 9 for 2400 ms; 1 gateways are behind: front-2",
 		"replica   i-1 scribe zone a draining, 850 ms left, decode, last heartbeat 20 ms ago: 2 held, 61 of 100 MB",
 		"replica   i-2 scribe zone b dark, last heartbeat 4000 ms ago: 1 held, 80 of 100 MB; command 12: load m2",
 		"replica   i-3 quill zone b unheard",
--- a/internal/controlplane/controller/controller.go
+++ b/internal/controlplane/controller/controller.go
@@ -25,6 +25,7 @@
 	replicas   replicaTracker
 	gateways   gatewayMembership
 	policies   policyRuns
+	rollout    rollout
 	outliers   outlierVerdicts
 	declared   declaredState
 	routed     routedState
@@ -80,6 +81,9 @@
 	case GatewayReport:
 		c.gateways.onReport(snapshot.NowUs, event.Report)
 		c.mode(snapshot).onGatewayReport(snapshot, event.Report)
+		if c.mayAct(snapshot) {
+			c.followRollout(snapshot)
+		}
 	case WatcherReport:
 		c.gateways.suspicions.Report(snapshot.NowUs, event.Report)
 	case PlatformListing:
@@ -118,6 +122,7 @@
 		c.declared.budget.bucket.Reset()
 	}
 	if snapshot.IsFresh {
+		c.followRollout(snapshot)
 		c.mode(snapshot).tick(snapshot)
 	}
 }
--- a/internal/controlplane/controller/effect.go
+++ b/internal/controlplane/controller/effect.go
@@ -50,9 +50,22 @@
 	Table outlier.Table
 }
 
+// RolloutProgress tells, of the declaration in force, that all live gateways work by it, or which ones are late.
+type RolloutProgress struct {
+	Revision uint64
+	// Done: all live gateways work by it.
+	Done bool
+	// AfterUs is the time since this controller first saw the declaration in force, in microseconds.
+	AfterUs int64
+	// Gateways is the number of live gateways, and Behind are those that reported an older revision last.
+	Gateways int
+	Behind   []string
+}
+
 func (PollPlatform) isEffect()    {}
 func (ReportRequest) isEffect()   {}
 func (SendOrder) isEffect()       {}
 func (WriteChange) isEffect()     {}
 func (PolicyRun) isEffect()       {}
 func (PublishVerdicts) isEffect() {}
+func (RolloutProgress) isEffect() {}
--- a/internal/controlplane/controller/status.go
+++ b/internal/controlplane/controller/status.go
@@ -9,11 +9,13 @@
 
 // GatewayStatus is what is shown of a gateway: when it last reported, and what is called for and waits there.
 type GatewayStatus struct {
-	Silent   bool               `json:"silent,omitempty"`
-	Gateway  string             `json:"desk"`
-	Zone     string             `json:"zone"`
-	Addr     string             `json:"addr"`
-	AgoMs    int64              `json:"agoMs"`
+	Silent  bool   `json:"silent,omitempty"`
+	Gateway string `json:"desk"`
+	Zone    string `json:"zone"`
+	Addr    string `json:"addr"`
+	AgoMs   int64  `json:"agoMs"`
+	// Revision is that of the declaration that it worked by at its last report.
+	Revision uint64             `json:"revision,omitempty"`
 	Arrivals map[string]float64 `json:"arrivals,omitempty"`
 	Waiting  map[string]int     `json:"waiting,omitempty"`
 }
@@ -23,7 +25,10 @@
 	statuses := []GatewayStatus{}
 	for _, id := range sortedKeys(c.gateways.byID) {
 		gateway := c.gateways.byID[id]
-		statuses = append(statuses, GatewayStatus{c.gateways.isSilent(nowUs, id), id, gateway.report.Zone, gateway.report.Addr, (nowUs - gateway.reportedUs) / 1000, gateway.report.Arrivals, gateway.report.Queued})
+		statuses = append(statuses, GatewayStatus{
+			Silent: c.gateways.isSilent(nowUs, id), Gateway: id, Zone: gateway.report.Zone, Addr: gateway.report.Addr, AgoMs: (nowUs - gateway.reportedUs) / 1000,
+			Revision: gateway.report.Revision, Arrivals: gateway.report.Arrivals, Waiting: gateway.report.Queued,
+		})
 	}
 	return statuses
 }
--- a/internal/controlplane/controlnode/core.go
+++ b/internal/controlplane/controlnode/core.go
@@ -255,6 +255,8 @@
 			c.chain(nowUs, chain.ChangeSubmitted{Change: effect.Change})
 		case controller.PublishVerdicts:
 			c.outliersJudged(effect.Table)
+		case controller.RolloutProgress:
+			c.effects = append(c.effects, rolloutMessage(effect))
 		default:
 			c.effects = append(c.effects, RunController{Effect: effect})
 		}
--- a/internal/controlplane/controlnode/status.go
+++ b/internal/controlplane/controlnode/status.go
@@ -1,7 +1,9 @@
 package controlnode
 
 import (
+	"fmt"
 	"sort"
+	"strings"
 
 	"petreltide/internal/api/fault"
 	"petreltide/internal/controlplane/chain"
@@ -9,6 +11,7 @@
 	"petreltide/internal/controlplane/distribution"
 	"petreltide/internal/controlplane/statemachine"
 	"petreltide/internal/outlier"
+	"petreltide/internal/process/clock"
 )
 
 func viewText(v chain.View) string {
@@ -22,6 +25,15 @@
 	return text
 }
 
+// rolloutMessage is a log line on the way of a declaration to the gateways.
+func rolloutMessage(p controller.RolloutProgress) LogMessage {
+	detail := fmt.Sprintf("revision %d after %d ms, %d live gateways", p.Revision, p.AfterUs/clock.Ms, p.Gateways)
+	if p.Done {
+		return LogMessage{Message: "configuration at all gateways", Detail: detail}
+	}
+	return LogMessage{Message: "configuration late at gateways", Detail: detail + ", behind: " + strings.Join(p.Behind, " ")}
+}
+
 // Status is what a control node knows of itself, the chain and the fleet. It is this control node's own view, and may be old.
 type Status struct {
 	ControlNode      chain.Member                   `json:"office"`
@@ -39,6 +51,7 @@
 	Peers            []chain.PeerStatus             `json:"partners"`
 	Gateways         []distribution.GatewayStatus   `json:"desks,omitempty"`
 	Demand           []controller.GatewayStatus     `json:"demand,omitempty"`
+	Rollout          *controller.RolloutStatus      `json:"rollout,omitempty"`
 	Replicas         []statemachine.Replica         `json:"replicas"`
 	Pending          []statemachine.ReplicaCommand  `json:"pending"`
 	Counts           any                            `json:"counts,omitempty"`
@@ -63,7 +76,7 @@
 	st := Status{
 		ControlNode: c.Node.Self(), Phase: c.Node.Phase(), View: c.Node.View(), Open: c.Node.TailReady(nowUs), WaitingFor: c.Node.WaitReason(),
 		Commit: c.Node.CommitIndex(), Last: c.Node.LastIndex(), Epoch: s.Epoch, LeaseHolder: s.Leader, IsLeader: c.Controller.IsLeader(s),
-		Revision: s.Revision, Peers: c.Node.Peers(), Gateways: c.Updates.Gateways(nowUs), Demand: c.Controller.Gateways(nowUs),
+		Revision: s.Revision, Peers: c.Node.Peers(), Gateways: c.Updates.Gateways(nowUs), Demand: c.Controller.Gateways(nowUs), Rollout: c.Controller.Rollout(nowUs),
 		Counts: c.Controller.Counts(), Policy: c.Controller.PolicyStatus(), Shadows: c.Controller.ShadowStatuses(),
 		Faults: copyOf(c.Controller.Faults), Refused: copyOf(s.RefusalCounts), Keys: len(s.Keys), Member: s.Membership, MemberWaitingFor: c.Node.MemberChangeWaitReason(), Grants: len(s.Grants), Loads: s.TotalLoads, LoadedMb: s.TotalLoadedMB,
 		Pending: []statemachine.ReplicaCommand{}, Replicas: []statemachine.Replica{}, Fleet: c.fleetStatus(nowUs), Outliers: c.soft.Outliers.Rows,
--- a/internal/dataplane/gateway/informer.go
+++ b/internal/dataplane/gateway/informer.go
@@ -93,10 +93,13 @@
 			h.act.Spawn(func() { h.sendReport(addr, report) })
 		case e.Snapshot != nil:
 			first := e.Snapshot.Declaration != nil && (h.snapshot.Load() == nil || h.snapshot.Load().Declaration == nil)
+			newer := e.Snapshot.Declaration != nil && (first || h.snapshot.Load().Revision != e.Snapshot.Revision)
 			h.snapshot.Store(e.Snapshot)
 			h.step(scheduling.SnapshotReceived{Snapshot: e.Snapshot})
 			if first {
 				close(h.declared)
+			}
+			if newer {
 				_ = h.info.Log("msg", "declaration received", "revision", e.Snapshot.Revision, "replicas", len(e.Snapshot.Replicas))
 			}
 		}
--- a/tests/golden/forms_test.go
+++ b/tests/golden/forms_test.go
@@ -68,6 +68,7 @@
 	{"controller/order-note", controller.OrderStatus{}},
 	{"controller/parted", controller.ShadowDifference{}},
 	{"controller/policy-note", controller.PolicyStatus{}},
+	{"controller/rollout", controller.RolloutStatus{}},
 	{"controller/store-note", controller.StoreStatus{}},
 	{"controlnode/applied", controlnode.Applied{}},
 	{"controlnode/config-now", controlnode.CurrentConfig{}},
