--- a/internal/api/fault/fault.go
+++ b/internal/api/fault/fault.go
@@ -31,6 +31,9 @@
 	KeyEnded        Code = "key_ended"
 	KeysFull        Code = "keys_full"
 	Draining        Code = "draining"
+	// QuotaExceeded is beyond the limit of its tenant; QuotaUnanswered may be below it, but nobody could say so.
+	QuotaExceeded   Code = "quota_exceeded"
+	QuotaUnanswered Code = "quota_unanswered"
 
 	InvalidConfig          Code = "invalid_config"
 	StaleBase              Code = "stale_base"
--- a/tests/golden/words_test.go
+++ b/tests/golden/words_test.go
@@ -37,6 +37,8 @@
 	{"key_ended", fault.KeyEnded},
 	{"keys_full", fault.KeysFull},
 	{"draining", fault.Draining},
+	{"quota_exceeded", fault.QuotaExceeded},
+	{"quota_unanswered", fault.QuotaUnanswered},
 	{"invalid_config", fault.InvalidConfig},
 	{"stale_base", fault.StaleBase},
 	{"committed_not_everywhere", fault.CommittedNotEverywhere},
