--- a/tests/rules/routed.go
+++ b/tests/rules/routed.go
@@ -49,6 +49,9 @@
 	Budget, Order, Recover, One, Limit, LoadRate, Acks, Starved, Sizes, ReadOld, RefusedAs, LeaveLost, ConfigHistory, Removal, Known, Seeds,
 }
 
+// OfTenants are the rules that only days with tenants put to the test.
+var OfTenants = []string{Quota}
+
 // Bounds are the figures of the platform's settings file.
 type Bounds struct {
 	ContactUs     int64
@@ -68,6 +71,10 @@
 	LoadWindowUs  int64
 	LoadOvershoot float64
 	LoadsPerS     float64
+	// A tenant may run (rate x window + burst) x (1 + QuotaOvershoot) + QuotaSlack in each window.
+	QuotaWindowUs  int64
+	QuotaOvershoot float64
+	QuotaSlack     float64
 }
 
 // SmallBounds are the figures of the small sites, with the further tries of a smaller fleet.
@@ -77,6 +84,7 @@
 		ContactUs: 3 * second, AcknowledgeUs: 4 * second, DrainUs: 2 * second, GraceUs: 8 * second, LossSlackUs: second / 5, ConfigApplyUs: 2 * second,
 		DowngradeUs: second / 4, OuterUs: 5 * second, BudgetUs: 10 * second, BudgetRatio: 0.2, BudgetSlack: 30, RecoveryUs: 12 * second,
 		LeaseUs: 3 * second, ThawUs: 3 * second / 10, LoadWindowUs: 5 * second, LoadOvershoot: 1.1, LoadsPerS: loadsPerS,
+		QuotaWindowUs: 5 * second, QuotaOvershoot: 0.1, QuotaSlack: 20,
 	}
 }
 
@@ -226,6 +234,9 @@
 	Known   int
 	Unknown []string
 	Starts  []Start
+	// Tenants are those whose requests carried a tenant's key, by their IDs, and Limits what each version lets its tenants run.
+	Tenants map[string]string
+	Limits  map[*Version]map[string]TenantLimit
 }
 
 type judge struct {
@@ -281,6 +292,7 @@
 	j.gone()
 	j.known()
 	j.starts()
+	j.quota()
 	return j.breaches, j.stakes
 }
 
