--- a/internal/api/fault/fault.go
+++ b/internal/api/fault/fault.go
@@ -33,6 +33,8 @@
 	Draining        Code = "draining"
 	// Unauthenticated means: no tenant holds the key of a request that needs one.
 	Unauthenticated Code = "unauthenticated"
+	// QuotaExceeded means: the tenant's requests have reached its limit over all gateways.
+	QuotaExceeded Code = "quota_exceeded"
 
 	InvalidConfig          Code = "invalid_config"
 	StaleBase              Code = "stale_base"
