--- a/internal/api/fault/fault.go
+++ b/internal/api/fault/fault.go
@@ -31,8 +31,11 @@
 	KeyEnded        Code = "key_ended"
 	KeysFull        Code = "keys_full"
 	Draining        Code = "draining"
-	// QuotaExceeded is beyond the limit of its tenant; QuotaUnanswered may be below it, but nobody could say so.
-	QuotaExceeded   Code = "quota_exceeded"
+	// Unauthenticated means: no tenant holds the key of a request that needs one.
+	Unauthenticated Code = "unauthenticated"
+	// QuotaExceeded means: the tenant's requests have reached its limit over all gateways.
+	QuotaExceeded Code = "quota_exceeded"
+	// QuotaUnanswered means: nobody could say in time whether they have.
 	QuotaUnanswered Code = "quota_unanswered"
 
 	InvalidConfig          Code = "invalid_config"
