Ask a control node before a request of a limited tenant is queued

What callers saw: a tenant ran more than its limit (QUOTA), as every gateway took whatever came. Cause: nothing counted a tenant's requests over all gateways. Calls without a limit look at one field more. Status counts decisions by tenant and tells no key; `petreltide status` prints them.

--- a/cmd/petreltide/status.go
+++ b/cmd/petreltide/status.go
@@ -150,6 +150,11 @@
 	for _, b := range st.Work.Budgets {
 		fmt.Fprintf(w, "tries     %s at %s: %d of %d further ones sent for %d calls, a share among %d gateways\n", b.Service, st.Gateway, b.Retries, b.MaxRetries, b.Calls, b.Gateways)
 	}
+	if st.Quota != nil {
+		for _, t := range st.Quota.Tenants {
+			fmt.Fprintf(w, "tenant    %s at %s: %d admitted, %d over its limit, %d without an answer\n", t.Tenant, st.Gateway, t.Admitted, t.OverLimit, t.Unanswered)
+		}
+	}
 	for _, replica := range slices.Sorted(maps.Keys(st.Connections)) {
 		if c := st.Connections[replica]; c.Open >= c.Max {
 			fmt.Fprintf(w, "full      %s has all its %d connections to %s open\n", st.Gateway, c.Max, replica)
--- a/cmd/petreltide/status_test.go
+++ b/cmd/petreltide/status_test.go
@@ -20,6 +20,7 @@
 	"petreltide/internal/controlplane/controlnode"
 	"petreltide/internal/controlplane/statemachine"
 	"petreltide/internal/dataplane/gateway"
+	"petreltide/internal/dataplane/quota"
 	"petreltide/internal/dataplane/scheduling"
 )
 
@@ -98,7 +99,8 @@
 func TestStatusShowsReplicasRoutesAndShares(t *testing.T) {
 	front := serve(t, map[string]any{"/v1/status": gateway.Status{Gateway: "front-1", Zone: "a", Work: scheduling.Status{
 		Revision: 9, Calls: 3, Budgets: []scheduling.RetryBudgetStatus{{Service: "scribe", Calls: 40, Retries: 2, MaxRetries: 29, Gateways: 3}},
-	}, Connections: map[string]gateway.Connections{"i-1": {Open: 41, Max: 41}, "i-2": {Open: 1, Max: 41}}}})
+	}, Connections: map[string]gateway.Connections{"i-1": {Open: 41, Max: 41}, "i-2": {Open: 1, Max: 41}},
+		Quota: &quota.Status{Tenants: []quota.TenantCounters{{Tenant: "school-7", Admitted: 51, OverLimit: 12, Unanswered: 3}}}}})
 	core := serve(t, map[string]any{"/v1/status": fleetStatus(front.addr())})
 	out, err := runCommand(t, statusCommand(), "--control-node", core.addr(), "--gateways")
 	if err != nil {
@@ -118,6 +120,7 @@
 		"replica   i-3 quill zone b unheard",
 		"work      front-1 zone a: revision 9, 3 calls, 0 wait, 42 connections to 2 replicas",
 		"tries     scribe at front-1: 2 of 29 further ones sent for 40 calls, a share among 3 gateways",
+		"tenant    school-7 at front-1: 51 admitted, 12 over its limit, 3 without an answer",
 		"full      front-1 has all its 41 connections to i-1 open",
 		"work      front-2 gave no answer",
 	} {
--- a/internal/dataplane/gateway/handler.go
+++ b/internal/dataplane/gateway/handler.go
@@ -10,6 +10,7 @@
 	"petreltide/internal/api/membership"
 	"petreltide/internal/api/wire"
 	"petreltide/internal/dataplane/controlclient"
+	"petreltide/internal/dataplane/quota"
 	"petreltide/internal/dataplane/scheduling"
 	"petreltide/internal/process/actor"
 	"petreltide/internal/process/clock"
@@ -26,6 +27,8 @@
 	Gauges      []scheduling.RevisionCounters `json:"gauges"`
 	// Connections are those to replicas, by the replica, where they are kept.
 	Connections map[string]Connections `json:"connections,omitempty"`
+	// Quota is what was asked and decided on limits of tenants, by tenant; nil where none has sent anything.
+	Quota *quota.Status `json:"quota,omitempty"`
 }
 
 // Connections are how many a gateway has open to one replica, and its share of what the replica takes.
@@ -58,8 +61,10 @@
 
 func (h *Host) status(w http.ResponseWriter, _ *http.Request) {
 	st := Status{Gateway: h.settings.Name, Incarnation: h.incarnation, Zone: h.settings.Zone, Tail: h.tail().ID}
-	if now, executed := actor.Ask(h.act.Ctx, h.act, func() Status { return Status{Work: h.decider.Status(), Gauges: h.decider.Counters()} }); executed {
-		st.Work, st.Gauges = now.Work, now.Gauges
+	if now, executed := actor.Ask(h.act.Ctx, h.act, func() Status {
+		return Status{Work: h.decider.Status(), Gauges: h.decider.Counters(), Quota: h.quota.Status()}
+	}); executed {
+		st.Work, st.Gauges, st.Quota = now.Work, now.Gauges, now.Quota
 	}
 	if h.openConnections != nil {
 		st.Connections = map[string]Connections{}
--- a/internal/dataplane/gateway/host.go
+++ b/internal/dataplane/gateway/host.go
@@ -15,6 +15,7 @@
 	"petreltide/internal/api/settings"
 	"petreltide/internal/api/wire"
 	"petreltide/internal/dataplane/controlclient"
+	"petreltide/internal/dataplane/quota"
 	"petreltide/internal/dataplane/scheduling"
 	"petreltide/internal/process/actor"
 	"petreltide/internal/process/clock"
@@ -75,6 +76,9 @@
 	// informer takes the place of subscriber where calls come by routes; nil otherwise. streams are its open ones, by number.
 	informer *controlclient.Informer
 	streams  map[uint64]context.CancelFunc
+	// quota asks whether calls of tenants with a limit may run; admissions are the goroutines that wait for that, by the call's ID.
+	quota      *quota.Client
+	admissions map[string]chan<- quota.Decision
 	// listeners are fixed once Run begins.
 	listeners []Listener
 	// declared is closed once this gateway has a declaration.
@@ -134,6 +138,7 @@
 			Outlier:     set.Outlier.Options(), Disable: set.Disable,
 		}),
 		act: actor.New(mailboxCapacity), callers: map[string]*caller{},
+		quota: quota.New(set.Name), admissions: map[string]chan<- quota.Decision{},
 		streams: map[uint64]context.CancelFunc{}, declared: make(chan struct{}), Memory: &MemoryLimit{MaxBytes: int64(set.MemoryMB) << 20 / memoryDivisor},
 	}
 	opts := controlclient.Options{Gateway: set.Name, Incarnation: incarnation, Addr: set.Advertise, Zone: set.Zone, Seeds: set.Seeds}
@@ -234,6 +239,7 @@
 	h.step(scheduling.Tick{})
 	if h.informer != nil {
 		h.stepInformer(controlclient.InformerEvent{})
+		h.stepQuota(quota.Tick{})
 		return
 	}
 	h.stepSubscriber(controlclient.Event{})
--- a/internal/dataplane/gateway/informer.go
+++ b/internal/dataplane/gateway/informer.go
@@ -9,6 +9,7 @@
 	"petreltide/internal/api/fault"
 	"petreltide/internal/api/wire"
 	"petreltide/internal/dataplane/controlclient"
+	"petreltide/internal/dataplane/quota"
 	"petreltide/internal/dataplane/scheduling"
 	"petreltide/internal/process/actor"
 	"petreltide/internal/process/clock"
@@ -81,7 +82,11 @@
 func (h *Host) stepInformer(ev controlclient.InformerEvent) {
 	ev.NowUs = clock.NowUs()
 	ev.Failing = h.decider.HasUnreportedFailures()
-	for _, e := range h.informer.Step(ev) {
+	effects := h.informer.Step(ev)
+	if ev.Frame != nil && ev.Frame.View != nil {
+		h.stepQuota(quota.ViewReceived{View: h.informer.View()})
+	}
+	for _, e := range effects {
 		switch {
 		case e.Open != nil:
 			ctx, done := context.WithCancel(h.act.Ctx)
--- a/internal/dataplane/gateway/run.go
+++ b/internal/dataplane/gateway/run.go
@@ -14,6 +14,16 @@
 
 // runCall takes one call through the decider and its attempts to the one final answer.
 func (h *Host) runCall(ctx context.Context, c *scheduling.Call, exchange Exchange) string {
+	if limit, limited := h.limitOf(c); limited {
+		refused, here := h.admit(ctx, c, limit)
+		if !here {
+			return fault.RunNone
+		}
+		if refused != nil {
+			exchange.Fail(refused)
+			return refused.Run
+		}
+	}
 	mine := &caller{next: make(chan scheduling.Effect, 4)}
 	if !h.do(func() {
 		h.callers[c.ID] = mine
--- a/internal/dataplane/quota/client.go
+++ b/internal/dataplane/quota/client.go
@@ -235,7 +235,7 @@
 
 func (c *Client) ask(addr string, tail bool, requests []*request) {
 	c.lastAsk++
-	timeoutUs := int64(reserveTimeoutUs)
+	timeoutUs := reserveTimeoutUs
 	if tail {
 		timeoutUs = tailTimeoutUs
 	}
