--- a/internal/api/fault/fault.go
+++ b/internal/api/fault/fault.go
@@ -35,6 +35,8 @@
 	Unauthenticated Code = "unauthenticated"
 	// QuotaExceeded means: the tenant's requests have reached its limit over all gateways.
 	QuotaExceeded Code = "quota_exceeded"
+	// QuotaUnanswered means: nobody could say in time whether they have.
+	QuotaUnanswered Code = "quota_unanswered"
 
 	InvalidConfig          Code = "invalid_config"
 	StaleBase              Code = "stale_base"
