Name the view by its number alone in a counting tail's answer

A gateway that asked the tail knows where it is; the members were most of the answer. One that does not count still names all members.

--- a/internal/api/wire/quota.go
+++ b/internal/api/wire/quota.go
@@ -19,7 +19,7 @@
 
 // QuotaResponse answers QuotaRequest.
 type QuotaResponse struct {
-	// View is the newest view of the chain that the control node knows.
+	// View is the newest view of the chain that the control node knows; from one that counts, its number alone.
 	View membership.View `json:"view"`
 	// Counting says that the control node is the tail and holds the books.
 	Counting bool `json:"counting,omitempty"`
--- a/internal/controlplane/controlnode/quota.go
+++ b/internal/controlplane/controlnode/quota.go
@@ -42,6 +42,10 @@
 		asks = append(asks, quota.Ask{Tenant: ask.Tenant, Count: ask.Count})
 	}
 	response := wire.QuotaResponse{View: c.Node.View(), Counting: c.Node.TailReady(nowUs), Grants: make([]wire.QuotaGrant, 0, len(asks))}
+	if response.Counting {
+		// The gateway has found the tail: the members would be most of the answer.
+		response.View = chain.View{Number: response.View.Number}
+	}
 	for _, g := range c.quota.Take(nowUs, asked.Request.TailUnreachable, asks) {
 		response.Grants = append(response.Grants, wire.QuotaGrant{Tenant: g.Tenant, Granted: g.Granted, RetryMs: g.RetryMs, Unlimited: g.Unlimited})
 	}
