Show tenants with a limit in status

petreltide status has a line for each tenant: its limit, the tokens left at the control node that counts, the reserve used, and what was granted and refused there in the last window. No key is in the status.

Measured: TestStatusShowsTenants passes.

--- a/cmd/petreltide/print.go
+++ b/cmd/petreltide/print.go
@@ -31,11 +31,30 @@
 		fmt.Fprintf(w, "pending   command %d epoch %d: %s %s at %s\n", t.Number, t.Epoch, t.Action, t.Unit, t.Replica)
 	}
 	printPolicies(w, st)
+	printQuota(w, st.Quota)
 	for code, n := range st.Faults {
 		fmt.Fprintf(w, "fault     %s: %d\n", code, n)
 	}
 }
 
+// printQuota shows what this control node counts of tenants with a limit.
+func printQuota(w io.Writer, quota *controlnode.QuotaStatus) {
+	if quota == nil {
+		return
+	}
+	for _, t := range quota.Tenants {
+		limit, tokens := "no limit", ""
+		if t.RatePerSecond > 0 {
+			limit = fmt.Sprintf("%g a second, burst %g", t.RatePerSecond, t.Burst)
+			tokens = fmt.Sprintf(", reserve %d of %d used", t.ReserveUsed, t.Reserve)
+			if quota.Counting {
+				tokens = fmt.Sprintf(", %.1f tokens left", t.Tokens) + tokens
+			}
+		}
+		fmt.Fprintf(w, "tenant    %s: %s%s; here in the last window %d granted, %d refused\n", t.Tenant, limit, tokens, t.Granted, t.Refused)
+	}
+}
+
 // printControlNode shows the control node itself, what is committed, and its view of the others and of gateways.
 func printControlNode(w io.Writer, st controlnode.Status) {
 	order := []string{}
--- a/cmd/petreltide/status_test.go
+++ b/cmd/petreltide/status_test.go
@@ -18,6 +18,7 @@
 	"petreltide/internal/api/fault"
 	"petreltide/internal/controlplane/controller"
 	"petreltide/internal/controlplane/controlnode"
+	"petreltide/internal/controlplane/quota"
 	"petreltide/internal/controlplane/statemachine"
 	"petreltide/internal/dataplane/gateway"
 	"petreltide/internal/dataplane/scheduling"
@@ -194,3 +195,23 @@
 		}
 	}
 }
+
+// What is counted of a tenant is a line each; only the control node that counts has tokens.
+func TestStatusShowsTenants(t *testing.T) {
+	st := controlnode.Status{Quota: &controlnode.QuotaStatus{Counting: true, Tenants: []quota.TenantStatus{
+		{Tenant: "free", Granted: 7},
+		{Tenant: "limited", RatePerSecond: 2.5, Burst: 4, Tokens: 1.25, Granted: 12, Refused: 3, ReserveUsed: 1, Reserve: 2},
+	}}}
+	free := "tenant    free: no limit; here in the last window 7 granted, 0 refused\n"
+	for counting, want := range map[bool]string{
+		true:  free + "tenant    limited: 2.5 a second, burst 4, 1.2 tokens left, reserve 1 of 2 used; here in the last window 12 granted, 3 refused\n",
+		false: free + "tenant    limited: 2.5 a second, burst 4, reserve 1 of 2 used; here in the last window 12 granted, 3 refused\n",
+	} {
+		st.Quota.Counting = counting
+		var text bytes.Buffer
+		printStatus(&text, st)
+		if !strings.HasSuffix(text.String(), want) {
+			t.Errorf("counting %v:\n%s", counting, text.String())
+		}
+	}
+}
