--- a/internal/controlplane/controlnode/quota_test.go
+++ b/internal/controlplane/controlnode/quota_test.go
@@ -124,15 +124,18 @@
 		atUs int64
 		n    int
 	}
-	grants, counting, changes := []grant{}, old, 0
+	grants, counting, changes, withoutUs, changedUs := []grant{}, old, 0, int64(0), int64(0)
 	const bound = (10*5+5)*1.1 + 20
 	spend := func(spanUs int64) {
 		for endUs := tr.nowUs + spanUs; tr.nowUs < endUs; tr.pass(100 * clock.Ms) {
 			for i := range tr.cores {
 				grants = append(grants, grant{tr.nowUs, tr.granted(i, true)})
 			}
-			if now := tr.tail(); now >= 0 && now != counting {
-				counting, changes = now, changes+1
+			now := tr.tail()
+			if now < 0 {
+				withoutUs += 100 * clock.Ms
+			} else if now != counting {
+				counting, changes, changedUs = now, changes+1, tr.nowUs
 			}
 			sum := 0
 			for _, g := range grants {
@@ -147,7 +150,9 @@
 	}
 	spend(3 * clock.Sec)
 	tr.cutOff(old, true, true)
+	cutUs := tr.nowUs
 	spend(8 * clock.Sec)
+	t.Logf("another tail counts %d ms after the cut; none did for about %d ms", (changedUs-cutUs)/clock.Ms, withoutUs/clock.Ms)
 	if counting == old || changes != 1 {
 		t.Fatalf("the tail is %d after %d changes", counting, changes)
 	}
