Check the tail's tenures in the seeded chains too

The check that nobody else was open as the tail in between now also runs over chains of whole members with lossy links, pauses, cuts and changes of members; the small chains' walks deliver hellos at once, and find less.

On the code as it is, the tests of lossy links, partitions, releases and replaced votes pass.

--- a/internal/controlplane/chain/auto_membership_test.go
+++ b/internal/controlplane/chain/auto_membership_test.go
@@ -36,6 +36,8 @@
 	idle bool
 	// lossyLinks links bring messages twice, late and out of their order.
 	lossyLinks bool
+	// tenures follows who was open as the tail.
+	tenures tailTenures
 	// slowestUs is the longest time from a successor's start until it had taken over.
 	slowestUs int64
 }
@@ -315,6 +317,9 @@
 			if s.node.CommitIndex() < tc.lastAcked {
 				tc.broken = fmt.Sprintf("%s is open at %d, %d was acknowledged", s.me.ID, s.node.CommitIndex(), tc.lastAcked)
 			}
+			if broken := tc.tenures.check(s.node); broken != "" {
+				tc.broken = broken
+			}
 		}
 	}
 	if len(open) > 1 {
--- a/internal/controlplane/chain/explore_members_test.go
+++ b/internal/controlplane/chain/explore_members_test.go
@@ -53,7 +53,7 @@
 func (me *memberExplorer) tolerated() int { return me.minReplicas - 1 }
 
 func newMemberExplorer(count int, everyUs int64) *memberExplorer {
-	b := &smallChain{nowUs: clock.Sec, pipes: map[[2]int][]Msg{}, views: map[uint64]View{}, acked: map[uint64]string{}, openTails: map[string]openTail{}, autoMembership: true, minReplicas: (count-1)/2 + 1, tickEveryUs: everyUs}
+	b := &smallChain{nowUs: clock.Sec, pipes: map[[2]int][]Msg{}, views: map[uint64]View{}, acked: map[uint64]string{}, autoMembership: true, minReplicas: (count-1)/2 + 1, tickEveryUs: everyUs}
 	for i := range count {
 		name := fmt.Sprintf("m%d", i)
 		b.members = append(b.members, &smallMember{me: Member{ID: name + "-1", Name: name, Addr: name}})
--- a/internal/controlplane/chain/explore_test.go
+++ b/internal/controlplane/chain/explore_test.go
@@ -44,15 +44,8 @@
 	cuts map[[2]int]bool
 	// alter changes a message on its way; nil leaves all as they are.
 	alter func(Msg) Msg
-	// openTails are the processes that have been open as the tail, and tenures counts the changes from one to another.
-	openTails map[string]openTail
-	tenures   int
-}
-
-// openTail is when a process was last open: in which view, and in which tenure.
-type openTail struct {
-	view   uint64
-	tenure int
+	// tenures follows who was open as the tail.
+	tenures tailTenures
 }
 
 type smallMember struct {
@@ -212,12 +205,12 @@
 			c.pipes[way] = slices.Clone(list)
 		}
 	}
-	c.views, c.acked, c.openTails = maps.Clone(sc.views), maps.Clone(sc.acked), maps.Clone(sc.openTails)
+	c.views, c.acked, c.tenures = maps.Clone(sc.views), maps.Clone(sc.acked), sc.tenures.clone()
 	return &c
 }
 
 func newSmallChain() *smallChain {
-	b := &smallChain{nowUs: clock.Sec, pipes: map[[2]int][]Msg{}, views: map[uint64]View{}, acked: map[uint64]string{}, openTails: map[string]openTail{}}
+	b := &smallChain{nowUs: clock.Sec, pipes: map[[2]int][]Msg{}, views: map[uint64]View{}, acked: map[uint64]string{}}
 	for i := 0; i < 3; i++ {
 		name := fmt.Sprintf("m%d", i)
 		b.members = append(b.members, &smallMember{me: Member{ID: name + "-1", Name: name, Addr: name}})
@@ -356,7 +349,9 @@
 			if p.node.CommitIndex() < most {
 				sc.broken = fmt.Sprintf("%s is open at %d, %d was acknowledged", p.me.ID, p.node.CommitIndex(), most)
 			}
-			sc.checkTenure(p.node)
+			if broken := sc.tenures.check(p.node); broken != "" {
+				sc.broken = broken
+			}
 		}
 	}
 	if len(open) > 1 {
@@ -364,19 +359,6 @@
 	}
 }
 
-// checkTenure: a process that is open again as the tail of the same view, or of the next one, knows that nobody else was open
-// in between. Package quota keeps its counts by it.
-func (sc *smallChain) checkTenure(n *Node) {
-	before, seen := sc.openTails[n.Incarnation()]
-	if !seen || before.tenure != sc.tenures {
-		sc.tenures++
-	}
-	if seen && before.tenure < sc.tenures && n.View().Number <= before.view+1 {
-		sc.broken = fmt.Sprintf("%s was open in view %d and is in view %d; another was in between", n.Incarnation(), before.view, n.View().Number)
-	}
-	sc.openTails[n.Incarnation()] = openTail{n.View().Number, sc.tenures}
-}
-
 const tickUs = 350 * clock.Ms
 
 func (sc *smallChain) tickLength() int64 {
