--- a/internal/controlplane/controlnode/quota_test.go
+++ b/internal/controlplane/controlnode/quota_test.go
@@ -12,6 +12,7 @@
 	"petreltide/internal/api/configuration"
 	"petreltide/internal/api/settings"
 	"petreltide/internal/api/wire"
+	"petreltide/internal/controlplane/chain"
 	"petreltide/internal/controlplane/quota"
 	"petreltide/internal/controlplane/statemachine"
 	"petreltide/internal/process/actor"
@@ -90,7 +91,7 @@
 	tr.pass(6 * clock.Sec)
 	tail := tr.tail()
 	other := (tail + 1) % 3
-	view := tr.cores[tail].Node.View()
+	view := chain.View{Number: tr.cores[tail].Node.View().Number}
 	asks := []wire.QuotaAsk{{Tenant: "limited", Count: 7}, {Tenant: "free", Count: 300}, {Tenant: "unknown", Count: 1}}
 	// Without overshoot and slack the bucket is as deep as the burst, and there is no reserve.
 	want := wire.QuotaResponse{View: view, Counting: true, Grants: []wire.QuotaGrant{
@@ -100,7 +101,8 @@
 		t.Error(diff)
 	}
 	for _, tailUnreachable := range []bool{false, true} {
-		if got := tr.ask(other, tailUnreachable, asks...); got.Counting || got.Grants[0].Granted != 0 || got.Grants[1].Granted != 300 {
+		got := tr.ask(other, tailUnreachable, asks...)
+		if got.Counting || got.Grants[0].Granted != 0 || got.Grants[1].Granted != 300 || got.View.Tail().ID != tr.cores[tail].Node.Self().ID {
 			t.Errorf("another, tail unreachable %v: %+v", tailUnreachable, got)
 		}
 	}
@@ -122,15 +124,18 @@
 		atUs int64
 		n    int
 	}
-	grants, counting, changes := []grant{}, old, 0
+	grants, counting, changes, withoutUs, changedUs := []grant{}, old, 0, int64(0), int64(0)
 	const bound = (10*5+5)*1.1 + 20
 	spend := func(spanUs int64) {
 		for endUs := tr.nowUs + spanUs; tr.nowUs < endUs; tr.pass(100 * clock.Ms) {
 			for i := range tr.cores {
 				grants = append(grants, grant{tr.nowUs, tr.granted(i, true)})
 			}
-			if now := tr.tail(); now >= 0 && now != counting {
-				counting, changes = now, changes+1
+			now := tr.tail()
+			if now < 0 {
+				withoutUs += 100 * clock.Ms
+			} else if now != counting {
+				counting, changes, changedUs = now, changes+1, tr.nowUs
 			}
 			sum := 0
 			for _, g := range grants {
@@ -145,7 +150,9 @@
 	}
 	spend(3 * clock.Sec)
 	tr.cutOff(old, true, true)
+	cutUs := tr.nowUs
 	spend(8 * clock.Sec)
+	t.Logf("another tail counts %d ms after the cut; none did for about %d ms", (changedUs-cutUs)/clock.Ms, withoutUs/clock.Ms)
 	if counting == old || changes != 1 {
 		t.Fatalf("the tail is %d after %d changes", counting, changes)
 	}
