Let a tenant's priority go before its route's

Cause: urgency was the route's alone, in queues, in what is refused under load and in what replicas are told. Change: Call.priority is the one place that works it out; urgency, the admission's exception for the most urgent and AttemptStart.Priority follow it. Calls of one route now differ in urgency, so each priority of tenants has a queue of its own beside the route's: the stride between queues, and the shares of a full backlog, hold for them as for kinds, and a less urgent tenant still comes round. It is the newest declaration's priority until an attempt starts.

--- a/internal/dataplane/scheduling/admission.go
+++ b/internal/dataplane/scheduling/admission.go
@@ -105,7 +105,7 @@
 	if part == 0 {
 		return false
 	}
-	if c.Routed.Route.Priority == 0 {
+	if c.priority() == 0 {
 		part *= part
 	}
 	if float64(mixHash(c.Routed.sample^hashOf(c.ID))%sampleSteps) >= part*sampleSteps {
--- a/internal/dataplane/scheduling/call.go
+++ b/internal/dataplane/scheduling/call.go
@@ -26,7 +26,9 @@
 
 	arrivalRevision uint64
 	urgency         int
-	deadlineUs      int64
+	// tenantPriority is its tenant's own priority; nil where it has none.
+	tenantPriority *int
+	deadlineUs     int64
 	// repeatable: every declaration under which the call was taken or sent lets it run more than once.
 	repeatable bool
 	// everNonRepeatable: some declaration of its time did not.
--- a/internal/dataplane/scheduling/decider.go
+++ b/internal/dataplane/scheduling/decider.go
@@ -54,7 +54,8 @@
 	draining        bool
 	closed          bool
 	calls           map[string]*Call
-	kinds           map[string]*kindQueue
+	kinds           map[string]*kindCounters
+	queues          map[queueKey]*callQueue
 	grantedReplicas map[string]*grantedReplica
 	attemptGrants   map[string]*attemptGrant
 	queued          int
@@ -75,7 +76,7 @@
 
 // New is a decider that knows no declaration yet.
 func New(opts Options) *Decider {
-	d := &Decider{opts: opts, arrivals: newArrivals(), calls: map[string]*Call{}, kinds: map[string]*kindQueue{}, grantedReplicas: map[string]*grantedReplica{}, attemptGrants: map[string]*attemptGrant{},
+	d := &Decider{opts: opts, arrivals: newArrivals(), calls: map[string]*Call{}, kinds: map[string]*kindCounters{}, queues: map[queueKey]*callQueue{}, grantedReplicas: map[string]*grantedReplica{}, attemptGrants: map[string]*attemptGrant{},
 		replicaStats: map[string]*replicaStats{}, budgets: newRetryBudgets(opts.RetryBudget), prefillModels: map[string]*prefillModel{}, loadEstimates: newLoadEstimates(), admission: newAdmission(), outliers: outlier.NewLocalDetector(opts.Outlier)}
 	return d
 }
@@ -156,25 +157,25 @@
 	d.enqueue(c)
 }
 
-// dispatchQueued shares the free slots between kinds by stride: urgency squared is the weight, and a kind
-// that waits always comes round, however rare it is.
+// dispatchQueued shares the free slots between queues by stride: urgency squared is the weight, and a queue
+// always comes round, however rare its calls are.
 func (d *Decider) dispatchQueued() {
 	if d.queued == 0 || d.snapshot == nil || d.snapshot.Declaration == nil || (!d.routed() && d.nowUs >= d.leaseUntilUs) {
 		return
 	}
 	hopeless := map[string]bool{}
 	for {
-		names := d.kindNames()
-		sort.SliceStable(names, func(i, j int) bool { return d.kinds[names[i]].pass < d.kinds[names[j]].pass })
+		keys := d.waitingQueues()
+		sort.SliceStable(keys, func(i, j int) bool { return d.queues[keys[i]].pass < d.queues[keys[j]].pass })
 		started := false
-		for _, name := range names {
-			k := d.kinds[name]
-			if c, replica, why := d.nextPlaceable(k, hopeless); c != nil {
+		for _, key := range keys {
+			q := d.queues[key]
+			if c, replica, why := d.nextPlaceable(q, hopeless); c != nil {
 				if c.Routed == nil {
 					d.startGranted(c, replica, why)
 				}
-				d.virtualTime = max(d.virtualTime, k.pass)
-				k.pass += 1 / float64(weight(c))
+				d.virtualTime = max(d.virtualTime, q.pass)
+				q.pass += 1 / float64(weight(c))
 				started = true
 				break
 			}
@@ -185,8 +186,8 @@
 	}
 }
 
-func (d *Decider) nextPlaceable(k *kindQueue, hopeless map[string]bool) (*Call, *wire.ReplicaUpdate, string) {
-	for _, c := range k.calls {
+func (d *Decider) nextPlaceable(q *callQueue, hopeless map[string]bool) (*Call, *wire.ReplicaUpdate, string) {
+	for _, c := range q.calls {
 		unit := c.Model + "|" + c.Adapter
 		if c.Routed != nil {
 			unit = c.Routed.Service + "|" + unit
--- a/internal/dataplane/scheduling/declaration.go
+++ b/internal/dataplane/scheduling/declaration.go
@@ -101,8 +101,8 @@
 
 func (d *Decider) waitingCalls() []*Call {
 	calls := []*Call{}
-	for _, name := range d.kindNames() {
-		calls = append(calls, d.kinds[name].calls...)
+	for _, key := range d.waitingQueues() {
+		calls = append(calls, d.queues[key].calls...)
 	}
 	return calls
 }
--- a/internal/dataplane/scheduling/events.go
+++ b/internal/dataplane/scheduling/events.go
@@ -79,10 +79,12 @@
 	Incarnation string
 	Revision    uint64
 	DeadlineUs  int64
-	// Route and Service are those of the decision; a later declaration changes those of the call, not these.
-	Route   *configuration.Route
-	Service string
-	Kind    RequestKind
+	// Route, Service and Priority are those of the decision; a later declaration changes those of the call, not these.
+	// Priority is 0 for the most urgent.
+	Route    *configuration.Route
+	Service  string
+	Priority int
+	Kind     RequestKind
 	// EstimatedFirstByteMs is when the first piece was expected, Running what was known to run there.
 	EstimatedFirstByteMs float64
 	Running              int
--- a/internal/dataplane/scheduling/replica_stats.go
+++ b/internal/dataplane/scheduling/replica_stats.go
@@ -76,7 +76,7 @@
 	d.admission.attemptStarted(c, d.nowUs)
 	d.logDecision(c, "leg", r.ID, "")
 	d.emit(&AttemptStart{EstimatedFirstByteMs: predictedMs, Running: running, Call: c, Attempt: c.attempt, Replica: r.ID, Addr: r.Addr, Incarnation: r.Incarnation, Revision: d.snapshot.Revision, DeadlineUs: c.deadlineUs,
-		Route: c.Routed.Route, Service: c.Routed.Service, Kind: c.requestKind()})
+		Route: c.Routed.Route, Service: c.Routed.Service, Priority: c.priority(), Kind: c.requestKind()})
 }
 
 func itoa(n uint64) string {
--- a/internal/dataplane/scheduling/report.go
+++ b/internal/dataplane/scheduling/report.go
@@ -35,8 +35,8 @@
 	if d.snapshot != nil {
 		rep.Number, rep.View, rep.Revision = d.snapshot.Number, d.snapshot.View, d.snapshot.Revision
 	}
-	for _, k := range d.kinds {
-		for _, c := range k.calls {
+	for _, q := range d.queues {
+		for _, c := range q.calls {
 			if c.Model != "" {
 				rep.Queued[c.Model]++
 			}
@@ -96,13 +96,17 @@
 	if d.snapshot != nil {
 		n.Number, n.View, n.Revision = d.snapshot.Number, d.snapshot.View, d.snapshot.Revision
 	}
+	waiting := map[string]int{}
+	for key, q := range d.queues {
+		waiting[key.kind] += len(q.calls)
+	}
 	for _, name := range d.kindNames() {
 		k := d.kinds[name]
 		given := map[fault.Code]uint64{}
 		for code, count := range k.faults {
 			given[code] = count
 		}
-		n.Kinds = append(n.Kinds, KindStatus{name, k.arrived, len(k.calls), k.done, given})
+		n.Kinds = append(n.Kinds, KindStatus{name, k.arrived, waiting[name], k.done, given})
 	}
 	for id, p := range d.grantedReplicas {
 		n.InFlight[id] = len(p.inFlight)
--- a/internal/dataplane/scheduling/routed.go
+++ b/internal/dataplane/scheduling/routed.go
@@ -66,6 +66,14 @@
 
 func (c *Call) unit() string { return configuration.UnitName(c.Model, c.Adapter) }
 
+// priority is how urgent a call by route is, 0 the most: its tenant's own priority goes before its route's.
+func (c *Call) priority() int {
+	if c.tenantPriority != nil {
+		return *c.tenantPriority
+	}
+	return c.Routed.Route.Priority
+}
+
 // applyRoute lays the newest route on a call, and draws its service anew where it may no longer go there.
 func (d *Decider) applyRoute(c *Call) fault.Code {
 	r := d.snapshot.Declaration.Route(c.Kind)
@@ -77,7 +85,11 @@
 		return fault.Unauthenticated
 	}
 	c.Routed.Route = r
-	c.urgency = max(1, 9-r.Priority)
+	c.tenantPriority = nil
+	if tenant := d.snapshot.Declaration.Tenant(c.Routed.Tenant); tenant != nil {
+		c.tenantPriority = tenant.Priority
+	}
+	c.urgency = max(1, 9-c.priority())
 	c.everNonRepeatable = c.everNonRepeatable || !r.Retryable()
 	c.repeatable = !c.everNonRepeatable
 	mostMs := r.TimeoutMs
--- a/internal/dataplane/scheduling/tenants_test.go
+++ b/internal/dataplane/scheduling/tenants_test.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"fmt"
 	"testing"
 
 	"petreltide/internal/api/configuration"
@@ -121,3 +122,86 @@
 		}
 	})
 }
+
+// withPriorities is tenanted with a priority for each tenant; its key is its name.
+func withPriorities(of map[string]int) *configuration.Declaration {
+	keys := map[string]string{}
+	for name := range of {
+		keys[name] = name
+	}
+	doc := tenanted(keys)
+	doc.Index = nil
+	for i := range doc.Tenants {
+		priority := of[doc.Tenants[i].Name]
+		doc.Tenants[i].Priority = &priority
+	}
+	for i := range doc.Routes {
+		doc.Routes[i].Priority = 3
+	}
+	return doc.Indexed()
+}
+
+// Two tenants of different priorities on one route: the more urgent one's calls go first, the other's are not starved.
+func TestATenantsPriorityDecidesItsTurnInTheQueue(t *testing.T) {
+	rows := []wire.ReplicaUpdate{{ID: "r1", Service: "s", Slots: 1}}
+	crowd := func(doc *configuration.Declaration) *harness {
+		k := newHarness(Options{}, stands(doc, 1, rows...))
+		for i := range 60 {
+			for _, name := range []string{"slow", "fast"} {
+				k.step(CallArrived{Call: &Call{ID: fmt.Sprintf("%s-%d", name, i), Kind: "own", Routed: &RoutedCall{Tenant: name}}})
+			}
+		}
+		return k
+	}
+	serve := func(t *testing.T, k *harness, calls int) map[string]int {
+		t.Helper()
+		served := map[string]int{}
+		for range calls {
+			ended := false
+			for id := range k.attempts {
+				if k.final[id] == nil {
+					k.nowUs++
+					served[id[:4]]++
+					k.end(id, OutcomeDone)
+					ended = true
+					break
+				}
+			}
+			if !ended {
+				t.Fatal("nothing runs though calls wait")
+			}
+		}
+		return served
+	}
+	t.Run("the more urgent one's go first", func(t *testing.T) {
+		k := crowd(withPriorities(map[string]int{"fast": 0, "slow": 6}))
+		if served := serve(t, k, 50); served["slow"] < 3 || served["fast"] < 6*served["slow"] {
+			t.Errorf("%v were served", served)
+		}
+		for id, attempts := range k.attempts {
+			if want := map[string]int{"fast": 0, "slow": 6}[id[:4]]; attempts[0].Priority != want {
+				t.Errorf("%s is sent with priority %d, want %d", id, attempts[0].Priority, want)
+			}
+		}
+	})
+	t.Run("a change of priority reaches what waits", func(t *testing.T) {
+		k := crowd(withPriorities(map[string]int{"fast": 6, "slow": 0}))
+		k.step(SnapshotReceived{Snapshot: stands(withPriorities(map[string]int{"fast": 0, "slow": 6}), 1, rows...)})
+		if served := serve(t, k, 50); served["fast"] < 35 {
+			t.Errorf("%v were served", served)
+		}
+	})
+	t.Run("a full queue makes room for the one below its share", func(t *testing.T) {
+		k := newHarness(Options{QueueMax: 10}, stands(withPriorities(map[string]int{"fast": 0, "slow": 6}), 1, rows...))
+		for i := range 11 {
+			k.step(CallArrived{Call: &Call{ID: fmt.Sprintf("slow-%d", i), Kind: "own", Routed: &RoutedCall{Tenant: "slow"}}})
+		}
+		if k.finalCount != 0 {
+			t.Fatalf("%d were refused before the queue was full", k.finalCount)
+		}
+		k.step(CallArrived{Call: &Call{ID: "fast", Kind: "own", Routed: &RoutedCall{Tenant: "fast"}}})
+		if k.finalCount != 1 || k.final["fast"] != nil {
+			t.Errorf("%d were refused: %v", k.finalCount, k.final)
+		}
+	})
+}
