--- a/tests/rules/routed_quota.go
+++ b/tests/rules/routed_quota.go
@@ -168,3 +168,84 @@
 	}
 	return Open
 }
+
+// overLimit: it was refused as beyond its tenant's limit. What is wrongly refused so shows in starvedTenants.
+func (j *judge) overLimit(t *Attempt) bool { return t.Status == 429 && j.Tenants[t.ID] != "" }
+
+// starvedTenants: no tenant may be served less than a quarter as often as all, of what it is owed.
+func (j *judge) starvedTenants(c *servedCounts) {
+	for _, row := range j.owedToTenants() {
+		if row.owed < minClass {
+			continue
+		}
+		j.stake(Starved)
+		if share := float64(row.served) / float64(row.owed); share < c.all.share()*minClassRatio {
+			j.breach(Starved, "%d requests of %s were served, %d are owed; %d of %d of all", row.served, row.name, row.owed, c.all.served, c.all.asked)
+		}
+	}
+}
+
+// owedRow is what a tenant is owed and what it got of that.
+type owedRow struct {
+	name         string
+	owed, served int
+}
+
+// owedToTenants counts, for each tenant, the requests that the lowest of its limits on the day lets it send.
+func (j *judge) owedToTenants() []owedRow {
+	rows, of := []owedRow{}, map[string]int{}
+	buckets := map[string]*bucket{}
+	for _, t := range j.Attempts {
+		name := j.Tenants[t.ID]
+		if name == "" || t.HungUp {
+			continue
+		}
+		if _, known := of[name]; !known {
+			of[name] = len(rows)
+			rows = append(rows, owedRow{name: name})
+			buckets[name] = j.leastBucket(name)
+		}
+		row := &rows[of[name]]
+		if buckets[name].take(t.SentUs) {
+			row.owed++
+		}
+		if t.Served() {
+			row.served++
+		}
+	}
+	for i := range rows {
+		rows[i].served = min(rows[i].served, rows[i].owed)
+	}
+	return rows
+}
+
+// bucket is a token bucket that is full at first; one without a rate is never empty.
+type bucket struct {
+	limit  TenantLimit
+	tokens float64
+	atUs   int64
+}
+
+// leastBucket is that of the lowest limit which any valid version sets.
+func (j *judge) leastBucket(tenant string) *bucket {
+	b := &bucket{}
+	for _, v := range j.Versions {
+		if l, has := j.Limits[v][tenant]; has && v.Valid && l.RatePerS > 0 && (b.limit.RatePerS == 0 || l.RatePerS < b.limit.RatePerS) {
+			b.limit, b.tokens = l, l.Burst
+		}
+	}
+	return b
+}
+
+func (b *bucket) take(us int64) bool {
+	if b.limit.RatePerS == 0 {
+		return true
+	}
+	b.tokens = min(max(1, b.limit.Burst), b.tokens+b.limit.RatePerS*sec(us-b.atUs))
+	b.atUs = us
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- a/tests/rules/routed_quota_test.go
+++ b/tests/rules/routed_quota_test.go
@@ -95,3 +95,47 @@
 		})
 	}
 }
+
+// A tenant is starved where it gets less than a quarter as often as all of what it is owed; what is beyond its limit is not owed.
+func TestStarvedTenantsOnSmallDays(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		refused  int
+		status   int
+		ratePerS float64
+		breaks   bool
+	}{
+		{name: "all are served", ratePerS: 100},
+		{name: "one is refused what it is owed", refused: 100, status: 429, ratePerS: 100, breaks: true},
+		{name: "... as if nobody could say", refused: 100, status: 503, ratePerS: 100, breaks: true},
+		{name: "... some of it", refused: 60, status: 429, ratePerS: 100},
+		{name: "one that is over its limit most of the time", refused: 90, status: 429, ratePerS: 1},
+		{name: "one without a limit", refused: 100, status: 429, breaks: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v := &Version{Number: 1, Valid: true, Routes: mark(1, "z"), SentUs: second, AckedUs: 2 * second}
+			d := &Day{
+				Bounds: SmallBounds(1), Core: core("a", "b", "c"), Versions: []*Version{v}, EndUs: 30 * second, Tenants: map[string]string{},
+				Limits: map[*Version]map[string]TenantLimit{v: {"t": {RatePerS: c.ratePerS, Burst: 1}, "u": {}}},
+			}
+			for i := range 200 {
+				try := asked(fmt.Sprint(i), "/r/x", 14*second+int64(i)*second/20)
+				d.Tenants[try.ID] = []string{"t", "u"}[i%2]
+				if i%2 == 0 && i/2 < c.refused {
+					try.Status, try.Seal, try.Response = c.status, "", ""
+				} else {
+					d.Arrivals = append(d.Arrivals, ran(try, "z"))
+				}
+				d.Attempts = append(d.Attempts, try)
+			}
+			breaches, _ := Judge(d)
+			broken := false
+			for _, b := range breaches {
+				broken = broken || b.Rule == Starved
+			}
+			if broken != c.breaks {
+				t.Errorf("%v", breaches)
+			}
+		})
+	}
+}
--- a/tests/simulator/routed.go
+++ b/tests/simulator/routed.go
@@ -28,7 +28,9 @@
 	Partitions     []Partition
 	Repairs        Repairs
 	Closing        string
-	Plant          string
+	// Tenants: requests carry keys of tenants, most of which have a limit.
+	Tenants bool
+	Plant   string
 	// Trace is as in Plan.
 	Trace func(atUs int64, kind string, what any)
 }
@@ -59,6 +61,7 @@
 	seedLists        []seedList
 	clients          *clients
 	operators        *routedOperators
+	tenants          *tenants
 	armedFaults      []*armedDiskFault
 	taking           []func(t *routedGateway)
 	awaitingOrder    []Fault
@@ -86,6 +89,9 @@
 	Statuses      map[string]int
 	Log           []string
 	Observed      *rules.Day
+	// QuotaUses and QuotaDecisions are, on days with tenants, how much of their limits they used, and what gateways decided.
+	QuotaUses      []rules.QuotaUse
+	QuotaDecisions map[string]int
 }
 
 func routedEngine() *configuration.Engine {
@@ -128,6 +134,7 @@
 		d.startReplica(fmt.Sprintf("cpu-%d", i), "log", zones[i%3], "", nil)
 		d.startReplica(fmt.Sprintf("cpb-%d", i), "log-b", zones[i%3], "", nil)
 	}
+	d.tenants = newTenants(d)
 	d.clients = newClients(d)
 	d.operators = newRoutedOperators(d)
 	return d
@@ -357,6 +364,9 @@
 	d.observed.Calls = d.operators.calls.Calls()
 	breaches, stakes := rules.Judge(d.observed)
 	out := RoutedOutcome{Breaches: breaches, ChecksAtStake: stakes, Caused: d.caused, Events: d.events, Log: d.Log, Statuses: map[string]int{}, Observed: d.observed, Loads: len(d.observed.Loads)}
+	if d.tenants != nil {
+		out.QuotaUses, out.QuotaDecisions = rules.QuotaUses(d.observed), d.tenants.decided
+	}
 	for _, t := range d.observed.Attempts {
 		if t.Probe {
 			continue
--- a/tests/simulator/routed_control_nodes.go
+++ b/tests/simulator/routed_control_nodes.go
@@ -11,6 +11,7 @@
 	"petreltide/internal/controlplane/chain"
 	"petreltide/internal/controlplane/controller"
 	"petreltide/internal/controlplane/controlnode"
+	ledger "petreltide/internal/controlplane/quota"
 	"petreltide/internal/controlplane/registry"
 	"petreltide/internal/controlplane/statemachine"
 	"petreltide/tests/platform/replica"
@@ -33,6 +34,10 @@
 	sinceUs        int64
 	// diskUs is since when its disk has lasted.
 	diskUs int64
+	// planted is a ledger that is kept wrongly, where that is planted, and plantedView the view that it was made in.
+	planted      *ledger.Ledger
+	plantedView  uint64
+	quotaReplies map[uint64]func(*wire.QuotaResponse)
 	// killed: its process was ended and its machine is up, so that its port refuses.
 	killed bool
 }
@@ -70,6 +75,7 @@
 	cn.up, cn.thawUs, cn.sinceUs = true, 0, cn.day.nowUs
 	cn.skewUs = cn.sim.random.Int63n(1000) * second
 	cn.waiters, cn.streams, cn.pendingReplies = map[string]func(wire.Result){}, map[string]*frameStream{}, map[uint64]func(bool){}
+	cn.quotaReplies = map[uint64]func(*wire.QuotaResponse){}
 	cn.saver = saver{on: &cn.machine, disk: &cn.disk, step: cn.step, end: func() { cn.crash(0) }, kept: cn.snapshotStepReached}
 	opts := chain.Options{
 		Self: chain.Member{ID: cn.disk.identity, Name: cn.name, Addr: cn.addr, Zone: cn.zone}, Incarnation: cn.sim.nextIncarnation(), MinReplicas: cn.day.tolerated() + 1, AutoMembership: true,
@@ -86,7 +92,9 @@
 	if cn.day.plan.Plant == "no-lease" {
 		leaseUs = 0
 	}
+	cn.planted = nil
 	cn.core = controlnode.NewCore(node, controlnode.CoreOptions{
+		Quota:         cn.quotaOptions(),
 		UnreachableUs: heartbeatUs * 5 / 2,
 		Controller:    controller.Options{LeaseUs: leaseUs, StoreWindowUs: b.LoadWindowUs, StoreOvershoot: b.LoadOvershoot},
 	})
@@ -195,6 +203,8 @@
 			}
 		case controlnode.AcknowledgeReplica:
 			cn.onReply(e)
+		case controlnode.ReplyQuota:
+			cn.onQuotaReply(e)
 		case controlnode.RunController:
 			cn.applyControllerEffect(e.Effect)
 		case controlnode.LogMessage:
--- a/tests/simulator/routed_exchange.go
+++ b/tests/simulator/routed_exchange.go
@@ -22,7 +22,9 @@
 	last       int
 	current    *attempt
 	clientGone bool
-	finished   bool
+	// awaitsQuota: nobody has said yet whether it is within its tenant's limit.
+	awaitsQuota bool
+	finished    bool
 }
 
 func (x *exchange) close() {
@@ -53,6 +55,10 @@
 		status = http.StatusNotFound
 	case fault.BadField, fault.BadLastEventID:
 		status = http.StatusBadRequest
+	case fault.Unauthenticated:
+		status = http.StatusUnauthorized
+	case fault.QuotaExceeded:
+		status = http.StatusTooManyRequests
 	default:
 		if f.Run == "" || f.Run == fault.RunNone {
 			status = http.StatusServiceUnavailable
--- a/tests/simulator/routed_operators.go
+++ b/tests/simulator/routed_operators.go
@@ -21,6 +21,8 @@
 	fingerprints []string
 	sent         []*configurationVersion
 	shadow       []string
+	// tenantChange is applied to the tenants of the next version.
+	tenantChange func(all []configuration.Tenant)
 	grown        []string
 	// struckFaults are faults that take the power of who gets the next change, soon after it was sent; lost is one that
 	// loses most acknowledgements until loseAnswersUntilUs.
--- /dev/null
+++ b/tests/simulator/routed_tenants.go
@@ -0,0 +1,267 @@
+package simulator
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+
+	"petreltide/internal/api/configuration"
+	"petreltide/tests/rules"
+)
+
+// tenantShares are the parts of all requests that the tenants of a day send; the last one has no limit.
+var tenantShares = []float64{0.34, 0.22, 0.16, 0.12, 0.08, 0.08}
+
+const (
+	// tenantHeadroom is how much more a tenant may usually send than it does, tenantBurstS its burst in seconds of its rate.
+	tenantHeadroom = 1.6
+	tenantBurstS   = 2
+	// loweredLimit is what is left of a limit that operators lower.
+	loweredLimit = 0.3
+	// hotLeast and hotMost are how many times its limit a hot tenant sends.
+	hotLeast = 4
+	hotMost  = 16
+)
+
+// tenantRow is one customer: what its clients send, and the key that they use.
+type tenantRow struct {
+	name  string
+	key   string
+	share float64
+	// ratePerS and burst are its usual limit; 0 is none.
+	ratePerS, burst float64
+	keys            int
+	hotUntilUs      int64
+}
+
+// tenants are the customers of a day. They draw from a source of their own, so that days without them are as they were.
+type tenants struct {
+	day    *routedDay
+	random *rand.Rand
+	rows   []*tenantRow
+	// keys are all keys that were ever given out, by their digests.
+	keys map[string]string
+	// decided counts the decisions of gateways on requests of tenants that were not hot, and of those that were ("hot ...").
+	decided map[string]int
+}
+
+func newTenants(d *routedDay) *tenants {
+	if !d.plan.Tenants {
+		return nil
+	}
+	ts := &tenants{day: d, random: rand.New(rand.NewSource(d.plan.Seed * 17)), keys: map[string]string{}, decided: map[string]int{}}
+	for i, share := range tenantShares {
+		row := &tenantRow{name: fmt.Sprintf("t%d", i), share: share}
+		if i < len(tenantShares)-1 {
+			row.ratePerS = share * d.plan.CallsPerSecond * tenantHeadroom
+			row.burst = row.ratePerS * tenantBurstS
+		}
+		row.key = ts.newKey(row)
+		ts.rows = append(ts.rows, row)
+	}
+	d.observed.Tenants, d.observed.Limits = map[string]string{}, map[*rules.Version]map[string]rules.TenantLimit{}
+	return ts
+}
+
+func (ts *tenants) newKey(row *tenantRow) string {
+	row.keys++
+	key := fmt.Sprintf("key-%s-%d", row.name, row.keys)
+	ts.keys[configuration.KeyDigest(key)] = key
+	return key
+}
+
+// pick is whose client sends the next request; nil on days without tenants.
+func (ts *tenants) pick() *tenantRow {
+	if ts == nil {
+		return nil
+	}
+	x := ts.random.Float64()
+	for _, row := range ts.rows {
+		if x -= row.share; x < 0 {
+			return row
+		}
+	}
+	return ts.rows[len(ts.rows)-1]
+}
+
+// unlimited is the tenant without a limit, by whose key versions are probed.
+func (ts *tenants) unlimited() *tenantRow {
+	if ts == nil {
+		return nil
+	}
+	return ts.rows[len(ts.rows)-1]
+}
+
+// sent notes whose request a try is.
+func (ts *tenants) sent(t *rules.Attempt, row *tenantRow) {
+	if row != nil {
+		ts.day.observed.Tenants[t.ID] = row.name
+	}
+}
+
+// key is the one that a client sends; empty on days without tenants.
+func (cr *clientRequest) key() string {
+	if cr.tenant == nil {
+		return ""
+	}
+	return cr.tenant.key
+}
+
+// first is what the first version declares.
+func (ts *tenants) first() []configuration.Tenant {
+	out := []configuration.Tenant{}
+	for _, row := range ts.rows {
+		out = append(out, configuration.Tenant{Name: row.name, KeyDigests: []string{configuration.KeyDigest(row.key)}, RatePerSecond: row.ratePerS, Burst: row.burst})
+	}
+	return out
+}
+
+// limits are those of a version, as the rule reads them.
+func limits(declared []configuration.Tenant) map[string]rules.TenantLimit {
+	out := map[string]rules.TenantLimit{}
+	for _, t := range declared {
+		out[t.Name] = rules.TenantLimit{RatePerS: t.RatePerSecond, Burst: t.Burst}
+	}
+	return out
+}
+
+// changedTenants are those of a list that a list before it has otherwise or not at all.
+func changedTenants(before, after []configuration.Tenant) []configuration.Tenant {
+	return slices.DeleteFunc(slices.Clone(after), func(t configuration.Tenant) bool {
+		return slices.ContainsFunc(before, func(b configuration.Tenant) bool {
+			return b.Name == t.Name && b.RatePerSecond == t.RatePerSecond && b.Burst == t.Burst && slices.Equal(b.KeyDigests, t.KeyDigests)
+		})
+	})
+}
+
+// declareTenants gives a version the tenants of its base, changed where a change is due.
+func (ops *routedOperators) declareTenants(v, base *configurationVersion) {
+	if ops.day.tenants == nil {
+		return
+	}
+	if base == nil {
+		v.tenants = ops.day.tenants.first()
+	} else {
+		v.tenants = slices.Clone(base.tenants)
+	}
+	if ops.tenantChange != nil {
+		ops.tenantChange(v.tenants)
+		ops.tenantChange = nil
+	}
+	if v.edit != nil && base != nil {
+		v.edit.Tenants = changedTenants(base.tenants, v.tenants)
+	}
+	ops.day.observed.Limits[v.seen] = limits(v.tenants)
+}
+
+// changeTenant sends a version in which one tenant is otherwise. Its clients take up the key that is then in force.
+func (ops *routedOperators) changeTenant(row *tenantRow, change func(t *configuration.Tenant)) func(done func()) {
+	return func(done func()) {
+		ops.tenantChange = func(all []configuration.Tenant) {
+			for i := range all {
+				if all[i].Name == row.name {
+					change(&all[i])
+				}
+			}
+		}
+		ops.change(func() {
+			ops.day.tenants.follow(ops.newest.tenants)
+			done()
+		})
+	}
+}
+
+// follow lets clients use the keys that are in force.
+func (ts *tenants) follow(declared []configuration.Tenant) {
+	for _, t := range declared {
+		for _, row := range ts.rows {
+			if row.name == t.Name && len(t.KeyDigests) > 0 {
+				row.key = ts.keys[t.KeyDigests[0]]
+			}
+		}
+	}
+}
+
+// tenantFault brings about what befalls tenants: one sends many times its limit, a limit falls or rises, a key is taken away,
+// whoever counts is struck. It is false for every other fault.
+func (d *routedDay) tenantFault(f Fault) bool {
+	ts := d.tenants
+	if ts == nil {
+		return false
+	}
+	row := ts.rows[f.A%(len(ts.rows)-1)]
+	ops := ts.day.operators
+	switch f.Kind {
+	case "hot-tenant":
+		ts.heat(row, f)
+	case "quota-down":
+		ops.do(ops.changeTenant(row, func(t *configuration.Tenant) {
+			t.RatePerSecond, t.Burst = loweredLimit*row.ratePerS, loweredLimit*row.burst
+		}))
+	case "quota-up":
+		ops.do(ops.changeTenant(row, func(t *configuration.Tenant) { t.RatePerSecond, t.Burst = row.ratePerS, row.burst }))
+	case "revoke-key":
+		fresh := ts.newKey(row)
+		ops.do(ops.changeTenant(row, func(t *configuration.Tenant) { t.KeyDigests = []string{configuration.KeyDigest(fresh)} }))
+	case "kill-tail", "power-tail", "freeze-tail", "kill-everything":
+		d.tailFault(f)
+	default:
+		return false
+	}
+	return true
+}
+
+// heat lets a tenant's clients send many times its limit for a while.
+func (ts *tenants) heat(row *tenantRow, f Fault) {
+	d := ts.day
+	row.hotUntilUs = max(row.hotUntilUs, d.nowUs+f.DurationUs)
+	factor := hotLeast + float64(f.N%(hotMost-hotLeast+1))
+	var next func()
+	next = func() {
+		if d.nowUs >= row.hotUntilUs || d.handed {
+			return
+		}
+		d.clients.newRequestOf(row, true)
+		d.schedule(d.nowUs+1+int64(ts.random.ExpFloat64()/(row.ratePerS*factor)*1e6), next)
+	}
+	next()
+}
+
+// tailFault strikes whoever counts the requests of tenants, or every machine of ours at once.
+func (d *routedDay) tailFault(f Fault) {
+	for _, o := range d.upControlNodes() {
+		if f.Kind != "kill-everything" && !o.hasRole(TailRole) {
+			continue
+		}
+		switch f.Kind {
+		case "kill-tail", "kill-everything":
+			d.killControlNode(o, 0, f.DurationUs)
+		case "power-tail":
+			d.killControlNode(o, 1+f.N%3, f.DurationUs)
+		case "freeze-tail":
+			d.freeze(&o.machine, f.DurationUs)
+		}
+	}
+	if f.Kind == "kill-everything" {
+		for _, t := range d.gateways {
+			if t.up {
+				t.crash(false)
+				d.schedule(d.nowUs+f.DurationUs, t.start)
+			}
+		}
+	}
+}
+
+// count notes a decision of a gateway on a request of a tenant.
+func (ts *tenants) count(tenant, verdict string) {
+	for _, row := range ts.rows {
+		if row.name != tenant {
+			continue
+		}
+		// For a while after its hot time a tenant still has its bucket to fill.
+		if ts.day.nowUs < row.hotUntilUs+ts.day.observed.Bounds.QuotaWindowUs {
+			verdict = "hot " + verdict
+		}
+		ts.decided[verdict]++
+	}
+}
--- a/tests/simulator/routed_versions.go
+++ b/tests/simulator/routed_versions.go
@@ -16,6 +16,7 @@
 	routes   []configuration.Route
 	services []configuration.Service
 	edit     *configuration.Edit
+	tenants  []configuration.Tenant
 	seen     *rules.Version
 	// low is the number it is sent under where that is not above its base's.
 	low uint64
@@ -125,6 +126,7 @@
 		}
 		v.seen.Routes = append(v.seen.Routes, seen)
 	}
+	ops.declareTenants(v, base)
 	if edit != nil {
 		edit.Version = number
 		edit.Routes, _ = sourced(edit.Routes, nil)
--- /dev/null
+++ b/tests/simulator/tenants_test.go
@@ -0,0 +1,127 @@
+package simulator
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"strings"
+	"testing"
+
+	"petreltide/tests/rules"
+)
+
+// tenantFaultKinds strike tenants, and who counts their requests.
+var tenantFaultKinds = []string{
+	"hot-tenant", "quota-down", "quota-up", "revoke-key", "kill-tail", "power-tail", "freeze-tail", "kill-everything",
+	"cut-office", "split-core", "one-way", "cut-both", "cut-behind", "cut-turn", "kill-offices", "roll-offices", "replace-office", "freeze-office", "clock-step",
+	"cut-desk", "kill-desk", "herd-kill", "freeze-desk", "loss", "kill-zone", "config-storm", "retry-abuse", "power-after-taking",
+}
+
+// tenantPlan is a day with tenants, two of which send many times their limits throughout. On every other day the tail is cut
+// off, from the core alone or from the gateways too.
+func tenantPlan(seed int64, count int) RoutedPlan {
+	p := RoutedPlan{Seed: seed, ControlNodes: 3, Gateways: 6, CardReplicas: 6, LogReplicas: 2, CallsPerSecond: 25, QuietUs: 8 * second, DurationUs: 24 * second, Tenants: true,
+		Closing: Closings[int(seed/2)%len(Closings)]}
+	if seed%3 == 0 {
+		p.ControlNodes = 5
+	}
+	r := rand.New(rand.NewSource(seed * 19))
+	for i := range 2 {
+		p.Faults = append(p.Faults, Fault{Kind: "hot-tenant", AtUs: int64(i) * second, DurationUs: 22 * second, A: int(seed) + 2*i, N: r.Intn(100)})
+	}
+	for i := range count {
+		at := seed*int64(count) + int64(i)
+		deck := rand.New(rand.NewSource(at / int64(len(tenantFaultKinds)))).Perm(len(tenantFaultKinds))
+		p.Faults = append(p.Faults, Fault{Kind: tenantFaultKinds[deck[at%int64(len(tenantFaultKinds))]], A: r.Intn(100), B: r.Intn(100), N: 1 + r.Intn(12),
+			AtUs: p.DurationUs*int64(i)/int64(count) + r.Int63n(p.DurationUs/int64(count)), DurationUs: 500*millisecond + r.Int63n(4*second)})
+	}
+	if seed%2 == 0 {
+		p.Partitions = []Partition{{Role: []Role{TailRole, HeadRole, FollowedRole}[seed/2%3], Direction: []Direction{SilentWay, MuteWay, DeafWay, ResetWay}[seed/6%4],
+			Count: 1 + int(seed/4%2), IncludesGateways: seed%4 == 0, AtUs: r.Int63n(10 * second), DurationUs: 4*second + r.Int63n(8*second)}}
+	}
+	return p
+}
+
+// quotaReport says how near tenants came to what is allowed, and what was refused to those that kept to their limits.
+func quotaReport(out RoutedOutcome) string {
+	worst := rules.QuotaUse{Allowed: 1}
+	for _, u := range out.QuotaUses {
+		if float64(u.Most)*worst.Allowed > float64(worst.Most)*u.Allowed {
+			worst = u
+		}
+	}
+	d := out.QuotaDecisions
+	return fmt.Sprintf("at most %d of %.1f (%s); usual: %d admitted, %d over, %d unanswered; hot: %d admitted, %d over, %d unanswered; served %d of %d",
+		worst.Most, worst.Allowed, worst.Tenant, d["admitted"], d["over"], d["unanswered"], d["hot admitted"], d["hot over"], d["hot unanswered"], out.Served, out.Offered)
+}
+
+func breaksOf(out RoutedOutcome, rule string) []rules.Breach {
+	return slices.DeleteFunc(slices.Clone(out.Breaches), func(b rules.Breach) bool { return b.Rule != rule })
+}
+
+func TestQuietRoutedDayWithTenants(t *testing.T) {
+	p := tenantPlan(1, 0)
+	p.Closing, p.Partitions, p.Faults = "", nil, nil
+	out := judgeRouted(t, p)
+	t.Log(quotaReport(out), out.Statuses)
+	if out.Served*100 < out.Offered*98 || out.QuotaDecisions["unanswered"] > 0 || out.QuotaDecisions["over"]*100 > out.QuotaDecisions["admitted"] {
+		t.Fatalf("on a quiet day: %s", quotaReport(out))
+	}
+}
+
+// tenantDays are as many as it takes to cause every kind of fault.
+const tenantDays = 30
+
+func TestSeededRoutedDaysWithTenants(t *testing.T) {
+	from, count := seeds(tenantDays)
+	sum := &occasions{}
+	t.Run("days", func(t *testing.T) {
+		for seed := from; seed < from+count; seed++ {
+			t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+				t.Parallel()
+				out := judgeRouted(t, tenantPlan(int64(seed), 6))
+				t.Log(quotaReport(out))
+				sum.add(DeclaredOutcome{Caused: out.Caused, ChecksAtStake: out.ChecksAtStake})
+				if out.Served < 100 {
+					t.Fatalf("only %d of %d were served: the run proves nothing", out.Served, out.Offered)
+				}
+			})
+		}
+	})
+	if !t.Failed() && count >= tenantDays {
+		sum.judgeOf(t, tenantFaultKinds, rules.OfTenants)
+	}
+}
+
+// The rule on limits must be able to fail: something is broken on purpose, and it must say so.
+func TestPlantedBreaksOfLimitsAreCaught(t *testing.T) {
+	heavy(t)
+	for _, plant := range []string{"spendthrift", "all-count", "full-tail"} {
+		t.Run(plant, func(t *testing.T) {
+			t.Parallel()
+			for seed := int64(1); seed <= 8; seed++ {
+				p := tenantPlan(seed, 6)
+				p.Plant, p.Closing = plant, ""
+				if len(breaksOf(RunRouted(p), rules.Quota)) > 0 {
+					return
+				}
+			}
+			t.Fatalf("plant %q was not caught", plant)
+		})
+	}
+}
+
+func TestChangedTenantsAreThoseOfAnEdit(t *testing.T) {
+	ts := newTenants(&routedDay{plan: RoutedPlan{Tenants: true, CallsPerSecond: 25}, observed: &rules.Day{}})
+	before := ts.first()
+	after := slices.Clone(before)
+	after[1].RatePerSecond *= 2
+	after[2].KeyDigests = []string{"other"}
+	names := []string{}
+	for _, c := range changedTenants(before, after) {
+		names = append(names, c.Name)
+	}
+	if strings.Join(names, " ") != "t1 t2" {
+		t.Error(names)
+	}
+}
