--- a/cmd/petreltide/status_test.go
+++ b/cmd/petreltide/status_test.go
@@ -21,7 +21,7 @@
 	"petreltide/internal/controlplane/quota"
 	"petreltide/internal/controlplane/statemachine"
 	"petreltide/internal/dataplane/gateway"
-	"petreltide/internal/dataplane/quota"
+	gatewayquota "petreltide/internal/dataplane/quota"
 	"petreltide/internal/dataplane/scheduling"
 )
 
@@ -101,7 +101,7 @@
 	front := serve(t, map[string]any{"/v1/status": gateway.Status{Gateway: "front-1", Zone: "a", Work: scheduling.Status{
 		Revision: 9, Calls: 3, Budgets: []scheduling.RetryBudgetStatus{{Service: "scribe", Calls: 40, Retries: 2, MaxRetries: 29, Gateways: 3}},
 	}, Connections: map[string]gateway.Connections{"i-1": {Open: 41, Max: 41}, "i-2": {Open: 1, Max: 41}},
-		Quota: &quota.Status{Tenants: []quota.TenantCounters{{Tenant: "school-7", Admitted: 51, OverLimit: 12, Unanswered: 3}}}}})
+		Quota: &gatewayquota.Status{Tenants: []gatewayquota.TenantCounters{{Tenant: "school-7", Admitted: 51, OverLimit: 12, Unanswered: 3}}}}})
 	core := serve(t, map[string]any{"/v1/status": fleetStatus(front.addr())})
 	out, err := runCommand(t, statusCommand(), "--control-node", core.addr(), "--gateways")
 	if err != nil {
