Judge 401 by the keys that versions know, and follow a replaced key on any answer

The requests carried a key that the version in force had just taken away, which DENIED took for a proper request. A 401 on a key is now judged by the versions: it breaks CONFIG where every version that may be in force at that machine knows the key, which is stricter than DENIED's share; DENIED leaves out just these.

--- a/tests/rules/routed.go
+++ b/tests/rules/routed.go
@@ -237,6 +237,9 @@
 	// Tenants are those whose requests carried a tenant's key, by their IDs, and Limits what each version lets its tenants run.
 	Tenants map[string]string
 	Limits  map[*Version]map[string]TenantLimit
+	// Keys are the keys that requests carried, by their IDs, and Holders which keys each version knows.
+	Keys    map[string]string
+	Holders map[*Version]map[string]bool
 }
 
 type judge struct {
@@ -292,6 +295,7 @@
 	j.gone()
 	j.known()
 	j.starts()
+	j.unauthorized()
 	j.quota()
 	return j.breaches, j.stakes
 }
--- a/tests/rules/routed_quota.go
+++ b/tests/rules/routed_quota.go
@@ -249,3 +249,26 @@
 	b.tokens--
 	return true
 }
+
+// unauthorized: a key that every version knows which may be in force for a request is not refused.
+func (j *judge) unauthorized() {
+	for _, t := range j.Attempts {
+		key := j.Keys[t.ID]
+		if t.Status != 401 || key == "" {
+			continue
+		}
+		j.stake(ConfigOld)
+		oldest, known := j.oldest(t, t.EndUs), false
+		for _, v := range j.sorted {
+			if v.SentUs > t.EndUs || !j.mayStand(v) || oldest != nil && v.Number < oldest.Number {
+				continue
+			}
+			if known = j.Holders[v][key]; !known {
+				break
+			}
+		}
+		if known && oldest != nil {
+			j.breach(ConfigOld, "%s refused %s with 401 at %.3f, and every version from %d on knows its key", t.Machine, t.ID, sec(t.EndUs), oldest.Number)
+		}
+	}
+}
--- a/tests/rules/routed_quota_test.go
+++ b/tests/rules/routed_quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 )
 
@@ -139,3 +140,40 @@
 		})
 	}
 }
+
+// A request is refused for its key only where some version that may be in force does not know it.
+func TestKeysThatAreRefusedOnSmallDays(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		key    string
+		breaks bool
+		play   func(d *Day, t *Attempt)
+	}{
+		{"a key that was there all along", "kept", true, func(*Day, *Attempt) {}},
+		{"a key that was taken away", "old", false, func(*Day, *Attempt) {}},
+		{"a key that was added", "new", true, func(*Day, *Attempt) {}},
+		{"... a moment ago", "new", false, func(d *Day, t *Attempt) { t.SentUs, t.EndUs = 12*second, 12*second+second/10 }},
+		{"... at a machine out of touch", "new", false, func(d *Day, _ *Attempt) {
+			d.Faults = []FaultInterval{{Machine: "front", FromUs: 13 * second, ToUs: 13 * second}}
+		}},
+		{"... by a version that nobody acknowledged", "new", false, func(d *Day, _ *Attempt) { d.Versions[1].AckedUs = 0 }},
+		{"a key that nobody ever held", "stray", false, func(*Day, *Attempt) {}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			first := &Version{Number: 1, Valid: true, Routes: mark(1, "z"), SentUs: second, AckedUs: 2 * second}
+			next := &Version{Number: 2, Base: 1, Valid: true, Routes: mark(2, "z"), SentUs: 10 * second, AckedUs: 11 * second}
+			try := asked("1", "/r/x", 14*second)
+			try.Status, try.Seal, try.Response = 401, "", ""
+			d := &Day{
+				Bounds: SmallBounds(1), Core: core("a", "b", "c"), Versions: []*Version{first, next}, EndUs: 30 * second, Attempts: []*Attempt{try},
+				Keys: map[string]string{"1": c.key}, Holders: map[*Version]map[string]bool{first: {"kept": true, "old": true}, next: {"kept": true, "new": true}},
+			}
+			c.play(d, try)
+			breaches, _ := Judge(d)
+			broken := slices.ContainsFunc(breaches, func(b Breach) bool { return b.Rule == ConfigOld || b.Rule == Denied })
+			if broken != c.breaks {
+				t.Errorf("%v", breaches)
+			}
+		})
+	}
+}
--- a/tests/rules/routed_routes.go
+++ b/tests/rules/routed_routes.go
@@ -189,6 +189,9 @@
 func (j *judge) deniedOtherwise() int {
 	denied := 0
 	for _, t := range j.Attempts {
+		if t.Status == 401 && j.Keys[t.ID] != "" {
+			continue
+		}
 		ended := t.Status/100 == 3 || (t.Status/100 == 4 && !slices.Contains([]int{404, 408, 421, 429}, t.Status))
 		if ended && len(j.arrivals[t.ID]) == 0 && j.t.within(t.Machine, t.SentUs, t.EndUs) && t.EndUs > t.SentUs {
 			denied++
