--- a/tests/simulator/routed_operators.go
+++ b/tests/simulator/routed_operators.go
@@ -21,6 +21,8 @@
 	fingerprints []string
 	sent         []*configurationVersion
 	shadow       []string
+	// tenantChange is applied to the tenants of the next version.
+	tenantChange func(all []configuration.Tenant)
 	grown        []string
 	// struckFaults are faults that take the power of who gets the next change, soon after it was sent; lost is one that
 	// loses most acknowledgements until loseAnswersUntilUs.
@@ -138,7 +140,11 @@
 }
 
 // onAnswer is what an operator does with an answer that is not a plain yes: it reads what is in force.
-func (ops *routedOperators) onAnswer(v *configurationVersion, status int, done func()) {
+func (ops *routedOperators) onAnswer(v *configurationVersion, status int, then func()) {
+	done := func() {
+		ops.day.tenants.follow(ops.newest)
+		then()
+	}
 	if status == http.StatusOK {
 		if ops.newest == nil || v.seen.Number > ops.newest.seen.Number {
 			ops.newest = v
