Tell when a gateway last heard a current control node, and read the bounds of revocation

Keys of tenants need it: an unknown key is refused for good only by a gateway that is current, and with revocationClosed keyed requests end where it has not been for revokeMs.

Frames that are read within 300 ms after a gap of 500 ms between two steps (a process that was stopped) do not count: they may have lain in a buffer. settings.Revocation is new, in the golden forms too.

--- a/internal/api/settings/settings.go
+++ b/internal/api/settings/settings.go
@@ -110,6 +110,14 @@
 	TokenGaps      int64 `json:"gaps,omitempty" validate:"min=0,max=1000"`
 }
 
+// Revocation says what becomes of requests with a key at a gateway that has not heard for WithinMs from a control node that is
+// current, so that keys may have been taken away meanwhile. Closed refuses them until it hears again; else it goes on with the keys
+// that it last knew.
+type Revocation struct {
+	Closed   bool  `json:"closed,omitempty"`
+	WithinMs int64 `json:"withinMs,omitempty" validate:"required_if=Closed true,min=0,max=3600000"`
+}
+
 // Gateway are the settings of a gateway. Times are milliseconds, addresses IP:port.
 type Gateway struct {
 	Name      string   `json:"name" validate:"required,max=64,hostname_rfc1123"`
@@ -131,6 +139,8 @@
 	MaxConnections int     `json:"connectionsMost,omitempty" validate:"min=0"`
 	MemoryMB       int     `json:"memoryMb,omitempty" validate:"min=0"`
 	Outlier        Outlier `json:"outlier,omitempty"`
+	// Revocation is for keys of tenants that are taken away while this gateway is cut off.
+	Revocation Revocation `json:"revocation,omitempty"`
 	// Disable names mechanisms to switch off, to measure what they are worth.
 	Disable feature.Disabled `json:"disable,omitempty"`
 }
--- a/internal/api/settings/settings_test.go
+++ b/internal/api/settings/settings_test.go
@@ -25,3 +25,22 @@
 		t.Error("a folder inside a file was taken")
 	}
 }
+
+// A bound of 0 ms would refuse every key.
+func TestRevocationThatIsClosedNamesItsBound(t *testing.T) {
+	for name, c := range map[string]struct {
+		set Revocation
+		fit bool
+	}{
+		"open without a bound":   {Revocation{}, true},
+		"open":                   {Revocation{WithinMs: 5000}, true},
+		"closed":                 {Revocation{Closed: true, WithinMs: 5000}, true},
+		"closed without a bound": {Revocation{Closed: true}, false},
+		"a negative bound":       {Revocation{WithinMs: -1}, false},
+	} {
+		g := Gateway{Name: "g", Listen: "127.0.0.1:1", Zone: "a", Seeds: []string{"127.0.0.1:2"}, MaxQueue: 1, MaxBodyKB: 1, Revocation: c.set}
+		if bad := g.Check(); (bad == nil) != c.fit {
+			t.Errorf("%s: %v", name, bad)
+		}
+	}
+}
--- a/internal/dataplane/controlclient/informer.go
+++ b/internal/dataplane/controlclient/informer.go
@@ -113,8 +113,13 @@
 	openedAtUs     int64
 	reportedAtUs   int64
 	urgentAtUs     int64
-	outliersAtUs   int64
-	failing        bool
+	// currentUs is when a control node that was current last pushed a frame; steppedUs is when the last event came, and
+	// wokeUs when the first came after a gap.
+	currentUs    int64
+	steppedUs    int64
+	wokeUs       int64
+	outliersAtUs int64
+	failing      bool
 	// lastSource was the last complete one, and counts while none is.
 	lastSource *source
 	// replicas, orders, gatewayCount and outliers are merged from all complete sources.
@@ -168,6 +173,7 @@
 // Step takes one event, or the passing of time alone, and returns what is to be done.
 func (i *Informer) Step(ev InformerEvent) []InformerEffect {
 	i.effects = nil
+	i.recordWake(ev.NowUs)
 	switch {
 	case ev.Frame != nil:
 		i.applyFrame(ev.NowUs, ev.Stream, ev.Frame)
@@ -253,6 +259,7 @@
 		i.drop(nowUs, s)
 		return
 	}
+	i.recordCurrency(nowUs, s, f)
 	changed := revision != i.revision || i.snapshot == nil || f.View != nil
 	if f.Complete {
 		changed = i.mergeReplicas() || changed
--- a/tests/golden/forms_test.go
+++ b/tests/golden/forms_test.go
@@ -104,6 +104,7 @@
 	{"settings/gateway", settings.Gateway{}},
 	{"settings/outlier", settings.Outlier{}},
 	{"settings/patience", settings.FirstTokenTimeout{}},
+	{"settings/revocation", settings.Revocation{}},
 	{"statemachine/change", statemachine.Change{}},
 	{"statemachine/claim", statemachine.Claim{}},
 	{"statemachine/config-change", statemachine.ConfigChange{}},
