Refuse a tenant whose name can't stand in a header as it is

Replicas are told a tenant by its name in a header. A name with the end of a line in it could be declared, and one between spaces, which reaches a replica without them: not the name that was declared.

Both are invalid now. The table of TestInvalidTenantsAreRefusedWithTheirFault has two more cases, which failed before ('' for invalid_config) and pass.

--- a/internal/api/configuration/tenants.go
+++ b/internal/api/configuration/tenants.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"unicode"
 
 	"petreltide/internal/api/fault"
 )
@@ -80,6 +81,9 @@
 	if c.isNew(t.Name) {
 		c.fields(tenantPath(i), t)
 	}
+	if !isHeaderValue(t.Name) {
+		c.addf(tenantPath(i)+".name", "%q can't stand in a header as it is", t.Name)
+	}
 	c.unique(c.tenants, tenantPath, i, t.Name)
 	for _, digest := range t.KeyDigests {
 		if other, taken := c.keyHolders[digest]; taken && other != i {
@@ -89,6 +93,11 @@
 	}
 }
 
+// isHeaderValue says whether a text reaches the other side of a header unchanged.
+func isHeaderValue(text string) bool {
+	return text == strings.TrimSpace(text) && !strings.ContainsFunc(text, unicode.IsControl)
+}
+
 func tenantsWithoutSource(tenants []Tenant) []Tenant {
 	bare := slices.Clone(tenants)
 	for i := range bare {
