Hold a request whose key may be on its way, and refuse it for good only where current

What callers saw: a 401 ends a client's tries. A gateway that had not yet heard of the version that adds a key gave one: for the time in which the version travels, and for as long as the gateway was cut off or followed control nodes that were behind. And nothing did what revocationClosed asks for: a gateway that was cut off served keys that had been taken away, whatever the settings say.

Host.LookupRoute holds a request with an unknown key until a newer declaration knows it, for 300 ms and a quarter of its time left at most, 64 requests at once. With revocationClosed requests that need a key get 503 once no current control node was heard for revokeMs, and go on when one is.

RouteLookup has one field more, so the table of unasked's test names its fields.

--- /dev/null
+++ b/internal/dataplane/gateway/authentication_test.go
@@ -0,0 +1,178 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"petreltide/internal/api/configuration"
+	"petreltide/internal/api/fault"
+	"petreltide/internal/api/settings"
+	"petreltide/internal/dataplane/scheduling"
+	"petreltide/internal/process/clock"
+	"petreltide/internal/process/logring"
+)
+
+// longHoldUs outlasts every test.
+const longHoldUs = 60 * clock.Sec
+
+// keyed is a gateway that has heard a control node just now, with a declaration whose one tenant holds some keys.
+func keyed(t *testing.T, revocation settings.Revocation, keys ...string) *Host {
+	t.Helper()
+	h := Open(settings.Gateway{
+		Name: "g", Listen: "127.0.0.1:0", Zone: "a", Seeds: []string{"127.0.0.1:1"}, MaxQueue: 1, MaxBodyKB: 1, Attempts: settings.LeaselessAttempts, Revocation: revocation,
+	}, logring.NewRing("", io.Discard))
+	h.learns(1, keys...)
+	h.setCurrent(clock.NowUs())
+	return h
+}
+
+// learns brings a declaration.
+func (h *Host) learns(revision uint64, keys ...string) {
+	tenant := configuration.Tenant{Name: "acme"}
+	for _, key := range keys {
+		tenant.KeyDigests = append(tenant.KeyDigests, configuration.KeyDigest(key))
+	}
+	split := []configuration.WeightedService{{Service: "s", Weight: 1}}
+	d := &configuration.Declaration{
+		Version: revision, RequireKeys: true, Tenants: []configuration.Tenant{tenant}, Services: []configuration.Service{{Name: "s"}},
+		Routes: []configuration.Route{{Name: "r", Host: "h", Prefix: "/", Split: split}, {Name: "open", Host: "h", Prefix: "/open/", Split: split, Public: true}},
+	}
+	h.snapshot.Store(&scheduling.Snapshot{Revision: revision, Declaration: d.Indexed()})
+	h.news.fire()
+}
+
+func codeFor(ctx context.Context, h *Host, path, key string, deadlineUs int64) fault.Code {
+	if _, _, bad := h.LookupRoute(ctx, scheduling.RouteLookup{Host: "h", Path: path, Key: key, DeadlineUs: deadlineUs}); bad != nil {
+		return bad.Code
+	}
+	return ""
+}
+
+// asks looks a key up beside the test, and returns once it is held.
+func asks(t *testing.T, h *Host, key string) <-chan fault.Code {
+	t.Helper()
+	held, answer := h.heldKeys.Load(), make(chan fault.Code, 1)
+	go func() { answer <- codeFor(t.Context(), h, "/x", key, 0) }()
+	for h.heldKeys.Load() <= held {
+		select {
+		case code := <-answer:
+			t.Fatalf("%s was answered at once: %q", key, code)
+		case <-time.After(time.Millisecond):
+		}
+	}
+	return answer
+}
+
+func TestARequestWhoseKeyIsOnItsWayIsServed(t *testing.T) {
+	h := keyed(t, settings.Revocation{}, "k1")
+	h.maxKeyHoldUs = longHoldUs
+	late := asks(t, h, "k2")
+	h.learns(2, "k1", "k3")
+	select {
+	case code := <-late:
+		t.Fatalf("a declaration without the key ended the wait: %q", code)
+	default:
+	}
+	h.learns(3, "k1", "k2")
+	if code := <-late; code != "" {
+		t.Errorf("%q", code)
+	}
+	if n := h.heldKeys.Load(); n != 0 {
+		t.Errorf("%d are held still", n)
+	}
+}
+
+func TestAnUnknownKeyIsRefusedForGoodOnlyByACurrentGateway(t *testing.T) {
+	staleUs := currentWithinUs + clock.Sec
+	for name, c := range map[string]struct {
+		ageUs      int64
+		revocation settings.Revocation
+		path, key  string
+		code       fault.Code
+	}{
+		"current, unknown":                    {0, settings.Revocation{}, "/x", "k9", fault.Unauthenticated},
+		"current, none":                       {0, settings.Revocation{}, "/x", "", fault.Unauthenticated},
+		"current, known":                      {0, settings.Revocation{}, "/x", "k1", ""},
+		"behind, unknown":                     {staleUs, settings.Revocation{}, "/x", "k9", fault.NoLease},
+		"behind, none":                        {staleUs, settings.Revocation{}, "/x", "", fault.Unauthenticated},
+		"behind, known":                       {staleUs, settings.Revocation{}, "/x", "k1", ""},
+		"behind, unknown on a public route":   {staleUs, settings.Revocation{}, "/open/x", "k9", ""},
+		"never current, unknown":              {-1, settings.Revocation{}, "/x", "k9", fault.NoLease},
+		"never current, known":                {-1, settings.Revocation{}, "/x", "k1", ""},
+		"open revocation, long behind, known": {time.Hour.Microseconds(), settings.Revocation{WithinMs: 5000}, "/x", "k1", ""},
+		"closed, within the bound, known":     {4 * clock.Sec, settings.Revocation{Closed: true, WithinMs: 5000}, "/x", "k1", ""},
+		"closed, past the bound, known":       {6 * clock.Sec, settings.Revocation{Closed: true, WithinMs: 5000}, "/x", "k1", fault.NoLease},
+		"closed, past the bound, none":        {6 * clock.Sec, settings.Revocation{Closed: true, WithinMs: 5000}, "/x", "", fault.Unauthenticated},
+		"closed, past the bound, public":      {6 * clock.Sec, settings.Revocation{Closed: true, WithinMs: 5000}, "/open/x", "k1", ""},
+		"closed, never current, known":        {-1, settings.Revocation{Closed: true, WithinMs: 5000}, "/x", "k1", fault.NoLease},
+	} {
+		h := keyed(t, c.revocation, "k1")
+		h.maxKeyHoldUs = 0
+		if h.setCurrent(clock.NowUs() - c.ageUs); c.ageUs < 0 {
+			h.setCurrent(0)
+		}
+		if code := codeFor(t.Context(), h, c.path, c.key, 0); code != c.code {
+			t.Errorf("%s: %q, want %q", name, code, c.code)
+		}
+	}
+}
+
+// A gateway that was stopped or cut off serves what it held as soon as it hears again.
+func TestRequestsHeldByAGatewayThatWasCutOffGoOnOnceItHearsAgain(t *testing.T) {
+	h := keyed(t, settings.Revocation{Closed: true, WithinMs: 5000}, "k1")
+	h.maxKeyHoldUs = longHoldUs
+	h.setCurrent(clock.NowUs() - 20*clock.Sec)
+	held := asks(t, h, "k1")
+	h.setCurrent(clock.NowUs())
+	if code := <-held; code != "" {
+		t.Errorf("%q", code)
+	}
+}
+
+// An attacker's unknown keys hold few requests, and the others are answered without a wait.
+func TestAFloodOfUnknownKeysHoldsFewRequests(t *testing.T) {
+	h := keyed(t, settings.Revocation{}, "k1")
+	h.maxKeyHoldUs = longHoldUs
+	held := []<-chan fault.Code{}
+	for i := range maxHeldKeys {
+		held = append(held, asks(t, h, fmt.Sprint("flood-", i)))
+	}
+	for range 1000 {
+		if code := codeFor(t.Context(), h, "/x", "flood", 0); code != fault.Unauthenticated {
+			t.Fatalf("%q", code)
+		}
+	}
+	if code := codeFor(t.Context(), h, "/x", "k1", 0); code != "" {
+		t.Errorf("a known key: %q", code)
+	}
+	h.learns(2, "flood-0")
+	if code := <-held[0]; code != "" {
+		t.Errorf("a key that came: %q", code)
+	}
+	if n := h.heldKeys.Load(); n != maxHeldKeys-1 {
+		t.Errorf("%d are held", n)
+	}
+}
+
+func TestARequestWithAnUnknownKeyIsHeldForAPartOfItsTimeAtMost(t *testing.T) {
+	h := keyed(t, settings.Revocation{})
+	for leftUs, want := range map[int64]time.Duration{100 * clock.Ms: 25 * time.Millisecond, 4 * clock.Sec: 300 * time.Millisecond, -clock.Sec: 0} {
+		if got := h.keyHold(5*clock.Sec+leftUs, 5*clock.Sec); got != want {
+			t.Errorf("%d ms are left: held for %v, want %v", leftUs/clock.Ms, got, want)
+		}
+	}
+	if got := h.keyHold(0, 5*clock.Sec); got != 300*time.Millisecond {
+		t.Errorf("no end: held for %v", got)
+	}
+	h.maxKeyHoldUs = longHoldUs
+	ctx, leave := context.WithCancel(t.Context())
+	answer := make(chan fault.Code, 1)
+	go func() { answer <- codeFor(ctx, h, "/x", "k9", 0) }()
+	leave()
+	if code := <-answer; code != fault.Unauthenticated {
+		t.Errorf("its client has left: %q", code)
+	}
+}
--- a/internal/dataplane/gateway/host.go
+++ b/internal/dataplane/gateway/host.go
@@ -59,6 +59,14 @@
 	snapshot atomic.Pointer[scheduling.Snapshot]
 	// leaseUs is the instant until which this gateway may send attempts, in microseconds; 0 without a lease.
 	leaseUs atomic.Int64
+	// currentUs is the instant of the newest frame of a control node that was current, in microseconds; 0 before the first.
+	currentUs atomic.Int64
+	// news wakes requests whose key is not known once a newer declaration is here, or a current control node is heard again;
+	// heldKeys counts them.
+	news     *broadcast
+	heldKeys atomic.Int64
+	// maxKeyHoldUs is maxKeyHoldUs but in tests.
+	maxKeyHoldUs int64
 	// activeCalls counts what a drain waits for; callNumber is the last one given to a call without an ID.
 	activeCalls atomic.Int64
 	callNumber  atomic.Int64
@@ -134,7 +142,7 @@
 			Outlier:     set.Outlier.Options(), Disable: set.Disable,
 		}),
 		act: actor.New(mailboxCapacity), callers: map[string]*caller{},
-		streams: map[uint64]context.CancelFunc{}, declared: make(chan struct{}), Memory: &MemoryLimit{MaxBytes: int64(set.MemoryMB) << 20 / memoryDivisor},
+		streams: map[uint64]context.CancelFunc{}, declared: make(chan struct{}), news: newBroadcast(), maxKeyHoldUs: maxKeyHoldUs, Memory: &MemoryLimit{MaxBytes: int64(set.MemoryMB) << 20 / memoryDivisor},
 	}
 	opts := controlclient.Options{Gateway: set.Name, Incarnation: incarnation, Addr: set.Advertise, Zone: set.Zone, Seeds: set.Seeds}
 	h.subscriber = controlclient.New(opts)
--- a/internal/dataplane/gateway/informer.go
+++ b/internal/dataplane/gateway/informer.go
@@ -5,7 +5,6 @@
 	"strconv"
 	"time"
 
-	"petreltide/internal/api/configuration"
 	"petreltide/internal/api/fault"
 	"petreltide/internal/api/wire"
 	"petreltide/internal/dataplane/controlclient"
@@ -28,12 +27,6 @@
 // Snapshot is the newest news; it is never changed.
 func (h *Host) Snapshot() *scheduling.Snapshot { return h.snapshot.Load() }
 
-// LookupRoute finds the route of a request and the tenant in whose name it runs by the newest news; there must be a
-// declaration. It is the one place where requests are authenticated.
-func (h *Host) LookupRoute(_ context.Context, a scheduling.RouteLookup) (route *configuration.Route, tenant string, bad *fault.Fault) {
-	return h.Snapshot().LookupRoute(a)
-}
-
 // AwaitDeclaration waits until this gateway has one, or for as long as ctx lasts.
 func (h *Host) AwaitDeclaration(ctx context.Context) {
 	select {
@@ -99,8 +92,12 @@
 			addr := e.Report
 			h.act.Spawn(func() { h.sendReport(addr, report) })
 		case e.Snapshot != nil:
-			first := e.Snapshot.Declaration != nil && (h.snapshot.Load() == nil || h.snapshot.Load().Declaration == nil)
+			prior := h.snapshot.Load()
+			first := e.Snapshot.Declaration != nil && (prior == nil || prior.Declaration == nil)
 			h.snapshot.Store(e.Snapshot)
+			if prior == nil || prior.Revision != e.Snapshot.Revision {
+				h.news.fire()
+			}
 			h.step(scheduling.SnapshotReceived{Snapshot: e.Snapshot})
 			if first {
 				close(h.declared)
@@ -108,6 +105,7 @@
 			}
 		}
 	}
+	h.setCurrent(h.informer.CurrentUs())
 }
 
 // followFrames holds one control node's stream.
--- a/internal/dataplane/scheduling/tenants.go
+++ b/internal/dataplane/scheduling/tenants.go
@@ -5,11 +5,13 @@
 	"petreltide/internal/api/fault"
 )
 
-// RouteLookup is what a request by route names: where it goes, and the key of a tenant, "" for none.
+// RouteLookup is what a request by route names: where it goes, and the key of a tenant, "" for none. DeadlineUs is the instant
+// at which it must be answered; 0 is never.
 type RouteLookup struct {
-	Host string
-	Path string
-	Key  string
+	Host       string
+	Path       string
+	Key        string
+	DeadlineUs int64
 }
 
 // LookupRoute finds the route of a request and the name of the tenant in whose name it runs, "" for nobody's, or the
--- a/internal/dataplane/scheduling/tenants_test.go
+++ b/internal/dataplane/scheduling/tenants_test.go
@@ -30,18 +30,18 @@
 		tenant string
 		code   fault.Code
 	}{
-		{"its key", s, RouteLookup{"h", "/own/x", "k1"}, "own", "school", ""},
-		{"another's key", s, RouteLookup{"h", "/own/x", "k2"}, "own", "club", ""},
-		{"no key", s, RouteLookup{"h", "/own/x", ""}, "", "", fault.Unauthenticated},
-		{"an unknown key", s, RouteLookup{"h", "/own/x", "k3"}, "", "", fault.Unauthenticated},
-		{"a digest", s, RouteLookup{"h", "/own/x", configuration.KeyDigest("k1")}, "", "", fault.Unauthenticated},
-		{"public, its key", s, RouteLookup{"h", "/open/x", "k1"}, "open", "school", ""},
-		{"public, no key", s, RouteLookup{"h", "/open/x", ""}, "open", "", ""},
-		{"public, an unknown key", s, RouteLookup{"h", "/open/x", "k3"}, "open", "", ""},
-		{"no route, its key", s, RouteLookup{"h", "/none/x", "k1"}, "", "", fault.NotFound},
-		{"no route, no key", s, RouteLookup{"h", "/none/x", ""}, "", "", fault.NotFound},
-		{"no tenants are declared", keyless, RouteLookup{"h", "/own/x", "k1"}, "own", "", ""},
-		{"the last tenant is gone", stands(tenanted(nil), 1), RouteLookup{"h", "/own/x", "k1"}, "", "", fault.Unauthenticated},
+		{"its key", s, RouteLookup{Host: "h", Path: "/own/x", Key: "k1"}, "own", "school", ""},
+		{"another's key", s, RouteLookup{Host: "h", Path: "/own/x", Key: "k2"}, "own", "club", ""},
+		{"no key", s, RouteLookup{Host: "h", Path: "/own/x", Key: ""}, "", "", fault.Unauthenticated},
+		{"an unknown key", s, RouteLookup{Host: "h", Path: "/own/x", Key: "k3"}, "", "", fault.Unauthenticated},
+		{"a digest", s, RouteLookup{Host: "h", Path: "/own/x", Key: configuration.KeyDigest("k1")}, "", "", fault.Unauthenticated},
+		{"public, its key", s, RouteLookup{Host: "h", Path: "/open/x", Key: "k1"}, "open", "school", ""},
+		{"public, no key", s, RouteLookup{Host: "h", Path: "/open/x", Key: ""}, "open", "", ""},
+		{"public, an unknown key", s, RouteLookup{Host: "h", Path: "/open/x", Key: "k3"}, "open", "", ""},
+		{"no route, its key", s, RouteLookup{Host: "h", Path: "/none/x", Key: "k1"}, "", "", fault.NotFound},
+		{"no route, no key", s, RouteLookup{Host: "h", Path: "/none/x", Key: ""}, "", "", fault.NotFound},
+		{"no tenants are declared", keyless, RouteLookup{Host: "h", Path: "/own/x", Key: "k1"}, "own", "", ""},
+		{"the last tenant is gone", stands(tenanted(nil), 1), RouteLookup{Host: "h", Path: "/own/x", Key: "k1"}, "", "", fault.Unauthenticated},
 	} {
 		route, tenant, bad := c.in.LookupRoute(c.lookup)
 		name, code := "", fault.Code("")
