--- a/internal/dataplane/controlclient/currency_test.go
+++ b/internal/dataplane/controlclient/currency_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
 	"petreltide/internal/api/wire"
 	"petreltide/internal/process/clock"
 )
@@ -33,6 +35,11 @@
 				if d.m.CurrentUs() >= inForceUs+knowsWithinUs && d.snap.Revision < inForce {
 					t.Fatalf("seed %d, round %d: current at %d with revision %d, and %d is in force since %d", seed, round, d.m.CurrentUs(), d.snap.Revision, inForce, inForceUs)
 				}
+				if d.snap.Revision == inForce {
+					if diff := cmp.Diff(holders(d.log.head.Doc), holders(d.snap.Declaration)); diff != "" {
+						t.Fatalf("seed %d, round %d: who holds which key: %s", seed, round, diff)
+					}
+				}
 			}
 		}
 	}
--- a/internal/dataplane/controlclient/informer_test.go
+++ b/internal/dataplane/controlclient/informer_test.go
@@ -182,15 +182,43 @@
 	c.head.Apply(uint64(len(c.log)), change)
 }
 
+// tenants are those of a version: each holds a key of its own, and one of them, or nobody, a key that changes hands.
+func tenants(version uint64) []configuration.Tenant {
+	all := []configuration.Tenant{}
+	for n := range uint64(3) {
+		keys := []string{configuration.KeyDigest(fmt.Sprint("own", n))}
+		if version%4 == n {
+			keys = append(keys, configuration.KeyDigest("roaming"))
+		}
+		all = append(all, configuration.Tenant{Name: fmt.Sprint("t", n), KeyDigests: keys, Source: json.RawMessage(`{"own":"text"}`)})
+	}
+	return all
+}
+
+// holders say who holds which key.
+func holders(d *configuration.Declaration) map[string]string {
+	all := map[string]string{}
+	for _, key := range []string{"own0", "own1", "own2", "roaming", "nobody's"} {
+		if tenant := d.TenantOfKey(key); tenant != nil {
+			all[key] = tenant.Name
+		}
+	}
+	return all
+}
+
 func (c *chronicle) config() {
 	base := c.version
 	c.version += 1 + uint64(c.r.Intn(3))
 	if base == 0 || c.r.Intn(6) == 0 {
-		doc := &configuration.Declaration{Version: c.version, Services: []configuration.Service{service("m1", "m2", "m3")}, Routes: []configuration.Route{route("a", 100), route("b", 100)}}
+		doc := &configuration.Declaration{Version: c.version, Services: []configuration.Service{service("m1", "m2", "m3")}, Routes: []configuration.Route{route("a", 100), route("b", 100)},
+			Tenants: tenants(c.version), RequireKeys: true}
 		c.write(statemachine.Change{Config: &statemachine.ConfigChange{Base: base, Version: c.version, Doc: doc}})
 		return
 	}
-	e := &configuration.Edit{Version: c.version}
+	e := &configuration.Edit{Version: c.version, Tenants: tenants(c.version)}
+	if c.version%5 == 0 {
+		e.Tenants, e.RemoveTenants = e.Tenants[:2], []string{"t2"}
+	}
 	if c.r.Intn(3) == 0 {
 		e.RemoveRoutes = []string{[]string{"a", "b", "c", "d"}[c.r.Intn(4)]}
 	} else {
