--- a/internal/api/settings/settings.go
+++ b/internal/api/settings/settings.go
@@ -98,7 +98,7 @@
 // requests that need a key until it hears again, else it goes on with the keys that it last knew.
 type Revocation struct {
 	Closed   bool  `json:"closed,omitempty"`
-	WithinMs int64 `json:"withinMs,omitempty" validate:"min=0,max=3600000"`
+	WithinMs int64 `json:"withinMs,omitempty" validate:"required_if=Closed true,min=0,max=3600000"`
 }
 
 // Attempts says what a gateway needs in order to send: attempt numbers that the controller granted under a lease (the
