--- a/internal/dataplane/gateway/informer.go
+++ b/internal/dataplane/gateway/informer.go
@@ -92,14 +92,14 @@
 			addr := e.Report
 			h.act.Spawn(func() { h.sendReport(addr, report) })
 		case e.Snapshot != nil:
-			first := e.Snapshot.Declaration != nil && (h.snapshot.Load() == nil || h.snapshot.Load().Declaration == nil)
-			newer := e.Snapshot.Declaration != nil && (first || h.snapshot.Load().Revision != e.Snapshot.Revision)
+			prior := h.snapshot.Load()
+			first := e.Snapshot.Declaration != nil && (prior == nil || prior.Declaration == nil)
 			h.snapshot.Store(e.Snapshot)
 			h.step(scheduling.SnapshotReceived{Snapshot: e.Snapshot})
 			if first {
 				close(h.declared)
 			}
-			if newer {
+			if e.Snapshot.Declaration != nil && (prior == nil || prior.Revision != e.Snapshot.Revision) {
 				_ = h.info.Log("msg", "declaration received", "revision", e.Snapshot.Revision, "replicas", len(e.Snapshot.Replicas))
 			}
 		}
