--- a/internal/dataplane/gateway/informer.go
+++ b/internal/dataplane/gateway/informer.go
@@ -99,7 +99,6 @@
 		case e.Snapshot != nil:
 			prior := h.snapshot.Load()
 			first := e.Snapshot.Declaration != nil && (prior == nil || prior.Declaration == nil)
-			newer := e.Snapshot.Declaration != nil && (first || prior.Revision != e.Snapshot.Revision)
 			h.snapshot.Store(e.Snapshot)
 			if prior == nil || prior.Revision != e.Snapshot.Revision {
 				h.news.fire()
@@ -108,7 +107,7 @@
 			if first {
 				close(h.declared)
 			}
-			if newer {
+			if e.Snapshot.Declaration != nil && (prior == nil || prior.Revision != e.Snapshot.Revision) {
 				_ = h.info.Log("msg", "declaration received", "revision", e.Snapshot.Revision, "replicas", len(e.Snapshot.Replicas))
 			}
 		}
