Keep a declaration without tenants as one that is read back

TestStateAppliesNumberedVersions failed since: an edit left an empty list of tenants where there was none, which a state that is read back from JSON does not have, so that a declaration differed from itself after a restart. None is nil now.

--- a/internal/api/configuration/edit.go
+++ b/internal/api/configuration/edit.go
@@ -27,7 +27,10 @@
 	services := itemsEdit[Service]{field: "services", upsert: e.Services, remove: e.RemoveServices, name: func(s *Service) string { return s.Name }}
 	n.Services = services.apply(faults, d.Services)
 	tenants := itemsEdit[Tenant]{field: "tenants", upsert: e.Tenants, remove: e.RemoveTenants, name: func(t *Tenant) string { return t.Name }}
-	n.Tenants = tenants.apply(faults, d.Tenants)
+	n.Tenants = nil
+	if edited := tenants.apply(faults, d.Tenants); len(edited) > 0 {
+		n.Tenants = edited
+	}
 	n.RequireKeys = d.RequireKeys || len(n.Tenants) > 0
 	if e.Limits != nil {
 		n.Limits = e.Limits
