--- a/internal/controlplane/distribution/tenants_test.go
+++ b/internal/controlplane/distribution/tenants_test.go
@@ -21,7 +21,7 @@
 )
 
 func largeTenant(i int, keys ...string) configuration.Tenant {
-	t := configuration.Tenant{Name: fmt.Sprint("tenant-", i), RatePerSecond: 120, Burst: 60, Source: json.RawMessage(fmt.Sprintf(`{"name":"tenant-%d","apiKeys":["%s"]}`, i, strings.Join(keys, `","`)))}
+	t := configuration.Tenant{Name: fmt.Sprint("tenant-", i), RatePerSecond: 120, Burst: 60, Source: json.RawMessage(fmt.Sprintf(`{"name":"tenant-%d","keys":["%s"]}`, i, strings.Join(keys, `","`)))}
 	for _, key := range keys {
 		t.KeyDigests = append(t.KeyDigests, configuration.KeyDigest(key))
 	}
--- a/internal/controlplane/statemachine/tenants_test.go
+++ b/internal/controlplane/statemachine/tenants_test.go
@@ -18,7 +18,7 @@
 
 // versionTenant is a tenant with the operator's own text of it, as it is to be read back.
 func versionTenant(name string, keys ...string) configuration.Tenant {
-	source, err := json.Marshal(map[string]any{"name": name, "apiKeys": keys})
+	source, err := json.Marshal(map[string]any{"name": name, "keys": keys})
 	if err != nil {
 		panic(err)
 	}
@@ -155,11 +155,11 @@
 			for _, s := range []*State{s, back} {
 				got := map[string][]string{}
 				for _, tenant := range s.Doc.Tenants {
-					source := struct{ APIKeys []string }{}
+					source := struct{ Keys []string }{}
 					if err := json.Unmarshal(tenant.Source, &source); err != nil {
 						t.Fatal(err)
 					}
-					got[tenant.Name] = source.APIKeys
+					got[tenant.Name] = source.Keys
 				}
 				if diff := cmp.Diff(held, got, ignored...); diff != "" {
 					t.Fatalf("seed %d, version %d: %s", seed, s.Version(), diff)
