--- a/tests/rules/routed_quota.go
+++ b/tests/rules/routed_quota.go
@@ -10,8 +10,8 @@
 
 // TenantLimit is what one version lets a tenant run; a rate of 0 is no limit.
 type TenantLimit struct {
-	RatePerS float64
-	Burst    float64
+	RatePerSecond float64
+	Burst         float64
 }
 
 // quotaStepUs is how finely the moment is looked for at which all gateways have a version.
@@ -136,10 +136,10 @@
 			continue
 		}
 		l, has := j.Limits[v.Version][tenant]
-		if has && l.RatePerS == 0 {
+		if has && l.RatePerSecond == 0 {
 			return 0, 0, false
 		}
-		if of := l.RatePerS*sec(j.Bounds.QuotaWindowUs) + l.Burst; has && of >= limit {
+		if of := l.RatePerSecond*sec(j.Bounds.QuotaWindowUs) + l.Burst; has && of >= limit {
 			limit, limited = of, true
 			most = of*(1+j.Bounds.QuotaOvershoot) + j.Bounds.QuotaSlack
 		}
@@ -230,7 +230,7 @@
 func (j *judge) leastBucket(tenant string) *bucket {
 	b := &bucket{}
 	for _, v := range j.Versions {
-		if l, has := j.Limits[v][tenant]; has && v.Valid && l.RatePerS > 0 && (b.limit.RatePerS == 0 || l.RatePerS < b.limit.RatePerS) {
+		if l, has := j.Limits[v][tenant]; has && v.Valid && l.RatePerSecond > 0 && (b.limit.RatePerSecond == 0 || l.RatePerSecond < b.limit.RatePerSecond) {
 			b.limit, b.tokens = l, l.Burst
 		}
 	}
@@ -238,10 +238,10 @@
 }
 
 func (b *bucket) take(us int64) bool {
-	if b.limit.RatePerS == 0 {
+	if b.limit.RatePerSecond == 0 {
 		return true
 	}
-	b.tokens = min(max(1, b.limit.Burst), b.tokens+b.limit.RatePerS*sec(us-b.atUs))
+	b.tokens = min(max(1, b.limit.Burst), b.tokens+b.limit.RatePerSecond*sec(us-b.atUs))
 	b.atUs = us
 	if b.tokens < 1 {
 		return false
--- a/tests/rules/routed_quota_test.go
+++ b/tests/rules/routed_quota_test.go
@@ -20,7 +20,7 @@
 			d.Tenants[try.ID] = "t"
 		}
 	}
-	lower := func(d *Day) { d.Limits[d.Versions[1]]["t"] = TenantLimit{RatePerS: 1, Burst: 0} } // (1 x 5) x 1.1 + 20 = 25
+	lower := func(d *Day) { d.Limits[d.Versions[1]]["t"] = TenantLimit{RatePerSecond: 1, Burst: 0} } // (1 x 5) x 1.1 + 20 = 25
 	for _, c := range []struct {
 		name   string
 		breaks bool
@@ -76,7 +76,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			first := &Version{Number: 1, Valid: true, Routes: mark(1, "z"), SentUs: second, AckedUs: 2 * second}
 			next := &Version{Number: 2, Base: 1, Valid: true, Routes: mark(2, "z"), SentUs: 10 * second, AckedUs: 11 * second}
-			limits := func() map[string]TenantLimit { return map[string]TenantLimit{"t": {RatePerS: 2, Burst: 2}} }
+			limits := func() map[string]TenantLimit { return map[string]TenantLimit{"t": {RatePerSecond: 2, Burst: 2}} }
 			d := &Day{
 				Bounds: SmallBounds(1), Core: core("a", "b", "c"), Versions: []*Version{first, next}, EndUs: 30 * second,
 				Tenants: map[string]string{}, Limits: map[*Version]map[string]TenantLimit{first: limits(), next: limits()},
@@ -100,24 +100,24 @@
 // A tenant is starved where it gets less than a quarter as often as all of what it is owed; what is beyond its limit is not owed.
 func TestStarvedTenantsOnSmallDays(t *testing.T) {
 	for _, c := range []struct {
-		name     string
-		refused  int
-		status   int
-		ratePerS float64
-		breaks   bool
+		name          string
+		refused       int
+		status        int
+		ratePerSecond float64
+		breaks        bool
 	}{
-		{name: "all are served", ratePerS: 100},
-		{name: "one is refused what it is owed", refused: 100, status: 429, ratePerS: 100, breaks: true},
-		{name: "... as if nobody could say", refused: 100, status: 503, ratePerS: 100, breaks: true},
-		{name: "... some of it", refused: 60, status: 429, ratePerS: 100},
-		{name: "one that is over its limit most of the time", refused: 90, status: 429, ratePerS: 1},
+		{name: "all are served", ratePerSecond: 100},
+		{name: "one is refused what it is owed", refused: 100, status: 429, ratePerSecond: 100, breaks: true},
+		{name: "... as if nobody could say", refused: 100, status: 503, ratePerSecond: 100, breaks: true},
+		{name: "... some of it", refused: 60, status: 429, ratePerSecond: 100},
+		{name: "one that is over its limit most of the time", refused: 90, status: 429, ratePerSecond: 1},
 		{name: "one without a limit", refused: 100, status: 429, breaks: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			v := &Version{Number: 1, Valid: true, Routes: mark(1, "z"), SentUs: second, AckedUs: 2 * second}
 			d := &Day{
 				Bounds: SmallBounds(1), Core: core("a", "b", "c"), Versions: []*Version{v}, EndUs: 30 * second, Tenants: map[string]string{},
-				Limits: map[*Version]map[string]TenantLimit{v: {"t": {RatePerS: c.ratePerS, Burst: 1}, "u": {}}},
+				Limits: map[*Version]map[string]TenantLimit{v: {"t": {RatePerSecond: c.ratePerSecond, Burst: 1}, "u": {}}},
 			}
 			for i := range 200 {
 				try := asked(fmt.Sprint(i), "/r/x", 14*second+int64(i)*second/20)
--- a/tests/simulator/routed_tenants.go
+++ b/tests/simulator/routed_tenants.go
@@ -28,10 +28,10 @@
 	name  string
 	key   string
 	share float64
-	// ratePerS and burst are its usual limit; 0 is none.
-	ratePerS, burst float64
-	keys            int
-	hotUntilUs      int64
+	// ratePerSecond and burst are its usual limit; 0 is none.
+	ratePerSecond, burst float64
+	keys                 int
+	hotUntilUs           int64
 }
 
 // tenants are the customers of a day. They draw from a source of their own, so that days without them are as they were.
@@ -53,8 +53,8 @@
 	for i, share := range tenantShares {
 		row := &tenantRow{name: fmt.Sprintf("t%d", i), share: share}
 		if i < len(tenantShares)-1 {
-			row.ratePerS = share * d.plan.CallsPerSecond * tenantHeadroom
-			row.burst = row.ratePerS * tenantBurstS
+			row.ratePerSecond = share * d.plan.CallsPerSecond * tenantHeadroom
+			row.burst = row.ratePerSecond * tenantBurstS
 		}
 		row.key = ts.newKey(row)
 		ts.rows = append(ts.rows, row)
@@ -106,7 +106,7 @@
 func (ts *tenants) first() []configuration.Tenant {
 	out := []configuration.Tenant{}
 	for _, row := range ts.rows {
-		out = append(out, configuration.Tenant{Name: row.name, KeyDigests: []string{configuration.KeyDigest(row.key)}, RatePerSecond: row.ratePerS, Burst: row.burst})
+		out = append(out, configuration.Tenant{Name: row.name, KeyDigests: []string{configuration.KeyDigest(row.key)}, RatePerSecond: row.ratePerSecond, Burst: row.burst})
 	}
 	return out
 }
@@ -115,7 +115,7 @@
 func limits(declared []configuration.Tenant) map[string]rules.TenantLimit {
 	out := map[string]rules.TenantLimit{}
 	for _, t := range declared {
-		out[t.Name] = rules.TenantLimit{RatePerS: t.RatePerSecond, Burst: t.Burst}
+		out[t.Name] = rules.TenantLimit{RatePerSecond: t.RatePerSecond, Burst: t.Burst}
 	}
 	return out
 }
@@ -202,10 +202,10 @@
 		ts.heat(row, f)
 	case "quota-down":
 		ops.do(ops.changeTenant(row, func(t *configuration.Tenant) {
-			t.RatePerSecond, t.Burst = loweredLimit*row.ratePerS, loweredLimit*row.burst
+			t.RatePerSecond, t.Burst = loweredLimit*row.ratePerSecond, loweredLimit*row.burst
 		}))
 	case "quota-up":
-		ops.do(ops.changeTenant(row, func(t *configuration.Tenant) { t.RatePerSecond, t.Burst = row.ratePerS, row.burst }))
+		ops.do(ops.changeTenant(row, func(t *configuration.Tenant) { t.RatePerSecond, t.Burst = row.ratePerSecond, row.burst }))
 	case "revoke-key":
 		fresh := ts.newKey(row)
 		ops.do(ops.changeTenant(row, func(t *configuration.Tenant) { t.KeyDigests = []string{configuration.KeyDigest(fresh)} }))
@@ -228,7 +228,7 @@
 			return
 		}
 		d.clients.newRequestOf(row, true)
-		d.schedule(d.nowUs+1+int64(ts.random.ExpFloat64()/(row.ratePerS*factor)*1e6), next)
+		d.schedule(d.nowUs+1+int64(ts.random.ExpFloat64()/(row.ratePerSecond*factor)*1e6), next)
 	}
 	next()
 }
