Hold a request whose route may be on its way, as one whose key may be

The same cause as with keys: a gateway that had not heard yet of the version that adds a route, since it travels or since the gateway is cut off, answered 404, which ends a client's tries. Host.LookupRoute now treats both alike: it holds the request for a moment, then answers 404 where it is current and 503 no_lease where it is not.

TestARequestOnARouteThatIsOnItsWayIsServed and two rows of TestAnUnknownKeyIsRefusedForGoodOnlyByACurrentGateway failed before (answered at once, not_found).

--- a/internal/dataplane/gateway/authentication.go
+++ b/internal/dataplane/gateway/authentication.go
@@ -14,35 +14,35 @@
 	// currentWithinUs is how old the newest frame of a current control node may be at a gateway that counts as current. Such
 	// frames come every 400 ms where there is no news.
 	currentWithinUs = 1000 * clock.Ms
-	// maxKeyHoldUs bounds how long a request with a key that this gateway does not know is held for a declaration that may be on its
-	// way, and keyHoldDivisor by its share of the time that the request has left.
-	maxKeyHoldUs   = 300 * clock.Ms
-	keyHoldDivisor = 4
-	// maxHeldKeys is how many such requests are held at once: the others are answered without a wait.
-	maxHeldKeys = 64
-	// staleRetryMs is when a caller is told to try again whose key a gateway that is not current can't judge.
+	// maxLookupHoldUs bounds how long a request is held whose route or key this gateway does not know, for a declaration that may be
+	// on its way, and lookupHoldDivisor by its share of the time that the request has left.
+	maxLookupHoldUs   = 300 * clock.Ms
+	lookupHoldDivisor = 4
+	// maxHeldLookups is how many such requests are held at once: the others are answered without a wait.
+	maxHeldLookups = 64
+	// staleRetryMs is when a caller is told to try again whose route or key a gateway that is not current can't judge.
 	staleRetryMs = 500
 )
 
 // LookupRoute finds the route of a request and the tenant in whose name it runs by the newest news; there must be a
 // declaration. It is the one place where requests are authenticated.
 //
-// A key that is not known here may be in a declaration that is on its way: its request is held for a moment. After that a
-// gateway that is current refuses it, and one that is not says that it can't tell.
+// A route or a key that is not known here may be in a declaration that is on its way: its request is held for a moment. After
+// that a gateway that is current refuses it, and one that is not says that it can't tell.
 func (h *Host) LookupRoute(ctx context.Context, a scheduling.RouteLookup) (route *configuration.Route, tenant string, bad *fault.Fault) {
 	route, tenant, bad = h.lookupRoute(a)
-	if a.Key == "" || !isUndecided(bad) {
+	if !isUndecided(a, bad) {
 		return route, tenant, bad
 	}
-	defer h.heldKeys.Add(-1)
-	if h.heldKeys.Add(1) > maxHeldKeys {
+	defer h.heldLookups.Add(-1)
+	if h.heldLookups.Add(1) > maxHeldLookups {
 		return route, tenant, bad
 	}
-	hold := time.NewTimer(h.keyHold(a.DeadlineUs, clock.NowUs()))
+	hold := time.NewTimer(h.lookupHold(a.DeadlineUs, clock.NowUs()))
 	defer hold.Stop()
 	for {
 		news := h.news.next()
-		if route, tenant, bad = h.lookupRoute(a); !isUndecided(bad) {
+		if route, tenant, bad = h.lookupRoute(a); !isUndecided(a, bad) {
 			return route, tenant, bad
 		}
 		select {
@@ -61,29 +61,33 @@
 	route, tenant, bad := snap.LookupRoute(a)
 	switch {
 	case bad == nil && h.keysExpired(nowUs) && !snap.Declaration.Allows(route, ""):
-		return nil, "", staleKeys("no current control node was heard for %d ms: keys may have been revoked", h.settings.Revocation.WithinMs)
-	case bad != nil && bad.Code == fault.Unauthenticated && a.Key != "" && !h.isCurrent(nowUs):
-		return nil, "", staleKeys("no tenant held its key when this gateway last heard a current control node")
+		return nil, "", undecided("no current control node was heard for %d ms: keys may have been revoked", h.settings.Revocation.WithinMs)
+	case isUndecided(a, bad) && !h.isCurrent(nowUs):
+		return nil, "", undecided("%s when this gateway last heard a current control node", bad.Detail)
 	}
 	return route, tenant, bad
 }
 
-// isUndecided says whether a newer declaration, or word that there is none, may change an answer.
-func isUndecided(bad *fault.Fault) bool {
-	return bad != nil && (bad.Code == fault.Unauthenticated || bad.Code == fault.NoLease)
+// isUndecided says whether a newer declaration, or word that there is none, may let in a request that is refused: one that brings a
+// key, or whose route is not known.
+func isUndecided(a scheduling.RouteLookup, bad *fault.Fault) bool {
+	if bad == nil {
+		return false
+	}
+	return bad.Code == fault.NotFound || bad.Code == fault.NoLease || (bad.Code == fault.Unauthenticated && a.Key != "")
 }
 
-func staleKeys(format string, args ...any) *fault.Fault {
+func undecided(format string, args ...any) *fault.Fault {
 	bad := fault.New(fault.NoLease, "", format, args...)
 	bad.RetryMs = staleRetryMs
 	return bad
 }
 
 // keyHold is how long a request may be held that must be answered by an instant; 0 is never.
-func (h *Host) keyHold(deadlineUs, nowUs int64) time.Duration {
-	us := h.maxKeyHoldUs
+func (h *Host) lookupHold(deadlineUs, nowUs int64) time.Duration {
+	us := h.maxLookupHoldUs
 	if deadlineUs > 0 {
-		us = max(0, min(us, (deadlineUs-nowUs)/keyHoldDivisor))
+		us = max(0, min(us, (deadlineUs-nowUs)/lookupHoldDivisor))
 	}
 	return time.Duration(us) * time.Microsecond
 }
--- a/internal/dataplane/gateway/authentication_test.go
+++ b/internal/dataplane/gateway/authentication_test.go
@@ -29,7 +29,7 @@
 	return h
 }
 
-// learns brings a declaration.
+// learns brings a declaration; those above 100 have one more route.
 func (h *Host) learns(revision uint64, keys ...string) {
 	tenant := configuration.Tenant{Name: "acme"}
 	for _, key := range keys {
@@ -38,7 +38,10 @@
 	split := []configuration.WeightedService{{Service: "s", Weight: 1}}
 	d := &configuration.Declaration{
 		Version: revision, RequireKeys: true, Tenants: []configuration.Tenant{tenant}, Services: []configuration.Service{{Name: "s"}},
-		Routes: []configuration.Route{{Name: "r", Host: "h", Prefix: "/", Split: split}, {Name: "open", Host: "h", Prefix: "/open/", Split: split, Public: true}},
+		Routes: []configuration.Route{{Name: "r", Host: "h", Prefix: "/x/", Split: split}, {Name: "open", Host: "h", Prefix: "/open/", Split: split, Public: true}},
+	}
+	if revision > 100 {
+		d.Routes = append(d.Routes, configuration.Route{Name: "late", Host: "h", Prefix: "/late/", Split: split})
 	}
 	h.snapshot.Store(&scheduling.Snapshot{Revision: revision, Declaration: d.Indexed()})
 	h.news.fire()
@@ -54,9 +57,14 @@
 // asks looks a key up beside the test, and returns once it is held.
 func asks(t *testing.T, h *Host, key string) <-chan fault.Code {
 	t.Helper()
-	held, answer := h.heldKeys.Load(), make(chan fault.Code, 1)
-	go func() { answer <- codeFor(t.Context(), h, "/x", key, 0) }()
-	for h.heldKeys.Load() <= held {
+	return asksFor(t, h, "/x/1", key)
+}
+
+func asksFor(t *testing.T, h *Host, path, key string) <-chan fault.Code {
+	t.Helper()
+	held, answer := h.heldLookups.Load(), make(chan fault.Code, 1)
+	go func() { answer <- codeFor(t.Context(), h, path, key, 0) }()
+	for h.heldLookups.Load() <= held {
 		select {
 		case code := <-answer:
 			t.Fatalf("%s was answered at once: %q", key, code)
@@ -68,7 +76,7 @@
 
 func TestARequestWhoseKeyIsOnItsWayIsServed(t *testing.T) {
 	h := keyed(t, settings.Revocation{}, "k1")
-	h.maxKeyHoldUs = longHoldUs
+	h.maxLookupHoldUs = longHoldUs
 	late := asks(t, h, "k2")
 	h.learns(2, "k1", "k3")
 	select {
@@ -80,11 +88,24 @@
 	if code := <-late; code != "" {
 		t.Errorf("%q", code)
 	}
-	if n := h.heldKeys.Load(); n != 0 {
+	if n := h.heldLookups.Load(); n != 0 {
 		t.Errorf("%d are held still", n)
 	}
 }
 
+func TestARequestOnARouteThatIsOnItsWayIsServed(t *testing.T) {
+	h := keyed(t, settings.Revocation{}, "k1")
+	h.maxLookupHoldUs = longHoldUs
+	late, keyless := asksFor(t, h, "/late/1", "k1"), asksFor(t, h, "/late/1", "")
+	h.learns(101, "k1")
+	if code := <-late; code != "" {
+		t.Errorf("%q", code)
+	}
+	if code := <-keyless; code != fault.Unauthenticated {
+		t.Errorf("without a key: %q", code)
+	}
+}
+
 func TestAnUnknownKeyIsRefusedForGoodOnlyByACurrentGateway(t *testing.T) {
 	staleUs := currentWithinUs + clock.Sec
 	for name, c := range map[string]struct {
@@ -93,24 +114,27 @@
 		path, key  string
 		code       fault.Code
 	}{
-		"current, unknown":                    {0, settings.Revocation{}, "/x", "k9", fault.Unauthenticated},
-		"current, none":                       {0, settings.Revocation{}, "/x", "", fault.Unauthenticated},
-		"current, known":                      {0, settings.Revocation{}, "/x", "k1", ""},
-		"behind, unknown":                     {staleUs, settings.Revocation{}, "/x", "k9", fault.NoLease},
-		"behind, none":                        {staleUs, settings.Revocation{}, "/x", "", fault.Unauthenticated},
-		"behind, known":                       {staleUs, settings.Revocation{}, "/x", "k1", ""},
-		"behind, unknown on a public route":   {staleUs, settings.Revocation{}, "/open/x", "k9", ""},
-		"never current, unknown":              {-1, settings.Revocation{}, "/x", "k9", fault.NoLease},
-		"never current, known":                {-1, settings.Revocation{}, "/x", "k1", ""},
-		"open revocation, long behind, known": {time.Hour.Microseconds(), settings.Revocation{WithinMs: 5000}, "/x", "k1", ""},
-		"closed, within the bound, known":     {4 * clock.Sec, settings.Revocation{Closed: true, WithinMs: 5000}, "/x", "k1", ""},
-		"closed, past the bound, known":       {6 * clock.Sec, settings.Revocation{Closed: true, WithinMs: 5000}, "/x", "k1", fault.NoLease},
-		"closed, past the bound, none":        {6 * clock.Sec, settings.Revocation{Closed: true, WithinMs: 5000}, "/x", "", fault.Unauthenticated},
-		"closed, past the bound, public":      {6 * clock.Sec, settings.Revocation{Closed: true, WithinMs: 5000}, "/open/x", "k1", ""},
-		"closed, never current, known":        {-1, settings.Revocation{Closed: true, WithinMs: 5000}, "/x", "k1", fault.NoLease},
+		"current, unknown":                    {0, settings.Revocation{}, "/x/1", "k9", fault.Unauthenticated},
+		"current, none":                       {0, settings.Revocation{}, "/x/1", "", fault.Unauthenticated},
+		"current, known":                      {0, settings.Revocation{}, "/x/1", "k1", ""},
+		"behind, unknown":                     {staleUs, settings.Revocation{}, "/x/1", "k9", fault.NoLease},
+		"behind, none":                        {staleUs, settings.Revocation{}, "/x/1", "", fault.Unauthenticated},
+		"behind, known":                       {staleUs, settings.Revocation{}, "/x/1", "k1", ""},
+		"behind, unknown on a public route":   {staleUs, settings.Revocation{}, "/open/1", "k9", ""},
+		"never current, unknown":              {-1, settings.Revocation{}, "/x/1", "k9", fault.NoLease},
+		"never current, known":                {-1, settings.Revocation{}, "/x/1", "k1", ""},
+		"open revocation, long behind, known": {time.Hour.Microseconds(), settings.Revocation{WithinMs: 5000}, "/x/1", "k1", ""},
+		"closed, within the bound, known":     {4 * clock.Sec, settings.Revocation{Closed: true, WithinMs: 5000}, "/x/1", "k1", ""},
+		"closed, past the bound, known":       {6 * clock.Sec, settings.Revocation{Closed: true, WithinMs: 5000}, "/x/1", "k1", fault.NoLease},
+		"closed, past the bound, none":        {6 * clock.Sec, settings.Revocation{Closed: true, WithinMs: 5000}, "/x/1", "", fault.Unauthenticated},
+		"closed, past the bound, public":      {6 * clock.Sec, settings.Revocation{Closed: true, WithinMs: 5000}, "/open/1", "k1", ""},
+		"current, no such route":              {0, settings.Revocation{}, "/late/1", "k1", fault.NotFound},
+		"behind, no such route":               {staleUs, settings.Revocation{}, "/late/1", "k1", fault.NoLease},
+		"behind, no such route, no key":       {staleUs, settings.Revocation{}, "/late/1", "", fault.NoLease},
+		"closed, never current, known":        {-1, settings.Revocation{Closed: true, WithinMs: 5000}, "/x/1", "k1", fault.NoLease},
 	} {
 		h := keyed(t, c.revocation, "k1")
-		h.maxKeyHoldUs = 0
+		h.maxLookupHoldUs = 0
 		if h.setCurrent(clock.NowUs() - c.ageUs); c.ageUs < 0 {
 			h.setCurrent(0)
 		}
@@ -123,7 +147,7 @@
 // A gateway that was stopped or cut off serves what it held as soon as it hears again.
 func TestRequestsHeldByAGatewayThatWasCutOffGoOnOnceItHearsAgain(t *testing.T) {
 	h := keyed(t, settings.Revocation{Closed: true, WithinMs: 5000}, "k1")
-	h.maxKeyHoldUs = longHoldUs
+	h.maxLookupHoldUs = longHoldUs
 	h.setCurrent(clock.NowUs() - 20*clock.Sec)
 	held := asks(t, h, "k1")
 	h.setCurrent(clock.NowUs())
@@ -135,24 +159,24 @@
 // An attacker's unknown keys hold few requests, and the others are answered without a wait.
 func TestAFloodOfUnknownKeysHoldsFewRequests(t *testing.T) {
 	h := keyed(t, settings.Revocation{}, "k1")
-	h.maxKeyHoldUs = longHoldUs
+	h.maxLookupHoldUs = longHoldUs
 	held := []<-chan fault.Code{}
-	for i := range maxHeldKeys {
+	for i := range maxHeldLookups {
 		held = append(held, asks(t, h, fmt.Sprint("flood-", i)))
 	}
 	for range 1000 {
-		if code := codeFor(t.Context(), h, "/x", "flood", 0); code != fault.Unauthenticated {
+		if code := codeFor(t.Context(), h, "/x/1", "flood", 0); code != fault.Unauthenticated {
 			t.Fatalf("%q", code)
 		}
 	}
-	if code := codeFor(t.Context(), h, "/x", "k1", 0); code != "" {
+	if code := codeFor(t.Context(), h, "/x/1", "k1", 0); code != "" {
 		t.Errorf("a known key: %q", code)
 	}
 	h.learns(2, "flood-0")
 	if code := <-held[0]; code != "" {
 		t.Errorf("a key that came: %q", code)
 	}
-	if n := h.heldKeys.Load(); n != maxHeldKeys-1 {
+	if n := h.heldLookups.Load(); n != maxHeldLookups-1 {
 		t.Errorf("%d are held", n)
 	}
 }
@@ -160,17 +184,17 @@
 func TestARequestWithAnUnknownKeyIsHeldForAPartOfItsTimeAtMost(t *testing.T) {
 	h := keyed(t, settings.Revocation{})
 	for leftUs, want := range map[int64]time.Duration{100 * clock.Ms: 25 * time.Millisecond, 4 * clock.Sec: 300 * time.Millisecond, -clock.Sec: 0} {
-		if got := h.keyHold(5*clock.Sec+leftUs, 5*clock.Sec); got != want {
+		if got := h.lookupHold(5*clock.Sec+leftUs, 5*clock.Sec); got != want {
 			t.Errorf("%d ms are left: held for %v, want %v", leftUs/clock.Ms, got, want)
 		}
 	}
-	if got := h.keyHold(0, 5*clock.Sec); got != 300*time.Millisecond {
+	if got := h.lookupHold(0, 5*clock.Sec); got != 300*time.Millisecond {
 		t.Errorf("no end: held for %v", got)
 	}
-	h.maxKeyHoldUs = longHoldUs
+	h.maxLookupHoldUs = longHoldUs
 	ctx, leave := context.WithCancel(t.Context())
 	answer := make(chan fault.Code, 1)
-	go func() { answer <- codeFor(ctx, h, "/x", "k9", 0) }()
+	go func() { answer <- codeFor(ctx, h, "/x/1", "k9", 0) }()
 	leave()
 	if code := <-answer; code != fault.Unauthenticated {
 		t.Errorf("its client has left: %q", code)
--- a/internal/dataplane/gateway/host.go
+++ b/internal/dataplane/gateway/host.go
@@ -62,12 +62,12 @@
 	leaseUs atomic.Int64
 	// currentUs is the instant of the newest frame of a control node that was current, in microseconds; 0 before the first.
 	currentUs atomic.Int64
-	// news wakes requests whose key is not known once a newer declaration is here, or a current control node is heard again;
-	// heldKeys counts them.
-	news     *broadcast
-	heldKeys atomic.Int64
-	// maxKeyHoldUs is maxKeyHoldUs but in tests.
-	maxKeyHoldUs int64
+	// news wakes requests whose route or key is not known once a newer declaration is here, or a current control node is heard again;
+	// heldLookups counts them.
+	news        *broadcast
+	heldLookups atomic.Int64
+	// maxLookupHoldUs is maxLookupHoldUs but in tests.
+	maxLookupHoldUs int64
 	// activeCalls counts what a drain waits for; callNumber is the last one given to a call without an ID.
 	activeCalls atomic.Int64
 	callNumber  atomic.Int64
@@ -147,7 +147,7 @@
 		}),
 		act: actor.New(mailboxCapacity), callers: map[string]*caller{},
 		quota: quota.New(set.Name), admissions: map[string]chan<- quota.Decision{},
-		streams: map[uint64]context.CancelFunc{}, declared: make(chan struct{}), news: newBroadcast(), maxKeyHoldUs: maxKeyHoldUs, Memory: &MemoryLimit{MaxBytes: int64(set.MemoryMB) << 20 / memoryDivisor},
+		streams: map[uint64]context.CancelFunc{}, declared: make(chan struct{}), news: newBroadcast(), maxLookupHoldUs: maxLookupHoldUs, Memory: &MemoryLimit{MaxBytes: int64(set.MemoryMB) << 20 / memoryDivisor},
 	}
 	opts := controlclient.Options{Gateway: set.Name, Incarnation: incarnation, Addr: set.Advertise, Zone: set.Zone, Seeds: set.Seeds}
 	h.subscriber = controlclient.New(opts)
