Leave tenants' keys out of the page of a control node's state

Callers saw: GET /v1/state of any control node told every key of every tenant, as did whatever printed it (found by TestAControlNodeTellsATenantsKeys, which failed before). Change: the page is made of the state without that text (State.WithoutSource); digests stay. What is stored and copied between control nodes is as it was, and /configuration/read and /v1/config give the keys back to operators. Evidence: pages, logs and refusals of three control nodes are read after sound and unsound configurations, with an update that moves a key.

--- a/internal/controlplane/controlnode/operator_handlers.go
+++ b/internal/controlplane/controlnode/operator_handlers.go
@@ -39,7 +39,7 @@
 		writeFault(w, fault.New(fault.NotServing, "", "stopping"))
 		return
 	}
-	raw := frozen.Encode()
+	raw := frozen.WithoutSource().Encode()
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(append(raw, '\n'))
 }
--- a/internal/controlplane/statemachine/state.go
+++ b/internal/controlplane/statemachine/state.go
@@ -79,6 +79,20 @@
 	return raw
 }
 
+// WithoutSource is the state without the operator's own text, in which the keys of tenants stand. The state itself stays
+// as it is.
+func (s *State) WithoutSource() *State {
+	bare := *s
+	if s.Doc != nil && s.Doc.Routed() {
+		bare.Doc = s.Doc.WithoutSource()
+	}
+	bare.Edits = slices.Clone(s.Edits)
+	for i := range bare.Edits {
+		bare.Edits[i].Edit = bare.Edits[i].Edit.WithoutSource()
+	}
+	return &bare
+}
+
 // Decode reads what Encode wrote. The caller checks WellFormed where the bytes may come from elsewhere.
 func Decode(raw []byte) (*State, error) {
 	s := NewState()
