--- a/internal/controlplane/controlnode/quota_test.go
+++ b/internal/controlplane/controlnode/quota_test.go
@@ -29,7 +29,7 @@
 		Services: []configuration.Service{{Name: "s", MaxConnections: 9}},
 		Routes:   []configuration.Route{{Name: "r", Host: "h", Prefix: "/", RetryClass: configuration.Idempotent, TimeoutMs: 1, MaxAttempts: 1, Split: []configuration.WeightedService{{Service: "s", Weight: 1}}}},
 		Tenants: []configuration.Tenant{
-			{Name: "limited", KeyDigests: []string{configuration.KeyDigest(quotaKey)}, RatePerSecond: 10, Burst: 5, Source: json.RawMessage(`{"apiKeys":["` + quotaKey + `"]}`)},
+			{Name: "limited", KeyDigests: []string{configuration.KeyDigest(quotaKey)}, RatePerSecond: 10, Burst: 5, Source: json.RawMessage(`{"keys":["` + quotaKey + `"]}`)},
 			{Name: "free", KeyDigests: []string{configuration.KeyDigest("another")}},
 		},
 	}
