Let no to and fro between a limit and none make tokens

Found in review: each change from no limit to one filled the bucket, so that ten changes in a second granted 100 where 46 fit the window. As with two limits, a change within a window of the last one now keeps the tokens that are there. The new row of TestLedgerTakesChangesOfLimits failed before.

--- a/internal/controlplane/quota/ledger.go
+++ b/internal/controlplane/quota/ledger.go
@@ -267,12 +267,16 @@
 		return
 	}
 	switch {
+	case l.nowUs-b.changedUs <= l.opts.WindowUs:
+		// It keeps what it has.
 	case b.limit.isNone():
 		b.tokens = depth
-	case depth > had && l.nowUs-b.changedUs > l.opts.WindowUs:
+	case depth > had:
 		b.tokens += depth - had
 	}
-	b.tokens, b.youngTokens = min(depth, b.tokens), min(depth, b.youngTokens)
+	if !limit.isNone() {
+		b.tokens, b.youngTokens = min(depth, b.tokens), min(depth, b.youngTokens)
+	}
 	b.limit, b.changedUs = limit, l.nowUs
 }
 
--- a/internal/controlplane/quota/ledger_test.go
+++ b/internal/controlplane/quota/ledger_test.go
@@ -197,6 +197,13 @@
 			l.SetLimits(nowUs, []Limit{{"t", 0, 0}})
 			l.SetLimits(nowUs, []Limit{old})
 		}, depth(old), 10},
+		{"to no limit and back, again and again", func(l *Ledger) {
+			for range 10 {
+				grantedOf(l, nowUs, false, 1000)
+				l.SetLimits(nowUs, []Limit{{"t", 0, 0}})
+				l.SetLimits(nowUs, []Limit{old})
+			}
+		}, 0, 10},
 		{"another tenant is added", func(l *Ledger) { l.SetLimits(nowUs, []Limit{old, {"u", 1, 1}}) }, depth(old), 10},
 	} {
 		t.Run(c.name, func(t *testing.T) {
