--- a/internal/dataplane/scheduling/tenants.go
+++ b/internal/dataplane/scheduling/tenants.go
@@ -26,14 +26,13 @@
 	return route, tenant, nil
 }
 
-// authenticate finds the tenant that holds a key. Nobody needs to on a public route, or where no tenants are declared.
+// authenticate finds the tenant that holds a key. None is needed on a public route, or where no tenants are declared; but a
+// key that is brought where tenants are declared must be one of theirs.
 func (s *Snapshot) authenticate(route *configuration.Route, key string) (tenant string, bad *fault.Fault) {
-	if key != "" {
-		if holder := s.Declaration.TenantOfKey(key); holder != nil {
-			return holder.Name, nil
-		}
+	if holder := s.Declaration.TenantOfKey(key); holder != nil {
+		return holder.Name, nil
 	}
-	if !s.Declaration.Allows(route, "") {
+	if !s.Declaration.Allows(route, "") || (s.Declaration.RequireKeys && key != "") {
 		return "", fault.New(fault.Unauthenticated, "", "no tenant holds its key")
 	}
 	return "", nil
--- a/internal/dataplane/scheduling/tenants_test.go
+++ b/internal/dataplane/scheduling/tenants_test.go
@@ -38,7 +38,7 @@
 		{"a digest", s, RouteLookup{Host: "h", Path: "/own/x", Key: configuration.KeyDigest("k1")}, "", "", fault.Unauthenticated},
 		{"public, its key", s, RouteLookup{Host: "h", Path: "/open/x", Key: "k1"}, "open", "school", ""},
 		{"public, no key", s, RouteLookup{Host: "h", Path: "/open/x", Key: ""}, "open", "", ""},
-		{"public, an unknown key", s, RouteLookup{Host: "h", Path: "/open/x", Key: "k3"}, "open", "", ""},
+		{"public, an unknown key", s, RouteLookup{Host: "h", Path: "/open/x", Key: "k3"}, "", "", fault.Unauthenticated},
 		{"no route, its key", s, RouteLookup{Host: "h", Path: "/none/x", Key: "k1"}, "", "", fault.NotFound},
 		{"no route, no key", s, RouteLookup{Host: "h", Path: "/none/x", Key: ""}, "", "", fault.NotFound},
 		{"no tenants are declared", keyless, RouteLookup{Host: "h", Path: "/own/x", Key: "k1"}, "own", "", ""},
