--- a/internal/api/configuration/tenants.go
+++ b/internal/api/configuration/tenants.go
@@ -21,9 +21,9 @@
 	// Priority goes before that of the route, 0 is the most urgent; nil: the route's counts.
 	Priority *int `json:"priority,omitempty" validate:"omitempty,min=0,max=1000"`
 	// RatePerSecond is how many requests a second all gateways together may run; 0 is no limit.
-	RatePerSecond float64 `json:"ratePerSecond,omitempty" validate:"min=0"`
+	RatePerSecond float64 `json:"ratePerSecond,omitempty" validate:"min=0,max=1000000000"`
 	// Burst is how many requests may run beyond the rate at once.
-	Burst  float64         `json:"burst,omitempty" validate:"min=0"`
+	Burst  float64         `json:"burst,omitempty" validate:"min=0,max=1000000000"`
 	Source json.RawMessage `json:"source,omitempty" validate:"-"`
 }
 
--- a/internal/api/configuration/tenants_test.go
+++ b/internal/api/configuration/tenants_test.go
@@ -29,6 +29,8 @@
 	}
 	negative := tenant("one", "a")
 	negative.RatePerSecond = -1
+	huge := tenant("one", "a")
+	huge.Burst = 1e300
 	for name, c := range map[string]struct {
 		d      *Declaration
 		reason string
@@ -37,6 +39,7 @@
 		"a tenant is named twice":    {withTenants(tenant("one", "a"), tenant("one", "b")), "named twice"},
 		"a tenant without a name":    {withTenants(tenant("", "a")), "tenants[0].name"},
 		"a rate below 0":             {withTenants(negative), "ratePerSecond"},
+		"a burst that no sum bears":  {withTenants(huge), "burst"},
 		"a digest that is no digest": {withTenants(Tenant{Name: "one", KeyDigests: []string{"a"}}), "keyDigests"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/tests/golden/words_test.go
+++ b/tests/golden/words_test.go
@@ -37,6 +37,7 @@
 	{"key_ended", fault.KeyEnded},
 	{"keys_full", fault.KeysFull},
 	{"draining", fault.Draining},
+	{"unauthenticated", fault.Unauthenticated},
 	{"quota_exceeded", fault.QuotaExceeded},
 	{"quota_unanswered", fault.QuotaUnanswered},
 	{"invalid_config", fault.InvalidConfig},
