Learn of processes in one order, and of one's own last

Cause: learnStarts walked a Go map. Where its own older process stood in it, it broadcast a hello in the midst of the walk, which named a draw of the other processes, or nothing. A reducer has no randomness (CONTRIBUTING). Change: in the order of names, one's own last, so that the hello names all the others.

--- a/internal/controlplane/chain/start.go
+++ b/internal/controlplane/chain/start.go
@@ -1,6 +1,7 @@
 package chain
 
 import (
+	"maps"
 	"slices"
 
 	"petreltide/internal/process/clock"
@@ -107,14 +108,13 @@
 	n.knownStarts[id] = s
 }
 
-// learnStarts takes what another member knows of starts, this member's own among them.
+// learnStarts takes what another member knows of starts. This member's own comes last: the hello that it may lead to
+// names all the others.
 func (n *Node) learnStarts(known map[string]KnownStart) {
-	for id, told := range known {
+	for _, id := range slices.Sorted(maps.Keys(known)) {
+		told := known[id]
 		had, ok := n.knownStarts[id]
-		switch {
-		case id == n.opts.Self.ID:
-			n.learnOwnStart(told)
-		case !ok || told.newerThan(had.Start):
+		if id != n.opts.Self.ID && (!ok || told.newerThan(had.Start)) {
 			learned := knownStart{Start: told.Start, addr: told.Addr}
 			if told.Heard {
 				learned.heardUs = n.nowUs
@@ -122,6 +122,9 @@
 			n.setStart(id, learned)
 		}
 	}
+	if told, own := known[n.opts.Self.ID]; own {
+		n.learnOwnStart(told)
+	}
 }
 
 // learnOwnStart is told of a process of this member that counts as newer. It has taken this one's place if somebody has
