--- a/tests/cmd/fleet/platform.go
+++ b/tests/cmd/fleet/platform.go
@@ -55,6 +55,7 @@
 	flags.Float64Var(&plan.PerSecond, "rate", 40, "requests per second")
 	flags.IntVar(&seconds, "seconds", 15, "time under demand")
 	flags.Int64Var(&plan.Seed, "seed", 1, "seed of the demand and of whom faults befall")
+	flags.BoolVar(&plan.Tenants, "tenants", false, "declare tenants with keys and limits")
 	flags.BoolVar(&plan.Closing, "closing", false, "end with everything killed right after a change was acknowledged")
 	flags.BoolVar(&keep, "keep", false, "keep the folder")
 	flags.BoolVar(&plan.Aloud, "aloud", false, "let the processes write every line of their logs")
--- a/tests/platform/fleet/day.go
+++ b/tests/platform/fleet/day.go
@@ -124,6 +124,7 @@
 		hang = time.Duration(r.Intn(700)) * time.Millisecond
 	}
 	had := 0
+	of := f.pickTenant(r)
 	for nth := 0; nth < 2; nth++ {
 		left := time.Until(endBy)
 		if left < 150*time.Millisecond {
@@ -133,7 +134,7 @@
 			ID: fmt.Sprintf("r%d-%d", n, nth), Class: k.name, Model: modelOf(headers["Model-Name"]), Nth: nth, Method: "POST", Host: "cards.example", Path: "/" + k.name + "/1f", Body: body, Stream: k.stream(), ReceivedChunks: had,
 			LatencyTargetUs: k.aim.Microseconds(), LimitUs: left.Microseconds(),
 		}
-		retry := f.try(t, pick(), headers, left, hang)
+		retry := f.try(t, pick(), of, headers, left, hang)
 		if t.HungUp || t.Served() {
 			return
 		}
@@ -162,13 +163,14 @@
 
 func (f *Fleet) probe(r *rand.Rand, n int, p *machineProc) {
 	t := &rules.Attempt{ID: fmt.Sprintf("p%d", n), Class: "probe", Method: "POST", Host: opsHost, Path: f.ops.probed(r) + "1f", Body: fmt.Sprintf("p%d/1", n), Probe: true, LatencyTargetUs: 1e6, LimitUs: 2e6}
-	f.try(t, p, nil, 2*time.Second, 0)
+	f.try(t, p, f.lastTenant(), nil, 2*time.Second, 0)
 }
 
 // try sends one request on a connection of its own and notes all that comes back on it.
-func (f *Fleet) try(t *rules.Attempt, p *machineProc, headers map[string]string, left, hang time.Duration) (retry time.Duration) {
+func (f *Fleet) try(t *rules.Attempt, p *machineProc, of *tenant, headers map[string]string, left, hang time.Duration) (retry time.Duration) {
 	t.Machine, t.Incarnation, t.SentUs = p.name, f.incarnationOf(p.name), clock.NowUs()
 	f.note(func(d *rules.Day) { d.Attempts = append(d.Attempts, t) })
+	f.noteTenantOf(t, of)
 	seen := *t
 	defer func() {
 		seen.EndUs = clock.NowUs()
@@ -191,6 +193,9 @@
 	req.Header.Set("Request-Id", t.ID)
 	req.Header.Set("Deadline-Ms", strconv.FormatInt(left.Milliseconds(), 10))
 	req.Header.Set("Connection", "close")
+	if of != nil {
+		req.Header.Set("Key", of.key)
+	}
 	if t.ReceivedChunks > 0 {
 		req.Header.Set("Last-Event-Id", strconv.Itoa(t.ReceivedChunks))
 	}
@@ -280,6 +285,7 @@
 	"bad-config":          func(ctx context.Context, f *Fleet) error { f.ops.bad(ctx); return nil },
 	"leave-first-replica": func(_ context.Context, f *Fleet) error { return f.leaveFirst(f.anyCard()) },
 	"garbling-replica":    func(_ context.Context, f *Fleet) error { f.garble(); return nil },
+	"hot-tenant":          func(ctx context.Context, f *Fleet) error { f.hot(ctx); return nil },
 	"ill-replica":         func(_ context.Context, f *Fleet) error { f.ill(); return nil },
 }
 
@@ -423,6 +429,9 @@
 	breaches, stakes := rules.Judge(f.day)
 	fmt.Fprintf(out, "%d tries, %d of %d served, %d orders, %d versions; at stake %v; faults %v; this box was late by %v at most\n",
 		len(f.day.Attempts), f.served, f.owed, len(f.day.Orders), len(f.day.Versions), stakes, f.Caused, f.Late.Round(time.Millisecond))
+	if f.plan.Tenants {
+		fmt.Fprintf(out, "fullest windows of tenants: %v\n", f.runByTenant())
+	}
 	return breaches, stakes, nil
 }
 
--- a/tests/platform/fleet/fleet.go
+++ b/tests/platform/fleet/fleet.go
@@ -51,6 +51,8 @@
 	Faults       []string
 	Closing      bool
 	Seed         int64
+	// Tenants declares tenants: requests carry keys, and all but one tenant have a limit.
+	Tenants bool
 	// Aloud lets the processes write every line of their logs as it comes.
 	Aloud bool
 }
@@ -84,14 +86,18 @@
 	lives  int
 	store  *replica.Store
 	engine *configuration.Engine
-	served int
-	owed   int
-	ops    *routedOps
+	// tenants are those of the day; none on days without.
+	tenants []tenant
+	served  int
+	owed    int
+	ops     *routedOps
 	// calls is what operators sent, were answered and read.
 	calls  history.Recorder
 	Caused map[string]int
 	Late   time.Duration
 	narrow bool
+	// limitPart is the part of their limits that the rules hold tenants to: 1 but where a test wants a breach.
+	limitPart float64
 }
 
 // New begins nothing yet. Machines get loopback IPs of their own, until Stop.
@@ -101,7 +107,7 @@
 		return nil, err
 	}
 	f := &Fleet{
-		plan: plan, r: rand.New(rand.NewSource(plan.Seed)), loop: loop, day: &rules.Day{}, names: map[string]string{},
+		plan: plan, r: rand.New(rand.NewSource(plan.Seed)), loop: loop, day: &rules.Day{}, tenants: newTenants(plan), limitPart: 1, names: map[string]string{},
 		procs: map[string]*machineProc{}, hosts: map[string]*replica.Host{}, Caused: map[string]int{},
 	}
 	f.engine = &configuration.Engine{Slots: 16, CacheTokens: 60_000, Stride: 2, CapacityMB: 8000, MaxAdapters: 3, LoadsPerSecond: 3}
@@ -114,6 +120,10 @@
 	}
 	f.store = &replica.Store{AtOnce: f.engine.MaxConcurrentLoads()}
 	f.day.Bounds = rules.SmallBounds(f.engine.LoadsPerSecond)
+	if plan.Tenants {
+		f.day.Tenants, f.day.Keys = map[string]string{}, map[string]string{}
+		f.day.Limits, f.day.Holders = map[*rules.Version]map[string]rules.TenantLimit{}, map[*rules.Version]map[string]bool{}
+	}
 	f.ops = &routedOps{f: f, r: rand.New(rand.NewSource(plan.Seed + 1))}
 	return f, os.MkdirAll(plan.Folder, 0o755)
 }
@@ -218,6 +228,7 @@
 			"lossSlackMs": b.LossSlackUs / 1000, "configApplyMs": b.ConfigApplyUs / 1000, "downgradeSlackMs": b.DowngradeUs / 1000, "outerStretchMs": b.OuterUs / 1000, "retryBudgetRatio": b.BudgetRatio,
 			"budgetWindowS": seconds(b.BudgetUs), "retryBudgetSlack": b.BudgetSlack, "recoveryS": seconds(b.RecoveryUs), "passDurationMs": 120, "retryAfterS": 0, "fencingEnforced": false,
 			"leaseMs": b.LeaseUs / 1000, "thawSlackMs": b.ThawUs / 1000, "ceilingWindowS": seconds(b.LoadWindowUs), "ceilingOvershoot": b.LoadOvershoot,
+			"quotaWindowS": seconds(b.QuotaWindowUs), "quotaOvershoot": b.QuotaOvershoot, "quotaSlack": b.QuotaSlack, "revocationClosed": false, "revokeMs": 5000,
 		},
 	}
 }
--- a/tests/platform/fleet/fleet_test.go
+++ b/tests/platform/fleet/fleet_test.go
@@ -76,6 +76,32 @@
 	t.Fatalf("replicas that hold half of what is declared were not noticed: %v", breaches)
 }
 
+// QUOTA: no tenant runs more than its limit over all gateways, also while one sends many times of it and control nodes are
+// killed, frozen and killed all together.
+func TestTenantsOfRealProcessesKeepTheirLimits(t *testing.T) {
+	if testing.Short() {
+		t.Skip("it starts processes")
+	}
+	faults := []string{"hot-tenant", "kill-office", "hot-tenant", "freeze-office", "hot-tenant", "kill-offices", "hot-tenant"}
+	for _, b := range playRouted(t, Plan{Seed: 7, Span: 20 * time.Second, Faults: faults, Tenants: true}, nil) {
+		t.Error(b)
+	}
+}
+
+// What the sockets saw must be able to condemn: a hot tenant that runs its limit passes a tenth of it.
+func TestALimitThatIsPassedOnRealProcessesIsCaught(t *testing.T) {
+	if testing.Short() {
+		t.Skip("it starts processes")
+	}
+	breaches := playRouted(t, Plan{Seed: 8, Span: 8 * time.Second, Faults: []string{"hot-tenant"}, Tenants: true}, func(f *Fleet) { f.limitPart = 0.1 })
+	for _, b := range breaches {
+		if b.Rule == rules.Quota {
+			return
+		}
+	}
+	t.Fatalf("a tenant that passed a tenth of its limit was not noticed: %v", breaches)
+}
+
 // Replicas that deregister first, and answers on real sockets that come early or without a length.
 func TestUnusualRepliesAndFarewellsOnRealProcesses(t *testing.T) {
 	if testing.Short() {
--- a/tests/platform/fleet/operators.go
+++ b/tests/platform/fleet/operators.go
@@ -129,13 +129,21 @@
 	for _, s := range p.services() {
 		items = append(items, rawOf(s))
 	}
+	for _, t := range p.f.tenantItems() {
+		items = append(items, rawOf(t))
+	}
+	p.f.noteTenants(v.seen)
 	v.seen.Sent = account(number, items)
 	if upsert != nil {
 		v.path, v.body = "/configuration/update", rawOf(map[string]any{"version": number, "upsert": map[string]any{"routes": upsert}, "remove": map[string]any{"routes": remove}})
 	} else {
-		v.path, v.body = "/configuration/replace", rawOf(map[string]any{
+		whole := map[string]any{
 			"version": number, "routes": routes, "services": p.services(), "limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		})
+		}
+		if tenants := p.f.tenantItems(); tenants != nil {
+			whole["tenants"] = tenants
+		}
+		v.path, v.body = "/configuration/replace", rawOf(whole)
 	}
 	p.sent = append(p.sent, v)
 	v.order = &history.Order{
@@ -359,9 +367,10 @@
 				Version  uint64            `json:"version"`
 				Routes   []json.RawMessage `json:"routes"`
 				Services []json.RawMessage `json:"services"`
+				Tenants  []json.RawMessage `json:"tenants"`
 			}{}
 			if bad == nil && res.StatusCode == http.StatusOK && json.Unmarshal(raw, &doc) == nil {
-				text = account(doc.Version, append(doc.Routes, doc.Services...))
+				text = account(doc.Version, slices.Concat(doc.Routes, doc.Services, doc.Tenants))
 				p.f.calls.Saw(call, doc.Version, text, clock.NowUs())
 				return doc.Version, text, true
 			}
