Count a tenant's 429 as not served unless it is beyond its limit

Callers saw nothing; a rule did. STARVED passed over every 429 of a tenant's request as it counted how often classes, models, adapters and subjects are served, so that a class that was always refused with 429 within its limit showed nowhere. Both counts now share it.

--- a/tests/rules/routed_quota.go
+++ b/tests/rules/routed_quota.go
@@ -169,12 +169,27 @@
 	return Open
 }
 
-// overLimit: it was refused as beyond its tenant's limit. What is wrongly refused so shows in starvedTenants.
-func (j *judge) overLimit(t *Attempt) bool { return t.Status == 429 && j.Tenants[t.ID] != "" }
+// beyondLimits are the requests, by their IDs, that the lowest of their tenant's limits on the day does not let it send.
+func (j *judge) beyondLimits() map[string]bool {
+	beyond, buckets := map[string]bool{}, map[string]*bucket{}
+	for _, t := range j.Attempts {
+		name := j.Tenants[t.ID]
+		if name == "" || t.HungUp {
+			continue
+		}
+		if buckets[name] == nil {
+			buckets[name] = j.leastBucket(name)
+		}
+		if !buckets[name].take(t.SentUs) {
+			beyond[t.ID] = true
+		}
+	}
+	return beyond
+}
 
 // starvedTenants: no tenant may be served less than a quarter as often as all, of what it is owed.
-func (j *judge) starvedTenants(c *servedCounts) {
-	for _, row := range j.owedToTenants() {
+func (j *judge) starvedTenants(c *servedCounts, beyond map[string]bool) {
+	for _, row := range j.owedToTenants(beyond) {
 		if row.owed < minClass {
 			continue
 		}
@@ -191,10 +206,9 @@
 	owed, served int
 }
 
-// owedToTenants counts, for each tenant, the requests that the lowest of its limits on the day lets it send.
-func (j *judge) owedToTenants() []owedRow {
+// owedToTenants counts, for each tenant, the requests that are not beyond its limits.
+func (j *judge) owedToTenants(beyond map[string]bool) []owedRow {
 	rows, of := []owedRow{}, map[string]int{}
-	buckets := map[string]*bucket{}
 	for _, t := range j.Attempts {
 		name := j.Tenants[t.ID]
 		if name == "" || t.HungUp {
@@ -203,10 +217,9 @@
 		if _, known := of[name]; !known {
 			of[name] = len(rows)
 			rows = append(rows, owedRow{name: name})
-			buckets[name] = j.leastBucket(name)
 		}
 		row := &rows[of[name]]
-		if buckets[name].take(t.SentUs) {
+		if !beyond[t.ID] {
 			row.owed++
 		}
 		if t.Served() {
--- a/tests/rules/routed_quota_test.go
+++ b/tests/rules/routed_quota_test.go
@@ -141,6 +141,38 @@
 	}
 }
 
+// Of what is refused with a 429, only what is beyond a tenant's limit is no part of how often classes of requests are served.
+func TestWrongRefusalsOfAClassOnSmallDays(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		limit  TenantLimit
+		breaks bool
+	}{
+		{"within its limit", TenantLimit{RatePerSecond: 100, Burst: 1}, true},
+		{"without a limit", TenantLimit{}, true},
+		{"beyond its limit", TenantLimit{RatePerSecond: 0.1, Burst: 1}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v := &Version{Number: 1, Valid: true, Routes: mark(1, "z"), SentUs: second, AckedUs: 2 * second}
+			d := &Day{Bounds: SmallBounds(1), Core: core("a", "b", "c"), Versions: []*Version{v}, EndUs: 30 * second, Tenants: map[string]string{}, Limits: map[*Version]map[string]TenantLimit{v: {"t": c.limit}}}
+			for i := range 200 {
+				try := asked(fmt.Sprint(i), "/r/x", 14*second+int64(i)*second/20)
+				d.Tenants[try.ID], try.Class = "t", []string{"refused", "served"}[i%2]
+				if i%2 == 0 {
+					try.Status, try.Seal, try.Response = 429, "", ""
+				} else {
+					d.Arrivals = append(d.Arrivals, ran(try, "z"))
+				}
+				d.Attempts = append(d.Attempts, try)
+			}
+			breaches, _ := Judge(d)
+			if broken := slices.ContainsFunc(breaches, func(b Breach) bool { return b.Rule == Starved }); broken != c.breaks {
+				t.Errorf("%v", breaches)
+			}
+		})
+	}
+}
+
 // A request is refused for its key only where some version that may be in force does not know it.
 func TestKeysThatAreRefusedOnSmallDays(t *testing.T) {
 	for _, c := range []struct {
--- a/tests/rules/routed_starved.go
+++ b/tests/rules/routed_starved.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/http"
 	"slices"
 )
 
@@ -52,7 +53,8 @@
 // starved: no class of request may be served less than a quarter as often as all; few models, adapters and
 // subjects that are asked for through the day may be served never.
 func (j *judge) starved() {
-	c := j.countServed()
+	beyond := j.beyondLimits()
+	c := j.countServed(beyond)
 	for name, r := range c.classes {
 		if r.asked < minClass {
 			continue
@@ -62,17 +64,17 @@
 			j.breach(Starved, "%d of %d %s were served, %d of %d of all", r.served, r.asked, name, c.all.served, c.all.asked)
 		}
 	}
-	j.starvedTenants(c)
+	j.starvedTenants(c, beyond)
 	j.never(c, "models", c.models, 1, 0.1)
 	j.never(c, "adapters", c.adapters, 1, 0.1)
 	j.never(c, "subjects", c.subjects, 2, 0.04)
 }
 
-// countServed counts the requests of a day but for probes and those whose client hung up.
-func (j *judge) countServed() *servedCounts {
+// countServed counts the requests of a day but for probes, those whose client hung up, and those refused that are beyond a limit.
+func (j *judge) countServed(beyond map[string]bool) *servedCounts {
 	c := &servedCounts{classes: servedRows{}, models: servedRows{}, adapters: servedRows{}, subjects: servedRows{}, classOf: map[string]string{}}
 	for _, t := range j.Attempts {
-		if t.Probe || t.HungUp || j.overLimit(t) {
+		if t.Probe || t.HungUp || t.Status == http.StatusTooManyRequests && beyond[t.ID] {
 			continue
 		}
 		c.all.asked++
