--- a/tests/platform/replica/host.go
+++ b/tests/platform/replica/host.go
@@ -246,7 +246,8 @@
 
 // ask reads a request as the platform's pages word it.
 func (h *Host) ask(r *http.Request, body []byte) Ask {
-	a := Ask{ID: r.Header.Get("Request-Id"), From: h.who(r), Method: r.Method, Host: r.Host, Path: r.URL.EscapedPath(), Body: string(body), Priority: 5, Expect: r.Header.Get("Expected-Instance")}
+	a := Ask{ID: r.Header.Get("Request-Id"), From: h.who(r), Method: r.Method, Host: r.Host, Path: r.URL.EscapedPath(), Body: string(body), Priority: 5, Expect: r.Header.Get("Expected-Instance"),
+		Tenant: strings.Join(r.Header.Values("Tenant-Name"), ","), Keyed: r.Header.Values("Key") != nil}
 	a.Model, a.Adapter = configuration.SplitUnit(r.Header.Get("Model-Name"))
 	a.Stream = a.Model != ""
 	in, _, _ := strings.Cut(r.Header.Get("Token-Counts"), ",")
--- a/tests/platform/replica/message.go
+++ b/tests/platform/replica/message.go
@@ -25,6 +25,9 @@
 	Last       int
 	Stream     bool
 	Expect     string
+	// Tenant is in whose name it is to run; Keyed says that it came with a client's key.
+	Tenant string
+	Keyed  bool
 }
 
 // Effect is what one connection is sent next. Status stands with the head of an answer, or alone.
--- a/tests/platform/replica/requests.go
+++ b/tests/platform/replica/requests.go
@@ -36,7 +36,7 @@
 	c.nonces++
 	a := &Arrival{
 		Request: ask.ID, Replica: c.opts.ID, Service: c.opts.Service, Addr: c.opts.Addr, From: ask.From, Method: ask.Method, Host: ask.Host, Path: ask.Path,
-		Body: ask.Body, Model: ask.Model, Last: ask.Last, AtUs: nowUs, Total: Total(ask.Body), Nonce: fmt.Sprintf("%s-%d", c.opts.ID, c.nonces),
+		Body: ask.Body, Model: ask.Model, Last: ask.Last, Tenant: ask.Tenant, Keyed: ask.Keyed, AtUs: nowUs, Total: Total(ask.Body), Nonce: fmt.Sprintf("%s-%d", c.opts.ID, c.nonces),
 	}
 	if c.opts.Journal.Arrived != nil {
 		c.opts.Journal.Arrived(a)
--- a/tests/platform/replica/seen.go
+++ b/tests/platform/replica/seen.go
@@ -33,6 +33,9 @@
 	Status   int
 	Whole    bool
 	BrokeOff bool
+	// Tenant is in whose name it was to run; Keyed says that the client's key was passed on.
+	Tenant string
+	Keyed  bool
 }
 
 // OrderSeen is one order as a replica saw it. Over says that it was told to hold more than it can.
--- a/tests/rules/routed.go
+++ b/tests/rules/routed.go
@@ -96,6 +96,8 @@
 	Services   []string
 	Repeatable bool
 	Resumable  bool
+	// Public routes take requests without a key.
+	Public bool
 }
 
 // Version is one change as the operators saw it. Routes are what would be in force with it.
@@ -124,15 +126,6 @@
 	return best
 }
 
-// permits says whether a version may send a request to a service; for no service, whether it has no route.
-func (v *Version) permits(t *Attempt, service string) bool {
-	r := v.match(t.Host, t.Path)
-	if service == "" {
-		return r == nil
-	}
-	return r != nil && slices.Contains(r.Services, service)
-}
-
 // EventSeen is one event of a stream as it reached a client.
 type EventSeen struct {
 	N    int
@@ -237,9 +230,9 @@
 	// Tenants are those whose requests carried a tenant's key, by their IDs, and Limits what each version lets its tenants run.
 	Tenants map[string]string
 	Limits  map[*Version]map[string]TenantLimit
-	// Keys are the keys that requests carried, by their IDs, and Holders which keys each version knows.
+	// Keys are the keys that requests carried, by their IDs, and Holders the tenants of each version by their keys.
 	Keys    map[string]string
-	Holders map[*Version]map[string]bool
+	Holders map[*Version]map[string]string
 }
 
 type judge struct {
@@ -295,7 +288,6 @@
 	j.gone()
 	j.known()
 	j.starts()
-	j.unauthorized()
 	j.quota()
 	return j.breaches, j.stakes
 }
@@ -311,8 +303,26 @@
 			j.breach(Unasked, "%s ran %q, which no client sent", a.Replica, a.Request)
 		} else if a.Method != t.Method || a.Path != t.Path || a.Body != t.Body || a.Host != t.Host {
 			j.breach(Unasked, "%s ran %s as %s %s%s %q, sent as %s %s%s %q", a.Replica, a.Request, a.Method, a.Host, a.Path, a.Body, t.Method, t.Host, t.Path, t.Body)
+		} else {
+			j.named(t, a)
+		}
+	}
+}
+
+// named: a request runs without its client's key, and in the name of the tenant that held it in some version which may be in force.
+func (j *judge) named(t *Attempt, a *replica.Arrival) {
+	if a.Keyed {
+		j.breach(Unasked, "%s ran %s, to which the client's key was passed on", a.Replica, a.Request)
+	}
+	names := []string{}
+	for _, v := range j.Versions {
+		if v.SentUs <= a.AtUs && j.mayStand(v) {
+			names = append(names, j.Holders[v][j.Keys[t.ID]])
 		}
 	}
+	if len(names) > 0 && !slices.Contains(names, a.Tenant) {
+		j.breach(Unasked, "%s ran %s in the name of %q, its key is held by %q", a.Replica, a.Request, a.Tenant, slices.Compact(names))
+	}
 }
 
 // answer: what a client got must be what a replica gave to this request.
--- a/tests/rules/routed_quota.go
+++ b/tests/rules/routed_quota.go
@@ -80,17 +80,18 @@
 	return out
 }
 
-// usesByTenant are the requests that ran, by the tenant that sent them, in the order of their sending.
+// usesByTenant are the requests that ran, by the tenant that sent them or, where a key moves, in whose name they ran, in the order
+// of their sending.
 func (j *judge) usesByTenant() map[string][]use {
-	arrivedUs := map[string]int64{}
+	arrivedUs, named := map[string]int64{}, map[string]string{}
 	for _, a := range j.Arrivals {
 		if us, ran := arrivedUs[a.Request]; a.RanUs > 0 && (!ran || a.AtUs < us) {
-			arrivedUs[a.Request] = a.AtUs
+			arrivedUs[a.Request], named[a.Request] = a.AtUs, a.Tenant
 		}
 	}
 	out := map[string][]use{}
 	for id, us := range arrivedUs {
-		if name := j.Tenants[id]; name != "" && j.tries[id] != nil {
+		if name := cmp.Or(j.Tenants[id], named[id]); name != "" && j.tries[id] != nil {
 			out[name] = append(out[name], use{j.tries[id].SentUs, us})
 		}
 	}
@@ -262,26 +263,3 @@
 	b.tokens--
 	return true
 }
-
-// unauthorized: a key that every version knows which may be in force for a request is not refused.
-func (j *judge) unauthorized() {
-	for _, t := range j.Attempts {
-		key := j.Keys[t.ID]
-		if t.Status != 401 || key == "" {
-			continue
-		}
-		j.stake(ConfigOld)
-		oldest, known := j.oldest(t, t.EndUs), false
-		for _, v := range j.sorted {
-			if v.SentUs > t.EndUs || !j.mayStand(v) || oldest != nil && v.Number < oldest.Number {
-				continue
-			}
-			if known = j.Holders[v][key]; !known {
-				break
-			}
-		}
-		if known && oldest != nil {
-			j.breach(ConfigOld, "%s refused %s with 401 at %.3f, and every version from %d on knows its key", t.Machine, t.ID, sec(t.EndUs), oldest.Number)
-		}
-	}
-}
--- a/tests/rules/routed_quota_test.go
+++ b/tests/rules/routed_quota_test.go
@@ -51,6 +51,13 @@
 			again := *d.Arrivals[0]
 			d.Arrivals = append(d.Arrivals, &again)
 		}},
+		{"one more, by keys that move: in whose name they ran", true, func(d *Day) {
+			run(d, most+1, 14*second, 18*second, 1000)
+			for _, a := range d.Arrivals {
+				delete(d.Tenants, a.Request)
+				a.Tenant = "t"
+			}
+		}},
 		{"no limit", false, func(d *Day) {
 			d.Limits[d.Versions[0]]["t"], d.Limits[d.Versions[1]]["t"] = TenantLimit{}, TenantLimit{}
 			run(d, 3*most, 14*second, 18*second, 1000)
@@ -198,7 +205,7 @@
 			try.Status, try.Seal, try.Response = 401, "", ""
 			d := &Day{
 				Bounds: SmallBounds(1), Core: core("a", "b", "c"), Versions: []*Version{first, next}, EndUs: 30 * second, Attempts: []*Attempt{try},
-				Keys: map[string]string{"1": c.key}, Holders: map[*Version]map[string]bool{first: {"kept": true, "old": true}, next: {"kept": true, "new": true}},
+				Keys: map[string]string{"1": c.key}, Holders: map[*Version]map[string]string{first: {"kept": "t", "old": "t"}, next: {"kept": "t", "new": "t"}},
 			}
 			c.play(d, try)
 			breaches, _ := Judge(d)
--- a/tests/rules/routed_routes.go
+++ b/tests/rules/routed_routes.go
@@ -2,27 +2,52 @@
 
 import (
 	"cmp"
+	"net/http"
 	"slices"
 )
 
-// handling is one thing done with a request: a service ran it, or a 404 denied that there is a route.
+// handling is one thing done with a request: a service ran it, a 404 denied that there is a route, or a 401 that a tenant holds its
+// key.
 type handling struct {
 	try     *Attempt
 	service string
+	denial  int
 	atUs    int64
 	replica string
 }
 
+// what is the service that ran the request, or the denial.
+func (h handling) what() string { return cmp.Or(h.service, http.StatusText(h.denial)) }
+
+// permits says whether a version allows a handling.
+func (j *judge) permits(v *Version, h handling) bool {
+	r := v.match(h.try.Host, h.try.Path)
+	if h.denial == http.StatusNotFound || r == nil {
+		return h.denial == http.StatusNotFound && r == nil
+	}
+	if h.denial == http.StatusUnauthorized {
+		return !j.admits(v, r, j.Keys[h.try.ID])
+	}
+	return j.admits(v, r, j.Keys[h.try.ID]) && slices.Contains(r.Services, h.service)
+}
+
+// admits says whether a version lets a key onto a route: that of a tenant everywhere, none on public routes, one that nobody holds
+// nowhere.
+func (j *judge) admits(v *Version, r *RouteSeen, key string) bool {
+	holders := j.Holders[v]
+	return holders == nil || holders[key] != "" || key == "" && r.Public
+}
+
 func (j *judge) handlings() []handling {
 	all := []handling{}
 	for _, a := range j.Arrivals {
 		if t := j.tries[a.Request]; t != nil && a.RanUs > 0 {
-			all = append(all, handling{t, a.Service, a.AtUs, a.Replica})
+			all = append(all, handling{try: t, service: a.Service, atUs: a.AtUs, replica: a.Replica})
 		}
 	}
 	for _, t := range j.Attempts {
-		if t.Status == 404 && len(j.arrivals[t.ID]) == 0 {
-			all = append(all, handling{t, "", t.EndUs, ""})
+		if t.Status == http.StatusNotFound && len(j.arrivals[t.ID]) == 0 || t.Status == http.StatusUnauthorized && t.Seal == "" {
+			all = append(all, handling{try: t, denial: t.Status, atUs: t.EndUs})
 		}
 	}
 	slices.SortStableFunc(all, func(a, b handling) int { return cmp.Compare(a.atUs, b.atUs) })
@@ -98,7 +123,7 @@
 			return 0
 		}
 	}
-	least, most := permitting(stands, h)
+	least, most := j.permitting(stands, h)
 	if least == nil {
 		return j.notPermitted(h, len(stands) > 0)
 	}
@@ -114,7 +139,7 @@
 		if v.SentUs > h.atUs {
 			continue
 		}
-		ever = ever || v.permits(h.try, h.service)
+		ever = ever || j.permits(v, h)
 		if j.mayStand(v) {
 			stands = append(stands, v)
 		}
@@ -123,9 +148,9 @@
 }
 
 // permitting gives the oldest and the newest version that allow a handling; nil where none does.
-func permitting(versions []*Version, h handling) (least, most *Version) {
+func (j *judge) permitting(versions []*Version, h handling) (least, most *Version) {
 	for _, v := range versions {
-		if v.permits(h.try, h.service) {
+		if j.permits(v, h) {
 			if least == nil {
 				least = v
 			}
@@ -141,7 +166,11 @@
 		j.breach(ConfigNot, "%s sent %s%s to %s at %.3f, which only a refused, invalid or losing version allows", h.try.Machine, h.try.Host, h.try.Path, h.service, sec(h.atUs))
 		return 0
 	}
-	if configured && j.t.within(h.try.Machine, h.try.SentUs, h.atUs) {
+	if lo := j.oldest(h.try, h.atUs); lo != nil && h.denial == http.StatusUnauthorized {
+		j.stake(ConfigOld)
+		j.breach(ConfigOld, "%s refused %s with 401 at %.3f, and every version from %d on admits its key", h.try.Machine, h.try.ID, sec(h.atUs), lo.Number)
+	}
+	if (configured || h.denial == http.StatusUnauthorized) && j.t.within(h.try.Machine, h.try.SentUs, h.atUs) {
 		j.stake(Denied)
 		return 1
 	}
@@ -154,13 +183,13 @@
 	if lo == nil {
 		return
 	}
-	outdated := func(v *Version) bool { return v.Number < lo.Number && !v.permits(h.try, h.service) }
-	if !lo.permits(h.try, h.service) || slices.ContainsFunc(stands, outdated) {
+	outdated := func(v *Version) bool { return v.Number < lo.Number && !j.permits(v, h) }
+	if !j.permits(lo, h) || slices.ContainsFunc(stands, outdated) {
 		j.stake(ConfigOld)
 	}
 	if most.Number < lo.Number {
 		j.breach(ConfigOld, "%s handled %s %s%s (sent %.3f, at %.3f: %q) as version %d; %d was acknowledged at %.3f", h.try.Machine, h.try.ID, h.try.Host, h.try.Path,
-			sec(h.try.SentUs), sec(h.atUs), h.service, most.Number, lo.Number, sec(lo.AckedUs))
+			sec(h.try.SentUs), sec(h.atUs), h.what(), most.Number, lo.Number, sec(lo.AckedUs))
 	}
 }
 
@@ -174,7 +203,7 @@
 	}
 	if f != nil && h.try.SentUs > f.atUs+slackUs && most.Number < f.version.Number {
 		j.breach(ConfigBck, "%s handled %s %s%s (sent %.3f, at %.3f: %q) as version %d after it had worked by %d at %.3f (%s)", h.try.Machine, h.try.ID, h.try.Host, h.try.Path,
-			sec(h.try.SentUs), sec(h.atUs), h.service, most.Number, f.version.Number, sec(f.atUs), f.by)
+			sec(h.try.SentUs), sec(h.atUs), h.what(), most.Number, f.version.Number, sec(f.atUs), f.by)
 	}
 	if h.service != "" && (f == nil || least.Number > f.version.Number) {
 		if f != nil {
@@ -189,10 +218,7 @@
 func (j *judge) deniedOtherwise() int {
 	denied := 0
 	for _, t := range j.Attempts {
-		if t.Status == 401 && j.Keys[t.ID] != "" {
-			continue
-		}
-		ended := t.Status/100 == 3 || (t.Status/100 == 4 && !slices.Contains([]int{404, 408, 421, 429}, t.Status))
+		ended := t.Status/100 == 3 || (t.Status/100 == 4 && !slices.Contains([]int{http.StatusUnauthorized, 404, 408, 421, 429}, t.Status))
 		if ended && len(j.arrivals[t.ID]) == 0 && j.t.within(t.Machine, t.SentUs, t.EndUs) && t.EndUs > t.SentUs {
 			denied++
 		}
--- a/tests/rules/routed_test.go
+++ b/tests/rules/routed_test.go
@@ -124,6 +124,27 @@
 			t.Events = append(t.Events, EventSeen{N: n, Text: replica.Text("b/3", n, "1")})
 		}
 	}
+	// keyed has two versions that differ in the holders of keys alone, and a request with a key that is run or refused.
+	keyed := func(d *Day, key, tenant string, sentUs int64, status int) {
+		if d.Holders == nil {
+			d.Holders, d.Keys = map[*Version]map[string]string{}, map[string]string{}
+		}
+		for i, holders := range []map[string]string{{"dropped": "one", "moved": "one"}, {"moved": "two", "added": "two"}} {
+			d.Versions[i].Routes, d.Holders[d.Versions[i]] = mark(0, "s"), holders
+		}
+		served(d, fmt.Sprint(len(d.Attempts)), "/r/x", sentUs, "s")
+		try, ran := d.Attempts[len(d.Attempts)-1], d.Arrivals[len(d.Arrivals)-1]
+		d.Keys[try.ID], ran.Tenant = key, tenant
+		if status != 200 {
+			try.Status, try.Seal, try.Response = status, "", ""
+			d.Arrivals = d.Arrivals[:len(d.Arrivals)-1]
+		}
+	}
+	// public is keyed in nobody's name, on a route that is public in both versions.
+	public := func(d *Day, key string, status int) {
+		keyed(d, key, "", 14*second, status)
+		d.Versions[0].Routes[0].Public, d.Versions[1].Routes[0].Public = true, true
+	}
 	seen := map[string]bool{}
 	order := func(atUs int64, holder string, fence uint64) replica.OrderSeen {
 		return replica.OrderSeen{Replica: "i", From: holder, Holder: holder, Fence: fence, Operation: "loading", AtUs: atUs, Status: 202}
@@ -284,6 +305,29 @@
 			d.Arrivals[0].Request = "7"
 			d.Attempts[0].Status = 0
 		}},
+		{"in the name of its key's tenant", "", func(d *Day) { keyed(d, "moved", "two", 14*second, 200) }},
+		{"in another tenant's name", Unasked, func(d *Day) { keyed(d, "added", "one", 14*second, 200) }},
+		{"in nobody's name", Unasked, func(d *Day) { keyed(d, "moved", "", 14*second, 200) }},
+		{"with its client's key", Unasked, func(d *Day) {
+			keyed(d, "moved", "two", 14*second, 200)
+			d.Arrivals[0].Keyed = true
+		}},
+		{"for a key that nobody ever held", Route, func(d *Day) { keyed(d, "stray", "", 14*second, 200) }},
+		{"... on a public route", Route, func(d *Day) { public(d, "stray", 200) }},
+		{"no key on a public route", "", func(d *Day) { public(d, "", 200) }},
+		{"... on another", Route, func(d *Day) { keyed(d, "", "", 14*second, 200) }},
+		{"a 401 for a key that nobody holds on a public route", "", func(d *Day) { public(d, "stray", 401) }},
+		{"... for none", ConfigOld, func(d *Day) { public(d, "", 401) }},
+		{"for a key that was taken away, within the bound", "", func(d *Day) { keyed(d, "dropped", "one", 12*second, 200) }},
+		{"... after the bound", ConfigOld, func(d *Day) { keyed(d, "dropped", "one", 14*second, 200) }},
+		{"a 401 for a key that is new, within the bound", "", func(d *Day) { keyed(d, "added", "", 12*second, 401) }},
+		{"... after the bound", ConfigOld, func(d *Day) { keyed(d, "added", "", 14*second, 401) }},
+		{"a 401 for a key that nobody holds", "", func(d *Day) { keyed(d, "dropped", "", 14*second, 401) }},
+		{"many for a key that somebody holds", Denied, func(d *Day) {
+			for range 20 {
+				keyed(d, "moved", "", 14*second, 401)
+			}
+		}},
 		{"a request with another body", Unasked, func(d *Day) {
 			served(d, "1", "/r/x", 14*second, "z")
 			d.Arrivals[0].Body = "changed"
--- a/tests/simulator/routed_attempts.go
+++ b/tests/simulator/routed_attempts.go
@@ -35,6 +35,11 @@
 	ask := a.exchange.request
 	ask.From, ask.Expect, ask.Last = t.name, st.Incarnation, a.exchange.last
 	ask.Priority = a.start.Priority
+	ask.Tenant = st.Call.Routed.Tenant
+	if d.plan.Plant == "namesake" {
+		ask.Tenant = d.tenants.unlimited().name
+	}
+	ask.Keyed = d.plan.Plant == "key-passed" && d.random.Intn(50) == 0
 	ask.DeadlineUs = d.nowUs + max(1, (st.DeadlineUs-t.clock()-deadlineUs)/1000)*millisecond
 	if d.plan.Plant == "smuggler" && d.random.Intn(50) == 0 {
 		ask.ID += "x"
--- a/tests/simulator/routed_clients.go
+++ b/tests/simulator/routed_clients.go
@@ -175,7 +175,7 @@
 	return (at + c.modelShift) % busyModels
 }
 
-func (c *clients) newRequest() { c.newRequestOf(c.day.tenants.pick(), false) }
+func (c *clients) newRequest() { c.newRequestOf(c.day.tenants.pick()) }
 
 // newRequestOf sends a request of a tenant, if there are any; an extra one is beyond what is usual, and nothing is owed for it.
 func (c *clients) newRequestOf(row *tenantRow, extra bool) {
@@ -186,6 +186,9 @@
 			break
 		}
 	}
+	if !extra {
+		row = c.day.tenants.keyless(row, &classes[k])
+	}
 	s := &clientRequest{clients: c, class: &classes[k], firstUs: c.day.nowUs, tenant: row, extra: extra, impatient: c.random.Intn(3) == 0}
 	s.body = fmt.Sprintf("c%d/%d", c.requestCount, 1)
 	if s.class.stream {
--- a/tests/simulator/routed_gateways.go
+++ b/tests/simulator/routed_gateways.go
@@ -144,7 +144,11 @@
 		x.answer(&fault.Fault{Code: fault.NoLease, RetryMs: 500})
 		return x
 	}
-	route, tenant, bad := g.snapshot.LookupRoute(scheduling.RouteLookup{Host: try.Host, Path: try.Path, Key: s.key})
+	key := s.key
+	if d.plan.Plant == "unlocked" {
+		key = d.tenants.unlimited().key
+	}
+	route, tenant, bad := g.snapshot.LookupRoute(scheduling.RouteLookup{Host: try.Host, Path: try.Path, Key: key})
 	if bad == nil && d.plan.Plant == "denier" && d.random.Intn(10) == 0 {
 		bad = &fault.Fault{Code: fault.NotFound}
 	}
--- a/tests/simulator/routed_tenants.go
+++ b/tests/simulator/routed_tenants.go
@@ -21,8 +21,21 @@
 	// hotLeast and hotMost are how many times its limit a hot tenant sends.
 	hotLeast = 4
 	hotMost  = 16
+	// One request in unusualKeyDraws carries each of the keys that are not one tenant's: wanderingKey moves between tenants, spareKey
+	// comes and goes, and strayKey is nobody's ever.
+	unusualKeyDraws = 40
+	wanderingKey    = "key-wandering"
+	spareKey        = "key-spare"
+	strayKey        = "key-stray"
+	// One request in keylessDraws of those on the public route carries no key.
+	keylessDraws = 4
+	// publicRoute takes requests without a key, on days with tenants.
+	publicRoute = "record"
 )
 
+// unusualRows send requests for which nothing is owed, since their key may be nobody's.
+var unusualRows = []*tenantRow{{key: wanderingKey}, {key: spareKey}, {key: strayKey}}
+
 // tenantRow is one customer: what its clients send, and the key that they use.
 type tenantRow struct {
 	name  string
@@ -59,7 +72,10 @@
 		row.key = ts.newKey(row)
 		ts.rows = append(ts.rows, row)
 	}
-	d.observed.Keys, d.observed.Holders = map[string]string{}, map[*rules.Version]map[string]bool{}
+	for _, key := range []string{wanderingKey, spareKey} {
+		ts.keys[configuration.KeyDigest(key)] = key
+	}
+	d.observed.Keys, d.observed.Holders = map[string]string{}, map[*rules.Version]map[string]string{}
 	d.observed.Tenants, d.observed.Limits = map[string]string{}, map[*rules.Version]map[string]rules.TenantLimit{}
 	return ts
 }
@@ -71,18 +87,29 @@
 	return key
 }
 
-// pick is whose client sends the next request; nil on days without tenants.
-func (ts *tenants) pick() *tenantRow {
+// pick is whose client sends the next request; nil on days without tenants. Nothing is owed for one with an unusual key.
+func (ts *tenants) pick() (row *tenantRow, unusual bool) {
 	if ts == nil {
-		return nil
+		return nil, false
+	}
+	if n := ts.random.Intn(unusualKeyDraws); n < len(unusualRows) {
+		return unusualRows[n], true
 	}
 	x := ts.random.Float64()
 	for _, row := range ts.rows {
 		if x -= row.share; x < 0 {
-			return row
+			return row, false
 		}
 	}
-	return ts.rows[len(ts.rows)-1]
+	return ts.rows[len(ts.rows)-1], false
+}
+
+// keyless lets some requests for the public route come without a key.
+func (ts *tenants) keyless(row *tenantRow, class *requestClass) *tenantRow {
+	if ts == nil || class.route != publicRoute || ts.random.Intn(keylessDraws) > 0 {
+		return row
+	}
+	return &tenantRow{}
 }
 
 // unlimited is the tenant without a limit, by whose key versions are probed.
@@ -93,7 +120,8 @@
 	return ts.rows[len(ts.rows)-1]
 }
 
-// sent notes whose request a try is, and gives it the key that is then in use; it is empty on days without tenants.
+// sent notes whose request a try is, and gives it the key that is then in use; it is empty on days without tenants. Whose an unusual
+// key is shows only as the request runs.
 func (ts *tenants) sent(t *rules.Attempt, row *tenantRow) (key string) {
 	if row == nil {
 		return ""
@@ -105,8 +133,12 @@
 // first is what the first version declares.
 func (ts *tenants) first() []configuration.Tenant {
 	out := []configuration.Tenant{}
-	for _, row := range ts.rows {
-		out = append(out, configuration.Tenant{Name: row.name, KeyDigests: []string{configuration.KeyDigest(row.key)}, RatePerSecond: row.ratePerSecond, Burst: row.burst})
+	for i, row := range ts.rows {
+		digests := []string{configuration.KeyDigest(row.key)}
+		if i == 0 {
+			digests = append(digests, configuration.KeyDigest(wanderingKey))
+		}
+		out = append(out, configuration.Tenant{Name: row.name, KeyDigests: digests, RatePerSecond: row.ratePerSecond, Burst: row.burst})
 	}
 	return out
 }
@@ -120,17 +152,45 @@
 	return out
 }
 
-// holders are the keys that a version knows.
-func (ts *tenants) holders(declared []configuration.Tenant) map[string]bool {
-	out := map[string]bool{}
+// holders are the tenants of a version by their keys.
+func (ts *tenants) holders(declared []configuration.Tenant) map[string]string {
+	out := map[string]string{}
 	for _, t := range declared {
 		for _, digest := range t.KeyDigests {
-			out[ts.keys[digest]] = true
+			out[ts.keys[digest]] = t.Name
 		}
 	}
 	return out
 }
 
+// moveKeys lets a key go to another tenant, and another come or go. The first key of a tenant is its own and stays.
+func (ts *tenants) moveKeys(declared []configuration.Tenant) {
+	wandering, spare := configuration.KeyDigest(wanderingKey), configuration.KeyDigest(spareKey)
+	if ts.random.Intn(2) == 0 {
+		takeKey(declared, wandering)
+		ts.giveKey(declared, wandering)
+	}
+	if ts.random.Intn(2) == 0 && !takeKey(declared, spare) {
+		ts.giveKey(declared, spare)
+	}
+}
+
+// takeKey takes a key from whoever holds it, and says whether anybody did.
+func takeKey(declared []configuration.Tenant, digest string) (held bool) {
+	for i := range declared {
+		if at := slices.Index(declared[i].KeyDigests, digest); at >= 0 {
+			declared[i].KeyDigests = slices.Delete(slices.Clone(declared[i].KeyDigests), at, at+1)
+			held = true
+		}
+	}
+	return held
+}
+
+func (ts *tenants) giveKey(declared []configuration.Tenant, digest string) {
+	t := &declared[ts.random.Intn(len(declared))]
+	t.KeyDigests = append(slices.Clone(t.KeyDigests), digest)
+}
+
 // changedTenants are those of a list that a list before it has otherwise or not at all.
 func changedTenants(before, after []configuration.Tenant) []configuration.Tenant {
 	return slices.DeleteFunc(slices.Clone(after), func(t configuration.Tenant) bool {
@@ -149,6 +209,9 @@
 		v.tenants = ops.day.tenants.first()
 	} else {
 		v.tenants = slices.Clone(base.tenants)
+		if v.seen.Valid {
+			ops.day.tenants.moveKeys(v.tenants)
+		}
 	}
 	if ops.tenantChange != nil {
 		ops.tenantChange(v.tenants)
@@ -208,7 +271,9 @@
 		ops.do(ops.changeTenant(row, func(t *configuration.Tenant) { t.RatePerSecond, t.Burst = row.ratePerSecond, row.burst }))
 	case "revoke-key":
 		fresh := ts.newKey(row)
-		ops.do(ops.changeTenant(row, func(t *configuration.Tenant) { t.KeyDigests = []string{configuration.KeyDigest(fresh)} }))
+		ops.do(ops.changeTenant(row, func(t *configuration.Tenant) {
+			t.KeyDigests = append([]string{configuration.KeyDigest(fresh)}, t.KeyDigests[1:]...)
+		}))
 	case "kill-tail", "power-tail", "freeze-tail", "kill-everything":
 		d.tailFault(f)
 	default:
--- a/tests/simulator/routed_versions.go
+++ b/tests/simulator/routed_versions.go
@@ -61,6 +61,7 @@
 				r.RetryClass, r.MaxAttempts = configuration.Idempotent, 3
 			}
 		}
+		r.Public = ops.day.tenants != nil && r.Name == publicRoute
 		routes = append(routes, r)
 	}
 	return routes
@@ -118,7 +119,7 @@
 		v.seen.Base = base.seen.Number
 	}
 	for _, r := range v.routes {
-		seen := rules.RouteSeen{Name: r.Name, Host: r.Host, Prefix: r.Prefix, Repeatable: r.Retryable(), Resumable: r.Resumable}
+		seen := rules.RouteSeen{Name: r.Name, Host: r.Host, Prefix: r.Prefix, Repeatable: r.Retryable(), Resumable: r.Resumable, Public: r.Public}
 		for _, w := range r.Split {
 			if w.Weight > 0 {
 				seen.Services = append(seen.Services, w.Service)
--- a/tests/simulator/tenants_test.go
+++ b/tests/simulator/tenants_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -67,6 +69,44 @@
 	if out.Served*100 < out.Offered*98 || out.QuotaDecisions["unanswered"] > 0 || out.QuotaDecisions["over"]*100 > out.QuotaDecisions["admitted"] {
 		t.Fatalf("on a quiet day: %s", quotaReport(out))
 	}
+	ran, refused := map[string]int{}, map[string]int{}
+	for _, a := range out.Observed.Arrivals {
+		ran[out.Observed.Keys[a.Request]]++
+	}
+	for _, a := range out.Observed.Attempts {
+		if a.Status == http.StatusUnauthorized {
+			refused[out.Observed.Keys[a.ID]]++
+		}
+	}
+	if ran[wanderingKey] == 0 || ran[spareKey] == 0 || ran[""] == 0 || refused[spareKey] == 0 || refused[strayKey] == 0 {
+		t.Fatalf("not every sort of key was put to the test: ran %v, refused %v", ran, refused)
+	}
+}
+
+// A key goes from tenant to tenant and another comes and goes; no version before is changed by that, and no tenant loses its own key.
+func TestKeysOfTenantsMove(t *testing.T) {
+	ts := newTenants(&routedDay{plan: RoutedPlan{Tenants: true, CallsPerSecond: 25}, observed: &rules.Day{}})
+	now := ts.first()
+	wanderers, spares := map[string]bool{}, map[string]bool{}
+	for range 100 {
+		before := ts.holders(now)
+		next := slices.Clone(now)
+		ts.moveKeys(next)
+		if !maps.Equal(ts.holders(now), before) {
+			t.Fatal("the version before has changed")
+		}
+		now = next
+		holders := ts.holders(now)
+		wanderers[holders[wanderingKey]], spares[holders[spareKey]] = true, true
+		for _, row := range ts.rows {
+			if holders[row.key] != row.name || holders[strayKey] != "" {
+				t.Fatal(holders)
+			}
+		}
+	}
+	if len(wanderers) != len(ts.rows) || wanderers[""] || len(spares) != len(ts.rows)+1 {
+		t.Error(wanderers, spares)
+	}
 }
 
 // tenantDays are as many as it takes to cause every kind of fault.
@@ -93,20 +133,23 @@
 	}
 }
 
-// The rule on limits must be able to fail: something is broken on purpose, and it must say so.
-func TestPlantedBreaksOfLimitsAreCaught(t *testing.T) {
+// Every rule of days with tenants must be able to fail: something is broken on purpose, and it must say so.
+func TestPlantedBreaksOnDaysWithTenantsAreCaught(t *testing.T) {
 	heavy(t)
-	for _, plant := range []string{"spendthrift", "all-count", "full-tail"} {
+	for plant, rule := range map[string]string{
+		"spendthrift": rules.Quota, "all-count": rules.Quota, "full-tail": rules.Quota,
+		"namesake": rules.Unasked, "key-passed": rules.Unasked, "unlocked": rules.Route,
+	} {
 		t.Run(plant, func(t *testing.T) {
 			t.Parallel()
 			for seed := int64(1); seed <= 8; seed++ {
 				p := tenantPlan(seed, 6)
 				p.Plant, p.Closing = plant, ""
-				if len(breaksOf(RunRouted(p), rules.Quota)) > 0 {
+				if len(breaksOf(RunRouted(p), rule)) > 0 {
 					return
 				}
 			}
-			t.Fatalf("plant %q was not caught", plant)
+			t.Fatalf("plant %q was not caught as %q", plant, rule)
 		})
 	}
 }
