--- a/tests/rules/routed_quota.go
+++ b/tests/rules/routed_quota.go
@@ -80,17 +80,18 @@
 	return out
 }
 
-// usesByTenant are the requests that ran, by the tenant that sent them, in the order of their sending.
+// usesByTenant are the requests that ran, by the tenant that sent them or, where a key moves, in whose name they ran, in the order
+// of their sending.
 func (j *judge) usesByTenant() map[string][]use {
-	arrivedUs := map[string]int64{}
+	arrivedUs, named := map[string]int64{}, map[string]string{}
 	for _, a := range j.Arrivals {
 		if us, ran := arrivedUs[a.Request]; a.RanUs > 0 && (!ran || a.AtUs < us) {
-			arrivedUs[a.Request] = a.AtUs
+			arrivedUs[a.Request], named[a.Request] = a.AtUs, a.Tenant
 		}
 	}
 	out := map[string][]use{}
 	for id, us := range arrivedUs {
-		if name := j.Tenants[id]; name != "" && j.tries[id] != nil {
+		if name := cmp.Or(j.Tenants[id], named[id]); name != "" && j.tries[id] != nil {
 			out[name] = append(out[name], use{j.tries[id].SentUs, us})
 		}
 	}
@@ -169,12 +170,27 @@
 	return Open
 }
 
-// overLimit: it was refused as beyond its tenant's limit. What is wrongly refused so shows in starvedTenants.
-func (j *judge) overLimit(t *Attempt) bool { return t.Status == 429 && j.Tenants[t.ID] != "" }
+// beyondLimits are the requests, by their IDs, that the lowest of their tenant's limits on the day does not let it send.
+func (j *judge) beyondLimits() map[string]bool {
+	beyond, buckets := map[string]bool{}, map[string]*bucket{}
+	for _, t := range j.Attempts {
+		name := j.Tenants[t.ID]
+		if name == "" || t.HungUp {
+			continue
+		}
+		if buckets[name] == nil {
+			buckets[name] = j.leastBucket(name)
+		}
+		if !buckets[name].take(t.SentUs) {
+			beyond[t.ID] = true
+		}
+	}
+	return beyond
+}
 
 // starvedTenants: no tenant may be served less than a quarter as often as all, of what it is owed.
-func (j *judge) starvedTenants(c *servedCounts) {
-	for _, row := range j.owedToTenants() {
+func (j *judge) starvedTenants(c *servedCounts, beyond map[string]bool) {
+	for _, row := range j.owedToTenants(beyond) {
 		if row.owed < minClass {
 			continue
 		}
@@ -191,10 +207,9 @@
 	owed, served int
 }
 
-// owedToTenants counts, for each tenant, the requests that the lowest of its limits on the day lets it send.
-func (j *judge) owedToTenants() []owedRow {
+// owedToTenants counts, for each tenant, the requests that are not beyond its limits.
+func (j *judge) owedToTenants(beyond map[string]bool) []owedRow {
 	rows, of := []owedRow{}, map[string]int{}
-	buckets := map[string]*bucket{}
 	for _, t := range j.Attempts {
 		name := j.Tenants[t.ID]
 		if name == "" || t.HungUp {
@@ -203,10 +218,9 @@
 		if _, known := of[name]; !known {
 			of[name] = len(rows)
 			rows = append(rows, owedRow{name: name})
-			buckets[name] = j.leastBucket(name)
 		}
 		row := &rows[of[name]]
-		if buckets[name].take(t.SentUs) {
+		if !beyond[t.ID] {
 			row.owed++
 		}
 		if t.Served() {
@@ -249,26 +263,3 @@
 	b.tokens--
 	return true
 }
-
-// unauthorized: a key that every version knows which may be in force for a request is not refused.
-func (j *judge) unauthorized() {
-	for _, t := range j.Attempts {
-		key := j.Keys[t.ID]
-		if t.Status != 401 || key == "" {
-			continue
-		}
-		j.stake(ConfigOld)
-		oldest, known := j.oldest(t, t.EndUs), false
-		for _, v := range j.sorted {
-			if v.SentUs > t.EndUs || !j.mayStand(v) || oldest != nil && v.Number < oldest.Number {
-				continue
-			}
-			if known = j.Holders[v][key]; !known {
-				break
-			}
-		}
-		if known && oldest != nil {
-			j.breach(ConfigOld, "%s refused %s with 401 at %.3f, and every version from %d on knows its key", t.Machine, t.ID, sec(t.EndUs), oldest.Number)
-		}
-	}
-}
--- a/tests/rules/routed_quota_test.go
+++ b/tests/rules/routed_quota_test.go
@@ -51,6 +51,13 @@
 			again := *d.Arrivals[0]
 			d.Arrivals = append(d.Arrivals, &again)
 		}},
+		{"one more, by keys that move: in whose name they ran", true, func(d *Day) {
+			run(d, most+1, 14*second, 18*second, 1000)
+			for _, a := range d.Arrivals {
+				delete(d.Tenants, a.Request)
+				a.Tenant = "t"
+			}
+		}},
 		{"no limit", false, func(d *Day) {
 			d.Limits[d.Versions[0]]["t"], d.Limits[d.Versions[1]]["t"] = TenantLimit{}, TenantLimit{}
 			run(d, 3*most, 14*second, 18*second, 1000)
@@ -141,6 +148,38 @@
 	}
 }
 
+// Of what is refused with a 429, only what is beyond a tenant's limit is no part of how often classes of requests are served.
+func TestWrongRefusalsOfAClassOnSmallDays(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		limit  TenantLimit
+		breaks bool
+	}{
+		{"within its limit", TenantLimit{RatePerSecond: 100, Burst: 1}, true},
+		{"without a limit", TenantLimit{}, true},
+		{"beyond its limit", TenantLimit{RatePerSecond: 0.1, Burst: 1}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v := &Version{Number: 1, Valid: true, Routes: mark(1, "z"), SentUs: second, AckedUs: 2 * second}
+			d := &Day{Bounds: SmallBounds(1), Core: core("a", "b", "c"), Versions: []*Version{v}, EndUs: 30 * second, Tenants: map[string]string{}, Limits: map[*Version]map[string]TenantLimit{v: {"t": c.limit}}}
+			for i := range 200 {
+				try := asked(fmt.Sprint(i), "/r/x", 14*second+int64(i)*second/20)
+				d.Tenants[try.ID], try.Class = "t", []string{"refused", "served"}[i%2]
+				if i%2 == 0 {
+					try.Status, try.Seal, try.Response = 429, "", ""
+				} else {
+					d.Arrivals = append(d.Arrivals, ran(try, "z"))
+				}
+				d.Attempts = append(d.Attempts, try)
+			}
+			breaches, _ := Judge(d)
+			if broken := slices.ContainsFunc(breaches, func(b Breach) bool { return b.Rule == Starved }); broken != c.breaks {
+				t.Errorf("%v", breaches)
+			}
+		})
+	}
+}
+
 // A request is refused for its key only where some version that may be in force does not know it.
 func TestKeysThatAreRefusedOnSmallDays(t *testing.T) {
 	for _, c := range []struct {
@@ -166,7 +205,7 @@
 			try.Status, try.Seal, try.Response = 401, "", ""
 			d := &Day{
 				Bounds: SmallBounds(1), Core: core("a", "b", "c"), Versions: []*Version{first, next}, EndUs: 30 * second, Attempts: []*Attempt{try},
-				Keys: map[string]string{"1": c.key}, Holders: map[*Version]map[string]bool{first: {"kept": true, "old": true}, next: {"kept": true, "new": true}},
+				Keys: map[string]string{"1": c.key}, Holders: map[*Version]map[string]string{first: {"kept": "t", "old": "t"}, next: {"kept": "t", "new": "t"}},
 			}
 			c.play(d, try)
 			breaches, _ := Judge(d)
