Tell clients to come back after as long as nobody has counted

What callers saw: while no control node answers, a limited request was refused with 250 ms to come back, met the same again, and was lost. Change: the time named is as long as the tail has not answered, from 250 ms to 3 s.

--- a/internal/dataplane/quota/client.go
+++ b/internal/dataplane/quota/client.go
@@ -19,8 +19,9 @@
 	maxDecisionUs = 400 * clock.Ms
 	// downUs is how long a control node is not asked that gave no answer, or that is no tail though the view says so.
 	downUs = 250 * clock.Ms
-	// unansweredRetryMs is when a client is told to come back whose request nobody could decide: the tail is asked again then.
-	unansweredRetryMs = downUs / clock.Ms
+	// minUnansweredRetryMs and maxUnansweredRetryMs bound when a client is told to come back whose request nobody could decide.
+	minUnansweredRetryMs = downUs / clock.Ms
+	maxUnansweredRetryMs = 3000
 	// maxReserveAsks is how many voters beside the tail are asked for one request, and maxAsks how many in all.
 	maxReserveAsks = 2
 	maxAsks        = maxReserveAsks + 2
@@ -48,6 +49,8 @@
 	// downUntilUs is until when an address is not asked.
 	downUntilUs map[string]int64
 	refusals    map[string]refusal
+	// tailAnsweredUs is when a control node that counts last answered; 0 before the first.
+	tailAnsweredUs int64
 	// expiryUs is when the next request or ask runs out of time; 0 is never.
 	expiryUs int64
 	counters Counters
@@ -122,11 +125,15 @@
 	r := &request{id: ev.ID, tenant: ev.Tenant, limit: ev.Limit, untilUs: c.nowUs + min(maxDecisionUs, max(0, ev.MaxWaitUs))}
 	if m, known := c.refusals[r.tenant]; known && m.limit == r.limit && c.nowUs < m.untilUs && (m.verdict == OverLimit || !c.tailAnswers()) {
 		c.counters.FromMemory++
-		c.decide(r, m.verdict, ceilMs(m.untilUs-c.nowUs))
+		retryMs := ceilMs(m.untilUs - c.nowUs)
+		if m.verdict == Unanswered {
+			retryMs = c.unansweredRetryMs()
+		}
+		c.decide(r, m.verdict, retryMs)
 		return
 	}
 	if len(c.requests) >= maxWaiting {
-		c.decide(r, Unanswered, unansweredRetryMs)
+		c.decide(r, Unanswered, c.unansweredRetryMs())
 		return
 	}
 	c.requests[r.id] = r
@@ -134,6 +141,15 @@
 	c.expireBy(r.untilUs)
 }
 
+// unansweredRetryMs is when a client is told to come back whose request nobody could decide: what has lasted for a while lasts
+// about as long again.
+func (c *Client) unansweredRetryMs() int64 {
+	if c.tailAnsweredUs == 0 {
+		return minUnansweredRetryMs
+	}
+	return min(maxUnansweredRetryMs, max(minUnansweredRetryMs, ceilMs(c.nowUs-c.tailAnsweredUs)))
+}
+
 func ceilMs(us int64) int64 { return (us + clock.Ms - 1) / clock.Ms }
 
 // decide ends a request; whatever carries it still only passes its token on.
@@ -204,8 +220,8 @@
 	for _, r := range c.waiting {
 		switch addr := c.nextVoter(r); {
 		case addr == "":
-			c.remember(r, Unanswered, unansweredRetryMs)
-			c.decide(r, Unanswered, unansweredRetryMs)
+			c.remember(r, Unanswered, minUnansweredRetryMs)
+			c.decide(r, Unanswered, c.unansweredRetryMs())
 		case c.asking[addr]:
 			left = append(left, r)
 		default:
@@ -281,6 +297,9 @@
 		// Its time was over, and its requests have gone on: what it grants now is nobody's.
 		return
 	}
+	if ev.Response.Counting {
+		c.tailAnsweredUs = c.nowUs
+	}
 	if a.tail && !ev.Response.Counting {
 		c.downUntilUs[a.addr] = c.nowUs + downUs
 	}
@@ -354,7 +373,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.requests)) {
 		if r := c.requests[id]; c.nowUs >= r.untilUs {
-			c.decide(r, Unanswered, unansweredRetryMs)
+			c.decide(r, Unanswered, c.unansweredRetryMs())
 		} else {
 			c.expireBy(r.untilUs)
 		}
--- a/internal/dataplane/quota/client_test.go
+++ b/internal/dataplane/quota/client_test.go
@@ -378,3 +378,16 @@
 		}
 	})
 }
+
+// While nobody answers, clients are told to come back after about as long as it has lasted.
+func TestClientNamesALongerTimeTheLongerNobodyAnswers(t *testing.T) {
+	s := newScript(t, 1)
+	s.step(s.requested("1", "a"), "c0 tail a:1")
+	s.step(s.answer(wire.QuotaGrant{Tenant: "a", Granted: 1}), "1 admitted 0")
+	for i, c := range []struct{ sinceMs, retryMs int64 }{{100, 250}, {1200, 1200}, {9000, 3000}} {
+		id := fmt.Sprint("later-", i)
+		s.nowUs = clock.Sec + c.sinceMs*clock.Ms
+		s.step(s.requested(id, "a"), "c0 tail a:1")
+		s.step(Failed{Ask: s.last}, fmt.Sprint(id, " unanswered ", c.retryMs))
+	}
+}
--- a/tests/platform/fleet/fleet.go
+++ b/tests/platform/fleet/fleet.go
@@ -122,7 +122,7 @@
 	f.day.Bounds = rules.SmallBounds(f.engine.LoadsPerSecond)
 	if plan.Tenants {
 		f.day.Tenants, f.day.Keys = map[string]string{}, map[string]string{}
-		f.day.Limits, f.day.Holders = map[*rules.Version]map[string]rules.TenantLimit{}, map[*rules.Version]map[string]bool{}
+		f.day.Limits, f.day.Holders = map[*rules.Version]map[string]rules.TenantLimit{}, map[*rules.Version]map[string]string{}
 	}
 	f.ops = &routedOps{f: f, r: rand.New(rand.NewSource(plan.Seed + 1))}
 	return f, os.MkdirAll(plan.Folder, 0o755)
--- a/tests/platform/fleet/tenants.go
+++ b/tests/platform/fleet/tenants.go
@@ -84,9 +84,9 @@
 	if len(f.tenants) == 0 {
 		return
 	}
-	limits, holders := map[string]rules.TenantLimit{}, map[string]bool{}
+	limits, holders := map[string]rules.TenantLimit{}, map[string]string{}
 	for _, t := range f.tenants {
-		limits[t.name], holders[t.key] = rules.TenantLimit{RatePerSecond: f.limitPart * t.ratePerS, Burst: f.limitPart * t.burst}, true
+		limits[t.name], holders[t.key] = rules.TenantLimit{RatePerSecond: f.limitPart * t.ratePerS, Burst: f.limitPart * t.burst}, t.name
 	}
 	f.note(func(d *rules.Day) { d.Limits[v], d.Holders[v] = limits, holders })
 }
