--- a/internal/dataplane/gateway/authentication.go
+++ b/internal/dataplane/gateway/authentication.go
@@ -84,7 +84,7 @@
 	return bad
 }
 
-// keyHold is how long a request may be held that must be answered by an instant; 0 is never.
+// lookupHold is how long a request may be held that must be answered by an instant; 0 is never.
 func (h *Host) lookupHold(deadlineUs, nowUs int64) time.Duration {
 	us := h.maxLookupHoldUs
 	if deadlineUs > 0 {
--- a/internal/dataplane/gateway/quota.go
+++ b/internal/dataplane/gateway/quota.go
@@ -25,7 +25,7 @@
 		return quota.Limit{}, false
 	}
 	t := snap.Declaration.Tenant(c.Routed.Tenant)
-	if t == nil || t.RatePerSecond <= 0 {
+	if t == nil || !t.IsLimited() {
 		return quota.Limit{}, false
 	}
 	return quota.Limit{RatePerSecond: t.RatePerSecond, Burst: t.Burst}, true
