--- a/internal/dataplane/controlclient/streams.go
+++ b/internal/dataplane/controlclient/streams.go
@@ -2,10 +2,10 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"maps"
 	"slices"
 
+	"petreltide/internal/api/membership"
 	"petreltide/internal/api/wire"
 	"petreltide/internal/process/clock"
 )
@@ -128,12 +128,7 @@
 			return 0
 		}
 	}
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(i.opts.Gateway + "|" + addr))
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	return x ^ x>>33
+	return membership.SpreadHash(i.opts.Gateway + "|" + addr)
 }
 
 func (i *Informer) report(nowUs int64, urgent bool) {
--- a/internal/dataplane/quota/client.go
+++ b/internal/dataplane/quota/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"maps"
 	"slices"
 
@@ -183,12 +182,7 @@
 
 // rank orders control nodes otherwise at each gateway, so that all reserves are used.
 func (c *Client) rank(addr string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(c.gateway + "|" + addr))
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	return x ^ x>>33
+	return membership.SpreadHash(c.gateway + "|" + addr)
 }
 
 // tailAnswers: a tail is known and, as far as this gateway knows, answers.
--- a/internal/failuredetector/ring.go
+++ b/internal/failuredetector/ring.go
@@ -1,7 +1,6 @@
 package failuredetector
 
 import (
-	"hash/fnv"
 	"slices"
 	"sort"
 
@@ -14,17 +13,8 @@
 // Node is one member of the ring. Gateways are sent the ring, so that it stands in the API.
 type Node = membership.RingNode
 
-// ringPosition hashes an ID to its position. FNV-1a alone leaves similar IDs close together; the finalizer of
-// MurmurHash3 spreads them.
-func ringPosition(id string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(id))
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return x
-}
+// ringPosition hashes an ID to its position.
+func ringPosition(id string) uint64 { return membership.SpreadHash(id) }
 
 // WatchersOf returns the nodes that watch id: the first WatchersPerNode that follow its position on the ring, fewer
 // where there are no more.
