--- /dev/null
+++ b/review/cmd/stage/departure.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"review/stand"
+)
+
+// servesOn is how long a replica serves on after it has deregistered.
+const servesOn = 14.0
+
+// departure lets a model replica leave that deregisters first and serves on. Right after the acknowledgement all processes of the
+// core are killed at the same moment, and come back within a second with their disks. It does so up to three times, each with
+// another replica.
+func departure(f *stand.Fleet, trouble bool) ([]string, error) {
+	if err := f.Start(3, 3); err != nil {
+		return nil, err
+	}
+	replicas := []*stand.Replica{}
+	for i := range 5 {
+		r, err := f.StartReplica("scribe", []string{"hall-a", "hall-b", "hall-c"}[i%3], 64, 60*time.Millisecond, "daka", "rada")
+		if err != nil {
+			return nil, err
+		}
+		replicas = append(replicas, r)
+	}
+	engine := object{"capacitySlots": 64, "cacheCapacityTokens": 120000, "stride": 3, "weightsSizeMb": 200000.0, "adapterCapacity": 8, "loadsPerS": 2.6, "models": []object{
+		{"name": "daka", "weightsSizeMb": 34300.0, "loadDurationS": 0.3, "adapters": 0, "adapterSizeMb": 40.0},
+		{"name": "rada", "weightsSizeMb": 34300.0, "loadDurationS": 0.3, "adapters": 0, "adapterSizeMb": 40.0}}}
+	status, err := f.Operate("/configuration/replace", 0, object{"version": 3, "routes": []object{route("r-1", "/drafts/", "scribe")},
+		"services": []object{{"name": "scribe", "healthPath": "/health", "connectionLimit": 370, "protocol": "h1", "tlsEnabled": false, "engine": engine}}, "limits": limits}, 20*time.Second)
+	if err != nil || status != 200 {
+		return nil, fmt.Errorf("%w: first configuration: %d %v", stand.ErrSetup, status, err)
+	}
+	if err := f.AwaitReady(20 * time.Second); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	sent := steadyRequests(ctx, f)
+	broken := []string{}
+	for round := 0; round < 3 && len(broken) == 0; round++ {
+		// Calm for longer than contactWindowMs, so that everything is in touch.
+		time.Sleep(6 * time.Second)
+		if broken, err = leave(f, replicas[round], replicas[round+1:], sent, trouble); err != nil {
+			return nil, err
+		}
+	}
+	return broken, nil
+}
+
+// leave lets one replica leave. It returns the requests that have reached it too late, by what its time begins with at the latest.
+func leave(f *stand.Fleet, leaver *stand.Replica, others []*stand.Replica, sent func(id string) float64, trouble bool) ([]string, error) {
+	if !leaver.Leave() {
+		return nil, fmt.Errorf("%w: the leaving was not acknowledged", stand.ErrSetup)
+	}
+	acknowledged := f.Record.Now()
+	if trouble {
+		if err := f.KillAll(500 * time.Millisecond); err != nil {
+			return nil, err
+		}
+	}
+	f.Record.Printf("%s had the acknowledgement that it is gone at %.3f, and serves on for %.0f s", leaver.ID, acknowledged, servesOn)
+	// Only requests count that were sent after the core was settled again (contactWindowMs after the last start) and drainMs more.
+	const contactWindow, drain = 3.0, 2.0
+	from := f.Record.Now() + contactWindow + drain
+	time.Sleep(time.Duration((acknowledged + servesOn - f.Record.Now()) * float64(time.Second)))
+	leaver.Kill()
+	broken, after := []string{}, 0
+	for _, run := range leaver.Runs() {
+		if run.At > from && sent(run.RequestID) > from {
+			broken = append(broken, fmt.Sprintf("DRAIN: %s ran %s, sent %.2f s after the acknowledgement that it is gone", leaver.ID, run.RequestID, sent(run.RequestID)-acknowledged))
+		}
+	}
+	for _, r := range others {
+		for _, run := range r.Runs() {
+			if run.At > from {
+				after++
+			}
+		}
+	}
+	f.Record.Printf("sent from %.2f on: %d requests to the one that left, %d to the others", from, len(broken), after)
+	if after == 0 {
+		return nil, fmt.Errorf("%w: no request was served after the kill", stand.ErrSetup)
+	}
+	return broken, nil
+}
+
+// steadyRequests sends about 30 requests a second through all gateways until ctx ends. sent returns when a request was sent.
+func steadyRequests(ctx context.Context, f *stand.Fleet) (sent func(id string) float64) {
+	var mu sync.Mutex
+	at := map[string]float64{}
+	go func() {
+		for i := 0; ctx.Err() == nil; i++ {
+			id := fmt.Sprintf("draft-%04d", i)
+			mu.Lock()
+			at[id] = f.Record.Now()
+			mu.Unlock()
+			go f.Send(f.Fronts[i%len(f.Fronts)], id, host, "/drafts/1", []byte("a draft"), 4*time.Second, "Model-Name", "daka", "Token-Counts", "100,10")
+			time.Sleep(33 * time.Millisecond)
+		}
+	}()
+	return func(id string) float64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return at[id]
+	}
+}
--- a/review/cmd/stage/main.go
+++ b/review/cmd/stage/main.go
@@ -15,6 +15,7 @@
 	"route-name":   routeName,
 	"route-rename": routeRename,
 	"founding":     founding,
+	"departure":    departure,
 }
 
 func main() {
--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -18,8 +18,8 @@
 	TookMs    int64
 }
 
-// Send sends one try on a connection of its own and waits for the whole answer, for at most the deadline.
-func (f *Fleet) Send(m *Machine, id, host, path string, body []byte, deadline time.Duration) Answer {
+// Send sends one try on a connection of its own and waits for the whole answer, for at most the deadline. headers are names and values by turns.
+func (f *Fleet) Send(m *Machine, id, host, path string, body []byte, deadline time.Duration, headers ...string) Answer {
 	began := time.Now()
 	a := Answer{RequestID: id}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
@@ -31,6 +31,9 @@
 	req.Host = host
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	f.Record.Printf("send %s to %s: POST %s%s", id, m.Name, host, path)
 	res, err := client.Do(req)
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -258,6 +258,31 @@
 	_ = m.cmd.Process.Signal(syscall.SIGKILL)
 }
 
+// KillAll kills the processes of all core machines at the same moment and starts them again after a delay.
+func (f *Fleet) KillAll(after time.Duration) error {
+	f.mu.Lock()
+	for _, m := range f.Cores {
+		m.removed = true
+	}
+	f.mu.Unlock()
+	for _, m := range f.Cores {
+		_ = m.cmd.Process.Signal(syscall.SIGKILL)
+	}
+	f.Record.Printf("all core processes are killed")
+	for _, m := range f.Cores {
+		m.AwaitExit(5 * time.Second)
+	}
+	time.Sleep(after)
+	seeds := f.Seeds()
+	for _, m := range f.Cores {
+		m.removed = false
+		if err := f.StartMachine(m, seeds, false); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Running reports whether the process of a machine has not ended.
 func (m *Machine) Running() bool {
 	select {
--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -27,8 +27,8 @@
 	Slots                   int
 	// Work is how long a request runs.
 	Work time.Duration
-	// OnRun, where set, is called for each request that begins to run and may answer it itself; it then returns true.
-	OnRun func(w http.ResponseWriter, r *http.Request) bool
+	// Engine is set where the replica holds models.
+	Engine *Engine
 
 	fleet    *Fleet
 	server   *http.Server
@@ -45,11 +45,14 @@
 // replicaPort is the port of all replicas; each has an address of its own.
 const replicaPort = 8080
 
-// StartReplica starts a replica and its heartbeats.
-func (f *Fleet) StartReplica(service, zone string, slots int, work time.Duration) (*Replica, error) {
+// StartReplica starts a replica and its heartbeats. Where models are given, it holds them at the start.
+func (f *Fleet) StartReplica(service, zone string, slots int, work time.Duration, models ...string) (*Replica, error) {
 	ip := f.NextIP()
 	r := &Replica{ID: fmt.Sprintf("i-%s-%d", service, f.nextHost), Service: service, Zone: zone, Slots: slots, Work: work, fleet: f,
 		Addr: net.JoinHostPort(ip, strconv.Itoa(replicaPort)), slots: make(chan struct{}, slots), state: "ready"}
+	if len(models) > 0 {
+		r.Engine = &Engine{models: models}
+	}
 	listener, err := net.Listen("tcp", r.Addr)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrSetup, err)
@@ -65,6 +68,27 @@
 	return r, nil
 }
 
+// Leave ends the heartbeats and tells the control nodes that the replica leaves, one after the other until one acknowledges it.
+// The replica serves on.
+func (r *Replica) Leave() bool {
+	r.stop()
+	for range 10 {
+		for _, m := range r.fleet.Cores {
+			client := http.Client{Timeout: time.Second}
+			res, err := client.Post("http://"+m.Control()+"/instances/"+r.ID+"/deregister", "application/json", nil)
+			if err != nil {
+				continue
+			}
+			_ = res.Body.Close()
+			if res.StatusCode/100 == 2 {
+				return true
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return false
+}
+
 // Kill ends a replica at once.
 func (r *Replica) Kill() {
 	r.stop()
@@ -89,11 +113,24 @@
 		w.WriteHeader(http.StatusOK)
 		return
 	}
+	expected := req.Header.Get("Expected-Instance")
+	if r.Engine != nil && (expected == "" || expected == r.ID) {
+		switch {
+		case req.Method == http.MethodGet && req.URL.Path == "/report":
+			r.Engine.report(w, len(r.slots))
+			return
+		case req.Method == http.MethodPost && req.URL.Path == "/order":
+			operation, model, status := r.Engine.order(w, req)
+			r.fleet.Record.Printf("order %s %s at %s: %d", operation, model, r.ID, status)
+			return
+		}
+	}
 	body, err := io.ReadAll(req.Body)
-	switch expected := req.Header.Get("Expected-Instance"); {
+	model := req.Header.Get("Model-Name")
+	switch {
 	case err != nil:
 		return
-	case expected != "" && expected != r.ID:
+	case expected != "" && expected != r.ID, r.Engine != nil && model != "" && !r.Engine.holds(model):
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -120,9 +157,6 @@
 	r.runs = append(r.runs, run)
 	r.mu.Unlock()
 	r.fleet.Record.Printf("run %s at %s of %s: %s %s", id, r.ID, r.Service, req.Method, run.Path)
-	if r.OnRun != nil && r.OnRun(w, req) {
-		return
-	}
 	select {
 	case <-time.After(r.Work):
 	case <-req.Context().Done():
@@ -165,8 +199,12 @@
 	r.mu.Lock()
 	state := r.state
 	r.mu.Unlock()
-	raw, err := json.Marshal(map[string]any{"service": r.Service, "address": r.Addr, "zone": r.Zone, "version": "v1", "capacitySlots": r.Slots, "state": state,
-		"coldRemainingMs": 0, "callSequence": r.sequence.Add(1)})
+	beat := map[string]any{"service": r.Service, "address": r.Addr, "zone": r.Zone, "version": "v1", "capacitySlots": r.Slots, "state": state,
+		"coldRemainingMs": 0, "callSequence": r.sequence.Add(1)}
+	if r.Engine != nil {
+		beat["stage"], beat["models"] = "prefill_and_decode", r.Engine.held()
+	}
+	raw, err := json.Marshal(beat)
 	if err != nil {
 		return false
 	}
