Review, case 3: two votes of four stop the core once a machine and a disk go together

A successor is a fourth vote beside the machine that it succeeds; that machine is removed for good, and 0.4 s later one of the others loses its disk, the one loss that counts.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")" || exit 2
 [ -x ../bin/stage ] && [ -x ../../target/petreltide ] || exit 2
-exec ../bin/stage founding "$(pwd)/../../target/petreltide" record.txt
+exec ../bin/stage votes "$(pwd)/../../target/petreltide" record.txt
--- a/review/cmd/stage/main.go
+++ b/review/cmd/stage/main.go
@@ -16,6 +16,7 @@
 	"route-rename": routeRename,
 	"founding":     founding,
 	"departure":    departure,
+	"votes":        votes,
 }
 
 func main() {
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -258,6 +258,28 @@
 	_ = m.cmd.Process.Signal(syscall.SIGKILL)
 }
 
+// Remove takes a machine away for good. From then on it gives no answer at all, as one that has lost its power: its process stands
+// still until the end of the run and never goes on.
+func (f *Fleet) Remove(m *Machine) {
+	f.mu.Lock()
+	m.removed = true
+	f.mu.Unlock()
+	f.Record.Printf("%s is removed for good", m.Name)
+	_ = m.cmd.Process.Signal(syscall.SIGSTOP)
+}
+
+// LoseDisk kills the process of a machine, which does not come back by itself, and empties its data folder.
+func (f *Fleet) LoseDisk(m *Machine) {
+	f.mu.Lock()
+	m.removed = true
+	f.mu.Unlock()
+	f.Record.Printf("%s loses its disk", m.Name)
+	_ = m.cmd.Process.Signal(syscall.SIGKILL)
+	m.AwaitExit(5 * time.Second)
+	_ = os.RemoveAll(m.data)
+	m.removed = false
+}
+
 // KillAll kills the processes of all core machines at the same moment and starts them again after a delay.
 func (f *Fleet) KillAll(after time.Duration) error {
 	f.mu.Lock()
@@ -316,7 +338,6 @@
 	}
 	for _, m := range f.all {
 		if m.cmd != nil && m.cmd.Process != nil && m.Running() {
-			_ = m.cmd.Process.Signal(syscall.SIGCONT)
 			_ = m.cmd.Process.Kill()
 			m.AwaitExit(5 * time.Second)
 		}
