--- a/review/cmd/stage/main.go
+++ b/review/cmd/stage/main.go
@@ -3,9 +3,10 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"review/stand"
 )
@@ -40,13 +41,17 @@
 		return 2
 	}
 	defer f.Stop()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stopped
+		f.Stop()
+		os.Exit(2)
+	}()
 	broken, err := run(f, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		record.Printf("not run: %v", err)
 		fmt.Fprintln(os.Stderr, err)
-		if errors.Is(err, stand.ErrSetup) {
-			return 2
-		}
 		return 2
 	}
 	for _, b := range broken {
