--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -20,8 +20,11 @@
 	At                                        float64
 }
 
-// Replica is a stand-in for a replica of a service without models. It runs at most Slots requests at once and queues as many
-// again; beyond that it answers 503 with Not-Executed.
+// queuePerSlot is how many requests a replica queues for each slot, as the replicas of the small sites do (24 for 6 slots).
+const queuePerSlot = 4
+
+// Replica is a stand-in for a replica. It runs at most Slots requests at once and queues some more; beyond that it answers 503 with
+// Not-Executed.
 type Replica struct {
 	ID, Service, Addr, Zone string
 	Slots                   int
@@ -139,7 +142,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if r.waiting.Add(1) > int64(2*r.Slots) {
+	if r.waiting.Add(1) > int64(r.Slots+queuePerSlot*r.Slots) {
 		r.waiting.Add(-1)
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
