--- a/review/cmd/stage/departure.go
+++ b/review/cmd/stage/departure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,17 +11,18 @@
 )
 
 // servesOn is how long a replica serves on after it has deregistered.
-const servesOn = 14.0
+const servesOn = 10.0
 
 // departure lets a model replica leave that deregisters first and serves on. Right after the acknowledgement all processes of the
-// core are killed at the same moment, and come back within a second with their disks. It does so up to three times, each with
-// another replica.
+// core are killed at the same moment, and come back within a second with their disks. The leader has the departure on its disk some
+// milliseconds after the acknowledgement and the kill has to come before, so it is tried up to five times, each with another
+// replica, until the rule breaks. The replica that runs most of the requests leaves.
 func departure(f *stand.Fleet, trouble bool) ([]string, error) {
 	if err := f.Start(3, 3); err != nil {
 		return nil, err
 	}
 	replicas := []*stand.Replica{}
-	for i := range 5 {
+	for i := range 9 {
 		r, err := f.StartReplica("scribe", []string{"hall-a", "hall-b", "hall-c"}[i%3], 64, 60*time.Millisecond, "daka", "rada")
 		if err != nil {
 			return nil, err
@@ -42,16 +44,36 @@
 	defer cancel()
 	sent := steadyRequests(ctx, f)
 	broken := []string{}
-	for round := 0; round < 3 && len(broken) == 0; round++ {
-		// Calm for longer than contactWindowMs, so that everything is in touch.
-		time.Sleep(6 * time.Second)
-		if broken, err = leave(f, replicas[round], replicas[round+1:], sent, trouble); err != nil {
+	// Calm for longer than contactWindowMs, so that everything is in touch. Between two tries more than that passes as well.
+	time.Sleep(6 * time.Second)
+	for round := 0; round < 5 && len(broken) == 0; round++ {
+		time.Sleep(time.Second)
+		leaver := busiest(f, replicas)
+		replicas = slices.DeleteFunc(replicas, func(r *stand.Replica) bool { return r == leaver })
+		if broken, err = leave(f, leaver, replicas, sent, trouble); err != nil {
 			return nil, err
 		}
 	}
 	return broken, nil
 }
 
+// busiest returns the replica that has run most requests in the last two seconds.
+func busiest(f *stand.Fleet, replicas []*stand.Replica) (most *stand.Replica) {
+	best := -1
+	for _, r := range replicas {
+		recent := 0
+		for _, run := range r.Runs() {
+			if run.At > f.Record.Now()-2 {
+				recent++
+			}
+		}
+		if recent > best {
+			most, best = r, recent
+		}
+	}
+	return most
+}
+
 // leave lets one replica leave. It returns the requests that have reached it too late, by what its time begins with at the latest.
 func leave(f *stand.Fleet, leaver *stand.Replica, others []*stand.Replica, sent func(id string) float64, trouble bool) ([]string, error) {
 	if !leaver.Leave() {
@@ -89,7 +111,7 @@
 	return broken, nil
 }
 
-// steadyRequests sends about 30 requests a second through all gateways until ctx ends. sent returns when a request was sent.
+// steadyRequests sends about 50 requests a second through all gateways until ctx ends. sent returns when a request was sent.
 func steadyRequests(ctx context.Context, f *stand.Fleet) (sent func(id string) float64) {
 	var mu sync.Mutex
 	at := map[string]float64{}
@@ -100,7 +122,7 @@
 			at[id] = f.Record.Now()
 			mu.Unlock()
 			go f.Send(f.Fronts[i%len(f.Fronts)], id, host, "/drafts/1", []byte("a draft"), 4*time.Second, "Model-Name", "daka", "Token-Counts", "100,10")
-			time.Sleep(33 * time.Millisecond)
+			time.Sleep(20 * time.Millisecond)
 		}
 	}()
 	return func(id string) float64 {
