Acknowledge a replica's leaving only once it is in the log

Cause: a departure was acknowledged once a quorum held it in memory. It reached the replicated state with the leader's next update, or never for services without an engine. After the restart gateways were told of what the state held.

No heartbeat of it had come, so it was not made known anew.

Change: a departure, draining or gone, is an entry of the log and acknowledged when all members of the view have synced it, as an operator's change is.

The round of confirmations by memory is gone; one for peers of the build before is answered.

--- a/internal/controlplane/controller/controller.go
+++ b/internal/controlplane/controller/controller.go
@@ -59,7 +59,7 @@
 		replicas:   replicaTracker{byID: map[string]*replicaState{}},
 		gateways:   gatewayMembership{byID: map[string]*gatewayState{}, suspicions: failuredetector.NewSuspicionQuorum()},
 		outliers:   outlierVerdicts{detector: outlier.NewDetector(opts.Outlier)},
-		declared:   declaredState{orders: declaredOrders{sentUs: map[uint64]int64{}}},
+		declared:   declaredState{orders: declaredOrders{sentUs: map[uint64]int64{}}, keys: newKeyExpiry()},
 		routed:     newRoutedState(opts),
 		Faults:     map[fault.Code]uint64{},
 	}
--- a/internal/controlplane/controller/declared.go
+++ b/internal/controlplane/controller/declared.go
@@ -9,11 +9,11 @@
 
 // declaredState is the controller's state for declared mode, in which the replicas are those on the polled list.
 type declaredState struct {
-	listing  platformListing
-	orders   declaredOrders
-	budget   loadBudget
-	shares   slotShares
-	keyMarks keyExpiry
+	listing platformListing
+	orders  declaredOrders
+	budget  loadBudget
+	shares  slotShares
+	keys    logExpiry
 }
 
 // declaredMode implements mode for deployments whose replicas are on a list that the controller polls; the package
@@ -77,7 +77,7 @@
 			m.issueCommands(s, update)
 		}
 	}
-	update.ForgetKeysBefore = c.declared.keyMarks.expireBefore(snapshot.NowUs, s.Index)
+	update.ForgetKeysBefore = c.declared.keys.expireBefore(snapshot.NowUs, s.Index)
 	if c.declared.listing.confirmView() {
 		update.CheckedInView = c.declared.listing.view
 	}
--- a/internal/controlplane/controller/routed.go
+++ b/internal/controlplane/controller/routed.go
@@ -14,6 +14,7 @@
 	demand      demandTracker
 	residency   residency
 	registry    registrySync
+	departures  logExpiry
 }
 
 func newRoutedState(opts Options) routedState {
@@ -26,7 +27,8 @@
 			arrivedUs: map[replicaUnit]int64{}, unconfirmedUntilUs: map[replicaUnit]int64{},
 			reservations: map[string]reservation{}, unplaced: map[string]bool{},
 		},
-		registry: registrySync{holdingsChangedUs: map[string]int64{}, unseenUs: map[string]int64{}},
+		registry:   registrySync{holdingsChangedUs: map[string]int64{}, unseenUs: map[string]int64{}},
+		departures: newDepartureExpiry(),
 	}
 }
 
@@ -108,6 +110,9 @@
 func (m routedMode) collect(snapshot Snapshot, update *statemachine.LeaderUpdate) {
 	c, s := m.c, snapshot.State
 	c.recordRegistry(snapshot, update)
+	if before := c.routed.departures.expireBefore(snapshot.NowUs, s.Index); s.HasDeparturesBefore(before) {
+		update.ForgetDeparturesBefore = before
+	}
 	c.settleCommands(snapshot.NowUs, s, update)
 	c.gateways.removeSilent(snapshot.NowUs)
 	if !c.routed.predecessor.canPlan(snapshot.NowUs) {
--- a/internal/controlplane/controlnode/core.go
+++ b/internal/controlplane/controlnode/core.go
@@ -66,12 +66,14 @@
 
 // NewCore returns the Core of the control node whose member of the chain is node.
 func NewCore(node *chain.Node, opts CoreOptions) *Core {
-	return &Core{
+	c := &Core{
 		Node: node, Updates: distribution.NewUpdatePublisher(), Controller: controller.New(node.Self().ID, opts.Controller),
 		FailureDetector: failuredetector.NewMonitor(), soft: newSoftState(opts.UnreachableUs),
 		quota:   quota.NewLedger(opts.Quota, node.NowUs()),
 		startUs: node.NowUs(), startIndex: node.LastIndex(),
 	}
+	c.restoreDepartures(c.startUs)
+	return c
 }
 
 // Step processes one event at nowUs and returns the effects to execute, in order.
@@ -150,9 +152,10 @@
 		c.effects = append(c.effects, PushUpdate{Push: &push})
 	}
 	for _, a := range c.Updates.ReleasedResults(nowUs) {
-		c.sendResult(a.Origin, a.Result)
+		c.sendResult(nowUs, a.Origin, a.Result)
 	}
 	c.observeQuota(nowUs)
+	c.restoreDepartures(nowUs)
 	c.gossip(nowUs)
 	c.pushFrames(nowUs)
 }
@@ -163,15 +166,13 @@
 	case message.Chain != nil:
 		c.stepChain(nowUs, chain.MessageReceived{Msg: message.Chain})
 	case message.Result != nil:
-		c.effects = append(c.effects, DeliverResult{Result: message.Result})
+		c.handleResult(nowUs, message.Result)
 	case message.Report != nil:
 		c.stepController(nowUs, controller.GatewayReport{Report: message.Report})
 	case message.Suspicion != nil:
 		c.stepController(nowUs, controller.WatcherReport{Report: *message.Suspicion})
 	case message.Gossip != nil:
 		c.handleGossip(nowUs, *message.Gossip)
-	case message.DrainConfirmation != nil:
-		c.handleDrainConfirmation(nowUs, *message.DrainConfirmation)
 	case message.Outliers != nil && message.Outliers.NewerThan(c.soft.Outliers):
 		c.soft.Outliers = *message.Outliers
 	}
@@ -246,7 +247,7 @@
 		c.Updates.AwaitAcknowledgements(change.Origin, a.Outcome, c.Node.State().UpdateIndex)
 		return
 	}
-	c.sendResult(change.Origin, wire.Result{Outcome: a.Outcome, OnAllGateways: true})
+	c.sendResult(nowUs, change.Origin, wire.Result{Outcome: a.Outcome, OnAllGateways: true})
 }
 
 // Outcome returns the recorded outcome of the change with this ID, marked as repeated. It reports false if the change is
@@ -258,9 +259,9 @@
 }
 
 // sendResult sends the result of a change to the control node at which it was submitted.
-func (c *Core) sendResult(origin string, r wire.Result) {
+func (c *Core) sendResult(nowUs int64, origin string, r wire.Result) {
 	if origin == c.Node.Self().Addr {
-		c.effects = append(c.effects, DeliverResult{Result: &r})
+		c.handleResult(nowUs, &r)
 		return
 	}
 	c.send(origin, peering.Message{Result: &r})
--- a/internal/controlplane/controlnode/departures.go
+++ b/internal/controlplane/controlnode/departures.go
@@ -1,52 +1,59 @@
 package controlnode
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 
+	"petreltide/internal/api/wire"
+	"petreltide/internal/controlplane/chain"
 	"petreltide/internal/controlplane/peering"
 	"petreltide/internal/controlplane/registry"
+	"petreltide/internal/controlplane/statemachine"
 	"petreltide/internal/process/clock"
 )
 
 const (
-	// departureTimeoutUs is how long a departure may wait for confirmation by a quorum; the replica itself turns to another
-	// control node after one second.
+	// departureTimeoutUs is how long a departure may wait to be recorded; the replica itself turns to another control node after
+	// one second.
 	departureTimeoutUs = 700 * clock.Ms
-	// departureRetryIntervalUs is the interval at which peers that have not confirmed a departure are asked again.
-	departureRetryIntervalUs = 150 * clock.Ms
+	// departureResubmitIntervalUs is the interval at which a departure that has no result is submitted again.
+	departureResubmitIntervalUs = 150 * clock.Ms
 )
 
-// departure is the report that a replica is draining or has ended, until a quorum of control nodes has confirmed that it knows
-// of it. A replica exits soon after its departure is acknowledged, so a partitioned control node must not acknowledge it alone.
+// departure is the report that a replica is draining or has ended, until its record in the replicated state is durable. It is
+// acknowledged only then: a replica goes on serving after the acknowledgement, and no one else will say that it is leaving if the
+// control nodes lose their memory.
 type departure struct {
-	// removed reports that the replica has ended, rather than started to drain.
-	removed bool
-	// startedUs is when the departure was last reported, and lastRequestUs when peers were last asked to confirm it; 0 means
-	// that they have not been asked yet.
-	startedUs     int64
-	lastRequestUs int64
+	report statemachine.Departure
+	// startedUs is when the departure was last reported, and submittedUs when it was last submitted to the chain; 0 means that it
+	// was not submitted yet.
+	startedUs   int64
+	submittedUs int64
 	// replyIDs are the callers that wait for the acknowledgement.
 	replyIDs []uint64
-	// confirmedBy are the IDs of the other control nodes that have confirmed the departure.
-	confirmedBy map[string]bool
+	// committed is set by the result of the change that records the departure.
+	committed bool
 }
 
 // handleReplicaHeartbeat records a replica's heartbeat. The heartbeat of a replica that stays is acknowledged if this control
-// node is in contact with a quorum; that of a draining replica only once a quorum knows that it drains.
+// node is in contact with a quorum; that of a draining replica only once it is durable that it drains.
 func (c *Core) handleReplicaHeartbeat(nowUs int64, status registry.ReplicaStatus, reply uint64) {
 	c.recordHeartbeat(nowUs, status)
 	if status.Draining || status.RemainingMs > 0 {
-		c.startDeparture(nowUs, status.ID, false, reply)
+		c.startDeparture(nowUs, statemachine.Departure{
+			ID: status.ID, Service: status.Service, Addr: status.Addr, Zone: status.Zone, Slots: status.Slots, Units: status.Units,
+			RemainingMs: status.RemainingMs, Seq: status.Seq,
+		}, reply)
 		return
 	}
 	c.acknowledge(reply, c.Node.HasQuorumContact(nowUs))
 }
 
-// handleReplicaDeregistration records that a replica's incarnation has ended. It is acknowledged once a quorum knows.
+// handleReplicaDeregistration records that a replica's incarnation has ended. It is acknowledged once that is durable.
 func (c *Core) handleReplicaDeregistration(nowUs int64, id string, reply uint64) {
 	c.recordDeregistration(nowUs, id)
-	c.startDeparture(nowUs, id, true, reply)
+	c.startDeparture(nowUs, statemachine.Departure{ID: id, Ended: true}, reply)
 }
 
 // acknowledge answers the caller with this reply ID, if any.
@@ -56,60 +63,107 @@
 	}
 }
 
-// startDeparture adds a caller to the departure of a replica, which it starts if necessary. Confirmations that the replica drains
-// are discarded once it has ended, as they do not cover that. Without a caller to answer there is nothing to confirm.
-func (c *Core) startDeparture(nowUs int64, id string, removed bool, reply uint64) {
+// startDeparture adds a caller to the departure of a replica, which it starts if necessary. The end of a replica replaces the report
+// that it drains. Without a caller to answer nothing has to be recorded.
+func (c *Core) startDeparture(nowUs int64, report statemachine.Departure, reply uint64) {
 	if reply == 0 {
 		return
 	}
-	d := c.soft.departures[id]
+	d := c.soft.departures[report.ID]
 	if d == nil {
-		d = &departure{}
-		c.soft.departures[id] = d
+		d = &departure{report: report}
+		c.soft.departures[report.ID] = d
 	}
-	if removed && !d.removed || d.confirmedBy == nil {
-		d.removed, d.confirmedBy = d.removed || removed, map[string]bool{}
+	if !d.report.Covers(report.Ended) {
+		d.report, d.submittedUs, d.committed = report, 0, false
 	}
-	d.startedUs, d.lastRequestUs = nowUs, 0
+	d.startedUs = nowUs
 	d.replyIDs = append(d.replyIDs, reply)
-	c.resolveDeparture(nowUs, id)
+	c.resolveDeparture(nowUs, report.ID)
+}
+
+// resolveDepartures resolves the departures that are durable or have waited for longer than departureTimeoutUs, and submits the
+// others again that are due.
+func (c *Core) resolveDepartures(nowUs int64) {
+	for _, id := range slices.Sorted(maps.Keys(c.soft.departures)) {
+		c.resolveDeparture(nowUs, id)
+	}
 }
 
-// hasDueDepartures reports whether other control nodes have to be asked, or asked again, to confirm a departure.
-func (c *Core) hasDueDepartures(nowUs int64) bool {
-	for _, d := range c.soft.departures {
-		if nowUs-d.lastRequestUs >= departureRetryIntervalUs {
-			return true
+// resolveDeparture answers the callers of a departure that is durable, or that has timed out, and forgets it. Otherwise it submits
+// the departure if that is due.
+func (c *Core) resolveDeparture(nowUs int64, id string) {
+	d := c.soft.departures[id]
+	if d == nil {
+		return
+	}
+	durable := d.committed || c.isDepartureDurable(d.report)
+	if !durable && nowUs-d.startedUs < departureTimeoutUs {
+		if d.submittedUs == 0 || nowUs-d.submittedUs >= departureResubmitIntervalUs {
+			d.submittedUs = nowUs
+			report := d.report
+			c.stepChain(nowUs, chain.ChangeSubmitted{Change: &statemachine.Change{ID: departureChangeID(report), Origin: c.Node.Self().Addr, Departure: &report}})
 		}
+		return
+	}
+	delete(c.soft.departures, id)
+	c.effects = append(c.effects, LogMessage{Message: "departure", Detail: fmt.Sprintf("%s ended=%t acknowledged=%t", id, d.report.Ended, durable)})
+	for _, reply := range d.replyIDs {
+		c.acknowledge(reply, durable)
+	}
+}
+
+// isDepartureDurable reports whether a departure that covers the report is recorded in the replicated state, on the disks of all
+// members of the view.
+func (c *Core) isDepartureDurable(report statemachine.Departure) bool {
+	known, recorded := c.Node.State().Departures[report.ID]
+	return recorded && known.Covers(report.Ended) && c.Node.IsDurable(known.Index)
+}
+
+// departureChangeID returns the ID of the change that records a departure.
+func departureChangeID(report statemachine.Departure) string {
+	if report.Ended {
+		return "ended-" + report.ID
 	}
-	return false
+	return "draining-" + report.ID
 }
 
-// addDepartureRequests adds to a message for a peer the departures that the peer has not confirmed, with the registry's entries
-// of their replicas.
-func (c *Core) addDepartureRequests(nowUs int64, peer string, message *peering.Gossip) {
+// handleResult passes the result of a change to those that wait for it on this control node.
+func (c *Core) handleResult(nowUs int64, result *wire.Result) {
 	for _, id := range slices.Sorted(maps.Keys(c.soft.departures)) {
 		d := c.soft.departures[id]
-		if d.confirmedBy[peer] || nowUs-d.lastRequestUs < departureRetryIntervalUs {
-			continue
-		}
-		message.ConfirmDraining = append(message.ConfirmDraining, id)
-		if !slices.ContainsFunc(message.Observations, func(n registry.GossipEntry) bool { return n.ID == id }) {
-			message.Observations = append(message.Observations, c.soft.Registry.GossipOf(nowUs, id)...)
+		if result.Outcome.Fault == nil && result.Outcome.ID == departureChangeID(d.report) {
+			d.committed = true
+			c.resolveDeparture(nowUs, id)
+			return
 		}
 	}
+	c.effects = append(c.effects, DeliverResult{Result: result})
 }
 
-// recordDepartureRequests records that the requests for all due departures have been sent.
-func (c *Core) recordDepartureRequests(nowUs int64) {
-	for _, d := range c.soft.departures {
-		if nowUs-d.lastRequestUs >= departureRetryIntervalUs {
-			d.lastRequestUs = nowUs
+// restoreDepartures brings into the registry what the replicated state knows of replicas that drain or have ended: after a start,
+// after a snapshot, and from other control nodes.
+func (c *Core) restoreDepartures(nowUs int64) {
+	state := c.Node.State()
+	if state.DeparturesIndex <= c.soft.restoredDepartures {
+		return
+	}
+	for _, id := range state.DepartureIDs {
+		d := state.Departures[id]
+		if d.Index <= c.soft.restoredDepartures {
+			continue
+		}
+		status := registry.ReplicaStatus{ID: d.ID, Service: d.Service, Addr: d.Addr, Zone: d.Zone, Slots: d.Slots, Units: d.Units,
+			Draining: !d.Ended, Removed: d.Ended, RemainingMs: d.RemainingMs, Seq: d.Seq}
+		if c.soft.Registry.RestoreDeparture(nowUs, status) {
+			c.soft.gossipPending = true
 		}
 	}
+	c.soft.restoredDepartures = state.DeparturesIndex
 }
 
-// confirmDepartures tells another control node which of the departures that it asks about are known here.
+// confirmDepartures tells another control node which of the departures that it asks about are known here. Only control nodes of a
+// build that does not record departures ask.
 func (c *Core) confirmDepartures(request peering.Gossip) {
 	confirmation := peering.DrainConfirmation{Sender: c.Node.Self().ID, Incarnation: request.Incarnation}
 	for _, id := range request.ConfirmDraining {
@@ -126,37 +180,3 @@
 		}
 	}
 }
-
-// handleDrainConfirmation records that another control node knows of departures. A confirmation for an earlier incarnation of
-// this control node is ignored, and one of a drain does not confirm a removal.
-func (c *Core) handleDrainConfirmation(nowUs int64, confirmation peering.DrainConfirmation) {
-	if confirmation.Incarnation != c.Node.Incarnation() {
-		return
-	}
-	for _, replica := range confirmation.Draining {
-		if d := c.soft.departures[replica.ID]; d != nil && (replica.Removed || !d.removed) {
-			d.confirmedBy[confirmation.Sender] = true
-			c.resolveDeparture(nowUs, replica.ID)
-		}
-	}
-}
-
-// resolveDepartures resolves the departures that are confirmed by a quorum or have waited for longer than departureTimeoutUs.
-func (c *Core) resolveDepartures(nowUs int64) {
-	for _, id := range slices.Sorted(maps.Keys(c.soft.departures)) {
-		c.resolveDeparture(nowUs, id)
-	}
-}
-
-// resolveDeparture answers the callers of a departure that a quorum has confirmed, or that has timed out, and forgets it.
-func (c *Core) resolveDeparture(nowUs int64, id string) {
-	d := c.soft.departures[id]
-	known := c.Node.HasQuorum(func(voter string) bool { return d.confirmedBy[voter] })
-	if !known && nowUs-d.startedUs < departureTimeoutUs {
-		return
-	}
-	delete(c.soft.departures, id)
-	for _, reply := range d.replyIDs {
-		c.acknowledge(reply, known)
-	}
-}
--- a/internal/controlplane/controlnode/departures_test.go
+++ b/internal/controlplane/controlnode/departures_test.go
@@ -23,6 +23,9 @@
 	// acks are the replies to the events of replicas, by reply ID.
 	acks        map[uint64]bool
 	lastReplyID uint64
+	// onPersist, if set, is called with every request to a disk. With stalledDisks no request is synced.
+	onPersist    func(i int, p *chain.Persist)
+	stalledDisks bool
 	// onSend, if set, is called with every message that is sent, also on a link that is cut.
 	onSend func(peering.Message)
 }
@@ -58,7 +61,12 @@
 	for _, effect := range tc.cores[i].Step(tc.nowUs, event) {
 		switch e := effect.(type) {
 		case Persist:
-			tc.step(i, Persisted{Seq: e.Request.Seq})
+			if tc.onPersist != nil {
+				tc.onPersist(i, e.Request)
+			}
+			if !tc.stalledDisks {
+				tc.step(i, Persisted{Seq: e.Request.Seq})
+			}
 		case AcknowledgeReplica:
 			tc.acks[e.ReplyID] = e.OK
 		case SendMessage:
--- a/internal/controlplane/controlnode/gossip.go
+++ b/internal/controlplane/controlnode/gossip.go
@@ -27,12 +27,10 @@
 	}
 }
 
-// gossip sends changes of the registry and requests to confirm departures to the other control nodes at once, and liveness of
-// replicas and gateways in periodic rounds.
+// gossip sends changes of the registry to the other control nodes at once, and liveness of replicas and gateways in periodic rounds.
 func (c *Core) gossip(nowUs int64) {
 	due := nowUs-c.soft.lastGossipUs >= gossipIntervalUs+gossipIntervalPerReplicaUs*int64(c.soft.Registry.Len())
-	departuresDue := c.hasDueDepartures(nowUs)
-	if !due && !departuresDue && !c.soft.gossipPending && !c.soft.resyncPending {
+	if !due && !c.soft.gossipPending && !c.soft.resyncPending {
 		return
 	}
 	template := peering.Gossip{Sender: c.Node.Self().ID, Incarnation: c.Node.Incarnation(), RequestAll: c.soft.resyncPending}
@@ -53,9 +51,6 @@
 		message := template
 		message.Observations = c.soft.Registry.GossipSince(nowUs, progress.revision, due)
 		progress.revision = c.soft.Registry.Revision
-		if departuresDue {
-			c.addDepartureRequests(nowUs, p.Member.ID, &message)
-		}
 		if len(message.Observations) > 0 || due || c.soft.resyncPending {
 			c.send(p.Member.Addr, peering.Message{Gossip: &message})
 		}
@@ -63,8 +58,5 @@
 	if due {
 		c.soft.Registry.EndGossipRound(nowUs)
 	}
-	if departuresDue {
-		c.recordDepartureRequests(nowUs)
-	}
 	c.soft.gossipPending, c.soft.resyncPending = false, false
 }
--- a/internal/controlplane/controlnode/soft_state.go
+++ b/internal/controlplane/controlnode/soft_state.go
@@ -32,8 +32,10 @@
 	Outliers outlier.Table
 	// gossipProgress is the progress of gossip to each other control node, by member ID.
 	gossipProgress map[string]*gossipProgress
-	// departures are the departures reported to this control node that a quorum has not yet confirmed, by replica ID.
+	// departures are the departures reported to this control node that are not yet durable, by replica ID.
 	departures map[string]*departure
+	// restoredDepartures is the log index up to which Registry knows the departures of the replicated state.
+	restoredDepartures uint64
 	// lastGossipUs is when the last periodic round of gossip was sent.
 	lastGossipUs int64
 	// gossipPending reports that a change has to be sent without waiting for the next round.
--- a/internal/controlplane/peering/message.go
+++ b/internal/controlplane/peering/message.go
@@ -38,7 +38,7 @@
 	// Gateways are the gateways whose primary subscription is at the sender.
 	Gateways []string `json:"desks,omitempty"`
 	// ConfirmDraining are the IDs of replicas that are draining or have ended. The recipient answers with a DrainConfirmation of
-	// those of which it knows that.
+	// those of which it knows that. Only builds that do not record departures in the replicated state send it.
 	ConfirmDraining []string `json:"confirm,omitempty"`
 }
 
--- a/internal/controlplane/registry/registry.go
+++ b/internal/controlplane/registry/registry.go
@@ -118,6 +118,18 @@
 	return true
 }
 
+// RestoreDeparture applies a departure that was recorded elsewhere, as of a time that is not known. status is that of the heartbeat
+// which reported that the replica drains, or Removed for a replica that has ended. A status that this registry knows already, or a
+// newer one, is kept. The replica counts as not heard for a while, so that an incarnation that has come after it at its address is
+// taken at once.
+func (r *Registry) RestoreDeparture(nowUs int64, status ReplicaStatus) (changed bool) {
+	if status.Removed {
+		return r.Remove(nowUs, status.ID)
+	}
+	sinceUs := nowUs - r.UnreachableAfterUs
+	return r.receive(nowUs, sinceUs, sinceUs, status)
+}
+
 // Sweep marks replicas whose heartbeats are overdue as unreachable and forgets incarnations after forgetUs. If the control node
 // itself was paused since the last sweep, Sweep first shifts the times of all heartbeats by the pause.
 func (r *Registry) Sweep(nowUs int64) {
--- a/internal/controlplane/statemachine/change.go
+++ b/internal/controlplane/statemachine/change.go
@@ -19,6 +19,7 @@
 	LeaderUpdate *LeaderUpdate     `json:"duty,omitempty"`
 	Key          *KeyChange        `json:"key,omitempty"`
 	Membership   *MembershipChange `json:"member,omitempty"`
+	Departure    *Departure        `json:"departure,omitempty"`
 }
 
 // Apply applies the change in the log entry at index and returns its outcome. The caller applies every entry exactly
@@ -37,6 +38,8 @@
 		s.applyKey(&out, c.Key)
 	case c.Membership != nil:
 		out = s.applyMembership(out, c)
+	case c.Departure != nil:
+		s.applyDeparture(*c.Departure)
 	}
 	if out.Fault != nil {
 		s.RefusalCounts[out.Fault.Code]++
--- a/internal/controlplane/statemachine/leader_update.go
+++ b/internal/controlplane/statemachine/leader_update.go
@@ -30,6 +30,8 @@
 	RemovedGateways []string `json:"goneDesks,omitempty"`
 	// ForgetKeysBefore is the log index before which idempotency keys are forgotten; 0 forgets none.
 	ForgetKeysBefore uint64 `json:"forgetKeysBefore,omitempty"`
+	// ForgetDeparturesBefore is the log index before which departures of replicas are forgotten; 0 forgets none.
+	ForgetDeparturesBefore uint64 `json:"forgetDeparturesBefore,omitempty"`
 	// CheckedInView is the view in which the controller read the platform's list of replicas; 0 where it has not read it.
 	// The state does not store it: the chain's tail reads it when it applies the entry.
 	CheckedInView uint64 `json:"checkedInView,omitempty"`
@@ -37,7 +39,7 @@
 
 // IsEmpty reports whether there is nothing to write.
 func (u *LeaderUpdate) IsEmpty() bool {
-	return len(u.Replicas)+len(u.RemovedReplicas)+len(u.Commands)+len(u.Results)+len(u.Grants)+len(u.Quotas)+len(u.RemovedGateways) == 0 && u.ForgetKeysBefore+u.CheckedInView == 0
+	return len(u.Replicas)+len(u.RemovedReplicas)+len(u.Commands)+len(u.Results)+len(u.Grants)+len(u.Quotas)+len(u.RemovedGateways) == 0 && u.ForgetKeysBefore+u.ForgetDeparturesBefore+u.CheckedInView == 0
 }
 
 func (s *State) applyClaim(out *Outcome, c Change) {
@@ -73,6 +75,7 @@
 		}
 	}
 	s.forgetKeys(u.ForgetKeysBefore)
+	s.forgetDepartures(u.ForgetDeparturesBefore)
 	for _, gateway := range u.RemovedGateways {
 		s.removeGateway(gateway)
 	}
--- a/internal/controlplane/statemachine/state.go
+++ b/internal/controlplane/statemachine/state.go
@@ -40,6 +40,12 @@
 	Keys map[string]KeyRecord `json:"keys"`
 	// KeyOrder lists Keys from the oldest to the newest; it may still contain released keys.
 	KeyOrder []string `json:"keyOrder"`
+	// Departures are the remembered departures of replicas that register themselves, at most MaxDepartures, by replica.
+	Departures map[string]Departure `json:"departures,omitempty"`
+	// DepartureIDs lists the keys of Departures from the oldest to the newest.
+	DepartureIDs []string `json:"departureIds,omitempty"`
+	// DeparturesIndex is the index of the entry that last added to Departures.
+	DeparturesIndex uint64 `json:"departuresIndex,omitempty"`
 	// Outcomes are the remembered outcomes by change ID, at most MaxOutcomes.
 	Outcomes map[string]Outcome `json:"changes"`
 	// OutcomeIDs lists the keys of Outcomes from the oldest to the newest.
@@ -130,5 +136,6 @@
 	c.Pending, c.Grants, c.Keys = maps.Clone(s.Pending), maps.Clone(s.Grants), maps.Clone(s.Keys)
 	c.Outcomes, c.RefusalCounts = maps.Clone(s.Outcomes), maps.Clone(s.RefusalCounts)
 	c.KeyOrder, c.OutcomeIDs = slices.Clip(s.KeyOrder), slices.Clip(s.OutcomeIDs)
+	c.Departures, c.DepartureIDs = maps.Clone(s.Departures), slices.Clip(s.DepartureIDs)
 	return &c
 }
--- a/tests/simulator/routed_faults.go
+++ b/tests/simulator/routed_faults.go
@@ -33,7 +33,7 @@
 
 // countsItself: such a fault is counted where it first had an effect.
 func countsItself(kind string) bool {
-	return strings.HasSuffix(kind, "-after-ack") || ailments[kind] != replica.Sound || slices.Contains(selfCounted, kind)
+	return strings.HasSuffix(kind, "-after-ack") || strings.Contains(kind, "-core-after-") || ailments[kind] != replica.Sound || slices.Contains(selfCounted, kind)
 }
 
 // RoutedFaultNames lists every fault that routed days are dealt.
@@ -91,7 +91,7 @@
 // tryFault brings a fault about, and counts it only where it was truly brought about.
 func (d *routedDay) tryFault(f Fault) {
 	d.logf("fault %s", f)
-	if !d.renameFault(f) && !d.tenantFault(f) && !d.applyFault(f) {
+	if !d.renameFault(f) && !d.ackLossFault(f) && !d.tenantFault(f) && !d.applyFault(f) {
 		d.logf("left out %s: it cannot be caused now", f.Kind)
 		return
 	}
--- a/tests/simulator/routed_replicas.go
+++ b/tests/simulator/routed_replicas.go
@@ -24,13 +24,17 @@
 	departsUs   int64
 	// withdrawn replicas have said that they are gone, and serve on for a while; those that speak go on with
 	// their heartbeats all the same.
-	withdrawn       bool
-	sendsHeartbeats bool
-	failing         func(int) bool
-	turning         func(int) bool
-	breaking        func(int) bool
-	ail             func(n int, from string) replica.Ailment
-	slowFactor      int64
+	withdrawn bool
+	// servesOnUs is how long this replica goes on serving after its leaving was acknowledged; 0 is the usual time.
+	servesOnUs int64
+	// onLeavingAcknowledged is called once its leaving is acknowledged.
+	onLeavingAcknowledged func()
+	sendsHeartbeats       bool
+	failing               func(int) bool
+	turning               func(int) bool
+	breaking              func(int) bool
+	ail                   func(n int, from string) replica.Ailment
+	slowFactor            int64
 	// dropsIdle is called when something is sent on an idle connection that the replica discarded in silence.
 	dropsIdle func()
 }
@@ -159,8 +163,20 @@
 		return
 	}
 	r.departure.AckedUs, r.departure.Machine = r.day.nowUs, o.name
+	r.leavingAcknowledged()
 	if r.departsUs == 0 {
-		r.after(r.day.observed.Bounds.DrainUs+300*millisecond, r.deregister)
+		r.after(r.servesOn(), r.deregister)
+	}
+}
+
+// servesOn is how long this replica goes on serving after its leaving was acknowledged.
+func (r *replicaNode) servesOn() int64 {
+	return max(r.servesOnUs, r.day.observed.Bounds.DrainUs+300*millisecond)
+}
+
+func (r *replicaNode) leavingAcknowledged() {
+	if r.onLeavingAcknowledged != nil {
+		r.onLeavingAcknowledged()
 	}
 }
 
@@ -173,7 +189,7 @@
 	r.departure = &rules.Deregistration{Replica: r.name, AnnouncedUs: r.day.nowUs}
 	r.day.observed.Deregistrations = append(r.day.observed.Deregistrations, r.departure)
 	r.sendHeartbeat(0)
-	r.after(9*second, r.deregister)
+	r.after(9*second+r.servesOnUs, r.deregister)
 }
 
 // takeAway is a short notice: once the time is up it is gone, whatever it is running.
@@ -193,7 +209,7 @@
 	r.departure = &rules.Deregistration{Replica: r.name, AnnouncedUs: r.day.nowUs}
 	r.day.observed.Deregistrations = append(r.day.observed.Deregistrations, r.departure)
 	r.sendDeregistration(0)
-	r.after(9*second, func() { r.end(false) })
+	r.after(9*second+r.servesOnUs, func() { r.end(false) })
 }
 
 // sendDeregistration calls one machine that serves control, and the next where no acknowledgement comes within a second.
@@ -225,7 +241,8 @@
 				default:
 					over = true
 					r.departure.AckedUs, r.departure.Machine = d.nowUs, o.name
-					r.after(d.observed.Bounds.DrainUs+300*millisecond, func() { r.end(false) })
+					r.leavingAcknowledged()
+					r.after(r.servesOn(), func() { r.end(false) })
 				}
 			}, again)
 		})
