Let half of the voters decide with the one that joined last among them

Nothing was acknowledged or read any more, though one machine counts as lost.

Cause: the successor is a fourth voter beside the live ones, a decision needed three of four, and the vote of the silent one goes only with its seat, 0.8 s later.

Change: a view with an even number of voters may name the voter that was added as tie-breaker, as in dynamic-linear voting; half of the voters with it are a quorum for the next view. Leases need a majority as before, and a view with a tie-breaker and other voters ends the lease of the tail. None is set unless all voters say in their hellos that they count it, so older builds beside this one decide by majority.

--- a/internal/api/membership/view.go
+++ b/internal/api/membership/view.go
@@ -17,6 +17,9 @@
 	// ExtraVoters is the number of voters that control nodes added by themselves to the existing ones. As many silent
 	// voters may be removed.
 	ExtraVoters int `json:"extra,omitempty"`
+	// TieBreaker is the ID of the voter that makes half of the voters a quorum, where their number is even; "" if there is none. This is
+	// the distinguished site of dynamic-linear voting (Jajodia and Mutchler, 1990).
+	TieBreaker string `json:"tieBreaker,omitempty"`
 	// System identifies the chain; a member that founded another chain is foreign. It is empty in chains that were founded
 	// before this field was stored.
 	System string `json:"system,omitempty"`
@@ -68,8 +71,29 @@
 	return false
 }
 
-// QuorumSize returns the number of voters that form a quorum: a majority, or all voters in view 0, the founding view.
-func (v View) QuorumSize() int {
+// IsQuorum reports whether the voters for which a predicate holds form a quorum for the decision on the next view: a majority, half
+// of the voters with the TieBreaker among them, or all voters in view 0, the founding view. Any two quorums of a view have a voter
+// in common.
+func (v View) IsQuorum(holds func(id string) bool) bool {
+	count, hasTieBreaker := 0, false
+	for _, m := range v.Voters {
+		if holds(m.ID) {
+			count++
+			hasTieBreaker = hasTieBreaker || m.ID == v.TieBreaker
+		}
+	}
+	switch {
+	case v.Number == 0:
+		return count > 0 && count == len(v.Voters)
+	case 2*count == len(v.Voters):
+		return count > 0 && hasTieBreaker
+	}
+	return 2*count > len(v.Voters)
+}
+
+// LeaseQuorumSize returns the number of voters that grant a lease of the tail: a majority, or all voters in view 0. The TieBreaker
+// does not count here: a lease has to meet the quorums of the next view as well, from which a voter may be missing.
+func (v View) LeaseQuorumSize() int {
 	if v.Number == 0 {
 		return len(v.Voters)
 	}
@@ -77,7 +101,7 @@
 }
 
 // IsValid reports whether a received view can be adopted: every member has an ID and is listed at most once among the
-// voters and among the replicas, and the numbers are in range. A view may consist of its number alone.
+// voters and among the replicas, the tie-breaker is a voter, and the numbers are in range. A view may consist of its number alone.
 func (v View) IsValid() bool {
 	if v.Number >= MaxNumber || v.ExtraVoters < 0 {
 		return false
@@ -95,5 +119,5 @@
 		}
 		seats[s.ID] = true
 	}
-	return true
+	return v.TieBreaker == "" || votes[v.TieBreaker]
 }
--- a/internal/controlplane/chain/explore_members_test.go
+++ b/internal/controlplane/chain/explore_members_test.go
@@ -24,6 +24,8 @@
 	// terminating is the machine that was asked to shut down, -1 if none; terminateForGood says that it never restarts.
 	terminating      int
 	terminateForGood bool
+	// removedSilently are the members that were taken away for good without a word.
+	removedSilently []string
 	// history logs the actions on machines.
 	history []string
 }
@@ -165,6 +167,30 @@
 	}
 }
 
+// removeSilently takes a machine away for good without a word. It counts as no loss, as its successor has caught up.
+func (me *memberExplorer) removeSilently(i int) {
+	me.logAction("%s removed silently", me.members[i].member.ID)
+	me.crash(i)
+	me.members[i].uptimeTicks, me.members[i].removed = 0, true
+	me.removedSilently = append(slices.Clip(me.removedSilently), me.members[i].member.ID)
+}
+
+// awaitsVoteOfRemoved reports whether a machine is the tie-breaker of a view that still has a voter which was removed silently. Half
+// of the voters without it are no quorum: this loss beside that removal is not tolerated. A member that was asked to shut down hands
+// its vote over before it ends, and the loss of its successor is tolerated right after.
+func (me *memberExplorer) awaitsVoteOfRemoved(i int) bool {
+	newest := View{}
+	for _, v := range me.views {
+		if v.Number > newest.Number {
+			newest = v
+		}
+	}
+	if newest.TieBreaker != me.members[i].member.ID {
+		return false
+	}
+	return slices.ContainsFunc(me.removedSilently, newest.IsVoter)
+}
+
 func (me *memberExplorer) startMachine(i int) {
 	me.start(i, 0)
 	me.logAction("%s started", me.members[i].member.ID)
@@ -345,7 +371,7 @@
 		return actions
 	}
 	for i, p := range me.members {
-		if p.node == nil || p.removed {
+		if p.node == nil || p.removed || me.awaitsVoteOfRemoved(i) {
 			continue
 		}
 		for _, how := range []repairMethod{repairReplaced, repairEmptied, repairRestarted, repairReaddressed} {
@@ -413,6 +439,22 @@
 			m.terminate(1, false)
 			return m
 		},
+		"a successor has joined, and the old machine goes silent": func() *memberExplorer {
+			m := newMemberExplorer(3, tickUs)
+			m.addEmptyMachine()
+			m.advanceSettled(m.caughtUpTicks())
+			m.removeSilently(0)
+			return m
+		},
+		"a successor has joined, the old machine goes silent and another loses its disk": func() *memberExplorer {
+			m := newMemberExplorer(3, tickUs)
+			m.addEmptyMachine()
+			m.advanceSettled(m.caughtUpTicks())
+			m.removeSilently(1)
+			m.advanceTick()
+			m.lose(2, repairEmptied)
+			return m
+		},
 		"a machine with an empty disk joins while another shuts down": func() *memberExplorer {
 			m := newMemberExplorer(3, tickUs)
 			m.lose(1, repairEmptied)
@@ -610,8 +652,9 @@
 // loseOrTerminate loses a machine or asks one to shut down, with or without a successor started first.
 func (me *memberExplorer) loseOrTerminate(next func(int) int) {
 	if next(3) > 0 {
-		actions := me.lossActions()
-		me.apply(actions[next(len(actions))])
+		if actions := me.lossActions(); len(actions) > 0 {
+			me.apply(actions[next(len(actions))])
+		}
 		return
 	}
 	live := []int{}
@@ -625,6 +668,10 @@
 	if forGood {
 		me.addEmptyMachine()
 		me.advanceSettled(me.caughtUpTicks())
+		if next(2) == 0 {
+			me.apply(func(c *memberExplorer) { c.removeSilently(i) })
+			return
+		}
 	}
 	me.apply(func(c *memberExplorer) { c.terminate(i, forGood) })
 }
--- a/internal/controlplane/chain/hello.go
+++ b/internal/controlplane/chain/hello.go
@@ -27,7 +27,7 @@
 		Member: n.opts.Self, Incarnation: n.opts.Incarnation, Phase: n.phase, View: n.view, LastIndex: n.lastIndex(), LastView: n.lastView(),
 		VotesRecovered: n.votesRecovered, CaughtUp: n.caughtUp && n.canBeReplica(), Stalled: n.isDiskStalled(), PromisedBallot: n.promisedBallot, AcceptedProposal: n.acceptedProposal,
 		Founders: n.founders, SnapshotIndex: n.snapshotIndex, FirstStart: n.opts.FirstStart, ShuttingDown: n.shuttingDown,
-		Start: n.startNumber,
+		Start: n.startNumber, SupportsTieBreaker: true,
 	}
 	for _, id := range n.peerIDs() {
 		if n.IsAlive(id) {
@@ -132,18 +132,16 @@
 	if n.votesRecovered || n.phase == PhaseBootstrap {
 		return
 	}
-	recovered, others := 0, 0
+	all := true
+	recovered := map[string]bool{n.opts.Self.ID: true}
 	for _, v := range n.view.Voters {
-		if v.ID == n.opts.Self.ID {
-			continue
-		}
-		others++
-		if n.IsAlive(v.ID) && n.hasRecordedStart(n.peers[v.ID].hello) {
-			recovered++
+		if v.ID != n.opts.Self.ID {
+			recovered[v.ID] = n.IsAlive(v.ID) && n.hasRecordedStart(n.peers[v.ID].hello)
+			all = all && recovered[v.ID]
 		}
 	}
-	waited := n.nowUs-n.startedUs >= n.opts.VoteRecoveryTimeoutUs && recovered+1 >= n.view.QuorumSize()
-	if recovered == others || waited || n.view.Number == 0 {
+	waited := n.nowUs-n.startedUs >= n.opts.VoteRecoveryTimeoutUs && n.view.IsQuorum(func(id string) bool { return recovered[id] })
+	if all || waited || n.view.Number == 0 {
 		n.votesRecovered = true
 		n.handlePendingPrepare()
 	}
--- a/internal/controlplane/chain/lease.go
+++ b/internal/controlplane/chain/lease.go
@@ -85,13 +85,7 @@
 // isReplaceable reports whether the other members can decide on a view without this one and serve in it: a quorum of the voters
 // other than this one is alive, and another caught-up replica is healthy.
 func (n *Node) isReplaceable() bool {
-	heard := 0
-	for _, v := range n.view.Voters {
-		if v.ID != n.opts.Self.ID && n.IsAlive(v.ID) {
-			heard++
-		}
-	}
-	if heard < n.view.QuorumSize() {
+	if !n.view.IsQuorum(func(id string) bool { return id != n.opts.Self.ID && n.IsAlive(id) }) {
 		return false
 	}
 	for _, s := range n.view.Replicas {
@@ -110,13 +104,17 @@
 
 // endsTailLease reports whether the lease of the current tail must have expired before the next view is decided. That is so if
 // the next view has another tail, or if its voters could decide on another tail without any voter that granted the lease. Every
-// quorum of the current voters intersects every quorum of the next ones if a voter is only added or only removed, but not if one
-// voter replaces another. A tail that becomes a voter does not count, as it grants itself no lease of the view before.
+// majority of the current voters, which a lease needs, intersects every majority of the next ones if a voter is only added or only
+// removed, but not if one voter replaces another, nor where half of other voters are a quorum by their tie-breaker. A tail that
+// becomes a voter does not count, as it grants itself no lease of the view before.
 func (n *Node) endsTailLease(next View) bool {
 	currentTail, nextTail := n.view.Tail(), next.Tail()
 	if currentTail.ID != nextTail.ID || currentTail.Incarnation != nextTail.Incarnation {
 		return true
 	}
+	if next.TieBreaker != "" && !hasSameVoters(n.view, next) {
+		return true
+	}
 	return hasVoterNotIn(next, n.view, nextTail.ID) && hasVoterNotIn(n.view, next, "")
 }
 
@@ -130,12 +128,17 @@
 	return false
 }
 
+// hasSameVoters reports whether two views have the same members as voters.
+func hasSameVoters(v, other View) bool {
+	return !hasVoterNotIn(v, other, "") && !hasVoterNotIn(other, v, "")
+}
+
 // guardCarriedLease extends the lease guard when a view changes the voters and keeps the tail, which keeps its lease. After
 // several such changes in a row none of the voters may have granted that lease, so each member that installs such a view waits
 // as if it had granted a lease at that moment.
 func (n *Node) guardCarriedLease(next View) {
 	currentTail, nextTail := n.view.Tail(), next.Tail()
-	if currentTail.ID == nextTail.ID && currentTail.Incarnation == nextTail.Incarnation && n.view.Number > 0 && (hasVoterNotIn(next, n.view, "") || hasVoterNotIn(n.view, next, "")) {
+	if currentTail.ID == nextTail.ID && currentTail.Incarnation == nextTail.Incarnation && n.view.Number > 0 && !hasSameVoters(n.view, next) {
 		n.leaseGuardUs = max(n.leaseGuardUs, n.nowUs+n.opts.LeaseDurationUs)
 	}
 }
@@ -147,9 +150,10 @@
 			times = append(times, sentUs)
 		}
 	}
-	if len(times) < n.view.QuorumSize() {
+	quorumSize := n.view.LeaseQuorumSize()
+	if len(times) < quorumSize {
 		return
 	}
 	sort.Slice(times, func(i, j int) bool { return times[i] > times[j] })
-	n.leaseUntilUs = max(n.leaseUntilUs, times[n.view.QuorumSize()-1]+n.opts.LeaseDurationUs-n.opts.LeaseMarginUs)
+	n.leaseUntilUs = max(n.leaseUntilUs, times[quorumSize-1]+n.opts.LeaseDurationUs-n.opts.LeaseMarginUs)
 }
--- a/internal/controlplane/chain/message.go
+++ b/internal/controlplane/chain/message.go
@@ -28,6 +28,8 @@
 	ShuttingDown bool `json:"leaving,omitempty"`
 	// Start is the start number of this process among those of its member; 0 in versions without start numbers.
 	Start uint64 `json:"start,omitempty"`
+	// SupportsTieBreaker reports that this build counts the TieBreaker of a view; builds before it ignore the field.
+	SupportsTieBreaker bool `json:"tieBreaker,omitempty"`
 	// KnownStarts are the newest processes of other members, by member ID; left out when the receiver needs none (startsToSend).
 	KnownStarts map[string]KnownStart `json:"knownStarts,omitempty"`
 }
--- a/internal/controlplane/chain/paxos.go
+++ b/internal/controlplane/chain/paxos.go
@@ -71,7 +71,7 @@
 		return
 	}
 	c.promises[m.From.ID] = p.AcceptedProposal
-	if len(c.promises) < n.view.QuorumSize() {
+	if !n.view.IsQuorum(func(id string) bool { _, promised := c.promises[id]; return promised }) {
 		return
 	}
 	c.preparing = false
@@ -134,7 +134,7 @@
 		return
 	}
 	c.acceptedBy[m.From.ID] = true
-	if len(c.acceptedBy) >= n.view.QuorumSize() {
+	if n.view.IsQuorum(func(id string) bool { return c.acceptedBy[id] }) {
 		n.installView(c.chosen)
 		n.broadcastHello()
 	}
--- a/internal/controlplane/chain/quorum.go
+++ b/internal/controlplane/chain/quorum.go
@@ -28,11 +28,29 @@
 // HasQuorum reports whether a predicate holds for a quorum of the voters of the newest view this control node knows. For
 // this control node itself it is assumed to hold.
 func (n *Node) HasQuorum(holds func(id string) bool) bool {
-	count := 0
-	for _, v := range n.view.Voters {
-		if v.ID == n.opts.Self.ID || holds(v.ID) {
-			count++
+	return n.view.IsQuorum(func(id string) bool { return id == n.opts.Self.ID || holds(id) })
+}
+
+// tieBreakerOf returns the tie-breaker of a next view, "" for none. Where a voter is added and their number becomes even, as when
+// a successor joins beside the member that it is to succeed, it is the new voter. That member and any one of the others can then be
+// lost together: the new voter and what remains are half of the voters. It is kept as long as it is a voter and their number stays
+// even. There is none unless every voter counts it, which builds before this one do not.
+func (n *Node) tieBreakerOf(next View) string {
+	if len(next.Voters)%2 != 0 {
+		return ""
+	}
+	if next.IsVoter(n.view.TieBreaker) {
+		return n.view.TieBreaker
+	}
+	added := ""
+	for _, v := range next.Voters {
+		if !n.view.IsVoter(v.ID) {
+			added = v.ID
+		}
+		p := n.peers[v.ID]
+		if v.ID != n.opts.Self.ID && (p == nil || !p.hello.SupportsTieBreaker) {
+			return ""
 		}
 	}
-	return count > 0 && count >= n.view.QuorumSize()
+	return added
 }
--- a/internal/controlplane/chain/restart.go
+++ b/internal/controlplane/chain/restart.go
@@ -14,10 +14,7 @@
 		stalled        bool
 	}
 	candidates := []candidate{}
-	heardVoters := 0
-	if n.view.IsVoter(n.opts.Self.ID) {
-		heardVoters = 1
-	}
+	heard := map[string]bool{n.opts.Self.ID: true}
 	for _, id := range n.peerIDs() {
 		p := n.peers[id]
 		if !n.IsAlive(id) {
@@ -26,9 +23,7 @@
 		if p.hello.Phase == PhaseServing && p.hello.CaughtUp {
 			return
 		}
-		if n.view.IsVoter(id) {
-			heardVoters++
-		}
+		heard[id] = true
 		if n.view.HasReplica(id) && p.hello.Phase == PhaseRestarted && p.hello.CaughtUp && p.hello.View.Number == n.view.Number {
 			candidates = append(candidates, candidate{Replica{Member: p.hello.Member, Incarnation: p.hello.Incarnation}, p.hello.LastIndex, p.hello.LastView, p.hello.Stalled})
 		}
@@ -38,7 +33,7 @@
 	}
 	candidates = append(candidates, candidate{Replica{Member: n.opts.Self, Incarnation: n.opts.Incarnation}, n.lastIndex(), n.lastView(), n.isDiskStalled()})
 	gathered := len(candidates) == len(n.view.Replicas)
-	if heardVoters < n.view.QuorumSize() || (!gathered && n.nowUs-n.startedUs < n.opts.GatherTimeoutUs) {
+	if !n.view.IsQuorum(func(id string) bool { return heard[id] }) || (!gathered && n.nowUs-n.startedUs < n.opts.GatherTimeoutUs) {
 		return
 	}
 	sort.Slice(candidates, func(i, j int) bool {
@@ -57,7 +52,7 @@
 	if candidates[0].replica.ID != n.opts.Self.ID {
 		return
 	}
-	desired := View{Number: n.view.Number + 1, Voters: n.view.Voters, ExtraVoters: n.view.ExtraVoters, System: n.view.System}
+	desired := View{Number: n.view.Number + 1, Voters: n.view.Voters, ExtraVoters: n.view.ExtraVoters, TieBreaker: n.view.TieBreaker, System: n.view.System}
 	for _, c := range candidates {
 		desired.Replicas = append(desired.Replicas, c.replica)
 	}
--- a/internal/controlplane/chain/shutdown.go
+++ b/internal/controlplane/chain/shutdown.go
@@ -72,21 +72,20 @@
 // member. While only the member that decided the view knows it, its loss could leave the others without a majority of the
 // voters of the view before.
 func (n *Node) isViewKnownToQuorum() bool {
-	informed, others := 0, 0
+	all := true
+	informed := map[string]bool{}
 	for _, v := range n.view.Voters {
 		if v.ID == n.opts.Self.ID {
 			continue
 		}
-		others++
 		p := n.peers[v.ID]
-		switch {
-		case p != nil && p.hello.View.Number >= n.view.Number:
-			informed++
-		case n.IsAlive(v.ID):
+		informed[v.ID] = p != nil && p.hello.View.Number >= n.view.Number
+		if !informed[v.ID] && n.IsAlive(v.ID) {
 			return false
 		}
+		all = all && informed[v.ID]
 	}
-	return informed >= min(n.view.QuorumSize(), others)
+	return all || n.view.IsQuorum(func(id string) bool { return informed[id] })
 }
 
 // isEveryMemberShuttingDown reports whether every member of the view has reported that it is shutting down.
--- a/internal/controlplane/chain/view_change.go
+++ b/internal/controlplane/chain/view_change.go
@@ -126,5 +126,6 @@
 			changed = true
 		}
 	}
+	desired.TieBreaker = n.tieBreakerOf(desired)
 	return desired, changed && len(desired.Replicas) > 0 && (!n.shuttingDown || desired.HasReplica(n.opts.Self.ID))
 }
--- a/tests/simulator/member_repair_test.go
+++ b/tests/simulator/member_repair_test.go
@@ -50,6 +50,27 @@
 	}
 }
 
+// Guards against ACKS and CONFIG of review case 3 on whole days: a succeeded control machine goes without a word, and up to 0.7 s later
+// as many others as may be lost lose their disks, three times over.
+func TestMemberLossesRightAfterSilentRemovals(t *testing.T) {
+	heavy(t)
+	from, count := seeds(8)
+	for _, controlNodes := range []int{3, 5} {
+		for seed := from; seed < from+count; seed++ {
+			t.Run(fmt.Sprintf("%d control nodes/seed-%d", controlNodes, seed), func(t *testing.T) {
+				t.Parallel()
+				out := RunRouted(repairPlan(int64(seed), controlNodes, Repairs{Rounds: 3, Method: repairSilent}))
+				if len(out.Breaches) > 0 {
+					t.Fatalf("%v\n%s", out.Breaches, strings.Join(last(out.Log, 80), "\n"))
+				}
+				if out.Caused["repair-silent"] != 3 || out.ChecksAtStake[rules.Acks] == 0 || out.ChecksAtStake[rules.ConfigGon] == 0 {
+					t.Fatalf("caused %v, at stake %v: it proves little", out.Caused, out.ChecksAtStake)
+				}
+			})
+		}
+	}
+}
+
 // A control machine that goes at once when it is told to end leaves its vote behind: the next loss stops the chain.
 func TestAnAbruptMemberIsFound(t *testing.T) {
 	heavy(t)
--- a/tests/simulator/routed_repairs.go
+++ b/tests/simulator/routed_repairs.go
@@ -22,13 +22,21 @@
 	repairPlanned = "planned" // an empty one started first, the old one terminated
 	repairWipe    = "wipe"    // back at its address with an empty disk
 	repairMixed   = "mixed"   // by turns
+	// An empty one started first, the old one removed for good without a word, and right after it others lose their disks.
+	repairSilent = "silent"
 )
 
+// maxSilentGapUs bounds the time between a silent removal and the losses after it.
+const maxSilentGapUs = 700 * millisecond
+
 // successorAfterUs is how long after a loss its successor starts.
 const successorAfterUs = second
 
 // durationUs is how long all rounds take.
 func (r Repairs) spanUs(catchUpUs int64) int64 {
+	if r.Method == repairSilent {
+		return int64(r.Rounds) * (2*catchUpUs + successorAfterUs + second + maxSilentGapUs)
+	}
 	return int64(r.Rounds) * (catchUpUs + successorAfterUs + second)
 }
 
@@ -65,6 +73,10 @@
 		d.replaceInTurn(lost, next)
 		return
 	}
+	if how == repairSilent {
+		d.removeSilently(lost[0], next)
+		return
+	}
 	for _, o := range lost {
 		if how == repairReplace {
 			d.remove(o)
@@ -72,14 +84,38 @@
 			d.schedule(d.nowUs+successorAfterUs, func() { d.addEmptyControlNode(o.zone) })
 			continue
 		}
-		o.crash(0)
-		o.disk = disk{identity: o.name + "-" + d.nextIncarnation()}
-		o.diskUs = d.nowUs + successorAfterUs
-		d.schedule(d.nowUs+successorAfterUs, o.start)
+		d.loseDisk(o)
 	}
 	d.schedule(d.nowUs+successorAfterUs+d.catchUpUs(), next)
 }
 
+// loseDisk ends a control node, which comes back at its address with an empty disk.
+func (d *routedDay) loseDisk(o *routedControlNode) {
+	o.crash(0)
+	o.disk = disk{identity: o.name + "-" + d.nextIncarnation()}
+	o.diskUs = d.nowUs + successorAfterUs
+	d.schedule(d.nowUs+successorAfterUs, o.start)
+}
+
+// removeSilently starts a successor of a control node, and once that has had its time to catch up takes the node away without a word: it
+// sends nothing and its port does not refuse. A moment later as many others as may be lost, the successor not among them, lose
+// their disks. done runs once these have had their time.
+func (d *routedDay) removeSilently(old *routedControlNode, done func()) {
+	successor := d.addEmptyControlNode(old.zone)
+	d.schedule(d.nowUs+d.catchUpUs(), func() {
+		d.remove(old)
+		old.killed = false
+		d.publishSeeds()
+		d.schedule(d.nowUs+d.random.Int63n(maxSilentGapUs), func() {
+			others := slices.DeleteFunc(d.struckNow(false), func(o *routedControlNode) bool { return o == successor })
+			for _, o := range others {
+				d.loseDisk(o)
+			}
+			d.schedule(d.nowUs+successorAfterUs+d.catchUpUs(), done)
+		})
+	})
+}
+
 // reseed keeps the seeds that a process is told at its start to what the operators' list names by then.
 func (d *routedDay) reseed() {
 	d.seeds = slices.Clone(d.currentSeeds())
