--- a/internal/dataplane/scheduling/routed.go
+++ b/internal/dataplane/scheduling/routed.go
@@ -76,7 +76,6 @@
 	crossZoneMs = 1.5
 	// initialServiceMs is the time to first byte (ms) assumed for a replica without an engine before any was observed.
 	initialServiceMs = 30.0
-	maxAffinity      = 0.6 // not used
 	// maxCachedSegments bounds the segment hashes kept for one replica; when it is exceeded, all are dropped.
 	maxCachedSegments = 4096
 )
