Show that an acknowledged configuration is lost with one disk after two control nodes were killed

Cause: when two control nodes come back after a kill, the third one seats itself alone in the next view; if its disk is lost then, no member may propose a view any more, though two sound disks hold all that was acknowledged. Change: a script case, review/4; the earlier case moves to review/5, as the lesser one.

--- a/review/second/cmd/case4/main.go
+++ b/review/second/cmd/founding/main.go
@@ -1,5 +1,5 @@
-// Command case4 loses one of three control nodes for good during the first start and replaces it by an empty one at another
-// address. See review/4/claim.txt.
+// Command founding loses one of three control nodes for good during the first start and replaces it by an empty one at another
+// address. See review/5/claim.txt.
 package main
 
 import (
@@ -18,7 +18,7 @@
 	// lostAt is when the machine is lost, replacedAt when the other one is started, both from the first start.
 	lostAt     = 250 * time.Millisecond
 	replacedAt = 1250 * time.Millisecond
-	// lagS is how much later the platform's list of machines shows a change.
+	// lag is how much later the platform's list of machines shows a change.
 	lag = 3 * time.Second
 	// trafficAt and endAt are when the demand begins and ends.
 	trafficAt = 10 * time.Second
@@ -35,26 +35,16 @@
 		return cantRun
 	}
 	defer w.End()
-	zones := []string{"tartu-a", "tartu-b", "tartu-c"}
-	core, gateways, ips := []*world.Machine{}, []*world.Machine{}, []string{}
-	for _, z := range zones {
-		m := w.Machine("core-"+z+"-1", "control-node", z)
-		core, ips = append(core, m), append(ips, m.IP)
-	}
-	for _, z := range zones {
-		gateways = append(gateways, w.Machine("frontend-"+z+"-1", "gateway", z))
+	core, gateways, ips, err := w.StartFleet(3)
+	if err != nil {
+		fmt.Println(err)
+		return cantRun
 	}
 	next := w.Machine("core-tartu-c-2", "control-node", "tartu-c")
 	var mu sync.Mutex
 	list := ips
 	control := func() []string { mu.Lock(); defer mu.Unlock(); return list }
-	for _, m := range append(append([]*world.Machine{}, core...), gateways...) {
-		if err := m.Start(true, ips); err != nil {
-			fmt.Println(err)
-			return cantRun
-		}
-	}
-	for i, z := range zones {
+	for i, z := range world.Zones {
 		r, err := w.Replica(fmt.Sprintf("i-%d", i+1), "log", z, control)
 		if err != nil {
 			fmt.Println(err)
--- a/review/second/world/outside.go
+++ b/review/second/world/outside.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -177,3 +178,18 @@
 	close(r.stop)
 	_ = r.server.Close()
 }
+
+// Read asks one machine for the configuration, once. It returns the version, 0 without one.
+func (w *World) Read(ip string) (version int) {
+	status, _, answer, err := send(newClient(time.Second), "GET", fmt.Sprintf("http://%s:%d%s", ip, ControlPort, W["read"]), nil, "", nil)
+	if status == http.StatusOK {
+		var c struct {
+			Version int `json:"version"`
+		}
+		if json.Unmarshal(answer, &c) == nil {
+			version = c.Version
+		}
+	}
+	w.Note("operator: reads at %s: %d, version %d %s", ip, status, version, brief(answer, err))
+	return version
+}
--- a/review/second/world/world.go
+++ b/review/second/world/world.go
@@ -246,3 +246,43 @@
 	defer m.mu.Unlock()
 	return m.Ends
 }
+
+// LoseDisk kills the process and removes the disk of the machine; Start starts it again with an empty one.
+func (m *Machine) LoseDisk() error {
+	m.Kill()
+	m.w.Note("%s loses its disk", m.Name)
+	return os.RemoveAll(m.Disk)
+}
+
+// Listens waits until the machine accepts connections at its control address.
+func (m *Machine) Listens() {
+	for range 200 {
+		c, err := net.DialTimeout("tcp4", fmt.Sprintf("%s:%d", m.IP, ControlPort), time.Second)
+		if err == nil {
+			_ = c.Close()
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// Zones are the zones of the deployment.
+var Zones = []string{"tartu-a", "tartu-b", "tartu-c"}
+
+// StartFleet starts a control node in each zone, and gateways, for the first time.
+func (w *World) StartFleet(gatewayCount int) (core, gateways []*Machine, ips []string, err error) {
+	for _, z := range Zones {
+		m := w.Machine("core-"+z+"-1", "control-node", z)
+		core, ips = append(core, m), append(ips, m.IP)
+	}
+	for i := range gatewayCount {
+		z := Zones[i%len(Zones)]
+		gateways = append(gateways, w.Machine(fmt.Sprintf("frontend-%s-%d", z, 1+i/len(Zones)), "gateway", z))
+	}
+	for _, m := range append(append([]*Machine{}, core...), gateways...) {
+		if err := m.Start(true, ips); err != nil {
+			return nil, nil, nil, err
+		}
+	}
+	return core, gateways, ips, nil
+}
