--- a/review/second/cmd/powerloss/main.go
+++ b/review/second/cmd/powerloss/main.go
@@ -48,7 +48,7 @@
 		defer r.End()
 	}
 	w.At(2 * time.Second)
-	if !acknowledged(w, ips, 0, 3) || !acknowledged(w, ips, 3, 5) {
+	if !w.Acknowledged(ips, 0, 3) || !w.Acknowledged(ips, 3, 5) {
 		fmt.Println("no configuration was acknowledged before the trouble")
 		return cantRun
 	}
@@ -86,7 +86,7 @@
 		ip := ips[n%len(ips)]
 		read = max(read, w.Read(ip))
 		if read >= 5 {
-			changed = w.Replace(ip, 5, configuration(7)) == 200
+			changed = w.Replace(ip, 5, world.OneRoute(7)) == 200
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
@@ -101,22 +101,6 @@
 	return held
 }
 
-func configuration(version int) world.Configuration {
-	return world.Configuration{Version: version, Services: []string{"log"},
-		Routes: []world.Route{{Name: "r-1", Host: "ficu95.example", Prefix: "/puxa403/", Kind: "idempotent", Service: "log", TimeoutMs: 4000, Attempts: 2}}}
-}
-
-// acknowledged sends a configuration until it is acknowledged.
-func acknowledged(w *world.World, ips []string, base, version int) bool {
-	for n := range 40 {
-		if w.Replace(ips[n%len(ips)], base, configuration(version)) == 200 {
-			return true
-		}
-		time.Sleep(200 * time.Millisecond)
-	}
-	return false
-}
-
 // ask sends six requests and returns how many were served.
 func ask(w *world.World, gateways []*world.Machine) (served int) {
 	for n := range 6 {
--- a/review/second/world/outside.go
+++ b/review/second/world/outside.go
@@ -73,6 +73,23 @@
 	return strings.TrimSpace(string(answer[:min(len(answer), 160)]))
 }
 
+// OneRoute returns a configuration with one idempotent route to the service log.
+func OneRoute(version int) Configuration {
+	return Configuration{Version: version, Services: []string{"log"},
+		Routes: []Route{{Name: "r-1", Host: "ficu95.example", Prefix: "/puxa403/", Kind: "idempotent", Service: "log", TimeoutMs: 4000, Attempts: 2}}}
+}
+
+// Acknowledged sends the configuration of OneRoute until it is acknowledged, for about 8 s at most.
+func (w *World) Acknowledged(ips []string, base, version int) bool {
+	for n := range 40 {
+		if w.Replace(ips[n%len(ips)], base, OneRoute(version)) == 200 {
+			return true
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return false
+}
+
 // Ready asks a gateway whether it wants clients, as the platform does.
 func (w *World) Ready(ip string) bool {
 	status, _, _, _ := send(newClient(900*time.Millisecond), "GET", fmt.Sprintf("http://%s:%d%s", ip, ReadyPort, W["ready"]), nil, "", nil)
