Lose the disk of case 4 in the middle of the measured window

Cause: the window is 0.3 to 1.2 s after the start of the two processes on a calm machine; the script lost the disk near its beginning. Change: 0.5 s after both listen, in place of 0.3 s.

--- a/review/second/cmd/powerloss/main.go
+++ b/review/second/cmd/powerloss/main.go
@@ -18,7 +18,7 @@
 	killedAt = 14 * time.Second
 	backAt   = 16 * time.Second
 	// wipedAfter is how long after both listen again the third one loses its disk; it starts again after emptyAfter.
-	wipedAfter = 300 * time.Millisecond
+	wipedAfter = 500 * time.Millisecond
 	emptyAfter = 500 * time.Millisecond
 	// endAt is when the operator stops reading; the pages give 12 s (recoveryS) after all are back.
 	endAt = 62 * time.Second
