Send a change beside each read in case 4

Cause: the script said that no change was acknowledged, but sent one only after a read had succeeded.

--- a/review/second/cmd/powerloss/main.go
+++ b/review/second/cmd/powerloss/main.go
@@ -85,7 +85,7 @@
 	for n := 0; w.Since() < endAt && (read < 5 || !changed); n++ {
 		ip := ips[n%len(ips)]
 		read = max(read, w.Read(ip))
-		if read >= 5 {
+		if !changed {
 			changed = w.Replace(ip, 5, world.OneRoute(7)) == 200
 		}
 		time.Sleep(200 * time.Millisecond)
