--- a/review/second/cmd/badstatus/main.go
+++ b/review/second/cmd/badstatus/main.go
@@ -63,6 +63,10 @@
 	if last.ok*4 < last.all {
 		c.End(2, "%s", text)
 	}
+	// The replica that serves more comes first; the other one then serves the rest.
+	if replicas[1].Arrived() > replicas[0].Arrived() {
+		replicas[0], replicas[1] = replicas[1], replicas[0]
+	}
 	for _, r := range replicas {
 		var answers, bad atomic.Int64
 		if c.Trouble {
