--- a/review/second/kit/kit.go
+++ b/review/second/kit/kit.go
@@ -8,12 +8,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,6 +46,8 @@
 	OnceOnly map[string]any `json:"onceOnly"`
 	Service  map[string]any `json:"service"`
 	Beat     map[string]any `json:"beat"`
+	Tenants  string         `json:"tenants"`
+	Keys     string         `json:"keys"`
 	Sequence string         `json:"sequence"`
 	State    string         `json:"state"`
 }
@@ -292,3 +296,13 @@
 
 // Core returns the control nodes.
 func (c *Case) Core() []*Proc { return c.core }
+
+// Tenants returns a whole configuration with tenants and their keys.
+func Tenants(version int, routes, services []map[string]any, keys map[string][]string) []byte {
+	tenants := []map[string]any{}
+	for _, name := range slices.Sorted(maps.Keys(keys)) {
+		tenants = append(tenants, map[string]any{"name": name, W.Keys: keys[name]})
+	}
+	raw, _ := json.Marshal(map[string]any{"version": version, "routes": routes, "services": services, "limits": W.Limits, W.Tenants: tenants})
+	return raw
+}
