--- a/review/third/cmd/term-kept/main.go
+++ b/review/third/cmd/term-kept/main.go
@@ -50,7 +50,7 @@
 	c := rig.Begin(3, 3)
 	f := c.Fleet
 	c.Must(f.Start())
-	c.Must(f.PutRaw(rig.Configuration, 0, 20*time.Second, func() []*rig.Node { return f.Control }))
+	c.Must(f.Put(rig.Configuration, 0, 20*time.Second))
 	var mu sync.Mutex
 	ran, answered := map[string]string{}, map[string]bool{}
 	for i := range 4 {
@@ -116,14 +116,19 @@
 		for _, r := range results {
 			total++
 			where, did := ran[r.id]
+			seen := fmt.Sprintf("got %d", r.status)
+			if r.status == 0 {
+				seen = fmt.Sprintf("its connection ended: %v", r.err)
+			}
+			if !did {
+				where = "no replica"
+			}
+			c.Rec.Add("%s sent at %.1f ms to %s, run by %s; %s", r.id, r.sentMs, g.Name, where, seen)
 			switch {
 			case r.status != 0:
-			case did && answered[r.id]:
-				lost++
-				c.Rec.Add("LOST: %s sent at %.1f ms to %s, run by %s and answered there; the client's connection ended: %v", r.id, r.sentMs, g.Name, where, r.err)
 			case did:
 				lost++
-				c.Rec.Add("LOST: %s sent at %.1f ms to %s, run by %s, which saw its connection end; the client's connection ended: %v", r.id, r.sentMs, g.Name, where, r.err)
+				c.Rec.Add("LOST: %s; whole answer written by the replica: %t", r.id, answered[r.id])
 			default:
 				unread++
 			}
--- a/review/third/cmd/term-load/main.go
+++ b/review/third/cmd/term-load/main.go
@@ -33,10 +33,7 @@
 	if err := f.Start(); err != nil {
 		panic(err)
 	}
-	doc := map[string]any{"version": 5, "routes": []any{map[string]any{"name": "r2", "hostName": "a.example", "pathPrefix": "/n/", "routeKind": "non_idempotent", "timeoutMs": 3000, "targetLatencyMs": 600, "priority": 1, "service": "quill", "maxAttempts": 2, "sessionAffinity": false, "resumable": false, "targetGapMs": 400}},
-		"services": []any{map[string]any{"name": "quill", "healthPath": "/health", "connectionLimit": 2000, "protocol": "h1", "tlsEnabled": false}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}}
-	if err := f.Put(doc, 0, 15*time.Second); err != nil {
+	if err := f.Put(rig.Configuration, 0, 15*time.Second); err != nil {
 		panic(err)
 	}
 	var ran sync.Map
@@ -81,7 +78,7 @@
 				if len(os.Args) > 5 && rand.Intn(3) == 0 {
 					time.Sleep(time.Duration(rand.Intn(3000)) * time.Millisecond)
 				}
-				_, err := fmt.Fprintf(c, "POST /n/x HTTP/1.1\r\nHost: a.example\r\n%s: %s\r\n%s: 2500\r\nContent-Length: 5\r\n\r\nhello", rig.W["id"], id, rig.W["deadline"])
+				_, err := fmt.Fprintf(c, "POST /letters/x HTTP/1.1\r\nHost: yearbooks.example\r\n%s: %s\r\n%s: 2500\r\nContent-Length: 5\r\n\r\nhello", rig.W["id"], id, rig.W["deadline"])
 				var res *http.Response
 				if err == nil {
 					res, err = http.ReadResponse(br, nil)
--- a/review/third/rig/replica.go
+++ b/review/third/rig/replica.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -57,26 +56,16 @@
 	go r.beat(ctx)
 }
 
-// End closes everything at once, as a crash does.
-func (r *Replica) End() {
-	r.stop()
-	_ = r.server.Close()
-}
-
-// SetState changes the state that the heartbeats carry.
-func (r *Replica) SetState(s string) { r.state.Store(s) }
-
 // Beat sends one heartbeat, to the next node until one acknowledges it, and returns that node.
 func (r *Replica) Beat(ctx context.Context) (*Node, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for range 2 * len(r.Fleet.Control) {
 		n := r.Fleet.Control[r.node%len(r.Fleet.Control)]
-		body, _ := json.Marshal(map[string]any{
-			"service": r.Service, "address": r.Addr, "zone": r.Zone, "version": "v1", "capacitySlots": r.Slots,
-			"state": r.state.Load(), "coldRemainingMs": 0, "callSequence": r.seq.Add(1),
+		body := fill(heartbeat, map[string]any{
+			"service": r.Service, "address": r.Addr, "zone": r.Zone, "slots": r.Slots, "state": r.state.Load(), "sequence": r.seq.Add(1),
 		})
-		status, _, err := call(http.MethodPost, "http://"+n.API()+W["instances"]+r.ID+W["heartbeat"], body, nil, time.Second)
+		status, _, err := call(http.MethodPost, "http://"+n.API()+W["instances"]+r.ID+W["heartbeat"], []byte(body), nil, time.Second)
 		if err == nil && status/100 == 2 {
 			return n, nil
 		}
--- a/review/third/rig/rig.go
+++ b/review/third/rig/rig.go
@@ -22,8 +22,14 @@
 //go:embed words.txt
 var wordsText string
 
-//go:embed settings.json
-var settingsText []byte
+//go:embed control-node.json
+var controlSettings string
+
+//go:embed gateway.json
+var gatewaySettings string
+
+//go:embed heartbeat.json
+var heartbeat string
 
 // Configuration is the first configuration that the operator sends.
 //
@@ -137,36 +143,39 @@
 	return n.cmd.Process.Pid
 }
 
-func (n *Node) writeSettings() (string, error) {
-	s := map[string]any{}
-	if err := json.Unmarshal(settingsText, &s); err != nil {
-		return "", err
+// fill puts values as JSON in the places of a template that name them.
+func fill(template string, values map[string]any) string {
+	for name, value := range values {
+		raw, err := json.Marshal(value)
+		if err != nil {
+			panic(err)
+		}
+		template = strings.ReplaceAll(template, "\"@"+name+"\"", string(raw))
 	}
+	return template
+}
+
+// writeSettings fills in the template of the node's role.
+func (n *Node) writeSettings() (string, error) {
 	f := n.fleet
 	seeds := []string{}
 	for _, c := range f.Control {
-		if len(seeds) < 3 {
-			seeds = append(seeds, c.API())
-		}
+		seeds = append(seeds, c.API())
 	}
-	s["nodeName"], s["ipAddress"], s["role"], s["seedNodes"], s["firstStart"] = n.Name, n.IP, n.Role, seeds, f.first
-	s["internalPortRange"] = []int{f.Ports[3], f.Ports[3] + 8}
-	limits := s["limits"].(map[string]any)
-	if n.Role == "gateway" {
-		s["machineClass"], s["serves"], s["dataDirectory"] = "frontend", []string{"frontend"}, nil
-		s["listenAddresses"] = map[string]string{"frontHttp": n.Front(), "readiness": n.Ready()}
-	} else {
-		folder := filepath.Join(f.Folder, n.Name)
+	folder := filepath.Join(f.Folder, n.Name)
+	template := gatewaySettings
+	if n.Role == "control-node" {
+		template = controlSettings
 		if err := os.MkdirAll(folder, 0o755); err != nil {
 			return "", err
 		}
-		s["machineClass"], s["serves"], s["dataDirectory"], s["countedLoss"] = "core", []string{"control_plane"}, folder, true
-		s["listenAddresses"] = map[string]string{"controlPlane": n.API()}
-		limits["memoryMb"], limits["fileDescriptors"] = 280, 4096
 	}
-	raw, _ := json.Marshal(s)
+	text := fill(template, map[string]any{
+		"name": n.Name, "ip": n.IP, "role": n.Role, "seeds": seeds, "first": f.first, "ports": []int{f.Ports[3], f.Ports[3] + 8},
+		"front": n.Front(), "ready": n.Ready(), "api": n.API(), "folder": folder,
+	})
 	path := filepath.Join(f.Folder, n.Name+".json")
-	return path, os.WriteFile(path, raw, 0o644)
+	return path, os.WriteFile(path, []byte(text), 0o644)
 }
 
 // Start starts the process of a node as the deploy file does.
@@ -226,9 +235,6 @@
 	return nil
 }
 
-// First sets what later starts are told: whether the whole system starts for the first time.
-func (f *Fleet) First(first bool) { f.first = first }
-
 // Stop ends all processes and removes the folder.
 func (f *Fleet) Stop() {
 	f.mu.Lock()
@@ -248,18 +254,11 @@
 }
 
 // Put sends a whole configuration until it is taken.
-func (f *Fleet) Put(doc any, base int, within time.Duration) error {
-	raw, _ := json.Marshal(doc)
-	return f.PutRaw(raw, base, within, func() []*Node { return f.Control })
-}
-
-// PutRaw is Put for a configuration as it stands, to the nodes that are listed at the time of each call.
-func (f *Fleet) PutRaw(raw []byte, base int, within time.Duration, list func() []*Node) error {
+func (f *Fleet) Put(raw []byte, base int, within time.Duration) error {
 	end := time.Now().Add(within)
 	last := ""
 	for i := 0; time.Now().Before(end); i++ {
-		nodes := list()
-		n := nodes[i%len(nodes)]
+		n := f.Control[i%len(f.Control)]
 		status, _, err := call(http.MethodPost, "http://"+n.API()+W["replace"], raw, map[string]string{W["base"]: fmt.Sprint(base)}, time.Second)
 		if err == nil && status == 200 {
 			f.Rec.Add("operator: configuration on top of %d acknowledged by %s", base, n.Name)
@@ -307,8 +306,3 @@
 	raw, err := io.ReadAll(res.Body)
 	return res.StatusCode, raw, err
 }
-
-// Call is a single exchange without a kept connection.
-func Call(method, url string, body []byte, header map[string]string, within time.Duration) (int, []byte, error) {
-	return call(method, url, body, header, within)
-}
