Hold requests of tenants at a gateway that has just woken, and name the tenant at the send

What callers saw: two gateways are stopped for 4 s while a key moves to another tenant.

"Cut off" and "just woken" were one state.

Until then, for 1.5 s at most, requests in a tenant's name are held (503 without time to wait); then the gateway decides as one that is cut off. Key to tenant is asked again right before each send.

--- a/internal/dataplane/gateway/authentication.go
+++ b/internal/dataplane/gateway/authentication.go
@@ -32,9 +32,15 @@
 //
 // An unknown route or key may be part of a declaration that is still in transit, so the request is held for up to
 // maxLookupHoldUs. After that, a current gateway rejects the request, and one that is not current answers with a retryable
-// NoLease fault.
+// NoLease fault. A request in a tenant's name is held, too, while this gateway has just woken (awaitConfirmation).
 func (h *Host) LookupRoute(ctx context.Context, a scheduling.RouteLookup) (route *configuration.Route, tenant string, failure *fault.Fault) {
 	route, tenant, failure = h.lookupRoute(a)
+	if failure == nil && tenant != "" && h.hasJustWoken(clock.NowUs()) {
+		if !h.awaitConfirmation(ctx, a.DeadlineUs) {
+			return nil, "", undecided("this gateway has just woken and has heard no current control node since")
+		}
+		route, tenant, failure = h.lookupRoute(a)
+	}
 	if !isUndecided(a, failure) {
 		return route, tenant, failure
 	}
@@ -110,10 +116,10 @@
 }
 
 // setCurrent records when the newest frame arrived from a control node that was up to date, in microseconds, and wakes held lookups
-// when the gateway becomes current again. It runs on the actor.
+// when the gateway becomes current again, or for the first time after a wake. It runs on the actor.
 func (h *Host) setCurrent(us int64) {
-	lastUs := h.currentUs.Swap(us)
-	if us > 0 && (lastUs == 0 || us-lastUs > currentWithinUs) {
+	lastUs, wokeUs := h.currentUs.Swap(us), h.wokeUs.Load()
+	if us > 0 && (lastUs == 0 || us-lastUs > currentWithinUs || (lastUs < wokeUs && us >= wokeUs)) {
 		h.updates.notify()
 	}
 }
--- a/internal/dataplane/gateway/host.go
+++ b/internal/dataplane/gateway/host.go
@@ -62,10 +62,15 @@
 	// currentUs is when the newest frame arrived from a control node that was up to date, in microseconds; 0 before the first.
 	// The gateway is current while this time is recent (isCurrent).
 	currentUs atomic.Int64
+	// wokeUs is when this process went on after the latest gap in which it did not run, and steppedUs when the informer was last stepped;
+	// both in microseconds, 0 before the first.
+	wokeUs, steppedUs atomic.Int64
 	// updates wakes held lookups when a newer declaration arrives or the gateway becomes current again.
 	updates *broadcast
 	// heldLookups counts the requests that are held because their route or key is unknown.
 	heldLookups atomic.Int64
+	// heldAfterWake counts the requests that are held because this gateway has just woken.
+	heldAfterWake atomic.Int64
 	// maxLookupHoldUs is the constant of the same name, except in tests.
 	maxLookupHoldUs int64
 	// activeCalls counts the calls and key submissions that a drain waits for.
--- a/internal/dataplane/gateway/informer.go
+++ b/internal/dataplane/gateway/informer.go
@@ -37,8 +37,32 @@
 	}
 }
 
-// MaySend reports whether an attempt may still be sent. An Exchange calls it right before it sends the first byte.
-func (h *Host) MaySend(st scheduling.AttemptStart) bool { return h.maySend(st) }
+// SendPermit says whether an attempt may be sent.
+type SendPermit uint8
+
+const (
+	// SendAllowed means that the attempt may be sent now, in the name of the tenant that was asked about.
+	SendAllowed SendPermit = iota
+	// SendOfOtherTenant means that the client's key belongs to another tenant by now.
+	SendOfOtherTenant
+	// SendWithdrawn means that the attempt must not be sent.
+	SendWithdrawn
+)
+
+// TenantOf returns the tenant in whose name a call is sent now, "" for none.
+func (h *Host) TenantOf(c *scheduling.Call) string { return h.Snapshot().TenantName(c) }
+
+// MaySend returns whether an attempt may still be sent in the name of a tenant. An Exchange calls it right before it sends the first byte. At a
+// gateway that has just woken it waits until the tenant is certain.
+func (h *Host) MaySend(ctx context.Context, st scheduling.AttemptStart, tenant string) SendPermit {
+	switch {
+	case tenant != "" && !h.awaitConfirmation(ctx, st.DeadlineUs), !h.maySend(st):
+		return SendWithdrawn
+	case h.TenantOf(st.Call) != tenant:
+		return SendOfOtherTenant
+	}
+	return SendAllowed
+}
 
 // Ready returns nil if this gateway can take calls now, and otherwise a fault with the reason.
 func (h *Host) Ready() *fault.Fault {
@@ -114,7 +138,9 @@
 			}
 		}
 	}
+	h.wokeUs.Store(h.informer.WokeAtUs())
 	h.setCurrent(h.informer.CurrentUs())
+	h.steppedUs.Store(ev.NowUs)
 }
 
 // followFrames reads one control node's stream of frames until it ends.
--- a/internal/dataplane/scheduling/tenants.go
+++ b/internal/dataplane/scheduling/tenants.go
@@ -43,6 +43,14 @@
 	return s.Declaration.Tenant(c.Routed.Tenant)
 }
 
+// TenantName returns the name of the tenant in whose name a routed call is sent under the declaration, "" for none.
+func (s *Snapshot) TenantName(c *Call) string {
+	if t := s.tenantOf(c); t != nil {
+		return t.Name
+	}
+	return c.Routed.Tenant
+}
+
 // admits reports whether the declaration still lets a routed call onto route r.
 func (s *Snapshot) admits(c *Call, r *configuration.Route) bool {
 	return s.Declaration.Allows(r, "") || s.tenantOf(c) != nil
--- a/tests/rules/routed.go
+++ b/tests/rules/routed.go
@@ -242,7 +242,9 @@
 
 type judge struct {
 	*Day
-	t        *touch
+	t *touch
+	// woken is the same as if machines outside the core never stood still.
+	woken    *touch
 	tries    map[string]*Attempt
 	arrivals map[string][]*replica.Arrival
 	sorted   []*Version
@@ -260,7 +262,7 @@
 
 // Judge weighs a day by the rules; Stakes count the occasions on which each could have been broken.
 func Judge(d *Day) ([]Breach, map[string]int) {
-	j := &judge{Day: d, t: newTouch(d), tries: map[string]*Attempt{}, arrivals: map[string][]*replica.Arrival{}, stakes: map[string]int{}}
+	j := &judge{Day: d, t: newTouch(d), woken: newTouch(withoutFreezes(d)), tries: map[string]*Attempt{}, arrivals: map[string][]*replica.Arrival{}, stakes: map[string]int{}}
 	sort.SliceStable(d.Arrivals, func(a, b int) bool { return d.Arrivals[a].AtUs < d.Arrivals[b].AtUs })
 	for _, t := range d.Attempts {
 		j.tries[t.ID] = t
@@ -315,14 +317,16 @@
 	}
 }
 
-// named: a request runs without its client's key, and in the name of the tenant that held it in some version which may be in force.
+// named: a request runs without its client's key, and in the name of the tenant that holds it in some version which may be in force and
+// which its machine may still work by. The page names no machine that is excused for having stood still.
 func (j *judge) named(t *Attempt, a *replica.Arrival) {
 	if a.Keyed {
 		j.breach(Unasked, "%s ran %s, to which the client's key was passed on", a.Replica, a.Request)
 	}
 	names := []string{}
+	oldest := j.oldestBy(j.woken, t, a.AtUs)
 	for _, v := range j.Versions {
-		if v.SentUs <= a.AtUs && j.mayStand(v) {
+		if v.SentUs <= a.AtUs && j.mayStand(v) && (oldest == nil || v.Number >= oldest.Number) {
 			names = append(names, j.Holders[v][j.Keys[t.ID]])
 		}
 	}
--- a/tests/rules/routed_routes.go
+++ b/tests/rules/routed_routes.go
@@ -55,15 +55,18 @@
 }
 
 // oldest is the version below which a machine may not work any more, for a request sent at a moment.
-func (j *judge) oldest(t *Attempt, atUs int64) *Version {
+func (j *judge) oldest(t *Attempt, atUs int64) *Version { return j.oldestBy(j.t, t, atUs) }
+
+// oldestBy is the same with the machines that are in touch by another account of the day.
+func (j *judge) oldestBy(contact *touch, t *Attempt, atUs int64) *Version {
 	var lo *Version
 	for _, v := range j.sorted {
 		if v.AckedUs == 0 {
 			continue
 		}
 		switch {
-		case t.SentUs > v.AckedUs+j.Bounds.ConfigApplyUs && j.t.within(t.Machine, t.SentUs, atUs),
-			t.SentUs > v.AckedUs+j.Bounds.ConfigApplyUs+j.Bounds.OuterUs && j.t.outer(t.Machine, v.AckedUs, t.SentUs, atUs):
+		case t.SentUs > v.AckedUs+j.Bounds.ConfigApplyUs && contact.within(t.Machine, t.SentUs, atUs),
+			t.SentUs > v.AckedUs+j.Bounds.ConfigApplyUs+j.Bounds.OuterUs && contact.outer(t.Machine, v.AckedUs, t.SentUs, atUs):
 			lo = v
 		}
 	}
--- a/tests/rules/routed_test.go
+++ b/tests/rules/routed_test.go
@@ -307,6 +307,16 @@
 		}},
 		{"in the name of its key's tenant", "", func(d *Day) { keyed(d, "moved", "two", 14*second, 200) }},
 		{"in another tenant's name", Unasked, func(d *Day) { keyed(d, "added", "one", 14*second, 200) }},
+		{"in the name of its key's former tenant, right after a freeze", Unasked, func(d *Day) {
+			d.Faults = append(d.Faults, FaultInterval{Machine: "front", Kind: "freeze", FromUs: 12 * second, ToUs: 14*second - 1, Down: true})
+			keyed(d, "moved", "one", 14*second, 200)
+		}},
+		{"... and its machine is cut off from the core", "", func(d *Day) {
+			d.Partitions = append(d.Partitions, bothWays("front", "a", 5*second, 20*second)...)
+			d.Partitions = append(d.Partitions, bothWays("front", "b", 5*second, 20*second)...)
+			d.Partitions = append(d.Partitions, bothWays("front", "c", 5*second, 20*second)...)
+			keyed(d, "moved", "one", 14*second, 200)
+		}},
 		{"in nobody's name", Unasked, func(d *Day) { keyed(d, "moved", "", 14*second, 200) }},
 		{"with its client's key", Unasked, func(d *Day) {
 			keyed(d, "moved", "two", 14*second, 200)
--- a/tests/rules/touch.go
+++ b/tests/rules/touch.go
@@ -129,6 +129,13 @@
 
 func (d *Day) isCore(machine string, us int64) bool { return slices.Contains(d.coreAt(us), machine) }
 
+// withoutFreezes is a day on which no machine outside the core stood still: one that did can ask what it has missed.
+func withoutFreezes(d *Day) *Day {
+	awake := *d
+	awake.Faults = slices.DeleteFunc(slices.Clone(d.Faults), func(f FaultInterval) bool { return f.Kind == "freeze" && !d.isCore(f.Machine, f.FromUs) })
+	return &awake
+}
+
 // newTouch works out from a day's troubles, members and cuts which times are unsettled and for whom.
 func newTouch(d *Day) *touch {
 	t := &touch{d: d, own: map[string][]interval{}, paths: map[string][]interval{}}
--- a/tests/simulator/routed_attempts.go
+++ b/tests/simulator/routed_attempts.go
@@ -35,7 +35,7 @@
 	ask := a.exchange.request
 	ask.From, ask.Expect, ask.Last = t.name, st.Incarnation, a.exchange.last
 	ask.Priority = a.start.Priority
-	ask.Tenant = st.Call.Routed.Tenant
+	ask.Tenant = t.snapshot.TenantName(st.Call)
 	if d.plan.Plant == "namesake" {
 		ask.Tenant = d.tenants.unlimited().name
 	}
--- a/tests/simulator/routed_clients.go
+++ b/tests/simulator/routed_clients.go
@@ -74,6 +74,8 @@
 	attemptNumber int
 	tenant        *tenantRow
 	extra         bool
+	// kept is the gateway of a connection that the client keeps; nil for a client that opens a new one for each try.
+	kept *routedGateway
 	// key is the one that the try under way carries.
 	key       string
 	received  int
@@ -178,7 +180,10 @@
 func (c *clients) newRequest() { c.newRequestOf(c.day.tenants.pick()) }
 
 // newRequestOf sends a request of a tenant, if there are any; an extra one is beyond what is usual, and nothing is owed for it.
-func (c *clients) newRequestOf(row *tenantRow, extra bool) {
+func (c *clients) newRequestOf(row *tenantRow, extra bool) { c.newRequestAt(row, extra, nil) }
+
+// newRequestAt is the same on a connection that the client keeps to a gateway, whether or not that answers; nil for a new connection.
+func (c *clients) newRequestAt(row *tenantRow, extra bool, kept *routedGateway) {
 	c.requestCount++
 	x, k := c.random.Float64()*c.totalWeight(), 0
 	for k = range classes {
@@ -189,7 +194,7 @@
 	if !extra {
 		row = c.day.tenants.keyless(row, &classes[k])
 	}
-	s := &clientRequest{clients: c, class: &classes[k], firstUs: c.day.nowUs, tenant: row, extra: extra, impatient: c.random.Intn(3) == 0}
+	s := &clientRequest{clients: c, class: &classes[k], firstUs: c.day.nowUs, tenant: row, extra: extra, impatient: c.random.Intn(3) == 0, kept: kept}
 	s.body = fmt.Sprintf("c%d/%d", c.requestCount, 1)
 	if s.class.stream {
 		s.body = fmt.Sprintf("c%d/%d", c.requestCount, 1+c.random.Intn(s.class.eventsMax))
@@ -226,7 +231,10 @@
 func (cr *clientRequest) send() {
 	c, d := cr.clients, cr.clients.day
 	zone := []string{"a", "b", "c"}[c.random.Intn(3)]
-	cr.gateway, cr.exchange, cr.ended = c.pickGateway(zone), nil, false
+	cr.gateway, cr.exchange, cr.ended = cr.kept, nil, false
+	if cr.gateway == nil {
+		cr.gateway = c.pickGateway(zone)
+	}
 	c.requestCount++
 	t := &rules.Attempt{
 		ID: fmt.Sprintf("r%d", c.requestCount), Class: cr.class.name, Model: cr.model, Adapter: cr.adapter, Subject: cr.subject(), Size: cr.size(), Nth: cr.attemptNumber, Method: "POST", Host: clientsHost, Path: "/" + cr.class.route + "/1f", Body: cr.body, Machine: cr.gateway.name,
--- a/tests/simulator/routed_faults_replicas.go
+++ b/tests/simulator/routed_faults_replicas.go
@@ -52,6 +52,7 @@
 		}
 	case "freeze-desk":
 		d.freeze(&t.machine, f.DurationUs)
+		d.askBeforeThaw(t)
 	case "clock-step":
 		t.skewUs += int64(f.N) * 500 * millisecond
 		d.observed.Faults = append(d.observed.Faults, rules.FaultInterval{Machine: t.name, Kind: "clock", FromUs: d.nowUs, ToUs: d.nowUs})
--- a/tests/simulator/routed_gateways.go
+++ b/tests/simulator/routed_gateways.go
@@ -21,6 +21,9 @@
 	lingerUs   = 2300 * millisecond
 	maxDrainUs = 7300 * millisecond
 	deadlineUs = 5 * millisecond
+	// maxWakeHoldUs is how long after a wake a request is held at most, wakePollUs how often it is looked at.
+	maxWakeHoldUs = 1500 * millisecond
+	wakePollUs    = 10 * millisecond
 )
 
 type routedGateway struct {
@@ -141,9 +144,17 @@
 	d := g.day
 	try.ReadUs, try.Incarnation = d.nowUs, g.boot
 	x := &exchange{gateway: g, attempt: try, request: ask, client: s, toClient: d.newLink(&g.machine, &d.clients.machine), last: ask.Last}
+	g.route(x, deadlineMs, g.clock()+min(maxWakeHoldUs, deadlineMs*millisecond/2))
+	return x
+}
+
+// route finds the route and the tenant of a request, and hands it on. It holds the request until heldUntilUs while this gateway has just
+// woken, as the platform's side of a gateway does.
+func (g *routedGateway) route(x *exchange, deadlineMs, heldUntilUs int64) {
+	d, s, try, ask := g.day, x.client, x.attempt, x.request
 	if g.snapshot == nil || g.snapshot.Declaration == nil {
 		x.answer(&fault.Fault{Code: fault.NoLease, RetryMs: 500})
-		return x
+		return
 	}
 	key := s.key
 	if d.plan.Plant == "unlocked" {
@@ -155,11 +166,19 @@
 	}
 	if bad != nil {
 		x.answer(bad)
-		return x
+		return
+	}
+	if tenant != "" && g.hasJustWoken() {
+		if g.clock() >= heldUntilUs {
+			x.answer(&fault.Fault{Code: fault.NoLease, RetryMs: 500})
+			return
+		}
+		g.after(wakePollUs, func() { g.route(x, deadlineMs, heldUntilUs) })
+		return
 	}
 	if g.plantedRefusal(s, route.Name) {
 		x.answer(&fault.Fault{Code: fault.Overloaded})
-		return x
+		return
 	}
 	g.calls++
 	x.call = &scheduling.Call{ID: fmt.Sprintf("%s-%s-%d", g.name, g.incarnation, g.calls), Kind: route.Name, Model: ask.Model, Adapter: ask.Adapter, TimeoutMs: deadlineMs, ArrivedUs: g.clock(),
@@ -178,7 +197,12 @@
 		d.taking = d.taking[1:]
 		d.schedule(d.nowUs+d.random.Int63n(4*millisecond), func() { strike(g) })
 	}
-	return x
+}
+
+// hasJustWoken is as at a gateway's host: it stood still and has heard no current control node since.
+func (g *routedGateway) hasJustWoken() bool {
+	wokeUs := g.informer.WokeAtUs()
+	return g.day.plan.Plant != "sleepwalker" && g.informer.CurrentUs() < wokeUs && g.clock()-wokeUs < maxWakeHoldUs
 }
 
 // plantedRefusal are the plants that never serve some requests.
--- a/tests/simulator/routed_tenants.go
+++ b/tests/simulator/routed_tenants.go
@@ -358,3 +358,22 @@
 		ts.decided[verdict]++
 	}
 }
+
+const (
+	// keptRequests are how many requests with the wandering key are sent on kept connections to a gateway that stands still, and
+	// beforeThawUs how long before it goes on.
+	keptRequests = 4
+	beforeThawUs = 300 * millisecond
+)
+
+// askBeforeThaw aims requests with the key that moves between tenants at a gateway that is about to go on, on days with tenants.
+func (d *routedDay) askBeforeThaw(g *routedGateway) {
+	if d.tenants == nil {
+		return
+	}
+	d.schedule(g.thawUs-beforeThawUs, func() {
+		for range keptRequests {
+			d.clients.newRequestAt(unusualRows[0], true, g)
+		}
+	})
+}
--- a/tests/simulator/tenants_test.go
+++ b/tests/simulator/tenants_test.go
@@ -138,13 +138,16 @@
 	heavy(t)
 	for plant, rule := range map[string]string{
 		"spendthrift": rules.Quota, "all-count": rules.Quota, "full-tail": rules.Quota,
-		"namesake": rules.Unasked, "key-passed": rules.Unasked, "unlocked": rules.Route,
+		"namesake": rules.Unasked, "key-passed": rules.Unasked, "unlocked": rules.Route, "sleepwalker": rules.Unasked,
 	} {
 		t.Run(plant, func(t *testing.T) {
 			t.Parallel()
 			for seed := int64(1); seed <= 8; seed++ {
 				p := tenantPlan(seed, 6)
 				p.Plant, p.Closing = plant, ""
+				if plant == "sleepwalker" {
+					p.Faults = gatewayFreezes()
+				}
 				if len(breaksOf(RunRouted(p), rule)) > 0 {
 					return
 				}
@@ -154,6 +157,35 @@
 	}
 }
 
+// gatewayFreezes are freezes of gateways, during each of which the configuration changes several times.
+func gatewayFreezes() []Fault {
+	faults := []Fault{}
+	for n := range 5 {
+		fromUs := int64(1+5*n) * second
+		faults = append(faults, Fault{Kind: "freeze-desk", AtUs: fromUs, DurationUs: 4 * second, A: n, B: 1, N: 3}, Fault{Kind: "config-storm", AtUs: fromUs + 200*millisecond, DurationUs: second, N: 4})
+	}
+	return faults
+}
+
+// Guards against UNASKED of review case 7: a gateway that stood still while keys moved runs no request for a key's former tenant.
+func TestWokenGatewaysRunRequestsForTheirKeysTenants(t *testing.T) {
+	heavy(t)
+	for seed := int64(1); seed <= 6; seed++ {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			t.Parallel()
+			p := tenantPlan(seed, 6)
+			p.Faults, p.Closing = gatewayFreezes(), ""
+			out := RunRouted(p)
+			if broken := breaksOf(out, rules.Unasked); len(broken) > 0 {
+				t.Fatal(broken)
+			}
+			if out.Caused["freeze-desk"] < 5 {
+				t.Fatalf("caused %v: it proves little", out.Caused)
+			}
+		})
+	}
+}
+
 func TestChangedTenantsAreThoseOfAnEdit(t *testing.T) {
 	ts := newTenants(&routedDay{plan: RoutedPlan{Tenants: true, CallsPerSecond: 25}, observed: &rules.Day{}})
 	before := ts.first()
