Keep the actor out of the test that sets a wake by hand

Cause: the test sets the time of a wake at a gateway whose actor runs, and the actor's next tick, 10 ms later, sets it back to what its informer knows. The test needs no actor.

Change: newRoutedHost gives a gateway whose actor does not run; the check is the same.

--- a/internal/dataplane/gateway/attempt_release_test.go
+++ b/internal/dataplane/gateway/attempt_release_test.go
@@ -17,21 +17,27 @@
 	"petreltide/internal/process/logring"
 )
 
-// newRunningHost returns a gateway whose actor runs, with one route to one replica that has a single slot.
-func newRunningHost(t *testing.T) *Host {
+// newRoutedHost returns a gateway whose actor does not run, with one route to one replica that has a single slot.
+func newRoutedHost(t *testing.T) *Host {
 	t.Helper()
 	h := Open(settings.Gateway{
 		Name: "g", Listen: "127.0.0.1:0", Zone: "a", Seeds: []string{"127.0.0.1:1"}, MaxQueue: 8, MaxBodyKB: 1, Attempts: settings.LeaselessAttempts,
 	}, logring.NewRing("", io.Discard))
-	h.act.Spawn(func() { h.act.Loop(10*time.Millisecond, h.tick) })
-	t.Cleanup(h.act.End)
 	route := configuration.Route{Name: "r", Host: "h", Prefix: "/x/", TimeoutMs: 5000, MaxAttempts: 2, Split: []configuration.WeightedService{{Service: "s", Weight: 1}}}
 	d := &configuration.Declaration{Version: 1, Services: []configuration.Service{{Name: "s"}}, Routes: []configuration.Route{route}}
 	replica := &wire.ReplicaUpdate{ID: "one", Incarnation: "one", Service: "s", Addr: "127.0.0.1:1", Zone: "a", Slots: 1}
-	snap := &scheduling.Snapshot{Number: 1, Revision: 1, Declaration: d.Indexed(), Gateways: 1, IDs: []string{replica.ID},
-		Replicas: map[string]*wire.ReplicaUpdate{replica.ID: replica}, ByService: map[string][]*wire.ReplicaUpdate{"s": {replica}}}
-	h.snapshot.Store(snap)
-	h.do(func() { h.step(scheduling.SnapshotReceived{Snapshot: snap}) })
+	h.snapshot.Store(&scheduling.Snapshot{Number: 1, Revision: 1, Declaration: d.Indexed(), Gateways: 1, IDs: []string{replica.ID},
+		Replicas: map[string]*wire.ReplicaUpdate{replica.ID: replica}, ByService: map[string][]*wire.ReplicaUpdate{"s": {replica}}})
+	return h
+}
+
+// newRunningHost returns such a gateway whose actor runs.
+func newRunningHost(t *testing.T) *Host {
+	t.Helper()
+	h := newRoutedHost(t)
+	h.act.Spawn(func() { h.act.Loop(10*time.Millisecond, h.tick) })
+	t.Cleanup(h.act.End)
+	h.do(func() { h.step(scheduling.SnapshotReceived{Snapshot: h.Snapshot()}) })
 	return h
 }
 
--- a/internal/dataplane/gateway/wake_test.go
+++ b/internal/dataplane/gateway/wake_test.go
@@ -86,7 +86,7 @@
 // A call that waited while its key moved is sent in the name of the new holder, and an attempt that was prepared for the former one is not
 // sent.
 func TestAttemptIsSentInTheNameOfTheKeyHolder(t *testing.T) {
-	h := newRunningHost(t)
+	h := newRoutedHost(t)
 	c := newTestCall(h)
 	st := scheduling.AttemptStart{Call: c, Replica: "one", Incarnation: "one", Service: "s", DeadlineUs: clock.NowUs() + 5*clock.Sec}
 	if got := h.MaySend(t.Context(), st, ""); got != SendAllowed {
