--- a/tests/platform/fleet/day.go
+++ b/tests/platform/fleet/day.go
@@ -368,6 +368,24 @@
 	}
 }
 
+// StartReady starts everything, sends the first configuration, and waits until all gateways are ready.
+func (f *Fleet) StartReady(ctx context.Context) error {
+	if err := f.Start(); err != nil {
+		return err
+	}
+	return f.configure(ctx)
+}
+
+// configure sends the first configuration and waits until all gateways are ready.
+func (f *Fleet) configure(ctx context.Context) error {
+	first := f.ops.first()
+	if f.ops.send(ctx, first, 20*time.Second) != http.StatusOK {
+		return errors.New("the first configuration was not taken")
+	}
+	f.ops.tip = first
+	return f.allReady(ctx, 15*time.Second)
+}
+
 // Play runs a whole day and judges it.
 func (f *Fleet) Play(ctx context.Context, out io.Writer) ([]rules.Breach, map[string]int, error) {
 	if err := f.Start(); err != nil {
@@ -376,12 +394,7 @@
 	busyCtx, calm := context.WithCancel(ctx)
 	defer calm()
 	go f.busy(busyCtx)
-	first := f.ops.first()
-	if f.ops.send(ctx, first, 20*time.Second) != http.StatusOK {
-		return nil, nil, errors.New("the first configuration was not taken")
-	}
-	f.ops.tip = first
-	if err := f.allReady(ctx, 15*time.Second); err != nil {
+	if err := f.configure(ctx); err != nil {
 		return nil, nil, err
 	}
 	demandCtx, stop := context.WithCancel(ctx)
--- a/tests/platform/fleet/fleet.go
+++ b/tests/platform/fleet/fleet.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -55,8 +56,18 @@
 	Tenants bool
 	// Aloud lets the processes write every line of their logs as it comes.
 	Aloud bool
+	// MemoryMB and Descriptors are the limits in the settings of each process; 0 stands for those of a usual machine.
+	MemoryMB    int
+	Descriptors int
+	// Limits are those of the first configuration; nil stands for the usual ones.
+	Limits map[string]any
 }
 
+const (
+	usualMemoryMB    = 284
+	usualDescriptors = 4100
+)
+
 // machineProc is one of our processes, at the address it keeps.
 type machineProc struct {
 	name     string
@@ -221,7 +232,7 @@
 	return map[string]any{
 		"nodeName": p.name, "role": p.role, "machineClass": class, "serves": []string{serves}, "ipAddress": p.ip, "zone": p.zone, "region": "r", "zones": map[string]string{"a": "r", "b": "r", "c": "r"},
 		"listenAddresses": listen, "internalPortRange": []int{innerFirst, innerLast}, "seedNodes": f.control(), "firstStart": first, "countedLoss": p.role == "control-node",
-		"limits": map[string]any{"cpuFraction": 0.5, "cpuCores": 1, "memoryMb": 284, "fileDescriptors": 4100, "linkMbps": 1000, "diskMb": 128}, "dataDirectory": folder,
+		"limits": map[string]any{"cpuFraction": 0.5, "cpuCores": 1, "memoryMb": cmp.Or(f.plan.MemoryMB, usualMemoryMB), "fileDescriptors": cmp.Or(f.plan.Descriptors, usualDescriptors), "linkMbps": 1000, "diskMb": 128}, "dataDirectory": folder,
 		"discoverySource": "self_registration", "entryKind": "virtual_ip", "heartbeatIntervalMs": beatUs / 1000, "faultTolerance": map[string]any{"machines": 1, "zones": 0, "regions": 0},
 		"bounds": map[string]any{
 			"seedingLagS": 3, "reuseAfterS": 2, "contactWindowMs": b.ContactUs / 1000, "acknowledgeMs": b.AcknowledgeUs / 1000, "catchUpS": 4, "drainMs": b.DrainUs / 1000, "gracePeriodS": seconds(b.GraceUs),
--- a/tests/platform/fleet/operators.go
+++ b/tests/platform/fleet/operators.go
@@ -91,6 +91,14 @@
 	}
 }
 
+// limits are those of every configuration.
+func (p *routedOps) limits() map[string]any {
+	if p.f.plan.Limits != nil {
+		return p.f.plan.Limits
+	}
+	return map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
+}
+
 // account is what is in force, item by item, in one order.
 func account(number uint64, items []json.RawMessage) string {
 	lines := []string{}
@@ -138,7 +146,7 @@
 		v.path, v.body = "/configuration/update", rawOf(map[string]any{"version": number, "upsert": map[string]any{"routes": upsert}, "remove": map[string]any{"routes": remove}})
 	} else {
 		whole := map[string]any{
-			"version": number, "routes": routes, "services": p.services(), "limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+			"version": number, "routes": routes, "services": p.services(), "limits": p.limits(),
 		}
 		if tenants := p.f.tenantItems(); tenants != nil {
 			whole["tenants"] = tenants
