Bound the connections at every listener by one server with typed limits

Callers saw: a crowd that opens connections and sends nothing takes all descriptors of a process; then nobody else gets in, and the gateway reaches neither replicas nor control nodes. Red before: TestSilentConnections, 1,515 to 1,520 descriptors at each of the five listeners where 1,000 were allowed.

Cause: five http.Servers made by hand, none of which counted its connections; connections to replicas alone could take all but 400.

Change: internal/process/httpserver is the one server for the clients' listener, readiness, the control plane and both own interfaces. Each listener has a share of the descriptors less 200 and of the memory (platform/limits.go). A new connection beyond it closes the one that has given least: nothing sent, then head under way for longest, then body that doesn't move, then idle; never one whose request was read whole. A Read that gives net/http the end of a request decides that, under the lock that eviction takes. Sockets hold 16 KB unread (64 KB between nodes, and while a long body is read). The connections to replicas have half of the descriptors and a twentieth of the memory. Timeouts of heads are as before (one minute for clients, 5 s elsewhere); new ones end a body that doesn't move (a minute; 5 s elsewhere) and an answer of which nothing is taken for 30 s.

Measured: TestSilentConnections passes, 66 to 470 descriptors. Unread bytes behind a waiting request: 2 MB of 100 sockets, 11 before. TestSeededConnectionsKeepTheRules plays seeded connections, cut anywhere, against a plain model; FuzzHeadScannerAgreesWithServer holds the head scanner to net/http (936,000 inputs in 20 s, none differs).

--- a/internal/controlplane/controlnode/host.go
+++ b/internal/controlplane/controlnode/host.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -19,6 +18,7 @@
 	"petreltide/internal/controlplane/storage"
 	"petreltide/internal/process/actor"
 	"petreltide/internal/process/clock"
+	"petreltide/internal/process/httpserver"
 	"petreltide/internal/process/logring"
 )
 
@@ -105,6 +105,8 @@
 	replicas ReplicaTransport
 	// seeds are the addresses of control nodes to contact for discovery.
 	seeds atomic.Pointer[[]string]
+	// serverLimits bound what the callers of the own interface take.
+	serverLimits httpserver.Limits
 	// listeners serve additional interfaces; they must not change once Run has started.
 	listeners []Listener
 }
@@ -118,16 +120,19 @@
 // SetSeeds replaces the addresses used for discovery after those in the settings have changed.
 func (h *Host) SetSeeds(addrs []string) { h.seeds.Store(&addrs) }
 
+// SetServerLimits sets the limits of the host's own interface. It must be called before Run.
+func (h *Host) SetServerLimits(limits httpserver.Limits) { h.serverLimits = limits }
+
 // AddListener adds a listener; it must be called before Run.
 func (h *Host) AddListener(l Listener) { h.listeners = append(h.listeners, l) }
 
 // Run serves until ctx ends or a fatal error occurs. A disk that refuses writes or hangs does not end it.
 func (h *Host) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", h.settings.Listen)
+	server := httpserver.New(h.handler(), h.serverLimits)
+	listener, err := server.Listen(h.settings.Listen)
 	if err != nil {
 		return fault.New(fault.BadSettings, "listen", "%v", err)
 	}
-	server := &http.Server{Handler: h.handler(), ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = server.Serve(listener) }()
 	_ = level.Info(h.log).Log("msg", "started", "id", h.core.Node.Self().ID, "phase", string(h.core.Node.Phase()),
 		"disabled", h.settings.Disable.String())
--- a/internal/controlplane/controlnode/open.go
+++ b/internal/controlplane/controlnode/open.go
@@ -93,7 +93,7 @@
 		},
 	})
 	h := &Host{
-		settings: set, core: core, disk: opened.Store, ring: ring, log: logger,
+		settings: set, serverLimits: nativeLimits(set.MemoryMB), core: core, disk: opened.Store, ring: ring, log: logger,
 		replicaClient: rpc.Client(500, set.Listen), peerClient: rpc.NodeClient(peerDialTimeoutMs, set.Listen),
 		actor: actor.New(mailboxCapacity), persistQueue: newPersistQueue(),
 		retryTimer: func() <-chan time.Time { return time.After(diskRetryInterval) },
--- a/internal/dataplane/gateway/host.go
+++ b/internal/dataplane/gateway/host.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -19,6 +18,7 @@
 	"petreltide/internal/dataplane/scheduling"
 	"petreltide/internal/process/actor"
 	"petreltide/internal/process/clock"
+	"petreltide/internal/process/httpserver"
 	"petreltide/internal/process/logring"
 	"petreltide/internal/process/randomid"
 	"petreltide/internal/process/rpc"
@@ -99,6 +99,8 @@
 	quota *quota.Client
 	// admissions are the channels, by call ID, on which waiting goroutines receive the quota decision for their call.
 	admissions map[string]chan<- quota.Decision
+	// serverLimits bound what the callers of the own interface take.
+	serverLimits httpserver.Limits
 	// listeners does not change after Run has started.
 	listeners []Listener
 	// declared is closed once this gateway has a declaration.
@@ -154,7 +156,7 @@
 	attempts.Transport.(*http.Transport).DisableKeepAlives = true
 	attempts.Transport.(*http.Transport).ExpectContinueTimeout = continueTimeout
 	h := &Host{
-		settings: set, incarnation: incarnation, ring: ring, info: level.Info(logger), warn: level.Warn(logger), nodeClient: rpc.NodeClient(400, set.Listen), attemptClient: attempts,
+		settings: set, serverLimits: nativeLimits(set.MemoryMB), incarnation: incarnation, ring: ring, info: level.Info(logger), warn: level.Warn(logger), nodeClient: rpc.NodeClient(400, set.Listen), attemptClient: attempts,
 		decider: scheduling.New(scheduling.Options{
 			Gateway: set.Name, Incarnation: incarnation, Zone: set.Zone, QueueMax: set.MaxQueue,
 			RetryBudget: scheduling.RetryBudgetOptions{Ratio: set.RetryBudget.Ratio, Slack: set.RetryBudget.Slack, WindowUs: set.RetryBudget.WindowMs * clock.Ms},
@@ -176,16 +178,19 @@
 // SetConnectionCounter sets the function that returns the number of open connections by replica. It must be called before Run.
 func (h *Host) SetConnectionCounter(open func() map[string]int) { h.openConnections = open }
 
+// SetServerLimits sets the limits of the host's own interface. It must be called before Run.
+func (h *Host) SetServerLimits(limits httpserver.Limits) { h.serverLimits = limits }
+
 // AddListener adds a listener. It must be called before Run.
 func (h *Host) AddListener(l Listener) { h.listeners = append(h.listeners, l) }
 
 // Run serves until ctx is done, then drains: queued calls and open streams have up to DrainMs to end.
 func (h *Host) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", h.settings.Listen)
+	server := httpserver.New(h.handler(), h.serverLimits)
+	listener, err := server.Listen(h.settings.Listen)
 	if err != nil {
 		return fault.New(fault.BadSettings, "listen", "%v", err)
 	}
-	server := &http.Server{Handler: h.handler(), ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = server.Serve(listener) }()
 	interval := tickInterval
 	if h.informer != nil {
