Bound the memory of heads before they are parsed, over all connections

Callers saw: processes that ran out of memory.

Cause: a head was checked only after net/http had parsed it, up to 1 MiB each, and nothing added them up; parsed into short fields it takes many times its bytes.

--- a/internal/dataplane/gateway/limits.go
+++ b/internal/dataplane/gateway/limits.go
@@ -7,7 +7,7 @@
 )
 
 // nativeShare is the share of the machine that callers take at the own interface.
-var nativeShare = httpserver.Share{Descriptors: 0.5, Connections: 0.2, UnreadBytes: 64 << 10}
+var nativeShare = httpserver.Share{Descriptors: 0.5, Connections: 0.2, Heads: 0.08, UnreadBytes: 64 << 10}
 
 const (
 	// headTimeout bounds the time of a request's headers, bodyStallTimeout the time in which a byte of a body must come, bodyTimeout that of
@@ -21,7 +21,6 @@
 // nativeLimits returns the limits of the own interface on a machine with so much memory.
 func nativeLimits(memoryMB int) httpserver.Limits {
 	limits := nativeShare.Limits(httpserver.Machine{MemoryBytes: int64(memoryMB) << 20})
-	limits.MaxHeadBytes = httpserver.Constant(1 << 20)
 	limits.HeadTimeout = httpserver.Constant(headTimeout)
 	limits.BodyStallTimeout, limits.BodyTimeout, limits.WriteTimeout = bodyStallTimeout, bodyTimeout, writeTimeout
 	return limits
--- a/internal/process/httpserver/model_test.go
+++ b/internal/process/httpserver/model_test.go
@@ -25,7 +25,7 @@
 // drawRequest draws a request, of which the end may be missing.
 func drawRequest(r *rand.Rand, id string) *sentRequest {
 	body := strings.Repeat(id, r.Intn(3)*r.Intn(600))
-	head := fmt.Sprintf("POST /%d HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\n", r.Intn(2), id) + strings.Repeat("x:\r\n", r.Intn(40))
+	head := fmt.Sprintf("POST /%d HTTP/1.1\r\nHost: h\r\nX-Number: %s\r\n", r.Intn(2), id) + strings.Repeat("x:\r\n", r.Intn(40))
 	q := &sentRequest{id: id, body: body, whole: r.Intn(5) > 0}
 	if r.Intn(3) == 0 {
 		q.raw = head + "Transfer-Encoding: chunked\r\n\r\n"
@@ -91,7 +91,7 @@
 				w.WriteHeader(http.StatusServiceUnavailable)
 				return
 			}
-			id := r.Header.Get("Request-Id")
+			id := r.Header.Get("X-Number")
 			mu.Lock()
 			handled[id] = string(body)
 			times[id]++
