Bound the bodies of replicas, operators and nodes over all requests

Callers saw: a control node that twenty configurations or two hundred heartbeats, held open, take to several times its memory.

Cause: each body had a bound of its own (16 MiB, 1 MiB, 256 MiB), and nothing bounded them together.

--- a/internal/dataplane/gateway/limits.go
+++ b/internal/dataplane/gateway/limits.go
@@ -7,7 +7,7 @@
 )
 
 // nativeShare is the share of the machine that callers take at the own interface.
-var nativeShare = httpserver.Share{Descriptors: 0.5, Connections: 0.2, Heads: 0.08, UnreadBytes: 64 << 10}
+var nativeShare = httpserver.Share{Descriptors: 0.5, Connections: 0.2, Heads: 0.08, Bodies: 0.1, UnreadBytes: 64 << 10}
 
 const (
 	// headTimeout bounds the time of a request's headers, bodyStallTimeout the time in which a byte of a body must come, bodyTimeout that of
--- a/tests/platform/crowd/crowd_test.go
+++ b/tests/platform/crowd/crowd_test.go
@@ -253,6 +253,23 @@
 	withstand(t, crowd.HeldBodies("held declarations", 100, "PUT /v1/config?base=0", "", 4<<20-1), nodeOwn)
 }
 
+// Configurations that are sent whole are decoded, which takes many times their bytes.
+func TestWholeConfigurations(t *testing.T) {
+	skipIfShort(t)
+	withstand(t, crowd.WholeBodies("whole configurations", 10, "POST /configuration/replace", "Based-On-Version: 1\r\n", largeConfiguration(4<<20)), controlPlane)
+}
+
+// largeConfiguration is a configuration of so many bytes whose routes name a service that does not exist.
+func largeConfiguration(bytes int) []byte {
+	var b strings.Builder
+	b.WriteString(`{"version":1000000,"services":[],"limits":{},"routes":[{}`)
+	for n := 0; b.Len() < bytes; n++ {
+		fmt.Fprintf(&b, `,{"name":"r%d","hostName":"h.example","pathPrefix":"/p%d/","routeKind":"idempotent","timeoutMs":1000,"service":"none"}`, n, n)
+	}
+	b.WriteString("]}")
+	return []byte(b.String())
+}
+
 func TestAnswersNotRead(t *testing.T) {
 	skipIfShort(t)
 	withstand(t, crowd.UnreadAnswers("unread logs", 300, "/v1/log"), gatewayOwn, nodeOwn)
--- a/tests/platform/crowd/kinds.go
+++ b/tests/platform/crowd/kinds.go
@@ -54,6 +54,12 @@
 	return repeated(name, connections, Script{Start: head, Repeat: strings.Repeat("b", writeBytes), MaxBytes: len(head) + bytes - 1})
 }
 
+// WholeBodies are whole requests with the same body. request is the method and the target.
+func WholeBodies(name string, connections int, request, fields string, body []byte) Kind {
+	head := fmt.Sprintf("%s HTTP/1.1\r\nHost: crowd.example\r\n%sContent-Length: %d\r\n\r\n", request, fields, len(body))
+	return repeated(name, connections, Script{Start: head + string(body)})
+}
+
 // ChunkedBodies are bodies in chunks that are not ended. request is the method and the target.
 func ChunkedBodies(name string, connections int, request, fields string, bytes int) Kind {
 	head := fmt.Sprintf("%s HTTP/1.1\r\nHost: crowd.example\r\n%sTransfer-Encoding: chunked\r\n\r\n", request, fields)
