Bound what compressed messages of nodes take once they are expanded

Callers saw: ten messages of 200 KB at an own interface end a process.

Cause: a message could stand for 256 MiB, each, and connect's own decompression the same.

Change: the end of a gzip member states its size, so it is counted before anything is expanded; all messages that are decoded at the same time share a fifth of the memory. A message that is not as long as it states is not read. What is compressed in transit is refused: nodes compress before they send, and responses still are.

Why no node meets it: it is 57 MB on a gateway of 284 MB, and the largest message holds a configuration of 16 MiB at most.

--- a/internal/process/rpc/rpc.go
+++ b/internal/process/rpc/rpc.go
@@ -1,15 +1,11 @@
 package rpc
 
 import (
-	"bytes"
-	"compress/gzip"
 	"context"
 	"encoding/json"
-	"io"
 	"math"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -32,23 +28,14 @@
 	if len(raw) < 2 || raw[0] != 0x1f || raw[1] != 0x8b {
 		return json.Unmarshal(raw, v)
 	}
-	z := gzipReaders.Get().(*gzip.Reader)
-	defer gzipReaders.Put(z)
-	if err := z.Reset(bytes.NewReader(raw)); err != nil {
-		return err
-	}
-	bare, err := io.ReadAll(io.LimitReader(z, maxReadBytes+1))
+	bare, release, err := expansions.expand(raw)
+	defer release()
 	if err != nil {
 		return err
 	}
-	if len(bare) > maxReadBytes {
-		return connect.NewError(connect.CodeResourceExhausted, io.ErrShortBuffer)
-	}
 	return json.Unmarshal(bare, v)
 }
 
-var gzipReaders = sync.Pool{New: func() any { return new(gzip.Reader) }}
-
 // Paths of the procedures that control nodes and gateways serve to each other, and limits of messages in bytes.
 const (
 	BatchPath    = "/petreltide.Office/Post"
@@ -135,7 +122,7 @@
 			return nil, connect.NewError(connect.CodeUnavailable, err)
 		}
 		return connect.NewResponse(res), nil
-	}, connect.WithCodec(plain{}), connect.WithReadMaxBytes(maxReadBytes), connect.WithCompressMinBytes(minCompressBytes)))
+	}, connect.WithCodec(plain{}), responseCompression, connect.WithReadMaxBytes(maxReadBytes), connect.WithCompressMinBytes(minCompressBytes)))
 }
 
 // ServeStream registers the handler of a server-streaming procedure at a path. The stream ends when serve returns.
@@ -145,5 +132,5 @@
 			return connect.NewError(connect.CodeUnavailable, err)
 		}
 		return nil
-	}, append([]connect.HandlerOption{connect.WithCodec(plain{}), connect.WithReadMaxBytes(maxReadBytes), connect.WithCompressMinBytes(minCompressBytes)}, opts...)...))
+	}, append([]connect.HandlerOption{connect.WithCodec(plain{}), responseCompression, connect.WithReadMaxBytes(maxReadBytes), connect.WithCompressMinBytes(minCompressBytes)}, opts...)...))
 }
--- a/tests/platform/crowd/crowd_test.go
+++ b/tests/platform/crowd/crowd_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"compress/gzip"
 	"fmt"
 	"io"
 	"net"
@@ -270,6 +272,20 @@
 	return []byte(b.String())
 }
 
+// Messages between nodes may be compressed; a few bytes then stand for many.
+func TestCompressedMessages(t *testing.T) {
+	skipIfShort(t)
+	var packed bytes.Buffer
+	z := gzip.NewWriter(&packed)
+	for range 200 {
+		_, _ = z.Write(bytes.Repeat([]byte(" "), 1<<20))
+	}
+	_ = z.Close()
+	const fields = "Content-Type: application/json\r\n"
+	withstand(t, crowd.WholeBodies("compressed messages", 10, "POST /petreltide.Node/Beat", fields, packed.Bytes()), gatewayOwn, nodeOwn)
+	withstand(t, crowd.WholeBodies("messages compressed in transit", 10, "POST /petreltide.Node/Beat", fields+"Content-Encoding: gzip\r\n", packed.Bytes()), gatewayOwn, nodeOwn)
+}
+
 func TestAnswersNotRead(t *testing.T) {
 	skipIfShort(t)
 	withstand(t, crowd.UnreadAnswers("unread logs", 300, "/v1/log"), gatewayOwn, nodeOwn)
