Bound how many large answers are made and read at the same time

Callers saw: clients that ask for the state or the configuration and do not read the answers take a control node over its memory.

Cause: an answer stays in memory until its client has read it, and each is as large as the configuration; nothing counted them.

--- a/internal/controlplane/controlnode/handlers.go
+++ b/internal/controlplane/controlnode/handlers.go
@@ -11,6 +11,7 @@
 	"petreltide/internal/controlplane/statemachine"
 	"petreltide/internal/failuredetector"
 	"petreltide/internal/process/actor"
+	"petreltide/internal/process/httpserver"
 	"petreltide/internal/process/rpc"
 )
 
@@ -66,14 +67,15 @@
 		h.post(RoutedGatewayReport{Report: r})
 		return &wire.Ack{}, nil
 	})
-	mux.HandleFunc("GET /v1/config", h.handleGetConfig)
+	answers := httpserver.NewAnswerLimit(httpserver.MaxAnswers)
+	mux.HandleFunc("GET /v1/config", answers.Wrap(h.handleGetConfig))
 	mux.HandleFunc("PUT /v1/config", h.handlePutConfig)
 	mux.HandleFunc("PATCH /v1/config", h.handlePatchConfig)
 	mux.HandleFunc("POST /v1/zones/{zone}/{act}", h.handleZoneAction)
 	mux.HandleFunc("POST /v1/members/{name}/{act}", h.handleMemberAction)
-	mux.HandleFunc("GET /v1/status", h.handleGetStatus)
-	mux.HandleFunc("GET /v1/state", h.handleGetState)
-	mux.HandleFunc("GET /v1/log", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(h.ring.Bytes()) })
+	mux.HandleFunc("GET /v1/status", answers.Wrap(h.handleGetStatus))
+	mux.HandleFunc("GET /v1/state", answers.Wrap(h.handleGetState))
+	mux.HandleFunc("GET /v1/log", answers.Wrap(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(h.ring.Bytes()) }))
 	return mux
 }
 
--- a/internal/dataplane/gateway/handler.go
+++ b/internal/dataplane/gateway/handler.go
@@ -14,6 +14,7 @@
 	"petreltide/internal/dataplane/scheduling"
 	"petreltide/internal/process/actor"
 	"petreltide/internal/process/clock"
+	"petreltide/internal/process/httpserver"
 	"petreltide/internal/process/rpc"
 )
 
@@ -41,9 +42,10 @@
 func (h *Host) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/calls", h.serveCall)
-	mux.HandleFunc("GET /v1/status", h.status)
+	answers := httpserver.NewAnswerLimit(httpserver.MaxAnswers)
+	mux.HandleFunc("GET /v1/status", answers.Wrap(h.status))
 	mux.HandleFunc("GET /v1/ready", h.ready)
-	mux.HandleFunc("GET /v1/log", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(h.ring.Bytes()) })
+	mux.HandleFunc("GET /v1/log", answers.Wrap(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(h.ring.Bytes()) }))
 	rpc.Serve(mux, rpc.WherePath, func(context.Context, *wire.MembershipRequest) (*wire.MembershipResponse, error) {
 		if w := h.membership.Load(); w != nil {
 			return w, nil
--- a/internal/process/httpserver/connection.go
+++ b/internal/process/httpserver/connection.go
@@ -318,6 +318,15 @@
 	}
 }
 
+// stalledTicks returns for how many sweeps the write that is under way has lasted, 0 if there is none.
+func (c *connection) stalledTicks() int64 {
+	began := c.writeTick.Load()
+	if began == 0 {
+		return 0
+	}
+	return c.server.tick.Load() - began
+}
+
 // CloseWrite ends the sending side, so that the client can read the last response before the connection is closed.
 func (c *connection) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/process/httpserver/sweep.go
+++ b/internal/process/httpserver/sweep.go
@@ -40,10 +40,8 @@
 
 // exceedsTimeout reports whether a connection has exceeded a timeout of its state.
 func (s *Server) exceedsTimeout(c *connection, now time.Time) (state, bool) {
-	if began := c.writeTick.Load(); began > 0 && s.limits.WriteTimeout > 0 {
-		if time.Duration(s.tick.Load()-began)*sweepInterval > s.limits.WriteTimeout {
-			return stateServing, true
-		}
+	if s.limits.WriteTimeout > 0 && time.Duration(c.stalledTicks())*sweepInterval > s.limits.WriteTimeout {
+		return stateServing, true
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/tests/platform/crowd/crowd_test.go
+++ b/tests/platform/crowd/crowd_test.go
@@ -64,10 +64,11 @@
 }
 
 // startFleet starts a fleet with one gateway whose processes have the limits of these tests.
-func startFleet(t *testing.T, petreltide string, limits map[string]any) *fleet.Fleet {
+func startFleet(t *testing.T, plan fleet.Plan) *fleet.Fleet {
 	t.Helper()
-	f, err := fleet.New(fleet.Plan{Petreltide: petreltide, Folder: folder(t), ControlNodes: 3, Gateways: 1, Cards: 1, Logs: 1, Seed: 1,
-		MemoryMB: memoryMB, Descriptors: descriptors, Limits: limits})
+	plan.Folder, plan.ControlNodes, plan.Gateways, plan.Cards, plan.Logs, plan.Seed = folder(t), 3, 1, 1, 1, 1
+	plan.MemoryMB, plan.Descriptors = memoryMB, descriptors
+	f, err := fleet.New(plan)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -83,10 +84,16 @@
 // after it has gone.
 func withstand(t *testing.T, kind crowd.Kind, targets ...target) {
 	t.Helper()
-	petreltide := program(t)
+	withstandWith(t, fleet.Plan{}, kind, targets...)
+}
+
+// withstandWith is withstand on fleets of a plan.
+func withstandWith(t *testing.T, plan fleet.Plan, kind crowd.Kind, targets ...target) {
+	t.Helper()
+	plan.Petreltide = program(t)
 	for _, at := range targets {
 		t.Run(strings.ReplaceAll(kind.Name+" at "+at.name, " ", "_"), func(t *testing.T) {
-			f := startFleet(t, petreltide, nil)
+			f := startFleet(t, plan)
 			p := at.process(f)
 			calm := peakResidentBytes(p.PID)
 			seen := watch(p)
@@ -293,6 +300,15 @@
 	withstand(t, crowd.UnreadAnswers("unread configurations", 300, "/configuration/read"), controlPlane)
 }
 
+// Answers that are large and not read stay in the memory of the process that made them.
+func TestLargeAnswersNotRead(t *testing.T) {
+	skipIfShort(t)
+	large := fleet.Plan{MoreRoutes: 3000}
+	withstandWith(t, large, crowd.UnreadAnswers("large configurations", 300, "/configuration/read"), controlPlane)
+	withstandWith(t, large, crowd.UnreadAnswers("large states", 300, "/v1/state"), nodeOwn)
+	withstandWith(t, large, crowd.UnreadAnswers("large declarations", 300, "/v1/config"), nodeOwn)
+}
+
 func TestNamesThatNobodyDeclared(t *testing.T) {
 	skipIfShort(t)
 	withstand(t, crowd.NewNames(300, 30, "cards.example", "/deck/1f"), clients)
--- a/tests/platform/crowd/within_test.go
+++ b/tests/platform/crowd/within_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"petreltide/tests/platform/fleet"
 )
 
 // margin is what a client inside the limits keeps between itself and a limit of time.
@@ -27,8 +29,8 @@
 		"large": {256 << 10, 8 << 20, 8 * time.Second, 20 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := startFleet(t, petreltide, map[string]any{"maxHeaderBytes": limits.headerBytes, "maxBodyBytes": limits.bodyBytes,
-				"headerTimeoutMs": limits.headerTime.Milliseconds(), "idleTimeoutMs": limits.idleTime.Milliseconds()})
+			f := startFleet(t, fleet.Plan{Petreltide: petreltide, Limits: map[string]any{"maxHeaderBytes": limits.headerBytes, "maxBodyBytes": limits.bodyBytes,
+				"headerTimeoutMs": limits.headerTime.Milliseconds(), "idleTimeoutMs": limits.idleTime.Milliseconds()}})
 			address := gateway(f).Clients
 			for _, field := range []string{"x%05x:\r\n", "x%05x: v\r\n", "x%05x: " + strings.Repeat("v", 500) + "\r\n"} {
 				raw := headOf(limits.headerBytes, field)
--- a/tests/platform/fleet/fleet.go
+++ b/tests/platform/fleet/fleet.go
@@ -59,8 +59,10 @@
 	// MemoryMB and Descriptors are the limits in the settings of each process; 0 stands for those of a usual machine.
 	MemoryMB    int
 	Descriptors int
-	// Limits are those of the first configuration; nil stands for the usual ones.
+	// Limits are those of every configuration; nil stands for the usual ones.
 	Limits map[string]any
+	// MoreRoutes is the number of routes that every configuration has beside those of the requests.
+	MoreRoutes int
 }
 
 const (
--- a/tests/platform/fleet/operators.go
+++ b/tests/platform/fleet/operators.go
@@ -65,6 +65,9 @@
 		r["resumable"] = k.resumable
 		routes = append(routes, r)
 	}
+	for n := range p.f.plan.MoreRoutes {
+		routes = append(routes, p.routeOf(fmt.Sprintf("more-%d", n), "more.example", fmt.Sprintf("/more%d/", n), "idempotent", 2*time.Second, 2, "log"))
+	}
 	number := p.draw()
 	return p.version(number, nil, append(routes, p.mark(number)), nil, nil, true)
 }
