--- a/internal/controlplane/controlnode/handlers.go
+++ b/internal/controlplane/controlnode/handlers.go
@@ -73,12 +73,18 @@
 	mux.HandleFunc("PATCH /v1/config", h.handlePatchConfig)
 	mux.HandleFunc("POST /v1/zones/{zone}/{act}", h.handleZoneAction)
 	mux.HandleFunc("POST /v1/members/{name}/{act}", h.handleMemberAction)
+	mux.HandleFunc("GET /v1/connections", h.handleGetConnections)
 	mux.HandleFunc("GET /v1/status", answers.Wrap(h.handleGetStatus))
 	mux.HandleFunc("GET /v1/state", answers.Wrap(h.handleGetState))
 	mux.HandleFunc("GET /v1/log", answers.Wrap(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(h.ring.Bytes()) }))
 	return mux
 }
 
+// handleGetConnections answers with what the callers of each listener hold.
+func (h *Host) handleGetConnections(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, append(httpserver.Reports(h.listeners), h.server.Status()))
+}
+
 // serveQuota answers a gateway's request for permission to run requests of rate-limited tenants.
 func (h *Host) serveQuota(ctx context.Context, request *wire.QuotaRequest) (*wire.QuotaResponse, error) {
 	reply := make(chan wire.QuotaResponse, 1)
--- a/internal/controlplane/controlnode/host.go
+++ b/internal/controlplane/controlnode/host.go
@@ -107,6 +107,8 @@
 	seeds atomic.Pointer[[]string]
 	// serverLimits bound what the callers of the own interface take.
 	serverLimits httpserver.Limits
+	// server serves the own interface once Run has started.
+	server *httpserver.Server
 	// listeners serve additional interfaces; they must not change once Run has started.
 	listeners []Listener
 }
@@ -129,6 +131,7 @@
 // Run serves until ctx ends or a fatal error occurs. A disk that refuses writes or hangs does not end it.
 func (h *Host) Run(ctx context.Context) error {
 	server := httpserver.New(h.handler(), h.serverLimits)
+	h.server = server
 	listener, err := server.Listen(h.settings.Listen)
 	if err != nil {
 		return fault.New(fault.BadSettings, "listen", "%v", err)
--- a/internal/dataplane/gateway/handler.go
+++ b/internal/dataplane/gateway/handler.go
@@ -44,6 +44,7 @@
 	mux.HandleFunc("POST /v1/calls", h.serveCall)
 	answers := httpserver.NewAnswerLimit(httpserver.MaxAnswers)
 	mux.HandleFunc("GET /v1/status", answers.Wrap(h.status))
+	mux.HandleFunc("GET /v1/connections", h.connections)
 	mux.HandleFunc("GET /v1/ready", h.ready)
 	mux.HandleFunc("GET /v1/log", answers.Wrap(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(h.ring.Bytes()) }))
 	rpc.Serve(mux, rpc.WherePath, func(context.Context, *wire.MembershipRequest) (*wire.MembershipResponse, error) {
@@ -79,6 +80,12 @@
 	_ = json.NewEncoder(w).Encode(st)
 }
 
+// connections handles GET /v1/connections: what the callers of each listener hold.
+func (h *Host) connections(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(append(httpserver.Reports(h.listeners), h.server.Status()))
+}
+
 // ready handles GET /v1/ready, the readiness check of load balancers.
 func (h *Host) ready(w http.ResponseWriter, _ *http.Request) {
 	f, executed := actor.Ask(h.act.Ctx, h.act, func() *fault.Fault { return h.decider.Ready(clock.NowUs()) })
--- a/internal/dataplane/gateway/host.go
+++ b/internal/dataplane/gateway/host.go
@@ -101,6 +101,8 @@
 	admissions map[string]chan<- quota.Decision
 	// serverLimits bound what the callers of the own interface take.
 	serverLimits httpserver.Limits
+	// server serves the own interface once Run has started.
+	server *httpserver.Server
 	// listeners does not change after Run has started.
 	listeners []Listener
 	// declared is closed once this gateway has a declaration.
@@ -187,6 +189,7 @@
 // Run serves until ctx is done, then drains: queued calls and open streams have up to DrainMs to end.
 func (h *Host) Run(ctx context.Context) error {
 	server := httpserver.New(h.handler(), h.serverLimits)
+	h.server = server
 	listener, err := server.Listen(h.settings.Listen)
 	if err != nil {
 		return fault.New(fault.BadSettings, "listen", "%v", err)
--- a/internal/process/httpserver/status.go
+++ b/internal/process/httpserver/status.go
@@ -2,6 +2,8 @@
 
 // Status is what a server holds now, and what it has closed and refused since it began.
 type Status struct {
+	// Address is the address that the server listens on.
+	Address string `json:"address"`
 	// Connections counts the open connections by state, of MaxConnections.
 	Connections    map[string]int `json:"connections"`
 	MaxConnections int            `json:"maxConnections"`
@@ -32,6 +34,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.listener != nil {
+		out.Address = s.listener.Addr().String()
+	}
 	out.HeldHeadBytes, out.HeldBodyBytes = s.heldHeadBytes, s.heldBodyBytes
 	for c := range s.connections {
 		c.mu.Lock()
@@ -41,6 +46,20 @@
 	return out
 }
 
+// Reporter is a listener that reports what it holds.
+type Reporter interface{ Status() Status }
+
+// Reports returns what those of listeners hold that report it.
+func Reports[L any](listeners []L) []Status {
+	out := []Status{}
+	for _, l := range listeners {
+		if reporter, ok := any(l).(Reporter); ok {
+			out = append(out, reporter.Status())
+		}
+	}
+	return out
+}
+
 // addCount adds a count that is not 0 to counts.
 func addCount(counts map[string]uint64, name string, n uint64) {
 	if n > 0 {
--- a/tests/platform/fleet/day.go
+++ b/tests/platform/fleet/day.go
@@ -287,6 +287,7 @@
 	"garbling-replica":    func(_ context.Context, f *Fleet) error { f.garble(); return nil },
 	"malformed-replica":   func(_ context.Context, f *Fleet) error { f.sendMalformed(); return nil },
 	"hot-tenant":          func(ctx context.Context, f *Fleet) error { f.hot(ctx); return nil },
+	"crowd":               func(ctx context.Context, f *Fleet) error { f.crowd(ctx); return nil },
 	"ill-replica":         func(_ context.Context, f *Fleet) error { f.ill(); return nil },
 }
 
