Fit the shares of the machine to their sum, and leave room for responses

Cause: the sum of the bounds, with what a body takes besides itself while it is copied or decoded, was above the memory of a machine of 160 MB. With the smaller bound of bodies the held-body crowds showed another fault: they fill it to the last bytes, an ordinary request still fits, runs, and gets 502, since its response finds no room. Red in TestBodiesHeldOpen, three of its crowds, 40 tries each (it had passed by what was left by chance).

Change: bodies and responses of a gateway's clients share an eighth of the memory, a sixth before, of which a quarter is left to responses; a refusal of a request is a promise, a response without room isn't.

--- a/internal/dataplane/gateway/memory.go
+++ b/internal/dataplane/gateway/memory.go
@@ -18,15 +18,25 @@
 
 // MeteredReader counts the bytes read by one call against a MemoryLimit until Release.
 type MeteredReader struct {
-	limit    *MemoryLimit
-	reader   io.Reader
+	limit  *MemoryLimit
+	reader io.Reader
+	// maxBytes is what all calls may hold for this one to go on; 0 means no limit.
+	maxBytes int64
 	reserved int64
 	sinceUs  int64
 }
 
-// Meter returns a reader that counts the bytes read from reader against the limit.
+// Meter returns a reader that counts the bytes read from reader, the body of a response, against the limit.
 func (l *MemoryLimit) Meter(reader io.Reader) *MeteredReader {
-	return &MeteredReader{limit: l, reader: reader, sinceUs: clock.NowUs()}
+	return &MeteredReader{limit: l, reader: reader, maxBytes: l.MaxBytes, sinceUs: clock.NowUs()}
+}
+
+// MeterRequest is Meter for the body of a request. A part of the limit is left to responses: a request that is refused has not run, but
+// one whose response finds no room has.
+func (l *MemoryLimit) MeterRequest(reader io.Reader) *MeteredReader {
+	r := l.Meter(reader)
+	r.maxBytes -= r.maxBytes / responseReserveDivisor
+	return r
 }
 
 // Read fails with fault.Overloaded if the bytes held by all calls exceed the limit. The retry delay is the time for which bodies are
@@ -34,8 +44,8 @@
 func (r *MeteredReader) Read(into []byte) (int, error) {
 	n, err := r.reader.Read(into)
 	r.reserved += int64(n)
-	if used := r.limit.used.Add(int64(n)); n > 0 && r.limit.MaxBytes > 0 && used > r.limit.MaxBytes {
-		f := fault.New(fault.Overloaded, "", "bodies of all calls exceed %d bytes", r.limit.MaxBytes)
+	if used := r.limit.used.Add(int64(n)); n > 0 && r.maxBytes > 0 && used > r.maxBytes {
+		f := fault.New(fault.Overloaded, "", "bodies of all calls exceed %d bytes", r.maxBytes)
 		f.RetryMs = max(1, r.limit.heldUs.Load()/clock.Ms)
 		return n, f
 	}
@@ -58,9 +68,11 @@
 }
 
 const (
-	// memoryDivisor is the divisor of the process's memory that yields MemoryLimit.MaxBytes. Reading a whole body briefly takes
-	// twice its size.
-	memoryDivisor = 6
+	// memoryDivisor is the divisor of the process's memory that yields MemoryLimit.MaxBytes. A body takes twice its size while it is read
+	// and while it is sent to a replica.
+	memoryDivisor = 8
+	// responseReserveDivisor is the divisor of MemoryLimit.MaxBytes that yields what is left to responses.
+	responseReserveDivisor = 4
 	// holdSmoothing divides the weight of the newest observation in the moving average of MemoryLimit.
 	holdSmoothing = 16
 )
