Follow requests that net/http would answer itself

Found by review of the server: net/http answers OPTIONS * without calling the handler, so the connection's count was lost: the body of such a request was taken for the next head, and one that looks like a whole head let anything behind it pass uncounted, up to 1 MiB each.

Change: such a request goes to the handler as any other. And a connection on which more has been read than net/http can hold beyond the request that it serves is closed. Test: TestRequestForAllOptionsIsFollowed.

--- a/internal/process/httpserver/connection.go
+++ b/internal/process/httpserver/connection.go
@@ -88,7 +88,7 @@
 	case stateBody:
 		c.takeBody(raw)
 	case stateServing:
-		c.surplus = append(c.surplus, raw...)
+		c.takeSurplus(raw)
 	}
 	c.mu.Unlock()
 	if refused == refusalNone && cost > 0 {
@@ -100,6 +100,15 @@
 	return len(raw), err
 }
 
+// takeSurplus keeps the beginning of the next request. More than net/http can hold means that it no longer serves the request that this
+// connection follows, so that nothing more may be read. The caller holds mu.
+func (c *connection) takeSurplus(raw []byte) {
+	c.surplus = append(c.surplus, raw...)
+	if len(c.surplus) > maxSurplusBytes {
+		c.surplus, c.evicted = nil, true
+	}
+}
+
 // handOver decides whether net/http gets the bytes that were read last. If it gets the end of a head, the request is going to be served.
 func (c *connection) handOver(refused refusal) bool {
 	c.mu.Lock()
--- a/internal/process/httpserver/limits.go
+++ b/internal/process/httpserver/limits.go
@@ -11,6 +11,8 @@
 	// readAheadBytes is the size of net/http's read buffer: the server may have been given so many bytes beyond a head's limit before
 	// the end of the head is seen.
 	readAheadBytes = 4 << 10
+	// maxSurplusBytes is more than net/http reads beyond the request that it serves: its buffer, and a byte.
+	maxSurplusBytes = 2 * readAheadBytes
 	// fieldCostBytes is what one parsed field takes beside its bytes: the entry in the map, the slice, and the copy that is forwarded.
 	fieldCostBytes = 200
 	// defaultUnreadBytes bounds what a socket holds for the server to read if Limits set no other bound.
--- a/internal/process/httpserver/server.go
+++ b/internal/process/httpserver/server.go
@@ -46,6 +46,8 @@
 	s.http = &http.Server{
 		Handler:        http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(handler, w, r) }),
 		MaxHeaderBytes: maxHeadBytes,
+		// Every request has to pass serve, which follows its connection.
+		DisableGeneralOptionsHandler: true,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
 			return context.WithValue(ctx, connectionKey{}, conn)
 		},
--- a/internal/process/httpserver/server_test.go
+++ b/internal/process/httpserver/server_test.go
@@ -279,6 +279,21 @@
 	awaitNothingHeld(t, s)
 }
 
+// No request goes around the count: one that net/http would answer itself is followed as any other, with what comes behind it.
+func TestRequestForAllOptionsIsFollowed(t *testing.T) {
+	s, address := startServer(t, Limits{MaxHeadBytes: Constant(1000)}, echo)
+	c := dial(t, address)
+	c.write("OPTIONS * HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nx\r\n\r\n")
+	if status, body := c.read(); status != http.StatusOK || body != "x\r\n\r\n" {
+		t.Errorf("OPTIONS *: got status %d, body %q, want %d and the body", status, body, http.StatusOK)
+	}
+	awaitState(t, s, stateIdle, 1)
+	c.write(halfHead + "X: " + strings.Repeat("v", 1000+readAheadBytes))
+	if status, _ := c.read(); status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("head beyond the limit behind it: got status %d, want %d", status, http.StatusRequestHeaderFieldsTooLarge)
+	}
+}
+
 // awaitNothingHeld waits until no connection is open, and checks that nothing is counted any more.
 func awaitNothingHeld(t *testing.T, s *Server) {
 	t.Helper()
