Let heads that are served leave room for ordinary ones

Cause: a head that is served does not give way. Some fifty requests inside the limits, each with a head of 16 KB in short fields, for a model that is waited for, took all the memory of heads; everybody else got 503 as long as they waited.

Change: beside others that take more than a tenth of that memory, a head is only served if it takes a sixteenth of what is free at most, or else gets 503 with Retry-After before anything of it has run. In calm any head inside the limits is served.

Why no client inside the limits meets it in calm: at 160 MB an ordinary head counts for 3 KB of 13 MB.

Test: TestLargeHeadsLeaveRoomForOrdinaryOnes.

--- a/internal/process/httpserver/connection.go
+++ b/internal/process/httpserver/connection.go
@@ -90,10 +90,14 @@
 	case stateServing:
 		c.takeSurplus(raw)
 	}
+	complete := c.state == stateHead && c.head.complete
 	c.mu.Unlock()
 	if refused == refusalNone && cost > 0 {
 		refused = c.server.holdHead(c, cost)
 	}
+	if refused == refusalNone && complete && !c.server.servesHead(c) {
+		refused = refusalHeadsFull
+	}
 	if !c.handOver(refused) {
 		return 0, io.EOF
 	}
--- a/internal/process/httpserver/eviction.go
+++ b/internal/process/httpserver/eviction.go
@@ -57,6 +57,20 @@
 	return refusalNone
 }
 
+// servesHead reports whether a request whose head is whole may be served. A head that is served does not give way, so a large one is only
+// served while the others take little, or if it takes a small part of what is free: ordinary heads find room beside any number of large ones.
+func (s *Server) servesHead(c *connection) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limit := s.limits.MaxHeldHeadBytes
+	others := s.heldHeadBytes - c.heldHeadBytes
+	if limit == 0 || others == 0 {
+		return true
+	}
+	free := limit - others
+	return c.heldHeadBytes <= free/freeHeadDivisor || others <= limit/calmDivisor && c.heldHeadBytes <= free
+}
+
 // headHolders are the states in which a connection holds a head and may be closed.
 var headHolders = []state{stateHead, stateBody}
 
--- a/internal/process/httpserver/server_test.go
+++ b/internal/process/httpserver/server_test.go
@@ -279,6 +279,45 @@
 	awaitNothingHeld(t, s)
 }
 
+// However many large heads are served at the same time, an ordinary one finds room.
+func TestLargeHeadsLeaveRoomForOrdinaryOnes(t *testing.T) {
+	finish := make(chan struct{})
+	s, address := startServer(t, Limits{MaxHeldHeadBytes: 1_000_000}, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			<-finish
+		}
+	})
+	defer close(finish)
+	large := "GET /wait HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("x:\r\n", 250) + "\r\n"
+	waiting := 0
+	for range 30 {
+		c := dial(t, address)
+		before := s.Status().Refusals[refusalHeadsFull.String()]
+		c.write(large)
+		for end := time.Now().Add(testTimeout); ; <-time.After(time.Millisecond) {
+			held := s.Status()
+			if held.Connections[stateServing.String()] > waiting {
+				waiting++
+				break
+			}
+			if held.Refusals[refusalHeadsFull.String()] > before {
+				break
+			}
+			if time.Now().After(end) {
+				t.Fatal("a large head is neither served nor refused")
+			}
+		}
+	}
+	if waiting == 0 || waiting == 30 {
+		t.Errorf("large heads served: got %d of 30, want some", waiting)
+	}
+	ordinary := dial(t, address)
+	ordinary.write("GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("x:\r\n", 10) + "\r\n")
+	if status, _ := ordinary.read(); status != http.StatusOK {
+		t.Errorf("ordinary head beside %d large ones: got status %d, want %d", waiting, status, http.StatusOK)
+	}
+}
+
 // No request goes around the count: one that net/http would answer itself is followed as any other, with what comes behind it.
 func TestRequestForAllOptionsIsFollowed(t *testing.T) {
 	s, address := startServer(t, Limits{MaxHeadBytes: Constant(1000)}, echo)
