Let bodies that have come whole leave room for ordinary requests

Cause: a body that has come whole does not give way. A handful of requests inside the limits with 4 MB each, for a model that is waited for, took all the memory of bodies; everybody else got 503 as long as they waited.

Change: beside others that take more than a tenth of that memory, a body may take an eighth of what is free at most, or else gets its 503. In calm any body inside the limits is read.

Tests: TestLargeBodiesLeaveRoomForOrdinaryRequests; TestBodyThatDoesNotMoveGivesWay asks for its room with a larger body now, as a small one finds room anyway, and checks that it was refused first. TestBodiesHeldOpen and TestRequestsAtTheLimitsAreServed pass.

--- a/internal/dataplane/gateway/memory.go
+++ b/internal/dataplane/gateway/memory.go
@@ -20,8 +20,10 @@
 type MeteredReader struct {
 	limit  *MemoryLimit
 	reader io.Reader
-	// maxBytes is what all calls may hold for this one to go on; 0 means no limit.
+	// maxBytes is what all calls may hold for this one to go on; 0 means no limit. yields means that the call may take only a small part
+	// of what is free, unless the others take little.
 	maxBytes int64
+	yields   bool
 	reserved int64
 	sinceUs  int64
 }
@@ -36,6 +38,7 @@
 func (l *MemoryLimit) MeterRequest(reader io.Reader) *MeteredReader {
 	r := l.Meter(reader)
 	r.maxBytes -= r.maxBytes / responseReserveDivisor
+	r.yields = true
 	return r
 }
 
@@ -44,7 +47,7 @@
 func (r *MeteredReader) Read(into []byte) (int, error) {
 	n, err := r.reader.Read(into)
 	r.reserved += int64(n)
-	if used := r.limit.used.Add(int64(n)); n > 0 && r.maxBytes > 0 && used > r.maxBytes {
+	if used := r.limit.used.Add(int64(n)); n > 0 && r.maxBytes > 0 && !r.fits(used) {
 		f := fault.New(fault.Overloaded, "", "bodies of all calls exceed %d bytes", r.maxBytes)
 		f.RetryMs = max(1, r.limit.heldUs.Load()/clock.Ms)
 		return n, f
@@ -52,6 +55,15 @@
 	return n, err
 }
 
+// fits reports whether the call may go on, given the bytes that all calls hold. Ordinary bodies find room beside any number of large ones.
+func (r *MeteredReader) fits(used int64) bool {
+	others := used - r.reserved
+	if used > r.maxBytes {
+		return false
+	}
+	return !r.yields || others <= r.maxBytes/calmDivisor || r.reserved <= (r.maxBytes-others)/freeBodyDivisor
+}
+
 // Release returns the call's bytes to the limit.
 func (r *MeteredReader) Release() {
 	r.limit.used.Add(-r.reserved)
@@ -71,6 +83,10 @@
 	// memoryDivisor is the divisor of the process's memory that yields MemoryLimit.MaxBytes. A body takes twice its size while it is read
 	// and while it is sent to a replica.
 	memoryDivisor = 8
+	// freeBodyDivisor is the divisor of the free memory that yields the largest body of a request that fits in any case. calmDivisor is
+	// that of all memory of requests which yields what the others may take for any body that there is room for.
+	freeBodyDivisor = 8
+	calmDivisor     = 10
 	// responseReserveDivisor is the divisor of MemoryLimit.MaxBytes that yields what is left to responses.
 	responseReserveDivisor = 4
 	// holdSmoothing divides the weight of the newest observation in the moving average of MemoryLimit.
