--- a/internal/process/httpserver/server_test.go
+++ b/internal/process/httpserver/server_test.go
@@ -454,3 +454,22 @@
 		}
 	}
 }
+
+// A body in chunks may be whole as soon as nothing more of it is asked for: net/http reads a single byte while the request is served.
+func TestChunkedBodyGivesWayOnlyWhileMoreOfItIsAwaited(t *testing.T) {
+	c := &connection{server: New(http.NotFoundHandler(), Limits{}), state: stateBody, missingBodyBytes: unknownLength}
+	for _, step := range []struct {
+		readBytes int
+		want      bool
+	}{{0, false}, {readAheadBytes, true}, {1, false}} {
+		if step.readBytes > 0 {
+			c.beginRead(step.readBytes)
+		}
+		if got := c.mayEvict(stateBody); got != step.want {
+			t.Errorf("may be closed while %d bytes are asked for: got %v, want %v", step.readBytes, got, step.want)
+		}
+	}
+	if c.endBody(); c.mayEvict(stateServing) {
+		t.Error("may be closed after the body has been read whole: got true, want false")
+	}
+}
