--- a/internal/controlplane/controlnode/open.go
+++ b/internal/controlplane/controlnode/open.go
@@ -18,6 +18,7 @@
 	"petreltide/internal/controlplane/storage"
 	"petreltide/internal/process/actor"
 	"petreltide/internal/process/clock"
+	"petreltide/internal/process/httpserver"
 	"petreltide/internal/process/logring"
 	"petreltide/internal/process/randomid"
 	"petreltide/internal/process/rpc"
@@ -93,7 +94,7 @@
 		},
 	})
 	h := &Host{
-		settings: set, serverLimits: nativeLimits(set.MemoryMB), core: core, disk: opened.Store, ring: ring, log: logger,
+		settings: set, serverLimits: httpserver.SoleLimits(httpserver.Machine{MemoryBytes: int64(set.MemoryMB) << 20}), core: core, disk: opened.Store, ring: ring, log: logger,
 		replicaClient: rpc.Client(500, set.Listen), peerClient: rpc.NodeClient(peerDialTimeoutMs, set.Listen),
 		actor: actor.New(mailboxCapacity), persistQueue: newPersistQueue(),
 		retryTimer: func() <-chan time.Time { return time.After(diskRetryInterval) },
--- a/internal/dataplane/gateway/host.go
+++ b/internal/dataplane/gateway/host.go
@@ -158,7 +158,7 @@
 	attempts.Transport.(*http.Transport).DisableKeepAlives = true
 	attempts.Transport.(*http.Transport).ExpectContinueTimeout = continueTimeout
 	h := &Host{
-		settings: set, serverLimits: nativeLimits(set.MemoryMB), incarnation: incarnation, ring: ring, info: level.Info(logger), warn: level.Warn(logger), nodeClient: rpc.NodeClient(400, set.Listen), attemptClient: attempts,
+		settings: set, serverLimits: httpserver.SoleLimits(httpserver.Machine{MemoryBytes: int64(set.MemoryMB) << 20}), incarnation: incarnation, ring: ring, info: level.Info(logger), warn: level.Warn(logger), nodeClient: rpc.NodeClient(400, set.Listen), attemptClient: attempts,
 		decider: scheduling.New(scheduling.Options{
 			Gateway: set.Name, Incarnation: incarnation, Zone: set.Zone, QueueMax: set.MaxQueue,
 			RetryBudget: scheduling.RetryBudgetOptions{Ratio: set.RetryBudget.Ratio, Slack: set.RetryBudget.Slack, WindowUs: set.RetryBudget.WindowMs * clock.Ms},
