Do not let a head that is whole give way while its memory is counted

Callers saw: beside a crowd of heads of many short fields, requests that had come whole were cut without an answer after 0.2 to 0.75 s.

Cause: the state of a whole head changed only after its memory was counted. While its connection waited for that, behind hundreds of others, newer heads came, and it was the one under way for longest. None of these requests had reached a replica.

Change: a head counts as whole with its last byte. It is then served or refused, never closed.

Test: TestWholeHeadDoesNotGiveWay.

--- a/internal/process/httpserver/connection.go
+++ b/internal/process/httpserver/connection.go
@@ -90,7 +90,7 @@
 	case stateServing:
 		c.takeSurplus(raw)
 	}
-	complete := c.state == stateHead && c.head.complete
+	complete := cost > 0 && c.head.complete
 	c.mu.Unlock()
 	if refused == refusalNone && cost > 0 {
 		refused = c.server.holdHead(c, cost)
@@ -113,7 +113,7 @@
 	}
 }
 
-// handOver decides whether net/http gets the bytes that were read last. If it gets the end of a head, the request is going to be served.
+// handOver decides whether net/http gets the bytes that were read last.
 func (c *connection) handOver(refused refusal) bool {
 	c.mu.Lock()
 	evicted := c.evicted
@@ -121,8 +121,6 @@
 	case evicted:
 	case refused != refusalNone:
 		c.setState(stateRefused)
-	case c.state == stateHead && c.head.complete:
-		c.setState(stateServing)
 	}
 	c.mu.Unlock()
 	if evicted {
@@ -135,7 +133,8 @@
 	return true
 }
 
-// takeHead scans bytes of a head and returns by how much the head's memory grows. The caller holds mu.
+// takeHead scans bytes of a head and returns by how much the head's memory grows. A head that is whole is going to be served or refused:
+// from now on it doesn't give way to others, however long it has to wait for its memory to be counted. The caller holds mu.
 func (c *connection) takeHead(raw []byte) (cost int64, refused refusal) {
 	if c.state != stateHead {
 		c.setState(stateHead)
@@ -146,6 +145,9 @@
 	if !c.head.complete && c.head.bytes > c.server.limits.maxHeadBytes()+readAheadBytes {
 		return 0, refusalHeadTooLarge
 	}
+	if c.head.complete {
+		c.setState(stateServing)
+	}
 	return c.head.cost() - before, refusalNone
 }
 
@@ -218,9 +220,6 @@
 	if len(next) > 0 {
 		cost, _ = c.takeHead(next)
 	}
-	if c.head.complete {
-		c.setState(stateServing)
-	}
 	c.mu.Unlock()
 	if cost > 0 {
 		_ = c.server.holdHead(c, cost)
--- a/internal/process/httpserver/server_test.go
+++ b/internal/process/httpserver/server_test.go
@@ -473,3 +473,14 @@
 		t.Error("may be closed after the body has been read whole: got true, want false")
 	}
 }
+
+// A head that is whole does not give way while its connection waits for its memory to be counted: others may begin theirs meanwhile.
+func TestWholeHeadDoesNotGiveWay(t *testing.T) {
+	for raw, want := range map[string]bool{halfHead: true, getRequest: false, halfBody: false} {
+		c := &connection{server: New(http.NotFoundHandler(), Limits{})}
+		c.takeHead([]byte(raw))
+		if got := c.mayEvict(stateHead) || c.mayEvict(stateNew); got != want {
+			t.Errorf("may be closed after %q: got %v, want %v", raw, got, want)
+		}
+	}
+}
