Say the rule for large requests once, and take out what the server had to spare

Found in a last reading; no behaviour changes. The check whether a model is declared put its name together for each call, only to take it apart again.

Checked: httpserver, gateway and scheduling with -race (the recorded decisions are unchanged), platform.

--- a/internal/dataplane/gateway/memory.go
+++ b/internal/dataplane/gateway/memory.go
@@ -6,6 +6,7 @@
 
 	"petreltide/internal/api/fault"
 	"petreltide/internal/process/clock"
+	"petreltide/internal/process/httpserver"
 )
 
 // MemoryLimit bounds the memory that the request and response bodies of all calls take together. A MaxBytes of 0 means no limit.
@@ -57,11 +58,10 @@
 
 // fits reports whether the call may go on, given the bytes that all calls hold. Ordinary bodies find room beside any number of large ones.
 func (r *MeteredReader) fits(used int64) bool {
-	others := used - r.reserved
-	if used > r.maxBytes {
-		return false
+	if !r.yields {
+		return used <= r.maxBytes
 	}
-	return !r.yields || others <= r.maxBytes/calmDivisor || r.reserved <= (r.maxBytes-others)/freeBodyDivisor
+	return httpserver.FitsBeside(used-r.reserved, r.reserved, r.maxBytes, freeBodyDivisor)
 }
 
 // Release returns the call's bytes to the limit.
@@ -83,10 +83,8 @@
 	// memoryDivisor is the divisor of the process's memory that yields MemoryLimit.MaxBytes. A body takes twice its size while it is read
 	// and while it is sent to a replica.
 	memoryDivisor = 8
-	// freeBodyDivisor is the divisor of the free memory that yields the largest body of a request that fits in any case. calmDivisor is
-	// that of all memory of requests which yields what the others may take for any body that there is room for.
+	// freeBodyDivisor is the divisor of the free memory that yields the largest body of a request that fits in any case.
 	freeBodyDivisor = 8
-	calmDivisor     = 10
 	// responseReserveDivisor is the divisor of MemoryLimit.MaxBytes that yields what is left to responses.
 	responseReserveDivisor = 4
 	// holdSmoothing divides the weight of the newest observation in the moving average of MemoryLimit.
--- a/internal/dataplane/scheduling/arrivals.go
+++ b/internal/dataplane/scheduling/arrivals.go
@@ -1,9 +1,6 @@
 package scheduling
 
-import (
-	"petreltide/internal/api/configuration"
-	"petreltide/internal/process/clock"
-)
+import "petreltide/internal/process/clock"
 
 const (
 	// arrivalSlots is the number of slots over which arrivals are counted, including the current, incomplete one.
@@ -121,7 +118,8 @@
 	}
 	doc := d.snapshot.Declaration
 	for i := range doc.Services {
-		if _, _, declared := doc.EngineUnitSize(doc.Services[i].Name, configuration.UnitName(c.Model, c.Adapter)); declared {
+		model := doc.EngineModel(doc.Services[i].Name, c.Model)
+		if model != nil && (c.Adapter == "" || model.HasAdapter(c.Adapter)) {
 			return true
 		}
 	}
--- a/internal/process/httpserver/connection.go
+++ b/internal/process/httpserver/connection.go
@@ -117,20 +117,14 @@
 func (c *connection) handOver(refused refusal) bool {
 	c.mu.Lock()
 	evicted := c.evicted
-	switch {
-	case evicted:
-	case refused != refusalNone:
+	if !evicted && refused != refusalNone {
 		c.setState(stateRefused)
 	}
 	c.mu.Unlock()
-	if evicted {
-		return false
-	}
-	if refused != refusalNone {
+	if !evicted && refused != refusalNone {
 		c.writeRefusal(refused)
-		return false
 	}
-	return true
+	return !evicted && refused == refusalNone
 }
 
 // takeHead scans bytes of a head and returns by how much the head's memory grows. A head that is whole is going to be served or refused:
--- a/internal/process/httpserver/eviction.go
+++ b/internal/process/httpserver/eviction.go
@@ -64,11 +64,7 @@
 	defer s.mu.Unlock()
 	limit := s.limits.MaxHeldHeadBytes
 	others := s.heldHeadBytes - c.heldHeadBytes
-	if limit == 0 || others == 0 {
-		return true
-	}
-	free := limit - others
-	return c.heldHeadBytes <= free/freeHeadDivisor || others <= limit/calmDivisor && c.heldHeadBytes <= free
+	return limit == 0 || others == 0 || FitsBeside(others, c.heldHeadBytes, limit, freeHeadDivisor)
 }
 
 // headHolders are the states in which a connection holds a head and may be closed.
@@ -93,10 +89,10 @@
 // EvictStalledBody closes the connection whose body has not moved for longest, if there is one that has not moved for idleGrace.
 func (s *Server) EvictStalledBody() {
 	s.mu.Lock()
-	victim, from := s.longest(stateBody, idleGrace)
+	victim := s.longest(stateBody, idleGrace)
 	s.mu.Unlock()
 	if victim != nil {
-		s.evict(victim, from)
+		s.evict(victim, stateBody)
 	}
 }
 
@@ -112,7 +108,7 @@
 func (s *Server) chooseVictim(states []state) (*connection, state) {
 	for _, grace := range []time.Duration{idleGrace, 0} {
 		for _, from := range states {
-			if c, _ := s.longest(from, grace); c != nil {
+			if c := s.longest(from, grace); c != nil {
 				return c, from
 			}
 		}
@@ -121,7 +117,7 @@
 }
 
 // longest returns the connection that has been in a state for longest, if it has been for so long at least. The caller holds mu.
-func (s *Server) longest(in state, atLeast time.Duration) (*connection, state) {
+func (s *Server) longest(in state, atLeast time.Duration) *connection {
 	var found *connection
 	since := time.Now().Add(-atLeast)
 	for c := range s.connections {
@@ -131,5 +127,5 @@
 		}
 		c.mu.Unlock()
 	}
-	return found, in
+	return found
 }
--- a/internal/process/httpserver/limits.go
+++ b/internal/process/httpserver/limits.go
@@ -19,10 +19,8 @@
 	defaultUnreadBytes = 16 << 10
 	// bodyUnreadBytes is the bound while a long body is read, which would take long in smaller portions where a round trip is long.
 	bodyUnreadBytes = 64 << 10
-	// freeHeadDivisor is the divisor of the free memory of heads that yields the largest head that is served in any case. calmDivisor is
-	// that of all memory of heads which yields what the others may take for any head to be served that fits.
+	// freeHeadDivisor is the divisor of the free memory of heads that yields the largest head that is served in any case.
 	freeHeadDivisor = 16
-	calmDivisor     = 10
 	// connectionBytes is what a connection takes in the process: its goroutine, buffers and bookkeeping.
 	connectionBytes = 16 << 10
 	// pieceBytes is the size of the pieces in which answers are written. Each has to be taken within Limits.WriteTimeout.
--- a/internal/process/httpserver/shares.go
+++ b/internal/process/httpserver/shares.go
@@ -34,6 +34,16 @@
 	return max(minConnections, min(byDescriptors, int(m.Memory(memory)/bytesEach)))
 }
 
+// calmDivisor is the divisor of a limit that yields what others may hold for any request to fit for which there is room.
+const calmDivisor = 10
+
+// FitsBeside reports whether a request that does not give way later may hold own bytes of limit, of which others hold a part: in calm
+// whatever is free, and else a part of that, given by freeDivisor, so that ordinary requests find room beside any number of large ones.
+func FitsBeside(others, own, limit, freeDivisor int64) bool {
+	free := limit - others
+	return own <= free && (others <= limit/calmDivisor || own <= free/freeDivisor)
+}
+
 // Share is the share of a machine that one listener takes: of the descriptors, and of the memory for connections, heads and bodies.
 type Share struct {
 	Descriptors, Connections, Heads, Bodies float64
